base: build, checks, errors, clock, log, counters, options; interfaces of the modules

Cause: an empty tree. Change: Meson build, make check with formatter, linter and the sanitizers, the base modules with their tests, the design page and the headers that the other modules are written against. Conclusion: the modules can be written side by side.

--- /dev/null
+++ b/base/clock.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <stdint.h>
+#include <time.h>
+
+/* The clock as an interface, so that decisions replay under a clock that a
+   test or a recorded trace drives.  */
+
+struct clock;
+
+struct clock_driver
+{
+  struct timespec (*monotonic) (const struct clock *clk);
+  struct timespec (*wall) (const struct clock *clk);
+};
+
+struct clock
+{
+  const struct clock_driver *drv;
+};
+
+/* The clock of the operating system.  */
+extern const struct clock clock_system;
+
+/* A clock that stands still until it is set.  */
+struct clock_manual
+{
+  struct clock clk;
+  int64_t now_us;
+};
+
+void clock_manual_init (struct clock_manual *man, int64_t now_us);
+
+struct timespec clock_now (const struct clock *clk);
+struct timespec clock_wall (const struct clock *clk);
+
+/* Monotonic time in microseconds.  */
+int64_t clock_now_us (const struct clock *clk);
+
+/* Wall-clock time in milliseconds since the epoch.  */
+int64_t clock_wall_ms (const struct clock *clk);
--- /dev/null
+++ b/base/counter.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <stdatomic.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* Counters of the process, in the text exposition format at /metrics.  */
+
+enum counter_id
+{
+#define COUNTER(sym, name, help) sym,
+#include "base/counters.def"
+#undef COUNTER
+  COUNTER_COUNT
+};
+
+struct counters
+{
+  _Atomic uint64_t values[COUNTER_COUNT];
+};
+
+static inline void
+counter_add (struct counters *ctr, enum counter_id id, uint64_t n)
+{
+  atomic_fetch_add_explicit (&ctr->values[id], n, memory_order_relaxed);
+}
+
+static inline uint64_t
+counter_get (struct counters *ctr, enum counter_id id)
+{
+  return atomic_load_explicit (&ctr->values[id], memory_order_relaxed);
+}
+
+/* Returns the exposition text, owned by the talloc context PARENT, or NULL
+   without memory.  */
+char *counters_format (struct counters *ctr, void *parent);
--- /dev/null
+++ b/cli/settings.c
@@ -0,0 +1,41 @@
+#include "cli/settings.h"
+
+#include <stddef.h>
+
+static const char *const log_levels[]
+    = { "debug", "info", "warn", "error", NULL };
+static const char *const policies[]
+    = { "fair", "random", "static-split", "thin", NULL };
+
+#define FIELD(f) offsetof (struct serve_settings, f)
+
+const struct option_def serve_options[] = {
+  { "name", OPTION_STR, FIELD (name), 1, 64, NULL, NULL, NULL,
+    "name of this entry process, unique in the deployment" },
+  { "data-centre", OPTION_STR, FIELD (data_centre), 1, 64, NULL, NULL, NULL,
+    "data centre of this entry process" },
+  { "listen", OPTION_ADDRESS, FIELD (listen), 0, 0, NULL, NULL, "127.0.0.1:0",
+    "address for callers; port 0 takes a free one" },
+  { "peer-listen", OPTION_ADDRESS, FIELD (peer_listen), 0, 0, NULL, NULL, "",
+    "address for the entry processes of the same data centre" },
+  { "peers", OPTION_STR, FIELD (peers), 0, 4096, NULL, NULL, "",
+    "comma-separated peer addresses IP:PORT of the same data centre" },
+  { "platform", OPTION_ADDRESS, FIELD (platform), 0, 0, NULL, NULL, NULL,
+    "address of the platform's log service and host list" },
+  { "policy", OPTION_CHOICE, FIELD (policy), 0, 0, policies, NULL, "fair",
+    "admission and routing policy; all but fair are baselines for "
+    "measurements" },
+  { "log-level", OPTION_CHOICE, FIELD (log_level), 0, 0, log_levels, NULL,
+    "info", "least level that is logged" },
+  { "drain-ms", OPTION_INT, FIELD (drain_ms), 0, 3600000, NULL, "ms", "30000",
+    "longest graceful shutdown" },
+  { "deadline-ms", OPTION_INT, FIELD (deadline_ms), 1, 600000, NULL, "ms",
+    "10000", "deadline of a request that names none" },
+  { "max-open", OPTION_INT, FIELD (max_open), 1, 100000, NULL, "requests",
+    "4096", "open requests; more are refused" },
+  { "max-body", OPTION_INT, FIELD (max_body), 1, 67108864, NULL, "bytes",
+    "1048576", "largest body of a request or an answer" },
+  { "hosts-poll-ms", OPTION_INT, FIELD (hosts_poll_ms), 50, 60000, NULL, "ms",
+    "500", "interval between reads of the platform's host list" },
+  { NULL, 0, 0, 0, 0, NULL, NULL, NULL, NULL },
+};
--- /dev/null
+++ b/cli/settings.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "base/option.h"
+
+/* Settings of `kingcuphollow serve`.  */
+struct serve_settings
+{
+  char *name;
+  char *data_centre;
+  char *listen;
+  char *peer_listen;
+  char *peers;
+  char *platform;
+  char *policy;
+  char *log_level;
+  int64_t drain_ms;
+  int64_t deadline_ms;
+  int64_t max_open;
+  int64_t max_body;
+  int64_t hosts_poll_ms;
+};
+
+extern const struct option_def serve_options[];
