base: drive libcurl's multi handle from a tevent context

The store and the entry process both need libcurl transfers in a tevent context. base/curl_loop binds sockets to tevent_add_fd and libcurl's timer to tevent_add_timer, bounds the handles held, and reports each end once.

tevent's epoll back end drops the error of a socket that waits only to become writable. The loop therefore always watches for reading too.

--- /dev/null
+++ b/base/curl_loop.c
@@ -0,0 +1,273 @@
+#include "base/curl_loop.h"
+
+#include <pthread.h>
+#include <stdbool.h>
+#include <talloc.h>
+#include <tevent.h>
+
+#include "base/err.h"
+
+struct call
+{
+  struct call *prev;
+  struct call *next;
+  CURL *easy;
+  curl_loop_fn *fn;
+  void *arg;
+};
+
+struct priv
+{
+  struct tevent_context *ev;
+  CURLM *multi;
+  struct tevent_timer *timer;
+  struct call *calls;
+  uint32_t count;
+  uint32_t max_calls;
+  /* Set while callbacks run; tells report_done that the loop was finished by
+     one of them.  */
+  bool *finished;
+};
+
+static pthread_once_t global_once = PTHREAD_ONCE_INIT;
+static CURLcode global_result;
+
+static void
+global_init (void)
+{
+  global_result = curl_global_init (CURL_GLOBAL_DEFAULT);
+}
+
+static void
+take_out (struct priv *p, struct call *call)
+{
+  curl_multi_remove_handle (p->multi, call->easy);
+  curl_easy_setopt (call->easy, CURLOPT_PRIVATE, NULL);
+  if (call->prev)
+    call->prev->next = call->next;
+  else
+    p->calls = call->next;
+  if (call->next)
+    call->next->prev = call->prev;
+  p->count--;
+  talloc_free (call);
+}
+
+static struct call *
+find_call (struct priv *p, CURL *easy)
+{
+  char *ptr = NULL;
+  curl_easy_getinfo (easy, CURLINFO_PRIVATE, &ptr);
+  return (struct call *)ptr;
+}
+
+/* Runs the callbacks of the transfers that ended.  Returns early when one of
+   them finished the loop.  */
+static void
+report_done (struct priv *p)
+{
+  bool finished = false;
+  bool *outer = p->finished;
+  CURLMsg *msg;
+  int left;
+
+  p->finished = &finished;
+  while ((msg = curl_multi_info_read (p->multi, &left)))
+    {
+      if (msg->msg != CURLMSG_DONE)
+        continue;
+      CURL *easy = msg->easy_handle;
+      CURLcode res = msg->data.result;
+      struct call *call = find_call (p, easy);
+      curl_loop_fn *fn = call->fn;
+      void *arg = call->arg;
+      take_out (p, call);
+      fn (arg, easy, res);
+      if (finished)
+        {
+          if (outer)
+            *outer = true;
+          return;
+        }
+    }
+  p->finished = outer;
+}
+
+static void
+on_timer (struct tevent_context *ev, struct tevent_timer *te,
+          struct timeval now, void *arg)
+{
+  struct priv *p = arg;
+  int running;
+  p->timer = NULL;
+  curl_multi_socket_action (p->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  report_done (p);
+}
+
+static int
+set_timer (CURLM *multi, long timeout_ms, void *arg)
+{
+  struct priv *p = arg;
+  TALLOC_FREE (p->timer);
+  if (timeout_ms < 0)
+    return 0;
+  struct timeval at = tevent_timeval_current_ofs (timeout_ms / 1000,
+                                                  timeout_ms % 1000 * 1000);
+  p->timer = tevent_add_timer (p->ev, p, at, on_timer, p);
+  return p->timer ? 0 : -1;
+}
+
+struct watch
+{
+  struct priv *priv;
+  curl_socket_t sock;
+  struct tevent_fd *fde;
+};
+
+static void
+on_socket (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+           void *arg)
+{
+  struct watch *watch = arg;
+  struct priv *p = watch->priv;
+  int mask = 0;
+  int running;
+  if (flags & TEVENT_FD_READ)
+    mask |= CURL_CSELECT_IN;
+  if (flags & TEVENT_FD_WRITE)
+    mask |= CURL_CSELECT_OUT;
+  curl_multi_socket_action (p->multi, watch->sock, mask, &running);
+  report_done (p);
+}
+
+static int
+watch_socket (CURL *easy, curl_socket_t sock, int what, void *arg, void *ptr)
+{
+  struct priv *p = arg;
+  struct watch *watch = ptr;
+  uint16_t flags = TEVENT_FD_READ;
+
+  if (what == CURL_POLL_REMOVE)
+    {
+      talloc_free (watch);
+      curl_multi_assign (p->multi, sock, NULL);
+      return 0;
+    }
+  /* tevent's epoll back end drops the error of a socket that only waits to
+     become writable, so a refused connection would be noticed at the timeout
+     only.  libcurl asks for writing alone just while it connects, when
+     reading also costs nothing.  */
+  if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
+    flags |= TEVENT_FD_WRITE;
+  if (watch)
+    {
+      tevent_fd_set_flags (watch->fde, flags);
+      return 0;
+    }
+  watch = talloc_zero (p, struct watch);
+  if (!watch)
+    return -1;
+  watch->priv = p;
+  watch->sock = sock;
+  watch->fde = tevent_add_fd (p->ev, watch, sock, flags, on_socket, watch);
+  if (!watch->fde)
+    {
+      talloc_free (watch);
+      return -1;
+    }
+  curl_multi_assign (p->multi, sock, watch);
+  return 0;
+}
+
+int
+curl_loop_init (struct curl_loop *loop, void *parent,
+                struct tevent_context *ev,
+                const struct curl_loop_settings *set)
+{
+  loop->priv = NULL;
+  if (set->max_calls == 0 || set->max_idle == 0)
+    return ERR_INVALID;
+  pthread_once (&global_once, global_init);
+  if (global_result != CURLE_OK)
+    return ERR_NOMEM;
+  struct priv *p = talloc_zero (parent, struct priv);
+  if (!p)
+    return ERR_NOMEM;
+  p->ev = ev;
+  p->max_calls = set->max_calls;
+  p->multi = curl_multi_init ();
+  if (!p->multi)
+    {
+      talloc_free (p);
+      return ERR_NOMEM;
+    }
+  curl_multi_setopt (p->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
+  curl_multi_setopt (p->multi, CURLMOPT_SOCKETDATA, p);
+  curl_multi_setopt (p->multi, CURLMOPT_TIMERFUNCTION, set_timer);
+  curl_multi_setopt (p->multi, CURLMOPT_TIMERDATA, p);
+  curl_multi_setopt (p->multi, CURLMOPT_MAXCONNECTS, (long)set->max_idle);
+  curl_multi_setopt (p->multi, CURLMOPT_MAX_TOTAL_CONNECTIONS,
+                     (long)set->max_connections);
+  loop->priv = p;
+  return 0;
+}
+
+void
+curl_loop_fini (struct curl_loop *loop)
+{
+  struct priv *p = loop->priv;
+  if (!p)
+    return;
+  loop->priv = NULL;
+  if (p->finished)
+    *p->finished = true;
+  while (p->calls)
+    take_out (p, p->calls);
+  curl_multi_cleanup (p->multi);
+  talloc_free (p);
+}
+
+int
+curl_loop_add (struct curl_loop *loop, CURL *easy, curl_loop_fn *fn, void *arg)
+{
+  struct priv *p = loop->priv;
+  if (p->count >= p->max_calls)
+    return ERR_FULL;
+  struct call *call = talloc_zero (p, struct call);
+  if (!call)
+    return ERR_NOMEM;
+  call->easy = easy;
+  call->fn = fn;
+  call->arg = arg;
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
+  /* Signals would reach whichever thread, and only the built-in resolver
+     uses them.  */
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  CURLMcode code = curl_multi_add_handle (p->multi, easy);
+  if (code != CURLM_OK)
+    {
+      curl_easy_setopt (easy, CURLOPT_PRIVATE, NULL);
+      talloc_free (call);
+      return code == CURLM_OUT_OF_MEMORY ? ERR_NOMEM : ERR_SYSTEM;
+    }
+  call->next = p->calls;
+  if (p->calls)
+    p->calls->prev = call;
+  p->calls = call;
+  p->count++;
+  return 0;
+}
+
+void
+curl_loop_remove (struct curl_loop *loop, CURL *easy)
+{
+  struct call *call = find_call (loop->priv, easy);
+  if (call)
+    take_out (loop->priv, call);
+}
+
+uint32_t
+curl_loop_calls (const struct curl_loop *loop)
+{
+  return loop->priv->count;
+}
--- /dev/null
+++ b/base/curl_loop.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <curl/curl.h>
+#include <stdint.h>
+
+/* A libcurl multi handle driven by a tevent context.  One loop belongs to one
+   thread.  Easy handles stay the caller's: the loop neither creates nor frees
+   them.  It uses CURLOPT_PRIVATE of the handles that it holds.  */
+
+struct tevent_context;
+
+struct curl_loop_settings
+{
+  uint32_t max_calls;       /* easy handles held at a time; more: ERR_FULL */
+  uint32_t max_connections; /* open connections; transfers beyond wait inside
+                               libcurl; 0: no limit */
+  uint32_t max_idle;        /* idle connections kept for reuse; at least 1 */
+};
+
+struct curl_loop
+{
+  struct priv *priv;
+};
+
+/* RES is libcurl's result of the transfer.  EASY is no longer held by the
+   loop: the callback may free it, reset it, or add it again.  */
+typedef void curl_loop_fn (void *arg, CURL *easy, CURLcode res);
+
+/* Returns 0, ERR_INVALID or ERR_NOMEM.  PARENT is a talloc context.  */
+int curl_loop_init (struct curl_loop *loop, void *parent,
+                    struct tevent_context *ev,
+                    const struct curl_loop_settings *set);
+
+/* Takes out the handles still held, without running their callbacks, and
+   closes all connections.  May be called from a curl_loop_fn.  */
+void curl_loop_fini (struct curl_loop *loop);
+
+/* Starts the transfer that EASY describes.  Returns 0, ERR_FULL, ERR_NOMEM or
+   ERR_SYSTEM.  After 0, FN runs exactly once unless the handle is removed or
+   the loop finished first; it never runs from inside this call.  */
+int curl_loop_add (struct curl_loop *loop, CURL *easy, curl_loop_fn *fn,
+                   void *arg);
+
+/* Takes out EASY before its transfer ended; its callback does not run, and
+   libcurl closes the connection when the transfer had begun.  A handle that
+   the loop does not hold is left alone.  Must not be called from a callback
+   that libcurl itself runs (write, header, read functions); those stop a
+   transfer by their return value.  */
+void curl_loop_remove (struct curl_loop *loop, CURL *easy);
+
+/* Number of easy handles held.  */
+uint32_t curl_loop_calls (const struct curl_loop *loop);
--- /dev/null
+++ b/test/unit/unit_curl_loop.c
@@ -0,0 +1,249 @@
+#include <arpa/inet.h>
+#include <check.h>
+#include <curl/curl.h>
+#include <microhttpd.h>
+#include <stdbool.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+#include <tevent.h>
+#include <unistd.h>
+
+#include "base/curl_loop.h"
+#include "base/err.h"
+
+#define WAIT_S 60
+
+static struct tevent_context *ev;
+static struct curl_loop loop;
+static struct MHD_Daemon *web;
+static uint16_t web_port;
+static int results[8];
+static int seen;
+
+static enum MHD_Result
+serve (void *arg, struct MHD_Connection *con, const char *url,
+       const char *method, const char *version, const char *data, size_t *len,
+       void **con_cls)
+{
+  struct MHD_Response *resp
+      = MHD_create_response_from_buffer (2, "ok", MHD_RESPMEM_PERSISTENT);
+  enum MHD_Result res = MHD_queue_response (con, 200, resp);
+  MHD_destroy_response (resp);
+  return res;
+}
+
+static void
+start (uint32_t max_calls)
+{
+  struct curl_loop_settings set = { max_calls, 0, 4 };
+  struct sockaddr_in addr = { .sin_family = AF_INET };
+  addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  seen = 0;
+  memset (results, -1, sizeof results);
+  ev = tevent_context_init (NULL);
+  ck_assert_int_eq (curl_loop_init (&loop, ev, ev, &set), 0);
+  web = MHD_start_daemon (
+      MHD_USE_INTERNAL_POLLING_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL,
+      NULL, serve, NULL, MHD_OPTION_SOCK_ADDR, &addr, MHD_OPTION_END);
+  ck_assert_ptr_nonnull (web);
+  web_port = MHD_get_daemon_info (web, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
+static void
+stop (void)
+{
+  curl_loop_fini (&loop);
+  talloc_free (ev);
+  MHD_stop_daemon (web);
+}
+
+/* A TCP socket on a free port of the loopback interface.  */
+static int
+bound_socket (uint16_t *port)
+{
+  struct sockaddr_in addr = { .sin_family = AF_INET };
+  socklen_t len = sizeof addr;
+  int sock = socket (AF_INET, SOCK_STREAM, 0);
+  addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  ck_assert_int_eq (bind (sock, (struct sockaddr *)&addr, sizeof addr), 0);
+  ck_assert_int_eq (getsockname (sock, (struct sockaddr *)&addr, &len), 0);
+  *port = ntohs (addr.sin_port);
+  return sock;
+}
+
+/* Takes connections and never answers.  */
+static int
+silent_socket (uint16_t *port)
+{
+  int sock = bound_socket (port);
+  ck_assert_int_eq (listen (sock, 8), 0);
+  return sock;
+}
+
+static size_t
+ignore (char *data, size_t size, size_t count, void *arg)
+{
+  return size * count;
+}
+
+static CURL *
+easy_for (uint16_t port, const char *path)
+{
+  char url[64];
+  CURL *easy = curl_easy_init ();
+  ck_assert_ptr_nonnull (easy);
+  snprintf (url, sizeof url, "http://127.0.0.1:%u%s", port, path);
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, ignore);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, WAIT_S * 1500L);
+  return easy;
+}
+
+static void
+on_done (void *arg, CURL *easy, CURLcode res)
+{
+  int *slot = arg;
+  *slot = res;
+  seen++;
+  curl_easy_cleanup (easy);
+}
+
+static void
+on_bound (struct tevent_context *ctx, struct tevent_timer *te,
+          struct timeval now, void *arg)
+{
+  ck_abort_msg ("no progress for %d s", WAIT_S);
+}
+
+static void
+wait_for (int count)
+{
+  struct tevent_timer *te = tevent_add_timer (
+      ev, ev, tevent_timeval_current_ofs (WAIT_S, 0), on_bound, NULL);
+  while (seen < count)
+    ck_assert_int_eq (tevent_loop_once (ev), 0);
+  talloc_free (te);
+}
+
+/* Guards against a callback that is lost or runs from inside add.  */
+START_TEST (test_completes)
+{
+  start (4);
+  for (int n = 0; n < 3; n++)
+    ck_assert_int_eq (curl_loop_add (&loop, easy_for (web_port, "/ok"),
+                                     on_done, &results[n]),
+                      0);
+  ck_assert_int_eq (seen, 0);
+  wait_for (3);
+  for (int n = 0; n < 3; n++)
+    ck_assert_int_eq (results[n], CURLE_OK);
+  ck_assert_uint_eq (curl_loop_calls (&loop), 0);
+  stop ();
+}
+END_TEST
+
+#define FILLERS 4
+
+/* Guards against a refusal that comes while the connection is being set up
+   and is noticed at the timeout only, because tevent hides the error of a
+   socket that just waits to become writable.  The listener's backlog is full,
+   so the connection waits; once the listener is closed, the next SYN is
+   refused.  */
+START_TEST (test_refused)
+{
+  int fillers[FILLERS];
+  uint16_t port;
+  start (4);
+  int sock = bound_socket (&port);
+  ck_assert_int_eq (listen (sock, 0), 0);
+  struct sockaddr_in addr = { .sin_family = AF_INET };
+  addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  addr.sin_port = htons (port);
+  for (int n = 0; n < FILLERS; n++)
+    {
+      fillers[n] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      (void)connect (fillers[n], (struct sockaddr *)&addr, sizeof addr);
+    }
+  CURL *easy = easy_for (port, "/");
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, WAIT_S * 1500L);
+  ck_assert_int_eq (curl_loop_add (&loop, easy, on_done, &results[0]), 0);
+  ck_assert_int_eq (tevent_loop_once (ev), 0);
+  ck_assert_int_eq (seen, 0);
+  close (sock);
+  wait_for (1);
+  ck_assert_int_eq (results[0], CURLE_COULDNT_CONNECT);
+  for (int n = 0; n < FILLERS; n++)
+    close (fillers[n]);
+  stop ();
+}
+END_TEST
+
+/* Guards against an unbounded number of transfers, and against a removed one
+   that still calls back or keeps its place.  */
+START_TEST (test_full_and_remove)
+{
+  uint16_t port;
+  start (1);
+  int sock = silent_socket (&port);
+  CURL *held = easy_for (port, "/");
+  CURL *more = easy_for (web_port, "/ok");
+  ck_assert_int_eq (curl_loop_add (&loop, held, on_done, &results[0]), 0);
+  ck_assert_int_eq (curl_loop_add (&loop, more, on_done, &results[1]),
+                    ERR_FULL);
+  curl_loop_remove (&loop, held);
+  curl_loop_remove (&loop, held);
+  ck_assert_int_eq (curl_loop_add (&loop, more, on_done, &results[1]), 0);
+  wait_for (1);
+  ck_assert_int_eq (results[0], -1);
+  ck_assert_int_eq (results[1], CURLE_OK);
+  curl_easy_cleanup (held);
+  close (sock);
+  stop ();
+}
+END_TEST
+
+static void
+on_done_finish (void *arg, CURL *easy, CURLcode res)
+{
+  on_done (arg, easy, res);
+  curl_loop_fini (&loop);
+}
+
+/* Guards against use after free when a callback finishes the loop.  */
+START_TEST (test_finish_in_callback)
+{
+  uint16_t port;
+  start (4);
+  int sock = silent_socket (&port);
+  CURL *held = easy_for (port, "/");
+  ck_assert_int_eq (curl_loop_add (&loop, held, on_done, &results[0]), 0);
+  ck_assert_int_eq (curl_loop_add (&loop, easy_for (web_port, "/ok"),
+                                   on_done_finish, &results[1]),
+                    0);
+  wait_for (1);
+  ck_assert_int_eq (results[0], -1);
+  ck_assert_int_eq (results[1], CURLE_OK);
+  curl_easy_cleanup (held);
+  close (sock);
+  stop ();
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("curl_loop");
+  TCase *tc = tcase_create ("curl_loop");
+  tcase_set_timeout (tc, 2 * WAIT_S);
+  tcase_add_test (tc, test_completes);
+  tcase_add_test (tc, test_refused);
+  tcase_add_test (tc, test_full_and_remove);
+  tcase_add_test (tc, test_finish_in_callback);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
