--- a/cli/main.c
+++ b/cli/main.c
@@ -1,10 +1,12 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
 #include "base/err.h"
 #include "base/log.h"
 #include "cli/settings.h"
+#include "entry/serve.h"
 
 #define EXIT_USAGE 2
 
@@ -41,6 +43,20 @@
   return err < 0 ? EXIT_USAGE : 0;
 }
 
+static int
+run_serve (void *ctx, int argc, char **argv)
+{
+  struct serve_settings set;
+  int err = options_parse (ctx, "serve", serve_options, argc, argv, &set,
+                           stdout, stderr);
+  if (err)
+    return err < 0 ? EXIT_USAGE : 0;
+  err = serve_run (ctx, &set);
+  if (err)
+    fprintf (stderr, "kingcuphollow: serve: %s\n", err_name (err));
+  return err ? EXIT_FAILURE : 0;
+}
+
 static int
 run_version (void *ctx, int argc, char **argv)
 {
@@ -49,6 +65,7 @@
 }
 
 static const struct command commands[] = {
+  { "serve", run_serve, "run an entry process" },
   { "check-settings", run_check_settings, "check the settings of serve" },
   { "settings", run_settings, "print the reference page of the settings" },
   { "events", run_events, "print the catalogue of log events" },
--- a/cli/settings.c
+++ b/cli/settings.c
@@ -37,5 +37,16 @@
     "1048576", "largest body of a request or an answer" },
   { "hosts-poll-ms", OPTION_INT, FIELD (hosts_poll_ms), 50, 60000, NULL, "ms",
     "500", "interval between reads of the platform's host list" },
+  { "leave-ms", OPTION_INT, FIELD (leave_ms), 0, 600000, NULL, "ms", "1000",
+    "after a stop signal, requests are still taken this long, until the load "
+    "balancer has seen /readyz fail" },
+  { "key-lifetime-ms", OPTION_INT, FIELD (key_lifetime_ms), 1000, 2592000000,
+    NULL, "ms", "86400000",
+    "how long an idempotency key is remembered; the same in all processes" },
+  { "appends-per-s", OPTION_INT, FIELD (appends_per_s), 1, 10000, NULL,
+    "appends a second", "20",
+    "this process's share of the platform log's appends" },
+  { "seed", OPTION_INT, FIELD (seed), 0, 9223372036854775807, NULL, NULL, "0",
+    "seed of the routing choices; 0 takes a random one" },
   { NULL, 0, 0, 0, 0, NULL, NULL, NULL, NULL },
 };
--- a/cli/settings.h
+++ b/cli/settings.h
@@ -18,6 +18,10 @@
   int64_t max_open;
   int64_t max_body;
   int64_t hosts_poll_ms;
+  int64_t leave_ms;
+  int64_t key_lifetime_ms;
+  int64_t appends_per_s;
+  int64_t seed;
 };
 
 extern const struct option_def serve_options[];
--- /dev/null
+++ b/entry/control.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "entry/mailbox.h"
+
+/* The control thread's part of an entry process: reads the platform's host
+   list and log, settles claims, talks to peers, and gives the traffic threads
+   their view.  Runs on the thread that calls tevent_loop_once.  */
+
+struct clock;
+struct counters;
+struct log_store;
+struct logger;
+struct tevent_context;
+struct traffic;
+struct control;
+
+struct control_settings
+{
+  const char *name;
+  const char *data_centre;
+  uint64_t incarnation;
+  int64_t hosts_poll_ms;
+  int64_t key_lifetime_ms;
+  uint32_t appends_per_s;
+};
+
+/* Returns 0, ERR_NOMEM or ERR_SYSTEM.  STORE stays the caller's.  */
+int control_create (void *parent, struct tevent_context *ev,
+                    const struct control_settings *set,
+                    struct log_store *store, const struct clock *clk,
+                    struct logger *lg, struct counters *ctr,
+                    struct control **out);
+void control_destroy (struct control *ctl);
+
+struct mailbox *control_mailbox (struct control *ctl);
+
+/* Gives TRF views and verdicts from now on.  */
+void control_attach (struct control *ctl, struct traffic *trf);
+
+/* Asks the traffic thread to drain, or to stop at once.  */
+void control_drain (struct control *ctl);
+void control_stop_now (struct control *ctl);
+
+/* Whether the traffic thread has ended its loop.  */
+bool control_traffic_idle (const struct control *ctl);
--- /dev/null
+++ b/entry/traffic_priv.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "entry/dispatch.h"
+#include "entry/mails.h"
+#include "entry/request.h"
+#include "entry/traffic.h"
+
+struct tevent_context;
+struct tevent_timer;
+
+struct traffic
+{
+  /* Set before the thread starts.  */
+  struct traffic_settings set;
+  const struct clock *clk;
+  struct logger *lg;
+  struct counters *ctr;
+  struct mailbox *control;
+  pthread_t thread;
+  struct mailbox inbox;
+  struct tevent_context *ev;
+
+  /* Traffic thread only.  */
+  struct listener *lis;
+  struct dispatch *dsp;
+  struct admit adm;
+  struct route rt;
+  struct retry_budget bud;
+  struct view *view;
+  struct request *open; /* list of all requests not yet replied to */
+  uint32_t open_count;
+  struct tevent_timer *expiry_timer;
+  struct tevent_timer *refresh_timer;
+  struct tevent_timer *leave_timer;
+  uint32_t entries; /* of the data centre, for the least share of slots */
+  uint32_t policy_attempts; /* 0: as the table says */
+  bool pumping;             /* inside flow_pump */
+  bool pump_again;
+  bool draining;
+  bool refusing; /* draining, and the leave time is over */
+  bool stopped;
+};
+
+/* request_flow.c: the way of one request.  */
+
+void flow_submit (struct traffic *trf, struct request *req);
+void flow_verdict (struct traffic *trf, const struct mail_verdict *mail);
+void flow_released (struct traffic *trf, const struct mail_released *mail);
+
+/* Starts what admission lets start in POOL.  */
+void flow_pump (struct traffic *trf, uint32_t pool);
+void flow_pump_all (struct traffic *trf);
+
+/* Refuses what waited too long and sets the timer for the next.  */
+void flow_expire (struct traffic *trf);
+
+/* Starts the health probes that are due.  */
+void flow_probe (struct traffic *trf);
+
+/* Ends every open request at once, each with a true outcome.  */
+void flow_abort_all (struct traffic *trf);
+
+void flow_finish (struct traffic *trf, struct request *req,
+                  enum request_outcome outcome, enum request_reason reason);
