--- a/entry/view_build.c
+++ b/entry/view_build.c
@@ -23,9 +23,13 @@
 }
 
 static int
-add_target (struct view *vw, const struct host *host)
+add_target (struct view *vw, const struct view_input *in,
+            const struct host *host)
 {
-  int pool = view_add_pool (vw, host->initial_pool);
+  const char *name = in->assignment
+                         ? in->assignment (in->assignment_arg, host->name)
+                         : NULL;
+  int pool = view_add_pool (vw, name ? name : host->initial_pool);
   if (pool < 0)
     return ERR_NOMEM;
   struct target_info *info = &vw->targets[vw->target_count++];
@@ -41,59 +45,74 @@
 }
 
 static int
-add_targets (struct view *vw, const struct host_list *hosts)
+add_targets (struct view *vw, const struct view_input *in)
 {
+  const struct host_list *hosts = in->hosts;
   vw->targets = talloc_zero_array (vw, struct target_info, hosts->count + 1);
   if (!vw->targets)
     return ERR_NOMEM;
   for (size_t n = 0; n < hosts->count; n++)
     if (hosts->hosts[n].state != HOST_DOWN)
       {
-        int err = add_target (vw, &hosts->hosts[n]);
+        int err = add_target (vw, in, &hosts->hosts[n]);
         if (err)
           return err;
       }
   return 0;
 }
 
-/* Without a table each pool has one kind of work of its own name.  */
 static int
-add_default_kinds (struct view *vw)
+add_kind (struct view *vw, const struct table *tab,
+          const struct table_row *row)
 {
-  for (uint32_t pool = 0; pool < vw->pool_count; pool++)
-    {
-      int kind = view_add_kind (vw, vw->pools[pool].name);
-      if (kind < 0)
-        return ERR_NOMEM;
-      vw->kinds[kind].removed = false;
-      vw->kinds[kind].idempotent = true;
-      vw->kinds[kind].max_attempts = 3;
-      vw->kinds[kind].limits = (struct admit_kind_limits){
-        .pool = pool,
-        .weight = 100,
-        .queue_limit = 1000,
-        .queue_deadline_us = 2000000,
-        .cls = ADMIT_NORMAL,
-      };
-    }
+  const struct table_kind *tk = &row->kind;
+  int pool = view_add_pool (vw, tk->pool);
+  int kind = view_add_kind (vw, row->name);
+  if (pool < 0 || kind < 0)
+    return ERR_NOMEM;
+  struct view_kind *vk = &vw->kinds[kind];
+  vk->removed = false;
+  vk->idempotent = tk->idempotent != 0;
+  vk->max_attempts = tk->attempts;
+  vk->limits = (struct admit_kind_limits){
+    .pool = (uint32_t)pool,
+    .weight = tk->weight,
+    .concurrency_limit = tk->concurrency_limit,
+    .queue_limit = tk->queue_limit,
+    .queue_deadline_us = (int64_t)table_queue_deadline_ms (tab, row) * 1000,
+    .cls = (enum admit_class)tk->cls,
+  };
+  return 0;
+}
+
+static int
+add_kinds (struct view *vw, const struct table *tab)
+{
+  for (size_t n = 0; tab && n < tab->count; n++)
+    if (tab->rows[n]->sort == TABLE_KIND)
+      {
+        int err = add_kind (vw, tab, tab->rows[n]);
+        if (err)
+          return err;
+      }
   return 0;
 }
 
 int
-view_build (const struct view *last, const struct host_list *hosts,
-            struct view **out)
+view_build (const struct view_input *in, struct view **out)
 {
   struct view *vw = view_create ();
-  int err = vw ? copy_handles (vw, last) : ERR_NOMEM;
+  int err = vw ? copy_handles (vw, in->last) : ERR_NOMEM;
   if (!err)
-    err = add_targets (vw, hosts);
+    err = add_targets (vw, in);
   if (!err)
-    err = add_default_kinds (vw);
+    err = add_kinds (vw, in->table);
   if (err)
     {
       view_unref (vw);
       return err;
     }
+  vw->folded_offset = in->folded_offset;
   *out = vw;
   return 0;
 }
--- a/test/unit/unit_entry.c
+++ b/test/unit/unit_entry.c
@@ -341,16 +341,34 @@
       = { { .name = "a", .initial_pool = "stock", .slots = 8 },
           { .name = "b", .initial_pool = "lots", .slots = 8 } };
   struct host_list list = { .hosts = hosts, .count = 2 };
+  struct table *tab = table_create (NULL);
+  struct table_row row;
+  struct table_row *taken;
   struct view *first;
   struct view *second;
-  ck_assert_int_eq (view_build (NULL, &list, &first), 0);
+  static const char *const kinds[] = { "lot_notice", "stock_query" };
+  for (int n = 0; n < 2; n++)
+    {
+      table_row_init (&row, TABLE_KIND, kinds[n]);
+      snprintf (row.kind.pool, sizeof row.kind.pool, n ? "stock" : "lots");
+      row.kind.queue_deadline_ms = 100;
+      ck_assert_int_eq (table_add (tab, &row), 0);
+    }
+  struct view_input in = { .hosts = &list, .table = tab };
+  ck_assert_int_eq (view_build (&in, &first), 0);
   hosts[0].state = HOST_DOWN;
-  ck_assert_int_eq (view_build (first, &list, &second), 0);
+  taken = table_take (tab, TABLE_KIND, "lot_notice");
+  ck_assert_ptr_nonnull (taken);
+  in.last = first;
+  ck_assert_int_eq (view_build (&in, &second), 0);
   ck_assert_int_eq (view_find_pool (first, "lots"),
                     view_find_pool (second, "lots"));
-  ck_assert_int_eq (view_find_kind (first, "lots"),
-                    view_find_kind (second, "lots"));
+  ck_assert_int_eq (view_find_kind (first, "stock_query"),
+                    view_find_kind (second, "stock_query"));
+  ck_assert (second->kinds[view_find_kind (second, "lot_notice")].removed);
   ck_assert_uint_eq (second->target_count, 1);
+  talloc_free (taken);
+  talloc_free (tab);
   view_unref (first);
   view_unref (second);
 }
