--- /dev/null
+++ b/route/retry.c
@@ -0,0 +1,66 @@
+#include "route/retry.h"
+
+#define CENTI_PER_TOKEN 100
+
+const struct retry_settings retry_settings_default = {
+  .max_attempts = 3,
+  .budget_pct = 10,
+  .burst = 10,
+};
+
+/* The bucket starts empty, so that retries never exceed the fraction of the
+   first attempts, not even right after the start.  */
+void
+retry_budget_init (struct retry_budget *bud, const struct retry_settings *set)
+{
+  bud->set = *set;
+  bud->centi_tokens = 0;
+}
+
+void
+retry_budget_first_attempt (struct retry_budget *bud)
+{
+  int64_t most = (int64_t)bud->set.burst * CENTI_PER_TOKEN;
+  bud->centi_tokens += bud->set.budget_pct;
+  if (bud->centi_tokens > most)
+    bud->centi_tokens = most;
+}
+
+bool
+attempt_certainly_not_run (enum attempt_result result)
+{
+  return result == ATTEMPT_GUARD_REFUSED || result == ATTEMPT_CONNECT_FAILED;
+}
+
+enum retry_verdict
+retry_allow (struct retry_budget *bud, const struct retry_query *query,
+             int64_t now_us)
+{
+  if (query->result == ATTEMPT_ANSWERED || query->result == ATTEMPT_CANCELLED)
+    return RETRY_NO_POINT;
+  if (!query->idempotent && !attempt_certainly_not_run (query->result))
+    return RETRY_NO_UNSAFE;
+  if (query->attempts >= bud->set.max_attempts)
+    return RETRY_NO_ATTEMPTS;
+  int64_t expected = query->expected_us > 0 ? query->expected_us : 0;
+  if (now_us >= query->deadline_us || query->deadline_us - now_us < expected)
+    return RETRY_NO_DEADLINE;
+  if (bud->centi_tokens < CENTI_PER_TOKEN)
+    return RETRY_NO_BUDGET;
+  bud->centi_tokens -= CENTI_PER_TOKEN;
+  return RETRY_YES;
+}
+
+const char *
+retry_verdict_name (enum retry_verdict verdict)
+{
+  static const char *const names[] = {
+    [RETRY_YES] = "yes",
+    [RETRY_NO_UNSAFE] = "unsafe",
+    [RETRY_NO_ATTEMPTS] = "attempts",
+    [RETRY_NO_DEADLINE] = "deadline",
+    [RETRY_NO_BUDGET] = "budget",
+    [RETRY_NO_POINT] = "ended",
+  };
+  return names[verdict];
+}
