store: record envelope, HTTP driver, append queue

The envelope carries version, writer, incarnation, sequence, expected generation, body and an XXH3 checksum that is seeded by the header, so that a damaged id is found too. The HTTP driver bounds calls, reply sizes and times, and calls an append certainly not done only for the replies that the protocol names or when libcurl never began to send. The append queue holds a token bucket, two priorities and one append in progress per stream; a late append's bytes are made when its turn has come, so that a batch grows while it waits.

--- /dev/null
+++ b/store/log_http.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <stdint.h>
+
+#include "store/log_store.h"
+
+/* The platform's log service and host list over HTTP, as
+   docs/design/platform-protocol.md describes them.  */
+
+struct tevent_context;
+
+struct log_http_settings
+{
+  const char *address; /* IP:PORT or [IPV6]:PORT */
+  uint32_t max_calls;  /* in progress; more: ERR_FULL */
+  int64_t connect_timeout_ms;
+  int64_t append_timeout_ms;
+  int64_t read_timeout_ms; /* beyond the wait that the read asks for */
+  int64_t hosts_timeout_ms;
+  uint32_t max_hosts_bytes; /* a longer host list is ERR_PROTOCOL */
+};
+
+extern const struct log_http_settings log_http_settings_default;
+
+struct log_http
+{
+  struct log_store st; /* first member: the vtable */
+  struct priv *priv;
+};
+
+/* Returns 0, ERR_INVALID (address or a setting out of range) or ERR_NOMEM.
+   Finished by log_store_fini (&lh->st).  */
+int log_http_init (struct log_http *lh, void *parent,
+                   struct tevent_context *ev,
+                   const struct log_http_settings *set);
