--- a/admit/admit.h
+++ b/admit/admit.h
@@ -32,6 +32,14 @@
   ADMIT_REASON_UNKNOWN_KIND,
 };
 
+/* Handles and limits above these are refused with ERR_INVALID.  */
+#define ADMIT_KINDS_MAX 4096
+#define ADMIT_POOLS_MAX 4096
+#define ADMIT_WEIGHT_MAX 10000
+#define ADMIT_SLOTS_MAX 1000000
+#define ADMIT_QUEUE_MAX 100000
+#define ADMIT_QUEUE_DEADLINE_MAX_US (24LL * 3600 * 1000000)
+
 struct admit_kind_limits
 {
   uint32_t pool;
@@ -54,6 +62,11 @@
   struct admit_item *next;
   int64_t arrival_us;
   int state;
+  uint32_t pool;  /* where it was started */
+  uint32_t epoch; /* of its kind when it was started */
+  uint32_t heap_index;
+  int64_t start_us;
+  int64_t expiry_us; /* latest start */
 };
 
 struct admit_refusal
@@ -81,6 +94,9 @@
                               int64_t now_us, struct admit_refusal *ref);
   struct admit_item *(*next) (struct admit *adm, uint32_t pool,
                               int64_t now_us);
+  /* Optional: accounts for the time until now, before what runs in POOL
+     changes.  */
+  void (*advance) (struct admit *adm, uint32_t pool, int64_t now_us);
 };
 
 extern const struct admit_driver admit_fair;
--- /dev/null
+++ b/admit/admit_fair.c
@@ -0,0 +1,277 @@
+#include "admit/admit_priv.h"
+
+/* Weighted max-min fairness over the slots that kinds hold.  A free slot goes
+   to the waiting kind that holds the fewest slots for its weight.  The lag of
+   a kind corrects this by at most one slot, so that rounding to whole slots
+   and unequal service times even out over time.  */
+
+/* One slot in this many is the reserve; also the part of a pool that
+   background work keeps while urgent work waits.  */
+#define RESERVE_DIVISOR 20
+/* Work that holds a slot longer does not return it soon enough for an urgent
+   request to start at once.  */
+#define LONG_HELD_US 1000000
+/* Bounds of the time over which lags even out.  */
+#define HORIZON_MIN_US 1000
+#define HORIZON_MAX_US 600000000LL
+#define RETRY_MIN_US 50000
+#define RETRY_MAX_US 60000000LL
+
+/* Waiting work that only the fairness rule and free slots hold back.  */
+static bool
+backlogged (const struct kind *k)
+{
+  return k->queued > 0 && kind_below_limit (k);
+}
+
+static bool
+active (const struct kind *k)
+{
+  return k->queued > 0 || k->in_pool > 0;
+}
+
+/* Work that must leave the reserve free.  A kind of which nothing has ended
+   yet may be a long-running one.  */
+static bool
+leaves_reserve (const struct kind *k)
+{
+  if (k->lim.cls == ADMIT_URGENT)
+    return false;
+  return k->lim.cls == ADMIT_BACKGROUND || k->held_mean_us == 0
+         || k->held_mean_us >= LONG_HELD_US;
+}
+
+static bool
+may_start (const struct pool *pool, const struct kind *k)
+{
+  if (pool->running >= pool->slots || !kind_below_limit (k))
+    return false;
+  uint32_t reserve = leaves_reserve (k) ? pool->slots / RESERVE_DIVISOR : 0;
+  return pool->slots - pool->running > reserve;
+}
+
+static double
+clamp (double val, double low, double high)
+{
+  return val < low ? low : val > high ? high : val;
+}
+
+/* Time over which a lag of one slot is evened out: as long as the longest
+   running kind holds a slot, for within less its rounding cannot.  */
+static double
+horizon (const struct priv *p, const struct pool *pool)
+{
+  int64_t longest = HORIZON_MIN_US;
+  for (uint32_t n = 0; n < pool->kind_count; n++)
+    {
+      const struct kind *k = &p->kinds[pool->kinds[n]];
+      if (active (k) && k->held_mean_us > longest)
+        longest = k->held_mean_us;
+    }
+  return clamp (longest, HORIZON_MIN_US, HORIZON_MAX_US);
+}
+
+/* Backlogged kinds are owed their weighted part of the slots that they hold
+   together.  A kind without a backlog keeps no credit, and its debt decays,
+   so that idle time never turns into a burst.  */
+static void
+fair_advance (struct admit *adm, uint32_t pool_id, int64_t now_us)
+{
+  struct priv *p = adm->priv;
+  struct pool *pool = &p->pools[pool_id];
+  double passed = now_us - pool->advanced_us;
+  if (passed <= 0)
+    return;
+  pool->advanced_us = now_us;
+
+  double weights = 0;
+  double held = 0;
+  for (uint32_t n = 0; n < pool->kind_count; n++)
+    {
+      const struct kind *k = &p->kinds[pool->kinds[n]];
+      if (!backlogged (k))
+        continue;
+      weights += k->lim.weight;
+      held += k->in_pool;
+    }
+  double bound = horizon (p, pool);
+  for (uint32_t n = 0; n < pool->kind_count; n++)
+    {
+      struct kind *k = &p->kinds[pool->kinds[n]];
+      if (backlogged (k))
+        k->lag += (held * k->lim.weight / weights - k->in_pool) * passed;
+      else
+        k->lag = clamp (k->lag + passed, k->lag, 0);
+      k->lag = clamp (k->lag, -bound, bound);
+    }
+}
+
+/* What one pass over the kinds of a pool gives for a decision.  */
+struct view
+{
+  double horizon;
+  double weights;      /* of the active kinds */
+  bool urgent_waiting; /* and free to start */
+};
+
+static void
+view_init (struct view *v, const struct priv *p, const struct pool *pool)
+{
+  v->horizon = horizon (p, pool);
+  v->weights = 0;
+  v->urgent_waiting = false;
+  for (uint32_t n = 0; n < pool->kind_count; n++)
+    {
+      const struct kind *k = &p->kinds[pool->kinds[n]];
+      if (active (k))
+        v->weights += k->lim.weight;
+      if (k->lim.cls == ADMIT_URGENT && backlogged (k))
+        v->urgent_waiting = true;
+    }
+}
+
+static double
+share_of (const struct view *v, const struct pool *pool, const struct kind *k)
+{
+  return pool->slots * (double)k->lim.weight / v->weights;
+}
+
+/* While urgent work waits, the order is: urgent kinds below their share;
+   other kinds below what a surge of urgent work must leave them; urgent kinds
+   above their share; the rest.  */
+static int
+tier (const struct view *v, const struct pool *pool, const struct kind *k)
+{
+  if (!v->urgent_waiting)
+    return 0;
+  double share = share_of (v, pool, k);
+  if (k->lim.cls == ADMIT_URGENT)
+    return k->in_pool < share ? 0 : 2;
+  if (k->lim.cls == ADMIT_BACKGROUND)
+    {
+      uint32_t kept = pool->slots / RESERVE_DIVISOR;
+      share = clamp (share, 0, kept > 1 ? kept : 1);
+    }
+  return k->in_pool < share ? 1 : 3;
+}
+
+static double
+load_of (const struct view *v, const struct kind *k)
+{
+  return (k->in_pool - k->lag / v->horizon) / k->lim.weight;
+}
+
+static bool
+goes_before (const struct view *v, const struct pool *pool,
+             const struct kind *a, const struct kind *b)
+{
+  int ta = tier (v, pool, a);
+  int tb = tier (v, pool, b);
+  if (ta != tb)
+    return ta < tb;
+  double la = load_of (v, a);
+  double lb = load_of (v, b);
+  if (la != lb)
+    return la < lb;
+  return a->lim.cls < b->lim.cls;
+}
+
+/* The kind whose first waiting item starts next, or NULL.  */
+static struct kind *
+pick (struct priv *p, const struct pool *pool)
+{
+  struct view v;
+  struct kind *best = NULL;
+  view_init (&v, p, pool);
+  for (uint32_t n = 0; n < pool->kind_count; n++)
+    {
+      struct kind *k = &p->kinds[pool->kinds[n]];
+      if (k->queued > 0 && may_start (pool, k)
+          && (!best || goes_before (&v, pool, k, best)))
+        best = k;
+    }
+  return best;
+}
+
+static struct admit_item *
+fair_next (struct admit *adm, uint32_t pool, int64_t now_us)
+{
+  struct priv *p = adm->priv;
+  fair_advance (adm, pool, now_us);
+  struct kind *k = pick (p, &p->pools[pool]);
+  return k ? admit_start_first (p, k, now_us) : NULL;
+}
+
+/* Expected wait of one more item of the kind: its queue over the rate at
+   which its items start.  That rate is what it holds, or is entitled to, over
+   the measured time that an item holds a slot, and no more than the rate at
+   which the whole pool frees slots.  0 while nothing is measured.  */
+static double
+expected_wait (const struct priv *p, const struct pool *pool,
+               const struct kind *k)
+{
+  if (k->held_mean_us == 0)
+    return 0;
+  double freed = 0;
+  double weights = active (k) ? 0 : k->lim.weight;
+  for (uint32_t n = 0; n < pool->kind_count; n++)
+    {
+      const struct kind *other = &p->kinds[pool->kinds[n]];
+      if (active (other))
+        weights += other->lim.weight;
+      if (other->held_mean_us > 0)
+        freed += (double)other->in_pool / other->held_mean_us;
+    }
+  double slots = pool->slots * (double)k->lim.weight / weights;
+  slots = slots > k->in_pool ? slots : k->in_pool;
+  if (k->lim.concurrency_limit > 0 && slots > k->lim.concurrency_limit)
+    slots = k->lim.concurrency_limit;
+  double rate = slots / k->held_mean_us;
+  if (freed > 0 && freed < rate)
+    rate = freed;
+  return (k->queued + 1) / rate;
+}
+
+static enum admit_result
+refuse_wait (struct kind *k, struct admit_refusal *ref,
+             enum admit_reason reason, double excess_us)
+{
+  return admit_refuse (k, ref, reason,
+                       (int64_t)clamp (excess_us, RETRY_MIN_US, RETRY_MAX_US));
+}
+
+static enum admit_result
+fair_offer (struct admit *adm, struct admit_item *item, int64_t now_us,
+            struct admit_refusal *ref)
+{
+  struct priv *p = adm->priv;
+  struct kind *k = &p->kinds[item->kind];
+  if (!admit_accept (p, item, now_us, ref))
+    return ADMIT_REFUSED;
+  struct pool *pool = &p->pools[k->lim.pool];
+  fair_advance (adm, k->lim.pool, now_us);
+  if (k->queued == 0 && may_start (pool, k) && !pick (p, pool))
+    {
+      admit_start (p, item, now_us);
+      return ADMIT_START;
+    }
+  double wait = expected_wait (p, pool, k);
+  if (kind_queue_full (k))
+    return refuse_wait (k, ref, ADMIT_REASON_QUEUE_FULL, wait);
+  double excess = wait - (double)(item->expiry_us - now_us);
+  if (excess > 0)
+    return refuse_wait (k, ref,
+                        item->expiry_us < now_us + k->lim.queue_deadline_us
+                            ? ADMIT_REASON_DEADLINE
+                            : ADMIT_REASON_QUEUE_DEADLINE,
+                        excess);
+  admit_enqueue (p, item, now_us);
+  return ADMIT_QUEUED;
+}
+
+const struct admit_driver admit_fair = {
+  .name = "fair",
+  .offer = fair_offer,
+  .next = fair_next,
+  .advance = fair_advance,
+};
