admit: let the reserve bound slots held, not slots free

Cause: background and long-running work started only while more slots than the reserve were free. Short work that takes every freed slot kept them from ever being free, so such kinds got nothing during its surge. Change: the reserve bounds how many slots this work holds together.

--- a/admit/admit_fair.c
+++ b/admit/admit_fair.c
@@ -41,13 +41,29 @@
          || k->held_mean_us >= LONG_HELD_US;
 }
 
+/* Slots that hold work which must leave the reserve free.  */
+static uint32_t
+outside_reserve (const struct priv *p, const struct pool *pool)
+{
+  uint32_t held = 0;
+  for (uint32_t n = 0; n < pool->kind_count; n++)
+    {
+      const struct kind *k = &p->kinds[pool->kinds[n]];
+      if (leaves_reserve (k))
+        held += k->in_pool;
+    }
+  return held;
+}
+
+/* The reserve bounds how many slots hold such work, not how many are free:
+   short work that takes every freed slot would otherwise starve it.  */
 static bool
-may_start (const struct pool *pool, const struct kind *k)
+may_start (const struct pool *pool, const struct kind *k, uint32_t outside)
 {
   if (pool->running >= pool->slots || !kind_below_limit (k))
     return false;
-  uint32_t reserve = leaves_reserve (k) ? pool->slots / RESERVE_DIVISOR : 0;
-  return pool->slots - pool->running > reserve;
+  return !leaves_reserve (k)
+         || outside < pool->slots - pool->slots / RESERVE_DIVISOR;
 }
 
 static double
@@ -112,6 +128,7 @@
   double horizon;
   double weights;      /* of the active kinds */
   bool urgent_waiting; /* and free to start */
+  uint32_t outside;    /* slots held by work that leaves the reserve free */
 };
 
 static void
@@ -120,6 +137,7 @@
   v->horizon = horizon (p, pool);
   v->weights = 0;
   v->urgent_waiting = false;
+  v->outside = outside_reserve (p, pool);
   for (uint32_t n = 0; n < pool->kind_count; n++)
     {
       const struct kind *k = &p->kinds[pool->kinds[n]];
@@ -186,7 +204,7 @@
   for (uint32_t n = 0; n < pool->kind_count; n++)
     {
       struct kind *k = &p->kinds[pool->kinds[n]];
-      if (k->queued > 0 && may_start (pool, k)
+      if (k->queued > 0 && may_start (pool, k, v.outside)
           && (!best || goes_before (&v, pool, k, best)))
         best = k;
     }
@@ -250,7 +268,8 @@
     return ADMIT_REFUSED;
   struct pool *pool = &p->pools[k->lim.pool];
   fair_advance (adm, k->lim.pool, now_us);
-  if (k->queued == 0 && may_start (pool, k) && !pick (p, pool))
+  if (k->queued == 0 && may_start (pool, k, outside_reserve (p, pool))
+      && !pick (p, pool))
     {
       admit_start (p, item, now_us);
       return ADMIT_START;
