--- /dev/null
+++ b/test/load/make_trace.c
@@ -0,0 +1,66 @@
+/* Makes the recorded traces of the two deployments (test/traces/): a day
+   compressed to 25 s, in which each of five services surges in its turn.
+   usage: make_trace comptoir|colheitas SEED  */
+
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "test/load/trace.h"
+
+#define DAY_S 25
+#define TURN_MS 5000
+#define TURNS 5
+#define SURGE 5.0
+
+/* Counter stock, restocking, lots, allocations, monitors.  */
+static const struct trace_kind comptoir[] = {
+  { "stock-query", "volunteer", 40, 0, 50, 400000, 2000, 200, false },
+  { "stock-update", "volunteer", 40, 0, 10, 300000, 3000, 400, false },
+  { "restock-plan", "warehouse", 6, 1, 20, 900000, 8000, 3000, false },
+  { "restock-run", "warehouse", 6, 1, 5, 700000, 8000, 1500, true },
+  { "lot-notice", "brand", 25, 2, 40, 520000, 6000, 1200, false },
+  { "lot-claim", "shelter", 30, 2, 6, 400000, 5000, 500, true },
+  { "pallet-allocation", "shelter", 30, 3, 18, 700000, 6000, 800, true },
+  { "allocation-report", "warehouse", 6, 3, 15, 800000, 8000, 600, false },
+  { "expiry-check", "pharmacy", 20, 4, 35, 600000, 8000, 400, false },
+  { "shelf-monitor", "pharmacy", 20, -1, 1, 4000000, 25000, 300, false },
+};
+
+/* Routes, clearance, manifests, machines, water levels.  */
+static const struct trace_kind colheitas[] = {
+  { "route-plan", "skipper", 18, 0, 25, 1000000, 5000, 2500, false },
+  { "route-amend", "skipper", 18, 0, 15, 600000, 4000, 900, false },
+  { "clearance-report", "authority", 4, 1, 25, 900000, 10000, 6000, false },
+  { "clearance-filing", "authority", 4, 1, 5, 800000, 10000, 4000, true },
+  { "load-manifest", "buyer", 35, 2, 22, 700000, 6000, 1500, true },
+  { "load-query", "buyer", 35, 2, 30, 400000, 3000, 200, false },
+  { "cutter-assignment", "foreman", 9, 3, 12, 900000, 6000, 700, true },
+  { "fuel-plan", "foreman", 9, 3, 25, 800000, 8000, 1000, false },
+  { "biomass-estimate", "planner", 7, 4, 40, 550000, 8000, 3000, false },
+  { "level-monitor", "authority", 4, -1, 1, 4000000, 25000, 300, false },
+};
+
+int
+main (int argc, char **argv)
+{
+  struct trace tr;
+  void *ctx = talloc_new (NULL);
+  bool first = argc == 3 && strcmp (argv[1], "comptoir") == 0;
+  if (argc != 3 || (!first && strcmp (argv[1], "colheitas") != 0))
+    {
+      fputs ("usage: make_trace comptoir|colheitas SEED\n", stderr);
+      return 2;
+    }
+  trace_generate (ctx, first ? comptoir : colheitas,
+                  first ? sizeof comptoir / sizeof *comptoir
+                        : sizeof colheitas / sizeof *colheitas,
+                  TURNS, DAY_S, TURN_MS, SURGE,
+                  (unsigned)strtoul (argv[2], NULL, 10), &tr);
+  printf ("# make_trace %s %s\n"
+          "# time_ms kind caller service_us deadline_ms body_bytes repeat\n",
+          argv[1], argv[2]);
+  trace_write (&tr, stdout);
+  talloc_free (ctx);
+  return 0;
+}
--- a/test/stand/platform.c
+++ b/test/stand/platform.c
@@ -122,8 +122,8 @@
     return;
   for (int64_t n = 0; n < count; n++)
     talloc_free (sm->records[n]);
-  memmove (sm->records, sm->records + count,
-           (kept - count) * sizeof *sm->records);
+  for (int64_t n = count; n < kept; n++)
+    sm->records[n - count] = sm->records[n];
   sm->first += count;
 }
 
--- a/test/stand/stand.c
+++ b/test/stand/stand.c
@@ -224,12 +224,7 @@
     return false;
   if (!rq)
     return true;
-  size_t len = strlen (rq->method);
-  return ft->match[0] == '\0'
-         || (strncmp (ft->match, rq->method, len) == 0 && ft->match[len] == ' '
-             && strncmp (ft->match + len + 1, rq->url,
-                         strlen (ft->match + len + 1))
-                    == 0);
+  return strncmp (rq->line, ft->match, strlen (ft->match)) == 0;
 }
 
 static void hold_or_release (struct stand_request *rq);
@@ -643,6 +638,7 @@
   rq->mhd = mhd;
   rq->method = talloc_strdup (rq, method);
   rq->url = talloc_strdup (rq, url);
+  rq->line = talloc_asprintf (rq, "%s %s", method, url);
   rq->body = talloc_strdup (rq, "");
   return rq;
 }
--- a/test/stand/stand.h
+++ b/test/stand/stand.h
@@ -36,6 +36,7 @@
   struct MHD_Connection *mhd;
   const char *method;
   const char *url;
+  const char *line; /* METHOD URL */
   const char *body; /* NUL-terminated */
   size_t size;
   void *work; /* of the driver, while the request runs */
