test: measure spare capacity against what the others take in the same run

Cause: the surge measurement subtracted from the slots what the others take without the surge, so work that was put off into another kind's surge counted as spare capacity not taken; work after the last turn was added to the first kind. Change: spare capacity is what the others leave in the same run, and counting ends with the last turn.

--- a/test/load/admit_surge.c
+++ b/test/load/admit_surge.c
@@ -67,7 +67,6 @@
 {
   double service[KINDS];  /* useful slot time by turn of arrival */
   double in_surge[KINDS]; /* useful slot time spent within the surge */
-  double offered[KINDS];  /* slot time asked for */
   double loaded, busy;    /* slot time while demand exceeds the slots */
   double late;            /* slot time of work that ended past its deadline */
   double queued, expired;
@@ -159,7 +158,6 @@
   q->item.kind = kind;
   q->item.deadline_us
       = r->now_us + specs[kind].lim.queue_deadline_us + 10 * mean_us;
-  r->rows[q->turn % KINDS].offered[kind] += q->service_us;
   draw_arrival (r, kind);
 
   struct admit_refusal ref;
@@ -188,7 +186,8 @@
   else
     {
       row->service[kind] += q->service_us;
-      for (int t = q->start_us / TURN_US; t <= r->now_us / TURN_US; t++)
+      for (int t = q->start_us / TURN_US;
+           t <= r->now_us / TURN_US && t < TURNS; t++)
         r->rows[t % KINDS].in_surge[kind]
             += fmax (0, fmin (r->now_us, t * TURN_US + SURGE_US)
                             - fmax (q->start_us, t * TURN_US));
@@ -301,7 +300,7 @@
         continue;
       kept += row->service[k];
       without += base->service[k];
-      others_us += base->in_surge[k];
+      others_us += row->in_surge[k];
       least = fmin (least, ratio (row->service[k], base->service[k]));
     }
   qsort (row->waits, row->wait_count, sizeof *row->waits, compare_waits);
@@ -309,7 +308,6 @@
   if (specs[surging].lim.concurrency_limit > 0)
     spare = fmin (spare, 1.0 * specs[surging].lim.concurrency_limit * SURGE_US
                              * ROUNDS);
-  spare = fmin (spare, row->offered[surging]);
   return json_pack (
       "{s:s,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f}", "surging", specs[surging].name,
       "others_keep", ratio (kept, without), "least_kept", least,
