admit: make borrowing work leave the reserve free

Cause: with the reserve as a bound on held slots, short work holds the reserved slots during a surge of background work, and an urgent request waits until one ends. Change: background and long-running kinds above their share start only while more slots than the reserve are free. Up to their share the bound on held slots still applies, so that they do not starve.

--- a/admit/admit_fair.c
+++ b/admit/admit_fair.c
@@ -55,17 +55,6 @@
   return held;
 }
 
-/* The reserve bounds how many slots hold such work, not how many are free:
-   short work that takes every freed slot would otherwise starve it.  */
-static bool
-may_start (const struct pool *pool, const struct kind *k, uint32_t outside)
-{
-  if (pool->running >= pool->slots || !kind_below_limit (k))
-    return false;
-  return !leaves_reserve (k)
-         || outside < pool->slots - pool->slots / RESERVE_DIVISOR;
-}
-
 static double
 clamp (double val, double low, double high)
 {
@@ -148,10 +137,30 @@
     }
 }
 
+/* The weighted share of the pool among the active kinds and K.  */
 static double
 share_of (const struct view *v, const struct pool *pool, const struct kind *k)
 {
-  return pool->slots * (double)k->lim.weight / v->weights;
+  double weights = v->weights + (active (k) ? 0 : k->lim.weight);
+  return pool->slots * (double)k->lim.weight / weights;
+}
+
+/* Work that must leave the reserve free leaves that many slots free when it
+   borrows.  Up to its share it may take them, as long as such work does not
+   hold the reserve: short work that takes every freed slot would otherwise
+   starve it.  */
+static bool
+may_start (const struct view *v, const struct pool *pool, const struct kind *k)
+{
+  if (pool->running >= pool->slots || !kind_below_limit (k))
+    return false;
+  if (!leaves_reserve (k))
+    return true;
+  uint32_t reserve = pool->slots / RESERVE_DIVISOR;
+  if (v->outside >= pool->slots - reserve)
+    return false;
+  return pool->slots - pool->running > reserve
+         || k->in_pool < share_of (v, pool, k);
 }
 
 /* While urgent work waits, the order is: urgent kinds below their share;
@@ -196,16 +205,14 @@
 
 /* The kind whose first waiting item starts next, or NULL.  */
 static struct kind *
-pick (struct priv *p, const struct pool *pool)
+pick (const struct view *v, struct priv *p, const struct pool *pool)
 {
-  struct view v;
   struct kind *best = NULL;
-  view_init (&v, p, pool);
   for (uint32_t n = 0; n < pool->kind_count; n++)
     {
       struct kind *k = &p->kinds[pool->kinds[n]];
-      if (k->queued > 0 && may_start (pool, k, v.outside)
-          && (!best || goes_before (&v, pool, k, best)))
+      if (k->queued > 0 && may_start (v, pool, k)
+          && (!best || goes_before (v, pool, k, best)))
         best = k;
     }
   return best;
@@ -216,7 +223,9 @@
 {
   struct priv *p = adm->priv;
   fair_advance (adm, pool, now_us);
-  struct kind *k = pick (p, &p->pools[pool]);
+  struct view v;
+  view_init (&v, p, &p->pools[pool]);
+  struct kind *k = pick (&v, p, &p->pools[pool]);
   return k ? admit_start_first (p, k, now_us) : NULL;
 }
 
@@ -225,22 +234,19 @@
    the measured time that an item holds a slot, and no more than the rate at
    which the whole pool frees slots.  0 while nothing is measured.  */
 static double
-expected_wait (const struct priv *p, const struct pool *pool,
-               const struct kind *k)
+expected_wait (const struct view *v, const struct priv *p,
+               const struct pool *pool, const struct kind *k)
 {
   if (k->held_mean_us == 0)
     return 0;
   double freed = 0;
-  double weights = active (k) ? 0 : k->lim.weight;
   for (uint32_t n = 0; n < pool->kind_count; n++)
     {
       const struct kind *other = &p->kinds[pool->kinds[n]];
-      if (active (other))
-        weights += other->lim.weight;
       if (other->held_mean_us > 0)
         freed += (double)other->in_pool / other->held_mean_us;
     }
-  double slots = pool->slots * (double)k->lim.weight / weights;
+  double slots = share_of (v, pool, k);
   slots = slots > k->in_pool ? slots : k->in_pool;
   if (k->lim.concurrency_limit > 0 && slots > k->lim.concurrency_limit)
     slots = k->lim.concurrency_limit;
@@ -268,13 +274,14 @@
     return ADMIT_REFUSED;
   struct pool *pool = &p->pools[k->lim.pool];
   fair_advance (adm, k->lim.pool, now_us);
-  if (k->queued == 0 && may_start (pool, k, outside_reserve (p, pool))
-      && !pick (p, pool))
+  struct view v;
+  view_init (&v, p, pool);
+  if (k->queued == 0 && may_start (&v, pool, k) && !pick (&v, p, pool))
     {
       admit_start (p, item, now_us);
       return ADMIT_START;
     }
-  double wait = expected_wait (p, pool, k);
+  double wait = expected_wait (&v, p, pool, k);
   if (kind_queue_full (k))
     return refuse_wait (k, ref, ADMIT_REASON_QUEUE_FULL, wait);
   double excess = wait - (double)(item->expiry_us - now_us);
