admit: keep the share of background work in a surge of urgent work

Cause: while urgent work above its share waited, background work kept only a twentieth of the slots, so a backlog of it from an earlier surge expired. Change: every other kind that holds less than its share goes before urgent work above its own share. Urgent work below its share still goes before all, and takes all spare slots first.

--- a/admit/admit_fair.c
+++ b/admit/admit_fair.c
@@ -5,8 +5,7 @@
    a kind corrects this by at most one slot, so that rounding to whole slots
    and unequal service times even out over time.  */
 
-/* One slot in this many is the reserve; also the part of a pool that
-   background work keeps while urgent work waits.  */
+/* One slot in this many is the reserve.  */
 #define RESERVE_DIVISOR 20
 /* Work that holds a slot longer does not return it soon enough for an urgent
    request to start at once.  */
@@ -163,23 +162,19 @@
          || k->in_pool < share_of (v, pool, k);
 }
 
-/* While urgent work waits, the order is: urgent kinds below their share;
-   other kinds below what a surge of urgent work must leave them; urgent kinds
-   above their share; the rest.  */
+/* While urgent work waits, the order is: urgent kinds below their share,
+   other kinds below theirs, urgent kinds above their share, the rest.  A surge
+   of urgent work thus takes what is spare before anyone else, and no share
+   that another kind needs.  */
 static int
 tier (const struct view *v, const struct pool *pool, const struct kind *k)
 {
   if (!v->urgent_waiting)
     return 0;
-  double share = share_of (v, pool, k);
+  bool below_share = k->in_pool < share_of (v, pool, k);
   if (k->lim.cls == ADMIT_URGENT)
-    return k->in_pool < share ? 0 : 2;
-  if (k->lim.cls == ADMIT_BACKGROUND)
-    {
-      uint32_t kept = pool->slots / RESERVE_DIVISOR;
-      share = clamp (share, 0, kept > 1 ? kept : 1);
-    }
-  return k->in_pool < share ? 1 : 3;
+    return below_share ? 0 : 2;
+  return below_share ? 1 : 3;
 }
 
 static double
