admit: average slot times over 64 items

Cause: the mean of the slot times followed the last 16 items. One kind with an almost full but normal queue was refused early when a few long items had ended, and the first mean rested on one item. Change: the mean is that of all items up to 64, then a moving mean of the last 64.

--- a/admit/admit.c
+++ b/admit/admit.c
@@ -7,8 +7,9 @@
 #include "admit/admit_priv.h"
 #include "base/err.h"
 
-/* Weight of one ended item in the mean: 1 / MEAN_DIVISOR.  */
-#define MEAN_DIVISOR 16
+/* Weight of one ended item in the mean: 1 / MEAN_DIVISOR, and more in the
+   first ones.  */
+#define MEAN_DIVISOR 64
 /* The floor follows shorter services at once and longer ones slowly.  */
 #define FLOOR_DIVISOR 64
 
@@ -301,15 +302,12 @@
 static void
 measure (struct kind *k, int64_t held_us, int64_t service_us)
 {
-  held_us = held_us > 1 ? held_us : 1;
-  if (k->held_mean_us == 0)
-    {
-      k->held_mean_us = held_us;
-      k->service_floor_us = service_us;
-      return;
-    }
-  k->held_mean_us += (held_us - k->held_mean_us) / MEAN_DIVISOR;
+  if (k->measured < MEAN_DIVISOR)
+    k->measured++;
+  k->held_mean_us += (held_us - k->held_mean_us) / k->measured;
   k->held_mean_us = k->held_mean_us > 1 ? k->held_mean_us : 1;
+  if (k->measured == 1)
+    k->service_floor_us = service_us;
   if (service_us < k->service_floor_us)
     k->service_floor_us = service_us;
   else
--- a/admit/admit_fair.c
+++ b/admit/admit_fair.c
@@ -65,7 +65,7 @@
 static double
 horizon (const struct priv *p, const struct pool *pool)
 {
-  int64_t longest = HORIZON_MIN_US;
+  double longest = HORIZON_MIN_US;
   for (uint32_t n = 0; n < pool->kind_count; n++)
     {
       const struct kind *k = &p->kinds[pool->kinds[n]];
@@ -239,7 +239,7 @@
     {
       const struct kind *other = &p->kinds[pool->kinds[n]];
       if (other->held_mean_us > 0)
-        freed += (double)other->in_pool / other->held_mean_us;
+        freed += other->in_pool / other->held_mean_us;
     }
   double slots = share_of (v, pool, k);
   slots = slots > k->in_pool ? slots : k->in_pool;
--- a/admit/admit_priv.h
+++ b/admit/admit_priv.h
@@ -28,7 +28,8 @@
   struct admit_item *queue;
 
   /* Measured; 0: nothing has ended yet.  */
-  int64_t held_mean_us;     /* how long an item holds its slot */
+  double held_mean_us;      /* how long an item holds its slot */
+  uint32_t measured;        /* ended items, up to the bound of the mean */
   int64_t service_floor_us; /* short end of the service times */
 
   double lag; /* fair driver: service owed, in slot us; negative: ahead */
