--- a/route/retry.c
+++ b/route/retry.c
@@ -32,12 +32,10 @@
   return result == ATTEMPT_GUARD_REFUSED || result == ATTEMPT_CONNECT_FAILED;
 }
 
-enum retry_verdict
-retry_allow (struct retry_budget *bud, const struct retry_query *query,
-             int64_t now_us)
+static enum retry_verdict
+decide (const struct retry_budget *bud, const struct retry_query *query,
+        int64_t now_us)
 {
-  if (query->result == ATTEMPT_ANSWERED || query->result == ATTEMPT_CANCELLED)
-    return RETRY_NO_POINT;
   if (!query->idempotent && !attempt_certainly_not_run (query->result))
     return RETRY_NO_UNSAFE;
   if (query->attempts >= bud->set.max_attempts)
@@ -47,10 +45,27 @@
     return RETRY_NO_DEADLINE;
   if (bud->centi_tokens < CENTI_PER_TOKEN)
     return RETRY_NO_BUDGET;
-  bud->centi_tokens -= CENTI_PER_TOKEN;
   return RETRY_YES;
 }
 
+enum retry_verdict
+retry_allow (struct retry_budget *bud, const struct retry_query *query,
+             int64_t now_us)
+{
+  if (query->result == ATTEMPT_ANSWERED || query->result == ATTEMPT_CANCELLED)
+    return RETRY_NO_POINT;
+  enum retry_verdict verdict = decide (bud, query, now_us);
+  if (verdict == RETRY_YES)
+    bud->centi_tokens -= CENTI_PER_TOKEN;
+  /* A first attempt that failed takes back what it paid in.  When a whole
+     pool fails no retry can help, and retries end with the saved tokens.  */
+  if (query->attempts == 1)
+    bud->centi_tokens -= bud->set.budget_pct;
+  if (bud->centi_tokens < 0)
+    bud->centi_tokens = 0;
+  return verdict;
+}
+
 const char *
 retry_verdict_name (enum retry_verdict verdict)
 {
--- a/route/retry.h
+++ b/route/retry.h
@@ -7,7 +7,9 @@
 
 /* Retry budget in proportion to traffic: a token bucket that each first
    attempt fills by a fraction and each retry empties by one, so that a
-   failing pool sees at most that fraction of extra attempts.  */
+   failing pool sees at most that fraction of extra attempts.  A first attempt
+   that fails takes its fraction back: retries live on traffic that is
+   answered.  */
 
 struct retry_settings
 {
@@ -47,7 +49,8 @@
                         const struct retry_settings *set);
 void retry_budget_first_attempt (struct retry_budget *bud);
 
-/* Decides about one more attempt and takes a token when it says yes.  */
+/* Decides about one more attempt and takes a token when it says yes.  Call it
+   after each attempt that failed, also where no retry is intended.  */
 enum retry_verdict retry_allow (struct retry_budget *bud,
                                 const struct retry_query *query,
                                 int64_t now_us);
--- a/test/unit/unit_route.c
+++ b/test/unit/unit_route.c
@@ -590,6 +590,23 @@
 }
 END_TEST
 
+/* Guards against retries that add to the load of a pool that fails as a
+   whole.  */
+START_TEST (test_retry_all_fail)
+{
+  struct retry_budget bud;
+  struct retry_query query = { true, ATTEMPT_CUT, 1, S, 0 };
+  uint32_t allowed = 0;
+  retry_budget_init (&bud, &retry_settings_default);
+  for (uint32_t n = 0; n < 10000; n++)
+    {
+      retry_budget_first_attempt (&bud);
+      allowed += retry_allow (&bud, &query, 0) == RETRY_YES;
+    }
+  ck_assert_uint_eq (allowed, 0);
+}
+END_TEST
+
 static void
 tear_down (void)
 {
@@ -624,6 +641,7 @@
   tcase_add_loop_test (tc, test_random_sequence, 0, 12);
   tcase_add_loop_test (tc, test_retry, 0, COUNT (retries));
   tcase_add_test (tc, test_retry_burst);
+  tcase_add_test (tc, test_retry_all_fail);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
