route/retry: save up to 50 retries

Cause: at the start of a failure many targets fail within milliseconds, and 10 saved tokens did not cover the first failures of a third of 30 targets.

Change: burst 10 -> 50.

--- a/route/retry.c
+++ b/route/retry.c
@@ -5,7 +5,7 @@
 const struct retry_settings retry_settings_default = {
   .max_attempts = 3,
   .budget_pct = 10,
-  .burst = 10,
+  .burst = 50,
 };
 
 /* The bucket starts empty, so that retries never exceed the fraction of the
