route/health: failures in a row count as complete failure at the cap

Cause: the window of a target that fails from one moment on still holds earlier answers, so that targets ejected early in a failure of the whole pool looked better than later ones and were exchanged for them over and over. Exchanged targets start slowly, and the pool had 41 to 75 of 160 slots for the 2 s after the repair.

Change: a target with at least eject_after failures in a row is as bad as can be; the window decides only for those that fail in part.

--- a/route/health.c
+++ b/route/health.c
@@ -128,6 +128,16 @@
   h->probe_pos = NO_POSITION;
 }
 
+/* How bad a target is among those that fail.  After enough failures in a row
+   the older answers in the window say nothing any more.  */
+static uint32_t
+badness (const struct priv *p, const struct target *t, int64_t now_us)
+{
+  if (t->health.consecutive >= p->set.eject_after)
+    return 1000;
+  return health_failures_per_mille (t, now_us);
+}
+
 static int64_t
 ejection_time (const struct priv *p, const struct health *h)
 {
@@ -153,7 +163,7 @@
     h->ejections = 0;
   h->ejected = true;
   h->ejections++;
-  h->badness = health_failures_per_mille (t, now_us);
+  h->badness = badness (p, t, now_us);
   group_place (p, t, true);
   health_schedule_probe (p, t, now_us + ejection_time (p, h));
 }
@@ -202,8 +212,8 @@
       return;
     }
   struct target *least = least_bad_ejected (p, grp);
-  uint32_t badness = health_failures_per_mille (t, now_us);
-  if (!least || badness <= least->health.badness + BADNESS_MARGIN)
+  if (!least
+      || badness (p, t, now_us) <= least->health.badness + BADNESS_MARGIN)
     return;
   take_back (p, least, now_us);
   eject (p, t, now_us);
