route/health: no slow start when a pool returns as a whole

Cause: with probes answered and work failing, targets were taken back on probation during the failure; after the repair all of them started slowly at the same time and the pool lacked slots for seconds.

Change: a target that leaves probation starts slowly only while no more of its pool is failing than may be ejected.

Conclusion: slow start protects single targets and no longer prolongs a failure with a common cause.

--- a/route/health.c
+++ b/route/health.c
@@ -250,6 +250,23 @@
     consider_ejection (p, t, now_us);
 }
 
+/* Whether more of the pool is failing than may be ejected.  That has a common
+   cause, and when it ends the pool needs all its slots at once.  */
+static bool
+pool_is_failing (struct priv *p, const struct group *grp)
+{
+  uint32_t looks = grp->count < SCAN_MAX ? grp->count : SCAN_MAX;
+  uint32_t from = grp->count > looks ? route_random_below (p, grp->count) : 0;
+  uint32_t failing = 0;
+  for (uint32_t n = 0; n < looks; n++)
+    {
+      const struct target *t
+          = p->targets[grp->members[(from + n) % grp->count]];
+      failing += t->health.ejected || health_is_suspect (t);
+    }
+  return failing * 100 > looks * p->set.max_ejected_pct;
+}
+
 static void
 note_answer (struct priv *p, struct target *t, int64_t now_us)
 {
@@ -264,7 +281,9 @@
   if (h->probation)
     {
       h->probation = false;
-      health_start_slowly (t, now_us);
+      h->slow_start = false;
+      if (!t->group || !pool_is_failing (p, t->group))
+        health_start_slowly (t, now_us);
     }
 }
 
--- a/test/unit/unit_route.c
+++ b/test/unit/unit_route.c
@@ -241,6 +241,33 @@
 }
 END_TEST
 
+static const struct
+{
+  uint32_t count;
+  uint32_t failing;
+  enum target_state state; /* of the first one that answers again */
+} returns[] = {
+  { 3, 1, TARGET_SLOW_START },
+  { 9, 3, TARGET_SLOW_START },
+  { 9, 9, TARGET_LIVE },
+};
+
+/* Guards against a pool that failed as a whole and then returns with a few
+   slots only, and against one target that returns with all of its own.  */
+START_TEST (test_return_of_a_pool)
+{
+  struct target_handle probed;
+  set_up (returns[_i].count, &route_least_loaded, 1);
+  for (uint32_t n = 0; n < 5 * returns[_i].failing; n++)
+    run_on (n % returns[_i].failing, ATTEMPT_SERVER_ERROR);
+  wait_us (S);
+  ck_assert (route_next_probe (&rt, now, &probed));
+  route_probe_done (&rt, probed, true, now);
+  run_on (place (probed), ATTEMPT_ANSWERED);
+  ck_assert_int_eq (route_target_state (&rt, probed, now), returns[_i].state);
+}
+END_TEST
+
 /* Guards against a peer's report that ejects by itself or is ignored.  */
 START_TEST (test_peer_health_is_a_hint)
 {
@@ -629,6 +656,7 @@
   tcase_add_test (tc, test_cap_keeps_the_worst);
   tcase_add_test (tc, test_only_ejected_left);
   tcase_add_test (tc, test_probes_and_return);
+  tcase_add_loop_test (tc, test_return_of_a_pool, 0, COUNT (returns));
   tcase_add_test (tc, test_peer_health_is_a_hint);
   tcase_add_loop_test (tc, test_slow_start, 0, COUNT (slow_starts));
   tcase_add_test (tc, test_leaving);
