--- /dev/null
+++ b/test/scenario/fleet.c
@@ -0,0 +1,350 @@
+#include "test/scenario/fleet.h"
+
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#define READY_POLL_MS 100
+#define READY_TIMEOUT_MS 1000L
+#define CONTROL_TIMEOUT_MS 5000L
+#define MAX_ARGV 40
+
+char *
+read_file (void *parent, const char *path)
+{
+  FILE *file = fopen (path, "r");
+  char *text = talloc_strdup (parent, "");
+  char buf[4096];
+  size_t len;
+  while (file && (len = fread (buf, 1, sizeof buf, file)) > 0)
+    text = talloc_strndup_append (text, buf, len);
+  if (file)
+    fclose (file);
+  return text;
+}
+
+const char *
+csv_cell (const char *csv, const char *sort, const char *name,
+          const char *column)
+{
+  char *start = talloc_asprintf (NULL, "\n%s,%s,", sort, name);
+  char *head = talloc_asprintf (start, ",%s,", column);
+  const char *row = strstr (csv, start);
+  const char *at = strstr (csv, head);
+  row = row && at ? row + 1 : NULL;
+  for (const char *p = csv; row && p <= at; p++)
+    if (*p == ',')
+      row += strcspn (row, ",\n") + 1;
+  talloc_free (start);
+  return row;
+}
+
+/* Processes  */
+
+/* Starts the program that the environment variable ENV names, with the
+   arguments of FORMAT, separated by spaces.  */
+static struct process *__attribute__ ((format (printf, 6, 7)))
+start_program (struct scenario *sc, const char *name, const char *env,
+               process_line_fn *fn, void *arg, const char *format, ...)
+{
+  char *argv[MAX_ARGV] = { getenv (env) };
+  int count = 1;
+  char *save;
+  va_list list;
+  if (!argv[0])
+    {
+      scenario_fail (sc, "%s is not set", env);
+      return NULL;
+    }
+  va_start (list, format);
+  char *args = talloc_vasprintf (sc, format, list);
+  va_end (list);
+  for (char *word = strtok_r (args, " ", &save); word && count < MAX_ARGV - 1;
+       word = strtok_r (NULL, " ", &save))
+    argv[count++] = word;
+  return process_start (sc, name, argv, fn, arg);
+}
+
+static const char *
+options (const struct fleet *ft, int program)
+{
+  return ft->options[program] ? ft->options[program] : "";
+}
+
+static void
+on_target_line (void *arg, const char *line)
+{
+  struct fleet *ft = arg;
+  sscanf (line, "control %63s", ft->target_control);
+  ft->ready += strcmp (line, "ready") == 0;
+}
+
+static void
+on_platform_line (void *arg, const char *line)
+{
+  struct fleet *ft = arg;
+  char name[16];
+  char address[64];
+  sscanf (line, "control %63s", ft->platform_control);
+  ft->ready += strcmp (line, "ready") == 0;
+  if (sscanf (line, "data-centre %15s %63s", name, address) != 2)
+    return;
+  if (strcmp (name, "operators") == 0)
+    memcpy (ft->operators, address, sizeof address);
+  for (int n = 0; n < ft->entry_count; n++)
+    if (strcmp (ft->entries[n].name, name) == 0)
+      memcpy (ft->entries[n].platform, address, sizeof address);
+}
+
+static bool
+stand_ins_ready (struct scenario *sc, void *count)
+{
+  return sc->fleet->ready >= *(int *)count;
+}
+
+static void
+await_stand_ins (struct scenario *sc, int count)
+{
+  if (!scenario_run_until (sc, stand_ins_ready, &count, SCENARIO_WAIT_MS))
+    scenario_fail (sc, "a stand-in does not become ready");
+}
+
+/* "4 stock hosts and 4 pallets hosts each" as "stock:12,pallets:12".  */
+static char *
+pools_option (struct scenario *sc, int dcs, const char *pools)
+{
+  char *text = talloc_strdup (sc, "");
+  int count;
+  int end;
+  char pool[32];
+  while (sscanf (pools, "%d %31s hosts%n", &count, pool, &end) == 2)
+    {
+      text = talloc_asprintf_append (text, "%s%s:%d", *text ? "," : "", pool,
+                                     count * dcs);
+      pools += end;
+      pools += strncmp (pools, " and ", 5) == 0 ? 5 : 0;
+    }
+  if (strcmp (pools, " each") != 0 || !*text)
+    scenario_fail (sc, "hosts are given as \"N POOL hosts and ... each\"");
+  return text;
+}
+
+static void on_poll (struct tevent_context *ev, struct tevent_timer *te,
+                     struct timeval now, void *arg);
+
+static void
+import_first_table (struct scenario *sc)
+{
+  struct process *ps = fleet_import (sc, "table_import", sc->fleet->table);
+  if (ps && !scenario_run_until (sc, process_exited, ps, SCENARIO_WAIT_MS))
+    scenario_fail (sc, "the table import does not end");
+  else if (ps && ps->status != 0)
+    scenario_fail (sc, "the table import: %s (see %s)", process_status (ps),
+                   ps->log);
+}
+
+void
+fleet_start (struct scenario *sc, int dcs, const char *pools)
+{
+  struct fleet *ft = sc->fleet;
+  char *names = talloc_strdup (sc, "a");
+  char *ports = talloc_strdup (sc, "operators");
+  char *pool_option = pools_option (sc, dcs, pools);
+  ft->dcs = dcs < MAX_DCS ? dcs : MAX_DCS;
+  for (int dc = 1; dc < ft->dcs; dc++)
+    names = talloc_asprintf_append (names, ",%c", 'a' + dc);
+  for (int n = 0; n < ft->dcs * ENTRIES_PER_DC; n++)
+    {
+      struct entry *en = &ft->entries[ft->entry_count++];
+      en->sc = sc;
+      snprintf (en->name, sizeof en->name, "%c%d", 'a' + n / ENTRIES_PER_DC,
+                n % ENTRIES_PER_DC + 1);
+      ports = talloc_asprintf_append (ports, ",%s", en->name);
+    }
+  ft->target = start_program (
+      sc, "stand_target", "STAND_TARGET", on_target_line, ft,
+      "--layout-out=%s/layout.json --journal=%s/targets.jsonl --pools=%s "
+      "--data-centres=%s --seed=%u %s",
+      sc->dir, sc->dir, pool_option, names, sc->seed,
+      options (ft, FLEET_TARGET));
+  await_stand_ins (sc, 1);
+  if (!sc->failure)
+    start_program (sc, "stand_platform", "STAND_PLATFORM", on_platform_line,
+                   ft, "--layout=%s/layout.json --data-centres=%s %s", sc->dir,
+                   ports, options (ft, FLEET_PLATFORM));
+  await_stand_ins (sc, 2);
+  ft->table = talloc_asprintf (sc, "%s/fleet.csv", sc->source);
+  if (!sc->failure)
+    import_first_table (sc);
+  on_poll (sc->ev, NULL, tevent_timeval_zero (), sc);
+}
+
+static void
+on_command_line (void *arg, const char *line)
+{
+  printf ("  %s\n", line);
+}
+
+struct process *
+fleet_import (struct scenario *sc, const char *name, const char *file)
+{
+  struct process *ps
+      = start_program (sc, name, "KINGCUPHOLLOW", on_command_line, NULL,
+                       "table import %s --platform=%s --editor=%s", file,
+                       sc->fleet->operators, name);
+  if (ps)
+    ps->may_exit = true;
+  return ps;
+}
+
+struct entry *
+fleet_next (struct scenario *sc, const char *who, struct entry *en)
+{
+  struct fleet *ft = sc->fleet;
+  for (en = en ? en + 1 : ft->entries; en < ft->entries + ft->entry_count;
+       en++)
+    if (strcmp (who, "all") == 0 || strcmp (who, en->name) == 0
+        || (strlen (who) == 1 && *who == en->name[0]))
+      return en;
+  return NULL;
+}
+
+static void
+on_entry_line (void *arg, const char *line)
+{
+  struct entry *en = arg;
+  sscanf (line, "ready caller=%63s", en->address);
+}
+
+static bool
+entry_listens (struct scenario *sc, void *entry)
+{
+  return ((struct entry *)entry)->address[0];
+}
+
+void
+fleet_start_entry (struct scenario *sc, struct entry *en)
+{
+  en->address[0] = '\0';
+  en->ready = false;
+  en->ps = start_program (
+      sc, en->name, "KINGCUPHOLLOW", on_entry_line, en,
+      "serve --name=%s --data-centre=%c --platform=%s --seed=%u "
+      "--leave-ms=500 %s",
+      en->name, en->name[0], en->platform, sc->seed + 1,
+      options (sc->fleet, FLEET_SERVE));
+  if (en->ps && !scenario_run_until (sc, entry_listens, en, SCENARIO_WAIT_MS))
+    scenario_fail (sc, "entry process %s does not listen", en->name);
+}
+
+/* Readiness, as a load balancer asks for it  */
+
+struct look
+{
+  struct entry *en;
+  struct process *ps;
+};
+
+static size_t
+discard (char *data, size_t size, size_t count, void *arg)
+{
+  return size * count;
+}
+
+static void
+on_look (void *arg, CURL *curl, CURLcode code)
+{
+  struct look *lk = arg;
+  long status = 0;
+  curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &status);
+  lk->en->asking = false;
+  if (lk->ps == lk->en->ps)
+    lk->en->ready = code == CURLE_OK && status == 200;
+  curl_easy_cleanup (curl);
+  talloc_free (lk);
+}
+
+static CURL *
+open_curl (const char *url, long timeout_ms)
+{
+  CURL *curl = curl_easy_init ();
+  curl_easy_setopt (curl, CURLOPT_URL, url);
+  curl_easy_setopt (curl, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, discard);
+  curl_easy_setopt (curl, CURLOPT_FORBID_REUSE, 1L);
+  curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, timeout_ms);
+  return curl;
+}
+
+static void
+on_poll (struct tevent_context *ev, struct tevent_timer *te,
+         struct timeval now, void *arg)
+{
+  struct scenario *sc = arg;
+  for (struct entry *en = NULL; (en = fleet_next (sc, "all", en));)
+    if (en->address[0] && !en->asking)
+      {
+        struct look *lk = talloc_zero (sc, struct look);
+        lk->en = en;
+        lk->ps = en->ps;
+        char *url = talloc_asprintf (lk, "http://%s/readyz", en->address);
+        CURL *curl = open_curl (url, READY_TIMEOUT_MS);
+        en->asking = curl_loop_add (&sc->loop, curl, on_look, lk) == 0;
+      }
+  tevent_add_timer (ev, sc,
+                    tevent_timeval_current_ofs (0, READY_POLL_MS * 1000),
+                    on_poll, sc);
+}
+
+/* Faults  */
+
+static void
+control (struct scenario *sc, const char *address, const char *path,
+         const char *spec)
+{
+  char *url = talloc_asprintf (NULL, "http://%s%s", address, path);
+  CURL *curl = open_curl (url, CONTROL_TIMEOUT_MS);
+  long status = 0;
+  if (spec)
+    curl_easy_setopt (curl, CURLOPT_POSTFIELDS, spec);
+  else
+    curl_easy_setopt (curl, CURLOPT_CUSTOMREQUEST, "DELETE");
+  curl_easy_perform (curl);
+  curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &status);
+  if (status != 200)
+    scenario_fail (sc, "the stand-in refused %s %s: %ld", path,
+                   spec ? spec : "", status);
+  curl_easy_cleanup (curl);
+  talloc_free (url);
+}
+
+void
+fleet_set_fault (struct scenario *sc, const char *address, const char *spec)
+{
+  control (sc, address, "/fault", spec);
+}
+
+void
+fleet_clear_faults (struct scenario *sc, const char *address,
+                    const char *query)
+{
+  char *path = talloc_asprintf (NULL, "/faults%s", query);
+  control (sc, address, path, NULL);
+  talloc_free (path);
+}
+
+void
+fleet_stop_targets (struct scenario *sc)
+{
+  struct process *ps = sc->fleet->target;
+  if (!ps || ps->exited)
+    return;
+  ps->may_exit = true;
+  process_signal (ps, SIGTERM);
+  if (!scenario_run_until (sc, process_exited, ps, SCENARIO_WAIT_MS))
+    scenario_fail (sc, "stand_target does not end");
+}
--- /dev/null
+++ b/test/scenario/load.c
@@ -0,0 +1,334 @@
+#include "test/scenario/load.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+#include <utlist.h>
+#include <xxhash.h>
+
+#include "test/scenario/fleet.h"
+
+#define GRACE_MS 3000 /* past the deadline until a caller gives up */
+#define MAX_TRIES 6   /* of a balancer, while connections are refused */
+#define TRY_PAUSE_MS 50
+#define CALLERS 7
+#define MAX_ANSWER_BYTES (16 << 20)
+
+static const char *const result_names[]
+    = { "open", "answered", "not_run", "unknown", "lost", "unreachable" };
+
+const char *
+call_result_name (enum call_result result)
+{
+  return result_names[result];
+}
+
+bool
+call_is (const struct call *cl, const char *outcome)
+{
+  return strcmp (outcome, result_names[cl->result]) == 0
+         || strcmp (outcome, cl->reason) == 0
+         || (strcmp (outcome, "served") == 0 && cl->result == CALL_ANSWERED
+             && cl->status < 300);
+}
+
+json_t *
+call_json (const struct call *cl)
+{
+  return json_pack (
+      "{s:s, s:s, s:s, s:s, s:s, s:s*, s:I, s:I, s:I, s:i, s:s, s:s, s:s*}",
+      "request_id", cl->id, "load", cl->ld->name, "kind", cl->ld->kind,
+      "caller", cl->caller, "entry", cl->entry, "key", cl->key, "sent_us",
+      cl->sent_us, "end_us", cl->end_us, "deadline_ms", cl->ld->deadline_ms,
+      "status", (int)cl->status, "outcome", result_names[cl->result], "reason",
+      cl->reason, "strange", cl->strange);
+}
+
+static const char *
+header (const struct call *cl, const char *name)
+{
+  struct curl_header *hd;
+  return curl_easy_header (cl->curl, name, 0, CURLH_HEADER, -1, &hd)
+                 == CURLHE_OK
+             ? hd->value
+             : NULL;
+}
+
+static bool
+is_field (const json_t *obj, const char *name, const char *value)
+{
+  const char *text = json_string_value (json_object_get (obj, name));
+  return text && strcmp (text, value) == 0;
+}
+
+/* The target's answer names the request that ran: this one, or another one
+   under the same key.  */
+static bool
+names_own_run (const struct call *cl, const json_t *obj)
+{
+  struct load *ld;
+  if (is_field (obj, "request_id", cl->id))
+    return true;
+  DL_FOREACH (cl->ld->sc->loads, ld)
+    for (int n = 0; cl->key && n < ld->begun; n++)
+      if (ld->calls[n].key && strcmp (ld->calls[n].key, cl->key) == 0
+          && is_field (obj, "request_id", ld->calls[n].id))
+        return true;
+  return false;
+}
+
+/* Why the response is not whole and the call's own; NULL when it is.  */
+static const char *
+find_strange (const struct call *cl)
+{
+  const char *id = header (cl, "X-Request-Id");
+  const char *what = NULL;
+  char checksum[17];
+  if (!id || strcmp (id, cl->id) != 0)
+    return "X-Request-Id of another request";
+  json_t *obj
+      = json_loadb (cl->answer ? cl->answer : "", cl->answer_len, 0, NULL);
+  snprintf (checksum, sizeof checksum, "%016" PRIx64,
+            (uint64_t)XXH64 (cl->body, cl->body_len, 0));
+  if (!obj)
+    what = "the body is not whole JSON";
+  else if (cl->result != CALL_ANSWERED)
+    what = is_field (obj, "request_id", cl->id) ? NULL : "request_id";
+  else if (!names_own_run (cl, obj))
+    what = "the answer to another request";
+  else if (!is_field (obj, "checksum", checksum)
+           || !is_field (obj, "kind", cl->ld->kind))
+    what = "the answer to another body or kind";
+  json_decref (obj);
+  return what;
+}
+
+static void
+judge (struct call *cl, CURLcode code)
+{
+  const char *outcome = header (cl, "X-Outcome");
+  const char *reason = header (cl, "X-Reason");
+  cl->end_us = wall_us ();
+  curl_easy_getinfo (cl->curl, CURLINFO_RESPONSE_CODE, &cl->status);
+  cl->result = code == CURLE_COULDNT_CONNECT ? CALL_UNREACHABLE : CALL_LOST;
+  snprintf (cl->reason, sizeof cl->reason, "%s",
+            code != CURLE_OK ? curl_easy_strerror (code)
+            : reason         ? reason
+                             : "none");
+  if (code != CURLE_OK)
+    return;
+  for (int n = CALL_ANSWERED; n <= CALL_UNKNOWN; n++)
+    if (outcome && strcmp (outcome, result_names[n]) == 0)
+      cl->result = n;
+  cl->strange = cl->result == CALL_LOST ? "no outcome of a known type"
+                                        : find_strange (cl);
+}
+
+/* The entry process that the next call of LD goes to: of those that WHO names
+   in turn, a ready one if there is any.  */
+static struct entry *
+choose (struct load *ld)
+{
+  struct entry *found[2][MAX_ENTRIES]; /* not ready, ready */
+  int counts[2] = { 0 };
+  for (struct entry *en = NULL; (en = fleet_next (ld->sc, ld->who, en));)
+    if (en->address[0])
+      found[en->ready][counts[en->ready]++] = en;
+  int ready = counts[1] > 0;
+  return counts[ready] > 0 ? found[ready][ld->turn++ % counts[ready]] : NULL;
+}
+
+static void send_call (struct call *cl);
+
+static void
+on_try (struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+        void *arg)
+{
+  send_call (arg);
+}
+
+static void
+end_call (struct call *cl)
+{
+  struct load *ld = cl->ld;
+  char *path = talloc_asprintf (NULL, "%s/callers.jsonl", ld->sc->dir);
+  FILE *file = fopen (path, "a");
+  json_t *obj = call_json (cl);
+  if (!file || !obj || json_dumpf (obj, file, JSON_COMPACT) != 0
+      || fputc ('\n', file) == EOF)
+    scenario_fail (ld->sc, "%s cannot be written", path);
+  if (file)
+    fclose (file);
+  json_decref (obj);
+  talloc_free (path);
+  ld->done++;
+}
+
+static void
+on_done (void *arg, CURL *curl, CURLcode code)
+{
+  struct call *cl = arg;
+  judge (cl, code);
+  curl_slist_free_all (cl->headers);
+  curl_easy_cleanup (curl);
+  TALLOC_FREE (cl->answer);
+  cl->curl = NULL;
+  cl->headers = NULL;
+  bool balanced = strlen (cl->ld->who) != 2;
+  if (cl->result == CALL_UNREACHABLE && balanced && cl->tries < MAX_TRIES)
+    tevent_add_timer (cl->ld->sc->ev, cl->ld->calls,
+                      tevent_timeval_current_ofs (0, TRY_PAUSE_MS * 1000),
+                      on_try, cl);
+  else
+    end_call (cl);
+}
+
+static size_t
+on_answer (char *data, size_t size, size_t count, void *arg)
+{
+  struct call *cl = arg;
+  size_t more = size * count;
+  if (cl->answer_len + more > MAX_ANSWER_BYTES)
+    return 0;
+  cl->answer = talloc_realloc (cl->ld->calls, cl->answer, char,
+                               cl->answer_len + more);
+  memcpy (cl->answer + cl->answer_len, data, more);
+  cl->answer_len += more;
+  return more;
+}
+
+static void
+add_header (struct call *cl, const char *name, const char *value)
+{
+  char *text = talloc_asprintf (NULL, "%s: %s", name, value);
+  cl->headers = curl_slist_append (cl->headers, text);
+  talloc_free (text);
+}
+
+static void
+send_call (struct call *cl)
+{
+  struct load *ld = cl->ld;
+  struct entry *en = choose (ld);
+  char deadline[24];
+  if (!en)
+    {
+      scenario_fail (ld->sc, "%s: %s names no running entry process", ld->name,
+                     ld->who);
+      return;
+    }
+  snprintf (cl->entry, sizeof cl->entry, "%s", en->name);
+  snprintf (deadline, sizeof deadline, "%" PRId64, ld->deadline_ms);
+  char *url
+      = talloc_asprintf (NULL, "http://%s/v1/work/%s", en->address, ld->kind);
+  cl->tries++;
+  cl->answer_len = 0;
+  cl->sent_us = wall_us ();
+  cl->curl = curl_easy_init ();
+  add_header (cl, "X-Caller", cl->caller);
+  add_header (cl, "X-Request-Id", cl->id);
+  add_header (cl, "X-Deadline-Ms", deadline);
+  add_header (cl, "Content-Type", "text/plain");
+  cl->headers = curl_slist_append (cl->headers, "Expect:");
+  if (cl->key)
+    add_header (cl, "Idempotency-Key", cl->key);
+  curl_easy_setopt (cl->curl, CURLOPT_URL, url);
+  curl_easy_setopt (cl->curl, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (cl->curl, CURLOPT_HTTPHEADER, cl->headers);
+  curl_easy_setopt (cl->curl, CURLOPT_POSTFIELDSIZE, (long)cl->body_len);
+  curl_easy_setopt (cl->curl, CURLOPT_POSTFIELDS, cl->body);
+  curl_easy_setopt (cl->curl, CURLOPT_WRITEFUNCTION, on_answer);
+  curl_easy_setopt (cl->curl, CURLOPT_WRITEDATA, cl);
+  curl_easy_setopt (cl->curl, CURLOPT_TIMEOUT_MS,
+                    (long)(ld->deadline_ms + GRACE_MS));
+  if (curl_loop_add (&ld->sc->loop, cl->curl, on_done, cl) != 0)
+    scenario_fail (ld->sc, "%s: too many open calls", ld->name);
+  talloc_free (url);
+}
+
+/* The body begins with the service time, for the target's stand-in.  */
+static void
+prepare_call (struct load *ld, int number)
+{
+  struct call *cl = &ld->calls[number];
+  cl->ld = ld;
+  cl->number = number;
+  cl->id = talloc_asprintf (ld->calls, "%s-%d", ld->name, number + 1);
+  if (ld->original)
+    {
+      cl->original = &ld->original->calls[number];
+      cl->key = cl->original->key;
+      cl->caller = cl->original->caller;
+      cl->body = cl->original->body;
+      cl->body_len = cl->original->body_len;
+      return;
+    }
+  cl->caller = talloc_asprintf (ld->calls, "desk-%d", number % CALLERS + 1);
+  if (ld->keyed)
+    cl->key = talloc_asprintf (ld->calls, "%s-%u-%d", ld->name, ld->sc->seed,
+                               number + 1);
+  cl->body = talloc_asprintf (ld->calls, "service_us=%" PRId64 " %s ",
+                              ld->service_ms * 1000, cl->id);
+  size_t len = strlen (cl->body);
+  size_t more = ld->body_bytes >= 0 ? (size_t)ld->body_bytes
+                                    : (size_t)nrand48 (ld->sc->random) % 2000;
+  cl->body = talloc_realloc (ld->calls, cl->body, char, len + more + 1);
+  memset (cl->body + len, '.', more);
+  cl->body_len = len + more;
+}
+
+static void
+on_due (struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+        void *arg)
+{
+  struct load *ld = arg;
+  while (ld->begun < ld->count)
+    {
+      int64_t due_us
+          = ld->start_us + ld->over_ms * 1000 * ld->begun / ld->count;
+      int64_t wait_us = due_us - wall_us ();
+      if (wait_us > 0)
+        {
+          tevent_add_timer (ev, ld,
+                            tevent_timeval_current_ofs (wait_us / 1000000,
+                                                        wait_us % 1000000),
+                            on_due, ld);
+          return;
+        }
+      send_call (&ld->calls[ld->begun++]);
+    }
+}
+
+void
+load_start (struct load *ld)
+{
+  ld->calls = talloc_zero_array (ld, struct call, ld->count);
+  for (int n = 0; n < ld->count; n++)
+    prepare_call (ld, n);
+  DL_APPEND (ld->sc->loads, ld);
+  ld->start_us = wall_us ();
+  on_due (ld->sc->ev, NULL, tevent_timeval_zero (), ld);
+}
+
+struct load *
+load_find (struct scenario *sc, const char *name)
+{
+  struct load *ld;
+  DL_FOREACH (sc->loads, ld)
+    if (strcmp (ld->name, name) == 0)
+      return ld;
+  scenario_fail (sc, "no load %s", name);
+  return NULL;
+}
+
+bool
+load_ended (struct scenario *sc, void *load)
+{
+  struct load *ld;
+  DL_FOREACH (sc->loads, ld)
+    if ((!load || ld == load) && ld->done < ld->count)
+      return false;
+  return true;
+}
