--- a/admit/admit_fair.c
+++ b/admit/admit_fair.c
@@ -13,6 +13,9 @@
 /* Bounds of the time over which lags even out.  */
 #define HORIZON_MIN_US 1000
 #define HORIZON_MAX_US 600000000LL
+/* A lag is remembered up to that of one slot over this many horizons, so that
+   single long services are evened out as well.  */
+#define LAG_HORIZONS 16
 #define RETRY_MIN_US 50000
 #define RETRY_MAX_US 60000000LL
 
@@ -98,7 +101,7 @@
       weights += k->lim.weight;
       held += k->in_pool;
     }
-  double bound = horizon (p, pool);
+  double bound = LAG_HORIZONS * horizon (p, pool);
   for (uint32_t n = 0; n < pool->kind_count; n++)
     {
       struct kind *k = &p->kinds[pool->kinds[n]];
@@ -177,10 +180,12 @@
   return below_share ? 1 : 3;
 }
 
+/* A lag counts as at most one slot, so that a kind that was kept waiting
+   never takes more than its share and one slot.  */
 static double
 load_of (const struct view *v, const struct kind *k)
 {
-  return (k->in_pool - k->lag / v->horizon) / k->lim.weight;
+  return (k->in_pool - clamp (k->lag / v->horizon, -1, 1)) / k->lim.weight;
 }
 
 static bool
