--- a/claim/claim.h
+++ b/claim/claim.h
@@ -46,7 +46,8 @@
   enum claim_known known; /* for CLAIM_DUPLICATE */
   uint32_t status;        /* HTTP status, for CLAIM_KNOWN_ANSWERED */
   int64_t known_ms;       /* log time of what is known */
-  const uint8_t *body;    /* recorded answer, NULL when it was too large */
+  const uint8_t *body;    /* recorded answer, valid during the callback; NULL
+                             when it was too large or cannot be read back */
   size_t body_len;
   uint64_t claim_id;  /* for CLAIM_GRANTED */
   int64_t granted_us; /* monotonic */
@@ -75,26 +76,37 @@
   struct priv *priv;
 };
 
+/* Returns 0, ERR_INVALID (a setting out of range, as a key lifetime under 1 s)
+   or ERR_NOMEM.  PARENT is a talloc context that lives until the store is
+   finished, because calls in progress refer to it.  */
 int claims_init (struct claims *cls, void *parent,
                  const struct claim_settings *set, struct log_store *st,
                  struct tevent_context *ev, const struct clock *clk);
+
+/* Requests that still wait are not told.  May be called from a callback.  */
 void claims_fini (struct claims *cls);
 
 /* Whether the fold has caught up with the log lately: claims can be made.  */
 bool claims_ready (const struct claims *cls);
 
-/* FN runs once, with a verdict at the latest at DEADLINE_US.  Returns 0 or
-   ERR_FULL or ERR_NOMEM, and then FN does not run.  */
+/* FN runs once, never from inside this call, with a verdict at the latest at
+   DEADLINE_US (monotonic), or half a key lifetime from now when that is
+   sooner.  Returns 0 or ERR_FULL or ERR_NOMEM, and then FN does not run.  */
 int claim_request (struct claims *cls, struct claim_key key,
                    uint64_t body_digest, int64_t deadline_us, claim_fn *fn,
                    void *arg);
 
-/* Records the answer, or (ANSWERED false) that the outcome is unknown.  */
+/* Records the answer, or (ANSWERED false) that the outcome is unknown.  Kept
+   until it stands in the log.  Returns 0, ERR_EXISTS (recorded already and not
+   yet in the log), ERR_FULL or ERR_NOMEM; the key then stays claimed with
+   nothing known.  */
 int claim_done (struct claims *cls, struct claim_key key, uint64_t claim_id,
                 bool answered, uint32_t status, const uint8_t *body,
                 size_t len);
 
 /* Releases a key whose request was certainly never run.  FN learns whether
-   the release stands in the log, at the latest at DEADLINE_US.  */
+   the release stands in the log, at the latest at DEADLINE_US; the release is
+   tried on after that.  Returns 0, ERR_EXISTS, ERR_FULL or ERR_NOMEM, and FN
+   runs only after 0.  */
 int claim_release (struct claims *cls, struct claim_key key, uint64_t claim_id,
                    int64_t deadline_us, claim_release_fn *fn, void *arg);
--- a/claim/claim_fold.c
+++ b/claim/claim_fold.c
@@ -365,7 +365,7 @@
 }
 
 void
-claim_fold_reset (struct claim_fold *fold, uint64_t from)
+claim_fold_reset (struct claim_fold *fold, uint64_t from, bool lost)
 {
   struct priv *p = fold->priv;
   TALLOC_FREE (p->entries);
@@ -377,7 +377,7 @@
   p->next = from;
   p->now_ms = 0;
   p->complete_ms = 0;
-  p->complete_unknown = from > 0;
+  p->complete_unknown = lost;
 }
 
 int
@@ -399,7 +399,7 @@
       return ERR_NOMEM;
     }
   fold->priv = p;
-  claim_fold_reset (fold, 0);
+  claim_fold_reset (fold, 0, false);
   return 0;
 }
 
--- a/claim/claim_fold.h
+++ b/claim/claim_fold.h
@@ -77,8 +77,9 @@
                      const struct claim_fold_settings *set);
 void claim_fold_fini (struct claim_fold *fold);
 
-/* Forgets everything and goes on at offset FROM.  */
-void claim_fold_reset (struct claim_fold *fold, uint64_t from);
+/* Forgets everything and goes on at offset FROM.  LOST: records before it
+   were not folded, so that keys may be missing.  */
+void claim_fold_reset (struct claim_fold *fold, uint64_t from, bool lost);
 
 /* Begins the record at OFFSET, which must be claim_fold_next.  Returns whether
    its items count; claim_fold_item is called for them only then.  */
--- a/test/unit/log_memory.c
+++ b/test/unit/log_memory.c
@@ -70,6 +70,8 @@
   else if (call->from < mem->next)
     {
       res.count = mem->next - call->from;
+      if (mem->read_limit && res.count > mem->read_limit)
+        res.count = mem->read_limit;
       views = talloc_array (call, struct log_record_view, res.count);
       for (size_t n = 0; n < res.count; n++)
         views[n] = log_memory_view (mem, call->from + n);
--- a/test/unit/log_memory.h
+++ b/test/unit/log_memory.h
@@ -30,6 +30,7 @@
   int64_t retry_after_ms;      /* named by refused appends */
   bool down;                   /* appends unknown without effect, no reads */
   int64_t time_ms;             /* of the next record */
+  uint32_t read_limit;         /* records a read; 0: all */
 
   /* Read by the test.  */
   struct log_memory_record *records;
--- a/test/unit/unit_claim_fold.c
+++ b/test/unit/unit_claim_fold.c
@@ -193,7 +193,7 @@
   ck_assert (!claim_fold_complete (&fold));
   ck_assert (record (&fold, 10 + LIFETIME_MS, 1));
   ck_assert (claim_fold_complete (&fold));
-  claim_fold_reset (&fold, 40);
+  claim_fold_reset (&fold, 40, true);
   ck_assert (!claim_fold_complete (&fold));
   ck_assert (record (&fold, 9000, 1));
   ck_assert (record (&fold, 9000 + LIFETIME_MS - 1, 2));
@@ -222,8 +222,8 @@
   struct claim_held held = { 0 };
   int compared = 0;
   int64_t now = 5000;
-  claim_fold_reset (whole, 0);
-  claim_fold_reset (part, first);
+  claim_fold_reset (whole, 0, false);
+  claim_fold_reset (part, first, true);
   for (int n = 0; n < LENGTH; n++, code /= CHOICES)
     {
       char op = ops[code % OPS];
