test: queue of the load caller, exact send times

Change: the caller keeps its own queue and sends by a timerfd; verdict uses jansson's objects as tables.

--- a/test/load/caller.c
+++ b/test/load/caller.c
@@ -10,8 +10,11 @@
 #include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/timerfd.h>
 #include <talloc.h>
 #include <tevent.h>
+#include <unistd.h>
+#include <utlist.h>
 #include <xxhash.h>
 
 #include "base/clock.h"
@@ -105,8 +108,11 @@
   struct trace trace;
   size_t next;
   size_t open;
+  int64_t active;       /* attempts under way */
+  struct call *waiting; /* for one of the connections */
   int64_t calls;
   int64_t start_us;
+  int timer_fd; /* tevent's own timers round up to whole milliseconds */
   int64_t wall_offset_us; /* wall clock minus monotonic clock */
   FILE *journal;
   struct kind_sum kinds[MAX_KINDS];
@@ -117,6 +123,7 @@
 
 struct call
 {
+  struct call *prev, *next; /* while it waits for a connection */
   struct caller *cr;
   const struct trace_item *item;
   int64_t number;
@@ -291,6 +298,15 @@
 /* Sending  */
 
 static void start_attempt (struct call *cl);
+static void start_waiting (struct caller *cr);
+
+static void
+end_call (struct call *cl, const struct verdict *vd, int64_t end_us)
+{
+  count_call (cl, vd, end_us);
+  cl->cr->open--;
+  talloc_free (cl);
+}
 
 static void
 on_retry (struct tevent_context *ev, struct tevent_timer *te,
@@ -302,18 +318,11 @@
 /* Retries at another entry address, as a balancer's client does: always when
    there was no connection, a few times when the reply was lost.  */
 static bool
-retry (struct call *cl, CURLcode code)
+may_retry (const struct call *cl, CURLcode code)
 {
-  struct caller *cr = cl->cr;
-  bool unsent = code == CURLE_COULDNT_CONNECT;
   int64_t left = cl->planned_us + cl->item->deadline_ms * 1000 - now_us ();
-  if (code == CURLE_OK || code == CURLE_OPERATION_TIMEDOUT || left <= RETRY_US
-      || cl->lost >= MAX_LOST_ATTEMPTS)
-    return false;
-  cl->entry = (cl->entry + 1) % cr->entry_count;
-  bool pause = !unsent || cl->attempt % cr->entry_count == 0;
-  tevent_add_timer (cr->ev, cl, after_us (pause ? RETRY_US : 0), on_retry, cl);
-  return true;
+  return code != CURLE_OK && code != CURLE_OPERATION_TIMEDOUT
+         && left > RETRY_US && cl->lost < MAX_LOST_ATTEMPTS;
 }
 
 static void
@@ -322,13 +331,11 @@
   struct caller *cr = cl->cr;
   int64_t end_us = now_us ();
   struct verdict vd = judge (cl, code);
-  if (strcmp (vd.own, "wrong") == 0)
-    cr->wrong++;
-  cl->lost += code != CURLE_OK && code != CURLE_COULDNT_CONNECT;
-  bool again = retry (cl, code);
+  bool unsent = code == CURLE_COULDNT_CONNECT;
+  cr->wrong += strcmp (vd.own, "wrong") == 0;
+  cl->lost += code != CURLE_OK && !unsent;
+  bool again = may_retry (cl, code);
   write_journal (cl, &vd, end_us, !again);
-  if (!again)
-    count_call (cl, &vd, end_us);
   curl_multi_remove_handle (cr->multi, cl->curl);
   curl_easy_cleanup (cl->curl);
   curl_slist_free_all (cl->headers);
@@ -336,11 +343,17 @@
   cl->curl = NULL;
   cl->headers = NULL;
   cl->size = 0;
-  if (!again)
+  cr->active--;
+  if (again)
     {
-      cr->open--;
-      talloc_free (cl);
+      bool pause = !unsent || cl->attempt % cr->entry_count == 0;
+      cl->entry = (cl->entry + 1) % cr->entry_count;
+      tevent_add_timer (cr->ev, cl, after_us (pause ? RETRY_US : 0), on_retry,
+                        cl);
     }
+  else
+    end_call (cl, &vd, end_us);
+  start_waiting (cr);
 }
 
 static size_t
@@ -379,17 +392,12 @@
 }
 
 static void
-start_attempt (struct call *cl)
+send_attempt (struct call *cl, int64_t left_ms)
 {
   struct caller *cr = cl->cr;
-  int64_t left_ms
-      = (cl->planned_us - now_us ()) / 1000 + cl->item->deadline_ms;
   char *url = talloc_asprintf (cl, "http://%s%s%s", cr->entries[cl->entry],
                                cr->set.path, cl->item->kind);
-  cl->attempt++;
-  snprintf (cl->id, sizeof cl->id, "%s-%" PRId64 ".%d", cr->set.name,
-            cl->number, cl->attempt);
-  cl->sent_us = now_us ();
+  cr->active++;
   cl->curl = curl_easy_init ();
   set_headers (cl);
   curl_easy_setopt (cl->curl, CURLOPT_URL, url);
@@ -400,12 +408,44 @@
   curl_easy_setopt (cl->curl, CURLOPT_WRITEFUNCTION, on_answer);
   curl_easy_setopt (cl->curl, CURLOPT_WRITEDATA, cl);
   curl_easy_setopt (cl->curl, CURLOPT_ERRORBUFFER, cl->error);
-  curl_easy_setopt (cl->curl, CURLOPT_TIMEOUT_MS,
-                    (long)(left_ms > 0 ? left_ms : 0) + GRACE_MS);
+  curl_easy_setopt (cl->curl, CURLOPT_TIMEOUT_MS, (long)left_ms + GRACE_MS);
   curl_multi_add_handle (cr->multi, cl->curl);
   talloc_free (url);
 }
 
+/* libcurl's own limit of connections takes time quadratic in the transfers
+   that wait, so the caller keeps its own queue.  */
+static void
+start_waiting (struct caller *cr)
+{
+  static const struct verdict not_sent = { "not_run", "not_sent", "none", 0 };
+  while (cr->waiting && cr->active < cr->set.connections)
+    {
+      struct call *cl = cr->waiting;
+      int64_t now = now_us ();
+      int64_t left_ms = (cl->planned_us - now) / 1000 + cl->item->deadline_ms;
+      DL_DELETE (cr->waiting, cl);
+      cl->attempt++;
+      snprintf (cl->id, sizeof cl->id, "%s-%" PRId64 ".%d", cr->set.name,
+                cl->number, cl->attempt);
+      cl->sent_us = now;
+      if (left_ms > 0)
+        send_attempt (cl, left_ms);
+      else
+        {
+          write_journal (cl, &not_sent, now, true);
+          end_call (cl, &not_sent, now);
+        }
+    }
+}
+
+static void
+start_attempt (struct call *cl)
+{
+  DL_APPEND (cl->cr->waiting, cl);
+  start_waiting (cl->cr);
+}
+
 /* The body starts with the service time, for the target's stand-in.  */
 static char *
 make_body (struct call *cl)
@@ -444,18 +484,20 @@
   start_attempt (cl);
 }
 
+/* Sends what is due and arms the timer for the next.  */
 static void
-on_due (struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
-        void *arg)
+send_due (struct caller *cr)
 {
-  struct caller *cr = arg;
   while (cr->next < cr->trace.count)
     {
       const struct trace_item *item = &cr->trace.items[cr->next];
-      int64_t wait_us = cr->start_us + item->time_ms * 1000 - now_us ();
-      if (wait_us > 0)
+      int64_t due_us = cr->start_us + item->time_ms * 1000;
+      if (due_us > now_us ())
         {
-          tevent_add_timer (ev, cr, after_us (wait_us), on_due, cr);
+          struct itimerspec at
+              = { .it_value = { .tv_sec = due_us / 1000000,
+                                .tv_nsec = due_us % 1000000 * 1000 } };
+          timerfd_settime (cr->timer_fd, TFD_TIMER_ABSTIME, &at, NULL);
           return;
         }
       cr->next++;
@@ -467,6 +509,16 @@
     }
 }
 
+static void
+on_due (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+        void *arg)
+{
+  struct caller *cr = arg;
+  uint64_t expirations;
+  if (read (cr->timer_fd, &expirations, sizeof expirations) > 0)
+    send_due (cr);
+}
+
 /* Callbacks of libcurl  */
 
 static void
@@ -677,13 +729,13 @@
   if (*cr->set.journal && !(cr->journal = fopen (cr->set.journal, "w")))
     return ERR_IO;
   cr->ev = tevent_context_init (cr);
+  cr->timer_fd = timerfd_create (CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+  tevent_add_fd (cr->ev, cr, cr->timer_fd, TEVENT_FD_READ, on_due, cr);
   cr->multi = curl_multi_init ();
   curl_multi_setopt (cr->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
   curl_multi_setopt (cr->multi, CURLMOPT_SOCKETDATA, cr);
   curl_multi_setopt (cr->multi, CURLMOPT_TIMERFUNCTION, on_timeout);
   curl_multi_setopt (cr->multi, CURLMOPT_TIMERDATA, cr);
-  curl_multi_setopt (cr->multi, CURLMOPT_MAX_TOTAL_CONNECTIONS,
-                     (long)cr->set.connections);
   curl_multi_setopt (cr->multi, CURLMOPT_MAXCONNECTS,
                      (long)cr->set.connections);
   return 0;
@@ -709,7 +761,7 @@
   struct timespec wall = clock_wall (&clock_system);
   cr->wall_offset_us
       = (int64_t)wall.tv_sec * 1000000 + wall.tv_nsec / 1000 - cr->start_us;
-  on_due (cr->ev, NULL, tevent_timeval_zero (), cr);
+  send_due (cr);
   while (cr->open > 0 || cr->next < cr->trace.count)
     tevent_loop_once (cr->ev);
 
--- a/test/load/trace.c
+++ b/test/load/trace.c
@@ -98,8 +98,8 @@
       const struct trace_kind *kd = &kinds[n];
       /* Arrivals at the highest rate, thinned to the rate of the moment.  */
       double top = kd->turn < 0 ? kd->rate_s : kd->rate_s * surge;
-      for (double ms = exponential (random, 1000 / top); ms < seconds * 1000.0;
-           ms += exponential (random, 1000 / top))
+      double ms = 0;
+      while ((ms += exponential (random, 1000 / top)) < seconds * 1000.0)
         {
           bool own = kd->turn < 0
                      || (int64_t)(ms / (double)turn_ms) % turns == kd->turn;
--- a/test/load/verdict.c
+++ b/test/load/verdict.c
@@ -9,7 +9,6 @@
 #include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
-#include <uthash.h>
 
 #include "base/err.h"
 #include "base/option.h"
@@ -36,30 +35,12 @@
   { NULL, 0, 0, 0, 0, NULL, NULL, NULL, NULL },
 };
 
-/* Executions under one request id or one idempotency key.  */
-struct runs
-{
-  UT_hash_handle hh;
-  const char *name;
-  const char *host; /* of the last one */
-  int count;
-  int64_t cut_us;
-};
-
-struct call
-{
-  UT_hash_handle hh;
-  const char *name; /* journal and number */
-  const char *outcome;
-  bool lost;
-};
-
 struct judge
 {
   struct settings set;
-  struct runs *by_id;
-  struct runs *by_key;
-  struct call *calls;
+  json_t *by_id;  /* executions by request id: count, host, cut_us */
+  json_t *by_key; /* and by idempotency key */
+  json_t *calls;  /* by journal and number: outcome, lost */
   int64_t stops[MAX_STOPS][2]; /* in us */
   int stop_count;
   int wrong, twice, not_run_ran, never_ran, cut, strange;
@@ -79,6 +60,12 @@
   return json_integer_value (json_object_get (obj, name));
 }
 
+static bool
+is_true (const json_t *obj, const char *name)
+{
+  return json_is_true (json_object_get (obj, name));
+}
+
 static void
 violation (struct judge *jg, int *count, const char *what, const char *name,
            const char *detail)
@@ -128,37 +115,24 @@
   return err;
 }
 
-static struct runs *
-find_runs (struct runs *table, const char *name)
-{
-  struct runs *rn;
-  HASH_FIND_STR (table, name, rn);
-  return rn;
-}
-
 static void
-add_run (struct judge *jg, struct runs **table, const char *name,
-         const json_t *obj)
+add_run (json_t *table, const char *name, const json_t *obj)
 {
-  struct runs *rn = find_runs (*table, name);
-  if (!rn)
-    {
-      rn = talloc_zero (jg, struct runs);
-      rn->name = talloc_strdup (rn, name);
-      HASH_ADD_KEYPTR (hh, *table, rn->name, strlen (rn->name), rn);
-    }
-  rn->host = talloc_strdup (rn, text (obj, "host"));
-  rn->count++;
-  if (number (obj, "cut_us") > 0)
-    rn->cut_us = number (obj, "cut_us");
+  const json_t *last = json_object_get (table, name);
+  int64_t cut_us = number (obj, "cut_us");
+  json_object_set_new (table, name,
+                       json_pack ("{s:I, s:s, s:I}", "count",
+                                  number (last, "count") + 1, "host",
+                                  text (obj, "host"), "cut_us",
+                                  cut_us ? cut_us : number (last, "cut_us")));
 }
 
 static void
 add_execution (struct judge *jg, const char *path, const json_t *obj)
 {
-  add_run (jg, &jg->by_id, text (obj, "request_id"), obj);
+  add_run (jg->by_id, text (obj, "request_id"), obj);
   if (*text (obj, "key"))
-    add_run (jg, &jg->by_key, text (obj, "key"), obj);
+    add_run (jg->by_key, text (obj, "key"), obj);
 }
 
 static bool
@@ -176,18 +150,12 @@
 count_call (struct judge *jg, const char *path, const json_t *obj)
 {
   char *name = talloc_asprintf (jg, "%s:%" PRId64, path, number (obj, "call"));
-  struct call *cl;
-  HASH_FIND_STR (jg->calls, name, cl);
-  if (!cl)
-    {
-      cl = talloc_zero (jg, struct call);
-      cl->name = name;
-      HASH_ADD_KEYPTR (hh, jg->calls, cl->name, strlen (cl->name), cl);
-    }
-  cl->outcome = talloc_strdup (cl, text (obj, "outcome"));
-  if (!json_is_true (json_object_get (obj, "final"))
-      && strcmp (cl->outcome, "unknown") == 0)
-    cl->lost = true;
+  const char *outcome = text (obj, "outcome");
+  bool lost = is_true (json_object_get (jg->calls, name), "lost")
+              || (!is_true (obj, "final") && strcmp (outcome, "unknown") == 0);
+  json_object_set_new (
+      jg->calls, name,
+      json_pack ("{s:s, s:b}", "outcome", outcome, "lost", lost));
 }
 
 static void
@@ -197,23 +165,22 @@
   const char *outcome = text (obj, "outcome");
   const char *key = text (obj, "key");
   bool answered = strcmp (outcome, "answered") == 0;
-  struct runs *rn = find_runs (jg->by_id, id);
-  struct runs *of_key = find_runs (jg->by_key, key);
+  const json_t *runs = json_object_get (jg->by_id, id);
+  const char *host = text (runs, "host");
+  int64_t cut_us = number (runs, "cut_us");
   count_call (jg, path, obj);
   if (strcmp (text (obj, "own"), "wrong") == 0)
     violation (jg, &jg->wrong, "wrong answer", id, text (obj, "entry"));
-  if (strcmp (outcome, "not_run") == 0 && rn)
-    violation (jg, &jg->not_run_ran, "told not run, but ran", id, rn->host);
-  if (answered && !rn && !of_key)
+  if (strcmp (outcome, "not_run") == 0 && runs)
+    violation (jg, &jg->not_run_ran, "told not run, but ran", id, host);
+  if (answered && !runs && !json_object_get (jg->by_key, key))
     violation (jg, &jg->never_ran, "answered, but never ran", id,
                text (obj, "entry"));
-  if (json_is_true (json_object_get (obj, "once")) && !*key && rn
-      && rn->count > 1)
-    violation (jg, &jg->twice, "request id run more than once", id, rn->host);
-  if (rn && rn->cut_us && in_planned_stop (jg, rn->cut_us)
-      && rn->cut_us
-             < number (obj, "sent_us") + number (obj, "deadline_ms") * 1000)
-    violation (jg, &jg->cut, "cut during a planned stop", id, rn->host);
+  if (is_true (obj, "once") && !*key && number (runs, "count") > 1)
+    violation (jg, &jg->twice, "request id run more than once", id, host);
+  if (cut_us && in_planned_stop (jg, cut_us)
+      && cut_us < number (obj, "sent_us") + number (obj, "deadline_ms") * 1000)
+    violation (jg, &jg->cut, "cut during a planned stop", id, host);
   if (!answered && strcmp (outcome, "not_run") != 0
       && strcmp (outcome, "unknown") != 0)
     violation (jg, &jg->strange, "outcome of no known type", id, outcome);
@@ -247,22 +214,26 @@
 {
   int answered = 0;
   int not_run = 0;
-  int unknown = 0;
-  for (struct runs *rn = jg->by_key; rn; rn = rn->hh.next)
-    if (rn->count > 1)
-      violation (jg, &jg->twice, "key run more than once", rn->name, rn->host);
-  for (struct call *cl = jg->calls; cl; cl = cl->hh.next)
-    if (strcmp (cl->outcome, "answered") == 0)
-      answered++;
-    else if (strcmp (cl->outcome, "not_run") == 0 && !cl->lost)
-      not_run++;
-    else
-      unknown++;
-  if (HASH_COUNT (jg->calls) == 0)
+  const char *name;
+  json_t *obj;
+  json_object_foreach (jg->by_key, name, obj)
+  {
+    if (number (obj, "count") > 1)
+      violation (jg, &jg->twice, "key run more than once", name,
+                 text (obj, "host"));
+  }
+  json_object_foreach (jg->calls, name, obj)
+  {
+    const char *outcome = text (obj, "outcome");
+    answered += strcmp (outcome, "answered") == 0;
+    not_run += strcmp (outcome, "not_run") == 0 && !is_true (obj, "lost");
+  }
+  size_t count = json_object_size (jg->calls);
+  if (count == 0)
     violation (jg, &jg->strange, "no request", jg->set.callers, "empty");
-  printf ("demo: %u requests, %d answered, %d not run, %d unknown, "
+  printf ("demo: %zu requests, %d answered, %d not run, %d unknown, "
           "%d wrong answers, %d run twice\n",
-          HASH_COUNT (jg->calls), answered, not_run, unknown, jg->wrong,
+          count, answered, not_run, (int)count - answered - not_run, jg->wrong,
           jg->twice);
   if (jg->not_run_ran || jg->never_ran || jg->cut || jg->strange)
     printf ("also: %d told not run but ran, %d answered but never ran, "
@@ -279,15 +250,18 @@
                            &jg->set, stdout, stderr);
   if (err != 0)
     return err < 0 ? 2 : 0;
+  jg->by_id = json_object ();
+  jg->by_key = json_object ();
+  jg->calls = json_object ();
   err = parse_stops (jg);
   if (err == 0)
     err = read_journals (jg, jg->set.targets, add_execution);
   if (err == 0)
     err = read_journals (jg, jg->set.callers, judge_attempt);
   int code = err < 0 ? 2 : conclude (jg);
-  HASH_CLEAR (hh, jg->by_id);
-  HASH_CLEAR (hh, jg->by_key);
-  HASH_CLEAR (hh, jg->calls);
+  json_decref (jg->by_id);
+  json_decref (jg->by_key);
+  json_decref (jg->calls);
   talloc_free (jg);
   return code;
 }
--- a/test/stand/stand.c
+++ b/test/stand/stand.c
@@ -213,6 +213,15 @@
   return port;
 }
 
+struct stand_port *
+stand_find_port (struct stand *st, const char *name)
+{
+  for (int n = 0; n < st->ports_count; n++)
+    if (strcmp (st->ports[n]->name, name) == 0)
+      return st->ports[n];
+  return NULL;
+}
+
 /* Faults  */
 
 static bool
@@ -282,13 +291,10 @@
 }
 
 static bool
-is_known_fault (struct stand *st, const char *name)
+is_in (const char *const *list, const char *name)
 {
-  for (int n = 0; common_faults[n]; n++)
-    if (strcmp (common_faults[n], name) == 0)
-      return true;
-  for (int n = 0; st->drv->faults[n]; n++)
-    if (strcmp (st->drv->faults[n], name) == 0)
+  for (int n = 0; list[n]; n++)
+    if (strcmp (list[n], name) == 0)
       return true;
   return false;
 }
@@ -315,8 +321,12 @@
                          &ft->match, "value", &value, "count", &count)
              != 0)
     reply_error (rq, 400, error.text);
-  else if (!is_known_fault (st, ft->name))
+  else if (!is_in (common_faults, ft->name)
+           && !is_in (st->drv->faults, ft->name))
     reply_error (rq, 400, "unknown fault");
+  else if (ft->host && !stand_find_port (st, ft->host)
+           && is_in (common_faults, ft->name))
+    reply_error (rq, 400, "unknown host");
   else if (count == 0 || count < -1)
     reply_error (rq, 400, "count must be at least 1");
   else
--- a/test/stand/stand.h
+++ b/test/stand/stand.h
@@ -74,6 +74,9 @@
 struct stand_port *stand_listen (struct stand *st, const char *name,
                                  void *owner, int number, int max_conns);
 
+/* The port that NAME listens at, or NULL.  */
+struct stand_port *stand_find_port (struct stand *st, const char *name);
+
 /* Serves until SIGTERM or SIGINT.  */
 void stand_run (struct stand *st);
 
