test: each fault of the stand-ins does what it says

Cause: a fault without effect would let every test that sets it pass. Change: table-driven tests that start the stand-ins as processes; an execution whose client has left is recorded as cut also when it ends at once.

--- /dev/null
+++ b/test/stand/process.c
@@ -0,0 +1,81 @@
+#include "test/stand/process.h"
+
+#include <poll.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "base/err.h"
+
+#define WAIT_MS 60000 /* generous: the machine may be busy */
+
+/* Reads what there is.  Returns 0 at the end of the output.  */
+static int
+read_output (struct process *pc)
+{
+  struct pollfd pfd = { .fd = pc->out, .events = POLLIN };
+  char rest[4096];
+  size_t room = sizeof pc->text - 1 - pc->size;
+  if (poll (&pfd, 1, WAIT_MS) <= 0)
+    return 0;
+  ssize_t got = room > 0 ? read (pc->out, pc->text + pc->size, room)
+                         : read (pc->out, rest, sizeof rest);
+  if (room > 0 && got > 0)
+    pc->size += got;
+  pc->text[pc->size] = '\0';
+  return got > 0;
+}
+
+int
+process_start (struct process *pc, const char *const *argv, const char *until)
+{
+  int fds[2];
+  memset (pc, 0, sizeof *pc);
+  if (pipe (fds) != 0)
+    return ERR_SYSTEM;
+  pc->pid = fork ();
+  if (pc->pid == 0)
+    {
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
+      dup2 (fds[1], STDOUT_FILENO);
+      close (fds[0]);
+      close (fds[1]);
+      execv (argv[0], (char *const *)argv);
+      _exit (127);
+    }
+  close (fds[1]);
+  pc->out = fds[0];
+  if (pc->pid < 0)
+    return ERR_SYSTEM;
+  while (until && !strstr (pc->text, until))
+    if (!read_output (pc))
+      return ERR_SYSTEM;
+  return 0;
+}
+
+const char *
+process_word (const struct process *pc, const char *prefix)
+{
+  static char words[8][64];
+  static int next;
+  char *word = words[next++ % 8];
+  const char *at = strstr (pc->text, prefix);
+  return at && sscanf (at + strlen (prefix), "%63s", word) == 1 ? word : NULL;
+}
+
+int
+process_end (struct process *pc, int signal)
+{
+  int status;
+  if (signal)
+    kill (pc->pid, signal);
+  while (read_output (pc))
+    ;
+  close (pc->out);
+  if (waitpid (pc->pid, &status, 0) != pc->pid)
+    return -1;
+  return WIFEXITED (status) ? WEXITSTATUS (status) : -1;
+}
--- a/test/stand/target.c
+++ b/test/stand/target.c
@@ -100,6 +100,8 @@
 static void
 end_execution (struct execution *ex, const char *result)
 {
+  if (!ex->cut_us && stand_client_gone (ex->rq))
+    ex->cut_us = stand_wall_us ();
   write_journal (ex, ex->cut_us ? "cut" : result);
   ex->wk->busy--;
   DL_DELETE (ex->tg->running, ex);
@@ -134,8 +136,6 @@
   struct stand_request *rq = ex->rq;
   struct worker *wk = ex->wk;
   char *kind = talloc_steal (rq, ex->kind);
-  if (!ex->cut_us && stand_client_gone (rq))
-    ex->cut_us = stand_wall_us ();
   end_execution (ex, "completed");
   answer (rq, wk, 200, kind);
 }
--- /dev/null
+++ b/test/unit/unit_stand.c
@@ -0,0 +1,640 @@
+#include <arpa/inet.h>
+#include <check.h>
+#include <curl/curl.h>
+#include <endian.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/option.h"
+#include "test/stand/process.h"
+
+/* Tests of the stand-ins: a fault that does nothing would let every test that
+   sets it pass.  */
+
+#define WAIT_MS 30000 /* bound of every wait for a condition */
+#define STUCK_MS 300  /* after which a frozen port counts as silent */
+
+struct reply
+{
+  CURLcode code;
+  long status;
+  long connects;
+  double total_s;
+  char headers[2048];
+  char body[65536]; /* its start */
+  size_t size;
+};
+
+static struct process target;
+static struct process platform;
+static char dir[64];
+static char journal[128];
+static char layout[128];
+
+static size_t
+keep_body (char *data, size_t size, size_t count, void *arg)
+{
+  struct reply *rp = arg;
+  size_t len = size * count;
+  if (rp->size + len < sizeof rp->body)
+    memcpy (rp->body + rp->size, data, len);
+  rp->size += len;
+  return len;
+}
+
+static size_t
+keep_header (char *data, size_t size, size_t count, void *arg)
+{
+  struct reply *rp = arg;
+  size_t used = strlen (rp->headers);
+  if (used + size * count < sizeof rp->headers)
+    strncat (rp->headers, data, size * count);
+  return size * count;
+}
+
+/* Sends "METHOD PATH" to ADDRESS with the header lines HEADERS, comma
+   separated.  */
+static void
+ask_with (CURL *curl, struct reply *rp, const char *address, const char *line,
+          const char *headers, const char *body, long timeout_ms)
+{
+  char method[16];
+  char path[256];
+  char url[512];
+  char copy[512];
+  char *save;
+  struct curl_slist *list = NULL;
+  memset (rp, 0, sizeof *rp);
+  ck_assert_int_eq (sscanf (line, "%15s %255s", method, path), 2);
+  snprintf (url, sizeof url, "http://%s%s", address, path);
+  snprintf (copy, sizeof copy, "%s", headers);
+  for (char *hd = strtok_r (copy, ",", &save); hd;
+       hd = strtok_r (NULL, ",", &save))
+    list = curl_slist_append (list, hd);
+  curl_easy_setopt (curl, CURLOPT_URL, url);
+  curl_easy_setopt (curl, CURLOPT_CUSTOMREQUEST, method);
+  curl_easy_setopt (curl, CURLOPT_HTTPHEADER, list);
+  curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, timeout_ms);
+  curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, keep_body);
+  curl_easy_setopt (curl, CURLOPT_WRITEDATA, rp);
+  curl_easy_setopt (curl, CURLOPT_HEADERFUNCTION, keep_header);
+  curl_easy_setopt (curl, CURLOPT_HEADERDATA, rp);
+  if (body)
+    curl_easy_setopt (curl, CURLOPT_POSTFIELDS, body);
+  rp->code = curl_easy_perform (curl);
+  curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &rp->status);
+  curl_easy_getinfo (curl, CURLINFO_NUM_CONNECTS, &rp->connects);
+  curl_easy_getinfo (curl, CURLINFO_TOTAL_TIME, &rp->total_s);
+  curl_slist_free_all (list);
+}
+
+static void
+ask (struct reply *rp, const char *address, const char *line,
+     const char *headers, const char *body, long timeout_ms)
+{
+  CURL *curl = curl_easy_init ();
+  ask_with (curl, rp, address, line, headers, body, timeout_ms);
+  curl_easy_cleanup (curl);
+}
+
+static const char *
+worker (const char *name)
+{
+  char prefix[64];
+  snprintf (prefix, sizeof prefix, "worker %s ", name);
+  return process_word (&target, prefix);
+}
+
+static void
+set_fault (const struct process *pc, const char *fault)
+{
+  struct reply rp;
+  ask (&rp, process_word (pc, "control "), "POST /fault", "", fault, WAIT_MS);
+  ck_assert_msg (rp.status == 200, "%s: %s", fault, rp.body);
+}
+
+static void
+clear_faults (const struct process *pc)
+{
+  struct reply rp;
+  ask (&rp, process_word (pc, "control "), "DELETE /faults", "", NULL,
+       WAIT_MS);
+  ck_assert_int_eq (rp.status, 200);
+}
+
+static void
+start_target (void)
+{
+  char out[160];
+  char file[160];
+  strcpy (dir, "/tmp/kingcuphollow-stand-XXXXXX");
+  ck_assert_ptr_nonnull (mkdtemp (dir));
+  snprintf (journal, sizeof journal, "%s/journal", dir);
+  snprintf (layout, sizeof layout, "%s/layout", dir);
+  snprintf (out, sizeof out, "--layout-out=%s", layout);
+  snprintf (file, sizeof file, "--journal=%s", journal);
+  const char *argv[]
+      = { getenv ("STAND_TARGET"), "--pools=stock:2", out, file, NULL };
+  ck_assert_int_eq (process_start (&target, argv, "ready\n"), 0);
+}
+
+static void
+stop_target (void)
+{
+  ck_assert_int_eq (process_end (&target, SIGTERM), 0);
+}
+
+static void
+remove_files (void)
+{
+  unlink (journal);
+  unlink (layout);
+  rmdir (dir);
+}
+
+static void
+start_platform (const char *option)
+{
+  const char *argv[]
+      = { getenv ("STAND_PLATFORM"), "--data-centres=a,b", option, NULL };
+  ck_assert_int_eq (process_start (&platform, argv, "ready\n"), 0);
+}
+
+/* Executions of the request ID with the given result in the journal.  */
+static int
+executions (const char *id, const char *result)
+{
+  char line[1024];
+  char want_id[64];
+  char want_result[64];
+  int count = 0;
+  FILE *file = fopen (journal, "r");
+  ck_assert_ptr_nonnull (file);
+  snprintf (want_id, sizeof want_id, "\"request_id\":\"%s\"", id);
+  snprintf (want_result, sizeof want_result, "\"result\":\"%s\"", result);
+  while (fgets (line, sizeof line, file))
+    count += strstr (line, want_id) && strstr (line, want_result);
+  fclose (file);
+  return count;
+}
+
+static const struct
+{
+  const char *fault;
+  CURLcode code;
+  long status;
+  const char *header; /* in the reply */
+  size_t min_size;
+  double min_s;
+  const char *result; /* of the execution in the journal, NULL: none */
+} target_faults[] = {
+  { "\"slow\",\"value\":200", CURLE_OK, 200, "X-Request-Id: own\r\n", 1, 0.2,
+    "completed" },
+  { "\"late\",\"value\":200", CURLE_OK, 200, "X-Request-Id: own\r\n", 1, 0.2,
+    "completed" },
+  { "\"reply_lost\"", CURLE_GOT_NOTHING, 0, "", 0, 0, "completed" },
+  { "\"cut_short\"", CURLE_PARTIAL_FILE, 200, "X-Request-Id: own\r\n", 1, 0,
+    "completed" },
+  { "\"long\",\"value\":100000", CURLE_OK, 200, "X-Request-Id: own\r\n",
+    100000, 0, "completed" },
+  { "\"crossed\"", CURLE_OK, 200, "X-Request-Id: other\r\n", 1, 0,
+    "completed" },
+  { "\"fail\"", CURLE_OK, 500, "X-Request-Id: own\r\n", 1, 0, "failed" },
+  { "\"leaves\"", CURLE_OK, 503, "X-Not-Started: 1\r\n", 1, 0, NULL },
+  { "\"down\"", CURLE_COULDNT_CONNECT, 0, "", 0, 0, NULL },
+  /* A thawed host runs what it had received, for a caller that has left.  */
+  { "\"frozen\"", CURLE_OPERATION_TIMEDOUT, 0, "", 0, 0, "cut" },
+  { "\"cut\"", CURLE_OPERATION_TIMEDOUT, 0, "", 0, 0, NULL },
+};
+
+/* Guards against a fault of the target that has no effect, reaches another
+   worker or outlasts its clearing.  */
+START_TEST (test_target_fault)
+{
+  char fault[128];
+  struct reply rp;
+  const char *body = "service_us=0";
+  start_target ();
+  ask (&rp, worker ("a-w02"), "POST /run/plan", "X-Request-Id: other", body,
+       WAIT_MS);
+  ck_assert_int_eq (rp.status, 200);
+  snprintf (fault, sizeof fault, "{\"fault\":%s,\"host\":\"a-w01\"}",
+            target_faults[_i].fault);
+  set_fault (&target, fault);
+  bool stuck = target_faults[_i].code == CURLE_OPERATION_TIMEDOUT;
+  ask (&rp, worker ("a-w01"), "POST /run/plan", "X-Request-Id: own", body,
+       stuck ? STUCK_MS : WAIT_MS);
+  ck_assert_msg (rp.code == target_faults[_i].code, "%s: %s", fault,
+                 curl_easy_strerror (rp.code));
+  ck_assert_int_eq (rp.status, target_faults[_i].status);
+  ck_assert_msg (strstr (rp.headers, target_faults[_i].header), "%s: %s",
+                 fault, rp.headers);
+  ck_assert_uint_ge (rp.size, target_faults[_i].min_size);
+  ck_assert_double_ge (rp.total_s, target_faults[_i].min_s);
+
+  ask (&rp, worker ("a-w02"), "POST /run/plan", "X-Request-Id: w2", body,
+       WAIT_MS);
+  ck_assert_int_eq (rp.status, 200);
+  clear_faults (&target);
+  ask (&rp, worker ("a-w01"), "POST /run/plan", "X-Request-Id: after", body,
+       WAIT_MS);
+  ck_assert_int_eq (rp.status, 200);
+  ck_assert_ptr_nonnull (strstr (rp.headers, "X-Request-Id: after\r\n"));
+  stop_target ();
+  const char *const results[] = { "completed", "failed", "cut", "lost" };
+  for (int n = 0; n < 4; n++)
+    ck_assert_int_eq (executions ("own", results[n]),
+                      target_faults[_i].result
+                          && strcmp (target_faults[_i].result, results[n])
+                                 == 0);
+  remove_files ();
+}
+END_TEST
+
+/* Guards against a bounded fault that hits more requests than its count.  */
+START_TEST (test_fault_count)
+{
+  struct reply rp;
+  start_target ();
+  set_fault (&target, "{\"fault\":\"fail\",\"count\":2}");
+  for (int n = 0; n < 4; n++)
+    {
+      ask (&rp, worker ("a-w01"), "POST /run/plan", "X-Request-Id: n",
+           "service_us=0", WAIT_MS);
+      ck_assert_int_eq (rp.status, n < 2 ? 500 : 200);
+    }
+  stop_target ();
+  remove_files ();
+}
+END_TEST
+
+static const char *const bad_faults[] = {
+  "",
+  "{}",
+  "{\"fault\":\"no_such\"}",
+  "{\"fault\":\"down\",\"host\":\"z\"}",
+  "{\"fault\":\"leaves\",\"host\":\"z\"}",
+  "{\"fault\":\"fail\",\"count\":0}",
+};
+
+/* Guards against a misspelt fault that a test believes to be set.  */
+START_TEST (test_fault_refused)
+{
+  struct reply rp;
+  start_target ();
+  ask (&rp, process_word (&target, "control "), "POST /fault", "",
+       bad_faults[_i], WAIT_MS);
+  ck_assert_int_eq (rp.status, 400);
+  ask (&rp, process_word (&target, "control "), "GET /faults", "", NULL,
+       WAIT_MS);
+  ck_assert_str_eq (rp.body, "[]");
+  stop_target ();
+  remove_files ();
+}
+END_TEST
+
+/* Guards against a reused connection that is answered all the same, or a
+   request that runs although its connection was closed before.  */
+START_TEST (test_reuse_close)
+{
+  struct reply rp;
+  CURL *curl = curl_easy_init ();
+  start_target ();
+  set_fault (&target, "{\"fault\":\"reuse_close\"}");
+  for (int n = 0; n < 2; n++)
+    {
+      ask_with (curl, &rp, worker ("a-w01"), "POST /run/plan",
+                n ? "X-Request-Id: second" : "X-Request-Id: first",
+                "service_us=0", WAIT_MS);
+      ck_assert_int_eq (rp.status, 200);
+      ck_assert_int_eq (rp.connects, 1);
+    }
+  ask (&rp, process_word (&target, "control "), "GET /faults", "", NULL,
+       WAIT_MS);
+  ck_assert_ptr_nonnull (strstr (rp.body, "\"hits\":1"));
+  curl_easy_cleanup (curl);
+  stop_target ();
+  ck_assert_int_eq (executions ("second", "completed"), 1);
+  remove_files ();
+}
+END_TEST
+
+/* A bare connection, for what a client library hides.  */
+static int
+connect_to (const char *address)
+{
+  char host[64];
+  uint16_t port;
+  struct sockaddr_in sa = { .sin_family = AF_INET };
+  ck_assert_int_eq (address_parse (address, host, &port), 0);
+  sa.sin_port = htons (port);
+  inet_pton (AF_INET, host, &sa.sin_addr);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&sa, sizeof sa), 0);
+  return fd;
+}
+
+static void
+send_text (int fd, const char *text)
+{
+  ck_assert_int_eq (send (fd, text, strlen (text), MSG_NOSIGNAL),
+                    (int)strlen (text));
+}
+
+/* Reads until TEXT arrived; returns false when the connection ends first.  */
+static bool
+read_until (int fd, const char *text)
+{
+  char got[8192];
+  size_t size = 0;
+  struct pollfd pfd = { .fd = fd, .events = POLLIN };
+  while (size + 1 < sizeof got && poll (&pfd, 1, WAIT_MS) > 0)
+    {
+      ssize_t more = recv (fd, got + size, sizeof got - 1 - size, 0);
+      if (more <= 0)
+        return false;
+      size += more;
+      if (memmem (got, size, text, strlen (text)))
+        return true;
+    }
+  return false;
+}
+
+/* Guards against an answer without the bytes that should follow it.  */
+START_TEST (test_trailing)
+{
+  start_target ();
+  set_fault (&target, "{\"fault\":\"trailing\"}");
+  int fd = connect_to (worker ("a-w01"));
+  send_text (fd, "POST /run/plan HTTP/1.1\r\nHost: x\r\nX-Request-Id: own\r\n"
+                 "Content-Length: 12\r\n\r\nservice_us=0");
+  ck_assert (read_until (fd, "}HTTP/1.1 200 OK\r\n"));
+  close (fd);
+  stop_target ();
+  remove_files ();
+}
+END_TEST
+
+static void
+wait_for (const char *address, const char *line, const char *text)
+{
+  struct reply rp;
+  for (int n = 0; n < WAIT_MS / 10; n++)
+    {
+      ask (&rp, address, line, "", NULL, WAIT_MS);
+      if (strstr (rp.headers, text) || strstr (rp.body, text))
+        return;
+      usleep (10000);
+    }
+  ck_abort_msg ("%s: no %s", line, text);
+}
+
+/* Guards against a guard that lets in more than the slots or connections, and
+   against executions whose interruption the journal hides.  */
+START_TEST (test_guard)
+{
+  struct reply rp;
+  int fds[64];
+  start_target ();
+  const char *w1 = worker ("a-w01");
+  for (int n = 0; n < 8; n++)
+    {
+      fds[n] = connect_to (w1);
+      send_text (fds[n], "POST /run/plan HTTP/1.1\r\nHost: x\r\n"
+                         "X-Request-Id: held\r\nContent-Length: 19\r\n\r\n"
+                         "service_us=60000000");
+    }
+  wait_for (w1, "GET /health", "X-Slots-In-Use: 8\r\n");
+  ask (&rp, w1, "POST /run/plan", "X-Request-Id: ninth", "service_us=0",
+       WAIT_MS);
+  ck_assert_int_eq (rp.status, 503);
+  ck_assert_ptr_nonnull (strstr (rp.headers, "X-Not-Started: 1\r\n"));
+  for (int n = 8; n < 64; n++)
+    {
+      fds[n] = connect_to (w1);
+      send_text (fds[n], "GET /health HTTP/1.1\r\nHost: x\r\n\r\n");
+      ck_assert (read_until (fds[n], "200 OK"));
+    }
+  int fd = connect_to (w1);
+  ck_assert (!read_until (fd, "200 OK"));
+  close (fd);
+
+  close (fds[0]);
+  close (fds[63]);
+  wait_for (w1, "GET /health", "200 OK");
+  set_fault (&target, "{\"fault\":\"down\",\"host\":\"a-w01\"}");
+  ck_assert (!read_until (fds[1], "200 OK"));
+  for (int n = 1; n < 63; n++)
+    close (fds[n]);
+  stop_target ();
+  ck_assert_int_eq (executions ("held", "cut"), 1);
+  ck_assert_int_eq (executions ("held", "lost"), 7);
+  ck_assert_int_eq (executions ("ninth", "completed"), 0);
+  remove_files ();
+}
+END_TEST
+
+/* Platform  */
+
+static const char *
+data_centre (const char *name)
+{
+  char prefix[64];
+  snprintf (prefix, sizeof prefix, "data-centre %s ", name);
+  return process_word (&platform, prefix);
+}
+
+static const struct
+{
+  const char *fault;
+  CURLcode code;
+  long status;
+  double min_s;
+  int appended;
+} append_faults[] = {
+  { "\"slow\",\"value\":200", CURLE_OK, 200, 0.2, 1 },
+  { "\"late\",\"value\":200", CURLE_OK, 200, 0.2, 1 },
+  { "\"reply_lost\"", CURLE_GOT_NOTHING, 0, 0, 1 },
+  { "\"cut_short\"", CURLE_PARTIAL_FILE, 200, 0, 1 },
+  { "\"fail\"", CURLE_OK, 503, 0, 0 },
+  { "\"down\"", CURLE_COULDNT_CONNECT, 0, 0, 0 },
+  { "\"cut\"", CURLE_OPERATION_TIMEDOUT, 0, 0, 0 },
+};
+
+/* Guards against a fault of the log that has no effect, reaches another data
+   centre, or appends when it should not (or the reverse).  */
+START_TEST (test_append_fault)
+{
+  char fault[128];
+  char next[64];
+  struct reply rp;
+  start_platform (NULL);
+  snprintf (fault, sizeof fault, "{\"fault\":%s,\"host\":\"a\"}",
+            append_faults[_i].fault);
+  set_fault (&platform, fault);
+  bool stuck = append_faults[_i].code == CURLE_OPERATION_TIMEDOUT;
+  ask (&rp, data_centre ("a"), "POST /log/s", "", "one",
+       stuck ? STUCK_MS : WAIT_MS);
+  ck_assert_msg (rp.code == append_faults[_i].code, "%s: %s", fault,
+                 curl_easy_strerror (rp.code));
+  ck_assert_int_eq (rp.status, append_faults[_i].status);
+  ck_assert_double_ge (rp.total_s, append_faults[_i].min_s);
+  ask (&rp, data_centre ("b"), "POST /log/s", "", "two", WAIT_MS);
+  ck_assert_int_eq (rp.status, 200);
+  clear_faults (&platform);
+  ask (&rp, data_centre ("a"), "GET /log/s?from=0", "", NULL, WAIT_MS);
+  ck_assert_int_eq (rp.status, 200);
+  snprintf (next, sizeof next, "X-Next-Offset: %d\r\n",
+            append_faults[_i].appended + 1);
+  ck_assert_msg (strstr (rp.headers, next), "%s: %s", fault, rp.headers);
+  ck_assert_int_eq (process_end (&platform, SIGTERM), 0);
+}
+END_TEST
+
+/* Guards against a read that cuts, skips or misnumbers a record, or does not
+   say that records have expired.  */
+START_TEST (test_log_read)
+{
+  struct reply rp;
+  uint64_t offset;
+  uint32_t len;
+  start_platform (NULL);
+  const char *a = data_centre ("a");
+  ask (&rp, a, "GET /log/none?from=0", "", NULL, WAIT_MS);
+  ck_assert_ptr_nonnull (strstr (rp.headers, "X-Next-Offset: 0\r\n"));
+  const char *const bodies[] = { "first", "second", "third" };
+  for (int n = 0; n < 3; n++)
+    ask (&rp, a, "POST /log/s", "", bodies[n], WAIT_MS);
+  ck_assert_ptr_nonnull (strstr (rp.body, "\"offset\":2,"));
+  ask (&rp, a, "GET /log/s?from=1&max_bytes=1", "", NULL, WAIT_MS);
+  memcpy (&offset, rp.body, sizeof offset);
+  memcpy (&len, rp.body + 16, sizeof len);
+  ck_assert_uint_eq (be64toh (offset), 1);
+  ck_assert_uint_eq (be32toh (len), 6);
+  ck_assert_uint_eq (rp.size, 26);
+  ck_assert_mem_eq (rp.body + 20, "second", 6);
+  set_fault (&platform, "{\"fault\":\"expire\",\"value\":2}");
+  ask (&rp, a, "GET /log/s?from=1", "", NULL, WAIT_MS);
+  ck_assert_int_eq (rp.status, 410);
+  ck_assert_ptr_nonnull (strstr (rp.headers, "X-First-Offset: 2\r\n"));
+  ask (&rp, a, "GET /log/s?from=2", "", NULL, WAIT_MS);
+  ck_assert_int_eq (rp.status, 200);
+  ck_assert_uint_eq (rp.size, 25);
+
+  int fd = connect_to (a);
+  send_text (fd, "GET /log/s?from=3&wait_ms=60000 HTTP/1.1\r\n"
+                 "Host: x\r\n\r\n");
+  ask (&rp, data_centre ("b"), "POST /log/s", "", "fourth", WAIT_MS);
+  ck_assert (read_until (fd, "fourth"));
+  close (fd);
+  ck_assert_int_eq (process_end (&platform, SIGTERM), 0);
+}
+END_TEST
+
+static const struct
+{
+  const char *option;
+  const char *header; /* of a read from offset 0, once the limit acted */
+} limits[] = {
+  { "--appends-per-s=1", "200 OK" },
+  { "--keep-records=2", "410 " },
+  { "--keep-ms=1", "410 " },
+};
+
+/* Guards against a log without the limits that the product must live with.  */
+START_TEST (test_log_limits)
+{
+  struct reply rp;
+  bool refused = false;
+  start_platform (limits[_i].option);
+  for (int n = 0; n < 100; n++)
+    {
+      ask (&rp, data_centre ("a"), "POST /log/s", "", "record", WAIT_MS);
+      refused |= rp.status == 429 && strstr (rp.headers, "X-Retry-After-Ms:");
+    }
+  ck_assert_int_eq (refused, strstr (limits[_i].option, "appends") != NULL);
+  wait_for (data_centre ("a"), "GET /log/s?from=0", limits[_i].header);
+  ck_assert_int_eq (process_end (&platform, SIGTERM), 0);
+}
+END_TEST
+
+/* Guards against a drain or reboot that the target does not notice, a stale
+   list that moves on, and operations that run twice or out of turn.  */
+START_TEST (test_hosts)
+{
+  char option[160];
+  struct reply rp;
+  start_target ();
+  snprintf (option, sizeof option, "--layout=%s", layout);
+  start_platform (option);
+  const char *a = data_centre ("a");
+  set_fault (&platform, "{\"fault\":\"hosts_stale\"}");
+  ask (&rp, a, "POST /hosts/a-w01/drain", "X-Operation-Id: o1,X-Fence: 5", "",
+       WAIT_MS);
+  ck_assert_str_eq (rp.body, "{\"state\":\"leaving\"}");
+  ask (&rp, worker ("a-w01"), "POST /run/plan", "X-Request-Id: x", "",
+       WAIT_MS);
+  ck_assert_int_eq (rp.status, 503);
+  ck_assert_ptr_nonnull (strstr (rp.headers, "X-Leaving: 1\r\n"));
+  ask (&rp, a, "POST /hosts/a-w01/return", "X-Operation-Id: o2,X-Fence: 4", "",
+       WAIT_MS);
+  ck_assert_int_eq (rp.status, 409);
+  wait_for (a, "GET /hosts/a-w01", "\"state\":\"leaving\"");
+  usleep (600000); /* longer than the lag of the list */
+  ask (&rp, a, "GET /hosts", "", NULL, WAIT_MS);
+  ck_assert_ptr_null (strstr (rp.body, "leaving"));
+  clear_faults (&platform);
+  wait_for (a, "GET /hosts", "\"state\":\"leaving\"");
+
+  ask (&rp, a, "POST /hosts/a-w01/reboot", "X-Operation-Id: o3,X-Fence: 6", "",
+       WAIT_MS);
+  ck_assert_str_eq (rp.body, "{\"state\":\"down\"}");
+  ask (&rp, worker ("a-w01"), "GET /health", "", NULL, WAIT_MS);
+  ck_assert_int_eq (rp.code, CURLE_COULDNT_CONNECT);
+  wait_for (a, "GET /hosts/a-w01", "\"state\":\"leaving\"");
+  ask (&rp, a, "POST /hosts/a-w01/return", "X-Operation-Id: o4,X-Fence: 6", "",
+       WAIT_MS);
+  ask (&rp, a, "POST /hosts/a-w01/drain", "X-Operation-Id: o1,X-Fence: 5", "",
+       WAIT_MS);
+  ck_assert_str_eq (rp.body, "{\"state\":\"leaving\"}");
+  ask (&rp, worker ("a-w01"), "POST /run/plan", "X-Request-Id: y",
+       "service_us=0", WAIT_MS);
+  ck_assert_int_eq (rp.status, 200);
+  ck_assert_int_eq (process_end (&platform, SIGTERM), 0);
+  stop_target ();
+  remove_files ();
+}
+END_TEST
+
+#define COUNT(table) (int)(sizeof (table) / sizeof *(table))
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("stand");
+  TCase *tc = tcase_create ("stand");
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  tcase_set_timeout (tc, 300);
+  tcase_add_loop_test (tc, test_target_fault, 0, COUNT (target_faults));
+  tcase_add_test (tc, test_fault_count);
+  tcase_add_loop_test (tc, test_fault_refused, 0, COUNT (bad_faults));
+  tcase_add_test (tc, test_reuse_close);
+  tcase_add_test (tc, test_trailing);
+  tcase_add_test (tc, test_guard);
+  tcase_add_loop_test (tc, test_append_fault, 0, COUNT (append_faults));
+  tcase_add_test (tc, test_log_read);
+  tcase_add_loop_test (tc, test_log_limits, 0, COUNT (limits));
+  tcase_add_test (tc, test_hosts);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  curl_global_cleanup ();
+  return failed != 0;
+}
