test: the verdict finds each violation; the caller retries and counts

Cause: a verdict that overlooks a violation would hide it for good. Change: hand-made journals for each violation, faulty traces, and runs of the caller against the target's stand-in under faults.

--- /dev/null
+++ b/test/unit/unit_load.c
@@ -0,0 +1,298 @@
+#include <check.h>
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "base/err.h"
+#include "test/load/trace.h"
+#include "test/stand/process.h"
+
+/* Tests of the judges of every scenario: a verdict that overlooks a violation
+   would hide it for good.  */
+
+static char dir[64];
+
+static const char *
+path_of (const char *name)
+{
+  static char paths[8][128];
+  static int next;
+  char *path = paths[next++ % 8];
+  snprintf (path, sizeof paths[0], "%s/%s", dir, name);
+  return path;
+}
+
+static void
+make_dir (void)
+{
+  strcpy (dir, "/tmp/kingcuphollow-load-XXXXXX");
+  ck_assert_ptr_nonnull (mkdtemp (dir));
+}
+
+static void
+remove_dir (void)
+{
+  unlink (path_of ("callers"));
+  unlink (path_of ("targets"));
+  unlink (path_of ("trace"));
+  rmdir (dir);
+}
+
+static void
+write_file (const char *name, const char *text)
+{
+  FILE *file = fopen (path_of (name), "w");
+  ck_assert_ptr_nonnull (file);
+  fputs (text, file);
+  fclose (file);
+}
+
+static int
+run_verdict (struct process *pc)
+{
+  char callers[160];
+  char targets[160];
+  snprintf (callers, sizeof callers, "--callers=%s", path_of ("callers"));
+  snprintf (targets, sizeof targets, "--targets=%s", path_of ("targets"));
+  const char *argv[] = { getenv ("VERDICT"), callers, targets,
+                         "--stops=10-20,1000-2000", NULL };
+  ck_assert_int_eq (process_start (pc, argv, NULL), 0);
+  return process_end (pc, 0);
+}
+
+/* Lines of hand-made journals.  The attempt is sent at 1 s with a deadline of
+   500 ms; planned stops are at 10 to 20 ms and at 1 to 2 s.  */
+#define CALL(call, id, key, outcome, own, final)                              \
+  "{\"call\":" call ",\"request_id\":\"" id "\",\"once\":true" key            \
+  ",\"sent_us\":1000000,\"deadline_ms\":500,\"outcome\":\"" outcome           \
+  "\",\"own\":\"" own "\",\"final\":" final "}\n"
+#define RUN(id, key, cut)                                                     \
+  "{\"request_id\":\"" id "\"" key ",\"host\":\"a-w01\",\"cut_us\":" cut      \
+  ",\"result\":\"completed\"}\n"
+#define KEY ",\"key\":\"k1\""
+
+static const struct
+{
+  const char *callers;
+  const char *targets;
+  int code;
+  const char *line;
+} verdicts[] = {
+  { CALL ("1", "r1", KEY, "answered", "correct", "true")
+        CALL ("2", "r2", "", "not_run", "none", "true")
+            CALL ("3", "r3", "", "unknown", "none", "true"),
+    RUN ("r1", KEY, "0") RUN ("r3", "", "0"), 0,
+    "demo: 3 requests, 1 answered, 1 not run, 1 unknown, 0 wrong answers, "
+    "0 run twice\n" },
+  /* A retried call counts once, and as unknown when only its last attempt is
+     known not to have run.  */
+  { CALL ("1", "r1.1", KEY, "unknown", "none", "false")
+        CALL ("1", "r1.2", KEY, "not_run", "none", "true"),
+    RUN ("r1.1", KEY, "0"), 0, "demo: 1 requests, 0 answered, 0 not run, 1 " },
+  /* The answer to a repeated key comes from the run of the first request.  */
+  { CALL ("1", "r1.1", KEY, "unknown", "none", "false")
+        CALL ("1", "r1.2", KEY, "answered", "none", "true"),
+    RUN ("r1.1", KEY, "0"), 0, "demo: 1 requests, 1 answered" },
+  { CALL ("1", "r1", "", "answered", "wrong", "true"), RUN ("r1", "", "0"), 1,
+    " 1 wrong answers, 0 run twice\n" },
+  { CALL ("1", "r1", "", "not_run", "wrong", "true"), "", 1,
+    " 1 wrong answers" },
+  { CALL ("1", "r1", KEY, "answered", "correct", "true"),
+    RUN ("r1", KEY, "0") RUN ("r9", KEY, "0"), 1, " 1 run twice\n" },
+  { CALL ("1", "r1", "", "answered", "correct", "true"),
+    RUN ("r1", "", "0") RUN ("r1", "", "0"), 1, " 1 run twice\n" },
+  { CALL ("1", "r1", "", "not_run", "none", "true"), RUN ("r1", "", "0"), 1,
+    "also: 1 told not run but ran" },
+  { CALL ("1", "r1", "", "answered", "correct", "true"), "", 1,
+    " 1 answered but never ran" },
+  { CALL ("1", "r1", "", "unknown", "none", "true"), RUN ("r1", "", "1200000"),
+    1, " 1 cut during a planned stop" },
+  /* Cut after the deadline, and cut outside every planned stop.  */
+  { CALL ("1", "r1", "", "unknown", "none", "true"), RUN ("r1", "", "1600000"),
+    0, "0 wrong" },
+  { CALL ("1", "r1", "", "unknown", "none", "true"), RUN ("r1", "", "900000"),
+    0, "0 wrong" },
+  { CALL ("1", "r1", "", "maybe", "none", "true"), "", 1,
+    " 1 of no known type" },
+  { "", "", 1, "demo: 0 requests" },
+  { CALL ("1", "r1", "", "not_run", "none", "true"), "{\"request_id\":\"r", 2,
+    "" },
+};
+
+/* Guards against a violation that the verdict overlooks or invents.  */
+START_TEST (test_verdict)
+{
+  struct process pc;
+  make_dir ();
+  write_file ("callers", verdicts[_i].callers);
+  write_file ("targets", verdicts[_i].targets);
+  int code = run_verdict (&pc);
+  ck_assert_msg (code == verdicts[_i].code, "exit code %d: %s", code, pc.text);
+  ck_assert_msg (strstr (pc.text, verdicts[_i].line), "%s", pc.text);
+  remove_dir ();
+}
+END_TEST
+
+static const struct
+{
+  const char *text;
+  int err;
+  size_t line;
+} traces[] = {
+  { "# comment\n0 plan crew-1 1000 500 20 once\n", 0, 2 },
+  { "0 plan crew-1 1000 500 20 many\n1 plan crew-1 1000 500 20\n", ERR_INVALID,
+    2 },
+  { "0 plan crew-1 1000 500 20 twice\n", ERR_INVALID, 1 },
+  { "-1 plan crew-1 1000 500 20 many\n", ERR_INVALID, 1 },
+  { "0 plan crew-1 1000 0 20 many\n", ERR_INVALID, 1 },
+  { "0 plan crew-1 1000 500 20 many more\n", ERR_INVALID, 1 },
+};
+
+/* Guards against a damaged trace that is sent in part.  */
+START_TEST (test_trace)
+{
+  void *ctx = talloc_new (NULL);
+  struct trace tr;
+  size_t line;
+  make_dir ();
+  write_file ("trace", traces[_i].text);
+  ck_assert_int_eq (trace_read (ctx, path_of ("trace"), &tr, &line),
+                    traces[_i].err);
+  ck_assert_uint_eq (line, traces[_i].line);
+  if (traces[_i].err == 0)
+    ck_assert (tr.count == 1 && tr.items[0].once);
+  remove_dir ();
+  talloc_free (ctx);
+}
+END_TEST
+
+static const char *const recorded[] = { "comptoir", "colheitas" };
+
+/* Guards against recorded traces that the generator no longer makes.  */
+START_TEST (test_recorded_trace)
+{
+  char path[512];
+  char made[256];
+  char kept[256];
+  struct process pc;
+  const char *argv[] = { getenv ("MAKE_TRACE"), recorded[_i], "7", NULL };
+  snprintf (path, sizeof path, "%s/%s-day.trace", getenv ("TRACES"),
+            recorded[_i]);
+  FILE *file = fopen (path, "r");
+  ck_assert_ptr_nonnull (file);
+  ck_assert_int_eq (process_start (&pc, argv, NULL), 0);
+  FILE *made_file = fdopen (dup (pc.out), "r");
+  while (fgets (kept, sizeof kept, file))
+    {
+      ck_assert_ptr_nonnull (fgets (made, sizeof made, made_file));
+      ck_assert_str_eq (made, kept);
+    }
+  ck_assert_ptr_null (fgets (made, sizeof made, made_file));
+  fclose (file);
+  fclose (made_file);
+  ck_assert_int_eq (process_end (&pc, 0), 0);
+}
+END_TEST
+
+static const struct
+{
+  const char *fault;
+  const char *summary; /* in the caller's output */
+  int code;            /* of the verdict */
+  const char *line;    /* in the verdict's output */
+} runs[] = {
+  { NULL, "30 requests, 30 answered, 0 not run, 0 unknown, 0 wrong", 0,
+    "30 answered" },
+  { "{\"fault\":\"down\",\"host\":\"a-w01\"}", "30 requests, 30 answered", 0,
+    "30 answered" },
+  { "{\"fault\":\"crossed\",\"count\":3}", "3 wrong answers", 1,
+    "3 wrong answers" },
+  { "{\"fault\":\"leaves\"}", "30 not run", 0, "30 not run" },
+  { "{\"fault\":\"cut_short\",\"count\":2,\"match\":\"POST /run/plan\"}",
+    "30 answered, 0 not run, 0 unknown, 0 wrong", 0, "30 answered" },
+  /* Bare targets know no keys: a lost reply leads to a second run.  */
+  { "{\"fault\":\"reply_lost\",\"count\":1,\"match\":\"POST /run/manifest\"}",
+    "30 requests, 30 answered", 1, "1 run twice" },
+};
+
+static void
+set_fault (const char *address, const char *fault)
+{
+  char url[128];
+  long status = 0;
+  CURL *curl = curl_easy_init ();
+  snprintf (url, sizeof url, "http://%s/fault", address);
+  curl_easy_setopt (curl, CURLOPT_URL, url);
+  curl_easy_setopt (curl, CURLOPT_POSTFIELDS, fault);
+  curl_easy_setopt (curl, CURLOPT_WRITEDATA, stderr);
+  ck_assert_int_eq (curl_easy_perform (curl), CURLE_OK);
+  curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &status);
+  ck_assert_int_eq (status, 200);
+  curl_easy_cleanup (curl);
+}
+
+/* Guards against a caller that miscounts outcomes, does not retry or accepts
+   an answer that is not its own.  */
+START_TEST (test_caller)
+{
+  char entries[256];
+  char option[3][192];
+  struct process target;
+  struct process pc;
+  make_dir ();
+  FILE *file = fopen (path_of ("trace"), "w");
+  for (int n = 0; n < 30; n++)
+    fprintf (file, "%d %s crew-1 0 30000 100 %s\n", n,
+             n % 3 ? "plan" : "manifest", n % 3 ? "many" : "once");
+  fclose (file);
+  snprintf (option[0], sizeof option[0], "--journal=%s", path_of ("targets"));
+  const char *start[]
+      = { getenv ("STAND_TARGET"), "--pools=stock:2", option[0], NULL };
+  ck_assert_int_eq (process_start (&target, start, "ready\n"), 0);
+  if (runs[_i].fault)
+    set_fault (process_word (&target, "control "), runs[_i].fault);
+  snprintf (entries, sizeof entries, "--entries=%s,%s",
+            process_word (&target, "worker a-w01 "),
+            process_word (&target, "worker a-w02 "));
+  snprintf (option[1], sizeof option[1], "--journal=%s", path_of ("callers"));
+  snprintf (option[2], sizeof option[2], "--trace=%s", path_of ("trace"));
+  const char *call[] = {
+    getenv ("LOAD_CALLER"), entries, "--path=/run/", option[1], option[2],
+    "--connections=6",      NULL
+  };
+  ck_assert_int_eq (process_start (&pc, call, NULL), 0);
+  ck_assert_int_eq (process_end (&pc, 0), 0);
+  ck_assert_msg (strstr (pc.text, runs[_i].summary), "%s", pc.text);
+  ck_assert_int_eq (process_end (&target, SIGTERM), 0);
+  int code = run_verdict (&pc);
+  ck_assert_msg (code == runs[_i].code, "exit code %d: %s", code, pc.text);
+  ck_assert_msg (strstr (pc.text, runs[_i].line), "%s", pc.text);
+  remove_dir ();
+}
+END_TEST
+
+#define COUNT(table) (int)(sizeof (table) / sizeof *(table))
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("load");
+  TCase *tc = tcase_create ("load");
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  tcase_set_timeout (tc, 300);
+  tcase_add_loop_test (tc, test_verdict, 0, COUNT (verdicts));
+  tcase_add_loop_test (tc, test_trace, 0, COUNT (traces));
+  tcase_add_loop_test (tc, test_recorded_trace, 0, COUNT (recorded));
+  tcase_add_loop_test (tc, test_caller, 0, COUNT (runs));
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  curl_global_cleanup ();
+  return failed != 0;
+}
