admit: leave room in the expected wait

Cause: the wait was accepted up to the whole time left, but it varies with what other kinds leave, so accepted work expired in the queue; its caller was told at the deadline instead of at once. Change: an expected wait may fill seven eighths of the time left.

--- a/admit/admit_fair.c
+++ b/admit/admit_fair.c
@@ -16,6 +16,10 @@
 /* A lag is remembered up to that of one slot over this many horizons, so that
    single long services are evened out as well.  */
 #define LAG_HORIZONS 16
+/* Part of the time left that an expected wait may fill.  The wait varies with
+   what the other kinds leave, and an item that expires in the queue was told
+   too late.  */
+#define WAIT_PART (7.0 / 8)
 #define RETRY_MIN_US 50000
 #define RETRY_MAX_US 60000000LL
 
@@ -284,7 +288,7 @@
   double wait = expected_wait (&v, p, pool, k);
   if (kind_queue_full (k))
     return refuse_wait (k, ref, ADMIT_REASON_QUEUE_FULL, wait);
-  double excess = wait - (double)(item->expiry_us - now_us);
+  double excess = wait - WAIT_PART * (double)(item->expiry_us - now_us);
   if (excess > 0)
     return refuse_wait (k, ref,
                         item->expiry_us < now_us + k->lim.queue_deadline_us
