admit: notice hanging work in the slot time

Cause: the slot time was the mean of ended items. While targets hang nothing ends, so work was queued at the old rate and expired at its deadline. Change: the slot time is at least half of what the running items have held on average; the sum of their starts makes this O(1). A kind whose work hangs counts as long-running.

--- a/admit/admit.c
+++ b/admit/admit.c
@@ -166,6 +166,7 @@
       pool_remove_kind (&p->pools[k->lim.pool], kind);
       k->epoch++;
       k->in_pool = 0;
+      k->start_sum_us = 0;
       k->lag = 0;
     }
   bool deadline_changed = k->lim.queue_deadline_us != lim->queue_deadline_us;
@@ -197,6 +198,7 @@
   item->start_us = now_us;
   k->running++;
   k->in_pool++;
+  k->start_sum_us += now_us;
   k->started++;
   if (item->pool < p->pool_count)
     p->pools[item->pool].running++;
@@ -327,7 +329,10 @@
   item->state = ITEM_OUT;
   k->running--;
   if (item->epoch == k->epoch)
-    k->in_pool--;
+    {
+      k->in_pool--;
+      k->start_sum_us -= item->start_us;
+    }
   if (item->pool < p->pool_count)
     p->pools[item->pool].running--;
   measure (k, now_us - item->start_us, service_us > 0 ? service_us : 0);
--- a/admit/admit_fair.c
+++ b/admit/admit_fair.c
@@ -10,6 +10,8 @@
 /* Work that holds a slot longer does not return it soon enough for an urgent
    request to start at once.  */
 #define LONG_HELD_US 1000000
+/* How far what runs may exceed the mean before it counts instead.  */
+#define HANG_FACTOR 2
 /* Bounds of the time over which lags even out.  */
 #define HORIZON_MIN_US 1000
 #define HORIZON_MAX_US 600000000LL
@@ -43,8 +45,8 @@
 {
   if (k->lim.cls == ADMIT_URGENT)
     return false;
-  return k->lim.cls == ADMIT_BACKGROUND || k->held_mean_us == 0
-         || k->held_mean_us >= LONG_HELD_US;
+  return k->lim.cls == ADMIT_BACKGROUND || k->measured == 0
+         || k->held_us >= LONG_HELD_US;
 }
 
 /* Slots that hold work which must leave the reserve free.  */
@@ -76,12 +78,25 @@
   for (uint32_t n = 0; n < pool->kind_count; n++)
     {
       const struct kind *k = &p->kinds[pool->kinds[n]];
-      if (active (k) && k->held_mean_us > longest)
-        longest = k->held_mean_us;
+      if (active (k) && k->held_us > longest)
+        longest = k->held_us;
     }
   return clamp (longest, HORIZON_MIN_US, HORIZON_MAX_US);
 }
 
+/* How long an item of the kind holds its slot.  What runs has held its slots
+   for about the mean on average; far more shows that targets hang, which the
+   mean of the ended items cannot.  */
+static double
+held_estimate (const struct kind *k, int64_t now_us)
+{
+  if (k->in_pool == 0)
+    return k->held_mean_us;
+  uint64_t sum_us = (uint64_t)now_us * k->in_pool - k->start_sum_us;
+  double running = (double)sum_us / k->in_pool / HANG_FACTOR;
+  return running > k->held_mean_us ? running : k->held_mean_us;
+}
+
 /* Backlogged kinds are owed their weighted part of the slots that they hold
    together.  A kind without a backlog keeps no credit, and its debt decays,
    so that idle time never turns into a burst.  */
@@ -105,6 +120,11 @@
       weights += k->lim.weight;
       held += k->in_pool;
     }
+  for (uint32_t n = 0; n < pool->kind_count; n++)
+    {
+      struct kind *k = &p->kinds[pool->kinds[n]];
+      k->held_us = held_estimate (k, now_us);
+    }
   double bound = LAG_HORIZONS * horizon (p, pool);
   for (uint32_t n = 0; n < pool->kind_count; n++)
     {
@@ -241,20 +261,20 @@
 expected_wait (const struct view *v, const struct priv *p,
                const struct pool *pool, const struct kind *k)
 {
-  if (k->held_mean_us == 0)
+  if (k->held_us == 0)
     return 0;
   double freed = 0;
   for (uint32_t n = 0; n < pool->kind_count; n++)
     {
       const struct kind *other = &p->kinds[pool->kinds[n]];
-      if (other->held_mean_us > 0)
-        freed += other->in_pool / other->held_mean_us;
+      if (other->held_us > 0)
+        freed += other->in_pool / other->held_us;
     }
   double slots = share_of (v, pool, k);
   slots = slots > k->in_pool ? slots : k->in_pool;
   if (k->lim.concurrency_limit > 0 && slots > k->lim.concurrency_limit)
     slots = k->lim.concurrency_limit;
-  double rate = slots / k->held_mean_us;
+  double rate = slots / k->held_us;
   if (freed > 0 && freed < rate)
     rate = freed;
   return (k->queued + 1) / rate;
--- a/admit/admit_priv.h
+++ b/admit/admit_priv.h
@@ -20,9 +20,10 @@
   bool known;
   struct admit_kind_limits lim;
 
-  uint32_t running; /* in any pool; what the concurrency limit counts */
-  uint32_t in_pool; /* started since the kind came to its present pool */
-  uint32_t epoch;   /* changes with the pool */
+  uint32_t running;      /* in any pool; what the concurrency limit counts */
+  uint32_t in_pool;      /* started since the kind came to its present pool */
+  uint32_t epoch;        /* changes with the pool */
+  uint64_t start_sum_us; /* over in_pool, modulo 2^64 */
   uint32_t queued;
   uint32_t expired; /* queued ones that wait for admit_expire */
   struct admit_item *queue;
@@ -32,7 +33,8 @@
   uint32_t measured;        /* ended items, up to the bound of the mean */
   int64_t service_floor_us; /* short end of the service times */
 
-  double lag; /* fair driver: service owed, in slot us; negative: ahead */
+  double held_us; /* fair driver: held_mean_us, or more when items hang */
+  double lag;     /* fair driver: service owed, in slot us; negative: ahead */
 
   uint64_t started;
   uint64_t refused;
--- a/test/unit/unit_admit.c
+++ b/test/unit/unit_admit.c
@@ -195,6 +195,24 @@
 }
 END_TEST
 
+/* Guards against queueing behind hanging targets until the deadline, because
+   nothing ends that would change the mean.  */
+START_TEST (test_hanging)
+{
+  struct admit *adm = create (&admit_fair, 4);
+  struct admit_item items[5];
+  int64_t now = 0;
+  set_kind (adm, 0, limits (ADMIT_NORMAL, 0, 9));
+  teach (adm, 0, 3, &now, 100 * MS);
+  for (int n = 0; n < 4; n++)
+    ck_assert_int_eq (offer (adm, &items[n], 0, now), ADMIT_START);
+  ck_assert_int_eq (offer (adm, &items[4], 0, now), ADMIT_QUEUED);
+  admit_cancel (adm, &items[4]);
+  ck_assert_int_eq (offer (adm, &items[4], 0, now + 100 * SEC), ADMIT_REFUSED);
+  talloc_free (adm);
+}
+END_TEST
+
 /* Guards against urgent work that waits behind a background backlog, and
    against background work or a long-running kind in the reserve.  */
 START_TEST (test_urgent_after_background)
@@ -541,6 +559,7 @@
   tcase_add_loop_test (tc, test_offers, 0, COUNT (offers));
   tcase_add_test (tc, test_expiry);
   tcase_add_test (tc, test_changes);
+  tcase_add_test (tc, test_hanging);
   tcase_add_test (tc, test_urgent_after_background);
   tcase_add_loop_test (tc, test_random_operations, 0, 10);
   tcase_add_loop_test (tc, test_fair_shares, 0, COUNT (rivals));
