--- a/test/scenario/judge.c
+++ b/test/scenario/judge.c
@@ -437,6 +437,9 @@
   for (int n = 0; n < sc->step_count; n++)
     printf ("  %7.3f  %s\n", (double)(sc->steps[n].at_us - sc->start_us) / 1e6,
             sc->steps[n].text);
+  for (struct entry *en = NULL; (en = fleet_next (sc, "all", en));)
+    if (en->ps)
+      print_lines (en->ps->log, en->name, "Sanitizer", "    #");
   for (int n = 0; n < offender_count; n++)
     print_offender (sc, offenders[n].id, offenders[n].key);
   printf ("journals and logs: %s\n", sc->dir);
--- a/test/scenario/steps.c
+++ b/test/scenario/steps.c
@@ -121,6 +121,10 @@
 {
   const char *host = step_text (st, "host");
   const char *match = step_text (st, "match");
+  bool platform = strcmp (step_text (st, "where"), "platform") == 0;
+  if (match)
+    match
+        = talloc_asprintf (sc, "POST /%s/%s", platform ? "log" : "run", match);
   json_t *spec = json_pack (
       "{s:s, s:I, s:s*, s:s*, s:I}", "fault", step_text (st, "fault"), "value",
       (json_int_t)step_number (st, "ms", step_number (st, "value", 0)), "host",
