route/retry: debt for retries paid with attempts that fail later

Cause: at 24,000 requests a second first attempts pay in before the earlier ones fail; the tokens were spent on retries and the failures then took back from an empty bucket, which was floored at 0.

Change: the bucket may owe up to a burst.

Conclusion: the retries of a total failure are bounded by the burst at any request rate.

--- a/route/retry.c
+++ b/route/retry.c
@@ -17,13 +17,18 @@
   bud->centi_tokens = 0;
 }
 
+static int64_t
+most_tokens (const struct retry_budget *bud)
+{
+  return (int64_t)bud->set.burst * CENTI_PER_TOKEN;
+}
+
 void
 retry_budget_first_attempt (struct retry_budget *bud)
 {
-  int64_t most = (int64_t)bud->set.burst * CENTI_PER_TOKEN;
   bud->centi_tokens += bud->set.budget_pct;
-  if (bud->centi_tokens > most)
-    bud->centi_tokens = most;
+  if (bud->centi_tokens > most_tokens (bud))
+    bud->centi_tokens = most_tokens (bud);
 }
 
 bool
@@ -58,11 +63,12 @@
   if (verdict == RETRY_YES)
     bud->centi_tokens -= CENTI_PER_TOKEN;
   /* A first attempt that failed takes back what it paid in.  When a whole
-     pool fails no retry can help, and retries end with the saved tokens.  */
+     pool fails no retry can help, and retries end with the saved tokens.  What
+     open attempts paid in may be spent already, hence the bounded debt.  */
   if (query->attempts == 1)
     bud->centi_tokens -= bud->set.budget_pct;
-  if (bud->centi_tokens < 0)
-    bud->centi_tokens = 0;
+  if (bud->centi_tokens < -most_tokens (bud))
+    bud->centi_tokens = -most_tokens (bud);
   return verdict;
 }
 
