test/load: targets that fail in part

Targets that fail 40% of their attempts at once stay below the ejection ratio of 50% and can draw work by their short attempts.

--- a/test/load/route_faults.c
+++ b/test/load/route_faults.c
@@ -23,6 +23,7 @@
 #define SERVICE_MEAN_US ((double)(SERVICE_MIN_US + SERVICE_MAX_US) / 2)
 #define LOAD_SHARE 0.5
 #define ERROR_US MS
+#define PARTIAL_PCT 40
 #define PROBE_US (50 * MS)
 #define ATTEMPT_TIMEOUT_US (1000 * MS)
 #define DEADLINE_US (3000 * MS)
@@ -43,10 +44,12 @@
 enum fault
 {
   FAULT_ERROR,     /* errors at once, also to probes */
-  FAULT_HEALTH_OK, /* errors at once, but probes are answered */
   FAULT_HANG,      /* neither attempts nor probes are answered */
+  FAULT_HEALTH_OK, /* errors at once, but probes are answered */
+  FAULT_PARTIAL,   /* errors at once for PARTIAL_PCT, probes are answered */
 };
-static const char *const faults[] = { "error", "error_health_ok", "hang" };
+static const char *const faults[]
+    = { "error", "hang", "error_health_ok", "partial" };
 static const char *const share_names[] = { "tenth", "third", "all" };
 static const double shares[] = { 0.1, 1.0 / 3, 1 };
 static const struct route_driver *const drivers[]
@@ -78,17 +81,15 @@
   struct clock_manual clk;
   unsigned short rng[3];
   enum fault fault;
-  uint32_t targets, bad;
+  uint32_t targets, bad, waiting_count;
   struct event *heap;
   size_t events;
   struct request *waiting[WAITING_MAX];
-  uint32_t waiting_count;
   uint32_t in_use[TARGETS_MAX];
   int64_t last_us[TARGETS_MAX]; /* latest attempt before it went quiet */
   bool quiet[TARGETS_MAX];
-
-  uint64_t first, retries; /* attempts during the fault */
-  uint64_t late, late_bad; /* attempts from LATE_US to REPAIR_US */
+  uint64_t attempts[2]; /* during the fault: first ones, retries */
+  uint64_t late[2];     /* from LATE_US to REPAIR_US: good targets, bad */
   uint64_t offered[PHASES], answered[PHASES]; /* by phase of the arrival */
 };
 
@@ -130,16 +131,17 @@
   int64_t now = run->clk.now_us;
   uint32_t n = tgt.index;
   bool faulty = PHASE (now) == 1;
-  bool fails = faulty && n < run->bad;
+  bool bad = faulty && n < run->bad;
+  bool fails = bad
+               && (run->fault != FAULT_PARTIAL
+                   || nrand48 (run->rng) % 100 < PARTIAL_PCT);
   bool refuses = ++run->in_use[n] > SLOTS;
   int64_t took = ERROR_US;
   enum attempt_result result = ATTEMPT_SERVER_ERROR;
-  run->first += faulty && req->attempts == 0;
-  run->retries += faulty && req->attempts > 0;
-  run->late += faulty && now >= LATE_US;
-  run->late_bad += fails && now >= LATE_US;
-  run->quiet[n] |= fails && now - run->last_us[n] >= QUIET_US;
-  if (fails && !run->quiet[n])
+  run->attempts[req->attempts > 0] += faulty;
+  run->late[bad] += faulty && now >= LATE_US;
+  run->quiet[n] |= bad && now - run->last_us[n] >= QUIET_US;
+  if (bad && !run->quiet[n])
     run->last_us[n] = now;
   if (req->attempts == 0)
     retry_budget_first_attempt (&run->budget);
@@ -222,7 +224,7 @@
   while (route_next_probe (&run->rt, now, &ev.target))
     {
       bool fails = PHASE (now) == 1 && ev.target.index < run->bad
-                   && run->fault != FAULT_HEALTH_OK;
+                   && run->fault <= FAULT_HANG;
       ev.result = fails ? ATTEMPT_TIMEOUT : ATTEMPT_ANSWERED;
       ev.at_us = now + PROBE_US;
       push (run, ev);
@@ -245,7 +247,7 @@
     push (run, (struct event){ .run = arrive, .at_us = next });
 }
 
-static void
+static int
 set_targets (struct run *run)
 {
   struct target_info *infos
@@ -258,8 +260,7 @@
       snprintf (infos[n].rack, ROUTE_NAME_MAX, "r%u", n / 4);
       run->last_us[n] = FAULT_US;
     }
-  if (route_set_targets (&run->rt, infos, run->targets, 0) < 0)
-    exit (1);
+  return route_set_targets (&run->rt, infos, run->targets, 0);
 }
 
 static json_t *
@@ -275,9 +276,9 @@
   run->bad = (uint32_t)(targets * shares[share] + 0.5);
   clock_manual_init (&run->clk, 0);
   retry_budget_init (&run->budget, &retry_settings_default);
-  if (route_init (&run->rt, run, drivers[driver], &set) < 0)
+  if (route_init (&run->rt, run, drivers[driver], &set) < 0
+      || set_targets (run) < 0)
     exit (1);
-  set_targets (run);
   push (run, (struct event){ .run = tick });
   push (run, (struct event){ .run = arrive });
   while (run->heap[0].at_us < END_US + DEADLINE_US)
@@ -291,10 +292,10 @@
   json_t *row = json_pack (
       "{s:s,s:s,s:s,s:f,s:f,s:f,s:f,s:f}", "policy", drivers[driver]->name,
       "fault", faults[fault], "failing", share_names[share], "amplification",
-      RATIO (run->first + run->retries, run->first), "answered",
-      RATIO (run->answered[1], run->offered[1]), "answered_after",
+      RATIO (run->attempts[0] + run->attempts[1], run->attempts[0]),
+      "answered", RATIO (run->answered[1], run->offered[1]), "answered_after",
       RATIO (run->answered[2], run->offered[2]), "late_on_bad",
-      RATIO (run->late_bad, run->late), "stop_s", stop_s);
+      RATIO (run->late[1], run->late[0] + run->late[1]), "stop_s", stop_s);
   talloc_free (run);
   return row;
 }
@@ -306,15 +307,14 @@
   json_t *value;
   json_object_foreach (json_array_get (rows, 0), key, value)
       printf ("%-16s", key);
-  for (size_t n = 0; n < json_array_size (rows); n++)
+  puts ("");
+  for (size_t n = 0; n < json_array_size (rows); n++, puts (""))
     {
-      puts ("");
       json_object_foreach (json_array_get (rows, n), key, value)
               json_is_string (value)
           ? printf ("%-16s", json_string_value (value))
           : printf ("%-16.5f", json_real_value (value));
     }
-  puts ("");
 }
 
 int
@@ -322,22 +322,22 @@
 {
   struct arg_lit *json = arg_lit0 (NULL, "json", "print JSON");
   struct arg_int *seed = arg_int0 (NULL, "seed", "N", "default 1");
-  struct arg_int *size = arg_int0 (NULL, "targets", "N", "1 to 1000");
+  struct arg_int *size = arg_int0 (NULL, "targets", "1..1000", "");
   struct arg_end *end = arg_end (5);
   void *table[] = { json, seed, size, end };
   seed->ival[0] = 1;
   size->ival[0] = 30;
-  int bad = arg_parse (argc, argv, table);
-  arg_print_errors (stderr, end, "route_faults");
-  if (bad > 0 || size->ival[0] < 1 || size->ival[0] > TARGETS_MAX)
+  if (arg_parse (argc, argv, table) > 0 || size->ival[0] < 1
+      || size->ival[0] > TARGETS_MAX)
     {
-      fputs ("usage: route_faults [--json] [--seed=N] [--targets=1..1000]\n",
-             stderr);
+      arg_print_errors (stderr, end, "route_faults");
+      fputs ("usage: route_faults", stderr);
+      arg_print_syntaxv (stderr, table, "\n");
       return 2;
     }
   json_t *rows = json_array ();
-  for (size_t n = 0; n < 18; n++)
-    json_array_append_new (rows, run_case (n / 9, n / 3 % 3, n % 3,
+  for (size_t n = 0; n < 24; n++)
+    json_array_append_new (rows, run_case (n / 12, n / 3 % 4, n % 3,
                                            size->ival[0], seed->ival[0]));
   if (json->count > 0)
     json_dumpf (rows, stdout, JSON_INDENT (2));
