route: weight the load of a target by its recent failures

Cause: a target that fails 40% of its attempts at once is not ejected, and the slots that the failed attempts leave free make it look less loaded.

Change: the in-flight count is compared after weighting with the share of failures in the window.

Conclusion: targets that fail in part get a fraction of their even share. A failing target reaches its ejection later, because it gets fewer attempts.

--- a/route/route.c
+++ b/route/route.c
@@ -12,6 +12,10 @@
 #define REFUSAL_BASE_US 50000
 #define REFUSAL_DOUBLINGS 4
 
+/* A target whose attempts all fail seems that much more loaded, plus one.
+   Attempts that fail at once leave slots free and would draw more work.  */
+#define FAILURE_WEIGHT 8
+
 /* What a target reported of its slots holds for that long.  */
 #define REPORT_TTL_US 200000
 
@@ -43,7 +47,7 @@
   enum fitness fitness;
   uint32_t in_flight;
   uint32_t slots;
-  uint32_t failures; /* per mille, for FIT_FAILING */
+  uint32_t failures; /* per mille of the recent attempts */
 };
 
 struct search
@@ -92,6 +96,7 @@
     .target = t,
     .in_flight = target_in_flight (p, t, s->now_us),
     .slots = health_slots (p, t, s->now_us),
+    .failures = health_failures_per_mille (t, s->now_us),
   };
   bool suspect = health_is_suspect (t);
   if (was_tried (s->query, t))
@@ -100,10 +105,7 @@
     look.fitness = FIT_FULL;
   else if (t->health.ejected || health_is_backing_off (t, s->now_us)
            || (suspect && look.in_flight >= look.slots))
-    {
-      look.fitness = FIT_FAILING;
-      look.failures = health_failures_per_mille (t, s->now_us);
-    }
+    look.fitness = FIT_FAILING;
   else if (look.in_flight >= look.slots)
     look.fitness = FIT_FULL;
   else if (rack_was_tried (p, s->query, t))
@@ -111,15 +113,22 @@
   return look;
 }
 
+/* In-flight attempts, weighted by the share of attempts that fail.  */
+static uint64_t
+weighted_load (const struct look *look)
+{
+  return (uint64_t)(look->in_flight + 1)
+         * (1000 + (uint64_t)look->failures * FAILURE_WEIGHT);
+}
+
 static bool
 is_better (const struct look *a, const struct look *b)
 {
   if (a->fitness != b->fitness)
     return a->fitness < b->fitness;
-  if (a->failures != b->failures)
+  if (a->fitness == FIT_FAILING && a->failures != b->failures)
     return a->failures < b->failures;
-  return (uint64_t)(a->in_flight + 1) * b->slots
-         < (uint64_t)(b->in_flight + 1) * a->slots;
+  return weighted_load (a) * b->slots < weighted_load (b) * a->slots;
 }
 
 static void
