test: partial failures and backoff, each by one choice

With the weighting or the backoff removed by hand the former loop over 1000 requests still passed, so it is replaced by tests of single choices.

--- a/test/unit/unit_route.c
+++ b/test/unit/unit_route.c
@@ -104,16 +104,6 @@
   return sum;
 }
 
-/* Of COUNT targets the first one fails FAILS of 5 attempts.  */
-static const struct
-{
-  uint32_t fails;
-  uint32_t most; /* attempts on it, of 1000 */
-} fast_failures[] = {
-  { 5, 5 }, /* eject_after */
-  { 2, 50 } /* half of its even share */
-};
-
 /* Guards against a target whose fast failures keep its in-flight count low
    and so draw the work of the whole pool.  */
 START_TEST (test_fast_failure_draws_no_work)
@@ -135,17 +125,48 @@
         route_end (&rt, tgt[*slot], ATTEMPT_ANSWERED, SERVICE_MS * MS, -1,
                    now);
       ck_assert_int_eq (pick (slot), 0);
-      on_bad += *slot == 0;
-      if (*slot == 0 && on_bad % 5 < fast_failures[_i % 2].fails)
+      if (*slot == 0)
         {
           run_on (0, ATTEMPT_SERVER_ERROR);
+          on_bad++;
           *slot = UINT32_MAX;
         }
       else
         route_begin (&rt, tgt[*slot], now);
       now += MS;
     }
-  ck_assert_uint_le (on_bad, fast_failures[_i % 2].most);
+  ck_assert_uint_le (on_bad, route_settings_default.eject_after);
+}
+END_TEST
+
+/* Guards against failures in part that make a target look less loaded.  */
+START_TEST (test_partial_failure_weighs)
+{
+  uint32_t n;
+  set_up (2, &route_least_loaded, _i + 1);
+  for (n = 0; n < 5; n++)
+    run_on (0, n % 2 ? ATTEMPT_SERVER_ERROR : ATTEMPT_ANSWERED);
+  route_begin (&rt, tgt[1], now);
+  ck_assert_int_eq (pick (&n), 0);
+  ck_assert_uint_eq (n, 1);
+}
+END_TEST
+
+/* Guards against overflow from full targets to a failing one, and against a
+   failing one that is never tried again.  */
+START_TEST (test_backoff)
+{
+  uint32_t n;
+  set_up (2, &route_least_loaded, 1);
+  run_on (0, ATTEMPT_CUT);
+  run_on (0, ATTEMPT_CUT);
+  for (n = 0; n < SLOTS; n++)
+    route_begin (&rt, tgt[1], now);
+  ck_assert_int_eq (pick (&n), ERR_FULL);
+  now += 50 * MS;
+  ck_assert_int_eq (pick (&n), 0);
+  route_begin (&rt, tgt[0], now);
+  ck_assert_int_eq (pick (&n), ERR_FULL);
 }
 END_TEST
 
@@ -663,6 +684,8 @@
   tcase_set_timeout (tc, 60);
   tcase_add_checked_fixture (tc, NULL, tear_down);
   tcase_add_loop_test (tc, test_fast_failure_draws_no_work, 0, 20);
+  tcase_add_loop_test (tc, test_partial_failure_weighs, 0, 5);
+  tcase_add_test (tc, test_backoff);
   tcase_add_loop_test (tc, test_ejection, 0, COUNT (ejections));
   tcase_add_loop_test (tc, test_cap, 0, COUNT (caps));
   tcase_add_test (tc, test_cap_keeps_the_worst);
