admit: walk the kinds of a pool less often

Cause: a decision walked the kinds of its pool up to eight times. Change: the walks of one step are merged, and nothing is picked while the pool is full. The order of kinds no longer divides by a horizon that is not set yet, when the first calls come at time 0. Conclusion: cost stays linear in the kinds of one pool and does not depend on the queues.

--- a/admit/admit_fair.c
+++ b/admit/admit_fair.c
@@ -12,7 +12,9 @@
 #define LONG_HELD_US 1000000
 /* How far what runs may exceed the mean before it counts instead.  */
 #define HANG_FACTOR 2
-/* Bounds of the time over which lags even out.  */
+/* Bounds of the horizon, the time over which a lag of one slot is evened out:
+   as long as the longest running kind holds a slot, for within less its
+   rounding cannot be.  */
 #define HORIZON_MIN_US 1000
 #define HORIZON_MAX_US 600000000LL
 /* A lag is remembered up to that of one slot over this many horizons, so that
@@ -49,41 +51,12 @@
          || k->held_us >= LONG_HELD_US;
 }
 
-/* Slots that hold work which must leave the reserve free.  */
-static uint32_t
-outside_reserve (const struct priv *p, const struct pool *pool)
-{
-  uint32_t held = 0;
-  for (uint32_t n = 0; n < pool->kind_count; n++)
-    {
-      const struct kind *k = &p->kinds[pool->kinds[n]];
-      if (leaves_reserve (k))
-        held += k->in_pool;
-    }
-  return held;
-}
-
 static double
 clamp (double val, double low, double high)
 {
   return val < low ? low : val > high ? high : val;
 }
 
-/* Time over which a lag of one slot is evened out: as long as the longest
-   running kind holds a slot, for within less its rounding cannot.  */
-static double
-horizon (const struct priv *p, const struct pool *pool)
-{
-  double longest = HORIZON_MIN_US;
-  for (uint32_t n = 0; n < pool->kind_count; n++)
-    {
-      const struct kind *k = &p->kinds[pool->kinds[n]];
-      if (active (k) && k->held_us > longest)
-        longest = k->held_us;
-    }
-  return clamp (longest, HORIZON_MIN_US, HORIZON_MAX_US);
-}
-
 /* How long an item of the kind holds its slot.  What runs has held its slots
    for about the mean on average; far more shows that targets hang, which the
    mean of the ended items cannot.  */
@@ -112,20 +85,20 @@
 
   double weights = 0;
   double held = 0;
+  double longest = HORIZON_MIN_US;
   for (uint32_t n = 0; n < pool->kind_count; n++)
     {
-      const struct kind *k = &p->kinds[pool->kinds[n]];
+      struct kind *k = &p->kinds[pool->kinds[n]];
+      k->held_us = held_estimate (k, now_us);
+      if (active (k) && k->held_us > longest)
+        longest = k->held_us;
       if (!backlogged (k))
         continue;
       weights += k->lim.weight;
       held += k->in_pool;
     }
-  for (uint32_t n = 0; n < pool->kind_count; n++)
-    {
-      struct kind *k = &p->kinds[pool->kinds[n]];
-      k->held_us = held_estimate (k, now_us);
-    }
-  double bound = LAG_HORIZONS * horizon (p, pool);
+  pool->horizon_us = longest < HORIZON_MAX_US ? longest : HORIZON_MAX_US;
+  double bound = LAG_HORIZONS * pool->horizon_us;
   for (uint32_t n = 0; n < pool->kind_count; n++)
     {
       struct kind *k = &p->kinds[pool->kinds[n]];
@@ -140,7 +113,6 @@
 /* What one pass over the kinds of a pool gives for a decision.  */
 struct view
 {
-  double horizon;
   double weights;      /* of the active kinds */
   bool urgent_waiting; /* and free to start */
   uint32_t outside;    /* slots held by work that leaves the reserve free */
@@ -149,10 +121,9 @@
 static void
 view_init (struct view *v, const struct priv *p, const struct pool *pool)
 {
-  v->horizon = horizon (p, pool);
   v->weights = 0;
   v->urgent_waiting = false;
-  v->outside = outside_reserve (p, pool);
+  v->outside = 0;
   for (uint32_t n = 0; n < pool->kind_count; n++)
     {
       const struct kind *k = &p->kinds[pool->kinds[n]];
@@ -160,6 +131,8 @@
         v->weights += k->lim.weight;
       if (k->lim.cls == ADMIT_URGENT && backlogged (k))
         v->urgent_waiting = true;
+      if (leaves_reserve (k))
+        v->outside += k->in_pool;
     }
 }
 
@@ -207,9 +180,10 @@
 /* A lag counts as at most one slot, so that a kind that was kept waiting
    never takes more than its share and one slot.  */
 static double
-load_of (const struct view *v, const struct kind *k)
+load_of (const struct pool *pool, const struct kind *k)
 {
-  return (k->in_pool - clamp (k->lag / v->horizon, -1, 1)) / k->lim.weight;
+  double slots = k->lag != 0 ? clamp (k->lag / pool->horizon_us, -1, 1) : 0;
+  return (k->in_pool - slots) / k->lim.weight;
 }
 
 static bool
@@ -220,8 +194,8 @@
   int tb = tier (v, pool, b);
   if (ta != tb)
     return ta < tb;
-  double la = load_of (v, a);
-  double lb = load_of (v, b);
+  double la = load_of (pool, a);
+  double lb = load_of (pool, b);
   if (la != lb)
     return la < lb;
   return a->lim.cls < b->lim.cls;
@@ -247,6 +221,8 @@
 {
   struct priv *p = adm->priv;
   fair_advance (adm, pool, now_us);
+  if (p->pools[pool].running >= p->pools[pool].slots)
+    return NULL;
   struct view v;
   view_init (&v, p, &p->pools[pool]);
   struct kind *k = pick (&v, p, &p->pools[pool]);
--- a/admit/admit_priv.h
+++ b/admit/admit_priv.h
@@ -47,6 +47,7 @@
   uint32_t *kinds;
   uint32_t kind_count;
   int64_t advanced_us; /* fair driver: time up to which lags are counted */
+  double horizon_us;   /* fair driver: time over which lags are evened out */
 };
 
 struct priv
