admit: expect the first freed slots, not one for each item

Cause: the expected wait was bounded by the rate at which the whole pool frees slots, as if every waiting item needed a freed slot of its own. A kind of short items keeps the slot that it got, so its queue was refused while it would have started in time; seen with urgent work behind background work in pools of few slots. Change: the wait is the queue over the kind's own rate, and the time in which the slots that it lacks are freed.

--- a/admit/admit_fair.c
+++ b/admit/admit_fair.c
@@ -229,31 +229,40 @@
   return k ? admit_start_first (p, k, now_us) : NULL;
 }
 
-/* Expected wait of one more item of the kind: its queue over the rate at
-   which its items start.  That rate is what it holds, or is entitled to, over
-   the measured time that an item holds a slot, and no more than the rate at
-   which the whole pool frees slots.  0 while nothing is measured.  */
+/* Rate at which the pool frees slots, in items a us; 0: unknown.  */
 static double
-expected_wait (const struct view *v, const struct priv *p,
-               const struct pool *pool, const struct kind *k)
+freed_rate (const struct priv *p, const struct pool *pool)
 {
-  if (k->held_us == 0)
-    return 0;
-  double freed = 0;
+  double rate = 0;
   for (uint32_t n = 0; n < pool->kind_count; n++)
     {
-      const struct kind *other = &p->kinds[pool->kinds[n]];
-      if (other->held_us > 0)
-        freed += other->in_pool / other->held_us;
+      const struct kind *k = &p->kinds[pool->kinds[n]];
+      if (k->held_us > 0)
+        rate += k->in_pool / k->held_us;
     }
+  return rate;
+}
+
+/* Expected wait of one more item of the kind: its queue over the rate at which
+   its items end on the slots that it holds, or is entitled to, and the time in
+   which the pool frees the slots that it lacks.  It serves its queue on those
+   that it has already, so half of this time counts for all but the first.  0
+   while nothing is measured.  */
+static double
+expected_wait (const struct view *v, const struct priv *p,
+               const struct pool *pool, const struct kind *k)
+{
+  double ahead = k->queued + 1;
   double slots = share_of (v, pool, k);
-  slots = slots > k->in_pool ? slots : k->in_pool;
   if (k->lim.concurrency_limit > 0 && slots > k->lim.concurrency_limit)
     slots = k->lim.concurrency_limit;
-  double rate = slots / k->held_us;
-  if (freed > 0 && freed < rate)
-    rate = freed;
-  return (k->queued + 1) / rate;
+  slots = slots > k->in_pool ? slots : k->in_pool;
+  double wait = ahead * k->held_us / slots;
+  double freed = freed_rate (p, pool);
+  double lacks = clamp (slots - k->in_pool, 0, ahead);
+  if (freed > 0 && lacks > 0)
+    wait += (lacks + 1) / 2 / freed;
+  return wait;
 }
 
 static enum admit_result
--- a/test/unit/unit_admit.c
+++ b/test/unit/unit_admit.c
@@ -213,6 +213,26 @@
 }
 END_TEST
 
+/* Guards against refusing short work behind long work, as if each item needed
+   a freed slot of its own.  */
+START_TEST (test_short_behind_long)
+{
+  struct admit *adm = create (&admit_fair, 4);
+  struct admit_item items[16];
+  int64_t now = 0;
+  struct admit_kind_limits lim = limits (ADMIT_URGENT, 0, 20);
+  lim.queue_deadline_us = SEC;
+  set_kind (adm, 0, limits (ADMIT_BACKGROUND, 0, 9));
+  set_kind (adm, 1, lim);
+  teach (adm, 0, 3, &now, SEC);
+  teach (adm, 1, 3, &now, 20 * MS);
+  for (int n = 0; n < 16; n++)
+    ck_assert_int_eq (offer (adm, &items[n], n >= 4, now),
+                      n < 4 ? ADMIT_START : ADMIT_QUEUED);
+  talloc_free (adm);
+}
+END_TEST
+
 /* Guards against urgent work that waits behind a background backlog, and
    against background work or a long-running kind in the reserve.  */
 START_TEST (test_urgent_after_background)
@@ -560,6 +580,7 @@
   tcase_add_test (tc, test_expiry);
   tcase_add_test (tc, test_changes);
   tcase_add_test (tc, test_hanging);
+  tcase_add_test (tc, test_short_behind_long);
   tcase_add_test (tc, test_urgent_after_background);
   tcase_add_loop_test (tc, test_random_operations, 0, 10);
   tcase_add_loop_test (tc, test_fair_shares, 0, COUNT (rivals));
