--- a/admit/admit.c
+++ b/admit/admit.c
@@ -308,6 +308,7 @@
     k->measured++;
   k->held_mean_us += (held_us - k->held_mean_us) / k->measured;
   k->held_mean_us = k->held_mean_us > 1 ? k->held_mean_us : 1;
+  k->held_us = k->held_mean_us; /* decisions at the same time use it */
   if (k->measured == 1)
     k->service_floor_us = service_us;
   if (service_us < k->service_floor_us)
