--- a/entry/view_build.c
+++ b/entry/view_build.c
@@ -5,6 +5,11 @@
 
 #include "base/err.h"
 
+#define DEFAULT_ATTEMPTS 2
+#define DEFAULT_WEIGHT 100
+#define DEFAULT_QUEUE_LIMIT 1000
+#define DEFAULT_QUEUE_DEADLINE_US 2000000
+
 static int
 copy_handles (struct view *vw, const struct view *last)
 {
@@ -98,6 +103,40 @@
   return 0;
 }
 
+/* A fleet whose table has no kinds yet serves one kind a pool, named as the
+   pool.  Nothing is known of such work, so it is never repeated.  */
+static int
+add_default_kinds (struct view *vw)
+{
+  for (uint32_t pool = 0; pool < vw->pool_count; pool++)
+    {
+      int kind = view_add_kind (vw, vw->pools[pool].name);
+      if (kind < 0)
+        return ERR_NOMEM;
+      struct view_kind *vk = &vw->kinds[kind];
+      vk->removed = false;
+      vk->idempotent = false;
+      vk->max_attempts = DEFAULT_ATTEMPTS;
+      vk->limits = (struct admit_kind_limits){
+        .pool = pool,
+        .weight = DEFAULT_WEIGHT,
+        .queue_limit = DEFAULT_QUEUE_LIMIT,
+        .queue_deadline_us = DEFAULT_QUEUE_DEADLINE_US,
+        .cls = ADMIT_NORMAL,
+      };
+    }
+  return 0;
+}
+
+static bool
+has_kinds (const struct table *tab)
+{
+  for (size_t n = 0; tab && n < tab->count; n++)
+    if (tab->rows[n]->sort == TABLE_KIND)
+      return true;
+  return false;
+}
+
 int
 view_build (const struct view_input *in, struct view **out)
 {
@@ -106,7 +145,8 @@
   if (!err)
     err = add_targets (vw, in);
   if (!err)
-    err = add_kinds (vw, in->table);
+    err = has_kinds (in->table) ? add_kinds (vw, in->table)
+                                : add_default_kinds (vw);
   if (err)
     {
       view_unref (vw);
