entry: peers, folded table and one hop to another data centre

Cause: the entry process knew neither the table nor its peers, and a data centre without targets refused all work. Change: the control thread folds the config stream and links to its peers; work that no target here can run goes to an entry process of another data centre, at most one hop and never after a claim was made here.

--- a/cli/settings.c
+++ b/cli/settings.c
@@ -20,6 +20,11 @@
     "address for the entry processes of the same data centre" },
   { "peers", OPTION_STR, FIELD (peers), 0, 4096, NULL, NULL, "",
     "comma-separated peer addresses IP:PORT of the same data centre" },
+  { "peer-secret-file", OPTION_STR, FIELD (peer_secret_file), 0, 4096, NULL,
+    NULL, "", "file with the key that the peers share, 16 bytes or more" },
+  { "remotes", OPTION_STR, FIELD (remotes), 0, 4096, NULL, NULL, "",
+    "comma-separated caller addresses IP:PORT of entry processes in other "
+    "data centres, for work that no target here can run" },
   { "platform", OPTION_ADDRESS, FIELD (platform), 0, 0, NULL, NULL, NULL,
     "address of the platform's log service and host list" },
   { "policy", OPTION_CHOICE, FIELD (policy), 0, 0, policies, NULL, "fair",
--- a/cli/settings.h
+++ b/cli/settings.h
@@ -10,6 +10,8 @@
   char *listen;
   char *peer_listen;
   char *peers;
+  char *peer_secret_file;
+  char *remotes;
   char *platform;
   char *policy;
   char *log_level;
--- a/entry/control.c
+++ b/entry/control.c
@@ -10,38 +10,19 @@
 #include "base/counter.h"
 #include "base/err.h"
 #include "base/log.h"
-#include "claim/claim.h"
-#include "entry/mails.h"
+#include "entry/control_priv.h"
 #include "entry/traffic.h"
 #include "entry/view_build.h"
-#include "state/hosts.h"
 #include "store/log_store.h"
 
-struct control
-{
-  struct control_settings set;
-  struct tevent_context *ev;
-  struct log_store *store;
-  const struct clock *clk;
-  struct logger *lg;
-  struct counters *ctr;
-  struct mailbox inbox;
-  struct claims claims;
-  struct traffic *traffic;
-  struct host_list *hosts;
-  struct view *view;
-  struct tevent_timer *hosts_timer;
-  bool hosts_stale;
-  bool traffic_idle;
-};
+static void poll_hosts (struct control *ctl);
 
-struct claim_call
+void
+control_post (struct control *ctl, struct mail *mail)
 {
-  struct control *ctl;
-  struct request *req;
-};
-
-static void poll_hosts (struct control *ctl);
+  if (!ctl->traffic || !mailbox_post (traffic_mailbox (ctl->traffic), mail))
+    free (mail);
+}
 
 static void
 post_view (struct control *ctl)
@@ -59,11 +40,39 @@
     }
 }
 
+static int
+compare_assignment (const void *key, const void *item)
+{
+  const struct fold_host *const *host = item;
+  return strcmp (key, (*host)->host);
+}
+
+static const char *
+find_assignment (const void *arg, const char *host)
+{
+  const struct fold *fd = arg;
+  struct fold_host **found
+      = fd->host_count ? bsearch (host, fd->hosts, fd->host_count,
+                                  sizeof *fd->hosts, compare_assignment)
+                       : NULL;
+  return found ? (*found)->pool : NULL;
+}
+
 static void
 rebuild_view (struct control *ctl)
 {
   struct view *vw;
-  const struct view_input in = { .last = ctl->view, .hosts = ctl->hosts };
+  if (!ctl->hosts || !ctl->table_known)
+    return;
+  const struct fold *fd = state_fold (&ctl->state);
+  const struct view_input in = {
+    .last = ctl->view,
+    .hosts = ctl->hosts,
+    .table = fd->table,
+    .assignment = find_assignment,
+    .assignment_arg = fd,
+    .folded_offset = fd->next_offset,
+  };
   int err = view_build (&in, &vw);
   if (err)
     {
@@ -75,6 +84,20 @@
   post_view (ctl);
 }
 
+/* The state calls back first when it has reached the log's end, so that a
+   process with an empty memory never serves by an old table.  */
+static void
+on_state (void *arg, const struct fold *fd)
+{
+  struct control *ctl = arg;
+  ctl->table_known = true;
+  if (ctl->peers.priv)
+    peers_set_folded (&ctl->peers, fd->next_offset);
+  log_event (ctl->lg, EV_TABLE_IN_FORCE, LOG_I ("offset", fd->next_offset),
+             LOG_I ("rows", fd->table->count));
+  rebuild_view (ctl);
+}
+
 static void
 on_hosts_timer (struct tevent_context *ev, struct tevent_timer *te,
                 struct timeval tv, void *arg)
@@ -137,104 +160,6 @@
     }
 }
 
-static void
-post_verdict (struct control *ctl, struct request *req,
-              const struct claim_outcome *out)
-{
-  size_t len = out->body ? out->body_len : 0;
-  struct mail_verdict *mail = mail_new (MAIL_VERDICT, sizeof *mail + len);
-  if (!mail)
-    abort ();
-  mail->req = req;
-  mail->verdict = out->verdict;
-  mail->known = out->known;
-  mail->status = out->status;
-  mail->claim_id = out->claim_id;
-  mail->has_body = out->body != NULL;
-  mail->body_len = len;
-  if (len > 0)
-    memcpy (mail->body, out->body, len);
-  if (!mailbox_post (traffic_mailbox (ctl->traffic), &mail->mail))
-    free (mail);
-}
-
-static void
-on_claim (void *arg, const struct claim_outcome *out)
-{
-  struct claim_call *call = arg;
-  post_verdict (call->ctl, call->req, out);
-  talloc_free (call);
-}
-
-static struct claim_call *
-call_create (struct control *ctl, struct request *req)
-{
-  struct claim_call *call = talloc_zero (ctl, struct claim_call);
-  if (!call)
-    return NULL;
-  call->ctl = ctl;
-  call->req = req;
-  return call;
-}
-
-static void
-start_claim (struct control *ctl, const struct mail_claim *mail)
-{
-  struct claim_call *call = call_create (ctl, mail->req);
-  int err = call ? claim_request (&ctl->claims, mail->key, mail->body_digest,
-                                  mail->deadline_us, on_claim, call)
-                 : ERR_NOMEM;
-  if (!err)
-    return;
-  talloc_free (call);
-  const struct claim_outcome out = { .verdict = CLAIM_OVERLOADED };
-  post_verdict (ctl, mail->req, &out);
-}
-
-static void
-post_released (struct control *ctl, struct request *req, bool recorded)
-{
-  struct mail_released *mail = mail_new (MAIL_RELEASED, sizeof *mail);
-  if (!mail)
-    abort ();
-  mail->req = req;
-  mail->recorded = recorded;
-  if (!mailbox_post (traffic_mailbox (ctl->traffic), &mail->mail))
-    free (mail);
-}
-
-static void
-on_released (void *arg, bool recorded)
-{
-  struct claim_call *call = arg;
-  post_released (call->ctl, call->req, recorded);
-  talloc_free (call);
-}
-
-static void
-start_release (struct control *ctl, const struct mail_release *mail)
-{
-  struct claim_call *call = call_create (ctl, mail->req);
-  int err = call ? claim_release (&ctl->claims, mail->key, mail->claim_id,
-                                  mail->deadline_us, on_released, call)
-                 : ERR_NOMEM;
-  if (!err)
-    return;
-  talloc_free (call);
-  post_released (ctl, mail->req, false);
-}
-
-static void
-record_done (struct control *ctl, const struct mail_done *mail)
-{
-  int err
-      = claim_done (&ctl->claims, mail->key, mail->claim_id, mail->answered,
-                    mail->status, mail->body, mail->body_len);
-  if (err)
-    log_event (ctl->lg, EV_RESULT_NOT_RECORDED,
-               LOG_S ("error", err_name (err)));
-}
-
 static void
 on_mail (void *arg, struct mail *mail)
 {
@@ -242,13 +167,19 @@
   switch ((enum mail_type)mail->type)
     {
     case MAIL_CLAIM:
-      start_claim (ctl, (struct mail_claim *)mail);
+      control_claim (ctl, (struct mail_claim *)mail);
       break;
     case MAIL_RELEASE:
-      start_release (ctl, (struct mail_release *)mail);
+      control_release (ctl, (struct mail_release *)mail);
       break;
     case MAIL_DONE:
-      record_done (ctl, (struct mail_done *)mail);
+      control_done (ctl, (struct mail_done *)mail);
+      break;
+    case MAIL_OWN_LOAD:
+      control_peers_load (ctl, (struct mail_own_load *)mail);
+      break;
+    case MAIL_OWN_HEALTH:
+      control_peers_health (ctl, (struct mail_own_health *)mail);
       break;
     case MAIL_TRAFFIC_IDLE:
       ctl->traffic_idle = true;
@@ -259,6 +190,31 @@
   free (mail);
 }
 
+static int
+start_claims (struct control *ctl)
+{
+  struct claim_settings set = claim_settings_default;
+  set.writer = ctl->set.name;
+  set.incarnation = ctl->set.incarnation;
+  set.key_lifetime_ms = ctl->set.key_lifetime_ms;
+  set.appends_per_s = ctl->set.appends_per_s;
+  return claims_init (&ctl->claims, ctl, &set, ctl->store, ctl->ev, ctl->clk);
+}
+
+static int
+start_state (struct control *ctl)
+{
+  struct state_settings set = state_settings_default;
+  set.writer = ctl->set.name;
+  set.incarnation = ctl->set.incarnation;
+  set.logger = ctl->lg;
+  set.counters = ctl->ctr;
+  int err = state_init (&ctl->state, ctl, &set, ctl->store, ctl->ev, ctl->clk);
+  if (!err)
+    state_on_change (&ctl->state, on_state, ctl);
+  return err;
+}
+
 int
 control_create (void *parent, struct tevent_context *ev,
                 const struct control_settings *set, struct log_store *store,
@@ -275,26 +231,16 @@
   ctl->lg = lg;
   ctl->ctr = ctr;
   int err = mailbox_init (&ctl->inbox, ev, on_mail, ctl);
-  if (err)
-    {
-      talloc_free (ctl);
-      return err;
-    }
-  struct claim_settings claim_set = claim_settings_default;
-  claim_set.writer = set->name;
-  claim_set.incarnation = set->incarnation;
-  claim_set.key_lifetime_ms = set->key_lifetime_ms;
-  claim_set.appends_per_s = set->appends_per_s;
-  err = claims_init (&ctl->claims, ctl, &claim_set, store, ev, clk);
-  if (err)
-    {
-      mailbox_fini (&ctl->inbox);
-      talloc_free (ctl);
-      return err;
-    }
-  poll_hosts (ctl);
+  if (!err)
+    err = control_peers_start (ctl);
+  if (!err)
+    err = start_claims (ctl);
+  if (!err)
+    err = start_state (ctl);
   *out = ctl;
-  return 0;
+  if (!err)
+    poll_hosts (ctl);
+  return err;
 }
 
 void
@@ -302,13 +248,26 @@
 {
   if (!ctl)
     return;
-  mailbox_close (&ctl->inbox);
-  claims_fini (&ctl->claims);
-  mailbox_fini (&ctl->inbox);
+  if (ctl->inbox.fde)
+    mailbox_close (&ctl->inbox);
+  if (ctl->state.priv)
+    state_fini (&ctl->state);
+  if (ctl->claims.priv)
+    claims_fini (&ctl->claims);
+  if (ctl->peers.priv)
+    peers_fini (&ctl->peers);
+  if (ctl->inbox.fde)
+    mailbox_fini (&ctl->inbox);
   view_unref (ctl->view);
   talloc_free (ctl);
 }
 
+uint16_t
+control_peer_port (const struct control *ctl)
+{
+  return ctl->peer_port;
+}
+
 struct mailbox *
 control_mailbox (struct control *ctl)
 {
@@ -333,6 +292,8 @@
 void
 control_drain (struct control *ctl)
 {
+  if (ctl->peers.priv)
+    peers_set_ready (&ctl->peers, false);
   post_plain (ctl, MAIL_DRAIN);
 }
 
--- a/entry/control.h
+++ b/entry/control.h
@@ -25,9 +25,15 @@
   int64_t hosts_poll_ms;
   int64_t key_lifetime_ms;
   uint32_t appends_per_s;
+  const char *peer_listen; /* IP:PORT; empty: no peers */
+  const char *peers;       /* comma-separated IP:PORT */
+  const char *peer_secret; /* shared key; empty only without peers */
+  uint64_t seed;
 };
 
-/* Returns 0, ERR_NOMEM or ERR_SYSTEM.  STORE stays the caller's.  */
+/* Returns 0, ERR_INVALID for an address, ERR_NOMEM or ERR_SYSTEM; *OUT is to
+   be destroyed in each case but ERR_NOMEM.  STORE stays the caller's, who
+   finishes it before control_destroy.  */
 int control_create (void *parent, struct tevent_context *ev,
                     const struct control_settings *set,
                     struct log_store *store, const struct clock *clk,
@@ -35,6 +41,9 @@
                     struct control **out);
 void control_destroy (struct control *ctl);
 
+/* Port of the listener for peers; 0: none.  */
+uint16_t control_peer_port (const struct control *ctl);
+
 struct mailbox *control_mailbox (struct control *ctl);
 
 /* Gives TRF views and verdicts from now on.  */
--- a/entry/dispatch.c
+++ b/entry/dispatch.c
@@ -62,6 +62,12 @@
   return true;
 }
 
+static void
+copy_value (char *dst, size_t size, const char *val)
+{
+  snprintf (dst, size, "%s", val);
+}
+
 /* At the end of the headers: an answer that is not this request's, has no
    length or is too long is cut here, which also closes the connection.  */
 static bool
@@ -96,13 +102,21 @@
     att->reply.leaving = strcmp (val, "1") == 0;
   else if (header_value (line, len, "X-Slots-In-Use", val, sizeof val))
     att->reply.slots_in_use = (int32_t)strtol (val, NULL, 10);
+  else if (header_value (line, len, "X-Outcome", val, sizeof val))
+    copy_value (att->reply.outcome, sizeof att->reply.outcome, val);
+  else if (header_value (line, len, "X-Reason", val, sizeof val))
+    copy_value (att->reply.reason, sizeof att->reply.reason, val);
+  else if (header_value (line, len, "X-Target", val, sizeof val))
+    copy_value (att->reply.target, sizeof att->reply.target, val);
+  else if (header_value (line, len, "X-Retry-After-Ms", val, sizeof val))
+    att->reply.retry_after_ms = strtoll (val, NULL, 10);
   else if (header_value (line, len, "Content-Length", val, sizeof val))
     {
       unsigned long long size = strtoull (val, NULL, 10);
       att->has_length = size <= att->dsp->set.max_answer;
     }
   else if (header_value (line, len, "Content-Type", val, sizeof val))
-    memcpy (att->reply.content_type, val, sizeof att->reply.content_type);
+    copy_value (att->reply.content_type, sizeof att->reply.content_type, val);
   else if (len <= 2)
     {
       if (!headers_acceptable (att))
--- a/entry/dispatch.h
+++ b/entry/dispatch.h
@@ -51,6 +51,11 @@
   char content_type[128];
   int32_t slots_in_use; /* -1: not said */
   bool leaving;
+  /* Of an entry process's answer, empty for a target's.  */
+  char outcome[32];
+  char reason[32];
+  char target[64];
+  int64_t retry_after_ms;
   int64_t latency_us;
 };
 
--- a/entry/request.c
+++ b/entry/request.c
@@ -29,6 +29,15 @@
   return reasons[reason].name;
 }
 
+enum request_reason
+reason_find (const char *name)
+{
+  for (size_t n = 0; n < sizeof reasons / sizeof *reasons; n++)
+    if (strcmp (reasons[n].name, name) == 0)
+      return n;
+  return REASON_INTERNAL;
+}
+
 unsigned int
 reason_status (enum request_reason reason)
 {
--- a/entry/request.h
+++ b/entry/request.h
@@ -43,6 +43,7 @@
   X (REASON_NO_TARGET, "no_target", 503)                                      \
   X (REASON_REFUSED, "refused_by_targets", 503)                               \
   X (REASON_OVERLOADED, "overloaded", 503)                                    \
+  X (REASON_STARTING, "starting", 503)                                        \
   X (REASON_DRAINING, "draining", 503)                                        \
   X (REASON_CLAIM_UNAVAILABLE, "claim_unavailable", 503)                      \
   X (REASON_CLAIM_TIMEOUT, "claim_timeout", 503)                              \
@@ -65,6 +66,7 @@
   REQUEST_CLAIMING,
   REQUEST_WAIT_TARGET, /* admitted; every target's slots look in use */
   REQUEST_SENT,
+  REQUEST_FORWARDED, /* to an entry process of another data centre */
   REQUEST_RELEASING,
   REQUEST_REPLIED,
 };
@@ -99,6 +101,7 @@
   enum request_state state;
   struct request *prev;
   struct request *next;
+  uint32_t forwards; /* entry processes of other data centres tried */
   int64_t arrival_us;
   int64_t start_us; /* admitted */
   bool idempotent;
@@ -127,6 +130,8 @@
 };
 
 const char *outcome_name (enum request_outcome outcome);
+/* Gives REASON_INTERNAL for an unknown name.  */
+enum request_reason reason_find (const char *name);
 const char *reason_name (enum request_reason reason);
 unsigned int reason_status (enum request_reason reason);
 
--- a/entry/request_flow.c
+++ b/entry/request_flow.c
@@ -66,8 +66,8 @@
 }
 
 /* Gives the slot back and lets the next one start.  */
-static void
-leave_slot (struct traffic *trf, struct request *req)
+void
+flow_leave_slot (struct traffic *trf, struct request *req)
 {
   if (!holds_slot (req))
     return;
@@ -131,14 +131,14 @@
       req->state = REQUEST_RELEASING;
       if (post_release (trf, req))
         {
-          leave_slot (trf, req);
+          flow_leave_slot (trf, req);
           return;
         }
       req->key_held = true;
     }
   else if (req->claimed)
     post_done (trf, req);
-  leave_slot (trf, req);
+  flow_leave_slot (trf, req);
   reply_now (trf, req);
 }
 
@@ -354,8 +354,10 @@
   int err = route_pick (&trf->rt, &req->query, now, &choice);
   if (err == ERR_FULL)
     wait_for_target (trf, req);
-  else if (err)
+  else if (err && !flow_forward (trf, req))
     finish_unanswered (trf, req, REASON_NO_TARGET, REASON_NO_ANSWER);
+  else if (err)
+    flow_leave_slot (trf, req);
   else
     dispatch_to (trf, req, &choice, left_us);
 }
@@ -456,7 +458,9 @@
     return REASON_DRAINING;
   if (trf->open_count > trf->set.max_open)
     return REASON_OVERLOADED;
-  int kind = trf->view ? view_find_kind (trf->view, req->kind_name) : -1;
+  if (!trf->view)
+    return REASON_STARTING;
+  int kind = view_find_kind (trf->view, req->kind_name);
   if (kind < 0 || trf->view->kinds[kind].removed)
     return REASON_UNKNOWN_KIND;
   const struct view_kind *vk = &trf->view->kinds[kind];
@@ -506,6 +510,8 @@
       flow_expire (trf);
       break;
     case ADMIT_REFUSED:
+      if (ref.reason == ADMIT_REASON_NO_CAPACITY && flow_forward (trf, req))
+        break;
       req->retry_after_us = ref.retry_after_us;
       flow_finish (trf, req, OUTCOME_NOT_RUN, refusal_reason (ref.reason));
       break;
--- a/entry/serve.c
+++ b/entry/serve.c
@@ -22,6 +22,8 @@
 
 #define IDLE_TIMEOUT_S 30
 #define MAX_CONNECTIONS 8192
+#define SECRET_MAX_BYTES 1024
+#define SECRET_MIN_BYTES 16
 
 struct serve
 {
@@ -32,6 +34,7 @@
   struct log_http store;
   struct control *ctl;
   struct traffic *trf;
+  char secret[SECRET_MAX_BYTES + 1];
   bool draining;
   bool stopping;
 };
@@ -93,6 +96,23 @@
   return LOG_LEVEL_INFO;
 }
 
+/* The key stays out of flags, environment and logs.  */
+static int
+read_secret (struct serve *srv)
+{
+  const char *path = srv->set->peer_secret_file;
+  if (!*srv->set->peer_listen)
+    return 0;
+  FILE *file = fopen (path, "r");
+  if (!file)
+    return ERR_NOT_FOUND;
+  size_t len = fread (srv->secret, 1, SECRET_MAX_BYTES, file);
+  fclose (file);
+  srv->secret[len] = '\0';
+  srv->secret[strcspn (srv->secret, "\n")] = '\0';
+  return strlen (srv->secret) >= SECRET_MIN_BYTES ? 0 : ERR_INVALID;
+}
+
 static int
 start_control (struct serve *srv)
 {
@@ -103,14 +123,21 @@
   int err = log_http_init (&srv->store, srv->ev, srv->ev, &store_set);
   if (err)
     return err;
-  const struct control_settings ctl_set = {
+  struct control_settings ctl_set = {
     .name = set->name,
     .data_centre = set->data_centre,
     .incarnation = (uint64_t)clock_wall_ms (&clock_system),
     .hosts_poll_ms = set->hosts_poll_ms,
     .key_lifetime_ms = set->key_lifetime_ms,
     .appends_per_s = (uint32_t)set->appends_per_s,
+    .peer_listen = set->peer_listen,
+    .peers = set->peers,
+    .seed = random_number (),
   };
+  err = read_secret (srv);
+  if (err)
+    return err;
+  ctl_set.peer_secret = srv->secret;
   return control_create (srv->ev, srv->ev, &ctl_set, &srv->store.st,
                          &clock_system, srv->lg, &srv->ctr, &srv->ctl);
 }
@@ -130,6 +157,7 @@
     },
     .data_centre = set->data_centre,
     .policy = set->policy,
+    .remotes = set->remotes,
     .default_deadline_ms = set->deadline_ms,
     .leave_ms = set->leave_ms,
     .max_open = (uint32_t)set->max_open,
@@ -163,8 +191,9 @@
   log_event (srv->lg, EV_SERVE_STARTED, LOG_S ("entry", srv->set->name),
              LOG_S ("data_centre", srv->set->data_centre),
              LOG_I ("port", port), LOG_S ("policy", srv->set->policy));
-  printf ("ready caller=%.*s:%u\n", (int)(colon - srv->set->listen),
-          srv->set->listen, port);
+  printf ("ready caller=%.*s:%u peer_port=%u\n",
+          (int)(colon - srv->set->listen), srv->set->listen, port,
+          control_peer_port (srv->ctl));
   fflush (stdout);
 }
 
@@ -194,9 +223,10 @@
 done:
   if (srv->trf)
     traffic_join (srv->trf);
-  control_destroy (srv->ctl);
+  /* Calls in progress name memory of the control part.  */
   if (srv->store.st.drv)
     log_store_fini (&srv->store.st);
+  control_destroy (srv->ctl);
   talloc_free (srv->ev);
   logger_destroy (srv->lg);
   curl_global_cleanup ();
--- a/entry/traffic.c
+++ b/entry/traffic.c
@@ -289,6 +289,8 @@
     err = route_init (&trf->rt, trf, pol->route, &route_set);
   if (!err)
     err = dispatch_create (trf, trf->ev, trf->clk, &dispatch_set, &trf->dsp);
+  if (!err)
+    err = forward_init (trf, trf->set.remotes);
   if (!err)
     err = mailbox_init (&trf->inbox, trf->ev, on_mail, trf);
   if (!err)
--- a/entry/traffic.h
+++ b/entry/traffic.h
@@ -21,6 +21,8 @@
   struct listener_settings listener;
   const char *data_centre;
   const char *policy;
+  const char *remotes; /* comma-separated IP:PORT of entry processes in
+                          other data centres; empty: none */
   int64_t default_deadline_ms;
   int64_t leave_ms; /* after a stop was asked for, requests are still taken
                        this long, until the balancer saw the readiness go */
--- a/entry/traffic_priv.h
+++ b/entry/traffic_priv.h
@@ -8,6 +8,8 @@
 struct tevent_context;
 struct tevent_timer;
 
+#define REMOTE_ADDRESS_MAX 64
+
 struct traffic
 {
   /* Set before the thread starts.  */
@@ -33,8 +35,11 @@
   struct tevent_timer *refresh_timer;
   struct tevent_timer *leave_timer;
   uint32_t entries; /* of the data centre, for the least share of slots */
-  uint32_t policy_attempts; /* 0: as the table says */
-  bool pumping;             /* inside flow_pump */
+  uint32_t policy_attempts;            /* 0: as the table says */
+  char (*remotes)[REMOTE_ADDRESS_MAX]; /* entry processes elsewhere */
+  uint32_t remote_count;
+  uint32_t remote_next;
+  bool pumping; /* inside flow_pump */
   bool pump_again;
   bool draining;
   bool refusing; /* draining, and the leave time is over */
@@ -47,6 +52,9 @@
 void flow_verdict (struct traffic *trf, const struct mail_verdict *mail);
 void flow_released (struct traffic *trf, const struct mail_released *mail);
 
+/* Gives the slot back, if REQ has one, and lets the next one start.  */
+void flow_leave_slot (struct traffic *trf, struct request *req);
+
 /* Starts what admission lets start in POOL.  */
 void flow_pump (struct traffic *trf, uint32_t pool);
 void flow_pump_all (struct traffic *trf);
@@ -60,5 +68,15 @@
 /* Ends every open request at once, each with a true outcome.  */
 void flow_abort_all (struct traffic *trf);
 
+/* forward.c: the one hop to another data centre.  */
+
+/* Parses the comma-separated addresses of the settings.  Returns 0,
+   ERR_INVALID or ERR_NOMEM.  */
+int forward_init (struct traffic *trf, const char *addresses);
+
+/* Sends REQ, of which nothing was sent or claimed yet, to an entry process of
+   another data centre.  Returns false when it may not or cannot go there.  */
+bool flow_forward (struct traffic *trf, struct request *req);
+
 void flow_finish (struct traffic *trf, struct request *req,
                   enum request_outcome outcome, enum request_reason reason);
--- a/test/load/make_trace.c
+++ b/test/load/make_trace.c
@@ -15,30 +15,30 @@
 
 /* Counter stock, restocking, lots, allocations, monitors.  */
 static const struct trace_kind comptoir[] = {
-  { "stock-query", "volunteer", 40, 0, 50, 400000, 2000, 200, false },
-  { "stock-update", "volunteer", 40, 0, 10, 300000, 3000, 400, false },
-  { "restock-plan", "warehouse", 6, 1, 20, 900000, 8000, 3000, false },
-  { "restock-run", "warehouse", 6, 1, 5, 700000, 8000, 1500, true },
-  { "lot-notice", "brand", 25, 2, 40, 520000, 6000, 1200, false },
-  { "lot-claim", "shelter", 30, 2, 6, 400000, 5000, 500, true },
-  { "pallet-allocation", "shelter", 30, 3, 18, 700000, 6000, 800, true },
-  { "allocation-report", "warehouse", 6, 3, 15, 800000, 8000, 600, false },
-  { "expiry-check", "pharmacy", 20, 4, 35, 600000, 8000, 400, false },
-  { "shelf-monitor", "pharmacy", 20, -1, 1, 4000000, 25000, 300, false },
+  { "stock_query", "volunteer", 40, 0, 50, 400000, 2000, 200, false },
+  { "stock_history", "volunteer", 40, 0, 10, 300000, 3000, 400, false },
+  { "restock_plan", "warehouse", 6, 1, 20, 900000, 8000, 3000, false },
+  { "restock_forecast", "warehouse", 6, 1, 3, 1500000, 8000, 1500, false },
+  { "lot_notice", "brand", 25, 2, 40, 520000, 6000, 1200, false },
+  { "lot_search", "shelter", 30, 2, 10, 300000, 3000, 500, false },
+  { "pallet_allocation", "shelter", 30, 3, 18, 700000, 6000, 800, true },
+  { "pallet_status", "warehouse", 6, 3, 20, 300000, 3000, 600, false },
+  { "shelf_alert", "pharmacy", 20, 4, 35, 600000, 8000, 400, false },
+  { "shelf_monitor", "pharmacy", 20, -1, 1, 4000000, 25000, 300, false },
 };
 
 /* Routes, clearance, manifests, machines, water levels.  */
 static const struct trace_kind colheitas[] = {
-  { "route-plan", "skipper", 18, 0, 25, 1000000, 5000, 2500, false },
-  { "route-amend", "skipper", 18, 0, 15, 600000, 4000, 900, false },
-  { "clearance-report", "authority", 4, 1, 25, 900000, 10000, 6000, false },
-  { "clearance-filing", "authority", 4, 1, 5, 800000, 10000, 4000, true },
-  { "load-manifest", "buyer", 35, 2, 22, 700000, 6000, 1500, true },
-  { "load-query", "buyer", 35, 2, 30, 400000, 3000, 200, false },
-  { "cutter-assignment", "foreman", 9, 3, 12, 900000, 6000, 700, true },
-  { "fuel-plan", "foreman", 9, 3, 25, 800000, 8000, 1000, false },
-  { "biomass-estimate", "planner", 7, 4, 40, 550000, 8000, 3000, false },
-  { "level-monitor", "authority", 4, -1, 1, 4000000, 25000, 300, false },
+  { "route_query", "skipper", 18, 0, 25, 1000000, 5000, 2500, false },
+  { "route_replan", "skipper", 18, 0, 15, 600000, 4000, 900, false },
+  { "clearance_report", "authority", 4, 1, 25, 900000, 10000, 6000, false },
+  { "clearance_archive", "authority", 4, 1, 5, 800000, 10000, 4000, false },
+  { "load_manifest", "buyer", 35, 2, 22, 700000, 6000, 1500, true },
+  { "manifest_status", "buyer", 35, 2, 30, 400000, 3000, 200, false },
+  { "harvest_plan", "foreman", 9, 3, 20, 900000, 8000, 1000, false },
+  { "season_simulation", "foreman", 9, 3, 2, 2000000, 20000, 1000, false },
+  { "weed_alert", "planner", 7, 4, 40, 550000, 8000, 3000, false },
+  { "weed_monitor", "authority", 4, -1, 1, 4000000, 25000, 300, false },
 };
 
 int
