peer: membership table

Cause: each entry process keeps its own view of the others. Change: members with incarnations, handles, and states from missed heartbeats; pure, with the time as argument; a shift of all times for a process that was paused.

--- /dev/null
+++ b/test/unit/unit_peer_member.c
@@ -0,0 +1,148 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/err.h"
+#include "peer/member.h"
+
+#define S 1000000
+
+static const struct member_settings settings = {
+  .max_members = 2,
+  .suspect_us = 2 * S,
+  .dead_us = 4 * S,
+  .forget_us = 10 * S,
+};
+
+static struct members mbs;
+
+static void
+setup (void)
+{
+  ck_assert_int_eq (members_init (&mbs, NULL, &settings), 0);
+}
+
+static void
+teardown (void)
+{
+  members_fini (&mbs);
+}
+
+static struct member_handle
+hello (const char *name, uint64_t incarnation, int64_t now_us)
+{
+  struct member_handle mbr;
+  ck_assert_int_eq (
+      members_hello (&mbs, name, "dc", incarnation, now_us, &mbr), 0);
+  return mbr;
+}
+
+/* The state changes due at NOW_US, as letters.  */
+static const char *
+changes (int64_t now_us)
+{
+  static char text[16];
+  size_t len = 0;
+  struct member_info mbr;
+  while (len < sizeof text - 1 && members_next_change (&mbs, now_us, &mbr))
+    text[len++] = "asd"[mbr.state];
+  text[len] = '\0';
+  return text;
+}
+
+/* Guards against a silent member that stays alive, or a change that is
+   reported twice or never.  */
+START_TEST (test_states)
+{
+  struct member_handle mbr = hello ("a", 1, 0);
+  ck_assert_str_eq (changes (0), "a");
+  ck_assert_str_eq (changes (2 * S - 1), "");
+  ck_assert_str_eq (changes (2 * S), "s");
+  ck_assert_int_eq (members_heartbeat (&mbs, mbr, true, 7, 3 * S), 0);
+  ck_assert_str_eq (changes (3 * S), "a");
+  ck_assert (members_get (&mbs, mbr)->ready);
+  ck_assert_uint_eq (members_get (&mbs, mbr)->folded_offset, 7);
+  ck_assert_str_eq (changes (7 * S), "d");
+  ck_assert (!members_get (&mbs, mbr)->ready);
+  ck_assert_int_eq (members_heartbeat (&mbs, mbr, true, 8, 8 * S), 0);
+  ck_assert_str_eq (changes (8 * S), "a");
+  ck_assert_str_eq (changes (17 * S), "d");
+  ck_assert_str_eq (changes (18 * S), "");
+  ck_assert_ptr_null (members_get (&mbs, mbr));
+  ck_assert_int_eq (members_heartbeat (&mbs, mbr, true, 8, 18 * S),
+                    ERR_NOT_FOUND);
+}
+END_TEST
+
+/* Guards against frames of a process that was replaced and still count.  */
+START_TEST (test_incarnations)
+{
+  struct member_handle old = hello ("a", 5, 0);
+  struct member_handle same = hello ("a", 5, 1);
+  struct member_handle found;
+  struct member_info list[4];
+  ck_assert_mem_eq (&old, &same, sizeof old);
+  ck_assert_str_eq (changes (1), "a");
+  struct member_handle new = hello ("a", 6, 2);
+  ck_assert_str_eq (changes (2), "a");
+  ck_assert_int_eq (members_heartbeat (&mbs, old, true, 1, 3), ERR_NOT_FOUND);
+  ck_assert_int_eq (members_hello (&mbs, "a", "dc", 5, 3, &found),
+                    ERR_EXPIRED);
+  ck_assert_int_eq (members_find (&mbs, "a", &found), 0);
+  ck_assert_mem_eq (&found, &new, sizeof found);
+  ck_assert_uint_eq (members_list (&mbs, list, 4), 1);
+  ck_assert_uint_eq (list[0].incarnation, 6);
+}
+END_TEST
+
+/* Guards against a table that grows, or that gives up a live member.  */
+START_TEST (test_bounds)
+{
+  char longest[MEMBER_NAME_MAX + 1];
+  struct member_handle mbr, a = hello ("a", 1, 0);
+  hello ("b", 1, 3 * S);
+  ck_assert_int_eq (members_hello (&mbs, "c", "dc", 1, 3 * S, &mbr), ERR_FULL);
+  ck_assert_str_eq (changes (4 * S), "da");
+  hello ("c", 1, 4 * S);
+  ck_assert_ptr_null (members_get (&mbs, a));
+  ck_assert_int_eq (members_find (&mbs, "b", &mbr), 0);
+
+  memset (longest, 'x', sizeof longest);
+  longest[MEMBER_NAME_MAX] = '\0';
+  ck_assert_int_eq (members_hello (&mbs, longest, "", 1, 0, &mbr),
+                    ERR_INVALID);
+  ck_assert_int_eq (members_hello (&mbs, "", "", 1, 0, &mbr), ERR_INVALID);
+  mbr.index = 99;
+  ck_assert_ptr_null (members_get (&mbs, mbr));
+}
+END_TEST
+
+/* Guards against a process that was paused and takes all peers for dead.  */
+START_TEST (test_shift)
+{
+  hello ("a", 1, 0);
+  changes (0);
+  members_shift (&mbs, 60 * S);
+  ck_assert_str_eq (changes (61 * S), "");
+  ck_assert_str_eq (changes (62 * S), "s");
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("peer_member");
+  TCase *tc = tcase_create ("peer_member");
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_test (tc, test_states);
+  tcase_add_test (tc, test_incarnations);
+  tcase_add_test (tc, test_bounds);
+  tcase_add_test (tc, test_shift);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
