--- a/test/unit/unit_route.c
+++ b/test/unit/unit_route.c
@@ -231,6 +231,20 @@
 }
 END_TEST
 
+/* Guards against exchanging ejected targets of a pool that fails as a whole,
+   because the older answers in their windows differ.  */
+START_TEST (test_cap_keeps_its_choice)
+{
+  set_up (3, &route_least_loaded, 1);
+  for (uint32_t n = 0; n < 20; n++)
+    run_on (n % 2, ATTEMPT_ANSWERED);
+  for (uint32_t n = 0; n < 5 + 20; n++)
+    run_on (n >= 5, ATTEMPT_CUT);
+  ck_assert_int_eq (route_target_state (&rt, tgt[0], now), TARGET_EJECTED);
+  ck_assert_int_eq (route_target_state (&rt, tgt[1], now), TARGET_LIVE);
+}
+END_TEST
+
 /* Guards against refusing everything when only ejected targets are left.  */
 START_TEST (test_only_ejected_left)
 {
@@ -689,6 +703,7 @@
   tcase_add_loop_test (tc, test_ejection, 0, COUNT (ejections));
   tcase_add_loop_test (tc, test_cap, 0, COUNT (caps));
   tcase_add_test (tc, test_cap_keeps_the_worst);
+  tcase_add_test (tc, test_cap_keeps_its_choice);
   tcase_add_test (tc, test_only_ejected_left);
   tcase_add_test (tc, test_probes_and_return);
   tcase_add_loop_test (tc, test_return_of_a_pool, 0, COUNT (returns));
