--- a/route/route.h
+++ b/route/route.h
@@ -115,13 +115,17 @@
   struct priv *priv;
 };
 
+/* Memory hangs on the talloc context PARENT until route_fini.  Returns 0,
+   ERR_INVALID for a setting out of range, or ERR_NOMEM.  */
 int route_init (struct route *rt, void *parent, const struct route_driver *drv,
                 const struct route_settings *set);
 void route_fini (struct route *rt);
 
-/* Replaces the list of targets.  A target with the same host and address
-   keeps its handle, load and health.  A removed one gets no new work; its
-   handle stays valid for route_end until its last attempt ended.  */
+/* Replaces the list of targets.  Returns 0, or leaves the list as it was and
+   returns ERR_INVALID for an empty or unterminated name, ERR_EXISTS for a host
+   listed twice, ERR_TOO_LARGE or ERR_NOMEM.  A target with the same host and
+   address keeps its handle, load and health.  A removed one gets no new work;
+   its handle stays valid for route_end until its last attempt ended.  */
 int route_set_targets (struct route *rt, const struct target_info *infos,
                        size_t count, int64_t now_us);
 
@@ -135,13 +139,17 @@
                 struct target_handle *out);
 
 /* Returns 0, ERR_FULL when every eligible target has its slots in use, or
-   ERR_UNAVAILABLE when there is none.  */
+   ERR_UNAVAILABLE when there is none.  At most 64 targets in a row are looked
+   at after the samples; in a larger pool ERR_FULL means that all of these were
+   full.  Failing targets are chosen only where no healthy one is full.
+   ERR_INVALID: too many targets to avoid, or no data centre.  */
 int route_pick (struct route *rt, const struct route_query *query,
                 int64_t now_us, struct route_choice *out);
 
 void route_begin (struct route *rt, struct target_handle tgt, int64_t now_us);
 
-/* SLOTS_IN_USE: what the target said, or -1.  */
+/* LATENCY_US: since route_begin.  SLOTS_IN_USE: what the target said while it
+   counted this attempt, or -1.  */
 void route_end (struct route *rt, struct target_handle tgt,
                 enum attempt_result result, int64_t latency_us,
                 int32_t slots_in_use, int64_t now_us);
@@ -161,12 +169,17 @@
                         bool ejected, int64_t now_us);
 
 /* The next ejected target that is due for a probe and counts as being probed
-   until route_probe_done.  Returns false when none is due.  */
+   until route_probe_done.  Returns false when none is due.  Targets that a
+   peer ejected and those that said they are leaving are due as well.  Call it
+   every 100 ms until it gives false: a silence of more than 300 ms in all
+   calls counts as a pause of this process, and attempts and probes that were
+   open then and got no answer count as no failure.  */
 bool route_next_probe (struct route *rt, int64_t now_us,
                        struct target_handle *out);
 void route_probe_done (struct route *rt, struct target_handle tgt,
                        bool healthy, int64_t now_us);
 
+/* Sums over the pool's targets in all data centres of the list.  */
 void route_pool_load (const struct route *rt, uint32_t pool, int64_t now_us,
                       struct route_pool_load *out);
 
