--- a/table/table_check.c
+++ b/table/table_check.c
@@ -59,6 +59,8 @@
 reported_before (const struct table_faults *faults,
                  const struct table_row *row, const char *column)
 {
+  if (faults->count >= TABLE_FAULTS_KEPT)
+    return false;
   for (size_t n = 0; n < faults->count; n++)
     if (faults->items[n].line == row->line
         && faults->items[n].sort == row->sort
