--- a/entry/control.c
+++ b/entry/control.c
@@ -52,9 +52,10 @@
 {
   const struct fold *fd = arg;
   struct fold_host **found
-      = fd->host_count ? bsearch (host, fd->hosts, fd->host_count,
-                                  sizeof *fd->hosts, compare_assignment)
-                       : NULL;
+      = fd->host_count
+            ? bsearch (host, fd->hosts, fd->host_count,
+                       sizeof (struct fold_host *), compare_assignment)
+            : NULL;
   return found ? (*found)->pool : NULL;
 }
 
--- a/entry/dispatch.c
+++ b/entry/dispatch.c
@@ -62,10 +62,13 @@
   return true;
 }
 
+/* A value that does not fit is cut, and then matches no known name.  */
 static void
 copy_value (char *dst, size_t size, const char *val)
 {
-  snprintf (dst, size, "%s", val);
+  size_t len = strnlen (val, size - 1);
+  memcpy (dst, val, len);
+  dst[len] = '\0';
 }
 
 /* At the end of the headers: an answer that is not this request's, has no
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -38,7 +38,8 @@
           err = ERR_INVALID;
           break;
         }
-      strcpy (trf->remotes[trf->remote_count++], adr);
+      snprintf (trf->remotes[trf->remote_count++], REMOTE_ADDRESS_MAX, "%s",
+                adr);
     }
   talloc_free (list);
   return err;
