admit: count lent slots in the expected wait

Cause: the expected wait counted on the plain share of a kind. What kinds without a backlog leave unused is shared by the others, so work of a kind within its max-min share was refused early. Change: the wait counts on the kind's part of the slots that kinds without a backlog do not hold, where that is more.

--- a/admit/admit_fair.c
+++ b/admit/admit_fair.c
@@ -114,6 +114,8 @@
 struct view
 {
   double weights;      /* of the active kinds */
+  double waiting;      /* weights of the kinds with a backlog */
+  double settled;      /* slots held by kinds without one */
   bool urgent_waiting; /* and free to start */
   uint32_t outside;    /* slots held by work that leaves the reserve free */
 };
@@ -122,6 +124,8 @@
 view_init (struct view *v, const struct priv *p, const struct pool *pool)
 {
   v->weights = 0;
+  v->waiting = 0;
+  v->settled = 0;
   v->urgent_waiting = false;
   v->outside = 0;
   for (uint32_t n = 0; n < pool->kind_count; n++)
@@ -129,6 +133,10 @@
       const struct kind *k = &p->kinds[pool->kinds[n]];
       if (active (k))
         v->weights += k->lim.weight;
+      if (backlogged (k))
+        v->waiting += k->lim.weight;
+      else
+        v->settled += k->in_pool;
       if (k->lim.cls == ADMIT_URGENT && backlogged (k))
         v->urgent_waiting = true;
       if (leaves_reserve (k))
@@ -144,6 +152,22 @@
   return pool->slots * (double)k->lim.weight / weights;
 }
 
+/* What the kind may expect to hold: its share, or more while kinds without a
+   backlog leave theirs unused.  */
+static double
+expected_slots (const struct view *v, const struct pool *pool,
+                const struct kind *k)
+{
+  double waiting = v->waiting + (backlogged (k) ? 0 : k->lim.weight);
+  double settled = v->settled - (backlogged (k) ? 0 : k->in_pool);
+  double lent = (pool->slots - settled) * k->lim.weight / waiting;
+  double slots = share_of (v, pool, k);
+  slots = slots > lent ? slots : lent;
+  if (k->lim.concurrency_limit > 0 && slots > k->lim.concurrency_limit)
+    slots = k->lim.concurrency_limit;
+  return slots > k->in_pool ? slots : k->in_pool;
+}
+
 /* Work that must leave the reserve free leaves that many slots free when it
    borrows.  Up to its share it may take them, as long as such work does not
    hold the reserve: short work that takes every freed slot would otherwise
@@ -253,10 +277,7 @@
                const struct pool *pool, const struct kind *k)
 {
   double ahead = k->queued + 1;
-  double slots = share_of (v, pool, k);
-  if (k->lim.concurrency_limit > 0 && slots > k->lim.concurrency_limit)
-    slots = k->lim.concurrency_limit;
-  slots = slots > k->in_pool ? slots : k->in_pool;
+  double slots = expected_slots (v, pool, k);
   double wait = ahead * k->held_us / slots;
   double freed = freed_rate (p, pool);
   double lacks = clamp (slots - k->in_pool, 0, ahead);
