route: wrong peer deltas do not wrap the load

Two deltas whose sum exceeds 32 bits made a target look idle; each is limited to a million now. Tests cover this and the changes for the peers.

--- a/route/target.c
+++ b/route/target.c
@@ -11,6 +11,10 @@
 
 #define PEERS_MAX 64
 
+/* More than any target has in flight; keeps sums of wrong deltas from
+   wrapping to a small load.  */
+#define PEER_LOAD_MAX 1000000
+
 /* A target that says it is leaving while the host list still says otherwise
    is asked again after that long.  */
 #define LEAVING_PROBE_US 5000000
@@ -502,6 +506,8 @@
       t->peers = peers;
       slot = &peers[t->peer_count++];
     }
+  if (in_flight > PEER_LOAD_MAX)
+    in_flight = PEER_LOAD_MAX;
   if (slot)
     *slot = (struct peer_load){ peer, in_flight, now_us };
 }
--- a/test/unit/unit_route.c
+++ b/test/unit/unit_route.c
@@ -490,6 +490,39 @@
 }
 END_TEST
 
+/* Guards against a peer's wrong delta that wraps the sum to a small load.  */
+START_TEST (test_peer_load_does_not_wrap)
+{
+  uint32_t n;
+  set_up (1, &route_least_loaded, 1);
+  route_peer_load (&rt, 1, tgt[0], UINT32_MAX, now);
+  route_peer_load (&rt, 2, tgt[0], 1, now);
+  ck_assert_int_eq (pick (&n), ERR_FULL);
+}
+END_TEST
+
+/* Guards against changes that peers never learn of or learn of twice, and
+   against those of a removed target.  */
+START_TEST (test_changes)
+{
+  struct route_candidate out[4];
+  set_up (4, &route_least_loaded, 1);
+  for (uint32_t n = 0; n < 4; n++)
+    route_begin (&rt, tgt[n], now);
+  route_begin (&rt, tgt[0], now);
+  ck_assert_uint_eq (route_take_changes (&rt, out, 1), 1);
+  ck_assert_uint_eq (place (out[0].target), 0);
+  ck_assert_uint_eq (out[0].in_flight, 2);
+  ck_assert_int_eq (route_set_targets (&rt, infos, 3, now), 0);
+  route_end (&rt, tgt[3], ATTEMPT_ANSWERED, MS, -1, now);
+  ck_assert_uint_eq (route_take_changes (&rt, out, 4), 2);
+  route_end (&rt, tgt[0], ATTEMPT_ANSWERED, MS, -1, now);
+  ck_assert_uint_eq (route_take_changes (&rt, out, 4), 1);
+  ck_assert_uint_eq (out[0].in_flight, 1);
+  ck_assert_uint_eq (route_take_changes (&rt, out, 4), 0);
+}
+END_TEST
+
 static const struct
 {
   const struct route_driver *drv;
@@ -715,6 +748,8 @@
   tcase_add_test (tc, test_pause);
   tcase_add_loop_test (tc, test_other_rack, 0, 20);
   tcase_add_loop_test (tc, test_view_of_others, 0, 3);
+  tcase_add_test (tc, test_peer_load_does_not_wrap);
+  tcase_add_test (tc, test_changes);
   tcase_add_loop_test (tc, test_spread, 0, COUNT (spreads));
   tcase_add_loop_test (tc, test_random_sequence, 0, 12);
   tcase_add_loop_test (tc, test_retry, 0, COUNT (retries));
