--- a/test/load/caller.c
+++ b/test/load/caller.c
@@ -22,7 +22,7 @@
 #include "base/option.h"
 #include "test/load/trace.h"
 
-#define MAX_ENTRIES 32
+#define MAX_ENTRIES 128
 #define MAX_KINDS 64
 #define MAX_ANSWER_BYTES (16 << 20)
 #define RETRY_US 100000     /* pause once every entry address has failed */
--- a/test/load/trace.c
+++ b/test/load/trace.c
@@ -9,7 +9,7 @@
 #include "base/err.h"
 
 #define BETWEEN_SURGES (1.0 / 20) /* of the mean rate */
-#define MAX_SERVICE_MEANS 5
+#define MAX_SERVICE_MEANS 3       /* a longer service time is cut to this */
 
 static struct trace_item *
 add_item (void *parent, struct trace *tr)
