--- a/test/load/caller.c
+++ b/test/load/caller.c
@@ -137,6 +137,7 @@
   char id[64];
   char key[64];
   int64_t sent_us;
+  int64_t left_ms; /* until the deadline, from the send time */
   CURL *curl;
   struct curl_slist *headers;
   char *answer;
@@ -254,9 +255,9 @@
       cl->item->kind, "caller", cl->item->caller, "entry",
       cr->entries[cl->entry], "once", cl->item->once, "planned_us",
       cl->planned_us + wall, "sent_us", cl->sent_us + wall, "end_us",
-      end_us + wall, "deadline_ms", cl->item->deadline_ms, "status",
-      (int)vd->status, "outcome", vd->outcome, "reason", vd->reason, "own",
-      vd->own, "final", final);
+      end_us + wall, "deadline_ms", cl->left_ms, "status", (int)vd->status,
+      "outcome", vd->outcome, "reason", vd->reason, "own", vd->own, "final",
+      final);
   if (cl->item->once)
     json_object_set_new (obj, "key", json_string (cl->key));
   json_dumpf (obj, cr->journal, JSON_COMPACT);
@@ -383,7 +384,7 @@
   char text[32];
   add_header (cl, "X-Caller", cl->item->caller);
   add_header (cl, "X-Request-Id", cl->id);
-  snprintf (text, sizeof text, "%" PRId64, cl->item->deadline_ms);
+  snprintf (text, sizeof text, "%" PRId64, cl->left_ms);
   add_header (cl, "X-Deadline-Ms", text);
   if (cl->item->once)
     add_header (cl, "Idempotency-Key", cl->key);
@@ -392,7 +393,7 @@
 }
 
 static void
-send_attempt (struct call *cl, int64_t left_ms)
+send_attempt (struct call *cl)
 {
   struct caller *cr = cl->cr;
   char *url = talloc_asprintf (cl, "http://%s%s%s", cr->entries[cl->entry],
@@ -408,7 +409,8 @@
   curl_easy_setopt (cl->curl, CURLOPT_WRITEFUNCTION, on_answer);
   curl_easy_setopt (cl->curl, CURLOPT_WRITEDATA, cl);
   curl_easy_setopt (cl->curl, CURLOPT_ERRORBUFFER, cl->error);
-  curl_easy_setopt (cl->curl, CURLOPT_TIMEOUT_MS, (long)left_ms + GRACE_MS);
+  curl_easy_setopt (cl->curl, CURLOPT_TIMEOUT_MS,
+                    (long)cl->left_ms + GRACE_MS);
   curl_multi_add_handle (cr->multi, cl->curl);
   talloc_free (url);
 }
@@ -423,14 +425,14 @@
     {
       struct call *cl = cr->waiting;
       int64_t now = now_us ();
-      int64_t left_ms = (cl->planned_us - now) / 1000 + cl->item->deadline_ms;
       DL_DELETE (cr->waiting, cl);
       cl->attempt++;
       snprintf (cl->id, sizeof cl->id, "%s-%" PRId64 ".%d", cr->set.name,
                 cl->number, cl->attempt);
       cl->sent_us = now;
-      if (left_ms > 0)
-        send_attempt (cl, left_ms);
+      cl->left_ms = (cl->planned_us - now) / 1000 + cl->item->deadline_ms;
+      if (cl->left_ms > 0)
+        send_attempt (cl);
       else
         {
           write_journal (cl, &not_sent, now, true);
