--- a/cli/main.c
+++ b/cli/main.c
@@ -5,6 +5,7 @@
 #include "base/err.h"
 #include "base/log.h"
 #include "cli/settings.h"
+#include "cli/table.h"
 
 #define EXIT_USAGE 2
 
@@ -49,6 +50,7 @@
 }
 
 static const struct command commands[] = {
+  { "table", run_table, "show and edit the operators' table" },
   { "check-settings", run_check_settings, "check the settings of serve" },
   { "settings", run_settings, "print the reference page of the settings" },
   { "events", run_events, "print the catalogue of log events" },
@@ -61,7 +63,8 @@
   fputs ("Usage: kingcuphollow COMMAND [--OPTION=VALUE]...\n\n", out);
   for (size_t n = 0; n < sizeof commands / sizeof *commands; n++)
     fprintf (out, "  %-16s %s\n", commands[n].name, commands[n].help);
-  fputs ("\nExit codes: 0 done, 1 failed, 2 invalid usage or settings.\n",
+  fputs ("\nExit codes: 0 done, 1 failed, 2 invalid usage or settings; "
+         "`table` has more.\n",
          out);
 }
 
