--- a/cli/settings.h
+++ b/cli/settings.h
@@ -10,6 +10,8 @@
   char *listen;
   char *peer_listen;
   char *peers;
+  char *peer_secret_file;
+  char *remotes;
   char *platform;
   char *policy;
   char *log_level;
@@ -18,6 +20,10 @@
   int64_t max_open;
   int64_t max_body;
   int64_t hosts_poll_ms;
+  int64_t leave_ms;
+  int64_t key_lifetime_ms;
+  int64_t appends_per_s;
+  int64_t seed;
 };
 
 extern const struct option_def serve_options[];
--- /dev/null
+++ b/route/retry.c
@@ -0,0 +1,87 @@
+#include "route/retry.h"
+
+#define CENTI_PER_TOKEN 100
+
+const struct retry_settings retry_settings_default = {
+  .max_attempts = 3,
+  .budget_pct = 10,
+  .burst = 50,
+};
+
+/* The bucket starts empty, so that retries never exceed the fraction of the
+   first attempts, not even right after the start.  */
+void
+retry_budget_init (struct retry_budget *bud, const struct retry_settings *set)
+{
+  bud->set = *set;
+  bud->centi_tokens = 0;
+}
+
+static int64_t
+most_tokens (const struct retry_budget *bud)
+{
+  return (int64_t)bud->set.burst * CENTI_PER_TOKEN;
+}
+
+void
+retry_budget_first_attempt (struct retry_budget *bud)
+{
+  bud->centi_tokens += bud->set.budget_pct;
+  if (bud->centi_tokens > most_tokens (bud))
+    bud->centi_tokens = most_tokens (bud);
+}
+
+bool
+attempt_certainly_not_run (enum attempt_result result)
+{
+  return result == ATTEMPT_GUARD_REFUSED || result == ATTEMPT_CONNECT_FAILED;
+}
+
+static enum retry_verdict
+decide (const struct retry_budget *bud, const struct retry_query *query,
+        int64_t now_us)
+{
+  if (!query->idempotent && !attempt_certainly_not_run (query->result))
+    return RETRY_NO_UNSAFE;
+  if (query->attempts >= bud->set.max_attempts)
+    return RETRY_NO_ATTEMPTS;
+  int64_t expected = query->expected_us > 0 ? query->expected_us : 0;
+  if (now_us >= query->deadline_us || query->deadline_us - now_us < expected)
+    return RETRY_NO_DEADLINE;
+  if (bud->centi_tokens < CENTI_PER_TOKEN)
+    return RETRY_NO_BUDGET;
+  return RETRY_YES;
+}
+
+enum retry_verdict
+retry_allow (struct retry_budget *bud, const struct retry_query *query,
+             int64_t now_us)
+{
+  if (query->result == ATTEMPT_ANSWERED || query->result == ATTEMPT_CANCELLED)
+    return RETRY_NO_POINT;
+  enum retry_verdict verdict = decide (bud, query, now_us);
+  if (verdict == RETRY_YES)
+    bud->centi_tokens -= CENTI_PER_TOKEN;
+  /* A first attempt that failed takes back what it paid in.  When a whole
+     pool fails no retry can help, and retries end with the saved tokens.  What
+     open attempts paid in may be spent already, hence the bounded debt.  */
+  if (query->attempts == 1)
+    bud->centi_tokens -= bud->set.budget_pct;
+  if (bud->centi_tokens < -most_tokens (bud))
+    bud->centi_tokens = -most_tokens (bud);
+  return verdict;
+}
+
+const char *
+retry_verdict_name (enum retry_verdict verdict)
+{
+  static const char *const names[] = {
+    [RETRY_YES] = "yes",
+    [RETRY_NO_UNSAFE] = "unsafe",
+    [RETRY_NO_ATTEMPTS] = "attempts",
+    [RETRY_NO_DEADLINE] = "deadline",
+    [RETRY_NO_BUDGET] = "budget",
+    [RETRY_NO_POINT] = "ended",
+  };
+  return names[verdict];
+}
