--- a/test/scenario/fleet.c
+++ b/test/scenario/fleet.c
@@ -133,6 +133,39 @@
   return text;
 }
 
+/* The entry process number N, from 0, of the data centre of EN.  */
+static struct entry *
+peer_of (struct scenario *sc, const struct entry *en, int n)
+{
+  char name[] = { en->name[0], (char)('1' + n), '\0' };
+  return fleet_next (sc, name, NULL);
+}
+
+static void
+create_relays (struct scenario *sc)
+{
+  FILE *secret = fopen (talloc_asprintf (sc, "%s/secret", sc->dir), "w");
+  if (!secret || fprintf (secret, "scenario-%s-%u\n", sc->name, sc->seed) < 0
+      || fclose (secret) != 0)
+    scenario_fail (sc, "the peers' key cannot be written");
+  for (struct entry *en = NULL; (en = fleet_next (sc, "all", en));)
+    for (int n = 0; n < ENTRIES_PER_DC && !sc->failure; n++)
+      if (peer_of (sc, en, n) != en)
+        en->relays[n] = relay_create (sc, &peer_of (sc, en, n)->peer_port,
+                                      &en->relay_ports[n]);
+}
+
+void
+fleet_cut_peers (struct scenario *sc, struct entry *en, bool cut)
+{
+  for (int n = 0; n < ENTRIES_PER_DC; n++)
+    if (en->relays[n])
+      {
+        relay_set_cut (en->relays[n], cut);
+        relay_set_cut (peer_of (sc, en, n)->relays[en->name[1] - '1'], cut);
+      }
+}
+
 static void on_poll (struct tevent_context *ev, struct tevent_timer *te,
                      struct timeval now, void *arg);
 
@@ -177,6 +210,7 @@
                    ft, "--layout=%s/layout.json --data-centres=%s %s", sc->dir,
                    ports, options (ft, FLEET_PLATFORM));
   await_stand_ins (sc, 2);
+  create_relays (sc);
   ft->table = talloc_asprintf (sc, "%s/fleet.csv", sc->source);
   if (!sc->failure)
     import_first_table (sc);
@@ -217,7 +251,8 @@
 on_entry_line (void *arg, const char *line)
 {
   struct entry *en = arg;
-  sscanf (line, "ready caller=%63s", en->address);
+  sscanf (line, "ready caller=%63s peer_port=%hu", en->address,
+          &en->peer_port);
 }
 
 static bool
@@ -229,13 +264,19 @@
 void
 fleet_start_entry (struct scenario *sc, struct entry *en)
 {
+  char *peers = talloc_strdup (sc, "");
+  for (int n = 0; n < ENTRIES_PER_DC; n++)
+    if (en->relays[n])
+      peers = talloc_asprintf_append (peers, "%s127.0.0.1:%u",
+                                      *peers ? "," : "", en->relay_ports[n]);
   en->address[0] = '\0';
   en->ready = false;
   en->ps = start_program (
       sc, en->name, "KINGCUPHOLLOW", on_entry_line, en,
       "serve --name=%s --data-centre=%c --platform=%s --seed=%u "
-      "--leave-ms=500 %s",
-      en->name, en->name[0], en->platform, sc->seed + 1,
+      "--leave-ms=500 --peer-listen=127.0.0.1:0 --peers=%s "
+      "--peer-secret-file=%s/secret %s",
+      en->name, en->name[0], en->platform, sc->seed + 1, peers, sc->dir,
       options (sc->fleet, FLEET_SERVE));
   if (en->ps && !scenario_run_until (sc, entry_listens, en, SCENARIO_WAIT_MS))
     scenario_fail (sc, "entry process %s does not listen", en->name);
@@ -247,8 +288,16 @@
 {
   struct entry *en;
   struct process *ps;
+  CURL *curl;
 };
 
+static int
+close_look (struct look *lk)
+{
+  curl_easy_cleanup (lk->curl);
+  return 0;
+}
+
 static size_t
 discard (char *data, size_t size, size_t count, void *arg)
 {
@@ -264,7 +313,6 @@
   lk->en->asking = false;
   if (lk->ps == lk->en->ps)
     lk->en->ready = code == CURLE_OK && status == 200;
-  curl_easy_cleanup (curl);
   talloc_free (lk);
 }
 
@@ -292,8 +340,9 @@
         lk->en = en;
         lk->ps = en->ps;
         char *url = talloc_asprintf (lk, "http://%s/readyz", en->address);
-        CURL *curl = open_curl (url, READY_TIMEOUT_MS);
-        en->asking = curl_loop_add (&sc->loop, curl, on_look, lk) == 0;
+        lk->curl = open_curl (url, READY_TIMEOUT_MS);
+        talloc_set_destructor (lk, close_look);
+        en->asking = curl_loop_add (&sc->loop, lk->curl, on_look, lk) == 0;
       }
   tevent_add_timer (ev, sc,
                     tevent_timeval_current_ofs (0, READY_POLL_MS * 1000),
--- a/test/scenario/fleet.h
+++ b/test/scenario/fleet.h
@@ -4,6 +4,7 @@
 #include <stdint.h>
 
 #include "test/scenario/process.h"
+#include "test/scenario/relay.h"
 
 /* The stand-ins of the platform and of the targets, and the entry processes.
    Every entry process reaches the platform through a port of its own, so that
@@ -22,6 +23,10 @@
   char address[64];   /* for callers; empty until it listens */
   bool ready;         /* by the last look at /readyz, as a balancer has it */
   bool asking;        /* a look at /readyz is open */
+  uint16_t peer_port; /* 0: it does not listen for peers */
+  /* To the other entry processes of its data centre, by their number.  */
+  struct relay *relays[ENTRIES_PER_DC];
+  uint16_t relay_ports[ENTRIES_PER_DC];
 };
 
 struct fleet
@@ -67,6 +72,9 @@
 /* Starts the entry process and waits until it listens.  */
 void fleet_start_entry (struct scenario *sc, struct entry *en);
 
+/* Cuts or heals all links between EN and its peers.  */
+void fleet_cut_peers (struct scenario *sc, struct entry *en, bool cut);
+
 /* Sets the fault SPEC (JSON) at the stand-in's port CONTROL, or clears those
    that the query names.  Fails the scenario when the stand-in refuses.  */
 void fleet_set_fault (struct scenario *sc, const char *control,
--- a/test/scenario/load.c
+++ b/test/scenario/load.c
@@ -310,12 +310,24 @@
     }
 }
 
+static int
+close_calls (struct load *ld)
+{
+  for (int n = 0; n < ld->count; n++)
+    {
+      curl_slist_free_all (ld->calls[n].headers);
+      curl_easy_cleanup (ld->calls[n].curl);
+    }
+  return 0;
+}
+
 void
 load_start (struct load *ld)
 {
   ld->calls = talloc_zero_array (ld, struct call, ld->count);
   for (int n = 0; n < ld->count; n++)
     prepare_call (ld, n);
+  talloc_set_destructor (ld, close_calls);
   DL_APPEND (ld->sc->loads, ld);
   ld->start_us = wall_us ();
   on_due (ld->sc->ev, NULL, tevent_timeval_zero (), ld);
--- a/test/scenario/raw.c
+++ b/test/scenario/raw.c
@@ -28,7 +28,8 @@
     }
   sa.sin_port = htons (port);
   inet_pton (AF_INET, host, &sa.sin_addr);
-  connect (fd, (struct sockaddr *)&sa, sizeof sa);
+  /* Whether it was refused shows at the first use.  */
+  (void)connect (fd, (struct sockaddr *)&sa, sizeof sa);
   return fd;
 }
 
@@ -103,10 +104,8 @@
 raw_bad_input (struct scenario *sc, const struct step *st)
 {
   const char *who = step_text (st, "who");
-  char *long_head = talloc_zero_array (sc, char, LONG_HEAD_BYTES + 1);
-  memset (long_head, 'x', LONG_HEAD_BYTES);
-  memcpy (long_head, "GET /", 5);
-  send_bad_input (sc, who, long_head);
+  send_bad_input (sc, who,
+                  talloc_asprintf (sc, "GET /%0*d", LONG_HEAD_BYTES, 0));
   for (size_t n = 0; n < sizeof bad_inputs / sizeof *bad_inputs; n++)
     if (!sc->failure)
       send_bad_input (sc, who, bad_inputs[n]);
--- a/test/scenario/scenario_run.c
+++ b/test/scenario/scenario_run.c
@@ -26,7 +26,7 @@
 #define ALARM_S 120 /* the children die with the runner */
 #define MAX_CALLS 20000
 
-static const char *file;
+static const char *file = "";
 static uint32_t seed;
 
 int64_t
@@ -95,7 +95,8 @@
   const struct curl_loop_settings set
       = { .max_calls = MAX_CALLS, .max_connections = 0, .max_idle = 512 };
   struct scenario *sc = talloc_zero (NULL, struct scenario);
-  const char *out = getenv ("SCENARIO_OUT") ? getenv ("SCENARIO_OUT") : "/tmp";
+  const char *set_out = getenv ("SCENARIO_OUT");
+  const char *out = set_out ? set_out : "/tmp";
   const char *slash = strrchr (file, '/');
   sc->source = slash ? talloc_strndup (sc, file, slash - file) : ".";
   sc->name = slash ? slash + 1 : file;
--- a/test/scenario/steps.c
+++ b/test/scenario/steps.c
@@ -144,6 +144,14 @@
                       fault ? talloc_asprintf (sc, "?fault=%s", fault) : "");
 }
 
+static void
+run_cut_peers (struct scenario *sc, const struct step *st)
+{
+  for (struct entry *en = NULL;
+       (en = fleet_next (sc, step_text (st, "who"), en));)
+    fleet_cut_peers (sc, en, true);
+}
+
 static void
 run_cut (struct scenario *sc, const struct step *st)
 {
@@ -156,8 +164,11 @@
                                         "{\"fault\":\"cut\",\"host\":\"%s\"}",
                                         en->name));
     else
-      fleet_clear_faults (
-          sc, control, talloc_asprintf (sc, "?fault=cut&host=%s", en->name));
+      {
+        fleet_clear_faults (
+            sc, control, talloc_asprintf (sc, "?fault=cut&host=%s", en->name));
+        fleet_cut_peers (sc, en, false);
+      }
 }
 
 /* Only the platform's list knows; the target itself goes on taking work.  */
@@ -293,6 +304,7 @@
   { "start <who:who>", run_start },
   { "(stop|kill|freeze|resume) <who:who>", run_signal },
   { "cut <who:who> from platform", run_cut },
+  { "cut <who:who> from peers", run_cut_peers },
   { "heal <who:who>", run_cut },
   { "fault <where:word> <fault:word> [by <ms:time>] [of <value:number>] [at "
     "<host:word>] [on <match:word>] [<times:number> times]",
