--- a/claim/claim_core_fold.c
+++ b/claim/claim_core_fold.c
@@ -13,28 +13,25 @@
   uint64_t claim_id = item->wire.op.claim_id;
   struct claim_held held;
 
-  if (effect == CLAIM_EFFECT_HOLDS && item->out
-      && claim_fold_complete (&p->fold) && now_us < item->deadline_us)
+  /* An incomplete fold does not prove that the claim holds the key.  */
+  if (effect == CLAIM_EFFECT_HOLDS && !claim_fold_complete (&p->fold))
     {
-      item->out->event.out.claim_id = claim_id;
-      item->out->event.out.granted_us = now_us;
-      claim_core_conclude (p, item, CLAIM_GRANTED);
-      claim_core_remove (p, item);
+      claim_core_conclude (p, item, CLAIM_UNAVAILABLE);
+      claim_core_retire (p, item);
       return;
     }
   if (effect == CLAIM_EFFECT_HOLDS)
     {
-      claim_core_conclude (p, item,
-                           now_us < item->deadline_us ? CLAIM_UNAVAILABLE
-                                                      : CLAIM_TIMEOUT);
-      /* An incomplete fold does not prove that the claim holds the key.  */
-      if (claim_fold_complete (&p->fold))
+      /* Whether the deadline has passed is seen by claim_core_next.  */
+      if (item->out)
         {
-          claim_core_release_unused (p, now_us, key, claim_id);
-          claim_core_remove (p, item);
+          item->out->event.out.claim_id = claim_id;
+          item->out->event.out.granted_us = now_us;
+          claim_core_conclude (p, item, CLAIM_GRANTED);
         }
       else
-        claim_core_retire (p, item);
+        claim_core_release_unused (p, now_us, key, claim_id);
+      claim_core_remove (p, item);
       return;
     }
   if (effect == CLAIM_EFFECT_NO_ROOM)
--- a/claim/claim_fold.c
+++ b/claim/claim_fold.c
@@ -9,7 +9,8 @@
 #define LIFETIME_MAX_MS ((int64_t)1 << 40)
 #define TIME_MAX_MS (((int64_t)1 << 42) - 1)
 #define STATUS_MAX 999
-#define ENTRIES_MIN 256
+#define ENTRIES_MIN 16
+#define WRITERS_MIN 16
 #define WRITERS_MAX 1024
 #define NIL UINT32_MAX
 
@@ -60,6 +61,7 @@
 
   struct writer *writers;
   uint32_t writer_count;
+  uint32_t writer_cap;
 };
 
 static uint32_t *
@@ -196,7 +198,8 @@
 }
 
 /* Returns the slot for a writer that is new or was not heard of for a key
-   lifetime.  When all are in use, the one quiet for longest gives way.  */
+   lifetime.  When all are in use, the one quiet for longest gives way: a late
+   duplicate of its records may then count, and claim a key for nobody.  */
 static struct writer *
 new_writer (struct priv *p)
 {
@@ -208,6 +211,15 @@
       && (p->writer_count == WRITERS_MAX
           || oldest->last_ms + p->set.key_lifetime_ms <= p->now_ms))
     return oldest;
+  if (p->writer_count == p->writer_cap)
+    {
+      struct writer *more
+          = talloc_realloc (p, p->writers, struct writer, 2 * p->writer_cap);
+      if (!more)
+        return oldest;
+      p->writers = more;
+      p->writer_cap *= 2;
+    }
   return &p->writers[p->writer_count++];
 }
 
@@ -392,7 +404,8 @@
   if (!p)
     return ERR_NOMEM;
   p->set = *set;
-  p->writers = talloc_array (p, struct writer, WRITERS_MAX);
+  p->writer_cap = WRITERS_MIN;
+  p->writers = talloc_array (p, struct writer, WRITERS_MIN);
   if (!p->writers)
     {
       talloc_free (p);
