claim: do not go through all waiting requests for each new one

Cause: claim_request looked at the deadlines of everything that waits. Change: deadlines are gone through for each read, append and timer; a request only plans the next look.

--- a/claim/claim.c
+++ b/claim/claim.c
@@ -68,6 +68,7 @@
 
   struct tevent_immediate *drain;
   struct tevent_timer *wake;
+  int64_t wake_us;
   struct tevent_timer *retry;
   struct tevent_timer *resend;
 
@@ -381,27 +382,20 @@
   claim_core_want_time (&p->core, now);
 }
 
-/* Does what the state of the core asks for by now, and plans the next look. */
+/* Asks for an append when one is due by NOW, has the events told, and looks
+   again at NEXT or when an append becomes due.  */
 static void
-update (struct priv *p)
+plan (struct priv *p, int64_t now, int64_t next)
 {
-  int64_t now = clock_now_us (p->clk);
-  struct answer_call *call;
   bool urgent;
-  claim_core_expire (&p->core, now);
-  ask_time (p, now);
   int64_t due = claim_core_append_due (&p->core, &urgent);
   if (!p->append_queued && due <= now)
     p->append_queued = append_queue_add_late (
                            &p->aq, urgent ? APPEND_URGENT : APPEND_BOOKKEEPING,
                            p->stream, fill_batch, on_append, p)
                        == 0;
-  int64_t next = claim_core_next_deadline (&p->core);
   if (!p->append_queued && due < next)
     next = due;
-  DL_FOREACH (p->answers, call)
-    if (call->event.deadline_us < next)
-      next = call->event.deadline_us;
   if (claim_core_has_event (&p->core) || next <= now)
     {
       tevent_schedule_immediate (p->drain, p->ev, on_drain, p);
@@ -411,8 +405,29 @@
     delay = WAKE_MIN_US;
   if (delay > WAKE_MAX_US)
     delay = WAKE_MAX_US;
+  if (p->wake && p->wake_us <= now + delay)
+    return;
   TALLOC_FREE (p->wake);
   p->wake = tevent_add_timer (p->ev, p, in_us (delay), on_wake, p);
+  p->wake_us = now + delay;
+}
+
+/* Does what the state of the core asks for by now.  Goes through all that
+   waits, so that it runs for each read, append and timer and not for each
+   request.  */
+static void
+update (struct priv *p)
+{
+  int64_t now = clock_now_us (p->clk);
+  struct answer_call *call;
+  claim_core_expire (&p->core, now);
+  ask_time (p, now);
+  int64_t next = claim_core_next_deadline (&p->core);
+  DL_FOREACH (p->answers, call)
+    if (call->event.deadline_us < next)
+      next = call->event.deadline_us;
+  TALLOC_FREE (p->wake);
+  plan (p, now, next);
 }
 
 int
@@ -485,10 +500,11 @@
                int64_t deadline_us, claim_fn *fn, void *arg)
 {
   struct priv *p = cls->priv;
-  int err = claim_core_request (&p->core, clock_now_us (p->clk), key,
-                                body_digest, deadline_us, fn, arg);
+  int64_t now = clock_now_us (p->clk);
+  int err = claim_core_request (&p->core, now, key, body_digest, deadline_us,
+                                fn, arg);
   if (err == 0)
-    update (p);
+    plan (p, now, deadline_us);
   return err;
 }
 
@@ -497,10 +513,11 @@
             bool answered, uint32_t status, const uint8_t *body, size_t len)
 {
   struct priv *p = cls->priv;
-  int err = claim_core_done (&p->core, clock_now_us (p->clk), key, claim_id,
-                             answered, status, body, len);
+  int64_t now = clock_now_us (p->clk);
+  int err = claim_core_done (&p->core, now, key, claim_id, answered, status,
+                             body, len);
   if (err == 0)
-    update (p);
+    plan (p, now, INT64_MAX);
   return err;
 }
 
@@ -509,9 +526,10 @@
                int64_t deadline_us, claim_release_fn *fn, void *arg)
 {
   struct priv *p = cls->priv;
-  int err = claim_core_release (&p->core, clock_now_us (p->clk), key, claim_id,
-                                deadline_us, fn, arg);
+  int64_t now = clock_now_us (p->clk);
+  int err = claim_core_release (&p->core, now, key, claim_id, deadline_us, fn,
+                                arg);
   if (err == 0)
-    update (p);
+    plan (p, now, deadline_us);
   return err;
 }
