--- a/test/scenario/fleet.c
+++ b/test/scenario/fleet.c
@@ -169,14 +169,16 @@
 static void on_poll (struct tevent_context *ev, struct tevent_timer *te,
                      struct timeval now, void *arg);
 
+/* Runs an operator's command to its end, which must be a success.  */
 static void
-import_first_table (struct scenario *sc)
+run_table (struct scenario *sc, const char *command, const char *file)
 {
-  struct process *ps = fleet_import (sc, "table_import", sc->fleet->table);
+  struct process *ps
+      = sc->failure ? NULL : fleet_table (sc, command, command, file);
   if (ps && !scenario_run_until (sc, process_exited, ps, SCENARIO_WAIT_MS))
-    scenario_fail (sc, "the table import does not end");
+    scenario_fail (sc, "table %s does not end", command);
   else if (ps && ps->status != 0)
-    scenario_fail (sc, "the table import: %s (see %s)", process_status (ps),
+    scenario_fail (sc, "table %s: %s (see %s)", command, process_status (ps),
                    ps->log);
 }
 
@@ -211,9 +213,9 @@
                    ports, options (ft, FLEET_PLATFORM));
   await_stand_ins (sc, 2);
   create_relays (sc);
-  ft->table = talloc_asprintf (sc, "%s/fleet.csv", sc->source);
-  if (!sc->failure)
-    import_first_table (sc);
+  run_table (sc, "import", talloc_asprintf (sc, "%s/fleet.csv", sc->source));
+  ft->table = talloc_asprintf (sc, "%s/table.csv", sc->dir);
+  run_table (sc, "export", ft->table);
   on_poll (sc->ev, NULL, tevent_timeval_zero (), sc);
 }
 
@@ -224,11 +226,12 @@
 }
 
 struct process *
-fleet_import (struct scenario *sc, const char *name, const char *file)
+fleet_table (struct scenario *sc, const char *name, const char *command,
+             const char *file)
 {
   struct process *ps
       = start_program (sc, name, "KINGCUPHOLLOW", on_command_line, NULL,
-                       "table import %s --platform=%s --editor=%s", file,
+                       "table %s %s --platform=%s --editor=%s", command, file,
                        sc->fleet->operators, name);
   if (ps)
     ps->may_exit = true;
--- a/test/scenario/fleet.h
+++ b/test/scenario/fleet.h
@@ -34,7 +34,7 @@
   int dcs;
   struct entry entries[MAX_ENTRIES];
   int entry_count;
-  const char *table; /* path of the table at the start */
+  const char *table; /* exported at the start, with the rows' versions */
   struct process *target;
   char target_control[64];
   char platform_control[64];
@@ -60,9 +60,10 @@
    as in "4 stock hosts and 4 pallets hosts each".  */
 void fleet_start (struct scenario *sc, int dcs, const char *pools);
 
-/* An operator's command that puts the table FILE (CSV) in force.  */
-struct process *fleet_import (struct scenario *sc, const char *name,
-                              const char *file);
+/* An operator's command on the table: imports or exports FILE (CSV).  NAME is
+   the operator's.  */
+struct process *fleet_table (struct scenario *sc, const char *name,
+                             const char *command, const char *file);
 
 /* The next entry process after EN (NULL: the first) that WHO (an entry
    process, a data centre or "all") names; NULL after the last.  */
--- a/test/scenario/steps.c
+++ b/test/scenario/steps.c
@@ -214,7 +214,7 @@
       return;
     }
   ed->name = step_text (st, "name");
-  ed->ps = fleet_import (sc, ed->name, path);
+  ed->ps = fleet_table (sc, ed->name, "import", path);
   if (ed->ps)
     DL_APPEND (sc->edits, ed);
 }
