--- a/cli/table.c
+++ b/cli/table.c
@@ -117,7 +117,22 @@
   return deleted ? 0 : table_add (plan->after, row);
 }
 
-/* Checks the table as it would be, with the sizes of the pools.  */
+static bool
+plan_touches (const struct plan *plan, const char *pool)
+{
+  for (size_t n = 0; n < plan->count; n++)
+    {
+      const struct table_row *row = &plan->rows[n].row;
+      if (strcmp (row->sort == TABLE_POOL ? row->name : row->kind.pool, pool)
+          == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Checks the table as it would be, with the sizes of the pools that the plan
+   touches: another pool that is too small for its budget now must not keep
+   operators from editing the rest.  */
 static void
 plan_check (struct table_session *ses, struct plan *plan)
 {
@@ -132,7 +147,11 @@
                err_name (err));
       count = 0;
     }
-  table_check (plan->after, sizes, count, &plan->faults);
+  size_t kept = 0;
+  for (size_t n = 0; n < count; n++)
+    if (plan_touches (plan, sizes[n].pool))
+      sizes[kept++] = sizes[n];
+  table_check (plan->after, sizes, kept, &plan->faults);
 }
 
 static int
--- a/cli/table_session.c
+++ b/cli/table_session.c
@@ -58,7 +58,9 @@
   while (!ses->timed_out && !state_ready (&ses->st))
     if (tevent_loop_once (ses->ev) != 0)
       return ERR_SYSTEM;
-  talloc_free (timer);
+  /* tevent frees a timer that has run.  */
+  if (!ses->timed_out)
+    talloc_free (timer);
   return state_ready (&ses->st) ? 0 : ERR_TIMEOUT;
 }
 
--- a/state/state.c
+++ b/state/state.c
@@ -253,9 +253,13 @@
 start_read (struct priv *p)
 {
   uint64_t from = p->recovering ? p->scan_offset : p->fold.next_offset;
+  /* Without waiting up to the stream's end, so that a process is ready at
+     once also when the stream is empty.  */
+  bool wait = p->recovering ? p->reported_no_snapshot : p->caught_up;
   p->read_start_us = clock_now_us (p->clk);
-  int err = log_store_read (p->store, p->set.stream, from,
-                            p->set.max_read_bytes, p->set.wait_ms, on_read, p);
+  int err
+      = log_store_read (p->store, p->set.stream, from, p->set.max_read_bytes,
+                        wait ? p->set.wait_ms : 0, on_read, p);
   if (err)
     read_failed (p, err);
 }
