--- a/claim/claim.c
+++ b/claim/claim.c
@@ -218,14 +218,22 @@
 {
   struct priv *p = arg;
   struct claim_event event;
-  bool finished = false;
-  p->finished = &finished;
-  while (!finished && next_event (p, &event))
+  /* A callback may finish the claims, and P with them.  */
+  bool *finished = talloc_zero (NULL, bool);
+  if (!finished)
+    {
+      update (p);
+      return;
+    }
+  p->finished = finished;
+  while (!*finished && next_event (p, &event))
     tell (p, &event);
-  if (finished)
-    return;
-  p->finished = NULL;
-  update (p);
+  if (!*finished)
+    {
+      p->finished = NULL;
+      update (p);
+    }
+  talloc_free (finished);
 }
 
 /* Reading the log.  */
--- a/entry/control.c
+++ b/entry/control.c
@@ -70,6 +70,7 @@
     .last = ctl->view,
     .hosts = ctl->hosts,
     .table = fd->table,
+    .data_centre = ctl->set.data_centre,
     .assignment = find_assignment,
     .assignment_arg = fd,
     .folded_offset = fd->next_offset,
--- a/entry/request_flow.c
+++ b/entry/request_flow.c
@@ -256,12 +256,11 @@
     .idempotent = req->idempotent,
     .result = reply->result,
     .attempts = req->attempts,
+    .max_attempts = req->max_attempts,
     .deadline_us = req->item.deadline_us,
     .expected_us = REPLY_MARGIN_US,
   };
-  enum retry_verdict verdict = RETRY_NO_ATTEMPTS;
-  if (req->attempts < req->max_attempts)
-    verdict = retry_allow (&trf->bud, &query, now_us (trf));
+  enum retry_verdict verdict = retry_allow (&trf->bud, &query, now_us (trf));
   if (verdict == RETRY_YES)
     {
       counter_add (trf->ctr, CTR_RETRIES, 1);
--- a/entry/view_build.c
+++ b/entry/view_build.c
@@ -1,6 +1,7 @@
 #include "entry/view_build.h"
 
 #include <stdio.h>
+#include <string.h>
 #include <talloc.h>
 
 #include "base/err.h"
@@ -57,7 +58,8 @@
   if (!vw->targets)
     return ERR_NOMEM;
   for (size_t n = 0; n < hosts->count; n++)
-    if (hosts->hosts[n].state != HOST_DOWN)
+    if (hosts->hosts[n].state != HOST_DOWN
+        && strcmp (hosts->hosts[n].data_centre, in->data_centre) == 0)
       {
         int err = add_target (vw, in, &hosts->hosts[n]);
         if (err)
--- a/entry/view_build.h
+++ b/entry/view_build.h
@@ -12,6 +12,8 @@
   const struct view *last; /* may be NULL; its handles stay */
   const struct host_list *hosts;
   const struct table *table;
+  const char *data_centre; /* only its hosts are targets; work for others
+                              goes through their own entry processes */
   view_assignment_fn *assignment; /* may be NULL */
   const void *assignment_arg;
   uint64_t folded_offset;
--- a/route/retry.c
+++ b/route/retry.c
@@ -43,7 +43,8 @@
 {
   if (!query->idempotent && !attempt_certainly_not_run (query->result))
     return RETRY_NO_UNSAFE;
-  if (query->attempts >= bud->set.max_attempts)
+  if (query->attempts >= bud->set.max_attempts
+      || (query->max_attempts && query->attempts >= query->max_attempts))
     return RETRY_NO_ATTEMPTS;
   int64_t expected = query->expected_us > 0 ? query->expected_us : 0;
   if (now_us >= query->deadline_us || query->deadline_us - now_us < expected)
--- a/route/retry.h
+++ b/route/retry.h
@@ -41,6 +41,7 @@
   bool idempotent;
   enum attempt_result result; /* of the attempt that ended */
   uint32_t attempts;          /* made so far */
+  uint32_t max_attempts;      /* of this request; 0: as the settings say */
   int64_t deadline_us;        /* of the caller, monotonic */
   int64_t expected_us;        /* expected time of another attempt */
 };
--- a/test/load/route_faults.c
+++ b/test/load/route_faults.c
@@ -201,8 +201,10 @@
   struct request *req = ev->req;
   route_end (&run->rt, ev->target, ev->result, now - ev->begun_us,
              (int32_t)in_use, now);
-  struct retry_query query = { true, ev->result, req->attempts,
-                               req->arrival_us + DEADLINE_US, SERVICE_MAX_US };
+  struct retry_query query = {
+    true,          ev->result, req->attempts, 0, req->arrival_us + DEADLINE_US,
+    SERVICE_MAX_US
+  };
   run->answered[PHASE (req->arrival_us)] += ev->result == ATTEMPT_ANSWERED;
   if (retry_allow (&run->budget, &query, now) == RETRY_YES)
     try_request (run, req, true);
--- a/test/unit/unit_entry.c
+++ b/test/unit/unit_entry.c
@@ -337,9 +337,10 @@
 /* Guards against handles that change their meaning when a pool goes.  */
 START_TEST (test_view_handles_stay)
 {
-  struct host hosts[2]
-      = { { .name = "a", .initial_pool = "stock", .slots = 8 },
-          { .name = "b", .initial_pool = "lots", .slots = 8 } };
+  struct host hosts[2] = {
+    { .name = "a", .data_centre = "a", .initial_pool = "stock", .slots = 8 },
+    { .name = "b", .data_centre = "a", .initial_pool = "lots", .slots = 8 }
+  };
   struct host_list list = { .hosts = hosts, .count = 2 };
   struct table *tab = table_create (NULL);
   struct table_row row;
@@ -354,7 +355,7 @@
       row.kind.queue_deadline_ms = 100;
       ck_assert_int_eq (table_add (tab, &row), 0);
     }
-  struct view_input in = { .hosts = &list, .table = tab };
+  struct view_input in = { .hosts = &list, .table = tab, .data_centre = "a" };
   ck_assert_int_eq (view_build (&in, &first), 0);
   hosts[0].state = HOST_DOWN;
   taken = table_take (tab, TABLE_KIND, "lot_notice");
--- a/test/unit/unit_route.c
+++ b/test/unit/unit_route.c
@@ -619,7 +619,7 @@
 START_TEST (test_retry_all_fail)
 {
   struct retry_budget bud;
-  struct retry_query query = { true, ATTEMPT_CUT, 1, S, 0 };
+  struct retry_query query = { true, ATTEMPT_CUT, 1, 0, S, 0 };
   uint32_t allowed = 0;
   retry_budget_init (&bud, &retry_settings_default);
   for (uint32_t round = 0; round < 500; round++)
