claim: wait for a slow log, refuse at once when it fails

Cause: without a read for 3 s every claim was refused, so that a log that only is slow refused requests whose deadlines it could have met, and a log that refuses connections was noticed after 3 s only. Change: three failed reads in a row, or 10 s without one, end readiness. claims_idle tells a process that stops when its results stand in the log.

Rules broken in a scratch copy and what the test printed: claim.c on_read without claim_core_no_contact: test_outage: no progress for 8 s; claim_core_idle always true: test_repeated_key:1 to :5; claim_core_ready without the limit: test_contact.

--- a/claim/claim.c
+++ b/claim/claim.c
@@ -18,8 +18,10 @@
 
 #define READ_MAX_BYTES (1U << 20)
 #define READ_WAIT_MS 1000
-/* Long enough for two reads that wait, so that a quiet log is no outage.  */
-#define CONTACT_US 3000000
+/* A log that is slow and answers is waited for up to the caller's deadline;
+   one that fails several reads, or hangs for long, is away.  */
+#define CONTACT_US 10000000
+#define READ_FAILURES_MAX 3
 #define RETRY_US 100000  /* between reads that fail */
 #define RESEND_US 200000 /* until an unsettled record is replaced */
 #define ANSWER_READS_MAX 16
@@ -76,6 +78,7 @@
   struct answer_call *answers;
   uint32_t answer_count;
   bool contact; /* the last read succeeded */
+  uint32_t read_failures;
   uint64_t bad_offset;
   uint32_t bad_attempts;
 
@@ -280,6 +283,9 @@
     return;
   p->reading = NULL;
   p->contact = res->err == 0;
+  p->read_failures = p->contact ? 0 : p->read_failures + 1;
+  if (p->read_failures >= READ_FAILURES_MAX)
+    claim_core_no_contact (&p->core);
   bool again = true;
   if (res->err == ERR_EXPIRED)
     claim_core_gap (&p->core, res->first_offset);
@@ -495,6 +501,12 @@
   return claim_core_ready (&cls->priv->core, clock_now_us (cls->priv->clk));
 }
 
+bool
+claims_idle (const struct claims *cls)
+{
+  return claim_core_idle (&cls->priv->core);
+}
+
 int
 claim_request (struct claims *cls, struct claim_key key, uint64_t body_digest,
                int64_t deadline_us, claim_fn *fn, void *arg)
--- a/claim/claim.h
+++ b/claim/claim.h
@@ -89,6 +89,10 @@
 /* Whether the fold has caught up with the log lately: claims can be made.  */
 bool claims_ready (const struct claims *cls);
 
+/* Whether nothing waits to stand in the log or to be told.  A process that
+   stops waits for this, since claims_fini drops what waits.  */
+bool claims_idle (const struct claims *cls);
+
 /* FN runs once, never from inside this call, with a verdict at the latest at
    DEADLINE_US (monotonic), or half a key lifetime from now when that is
    sooner.  Returns 0 or ERR_FULL or ERR_NOMEM, and then FN does not run.  */
--- a/claim/claim_core.h
+++ b/claim/claim_core.h
@@ -106,6 +106,9 @@
 void claim_core_read_done (struct claim_core *core, int64_t now_us,
                            uint64_t next_offset);
 
+/* The log cannot be read: not ready until the next read that succeeds.  */
+void claim_core_no_contact (struct claim_core *core);
+
 /* Records before FIRST_OFFSET were not read and are gone.  */
 void claim_core_gap (struct claim_core *core, uint64_t first_offset);
 
@@ -117,5 +120,6 @@
 int64_t claim_core_next_deadline (const struct claim_core *core);
 
 bool claim_core_ready (const struct claim_core *core, int64_t now_us);
+bool claim_core_idle (const struct claim_core *core);
 bool claim_core_complete (const struct claim_core *core);
 uint64_t claim_core_offset (const struct claim_core *core);
--- a/claim/claim_core_fold.c
+++ b/claim/claim_core_fold.c
@@ -135,6 +135,12 @@
   p->contact_at_us = now_us;
 }
 
+void
+claim_core_no_contact (struct claim_core *core)
+{
+  core->priv->contact = false;
+}
+
 void
 claim_core_gap (struct claim_core *core, uint64_t first_offset)
 {
@@ -192,6 +198,16 @@
   return next;
 }
 
+bool
+claim_core_idle (const struct claim_core *core)
+{
+  const struct priv *p = core->priv;
+  for (int n = 0; n < LISTS; n++)
+    if (p->lists[n] && n != LIST_DEAD)
+      return false;
+  return p->outs == NULL;
+}
+
 bool
 claim_core_complete (const struct claim_core *core)
 {
--- a/test/unit/unit_claim.c
+++ b/test/unit/unit_claim.c
@@ -222,7 +222,8 @@
   { true, true, "lot 7", 6, CLAIM_KEY_REUSED, CLAIM_KNOWN_NOTHING, NULL },
 };
 
-/* Guards against a repeated key that runs again, gets another answer than the
+/* Guards against a process that stops while its results wait, and against a
+   repeated key that runs again, gets another answer than the
    recorded one, or passes with another body.  */
 START_TEST (test_repeated_key)
 {
@@ -236,7 +237,9 @@
                                     repeats[_i].answered, 201,
                                     (const uint8_t *)body, strlen (body)),
                         0);
-      WAIT_FOR (mem.next == 2);
+      ck_assert (!claims_idle (&one));
+      WAIT_FOR (claims_idle (&one));
+      ck_assert_uint_eq (mem.next, 2);
     }
   struct claims *procs[] = { &one, &two };
   for (int n = 0; n < 2; n++)
@@ -326,7 +329,7 @@
   mem.down = true;
   ck_assert_int_eq (
       claim_request (&one, key_of ("k"), 5, FAR_US, on_verdict, &told), 0);
-  clk.now_us += 100000000;
+  /* The clock stands still, so that only the failing reads can tell.  */
   WAIT_FOR (told.count == 2);
   ck_assert_int_eq (told.out.verdict, CLAIM_UNAVAILABLE);
   ck_assert (!claims_ready (&one));
--- a/test/unit/unit_claim_model.c
+++ b/test/unit/unit_claim_model.c
@@ -629,6 +629,21 @@
 }
 END_TEST
 
+/* Guards against a process that stays ready while the log hangs.  */
+START_TEST (test_contact)
+{
+  struct world w;
+  world_start (&w, 1, 0);
+  struct claim_core *core = &w.procs[0].core;
+  core->priv->contact_limit_us = 100;
+  ck_assert (claim_core_ready (core, 100));
+  ck_assert (!claim_core_ready (core, 101));
+  claim_core_read_done (core, 101, 0);
+  ck_assert (claim_core_ready (core, 101));
+  world_end (&w);
+}
+END_TEST
+
 int
 main (int argc, char **argv)
 {
@@ -646,6 +661,7 @@
   tcase_set_timeout (tc, 3600);
   tcase_add_loop_test (tc, test_every_order, 0, rows);
   tcase_add_test (tc, test_gap_before_grant);
+  tcase_add_test (tc, test_contact);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
