state: look for a second copy before the age of a record

The window case with the first copy later than what the record is based on shows it: with the old order snapshot_load returns ERR_PROTOCOL.

Copies are recognized first. unit_fold: 39 checks pass; 2 of the new window cases failed before the change.

--- a/state/fold.c
+++ b/state/fold.c
@@ -222,12 +222,13 @@
           struct fold_result *res)
 {
   enum fold_outcome first;
+  /* First, so that no id is kept twice.  */
+  if (fold_seen (fd, &res->id, &first, &res->first_offset))
+    return FOLD_DUPLICATE;
   if (based_on > offset)
     return FOLD_INVALID;
   if (offset - based_on >= FOLD_ID_WINDOW)
     return FOLD_STALE;
-  if (fold_seen (fd, &res->id, &first, &res->first_offset))
-    return FOLD_DUPLICATE;
   return FOLD_NONE;
 }
 
