--- a/peer/conn.c
+++ b/peer/conn.c
@@ -82,6 +82,7 @@
           return;
         }
       done += n;
+      counter_add (con->shr->ctr, CTR_PEER_WRITES, 1);
     }
   if (done > 0)
     {
