entry: requests that waited in sockets during a pause count from its start

Cause: the scenario frozen_entry found requests that began after their caller's deadline: a process that was stopped for 6 s read them from its sockets on waking and counted their deadline from then. graceful_stop and replace_all_entries found a message posted to the traffic thread after it was freed, when the peers are finished (address sanitizer, exit 1). Ruled out: the queue deadlines, which held. Conclusion: a paused process runs nothing for a caller who gave up.

--- a/entry/control.c
+++ b/entry/control.c
@@ -15,6 +15,14 @@
 #include "entry/view_build.h"
 #include "store/log_store.h"
 
+/* A process that starts with nothing reads at most about this many records
+   after the last snapshot.  */
+#define SNAPSHOT_RECORDS 4096
+/* Well below the time that the log keeps records, which is days.  */
+#define SNAPSHOT_AGE_US (3600 * (int64_t)1000000)
+#define SNAPSHOT_SPREAD_US 10000000
+#define SNAPSHOT_TIMEOUT_MS 30000
+
 static void poll_hosts (struct control *ctl);
 
 void
@@ -100,10 +108,47 @@
   rebuild_view (ctl);
 }
 
+static void
+on_snapshot (void *arg, int err)
+{
+  struct control *ctl = arg;
+  ctl->snapshot_open = false;
+}
+
+/* Every process may write the snapshot; the delay, drawn anew each time,
+   makes it likely that one does before the others come to it.  A second
+   snapshot does no harm.  */
+static void
+consider_snapshot (struct control *ctl)
+{
+  int64_t now = clock_now_us (ctl->clk);
+  uint64_t records = state_records_since_snapshot (&ctl->state);
+  bool due = records >= SNAPSHOT_RECORDS
+             || (records > 0 && now - ctl->snapshot_us >= SNAPSHOT_AGE_US);
+  if (records == 0)
+    ctl->snapshot_us = now;
+  if (!due || ctl->snapshot_open || !state_ready (&ctl->state))
+    {
+      ctl->snapshot_at_us = 0;
+      return;
+    }
+  if (ctl->snapshot_at_us == 0)
+    ctl->snapshot_at_us
+        = now + (int64_t)(erand48 (ctl->random) * SNAPSHOT_SPREAD_US);
+  if (now < ctl->snapshot_at_us)
+    return;
+  ctl->snapshot_at_us = 0;
+  ctl->snapshot_us = now;
+  ctl->snapshot_open
+      = state_snapshot (&ctl->state, SNAPSHOT_TIMEOUT_MS, on_snapshot, ctl)
+        == 0;
+}
+
 static void
 on_hosts_timer (struct tevent_context *ev, struct tevent_timer *te,
                 struct timeval tv, void *arg)
 {
+  consider_snapshot (arg);
   poll_hosts (arg);
 }
 
@@ -232,6 +277,8 @@
   ctl->clk = clk;
   ctl->lg = lg;
   ctl->ctr = ctr;
+  ctl->snapshot_us = clock_now_us (clk);
+  memcpy (ctl->random, &set->seed, sizeof ctl->random);
   int err = mailbox_init (&ctl->inbox, ev, on_mail, ctl);
   if (!err)
     err = control_peers_start (ctl);
@@ -283,6 +330,12 @@
   post_view (ctl);
 }
 
+void
+control_detach (struct control *ctl)
+{
+  ctl->traffic = NULL;
+}
+
 static void
 post_plain (struct control *ctl, enum mail_type type)
 {
@@ -310,3 +363,9 @@
 {
   return ctl->traffic_idle;
 }
+
+bool
+control_idle (const struct control *ctl)
+{
+  return claims_idle (&ctl->claims);
+}
--- a/entry/control.h
+++ b/entry/control.h
@@ -49,9 +49,16 @@
 /* Gives TRF views and verdicts from now on.  */
 void control_attach (struct control *ctl, struct traffic *trf);
 
+/* TRF is about to be freed: nothing is posted to it any more.  */
+void control_detach (struct control *ctl);
+
 /* Asks the traffic thread to drain, or to stop at once.  */
 void control_drain (struct control *ctl);
 void control_stop_now (struct control *ctl);
 
 /* Whether the traffic thread has ended its loop.  */
 bool control_traffic_idle (const struct control *ctl);
+
+/* Whether every claim's result and release stands in the log or was given
+   up.  */
+bool control_idle (const struct control *ctl);
--- a/entry/control_priv.h
+++ b/entry/control_priv.h
@@ -25,6 +25,11 @@
   struct host_list *hosts;
   struct view *view;
   struct tevent_timer *hosts_timer;
+  int64_t snapshot_us;    /* of the last snapshot, or of the first record
+                             after it */
+  int64_t snapshot_at_us; /* when this process writes the next; 0: not due */
+  bool snapshot_open;
+  unsigned short random[3];
   bool hosts_stale;
   bool table_known; /* folded to the end of the log once */
   uint16_t peer_port;
--- a/entry/request_flow.c
+++ b/entry/request_flow.c
@@ -21,6 +21,10 @@
 #define RELEASE_TIMEOUT_US 2000000
 /* Left for the answer's way back to the caller within its deadline.  */
 #define REPLY_MARGIN_US 2000
+/* A thread that did not run for this long was paused; it runs every 20 ms. */
+#define PAUSE_US 300000
+/* Time in which the requests that waited in sockets are read afterwards.  */
+#define PAUSE_BACKLOG_US 500000
 /* Told to a caller when nothing is known about when capacity comes back.  */
 #define RETRY_AFTER_DEFAULT_US 1000000
 
@@ -473,13 +477,39 @@
   return REASON_NONE;
 }
 
+void
+flow_note_alive (struct traffic *trf)
+{
+  int64_t now = now_us (trf);
+  if (now - trf->alive_us > PAUSE_US)
+    {
+      trf->pause_start_us = trf->alive_us;
+      trf->pause_end_us = now;
+      log_event (trf->lg, EV_TRAFFIC_PAUSED,
+                 LOG_I ("pause_us", now - trf->alive_us));
+    }
+  trf->alive_us = now;
+}
+
+/* Requests read right after a pause may have waited in the socket since it
+   began, and their callers may have given up.  */
+static int64_t
+arrival_time (struct traffic *trf)
+{
+  flow_note_alive (trf);
+  if (trf->pause_end_us != 0
+      && trf->alive_us - trf->pause_end_us < PAUSE_BACKLOG_US)
+    return trf->pause_start_us;
+  return trf->alive_us;
+}
+
 void
 flow_submit (struct traffic *trf, struct request *req)
 {
   struct admit_refusal ref = { 0 };
 
   req->traffic = trf;
-  req->arrival_us = now_us (trf);
+  req->arrival_us = arrival_time (trf);
   DL_APPEND (trf->open, req);
   trf->open_count++;
   counter_add (trf->ctr, CTR_REQUESTS, 1);
@@ -497,7 +527,7 @@
   req->query.pool = req->pool;
   req->query.data_centre = trf->set.data_centre;
 
-  switch (admit_offer (&trf->adm, &req->item, req->arrival_us, &ref))
+  switch (admit_offer (&trf->adm, &req->item, now_us (trf), &ref))
     {
     case ADMIT_START:
       start_request (trf, req);
--- a/entry/serve.c
+++ b/entry/serve.c
@@ -22,6 +22,8 @@
 
 #define IDLE_TIMEOUT_S 30
 #define MAX_CONNECTIONS 8192
+/* Longest wait at a stop for the log to take what is left.  */
+#define LOG_WAIT_S 3
 #define SECRET_MAX_BYTES 1024
 #define SECRET_MIN_BYTES 16
 
@@ -197,6 +199,28 @@
   fflush (stdout);
 }
 
+static void
+on_log_deadline (struct tevent_context *ev, struct tevent_timer *te,
+                 struct timeval tv, void *arg)
+{
+  bool *over = arg;
+  *over = true;
+}
+
+/* Results of claimed requests that are not in the log yet would be forgotten,
+   and their keys answered "unknown" from then on.  */
+static void
+wait_for_log (struct serve *srv)
+{
+  bool over = false;
+  if (!tevent_add_timer (srv->ev, srv->ev,
+                         tevent_timeval_current_ofs (LOG_WAIT_S, 0),
+                         on_log_deadline, &over))
+    return;
+  while (!over && !control_idle (srv->ctl) && tevent_loop_once (srv->ev) == 0)
+    ;
+}
+
 int
 serve_run (void *parent, const struct serve_settings *set)
 {
@@ -217,12 +241,16 @@
   announce (srv);
   while (!control_traffic_idle (srv->ctl) && tevent_loop_once (srv->ev) == 0)
     ;
+  wait_for_log (srv);
   log_event (srv->lg, EV_SERVE_STOPPED, LOG_S ("entry", set->name),
              LOG_S ("mode", srv->stopping ? "at once" : "graceful"));
 
 done:
   if (srv->trf)
-    traffic_join (srv->trf);
+    {
+      control_detach (srv->ctl);
+      traffic_join (srv->trf);
+    }
   /* Calls in progress name memory of the control part.  */
   if (srv->store.st.drv)
     log_store_fini (&srv->store.st);
--- a/entry/traffic.c
+++ b/entry/traffic.c
@@ -108,6 +108,7 @@
             struct timeval tv, void *arg)
 {
   struct traffic *trf = arg;
+  flow_note_alive (trf);
   refresh_slots (trf);
   report_load (trf);
   flow_probe (trf);
@@ -330,6 +331,7 @@
   trf->ctr = ctr;
   trf->control = control;
   trf->entries = 1;
+  trf->alive_us = clock_now_us (clk);
   trf->ev = tevent_context_init (NULL);
   int err = trf->ev ? traffic_init (trf) : ERR_NOMEM;
   if (err)
--- a/entry/traffic_priv.h
+++ b/entry/traffic_priv.h
@@ -41,6 +41,9 @@
   uint32_t remote_next;
   bool pumping; /* inside flow_pump */
   bool pump_again;
+  int64_t alive_us;       /* last time that this thread is known to have run */
+  int64_t pause_start_us; /* of the last time that it did not run */
+  int64_t pause_end_us;
   bool draining;
   bool refusing; /* draining, and the leave time is over */
   bool stopped;
@@ -48,6 +51,9 @@
 
 /* request_flow.c: the way of one request.  */
 
+/* Notes that the thread runs, and whether it did not for some time.  */
+void flow_note_alive (struct traffic *trf);
+
 void flow_submit (struct traffic *trf, struct request *req);
 void flow_verdict (struct traffic *trf, const struct mail_verdict *mail);
 void flow_released (struct traffic *trf, const struct mail_released *mail);
