wave: fold and records of the waves stream

Everything agreed about a maintenance wave stands in the stream waves: creation, operator changes, planner leases with a fence and host steps by generation. A host leaves service only by a record that names its pool's generation, so that planners of several data centres cannot exceed a pool's budget together.

--- /dev/null
+++ b/wave/wave_codec.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "wave/wave_fold.h"
+
+/* Records of the waves stream: wave_record in the envelope of store/record.h.
+   The sequence makes the record's id unique; the fold does not need it.  */
+
+/* Encodes REC into *DATA, owned by PARENT.  Returns 0, ERR_INVALID,
+   ERR_TOO_LARGE or ERR_NOMEM.  */
+int wave_record_encode (void *parent, const struct wave_record *rec,
+                        uint64_t sequence, uint8_t **data, size_t *len);
+
+/* Decodes into *REC, which *HOLDER, a talloc child of PARENT, keeps valid.
+   Returns 0, ERR_PROTOCOL, ERR_CONFLICT (a format or a value that this program
+   does not know), ERR_CHECKSUM or ERR_NOMEM; *HOLDER is NULL then.  */
+int wave_record_decode (void *parent, const uint8_t *data, size_t len,
+                        struct wave_record *rec, void **holder);
--- /dev/null
+++ b/wave/wave_fold.c
@@ -0,0 +1,584 @@
+#include "wave/wave_fold.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/err.h"
+
+static const char *const step_names[WAVE_STEPS]
+    = { "waiting", "draining", "rebooting", "checking", "back", "failed" };
+static const char *const reason_names[WAVE_REASONS]
+    = { "",          "no_return",    "not_healthy",  "refused",
+        "host_down", "host_unknown", "several_lost", "rack_lost",
+        "cancelled" };
+static const char *const effect_names[WAVE_EFFECTS]
+    = { "done", "void",  "invalid", "exists", "overlap",
+        "full", "stale", "fenced",  "held" };
+
+const char *
+wave_step_name (enum wave_step step)
+{
+  return step_names[step];
+}
+
+const char *
+wave_reason_name (enum wave_reason reason)
+{
+  return reason_names[reason];
+}
+
+const char *
+wave_effect_name (enum wave_effect effect)
+{
+  return effect_names[effect];
+}
+
+bool
+wave_name_valid (const char *name)
+{
+  static const char allowed[] = "abcdefghijklmnopqrstuvwxyz"
+                                "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-.";
+  size_t len = strlen (name);
+  return len > 0 && len < WAVE_NAME_SIZE && strspn (name, allowed) == len;
+}
+
+static bool
+text_valid (const char *text)
+{
+  size_t len = strlen (text);
+  if (len == 0 || len >= WAVE_NAME_SIZE)
+    return false;
+  for (const char *p = text; *p; p++)
+    if (*p < ' ' || *p > '~')
+      return false;
+  return true;
+}
+
+/* The text fits; see the checks above.  */
+static void
+copy_name (char dst[WAVE_NAME_SIZE], const char *src)
+{
+  memcpy (dst, src, strlen (src) + 1);
+}
+
+int
+wave_fold_init (struct wave_fold *fd, void *parent)
+{
+  memset (fd, 0, sizeof *fd);
+  fd->owner = talloc_new (parent);
+  fd->waves = talloc_zero_array (fd->owner, struct wave *, WAVE_WAVES_MAX);
+  fd->pools
+      = talloc_zero_array (fd->owner, struct wave_pool_mark, WAVE_POOLS_MAX);
+  if (!fd->waves || !fd->pools)
+    {
+      TALLOC_FREE (fd->owner);
+      return ERR_NOMEM;
+    }
+  fd->complete = true;
+  return 0;
+}
+
+void
+wave_fold_fini (struct wave_fold *fd)
+{
+  TALLOC_FREE (fd->owner);
+}
+
+void
+wave_fold_reset (struct wave_fold *fd, uint64_t from, bool lost)
+{
+  for (uint32_t n = 0; n < fd->count; n++)
+    TALLOC_FREE (fd->waves[n]);
+  memset (fd->leases, 0, sizeof fd->leases);
+  fd->count = 0;
+  fd->lease_count = 0;
+  fd->host_total = 0;
+  fd->pool_count = 0;
+  fd->evicted_generation = 0;
+  fd->now_ms = 0;
+  fd->next_offset = from;
+  fd->complete = !lost;
+  fd->changes++;
+}
+
+struct wave *
+wave_find (const struct wave_fold *fd, const char *id)
+{
+  for (uint32_t n = 0; n < fd->count; n++)
+    if (strcmp (fd->waves[n]->id, id) == 0)
+      return fd->waves[n];
+  return NULL;
+}
+
+static int
+compare_name (const void *key, const void *host)
+{
+  return strcmp (key, ((const struct wave_host *)host)->name);
+}
+
+static int
+compare_hosts (const void *a, const void *b)
+{
+  return strcmp (((const struct wave_host *)a)->name,
+                 ((const struct wave_host *)b)->name);
+}
+
+struct wave_host *
+wave_find_host (const struct wave *wv, const char *host)
+{
+  return bsearch (host, wv->hosts, wv->count, sizeof *wv->hosts, compare_name);
+}
+
+const struct wave_lease *
+wave_find_lease (const struct wave_fold *fd, const char *data_centre)
+{
+  for (uint32_t n = 0; n < fd->lease_count; n++)
+    if (strcmp (fd->leases[n].data_centre, data_centre) == 0)
+      return &fd->leases[n];
+  return NULL;
+}
+
+static struct wave_pool_mark *
+pool_entry (const struct wave_fold *fd, const char *pool)
+{
+  for (uint32_t n = 0; n < fd->pool_count; n++)
+    if (strcmp (fd->pools[n].name, pool) == 0)
+      return &fd->pools[n];
+  return NULL;
+}
+
+struct wave_pool_mark
+wave_find_pool (const struct wave_fold *fd, const char *pool)
+{
+  const struct wave_pool_mark *mark = pool_entry (fd, pool);
+  if (mark)
+    return *mark;
+  return (struct wave_pool_mark){ .generation = fd->evicted_generation };
+}
+
+/* The entry of POOL, in the place of the one that lay still longest when
+   there is no room.  Pools without an entry share the highest generation that
+   was evicted, so that none of them seems older than it is.  */
+static struct wave_pool_mark *
+pool_entry_make (struct wave_fold *fd, const char *pool)
+{
+  struct wave_pool_mark *mark = pool_entry (fd, pool);
+  if (mark)
+    return mark;
+  mark = &fd->pools[0];
+  if (fd->pool_count < WAVE_POOLS_MAX)
+    mark = &fd->pools[fd->pool_count++];
+  else
+    {
+      for (uint32_t n = 1; n < fd->pool_count; n++)
+        if (fd->pools[n].generation < mark->generation)
+          mark = &fd->pools[n];
+      if (mark->generation > fd->evicted_generation)
+        fd->evicted_generation = mark->generation;
+    }
+  memset (mark, 0, sizeof *mark);
+  copy_name (mark->name, pool);
+  mark->generation = fd->evicted_generation;
+  return mark;
+}
+
+uint32_t
+wave_under_way (const struct wave *wv)
+{
+  return wv->steps[WAVE_DRAINING] + wv->steps[WAVE_REBOOTING]
+         + wv->steps[WAVE_CHECKING];
+}
+
+bool
+wave_expired (const struct wave_fold *fd, const struct wave *wv)
+{
+  return wv->deadline_ms != 0 && fd->now_ms >= wv->deadline_ms;
+}
+
+bool
+wave_open (const struct wave_fold *fd, const struct wave *wv)
+{
+  if (wave_under_way (wv) > 0)
+    return true;
+  return wv->steps[WAVE_WAITING] > 0 && wv->state != WAVE_CANCELLED
+         && !wave_expired (fd, wv);
+}
+
+const char *
+wave_state_name (const struct wave_fold *fd, const struct wave *wv)
+{
+  if (wv->state == WAVE_CANCELLED)
+    return "cancelled";
+  if (wv->state == WAVE_HALTED)
+    return "halted";
+  if (wave_under_way (wv) == 0 && wv->steps[WAVE_WAITING] == 0)
+    return "done";
+  if (wave_expired (fd, wv))
+    return "expired";
+  return wv->state == WAVE_PAUSED ? "paused" : "running";
+}
+
+/* Whether HOST takes part in an open wave other than EXCEPT.  */
+static bool
+host_taken (const struct wave_fold *fd, const char *host,
+            const struct wave *except)
+{
+  for (uint32_t n = 0; n < fd->count; n++)
+    {
+      const struct wave *wv = fd->waves[n];
+      if (wv == except || !wave_open (fd, wv))
+        continue;
+      const struct wave_host *wh = wave_find_host (wv, host);
+      if (wh && wh->step != WAVE_BACK && wh->step != WAVE_FAILED)
+        return true;
+    }
+  return false;
+}
+
+static void
+drop_wave (struct wave_fold *fd, uint32_t n)
+{
+  fd->host_total -= fd->waves[n]->count;
+  talloc_free (fd->waves[n]);
+  fd->count--;
+  memmove (&fd->waves[n], &fd->waves[n + 1],
+           (fd->count - n) * sizeof *fd->waves);
+}
+
+/* Drops ended waves, oldest first, until COUNT hosts more fit.  */
+static bool
+make_room (struct wave_fold *fd, size_t count, uint64_t offset)
+{
+  for (uint32_t n = 0; n < fd->count
+                       && (fd->count >= WAVE_WAVES_MAX
+                           || fd->host_total + count > WAVE_HOSTS_TOTAL);)
+    {
+      const struct wave *wv = fd->waves[n];
+      if (!wave_open (fd, wv) && offset - wv->offset > WAVE_CREATE_WINDOW)
+        drop_wave (fd, n);
+      else
+        n++;
+    }
+  return fd->count < WAVE_WAVES_MAX
+         && fd->host_total + count <= WAVE_HOSTS_TOTAL;
+}
+
+/* Index of the data centre, which gets an entry; -1: too many.  */
+static int
+centre_index (struct wave_fold *fd, const char *data_centre)
+{
+  const struct wave_lease *ls = wave_find_lease (fd, data_centre);
+  if (ls)
+    return (int)(ls - fd->leases);
+  if (fd->lease_count == WAVE_CENTRES_MAX)
+    return -1;
+  copy_name (fd->leases[fd->lease_count].data_centre, data_centre);
+  return (int)fd->lease_count++;
+}
+
+static enum wave_effect
+check_create (const struct wave_fold *fd, uint64_t offset,
+              const struct wave_record *rec)
+{
+  if (!wave_name_valid (rec->id) || !text_valid (rec->editor)
+      || rec->deadline_ms < 0 || rec->host_count == 0
+      || rec->host_count > WAVE_HOSTS_MAX || rec->base > offset)
+    return WAVE_EFFECT_INVALID;
+  for (size_t n = 0; n < rec->host_count; n++)
+    if (!wave_name_valid (rec->hosts[n].name)
+        || !wave_name_valid (rec->hosts[n].data_centre))
+      return WAVE_EFFECT_INVALID;
+  if (wave_find (fd, rec->id))
+    return WAVE_EFFECT_EXISTS;
+  if (offset - rec->base > WAVE_CREATE_WINDOW)
+    return WAVE_EFFECT_STALE;
+  for (size_t n = 0; n < rec->host_count; n++)
+    if (host_taken (fd, rec->hosts[n].name, NULL))
+      return WAVE_EFFECT_OVERLAP;
+  return WAVE_EFFECT_DONE;
+}
+
+static enum wave_effect
+fill_hosts (struct wave_fold *fd, struct wave *wv,
+            const struct wave_record *rec)
+{
+  for (size_t n = 0; n < rec->host_count; n++)
+    {
+      struct wave_host *wh = &wv->hosts[n];
+      int centre = centre_index (fd, rec->hosts[n].data_centre);
+      if (centre < 0)
+        return WAVE_EFFECT_FULL;
+      copy_name (wh->name, rec->hosts[n].name);
+      wh->centre = (uint8_t)centre;
+      wh->generation = 1;
+      wh->since_ms = fd->now_ms;
+    }
+  qsort (wv->hosts, rec->host_count, sizeof *wv->hosts, compare_hosts);
+  for (size_t n = 1; n < rec->host_count; n++)
+    if (compare_hosts (&wv->hosts[n - 1], &wv->hosts[n]) == 0)
+      return WAVE_EFFECT_INVALID;
+  return WAVE_EFFECT_DONE;
+}
+
+static int
+fold_create (struct wave_fold *fd, uint64_t offset,
+             const struct wave_record *rec, enum wave_effect *effect)
+{
+  *effect = check_create (fd, offset, rec);
+  if (*effect != WAVE_EFFECT_DONE)
+    return 0;
+  struct wave *wv = talloc_zero (fd->owner, struct wave);
+  if (wv)
+    wv->hosts = talloc_zero_array (wv, struct wave_host, rec->host_count);
+  if (!wv || !wv->hosts)
+    {
+      talloc_free (wv);
+      return ERR_NOMEM;
+    }
+  *effect = make_room (fd, rec->host_count, offset) ? fill_hosts (fd, wv, rec)
+                                                    : WAVE_EFFECT_FULL;
+  if (*effect != WAVE_EFFECT_DONE)
+    {
+      talloc_free (wv);
+      return 0;
+    }
+  copy_name (wv->id, rec->id);
+  copy_name (wv->editor, rec->editor);
+  wv->offset = offset;
+  wv->created_ms = fd->now_ms;
+  wv->changed_ms = fd->now_ms;
+  wv->deadline_ms = rec->deadline_ms;
+  wv->most_out = rec->most_out;
+  wv->generation = 1;
+  wv->count = (uint32_t)rec->host_count;
+  wv->steps[WAVE_WAITING] = wv->count;
+  fd->host_total += wv->count;
+  fd->waves[fd->count++] = wv;
+  return 0;
+}
+
+static void
+set_step (struct wave_fold *fd, struct wave *wv, struct wave_host *wh,
+          enum wave_step step, enum wave_reason reason)
+{
+  wv->steps[wh->step]--;
+  wv->steps[step]++;
+  wv->changed_ms = fd->now_ms;
+  wh->step = step;
+  wh->reason = reason;
+  wh->generation++;
+  wh->since_ms = fd->now_ms;
+  wh->acknowledged = false;
+  if (step == WAVE_DRAINING)
+    wh->attempt = wh->generation;
+  if (step == WAVE_REBOOTING)
+    wh->rebooted = true;
+}
+
+/* Failed hosts no longer count towards a halt; with RETRY they go on where
+   that needs no second reboot.  */
+static void
+resume_hosts (struct wave_fold *fd, struct wave *wv, bool retry)
+{
+  for (uint32_t n = 0; n < wv->count; n++)
+    {
+      struct wave_host *wh = &wv->hosts[n];
+      if (wh->step != WAVE_FAILED)
+        continue;
+      if (retry && !host_taken (fd, wh->name, wv))
+        set_step (fd, wv, wh, wh->rebooted ? WAVE_CHECKING : WAVE_WAITING,
+                  WAVE_REASON_NONE);
+      else
+        wh->acknowledged = true;
+    }
+}
+
+static enum wave_effect
+fold_change (struct wave_fold *fd, const struct wave_record *rec)
+{
+  struct wave *wv = wave_find (fd, rec->id);
+  if (!text_valid (rec->editor))
+    return WAVE_EFFECT_INVALID;
+  if (!wv || wv->generation != rec->generation || wv->state == WAVE_CANCELLED)
+    return WAVE_EFFECT_VOID;
+  switch (rec->type)
+    {
+    case WAVE_RECORD_PAUSE:
+      if (wv->state == WAVE_RUNNING)
+        wv->state = WAVE_PAUSED;
+      break;
+    case WAVE_RECORD_CANCEL:
+      wv->state = WAVE_CANCELLED;
+      break;
+    default:
+      wv->state = WAVE_RUNNING;
+      wv->reason = WAVE_REASON_NONE;
+      resume_hosts (fd, wv, rec->retry);
+      break;
+    }
+  wv->generation++;
+  wv->changed_ms = fd->now_ms;
+  copy_name (wv->editor, rec->editor);
+  return WAVE_EFFECT_DONE;
+}
+
+static enum wave_effect
+fold_lease (struct wave_fold *fd, uint64_t offset,
+            const struct wave_record *rec)
+{
+  if (!wave_name_valid (rec->data_centre) || !text_valid (rec->writer)
+      || rec->duration_ms > WAVE_LEASE_MAX_MS
+      || (rec->duration_ms < WAVE_LEASE_MIN_MS && rec->duration_ms != 0))
+    return WAVE_EFFECT_INVALID;
+  int centre = centre_index (fd, rec->data_centre);
+  if (centre < 0)
+    return WAVE_EFFECT_FULL;
+  struct wave_lease *ls = &fd->leases[centre];
+  bool live = ls->granted && fd->now_ms < ls->expires_ms;
+  bool same = ls->granted && ls->incarnation == rec->incarnation
+              && strcmp (ls->holder, rec->writer) == 0;
+  if (live && !same)
+    return WAVE_EFFECT_HELD;
+  if (!live && rec->duration_ms == 0)
+    return WAVE_EFFECT_VOID;
+  if (!live)
+    {
+      copy_name (ls->holder, rec->writer);
+      ls->incarnation = rec->incarnation;
+      ls->fence = offset;
+      ls->granted = true;
+    }
+  ls->expires_ms = fd->now_ms + rec->duration_ms;
+  return WAVE_EFFECT_DONE;
+}
+
+static bool
+step_allowed (const struct wave *wv, const struct wave_host *wh,
+              enum wave_step step)
+{
+  bool cancelled = wv->state == WAVE_CANCELLED;
+  switch (step)
+    {
+    case WAVE_DRAINING:
+      return wh->step == WAVE_WAITING && wv->state == WAVE_RUNNING;
+    case WAVE_REBOOTING:
+      return wh->step == WAVE_DRAINING && !wh->rebooted && !cancelled;
+    case WAVE_CHECKING:
+      return wh->step == WAVE_REBOOTING
+             || (wh->step == WAVE_DRAINING && cancelled);
+    case WAVE_BACK:
+      return wh->step == WAVE_CHECKING;
+    case WAVE_FAILED:
+      return wh->step != WAVE_BACK && wh->step != WAVE_FAILED;
+    default:
+      return false;
+    }
+}
+
+/* Items of one record see the pools as they were before it.  */
+static bool
+fold_step (struct wave_fold *fd, uint64_t offset, const struct wave_lease *ls,
+           const struct wave_step_item *item)
+{
+  struct wave *wv = wave_find (fd, item->wave);
+  struct wave_host *wh = wv ? wave_find_host (wv, item->host) : NULL;
+  bool named = wave_name_valid (item->pool);
+  if (!wh || wh->generation != item->generation
+      || &fd->leases[wh->centre] != ls || !step_allowed (wv, wh, item->step)
+      || (unsigned int)item->reason >= WAVE_REASONS)
+    return false;
+  if (item->step == WAVE_DRAINING)
+    {
+      uint64_t now = named ? wave_find_pool (fd, item->pool).generation : 0;
+      if (!named || wave_expired (fd, wv)
+          || (now != item->pool_generation && now != offset + 1))
+        return false;
+    }
+  if (named)
+    {
+      struct wave_pool_mark *mark = pool_entry_make (fd, item->pool);
+      mark->changed_ms = fd->now_ms;
+      if (item->step == WAVE_DRAINING)
+        mark->generation = offset + 1;
+    }
+  set_step (fd, wv, wh, item->step, item->reason);
+  return true;
+}
+
+static enum wave_effect
+fold_plan (struct wave_fold *fd, uint64_t offset,
+           const struct wave_record *rec)
+{
+  const struct wave_lease *ls = wave_find_lease (fd, rec->data_centre);
+  enum wave_effect effect = WAVE_EFFECT_VOID;
+  if (!ls || !ls->granted || ls->fence != rec->fence
+      || ls->incarnation != rec->incarnation
+      || strcmp (ls->holder, rec->writer) != 0)
+    return WAVE_EFFECT_FENCED;
+  for (size_t n = 0; n < rec->step_count; n++)
+    if (fold_step (fd, offset, ls, &rec->steps[n]))
+      effect = WAVE_EFFECT_DONE;
+  for (size_t n = 0; n < rec->halt_count; n++)
+    {
+      const struct wave_halt_item *item = &rec->halts[n];
+      struct wave *wv = wave_find (fd, item->wave);
+      if (!wv || wv->generation != item->generation
+          || (wv->state != WAVE_RUNNING && wv->state != WAVE_PAUSED)
+          || (unsigned int)item->reason >= WAVE_REASONS)
+        continue;
+      wv->state = WAVE_HALTED;
+      wv->reason = item->reason;
+      wv->generation++;
+      wv->changed_ms = fd->now_ms;
+      effect = WAVE_EFFECT_DONE;
+    }
+  return effect;
+}
+
+int
+wave_fold_record (struct wave_fold *fd, uint64_t offset, int64_t time_ms,
+                  const struct wave_record *rec, enum wave_effect *effect)
+{
+  int64_t before_ms = fd->now_ms;
+  int err = 0;
+  if (offset != fd->next_offset)
+    return ERR_INVALID;
+  /* The service's clock may be set back; leases must not grow by that.  */
+  if (time_ms > fd->now_ms)
+    fd->now_ms = time_ms;
+  switch (rec->type)
+    {
+    case WAVE_RECORD_CREATE:
+      err = fold_create (fd, offset, rec, effect);
+      break;
+    case WAVE_RECORD_LEASE:
+      *effect = fold_lease (fd, offset, rec);
+      break;
+    case WAVE_RECORD_PLAN:
+      *effect = fold_plan (fd, offset, rec);
+      break;
+    default:
+      *effect = fold_change (fd, rec);
+      break;
+    }
+  if (err)
+    {
+      fd->now_ms = before_ms;
+      return err;
+    }
+  fd->next_offset++;
+  if (*effect == WAVE_EFFECT_DONE)
+    fd->changes++;
+  return 0;
+}
+
+void
+wave_fold_skip (struct wave_fold *fd, uint64_t offset, int64_t time_ms)
+{
+  if (offset != fd->next_offset)
+    return;
+  if (time_ms > fd->now_ms)
+    fd->now_ms = time_ms;
+  fd->next_offset++;
+}
