--- /dev/null
+++ b/store/host_store.c
@@ -0,0 +1,52 @@
+#include "store/host_store.h"
+
+#include <string.h>
+
+#include "base/err.h"
+
+static const char *const names[]
+    = { "drain", "reboot", "return", "get", "health" };
+
+const char *
+host_op_name (enum host_op op)
+{
+  return names[op];
+}
+
+bool
+host_op_is_change (enum host_op op)
+{
+  return op == HOST_OP_DRAIN || op == HOST_OP_REBOOT || op == HOST_OP_RETURN;
+}
+
+/* Names go into URLs and headers as they are.  */
+static bool
+name_valid (const char *name, size_t max)
+{
+  static const char allowed[] = "abcdefghijklmnopqrstuvwxyz"
+                                "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-/";
+  size_t len = name ? strlen (name) : 0;
+  return len > 0 && len <= max && name[0] != '.'
+         && strspn (name, allowed) == len;
+}
+
+int
+host_store_call (struct host_store *hs, const struct host_call *call,
+                 host_call_fn *fn, void *arg)
+{
+  if (call->op != HOST_OP_HEALTH
+      && (!name_valid (call->host, 63) || strchr (call->host, '/')))
+    return ERR_INVALID;
+  if (host_op_is_change (call->op)
+      && !name_valid (call->operation_id, HOST_OPERATION_ID_MAX))
+    return ERR_INVALID;
+  return hs->drv->call (hs, call, fn, arg);
+}
+
+void
+host_store_fini (struct host_store *hs)
+{
+  if (hs->drv)
+    hs->drv->fini (hs);
+  hs->drv = NULL;
+}
