--- a/wave/wave_codec.c
+++ b/wave/wave_codec.c
@@ -108,13 +108,13 @@
 }
 
 static int
-pack (void *parent, const struct wave_record *rec, uint64_t sequence,
-      const MSG (Body) * body, uint8_t **data, size_t *len)
+pack (void *parent, const struct wave_record *rec, const MSG (Body) * body,
+      uint8_t **data, size_t *len)
 {
   struct record env = {
     .writer = rec->writer,
     .incarnation = rec->incarnation,
-    .sequence = sequence,
+    .sequence = rec->sequence,
     .expected_generation = rec->generation,
   };
   env.body_len = kingcuphollow__wave_body__get_packed_size (body);
@@ -130,7 +130,7 @@
 
 int
 wave_record_encode (void *parent, const struct wave_record *rec,
-                    uint64_t sequence, uint8_t **data, size_t *len)
+                    uint8_t **data, size_t *len)
 {
   MSG (Body) body = KINGCUPHOLLOW__WAVE_BODY__INIT;
   MSG (Create) create = KINGCUPHOLLOW__WAVE_CREATE__INIT;
@@ -164,7 +164,7 @@
       break;
     }
   if (err == 0)
-    err = pack (parent, rec, sequence, &body, data, len);
+    err = pack (parent, rec, &body, data, len);
   talloc_free (tmp);
   return err;
 }
@@ -308,6 +308,7 @@
   talloc_set_destructor (body, free_body);
   rec->writer = env.writer;
   rec->incarnation = env.incarnation;
+  rec->sequence = env.sequence;
   err = read_body (body, *body, rec);
 done:
   if (err)
--- a/wave/wave_codec.h
+++ b/wave/wave_codec.h
@@ -3,12 +3,12 @@
 #include "wave/wave_fold.h"
 
 /* Records of the waves stream: wave_record in the envelope of store/record.h.
-   The sequence makes the record's id unique; the fold does not need it.  */
+   Writer, incarnation and sequence are the record's unique id.  */
 
 /* Encodes REC into *DATA, owned by PARENT.  Returns 0, ERR_INVALID,
    ERR_TOO_LARGE or ERR_NOMEM.  */
 int wave_record_encode (void *parent, const struct wave_record *rec,
-                        uint64_t sequence, uint8_t **data, size_t *len);
+                        uint8_t **data, size_t *len);
 
 /* Decodes into *REC, which *HOLDER, a talloc child of PARENT, keeps valid.
    Returns 0, ERR_PROTOCOL, ERR_CONFLICT (a format or a value that this program
--- a/wave/wave_fold.c
+++ b/wave/wave_fold.c
@@ -568,7 +568,8 @@
       return err;
     }
   fd->next_offset++;
-  if (*effect == WAVE_EFFECT_DONE)
+  /* A creation that found no room may have dropped ended waves.  */
+  if (*effect == WAVE_EFFECT_DONE || rec->type == WAVE_RECORD_CREATE)
     fd->changes++;
   return 0;
 }
--- a/wave/wave_fold.h
+++ b/wave/wave_fold.h
@@ -172,6 +172,7 @@
   enum wave_record_type type;
   const char *writer;
   uint64_t incarnation;
+  uint64_t sequence;       /* of the writer; not used by the fold */
   const char *id;          /* of the wave; create, pause, resume, cancel */
   const char *editor;      /* the same */
   uint32_t generation;     /* pause, resume, cancel */
--- a/wave/wave_plan.h
+++ b/wave/wave_plan.h
@@ -88,9 +88,10 @@
 /* What a planner has seen of a host under way, in its present step.  */
 struct wave_seen
 {
-  bool done;    /* the step's operation is acknowledged by the platform */
-  bool refused; /* the platform refuses it */
-  enum host_actual state;
+  bool done;       /* the step's operation is acknowledged by the platform */
+  bool refused;    /* the platform refuses it */
+  bool unresolved; /* it was sent and may yet take effect */
+  enum host_actual state; /* by HOST_OP_GET */
   bool has_health;
   bool healthy;
   int32_t slots_in_use; /* -1: not told */
--- a/wave/wave_step.c
+++ b/wave/wave_step.c
@@ -54,6 +54,10 @@
                const struct wave_seen *seen, int64_t elapsed_ms,
                bool may_drain)
 {
+  /* A drain that landed after the return would take the host out of service
+     for good.  */
+  if (seen->unresolved && !seen->done)
+    return operate;
   /* A host that was not rebooted yet is returned at once.  */
   if (wv->state == WAVE_CANCELLED)
     return record (WAVE_CHECKING, WAVE_REASON_CANCELLED);
