--- a/wave/wave_core.c
+++ b/wave/wave_core.c
@@ -119,6 +119,13 @@
   p->fleet_us = now_us;
 }
 
+void
+wave_core_touch_fleet (struct wave_core *core, int64_t now_us)
+{
+  if (core->priv->fleet)
+    core->priv->fleet_us = now_us;
+}
+
 uint64_t
 wave_core_offset (const struct wave_core *core)
 {
--- a/wave/wave_core.h
+++ b/wave/wave_core.h
@@ -55,6 +55,9 @@
 void wave_core_set_fleet (struct wave_core *core, int64_t now_us,
                           struct wave_fleet *fleet);
 
+/* The list was read again and is the same.  */
+void wave_core_touch_fleet (struct wave_core *core, int64_t now_us);
+
 /* Folds the record at wave_core_offset.  Returns 0, or without an effect
    ERR_PROTOCOL, ERR_CONFLICT, ERR_CHECKSUM, ERR_NOMEM or ERR_INVALID (another
    offset).  */
--- /dev/null
+++ b/wave/wave_run.c
@@ -0,0 +1,437 @@
+#include "wave/wave_run.h"
+
+#include <string.h>
+#include <talloc.h>
+#include <tevent.h>
+#include <utlist.h>
+
+#include "base/clock.h"
+#include "base/err.h"
+#include "store/log_store.h"
+
+#define READ_MAX_BYTES (1U << 20)
+#define READ_WAIT_MS 1000
+#define RETRY_US 100000      /* between reads that fail */
+#define READ_ATTEMPTS 3      /* of a record that cannot be decoded */
+#define RECORDS_PER_READ 256 /* folded before other work has its turn */
+#define STREAM_MAX_BYTES 64
+#define US_PER_S 1000000
+#define WAKE_MIN_US 1000
+
+/* A call of a store in progress.  It belongs to the parent of the run, because
+   the callback may come after wave_run_fini.  */
+struct run_call
+{
+  struct run_call *prev;
+  struct run_call *next;
+  struct priv *run; /* NULL: finished meanwhile */
+  uint64_t token;
+};
+
+struct priv
+{
+  void *parent;
+  char stream[STREAM_MAX_BYTES + 1];
+  struct log_store *st;
+  struct host_store *hosts;
+  struct tevent_context *ev;
+  const struct clock *clk;
+  struct wave_core core;
+  struct run_call *calls;
+  struct tevent_immediate *soon;
+  struct tevent_timer *wake;
+  struct tevent_timer *retry;
+  bool contact; /* the last read succeeded */
+  bool reading;
+  uint64_t bad_offset;
+  uint32_t bad_attempts;
+  bool *finished; /* set while callbacks run */
+};
+
+static void start_read (struct priv *p);
+static void update (struct priv *p);
+static void on_wake (struct tevent_context *ev, struct tevent_timer *te,
+                     struct timeval now, void *arg);
+
+static struct timeval
+in_us (int64_t delay)
+{
+  return tevent_timeval_current_ofs ((uint32_t)(delay / US_PER_S),
+                                     (uint32_t)(delay % US_PER_S));
+}
+
+void
+wave_run_settings_init (struct wave_run_settings *set)
+{
+  memset (set, 0, sizeof *set);
+  set->stream = "waves";
+  set->core = wave_core_settings_default;
+  set->core.plan = wave_plan_settings_default;
+}
+
+static struct run_call *
+begin_call (struct priv *p, uint64_t token)
+{
+  struct run_call *call = talloc_zero (p->parent, struct run_call);
+  if (!call)
+    return NULL;
+  call->run = p;
+  call->token = token;
+  DL_APPEND (p->calls, call);
+  return call;
+}
+
+/* Ends CALL; NULL: the run was finished meanwhile.  */
+static struct priv *
+end_call (struct run_call *call)
+{
+  struct priv *p = call->run;
+  if (p)
+    DL_DELETE (p->calls, call);
+  talloc_free (call);
+  return p;
+}
+
+/* Reading the log.  */
+
+static void
+on_retry (struct tevent_context *ev, struct tevent_timer *te,
+          struct timeval now, void *arg)
+{
+  struct priv *p = arg;
+  p->retry = NULL;
+  start_read (p);
+}
+
+static void
+retry_read (struct priv *p)
+{
+  if (!p->retry)
+    p->retry = tevent_add_timer (p->ev, p, in_us (RETRY_US), on_retry, p);
+}
+
+/* Folds the records of a read.  Returns false when one cannot be decoded: it
+   is then read again, because damage on the way passes while damage in the
+   log stays and makes the record void for every process.  */
+static bool
+fold_records (struct priv *p, const struct read_result *res)
+{
+  int64_t now = clock_now_us (p->clk);
+  for (size_t n = 0; n < res->count && n < RECORDS_PER_READ; n++)
+    {
+      const struct log_record_view *rec = &res->records[n];
+      if (rec->offset != wave_core_offset (&p->core))
+        continue;
+      int err = wave_core_fold (&p->core, now, rec);
+      if (err == 0)
+        continue;
+      if (p->bad_offset != rec->offset)
+        p->bad_attempts = 0;
+      p->bad_offset = rec->offset;
+      if (err == ERR_NOMEM || ++p->bad_attempts < READ_ATTEMPTS)
+        return false;
+      wave_core_skip (&p->core, now, rec);
+    }
+  return true;
+}
+
+static void
+on_read (void *arg, const struct read_result *res)
+{
+  struct priv *p = end_call (arg);
+  if (!p)
+    return;
+  bool again = true;
+  p->reading = false;
+  p->contact = res->err == 0;
+  if (res->err == ERR_EXPIRED)
+    wave_core_gap (&p->core, res->first_offset);
+  else if (res->err)
+    again = false;
+  /* A log that is shorter than what was folded has lost records.  */
+  else if (res->next_offset < wave_core_offset (&p->core))
+    wave_core_gap (&p->core, res->first_offset);
+  else
+    {
+      again = fold_records (p, res);
+      wave_core_read_done (&p->core, clock_now_us (p->clk), res->next_offset);
+    }
+  if (again)
+    start_read (p);
+  else
+    retry_read (p);
+  update (p);
+}
+
+static void
+start_read (struct priv *p)
+{
+  struct run_call *call = begin_call (p, 0);
+  /* The first read after a start or an outage only tells how far the log
+     goes.  */
+  int64_t wait_ms = p->contact ? READ_WAIT_MS : 0;
+  if (call
+      && log_store_read (p->st, p->stream, wave_core_offset (&p->core),
+                         READ_MAX_BYTES, wait_ms, on_read, call)
+             == 0)
+    {
+      p->reading = true;
+      return;
+    }
+  if (call)
+    end_call (call);
+  retry_read (p);
+}
+
+/* Appending and host operations.  */
+
+static void
+on_append (void *arg, const struct append_result *res)
+{
+  struct priv *p = end_call (arg);
+  if (!p)
+    return;
+  wave_core_append_result (&p->core, clock_now_us (p->clk), res);
+  update (p);
+}
+
+static void
+start_append (struct priv *p)
+{
+  const struct append_result failed = { .status = APPEND_NOT_DONE };
+  int64_t now = clock_now_us (p->clk);
+  uint8_t *data;
+  size_t len;
+  if (wave_core_append (&p->core, now, p, &data, &len) != 0)
+    return;
+  struct run_call *call = begin_call (p, 0);
+  int err
+      = call ? log_store_append (p->st, p->stream, data, len, on_append, call)
+             : ERR_NOMEM;
+  talloc_free (data);
+  if (!err)
+    return;
+  if (call)
+    end_call (call);
+  wave_core_append_result (&p->core, now, &failed);
+}
+
+static void
+on_host (void *arg, const struct host_result *res)
+{
+  uint64_t token = ((struct run_call *)arg)->token;
+  struct priv *p = end_call (arg);
+  if (!p)
+    return;
+  wave_core_call_result (&p->core, clock_now_us (p->clk), token, res);
+  update (p);
+}
+
+static void
+start_calls (struct priv *p)
+{
+  const struct host_result failed
+      = { .status = HOST_CALL_NOT_DONE, .slots_in_use = -1 };
+  struct host_call hc;
+  uint64_t token;
+  while (p->hosts
+         && wave_core_call (&p->core, clock_now_us (p->clk), &hc, &token))
+    {
+      struct run_call *call = begin_call (p, token);
+      if (call && host_store_call (p->hosts, &hc, on_host, call) == 0)
+        continue;
+      if (call)
+        end_call (call);
+      wave_core_call_result (&p->core, clock_now_us (p->clk), token, &failed);
+    }
+}
+
+/* Does what is due now and plans the next look.  */
+static void
+on_soon (struct tevent_context *ev, struct tevent_immediate *im, void *arg)
+{
+  struct priv *p = arg;
+  bool finished = false;
+  p->finished = &finished;
+  wave_core_tell (&p->core, clock_now_us (p->clk));
+  if (finished)
+    return;
+  p->finished = NULL;
+  start_append (p);
+  start_calls (p);
+  int64_t now = clock_now_us (p->clk);
+  int64_t delay = wave_core_next_us (&p->core, now) - now;
+  TALLOC_FREE (p->wake);
+  p->wake = tevent_add_timer (
+      p->ev, p, in_us (delay > WAKE_MIN_US ? delay : WAKE_MIN_US), on_wake, p);
+}
+
+static void
+on_wake (struct tevent_context *ev, struct tevent_timer *te,
+         struct timeval now, void *arg)
+{
+  struct priv *p = arg;
+  p->wake = NULL;
+  update (p);
+}
+
+static void
+update (struct priv *p)
+{
+  tevent_schedule_immediate (p->soon, p->ev, on_soon, p);
+}
+
+int
+wave_run_init (struct wave_run *run, void *parent,
+               const struct wave_run_settings *set, struct log_store *st,
+               struct host_store *hosts, struct tevent_context *ev,
+               const struct clock *clk, struct logger *lg)
+{
+  run->priv = NULL;
+  if (!set->stream || strlen (set->stream) > STREAM_MAX_BYTES
+      || (set->core.data_centre && !hosts))
+    return ERR_INVALID;
+  struct priv *p = talloc_zero (parent, struct priv);
+  if (!p)
+    return ERR_NOMEM;
+  p->parent = parent;
+  p->st = st;
+  p->hosts = hosts;
+  p->ev = ev;
+  p->clk = clk;
+  p->bad_offset = UINT64_MAX;
+  memcpy (p->stream, set->stream, strlen (set->stream) + 1);
+  p->soon = tevent_create_immediate (p);
+  int err = p->soon ? wave_core_init (&p->core, p, &set->core, lg) : ERR_NOMEM;
+  if (err)
+    {
+      talloc_free (p);
+      return err;
+    }
+  run->priv = p;
+  start_read (p);
+  update (p);
+  return 0;
+}
+
+void
+wave_run_fini (struct wave_run *run)
+{
+  struct priv *p = run->priv;
+  struct run_call *call;
+  struct run_call *tmp;
+  if (!p)
+    return;
+  run->priv = NULL;
+  if (p->finished)
+    *p->finished = true;
+  DL_FOREACH_SAFE (p->calls, call, tmp)
+    {
+      DL_DELETE (p->calls, call);
+      call->run = NULL;
+    }
+  wave_core_fini (&p->core);
+  talloc_free (p);
+}
+
+int
+wave_run_set_view (struct wave_run *run, const struct host_list *hosts,
+                   const struct table *tab, fleet_pool_fn *pool_of, void *arg)
+{
+  struct priv *p = run->priv;
+  struct wave_fleet *fleet;
+  int err = wave_fleet_build (p, hosts, tab, pool_of, arg, &fleet);
+  if (err)
+    return err;
+  wave_core_set_fleet (&p->core, clock_now_us (p->clk), fleet);
+  update (p);
+  return 0;
+}
+
+void
+wave_run_touch_view (struct wave_run *run)
+{
+  wave_core_touch_fleet (&run->priv->core, clock_now_us (run->priv->clk));
+}
+
+bool
+wave_run_ready (const struct wave_run *run)
+{
+  return wave_core_caught_up (&run->priv->core);
+}
+
+const struct wave_fold *
+wave_run_state (const struct wave_run *run)
+{
+  return wave_core_state (&run->priv->core);
+}
+
+static int
+edit (struct wave_run *run, const struct wave_record *rec, int64_t deadline_us,
+      wave_edit_fn *fn, void *arg)
+{
+  struct priv *p = run->priv;
+  int err = wave_core_edit (&p->core, clock_now_us (p->clk), rec, deadline_us,
+                            fn, arg);
+  if (err == 0)
+    update (p);
+  return err;
+}
+
+int
+wave_run_create (struct wave_run *run, const struct wave_request *req,
+                 int64_t deadline_us, wave_edit_fn *fn, void *arg)
+{
+  const struct wave_record rec = {
+    .type = WAVE_RECORD_CREATE,
+    .id = req->id,
+    .editor = req->editor,
+    .deadline_ms = req->deadline_ms,
+    .most_out = req->most_out,
+    .hosts = req->hosts,
+    .host_count = req->host_count,
+  };
+  return edit (run, &rec, deadline_us, fn, arg);
+}
+
+static int
+change (struct wave_run *run, enum wave_record_type type, const char *id,
+        const char *editor, bool retry, int64_t deadline_us, wave_edit_fn *fn,
+        void *arg)
+{
+  const struct wave *wv = wave_find (wave_run_state (run), id);
+  if (!wave_run_ready (run))
+    return ERR_UNAVAILABLE;
+  if (!wv)
+    return ERR_NOT_FOUND;
+  const struct wave_record rec = { .type = type,
+                                   .id = id,
+                                   .editor = editor,
+                                   .generation = wv->generation,
+                                   .retry = retry };
+  return edit (run, &rec, deadline_us, fn, arg);
+}
+
+int
+wave_run_pause (struct wave_run *run, const char *id, const char *editor,
+                int64_t deadline_us, wave_edit_fn *fn, void *arg)
+{
+  return change (run, WAVE_RECORD_PAUSE, id, editor, false, deadline_us, fn,
+                 arg);
+}
+
+int
+wave_run_resume (struct wave_run *run, const char *id, const char *editor,
+                 bool retry, int64_t deadline_us, wave_edit_fn *fn, void *arg)
+{
+  return change (run, WAVE_RECORD_RESUME, id, editor, retry, deadline_us, fn,
+                 arg);
+}
+
+int
+wave_run_cancel (struct wave_run *run, const char *id, const char *editor,
+                 int64_t deadline_us, wave_edit_fn *fn, void *arg)
+{
+  return change (run, WAVE_RECORD_CANCEL, id, editor, false, deadline_us, fn,
+                 arg);
+}
