--- a/test/unit/unit_wave_core.c
+++ b/test/unit/unit_wave_core.c
@@ -356,10 +356,10 @@
 }
 END_TEST
 
-/* Guards against a wave that ends never because a host that waits is gone.  */
+/* Guards against a wave that never ends because a host that waits is gone.  */
 START_TEST (test_host_gone)
 {
-  start (1, 4, 0, 1);
+  start (1, 8, 0, 1);
   world_fail_host (&wd, &wd.hosts[3], true);
   world_create_wave (&wd, 0);
   run_to_end ();
@@ -367,7 +367,7 @@
   const struct wave_host *wh = wave_find_host (wave_now (), wd.hosts[3].name);
   ck_assert_int_eq (wh->step, WAVE_FAILED);
   ck_assert_int_eq (wh->reason, WAVE_REASON_HOST_DOWN);
-  ck_assert_uint_eq (wave_now ()->steps[WAVE_BACK], 3 + 4);
+  ck_assert_uint_eq (wave_now ()->steps[WAVE_BACK], 7 + 8);
   world_fini (&wd);
 }
 END_TEST
--- a/wave/wave_core_host.c
+++ b/wave/wave_core_host.c
@@ -252,6 +252,17 @@
     }
 }
 
+static void
+count_late (const struct priv *p, int64_t now_us, struct wave_task *task)
+{
+  const struct wave *wv = wave_find (&p->fold, task->wave);
+  const struct wave_host *wh = wv ? wave_find_host (wv, task->host) : NULL;
+  if (wh
+      && wave_core_log_ms (p, now_us) - wh->since_ms
+             >= wave_step_limit_ms (&p->set.plan, wh->step))
+    task->seen.late_tries++;
+}
+
 void
 wave_core_call_result (struct wave_core *core, int64_t now_us, uint64_t token,
                        const struct host_result *res)
@@ -273,6 +284,7 @@
      again under the same id once the lease is held again.  */
   if (!wave_core_holds (core, now_us))
     return;
+  count_late (p, now_us, task);
   if (task->asked == WAVE_NEXT_OPERATE)
     operation_ended (p, now_us, task, res);
   else if (res->status != HOST_CALL_DONE)
--- a/wave/wave_plan.c
+++ b/wave/wave_plan.c
@@ -63,19 +63,14 @@
            const struct wave_host *wh)
 {
   uint32_t n;
-  bool recent = in->now_ms - wh->since_ms < in->set->list_lag_ms;
-  if (wh->step == WAVE_WAITING
+  /* A host that is back counts as the list shows it: one that failed again
+     soon after its return would otherwise go unseen.  */
+  if (wh->step == WAVE_WAITING || wh->step == WAVE_BACK
       || (n = wave_fleet_find (in->fleet, wh->name)) == FLEET_NONE)
     return;
-  if (wh->step == WAVE_BACK)
-    {
-      /* The list may not show the return yet.  */
-      if (recent)
-        plan->use[n] = FLEET_IN_SERVICE;
-    }
-  else if (wh->step != WAVE_FAILED)
+  if (wh->step != WAVE_FAILED)
     plan->use[n] = FLEET_PLANNED;
-  else if (recent)
+  else if (in->now_ms - wh->since_ms < in->set->list_lag_ms)
     plan->use[n] = FLEET_UNPLANNED;
 }
 
@@ -108,11 +103,14 @@
     }
 }
 
+/* A host of a data centre without a planner is not late: nobody looks after
+   it.  */
 static bool
 host_late (const struct wave_plan_input *in, const struct wave_host *wh)
 {
   return (wh->step == WAVE_REBOOTING || wh->step == WAVE_CHECKING)
-         && in->now_ms - wh->since_ms > in->set->late_ms;
+         && in->now_ms - wh->since_ms > in->set->late_ms
+         && in->fold->leases[wh->centre].expires_ms > in->now_ms;
 }
 
 /* Whether the failure tells of the wave rather than of a host that was out of
--- a/wave/wave_plan.h
+++ b/wave/wave_plan.h
@@ -17,7 +17,7 @@
   int64_t late_ms;         /* in one step: a late host; see late_hosts */
   int64_t down_limit_ms;   /* wave without progress; hosts that wait and are
                               out of service are then given up */
-  int64_t list_lag_ms;     /* for so long a step is newer than the list */
+  int64_t list_lag_ms;     /* for so long a failure is newer than the list */
   int64_t patience_ms;     /* a share that its data centre leaves unused goes
                               to others after this */
   uint32_t late_hosts;   /* late at a time: the wave starts no further host */
@@ -88,9 +88,10 @@
 /* What a planner has seen of a host under way, in its present step.  */
 struct wave_seen
 {
-  bool done;       /* the step's operation is acknowledged by the platform */
-  bool refused;    /* the platform refuses it */
-  bool unresolved; /* it was sent and may yet take effect */
+  bool done;    /* the step's operation is acknowledged by the platform */
+  bool refused; /* the platform refuses it */
+  uint32_t late_tries;    /* answers, of any kind, after the step's limit */
+  bool unresolved;        /* it was sent and may yet take effect */
   enum host_actual state; /* by HOST_OP_GET */
   bool has_health;
   bool healthy;
@@ -122,6 +123,10 @@
 
 enum host_op wave_step_op (enum wave_step step);
 
+/* After which a host in STEP is given up or, when it drains, rebooted.  */
+int64_t wave_step_limit_ms (const struct wave_plan_settings *set,
+                            enum wave_step step);
+
 /* Writes the operation id, which every planner makes alike.  A reboot has one
    id for the whole wave, so that the platform runs it once.  */
 void wave_operation_id (const struct wave *wv, const struct wave_host *wh,
--- a/wave/wave_step.c
+++ b/wave/wave_step.c
@@ -5,6 +5,10 @@
 
 /* What is done next for one host under way.  */
 
+/* After a step's limit a planner looks so often before it gives the host up,
+   because there may have been no planner while the limit passed.  */
+#define LATE_TRIES_MIN 5
+
 static const struct wave_move wait_move = { .next = WAVE_NEXT_WAIT };
 static const struct wave_move operate = { .next = WAVE_NEXT_OPERATE };
 
@@ -34,6 +38,20 @@
     }
 }
 
+int64_t
+wave_step_limit_ms (const struct wave_plan_settings *set, enum wave_step step)
+{
+  switch (step)
+    {
+    case WAVE_DRAINING:
+      return set->drain_limit_ms;
+    case WAVE_REBOOTING:
+      return set->reboot_limit_ms;
+    default:
+      return set->check_limit_ms;
+    }
+}
+
 void
 wave_operation_id (const struct wave *wv, const struct wave_host *wh,
                    char id[HOST_OPERATION_ID_MAX + 1])
@@ -70,28 +88,24 @@
 }
 
 static struct wave_move
-rebooting_next (const struct wave_plan_settings *set,
-                const struct wave_seen *seen, int64_t elapsed_ms)
+rebooting_next (const struct wave_seen *seen)
 {
-  if (!seen->done)
-    return elapsed_ms >= set->reboot_limit_ms
-               ? record (WAVE_FAILED, WAVE_REASON_NO_RETURN)
-               : operate;
-  if (seen->state == HOST_ACTUAL_LIVE || seen->state == HOST_ACTUAL_LEAVING)
+  if (seen->done
+      && (seen->state == HOST_ACTUAL_LIVE
+          || seen->state == HOST_ACTUAL_LEAVING))
     return record (WAVE_CHECKING, WAVE_REASON_NONE);
-  if (elapsed_ms >= set->reboot_limit_ms)
+  if (seen->late_tries >= LATE_TRIES_MIN)
     return record (WAVE_FAILED, WAVE_REASON_NO_RETURN);
-  return ask (WAVE_NEXT_GET);
+  return seen->done ? ask (WAVE_NEXT_GET) : operate;
 }
 
 static struct wave_move
-checking_next (const struct wave_plan_settings *set,
-               const struct wave_seen *seen, int64_t elapsed_ms)
+checking_next (const struct wave_seen *seen)
 {
   if (seen->done && seen->state == HOST_ACTUAL_LIVE && seen->has_health
       && seen->healthy)
     return record (WAVE_BACK, WAVE_REASON_NONE);
-  if (elapsed_ms >= set->check_limit_ms)
+  if (seen->late_tries >= LATE_TRIES_MIN)
     return record (WAVE_FAILED, WAVE_REASON_NOT_HEALTHY);
   if (!seen->done)
     return operate;
@@ -111,9 +125,9 @@
     case WAVE_DRAINING:
       return draining_next (set, wv, seen, elapsed_ms, may_drain);
     case WAVE_REBOOTING:
-      return rebooting_next (set, seen, elapsed_ms);
+      return rebooting_next (seen);
     case WAVE_CHECKING:
-      return checking_next (set, seen, elapsed_ms);
+      return checking_next (seen);
     default:
       return wait_move;
     }
