--- /dev/null
+++ b/test/unit/unit_wave_fold.c
@@ -0,0 +1,410 @@
+#include <check.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/err.h"
+#include "store/log_store.h"
+#include "wave/wave_codec.h"
+
+#define ROWS(table) (int)(sizeof (table) / sizeof *(table))
+#define LEASE_MS 10000
+
+static struct wave_fold fd;
+static const struct wave_new_host three[]
+    = { { "h1", "a" }, { "h2", "a" }, { "h3", "b" } };
+
+static enum wave_effect
+fold (int64_t time_ms, const struct wave_record *rec)
+{
+  enum wave_effect effect = WAVE_EFFECTS;
+  ck_assert_int_eq (
+      wave_fold_record (&fd, fd.next_offset, time_ms, rec, &effect), 0);
+  return effect;
+}
+
+static enum wave_effect
+create (const char *id, const struct wave_new_host *hosts, size_t count)
+{
+  const struct wave_record rec = { .type = WAVE_RECORD_CREATE,
+                                   .writer = "cli",
+                                   .id = id,
+                                   .editor = "ana",
+                                   .base = fd.next_offset,
+                                   .hosts = hosts,
+                                   .host_count = count };
+  return fold (1000, &rec);
+}
+
+static enum wave_effect
+lease (const char *writer, uint64_t inc, int64_t time_ms, int64_t duration_ms)
+{
+  const struct wave_record rec = { .type = WAVE_RECORD_LEASE,
+                                   .writer = writer,
+                                   .incarnation = inc,
+                                   .data_centre = "a",
+                                   .duration_ms = duration_ms };
+  return fold (time_ms, &rec);
+}
+
+static enum wave_effect
+step (const char *writer, uint64_t fence, const struct wave_step_item *item)
+{
+  const struct wave_record rec = { .type = WAVE_RECORD_PLAN,
+                                   .writer = writer,
+                                   .incarnation = 1,
+                                   .data_centre = "a",
+                                   .fence = fence,
+                                   .steps = item,
+                                   .step_count = 1 };
+  return fold (2000, &rec);
+}
+
+static enum wave_effect
+change (enum wave_record_type type, const char *id, uint32_t generation)
+{
+  const struct wave_record rec
+      = { .type = type, .id = id, .editor = "ana", .generation = generation };
+  return fold (2000, &rec);
+}
+
+/* A wave "w" over three hosts, and e1 as planner of "a" with fence 1.  */
+static void
+start (void)
+{
+  ck_assert_int_eq (wave_fold_init (&fd, NULL), 0);
+  ck_assert_int_eq (create ("w", three, 3), WAVE_EFFECT_DONE);
+  ck_assert_int_eq (lease ("e1", 1, 1000, LEASE_MS), WAVE_EFFECT_DONE);
+}
+
+static const struct
+{
+  const char *writer;
+  uint64_t incarnation;
+  int64_t time_ms;
+  int64_t duration_ms;
+  enum wave_effect effect;
+  uint64_t fence;
+} leases[] = {
+  { "e1", 1, 5000, LEASE_MS, WAVE_EFFECT_DONE, 1 }, /* renewed */
+  { "e2", 1, 5000, LEASE_MS, WAVE_EFFECT_HELD, 1 },
+  { "e1", 2, 5000, LEASE_MS, WAVE_EFFECT_HELD, 1 }, /* started anew */
+  { "e2", 1, 10999, LEASE_MS, WAVE_EFFECT_HELD, 1 },
+  { "e2", 1, 11000, LEASE_MS, WAVE_EFFECT_DONE, 2 },
+  { "e1", 1, 11000, LEASE_MS, WAVE_EFFECT_DONE, 2 }, /* too late to renew */
+  { "e1", 1, 5000, 0, WAVE_EFFECT_DONE, 1 },         /* given back */
+  { "e2", 1, 5000, 0, WAVE_EFFECT_HELD, 1 },
+  { "e1", 1, 5000, 10, WAVE_EFFECT_INVALID, 1 },
+  { "e1", 1, 5000, WAVE_LEASE_MAX_MS + 1, WAVE_EFFECT_INVALID, 1 },
+};
+
+/* Guards against two planners that hold one data centre's lease, and a fence
+   that stays the same over a gap in which another could have held it.  */
+START_TEST (test_lease)
+{
+  start ();
+  ck_assert_int_eq (lease (leases[_i].writer, leases[_i].incarnation,
+                           leases[_i].time_ms, leases[_i].duration_ms),
+                    leases[_i].effect);
+  ck_assert_uint_eq (wave_find_lease (&fd, "a")->fence, leases[_i].fence);
+  wave_fold_fini (&fd);
+}
+END_TEST
+
+/* Guards against a lease that lasts longer after the log's clock was set
+   back.  */
+START_TEST (test_clock_set_back)
+{
+  start ();
+  ck_assert_int_eq (lease ("e2", 1, 9000, LEASE_MS), WAVE_EFFECT_HELD);
+  ck_assert_int_eq (lease ("e1", 1, 500, LEASE_MS), WAVE_EFFECT_DONE);
+  ck_assert_int_eq (wave_find_lease (&fd, "a")->expires_ms, 9000 + LEASE_MS);
+  wave_fold_fini (&fd);
+}
+END_TEST
+
+static const struct
+{
+  const char *writer;
+  uint64_t fence;
+  struct wave_step_item item;
+  enum wave_effect effect;
+} steps[] = {
+  { "e1", 1, { "w", "h1", 1, WAVE_DRAINING, 0, "p", 0 }, WAVE_EFFECT_DONE },
+  { "e1", 0, { "w", "h1", 1, WAVE_DRAINING, 0, "p", 0 }, WAVE_EFFECT_FENCED },
+  { "e2", 1, { "w", "h1", 1, WAVE_DRAINING, 0, "p", 0 }, WAVE_EFFECT_FENCED },
+  /* Another generation, host, wave, data centre, pool or pool generation.  */
+  { "e1", 1, { "w", "h1", 2, WAVE_DRAINING, 0, "p", 0 }, WAVE_EFFECT_VOID },
+  { "e1", 1, { "w", "h9", 1, WAVE_DRAINING, 0, "p", 0 }, WAVE_EFFECT_VOID },
+  { "e1", 1, { "v", "h1", 1, WAVE_DRAINING, 0, "p", 0 }, WAVE_EFFECT_VOID },
+  { "e1", 1, { "w", "h3", 1, WAVE_DRAINING, 0, "p", 0 }, WAVE_EFFECT_VOID },
+  { "e1", 1, { "w", "h1", 1, WAVE_DRAINING, 0, "", 0 }, WAVE_EFFECT_VOID },
+  { "e1", 1, { "w", "h1", 1, WAVE_DRAINING, 0, "p", 1 }, WAVE_EFFECT_VOID },
+  /* Steps out of order.  */
+  { "e1", 1, { "w", "h1", 1, WAVE_REBOOTING, 0, "p", 0 }, WAVE_EFFECT_VOID },
+  { "e1", 1, { "w", "h1", 1, WAVE_CHECKING, 0, "p", 0 }, WAVE_EFFECT_VOID },
+  { "e1", 1, { "w", "h1", 1, WAVE_BACK, 0, "p", 0 }, WAVE_EFFECT_VOID },
+  { "e1", 1, { "w", "h1", 1, WAVE_WAITING, 0, "p", 0 }, WAVE_EFFECT_VOID },
+  { "e1",
+    1,
+    { "w", "h1", 1, WAVE_FAILED, WAVE_REASON_HOST_DOWN, "", 0 },
+    WAVE_EFFECT_DONE },
+};
+
+/* Guards against a step by a planner that was replaced, by one that decided on
+   an older state, and out of order.  */
+START_TEST (test_step)
+{
+  start ();
+  ck_assert_int_eq (step (steps[_i].writer, steps[_i].fence, &steps[_i].item),
+                    steps[_i].effect);
+  const struct wave *wv = wave_find (&fd, "w");
+  ck_assert_uint_eq (wv->steps[WAVE_WAITING],
+                     steps[_i].effect == WAVE_EFFECT_DONE ? 2 : 3);
+  /* The same record again has no effect.  */
+  if (steps[_i].effect == WAVE_EFFECT_DONE)
+    ck_assert_int_eq (step ("e1", 1, &steps[_i].item), WAVE_EFFECT_VOID);
+  wave_fold_fini (&fd);
+}
+END_TEST
+
+/* Guards against two planners that each take the last host that a pool's
+   budget allows out of service.  */
+START_TEST (test_pool_generation)
+{
+  struct wave_step_item item = { "w", "h1", 1, WAVE_DRAINING, 0, "p", 0 };
+  start ();
+  uint64_t offset = fd.next_offset;
+  ck_assert_int_eq (step ("e1", 1, &item), WAVE_EFFECT_DONE);
+  ck_assert_uint_eq (wave_find_pool (&fd, "p").generation, offset + 1);
+  item.host = "h2";
+  ck_assert_int_eq (step ("e1", 1, &item), WAVE_EFFECT_VOID);
+  item.pool = "q";
+  ck_assert_int_eq (step ("e1", 1, &item), WAVE_EFFECT_DONE);
+  wave_fold_fini (&fd);
+}
+END_TEST
+
+/* Guards against a pool whose generation is forgotten for want of room and
+   then seems to be as it was at first.  */
+START_TEST (test_pools_bounded)
+{
+  char name[16];
+  start ();
+  for (uint32_t n = 0; n < WAVE_POOLS_MAX; n++)
+    {
+      fd.pools[n].generation = n + 5;
+      snprintf (fd.pools[n].name, sizeof fd.pools[n].name, "p%u", n);
+    }
+  fd.pool_count = WAVE_POOLS_MAX;
+  struct wave_step_item item = { "w", "h1", 1, WAVE_DRAINING, 0, "new", 0 };
+  ck_assert_int_eq (step ("e1", 1, &item), WAVE_EFFECT_DONE);
+  ck_assert_uint_eq (wave_find_pool (&fd, "p0").generation, 5);
+  ck_assert_uint_eq (wave_find_pool (&fd, "other").generation, 5);
+  snprintf (name, sizeof name, "p%d", WAVE_POOLS_MAX - 1);
+  ck_assert_uint_eq (wave_find_pool (&fd, name).generation,
+                     WAVE_POOLS_MAX + 4);
+  wave_fold_fini (&fd);
+}
+END_TEST
+
+static const struct wave_new_host twice[] = { { "h5", "a" }, { "h5", "b" } };
+static const struct wave_new_host bad_name[] = { { "h/5", "a" } };
+static const struct wave_new_host other[] = { { "h5", "a" } };
+static const struct
+{
+  const char *id;
+  const struct wave_new_host *hosts;
+  size_t count;
+  enum wave_effect effect;
+} creations[] = {
+  { "w", three, 3, WAVE_EFFECT_EXISTS },
+  { "v", three + 1, 1, WAVE_EFFECT_OVERLAP },
+  { "v", other, 1, WAVE_EFFECT_DONE },
+  { "v", twice, 2, WAVE_EFFECT_INVALID },
+  { "v", bad_name, 1, WAVE_EFFECT_INVALID },
+  { "v w", other, 1, WAVE_EFFECT_INVALID },
+  { "v", other, 0, WAVE_EFFECT_INVALID },
+  { "v", other, WAVE_HOSTS_MAX + 1, WAVE_EFFECT_INVALID },
+};
+
+/* Guards against a wave that is created twice, and a host in two open
+   waves.  */
+START_TEST (test_create)
+{
+  start ();
+  ck_assert_int_eq (
+      create (creations[_i].id, creations[_i].hosts, creations[_i].count),
+      creations[_i].effect);
+  wave_fold_fini (&fd);
+}
+END_TEST
+
+/* Guards against a second copy of a creation that counts once its wave was
+   dropped, and against waves without bound.  */
+START_TEST (test_waves_bounded)
+{
+  char id[16];
+  char name[16];
+  struct wave_new_host one = { name, "a" };
+  ck_assert_int_eq (wave_fold_init (&fd, NULL), 0);
+  for (int n = 0; n < WAVE_WAVES_MAX; n++)
+    {
+      snprintf (id, sizeof id, "w%d", n);
+      snprintf (name, sizeof name, "h%d", n);
+      ck_assert_int_eq (create (id, &one, 1), WAVE_EFFECT_DONE);
+    }
+  one.name = "more";
+  ck_assert_int_eq (create ("more", &one, 1), WAVE_EFFECT_FULL);
+  /* An ended wave goes only once its creation would be void as too old.  */
+  ck_assert_int_eq (change (WAVE_RECORD_CANCEL, "w0", 1), WAVE_EFFECT_DONE);
+  ck_assert_int_eq (create ("more", &one, 1), WAVE_EFFECT_FULL);
+  for (int n = 0; n < WAVE_CREATE_WINDOW; n++)
+    wave_fold_skip (&fd, fd.next_offset, 2000);
+  ck_assert_int_eq (create ("more", &one, 1), WAVE_EFFECT_DONE);
+  ck_assert_ptr_null (wave_find (&fd, "w0"));
+  const struct wave_record copy = { .type = WAVE_RECORD_CREATE,
+                                    .id = "w0",
+                                    .editor = "ana",
+                                    .base = 0,
+                                    .hosts = &one,
+                                    .host_count = 1 };
+  ck_assert_int_eq (fold (3000, &copy), WAVE_EFFECT_STALE);
+  wave_fold_fini (&fd);
+}
+END_TEST
+
+static const struct
+{
+  enum wave_record_type type;
+  uint32_t generation;
+  enum wave_effect effect;
+  enum wave_state state;
+} changes[] = {
+  { WAVE_RECORD_PAUSE, 1, WAVE_EFFECT_DONE, WAVE_PAUSED },
+  { WAVE_RECORD_RESUME, 1, WAVE_EFFECT_DONE, WAVE_RUNNING },
+  { WAVE_RECORD_CANCEL, 1, WAVE_EFFECT_DONE, WAVE_CANCELLED },
+  { WAVE_RECORD_CANCEL, 2, WAVE_EFFECT_VOID, WAVE_RUNNING },
+};
+
+/* Guards against a change by an operator who saw an older state, and one that
+   counts twice.  */
+START_TEST (test_change)
+{
+  start ();
+  for (int n = 0; n < 2; n++)
+    {
+      ck_assert_int_eq (change (changes[_i].type, "w", changes[_i].generation),
+                        n ? WAVE_EFFECT_VOID : changes[_i].effect);
+      ck_assert_int_eq (wave_find (&fd, "w")->state, changes[_i].state);
+    }
+  wave_fold_fini (&fd);
+}
+END_TEST
+
+/* Guards against a host that waits in an expired wave and may not join
+   another, and one that is started after the deadline.  */
+START_TEST (test_deadline)
+{
+  struct wave_step_item item = { "d", "h5", 1, WAVE_DRAINING, 0, "p", 0 };
+  start ();
+  const struct wave_record rec = { .type = WAVE_RECORD_CREATE,
+                                   .id = "d",
+                                   .editor = "ana",
+                                   .deadline_ms = 2000,
+                                   .hosts = other,
+                                   .host_count = 1 };
+  ck_assert_int_eq (fold (1500, &rec), WAVE_EFFECT_DONE);
+  ck_assert_int_eq (create ("e", other, 1), WAVE_EFFECT_OVERLAP);
+  ck_assert_int_eq (step ("e1", 1, &item), WAVE_EFFECT_VOID);
+  ck_assert_str_eq (wave_state_name (&fd, wave_find (&fd, "d")), "expired");
+  ck_assert_int_eq (create ("e", other, 1), WAVE_EFFECT_DONE);
+  wave_fold_fini (&fd);
+}
+END_TEST
+
+/* Guards against records that do not come back as they were written.  */
+START_TEST (test_codec)
+{
+  const struct wave_step_item item
+      = { "w", "h1", 7, WAVE_FAILED, WAVE_REASON_REFUSED, "p", 9 };
+  const struct wave_halt_item halt = { "w", 3, WAVE_REASON_RACK_LOST };
+  const struct wave_record recs[] = {
+    { .type = WAVE_RECORD_CREATE,
+      .writer = "e",
+      .incarnation = 4,
+      .id = "w",
+      .editor = "ana",
+      .deadline_ms = 5,
+      .most_out = 6,
+      .base = 7,
+      .hosts = three,
+      .host_count = 3 },
+    { .type = WAVE_RECORD_RESUME,
+      .writer = "e",
+      .id = "w",
+      .editor = "ana",
+      .generation = 8,
+      .retry = true },
+    { .type = WAVE_RECORD_LEASE,
+      .writer = "e",
+      .data_centre = "a",
+      .duration_ms = 9 },
+    { .type = WAVE_RECORD_PLAN,
+      .writer = "e",
+      .data_centre = "a",
+      .fence = 10,
+      .steps = &item,
+      .step_count = 1,
+      .halts = &halt,
+      .halt_count = 1 },
+  };
+  for (int n = 0; n < ROWS (recs); n++)
+    {
+      void *ctx = talloc_new (NULL);
+      struct wave_record out;
+      uint8_t *data;
+      uint8_t *again;
+      size_t len;
+      size_t again_len;
+      void *holder;
+      ck_assert_int_eq (wave_record_encode (ctx, &recs[n], &data, &len), 0);
+      ck_assert_int_eq (wave_record_decode (ctx, data, len, &out, &holder), 0);
+      ck_assert_int_eq (out.type, recs[n].type);
+      ck_assert_int_eq (wave_record_encode (ctx, &out, &again, &again_len), 0);
+      ck_assert_uint_eq (again_len, len);
+      ck_assert_mem_eq (again, data, len);
+      /* A damaged byte is found wherever it is.  */
+      for (size_t at = 0; at < len; at++)
+        {
+          data[at] ^= 1;
+          ck_assert_int_ne (wave_record_decode (ctx, data, len, &out, &holder),
+                            0);
+          data[at] ^= 1;
+        }
+      talloc_free (ctx);
+    }
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("wave_fold");
+  TCase *tc = tcase_create ("wave_fold");
+  tcase_add_loop_test (tc, test_lease, 0, ROWS (leases));
+  tcase_add_test (tc, test_clock_set_back);
+  tcase_add_loop_test (tc, test_step, 0, ROWS (steps));
+  tcase_add_test (tc, test_pool_generation);
+  tcase_add_test (tc, test_pools_bounded);
+  tcase_add_loop_test (tc, test_create, 0, ROWS (creations));
+  tcase_add_test (tc, test_waves_bounded);
+  tcase_add_loop_test (tc, test_change, 0, ROWS (changes));
+  tcase_add_test (tc, test_deadline);
+  tcase_add_test (tc, test_codec);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
--- a/wave/wave_core_host.c
+++ b/wave/wave_core_host.c
@@ -28,6 +28,17 @@
     free_task (p, task);
 }
 
+static struct wave_task *
+add_task (struct priv *p, const char host[WAVE_NAME_SIZE])
+{
+  struct wave_task *task = talloc_zero (p, struct wave_task);
+  if (!task)
+    return NULL;
+  memcpy (task->host, host, sizeof task->host);
+  HASH_ADD_STR (p->tasks, host, task);
+  return task;
+}
+
 static void
 list_task (struct priv *p, const struct wave *wv, const struct wave_host *wh)
 {
@@ -40,13 +51,9 @@
       return;
     }
   if (!task)
-    {
-      task = talloc_zero (p, struct wave_task);
-      if (!task)
-        return;
-      memcpy (task->host, wh->name, sizeof task->host);
-      HASH_ADD_STR (p->tasks, host, task);
-    }
+    task = add_task (p, wh->name);
+  if (!task)
+    return;
   /* A result of the former step no longer finds the task.  */
   memcpy (task->wave, wv->id, sizeof task->wave);
   memset (&task->seen, 0, sizeof task->seen);
--- a/wave/wave_fleet.c
+++ b/wave/wave_fleet.c
@@ -26,13 +26,9 @@
 };
 
 static struct index_entry *
-index_of (struct index *ix, const char *name)
+index_add (struct index *ix, const char *name)
 {
-  struct index_entry *entry;
-  HASH_FIND_STR (ix->entries, name, entry);
-  if (entry)
-    return entry;
-  entry = talloc_zero (ix->parent, struct index_entry);
+  struct index_entry *entry = talloc_zero (ix->parent, struct index_entry);
   if (!entry)
     return NULL;
   memcpy (entry->name, name, strlen (name) + 1);
@@ -41,6 +37,14 @@
   return entry;
 }
 
+static struct index_entry *
+index_of (struct index *ix, const char *name)
+{
+  struct index_entry *entry;
+  HASH_FIND_STR (ix->entries, name, entry);
+  return entry ? entry : index_add (ix, name);
+}
+
 struct builder
 {
   struct wave_fleet *fleet;
--- a/wave/wave_fold.c
+++ b/wave/wave_fold.c
@@ -243,7 +243,7 @@
   talloc_free (fd->waves[n]);
   fd->count--;
   memmove (&fd->waves[n], &fd->waves[n + 1],
-           (fd->count - n) * sizeof *fd->waves);
+           (fd->count - n) * sizeof (struct wave *));
 }
 
 /* Drops ended waves, oldest first, until COUNT hosts more fit.  */
