--- /dev/null
+++ b/test/unit/unit_wave_plan.c
@@ -0,0 +1,412 @@
+#include <check.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "state/hosts.h"
+#include "table/table.h"
+#include "wave/wave_plan.h"
+
+#define ROWS(table) (int)(sizeof (table) / sizeof *(table))
+#define NOW_MS 100000000
+#define HOSTS_MAX 32
+
+static void *ctx;
+static struct wave_fold fd;
+static struct wave_fleet *fleet;
+static struct wave_plan *plan;
+static const struct wave_plan_settings *set = &wave_plan_settings_default;
+
+/* One host for each letter of a line: '.' in service, 'x' out of service by
+   the list, 'd' draining, 'r' rebooting, 'l' rebooting and late, 'f' failed,
+   'b' back.  Data centres are separated by '/', racks by ' '.  */
+struct layout
+{
+  const char *hosts;
+  uint32_t budget_pct;
+  uint32_t most_out;
+};
+
+static enum wave_step
+step_of (char letter)
+{
+  switch (letter)
+    {
+    case 'd':
+      return WAVE_DRAINING;
+    case 'r':
+    case 'l':
+      return WAVE_REBOOTING;
+    case 'f':
+      return WAVE_FAILED;
+    case 'b':
+      return WAVE_BACK;
+    default:
+      return WAVE_WAITING;
+    }
+}
+
+static void
+build_fleet (const struct layout *lay, struct host *hosts, size_t count)
+{
+  struct host_list list = { .hosts = hosts, .count = count };
+  struct table *tab = table_create (ctx);
+  struct table_row row;
+  table_row_init (&row, TABLE_POOL, "p");
+  row.pool.availability_budget_pct = lay->budget_pct;
+  ck_assert_int_eq (table_add (tab, &row), 0);
+  ck_assert_int_eq (wave_fleet_build (ctx, &list, tab, NULL, NULL, &fleet), 0);
+}
+
+static void
+build (const struct layout *lay)
+{
+  struct host hosts[HOSTS_MAX] = { 0 };
+  struct wave_new_host names[HOSTS_MAX];
+  char letters[HOSTS_MAX];
+  size_t count = 0;
+  int centre = 0;
+  int rack = 0;
+  ctx = talloc_new (NULL);
+  ck_assert_int_eq (wave_fold_init (&fd, ctx), 0);
+  for (const char *p = lay->hosts; *p; p++)
+    {
+      struct host *host = &hosts[count];
+      centre += *p == '/';
+      rack += *p == '/' || *p == ' ';
+      if (*p == '/' || *p == ' ')
+        continue;
+      letters[count] = *p;
+      snprintf (host->name, sizeof host->name, "h%02zu", count);
+      snprintf (host->data_centre, sizeof host->data_centre, "%c",
+                'a' + centre);
+      snprintf (host->rack, sizeof host->rack, "r%d", rack);
+      snprintf (host->initial_pool, sizeof host->initial_pool, "p");
+      host->state = strchr (".b", *p) ? HOST_LIVE : HOST_DOWN;
+      names[count++] = (struct wave_new_host){ host->name, host->data_centre };
+    }
+  build_fleet (lay, hosts, count);
+  const struct wave_record rec = { .type = WAVE_RECORD_CREATE,
+                                   .id = "w",
+                                   .editor = "ana",
+                                   .most_out = lay->most_out,
+                                   .hosts = names,
+                                   .host_count = count };
+  enum wave_effect effect;
+  ck_assert_int_eq (wave_fold_record (&fd, 0, NOW_MS - 400000, &rec, &effect),
+                    0);
+  struct wave *wv = wave_find (&fd, "w");
+  for (size_t n = 0; n < count; n++)
+    {
+      struct wave_host *wh = &wv->hosts[n];
+      wv->steps[WAVE_WAITING]--;
+      wh->step = step_of (letters[n]);
+      wh->reason = letters[n] == 'f' ? WAVE_REASON_NO_RETURN : 0;
+      wh->since_ms = NOW_MS - (letters[n] == 'l' ? set->late_ms + 1 : 1000);
+      wv->steps[wh->step]++;
+    }
+  /* Data centres have planners.  */
+  for (uint32_t n = 0; n < fd.lease_count; n++)
+    {
+      fd.leases[n].granted = true;
+      fd.leases[n].expires_ms = NOW_MS + 1000;
+    }
+}
+
+static struct wave_plan_input
+input (const char *data_centre, int64_t now_ms)
+{
+  return (struct wave_plan_input){ set, &fd, fleet, data_centre, now_ms };
+}
+
+static const struct
+{
+  struct layout lay;
+  const char *starts_a; /* hosts that the planner of "a" starts */
+  const char *starts_b;
+  enum wave_reason halt;
+  enum wave_wait wait; /* of "a", unless it is WAVE_WAIT_NONE */
+} plans[] = {
+  /* The budget, rounded so that enough hosts serve.  */
+  { { "....", 75, 0 }, "h00", "", 0, 0 },
+  { { "....", 76, 0 }, "", "", 0, WAVE_WAIT_BUDGET },
+  { { ".... ....", 75, 0 }, "h00 h04", "", 0, 0 },
+  { { ".... ....", 0, 0 }, "h00 h01 h04 h05", "", 0, 0 },
+  { { ".... ....", 100, 0 }, "", "", 0, WAVE_WAIT_BUDGET },
+  /* Failures count against it, and so do hosts of the wave.  */
+  { { "x... ....", 75, 0 }, "h04", "", 0, 0 },
+  { { "x..x ....", 75, 0 }, "", "", 0, WAVE_WAIT_BUDGET },
+  { { "d... ....", 75, 0 }, "h04", "", 0, 0 },
+  { { "d... r...", 75, 0 }, "", "", 0, WAVE_WAIT_BUDGET },
+  { { "f... ....", 75, 0 }, "h04", "", 0, 0 },
+  { { "bbbb b..b", 75, 0 }, "h05 h06", "", 0, 0 },
+  /* The wave's own limit.  */
+  { { ".... ....", 50, 1 }, "h00", "", 0, 0 },
+  { { "d... ....", 50, 1 }, "", "", 0, 0 },
+  /* Half of a rack; none of a rack that lost several hosts.  */
+  { { "........", 0, 0 }, "h00 h01 h02 h03", "", 0, 0 },
+  { { "xx.. ....", 0, 0 }, "h04 h05", "", 0, WAVE_WAIT_RACK },
+  /* Late hosts hold the wave; failed ones halt it.  */
+  { { "l... ....", 0, 0 }, "h01 h04 h05", "", 0, 0 },
+  { { "l... l...", 0, 0 }, "", "", 0, WAVE_WAIT_LATE },
+  { { "f... f...", 0, 0 }, "h01 h02 h05 h06", "", 0, 0 },
+  { { "ff.. ....", 0, 0 }, "", "", WAVE_REASON_RACK_LOST, 0 },
+  { { "f... f... f...", 0, 0 }, "", "", WAVE_REASON_SEVERAL_LOST, 0 },
+  /* Two hosts of ten over two data centres: together never more.  The one
+     with more rounds to go is first.  */
+  { { "......./...", 80, 0 }, "h00", "h07", 0, 0 },
+  { { "bbbbbb./...", 90, 0 }, "", "h07", 0, WAVE_WAIT_SHARE },
+  { { "..../....", 80, 0 }, "h00", "", 0, 0 },
+  { { "d.../....", 80, 0 }, "", "", 0, WAVE_WAIT_BUDGET },
+  { { "..../....", 75, 0 }, "h00", "h04", 0, 0 },
+};
+
+static void
+check_starts (const char *data_centre, const char *expected)
+{
+  struct wave_plan_input in = input (data_centre, NOW_MS);
+  char text[256] = "";
+  size_t len = 0;
+  /* A share that is not used goes to others only later.  */
+  fd.pools[0] = (struct wave_pool_mark){ "p", 1, NOW_MS - 1000 };
+  fd.pool_count = 1;
+  ck_assert_int_eq (wave_plan_make (ctx, &in, 64, &plan), 0);
+  for (size_t n = 0; n < plan->step_count; n++)
+    {
+      ck_assert_int_eq (plan->steps[n].step, WAVE_DRAINING);
+      ck_assert_uint_eq (plan->steps[n].pool_generation, 1);
+    }
+  for (uint32_t n = 0; n < fleet->host_count; n++)
+    if (plan->use[n] == FLEET_STARTED)
+      len += (size_t)snprintf (text + len, sizeof text - len, "%s%s",
+                               len ? " " : "", fleet->hosts[n].name);
+  ck_assert_str_eq (text, expected);
+}
+
+/* Guards against plans that break a budget together, that do less than it
+   allows, or that go on in a wave that loses hosts.  */
+START_TEST (test_plan)
+{
+  build (&plans[_i].lay);
+  check_starts ("a", plans[_i].starts_a);
+  if (plans[_i].wait != WAVE_WAIT_NONE)
+    ck_assert_int_eq (plan->wait, plans[_i].wait);
+  ck_assert_uint_eq (plan->halt_count, plans[_i].halt != 0);
+  if (plan->halt_count)
+    ck_assert_int_eq (plan->halts[0].reason, plans[_i].halt);
+  if (*plans[_i].starts_b)
+    check_starts ("b", plans[_i].starts_b);
+  talloc_free (ctx);
+}
+END_TEST
+
+/* Guards against an allowance that lies idle because it was dealt to a data
+   centre that cannot use it.  */
+START_TEST (test_patience)
+{
+  const struct layout lay = { "bbbbbb./...", 90, 0 };
+  build (&lay);
+  struct wave_plan_input in = input ("a", NOW_MS);
+  fd.pools[0] = (struct wave_pool_mark){ "p", 1, NOW_MS - set->patience_ms };
+  fd.pool_count = 1;
+  ck_assert_int_eq (wave_plan_make (ctx, &in, 64, &plan), 0);
+  ck_assert_uint_eq (plan->step_count, 0);
+  in.now_ms++;
+  ck_assert_int_eq (wave_plan_make (ctx, &in, 64, &plan), 0);
+  ck_assert_uint_eq (plan->step_count, 1);
+  talloc_free (ctx);
+}
+END_TEST
+
+static bool
+none_drained (void *arg, const char *wave, const char *host)
+{
+  return false;
+}
+
+/* Guards against a drain that is recorded and still done after a host failed,
+   and against two such hosts that wait for each other.  */
+START_TEST (test_may_drain)
+{
+  const struct layout lay = { "dd..x ...", 75, 0 };
+  build (&lay);
+  /* Both still serve.  */
+  fleet->hosts[0].live = fleet->hosts[1].live = true;
+  struct wave_plan_input in = input ("a", NOW_MS);
+  ck_assert_int_eq (wave_plan_make (ctx, &in, 64, &plan), 0);
+  ck_assert (wave_plan_may_drain (&in, plan, "h00", none_drained, NULL));
+  ck_assert (!wave_plan_may_drain (&in, plan, "h01", none_drained, NULL));
+  ck_assert (!wave_plan_may_drain (&in, plan, "h02", none_drained, NULL));
+  talloc_free (ctx);
+}
+END_TEST
+
+#define LIVE HOST_ACTUAL_LIVE
+#define DOWN HOST_ACTUAL_DOWN
+#define LEAVING HOST_ACTUAL_LEAVING
+static const struct
+{
+  enum wave_step step;
+  struct wave_seen seen;
+  int64_t elapsed_ms;
+  bool cancelled;
+  bool may_drain;
+  struct wave_move move;
+} moves[] = {
+  { WAVE_DRAINING, { 0 }, 0, false, true, { .next = WAVE_NEXT_OPERATE } },
+  { WAVE_DRAINING, { 0 }, 0, false, false, { .next = WAVE_NEXT_WAIT } },
+  /* A time limit is no reason to reboot a host that was not drained.  */
+  { WAVE_DRAINING, { 0 }, 700000, false, false, { .next = WAVE_NEXT_WAIT } },
+  { WAVE_DRAINING,
+    { .done = true },
+    0,
+    false,
+    true,
+    { .next = WAVE_NEXT_HEALTH } },
+  { WAVE_DRAINING,
+    { .done = true, .has_health = true, .slots_in_use = 1 },
+    0,
+    false,
+    true,
+    { .next = WAVE_NEXT_HEALTH } },
+  { WAVE_DRAINING,
+    { .done = true, .has_health = true, .slots_in_use = 0 },
+    0,
+    false,
+    true,
+    { WAVE_NEXT_RECORD, WAVE_REBOOTING, 0 } },
+  { WAVE_DRAINING,
+    { .done = true, .slots_in_use = -1 },
+    600000,
+    false,
+    true,
+    { WAVE_NEXT_RECORD, WAVE_REBOOTING, 0 } },
+  { WAVE_DRAINING,
+    { .refused = true },
+    0,
+    false,
+    true,
+    { WAVE_NEXT_RECORD, WAVE_FAILED, WAVE_REASON_REFUSED } },
+  { WAVE_DRAINING,
+    { 0 },
+    0,
+    true,
+    true,
+    { WAVE_NEXT_RECORD, WAVE_CHECKING, WAVE_REASON_CANCELLED } },
+  { WAVE_DRAINING,
+    { .unresolved = true },
+    0,
+    true,
+    true,
+    { .next = WAVE_NEXT_OPERATE } },
+  { WAVE_REBOOTING, { 0 }, 0, true, true, { .next = WAVE_NEXT_OPERATE } },
+  /* A state that was seen before the reboot tells nothing.  */
+  { WAVE_REBOOTING,
+    { .state = LIVE },
+    0,
+    false,
+    true,
+    { .next = WAVE_NEXT_OPERATE } },
+  { WAVE_REBOOTING,
+    { .done = true, .state = DOWN },
+    0,
+    false,
+    true,
+    { .next = WAVE_NEXT_GET } },
+  { WAVE_REBOOTING,
+    { .done = true, .state = LEAVING },
+    0,
+    false,
+    true,
+    { WAVE_NEXT_RECORD, WAVE_CHECKING, 0 } },
+  { WAVE_REBOOTING,
+    { .done = true, .state = DOWN },
+    900000,
+    false,
+    true,
+    { .next = WAVE_NEXT_GET } },
+  { WAVE_REBOOTING,
+    { .done = true, .state = DOWN, .late_tries = 5 },
+    900000,
+    false,
+    true,
+    { WAVE_NEXT_RECORD, WAVE_FAILED, WAVE_REASON_NO_RETURN } },
+  { WAVE_CHECKING, { 0 }, 0, false, true, { .next = WAVE_NEXT_OPERATE } },
+  { WAVE_CHECKING,
+    { .done = true },
+    0,
+    false,
+    true,
+    { .next = WAVE_NEXT_GET } },
+  { WAVE_CHECKING,
+    { .done = true, .state = LIVE },
+    0,
+    false,
+    true,
+    { .next = WAVE_NEXT_HEALTH } },
+  { WAVE_CHECKING,
+    { .done = true, .state = LIVE, .has_health = true, .healthy = true },
+    0,
+    false,
+    true,
+    { WAVE_NEXT_RECORD, WAVE_BACK, 0 } },
+  { WAVE_CHECKING,
+    { .done = true, .state = LIVE, .has_health = true, .late_tries = 5 },
+    300000,
+    false,
+    true,
+    { WAVE_NEXT_RECORD, WAVE_FAILED, WAVE_REASON_NOT_HEALTHY } },
+};
+
+/* Guards against a host that is rebooted with work, taken as back before it
+   serves, or asked for ever.  */
+START_TEST (test_step_next)
+{
+  const struct wave wv
+      = { .state = moves[_i].cancelled ? WAVE_CANCELLED : WAVE_RUNNING };
+  const struct wave_host wh = { .step = moves[_i].step };
+  struct wave_move mv
+      = wave_step_next (set, &wv, &wh, &moves[_i].seen, moves[_i].elapsed_ms,
+                        moves[_i].may_drain);
+  ck_assert_int_eq (mv.next, moves[_i].move.next);
+  ck_assert_int_eq (mv.step, moves[_i].move.step);
+  ck_assert_int_eq (mv.reason, moves[_i].move.reason);
+}
+END_TEST
+
+/* Guards against two reboots of a host in one wave under different ids, and a
+   second attempt at a drain that the platform takes for the first.  */
+START_TEST (test_operation_id)
+{
+  const struct wave wv = { .id = "w", .offset = 7 };
+  struct wave_host wh = { .name = "h", .step = WAVE_REBOOTING, .attempt = 2 };
+  char one[HOST_OPERATION_ID_MAX + 1];
+  char two[HOST_OPERATION_ID_MAX + 1];
+  wave_operation_id (&wv, &wh, one);
+  wh.generation = wh.attempt = 9;
+  wave_operation_id (&wv, &wh, two);
+  ck_assert_str_eq (one, "w/7/h/reboot/0");
+  ck_assert_str_eq (one, two);
+  wh.step = WAVE_DRAINING;
+  wave_operation_id (&wv, &wh, two);
+  ck_assert_str_eq (two, "w/7/h/drain/9");
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("wave_plan");
+  TCase *tc = tcase_create ("wave_plan");
+  tcase_add_loop_test (tc, test_plan, 0, ROWS (plans));
+  tcase_add_test (tc, test_patience);
+  tcase_add_test (tc, test_may_drain);
+  tcase_add_loop_test (tc, test_step_next, 0, ROWS (moves));
+  tcase_add_test (tc, test_operation_id);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
--- a/wave/wave_core_host.c
+++ b/wave/wave_core_host.c
@@ -28,32 +28,39 @@
     free_task (p, task);
 }
 
+static void
+add_task (struct priv *p, struct wave_task *task)
+{
+  HASH_ADD_KEYPTR (hh, p->tasks, task->host, strlen (task->host), task);
+}
+
+/* The task of the host; NULL without memory.  */
 static struct wave_task *
-add_task (struct priv *p, const char host[WAVE_NAME_SIZE])
+task_of (struct priv *p, const char host[WAVE_NAME_SIZE])
 {
-  struct wave_task *task = talloc_zero (p, struct wave_task);
+  struct wave_task *task;
+  HASH_FIND_STR (p->tasks, host, task);
+  if (task)
+    return task;
+  task = talloc_zero (p, struct wave_task);
   if (!task)
     return NULL;
   memcpy (task->host, host, sizeof task->host);
-  HASH_ADD_STR (p->tasks, host, task);
+  add_task (p, task);
   return task;
 }
 
 static void
 list_task (struct priv *p, const struct wave *wv, const struct wave_host *wh)
 {
-  struct wave_task *task;
-  HASH_FIND_STR (p->tasks, wh->name, task);
-  if (task && task->generation == wh->generation
-      && strcmp (task->wave, wv->id) == 0)
+  struct wave_task *task = task_of (p, wh->name);
+  if (!task)
+    return;
+  if (task->generation == wh->generation && strcmp (task->wave, wv->id) == 0)
     {
       task->listed = true;
       return;
     }
-  if (!task)
-    task = add_task (p, wh->name);
-  if (!task)
-    return;
   /* A result of the former step no longer finds the task.  */
   memcpy (task->wave, wv->id, sizeof task->wave);
   memset (&task->seen, 0, sizeof task->seen);
--- a/wave/wave_fleet.c
+++ b/wave/wave_fleet.c
@@ -25,16 +25,10 @@
   uint32_t count;
 };
 
-static struct index_entry *
-index_add (struct index *ix, const char *name)
+static void
+index_add (struct index *ix, struct index_entry *entry)
 {
-  struct index_entry *entry = talloc_zero (ix->parent, struct index_entry);
-  if (!entry)
-    return NULL;
-  memcpy (entry->name, name, strlen (name) + 1);
-  entry->index = ix->count++;
-  HASH_ADD_STR (ix->entries, name, entry);
-  return entry;
+  HASH_ADD_KEYPTR (hh, ix->entries, entry->name, strlen (entry->name), entry);
 }
 
 static struct index_entry *
@@ -42,7 +36,15 @@
 {
   struct index_entry *entry;
   HASH_FIND_STR (ix->entries, name, entry);
-  return entry ? entry : index_add (ix, name);
+  if (entry)
+    return entry;
+  entry = talloc_zero (ix->parent, struct index_entry);
+  if (!entry)
+    return NULL;
+  memcpy (entry->name, name, strlen (name) + 1);
+  entry->index = ix->count++;
+  index_add (ix, entry);
+  return entry;
 }
 
 struct builder
--- a/wave/wave_plan.c
+++ b/wave/wave_plan.c
@@ -388,8 +388,10 @@
   const struct fleet_host *hosts = pl->in->fleet->hosts;
   if (!b || a->order != b->order)
     return !b || a->order < b->order;
-  return pl->rack_planned[hosts[a->host].rack]
-         < pl->rack_planned[hosts[b->host].rack];
+  uint32_t ra = hosts[a->host].rack;
+  uint32_t rb = hosts[b->host].rack;
+  return pl->rack_planned[ra] + pl->rack_unplanned[ra]
+         < pl->rack_planned[rb] + pl->rack_unplanned[rb];
 }
 
 static struct candidate *
