--- a/test/unit/unit_wave_core.c
+++ b/test/unit/unit_wave_core.c
@@ -321,6 +321,32 @@
 }
 END_TEST
 
+/* Guards against a host that is rebooted with work because its drain, held
+   back by the budget, came later than a drain may last.  */
+START_TEST (test_drain_held_back)
+{
+  start (1, 8, 0, 1);
+  world_create_wave (&wd, 0);
+  while (wave_under_way (wave_now ()) == 0)
+    world_step (&wd);
+  /* Recorded and not yet drained.  */
+  ck_assert_uint_eq (wd.hosts[0].drains, 0);
+  wave_core_fini (&wd.planners[0].core);
+  wd.planners[0].alive = false;
+  for (uint32_t n = 4; n < wd.host_count; n++)
+    world_fail_host (&wd, &wd.hosts[n], true);
+  world_restart_planner (&wd, 0);
+  run_s (700);
+  for (uint32_t n = 0; n < wd.host_count; n++)
+    ck_assert_uint_eq (wd.hosts[n].drains, 0);
+  for (uint32_t n = 4; n < wd.host_count; n++)
+    world_fail_host (&wd, &wd.hosts[n], false);
+  run_to_end ();
+  check_all_done ();
+  world_fini (&wd);
+}
+END_TEST
+
 static const struct
 {
   enum wave_record_type type;
@@ -389,6 +415,7 @@
   tcase_add_loop_test (tc, test_hosts_lost, 0, ROWS (losses));
   tcase_add_loop_test (tc, test_changes, 0, ROWS (changes));
   tcase_add_test (tc, test_host_gone);
+  tcase_add_test (tc, test_drain_held_back);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
--- a/test/unit/wave_world.c
+++ b/test/unit/wave_world.c
@@ -1,4 +1,4 @@
-#include "wave_world.h"
+#include "test/unit/wave_world.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -64,9 +64,9 @@
 }
 
 uint32_t
-world_allowed (const struct world *wd, uint32_t hosts)
+world_allowed (const struct world *wd, uint32_t pool, uint32_t hosts)
 {
-  return hosts - table_budget_hosts (wd->set.budget_pct, hosts);
+  return hosts - table_budget_hosts (wd->budget_pct[pool], hosts);
 }
 
 void
@@ -77,6 +77,9 @@
   wd->random = set->seed;
   wd->ctx = talloc_new (NULL);
   wd->list_version = 1;
+  wd->budget_pct = talloc_array (wd->ctx, uint32_t, set->pools);
+  for (uint32_t n = 0; n < set->pools; n++)
+    wd->budget_pct[n] = set->budget_pct;
   wd->pool_hosts = talloc_zero_array (wd->ctx, uint32_t, set->pools);
   wd->cell_hosts
       = talloc_zero_array (wd->ctx, uint32_t, set->pools * set->centres);
@@ -200,7 +203,7 @@
     {
       snprintf (name, sizeof name, "p%u", n);
       table_row_init (&row, TABLE_POOL, name);
-      row.pool.availability_budget_pct = wd->set.budget_pct;
+      row.pool.availability_budget_pct = wd->budget_pct[n];
       if (table_add (tab, &row) != 0)
         abort ();
     }
@@ -292,8 +295,9 @@
       cell += other->centre == ht->centre;
     }
   uint32_t cap = world_allowed (
-      wd, wd->cell_hosts[ht->pool * wd->set.centres + ht->centre]);
-  wd->breach.budget += out > world_allowed (wd, wd->pool_hosts[ht->pool]);
+      wd, ht->pool, wd->cell_hosts[ht->pool * wd->set.centres + ht->centre]);
+  wd->breach.budget
+      += out > world_allowed (wd, ht->pool, wd->pool_hosts[ht->pool]);
   wd->breach.centre += cell > (cap > 0 ? cap : 1);
 }
 
--- a/test/unit/wave_world.h
+++ b/test/unit/wave_world.h
@@ -54,7 +54,7 @@
   uint32_t centres;
   uint32_t pools;
   uint32_t hosts_per_rack;
-  uint32_t budget_pct; /* availability budget of every pool */
+  uint32_t budget_pct; /* availability budget of the pools */
   int64_t log_ms;      /* latency of the log and of operations, one way */
   int64_t list_ms;     /* age at which the host list is read again */
   uint64_t seed;
@@ -78,6 +78,7 @@
 
   struct world_host *hosts;
   uint32_t host_count;
+  uint32_t *budget_pct; /* of each pool; the tests may change it at first */
   uint32_t *pool_hosts; /* hosts of each pool */
   uint32_t *cell_hosts; /* of each pool and data centre */
   uint64_t list_version;
@@ -120,7 +121,7 @@
 void world_fail_host (struct world *wd, struct world_host *ht, bool failed);
 bool world_in_service (const struct world *wd, const struct world_host *ht);
 
-/* Hosts of the pool that may be out of service at a time.  */
-uint32_t world_allowed (const struct world *wd, uint32_t hosts);
+/* Hosts, of so many of the pool, that may be out of service at a time.  */
+uint32_t world_allowed (const struct world *wd, uint32_t pool, uint32_t hosts);
 
 uint64_t world_random (struct world *wd, uint64_t below);
--- a/wave/wave_core.h
+++ b/wave/wave_core.h
@@ -111,7 +111,8 @@
                     const struct wave_record *rec, int64_t deadline_us,
                     wave_edit_fn *fn, void *arg);
 
-/* Runs the callbacks that are due.  */
+/* Runs the callbacks that are due.  One of them may finish the core; those due
+   with it still run.  */
 void wave_core_tell (struct wave_core *core, int64_t now_us);
 
 /* When to look again without any event, at the latest.  */
--- a/wave/wave_core_edit.c
+++ b/wave/wave_core_edit.c
@@ -65,6 +65,8 @@
 wave_core_tell (struct wave_core *core, int64_t now_us)
 {
   struct priv *p = core->priv;
+  struct wave_edit told[WAVE_EDIT_MAX];
+  int count = 0;
   for (int n = 0; n < WAVE_EDIT_MAX; n++)
     {
       struct wave_edit *ed = &p->edits[n];
@@ -79,12 +81,11 @@
         }
       if (!ed->ended)
         continue;
-      struct wave_edit told = *ed;
       TALLOC_FREE (ed->data);
       ed->used = false;
-      told.fn (told.arg, told.err, told.effect);
-      /* The callback may have finished the core.  */
-      if (core->priv != p)
-        return;
+      told[count++] = *ed;
     }
+  /* A callback may finish the core.  */
+  for (int n = 0; n < count; n++)
+    told[n].fn (told[n].arg, told[n].err, told[n].effect);
 }
--- a/wave/wave_core_host.c
+++ b/wave/wave_core_host.c
@@ -111,7 +111,8 @@
   struct wave_task *task;
   HASH_FIND_STR (p->tasks, host, task);
   return task && strcmp (task->wave, wave) == 0
-         && (task->seen.done || task->seen.unresolved);
+         && (task->seen.done || task->seen.unresolved
+             || (task->open && task->asked == WAVE_NEXT_OPERATE));
 }
 
 /* Whether the host may be drained by what is known of its pool now.  A drain
@@ -139,6 +140,9 @@
                && (*wv)->state != WAVE_CANCELLED
                && may_drain (p, now_us, task);
   int64_t elapsed_ms = wave_core_log_ms (p, now_us) - (*wh)->since_ms;
+  /* The budget may have held the drain back long after its record.  */
+  if ((*wh)->step == WAVE_DRAINING && task->seen.done)
+    elapsed_ms = (now_us - task->done_us) / US_PER_MS;
   return wave_step_next (&p->set.plan, *wv, *wh, &task->seen, elapsed_ms,
                          drain);
 }
@@ -247,6 +251,7 @@
     {
     case HOST_CALL_DONE:
       seen->done = true;
+      task->done_us = now_us;
       seen->unresolved = false;
       task->next_us = now_us;
       if (wh && wh->step == WAVE_DRAINING)
--- a/wave/wave_core_priv.h
+++ b/wave/wave_core_priv.h
@@ -21,6 +21,7 @@
   enum wave_next asked;
   uint32_t fenced; /* refusals by the fence in a row */
   int64_t next_us; /* of the next call */
+  int64_t done_us; /* when the step's operation was acknowledged */
   struct wave_seen seen;
 };
 
--- a/wave/wave_plan.h
+++ b/wave/wave_plan.h
@@ -10,8 +10,8 @@
 
 struct wave_plan_settings
 {
-  int64_t drain_limit_ms;  /* no request lives longer; a host that is still
-                              busy then is rebooted */
+  int64_t drain_limit_ms;  /* from the drain; no request lives longer, and a
+                              host that is still busy then is rebooted */
   int64_t reboot_limit_ms; /* from the record of the reboot to an answer */
   int64_t check_limit_ms;  /* from the record of the check to health */
   int64_t late_ms;         /* in one step: a late host; see late_hosts */
@@ -114,7 +114,8 @@
   enum wave_reason reason;
 };
 
-/* ELAPSED_MS: since the step was recorded.  */
+/* ELAPSED_MS: since the step was recorded; of a host that drains, since the
+   drain was acknowledged.  */
 struct wave_move wave_step_next (const struct wave_plan_settings *set,
                                  const struct wave *wv,
                                  const struct wave_host *wh,
--- a/wave/wave_run.c
+++ b/wave/wave_run.c
@@ -45,7 +45,6 @@
   bool reading;
   uint64_t bad_offset;
   uint32_t bad_attempts;
-  bool *finished; /* set while callbacks run */
 };
 
 static void start_read (struct priv *p);
@@ -251,12 +250,6 @@
 on_soon (struct tevent_context *ev, struct tevent_immediate *im, void *arg)
 {
   struct priv *p = arg;
-  bool finished = false;
-  p->finished = &finished;
-  wave_core_tell (&p->core, clock_now_us (p->clk));
-  if (finished)
-    return;
-  p->finished = NULL;
   start_append (p);
   start_calls (p);
   int64_t now = clock_now_us (p->clk);
@@ -264,6 +257,8 @@
   TALLOC_FREE (p->wake);
   p->wake = tevent_add_timer (
       p->ev, p, in_us (delay > WAKE_MIN_US ? delay : WAKE_MIN_US), on_wake, p);
+  /* Last, because a callback may finish the run.  */
+  wave_core_tell (&p->core, now);
 }
 
 static void
@@ -323,8 +318,6 @@
   if (!p)
     return;
   run->priv = NULL;
-  if (p->finished)
-    *p->finished = true;
   DL_FOREACH_SAFE (p->calls, call, tmp)
     {
       DL_DELETE (p->calls, call);
