entry: planner of waves, and no verdicts after the last reply

Change: the traffic thread drops verdicts and releases after it has replied to everything; a request that a guard refused waits for a slot with a growing pause instead of ending; the control thread runs the planner of maintenance waves of its data centre.

--- a/entry/control.c
+++ b/entry/control.c
@@ -55,10 +55,10 @@
   return strcmp (key, (*host)->host);
 }
 
-static const char *
-find_assignment (const void *arg, const char *host)
+const char *
+control_assignment (const void *fold, const char *host)
 {
-  const struct fold *fd = arg;
+  const struct fold *fd = fold;
   struct fold_host **found
       = fd->host_count
             ? bsearch (host, fd->hosts, fd->host_count,
@@ -79,7 +79,7 @@
     .hosts = ctl->hosts,
     .table = fd->table,
     .data_centre = ctl->set.data_centre,
-    .assignment = find_assignment,
+    .assignment = control_assignment,
     .assignment_arg = fd,
     .folded_offset = fd->next_offset,
   };
@@ -92,6 +92,7 @@
   view_unref (ctl->view);
   ctl->view = vw;
   post_view (ctl);
+  control_waves_view (ctl, true);
 }
 
 /* The state calls back first when it has reached the log's end, so that a
@@ -167,6 +168,7 @@
   if (ctl->hosts && ctl->hosts->version == list->version)
     {
       talloc_free (list);
+      control_waves_view (ctl, false);
       return;
     }
   log_event (ctl->lg, EV_HOSTS_LOADED, LOG_I ("version", list->version),
@@ -265,8 +267,8 @@
 int
 control_create (void *parent, struct tevent_context *ev,
                 const struct control_settings *set, struct log_store *store,
-                const struct clock *clk, struct logger *lg,
-                struct counters *ctr, struct control **out)
+                struct host_store *host_store, const struct clock *clk,
+                struct logger *lg, struct counters *ctr, struct control **out)
 {
   struct control *ctl = talloc_zero (parent, struct control);
   if (!ctl)
@@ -274,6 +276,7 @@
   ctl->set = *set;
   ctl->ev = ev;
   ctl->store = store;
+  ctl->host_store = host_store;
   ctl->clk = clk;
   ctl->lg = lg;
   ctl->ctr = ctr;
@@ -286,6 +289,8 @@
     err = start_claims (ctl);
   if (!err)
     err = start_state (ctl);
+  if (!err)
+    err = control_waves_start (ctl);
   *out = ctl;
   if (!err)
     poll_hosts (ctl);
@@ -299,6 +304,8 @@
     return;
   if (ctl->inbox.fde)
     mailbox_close (&ctl->inbox);
+  if (ctl->waves.priv)
+    wave_run_fini (&ctl->waves);
   if (ctl->state.priv)
     state_fini (&ctl->state);
   if (ctl->claims.priv)
--- a/entry/control.h
+++ b/entry/control.h
@@ -11,6 +11,7 @@
 
 struct clock;
 struct counters;
+struct host_store;
 struct log_store;
 struct logger;
 struct tevent_context;
@@ -32,13 +33,13 @@
 };
 
 /* Returns 0, ERR_INVALID for an address, ERR_NOMEM or ERR_SYSTEM; *OUT is to
-   be destroyed in each case but ERR_NOMEM.  STORE stays the caller's, who
-   finishes it before control_destroy.  */
+   be destroyed in each case but ERR_NOMEM.  STORE and HOST_STORE stay the
+   caller's, who finishes them before control_destroy.  */
 int control_create (void *parent, struct tevent_context *ev,
                     const struct control_settings *set,
-                    struct log_store *store, const struct clock *clk,
-                    struct logger *lg, struct counters *ctr,
-                    struct control **out);
+                    struct log_store *store, struct host_store *host_store,
+                    const struct clock *clk, struct logger *lg,
+                    struct counters *ctr, struct control **out);
 void control_destroy (struct control *ctl);
 
 /* Port of the listener for peers; 0: none.  */
--- a/entry/control_priv.h
+++ b/entry/control_priv.h
@@ -6,6 +6,7 @@
 #include "peer/link.h"
 #include "state/hosts.h"
 #include "state/state.h"
+#include "wave/wave_run.h"
 
 struct tevent_timer;
 
@@ -14,6 +15,7 @@
   struct control_settings set;
   struct tevent_context *ev;
   struct log_store *store;
+  struct host_store *host_store;
   const struct clock *clk;
   struct logger *lg;
   struct counters *ctr;
@@ -21,6 +23,7 @@
   struct claims claims;
   struct state state;
   struct peers peers;
+  struct wave_run waves;
   struct traffic *traffic;
   struct host_list *hosts;
   struct view *view;
@@ -48,5 +51,14 @@
 void control_peers_health (struct control *ctl,
                            const struct mail_own_health *mail);
 
+/* control_waves.c: the planner of maintenance waves.  */
+int control_waves_start (struct control *ctl);
+
+/* CHANGED: the host list, the table or the assignments.  */
+void control_waves_view (struct control *ctl, bool changed);
+
+/* The pool that the log assigns to HOST, or NULL.  */
+const char *control_assignment (const void *fold, const char *host);
+
 /* Posts MAIL to the traffic thread, or frees it.  */
 void control_post (struct control *ctl, struct mail *mail);
--- /dev/null
+++ b/entry/control_waves.c
@@ -0,0 +1,36 @@
+#include "base/err.h"
+#include "base/log.h"
+#include "entry/control_priv.h"
+
+static const char *
+pool_of (void *arg, const char *host)
+{
+  return control_assignment (arg, host);
+}
+
+int
+control_waves_start (struct control *ctl)
+{
+  struct wave_run_settings set;
+  wave_run_settings_init (&set);
+  set.core.name = ctl->set.name;
+  set.core.incarnation = ctl->set.incarnation;
+  set.core.data_centre = ctl->set.data_centre;
+  return wave_run_init (&ctl->waves, ctl, &set, ctl->store, ctl->host_store,
+                        ctl->ev, ctl->clk, ctl->lg);
+}
+
+void
+control_waves_view (struct control *ctl, bool changed)
+{
+  if (!changed)
+    {
+      wave_run_touch_view (&ctl->waves);
+      return;
+    }
+  const struct fold *fd = state_fold (&ctl->state);
+  int err = wave_run_set_view (&ctl->waves, ctl->hosts, fd->table, pool_of,
+                               (void *)fd);
+  if (err)
+    log_event (ctl->lg, EV_VIEW_FAILED, LOG_S ("error", err_name (err)));
+}
--- a/entry/request.h
+++ b/entry/request.h
@@ -108,6 +108,7 @@
   uint32_t max_attempts;
   uint32_t pool;
   uint32_t attempts;
+  uint32_t guard_refusals;
   bool may_have_run; /* an attempt was sent and not proved not run */
   struct route_query query;
   struct target_handle target;
--- a/entry/request_flow.c
+++ b/entry/request_flow.c
@@ -16,6 +16,10 @@
 /* How soon a request is tried again that found every target's slots in use,
    although admission counted some as free.  */
 #define TARGET_RETRY_US 2000
+/* First pause after a guard refusal that may not be retried at once; it
+   doubles up to GUARD_WAITS_MAX times, to about 2.5 s in all.  */
+#define GUARD_WAIT_US 10000
+#define GUARD_WAITS_MAX 8
 /* Time for the release of a claim to be recorded before the caller hears of
    "not run"; beyond, the reply says that the key is still held.  */
 #define RELEASE_TIMEOUT_US 2000000
@@ -242,6 +246,41 @@
   flow_finish (trf, req, OUTCOME_ANSWERED, REASON_NONE);
 }
 
+static void
+on_target_timer (struct tevent_context *ev, struct tevent_timer *te,
+                 struct timeval tv, void *arg)
+{
+  struct request *req = arg;
+  req->timer = NULL;
+  send_attempt (req->traffic, req);
+}
+
+static void
+wait_for_target (struct traffic *trf, struct request *req, uint32_t wait_us)
+{
+  req->state = REQUEST_WAIT_TARGET;
+  req->timer = tevent_add_timer (
+      trf->ev, trf->ev,
+      tevent_timeval_current_ofs (wait_us / 1000000, wait_us % 1000000),
+      on_target_timer, req);
+  if (!req->timer)
+    finish_unanswered (trf, req, REASON_INTERNAL, REASON_INTERNAL);
+}
+
+/* A guard refusal says that the slots are taken, not that the target fails:
+   the request waits for a slot as it would have in the queue.  The growing
+   pause keeps waiting requests from loading full targets.  Returns false when
+   it has waited often enough.  */
+static bool
+wait_after_refusal (struct traffic *trf, struct request *req)
+{
+  if (req->guard_refusals >= GUARD_WAITS_MAX)
+    return false;
+  req->query.avoid_count = 0;
+  wait_for_target (trf, req, GUARD_WAIT_US << req->guard_refusals++);
+  return true;
+}
+
 static void
 on_attempt (void *arg, struct attempt_reply *reply)
 {
@@ -277,6 +316,9 @@
              LOG_S ("verdict", retry_verdict_name (verdict)));
   if (reply->result == ATTEMPT_SERVER_ERROR)
     finish_answered (trf, req, reply);
+  else if (reply->result == ATTEMPT_GUARD_REFUSED
+           && wait_after_refusal (trf, req))
+    return;
   else
     finish_unanswered (
         trf, req,
@@ -285,26 +327,6 @@
         reply->bad_answer ? REASON_BAD_ANSWER : REASON_NO_ANSWER);
 }
 
-static void
-on_target_timer (struct tevent_context *ev, struct tevent_timer *te,
-                 struct timeval tv, void *arg)
-{
-  struct request *req = arg;
-  req->timer = NULL;
-  send_attempt (req->traffic, req);
-}
-
-static void
-wait_for_target (struct traffic *trf, struct request *req)
-{
-  req->state = REQUEST_WAIT_TARGET;
-  req->timer = tevent_add_timer (
-      trf->ev, trf->ev, tevent_timeval_current_ofs (0, TARGET_RETRY_US),
-      on_target_timer, req);
-  if (!req->timer)
-    finish_unanswered (trf, req, REASON_INTERNAL, REASON_INTERNAL);
-}
-
 static void
 dispatch_to (struct traffic *trf, struct request *req,
              const struct route_choice *choice, int64_t left_us)
@@ -356,7 +378,7 @@
     }
   int err = route_pick (&trf->rt, &req->query, now, &choice);
   if (err == ERR_FULL)
-    wait_for_target (trf, req);
+    wait_for_target (trf, req, TARGET_RETRY_US);
   else if (err && !flow_forward (trf, req))
     finish_unanswered (trf, req, REASON_NO_TARGET, REASON_NO_ANSWER);
   else if (err)
--- a/entry/serve.c
+++ b/entry/serve.c
@@ -18,6 +18,7 @@
 #include "base/log.h"
 #include "entry/control.h"
 #include "entry/traffic.h"
+#include "store/host_http.h"
 #include "store/log_http.h"
 
 #define IDLE_TIMEOUT_S 30
@@ -34,6 +35,7 @@
   struct logger *lg;
   struct counters ctr;
   struct log_http store;
+  struct host_http host_store;
   struct control *ctl;
   struct traffic *trf;
   char secret[SECRET_MAX_BYTES + 1];
@@ -123,6 +125,12 @@
   store_set.address = set->platform;
   store_set.client = set->name;
   int err = log_http_init (&srv->store, srv->ev, srv->ev, &store_set);
+  if (err)
+    return err;
+  struct host_http_settings host_set = host_http_settings_default;
+  host_set.address = set->platform;
+  host_set.client = set->name;
+  err = host_http_init (&srv->host_store, srv->ev, srv->ev, &host_set);
   if (err)
     return err;
   struct control_settings ctl_set = {
@@ -141,7 +149,8 @@
     return err;
   ctl_set.peer_secret = srv->secret;
   return control_create (srv->ev, srv->ev, &ctl_set, &srv->store.st,
-                         &clock_system, srv->lg, &srv->ctr, &srv->ctl);
+                         &srv->host_store.hs, &clock_system, srv->lg,
+                         &srv->ctr, &srv->ctl);
 }
 
 static int
@@ -254,6 +263,8 @@
   /* Calls in progress name memory of the control part.  */
   if (srv->store.st.drv)
     log_store_fini (&srv->store.st);
+  if (srv->host_store.hs.drv)
+    host_store_fini (&srv->host_store.hs);
   control_destroy (srv->ctl);
   talloc_free (srv->ev);
   logger_destroy (srv->lg);
--- a/entry/traffic.c
+++ b/entry/traffic.c
@@ -191,10 +191,12 @@
       apply_view (trf, ((struct mail_view *)mail)->view);
       break;
     case MAIL_VERDICT:
-      flow_verdict (trf, (struct mail_verdict *)mail);
+      if (!trf->aborted)
+        flow_verdict (trf, (struct mail_verdict *)mail);
       break;
     case MAIL_RELEASED:
-      flow_released (trf, (struct mail_released *)mail);
+      if (!trf->aborted)
+        flow_released (trf, (struct mail_released *)mail);
       break;
     case MAIL_PEER_LOAD:
       apply_peer_load (trf, (struct mail_peer_load *)mail);
@@ -210,6 +212,7 @@
       break;
     case MAIL_STOP:
       flow_abort_all (trf);
+      trf->aborted = true;
       trf->refusing = true;
       check_idle (trf);
       break;
@@ -258,6 +261,7 @@
   mailbox_close (&trf->inbox);
   if (trf->open_count > 0)
     flow_abort_all (trf);
+  trf->aborted = true;
   while (listener_open (trf->lis) > 0 && tevent_loop_once (trf->ev) == 0)
     ;
   struct mail *mail = mail_new (MAIL_TRAFFIC_IDLE, sizeof *mail);
--- a/entry/traffic_priv.h
+++ b/entry/traffic_priv.h
@@ -46,6 +46,8 @@
   int64_t pause_end_us;
   bool draining;
   bool refusing; /* draining, and the leave time is over */
+  bool aborted;  /* every request was replied to; verdicts on the way name
+                    requests that are gone */
   bool stopped;
 };
 
