peer: a budget of bytes a second for deltas

Cause: with every change sent at once a node with 20 peers and 1000 targets sends 32 KB/s. Change: deltas of a node share 2500 bytes a second over its links; when not all changes fit, the largest beside the target's slots go first, equal ones in turn, and a message waits until it is more than mostly frame. The tests of slow readers run without the budget, which otherwise keeps the queue from filling; what they check is unchanged.

--- a/peer/link_tick.c
+++ b/peer/link_tick.c
@@ -130,9 +130,12 @@
 send_deltas (struct priv *p, int64_t now_us)
 {
   PeerFrame msg;
-  while (load_next (&p->load, now_us, &msg))
+  struct conn *con;
+  uint32_t links = 0;
+  DL_FOREACH (p->conns, con)
+    links += gets_deltas (p, con);
+  while (load_next (&p->load, now_us, links, &msg))
     {
-      struct conn *con;
       DL_FOREACH (p->conns, con)
         {
           /* A peer that misses a delta gets all values when its queue has room
--- a/peer/load.c
+++ b/peer/load.c
@@ -10,12 +10,21 @@
 
 /* Ranges in which one refresh of all targets is spread over its time.  */
 #define REFRESH_SLICES 8
+/* Bytes of a frame besides its lists, and of a changed target at most as long
+   as its id is near the one before and its count is below 128.  */
+#define FRAME_BYTES 32
+#define ENTRY_BYTES 2
+/* With less to spend a message would mostly consist of its frame.  */
+#define SPEND_MIN_BYTES 160
+#define WEIGHTS 16
+#define NEVER INT64_MIN
 
 const struct load_settings load_settings_default = {
   .max_targets = 4096,
   .max_entries = 2048,
   .min_interval_us = 100000,
   .refresh_us = 30000000,
+  .budget_bytes_per_s = 2500,
 };
 
 struct entry
@@ -42,7 +51,9 @@
   int64_t next_delta_us;
   int64_t next_refresh_us;
   uint32_t refresh_from;
-  uint32_t scan_from; /* next id to be looked at in this interval */
+  uint32_t fill_from; /* first id of the next partial delta's last weight */
+  int64_t credit;     /* bytes that may be sent on each link */
+  int64_t credit_us;  /* time up to which it was granted */
   bool scanning;
   bool health_due;
 
@@ -66,6 +77,7 @@
     return ERR_NOMEM;
   p->set = *set;
   p->epoch = 1;
+  p->credit_us = NEVER;
   p->entries = talloc_zero_array (p, struct entry *, set->max_targets);
   p->gaps = talloc_array (p, uint32_t, set->max_entries);
   p->values = talloc_array (p, uint32_t, set->max_entries);
@@ -125,7 +137,7 @@
   p->count = kept;
   p->epoch++;
   p->refresh_from = 0;
-  p->scan_from = 0;
+  p->fill_from = 0;
 }
 
 static int
@@ -246,22 +258,80 @@
   return id;
 }
 
+/* How much a change matters: more, the larger it is beside the slots.  */
+static uint32_t
+entry_weight (const struct entry *ent)
+{
+  uint32_t diff = ent->value > ent->sent ? ent->value - ent->sent
+                                         : ent->sent - ent->value;
+  if (diff == 0)
+    return 0;
+  uint64_t weight = 1 + (uint64_t)diff * 8 / ent->slots;
+  return weight < WEIGHTS ? (uint32_t)weight : WEIGHTS - 1;
+}
+
+/* Which of the changed targets go into a message for which there is room for
+   MAX of them.  */
+struct selection
+{
+  uint32_t weight; /* all of at least this weight */
+  uint32_t fill;   /* and as many of the weight below */
+};
+
+static struct selection
+select_changes (const struct priv *p, uint32_t max)
+{
+  uint32_t counts[WEIGHTS] = { 0 };
+  for (uint32_t id = 0; id < p->count; id++)
+    counts[entry_weight (p->entries[id])]++;
+  struct selection sel = { .weight = WEIGHTS };
+  while (sel.weight > 1 && counts[sel.weight - 1] <= max)
+    max -= counts[--sel.weight];
+  sel.fill = sel.weight > 1 ? max : 0;
+  return sel;
+}
+
+/* Room for changed targets in what may be sent now; 0 to wait.  */
+static uint32_t
+delta_room (const struct priv *p)
+{
+  uint32_t pending = 0;
+  if (p->set.budget_bytes_per_s == 0)
+    return p->set.max_entries;
+  for (uint32_t id = 0; id < p->count; id++)
+    pending += p->entries[id]->value != p->entries[id]->sent;
+  int64_t need = FRAME_BYTES + (int64_t)ENTRY_BYTES * pending;
+  if (p->credit < need && p->credit < SPEND_MIN_BYTES)
+    return 0;
+  int64_t room = (p->credit - FRAME_BYTES) / ENTRY_BYTES;
+  return room < p->set.max_entries ? (uint32_t)room : p->set.max_entries;
+}
+
 /* The next message with changed targets of this interval.  */
 static bool
 make_delta (struct priv *p, PeerFrame *frame)
 {
   size_t count = 0;
   uint32_t next_id = 0;
-  uint32_t id = p->scan_from;
-  for (; id < p->count && count < p->set.max_entries; id++)
+  uint32_t room = delta_room (p);
+  if (room == 0)
+    return false;
+  struct selection sel = select_changes (p, room);
+  uint32_t filled_to = 0;
+  for (uint32_t id = 0; id < p->count; id++)
     {
       struct entry *ent = p->entries[id];
-      if (ent->value == ent->sent)
+      uint32_t weight = entry_weight (ent);
+      bool fill
+          = sel.fill > 0 && weight == sel.weight - 1 && id >= p->fill_from;
+      if (weight < sel.weight && !fill)
         continue;
+      if (fill && --sel.fill == 0)
+        filled_to = id + 1;
       ent->sent = ent->value;
       put_entry (p, &count, &next_id, id, ent->value);
     }
-  p->scan_from = id;
+  p->fill_from = filled_to;
   frame_set_load (p, 0, 0, count, frame);
   return count > 0;
 }
@@ -311,28 +381,58 @@
   return true;
 }
 
+/* At most a second's worth is saved up, so that a quiet time is not followed
+   by a burst.  */
+static void
+grant_credit (struct priv *p, int64_t now_us, uint32_t links)
+{
+  int64_t rate = p->set.budget_bytes_per_s / links;
+  int64_t most = rate > SPEND_MIN_BYTES ? rate : SPEND_MIN_BYTES;
+  int64_t bytes = p->credit_us == NEVER
+                      ? most
+                      : rate * (now_us - p->credit_us) / 1000000;
+  if (p->credit_us == NEVER || p->credit + bytes > most)
+    {
+      p->credit = most;
+      p->credit_us = now_us;
+    }
+  else if (bytes > 0)
+    {
+      p->credit += bytes;
+      p->credit_us += bytes * 1000000 / rate;
+    }
+}
+
+static bool
+make_next (struct priv *p, int64_t now_us, PeerFrame *frame)
+{
+  if (p->health_due)
+    {
+      p->health_due = false;
+      make_health (p, frame);
+      return true;
+    }
+  return make_refresh (p, now_us, frame) || make_delta (p, frame);
+}
+
 bool
-load_next (struct load *ld, int64_t now_us, PeerFrame *frame)
+load_next (struct load *ld, int64_t now_us, uint32_t links, PeerFrame *frame)
 {
   struct priv *p = ld->priv;
+  if (links == 0)
+    return false;
   if (now_us >= p->next_delta_us)
     {
       p->next_delta_us = now_us + p->set.min_interval_us;
       p->scanning = true;
-      p->scan_from = 0;
-      if (p->health_due)
-        {
-          p->health_due = false;
-          make_health (p, frame);
-          return true;
-        }
     }
   if (!p->scanning)
     return false;
-  if (make_refresh (p, now_us, frame) || make_delta (p, frame))
-    return true;
-  p->scanning = false;
-  return false;
+  grant_credit (p, now_us, links);
+  p->scanning = make_next (p, now_us, frame);
+  if (p->scanning)
+    p->credit -= FRAME_BYTES + (int64_t)peer_frame__get_packed_size (frame);
+  return p->scanning;
 }
 
 static void
--- a/peer/load.h
+++ b/peer/load.h
@@ -17,9 +17,10 @@
 struct load_settings
 {
   uint32_t max_targets;
-  uint32_t max_entries;    /* of one message */
-  int64_t min_interval_us; /* between deltas */
-  int64_t refresh_us;      /* every target is repeated once in this time */
+  uint32_t max_entries;        /* of one message */
+  int64_t min_interval_us;     /* between deltas */
+  int64_t refresh_us;          /* every target is repeated once in this time */
+  uint32_t budget_bytes_per_s; /* of all deltas over all links; 0: none */
 };
 
 extern const struct load_settings load_settings_default;
@@ -40,9 +41,12 @@
               uint32_t slots);
 int load_set_health (struct load *ld, const char *host, bool ejected);
 
-/* The next message that is due for all peers, as body of FRAME, which points
-   into memory of LD until the next call.  Call until it returns false.  */
-bool load_next (struct load *ld, int64_t now_us, PeerFrame *frame);
+/* The next message that is due for all LINKS peers, as body of FRAME, which
+   points into memory of LD until the next call.  Call until it returns false.
+   When the budget does not allow for all changed targets, the largest changes
+   beside the slots go first and the others later.  */
+bool load_next (struct load *ld, int64_t now_us, uint32_t links,
+                PeerFrame *frame);
 
 /* How much of the dictionary one peer has got; zero for a new link or after
    a message to the peer was dropped.  */
--- a/test/unit/unit_peer_link.c
+++ b/test/unit/unit_peer_link.c
@@ -468,6 +468,7 @@
   struct raw rw;
   node_settings (&set, 0);
   set.stuck_us = 2000000;
+  set.load.budget_bytes_per_s = 0; /* fills the queue soon */
   set.member.suspect_us = set.member.dead_us = WAIT_US;
   set.member.forget_us = 2 * WAIT_US;
   set.load.refresh_us = 2 * WAIT_US;
@@ -515,6 +516,7 @@
   node_settings (&set, 0);
   set.heartbeat_us = 500000; /* too few to fill the queue in the test */
   set.stuck_us = 500000;
+  set.load.budget_bytes_per_s = 0;
   set.member.suspect_us = set.member.dead_us = 4 * WAIT_US;
   set.member.forget_us = 4 * WAIT_US;
   node_start (0, &set);
--- a/test/unit/unit_peer_load.c
+++ b/test/unit/unit_peer_load.c
@@ -8,7 +8,7 @@
 #include "peer/load.h"
 #include "peer/load_view.h"
 
-#define TARGETS 60
+#define TARGETS 400
 #define STEP_US 100000
 #define LATE_MAX 8
 #define PACKED_MAX 4096
@@ -35,12 +35,13 @@
 static const struct load_view_events events = { on_load, on_health };
 
 static void
-setup_max (uint32_t max_targets)
+setup_max (uint32_t max_targets, uint32_t budget)
 {
   struct load_settings set = load_settings_default;
   struct load_view_settings view = load_view_settings_default;
   set.max_targets = max_targets;
-  set.refresh_us = 2000000;
+  set.refresh_us = budget > 0 ? 300000000 : 2000000;
+  set.budget_bytes_per_s = budget;
   view.max_targets = max_targets;
   memset (seen, 0, sizeof seen);
   memset (seen_ejected, 0, sizeof seen_ejected);
@@ -51,7 +52,7 @@
 static void
 setup (void)
 {
-  setup_max (TARGETS);
+  setup_max (TARGETS, 0);
 }
 
 static void
@@ -65,7 +66,7 @@
 host (int n)
 {
   static char text[16];
-  snprintf (text, sizeof text, "host-%02d", n);
+  snprintf (text, sizeof text, "host-%03d", n);
   return text;
 }
 
@@ -91,7 +92,7 @@
   int count = 0;
   while (load_catch_up (&ld, cur, 7, &msg))
     ck_assert_int_eq (deliver (++*seq, &msg), 0);
-  for (; load_next (&ld, now_us, &msg); count++)
+  for (; load_next (&ld, now_us, 1, &msg); count++)
     ck_assert_int_eq (deliver (++*seq, &msg), 0);
   load_view_heard (&lv, now_us);
   load_view_tick (&lv, now_us);
@@ -159,7 +160,7 @@
         }
       while (load_catch_up (&ld, &cur, 7, &msg))
         ck_assert_int_eq (deliver (++seq, &msg), 0);
-      while (load_next (&ld, now_us, &msg))
+      while (load_next (&ld, now_us, 1, &msg))
         {
           seq++;
           if (quiet)
@@ -194,13 +195,65 @@
   step (&seq, &cur, 0);
   ck_assert_uint_eq (seen[2], 2);
   load_set (&ld, host (2), 3, 8);
-  ck_assert (!load_next (&ld, STEP_US - 1, &msg));
-  ck_assert (load_next (&ld, STEP_US, &msg));
+  ck_assert (!load_next (&ld, STEP_US - 1, 1, &msg));
+  ck_assert (load_next (&ld, STEP_US, 1, &msg));
   ck_assert_int_eq (msg.body_case, PEER_FRAME__BODY_LOAD);
   ck_assert_uint_eq (msg.load->n_counts, 1);
   ck_assert_int_eq (deliver (++seq, &msg), 0);
   ck_assert_uint_eq (seen[2], 3);
-  ck_assert (!load_next (&ld, STEP_US, &msg));
+  ck_assert (!load_next (&ld, STEP_US, 1, &msg));
+}
+END_TEST
+
+#define LINKS 20
+#define SECONDS 60
+
+/* Guards against deltas that exceed the budget with many targets and links,
+   against small changes that go before large ones, and against changes that
+   are put off for ever.  */
+START_TEST (test_budget)
+{
+  struct load_cursor cur = { 0 };
+  uint64_t seq = 0;
+  uint64_t bytes = 0;
+  int64_t now_us = 0;
+  uint32_t value[TARGETS] = { 0 };
+  PeerFrame msg;
+  teardown ();
+  setup_max (TARGETS, 1000);
+  srand (1);
+  for (; now_us < SECONDS * 1000000; now_us += STEP_US)
+    {
+      for (int t = 0; t < TARGETS; t++)
+        {
+          value[t] = t >= 300 || rand () % 2;
+          if (t % 100 == 17 && now_us > 55000000)
+            value[t] += 50;
+          load_set (&ld, host (t), value[t], 8);
+        }
+      while (load_catch_up (&ld, &cur, 0, &msg))
+        ck_assert_int_eq (deliver (++seq, &msg), 0);
+      while (load_next (&ld, now_us, LINKS, &msg))
+        {
+          load_view_heard (&lv, now_us);
+          bytes += LINKS * (peer_frame__get_packed_size (&msg) + 28);
+          ck_assert_int_eq (deliver (++seq, &msg), 0);
+        }
+    }
+  ck_assert_uint_le (bytes, (SECONDS + 5) * 1000);
+  for (int t = 0; t < TARGETS; t++)
+    {
+      if (t >= 300)
+        ck_assert_uint_gt (seen[t], 0);
+      if (t % 100 == 17)
+        ck_assert_uint_ge (seen[t], 50);
+    }
+  for (; now_us < 2 * SECONDS * 1000000; now_us += STEP_US)
+    while (load_next (&ld, now_us, LINKS, &msg))
+      ck_assert_int_eq (deliver (++seq, &msg), 0);
+  load_view_heard (&lv, now_us);
+  for (int t = 0; t < TARGETS; t++)
+    ck_assert_uint_eq (seen[t], value[t]);
 }
 END_TEST
 
@@ -239,7 +292,7 @@
   uint64_t seq = 0;
   int64_t now_us = 0;
   teardown ();
-  setup_max (8);
+  setup_max (8, 0);
   for (int n = 0; n < TARGETS; n++, now_us += STEP_US)
     {
       ck_assert_int_eq (load_set (&ld, host (n), n + 1, 8), 0);
@@ -306,16 +359,16 @@
   const char *suffix;
   int err;
 } names[] = {
-  { 1, 0, 1, 0, "host-00", 0 },
-  { 1, 1, 1, 0, "host-01", 0 },
-  { 1, 0, 1, 0, "host-01", ERR_PROTOCOL }, /* changed */
-  { 1, 2, 1, 0, "host-02", ERR_PROTOCOL }, /* left one out */
-  { 1, 1, 2, 0, "host-01", ERR_PROTOCOL }, /* unpaired */
-  { 1, 1, 1, 1, "ost-01", ERR_PROTOCOL },  /* shares with no name */
-  { 1, 1, 1, 0, "", ERR_PROTOCOL },        /* empty */
-  { 1, 1, 1, 0, "host\n", ERR_PROTOCOL },  /* would forge a log line */
-  { 0, 0, 1, 0, "host-01", ERR_PROTOCOL }, /* older epoch */
-  { 2, 1, 1, 0, "host-01", ERR_PROTOCOL }, /* starts in the middle */
+  { 1, 0, 1, 0, "host-000", 0 },
+  { 1, 1, 1, 0, "host-001", 0 },
+  { 1, 0, 1, 0, "host-001", ERR_PROTOCOL }, /* changed */
+  { 1, 2, 1, 0, "host-002", ERR_PROTOCOL }, /* left one out */
+  { 1, 1, 2, 0, "host-001", ERR_PROTOCOL }, /* unpaired */
+  { 1, 1, 1, 1, "ost-001", ERR_PROTOCOL },  /* shares with no name */
+  { 1, 1, 1, 0, "", ERR_PROTOCOL },         /* empty */
+  { 1, 1, 1, 0, "host\n", ERR_PROTOCOL },   /* would forge a log line */
+  { 0, 0, 1, 0, "host-001", ERR_PROTOCOL }, /* older epoch */
+  { 2, 1, 1, 0, "host-001", ERR_PROTOCOL }, /* starts in the middle */
   { 1, UINT32_MAX, 1, 0, "x", ERR_PROTOCOL },
 };
 
@@ -351,6 +404,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_loop_test (tc, test_converges, 1, 21);
   tcase_add_test (tc, test_only_changes);
+  tcase_add_test (tc, test_budget);
   tcase_add_test (tc, test_age_out);
   tcase_add_test (tc, test_dictionary);
   tcase_add_loop_test (tc, test_malformed_delta, 0, COUNT (deltas));
