peer: one number for a changed target in load deltas

Cause: with the budget the view of many targets is seconds old, and each changed target takes two bytes at least. Change: gap and small count share one number, counts from 3 on take a second one. Conclusion: a better view for the same bytes.

--- a/peer/load.c
+++ b/peer/load.c
@@ -10,10 +10,10 @@
 
 /* Ranges in which one refresh of all targets is spread over its time.  */
 #define REFRESH_SLICES 8
-/* Bytes of a frame besides its lists, and of a changed target at most as long
-   as its id is near the one before and its count is below 128.  */
+/* Bytes of a frame besides its lists, and of a changed target whose id is near
+   the one before and whose count is small.  */
 #define FRAME_BYTES 32
-#define ENTRY_BYTES 2
+#define ENTRY_BYTES 1
 /* With less to spend a message would mostly consist of its frame.  */
 #define SPEND_MIN_BYTES 160
 #define WEIGHTS 16
@@ -218,10 +218,8 @@
   p->load.epoch = p->epoch;
   p->load.first = first;
   p->load.span = span;
-  p->load.n_gaps = count;
-  p->load.gaps = p->gaps;
-  p->load.n_counts = count;
-  p->load.counts = p->values;
+  p->load.n_codes = count;
+  p->load.codes = p->gaps;
   peer_frame__init (frame);
   frame->body_case = PEER_FRAME__BODY_LOAD;
   frame->load = &p->load;
@@ -237,6 +235,19 @@
   ++*count;
 }
 
+/* Adds one target to the codes; there has to be room for two numbers.  */
+static void
+put_code (struct priv *p, size_t *count, uint32_t *next_id,
+          const struct entry *ent)
+{
+  bool more = ent->sent >= LOAD_CODE_MORE;
+  p->gaps[(*count)++] = (ent->id - *next_id) * LOAD_CODE_BASE
+                        + (more ? LOAD_CODE_MORE : ent->sent);
+  if (more)
+    p->gaps[(*count)++] = ent->sent - LOAD_CODE_MORE;
+  *next_id = ent->id + 1;
+}
+
 /* All values of a range.  With CURRENT they are brought up to date for all
    peers first.  Returns the end of the range.  */
 static uint32_t
@@ -246,13 +257,13 @@
   size_t count = 0;
   uint32_t next_id = first;
   uint32_t id = first;
-  for (; id < end && id < p->count && count < p->set.max_entries; id++)
+  for (; id < end && id < p->count && count + 2 <= p->set.max_entries; id++)
     {
       struct entry *ent = p->entries[id];
       if (current)
         ent->sent = ent->value;
       if (ent->sent != 0)
-        put_entry (p, &count, &next_id, id, ent->sent);
+        put_code (p, &count, &next_id, ent);
     }
   frame_set_load (p, first, id - first, count, frame);
   return id;
@@ -296,15 +307,16 @@
 delta_room (const struct priv *p)
 {
   uint32_t pending = 0;
+  uint32_t most = p->set.max_entries / 2; /* of up to two numbers */
   if (p->set.budget_bytes_per_s == 0)
-    return p->set.max_entries;
+    return most;
   for (uint32_t id = 0; id < p->count; id++)
     pending += p->entries[id]->value != p->entries[id]->sent;
   int64_t need = FRAME_BYTES + (int64_t)ENTRY_BYTES * pending;
   if (p->credit < need && p->credit < SPEND_MIN_BYTES)
     return 0;
   int64_t room = (p->credit - FRAME_BYTES) / ENTRY_BYTES;
-  return room < p->set.max_entries ? (uint32_t)room : p->set.max_entries;
+  return room < most ? (uint32_t)room : most;
 }
 
 /* The next message with changed targets of this interval.  */
@@ -329,7 +341,7 @@
       if (fill && --sel.fill == 0)
         filled_to = id + 1;
       ent->sent = ent->value;
-      put_entry (p, &count, &next_id, id, ent->value);
+      put_code (p, &count, &next_id, ent);
     }
   p->fill_from = filled_to;
   frame_set_load (p, 0, 0, count, frame);
--- a/peer/load.h
+++ b/peer/load.h
@@ -13,6 +13,10 @@
 
 #define LOAD_NAME_MAX 64 /* without the final NUL */
 #define LOAD_COUNT_MAX 65535
+/* Of LoadDelta.codes: a code is the gap times LOAD_CODE_BASE plus the count;
+   LOAD_CODE_MORE stands for counts from there on.  */
+#define LOAD_CODE_BASE 4
+#define LOAD_CODE_MORE 3
 
 struct load_settings
 {
--- a/peer/load_view.c
+++ b/peer/load_view.c
@@ -231,15 +231,44 @@
     apply (p, id, sequence, 0);
 }
 
+/* Takes the codes of a delta apart.  Returns the number of targets, or
+   SIZE_MAX when the last count is missing.  */
+static size_t
+decode (const LoadDelta *msg, uint32_t *gaps, uint32_t *counts)
+{
+  size_t count = 0;
+  for (size_t n = 0; n < msg->n_codes; n++, count++)
+    {
+      gaps[count] = msg->codes[n] / LOAD_CODE_BASE;
+      counts[count] = msg->codes[n] % LOAD_CODE_BASE;
+      if (counts[count] < LOAD_CODE_MORE)
+        continue;
+      if (++n == msg->n_codes || msg->codes[n] > LOAD_COUNT_MAX)
+        return SIZE_MAX;
+      counts[count] += msg->codes[n];
+    }
+  return count;
+}
+
 int
 load_view_load (struct load_view *lv, uint64_t sequence, const LoadDelta *msg)
 {
   struct priv *p = lv->priv;
-  int err = check_list (p, msg->first, msg->span, msg->n_gaps, msg->gaps,
-                        msg->n_counts, msg->counts, LOAD_COUNT_MAX);
+  int err = ERR_NOMEM;
+  uint32_t *gaps = talloc_array (p, uint32_t, msg->n_codes);
+  uint32_t *counts = talloc_array (p, uint32_t, msg->n_codes);
+  if (!gaps || !counts)
+    goto done;
+  size_t count = decode (msg, gaps, counts);
+  err = count == SIZE_MAX ? ERR_PROTOCOL
+                          : check_list (p, msg->first, msg->span, count, gaps,
+                                        count, counts, LOAD_COUNT_MAX);
   if (!err && msg->epoch == p->epoch)
-    apply_list (p, sequence, msg->first, msg->span, msg->n_gaps, msg->gaps,
-                msg->counts, apply_value);
+    apply_list (p, sequence, msg->first, msg->span, count, gaps, counts,
+                apply_value);
+done:
+  talloc_free (gaps);
+  talloc_free (counts);
   return err;
 }
 
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -741,7 +741,7 @@
   (ProtobufCMessageInit) peer_names__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor load_delta__field_descriptors[5] =
+static const ProtobufCFieldDescriptor load_delta__field_descriptors[4] =
 {
   {
     "epoch",
@@ -780,24 +780,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "gaps",
+    "codes",
     4,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT32,
-    offsetof(LoadDelta, n_gaps),
-    offsetof(LoadDelta, gaps),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "counts",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(LoadDelta, n_counts),
-    offsetof(LoadDelta, counts),
+    offsetof(LoadDelta, n_codes),
+    offsetof(LoadDelta, codes),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -805,16 +793,15 @@
   },
 };
 static const unsigned load_delta__field_indices_by_name[] = {
-  4,   /* field[4] = counts */
+  3,   /* field[3] = codes */
   0,   /* field[0] = epoch */
   1,   /* field[1] = first */
-  3,   /* field[3] = gaps */
   2,   /* field[2] = span */
 };
 static const ProtobufCIntRange load_delta__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor load_delta__descriptor =
 {
@@ -824,7 +811,7 @@
   "LoadDelta",
   "",
   sizeof(LoadDelta),
-  5,
+  4,
   load_delta__field_descriptors,
   load_delta__field_indices_by_name,
   1,  load_delta__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -121,9 +121,11 @@
 
 
 /*
- * In-flight requests of the sender by target id.  The first gap counts from
- * first, each other one from the id after the one before.  With a span, ids
- * from first to first + span - 1 that are not listed have the value 0.
+ * In-flight requests of the sender by target id, each target as gap * 4 + n:
+ * the first gap counts from first, each other one from the id after the one
+ * before; n below 3 is the count, and 3 means that the next number is the
+ * count less 3.  With a span, ids from first to first + span - 1 that are not
+ * listed have the count 0.
  */
 struct  LoadDelta
 {
@@ -131,18 +133,16 @@
   uint32_t epoch;
   uint32_t first;
   uint32_t span;
-  size_t n_gaps;
-  uint32_t *gaps;
-  size_t n_counts;
-  uint32_t *counts;
+  size_t n_codes;
+  uint32_t *codes;
 };
 #define LOAD_DELTA__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&load_delta__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0,NULL }
 
 
 /*
- * Same form; the value 1 is ejected, 0 is not.
+ * The same with gaps apart; the value 1 is ejected, 0 is not.
  */
 struct  HealthDelta
 {
