peer: partial deltas go out together with heartbeats

Cause: with the budget most deltas have a segment of their own, and its headers cost as much as its content. Change: a delta with a part of the changes, or a refresh, waits for the tick with the heartbeat.

--- a/peer/link_tick.c
+++ b/peer/link_tick.c
@@ -134,7 +134,9 @@
   uint32_t links = 0;
   DL_FOREACH (p->conns, con)
     links += gets_deltas (p, con);
-  while (load_next (&p->load, now_us, links, &msg))
+  /* What need not go now shares a segment with the heartbeat.  */
+  bool beat = now_us >= p->heartbeat_at_us;
+  while (load_next (&p->load, now_us, links, beat, &msg))
     {
       DL_FOREACH (p->conns, con)
         {
--- a/peer/load.c
+++ b/peer/load.c
@@ -304,7 +304,7 @@
 
 /* Room for changed targets in what may be sent now; 0 to wait.  */
 static uint32_t
-delta_room (const struct priv *p)
+delta_room (const struct priv *p, bool partial)
 {
   uint32_t pending = 0;
   uint32_t most = p->set.max_entries / 2; /* of up to two numbers */
@@ -313,7 +313,7 @@
   for (uint32_t id = 0; id < p->count; id++)
     pending += p->entries[id]->value != p->entries[id]->sent;
   int64_t need = FRAME_BYTES + (int64_t)ENTRY_BYTES * pending;
-  if (p->credit < need && p->credit < SPEND_MIN_BYTES)
+  if (p->credit < need && (!partial || p->credit < SPEND_MIN_BYTES))
     return 0;
   int64_t room = (p->credit - FRAME_BYTES) / ENTRY_BYTES;
   return room < most ? (uint32_t)room : most;
@@ -321,11 +321,11 @@
 
 /* The next message with changed targets of this interval.  */
 static bool
-make_delta (struct priv *p, PeerFrame *frame)
+make_delta (struct priv *p, bool partial, PeerFrame *frame)
 {
   size_t count = 0;
   uint32_t next_id = 0;
-  uint32_t room = delta_room (p);
+  uint32_t room = delta_room (p, partial);
   if (room == 0)
     return false;
   struct selection sel = select_changes (p, room);
@@ -376,10 +376,11 @@
 }
 
 static bool
-make_refresh (struct priv *p, int64_t now_us, PeerFrame *frame)
+make_refresh (struct priv *p, int64_t now_us, bool partial, PeerFrame *frame)
 {
   bool first = p->next_refresh_us == 0;
-  if (p->count == 0 || now_us < p->next_refresh_us)
+  if (p->count == 0 || now_us < p->next_refresh_us
+      || (!partial && p->set.budget_bytes_per_s > 0))
     return false;
   p->next_refresh_us = now_us + p->set.refresh_us / REFRESH_SLICES;
   if (first)
@@ -416,7 +417,7 @@
 }
 
 static bool
-make_next (struct priv *p, int64_t now_us, PeerFrame *frame)
+make_next (struct priv *p, int64_t now_us, bool partial, PeerFrame *frame)
 {
   if (p->health_due)
     {
@@ -424,11 +425,13 @@
       make_health (p, frame);
       return true;
     }
-  return make_refresh (p, now_us, frame) || make_delta (p, frame);
+  return make_refresh (p, now_us, partial, frame)
+         || make_delta (p, partial, frame);
 }
 
 bool
-load_next (struct load *ld, int64_t now_us, uint32_t links, PeerFrame *frame)
+load_next (struct load *ld, int64_t now_us, uint32_t links, bool partial,
+           PeerFrame *frame)
 {
   struct priv *p = ld->priv;
   if (links == 0)
@@ -441,7 +444,7 @@
   if (!p->scanning)
     return false;
   grant_credit (p, now_us, links);
-  p->scanning = make_next (p, now_us, frame);
+  p->scanning = make_next (p, now_us, partial, frame);
   if (p->scanning)
     p->credit -= FRAME_BYTES + (int64_t)peer_frame__get_packed_size (frame);
   return p->scanning;
--- a/peer/load.h
+++ b/peer/load.h
@@ -48,8 +48,10 @@
 /* The next message that is due for all LINKS peers, as body of FRAME, which
    points into memory of LD until the next call.  Call until it returns false.
    When the budget does not allow for all changed targets, the largest changes
-   beside the slots go first and the others later.  */
-bool load_next (struct load *ld, int64_t now_us, uint32_t links,
+   beside the slots go first and the others later; such a message, or a
+   refresh, is given only with PARTIAL, for when the links are written to
+   anyway.  */
+bool load_next (struct load *ld, int64_t now_us, uint32_t links, bool partial,
                 PeerFrame *frame);
 
 /* How much of the dictionary one peer has got; zero for a new link or after
--- a/test/unit/unit_peer_load.c
+++ b/test/unit/unit_peer_load.c
@@ -92,7 +92,7 @@
   int count = 0;
   while (load_catch_up (&ld, cur, 7, &msg))
     ck_assert_int_eq (deliver (++*seq, &msg), 0);
-  for (; load_next (&ld, now_us, 1, &msg); count++)
+  for (; load_next (&ld, now_us, 1, true, &msg); count++)
     ck_assert_int_eq (deliver (++*seq, &msg), 0);
   load_view_heard (&lv, now_us);
   load_view_tick (&lv, now_us);
@@ -160,7 +160,7 @@
         }
       while (load_catch_up (&ld, &cur, 7, &msg))
         ck_assert_int_eq (deliver (++seq, &msg), 0);
-      while (load_next (&ld, now_us, 1, &msg))
+      while (load_next (&ld, now_us, 1, true, &msg))
         {
           seq++;
           if (quiet)
@@ -195,13 +195,13 @@
   step (&seq, &cur, 0);
   ck_assert_uint_eq (seen[2], 2);
   load_set (&ld, host (2), 3, 8);
-  ck_assert (!load_next (&ld, STEP_US - 1, 1, &msg));
-  ck_assert (load_next (&ld, STEP_US, 1, &msg));
+  ck_assert (!load_next (&ld, STEP_US - 1, 1, true, &msg));
+  ck_assert (load_next (&ld, STEP_US, 1, true, &msg));
   ck_assert_int_eq (msg.body_case, PEER_FRAME__BODY_LOAD);
   ck_assert_uint_eq (msg.load->n_codes, 2); /* one target */
   ck_assert_int_eq (deliver (++seq, &msg), 0);
   ck_assert_uint_eq (seen[2], 3);
-  ck_assert (!load_next (&ld, STEP_US, 1, &msg));
+  ck_assert (!load_next (&ld, STEP_US, 1, true, &msg));
 }
 END_TEST
 
@@ -221,6 +221,9 @@
   PeerFrame msg;
   teardown ();
   setup_max (TARGETS, 1000);
+  for (int t = 0; t < TARGETS; t++)
+    load_set (&ld, host (t), 1, 8);
+  ck_assert (!load_next (&ld, now_us, LINKS, false, &msg));
   srand (1);
   for (; now_us < SECONDS * 1000000; now_us += STEP_US)
     {
@@ -233,7 +236,9 @@
         }
       while (load_catch_up (&ld, &cur, 0, &msg))
         ck_assert_int_eq (deliver (++seq, &msg), 0);
-      while (load_next (&ld, now_us, LINKS, &msg))
+      /* Only every fifth call may give a part of the changes.  */
+      bool partial = now_us / STEP_US % 5 == 0;
+      while (load_next (&ld, now_us, LINKS, partial, &msg))
         {
           load_view_heard (&lv, now_us);
           bytes += LINKS * (peer_frame__get_packed_size (&msg) + 28);
@@ -249,7 +254,7 @@
         ck_assert_uint_ge (seen[t], 50);
     }
   for (; now_us < 2 * SECONDS * 1000000; now_us += STEP_US)
-    while (load_next (&ld, now_us, LINKS, &msg))
+    while (load_next (&ld, now_us, LINKS, true, &msg))
       ck_assert_int_eq (deliver (++seq, &msg), 0);
   load_view_heard (&lv, now_us);
   for (int t = 0; t < TARGETS; t++)
