--- a/peer/link_tick.c
+++ b/peer/link_tick.c
@@ -130,9 +130,14 @@
 send_deltas (struct priv *p, int64_t now_us)
 {
   PeerFrame msg;
-  while (load_next (&p->load, now_us, &msg))
+  struct conn *con;
+  uint32_t links = 0;
+  DL_FOREACH (p->conns, con)
+    links += gets_deltas (p, con);
+  /* What need not go now shares a segment with the heartbeat.  */
+  bool beat = now_us >= p->heartbeat_at_us;
+  while (load_next (&p->load, now_us, links, beat, &msg))
     {
-      struct conn *con;
       DL_FOREACH (p->conns, con)
         {
           /* A peer that misses a delta gets all values when its queue has room
--- a/test/unit/unit_peer_load.c
+++ b/test/unit/unit_peer_load.c
@@ -8,7 +8,7 @@
 #include "peer/load.h"
 #include "peer/load_view.h"
 
-#define TARGETS 60
+#define TARGETS 400
 #define STEP_US 100000
 #define LATE_MAX 8
 #define PACKED_MAX 4096
@@ -35,12 +35,13 @@
 static const struct load_view_events events = { on_load, on_health };
 
 static void
-setup_max (uint32_t max_targets)
+setup_max (uint32_t max_targets, uint32_t budget)
 {
   struct load_settings set = load_settings_default;
   struct load_view_settings view = load_view_settings_default;
   set.max_targets = max_targets;
-  set.refresh_us = 2000000;
+  set.refresh_us = budget > 0 ? 300000000 : 2000000;
+  set.budget_bytes_per_s = budget;
   view.max_targets = max_targets;
   memset (seen, 0, sizeof seen);
   memset (seen_ejected, 0, sizeof seen_ejected);
@@ -51,7 +52,7 @@
 static void
 setup (void)
 {
-  setup_max (TARGETS);
+  setup_max (TARGETS, 0);
 }
 
 static void
@@ -65,7 +66,7 @@
 host (int n)
 {
   static char text[16];
-  snprintf (text, sizeof text, "host-%02d", n);
+  snprintf (text, sizeof text, "host-%03d", n);
   return text;
 }
 
@@ -91,7 +92,7 @@
   int count = 0;
   while (load_catch_up (&ld, cur, 7, &msg))
     ck_assert_int_eq (deliver (++*seq, &msg), 0);
-  for (; load_next (&ld, now_us, &msg); count++)
+  for (; load_next (&ld, now_us, 1, true, &msg); count++)
     ck_assert_int_eq (deliver (++*seq, &msg), 0);
   load_view_heard (&lv, now_us);
   load_view_tick (&lv, now_us);
@@ -159,7 +160,7 @@
         }
       while (load_catch_up (&ld, &cur, 7, &msg))
         ck_assert_int_eq (deliver (++seq, &msg), 0);
-      while (load_next (&ld, now_us, &msg))
+      while (load_next (&ld, now_us, 1, true, &msg))
         {
           seq++;
           if (quiet)
@@ -194,13 +195,70 @@
   step (&seq, &cur, 0);
   ck_assert_uint_eq (seen[2], 2);
   load_set (&ld, host (2), 3, 8);
-  ck_assert (!load_next (&ld, STEP_US - 1, &msg));
-  ck_assert (load_next (&ld, STEP_US, &msg));
+  ck_assert (!load_next (&ld, STEP_US - 1, 1, true, &msg));
+  ck_assert (load_next (&ld, STEP_US, 1, true, &msg));
   ck_assert_int_eq (msg.body_case, PEER_FRAME__BODY_LOAD);
-  ck_assert_uint_eq (msg.load->n_counts, 1);
+  ck_assert_uint_eq (msg.load->n_codes, 2); /* one target */
   ck_assert_int_eq (deliver (++seq, &msg), 0);
   ck_assert_uint_eq (seen[2], 3);
-  ck_assert (!load_next (&ld, STEP_US, &msg));
+  ck_assert (!load_next (&ld, STEP_US, 1, true, &msg));
+}
+END_TEST
+
+#define LINKS 20
+#define SECONDS 60
+
+/* Guards against deltas that exceed the budget with many targets and links,
+   against small changes that go before large ones, and against changes that
+   are put off for ever.  */
+START_TEST (test_budget)
+{
+  struct load_cursor cur = { 0 };
+  uint64_t seq = 0;
+  uint64_t bytes = 0;
+  int64_t now_us = 0;
+  uint32_t value[TARGETS] = { 0 };
+  PeerFrame msg;
+  teardown ();
+  setup_max (TARGETS, 1000);
+  for (int t = 0; t < TARGETS; t++)
+    load_set (&ld, host (t), 1, 8);
+  ck_assert (!load_next (&ld, now_us, LINKS, false, &msg));
+  srand (1);
+  for (; now_us < SECONDS * 1000000; now_us += STEP_US)
+    {
+      for (int t = 0; t < TARGETS; t++)
+        {
+          value[t] = t >= 300 || rand () % 2;
+          if (t % 100 == 17 && now_us > 55000000)
+            value[t] += 50;
+          load_set (&ld, host (t), value[t], 8);
+        }
+      while (load_catch_up (&ld, &cur, 0, &msg))
+        ck_assert_int_eq (deliver (++seq, &msg), 0);
+      /* Only every fifth call may give a part of the changes.  */
+      bool partial = now_us / STEP_US % 5 == 0;
+      while (load_next (&ld, now_us, LINKS, partial, &msg))
+        {
+          load_view_heard (&lv, now_us);
+          bytes += LINKS * (peer_frame__get_packed_size (&msg) + 28);
+          ck_assert_int_eq (deliver (++seq, &msg), 0);
+        }
+    }
+  ck_assert_uint_le (bytes, (SECONDS + 5) * 1000);
+  for (int t = 0; t < TARGETS; t++)
+    {
+      if (t >= 300)
+        ck_assert_uint_gt (seen[t], 0);
+      if (t % 100 == 17)
+        ck_assert_uint_ge (seen[t], 50);
+    }
+  for (; now_us < 2 * SECONDS * 1000000; now_us += STEP_US)
+    while (load_next (&ld, now_us, LINKS, true, &msg))
+      ck_assert_int_eq (deliver (++seq, &msg), 0);
+  load_view_heard (&lv, now_us);
+  for (int t = 0; t < TARGETS; t++)
+    ck_assert_uint_eq (seen[t], value[t]);
 }
 END_TEST
 
@@ -239,7 +297,7 @@
   uint64_t seq = 0;
   int64_t now_us = 0;
   teardown ();
-  setup_max (8);
+  setup_max (8, 0);
   for (int n = 0; n < TARGETS; n++, now_us += STEP_US)
     {
       ck_assert_int_eq (load_set (&ld, host (n), n + 1, 8), 0);
@@ -261,18 +319,19 @@
 
 static const struct
 {
-  uint32_t epoch, first, span, n_gaps, n_counts;
-  uint32_t gaps[2], counts[2];
+  uint32_t epoch, first, span, n_codes;
+  uint32_t codes[3];
   int err;
 } deltas[] = {
-  { 1, 0, 2, 1, 1, { 1 }, { 3 }, 0 },
-  { 1, 0, 0, 2, 1, { 0, 0 }, { 3 }, ERR_PROTOCOL },
-  { 1, 0, TARGETS + 1, 0, 0, { 0 }, { 0 }, ERR_PROTOCOL },
-  { 1, UINT32_MAX, 2, 0, 0, { 0 }, { 0 }, ERR_PROTOCOL },
-  { 1, 0, 0, 1, 1, { TARGETS }, { 3 }, ERR_PROTOCOL },
-  { 1, 0, 0, 2, 2, { 1, UINT32_MAX }, { 3, 3 }, ERR_PROTOCOL },
-  { 1, 0, 0, 1, 1, { 0 }, { LOAD_COUNT_MAX + 1 }, ERR_PROTOCOL },
-  { 9, 0, 2, 1, 1, { 1 }, { 3 }, 0 }, /* other epoch: ignored */
+  { 1, 0, 2, 2, { 1 * 4 + 3, 0 }, 0 },
+  { 1, 0, 0, 1, { 1 * 4 + 3 }, ERR_PROTOCOL }, /* the count is missing */
+  { 1, 0, TARGETS + 1, 0, { 0 }, ERR_PROTOCOL },
+  { 1, UINT32_MAX, 2, 0, { 0 }, ERR_PROTOCOL },
+  { 1, 0, 0, 1, { TARGETS * 4 + 1 }, ERR_PROTOCOL },
+  { 1, 0, 0, 2, { 1 * 4 + 1, UINT32_MAX - 1 }, ERR_PROTOCOL },
+  { 1, 0, 0, 2, { 3, LOAD_COUNT_MAX - 2 }, ERR_PROTOCOL },
+  { 1, 0, 0, 2, { 3, UINT32_MAX }, ERR_PROTOCOL },
+  { 9, 0, 2, 2, { 1 * 4 + 3, 0 }, 0 }, /* other epoch: ignored */
 };
 
 /* Guards against ids or counts out of range that reach the tables.  */
@@ -281,19 +340,16 @@
   LoadDelta msg = LOAD_DELTA__INIT;
   struct load_cursor cur = { 0 };
   uint64_t seq = 0;
-  uint32_t gaps[2], counts[2];
+  uint32_t codes[3];
   load_set (&ld, host (0), 5, 8);
   load_set (&ld, host (1), 5, 8);
   step (&seq, &cur, 0);
-  memcpy (gaps, deltas[_i].gaps, sizeof gaps);
-  memcpy (counts, deltas[_i].counts, sizeof counts);
+  memcpy (codes, deltas[_i].codes, sizeof codes);
   msg.epoch = deltas[_i].epoch;
   msg.first = deltas[_i].first;
   msg.span = deltas[_i].span;
-  msg.n_gaps = deltas[_i].n_gaps;
-  msg.gaps = gaps;
-  msg.n_counts = deltas[_i].n_counts;
-  msg.counts = counts;
+  msg.n_codes = deltas[_i].n_codes;
+  msg.codes = codes;
   ck_assert_int_eq (load_view_load (&lv, ++seq, &msg), deltas[_i].err);
   ck_assert_uint_eq (seen[0], _i == 0 ? 0 : 5);
   ck_assert_uint_eq (seen[1], _i == 0 ? 3 : 5);
@@ -306,16 +362,16 @@
   const char *suffix;
   int err;
 } names[] = {
-  { 1, 0, 1, 0, "host-00", 0 },
-  { 1, 1, 1, 0, "host-01", 0 },
-  { 1, 0, 1, 0, "host-01", ERR_PROTOCOL }, /* changed */
-  { 1, 2, 1, 0, "host-02", ERR_PROTOCOL }, /* left one out */
-  { 1, 1, 2, 0, "host-01", ERR_PROTOCOL }, /* unpaired */
-  { 1, 1, 1, 1, "ost-01", ERR_PROTOCOL },  /* shares with no name */
-  { 1, 1, 1, 0, "", ERR_PROTOCOL },        /* empty */
-  { 1, 1, 1, 0, "host\n", ERR_PROTOCOL },  /* would forge a log line */
-  { 0, 0, 1, 0, "host-01", ERR_PROTOCOL }, /* older epoch */
-  { 2, 1, 1, 0, "host-01", ERR_PROTOCOL }, /* starts in the middle */
+  { 1, 0, 1, 0, "host-000", 0 },
+  { 1, 1, 1, 0, "host-001", 0 },
+  { 1, 0, 1, 0, "host-001", ERR_PROTOCOL }, /* changed */
+  { 1, 2, 1, 0, "host-002", ERR_PROTOCOL }, /* left one out */
+  { 1, 1, 2, 0, "host-001", ERR_PROTOCOL }, /* unpaired */
+  { 1, 1, 1, 1, "ost-001", ERR_PROTOCOL },  /* shares with no name */
+  { 1, 1, 1, 0, "", ERR_PROTOCOL },         /* empty */
+  { 1, 1, 1, 0, "host\n", ERR_PROTOCOL },   /* would forge a log line */
+  { 0, 0, 1, 0, "host-001", ERR_PROTOCOL }, /* older epoch */
+  { 2, 1, 1, 0, "host-001", ERR_PROTOCOL }, /* starts in the middle */
   { 1, UINT32_MAX, 1, 0, "x", ERR_PROTOCOL },
 };
 
@@ -351,6 +407,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_loop_test (tc, test_converges, 1, 21);
   tcase_add_test (tc, test_only_changes);
+  tcase_add_test (tc, test_budget);
   tcase_add_test (tc, test_age_out);
   tcase_add_test (tc, test_dictionary);
   tcase_add_loop_test (tc, test_malformed_delta, 0, COUNT (deltas));
