--- a/entry/listener.c
+++ b/entry/listener.c
@@ -1,18 +1,13 @@
 #include "entry/listener.h"
 
-#include <arpa/inet.h>
 #include <inttypes.h>
-#include <microhttpd.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/time.h>
 #include <talloc.h>
-#include <tevent.h>
-#include <unistd.h>
 
 #include "base/err.h"
-#include "base/option.h"
+#include "entry/mhd_loop.h"
 
 #define WORK_PREFIX "/v1/work/"
 #define CONNECTION_MEMORY_BYTES 16384
@@ -23,74 +18,12 @@
 
 struct listener
 {
-  struct tevent_context *ev;
   struct listener_settings set;
   struct listener_handler handler;
-  struct MHD_Daemon *daemon;
-  struct tevent_fd *fde;
-  struct tevent_timer *timer;
-  struct tevent_immediate *run_im;
-  bool run_scheduled;
-  MHD_socket listen_fd;
-  uint16_t port;
+  struct mhd_loop *loop;
   unsigned int open;
 };
 
-static void run_daemon (struct listener *lis);
-
-static void
-on_immediate (struct tevent_context *ev, struct tevent_immediate *im,
-              void *arg)
-{
-  struct listener *lis = arg;
-  lis->run_scheduled = false;
-  run_daemon (lis);
-}
-
-/* Resumed connections and pending work need a turn of the daemon; several of
-   them in one pass of the event loop share it.  */
-static void
-schedule_run (struct listener *lis)
-{
-  if (lis->run_scheduled)
-    return;
-  lis->run_scheduled = true;
-  tevent_schedule_immediate (lis->run_im, lis->ev, on_immediate, lis);
-}
-
-static void
-on_timer (struct tevent_context *ev, struct tevent_timer *te,
-          struct timeval now, void *arg)
-{
-  struct listener *lis = arg;
-  lis->timer = NULL;
-  run_daemon (lis);
-}
-
-static void
-on_ready (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
-          void *arg)
-{
-  run_daemon (arg);
-}
-
-static void
-run_daemon (struct listener *lis)
-{
-  MHD_UNSIGNED_LONG_LONG ms;
-
-  MHD_run (lis->daemon);
-  TALLOC_FREE (lis->timer);
-  if (MHD_get_timeout (lis->daemon, &ms) != MHD_YES)
-    return;
-  if (ms == 0)
-    schedule_run (lis);
-  else
-    lis->timer = tevent_add_timer (
-        lis->ev, lis, tevent_timeval_current_ofs (ms / 1000, ms % 1000 * 1000),
-        on_timer, lis);
-}
-
 static const char *
 header (struct MHD_Connection *conn, const char *name)
 {
@@ -365,76 +298,39 @@
   req->body = NULL;
   if (req->in_handler)
     return;
-  MHD_resume_connection (req->conn);
-  schedule_run (lis);
+  mhd_loop_resume (lis->loop, req->conn);
 }
 
+/* The daemon names requests, which are children of the listener too, until
+   it is stopped.  */
 static int
 listener_destructor (struct listener *lis)
 {
-  TALLOC_FREE (lis->fde);
-  TALLOC_FREE (lis->timer);
-  if (lis->daemon)
-    MHD_stop_daemon (lis->daemon);
-  if (lis->listen_fd != MHD_INVALID_SOCKET)
-    close (lis->listen_fd);
+  TALLOC_FREE (lis->loop);
   return 0;
 }
 
-static int
-start_daemon (struct listener *lis, const struct sockaddr *sa, bool ipv6)
-{
-  unsigned int flags
-      = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | (ipv6 ? MHD_USE_IPv6 : 0);
-  lis->daemon = MHD_start_daemon (
-      flags, 0, NULL, NULL, on_access, lis, MHD_OPTION_SOCK_ADDR, sa,
-      MHD_OPTION_CONNECTION_LIMIT, lis->set.max_connections,
-      MHD_OPTION_CONNECTION_TIMEOUT, lis->set.idle_timeout_s,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-      1024u, MHD_OPTION_NOTIFY_COMPLETED, on_completed, lis, MHD_OPTION_END);
-  if (!lis->daemon)
-    return ERR_SYSTEM;
-  const union MHD_DaemonInfo *info
-      = MHD_get_daemon_info (lis->daemon, MHD_DAEMON_INFO_BIND_PORT);
-  lis->port = info->port;
-  info = MHD_get_daemon_info (lis->daemon, MHD_DAEMON_INFO_EPOLL_FD);
-  lis->fde = tevent_add_fd (lis->ev, lis, info->epoll_fd, TEVENT_FD_READ,
-                            on_ready, lis);
-  return lis->fde ? 0 : ERR_NOMEM;
-}
-
 int
 listener_create (void *parent, struct tevent_context *ev,
                  const struct listener_settings *set,
                  const struct listener_handler *handler, struct listener **out)
 {
-  char host[64];
-  uint16_t port;
-  struct sockaddr_in sa4 = { .sin_family = AF_INET };
-  struct sockaddr_in6 sa6 = { .sin6_family = AF_INET6 };
-
-  int err = address_parse (set->address, host, &port);
-  if (err)
-    return err;
-  sa4.sin_port = sa6.sin6_port = htons (port);
-  bool ipv6 = inet_pton (AF_INET, host, &sa4.sin_addr) != 1;
-  if (ipv6 && inet_pton (AF_INET6, host, &sa6.sin6_addr) != 1)
-    return ERR_INVALID;
-
   struct listener *lis = talloc_zero (parent, struct listener);
   if (!lis)
     return ERR_NOMEM;
-  lis->ev = ev;
   lis->set = *set;
   lis->handler = *handler;
-  lis->listen_fd = MHD_INVALID_SOCKET;
-  lis->run_im = tevent_create_immediate (lis);
   talloc_set_destructor (lis, listener_destructor);
-  err = lis->run_im ? start_daemon (
-            lis, ipv6 ? (struct sockaddr *)&sa6 : (struct sockaddr *)&sa4,
-            ipv6)
-                    : ERR_NOMEM;
+  const struct mhd_loop_settings loop_set = {
+    .address = set->address,
+    .max_connections = set->max_connections,
+    .idle_timeout_s = set->idle_timeout_s,
+    .connection_memory = CONNECTION_MEMORY_BYTES,
+    .access = on_access,
+    .completed = on_completed,
+    .arg = lis,
+  };
+  int err = mhd_loop_create (lis, ev, &loop_set, &lis->loop);
   if (err)
     {
       talloc_free (lis);
@@ -447,14 +343,13 @@
 uint16_t
 listener_port (const struct listener *lis)
 {
-  return lis->port;
+  return mhd_loop_port (lis->loop);
 }
 
 void
 listener_quiesce (struct listener *lis)
 {
-  if (lis->listen_fd == MHD_INVALID_SOCKET)
-    lis->listen_fd = MHD_quiesce_daemon (lis->daemon);
+  mhd_loop_quiesce (lis->loop);
 }
 
 unsigned int
