--- a/cli/settings.c
+++ b/cli/settings.c
@@ -53,5 +53,13 @@
     "this process's share of the platform log's appends" },
   { "seed", OPTION_INT, FIELD (seed), 0, 9223372036854775807, NULL, NULL, "0",
     "seed of the routing choices; 0 takes a random one" },
+  { "operator-listen", OPTION_ADDRESS, FIELD (operator_listen), 0, 0, NULL,
+    NULL, "",
+    "address for `status`, `explain` and `table --wait-operators`; "
+    "empty: none" },
+  { "operator-token-file", OPTION_STR, FIELD (operator_token_file), 0, 4096,
+    NULL, NULL, "", "file with the operators' bearer token, 16 to 256 bytes" },
+  { "stories", OPTION_INT, FIELD (stories), 0, 65536, NULL, "requests", "4096",
+    "last requests whose story `explain` can tell" },
   { NULL, 0, 0, 0, 0, NULL, NULL, NULL, NULL },
 };
--- a/cli/settings.h
+++ b/cli/settings.h
@@ -24,6 +24,9 @@
   int64_t key_lifetime_ms;
   int64_t appends_per_s;
   int64_t seed;
+  char *operator_listen;
+  char *operator_token_file;
+  int64_t stories;
 };
 
 extern const struct option_def serve_options[];
--- a/entry/control.c
+++ b/entry/control.c
@@ -11,6 +11,7 @@
 #include "base/err.h"
 #include "base/log.h"
 #include "entry/control_priv.h"
+#include "entry/operator.h"
 #include "entry/traffic.h"
 #include "entry/view_build.h"
 #include "store/log_store.h"
@@ -119,6 +120,7 @@
 hosts_loaded (struct control *ctl, struct host_list *list)
 {
   ctl->hosts_stale = false;
+  ctl->hosts_us = clock_now_us (ctl->clk);
   if (ctl->hosts && ctl->hosts->version == list->version)
     {
       talloc_free (list);
@@ -183,6 +185,12 @@
     case MAIL_OWN_HEALTH:
       control_peers_health (ctl, (struct mail_own_health *)mail);
       break;
+    case MAIL_STATUS:
+      control_operator_status (ctl, (struct mail_status *)mail);
+      break;
+    case MAIL_STORY:
+      control_operator_story (ctl, (struct mail_story *)mail);
+      break;
     case MAIL_TRAFFIC_IDLE:
       ctl->traffic_idle = true;
       break;
@@ -232,6 +240,7 @@
   ctl->clk = clk;
   ctl->lg = lg;
   ctl->ctr = ctr;
+  ctl->start_us = clock_now_us (clk);
   int err = mailbox_init (&ctl->inbox, ev, on_mail, ctl);
   if (!err)
     err = control_peers_start (ctl);
@@ -239,6 +248,8 @@
     err = start_claims (ctl);
   if (!err)
     err = start_state (ctl);
+  if (!err)
+    err = control_operator_start (ctl);
   *out = ctl;
   if (!err)
     poll_hosts (ctl);
@@ -252,6 +263,7 @@
     return;
   if (ctl->inbox.fde)
     mailbox_close (&ctl->inbox);
+  operator_destroy (ctl->opl);
   if (ctl->state.priv)
     state_fini (&ctl->state);
   if (ctl->claims.priv)
--- a/entry/control.h
+++ b/entry/control.h
@@ -29,6 +29,9 @@
   const char *peers;       /* comma-separated IP:PORT */
   const char *peer_secret; /* shared key; empty only without peers */
   uint64_t seed;
+  const char *operator_listen; /* IP:PORT; empty: no listener */
+  const char *operator_token;
+  uint32_t stories; /* kept by the traffic thread */
 };
 
 /* Returns 0, ERR_INVALID for an address, ERR_NOMEM or ERR_SYSTEM; *OUT is to
@@ -44,6 +47,9 @@
 /* Port of the listener for peers; 0: none.  */
 uint16_t control_peer_port (const struct control *ctl);
 
+/* Port of the listener for operators; 0: none.  */
+uint16_t control_operator_port (const struct control *ctl);
+
 struct mailbox *control_mailbox (struct control *ctl);
 
 /* Gives TRF views and verdicts from now on.  */
--- a/entry/control_priv.h
+++ b/entry/control_priv.h
@@ -7,6 +7,7 @@
 #include "state/hosts.h"
 #include "state/state.h"
 
+struct operator_listener;
 struct tevent_timer;
 
 struct control
@@ -22,7 +23,10 @@
   struct state state;
   struct peers peers;
   struct traffic *traffic;
+  struct operator* operator;
   struct host_list *hosts;
+  int64_t hosts_us; /* monotonic, of the last read that succeeded */
+  int64_t start_us;
   struct view *view;
   struct tevent_timer *hosts_timer;
   bool hosts_stale;
@@ -43,5 +47,11 @@
 void control_peers_health (struct control *ctl,
                            const struct mail_own_health *mail);
 
+/* control_operator.c: questions of operators.  */
+int control_operator_start (struct control *ctl);
+void control_operator_status (struct control *ctl, struct mail_status *mail);
+void control_operator_story (struct control *ctl,
+                             const struct mail_story *mail);
+
 /* Posts MAIL to the traffic thread, or frees it.  */
 void control_post (struct control *ctl, struct mail *mail);
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -81,6 +81,7 @@
   struct traffic *trf = req->traffic;
 
   req->attempt = NULL;
+  note_result (trf, req, STORY_FORWARD_RESULT, reply);
   if (!attempt_certainly_not_run (reply->result))
     finish_forwarded (trf, req, reply);
   else if (!send_forward (trf, req))
@@ -115,6 +116,7 @@
     return false;
   req->state = REQUEST_FORWARDED;
   counter_add (trf->ctr, CTR_FORWARDS, 1);
+  note_forward (trf, req, address);
   log_event (trf->lg, EV_REQUEST_FORWARDED, LOG_S ("request", req->id),
              LOG_S ("kind", req->kind_name), LOG_S ("entry", address));
   return true;
--- a/entry/mails.h
+++ b/entry/mails.h
@@ -5,6 +5,7 @@
 
 #include "claim/claim.h"
 #include "entry/mailbox.h"
+#include "entry/story.h"
 #include "entry/view.h"
 
 /* Messages between the control thread and the traffic threads.  Allocated
@@ -20,6 +21,8 @@
   MAIL_PEER_LOAD,
   MAIL_PEER_HEALTH,
   MAIL_PEER_COUNT,
+  MAIL_ASK_STATUS,
+  MAIL_ASK_STORY,
   MAIL_DRAIN,
   MAIL_STOP,
   /* To the control thread.  */
@@ -28,6 +31,8 @@
   MAIL_RELEASE,
   MAIL_OWN_LOAD,
   MAIL_OWN_HEALTH,
+  MAIL_STATUS,
+  MAIL_STORY,
   MAIL_TRAFFIC_IDLE,
 };
 
@@ -128,5 +133,52 @@
   bool ejected;
 };
 
+/* A question of an operator; the reply carries its number.  */
+struct mail_ask
+{
+  struct mail mail;
+  uint64_t ask;
+  char id[STORY_TEXT_MAX + 1]; /* of the request, for MAIL_ASK_STORY */
+};
+
+struct status_pool
+{
+  uint32_t targets;
+  uint32_t taking_work;
+  uint32_t slots; /* of those that take new work */
+  uint32_t own;
+  uint32_t peers;
+  uint32_t ejected;
+};
+
+struct status_kind
+{
+  uint32_t running;
+  uint32_t queued;
+  uint64_t started;
+  uint64_t refused;
+};
+
+/* A snapshot of the traffic thread.  VIEW names the pools and kinds; NULL
+   before the first view.  */
+struct mail_status
+{
+  struct mail mail;
+  uint64_t ask;
+  struct view *view; /* one reference */
+  bool draining;
+  uint32_t open;
+  struct status_pool *pools; /* within this message */
+  struct status_kind *kinds;
+  uint64_t data[];
+};
+
+struct mail_story
+{
+  struct mail mail;
+  uint64_t ask;
+  struct stories_found found;
+};
+
 /* Allocates a message of SIZE bytes with its type set, or NULL.  */
 void *mail_new (enum mail_type type, size_t size);
--- a/entry/request.h
+++ b/entry/request.h
@@ -6,6 +6,7 @@
 
 #include "admit/admit.h"
 #include "claim/claim.h"
+#include "entry/story.h"
 #include "route/retry.h"
 #include "route/route.h"
 
@@ -99,6 +100,7 @@
   /* Set by the traffic thread.  */
   struct traffic *traffic;
   enum request_state state;
+  struct story_ref story;
   struct request *prev;
   struct request *next;
   uint32_t forwards; /* entry processes of other data centres tried */
--- a/entry/request_flow.c
+++ b/entry/request_flow.c
@@ -53,6 +53,7 @@
 reply_now (struct traffic *trf, struct request *req)
 {
   count_outcome (trf, req);
+  note_end (trf, req);
   log_event (trf->lg, EV_REQUEST_DONE, LOG_S ("request", req->id),
              LOG_S ("caller", req->caller), LOG_S ("kind", req->kind_name),
              LOG_S ("outcome", outcome_name (req->outcome)),
@@ -129,6 +130,7 @@
     {
       /* The caller hears "not run" only once the key can be used again.  */
       req->state = REQUEST_RELEASING;
+      note_step (trf, req, STORY_RELEASE_ASKED, 0, 0);
       if (post_release (trf, req))
         {
           flow_leave_slot (trf, req);
@@ -146,6 +148,7 @@
 flow_released (struct traffic *trf, const struct mail_released *mail)
 {
   mail->req->key_held = !mail->recorded;
+  note_step (trf, mail->req, STORY_RELEASED, mail->recorded, 0);
   reply_now (trf, mail->req);
 }
 
@@ -246,6 +249,7 @@
 
   req->attempt = NULL;
   note_attempt (trf, req, reply);
+  note_result (trf, req, STORY_RESULT, reply);
   if (reply->result == ATTEMPT_ANSWERED)
     {
       finish_answered (trf, req, reply);
@@ -261,6 +265,7 @@
     .expected_us = REPLY_MARGIN_US,
   };
   enum retry_verdict verdict = retry_allow (&trf->bud, &query, now_us (trf));
+  note_step (trf, req, STORY_RETRY, verdict, 0);
   if (verdict == RETRY_YES)
     {
       counter_add (trf->ctr, CTR_RETRIES, 1);
@@ -294,6 +299,7 @@
 wait_for_target (struct traffic *trf, struct request *req)
 {
   req->state = REQUEST_WAIT_TARGET;
+  note_step (trf, req, STORY_WAIT_TARGET, 0, 0);
   req->timer = tevent_add_timer (
       trf->ev, trf->ev, tevent_timeval_current_ofs (0, TARGET_RETRY_US),
       on_target_timer, req);
@@ -334,6 +340,7 @@
   route_begin (&trf->rt, choice->target, now_us (trf));
   req->state = REQUEST_SENT;
   log_routed (trf, req, choice);
+  note_sent (trf, req, choice);
 }
 
 static void
@@ -376,6 +383,7 @@
   mail->body_digest = claim_body_digest (req->body, req->body_len);
   mail->deadline_us = req->item.deadline_us - REPLY_MARGIN_US;
   req->state = REQUEST_CLAIMING;
+  note_step (trf, req, STORY_CLAIM_ASKED, 0, 0);
   if (!mailbox_post (trf->control, &mail->mail))
     {
       free (mail);
@@ -387,6 +395,7 @@
 start_request (struct traffic *trf, struct request *req)
 {
   req->start_us = now_us (trf);
+  note_step (trf, req, STORY_ADMITTED, 0, 0);
   if (req->idempotent)
     send_attempt (trf, req);
   else
@@ -421,6 +430,7 @@
 {
   struct request *req = mail->req;
 
+  note_step (trf, req, STORY_CLAIM_VERDICT, mail->verdict, mail->known);
   log_event (trf->lg, EV_CLAIM_VERDICT, LOG_S ("request", req->id),
              LOG_I ("verdict", mail->verdict), LOG_I ("known", mail->known));
   switch (mail->verdict)
@@ -480,6 +490,7 @@
 
   req->traffic = trf;
   req->arrival_us = now_us (trf);
+  note_begin (trf, req);
   DL_APPEND (trf->open, req);
   trf->open_count++;
   counter_add (trf->ctr, CTR_REQUESTS, 1);
@@ -504,6 +515,7 @@
       break;
     case ADMIT_QUEUED:
       req->state = REQUEST_QUEUED;
+      note_step (trf, req, STORY_QUEUED, 0, 0);
       log_event (trf->lg, EV_REQUEST_QUEUED, LOG_S ("request", req->id),
                  LOG_S ("kind", req->kind_name));
       flow_expire (trf);
--- a/entry/serve.c
+++ b/entry/serve.c
@@ -17,6 +17,7 @@
 #include "base/err.h"
 #include "base/log.h"
 #include "entry/control.h"
+#include "entry/operator.h"
 #include "entry/traffic.h"
 #include "store/log_http.h"
 
@@ -35,6 +36,7 @@
   struct control *ctl;
   struct traffic *trf;
   char secret[SECRET_MAX_BYTES + 1];
+  char token[OPERATOR_TOKEN_MAX + 1];
   bool draining;
   bool stopping;
 };
@@ -132,9 +134,14 @@
     .appends_per_s = (uint32_t)set->appends_per_s,
     .peer_listen = set->peer_listen,
     .peers = set->peers,
+    .operator_listen = set->operator_listen,
+    .operator_token = srv->token,
+    .stories = (uint32_t)set->stories,
     .seed = random_number (),
   };
   err = read_secret (srv);
+  if (!err && *set->operator_listen)
+    err = operator_token_read (set->operator_token_file, srv->token);
   if (err)
     return err;
   ctl_set.peer_secret = srv->secret;
@@ -161,6 +168,7 @@
     .default_deadline_ms = set->deadline_ms,
     .leave_ms = set->leave_ms,
     .max_open = (uint32_t)set->max_open,
+    .stories = (uint32_t)set->stories,
     .seed = set->seed ? (uint64_t)set->seed : random_number (),
   };
   int err = traffic_start (&trf_set, &clock_system, srv->lg, &srv->ctr,
@@ -191,9 +199,14 @@
   log_event (srv->lg, EV_SERVE_STARTED, LOG_S ("entry", srv->set->name),
              LOG_S ("data_centre", srv->set->data_centre),
              LOG_I ("port", port), LOG_S ("policy", srv->set->policy));
-  printf ("ready caller=%.*s:%u peer_port=%u\n",
-          (int)(colon - srv->set->listen), srv->set->listen, port,
-          control_peer_port (srv->ctl));
+  printf ("ready caller=%.*s:%u peer_port=%u", (int)(colon - srv->set->listen),
+          srv->set->listen, port, control_peer_port (srv->ctl));
+  const char *operator_listen = srv->set->operator_listen;
+  if (*operator_listen)
+    printf (" operator=%.*s:%u",
+            (int)(strrchr (operator_listen, ':') - operator_listen),
+            operator_listen, control_operator_port (srv->ctl));
+  putchar ('\n');
   fflush (stdout);
 }
 
--- /dev/null
+++ b/entry/story_json.c
@@ -0,0 +1,127 @@
+#include "entry/story_json.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "claim/claim.h"
+#include "entry/request.h"
+#include "route/retry.h"
+
+static const char *
+verdict_name (enum claim_verdict verdict)
+{
+  static const char *const names[] = {
+    [CLAIM_GRANTED] = "granted",       [CLAIM_DUPLICATE] = "duplicate",
+    [CLAIM_KEY_REUSED] = "key_reused", [CLAIM_UNAVAILABLE] = "unavailable",
+    [CLAIM_TIMEOUT] = "timeout",       [CLAIM_OVERLOADED] = "overloaded",
+  };
+  return names[verdict];
+}
+
+static const char *
+known_name (enum claim_known known)
+{
+  static const char *const names[] = {
+    [CLAIM_KNOWN_NOTHING] = "nothing",
+    [CLAIM_KNOWN_ANSWERED] = "answered",
+    [CLAIM_KNOWN_UNKNOWN] = "unknown",
+  };
+  return names[known];
+}
+
+static json_t *
+name_json (const struct story *sty, uint16_t name)
+{
+  return name == STORY_NAME_NONE ? json_null ()
+                                 : json_string (sty->names + name);
+}
+
+static json_t *
+candidates_json (const struct story *sty, const struct story_step *step)
+{
+  json_t *list = json_array ();
+  for (int n = 0; n < step->candidate_count; n++)
+    {
+      const struct story_candidate *cand = &step->candidates[n];
+      json_array_append_new (list, json_pack ("{s:o, s:i, s:i}", "host",
+                                              name_json (sty, cand->name),
+                                              "in_flight", cand->in_flight,
+                                              "slots", cand->slots));
+    }
+  return list;
+}
+
+static void
+set (json_t *obj, const char *key, json_t *val)
+{
+  json_object_set_new (obj, key, val);
+}
+
+static json_t *
+step_json (const struct story *sty, const struct story_step *step)
+{
+  json_t *obj = json_pack ("{s:I, s:s}", "at_us", (json_int_t)step->at_us,
+                           "step", story_type_name (step->type));
+  switch ((enum story_type)step->type)
+    {
+    case STORY_CLAIM_VERDICT:
+      set (obj, "verdict", json_string (verdict_name (step->detail)));
+      set (obj, "known", json_string (known_name (step->more)));
+      break;
+    case STORY_WAIT_TARGET:
+      set (obj, "times", json_integer (step->times));
+      break;
+    case STORY_SENT:
+      set (obj, "attempt", json_integer (step->number));
+      set (obj, "target", name_json (sty, step->name));
+      set (obj, "candidates", candidates_json (sty, step));
+      break;
+    case STORY_RESULT:
+    case STORY_FORWARD_RESULT:
+      set (obj, "target", name_json (sty, step->name));
+      set (obj, "result", json_string (attempt_result_name (step->detail)));
+      set (obj, "bad_answer", json_boolean (step->more));
+      set (obj, "status", json_integer (step->number));
+      break;
+    case STORY_RETRY:
+      set (obj, "verdict", json_string (retry_verdict_name (step->detail)));
+      break;
+    case STORY_FORWARDED:
+      set (obj, "entry", name_json (sty, step->name));
+      break;
+    case STORY_RELEASED:
+      set (obj, "recorded", json_boolean (step->detail));
+      break;
+    case STORY_END:
+      set (obj, "outcome", json_string (outcome_name (step->detail)));
+      set (obj, "reason", json_string (reason_name (step->more)));
+      set (obj, "status", json_integer (step->number));
+      set (obj, "key_held", json_boolean (sty->key_held));
+      break;
+    case STORY_QUEUED:
+    case STORY_ADMITTED:
+    case STORY_CLAIM_ASKED:
+    case STORY_RELEASE_ASKED:
+      break;
+    }
+  return obj;
+}
+
+json_t *
+story_json (const struct story *sty)
+{
+  char digest[33] = "";
+  if (sty->has_key)
+    snprintf (digest, sizeof digest, "%016" PRIx64 "%016" PRIx64,
+              sty->key_digest[0], sty->key_digest[1]);
+  json_t *steps = json_array ();
+  for (int n = 0; n < sty->step_count; n++)
+    json_array_append_new (steps, step_json (sty, &sty->steps[n]));
+  return json_pack (
+      "{s:s, s:s, s:s, s:o, s:I, s:i, s:b, s:b, s:o}", "request_id", sty->id,
+      "caller", sty->caller, "kind", sty->kind, "key_digest",
+      sty->has_key ? json_string (digest) : json_null (), "arrival_ms",
+      (json_int_t)sty->arrival_ms, "hops", sty->hops, "ended", sty->ended,
+      "steps_lost", sty->steps_lost, "steps", steps);
+}
--- a/entry/traffic.c
+++ b/entry/traffic.c
@@ -204,6 +204,12 @@
     case MAIL_PEER_COUNT:
       trf->entries = ((struct mail_peer_count *)mail)->entries;
       break;
+    case MAIL_ASK_STATUS:
+      report_status (trf, (struct mail_ask *)mail);
+      break;
+    case MAIL_ASK_STORY:
+      report_stories (trf, (struct mail_ask *)mail);
+      break;
     case MAIL_DRAIN:
       begin_drain (trf);
       break;
@@ -289,6 +295,8 @@
     err = route_init (&trf->rt, trf, pol->route, &route_set);
   if (!err)
     err = dispatch_create (trf, trf->ev, trf->clk, &dispatch_set, &trf->dsp);
+  if (!err)
+    err = stories_init (&trf->stories, trf, trf->set.stories);
   if (!err)
     err = forward_init (trf, trf->set.remotes);
   if (!err)
--- a/entry/traffic.h
+++ b/entry/traffic.h
@@ -27,6 +27,7 @@
   int64_t leave_ms; /* after a stop was asked for, requests are still taken
                        this long, until the balancer saw the readiness go */
   uint32_t max_open;
+  uint32_t stories; /* requests whose story is kept */
   uint64_t seed;
 };
 
--- a/entry/traffic_priv.h
+++ b/entry/traffic_priv.h
@@ -3,6 +3,7 @@
 #include "entry/dispatch.h"
 #include "entry/mails.h"
 #include "entry/request.h"
+#include "entry/story.h"
 #include "entry/traffic.h"
 
 struct tevent_context;
@@ -29,6 +30,7 @@
   struct route rt;
   struct retry_budget bud;
   struct view *view;
+  struct stories stories;
   struct request *open; /* list of all requests not yet replied to */
   uint32_t open_count;
   struct tevent_timer *expiry_timer;
@@ -68,6 +70,24 @@
 /* Ends every open request at once, each with a true outcome.  */
 void flow_abort_all (struct traffic *trf);
 
+/* story_note.c: steps of a request's story.  */
+
+void note_begin (struct traffic *trf, struct request *req);
+void note_step (struct traffic *trf, struct request *req, enum story_type type,
+                int detail, int more);
+void note_sent (struct traffic *trf, struct request *req,
+                const struct route_choice *choice);
+void note_result (struct traffic *trf, struct request *req,
+                  enum story_type type, const struct attempt_reply *reply);
+void note_forward (struct traffic *trf, struct request *req,
+                   const char *address);
+void note_end (struct traffic *trf, struct request *req);
+
+/* traffic_report.c: answers to operators' questions.  */
+
+void report_status (struct traffic *trf, const struct mail_ask *mail);
+void report_stories (struct traffic *trf, const struct mail_ask *mail);
+
 /* forward.c: the one hop to another data centre.  */
 
 /* Parses the comma-separated addresses of the settings.  Returns 0,
