cli: status and explain

status prints what the given entry processes say of themselves; explain merges their stories of a request.

--- a/cli/main.c
+++ b/cli/main.c
@@ -5,7 +5,9 @@
 
 #include "base/err.h"
 #include "base/log.h"
+#include "cli/explain.h"
 #include "cli/settings.h"
+#include "cli/status.h"
 #include "cli/table.h"
 #include "entry/serve.h"
 
@@ -67,6 +69,8 @@
 
 static const struct command commands[] = {
   { "table", run_table, "show and edit the operators' table" },
+  { "status", run_status, "show what entry processes say of themselves" },
+  { "explain", run_explain, "tell what happened to a request" },
   { "serve", run_serve, "run an entry process" },
   { "check-settings", run_check_settings, "check the settings of serve" },
   { "settings", run_settings, "print the reference page of the settings" },
@@ -81,7 +85,8 @@
   for (size_t n = 0; n < sizeof commands / sizeof *commands; n++)
     fprintf (out, "  %-16s %s\n", commands[n].name, commands[n].help);
   fputs ("\nExit codes: 0 done, 1 failed, 2 invalid usage or settings; "
-         "`table` has more.\n",
+         "`table` has more, "
+         "`explain` 5 for found in part.\n",
          out);
 }
 
--- /dev/null
+++ b/cli/operators.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include "entry/operator.h"
+
+/* The listeners for operators of several entry processes, asked side by
+   side.  */
+
+#define OPERATORS_MAX 64
+#define OPERATOR_ADDRESS_MAX 64
+
+struct operators
+{
+  char addresses[OPERATORS_MAX][OPERATOR_ADDRESS_MAX];
+  size_t count;
+  char token[OPERATOR_TOKEN_MAX + 1];
+};
+
+struct operator_reply
+{
+  const char *address;
+  json_t *root;    /* NULL: see error */
+  char error[192]; /* plain words */
+};
+
+/* Parses the comma-separated LIST of IP:PORT and reads the token.  Returns 0,
+   or ERR_INVALID or ERR_NOT_FOUND after a line to ERRORS.  */
+int operators_init (struct operators *ops, const char *list,
+                    const char *token_file, FILE *errors);
+
+/* Sends GET PATH to all.  REPLIES has ops->count elements, to be freed by
+   operators_free.  Returns how many gave a reply, or ERR_NOMEM.  */
+int operators_get (const struct operators *ops, const char *path,
+                   int64_t timeout_ms, struct operator_reply *replies);
+void operators_free (const struct operators *ops,
+                     struct operator_reply *replies);
--- a/entry/control_priv.h
+++ b/entry/control_priv.h
@@ -23,7 +23,7 @@
   struct state state;
   struct peers peers;
   struct traffic *traffic;
-  struct operator* operator;
+  struct operator_listener *opl;
   struct host_list *hosts;
   int64_t hosts_us; /* monotonic, of the last read that succeeded */
   int64_t start_us;
--- a/entry/operator.c
+++ b/entry/operator.c
@@ -24,7 +24,7 @@
 
 struct question
 {
-  struct operator* op;
+  struct operator_listener *op;
   uint64_t ask;
   enum operator_query query;
   char request_id[REQUEST_ID_MAX + 1];
@@ -53,7 +53,7 @@
 /* Compares all bytes of both buffers whatever differs, so that the time tells
    nothing of the token.  */
 static bool
-token_right (const struct operator* op, struct MHD_Connection *conn)
+token_right (const struct operator_listener *op, struct MHD_Connection *conn)
 {
   char given[OPERATOR_TOKEN_MAX] = { 0 };
   const char *val
@@ -111,7 +111,7 @@
 }
 
 static enum MHD_Result
-question_begin (struct operator* op, struct MHD_Connection *conn,
+question_begin (struct operator_listener *op, struct MHD_Connection *conn,
                 const char *url, const char *method, void **con_cls)
 {
   char request_id[REQUEST_ID_MAX + 1] = "";
@@ -142,7 +142,7 @@
             struct timeval now, void *arg)
 {
   struct question *qst = arg;
-  struct operator* op = qst->op;
+  struct operator_listener *op = qst->op;
   uint64_t ask = qst->ask;
   qst->timer = NULL;
   op->handler.expired (op->handler.arg, ask, qst->query);
@@ -154,7 +154,7 @@
            const char *method, const char *version, const char *data,
            size_t *data_len, void **con_cls)
 {
-  struct operator* op = cls;
+  struct operator_listener *op = cls;
   struct question *qst = *con_cls;
 
   if (!qst)
@@ -182,7 +182,7 @@
 on_completed (void *cls, struct MHD_Connection *conn, void **con_cls,
               enum MHD_RequestTerminationCode code)
 {
-  struct operator* op = cls;
+  struct operator_listener *op = cls;
   struct question *qst = *con_cls;
   *con_cls = NULL;
   if (!qst)
@@ -192,8 +192,8 @@
 }
 
 void
-operator_answer (struct operator* op, uint64_t ask, unsigned int status,
-                 const char *json)
+operator_answer (struct operator_listener *op, uint64_t ask,
+                 unsigned int status, const char *json)
 {
   struct question *qst;
   DL_SEARCH_SCALAR (op->questions, qst, ask, ask);
@@ -211,7 +211,8 @@
 }
 
 /* The daemon cannot be stopped while a connection is suspended.  */
-static int operator_destructor (struct operator* op)
+static int
+operator_destructor (struct operator_listener *op)
 {
   struct question *qst;
   DL_FOREACH (op->questions, qst)
@@ -228,12 +229,13 @@
 int
 operator_create (void *parent, struct tevent_context *ev,
                  const struct operator_settings *set,
-                 const struct operator_handler *handler, struct operator** out)
+                 const struct operator_handler *handler,
+                 struct operator_listener **out)
 {
   size_t len = strlen (set->token);
   if (len < OPERATOR_TOKEN_MIN || len > OPERATOR_TOKEN_MAX)
     return ERR_INVALID;
-  struct operator* op = talloc_zero (parent, struct operator);
+  struct operator_listener *op = talloc_zero (parent, struct operator);
   if (!op)
     return ERR_NOMEM;
   op->ev = ev;
@@ -262,12 +264,16 @@
 }
 
 uint16_t
-operator_port (const struct operator* op)
+operator_port (const struct operator_listener *op)
 {
   return mhd_loop_port (op->loop);
 }
 
-void operator_destroy (struct operator* op) { talloc_free (op); }
+void
+operator_destroy (struct operator_listener *op)
+{
+  talloc_free (op);
+}
 
 int
 operator_token_read (const char *path, char *token)
--- a/entry/operator.h
+++ b/entry/operator.h
@@ -42,16 +42,16 @@
 int operator_create (void *parent, struct tevent_context *ev,
                      const struct operator_settings *set,
                      const struct operator_handler *handler,
-                     struct operator** out);
-uint16_t operator_port (const struct operator* op);
+                     struct operator_listener **out);
+uint16_t operator_port (const struct operator_listener *op);
 
 /* STATUS is the HTTP status, JSON the body, which is copied.  A question that
    was answered before, or whose connection is gone, is left alone.  */
-void operator_answer (struct operator* op, uint64_t ask, unsigned int status,
-                      const char *json);
+void operator_answer (struct operator_listener *op, uint64_t ask,
+                      unsigned int status, const char *json);
 
 /* Open questions get no answer.  */
-void operator_destroy (struct operator* op);
+void operator_destroy (struct operator_listener *op);
 
 /* Reads a token file: one line.  TOKEN has OPERATOR_TOKEN_MAX + 1 bytes.
    Returns 0, ERR_NOT_FOUND when the file cannot be read, or ERR_INVALID for
