--- a/entry/operator.c
+++ b/entry/operator.c
@@ -235,7 +235,8 @@
   size_t len = strlen (set->token);
   if (len < OPERATOR_TOKEN_MIN || len > OPERATOR_TOKEN_MAX)
     return ERR_INVALID;
-  struct operator_listener *op = talloc_zero (parent, struct operator);
+  struct operator_listener *op
+      = talloc_zero (parent, struct operator_listener);
   if (!op)
     return ERR_NOMEM;
   op->ev = ev;
