--- a/cli/table.c
+++ b/cli/table.c
@@ -8,6 +8,7 @@
 #include "base/err.h"
 #include "base/option.h"
 #include "cli/table_print.h"
+#include "cli/table_wait.h"
 #include "table/table_csv.h"
 #include "table/table_json.h"
 
@@ -34,6 +35,14 @@
     "set: delete the row or the assignment" },
   { "delete-missing", OPTION_BOOL, FIELD (delete_missing), 0, 0, NULL, NULL,
     "no", "import and diff: delete rows that the file does not have" },
+  { "wait-operators", OPTION_STR, FIELD (wait_operators), 0, 4096, NULL, NULL,
+    "",
+    "set and import: comma-separated operator addresses IP:PORT of the "
+    "entry processes that must have folded the change" },
+  { "token-file", OPTION_STR, FIELD (token_file), 0, 4096, NULL, NULL, "",
+    "file with the operators' bearer token" },
+  { "wait-ms", OPTION_INT, FIELD (wait_ms), 1, 600000, NULL, "ms", "10000",
+    "longest wait for --wait-operators" },
   { NULL, 0, 0, 0, 0, NULL, NULL, NULL, NULL },
 };
 
@@ -451,15 +460,17 @@
   const char *name;
   int (*run) (struct table_session *ses, const struct command_args *args);
   const char *help;
+  bool edits;
 } commands[] = {
-  { "show", command_show, "[pool|kind|host [NAME]]: print rows" },
+  { "show", command_show, "[pool|kind|host [NAME]]: print rows", false },
   { "set", command_set,
-    "pool|kind NAME COLUMN=VALUE..., or host NAME pool=POOL: change a row" },
-  { "import", command_import,
-    "FILE: change all rows that differ (CSV, JSON)" },
-  { "export", command_export, "[FILE]: write the table (CSV, JSON)" },
-  { "history", command_history, "[N]: the last changes, who and when" },
-  { "diff", command_diff, "FILE: what an import would change" },
+    "pool|kind NAME COLUMN=VALUE..., or host NAME pool=POOL: change a row",
+    true },
+  { "import", command_import, "FILE: change all rows that differ (CSV, JSON)",
+    true },
+  { "export", command_export, "[FILE]: write the table (CSV, JSON)", false },
+  { "history", command_history, "[N]: the last changes, who and when", false },
+  { "diff", command_diff, "FILE: what an import would change", false },
 };
 
 #define COMMANDS (sizeof commands / sizeof *commands)
@@ -472,12 +483,13 @@
          out);
   for (size_t n = 0; n < COMMANDS; n++)
     fprintf (out, "  %-8s %s\n", commands[n].name, commands[n].help);
-  fputs ("  columns  print the reference page of the columns\n\n"
-         "`kingcuphollow table show --help` lists the options.\n"
-         "Exit codes: 0 done, 1 failed, 2 invalid usage or values, 3 conflict,"
-         "\n4 not accepted, 5 unknown whether the change stands, 6 diff found "
-         "differences.\n",
-         out);
+  fputs (
+      "  columns  print the reference page of the columns\n\n"
+      "`kingcuphollow table show --help` lists the options.\n"
+      "Exit codes: 0 done, 1 failed, 2 invalid usage or values, 3 conflict,"
+      "\n4 not accepted, 5 unknown whether the change stands, 6 diff found "
+      "differences,\n7 accepted, but not folded by all of --wait-operators.\n",
+      out);
   return out == stdout ? 0 : TABLE_EXIT_INVALID;
 }
 
@@ -503,11 +515,37 @@
                         &args->opt, stdout, stderr);
 }
 
+/* An import that changes nothing waits for the state that it was compared
+   with.  */
+static int
+wait_folded (struct table_session *ses, const struct operators *ops)
+{
+  uint64_t next = ses->accepted_next ? ses->accepted_next
+                                     : state_fold (&ses->st)->next_offset;
+  return next == 0
+             ? 0
+             : table_wait (ops, next, ses->opt->wait_ms, ses->opt->json != 0);
+}
+
+/* Settings of the wait are checked before anything is changed.  */
+static int
+wait_init (const struct table_options *opt, bool edits, struct operators *ops)
+{
+  ops->count = 0;
+  if (!*opt->wait_operators)
+    return 0;
+  if (edits)
+    return operators_init (ops, opt->wait_operators, opt->token_file, stderr);
+  usage_error ("--wait-operators goes with `set` and `import`");
+  return ERR_INVALID;
+}
+
 int
 run_table (void *ctx, int argc, char **argv)
 {
   struct command_args args;
   struct table_session ses;
+  struct operators ops;
   size_t cmd = 0;
 
   if (argc < 1)
@@ -524,10 +562,14 @@
   if (cmd == COMMANDS)
     return print_usage (stderr);
   int err = parse_args (ctx, argc - 1, argv + 1, &args);
+  if (!err)
+    err = wait_init (&args.opt, commands[cmd].edits, &ops);
   if (err)
     return err < 0 ? TABLE_EXIT_INVALID : 0;
   err = session_open (&ses, ctx, &args.opt);
   int code = err ? platform_error (err) : commands[cmd].run (&ses, &args);
+  if (code == 0 && ops.count > 0)
+    code = wait_folded (&ses, &ops);
   session_close (&ses);
   return code;
 }
--- a/cli/table_print.h
+++ b/cli/table_print.h
@@ -14,7 +14,8 @@
   TABLE_EXIT_CONFLICT = 3,
   TABLE_EXIT_NOT_ACCEPTED = 4,
   TABLE_EXIT_UNKNOWN = 5,
-  TABLE_EXIT_DIFFERENT = 6, /* diff: there are differences */
+  TABLE_EXIT_DIFFERENT = 6,  /* diff: there are differences */
+  TABLE_EXIT_NOT_FOLDED = 7, /* accepted; not all entry processes folded it */
 };
 
 void print_faults (const struct table_faults *faults, bool json);
--- a/cli/table_session.c
+++ b/cli/table_session.c
@@ -109,6 +109,9 @@
         out->offset = UINT64_MAX;
         return 0;
       }
+  if (err == 0 && out->outcome == STATE_EDIT_ACCEPTED
+      && out->offset != UINT64_MAX)
+    ses->accepted_next = out->offset + 1;
   return err;
 }
 
--- a/cli/table_session.h
+++ b/cli/table_session.h
@@ -15,6 +15,9 @@
   int64_t json;
   int64_t delete_row;
   int64_t delete_missing;
+  char *wait_operators;
+  char *token_file;
+  int64_t wait_ms;
 };
 
 struct table_session
@@ -25,6 +28,7 @@
   struct log_http http;
   struct state st;
   bool timed_out;
+  uint64_t accepted_next; /* offset after the last accepted edit; 0: none */
 };
 
 /* Outcome of an edit, owned by the session's context.  */
