--- a/cli/explain.c
+++ b/cli/explain.c
@@ -215,7 +215,11 @@
   for (size_t n = 0; n < tell->count; n++)
     {
       const struct event *event = &tell->events[n];
-      sentence (event, buf, sizeof buf);
+      /* The outcomes come last, in full.  */
+      if (event->step && step_is (event->step, "end"))
+        snprintf (buf, sizeof buf, "The request ended.");
+      else
+        sentence (event, buf, sizeof buf);
       format_time (event->time_us, when);
       fprintf (out, "%s  %s", when, event->entry);
       if (tell->stories > 1)
--- /dev/null
+++ b/test/unit/unit_operator.c
@@ -0,0 +1,634 @@
+#include <arpa/inet.h>
+#include <check.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+#include <tevent.h>
+#include <unistd.h>
+
+#include "base/err.h"
+#include "claim/claim.h"
+#include "cli/explain.h"
+#include "entry/mailbox.h"
+#include "entry/operator.h"
+#include "entry/request.h"
+#include "entry/story_json.h"
+#include "route/retry.h"
+
+#define COUNT(a) (sizeof (a) / sizeof *(a))
+#define TOKEN "0123456789abcdef-token"
+#define ANSWER_TIMEOUT_MS 200
+
+/* Listener  */
+
+struct operator_test
+{
+  struct tevent_context *ev;
+  struct operator_listener *op;
+  struct mailbox stop_mb;
+  bool stop;
+  pthread_t thread;
+  int asked; /* read after the thread was joined */
+  int expired;
+};
+
+static void
+answer_later (struct tevent_context *ev, struct tevent_timer *te,
+              struct timeval now, void *arg)
+{
+  struct operator_test *ot = arg;
+  operator_answer (ot->op, (uint64_t)ot->asked, 200, "{\"late\":true}");
+}
+
+/* Answers /v1/status at once, request "later" from the event loop, and any
+   other never.  */
+static void
+on_ask (void *arg, uint64_t ask, enum operator_query query,
+        const char *request_id)
+{
+  struct operator_test *ot = arg;
+  ot->asked++;
+  if (query == OPERATOR_STATUS)
+    operator_answer (ot->op, ask, 200, "{\"status\":true}");
+  else if (strcmp (request_id, "later") == 0)
+    tevent_add_timer (ot->ev, ot->ev, tevent_timeval_current_ofs (0, 1000),
+                      answer_later, ot);
+  else if (strcmp (request_id, "a/b?c%d") == 0)
+    operator_answer (ot->op, ask, 200, "{\"unescaped\":true}");
+}
+
+static void
+on_expired (void *arg, uint64_t ask, enum operator_query query)
+{
+  ((struct operator_test *)arg)->expired++;
+}
+
+static void
+on_stop (void *arg, struct mail *mail)
+{
+  ((struct operator_test *)arg)->stop = true;
+}
+
+static void *
+operator_main (void *arg)
+{
+  struct operator_test *ot = arg;
+  while (!ot->stop)
+    tevent_loop_once (ot->ev);
+  return NULL;
+}
+
+static void
+operator_test_start (struct operator_test *ot)
+{
+  const struct operator_settings set = { .address = "127.0.0.1:0",
+                                         .token = TOKEN,
+                                         .timeout_ms = ANSWER_TIMEOUT_MS };
+  const struct operator_handler handler
+      = { .ask = on_ask, .expired = on_expired, .arg = ot };
+  *ot = (struct operator_test){ .ev = tevent_context_init (NULL) };
+  ck_assert_int_eq (operator_create (NULL, ot->ev, &set, &handler, &ot->op),
+                    0);
+  ck_assert_int_eq (mailbox_init (&ot->stop_mb, ot->ev, on_stop, ot), 0);
+  pthread_create (&ot->thread, NULL, operator_main, ot);
+}
+
+static void
+operator_test_stop (struct operator_test *ot)
+{
+  struct mail mail = { .type = 0 };
+  ck_assert (mailbox_post (&ot->stop_mb, &mail));
+  pthread_join (ot->thread, NULL);
+  mailbox_fini (&ot->stop_mb);
+  operator_destroy (ot->op);
+  talloc_free (ot->ev);
+}
+
+static int
+connect_to (uint16_t port, const char *send)
+{
+  struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons (port) };
+  sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&sa, sizeof sa), 0);
+  ck_assert_int_eq (write (fd, send, strlen (send)), (ssize_t)strlen (send));
+  return fd;
+}
+
+static void
+exchange (uint16_t port, const char *send, char *out, size_t size)
+{
+  int fd = connect_to (port, send);
+  size_t len = 0;
+  ssize_t n;
+  while (len < size - 1 && (n = read (fd, out + len, size - 1 - len)) > 0)
+    len += (size_t)n;
+  out[len] = '\0';
+  close (fd);
+}
+
+#define HTTP(line, headers)                                                   \
+  line " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n" headers "\r\n"
+#define AUTH(token) "Authorization: Bearer " token "\r\n"
+#define LONG_ID                                                               \
+  "0123456789012345678901234567890123456789012345678901234567890123456789"
+
+/* Guards against an answer to someone without the token, against a handler
+   that runs for such a request, and against a malformed path that gets
+   through.  */
+static const struct
+{
+  const char *name;
+  const char *send;
+  const char *status;
+  const char *body;
+  int asked;
+} questions[] = {
+  { "no token", HTTP ("GET /v1/status", ""), " 401 ", "unauthenticated", 0 },
+  { "no token, unknown path", HTTP ("GET /x", ""), " 401 ", "", 0 },
+  { "wrong token", HTTP ("GET /v1/status", AUTH ("0123456789abcdef-tokex")),
+    " 401 ", "", 0 },
+  { "beginning of the token", HTTP ("GET /v1/status", AUTH ("0123456789")),
+    " 401 ", "", 0 },
+  { "token with more", HTTP ("GET /v1/status", AUTH (TOKEN "x")), " 401 ", "",
+    0 },
+  { "empty token", HTTP ("GET /v1/status", AUTH ("")), " 401 ", "", 0 },
+  { "other scheme",
+    HTTP ("GET /v1/status", "Authorization: Basic " TOKEN "\r\n"), " 401 ", "",
+    0 },
+  { "post without token", HTTP ("POST /v1/status", "Content-Length: 2\r\n"),
+    " 401 ", "", 0 },
+  { "status", HTTP ("GET /v1/status", AUTH (TOKEN)), " 200 ",
+    "{\"status\":true}", 1 },
+  { "answer later", HTTP ("GET /v1/explain/later", AUTH (TOKEN)), " 200 ",
+    "{\"late\":true}", 1 },
+  { "no answer", HTTP ("GET /v1/explain/never", AUTH (TOKEN)), " 503 ",
+    "timeout", 1 },
+  { "escaped id", HTTP ("GET /v1/explain/a%2Fb%3Fc%25d", AUTH (TOKEN)),
+    " 200 ", "unescaped", 1 },
+  { "post", HTTP ("POST /v1/status", AUTH (TOKEN) "Content-Length: 0\r\n"),
+    " 405 ", "", 0 },
+  { "no id", HTTP ("GET /v1/explain/", AUTH (TOKEN)), " 400 ", "", 0 },
+  { "id too long", HTTP ("GET /v1/explain/" LONG_ID, AUTH (TOKEN)), " 400 ",
+    "", 0 },
+  { "id with a quote", HTTP ("GET /v1/explain/a%22b", AUTH (TOKEN)), " 400 ",
+    "", 0 },
+  { "id with a line end", HTTP ("GET /v1/explain/a%0Ab", AUTH (TOKEN)),
+    " 400 ", "", 0 },
+  { "no such path", HTTP ("GET /v1/stat", AUTH (TOKEN)), " 404 ", "", 0 },
+  { "path with more", HTTP ("GET /v1/status/x", AUTH (TOKEN)), " 404 ", "",
+    0 },
+};
+
+START_TEST (test_question)
+{
+  struct operator_test ot;
+  char out[4096];
+  operator_test_start (&ot);
+  exchange (operator_port (ot.op), questions[_i].send, out, sizeof out);
+  ck_assert_msg (strstr (out, questions[_i].status) != NULL
+                     && strstr (out, questions[_i].body) != NULL,
+                 "%s: %s", questions[_i].name, out);
+  ck_assert_ptr_null (strstr (out, TOKEN));
+  exchange (operator_port (ot.op), HTTP ("GET /v1/status", AUTH (TOKEN)), out,
+            sizeof out);
+  ck_assert_msg (strstr (out, "{\"status\":true}") != NULL, "after %s: %s",
+                 questions[_i].name, out);
+  operator_test_stop (&ot);
+  ck_assert_int_eq (ot.asked, questions[_i].asked + 1);
+  ck_assert_int_eq (ot.expired, strcmp (questions[_i].name, "no answer") == 0);
+}
+END_TEST
+
+/* Guards against a stop that aborts because a question is still open, and
+   against an answer to a question that is gone.  */
+START_TEST (test_stop_with_open_question)
+{
+  struct operator_test ot;
+  char out[256];
+  operator_test_start (&ot);
+  int fd = connect_to (operator_port (ot.op),
+                       HTTP ("GET /v1/explain/never", AUTH (TOKEN)));
+  exchange (operator_port (ot.op), HTTP ("GET /v1/status", AUTH (TOKEN)), out,
+            sizeof out);
+  operator_test_stop (&ot);
+  close (fd);
+}
+END_TEST
+
+static const struct
+{
+  const char *text;
+  int err;
+} tokens[] = {
+  { "0123456789abcdef\n", 0 },
+  { "0123456789abcdef", 0 },
+  { "0123456789abcdef\r\n", 0 },
+  { "0123456789abcde\n", ERR_INVALID },
+  { "0123456789 abcdef\n", ERR_INVALID },
+  { "", ERR_INVALID },
+};
+
+/* Guards against a listener that runs with a token that is easily guessed. */
+START_TEST (test_token_file)
+{
+  char path[] = "/tmp/kingcuphollow-token-XXXXXX";
+  char token[OPERATOR_TOKEN_MAX + 1];
+  int fd = mkstemp (path);
+  ssize_t len = (ssize_t)strlen (tokens[_i].text);
+  ck_assert_int_eq (write (fd, tokens[_i].text, (size_t)len), len);
+  close (fd);
+  ck_assert_int_eq (operator_token_read (path, token), tokens[_i].err);
+  if (tokens[_i].err == 0)
+    ck_assert_str_eq (token, "0123456789abcdef");
+  unlink (path);
+  ck_assert_int_eq (operator_token_read (path, token), ERR_NOT_FOUND);
+}
+END_TEST
+
+/* Ring  */
+
+#define RING 4
+
+static struct story_ref
+begin (struct stories *sts, const char *id, int64_t now_us)
+{
+  struct story start = { .arrival_us = now_us, .arrival_ms = now_us / 1000 };
+  snprintf (start.id, sizeof start.id, "%s", id);
+  return story_begin (sts, &start);
+}
+
+/* Guards against steps that are told of another request after the record was
+   taken, and against a search that hides what was lost.  */
+START_TEST (test_ring_overwrite)
+{
+  void *ctx = talloc_new (NULL);
+  struct stories sts;
+  struct stories_found *found = talloc (ctx, struct stories_found);
+  char id[16];
+  ck_assert_int_eq (stories_init (&sts, ctx, RING), 0);
+  struct story_ref first = begin (&sts, "r0", 1000);
+  ck_assert_ptr_nonnull (story_get (&sts, first));
+  for (int n = 1; n <= RING; n++)
+    {
+      snprintf (id, sizeof id, "r%d", n);
+      begin (&sts, id, 1000 * (n + 1));
+    }
+  ck_assert_ptr_null (story_get (&sts, first));
+  stories_find (&sts, "r0", found);
+  ck_assert_uint_eq (found->count, 0);
+  ck_assert_uint_eq (found->overwritten, 1);
+  ck_assert_int_eq (found->oldest_ms, 2);
+  stories_find (&sts, "r1", found);
+  ck_assert_uint_eq (found->count, 1);
+  talloc_free (ctx);
+}
+END_TEST
+
+/* Guards against a repeated id whose newest stories are not the ones told. */
+START_TEST (test_ring_same_id)
+{
+  void *ctx = talloc_new (NULL);
+  struct stories sts;
+  struct stories_found *found = talloc (ctx, struct stories_found);
+  ck_assert_int_eq (stories_init (&sts, ctx, 3 * STORIES_FOUND_MAX), 0);
+  for (int n = 0; n < STORIES_FOUND_MAX + 2; n++)
+    begin (&sts, "same", 1000 * n);
+  stories_find (&sts, "same", found);
+  ck_assert_uint_eq (found->count, STORIES_FOUND_MAX);
+  ck_assert_uint_eq (found->more, 2);
+  ck_assert_int_eq (found->stories[0].arrival_ms, 2);
+  ck_assert_int_eq (found->stories[STORIES_FOUND_MAX - 1].arrival_ms,
+                    STORIES_FOUND_MAX + 1);
+  talloc_free (ctx);
+}
+END_TEST
+
+/* Guards against a full record that loses the outcome or hides the loss.  */
+START_TEST (test_record_full)
+{
+  static struct story sty;
+  memset (&sty, 0, sizeof sty);
+  for (int n = 0; n < 5; n++)
+    story_add (&sty, STORY_WAIT_TARGET, n);
+  ck_assert_uint_eq (sty.step_count, 1);
+  ck_assert_uint_eq (sty.steps[0].times, 5);
+  ck_assert (!sty.steps_lost);
+  for (int n = 0; n < STORY_STEPS_MAX; n++)
+    story_add (&sty, STORY_SENT, n);
+  ck_assert (sty.steps_lost);
+  ck_assert_ptr_nonnull (story_add (&sty, STORY_END, 7));
+  ck_assert_uint_eq (sty.steps[sty.step_count - 1].type, STORY_END);
+  char name[STORY_NAMES_BYTES];
+  memset (name, 'x', sizeof name - 1);
+  name[sizeof name - 1] = '\0';
+  ck_assert_uint_eq (story_name (&sty, "h1"), 0);
+  ck_assert_uint_eq (story_name (&sty, name), STORY_NAME_NONE);
+  ck_assert_uint_eq (story_name (&sty, "h2"), 3);
+  ck_assert_uint_eq (story_name (&sty, "h1"), 0);
+}
+END_TEST
+
+/* Sentences  */
+
+struct step
+{
+  enum story_type type;
+  int detail;
+  int more;
+  int number;
+  const char *name;
+};
+
+#define OTHER (-1) /* no process: an entry that cannot be reached */
+#define SINCE 500  /* known_since_ms; the requests arrive at 1000 */
+
+/* Guards against a statement that goes beyond what is known, such as "not
+   run" of an attempt that was sent, and against an exit code or note that
+   hides a lost part.  The processes are asked in the order of the stories. */
+static const struct
+{
+  const char *name;
+  struct
+  {
+    int known_since; /* OTHER: not reached; 0: no such process */
+    int hops;
+    struct step steps[10]; /* none: knows nothing */
+  } replies[2];
+  int code;
+  const char *expect[4];
+  const char *refuse; /* must not be told */
+} tellings[] = {
+  { "answered",
+    { { SINCE,
+        0,
+        { { STORY_ADMITTED, 0, 0, 0, NULL },
+          { STORY_SENT, 0, 0, 1, "h1" },
+          { STORY_RESULT, ATTEMPT_ANSWERED, 0, 200, "h1" },
+          { STORY_END, OUTCOME_ANSWERED, REASON_NONE, 200, NULL } } } },
+    0,
+    { "Attempt 1 goes to target h1", "whether the caller read it is not known",
+      "caller marie for kind stock_query" },
+    "may not be whole" },
+  { "guard refusal, then not run",
+    { { SINCE,
+        0,
+        { { STORY_SENT, 0, 0, 1, "h1" },
+          { STORY_RESULT, ATTEMPT_GUARD_REFUSED, 0, 503, "h1" },
+          { STORY_RETRY, RETRY_NO_ATTEMPTS, 0, 0, NULL },
+          { STORY_END, OUTCOME_NOT_RUN, REASON_REFUSED, 503, NULL } } } },
+    0,
+    { "certainly did not run", "all its attempts are used up",
+      "Outcome: not run. It certainly did not run: the targets refused it" },
+    "not known" },
+  { "sent and cut",
+    { { SINCE,
+        0,
+        { { STORY_CLAIM_ASKED, 0, 0, 0, NULL },
+          { STORY_CLAIM_VERDICT, CLAIM_GRANTED, 0, 0, NULL },
+          { STORY_SENT, 0, 0, 1, "h1" },
+          { STORY_RESULT, ATTEMPT_CUT, 0, 0, "h1" },
+          { STORY_RETRY, RETRY_NO_UNSAFE, 0, 0, NULL },
+          { STORY_END, OUTCOME_UNKNOWN, REASON_NO_ANSWER, 504, NULL } } } },
+    0,
+    { "this request holds the idempotency key", "must not run twice",
+      "Outcome: unknown. It was sent, and whether it ran is not known" },
+    "certainly" },
+  { "foreign answer",
+    { { SINCE,
+        0,
+        { { STORY_SENT, 0, 0, 1, "h1" },
+          { STORY_RESULT, ATTEMPT_CUT, 1, 200, "h1" },
+          { STORY_END, OUTCOME_UNKNOWN, REASON_BAD_ANSWER, 502, NULL } } } },
+    0,
+    { "was not whole or not this request's; it was dropped" },
+    "certainly" },
+  { "duplicate with recorded answer",
+    { { SINCE,
+        0,
+        { { STORY_CLAIM_VERDICT, CLAIM_DUPLICATE, CLAIM_KNOWN_ANSWERED, 0,
+            NULL },
+          { STORY_END, OUTCOME_ANSWERED, REASON_DUPLICATE, 200, NULL } } } },
+    0,
+    { "its answer is recorded", "This request itself did not run" },
+    "handed" },
+  { "duplicate without result",
+    { { SINCE,
+        0,
+        { { STORY_CLAIM_VERDICT, CLAIM_DUPLICATE, CLAIM_KNOWN_NOTHING, 0,
+            NULL },
+          { STORY_END, OUTCOME_UNKNOWN, REASON_DUPLICATE_RUNNING, 409,
+            NULL } } } },
+    0,
+    { "Outcome: unknown. This request itself was not sent to a target" },
+    "It was sent" },
+  { "released",
+    { { SINCE,
+        0,
+        { { STORY_RELEASE_ASKED, 0, 0, 0, NULL },
+          { STORY_RELEASED, 0, 0, 0, NULL },
+          { STORY_END, OUTCOME_NOT_RUN, REASON_NO_TARGET, 503, NULL } } } },
+    0,
+    { "could not be recorded in time", "no target could take it" },
+    NULL },
+  { "open",
+    { { SINCE, 0, { { STORY_QUEUED, 0, 0, 0, NULL } } } },
+    0,
+    { "waits in the queue", "Outcome: none yet" },
+    "did not run" },
+  { "the other process is away",
+    { { SINCE,
+        0,
+        { { STORY_END, OUTCOME_NOT_RUN, REASON_QUEUE_FULL, 429, NULL } } },
+      { OTHER, 0, { { 0 } } } },
+    EXPLAIN_EXIT_IN_PART,
+    { "the queue of its kind was full", "The story may not be whole",
+      "127.0.0.1:2: not reached" },
+    NULL },
+  { "the other process restarted",
+    { { SINCE,
+        0,
+        { { STORY_END, OUTCOME_NOT_RUN, REASON_QUEUE_FULL, 429, NULL } } },
+      { 2000, 0, { { 0 } } } },
+    EXPLAIN_EXIT_IN_PART,
+    { "e2: it started at 1970-01-01 00:00:02.000 UTC; what it knew before is "
+      "lost" },
+    NULL },
+  { "forwarded, and the other side is told",
+    { { SINCE,
+        0,
+        { { STORY_FORWARDED, 0, 0, 0, "127.0.0.1:9" },
+          { STORY_FORWARD_RESULT, ATTEMPT_ANSWERED, 0, 200, NULL },
+          { STORY_END, OUTCOME_ANSWERED, REASON_NONE, 200, NULL } } },
+      { SINCE,
+        1,
+        { { STORY_END, OUTCOME_ANSWERED, REASON_NONE, 200, NULL } } } },
+    0,
+    { "received 2 times under this id, by 2 entry processes",
+      "forwarded by an entry process of another data centre",
+      "goes to the entry process at 127.0.0.1:9" },
+    "may not be whole" },
+  { "forwarded, and the other side is not told",
+    { { SINCE,
+        0,
+        { { STORY_FORWARDED, 0, 0, 0, "127.0.0.1:9" },
+          { STORY_FORWARD_RESULT, ATTEMPT_TIMEOUT, 0, 0, NULL },
+          { STORY_END, OUTCOME_UNKNOWN, REASON_NO_ANSWER, 504, NULL } } } },
+    EXPLAIN_EXIT_IN_PART,
+    { "was not asked or no longer knows it" },
+    "certainly" },
+  { "not found",
+    { { SINCE, 0, { { 0 } } }, { OTHER, 0, { { 0 } } } },
+    EXPLAIN_EXIT_NOT_FOUND,
+    { "No entry process that was reached knows", "127.0.0.1:2: not reached",
+      "e1: it started at" },
+    "Outcome" },
+};
+
+static json_t *
+make_story (int hops, const struct step *steps, size_t count)
+{
+  static struct story sty;
+  memset (&sty, 0, sizeof sty);
+  sty.arrival_ms = 1000;
+  sty.hops = (uint8_t)hops;
+  strcpy (sty.id, "r1");
+  strcpy (sty.caller, "marie");
+  strcpy (sty.kind, "stock_query");
+  for (size_t n = 0; n < count; n++)
+    {
+      if (n > 0 && steps[n].type == 0)
+        break;
+      struct story_step *step
+          = story_add (&sty, steps[n].type, (int64_t)n * 1000);
+      step->detail = (uint8_t)steps[n].detail;
+      step->more = (uint8_t)steps[n].more;
+      step->number = (uint16_t)steps[n].number;
+      if (steps[n].name)
+        step->name = story_name (&sty, steps[n].name);
+      sty.ended |= steps[n].type == STORY_END;
+    }
+  return story_json (&sty);
+}
+
+static bool
+knows (const struct step *steps, const char *name)
+{
+  return steps[0].type != STORY_QUEUED || strcmp (name, "open") == 0;
+}
+
+static size_t
+make_replies (int i, struct operator_reply replies[2])
+{
+  static const char *const addresses[] = { "127.0.0.1:1", "127.0.0.1:2" };
+  static const char *const names[] = { "e1", "e2" };
+  size_t count = 0;
+  for (size_t n = 0; n < 2 && tellings[i].replies[n].known_since != 0; n++)
+    {
+      const struct step *steps = tellings[i].replies[n].steps;
+      replies[n] = (struct operator_reply){ .address = addresses[n] };
+      count++;
+      if (tellings[i].replies[n].known_since == OTHER)
+        {
+          strcpy (replies[n].error, "not reached: refused");
+          continue;
+        }
+      json_t *list = json_array ();
+      if (knows (steps, tellings[i].name))
+        json_array_append_new (
+            list, make_story (tellings[i].replies[n].hops, steps,
+                              COUNT (tellings[i].replies[n].steps)));
+      replies[n].root
+          = json_pack ("{s:s, s:i, s:i, s:b, s:o}", "name", names[n],
+                       "known_since_ms", tellings[i].replies[n].known_since,
+                       "overwritten", 0, "keeps_stories", 1, "stories", list);
+    }
+  return count;
+}
+
+START_TEST (test_tell)
+{
+  struct operator_reply replies[2];
+  char *text;
+  size_t size;
+  size_t count = make_replies (_i, replies);
+  FILE *out = open_memstream (&text, &size);
+  int code = explain_tell ("r1", replies, count, false, out);
+  fclose (out);
+  ck_assert_msg (code == tellings[_i].code, "%s: code %d: %s",
+                 tellings[_i].name, code, text);
+  for (int n = 0; n < 4 && tellings[_i].expect[n]; n++)
+    ck_assert_msg (strstr (text, tellings[_i].expect[n]) != NULL,
+                   "%s: no \"%s\" in: %s", tellings[_i].name,
+                   tellings[_i].expect[n], text);
+  if (tellings[_i].refuse)
+    ck_assert_msg (strstr (text, tellings[_i].refuse) == NULL,
+                   "%s: \"%s\" in: %s", tellings[_i].name, tellings[_i].refuse,
+                   text);
+  free (text);
+
+  out = open_memstream (&text, &size);
+  ck_assert_int_eq (explain_tell ("r1", replies, count, true, out), code);
+  fclose (out);
+  json_t *root = json_loads (text, 0, NULL);
+  ck_assert_msg (json_is_array (json_object_get (root, "events")), "%s", text);
+  json_decref (root);
+  free (text);
+  for (size_t n = 0; n < count; n++)
+    json_decref (replies[n].root);
+}
+END_TEST
+
+/* Guards against a crash on an answer of another version of the program.  */
+START_TEST (test_tell_malformed)
+{
+  static const char *const answers[] = {
+    "{}",
+    "{\"stories\":[{}]}",
+    "{\"stories\":[{\"steps\":[{},{\"step\":\"new\"},3,{\"step\":\"result\"},"
+    "{\"step\":\"end\"},{\"step\":\"sent\",\"candidates\":[1]}]}]}",
+    "{\"stories\":7,\"name\":{}}",
+  };
+  char *text;
+  size_t size;
+  for (size_t n = 0; n < COUNT (answers); n++)
+    {
+      struct operator_reply reply
+          = { .address = "127.0.0.1:1",
+              .root = json_loads (answers[n], 0, NULL) };
+      FILE *out = open_memstream (&text, &size);
+      explain_tell ("r1", &reply, 1, n % 2 == 1, out);
+      fclose (out);
+      ck_assert_uint_gt (size, 0);
+      free (text);
+      json_decref (reply.root);
+    }
+}
+END_TEST
+
+int
+main (void)
+{
+  signal (SIGPIPE, SIG_IGN);
+  Suite *suite = suite_create ("operator");
+  TCase *tc = tcase_create ("operator");
+  tcase_set_timeout (tc, 60);
+  tcase_add_loop_test (tc, test_question, 0, COUNT (questions));
+  tcase_add_test (tc, test_stop_with_open_question);
+  tcase_add_loop_test (tc, test_token_file, 0, COUNT (tokens));
+  tcase_add_test (tc, test_ring_overwrite);
+  tcase_add_test (tc, test_ring_same_id);
+  tcase_add_test (tc, test_record_full);
+  tcase_add_loop_test (tc, test_tell, 0, COUNT (tellings));
+  tcase_add_test (tc, test_tell_malformed);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
