--- a/cli/explain_step.c
+++ b/cli/explain_step.c
@@ -29,10 +29,10 @@
                "key." },
   { "key_reused", "The claim was refused: the same idempotency key was used "
                   "before with another body." },
-  { "unavailable", "No claim was made: the platform's log could not be "
-                   "reached." },
-  { "timeout", "No claim was made: the platform's log did not settle it "
-               "before the deadline." },
+  { "unavailable", "No claim was granted, and none will be later: the "
+                   "platform's log could not be reached." },
+  { "timeout", "No claim was granted, and none will be later: the "
+               "platform's log did not settle it before the deadline." },
   { "overloaded", "No claim was made: too many claims were waiting." },
   { NULL, NULL },
 };
@@ -89,11 +89,12 @@
   = "its idempotency key was used before with another body",
   [REASON_DUPLICATE] = "an earlier request holds the same idempotency key",
   [REASON_DUPLICATE_RUNNING]
-  = "an earlier request holds the same idempotency key, and no result of it "
-    "is recorded",
+  = ("an earlier request holds the same idempotency key, and no result of it "
+     "is recorded"),
   [REASON_QUEUE_FULL] = "the queue of its kind was full",
-  [REASON_QUEUE_DEADLINE] = "it waited, or would have waited, too long in the "
-                            "queue of its kind",
+  [REASON_QUEUE_DEADLINE]
+  = ("it waited, or would have waited, too long in the "
+     "queue of its kind"),
   [REASON_DEADLINE] = "it could not be done before its deadline",
   [REASON_NO_CAPACITY] = "its pool had no slots at all",
   [REASON_NO_TARGET] = "no target could take it",
--- a/cli/operators.c
+++ b/cli/operators.c
@@ -31,7 +31,7 @@
   for (size_t n = 0; n < ops->count; n++)
     if (strcmp (ops->addresses[n], text) == 0)
       return 0;
-  strcpy (ops->addresses[ops->count++], text);
+  snprintf (ops->addresses[ops->count++], OPERATOR_ADDRESS_MAX, "%s", text);
   return 0;
 }
 
--- a/entry/story.c
+++ b/entry/story.c
@@ -100,7 +100,7 @@
 {
   uint64_t hash = hash_id (id);
   uint64_t kept = sts->begun < sts->max ? sts->begun : sts->max;
-  const struct story *found[STORIES_FOUND_MAX];
+  uint64_t found[STORIES_FOUND_MAX] = { 0 };
 
   memset (out, 0, sizeof *out);
   out->overwritten = sts->begun - kept;
@@ -114,10 +114,10 @@
       if (out->count == STORIES_FOUND_MAX)
         out->more++;
       else
-        found[out->count++] = &sts->ring[idx];
+        found[out->count++] = idx;
     }
   for (uint32_t n = 0; n < out->count; n++)
-    out->stories[n] = *found[out->count - 1 - n];
+    out->stories[n] = sts->ring[found[out->count - 1 - n]];
 }
 
 const char *
