--- a/cli/explain.c
+++ b/cli/explain.c
@@ -176,9 +176,11 @@
       return;
     }
   format_time (known_ms * 1000, since);
-  if (tell->stories > 0 && known_ms <= tell->first_ms)
+  bool overwritten = num (reply->root, "overwritten") > 0;
+  /* The oldest record kept may follow one of the same millisecond.  */
+  if (tell->stories > 0 && known_ms + overwritten <= tell->first_ms)
     return;
-  if (num (reply->root, "overwritten") > 0)
+  if (overwritten)
     note (tell,
           "%s: its ring of stories was overwritten; it knows only of requests "
           "since %s.",
@@ -260,6 +262,19 @@
     }
 }
 
+static void
+print_memory (const struct operator_reply *replies, size_t count, FILE *out)
+{
+  char since[48];
+  for (size_t n = 0; n < count; n++)
+    if (replies[n].root)
+      {
+        format_time (num (replies[n].root, "known_since_ms") * 1000, since);
+        fprintf (out, "%s tells of requests since %s.\n",
+                 entry_name (&replies[n]), since);
+      }
+}
+
 static void
 print_text (const struct telling *tell, FILE *out)
 {
@@ -336,7 +351,11 @@
                                                : "no",
                 out);
   else
-    print_text (&tell, out);
+    {
+      print_text (&tell, out);
+      fputc ('\n', out);
+      print_memory (replies, count, out);
+    }
 
 done:
   free (tell.events);
@@ -372,7 +391,7 @@
   struct explain_options opt;
   struct operators ops;
   const char *id = argc > 0 ? argv[0] : "";
-  bool has_id = *id && *id != '-';
+  bool has_id = *id && strncmp (id, "--", 2) != 0 && strcmp (id, "-h") != 0;
 
   int err = options_parse (ctx, "explain REQUEST-ID", option_defs,
                            argc - has_id, argv + has_id, &opt, stdout, stderr);
--- a/cli/explain_step.c
+++ b/cli/explain_step.c
@@ -200,14 +200,34 @@
   return strcmp (reason_name (reason), name) == 0 ? reasons[reason] : name;
 }
 
+/* Whether the request ended while its claim was not settled, as at a stop of
+   the process.  */
+static bool
+claim_open (const json_t *story)
+{
+  const json_t *step;
+  size_t idx;
+  bool open = false;
+  json_array_foreach (json_object_get (story, "steps"), idx, step)
+  {
+    const char *name = text (step, "step");
+    if (strcmp (name, "claim_asked") == 0)
+      open = true;
+    else if (strcmp (name, "claim_verdict") == 0)
+      open = false;
+  }
+  return open;
+}
+
 static void
-tell_end (const json_t *step, char *buf, size_t size)
+tell_end (const json_t *story, const json_t *step, char *buf, size_t size)
 {
   const char *outcome = text (step, "outcome");
   const char *reason = text (step, "reason");
-  const char *held = json_is_true (json_object_get (step, "key_held"))
-                         ? " Its idempotency key may still be held."
-                         : "";
+  const char *held
+      = json_is_true (json_object_get (step, "key_held")) || claim_open (story)
+            ? " Its idempotency key may still be held."
+            : "";
   if (strcmp (outcome, "answered") == 0 && strcmp (reason, "duplicate") == 0)
     snprintf (buf, size,
               "Outcome: answered with the recorded answer of the earlier "
@@ -283,7 +303,7 @@
               "(%" PRId64 " times).",
               num (step, "times"));
   else if (strcmp (name, "end") == 0)
-    tell_end (step, buf, size);
+    tell_end (story, step, buf, size);
   else
     snprintf (buf, size, "A step \"%s\" that this program does not know.",
               name);
--- a/entry/story.c
+++ b/entry/story.c
@@ -31,7 +31,9 @@
     return (struct story_ref){ 0 };
   uint32_t idx = (uint32_t)(sts->begun++ % sts->max);
   struct story *sty = &sts->ring[idx];
-  *sty = *start;
+  /* Steps and names beyond the counts are never read, so that a request
+     costs no clearing of the whole record.  */
+  memcpy (sty, start, offsetof (struct story, steps));
   sty->step_count = 0;
   sty->names_len = 0;
   sts->id_hashes[idx] = hash_id (sty->id);
