--- a/entry/control.c
+++ b/entry/control.c
@@ -11,6 +11,7 @@
 #include "base/err.h"
 #include "base/log.h"
 #include "entry/control_priv.h"
+#include "entry/operator.h"
 #include "entry/traffic.h"
 #include "entry/view_build.h"
 #include "store/log_store.h"
@@ -165,6 +166,7 @@
 hosts_loaded (struct control *ctl, struct host_list *list)
 {
   ctl->hosts_stale = false;
+  ctl->hosts_us = clock_now_us (ctl->clk);
   if (ctl->hosts && ctl->hosts->version == list->version)
     {
       talloc_free (list);
@@ -230,6 +232,12 @@
     case MAIL_OWN_HEALTH:
       control_peers_health (ctl, (struct mail_own_health *)mail);
       break;
+    case MAIL_STATUS:
+      control_operator_status (ctl, (struct mail_status *)mail);
+      break;
+    case MAIL_STORY:
+      control_operator_story (ctl, (struct mail_story *)mail);
+      break;
     case MAIL_TRAFFIC_IDLE:
       ctl->traffic_idle = true;
       break;
@@ -282,6 +290,7 @@
   ctl->ctr = ctr;
   ctl->snapshot_us = clock_now_us (clk);
   memcpy (ctl->random, &set->seed, sizeof ctl->random);
+  ctl->start_us = clock_now_us (clk);
   int err = mailbox_init (&ctl->inbox, ev, on_mail, ctl);
   if (!err)
     err = control_peers_start (ctl);
@@ -291,6 +300,8 @@
     err = start_state (ctl);
   if (!err)
     err = control_waves_start (ctl);
+  if (!err)
+    err = control_operator_start (ctl);
   *out = ctl;
   if (!err)
     poll_hosts (ctl);
@@ -306,6 +317,7 @@
     mailbox_close (&ctl->inbox);
   if (ctl->waves.priv)
     wave_run_fini (&ctl->waves);
+  operator_destroy (ctl->opl);
   if (ctl->state.priv)
     state_fini (&ctl->state);
   if (ctl->claims.priv)
--- a/entry/control_priv.h
+++ b/entry/control_priv.h
@@ -8,6 +8,7 @@
 #include "state/state.h"
 #include "wave/wave_run.h"
 
+struct operator_listener;
 struct tevent_timer;
 
 struct control
@@ -25,7 +26,10 @@
   struct peers peers;
   struct wave_run waves;
   struct traffic *traffic;
+  struct operator_listener *opl;
   struct host_list *hosts;
+  int64_t hosts_us; /* monotonic, of the last read that succeeded */
+  int64_t start_us;
   struct view *view;
   struct tevent_timer *hosts_timer;
   int64_t snapshot_us;    /* of the last snapshot, or of the first record
@@ -60,5 +64,11 @@
 /* The pool that the log assigns to HOST, or NULL.  */
 const char *control_assignment (const void *fold, const char *host);
 
+/* control_operator.c: questions of operators.  */
+int control_operator_start (struct control *ctl);
+void control_operator_status (struct control *ctl, struct mail_status *mail);
+void control_operator_story (struct control *ctl,
+                             const struct mail_story *mail);
+
 /* Posts MAIL to the traffic thread, or frees it.  */
 void control_post (struct control *ctl, struct mail *mail);
