entry: do not parse an unchanged host list again

Cause: the control thread parsed the whole host list every 500 ms, although it discarded the result whenever the version was the same. That was most of the processor time of an idle entry process with many hosts.

Change: a digest of the list's text (XXH3) decides whether to parse it.

--- a/entry/control.c
+++ b/entry/control.c
@@ -5,6 +5,7 @@
 #include <sys/time.h>
 #include <talloc.h>
 #include <tevent.h>
+#include <xxhash.h>
 
 #include "base/clock.h"
 #include "base/counter.h"
@@ -137,13 +138,21 @@
   struct control *ctl = arg;
   struct host_list *list;
   int err = res->err;
+  uint64_t digest = err ? 0 : XXH3_64bits (res->json, res->len);
+  /* Parsing an unchanged list took most of an idle process's time.  */
+  bool unchanged = !err && ctl->hosts && digest == ctl->hosts_digest;
 
-  if (!err)
+  if (!err && !unchanged)
     err = host_list_parse (ctl, res->json, res->len, &list);
   if (err)
     hosts_failed (ctl, err);
+  else if (unchanged)
+    ctl->hosts_stale = false;
   else
-    hosts_loaded (ctl, list);
+    {
+      ctl->hosts_digest = digest;
+      hosts_loaded (ctl, list);
+    }
   ctl->hosts_timer = tevent_add_timer (
       ctl->ev, ctl,
       tevent_timeval_current_ofs (ctl->set.hosts_poll_ms / 1000,
--- a/entry/control_priv.h
+++ b/entry/control_priv.h
@@ -23,6 +23,7 @@
   struct peers peers;
   struct traffic *traffic;
   struct host_list *hosts;
+  uint64_t hosts_digest; /* XXH3 of the text of HOSTS */
   struct view *view;
   struct tevent_timer *hosts_timer;
   bool hosts_stale;
