--- a/entry/control_priv.h
+++ b/entry/control_priv.h
@@ -30,6 +30,7 @@
   struct host_list *hosts;
   int64_t hosts_us; /* monotonic, of the last read that succeeded */
   int64_t start_us;
+  uint64_t hosts_digest; /* XXH3 of the text of HOSTS */
   struct view *view;
   struct tevent_timer *hosts_timer;
   int64_t snapshot_us;    /* of the last snapshot, or of the first record
