--- a/cli/status.c
+++ b/cli/status.c
@@ -137,15 +137,24 @@
     }
 }
 
-static void
+/* Returns how many processes gave no whole answer.  */
+static size_t
 print_faults (const struct operator_reply *replies, size_t count)
 {
+  size_t faults = 0;
   for (size_t n = 0; n < count; n++)
-    if (!replies[n].root)
-      fprintf (stderr, "%s: %s\n", replies[n].address, replies[n].error);
-    else if (!json_is_object (json_object_get (replies[n].root, "traffic")))
-      fprintf (stderr, "%s: %s: its traffic thread does not answer\n",
-               replies[n].address, text (replies[n].root, "name"));
+    {
+      const json_t *root = replies[n].root;
+      if (root && json_is_object (json_object_get (root, "traffic")))
+        continue;
+      faults++;
+      if (root)
+        fprintf (stderr, "%s: %s: its traffic thread does not answer\n",
+                 replies[n].address, text (root, "name"));
+      else
+        fprintf (stderr, "%s: %s\n", replies[n].address, replies[n].error);
+    }
+  return faults;
 }
 
 static void
@@ -202,7 +211,7 @@
   else if (reached > 0)
     print_tables (replies, ops.count);
   fflush (stdout);
-  print_faults (replies, ops.count);
+  size_t faults = print_faults (replies, ops.count);
   operators_free (&ops, replies);
-  return (size_t)reached == ops.count ? 0 : EXIT_FAILURE;
+  return faults == 0 ? 0 : EXIT_FAILURE;
 }
