entry: no mail to the traffic thread once it was joined

control_destroy ends the peer links, whose load view reports 0 for each peer; the reports went to the freed mailbox of the joined traffic thread.

--- a/entry/control.h
+++ b/entry/control.h
@@ -52,7 +52,8 @@
 
 struct mailbox *control_mailbox (struct control *ctl);
 
-/* Gives TRF views and verdicts from now on.  */
+/* Gives TRF views and verdicts from now on; NULL: nobody, because the traffic
+   thread was joined.  */
 void control_attach (struct control *ctl, struct traffic *trf);
 
 /* Asks the traffic thread to drain, or to stop at once.  */
--- a/entry/serve.c
+++ b/entry/serve.c
@@ -235,7 +235,11 @@
 
 done:
   if (srv->trf)
-    traffic_join (srv->trf);
+    {
+      traffic_join (srv->trf);
+      /* Peers that go report their load as 0 while the control part ends.  */
+      control_attach (srv->ctl, NULL);
+    }
   /* Calls in progress name memory of the control part.  */
   if (srv->store.st.drv)
     log_store_fini (&srv->store.st);
