--- a/test/scenario/fleet.c
+++ b/test/scenario/fleet.c
@@ -141,13 +141,21 @@
   return fleet_next (sc, name, NULL);
 }
 
+static void
+write_key (struct scenario *sc, const char *name)
+{
+  FILE *file = fopen (talloc_asprintf (sc, "%s/%s", sc->dir, name), "w");
+  if (!file
+      || fprintf (file, "scenario-%s-%s-%u\n", name, sc->name, sc->seed) < 0
+      || fclose (file) != 0)
+    scenario_fail (sc, "the file %s cannot be written", name);
+}
+
 static void
 create_relays (struct scenario *sc)
 {
-  FILE *secret = fopen (talloc_asprintf (sc, "%s/secret", sc->dir), "w");
-  if (!secret || fprintf (secret, "scenario-%s-%u\n", sc->name, sc->seed) < 0
-      || fclose (secret) != 0)
-    scenario_fail (sc, "the peers' key cannot be written");
+  write_key (sc, "secret");
+  write_key (sc, "token");
   for (struct entry *en = NULL; (en = fleet_next (sc, "all", en));)
     for (int n = 0; n < ENTRIES_PER_DC && !sc->failure; n++)
       if (peer_of (sc, en, n) != en)
@@ -254,8 +262,8 @@
 on_entry_line (void *arg, const char *line)
 {
   struct entry *en = arg;
-  sscanf (line, "ready caller=%63s peer_port=%hu", en->address,
-          &en->peer_port);
+  sscanf (line, "ready caller=%63s peer_port=%hu operator=%63s", en->address,
+          &en->peer_port, en->operators);
 }
 
 static bool
@@ -278,9 +286,10 @@
       sc, en->name, "KINGCUPHOLLOW", on_entry_line, en,
       "serve --name=%s --data-centre=%c --platform=%s --seed=%u "
       "--leave-ms=500 --peer-listen=127.0.0.1:0 --peers=%s "
-      "--peer-secret-file=%s/secret %s",
+      "--peer-secret-file=%s/secret --operator-listen=127.0.0.1:0 "
+      "--operator-token-file=%s/token %s",
       en->name, en->name[0], en->platform, sc->seed + 1, peers, sc->dir,
-      options (sc->fleet, FLEET_SERVE));
+      sc->dir, options (sc->fleet, FLEET_SERVE));
   if (en->ps && !scenario_run_until (sc, entry_listens, en, SCENARIO_WAIT_MS))
     scenario_fail (sc, "entry process %s does not listen", en->name);
 }
--- a/test/scenario/fleet.h
+++ b/test/scenario/fleet.h
@@ -23,6 +23,7 @@
   char address[64];   /* for callers; empty until it listens */
   bool ready;         /* by the last look at /readyz, as a balancer has it */
   bool asking;        /* a look at /readyz is open */
+  char operators[64]; /* its listener for operators */
   uint16_t peer_port; /* 0: it does not listen for peers */
   /* To the other entry processes of its data centre, by their number.  */
   struct relay *relays[ENTRIES_PER_DC];
--- a/test/scenario/judge.c
+++ b/test/scenario/judge.c
@@ -6,6 +6,7 @@
 #include <talloc.h>
 #include <utlist.h>
 
+#include "test/scenario/explained.h"
 #include "test/scenario/fleet.h"
 #include "test/scenario/load.h"
 
@@ -255,6 +256,18 @@
   return GOOD;
 }
 
+/* Concerned are calls whose caller was told an outcome.  */
+static enum finding
+call_explained (struct scenario *sc, const struct step *st,
+                const struct call *cl)
+{
+  if (cl->result != CALL_ANSWERED && cl->result != CALL_NOT_RUN
+      && cl->result != CALL_UNKNOWN)
+    return NOT_CONCERNED;
+  struct entry *en = fleet_next (sc, cl->entry, NULL);
+  return find (en && explained_same (sc, en, cl));
+}
+
 static const struct rule rules[] = {
   { "expect no key run twice", "a key was run more than once", run_once, NULL,
     false },
@@ -270,6 +283,9 @@
     not_run_is_true, true },
   { "expect every answer run", "answered, but never ran", NULL, answer_ran,
     false },
+  { "expect explain to tell what every caller was told",
+    "explain does not tell what the caller was told", NULL, call_explained,
+    false },
   { "expect every response whole and own", "not a whole response of its own",
     NULL, response_own, false },
   { "expect all of <load:word> <outcome:word>", "another outcome", NULL,
