--- a/entry/control.h
+++ b/entry/control.h
@@ -53,7 +53,8 @@
 
 struct mailbox *control_mailbox (struct control *ctl);
 
-/* Gives TRF views and verdicts from now on.  */
+/* Gives TRF views and verdicts from now on; NULL: nobody, because the traffic
+   thread was joined.  */
 void control_attach (struct control *ctl, struct traffic *trf);
 
 /* TRF is about to be freed: nothing is posted to it any more.  */
--- a/entry/serve.c
+++ b/entry/serve.c
@@ -270,6 +270,7 @@
 done:
   if (srv->trf)
     {
+      /* Peers that go report their load as 0 while the control part ends.  */
       control_detach (srv->ctl);
       traffic_join (srv->trf);
     }
