--- a/cli/main.c
+++ b/cli/main.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "cli/settings.h"
 #include "cli/table.h"
+#include "cli/wave.h"
 #include "entry/serve.h"
 
 #define EXIT_USAGE 2
@@ -67,6 +68,7 @@
 
 static const struct command commands[] = {
   { "table", run_table, "show and edit the operators' table" },
+  { "wave", run_wave, "create, show and change maintenance waves" },
   { "serve", run_serve, "run an entry process" },
   { "check-settings", run_check_settings, "check the settings of serve" },
   { "settings", run_settings, "print the reference page of the settings" },
@@ -81,7 +83,7 @@
   for (size_t n = 0; n < sizeof commands / sizeof *commands; n++)
     fprintf (out, "  %-16s %s\n", commands[n].name, commands[n].help);
   fputs ("\nExit codes: 0 done, 1 failed, 2 invalid usage or settings; "
-         "`table` has more.\n",
+         "`table` and `wave` have more.\n",
          out);
 }
 
--- /dev/null
+++ b/cli/wave_session.c
@@ -0,0 +1,120 @@
+#include "cli/wave_session.h"
+
+#include <string.h>
+#include <sys/random.h>
+#include <talloc.h>
+#include <tevent.h>
+
+#include "base/clock.h"
+#include "base/err.h"
+
+#define WRITER "wave-command"
+#define US_PER_MS 1000
+
+struct hosts_wait
+{
+  struct wave_session *ses;
+  bool done;
+};
+
+static void
+on_hosts (void *arg, const struct hosts_result *res)
+{
+  struct hosts_wait *wait = arg;
+  struct wave_session *ses = wait->ses;
+  wait->done = true;
+  ses->hosts_err = res->err;
+  if (res->err == 0)
+    ses->hosts_err
+        = host_list_parse (ses->ctx, res->json, res->len, &ses->hosts);
+}
+
+const char *
+wave_session_pool (void *arg, const char *host)
+{
+  struct wave_session *ses = arg;
+  const struct fold_host *now
+      = fold_host_find (state_fold (&ses->table.st), host);
+  return now ? now->pool : NULL;
+}
+
+static int
+read_hosts (struct wave_session *ses)
+{
+  struct hosts_wait wait = { .ses = ses };
+  int err = log_store_hosts (&ses->table.http.st, on_hosts, &wait);
+  while (err == 0 && !wait.done)
+    if (tevent_loop_once (ses->table.ev) != 0)
+      return ERR_SYSTEM;
+  if (err)
+    ses->hosts_err = err;
+  if (ses->hosts_err == 0)
+    ses->hosts_err = wave_fleet_build (ses->ctx, ses->hosts,
+                                       state_fold (&ses->table.st)->table,
+                                       wave_session_pool, ses, &ses->fleet);
+  return ses->hosts_err == ERR_NOMEM ? ERR_NOMEM : 0;
+}
+
+int64_t
+wave_session_deadline_us (const struct wave_session *ses)
+{
+  return clock_now_us (&clock_system) + ses->opt->timeout_ms * US_PER_MS;
+}
+
+int
+wave_session_open (struct wave_session *ses, void *ctx,
+                   const struct wave_options *opt)
+{
+  struct wave_run_settings set;
+  memset (ses, 0, sizeof *ses);
+  ses->ctx = ctx;
+  ses->opt = opt;
+  ses->table_opt = (struct table_options){ .platform = opt->platform,
+                                           .editor = opt->editor,
+                                           .seen_version = "",
+                                           .timeout_ms = opt->timeout_ms };
+  int err = session_open (&ses->table, ctx, &ses->table_opt);
+  if (err)
+    return err;
+  wave_run_settings_init (&set);
+  set.core.name = WRITER;
+  if (getrandom (&set.core.incarnation, sizeof set.core.incarnation, 0)
+      != sizeof set.core.incarnation)
+    return ERR_SYSTEM;
+  err = wave_run_init (&ses->run, ctx, &set, &ses->table.http.st, NULL,
+                       ses->table.ev, &clock_system, NULL);
+  if (err)
+    return err;
+  int64_t deadline = wave_session_deadline_us (ses);
+  while (!wave_run_ready (&ses->run))
+    {
+      if (clock_now_us (&clock_system) >= deadline)
+        return ERR_TIMEOUT;
+      if (tevent_loop_once (ses->table.ev) != 0)
+        return ERR_SYSTEM;
+    }
+  return read_hosts (ses);
+}
+
+void
+wave_session_close (struct wave_session *ses)
+{
+  wave_run_fini (&ses->run);
+  session_close (&ses->table);
+}
+
+void
+wave_session_ended (void *arg, int err, enum wave_effect effect)
+{
+  *(struct wave_edit_end *)arg
+      = (struct wave_edit_end){ .done = true, .err = err, .effect = effect };
+}
+
+int
+wave_session_wait (struct wave_session *ses, const struct wave_edit_end *end)
+{
+  while (!end->done)
+    if (tevent_loop_once (ses->table.ev) != 0)
+      return ERR_SYSTEM;
+  return 0;
+}
--- /dev/null
+++ b/test/unit/unit_wave_run.c
@@ -0,0 +1,372 @@
+#include <check.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+#include <tevent.h>
+
+#include "base/clock.h"
+#include "base/err.h"
+#include "log_memory.h"
+#include "state/hosts.h"
+#include "table/table.h"
+#include "wave/wave_run.h"
+
+#define WAIT_S 60
+#define FAR_US 600000000 /* a deadline that no test reaches */
+#define HOSTS 4
+#define ROWS(table) (int)(sizeof (table) / sizeof *(table))
+
+static struct tevent_context *ev;
+static struct log_memory mem;
+static struct wave_run run;
+
+/* Hosts in memory that answer at once.  */
+static struct memory_hosts
+{
+  struct host_store hs;
+  enum host_actual state[HOSTS];
+  uint32_t reboots[HOSTS];
+  uint32_t calls;
+  uint32_t most_out;
+  enum host_call_status fault; /* of the operations */
+  bool refuse;                 /* calls are not even started */
+} hosts;
+
+struct pending
+{
+  host_call_fn *fn;
+  void *arg;
+  struct host_result res;
+};
+
+static void
+reply (struct tevent_context *ctx, struct tevent_immediate *im, void *arg)
+{
+  struct pending pd = *(struct pending *)arg;
+  talloc_free (arg);
+  pd.fn (pd.arg, &pd.res);
+}
+
+static int
+memory_call (struct host_store *hs, const struct host_call *call,
+             host_call_fn *fn, void *arg)
+{
+  int n = call->op == HOST_OP_HEALTH
+              ? call->address[strlen (call->address) - 1] - '1'
+              : call->host[1] - '0';
+  struct pending *pd = talloc_zero (ev, struct pending);
+  uint32_t out = 0;
+  if (hosts.refuse)
+    {
+      talloc_free (pd);
+      return ERR_FULL;
+    }
+  *pd = (struct pending){ fn, arg, { .slots_in_use = 0 } };
+  hosts.calls++;
+  if (host_op_is_change (call->op))
+    pd->res.status = hosts.fault;
+  if (call->op == HOST_OP_DRAIN)
+    hosts.state[n] = HOST_ACTUAL_LEAVING;
+  if (call->op == HOST_OP_RETURN)
+    hosts.state[n] = HOST_ACTUAL_LIVE;
+  hosts.reboots[n] += call->op == HOST_OP_REBOOT;
+  pd->res.state = hosts.state[n];
+  pd->res.healthy = hosts.state[n] == HOST_ACTUAL_LIVE;
+  for (int k = 0; k < HOSTS; k++)
+    out += hosts.state[k] != HOST_ACTUAL_LIVE;
+  if (out > hosts.most_out)
+    hosts.most_out = out;
+  tevent_schedule_immediate (tevent_create_immediate (pd), ev, reply, pd);
+  return 0;
+}
+
+static const struct host_store_driver memory_driver = { .call = memory_call };
+
+static void
+on_bound (struct tevent_context *ctx, struct tevent_timer *te,
+          struct timeval now, void *arg)
+{
+  ck_abort_msg ("no progress for %d s", WAIT_S);
+}
+
+/* Runs the loop until COND, evaluated after each step, holds.  */
+#define WAIT_FOR(cond)                                                        \
+  do                                                                          \
+    {                                                                         \
+      struct tevent_timer *bound = tevent_add_timer (                         \
+          ev, ev, tevent_timeval_current_ofs (WAIT_S, 0), on_bound, NULL);    \
+      while (!(cond))                                                         \
+        ck_assert_int_eq (tevent_loop_once (ev), 0);                          \
+      talloc_free (bound);                                                    \
+    }                                                                         \
+  while (0)
+
+static void
+set_view (void)
+{
+  struct host all[HOSTS] = { 0 };
+  struct host_list list = { .hosts = all, .count = HOSTS };
+  struct table *tab = table_create (ev);
+  struct table_row row;
+  for (int n = 0; n < HOSTS; n++)
+    {
+      snprintf (all[n].name, sizeof all[n].name, "h%d", n);
+      snprintf (all[n].address, sizeof all[n].address, "127.0.0.1:%d", n + 1);
+      snprintf (all[n].data_centre, sizeof all[n].data_centre, "a");
+      snprintf (all[n].rack, sizeof all[n].rack, "r");
+      snprintf (all[n].initial_pool, sizeof all[n].initial_pool, "p");
+    }
+  table_row_init (&row, TABLE_POOL, "p");
+  row.pool.availability_budget_pct = 75;
+  ck_assert_int_eq (table_add (tab, &row), 0);
+  ck_assert_int_eq (wave_run_set_view (&run, &list, tab, NULL, NULL), 0);
+}
+
+/* The whole life of a wave in some tenths of a second.  */
+static void
+start_run (const char *name, uint64_t incarnation)
+{
+  struct wave_run_settings set;
+  wave_run_settings_init (&set);
+  set.core.name = name;
+  set.core.incarnation = incarnation;
+  set.core.data_centre = "a";
+  set.core.poll_ms = 1;
+  set.core.plan_ms = 20;
+  set.core.plan_gap_ms = 1;
+  set.core.settle_ms = 1;
+  set.core.append_gap_ms = 1;
+  set.core.resend_ms = 20;
+  ck_assert_int_eq (wave_run_init (&run, ev, &set, &mem.st, &hosts.hs, ev,
+                                   &clock_system, NULL),
+                    0);
+  set_view ();
+  WAIT_FOR (wave_run_ready (&run));
+}
+
+static void
+start (void)
+{
+  ev = tevent_context_init (NULL);
+  log_memory_init (&mem, ev, ev);
+  memset (&hosts, 0, sizeof hosts);
+  hosts.hs.drv = &memory_driver;
+  for (int n = 0; n < HOSTS; n++)
+    hosts.state[n] = HOST_ACTUAL_LIVE;
+  start_run ("e1", 1);
+}
+
+static void
+stop (void)
+{
+  wave_run_fini (&run);
+  log_store_fini (&mem.st);
+  talloc_free (ev);
+}
+
+struct end
+{
+  int count;
+  int err;
+  enum wave_effect effect;
+};
+
+static void
+on_end (void *arg, int err, enum wave_effect effect)
+{
+  struct end *end = arg;
+  end->count++;
+  end->err = err;
+  end->effect = effect;
+}
+
+static const struct wave_new_host all_hosts[HOSTS]
+    = { { "h0", "a" }, { "h1", "a" }, { "h2", "a" }, { "h3", "a" } };
+
+static int
+create (int64_t wait_us, struct end *end)
+{
+  const struct wave_request req = {
+    .id = "w", .editor = "ana", .hosts = all_hosts, .host_count = HOSTS
+  };
+  memset (end, 0, sizeof *end);
+  return wave_run_create (&run, &req, clock_now_us (&clock_system) + wait_us,
+                          on_end, end);
+}
+
+static bool
+is_done (void)
+{
+  const struct wave *wv = wave_find (wave_run_state (&run), "w");
+  return wv && wv->steps[WAVE_BACK] == HOSTS;
+}
+
+static void
+check_done (void)
+{
+  for (int n = 0; n < HOSTS; n++)
+    {
+      ck_assert_int_eq (hosts.state[n], HOST_ACTUAL_LIVE);
+      ck_assert_uint_eq (hosts.reboots[n], 1);
+    }
+  ck_assert_uint_eq (hosts.most_out, 1);
+}
+
+static const struct
+{
+  enum log_memory_fault fault; /* of the first append */
+  bool land;                   /* let it take effect after the second */
+} faults[] = {
+  { FAULT_NONE, false }, { FAULT_REPLY_LOST, false }, { FAULT_LOST, false },
+  { FAULT_LATE, true },  { FAULT_NOT_DONE, false },
+};
+
+/* Guards against an operator's change that a lost reply loses, counts twice or
+   reports wrongly, and a wave that does not run to its end.  */
+START_TEST (test_append_faults)
+{
+  struct end end;
+  start ();
+  mem.fault = faults[_i].fault;
+  ck_assert_int_eq (create (FAR_US, &end), 0);
+  ck_assert_int_eq (end.count, 0);
+  WAIT_FOR (mem.appends >= 1);
+  mem.fault = FAULT_NONE;
+  if (faults[_i].land)
+    {
+      WAIT_FOR (mem.appends >= 2);
+      log_memory_land (&mem);
+    }
+  WAIT_FOR (end.count > 0);
+  ck_assert_int_eq (end.err, 0);
+  ck_assert_int_eq (end.effect, WAVE_EFFECT_DONE);
+  WAIT_FOR (is_done ());
+  ck_assert_int_eq (end.count, 1);
+  check_done ();
+  stop ();
+}
+END_TEST
+
+static const struct
+{
+  enum log_memory_fault fault;
+  bool down;
+  int err;
+} deadlines[] = {
+  { FAULT_NOT_DONE, false, ERR_UNAVAILABLE },
+  { FAULT_LOST, false, ERR_UNKNOWN_EFFECT },
+  { FAULT_SLOW, false, ERR_UNKNOWN_EFFECT },
+  { FAULT_NONE, true, ERR_UNKNOWN_EFFECT },
+};
+
+/* Guards against an operator who is told that a change certainly has no effect
+   when it may have, or is told nothing.  */
+START_TEST (test_deadline)
+{
+  struct end end;
+  start ();
+  mem.fault = deadlines[_i].fault;
+  mem.down = deadlines[_i].down;
+  ck_assert_int_eq (create (50000, &end), 0);
+  WAIT_FOR (end.count > 0);
+  ck_assert_int_eq (end.err, deadlines[_i].err);
+  stop ();
+}
+END_TEST
+
+/* Guards against a process that starts anew in the middle of a wave and loses
+   hosts or reboots some again.  */
+START_TEST (test_restart)
+{
+  struct end end;
+  start ();
+  ck_assert_int_eq (create (FAR_US, &end), 0);
+  WAIT_FOR (hosts.reboots[0] + hosts.reboots[1] + hosts.reboots[2]
+                + hosts.reboots[3]
+            > 0);
+  wave_run_fini (&run);
+  /* The lease of the former has passed by the log's time.  */
+  mem.time_ms += WAVE_LEASE_MAX_MS;
+  start_run ("e1", 2);
+  /* What a repeated operation does is the platform's matter: here the reboot
+     under way counts once.  */
+  memset (hosts.reboots, 0, sizeof hosts.reboots);
+  const struct wave *wv = wave_find (wave_run_state (&run), "w");
+  uint32_t back = wv->steps[WAVE_BACK];
+  WAIT_FOR (is_done ());
+  ck_assert_uint_le (hosts.reboots[0] + hosts.reboots[1] + hosts.reboots[2]
+                         + hosts.reboots[3],
+                     HOSTS - back);
+  stop ();
+}
+END_TEST
+
+/* Guards against callbacks into a run that was finished.  */
+START_TEST (test_finish_early)
+{
+  struct end end;
+  start ();
+  ck_assert_int_eq (create (FAR_US, &end), 0);
+  WAIT_FOR (hosts.calls > 0);
+  wave_run_fini (&run);
+  for (int n = 0; n < 20; n++)
+    ck_assert_int_ge (tevent_loop_once (ev), 0);
+  ck_assert_ptr_null (run.priv);
+  stop ();
+}
+END_TEST
+
+/* Guards against a run that stops for good when the host store takes no call,
+   and one that reports a wave that does not exist.  */
+START_TEST (test_store_full)
+{
+  struct end end;
+  start ();
+  ck_assert_int_eq (wave_run_pause (&run, "w", "ana", FAR_US, on_end, &end),
+                    ERR_NOT_FOUND);
+  hosts.refuse = true;
+  ck_assert_int_eq (create (FAR_US, &end), 0);
+  WAIT_FOR (end.count > 0);
+  const struct wave *wv = wave_find (wave_run_state (&run), "w");
+  WAIT_FOR (wv->steps[WAVE_DRAINING] > 0);
+  hosts.refuse = false;
+  WAIT_FOR (is_done ());
+  check_done ();
+  stop ();
+}
+END_TEST
+
+/* Guards against a record that cannot be read and stops the stream for
+   good.  */
+START_TEST (test_unreadable)
+{
+  struct end end;
+  start ();
+  log_memory_put (&mem, (const uint8_t *)"x", 1);
+  WAIT_FOR (wave_run_state (&run)->next_offset == 1);
+  WAIT_FOR (wave_run_ready (&run));
+  ck_assert_int_eq (create (FAR_US, &end), 0);
+  WAIT_FOR (is_done ());
+  stop ();
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("wave_run");
+  TCase *tc = tcase_create ("wave_run");
+  tcase_set_timeout (tc, 2 * WAIT_S);
+  tcase_add_loop_test (tc, test_append_faults, 0, ROWS (faults));
+  tcase_add_loop_test (tc, test_deadline, 0, ROWS (deadlines));
+  tcase_add_test (tc, test_restart);
+  tcase_add_test (tc, test_finish_early);
+  tcase_add_test (tc, test_store_full);
+  tcase_add_test (tc, test_unreadable);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
