--- a/cli/main.c
+++ b/cli/main.c
@@ -9,6 +9,7 @@
 #include "cli/settings.h"
 #include "cli/status.h"
 #include "cli/table.h"
+#include "cli/wave.h"
 #include "entry/serve.h"
 
 #define EXIT_USAGE 2
@@ -71,6 +72,7 @@
   { "table", run_table, "show and edit the operators' table" },
   { "status", run_status, "show what entry processes say of themselves" },
   { "explain", run_explain, "tell what happened to a request" },
+  { "wave", run_wave, "create, show and change maintenance waves" },
   { "serve", run_serve, "run an entry process" },
   { "check-settings", run_check_settings, "check the settings of serve" },
   { "settings", run_settings, "print the reference page of the settings" },
@@ -85,7 +87,7 @@
   for (size_t n = 0; n < sizeof commands / sizeof *commands; n++)
     fprintf (out, "  %-16s %s\n", commands[n].name, commands[n].help);
   fputs ("\nExit codes: 0 done, 1 failed, 2 invalid usage or settings; "
-         "`table` has more, "
+         "`table` and `wave` have more, "
          "`explain` 5 for found in part.\n",
          out);
 }
