--- a/test/unit/unit_wave_plan.c
+++ b/test/unit/unit_wave_plan.c
@@ -5,7 +5,7 @@
 
 #include "state/hosts.h"
 #include "table/table.h"
-#include "wave/wave_plan.h"
+#include "wave/wave_codec.h"
 
 #define ROWS(table) (int)(sizeof (table) / sizeof *(table))
 #define NOW_MS 100000000
--- a/wave/wave_codec.c
+++ b/wave/wave_codec.c
@@ -1,5 +1,7 @@
 #include "wave/wave_codec.h"
 
+#include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -316,3 +318,18 @@
   *holder = body;
   return err;
 }
+
+void
+wave_operation_id (const struct wave *wv, const struct wave_host *wh,
+                   char id[HOST_OPERATION_ID_MAX + 1])
+{
+  const char *op = host_op_name (wave_step_op (wh->step));
+  uint32_t attempt = 0;
+  if (wh->step == WAVE_DRAINING)
+    attempt = wh->attempt;
+  else if (wh->step == WAVE_CHECKING)
+    attempt = wh->generation;
+  /* The offset tells waves apart that were created under one id.  */
+  snprintf (id, HOST_OPERATION_ID_MAX + 1, "%s/%" PRIu64 "/%s/%s/%" PRIu32,
+            wv->id, wv->offset, wh->name, op, attempt);
+}
--- a/wave/wave_codec.h
+++ b/wave/wave_codec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "wave/wave_fold.h"
+#include "wave/wave_plan.h"
 
 /* Records of the waves stream: wave_record in the envelope of store/record.h.
    Writer, incarnation and sequence are the record's unique id.  */
@@ -15,3 +15,8 @@
    does not know), ERR_CHECKSUM or ERR_NOMEM; *HOLDER is NULL then.  */
 int wave_record_decode (void *parent, const uint8_t *data, size_t len,
                         struct wave_record *rec, void **holder);
+
+/* Writes the operation id, which every planner makes alike.  A reboot has one
+   id for the whole wave, so that the platform runs it once.  */
+void wave_operation_id (const struct wave *wv, const struct wave_host *wh,
+                        char id[HOST_OPERATION_ID_MAX + 1]);
--- a/wave/wave_core_host.c
+++ b/wave/wave_core_host.c
@@ -2,6 +2,7 @@
 #include <talloc.h>
 
 #include "base/log.h"
+#include "wave/wave_codec.h"
 #include "wave/wave_core_priv.h"
 
 /* Hosts under way: what is asked of the platform next, and what its answers
--- a/wave/wave_plan.h
+++ b/wave/wave_plan.h
@@ -127,8 +127,3 @@
 /* After which a host in STEP is given up or, when it drains, rebooted.  */
 int64_t wave_step_limit_ms (const struct wave_plan_settings *set,
                             enum wave_step step);
-
-/* Writes the operation id, which every planner makes alike.  A reboot has one
-   id for the whole wave, so that the platform runs it once.  */
-void wave_operation_id (const struct wave *wv, const struct wave_host *wh,
-                        char id[HOST_OPERATION_ID_MAX + 1]);
--- a/wave/wave_step.c
+++ b/wave/wave_step.c
@@ -1,8 +1,5 @@
 #include "wave/wave_plan.h"
 
-#include <inttypes.h>
-#include <stdio.h>
-
 /* What is done next for one host under way.  */
 
 /* After a step's limit a planner looks so often before it gives the host up,
@@ -52,21 +49,6 @@
     }
 }
 
-void
-wave_operation_id (const struct wave *wv, const struct wave_host *wh,
-                   char id[HOST_OPERATION_ID_MAX + 1])
-{
-  const char *op = host_op_name (wave_step_op (wh->step));
-  uint32_t attempt = 0;
-  if (wh->step == WAVE_DRAINING)
-    attempt = wh->attempt;
-  else if (wh->step == WAVE_CHECKING)
-    attempt = wh->generation;
-  /* The offset tells waves apart that were created under one id.  */
-  snprintf (id, HOST_OPERATION_ID_MAX + 1, "%s/%" PRIu64 "/%s/%s/%" PRIu32,
-            wv->id, wv->offset, wh->name, op, attempt);
-}
-
 static struct wave_move
 draining_next (const struct wave_plan_settings *set, const struct wave *wv,
                const struct wave_seen *seen, int64_t elapsed_ms,
