--- a/test/unit/unit_wave_core.c
+++ b/test/unit/unit_wave_core.c
@@ -117,6 +117,28 @@
 }
 END_TEST
 
+/* Guards against planners of several data centres that each take the last
+   place of a pool: without patience all of them ask for it, and what they know
+   of each other is a second old.  */
+START_TEST (test_planners_race)
+{
+  struct wave_core_settings core = wave_core_settings_default;
+  core.plan = wave_plan_settings_default;
+  core.plan.patience_ms = -1;
+  start (3, 10, 0, 1);
+  for (uint32_t c = 0; c < wd.planner_count; c++)
+    wave_core_fini (&wd.planners[c].core);
+  wd.set.core = &core;
+  wd.set.log_ms = 1000;
+  for (uint32_t c = 0; c < wd.planner_count; c++)
+    world_restart_planner (&wd, c);
+  world_create_wave (&wd, 0);
+  run_to_end ();
+  check_all_done ();
+  world_fini (&wd);
+}
+END_TEST
+
 /* Guards against a wave that is slower than the budget asks for: two of eight
    hosts at a time take four rounds.  */
 START_TEST (test_wave_is_quick)
@@ -405,6 +427,7 @@
   TCase *tc = tcase_create ("wave_core");
   tcase_set_timeout (tc, 300);
   tcase_add_loop_test (tc, test_wave_ends, 0, ROWS (fleets));
+  tcase_add_test (tc, test_planners_race);
   tcase_add_test (tc, test_wave_is_quick);
   tcase_add_test (tc, test_killed_at_every_event);
   tcase_add_test (tc, test_paused_past_lease);
