--- a/entry/control.c
+++ b/entry/control.c
@@ -94,6 +94,8 @@
   view_unref (ctl->view);
   ctl->view = vw;
   post_view (ctl);
+  if (ctl->peers.priv && !ctl->draining)
+    peers_set_ready (&ctl->peers, true);
   control_waves_view (ctl, true);
 }
 
@@ -152,6 +154,7 @@
                 struct timeval tv, void *arg)
 {
   consider_snapshot (arg);
+  control_peers_count (arg);
   poll_hosts (arg);
 }
 
@@ -375,6 +378,7 @@
 void
 control_drain (struct control *ctl)
 {
+  ctl->draining = true;
   if (ctl->peers.priv)
     peers_set_ready (&ctl->peers, false);
   post_plain (ctl, MAIL_DRAIN);
--- a/entry/control_peers.c
+++ b/entry/control_peers.c
@@ -45,22 +45,33 @@
   return entries;
 }
 
-static void
-on_member (void *arg, const struct member_info *mbr)
+void
+control_peers_count (struct control *ctl)
 {
-  struct control *ctl = arg;
+  if (!ctl->peers.priv)
+    return;
   uint32_t entries = count_entries (ctl);
-  log_event (ctl->lg, EV_MEMBER_CHANGED, LOG_S ("member", mbr->name),
-             LOG_S ("state", member_state_name (mbr->state)),
-             LOG_I ("incarnation", mbr->incarnation),
-             LOG_I ("entries", entries));
+  if (entries == ctl->entries)
+    return;
   struct mail_peer_count *mail = mail_new (MAIL_PEER_COUNT, sizeof *mail);
   if (!mail)
     return;
+  ctl->entries = entries;
+  log_event (ctl->lg, EV_ENTRIES_CHANGED, LOG_I ("entries", entries));
   mail->entries = entries;
   control_post (ctl, &mail->mail);
 }
 
+static void
+on_member (void *arg, const struct member_info *mbr)
+{
+  struct control *ctl = arg;
+  log_event (ctl->lg, EV_MEMBER_CHANGED, LOG_S ("member", mbr->name),
+             LOG_S ("state", member_state_name (mbr->state)),
+             LOG_I ("incarnation", mbr->incarnation));
+  control_peers_count (ctl);
+}
+
 static int
 listen_for_peers (struct control *ctl)
 {
--- a/entry/control_priv.h
+++ b/entry/control_priv.h
@@ -40,7 +40,9 @@
   unsigned short random[3];
   bool hosts_stale;
   bool table_known; /* folded to the end of the log once */
+  bool draining;
   uint16_t peer_port;
+  uint32_t entries; /* last told to the traffic thread; 0: never */
   bool traffic_idle;
 };
 
@@ -51,6 +53,10 @@
 
 /* control_peers.c: what the peers say and hear.  */
 int control_peers_start (struct control *ctl);
+
+/* Tells the traffic thread how many entry processes share the targets, when
+   that changed; a peer's readiness changes without an event of its own.  */
+void control_peers_count (struct control *ctl);
 void control_peers_load (struct control *ctl,
                          const struct mail_own_load *mail);
 void control_peers_health (struct control *ctl,
