entry: requests that wait for a target are served in order

Cause: an admitted request that found every target full polled every 2 ms, while the end of another request started a new one at once, which took the slot that had just become free. In a surge the requests of the other kinds that were lost had waited so until their own deadline.

Change: waiting requests stand in a list; a slot that ends is offered to them first, in order, and a request that starts later goes behind them.

--- a/entry/request.h
+++ b/entry/request.h
@@ -99,6 +99,9 @@
   /* Set by the traffic thread.  */
   struct traffic *traffic;
   enum request_state state;
+  struct request *wait_prev; /* while it waits for a target */
+  struct request *wait_next;
+  bool waits_for_target;
   struct request *prev;
   struct request *next;
   uint32_t forwards; /* entry processes of other data centres tried */
--- a/entry/request_flow.c
+++ b/entry/request_flow.c
@@ -25,6 +25,7 @@
 #define RETRY_AFTER_DEFAULT_US 1000000
 
 static void send_attempt (struct traffic *trf, struct request *req);
+static void arm_waiters_timer (struct traffic *trf);
 
 static int64_t
 now_us (const struct traffic *trf)
@@ -49,6 +50,16 @@
   return req->start_us != 0;
 }
 
+static void
+leave_waiters (struct traffic *trf, struct request *req)
+{
+  if (!req->waits_for_target)
+    return;
+  DL_DELETE2 (trf->waiters, req, wait_prev, wait_next);
+  trf->waiter_count--;
+  req->waits_for_target = false;
+}
+
 static void
 reply_now (struct traffic *trf, struct request *req)
 {
@@ -60,11 +71,46 @@
              LOG_I ("status", req->status), LOG_I ("attempts", req->attempts),
              LOG_S ("target", req->target_name),
              LOG_I ("total_us", now_us (trf) - req->arrival_us));
+  leave_waiters (trf, req);
   DL_DELETE (trf->open, req);
   trf->open_count--;
   listener_reply (trf->lis, req);
 }
 
+/* Whether a request of POOL waits that any target would do for.  */
+static bool
+has_waiter (const struct traffic *trf, uint32_t pool)
+{
+  const struct request *req;
+  DL_FOREACH2 (trf->waiters, req, wait_next)
+  if (req->pool == pool && req->query.avoid_count == 0)
+    return true;
+  return false;
+}
+
+/* Gives what has become free in POOL to the requests that wait for a target,
+   before later ones start.  */
+static void
+serve_waiters (struct traffic *trf, uint32_t pool)
+{
+  struct request *req;
+  struct request *next;
+  if (trf->serving_waiters)
+    return;
+  trf->serving_waiters = true;
+  DL_FOREACH_SAFE2 (trf->waiters, req, next, wait_next)
+  {
+    bool any_target = req->query.avoid_count == 0;
+    uint32_t count = trf->waiter_count;
+    if (req->pool != pool)
+      continue;
+    send_attempt (trf, req);
+    if (any_target && trf->waiter_count == count)
+      break;
+  }
+  trf->serving_waiters = false;
+}
+
 /* Gives the slot back and lets the next one start.  */
 void
 flow_leave_slot (struct traffic *trf, struct request *req)
@@ -74,6 +120,7 @@
   int64_t now = now_us (trf);
   admit_end (&trf->adm, &req->item, now, now - req->start_us);
   req->start_us = 0;
+  serve_waiters (trf, req->pool);
   flow_pump (trf, req->pool);
 }
 
@@ -124,6 +171,7 @@
       && req->status >= 429)
     req->retry_after_us = RETRY_AFTER_DEFAULT_US;
   TALLOC_FREE (req->timer);
+  leave_waiters (trf, req);
 
   if (req->claimed && outcome == OUTCOME_NOT_RUN)
     {
@@ -282,23 +330,40 @@
 }
 
 static void
-on_target_timer (struct tevent_context *ev, struct tevent_timer *te,
-                 struct timeval tv, void *arg)
+on_waiters_timer (struct tevent_context *ev, struct tevent_timer *te,
+                  struct timeval tv, void *arg)
 {
-  struct request *req = arg;
-  req->timer = NULL;
-  send_attempt (req->traffic, req);
+  struct traffic *trf = arg;
+  struct request *req;
+  struct request *next;
+  trf->waiters_timer = NULL;
+  trf->serving_waiters = true;
+  DL_FOREACH_SAFE2 (trf->waiters, req, next, wait_next)
+  send_attempt (trf, req);
+  trf->serving_waiters = false;
+  if (trf->waiters)
+    arm_waiters_timer (trf);
+}
+
+static void
+arm_waiters_timer (struct traffic *trf)
+{
+  if (!trf->waiters_timer)
+    trf->waiters_timer = tevent_add_timer (
+        trf->ev, trf, tevent_timeval_current_ofs (0, TARGET_RETRY_US),
+        on_waiters_timer, trf);
 }
 
 static void
 wait_for_target (struct traffic *trf, struct request *req)
 {
+  if (req->waits_for_target)
+    return;
   req->state = REQUEST_WAIT_TARGET;
-  req->timer = tevent_add_timer (
-      trf->ev, trf->ev, tevent_timeval_current_ofs (0, TARGET_RETRY_US),
-      on_target_timer, req);
-  if (!req->timer)
-    finish_unanswered (trf, req, REASON_INTERNAL, REASON_INTERNAL);
+  req->waits_for_target = true;
+  DL_APPEND2 (trf->waiters, req, wait_prev, wait_next);
+  trf->waiter_count++;
+  arm_waiters_timer (trf);
 }
 
 static void
@@ -307,6 +372,7 @@
 {
   char path[REQUEST_NAME_MAX + 8];
   const struct target_info *info = route_target (&trf->rt, choice->target);
+  leave_waiters (trf, req);
   snprintf (path, sizeof path, "/run/%s", req->kind_name);
   snprintf (req->target_name, sizeof req->target_name, "%s", info->host);
   const struct attempt_call call = {
@@ -350,13 +416,21 @@
       finish_unanswered (trf, req, REASON_DEADLINE, REASON_NO_ANSWER);
       return;
     }
+  if (!req->waits_for_target && has_waiter (trf, req->pool))
+    {
+      wait_for_target (trf, req);
+      return;
+    }
   int err = route_pick (&trf->rt, &req->query, now, &choice);
   if (err == ERR_FULL)
     wait_for_target (trf, req);
   else if (err && !flow_forward (trf, req))
     finish_unanswered (trf, req, REASON_NO_TARGET, REASON_NO_ANSWER);
   else if (err)
-    flow_leave_slot (trf, req);
+    {
+      leave_waiters (trf, req);
+      flow_leave_slot (trf, req);
+    }
   else
     dispatch_to (trf, req, &choice, left_us);
 }
--- a/entry/traffic_priv.h
+++ b/entry/traffic_priv.h
@@ -29,7 +29,11 @@
   struct route rt;
   struct retry_budget bud;
   struct view *view;
-  struct request *open; /* list of all requests not yet replied to */
+  struct request *open;    /* list of all requests not yet replied to */
+  struct request *waiters; /* wait for a target, in order of arrival there */
+  struct tevent_timer *waiters_timer;
+  uint32_t waiter_count;
+  bool serving_waiters;
   uint32_t open_count;
   struct tevent_timer *expiry_timer;
   struct tevent_timer *refresh_timer;
