--- a/entry/request.h
+++ b/entry/request.h
@@ -75,7 +75,6 @@
 struct MHD_Connection;
 struct traffic;
 struct attempt;
-struct tevent_timer;
 
 struct request
 {
@@ -101,6 +100,9 @@
   struct traffic *traffic;
   enum request_state state;
   struct story_ref story;
+  struct request *wait_prev; /* while it waits for a target */
+  struct request *wait_next;
+  bool waits_for_target;
   struct request *prev;
   struct request *next;
   uint32_t forwards; /* entry processes of other data centres tried */
@@ -115,7 +117,6 @@
   struct route_query query;
   struct target_handle target;
   struct attempt *attempt;
-  struct tevent_timer *timer;
   struct claim_key claim_key;
   uint64_t claim_id;
   bool claimed;
--- a/entry/request_flow.c
+++ b/entry/request_flow.c
@@ -13,13 +13,8 @@
 #include "base/log.h"
 #include "entry/traffic_priv.h"
 
-/* How soon a request is tried again that found every target's slots in use,
-   although admission counted some as free.  */
-#define TARGET_RETRY_US 2000
-/* First pause after a guard refusal that may not be retried at once; it
-   doubles up to GUARD_WAITS_MAX times, to about 2.5 s in all.  */
-#define GUARD_WAIT_US 10000
-#define GUARD_WAITS_MAX 8
+/* Refusals by targets' guards after which a request ends as refused.  */
+#define GUARD_WAITS_MAX 16
 /* Time for the release of a claim to be recorded before the caller hears of
    "not run"; beyond, the reply says that the key is still held.  */
 #define RELEASE_TIMEOUT_US 2000000
@@ -32,8 +27,6 @@
 /* Told to a caller when nothing is known about when capacity comes back.  */
 #define RETRY_AFTER_DEFAULT_US 1000000
 
-static void send_attempt (struct traffic *trf, struct request *req);
-
 static int64_t
 now_us (const struct traffic *trf)
 {
@@ -69,6 +62,7 @@
              LOG_I ("status", req->status), LOG_I ("attempts", req->attempts),
              LOG_S ("target", req->target_name),
              LOG_I ("total_us", now_us (trf) - req->arrival_us));
+  waiters_remove (trf, req);
   DL_DELETE (trf->open, req);
   trf->open_count--;
   listener_reply (trf->lis, req);
@@ -83,6 +77,7 @@
   int64_t now = now_us (trf);
   admit_end (&trf->adm, &req->item, now, now - req->start_us);
   req->start_us = 0;
+  waiters_serve (trf, req->pool);
   flow_pump (trf, req->pool);
 }
 
@@ -132,7 +127,7 @@
   if (outcome == OUTCOME_NOT_RUN && req->retry_after_us == 0
       && req->status >= 429)
     req->retry_after_us = RETRY_AFTER_DEFAULT_US;
-  TALLOC_FREE (req->timer);
+  waiters_remove (trf, req);
 
   if (req->claimed && outcome == OUTCOME_NOT_RUN)
     {
@@ -249,39 +244,17 @@
   flow_finish (trf, req, OUTCOME_ANSWERED, REASON_NONE);
 }
 
-static void
-on_target_timer (struct tevent_context *ev, struct tevent_timer *te,
-                 struct timeval tv, void *arg)
-{
-  struct request *req = arg;
-  req->timer = NULL;
-  send_attempt (req->traffic, req);
-}
-
-static void
-wait_for_target (struct traffic *trf, struct request *req, uint32_t wait_us)
-{
-  req->state = REQUEST_WAIT_TARGET;
-  note_step (trf, req, STORY_WAIT_TARGET, 0, 0);
-  req->timer = tevent_add_timer (
-      trf->ev, trf->ev,
-      tevent_timeval_current_ofs (wait_us / 1000000, wait_us % 1000000),
-      on_target_timer, req);
-  if (!req->timer)
-    finish_unanswered (trf, req, REASON_INTERNAL, REASON_INTERNAL);
-}
-
 /* A guard refusal says that the slots are taken, not that the target fails:
-   the request waits for a slot as it would have in the queue.  The growing
-   pause keeps waiting requests from loading full targets.  Returns false when
-   it has waited often enough.  */
+   the request waits for a slot as it would have in the queue.  A target that
+   refused counts as full for a while, so this sends no storm of attempts.
+   Returns false when it has waited often enough.  */
 static bool
 wait_after_refusal (struct traffic *trf, struct request *req)
 {
-  if (req->guard_refusals >= GUARD_WAITS_MAX)
+  if (req->guard_refusals++ >= GUARD_WAITS_MAX)
     return false;
   req->query.avoid_count = 0;
-  wait_for_target (trf, req, GUARD_WAIT_US << req->guard_refusals++);
+  waiters_add (trf, req);
   return true;
 }
 
@@ -315,7 +288,7 @@
       counter_add (trf->ctr, CTR_RETRIES, 1);
       if (req->query.avoid_count < ROUTE_AVOID_MAX)
         req->query.avoid[req->query.avoid_count++] = req->target;
-      send_attempt (trf, req);
+      flow_send_attempt (trf, req);
       return;
     }
   log_event (trf->lg, EV_RETRY_REFUSED, LOG_S ("request", req->id),
@@ -339,6 +312,7 @@
 {
   char path[REQUEST_NAME_MAX + 8];
   const struct target_info *info = route_target (&trf->rt, choice->target);
+  waiters_remove (trf, req);
   snprintf (path, sizeof path, "/run/%s", req->kind_name);
   snprintf (req->target_name, sizeof req->target_name, "%s", info->host);
   const struct attempt_call call = {
@@ -369,8 +343,8 @@
   note_sent (trf, req, choice);
 }
 
-static void
-send_attempt (struct traffic *trf, struct request *req)
+void
+flow_send_attempt (struct traffic *trf, struct request *req)
 {
   struct route_choice choice;
   int64_t now = now_us (trf);
@@ -383,13 +357,21 @@
       finish_unanswered (trf, req, REASON_DEADLINE, REASON_NO_ANSWER);
       return;
     }
+  if (!req->waits_for_target && waiters_any (trf, req->pool))
+    {
+      waiters_add (trf, req);
+      return;
+    }
   int err = route_pick (&trf->rt, &req->query, now, &choice);
   if (err == ERR_FULL)
-    wait_for_target (trf, req, TARGET_RETRY_US);
+    waiters_add (trf, req);
   else if (err && !flow_forward (trf, req))
     finish_unanswered (trf, req, REASON_NO_TARGET, REASON_NO_ANSWER);
   else if (err)
-    flow_leave_slot (trf, req);
+    {
+      waiters_remove (trf, req);
+      flow_leave_slot (trf, req);
+    }
   else
     dispatch_to (trf, req, &choice, left_us);
 }
@@ -423,7 +405,7 @@
   req->start_us = now_us (trf);
   note_step (trf, req, STORY_ADMITTED, 0, 0);
   if (req->idempotent)
-    send_attempt (trf, req);
+    flow_send_attempt (trf, req);
   else
     post_claim (trf, req);
 }
@@ -464,7 +446,7 @@
     case CLAIM_GRANTED:
       req->claimed = true;
       req->claim_id = mail->claim_id;
-      send_attempt (trf, req);
+      flow_send_attempt (trf, req);
       break;
     case CLAIM_DUPLICATE:
       finish_duplicate (trf, req, mail);
@@ -664,7 +646,6 @@
           req->attempt = NULL;
           req->may_have_run = true;
         }
-      TALLOC_FREE (req->timer);
       if (req->state == REQUEST_RELEASING)
         {
           req->key_held = true;
--- a/entry/traffic_priv.h
+++ b/entry/traffic_priv.h
@@ -31,7 +31,11 @@
   struct retry_budget bud;
   struct view *view;
   struct stories stories;
-  struct request *open; /* list of all requests not yet replied to */
+  struct request *open;    /* list of all requests not yet replied to */
+  struct request *waiters; /* wait for a target, in order of arrival there */
+  struct tevent_timer *waiters_timer;
+  uint32_t waiter_count;
+  bool serving_waiters;
   uint32_t open_count;
   struct tevent_timer *expiry_timer;
   struct tevent_timer *refresh_timer;
@@ -65,6 +69,22 @@
 /* Gives the slot back, if REQ has one, and lets the next one start.  */
 void flow_leave_slot (struct traffic *trf, struct request *req);
 
+/* Sends the next attempt of an admitted request, or lets it wait, or ends
+   it.  */
+void flow_send_attempt (struct traffic *trf, struct request *req);
+
+/* waiters.c: admitted requests that wait because every target's slots look in
+   use, although admission counted some as free.  Served in order of arrival,
+   as later requests would otherwise take each slot that becomes free.  */
+void waiters_add (struct traffic *trf, struct request *req);
+void waiters_remove (struct traffic *trf, struct request *req);
+
+/* Whether a request of POOL waits that any target would do for.  */
+bool waiters_any (const struct traffic *trf, uint32_t pool);
+
+/* Gives what has become free in POOL to the requests that wait.  */
+void waiters_serve (struct traffic *trf, uint32_t pool);
+
 /* Starts what admission lets start in POOL.  */
 void flow_pump (struct traffic *trf, uint32_t pool);
 void flow_pump_all (struct traffic *trf);
