--- a/entry/request_flow.c
+++ b/entry/request_flow.c
@@ -658,7 +658,7 @@
       req->outcome = req->may_have_run ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
       req->reason = req->may_have_run ? REASON_STOPPED : REASON_DRAINING;
       req->status = reason_status (req->reason);
-      req->key_held = req->claimed;
+      req->key_held = req->claimed || req->state == REQUEST_CLAIMING;
       reply_now (trf, req);
     }
 }
