--- a/cli/main.c
+++ b/cli/main.c
@@ -11,6 +11,7 @@
 #include "cli/table.h"
 #include "cli/wave.h"
 #include "entry/serve.h"
+#include "node/node.h"
 
 #define EXIT_USAGE 2
 
@@ -33,6 +34,8 @@
 {
   printf ("# Settings\n\nMade by `kingcuphollow settings`.\n\n");
   options_print_reference ("serve", serve_options, stdout);
+  putchar ('\n');
+  options_print_reference ("schedule", node_options, stdout);
   return 0;
 }
 
@@ -61,6 +64,20 @@
   return err ? EXIT_FAILURE : 0;
 }
 
+static int
+run_schedule (void *ctx, int argc, char **argv)
+{
+  struct node_settings set;
+  int err = options_parse (ctx, "schedule", node_options, argc, argv, &set,
+                           stdout, stderr);
+  if (err)
+    return err < 0 ? EXIT_USAGE : 0;
+  err = node_run (ctx, &set);
+  if (err)
+    fprintf (stderr, "kingcuphollow: schedule: %s\n", err_name (err));
+  return err ? EXIT_FAILURE : 0;
+}
+
 static int
 run_version (void *ctx, int argc, char **argv)
 {
@@ -74,6 +91,7 @@
   { "explain", run_explain, "tell what happened to a request" },
   { "wave", run_wave, "create, show and change maintenance waves" },
   { "serve", run_serve, "run an entry process" },
+  { "schedule", run_schedule, "run a scheduler process on the platform" },
   { "check-settings", run_check_settings, "check the settings of serve" },
   { "settings", run_settings, "print the reference page of the settings" },
   { "events", run_events, "print the catalogue of log events" },
--- a/cli/settings.c
+++ b/cli/settings.c
@@ -1,4 +1,5 @@
 #include "cli/settings.h"
+#include "node/node.h"
 
 #include <stddef.h>
 
@@ -63,3 +64,37 @@
     "last requests whose story `explain` can tell" },
   { NULL, 0, 0, 0, 0, NULL, NULL, NULL, NULL },
 };
+
+#undef FIELD
+#define FIELD(f) offsetof (struct node_settings, f)
+
+const struct option_def node_options[] = {
+  { "name", OPTION_STR, FIELD (name), 1, 63, NULL, NULL, NULL,
+    "name of this process, unique in the deployment" },
+  { "data-centre", OPTION_STR, FIELD (data_centre), 1, 63, NULL, NULL, NULL,
+    "data centre of this process" },
+  { "store", OPTION_ADDRESS, FIELD (store), 0, 0, NULL, NULL, NULL,
+    "address of the platform's store" },
+  { "partitions", OPTION_INT, FIELD (partitions), 1, 256, NULL, "partitions",
+    "8", "partitions of a topic of the store" },
+  { "fleet-api", OPTION_ADDRESS, FIELD (fleet_api), 0, 0, NULL, NULL, "",
+    "address of the platform's interface for hosts" },
+  { "listen", OPTION_ADDRESS, FIELD (listen), 0, 0, NULL, NULL, "127.0.0.1:0",
+    "address for clients; port 0 takes a free one" },
+  { "ready-listen", OPTION_ADDRESS, FIELD (ready_listen), 0, 0, NULL, NULL,
+    "127.0.0.1:0", "address of the readiness check" },
+  { "metrics-listen", OPTION_ADDRESS, FIELD (metrics_listen), 0, 0, NULL, NULL,
+    "", "address of the metrics page; empty: none" },
+  { "beat-ms", OPTION_INT, FIELD (beat_ms), 50, 10000, NULL, "ms", "600",
+    "time between this process's reports to the others; duties pass on 2 s "
+    "after the last one" },
+  { "lease-ms", OPTION_INT, FIELD (lease_ms), 500, 60000, NULL, "ms", "5000",
+    "lease of running tasks; longer than a duty takes to pass on" },
+  { "lease-max-ms", OPTION_INT, FIELD (lease_max_ms), 500, 600000, NULL, "ms",
+    "60000", "longest lease that workers grant" },
+  { "confirm-ms", OPTION_INT, FIELD (confirm_ms), 500, 60000, NULL, "ms",
+    "6000", "a process that could not report for so long gives no orders" },
+  { "log-level", OPTION_CHOICE, FIELD (log_level), 0, 0, log_levels, NULL,
+    "info", "least level that is logged" },
+  { 0 },
+};
--- /dev/null
+++ b/job/job_codec.c
@@ -0,0 +1,313 @@
+#include "job/job_codec.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#include "base/err.h"
+#include "proto/job.pb-c.h"
+
+void
+job_key_format (char kind, uint64_t id, char key[JOB_KEY_BYTES + 1])
+{
+  job_id_format (id, key);
+  key[JOB_ID_CHARS] = kind;
+  key[JOB_KEY_BYTES] = '\0';
+}
+
+bool
+job_key_parse (const char *key, size_t len, char *kind, uint64_t *id)
+{
+  if (len != JOB_KEY_BYTES)
+    return false;
+  *kind = key[JOB_ID_CHARS];
+  return job_id_parse (key, JOB_ID_CHARS, id);
+}
+
+static void
+step_to_message (const struct step *stp, Kingcuphollow__JobStep *msg)
+{
+  kingcuphollow__job_step__init (msg);
+  msg->count = stp->count;
+  msg->cpu_milli = (uint32_t)stp->need.cpu_milli;
+  msg->memory_mb = (uint32_t)stp->need.memory_mb;
+  msg->accelerators = (uint32_t)stp->need.accelerators;
+  msg->estimate_ms = (uint32_t)stp->estimate_ms;
+  msg->n_after = stp->after_count;
+  msg->after = stp->after;
+  msg->checkpoints = stp->checkpoints;
+  msg->gang = stp->gang;
+  msg->rack_sensitive = stp->rack_sensitive;
+  msg->required_label = (char *)stp->required_label;
+  msg->data_rack = (char *)stp->data_rack;
+  msg->most_per_worker = stp->most_per_worker;
+  msg->allow_duplicates = stp->allow_duplicates;
+  msg->perpetual = stp->perpetual;
+  msg->may_miss = stp->may_miss;
+  msg->image = (char *)stp->image;
+  msg->target_ms = (uint32_t)stp->target_ms;
+  msg->fills = stp->fills;
+}
+
+int
+job_encode_spec (void *parent, const char *queue, const char *pool,
+                 int64_t accepted_ms, const struct job_spec *spec,
+                 uint8_t **data, size_t *len)
+{
+  int err = ERR_NOMEM;
+  Kingcuphollow__JobSpec msg = KINGCUPHOLLOW__JOB_SPEC__INIT;
+  Kingcuphollow__JobStep *steps
+      = talloc_array (parent, Kingcuphollow__JobStep, spec->step_count);
+  msg.steps
+      = talloc_array (parent, Kingcuphollow__JobStep *, spec->step_count);
+  if (!steps || !msg.steps)
+    goto done;
+  for (size_t n = 0; n < spec->step_count; n++)
+    {
+      step_to_message (&spec->steps[n], &steps[n]);
+      msg.steps[n] = &steps[n];
+    }
+  msg.n_steps = spec->step_count;
+  msg.queue = (char *)queue;
+  msg.pool = (char *)pool;
+  msg.spec = (char *)spec->spec;
+  msg.accepted_ms = (uint64_t)accepted_ms;
+  msg.occurrences = spec->occurrences;
+  msg.first_due_ms = (uint64_t)spec->first_due_ms;
+  msg.interval_ms = (uint64_t)spec->interval_ms;
+  *len = kingcuphollow__job_spec__get_packed_size (&msg);
+  *data = talloc_size (parent, *len);
+  if (!*data)
+    goto done;
+  kingcuphollow__job_spec__pack (&msg, *data);
+  err = 0;
+
+done:
+  talloc_free (steps);
+  talloc_free (msg.steps);
+  return err;
+}
+
+static int
+occurrence_to_message (void *ctx, const struct job *job, uint32_t number,
+                       Kingcuphollow__OccurrenceProgress *msg)
+{
+  const struct occurrence *occ = &job->occurrences[number];
+  bool failed = false;
+  kingcuphollow__occurrence_progress__init (msg);
+  msg->number = number;
+  msg->done.len = (job->task_count + 7) / 8;
+  msg->done.data = talloc_zero_size (ctx, msg->done.len);
+  msg->runs = talloc_array (ctx, uint32_t, job->task_count);
+  msg->failures = talloc_array (ctx, uint32_t, job->task_count);
+  msg->failed_runs = talloc_array (ctx, uint32_t, job->task_count);
+  if (!msg->done.data || !msg->runs || !msg->failures || !msg->failed_runs)
+    return ERR_NOMEM;
+  msg->n_runs = job->task_count;
+  for (uint32_t n = 0; n < job->task_count; n++)
+    {
+      const struct task *tsk = &occ->tasks[n];
+      if (tsk->done)
+        msg->done.data[n / 8] |= (uint8_t)(1u << n % 8);
+      msg->runs[n] = tsk->last_run;
+      msg->failures[n] = tsk->failures;
+      msg->failed_runs[n] = tsk->failed_run;
+      failed = failed || tsk->failures > 0;
+    }
+  msg->n_failures = failed ? job->task_count : 0;
+  msg->n_failed_runs = msg->n_failures;
+  return 0;
+}
+
+int
+job_encode_progress (void *parent, const struct job *job, uint64_t token,
+                     uint8_t **data, size_t *len)
+{
+  int err = ERR_NOMEM;
+  Kingcuphollow__JobProgress msg = KINGCUPHOLLOW__JOB_PROGRESS__INIT;
+  void *ctx = talloc_new (parent);
+  Kingcuphollow__OccurrenceProgress *occs = talloc_array (
+      ctx, Kingcuphollow__OccurrenceProgress, job->occurrence_count);
+  msg.occurrences = talloc_array (ctx, Kingcuphollow__OccurrenceProgress *,
+                                  job->occurrence_count);
+  if (!occs || !msg.occurrences)
+    goto done;
+  for (uint32_t n = 0; n < job->occurrence_count; n++)
+    {
+      err = occurrence_to_message (ctx, job, n, &occs[n]);
+      if (err)
+        goto done;
+      msg.occurrences[n] = &occs[n];
+    }
+  msg.n_occurrences = job->occurrence_count;
+  msg.token = token;
+  *len = kingcuphollow__job_progress__get_packed_size (&msg);
+  *data = talloc_size (parent, *len);
+  err = *data ? 0 : ERR_NOMEM;
+  if (!err)
+    kingcuphollow__job_progress__pack (&msg, *data);
+
+done:
+  talloc_free (ctx);
+  return err;
+}
+
+static void
+step_from_message (struct job *job, const Kingcuphollow__JobStep *msg,
+                   struct step *stp)
+{
+  stp->count = msg->count;
+  stp->need.cpu_milli = msg->cpu_milli;
+  stp->need.memory_mb = msg->memory_mb;
+  stp->need.accelerators = msg->accelerators;
+  stp->estimate_ms = msg->estimate_ms;
+  stp->after_count = msg->n_after;
+  stp->after
+      = talloc_memdup (job, msg->after, msg->n_after * sizeof *msg->after);
+  stp->checkpoints = msg->checkpoints;
+  stp->gang = msg->gang;
+  stp->rack_sensitive = msg->rack_sensitive;
+  stp->required_label = talloc_strdup (job, msg->required_label);
+  stp->data_rack = talloc_strdup (job, msg->data_rack);
+  stp->most_per_worker = msg->most_per_worker;
+  stp->allow_duplicates = msg->allow_duplicates;
+  stp->perpetual = msg->perpetual;
+  stp->may_miss = msg->may_miss;
+  stp->image = talloc_strdup (job, msg->image);
+  stp->target_ms = msg->target_ms;
+  stp->fills = msg->fills;
+  stp->first_task = job->task_count;
+  job->task_count += stp->count;
+}
+
+static bool
+spec_plausible (const Kingcuphollow__JobSpec *msg)
+{
+  uint64_t tasks = 0;
+  if (!msg->queue || strlen (msg->queue) >= NAME_BYTES || !msg->pool
+      || strlen (msg->pool) >= NAME_BYTES || msg->n_steps > JOB_STEPS_MAX
+      || msg->occurrences > JOB_OCCURRENCES_MAX)
+    return false;
+  for (size_t n = 0; n < msg->n_steps; n++)
+    {
+      tasks += msg->steps[n]->count;
+      for (size_t m = 0; m < msg->steps[n]->n_after; m++)
+        if (msg->steps[n]->after[m] >= n)
+          return false;
+    }
+  return tasks <= JOB_TASKS_MAX;
+}
+
+static int
+make_occurrences (struct job *job)
+{
+  job->occurrence_count = job->spec.occurrences ? job->spec.occurrences : 1;
+  job->occurrences
+      = talloc_zero_array (job, struct occurrence, job->occurrence_count);
+  if (!job->occurrences)
+    return ERR_NOMEM;
+  for (uint32_t n = 0; n < job->occurrence_count; n++)
+    {
+      struct occurrence *occ = &job->occurrences[n];
+      occ->tasks
+          = talloc_zero_array (job->occurrences, struct task, job->task_count);
+      occ->step_done = talloc_zero_array (job->occurrences, uint32_t,
+                                          job->spec.step_count);
+      if (!occ->tasks || !occ->step_done)
+        return ERR_NOMEM;
+      if (job->spec.occurrences)
+        occ->due_ms = job->spec.first_due_ms + n * job->spec.interval_ms;
+    }
+  return 0;
+}
+
+int
+job_decode_spec (struct job *job, const uint8_t *data, size_t len)
+{
+  Kingcuphollow__JobSpec *msg
+      = kingcuphollow__job_spec__unpack (NULL, len, data);
+  int err = ERR_PROTOCOL;
+  if (!msg || !spec_plausible (msg))
+    goto done;
+  err = ERR_NOMEM;
+  name_copy (job->queue, msg->queue);
+  name_copy (job->pool, msg->pool);
+  job->accepted_ms = (int64_t)msg->accepted_ms;
+  job->spec.spec = talloc_strdup (job, msg->spec);
+  job->spec.occurrences = msg->occurrences;
+  job->spec.first_due_ms = (int64_t)msg->first_due_ms;
+  job->spec.interval_ms = (int64_t)msg->interval_ms;
+  job->spec.step_count = msg->n_steps;
+  job->spec.steps = talloc_zero_array (job, struct step, msg->n_steps);
+  if (!job->spec.spec || !job->spec.steps)
+    goto done;
+  for (size_t n = 0; n < msg->n_steps; n++)
+    step_from_message (job, msg->steps[n], &job->spec.steps[n]);
+  err = make_occurrences (job);
+
+done:
+  if (msg)
+    kingcuphollow__job_spec__free_unpacked (msg, NULL);
+  return err;
+}
+
+static void
+merge_task (struct job *job, struct occurrence *occ, uint32_t index,
+            const Kingcuphollow__OccurrenceProgress *part, bool *changed,
+            bool *behind)
+{
+  struct task *tsk = &occ->tasks[index];
+  bool done = index / 8 < part->done.len
+              && (part->done.data[index / 8] >> index % 8 & 1);
+  uint32_t runs = index < part->n_runs ? part->runs[index] : 0;
+  uint32_t failures = index < part->n_failures ? part->failures[index] : 0;
+  uint32_t failed = index < part->n_failed_runs ? part->failed_runs[index] : 0;
+  if (done && !tsk->done)
+    {
+      uint32_t step = 0;
+      while (step + 1 < job->spec.step_count
+             && job->spec.steps[step + 1].first_task <= index)
+        step++;
+      tsk->done = true;
+      occ->done++;
+      occ->step_done[step]++;
+      *changed = true;
+    }
+  *behind = *behind || (tsk->done && !done) || tsk->failures > failures;
+  if (runs > tsk->last_run)
+    {
+      tsk->last_run = runs;
+      *changed = true;
+    }
+  if (failures > tsk->failures)
+    {
+      tsk->failures = failures;
+      *changed = true;
+    }
+  if (failed > tsk->failed_run)
+    tsk->failed_run = failed;
+  if (runs > 0)
+    job->started = true;
+}
+
+int
+job_merge_progress (struct job *job, const uint8_t *data, size_t len,
+                    bool *changed, bool *behind, uint64_t *token)
+{
+  Kingcuphollow__JobProgress *msg
+      = kingcuphollow__job_progress__unpack (NULL, len, data);
+  *changed = *behind = false;
+  if (!msg)
+    return ERR_PROTOCOL;
+  for (size_t n = 0; n < msg->n_occurrences; n++)
+    {
+      const Kingcuphollow__OccurrenceProgress *part = msg->occurrences[n];
+      if (part->number >= job->occurrence_count)
+        continue;
+      struct occurrence *occ = &job->occurrences[part->number];
+      for (uint32_t m = 0; m < job->task_count; m++)
+        merge_task (job, occ, m, part, changed, behind);
+    }
+  *token = msg->token;
+  kingcuphollow__job_progress__free_unpacked (msg, NULL);
+  return 0;
+}
--- /dev/null
+++ b/job/job_table.c
@@ -0,0 +1,190 @@
+#include "job/job_table.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#include "base/err.h"
+#include "job/job_codec.h"
+
+void
+job_table_init (struct job_table *tab)
+{
+  *tab = (struct job_table){ 0 };
+}
+
+void
+job_table_fini (struct job_table *tab)
+{
+  struct job *job, *next;
+  HASH_ITER (hh, tab->by_id, job, next)
+    {
+      HASH_DEL (tab->by_id, job);
+      talloc_free (job);
+    }
+  tab->count = 0;
+}
+
+struct job *
+job_table_find (const struct job_table *tab, uint64_t id)
+{
+  struct job *job;
+  HASH_FIND (hh, tab->by_id, &id, sizeof id, job);
+  return job;
+}
+
+static void
+add_job (struct job_table *tab, struct job *job)
+{
+  HASH_ADD (hh, tab->by_id, id, sizeof job->id, job);
+  tab->count++;
+}
+
+static int
+fold_spec (struct job_table *tab, void *parent, uint64_t offset, uint64_t id,
+           const uint8_t *value, size_t len, int64_t now_us,
+           struct job_fold_result *res)
+{
+  res->job = job_table_find (tab, id);
+  if (res->job)
+    return 0; /* the first record of an id holds */
+  struct job *job = talloc_zero (parent, struct job);
+  if (!job)
+    return ERR_NOMEM;
+  job->id = id;
+  job->offset = offset;
+  job->seen_us = now_us;
+  int err = job_decode_spec (job, value, len);
+  if (err)
+    {
+      talloc_free (job);
+      return err;
+    }
+  add_job (tab, job);
+  res->job = job;
+  res->change = JOB_CHANGE_NEW;
+  return 0;
+}
+
+int
+job_table_fold (struct job_table *tab, void *parent, uint64_t offset,
+                const char *key, size_t key_len, const uint8_t *value,
+                size_t value_len, int64_t now_us, int64_t wall_ms,
+                struct job_fold_result *res)
+{
+  char kind;
+  uint64_t id;
+  bool changed, behind;
+  *res = (struct job_fold_result){ 0 };
+  if (value_len == 0)
+    return 0;
+  if (!job_key_parse (key, key_len, &kind, &id))
+    return ERR_PROTOCOL;
+  if (kind == JOB_KEY_SPEC)
+    return fold_spec (tab, parent, offset, id, value, value_len, now_us, res);
+  res->job = job_table_find (tab, id);
+  if (!res->job)
+    return 0;
+  if (kind == JOB_KEY_CANCEL)
+    {
+      if (job_ended (res->job))
+        return 0;
+      res->job->state = res->job->logged_state = JOB_CANCELLED;
+      res->job->ended_ms = wall_ms;
+      res->change = JOB_CHANGE_CANCELLED;
+      return 0;
+    }
+  if (kind != JOB_KEY_PROGRESS)
+    return ERR_PROTOCOL;
+  int err = job_merge_progress (res->job, value, value_len, &changed, &behind,
+                                &res->token);
+  if (err)
+    return err;
+  res->change = behind    ? JOB_CHANGE_BEHIND
+                : changed ? JOB_CHANGE_PROGRESS
+                          : JOB_CHANGE_NONE;
+  return 0;
+}
+
+void
+job_note_logged (struct job *job, const struct job_fold_result *res)
+{
+  if (res->change != JOB_CHANGE_BEHIND)
+    job->logged_state = job->state;
+  else if (job->logged_state == JOB_QUEUED)
+    job->logged_state = JOB_RUNNING;
+}
+
+void
+job_mark_done (struct job *job, const struct task_ref *ref)
+{
+  struct task *tsk = job_task (job, ref);
+  if (!tsk || tsk->done)
+    return;
+  tsk->done = true;
+  job->occurrences[ref->occurrence].done++;
+  job->occurrences[ref->occurrence].step_done[ref->step]++;
+}
+
+/* Tasks that last are restarted however often they fail.  */
+static bool
+occurrence_failed (const struct job *job, const struct occurrence *occ,
+                   uint32_t attempts)
+{
+  for (size_t n = 0; n < job->spec.step_count; n++)
+    {
+      const struct step *stp = &job->spec.steps[n];
+      for (uint32_t m = 0; !stp->perpetual && m < stp->count; m++)
+        {
+          const struct task *tsk = &occ->tasks[stp->first_task + m];
+          if (!tsk->done && tsk->failures >= attempts)
+            return true;
+        }
+    }
+  return false;
+}
+
+bool
+job_refresh (struct job *job, uint32_t attempts, int64_t wall_ms)
+{
+  uint32_t done = 0;
+  enum job_state state = job->started ? JOB_RUNNING : JOB_QUEUED;
+  if (job_ended (job))
+    return false;
+  for (uint32_t n = 0; n < job->occurrence_count; n++)
+    {
+      struct occurrence *occ = &job->occurrences[n];
+      done += occ->done == job->task_count;
+      if (attempts > 0 && occurrence_failed (job, occ, attempts))
+        state = JOB_FAILED;
+    }
+  if (done == job->occurrence_count)
+    state = JOB_COMPLETED;
+  bool changed = state != job->state;
+  job->state = state;
+  if (job_ended (job))
+    job->ended_ms = wall_ms;
+  return changed;
+}
+
+void
+job_table_expire (struct job_table *tab, int64_t before_ms)
+{
+  struct job *job, *next;
+  HASH_ITER (hh, tab->by_id, job, next)
+    if (job_ended (job) && job->ended_ms < before_ms)
+      {
+        HASH_DEL (tab->by_id, job);
+        tab->count--;
+        talloc_free (job);
+      }
+}
+
+uint32_t
+job_table_waiting (const struct job_table *tab, const char *queue)
+{
+  uint32_t count = 0;
+  for (struct job *job = tab->by_id; job; job = job->hh.next)
+    count += job->state == JOB_QUEUED && job->spec.occurrences == 0
+             && strcmp (job->queue, queue) == 0;
+  return count;
+}
--- /dev/null
+++ b/member/duty.c
@@ -0,0 +1,167 @@
+#include "member/duty.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/err.h"
+
+/* Members report every 600 ms.  Three reports may be missing; the leases of
+   tasks last 5 s, so that a new owner still has 2 s to reach the workers.  */
+const struct member_timing member_timing_default = {
+  .dead_us = 2000000,
+  .candidate_us = 300000,
+};
+
+static struct member *
+find_member (struct duty_table *tab, const char *name)
+{
+  for (size_t n = 0; n < tab->member_count; n++)
+    if (strcmp (tab->members[n].name, name) == 0)
+      return &tab->members[n];
+  return NULL;
+}
+
+int
+duty_fold_member (struct duty_table *tab, const char *name, uint64_t boot,
+                  bool stopping, int64_t now_us)
+{
+  struct member *mem = find_member (tab, name);
+  if (!mem)
+    {
+      if (tab->member_count == MEMBERS_MAX)
+        return ERR_FULL;
+      mem = &tab->members[tab->member_count++];
+      *mem = (struct member){ 0 };
+      name_copy (mem->name, name);
+    }
+  mem->boot = boot;
+  mem->stopping = stopping;
+  mem->heard_us = now_us;
+  return 0;
+}
+
+static struct duty *
+find_duty (struct duty_table *tab, const char *name)
+{
+  for (size_t n = 0; n < tab->duty_count; n++)
+    if (strcmp (tab->duties[n].name, name) == 0)
+      return &tab->duties[n];
+  return NULL;
+}
+
+int
+duty_fold_claim (struct duty_table *tab, const char *name, const char *holder,
+                 uint64_t boot, bool released, uint64_t token, int64_t now_us)
+{
+  struct duty *dty = find_duty (tab, name);
+  if (!dty)
+    {
+      if (tab->duty_count == DUTIES_MAX)
+        return ERR_FULL;
+      dty = &tab->duties[tab->duty_count++];
+      *dty = (struct duty){ 0 };
+      name_copy (dty->name, name);
+    }
+  if (token <= dty->token)
+    return 0;
+  dty->token = token;
+  dty->boot = boot;
+  dty->since_us = now_us;
+  name_copy (dty->holder, released ? "" : holder);
+  return 0;
+}
+
+const struct duty *
+duty_find (const struct duty_table *tab, const char *name)
+{
+  return find_duty ((struct duty_table *)tab, name);
+}
+
+bool
+duty_held_by (const struct duty *dty, const char *name, uint64_t boot)
+{
+  return dty && dty->boot == boot && strcmp (dty->holder, name) == 0;
+}
+
+static bool
+member_alive (const struct member *mem, int64_t now_us, int64_t slack_us)
+{
+  return !mem->stopping
+         && now_us - mem->heard_us < member_timing_default.dead_us + slack_us;
+}
+
+/* Duties that MEM holds in its present boot.  */
+static size_t
+duties_of (const struct duty_table *tab, const struct member *mem)
+{
+  size_t count = 0;
+  for (size_t n = 0; n < tab->duty_count; n++)
+    count += duty_held_by (&tab->duties[n], mem->name, mem->boot);
+  return count;
+}
+
+/* Candidates with fewer duties come first, then the order that a hash of duty
+   and member gives, so that a lost member's duties spread.  */
+static bool
+candidate_before (const struct duty_table *tab, const char *duty,
+                  const struct member *a, const struct member *b)
+{
+  size_t count_a = duties_of (tab, a);
+  size_t count_b = duties_of (tab, b);
+  if (count_a != count_b)
+    return count_a < count_b;
+  XXH64_hash_t seed = XXH64 (duty, strlen (duty), 0);
+  XXH64_hash_t hash_a = XXH64 (a->name, strlen (a->name), seed);
+  XXH64_hash_t hash_b = XXH64 (b->name, strlen (b->name), seed);
+  return hash_a != hash_b ? hash_a < hash_b : strcmp (a->name, b->name) < 0;
+}
+
+/* Monotonic time since when the duty is without a holder, or 0 while it has
+   one that is alive.  */
+static int64_t
+vacant_since (struct duty_table *tab, const struct duty *dty, int64_t now_us,
+              int64_t slack_us)
+{
+  if (!dty)
+    return 1;
+  if (!*dty->holder)
+    return dty->since_us;
+  const struct member *mem = find_member (tab, dty->holder);
+  if (!mem)
+    return dty->since_us;
+  if (mem->boot != dty->boot)
+    return mem->heard_us;
+  /* A stopping member holds its duties until it releases them or falls
+     silent.  */
+  int64_t gone_us = mem->heard_us + member_timing_default.dead_us + slack_us;
+  return now_us < gone_us ? 0 : gone_us;
+}
+
+bool
+duty_should_claim (const struct duty_table *tab, const char *name,
+                   const char *self, int64_t now_us, int64_t slack_us)
+{
+  struct duty_table *mut = (struct duty_table *)tab;
+  const struct member *me = find_member (mut, self);
+  int64_t since = vacant_since (mut, duty_find (tab, name), now_us, slack_us);
+  int64_t rank = 0;
+  if (!me || me->stopping || since == 0)
+    return false;
+  for (size_t n = 0; n < tab->member_count; n++)
+    {
+      const struct member *mem = &tab->members[n];
+      if (mem != me && member_alive (mem, now_us, slack_us)
+          && candidate_before (tab, name, mem, me))
+        rank++;
+    }
+  return now_us >= since + rank * member_timing_default.candidate_us;
+}
+
+size_t
+duty_live_members (const struct duty_table *tab, int64_t now_us)
+{
+  size_t count = 0;
+  for (size_t n = 0; n < tab->member_count; n++)
+    count += member_alive (&tab->members[n], now_us, 0);
+  return count;
+}
--- /dev/null
+++ b/member/duty.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "fleet/catalog.h"
+
+/* Which process holds which duty: the placing of one pool's tasks, or the
+   hosts' upkeep and moves.  Members report in a topic of the store; a duty is
+   claimed there by an append on condition that nothing was appended since, so
+   that each claim has one winner, and the claim's offset is its token.
+
+   Load pattern: processes are killed, paused or cut off, several at once, at
+   any moment; a duty then has to pass on before the leases of its tasks run
+   out at the workers.  */
+
+#define DUTIES_MAX 64
+#define MEMBERS_MAX 1024
+
+struct member_timing
+{
+  int64_t dead_us;      /* without a report for so long, a member is gone */
+  int64_t candidate_us; /* the next candidate claims so much later */
+};
+
+extern const struct member_timing member_timing_default;
+
+struct member
+{
+  char name[NAME_BYTES];
+  uint64_t boot;
+  bool stopping;
+  int64_t heard_us; /* monotonic time of its last report */
+};
+
+struct duty
+{
+  char name[NAME_BYTES];
+  char holder[NAME_BYTES]; /* empty: released or never claimed */
+  uint64_t boot;
+  uint64_t token;
+  int64_t since_us;
+};
+
+struct duty_table
+{
+  struct member members[MEMBERS_MAX];
+  size_t member_count;
+  struct duty duties[DUTIES_MAX];
+  size_t duty_count;
+};
+
+/* Folds a member's report.  Returns 0 or ERR_FULL.  */
+int duty_fold_member (struct duty_table *tab, const char *name, uint64_t boot,
+                      bool stopping, int64_t now_us);
+
+/* Folds a claim; one with a token below the known one is void.  */
+int duty_fold_claim (struct duty_table *tab, const char *name,
+                     const char *holder, uint64_t boot, bool released,
+                     uint64_t token, int64_t now_us);
+
+const struct duty *duty_find (const struct duty_table *tab, const char *name);
+
+/* Whether the process NAME in its present BOOT holds DUTY.  */
+bool duty_held_by (const struct duty *dty, const char *name, uint64_t boot);
+
+/* Whether SELF is to claim the duty NAME now.  SLACK_US is added to the time
+   after which a silent member is gone, because reports are late when the store
+   is slow.  */
+bool duty_should_claim (const struct duty_table *tab, const char *name,
+                        const char *self, int64_t now_us, int64_t slack_us);
+
+/* Members that report and do not stop.  */
+size_t duty_live_members (const struct duty_table *tab, int64_t now_us);
--- /dev/null
+++ b/node/duties.c
@@ -0,0 +1,446 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/err.h"
+#include "node/node_priv.h"
+#include "proto/job.pb-c.h"
+
+#define MEMBERS_GAP_MS 200
+#define WAIT_MS 1000
+/* Reports of slow members are waited for in proportion to how slow the store
+   is for this one.  */
+#define SLACK_ROUND_TRIPS 3
+#define SLACK_MAX_US 4000000
+/* A process takes part in claims once it has been running for this time, so
+   that the first duties spread over the members that start together.  */
+#define SETTLE_US 1200000
+#define MEMBER_KEY 'm'
+#define DUTY_KEY 'd'
+#define FENCE_PREFIX "f/"
+
+struct beat_ctx
+{
+  struct node *nod;
+  int64_t sent_us;
+};
+
+static bool
+caught_up (const struct node *nod)
+{
+  return nod->cat && follower_caught_up (&nod->member_fol)
+         && follower_caught_up (&nod->directory_fol)
+         && node_view_current (nod);
+}
+
+struct holding *
+node_holding (const struct node *nod, const char *pool)
+{
+  for (struct holding *hld = nod->holdings; hld; hld = hld->next)
+    if (!hld->lost && strcmp (hld->pool, pool) == 0)
+      return hld;
+  return NULL;
+}
+
+static void
+holding_turn (struct tevent_context *ev, struct tevent_timer *te,
+              struct timeval tv, void *arg)
+{
+  struct holding *hld = arg;
+  hld->timer = NULL;
+  hld->timer_us = 0;
+  if (hld->plc)
+    node_wake_holding (hld, placer_tick (hld->plc));
+}
+
+void
+node_wake_holding (struct holding *hld, int64_t at_us)
+{
+  int64_t now_us = clock_now_us (hld->nod->clk);
+  /* Events that come together share a turn.  */
+  if (at_us < now_us + 3000)
+    at_us = now_us + 3000;
+  if (hld->timer && hld->timer_us <= at_us)
+    return;
+  talloc_free (hld->timer);
+  int64_t wait_us = at_us - now_us;
+  hld->timer = tevent_add_timer (
+      hld->nod->ev, hld,
+      tevent_timeval_current_ofs (wait_us / 1000000, wait_us % 1000000),
+      holding_turn, hld);
+  hld->timer_us = at_us;
+}
+
+static void
+wake_placer (void *arg)
+{
+  node_wake_holding (arg, 0);
+}
+
+struct persist_ctx
+{
+  persist_fn *fn;
+  void *arg;
+};
+
+static void
+on_persisted (void *arg, enum appender_outcome out, uint64_t offset)
+{
+  struct persist_ctx *ctx = arg;
+  ctx->fn (ctx->arg, out == APPENDER_DONE ? PERSIST_DONE : PERSIST_FENCED);
+  talloc_free (ctx);
+}
+
+static int
+persist (void *arg, const struct topic_entry *entries, size_t count,
+         persist_fn *fn, void *fn_arg)
+{
+  struct holding *hld = arg;
+  struct persist_ctx *ctx = talloc_zero (hld, struct persist_ctx);
+  if (!ctx)
+    return ERR_NOMEM;
+  ctx->fn = fn;
+  ctx->arg = fn_arg;
+  for (size_t n = 0; n < count; n++)
+    {
+      bool last = n + 1 == count;
+      int err = appender_add (&hld->app, &entries[n], true,
+                              last ? on_persisted : NULL, last ? ctx : NULL);
+      if (err)
+        {
+          talloc_free (ctx);
+          return err;
+        }
+    }
+  return 0;
+}
+
+static void
+end_holding (struct holding *hld, const char *reason)
+{
+  struct node *nod = hld->nod;
+  struct holding **pos = &nod->holdings;
+  while (*pos && *pos != hld)
+    pos = &(*pos)->next;
+  if (*pos)
+    *pos = hld->next;
+  log_event (nod->lg, EV_DUTY_ENDED, LOG_S ("duty", hld->pool),
+             LOG_I ("token", hld->token), LOG_S ("reason", reason));
+  if (hld->plc)
+    placer_destroy (hld->plc);
+  appender_fini (&hld->app);
+  talloc_free (hld);
+  node_open_streams (nod);
+}
+
+static void
+feed_placer (struct holding *hld)
+{
+  struct node *nod = hld->nod;
+  struct pool_workers *row;
+  HASH_FIND_STR (nod->pool_workers, hld->pool, row);
+  Kingcuphollow__PoolWorkers *msg
+      = row ? kingcuphollow__pool_workers__unpack (NULL, row->len, row->data)
+            : NULL;
+  for (size_t n = 0; msg && n < msg->n_workers; n++)
+    placer_earlier_worker (hld->plc, msg->workers[n]->id,
+                           msg->workers[n]->host);
+  if (msg)
+    kingcuphollow__pool_workers__free_unpacked (msg, NULL);
+  for (struct directory_entry *ent = nod->directory; ent; ent = ent->hh.next)
+    placer_worker (hld->plc, ent->rep.id, &ent->rep);
+}
+
+static void
+activate (struct holding *hld)
+{
+  struct node *nod = hld->nod;
+  const struct placer_settings set = {
+    .pool = hld->pool,
+    .token = hld->token,
+    .fence_offset = hld->fence_offset,
+    .lease_ms = nod->set->lease_ms < nod->set->lease_max_ms
+                    ? nod->set->lease_ms
+                    : nod->set->lease_max_ms,
+    .confirm_ms = nod->set->confirm_ms,
+  };
+  const struct placer_env env = {
+    .clk = nod->clk,
+    .lg = nod->lg,
+    .ctr = &nod->ctr,
+    .lnk = &nod->workers.lnk,
+    .jobs = &nod->jobs,
+    .cat = (const struct catalog *const *)&nod->cat,
+    .persist = persist,
+    .wake = wake_placer,
+    .arg = hld,
+  };
+  hld->plc = placer_create (nod, &set, &env);
+  if (!hld->plc)
+    return;
+  hld->phase = HOLDING_ACTIVE;
+  log_event (nod->lg, EV_DUTY_BEGUN, LOG_S ("duty", hld->pool),
+             LOG_I ("token", hld->token),
+             LOG_I ("fence_offset", hld->fence_offset));
+  feed_placer (hld);
+  placer_confirmed (hld->plc, nod->confirmed_us);
+  node_wake_holding (hld, 0);
+}
+
+static void
+on_fenced (void *arg, enum appender_outcome out, uint64_t offset)
+{
+  struct holding *hld = arg;
+  if (out != APPENDER_DONE)
+    {
+      hld->lost = true;
+      return;
+    }
+  hld->fence_offset = offset;
+  hld->phase = HOLDING_CATCHING_UP;
+}
+
+static void
+begin_holding (struct node *nod, const struct duty *dty)
+{
+  char producer[PRODUCER_BYTES];
+  char key[DUTY_KEY_BYTES];
+  struct holding *hld = talloc_zero (nod, struct holding);
+  if (!hld)
+    return;
+  hld->nod = nod;
+  name_copy (hld->pool, dty->name);
+  hld->token = dty->token;
+  hld->stm = node_stream (nod, dty->name);
+  snprintf (producer, sizeof producer, "owner.%s", dty->name);
+  const struct appender_settings set = { .topic = TOPIC_JOBS,
+                                         .part = hld->stm->part,
+                                         .producer = producer,
+                                         .epoch = dty->token };
+  snprintf (key, sizeof key, FENCE_PREFIX "%s", dty->name);
+  const struct topic_entry ent = { .key = key,
+                                   .key_len = strlen (key),
+                                   .value = (const uint8_t *)producer,
+                                   .value_len = strlen (producer) };
+  if (appender_init (&hld->app, hld, &nod->store.st, nod->ev, nod->clk, &set)
+      || appender_add (&hld->app, &ent, true, on_fenced, hld))
+    {
+      talloc_free (hld);
+      return;
+    }
+  hld->next = nod->holdings;
+  nod->holdings = hld;
+  node_open_streams (nod);
+}
+
+static void
+check_holdings (struct node *nod)
+{
+  struct holding *next;
+  for (struct holding *hld = nod->holdings; hld; hld = next)
+    {
+      next = hld->next;
+      const struct duty *dty = duty_find (&nod->duties, hld->pool);
+      if (hld->lost || !duty_held_by (dty, nod->set->name, nod->boot)
+          || dty->token != hld->token)
+        end_holding (hld, "passed_on");
+      else if (hld->phase == HOLDING_CATCHING_UP
+               && follower_next (&hld->stm->fol) > hld->fence_offset)
+        activate (hld);
+    }
+}
+
+static void
+on_claim (void *arg, const struct topic_append_result *res)
+{
+  struct node *nod = arg;
+  nod->claiming = false;
+  /* Whatever came of it, the records tell.  */
+}
+
+static int
+append_claim (struct node *nod, const char *name, bool released,
+              bool conditional)
+{
+  char key[DUTY_KEY_BYTES];
+  uint8_t data[256];
+  Kingcuphollow__DutyClaim msg = KINGCUPHOLLOW__DUTY_CLAIM__INIT;
+  snprintf (key, sizeof key, "%c/%s", DUTY_KEY, name);
+  msg.holder = nod->set->name;
+  msg.boot = nod->boot;
+  msg.released = released;
+  const struct topic_entry ent
+      = { .key = key,
+          .key_len = strlen (key),
+          .value = data,
+          .value_len = kingcuphollow__duty_claim__pack (&msg, data) };
+  const struct topic_append app = {
+    .topic = TOPIC_MEMBERS,
+    .conditional = conditional,
+    .at = follower_next (&nod->member_fol),
+    .entries = &ent,
+    .count = 1,
+  };
+  return topic_append (&nod->store.st, &app, on_claim, nod);
+}
+
+static void
+check_duty (struct node *nod, const char *name)
+{
+  const struct duty *dty = duty_find (&nod->duties, name);
+  int64_t now_us = clock_now_us (nod->clk);
+  int64_t slack_us
+      = appender_round_trip_us (&nod->member_app) * SLACK_ROUND_TRIPS;
+  if (slack_us > SLACK_MAX_US)
+    slack_us = SLACK_MAX_US;
+  if (duty_held_by (dty, nod->set->name, nod->boot))
+    {
+      if (!node_holding (nod, name))
+        begin_holding (nod, dty);
+      return;
+    }
+  if (nod->claiming || now_us < nod->started_us + SETTLE_US
+      || !duty_should_claim (&nod->duties, name, nod->set->name, now_us,
+                             slack_us))
+    return;
+  if (append_claim (nod, name, false, true) == 0)
+    {
+      nod->claiming = true;
+      log_event (nod->lg, EV_DUTY_CLAIMED, LOG_S ("duty", name),
+                 LOG_S ("from", dty ? dty->holder : ""),
+                 LOG_I ("members", duty_live_members (&nod->duties, now_us)));
+    }
+}
+
+void
+node_check_duties (struct node *nod)
+{
+  check_holdings (nod);
+  if (nod->stopping || !caught_up (nod))
+    return;
+  for (size_t n = 0; n < nod->cat->queue_count; n++)
+    check_duty (nod, nod->cat->queues[n].pool);
+}
+
+void
+node_release_duties (struct node *nod)
+{
+  while (nod->holdings)
+    {
+      append_claim (nod, nod->holdings->pool, true, false);
+      end_holding (nod->holdings, "stopping");
+    }
+}
+
+static void
+on_member_record (void *arg, const struct topic_record *rec)
+{
+  struct node *nod = arg;
+  const struct topic_entry *ent = &rec->entry;
+  char name[NAME_BYTES] = "";
+  int64_t now_us = clock_now_us (nod->clk);
+  if (ent->key_len < 3 || ent->key_len - 2 >= NAME_BYTES
+      || ent->value_len == 0)
+    return;
+  memcpy (name, ent->key + 2, ent->key_len - 2);
+  if (ent->key[0] == MEMBER_KEY)
+    {
+      Kingcuphollow__MemberBeat *msg = kingcuphollow__member_beat__unpack (
+          NULL, ent->value_len, ent->value);
+      /* A report from before this process started says nothing of when.  */
+      if (msg)
+        duty_fold_member (&nod->duties, name, msg->boot, msg->stopping,
+                          now_us);
+      if (msg)
+        kingcuphollow__member_beat__free_unpacked (msg, NULL);
+    }
+  else if (ent->key[0] == DUTY_KEY)
+    {
+      Kingcuphollow__DutyClaim *msg = kingcuphollow__duty_claim__unpack (
+          NULL, ent->value_len, ent->value);
+      if (msg)
+        duty_fold_claim (&nod->duties, name, msg->holder, msg->boot,
+                         msg->released, rec->offset + 1, now_us);
+      if (msg)
+        kingcuphollow__duty_claim__free_unpacked (msg, NULL);
+    }
+}
+
+static void
+on_member_batch (void *arg)
+{
+  node_check_duties (arg);
+}
+
+static void
+on_beat_done (void *arg, enum appender_outcome out, uint64_t offset)
+{
+  struct beat_ctx *ctx = arg;
+  struct node *nod = ctx->nod;
+  nod->beat_open = false;
+  if (out == APPENDER_DONE)
+    {
+      nod->confirmed_us = ctx->sent_us;
+      for (struct holding *hld = nod->holdings; hld; hld = hld->next)
+        if (hld->plc)
+          placer_confirmed (hld->plc, ctx->sent_us);
+    }
+  talloc_free (ctx);
+}
+
+static void
+on_beat (struct tevent_context *ev, struct tevent_timer *te, struct timeval tv,
+         void *arg)
+{
+  struct node *nod = arg;
+  char key[DUTY_KEY_BYTES];
+  uint8_t data[64];
+  Kingcuphollow__MemberBeat msg = KINGCUPHOLLOW__MEMBER_BEAT__INIT;
+  int64_t ms = nod->set->beat_ms;
+  nod->beat_timer = tevent_add_timer (
+      ev, nod, tevent_timeval_current_ofs (ms / 1000, ms % 1000 * 1000),
+      on_beat, nod);
+  node_check_duties (nod);
+  if (nod->beat_open)
+    return;
+  struct beat_ctx *ctx = talloc_zero (nod, struct beat_ctx);
+  if (!ctx)
+    return;
+  ctx->nod = nod;
+  ctx->sent_us = clock_now_us (nod->clk);
+  snprintf (key, sizeof key, "%c/%s", MEMBER_KEY, nod->set->name);
+  msg.boot = nod->boot;
+  msg.stopping = nod->stopping;
+  const struct topic_entry ent
+      = { .key = key,
+          .key_len = strlen (key),
+          .value = data,
+          .value_len = kingcuphollow__member_beat__pack (&msg, data) };
+  if (appender_add (&nod->member_app, &ent, false, on_beat_done, ctx))
+    talloc_free (ctx);
+  else
+    nod->beat_open = true;
+}
+
+int
+node_open_duties (struct node *nod)
+{
+  char producer[PRODUCER_BYTES];
+  const struct follower_settings fol_set = { .topic = TOPIC_MEMBERS,
+                                             .gap_ms = MEMBERS_GAP_MS,
+                                             .wait_ms = WAIT_MS };
+  snprintf (producer, sizeof producer, "%s.%" PRIu64, nod->set->name,
+            nod->boot);
+  const struct appender_settings app_set
+      = { .topic = TOPIC_MEMBERS, .producer = producer, .epoch = 1 };
+  int err = appender_init (&nod->member_app, nod, &nod->store.st, nod->ev,
+                           nod->clk, &app_set);
+  if (!err)
+    err = follower_init (&nod->member_fol, nod, &nod->store.st, nod->ev,
+                         nod->clk, &fol_set, on_member_record, on_member_batch,
+                         nod);
+  if (!err)
+    on_beat (nod->ev, NULL, (struct timeval){ 0 }, nod);
+  return err;
+}
--- /dev/null
+++ b/node/node.c
@@ -0,0 +1,184 @@
+#include "node/node.h"
+
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "base/err.h"
+#include "node/node_priv.h"
+
+/* At a stop the balancer needs two missed readiness checks, a second apart, to
+   send no new connections.  */
+#define STOP_LISTEN_MS 2600
+/* Time for the answers of the last requests after that.  */
+#define STOP_ANSWERS_MS 1500
+#define STOP_TURN_MS 50
+/* A process that has not heard from the store for so long is not ready.  */
+#define JOB_KEEP_MS 125000
+#define EXPIRE_TURN_S 10
+
+static bool
+node_ready (void *arg)
+{
+  struct node *nod = arg;
+  bool ready = !nod->stopping && node_view_current (nod)
+               && follower_caught_up (&nod->member_fol);
+  if (ready != nod->ready)
+    log_event (nod->lg, EV_NODE_READY, LOG_S ("name", nod->set->name),
+               LOG_I ("ready", ready), LOG_I ("stopping", nod->stopping));
+  nod->ready = ready;
+  return ready;
+}
+
+static char *
+node_metrics (void *arg, void *parent)
+{
+  struct node *nod = arg;
+  return counters_format (&nod->ctr, parent);
+}
+
+static void
+on_stop_turn (struct tevent_context *ev, struct tevent_timer *te,
+              struct timeval tv, void *arg)
+{
+  struct node *nod = arg;
+  static int64_t waited_ms;
+  waited_ms += STOP_TURN_MS;
+  if (waited_ms >= STOP_LISTEN_MS
+      && (wire_front_open (nod->frt) == 0
+          || waited_ms >= STOP_LISTEN_MS + STOP_ANSWERS_MS))
+    nod->stopped = true;
+  else
+    tevent_add_timer (ev, nod,
+                      tevent_timeval_current_ofs (0, STOP_TURN_MS * 1000),
+                      on_stop_turn, nod);
+}
+
+static void
+on_stop (struct tevent_context *ev, struct tevent_signal *se, int signum,
+         int count, void *info, void *arg)
+{
+  struct node *nod = arg;
+  if (nod->stopping)
+    return;
+  nod->stopping = true;
+  log_event (nod->lg, EV_NODE_STOPPING, LOG_S ("name", nod->set->name),
+             LOG_I ("open", wire_front_open (nod->frt)));
+  wire_front_drain (nod->frt);
+  node_release_duties (nod);
+  on_stop_turn (ev, NULL, (struct timeval){ 0 }, nod);
+}
+
+/* Settings stand in flags, which a running process keeps.  */
+static void
+on_hangup (struct tevent_context *ev, struct tevent_signal *se, int signum,
+           int count, void *info, void *arg)
+{
+  struct node *nod = arg;
+  log_event (nod->lg, EV_NODE_RELOADED, LOG_S ("name", nod->set->name),
+             LOG_S ("changed", "nothing"));
+}
+
+static void
+on_expire (struct tevent_context *ev, struct tevent_timer *te,
+           struct timeval tv, void *arg)
+{
+  struct node *nod = arg;
+  job_table_expire (&nod->jobs, clock_wall_ms (nod->clk) - JOB_KEEP_MS);
+  tevent_add_timer (ev, nod, tevent_timeval_current_ofs (EXPIRE_TURN_S, 0),
+                    on_expire, nod);
+}
+
+static enum log_level
+level_of (const char *name)
+{
+  static const char *const names[] = { "debug", "info", "warn", "error" };
+  for (int n = 0; n < 4; n++)
+    if (strcmp (name, names[n]) == 0)
+      return (enum log_level)n;
+  return LOG_LEVEL_INFO;
+}
+
+static int
+start_front (struct node *nod)
+{
+  const struct front_settings set = {
+    .listen = nod->set->listen,
+    .ready_listen = nod->set->ready_listen,
+    .metrics_listen = nod->set->metrics_listen,
+  };
+  const struct front_handler hdl = {
+    .request = node_request,
+    .ready = node_ready,
+    .metrics = node_metrics,
+    .arg = nod,
+  };
+  return wire_front_create (nod, nod->ev, &set, &hdl, &nod->frt);
+}
+
+static int
+start (struct node *nod)
+{
+  nod->ev = tevent_context_init (nod);
+  nod->streams
+      = talloc_zero_array (nod, struct stream *, nod->set->partitions);
+  if (!nod->ev || !nod->streams
+      || !tevent_add_signal (nod->ev, nod, SIGTERM, 0, on_stop, nod)
+      || !tevent_add_signal (nod->ev, nod, SIGINT, 0, on_stop, nod)
+      || !tevent_add_signal (nod->ev, nod, SIGHUP, 0, on_hangup, nod))
+    return ERR_NOMEM;
+  job_table_init (&nod->jobs);
+  int err = http_client_init (&nod->cli, nod, nod->ev);
+  if (!err)
+    err = wire_store_init (&nod->store, nod, &nod->cli, nod->set->store);
+  if (!err)
+    err = wire_worker_init (&nod->workers, nod, &nod->cli);
+  if (!err)
+    err = start_front (nod);
+  if (!err)
+    err = node_open_directory (nod);
+  if (!err)
+    err = node_open_duties (nod);
+  if (!err)
+    on_expire (nod->ev, NULL, (struct timeval){ 0 }, nod);
+  return err;
+}
+
+int
+node_run (void *parent, const struct node_settings *set)
+{
+  struct node *nod = talloc_zero (parent, struct node);
+  if (!nod)
+    return ERR_NOMEM;
+  signal (SIGPIPE, SIG_IGN);
+  nod->set = set;
+  nod->clk = &clock_system;
+  nod->started_us = clock_now_us (nod->clk);
+  nod->boot = (uint64_t)clock_wall_ms (nod->clk);
+  nod->lg = logger_create (NULL, nod->clk, STDOUT_FILENO,
+                           level_of (set->log_level));
+  int err = nod->lg ? start (nod) : ERR_NOMEM;
+  if (err)
+    {
+      log_event (nod->lg, EV_NODE_FAILED, LOG_S ("error", err_name (err)));
+      goto done;
+    }
+  log_event (nod->lg, EV_NODE_STARTED, LOG_S ("name", set->name),
+             LOG_S ("data_centre", set->data_centre),
+             LOG_I ("boot", nod->boot));
+  while (!nod->stopped && tevent_loop_once (nod->ev) == 0)
+    ;
+  log_event (nod->lg, EV_NODE_STOPPED, LOG_S ("name", set->name));
+
+done:
+  http_client_fini (&nod->cli);
+  if (nod->frt)
+    wire_front_destroy (nod->frt);
+  job_table_fini (&nod->jobs);
+  logger_destroy (nod->lg);
+  talloc_free (nod);
+  return err;
+}
--- /dev/null
+++ b/node/node_priv.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include <tevent.h>
+#include <uthash.h>
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/log.h"
+#include "job/job_table.h"
+#include "member/duty.h"
+#include "node/node.h"
+#include "platform/wire_front.h"
+#include "platform/wire_store.h"
+#include "platform/wire_worker.h"
+#include "sched/placer.h"
+#include "store/appender.h"
+#include "store/follower.h"
+
+#define TOPIC_JOBS "keyed.jobs"
+#define TOPIC_MEMBERS "keyed.members"
+#define DUTY_KEY_BYTES (NAME_BYTES + 2)
+#define PRODUCER_BYTES (NAME_BYTES + 32)
+
+struct node;
+
+/* One partition of the job topic.  */
+struct stream
+{
+  struct node *nod;
+  uint32_t part;
+  struct follower fol;
+  struct appender app;
+};
+
+struct directory_entry
+{
+  UT_hash_handle hh;
+  struct worker_report rep;
+};
+
+/* The last record of the workers on which a pool's owners may have started
+   tasks.  */
+struct pool_workers
+{
+  UT_hash_handle hh;
+  char pool[NAME_BYTES];
+  uint8_t *data;
+  size_t len;
+};
+
+enum holding_phase
+{
+  HOLDING_FENCING, /* the append that fences earlier owners is on its way */
+  HOLDING_CATCHING_UP, /* earlier owners' records are being read */
+  HOLDING_ACTIVE,
+};
+
+/* A duty of this process.  */
+struct holding
+{
+  struct holding *next;
+  struct node *nod;
+  char pool[NAME_BYTES];
+  uint64_t token;
+  struct stream *stm;
+  struct appender app; /* fenced by the token */
+  uint64_t fence_offset;
+  enum holding_phase phase;
+  struct placer *plc;
+  struct tevent_timer *timer;
+  int64_t timer_us;
+  bool lost;
+};
+
+struct node
+{
+  const struct node_settings *set;
+  struct tevent_context *ev;
+  const struct clock *clk;
+  struct logger *lg;
+  struct counters ctr;
+  struct http_client cli;
+  struct wire_store store;
+  struct wire_worker workers;
+  struct wire_front *frt;
+  uint64_t boot;
+  int64_t started_us;
+
+  /* From the operators.  */
+  struct catalog *cat;
+  struct follower operator_fol;
+  struct follower directory_fol;
+  struct directory_entry *directory;
+
+  struct job_table jobs;
+  struct stream **streams; /* by partition; NULL: not in use */
+  struct pool_workers *pool_workers;
+
+  struct follower member_fol;
+  struct appender member_app;
+  struct duty_table duties;
+  struct holding *holdings;
+  bool claiming;
+  bool beat_open;
+  int64_t confirmed_us;
+  struct tevent_timer *beat_timer;
+
+  bool store_away; /* as last logged */
+  bool ready;      /* as last logged */
+  bool stopping;
+  bool stopped;
+};
+
+/* node/streams.c */
+struct stream *node_stream (struct node *nod, const char *pool);
+/* Opens the streams that the configuration's queues need.  */
+int node_open_streams (struct node *nod);
+/* Whether what this process knows of the jobs is at most some seconds old.  */
+bool node_view_current (const struct node *nod);
+/* Whether a stream takes appends at present.  */
+bool node_stream_writable (const struct stream *stm);
+
+/* node/directory.c */
+int node_open_directory (struct node *nod);
+
+/* node/duties.c */
+int node_open_duties (struct node *nod);
+void node_check_duties (struct node *nod);
+void node_release_duties (struct node *nod);
+struct holding *node_holding (const struct node *nod, const char *pool);
+void node_wake_holding (struct holding *hld, int64_t at_us);
+
+/* node/requests.c */
+void node_request (void *arg, struct front_request *req);
--- /dev/null
+++ b/node/streams.c
@@ -0,0 +1,187 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+#include <xxhash.h>
+
+#include "base/err.h"
+#include "job/job_codec.h"
+#include "node/node_priv.h"
+
+/* Jobs' records come in groups this far apart, in the pools' owners and in
+   other processes.  */
+#define GAP_MS 100
+#define OWNER_GAP_MS 20
+/* Longest wait of a read; a connection that is silent for good is noticed
+   after it.  */
+#define WAIT_MS 1000
+/* Age of the last answer from the store beyond which the view of the jobs is
+   not current: a read waits 1 s and has 1 s for its answer.  */
+#define VIEW_AGE_MAX_US 2500000
+/* An append without an answer for so long: the store takes no appends.  */
+#define STALL_US 700000
+
+#define WORKERS_PREFIX "w/"
+
+static struct pool_workers *
+find_pool_workers (struct node *nod, const char *name)
+{
+  struct pool_workers *row;
+  HASH_FIND_STR (nod->pool_workers, name, row);
+  return row;
+}
+
+static struct pool_workers *
+add_pool_workers (struct node *nod, const char *name)
+{
+  struct pool_workers *row = talloc_zero (nod, struct pool_workers);
+  if (!row)
+    return NULL;
+  name_copy (row->pool, name);
+  HASH_ADD_STR (nod->pool_workers, pool, row);
+  return row;
+}
+
+static void
+keep_pool_workers (struct node *nod, const struct topic_entry *ent)
+{
+  char name[NAME_BYTES];
+  name_copy_len (name, ent->key + strlen (WORKERS_PREFIX),
+                 ent->key_len - strlen (WORKERS_PREFIX));
+  struct pool_workers *row = find_pool_workers (nod, name);
+  if (!row)
+    row = add_pool_workers (nod, name);
+  if (!row)
+    return;
+  talloc_free (row->data);
+  row->data = talloc_memdup (row, ent->value, ent->value_len);
+  row->len = row->data ? ent->value_len : 0;
+}
+
+static void
+log_change (struct node *nod, const struct job_fold_result *res)
+{
+  char id[JOB_ID_CHARS + 1];
+  if (res->change != JOB_CHANGE_CANCELLED)
+    return;
+  job_id_format (res->job->id, id);
+  log_event (nod->lg, EV_JOB_CANCELLED, LOG_S ("job", id),
+             LOG_S ("queue", res->job->queue));
+}
+
+static void
+on_record (void *arg, const struct topic_record *rec)
+{
+  struct stream *stm = arg;
+  struct node *nod = stm->nod;
+  const struct topic_entry *ent = &rec->entry;
+  struct job_fold_result res;
+  if (ent->key_len > 2 && ent->key[1] == '/')
+    {
+      if (strncmp (ent->key, WORKERS_PREFIX, strlen (WORKERS_PREFIX)) == 0)
+        keep_pool_workers (nod, ent);
+      return;
+    }
+  /* The newest record of a key need not be its first one; offset 0 claims
+     nothing about when the job came.  */
+  uint64_t offset = follower_in_order (&stm->fol) ? rec->offset : 0;
+  int64_t wall_ms = clock_wall_ms (nod->clk);
+  int err = job_table_fold (&nod->jobs, nod, offset, ent->key, ent->key_len,
+                            ent->value, ent->value_len,
+                            clock_now_us (nod->clk), wall_ms, &res);
+  if (err)
+    {
+      log_event (nod->lg, EV_RECORD_INVALID, LOG_S ("topic", TOPIC_JOBS),
+                 LOG_I ("part", stm->part), LOG_I ("offset", rec->offset),
+                 LOG_S ("error", err_name (err)));
+      return;
+    }
+  if (!res.job)
+    return;
+  const struct queue *que = catalog_queue (nod->cat, res.job->queue);
+  job_refresh (res.job, que ? que->attempts : 0, wall_ms);
+  job_note_logged (res.job, &res);
+  log_change (nod, &res);
+  struct holding *hld = node_holding (nod, res.job->pool);
+  if (!hld || !hld->plc || res.change == JOB_CHANGE_NONE
+      || (res.change == JOB_CHANGE_BEHIND && res.token == hld->token))
+    return;
+  placer_job (hld->plc, res.job, res.change);
+  node_wake_holding (hld, 0);
+}
+
+static void
+on_batch (void *arg)
+{
+  struct stream *stm = arg;
+  node_check_duties (stm->nod);
+}
+
+static struct stream *
+open_stream (struct node *nod, uint32_t part)
+{
+  char producer[PRODUCER_BYTES];
+  struct stream *stm = talloc_zero (nod, struct stream);
+  if (!stm)
+    return NULL;
+  stm->nod = nod;
+  stm->part = part;
+  snprintf (producer, sizeof producer, "%s.%" PRIu64, nod->set->name,
+            nod->boot);
+  const struct follower_settings fol_set = {
+    .topic = TOPIC_JOBS, .part = part, .gap_ms = GAP_MS, .wait_ms = WAIT_MS
+  };
+  const struct appender_settings app_set = {
+    .topic = TOPIC_JOBS, .part = part, .producer = producer, .epoch = 1
+  };
+  if (appender_init (&stm->app, stm, &nod->store.st, nod->ev, nod->clk,
+                     &app_set)
+      || follower_init (&stm->fol, stm, &nod->store.st, nod->ev, nod->clk,
+                        &fol_set, on_record, on_batch, stm))
+    TALLOC_FREE (stm);
+  return stm;
+}
+
+struct stream *
+node_stream (struct node *nod, const char *pool)
+{
+  uint32_t part
+      = (uint32_t)(XXH64 (pool, strlen (pool), 0) % nod->set->partitions);
+  if (!nod->streams[part])
+    nod->streams[part] = open_stream (nod, part);
+  return nod->streams[part];
+}
+
+int
+node_open_streams (struct node *nod)
+{
+  for (size_t n = 0; nod->cat && n < nod->cat->queue_count; n++)
+    {
+      struct stream *stm = node_stream (nod, nod->cat->queues[n].pool);
+      if (!stm)
+        return ERR_NOMEM;
+      bool owner = node_holding (nod, nod->cat->queues[n].pool) != NULL;
+      follower_set_gap (&stm->fol, owner ? OWNER_GAP_MS : GAP_MS);
+    }
+  return 0;
+}
+
+bool
+node_view_current (const struct node *nod)
+{
+  int64_t oldest_us = clock_now_us (nod->clk) - VIEW_AGE_MAX_US;
+  if (!nod->cat || follower_current_us (&nod->operator_fol) < oldest_us)
+    return false;
+  for (int64_t n = 0; n < nod->set->partitions; n++)
+    if (nod->streams[n]
+        && (!follower_caught_up (&nod->streams[n]->fol)
+            || follower_current_us (&nod->streams[n]->fol) < oldest_us))
+      return false;
+  return true;
+}
+
+bool
+node_stream_writable (const struct stream *stm)
+{
+  return appender_stalled_us (&stm->app) < STALL_US;
+}
--- /dev/null
+++ b/sched/placer.c
@@ -0,0 +1,451 @@
+#include "sched/placer.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/log.h"
+#include "sched/order.h"
+#include "sched/placer_priv.h"
+
+/* Turns while something runs or waits, and while nothing does.  */
+#define TURN_BUSY_US 40000
+#define TURN_IDLE_US 250000
+/* A worker that reports no more is kept so long for its return: entries lapse
+   while the store is away and are back within 2 s of its return.  */
+#define UNLISTED_KEEP_US 3000000
+/* A lasting task starts again after this pause, so that one that fails at once
+   does not take up the owner.  */
+#define RESTART_PAUSE_US 50000
+
+struct candidate
+{
+  struct order_key key;
+  struct job *job;
+};
+
+struct worker *
+placer_find_worker (const struct placer *plc, uint32_t handle)
+{
+  for (size_t n = 0; n < plc->pool.count; n++)
+    if (plc->pool.workers[n]->handle == handle)
+      return plc->pool.workers[n];
+  return NULL;
+}
+
+void
+placer_release_call (struct placer *plc)
+{
+  if (--plc->calls == 0 && plc->closing)
+    talloc_free (plc);
+}
+
+uint32_t
+placer_attempts (const struct placer *plc, const struct job *job)
+{
+  const struct queue *que = catalog_queue (*plc->env.cat, job->queue);
+  return que ? que->attempts : job->attempts;
+}
+
+bool
+placer_may_order (const struct placer *plc, int64_t now_us)
+{
+  return !plc->fenced
+         && now_us - plc->confirmed_us < plc->set.confirm_ms * 1000;
+}
+
+static void
+stop_job (struct placer *plc, struct job *job)
+{
+  for (uint32_t n = 0; n < job->occurrence_count; n++)
+    for (uint32_t m = 0; m < job->task_count; m++)
+      if (job->occurrences[n].tasks[m].run)
+        placer_stop_run (plc, job->occurrences[n].tasks[m].run);
+}
+
+void
+placer_task_ended (struct placer *plc, struct job *job,
+                   const struct task_ref *ref)
+{
+  struct task *tsk = job_task (job, ref);
+  int64_t now_us = clock_now_us (plc->env.clk);
+  if (job->spec.steps[ref->step].perpetual)
+    tsk->not_before_us = now_us + RESTART_PAUSE_US;
+  if (!job_refresh (job, placer_attempts (plc, job),
+                    clock_wall_ms (plc->env.clk)))
+    return;
+  if (!job_ended (job))
+    return;
+  char id[JOB_ID_CHARS + 1];
+  job_id_format (job->id, id);
+  log_event (
+      plc->env.lg, EV_JOB_ENDED, LOG_S ("job", id),
+      LOG_S ("queue", job->queue),
+      LOG_S ("state", job->state == JOB_COMPLETED ? "completed" : "failed"),
+      LOG_I ("left_ms", job->goal_ms - clock_wall_ms (plc->env.clk)));
+  stop_job (plc, job);
+}
+
+static void
+set_goal (struct placer *plc, struct job *job)
+{
+  const struct queue *que = catalog_queue (*plc->env.cat, job->queue);
+  job->attempts = que ? que->attempts : 0;
+  job->goal_ms = order_goal_ms (job, que ? que->stretch : 1.0,
+                                que ? que->goal_extra_ms : 0, 1000);
+}
+
+void
+placer_job (struct placer *plc, struct job *job, enum job_change change)
+{
+  if (strcmp (job->pool, plc->set.pool) != 0)
+    return;
+  if (change == JOB_CHANGE_NEW && !job_ended (job))
+    {
+      struct job **jobs
+          = talloc_realloc (plc, plc->jobs, struct job *, plc->job_count + 1);
+      if (!jobs)
+        return;
+      plc->jobs = jobs;
+      jobs[plc->job_count++] = job;
+      job->dirty = false;
+      set_goal (plc, job);
+    }
+  else if (change == JOB_CHANGE_CANCELLED)
+    stop_job (plc, job);
+  else if (change == JOB_CHANGE_BEHIND)
+    placer_mark_dirty (plc, job);
+}
+
+void
+placer_confirmed (struct placer *plc, int64_t at_us)
+{
+  if (at_us > plc->confirmed_us)
+    plc->confirmed_us = at_us;
+}
+
+static struct worker *
+worker_by_id (const struct placer *plc, const char *id)
+{
+  for (size_t n = 0; n < plc->pool.count; n++)
+    if (strcmp (plc->pool.workers[n]->rep.id, id) == 0)
+      return plc->pool.workers[n];
+  return NULL;
+}
+
+static struct worker *
+add_worker (struct placer *plc, const struct worker_report *rep)
+{
+  struct worker **workers = talloc_realloc (
+      plc, plc->pool.workers, struct worker *, plc->pool.count + 1);
+  struct worker *wrk = talloc_zero (plc, struct worker);
+  if (!workers || !wrk)
+    return NULL;
+  plc->pool.workers = workers;
+  workers[plc->pool.count++] = wrk;
+  wrk->handle = ++plc->pool.next_handle;
+  wrk->rep = *rep;
+  return wrk;
+}
+
+/* A host that reports as another worker has ended its earlier life.  */
+static void
+end_earlier_lives (struct placer *plc, const struct worker_report *rep)
+{
+  placer_earlier_host (plc, rep->host, rep->id);
+  for (size_t n = 0; *rep->host && n < plc->pool.count; n++)
+    {
+      struct worker *wrk = plc->pool.workers[n];
+      if (strcmp (wrk->rep.host, rep->host) == 0
+          && strcmp (wrk->rep.id, rep->id) != 0 && wrk->lease_us > 0)
+        {
+          wrk->lease_us = 0;
+          wrk->failures++;
+          wrk->listed = false;
+        }
+    }
+}
+
+void
+placer_worker (struct placer *plc, const char *id,
+               const struct worker_report *rep)
+{
+  struct worker *wrk = worker_by_id (plc, id);
+  int64_t now_us = clock_now_us (plc->env.clk);
+  bool ours = rep && strcmp (rep->pool, plc->set.pool) == 0;
+  if (rep)
+    end_earlier_lives (plc, rep);
+  if (!ours)
+    {
+      if (wrk && wrk->listed)
+        {
+          wrk->listed = false;
+          wrk->unlisted_us = now_us;
+        }
+      return;
+    }
+  if (!wrk)
+    wrk = add_worker (plc, rep);
+  if (!wrk)
+    return;
+  int64_t born_ms = wrk->rep.born_ms;
+  if (wrk->clock_us == 0)
+    {
+      wrk->clock_ms = rep->clock_ms;
+      wrk->clock_us = now_us;
+    }
+  wrk->rep = *rep;
+  /* Another life of the worker is noted when it answers itself.  */
+  if (born_ms > 0)
+    wrk->rep.born_ms = born_ms;
+  wrk->listed = true;
+}
+
+void
+placer_vacate (struct placer *plc, const char *host, bool wanted)
+{
+  for (size_t n = 0; n < plc->pool.count; n++)
+    if (strcmp (plc->pool.workers[n]->rep.host, host) == 0)
+      plc->pool.workers[n]->vacate = wanted;
+}
+
+bool
+placer_host_empty (const struct placer *plc, const char *host)
+{
+  for (size_t n = 0; n < plc->pool.count; n++)
+    {
+      const struct worker *wrk = plc->pool.workers[n];
+      if (strcmp (wrk->rep.host, host) == 0
+          && (wrk->runs || !wrk->vacate
+              || (wrk->reached && wrk->seen_end < wrk->applied_end)))
+        return false;
+    }
+  return true;
+}
+
+/* Whether every task that an earlier owner may have started is known, or has
+   lost its lease.  */
+static bool
+check_cleared (struct placer *plc, int64_t now_us)
+{
+  int64_t lapse_us = (plc->set.confirm_ms + plc->set.lease_ms * 2) * 1000;
+  if (plc->cleared)
+    return true;
+  bool unheard = plc->earlier_count > 0;
+  for (size_t n = 0; n < plc->pool.count; n++)
+    unheard = unheard || !plc->pool.workers[n]->reached;
+  plc->cleared = !unheard || now_us > plc->claimed_us + lapse_us;
+  if (plc->cleared)
+    log_event (plc->env.lg, EV_PLACER_CLEARED, LOG_S ("pool", plc->set.pool),
+               LOG_I ("after_ms", (now_us - plc->claimed_us) / 1000),
+               LOG_I ("unheard", unheard));
+  return plc->cleared;
+}
+
+static bool
+step_ready (const struct job *job, const struct occurrence *occ,
+            const struct step *stp)
+{
+  for (size_t n = 0; n < stp->after_count; n++)
+    if (occ->step_done[stp->after[n]] < job->spec.steps[stp->after[n]].count)
+      return false;
+  return true;
+}
+
+static void
+place_task (struct placer *plc, struct job *job, const struct task_ref *ref,
+            int64_t now_us)
+{
+  const struct step *stp = &job->spec.steps[ref->step];
+  struct task *tsk = job_task (job, ref);
+  if (tsk->done || tsk->run || now_us < tsk->not_before_us)
+    return;
+  const struct place_request req = {
+    .job = job,
+    .step = stp,
+    .ref = ref,
+    .avoid = tsk->avoid_worker,
+    .now_us = now_us,
+  };
+  struct worker *wrk = place_pick (&plc->pool, &req);
+  if (wrk)
+    {
+      placer_start_task (plc, job, ref, wrk);
+      return;
+    }
+  plc->load.waiting_tasks++;
+  plc->load.waiting_cpu_milli += stp->need.cpu_milli;
+}
+
+static void
+place_job (struct placer *plc, struct job *job, int64_t now_us,
+           int64_t wall_ms)
+{
+  for (uint32_t k = 0; k < job->occurrence_count; k++)
+    {
+      struct occurrence *occ = &job->occurrences[k];
+      if (occ->due_ms > wall_ms || occ->done == job->task_count)
+        continue;
+      for (uint32_t n = 0; n < job->spec.step_count; n++)
+        {
+          const struct step *stp = &job->spec.steps[n];
+          struct task_ref ref = { .job = job->id, .occurrence = k, .step = n };
+          if (occ->step_done[n] == stp->count || !step_ready (job, occ, stp))
+            continue;
+          for (ref.index = 0; ref.index < stp->count; ref.index++)
+            place_task (plc, job, &ref, now_us);
+        }
+    }
+}
+
+static int
+compare_candidates (const void *a, const void *b)
+{
+  const struct candidate *ca = a;
+  const struct candidate *cb = b;
+  int diff = order_key_compare (&ca->key, &cb->key);
+  if (diff)
+    return diff;
+  return ca->job->id < cb->job->id ? -1 : ca->job->id > cb->job->id;
+}
+
+static bool
+job_has_runs (const struct job *job)
+{
+  for (uint32_t n = 0; n < job->occurrence_count; n++)
+    for (uint32_t m = 0; m < job->task_count; m++)
+      if (job->occurrences[n].tasks[m].run)
+        return true;
+  return false;
+}
+
+static void
+drop_ended_jobs (struct placer *plc)
+{
+  size_t kept = 0;
+  for (size_t n = 0; n < plc->job_count; n++)
+    {
+      struct job *job = plc->jobs[n];
+      if (!job_ended (job) || job->dirty || job_has_runs (job))
+        plc->jobs[kept++] = job;
+    }
+  plc->job_count = kept;
+}
+
+static void
+place_all (struct placer *plc, int64_t now_us)
+{
+  int64_t wall_ms = clock_wall_ms (plc->env.clk);
+  size_t count = 0;
+  bool cleared = check_cleared (plc, now_us);
+  struct candidate *cands
+      = talloc_array (plc, struct candidate, plc->job_count + 1);
+  plc->load = (struct placer_load){ 0 };
+  for (size_t n = 0; cands && n < plc->job_count; n++)
+    {
+      struct job *job = plc->jobs[n];
+      const struct queue *que = catalog_queue (*plc->env.cat, job->queue);
+      if (job_ended (job) || (!cleared && job->offset < plc->set.fence_offset))
+        continue;
+      cands[count].job = job;
+      cands[count++].key
+          = order_key_make (job, que ? que->priority : 0, 1000, wall_ms);
+    }
+  if (count > 1)
+    qsort (cands, count, sizeof *cands, compare_candidates);
+  for (size_t n = 0; n < count; n++)
+    place_job (plc, cands[n].job, now_us, wall_ms);
+  talloc_free (cands);
+}
+
+static void
+drop_gone_workers (struct placer *plc, int64_t now_us)
+{
+  for (size_t n = plc->pool.count; n-- > 0;)
+    {
+      struct worker *wrk = plc->pool.workers[n];
+      if (wrk->listed || wrk->runs || wrk->hold_open
+          || now_us < wrk->unlisted_us + UNLISTED_KEEP_US
+          || now_us < wrk->lease_us)
+        continue;
+      /* A worker that was never heard may hold tasks of an earlier owner.  */
+      if (!wrk->reached && !plc->cleared)
+        continue;
+      plc->pool.workers[n] = plc->pool.workers[--plc->pool.count];
+      talloc_free (wrk);
+    }
+}
+
+int64_t
+placer_tick (struct placer *plc)
+{
+  int64_t now_us = clock_now_us (plc->env.clk);
+  bool busy = false;
+  if (placer_may_order (plc, now_us))
+    {
+      placer_enrol (plc);
+      for (size_t n = 0; n < plc->pool.count; n++)
+        {
+          placer_hold (plc, plc->pool.workers[n], now_us);
+          placer_send_stops (plc, plc->pool.workers[n]);
+          busy = busy || plc->pool.workers[n]->runs;
+        }
+      place_all (plc, now_us);
+    }
+  placer_flush (plc, now_us);
+  drop_ended_jobs (plc);
+  drop_gone_workers (plc, now_us);
+  busy = busy || plc->job_count > 0 || plc->dirty_count > 0;
+  return now_us + (busy ? TURN_BUSY_US : TURN_IDLE_US);
+}
+
+void
+placer_load (const struct placer *plc, struct placer_load *load)
+{
+  int64_t now_us = clock_now_us (plc->env.clk);
+  int64_t used = 0;
+  int64_t room = 0;
+  *load = plc->load;
+  for (size_t n = 0; n < plc->pool.count; n++)
+    if (place_open (plc->pool.workers[n], now_us))
+      {
+        used += plc->pool.workers[n]->used.cpu_milli;
+        room += plc->pool.workers[n]->rep.capacity.cpu_milli;
+        load->workers++;
+      }
+  load->busy_milli = room > 0 ? (uint32_t)(used * 1000 / room) : 0;
+}
+
+struct placer *
+placer_create (void *parent, const struct placer_settings *set,
+               const struct placer_env *env)
+{
+  struct placer *plc = talloc_zero (parent, struct placer);
+  if (!plc)
+    return NULL;
+  plc->set = *set;
+  plc->set.pool = talloc_strdup (plc, set->pool);
+  plc->env = *env;
+  plc->claimed_us = plc->confirmed_us = clock_now_us (env->clk);
+  for (struct job *job = env->jobs->by_id; job; job = job->hh.next)
+    placer_job (plc, job, JOB_CHANGE_NEW);
+  return plc;
+}
+
+/* The jobs outlive their owner.  */
+void
+placer_destroy (struct placer *plc)
+{
+  if (!plc)
+    return;
+  for (size_t n = 0; n < plc->job_count; n++)
+    plc->jobs[n]->dirty = false;
+  for (size_t n = 0; n < plc->pool.count; n++)
+    while (plc->pool.workers[n]->runs)
+      placer_forget_run (plc, plc->pool.workers[n]->runs);
+  plc->closing = true;
+  if (plc->calls == 0)
+    talloc_free (plc);
+}
--- /dev/null
+++ b/sched/placer.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "job/job_table.h"
+#include "sched/worker_link.h"
+#include "store/topic_store.h"
+
+/* The owner of one pool: starts the tasks of the pool's jobs on its workers,
+   keeps their leases and records their ends.  All calls belong to one
+   thread.  */
+
+struct clock;
+struct counters;
+struct logger;
+struct placer;
+
+enum persist_outcome
+{
+  PERSIST_DONE,
+  PERSIST_FENCED, /* another owner has taken over */
+};
+
+typedef void persist_fn (void *arg, enum persist_outcome out);
+
+struct placer_env
+{
+  const struct clock *clk;
+  struct logger *lg;
+  struct counters *ctr;
+  struct worker_link *lnk;
+  struct job_table *jobs;
+  const struct catalog *const *cat; /* the configuration in force */
+  /* Appends entries to the pool's partition, fenced by the owner's token.
+     Returns 0 or ERR_FULL, ERR_NOMEM.  */
+  int (*persist) (void *arg, const struct topic_entry *entries, size_t count,
+                  persist_fn *fn, void *fn_arg);
+  /* Asks for a turn of placer_tick soon.  */
+  void (*wake) (void *arg);
+  void *arg;
+};
+
+struct placer_settings
+{
+  const char *pool;
+  uint64_t token;
+  /* Jobs whose first record stands at or after this offset cannot have been
+     started by an owner before this one.  */
+  uint64_t fence_offset;
+  int64_t lease_ms;
+  /* An owner that has not confirmed its duty for so long extends no leases and
+     starts nothing.  */
+  int64_t confirm_ms;
+};
+
+/* Returns NULL without memory.  */
+struct placer *placer_create (void *parent, const struct placer_settings *set,
+                              const struct placer_env *env);
+
+/* A worker on which an earlier owner may have started tasks, as the log
+   tells.  */
+void placer_earlier_worker (struct placer *plc, const char *id,
+                            const char *host);
+
+/* Ends the owner's work.  Orders in progress are forgotten; what runs at the
+   workers goes on under its leases.  */
+void placer_destroy (struct placer *plc);
+
+/* Takes a worker's report, or with a NULL REP that ID reports no more.  */
+void placer_worker (struct placer *plc, const char *id,
+                    const struct worker_report *rep);
+void placer_job (struct placer *plc, struct job *job, enum job_change change);
+void placer_confirmed (struct placer *plc, int64_t at_us);
+void placer_vacate (struct placer *plc, const char *host, bool wanted);
+
+/* Whether nothing runs on the worker of HOST and nothing will while the host
+   is to be emptied.  */
+bool placer_host_empty (const struct placer *plc, const char *host);
+
+/* Does what is due; returns the monotonic time of the next turn.  */
+int64_t placer_tick (struct placer *plc);
+
+/* Share of the processors of the open workers that is in use, in
+   thousandths, and tasks that wait for room.  */
+struct placer_load
+{
+  uint32_t busy_milli;
+  uint32_t waiting_tasks;
+  int64_t waiting_cpu_milli;
+  uint32_t workers;
+};
+void placer_load (const struct placer *plc, struct placer_load *load);
--- /dev/null
+++ b/sched/placer_enrol.c
@@ -0,0 +1,145 @@
+#include <string.h>
+#include <talloc.h>
+
+#include "proto/job.pb-c.h"
+#include "sched/placer_priv.h"
+
+/* The log tells on which workers the owner may have started tasks, before the
+   first start there.  A later owner then knows which workers it has to hear
+   from, or to wait for the end of their leases, before it starts a task that
+   may still run.  */
+
+#define KEY_PREFIX "w/"
+#define KEY_PREFIX_BYTES (sizeof KEY_PREFIX - 1)
+
+struct enrol_ctx
+{
+  struct placer *plc;
+  uint32_t *handles;
+  size_t count;
+};
+
+static void
+on_enrolled (void *arg, enum persist_outcome out)
+{
+  struct enrol_ctx *ctx = arg;
+  struct placer *plc = ctx->plc;
+  plc->enrolling = false;
+  if (out == PERSIST_FENCED)
+    plc->fenced = true;
+  for (size_t n = 0; !plc->closing && out == PERSIST_DONE && n < ctx->count;
+       n++)
+    {
+      struct worker *wrk = placer_find_worker (plc, ctx->handles[n]);
+      if (wrk)
+        wrk->enrolled = true;
+    }
+  talloc_free (ctx);
+  if (!plc->closing)
+    plc->env.wake (plc->env.arg);
+  placer_release_call (plc);
+}
+
+static bool
+append_workers (struct placer *plc, struct enrol_ctx *ctx,
+                Kingcuphollow__PoolWorkers *msg)
+{
+  size_t most = plc->pool.count + plc->earlier_count;
+  Kingcuphollow__PoolWorkers__Worker *rows
+      = talloc_array (ctx, Kingcuphollow__PoolWorkers__Worker, most);
+  msg->workers
+      = talloc_array (ctx, Kingcuphollow__PoolWorkers__Worker *, most);
+  ctx->handles = talloc_array (ctx, uint32_t, plc->pool.count);
+  if (!rows || !msg->workers || !ctx->handles)
+    return false;
+  for (size_t n = 0; n < most; n++)
+    {
+      kingcuphollow__pool_workers__worker__init (&rows[n]);
+      msg->workers[n] = &rows[n];
+      if (n < plc->pool.count)
+        {
+          rows[n].id = plc->pool.workers[n]->rep.id;
+          rows[n].host = plc->pool.workers[n]->rep.host;
+          ctx->handles[ctx->count++] = plc->pool.workers[n]->handle;
+        }
+      else
+        {
+          rows[n].id = plc->earlier[n - plc->pool.count].id;
+          rows[n].host = plc->earlier[n - plc->pool.count].host;
+        }
+    }
+  msg->n_workers = most;
+  return true;
+}
+
+void
+placer_enrol (struct placer *plc)
+{
+  bool needed = false;
+  char key[KEY_PREFIX_BYTES + NAME_BYTES] = KEY_PREFIX;
+  for (size_t n = 0; n < plc->pool.count; n++)
+    needed = needed || !plc->pool.workers[n]->enrolled;
+  if (!needed || plc->enrolling || plc->fenced)
+    return;
+  struct enrol_ctx *ctx = talloc_zero (plc, struct enrol_ctx);
+  Kingcuphollow__PoolWorkers msg = KINGCUPHOLLOW__POOL_WORKERS__INIT;
+  if (!ctx)
+    return;
+  ctx->plc = plc;
+  msg.token = plc->set.token;
+  if (!append_workers (plc, ctx, &msg))
+    goto failed;
+  size_t len = kingcuphollow__pool_workers__get_packed_size (&msg);
+  uint8_t *data = talloc_size (ctx, len);
+  if (!data)
+    goto failed;
+  kingcuphollow__pool_workers__pack (&msg, data);
+  name_copy (key + KEY_PREFIX_BYTES, plc->set.pool);
+  const struct topic_entry entry = {
+    .key = key, .key_len = strlen (key), .value = data, .value_len = len
+  };
+  if (plc->env.persist (plc->env.arg, &entry, 1, on_enrolled, ctx))
+    goto failed;
+  plc->enrolling = true;
+  plc->calls++;
+  return;
+
+failed:
+  talloc_free (ctx);
+}
+
+void
+placer_earlier_worker (struct placer *plc, const char *id, const char *host)
+{
+  struct earlier_worker *rows = talloc_realloc (
+      plc, plc->earlier, struct earlier_worker, plc->earlier_count + 1);
+  if (!rows)
+    return; /* the wait for leases covers it */
+  plc->earlier = rows;
+  rows += plc->earlier_count++;
+  name_copy (rows->id, id);
+  name_copy (rows->host, host);
+}
+
+static void
+drop_earlier (struct placer *plc, size_t index)
+{
+  plc->earlier[index] = plc->earlier[--plc->earlier_count];
+}
+
+void
+placer_earlier_known (struct placer *plc, const char *id)
+{
+  for (size_t n = plc->earlier_count; n-- > 0;)
+    if (strcmp (plc->earlier[n].id, id) == 0)
+      drop_earlier (plc, n);
+}
+
+void
+placer_earlier_host (struct placer *plc, const char *host, const char *id)
+{
+  for (size_t n = plc->earlier_count; *host && n-- > 0;)
+    if (strcmp (plc->earlier[n].host, host) == 0
+        && strcmp (plc->earlier[n].id, id) != 0)
+      drop_earlier (plc, n);
+}
--- /dev/null
+++ b/sched/placer_flush.c
@@ -0,0 +1,124 @@
+#include <talloc.h>
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/log.h"
+#include "job/job_codec.h"
+#include "sched/placer_priv.h"
+
+/* Ends that come within this time share an append.  */
+#define FLUSH_GAP_US 30000
+/* Progress records of one append.  */
+#define FLUSH_JOBS_MAX 100
+
+void
+placer_mark_dirty (struct placer *plc, struct job *job)
+{
+  if (job->dirty)
+    return;
+  struct job **dirty
+      = talloc_realloc (plc, plc->dirty, struct job *, plc->dirty_count + 1);
+  if (!dirty)
+    return; /* its next end marks it again */
+  plc->dirty = dirty;
+  plc->dirty[plc->dirty_count++] = job;
+  job->dirty = true;
+}
+
+static void
+mark_durable (struct placer *plc)
+{
+  for (size_t n = 0; n < plc->pool.count; n++)
+    {
+      struct worker *wrk = plc->pool.workers[n];
+      if (wrk->flushing_end > wrk->durable_end)
+        {
+          wrk->durable_end = wrk->flushing_end;
+          wrk->next_hold_us = 0;
+        }
+    }
+}
+
+static void
+on_persisted (void *arg, enum persist_outcome out)
+{
+  struct placer *plc = arg;
+  plc->flushing = false;
+  if (!plc->closing && out == PERSIST_FENCED)
+    {
+      plc->fenced = true;
+      log_event (plc->env.lg, EV_PLACER_FENCED, LOG_S ("pool", plc->set.pool),
+                 LOG_S ("by", "log"), LOG_I ("token", plc->set.token));
+    }
+  else if (!plc->closing)
+    {
+      mark_durable (plc);
+      plc->env.wake (plc->env.arg);
+    }
+  placer_release_call (plc);
+}
+
+static size_t
+encode_dirty (struct placer *plc, void *ctx, struct topic_entry *entries,
+              char (*keys)[JOB_KEY_BYTES + 1])
+{
+  size_t count = 0;
+  while (plc->dirty_count > 0 && count < FLUSH_JOBS_MAX)
+    {
+      struct job *job = plc->dirty[plc->dirty_count - 1];
+      uint8_t *data;
+      size_t len;
+      if (job_encode_progress (ctx, job, plc->set.token, &data, &len))
+        break;
+      job_key_format (JOB_KEY_PROGRESS, job->id, keys[count]);
+      entries[count] = (struct topic_entry){ .key = keys[count],
+                                             .key_len = JOB_KEY_BYTES,
+                                             .value = data,
+                                             .value_len = len };
+      count++;
+      job->dirty = false;
+      plc->dirty_count--;
+    }
+  return count;
+}
+
+void
+placer_flush (struct placer *plc, int64_t now_us)
+{
+  struct topic_entry entries[FLUSH_JOBS_MAX];
+  char keys[FLUSH_JOBS_MAX][JOB_KEY_BYTES + 1];
+  if (plc->flushing || plc->fenced || now_us < plc->next_flush_us)
+    return;
+  /* Ends are durable once the progress of all jobs that they touch is.  */
+  bool whole = plc->dirty_count <= FLUSH_JOBS_MAX;
+  for (size_t n = 0; whole && n < plc->pool.count; n++)
+    plc->pool.workers[n]->flushing_end = plc->pool.workers[n]->applied_end;
+  if (plc->dirty_count == 0)
+    {
+      mark_durable (plc);
+      return;
+    }
+  void *ctx = talloc_new (plc);
+  size_t count = encode_dirty (plc, ctx, entries, keys);
+  plc->next_flush_us = now_us + FLUSH_GAP_US;
+  plc->flushing = true;
+  plc->calls++;
+  if (count == 0
+      || plc->env.persist (plc->env.arg, entries, count, on_persisted, plc))
+    {
+      plc->flushing = false;
+      plc->calls--;
+      for (size_t n = 0; n < count; n++)
+        {
+          char kind;
+          uint64_t id;
+          job_key_parse (entries[n].key, JOB_KEY_BYTES, &kind, &id);
+          struct job *job = job_table_find (plc->env.jobs, id);
+          if (job)
+            placer_mark_dirty (plc, job);
+        }
+    }
+  else
+    counter_add (plc->env.ctr, CTR_PROGRESS_RECORDS, count);
+  talloc_free (ctx);
+}
--- /dev/null
+++ b/sched/placer_priv.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "sched/placer.h"
+#include "sched/pool.h"
+
+struct earlier_worker
+{
+  char id[NAME_BYTES];
+  char host[NAME_BYTES];
+};
+
+struct placer
+{
+  struct placer_settings set;
+  struct placer_env env;
+  struct pool pool;
+  int64_t claimed_us;
+  int64_t confirmed_us;
+  bool fenced;  /* a worker or the log has seen a later owner */
+  bool cleared; /* what earlier owners started is known or has lapsed */
+
+  /* Jobs that have not ended, or of which something still runs.  */
+  struct job **jobs;
+  size_t job_count;
+
+  /* Jobs with progress that is not in the log.  */
+  struct job **dirty;
+  size_t dirty_count;
+  bool flushing;
+  int64_t next_flush_us;
+
+  /* Workers of earlier owners that have neither answered nor surely
+     ended.  */
+  struct earlier_worker *earlier;
+  size_t earlier_count;
+  bool enrolling;
+
+  struct placer_load load;
+  int calls; /* orders and appends in progress */
+  bool closing;
+};
+
+/* placer_start.c */
+void placer_start_task (struct placer *plc, struct job *job,
+                        const struct task_ref *ref, struct worker *wrk);
+void placer_stop_run (struct placer *plc, struct run *run);
+void placer_send_stops (struct placer *plc, struct worker *wrk);
+struct run *placer_adopt (struct placer *plc, struct worker *wrk,
+                          struct job *job, const struct task_ref *ref,
+                          uint32_t number);
+/* Takes RUN off its worker and its task.  */
+void placer_forget_run (struct placer *plc, struct run *run);
+/* Tells a worker to stop a run that this owner does not know.  */
+void placer_stop_unknown (struct placer *plc, struct worker *wrk,
+                          const struct task_ref *ref, uint32_t number);
+
+/* placer_hold.c */
+void placer_hold (struct placer *plc, struct worker *wrk, int64_t now_us);
+int64_t placer_lease_end (const struct placer *plc, const struct worker *wrk,
+                          int64_t now_us);
+void placer_note_answer (struct placer *plc, struct worker *wrk,
+                         const struct order_result *res);
+/* Notes that an order with a lease up to LEASE_END_MS is on its way.  */
+void placer_note_lease (struct placer *plc, struct worker *wrk,
+                        int64_t now_us);
+
+/* placer_flush.c */
+void placer_mark_dirty (struct placer *plc, struct job *job);
+void placer_flush (struct placer *plc, int64_t now_us);
+
+/* placer_enrol.c */
+void placer_enrol (struct placer *plc);
+/* Notes that the worker's life ID is known or over.  */
+void placer_earlier_known (struct placer *plc, const char *id);
+/* Notes that the host lives on as another worker than before.  */
+void placer_earlier_host (struct placer *plc, const char *host,
+                          const char *id);
+
+/* placer.c */
+struct worker *placer_find_worker (const struct placer *plc, uint32_t handle);
+void placer_task_ended (struct placer *plc, struct job *job,
+                        const struct task_ref *ref);
+bool placer_may_order (const struct placer *plc, int64_t now_us);
+void placer_release_call (struct placer *plc);
+uint32_t placer_attempts (const struct placer *plc, const struct job *job);
--- /dev/null
+++ b/sched/pool.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "job/job.h"
+#include "sched/worker_link.h"
+
+/* The workers of one pool and what runs on them, as the pool's owner knows
+   it.  */
+
+enum run_state
+{
+  RUN_STARTING, /* the start has no answer yet */
+  RUN_ACTIVE,
+  RUN_STOPPING, /* a stop was sent; the room is taken until the end is seen */
+};
+
+struct run
+{
+  struct run *next, *prev; /* of its worker */
+  struct worker *wrk;
+  struct job *job;
+  struct task *tsk;
+  struct task_ref ref;
+  uint32_t number;
+  enum run_state state;
+  uint32_t percent;
+  int64_t load;
+  int64_t begun_us;      /* when the start was first sent */
+  int64_t confirmed_us;  /* when the worker first told of it; 0: not yet */
+  int64_t moved_us;      /* when its progress last rose */
+  int64_t work_since_us; /* when it was first seen at work; 0: not yet */
+  int start_tries;
+  bool stop_wanted;
+  bool stop_sent;
+  int64_t stopped_us; /* when the stop was answered; 0: not yet */
+  bool by_order;      /* ended by an order of this process, not by itself */
+  /* Orders in progress; the run is freed after the last of them.  */
+  int calls;
+  bool gone;
+  int64_t listed_us; /* when the last hold that listed it was sent */
+};
+
+struct worker
+{
+  struct worker_report rep;
+  uint32_t handle;
+  struct run *runs;
+  struct resources used;
+
+  /* Contact.  */
+  bool listed;
+  bool reached;  /* has answered this owner */
+  bool enrolled; /* the log tells that tasks may run there */
+  int failures;  /* calls in a row without an answer */
+  int64_t clock_ms;
+  int64_t clock_us;    /* monotonic time of that clock */
+  int64_t lease_us;    /* all that runs there has lapsed by then, unless it is
+                          extended */
+  int64_t extended_us; /* when the lease was last extended for sure */
+  bool hold_open;
+  int64_t hold_sent_us;
+  int64_t next_hold_us;
+  int64_t unlisted_us;
+
+  /* Ends.  */
+  uint64_t applied_end; /* highest that this owner has worked in */
+  uint64_t flushing_end;
+  uint64_t durable_end; /* all of its effects are in the log */
+  uint64_t seen_end;    /* highest that the worker was told to forget */
+
+  /* Health.  */
+  int fail_streak;
+  int64_t avoid_until_us;
+  int64_t avoid_span_us;
+  bool vacate;
+};
+
+struct pool
+{
+  struct worker **workers;
+  size_t count;
+  uint32_t next_handle;
+};
+
+struct place_request
+{
+  const struct job *job;
+  const struct step *step;
+  const struct task_ref *ref;
+  uint32_t avoid; /* handle of a worker to use last; 0: none */
+  int64_t now_us;
+};
+
+/* Whether a task of STEP fits on WRK at present, by its room alone.  */
+bool place_fits (const struct worker *wrk, const struct step *step);
+
+/* Whether WRK takes new tasks.  */
+bool place_open (const struct worker *wrk, int64_t now_us);
+
+/* Picks a worker for a task, or NULL when none can take it now.  */
+struct worker *place_pick (const struct pool *pool,
+                           const struct place_request *req);
+
+/* Tasks of one step and occurrence on WRK.  */
+uint32_t place_siblings (const struct worker *wrk, const struct task_ref *ref);
+
+bool worker_has_label (const struct worker *wrk, const char *label);
+
+void resources_add (struct resources *sum, const struct step *step, int sign);
