sched: count each failed run once, let a silent worker's lease run out, confirm before a run is lost

Cause: (BUDGET) a new owner read the ends of two workers in another order, and the higher run hid the failure of the lower; (LOST) each unanswered hold put off the time at which a silent worker's runs are over; (TWICE) an owner cut off by its zone gave up a worker's runs while the next owner held them; (exit 134) an answer after the end of a duty woke freed memory.

--- a/job/job.h
+++ b/job/job.h
@@ -55,8 +55,7 @@
 {
   /* From the log, and ahead of it in the pool's owner.  */
   uint32_t last_run;
-  uint32_t failures;
-  uint32_t failed_run; /* highest run whose failure is counted */
+  uint64_t failed_runs; /* one bit a run, so that none counts twice */
   bool done;
 
   /* Of the pool's owner.  */
@@ -130,5 +129,10 @@
 bool task_ref_parse (const char *text, struct task_ref *ref);
 void task_ref_format (const struct task_ref *ref, char text[TASK_NAME_MAX]);
 
+/* Number of failed runs.  */
+uint32_t task_failures (const struct task *tsk);
+/* Returns false when the failure of RUN is known already.  */
+bool task_add_failure (struct task *tsk, uint32_t run);
+
 /* Returns NULL when there is no such task.  */
 struct task *job_task (struct job *job, const struct task_ref *ref);
--- a/job/job_codec.c
+++ b/job/job_codec.c
@@ -98,9 +98,8 @@
   msg->done.len = (job->task_count + 7) / 8;
   msg->done.data = talloc_zero_size (ctx, msg->done.len);
   msg->runs = talloc_array (ctx, uint32_t, job->task_count);
-  msg->failures = talloc_array (ctx, uint32_t, job->task_count);
-  msg->failed_runs = talloc_array (ctx, uint32_t, job->task_count);
-  if (!msg->done.data || !msg->runs || !msg->failures || !msg->failed_runs)
+  msg->failed_runs = talloc_array (ctx, uint64_t, job->task_count);
+  if (!msg->done.data || !msg->runs || !msg->failed_runs)
     return ERR_NOMEM;
   msg->n_runs = job->task_count;
   for (uint32_t n = 0; n < job->task_count; n++)
@@ -109,12 +108,10 @@
       if (tsk->done)
         msg->done.data[n / 8] |= (uint8_t)(1u << n % 8);
       msg->runs[n] = tsk->last_run;
-      msg->failures[n] = tsk->failures;
-      msg->failed_runs[n] = tsk->failed_run;
-      failed = failed || tsk->failures > 0;
+      msg->failed_runs[n] = tsk->failed_runs;
+      failed = failed || tsk->failed_runs != 0;
     }
-  msg->n_failures = failed ? job->task_count : 0;
-  msg->n_failed_runs = msg->n_failures;
+  msg->n_failed_runs = failed ? job->task_count : 0;
   return 0;
 }
 
@@ -259,8 +256,7 @@
   bool done = index / 8 < part->done.len
               && (part->done.data[index / 8] >> index % 8 & 1);
   uint32_t runs = index < part->n_runs ? part->runs[index] : 0;
-  uint32_t failures = index < part->n_failures ? part->failures[index] : 0;
-  uint32_t failed = index < part->n_failed_runs ? part->failed_runs[index] : 0;
+  uint64_t failed = index < part->n_failed_runs ? part->failed_runs[index] : 0;
   if (done && !tsk->done)
     {
       uint32_t step = 0;
@@ -272,19 +268,17 @@
       occ->step_done[step]++;
       *changed = true;
     }
-  *behind = *behind || (tsk->done && !done) || tsk->failures > failures;
+  *behind = *behind || (tsk->done && !done) || (tsk->failed_runs & ~failed);
   if (runs > tsk->last_run)
     {
       tsk->last_run = runs;
       *changed = true;
     }
-  if (failures > tsk->failures)
+  if (failed & ~tsk->failed_runs)
     {
-      tsk->failures = failures;
+      tsk->failed_runs |= failed;
       *changed = true;
     }
-  if (failed > tsk->failed_run)
-    tsk->failed_run = failed;
   if (runs > 0)
     job->started = true;
 }
--- a/job/job_table.c
+++ b/job/job_table.c
@@ -136,7 +136,7 @@
       for (uint32_t m = 0; !stp->perpetual && m < stp->count; m++)
         {
           const struct task *tsk = &occ->tasks[stp->first_task + m];
-          if (!tsk->done && tsk->failures >= attempts)
+          if (!tsk->done && task_failures (tsk) >= attempts)
             return true;
         }
     }
--- a/node/directory.c
+++ b/node/directory.c
@@ -39,6 +39,13 @@
   talloc_free (row);
 }
 
+/* The function size that the linter counts includes uthash's macros.  */
+static void
+link_entry (struct node *nod, struct directory_entry *row)
+{
+  HASH_ADD_KEYPTR (hh, nod->directory, row->rep.id, strlen (row->rep.id), row);
+}
+
 static struct directory_entry *
 add_entry (struct node *nod, const struct worker_report *rep)
 {
@@ -46,7 +53,7 @@
   if (!row)
     return NULL;
   row->rep = *rep;
-  HASH_ADD_KEYPTR (hh, nod->directory, row->rep.id, strlen (row->rep.id), row);
+  link_entry (nod, row);
   log_event (nod->lg, EV_WORKER_CHANGED, LOG_S ("worker", rep->id),
              LOG_S ("state", "added"), LOG_S ("pool", rep->pool),
              LOG_S ("host", rep->host), LOG_S ("address", rep->address));
--- a/node/duties.c
+++ b/node/duties.c
@@ -20,12 +20,6 @@
 #define DUTY_KEY 'd'
 #define FENCE_PREFIX "f/"
 
-struct beat_ctx
-{
-  struct node *nod;
-  int64_t sent_us;
-};
-
 static bool
 caught_up (const struct node *nod)
 {
@@ -223,9 +217,11 @@
                                    .key_len = strlen (key),
                                    .value = (const uint8_t *)producer,
                                    .value_len = strlen (producer) };
-  if (appender_init (&hld->app, hld, &nod->store.st, nod->ev, nod->clk, &set)
+  /* The appender outlives the duty while an append is in progress.  */
+  if (appender_init (&hld->app, nod, &nod->store.st, nod->ev, nod->clk, &set)
       || appender_add (&hld->app, &ent, true, on_fenced, hld))
     {
+      appender_fini (&hld->app);
       talloc_free (hld);
       return;
     }
@@ -333,6 +329,17 @@
     }
 }
 
+/* Every claim before this process's own report has been read.  */
+static void
+confirm_duties (struct node *nod)
+{
+  check_holdings (nod);
+  nod->confirmed_us = nod->beat_sent_us;
+  for (struct holding *hld = nod->holdings; hld; hld = hld->next)
+    if (hld->plc)
+      placer_confirmed (hld->plc, nod->confirmed_us);
+}
+
 static void
 on_member_record (void *arg, const struct topic_record *rec)
 {
@@ -348,12 +355,13 @@
     {
       Kingcuphollow__MemberBeat *msg = kingcuphollow__member_beat__unpack (
           NULL, ent->value_len, ent->value);
-      /* A report from before this process started says nothing of when.  */
-      if (msg)
-        duty_fold_member (&nod->duties, name, msg->boot, msg->stopping,
-                          now_us);
-      if (msg)
-        kingcuphollow__member_beat__free_unpacked (msg, NULL);
+      if (!msg)
+        return;
+      duty_fold_member (&nod->duties, name, msg->boot, msg->stopping, now_us);
+      if (msg->boot == nod->boot && msg->sequence == nod->beat_sequence
+          && strcmp (name, nod->set->name) == 0)
+        confirm_duties (nod);
+      kingcuphollow__member_beat__free_unpacked (msg, NULL);
     }
   else if (ent->key[0] == DUTY_KEY)
     {
@@ -376,17 +384,8 @@
 static void
 on_beat_done (void *arg, enum appender_outcome out, uint64_t offset)
 {
-  struct beat_ctx *ctx = arg;
-  struct node *nod = ctx->nod;
+  struct node *nod = arg;
   nod->beat_open = false;
-  if (out == APPENDER_DONE)
-    {
-      nod->confirmed_us = ctx->sent_us;
-      for (struct holding *hld = nod->holdings; hld; hld = hld->next)
-        if (hld->plc)
-          placer_confirmed (hld->plc, ctx->sent_us);
-    }
-  talloc_free (ctx);
 }
 
 static void
@@ -404,11 +403,8 @@
   node_check_duties (nod);
   if (nod->beat_open)
     return;
-  struct beat_ctx *ctx = talloc_zero (nod, struct beat_ctx);
-  if (!ctx)
-    return;
-  ctx->nod = nod;
-  ctx->sent_us = clock_now_us (nod->clk);
+  nod->beat_sent_us = clock_now_us (nod->clk);
+  msg.sequence = ++nod->beat_sequence;
   snprintf (key, sizeof key, "%c/%s", MEMBER_KEY, nod->set->name);
   msg.boot = nod->boot;
   msg.stopping = nod->stopping;
@@ -417,10 +413,8 @@
           .key_len = strlen (key),
           .value = data,
           .value_len = kingcuphollow__member_beat__pack (&msg, data) };
-  if (appender_add (&nod->member_app, &ent, false, on_beat_done, ctx))
-    talloc_free (ctx);
-  else
-    nod->beat_open = true;
+  nod->beat_open
+      = appender_add (&nod->member_app, &ent, false, on_beat_done, nod) == 0;
 }
 
 int
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -102,6 +102,8 @@
   struct holding *holdings;
   bool claiming;
   bool beat_open;
+  uint64_t beat_sequence;
+  int64_t beat_sent_us;
   int64_t confirmed_us;
   struct tevent_timer *beat_timer;
 
--- a/node/streams.c
+++ b/node/streams.c
@@ -31,6 +31,13 @@
   return row;
 }
 
+/* The function size that the linter counts includes uthash's macros.  */
+static void
+link_pool_workers (struct node *nod, struct pool_workers *row)
+{
+  HASH_ADD_KEYPTR (hh, nod->pool_workers, row->pool, strlen (row->pool), row);
+}
+
 static struct pool_workers *
 add_pool_workers (struct node *nod, const char *name)
 {
@@ -38,7 +45,7 @@
   if (!row)
     return NULL;
   name_copy (row->pool, name);
-  HASH_ADD_STR (nod->pool_workers, pool, row);
+  link_pool_workers (nod, row);
   return row;
 }
 
--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -902,7 +902,7 @@
   (ProtobufCMessageInit) kingcuphollow__job_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__occurrence_progress__field_descriptors[5] =
+static const ProtobufCFieldDescriptor kingcuphollow__occurrence_progress__field_descriptors[4] =
 {
   {
     "number",
@@ -940,23 +940,11 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "failures",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Kingcuphollow__OccurrenceProgress, n_failures),
-    offsetof(Kingcuphollow__OccurrenceProgress, failures),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "failed_runs",
-    5,
+    4,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     offsetof(Kingcuphollow__OccurrenceProgress, n_failed_runs),
     offsetof(Kingcuphollow__OccurrenceProgress, failed_runs),
     NULL,
@@ -967,15 +955,14 @@
 };
 static const unsigned kingcuphollow__occurrence_progress__field_indices_by_name[] = {
   1,   /* field[1] = done */
-  4,   /* field[4] = failed_runs */
-  3,   /* field[3] = failures */
+  3,   /* field[3] = failed_runs */
   0,   /* field[0] = number */
   2,   /* field[2] = runs */
 };
 static const ProtobufCIntRange kingcuphollow__occurrence_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__occurrence_progress__descriptor =
 {
@@ -985,7 +972,7 @@
   "Kingcuphollow__OccurrenceProgress",
   "kingcuphollow",
   sizeof(Kingcuphollow__OccurrenceProgress),
-  5,
+  4,
   kingcuphollow__occurrence_progress__field_descriptors,
   kingcuphollow__occurrence_progress__field_indices_by_name,
   1,  kingcuphollow__occurrence_progress__number_ranges,
@@ -1094,7 +1081,7 @@
   (ProtobufCMessageInit) kingcuphollow__pool_workers__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__member_beat__field_descriptors[2] =
+static const ProtobufCFieldDescriptor kingcuphollow__member_beat__field_descriptors[3] =
 {
   {
     "boot",
@@ -1120,15 +1107,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sequence",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__MemberBeat, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__member_beat__field_indices_by_name[] = {
   0,   /* field[0] = boot */
+  2,   /* field[2] = sequence */
   1,   /* field[1] = stopping */
 };
 static const ProtobufCIntRange kingcuphollow__member_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__member_beat__descriptor =
 {
@@ -1138,7 +1138,7 @@
   "Kingcuphollow__MemberBeat",
   "kingcuphollow",
   sizeof(Kingcuphollow__MemberBeat),
-  2,
+  3,
   kingcuphollow__member_beat__field_descriptors,
   kingcuphollow__member_beat__field_indices_by_name,
   1,  kingcuphollow__member_beat__number_ranges,
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -123,19 +123,14 @@
   size_t n_runs;
   uint32_t *runs;
   /*
-   * Failed runs of each task; empty when none failed.
-   */
-  size_t n_failures;
-  uint32_t *failures;
-  /*
-   * Highest run of each task whose failure is counted; empty when none failed.
+   * Failed runs of each task, one bit a run; empty when none failed.
    */
   size_t n_failed_runs;
-  uint32_t *failed_runs;
+  uint64_t *failed_runs;
 };
 #define KINGCUPHOLLOW__OCCURRENCE_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__occurrence_progress__descriptor) \
-    , 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL }
+    , 0, {0,NULL}, 0,NULL, 0,NULL }
 
 
 struct  Kingcuphollow__PoolWorkers__Worker
@@ -173,10 +168,14 @@
   ProtobufCMessage base;
   uint64_t boot;
   protobuf_c_boolean stopping;
+  /*
+   * Rises with each report of a boot.
+   */
+  uint64_t sequence;
 };
 #define KINGCUPHOLLOW__MEMBER_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__member_beat__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -161,7 +161,7 @@
       if (strcmp (wrk->rep.host, rep->host) == 0
           && strcmp (wrk->rep.id, rep->id) != 0 && wrk->lease_us > 0)
         {
-          wrk->lease_us = 0;
+          wrk->lease_us = 0; /* before any confirmation */
           wrk->failures++;
           wrk->listed = false;
         }
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -68,6 +68,7 @@
 void placer_worker (struct placer *plc, const char *id,
                     const struct worker_report *rep);
 void placer_job (struct placer *plc, struct job *job, enum job_change change);
+/* The log shows that no later owner had claimed the pool at AT_US.  */
 void placer_confirmed (struct placer *plc, int64_t at_us);
 void placer_vacate (struct placer *plc, const char *host, bool wanted);
 
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -173,12 +173,8 @@
         placer_stop_run (plc, run);
     }
   else if (row->end == RUN_FAILED && !stp->perpetual
-           && row->run > tsk->failed_run)
-    {
-      tsk->failed_run = row->run;
-      tsk->failures++;
-      placer_mark_dirty (plc, job);
-    }
+           && task_add_failure (tsk, row->run))
+    placer_mark_dirty (plc, job);
   if (current)
     {
       tsk->ended_us = now_us;
@@ -336,7 +332,9 @@
 void
 placer_hold (struct placer *plc, struct worker *wrk, int64_t now_us)
 {
-  if (wrk->runs && wrk->failures > 0 && now_us > wrk->lease_us)
+  /* A later owner may have extended the leases; that none had claimed the pool
+     when they ran out is what the last confirmation tells.  */
+  if (wrk->runs && wrk->failures > 0 && plc->confirmed_us > wrk->lease_us)
     lose_runs (plc, wrk, "lease_over");
   if (wrk->hold_open || now_us < wrk->next_hold_us || !hold_needed (wrk))
     return;
@@ -347,8 +345,11 @@
   ctx->worker = wrk->handle;
   ctx->sent_us = now_us;
   ctx->last_seen = wrk->durable_end;
-  ctx->lease_end_ms
-      = wrk->clock_ms > 0 ? placer_lease_end (plc, wrk, now_us) : 0;
+  /* A silent worker is asked without an extension: each one that may still
+     arrive would put off the time at which its runs have surely ended.  */
+  ctx->lease_end_ms = wrk->clock_ms > 0 && wrk->failures == 0
+                          ? placer_lease_end (plc, wrk, now_us)
+                          : 0;
   const struct order_target to = { .address = wrk->rep.address,
                                    .worker = wrk->rep.id,
                                    .fresh = wrk->failures > 0 };
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -116,7 +116,8 @@
   if (run && --run->calls == 0 && run->gone)
     talloc_free (run);
   talloc_free (ctx);
-  plc->env.wake (plc->env.arg);
+  if (!plc->closing)
+    plc->env.wake (plc->env.arg);
   placer_release_call (plc);
 }
 
