node: claims stand in a topic of their own; candidates claim by rank from the start

Cause: members' reports ended each append on condition that nothing came since, so that a claim took 0.5 s and 20 tries.

--- a/member/duty.c
+++ b/member/duty.c
@@ -119,11 +119,11 @@
 /* Monotonic time since when the duty is without a holder, or 0 while it has
    one that is alive.  */
 static int64_t
-vacant_since (struct duty_table *tab, const struct duty *dty, int64_t now_us,
-              int64_t slack_us)
+vacant_since (struct duty_table *tab, const struct duty *dty,
+              const struct duty_view *view)
 {
   if (!dty)
-    return 1;
+    return view->settled_us;
   if (!*dty->holder)
     return dty->since_us;
   const struct member *mem = find_member (tab, dty->holder);
@@ -133,28 +133,29 @@
     return mem->heard_us;
   /* A stopping member holds its duties until it releases them or falls
      silent.  */
-  int64_t gone_us = mem->heard_us + member_timing_default.dead_us + slack_us;
-  return now_us < gone_us ? 0 : gone_us;
+  int64_t gone_us
+      = mem->heard_us + member_timing_default.dead_us + view->slack_us;
+  return view->now_us < gone_us ? 0 : gone_us;
 }
 
 bool
 duty_should_claim (const struct duty_table *tab, const char *name,
-                   const char *self, int64_t now_us, int64_t slack_us)
+                   const struct duty_view *view)
 {
   struct duty_table *mut = (struct duty_table *)tab;
-  const struct member *me = find_member (mut, self);
-  int64_t since = vacant_since (mut, duty_find (tab, name), now_us, slack_us);
+  const struct member *me = find_member (mut, view->self);
+  int64_t since = vacant_since (mut, duty_find (tab, name), view);
   int64_t rank = 0;
   if (!me || me->stopping || since == 0)
     return false;
   for (size_t n = 0; n < tab->member_count; n++)
     {
       const struct member *mem = &tab->members[n];
-      if (mem != me && member_alive (mem, now_us, slack_us)
+      if (mem != me && member_alive (mem, view->now_us, view->slack_us)
           && candidate_before (tab, name, mem, me))
         rank++;
     }
-  return now_us >= since + rank * member_timing_default.candidate_us;
+  return view->now_us >= since + rank * member_timing_default.candidate_us;
 }
 
 size_t
--- a/member/duty.h
+++ b/member/duty.h
@@ -65,11 +65,18 @@
 /* Whether the process NAME in its present BOOT holds DUTY.  */
 bool duty_held_by (const struct duty *dty, const char *name, uint64_t boot);
 
-/* Whether SELF is to claim the duty NAME now.  SLACK_US is added to the time
-   after which a silent member is gone, because reports are late when the store
-   is slow.  */
+struct duty_view
+{
+  const char *self;
+  int64_t now_us;
+  int64_t settled_us; /* since when a duty that nobody has claimed is free */
+  int64_t slack_us;   /* added to the time after which a silent member is gone:
+                         reports are late when the store is slow */
+};
+
+/* Whether this process is to claim the duty NAME now.  */
 bool duty_should_claim (const struct duty_table *tab, const char *name,
-                        const char *self, int64_t now_us, int64_t slack_us);
+                        const struct duty_view *view);
 
 /* Members that report and do not stop.  */
 size_t duty_live_members (const struct duty_table *tab, int64_t now_us);
--- a/node/duties.c
+++ b/node/duties.c
@@ -9,6 +9,8 @@
 
 #define MEMBERS_GAP_MS 200
 #define WAIT_MS 1000
+/* Claims are read at once, and a read without any confirms the duties.  */
+#define DUTIES_WAIT_MS 600
 /* Reports of slow members are waited for in proportion to how slow the store
    is for this one.  */
 #define SLACK_ROUND_TRIPS 3
@@ -24,6 +26,7 @@
 caught_up (const struct node *nod)
 {
   return nod->cat && follower_caught_up (&nod->member_fol)
+         && follower_caught_up (&nod->duty_fol)
          && follower_caught_up (&nod->directory_fol)
          && node_view_current (nod);
 }
@@ -272,9 +275,9 @@
           .value = data,
           .value_len = kingcuphollow__duty_claim__pack (&msg, data) };
   const struct topic_append app = {
-    .topic = TOPIC_MEMBERS,
+    .topic = TOPIC_DUTIES,
     .conditional = conditional,
-    .at = follower_next (&nod->member_fol),
+    .at = follower_next (&nod->duty_fol),
     .entries = &ent,
     .count = 1,
   };
@@ -296,9 +299,12 @@
         begin_holding (nod, dty);
       return;
     }
-  if (nod->claiming || now_us < nod->started_us + SETTLE_US
-      || !duty_should_claim (&nod->duties, name, nod->set->name, now_us,
-                             slack_us))
+  const struct duty_view view = { .self = nod->set->name,
+                                  .now_us = now_us,
+                                  .settled_us = nod->started_us + SETTLE_US,
+                                  .slack_us = slack_us };
+  if (nod->claiming || now_us < view.settled_us
+      || !duty_should_claim (&nod->duties, name, &view))
     return;
   if (append_claim (nod, name, false, true) == 0)
     {
@@ -329,50 +335,30 @@
     }
 }
 
-/* Every claim before this process's own report has been read.  */
-static void
-confirm_duties (struct node *nod)
+static bool
+record_name (const struct topic_entry *ent, char kind, char name[NAME_BYTES])
 {
-  check_holdings (nod);
-  nod->confirmed_us = nod->beat_sent_us;
-  for (struct holding *hld = nod->holdings; hld; hld = hld->next)
-    if (hld->plc)
-      placer_confirmed (hld->plc, nod->confirmed_us);
+  if (ent->key_len < 3 || ent->key_len - 2 >= NAME_BYTES || ent->key[0] != kind
+      || ent->value_len == 0)
+    return false;
+  name_copy_len (name, ent->key + 2, ent->key_len - 2);
+  return true;
 }
 
 static void
 on_member_record (void *arg, const struct topic_record *rec)
 {
   struct node *nod = arg;
-  const struct topic_entry *ent = &rec->entry;
-  char name[NAME_BYTES] = "";
-  int64_t now_us = clock_now_us (nod->clk);
-  if (ent->key_len < 3 || ent->key_len - 2 >= NAME_BYTES
-      || ent->value_len == 0)
+  char name[NAME_BYTES];
+  if (!record_name (&rec->entry, MEMBER_KEY, name))
     return;
-  memcpy (name, ent->key + 2, ent->key_len - 2);
-  if (ent->key[0] == MEMBER_KEY)
-    {
-      Kingcuphollow__MemberBeat *msg = kingcuphollow__member_beat__unpack (
-          NULL, ent->value_len, ent->value);
-      if (!msg)
-        return;
-      duty_fold_member (&nod->duties, name, msg->boot, msg->stopping, now_us);
-      if (msg->boot == nod->boot && msg->sequence == nod->beat_sequence
-          && strcmp (name, nod->set->name) == 0)
-        confirm_duties (nod);
-      kingcuphollow__member_beat__free_unpacked (msg, NULL);
-    }
-  else if (ent->key[0] == DUTY_KEY)
-    {
-      Kingcuphollow__DutyClaim *msg = kingcuphollow__duty_claim__unpack (
-          NULL, ent->value_len, ent->value);
-      if (msg)
-        duty_fold_claim (&nod->duties, name, msg->holder, msg->boot,
-                         msg->released, rec->offset + 1, now_us);
-      if (msg)
-        kingcuphollow__duty_claim__free_unpacked (msg, NULL);
-    }
+  Kingcuphollow__MemberBeat *msg = kingcuphollow__member_beat__unpack (
+      NULL, rec->entry.value_len, rec->entry.value);
+  if (!msg)
+    return;
+  duty_fold_member (&nod->duties, name, msg->boot, msg->stopping,
+                    clock_now_us (nod->clk));
+  kingcuphollow__member_beat__free_unpacked (msg, NULL);
 }
 
 static void
@@ -381,6 +367,35 @@
   node_check_duties (arg);
 }
 
+static void
+on_duty_record (void *arg, const struct topic_record *rec)
+{
+  struct node *nod = arg;
+  char name[NAME_BYTES];
+  if (!record_name (&rec->entry, DUTY_KEY, name))
+    return;
+  Kingcuphollow__DutyClaim *msg = kingcuphollow__duty_claim__unpack (
+      NULL, rec->entry.value_len, rec->entry.value);
+  if (!msg)
+    return;
+  duty_fold_claim (&nod->duties, name, msg->holder, msg->boot, msg->released,
+                   rec->offset + 1, clock_now_us (nod->clk));
+  kingcuphollow__duty_claim__free_unpacked (msg, NULL);
+}
+
+/* Every claim up to the time at which the read was sent is known.  */
+static void
+on_duty_batch (void *arg)
+{
+  struct node *nod = arg;
+  check_holdings (nod);
+  nod->confirmed_us = follower_current_us (&nod->duty_fol);
+  for (struct holding *hld = nod->holdings; hld; hld = hld->next)
+    if (hld->plc)
+      placer_confirmed (hld->plc, nod->confirmed_us);
+  node_check_duties (nod);
+}
+
 static void
 on_beat_done (void *arg, enum appender_outcome out, uint64_t offset)
 {
@@ -403,8 +418,6 @@
   node_check_duties (nod);
   if (nod->beat_open)
     return;
-  nod->beat_sent_us = clock_now_us (nod->clk);
-  msg.sequence = ++nod->beat_sequence;
   snprintf (key, sizeof key, "%c/%s", MEMBER_KEY, nod->set->name);
   msg.boot = nod->boot;
   msg.stopping = nod->stopping;
@@ -424,6 +437,8 @@
   const struct follower_settings fol_set = { .topic = TOPIC_MEMBERS,
                                              .gap_ms = MEMBERS_GAP_MS,
                                              .wait_ms = WAIT_MS };
+  const struct follower_settings duty_set
+      = { .topic = TOPIC_DUTIES, .wait_ms = DUTIES_WAIT_MS };
   snprintf (producer, sizeof producer, "%s.%" PRIu64, nod->set->name,
             nod->boot);
   const struct appender_settings app_set
@@ -434,6 +449,10 @@
     err = follower_init (&nod->member_fol, nod, &nod->store.st, nod->ev,
                          nod->clk, &fol_set, on_member_record, on_member_batch,
                          nod);
+  if (!err)
+    err = follower_init (&nod->duty_fol, nod, &nod->store.st, nod->ev,
+                         nod->clk, &duty_set, on_duty_record, on_duty_batch,
+                         nod);
   if (!err)
     on_beat (nod->ev, NULL, (struct timeval){ 0 }, nod);
   return err;
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -18,6 +18,9 @@
 
 #define TOPIC_JOBS "keyed.jobs"
 #define TOPIC_MEMBERS "keyed.members"
+/* Claims stand apart from the members' frequent reports, which would fail
+   every append on condition that nothing came since.  */
+#define TOPIC_DUTIES "keyed.duties"
 #define DUTY_KEY_BYTES (NAME_BYTES + 2)
 #define PRODUCER_BYTES (NAME_BYTES + 32)
 
@@ -97,13 +100,12 @@
   struct pool_workers *pool_workers;
 
   struct follower member_fol;
+  struct follower duty_fol;
   struct appender member_app;
   struct duty_table duties;
   struct holding *holdings;
   bool claiming;
   bool beat_open;
-  uint64_t beat_sequence;
-  int64_t beat_sent_us;
   int64_t confirmed_us;
   struct tevent_timer *beat_timer;
 
--- a/node/streams.c
+++ b/node/streams.c
@@ -15,9 +15,9 @@
 /* Longest wait of a read; a connection that is silent for good is noticed
    after it.  */
 #define WAIT_MS 1000
-/* Age of the last answer from the store beyond which the view of the jobs is
-   not current: a read waits 1 s and has 1 s for its answer.  */
-#define VIEW_AGE_MAX_US 2500000
+/* Age beyond which the view of the jobs is not current: an idle read takes
+   1 s, and what it shows counts from when it was sent.  */
+#define VIEW_AGE_MAX_US 3000000
 /* An append without an answer for so long: the store takes no appends.  */
 #define STALL_US 700000
 
--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -1081,7 +1081,7 @@
   (ProtobufCMessageInit) kingcuphollow__pool_workers__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__member_beat__field_descriptors[3] =
+static const ProtobufCFieldDescriptor kingcuphollow__member_beat__field_descriptors[2] =
 {
   {
     "boot",
@@ -1107,28 +1107,15 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "sequence",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Kingcuphollow__MemberBeat, sequence),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned kingcuphollow__member_beat__field_indices_by_name[] = {
   0,   /* field[0] = boot */
-  2,   /* field[2] = sequence */
   1,   /* field[1] = stopping */
 };
 static const ProtobufCIntRange kingcuphollow__member_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__member_beat__descriptor =
 {
@@ -1138,7 +1125,7 @@
   "Kingcuphollow__MemberBeat",
   "kingcuphollow",
   sizeof(Kingcuphollow__MemberBeat),
-  3,
+  2,
   kingcuphollow__member_beat__field_descriptors,
   kingcuphollow__member_beat__field_indices_by_name,
   1,  kingcuphollow__member_beat__number_ranges,
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -168,14 +168,10 @@
   ProtobufCMessage base;
   uint64_t boot;
   protobuf_c_boolean stopping;
-  /*
-   * Rises with each report of a boot.
-   */
-  uint64_t sequence;
 };
 #define KINGCUPHOLLOW__MEMBER_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__member_beat__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0 }
 
 
 /*
--- a/store/follower.c
+++ b/store/follower.c
@@ -22,6 +22,7 @@
   void *arg;
   struct tevent_timer *timer;
   uint64_t next;
+  int64_t sent_us;
   int64_t current_us;
   bool booted;
   bool first_page;
@@ -108,7 +109,7 @@
   if (res->count > 0)
     p->next = res->records[res->count - 1].offset + 1;
   if (p->next >= res->end)
-    p->current_us = clock_now_us (p->clk);
+    p->current_us = p->sent_us;
   p->batch_fn (p->arg);
   schedule (p, res->err ? RETRY_MS : res->count > 0 ? p->set.gap_ms : 0);
 }
@@ -117,6 +118,7 @@
 start_call (struct priv *p)
 {
   int err;
+  p->sent_us = clock_now_us (p->clk);
   if (p->booted)
     err = topic_read (p->st, p->set.topic, p->set.part, p->next,
                       p->set.wait_ms, on_read, p);
--- a/store/follower.h
+++ b/store/follower.h
@@ -51,5 +51,6 @@
 /* Offset of the next record to be delivered.  */
 uint64_t follower_next (const struct follower *fol);
 
-/* Monotonic time of the last answer that left nothing unread; 0: none yet.  */
+/* Every record that stood in the partition at this monotonic time has been
+   delivered; 0: not yet known of any time.  */
 int64_t follower_current_us (const struct follower *fol);
