--- a/node/directory.c
+++ b/node/directory.c
@@ -105,6 +105,12 @@
 {
   struct node *nod = arg;
   const struct topic_entry *ent = &rec->entry;
+  if (ent->key_len > strlen (WIRE_KEY_WAVE)
+      && memcmp (ent->key, WIRE_KEY_WAVE, strlen (WIRE_KEY_WAVE)) == 0)
+    {
+      node_fleet_wave (nod, ent->value, ent->value_len);
+      return;
+    }
   if (ent->key_len != strlen (WIRE_KEY_CATALOG)
       || memcmp (ent->key, WIRE_KEY_CATALOG, ent->key_len) != 0)
     return;
--- a/node/duties.c
+++ b/node/duties.c
@@ -26,7 +26,7 @@
 caught_up (const struct node *nod)
 {
   return nod->cat && follower_caught_up (&nod->member_fol)
-         && follower_caught_up (&nod->duty_fol)
+         && follower_caught_up (&nod->duty_fol) && node_fleet_caught_up (nod)
          && follower_caught_up (&nod->directory_fol)
          && node_view_current (nod);
 }
@@ -47,8 +47,11 @@
   struct holding *hld = arg;
   hld->timer = NULL;
   hld->timer_us = 0;
-  if (hld->plc)
-    node_wake_holding (hld, placer_tick (hld->plc));
+  if (!hld->plc)
+    return;
+  int64_t next_us = placer_tick (hld->plc);
+  node_fleet_turn (hld);
+  node_wake_holding (hld, next_us);
 }
 
 void
@@ -233,9 +236,22 @@
   node_open_streams (nod);
 }
 
+static void
+check_fleet (struct node *nod)
+{
+  const struct duty *dty = duty_find (&nod->duties, DUTY_FLEET);
+  bool held = duty_held_by (dty, nod->set->name, nod->boot);
+  uint64_t token = node_fleet_token (nod);
+  if (token && (!held || dty->token != token))
+    node_fleet_end (nod);
+  if (held && !nod->stopping && node_fleet_token (nod) == 0)
+    node_fleet_begin (nod, dty->token, dty->token > 1);
+}
+
 static void
 check_holdings (struct node *nod)
 {
+  check_fleet (nod);
   struct holding *next;
   for (struct holding *hld = nod->holdings; hld; hld = next)
     {
@@ -295,7 +311,7 @@
     slack_us = SLACK_MAX_US;
   if (duty_held_by (dty, nod->set->name, nod->boot))
     {
-      if (!node_holding (nod, name))
+      if (strcmp (name, DUTY_FLEET) != 0 && !node_holding (nod, name))
         begin_holding (nod, dty);
       return;
     }
@@ -323,11 +339,18 @@
     return;
   for (size_t n = 0; n < nod->cat->queue_count; n++)
     check_duty (nod, nod->cat->queues[n].pool);
+  if (*nod->set->fleet_api)
+    check_duty (nod, DUTY_FLEET);
 }
 
 void
 node_release_duties (struct node *nod)
 {
+  if (node_fleet_token (nod))
+    {
+      append_claim (nod, DUTY_FLEET, true, false);
+      node_fleet_end (nod);
+    }
   while (nod->holdings)
     {
       append_claim (nod, nod->holdings->pool, true, false);
--- /dev/null
+++ b/node/fleet.c
@@ -0,0 +1,539 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/err.h"
+#include "node/node_priv.h"
+#include "platform/wire_decode.h"
+#include "proto/job.pb-c.h"
+
+/* Requests to empty hosts and their reports pass through a topic.  */
+#define TOPIC_FLEET "keyed.fleet"
+#define FLEET_GAP_MS 40
+#define WAIT_MS 1000
+/* The host list is read so often while hosts are under way, and otherwise.  */
+#define LIST_BUSY_MS 400
+#define LIST_IDLE_MS 2000
+#define TURN_MS 60
+/* A holder gives no orders for this time after its claim: the platform counts
+   holders that take turns faster as two at once.  */
+#define SETTLE_US 3300000
+/* A pool's owner repeats what it wants after this time at the latest.  */
+#define DEMAND_REPEAT_US 1500000
+#define DEMAND_GAP_US 150000
+#define VACATE_KIND 'v'
+#define EMPTY_KIND 'e'
+#define DEMAND_KIND 'u'
+#define WAVE_KIND 'n'
+
+struct vacate_request
+{
+  UT_hash_handle hh;
+  char host[NAME_BYTES];
+  uint64_t offset;
+  int64_t until_ms;  /* wall clock */
+  uint64_t reported; /* offset of the request that this process answered */
+};
+
+struct order_ctx
+{
+  struct node *nod;
+  uint64_t token;
+  char host[NAME_BYTES];
+};
+
+struct fleet
+{
+  struct node *nod;
+  struct follower fol;
+  struct appender app;
+  struct appender status_app;
+  struct vacate_request *requests;
+  /* As the holder of the duty.  */
+  bool active;
+  uint64_t token;
+  int64_t begun_us;
+  bool takeover;
+  struct keeper kpr;
+  bool list_open;
+  int64_t list_asked_us;
+  int64_t next_list_us;
+  struct tevent_timer *timer;
+};
+
+static int
+append (struct fleet *flt, char kind, const char *name, const uint8_t *data,
+        size_t len)
+{
+  char key[DUTY_KEY_BYTES];
+  snprintf (key, sizeof key, "%c/%s", kind, name);
+  const struct topic_entry ent = {
+    .key = key, .key_len = strlen (key), .value = data, .value_len = len
+  };
+  return appender_add (&flt->app, &ent, true, NULL, NULL);
+}
+
+static void
+vacate (void *arg, struct kept_host *host, int64_t keep_ms)
+{
+  struct fleet *flt = arg;
+  struct node *nod = flt->nod;
+  uint8_t data[64];
+  Kingcuphollow__VacateRequest msg = KINGCUPHOLLOW__VACATE_REQUEST__INIT;
+  msg.token = flt->token;
+  msg.until_ms = (uint64_t)(clock_wall_ms (nod->clk) + keep_ms);
+  size_t len = kingcuphollow__vacate_request__pack (&msg, data);
+  host->request_offset = 0;
+  append (flt, VACATE_KIND, host->rep.name, data, len);
+  log_event (
+      nod->lg, EV_HOST_VACATE, LOG_S ("host", host->rep.name),
+      LOG_S ("pool", host->rep.pool),
+      LOG_S ("for", host->purpose == PURPOSE_MOVE ? host->target : "upkeep"),
+      LOG_I ("token", flt->token));
+}
+
+static void
+withdraw (void *arg, struct kept_host *host)
+{
+  struct fleet *flt = arg;
+  if (host->phase != PHASE_IDLE)
+    append (flt, VACATE_KIND, host->rep.name, NULL, 0);
+}
+
+static void
+on_order (void *arg, enum host_order_status status)
+{
+  static const char *const names[] = {
+    [HOST_ORDER_DONE] = "done",         [HOST_ORDER_FENCED] = "fenced",
+    [HOST_ORDER_BUSY] = "busy",         [HOST_ORDER_NOT_ASKED] = "not_asked",
+    [HOST_ORDER_INVALID] = "invalid",   [HOST_ORDER_REJECTED] = "rejected",
+    [HOST_ORDER_UNKNOWN] = "no_answer",
+  };
+  struct order_ctx *ctx = arg;
+  struct fleet *flt = ctx->nod->flt;
+  struct kept_host *host = flt->active && flt->token == ctx->token
+                               ? keeper_find (&flt->kpr, ctx->host)
+                               : NULL;
+  log_event (ctx->nod->lg, EV_HOST_ORDER, LOG_S ("host", ctx->host),
+             LOG_S ("outcome", names[status]), LOG_I ("token", ctx->token));
+  if (host)
+    keeper_ordered (&flt->kpr, host, status, clock_now_us (ctx->nod->clk));
+  talloc_free (ctx);
+}
+
+static void
+order (void *arg, struct kept_host *host)
+{
+  struct fleet *flt = arg;
+  struct order_ctx *ctx = talloc_zero (flt, struct order_ctx);
+  if (!ctx)
+    return;
+  ctx->nod = flt->nod;
+  ctx->token = flt->token;
+  name_copy (ctx->host, host->rep.name);
+  const struct host_order ord = {
+    .host = ctx->host,
+    .pool = host->purpose == PURPOSE_MOVE ? host->target : NULL,
+    .wave = host->wave,
+    .holder = flt->nod->set->name,
+    .token = flt->token,
+  };
+  if (flt->nod->fleet_link.lnk.drv->order (&flt->nod->fleet_link.lnk, &ord,
+                                           on_order, ctx))
+    {
+      talloc_free (ctx);
+      keeper_ordered (&flt->kpr, host, HOST_ORDER_REJECTED,
+                      clock_now_us (flt->nod->clk));
+    }
+}
+
+static void
+wave_state (void *arg, struct kept_wave *wave)
+{
+  struct fleet *flt = arg;
+  char name[32];
+  char text[64];
+  Kingcuphollow__WaveProgress msg = KINGCUPHOLLOW__WAVE_PROGRESS__INIT;
+  size_t count = 0;
+  void *ctx = talloc_new (flt);
+  msg.done_hosts = talloc_array (ctx, char *, wave->wave->host_count + 1);
+  for (size_t n = 0; msg.done_hosts && n < wave->wave->host_count; n++)
+    if (wave->done[n])
+      msg.done_hosts[count++] = (char *)wave->wave->hosts[n];
+  msg.n_done_hosts = count;
+  msg.completed = wave->completed;
+  msg.token = flt->token;
+  size_t len = kingcuphollow__wave_progress__get_packed_size (&msg);
+  uint8_t *data = talloc_size (ctx, len + 1);
+  snprintf (name, sizeof name, "%" PRIu64, wave->number);
+  if (data)
+    {
+      kingcuphollow__wave_progress__pack (&msg, data);
+      append (flt, WAVE_KIND, name, data, len);
+    }
+  if (count == 0 || wave->completed)
+    {
+      char key[64];
+      snprintf (key, sizeof key, WIRE_KEY_WAVE "%" PRIu64, wave->number);
+      wire_encode_wave_state (wave->completed, text, sizeof text);
+      const struct topic_entry ent = { .key = key,
+                                       .key_len = strlen (key),
+                                       .value = (const uint8_t *)text,
+                                       .value_len = strlen (text) };
+      appender_add (&flt->status_app, &ent, true, NULL, NULL);
+    }
+  log_event (flt->nod->lg, EV_UPKEEP_WAVE, LOG_S ("wave", name),
+             LOG_I ("done", count), LOG_I ("hosts", wave->wave->host_count),
+             LOG_I ("completed", wave->completed));
+  talloc_free (ctx);
+}
+
+static void
+on_list (void *arg, const struct host_list *list)
+{
+  struct fleet *flt = arg;
+  flt->list_open = false;
+  if (flt->active && !list->err)
+    keeper_hosts (&flt->kpr, flt, list, flt->list_asked_us);
+}
+
+static void
+read_list (struct fleet *flt, bool busy, int64_t now_us)
+{
+  struct host_link *lnk = &flt->nod->fleet_link.lnk;
+  if (flt->list_open || now_us < flt->next_list_us)
+    return;
+  flt->next_list_us = now_us + (busy ? LIST_BUSY_MS : LIST_IDLE_MS) * 1000;
+  flt->list_asked_us = now_us;
+  flt->list_open = lnk->drv->list (lnk, on_list, flt) == 0;
+}
+
+static void
+on_turn (struct tevent_context *ev, struct tevent_timer *te, struct timeval tv,
+         void *arg)
+{
+  struct fleet *flt = arg;
+  int64_t now_us = clock_now_us (flt->nod->clk);
+  bool busy = false;
+  flt->timer = NULL;
+  if (!flt->active)
+    return;
+  flt->kpr.cat = flt->nod->cat;
+  bool settled = !flt->takeover || now_us > flt->begun_us + SETTLE_US;
+  bool confirmed
+      = now_us - flt->nod->confirmed_us < flt->nod->set->confirm_ms * 1000;
+  if (settled && confirmed)
+    busy = keeper_step (&flt->kpr, now_us);
+  read_list (flt, busy, now_us);
+  flt->timer = tevent_add_timer (
+      ev, flt, tevent_timeval_current_ofs (0, TURN_MS * 1000), on_turn, flt);
+}
+
+void
+node_fleet_begin (struct node *nod, uint64_t token, bool takeover)
+{
+  struct fleet *flt = nod->flt;
+  const struct keeper_ops ops = {
+    .vacate = vacate,
+    .withdraw = withdraw,
+    .order = order,
+    .wave_state = wave_state,
+    .arg = flt,
+  };
+  flt->active = true;
+  flt->token = token;
+  flt->takeover = takeover;
+  flt->begun_us = clock_now_us (nod->clk);
+  flt->next_list_us = 0;
+  keeper_init (&flt->kpr, flt, &ops);
+  log_event (nod->lg, EV_DUTY_BEGUN, LOG_S ("duty", DUTY_FLEET),
+             LOG_I ("token", token));
+  /* Read again from the start: waves, their progress and the demands.  */
+  follower_restart (&nod->operator_fol);
+  follower_restart (&flt->fol);
+  on_turn (nod->ev, NULL, (struct timeval){ 0 }, flt);
+}
+
+void
+node_fleet_end (struct node *nod)
+{
+  struct fleet *flt = nod->flt;
+  if (!flt->active)
+    return;
+  flt->active = false;
+  TALLOC_FREE (flt->timer);
+  keeper_fini (&flt->kpr);
+  log_event (nod->lg, EV_DUTY_ENDED, LOG_S ("duty", DUTY_FLEET),
+             LOG_I ("token", flt->token), LOG_S ("reason", "passed_on"));
+}
+
+uint64_t
+node_fleet_token (const struct node *nod)
+{
+  return nod->flt->active ? nod->flt->token : 0;
+}
+
+void
+node_fleet_wave (struct node *nod, const uint8_t *data, size_t len)
+{
+  struct fleet *flt = nod->flt;
+  if (!flt->active)
+    return;
+  struct upkeep_wave *wave = wire_decode_wave (flt, data, len);
+  if (!wave)
+    return;
+  log_event (nod->lg, EV_UPKEEP_WAVE, LOG_I ("wave", wave->number),
+             LOG_I ("hosts", wave->host_count),
+             LOG_I ("most_out", wave->most_out),
+             LOG_I ("duration_ms", wave->duration_ms));
+  keeper_wave (&flt->kpr, flt, wave, clock_now_us (nod->clk));
+}
+
+static struct vacate_request *
+find_request (struct fleet *flt, const char *host)
+{
+  struct vacate_request *req;
+  HASH_FIND_STR (flt->requests, host, req);
+  return req;
+}
+
+static void
+link_request (struct fleet *flt, struct vacate_request *req)
+{
+  HASH_ADD_KEYPTR (hh, flt->requests, req->host, strlen (req->host), req);
+}
+
+static void
+wake_all (struct node *nod)
+{
+  for (struct holding *hld = nod->holdings; hld; hld = hld->next)
+    if (hld->plc)
+      node_wake_holding (hld, 0);
+}
+
+static void
+fold_request (struct fleet *flt, const char *host, uint64_t offset,
+              const struct topic_entry *ent)
+{
+  struct vacate_request *req = find_request (flt, host);
+  if (ent->value_len == 0)
+    {
+      for (struct holding *hld = flt->nod->holdings; hld; hld = hld->next)
+        if (hld->plc)
+          placer_vacate (hld->plc, host, 0);
+      if (req)
+        HASH_DEL (flt->requests, req);
+      talloc_free (req);
+      return;
+    }
+  Kingcuphollow__VacateRequest *msg = kingcuphollow__vacate_request__unpack (
+      NULL, ent->value_len, ent->value);
+  if (!msg)
+    return;
+  if (!req)
+    {
+      req = talloc_zero (flt, struct vacate_request);
+      if (req)
+        {
+          name_copy (req->host, host);
+          link_request (flt, req);
+        }
+    }
+  if (req)
+    {
+      req->offset = offset;
+      req->until_ms = (int64_t)msg->until_ms;
+    }
+  if (flt->active && msg->token == flt->token)
+    {
+      struct kept_host *kept = keeper_find (&flt->kpr, host);
+      if (kept && kept->phase == PHASE_VACATING)
+        kept->request_offset = offset;
+    }
+  kingcuphollow__vacate_request__free_unpacked (msg, NULL);
+  wake_all (flt->nod);
+}
+
+static void
+fold_report (struct fleet *flt, const char *host,
+             const struct topic_entry *ent)
+{
+  if (!flt->active || ent->value_len == 0)
+    return;
+  Kingcuphollow__VacateReport *msg = kingcuphollow__vacate_report__unpack (
+      NULL, ent->value_len, ent->value);
+  if (!msg)
+    return;
+  keeper_emptied (&flt->kpr, host, msg->request_offset,
+                  clock_now_us (flt->nod->clk));
+  kingcuphollow__vacate_report__free_unpacked (msg, NULL);
+}
+
+static void
+fold_demand (struct fleet *flt, const char *pool,
+             const struct topic_entry *ent)
+{
+  if (!flt->active || ent->value_len == 0)
+    return;
+  Kingcuphollow__PoolDemand *msg
+      = kingcuphollow__pool_demand__unpack (NULL, ent->value_len, ent->value);
+  if (!msg)
+    return;
+  char (*idle)[NAME_BYTES]
+      = talloc_zero_size (flt, (msg->n_idle_hosts + 1) * sizeof *idle);
+  for (size_t n = 0; idle && n < msg->n_idle_hosts; n++)
+    name_copy (idle[n], msg->idle_hosts[n]);
+  keeper_demand (&flt->kpr, pool, msg->short_hosts, idle,
+                 idle ? msg->n_idle_hosts : 0, msg->busy_milli,
+                 clock_now_us (flt->nod->clk));
+  kingcuphollow__pool_demand__free_unpacked (msg, NULL);
+}
+
+static void
+fold_wave (struct fleet *flt, const char *name, const struct topic_entry *ent)
+{
+  if (!flt->active || ent->value_len == 0)
+    return;
+  Kingcuphollow__WaveProgress *msg = kingcuphollow__wave_progress__unpack (
+      NULL, ent->value_len, ent->value);
+  if (!msg)
+    return;
+  for (size_t n = 0; n < msg->n_done_hosts; n++)
+    keeper_wave_done (&flt->kpr, strtoull (name, NULL, 10),
+                      msg->done_hosts[n]);
+  kingcuphollow__wave_progress__free_unpacked (msg, NULL);
+}
+
+static void
+on_record (void *arg, const struct topic_record *rec)
+{
+  struct fleet *flt = arg;
+  const struct topic_entry *ent = &rec->entry;
+  char name[NAME_BYTES];
+  if (ent->key_len < 3 || ent->key_len - 2 >= NAME_BYTES)
+    return;
+  name_copy_len (name, ent->key + 2, ent->key_len - 2);
+  switch (ent->key[0])
+    {
+    case VACATE_KIND:
+      fold_request (flt, name, rec->offset, ent);
+      return;
+    case EMPTY_KIND:
+      fold_report (flt, name, ent);
+      return;
+    case DEMAND_KIND:
+      fold_demand (flt, name, ent);
+      return;
+    case WAVE_KIND:
+      fold_wave (flt, name, ent);
+      return;
+    }
+}
+
+static void
+on_batch (void *arg)
+{
+}
+
+static void
+report_empty (struct holding *hld)
+{
+  struct node *nod = hld->nod;
+  int64_t wall_ms = clock_wall_ms (nod->clk);
+  int64_t now_us = clock_now_us (nod->clk);
+  struct vacate_request *req, *next;
+  HASH_ITER (hh, nod->flt->requests, req, next)
+    {
+      uint8_t data[128];
+      int64_t left_us = (req->until_ms - wall_ms) * 1000;
+      int64_t until_us = now_us + (left_us > 0 ? left_us : 0);
+      if (!placer_vacate (hld->plc, req->host, until_us > 0 ? until_us : 1)
+          || req->reported == req->offset
+          || !placer_host_empty (hld->plc, req->host))
+        continue;
+      Kingcuphollow__VacateReport msg = KINGCUPHOLLOW__VACATE_REPORT__INIT;
+      msg.request_offset = req->offset;
+      if (append (nod->flt, EMPTY_KIND, req->host, data,
+                  kingcuphollow__vacate_report__pack (&msg, data))
+          == 0)
+        req->reported = req->offset;
+    }
+}
+
+static bool
+demand_changed (const struct holding *hld, const struct placer_demand *dem)
+{
+  return hld->told_short != dem->short_hosts
+         || hld->told_idle != dem->idle_count;
+}
+
+static void
+report_demand (struct holding *hld)
+{
+  struct node *nod = hld->nod;
+  int64_t now_us = clock_now_us (nod->clk);
+  struct placer_demand dem;
+  if (now_us < hld->told_us + DEMAND_GAP_US)
+    return;
+  placer_demand (hld->plc, &dem);
+  if (!demand_changed (hld, &dem) && now_us < hld->told_us + DEMAND_REPEAT_US)
+    return;
+  Kingcuphollow__PoolDemand msg = KINGCUPHOLLOW__POOL_DEMAND__INIT;
+  msg.short_hosts = dem.short_hosts;
+  msg.idle_hosts = (char **)dem.idle;
+  msg.n_idle_hosts = dem.idle_count;
+  msg.busy_milli = dem.busy_milli;
+  msg.token = hld->token;
+  size_t len = kingcuphollow__pool_demand__get_packed_size (&msg);
+  uint8_t *data = talloc_size (nod, len + 1);
+  if (!data)
+    return;
+  kingcuphollow__pool_demand__pack (&msg, data);
+  if (append (nod->flt, DEMAND_KIND, hld->pool, data, len) == 0)
+    {
+      hld->told_us = now_us;
+      hld->told_short = dem.short_hosts;
+      hld->told_idle = dem.idle_count;
+    }
+  talloc_free (data);
+}
+
+void
+node_fleet_turn (struct holding *hld)
+{
+  report_empty (hld);
+  report_demand (hld);
+}
+
+bool
+node_fleet_caught_up (const struct node *nod)
+{
+  return follower_caught_up (&nod->flt->fol);
+}
+
+int
+node_open_fleet (struct node *nod)
+{
+  char producer[PRODUCER_BYTES];
+  struct fleet *flt = nod->flt = talloc_zero (nod, struct fleet);
+  if (!flt)
+    return ERR_NOMEM;
+  flt->nod = nod;
+  const struct follower_settings fol_set
+      = { .topic = TOPIC_FLEET, .gap_ms = FLEET_GAP_MS, .wait_ms = WAIT_MS };
+  snprintf (producer, sizeof producer, "%s.%" PRIu64, nod->set->name,
+            nod->boot);
+  struct appender_settings app_set
+      = { .topic = TOPIC_FLEET, .producer = producer, .epoch = 1 };
+  int err = appender_init (&flt->app, flt, &nod->store.st, nod->ev, nod->clk,
+                           &app_set);
+  app_set.topic = WIRE_TOPIC_STATUS;
+  if (!err)
+    err = appender_init (&flt->status_app, flt, &nod->store.st, nod->ev,
+                         nod->clk, &app_set);
+  if (!err)
+    err = follower_init (&flt->fol, flt, &nod->store.st, nod->ev, nod->clk,
+                         &fol_set, on_record, on_batch, flt);
+  return err;
+}
--- a/node/node.c
+++ b/node/node.c
@@ -136,8 +136,13 @@
     err = wire_store_init (&nod->store, nod, &nod->cli, nod->set->store);
   if (!err)
     err = wire_worker_init (&nod->workers, nod, &nod->cli);
+  if (!err && *nod->set->fleet_api)
+    err = wire_fleet_init (&nod->fleet_link, nod, &nod->cli,
+                           nod->set->fleet_api);
   if (!err)
     err = start_front (nod);
+  if (!err)
+    err = node_open_fleet (nod);
   if (!err)
     err = node_open_directory (nod);
   if (!err)
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -6,9 +6,11 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/log.h"
+#include "fleet/keeper.h"
 #include "job/job_table.h"
 #include "member/duty.h"
 #include "node/node.h"
+#include "platform/wire_fleet.h"
 #include "platform/wire_front.h"
 #include "platform/wire_store.h"
 #include "platform/wire_worker.h"
@@ -21,6 +23,8 @@
 /* Claims stand apart from the members' frequent reports, which would fail
    every append on condition that nothing came since.  */
 #define TOPIC_DUTIES "keyed.duties"
+/* The duty for the hosts' upkeep and moves; no pool has such a name.  */
+#define DUTY_FLEET "@fleet"
 #define DUTY_KEY_BYTES (NAME_BYTES + 2)
 #define PRODUCER_BYTES (NAME_BYTES + 32)
 
@@ -73,6 +77,10 @@
   struct tevent_timer *timer;
   int64_t timer_us;
   bool lost;
+  /* What the fleet's keeper was last told.  */
+  int64_t told_us;
+  uint32_t told_short;
+  size_t told_idle;
 };
 
 struct node
@@ -85,6 +93,8 @@
   struct http_client cli;
   struct wire_store store;
   struct wire_worker workers;
+  struct wire_fleet fleet_link;
+  struct fleet *flt;
   struct wire_front *frt;
   uint64_t boot;
   int64_t started_us;
@@ -134,5 +144,17 @@
 struct holding *node_holding (const struct node *nod, const char *pool);
 void node_wake_holding (struct holding *hld, int64_t at_us);
 
+/* node/fleet.c */
+int node_open_fleet (struct node *nod);
+bool node_fleet_caught_up (const struct node *nod);
+/* Takes over the duty for the hosts; TAKEOVER: from an earlier holder.  */
+void node_fleet_begin (struct node *nod, uint64_t token, bool takeover);
+void node_fleet_end (struct node *nod);
+/* Token of the duty while this process has it, else 0.  */
+uint64_t node_fleet_token (const struct node *nod);
+void node_fleet_wave (struct node *nod, const uint8_t *data, size_t len);
+/* Reports what a pool wants and which hosts it has emptied.  */
+void node_fleet_turn (struct holding *hld);
+
 /* node/requests.c */
 void node_request (void *arg, struct front_request *req);
--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -463,6 +463,51 @@
   assert(message->base.descriptor == &kingcuphollow__pool_demand__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   kingcuphollow__wave_progress__init
+                     (Kingcuphollow__WaveProgress         *message)
+{
+  static const Kingcuphollow__WaveProgress init_value = KINGCUPHOLLOW__WAVE_PROGRESS__INIT;
+  *message = init_value;
+}
+size_t kingcuphollow__wave_progress__get_packed_size
+                     (const Kingcuphollow__WaveProgress *message)
+{
+  assert(message->base.descriptor == &kingcuphollow__wave_progress__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t kingcuphollow__wave_progress__pack
+                     (const Kingcuphollow__WaveProgress *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &kingcuphollow__wave_progress__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t kingcuphollow__wave_progress__pack_to_buffer
+                     (const Kingcuphollow__WaveProgress *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &kingcuphollow__wave_progress__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Kingcuphollow__WaveProgress *
+       kingcuphollow__wave_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Kingcuphollow__WaveProgress *)
+     protobuf_c_message_unpack (&kingcuphollow__wave_progress__descriptor,
+                                allocator, len, data);
+}
+void   kingcuphollow__wave_progress__free_unpacked
+                     (Kingcuphollow__WaveProgress *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &kingcuphollow__wave_progress__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor kingcuphollow__job_spec__field_descriptors[8] =
 {
   {
@@ -1199,24 +1244,24 @@
 static const ProtobufCFieldDescriptor kingcuphollow__vacate_request__field_descriptors[2] =
 {
   {
-    "wanted",
+    "token",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Kingcuphollow__VacateRequest, wanted),
+    offsetof(Kingcuphollow__VacateRequest, token),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "token",
+    "until_ms",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Kingcuphollow__VacateRequest, token),
+    offsetof(Kingcuphollow__VacateRequest, until_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -1224,8 +1269,8 @@
   },
 };
 static const unsigned kingcuphollow__vacate_request__field_indices_by_name[] = {
-  1,   /* field[1] = token */
-  0,   /* field[0] = wanted */
+  0,   /* field[0] = token */
+  1,   /* field[1] = until_ms */
 };
 static const ProtobufCIntRange kingcuphollow__vacate_request__number_ranges[1 + 1] =
 {
@@ -1247,23 +1292,11 @@
   (ProtobufCMessageInit) kingcuphollow__vacate_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__vacate_report__field_descriptors[3] =
+static const ProtobufCFieldDescriptor kingcuphollow__vacate_report__field_descriptors[2] =
 {
-  {
-    "empty",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Kingcuphollow__VacateReport, empty),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "request_offset",
-    2,
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
@@ -1275,7 +1308,7 @@
   },
   {
     "worker",
-    3,
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
@@ -1287,14 +1320,13 @@
   },
 };
 static const unsigned kingcuphollow__vacate_report__field_indices_by_name[] = {
-  0,   /* field[0] = empty */
-  1,   /* field[1] = request_offset */
-  2,   /* field[2] = worker */
+  0,   /* field[0] = request_offset */
+  1,   /* field[1] = worker */
 };
 static const ProtobufCIntRange kingcuphollow__vacate_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__vacate_report__descriptor =
 {
@@ -1304,36 +1336,36 @@
   "Kingcuphollow__VacateReport",
   "kingcuphollow",
   sizeof(Kingcuphollow__VacateReport),
-  3,
+  2,
   kingcuphollow__vacate_report__field_descriptors,
   kingcuphollow__vacate_report__field_indices_by_name,
   1,  kingcuphollow__vacate_report__number_ranges,
   (ProtobufCMessageInit) kingcuphollow__vacate_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__pool_demand__field_descriptors[3] =
+static const ProtobufCFieldDescriptor kingcuphollow__pool_demand__field_descriptors[4] =
 {
   {
-    "hosts",
+    "short_hosts",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Kingcuphollow__PoolDemand, hosts),
+    offsetof(Kingcuphollow__PoolDemand, short_hosts),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "token",
+    "idle_hosts",
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Kingcuphollow__PoolDemand, token),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Kingcuphollow__PoolDemand, n_idle_hosts),
+    offsetof(Kingcuphollow__PoolDemand, idle_hosts),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -1349,16 +1381,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "token",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolDemand, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__pool_demand__field_indices_by_name[] = {
   2,   /* field[2] = busy_milli */
-  0,   /* field[0] = hosts */
-  1,   /* field[1] = token */
+  1,   /* field[1] = idle_hosts */
+  0,   /* field[0] = short_hosts */
+  3,   /* field[3] = token */
 };
 static const ProtobufCIntRange kingcuphollow__pool_demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__pool_demand__descriptor =
 {
@@ -1368,10 +1413,74 @@
   "Kingcuphollow__PoolDemand",
   "kingcuphollow",
   sizeof(Kingcuphollow__PoolDemand),
-  3,
+  4,
   kingcuphollow__pool_demand__field_descriptors,
   kingcuphollow__pool_demand__field_indices_by_name,
   1,  kingcuphollow__pool_demand__number_ranges,
   (ProtobufCMessageInit) kingcuphollow__pool_demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor kingcuphollow__wave_progress__field_descriptors[3] =
+{
+  {
+    "done_hosts",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Kingcuphollow__WaveProgress, n_done_hosts),
+    offsetof(Kingcuphollow__WaveProgress, done_hosts),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "completed",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__WaveProgress, completed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "token",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__WaveProgress, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned kingcuphollow__wave_progress__field_indices_by_name[] = {
+  1,   /* field[1] = completed */
+  0,   /* field[0] = done_hosts */
+  2,   /* field[2] = token */
+};
+static const ProtobufCIntRange kingcuphollow__wave_progress__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor kingcuphollow__wave_progress__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "kingcuphollow.WaveProgress",
+  "WaveProgress",
+  "Kingcuphollow__WaveProgress",
+  "kingcuphollow",
+  sizeof(Kingcuphollow__WaveProgress),
+  3,
+  kingcuphollow__wave_progress__field_descriptors,
+  kingcuphollow__wave_progress__field_indices_by_name,
+  1,  kingcuphollow__wave_progress__number_ranges,
+  (ProtobufCMessageInit) kingcuphollow__wave_progress__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -26,6 +26,7 @@
 typedef struct Kingcuphollow__VacateRequest Kingcuphollow__VacateRequest;
 typedef struct Kingcuphollow__VacateReport Kingcuphollow__VacateReport;
 typedef struct Kingcuphollow__PoolDemand Kingcuphollow__PoolDemand;
+typedef struct Kingcuphollow__WaveProgress Kingcuphollow__WaveProgress;
 
 
 /* --- enums --- */
@@ -191,14 +192,18 @@
 
 
 /*
- * Value of the record with the key "v" and the name of a host: the host is to
- * be emptied, for upkeep or a move.
+ * Value of the record with the key "v/" and the name of a host: its pool's
+ * owner is to empty the host, for upkeep or a move.  A record without a value
+ * withdraws the request.
  */
 struct  Kingcuphollow__VacateRequest
 {
   ProtobufCMessage base;
-  protobuf_c_boolean wanted;
   uint64_t token;
+  /*
+   * Tasks that are not done by then are stopped; wall-clock milliseconds.
+   */
+  uint64_t until_ms;
 };
 #define KINGCUPHOLLOW__VACATE_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__vacate_request__descriptor) \
@@ -206,38 +211,60 @@
 
 
 /*
- * Value of the record with the key "e" and the name of a host: its pool's owner
- * keeps it empty while the request stands.
+ * Value of the record with the key "e/" and the name of a host: nothing runs on
+ * its worker, and nothing is started there while the request stands.
  */
 struct  Kingcuphollow__VacateReport
 {
   ProtobufCMessage base;
-  protobuf_c_boolean empty;
   uint64_t request_offset;
   char *worker;
 };
 #define KINGCUPHOLLOW__VACATE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__vacate_report__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string }
 
 
 /*
- * Value of the record with the key "u" and the name of a pool: what its owner
- * wants of the spare hosts.
+ * Value of the record with the key "u/" and the name of a pool.
  */
 struct  Kingcuphollow__PoolDemand
 {
   ProtobufCMessage base;
-  uint32_t hosts;
-  uint64_t token;
+  /*
+   * Hosts that the pool lacks.
+   */
+  uint32_t short_hosts;
+  /*
+   * Hosts without work that the pool can spare.
+   */
+  size_t n_idle_hosts;
+  char **idle_hosts;
   /*
    * Share of the pool's processors in use, in thousandths.
    */
   uint32_t busy_milli;
+  uint64_t token;
 };
 #define KINGCUPHOLLOW__POOL_DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__pool_demand__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0,NULL, 0, 0 }
+
+
+/*
+ * Value of the record with the key "n/" and the number of an upkeep wave.
+ */
+struct  Kingcuphollow__WaveProgress
+{
+  ProtobufCMessage base;
+  size_t n_done_hosts;
+  char **done_hosts;
+  protobuf_c_boolean completed;
+  uint64_t token;
+};
+#define KINGCUPHOLLOW__WAVE_PROGRESS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__wave_progress__descriptor) \
+    , 0,NULL, 0, 0 }
 
 
 /* Kingcuphollow__JobSpec methods */
@@ -433,6 +460,25 @@
 void   kingcuphollow__pool_demand__free_unpacked
                      (Kingcuphollow__PoolDemand *message,
                       ProtobufCAllocator *allocator);
+/* Kingcuphollow__WaveProgress methods */
+void   kingcuphollow__wave_progress__init
+                     (Kingcuphollow__WaveProgress         *message);
+size_t kingcuphollow__wave_progress__get_packed_size
+                     (const Kingcuphollow__WaveProgress   *message);
+size_t kingcuphollow__wave_progress__pack
+                     (const Kingcuphollow__WaveProgress   *message,
+                      uint8_t             *out);
+size_t kingcuphollow__wave_progress__pack_to_buffer
+                     (const Kingcuphollow__WaveProgress   *message,
+                      ProtobufCBuffer     *buffer);
+Kingcuphollow__WaveProgress *
+       kingcuphollow__wave_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   kingcuphollow__wave_progress__free_unpacked
+                     (Kingcuphollow__WaveProgress *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Kingcuphollow__JobSpec_Closure)
@@ -468,6 +514,9 @@
 typedef void (*Kingcuphollow__PoolDemand_Closure)
                  (const Kingcuphollow__PoolDemand *message,
                   void *closure_data);
+typedef void (*Kingcuphollow__WaveProgress_Closure)
+                 (const Kingcuphollow__WaveProgress *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -485,6 +534,7 @@
 extern const ProtobufCMessageDescriptor kingcuphollow__vacate_request__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__vacate_report__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__pool_demand__descriptor;
+extern const ProtobufCMessageDescriptor kingcuphollow__wave_progress__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/sched/place.c
+++ b/sched/place.c
@@ -100,7 +100,8 @@
       struct worker *wrk = pool->workers[n];
       if (!allowed (wrk, req))
         continue;
-      int64_t score = free_share (wrk, req->step);
+      /* Full workers first, so that others can be given up.  */
+      int64_t score = -free_share (wrk, req->step);
       if (wrk->handle == req->avoid)
         score -= SCORE_AVOIDED;
       if (*req->step->data_rack
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -203,28 +203,6 @@
   wrk->listed = true;
 }
 
-void
-placer_vacate (struct placer *plc, const char *host, bool wanted)
-{
-  for (size_t n = 0; n < plc->pool.count; n++)
-    if (strcmp (plc->pool.workers[n]->rep.host, host) == 0)
-      plc->pool.workers[n]->vacate = wanted;
-}
-
-bool
-placer_host_empty (const struct placer *plc, const char *host)
-{
-  for (size_t n = 0; n < plc->pool.count; n++)
-    {
-      const struct worker *wrk = plc->pool.workers[n];
-      if (strcmp (wrk->rep.host, host) == 0
-          && (wrk->runs || !wrk->vacate
-              || (wrk->reached && wrk->seen_end < wrk->applied_end)))
-        return false;
-    }
-  return true;
-}
-
 /* Whether every task that an earlier owner may have started is known, or has
    lost its lease.  */
 static bool
@@ -275,8 +253,9 @@
       placer_start_task (plc, job, ref, wrk);
       return;
     }
-  plc->load.waiting_tasks++;
-  plc->load.waiting_cpu_milli += stp->need.cpu_milli;
+  plc->waiting_tasks++;
+  plc->waiting_cpu_milli += stp->need.cpu_milli;
+  plc->waiting_memory_mb += stp->need.memory_mb;
 }
 
 static void
@@ -342,7 +321,8 @@
   bool cleared = check_cleared (plc, now_us);
   struct candidate *cands
       = talloc_array (plc, struct candidate, plc->job_count + 1);
-  plc->load = (struct placer_load){ 0 };
+  plc->waiting_tasks = 0;
+  plc->waiting_cpu_milli = plc->waiting_memory_mb = 0;
   for (size_t n = 0; cands && n < plc->job_count; n++)
     {
       struct job *job = plc->jobs[n];
@@ -389,6 +369,7 @@
       for (size_t n = 0; n < plc->pool.count; n++)
         {
           placer_hold (plc, plc->pool.workers[n], now_us);
+          placer_move_off (plc, plc->pool.workers[n], now_us);
           placer_send_stops (plc, plc->pool.workers[n]);
           busy = busy || plc->pool.workers[n]->runs;
         }
@@ -401,23 +382,6 @@
   return now_us + (busy ? TURN_BUSY_US : TURN_IDLE_US);
 }
 
-void
-placer_load (const struct placer *plc, struct placer_load *load)
-{
-  int64_t now_us = clock_now_us (plc->env.clk);
-  int64_t used = 0;
-  int64_t room = 0;
-  *load = plc->load;
-  for (size_t n = 0; n < plc->pool.count; n++)
-    if (place_open (plc->pool.workers[n], now_us))
-      {
-        used += plc->pool.workers[n]->used.cpu_milli;
-        room += plc->pool.workers[n]->rep.capacity.cpu_milli;
-        load->workers++;
-      }
-  load->busy_milli = room > 0 ? (uint32_t)(used * 1000 / room) : 0;
-}
-
 struct placer *
 placer_create (void *parent, const struct placer_settings *set,
                const struct placer_env *env)
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -70,7 +70,12 @@
 void placer_job (struct placer *plc, struct job *job, enum job_change change);
 /* The log shows that no later owner had claimed the pool at AT_US.  */
 void placer_confirmed (struct placer *plc, int64_t at_us);
-void placer_vacate (struct placer *plc, const char *host, bool wanted);
+
+/* Asks that HOST be emptied: it gets no new tasks, tasks that last move to
+   other workers, and what is left at UNTIL_US is stopped.  UNTIL_US 0
+   withdraws that.  Returns whether a worker of the host reports in this
+   pool.  */
+bool placer_vacate (struct placer *plc, const char *host, int64_t until_us);
 
 /* Whether nothing runs on the worker of HOST and nothing will while the host
    is to be emptied.  */
@@ -79,13 +84,14 @@
 /* Does what is due; returns the monotonic time of the next turn.  */
 int64_t placer_tick (struct placer *plc);
 
-/* Share of the processors of the open workers that is in use, in
-   thousandths, and tasks that wait for room.  */
-struct placer_load
+#define PLACER_IDLE_MAX 32
+
+/* What the pool wants of the hosts of others.  */
+struct placer_demand
 {
-  uint32_t busy_milli;
-  uint32_t waiting_tasks;
-  int64_t waiting_cpu_milli;
-  uint32_t workers;
+  uint32_t busy_milli;  /* share of the processors in use, in thousandths */
+  uint32_t short_hosts; /* hosts that it lacks */
+  const char *idle[PLACER_IDLE_MAX]; /* hosts without work that it can spare */
+  size_t idle_count;
 };
-void placer_load (const struct placer *plc, struct placer_load *load);
+void placer_demand (const struct placer *plc, struct placer_demand *dem);
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -35,7 +35,10 @@
   size_t earlier_count;
   bool enrolling;
 
-  struct placer_load load;
+  /* Tasks whose turn has come and that have no room, as of the last turn.  */
+  uint32_t waiting_tasks;
+  int64_t waiting_cpu_milli;
+  int64_t waiting_memory_mb;
   int calls; /* orders and appends in progress */
   bool closing;
 };
@@ -76,6 +79,10 @@
 void placer_earlier_host (struct placer *plc, const char *host,
                           const char *id);
 
+/* placer_vacate.c */
+/* Moves lasting tasks off workers that leave or are to be emptied.  */
+void placer_move_off (struct placer *plc, struct worker *wrk, int64_t now_us);
+
 /* placer.c */
 struct worker *placer_find_worker (const struct placer *plc, uint32_t handle);
 void placer_task_ended (struct placer *plc, struct job *job,
--- /dev/null
+++ b/sched/placer_vacate.c
@@ -0,0 +1,136 @@
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "sched/placer_priv.h"
+
+/* A host counts as without work after this time, so that short gaps between
+   tasks move no host.  */
+#define IDLE_US 700000
+/* Hosts without work that a pool keeps for what comes next.  */
+#define IDLE_KEPT 1
+
+bool
+placer_vacate (struct placer *plc, const char *host, int64_t until_us)
+{
+  bool found = false;
+  for (size_t n = 0; n < plc->pool.count; n++)
+    {
+      struct worker *wrk = plc->pool.workers[n];
+      if (strcmp (wrk->rep.host, host) != 0)
+        continue;
+      found = found || wrk->listed;
+      wrk->vacate = until_us > 0;
+      wrk->vacate_until_us = until_us;
+    }
+  return found;
+}
+
+bool
+placer_host_empty (const struct placer *plc, const char *host)
+{
+  for (size_t n = 0; n < plc->pool.count; n++)
+    {
+      const struct worker *wrk = plc->pool.workers[n];
+      if (strcmp (wrk->rep.host, host) == 0
+          && (wrk->runs || !wrk->vacate || !wrk->reached
+              || wrk->seen_end < wrk->applied_end))
+        return false;
+    }
+  return true;
+}
+
+/* Other tasks of the run's step that are not at work at present.  */
+static uint32_t
+others_away (const struct run *run)
+{
+  const struct step *stp = &run->job->spec.steps[run->ref.step];
+  const struct occurrence *occ = &run->job->occurrences[run->ref.occurrence];
+  uint32_t away = 0;
+  for (uint32_t n = 0; n < stp->count; n++)
+    {
+      const struct task *tsk = &occ->tasks[stp->first_task + n];
+      if (tsk == run->tsk)
+        continue;
+      away += !tsk->run || tsk->run->state != RUN_ACTIVE
+              || !tsk->run->work_since_us || tsk->run->stop_wanted;
+    }
+  return away;
+}
+
+/* As many tasks of a step that lasts may be away at a time by our doing as its
+   job allows; one where it does not say.  */
+static bool
+may_move (struct placer *plc, const struct run *run, int64_t now_us)
+{
+  const struct step *stp = &run->job->spec.steps[run->ref.step];
+  uint32_t most = stp->may_miss > 0 ? stp->may_miss : 1;
+  const struct place_request req
+      = { .job = run->job, .step = stp, .ref = &run->ref, .now_us = now_us };
+  return others_away (run) < most && place_pick (&plc->pool, &req);
+}
+
+void
+placer_move_off (struct placer *plc, struct worker *wrk, int64_t now_us)
+{
+  bool leaving = wrk->rep.draining || wrk->vacate;
+  if (wrk->runs || !wrk->reached)
+    wrk->idle_us = 0;
+  else if (!wrk->idle_us)
+    wrk->idle_us = now_us;
+  for (struct run *run = wrk->runs; leaving && run; run = run->next)
+    {
+      bool lasting = run->job->spec.steps[run->ref.step].perpetual;
+      bool over = wrk->vacate && now_us > wrk->vacate_until_us;
+      if (run->stop_wanted || run->state != RUN_ACTIVE)
+        continue;
+      if (lasting ? !may_move (plc, run, now_us) : !over)
+        continue;
+      char name[TASK_NAME_MAX];
+      task_ref_format (&run->ref, name);
+      log_event (
+          plc->env.lg, EV_RUN_STOPPED, LOG_S ("task", name),
+          LOG_I ("run", run->number), LOG_S ("worker", wrk->rep.id),
+          LOG_S ("reason", wrk->vacate ? "host_vacated" : "worker_drains"));
+      placer_stop_run (plc, run);
+    }
+}
+
+void
+placer_demand (const struct placer *plc, struct placer_demand *dem)
+{
+  int64_t now_us = clock_now_us (plc->env.clk);
+  int64_t used = 0;
+  int64_t room = 0;
+  int64_t memory = 0;
+  size_t open = 0;
+  size_t kept = 0;
+  *dem = (struct placer_demand){ 0 };
+  for (size_t n = 0; n < plc->pool.count; n++)
+    {
+      const struct worker *wrk = plc->pool.workers[n];
+      if (!place_open (wrk, now_us))
+        continue;
+      open++;
+      used += wrk->used.cpu_milli;
+      room += wrk->rep.capacity.cpu_milli;
+      memory += wrk->rep.capacity.memory_mb;
+      if (!wrk->idle_us || now_us < wrk->idle_us + IDLE_US
+          || plc->waiting_tasks > 0)
+        continue;
+      if (kept < IDLE_KEPT)
+        kept++;
+      else if (dem->idle_count < PLACER_IDLE_MAX && *wrk->rep.host)
+        dem->idle[dem->idle_count++] = wrk->rep.host;
+    }
+  dem->busy_milli = room > 0 ? (uint32_t)(used * 1000 / room) : 0;
+  if (plc->waiting_tasks == 0)
+    return;
+  int64_t host_cpu = open > 0 && room > 0 ? room / (int64_t)open : 1;
+  int64_t host_memory = open > 0 && memory > 0 ? memory / (int64_t)open : 1;
+  int64_t by_cpu = (plc->waiting_cpu_milli + host_cpu - 1) / host_cpu;
+  int64_t by_memory = (plc->waiting_memory_mb + host_memory - 1) / host_memory;
+  dem->short_hosts = (uint32_t)(by_cpu > by_memory ? by_cpu : by_memory);
+  if (open == 0)
+    dem->short_hosts = 1;
+}
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -72,6 +72,8 @@
   int64_t avoid_until_us;
   int64_t avoid_span_us;
   bool vacate;
+  int64_t vacate_until_us; /* tasks still there are stopped then */
+  int64_t idle_us; /* since when nothing runs there; 0: something does */
 };
 
 struct pool
--- a/store/follower.c
+++ b/store/follower.c
@@ -25,6 +25,7 @@
   int64_t sent_us;
   int64_t current_us;
   bool booted;
+  bool restart; /* read the newest records again with the next call */
   bool first_page;
   char after[KEY_MAX + 1];
 };
@@ -118,6 +119,9 @@
 start_call (struct priv *p)
 {
   int err;
+  if (p->restart)
+    restart (p);
+  p->restart = false;
   p->sent_us = clock_now_us (p->clk);
   if (p->booted)
     err = topic_read (p->st, p->set.topic, p->set.part, p->next,
@@ -159,6 +163,13 @@
   TALLOC_FREE (fol->priv);
 }
 
+void
+follower_restart (struct follower *fol)
+{
+  /* A read in progress goes on; its answer is used before.  */
+  fol->priv->restart = true;
+}
+
 void
 follower_set_gap (struct follower *fol, int64_t gap_ms)
 {
--- a/store/follower.h
+++ b/store/follower.h
@@ -38,6 +38,9 @@
                    void *arg);
 void follower_fini (struct follower *fol);
 
+/* Reads the newest records again.  */
+void follower_restart (struct follower *fol);
+
 void follower_set_gap (struct follower *fol, int64_t gap_ms);
 
 /* Whether every record that stood in the partition at some moment has been
