sched: room for lasting tasks, shorter waits after a released duty

Cause: (AVAIL) a crashed worker's tasks counted as at work until their lease ran out, and a lasting task that was stopped for a move found no room for 5 s; (LOST) each new owner waited 16 s for an unheard worker and let known tasks wait too; (ROUTE) two tasks of a step had room kept on one worker.

--- a/job/job.h
+++ b/job/job.h
@@ -63,7 +63,11 @@
   char *saved;           /* newest checkpoint; NULL: none */
   uint32_t avoid_worker; /* handle of the worker where it failed last */
   int64_t not_before_us;
-  int64_t ended_us; /* when its last run ended; 0: none did */
+  int64_t ended_us;  /* when its last run ended; 0: none did */
+  uint32_t reserved; /* handle of the worker with room kept for it; 0: none */
+  int64_t reserved_us;
+  uint64_t located; /* token of the owner that has had it running, as a start
+                       of its own or in a worker's list */
 };
 
 struct occurrence
--- a/member/duty.c
+++ b/member/duty.c
@@ -50,27 +50,42 @@
 }
 
 int
-duty_fold_claim (struct duty_table *tab, const char *name, const char *holder,
-                 uint64_t boot, bool released, uint64_t token, int64_t now_us)
+duty_fold_claim (struct duty_table *tab, const struct duty_claim *claim,
+                 int64_t now_us)
 {
-  struct duty *dty = find_duty (tab, name);
+  struct duty *dty = find_duty (tab, claim->name);
   if (!dty)
     {
       if (tab->duty_count == DUTIES_MAX)
         return ERR_FULL;
       dty = &tab->duties[tab->duty_count++];
       *dty = (struct duty){ 0 };
-      name_copy (dty->name, name);
+      name_copy (dty->name, claim->name);
     }
-  if (token <= dty->token)
+  if (claim->token <= dty->token)
     return 0;
-  dty->token = token;
-  dty->boot = boot;
+  if (!claim->released)
+    {
+      dty->earlier_released = !*dty->holder && dty->cleared;
+      name_copy (dty->earlier_holder, dty->holder);
+      dty->earlier_boot = dty->boot;
+    }
+  dty->token = claim->token;
+  dty->boot = claim->boot;
+  dty->cleared = claim->cleared;
   dty->since_us = now_us;
-  name_copy (dty->holder, released ? "" : holder);
+  name_copy (dty->holder, claim->released ? "" : claim->holder);
   return 0;
 }
 
+bool
+duty_earlier_over (const struct duty_table *tab, const struct duty *dty)
+{
+  const struct member *mem
+      = find_member ((struct duty_table *)tab, dty->earlier_holder);
+  return dty->earlier_released || (mem && mem->boot != dty->earlier_boot);
+}
+
 const struct duty *
 duty_find (const struct duty_table *tab, const char *name)
 {
--- a/member/duty.h
+++ b/member/duty.h
@@ -41,6 +41,11 @@
   uint64_t boot;
   uint64_t token;
   int64_t since_us;
+  bool cleared; /* a released duty's holder knew all that ran */
+  /* Of the claim before.  */
+  char earlier_holder[NAME_BYTES];
+  uint64_t earlier_boot;
+  bool earlier_released;
 };
 
 struct duty_table
@@ -56,9 +61,21 @@
                       bool stopping, int64_t now_us);
 
 /* Folds a claim; one with a token below the known one is void.  */
-int duty_fold_claim (struct duty_table *tab, const char *name,
-                     const char *holder, uint64_t boot, bool released,
-                     uint64_t token, int64_t now_us);
+struct duty_claim
+{
+  const char *name;
+  const char *holder;
+  uint64_t boot;
+  bool released; /* the holder gives the duty up and orders nothing more */
+  bool cleared;  /* it knew all that ran */
+  uint64_t token;
+};
+int duty_fold_claim (struct duty_table *tab, const struct duty_claim *claim,
+                     int64_t now_us);
+
+/* Whether the holder before the present one certainly gives no more orders: it
+   released the duty knowing all that ran, or its process has ended.  */
+bool duty_earlier_over (const struct duty_table *tab, const struct duty *dty);
 
 const struct duty *duty_find (const struct duty_table *tab, const char *name);
 
--- a/node/duties.c
+++ b/node/duties.c
@@ -263,6 +263,12 @@
       else if (hld->phase == HOLDING_CATCHING_UP
                && follower_next (&hld->stm->fol) > hld->fence_offset)
         activate (hld);
+      else if (hld->plc && !hld->earlier_over
+               && duty_earlier_over (&nod->duties, dty))
+        {
+          hld->earlier_over = true;
+          placer_earlier_over (hld->plc);
+        }
     }
 }
 
@@ -275,8 +281,7 @@
 }
 
 static int
-append_claim (struct node *nod, const char *name, bool released,
-              bool conditional)
+append_claim (struct node *nod, const char *name, bool released, bool cleared)
 {
   char key[DUTY_KEY_BYTES];
   uint8_t data[256];
@@ -285,6 +290,7 @@
   msg.holder = nod->set->name;
   msg.boot = nod->boot;
   msg.released = released;
+  msg.cleared = cleared;
   const struct topic_entry ent
       = { .key = key,
           .key_len = strlen (key),
@@ -292,7 +298,7 @@
           .value_len = kingcuphollow__duty_claim__pack (&msg, data) };
   const struct topic_append app = {
     .topic = TOPIC_DUTIES,
-    .conditional = conditional,
+    .conditional = !released,
     .at = follower_next (&nod->duty_fol),
     .entries = &ent,
     .count = 1,
@@ -348,12 +354,14 @@
 {
   if (node_fleet_token (nod))
     {
-      append_claim (nod, DUTY_FLEET, true, false);
+      append_claim (nod, DUTY_FLEET, true, true);
       node_fleet_end (nod);
     }
   while (nod->holdings)
     {
-      append_claim (nod, nod->holdings->pool, true, false);
+      struct holding *hld = nod->holdings;
+      append_claim (nod, hld->pool, true,
+                    hld->plc && placer_cleared (hld->plc));
       end_holding (nod->holdings, "stopping");
     }
 }
@@ -401,8 +409,13 @@
       NULL, rec->entry.value_len, rec->entry.value);
   if (!msg)
     return;
-  duty_fold_claim (&nod->duties, name, msg->holder, msg->boot, msg->released,
-                   rec->offset + 1, clock_now_us (nod->clk));
+  const struct duty_claim claim = { .name = name,
+                                    .holder = msg->holder,
+                                    .boot = msg->boot,
+                                    .released = msg->released,
+                                    .cleared = msg->cleared,
+                                    .token = rec->offset + 1 };
+  duty_fold_claim (&nod->duties, &claim, clock_now_us (nod->clk));
   kingcuphollow__duty_claim__free_unpacked (msg, NULL);
 }
 
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -77,6 +77,7 @@
   struct tevent_timer *timer;
   int64_t timer_us;
   bool lost;
+  bool earlier_over; /* earlier holders give no more orders */
   /* What the fleet's keeper was last told.  */
   int64_t told_us;
   uint32_t told_short;
--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -1177,7 +1177,7 @@
   (ProtobufCMessageInit) kingcuphollow__member_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__duty_claim__field_descriptors[3] =
+static const ProtobufCFieldDescriptor kingcuphollow__duty_claim__field_descriptors[4] =
 {
   {
     "holder",
@@ -1215,16 +1215,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cleared",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__DutyClaim, cleared),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__duty_claim__field_indices_by_name[] = {
   1,   /* field[1] = boot */
+  3,   /* field[3] = cleared */
   0,   /* field[0] = holder */
   2,   /* field[2] = released */
 };
 static const ProtobufCIntRange kingcuphollow__duty_claim__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__duty_claim__descriptor =
 {
@@ -1234,7 +1247,7 @@
   "Kingcuphollow__DutyClaim",
   "kingcuphollow",
   sizeof(Kingcuphollow__DutyClaim),
-  3,
+  4,
   kingcuphollow__duty_claim__field_descriptors,
   kingcuphollow__duty_claim__field_indices_by_name,
   1,  kingcuphollow__duty_claim__number_ranges,
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -185,10 +185,14 @@
   char *holder;
   uint64_t boot;
   protobuf_c_boolean released;
+  /*
+   * Of a release: the holder knew all that ran.
+   */
+  protobuf_c_boolean cleared;
 };
 #define KINGCUPHOLLOW__DUTY_CLAIM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__duty_claim__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/sched/place.c
+++ b/sched/place.c
@@ -26,6 +26,17 @@
   sum->accelerators += sign * step->need.accelerators;
 }
 
+/* A hold is answered within a second; a worker that is silent for longer may
+   have been down since.  */
+#define HEARD_AGE_US 2000000
+
+bool
+run_at_work (const struct run *run, int64_t now_us)
+{
+  return run->state == RUN_ACTIVE && run->percent == 100
+         && now_us - run->wrk->heard_us < HEARD_AGE_US;
+}
+
 bool
 place_fits (const struct worker *wrk, const struct step *step)
 {
@@ -44,13 +55,21 @@
          && now_us >= wrk->avoid_until_us;
 }
 
-uint32_t
-place_siblings (const struct worker *wrk, const struct task_ref *ref)
+/* Other tasks of the step and occurrence that run on WRK or have room kept
+   there.  */
+static uint32_t
+siblings (const struct worker *wrk, const struct place_request *req)
 {
+  const struct task_ref *ref = req->ref;
+  const struct task *tasks
+      = req->job->occurrences[ref->occurrence].tasks + req->step->first_task;
   uint32_t count = 0;
+  for (uint32_t n = 0; n < req->step->count; n++)
+    count += n != ref->index && tasks[n].reserved == wrk->handle;
   for (const struct run *run = wrk->runs; run; run = run->next)
     count += run->ref.job == ref->job && run->ref.step == ref->step
-             && run->ref.occurrence == ref->occurrence;
+             && run->ref.occurrence == ref->occurrence
+             && run->ref.index != ref->index;
   return count;
 }
 
@@ -71,16 +90,16 @@
   return cpu < mem ? cpu : mem;
 }
 
-static bool
-allowed (const struct worker *wrk, const struct place_request *req)
+bool
+place_allowed (const struct worker *wrk, const struct place_request *req)
 {
   const struct step *step = req->step;
-  if (!place_open (wrk, req->now_us) || !place_fits (wrk, step))
+  if (!place_open (wrk, req->now_us))
     return false;
   if (*step->required_label && !worker_has_label (wrk, step->required_label))
     return false;
   return step->most_per_worker == 0
-         || place_siblings (wrk, req->ref) < step->most_per_worker;
+         || siblings (wrk, req) < step->most_per_worker;
 }
 
 /* Weights of the score, each large against the sum of those after it: a
@@ -98,7 +117,7 @@
   for (size_t n = 0; n < pool->count; n++)
     {
       struct worker *wrk = pool->workers[n];
-      if (!allowed (wrk, req))
+      if (!place_allowed (wrk, req) || !place_fits (wrk, req->step))
         continue;
       /* Full workers first, so that others can be given up.  */
       int64_t score = -free_share (wrk, req->step);
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -16,6 +16,9 @@
 /* A worker that reports no more is kept so long for its return: entries lapse
    while the store is away and are back within 2 s of its return.  */
 #define UNLISTED_KEEP_US 3000000
+/* Workers' clocks run up to 2 % slow; the slack covers an order's way.  */
+#define CLOCK_SLOW_PERCENT 2
+#define LAPSE_SLACK_US 500000
 /* A lasting task starts again after this pause, so that one that fails at once
    does not take up the owner.  */
 #define RESTART_PAUSE_US 50000
@@ -56,6 +59,22 @@
          && now_us - plc->confirmed_us < plc->set.confirm_ms * 1000;
 }
 
+static void
+release_room (struct placer *plc, struct job *job)
+{
+  for (uint32_t n = 0; n < job->occurrence_count; n++)
+    for (size_t m = 0; m < job->spec.step_count; m++)
+      {
+        const struct step *stp = &job->spec.steps[m];
+        for (uint32_t k = 0; k < stp->count; k++)
+          {
+            struct task *tsk = &job->occurrences[n].tasks[stp->first_task + k];
+            if (tsk->reserved)
+              placer_unreserve (plc, tsk, stp);
+          }
+      }
+}
+
 static void
 stop_job (struct placer *plc, struct job *job)
 {
@@ -63,6 +82,7 @@
     for (uint32_t m = 0; m < job->task_count; m++)
       if (job->occurrences[n].tasks[m].run)
         placer_stop_run (plc, job->occurrences[n].tasks[m].run);
+  release_room (plc, job);
 }
 
 void
@@ -208,13 +228,12 @@
 static bool
 check_cleared (struct placer *plc, int64_t now_us)
 {
-  int64_t lapse_us = (plc->set.confirm_ms + plc->set.lease_ms * 2) * 1000;
   if (plc->cleared)
     return true;
   bool unheard = plc->earlier_count > 0;
   for (size_t n = 0; n < plc->pool.count; n++)
     unheard = unheard || !plc->pool.workers[n]->reached;
-  plc->cleared = !unheard || now_us > plc->claimed_us + lapse_us;
+  plc->cleared = !unheard || now_us > plc->lapse_us;
   if (plc->cleared)
     log_event (plc->env.lg, EV_PLACER_CLEARED, LOG_S ("pool", plc->set.pool),
                LOG_I ("after_ms", (now_us - plc->claimed_us) / 1000),
@@ -247,12 +266,15 @@
     .avoid = tsk->avoid_worker,
     .now_us = now_us,
   };
-  struct worker *wrk = place_pick (&plc->pool, &req);
+  struct worker *wrk = tsk->reserved ? placer_reserved (plc, &req)
+                                     : place_pick (&plc->pool, &req);
   if (wrk)
     {
       placer_start_task (plc, job, ref, wrk);
       return;
     }
+  if (stp->perpetual)
+    placer_make_room (plc, job, ref, now_us);
   plc->waiting_tasks++;
   plc->waiting_cpu_milli += stp->need.cpu_milli;
   plc->waiting_memory_mb += stp->need.memory_mb;
@@ -354,6 +376,7 @@
       if (!wrk->reached && !plc->cleared)
         continue;
       plc->pool.workers[n] = plc->pool.workers[--plc->pool.count];
+      plc->enrol_stale = plc->enrol_stale || wrk->enrolled;
       talloc_free (wrk);
     }
 }
@@ -382,6 +405,29 @@
   return now_us + (busy ? TURN_BUSY_US : TURN_IDLE_US);
 }
 
+/* When the leases of orders that were sent up to LAST_US have run out.  */
+static int64_t
+placer_lapse (const struct placer *plc, int64_t last_us)
+{
+  int64_t lease_us = plc->set.lease_ms * 1000;
+  return last_us + lease_us + lease_us * CLOCK_SLOW_PERCENT / 100
+         + LAPSE_SLACK_US;
+}
+
+void
+placer_earlier_over (struct placer *plc)
+{
+  int64_t lapse_us = placer_lapse (plc, clock_now_us (plc->env.clk));
+  if (lapse_us < plc->lapse_us)
+    plc->lapse_us = lapse_us;
+}
+
+bool
+placer_cleared (const struct placer *plc)
+{
+  return plc->cleared;
+}
+
 struct placer *
 placer_create (void *parent, const struct placer_settings *set,
                const struct placer_env *env)
@@ -393,6 +439,7 @@
   plc->set.pool = talloc_strdup (plc, set->pool);
   plc->env = *env;
   plc->claimed_us = plc->confirmed_us = clock_now_us (env->clk);
+  plc->lapse_us = placer_lapse (plc, plc->claimed_us + set->confirm_ms * 1000);
   for (struct job *job = env->jobs->by_id; job; job = job->hh.next)
     placer_job (plc, job, JOB_CHANGE_NEW);
   return plc;
@@ -405,7 +452,10 @@
   if (!plc)
     return;
   for (size_t n = 0; n < plc->job_count; n++)
-    plc->jobs[n]->dirty = false;
+    {
+      plc->jobs[n]->dirty = false;
+      release_room (plc, plc->jobs[n]);
+    }
   for (size_t n = 0; n < plc->pool.count; n++)
     while (plc->pool.workers[n]->runs)
       placer_forget_run (plc, plc->pool.workers[n]->runs);
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -60,6 +60,12 @@
 void placer_earlier_worker (struct placer *plc, const char *id,
                             const char *host);
 
+/* Earlier owners certainly give no more orders.  */
+void placer_earlier_over (struct placer *plc);
+
+/* Whether all that earlier owners started is known or has lapsed.  */
+bool placer_cleared (const struct placer *plc);
+
 /* Ends the owner's work.  Orders in progress are forgotten; what runs at the
    workers goes on under its leases.  */
 void placer_destroy (struct placer *plc);
--- a/sched/placer_enrol.c
+++ b/sched/placer_enrol.c
@@ -75,7 +75,7 @@
 void
 placer_enrol (struct placer *plc)
 {
-  bool needed = false;
+  bool needed = plc->enrol_stale;
   char key[KEY_PREFIX_BYTES + NAME_BYTES] = KEY_PREFIX;
   for (size_t n = 0; n < plc->pool.count; n++)
     needed = needed || !plc->pool.workers[n]->enrolled;
@@ -101,6 +101,7 @@
   if (plc->env.persist (plc->env.arg, &entry, 1, on_enrolled, ctx))
     goto failed;
   plc->enrolling = true;
+  plc->enrol_stale = false;
   plc->calls++;
   return;
 
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -263,6 +263,7 @@
       if (now_us + with_slack (span_us) > wrk->lease_us)
         wrk->lease_us = now_us + with_slack (span_us);
     }
+  wrk->heard_us = now_us;
   if (!wrk->reached)
     {
       wrk->reached = true;
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -34,6 +34,8 @@
   struct earlier_worker *earlier;
   size_t earlier_count;
   bool enrolling;
+  bool enrol_stale; /* the log names workers that are gone */
+  int64_t lapse_us; /* what earlier owners started has lapsed by then */
 
   /* Tasks whose turn has come and that have no room, as of the last turn.  */
   uint32_t waiting_tasks;
@@ -79,6 +81,19 @@
 void placer_earlier_host (struct placer *plc, const char *host,
                           const char *id);
 
+/* placer_room.c */
+/* Keeps room on WRK for a task.  */
+void placer_reserve (struct task *tsk, const struct step *stp,
+                     struct worker *wrk, int64_t now_us);
+void placer_unreserve (struct placer *plc, struct task *tsk,
+                       const struct step *stp);
+/* The worker with the room that was kept, once it is free; else NULL.  */
+struct worker *placer_reserved (struct placer *plc,
+                                const struct place_request *req);
+/* Stops short tasks where that takes the fewest, and keeps the room.  */
+void placer_make_room (struct placer *plc, struct job *job,
+                       const struct task_ref *ref, int64_t now_us);
+
 /* placer_vacate.c */
 /* Moves lasting tasks off workers that leave or are to be emptied.  */
 void placer_move_off (struct placer *plc, struct worker *wrk, int64_t now_us);
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -71,6 +71,7 @@
   wrk->runs = run;
   resources_add (&wrk->used, &job->spec.steps[ref->step], 1);
   run->tsk->run = run;
+  run->tsk->located = plc->set.token;
   if (number > run->tsk->last_run)
     run->tsk->last_run = number;
   if (!job->started)
--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -42,7 +42,7 @@
 
 /* Other tasks of the run's step that are not at work at present.  */
 static uint32_t
-others_away (const struct run *run)
+others_away (const struct run *run, int64_t now_us)
 {
   const struct step *stp = &run->job->spec.steps[run->ref.step];
   const struct occurrence *occ = &run->job->occurrences[run->ref.occurrence];
@@ -50,24 +50,32 @@
   for (uint32_t n = 0; n < stp->count; n++)
     {
       const struct task *tsk = &occ->tasks[stp->first_task + n];
-      if (tsk == run->tsk)
-        continue;
-      away += !tsk->run || tsk->run->state != RUN_ACTIVE
-              || !tsk->run->work_since_us || tsk->run->stop_wanted;
+      if (tsk != run->tsk)
+        away += !tsk->run || !run_at_work (tsk->run, now_us);
     }
   return away;
 }
 
-/* As many tasks of a step that lasts may be away at a time by our doing as its
-   job allows; one where it does not say.  */
+/* Stops a lasting task for its start on another worker, where its room is kept
+   from now on.  As many tasks of a step may be away at a time by our doing as
+   its job allows; one where it does not say.  */
 static bool
-may_move (struct placer *plc, const struct run *run, int64_t now_us)
+move_task (struct placer *plc, struct run *run, int64_t now_us)
 {
   const struct step *stp = &run->job->spec.steps[run->ref.step];
   uint32_t most = stp->may_miss > 0 ? stp->may_miss : 1;
   const struct place_request req
       = { .job = run->job, .step = stp, .ref = &run->ref, .now_us = now_us };
-  return others_away (run) < most && place_pick (&plc->pool, &req);
+  if (others_away (run, now_us) >= most)
+    return false;
+  struct worker *wrk = place_pick (&plc->pool, &req);
+  if (!wrk)
+    {
+      placer_make_room (plc, run->job, &run->ref, now_us);
+      return false;
+    }
+  placer_reserve (run->tsk, stp, wrk, now_us);
+  return true;
 }
 
 void
@@ -84,7 +92,7 @@
       bool over = wrk->vacate && now_us > wrk->vacate_until_us;
       if (run->stop_wanted || run->state != RUN_ACTIVE)
         continue;
-      if (lasting ? !may_move (plc, run, now_us) : !over)
+      if (lasting ? !move_task (plc, run, now_us) : !over)
         continue;
       char name[TASK_NAME_MAX];
       task_ref_format (&run->ref, name);
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -56,6 +56,7 @@
   int64_t lease_us;    /* all that runs there has lapsed by then, unless it is
                           extended */
   int64_t extended_us; /* when the lease was last extended for sure */
+  int64_t heard_us;    /* when a hold was last answered */
   bool hold_open;
   int64_t hold_sent_us;
   int64_t next_hold_us;
@@ -76,6 +77,9 @@
   int64_t idle_us; /* since when nothing runs there; 0: something does */
 };
 
+/* Whether RUN is known to be at work.  */
+bool run_at_work (const struct run *run, int64_t now_us);
+
 struct pool
 {
   struct worker **workers;
@@ -98,13 +102,13 @@
 /* Whether WRK takes new tasks.  */
 bool place_open (const struct worker *wrk, int64_t now_us);
 
+/* Whether WRK may run the task, but for its room.  */
+bool place_allowed (const struct worker *wrk, const struct place_request *req);
+
 /* Picks a worker for a task, or NULL when none can take it now.  */
 struct worker *place_pick (const struct pool *pool,
                            const struct place_request *req);
 
-/* Tasks of one step and occurrence on WRK.  */
-uint32_t place_siblings (const struct worker *wrk, const struct task_ref *ref);
-
 bool worker_has_label (const struct worker *wrk, const char *label);
 
 void resources_add (struct resources *sum, const struct step *step, int sign);
