sched: an earlier life of a host ends only with the report of a later-born one

Cause: (TWICE) a late report of a host's former worker was taken for a new life, and the runs of its present worker were given up.

--- a/node/duties.c
+++ b/node/duties.c
@@ -145,7 +145,7 @@
             : NULL;
   for (size_t n = 0; msg && n < msg->n_workers; n++)
     placer_earlier_worker (hld->plc, msg->workers[n]->id,
-                           msg->workers[n]->host);
+                           msg->workers[n]->host, msg->workers[n]->born_ms);
   if (msg)
     kingcuphollow__pool_workers__free_unpacked (msg, NULL);
   for (struct directory_entry *ent = nod->directory; ent; ent = ent->hh.next)
--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -1024,7 +1024,7 @@
   (ProtobufCMessageInit) kingcuphollow__occurrence_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__pool_workers__worker__field_descriptors[2] =
+static const ProtobufCFieldDescriptor kingcuphollow__pool_workers__worker__field_descriptors[3] =
 {
   {
     "id",
@@ -1050,15 +1050,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "born_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolWorkers__Worker, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__pool_workers__worker__field_indices_by_name[] = {
+  2,   /* field[2] = born_ms */
   1,   /* field[1] = host */
   0,   /* field[0] = id */
 };
 static const ProtobufCIntRange kingcuphollow__pool_workers__worker__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__pool_workers__worker__descriptor =
 {
@@ -1068,7 +1081,7 @@
   "Kingcuphollow__PoolWorkers__Worker",
   "kingcuphollow",
   sizeof(Kingcuphollow__PoolWorkers__Worker),
-  2,
+  3,
   kingcuphollow__pool_workers__worker__field_descriptors,
   kingcuphollow__pool_workers__worker__field_indices_by_name,
   1,  kingcuphollow__pool_workers__worker__number_ranges,
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -139,10 +139,14 @@
   ProtobufCMessage base;
   char *id;
   char *host;
+  /*
+   * Wall-clock milliseconds at its start; 0: not known.
+   */
+  int64_t born_ms;
 };
 #define KINGCUPHOLLOW__POOL_WORKERS__WORKER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__pool_workers__worker__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -170,16 +170,18 @@
   return wrk;
 }
 
-/* A host that reports as another worker has ended its earlier life.  */
+/* A host that reports as another worker, born later, has ended its earlier
+   life.  Reports of the earlier life may still come after those of the
+   later.  */
 static void
 end_earlier_lives (struct placer *plc, const struct worker_report *rep)
 {
-  placer_earlier_host (plc, rep->host, rep->id);
+  placer_earlier_host (plc, rep);
   for (size_t n = 0; *rep->host && n < plc->pool.count; n++)
     {
       struct worker *wrk = plc->pool.workers[n];
-      if (strcmp (wrk->rep.host, rep->host) == 0
-          && strcmp (wrk->rep.id, rep->id) != 0 && wrk->lease_us > 0)
+      if (strcmp (wrk->rep.host, rep->host) == 0 && wrk->rep.born_ms > 0
+          && rep->born_ms > wrk->rep.born_ms && wrk->lease_us > 0)
         {
           wrk->lease_us = 0; /* before any confirmation */
           wrk->failures++;
@@ -225,11 +227,11 @@
 
 /* Whether every task that an earlier owner may have started is known, or has
    lost its lease.  */
-static bool
+static void
 check_cleared (struct placer *plc, int64_t now_us)
 {
   if (plc->cleared)
-    return true;
+    return;
   bool unheard = plc->earlier_count > 0;
   for (size_t n = 0; n < plc->pool.count; n++)
     unheard = unheard || !plc->pool.workers[n]->reached;
@@ -238,7 +240,6 @@
     log_event (plc->env.lg, EV_PLACER_CLEARED, LOG_S ("pool", plc->set.pool),
                LOG_I ("after_ms", (now_us - plc->claimed_us) / 1000),
                LOG_I ("unheard", unheard));
-  return plc->cleared;
 }
 
 static bool
@@ -259,6 +260,11 @@
   struct task *tsk = job_task (job, ref);
   if (tsk->done || tsk->run || now_us < tsk->not_before_us)
     return;
+  /* It may run at a worker that has not answered since an earlier owner
+     started it there.  */
+  if (!plc->cleared && job->offset < plc->set.fence_offset
+      && tsk->located != plc->set.token)
+    return;
   const struct place_request req = {
     .job = job,
     .step = stp,
@@ -340,7 +346,7 @@
 {
   int64_t wall_ms = clock_wall_ms (plc->env.clk);
   size_t count = 0;
-  bool cleared = check_cleared (plc, now_us);
+  check_cleared (plc, now_us);
   struct candidate *cands
       = talloc_array (plc, struct candidate, plc->job_count + 1);
   plc->waiting_tasks = 0;
@@ -349,7 +355,7 @@
     {
       struct job *job = plc->jobs[n];
       const struct queue *que = catalog_queue (*plc->env.cat, job->queue);
-      if (job_ended (job) || (!cleared && job->offset < plc->set.fence_offset))
+      if (job_ended (job))
         continue;
       cands[count].job = job;
       cands[count++].key
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -58,7 +58,7 @@
 /* A worker on which an earlier owner may have started tasks, as the log
    tells.  */
 void placer_earlier_worker (struct placer *plc, const char *id,
-                            const char *host);
+                            const char *host, int64_t born_ms);
 
 /* Earlier owners certainly give no more orders.  */
 void placer_earlier_over (struct placer *plc);
--- a/sched/placer_enrol.c
+++ b/sched/placer_enrol.c
@@ -60,12 +60,14 @@
         {
           rows[n].id = plc->pool.workers[n]->rep.id;
           rows[n].host = plc->pool.workers[n]->rep.host;
+          rows[n].born_ms = plc->pool.workers[n]->rep.born_ms;
           ctx->handles[ctx->count++] = plc->pool.workers[n]->handle;
         }
       else
         {
           rows[n].id = plc->earlier[n - plc->pool.count].id;
           rows[n].host = plc->earlier[n - plc->pool.count].host;
+          rows[n].born_ms = plc->earlier[n - plc->pool.count].born_ms;
         }
     }
   msg->n_workers = most;
@@ -110,7 +112,8 @@
 }
 
 void
-placer_earlier_worker (struct placer *plc, const char *id, const char *host)
+placer_earlier_worker (struct placer *plc, const char *id, const char *host,
+                       int64_t born_ms)
 {
   struct earlier_worker *rows = talloc_realloc (
       plc, plc->earlier, struct earlier_worker, plc->earlier_count + 1);
@@ -120,6 +123,7 @@
   rows += plc->earlier_count++;
   name_copy (rows->id, id);
   name_copy (rows->host, host);
+  rows->born_ms = born_ms;
 }
 
 static void
@@ -137,10 +141,11 @@
 }
 
 void
-placer_earlier_host (struct placer *plc, const char *host, const char *id)
+placer_earlier_host (struct placer *plc, const struct worker_report *rep)
 {
-  for (size_t n = plc->earlier_count; *host && n-- > 0;)
-    if (strcmp (plc->earlier[n].host, host) == 0
-        && strcmp (plc->earlier[n].id, id) != 0)
+  for (size_t n = plc->earlier_count; *rep->host && n-- > 0;)
+    if (strcmp (plc->earlier[n].host, rep->host) == 0
+        && plc->earlier[n].born_ms > 0
+        && rep->born_ms > plc->earlier[n].born_ms)
       drop_earlier (plc, n);
 }
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -7,6 +7,7 @@
 {
   char id[NAME_BYTES];
   char host[NAME_BYTES];
+  int64_t born_ms;
 };
 
 struct placer
@@ -77,9 +78,8 @@
 void placer_enrol (struct placer *plc);
 /* Notes that the worker's life ID is known or over.  */
 void placer_earlier_known (struct placer *plc, const char *id);
-/* Notes that the host lives on as another worker than before.  */
-void placer_earlier_host (struct placer *plc, const char *host,
-                          const char *id);
+/* Notes that the host lives on as another worker, born later.  */
+void placer_earlier_host (struct placer *plc, const struct worker_report *rep);
 
 /* placer_room.c */
 /* Keeps room on WRK for a task.  */
