--- a/fleet/keeper.c
+++ b/fleet/keeper.c
@@ -25,6 +25,10 @@
 /* Hosts of one pool that are emptied or away for upkeep at a time, as a part
    of its hosts.  */
 #define POOL_OUT_PART 3
+/* Upkeep is spread evenly over this part of a wave's time while pools lack
+   hosts, this much ahead; the rest is for hosts that are slow to empty.  */
+#define WAVE_SPAN_PERCENT 70
+#define WAVE_LEAD_US 2000000
 /* Hosts that are emptied ahead of the wave's bound.  */
 #define WAVE_AHEAD 2
 
@@ -358,6 +362,24 @@
   return best;
 }
 
+/* While a pool lacks hosts, a wave that is ahead of its time leaves them to
+   it.  */
+static bool
+wave_can_wait (const struct keeper *kpr, const struct kept_wave *wave,
+               uint32_t under_way, int64_t now_us)
+{
+  bool lacking = false;
+  for (size_t n = 0; n < kpr->pool_count; n++)
+    lacking = lacking || kpr->pools[n].short_hosts > 0;
+  int64_t span_us = wave->wave->duration_ms * 1000 * WAVE_SPAN_PERCENT / 100;
+  int64_t passed_us = now_us - wave->seen_us;
+  if (!lacking || passed_us >= span_us)
+    return false;
+  int64_t planned
+      = (int64_t)wave->wave->host_count * (passed_us + WAVE_LEAD_US) / span_us;
+  return (int64_t)(wave->done_count + under_way) >= planned;
+}
+
 static bool
 step_wave (struct keeper *kpr, struct kept_wave *wave, int64_t now_us)
 {
@@ -382,7 +404,8 @@
       return false;
     }
   uint32_t under_way = wave_out (kpr, wave) + wave_preparing (kpr, wave);
-  while (under_way < wave->wave->most_out + WAVE_AHEAD)
+  while (under_way < wave->wave->most_out + WAVE_AHEAD
+         && !wave_can_wait (kpr, wave, under_way, now_us))
     {
       struct kept_host *host = pick_for_upkeep (kpr, wave, now_us);
       if (!host)
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -15,13 +15,13 @@
 /* The host list is read so often while hosts are under way, and otherwise.  */
 #define LIST_BUSY_MS 400
 #define LIST_IDLE_MS 2000
-#define TURN_MS 60
+#define TURN_MS 40
 /* A holder gives no orders for this time after its claim: the platform counts
    holders that take turns faster as two at once.  */
 #define SETTLE_US 3300000
 /* A pool's owner repeats what it wants after this time at the latest.  */
 #define DEMAND_REPEAT_US 1500000
-#define DEMAND_GAP_US 150000
+#define DEMAND_GAP_US 100000
 #define VACATE_KIND 'v'
 #define EMPTY_KIND 'e'
 #define DEMAND_KIND 'u'
@@ -495,6 +495,10 @@
       hld->told_us = now_us;
       hld->told_short = dem.short_hosts;
       hld->told_idle = dem.idle_count;
+      log_event (nod->lg, EV_POOL_DEMAND, LOG_S ("pool", hld->pool),
+                 LOG_I ("short", dem.short_hosts),
+                 LOG_I ("idle", dem.idle_count),
+                 LOG_I ("busy_milli", dem.busy_milli));
     }
   talloc_free (data);
 }
--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -4,12 +4,6 @@
 #include "base/log.h"
 #include "sched/placer_priv.h"
 
-/* A host counts as without work after this time, so that short gaps between
-   tasks move no host.  */
-#define IDLE_US 700000
-/* Hosts without work that a pool keeps for what comes next.  */
-#define IDLE_KEPT 1
-
 bool
 placer_vacate (struct placer *plc, const char *host, int64_t until_us)
 {
@@ -103,42 +97,3 @@
       placer_stop_run (plc, run);
     }
 }
-
-void
-placer_demand (const struct placer *plc, struct placer_demand *dem)
-{
-  int64_t now_us = clock_now_us (plc->env.clk);
-  int64_t used = 0;
-  int64_t room = 0;
-  int64_t memory = 0;
-  size_t open = 0;
-  size_t kept = 0;
-  *dem = (struct placer_demand){ 0 };
-  for (size_t n = 0; n < plc->pool.count; n++)
-    {
-      const struct worker *wrk = plc->pool.workers[n];
-      if (!place_open (wrk, now_us))
-        continue;
-      open++;
-      used += wrk->used.cpu_milli;
-      room += wrk->rep.capacity.cpu_milli;
-      memory += wrk->rep.capacity.memory_mb;
-      if (!wrk->idle_us || now_us < wrk->idle_us + IDLE_US
-          || plc->waiting_tasks > 0)
-        continue;
-      if (kept < IDLE_KEPT)
-        kept++;
-      else if (dem->idle_count < PLACER_IDLE_MAX && *wrk->rep.host)
-        dem->idle[dem->idle_count++] = wrk->rep.host;
-    }
-  dem->busy_milli = room > 0 ? (uint32_t)(used * 1000 / room) : 0;
-  if (plc->waiting_tasks == 0)
-    return;
-  int64_t host_cpu = open > 0 && room > 0 ? room / (int64_t)open : 1;
-  int64_t host_memory = open > 0 && memory > 0 ? memory / (int64_t)open : 1;
-  int64_t by_cpu = (plc->waiting_cpu_milli + host_cpu - 1) / host_cpu;
-  int64_t by_memory = (plc->waiting_memory_mb + host_memory - 1) / host_memory;
-  dem->short_hosts = (uint32_t)(by_cpu > by_memory ? by_cpu : by_memory);
-  if (open == 0)
-    dem->short_hosts = 1;
-}
