node: faster duties after a total loss; store: the first read of a follower does not wait

Cause: after all processes lost power, claims came 1.2 s after the start and collided, and no host moved for 3.3 s because of a holder that had ended.

--- a/node/duties.c
+++ b/node/duties.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <talloc.h>
+#include <xxhash.h>
 
 #include "base/err.h"
 #include "node/node_priv.h"
@@ -17,7 +18,10 @@
 #define SLACK_MAX_US 4000000
 /* A process takes part in claims once it has been running for this time, so
    that the first duties spread over the members that start together.  */
-#define SETTLE_US 1200000
+#define SETTLE_US 700000
+/* Claims of several duties collide when all processes start at once; a process
+   waits for a part of this time of its own before it tries again.  */
+#define CLAIM_SPREAD_US 60000
 #define MEMBER_KEY 'm'
 #define DUTY_KEY 'd'
 #define FENCE_PREFIX "f/"
@@ -245,7 +249,9 @@
   if (token && (!held || dty->token != token))
     node_fleet_end (nod);
   if (held && !nod->stopping && node_fleet_token (nod) == 0)
-    node_fleet_begin (nod, dty->token, dty->token > 1);
+    node_fleet_begin (nod, dty->token,
+                      *dty->earlier_holder
+                          && !duty_earlier_over (&nod->duties, dty));
 }
 
 static void
@@ -272,12 +278,32 @@
     }
 }
 
+static void
+on_claim_turn (struct tevent_context *ev, struct tevent_timer *te,
+               struct timeval tv, void *arg)
+{
+  struct node *nod = arg;
+  nod->claim_timer = NULL;
+  node_check_duties (nod);
+}
+
 static void
 on_claim (void *arg, const struct topic_append_result *res)
 {
   struct node *nod = arg;
   nod->claiming = false;
   /* Whatever came of it, the records tell.  */
+  if (res->status != TOPIC_MOVED)
+    return;
+  const char *name = nod->set->name;
+  nod->next_claim_us
+      = clock_now_us (nod->clk)
+        + (int64_t)(XXH64 (name, strlen (name), nod->boot + nod->claims++)
+                    % CLAIM_SPREAD_US);
+  if (!nod->claim_timer)
+    nod->claim_timer = tevent_add_timer (
+        nod->ev, nod, tevent_timeval_current_ofs (0, CLAIM_SPREAD_US),
+        on_claim_turn, nod);
 }
 
 static int
@@ -325,7 +351,7 @@
                                   .now_us = now_us,
                                   .settled_us = nod->started_us + SETTLE_US,
                                   .slack_us = slack_us };
-  if (nod->claiming || now_us < view.settled_us
+  if (nod->claiming || now_us < view.settled_us || now_us < nod->next_claim_us
       || !duty_should_claim (&nod->duties, name, &view))
     return;
   if (append_claim (nod, name, false, true) == 0)
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -16,8 +16,9 @@
 #define LIST_BUSY_MS 400
 #define LIST_IDLE_MS 2000
 #define TURN_MS 40
-/* A holder gives no orders for this time after its claim: the platform counts
-   holders that take turns faster as two at once.  */
+/* A holder whose predecessor may still be alive gives no orders for this time
+   after its claim: the platform counts holders that take turns faster as two
+   at once.  */
 #define SETTLE_US 3300000
 /* A pool's owner repeats what it wants after this time at the latest.  */
 #define DEMAND_REPEAT_US 1500000
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -116,6 +116,9 @@
   struct duty_table duties;
   struct holding *holdings;
   bool claiming;
+  int64_t next_claim_us;
+  uint64_t claims; /* tries so far */
+  struct tevent_timer *claim_timer;
   bool beat_open;
   int64_t confirmed_us;
   struct tevent_timer *beat_timer;
--- a/store/follower.c
+++ b/store/follower.c
@@ -124,8 +124,9 @@
   p->restart = false;
   p->sent_us = clock_now_us (p->clk);
   if (p->booted)
+    /* The first read tells at once whether anything is left to read.  */
     err = topic_read (p->st, p->set.topic, p->set.part, p->next,
-                      p->set.wait_ms, on_read, p);
+                      p->current_us ? p->set.wait_ms : 0, on_read, p);
   else
     err = topic_newest (p->st, p->set.topic, p->set.part,
                         *p->after ? p->after : NULL, on_newest, p);
