sched: hosts that the platform has renewed need not be heard from by a new owner

Cause: after a total loss, hosts that were being moved never answered, and all jobs from before waited 5.6 s.

--- a/node/fleet.c
+++ b/node/fleet.c
@@ -190,18 +190,34 @@
   talloc_free (ctx);
 }
 
+static void
+wake_all (struct node *nod)
+{
+  for (struct holding *hld = nod->holdings; hld; hld = hld->next)
+    if (hld->plc)
+      node_wake_holding (hld, 0);
+}
+
 static void
 on_list (void *arg, const struct host_list *list)
 {
   struct fleet *flt = arg;
   flt->list_open = false;
-  if (flt->active && !list->err)
+  if (list->err)
+    return;
+  if (flt->active)
     keeper_hosts (&flt->kpr, flt, list, flt->list_asked_us);
+  for (struct holding *hld = flt->nod->holdings; hld; hld = hld->next)
+    for (size_t n = 0; hld->plc && n < list->count; n++)
+      placer_host (hld->plc, &list->hosts[n], flt->list_asked_us);
+  wake_all (flt->nod);
 }
 
 static void
 read_list (struct fleet *flt, bool busy, int64_t now_us)
 {
+  if (!*flt->nod->set->fleet_api)
+    return;
   struct host_link *lnk = &flt->nod->fleet_link.lnk;
   if (flt->list_open || now_us < flt->next_list_us)
     return;
@@ -305,14 +321,6 @@
   HASH_ADD_KEYPTR (hh, flt->requests, req->host, strlen (req->host), req);
 }
 
-static void
-wake_all (struct node *nod)
-{
-  for (struct holding *hld = nod->holdings; hld; hld = hld->next)
-    if (hld->plc)
-      node_wake_holding (hld, 0);
-}
-
 static void
 fold_request (struct fleet *flt, const char *host, uint64_t offset,
               const struct topic_entry *ent)
@@ -509,6 +517,9 @@
 {
   report_empty (hld);
   report_demand (hld);
+  /* Hosts that were renewed since need not be heard from.  */
+  if (!placer_cleared (hld->plc))
+    read_list (hld->nod->flt, true, clock_now_us (hld->nod->clk));
 }
 
 bool
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -166,6 +166,7 @@
   plc->pool.workers = workers;
   workers[plc->pool.count++] = wrk;
   wrk->handle = ++plc->pool.next_handle;
+  wrk->added_us = clock_now_us (plc->env.clk);
   wrk->rep = *rep;
   return wrk;
 }
@@ -190,6 +191,33 @@
     }
 }
 
+void
+placer_host (struct placer *plc, const struct host_report *rep,
+             int64_t asked_us)
+{
+  bool renewed = rep->state == HOST_MOVING || rep->state == HOST_UPKEEP;
+  for (size_t n = 0; n < plc->pool.count; n++)
+    {
+      struct worker *wrk = plc->pool.workers[n];
+      bool same = strcmp (wrk->rep.id, rep->worker) == 0;
+      /* A worker that was first heard after the list was asked for may be the
+         host's next one.  */
+      if (strcmp (wrk->rep.host, rep->name) != 0 || wrk->heard_us >= asked_us
+          || wrk->added_us >= asked_us || wrk->failures == 0
+          || (same && !renewed))
+        continue;
+      if (wrk->listed || wrk->lease_us > 0)
+        log_event (plc->env.lg, EV_WORKER_CHANGED,
+                   LOG_S ("worker", wrk->rep.id), LOG_S ("state", "ended"),
+                   LOG_S ("host", rep->name), LOG_S ("next", rep->worker));
+      wrk->lease_us = 0;
+      wrk->listed = false;
+      wrk->over = true;
+    }
+  if (plc->claimed_us < asked_us)
+    placer_earlier_renewed (plc, rep->name, rep->worker, renewed);
+}
+
 void
 placer_worker (struct placer *plc, const char *id,
                const struct worker_report *rep)
@@ -219,6 +247,8 @@
       wrk->clock_us = now_us;
     }
   wrk->rep = *rep;
+  if (wrk->over)
+    return;
   /* Another life of the worker is noted when it answers itself.  */
   if (born_ms > 0)
     wrk->rep.born_ms = born_ms;
@@ -232,14 +262,15 @@
 {
   if (plc->cleared)
     return;
-  bool unheard = plc->earlier_count > 0;
-  for (size_t n = 0; n < plc->pool.count; n++)
-    unheard = unheard || !plc->pool.workers[n]->reached;
+  const char *unheard = plc->earlier_count > 0 ? plc->earlier[0].id : NULL;
+  for (size_t n = 0; !unheard && n < plc->pool.count; n++)
+    if (!plc->pool.workers[n]->reached && !plc->pool.workers[n]->over)
+      unheard = plc->pool.workers[n]->rep.id;
   plc->cleared = !unheard || now_us > plc->lapse_us;
   if (plc->cleared)
     log_event (plc->env.lg, EV_PLACER_CLEARED, LOG_S ("pool", plc->set.pool),
                LOG_I ("after_ms", (now_us - plc->claimed_us) / 1000),
-               LOG_I ("unheard", unheard));
+               LOG_S ("unheard", unheard ? unheard : "none"));
 }
 
 static bool
@@ -379,7 +410,7 @@
           || now_us < wrk->lease_us)
         continue;
       /* A worker that was never heard may hold tasks of an earlier owner.  */
-      if (!wrk->reached && !plc->cleared)
+      if (!wrk->reached && !wrk->over && !plc->cleared)
         continue;
       plc->pool.workers[n] = plc->pool.workers[--plc->pool.count];
       plc->enrol_stale = plc->enrol_stale || wrk->enrolled;
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -73,6 +73,10 @@
 /* Takes a worker's report, or with a NULL REP that ID reports no more.  */
 void placer_worker (struct placer *plc, const char *id,
                     const struct worker_report *rep);
+/* Takes what the platform's list of hosts says of one; the list was asked for
+   at ASKED_US.  */
+void placer_host (struct placer *plc, const struct host_report *rep,
+                  int64_t asked_us);
 void placer_job (struct placer *plc, struct job *job, enum job_change change);
 /* The log shows that no later owner had claimed the pool at AT_US.  */
 void placer_confirmed (struct placer *plc, int64_t at_us);
--- a/sched/placer_enrol.c
+++ b/sched/placer_enrol.c
@@ -15,10 +15,21 @@
 struct enrol_ctx
 {
   struct placer *plc;
-  uint32_t *handles;
+  uint32_t *handles; /* of the workers that the record names */
   size_t count;
+  uint32_t *struck; /* of those that it leaves out */
+  size_t struck_count;
 };
 
+/* A worker that was emptied holds no tasks; a later owner need not hear from
+   it, as its host may be off by then.  */
+static bool
+is_empty (const struct worker *wrk)
+{
+  return wrk->vacate && wrk->reached && !wrk->runs
+         && wrk->seen_end >= wrk->applied_end;
+}
+
 static void
 on_enrolled (void *arg, enum persist_outcome out)
 {
@@ -34,12 +45,31 @@
       if (wrk)
         wrk->enrolled = true;
     }
+  for (size_t n = 0;
+       !plc->closing && out == PERSIST_DONE && n < ctx->struck_count; n++)
+    {
+      struct worker *wrk = placer_find_worker (plc, ctx->struck[n]);
+      if (wrk)
+        wrk->struck = is_empty (wrk);
+    }
   talloc_free (ctx);
   if (!plc->closing)
     plc->env.wake (plc->env.arg);
   placer_release_call (plc);
 }
 
+static void
+add_row (Kingcuphollow__PoolWorkers__Worker *row,
+         Kingcuphollow__PoolWorkers *msg, char *id, char *host,
+         int64_t born_ms)
+{
+  kingcuphollow__pool_workers__worker__init (row);
+  row->id = id;
+  row->host = host;
+  row->born_ms = born_ms;
+  msg->workers[msg->n_workers++] = row;
+}
+
 static bool
 append_workers (struct placer *plc, struct enrol_ctx *ctx,
                 Kingcuphollow__PoolWorkers *msg)
@@ -50,27 +80,25 @@
   msg->workers
       = talloc_array (ctx, Kingcuphollow__PoolWorkers__Worker *, most);
   ctx->handles = talloc_array (ctx, uint32_t, plc->pool.count);
-  if (!rows || !msg->workers || !ctx->handles)
+  ctx->struck = talloc_array (ctx, uint32_t, plc->pool.count);
+  if (!rows || !msg->workers || !ctx->handles || !ctx->struck)
     return false;
-  for (size_t n = 0; n < most; n++)
+  for (size_t n = 0; n < plc->pool.count; n++)
     {
-      kingcuphollow__pool_workers__worker__init (&rows[n]);
-      msg->workers[n] = &rows[n];
-      if (n < plc->pool.count)
-        {
-          rows[n].id = plc->pool.workers[n]->rep.id;
-          rows[n].host = plc->pool.workers[n]->rep.host;
-          rows[n].born_ms = plc->pool.workers[n]->rep.born_ms;
-          ctx->handles[ctx->count++] = plc->pool.workers[n]->handle;
-        }
-      else
+      struct worker *wrk = plc->pool.workers[n];
+      if (is_empty (wrk))
         {
-          rows[n].id = plc->earlier[n - plc->pool.count].id;
-          rows[n].host = plc->earlier[n - plc->pool.count].host;
-          rows[n].born_ms = plc->earlier[n - plc->pool.count].born_ms;
+          wrk->enrolled = false;
+          ctx->struck[ctx->struck_count++] = wrk->handle;
+          continue;
         }
+      ctx->handles[ctx->count++] = wrk->handle;
+      add_row (&rows[msg->n_workers], msg, wrk->rep.id, wrk->rep.host,
+               wrk->rep.born_ms);
     }
-  msg->n_workers = most;
+  for (size_t n = 0; n < plc->earlier_count; n++)
+    add_row (&rows[msg->n_workers], msg, plc->earlier[n].id,
+             plc->earlier[n].host, plc->earlier[n].born_ms);
   return true;
 }
 
@@ -80,7 +108,11 @@
   bool needed = plc->enrol_stale;
   char key[KEY_PREFIX_BYTES + NAME_BYTES] = KEY_PREFIX;
   for (size_t n = 0; n < plc->pool.count; n++)
-    needed = needed || !plc->pool.workers[n]->enrolled;
+    {
+      struct worker *wrk = plc->pool.workers[n];
+      wrk->struck = wrk->struck && is_empty (wrk);
+      needed = needed || !(is_empty (wrk) ? wrk->struck : wrk->enrolled);
+    }
   if (!needed || plc->enrolling || plc->fenced)
     return;
   struct enrol_ctx *ctx = talloc_zero (plc, struct enrol_ctx);
@@ -149,3 +181,13 @@
         && rep->born_ms > plc->earlier[n].born_ms)
       drop_earlier (plc, n);
 }
+
+void
+placer_earlier_renewed (struct placer *plc, const char *host, const char *id,
+                        bool renewed)
+{
+  for (size_t n = plc->earlier_count; n-- > 0;)
+    if (strcmp (plc->earlier[n].host, host) == 0
+        && (renewed || strcmp (plc->earlier[n].id, id) != 0))
+      drop_earlier (plc, n);
+}
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -306,6 +306,12 @@
       wrk->hold_open = false;
       placer_note_answer (plc, wrk, &res->order);
       wrk->next_hold_us = now_us + HOLD_RETRY_US;
+      if (res->order.status != ORDER_DONE && !wrk->silent)
+        log_event (
+            plc->env.lg, EV_WORKER_SILENT, LOG_S ("worker", wrk->rep.id),
+            LOG_S ("pool", plc->set.pool), LOG_I ("status", res->order.status),
+            LOG_I ("lease_left_ms", (wrk->lease_us - now_us) / 1000));
+      wrk->silent = res->order.status != ORDER_DONE;
       if (res->order.status == ORDER_DONE)
         apply_hold (plc, wrk, ctx, res, now_us);
       else if (res->order.status == ORDER_OTHER_LIFE)
--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -27,7 +27,7 @@
     {
       const struct worker *wrk = plc->pool.workers[n];
       if (strcmp (wrk->rep.host, host) == 0
-          && (wrk->runs || !wrk->vacate || !wrk->reached
+          && (wrk->runs || !wrk->vacate || !wrk->struck
               || wrk->seen_end < wrk->applied_end))
         return false;
     }
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -48,9 +48,13 @@
 
   /* Contact.  */
   bool listed;
+  bool over; /* this life of its host has ended */
+  int64_t added_us;
   bool reached;  /* has answered this owner */
   bool enrolled; /* the log tells that tasks may run there */
+  bool struck;   /* the log tells that none do, while it is to be emptied */
   int failures;  /* calls in a row without an answer */
+  bool silent;   /* as last logged */
   int64_t clock_ms;
   int64_t clock_us;    /* monotonic time of that clock */
   int64_t lease_us;    /* all that runs there has lapsed by then, unless it is
