fleet: orders go on at once after a takeover

Cause: each new holder of the duty gave no orders for 3.3 s while pools lacked hosts. Change: a holder that has not confirmed its duty for 1.7 s stops instead; others take over after 2 s.

--- a/node/duties.c
+++ b/node/duties.c
@@ -249,9 +249,7 @@
   if (token && (!held || dty->token != token))
     node_fleet_end (nod);
   if (held && !nod->stopping && node_fleet_token (nod) == 0)
-    node_fleet_begin (nod, dty->token,
-                      *dty->earlier_holder
-                          && !duty_earlier_over (&nod->duties, dty));
+    node_fleet_begin (nod, dty->token);
 }
 
 static void
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -16,10 +16,9 @@
 #define LIST_BUSY_MS 400
 #define LIST_IDLE_MS 2000
 #define TURN_MS 40
-/* A holder whose predecessor may still be alive gives no orders for this time
-   after its claim: the platform counts holders that take turns faster as two
-   at once.  */
-#define SETTLE_US 3300000
+/* A holder that has not confirmed its duty for so long gives no orders: others
+   take the duty over after 2 s, and must not take turns with it.  */
+#define CONFIRM_US 1700000
 /* A pool's owner repeats what it wants after this time at the latest.  */
 #define DEMAND_REPEAT_US 1500000
 #define DEMAND_GAP_US 100000
@@ -54,8 +53,6 @@
   /* As the holder of the duty.  */
   bool active;
   uint64_t token;
-  int64_t begun_us;
-  bool takeover;
   struct keeper kpr;
   bool list_open;
   int64_t list_asked_us;
@@ -237,10 +234,7 @@
   if (!flt->active)
     return;
   flt->kpr.cat = flt->nod->cat;
-  bool settled = !flt->takeover || now_us > flt->begun_us + SETTLE_US;
-  bool confirmed
-      = now_us - flt->nod->confirmed_us < flt->nod->set->confirm_ms * 1000;
-  if (settled && confirmed)
+  if (now_us - flt->nod->confirmed_us < CONFIRM_US)
     busy = keeper_step (&flt->kpr, now_us);
   read_list (flt, busy, now_us);
   flt->timer = tevent_add_timer (
@@ -248,7 +242,7 @@
 }
 
 void
-node_fleet_begin (struct node *nod, uint64_t token, bool takeover)
+node_fleet_begin (struct node *nod, uint64_t token)
 {
   struct fleet *flt = nod->flt;
   const struct keeper_ops ops = {
@@ -260,8 +254,6 @@
   };
   flt->active = true;
   flt->token = token;
-  flt->takeover = takeover;
-  flt->begun_us = clock_now_us (nod->clk);
   flt->next_list_us = 0;
   keeper_init (&flt->kpr, flt, &ops);
   log_event (nod->lg, EV_DUTY_BEGUN, LOG_S ("duty", DUTY_FLEET),
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -151,8 +151,7 @@
 /* node/fleet.c */
 int node_open_fleet (struct node *nod);
 bool node_fleet_caught_up (const struct node *nod);
-/* Takes over the duty for the hosts; TAKEOVER: from an earlier holder.  */
-void node_fleet_begin (struct node *nod, uint64_t token, bool takeover);
+void node_fleet_begin (struct node *nod, uint64_t token);
 void node_fleet_end (struct node *nod);
 /* Token of the duty while this process has it, else 0.  */
 uint64_t node_fleet_token (const struct node *nod);
