fleet: hosts go from pool to pool directly; a moved host's former worker counts no more

Cause: a withdrawn request made the workers of hosts that had left look open for 4.5 s, so that a pool offered hosts that it no longer had and starts there failed; hosts went to the spare pool while another pool lacked some; demand followed the backlog by 2 s.

--- a/fleet/keeper.c
+++ b/fleet/keeper.c
@@ -19,7 +19,11 @@
    upkeep takes 2 s and a move 1.5 s.  */
 #define AWAY_MAX_US 4500000
 /* A host that arrived stays at least so long.  */
-#define REST_US 2000000
+#define REST_US 500000
+/* A host that its pool can spare goes to the spare pool after this time; two
+   moves cost as much as a host does in about two seconds, and most turns begin
+   as another ends.  */
+#define PARK_US 1500000
 /* A demand older than this is not acted on.  */
 #define DEMAND_AGE_US 4000000
 /* Hosts of one pool that are emptied or away for upkeep at a time, as a part
@@ -129,6 +133,30 @@
   return NULL;
 }
 
+static bool
+is_offered (const struct kept_pool *pool, const struct kept_host *host)
+{
+  for (size_t n = 0; n < pool->idle_count; n++)
+    if (strcmp (pool->idle[n], host->rep.name) == 0)
+      return true;
+  return false;
+}
+
+static void
+note_offers (struct keeper *kpr, const struct kept_pool *pool, int64_t now_us)
+{
+  for (size_t n = 0; n < kpr->host_count; n++)
+    {
+      struct kept_host *host = &kpr->hosts[n];
+      if (strcmp (host->rep.pool, pool->name) != 0)
+        continue;
+      if (!is_offered (pool, host))
+        host->offered_us = 0;
+      else if (!host->offered_us)
+        host->offered_us = now_us;
+    }
+}
+
 void
 keeper_demand (struct keeper *kpr, const char *name, uint32_t short_hosts,
                char (*idle)[NAME_BYTES], size_t idle_count,
@@ -152,6 +180,7 @@
   pool->idle_count = idle_count;
   pool->busy_milli = busy_milli;
   pool->heard_us = now_us;
+  note_offers (kpr, pool, now_us);
 }
 
 static struct kept_wave *
@@ -325,10 +354,8 @@
 host_is_idle (struct keeper *kpr, const struct kept_host *host)
 {
   const struct kept_pool *pool = find_pool (kpr, host->rep.pool);
-  for (size_t n = 0; pool && n < pool->idle_count; n++)
-    if (strcmp (pool->idle[n], host->rep.name) == 0)
-      return true;
-  return pool_is_spare (kpr, host->rep.pool);
+  return pool_is_spare (kpr, host->rep.pool)
+         || (pool && is_offered (pool, host));
 }
 
 /* The wave's next host: one without work, else of the pool that is least
@@ -488,8 +515,17 @@
   return false;
 }
 
-/* A host for a pool that lacks one: of the spare pool, else one without work
-   of a pool that lacks none.  */
+/* Whether HOST is on its way to the spare pool and can still go elsewhere.  */
+static bool
+may_retarget (const struct keeper *kpr, const struct kept_host *host)
+{
+  return host->listed && host->purpose == PURPOSE_MOVE
+         && (host->phase == PHASE_VACATING || host->phase == PHASE_EMPTY)
+         && pool_is_spare (kpr, host->target);
+}
+
+/* A host for a pool that lacks one: of the spare pool, on its way there, or
+   one that its pool can spare.  */
 static struct kept_host *
 pick_for_pool (struct keeper *kpr, const char *target, int64_t now_us)
 {
@@ -499,13 +535,15 @@
     {
       struct kept_host *host = &kpr->hosts[n];
       const struct kept_pool *pool = find_pool (kpr, host->rep.pool);
-      if (!may_begin (host, now_us) || strcmp (host->rep.pool, target) == 0)
+      bool retarget = may_retarget (kpr, host);
+      if ((!retarget && !may_begin (host, now_us))
+          || strcmp (host->rep.pool, target) == 0)
         continue;
       bool spare = pool_is_spare (kpr, host->rep.pool);
-      if (!spare
+      if (!spare && !retarget
           && (!pool || pool->short_hosts > 0 || !host_is_idle (kpr, host)))
         continue;
-      int cost = (spare ? 0 : 2) + in_open_wave (kpr, host);
+      int cost = (retarget ? 0 : spare ? 1 : 3) + in_open_wave (kpr, host);
       if (!best || cost < best_cost)
         {
           best = host;
@@ -524,42 +562,56 @@
   return NULL;
 }
 
-static void
-step_moves (struct keeper *kpr, int64_t now_us)
+static bool
+demand_holds (const struct kept_pool *pool, int64_t now_us)
 {
-  const char *spare = spare_pool (kpr);
-  for (size_t n = 0; n < kpr->pool_count; n++)
+  return now_us - pool->heard_us <= DEMAND_AGE_US;
+}
+
+/* Brings hosts to POOL.  Returns whether it lacks more.  */
+static bool
+fill_pool (struct keeper *kpr, struct kept_pool *pool, int64_t now_us)
+{
+  uint32_t have = incoming (kpr, pool->name);
+  for (; have < pool->short_hosts; have++)
     {
-      struct kept_pool *pool = &kpr->pools[n];
-      if (now_us - pool->heard_us > DEMAND_AGE_US)
-        continue;
-      uint32_t have = incoming (kpr, pool->name);
-      for (; have < pool->short_hosts; have++)
-        {
-          struct kept_host *host = pick_for_pool (kpr, pool->name, now_us);
-          if (!host)
-            break;
-          name_copy (host->target, pool->name);
-          begin_purpose (kpr, host, PURPOSE_MOVE, now_us);
-        }
+      struct kept_host *host = pick_for_pool (kpr, pool->name, now_us);
+      if (!host)
+        return true;
+      name_copy (host->target, pool->name);
+      if (host->phase == PHASE_IDLE)
+        begin_purpose (kpr, host, PURPOSE_MOVE, now_us);
     }
-  for (size_t n = 0; spare && n < kpr->pool_count; n++)
+  return false;
+}
+
+static void
+park_hosts (struct keeper *kpr, const char *spare, int64_t now_us)
+{
+  for (size_t n = 0; n < kpr->host_count; n++)
     {
-      struct kept_pool *pool = &kpr->pools[n];
-      if (now_us - pool->heard_us > DEMAND_AGE_US || pool->short_hosts > 0)
+      struct kept_host *host = &kpr->hosts[n];
+      const struct kept_pool *pool = find_pool (kpr, host->rep.pool);
+      if (!pool || !demand_holds (pool, now_us) || !host->offered_us
+          || now_us < host->offered_us + PARK_US || !may_begin (host, now_us))
         continue;
-      for (size_t m = 0; m < pool->idle_count; m++)
-        {
-          struct kept_host *host = keeper_find (kpr, pool->idle[m]);
-          if (!host || !may_begin (host, now_us)
-              || strcmp (host->rep.pool, pool->name) != 0)
-            continue;
-          name_copy (host->target, spare);
-          begin_purpose (kpr, host, PURPOSE_MOVE, now_us);
-        }
+      name_copy (host->target, spare);
+      begin_purpose (kpr, host, PURPOSE_MOVE, now_us);
     }
 }
 
+static void
+step_moves (struct keeper *kpr, int64_t now_us)
+{
+  const char *spare = spare_pool (kpr);
+  bool lacking = false;
+  for (size_t n = 0; n < kpr->pool_count; n++)
+    if (demand_holds (&kpr->pools[n], now_us))
+      lacking = fill_pool (kpr, &kpr->pools[n], now_us) || lacking;
+  if (spare && !lacking)
+    park_hosts (kpr, spare, now_us);
+}
+
 bool
 keeper_step (struct keeper *kpr, int64_t now_us)
 {
--- a/fleet/keeper.h
+++ b/fleet/keeper.h
@@ -46,7 +46,8 @@
   char left_worker[NAME_BYTES]; /* its worker before the order */
   bool order_open;
   int64_t next_order_us;
-  int64_t rest_us; /* no other purpose before this time */
+  int64_t rest_us;    /* no other purpose before this time */
+  int64_t offered_us; /* since when its pool can spare it; 0: it cannot */
 };
 
 struct kept_pool
--- a/node/directory.c
+++ b/node/directory.c
@@ -7,7 +7,7 @@
 
 /* Workers report every 1.5 s, and a change of theirs may take 2 s to be
    acted on.  */
-#define DIRECTORY_GAP_MS 250
+#define DIRECTORY_GAP_MS 120
 #define WAIT_MS 1000
 
 static void
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -10,18 +10,18 @@
 
 /* Requests to empty hosts and their reports pass through a topic.  */
 #define TOPIC_FLEET "keyed.fleet"
-#define FLEET_GAP_MS 40
+#define FLEET_GAP_MS 20
 #define WAIT_MS 1000
 /* The host list is read so often while hosts are under way, and otherwise.  */
 #define LIST_BUSY_MS 400
 #define LIST_IDLE_MS 2000
-#define TURN_MS 40
+#define TURN_MS 30
 /* A holder that has not confirmed its duty for so long gives no orders: others
    take the duty over after 2 s, and must not take turns with it.  */
 #define CONFIRM_US 1700000
 /* A pool's owner repeats what it wants after this time at the latest.  */
 #define DEMAND_REPEAT_US 1500000
-#define DEMAND_GAP_US 100000
+#define DEMAND_GAP_US 60000
 #define VACATE_KIND 'v'
 #define EMPTY_KIND 'e'
 #define DEMAND_KIND 'u'
@@ -72,18 +72,26 @@
   return appender_add (&flt->app, &ent, true, NULL, NULL);
 }
 
+static void
+append_request (struct fleet *flt, const char *host, int64_t until_ms,
+                const char *ended_worker)
+{
+  uint8_t data[64 + NAME_BYTES];
+  Kingcuphollow__VacateRequest msg = KINGCUPHOLLOW__VACATE_REQUEST__INIT;
+  msg.token = flt->token;
+  msg.until_ms = (uint64_t)until_ms;
+  msg.ended_worker = (char *)ended_worker;
+  append (flt, VACATE_KIND, host, data,
+          kingcuphollow__vacate_request__pack (&msg, data));
+}
+
 static void
 vacate (void *arg, struct kept_host *host, int64_t keep_ms)
 {
   struct fleet *flt = arg;
   struct node *nod = flt->nod;
-  uint8_t data[64];
-  Kingcuphollow__VacateRequest msg = KINGCUPHOLLOW__VACATE_REQUEST__INIT;
-  msg.token = flt->token;
-  msg.until_ms = (uint64_t)(clock_wall_ms (nod->clk) + keep_ms);
-  size_t len = kingcuphollow__vacate_request__pack (&msg, data);
   host->request_offset = 0;
-  append (flt, VACATE_KIND, host->rep.name, data, len);
+  append_request (flt, host->rep.name, clock_wall_ms (nod->clk) + keep_ms, "");
   log_event (
       nod->lg, EV_HOST_VACATE, LOG_S ("host", host->rep.name),
       LOG_S ("pool", host->rep.pool),
@@ -94,9 +102,8 @@
 static void
 withdraw (void *arg, struct kept_host *host)
 {
-  struct fleet *flt = arg;
-  if (host->phase != PHASE_IDLE)
-    append (flt, VACATE_KIND, host->rep.name, NULL, 0);
+  append_request (arg, host->rep.name, 0,
+                  host->phase == PHASE_AWAY ? host->left_worker : "");
 }
 
 static void
@@ -314,41 +321,57 @@
 }
 
 static void
-fold_request (struct fleet *flt, const char *host, uint64_t offset,
-              const struct topic_entry *ent)
+end_request (struct fleet *flt, const char *host, const char *ended_worker)
 {
   struct vacate_request *req = find_request (flt, host);
-  if (ent->value_len == 0)
+  for (struct holding *hld = flt->nod->holdings; hld; hld = hld->next)
     {
-      for (struct holding *hld = flt->nod->holdings; hld; hld = hld->next)
-        if (hld->plc)
-          placer_vacate (hld->plc, host, 0);
-      if (req)
-        HASH_DEL (flt->requests, req);
-      talloc_free (req);
-      return;
+      if (!hld->plc)
+        continue;
+      if (*ended_worker)
+        placer_worker_over (hld->plc, ended_worker);
+      placer_vacate (hld->plc, host, 0);
     }
+  if (req)
+    HASH_DEL (flt->requests, req);
+  talloc_free (req);
+}
+
+static struct vacate_request *
+add_request (struct fleet *flt, const char *host)
+{
+  struct vacate_request *req = find_request (flt, host);
+  if (req)
+    return req;
+  req = talloc_zero (flt, struct vacate_request);
+  if (!req)
+    return NULL;
+  name_copy (req->host, host);
+  link_request (flt, req);
+  return req;
+}
+
+static void
+fold_request (struct fleet *flt, const char *host, uint64_t offset,
+              const struct topic_entry *ent)
+{
   Kingcuphollow__VacateRequest *msg = kingcuphollow__vacate_request__unpack (
       NULL, ent->value_len, ent->value);
   if (!msg)
     return;
-  if (!req)
+  if (msg->until_ms == 0)
+    end_request (flt, host, msg->ended_worker);
+  else
     {
-      req = talloc_zero (flt, struct vacate_request);
+      struct vacate_request *req = add_request (flt, host);
+      struct kept_host *kept = flt->active && msg->token == flt->token
+                                   ? keeper_find (&flt->kpr, host)
+                                   : NULL;
       if (req)
         {
-          name_copy (req->host, host);
-          link_request (flt, req);
+          req->offset = offset;
+          req->until_ms = (int64_t)msg->until_ms;
         }
-    }
-  if (req)
-    {
-      req->offset = offset;
-      req->until_ms = (int64_t)msg->until_ms;
-    }
-  if (flt->active && msg->token == flt->token)
-    {
-      struct kept_host *kept = keeper_find (&flt->kpr, host);
       if (kept && kept->phase == PHASE_VACATING)
         kept->request_offset = offset;
     }
@@ -499,6 +522,7 @@
       log_event (nod->lg, EV_POOL_DEMAND, LOG_S ("pool", hld->pool),
                  LOG_I ("short", dem.short_hosts),
                  LOG_I ("idle", dem.idle_count),
+                 LOG_I ("open", dem.open_hosts),
                  LOG_I ("busy_milli", dem.busy_milli));
     }
   talloc_free (data);
--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -1267,7 +1267,7 @@
   (ProtobufCMessageInit) kingcuphollow__duty_claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__vacate_request__field_descriptors[2] =
+static const ProtobufCFieldDescriptor kingcuphollow__vacate_request__field_descriptors[3] =
 {
   {
     "token",
@@ -1293,15 +1293,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ended_worker",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__VacateRequest, ended_worker),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__vacate_request__field_indices_by_name[] = {
+  2,   /* field[2] = ended_worker */
   0,   /* field[0] = token */
   1,   /* field[1] = until_ms */
 };
 static const ProtobufCIntRange kingcuphollow__vacate_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__vacate_request__descriptor =
 {
@@ -1311,7 +1324,7 @@
   "Kingcuphollow__VacateRequest",
   "kingcuphollow",
   sizeof(Kingcuphollow__VacateRequest),
-  2,
+  3,
   kingcuphollow__vacate_request__field_descriptors,
   kingcuphollow__vacate_request__field_indices_by_name,
   1,  kingcuphollow__vacate_request__number_ranges,
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -201,21 +201,25 @@
 
 /*
  * Value of the record with the key "v/" and the name of a host: its pool's
- * owner is to empty the host, for upkeep or a move.  A record without a value
- * withdraws the request.
+ * owner is to empty the host, for upkeep or a move.
  */
 struct  Kingcuphollow__VacateRequest
 {
   ProtobufCMessage base;
   uint64_t token;
   /*
-   * Tasks that are not done by then are stopped; wall-clock milliseconds.
+   * Tasks that are not done by then are stopped; wall-clock milliseconds.  0:
+   * the request is over.
    */
   uint64_t until_ms;
+  /*
+   * Of a request that is over: the worker whose life the order ended, if any.
+   */
+  char *ended_worker;
 };
 #define KINGCUPHOLLOW__VACATE_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__vacate_request__descriptor) \
-    , 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -244,7 +248,7 @@
    */
   uint32_t short_hosts;
   /*
-   * Hosts without work that the pool can spare.
+   * Hosts that the pool can spare, those with the fewest tasks first.
    */
   size_t n_idle_hosts;
   char **idle_hosts;
--- a/sched/demand.c
+++ b/sched/demand.c
@@ -1,23 +1,21 @@
 #include "sched/demand.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "base/clock.h"
 
 /* The work of jobs that can meet their goal is to be done within this time;
    goals leave about a second beside the chain of work.  */
-#define IN_TIME_MS 800
+#define IN_TIME_MS 500
 /* Late work is done with what is there anyway and this share of it.  */
 #define LATE_MS 4000
-/* A host counts as without work after this time, so that short gaps between
-   tasks move no host.  */
-#define IDLE_US 500000
-/* Hosts without work that a pool keeps for what comes next.  */
-#define IDLE_KEPT 1
+/* Hosts beyond the work that a pool keeps for what comes next.  */
+#define HOSTS_KEPT 1
 
 /* More than this share of what can run at once is of no use: estimates are off
    by half and more, and a chain of steps cannot be hurried.  */
-#define READY_PERCENT 130
+#define READY_PERCENT 180
 
 int64_t
 demand_cpu_milli (const struct demand_work *work)
@@ -25,7 +23,11 @@
   int64_t by_work
       = work->in_time_core_ms / IN_TIME_MS + work->late_core_ms / LATE_MS;
   int64_t by_width = work->ready_cpu_milli * READY_PERCENT / 100;
-  return work->lasting_cpu_milli + (by_work < by_width ? by_work : by_width);
+  int64_t by_rate = work->arrived_core_ms / DEMAND_WINDOW_MS;
+  int64_t now = by_work < by_width ? by_work : by_width;
+  /* Few arrivals say little of the rate to come.  */
+  by_rate -= by_rate / (int64_t)sqrt ((double)(work->arrived + 1));
+  return work->lasting_cpu_milli + (by_rate > now ? by_rate : now);
 }
 
 static void
@@ -53,14 +55,35 @@
     }
 }
 
+/* All of the job's short work, whether done or not.  */
+static int64_t
+whole_work (const struct job *job)
+{
+  int64_t sum = 0;
+  for (size_t n = 0; n < job->spec.step_count; n++)
+    {
+      const struct step *stp = &job->spec.steps[n];
+      if (!stp->perpetual)
+        sum += stp->count * stp->need.cpu_milli * stp->estimate_ms;
+    }
+  return sum;
+}
+
 static void
-sum_work (const struct placer *plc, int64_t wall_ms, struct demand_work *work)
+sum_work (const struct placer *plc, int64_t now_us, struct demand_work *work)
 {
+  int64_t wall_ms = clock_wall_ms (plc->env.clk);
   *work = (struct demand_work){ 0 };
   for (size_t n = 0; n < plc->job_count; n++)
     {
       const struct job *job = plc->jobs[n];
       bool late = job->goal_ms < wall_ms;
+      int64_t whole = 0;
+      if (now_us - job->seen_us < DEMAND_WINDOW_MS * 1000
+          && !job->spec.occurrences)
+        whole = whole_work (job);
+      work->arrived_core_ms += whole;
+      work->arrived += whole > 0;
       for (uint32_t k = 0; !job_ended (job) && k < job->occurrence_count; k++)
         {
           const struct occurrence *occ = &job->occurrences[k];
@@ -81,19 +104,48 @@
   return each > 0 ? (need + each - 1) / each : 1;
 }
 
-/* Hosts without work, longest first where SURPLUS of them can be spared.  */
+static uint32_t
+count_runs (const struct worker *wrk, bool *lasting)
+{
+  uint32_t count = 0;
+  *lasting = false;
+  for (const struct run *run = wrk->runs; run; run = run->next)
+    {
+      *lasting = *lasting || run->job->spec.steps[run->ref.step].perpetual;
+      count++;
+    }
+  return count;
+}
+
+/* Offers the hosts with the fewest tasks, up to SURPLUS of them.  They get no
+   new tasks while others have room, so that they are empty within a second.
+   Hosts with tasks that last are not offered.  */
 static void
-list_idle (const struct placer *plc, int64_t now_us, int64_t surplus,
-           struct placer_demand *dem)
+offer_hosts (const struct placer *plc, int64_t now_us, int64_t surplus,
+             struct placer_demand *dem)
 {
   for (size_t n = 0; n < plc->pool.count; n++)
+    plc->pool.workers[n]->offered = false;
+  while ((int64_t)dem->idle_count < surplus
+         && dem->idle_count < PLACER_IDLE_MAX)
     {
-      const struct worker *wrk = plc->pool.workers[n];
-      if (place_open (wrk, now_us) && wrk->idle_us && *wrk->rep.host
-          && now_us >= wrk->idle_us + IDLE_US
-          && (int64_t)dem->idle_count < surplus
-          && dem->idle_count < PLACER_IDLE_MAX)
-        dem->idle[dem->idle_count++] = wrk->rep.host;
+      struct worker *best = NULL;
+      uint32_t best_count = 0;
+      for (size_t n = 0; n < plc->pool.count; n++)
+        {
+          struct worker *wrk = plc->pool.workers[n];
+          bool lasting;
+          uint32_t count = count_runs (wrk, &lasting);
+          if (lasting || wrk->offered || !place_open (wrk, now_us)
+              || !*wrk->rep.host || (best && count >= best_count))
+            continue;
+          best = wrk;
+          best_count = count;
+        }
+      if (!best)
+        return;
+      best->offered = true;
+      dem->idle[dem->idle_count++] = best->rep.host;
     }
 }
 
@@ -106,8 +158,9 @@
   int64_t cpu = 0;
   int64_t memory = 0;
   int64_t open = 0;
+  int64_t surplus = 0;
   *dem = (struct placer_demand){ 0 };
-  sum_work (plc, clock_wall_ms (plc->env.clk), &work);
+  sum_work (plc, now_us, &work);
   work.ready_cpu_milli = plc->waiting_cpu_milli;
   for (size_t n = 0; n < plc->pool.count; n++)
     {
@@ -125,12 +178,14 @@
     }
   int64_t by_cpu = hosts_for (demand_cpu_milli (&work), cpu, open);
   int64_t by_memory = hosts_for (work.lasting_memory_mb, memory, open);
-  int64_t wanted = (by_cpu > by_memory ? by_cpu : by_memory) + IDLE_KEPT;
+  int64_t wanted = (by_cpu > by_memory ? by_cpu : by_memory) + HOSTS_KEPT;
   if (plc->waiting_tasks > 0 && wanted <= open)
     wanted = open + 1;
+  dem->open_hosts = (uint32_t)open;
   dem->busy_milli = cpu > 0 ? (uint32_t)(used * 1000 / cpu) : 0;
   if (wanted > open)
     dem->short_hosts = (uint32_t)(wanted - open);
   else
-    list_idle (plc, now_us, open - wanted, dem);
+    surplus = open - wanted;
+  offer_hosts (plc, now_us, surplus, dem);
 }
--- a/sched/demand.h
+++ b/sched/demand.h
@@ -16,7 +16,11 @@
   int64_t in_time_core_ms; /* work left of jobs that can meet their goal */
   int64_t late_core_ms;    /* and of the others */
   int64_t ready_cpu_milli; /* of short tasks that run or wait for room */
+  int64_t arrived_core_ms; /* of jobs that came within DEMAND_WINDOW_MS */
+  int64_t arrived;         /* their number */
 };
 
+#define DEMAND_WINDOW_MS 500
+
 /* Processors, in thousandths, that do the work in time.  */
 int64_t demand_cpu_milli (const struct demand_work *work);
--- a/sched/place.c
+++ b/sched/place.c
@@ -103,9 +103,10 @@
 }
 
 /* Weights of the score, each large against the sum of those after it: a
-   worker that failed the task, data in another rack, and the free share
-   (thousandths).  */
+   worker that failed the task, one that the pool gives up, data in another
+   rack, and the free share (thousandths).  */
 #define SCORE_AVOIDED 1000000
+#define SCORE_OFFERED 400000
 #define SCORE_FAR 100000
 #define SCORE_COLD 20000
 
@@ -123,6 +124,8 @@
       int64_t score = -free_share (wrk, req->step);
       if (wrk->handle == req->avoid)
         score -= SCORE_AVOIDED;
+      if (wrk->offered)
+        score -= SCORE_OFFERED;
       if (*req->step->data_rack
           && !worker_has_label (wrk, req->step->data_rack))
         score -= SCORE_FAR;
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -191,6 +191,23 @@
     }
 }
 
+static void
+end_life (struct worker *wrk)
+{
+  wrk->lease_us = 0; /* before any confirmation */
+  wrk->listed = false;
+  wrk->over = true;
+}
+
+void
+placer_worker_over (struct placer *plc, const char *id)
+{
+  struct worker *wrk = worker_by_id (plc, id);
+  if (wrk)
+    end_life (wrk);
+  placer_earlier_known (plc, id);
+}
+
 void
 placer_host (struct placer *plc, const struct host_report *rep,
              int64_t asked_us)
@@ -210,9 +227,7 @@
         log_event (plc->env.lg, EV_WORKER_CHANGED,
                    LOG_S ("worker", wrk->rep.id), LOG_S ("state", "ended"),
                    LOG_S ("host", rep->name), LOG_S ("next", rep->worker));
-      wrk->lease_us = 0;
-      wrk->listed = false;
-      wrk->over = true;
+      end_life (wrk);
     }
   if (plc->claimed_us < asked_us)
     placer_earlier_renewed (plc, rep->name, rep->worker, renewed);
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -87,6 +87,9 @@
    pool.  */
 bool placer_vacate (struct placer *plc, const char *host, int64_t until_us);
 
+/* The life of the worker ID has ended by an order of the platform.  */
+void placer_worker_over (struct placer *plc, const char *id);
+
 /* Whether nothing runs on the worker of HOST and nothing will while the host
    is to be emptied.  */
 bool placer_host_empty (const struct placer *plc, const char *host);
@@ -99,9 +102,10 @@
 /* What the pool wants of the hosts of others.  */
 struct placer_demand
 {
+  uint32_t open_hosts;  /* hosts that take tasks */
   uint32_t busy_milli;  /* share of the processors in use, in thousandths */
   uint32_t short_hosts; /* hosts that it lacks */
-  const char *idle[PLACER_IDLE_MAX]; /* hosts without work that it can spare */
+  const char *idle[PLACER_IDLE_MAX]; /* hosts that it can spare */
   size_t idle_count;
 };
 void placer_demand (const struct placer *plc, struct placer_demand *dem);
--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -76,10 +76,7 @@
 placer_move_off (struct placer *plc, struct worker *wrk, int64_t now_us)
 {
   bool leaving = wrk->rep.draining || wrk->vacate;
-  if (wrk->runs || !wrk->reached)
-    wrk->idle_us = 0;
-  else if (!wrk->idle_us)
-    wrk->idle_us = now_us;
+
   for (struct run *run = wrk->runs; leaving && run; run = run->next)
     {
       bool lasting = run->job->spec.steps[run->ref.step].perpetual;
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -78,7 +78,8 @@
   int64_t avoid_span_us;
   bool vacate;
   int64_t vacate_until_us; /* tasks still there are stopped then */
-  int64_t idle_us; /* since when nothing runs there; 0: something does */
+  bool
+      offered; /* the pool can spare it: no new tasks while others have room */
 };
 
 /* Whether RUN is known to be at work.  */
