node: pools report on hosts in partitions of their own, read by the keeper only

Cause: owners' frequent reports filled the partition of the keeper's requests when the store was slow, and woke every process.

--- a/node/duties.c
+++ b/node/duties.c
@@ -134,6 +134,7 @@
   if (hld->plc)
     placer_destroy (hld->plc);
   appender_fini (&hld->app);
+  appender_fini (&hld->report_app);
   talloc_free (hld);
   node_open_streams (nod);
 }
@@ -229,9 +230,11 @@
                                    .value_len = strlen (producer) };
   /* The appender outlives the duty while an append is in progress.  */
   if (appender_init (&hld->app, nod, &nod->store.st, nod->ev, nod->clk, &set)
+      || node_fleet_open_reports (hld)
       || appender_add (&hld->app, &ent, true, on_fenced, hld))
     {
       appender_fini (&hld->app);
+      appender_fini (&hld->report_app);
       talloc_free (hld);
       return;
     }
@@ -290,6 +293,8 @@
 {
   struct node *nod = arg;
   nod->claiming = false;
+  if (res->status == TOPIC_APPENDED)
+    nod->claim_end = res->end;
   /* Whatever came of it, the records tell.  */
   if (res->status != TOPIC_MOVED)
     return;
@@ -349,7 +354,10 @@
                                   .now_us = now_us,
                                   .settled_us = nod->started_us + SETTLE_US,
                                   .slack_us = slack_us };
-  if (nod->claiming || now_us < view.settled_us || now_us < nod->next_claim_us
+  /* A claim of this process's own is read before the next one.  */
+  bool unread = follower_next (&nod->duty_fol) < nod->claim_end;
+  if (nod->claiming || unread || now_us < view.settled_us
+      || now_us < nod->next_claim_us
       || !duty_should_claim (&nod->duties, name, &view))
     return;
   if (append_claim (nod, name, false, true) == 0)
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -2,14 +2,19 @@
 #include <stdio.h>
 #include <string.h>
 #include <talloc.h>
+#include <xxhash.h>
 
 #include "base/err.h"
 #include "node/node_priv.h"
 #include "platform/wire_decode.h"
 #include "proto/job.pb-c.h"
 
-/* Requests to empty hosts and their reports pass through a topic.  */
+/* Requests to empty hosts, from the holder of the duty, stand in the first
+   partition of a topic.  The pools' reports stand in the others, each pool's
+   in one, and only the holder reads them: a slow store takes the appends to
+   one partition one after the other.  */
 #define TOPIC_FLEET "keyed.fleet"
+#define REQUEST_PART 0
 #define FLEET_GAP_MS 20
 #define WAIT_MS 1000
 /* The host list is read so often while hosts are under way, and otherwise.  */
@@ -54,6 +59,7 @@
   bool active;
   uint64_t token;
   struct keeper kpr;
+  struct follower *reports; /* by partition; not in use where priv is NULL */
   bool list_open;
   int64_t list_asked_us;
   int64_t next_list_us;
@@ -61,7 +67,7 @@
 };
 
 static int
-append (struct fleet *flt, char kind, const char *name, const uint8_t *data,
+append (struct appender *app, char kind, const char *name, const uint8_t *data,
         size_t len)
 {
   char key[DUTY_KEY_BYTES];
@@ -69,7 +75,7 @@
   const struct topic_entry ent = {
     .key = key, .key_len = strlen (key), .value = data, .value_len = len
   };
-  return appender_add (&flt->app, &ent, true, NULL, NULL);
+  return appender_add (app, &ent, true, NULL, NULL);
 }
 
 static void
@@ -81,7 +87,7 @@
   msg.token = flt->token;
   msg.until_ms = (uint64_t)until_ms;
   msg.ended_worker = (char *)ended_worker;
-  append (flt, VACATE_KIND, host, data,
+  append (&flt->app, VACATE_KIND, host, data,
           kingcuphollow__vacate_request__pack (&msg, data));
 }
 
@@ -175,7 +181,7 @@
   if (data)
     {
       kingcuphollow__wave_progress__pack (&msg, data);
-      append (flt, WAVE_KIND, name, data, len);
+      append (&flt->app, WAVE_KIND, name, data, len);
     }
   if (count == 0 || wave->completed)
     {
@@ -230,6 +236,36 @@
   flt->list_open = lnk->drv->list (lnk, on_list, flt) == 0;
 }
 
+static uint32_t
+report_part (const struct node *nod, const char *pool)
+{
+  uint64_t parts = (uint64_t)nod->set->partitions;
+  return parts > 1
+             ? 1 + (uint32_t)(XXH64 (pool, strlen (pool), 0) % (parts - 1))
+             : REQUEST_PART;
+}
+
+static void on_record (void *arg, const struct topic_record *rec);
+static void on_batch (void *arg);
+
+/* Follows the reports of every pool that has queues.  */
+static void
+open_reports (struct fleet *flt)
+{
+  struct node *nod = flt->nod;
+  for (size_t n = 0; nod->cat && n < nod->cat->queue_count; n++)
+    {
+      uint32_t part = report_part (nod, nod->cat->queues[n].pool);
+      const struct follower_settings set = { .topic = TOPIC_FLEET,
+                                             .part = part,
+                                             .gap_ms = FLEET_GAP_MS,
+                                             .wait_ms = WAIT_MS };
+      if (part != REQUEST_PART && !flt->reports[part].priv)
+        follower_init (&flt->reports[part], nod, &nod->store.st, nod->ev,
+                       nod->clk, &set, on_record, on_batch, flt);
+    }
+}
+
 static void
 on_turn (struct tevent_context *ev, struct tevent_timer *te, struct timeval tv,
          void *arg)
@@ -241,6 +277,7 @@
   if (!flt->active)
     return;
   flt->kpr.cat = flt->nod->cat;
+  open_reports (flt);
   if (now_us - flt->nod->confirmed_us < CONFIRM_US)
     busy = keeper_step (&flt->kpr, now_us);
   read_list (flt, busy, now_us);
@@ -248,6 +285,21 @@
       ev, flt, tevent_timeval_current_ofs (0, TURN_MS * 1000), on_turn, flt);
 }
 
+int
+node_fleet_open_reports (struct holding *hld)
+{
+  struct node *nod = hld->nod;
+  char producer[2 * PRODUCER_BYTES];
+  snprintf (producer, sizeof producer, "%s.%" PRIu64 ".%s", nod->set->name,
+            nod->boot, hld->pool);
+  const struct appender_settings set = { .topic = TOPIC_FLEET,
+                                         .part = report_part (nod, hld->pool),
+                                         .producer = producer,
+                                         .epoch = hld->token };
+  return appender_init (&hld->report_app, nod, &nod->store.st, nod->ev,
+                        nod->clk, &set);
+}
+
 void
 node_fleet_begin (struct node *nod, uint64_t token)
 {
@@ -268,6 +320,7 @@
   /* Read again from the start: waves, their progress and the demands.  */
   follower_restart (&nod->operator_fol);
   follower_restart (&flt->fol);
+  open_reports (flt);
   on_turn (nod->ev, NULL, (struct timeval){ 0 }, flt);
 }
 
@@ -279,6 +332,8 @@
     return;
   flt->active = false;
   TALLOC_FREE (flt->timer);
+  for (int64_t n = 0; n < nod->set->partitions; n++)
+    follower_fini (&flt->reports[n]);
   keeper_fini (&flt->kpr);
   log_event (nod->lg, EV_DUTY_ENDED, LOG_S ("duty", DUTY_FLEET),
              LOG_I ("token", flt->token), LOG_S ("reason", "passed_on"));
@@ -478,7 +533,7 @@
         continue;
       Kingcuphollow__VacateReport msg = KINGCUPHOLLOW__VACATE_REPORT__INIT;
       msg.request_offset = req->offset;
-      if (append (nod->flt, EMPTY_KIND, req->host, data,
+      if (append (&hld->report_app, EMPTY_KIND, req->host, data,
                   kingcuphollow__vacate_report__pack (&msg, data))
           == 0)
         req->reported = req->offset;
@@ -514,7 +569,7 @@
   if (!data)
     return;
   kingcuphollow__pool_demand__pack (&msg, data);
-  if (append (nod->flt, DEMAND_KIND, hld->pool, data, len) == 0)
+  if (append (&hld->report_app, DEMAND_KIND, hld->pool, data, len) == 0)
     {
       hld->told_us = now_us;
       hld->told_short = dem.short_hosts;
@@ -552,6 +607,10 @@
   if (!flt)
     return ERR_NOMEM;
   flt->nod = nod;
+  flt->reports
+      = talloc_zero_array (flt, struct follower, nod->set->partitions);
+  if (!flt->reports)
+    return ERR_NOMEM;
   const struct follower_settings fol_set
       = { .topic = TOPIC_FLEET, .gap_ms = FLEET_GAP_MS, .wait_ms = WAIT_MS };
   snprintf (producer, sizeof producer, "%s.%" PRIu64, nod->set->name,
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -78,7 +78,8 @@
   int64_t timer_us;
   bool lost;
   bool earlier_over; /* earlier holders give no more orders */
-  /* What the fleet's keeper was last told.  */
+  /* What the fleet's keeper was last told, and the way to tell it.  */
+  struct appender report_app;
   int64_t told_us;
   uint32_t told_short;
   size_t told_idle;
@@ -116,6 +117,7 @@
   struct duty_table duties;
   struct holding *holdings;
   bool claiming;
+  uint64_t claim_end; /* of the topic after this process's last claim */
   int64_t next_claim_us;
   uint64_t claims; /* tries so far */
   struct tevent_timer *claim_timer;
@@ -156,6 +158,7 @@
 /* Token of the duty while this process has it, else 0.  */
 uint64_t node_fleet_token (const struct node *nod);
 void node_fleet_wave (struct node *nod, const uint8_t *data, size_t len);
+int node_fleet_open_reports (struct holding *hld);
 /* Reports what a pool wants and which hosts it has emptied.  */
 void node_fleet_turn (struct holding *hld);
 
--- a/store/follower.c
+++ b/store/follower.c
@@ -24,6 +24,8 @@
   uint64_t next;
   int64_t sent_us;
   int64_t current_us;
+  bool in_call;
+  bool finished; /* freed when the call in progress ends */
   bool booted;
   bool restart; /* read the newest records again with the next call */
   bool first_page;
@@ -65,10 +67,23 @@
     p->record_fn (p->arg, &res->records[n]);
 }
 
+/* Returns whether the follower was finished during the call.  */
+static bool
+call_over (struct priv *p)
+{
+  bool finished = p->finished;
+  p->in_call = false;
+  if (finished)
+    talloc_free (p);
+  return finished;
+}
+
 static void
 on_newest (void *arg, const struct topic_read_result *res)
 {
   struct priv *p = arg;
+  if (call_over (p))
+    return;
   if (res->err && res->err != ERR_NOT_FOUND)
     {
       schedule (p, RETRY_MS);
@@ -95,6 +110,8 @@
 on_read (void *arg, const struct topic_read_result *res)
 {
   struct priv *p = arg;
+  if (call_over (p))
+    return;
   if (res->err == ERR_EXPIRED)
     {
       restart (p);
@@ -130,6 +147,7 @@
   else
     err = topic_newest (p->st, p->set.topic, p->set.part,
                         *p->after ? p->after : NULL, on_newest, p);
+  p->in_call = err == 0;
   if (err)
     schedule (p, RETRY_MS);
 }
@@ -161,7 +179,14 @@
 void
 follower_fini (struct follower *fol)
 {
-  TALLOC_FREE (fol->priv);
+  struct priv *p = fol->priv;
+  fol->priv = NULL;
+  if (!p)
+    return;
+  TALLOC_FREE (p->timer);
+  p->finished = true;
+  if (!p->in_call)
+    talloc_free (p);
 }
 
 void
