--- a/fleet/keeper.c
+++ b/fleet/keeper.c
@@ -158,27 +158,27 @@
 }
 
 void
-keeper_demand (struct keeper *kpr, const char *name, uint32_t short_hosts,
-               char (*idle)[NAME_BYTES], size_t idle_count,
-               uint32_t busy_milli, int64_t now_us)
+keeper_demand (struct keeper *kpr, const struct pool_demand *dem,
+               int64_t now_us)
 {
-  struct kept_pool *pool = find_pool (kpr, name);
+  struct kept_pool *pool = find_pool (kpr, dem->pool);
   if (!pool)
     {
       if (kpr->pool_count == KEEPER_POOLS_MAX)
         {
-          talloc_free (idle);
+          talloc_free (dem->idle);
           return;
         }
       pool = &kpr->pools[kpr->pool_count++];
       *pool = (struct kept_pool){ 0 };
-      name_copy (pool->name, name);
+      name_copy (pool->name, dem->pool);
     }
   talloc_free (pool->idle);
-  pool->short_hosts = short_hosts;
-  pool->idle = idle;
-  pool->idle_count = idle_count;
-  pool->busy_milli = busy_milli;
+  pool->short_hosts = dem->short_hosts;
+  pool->idle = dem->idle;
+  pool->idle_count = dem->idle_count;
+
+  pool->busy_milli = dem->busy_milli;
   pool->heard_us = now_us;
   note_offers (kpr, pool, now_us);
 }
--- a/fleet/keeper.h
+++ b/fleet/keeper.h
@@ -102,10 +102,19 @@
 int keeper_hosts (struct keeper *kpr, void *parent,
                   const struct host_list *list, int64_t asked_us);
 
-/* What a pool's owner wants; takes over IDLE, an array of names.  */
-void keeper_demand (struct keeper *kpr, const char *pool, uint32_t short_hosts,
-                    char (*idle)[NAME_BYTES], size_t idle_count,
-                    uint32_t busy_milli, int64_t now_us);
+struct pool_demand
+{
+  const char *pool;
+  uint32_t short_hosts;
+  char (*idle)[NAME_BYTES]; /* hosts for other pools; a talloc array */
+  size_t idle_count;
+
+  uint32_t busy_milli;
+};
+
+/* What a pool's owner wants; takes over the array of hosts.  */
+void keeper_demand (struct keeper *kpr, const struct pool_demand *dem,
+                    int64_t now_us);
 
 /* Takes over WAVE.  */
 void keeper_wave (struct keeper *kpr, void *parent, struct upkeep_wave *wave,
--- a/node/duties.c
+++ b/node/duties.c
@@ -340,8 +340,10 @@
 {
   const struct duty *dty = duty_find (&nod->duties, name);
   int64_t now_us = clock_now_us (nod->clk);
-  int64_t slack_us
-      = appender_round_trip_us (&nod->member_app) * SLACK_ROUND_TRIPS;
+  int64_t round_trip_us = appender_round_trip_us (&nod->member_app);
+  int64_t stalled_us = appender_stalled_us (&nod->member_app);
+  int64_t slack_us = (stalled_us > round_trip_us ? stalled_us : round_trip_us)
+                     * SLACK_ROUND_TRIPS;
   if (slack_us > SLACK_MAX_US)
     slack_us = SLACK_MAX_US;
   if (duty_held_by (dty, nod->set->name, nod->boot))
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -463,9 +463,13 @@
       = talloc_zero_size (flt, (msg->n_idle_hosts + 1) * sizeof *idle);
   for (size_t n = 0; idle && n < msg->n_idle_hosts; n++)
     name_copy (idle[n], msg->idle_hosts[n]);
-  keeper_demand (&flt->kpr, pool, msg->short_hosts, idle,
-                 idle ? msg->n_idle_hosts : 0, msg->busy_milli,
-                 clock_now_us (flt->nod->clk));
+  const struct pool_demand dem = { .pool = pool,
+                                   .short_hosts = msg->short_hosts,
+                                   .idle = idle,
+                                   .idle_count = idle ? msg->n_idle_hosts : 0,
+
+                                   .busy_milli = msg->busy_milli };
+  keeper_demand (&flt->kpr, &dem, clock_now_us (flt->nod->clk));
   kingcuphollow__pool_demand__free_unpacked (msg, NULL);
 }
 
@@ -562,6 +566,7 @@
   msg.short_hosts = dem.short_hosts;
   msg.idle_hosts = (char **)dem.idle;
   msg.n_idle_hosts = dem.idle_count;
+
   msg.busy_milli = dem.busy_milli;
   msg.token = hld->token;
   size_t len = kingcuphollow__pool_demand__get_packed_size (&msg);
@@ -574,6 +579,7 @@
       hld->told_us = now_us;
       hld->told_short = dem.short_hosts;
       hld->told_idle = dem.idle_count;
+
       log_event (nod->lg, EV_POOL_DEMAND, LOG_S ("pool", hld->pool),
                  LOG_I ("short", dem.short_hosts),
                  LOG_I ("idle", dem.idle_count),
--- a/sched/demand.h
+++ b/sched/demand.h
@@ -22,5 +22,5 @@
 
 #define DEMAND_WINDOW_MS 500
 
-/* Processors, in thousandths, that do the work in time.  */
+/* Processors, in thousandths, that do the work in time with some to spare.  */
 int64_t demand_cpu_milli (const struct demand_work *work);
--- a/store/appender.c
+++ b/store/appender.c
@@ -41,6 +41,7 @@
   bool finished; /* freed when the call in progress ends */
   int64_t since_us;
   int64_t round_trip_us;
+  int64_t last_took_us;
   struct tevent_timer *timer;
 };
 
@@ -74,7 +75,10 @@
     done[n] = p->batch[n];
   p->batch_count = 0;
   p->unknown = false;
-  p->round_trip_us = clock_now_us (p->clk) - p->since_us;
+  /* The longer of the last two, as one quick append says little.  */
+  int64_t took_us = clock_now_us (p->clk) - p->since_us;
+  p->round_trip_us = took_us > p->last_took_us ? took_us : p->last_took_us;
+  p->last_took_us = took_us;
   p->since_us = 0;
   for (size_t n = 0; n < count; n++)
     {
--- a/store/appender.h
+++ b/store/appender.h
@@ -54,5 +54,5 @@
    microseconds; 0: none is in progress.  */
 int64_t appender_stalled_us (const struct appender *app);
 
-/* Microseconds that the last settled append took.  */
+/* Microseconds that the longer of the last two settled appends took.  */
 int64_t appender_round_trip_us (const struct appender *app);
