--- a/node/fleet.c
+++ b/node/fleet.c
@@ -595,7 +595,7 @@
   report_empty (hld);
   report_demand (hld);
   /* Hosts that were renewed since need not be heard from.  */
-  if (!placer_cleared (hld->plc))
+  if (placer_wants_hosts (hld->plc))
     read_list (hld->nod->flt, true, clock_now_us (hld->nod->clk));
 }
 
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -212,7 +212,7 @@
 placer_host (struct placer *plc, const struct host_report *rep,
              int64_t asked_us)
 {
-  bool renewed = rep->state == HOST_MOVING || rep->state == HOST_UPKEEP;
+  bool renewed = rep->state != HOST_UP;
   for (size_t n = 0; n < plc->pool.count; n++)
     {
       struct worker *wrk = plc->pool.workers[n];
@@ -474,6 +474,15 @@
     plc->lapse_us = lapse_us;
 }
 
+bool
+placer_wants_hosts (const struct placer *plc)
+{
+  for (size_t n = 0; n < plc->pool.count; n++)
+    if (plc->pool.workers[n]->failures > 0 && plc->pool.workers[n]->runs)
+      return true;
+  return !plc->cleared;
+}
+
 bool
 placer_cleared (const struct placer *plc)
 {
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -66,6 +66,10 @@
 /* Whether all that earlier owners started is known or has lapsed.  */
 bool placer_cleared (const struct placer *plc);
 
+/* Whether the platform's list of hosts can tell more of a worker that does not
+   answer.  */
+bool placer_wants_hosts (const struct placer *plc);
+
 /* Ends the owner's work.  Orders in progress are forgotten; what runs at the
    workers goes on under its leases.  */
 void placer_destroy (struct placer *plc);
