--- a/sched/placer_room.c
+++ b/sched/placer_room.c
@@ -57,37 +57,45 @@
          && !run->job->spec.steps[run->ref.step].perpetual;
 }
 
-/* Short runs on WRK that have to stop for the task to fit, those with the
-   least work done first; 0 when it does not fit even so.  STOP: stops them. */
+/* The run on WRK that gives way first: the one with the least work done.  */
+static struct run *
+newest_run (const struct worker *wrk)
+{
+  struct run *newest = NULL;
+  for (struct run *run = wrk->runs; run; run = run->next)
+    if (gives_way (run) && !run->yields
+        && (!newest || run->begun_us > newest->begun_us))
+      newest = run;
+  return newest;
+}
+
+/* Short runs on WRK that have to stop for the task to fit; 0 when it does not
+   fit even so.  STOP: stops them.  */
 static uint32_t
 clear_worker (struct placer *plc, struct worker *wrk, const struct step *stp,
               bool stop)
 {
   const struct resources before = wrk->used;
-  const struct resources *cap = &wrk->rep.capacity;
   uint32_t count = 0;
-  int64_t after_us = INT64_MAX;
+  for (struct run *run = wrk->runs; run; run = run->next)
+    run->yields = false;
   while (!place_fits (wrk, stp))
     {
-      struct run *newest = NULL;
-      for (struct run *run = wrk->runs; run; run = run->next)
-        if (gives_way (run) && run->begun_us < after_us
-            && (!newest || run->begun_us > newest->begun_us))
-          newest = run;
-      if (!newest)
+      struct run *run = newest_run (wrk);
+      if (!run)
         {
           wrk->used = before;
           return 0;
         }
-      after_us = newest->begun_us;
-      resources_add (&wrk->used, &newest->job->spec.steps[newest->ref.step],
-                     -1);
+      run->yields = true;
+      resources_add (&wrk->used, &run->job->spec.steps[run->ref.step], -1);
       count++;
-      if (stop)
-        placer_stop_run (plc, newest);
     }
   wrk->used = before;
-  return cap->cpu_milli > 0 ? count : 0;
+  for (struct run *run = wrk->runs; stop && run; run = run->next)
+    if (run->yields)
+      placer_stop_run (plc, run);
+  return count;
 }
 
 void
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -32,7 +32,7 @@
   bool stop_wanted;
   bool stop_sent;
   int64_t stopped_us; /* when the stop was answered; 0: not yet */
-  bool by_order;      /* ended by an order of this process, not by itself */
+  bool yields;        /* its room is wanted for a task that lasts */
   /* Orders in progress; the run is freed after the last of them.  */
   int calls;
   bool gone;
--- /dev/null
+++ b/test/unit/placer_world.c
@@ -0,0 +1,263 @@
+#include "placer_world.h"
+
+#include <check.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "job_help.h"
+
+static struct world *current;
+
+static int
+note (enum world_call_kind kind, const struct order_target *to,
+      struct world_call call)
+{
+  struct world *wld = current;
+  ck_assert_uint_lt (wld->call_count, WORLD_CALLS_MAX);
+  call.kind = kind;
+  name_copy (call.worker, to->worker);
+  wld->calls[wld->call_count++] = call;
+  return 0;
+}
+
+static int
+fake_start (struct worker_link *lnk, const struct order_target *to,
+            const struct start_order *ord, order_fn *fn, void *arg)
+{
+  return note (WORLD_START, to,
+               (struct world_call){ .task = ord->task,
+                                    .run = ord->run,
+                                    .lease_end_ms = ord->lease_end_ms,
+                                    .fn = fn,
+                                    .arg = arg });
+}
+
+static int
+fake_stop (struct worker_link *lnk, const struct order_target *to,
+           const struct stop_order *ord, order_fn *fn, void *arg)
+{
+  return note (WORLD_STOP, to,
+               (struct world_call){
+                   .task = ord->task, .run = ord->run, .fn = fn, .arg = arg });
+}
+
+static int
+fake_pace (struct worker_link *lnk, const struct order_target *to,
+           const struct pace_order *ord, order_fn *fn, void *arg)
+{
+  return note (WORLD_PACE, to,
+               (struct world_call){ .task = ord->task, .fn = fn, .arg = arg });
+}
+
+static int
+fake_hold (struct worker_link *lnk, const struct order_target *to,
+           const struct hold_order *ord, hold_fn *fn, void *arg)
+{
+  return note (WORLD_HOLD, to,
+               (struct world_call){ .lease_end_ms = ord->lease_end_ms,
+                                    .last_seen = ord->last_seen,
+                                    .hold_fn = fn,
+                                    .arg = arg });
+}
+
+static const struct worker_link_driver driver = {
+  .start = fake_start, .stop = fake_stop, .pace = fake_pace, .hold = fake_hold
+};
+
+static int
+persist (void *arg, const struct topic_entry *entries, size_t count,
+         persist_fn *fn, void *fn_arg)
+{
+  struct world *wld = arg;
+  /* The owner's progress and its list of workers may be under way at once;
+     the list is settled here.  */
+  wld->persisted++;
+  if (entries[0].key[1] == '/')
+    {
+      fn (fn_arg, PERSIST_DONE);
+      return 0;
+    }
+  wld->persist_fn = fn;
+  wld->persist_arg = fn_arg;
+  return 0;
+}
+
+static void
+wake (void *arg)
+{
+}
+
+struct world *
+world_create (void)
+{
+  static struct queue queues[] = { { .name = "q",
+                                     .host = "h",
+                                     .path_prefix = "/q/",
+                                     .pool = "p",
+                                     .attempts = 3,
+                                     .stretch = 2,
+                                     .goal_extra_ms = 600 } };
+  static struct pool_config pools[]
+      = { { .name = "p", .guards_capacity = true } };
+  struct world *wld = talloc_zero (NULL, struct world);
+  current = wld;
+  wld->ctx = wld;
+  clock_manual_init (&wld->clk, 1000 * (int64_t)1000000);
+  wld->cat = (struct catalog){
+    .queues = queues, .queue_count = 1, .pools = pools, .pool_count = 1
+  };
+  wld->cat_ptr = &wld->cat;
+  wld->lnk.drv = &driver;
+  job_table_init (&wld->jobs);
+  const struct placer_settings set = { .pool = "p",
+                                       .token = 7,
+                                       .fence_offset = WORLD_FENCE,
+                                       .lease_ms = WORLD_LEASE_MS,
+                                       .confirm_ms = WORLD_CONFIRM_MS };
+  const struct placer_env env = { .clk = &wld->clk.clk,
+                                  .ctr = &wld->ctr,
+                                  .lnk = &wld->lnk,
+                                  .jobs = &wld->jobs,
+                                  .cat = &wld->cat_ptr,
+                                  .persist = persist,
+                                  .wake = wake,
+                                  .arg = wld };
+  wld->plc = placer_create (NULL, &set, &env);
+  return wld;
+}
+
+void
+world_destroy (struct world *wld)
+{
+  placer_destroy (wld->plc);
+  /* Late answers find a closed owner; the last one frees it.  */
+  for (size_t n = 0; n < wld->call_count; n++)
+    if (!wld->calls[n].answered)
+      world_answer (wld, &wld->calls[n], ORDER_NO_ANSWER);
+  world_persist (wld);
+  job_table_fini (&wld->jobs);
+  talloc_free (wld);
+}
+
+void
+world_worker (struct world *wld, const char *id, int64_t born_ms)
+{
+  struct worker_report rep
+      = { .capacity = { .cpu_milli = 4000, .memory_mb = 8192 },
+          .clock_ms = 1000,
+          .born_ms = born_ms };
+  name_copy (rep.id, id);
+  name_copy (rep.pool, "p");
+  name_copy (rep.address, "10.0.0.1:1");
+  rep.host[0] = 'm';
+  rep.host[1] = '-';
+  memcpy (rep.host + 2, id, strlen (id) + 1);
+  placer_worker (wld->plc, id, &rep);
+}
+
+struct job *
+world_job (struct world *wld, uint64_t id, const char *json, uint64_t offset)
+{
+  struct job *job = help_fold_job (&wld->jobs, wld, id, json, offset,
+                                   wld->clk.now_us, wld->clk.now_us / 1000);
+  placer_job (wld->plc, job, JOB_CHANGE_NEW);
+  return job;
+}
+
+void
+world_turn (struct world *wld, int64_t ms)
+{
+  wld->clk.now_us += ms * 1000;
+  placer_tick (wld->plc);
+}
+
+void
+world_confirm (struct world *wld)
+{
+  placer_confirmed (wld->plc, wld->clk.now_us);
+}
+
+void
+world_persist (struct world *wld)
+{
+  persist_fn *fn = wld->persist_fn;
+  wld->persist_fn = NULL;
+  if (fn)
+    fn (wld->persist_arg, PERSIST_DONE);
+}
+
+struct world_call *
+world_call (struct world *wld, enum world_call_kind kind, const char *worker)
+{
+  for (size_t n = 0; n < wld->call_count; n++)
+    if (wld->calls[n].kind == kind && !wld->calls[n].answered
+        && strcmp (wld->calls[n].worker, worker) == 0)
+      return &wld->calls[n];
+  return NULL;
+}
+
+void
+world_answer (struct world *wld, struct world_call *call,
+              enum order_status status)
+{
+  ck_assert_ptr_nonnull (call);
+  struct hold_result res = { .order = { .status = status } };
+  if (status == ORDER_DONE)
+    res.order.clock_ms = wld->clk.now_us / 1000;
+  call->answered = true;
+  if (call->hold_fn)
+    call->hold_fn (call->arg, &res);
+  else
+    call->fn (call->arg, &res.order);
+}
+
+void
+world_hold (struct world *wld, const char *worker,
+            const struct world_row *running, size_t running_count,
+            const struct world_row *ended, size_t ended_count)
+{
+  struct running_row runs[8];
+  struct ended_row ends[8];
+  struct world_call *call = world_call (wld, WORLD_HOLD, worker);
+  ck_assert_ptr_nonnull (call);
+  for (size_t n = 0; n < running_count; n++)
+    runs[n] = (struct running_row){ .task = { .job = running[n].job,
+                                              .index = running[n].index },
+                                    .run = running[n].run,
+                                    .percent = 100,
+                                    .saved = "" };
+  for (size_t n = 0; n < ended_count; n++)
+    ends[n] = (struct ended_row){ .task = { .job = ended[n].job,
+                                            .index = ended[n].index },
+                                  .run = ended[n].run,
+                                  .end = ended[n].end,
+                                  .number = ended[n].number,
+                                  .saved = "" };
+  const struct hold_result res
+      = { .order
+          = { .status = ORDER_DONE, .clock_ms = wld->clk.now_us / 1000 },
+          .running = runs,
+          .running_count = running_count,
+          .ended = ends,
+          .ended_count = ended_count };
+  call->answered = true;
+  call->hold_fn (call->arg, &res);
+}
+
+void
+world_reach (struct world *wld, const char *worker)
+{
+  world_turn (wld, 1);
+  world_hold (wld, worker, NULL, 0, NULL, 0);
+  world_turn (wld, 1);
+}
+
+size_t
+world_starts (const struct world *wld, uint64_t job, uint32_t index)
+{
+  size_t count = 0;
+  for (size_t n = 0; n < wld->call_count; n++)
+    count += wld->calls[n].kind == WORLD_START && wld->calls[n].task.job == job
+             && wld->calls[n].task.index == index;
+  return count;
+}
--- /dev/null
+++ b/test/unit/unit_duty.c
@@ -0,0 +1,197 @@
+#include <check.h>
+#include <stdio.h>
+#include <talloc.h>
+
+#include "base/err.h"
+#include "member/duty.h"
+
+#define S 1000000
+
+static struct duty_table *tab;
+
+static void
+setup (void)
+{
+  tab = talloc_zero (NULL, struct duty_table);
+  duty_fold_member (tab, "a", 1, false, 10 * S);
+  duty_fold_member (tab, "b", 1, false, 10 * S);
+  duty_fold_member (tab, "c", 1, false, 10 * S);
+}
+
+static void
+teardown (void)
+{
+  talloc_free (tab);
+}
+
+static void
+claim (const char *holder, uint64_t boot, uint64_t token, int64_t now_us)
+{
+  const struct duty_claim clm
+      = { .name = "p", .holder = holder, .boot = boot, .token = token };
+  ck_assert_int_eq (duty_fold_claim (tab, &clm, now_us), 0);
+}
+
+static void
+release (const char *holder, bool cleared, uint64_t token, int64_t now_us)
+{
+  const struct duty_claim clm = { .name = "p",
+                                  .holder = holder,
+                                  .boot = 1,
+                                  .released = true,
+                                  .cleared = cleared,
+                                  .token = token };
+  ck_assert_int_eq (duty_fold_claim (tab, &clm, now_us), 0);
+}
+
+/* Members that would claim the duty at NOW_US.  */
+static const char *
+claimants (int64_t now_us, int64_t slack_us)
+{
+  static char text[8];
+  size_t len = 0;
+  for (const char *name = "abc"; *name; name++)
+    {
+      const char self[2] = { *name, '\0' };
+      const struct duty_view view = { .self = self,
+                                      .now_us = now_us,
+                                      .settled_us = 10 * S,
+                                      .slack_us = slack_us };
+      if (duty_should_claim (tab, "p", &view))
+        text[len++] = *name;
+    }
+  text[len] = '\0';
+  return text;
+}
+
+/* Guards against all members that claim a free duty at the same moment, and
+   against a duty that nobody claims.  */
+START_TEST (test_candidates)
+{
+  ck_assert_uint_eq (strlen (claimants (10 * S, 0)), 1);
+  ck_assert_uint_eq (strlen (claimants (10 * S + 300000, 0)), 2);
+  ck_assert_str_eq (claimants (11 * S, 0), "abc");
+}
+END_TEST
+
+/* Guards against two holders: a live one keeps its duty, and a silent one's
+   passes on after 2 s, later when the store is slow.  */
+START_TEST (test_takeover)
+{
+  claim ("a", 1, 5, 10 * S);
+  ck_assert (duty_held_by (duty_find (tab, "p"), "a", 1));
+  ck_assert (!duty_held_by (duty_find (tab, "p"), "a", 2));
+  duty_fold_member (tab, "b", 1, false, 12 * S);
+  duty_fold_member (tab, "c", 1, false, 12 * S);
+  ck_assert_str_eq (claimants (11 * S, 0), "");
+  ck_assert_str_ne (claimants (12 * S, 0), "");
+  ck_assert_str_eq (claimants (12 * S, 2 * S), "");
+}
+END_TEST
+
+/* Guards against a stopping member that is silent and keeps its duty, and
+   against one that loses it while it still gives orders.  */
+START_TEST (test_stopping)
+{
+  claim ("a", 1, 5, 10 * S);
+  duty_fold_member (tab, "a", 1, true, 11 * S);
+  duty_fold_member (tab, "b", 1, false, 13 * S);
+  duty_fold_member (tab, "c", 1, false, 13 * S);
+  ck_assert_str_eq (claimants (12 * S, 0), "");
+  ck_assert_str_ne (claimants (13 * S, 0), "");
+  release ("a", true, 6, 12 * S);
+  ck_assert_str_ne (claimants (12 * S, 0), "");
+  ck_assert_ptr_null (strchr (claimants (14 * S, 0), 'a'));
+}
+END_TEST
+
+/* Guards against a claim that comes after a later one and takes the duty
+   back.  */
+START_TEST (test_tokens)
+{
+  claim ("b", 1, 9, 10 * S);
+  claim ("a", 1, 5, 10 * S);
+  ck_assert (duty_held_by (duty_find (tab, "p"), "b", 1));
+  ck_assert_uint_eq (duty_find (tab, "p")->token, 9);
+}
+END_TEST
+
+/* Guards against a new owner that waits for orders which nobody gives, and
+   against one that does not wait for an owner that is only cut off.  */
+START_TEST (test_earlier_over)
+{
+  static const struct
+  {
+    bool released;
+    bool cleared;
+    bool restarted;
+    bool over;
+  } cases[] = {
+    { false, false, false, false },
+    { false, false, true, true },
+    { true, true, false, true },
+    { true, false, false, false },
+  };
+  for (size_t n = 0; n < sizeof cases / sizeof *cases; n++)
+    {
+      teardown ();
+      setup ();
+      claim ("a", 1, 5, 10 * S);
+      if (cases[n].released)
+        release ("a", cases[n].cleared, 6, 11 * S);
+      claim ("b", 1, 7, 12 * S);
+      if (cases[n].restarted)
+        duty_fold_member (tab, "a", 2, false, 12 * S);
+      ck_assert_msg (duty_earlier_over (tab, duty_find (tab, "p"))
+                         == cases[n].over,
+                     "case %zu", n);
+    }
+}
+END_TEST
+
+/* Guards against a restarted member whose duties nobody takes.  */
+START_TEST (test_restart)
+{
+  claim ("a", 1, 5, 10 * S);
+  duty_fold_member (tab, "a", 2, false, 11 * S);
+  ck_assert_str_ne (claimants (11 * S, 0), "");
+  ck_assert_uint_eq (duty_live_members (tab, 11 * S), 3);
+}
+END_TEST
+
+/* Guards against tables without bounds.  */
+START_TEST (test_bounds)
+{
+  char name[16];
+  int err = 0;
+  for (int n = 0; n < DUTIES_MAX + 1; n++)
+    {
+      snprintf (name, sizeof name, "d%d", n);
+      const struct duty_claim clm
+          = { .name = name, .holder = "a", .token = 1 };
+      err = duty_fold_claim (tab, &clm, 0);
+    }
+  ck_assert_int_eq (err, ERR_FULL);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("duty");
+  TCase *tc = tcase_create ("duty");
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_test (tc, test_candidates);
+  tcase_add_test (tc, test_takeover);
+  tcase_add_test (tc, test_stopping);
+  tcase_add_test (tc, test_tokens);
+  tcase_add_test (tc, test_earlier_over);
+  tcase_add_test (tc, test_restart);
+  tcase_add_test (tc, test_bounds);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
--- /dev/null
+++ b/test/unit/unit_job.c
@@ -0,0 +1,271 @@
+#include <check.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/err.h"
+#include "job/job_codec.h"
+#include "job_help.h"
+#include "platform/wire_decode.h"
+
+#define TWO_STEPS                                                             \
+  "{\"spec\":\"s\",\"steps\":[{\"count\":2,\"cpu\":500,\"mem-mb\":64,"        \
+  "\"estimate-ms\":900},{\"count\":3,\"cpu\":1000,\"after\":[0]}]}"
+
+static void *ctx;
+static struct job_table tab;
+
+static void
+setup (void)
+{
+  ctx = talloc_new (NULL);
+  job_table_init (&tab);
+}
+
+static void
+teardown (void)
+{
+  job_table_fini (&tab);
+  talloc_free (ctx);
+}
+
+static struct job_fold_result
+fold_progress (struct job_table *into, const struct job *from, uint64_t token)
+{
+  uint8_t *data;
+  size_t len;
+  ck_assert_int_eq (job_encode_progress (ctx, from, token, &data, &len), 0);
+  return help_fold (into, ctx, JOB_KEY_PROGRESS, from->id, data, len);
+}
+
+/* Guards against ids and task names that are taken for others.  */
+START_TEST (test_names)
+{
+  static const struct
+  {
+    const char *text;
+    bool valid;
+  } cases[] = {
+    { "5c0e7a21d94b36f8.0.1.17", true },
+    { "5c0e7a21d94b36f8.0.1", false },
+    { "5c0e7a21d94b36f8.0.1.17.2", false },
+    { "5c0e7a21d94b36f.0.1.17", false },
+    { "5c0e7a21d94b36fg.0.1.17", false },
+    { "5c0e7a21d94b36f8.-1.1.17", false },
+    { "5c0e7a21d94b36f8.0.1.99999999999", false },
+  };
+  for (size_t n = 0; n < sizeof cases / sizeof *cases; n++)
+    {
+      struct task_ref ref;
+      char text[TASK_NAME_MAX];
+      ck_assert_msg (task_ref_parse (cases[n].text, &ref) == cases[n].valid,
+                     "%s", cases[n].text);
+      if (!cases[n].valid)
+        continue;
+      task_ref_format (&ref, text);
+      ck_assert_str_eq (text, cases[n].text);
+    }
+}
+END_TEST
+
+/* Guards against a job that a repeated request replaces or doubles.  */
+START_TEST (test_first_record_holds)
+{
+  struct job *job = help_fold_job (&tab, ctx, 7, TWO_STEPS, 10, 0, 1000);
+  struct job *again = help_fold_job (
+      &tab, ctx, 7, "{\"spec\":\"other\",\"steps\":[{\"count\":9}]}", 11, 0,
+      2000);
+  ck_assert_ptr_eq (job, again);
+  ck_assert_uint_eq (job->offset, 10);
+  ck_assert_str_eq (job->spec.spec, "s");
+  ck_assert_uint_eq (job->task_count, 5);
+  ck_assert_uint_eq (tab.count, 1);
+}
+END_TEST
+
+/* Guards against progress that a process reads and another does not have: what
+   is done stays done, a task's failures count once, and an older record is
+   noticed.  */
+START_TEST (test_progress)
+{
+  struct job_table other;
+  job_table_init (&other);
+  struct job *job = help_fold_job (&tab, ctx, 7, TWO_STEPS, 10, 0, 1000);
+  struct job *copy = help_fold_job (&other, ctx, 7, TWO_STEPS, 10, 0, 1000);
+  const struct task_ref first = { .job = 7, .step = 0, .index = 1 };
+  job->started = true;
+  job->occurrences[0].tasks[1].last_run = 2;
+  job_mark_done (job, &first);
+  struct job_fold_result res = fold_progress (&other, job, 5);
+  ck_assert_int_eq (res.change, JOB_CHANGE_PROGRESS);
+  ck_assert_uint_eq (res.token, 5);
+  ck_assert (copy->occurrences[0].tasks[1].done);
+  ck_assert_uint_eq (copy->occurrences[0].step_done[0], 1);
+  ck_assert_uint_eq (copy->occurrences[0].tasks[1].last_run, 2);
+  ck_assert_int_eq (fold_progress (&other, job, 5).change, JOB_CHANGE_NONE);
+
+  const struct task_ref second = { .job = 7, .step = 0, .index = 0 };
+  job_mark_done (copy, &second);
+  ck_assert_int_eq (fold_progress (&other, job, 5).change, JOB_CHANGE_BEHIND);
+  ck_assert_uint_eq (copy->occurrences[0].step_done[0], 2);
+  job_table_fini (&other);
+}
+END_TEST
+
+/* Guards against a start beyond the attempts: a new owner reads the ends of
+   two workers in any order, and the later run's failure hid the earlier one's.
+ */
+START_TEST (test_failures_in_any_order)
+{
+  struct job *job = help_fold_job (&tab, ctx, 7, TWO_STEPS, 10, 0, 1000);
+  struct task *tsk = &job->occurrences[0].tasks[0];
+  ck_assert (task_add_failure (tsk, 2));
+  ck_assert (task_add_failure (tsk, 1));
+  ck_assert (!task_add_failure (tsk, 2));
+  ck_assert_uint_eq (task_failures (tsk), 2);
+  ck_assert (!job_refresh (job, 3, 5000));
+  ck_assert (job_refresh (job, 2, 5000));
+  ck_assert_int_eq (job->state, JOB_FAILED);
+}
+END_TEST
+
+/* Guards against a job that is shown as ended before the log says so, and
+   comes back to life with the next owner.  */
+START_TEST (test_logged_state)
+{
+  struct job *job = help_fold_job (&tab, ctx, 7, "{\"steps\":[{\"count\":1}]}",
+                                   10, 0, 1000);
+  const struct task_ref ref = { .job = 7 };
+  struct job_table before;
+  job_table_init (&before);
+  struct job *old = help_fold_job (&before, ctx, 7,
+                                   "{\"steps\":[{\"count\":1}]}", 10, 0, 1000);
+  old->started = true;
+  old->occurrences[0].tasks[0].last_run = 1;
+
+  job->started = true;
+  job_mark_done (job, &ref);
+  job_refresh (job, 2, 2000);
+  ck_assert_int_eq (job->state, JOB_COMPLETED);
+  struct job_fold_result res = fold_progress (&tab, old, 5);
+  job_note_logged (job, &res);
+  ck_assert_int_eq (job->logged_state, JOB_RUNNING);
+  res = fold_progress (&tab, job, 5);
+  job_note_logged (job, &res);
+  ck_assert_int_eq (job->logged_state, JOB_COMPLETED);
+  job_table_fini (&before);
+}
+END_TEST
+
+/* Guards against cancellations that are lost when the newest records are read
+   in the order of keys, or that undo an end.  */
+START_TEST (test_cancel)
+{
+  static const uint8_t mark[1] = { 1 };
+  char spec[JOB_KEY_BYTES + 1], cancel[JOB_KEY_BYTES + 1];
+  job_key_format (JOB_KEY_SPEC, 7, spec);
+  job_key_format (JOB_KEY_CANCEL, 7, cancel);
+  ck_assert_int_lt (strcmp (spec, cancel), 0);
+
+  struct job *job = help_fold_job (&tab, ctx, 7, TWO_STEPS, 10, 0, 1000);
+  ck_assert_int_eq (help_fold (&tab, ctx, JOB_KEY_CANCEL, 7, mark, 1).change,
+                    JOB_CHANGE_CANCELLED);
+  ck_assert_int_eq (job->logged_state, JOB_CANCELLED);
+  ck_assert_int_eq (help_fold (&tab, ctx, JOB_KEY_CANCEL, 7, mark, 1).change,
+                    JOB_CHANGE_NONE);
+  ck_assert (!job_refresh (job, 2, 2000));
+}
+END_TEST
+
+/* Guards against malformed jobs that are accepted or end the process.  */
+START_TEST (test_bad_jobs)
+{
+  static const struct
+  {
+    const char *json;
+    const char *fault;
+  } cases[] = {
+    { "", "body" },
+    { "[]", "body" },
+    { "{\"spec\":1,\"steps\":[{\"count\":1}]}", "spec" },
+    { "{\"spec\":\"s\"}", "steps" },
+    { "{\"steps\":[]}", "steps" },
+    { "{\"steps\":[1]}", "steps" },
+    { "{\"steps\":[{\"count\":-1}]}", "count" },
+    { "{\"steps\":[{\"count\":1,\"after\":[0]}]}", "after" },
+    { "{\"steps\":[{\"count\":1},{\"count\":1,\"after\":[1]}]}", "after" },
+    { "{\"steps\":[{\"count\":1,\"cpu\":-5}]}", "cpu" },
+    { "{\"steps\":[{\"count\":9000},{\"count\":9000}]}", "max-runs" },
+    { "{\"steps\":[{\"count\":1}],\"max-runs\":-1}", "max-runs" },
+  };
+  for (size_t n = 0; n < sizeof cases / sizeof *cases; n++)
+    {
+      struct job_spec spec;
+      const char *fault = "";
+      ck_assert_int_eq (wire_decode_job (ctx, (const uint8_t *)cases[n].json,
+                                         strlen (cases[n].json), &spec,
+                                         &fault),
+                        ERR_INVALID);
+      ck_assert_str_eq (fault, cases[n].fault);
+    }
+}
+END_TEST
+
+/* Guards against records of other writers that end the process.  */
+START_TEST (test_bad_records)
+{
+  static const uint8_t junk[] = { 0xff, 0xff, 0xff, 0x01 };
+  struct job_fold_result res;
+  char key[JOB_KEY_BYTES + 1];
+  job_key_format (JOB_KEY_SPEC, 9, key);
+  ck_assert_int_eq (job_table_fold (&tab, ctx, 1, key, JOB_KEY_BYTES, junk,
+                                    sizeof junk, 0, 0, &res),
+                    ERR_PROTOCOL);
+  ck_assert_int_eq (
+      job_table_fold (&tab, ctx, 1, "x", 1, junk, sizeof junk, 0, 0, &res),
+      ERR_PROTOCOL);
+  ck_assert_uint_eq (tab.count, 0);
+}
+END_TEST
+
+/* Guards against waiting jobs that are not told, and against jobs that are
+   kept for ever.  */
+START_TEST (test_waiting_and_expiry)
+{
+  struct job *one = help_fold_job (&tab, ctx, 1, TWO_STEPS, 1, 0, 1000);
+  help_fold_job (&tab, ctx, 2, TWO_STEPS, 2, 0, 1000);
+  ck_assert_uint_eq (job_table_waiting (&tab, "q"), 2);
+  ck_assert_uint_eq (job_table_waiting (&tab, "r"), 0);
+  one->started = true;
+  job_refresh (one, 2, 1500);
+  ck_assert_uint_eq (job_table_waiting (&tab, "q"), 1);
+  one->state = JOB_COMPLETED;
+  one->ended_ms = 2000;
+  job_table_expire (&tab, 2000);
+  ck_assert_uint_eq (tab.count, 2);
+  job_table_expire (&tab, 2001);
+  ck_assert_ptr_null (job_table_find (&tab, 1));
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("job");
+  TCase *tc = tcase_create ("job");
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_test (tc, test_names);
+  tcase_add_test (tc, test_first_record_holds);
+  tcase_add_test (tc, test_progress);
+  tcase_add_test (tc, test_failures_in_any_order);
+  tcase_add_test (tc, test_logged_state);
+  tcase_add_test (tc, test_cancel);
+  tcase_add_test (tc, test_bad_jobs);
+  tcase_add_test (tc, test_bad_records);
+  tcase_add_test (tc, test_waiting_and_expiry);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
--- /dev/null
+++ b/test/unit/unit_keeper.c
@@ -0,0 +1,284 @@
+#include <check.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "fleet/keeper.h"
+#include "platform/wire_decode.h"
+
+#define S 1000000
+
+static struct keeper kpr;
+static void *ctx;
+static int64_t now_us;
+static struct kept_host *ordered[64];
+static size_t order_count;
+static char vacated[256];
+static char withdrawn[256];
+static int completed;
+
+static void
+on_vacate (void *arg, struct kept_host *host, int64_t keep_ms)
+{
+  strcat (vacated, host->rep.name);
+  host->request_offset = 1;
+}
+
+static void
+on_withdraw (void *arg, struct kept_host *host)
+{
+  strcat (withdrawn, host->rep.name);
+  if (host->phase == PHASE_AWAY)
+    strcat (withdrawn, "!");
+}
+
+static void
+on_order (void *arg, struct kept_host *host)
+{
+  ordered[order_count++] = host;
+}
+
+static void
+on_wave (void *arg, struct kept_wave *wave)
+{
+  completed += wave->completed;
+}
+
+static struct pool_config pools[]
+    = { { .name = "p" }, { .name = "q" }, { .name = "spare", .spare = true } };
+static const struct catalog cat = { .pools = pools, .pool_count = 3 };
+
+static void
+setup (void)
+{
+  static const struct keeper_ops ops = { .vacate = on_vacate,
+                                         .withdraw = on_withdraw,
+                                         .order = on_order,
+                                         .wave_state = on_wave };
+  ctx = talloc_new (NULL);
+  keeper_init (&kpr, ctx, &ops);
+  kpr.cat = &cat;
+  now_us = 100 * S;
+  order_count = 0;
+  vacated[0] = withdrawn[0] = '\0';
+  completed = 0;
+}
+
+static void
+teardown (void)
+{
+  keeper_fini (&kpr);
+  talloc_free (ctx);
+}
+
+/* Lists the hosts named by the letters of P, Q and SPARE in these pools; an
+   upper-case letter is a host with its next worker.  */
+static void
+list (const char *p, const char *q, const char *spare)
+{
+  struct host_report reps[32];
+  size_t count = 0;
+  const char *const names[] = { p, q, spare };
+  for (size_t n = 0; n < 3; n++)
+    for (const char *chr = names[n]; *chr; chr++)
+      {
+        struct host_report *rep = &reps[count++];
+        *rep = (struct host_report){ .state = HOST_UP };
+        rep->name[0] = (char)(*chr | 32);
+        snprintf (rep->worker, NAME_BYTES, "w-%c", *chr);
+        name_copy (rep->pool, pools[n].name);
+      }
+  const struct host_list lst = { .hosts = reps, .count = count };
+  ck_assert_int_eq (keeper_hosts (&kpr, ctx, &lst, now_us), 0);
+}
+
+static void
+demand (const char *pool, uint32_t short_hosts, const char *idle)
+{
+  size_t count = strlen (idle);
+  char (*names)[NAME_BYTES]
+      = talloc_zero_size (ctx, (count + 1) * sizeof *names);
+  for (size_t n = 0; n < count; n++)
+    names[n][0] = idle[n];
+  const struct pool_demand dem = { .pool = pool,
+                                   .short_hosts = short_hosts,
+                                   .idle = names,
+                                   .idle_count = count };
+  keeper_demand (&kpr, &dem, now_us);
+}
+
+static void
+wave (const char *json)
+{
+  keeper_wave (&kpr, ctx,
+               wire_decode_wave (ctx, (const uint8_t *)json, strlen (json)),
+               now_us);
+}
+
+static void
+step (int64_t ms)
+{
+  now_us += ms * 1000;
+  keeper_step (&kpr, now_us);
+}
+
+static void
+empty (const char *host)
+{
+  keeper_emptied (&kpr, host, 1, now_us);
+}
+
+/* Guards against more hosts of a wave down at a time than it allows, counting
+   those whose order has no answer, and against a wave that is told done
+   early.  */
+START_TEST (test_wave_bound)
+{
+  list ("abcdefghi", "", "");
+  wave (
+      "{\"wave\":1,\"machines\":[\"a\",\"b\",\"c\",\"zz\"],\"duration-s\":20,"
+      "\"cap\":1}");
+  step (10);
+  ck_assert_str_eq (vacated, "abc");
+  empty ("a");
+  empty ("b");
+  step (10);
+  ck_assert_uint_eq (order_count, 1);
+  keeper_ordered (&kpr, ordered[0], HOST_ORDER_UNKNOWN, now_us);
+  step (10);
+  ck_assert_uint_eq (order_count, 1);
+  step (400);
+  ck_assert_uint_eq (order_count, 2);
+  ck_assert_ptr_eq (ordered[1], ordered[0]);
+  keeper_ordered (&kpr, ordered[1], HOST_ORDER_DONE, now_us);
+  step (10);
+  ck_assert_uint_eq (order_count, 2);
+  now_us += 2 * S;
+  list ("Abcdefghi", "", "");
+  step (10);
+  step (10);
+  ck_assert_uint_eq (order_count, 3);
+  ck_assert_str_eq (ordered[2]->rep.name, "b");
+  keeper_ordered (&kpr, ordered[2], HOST_ORDER_DONE, now_us);
+  ck_assert_int_eq (completed, 0);
+  now_us += 2 * S;
+  list ("ABcdefghi", "", "");
+  step (10);
+  empty ("c");
+  step (10);
+  keeper_ordered (&kpr, ordered[3], HOST_ORDER_DONE, now_us);
+  step (10);
+  ck_assert_int_eq (completed, 1);
+}
+END_TEST
+
+/* Guards against a host that is ordered before its owner has emptied it.  */
+START_TEST (test_emptied_first)
+{
+  list ("abcdef", "", "");
+  demand ("p", 0, "a");
+  demand ("q", 1, "");
+  step (10);
+  ck_assert_str_eq (vacated, "a");
+  step (1000);
+  ck_assert_uint_eq (order_count, 0);
+  /* A report for an earlier request does not count.  */
+  keeper_emptied (&kpr, "a", 99, now_us);
+  step (10);
+  ck_assert_uint_eq (order_count, 0);
+  empty ("a");
+  step (10);
+  ck_assert_uint_eq (order_count, 1);
+  ck_assert_str_eq (ordered[0]->target, "q");
+}
+END_TEST
+
+/* Guards against a moved host's former worker that counts as open: the owner
+   learns that its life has ended.  */
+START_TEST (test_ended_worker)
+{
+  list ("abcdef", "", "");
+  demand ("p", 0, "a");
+  demand ("q", 1, "");
+  step (10);
+  empty ("a");
+  step (10);
+  keeper_ordered (&kpr, ordered[0], HOST_ORDER_DONE, now_us);
+  now_us += 2 * S;
+  demand ("q", 0, "");
+  list ("bcdef", "A", "");
+  step (10);
+  ck_assert_str_eq (withdrawn, "a!");
+}
+END_TEST
+
+/* Guards against two moves where one does: a host on its way to the spare pool
+   goes to the pool that lacks one, and one that was just given up is not
+   parked at once.  */
+START_TEST (test_direct_moves)
+{
+  list ("abcdef", "", "");
+  demand ("p", 0, "ab");
+  step (10);
+  ck_assert_str_eq (vacated, "");
+  now_us += S;
+  demand ("p", 0, "ab");
+  step (600);
+  ck_assert_str_eq (vacated, "ab");
+  ck_assert_str_eq (keeper_find (&kpr, "a")->target, "spare");
+  demand ("q", 1, "");
+  step (10);
+  ck_assert_str_eq (keeper_find (&kpr, "a")->target, "q");
+  ck_assert_str_eq (keeper_find (&kpr, "b")->target, "spare");
+  ck_assert_str_eq (vacated, "ab");
+}
+END_TEST
+
+/* Guards against a pool that takes more hosts than it lacks, and against the
+   hosts of a pool that lacks some itself.  */
+START_TEST (test_counts)
+{
+  list ("abc", "", "xyz");
+  demand ("p", 1, "ab");
+  demand ("q", 2, "");
+  step (10);
+  step (10);
+  ck_assert_uint_eq (order_count, 3);
+  ck_assert_str_eq (vacated, "");
+}
+END_TEST
+
+/* Guards against a wave that takes hosts while pools lack some although its
+   time is long, and against one that is late for that.  */
+START_TEST (test_wave_waits)
+{
+  list ("abcdefghi", "", "");
+  demand ("q", 5, "");
+  wave (
+      "{\"wave\":1,\"machines\":[\"a\",\"b\",\"c\",\"d\"],\"duration-s\":100,"
+      "\"cap\":4}");
+  step (10);
+  ck_assert_str_eq (vacated, "");
+  step (80000);
+  ck_assert_uint_gt (strlen (vacated), 1);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("keeper");
+  TCase *tc = tcase_create ("keeper");
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_test (tc, test_wave_bound);
+  tcase_add_test (tc, test_emptied_first);
+  tcase_add_test (tc, test_ended_worker);
+  tcase_add_test (tc, test_direct_moves);
+  tcase_add_test (tc, test_counts);
+  tcase_add_test (tc, test_wave_waits);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
--- /dev/null
+++ b/test/unit/unit_topic.c
@@ -0,0 +1,306 @@
+#include <check.h>
+#include <string.h>
+#include <talloc.h>
+#include <tevent.h>
+
+#include "base/clock.h"
+#include "base/err.h"
+#include "store/appender.h"
+#include "store/follower.h"
+
+/* A store whose answers the test gives.  */
+
+#define CALLS_MAX 16
+#define WAIT_TURNS 200
+
+struct call
+{
+  char kind; /* 'a' append, 'r' read, 'n' newest */
+  uint64_t sequence;
+  size_t count;
+  uint64_t from;
+  int64_t wait_ms;
+  char first_key[32];
+  topic_append_fn *append_fn;
+  topic_read_fn *read_fn;
+  void *arg;
+};
+
+static struct tevent_context *ev;
+static struct topic_store store;
+static struct call calls[CALLS_MAX];
+static size_t call_count;
+static int done, not_done;
+static char seen[64];
+
+static int
+fake_append (struct topic_store *st, const struct topic_append *app,
+             topic_append_fn *fn, void *arg)
+{
+  struct call *call = &calls[call_count++];
+  *call = (struct call){ .kind = 'a',
+                         .sequence = app->sequence,
+                         .count = app->count,
+                         .append_fn = fn,
+                         .arg = arg };
+  memcpy (call->first_key, app->entries[0].key, app->entries[0].key_len);
+  return 0;
+}
+
+static int
+fake_read (struct topic_store *st, const char *topic, uint32_t part,
+           uint64_t from, int64_t wait_ms, topic_read_fn *fn, void *arg)
+{
+  calls[call_count++] = (struct call){
+    .kind = 'r', .from = from, .wait_ms = wait_ms, .read_fn = fn, .arg = arg
+  };
+  return 0;
+}
+
+static int
+fake_newest (struct topic_store *st, const char *topic, uint32_t part,
+             const char *after, topic_read_fn *fn, void *arg)
+{
+  struct call *call = &calls[call_count++];
+  *call = (struct call){ .kind = 'n', .read_fn = fn, .arg = arg };
+  if (after)
+    strncpy (call->first_key, after, sizeof call->first_key - 1);
+  return 0;
+}
+
+static const struct topic_store_driver driver
+    = { .append = fake_append, .read = fake_read, .newest = fake_newest };
+
+static void
+setup (void)
+{
+  ev = tevent_context_init (NULL);
+  store.drv = &driver;
+  call_count = 0;
+  done = not_done = 0;
+  seen[0] = '\0';
+}
+
+static void
+teardown (void)
+{
+  talloc_free (ev);
+}
+
+/* Turns the loop until the store has had COUNT calls.  */
+static struct call *
+await_call (size_t count)
+{
+  for (int n = 0; n < WAIT_TURNS && call_count < count; n++)
+    tevent_loop_once (ev);
+  ck_assert_uint_eq (call_count, count);
+  return &calls[count - 1];
+}
+
+static void
+answer_append (struct call *call, enum topic_append_status status,
+               uint64_t expected)
+{
+  const struct topic_append_result res
+      = { .status = status, .offset = 5, .expected_sequence = expected };
+  call->append_fn (call->arg, &res);
+}
+
+static void
+on_entry (void *arg, enum appender_outcome out, uint64_t offset)
+{
+  if (out == APPENDER_DONE)
+    done++;
+  else
+    not_done++;
+}
+
+static void
+add (struct appender *app, const char *key, bool durable)
+{
+  const struct topic_entry ent = { .key = key,
+                                   .key_len = strlen (key),
+                                   .value = (const uint8_t *)"v",
+                                   .value_len = 1 };
+  ck_assert_int_eq (appender_add (app, &ent, durable, on_entry, NULL), 0);
+}
+
+static void
+open_appender (struct appender *app)
+{
+  const struct appender_settings set
+      = { .topic = "t", .producer = "p", .epoch = 1 };
+  ck_assert_int_eq (appender_init (app, ev, &store, ev, &clock_system, &set),
+                    0);
+}
+
+/* Guards against a job that is told as rejected and runs later: an append
+   without an answer is repeated as it was until the store settles it.  */
+START_TEST (test_lost_answer)
+{
+  static const struct
+  {
+    enum topic_append_status status; /* of the repeat */
+    uint64_t expected;
+    int done;
+    bool again; /* still not settled */
+  } cases[] = {
+    { TOPIC_APPENDED, 0, 1, false }, { TOPIC_SEQUENCE, 1, 1, false },
+    { TOPIC_REJECTED, 0, 0, true },  { TOPIC_FULL, 0, 0, true },
+    { TOPIC_UNKNOWN, 0, 0, true },
+  };
+  for (size_t n = 0; n < sizeof cases / sizeof *cases; n++)
+    {
+      struct appender app;
+      teardown ();
+      setup ();
+      open_appender (&app);
+      add (&app, "a", false);
+      struct call *call = await_call (1);
+      add (&app, "b", false);
+      answer_append (call, TOPIC_UNKNOWN, 0);
+      call = await_call (2);
+      ck_assert_uint_eq (call->sequence, 0);
+      ck_assert_uint_eq (call->count, 1);
+      ck_assert_str_eq (call->first_key, "a");
+      answer_append (call, cases[n].status, cases[n].expected);
+      ck_assert_int_eq (done, cases[n].done);
+      ck_assert_int_eq (not_done, 0);
+      call = await_call (3);
+      ck_assert_str_eq (call->first_key, cases[n].again ? "a" : "b");
+      ck_assert_uint_eq (call->sequence, cases[n].again ? 0 : 1);
+      appender_fini (&app);
+      answer_append (call, TOPIC_APPENDED, 0);
+    }
+}
+END_TEST
+
+/* Guards against callers that wait while the store rejects appends, and
+   against the loss of entries that have to be kept.  */
+START_TEST (test_rejected)
+{
+  struct appender app;
+  open_appender (&app);
+  add (&app, "a", false);
+  add (&app, "b", true);
+  struct call *call = await_call (1);
+  ck_assert_uint_eq (call->count, 2);
+  answer_append (call, TOPIC_REJECTED, 0);
+  ck_assert_int_eq (not_done, 1);
+  call = await_call (2);
+  ck_assert_uint_eq (call->count, 1);
+  ck_assert_str_eq (call->first_key, "b");
+  ck_assert_uint_eq (call->sequence, 0);
+  answer_append (call, TOPIC_APPENDED, 0);
+  ck_assert_int_eq (done, 1);
+  appender_fini (&app);
+}
+END_TEST
+
+/* Guards against an answer to memory that was freed with the duty.  */
+START_TEST (test_finished_in_call)
+{
+  struct appender app;
+  open_appender (&app);
+  add (&app, "a", true);
+  struct call *call = await_call (1);
+  appender_fini (&app);
+  answer_append (call, TOPIC_FENCED, 0);
+  ck_assert_int_eq (done + not_done, 0);
+}
+END_TEST
+
+static void
+on_record (void *arg, const struct topic_record *rec)
+{
+  strncat (seen, rec->entry.key, rec->entry.key_len);
+}
+
+static void
+on_batch (void *arg)
+{
+}
+
+static void
+answer_read (struct call *call, int err, uint64_t end, bool more,
+             const char *keys, uint64_t first)
+{
+  struct topic_record recs[8];
+  size_t count = strlen (keys);
+  for (size_t n = 0; n < count; n++)
+    recs[n] = (struct topic_record){ .offset = first + n,
+                                     .entry = { .key = keys + n,
+                                                .key_len = 1,
+                                                .value = (const uint8_t *)"v",
+                                                .value_len = 1 } };
+  const struct topic_read_result res = {
+    .err = err, .end = end, .more = more, .records = recs, .count = count
+  };
+  call->read_fn (call->arg, &res);
+}
+
+static void
+open_follower (struct follower *fol)
+{
+  const struct follower_settings set
+      = { .topic = "t", .gap_ms = 1, .wait_ms = 1000 };
+  ck_assert_int_eq (follower_init (fol, ev, &store, ev, &clock_system, &set,
+                                   on_record, on_batch, NULL),
+                    0);
+}
+
+/* Guards against records that a process misses: pages of newest records are
+   not a snapshot, and history that is gone is read anew.  */
+START_TEST (test_follow)
+{
+  struct follower fol;
+  open_follower (&fol);
+  answer_read (await_call (1), 0, 7, true, "ab", 2);
+  struct call *call = await_call (2);
+  ck_assert_int_eq (call->kind, 'n');
+  ck_assert_str_eq (call->first_key, "b");
+  answer_read (call, 0, 9, false, "c", 6);
+  call = await_call (3);
+  ck_assert_int_eq (call->kind, 'r');
+  ck_assert_uint_eq (call->from, 7);
+  ck_assert_int_eq (call->wait_ms, 0);
+  ck_assert (!follower_caught_up (&fol));
+  answer_read (call, 0, 9, false, "de", 7);
+  ck_assert (follower_caught_up (&fol));
+  call = await_call (4);
+  ck_assert_uint_eq (call->from, 9);
+  ck_assert_int_eq (call->wait_ms, 1000);
+  answer_read (call, ERR_UNAVAILABLE, 0, false, "", 0);
+  call = await_call (5);
+  ck_assert_uint_eq (call->from, 9);
+  answer_read (call, ERR_EXPIRED, 0, false, "", 0);
+  call = await_call (6);
+  ck_assert_int_eq (call->kind, 'n');
+  ck_assert_str_eq (call->first_key, "");
+  ck_assert (!follower_in_order (&fol));
+  answer_read (call, 0, 20, false, "x", 15);
+  ck_assert_uint_eq (await_call (7)->from, 20);
+  ck_assert_str_eq (seen, "abcdex");
+  follower_fini (&fol);
+  answer_read (&calls[6], 0, 21, false, "y", 20);
+  ck_assert_str_eq (seen, "abcdex");
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("topic");
+  TCase *tc = tcase_create ("topic");
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_test (tc, test_lost_answer);
+  tcase_add_test (tc, test_rejected);
+  tcase_add_test (tc, test_finished_in_call);
+  tcase_add_test (tc, test_follow);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
