--- a/node/fleet.c
+++ b/node/fleet.c
@@ -24,6 +24,8 @@
 /* A holder that has not confirmed its duty for so long gives no orders: others
    take the duty over after 2 s, and must not take turns with it.  */
 #define CONFIRM_US 1700000
+/* Orders of the keeper before are answered, or late, by then.  */
+#define ORPHAN_WAIT_US 1000000
 /* A pool's owner repeats what it wants after this time at the latest.  */
 #define DEMAND_REPEAT_US 1500000
 #define DEMAND_GAP_US 60000
@@ -39,6 +41,8 @@
   uint64_t offset;
   int64_t until_ms;  /* wall clock */
   uint64_t reported; /* offset of the request that this process answered */
+  uint64_t token;    /* of the keeper that made it */
+  bool withdrawn;    /* by this process, for a keeper before it */
 };
 
 struct order_ctx
@@ -58,6 +62,7 @@
   /* As the holder of the duty.  */
   bool active;
   uint64_t token;
+  int64_t begun_us;
   struct keeper kpr;
   struct follower *reports; /* by partition; not in use where priv is NULL */
   bool list_open;
@@ -236,6 +241,22 @@
   flt->list_open = lnk->drv->list (lnk, on_list, flt) == 0;
 }
 
+/* Requests of earlier keepers stand until somebody withdraws them, and their
+   hosts take no tasks.  */
+static void
+withdraw_orphans (struct fleet *flt, int64_t now_us)
+{
+  struct vacate_request *req, *next;
+  if (now_us < flt->begun_us + ORPHAN_WAIT_US)
+    return;
+  HASH_ITER (hh, flt->requests, req, next)
+    if (req->token < flt->token && !req->withdrawn)
+      {
+        req->withdrawn = true;
+        append_request (flt, req->host, 0, "");
+      }
+}
+
 static uint32_t
 report_part (const struct node *nod, const char *pool)
 {
@@ -279,7 +300,10 @@
   flt->kpr.cat = flt->nod->cat;
   open_reports (flt);
   if (now_us - flt->nod->confirmed_us < CONFIRM_US)
-    busy = keeper_step (&flt->kpr, now_us);
+    {
+      withdraw_orphans (flt, now_us);
+      busy = keeper_step (&flt->kpr, now_us);
+    }
   read_list (flt, busy, now_us);
   flt->timer = tevent_add_timer (
       ev, flt, tevent_timeval_current_ofs (0, TURN_MS * 1000), on_turn, flt);
@@ -313,6 +337,7 @@
   };
   flt->active = true;
   flt->token = token;
+  flt->begun_us = clock_now_us (nod->clk);
   flt->next_list_us = 0;
   keeper_init (&flt->kpr, flt, &ops);
   log_event (nod->lg, EV_DUTY_BEGUN, LOG_S ("duty", DUTY_FLEET),
@@ -426,6 +451,8 @@
         {
           req->offset = offset;
           req->until_ms = (int64_t)msg->until_ms;
+          req->token = msg->token;
+          req->withdrawn = false;
         }
       if (kept && kept->phase == PHASE_VACATING)
         kept->request_offset = offset;
