--- a/fleet/catalog.h
+++ b/fleet/catalog.h
@@ -61,6 +61,7 @@
   char data_centre[NAME_BYTES];
   char labels[WORKER_LABELS_MAX][NAME_BYTES];
   size_t label_count;
+  char rack[NAME_BYTES]; /* "": not told */
   struct resources capacity;
   bool draining;
   int64_t drain_left_ms;
--- a/sched/place.c
+++ b/sched/place.c
@@ -16,6 +16,12 @@
   return false;
 }
 
+const char *
+worker_rack (const struct worker *wrk)
+{
+  return wrk->rep.rack;
+}
+
 void
 resources_add (struct resources *sum, const struct step *step, int sign)
 {
@@ -98,6 +104,8 @@
     return false;
   if (*step->required_label && !worker_has_label (wrk, step->required_label))
     return false;
+  if (req->rack && strcmp (worker_rack (wrk), req->rack) != 0)
+    return false;
   return step->most_per_worker == 0
          || siblings (wrk, req) < step->most_per_worker;
 }
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -298,6 +298,23 @@
   return true;
 }
 
+bool
+placer_in_limbo (const struct placer *plc, const struct job *job,
+                 const struct task *tsk)
+{
+  return !plc->cleared && job->offset < plc->set.fence_offset
+         && tsk->located != plc->set.token;
+}
+
+void
+placer_note_waiting (struct placer *plc, const struct step *stp,
+                     uint32_t count)
+{
+  plc->waiting_tasks += count;
+  plc->waiting_cpu_milli += count * stp->need.cpu_milli;
+  plc->waiting_memory_mb += count * stp->need.memory_mb;
+}
+
 static void
 place_task (struct placer *plc, struct job *job, const struct task_ref *ref,
             int64_t now_us)
@@ -306,10 +323,7 @@
   struct task *tsk = job_task (job, ref);
   if (tsk->done || tsk->run || now_us < tsk->not_before_us)
     return;
-  /* It may run at a worker that has not answered since an earlier owner
-     started it there.  */
-  if (!plc->cleared && job->offset < plc->set.fence_offset
-      && tsk->located != plc->set.token)
+  if (placer_in_limbo (plc, job, tsk))
     return;
   const struct place_request req = {
     .job = job,
@@ -327,9 +341,7 @@
     }
   if (stp->perpetual)
     placer_make_room (plc, job, ref, now_us);
-  plc->waiting_tasks++;
-  plc->waiting_cpu_milli += stp->need.cpu_milli;
-  plc->waiting_memory_mb += stp->need.memory_mb;
+  placer_note_waiting (plc, stp, 1);
 }
 
 static void
@@ -347,6 +359,11 @@
           struct task_ref ref = { .job = job->id, .occurrence = k, .step = n };
           if (occ->step_done[n] == stp->count || !step_ready (job, occ, stp))
             continue;
+          if (stp->gang && !stp->perpetual)
+            {
+              placer_place_gang (plc, job, &ref, now_us);
+              continue;
+            }
           for (ref.index = 0; ref.index < stp->count; ref.index++)
             place_task (plc, job, &ref, now_us);
         }
--- /dev/null
+++ b/sched/placer_gang.c
@@ -0,0 +1,154 @@
+#include <string.h>
+#include <talloc.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "sched/placer_priv.h"
+
+/* Gangs: the tasks of a step work only while all of them are present, and a
+   worker gives up one that waits for the rest.  They are started together
+   under one run number, once there is room for all, and when one of them is
+   missing the others are stopped.  */
+
+static struct task *
+members_of (const struct job *job, const struct task_ref *ref)
+{
+  const struct step *stp = &job->spec.steps[ref->step];
+  return &job->occurrences[ref->occurrence].tasks[stp->first_task];
+}
+
+/* Stops what is left of a run of which a member is missing.  */
+static void
+stop_rest (struct placer *plc, struct job *job, const struct task_ref *ref)
+{
+  struct task *tasks = members_of (job, ref);
+  for (uint32_t n = 0; n < job->spec.steps[ref->step].count; n++)
+    if (tasks[n].run)
+      placer_stop_run (plc, tasks[n].run);
+}
+
+/* The furthest checkpoint of any member holds for all of them.  */
+static void
+share_checkpoint (struct job *job, const struct task_ref *ref)
+{
+  struct task *tasks = members_of (job, ref);
+  uint32_t count = job->spec.steps[ref->step].count;
+  const char *best = NULL;
+  for (uint32_t n = 0; n < count; n++)
+    if (tasks[n].saved && (!best || strcmp (tasks[n].saved, best) > 0))
+      best = tasks[n].saved;
+  for (uint32_t n = 0; best && n < count; n++)
+    if (tasks[n].saved != best)
+      {
+        char *copy = talloc_strdup (job, best);
+        talloc_free (tasks[n].saved);
+        tasks[n].saved = copy;
+      }
+}
+
+/* Keeps room for every member, within one rack where RACK names one.  Returns
+   false, with no room kept, when not all of them fit.  */
+static bool
+reserve_all (struct placer *plc, struct job *job, const struct task_ref *ref,
+             const char *rack, int64_t now_us)
+{
+  const struct step *stp = &job->spec.steps[ref->step];
+  struct task *tasks = members_of (job, ref);
+  struct task_ref member = *ref;
+  for (member.index = 0; member.index < stp->count; member.index++)
+    {
+      const struct place_request req
+          = { .job = job,
+              .step = stp,
+              .ref = &member,
+              .rack = rack,
+              .avoid = tasks[member.index].avoid_worker,
+              .now_us = now_us };
+      struct worker *wrk = place_pick (&plc->pool, &req);
+      if (!wrk)
+        break;
+      placer_reserve (&tasks[member.index], stp, wrk, now_us);
+    }
+  if (member.index == stp->count)
+    return true;
+  while (member.index-- > 0)
+    placer_unreserve (plc, &tasks[member.index], stp);
+  return false;
+}
+
+static bool
+reserve_gang (struct placer *plc, struct job *job, const struct task_ref *ref,
+              int64_t now_us)
+{
+  const struct step *stp = &job->spec.steps[ref->step];
+  for (size_t n = 0; stp->rack_sensitive && n < plc->pool.count; n++)
+    {
+      const char *rack = worker_rack (plc->pool.workers[n]);
+      if (*rack && reserve_all (plc, job, ref, rack, now_us))
+        return true;
+    }
+  return reserve_all (plc, job, ref, NULL, now_us);
+}
+
+/* Whether a member waits, cannot be placed yet, or may run at a worker that an
+   earlier owner used.  */
+static bool
+gang_waits (const struct placer *plc, const struct job *job,
+            const struct task_ref *ref, int64_t now_us)
+{
+  const struct task *tasks = members_of (job, ref);
+  for (uint32_t n = 0; n < job->spec.steps[ref->step].count; n++)
+    if (now_us < tasks[n].not_before_us
+        || placer_in_limbo (plc, job, &tasks[n]))
+      return true;
+  return false;
+}
+
+void
+placer_place_gang (struct placer *plc, struct job *job,
+                   const struct task_ref *ref, int64_t now_us)
+{
+  const struct step *stp = &job->spec.steps[ref->step];
+  struct task *tasks = members_of (job, ref);
+  struct task_ref member = *ref;
+  uint32_t running = 0;
+  uint32_t last_run = 0;
+  for (uint32_t n = 0; n < stp->count; n++)
+    {
+      running += tasks[n].run != NULL;
+      if (tasks[n].last_run > last_run)
+        last_run = tasks[n].last_run;
+    }
+  if (running == stp->count || gang_waits (plc, job, ref, now_us))
+    return;
+  if (running > 0)
+    {
+      stop_rest (plc, job, ref);
+      return;
+    }
+  if (!reserve_gang (plc, job, ref, now_us))
+    {
+      placer_note_waiting (plc, stp, stp->count);
+      return;
+    }
+  share_checkpoint (job, ref);
+  for (member.index = 0; member.index < stp->count; member.index++)
+    {
+      struct task *tsk = &tasks[member.index];
+      struct worker *wrk = placer_find_worker (plc, tsk->reserved);
+      placer_unreserve (plc, tsk, stp);
+      tsk->last_run = last_run;
+      if (wrk)
+        placer_start_task (plc, job, &member, wrk);
+    }
+}
+
+void
+placer_gang_done (struct placer *plc, struct job *job,
+                  const struct task_ref *ref)
+{
+  struct task_ref member = *ref;
+  for (member.index = 0; member.index < job->spec.steps[ref->step].count;
+       member.index++)
+    job_mark_done (job, &member);
+}
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -140,6 +140,15 @@
              LOG_S ("end", names[row->end]), LOG_I ("number", row->number));
 }
 
+/* A gang's failed runs are counted with its first member.  */
+static struct task *
+first_member (struct job *job, const struct task_ref *ref)
+{
+  struct task_ref first = *ref;
+  first.index = 0;
+  return job_task (job, &first);
+}
+
 static void
 apply_end (struct placer *plc, struct worker *wrk, const struct ended_row *row,
            int64_t now_us)
@@ -168,12 +177,15 @@
   if (row->end == RUN_DONE && !stp->perpetual)
     {
       job_mark_done (job, &row->task);
+      if (stp->gang)
+        placer_gang_done (plc, job, &row->task);
       placer_mark_dirty (plc, job);
       if (run && !current)
         placer_stop_run (plc, run);
     }
   else if (row->end == RUN_FAILED && !stp->perpetual
-           && task_add_failure (tsk, row->run))
+           && task_add_failure (
+               stp->gang ? first_member (job, &row->task) : tsk, row->run))
     placer_mark_dirty (plc, job);
   if (current)
     {
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -96,6 +96,14 @@
 void placer_make_room (struct placer *plc, struct job *job,
                        const struct task_ref *ref, int64_t now_us);
 
+/* placer_gang.c */
+/* Starts the tasks of a gang together, or stops what is left of a run.  */
+void placer_place_gang (struct placer *plc, struct job *job,
+                        const struct task_ref *ref, int64_t now_us);
+/* One member's end as done stands for all.  */
+void placer_gang_done (struct placer *plc, struct job *job,
+                       const struct task_ref *ref);
+
 /* placer_vacate.c */
 /* Moves lasting tasks off workers that leave or are to be emptied.  */
 void placer_move_off (struct placer *plc, struct worker *wrk, int64_t now_us);
@@ -106,4 +114,11 @@
                         const struct task_ref *ref);
 bool placer_may_order (const struct placer *plc, int64_t now_us);
 void placer_release_call (struct placer *plc);
+/* Whether a task may still run at a worker that has not answered since an
+   earlier owner started it there.  */
+bool placer_in_limbo (const struct placer *plc, const struct job *job,
+                      const struct task *tsk);
+/* Notes that COUNT tasks of a step find no room.  */
+void placer_note_waiting (struct placer *plc, const struct step *stp,
+                          uint32_t count);
 uint32_t placer_attempts (const struct placer *plc, const struct job *job);
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -97,7 +97,8 @@
   const struct job *job;
   const struct step *step;
   const struct task_ref *ref;
-  uint32_t avoid; /* handle of a worker to use last; 0: none */
+  const char *rack; /* only workers there; NULL: any */
+  uint32_t avoid;   /* handle of a worker to use last; 0: none */
   int64_t now_us;
 };
 
@@ -116,4 +117,7 @@
 
 bool worker_has_label (const struct worker *wrk, const char *label);
 
+/* The rack of a worker, or "".  */
+const char *worker_rack (const struct worker *wrk);
+
 void resources_add (struct resources *sum, const struct step *step, int sign);
