--- a/sched/place.c
+++ b/sched/place.c
@@ -48,6 +48,9 @@
 {
   struct resources sum = wrk->used;
   resources_add (&sum, step, 1);
+  sum.cpu_milli += wrk->foreign.cpu_milli;
+  sum.memory_mb += wrk->foreign.memory_mb;
+  sum.accelerators += wrk->foreign.accelerators;
   return sum.cpu_milli <= wrk->rep.capacity.cpu_milli
          && sum.memory_mb <= wrk->rep.capacity.memory_mb
          && sum.accelerators <= wrk->rep.capacity.accelerators;
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -208,6 +208,12 @@
   if (!run || run->wrk != wrk || run->number != row->run)
     {
       placer_stop_unknown (plc, wrk, &row->task, row->run);
+      /* It takes room until it is listed no more; how much is known only with
+         its job.  */
+      if (tsk)
+        resources_add (&wrk->foreign, &job->spec.steps[row->task.step], 1);
+      else
+        wrk->foreign = wrk->rep.capacity;
       return;
     }
   if (!run->confirmed_us)
@@ -295,6 +301,7 @@
         wrk->applied_end = res->ended[n].number;
         ends = true;
       }
+  wrk->foreign = (struct resources){ 0 };
   for (size_t n = 0; n < res->running_count; n++)
     apply_running (plc, wrk, &res->running[n], ctx->sent_us, now_us);
   if (!res->ended_cut)
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -45,6 +45,7 @@
   uint32_t handle;
   struct run *runs;
   struct resources used;
+  struct resources foreign; /* of runs that it lists and that are not wanted */
 
   /* Contact.  */
   bool listed;
