--- a/node/node.c
+++ b/node/node.c
@@ -172,7 +172,8 @@
       goto done;
     }
   log_event (nod->lg, EV_NODE_STARTED, LOG_S ("name", set->name),
-             LOG_S ("data_centre", set->data_centre),
+                          LOG_S ("data_centre", set->data_centre),
+             LOG_S ("metrics", set->metrics_listen),
              LOG_I ("boot", nod->boot));
   while (!nod->stopped && tevent_loop_once (nod->ev) == 0)
     ;
