--- a/fleet/keeper.c
+++ b/fleet/keeper.c
@@ -31,7 +31,7 @@
 #define POOL_OUT_PART 3
 /* Upkeep is spread evenly over this part of a wave's time while pools lack
    hosts, this much ahead; the rest is for hosts that are slow to empty.  */
-#define WAVE_SPAN_PERCENT 70
+#define WAVE_SPAN_PERCENT 50
 #define WAVE_LEAD_US 2000000
 /* Hosts that are emptied ahead of the wave's bound.  */
 #define WAVE_AHEAD 2
@@ -46,6 +46,7 @@
 keeper_fini (struct keeper *kpr)
 {
   talloc_free (kpr->hosts);
+  talloc_free (kpr->early);
   for (size_t n = 0; n < kpr->pool_count; n++)
     talloc_free (kpr->pools[n].idle);
   for (size_t n = 0; n < kpr->wave_count; n++)
@@ -192,6 +193,37 @@
   return NULL;
 }
 
+static void
+mark_done (struct kept_wave *wave, const char *host)
+{
+  for (size_t n = 0; wave && n < wave->wave->host_count; n++)
+    if (!wave->done[n] && strcmp (wave->wave->hosts[n], host) == 0)
+      {
+        wave->done[n] = true;
+        wave->done_count++;
+      }
+}
+
+void
+keeper_wave_done (struct keeper *kpr, void *parent, uint64_t number,
+                  const char *host)
+{
+  struct kept_wave *wave = find_wave (kpr, number);
+  if (wave)
+    {
+      mark_done (wave, host);
+      return;
+    }
+  struct early_done *early = talloc_realloc (
+      parent, kpr->early, struct early_done, kpr->early_count + 1);
+  if (!early)
+    return; /* its order is repeated, and was done before */
+  kpr->early = early;
+  early += kpr->early_count++;
+  early->wave = number;
+  name_copy (early->host, host);
+}
+
 void
 keeper_wave (struct keeper *kpr, void *parent, struct upkeep_wave *wave,
              int64_t now_us)
@@ -206,22 +238,15 @@
                               .wave = wave,
                               .seen_us = now_us };
   kept->done = talloc_zero_array (wave, bool, wave->host_count + 1);
-  if (kept->done)
-    kpr->wave_count++;
-  else
-    talloc_free (wave);
-}
-
-void
-keeper_wave_done (struct keeper *kpr, uint64_t number, const char *host)
-{
-  struct kept_wave *wave = find_wave (kpr, number);
-  for (size_t n = 0; wave && n < wave->wave->host_count; n++)
-    if (!wave->done[n] && strcmp (wave->wave->hosts[n], host) == 0)
-      {
-        wave->done[n] = true;
-        wave->done_count++;
-      }
+  if (!kept->done)
+    {
+      talloc_free (wave);
+      return;
+    }
+  kpr->wave_count++;
+  for (size_t n = 0; n < kpr->early_count; n++)
+    if (kpr->early[n].wave == kept->number)
+      mark_done (kept, kpr->early[n].host);
 }
 
 void
@@ -245,7 +270,7 @@
       if (host->purpose == PURPOSE_UPKEEP)
         {
           struct kept_wave *wave = find_wave (kpr, host->wave);
-          keeper_wave_done (kpr, host->wave, host->rep.name);
+          mark_done (find_wave (kpr, host->wave), host->rep.name);
           if (wave)
             kpr->ops.wave_state (kpr->ops.arg, wave);
         }
@@ -260,7 +285,7 @@
       host->next_order_us = now_us + ORDER_BUSY_US;
       return;
     case HOST_ORDER_NOT_ASKED:
-      keeper_wave_done (kpr, host->wave, host->rep.name);
+      mark_done (find_wave (kpr, host->wave), host->rep.name);
       end_purpose (kpr, host, now_us);
       return;
     case HOST_ORDER_INVALID:
--- a/fleet/keeper.h
+++ b/fleet/keeper.h
@@ -71,6 +71,13 @@
   int64_t seen_us;
 };
 
+/* A host of a wave that is not known yet, or that had its upkeep before.  */
+struct early_done
+{
+  uint64_t wave;
+  char host[NAME_BYTES];
+};
+
 struct keeper_ops
 {
   /* Asks a pool's owner to empty HOST, or withdraws that.  */
@@ -90,6 +97,8 @@
   size_t pool_count;
   struct kept_wave waves[KEEPER_WAVES_MAX];
   size_t wave_count;
+  struct early_done *early;
+  size_t early_count;
   const struct catalog *cat;
   struct keeper_ops ops;
 };
@@ -120,8 +129,10 @@
 void keeper_wave (struct keeper *kpr, void *parent, struct upkeep_wave *wave,
                   int64_t now_us);
 
-/* Progress that an earlier holder of the duty recorded.  */
-void keeper_wave_done (struct keeper *kpr, uint64_t number, const char *host);
+/* Progress that an earlier holder of the duty recorded; it may be read before
+   the wave itself.  */
+void keeper_wave_done (struct keeper *kpr, void *parent, uint64_t number,
+                       const char *host);
 
 /* The owner of its pool has emptied HOST for the request at OFFSET.  */
 void keeper_emptied (struct keeper *kpr, const char *host, uint64_t offset,
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -510,7 +510,7 @@
   if (!msg)
     return;
   for (size_t n = 0; n < msg->n_done_hosts; n++)
-    keeper_wave_done (&flt->kpr, strtoull (name, NULL, 10),
+    keeper_wave_done (&flt->kpr, flt, strtoull (name, NULL, 10),
                       msg->done_hosts[n]);
   kingcuphollow__wave_progress__free_unpacked (msg, NULL);
 }
--- a/test/unit/unit_keeper.c
+++ b/test/unit/unit_keeper.c
@@ -171,6 +171,21 @@
 }
 END_TEST
 
+/* Guards against upkeep that a new holder of the duty asks for again: it reads
+   the progress of the one before ahead of the wave.  */
+START_TEST (test_earlier_progress)
+{
+  list ("abcdefghi", "", "");
+  keeper_wave_done (&kpr, ctx, 1, "a");
+  keeper_wave_done (&kpr, ctx, 1, "b");
+  keeper_wave_done (&kpr, ctx, 2, "c");
+  wave ("{\"wave\":1,\"machines\":[\"a\",\"b\",\"c\"],\"duration-s\":20,"
+        "\"cap\":3}");
+  step (10);
+  ck_assert_str_eq (vacated, "c");
+}
+END_TEST
+
 /* Guards against a host that is ordered before its owner has emptied it.  */
 START_TEST (test_emptied_first)
 {
@@ -270,6 +285,7 @@
   TCase *tc = tcase_create ("keeper");
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, test_wave_bound);
+  tcase_add_test (tc, test_earlier_progress);
   tcase_add_test (tc, test_emptied_first);
   tcase_add_test (tc, test_ended_worker);
   tcase_add_test (tc, test_direct_moves);
