--- a/base/curl_loop.c
+++ b/base/curl_loop.c
@@ -208,6 +208,8 @@
   curl_multi_setopt (p->multi, CURLMOPT_MAXCONNECTS, (long)set->max_idle);
   curl_multi_setopt (p->multi, CURLMOPT_MAX_TOTAL_CONNECTIONS,
                      (long)set->max_connections);
+  curl_multi_setopt (p->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                     (long)set->max_per_host);
   loop->priv = p;
   return 0;
 }
--- a/base/curl_loop.h
+++ b/base/curl_loop.h
@@ -15,6 +15,8 @@
   uint32_t max_connections; /* open connections; transfers beyond wait inside
                                libcurl; 0: no limit */
   uint32_t max_idle;        /* idle connections kept for reuse; at least 1 */
+  uint32_t max_per_host; /* open connections to one address; transfers beyond
+                            wait inside libcurl; 0: no limit */
 };
 
 struct curl_loop
--- a/fleet/keeper.c
+++ b/fleet/keeper.c
@@ -31,7 +31,7 @@
 #define POOL_OUT_PART 3
 /* Upkeep is spread evenly over this part of a wave's time while pools lack
    hosts, this much ahead; the rest is for hosts that are slow to empty.  */
-#define WAVE_SPAN_PERCENT 50
+#define WAVE_SPAN_PERCENT 40
 #define WAVE_LEAD_US 2000000
 /* Hosts that are emptied ahead of the wave's bound.  */
 #define WAVE_AHEAD 2
--- a/node/node.c
+++ b/node/node.c
@@ -19,6 +19,9 @@
 /* A process that has not heard from the store for so long is not ready.  */
 #define JOB_KEEP_MS 125000
 #define EXPIRE_TURN_S 10
+/* Connections to one worker: one is held open for its ends, the others take
+   orders of about 2 ms each.  A worker takes 64 from all processes.  */
+#define WORKER_CONNECTIONS 8
 
 static bool
 node_ready (void *arg)
@@ -131,11 +134,14 @@
       || !tevent_add_signal (nod->ev, nod, SIGHUP, 0, on_hangup, nod))
     return ERR_NOMEM;
   job_table_init (&nod->jobs);
-  int err = http_client_init (&nod->cli, nod, nod->ev);
+  int err = http_client_init (&nod->cli, nod, nod->ev, 0);
+  if (!err)
+    err = http_client_init (&nod->worker_cli, nod, nod->ev,
+                            WORKER_CONNECTIONS);
   if (!err)
     err = wire_store_init (&nod->store, nod, &nod->cli, nod->set->store);
   if (!err)
-    err = wire_worker_init (&nod->workers, nod, &nod->cli);
+    err = wire_worker_init (&nod->workers, nod, &nod->worker_cli);
   if (!err && *nod->set->fleet_api)
     err = wire_fleet_init (&nod->fleet_link, nod, &nod->cli,
                            nod->set->fleet_api);
@@ -172,7 +178,7 @@
       goto done;
     }
   log_event (nod->lg, EV_NODE_STARTED, LOG_S ("name", set->name),
-                          LOG_S ("data_centre", set->data_centre),
+             LOG_S ("data_centre", set->data_centre),
              LOG_S ("metrics", set->metrics_listen),
              LOG_I ("boot", nod->boot));
   while (!nod->stopped && tevent_loop_once (nod->ev) == 0)
@@ -181,6 +187,7 @@
 
 done:
   http_client_fini (&nod->cli);
+  http_client_fini (&nod->worker_cli);
   if (nod->frt)
     wire_front_destroy (nod->frt);
   job_table_fini (&nod->jobs);
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -92,7 +92,8 @@
   const struct clock *clk;
   struct logger *lg;
   struct counters ctr;
-  struct http_client cli;
+  struct http_client cli; /* to the store and the interface for hosts */
+  struct http_client worker_cli;
   struct wire_store store;
   struct wire_worker workers;
   struct wire_fleet fleet_link;
--- a/test/unit/unit_keeper.c
+++ b/test/unit/unit_keeper.c
@@ -17,19 +17,26 @@
 static char withdrawn[256];
 static int completed;
 
+static void
+note (char text[256], const char *more)
+{
+  size_t len = strlen (text);
+  snprintf (text + len, 256 - len, "%s", more);
+}
+
 static void
 on_vacate (void *arg, struct kept_host *host, int64_t keep_ms)
 {
-  strcat (vacated, host->rep.name);
+  note (vacated, host->rep.name);
   host->request_offset = 1;
 }
 
 static void
 on_withdraw (void *arg, struct kept_host *host)
 {
-  strcat (withdrawn, host->rep.name);
+  note (withdrawn, host->rep.name);
   if (host->phase == PHASE_AWAY)
-    strcat (withdrawn, "!");
+    note (withdrawn, "!");
 }
 
 static void
