sched: an owner that was cut off stops at the fence of the next one; hosts' list: not for workers younger than 5 s

The fence record, in the same partition as the jobs, now carries the token. Retry-After of rejections grows with the outage.

--- a/node/duties.c
+++ b/node/duties.c
@@ -24,7 +24,6 @@
 #define CLAIM_SPREAD_US 60000
 #define MEMBER_KEY 'm'
 #define DUTY_KEY 'd'
-#define FENCE_PREFIX "f/"
 
 static bool
 caught_up (const struct node *nod)
@@ -211,6 +210,7 @@
 {
   char producer[PRODUCER_BYTES];
   char key[DUTY_KEY_BYTES];
+  char token[TOKEN_TEXT_BYTES];
   struct holding *hld = talloc_zero (nod, struct holding);
   if (!hld)
     return;
@@ -224,10 +224,11 @@
                                          .producer = producer,
                                          .epoch = dty->token };
   snprintf (key, sizeof key, FENCE_PREFIX "%s", dty->name);
+  snprintf (token, sizeof token, "%" PRIu64, dty->token);
   const struct topic_entry ent = { .key = key,
                                    .key_len = strlen (key),
-                                   .value = (const uint8_t *)producer,
-                                   .value_len = strlen (producer) };
+                                   .value = (const uint8_t *)token,
+                                   .value_len = strlen (token) };
   /* The appender outlives the duty while an append is in progress.  */
   if (appender_init (&hld->app, nod, &nod->store.st, nod->ev, nod->clk, &set)
       || node_fleet_open_reports (hld)
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -25,6 +25,9 @@
 #define TOPIC_DUTIES "keyed.duties"
 /* The duty for the hosts' upkeep and moves; no pool has such a name.  */
 #define DUTY_FLEET "@fleet"
+/* An owner's fence in its pool's partition; the value is its token as text. */
+#define FENCE_PREFIX "f/"
+#define TOKEN_TEXT_BYTES 24
 #define DUTY_KEY_BYTES (NAME_BYTES + 2)
 #define PRODUCER_BYTES (NAME_BYTES + 32)
 
--- a/node/requests.c
+++ b/node/requests.c
@@ -11,9 +11,12 @@
 #define DEADLINE_DEFAULT_MS 3000
 /* Left of the client's wait for the answer's way back.  */
 #define DEADLINE_MARGIN_MS 300
-/* After an outage of the store, clients come back at times spread over the
-   second after this one.  */
-#define AWAY_RETRY_MS 1000
+/* A client that finds the store away is asked back after as long as the store
+   has been away, within these bounds, and a part of a second of its own, so
+   that clients do not return together: outages seen last 4 to 10 s.  */
+#define AWAY_RETRY_MIN_MS 1000
+#define AWAY_RETRY_MAX_MS 6000
+#define AWAY_SPREAD_MS 1000
 
 struct pending
 {
@@ -46,13 +49,27 @@
              LOG_I ("version", nod->cat ? nod->cat->version : 0));
 }
 
+/* When a client is likely to find the store back.  */
+static int64_t
+away_retry_ms (const struct node *nod, uint64_t id)
+{
+  int64_t away_ms
+      = (clock_now_us (nod->clk) - follower_current_us (&nod->operator_fol))
+        / 1000;
+  if (away_ms < AWAY_RETRY_MIN_MS)
+    away_ms = AWAY_RETRY_MIN_MS;
+  if (away_ms > AWAY_RETRY_MAX_MS)
+    away_ms = AWAY_RETRY_MAX_MS;
+  return away_ms + (int64_t)(id % AWAY_SPREAD_MS);
+}
+
 static void
 reject (struct node *nod, struct front_request *req, uint64_t id,
-        const char *queue, const char *reason, int64_t retry_after_ms)
+        const char *queue, const char *reason)
 {
   log_request (nod, EV_JOB_REJECTED, id, queue, reason);
   counter_add (&nod->ctr, CTR_JOBS_REJECTED, 1);
-  reply (nod, req, FRONT_REJECTED, reason, retry_after_ms);
+  reply (nod, req, FRONT_REJECTED, reason, away_retry_ms (nod, id));
 }
 
 static void
@@ -80,7 +97,7 @@
   if (pen->req && out == APPENDER_DONE)
     reply (nod, pen->req, FRONT_OK, NULL, 0);
   else if (pen->req)
-    reject (nod, pen->req, pen->id, pen->queue, "store_away", AWAY_RETRY_MS);
+    reject (nod, pen->req, pen->id, pen->queue, "store_away");
   talloc_free (pen);
 }
 
@@ -95,7 +112,7 @@
   struct pending *pen = talloc_zero (nod, struct pending);
   if (!pen)
     {
-      reject (nod, req, id, queue, "no_memory", AWAY_RETRY_MS);
+      reject (nod, req, id, queue, "no_memory");
       return;
     }
   wait_ms = wait_ms > 2 * DEADLINE_MARGIN_MS ? wait_ms - DEADLINE_MARGIN_MS
@@ -117,7 +134,7 @@
   if (err)
     {
       talloc_free (pen);
-      reject (nod, req, id, queue, err_name (err), AWAY_RETRY_MS);
+      reject (nod, req, id, queue, err_name (err));
     }
 }
 
@@ -149,9 +166,9 @@
       reply (nod, req, FRONT_INVALID, fault, 0);
     }
   else if (err || !stm)
-    reject (nod, req, id, que->name, "no_memory", AWAY_RETRY_MS);
+    reject (nod, req, id, que->name, "no_memory");
   else if (!node_stream_writable (stm))
-    reject (nod, req, id, que->name, "store_away", AWAY_RETRY_MS);
+    reject (nod, req, id, que->name, "store_away");
   else
     append_record (nod, req, stm, id, que->name, false, data, len);
   talloc_free (ctx);
@@ -167,7 +184,7 @@
   if (job && job_ended (job))
     reply (nod, req, FRONT_OK, NULL, 0);
   else if (!stm || !node_stream_writable (stm))
-    reject (nod, req, id, que->name, "store_away", AWAY_RETRY_MS);
+    reject (nod, req, id, que->name, "store_away");
   else
     /* A job that is not known here may have been accepted elsewhere just
        now.  */
@@ -186,17 +203,18 @@
   else if (node_view_current (nod))
     reply (nod, req, FRONT_NO_JOB, NULL, 0);
   else
-    reply (nod, req, FRONT_REJECTED, "view_too_old", AWAY_RETRY_MS);
+    reply (nod, req, FRONT_REJECTED, "view_too_old", away_retry_ms (nod, id));
 }
 
 void
 node_request (void *arg, struct front_request *req)
 {
   struct node *nod = arg;
-  uint64_t id;
+  uint64_t id = 0;
   if (!nod->cat)
     {
-      reply (nod, req, FRONT_REJECTED, "no_configuration", AWAY_RETRY_MS);
+      reply (nod, req, FRONT_REJECTED, "no_configuration",
+             away_retry_ms (nod, id));
       return;
     }
   const struct queue *que = catalog_route (nod->cat, req->host, req->path);
--- a/node/streams.c
+++ b/node/streams.c
@@ -1,5 +1,6 @@
 #include <inttypes.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 #include <xxhash.h>
@@ -65,6 +66,24 @@
   row->len = row->data ? ent->value_len : 0;
 }
 
+/* What stands after a later owner's fence may have been started by it; an
+   owner that was cut off reads the fence first, and the claim of the duty
+   perhaps later.  */
+static void
+read_fence (struct node *nod, const struct topic_entry *ent)
+{
+  char pool[NAME_BYTES];
+  char token[TOKEN_TEXT_BYTES] = "";
+  if (ent->value_len >= sizeof token)
+    return;
+  name_copy_len (pool, ent->key + strlen (FENCE_PREFIX),
+                 ent->key_len - strlen (FENCE_PREFIX));
+  memcpy (token, ent->value, ent->value_len);
+  struct holding *hld = node_holding (nod, pool);
+  if (hld && hld->plc)
+    placer_fence (hld->plc, strtoull (token, NULL, 10));
+}
+
 static void
 log_change (struct node *nod, const struct job_fold_result *res)
 {
@@ -87,6 +106,8 @@
     {
       if (strncmp (ent->key, WORKERS_PREFIX, strlen (WORKERS_PREFIX)) == 0)
         keep_pool_workers (nod, ent);
+      else if (strncmp (ent->key, FENCE_PREFIX, strlen (FENCE_PREFIX)) == 0)
+        read_fence (nod, ent);
       return;
     }
   /* The newest record of a key need not be its first one; offset 0 claims
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -13,6 +13,9 @@
 /* Turns while something runs or waits, and while nothing does.  */
 #define TURN_BUSY_US 40000
 #define TURN_IDLE_US 250000
+/* The platform's list of hosts shows them as they were up to a second ago;
+   clocks differ by up to two seconds more.  */
+#define LIST_LAG_MS 5000
 /* A worker that reports no more is kept so long for its return: entries lapse
    while the store is away and are back within 2 s of its return.  */
 #define UNLISTED_KEEP_US 3000000
@@ -139,6 +142,17 @@
     placer_mark_dirty (plc, job);
 }
 
+void
+placer_fence (struct placer *plc, uint64_t token)
+{
+  if (token <= plc->set.token || plc->fenced)
+    return;
+  plc->fenced = true;
+  log_event (plc->env.lg, EV_PLACER_FENCED, LOG_S ("pool", plc->set.pool),
+             LOG_S ("by", "fence"), LOG_I ("token", plc->set.token),
+             LOG_I ("later", token));
+}
+
 void
 placer_confirmed (struct placer *plc, int64_t at_us)
 {
@@ -208,6 +222,16 @@
   placer_earlier_known (plc, id);
 }
 
+/* Whether the list was asked for so long after a worker's birth that it cannot
+   speak of the host's life before.  */
+static bool
+list_is_later (const struct placer *plc, int64_t born_ms, int64_t asked_us)
+{
+  int64_t age_ms = (clock_now_us (plc->env.clk) - asked_us) / 1000;
+  int64_t asked_ms = clock_wall_ms (plc->env.clk) - age_ms;
+  return born_ms > 0 && asked_ms > born_ms + LIST_LAG_MS;
+}
+
 void
 placer_host (struct placer *plc, const struct host_report *rep,
              int64_t asked_us)
@@ -217,11 +241,9 @@
     {
       struct worker *wrk = plc->pool.workers[n];
       bool same = strcmp (wrk->rep.id, rep->worker) == 0;
-      /* A worker that was first heard after the list was asked for may be the
-         host's next one.  */
       if (strcmp (wrk->rep.host, rep->name) != 0 || wrk->heard_us >= asked_us
-          || wrk->added_us >= asked_us || wrk->failures == 0
-          || (same && !renewed))
+          || !list_is_later (plc, wrk->rep.born_ms, asked_us)
+          || wrk->failures == 0 || (same && !renewed))
         continue;
       if (wrk->listed || wrk->lease_us > 0)
         log_event (plc->env.lg, EV_WORKER_CHANGED,
@@ -229,8 +251,12 @@
                    LOG_S ("host", rep->name), LOG_S ("next", rep->worker));
       end_life (wrk);
     }
-  if (plc->claimed_us < asked_us)
-    placer_earlier_renewed (plc, rep->name, rep->worker, renewed);
+  for (size_t n = plc->earlier_count; n-- > 0;)
+    if (strcmp (plc->earlier[n].host, rep->name) == 0
+        && plc->claimed_us < asked_us
+        && list_is_later (plc, plc->earlier[n].born_ms, asked_us)
+        && (renewed || strcmp (plc->earlier[n].id, rep->worker) != 0))
+      placer_earlier_known (plc, plc->earlier[n].id);
 }
 
 void
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -70,6 +70,11 @@
    answer.  */
 bool placer_wants_hosts (const struct placer *plc);
 
+/* The pool's partition holds the fence of an owner with TOKEN; one with a
+   higher token than this owner's ends its orders before it reads what came
+   after.  */
+void placer_fence (struct placer *plc, uint64_t token);
+
 /* Ends the owner's work.  Orders in progress are forgotten; what runs at the
    workers goes on under its leases.  */
 void placer_destroy (struct placer *plc);
--- a/sched/placer_enrol.c
+++ b/sched/placer_enrol.c
@@ -181,13 +181,3 @@
         && rep->born_ms > plc->earlier[n].born_ms)
       drop_earlier (plc, n);
 }
-
-void
-placer_earlier_renewed (struct placer *plc, const char *host, const char *id,
-                        bool renewed)
-{
-  for (size_t n = plc->earlier_count; n-- > 0;)
-    if (strcmp (plc->earlier[n].host, host) == 0
-        && (renewed || strcmp (plc->earlier[n].id, id) != 0))
-      drop_earlier (plc, n);
-}
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -79,8 +79,7 @@
 /* Notes that the worker's life ID is known or over.  */
 void placer_earlier_known (struct placer *plc, const char *id);
 /* Notes that the host lives on as another worker, born later.  */
-void placer_earlier_renewed (struct placer *plc, const char *host,
-                             const char *id, bool renewed);
+
 void placer_earlier_host (struct placer *plc, const struct worker_report *rep);
 
 /* placer_room.c */
