--- a/node/duties.c
+++ b/node/duties.c
@@ -487,6 +487,7 @@
       ev, nod, tevent_timeval_current_ofs (ms / 1000, ms % 1000 * 1000),
       on_beat, nod);
   node_check_duties (nod);
+  node_note_store (nod);
   if (nod->beat_open)
     return;
   snprintf (key, sizeof key, "%c/%s", MEMBER_KEY, nod->set->name);
--- a/node/node.c
+++ b/node/node.c
@@ -16,7 +16,7 @@
 /* Time for the answers of the last requests after that.  */
 #define STOP_ANSWERS_MS 1500
 #define STOP_TURN_MS 50
-/* A process that has not heard from the store for so long is not ready.  */
+/* An ended job's state is told for 120 s; clocks differ by some seconds.  */
 #define JOB_KEEP_MS 125000
 #define EXPIRE_TURN_S 10
 /* Connections to one worker: one is held open for its ends, the others take
@@ -48,11 +48,10 @@
               struct timeval tv, void *arg)
 {
   struct node *nod = arg;
-  static int64_t waited_ms;
-  waited_ms += STOP_TURN_MS;
-  if (waited_ms >= STOP_LISTEN_MS
+  nod->stop_waited_ms += STOP_TURN_MS;
+  if (nod->stop_waited_ms >= STOP_LISTEN_MS
       && (wire_front_open (nod->frt) == 0
-          || waited_ms >= STOP_LISTEN_MS + STOP_ANSWERS_MS))
+          || nod->stop_waited_ms >= STOP_LISTEN_MS + STOP_ANSWERS_MS))
     nod->stopped = true;
   else
     tevent_add_timer (ev, nod,
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -133,6 +133,7 @@
   bool ready;      /* as last logged */
   bool stopping;
   bool stopped;
+  int64_t stop_waited_ms;
 };
 
 /* node/streams.c */
@@ -141,6 +142,8 @@
 int node_open_streams (struct node *nod);
 /* Whether what this process knows of the jobs is at most some seconds old.  */
 bool node_view_current (const struct node *nod);
+/* Logs when the store is lost or regained.  */
+void node_note_store (struct node *nod);
 /* Whether a stream takes appends at present.  */
 bool node_stream_writable (const struct stream *stm);
 
--- a/node/streams.c
+++ b/node/streams.c
@@ -213,3 +213,16 @@
 {
   return appender_stalled_us (&stm->app) < STALL_US;
 }
+
+void
+node_note_store (struct node *nod)
+{
+  bool away = nod->cat && !node_view_current (nod);
+  if (away == nod->store_away)
+    return;
+  nod->store_away = away;
+  log_event (nod->lg, EV_STORE_STATE, LOG_S ("state", away ? "lost" : "back"),
+             LOG_I ("age_ms", (clock_now_us (nod->clk)
+                               - follower_current_us (&nod->operator_fol))
+                                  / 1000));
+}
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -19,8 +19,7 @@
 /* A worker that reports no more is kept so long for its return: entries lapse
    while the store is away and are back within 2 s of its return.  */
 #define UNLISTED_KEEP_US 3000000
-/* Workers' clocks run up to 2 % slow; the slack covers an order's way.  */
-#define CLOCK_SLOW_PERCENT 2
+/* An order's way.  */
 #define LAPSE_SLACK_US 500000
 /* A lasting task starts again after this pause, so that one that fails at once
    does not take up the owner.  */
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -17,8 +17,7 @@
 /* A hold is tried again at the latest after this time while ends wait for the
    log.  */
 #define HOLD_FLUSH_US 250000
-/* Workers' clocks run up to 2 % slow; the slack covers the answer's way.  */
-#define CLOCK_SLOW_PERCENT 2
+/* The answer's way.  */
 #define LEASE_SLACK_US 100000
 /* Failed runs in a row after which a worker gets no new tasks for a time,
    which doubles up to the bound each time that it fails again.  */
@@ -220,12 +219,7 @@
     run->confirmed_us = now_us;
   if (run->state == RUN_STARTING)
     run->state = RUN_ACTIVE;
-  if (row->percent != run->percent)
-    run->moved_us = now_us;
-  if (row->percent == 100 && !run->work_since_us)
-    run->work_since_us = now_us;
   run->percent = row->percent;
-  run->load = row->load;
   run->listed_us = sent_us;
   keep_checkpoint (job, &row->task, tsk, row->saved);
 }
@@ -277,7 +271,6 @@
   if (ctx->lease_end_ms > 0 && res->order.clock_ms > 0)
     {
       int64_t span_us = (ctx->lease_end_ms - res->order.clock_ms) * 1000;
-      wrk->extended_us = now_us;
       if (now_us + with_slack (span_us) > wrk->lease_us)
         wrk->lease_us = now_us + with_slack (span_us);
     }
@@ -394,7 +387,6 @@
   if (ctx->lease_end_ms > 0)
     placer_note_lease (plc, wrk, now_us);
   wrk->hold_open = true;
-  wrk->hold_sent_us = now_us;
   plc->calls++;
   counter_add (plc->env.ctr, CTR_HOLDS, 1);
 }
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -3,6 +3,9 @@
 #include "sched/placer.h"
 #include "sched/pool.h"
 
+/* Workers' clocks run up to 2 % slow.  */
+#define CLOCK_SLOW_PERCENT 2
+
 struct earlier_worker
 {
   char id[NAME_BYTES];
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -64,7 +64,7 @@
   run->ref = *ref;
   run->tsk = job_task (job, ref);
   run->number = number;
-  run->begun_us = run->moved_us = clock_now_us (plc->env.clk);
+  run->begun_us = clock_now_us (plc->env.clk);
   run->next = wrk->runs;
   if (wrk->runs)
     wrk->runs->prev = run;
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -23,11 +23,8 @@
   uint32_t number;
   enum run_state state;
   uint32_t percent;
-  int64_t load;
-  int64_t begun_us;      /* when the start was first sent */
-  int64_t confirmed_us;  /* when the worker first told of it; 0: not yet */
-  int64_t moved_us;      /* when its progress last rose */
-  int64_t work_since_us; /* when it was first seen at work; 0: not yet */
+  int64_t begun_us;     /* when the start was first sent */
+  int64_t confirmed_us; /* when the worker first told of it; 0: not yet */
   int start_tries;
   bool stop_wanted;
   bool stop_sent;
@@ -57,13 +54,11 @@
   int failures;  /* calls in a row without an answer */
   bool silent;   /* as last logged */
   int64_t clock_ms;
-  int64_t clock_us;    /* monotonic time of that clock */
-  int64_t lease_us;    /* all that runs there has lapsed by then, unless it is
-                          extended */
-  int64_t extended_us; /* when the lease was last extended for sure */
-  int64_t heard_us;    /* when a hold was last answered */
+  int64_t clock_us; /* monotonic time of that clock */
+  int64_t lease_us; /* all that runs there has lapsed by then, unless it is
+                       extended */
+  int64_t heard_us; /* when a hold was last answered */
   bool hold_open;
-  int64_t hold_sent_us;
   int64_t next_hold_us;
   int64_t unlisted_us;
 
--- a/test/unit/unit_curl_loop.c
+++ b/test/unit/unit_curl_loop.c
@@ -36,7 +36,7 @@
 static void
 start (uint32_t max_calls)
 {
-  struct curl_loop_settings set = { max_calls, 0, 4 };
+  struct curl_loop_settings set = { max_calls, 0, 4, 0 };
   struct sockaddr_in addr = { .sin_family = AF_INET };
   addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   seen = 0;
