--- a/node/fleet.c
+++ b/node/fleet.c
@@ -494,7 +494,6 @@
                                    .short_hosts = msg->short_hosts,
                                    .idle = idle,
                                    .idle_count = idle ? msg->n_idle_hosts : 0,
-
                                    .busy_milli = msg->busy_milli };
   keeper_demand (&flt->kpr, &dem, clock_now_us (flt->nod->clk));
   kingcuphollow__pool_demand__free_unpacked (msg, NULL);
@@ -558,7 +557,7 @@
       uint8_t data[128];
       int64_t left_us = (req->until_ms - wall_ms) * 1000;
       int64_t until_us = now_us + (left_us > 0 ? left_us : 0);
-      if (!placer_vacate (hld->plc, req->host, until_us > 0 ? until_us : 1)
+      if (!placer_vacate (hld->plc, req->host, until_us)
           || req->reported == req->offset
           || !placer_host_empty (hld->plc, req->host))
         continue;
@@ -593,7 +592,6 @@
   msg.short_hosts = dem.short_hosts;
   msg.idle_hosts = (char **)dem.idle;
   msg.n_idle_hosts = dem.idle_count;
-
   msg.busy_milli = dem.busy_milli;
   msg.token = hld->token;
   size_t len = kingcuphollow__pool_demand__get_packed_size (&msg);
@@ -606,7 +604,6 @@
       hld->told_us = now_us;
       hld->told_short = dem.short_hosts;
       hld->told_idle = dem.idle_count;
-
       log_event (nod->lg, EV_POOL_DEMAND, LOG_S ("pool", hld->pool),
                  LOG_I ("short", dem.short_hosts),
                  LOG_I ("idle", dem.idle_count),
--- a/node/streams.c
+++ b/node/streams.c
@@ -22,8 +22,6 @@
 /* An append without an answer for so long: the store takes no appends.  */
 #define STALL_US 700000
 
-#define WORKERS_PREFIX "w/"
-
 static struct pool_workers *
 find_pool_workers (struct node *nod, const char *name)
 {
@@ -54,8 +52,8 @@
 keep_pool_workers (struct node *nod, const struct topic_entry *ent)
 {
   char name[NAME_BYTES];
-  name_copy_len (name, ent->key + strlen (WORKERS_PREFIX),
-                 ent->key_len - strlen (WORKERS_PREFIX));
+  name_copy_len (name, ent->key + strlen (PLACER_WORKERS_PREFIX),
+                 ent->key_len - strlen (PLACER_WORKERS_PREFIX));
   struct pool_workers *row = find_pool_workers (nod, name);
   if (!row)
     row = add_pool_workers (nod, name);
@@ -104,7 +102,9 @@
   struct job_fold_result res;
   if (ent->key_len > 2 && ent->key[1] == '/')
     {
-      if (strncmp (ent->key, WORKERS_PREFIX, strlen (WORKERS_PREFIX)) == 0)
+      if (strncmp (ent->key, PLACER_WORKERS_PREFIX,
+                   strlen (PLACER_WORKERS_PREFIX))
+          == 0)
         keep_pool_workers (nod, ent);
       else if (strncmp (ent->key, FENCE_PREFIX, strlen (FENCE_PREFIX)) == 0)
         read_fence (nod, ent);
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -13,6 +13,10 @@
 struct logger;
 struct placer;
 
+/* Key, with the pool's name after it, of the record that names the workers on
+   which the pool's owners may have started tasks.  */
+#define PLACER_WORKERS_PREFIX "w/"
+
 enum persist_outcome
 {
   PERSIST_DONE,
--- a/sched/placer_enrol.c
+++ b/sched/placer_enrol.c
@@ -9,8 +9,7 @@
    from, or to wait for the end of their leases, before it starts a task that
    may still run.  */
 
-#define KEY_PREFIX "w/"
-#define KEY_PREFIX_BYTES (sizeof KEY_PREFIX - 1)
+#define KEY_PREFIX_BYTES (sizeof PLACER_WORKERS_PREFIX - 1)
 
 struct enrol_ctx
 {
@@ -106,7 +105,7 @@
 placer_enrol (struct placer *plc)
 {
   bool needed = plc->enrol_stale;
-  char key[KEY_PREFIX_BYTES + NAME_BYTES] = KEY_PREFIX;
+  char key[KEY_PREFIX_BYTES + NAME_BYTES] = PLACER_WORKERS_PREFIX;
   for (size_t n = 0; n < plc->pool.count; n++)
     {
       struct worker *wrk = plc->pool.workers[n];
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -369,9 +369,7 @@
   ctx->lease_end_ms = wrk->clock_ms > 0 && wrk->failures == 0
                           ? placer_lease_end (plc, wrk, now_us)
                           : 0;
-  const struct order_target to = { .address = wrk->rep.address,
-                                   .worker = wrk->rep.id,
-                                   .fresh = wrk->failures > 0 };
+  const struct order_target to = placer_order_target (wrk);
   const struct hold_order ord = {
     .token = plc->set.token,
     .last_seen = ctx->last_seen,
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -50,6 +50,8 @@
 };
 
 /* placer_start.c */
+/* Where orders to WRK go; on a new connection after one was not answered.  */
+struct order_target placer_order_target (const struct worker *wrk);
 void placer_start_task (struct placer *plc, struct job *job,
                         const struct task_ref *ref, struct worker *wrk);
 void placer_stop_run (struct placer *plc, struct run *run);
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -134,6 +134,14 @@
   return ctx;
 }
 
+struct order_target
+placer_order_target (const struct worker *wrk)
+{
+  return (struct order_target){ .address = wrk->rep.address,
+                                .worker = wrk->rep.id,
+                                .fresh = wrk->failures > 0 };
+}
+
 static void
 log_start (struct placer *plc, struct run *run, const char *outcome)
 {
@@ -232,9 +240,7 @@
 {
   struct worker *wrk = run->wrk;
   int64_t now_us = clock_now_us (plc->env.clk);
-  const struct order_target to = { .address = wrk->rep.address,
-                                   .worker = wrk->rep.id,
-                                   .fresh = wrk->failures > 0 };
+  const struct order_target to = placer_order_target (wrk);
   const struct start_order ord = {
     .task = run->ref,
     .run = run->number,
@@ -300,9 +306,7 @@
 send_stop (struct placer *plc, struct worker *wrk, struct run *run,
            const struct task_ref *ref, uint32_t number)
 {
-  const struct order_target to = { .address = wrk->rep.address,
-                                   .worker = wrk->rep.id,
-                                   .fresh = wrk->failures > 0 };
+  const struct order_target to = placer_order_target (wrk);
   const struct stop_order ord
       = { .task = *ref, .run = number, .token = plc->set.token };
   struct order_ctx *ctx = make_ctx (plc, run, wrk);
