member, sched: owners on strong machines, at most 64 starts in flight; log: one write for the lines of 50 ms

Cause: on the grown sites owners of pools sat on machines with 0.12 of a core. Members now report their processor share, candidates with the most processor time for a duty come first, a pool has at most 64 starts in flight, and a need that found no room is not looked for again in the same turn.

--- a/base/log.c
+++ b/base/log.c
@@ -12,6 +12,12 @@
 
 #define LINE_MAX_BYTES 1024
 #define RING_LINES 4096
+/* Lines that come within this time share a write: on a small machine the
+   wake-up of the writer costs more than the line.  */
+#define GATHER_US 50000
+/* A pipe takes writes up to this size whole, so that lines of several
+   processes do not mix.  */
+#define WRITE_MAX_BYTES 4096
 
 struct logger
 {
@@ -19,6 +25,7 @@
   int fd;
   enum log_level min_level;
   pthread_t thread;
+  char *write_buf; /* of the writer */
 
   pthread_mutex_t lock;
   pthread_cond_t wake;
@@ -160,30 +167,55 @@
   write_all (lg->fd, line, len);
 }
 
+/* Takes lines from the ring into BUF; called under the lock.  */
+static size_t
+take_lines (struct logger *lg, char *buf)
+{
+  size_t len = 0;
+  while (lg->count > 0 && len + LINE_MAX_BYTES <= WRITE_MAX_BYTES)
+    {
+      size_t line_len = strnlen (lg->lines[lg->head], LINE_MAX_BYTES);
+      memcpy (buf + len, lg->lines[lg->head], line_len);
+      len += line_len;
+      lg->head = (lg->head + 1) % RING_LINES;
+      lg->count--;
+    }
+  return len;
+}
+
+/* Waits for lines; those that come shortly after the first are written with
+   it.  Called under the lock.  */
+static void
+await_lines (struct logger *lg)
+{
+  if (lg->count == 0 && !lg->stop)
+    {
+      pthread_cond_wait (&lg->wake, &lg->lock);
+      if (!lg->stop)
+        {
+          pthread_mutex_unlock (&lg->lock);
+          usleep (GATHER_US);
+          pthread_mutex_lock (&lg->lock);
+        }
+    }
+}
+
 static void *
 writer_main (void *arg)
 {
   struct logger *lg = arg;
-  char line[LINE_MAX_BYTES];
 
   pthread_mutex_lock (&lg->lock);
   while (!lg->stop || lg->count > 0)
     {
-      if (lg->count == 0)
-        {
-          pthread_cond_wait (&lg->wake, &lg->lock);
-          continue;
-        }
-      size_t len = strnlen (lg->lines[lg->head], LINE_MAX_BYTES);
-      memcpy (line, lg->lines[lg->head], len);
-      lg->head = (lg->head + 1) % RING_LINES;
-      lg->count--;
+      await_lines (lg);
+      size_t len = take_lines (lg, lg->write_buf);
       uint64_t dropped = lg->dropped - lg->dropped_reported;
       bool report = dropped > 0 && lg->count == 0;
       if (report)
         lg->dropped_reported = lg->dropped;
       pthread_mutex_unlock (&lg->lock);
-      write_all (lg->fd, line, len);
+      write_all (lg->fd, lg->write_buf, len);
       if (report)
         report_dropped (lg, dropped);
       pthread_mutex_lock (&lg->lock);
@@ -200,7 +232,8 @@
   if (!lg)
     return NULL;
   lg->lines = talloc_zero_size (lg, RING_LINES * LINE_MAX_BYTES);
-  if (!lg->lines)
+  lg->write_buf = talloc_size (lg, WRITE_MAX_BYTES);
+  if (!lg->lines || !lg->write_buf)
     goto fail;
   lg->clk = clk;
   lg->fd = fd;
@@ -260,8 +293,8 @@
       memcpy (slot, line, len);
       if (len < LINE_MAX_BYTES)
         slot[len] = '\0';
-      lg->count++;
-      pthread_cond_signal (&lg->wake);
+      if (lg->count++ == 0)
+        pthread_cond_signal (&lg->wake);
     }
   pthread_mutex_unlock (&lg->lock);
 }
--- a/base/option.c
+++ b/base/option.c
@@ -5,6 +5,7 @@
 #include <ctype.h>
 #include <errno.h>
 #include <inttypes.h>
+#include <math.h>
 #include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
@@ -64,6 +65,11 @@
       fprintf (out, "%" PRId64 " to %" PRId64 "%s%s", def->min, def->max,
                def->unit ? " " : "", def->unit ? def->unit : "");
       break;
+    case OPTION_MILLI:
+      fprintf (out, "%.3f to %.3f%s%s", (double)def->min / 1000,
+               (double)def->max / 1000, def->unit ? " " : "",
+               def->unit ? def->unit : "");
+      break;
     case OPTION_BOOL:
       fputs ("yes or no", out);
       break;
@@ -81,6 +87,17 @@
     }
 }
 
+static bool
+milli_parse (const char *val, int64_t *num)
+{
+  char *end;
+  double dbl = strtod (val, &end);
+  if (!*val || *end || !(dbl >= 0 && dbl <= 1e12))
+    return false;
+  *num = llround (dbl * 1000);
+  return true;
+}
+
 static bool
 value_valid (const struct option_def *def, const char *val, int64_t *num)
 {
@@ -94,6 +111,8 @@
       errno = 0;
       *num = strtoll (val, &end, 10);
       return *val && !*end && !errno && *num >= def->min && *num <= def->max;
+    case OPTION_MILLI:
+      return milli_parse (val, num) && *num >= def->min && *num <= def->max;
     case OPTION_BOOL:
       *num = strcmp (val, "yes") == 0;
       return *num || strcmp (val, "no") == 0;
@@ -127,7 +146,8 @@
       return ERR_INVALID;
     }
   char *field = (char *)settings + def->offset;
-  if (def->type == OPTION_INT || def->type == OPTION_BOOL)
+  if (def->type != OPTION_STR && def->type != OPTION_ADDRESS
+      && def->type != OPTION_CHOICE)
     memcpy (field, &num, sizeof num);
   else
     {
--- a/base/option.h
+++ b/base/option.h
@@ -11,6 +11,7 @@
 {
   OPTION_STR,
   OPTION_INT,
+  OPTION_MILLI, /* a decimal number, kept in thousandths */
   OPTION_BOOL,
   OPTION_ADDRESS, /* IP:PORT, port 0 to 65535 */
   OPTION_CHOICE,
--- a/cli/settings.c
+++ b/cli/settings.c
@@ -85,6 +85,10 @@
     "127.0.0.1:0", "address of the readiness check" },
   { "metrics-listen", OPTION_ADDRESS, FIELD (metrics_listen), 0, 0, NULL, NULL,
     "", "address of the metrics page; empty: none" },
+  { "cpu-share", OPTION_MILLI, FIELD (cpu_milli), 1, 1000000, NULL, "cores",
+    "1",
+    "processor time that this process may use; duties go to strong processes "
+    "first" },
   { "beat-ms", OPTION_INT, FIELD (beat_ms), 50, 10000, NULL, "ms", "600",
     "time between this process's reports to the others; duties pass on 2 s "
     "after the last one" },
--- a/member/duty.c
+++ b/member/duty.c
@@ -12,6 +12,9 @@
   .candidate_us = 300000,
 };
 
+/* Of a member that does not tell its processor share.  */
+#define CPU_MILLI_DEFAULT 1000
+
 static struct member *
 find_member (struct duty_table *tab, const char *name)
 {
@@ -22,20 +25,21 @@
 }
 
 int
-duty_fold_member (struct duty_table *tab, const char *name, uint64_t boot,
-                  bool stopping, int64_t now_us)
+duty_fold_member (struct duty_table *tab, const struct member_report *rep,
+                  int64_t now_us)
 {
-  struct member *mem = find_member (tab, name);
+  struct member *mem = find_member (tab, rep->name);
   if (!mem)
     {
       if (tab->member_count == MEMBERS_MAX)
         return ERR_FULL;
       mem = &tab->members[tab->member_count++];
       *mem = (struct member){ 0 };
-      name_copy (mem->name, name);
+      name_copy (mem->name, rep->name);
     }
-  mem->boot = boot;
-  mem->stopping = stopping;
+  mem->boot = rep->boot;
+  mem->stopping = rep->stopping;
+  mem->cpu_milli = rep->cpu_milli > 0 ? rep->cpu_milli : CPU_MILLI_DEFAULT;
   mem->heard_us = now_us;
   return 0;
 }
@@ -115,16 +119,18 @@
   return count;
 }
 
-/* Candidates with fewer duties come first, then the order that a hash of duty
-   and member gives, so that a lost member's duties spread.  */
+/* Candidates that would have the most processor time for each of their duties
+   come first: an owner of a pool needs about 0.3 ms for each task, and one on
+   a weak machine falls behind in a pool's turn.  Then comes the order that a
+   hash of duty and member gives, so that a lost member's duties spread.  */
 static bool
 candidate_before (const struct duty_table *tab, const char *duty,
                   const struct member *a, const struct member *b)
 {
-  size_t count_a = duties_of (tab, a);
-  size_t count_b = duties_of (tab, b);
-  if (count_a != count_b)
-    return count_a < count_b;
+  uint64_t load_a = (duties_of (tab, a) + 1) * (uint64_t)b->cpu_milli;
+  uint64_t load_b = (duties_of (tab, b) + 1) * (uint64_t)a->cpu_milli;
+  if (load_a != load_b)
+    return load_a < load_b;
   XXH64_hash_t seed = XXH64 (duty, strlen (duty), 0);
   XXH64_hash_t hash_a = XXH64 (a->name, strlen (a->name), seed);
   XXH64_hash_t hash_b = XXH64 (b->name, strlen (b->name), seed);
--- a/member/duty.h
+++ b/member/duty.h
@@ -31,7 +31,8 @@
   char name[NAME_BYTES];
   uint64_t boot;
   bool stopping;
-  int64_t heard_us; /* monotonic time of its last report */
+  uint32_t cpu_milli; /* processor time that it may use */
+  int64_t heard_us;   /* monotonic time of its last report */
 };
 
 struct duty
@@ -56,9 +57,17 @@
   size_t duty_count;
 };
 
+struct member_report
+{
+  const char *name;
+  uint64_t boot;
+  bool stopping;
+  uint32_t cpu_milli; /* 0: not told */
+};
+
 /* Folds a member's report.  Returns 0 or ERR_FULL.  */
-int duty_fold_member (struct duty_table *tab, const char *name, uint64_t boot,
-                      bool stopping, int64_t now_us);
+int duty_fold_member (struct duty_table *tab, const struct member_report *rep,
+                      int64_t now_us);
 
 /* Folds a claim; one with a token below the known one is void.  */
 struct duty_claim
--- a/node/duties.c
+++ b/node/duties.c
@@ -422,8 +422,13 @@
       NULL, rec->entry.value_len, rec->entry.value);
   if (!msg)
     return;
-  duty_fold_member (&nod->duties, name, msg->boot, msg->stopping,
-                    clock_now_us (nod->clk));
+  const struct member_report rep = { .name = name,
+                                     .boot = msg->boot,
+                                     .stopping = msg->stopping,
+                                     .cpu_milli = msg->cpu_milli };
+  if (duty_fold_member (&nod->duties, &rep, clock_now_us (nod->clk)))
+    log_event (nod->lg, EV_RECORD_INVALID, LOG_S ("topic", TOPIC_MEMBERS),
+               LOG_I ("offset", rec->offset), LOG_S ("error", "members_full"));
   kingcuphollow__member_beat__free_unpacked (msg, NULL);
 }
 
@@ -493,6 +498,7 @@
   snprintf (key, sizeof key, "%c/%s", MEMBER_KEY, nod->set->name);
   msg.boot = nod->boot;
   msg.stopping = nod->stopping;
+  msg.cpu_milli = (uint32_t)nod->set->cpu_milli;
   const struct topic_entry ent
       = { .key = key,
           .key_len = strlen (key),
--- a/node/node.c
+++ b/node/node.c
@@ -21,7 +21,7 @@
 #define EXPIRE_TURN_S 10
 /* Connections to one worker: one is held open for its ends, the others take
    orders of about 2 ms each.  A worker takes 64 from all processes.  */
-#define WORKER_CONNECTIONS 8
+#define WORKER_CONNECTIONS 4
 
 static bool
 node_ready (void *arg)
--- a/node/node.h
+++ b/node/node.h
@@ -19,6 +19,7 @@
   char *metrics_listen;
   char *log_level;
   int64_t partitions;
+  int64_t cpu_milli;
   int64_t beat_ms;
   int64_t lease_ms;
   int64_t lease_max_ms;
--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -1139,7 +1139,7 @@
   (ProtobufCMessageInit) kingcuphollow__pool_workers__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__member_beat__field_descriptors[2] =
+static const ProtobufCFieldDescriptor kingcuphollow__member_beat__field_descriptors[3] =
 {
   {
     "boot",
@@ -1165,15 +1165,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cpu_milli",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__MemberBeat, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__member_beat__field_indices_by_name[] = {
   0,   /* field[0] = boot */
+  2,   /* field[2] = cpu_milli */
   1,   /* field[1] = stopping */
 };
 static const ProtobufCIntRange kingcuphollow__member_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__member_beat__descriptor =
 {
@@ -1183,7 +1196,7 @@
   "Kingcuphollow__MemberBeat",
   "kingcuphollow",
   sizeof(Kingcuphollow__MemberBeat),
-  2,
+  3,
   kingcuphollow__member_beat__field_descriptors,
   kingcuphollow__member_beat__field_indices_by_name,
   1,  kingcuphollow__member_beat__number_ranges,
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -173,10 +173,14 @@
   ProtobufCMessage base;
   uint64_t boot;
   protobuf_c_boolean stopping;
+  /*
+   * Processor time that the process may use, in thousandths of a core.
+   */
+  uint32_t cpu_milli;
 };
 #define KINGCUPHOLLOW__MEMBER_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__member_beat__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -25,6 +25,11 @@
    does not take up the owner.  */
 #define RESTART_PAUSE_US 50000
 
+/* Starts on their way at a time.  A process with a tenth of a core sends about
+   200 a second; more of them would wait in its own queue beyond the time in
+   which a worker has to answer, and each would be sent again.  */
+#define STARTS_OPEN_MAX 64
+
 struct candidate
 {
   struct order_key key;
@@ -340,6 +345,52 @@
   plc->waiting_memory_mb += count * stp->need.memory_mb;
 }
 
+static bool
+has_wishes (const struct step *stp)
+{
+  return *stp->required_label || stp->most_per_worker > 0;
+}
+
+static bool
+known_no_room (const struct placer *plc, const struct step *stp)
+{
+  struct resources need = { 0 };
+  resources_add (&need, stp, 1);
+  for (size_t n = 0; n < plc->no_room_count; n++)
+    {
+      const struct resources *max = &plc->no_room[n];
+      if (need.cpu_milli >= max->cpu_milli && need.memory_mb >= max->memory_mb
+          && need.accelerators >= max->accelerators)
+        return true;
+    }
+  return false;
+}
+
+static void
+note_no_room (struct placer *plc, const struct step *stp)
+{
+  if (has_wishes (stp) || plc->no_room_count == NO_ROOM_MAX)
+    return;
+  struct resources *need = &plc->no_room[plc->no_room_count++];
+  *need = (struct resources){ 0 };
+  resources_add (need, stp, 1);
+}
+
+/* A worker that takes the task now, or NULL.  */
+static struct worker *
+pick_worker (struct placer *plc, const struct place_request *req)
+{
+  bool lasting = req->step->perpetual;
+  if (!lasting
+      && (plc->starts_open >= STARTS_OPEN_MAX
+          || known_no_room (plc, req->step)))
+    return NULL;
+  struct worker *wrk = place_pick (&plc->pool, req);
+  if (!wrk && !lasting)
+    note_no_room (plc, req->step);
+  return wrk;
+}
+
 static void
 place_task (struct placer *plc, struct job *job, const struct task_ref *ref,
             int64_t now_us)
@@ -357,8 +408,8 @@
     .avoid = tsk->avoid_worker,
     .now_us = now_us,
   };
-  struct worker *wrk = tsk->reserved ? placer_reserved (plc, &req)
-                                     : place_pick (&plc->pool, &req);
+  struct worker *wrk
+      = tsk->reserved ? placer_reserved (plc, &req) : pick_worker (plc, &req);
   if (wrk)
     {
       placer_start_task (plc, job, ref, wrk);
@@ -438,6 +489,7 @@
   struct candidate *cands
       = talloc_array (plc, struct candidate, plc->job_count + 1);
   plc->waiting_tasks = 0;
+  plc->no_room_count = 0;
   plc->waiting_cpu_milli = plc->waiting_memory_mb = 0;
   for (size_t n = 0; cands && n < plc->job_count; n++)
     {
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -6,6 +6,8 @@
 /* Workers' clocks run up to 2 % slow.  */
 #define CLOCK_SLOW_PERCENT 2
 
+#define NO_ROOM_MAX 8
+
 struct earlier_worker
 {
   char id[NAME_BYTES];
@@ -45,7 +47,12 @@
   uint32_t waiting_tasks;
   int64_t waiting_cpu_milli;
   int64_t waiting_memory_mb;
-  int calls; /* orders and appends in progress */
+  /* Needs without special wishes that found no room in this turn; a task that
+     needs as much finds none either.  */
+  struct resources no_room[NO_ROOM_MAX];
+  size_t no_room_count;
+  uint32_t starts_open; /* starts without an answer */
+  int calls;            /* orders and appends in progress */
   bool closing;
 };
 
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -192,6 +192,7 @@
   struct placer *plc = ctx->plc;
   struct run *run = ctx->run;
   struct worker *wrk;
+  plc->starts_open--;
   if (!order_back (ctx, res, &wrk) || run->gone)
     {
       order_over (ctx);
@@ -264,6 +265,7 @@
   placer_note_lease (plc, wrk, now_us);
   run->calls++;
   plc->calls++;
+  plc->starts_open++;
 }
 
 void
--- a/test/unit/unit_duty.c
+++ b/test/unit/unit_duty.c
@@ -9,13 +9,21 @@
 
 static struct duty_table *tab;
 
+static void
+member (const char *name, uint64_t boot, bool stopping, int64_t now_us)
+{
+  const struct member_report rep
+      = { .name = name, .boot = boot, .stopping = stopping };
+  ck_assert_int_eq (duty_fold_member (tab, &rep, now_us), 0);
+}
+
 static void
 setup (void)
 {
   tab = talloc_zero (NULL, struct duty_table);
-  duty_fold_member (tab, "a", 1, false, 10 * S);
-  duty_fold_member (tab, "b", 1, false, 10 * S);
-  duty_fold_member (tab, "c", 1, false, 10 * S);
+  member ("a", 1, false, 10 * S);
+  member ("b", 1, false, 10 * S);
+  member ("c", 1, false, 10 * S);
 }
 
 static void
@@ -74,6 +82,21 @@
 }
 END_TEST
 
+/* Guards against a pool's owner on a weak machine, which cannot start as many
+   tasks as the pool's turn brings, while strong ones hold few duties.  */
+START_TEST (test_strong_first)
+{
+  const struct member_report strong
+      = { .name = "c", .boot = 1, .cpu_milli = 5000 };
+  const struct duty_claim other
+      = { .name = "q", .holder = "c", .boot = 1, .token = 4 };
+  ck_assert_int_eq (duty_fold_member (tab, &strong, 10 * S), 0);
+  ck_assert_str_eq (claimants (10 * S, 0), "c");
+  ck_assert_int_eq (duty_fold_claim (tab, &other, 10 * S), 0);
+  ck_assert_str_eq (claimants (10 * S, 0), "c");
+}
+END_TEST
+
 /* Guards against two holders: a live one keeps its duty, and a silent one's
    passes on after 2 s, later when the store is slow.  */
 START_TEST (test_takeover)
@@ -81,8 +104,8 @@
   claim ("a", 1, 5, 10 * S);
   ck_assert (duty_held_by (duty_find (tab, "p"), "a", 1));
   ck_assert (!duty_held_by (duty_find (tab, "p"), "a", 2));
-  duty_fold_member (tab, "b", 1, false, 12 * S);
-  duty_fold_member (tab, "c", 1, false, 12 * S);
+  member ("b", 1, false, 12 * S);
+  member ("c", 1, false, 12 * S);
   ck_assert_str_eq (claimants (11 * S, 0), "");
   ck_assert_str_ne (claimants (12 * S, 0), "");
   ck_assert_str_eq (claimants (12 * S, 2 * S), "");
@@ -94,9 +117,9 @@
 START_TEST (test_stopping)
 {
   claim ("a", 1, 5, 10 * S);
-  duty_fold_member (tab, "a", 1, true, 11 * S);
-  duty_fold_member (tab, "b", 1, false, 13 * S);
-  duty_fold_member (tab, "c", 1, false, 13 * S);
+  member ("a", 1, true, 11 * S);
+  member ("b", 1, false, 13 * S);
+  member ("c", 1, false, 13 * S);
   ck_assert_str_eq (claimants (12 * S, 0), "");
   ck_assert_str_ne (claimants (13 * S, 0), "");
   release ("a", true, 6, 12 * S);
@@ -141,7 +164,7 @@
         release ("a", cases[n].cleared, 6, 11 * S);
       claim ("b", 1, 7, 12 * S);
       if (cases[n].restarted)
-        duty_fold_member (tab, "a", 2, false, 12 * S);
+        member ("a", 2, false, 12 * S);
       ck_assert_msg (duty_earlier_over (tab, duty_find (tab, "p"))
                          == cases[n].over,
                      "case %zu", n);
@@ -153,7 +176,7 @@
 START_TEST (test_restart)
 {
   claim ("a", 1, 5, 10 * S);
-  duty_fold_member (tab, "a", 2, false, 11 * S);
+  member ("a", 2, false, 11 * S);
   ck_assert_str_ne (claimants (11 * S, 0), "");
   ck_assert_uint_eq (duty_live_members (tab, 11 * S), 3);
 }
@@ -182,6 +205,7 @@
   TCase *tc = tcase_create ("duty");
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, test_candidates);
+  tcase_add_test (tc, test_strong_first);
   tcase_add_test (tc, test_takeover);
   tcase_add_test (tc, test_stopping);
   tcase_add_test (tc, test_tokens);
