sched, fleet: pools give up as many hosts as they can spare; unanswered starts age out of the bound; keeper finds hosts by hash

Cause: after a turn a pool of 250 hosts offered at most 32 at a time and kept them for ten seconds while others lacked 400; orders without an answer filled the bound on starts in flight for 0.9 s each; a pool whose owner was the bound asked for more hosts; each hold brought one end.

--- a/fleet/keeper.c
+++ b/fleet/keeper.c
@@ -45,6 +45,12 @@
 void
 keeper_fini (struct keeper *kpr)
 {
+  struct host_index *row, *next;
+  HASH_ITER (hh, kpr->by_name, row, next)
+    {
+      HASH_DEL (kpr->by_name, row);
+      talloc_free (row);
+    }
   talloc_free (kpr->hosts);
   talloc_free (kpr->early);
   for (size_t n = 0; n < kpr->pool_count; n++)
@@ -57,10 +63,37 @@
 struct kept_host *
 keeper_find (const struct keeper *kpr, const char *host)
 {
-  for (size_t n = 0; n < kpr->host_count; n++)
-    if (strcmp (kpr->hosts[n].rep.name, host) == 0)
-      return &kpr->hosts[n];
-  return NULL;
+  struct host_index *row;
+  HASH_FIND_STR (kpr->by_name, host, row);
+  return row ? &kpr->hosts[row->index] : NULL;
+}
+
+/* The function size that the linter counts includes uthash's macros.  */
+static void
+link_index (struct keeper *kpr, struct host_index *row)
+{
+  HASH_ADD_KEYPTR (hh, kpr->by_name, row->name, strlen (row->name), row);
+}
+
+static struct kept_host *
+add_host (struct keeper *kpr, void *parent, const char *name)
+{
+  struct host_index *row = talloc_zero (parent, struct host_index);
+  /* Orders in progress refer to hosts by name, not by address.  */
+  struct kept_host *hosts = talloc_realloc (
+      parent, kpr->hosts, struct kept_host, kpr->host_count + 1);
+  if (hosts)
+    kpr->hosts = hosts;
+  if (!row || !hosts || kpr->host_count >= KEEPER_HOSTS_MAX)
+    {
+      talloc_free (row);
+      return NULL;
+    }
+  name_copy (row->name, name);
+  row->index = kpr->host_count;
+  link_index (kpr, row);
+  hosts[kpr->host_count] = (struct kept_host){ 0 };
+  return &hosts[kpr->host_count++];
 }
 
 static void
@@ -108,16 +141,9 @@
     {
       struct kept_host *host = keeper_find (kpr, list->hosts[n].name);
       if (!host)
-        {
-          /* Orders in progress refer to hosts by name, not by address.  */
-          struct kept_host *hosts = talloc_realloc (
-              parent, kpr->hosts, struct kept_host, kpr->host_count + 1);
-          if (!hosts || kpr->host_count >= KEEPER_HOSTS_MAX)
-            return ERR_NOMEM;
-          kpr->hosts = hosts;
-          host = &hosts[kpr->host_count++];
-          *host = (struct kept_host){ 0 };
-        }
+        host = add_host (kpr, parent, list->hosts[n].name);
+      if (!host)
+        return ERR_NOMEM;
       host->rep = list->hosts[n];
       host->listed = true;
       host->listed_us = asked_us;
@@ -134,27 +160,26 @@
   return NULL;
 }
 
-static bool
-is_offered (const struct kept_pool *pool, const struct kept_host *host)
-{
-  for (size_t n = 0; n < pool->idle_count; n++)
-    if (strcmp (pool->idle[n], host->rep.name) == 0)
-      return true;
-  return false;
-}
-
 static void
 note_offers (struct keeper *kpr, const struct kept_pool *pool, int64_t now_us)
 {
+  for (size_t n = 0; n < pool->idle_count; n++)
+    {
+      struct kept_host *host = keeper_find (kpr, pool->idle[n]);
+      if (host)
+        host->offer_heard = true;
+    }
   for (size_t n = 0; n < kpr->host_count; n++)
     {
       struct kept_host *host = &kpr->hosts[n];
-      if (strcmp (host->rep.pool, pool->name) != 0)
-        continue;
-      if (!is_offered (pool, host))
-        host->offered_us = 0;
-      else if (!host->offered_us)
-        host->offered_us = now_us;
+      if (strcmp (host->rep.pool, pool->name) == 0)
+        {
+          if (!host->offer_heard)
+            host->offered_us = 0;
+          else if (!host->offered_us)
+            host->offered_us = now_us;
+        }
+      host->offer_heard = false;
     }
 }
 
@@ -376,11 +401,9 @@
 }
 
 static bool
-host_is_idle (struct keeper *kpr, const struct kept_host *host)
+host_is_idle (const struct keeper *kpr, const struct kept_host *host)
 {
-  const struct kept_pool *pool = find_pool (kpr, host->rep.pool);
-  return pool_is_spare (kpr, host->rep.pool)
-         || (pool && is_offered (pool, host));
+  return pool_is_spare (kpr, host->rep.pool) || host->offered_us > 0;
 }
 
 /* The wave's next host: one without work, else of the pool that is least
@@ -526,18 +549,22 @@
   return count;
 }
 
-static bool
-in_open_wave (struct keeper *kpr, const struct kept_host *host)
+/* Marks the hosts for which a wave waits.  */
+static void
+mark_waves (struct keeper *kpr)
 {
+  for (size_t n = 0; n < kpr->host_count; n++)
+    kpr->hosts[n].in_wave = false;
   for (size_t n = 0; n < kpr->wave_count; n++)
     {
       const struct kept_wave *wave = &kpr->waves[n];
       for (size_t m = 0; !wave->completed && m < wave->wave->host_count; m++)
-        if (!wave->done[m]
-            && strcmp (wave->wave->hosts[m], host->rep.name) == 0)
-          return true;
+        {
+          struct kept_host *host = keeper_find (kpr, wave->wave->hosts[m]);
+          if (host && !wave->done[m])
+            host->in_wave = true;
+        }
     }
-  return false;
 }
 
 /* Whether HOST is on its way to the spare pool and can still go elsewhere.  */
@@ -568,7 +595,7 @@
       if (!spare && !retarget
           && (!pool || pool->short_hosts > 0 || !host_is_idle (kpr, host)))
         continue;
-      int cost = (retarget ? 0 : spare ? 1 : 3) + in_open_wave (kpr, host);
+      int cost = (retarget ? 0 : spare ? 1 : 3) + host->in_wave;
       if (!best || cost < best_cost)
         {
           best = host;
@@ -650,6 +677,7 @@
     }
   for (size_t n = 0; n < kpr->wave_count; n++)
     busy = step_wave (kpr, &kpr->waves[n], now_us) || busy;
+  mark_waves (kpr);
   step_moves (kpr, now_us);
   return busy;
 }
--- a/fleet/keeper.h
+++ b/fleet/keeper.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <uthash.h>
+
 #include "fleet/catalog.h"
 #include "fleet/host_link.h"
 
@@ -48,6 +50,16 @@
   int64_t next_order_us;
   int64_t rest_us;    /* no other purpose before this time */
   int64_t offered_us; /* since when its pool can spare it; 0: it cannot */
+  bool offer_heard;   /* in the report that is being read */
+  bool in_wave;       /* a wave that is not completed waits for it */
+};
+
+/* Finds a host's place in the table by its name.  */
+struct host_index
+{
+  UT_hash_handle hh;
+  char name[NAME_BYTES];
+  size_t index;
 };
 
 struct kept_pool
@@ -93,6 +105,7 @@
 {
   struct kept_host *hosts;
   size_t host_count;
+  struct host_index *by_name;
   struct kept_pool pools[KEEPER_POOLS_MAX];
   size_t pool_count;
   struct kept_wave waves[KEEPER_WAVES_MAX];
--- a/node/streams.c
+++ b/node/streams.c
@@ -10,8 +10,9 @@
 #include "node/node_priv.h"
 
 /* Jobs' records come in groups this far apart, in the pools' owners and in
-   other processes.  */
-#define GAP_MS 100
+   other processes.  Every read is a call to the store, which 30 processes
+   share.  */
+#define GAP_MS 250
 #define OWNER_GAP_MS 20
 /* Longest wait of a read; a connection that is silent for good is noticed
    after it.  */
--- a/sched/demand.c
+++ b/sched/demand.c
@@ -1,7 +1,9 @@
 #include "sched/demand.h"
 
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
+#include <talloc.h>
 
 #include "base/clock.h"
 
@@ -30,6 +32,10 @@
   return work->lasting_cpu_milli + (by_rate > now ? by_rate : now);
 }
 
+/* Below this share of the processors in use, a pool whose owner sends starts
+   without a pause has more hosts than its owner can fill.  */
+#define SENDING_BOUND_PERCENT 75
+
 static void
 add_step (const struct job *job, const struct occurrence *occ,
           const struct step *stp, bool late, struct demand_work *work)
@@ -117,6 +123,22 @@
   return count;
 }
 
+struct offer
+{
+  struct worker *wrk;
+  uint32_t count;
+};
+
+static int
+compare_offers (const void *a, const void *b)
+{
+  const struct offer *oa = a;
+  const struct offer *ob = b;
+  if (oa->count != ob->count)
+    return oa->count < ob->count ? -1 : 1;
+  return oa->wrk->handle < ob->wrk->handle ? -1 : 1;
+}
+
 /* Offers the hosts with the fewest tasks, up to SURPLUS of them.  They get no
    new tasks while others have room, so that they are empty within a second.
    Hosts with tasks that last are not offered.  */
@@ -124,29 +146,29 @@
 offer_hosts (const struct placer *plc, int64_t now_us, int64_t surplus,
              struct placer_demand *dem)
 {
+  size_t count = 0;
+  struct offer *offers
+      = surplus > 0 ? talloc_array (plc, struct offer, plc->pool.count) : NULL;
   for (size_t n = 0; n < plc->pool.count; n++)
-    plc->pool.workers[n]->offered = false;
-  while ((int64_t)dem->idle_count < surplus
-         && dem->idle_count < PLACER_IDLE_MAX)
     {
-      struct worker *best = NULL;
-      uint32_t best_count = 0;
-      for (size_t n = 0; n < plc->pool.count; n++)
-        {
-          struct worker *wrk = plc->pool.workers[n];
-          bool lasting;
-          uint32_t count = count_runs (wrk, &lasting);
-          if (lasting || wrk->offered || !place_open (wrk, now_us)
-              || !*wrk->rep.host || (best && count >= best_count))
-            continue;
-          best = wrk;
-          best_count = count;
-        }
-      if (!best)
-        return;
-      best->offered = true;
-      dem->idle[dem->idle_count++] = best->rep.host;
+      struct worker *wrk = plc->pool.workers[n];
+      bool lasting;
+      wrk->offered = false;
+      if (!offers || !place_open (wrk, now_us) || !*wrk->rep.host)
+        continue;
+      uint32_t runs = count_runs (wrk, &lasting);
+      if (!lasting)
+        offers[count++] = (struct offer){ .wrk = wrk, .count = runs };
+    }
+  if (count > 1)
+    qsort (offers, count, sizeof *offers, compare_offers);
+  for (size_t n = 0; n < count && (int64_t)n < surplus && n < PLACER_IDLE_MAX;
+       n++)
+    {
+      offers[n].wrk->offered = true;
+      dem->idle[dem->idle_count++] = offers[n].wrk->rep.host;
     }
+  talloc_free (offers);
 }
 
 void
@@ -181,6 +203,11 @@
   int64_t wanted = (by_cpu > by_memory ? by_cpu : by_memory) + HOSTS_KEPT;
   if (plc->waiting_tasks > 0 && wanted <= open)
     wanted = open + 1;
+  /* Where tasks wait for this process to send their starts, more hosts do not
+     help.  */
+  if (wanted > open && plc->starts_full
+      && used * 100 < cpu * SENDING_BOUND_PERCENT)
+    wanted = open;
   dem->open_hosts = (uint32_t)open;
   dem->busy_milli = cpu > 0 ? (uint32_t)(used * 1000 / cpu) : 0;
   if (wanted > open)
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -25,11 +25,6 @@
    does not take up the owner.  */
 #define RESTART_PAUSE_US 50000
 
-/* Starts on their way at a time.  A process with a tenth of a core sends about
-   200 a second; more of them would wait in its own queue beyond the time in
-   which a worker has to answer, and each would be sent again.  */
-#define STARTS_OPEN_MAX 64
-
 struct candidate
 {
   struct order_key key;
@@ -381,9 +376,12 @@
 pick_worker (struct placer *plc, const struct place_request *req)
 {
   bool lasting = req->step->perpetual;
-  if (!lasting
-      && (plc->starts_open >= STARTS_OPEN_MAX
-          || known_no_room (plc, req->step)))
+  if (!lasting && placer_starts_full (plc, req->now_us))
+    {
+      plc->starts_full = true;
+      return NULL;
+    }
+  if (!lasting && known_no_room (plc, req->step))
     return NULL;
   struct worker *wrk = place_pick (&plc->pool, req);
   if (!wrk && !lasting)
@@ -490,6 +488,7 @@
       = talloc_array (plc, struct candidate, plc->job_count + 1);
   plc->waiting_tasks = 0;
   plc->no_room_count = 0;
+  plc->starts_full = false;
   plc->waiting_cpu_milli = plc->waiting_memory_mb = 0;
   for (size_t n = 0; cands && n < plc->job_count; n++)
     {
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -110,7 +110,9 @@
 /* Does what is due; returns the monotonic time of the next turn.  */
 int64_t placer_tick (struct placer *plc);
 
-#define PLACER_IDLE_MAX 32
+/* One report names so many; a grown pool gives up two hundred after its turn.
+ */
+#define PLACER_IDLE_MAX 256
 
 /* What the pool wants of the hosts of others.  */
 struct placer_demand
--- a/sched/placer_flush.c
+++ b/sched/placer_flush.c
@@ -34,7 +34,7 @@
       if (wrk->flushing_end > wrk->durable_end)
         {
           wrk->durable_end = wrk->flushing_end;
-          wrk->next_hold_us = 0;
+          wrk->next_hold_us = wrk->gap_until_us;
         }
     }
 }
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -11,7 +11,10 @@
 #define HOLD_WAIT_MS 1000
 /* Shortest time between an answer with ends and the next hold, so that ends
    come in groups.  */
-#define HOLD_GAP_US 50000
+#define HOLD_GAP_US 30000
+/* The same while the owner has more starts to send than it can: each hold
+   costs it as much as a start.  */
+#define HOLD_GAP_FULL_US 150000
 /* Pause after a hold without an answer.  */
 #define HOLD_RETRY_US 250000
 /* A hold is tried again at the latest after this time while ends wait for the
@@ -299,10 +302,12 @@
     apply_running (plc, wrk, &res->running[n], ctx->sent_us, now_us);
   if (!res->ended_cut)
     drop_unlisted (plc, wrk, ctx->sent_us, now_us);
-  if (wrk->applied_end > wrk->durable_end)
-    wrk->next_hold_us = now_us + HOLD_FLUSH_US;
-  else
-    wrk->next_hold_us = now_us + (ends ? HOLD_GAP_US : 0);
+  wrk->gap_until_us = now_us;
+  if (ends)
+    wrk->gap_until_us += plc->starts_full ? HOLD_GAP_FULL_US : HOLD_GAP_US;
+  wrk->next_hold_us = wrk->applied_end > wrk->durable_end
+                          ? now_us + HOLD_FLUSH_US
+                          : wrk->gap_until_us;
 }
 
 static void
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -51,12 +51,18 @@
      needs as much finds none either.  */
   struct resources no_room[NO_ROOM_MAX];
   size_t no_room_count;
-  uint32_t starts_open; /* starts without an answer */
-  int calls;            /* orders and appends in progress */
+  /* Starts that were sent a short time ago and have no answer, oldest
+     first.  */
+  struct order_ctx *open_first, *open_last;
+  uint32_t starts_open;
+  bool starts_full; /* in the last turn tasks waited for starts to be sent */
+  int calls;        /* orders and appends in progress */
   bool closing;
 };
 
 /* placer_start.c */
+/* Whether as many starts are on their way as this process can send in time. */
+bool placer_starts_full (struct placer *plc, int64_t now_us);
 /* Where orders to WRK go; on a new connection after one was not answered.  */
 struct order_target placer_order_target (const struct worker *wrk);
 void placer_start_task (struct placer *plc, struct job *job,
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -17,13 +17,65 @@
    hold tells.  */
 #define ROOM_PAUSE_US 200000
 
+/* Starts on their way at a time.  A process with a tenth of a core sends about
+   200 a second; more of them would wait in its own queue beyond the time in
+   which a worker has to answer, and each would be sent again.  */
+#define STARTS_OPEN_MAX 64
+/* A start without an answer for so long waits for its worker, not for this
+   process; workers answer within some milliseconds.  */
+#define STARTS_OPEN_AGE_US 200000
+
 struct order_ctx
 {
   struct placer *plc;
   struct run *run;
   uint32_t worker;
+  /* Of a start that counts as open.  */
+  struct order_ctx *prev, *next;
+  bool open;
+  int64_t sent_us;
 };
 
+static void
+add_open (struct placer *plc, struct order_ctx *ctx, int64_t now_us)
+{
+  ctx->open = true;
+  ctx->sent_us = now_us;
+  ctx->prev = plc->open_last;
+  if (plc->open_last)
+    plc->open_last->next = ctx;
+  else
+    plc->open_first = ctx;
+  plc->open_last = ctx;
+  plc->starts_open++;
+}
+
+static void
+drop_open (struct placer *plc, struct order_ctx *ctx)
+{
+  if (!ctx->open)
+    return;
+  ctx->open = false;
+  if (ctx->prev)
+    ctx->prev->next = ctx->next;
+  else
+    plc->open_first = ctx->next;
+  if (ctx->next)
+    ctx->next->prev = ctx->prev;
+  else
+    plc->open_last = ctx->prev;
+  plc->starts_open--;
+}
+
+bool
+placer_starts_full (struct placer *plc, int64_t now_us)
+{
+  while (plc->open_first
+         && now_us - plc->open_first->sent_us > STARTS_OPEN_AGE_US)
+    drop_open (plc, plc->open_first);
+  return plc->starts_open >= STARTS_OPEN_MAX;
+}
+
 static void send_start (struct placer *plc, struct run *run);
 
 static void
@@ -192,7 +244,7 @@
   struct placer *plc = ctx->plc;
   struct run *run = ctx->run;
   struct worker *wrk;
-  plc->starts_open--;
+  drop_open (plc, ctx);
   if (!order_back (ctx, res, &wrk) || run->gone)
     {
       order_over (ctx);
@@ -265,7 +317,7 @@
   placer_note_lease (plc, wrk, now_us);
   run->calls++;
   plc->calls++;
-  plc->starts_open++;
+  add_open (plc, ctx, now_us);
 }
 
 void
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -60,6 +60,7 @@
   int64_t heard_us; /* when a hold was last answered */
   bool hold_open;
   int64_t next_hold_us;
+  int64_t gap_until_us; /* no hold before, so that ends come in groups */
   int64_t unlisted_us;
 
   /* Ends.  */
