sched: hosts that the owner cannot fill are given up; turns rest in proportion; queues are found by binary search

Cause: a pool whose owner sends starts as fast as it can kept 273 hosts at 37 % of their processors while the next pool lacked 868; with a backlog of thousands each answer was followed by a turn that walked all of it; each waiting job was looked up among hundreds of queues in each turn.

--- a/fleet/catalog.c
+++ b/fleet/catalog.c
@@ -1,5 +1,6 @@
 #include "fleet/catalog.h"
 
+#include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
@@ -21,13 +22,27 @@
   return best;
 }
 
+static int
+compare_queues (const void *a, const void *b)
+{
+  return strcmp (((const struct queue *)a)->name,
+                 ((const struct queue *)b)->name);
+}
+
+void
+catalog_sort (struct catalog *cat)
+{
+  qsort (cat->queues, cat->queue_count, sizeof *cat->queues, compare_queues);
+}
+
 const struct queue *
 catalog_queue (const struct catalog *cat, const char *name)
 {
-  for (size_t n = 0; cat && n < cat->queue_count; n++)
-    if (strcmp (cat->queues[n].name, name) == 0)
-      return &cat->queues[n];
-  return NULL;
+  const struct queue key = { .name = name };
+  if (!cat || cat->queue_count == 0)
+    return NULL;
+  return bsearch (&key, cat->queues, cat->queue_count, sizeof *cat->queues,
+                  compare_queues);
 }
 
 const struct pool_config *
--- a/fleet/catalog.h
+++ b/fleet/catalog.h
@@ -37,7 +37,7 @@
 struct catalog
 {
   uint64_t version;
-  struct queue *queues;
+  struct queue *queues; /* by name, after catalog_sort */
   size_t queue_count;
   struct pool_config *pools;
   size_t pool_count;
@@ -97,6 +97,10 @@
   struct resources capacity;
 };
 
+/* Sorts the queues for catalog_queue: an owner looks up the queue of every
+   waiting job in each turn, and configurations have hundreds of queues.  */
+void catalog_sort (struct catalog *cat);
+
 /* Finds the queue of a request, by host name and longest path prefix.  */
 const struct queue *catalog_route (const struct catalog *cat, const char *host,
                                    const char *path);
--- a/node/duties.c
+++ b/node/duties.c
@@ -22,6 +22,11 @@
 /* Claims of several duties collide when all processes start at once; a process
    waits for a part of this time of its own before it tries again.  */
 #define CLAIM_SPREAD_US 60000
+/* Events within this time share a turn of a pool's owner.  */
+#define TURN_GATHER_US 3000
+/* With a backlog a turn takes some milliseconds; the process rests for this
+   many times as long before the next, so that it has time for its orders.  */
+#define TURN_REST_FACTOR 3
 #define MEMBER_KEY 'm'
 #define DUTY_KEY 'd'
 
@@ -52,8 +57,11 @@
   hld->timer_us = 0;
   if (!hld->plc)
     return;
+  int64_t begun_us = clock_now_us (hld->nod->clk);
   int64_t next_us = placer_tick (hld->plc);
   node_fleet_turn (hld);
+  hld->turn_ended_us = clock_now_us (hld->nod->clk);
+  hld->turn_took_us = hld->turn_ended_us - begun_us;
   node_wake_holding (hld, next_us);
 }
 
@@ -61,9 +69,13 @@
 node_wake_holding (struct holding *hld, int64_t at_us)
 {
   int64_t now_us = clock_now_us (hld->nod->clk);
+  int64_t rested_us
+      = hld->turn_ended_us + TURN_REST_FACTOR * hld->turn_took_us;
   /* Events that come together share a turn.  */
-  if (at_us < now_us + 3000)
-    at_us = now_us + 3000;
+  if (at_us < now_us + TURN_GATHER_US)
+    at_us = now_us + TURN_GATHER_US;
+  if (at_us < rested_us)
+    at_us = rested_us;
   if (hld->timer && hld->timer_us <= at_us)
     return;
   talloc_free (hld->timer);
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -79,6 +79,8 @@
   struct placer *plc;
   struct tevent_timer *timer;
   int64_t timer_us;
+  int64_t turn_ended_us;
+  int64_t turn_took_us;
   bool lost;
   bool earlier_over; /* earlier holders give no more orders */
   /* What the fleet's keeper was last told, and the way to tell it.  */
--- a/sched/demand.c
+++ b/sched/demand.c
@@ -203,11 +203,16 @@
   int64_t wanted = (by_cpu > by_memory ? by_cpu : by_memory) + HOSTS_KEPT;
   if (plc->waiting_tasks > 0 && wanted <= open)
     wanted = open + 1;
-  /* Where tasks wait for this process to send their starts, more hosts do not
-     help.  */
-  if (wanted > open && plc->starts_full
-      && used * 100 < cpu * SENDING_BOUND_PERCENT)
-    wanted = open;
+  /* Where tasks wait for this process to send their starts, hosts beyond those
+     that it keeps busy do not help.  */
+  if (plc->starts_full)
+    {
+      int64_t filled
+          = hosts_for (used * 100 / SENDING_BOUND_PERCENT, cpu, open)
+            + HOSTS_KEPT;
+      if (wanted > filled)
+        wanted = filled;
+    }
   dem->open_hosts = (uint32_t)open;
   dem->busy_milli = cpu > 0 ? (uint32_t)(used * 1000 / cpu) : 0;
   if (wanted > open)
