sched, member: runs of an ended life are given up with a confirmation after it; silence counts while reports can be read

Such runs now wait for a confirmation of the duty that is later than what ended the life; a read without a wait fetches it.

Silence counts up to the time as of which the reports are known, a claim is a sign of life, and after the store was away for a process the others have 1.3 s to report.

--- a/member/duty.c
+++ b/member/duty.c
@@ -10,6 +10,8 @@
 const struct member_timing member_timing_default = {
   .dead_us = 2000000,
   .candidate_us = 300000,
+  /* Two reports.  */
+  .return_us = 1300000,
 };
 
 /* Of a member that does not tell its processor share.  */
@@ -53,6 +55,20 @@
   return NULL;
 }
 
+/* A claim tells that its holder lives; its next report may be read later.  */
+static void
+note_claimant (struct duty_table *tab, const struct duty_claim *claim,
+               int64_t now_us)
+{
+  struct member *mem = find_member (tab, claim->holder);
+  if (!mem || claim->released || claim->boot < mem->boot)
+    return;
+  if (claim->boot > mem->boot)
+    mem->stopping = false;
+  mem->boot = claim->boot;
+  mem->heard_us = now_us;
+}
+
 int
 duty_fold_claim (struct duty_table *tab, const struct duty_claim *claim,
                  int64_t now_us)
@@ -68,6 +84,7 @@
     }
   if (claim->token <= dty->token)
     return 0;
+  note_claimant (tab, claim, now_us);
   if (!claim->released)
     {
       dty->earlier_released = !*dty->holder && dty->cleared;
@@ -156,7 +173,10 @@
      silent.  */
   int64_t gone_us
       = mem->heard_us + member_timing_default.dead_us + view->slack_us;
-  return view->now_us < gone_us ? 0 : gone_us;
+  if (view->back_us > 0
+      && gone_us < view->back_us + member_timing_default.return_us)
+    gone_us = view->back_us + member_timing_default.return_us;
+  return view->known_us < gone_us ? 0 : gone_us;
 }
 
 bool
@@ -172,7 +192,7 @@
   for (size_t n = 0; n < tab->member_count; n++)
     {
       const struct member *mem = &tab->members[n];
-      if (mem != me && member_alive (mem, view->now_us, view->slack_us)
+      if (mem != me && member_alive (mem, view->known_us, view->slack_us)
           && candidate_before (tab, name, mem, me))
         rank++;
     }
--- a/member/duty.h
+++ b/member/duty.h
@@ -22,6 +22,8 @@
 {
   int64_t dead_us;      /* without a report for so long, a member is gone */
   int64_t candidate_us; /* the next candidate claims so much later */
+  int64_t return_us;    /* time for the others' reports after the store was
+                           away for this process */
 };
 
 extern const struct member_timing member_timing_default;
@@ -95,6 +97,9 @@
 {
   const char *self;
   int64_t now_us;
+  int64_t known_us;   /* reports that were sent before are known */
+  int64_t back_us;    /* when the reports were read again after a pause; 0: no
+                         pause */
   int64_t settled_us; /* since when a duty that nobody has claimed is free */
   int64_t slack_us;   /* added to the time after which a silent member is gone:
                          reports are late when the store is slow */
--- a/node/duties.c
+++ b/node/duties.c
@@ -10,6 +10,9 @@
 
 #define MEMBERS_GAP_MS 200
 #define WAIT_MS 1000
+/* Reports that were not read for so long: the store was away.  A read that
+   finds none takes WAIT_MS.  */
+#define MEMBERS_PAUSE_US 1500000
 /* Claims are read at once, and a read without any confirms the duties.  */
 #define DUTIES_WAIT_MS 600
 /* Reports of slow members are waited for in proportion to how slow the store
@@ -48,6 +51,44 @@
   return NULL;
 }
 
+static void
+note_confirmed (struct node *nod, int64_t at_us)
+{
+  if (at_us > nod->confirmed_us)
+    nod->confirmed_us = at_us;
+  for (struct holding *hld = nod->holdings; hld; hld = hld->next)
+    if (hld->plc)
+      placer_confirmed (hld->plc, nod->confirmed_us);
+}
+
+static void
+on_confirm_read (void *arg, const struct topic_read_result *res)
+{
+  struct node *nod = arg;
+  nod->confirm_open = false;
+  /* What the read found, the follower will find too.  */
+  if (res->err || res->count > 0 || res->end > nod->confirm_next)
+    return;
+  note_confirmed (nod, nod->confirm_sent_us);
+  for (struct holding *hld = nod->holdings; hld; hld = hld->next)
+    if (hld->plc)
+      node_wake_holding (hld, 0);
+}
+
+/* Asks for claims without a wait; the follower's reads wait for one and so
+   confirm the duties a second later.  */
+static void
+confirm_now (struct node *nod)
+{
+  if (nod->confirm_open)
+    return;
+  nod->confirm_sent_us = clock_now_us (nod->clk);
+  nod->confirm_next = follower_next (&nod->duty_fol);
+  nod->confirm_open = topic_read (&nod->store.st, TOPIC_DUTIES, 0,
+                                  nod->confirm_next, 0, on_confirm_read, nod)
+                      == 0;
+}
+
 static void
 holding_turn (struct tevent_context *ev, struct tevent_timer *te,
               struct timeval tv, void *arg)
@@ -60,6 +101,8 @@
   int64_t begun_us = clock_now_us (hld->nod->clk);
   int64_t next_us = placer_tick (hld->plc);
   node_fleet_turn (hld);
+  if (placer_wants_confirmation (hld->plc))
+    confirm_now (hld->nod);
   hld->turn_ended_us = clock_now_us (hld->nod->clk);
   hld->turn_took_us = hld->turn_ended_us - begun_us;
   node_wake_holding (hld, next_us);
@@ -367,6 +410,8 @@
     }
   const struct duty_view view = { .self = nod->set->name,
                                   .now_us = now_us,
+                                  .known_us = nod->members_known_us,
+                                  .back_us = nod->members_back_us,
                                   .settled_us = nod->started_us + SETTLE_US,
                                   .slack_us = slack_us };
   /* A claim of this process's own is read before the next one.  */
@@ -447,7 +492,13 @@
 static void
 on_member_batch (void *arg)
 {
-  node_check_duties (arg);
+  struct node *nod = arg;
+  int64_t known_us = follower_current_us (&nod->member_fol);
+  if (nod->members_known_us > 0
+      && known_us - nod->members_known_us > MEMBERS_PAUSE_US)
+    nod->members_back_us = known_us;
+  nod->members_known_us = known_us;
+  node_check_duties (nod);
 }
 
 static void
@@ -477,10 +528,7 @@
 {
   struct node *nod = arg;
   check_holdings (nod);
-  nod->confirmed_us = follower_current_us (&nod->duty_fol);
-  for (struct holding *hld = nod->holdings; hld; hld = hld->next)
-    if (hld->plc)
-      placer_confirmed (hld->plc, nod->confirmed_us);
+  note_confirmed (nod, follower_current_us (&nod->duty_fol));
   node_check_duties (nod);
 }
 
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -121,6 +121,8 @@
   struct follower duty_fol;
   struct appender member_app;
   struct duty_table duties;
+  int64_t members_known_us; /* reports sent before are known */
+  int64_t members_back_us;  /* when they were read again after a pause */
   struct holding *holdings;
   bool claiming;
   uint64_t claim_end; /* of the topic after this process's last claim */
@@ -129,6 +131,10 @@
   struct tevent_timer *claim_timer;
   bool beat_open;
   int64_t confirmed_us;
+  /* A read for a prompt confirmation.  */
+  bool confirm_open;
+  int64_t confirm_sent_us;
+  uint64_t confirm_next;
   struct tevent_timer *beat_timer;
 
   bool store_away; /* as last logged */
--- a/sched/place.c
+++ b/sched/place.c
@@ -59,8 +59,8 @@
 bool
 place_open (const struct worker *wrk, int64_t now_us)
 {
-  return wrk->listed && wrk->reached && wrk->enrolled && !wrk->rep.draining
-         && !wrk->vacate && wrk->failures < SILENT_CALLS
+  return wrk->listed && !wrk->ended_us && wrk->reached && wrk->enrolled
+         && !wrk->rep.draining && !wrk->vacate && wrk->failures < SILENT_CALLS
          && now_us >= wrk->avoid_until_us;
 }
 
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -184,6 +184,17 @@
   return wrk;
 }
 
+/* Another owner may have noted the ends of its runs before; they are given up
+   with a confirmation of the duty after this.  */
+static void
+end_life (struct placer *plc, struct worker *wrk)
+{
+  if (!wrk->ended_us)
+    wrk->ended_us = clock_now_us (plc->env.clk);
+  wrk->listed = false;
+  wrk->over = true;
+}
+
 /* A host that reports as another worker, born later, has ended its earlier
    life.  Reports of the earlier life may still come after those of the
    later.  */
@@ -195,29 +206,17 @@
     {
       struct worker *wrk = plc->pool.workers[n];
       if (strcmp (wrk->rep.host, rep->host) == 0 && wrk->rep.born_ms > 0
-          && rep->born_ms > wrk->rep.born_ms && wrk->lease_us > 0)
-        {
-          wrk->lease_us = 0; /* before any confirmation */
-          wrk->failures++;
-          wrk->listed = false;
-        }
+          && rep->born_ms > wrk->rep.born_ms)
+        end_life (plc, wrk);
     }
 }
 
-static void
-end_life (struct worker *wrk)
-{
-  wrk->lease_us = 0; /* before any confirmation */
-  wrk->listed = false;
-  wrk->over = true;
-}
-
 void
 placer_worker_over (struct placer *plc, const char *id)
 {
   struct worker *wrk = worker_by_id (plc, id);
   if (wrk)
-    end_life (wrk);
+    end_life (plc, wrk);
   placer_earlier_known (plc, id);
 }
 
@@ -244,11 +243,11 @@
           || !list_is_later (plc, wrk->rep.born_ms, asked_us)
           || wrk->failures == 0 || (same && !renewed))
         continue;
-      if (wrk->listed || wrk->lease_us > 0)
+      if (!wrk->ended_us)
         log_event (plc->env.lg, EV_WORKER_CHANGED,
                    LOG_S ("worker", wrk->rep.id), LOG_S ("state", "ended"),
                    LOG_S ("host", rep->name), LOG_S ("next", rep->worker));
-      end_life (wrk);
+      end_life (plc, wrk);
     }
   for (size_t n = plc->earlier_count; n-- > 0;)
     if (strcmp (plc->earlier[n].host, rep->name) == 0
@@ -515,7 +514,7 @@
       struct worker *wrk = plc->pool.workers[n];
       if (wrk->listed || wrk->runs || wrk->hold_open
           || now_us < wrk->unlisted_us + UNLISTED_KEEP_US
-          || now_us < wrk->lease_us)
+          || (!wrk->over && now_us < wrk->lease_us))
         continue;
       /* A worker that was never heard may hold tasks of an earlier owner.  */
       if (!wrk->reached && !wrk->over && !plc->cleared)
@@ -567,6 +566,18 @@
     plc->lapse_us = lapse_us;
 }
 
+bool
+placer_wants_confirmation (const struct placer *plc)
+{
+  for (size_t n = 0; n < plc->pool.count; n++)
+    {
+      const struct worker *wrk = plc->pool.workers[n];
+      if (wrk->runs && wrk->ended_us && plc->confirmed_us < wrk->ended_us)
+        return true;
+    }
+  return false;
+}
+
 bool
 placer_wants_hosts (const struct placer *plc)
 {
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -79,6 +79,9 @@
    after.  */
 void placer_fence (struct placer *plc, uint64_t token);
 
+/* Whether runs wait for a confirmation of the duty to be given up.  */
+bool placer_wants_confirmation (const struct placer *plc);
+
 /* Ends the owner's work.  Orders in progress are forgotten; what runs at the
    workers goes on under its leases.  */
 void placer_destroy (struct placer *plc);
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -15,6 +15,9 @@
 /* The same while the owner has more starts to send than it can: each hold
    costs it as much as a start.  */
 #define HOLD_GAP_FULL_US 150000
+/* Holds to a worker that started again, until its earlier runs are given up.
+ */
+#define ENDED_GAP_US 50000
 /* Pause after a hold without an answer.  */
 #define HOLD_RETRY_US 250000
 /* A hold is tried again at the latest after this time while ends wait for the
@@ -253,13 +256,21 @@
     }
 }
 
-static void
-note_other_life (struct placer *plc, struct worker *wrk, int64_t born_ms)
+/* Gives up what ran in a life that has ended, once it is certain that no later
+   owner had claimed the pool by then: it could have noted their ends.  Returns
+   false while that is open.  */
+static bool
+settle_ended_life (struct placer *plc, struct worker *wrk)
 {
+  if (!wrk->ended_us)
+    return true;
+  if (wrk->runs && plc->confirmed_us < wrk->ended_us)
+    return false;
   lose_runs (plc, wrk, "other_life");
   wrk->applied_end = wrk->flushing_end = wrk->durable_end = wrk->seen_end = 0;
-  wrk->rep.born_ms = born_ms;
-  wrk->lease_us = 0;
+  if (!wrk->over)
+    wrk->ended_us = 0;
+  return true;
 }
 
 static void
@@ -267,8 +278,13 @@
             const struct hold_result *res, int64_t now_us)
 {
   if (res->born_ms > 0 && wrk->rep.born_ms > 0
-      && res->born_ms != wrk->rep.born_ms)
-    note_other_life (plc, wrk, res->born_ms);
+      && res->born_ms != wrk->rep.born_ms && !wrk->ended_us)
+    wrk->ended_us = now_us;
+  if (!settle_ended_life (plc, wrk))
+    {
+      wrk->next_hold_us = now_us + ENDED_GAP_US;
+      return;
+    }
   if (res->born_ms > 0)
     wrk->rep.born_ms = res->born_ms;
   if (ctx->lease_end_ms > 0 && res->order.clock_ms > 0)
@@ -332,7 +348,11 @@
       if (res->order.status == ORDER_DONE)
         apply_hold (plc, wrk, ctx, res, now_us);
       else if (res->order.status == ORDER_OTHER_LIFE)
-        note_other_life (plc, wrk, 0);
+        {
+          if (!wrk->ended_us)
+            wrk->ended_us = now_us;
+          settle_ended_life (plc, wrk);
+        }
       else if (res->order.status == ORDER_FENCED)
         {
           plc->fenced = true;
@@ -356,6 +376,8 @@
 void
 placer_hold (struct placer *plc, struct worker *wrk, int64_t now_us)
 {
+  if (wrk->over)
+    settle_ended_life (plc, wrk);
   /* A later owner may have extended the leases; that none had claimed the pool
      when they ran out is what the last confirmation tells.  */
   if (wrk->runs && wrk->failures > 0 && plc->confirmed_us > wrk->lease_us)
@@ -379,7 +401,8 @@
     .token = plc->set.token,
     .last_seen = ctx->last_seen,
     .lease_end_ms = ctx->lease_end_ms,
-    .wait_ms = wrk->reached && wrk->failures == 0 ? HOLD_WAIT_MS : 0,
+    .wait_ms
+    = wrk->reached && wrk->failures == 0 && !wrk->ended_us ? HOLD_WAIT_MS : 0,
   };
   if (plc->env.lnk->drv->hold (plc->env.lnk, &to, &ord, on_hold, ctx))
     {
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -47,6 +47,9 @@
   /* Contact.  */
   bool listed;
   bool over; /* this life of its host has ended */
+  /* When its life was learnt to have ended, while its runs are kept until the
+     duty was confirmed after that; 0: it lives.  */
+  int64_t ended_us;
   int64_t added_us;
   bool reached;  /* has answered this owner */
   bool enrolled; /* the log tells that tasks may run there */
--- a/test/unit/unit_duty.c
+++ b/test/unit/unit_duty.c
@@ -63,6 +63,7 @@
       const char self[2] = { *name, '\0' };
       const struct duty_view view = { .self = self,
                                       .now_us = now_us,
+                                      .known_us = now_us,
                                       .settled_us = 10 * S,
                                       .slack_us = slack_us };
       if (duty_should_claim (tab, "p", &view))
@@ -182,6 +183,53 @@
 }
 END_TEST
 
+/* Guards against a duty that every other process claims at once after a
+   process which was away has claimed it: its claim is read before its next
+   report.  */
+START_TEST (test_claim_is_life)
+{
+  member ("b", 1, false, 15 * S);
+  member ("c", 1, false, 15 * S);
+  claim ("a", 1, 5, 15 * S);
+  ck_assert_str_eq (claimants (15 * S + 400000, 0), "");
+  claim ("a", 2, 6, 15 * S);
+  ck_assert_str_eq (claimants (15 * S + 400000, 0), "");
+  ck_assert_str_ne (claimants (17 * S, 0), "");
+}
+END_TEST
+
+/* Guards against a process that was cut off and takes the others for gone,
+   because it has not read their reports yet: silence counts up to the time as
+   of which the reports are known.  */
+START_TEST (test_view_age)
+{
+  const struct duty_view stale = { .self = "b",
+                                   .now_us = 30 * S,
+                                   .known_us = 10 * S + 500000,
+                                   .settled_us = 10 * S };
+  claim ("a", 1, 5, 10 * S);
+  ck_assert (!duty_should_claim (tab, "p", &stale));
+}
+END_TEST
+
+/* Guards against owners that all change when the store was away for everyone:
+   nobody could report, and the first process to read again would take the
+   others for gone.  */
+START_TEST (test_store_returns)
+{
+  const struct duty_view first = { .self = "b",
+                                   .now_us = 30 * S,
+                                   .known_us = 30 * S,
+                                   .back_us = 30 * S,
+                                   .settled_us = 10 * S };
+  struct duty_view later = first;
+  later.now_us = later.known_us = 32 * S;
+  claim ("a", 1, 5, 10 * S);
+  ck_assert (!duty_should_claim (tab, "p", &first));
+  ck_assert (duty_should_claim (tab, "p", &later));
+}
+END_TEST
+
 /* Guards against tables without bounds.  */
 START_TEST (test_bounds)
 {
@@ -211,6 +259,9 @@
   tcase_add_test (tc, test_tokens);
   tcase_add_test (tc, test_earlier_over);
   tcase_add_test (tc, test_restart);
+  tcase_add_test (tc, test_claim_is_life);
+  tcase_add_test (tc, test_view_age);
+  tcase_add_test (tc, test_store_returns);
   tcase_add_test (tc, test_bounds);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
--- a/test/unit/unit_placer.c
+++ b/test/unit/unit_placer.c
@@ -210,6 +210,29 @@
 }
 END_TEST
 
+/* Guards against an owner that was cut off, learns that a worker's host was
+   renewed and starts its tasks again, although its successor has noted their
+   ends: the duty has to be confirmed after that.  */
+START_TEST (test_life_ends_unconfirmed)
+{
+  const char *worker;
+  two_workers ();
+  world_job (wld, 1, ONE, 200);
+  world_turn (wld, 1);
+  world_answer (wld, any_start (&worker), ORDER_DONE);
+  world_confirm (wld);
+  world_turn (wld, 1);
+  placer_worker_over (wld->plc, worker);
+  world_turn (wld, 300);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 1);
+  ck_assert (placer_wants_confirmation (wld->plc));
+  world_confirm (wld);
+  world_turn (wld, 1);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 2);
+  ck_assert (!placer_wants_confirmation (wld->plc));
+}
+END_TEST
+
 /* Guards against a late report of a host's former worker that is taken for a
    new life: the runs of the present one were given up.  */
 START_TEST (test_late_report)
@@ -512,6 +535,7 @@
   tcase_add_test (tc, test_unanswered_start);
   tcase_add_test (tc, test_new_owner_waits);
   tcase_add_test (tc, test_new_owner_learns);
+  tcase_add_test (tc, test_life_ends_unconfirmed);
   tcase_add_test (tc, test_late_report);
   tcase_add_test (tc, test_anti_affinity);
   tcase_add_test (tc, test_may_miss);
