--- a/node/fleet.c
+++ b/node/fleet.c
@@ -113,8 +113,10 @@
 static void
 withdraw (void *arg, struct kept_host *host)
 {
-  append_request (arg, host->rep.name, 0,
-                  host->phase == PHASE_AWAY ? host->left_worker : "");
+  /* An order that was done before has ended no life.  */
+  bool ended = host->phase == PHASE_AWAY
+               && strcmp (host->rep.worker, host->left_worker) != 0;
+  append_request (arg, host->rep.name, 0, ended ? host->left_worker : "");
 }
 
 static void
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -191,7 +191,6 @@
 {
   if (!wrk->ended_us)
     wrk->ended_us = clock_now_us (plc->env.clk);
-  wrk->listed = false;
   wrk->over = true;
 }
 
@@ -206,8 +205,11 @@
     {
       struct worker *wrk = plc->pool.workers[n];
       if (strcmp (wrk->rep.host, rep->host) == 0 && wrk->rep.born_ms > 0
-          && rep->born_ms > wrk->rep.born_ms)
-        end_life (plc, wrk);
+          && rep->born_ms > wrk->rep.born_ms && !wrk->ended_us)
+        {
+          end_life (plc, wrk);
+          wrk->failures++;
+        }
     }
 }
 
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -266,9 +266,14 @@
     return true;
   if (wrk->runs && plc->confirmed_us < wrk->ended_us)
     return false;
+  /* What others tell of its life may be wrong while it answers.  */
+  if (wrk->over && wrk->reached && wrk->failures == 0)
+    return false;
   lose_runs (plc, wrk, "other_life");
   wrk->applied_end = wrk->flushing_end = wrk->durable_end = wrk->seen_end = 0;
-  if (!wrk->over)
+  if (wrk->over)
+    wrk->listed = false;
+  else
     wrk->ended_us = 0;
   return true;
 }
@@ -278,8 +283,13 @@
             const struct hold_result *res, int64_t now_us)
 {
   if (res->born_ms > 0 && wrk->rep.born_ms > 0
-      && res->born_ms != wrk->rep.born_ms && !wrk->ended_us)
-    wrk->ended_us = now_us;
+      && res->born_ms != wrk->rep.born_ms)
+    wrk->ended_us = wrk->ended_us ? wrk->ended_us : now_us;
+  else
+    {
+      wrk->ended_us = 0;
+      wrk->over = false;
+    }
   if (!settle_ended_life (plc, wrk))
     {
       wrk->next_hold_us = now_us + ENDED_GAP_US;
--- a/test/unit/unit_placer.c
+++ b/test/unit/unit_placer.c
@@ -224,6 +224,8 @@
   world_turn (wld, 1);
   placer_worker_over (wld->plc, worker);
   world_turn (wld, 300);
+  world_answer (wld, world_call (wld, WORLD_HOLD, worker), ORDER_NO_ANSWER);
+  world_turn (wld, 1);
   ck_assert_uint_eq (world_starts (wld, 1, 0), 1);
   ck_assert (placer_wants_confirmation (wld->plc));
   world_confirm (wld);
@@ -233,6 +235,27 @@
 }
 END_TEST
 
+/* Guards against a second run when a worker is taken for ended and answers: a
+   keeper repeated an order that was done, and named the new worker as the one
+   that the order had ended.  */
+START_TEST (test_ended_life_answers)
+{
+  const struct world_row row = { .job = 1, .run = 1 };
+  const char *worker;
+  two_workers ();
+  world_job (wld, 1, ONE, 200);
+  world_turn (wld, 1);
+  world_answer (wld, any_start (&worker), ORDER_DONE);
+  placer_worker_over (wld->plc, worker);
+  world_confirm (wld);
+  world_turn (wld, 1);
+  world_hold (wld, worker, &row, 1, NULL, 0);
+  world_confirm (wld);
+  world_turn (wld, 300);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 1);
+}
+END_TEST
+
 /* Guards against a late report of a host's former worker that is taken for a
    new life: the runs of the present one were given up.  */
 START_TEST (test_late_report)
@@ -536,6 +559,7 @@
   tcase_add_test (tc, test_new_owner_waits);
   tcase_add_test (tc, test_new_owner_learns);
   tcase_add_test (tc, test_life_ends_unconfirmed);
+  tcase_add_test (tc, test_ended_life_answers);
   tcase_add_test (tc, test_late_report);
   tcase_add_test (tc, test_anti_affinity);
   tcase_add_test (tc, test_may_miss);
