--- a/node/directory.c
+++ b/node/directory.c
@@ -5,9 +5,6 @@
 #include "node/node_priv.h"
 #include "platform/wire_decode.h"
 
-/* Workers report every 1.5 s, and a change of theirs may take 2 s to be
-   acted on.  */
-#define DIRECTORY_GAP_MS 120
 #define WAIT_MS 1000
 
 static void
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -15,7 +15,6 @@
    one partition one after the other.  */
 #define TOPIC_FLEET "keyed.fleet"
 #define REQUEST_PART 0
-#define FLEET_GAP_MS 20
 #define WAIT_MS 1000
 /* The host list is read so often while hosts are under way, and otherwise.  */
 #define LIST_BUSY_MS 400
@@ -348,6 +347,7 @@
   follower_restart (&nod->operator_fol);
   follower_restart (&flt->fol);
   open_reports (flt);
+  node_open_streams (nod);
   on_turn (nod->ev, NULL, (struct timeval){ 0 }, flt);
 }
 
@@ -364,6 +364,7 @@
   keeper_fini (&flt->kpr);
   log_event (nod->lg, EV_DUTY_ENDED, LOG_S ("duty", DUTY_FLEET),
              LOG_I ("token", flt->token), LOG_S ("reason", "passed_on"));
+  node_open_streams (nod);
 }
 
 uint64_t
@@ -625,6 +626,12 @@
     read_list (hld->nod->flt, true, clock_now_us (hld->nod->clk));
 }
 
+void
+node_fleet_set_gap (struct node *nod, int64_t gap_ms)
+{
+  follower_set_gap (&nod->flt->fol, gap_ms);
+}
+
 bool
 node_fleet_caught_up (const struct node *nod)
 {
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -28,6 +28,11 @@
 /* An owner's fence in its pool's partition; the value is its token as text. */
 #define FENCE_PREFIX "f/"
 #define TOKEN_TEXT_BYTES 24
+/* Gaps between reads of workers' reports, and of requests to empty hosts, by
+   processes that hold a duty.  Workers report every 1.5 s, and a change of
+   theirs may take 2 s to be acted on.  */
+#define DIRECTORY_GAP_MS 120
+#define FLEET_GAP_MS 20
 #define DUTY_KEY_BYTES (NAME_BYTES + 2)
 #define PRODUCER_BYTES (NAME_BYTES + 32)
 
@@ -167,6 +172,7 @@
 
 /* node/fleet.c */
 int node_open_fleet (struct node *nod);
+void node_fleet_set_gap (struct node *nod, int64_t gap_ms);
 bool node_fleet_caught_up (const struct node *nod);
 void node_fleet_begin (struct node *nod, uint64_t token);
 void node_fleet_end (struct node *nod);
--- a/node/streams.c
+++ b/node/streams.c
@@ -14,6 +14,9 @@
    share.  */
 #define GAP_MS 250
 #define OWNER_GAP_MS 20
+/* The same for workers' reports and requests to empty hosts, which a process
+   without a duty only keeps at hand for the duty that it may take.  */
+#define STANDBY_GAP_MS 500
 /* Longest wait of a read; a connection that is silent for good is noticed
    after it.  */
 #define WAIT_MS 1000
@@ -181,9 +184,19 @@
   return nod->streams[part];
 }
 
+static void
+pace_standby (struct node *nod)
+{
+  bool standby = !nod->holdings && node_fleet_token (nod) == 0;
+  follower_set_gap (&nod->directory_fol,
+                    standby ? STANDBY_GAP_MS : DIRECTORY_GAP_MS);
+  node_fleet_set_gap (nod, standby ? STANDBY_GAP_MS : FLEET_GAP_MS);
+}
+
 int
 node_open_streams (struct node *nod)
 {
+  pace_standby (nod);
   for (size_t n = 0; nod->cat && n < nod->cat->queue_count; n++)
     {
       struct stream *stm = node_stream (nod, nod->cat->queues[n].pool);
