--- a/test/unit/unit_placer.c
+++ b/test/unit/unit_placer.c
@@ -547,6 +547,68 @@
 }
 END_TEST
 
+static size_t
+starts_sent (void)
+{
+  size_t count = 0;
+  for (size_t n = 0; n < wld->call_count; n++)
+    count += wld->calls[n].kind == WORLD_START;
+  return count;
+}
+
+/* Guards against more starts on their way than a weak process can send in
+   time: they timed out in its own queue and were sent again.  Load: a pool's
+   turn. Starts that wait for their workers do not hold up the rest, and hosts
+   are not asked for while the bound is what holds tasks up.  */
+START_TEST (test_starts_in_flight)
+{
+  struct placer_demand dem;
+  two_workers ();
+  world_job (wld, 1,
+             "{\"steps\":[{\"count\":100,\"cpu\":10,\"mem-mb\":1,"
+             "\"estimate-ms\":900}]}",
+             200);
+  world_turn (wld, 1);
+  ck_assert_uint_eq (starts_sent (), 64);
+  world_turn (wld, 50);
+  ck_assert_uint_eq (starts_sent (), 64);
+  placer_demand (wld->plc, &dem);
+  ck_assert_uint_eq (dem.short_hosts, 0);
+  const char *worker;
+  for (int n = 0; n < 10; n++)
+    world_answer (wld, any_start (&worker), ORDER_DONE);
+  world_turn (wld, 1);
+  ck_assert_uint_eq (starts_sent (), 74);
+  world_turn (wld, 201);
+  ck_assert_uint_eq (starts_sent (), 100);
+}
+END_TEST
+
+/* Guards against a pool that keeps most of its hosts for seconds after its
+   turn, because a report names few of them.  */
+START_TEST (test_many_hosts_spared)
+{
+  struct placer_demand dem;
+  char id[8];
+  for (int n = 0; n < 120; n++)
+    {
+      snprintf (id, sizeof id, "w%d", n);
+      world_worker (wld, id, 1000);
+    }
+  world_turn (wld, 1);
+  for (int n = 0; n < 120; n++)
+    {
+      snprintf (id, sizeof id, "w%d", n);
+      world_hold (wld, id, NULL, 0, NULL, 0);
+    }
+  world_turn (wld, 1);
+  world_turn (wld, 1);
+  placer_demand (wld->plc, &dem);
+  ck_assert_uint_eq (dem.open_hosts, 120);
+  ck_assert_uint_ge (dem.idle_count, 118);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -560,6 +622,8 @@
   tcase_add_test (tc, test_new_owner_learns);
   tcase_add_test (tc, test_life_ends_unconfirmed);
   tcase_add_test (tc, test_ended_life_answers);
+  tcase_add_test (tc, test_starts_in_flight);
+  tcase_add_test (tc, test_many_hosts_spared);
   tcase_add_test (tc, test_late_report);
   tcase_add_test (tc, test_anti_affinity);
   tcase_add_test (tc, test_may_miss);
