--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -379,6 +379,9 @@
 static bool
 hold_needed (const struct worker *wrk)
 {
+  /* Whether a worker that is said to have ended answers.  */
+  if (wrk->ended_us && wrk->listed)
+    return true;
   return !wrk->reached || wrk->runs || wrk->seen_end < wrk->durable_end
          || wrk->applied_end > wrk->durable_end;
 }
--- a/test/unit/unit_placer.c
+++ b/test/unit/unit_placer.c
@@ -256,6 +256,22 @@
 }
 END_TEST
 
+/* Guards against an idle worker that is wrongly said to have ended and is
+   never used again.  */
+START_TEST (test_idle_worker_answers)
+{
+  two_workers ();
+  placer_worker_over (wld->plc, "w1");
+  placer_worker_over (wld->plc, "w2");
+  world_turn (wld, 1);
+  world_hold (wld, "w1", NULL, 0, NULL, 0);
+  world_turn (wld, 1);
+  world_job (wld, 1, ONE, 200);
+  world_turn (wld, 1);
+  ck_assert_ptr_nonnull (world_call (wld, WORLD_START, "w1"));
+}
+END_TEST
+
 /* Guards against a late report of a host's former worker that is taken for a
    new life: the runs of the present one were given up.  */
 START_TEST (test_late_report)
@@ -624,6 +640,7 @@
   tcase_add_test (tc, test_ended_life_answers);
   tcase_add_test (tc, test_starts_in_flight);
   tcase_add_test (tc, test_many_hosts_spared);
+  tcase_add_test (tc, test_idle_worker_answers);
   tcase_add_test (tc, test_late_report);
   tcase_add_test (tc, test_anti_affinity);
   tcase_add_test (tc, test_may_miss);
