test/scenario: find an entry process of the same data centre by its two characters

make demo stopped on arm64: gcc 12 at -O3 inlines fleet_next_entry into same_dc_entry, where the name is an array of three bytes, and -Werror=string-compare rejects its comparison with "all" as never equal. The search for one process by exact name does not need the selector, so it compares the two characters itself.

--- a/test/scenario/fleet.c
+++ b/test/scenario/fleet.c
@@ -139,8 +139,12 @@
 static struct entry *
 same_dc_entry (struct scenario *sc, const struct entry *en, int n)
 {
-  char name[] = { en->name[0], (char)('1' + n), '\0' };
-  return fleet_next_entry (sc, name, NULL);
+  struct fleet *ft = sc->fleet;
+  for (struct entry *en2 = ft->entries; en2 < ft->entries + ft->entry_count;
+       en2++)
+    if (en2->name[0] == en->name[0] && en2->name[1] == '1' + n)
+      return en2;
+  return NULL;
 }
 
 static void
