--- a/sched/placer.c
+++ b/sched/placer.c
@@ -255,7 +255,10 @@
       if (!wrk->ended_us)
         log_event (plc->env.lg, EV_WORKER_CHANGED,
                    LOG_S ("worker", wrk->rep.id), LOG_S ("state", "ended"),
-                   LOG_S ("host", rep->name), LOG_S ("next", rep->worker));
+                   LOG_S ("host", rep->name), LOG_S ("next", rep->worker),
+                   LOG_I ("born_ms", wrk->rep.born_ms),
+                   LOG_I ("list_age_ms",
+                          (clock_now_us (plc->env.clk) - asked_us) / 1000));
       end_instance (plc, wrk);
     }
   for (size_t n = plc->earlier_count; n-- > 0;)
@@ -321,7 +324,9 @@
     log_event (plc->env.lg, EV_PLACER_TAKEOVER_DONE,
                LOG_S ("pool", plc->set.pool),
                LOG_I ("after_ms", (now_us - plc->claimed_us) / 1000),
-               LOG_S ("unreached", unreached ? unreached : "none"));
+               LOG_S ("unreached", unreached ? unreached : "none"),
+               LOG_I ("leases_left_ms",
+                      (plc->earlier_leases_end_us - now_us) / 1000));
 }
 
 static bool
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -100,9 +100,12 @@
       struct run *run = wrk->runs;
       char name[TASK_NAME_MAX];
       task_ref_format (&run->ref, name);
-      log_event (plc->env.lg, EV_RUN_LOST, LOG_S ("task", name),
-                 LOG_I ("run", run->number), LOG_S ("worker", wrk->rep.id),
-                 LOG_S ("reason", reason));
+      log_event (
+          plc->env.lg, EV_RUN_LOST, LOG_S ("task", name),
+          LOG_I ("run", run->number), LOG_S ("worker", wrk->rep.id),
+          LOG_S ("reason", reason),
+          LOG_I ("lease_left_ms", (wrk->lease_end_us - now_us) / 1000),
+          LOG_I ("confirmed_age_ms", (now_us - plc->confirmed_us) / 1000));
       counter_add (plc->env.ctr, CTR_RUNS_LOST, 1);
       run->tsk->ended_us = now_us;
       placer_remove_run (plc, run);
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -146,11 +146,18 @@
 placer_adopt (struct placer *plc, struct worker *wrk, struct job *job,
               const struct task_ref *ref, uint32_t number)
 {
+  uint32_t last_run = job_task (job, ref)->last_run;
   struct run *run = make_run (plc, wrk, job, ref, number);
   if (run)
     {
       run->state = RUN_ACTIVE;
       run->confirmed_us = run->created_us;
+      char name[TASK_NAME_MAX];
+      task_ref_format (ref, name);
+      log_event (plc->env.lg, EV_RUN_ADOPTED, LOG_S ("task", name),
+                 LOG_I ("run", number), LOG_S ("worker", wrk->rep.id),
+                 LOG_I ("last_run", last_run),
+                 LOG_I ("token", plc->set.token));
     }
   return run;
 }
@@ -395,11 +402,16 @@
 placer_stop_unwanted (struct placer *plc, struct worker *wrk,
                       const struct task_ref *ref, uint32_t number)
 {
+  const struct job *job = job_table_find (plc->env.jobs, ref->job);
+  const struct task *tsk = job ? job_task ((struct job *)job, ref) : NULL;
   char name[TASK_NAME_MAX];
   task_ref_format (ref, name);
-  log_event (plc->env.lg, EV_RUN_STOPPED, LOG_S ("task", name),
-             LOG_I ("run", number), LOG_S ("worker", wrk->rep.id),
-             LOG_S ("reason", "not_wanted"));
+  log_event (
+      plc->env.lg, EV_RUN_STOPPED, LOG_S ("task", name), LOG_I ("run", number),
+      LOG_S ("worker", wrk->rep.id), LOG_S ("reason", "not_wanted"),
+      LOG_I ("last_run", tsk ? tsk->last_run : 0),
+      LOG_I ("current_run", tsk && tsk->run ? tsk->run->number : 0),
+      LOG_S ("current_worker", tsk && tsk->run ? tsk->run->wrk->rep.id : ""));
   send_stop (plc, wrk, NULL, ref, number);
 }
 
