--- a/test/unit/placer_world.c
+++ b/test/unit/placer_world.c
@@ -92,6 +92,25 @@
 {
 }
 
+static void
+create_placer (struct world *wld, uint64_t token, uint64_t fence_offset)
+{
+  const struct placer_settings set = { .pool = "p",
+                                       .token = token,
+                                       .fence_offset = fence_offset,
+                                       .lease_ms = WORLD_LEASE_MS,
+                                       .confirm_ms = WORLD_CONFIRM_MS };
+  const struct placer_env env = { .clk = &wld->clk.clk,
+                                  .ctr = &wld->ctr,
+                                  .lnk = &wld->lnk,
+                                  .jobs = &wld->jobs,
+                                  .cat = &wld->cat_ptr,
+                                  .persist = persist,
+                                  .wake = wake,
+                                  .arg = wld };
+  wld->plc = placer_create (NULL, &set, &env);
+}
+
 struct world *
 world_create (void)
 {
@@ -114,35 +133,39 @@
   wld->cat_ptr = &wld->cat;
   wld->lnk.drv = &driver;
   job_table_init (&wld->jobs);
-  const struct placer_settings set = { .pool = "p",
-                                       .token = 7,
-                                       .fence_offset = WORLD_FENCE_OFFSET,
-                                       .lease_ms = WORLD_LEASE_MS,
-                                       .confirm_ms = WORLD_CONFIRM_MS };
-  const struct placer_env env = { .clk = &wld->clk.clk,
-                                  .ctr = &wld->ctr,
-                                  .lnk = &wld->lnk,
-                                  .jobs = &wld->jobs,
-                                  .cat = &wld->cat_ptr,
-                                  .persist = persist,
-                                  .wake = wake,
-                                  .arg = wld };
-  wld->plc = placer_create (NULL, &set, &env);
+  create_placer (wld, 7, WORLD_FENCE_OFFSET);
   return wld;
 }
 
-void
-world_destroy (struct world *wld)
+static void
+destroy_placer (struct world *wld)
 {
+  persist_fn *enrol_fn = wld->enrol_fn;
+  persist_fn *fn = wld->persist_fn;
   placer_destroy (wld->plc);
   /* The placer is closing and ignores these answers; it is freed after the
      last one.  */
   for (size_t n = 0; n < wld->call_count; n++)
     if (!wld->calls[n].answered)
       world_answer (wld, &wld->calls[n], COMMAND_NO_ANSWER);
-  world_complete_append (wld);
-  if (wld->enrol_fn)
-    wld->enrol_fn (wld->enrol_arg, PERSIST_DONE);
+  wld->enrol_fn = wld->persist_fn = NULL;
+  if (fn)
+    fn (wld->persist_arg, PERSIST_FENCED);
+  if (enrol_fn)
+    enrol_fn (wld->enrol_arg, PERSIST_FENCED);
+}
+
+void
+world_take_over (struct world *wld, uint64_t token, uint64_t fence_offset)
+{
+  destroy_placer (wld);
+  create_placer (wld, token, fence_offset);
+}
+
+void
+world_destroy (struct world *wld)
+{
+  destroy_placer (wld);
   job_table_fini (&wld->jobs);
   talloc_free (wld);
 }
--- a/test/unit/placer_world.h
+++ b/test/unit/placer_world.h
@@ -61,6 +61,12 @@
 struct world *world_create (void);
 void world_destroy (struct world *wld);
 
+/* Replaces the placer by that of a later ownership of the same process, whose
+   fence record is at FENCE_OFFSET.  Commands in flight get no answer, and an
+   append in progress fails because it is fenced.  */
+void world_take_over (struct world *wld, uint64_t token,
+                      uint64_t fence_offset);
+
 /* Registers a worker with 4 processors and 8 GB on the host "m-ID".  */
 void world_add_worker (struct world *wld, const char *id, int64_t born_ms);
 
--- /dev/null
+++ b/test/unit/unit_placer_takeover.c
@@ -0,0 +1,149 @@
+#include <check.h>
+#include <stdlib.h>
+
+#include "placer_world.h"
+#include "sched/pool.h"
+
+/* Tests of a placer that finds runs which it did not start, or that owns the
+   pool for the second time.  */
+
+#define PERPETUAL_JOB                                                         \
+  "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"perpetual\":true}]}"
+#define BATCH_JOB                                                             \
+  "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"estimate-ms\":900}]" \
+  "}"
+#define GANG_JOB                                                              \
+  "{\"steps\":[{\"count\":2,\"cpu\":1000,\"mem-mb\":64,\"gang\":true}]}"
+
+static struct world *wld;
+
+static void
+setup (void)
+{
+  wld = world_create ();
+  world_add_worker (wld, "w1", 1000);
+  world_add_worker (wld, "w2", 1000);
+  world_tick (wld, 1);
+}
+
+static void
+teardown (void)
+{
+  world_destroy (wld);
+}
+
+/* Answers the holds to both workers, which list these running runs: at most
+   one each.  */
+static void
+list_runs (const struct world_row *on_w1, const struct world_row *on_w2)
+{
+  world_answer_hold (wld, "w1", on_w1, on_w1 != NULL, NULL, 0);
+  world_answer_hold (wld, "w2", on_w2, on_w2 != NULL, NULL, 0);
+  world_confirm_ownership (wld);
+  world_tick (wld, 1);
+  world_tick (wld, 1);
+}
+
+/* A task has one run at a time.  Guards against a second start beside a run
+   that the worker lists under a lower number than the highest one known: an
+   earlier owner that had not recorded its runs was followed by one that
+   counted from the start again.  */
+START_TEST (test_listed_run_with_lower_number)
+{
+  static const char *const jobs[] = { PERPETUAL_JOB, BATCH_JOB, GANG_JOB };
+  const struct world_row row = { .job = 1, .run = 1 };
+  struct job *job = world_add_job (wld, 1, jobs[_i], 50);
+  job->occurrences[0].tasks[0].last_run = 2;
+  list_runs (&row, NULL);
+  for (int n = 0; n < 3; n++)
+    {
+      ck_assert_uint_eq (world_starts (wld, 1, 0), 0);
+      world_answer_hold (wld, "w1", &row, 1, NULL, 0);
+      world_tick (wld, 40);
+    }
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 0);
+}
+END_TEST
+
+/* Guards against a start while an unwanted run of the task is being stopped: a
+   stop takes time, and its run goes on meanwhile.  */
+START_TEST (test_unwanted_run_delays_start)
+{
+  const struct world_row kept = { .job = 1, .run = 2 };
+  const struct world_row unwanted = { .job = 1, .run = 1 };
+  const struct world_row end
+      = { .job = 1, .run = 2, .end = RUN_END_FAILED, .number = 1 };
+  world_add_job (wld, 1, PERPETUAL_JOB, 50);
+  list_runs (&kept, &unwanted);
+  struct world_call *stop = world_call (wld, WORLD_STOP, "w2");
+  ck_assert_ptr_nonnull (stop);
+  ck_assert_uint_eq (stop->run, 1);
+  world_answer_hold (wld, "w1", NULL, 0, &end, 1);
+  for (int n = 0; n < 3; n++)
+    {
+      world_tick (wld, 60);
+      ck_assert_uint_eq (world_starts (wld, 1, 0), 0);
+    }
+  world_answer (wld, stop, COMMAND_DONE);
+  world_answer_hold (wld, "w2", &unwanted, 1, NULL, 0);
+  world_tick (wld, 60);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 0);
+  world_answer_hold (wld, "w2", NULL, 0, NULL, 0);
+  world_tick (wld, 60);
+  world_tick (wld, 60);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 1);
+}
+END_TEST
+
+/* An owner starts from what the log says, not from what it knew when it owned
+   the pool before.  Guards against run numbers and ends that never reached the
+   log: the successor in between did not know them.  */
+START_TEST (test_unlogged_progress_of_earlier_ownership)
+{
+  const struct world_row end
+      = { .job = 1, .run = 1, .end = RUN_END_DONE, .number = 1 };
+  list_runs (NULL, NULL);
+  struct job *job = world_add_job (wld, 1, BATCH_JOB, 200);
+  struct task *tsk = &job->occurrences[0].tasks[0];
+  world_tick (wld, 1);
+  const char *worker = world_call (wld, WORLD_START, "w1") ? "w1" : "w2";
+  world_answer (wld, world_call (wld, WORLD_START, worker), COMMAND_DONE);
+  world_tick (wld, 1);
+  world_answer_hold (wld, worker, NULL, 0, &end, 1);
+  world_tick (wld, 50);
+  ck_assert_int_eq (job->state, JOB_COMPLETED);
+  /* The append of this end fails, as a successor has fenced the log.  */
+  world_take_over (wld, 9, 300);
+  ck_assert (!tsk->done);
+  ck_assert_uint_eq (tsk->last_run, 0);
+  ck_assert_uint_eq (job->occurrences[0].done, 0);
+  ck_assert (!job_ended (job));
+  /* Its worker is gone, so the task has to run again.  */
+  world_add_worker (wld, "w3", 2000);
+  world_tick (wld, 1);
+  world_answer_hold (wld, "w3", NULL, 0, NULL, 0);
+  world_tick (wld, 1);
+  wld->clk.now_us += 2 * (WORLD_CONFIRM_MS + WORLD_LEASE_MS) * 1000;
+  world_confirm_ownership (wld);
+  world_tick (wld, 1);
+  world_tick (wld, 1);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 2);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("placer_takeover");
+  TCase *tc = tcase_create ("placer_takeover");
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_loop_test (tc, test_listed_run_with_lower_number, 0, 3);
+  tcase_add_test (tc, test_unwanted_run_delays_start);
+  tcase_add_test (tc, test_unlogged_progress_of_earlier_ownership);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
