sched: start no task beside a listed run of it, whatever the run's number

An owner took a run that a worker listed for an old one, because its number was lower than the highest that the owner knew, sent a stop and kept no record of the run; the task had no run then and was started at once, while the stop takes up to 200 ms. Run numbers of different owners are not comparable: starts are not in the log before they are sent, so a successor can use a number again.

A listed run is now adopted whatever its number is, if its task has no other run. Any other listed run becomes a run that is not wanted, with a stop that is repeated until the worker acknowledges it, and its task is not started before the worker no longer lists it. Its resources count through the run itself, so that only runs of unknown jobs need a separate sum.

--- a/job/job.c
+++ b/job/job.c
@@ -97,16 +97,16 @@
 uint32_t
 task_failures (const struct task *tsk)
 {
-  return (uint32_t)__builtin_popcountll (tsk->failed_runs);
+  return (uint32_t)__builtin_popcountll (tsk->prg.failed_runs);
 }
 
 bool
 task_add_failure (struct task *tsk, uint32_t run)
 {
   uint64_t bit = (uint64_t)1 << (run - 1) % 64;
-  if (tsk->failed_runs & bit)
+  if (tsk->prg.failed_runs & bit)
     return false;
-  tsk->failed_runs |= bit;
+  tsk->prg.failed_runs |= bit;
   return true;
 }
 
--- a/job/job.h
+++ b/job/job.h
@@ -61,23 +61,30 @@
   int64_t interval_ms;  /* between the due times of occurrences */
 };
 
-struct task
+/* The recorded progress of a task.  */
+struct task_progress
 {
-  /* Recorded in the log.  In the process that owns the pool these fields may
-     be newer than the log.  */
   uint32_t last_run;    /* highest run number used */
   uint64_t failed_runs; /* one bit per run, so that a failure that is reported
                            twice counts once; see task_add_failure */
   bool done;
+};
+
+struct task
+{
+  /* In the process that owns the pool possibly newer than the log.  */
+  struct task_progress prg;
 
   /* Maintained only by the process that owns the pool.  */
-  struct run *run;       /* the current run; NULL: none */
-  char *checkpoint;      /* newest checkpoint; NULL: none */
-  uint32_t avoid_worker; /* handle of the worker of the last failed run; 0:
-                            none */
-  int64_t not_before_us; /* monotonic time before which no run starts */
-  int64_t ended_us;      /* monotonic time at which the last run ended; 0: no
-                            run has ended */
+  struct run *run;        /* the current run; NULL: none */
+  uint32_t unwanted_runs; /* other runs, which are being stopped; the task is
+                             not started while there are any */
+  char *checkpoint;       /* newest checkpoint; NULL: none */
+  uint32_t avoid_worker;  /* handle of the worker of the last failed run; 0:
+                             none */
+  int64_t not_before_us;  /* monotonic time before which no run starts */
+  int64_t ended_us;       /* monotonic time at which the last run ended; 0: no
+                             run has ended */
   uint32_t reserved_worker; /* handle of the worker on which capacity is
                                reserved for the task; 0: none */
   int64_t reserved_us;      /* monotonic time of the reservation */
--- a/job/job_codec.c
+++ b/job/job_codec.c
@@ -105,11 +105,11 @@
   for (uint32_t n = 0; n < job->task_count; n++)
     {
       const struct task *tsk = &occ->tasks[n];
-      if (tsk->done)
+      if (tsk->prg.done)
         msg->done.data[n / 8] |= (uint8_t)(1u << n % 8);
-      msg->runs[n] = tsk->last_run;
-      msg->failed_runs[n] = tsk->failed_runs;
-      failed = failed || tsk->failed_runs != 0;
+      msg->runs[n] = tsk->prg.last_run;
+      msg->failed_runs[n] = tsk->prg.failed_runs;
+      failed = failed || tsk->prg.failed_runs != 0;
     }
   msg->n_failed_runs = failed ? job->task_count : 0;
   return 0;
@@ -257,26 +257,27 @@
               && (part->done.data[index / 8] >> index % 8 & 1);
   uint32_t runs = index < part->n_runs ? part->runs[index] : 0;
   uint64_t failed = index < part->n_failed_runs ? part->failed_runs[index] : 0;
-  if (done && !tsk->done)
+  if (done && !tsk->prg.done)
     {
       uint32_t step = 0;
       while (step + 1 < job->spec.step_count
              && job->spec.steps[step + 1].first_task <= index)
         step++;
-      tsk->done = true;
+      tsk->prg.done = true;
       occ->done++;
       occ->step_done[step]++;
       *changed = true;
     }
-  *stale = *stale || (tsk->done && !done) || (tsk->failed_runs & ~failed);
-  if (runs > tsk->last_run)
+  *stale
+      = *stale || (tsk->prg.done && !done) || (tsk->prg.failed_runs & ~failed);
+  if (runs > tsk->prg.last_run)
     {
-      tsk->last_run = runs;
+      tsk->prg.last_run = runs;
       *changed = true;
     }
-  if (failed & ~tsk->failed_runs)
+  if (failed & ~tsk->prg.failed_runs)
     {
-      tsk->failed_runs |= failed;
+      tsk->prg.failed_runs |= failed;
       *changed = true;
     }
   if (runs > 0)
--- a/job/job_table.c
+++ b/job/job_table.c
@@ -118,9 +118,9 @@
 job_mark_task_done (struct job *job, const struct task_ref *ref)
 {
   struct task *tsk = job_task (job, ref);
-  if (!tsk || tsk->done)
+  if (!tsk || tsk->prg.done)
     return;
-  tsk->done = true;
+  tsk->prg.done = true;
   job->occurrences[ref->occurrence].done++;
   job->occurrences[ref->occurrence].step_done[ref->step]++;
 }
@@ -137,7 +137,7 @@
       for (uint32_t m = 0; !stp->perpetual && m < stp->count; m++)
         {
           const struct task *tsk = &occ->tasks[stp->first_task + m];
-          if (!tsk->done && task_failures (tsk) >= attempts)
+          if (!tsk->prg.done && task_failures (tsk) >= attempts)
             return true;
         }
     }
--- a/sched/demand.c
+++ b/sched/demand.c
@@ -46,7 +46,7 @@
   for (uint32_t n = 0; n < stp->count; n++)
     {
       const struct task *tsk = &occ->tasks[stp->first_task + n];
-      if (tsk->done)
+      if (tsk->prg.done)
         continue;
       if (stp->perpetual)
         {
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -415,7 +415,7 @@
 {
   const struct step *stp = &job->spec.steps[ref->step];
   struct task *tsk = job_task (job, ref);
-  if (tsk->done || tsk->run || now_us < tsk->not_before_us)
+  if (tsk->prg.done || placer_has_runs (tsk) || now_us < tsk->not_before_us)
     return;
   if (placer_may_still_run (plc, job, tsk))
     return;
@@ -480,7 +480,7 @@
 {
   for (uint32_t n = 0; n < job->occurrence_count; n++)
     for (uint32_t m = 0; m < job->task_count; m++)
-      if (job->occurrences[n].tasks[m].run)
+      if (placer_has_runs (&job->occurrences[n].tasks[m]))
         return true;
   return false;
 }
--- a/sched/placer_gang.c
+++ b/sched/placer_gang.c
@@ -101,7 +101,7 @@
 {
   const struct task *tasks = gang_tasks (job, ref);
   for (uint32_t n = 0; n < job->spec.steps[ref->step].count; n++)
-    if (now_us < tasks[n].not_before_us
+    if (now_us < tasks[n].not_before_us || tasks[n].unwanted_runs > 0
         || placer_may_still_run (plc, job, &tasks[n]))
       return true;
   return false;
@@ -119,8 +119,8 @@
   for (uint32_t n = 0; n < stp->count; n++)
     {
       running += tasks[n].run != NULL;
-      if (tasks[n].last_run > last_run)
-        last_run = tasks[n].last_run;
+      if (tasks[n].prg.last_run > last_run)
+        last_run = tasks[n].prg.last_run;
     }
   if (running == stp->count || gang_blocked (plc, job, ref, now_us))
     return;
@@ -140,7 +140,7 @@
       struct task *tsk = &tasks[member.index];
       struct worker *wrk = placer_find_worker (plc, tsk->reserved_worker);
       placer_unreserve (plc, tsk, stp);
-      tsk->last_run = last_run;
+      tsk->prg.last_run = last_run;
       if (wrk)
         placer_start_task (plc, job, &member, wrk);
     }
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -178,11 +178,10 @@
   if (!tsk)
     return;
   const struct step *stp = &job->spec.steps[row->task.step];
-  struct run *run = tsk->run;
-  bool current = run && run->wrk == wrk && run->number == row->run;
+  struct run *run = placer_find_run (wrk, &row->task, row->run);
   store_checkpoint (job, &row->task, tsk, row->checkpoint);
-  if (row->run > tsk->last_run)
-    tsk->last_run = row->run;
+  if (row->run > tsk->prg.last_run)
+    tsk->prg.last_run = row->run;
   if (row->end == RUN_END_DONE)
     {
       wrk->fail_streak = 0;
@@ -199,14 +198,14 @@
       if (stp->gang)
         placer_mark_gang_done (plc, job, &row->task);
       placer_mark_dirty (plc, job);
-      if (run && !current)
-        placer_stop_run (plc, run);
+      if (tsk->run && tsk->run != run)
+        placer_stop_run (plc, tsk->run);
     }
   else if (row->end == RUN_END_FAILED && !stp->perpetual
            && task_add_failure (
                stp->gang ? first_member (job, &row->task) : tsk, row->run))
     placer_mark_dirty (plc, job);
-  if (current)
+  if (run)
     {
       tsk->ended_us = now_us;
       placer_remove_run (plc, run);
@@ -222,21 +221,23 @@
 {
   struct job *job = job_table_find (plc->env.jobs, row->task.job);
   struct task *tsk = job ? job_task (job, &row->task) : NULL;
-  struct run *run = tsk ? tsk->run : NULL;
-  if (tsk && !run && !job_ended (job) && !tsk->done
-      && row->run >= tsk->last_run)
-    run = placer_adopt (plc, wrk, job, &row->task, row->run);
-  if (!run || run->wrk != wrk || run->number != row->run)
+  if (!tsk)
     {
-      placer_stop_unwanted (plc, wrk, &row->task, row->run);
+      placer_stop_unknown (plc, wrk, &row->task, row->run);
       /* The run uses resources until the worker no longer lists it.  Without
-         its job the amount is unknown, so the worker is taken as full.  */
-      if (tsk)
-        resources_add (&wrk->unwanted, &job->spec.steps[row->task.step], 1);
-      else
-        wrk->unwanted = wrk->rep.capacity;
+         its job the amount is not known, so the worker is taken as full.  */
+      wrk->unknown = wrk->rep.capacity;
       return;
     }
+  struct run *run = placer_find_run (wrk, &row->task, row->run);
+  /* A run is adopted whatever its number is: owners whose runs were not
+     recorded in time may have used the same numbers or higher ones.  */
+  if (!run && !placer_has_runs (tsk) && !job_ended (job) && !tsk->prg.done)
+    run = placer_adopt (plc, wrk, job, &row->task, row->run);
+  else if (!run)
+    run = placer_stop_unwanted (plc, wrk, job, &row->task, row->run);
+  if (!run)
+    return;
   if (!run->confirmed_us)
     run->confirmed_us = now_us;
   if (run->state == RUN_STARTING)
@@ -340,7 +341,7 @@
         wrk->applied_end = res->ended[n].number;
         ends = true;
       }
-  wrk->unwanted = (struct resources){ 0 };
+  wrk->unknown = (struct resources){ 0 };
   for (size_t n = 0; n < res->running_count; n++)
     apply_running (plc, wrk, &res->running[n], ctx->sent_us, now_us);
   if (!res->ended_truncated)
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -87,13 +87,22 @@
 struct run *placer_adopt (struct placer *plc, struct worker *wrk,
                           struct job *job, const struct task_ref *ref,
                           uint32_t number);
+/* Stops a run that the worker lists and that is not wanted.  Until it is gone,
+   its task is not started.  Returns NULL when out of memory.  */
+struct run *placer_stop_unwanted (struct placer *plc, struct worker *wrk,
+                                  struct job *job, const struct task_ref *ref,
+                                  uint32_t number);
 /* Removes RUN from its worker and its task, and frees it once no command for
    it is in flight.  */
 void placer_remove_run (struct placer *plc, struct run *run);
-/* Tells a worker to stop a run that it lists and that this owner does not
-   want.  */
-void placer_stop_unwanted (struct placer *plc, struct worker *wrk,
-                           const struct task_ref *ref, uint32_t number);
+/* Tells a worker to stop a run that it lists and whose job is not known.  */
+void placer_stop_unknown (struct placer *plc, struct worker *wrk,
+                          const struct task_ref *ref, uint32_t number);
+/* The run of task REF with NUMBER on WRK, or NULL.  */
+struct run *placer_find_run (const struct worker *wrk,
+                             const struct task_ref *ref, uint32_t number);
+/* Whether any run of the task is known, wanted or not.  */
+bool placer_has_runs (const struct task *tsk);
 
 /* placer_hold.c */
 /* Gives up runs on WRK that have certainly ended, and sends a hold if one is
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -99,21 +99,42 @@
   resources_add (&wrk->used, &run->job->spec.steps[run->ref.step], -1);
 }
 
+struct run *
+placer_find_run (const struct worker *wrk, const struct task_ref *ref,
+                 uint32_t number)
+{
+  for (struct run *run = wrk->runs; run; run = run->next)
+    if (run->number == number && run->ref.job == ref->job
+        && run->ref.occurrence == ref->occurrence && run->ref.step == ref->step
+        && run->ref.index == ref->index)
+      return run;
+  return NULL;
+}
+
+bool
+placer_has_runs (const struct task *tsk)
+{
+  return tsk->run || tsk->unwanted_runs > 0;
+}
+
 void
 placer_remove_run (struct placer *plc, struct run *run)
 {
   if (run->removed)
     return;
   unlink_run (run);
-  if (run->tsk->run == run)
+  if (run->unwanted)
+    run->tsk->unwanted_runs--;
+  else if (run->tsk->run == run)
     run->tsk->run = NULL;
   run->removed = true;
   if (run->calls_in_flight == 0)
     talloc_free (run);
 }
 
+/* Adds a run to the list of WRK.  */
 static struct run *
-make_run (struct placer *plc, struct worker *wrk, struct job *job,
+link_run (struct placer *plc, struct worker *wrk, struct job *job,
           const struct task_ref *ref, uint32_t number)
 {
   struct run *run = talloc_zero (plc, struct run);
@@ -130,10 +151,21 @@
     wrk->runs->prev = run;
   wrk->runs = run;
   resources_add (&wrk->used, &job->spec.steps[ref->step], 1);
+  if (number > run->tsk->prg.last_run)
+    run->tsk->prg.last_run = number;
+  return run;
+}
+
+/* Adds the current run of a task.  */
+static struct run *
+make_run (struct placer *plc, struct worker *wrk, struct job *job,
+          const struct task_ref *ref, uint32_t number)
+{
+  struct run *run = link_run (plc, wrk, job, ref, number);
+  if (!run)
+    return NULL;
   run->tsk->run = run;
   run->tsk->located_token = plc->set.token;
-  if (number > run->tsk->last_run)
-    run->tsk->last_run = number;
   if (!job->started)
     {
       job->started = true;
@@ -146,7 +178,7 @@
 placer_adopt (struct placer *plc, struct worker *wrk, struct job *job,
               const struct task_ref *ref, uint32_t number)
 {
-  uint32_t last_run = job_task (job, ref)->last_run;
+  uint32_t last_run = job_task (job, ref)->prg.last_run;
   struct run *run = make_run (plc, wrk, job, ref, number);
   if (run)
     {
@@ -347,7 +379,7 @@
                    const struct task_ref *ref, struct worker *wrk)
 {
   struct task *tsk = job_task (job, ref);
-  struct run *run = make_run (plc, wrk, job, ref, tsk->last_run + 1);
+  struct run *run = make_run (plc, wrk, job, ref, tsk->prg.last_run + 1);
   if (run)
     send_start (plc, run);
 }
@@ -398,23 +430,45 @@
   return true;
 }
 
-void
-placer_stop_unwanted (struct placer *plc, struct worker *wrk,
-                      const struct task_ref *ref, uint32_t number)
+static void
+log_unwanted (struct placer *plc, const struct worker *wrk,
+              const struct task *tsk, const struct task_ref *ref,
+              uint32_t number)
 {
-  const struct job *job = job_table_find (plc->env.jobs, ref->job);
-  const struct task *tsk = job ? job_task ((struct job *)job, ref) : NULL;
   char name[TASK_NAME_MAX];
   task_ref_format (ref, name);
   log_event (
       plc->env.lg, EV_RUN_STOPPED, LOG_S ("task", name), LOG_I ("run", number),
       LOG_S ("worker", wrk->rep.id), LOG_S ("reason", "not_wanted"),
-      LOG_I ("last_run", tsk ? tsk->last_run : 0),
+      LOG_I ("last_run", tsk ? tsk->prg.last_run : 0),
       LOG_I ("current_run", tsk && tsk->run ? tsk->run->number : 0),
       LOG_S ("current_worker", tsk && tsk->run ? tsk->run->wrk->rep.id : ""));
+}
+
+void
+placer_stop_unknown (struct placer *plc, struct worker *wrk,
+                     const struct task_ref *ref, uint32_t number)
+{
+  log_unwanted (plc, wrk, NULL, ref, number);
   send_stop (plc, wrk, NULL, ref, number);
 }
 
+struct run *
+placer_stop_unwanted (struct placer *plc, struct worker *wrk, struct job *job,
+                      const struct task_ref *ref, uint32_t number)
+{
+  struct task *tsk = job_task (job, ref);
+  log_unwanted (plc, wrk, tsk, ref, number);
+  struct run *run = link_run (plc, wrk, job, ref, number);
+  if (!run)
+    return NULL;
+  run->unwanted = true;
+  run->confirmed_us = run->created_us;
+  tsk->unwanted_runs++;
+  placer_stop_run (plc, run);
+  return run;
+}
+
 void
 placer_stop_run (struct placer *plc, struct run *run)
 {
--- a/sched/pool.c
+++ b/sched/pool.c
@@ -50,9 +50,9 @@
 {
   struct resources sum = wrk->used;
   resources_add (&sum, step, 1);
-  sum.cpu_milli += wrk->unwanted.cpu_milli;
-  sum.memory_mb += wrk->unwanted.memory_mb;
-  sum.accelerators += wrk->unwanted.accelerators;
+  sum.cpu_milli += wrk->unknown.cpu_milli;
+  sum.memory_mb += wrk->unknown.memory_mb;
+  sum.accelerators += wrk->unknown.accelerators;
   return sum.cpu_milli <= wrk->rep.capacity.cpu_milli
          && sum.memory_mb <= wrk->rep.capacity.memory_mb
          && sum.accelerators <= wrk->rep.capacity.accelerators;
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -34,6 +34,7 @@
   bool stop_sent;
   int64_t stopped_us; /* when the stop was acknowledged; 0: not yet */
   bool preempted;     /* selected to be stopped for a perpetual task */
+  bool unwanted; /* not the current run of its task; it is being stopped */
   /* Commands in flight; a removed run is freed after the last of them.  */
   int calls_in_flight;
   bool removed;      /* no longer in its worker's list */
@@ -46,9 +47,9 @@
   uint32_t handle; /* unique within the pool, never reused */
   struct run *runs;
   struct resources used; /* by the runs and by reservations */
-  /* Used by runs that the worker lists and that the owner does not want; the
-     owner is stopping them.  */
-  struct resources unwanted;
+  /* Used by runs that the worker lists and whose jobs are not known; the owner
+     is stopping them.  */
+  struct resources unknown;
 
   /* Contact.  */
   bool registered;     /* the store has a current report of the worker */
--- a/test/unit/unit_job.c
+++ b/test/unit/unit_job.c
@@ -95,14 +95,14 @@
   struct job *copy = help_fold_job (&other, ctx, 7, TWO_STEPS, 10, 0, 1000);
   const struct task_ref first = { .job = 7, .step = 0, .index = 1 };
   job->started = true;
-  job->occurrences[0].tasks[1].last_run = 2;
+  job->occurrences[0].tasks[1].prg.last_run = 2;
   job_mark_task_done (job, &first);
   struct job_fold_result res = fold_progress (&other, job, 5);
   ck_assert_int_eq (res.change, JOB_CHANGE_PROGRESS);
   ck_assert_uint_eq (res.token, 5);
-  ck_assert (copy->occurrences[0].tasks[1].done);
+  ck_assert (copy->occurrences[0].tasks[1].prg.done);
   ck_assert_uint_eq (copy->occurrences[0].step_done[0], 1);
-  ck_assert_uint_eq (copy->occurrences[0].tasks[1].last_run, 2);
+  ck_assert_uint_eq (copy->occurrences[0].tasks[1].prg.last_run, 2);
   ck_assert_int_eq (fold_progress (&other, job, 5).change, JOB_CHANGE_NONE);
 
   const struct task_ref second = { .job = 7, .step = 0, .index = 0 };
@@ -142,7 +142,7 @@
   struct job *old = help_fold_job (&before, ctx, 7,
                                    "{\"steps\":[{\"count\":1}]}", 10, 0, 1000);
   old->started = true;
-  old->occurrences[0].tasks[0].last_run = 1;
+  old->occurrences[0].tasks[0].prg.last_run = 1;
 
   job->started = true;
   job_mark_task_done (job, &ref);
--- a/test/unit/unit_placer_takeover.c
+++ b/test/unit/unit_placer_takeover.c
@@ -53,7 +53,7 @@
   static const char *const jobs[] = { PERPETUAL_JOB, BATCH_JOB, GANG_JOB };
   const struct world_row row = { .job = 1, .run = 1 };
   struct job *job = world_add_job (wld, 1, jobs[_i], 50);
-  job->occurrences[0].tasks[0].last_run = 2;
+  job->occurrences[0].tasks[0].prg.last_run = 2;
   list_runs (&row, NULL);
   for (int n = 0; n < 3; n++)
     {
@@ -114,8 +114,8 @@
   ck_assert_int_eq (job->state, JOB_COMPLETED);
   /* The append of this end fails, as a successor has fenced the log.  */
   world_take_over (wld, 9, 300);
-  ck_assert (!tsk->done);
-  ck_assert_uint_eq (tsk->last_run, 0);
+  ck_assert (!tsk->prg.done);
+  ck_assert_uint_eq (tsk->prg.last_run, 0);
   ck_assert_uint_eq (job->occurrences[0].done, 0);
   ck_assert (!job_ended (job));
   /* Its worker is gone, so the task has to run again.  */
