job, sched: an owner starts from the log, not from its earlier ownership

Progress that an owner had not appended when it lost the pool (run numbers, failures, done tasks, ended jobs) stayed in its job table. Its successor worked from the log.

Each task now keeps the progress that the log holds beside the progress that is known, and the end of an ownership drops the difference, together with handles, times and reservations of the earlier placer.

--- a/job/job.h
+++ b/job/job.h
@@ -72,8 +72,10 @@
 
 struct task
 {
-  /* In the process that owns the pool possibly newer than the log.  */
+  /* PRG may be newer than LOGGED, the progress in the log, only in the process
+     that owns the pool.  */
   struct task_progress prg;
+  struct task_progress logged;
 
   /* Maintained only by the process that owns the pool.  */
   struct run *run;        /* the current run; NULL: none */
--- a/job/job_codec.c
+++ b/job/job_codec.c
@@ -282,6 +282,10 @@
     }
   if (runs > 0)
     job->started = true;
+  tsk->logged.done = tsk->logged.done || done;
+  tsk->logged.failed_runs |= failed;
+  if (runs > tsk->logged.last_run)
+    tsk->logged.last_run = runs;
 }
 
 int
--- a/job/job_table.c
+++ b/job/job_table.c
@@ -167,6 +167,35 @@
   return changed;
 }
 
+void
+job_revert_to_log (struct job *job)
+{
+  for (uint32_t n = 0; n < job->occurrence_count; n++)
+    {
+      struct occurrence *occ = &job->occurrences[n];
+      occ->done = 0;
+      for (size_t m = 0; m < job->spec.step_count; m++)
+        {
+          const struct step *stp = &job->spec.steps[m];
+          struct task *tasks = &occ->tasks[stp->first_task];
+          occ->step_done[m] = 0;
+          for (uint32_t k = 0; k < stp->count; k++)
+            {
+              const struct task_progress logged = tasks[k].logged;
+              talloc_free (tasks[k].checkpoint);
+              tasks[k] = (struct task){ .prg = logged, .logged = logged };
+              occ->step_done[m] += logged.done;
+            }
+          occ->done += occ->step_done[m];
+        }
+    }
+  job->dirty = false;
+  if (job->logged_state >= JOB_COMPLETED)
+    return;
+  job->state = job->started ? JOB_RUNNING : JOB_QUEUED;
+  job->ended_ms = 0;
+}
+
 void
 job_table_expire (struct job_table *tab, int64_t before_ms)
 {
--- a/job/job_table.h
+++ b/job/job_table.h
@@ -59,6 +59,11 @@
 /* Marks the task REF as done.  */
 void job_mark_task_done (struct job *job, const struct task_ref *ref);
 
+/* Drops the progress of JOB that is not in the log, and the state of its
+   scheduling.  For a process that no longer owns the job's pool: a later owner
+   has not read that progress, and continues from the log.  */
+void job_revert_to_log (struct job *job);
+
 /* Frees the jobs that ended before the wall-clock time BEFORE_MS.  */
 void job_table_expire (struct job_table *tab, int64_t before_ms);
 
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -634,20 +634,20 @@
   return plc;
 }
 
-/* Clears the placer's state in the jobs, which outlive it.  */
+/* Clears the placer's state in the jobs, which outlive it.  Progress that is
+   not in the log goes as well: a later owner does not know it, and this
+   process may own the pool again after that one.  */
 void
 placer_destroy (struct placer *plc)
 {
   if (!plc)
     return;
-  for (size_t n = 0; n < plc->job_count; n++)
-    {
-      plc->jobs[n]->dirty = false;
-      release_reservations (plc, plc->jobs[n]);
-    }
   for (size_t n = 0; n < plc->pool.count; n++)
     while (plc->pool.workers[n]->runs)
       placer_remove_run (plc, plc->pool.workers[n]->runs);
+  for (struct job *job = plc->env.jobs->by_id; job; job = job->hh.next)
+    if (strcmp (job->pool, plc->set.pool) == 0)
+      job_revert_to_log (job);
   plc->closing = true;
   if (plc->calls_in_flight == 0)
     talloc_free (plc);
