sched: another instance at a worker's address is no answer of that worker

The platform's host list reported a worker as ended. Its runs are kept while it still answers, because such a report was wrong once; another worker had come to its address and answered each hold with 421, which counted as an answer. The runs were never given up.

Such an answer now counts as a call without an answer, so that the worker gets no tasks and its leases are not extended either.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -77,7 +77,9 @@
 placer_note_answer (struct placer *plc, struct worker *wrk,
                     const struct command_result *res)
 {
-  if (res->status == COMMAND_NO_ANSWER || res->status == COMMAND_NOT_SENT)
+  /* Another instance at the address is not an answer of this one.  */
+  if (res->status == COMMAND_NO_ANSWER || res->status == COMMAND_NOT_SENT
+      || res->status == COMMAND_OTHER_INSTANCE)
     {
       wrk->unanswered_calls++;
       return;
--- a/test/unit/placer_world.c
+++ b/test/unit/placer_world.c
@@ -272,6 +272,7 @@
   const struct hold_result res
       = { .command
           = { .status = COMMAND_DONE, .clock_ms = wld->clk.now_us / 1000 },
+          .born_ms = wld->hold_born_ms,
           .running = runs,
           .running_count = running_count,
           .ended = ends,
--- a/test/unit/placer_world.h
+++ b/test/unit/placer_world.h
@@ -53,7 +53,8 @@
   void *enrol_arg;
   persist_fn *persist_fn; /* of an append of job progress */
   void *persist_arg;
-  size_t append_count; /* appends requested so far */
+  size_t append_count;  /* appends requested so far */
+  int64_t hold_born_ms; /* start of the worker in answers to holds; 0: none */
   struct placer *plc;
 };
 
@@ -67,7 +68,8 @@
 void world_take_over (struct world *wld, uint64_t token,
                       uint64_t fence_offset);
 
-/* Registers a worker with 4 processors and 8 GB on the host "m-ID".  */
+/* Registers a worker with 4 processors and 8 GB on the host "m-ID", or one
+   that was started again under its id.  */
 void world_add_worker (struct world *wld, const char *id, int64_t born_ms);
 
 /* Applies a job's record to the job table and tells the placer.  OFFSET is
