sched: a worker that restarts under its id numbers its ends anew

A report of the new instance overwrote the start time that the owner had on record while the worker was reported as ended. The next answer to a hold then looked like one of the same instance: ends numbered below the highest number of the earlier instance were taken for known ones and acknowledged unread, and a task that was done would run again (TWICE).

The start time on record now stays that of the instance which the runs belong to, until these are given up; only then are the numbers of ends reset and the new instance, known from a report or from its answer, begins.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -298,12 +298,14 @@
       wrk->clock_read_us = now_us;
     }
   wrk->rep = *rep;
-  if (wrk->reported_ended)
-    return;
-  /* Keep the start time on record: a new instance of the worker is detected
-     from its own answer to a hold.  */
+  wrk->reported_born_ms = rep->born_ms;
+  /* Keep the start time on record until the runs of that instance are
+     settled.  */
   if (born_ms > 0)
     wrk->rep.born_ms = born_ms;
+  /* A late report of an ended instance.  */
+  if (wrk->reported_ended && rep->born_ms <= born_ms)
+    return;
   wrk->registered = true;
 }
 
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -275,6 +275,17 @@
     }
 }
 
+/* Prepares WRK for the instance that was started at BORN_MS under the same
+   id.  It runs nothing yet, and numbers its ends from 1.  */
+static void
+begin_instance (struct worker *wrk, int64_t born_ms)
+{
+  wrk->applied_end = wrk->flushing_end = wrk->durable_end = wrk->acked_end = 0;
+  wrk->ended_us = 0;
+  wrk->reported_ended = false;
+  wrk->rep.born_ms = born_ms;
+}
+
 /* Gives up the runs of a worker instance that has ended, once it is certain
    that no later owner had claimed the pool by then; such an owner could
    already have recorded the ends.  Returns false while this is not certain or
@@ -290,11 +301,12 @@
   if (wrk->reported_ended && wrk->reached && wrk->unanswered_calls == 0)
     return false;
   drop_lost_runs (plc, wrk, "instance_ended");
-  wrk->applied_end = wrk->flushing_end = wrk->durable_end = wrk->acked_end = 0;
-  if (wrk->reported_ended)
+  if (wrk->reported_ended && wrk->reported_born_ms <= wrk->rep.born_ms)
     wrk->registered = false;
   else
-    wrk->ended_us = 0;
+    begin_instance (wrk, wrk->reported_born_ms > wrk->rep.born_ms
+                             ? wrk->reported_born_ms
+                             : wrk->rep.born_ms);
   return true;
 }
 
@@ -302,14 +314,14 @@
 apply_hold (struct placer *plc, struct worker *wrk, const struct hold_ctx *ctx,
             const struct hold_result *res, int64_t now_us)
 {
-  if (res->born_ms > 0 && wrk->rep.born_ms > 0
-      && res->born_ms != wrk->rep.born_ms)
-    wrk->ended_us = wrk->ended_us ? wrk->ended_us : now_us;
-  else
-    {
-      wrk->ended_us = 0;
-      wrk->reported_ended = false;
-    }
+  bool restarted = res->born_ms > 0 && wrk->rep.born_ms > 0
+                   && res->born_ms != wrk->rep.born_ms;
+  if (restarted && !wrk->ended_us)
+    wrk->ended_us = now_us;
+  else if (!restarted)
+    wrk->ended_us = 0;
+  /* The answer shows which instance it is.  */
+  wrk->reported_ended = false;
   if (!settle_ended_instance (plc, wrk))
     {
       wrk->next_hold_us = now_us + HOLD_ENDED_INTERVAL_US;
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -52,7 +52,10 @@
   struct resources unknown;
 
   /* Contact.  */
-  bool registered;     /* the store has a current report of the worker */
+  bool registered; /* the store has a current report of the worker */
+  /* Start of the instance in the last report; rep.born_ms is that of the
+     instance which the runs belong to.  */
+  int64_t reported_born_ms;
   bool reported_ended; /* a source other than the worker reported the end of
                           this instance */
   /* When the end of the worker's instance was learnt; 0: it is running.  Its
--- a/test/unit/unit_placer_instance.c
+++ b/test/unit/unit_placer_instance.c
@@ -11,6 +11,7 @@
   "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"estimate-ms\":900}]" \
   "}"
 #define BORN_MS 1000
+#define NEXT_BORN_MS 900000
 
 static struct world *wld;
 
@@ -41,6 +42,22 @@
   return job;
 }
 
+/* Runs a job on w1 to its end, whose number is acknowledged.  */
+static void
+complete_job (uint64_t id, uint64_t number)
+{
+  const struct world_row end
+      = { .job = id, .run = 1, .end = RUN_END_DONE, .number = number };
+  struct job *job = run_job (id);
+  world_answer_hold (wld, "w1", NULL, 0, &end, 1);
+  world_tick (wld, 50);
+  world_complete_append (wld);
+  world_tick (wld, 50);
+  world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
+  world_tick (wld, 50);
+  ck_assert_int_eq (job->state, JOB_COMPLETED);
+}
+
 static void
 list_host_as_down (void)
 {
@@ -82,6 +99,68 @@
 }
 END_TEST
 
+enum sign
+{
+  SIGN_HOLD,   /* an answer to a hold */
+  SIGN_REPORT, /* the worker's report */
+  SIGN_HOST,   /* the host list, then the report */
+};
+
+/* A worker that was started again under its id runs nothing, and numbers its
+   ends anew, whichever sign of the start is seen first.  Guards against ends
+   that were taken for ones seen before, so that a task which was done ran
+   again (TWICE).  */
+START_TEST (test_restart_under_same_id)
+{
+  complete_job (1, 1);
+  complete_job (2, 2);
+  run_job (3);
+  lose_worker ();
+  if (_i == SIGN_HOST)
+    list_host_as_down ();
+  if (_i != SIGN_HOLD)
+    world_add_worker (wld, "w1", NEXT_BORN_MS);
+  wld->hold_born_ms = NEXT_BORN_MS;
+  for (int n = 0; n < 4 && world_starts (wld, 3, 0) == 1; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 300);
+      if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
+      world_confirm_ownership (wld);
+      world_tick (wld, 60);
+    }
+  ck_assert_uint_eq (world_starts (wld, 3, 0), 2);
+  world_answer (wld, world_call (wld, WORLD_START, "w1"), COMMAND_DONE);
+  world_tick (wld, 300);
+  const struct world_row end
+      = { .job = 3, .run = 2, .end = RUN_END_DONE, .number = 1 };
+  world_answer_hold (wld, "w1", NULL, 0, &end, 1);
+  ck_assert_int_eq (job_table_find (&wld->jobs, 3)->state, JOB_COMPLETED);
+  world_tick (wld, 300);
+  ck_assert_uint_eq (world_starts (wld, 3, 0), 2);
+}
+END_TEST
+
+/* A run that was started on the new instance before the restart was noticed is
+   kept.  Guards against a second run of the task (TWICE).  */
+START_TEST (test_start_on_unnoticed_instance)
+{
+  const struct world_row row = { .job = 2, .run = 1 };
+  complete_job (1, 1);
+  wld->hold_born_ms = NEXT_BORN_MS;
+  run_job (2);
+  for (int n = 0; n < 4; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 60);
+      if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", &row, 1, NULL, 0);
+    }
+  ck_assert_uint_eq (world_starts (wld, 2, 0), 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -89,6 +168,9 @@
   TCase *tc = tcase_create ("placer_instance");
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, test_other_worker_at_address);
+  tcase_add_loop_test (tc, test_restart_under_same_id, SIGN_HOLD,
+                       SIGN_HOST + 1);
+  tcase_add_test (tc, test_start_on_unnoticed_instance);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
