sched: acknowledge no ends to a worker that was silent

A worker that restarts under its id forgets its ends up to the number that a hold acknowledges, and the owner does not know of the restart before the first answer. A hold to a silent worker carried the number that the earlier instance had reached, so the new one would forget ends that nobody had read (TWICE or LOST).

A hold after a call without an answer acknowledges nothing; the ends are listed again and filtered by their numbers.

test_no_acknowledgement_after_silence failed before.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -439,7 +439,9 @@
   ctx->plc = plc;
   ctx->worker = wrk->handle;
   ctx->sent_us = now_us;
-  ctx->last_seen = wrk->durable_end;
+  /* A silent worker may have been started again: its new instance would forget
+     ends that it has numbered anew.  */
+  ctx->last_seen = wrk->unanswered_calls == 0 ? wrk->durable_end : 0;
   /* Do not extend the leases of a silent worker: each extension that may still
      arrive would delay the time at which its runs have certainly ended.  */
   ctx->lease_end_ms = wrk->clock_ms > 0 && wrk->unanswered_calls == 0
--- a/test/unit/unit_placer_instance.c
+++ b/test/unit/unit_placer_instance.c
@@ -161,6 +161,21 @@
 }
 END_TEST
 
+/* A worker that was silent may have been started again, and would forget its
+   own ends up to the number that the earlier instance had reached.  */
+START_TEST (test_no_acknowledgement_after_silence)
+{
+  complete_job (1, 5);
+  run_job (2);
+  struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+  ck_assert_uint_eq (hold->last_seen, 5);
+  lose_worker ();
+  hold = world_call (wld, WORLD_HOLD, "w1");
+  ck_assert_ptr_nonnull (hold);
+  ck_assert_uint_eq (hold->last_seen, 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -171,6 +186,7 @@
   tcase_add_loop_test (tc, test_restart_under_same_id, SIGN_HOLD,
                        SIGN_HOST + 1);
   tcase_add_test (tc, test_start_on_unnoticed_instance);
+  tcase_add_test (tc, test_no_acknowledgement_after_silence);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
