job: a failed run is identified by its worker and number

Failures were one bit for each run number. A successor that does not know of an earlier owner's run uses its number again; when both runs failed, the task counted one failure and could be started once more than the queue's attempts (BUDGET).

Failed runs are now kept one by one, by a hash of the worker, its start and the run number; for gangs, whose members fail together, by the number alone. The progress record carries them in a new field; the old field is reserved.

test_failed_runs_with_one_number failed before (1 instead of 2). test_failures_in_any_order checks the same order as before through the new functions; test_failures_in_record is new and covers encoding, folding and dropping.

--- a/job/job.c
+++ b/job/job.c
@@ -2,6 +2,8 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <talloc.h>
+#include <xxhash.h>
 
 static int
 hex_digit (char chr)
@@ -94,19 +96,35 @@
   *pos = '\0';
 }
 
-uint32_t
-task_failures (const struct task *tsk)
+uint64_t
+job_failure_key (const char *worker, int64_t born_ms, uint32_t run)
 {
-  return (uint32_t)__builtin_popcountll (tsk->prg.failed_runs);
+  XXH64_hash_t seed = XXH64 (&born_ms, sizeof born_ms, run);
+  return XXH64 (worker, strlen (worker), seed);
 }
 
 bool
-task_add_failure (struct task *tsk, uint32_t run)
+job_add_failure (struct job *job, uint32_t occurrence, uint32_t task,
+                 uint64_t key, bool logged)
 {
-  uint64_t bit = (uint64_t)1 << (run - 1) % 64;
-  if (tsk->prg.failed_runs & bit)
+  for (size_t n = 0; n < job->failed_run_count; n++)
+    {
+      struct failed_run *row = &job->failed_runs[n];
+      if (row->occurrence != occurrence || row->task != task
+          || row->key != key)
+        continue;
+      row->logged = row->logged || logged;
+      return false;
+    }
+  struct failed_run *rows = talloc_realloc (
+      job, job->failed_runs, struct failed_run, job->failed_run_count + 1);
+  if (!rows)
     return false;
-  tsk->prg.failed_runs |= bit;
+  job->failed_runs = rows;
+  rows[job->failed_run_count++] = (struct failed_run){
+    .occurrence = occurrence, .task = task, .key = key, .logged = logged
+  };
+  job->occurrences[occurrence].tasks[task].failures++;
   return true;
 }
 
--- a/job/job.h
+++ b/job/job.h
@@ -64,18 +64,27 @@
 /* The recorded progress of a task.  */
 struct task_progress
 {
-  uint32_t last_run;    /* highest run number used */
-  uint64_t failed_runs; /* one bit per run, so that a failure that is reported
-                           twice counts once; see task_add_failure */
+  uint32_t last_run; /* highest run number used */
   bool done;
 };
 
+/* A failed run.  Kept one by one, so that a failure that is reported twice
+   counts once.  */
+struct failed_run
+{
+  uint32_t occurrence;
+  uint32_t task; /* index in the occurrence */
+  uint64_t key;  /* see job_failure_key */
+  bool logged;   /* in the log */
+};
+
 struct task
 {
   /* PRG may be newer than LOGGED, the progress in the log, only in the process
      that owns the pool.  */
   struct task_progress prg;
   struct task_progress logged;
+  uint32_t failures; /* its entries in the job's failed runs */
 
   /* Maintained only by the process that owns the pool.  */
   struct run *run;        /* the current run; NULL: none */
@@ -125,6 +134,8 @@
   uint32_t task_count; /* of one occurrence */
   struct occurrence *occurrences;
   uint32_t occurrence_count;
+  struct failed_run *failed_runs;
+  size_t failed_run_count;
   bool started;                /* at least one task has had a run */
   enum job_state state;        /* in the pool's owner possibly newer than the
                                   log */
@@ -163,10 +174,16 @@
 bool task_ref_parse (const char *text, struct task_ref *ref);
 void task_ref_format (const struct task_ref *ref, char text[TASK_NAME_MAX]);
 
-uint32_t task_failures (const struct task *tsk);
-/* Records that the run with the number RUN failed.  Returns false when that
-   failure is recorded already.  */
-bool task_add_failure (struct task *tsk, uint32_t run);
+/* Identifies the run RUN on the instance of WORKER that was started at BORN_MS
+   among the runs of its task.  The number alone does not: owners that follow
+   each other may use it for different runs.  */
+uint64_t job_failure_key (const char *worker, int64_t born_ms, uint32_t run);
+/* Records a failed run of the task with index TASK in OCCURRENCE.  Returns
+   false when it is recorded already, or when out of memory.  LOGGED: the log
+   has it.
+ */
+bool job_add_failure (struct job *job, uint32_t occurrence, uint32_t task,
+                      uint64_t key, bool logged);
 
 /* Returns NULL when there is no such task.  */
 struct task *job_task (struct job *job, const struct task_ref *ref);
--- a/job/job_codec.c
+++ b/job/job_codec.c
@@ -87,19 +87,42 @@
   return err;
 }
 
+static int
+failures_to_message (void *ctx, const struct job *job, uint32_t occurrence,
+                     Kingcuphollow__OccurrenceProgress *msg)
+{
+  size_t most = job->failed_run_count;
+  if (most == 0)
+    return 0;
+  Kingcuphollow__FailedRun *rows
+      = talloc_array (ctx, Kingcuphollow__FailedRun, most);
+  msg->failures = talloc_array (ctx, Kingcuphollow__FailedRun *, most);
+  if (!rows || !msg->failures)
+    return ERR_NOMEM;
+  for (size_t n = 0; n < most; n++)
+    {
+      if (job->failed_runs[n].occurrence != occurrence)
+        continue;
+      Kingcuphollow__FailedRun *row = &rows[msg->n_failures];
+      kingcuphollow__failed_run__init (row);
+      row->task = job->failed_runs[n].task;
+      row->key = job->failed_runs[n].key;
+      msg->failures[msg->n_failures++] = row;
+    }
+  return 0;
+}
+
 static int
 occurrence_to_message (void *ctx, const struct job *job, uint32_t number,
                        Kingcuphollow__OccurrenceProgress *msg)
 {
   const struct occurrence *occ = &job->occurrences[number];
-  bool failed = false;
   kingcuphollow__occurrence_progress__init (msg);
   msg->number = number;
   msg->done.len = (job->task_count + 7) / 8;
   msg->done.data = talloc_zero_size (ctx, msg->done.len);
   msg->runs = talloc_array (ctx, uint32_t, job->task_count);
-  msg->failed_runs = talloc_array (ctx, uint64_t, job->task_count);
-  if (!msg->done.data || !msg->runs || !msg->failed_runs)
+  if (!msg->done.data || !msg->runs)
     return ERR_NOMEM;
   msg->n_runs = job->task_count;
   for (uint32_t n = 0; n < job->task_count; n++)
@@ -108,11 +131,8 @@
       if (tsk->prg.done)
         msg->done.data[n / 8] |= (uint8_t)(1u << n % 8);
       msg->runs[n] = tsk->prg.last_run;
-      msg->failed_runs[n] = tsk->prg.failed_runs;
-      failed = failed || tsk->prg.failed_runs != 0;
     }
-  msg->n_failed_runs = failed ? job->task_count : 0;
-  return 0;
+  return failures_to_message (ctx, job, number, msg);
 }
 
 int
@@ -256,7 +276,6 @@
   bool done = index / 8 < part->done.len
               && (part->done.data[index / 8] >> index % 8 & 1);
   uint32_t runs = index < part->n_runs ? part->runs[index] : 0;
-  uint64_t failed = index < part->n_failed_runs ? part->failed_runs[index] : 0;
   if (done && !tsk->prg.done)
     {
       uint32_t step = 0;
@@ -268,26 +287,42 @@
       occ->step_done[step]++;
       *changed = true;
     }
-  *stale
-      = *stale || (tsk->prg.done && !done) || (tsk->prg.failed_runs & ~failed);
+  *stale = *stale || (tsk->prg.done && !done);
   if (runs > tsk->prg.last_run)
     {
       tsk->prg.last_run = runs;
       *changed = true;
     }
-  if (failed & ~tsk->prg.failed_runs)
-    {
-      tsk->prg.failed_runs |= failed;
-      *changed = true;
-    }
   if (runs > 0)
     job->started = true;
   tsk->logged.done = tsk->logged.done || done;
-  tsk->logged.failed_runs |= failed;
   if (runs > tsk->logged.last_run)
     tsk->logged.last_run = runs;
 }
 
+/* Merges the failed runs of PART, and finds out whether it lacks any.  */
+static void
+merge_failures (struct job *job, uint32_t occurrence,
+                const Kingcuphollow__OccurrenceProgress *part, bool *changed,
+                bool *stale)
+{
+  size_t known = 0;
+  size_t recorded = 0;
+  for (size_t n = 0; n < job->failed_run_count; n++)
+    known += job->failed_runs[n].occurrence == occurrence;
+  for (size_t n = 0; n < part->n_failures; n++)
+    {
+      const Kingcuphollow__FailedRun *row = part->failures[n];
+      if (row->task >= job->task_count)
+        continue;
+      if (job_add_failure (job, occurrence, row->task, row->key, true))
+        *changed = true;
+      else
+        recorded++;
+    }
+  *stale = *stale || recorded < known;
+}
+
 int
 job_merge_progress (struct job *job, const uint8_t *data, size_t len,
                     bool *changed, bool *stale, uint64_t *token)
@@ -305,6 +340,7 @@
       struct occurrence *occ = &job->occurrences[part->number];
       for (uint32_t m = 0; m < job->task_count; m++)
         merge_task (job, occ, m, part, changed, stale);
+      merge_failures (job, part->number, part, changed, stale);
     }
   *token = msg->token;
   kingcuphollow__job_progress__free_unpacked (msg, NULL);
--- a/job/job_table.c
+++ b/job/job_table.c
@@ -137,7 +137,7 @@
       for (uint32_t m = 0; !stp->perpetual && m < stp->count; m++)
         {
           const struct task *tsk = &occ->tasks[stp->first_task + m];
-          if (!tsk->prg.done && task_failures (tsk) >= attempts)
+          if (!tsk->prg.done && tsk->failures >= attempts)
             return true;
         }
     }
@@ -189,6 +189,16 @@
           occ->done += occ->step_done[m];
         }
     }
+  size_t kept = 0;
+  for (size_t n = 0; n < job->failed_run_count; n++)
+    {
+      const struct failed_run row = job->failed_runs[n];
+      if (!row.logged)
+        continue;
+      job->failed_runs[kept++] = row;
+      job->occurrences[row.occurrence].tasks[row.task].failures++;
+    }
+  job->failed_run_count = kept;
   job->dirty = false;
   if (job->logged_state >= JOB_COMPLETED)
     return;
--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -187,6 +187,51 @@
   assert(message->base.descriptor == &kingcuphollow__occurrence_progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   kingcuphollow__failed_run__init
+                     (Kingcuphollow__FailedRun         *message)
+{
+  static const Kingcuphollow__FailedRun init_value = KINGCUPHOLLOW__FAILED_RUN__INIT;
+  *message = init_value;
+}
+size_t kingcuphollow__failed_run__get_packed_size
+                     (const Kingcuphollow__FailedRun *message)
+{
+  assert(message->base.descriptor == &kingcuphollow__failed_run__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t kingcuphollow__failed_run__pack
+                     (const Kingcuphollow__FailedRun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &kingcuphollow__failed_run__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t kingcuphollow__failed_run__pack_to_buffer
+                     (const Kingcuphollow__FailedRun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &kingcuphollow__failed_run__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Kingcuphollow__FailedRun *
+       kingcuphollow__failed_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Kingcuphollow__FailedRun *)
+     protobuf_c_message_unpack (&kingcuphollow__failed_run__descriptor,
+                                allocator, len, data);
+}
+void   kingcuphollow__failed_run__free_unpacked
+                     (Kingcuphollow__FailedRun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &kingcuphollow__failed_run__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   kingcuphollow__pool_workers__worker__init
                      (Kingcuphollow__PoolWorkers__Worker         *message)
 {
@@ -986,27 +1031,28 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "failed_runs",
-    4,
+    "failures",
+    5,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT64,
-    offsetof(Kingcuphollow__OccurrenceProgress, n_failed_runs),
-    offsetof(Kingcuphollow__OccurrenceProgress, failed_runs),
-    NULL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Kingcuphollow__OccurrenceProgress, n_failures),
+    offsetof(Kingcuphollow__OccurrenceProgress, failures),
+    &kingcuphollow__failed_run__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned kingcuphollow__occurrence_progress__field_indices_by_name[] = {
   1,   /* field[1] = done */
-  3,   /* field[3] = failed_runs */
+  3,   /* field[3] = failures */
   0,   /* field[0] = number */
   2,   /* field[2] = runs */
 };
-static const ProtobufCIntRange kingcuphollow__occurrence_progress__number_ranges[1 + 1] =
+static const ProtobufCIntRange kingcuphollow__occurrence_progress__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 5, 3 },
   { 0, 4 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__occurrence_progress__descriptor =
@@ -1020,10 +1066,61 @@
   4,
   kingcuphollow__occurrence_progress__field_descriptors,
   kingcuphollow__occurrence_progress__field_indices_by_name,
-  1,  kingcuphollow__occurrence_progress__number_ranges,
+  2,  kingcuphollow__occurrence_progress__number_ranges,
   (ProtobufCMessageInit) kingcuphollow__occurrence_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor kingcuphollow__failed_run__field_descriptors[2] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__FailedRun, task),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__FailedRun, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned kingcuphollow__failed_run__field_indices_by_name[] = {
+  1,   /* field[1] = key */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange kingcuphollow__failed_run__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor kingcuphollow__failed_run__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "kingcuphollow.FailedRun",
+  "FailedRun",
+  "Kingcuphollow__FailedRun",
+  "kingcuphollow",
+  sizeof(Kingcuphollow__FailedRun),
+  2,
+  kingcuphollow__failed_run__field_descriptors,
+  kingcuphollow__failed_run__field_indices_by_name,
+  1,  kingcuphollow__failed_run__number_ranges,
+  (ProtobufCMessageInit) kingcuphollow__failed_run__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor kingcuphollow__pool_workers__worker__field_descriptors[3] =
 {
   {
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -19,6 +19,7 @@
 typedef struct Kingcuphollow__JobStep Kingcuphollow__JobStep;
 typedef struct Kingcuphollow__JobProgress Kingcuphollow__JobProgress;
 typedef struct Kingcuphollow__OccurrenceProgress Kingcuphollow__OccurrenceProgress;
+typedef struct Kingcuphollow__FailedRun Kingcuphollow__FailedRun;
 typedef struct Kingcuphollow__PoolWorkers Kingcuphollow__PoolWorkers;
 typedef struct Kingcuphollow__PoolWorkers__Worker Kingcuphollow__PoolWorkers__Worker;
 typedef struct Kingcuphollow__MemberBeat Kingcuphollow__MemberBeat;
@@ -123,17 +124,31 @@
    */
   size_t n_runs;
   uint32_t *runs;
-  /*
-   * Failed runs of each task, one bit a run; empty when none failed.
-   */
-  size_t n_failed_runs;
-  uint64_t *failed_runs;
+  size_t n_failures;
+  Kingcuphollow__FailedRun **failures;
 };
 #define KINGCUPHOLLOW__OCCURRENCE_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__occurrence_progress__descriptor) \
     , 0, {0,NULL}, 0,NULL, 0,NULL }
 
 
+struct  Kingcuphollow__FailedRun
+{
+  ProtobufCMessage base;
+  /*
+   * Index of the task, in the order of steps and indexes.
+   */
+  uint32_t task;
+  /*
+   * Identifies the run among those of the task.
+   */
+  uint64_t key;
+};
+#define KINGCUPHOLLOW__FAILED_RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__failed_run__descriptor) \
+    , 0, 0 }
+
+
 struct  Kingcuphollow__PoolWorkers__Worker
 {
   ProtobufCMessage base;
@@ -359,6 +374,25 @@
 void   kingcuphollow__occurrence_progress__free_unpacked
                      (Kingcuphollow__OccurrenceProgress *message,
                       ProtobufCAllocator *allocator);
+/* Kingcuphollow__FailedRun methods */
+void   kingcuphollow__failed_run__init
+                     (Kingcuphollow__FailedRun         *message);
+size_t kingcuphollow__failed_run__get_packed_size
+                     (const Kingcuphollow__FailedRun   *message);
+size_t kingcuphollow__failed_run__pack
+                     (const Kingcuphollow__FailedRun   *message,
+                      uint8_t             *out);
+size_t kingcuphollow__failed_run__pack_to_buffer
+                     (const Kingcuphollow__FailedRun   *message,
+                      ProtobufCBuffer     *buffer);
+Kingcuphollow__FailedRun *
+       kingcuphollow__failed_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   kingcuphollow__failed_run__free_unpacked
+                     (Kingcuphollow__FailedRun *message,
+                      ProtobufCAllocator *allocator);
 /* Kingcuphollow__PoolWorkers__Worker methods */
 void   kingcuphollow__pool_workers__worker__init
                      (Kingcuphollow__PoolWorkers__Worker         *message);
@@ -509,6 +543,9 @@
 typedef void (*Kingcuphollow__OccurrenceProgress_Closure)
                  (const Kingcuphollow__OccurrenceProgress *message,
                   void *closure_data);
+typedef void (*Kingcuphollow__FailedRun_Closure)
+                 (const Kingcuphollow__FailedRun *message,
+                  void *closure_data);
 typedef void (*Kingcuphollow__PoolWorkers__Worker_Closure)
                  (const Kingcuphollow__PoolWorkers__Worker *message,
                   void *closure_data);
@@ -543,6 +580,7 @@
 extern const ProtobufCMessageDescriptor kingcuphollow__job_step__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__job_progress__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__occurrence_progress__descriptor;
+extern const ProtobufCMessageDescriptor kingcuphollow__failed_run__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__pool_workers__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__pool_workers__worker__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__member_beat__descriptor;
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -159,13 +159,20 @@
              LOG_S ("end", names[row->end]), LOG_I ("number", row->number));
 }
 
-/* The first member of a gang; it counts the failed runs of the gang.  */
-static struct task *
-first_member (struct job *job, const struct task_ref *ref)
+/* Records the failed run of ROW.  Returns false if it is recorded already.  */
+static bool
+add_failure (struct job *job, const struct worker *wrk,
+             const struct ended_row *row)
 {
-  struct task_ref first = *ref;
-  first.index = 0;
-  return job_task (job, &first);
+  const struct step *stp = &job->spec.steps[row->task.step];
+  /* The members of a gang fail together, on several workers; the first member
+     counts the failed runs.  */
+  uint64_t key
+      = stp->gang ? job_failure_key ("", 0, row->run)
+                  : job_failure_key (wrk->rep.id, wrk->rep.born_ms, row->run);
+  return job_add_failure (job, row->task.occurrence,
+                          stp->first_task + (stp->gang ? 0 : row->task.index),
+                          key, false);
 }
 
 /* Applies the end of a run to its job.  The run may be an earlier one than the
@@ -204,8 +211,7 @@
         placer_stop_run (plc, tsk->run);
     }
   else if (row->end == RUN_END_FAILED && !stp->perpetual
-           && task_add_failure (
-               stp->gang ? first_member (job, &row->task) : tsk, row->run))
+           && add_failure (job, wrk, row))
     placer_mark_dirty (plc, job);
   if (run)
     {
--- a/test/unit/unit_job.c
+++ b/test/unit/unit_job.c
@@ -120,16 +120,48 @@
 {
   struct job *job = help_fold_job (&tab, ctx, 7, TWO_STEPS, 10, 0, 1000);
   struct task *tsk = &job->occurrences[0].tasks[0];
-  ck_assert (task_add_failure (tsk, 2));
-  ck_assert (task_add_failure (tsk, 1));
-  ck_assert (!task_add_failure (tsk, 2));
-  ck_assert_uint_eq (task_failures (tsk), 2);
+  uint64_t first = job_failure_key ("w1", 1000, 1);
+  uint64_t second = job_failure_key ("w1", 1000, 2);
+  ck_assert (job_add_failure (job, 0, 0, second, false));
+  ck_assert (job_add_failure (job, 0, 0, first, false));
+  ck_assert (!job_add_failure (job, 0, 0, second, false));
+  ck_assert_uint_eq (tsk->failures, 2);
   ck_assert (!job_update_state (job, 3, 5000));
   ck_assert (job_update_state (job, 2, 5000));
   ck_assert_int_eq (job->state, JOB_FAILED);
 }
 END_TEST
 
+/* Guards against failed runs that a later owner does not know of or counts
+   twice: they are part of the progress record.  */
+START_TEST (test_failures_in_record)
+{
+  struct job_table other;
+  job_table_init (&other);
+  struct job *job = help_fold_job (&tab, ctx, 7, TWO_STEPS, 10, 0, 1000);
+  struct job *copy = help_fold_job (&other, ctx, 7, TWO_STEPS, 10, 0, 1000);
+  ck_assert (
+      job_add_failure (job, 0, 1, job_failure_key ("w1", 1000, 1), false));
+  ck_assert (
+      job_add_failure (job, 0, 1, job_failure_key ("w2", 1000, 1), false));
+  ck_assert_int_eq (fold_progress (&other, job, 5).change,
+                    JOB_CHANGE_PROGRESS);
+  ck_assert_uint_eq (copy->occurrences[0].tasks[1].failures, 2);
+  ck_assert_int_eq (fold_progress (&other, job, 5).change, JOB_CHANGE_NONE);
+  ck_assert (
+      !job_add_failure (copy, 0, 1, job_failure_key ("w2", 1000, 1), false));
+  /* A failure that is not in the log makes a record stale, and is dropped when
+     the ownership ends.  */
+  ck_assert (
+      job_add_failure (copy, 0, 0, job_failure_key ("w1", 1000, 1), false));
+  ck_assert_int_eq (fold_progress (&other, job, 5).change, JOB_CHANGE_STALE);
+  job_revert_to_log (copy);
+  ck_assert_uint_eq (copy->occurrences[0].tasks[0].failures, 0);
+  ck_assert_uint_eq (copy->occurrences[0].tasks[1].failures, 2);
+  job_table_fini (&other);
+}
+END_TEST
+
 /* Guards against a job that is reported as ended before its end is in the log:
    when the owner fails in between, the next owner resumes the job.  */
 START_TEST (test_logged_state)
@@ -260,6 +292,7 @@
   tcase_add_test (tc, test_repeated_spec);
   tcase_add_test (tc, test_progress);
   tcase_add_test (tc, test_failures_in_any_order);
+  tcase_add_test (tc, test_failures_in_record);
   tcase_add_test (tc, test_logged_state);
   tcase_add_test (tc, test_cancel);
   tcase_add_test (tc, test_bad_jobs);
--- a/test/unit/unit_placer_takeover.c
+++ b/test/unit/unit_placer_takeover.c
@@ -131,6 +131,20 @@
 }
 END_TEST
 
+/* Two runs with the same number are two failures.  Guards against more runs
+   than the queue's attempts (BUDGET): a successor that does not know of an
+   earlier owner's run may use its number again on another worker.  */
+START_TEST (test_failed_runs_with_one_number)
+{
+  const struct world_row end
+      = { .job = 1, .run = 1, .end = RUN_END_FAILED, .number = 1 };
+  struct job *job = world_add_job (wld, 1, BATCH_JOB, 50);
+  world_answer_hold (wld, "w1", NULL, 0, &end, 1);
+  world_answer_hold (wld, "w2", NULL, 0, &end, 1);
+  ck_assert_uint_eq (job->occurrences[0].tasks[0].failures, 2);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -140,6 +154,7 @@
   tcase_add_loop_test (tc, test_listed_run_with_lower_number, 0, 3);
   tcase_add_test (tc, test_unwanted_run_delays_start);
   tcase_add_test (tc, test_unlogged_progress_of_earlier_ownership);
+  tcase_add_test (tc, test_failed_runs_with_one_number);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
