sched: record the number of a run with its end

Only ends that were done or failed queued the progress of their job for the log; ends by a stop, an expired lease or of a perpetual task did not, so that a successor counted from an older number.

Any end with a number that is not in the log now queues the progress. A number can still be used twice when an owner is lost before it has appended the end.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -191,6 +191,9 @@
   store_checkpoint (job, &row->task, tsk, row->checkpoint);
   if (row->run > tsk->prg.last_run)
     tsk->prg.last_run = row->run;
+  /* A successor that does not know the number would use it again.  */
+  if (tsk->prg.last_run > tsk->logged.last_run)
+    placer_mark_dirty (plc, job);
   if (row->end == RUN_END_DONE)
     {
       wrk->fail_streak = 0;
--- a/test/unit/unit_placer_takeover.c
+++ b/test/unit/unit_placer_takeover.c
@@ -131,6 +131,23 @@
 }
 END_TEST
 
+/* Guards against run numbers that are used again by a later owner: the end of a
+   run is recorded with its number, also that of a perpetual task.  */
+START_TEST (test_run_number_recorded)
+{
+  const struct world_row end
+      = { .job = 1, .run = 4, .end = RUN_END_STOPPED, .number = 1 };
+  struct job *job = world_add_job (wld, 1, PERPETUAL_JOB, 50);
+  job->started = true;
+  size_t before = wld->append_count;
+  world_answer_hold (wld, "w1", NULL, 0, &end, 1);
+  world_confirm_ownership (wld);
+  world_tick (wld, 1);
+  ck_assert_uint_eq (job->occurrences[0].tasks[0].prg.last_run, 4);
+  ck_assert_uint_gt (wld->append_count, before);
+}
+END_TEST
+
 /* Two runs with the same number are two failures.  Guards against more runs
    than the queue's attempts (BUDGET): a successor that does not know of an
    earlier owner's run may use its number again on another worker.  */
@@ -155,6 +172,7 @@
   tcase_add_test (tc, test_unwanted_run_delays_start);
   tcase_add_test (tc, test_unlogged_progress_of_earlier_ownership);
   tcase_add_test (tc, test_failed_runs_with_one_number);
+  tcase_add_test (tc, test_run_number_recorded);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
