claim: repeated keys wait for the read of their answer

Trace, c1.log: the process was paused by the busy machine and got 20 repeats within a millisecond; 16 reads of recorded answers were in progress for later-42 to later-57, and later-58 to later-61 were told "unknown" within 1.3 ms although the answers were in the log. Further requests above ANSWER_READS_MAX now wait in order, at most until their deadline.

test_many_repeated_keys failed before (no body from k16 on).

--- a/claim/claim.c
+++ b/claim/claim.c
@@ -30,6 +30,7 @@
 /* Delay after an append with unknown result until its items are appended
    again.  */
 #define RESEND_US 200000
+/* Most reads of recorded answers in progress at a time.  */
 #define ANSWER_READS_MAX 16
 #define DECODE_ATTEMPTS_MAX 3 /* reads of a record that cannot be decoded */
 #define WAKE_MIN_US 1000
@@ -56,13 +57,15 @@
   struct priv *priv; /* NULL after claims_fini */
 };
 
-/* A read in progress of the recorded answer of a duplicate request, whose
-   callback waits for it.  */
+/* A read of the recorded answer of a duplicate request, whose callback waits
+   for it.  At most ANSWER_READS_MAX are in progress; the others wait in order.
+ */
 struct answer_read
 {
   struct answer_read *prev;
   struct answer_read *next;
   struct priv *priv; /* NULL: the callback has run or must not run */
+  bool in_progress;
   struct claim_event event;
 };
 
@@ -84,7 +87,7 @@
 
   struct log_read *read_in_progress;
   struct answer_read *answer_reads;
-  uint32_t answer_read_count;
+  uint32_t answer_reads_in_progress;
   bool last_read_ok;
   uint32_t read_failures;      /* in a row */
   uint64_t undecodable_offset; /* of the last record that failed to decode */
@@ -141,6 +144,29 @@
     event->release_fn (event->arg, event->recorded);
 }
 
+static void on_answer (void *arg, const struct read_result *res);
+
+/* Starts waiting reads of answers as far as the limit allows.  One that cannot
+   be started waits on, at most until its deadline.  */
+static void
+start_answer_reads (struct priv *p)
+{
+  struct answer_read *call;
+  DL_FOREACH (p->answer_reads, call)
+    {
+      if (p->answer_reads_in_progress >= ANSWER_READS_MAX)
+        return;
+      if (call->in_progress)
+        continue;
+      if (log_store_read (p->st, p->stream, call->event.answer_offset, 1, 0,
+                          on_answer, call)
+          != 0)
+        return;
+      call->in_progress = true;
+      p->answer_reads_in_progress++;
+    }
+}
+
 static void
 on_answer (void *arg, const struct read_result *res)
 {
@@ -154,7 +180,8 @@
       return;
     }
   DL_DELETE (p->answer_reads, call);
-  p->answer_read_count--;
+  p->answer_reads_in_progress--;
+  start_answer_reads (p);
   /* When the record cannot be read, the outcome is reported without body.  */
   if (res->err == 0 && res->count > 0
       && res->records[0].offset == call->event.answer_offset
@@ -171,36 +198,32 @@
   talloc_free (call);
 }
 
-/* Starts to read the recorded answer that EVENT refers to.  Returns false when
-   too many such reads are in progress, or on an error.  */
+/* Reads the recorded answer that EVENT refers to.  Returns false when out of
+   memory.  */
 static bool
 read_answer (struct priv *p, const struct claim_event *event)
 {
-  if (p->answer_read_count >= ANSWER_READS_MAX)
-    return false;
   struct answer_read *call = talloc_zero (p->parent, struct answer_read);
   if (!call)
     return false;
   call->priv = p;
   call->event = *event;
-  if (log_store_read (p->st, p->stream, event->answer_offset, 1, 0, on_answer,
-                      call)
-      != 0)
-    {
-      talloc_free (call);
-      return false;
-    }
   DL_APPEND (p->answer_reads, call);
-  p->answer_read_count++;
+  start_answer_reads (p);
   return true;
 }
 
-/* Removes CALL from the list; its reply will be ignored.  */
+/* Removes CALL from the list; a reply to it will be ignored.  */
 static void
 detach_answer (struct priv *p, struct answer_read *call)
 {
   DL_DELETE (p->answer_reads, call);
-  p->answer_read_count--;
+  if (!call->in_progress)
+    {
+      talloc_free (call);
+      return;
+    }
+  p->answer_reads_in_progress--;
   call->priv = NULL;
 }
 
--- a/test/unit/unit_claim.c
+++ b/test/unit/unit_claim.c
@@ -266,6 +266,45 @@
 }
 END_TEST
 
+/* Guards against callers that repeat a key and are told "unknown" although the
+   answer is in the log: more answers are asked for at a time than are read
+   at a time.  */
+START_TEST (test_many_repeated_keys)
+{
+  enum
+  {
+    COUNT = 40
+  };
+  static struct verdict_cb repeats[COUNT];
+  char key[8];
+  start ();
+  for (int n = 0; n < COUNT; n++)
+    {
+      snprintf (key, sizeof key, "k%d", n);
+      struct verdict_cb cb = request_and_wait (&first_proc, key, 5);
+      ck_assert_int_eq (claim_done (&first_proc, key_of (key), cb.out.claim_id,
+                                    true, 201, (const uint8_t *)key,
+                                    strlen (key)),
+                        0);
+    }
+  WAIT_FOR (claims_idle (&first_proc));
+  catch_up (&second_proc);
+  for (int n = 0; n < COUNT; n++)
+    {
+      snprintf (key, sizeof key, "k%d", n);
+      request (&second_proc, key, 5, FAR_DEADLINE_US, &repeats[n]);
+    }
+  for (int n = 0; n < COUNT; n++)
+    {
+      snprintf (key, sizeof key, "k%d", n);
+      WAIT_FOR (repeats[n].count > 0);
+      ck_assert_int_eq (repeats[n].out.result, CLAIM_RESULT_ANSWERED);
+      ck_assert_str_eq (repeats[n].body, key);
+    }
+  stop ();
+}
+END_TEST
+
 /* Guards against a release that is never recorded, and against one reported as
    recorded while the log is unreachable.  */
 START_TEST (test_release)
@@ -501,6 +540,7 @@
   tcase_add_test (tc, test_slow_append);
   tcase_add_test (tc, test_timeout_releases);
   tcase_add_loop_test (tc, test_repeated_key, 0, ROWS (repeated_keys));
+  tcase_add_test (tc, test_many_repeated_keys);
   tcase_add_test (tc, test_release);
   tcase_add_test (tc, test_group_commit);
   tcase_add_test (tc, test_outage);
