--- /dev/null
+++ b/test/unit/unit_wire_store.c
@@ -0,0 +1,228 @@
+#include <check.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/err.h"
+#include "platform/wire_store.h"
+#include "wire_server.h"
+
+/* Tests of platform/wire_store.c against an HTTP server.  */
+
+/* Of the values "v1" and "v2" in base64.  */
+#define GOOD_ITEM_1 "{\"key\":\"a\",\"value\":\"djE=\",\"offset\":4}"
+#define GOOD_ITEM_2 "{\"key\":\"p\",\"value\":\"djI=\",\"offset\":6}"
+
+static struct wire_server srv;
+static struct wire_store store;
+static int done;
+static char good[64]; /* key, value and offset of each usable record */
+static int err;
+static uint64_t end_offset;
+
+static void
+setup (void)
+{
+  wire_server_start (&srv);
+  ck_assert_int_eq (wire_store_init (&store, srv.ev, &srv.cli, srv.address),
+                    0);
+}
+
+static void
+teardown (void)
+{
+  wire_server_stop (&srv);
+}
+
+/* Notes the records whose values are those of the good items.  */
+static void
+on_records (void *arg, const struct topic_read_result *res)
+{
+  good[0] = '\0';
+  for (size_t n = 0; n < res->count; n++)
+    {
+      const struct topic_record *rec = &res->records[n];
+      if (rec->entry.value_len != 2 || rec->entry.value[0] != 'v')
+        continue;
+      char text[32];
+      snprintf (text, sizeof text, "%.*s=%.2s@%d ", (int)rec->entry.key_len,
+                rec->entry.key, (const char *)rec->entry.value,
+                (int)rec->offset);
+      strncat (good, text, sizeof good - strlen (good) - 1);
+    }
+  err = res->err;
+  end_offset = res->end_offset;
+  done = 1;
+}
+
+static void
+read_newest (const char *body, size_t len)
+{
+  srv.body = (const uint8_t *)body;
+  srv.body_len = len;
+  done = 0;
+  ck_assert_int_eq (
+      topic_read_newest (&store.st, "t", 0, NULL, on_records, NULL), 0);
+  wire_server_await (&srv, &done);
+}
+
+/* Guards against a process that stops following the workers' entries: one item
+   that another writer made, and that cannot be read, used to make the whole
+   page invalid, and the page was requested again and again.  */
+START_TEST (test_odd_item)
+{
+  static const char *const items[] = {
+    "0",
+    "null",
+    "\"x\"",
+    "[]",
+    "{}",
+    "{\"key\":\"o\"}",
+    /* A key of other types, and one with a NUL.  */
+    "{\"key\":5,\"value\":\"eA==\",\"offset\":5}",
+    "{\"key\":\"o\\u0000x\",\"value\":\"\",\"offset\":5}",
+    "{\"key\":\"\",\"value\":\"\",\"offset\":5}",
+    /* Not UTF-8: a lone byte, an overlong form and half a surrogate pair.  */
+    "{\"key\":\"o\xff\",\"value\":\"eA==\",\"offset\":5}",
+    "{\"key\":\"o\xc0\x80\",\"value\":\"eA==\",\"offset\":5}",
+    "{\"key\":\"o\\ud800\",\"value\":\"eA==\",\"offset\":5}",
+    /* Numbers out of range.  */
+    "{\"key\":\"o\",\"value\":\"eA==\",\"offset\":99999999999999999999}",
+    "{\"key\":\"o\",\"value\":\"eA==\",\"offset\":-99999999999999999999}",
+    "{\"key\":\"o\",\"value\":\"eA==\",\"offset\":1e400}",
+    "{\"key\":\"o\",\"value\":\"eA==\",\"offset\":-1}",
+    "{\"key\":\"o\",\"value\":\"eA==\",\"offset\":1.5}",
+    "{\"key\":\"o\",\"value\":\"eA==\",\"offset\":\"5\"}",
+    /* Values that are not base64, or not text.  */
+    "{\"key\":\"o\",\"value\":\"*\",\"offset\":5}",
+    "{\"key\":\"o\",\"value\":\"eA\",\"offset\":5}",
+    "{\"key\":\"o\",\"value\":\"=\",\"offset\":5}",
+    "{\"key\":\"o\",\"value\":7,\"offset\":5}",
+    "{\"key\":\"o\",\"value\":{\"]\":\"\\\"}\"},\"offset\":5}",
+    "{\"key\":\"o\",\"key\":\"o\",\"value\":\"eA==\"}",
+  };
+  for (size_t n = 0; n < sizeof items / sizeof *items; n++)
+    {
+      char *body
+          = talloc_asprintf (srv.ev,
+                             "{\"items\":[" GOOD_ITEM_1 ",%s," GOOD_ITEM_2 "],"
+                             "\"has-more\":false,\"end\":9}",
+                             items[n]);
+      read_newest (body, strlen (body));
+      ck_assert_msg (err == 0, "error %d: %s", err, items[n]);
+      ck_assert_msg (strcmp (good, "a=v1@4 p=v2@6 ") == 0, "%s: %s", good,
+                     items[n]);
+      ck_assert_uint_eq (end_offset, 9);
+    }
+}
+END_TEST
+
+/* Guards against an item that is nested so deeply that the parser rejects the
+   page, or that the stack does not suffice for.  */
+START_TEST (test_deeply_nested_item)
+{
+  static const size_t depths[]
+      = { 10, 1000, 2044, 2045, 2046, 2047, 2048, 5000, 200000 };
+  for (size_t n = 0; n < sizeof depths / sizeof *depths; n++)
+    {
+      size_t depth = depths[n];
+      char *nested = talloc_zero_size (srv.ev, 2 * depth + 1);
+      memset (nested, '[', depth);
+      memset (nested + depth, ']', depth);
+      char *body
+          = talloc_asprintf (srv.ev,
+                             "{\"items\":[" GOOD_ITEM_1
+                             ",{\"key\":\"o\",\"value\":%s}," GOOD_ITEM_2
+                             "],\"has-more\":false,\"end\":9}",
+                             nested);
+      read_newest (body, strlen (body));
+      ck_assert_msg (err == 0, "error %d at depth %zu", err, depth);
+      ck_assert_str_eq (good, "a=v1@4 p=v2@6 ");
+      talloc_free (nested);
+      talloc_free (body);
+    }
+}
+END_TEST
+
+/* Guards against a page that is taken as empty although it cannot be read as a
+   whole: the records behind it would be missed.  */
+START_TEST (test_unreadable_page)
+{
+  static const char *const bodies[] = {
+    "",
+    "[]",
+    "{",
+    "{\"items\":[",
+    "{\"items\":5,\"end\":9}",
+    "{\"items\":[{\"key\":\"a],\"end\":9}",
+    "{\"items\":[]} x",
+    "{\"items\":[],\"end\":99999999999999999999}",
+  };
+  for (size_t n = 0; n < sizeof bodies / sizeof *bodies; n++)
+    {
+      read_newest (bodies[n], strlen (bodies[n]));
+      ck_assert_msg (err == ERR_PROTOCOL, "error %d: %s", err, bodies[n]);
+    }
+}
+END_TEST
+
+/* Guards against a malformed response to a read in order that crashes the
+   process, and against a record without a key that hides those behind it.  */
+START_TEST (test_read_in_order)
+{
+#define HEADER "\0\0\0\0\0\0\0\x09\0\0\0\0\0\0\0\0"
+#define GOOD_RECORD "\0\0\0\x04\x01pv2"
+  static const struct
+  {
+    const char *body;
+    size_t len;
+    int err;
+    const char *good;
+  } cases[] = {
+#define CASE(text, want_err, want) { text, sizeof text - 1, want_err, want }
+    CASE (HEADER GOOD_RECORD, 0, "p=v2@4 "),
+    CASE ("\0\0\0", ERR_PROTOCOL, ""),
+    /* An empty record, a key longer than its record, a key without a value and
+       an empty key.  */
+    CASE (HEADER "\0\0\0\0" GOOD_RECORD, 0, "p=v2@5 "),
+    CASE (HEADER "\0\0\0\x02\x09k" GOOD_RECORD, 0, "p=v2@5 "),
+    CASE (HEADER "\0\0\0\x02\x01k" GOOD_RECORD, 0, "p=v2@5 "),
+    CASE (HEADER "\0\0\0\x02\0w" GOOD_RECORD, 0, "p=v2@5 "),
+    CASE (HEADER "\0\0\0\x05\x03o\0xw" GOOD_RECORD, 0, "p=v2@5 "),
+    /* Truncated records.  */
+    CASE (HEADER GOOD_RECORD "\xff\xff\xff\xff\x01", 0, "p=v2@4 "),
+    CASE (HEADER GOOD_RECORD "\0\0", 0, "p=v2@4 "),
+#undef CASE
+  };
+  for (size_t n = 0; n < sizeof cases / sizeof *cases; n++)
+    {
+      srv.body = (const uint8_t *)cases[n].body;
+      srv.body_len = cases[n].len;
+      done = 0;
+      ck_assert_int_eq (topic_read (&store.st, "t", 0, 4, 0, on_records, NULL),
+                        0);
+      wire_server_await (&srv, &done);
+      ck_assert_msg (err == cases[n].err, "case %zu: error %d", n, err);
+      ck_assert_msg (strcmp (good, cases[n].good) == 0, "case %zu: %s", n,
+                     good);
+    }
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("wire_store");
+  TCase *tc = tcase_create ("wire_store");
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_set_timeout (tc, 60);
+  tcase_add_test (tc, test_odd_item);
+  tcase_add_test (tc, test_deeply_nested_item);
+  tcase_add_test (tc, test_unreadable_page);
+  tcase_add_test (tc, test_read_in_order);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
