store: go on behind a page that ends with an odd key

A page of newest records is continued after its last key. Where that is the key of another writer, the follower requested the same page again and again, without a pause, and never came to the entries behind it: an empty key or an item that cannot be read set no position at all, a key with a NUL was cut off at the NUL, and an escaped key longer than about 430 characters did not fit into the request's URL.

An item without a readable key does not end a page if another one can; a page that leads to no other one ends the reading of newest records, and what lies behind is read in order, as the workers repeat their entries each heartbeat.

--- a/store/follower.c
+++ b/store/follower.c
@@ -1,5 +1,6 @@
 #include "store/follower.h"
 
+#include <string.h>
 #include <talloc.h>
 #include <tevent.h>
 
@@ -9,7 +10,6 @@
 /* Pause after a failed read; short compared with the time within which a
    configuration change has to take effect.  */
 #define RETRY_MS 200
-#define KEY_MAX_BYTES 255
 
 struct priv
 {
@@ -29,7 +29,8 @@
   bool in_order;
   bool restart_pending; /* the next call reads the newest records again */
   bool first_page;
-  char last_key[KEY_MAX_BYTES + 1];
+  char *last_key; /* last key of the previous page; NULL: no page read yet */
+  size_t last_key_len;
 };
 
 static void start_call (struct priv *p);
@@ -57,7 +58,8 @@
 {
   p->in_order = false;
   p->first_page = true;
-  p->last_key[0] = '\0';
+  TALLOC_FREE (p->last_key);
+  p->last_key_len = 0;
 }
 
 static void
@@ -78,6 +80,34 @@
   return finished;
 }
 
+/* Moves to the last key of the page RES.  An item that cannot be read has an
+   empty key, which comes before all others; the next page then begins with
+   that item.  Returns false when the next page would be one that was read
+   before.  The records behind it are then read in order, as their writers
+   repeat them.  */
+static bool
+advance (struct priv *p, const struct topic_read_result *res)
+{
+  const struct topic_entry *last = NULL;
+  for (size_t n = 0; n < res->count; n++)
+    if (!last || res->records[n].entry.key_len > 0)
+      last = &res->records[n].entry;
+  if (!last
+      || (p->last_key
+          && (last->key_len == 0
+              || (p->last_key_len == last->key_len
+                  && memcmp (p->last_key, last->key, last->key_len) == 0))))
+    return false;
+  char *key = talloc_size (p, last->key_len + 1);
+  if (!key)
+    return true; /* the same page is read again */
+  memcpy (key, last->key, last->key_len);
+  talloc_free (p->last_key);
+  p->last_key = key;
+  p->last_key_len = last->key_len;
+  return true;
+}
+
 static void
 on_newest (void *arg, const struct topic_read_result *res)
 {
@@ -93,17 +123,7 @@
     p->next_offset = res->end_offset;
   p->first_page = false;
   deliver (p, res);
-  if (res->more && res->count > 0)
-    {
-      const struct topic_entry *last = &res->records[res->count - 1].entry;
-      for (size_t n = 0; n < last->key_len && n < KEY_MAX_BYTES; n++)
-        p->last_key[n] = last->key[n];
-      p->last_key[last->key_len < KEY_MAX_BYTES ? last->key_len
-                                                : KEY_MAX_BYTES]
-          = '\0';
-    }
-  else
-    p->in_order = true;
+  p->in_order = !res->more || !advance (p, res);
   p->batch_fn (p->arg);
   schedule (p, res->err ? RETRY_MS : 0);
 }
@@ -150,8 +170,11 @@
     err = topic_read (p->st, p->set.topic, p->set.part, p->next_offset,
                       p->caught_up_us ? p->set.wait_ms : 0, on_read, p);
   else
-    err = topic_read_newest (p->st, p->set.topic, p->set.part,
-                             *p->last_key ? p->last_key : NULL, on_newest, p);
+    {
+      const struct topic_key after = { p->last_key, p->last_key_len };
+      err = topic_read_newest (p->st, p->set.topic, p->set.part,
+                               p->last_key ? &after : NULL, on_newest, p);
+    }
   p->in_call = err == 0;
   if (err)
     schedule (p, RETRY_MS);
--- a/store/topic_store.h
+++ b/store/topic_store.h
@@ -11,6 +11,12 @@
 
 struct topic_store;
 
+struct topic_key
+{
+  const char *bytes; /* any bytes, NUL as well */
+  size_t len;
+};
+
 struct topic_entry
 {
   const char *key;
@@ -83,7 +89,7 @@
   int (*read) (struct topic_store *st, const char *topic, uint32_t part,
                uint64_t from, int64_t wait_ms, topic_read_fn *fn, void *arg);
   int (*newest) (struct topic_store *st, const char *topic, uint32_t part,
-                 const char *after, topic_read_fn *fn, void *arg);
+                 const struct topic_key *after, topic_read_fn *fn, void *arg);
 };
 
 struct topic_store
@@ -115,7 +121,7 @@
    read with topic_read as well.  */
 static inline int
 topic_read_newest (struct topic_store *st, const char *topic, uint32_t part,
-                   const char *after, topic_read_fn *fn, void *arg)
+                   const struct topic_key *after, topic_read_fn *fn, void *arg)
 {
   return st->drv->newest (st, topic, part, after, fn, arg);
 }
--- a/test/unit/unit_topic.c
+++ b/test/unit/unit_topic.c
@@ -60,12 +60,12 @@
 
 static int
 fake_newest (struct topic_store *st, const char *topic, uint32_t part,
-             const char *after, topic_read_fn *fn, void *arg)
+             const struct topic_key *after, topic_read_fn *fn, void *arg)
 {
   struct call *call = &calls[call_count++];
   *call = (struct call){ .kind = 'n', .read_fn = fn, .arg = arg };
   if (after)
-    strncpy (call->first_key, after, sizeof call->first_key - 1);
+    memcpy (call->first_key, after->bytes, after->len);
   return 0;
 }
 
--- a/test/unit/unit_wire_store.c
+++ b/test/unit/unit_wire_store.c
@@ -2,8 +2,10 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "base/clock.h"
 #include "base/err.h"
 #include "platform/wire_store.h"
+#include "store/follower.h"
 #include "wire_server.h"
 
 /* Tests of platform/wire_store.c against an HTTP server.  */
@@ -208,6 +210,128 @@
 }
 END_TEST
 
+#define KEYS_MAX 4
+#define REQUESTS_MAX 40
+
+/* A key of the store, and its form in JSON.  */
+struct key
+{
+  const char *bytes;
+  size_t len;
+  const char *json;
+};
+
+static const struct key *keys; /* sorted */
+static size_t page_items;
+static int requests;
+static int reads_in_order;
+
+/* Responds as the store does, with pages of PAGE_ITEMS items.  */
+static char *
+respond_page (void *parent, const char *url, const char *after,
+              size_t after_len, size_t *len)
+{
+  requests++;
+  if (strcmp (url, "/v1/log-read") == 0)
+    {
+      reads_in_order++;
+      *len = 16;
+      char *body = talloc_zero_size (parent, *len);
+      body[7] = 9;
+      return body;
+    }
+  char *body = talloc_strdup (parent, "{\"items\":[");
+  size_t first = 0;
+  while (after && first < KEYS_MAX && keys[first].json)
+    {
+      const struct key *key = &keys[first];
+      int diff = memcmp (key->bytes, after,
+                         key->len < after_len ? key->len : after_len);
+      if (diff > 0 || (diff == 0 && key->len > after_len))
+        break;
+      first++;
+    }
+  size_t next = first;
+  for (; next < first + page_items && next < KEYS_MAX && keys[next].json;
+       next++)
+    body = talloc_asprintf_append (
+        body, "%s{\"key\":\"%s\",\"value\":\"djE=\",\"offset\":4}",
+        next > first ? "," : "", keys[next].json);
+  bool more = next < KEYS_MAX && keys[next].json;
+  body = talloc_asprintf_append (body, "],\"has-more\":%s,\"end\":9}",
+                                 more ? "true" : "false");
+  *len = strlen (body);
+  return body;
+}
+
+static void
+on_followed (void *arg, const struct topic_record *rec)
+{
+  if (rec->entry.key_len == 1 && strlen (good) < sizeof good - 1)
+    strncat (good, rec->entry.key, 1);
+}
+
+static void
+on_batch (void *arg)
+{
+}
+
+/* Guards against a follower that requests the same page again and again
+   without a pause, and never gets to the entries behind it, because the page
+   ends with the key of another writer: an empty one, one with a NUL, one that
+   is longer than the request's buffer, or one that cannot be read.  */
+START_TEST (test_page_ends_with_odd_key)
+{
+#define KEY(text)                                                             \
+  {                                                                           \
+    text, sizeof text - 1, text                                               \
+  }
+#define E_ACUTE "\xc3\xa9"
+#define TEN(text) text text text text text text text text text text
+#define LONG_KEY TEN (TEN (E_ACUTE)) TEN (E_ACUTE) TEN (E_ACUTE)
+  static const struct
+  {
+    struct key keys[KEYS_MAX];
+    size_t page_items;
+    const char *good; /* keys that have to be delivered */
+  } cases[] = {
+    { { KEY ("a"), KEY ("b"), KEY ("z") }, 1, "abz" },
+    { { KEY (""), KEY ("a"), KEY ("z") }, 1, "az" },
+    { { { "\0", 1, "\\u0000" }, KEY ("a"), KEY ("z") }, 1, "az" },
+    { { KEY ("a"), { "o\0x", 3, "o\\u0000x" }, KEY ("z") }, 1, "az" },
+    { { KEY ("a"), KEY ("o%&=+ #/x"), KEY ("z") }, 1, "az" },
+    { { KEY ("A"), KEY ("B" LONG_KEY), KEY ("z") }, 1, "Az" },
+    { { KEY ("a"), KEY ("o\xff"), KEY ("z") }, 2, "az" },
+    /* A page without any readable key cannot be continued; the entries behind
+       it are read in order, as their writers repeat them.  */
+    { { KEY ("a"), KEY ("o\xff"), KEY ("z") }, 1, "a" },
+    { { KEY ("\xff"), KEY ("\xffz") }, 1, "" },
+  };
+  for (size_t n = 0; n < sizeof cases / sizeof *cases; n++)
+    {
+      struct follower fol;
+      const struct follower_settings set
+          = { .topic = "t", .batch_delay_ms = 1, .wait_ms = 1000 };
+      keys = cases[n].keys;
+      page_items = cases[n].page_items;
+      good[0] = '\0';
+      requests = reads_in_order = 0;
+      srv.respond = respond_page;
+      ck_assert_int_eq (follower_init (&fol, srv.ev, &store.st, srv.ev,
+                                       &clock_system, &set, on_followed,
+                                       on_batch, NULL),
+                        0);
+      while (!reads_in_order && requests < REQUESTS_MAX)
+        tevent_loop_once (srv.ev);
+      ck_assert_msg (reads_in_order, "case %zu: %d requests, read %s", n,
+                     requests, good);
+      ck_assert_msg (strcmp (good, cases[n].good) == 0, "case %zu: read %s", n,
+                     good);
+      follower_fini (&fol);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -219,6 +343,7 @@
   tcase_add_test (tc, test_deeply_nested_item);
   tcase_add_test (tc, test_unreadable_page);
   tcase_add_test (tc, test_read_in_order);
+  tcase_add_test (tc, test_page_ends_with_odd_key);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
--- a/test/unit/wire_server.c
+++ b/test/unit/wire_server.c
@@ -23,16 +23,18 @@
       *len = 0;
       return MHD_YES;
     }
+  void *ctx = talloc_new (NULL);
+  const void *body = srv->body;
+  size_t body_len = srv->body_len;
   MHD_lookup_connection_value_n (con, MHD_GET_ARGUMENT_KIND, "after",
                                  strlen ("after"), &after, &after_len);
-  srv->after_len = after_len < sizeof srv->after ? after_len : 0;
-  if (after)
-    memcpy (srv->after, after, srv->after_len);
-  srv->requests++;
+  if (srv->respond)
+    body = srv->respond (ctx, url, after, after_len, &body_len);
   struct MHD_Response *resp = MHD_create_response_from_buffer (
-      srv->body_len, (void *)srv->body, MHD_RESPMEM_MUST_COPY);
+      body_len, (void *)body, MHD_RESPMEM_MUST_COPY);
   enum MHD_Result res = MHD_queue_response (con, 200, resp);
   MHD_destroy_response (resp);
+  talloc_free (ctx);
   return res;
 }
 
--- a/test/unit/wire_server.h
+++ b/test/unit/wire_server.h
@@ -6,20 +6,21 @@
 
 #include "platform/http_client.h"
 
-/* An HTTP server that answers every request with the same body, and a client
-   for it.  The bodies need not be valid JSON.  */
+/* An HTTP server for tests, and a client for it.  The bodies of its responses
+   need not be valid JSON.  */
 
 struct wire_server
 {
   struct tevent_context *ev;
   struct http_client cli;
-  char address[32]; /* HOST:PORT */
-  /* Of the last request; written by the server's thread before it answers.  */
-  char after[1024]; /* argument "after" of the query */
-  size_t after_len;
-  unsigned requests;
-  const uint8_t *body; /* of all responses */
+  char address[32];    /* HOST:PORT */
+  const uint8_t *body; /* of all responses, unless RESPOND is set */
   size_t body_len;
+  /* Returns the body of the response to a request for the path URL, as a child
+     of PARENT.  AFTER is the argument "after" of the query, or NULL.  Runs in
+     the server's thread.  */
+  char *(*respond) (void *parent, const char *url, const char *after,
+                    size_t after_len, size_t *len);
   struct MHD_Daemon *web;
 };
 
