platform: an entry that is not a worker's names no worker

An entry by another writer was used as a worker's if it had a service, an address and a zone of at least one character, a state and any object as capacity. Each owner then called its address four times a second for good, a new owner waited for its answer until all leases had ended, and numbers out of range were converted to int64_t with undefined results (on arm64 1e300 became the largest one, a worker with room for everything, and the sums of the placer overflowed). A key is an id that is sent in a header; one with a line break added a header to each command.

wire_decode_worker now checks the type and the range of each member that the entry of a worker has, that the address is HOST:PORT with a port from 1 to 65535, and that the key is printable. It names the invalid member. Numbers in other documents that no int64_t can hold, or that a double cannot hold exactly, read as 0.

test_odd_worker_entry, test_odd_worker_address and test_odd_worker_key of wire_decode failed with the earlier decoder (first with a service given twice, with the address ":" and with the key "w1\0x") and pass. test_worker_entry passed at once; so did test_deeply_nested_entry: the parser's own limit of 2048 levels keeps an entry of any depth within a stack of 512 KiB (256 KiB do not suffice); the process has 8 MiB.

--- a/node/directory.c
+++ b/node/directory.c
@@ -67,6 +67,7 @@
   struct node *nod = arg;
   const struct topic_entry *ent = &rec->entry;
   struct worker_report rep;
+  const char *fault;
   char id[NAME_BYTES];
   if (ent->key_len >= NAME_BYTES)
     return;
@@ -74,7 +75,7 @@
   struct worker_entry *row = find_entry (nod, id);
   bool valid = ent->value_len > 0
                && wire_decode_worker (ent->key, ent->key_len, ent->value,
-                                      ent->value_len, &rep)
+                                      ent->value_len, &rep, &fault)
                       == 0;
   if (!valid)
     {
