node: an entry whose key has a NUL does not change that of another worker

The directory compared ids as strings. An entry with the key "w1\0x" of another writer thus passed for one of the worker w1: if it was odd or deleted, w1 was removed, got no new tasks and was dropped by its owner, until its next heartbeat came.

Only a key that is an id as a whole now names an entry.

test_key_with_nul of directory failed before. test_entry_becomes_odd passed at once: a worker whose entry becomes odd gets no new tasks, is held on for its runs, and gets tasks again when its entry is good again.

--- a/node/directory.c
+++ b/node/directory.c
@@ -69,10 +69,11 @@
   struct worker_report rep;
   const char *fault;
   char id[NAME_BYTES];
-  if (ent->key_len >= NAME_BYTES)
-    return;
   name_copy_len (id, ent->key, ent->key_len);
-  struct worker_entry *row = find_entry (nod, id);
+  /* A key that is too long or has a NUL is not that of the worker whose id it
+     becomes.  */
+  struct worker_entry *row
+      = strlen (id) == ent->key_len ? find_entry (nod, id) : NULL;
   bool valid = ent->value_len > 0
                && wire_decode_worker (ent->key, ent->key_len, ent->value,
                                       ent->value_len, &rep, &fault)
