node: log the entries that are not a worker's

An entry of another writer was skipped without a word, unless a worker's entry had been there before it; an operator could not see why a worker was not used, or which key to look at.

The event record.invalid now names the key, the offset and the invalid member. It is logged once for a key and for 64 keys at most, because entries are repeated with each heartbeat and another writer may choose any number of keys.

test_odd_entries_among_good of directory failed before (no line) and passes; that the good entries before and behind the odd ones hold passed at once.

--- a/node/directory.c
+++ b/node/directory.c
@@ -61,6 +61,22 @@
   return row;
 }
 
+/* Logs that the entry with the key ID names no worker.  */
+static void
+log_odd_entry (struct node *nod, const char *id, uint64_t offset,
+               const char *fault)
+{
+  if (nod->odd_entry_count == ODD_ENTRIES_MAX)
+    return;
+  for (size_t n = 0; n < nod->odd_entry_count; n++)
+    if (strcmp (nod->odd_entries[n], id) == 0)
+      return;
+  name_copy (nod->odd_entries[nod->odd_entry_count++], id);
+  log_event (nod->lg, EV_RECORD_INVALID, LOG_S ("topic", WIRE_TOPIC_WORKERS),
+             LOG_S ("key", id), LOG_I ("offset", offset),
+             LOG_S ("error", fault));
+}
+
 static void
 on_worker_record (void *arg, const struct topic_record *rec)
 {
@@ -80,6 +96,8 @@
                       == 0;
   if (!valid)
     {
+      if (ent->value_len > 0)
+        log_odd_entry (nod, id, rec->offset, fault);
       if (!row)
         return;
       remove_entry (nod, row, ent->value_len ? "unreadable" : "removed");
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -41,6 +41,8 @@
 #define DIRECTORY_BATCH_DELAY_MS 120
 #define FLEET_BATCH_DELAY_MS 20
 #define DUTY_KEY_BYTES (NAME_BYTES + 2)
+/* Most keys of odd entries that are logged.  */
+#define ODD_ENTRIES_MAX 64
 #define PRODUCER_BYTES (NAME_BYTES + 32)
 
 struct node;
@@ -127,6 +129,10 @@
   struct follower operator_fol;   /* configuration and maintenance waves */
   struct follower directory_fol;  /* workers' reports */
   struct worker_entry *directory; /* by worker id */
+  /* Keys under which the workers' topic had an entry that is not a worker's.
+     Each is logged once.  */
+  char odd_entries[ODD_ENTRIES_MAX][NAME_BYTES];
+  size_t odd_entry_count;
 
   struct job_table jobs;
   struct job_partition **job_partitions; /* by number; NULL: not open */
--- a/test/unit/unit_directory.c
+++ b/test/unit/unit_directory.c
@@ -123,6 +123,20 @@
   return false;
 }
 
+/* Ends the log and returns the number of its lines that contain TEXT.  */
+static int
+count_log_lines (const char *text)
+{
+  char line[2048];
+  int count = 0;
+  logger_destroy (nod->lg);
+  nod->lg = NULL;
+  rewind (log_file);
+  while (fgets (line, sizeof line, log_file))
+    count += strstr (line, text) != NULL;
+  return count;
+}
+
 /* Gives the pool's placer to the node, and the worker w1 to both, with the run
    of a task on it.  */
 static void
@@ -141,6 +155,33 @@
   ck_assert_uint_eq (world_starts (wld, 1, 0), 1);
 }
 
+/* Guards against odd entries that hide good ones, that are used as workers, or
+   that fill the log: each is named once, whatever it is repeated, and many are
+   not named at all.  */
+START_TEST (test_odd_entries_among_good)
+{
+  char key[300];
+  memset (key, 'k', sizeof key);
+  deliver_entry ("w1", GOOD_SERVICE, "m-w1", 1000);
+  for (int n = 0; n < 20; n++)
+    {
+      deliver ("", 0, "x");
+      deliver ("odd", 3, "{\"service\":5}");
+      deliver ("odd\n2", 5, "\xff\xfe");
+      deliver (key, 255, "{}");
+    }
+  for (int n = 0; n < 300; n++)
+    deliver (key, (size_t)snprintf (key, sizeof key, "odd-%d", n), "[");
+  deliver_entry ("w2", GOOD_SERVICE, "m-w2", 1000);
+  ck_assert (has_entry ("w1"));
+  ck_assert (has_entry ("w2"));
+  ck_assert_uint_eq (HASH_COUNT (nod->directory), 2);
+  ck_assert_int_eq (count_log_lines ("name=record.invalid"), 64);
+  ck_assert_int_eq (count_log_lines ("key=odd "), 1);
+  ck_assert_int_eq (count_log_lines ("error=service"), 1);
+}
+END_TEST
+
 /* Guards against a worker that loses its entry, or gets another one, through a
    key that equals its id up to a NUL.  */
 START_TEST (test_key_with_nul)
@@ -189,6 +230,7 @@
   Suite *suite = suite_create ("directory");
   TCase *tc = tcase_create ("directory");
   tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_test (tc, test_odd_entries_among_good);
   tcase_add_test (tc, test_key_with_nul);
   tcase_add_test (tc, test_entry_becomes_odd);
   suite_add_tcase (suite, tc);
