node: a worker of an unknown service does not end the workers of its host

Callers saw two runs of one task (TWICE) in a unit test: an entry of another writer named the host of a worker, a later start and a service that the configuration does not have. Every placer took the worker on that host for ended, gave its runs up with the next confirmation of its ownership, and started their tasks again beside them.

A report whose pool the configuration does not name is now no report to the placers, except to the placer of that pool itself, and the entry is logged like other odd ones.

test_unknown_service of directory failed before with a second start of the task.

--- a/node/directory.c
+++ b/node/directory.c
@@ -10,6 +10,26 @@
 
 #define READ_WAIT_MS 1000
 
+/* Whether the configuration names the pool of REP.  Before it is read, each
+   one counts as named.  */
+static bool
+pool_is_named (const struct node *nod, const struct worker_report *rep)
+{
+  return !nod->cat || catalog_pool (nod->cat, rep->pool);
+}
+
+void
+node_tell_placer (struct held_duty *hld, const char *id,
+                  const struct worker_report *rep)
+{
+  /* A worker of an unknown pool says nothing about other workers of its host.
+     The placer's own pool counts as named if a later version leaves it out. */
+  bool named = rep
+               && (pool_is_named (hld->nod, rep)
+                   || strcmp (rep->pool, hld->pool) == 0);
+  placer_update_worker (hld->plc, id, named ? rep : NULL);
+}
+
 static void
 notify_placers (struct node *nod, const char *id,
                 const struct worker_report *rep)
@@ -17,7 +37,7 @@
   for (struct held_duty *hld = nod->held_duties; hld; hld = hld->next)
     if (hld->plc)
       {
-        placer_update_worker (hld->plc, id, rep);
+        node_tell_placer (hld, id, rep);
         node_schedule_placer (hld, 0);
       }
 }
@@ -104,6 +124,8 @@
       notify_placers (nod, id, NULL);
       return;
     }
+  if (!pool_is_named (nod, &rep))
+    log_odd_entry (nod, id, rec->offset, "service");
   if (!row)
     row = add_entry (nod, &rep);
   if (!row)
--- a/node/duties.c
+++ b/node/duties.c
@@ -216,7 +216,7 @@
   if (msg)
     kingcuphollow__pool_workers__free_unpacked (msg, NULL);
   for (struct worker_entry *ent = nod->directory; ent; ent = ent->hh.next)
-    placer_update_worker (hld->plc, ent->rep.id, &ent->rep);
+    node_tell_placer (hld, ent->rep.id, &ent->rep);
 }
 
 static void
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -187,6 +187,10 @@
 /* node/directory.c */
 /* Starts to follow the operators' records and the workers' reports.  */
 int node_open_directory (struct node *nod);
+/* Tells the placer of HLD about the report of the worker ID; REP is NULL when
+   the report was removed.  */
+void node_tell_placer (struct held_duty *hld, const char *id,
+                       const struct worker_report *rep);
 
 /* node/duties.c */
 /* Starts to report to the other members and to follow the claims.  */
--- a/test/unit/unit_directory.c
+++ b/test/unit/unit_directory.c
@@ -224,6 +224,24 @@
 }
 END_TEST
 
+/* Guards against a second run of a task whose worker another writer's entry
+   seems to replace: a later start on the same host, with a service that the
+   configuration does not name.  */
+START_TEST (test_unknown_service)
+{
+  start_run_on_w1 ();
+  wld->clk.now_us += 1000;
+  deliver_entry ("odd", "zzz", "m-w1", 2000);
+  deliver_entry ("w2", GOOD_SERVICE, "m-w2", 1000);
+  world_confirm_ownership (wld);
+  world_enrol_worker (wld, "w2");
+  world_tick (wld, 100);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 1);
+  ck_assert_int_eq (count_log_lines ("name=run.lost"), 0);
+  ck_assert_int_eq (count_log_lines ("error=service"), 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -233,6 +251,7 @@
   tcase_add_test (tc, test_odd_entries_among_good);
   tcase_add_test (tc, test_key_with_nul);
   tcase_add_test (tc, test_entry_becomes_odd);
+  tcase_add_test (tc, test_unknown_service);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
