platform, fleet: one unreadable entry of the host list costs only itself

A number out of range, a NUL or text that is not UTF-8 in one entry made the whole list unreadable: the holder of the fleet duty knew no hosts, so waves and moves stood still, and owners did not learn which workers had ended. A state that is not named in the protocol passed for "down", and an unreadable id for a host without a worker; both let an owner give up the runs of a worker that had missed one call, and start them again beside themselves. A next-token of another type ended the list early, and the hosts behind it counted as gone.

A host whose state, pool or worker cannot be read is listed as HOST_UNKNOWN: it ends no worker instance, begins no operation, keeps its last known pool, and counts as possibly down in its wave. A list with entries that name no host is incomplete and unlists no host, so that no wave is completed without one.

--- a/fleet/catalog.h
+++ b/fleet/catalog.h
@@ -94,6 +94,7 @@
   HOST_MOVING,      /* to another pool */
   HOST_MAINTENANCE, /* in maintenance */
   HOST_DOWN,
+  HOST_UNKNOWN, /* its entry cannot be read; its other fields may be empty */
 };
 
 /* An entry of the platform's list of hosts.  */
--- a/fleet/host_link.h
+++ b/fleet/host_link.h
@@ -38,6 +38,7 @@
   int err; /* 0, or ERR_UNAVAILABLE and no hosts */
   const struct host_report *hosts;
   size_t count;
+  bool incomplete; /* entries that name no host were left out */
 };
 
 typedef void host_order_fn (void *arg, enum host_order_status status);
--- a/fleet/host_mgr.c
+++ b/fleet/host_mgr.c
@@ -142,7 +142,9 @@
 host_mgr_set_hosts (struct host_mgr *mgr, void *parent,
                     const struct host_list *list, int64_t asked_us)
 {
-  for (size_t n = 0; n < mgr->host_count; n++)
+  /* A host that an incomplete list leaves out may still be there; a wave
+     would be completed without it.  */
+  for (size_t n = 0; n < mgr->host_count && !list->incomplete; n++)
     mgr->hosts[n].listed = false;
   for (size_t n = 0; n < list->count; n++)
     {
@@ -151,7 +153,10 @@
         host = add_host (mgr, parent, list->hosts[n].name);
       if (!host)
         return ERR_NOMEM;
-      host->rep = list->hosts[n];
+      if (list->hosts[n].state != HOST_UNKNOWN)
+        host->rep = list->hosts[n];
+      host->rep.state = list->hosts[n].state;
+      name_copy (host->rep.name, list->hosts[n].name);
       host->listed = true;
       host->listed_us = asked_us;
     }
@@ -359,7 +364,8 @@
          && host->phase == PHASE_NONE && now_us >= host->cooldown_until_us;
 }
 
-/* Number of the wave's hosts in maintenance, or ordered and maybe down.  */
+/* Number of the wave's hosts that are in maintenance or may be, or that were
+   ordered and may be down.  */
 static uint32_t
 wave_down (const struct host_mgr *mgr, const struct mgr_wave *wave)
 {
@@ -373,7 +379,8 @@
                      && host->wave == wave->number
                      && (host->phase == PHASE_ORDERED
                          || host->phase == PHASE_AWAITING_WORKER);
-      down += ordered || host->rep.state == HOST_MAINTENANCE;
+      down += ordered || host->rep.state == HOST_MAINTENANCE
+              || host->rep.state == HOST_UNKNOWN;
     }
   return down;
 }
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -243,6 +243,8 @@
                     int64_t asked_us)
 {
   bool not_up = rep->state != HOST_UP;
+  if (rep->state == HOST_UNKNOWN)
+    return;
   for (size_t n = 0; n < plc->pool.count; n++)
     {
       struct worker *wrk = plc->pool.workers[n];
--- a/test/unit/unit_host_mgr.c
+++ b/test/unit/unit_host_mgr.c
@@ -289,6 +289,32 @@
 }
 END_TEST
 
+/* Guards against a wave that is reported as completed, or that takes more
+   hosts down than it allows, while entries of the list cannot be read.  */
+START_TEST (test_unreadable_hosts)
+{
+  const struct host_report unknown = { .name = "a", .state = HOST_UNKNOWN };
+  const struct host_list without = { .incomplete = true };
+  const struct host_list with
+      = { .hosts = &unknown, .count = 1, .incomplete = true };
+  list_hosts ("abcdefgh", "", "");
+  wave ("{\"wave\":3,\"machines\":[\"a\",\"b\"],\"cap\":1,"
+        "\"duration-s\":20}");
+  ck_assert_int_eq (host_mgr_set_hosts (&mgr, ctx, &without, now_us), 0);
+  step (10);
+  ck_assert_int_eq (completed, 0);
+  ck_assert_str_eq (vacated, "ab");
+  ck_assert_int_eq (host_mgr_set_hosts (&mgr, ctx, &with, now_us), 0);
+  ck_assert_str_eq (host_mgr_find (&mgr, "a")->rep.pool, "p");
+  host_emptied ("b");
+  step (10);
+  ck_assert_uint_eq (order_count, 0);
+  list_hosts ("abcdefgh", "", "");
+  step (10);
+  ck_assert_uint_eq (order_count, 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -302,6 +328,7 @@
   tcase_add_test (tc, test_direct_moves);
   tcase_add_test (tc, test_move_counts);
   tcase_add_test (tc, test_wave_waits);
+  tcase_add_test (tc, test_unreadable_hosts);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
--- a/test/unit/unit_placer.c
+++ b/test/unit/unit_placer.c
@@ -183,6 +183,7 @@
     { HOST_UP, "w10", 60000, true },
     { HOST_MOVING, "", 60000, true },
     { HOST_DOWN, "w9", 60000, true },
+    { HOST_UNKNOWN, "", 60000, false },
     /* The list may still show the host as it was before w9.  */
     { HOST_MOVING, "", 900, false },
     { HOST_UP, "w8", 900, false },
