platform, sched: one unreadable row of a hold's answer costs no runs

A worker's answer to a hold with one odd row had the whole answer counted as none (a number out of range, text that is not UTF-8), or the row was left out and its run taken for lost and started again beside itself.

An answer with rows that cannot be read is incomplete: runs that it does not list are kept, a worker without another answer is not reached yet, and the next hold waits 250 ms. An end of which only the number can be read is acknowledged without further effect.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -322,7 +322,8 @@
         wrk->lease_end_us = now_us + add_lease_slack (span_us);
     }
   wrk->hold_answered_us = now_us;
-  if (!wrk->reached)
+  /* A row that cannot be read may be a run of an earlier owner.  */
+  if (!wrk->reached && !res->incomplete)
     {
       wrk->reached = true;
       placer_drop_earlier_worker (plc, wrk->rep.id);
@@ -333,18 +334,25 @@
     }
   if (ctx->last_seen > wrk->acked_end)
     wrk->acked_end = ctx->last_seen;
+  if (res->incomplete && !wrk->hold_incomplete)
+    log_event (plc->env.lg, EV_WORKER_HOLD_INCOMPLETE,
+               LOG_S ("worker", wrk->rep.id), LOG_S ("pool", plc->set.pool),
+               LOG_I ("running", res->running_count),
+               LOG_I ("ended", res->ended_count));
+  wrk->hold_incomplete = res->incomplete;
   bool ends = false;
   for (size_t n = 0; n < res->ended_count; n++)
     if (res->ended[n].number > wrk->applied_end)
       {
-        apply_end (plc, wrk, &res->ended[n], now_us);
+        if (res->ended[n].end != RUN_END_UNREADABLE)
+          apply_end (plc, wrk, &res->ended[n], now_us);
         wrk->applied_end = res->ended[n].number;
         ends = true;
       }
   wrk->unknown = (struct resources){ 0 };
   for (size_t n = 0; n < res->running_count; n++)
     apply_running (plc, wrk, &res->running[n], ctx->sent_us, now_us);
-  if (!res->ended_truncated)
+  if (!res->ended_truncated && !res->incomplete)
     drop_unlisted_runs (plc, wrk, ctx->sent_us, now_us);
   wrk->hold_not_before_us = now_us;
   if (ends)
@@ -354,6 +362,10 @@
   wrk->next_hold_us = wrk->applied_end > wrk->durable_end
                           ? now_us + HOLD_UNFLUSHED_RETRY_US
                           : wrk->hold_not_before_us;
+  /* The worker answers at once while it has an end that is not acknowledged,
+     as one without a number.  */
+  if (res->incomplete)
+    wrk->next_hold_us = now_us + HOLD_RETRY_US;
 }
 
 static void
--- a/sched/worker_link.h
+++ b/sched/worker_link.h
@@ -90,6 +90,8 @@
   RUN_END_LEASE_EXPIRED,   /* its lease expired */
   RUN_END_GANG_BROKEN,     /* another member of its gang ended */
   RUN_END_GANG_INCOMPLETE, /* the rest of its gang did not start in time */
+  RUN_END_UNREADABLE, /* only the number of the end is known; the task is not
+                         valid */
 };
 
 struct running_row
@@ -123,6 +125,7 @@
   const struct ended_row *ended;
   size_t ended_count;
   bool ended_truncated; /* more ends are listed once these are acknowledged */
+  bool incomplete;      /* rows that cannot be read were left out */
 };
 
 typedef void command_fn (void *arg, const struct command_result *res);
--- a/test/unit/unit_placer.c
+++ b/test/unit/unit_placer.c
@@ -640,6 +640,67 @@
 }
 END_TEST
 
+/* Guards against a second run beside one whose row in the answer to a hold
+   cannot be read, against an unreadable end that is listed for good, and
+   against holds without a pause to a worker that answers each at once.  */
+START_TEST (test_unreadable_hold_rows)
+{
+  const struct ended_row end
+      = { .number = 5, .end = RUN_END_UNREADABLE, .checkpoint = "" };
+  struct hold_result res = { .ended = &end, .ended_count = 1 };
+  const char *worker;
+  const struct world_row run = { .job = 1, .run = 1 };
+  add_two_workers ();
+  world_add_job (wld, 1, ONE_TASK_JOB, 200);
+  world_tick (wld, 1);
+  world_answer (wld, pending_start (&worker), COMMAND_DONE);
+  world_tick (wld, 100);
+  world_answer_hold (wld, worker, &run, 1, NULL, 0);
+  for (int n = 0; n < 3; n++)
+    {
+      world_tick (wld, 300);
+      struct world_call *hold = world_call (wld, WORLD_HOLD, worker);
+      ck_assert_ptr_nonnull (hold);
+      ck_assert_uint_eq (hold->last_seen, n > 0 ? 5 : 0);
+      res.incomplete = true;
+      res.command
+          = (struct command_result){ .status = COMMAND_DONE,
+                                     .clock_ms = wld->clk.now_us / 1000 };
+      hold->answered = true;
+      hold->hold_fn (hold->arg, &res);
+      world_complete_append (wld);
+      world_tick (wld, 100);
+      ck_assert_ptr_null (world_call (wld, WORLD_HOLD, worker));
+      ck_assert_uint_eq (world_starts (wld, 1, 0), 1);
+    }
+  world_tick (wld, 300);
+  world_answer_hold (wld, worker, NULL, 0, NULL, 0);
+  world_tick (wld, 100);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 2);
+}
+END_TEST
+
+/* Guards against a takeover that is complete although a run of an earlier
+   owner may stand in a row that cannot be read.  */
+START_TEST (test_unreadable_first_answer)
+{
+  const struct hold_result res
+      = { .command = { .status = COMMAND_DONE, .clock_ms = 1 },
+          .incomplete = true };
+  world_add_worker (wld, "w1", 1000);
+  world_tick (wld, 1);
+  struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+  ck_assert_ptr_nonnull (hold);
+  hold->answered = true;
+  hold->hold_fn (hold->arg, &res);
+  world_tick (wld, 300);
+  ck_assert (!placer_takeover_done (wld->plc));
+  world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
+  world_tick (wld, 1);
+  ck_assert (placer_takeover_done (wld->plc));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -667,6 +728,8 @@
   tcase_add_test (tc, test_no_commands_without_ownership);
   tcase_add_test (tc, test_later_fence);
   tcase_add_test (tc, test_demand);
+  tcase_add_test (tc, test_unreadable_hold_rows);
+  tcase_add_test (tc, test_unreadable_first_answer);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
