platform: a wave or a version with an odd number is rejected

A cap of -1 let a wave take hosts down at the same time, a duration of 1e300 s was converted to int64_t with an undefined result, and a machine that could not be read was left out, so that the wave was reported as completed without it. A version of -1 became the highest one, after which every later configuration counted as older. The store accepts only valid configurations, so the last one is not known to happen.

A wave that cannot be read is not begun and is logged as record.invalid; such a configuration is rejected as before.

--- a/node/directory.c
+++ b/node/directory.c
@@ -151,7 +151,11 @@
   if (ent->key_len > strlen (WIRE_KEY_WAVE)
       && memcmp (ent->key, WIRE_KEY_WAVE, strlen (WIRE_KEY_WAVE)) == 0)
     {
-      node_fleet_add_wave (nod, ent->value, ent->value_len);
+      if (ent->value_len > 0
+          && !node_fleet_add_wave (nod, ent->value, ent->value_len))
+        log_event (nod->lg, EV_RECORD_INVALID,
+                   LOG_S ("topic", WIRE_TOPIC_OPERATOR),
+                   LOG_I ("offset", rec->offset), LOG_S ("error", "wave"));
       return;
     }
   if (ent->key_len != strlen (WIRE_KEY_CATALOG)
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -396,20 +396,21 @@
   return nod->flt->active ? nod->flt->token : 0;
 }
 
-void
+bool
 node_fleet_add_wave (struct node *nod, const uint8_t *data, size_t len)
 {
   struct fleet_duty *flt = nod->flt;
   if (!flt->active)
-    return;
+    return true;
   struct maintenance_wave *wave = wire_decode_wave (flt, data, len);
   if (!wave)
-    return;
+    return false;
   log_event (nod->lg, EV_UPKEEP_WAVE, LOG_I ("wave", wave->number),
              LOG_I ("hosts", wave->host_count),
              LOG_I ("most_out", wave->most_out),
              LOG_I ("duration_ms", wave->duration_ms));
   host_mgr_add_wave (&flt->mgr, flt, wave, clock_now_us (nod->clk));
+  return true;
 }
 
 static struct vacate_request *
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -218,8 +218,8 @@
 /* Token of the fleet duty while this process holds it, else 0.  */
 uint64_t node_fleet_token (const struct node *nod);
 /* Decodes a maintenance wave of the operators and adds it, as holder of the
-   fleet duty.  */
-void node_fleet_add_wave (struct node *nod, const uint8_t *data, size_t len);
+   fleet duty.  Returns false for a wave that cannot be read.  */
+bool node_fleet_add_wave (struct node *nod, const uint8_t *data, size_t len);
 /* Opens the appender for the reports of a pool's owner.  */
 int node_fleet_open_reports (struct held_duty *hld);
 /* Reports the pool's demand for hosts and the hosts that were emptied on
--- a/test/unit/unit_wire_decode.c
+++ b/test/unit/unit_wire_decode.c
@@ -258,6 +258,62 @@
 }
 END_TEST
 
+/* Guards against a wave that takes all its hosts down at once, or that never
+   ends, because a number in it is odd.  */
+START_TEST (test_odd_wave)
+{
+#define MACHINES "\"machines\":[\"m-1\",\"m-2\"],"
+  static const char *const waves[] = {
+    "",
+    "[]",
+    "{\"wave\":1,\"duration-s\":20,\"cap\":1}",
+    "{\"wave\":1,\"machines\":5,\"duration-s\":20,\"cap\":1}",
+    "{\"wave\":1,\"machines\":[5],\"duration-s\":20,\"cap\":1}",
+    "{\"wave\":1,\"machines\":[\"" TEN (
+        TEN ("m")) "\"],\"duration-s\":20,\"cap\":1}",
+    "{" MACHINES "\"duration-s\":20,\"cap\":1}",
+    "{\"wave\":-1," MACHINES "\"duration-s\":20,\"cap\":1}",
+    "{\"wave\":\"1\"," MACHINES "\"duration-s\":20,\"cap\":1}",
+    "{\"wave\":1," MACHINES "\"duration-s\":20}",
+    "{\"wave\":1," MACHINES "\"duration-s\":20,\"cap\":-1}",
+    "{\"wave\":1," MACHINES "\"duration-s\":20,\"cap\":4294967297}",
+    "{\"wave\":1," MACHINES "\"duration-s\":1e300,\"cap\":1}",
+    "{\"wave\":1," MACHINES "\"duration-s\":-5,\"cap\":1}",
+    "{\"wave\":1," MACHINES "\"duration-s\":{},\"cap\":1}",
+  };
+  void *ctx = talloc_new (NULL);
+  for (size_t n = 0; n < sizeof waves / sizeof *waves; n++)
+    ck_assert_msg (
+        !wire_decode_wave (ctx, (const uint8_t *)waves[n], strlen (waves[n])),
+        "%s", waves[n]);
+  const char *good = "{\"wave\":1," MACHINES "\"duration-s\":20.5,\"cap\":1}";
+  const struct maintenance_wave *wave
+      = wire_decode_wave (ctx, (const uint8_t *)good, strlen (good));
+  ck_assert_ptr_nonnull (wave);
+  ck_assert_uint_eq (wave->host_count, 2);
+  ck_assert_int_eq (wave->duration_ms, 20500);
+  talloc_free (ctx);
+}
+END_TEST
+
+/* Guards against a version after which all later ones seem older.  */
+START_TEST (test_odd_version)
+{
+  static const char *const versions[]
+      = { "-1", "1e300", "9223372036854775807", "\"7\"", "null", "1.5" };
+  void *ctx = talloc_new (NULL);
+  for (size_t n = 0; n < sizeof versions / sizeof *versions; n++)
+    {
+      char *json = talloc_asprintf (
+          ctx, "{\"version\":%s,\"routes\":[],\"services\":[]}", versions[n]);
+      ck_assert_msg (
+          !wire_decode_catalog (ctx, (const uint8_t *)json, strlen (json)),
+          "%s", versions[n]);
+    }
+  talloc_free (ctx);
+}
+END_TEST
+
 #define SMALL_STACK_BYTES ((size_t)512 * 1024)
 
 static char *
@@ -315,6 +371,8 @@
   tcase_add_test (tc, test_odd_worker_entry);
   tcase_add_test (tc, test_odd_worker_address);
   tcase_add_test (tc, test_odd_worker_key);
+  tcase_add_test (tc, test_odd_wave);
+  tcase_add_test (tc, test_odd_version);
   tcase_add_test (tc, test_deeply_nested_entry);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
