--- a/node/directory.c
+++ b/node/directory.c
@@ -10,6 +10,26 @@
 
 #define READ_WAIT_MS 1000
 
+/* Whether the configuration names the pool of REP.  Before it is read, each
+   one counts as named.  */
+static bool
+pool_is_named (const struct node *nod, const struct worker_report *rep)
+{
+  return !nod->cat || catalog_pool (nod->cat, rep->pool);
+}
+
+void
+node_tell_placer (struct held_duty *hld, const char *id,
+                  const struct worker_report *rep)
+{
+  /* A worker of an unknown pool says nothing about other workers of its host.
+     The placer's own pool counts as named if a later version leaves it out. */
+  bool named = rep
+               && (pool_is_named (hld->nod, rep)
+                   || strcmp (rep->pool, hld->pool) == 0);
+  placer_update_worker (hld->plc, id, named ? rep : NULL);
+}
+
 static void
 notify_placers (struct node *nod, const char *id,
                 const struct worker_report *rep)
@@ -17,7 +37,7 @@
   for (struct held_duty *hld = nod->held_duties; hld; hld = hld->next)
     if (hld->plc)
       {
-        placer_update_worker (hld->plc, id, rep);
+        node_tell_placer (hld, id, rep);
         node_schedule_placer (hld, 0);
       }
 }
@@ -61,29 +81,51 @@
   return row;
 }
 
+/* Logs that the entry with the key ID names no worker.  */
+static void
+log_odd_entry (struct node *nod, const char *id, uint64_t offset,
+               const char *fault)
+{
+  if (nod->odd_entry_count == ODD_ENTRIES_MAX)
+    return;
+  for (size_t n = 0; n < nod->odd_entry_count; n++)
+    if (strcmp (nod->odd_entries[n], id) == 0)
+      return;
+  name_copy (nod->odd_entries[nod->odd_entry_count++], id);
+  log_event (nod->lg, EV_RECORD_INVALID, LOG_S ("topic", WIRE_TOPIC_WORKERS),
+             LOG_S ("key", id), LOG_I ("offset", offset),
+             LOG_S ("error", fault));
+}
+
 static void
 on_worker_record (void *arg, const struct topic_record *rec)
 {
   struct node *nod = arg;
   const struct topic_entry *ent = &rec->entry;
   struct worker_report rep;
+  const char *fault;
   char id[NAME_BYTES];
-  if (ent->key_len >= NAME_BYTES)
-    return;
   name_copy_len (id, ent->key, ent->key_len);
-  struct worker_entry *row = find_entry (nod, id);
+  /* A key that is too long or has a NUL is not that of the worker whose id it
+     becomes.  */
+  struct worker_entry *row
+      = strlen (id) == ent->key_len ? find_entry (nod, id) : NULL;
   bool valid = ent->value_len > 0
                && wire_decode_worker (ent->key, ent->key_len, ent->value,
-                                      ent->value_len, &rep)
+                                      ent->value_len, &rep, &fault)
                       == 0;
   if (!valid)
     {
+      if (ent->value_len > 0)
+        log_odd_entry (nod, id, rec->offset, fault);
       if (!row)
         return;
       remove_entry (nod, row, ent->value_len ? "unreadable" : "removed");
       notify_placers (nod, id, NULL);
       return;
     }
+  if (!pool_is_named (nod, &rep))
+    log_odd_entry (nod, id, rec->offset, "service");
   if (!row)
     row = add_entry (nod, &rep);
   if (!row)
@@ -109,7 +151,11 @@
   if (ent->key_len > strlen (WIRE_KEY_WAVE)
       && memcmp (ent->key, WIRE_KEY_WAVE, strlen (WIRE_KEY_WAVE)) == 0)
     {
-      node_fleet_add_wave (nod, ent->value, ent->value_len);
+      if (ent->value_len > 0
+          && !node_fleet_add_wave (nod, ent->value, ent->value_len))
+        log_event (nod->lg, EV_RECORD_INVALID,
+                   LOG_S ("topic", WIRE_TOPIC_OPERATOR),
+                   LOG_I ("offset", rec->offset), LOG_S ("error", "wave"));
       return;
     }
   if (ent->key_len != strlen (WIRE_KEY_CATALOG)
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -41,6 +41,8 @@
 #define DIRECTORY_BATCH_DELAY_MS 120
 #define FLEET_BATCH_DELAY_MS 20
 #define DUTY_KEY_BYTES (NAME_BYTES + 2)
+/* Most keys of odd entries that are logged.  */
+#define ODD_ENTRIES_MAX 64
 #define PRODUCER_BYTES (NAME_BYTES + 32)
 
 struct node;
@@ -127,6 +129,10 @@
   struct follower operator_fol;   /* configuration and maintenance waves */
   struct follower directory_fol;  /* workers' reports */
   struct worker_entry *directory; /* by worker id */
+  /* Keys under which the workers' topic had an entry that is not a worker's.
+     Each is logged once.  */
+  char odd_entries[ODD_ENTRIES_MAX][NAME_BYTES];
+  size_t odd_entry_count;
 
   struct job_table jobs;
   struct job_partition **job_partitions; /* by number; NULL: not open */
@@ -181,6 +187,10 @@
 /* node/directory.c */
 /* Starts to follow the operators' records and the workers' reports.  */
 int node_open_directory (struct node *nod);
+/* Tells the placer of HLD about the report of the worker ID; REP is NULL when
+   the report was removed.  */
+void node_tell_placer (struct held_duty *hld, const char *id,
+                       const struct worker_report *rep);
 
 /* node/duties.c */
 /* Starts to report to the other members and to follow the claims.  */
@@ -208,8 +218,8 @@
 /* Token of the fleet duty while this process holds it, else 0.  */
 uint64_t node_fleet_token (const struct node *nod);
 /* Decodes a maintenance wave of the operators and adds it, as holder of the
-   fleet duty.  */
-void node_fleet_add_wave (struct node *nod, const uint8_t *data, size_t len);
+   fleet duty.  Returns false for a wave that cannot be read.  */
+bool node_fleet_add_wave (struct node *nod, const uint8_t *data, size_t len);
 /* Opens the appender for the reports of a pool's owner.  */
 int node_fleet_open_reports (struct held_duty *hld);
 /* Reports the pool's demand for hosts and the hosts that were emptied on
