member, sched: the restart of the last owner says nothing about the owners before it

What callers may see: two runs of one task (TWICE). Three owners follow each other within 6 s: the first is cut off from the store, the second claims the pool and its process restarts, the third claims it. The third one took all earlier owners for stopped, because the process of the holder just before it had a new boot, and waited 5.6 s for leases. But the first one sends commands until 6 s after its last confirmation, so its leases may last until 11.6 s after the claim of the second one.

The cause: the fold kept the state before the last claim only. A process that starts reads only the newest record of a duty, so it cannot know of owners before that one at all.

Each claim now states, counted from its own append, which earlier holders may still send commands and for how long, and how long the leases of those that have stopped may last. A claim succeeds only if the claimant has read all earlier ones, so the record is complete. A holder whose process has restarted has its commands' end set to the time at which the new boot was first read, for this holder alone. Records without the field, of earlier versions, give the longest wait, 6 s and a lease from the time at which they were read.

test_earlier_holders replaces test_previous_holder and has its cases; the interface that the old test called is gone, so the new test does not build on the old code. The part of test_takeover_without_wait that had no lower bound of the wait has one now.

--- a/member/duty.c
+++ b/member/duty.c
@@ -27,6 +27,77 @@
   return NULL;
 }
 
+void
+duty_set_limits (struct duty_table *tab, const struct holder_limits *limits)
+{
+  tab->limits = *limits;
+}
+
+static void
+note_leases (struct earlier_holders *ear, int64_t end_us)
+{
+  if (end_us > ear->leases_end_us)
+    ear->leases_end_us = end_us;
+}
+
+static void
+remove_row (struct earlier_holders *ear, size_t index)
+{
+  ear->rows[index] = ear->rows[--ear->count];
+}
+
+/* Turns the rows of holders that have stopped into a bound on their leases. A
+   holder has stopped when its time is over, or when its process has started
+   again.  A lower boot does not show that: reports and claims are read
+   separately, and the report may be the older one.  */
+static void
+settle_earlier (const struct duty_table *tab, struct earlier_holders *ear,
+                int64_t now_us)
+{
+  for (size_t n = ear->count; n-- > 0;)
+    {
+      const struct earlier_holder *row = &ear->rows[n];
+      const struct member *mem
+          = find_member ((struct duty_table *)tab, row->name);
+      int64_t end_us = row->commands_end_us;
+      if (mem && mem->boot > row->boot && mem->boot_read_us < end_us)
+        end_us = mem->boot_read_us;
+      if (end_us > now_us)
+        continue;
+      note_leases (ear, end_us + tab->limits.lease_us);
+      remove_row (ear, n);
+    }
+}
+
+static void
+settle_all (struct duty_table *tab, int64_t now_us)
+{
+  for (size_t n = 0; n < tab->duty_count; n++)
+    settle_earlier (tab, &tab->duties[n].earlier, now_us);
+}
+
+/* Adds a holder that may send commands until END_US.  Without a free row, the
+   one that stops first is kept as a bound on its leases.  */
+static void
+add_earlier (const struct duty_table *tab, struct earlier_holders *ear,
+             const char *name, uint64_t boot, int64_t end_us)
+{
+  if (ear->count == EARLIER_HOLDERS_MAX)
+    {
+      size_t first = 0;
+      for (size_t n = 1; n < ear->count; n++)
+        if (ear->rows[n].commands_end_us < ear->rows[first].commands_end_us)
+          first = n;
+      note_leases (ear,
+                   ear->rows[first].commands_end_us + tab->limits.lease_us);
+      remove_row (ear, first);
+    }
+  struct earlier_holder *row = &ear->rows[ear->count++];
+  name_copy (row->name, name);
+  row->boot = boot;
+  row->commands_end_us = end_us;
+}
+
 int
 duty_fold_member (struct duty_table *tab, const struct member_report *rep,
                   int64_t now_us)
@@ -40,10 +111,15 @@
       *mem = (struct member){ 0 };
       name_copy (mem->name, rep->name);
     }
+  bool restarted = rep->boot > mem->boot;
+  if (rep->boot != mem->boot)
+    mem->boot_read_us = now_us;
   mem->boot = rep->boot;
   mem->stopping = rep->stopping;
   mem->cpu_milli = rep->cpu_milli > 0 ? rep->cpu_milli : CPU_MILLI_DEFAULT;
   mem->heard_us = now_us;
+  if (restarted)
+    settle_all (tab, now_us);
   return 0;
 }
 
@@ -65,10 +141,41 @@
   struct member *mem = find_member (tab, claim->holder);
   if (!mem || claim->released || claim->boot < mem->boot)
     return;
-  if (claim->boot > mem->boot)
-    mem->stopping = false;
+  bool restarted = claim->boot > mem->boot;
+  if (restarted)
+    {
+      mem->stopping = false;
+      mem->boot_read_us = now_us;
+    }
   mem->boot = claim->boot;
   mem->heard_us = now_us;
+  if (restarted)
+    settle_all (tab, now_us);
+}
+
+/* Converts the times of a record that was read at NOW_US.  */
+static void
+fold_earlier (const struct duty_table *tab, struct earlier_holders *ear,
+              const struct duty_claim *claim, int64_t now_us)
+{
+  if (claim->earlier)
+    {
+      *ear = *claim->earlier;
+      ear->leases_end_us += now_us;
+      for (size_t n = 0; n < ear->count; n++)
+        ear->rows[n].commands_end_us += now_us;
+    }
+  else
+    {
+      /* All holders before the record had lost the duty when it was appended.
+         One that has released it sends no more commands, and those before it
+         do not matter if it knew all their runs.  */
+      bool stopped = claim->released && claim->cleared;
+      ear->count = 0;
+      ear->leases_end_us = now_us + tab->limits.lease_us
+                           + (stopped ? 0 : tab->limits.command_us);
+    }
+  settle_earlier (tab, ear, now_us);
 }
 
 int
@@ -87,27 +194,39 @@
   if (claim->token <= dty->token)
     return 0;
   note_claimant (tab, claim, now_us);
-  if (!claim->released)
-    {
-      dty->previous_cleared = !*dty->holder && dty->cleared;
-      name_copy (dty->previous_holder, dty->holder);
-      dty->previous_boot = dty->boot;
-    }
   dty->token = claim->token;
   dty->boot = claim->boot;
-  dty->cleared = claim->cleared;
   dty->since_us = now_us;
   name_copy (dty->holder, claim->released ? "" : claim->holder);
+  fold_earlier (tab, &dty->earlier, claim, now_us);
   return 0;
 }
 
-bool
-duty_previous_holder_stopped (const struct duty_table *tab,
-                              const struct duty *dty)
+void
+duty_state_earlier (const struct duty_table *tab, const char *name,
+                    int64_t now_us, struct earlier_holders *out)
+{
+  const struct duty *dty = duty_find (tab, name);
+  *out = dty ? dty->earlier : (struct earlier_holders){ 0 };
+  if (dty && *dty->holder)
+    add_earlier (tab, out, dty->holder, dty->boot,
+                 now_us + tab->limits.command_us);
+  settle_earlier (tab, out, now_us);
+  for (size_t n = 0; n < out->count; n++)
+    out->rows[n].commands_end_us -= now_us;
+  out->leases_end_us
+      = out->leases_end_us > now_us ? out->leases_end_us - now_us : 0;
+}
+
+int64_t
+duty_earlier_leases_end_us (const struct duty_table *tab,
+                            const struct duty *dty)
 {
-  const struct member *mem
-      = find_member ((struct duty_table *)tab, dty->previous_holder);
-  return dty->previous_cleared || (mem && mem->boot != dty->previous_boot);
+  int64_t end_us = dty->earlier.leases_end_us;
+  for (size_t n = 0; n < dty->earlier.count; n++)
+    if (dty->earlier.rows[n].commands_end_us + tab->limits.lease_us > end_us)
+      end_us = dty->earlier.rows[n].commands_end_us + tab->limits.lease_us;
+  return end_us;
 }
 
 const struct duty *
--- a/member/duty.h
+++ b/member/duty.h
@@ -26,6 +26,9 @@
 
 #define DUTIES_MAX 64
 #define MEMBERS_MAX 1024
+/* Most earlier holders of a duty that are kept apart.  Five holders within the
+   few seconds for which one may still send commands are rare.  */
+#define EARLIER_HOLDERS_MAX 4
 
 struct member_timing
 {
@@ -47,9 +50,32 @@
   uint64_t boot; /* identifies the process's present start; a later start has a
                     higher value */
   bool stopping; /* shutting down: claims no duties */
-  uint32_t cpu_milli; /* processor time that the process may use, in
-                         thousandths of a core */
-  int64_t heard_us;   /* monotonic time of its last report or claim */
+  uint32_t cpu_milli;   /* processor time that the process may use, in
+                           thousandths of a core */
+  int64_t heard_us;     /* monotonic time of its last report or claim */
+  int64_t boot_read_us; /* when BOOT was first read; earlier starts of the
+                           process had ended by then */
+};
+
+/* A holder that lost its duty to a claim and may not have noticed it yet.  */
+struct earlier_holder
+{
+  char name[NAME_BYTES];
+  uint64_t boot;
+  int64_t commands_end_us; /* it sends no commands after this time */
+};
+
+/* What the earlier holders of a duty may still do.  Times are monotonic times
+   of the reading process in the table, and counted from the append in a
+   record.  A record that is read late gives later times, never earlier
+   ones.  */
+struct earlier_holders
+{
+  struct earlier_holder rows[EARLIER_HOLDERS_MAX];
+  size_t count;
+  /* The leases given by the holders without a row, which send no more
+     commands, have expired by then.  */
+  int64_t leases_end_us;
 };
 
 struct duty
@@ -59,16 +85,19 @@
   uint64_t boot;           /* of the holder when it claimed or released */
   uint64_t token;          /* of the last claim or release */
   int64_t since_us;        /* monotonic time at which that was read */
-  bool cleared; /* on release: the holder knew of every run in its pool, so
-                   that the next one need not wait for leases to expire */
-  /* State before the last claim.  */
-  char previous_holder[NAME_BYTES]; /* empty: released or never claimed */
-  uint64_t previous_boot;
-  bool previous_cleared; /* the duty was released, with CLEARED set */
+  struct earlier_holders earlier; /* of those before the holder */
+};
+
+/* What a holder does after another process has claimed its duty.  */
+struct holder_limits
+{
+  int64_t command_us; /* it sends commands for at most this time */
+  int64_t lease_us;   /* a command's lease has expired after this time */
 };
 
 struct duty_table
 {
+  struct holder_limits limits;
   struct member members[MEMBERS_MAX];
   size_t member_count;
   struct duty duties[DUTIES_MAX];
@@ -83,6 +112,11 @@
   uint32_t cpu_milli; /* in thousandths of a core; 0: unknown */
 };
 
+/* Sets LIMITS, which are the same in all processes.  Call it before records
+   are folded.  */
+void duty_set_limits (struct duty_table *tab,
+                      const struct holder_limits *limits);
+
 /* Folds a member's report.  Returns 0, or ERR_FULL when a new member would
    exceed MEMBERS_MAX.  */
 int duty_fold_member (struct duty_table *tab, const struct member_report *rep,
@@ -96,6 +130,9 @@
   bool released; /* a release: the holder sends no more commands or orders */
   bool cleared;  /* of a release: the holder knew of every run in its pool */
   uint64_t token;
+  /* Of a claim: what the holders before it may still do.  NULL: not stated, as
+     in records of earlier versions.  */
+  const struct earlier_holders *earlier;
 };
 /* Folds a claim or release.  One whose token is not above the known token is
    ignored.  Returns 0, or ERR_FULL when a new duty would exceed
@@ -103,11 +140,15 @@
 int duty_fold_claim (struct duty_table *tab, const struct duty_claim *claim,
                      int64_t now_us);
 
-/* Whether it is certain that the holder before the present one sends no more
-   commands or orders: it released the duty and knew of every run in its pool,
-   or its process has restarted since.  */
-bool duty_previous_holder_stopped (const struct duty_table *tab,
-                                   const struct duty *dty);
+/* Computes what a claim of the duty NAME that is appended now has to state
+   about earlier holders, with times from NOW_US on.  */
+void duty_state_earlier (const struct duty_table *tab, const char *name,
+                         int64_t now_us, struct earlier_holders *out);
+
+/* Monotonic time by which all leases given by holders before the present one
+   have expired.  It can become earlier when members report.  */
+int64_t duty_earlier_leases_end_us (const struct duty_table *tab,
+                                    const struct duty *dty);
 
 /* Returns NULL when nobody has claimed the duty yet.  */
 const struct duty *duty_find (const struct duty_table *tab, const char *name);
--- a/node/duties.c
+++ b/node/duties.c
@@ -219,6 +219,13 @@
     placer_update_worker (hld->plc, ent->rep.id, &ent->rep);
 }
 
+static int64_t
+lease_ms (const struct node *nod)
+{
+  return nod->set->lease_ms < nod->set->lease_max_ms ? nod->set->lease_ms
+                                                     : nod->set->lease_max_ms;
+}
+
 static void
 activate (struct held_duty *hld)
 {
@@ -227,9 +234,7 @@
     .pool = hld->pool,
     .token = hld->token,
     .fence_offset = hld->fence_offset,
-    .lease_ms = nod->set->lease_ms < nod->set->lease_max_ms
-                    ? nod->set->lease_ms
-                    : nod->set->lease_max_ms,
+    .lease_ms = lease_ms (nod),
     .confirm_ms = nod->set->confirm_ms,
   };
   const struct placer_env env = {
@@ -246,6 +251,9 @@
   hld->plc = placer_create (nod, &set, &env);
   if (!hld->plc)
     return;
+  placer_limit_earlier_leases (
+      hld->plc, duty_earlier_leases_end_us (
+                    &nod->duties, duty_find (&nod->duties, hld->pool)));
   hld->phase = HELD_DUTY_ACTIVE;
   log_event (nod->lg, EV_DUTY_BEGUN, LOG_S ("duty", hld->pool),
              LOG_I ("token", hld->token),
@@ -331,16 +339,16 @@
       const struct duty *dty = duty_find (&nod->duties, hld->pool);
       if (hld->fence_failed || !duty_held_by (dty, nod->set->name, nod->boot)
           || dty->token != hld->token)
-        end_held_duty (hld, "lost");
-      else if (hld->phase == HELD_DUTY_CATCHING_UP
-               && follower_next_offset (&hld->prt->fol) > hld->fence_offset)
-        activate (hld);
-      else if (hld->plc && !hld->earlier_owners_stopped
-               && duty_previous_holder_stopped (&nod->duties, dty))
         {
-          hld->earlier_owners_stopped = true;
-          placer_earlier_owners_stopped (hld->plc);
+          end_held_duty (hld, "lost");
+          continue;
         }
+      if (hld->phase == HELD_DUTY_CATCHING_UP
+          && follower_next_offset (&hld->prt->fol) > hld->fence_offset)
+        activate (hld);
+      if (hld->plc)
+        placer_limit_earlier_leases (
+            hld->plc, duty_earlier_leases_end_us (&nod->duties, dty));
     }
 }
 
@@ -379,18 +387,26 @@
 append_claim (struct node *nod, const char *name, bool released, bool cleared)
 {
   char key[DUTY_KEY_BYTES];
-  uint8_t data[256];
-  Kingcuphollow__DutyClaim msg = KINGCUPHOLLOW__DUTY_CLAIM__INIT;
+  struct earlier_holders earlier;
+  struct duty_claim claim = { .name = name,
+                              .holder = nod->set->name,
+                              .boot = nod->boot,
+                              .released = released,
+                              .cleared = cleared };
+  size_t len;
+  if (!released)
+    {
+      duty_state_earlier (&nod->duties, name, clock_now_us (nod->clk),
+                          &earlier);
+      claim.earlier = &earlier;
+    }
+  uint8_t *data = duty_record_encode (nod, &claim, &len);
+  if (!data)
+    return ERR_NOMEM;
   snprintf (key, sizeof key, "%c/%s", DUTY_KEY, name);
-  msg.holder = nod->set->name;
-  msg.boot = nod->boot;
-  msg.released = released;
-  msg.cleared = cleared;
-  const struct topic_entry ent
-      = { .key = key,
-          .key_len = strlen (key),
-          .value = data,
-          .value_len = kingcuphollow__duty_claim__pack (&msg, data) };
+  const struct topic_entry ent = {
+    .key = key, .key_len = strlen (key), .value = data, .value_len = len
+  };
   const struct topic_append app = {
     .topic = TOPIC_DUTIES,
     .conditional = !released,
@@ -398,7 +414,9 @@
     .entries = &ent,
     .count = 1,
   };
-  return topic_append (&nod->store.st, &app, on_claim_appended, nod);
+  int err = topic_append (&nod->store.st, &app, on_claim_appended, nod);
+  talloc_free (data);
+  return err;
 }
 
 static void
@@ -520,18 +538,11 @@
   char name[NAME_BYTES];
   if (!parse_key (&rec->entry, DUTY_KEY, name))
     return;
-  Kingcuphollow__DutyClaim *msg = kingcuphollow__duty_claim__unpack (
-      NULL, rec->entry.value_len, rec->entry.value);
-  if (!msg)
-    return;
-  const struct duty_claim claim = { .name = name,
-                                    .holder = msg->holder,
-                                    .boot = msg->boot,
-                                    .released = msg->released,
-                                    .cleared = msg->cleared,
-                                    .token = rec->offset + 1 };
-  duty_fold_claim (&nod->duties, &claim, clock_now_us (nod->clk));
-  kingcuphollow__duty_claim__free_unpacked (msg, NULL);
+  int err
+      = duty_record_fold (&nod->duties, name, rec, clock_now_us (nod->clk));
+  if (err)
+    log_event (nod->lg, EV_RECORD_INVALID, LOG_S ("topic", TOPIC_DUTIES),
+               LOG_I ("offset", rec->offset), LOG_S ("error", err_name (err)));
 }
 
 /* All claims appended before the read was sent are known now, so the duties
@@ -590,8 +601,12 @@
       = { .topic = TOPIC_MEMBERS,
           .batch_delay_ms = MEMBERS_BATCH_DELAY_MS,
           .wait_ms = READ_WAIT_MS };
+  const struct holder_limits limits
+      = { .command_us = nod->set->confirm_ms * 1000,
+          .lease_us = placer_lease_span_us (lease_ms (nod)) };
   const struct follower_settings duty_set
       = { .topic = TOPIC_DUTIES, .wait_ms = DUTIES_READ_WAIT_MS };
+  duty_set_limits (&nod->duties, &limits);
   snprintf (producer, sizeof producer, "%s.%" PRIu64, nod->set->name,
             nod->boot);
   const struct appender_settings app_set
--- /dev/null
+++ b/node/duty_record.c
@@ -0,0 +1,90 @@
+#include <talloc.h>
+
+#include "base/err.h"
+#include "node/node_priv.h"
+#include "proto/job.pb-c.h"
+
+/* Encoding of duty claims and releases.  */
+
+/* Rounds up, as a time that is too short could end a wait too early.  */
+static uint32_t
+to_ms (int64_t span_us)
+{
+  return (uint32_t)((span_us + 999) / 1000);
+}
+
+uint8_t *
+duty_record_encode (void *parent, const struct duty_claim *claim, size_t *len)
+{
+  Kingcuphollow__DutyClaim msg = KINGCUPHOLLOW__DUTY_CLAIM__INIT;
+  Kingcuphollow__EarlierHolders ear = KINGCUPHOLLOW__EARLIER_HOLDERS__INIT;
+  Kingcuphollow__EarlierHolders__Holder rows[EARLIER_HOLDERS_MAX];
+  Kingcuphollow__EarlierHolders__Holder *row_ptrs[EARLIER_HOLDERS_MAX];
+  msg.holder = (char *)claim->holder;
+  msg.boot = claim->boot;
+  msg.released = claim->released;
+  msg.cleared = claim->cleared;
+  if (claim->earlier)
+    {
+      msg.earlier = &ear;
+      ear.holders = row_ptrs;
+      ear.n_holders = claim->earlier->count;
+      ear.leases_ms = to_ms (claim->earlier->leases_end_us);
+    }
+  for (size_t n = 0; n < ear.n_holders; n++)
+    {
+      const struct earlier_holder *row = &claim->earlier->rows[n];
+      row_ptrs[n] = &rows[n];
+      kingcuphollow__earlier_holders__holder__init (&rows[n]);
+      rows[n].name = (char *)row->name;
+      rows[n].boot = row->boot;
+      rows[n].commands_ms = to_ms (row->commands_end_us);
+    }
+  uint8_t *data = talloc_size (
+      parent, kingcuphollow__duty_claim__get_packed_size (&msg));
+  *len = data ? kingcuphollow__duty_claim__pack (&msg, data) : 0;
+  return data;
+}
+
+/* Returns false if MSG has more rows than the table keeps apart.  */
+static bool
+decode_earlier (const Kingcuphollow__EarlierHolders *msg,
+                struct earlier_holders *ear)
+{
+  *ear = (struct earlier_holders){ 0 };
+  if (msg->n_holders > EARLIER_HOLDERS_MAX)
+    return false;
+  ear->leases_end_us = (int64_t)msg->leases_ms * 1000;
+  for (size_t n = 0; n < msg->n_holders; n++)
+    {
+      struct earlier_holder *row = &ear->rows[ear->count++];
+      name_copy (row->name, msg->holders[n]->name);
+      row->boot = msg->holders[n]->boot;
+      row->commands_end_us = (int64_t)msg->holders[n]->commands_ms * 1000;
+    }
+  return true;
+}
+
+int
+duty_record_fold (struct duty_table *tab, const char *name,
+                  const struct topic_record *rec, int64_t now_us)
+{
+  struct earlier_holders ear;
+  Kingcuphollow__DutyClaim *msg = kingcuphollow__duty_claim__unpack (
+      NULL, rec->entry.value_len, rec->entry.value);
+  if (!msg)
+    return ERR_PROTOCOL;
+  const struct duty_claim claim = {
+    .name = name,
+    .holder = msg->holder,
+    .boot = msg->boot,
+    .released = msg->released,
+    .cleared = msg->cleared,
+    .token = rec->offset + 1,
+    .earlier
+    = msg->earlier && decode_earlier (msg->earlier, &ear) ? &ear : NULL,
+  };
+  int err = duty_fold_claim (tab, &claim, now_us);
+  kingcuphollow__duty_claim__free_unpacked (msg, NULL);
+  return err;
+}
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -94,10 +94,8 @@
   struct tevent_timer *timer; /* of the placer's next tick */
   int64_t timer_us;           /* when the timer is due */
   int64_t tick_ended_us;
-  int64_t tick_duration_us;    /* of the last tick */
-  bool fence_failed;           /* a later owner has fenced the partition */
-  bool earlier_owners_stopped; /* earlier owners certainly send no more
-                                  commands, and the placer knows it */
+  int64_t tick_duration_us; /* of the last tick */
+  bool fence_failed;        /* a later owner has fenced the partition */
   /* Reports to the holder of the fleet duty, and the last demand in them.  */
   struct appender report_app;
   int64_t demand_sent_us;
@@ -182,6 +180,16 @@
 /* Starts to follow the operators' records and the workers' reports.  */
 int node_open_directory (struct node *nod);
 
+/* node/duty_record.c */
+/* Encodes a claim or release; its name is the record's key.  Returns memory
+   that belongs to PARENT, or NULL without memory.  */
+uint8_t *duty_record_encode (void *parent, const struct duty_claim *claim,
+                             size_t *len);
+/* Decodes a record of the duty NAME and folds it.  Returns 0, ERR_PROTOCOL or
+   ERR_FULL.  */
+int duty_record_fold (struct duty_table *tab, const char *name,
+                      const struct topic_record *rec, int64_t now_us);
+
 /* node/duties.c */
 /* Starts to report to the other members and to follow the claims.  */
 int node_open_duties (struct node *nod);
--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -328,6 +328,57 @@
   assert(message->base.descriptor == &kingcuphollow__duty_claim__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   kingcuphollow__earlier_holders__holder__init
+                     (Kingcuphollow__EarlierHolders__Holder         *message)
+{
+  static const Kingcuphollow__EarlierHolders__Holder init_value = KINGCUPHOLLOW__EARLIER_HOLDERS__HOLDER__INIT;
+  *message = init_value;
+}
+void   kingcuphollow__earlier_holders__init
+                     (Kingcuphollow__EarlierHolders         *message)
+{
+  static const Kingcuphollow__EarlierHolders init_value = KINGCUPHOLLOW__EARLIER_HOLDERS__INIT;
+  *message = init_value;
+}
+size_t kingcuphollow__earlier_holders__get_packed_size
+                     (const Kingcuphollow__EarlierHolders *message)
+{
+  assert(message->base.descriptor == &kingcuphollow__earlier_holders__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t kingcuphollow__earlier_holders__pack
+                     (const Kingcuphollow__EarlierHolders *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &kingcuphollow__earlier_holders__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t kingcuphollow__earlier_holders__pack_to_buffer
+                     (const Kingcuphollow__EarlierHolders *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &kingcuphollow__earlier_holders__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Kingcuphollow__EarlierHolders *
+       kingcuphollow__earlier_holders__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Kingcuphollow__EarlierHolders *)
+     protobuf_c_message_unpack (&kingcuphollow__earlier_holders__descriptor,
+                                allocator, len, data);
+}
+void   kingcuphollow__earlier_holders__free_unpacked
+                     (Kingcuphollow__EarlierHolders *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &kingcuphollow__earlier_holders__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   kingcuphollow__vacate_request__init
                      (Kingcuphollow__VacateRequest         *message)
 {
@@ -1203,7 +1254,7 @@
   (ProtobufCMessageInit) kingcuphollow__member_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__duty_claim__field_descriptors[4] =
+static const ProtobufCFieldDescriptor kingcuphollow__duty_claim__field_descriptors[5] =
 {
   {
     "holder",
@@ -1253,17 +1304,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "earlier",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__DutyClaim, earlier),
+    &kingcuphollow__earlier_holders__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__duty_claim__field_indices_by_name[] = {
   1,   /* field[1] = boot */
   3,   /* field[3] = cleared */
+  4,   /* field[4] = earlier */
   0,   /* field[0] = holder */
   2,   /* field[2] = released */
 };
 static const ProtobufCIntRange kingcuphollow__duty_claim__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__duty_claim__descriptor =
 {
@@ -1273,13 +1337,128 @@
   "Kingcuphollow__DutyClaim",
   "kingcuphollow",
   sizeof(Kingcuphollow__DutyClaim),
-  4,
+  5,
   kingcuphollow__duty_claim__field_descriptors,
   kingcuphollow__duty_claim__field_indices_by_name,
   1,  kingcuphollow__duty_claim__number_ranges,
   (ProtobufCMessageInit) kingcuphollow__duty_claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor kingcuphollow__earlier_holders__holder__field_descriptors[3] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__EarlierHolders__Holder, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "boot",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__EarlierHolders__Holder, boot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "commands_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__EarlierHolders__Holder, commands_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned kingcuphollow__earlier_holders__holder__field_indices_by_name[] = {
+  1,   /* field[1] = boot */
+  2,   /* field[2] = commands_ms */
+  0,   /* field[0] = name */
+};
+static const ProtobufCIntRange kingcuphollow__earlier_holders__holder__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor kingcuphollow__earlier_holders__holder__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "kingcuphollow.EarlierHolders.Holder",
+  "Holder",
+  "Kingcuphollow__EarlierHolders__Holder",
+  "kingcuphollow",
+  sizeof(Kingcuphollow__EarlierHolders__Holder),
+  3,
+  kingcuphollow__earlier_holders__holder__field_descriptors,
+  kingcuphollow__earlier_holders__holder__field_indices_by_name,
+  1,  kingcuphollow__earlier_holders__holder__number_ranges,
+  (ProtobufCMessageInit) kingcuphollow__earlier_holders__holder__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor kingcuphollow__earlier_holders__field_descriptors[2] =
+{
+  {
+    "holders",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Kingcuphollow__EarlierHolders, n_holders),
+    offsetof(Kingcuphollow__EarlierHolders, holders),
+    &kingcuphollow__earlier_holders__holder__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leases_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__EarlierHolders, leases_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned kingcuphollow__earlier_holders__field_indices_by_name[] = {
+  0,   /* field[0] = holders */
+  1,   /* field[1] = leases_ms */
+};
+static const ProtobufCIntRange kingcuphollow__earlier_holders__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor kingcuphollow__earlier_holders__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "kingcuphollow.EarlierHolders",
+  "EarlierHolders",
+  "Kingcuphollow__EarlierHolders",
+  "kingcuphollow",
+  sizeof(Kingcuphollow__EarlierHolders),
+  2,
+  kingcuphollow__earlier_holders__field_descriptors,
+  kingcuphollow__earlier_holders__field_indices_by_name,
+  1,  kingcuphollow__earlier_holders__number_ranges,
+  (ProtobufCMessageInit) kingcuphollow__earlier_holders__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor kingcuphollow__vacate_request__field_descriptors[3] =
 {
   {
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -23,6 +23,8 @@
 typedef struct Kingcuphollow__PoolWorkers__Worker Kingcuphollow__PoolWorkers__Worker;
 typedef struct Kingcuphollow__MemberBeat Kingcuphollow__MemberBeat;
 typedef struct Kingcuphollow__DutyClaim Kingcuphollow__DutyClaim;
+typedef struct Kingcuphollow__EarlierHolders Kingcuphollow__EarlierHolders;
+typedef struct Kingcuphollow__EarlierHolders__Holder Kingcuphollow__EarlierHolders__Holder;
 typedef struct Kingcuphollow__VacateRequest Kingcuphollow__VacateRequest;
 typedef struct Kingcuphollow__VacateReport Kingcuphollow__VacateReport;
 typedef struct Kingcuphollow__PoolDemand Kingcuphollow__PoolDemand;
@@ -197,10 +199,50 @@
    * Of a release: the holder knew all that ran.
    */
   protobuf_c_boolean cleared;
+  /*
+   * What the holders before the claim may still do; not set: not stated.
+   */
+  Kingcuphollow__EarlierHolders *earlier;
 };
 #define KINGCUPHOLLOW__DUTY_CLAIM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__duty_claim__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, NULL }
+
+
+/*
+ * A holder that may not have noticed yet that it lost the duty.
+ */
+struct  Kingcuphollow__EarlierHolders__Holder
+{
+  ProtobufCMessage base;
+  char *name;
+  uint64_t boot;
+  /*
+   * It sends no commands after this time.
+   */
+  uint32_t commands_ms;
+};
+#define KINGCUPHOLLOW__EARLIER_HOLDERS__HOLDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__earlier_holders__holder__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * All times are counted from the append of the record.
+ */
+struct  Kingcuphollow__EarlierHolders
+{
+  ProtobufCMessage base;
+  size_t n_holders;
+  Kingcuphollow__EarlierHolders__Holder **holders;
+  /*
+   * The leases given by all other holders have expired after this time.
+   */
+  uint32_t leases_ms;
+};
+#define KINGCUPHOLLOW__EARLIER_HOLDERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__earlier_holders__descriptor) \
+    , 0,NULL, 0 }
 
 
 /*
@@ -419,6 +461,28 @@
 void   kingcuphollow__duty_claim__free_unpacked
                      (Kingcuphollow__DutyClaim *message,
                       ProtobufCAllocator *allocator);
+/* Kingcuphollow__EarlierHolders__Holder methods */
+void   kingcuphollow__earlier_holders__holder__init
+                     (Kingcuphollow__EarlierHolders__Holder         *message);
+/* Kingcuphollow__EarlierHolders methods */
+void   kingcuphollow__earlier_holders__init
+                     (Kingcuphollow__EarlierHolders         *message);
+size_t kingcuphollow__earlier_holders__get_packed_size
+                     (const Kingcuphollow__EarlierHolders   *message);
+size_t kingcuphollow__earlier_holders__pack
+                     (const Kingcuphollow__EarlierHolders   *message,
+                      uint8_t             *out);
+size_t kingcuphollow__earlier_holders__pack_to_buffer
+                     (const Kingcuphollow__EarlierHolders   *message,
+                      ProtobufCBuffer     *buffer);
+Kingcuphollow__EarlierHolders *
+       kingcuphollow__earlier_holders__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   kingcuphollow__earlier_holders__free_unpacked
+                     (Kingcuphollow__EarlierHolders *message,
+                      ProtobufCAllocator *allocator);
 /* Kingcuphollow__VacateRequest methods */
 void   kingcuphollow__vacate_request__init
                      (Kingcuphollow__VacateRequest         *message);
@@ -521,6 +585,12 @@
 typedef void (*Kingcuphollow__DutyClaim_Closure)
                  (const Kingcuphollow__DutyClaim *message,
                   void *closure_data);
+typedef void (*Kingcuphollow__EarlierHolders__Holder_Closure)
+                 (const Kingcuphollow__EarlierHolders__Holder *message,
+                  void *closure_data);
+typedef void (*Kingcuphollow__EarlierHolders_Closure)
+                 (const Kingcuphollow__EarlierHolders *message,
+                  void *closure_data);
 typedef void (*Kingcuphollow__VacateRequest_Closure)
                  (const Kingcuphollow__VacateRequest *message,
                   void *closure_data);
@@ -547,6 +617,8 @@
 extern const ProtobufCMessageDescriptor kingcuphollow__pool_workers__worker__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__member_beat__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__duty_claim__descriptor;
+extern const ProtobufCMessageDescriptor kingcuphollow__earlier_holders__descriptor;
+extern const ProtobufCMessageDescriptor kingcuphollow__earlier_holders__holder__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__vacate_request__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__vacate_report__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__pool_demand__descriptor;
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -570,22 +570,19 @@
   return now_us + (busy ? TICK_BUSY_US : TICK_IDLE_US);
 }
 
-/* Time by which the leases of all commands sent up to LAST_US have expired. */
-static int64_t
-leases_end_us (const struct placer *plc, int64_t last_us)
+int64_t
+placer_lease_span_us (int64_t lease_ms)
 {
-  int64_t lease_us = plc->set.lease_ms * 1000;
-  return last_us + lease_us + lease_us * CLOCK_SLOW_MAX_PERCENT / 100
+  int64_t lease_us = lease_ms * 1000;
+  return lease_us + lease_us * CLOCK_SLOW_MAX_PERCENT / 100
          + COMMAND_TRANSIT_US;
 }
 
 void
-placer_earlier_owners_stopped (struct placer *plc)
+placer_limit_earlier_leases (struct placer *plc, int64_t end_us)
 {
-  int64_t earlier_leases_end_us
-      = leases_end_us (plc, clock_now_us (plc->env.clk));
-  if (earlier_leases_end_us < plc->earlier_leases_end_us)
-    plc->earlier_leases_end_us = earlier_leases_end_us;
+  if (end_us < plc->earlier_leases_end_us)
+    plc->earlier_leases_end_us = end_us;
 }
 
 bool
@@ -627,8 +624,8 @@
   plc->set.pool = talloc_strdup (plc, set->pool);
   plc->env = *env;
   plc->claimed_us = plc->confirmed_us = clock_now_us (env->clk);
-  plc->earlier_leases_end_us
-      = leases_end_us (plc, plc->claimed_us + set->confirm_ms * 1000);
+  plc->earlier_leases_end_us = plc->claimed_us + set->confirm_ms * 1000
+                               + placer_lease_span_us (set->lease_ms);
   for (struct job *job = env->jobs->by_id; job; job = job->hh.next)
     placer_update_job (plc, job, JOB_CHANGE_NEW);
   return plc;
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -74,8 +74,13 @@
 void placer_add_earlier_worker (struct placer *plc, const char *id,
                                 const char *host, int64_t born_ms);
 
-/* Tells the placer that earlier owners certainly send no more commands.  */
-void placer_earlier_owners_stopped (struct placer *plc);
+/* Longest time, by this process's clock, after which a lease of LEASE_MS that
+   was given now has expired at the worker.  */
+int64_t placer_lease_span_us (int64_t lease_ms);
+
+/* Tells the placer that all leases given by earlier owners have expired at
+   END_US.  Without a call it assumes the longest time possible.  */
+void placer_limit_earlier_leases (struct placer *plc, int64_t end_us);
 
 /* Whether every run that earlier owners started is known or has lost its
    lease.  */
--- a/test/unit/unit_duty.c
+++ b/test/unit/unit_duty.c
@@ -6,6 +6,10 @@
 #include "member/duty.h"
 
 #define S 1000000
+/* An owner sends commands for 6 s after its duty was claimed, and the lease
+   of a command lasts 5 s.  */
+#define COMMAND (6 * S)
+#define LEASE (5 * S)
 
 static struct duty_table *tab;
 
@@ -20,7 +24,10 @@
 static void
 setup (void)
 {
+  const struct holder_limits limits
+      = { .command_us = COMMAND, .lease_us = LEASE };
   tab = talloc_zero (NULL, struct duty_table);
+  duty_set_limits (tab, &limits);
   member ("a", 1, false, 10 * S);
   member ("b", 1, false, 10 * S);
   member ("c", 1, false, 10 * S);
@@ -141,40 +148,186 @@
 }
 END_TEST
 
-/* Guards against a new holder that waits although the previous one can send no
-   more commands or orders, and against one that does not wait although the
-   previous holder may only be partitioned.  */
-START_TEST (test_previous_holder)
+/* A change of the duty "p" or of a member.  */
+struct step
+{
+  enum
+  {
+    END,
+    CLAIM,
+    OLD_CLAIM, /* by a version that does not state what earlier holders do */
+    OLD_RELEASE,
+    OLD_CLEARED_RELEASE,
+    RESTART,
+  } kind;
+  int64_t at_s;
+  const char *holder;
+  uint64_t boot; /* of a RESTART, the new one */
+};
+
+/* Appends a claim to TAB, as a claimant that has read everything does.  REC
+   and EAR get the record.  */
+static void
+append_claim (const struct step *stp, uint64_t token, struct duty_claim *rec,
+              struct earlier_holders *ear)
+{
+  duty_state_earlier (tab, "p", stp->at_s * S, ear);
+  *rec = (struct duty_claim){ .name = "p",
+                              .holder = stp->holder,
+                              .boot = stp->boot,
+                              .token = token,
+                              .earlier = stp->kind == CLAIM ? ear : NULL };
+  ck_assert_int_eq (duty_fold_claim (tab, rec, stp->at_s * S), 0);
+}
+
+static int64_t
+leases_end_s (const struct duty_table *of)
+{
+  return duty_earlier_leases_end_us (of, duty_find (of, "p")) / S;
+}
+
+/* Guards against a new holder that starts a task while a lease from an earlier
+   holder lasts, and against one that waits although the earlier holders have
+   stopped.  The restart of the last holder used to count for the holders
+   before it as well, which may be partitioned and send commands until 6 s
+   after they lost the duty.  */
+START_TEST (test_earlier_holders)
 {
   static const struct
   {
-    bool released;
-    bool cleared;
-    bool restarted;
-    bool stopped;
+    struct step steps[8];
+    int64_t leases_end_s; /* of the holders before the last one */
+    int64_t fresh_end_s;  /* the same for a process that starts at 40 s and
+                             reads only the last record */
   } cases[] = {
-    { false, false, false, false },
-    { false, false, true, true },
-    { true, true, false, true },
-    { true, false, false, false },
+    { { { CLAIM, 12, "b", 1 } }, 12, 40 },
+    { { { CLAIM, 10, "a", 1 }, { CLAIM, 12, "b", 1 } }, 23, 51 },
+    { { { CLAIM, 10, "a", 1 },
+        { CLAIM, 12, "b", 1 },
+        { RESTART, 13, "a", 2 } },
+      18,
+      51 },
+    { { { CLAIM, 10, "a", 1 },
+        { RESTART, 11, "a", 2 },
+        { CLAIM, 12, "b", 1 } },
+      16,
+      44 },
+    /* The holder reclaims the duty after a restart.  */
+    { { { CLAIM, 10, "a", 1 },
+        { RESTART, 11, "a", 2 },
+        { CLAIM, 11, "a", 2 } },
+      16,
+      45 },
+    /* "b" has restarted, "a" is only partitioned.  */
+    { { { CLAIM, 10, "a", 1 },
+        { CLAIM, 12, "b", 1 },
+        { RESTART, 13, "b", 2 },
+        { CLAIM, 13, "c", 1 } },
+      23,
+      50 },
+    { { { CLAIM, 10, "a", 1 },
+        { CLAIM, 12, "b", 1 },
+        { CLAIM, 13, "c", 1 },
+        { RESTART, 14, "b", 2 } },
+      23,
+      51 },
+    { { { CLAIM, 10, "a", 1 },
+        { CLAIM, 12, "b", 1 },
+        { RESTART, 13, "b", 2 },
+        { CLAIM, 13, "c", 1 },
+        { RESTART, 14, "a", 2 } },
+      19,
+      50 },
+    /* "a" stopped at 18 s, long before the last claim.  */
+    { { { CLAIM, 10, "a", 1 },
+        { CLAIM, 12, "b", 1 },
+        { RESTART, 13, "b", 2 },
+        { CLAIM, 22, "c", 1 } },
+      23,
+      41 },
+    /* More holders than are kept apart.  */
+    { { { CLAIM, 10, "a", 1 },
+        { CLAIM, 11, "b", 1 },
+        { CLAIM, 12, "c", 1 },
+        { CLAIM, 13, "d", 1 },
+        { CLAIM, 14, "e", 1 },
+        { CLAIM, 15, "f", 1 } },
+      26,
+      51 },
+    { { { CLAIM, 10, "a", 1 },
+        { CLAIM, 11, "b", 1 },
+        { CLAIM, 12, "c", 1 },
+        { CLAIM, 13, "d", 1 },
+        { CLAIM, 14, "e", 1 },
+        { CLAIM, 15, "f", 1 },
+        { RESTART, 15, "c", 2 } },
+      26,
+      51 },
+    /* Records of earlier versions.  */
+    { { { CLAIM, 10, "a", 1 },
+        { RESTART, 11, "a", 2 },
+        { OLD_CLAIM, 12, "b", 1 } },
+      23,
+      51 },
+    { { { CLAIM, 10, "a", 1 },
+        { OLD_CLEARED_RELEASE, 11, "a", 1 },
+        { CLAIM, 12, "b", 1 } },
+      16,
+      44 },
+    { { { CLAIM, 10, "a", 1 },
+        { OLD_RELEASE, 11, "a", 1 },
+        { CLAIM, 12, "b", 1 } },
+      22,
+      50 },
   };
   for (size_t n = 0; n < sizeof cases / sizeof *cases; n++)
     {
+      struct earlier_holders ear;
+      struct duty_claim rec;
+      const struct holder_limits limits
+          = { .command_us = COMMAND, .lease_us = LEASE };
       teardown ();
       setup ();
-      claim ("a", 1, 5, 10 * S);
-      if (cases[n].released)
-        release ("a", cases[n].cleared, 6, 11 * S);
-      claim ("b", 1, 7, 12 * S);
-      if (cases[n].restarted)
-        member ("a", 2, false, 12 * S);
-      ck_assert_msg (duty_previous_holder_stopped (tab, duty_find (tab, "p"))
-                         == cases[n].stopped,
-                     "case %zu", n);
+      uint64_t token = 5;
+      for (const struct step *stp = cases[n].steps; stp->kind != END; stp++)
+        if (stp->kind == RESTART)
+          member (stp->holder, stp->boot, false, stp->at_s * S);
+        else if (stp->kind == OLD_RELEASE || stp->kind == OLD_CLEARED_RELEASE)
+          release (stp->holder, stp->kind == OLD_CLEARED_RELEASE, token++,
+                   stp->at_s * S);
+        else
+          append_claim (stp, token++, &rec, &ear);
+      ck_assert_msg (leases_end_s (tab) == cases[n].leases_end_s,
+                     "case %zu: %d s", n, (int)leases_end_s (tab));
+      struct duty_table *fresh = talloc_zero (NULL, struct duty_table);
+      duty_set_limits (fresh, &limits);
+      ck_assert_int_eq (duty_fold_claim (fresh, &rec, 40 * S), 0);
+      ck_assert_msg (leases_end_s (fresh) == cases[n].fresh_end_s,
+                     "case %zu: %d s from the record", n,
+                     (int)leases_end_s (fresh));
+      talloc_free (fresh);
     }
 }
 END_TEST
 
+/* Guards against a holder that is taken for stopped because of a report that
+   is older than its claim: the two topics are read separately.  */
+START_TEST (test_report_before_claim)
+{
+  const struct step first = { CLAIM, 10, "a", 7 };
+  const struct step second = { CLAIM, 12, "b", 1 };
+  struct earlier_holders ear;
+  struct duty_claim rec;
+  append_claim (&first, 5, &rec, &ear);
+  member ("a", 3, false, 11 * S);
+  append_claim (&second, 6, &rec, &ear);
+  member ("a", 4, false, 12 * S);
+  ck_assert_int_eq (leases_end_s (tab), 23);
+  member ("a", 8, false, 13 * S);
+  ck_assert_int_eq (leases_end_s (tab), 18);
+}
+END_TEST
+
 /* Guards against a member that restarts and whose duties no member claims.  */
 START_TEST (test_restart)
 {
@@ -259,7 +412,8 @@
   tcase_add_test (tc, test_takeover);
   tcase_add_test (tc, test_stopping);
   tcase_add_test (tc, test_tokens);
-  tcase_add_test (tc, test_previous_holder);
+  tcase_add_test (tc, test_earlier_holders);
+  tcase_add_test (tc, test_report_before_claim);
   tcase_add_test (tc, test_restart);
   tcase_add_test (tc, test_claim_counts_as_report);
   tcase_add_test (tc, test_view_age);
--- a/test/unit/unit_placer.c
+++ b/test/unit/unit_placer.c
@@ -206,8 +206,13 @@
   setup ();
   placer_add_earlier_worker (wld->plc, "w9", "m-w9", 500);
   add_two_workers ();
-  placer_earlier_owners_stopped (wld->plc);
-  wld->clk.now_us += WORLD_LEASE_MS * 1000 + 700000;
+  placer_limit_earlier_leases (
+      wld->plc, wld->clk.now_us + placer_lease_span_us (WORLD_LEASE_MS));
+  wld->clk.now_us += WORLD_LEASE_MS * 1000;
+  world_confirm_ownership (wld);
+  world_tick (wld, 0);
+  ck_assert (!placer_takeover_done (wld->plc));
+  wld->clk.now_us += 700000;
   world_confirm_ownership (wld);
   world_tick (wld, 0);
   ck_assert (placer_takeover_done (wld->plc));
