member, node: a release states how long leases and commands may last

While all processes are restarted in turn, a pool changes its owner every few seconds, and each owner stops before its takeover is complete, because one worker of the pool has gone. Such a release said no more than that, so the next owner waited for the longest time from its own claim, although all earlier owners had stopped.

That worker had left at 22 s.

A release now carries the same statement as a claim: which holders may still send commands, and how long the leases of the others, its own among them, may last, from its append on. An owner that has sent no commands adds nothing. A release whose owner knew of all runs drops what its predecessors did, as `cleared` did before. The field `cleared` is still written for processes of earlier versions.

A release that is carried out late would end the duty of a later holder whose leases it does not state. So releases are appended like claims, on condition that nothing was appended since the last read, all of a process in one append, and again after each read while the process stops. A release of another than the present holder is ignored.

--- a/member/duty.c
+++ b/member/duty.c
@@ -193,6 +193,9 @@
     }
   if (claim->token <= dty->token)
     return 0;
+  if (claim->released && dty->token > 0
+      && !duty_held_by (dty, claim->holder, claim->boot))
+    return 0;
   note_claimant (tab, claim, now_us);
   dty->token = claim->token;
   dty->boot = claim->boot;
@@ -202,6 +205,18 @@
   return 0;
 }
 
+/* Makes the times in EAR count from NOW_US.  */
+static void
+make_relative (const struct duty_table *tab, struct earlier_holders *ear,
+               int64_t now_us)
+{
+  settle_earlier (tab, ear, now_us);
+  for (size_t n = 0; n < ear->count; n++)
+    ear->rows[n].commands_end_us -= now_us;
+  ear->leases_end_us
+      = ear->leases_end_us > now_us ? ear->leases_end_us - now_us : 0;
+}
+
 void
 duty_state_earlier (const struct duty_table *tab, const char *name,
                     int64_t now_us, struct earlier_holders *out)
@@ -211,11 +226,37 @@
   if (dty && *dty->holder)
     add_earlier (tab, out, dty->holder, dty->boot,
                  now_us + tab->limits.command_us);
-  settle_earlier (tab, out, now_us);
-  for (size_t n = 0; n < out->count; n++)
-    out->rows[n].commands_end_us -= now_us;
-  out->leases_end_us
-      = out->leases_end_us > now_us ? out->leases_end_us - now_us : 0;
+  make_relative (tab, out, now_us);
+}
+
+void
+duty_stop_holding (struct duty_table *tab, const char *name, int64_t now_us,
+                   bool no_commands, bool all_known)
+{
+  struct duty *dty = find_duty (tab, name);
+  if (!dty)
+    return;
+  /* The next holder learns of the runs that this one knew from the workers.
+     Only for those that do not answer it waits for this holder's leases.  */
+  if (all_known)
+    dty->earlier = (struct earlier_holders){ 0 };
+  if (!no_commands)
+    note_leases (&dty->earlier, now_us + tab->limits.lease_us);
+}
+
+void
+duty_state_release (const struct duty_table *tab, const struct duty *dty,
+                    int64_t now_us, struct earlier_holders *out)
+{
+  *out = dty->earlier;
+  make_relative (tab, out, now_us);
+}
+
+bool
+duty_only_last_leases (const struct duty_table *tab,
+                       const struct earlier_holders *ear)
+{
+  return ear->count == 0 && ear->leases_end_us <= tab->limits.lease_us;
 }
 
 int64_t
--- a/member/duty.h
+++ b/member/duty.h
@@ -85,7 +85,8 @@
   uint64_t boot;           /* of the holder when it claimed or released */
   uint64_t token;          /* of the last claim or release */
   int64_t since_us;        /* monotonic time at which that was read */
-  struct earlier_holders earlier; /* of those before the holder */
+  struct earlier_holders earlier; /* of those before the holder, and of this
+                                     process once it has stopped holding it */
 };
 
 /* What a holder does after another process has claimed its duty.  */
@@ -128,15 +129,18 @@
   const char *holder;
   uint64_t boot;
   bool released; /* a release: the holder sends no more commands or orders */
-  bool cleared;  /* of a release: the holder knew of every run in its pool */
+  /* Of a release: no holder sends commands, and all leases that matter have
+     expired limits.lease_us after the append.  Used if EARLIER is NULL.  */
+  bool cleared;
   uint64_t token;
-  /* Of a claim: what the holders before it may still do.  NULL: not stated, as
-     in records of earlier versions.  */
+  /* What the holders before the claim, or those up to the release, may still
+     do.  NULL: not stated, as in records of earlier versions.  */
   const struct earlier_holders *earlier;
 };
-/* Folds a claim or release.  One whose token is not above the known token is
-   ignored.  Returns 0, or ERR_FULL when a new duty would exceed
-   DUTIES_MAX.  */
+/* Folds a claim or release.  Ignored are one whose token is not above the
+   known token, and the release of another than the present holder: an append
+   without an answer may be carried out seconds later.  Returns 0, or ERR_FULL
+   when a new duty would exceed DUTIES_MAX.  */
 int duty_fold_claim (struct duty_table *tab, const struct duty_claim *claim,
                      int64_t now_us);
 
@@ -145,6 +149,22 @@
 void duty_state_earlier (const struct duty_table *tab, const char *name,
                          int64_t now_us, struct earlier_holders *out);
 
+/* Notes that this process, the holder of the duty NAME, sends no commands from
+   NOW_US on.  NO_COMMANDS: it has sent none at all.  ALL_KNOWN: it knew of
+   every run that its predecessors had started.  */
+void duty_stop_holding (struct duty_table *tab, const char *name,
+                        int64_t now_us, bool no_commands, bool all_known);
+
+/* The same as duty_state_earlier for a release by the holder, after
+   duty_stop_holding.  */
+void duty_state_release (const struct duty_table *tab, const struct duty *dty,
+                         int64_t now_us, struct earlier_holders *out);
+
+/* Whether no holder in EAR, with times from the append on, may send commands
+   and the leases last no longer than those given just before.  */
+bool duty_only_last_leases (const struct duty_table *tab,
+                            const struct earlier_holders *ear);
+
 /* Monotonic time by which all leases given by holders before the present one
    have expired.  It can become earlier when members report.  */
 int64_t duty_earlier_leases_end_us (const struct duty_table *tab,
--- a/node/duties.c
+++ b/node/duties.c
@@ -38,7 +38,6 @@
    needs time to send the commands.  */
 #define TICK_PAUSE_FACTOR 3
 #define MEMBER_KEY 'm'
-#define DUTY_KEY 'd'
 
 static bool
 caught_up (const struct node *nod)
@@ -384,39 +383,65 @@
 }
 
 static int
-append_claim (struct node *nod, const char *name, bool released, bool cleared)
+append_claim (struct node *nod, const char *name)
 {
-  char key[DUTY_KEY_BYTES];
   struct earlier_holders earlier;
-  struct duty_claim claim = { .name = name,
-                              .holder = nod->set->name,
-                              .boot = nod->boot,
-                              .released = released,
-                              .cleared = cleared };
-  size_t len;
-  if (!released)
+  duty_state_earlier (&nod->duties, name, clock_now_us (nod->clk), &earlier);
+  const struct duty_claim claim = { .name = name,
+                                    .holder = nod->set->name,
+                                    .boot = nod->boot,
+                                    .earlier = &earlier };
+  return duty_record_append (nod, &claim, 1, on_claim_appended);
+}
+
+static void
+on_release_appended (void *arg, const struct topic_append_result *res)
+{
+  struct node *nod = arg;
+  /* Duties that are still held are released again when claims or reports have
+     been read.  */
+  nod->release_in_progress = false;
+  if (res->status == TOPIC_APPENDED)
+    nod->claim_end_offset = res->end_offset;
+}
+
+/* Whether the records that this process appended last have not been read.  */
+static bool
+own_records_unread (const struct node *nod)
+{
+  return follower_next_offset (&nod->duty_fol) < nod->claim_end_offset;
+}
+
+/* Releases the duties that this process holds according to the records read,
+   among them those whose claim succeeded after the stop signal.  */
+static void
+append_releases (struct node *nod)
+{
+  struct duty_claim claims[DUTIES_MAX];
+  struct earlier_holders earlier[DUTIES_MAX];
+  size_t count = 0;
+  if (nod->release_in_progress || own_records_unread (nod))
+    return;
+  for (size_t n = 0; n < nod->duties.duty_count; n++)
     {
-      duty_state_earlier (&nod->duties, name, clock_now_us (nod->clk),
-                          &earlier);
-      claim.earlier = &earlier;
+      const struct duty *dty = &nod->duties.duties[n];
+      if (!duty_held_by (dty, nod->set->name, nod->boot))
+        continue;
+      duty_state_release (&nod->duties, dty, clock_now_us (nod->clk),
+                          &earlier[count]);
+      claims[count] = (struct duty_claim){
+        .name = dty->name,
+        .holder = nod->set->name,
+        .boot = nod->boot,
+        .released = true,
+        .cleared = duty_only_last_leases (&nod->duties, &earlier[count]),
+        .earlier = &earlier[count],
+      };
+      count++;
     }
-  uint8_t *data = duty_record_encode (nod, &claim, &len);
-  if (!data)
-    return ERR_NOMEM;
-  snprintf (key, sizeof key, "%c/%s", DUTY_KEY, name);
-  const struct topic_entry ent = {
-    .key = key, .key_len = strlen (key), .value = data, .value_len = len
-  };
-  const struct topic_append app = {
-    .topic = TOPIC_DUTIES,
-    .conditional = !released,
-    .expected_end = follower_next_offset (&nod->duty_fol),
-    .entries = &ent,
-    .count = 1,
-  };
-  int err = topic_append (&nod->store.st, &app, on_claim_appended, nod);
-  talloc_free (data);
-  return err;
+  nod->release_in_progress
+      = count > 0
+        && duty_record_append (nod, claims, count, on_release_appended) == 0;
 }
 
 static void
@@ -444,12 +469,11 @@
           .unclaimed_since_us = nod->started_us + CLAIM_START_DELAY_US,
           .slack_us = slack_us };
   /* The next claim is made only after the last one has been read.  */
-  bool unread = follower_next_offset (&nod->duty_fol) < nod->claim_end_offset;
-  if (nod->claim_in_progress || unread || now_us < view.unclaimed_since_us
-      || now_us < nod->next_claim_us
+  if (nod->claim_in_progress || own_records_unread (nod)
+      || now_us < view.unclaimed_since_us || now_us < nod->next_claim_us
       || !duty_should_claim (&nod->duties, name, &view))
     return;
-  if (append_claim (nod, name, false, true) == 0)
+  if (append_claim (nod, name) == 0)
     {
       nod->claim_in_progress = true;
       log_event (
@@ -463,6 +487,8 @@
 node_check_duties (struct node *nod)
 {
   check_held_duties (nod);
+  if (nod->stopping)
+    append_releases (nod);
   if (nod->stopping || !caught_up (nod))
     return;
   for (size_t n = 0; n < nod->cat->queue_count; n++)
@@ -475,17 +501,16 @@
 node_release_duties (struct node *nod)
 {
   if (node_fleet_token (nod))
-    {
-      append_claim (nod, DUTY_FLEET, true, true);
-      node_fleet_end (nod);
-    }
+    node_fleet_end (nod);
   while (nod->held_duties)
     {
       struct held_duty *hld = nod->held_duties;
-      append_claim (nod, hld->pool, true,
-                    hld->plc && placer_takeover_done (hld->plc));
-      end_held_duty (nod->held_duties, "stopping");
+      duty_stop_holding (&nod->duties, hld->pool, clock_now_us (nod->clk),
+                         hld->plc == NULL,
+                         hld->plc && placer_takeover_done (hld->plc));
+      end_held_duty (hld, "stopping");
     }
+  append_releases (nod);
 }
 
 static bool
--- a/node/duty_record.c
+++ b/node/duty_record.c
@@ -1,10 +1,11 @@
+#include <string.h>
 #include <talloc.h>
 
 #include "base/err.h"
 #include "node/node_priv.h"
 #include "proto/job.pb-c.h"
 
-/* Encoding of duty claims and releases.  */
+/* Records of duty claims and releases.  */
 
 /* Rounds up, as a time that is too short could end a wait too early.  */
 static uint32_t
@@ -13,8 +14,9 @@
   return (uint32_t)((span_us + 999) / 1000);
 }
 
-uint8_t *
-duty_record_encode (void *parent, const struct duty_claim *claim, size_t *len)
+/* Returns memory that belongs to PARENT, or NULL without memory.  */
+static uint8_t *
+encode (void *parent, const struct duty_claim *claim, size_t *len)
 {
   Kingcuphollow__DutyClaim msg = KINGCUPHOLLOW__DUTY_CLAIM__INIT;
   Kingcuphollow__EarlierHolders ear = KINGCUPHOLLOW__EARLIER_HOLDERS__INIT;
@@ -46,6 +48,36 @@
   return data;
 }
 
+int
+duty_record_append (struct node *nod, const struct duty_claim *claims,
+                    size_t count, topic_append_fn *fn)
+{
+  void *ctx = talloc_new (nod);
+  struct topic_entry *entries = talloc_array (ctx, struct topic_entry, count);
+  int err = entries ? 0 : ERR_NOMEM;
+  for (size_t n = 0; !err && n < count; n++)
+    {
+      struct topic_entry *ent = &entries[n];
+      ent->key = talloc_asprintf (ctx, "%c/%s", DUTY_KEY, claims[n].name);
+      ent->value = encode (ctx, &claims[n], &ent->value_len);
+      if (!ent->key || !ent->value)
+        err = ERR_NOMEM;
+      else
+        ent->key_len = strlen (ent->key);
+    }
+  const struct topic_append app = {
+    .topic = TOPIC_DUTIES,
+    .conditional = true,
+    .expected_end = follower_next_offset (&nod->duty_fol),
+    .entries = entries,
+    .count = count,
+  };
+  if (!err)
+    err = topic_append (&nod->store.st, &app, fn, nod);
+  talloc_free (ctx);
+  return err;
+}
+
 /* Returns false if MSG has more rows than the table keeps apart.  */
 static bool
 decode_earlier (const Kingcuphollow__EarlierHolders *msg,
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -40,6 +40,7 @@
    acting on a changed report may take up to 2 s.  */
 #define DIRECTORY_BATCH_DELAY_MS 120
 #define FLEET_BATCH_DELAY_MS 20
+#define DUTY_KEY 'd'
 #define DUTY_KEY_BYTES (NAME_BYTES + 2)
 #define PRODUCER_BYTES (NAME_BYTES + 32)
 
@@ -140,8 +141,9 @@
                                     outage of the store; 0: no outage yet */
   struct held_duty *held_duties; /* without the fleet duty */
   bool claim_in_progress;
+  bool release_in_progress;
   uint64_t claim_end_offset; /* end of the topic after this process's last
-                                claim */
+                                claim or release */
   int64_t next_claim_us;     /* no claim before this time */
   uint64_t claim_conflicts;  /* claims that lost to a concurrent append */
   struct tevent_timer *claim_timer;
@@ -181,10 +183,12 @@
 int node_open_directory (struct node *nod);
 
 /* node/duty_record.c */
-/* Encodes a claim or release; its name is the record's key.  Returns memory
-   that belongs to PARENT, or NULL without memory.  */
-uint8_t *duty_record_encode (void *parent, const struct duty_claim *claim,
-                             size_t *len);
+/* Appends COUNT claims or releases of this process, all or none.  They are
+   appended only if it has read all earlier ones: a call without an answer may
+   be carried out seconds later, when others have claimed the duties.  Returns
+   0 or an error; FN runs with NOD as argument after 0 only.  */
+int duty_record_append (struct node *nod, const struct duty_claim *claims,
+                        size_t count, topic_append_fn *fn);
 /* Decodes a record of the duty NAME and folds it.  Returns 0, ERR_PROTOCOL or
    ERR_FULL.  */
 int duty_record_fold (struct duty_table *tab, const char *name,
--- a/test/unit/unit_duty.c
+++ b/test/unit/unit_duty.c
@@ -158,6 +158,9 @@
     OLD_CLAIM, /* by a version that does not state what earlier holders do */
     OLD_RELEASE,
     OLD_CLEARED_RELEASE,
+    RELEASE,         /* by a holder whose takeover is not complete */
+    CLEARED_RELEASE, /* by one that knew of all runs */
+    IDLE_RELEASE,    /* by one that has sent no commands */
     RESTART,
   } kind;
   int64_t at_s;
@@ -180,6 +183,23 @@
   ck_assert_int_eq (duty_fold_claim (tab, rec, stp->at_s * S), 0);
 }
 
+static void
+append_release (const struct step *stp, uint64_t token)
+{
+  struct earlier_holders ear;
+  int64_t now_us = stp->at_s * S;
+  duty_stop_holding (tab, "p", now_us, stp->kind == IDLE_RELEASE,
+                     stp->kind == CLEARED_RELEASE);
+  duty_state_release (tab, duty_find (tab, "p"), now_us, &ear);
+  const struct duty_claim rec = { .name = "p",
+                                  .holder = stp->holder,
+                                  .boot = stp->boot,
+                                  .released = true,
+                                  .token = token,
+                                  .earlier = &ear };
+  ck_assert_int_eq (duty_fold_claim (tab, &rec, now_us), 0);
+}
+
 static int64_t
 leases_end_s (const struct duty_table *of)
 {
@@ -195,7 +215,7 @@
 {
   static const struct
   {
-    struct step steps[8];
+    struct step steps[12];
     int64_t leases_end_s; /* of the holders before the last one */
     int64_t fresh_end_s;  /* the same for a process that starts at 40 s and
                              reads only the last record */
@@ -263,6 +283,57 @@
         { RESTART, 15, "c", 2 } },
       26,
       51 },
+    /* All but "a", which has no row of its own any more, have restarted.  */
+    { { { CLAIM, 10, "a", 1 },
+        { CLAIM, 11, "b", 1 },
+        { CLAIM, 12, "c", 1 },
+        { CLAIM, 13, "d", 1 },
+        { CLAIM, 14, "e", 1 },
+        { CLAIM, 15, "f", 1 },
+        { RESTART, 15, "b", 2 },
+        { RESTART, 15, "c", 2 },
+        { RESTART, 15, "d", 2 },
+        { RESTART, 15, "e", 2 } },
+      22,
+      51 },
+    /* Owners that follow each other while all processes are restarted.  Each
+       one used to wait for the longest time from its own claim.  */
+    { { { CLAIM, 10, "a", 1 },
+        { RESTART, 11, "a", 2 },
+        { CLAIM, 11, "a", 2 },
+        { RELEASE, 12, "a", 2 },
+        { CLAIM, 13, "b", 1 },
+        { RELEASE, 14, "b", 1 },
+        { CLAIM, 15, "c", 1 } },
+      19,
+      44 },
+    { { { CLAIM, 10, "a", 1 },
+        { RESTART, 11, "a", 2 },
+        { CLAIM, 11, "b", 1 },
+        { IDLE_RELEASE, 14, "b", 1 },
+        { CLAIM, 15, "c", 1 } },
+      16,
+      41 },
+    /* "a" is only partitioned, and "b" has not reached all its workers.  */
+    { { { CLAIM, 10, "a", 1 },
+        { CLAIM, 12, "b", 1 },
+        { RELEASE, 13, "b", 1 },
+        { CLAIM, 14, "c", 1 } },
+      23,
+      49 },
+    { { { CLAIM, 10, "a", 1 },
+        { CLAIM, 12, "b", 1 },
+        { RELEASE, 13, "b", 1 },
+        { CLAIM, 14, "c", 1 },
+        { RESTART, 15, "a", 2 } },
+      20,
+      49 },
+    { { { CLAIM, 10, "a", 1 },
+        { CLAIM, 12, "b", 1 },
+        { CLEARED_RELEASE, 13, "b", 1 },
+        { CLAIM, 14, "c", 1 } },
+      18,
+      44 },
     /* Records of earlier versions.  */
     { { { CLAIM, 10, "a", 1 },
         { RESTART, 11, "a", 2 },
@@ -295,6 +366,9 @@
         else if (stp->kind == OLD_RELEASE || stp->kind == OLD_CLEARED_RELEASE)
           release (stp->holder, stp->kind == OLD_CLEARED_RELEASE, token++,
                    stp->at_s * S);
+        else if (stp->kind == RELEASE || stp->kind == CLEARED_RELEASE
+                 || stp->kind == IDLE_RELEASE)
+          append_release (stp, token++);
         else
           append_claim (stp, token++, &rec, &ear);
       ck_assert_msg (leases_end_s (tab) == cases[n].leases_end_s,
@@ -328,6 +402,19 @@
 }
 END_TEST
 
+/* Guards against a release that is appended late and ends the duty of a later
+   holder, whose leases the release does not state.  */
+START_TEST (test_late_release)
+{
+  claim ("a", 1, 5, 10 * S);
+  claim ("b", 1, 6, 12 * S);
+  release ("a", true, 7, 13 * S);
+  ck_assert (duty_held_by (duty_find (tab, "p"), "b", 1));
+  ck_assert_uint_eq (duty_find (tab, "p")->token, 6);
+  ck_assert_int_eq (leases_end_s (tab), 23);
+}
+END_TEST
+
 /* Guards against a member that restarts and whose duties no member claims.  */
 START_TEST (test_restart)
 {
@@ -414,6 +501,7 @@
   tcase_add_test (tc, test_tokens);
   tcase_add_test (tc, test_earlier_holders);
   tcase_add_test (tc, test_report_before_claim);
+  tcase_add_test (tc, test_late_release);
   tcase_add_test (tc, test_restart);
   tcase_add_test (tc, test_claim_counts_as_report);
   tcase_add_test (tc, test_view_age);
