sched: a silent worker whose host has left the list of hosts has ended

The cause: a worker counted as ended when the list showed its host with another worker, or not up. A host that has left for good is in no list, and nothing was concluded from that.

A silent worker now counts as ended, and a worker of an earlier owner is not waited for, when two complete lists in a row do not contain its host, both requested 2 s or more after the worker was known here. A list shows the hosts as they were up to one second before, so such a list is newer than the worker by the clock of this process alone. Two lists, because a list is read in pages and a host may be missing in one if another leaves between two pages. A list with entries that could not be decoded leaves hosts out and shows nothing about them. The runs of such a worker are given up as before: once ownership is confirmed after that time, and not if the worker answers.

test_absent_host and test_silent_worker_without_host fail without the change; the former also with one list instead of two, and with lists from before the claim.

--- a/fleet/host_link.h
+++ b/fleet/host_link.h
@@ -35,7 +35,8 @@
 
 struct host_list
 {
-  int err; /* 0, or ERR_UNAVAILABLE and no hosts */
+  int err;      /* 0, or ERR_UNAVAILABLE and no hosts */
+  bool partial; /* entries that could not be decoded were left out */
   const struct host_report *hosts;
   size_t count;
 };
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -243,8 +243,8 @@
   if (flt->active)
     host_mgr_set_hosts (&flt->mgr, flt, list, flt->list_requested_us);
   for (struct held_duty *hld = flt->nod->held_duties; hld; hld = hld->next)
-    for (size_t n = 0; hld->plc && n < list->count; n++)
-      placer_update_host (hld->plc, &list->hosts[n], flt->list_requested_us);
+    if (hld->plc)
+      placer_update_hosts (hld->plc, list, flt->list_requested_us);
   wake_placers (flt->nod);
 }
 
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -18,6 +18,7 @@
 
 struct clock;
 struct counters;
+struct host_list;
 struct logger;
 struct placer;
 
@@ -113,6 +114,10 @@
    requested at ASKED_US.  */
 void placer_update_host (struct placer *plc, const struct host_report *rep,
                          int64_t asked_us);
+/* Takes the platform's list of hosts, which was requested at ASKED_US.  A
+   worker without an answer has ended if its host has left the list.  */
+void placer_update_hosts (struct placer *plc, const struct host_list *list,
+                          int64_t asked_us);
 /* Tells the placer about a change of JOB.  */
 void placer_update_job (struct placer *plc, struct job *job,
                         enum job_change change);
--- a/sched/placer_enrol.c
+++ b/sched/placer_enrol.c
@@ -155,9 +155,9 @@
     return; /* out of memory: the worker is waited for only if registered */
   plc->earlier = rows;
   rows += plc->earlier_count++;
+  *rows = (struct earlier_worker){ .born_ms = born_ms };
   name_copy (rows->id, id);
   name_copy (rows->host, host);
-  rows->born_ms = born_ms;
 }
 
 static void
--- /dev/null
+++ b/sched/placer_hosts.c
@@ -0,0 +1,82 @@
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "fleet/host_link.h"
+#include "sched/placer_priv.h"
+
+/* What the platform's list of hosts tells about workers that do not answer. */
+
+/* A list of hosts that was requested this long after a worker was known shows
+   its host, unless it has left: a list shows the hosts as they were up to one
+   second before.  */
+#define HOST_LIST_AGE_MAX_US 2000000
+/* A host is gone when this number of consecutive lists do not contain it.  A
+   list is read in pages, and a host may be missing in one if another host
+   leaves between two pages.  */
+#define ABSENT_LISTS_MIN 2
+
+static bool
+is_listed (const struct host_list *list, const char *host)
+{
+  for (size_t n = 0; n < list->count; n++)
+    if (strcmp (list->hosts[n].name, host) == 0)
+      return true;
+  return false;
+}
+
+/* Counts the lists without the host in *ABSENT, and returns whether it is
+   gone.  */
+static bool
+host_gone (const struct host_list *list, const char *host, uint32_t *absent)
+{
+  *absent = !*host || is_listed (list, host) ? 0 : *absent + 1;
+  return *absent >= ABSENT_LISTS_MIN;
+}
+
+static void
+end_worker (struct placer *plc, const char *id, const char *host,
+            int64_t born_ms)
+{
+  log_event (plc->env.lg, EV_WORKER_CHANGED, LOG_S ("worker", id),
+             LOG_S ("state", "ended"), LOG_S ("host", host),
+             LOG_S ("next", ""), LOG_I ("born_ms", born_ms));
+  placer_worker_ended (plc, id);
+}
+
+static void
+end_workers_without_host (struct placer *plc, const struct host_list *list,
+                          int64_t asked_us)
+{
+  for (size_t n = 0; n < plc->pool.count; n++)
+    {
+      struct worker *wrk = plc->pool.workers[n];
+      if (wrk->unanswered_calls == 0 || wrk->hold_answered_us >= asked_us
+          || wrk->ended_us || asked_us < wrk->added_us + HOST_LIST_AGE_MAX_US)
+        wrk->absent_lists = 0;
+      else if (host_gone (list, wrk->rep.host, &wrk->absent_lists))
+        end_worker (plc, wrk->rep.id, wrk->rep.host, wrk->rep.born_ms);
+    }
+  for (size_t n = plc->earlier_count; n-- > 0;)
+    {
+      struct earlier_worker *row = &plc->earlier[n];
+      if (asked_us >= plc->claimed_us + HOST_LIST_AGE_MAX_US
+          && host_gone (list, row->host, &row->absent_lists))
+        {
+          const struct earlier_worker gone = *row;
+          end_worker (plc, gone.id, gone.host, gone.born_ms);
+        }
+    }
+}
+
+void
+placer_update_hosts (struct placer *plc, const struct host_list *list,
+                     int64_t asked_us)
+{
+  if (list->err)
+    return;
+  for (size_t n = 0; n < list->count; n++)
+    placer_update_host (plc, &list->hosts[n], asked_us);
+  if (!list->partial && list->count > 0)
+    end_workers_without_host (plc, list, asked_us);
+}
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -18,6 +18,7 @@
   char id[NAME_BYTES];
   char host[NAME_BYTES];
   int64_t born_ms;
+  uint32_t absent_lists; /* consecutive lists of hosts without its host */
 };
 
 struct placer
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -65,6 +65,7 @@
   bool unenrolled; /* the worker record in the log leaves it out, as it is
                       vacated and empty */
   int unanswered_calls;     /* consecutive calls without an answer */
+  uint32_t absent_lists;    /* consecutive lists of hosts without its host */
   bool hold_failure_logged; /* the last hold failed or was refused; only the
                                first failure in a row is logged */
   int64_t clock_ms;         /* the worker's clock in its last answer */
--- a/test/unit/unit_placer_takeover.c
+++ b/test/unit/unit_placer_takeover.c
@@ -1,6 +1,7 @@
 #include <check.h>
 #include <stdlib.h>
 
+#include "fleet/host_link.h"
 #include "placer_world.h"
 #include "sched/pool.h"
 
@@ -131,6 +132,88 @@
 }
 END_TEST
 
+/* Guards against tasks that wait for the leases of a worker whose host has
+   left, and against a task that is started while its run goes on at a worker
+   whose host is missing in a list only by chance: in one list read in pages,
+   in one with entries that could not be decoded, or in one that is older than
+   the worker.  */
+START_TEST (test_absent_host)
+{
+  static const struct
+  {
+    int64_t after_ms; /* from the claim to the first list */
+    bool partial;
+    bool listed[3]; /* by list: contains the host of w9 */
+    bool takeover_done;
+  } cases[] = {
+    { 2000, false, { true, false, false }, true },
+    { 2000, false, { true, true, false }, false },
+    { 2000, false, { false, true, false }, false },
+    { 2000, true, { false, false, false }, false },
+    { 200, false, { false, false, false }, false },
+    { 2000, false, { true, true, true }, false },
+  };
+  for (size_t n = 0; n < sizeof cases / sizeof *cases; n++)
+    {
+      static const struct host_report hosts[]
+          = { { .name = "m-w1", .worker = "w1" },
+              { .name = "m-w2", .worker = "w2" },
+              { .name = "m-w9", .worker = "w9" } };
+      teardown ();
+      setup ();
+      placer_add_earlier_worker (wld->plc, "w9", "m-w9", 500);
+      list_runs (NULL, NULL);
+      world_tick (wld, cases[n].after_ms);
+      for (int m = 0; m < 3; m++)
+        {
+          const struct host_list list
+              = { .partial = cases[n].partial,
+                  .hosts = hosts,
+                  .count = cases[n].listed[m] ? 3 : 2 };
+          placer_update_hosts (wld->plc, &list, wld->clk.now_us);
+          world_tick (wld, 400);
+        }
+      ck_assert_msg (placer_takeover_done (wld->plc) == cases[n].takeover_done,
+                     "case %zu", n);
+    }
+}
+END_TEST
+
+/* The runs of a silent worker whose host has left are given up once ownership
+   is confirmed, before their leases have expired; a worker that answers keeps
+   its runs.  */
+START_TEST (test_silent_worker_without_host)
+{
+  const struct world_row row = { .job = 1, .run = 1 };
+  const struct host_report other = { .name = "m-w8", .worker = "w8" };
+  const struct host_list list = { .hosts = &other, .count = 1 };
+  world_add_job (wld, 1, PERPETUAL_JOB, 200);
+  list_runs (&row, NULL);
+  world_tick (wld, 2000);
+  for (int n = 0; n < 3; n++)
+    {
+      placer_update_hosts (wld->plc, &list, wld->clk.now_us);
+      world_answer_hold (wld, "w1", &row, 1, NULL, 0);
+      world_tick (wld, 400);
+      world_confirm_ownership (wld);
+    }
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 0);
+  world_answer (wld, world_call (wld, WORLD_HOLD, "w1"), COMMAND_NO_ANSWER);
+  for (int n = 0; n < 2; n++)
+    {
+      ck_assert_uint_eq (world_starts (wld, 1, 0), 0);
+      world_tick (wld, 100);
+      placer_update_hosts (wld->plc, &list, wld->clk.now_us);
+    }
+  world_tick (wld, 100);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 0);
+  world_confirm_ownership (wld);
+  world_tick (wld, 60);
+  world_tick (wld, 60);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -140,6 +223,8 @@
   tcase_add_loop_test (tc, test_listed_run_with_lower_number, 0, 3);
   tcase_add_test (tc, test_unwanted_run_delays_start);
   tcase_add_test (tc, test_unlogged_progress_of_earlier_ownership);
+  tcase_add_test (tc, test_absent_host);
+  tcase_add_test (tc, test_silent_worker_without_host);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
