sched: no lease begins after the confirmation of ownership has become too old

What callers may see: two runs of one task. A later owner starts tasks again 6 s and a lease after it claimed the pool, as an owner sends no commands once its last confirmation is 6 s old. But a start without an answer was sent again when its call ended, without a look at the confirmation, and a lease in a start applies to all runs at the worker. A process that is suspended between the check and the command had the same effect.

The lease in a command now begins at the latest 6 s after the last confirmation, whenever it is sent, so the bound that later owners count on holds for each command.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -56,7 +56,12 @@
 placer_lease_end (const struct placer *plc, const struct worker *wrk,
                   int64_t now_us)
 {
-  return wrk->clock_ms + (now_us - wrk->clock_read_us) / 1000
+  /* Later owners count on leases that begin no later than this.  A command may
+     be repeated after the check of the confirmation, or this process may be
+     suspended between the check and the command.  */
+  int64_t last_us = plc->confirmed_us + plc->set.confirm_ms * 1000;
+  int64_t begin_us = now_us < last_us ? now_us : last_us;
+  return wrk->clock_ms + (begin_us - wrk->clock_read_us) / 1000
          + plc->set.lease_ms;
 }
 
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -109,8 +109,9 @@
 /* Gives up runs on WRK that have certainly ended, and sends a hold if one is
    due.  */
 void placer_hold (struct placer *plc, struct worker *wrk, int64_t now_us);
-/* End of a lease that begins at NOW_US, in milliseconds of the worker's
-   estimated clock.  */
+/* End of a lease that begins at NOW_US, or when the last confirmation of
+   ownership becomes too old if that is earlier, in milliseconds of the
+   worker's estimated clock.  */
 int64_t placer_lease_end (const struct placer *plc, const struct worker *wrk,
                           int64_t now_us);
 /* Updates the worker's contact state from the result of a call.  */
--- a/test/unit/unit_placer_takeover.c
+++ b/test/unit/unit_placer_takeover.c
@@ -214,6 +214,28 @@
 }
 END_TEST
 
+/* A later owner starts tasks again once the leases of an earlier one have
+   expired, counted from the time up to which that one may send commands.
+   Guards against a start that is repeated after that time, as its call was
+   answered late, and that extends all leases at the worker.  */
+START_TEST (test_lease_without_confirmation)
+{
+  list_runs (NULL, NULL);
+  int64_t latest_ms
+      = wld->clk.now_us / 1000 + WORLD_CONFIRM_MS + WORLD_LEASE_MS;
+  world_add_job (wld, 1, BATCH_JOB, 200);
+  world_tick (wld, 1);
+  const char *worker = world_call (wld, WORLD_START, "w1") ? "w1" : "w2";
+  struct world_call *start = world_call (wld, WORLD_START, worker);
+  ck_assert_int_le (start->lease_end_ms, latest_ms);
+  wld->clk.now_us += (WORLD_CONFIRM_MS + 1500) * 1000;
+  world_answer (wld, start, COMMAND_NO_ANSWER);
+  struct world_call *again = world_call (wld, WORLD_START, worker);
+  if (again)
+    ck_assert_int_le (again->lease_end_ms, latest_ms);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -223,6 +245,7 @@
   tcase_add_loop_test (tc, test_listed_run_with_lower_number, 0, 3);
   tcase_add_test (tc, test_unwanted_run_delays_start);
   tcase_add_test (tc, test_unlogged_progress_of_earlier_ownership);
+  tcase_add_test (tc, test_lease_without_confirmation);
   tcase_add_test (tc, test_absent_host);
   tcase_add_test (tc, test_silent_worker_without_host);
   suite_add_tcase (suite, tc);
