--- a/node/duties.c
+++ b/node/duties.c
@@ -38,7 +38,6 @@
    needs time to send the commands.  */
 #define TICK_PAUSE_FACTOR 3
 #define MEMBER_KEY 'm'
-#define DUTY_KEY 'd'
 
 static bool
 caught_up (const struct node *nod)
@@ -219,6 +218,13 @@
     node_tell_placer (hld, ent->rep.id, &ent->rep);
 }
 
+static int64_t
+lease_ms (const struct node *nod)
+{
+  return nod->set->lease_ms < nod->set->lease_max_ms ? nod->set->lease_ms
+                                                     : nod->set->lease_max_ms;
+}
+
 static void
 activate (struct held_duty *hld)
 {
@@ -227,9 +233,7 @@
     .pool = hld->pool,
     .token = hld->token,
     .fence_offset = hld->fence_offset,
-    .lease_ms = nod->set->lease_ms < nod->set->lease_max_ms
-                    ? nod->set->lease_ms
-                    : nod->set->lease_max_ms,
+    .lease_ms = lease_ms (nod),
     .confirm_ms = nod->set->confirm_ms,
   };
   const struct placer_env env = {
@@ -246,6 +250,9 @@
   hld->plc = placer_create (nod, &set, &env);
   if (!hld->plc)
     return;
+  placer_limit_earlier_leases (
+      hld->plc, duty_earlier_leases_end_us (
+                    &nod->duties, duty_find (&nod->duties, hld->pool)));
   hld->phase = HELD_DUTY_ACTIVE;
   log_event (nod->lg, EV_DUTY_BEGUN, LOG_S ("duty", hld->pool),
              LOG_I ("token", hld->token),
@@ -331,16 +338,16 @@
       const struct duty *dty = duty_find (&nod->duties, hld->pool);
       if (hld->fence_failed || !duty_held_by (dty, nod->set->name, nod->boot)
           || dty->token != hld->token)
-        end_held_duty (hld, "lost");
-      else if (hld->phase == HELD_DUTY_CATCHING_UP
-               && follower_next_offset (&hld->prt->fol) > hld->fence_offset)
-        activate (hld);
-      else if (hld->plc && !hld->earlier_owners_stopped
-               && duty_previous_holder_stopped (&nod->duties, dty))
         {
-          hld->earlier_owners_stopped = true;
-          placer_earlier_owners_stopped (hld->plc);
+          end_held_duty (hld, "lost");
+          continue;
         }
+      if (hld->phase == HELD_DUTY_CATCHING_UP
+          && follower_next_offset (&hld->prt->fol) > hld->fence_offset)
+        activate (hld);
+      if (hld->plc)
+        placer_limit_earlier_leases (
+            hld->plc, duty_earlier_leases_end_us (&nod->duties, dty));
     }
 }
 
@@ -376,29 +383,65 @@
 }
 
 static int
-append_claim (struct node *nod, const char *name, bool released, bool cleared)
+append_claim (struct node *nod, const char *name)
 {
-  char key[DUTY_KEY_BYTES];
-  uint8_t data[256];
-  Kingcuphollow__DutyClaim msg = KINGCUPHOLLOW__DUTY_CLAIM__INIT;
-  snprintf (key, sizeof key, "%c/%s", DUTY_KEY, name);
-  msg.holder = nod->set->name;
-  msg.boot = nod->boot;
-  msg.released = released;
-  msg.cleared = cleared;
-  const struct topic_entry ent
-      = { .key = key,
-          .key_len = strlen (key),
-          .value = data,
-          .value_len = kingcuphollow__duty_claim__pack (&msg, data) };
-  const struct topic_append app = {
-    .topic = TOPIC_DUTIES,
-    .conditional = !released,
-    .expected_end = follower_next_offset (&nod->duty_fol),
-    .entries = &ent,
-    .count = 1,
-  };
-  return topic_append (&nod->store.st, &app, on_claim_appended, nod);
+  struct earlier_holders earlier;
+  duty_state_earlier (&nod->duties, name, clock_now_us (nod->clk), &earlier);
+  const struct duty_claim claim = { .name = name,
+                                    .holder = nod->set->name,
+                                    .boot = nod->boot,
+                                    .earlier = &earlier };
+  return duty_record_append (nod, &claim, 1, on_claim_appended);
+}
+
+static void
+on_release_appended (void *arg, const struct topic_append_result *res)
+{
+  struct node *nod = arg;
+  /* Duties that are still held are released again when claims or reports have
+     been read.  */
+  nod->release_in_progress = false;
+  if (res->status == TOPIC_APPENDED)
+    nod->claim_end_offset = res->end_offset;
+}
+
+/* Whether the records that this process appended last have not been read.  */
+static bool
+own_records_unread (const struct node *nod)
+{
+  return follower_next_offset (&nod->duty_fol) < nod->claim_end_offset;
+}
+
+/* Releases the duties that this process holds according to the records read,
+   among them those whose claim succeeded after the stop signal.  */
+static void
+append_releases (struct node *nod)
+{
+  struct duty_claim claims[DUTIES_MAX];
+  struct earlier_holders earlier[DUTIES_MAX];
+  size_t count = 0;
+  if (nod->release_in_progress || own_records_unread (nod))
+    return;
+  for (size_t n = 0; n < nod->duties.duty_count; n++)
+    {
+      const struct duty *dty = &nod->duties.duties[n];
+      if (!duty_held_by (dty, nod->set->name, nod->boot))
+        continue;
+      duty_state_release (&nod->duties, dty, clock_now_us (nod->clk),
+                          &earlier[count]);
+      claims[count] = (struct duty_claim){
+        .name = dty->name,
+        .holder = nod->set->name,
+        .boot = nod->boot,
+        .released = true,
+        .cleared = duty_only_last_leases (&nod->duties, &earlier[count]),
+        .earlier = &earlier[count],
+      };
+      count++;
+    }
+  nod->release_in_progress
+      = count > 0
+        && duty_record_append (nod, claims, count, on_release_appended) == 0;
 }
 
 static void
@@ -426,12 +469,11 @@
           .unclaimed_since_us = nod->started_us + CLAIM_START_DELAY_US,
           .slack_us = slack_us };
   /* The next claim is made only after the last one has been read.  */
-  bool unread = follower_next_offset (&nod->duty_fol) < nod->claim_end_offset;
-  if (nod->claim_in_progress || unread || now_us < view.unclaimed_since_us
-      || now_us < nod->next_claim_us
+  if (nod->claim_in_progress || own_records_unread (nod)
+      || now_us < view.unclaimed_since_us || now_us < nod->next_claim_us
       || !duty_should_claim (&nod->duties, name, &view))
     return;
-  if (append_claim (nod, name, false, true) == 0)
+  if (append_claim (nod, name) == 0)
     {
       nod->claim_in_progress = true;
       log_event (
@@ -445,6 +487,8 @@
 node_check_duties (struct node *nod)
 {
   check_held_duties (nod);
+  if (nod->stopping)
+    append_releases (nod);
   if (nod->stopping || !caught_up (nod))
     return;
   for (size_t n = 0; n < nod->cat->queue_count; n++)
@@ -457,17 +501,16 @@
 node_release_duties (struct node *nod)
 {
   if (node_fleet_token (nod))
-    {
-      append_claim (nod, DUTY_FLEET, true, true);
-      node_fleet_end (nod);
-    }
+    node_fleet_end (nod);
   while (nod->held_duties)
     {
       struct held_duty *hld = nod->held_duties;
-      append_claim (nod, hld->pool, true,
-                    hld->plc && placer_takeover_done (hld->plc));
-      end_held_duty (nod->held_duties, "stopping");
+      duty_stop_holding (&nod->duties, hld->pool, clock_now_us (nod->clk),
+                         hld->plc == NULL,
+                         hld->plc && placer_takeover_done (hld->plc));
+      end_held_duty (hld, "stopping");
     }
+  append_releases (nod);
 }
 
 static bool
@@ -520,18 +563,11 @@
   char name[NAME_BYTES];
   if (!parse_key (&rec->entry, DUTY_KEY, name))
     return;
-  Kingcuphollow__DutyClaim *msg = kingcuphollow__duty_claim__unpack (
-      NULL, rec->entry.value_len, rec->entry.value);
-  if (!msg)
-    return;
-  const struct duty_claim claim = { .name = name,
-                                    .holder = msg->holder,
-                                    .boot = msg->boot,
-                                    .released = msg->released,
-                                    .cleared = msg->cleared,
-                                    .token = rec->offset + 1 };
-  duty_fold_claim (&nod->duties, &claim, clock_now_us (nod->clk));
-  kingcuphollow__duty_claim__free_unpacked (msg, NULL);
+  int err
+      = duty_record_fold (&nod->duties, name, rec, clock_now_us (nod->clk));
+  if (err)
+    log_event (nod->lg, EV_RECORD_INVALID, LOG_S ("topic", TOPIC_DUTIES),
+               LOG_I ("offset", rec->offset), LOG_S ("error", err_name (err)));
 }
 
 /* All claims appended before the read was sent are known now, so the duties
@@ -590,8 +626,12 @@
       = { .topic = TOPIC_MEMBERS,
           .batch_delay_ms = MEMBERS_BATCH_DELAY_MS,
           .wait_ms = READ_WAIT_MS };
+  const struct holder_limits limits
+      = { .command_us = nod->set->confirm_ms * 1000,
+          .lease_us = placer_lease_span_us (lease_ms (nod)) };
   const struct follower_settings duty_set
       = { .topic = TOPIC_DUTIES, .wait_ms = DUTIES_READ_WAIT_MS };
+  duty_set_limits (&nod->duties, &limits);
   snprintf (producer, sizeof producer, "%s.%" PRIu64, nod->set->name,
             nod->boot);
   const struct appender_settings app_set
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -40,6 +40,7 @@
    acting on a changed report may take up to 2 s.  */
 #define DIRECTORY_BATCH_DELAY_MS 120
 #define FLEET_BATCH_DELAY_MS 20
+#define DUTY_KEY 'd'
 #define DUTY_KEY_BYTES (NAME_BYTES + 2)
 /* Most keys of odd entries that are logged.  */
 #define ODD_ENTRIES_MAX 64
@@ -96,10 +97,8 @@
   struct tevent_timer *timer; /* of the placer's next tick */
   int64_t timer_us;           /* when the timer is due */
   int64_t tick_ended_us;
-  int64_t tick_duration_us;    /* of the last tick */
-  bool fence_failed;           /* a later owner has fenced the partition */
-  bool earlier_owners_stopped; /* earlier owners certainly send no more
-                                  commands, and the placer knows it */
+  int64_t tick_duration_us; /* of the last tick */
+  bool fence_failed;        /* a later owner has fenced the partition */
   /* Reports to the holder of the fleet duty, and the last demand in them.  */
   struct appender report_app;
   int64_t demand_sent_us;
@@ -148,8 +147,9 @@
                                     outage of the store; 0: no outage yet */
   struct held_duty *held_duties; /* without the fleet duty */
   bool claim_in_progress;
+  bool release_in_progress;
   uint64_t claim_end_offset; /* end of the topic after this process's last
-                                claim */
+                                claim or release */
   int64_t next_claim_us;     /* no claim before this time */
   uint64_t claim_conflicts;  /* claims that lost to a concurrent append */
   struct tevent_timer *claim_timer;
@@ -192,6 +192,18 @@
 void node_tell_placer (struct held_duty *hld, const char *id,
                        const struct worker_report *rep);
 
+/* node/duty_record.c */
+/* Appends COUNT claims or releases of this process, all or none.  They are
+   appended only if it has read all earlier ones: a call without an answer may
+   be carried out seconds later, when others have claimed the duties.  Returns
+   0 or an error; FN runs with NOD as argument after 0 only.  */
+int duty_record_append (struct node *nod, const struct duty_claim *claims,
+                        size_t count, topic_append_fn *fn);
+/* Decodes a record of the duty NAME and folds it.  Returns 0, ERR_PROTOCOL or
+   ERR_FULL.  */
+int duty_record_fold (struct duty_table *tab, const char *name,
+                      const struct topic_record *rec, int64_t now_us);
+
 /* node/duties.c */
 /* Starts to report to the other members and to follow the claims.  */
 int node_open_duties (struct node *nod);
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -18,6 +18,7 @@
 
 struct clock;
 struct counters;
+struct host_list;
 struct logger;
 struct placer;
 
@@ -74,8 +75,13 @@
 void placer_add_earlier_worker (struct placer *plc, const char *id,
                                 const char *host, int64_t born_ms);
 
-/* Tells the placer that earlier owners certainly send no more commands.  */
-void placer_earlier_owners_stopped (struct placer *plc);
+/* Longest time, by this process's clock, after which a lease of LEASE_MS that
+   was given now has expired at the worker.  */
+int64_t placer_lease_span_us (int64_t lease_ms);
+
+/* Tells the placer that all leases given by earlier owners have expired at
+   END_US.  Without a call it assumes the longest time possible.  */
+void placer_limit_earlier_leases (struct placer *plc, int64_t end_us);
 
 /* Whether every run that earlier owners started is known or has lost its
    lease.  */
@@ -108,6 +114,10 @@
    requested at ASKED_US.  */
 void placer_update_host (struct placer *plc, const struct host_report *rep,
                          int64_t asked_us);
+/* Takes the platform's list of hosts, which was requested at ASKED_US.  A
+   worker without an answer has ended if its host has left the list.  */
+void placer_update_hosts (struct placer *plc, const struct host_list *list,
+                          int64_t asked_us);
 /* Tells the placer about a change of JOB.  */
 void placer_update_job (struct placer *plc, struct job *job,
                         enum job_change change);
