base, node, store: timers that do not depend on the time of day

When the time of day of a machine was set back by 6 s, or set ahead and back again, its process did next to nothing for 6 s: it sent no holds, so that runs lost their leases, it did not report, so that its duties passed to others, and it answered no clients.

libtevent's timers are due at a time of day, which it reads with gettimeofday. A timer that is set before the time of day goes back is late by as much as that. Every step does this: one ahead ends with one back.

base/timer.c keeps the timers of an event context in a queue that one timerfd on the clock of clock_now drives. The processes of `schedule` set all their timers there, those of base/curl_loop.c and store/ included. The programs of `serve` still use tevent's timers elsewhere.

--- a/base/curl_loop.c
+++ b/base/curl_loop.c
@@ -6,6 +6,7 @@
 #include <tevent.h>
 
 #include "base/err.h"
+#include "base/timer.h"
 
 struct call
 {
@@ -20,7 +21,7 @@
 {
   struct tevent_context *ev;
   CURLM *multi;
-  struct tevent_timer *timer;
+  struct timer *timer;
   struct call *calls;
   uint32_t count;
   uint32_t max_calls;
@@ -94,8 +95,7 @@
 }
 
 static void
-on_timer (struct tevent_context *ev, struct tevent_timer *te,
-          struct timeval now, void *arg)
+on_timer (void *arg)
 {
   struct priv *p = arg;
   int running;
@@ -111,9 +111,7 @@
   TALLOC_FREE (p->timer);
   if (timeout_ms < 0)
     return 0;
-  struct timeval at = tevent_timeval_current_ofs (timeout_ms / 1000,
-                                                  timeout_ms % 1000 * 1000);
-  p->timer = tevent_add_timer (p->ev, p, at, on_timer, p);
+  p->timer = timer_add (p->ev, p, (int64_t)timeout_ms * 1000, on_timer, p);
   return p->timer ? 0 : -1;
 }
 
--- a/node/duties.c
+++ b/node/duties.c
@@ -98,8 +98,7 @@
 }
 
 static void
-on_placer_timer (struct tevent_context *ev, struct tevent_timer *te,
-                 struct timeval tv, void *arg)
+on_placer_timer (void *arg)
 {
   struct held_duty *hld = arg;
   hld->timer = NULL;
@@ -130,10 +129,7 @@
     return;
   talloc_free (hld->timer);
   int64_t wait_us = at_us - now_us;
-  hld->timer = tevent_add_timer (
-      hld->nod->ev, hld,
-      tevent_timeval_current_ofs (wait_us / 1000000, wait_us % 1000000),
-      on_placer_timer, hld);
+  hld->timer = timer_add (hld->nod->ev, hld, wait_us, on_placer_timer, hld);
   hld->timer_us = at_us;
 }
 
@@ -211,8 +207,7 @@
             : NULL;
   for (size_t n = 0; msg && n < msg->n_workers; n++)
     placer_add_earlier_worker (hld->plc, msg->workers[n]->id,
-                               msg->workers[n]->host,
-                               msg->workers[n]->born_ms);
+                               msg->workers[n]->host, msg->workers[n]->born_ms);
   if (msg)
     kingcuphollow__pool_workers__free_unpacked (msg, NULL);
   for (struct worker_entry *ent = nod->directory; ent; ent = ent->hh.next)
@@ -345,8 +340,7 @@
 }
 
 static void
-on_claim_timer (struct tevent_context *ev, struct tevent_timer *te,
-                struct timeval tv, void *arg)
+on_claim_timer (void *arg)
 {
   struct node *nod = arg;
   nod->claim_timer = NULL;
@@ -370,9 +364,8 @@
                                           nod->boot + nod->claim_conflicts++)
                                    % CLAIM_BACKOFF_US);
   if (!nod->claim_timer)
-    nod->claim_timer = tevent_add_timer (
-        nod->ev, nod, tevent_timeval_current_ofs (0, CLAIM_BACKOFF_US),
-        on_claim_timer, nod);
+    nod->claim_timer
+        = timer_add (nod->ev, nod, CLAIM_BACKOFF_US, on_claim_timer, nod);
 }
 
 static int
@@ -553,17 +546,15 @@
 }
 
 static void
-on_heartbeat_timer (struct tevent_context *ev, struct tevent_timer *te,
-                    struct timeval tv, void *arg)
+on_heartbeat_timer (void *arg)
 {
   struct node *nod = arg;
   char key[DUTY_KEY_BYTES];
   uint8_t data[64];
   Kingcuphollow__MemberBeat msg = KINGCUPHOLLOW__MEMBER_BEAT__INIT;
   int64_t ms = nod->set->heartbeat_ms;
-  nod->heartbeat_timer = tevent_add_timer (
-      ev, nod, tevent_timeval_current_ofs (ms / 1000, ms % 1000 * 1000),
-      on_heartbeat_timer, nod);
+  nod->heartbeat_timer
+      = timer_add (nod->ev, nod, ms * 1000, on_heartbeat_timer, nod);
   node_check_duties (nod);
   node_log_store_state (nod);
   if (nod->heartbeat_in_progress)
@@ -607,6 +598,6 @@
                          nod->clk, &duty_set, on_duty_record, on_duty_batch,
                          nod);
   if (!err)
-    on_heartbeat_timer (nod->ev, NULL, (struct timeval){ 0 }, nod);
+    on_heartbeat_timer (nod);
   return err;
 }
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -80,7 +80,7 @@
   bool list_in_progress;
   int64_t list_requested_us;
   int64_t next_list_us;
-  struct tevent_timer *timer;
+  struct timer *timer;
 };
 
 static int
@@ -310,8 +310,7 @@
 }
 
 static void
-on_fleet_timer (struct tevent_context *ev, struct tevent_timer *te,
-                struct timeval tv, void *arg)
+on_fleet_timer (void *arg)
 {
   struct fleet_duty *flt = arg;
   int64_t now_us = clock_now_us (flt->nod->clk);
@@ -327,9 +326,8 @@
       busy = host_mgr_step (&flt->mgr, now_us);
     }
   read_host_list (flt, busy, now_us);
-  flt->timer = tevent_add_timer (
-      ev, flt, tevent_timeval_current_ofs (0, FLEET_INTERVAL_MS * 1000),
-      on_fleet_timer, flt);
+  flt->timer = timer_add (flt->nod->ev, flt, FLEET_INTERVAL_MS * 1000,
+                          on_fleet_timer, flt);
 }
 
 int
@@ -371,7 +369,7 @@
   follower_restart (&flt->fol);
   open_report_followers (flt);
   node_open_job_partitions (nod);
-  on_fleet_timer (nod->ev, NULL, (struct timeval){ 0 }, flt);
+  on_fleet_timer (flt);
 }
 
 void
--- a/node/node.c
+++ b/node/node.c
@@ -21,7 +21,7 @@
 /* Clients can query the state of an ended job for 120 s; the rest allows for
    clocks that differ by some seconds.  */
 #define ENDED_JOB_RETENTION_MS 125000
-#define EXPIRE_INTERVAL_S 10
+#define EXPIRE_INTERVAL_US 10000000
 /* Connections to one worker: one is occupied by a long poll for ended runs,
    the others carry commands of about 2 ms each.  A worker accepts 64
    connections from all processes together.  */
@@ -48,8 +48,7 @@
 }
 
 static void
-on_stop_timer (struct tevent_context *ev, struct tevent_timer *te,
-               struct timeval tv, void *arg)
+on_stop_timer (void *arg)
 {
   struct node *nod = arg;
   nod->stop_elapsed_ms += STOP_POLL_MS;
@@ -58,9 +57,7 @@
           || nod->stop_elapsed_ms >= STOP_LISTEN_MS + STOP_RESPONSES_MS))
     nod->stopped = true;
   else
-    tevent_add_timer (ev, nod,
-                      tevent_timeval_current_ofs (0, STOP_POLL_MS * 1000),
-                      on_stop_timer, nod);
+    timer_add (nod->ev, nod, STOP_POLL_MS * 1000, on_stop_timer, nod);
 }
 
 static void
@@ -75,7 +72,7 @@
              LOG_I ("open", wire_front_open_requests (nod->frt)));
   wire_front_drain (nod->frt);
   node_release_duties (nod);
-  on_stop_timer (ev, NULL, (struct timeval){ 0 }, nod);
+  on_stop_timer (nod);
 }
 
 /* Settings are command-line flags, so there is nothing to reload.  */
@@ -89,14 +86,12 @@
 }
 
 static void
-on_expire_timer (struct tevent_context *ev, struct tevent_timer *te,
-                 struct timeval tv, void *arg)
+on_expire_timer (void *arg)
 {
   struct node *nod = arg;
   job_table_expire (&nod->jobs,
                     clock_wall_ms (nod->clk) - ENDED_JOB_RETENTION_MS);
-  tevent_add_timer (ev, nod, tevent_timeval_current_ofs (EXPIRE_INTERVAL_S, 0),
-                    on_expire_timer, nod);
+  timer_add (nod->ev, nod, EXPIRE_INTERVAL_US, on_expire_timer, nod);
 }
 
 static enum log_level
@@ -158,7 +153,7 @@
   if (!err)
     err = node_open_duties (nod);
   if (!err)
-    on_expire_timer (nod->ev, NULL, (struct timeval){ 0 }, nod);
+    on_expire_timer (nod);
   return err;
 }
 
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/log.h"
+#include "base/timer.h"
 #include "fleet/host_mgr.h"
 #include "job/job_table.h"
 #include "member/duty.h"
@@ -90,9 +91,9 @@
   struct appender app; /* for the owner's records; its epoch is the token */
   uint64_t fence_offset;
   enum held_duty_phase phase;
-  struct placer *plc;         /* NULL before HELD_DUTY_ACTIVE */
-  struct tevent_timer *timer; /* of the placer's next tick */
-  int64_t timer_us;           /* when the timer is due */
+  struct placer *plc;  /* NULL before HELD_DUTY_ACTIVE */
+  struct timer *timer; /* of the placer's next tick */
+  int64_t timer_us;    /* when the timer is due */
   int64_t tick_ended_us;
   int64_t tick_duration_us;    /* of the last tick */
   bool fence_failed;           /* a later owner has fenced the partition */
@@ -146,14 +147,14 @@
                                 claim */
   int64_t next_claim_us;     /* no claim before this time */
   uint64_t claim_conflicts;  /* claims that lost to a concurrent append */
-  struct tevent_timer *claim_timer;
+  struct timer *claim_timer;
   bool heartbeat_in_progress;
   int64_t confirmed_us; /* claims appended before this are known */
   /* A read of the claims that does not wait for new ones.  */
   bool confirm_in_progress;
   int64_t confirm_sent_us;
   uint64_t confirm_offset;
-  struct tevent_timer *heartbeat_timer;
+  struct timer *heartbeat_timer;
 
   bool store_unavailable; /* as last logged */
   bool ready;             /* as last logged */
--- a/node/requests.c
+++ b/node/requests.c
@@ -24,7 +24,7 @@
 {
   struct node *nod;
   struct front_request *req; /* NULL: already answered at its deadline */
-  struct tevent_timer *timer;
+  struct timer *timer;
   uint64_t id;
   bool cancel;
   char queue[NAME_BYTES];
@@ -76,8 +76,7 @@
 }
 
 static void
-on_deadline (struct tevent_context *ev, struct tevent_timer *te,
-             struct timeval tv, void *arg)
+on_deadline (void *arg)
 {
   struct pending_append *pen = arg;
   pen->timer = NULL;
@@ -126,10 +125,7 @@
   pen->id = id;
   pen->cancel = cancel;
   name_copy (pen->queue, queue);
-  pen->timer = tevent_add_timer (
-      nod->ev, pen,
-      tevent_timeval_current_ofs (wait_ms / 1000, wait_ms % 1000 * 1000),
-      on_deadline, pen);
+  pen->timer = timer_add (nod->ev, pen, wait_ms * 1000, on_deadline, pen);
   job_key_format (cancel ? JOB_KEY_CANCEL : JOB_KEY_SPEC, id, key);
   const struct topic_entry ent = {
     .key = key, .key_len = JOB_KEY_BYTES, .value = data, .value_len = len
--- a/store/append_queue.c
+++ b/store/append_queue.c
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/err.h"
+#include "base/timer.h"
 
 const struct append_queue_settings append_queue_settings_default = {
   .appends_per_s = 20,
@@ -38,7 +39,7 @@
   struct log_store *st;
   struct tevent_context *ev;
   const struct clock *clk;
-  struct tevent_timer *timer;
+  struct timer *timer;
   struct append_request *waiting[APPEND_PRIORITY_COUNT];
   struct append_request *in_progress;
   uint32_t waiting_count;
@@ -154,8 +155,7 @@
 }
 
 static void
-on_timer (struct tevent_context *ev, struct tevent_timer *te,
-          struct timeval tv, void *arg)
+on_timer (void *arg)
 {
   struct priv *p = arg;
   int64_t now = clock_now_us (p->clk);
@@ -184,9 +184,7 @@
   if (p->timer && delay > 0)
     return;
   TALLOC_FREE (p->timer);
-  struct timeval at = tevent_timeval_current_ofs (
-      (uint32_t)(delay / US_PER_S), (uint32_t)(delay % US_PER_S));
-  p->timer = tevent_add_timer (p->ev, p, at, on_timer, p);
+  p->timer = timer_add (p->ev, p, delay, on_timer, p);
 }
 
 int
--- a/store/appender.c
+++ b/store/appender.c
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "base/err.h"
+#include "base/timer.h"
 
 #define RETRY_MS 100
 /* With jobs of a few kilobytes each, a batch stays far below the store's limit
@@ -42,14 +43,13 @@
   int64_t batch_started_us;
   int64_t round_trip_us;
   int64_t last_duration_us;
-  struct tevent_timer *timer;
+  struct timer *timer;
 };
 
 static void send_batch (struct priv *p);
 
 static void
-on_timer (struct tevent_context *ev, struct tevent_timer *te,
-          struct timeval tv, void *arg)
+on_timer (void *arg)
 {
   struct priv *p = arg;
   p->timer = NULL;
@@ -61,9 +61,7 @@
 {
   if (p->timer)
     return;
-  p->timer = tevent_add_timer (
-      p->ev, p, tevent_timeval_current_ofs (ms / 1000, ms % 1000 * 1000),
-      on_timer, p);
+  p->timer = timer_add (p->ev, p, ms * 1000, on_timer, p);
 }
 
 static void
--- a/store/follower.c
+++ b/store/follower.c
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/err.h"
+#include "base/timer.h"
 
 /* Pause after a failed read; short compared with the time within which a
    configuration change has to take effect.  */
@@ -20,7 +21,7 @@
   follower_record_fn *record_fn;
   follower_batch_fn *batch_fn;
   void *arg;
-  struct tevent_timer *timer;
+  struct timer *timer;
   uint64_t next_offset;
   int64_t read_started_us;
   int64_t caught_up_us;
@@ -35,8 +36,7 @@
 static void start_call (struct priv *p);
 
 static void
-on_timer (struct tevent_context *ev, struct tevent_timer *te,
-          struct timeval tv, void *arg)
+on_timer (void *arg)
 {
   struct priv *p = arg;
   p->timer = NULL;
@@ -47,9 +47,7 @@
 schedule (struct priv *p, int64_t ms)
 {
   talloc_free (p->timer);
-  p->timer = tevent_add_timer (
-      p->ev, p, tevent_timeval_current_ofs (ms / 1000, ms % 1000 * 1000),
-      on_timer, p);
+  p->timer = timer_add (p->ev, p, ms * 1000, on_timer, p);
 }
 
 static void
--- a/test/unit/unit_topic.c
+++ b/test/unit/unit_topic.c
@@ -1,5 +1,6 @@
 #include <check.h>
 #include <string.h>
+#include <sys/time.h>
 #include <talloc.h>
 #include <tevent.h>
 
@@ -33,6 +34,17 @@
 static size_t call_count;
 static int done, not_done;
 static char delivered[64];
+static int64_t day_offset_us; /* by which the time of day is set wrong */
+
+/* Replaces the C library's function, also for libtevent.  */
+int
+gettimeofday (struct timeval *tv, void *zone)
+{
+  int64_t us = clock_wall_ms (&clock_system) * 1000 + day_offset_us;
+  tv->tv_sec = us / 1000000;
+  tv->tv_usec = us % 1000000;
+  return 0;
+}
 
 static int
 fake_append (struct topic_store *st, const struct topic_append *app,
@@ -80,6 +92,7 @@
   call_count = 0;
   done = not_done = 0;
   delivered[0] = '\0';
+  day_offset_us = 0;
 }
 
 static void
@@ -295,6 +308,46 @@
 }
 END_TEST
 
+/* Guards against a process that does nothing for as long as its time of day
+   was set back, because its timers were due at a time of day: the retries of
+   an append and of a read take place in time.  */
+START_TEST (test_time_of_day_set)
+{
+  static const struct
+  {
+    int64_t before_us; /* error of the time of day as a timer is set */
+    int64_t after_us;  /* and from then on */
+  } cases[] = { { 0, -6000000 }, { 6000000, 0 }, { -6000000, 0 } };
+  for (size_t n = 0; n < sizeof cases / sizeof *cases; n++)
+    {
+      struct appender app;
+      struct follower fol;
+      teardown ();
+      setup ();
+      day_offset_us = cases[n].before_us;
+      open_appender (&app);
+      open_follower (&fol);
+      add (&app, "a", true);
+      await_call (2);
+      size_t append = calls[0].kind == 'a' ? 0 : 1;
+      complete_append (&calls[append], TOPIC_UNKNOWN, 0);
+      complete_read (&calls[1 - append], ERR_UNAVAILABLE, 0, false, "", 0);
+      int64_t begun_us = clock_now_us (&clock_system);
+      day_offset_us = cases[n].after_us;
+      await_call (4);
+      int64_t took_us = clock_now_us (&clock_system) - begun_us;
+      ck_assert_int_ge (took_us, 100000);
+      ck_assert_int_lt (took_us, 2000000);
+      appender_fini (&app);
+      follower_fini (&fol);
+      complete_append (&calls[calls[2].kind == 'a' ? 2 : 3], TOPIC_APPENDED,
+                       0);
+      complete_read (&calls[calls[2].kind == 'a' ? 3 : 2], ERR_UNAVAILABLE, 0,
+                     false, "", 0);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -305,6 +358,7 @@
   tcase_add_test (tc, test_rejected);
   tcase_add_test (tc, test_finished_in_call);
   tcase_add_test (tc, test_follow);
+  tcase_add_test (tc, test_time_of_day_set);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
