base: a steady clock that counts the time for which the machine was suspended

An owner whose machine was suspended took its ownership for confirmed a moment ago: it went on sending commands until the next read of the claims, after its successor had waited for just that to be over (confirm_ms and the leases). The successor's fencing token stops it at the log and at every worker that the successor has reached, and starts with a lease that has passed on the worker's clock are refused. Neither stops a start on a worker that the successor has not reached once a hold there has given the owner the worker's clock again: two runs of one task.

clock_now read CLOCK_MONOTONIC, which stands still during a suspension. It now reads CLOCK_BOOTTIME, and so do the timers. All that it is used for concerns other processes or clients: how long ago the ownership was confirmed, how old the known state is, how long a member has been silent, what a worker's clock shows, when leases end, how long a client still waits. None of it gains from leaving a suspension out.

Found by reading; no play has shown it. test_suspended_owner, which replaces clock_gettime, failed before: the owner sent a start 20 s after its ownership was confirmed.

--- a/base/clock.c
+++ b/base/clock.c
@@ -4,7 +4,7 @@
 system_monotonic (const struct clock *clk)
 {
   struct timespec ts;
-  clock_gettime (CLOCK_MONOTONIC, &ts);
+  clock_gettime (CLOCK_BOOTTIME, &ts);
   return ts;
 }
 
--- a/base/clock.h
+++ b/base/clock.h
@@ -8,6 +8,9 @@
 
 struct clock;
 
+/* Monotonic time includes the time for which the machine was suspended.  Other
+   processes act on it: they take over the duties of one that they have not
+   heard from, and the leases of its runs end.  */
 struct clock_driver
 {
   struct timespec (*monotonic) (const struct clock *clk);
--- a/base/timer.c
+++ b/base/timer.c
@@ -149,7 +149,7 @@
   if (!que)
     return NULL;
   que->ev = ev;
-  que->fd = timerfd_create (CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+  que->fd = timerfd_create (CLOCK_BOOTTIME, TFD_NONBLOCK | TFD_CLOEXEC);
   if (que->fd < 0)
     {
       talloc_free (que);
