member, node: a later start of a process has a higher boot, whatever the clock shows

A holder of a duty could be taken for restarted while it went on: its successor then waits for the leases only and not for the holder, which may send commands for confirm_ms more if it is cut off from the store. Others also claimed the duty at once.

The boot of a start is the time of day, and a member counted as restarted when the last report that was read had another boot than the duty. Two things make that wrong: a report of an earlier start that the store carries out seconds later, and a claim of the present start that is read before its first report. The latter is not noted as a report if the time of day went back since the start before, as its boot is lower then.

Now only a higher boot counts as a later start, and reports of earlier ones are ignored. So that boots rise, a process that reads a record of an earlier run of its own name with a higher boot takes the next value above it (event 4007, node.boot_raised).

test_late_report_of_earlier_start failed before: the other members claimed the duty of a live holder.

--- a/member/duty.c
+++ b/member/duty.c
@@ -40,6 +40,9 @@
       *mem = (struct member){ 0 };
       name_copy (mem->name, rep->name);
     }
+  /* An append that the store carries out late.  */
+  if (rep->boot < mem->boot)
+    return 0;
   mem->boot = rep->boot;
   mem->stopping = rep->stopping;
   mem->cpu_milli = rep->cpu_milli > 0 ? rep->cpu_milli : CPU_MILLI_DEFAULT;
@@ -107,7 +110,21 @@
 {
   const struct member *mem
       = find_member ((struct duty_table *)tab, dty->previous_holder);
-  return dty->previous_cleared || (mem && mem->boot != dty->previous_boot);
+  return dty->previous_cleared || (mem && mem->boot > dty->previous_boot);
+}
+
+uint64_t
+duty_boot (const struct duty_table *tab, const char *name, uint64_t boot)
+{
+  uint64_t highest = 0;
+  for (size_t n = 0; n < tab->member_count; n++)
+    if (strcmp (tab->members[n].name, name) == 0)
+      highest = tab->members[n].boot;
+  for (size_t n = 0; n < tab->duty_count; n++)
+    if (strcmp (tab->duties[n].holder, name) == 0
+        && tab->duties[n].boot > highest)
+      highest = tab->duties[n].boot;
+  return highest > boot ? highest + 1 : boot;
 }
 
 const struct duty *
@@ -173,7 +190,7 @@
   const struct member *mem = find_member (tab, dty->holder);
   if (!mem)
     return dty->since_us;
-  if (mem->boot != dty->boot)
+  if (mem->boot > dty->boot)
     return mem->heard_us;
   /* A stopping member holds its duties until it releases them or its reports
      cease.  */
--- a/member/duty.h
+++ b/member/duty.h
@@ -45,7 +45,7 @@
 {
   char name[NAME_BYTES];
   uint64_t boot; /* identifies the process's present start; a later start has a
-                    higher value */
+                    higher value, see duty_boot */
   bool stopping; /* shutting down: claims no duties */
   uint32_t cpu_milli; /* processor time that the process may use, in
                          thousandths of a core */
@@ -83,8 +83,8 @@
   uint32_t cpu_milli; /* in thousandths of a core; 0: unknown */
 };
 
-/* Folds a member's report.  Returns 0, or ERR_FULL when a new member would
-   exceed MEMBERS_MAX.  */
+/* Folds a member's report.  One of an earlier start of the member is ignored.
+   Returns 0, or ERR_FULL when a new member would exceed MEMBERS_MAX.  */
 int duty_fold_member (struct duty_table *tab, const struct member_report *rep,
                       int64_t now_us);
 
@@ -109,6 +109,13 @@
 bool duty_previous_holder_stopped (const struct duty_table *tab,
                                    const struct duty *dty);
 
+/* Returns the value that identifies the present start of the process NAME,
+   which uses BOOT so far: BOOT, or a higher one if an earlier start has used a
+   value above it.  A start takes the time of day, which may have gone back
+   since the start before it.  */
+uint64_t duty_boot (const struct duty_table *tab, const char *name,
+                    uint64_t boot);
+
 /* Returns NULL when nobody has claimed the duty yet.  */
 const struct duty *duty_find (const struct duty_table *tab, const char *name);
 
--- a/node/duties.c
+++ b/node/duties.c
@@ -316,9 +316,23 @@
     node_fleet_begin (nod, dty->token);
 }
 
+/* A record of an earlier run with a higher value than this run's would make
+   the other members ignore its reports.  */
+static void
+check_boot (struct node *nod)
+{
+  uint64_t boot = duty_boot (&nod->duties, nod->set->name, nod->boot);
+  if (boot == nod->boot)
+    return;
+  log_event (nod->lg, EV_NODE_BOOT_RAISED, LOG_S ("name", nod->set->name),
+             LOG_I ("from", nod->boot), LOG_I ("to", boot));
+  nod->boot = boot;
+}
+
 static void
 check_held_duties (struct node *nod)
 {
+  check_boot (nod);
   check_fleet (nod);
   struct held_duty *next;
   for (struct held_duty *hld = nod->held_duties; hld; hld = next)
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -121,8 +121,9 @@
   struct wire_fleet fleet_link;
   struct fleet_duty *flt;
   struct wire_front *frt;
-  uint64_t boot; /* wall clock in ms at the start; with the name it identifies
-                    this run of the process */
+  /* With the name it identifies this run of the process: the wall clock in ms
+     at the start, or more if an earlier run had a higher value.  */
+  uint64_t boot;
   int64_t started_us;
 
   struct catalog *cat;            /* NULL: no configuration read yet */
--- a/test/unit/unit_duty.c
+++ b/test/unit/unit_duty.c
@@ -232,6 +232,40 @@
 }
 END_TEST
 
+/* Guards against a holder that is taken for restarted, so that its successor
+   does not wait for it, because a report of its earlier start was appended
+   late.  */
+START_TEST (test_late_report_of_earlier_start)
+{
+  claim ("a", 2, 5, 10 * S);
+  member ("a", 1, false, 10 * S + 500000);
+  member ("b", 1, false, 11 * S);
+  member ("c", 1, false, 11 * S);
+  ck_assert_str_eq (claimants (11 * S, 0), "");
+  claim ("b", 1, 7, 11 * S);
+  ck_assert (!duty_previous_holder_stopped (tab, duty_find (tab, "p")));
+}
+END_TEST
+
+/* Guards against a start that counts as an earlier one because the time of day
+   went back since the start before it, which may have been known only by its
+   claim.  */
+START_TEST (test_boot_after_time_went_back)
+{
+  ck_assert_uint_eq (duty_boot (tab, "d", 90), 90);
+  member ("a", 100, false, 10 * S);
+  ck_assert_uint_eq (duty_boot (tab, "a", 200), 200);
+  ck_assert_uint_eq (duty_boot (tab, "a", 94), 101);
+  claim ("b", 105, 5, 10 * S);
+  ck_assert_uint_eq (duty_boot (tab, "b", 94), 106);
+  claim ("e", 105, 6, 10 * S);
+  ck_assert_uint_eq (duty_boot (tab, "e", 94), 106);
+  /* The value stays once the others know it.  */
+  member ("a", 101, false, 11 * S);
+  ck_assert_uint_eq (duty_boot (tab, "a", 101), 101);
+}
+END_TEST
+
 /* Guards against a table of duties that grows beyond its limit.  */
 START_TEST (test_bounds)
 {
@@ -264,6 +298,8 @@
   tcase_add_test (tc, test_claim_counts_as_report);
   tcase_add_test (tc, test_view_age);
   tcase_add_test (tc, test_store_returns);
+  tcase_add_test (tc, test_late_report_of_earlier_start);
+  tcase_add_test (tc, test_boot_after_time_went_back);
   tcase_add_test (tc, test_bounds);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
