job: how long an ended job is kept does not depend on the time of day

A client could be told that its job does not exist less than 120 s after the job had ended. The time of the end was a time of day, and ended jobs were freed 125 s after it: a process whose time of day showed 6 s less as the job ended than later freed it after 119 s. The time of the end is now one of the steady clock.

test_ended_job_kept failed before (with the call of job_table_expire in the units of then).

--- a/job/job.h
+++ b/job/job.h
@@ -130,7 +130,7 @@
                                   log */
   enum job_state logged_state; /* state according to the log; the one that is
                                   reported to clients */
-  int64_t ended_ms; /* wall-clock time at which this process saw the job end */
+  int64_t ended_us; /* monotonic time at which this process saw the job end */
 
   /* Used only by the process that owns the pool.  */
   bool dirty;        /* has progress that is not in the log */
--- a/job/job_table.c
+++ b/job/job_table.c
@@ -68,8 +68,7 @@
 int
 job_table_fold (struct job_table *tab, void *parent, uint64_t offset,
                 const char *key, size_t key_len, const uint8_t *value,
-                size_t value_len, int64_t now_us, int64_t wall_ms,
-                struct job_fold_result *res)
+                size_t value_len, int64_t now_us, struct job_fold_result *res)
 {
   char kind;
   uint64_t id;
@@ -89,7 +88,7 @@
       if (job_ended (res->job))
         return 0;
       res->job->state = res->job->logged_state = JOB_CANCELLED;
-      res->job->ended_ms = wall_ms;
+      res->job->ended_us = now_us;
       res->change = JOB_CHANGE_CANCELLED;
       return 0;
     }
@@ -145,7 +144,7 @@
 }
 
 bool
-job_update_state (struct job *job, uint32_t attempts, int64_t wall_ms)
+job_update_state (struct job *job, uint32_t attempts, int64_t now_us)
 {
   uint32_t done = 0;
   enum job_state state = job->started ? JOB_RUNNING : JOB_QUEUED;
@@ -163,7 +162,7 @@
   bool changed = state != job->state;
   job->state = state;
   if (job_ended (job))
-    job->ended_ms = wall_ms;
+    job->ended_us = now_us;
   return changed;
 }
 
@@ -193,15 +192,15 @@
   if (job->logged_state >= JOB_COMPLETED)
     return;
   job->state = job->started ? JOB_RUNNING : JOB_QUEUED;
-  job->ended_ms = 0;
+  job->ended_us = 0;
 }
 
 void
-job_table_expire (struct job_table *tab, int64_t before_ms)
+job_table_expire (struct job_table *tab, int64_t before_us)
 {
   struct job *job, *next;
   HASH_ITER (hh, tab->by_id, job, next)
-    if (job_ended (job) && job->ended_ms < before_ms)
+    if (job_ended (job) && job->ended_us < before_us)
       {
         HASH_DEL (tab->by_id, job);
         tab->count--;
--- a/job/job_table.h
+++ b/job/job_table.h
@@ -41,7 +41,7 @@
    ERR_NOMEM.  */
 int job_table_fold (struct job_table *tab, void *parent, uint64_t offset,
                     const char *key, size_t key_len, const uint8_t *value,
-                    size_t value_len, int64_t now_us, int64_t wall_ms,
+                    size_t value_len, int64_t now_us,
                     struct job_fold_result *res);
 
 /* Updates JOB's logged_state after a record with the result RES was folded and
@@ -54,7 +54,7 @@
 /* Recomputes the state of JOB from its tasks.  The job fails when a task that
    is not perpetual has failed ATTEMPTS times; 0: no limit.  A state in which
    the job has ended is final.  Returns whether the state changed.  */
-bool job_update_state (struct job *job, uint32_t attempts, int64_t wall_ms);
+bool job_update_state (struct job *job, uint32_t attempts, int64_t now_us);
 
 /* Marks the task REF as done.  */
 void job_mark_task_done (struct job *job, const struct task_ref *ref);
@@ -64,8 +64,8 @@
    has not read that progress, and continues from the log.  */
 void job_revert_to_log (struct job *job);
 
-/* Frees the jobs that ended before the wall-clock time BEFORE_MS.  */
-void job_table_expire (struct job_table *tab, int64_t before_ms);
+/* Frees the jobs that ended before the monotonic time BEFORE_US.  */
+void job_table_expire (struct job_table *tab, int64_t before_us);
 
 /* Counts the jobs of QUEUE of which no task has started, without those that
    have a schedule.  */
--- a/node/job_partitions.c
+++ b/node/job_partitions.c
@@ -125,10 +125,9 @@
      first one, so its offset does not show when the job was accepted.  With
      offset 0 the job counts as older than any fence.  */
   uint64_t offset = follower_in_order (&prt->fol) ? rec->offset : 0;
-  int64_t wall_ms = clock_wall_ms (nod->clk);
+  int64_t now_us = clock_now_us (nod->clk);
   int err = job_table_fold (&nod->jobs, nod, offset, ent->key, ent->key_len,
-                            ent->value, ent->value_len,
-                            clock_now_us (nod->clk), wall_ms, &res);
+                            ent->value, ent->value_len, now_us, &res);
   if (err)
     {
       log_event (nod->lg, EV_RECORD_INVALID, LOG_S ("topic", TOPIC_JOBS),
@@ -139,7 +138,7 @@
   if (!res.job)
     return;
   const struct queue *que = catalog_queue (nod->cat, res.job->queue);
-  job_update_state (res.job, que ? que->attempts : 0, wall_ms);
+  job_update_state (res.job, que ? que->attempts : 0, now_us);
   job_update_logged_state (res.job, &res);
   log_cancellation (nod, &res);
   struct held_duty *hld = node_held_duty (nod, res.job->pool);
--- a/node/node.c
+++ b/node/node.c
@@ -19,8 +19,8 @@
 #define STOP_RESPONSES_MS 1500
 #define STOP_POLL_MS 50
 /* Clients can query the state of an ended job for 120 s; the rest allows for
-   clocks that differ by some seconds.  */
-#define ENDED_JOB_RETENTION_MS 125000
+   the time until all processes have read its end.  */
+#define ENDED_JOB_RETENTION_US 125000000
 #define EXPIRE_INTERVAL_US 10000000
 /* Connections to one worker: one is occupied by a long poll for ended runs,
    the others carry commands of about 2 ms each.  A worker accepts 64
@@ -90,7 +90,7 @@
 {
   struct node *nod = arg;
   job_table_expire (&nod->jobs,
-                    clock_wall_ms (nod->clk) - ENDED_JOB_RETENTION_MS);
+                    clock_now_us (nod->clk) - ENDED_JOB_RETENTION_US);
   timer_add (nod->ev, nod, EXPIRE_INTERVAL_US, on_expire_timer, nod);
 }
 
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -99,8 +99,7 @@
   int64_t now_us = clock_now_us (plc->env.clk);
   if (job->spec.steps[ref->step].perpetual)
     tsk->not_before_us = now_us + RESTART_PAUSE_US;
-  if (!job_update_state (job, placer_attempts (plc, job),
-                         clock_wall_ms (plc->env.clk)))
+  if (!job_update_state (job, placer_attempts (plc, job), now_us))
     return;
   if (!job_ended (job))
     return;
--- a/test/unit/job_help.c
+++ b/test/unit/job_help.c
@@ -9,14 +9,13 @@
 
 static struct job_fold_result
 fold_at (struct job_table *tab, void *parent, uint64_t offset, char kind,
-         uint64_t id, const uint8_t *data, size_t len, int64_t now_us,
-         int64_t wall_ms)
+         uint64_t id, const uint8_t *data, size_t len, int64_t now_us)
 {
   struct job_fold_result res;
   char key[JOB_KEY_BYTES + 1];
   job_key_format (kind, id, key);
   ck_assert_int_eq (job_table_fold (tab, parent, offset, key, JOB_KEY_BYTES,
-                                    data, len, now_us, wall_ms, &res),
+                                    data, len, now_us, &res),
                     0);
   return res;
 }
@@ -36,8 +35,8 @@
                     0);
   ck_assert_int_eq (
       job_encode_spec (ctx, "q", "p", wall_ms, &spec, &data, &len), 0);
-  struct job_fold_result res = fold_at (tab, parent, offset, JOB_KEY_SPEC, id,
-                                        data, len, now_us, wall_ms);
+  struct job_fold_result res
+      = fold_at (tab, parent, offset, JOB_KEY_SPEC, id, data, len, now_us);
   talloc_free (ctx);
   return res.job;
 }
@@ -46,5 +45,5 @@
 help_fold (struct job_table *tab, void *parent, char kind, uint64_t id,
            const uint8_t *data, size_t len)
 {
-  return fold_at (tab, parent, 1, kind, id, data, len, 0, 0);
+  return fold_at (tab, parent, 1, kind, id, data, len, 0);
 }
--- a/test/unit/unit_job.c
+++ b/test/unit/unit_job.c
@@ -221,10 +221,10 @@
   char key[JOB_KEY_BYTES + 1];
   job_key_format (JOB_KEY_SPEC, 9, key);
   ck_assert_int_eq (job_table_fold (&tab, ctx, 1, key, JOB_KEY_BYTES, junk,
-                                    sizeof junk, 0, 0, &res),
+                                    sizeof junk, 0, &res),
                     ERR_PROTOCOL);
   ck_assert_int_eq (
-      job_table_fold (&tab, ctx, 1, "x", 1, junk, sizeof junk, 0, 0, &res),
+      job_table_fold (&tab, ctx, 1, "x", 1, junk, sizeof junk, 0, &res),
       ERR_PROTOCOL);
   ck_assert_uint_eq (tab.count, 0);
 }
@@ -242,7 +242,7 @@
   job_update_state (one, 2, 1500);
   ck_assert_uint_eq (job_table_count_waiting (&tab, "q"), 1);
   one->state = JOB_COMPLETED;
-  one->ended_ms = 2000;
+  one->ended_us = 2000;
   job_table_expire (&tab, 2000);
   ck_assert_uint_eq (tab.count, 2);
   job_table_expire (&tab, 2001);
--- a/test/unit/unit_placer.c
+++ b/test/unit/unit_placer.c
@@ -71,6 +71,34 @@
 }
 END_TEST
 
+/* Guards against clients that are told that there is no such job while they
+   can still query its state, because the time of day went back as the job
+   ended.  */
+START_TEST (test_ended_job_kept)
+{
+  const char *worker;
+  add_two_workers ();
+  world_add_job (wld, 1, ONE_TASK_JOB, 200);
+  world_tick (wld, 1);
+  world_answer (wld, pending_start (&worker), COMMAND_DONE);
+  const struct world_row end
+      = { .job = 1, .run = 1, .end = RUN_END_DONE, .number = 1 };
+  wld->clk.wall_ahead_us = -6000000;
+  world_tick (wld, 900);
+  world_answer_hold (wld, worker, NULL, 0, &end, 1);
+  ck_assert (job_ended (job_table_find (&wld->jobs, 1)));
+  world_complete_append (wld);
+  world_tick (wld, 300);
+  wld->clk.wall_ahead_us = 0;
+  world_tick (wld, 124000);
+  job_table_expire (&wld->jobs, wld->clk.now_us - 125000000);
+  ck_assert_ptr_nonnull (job_table_find (&wld->jobs, 1));
+  world_tick (wld, 2000);
+  job_table_expire (&wld->jobs, wld->clk.now_us - 125000000);
+  ck_assert_ptr_null (job_table_find (&wld->jobs, 1));
+}
+END_TEST
+
 /* The runs of a silent worker are given up once their leases have certainly
    expired, and the task is not started again before.  Unanswered holds used to
    extend the leases, so that the runs were never given up.  */
@@ -646,6 +674,7 @@
   TCase *tc = tcase_create ("placer");
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, test_end_logged_before_ack);
+  tcase_add_test (tc, test_ended_job_kept);
   tcase_add_test (tc, test_silent_worker);
   tcase_add_test (tc, test_unanswered_start);
   tcase_add_test (tc, test_new_owner_waits);
