member, node: work that is due at a time of day follows the one that most processes have

Occurrences of jobs with a schedule were started up to 6 s before their time by an owner whose time of day was 6 s ahead, and late by as much by one whose time was behind. The same error went into the time until which the owner of a pool lets the tasks on a host run that it is to empty: the holder of the fleet duty writes it as a time of day, and the owner reads it with another clock.

Members now report their time of day with each report. With half of the clocks ahead the others count, as starting early breaks a promise. With fewer than three clocks the own one is used. Event 4008, node.time_differs, tells when the own one is not used.

--- a/member/duty.c
+++ b/member/duty.c
@@ -1,5 +1,6 @@
 #include "member/duty.h"
 
+#include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -17,6 +18,8 @@
 
 /* Assumed for a member that does not report its processor time.  */
 #define CPU_MILLI_DEFAULT 1000
+/* Of two clocks that differ, it is not known which is right.  */
+#define CLOCKS_MIN 3
 
 static struct member *
 find_member (struct duty_table *tab, const char *name)
@@ -37,7 +40,7 @@
       if (tab->member_count == MEMBERS_MAX)
         return ERR_FULL;
       mem = &tab->members[tab->member_count++];
-      *mem = (struct member){ 0 };
+      *mem = (struct member){ .wall_ahead_us = INT64_MIN };
       name_copy (mem->name, rep->name);
     }
   /* An append that the store carries out late.  */
@@ -47,6 +50,8 @@
   mem->stopping = rep->stopping;
   mem->cpu_milli = rep->cpu_milli > 0 ? rep->cpu_milli : CPU_MILLI_DEFAULT;
   mem->heard_us = now_us;
+  mem->wall_ahead_us
+      = rep->wall_ms > 0 ? rep->wall_ms * 1000 - now_us : INT64_MIN;
   return 0;
 }
 
@@ -225,6 +230,35 @@
          >= since + rank * member_timing_default.candidate_delay_us;
 }
 
+static int
+compare_times (const void *a, const void *b)
+{
+  int64_t left = *(const int64_t *)a;
+  int64_t right = *(const int64_t *)b;
+  return left < right ? -1 : left > right;
+}
+
+bool
+duty_wall_ahead (const struct duty_table *tab, const char *self,
+                 int64_t own_us, int64_t now_us, int64_t *ahead_us)
+{
+  int64_t all_us[MEMBERS_MAX + 1];
+  size_t count = 0;
+  all_us[count++] = own_us;
+  for (size_t n = 0; n < tab->member_count; n++)
+    {
+      const struct member *mem = &tab->members[n];
+      if (mem->wall_ahead_us != INT64_MIN && member_alive (mem, now_us, 0)
+          && strcmp (mem->name, self) != 0)
+        all_us[count++] = mem->wall_ahead_us;
+    }
+  if (count < CLOCKS_MIN)
+    return false;
+  qsort (all_us, count, sizeof *all_us, compare_times);
+  *ahead_us = all_us[(count - 1) / 2];
+  return true;
+}
+
 size_t
 duty_count_live_members (const struct duty_table *tab, int64_t now_us)
 {
--- a/member/duty.h
+++ b/member/duty.h
@@ -50,6 +50,9 @@
   uint32_t cpu_milli; /* processor time that the process may use, in
                          thousandths of a core */
   int64_t heard_us;   /* monotonic time of its last report or claim */
+  /* By how much its wall clock in the last report is ahead of this process's
+     monotonic clock at the time of reading; INT64_MIN: not known.  */
+  int64_t wall_ahead_us;
 };
 
 struct duty
@@ -81,6 +84,7 @@
   uint64_t boot;
   bool stopping;
   uint32_t cpu_milli; /* in thousandths of a core; 0: unknown */
+  int64_t wall_ms;    /* its wall clock; 0: unknown */
 };
 
 /* Folds a member's report.  One of an earlier start of the member is ignored.
@@ -143,5 +147,14 @@
 bool duty_should_claim (const struct duty_table *tab, const char *name,
                         const struct duty_view *view);
 
+/* Gives in *AHEAD_US by how much the time of day is ahead of this process's
+   monotonic clock, as most live members have it; OWN_US is what this process
+   has.  Reports of others take some time, so theirs is a little too low.  With
+   an even number of clocks of which half are ahead of the others, the others
+   count: work that is due at a time of day must not begin early.  Returns
+   false if fewer than three clocks are known.  */
+bool duty_wall_ahead (const struct duty_table *tab, const char *self,
+                      int64_t own_us, int64_t now_us, int64_t *ahead_us);
+
 /* Number of members that report and are not stopping.  */
 size_t duty_count_live_members (const struct duty_table *tab, int64_t now_us);
--- a/node/duties.c
+++ b/node/duties.c
@@ -502,13 +502,31 @@
   const struct member_report rep = { .name = name,
                                      .boot = msg->boot,
                                      .stopping = msg->stopping,
-                                     .cpu_milli = msg->cpu_milli };
+                                     .cpu_milli = msg->cpu_milli,
+                                     .wall_ms = msg->wall_ms };
   if (duty_fold_member (&nod->duties, &rep, clock_now_us (nod->clk)))
     log_event (nod->lg, EV_RECORD_INVALID, LOG_S ("topic", TOPIC_MEMBERS),
                LOG_I ("offset", rec->offset), LOG_S ("error", "members_full"));
   kingcuphollow__member_beat__free_unpacked (msg, NULL);
 }
 
+static void
+update_common_time (struct node *nod)
+{
+  int64_t own_us = common_clock_own_ahead_us (&nod->common);
+  int64_t ahead_us;
+  if (!duty_wall_ahead (&nod->duties, nod->set->name, own_us,
+                        nod->members_current_us, &ahead_us))
+    return;
+  common_clock_set (&nod->common, ahead_us);
+  bool differs = common_clock_differs (&nod->common);
+  if (differs != nod->time_differs)
+    log_event (nod->lg, EV_NODE_TIME_DIFFERS, LOG_S ("name", nod->set->name),
+               LOG_I ("differs", differs),
+               LOG_I ("ahead_ms", (own_us - ahead_us) / 1000));
+  nod->time_differs = differs;
+}
+
 static void
 on_member_batch (void *arg)
 {
@@ -518,6 +536,7 @@
       && known_us - nod->members_current_us > MEMBERS_OUTAGE_US)
     nod->members_resumed_us = known_us;
   nod->members_current_us = known_us;
+  update_common_time (nod);
   node_check_duties (nod);
 }
 
@@ -578,6 +597,7 @@
   msg.boot = nod->boot;
   msg.stopping = nod->stopping;
   msg.cpu_milli = (uint32_t)nod->set->cpu_milli;
+  msg.wall_ms = clock_wall_ms (nod->common.own);
   const struct topic_entry ent
       = { .key = key,
           .key_len = strlen (key),
--- a/node/node.c
+++ b/node/node.c
@@ -165,10 +165,11 @@
     return ERR_NOMEM;
   signal (SIGPIPE, SIG_IGN);
   nod->set = set;
-  nod->clk = &clock_system;
+  common_clock_init (&nod->common, &clock_system);
+  nod->clk = &nod->common.clk;
   nod->started_us = clock_now_us (nod->clk);
   nod->boot = (uint64_t)clock_wall_ms (nod->clk);
-  nod->lg = logger_create (NULL, nod->clk, STDOUT_FILENO,
+  nod->lg = logger_create (NULL, &clock_system, STDOUT_FILENO,
                            parse_log_level (set->log_level));
   int err = nod->lg ? start (nod) : ERR_NOMEM;
   if (err)
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -9,6 +9,7 @@
 #include "base/timer.h"
 #include "fleet/host_mgr.h"
 #include "job/job_table.h"
+#include "member/common_clock.h"
 #include "member/duty.h"
 #include "node/node.h"
 #include "platform/wire_fleet.h"
@@ -111,7 +112,8 @@
 {
   const struct node_settings *set;
   struct tevent_context *ev;
-  const struct clock *clk;
+  struct common_clock common;
+  const struct clock *clk; /* COMMON */
   struct logger *lg;
   struct counters ctr;
   struct http_client cli; /* for the store and the host API */
@@ -160,6 +162,7 @@
 
   bool store_unavailable; /* as last logged */
   bool ready;             /* as last logged */
+  bool time_differs;      /* as last logged */
   bool stopping;
   bool stopped;
   int64_t stop_elapsed_ms; /* since the stop signal */
--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -1139,7 +1139,7 @@
   (ProtobufCMessageInit) kingcuphollow__pool_workers__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__member_beat__field_descriptors[3] =
+static const ProtobufCFieldDescriptor kingcuphollow__member_beat__field_descriptors[4] =
 {
   {
     "boot",
@@ -1177,16 +1177,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wall_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__MemberBeat, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__member_beat__field_indices_by_name[] = {
   0,   /* field[0] = boot */
   2,   /* field[2] = cpu_milli */
   1,   /* field[1] = stopping */
+  3,   /* field[3] = wall_ms */
 };
 static const ProtobufCIntRange kingcuphollow__member_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__member_beat__descriptor =
 {
@@ -1196,7 +1209,7 @@
   "Kingcuphollow__MemberBeat",
   "kingcuphollow",
   sizeof(Kingcuphollow__MemberBeat),
-  3,
+  4,
   kingcuphollow__member_beat__field_descriptors,
   kingcuphollow__member_beat__field_indices_by_name,
   1,  kingcuphollow__member_beat__number_ranges,
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -177,10 +177,14 @@
    * Processor time that the process may use, in thousandths of a core.
    */
   uint32_t cpu_milli;
+  /*
+   * Its wall clock at the report, in milliseconds; 0: not known.
+   */
+  int64_t wall_ms;
 };
 #define KINGCUPHOLLOW__MEMBER_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__member_beat__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
--- a/test/unit/unit_clock.c
+++ b/test/unit/unit_clock.c
@@ -4,10 +4,11 @@
 #include <unistd.h>
 
 #include "base/clock.h"
+#include "member/common_clock.h"
 #include "placer_world.h"
 
-/* Tests of the clocks of base/clock.c, and of an owner that they tell about a
-   suspension of its machine.  */
+/* Tests of the clocks of base/clock.c and member/common_clock.c, and of an
+   owner that they tell about a suspension of its machine.  */
 
 #define SUSPENDED_S 20
 
@@ -45,12 +46,41 @@
 }
 END_TEST
 
+/* Guards against work that is due at a time of day and begins early, or late
+   by as much, while the time of day here is set wrong.  */
+START_TEST (test_time_of_day_set_wrong)
+{
+  static const struct
+  {
+    int64_t own_ms; /* by which this process's time of day is wrong */
+    int64_t wall_ms;
+  } cases[] = {
+    { 0, 5000 },    { 1000, 6000 },  { -1000, 4000 },
+    { 6000, 5000 }, { -6000, 5000 },
+  };
+  for (size_t n = 0; n < sizeof cases / sizeof *cases; n++)
+    {
+      struct clock_manual own;
+      struct common_clock com;
+      clock_manual_init (&own, 1000000);
+      common_clock_init (&com, &own.clk);
+      ck_assert_int_eq (clock_wall_ms (&com.clk), 1000);
+      common_clock_set (&com, 3000000);
+      own.now_us += 1000000;
+      own.wall_ahead_us = 3000000 + cases[n].own_ms * 1000;
+      ck_assert_int_eq (clock_wall_ms (&com.clk), cases[n].wall_ms);
+      ck_assert_int_eq (clock_now_us (&com.clk), 2000000);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
   Suite *suite = suite_create ("clock");
   TCase *tc = tcase_create ("clock");
   tcase_add_test (tc, test_suspended_owner);
+  tcase_add_test (tc, test_time_of_day_set_wrong);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
--- a/test/unit/unit_duty.c
+++ b/test/unit/unit_duty.c
@@ -266,6 +266,49 @@
 }
 END_TEST
 
+/* Guards against work that begins early because the time of day of half of the
+   processes was set ahead, and against a single other process, or ones that
+   are gone, which decide what the time of day is.  */
+START_TEST (test_common_time_of_day)
+{
+  static const struct
+  {
+    int64_t own_ms;
+    int64_t others_ms[4]; /* 0: does not say */
+    int64_t age_ms;       /* of the others' reports */
+    int64_t ahead_ms;     /* 0: not known */
+  } cases[] = {
+    { 7000, { 0, 0, 0, 0 }, 0, 0 },
+    { 7000, { 1000, 0, 0, 0 }, 0, 0 },
+    { 7000, { 1000, 1001, 0, 0 }, 0, 1001 },
+    { 7000, { 7001, 1000, 1002, 0 }, 0, 1002 },
+    { 7000, { 7001, 7002, 1000, 1001 }, 0, 7000 },
+    { 1000, { 7001, 7002, 999, 0 }, 0, 1000 },
+    { 7000, { 1000, 1001, 1002, 1003 }, 2500, 0 },
+  };
+  for (size_t n = 0; n < sizeof cases / sizeof *cases; n++)
+    {
+      int64_t ahead_us = 0;
+      talloc_free (tab);
+      tab = talloc_zero (NULL, struct duty_table);
+      for (size_t m = 0; m < 4; m++)
+        {
+          const char name[2] = { (char)('b' + m), '\0' };
+          int64_t ahead_ms = cases[n].others_ms[m];
+          const struct member_report rep = {
+            .name = name, .boot = 1, .wall_ms = ahead_ms ? 10000 + ahead_ms : 0
+          };
+          ck_assert_int_eq (duty_fold_member (tab, &rep, 10 * S), 0);
+        }
+      bool known
+          = duty_wall_ahead (tab, "a", cases[n].own_ms * 1000,
+                             10 * S + cases[n].age_ms * 1000, &ahead_us);
+      ck_assert_msg (known == (cases[n].ahead_ms != 0), "case %zu", n);
+      ck_assert_int_eq (ahead_us, cases[n].ahead_ms * 1000);
+    }
+}
+END_TEST
+
 /* Guards against a table of duties that grows beyond its limit.  */
 START_TEST (test_bounds)
 {
@@ -300,6 +343,7 @@
   tcase_add_test (tc, test_store_returns);
   tcase_add_test (tc, test_late_report_of_earlier_start);
   tcase_add_test (tc, test_boot_after_time_went_back);
+  tcase_add_test (tc, test_common_time_of_day);
   tcase_add_test (tc, test_bounds);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
