--- a/base/clock.h
+++ b/base/clock.h
@@ -8,6 +8,9 @@
 
 struct clock;
 
+/* Monotonic time includes the time for which the machine was suspended.  Other
+   processes act on it: they take over the duties of one that they have not
+   heard from, and the leases of its runs end.  */
 struct clock_driver
 {
   struct timespec (*monotonic) (const struct clock *clk);
@@ -22,12 +25,13 @@
 /* The clock of the operating system.  */
 extern const struct clock clock_system;
 
-/* A clock whose time changes only when now_us is set.  Monotonic and wall time
-   are both now_us.  */
+/* A clock whose time changes only when now_us is set.  Monotonic time is
+   now_us, and wall time is ahead of it by wall_ahead_us.  */
 struct clock_manual
 {
   struct clock clk;
   int64_t now_us;
+  int64_t wall_ahead_us;
 };
 
 void clock_manual_init (struct clock_manual *man, int64_t now_us);
--- a/member/duty.h
+++ b/member/duty.h
@@ -48,13 +48,16 @@
 {
   char name[NAME_BYTES];
   uint64_t boot; /* identifies the process's present start; a later start has a
-                    higher value */
+                    higher value, see duty_boot */
   bool stopping; /* shutting down: claims no duties */
   uint32_t cpu_milli;   /* processor time that the process may use, in
                            thousandths of a core */
   int64_t heard_us;     /* monotonic time of its last report or claim */
   int64_t boot_read_us; /* when BOOT was first read; earlier starts of the
                            process had ended by then */
+  /* By how much its wall clock in the last report is ahead of this process's
+     monotonic clock at the time of reading; INT64_MIN: not known.  */
+  int64_t wall_ahead_us;
 };
 
 /* A holder that lost its duty to a claim and may not have noticed it yet.  */
@@ -111,6 +114,7 @@
   uint64_t boot;
   bool stopping;
   uint32_t cpu_milli; /* in thousandths of a core; 0: unknown */
+  int64_t wall_ms;    /* its wall clock; 0: unknown */
 };
 
 /* Sets LIMITS, which are the same in all processes.  Call it before records
@@ -118,8 +122,8 @@
 void duty_set_limits (struct duty_table *tab,
                       const struct holder_limits *limits);
 
-/* Folds a member's report.  Returns 0, or ERR_FULL when a new member would
-   exceed MEMBERS_MAX.  */
+/* Folds a member's report.  One of an earlier start of the member is ignored.
+   Returns 0, or ERR_FULL when a new member would exceed MEMBERS_MAX.  */
 int duty_fold_member (struct duty_table *tab, const struct member_report *rep,
                       int64_t now_us);
 
@@ -170,6 +174,13 @@
 int64_t duty_earlier_leases_end_us (const struct duty_table *tab,
                                     const struct duty *dty);
 
+/* Returns the value that identifies the present start of the process NAME,
+   which uses BOOT so far: BOOT, or a higher one if an earlier start has used a
+   value above it.  A start takes the time of day, which may have gone back
+   since the start before it.  */
+uint64_t duty_boot (const struct duty_table *tab, const char *name,
+                    uint64_t boot);
+
 /* Returns NULL when nobody has claimed the duty yet.  */
 const struct duty *duty_find (const struct duty_table *tab, const char *name);
 
@@ -197,5 +208,14 @@
 bool duty_should_claim (const struct duty_table *tab, const char *name,
                         const struct duty_view *view);
 
+/* Gives in *AHEAD_US by how much the time of day is ahead of this process's
+   monotonic clock, as most live members have it; OWN_US is what this process
+   has.  Reports of others take some time, so theirs is a little too low.  With
+   an even number of clocks of which half are ahead of the others, the others
+   count: work that is due at a time of day must not begin early.  Returns
+   false if fewer than three clocks are known.  */
+bool duty_wall_ahead (const struct duty_table *tab, const char *self,
+                      int64_t own_us, int64_t now_us, int64_t *ahead_us);
+
 /* Number of members that report and are not stopping.  */
 size_t duty_count_live_members (const struct duty_table *tab, int64_t now_us);
--- a/node/duties.c
+++ b/node/duties.c
@@ -97,8 +97,7 @@
 }
 
 static void
-on_placer_timer (struct tevent_context *ev, struct tevent_timer *te,
-                 struct timeval tv, void *arg)
+on_placer_timer (void *arg)
 {
   struct held_duty *hld = arg;
   hld->timer = NULL;
@@ -129,10 +128,7 @@
     return;
   talloc_free (hld->timer);
   int64_t wait_us = at_us - now_us;
-  hld->timer = tevent_add_timer (
-      hld->nod->ev, hld,
-      tevent_timeval_current_ofs (wait_us / 1000000, wait_us % 1000000),
-      on_placer_timer, hld);
+  hld->timer = timer_add (hld->nod->ev, hld, wait_us, on_placer_timer, hld);
   hld->timer_us = at_us;
 }
 
@@ -210,8 +206,8 @@
             : NULL;
   for (size_t n = 0; msg && n < msg->n_workers; n++)
     placer_add_earlier_worker (hld->plc, msg->workers[n]->id,
-                               msg->workers[n]->host,
-                               msg->workers[n]->born_ms);
+                               msg->workers[n]->host, msg->workers[n]->born_ms,
+                               row->read_us);
   if (msg)
     kingcuphollow__pool_workers__free_unpacked (msg, NULL);
   for (struct worker_entry *ent = nod->directory; ent; ent = ent->hh.next)
@@ -327,9 +323,23 @@
     node_fleet_begin (nod, dty->token);
 }
 
+/* A record of an earlier run with a higher value than this run's would make
+   the other members ignore its reports.  */
+static void
+check_boot (struct node *nod)
+{
+  uint64_t boot = duty_boot (&nod->duties, nod->set->name, nod->boot);
+  if (boot == nod->boot)
+    return;
+  log_event (nod->lg, EV_NODE_BOOT_RAISED, LOG_S ("name", nod->set->name),
+             LOG_I ("from", nod->boot), LOG_I ("to", boot));
+  nod->boot = boot;
+}
+
 static void
 check_held_duties (struct node *nod)
 {
+  check_boot (nod);
   check_fleet (nod);
   struct held_duty *next;
   for (struct held_duty *hld = nod->held_duties; hld; hld = next)
@@ -352,8 +362,7 @@
 }
 
 static void
-on_claim_timer (struct tevent_context *ev, struct tevent_timer *te,
-                struct timeval tv, void *arg)
+on_claim_timer (void *arg)
 {
   struct node *nod = arg;
   nod->claim_timer = NULL;
@@ -377,9 +386,8 @@
                                           nod->boot + nod->claim_conflicts++)
                                    % CLAIM_BACKOFF_US);
   if (!nod->claim_timer)
-    nod->claim_timer = tevent_add_timer (
-        nod->ev, nod, tevent_timeval_current_ofs (0, CLAIM_BACKOFF_US),
-        on_claim_timer, nod);
+    nod->claim_timer
+        = timer_add (nod->ev, nod, CLAIM_BACKOFF_US, on_claim_timer, nod);
 }
 
 static int
@@ -537,13 +545,31 @@
   const struct member_report rep = { .name = name,
                                      .boot = msg->boot,
                                      .stopping = msg->stopping,
-                                     .cpu_milli = msg->cpu_milli };
+                                     .cpu_milli = msg->cpu_milli,
+                                     .wall_ms = msg->wall_ms };
   if (duty_fold_member (&nod->duties, &rep, clock_now_us (nod->clk)))
     log_event (nod->lg, EV_RECORD_INVALID, LOG_S ("topic", TOPIC_MEMBERS),
                LOG_I ("offset", rec->offset), LOG_S ("error", "members_full"));
   kingcuphollow__member_beat__free_unpacked (msg, NULL);
 }
 
+static void
+update_common_time (struct node *nod)
+{
+  int64_t own_us = common_clock_own_ahead_us (&nod->common);
+  int64_t ahead_us;
+  if (!duty_wall_ahead (&nod->duties, nod->set->name, own_us,
+                        nod->members_current_us, &ahead_us))
+    return;
+  common_clock_set (&nod->common, ahead_us);
+  bool differs = common_clock_differs (&nod->common);
+  if (differs != nod->time_differs)
+    log_event (nod->lg, EV_NODE_TIME_DIFFERS, LOG_S ("name", nod->set->name),
+               LOG_I ("differs", differs),
+               LOG_I ("ahead_ms", (own_us - ahead_us) / 1000));
+  nod->time_differs = differs;
+}
+
 static void
 on_member_batch (void *arg)
 {
@@ -553,6 +579,7 @@
       && known_us - nod->members_current_us > MEMBERS_OUTAGE_US)
     nod->members_resumed_us = known_us;
   nod->members_current_us = known_us;
+  update_common_time (nod);
   node_check_duties (nod);
 }
 
@@ -589,17 +616,15 @@
 }
 
 static void
-on_heartbeat_timer (struct tevent_context *ev, struct tevent_timer *te,
-                    struct timeval tv, void *arg)
+on_heartbeat_timer (void *arg)
 {
   struct node *nod = arg;
   char key[DUTY_KEY_BYTES];
   uint8_t data[64];
   Kingcuphollow__MemberBeat msg = KINGCUPHOLLOW__MEMBER_BEAT__INIT;
   int64_t ms = nod->set->heartbeat_ms;
-  nod->heartbeat_timer = tevent_add_timer (
-      ev, nod, tevent_timeval_current_ofs (ms / 1000, ms % 1000 * 1000),
-      on_heartbeat_timer, nod);
+  nod->heartbeat_timer
+      = timer_add (nod->ev, nod, ms * 1000, on_heartbeat_timer, nod);
   node_check_duties (nod);
   node_log_store_state (nod);
   if (nod->heartbeat_in_progress)
@@ -608,6 +633,7 @@
   msg.boot = nod->boot;
   msg.stopping = nod->stopping;
   msg.cpu_milli = (uint32_t)nod->set->cpu_milli;
+  msg.wall_ms = clock_wall_ms (nod->common.own);
   const struct topic_entry ent
       = { .key = key,
           .key_len = strlen (key),
@@ -647,6 +673,6 @@
                          nod->clk, &duty_set, on_duty_record, on_duty_batch,
                          nod);
   if (!err)
-    on_heartbeat_timer (nod->ev, NULL, (struct timeval){ 0 }, nod);
+    on_heartbeat_timer (nod);
   return err;
 }
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -6,8 +6,10 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/log.h"
+#include "base/timer.h"
 #include "fleet/host_mgr.h"
 #include "job/job_table.h"
+#include "member/common_clock.h"
 #include "member/duty.h"
 #include "node/node.h"
 #include "platform/wire_fleet.h"
@@ -73,6 +75,7 @@
   char pool[NAME_BYTES];
   uint8_t *data; /* a packed PoolWorkers message */
   size_t len;
+  int64_t read_us; /* monotonic time at which it was read */
 };
 
 enum held_duty_phase
@@ -93,9 +96,9 @@
   struct appender app; /* for the owner's records; its epoch is the token */
   uint64_t fence_offset;
   enum held_duty_phase phase;
-  struct placer *plc;         /* NULL before HELD_DUTY_ACTIVE */
-  struct tevent_timer *timer; /* of the placer's next tick */
-  int64_t timer_us;           /* when the timer is due */
+  struct placer *plc;  /* NULL before HELD_DUTY_ACTIVE */
+  struct timer *timer; /* of the placer's next tick */
+  int64_t timer_us;    /* when the timer is due */
   int64_t tick_ended_us;
   int64_t tick_duration_us; /* of the last tick */
   bool fence_failed;        /* a later owner has fenced the partition */
@@ -110,7 +113,8 @@
 {
   const struct node_settings *set;
   struct tevent_context *ev;
-  const struct clock *clk;
+  struct common_clock common;
+  const struct clock *clk; /* COMMON */
   struct logger *lg;
   struct counters ctr;
   struct http_client cli; /* for the store and the host API */
@@ -120,8 +124,9 @@
   struct wire_fleet fleet_link;
   struct fleet_duty *flt;
   struct wire_front *frt;
-  uint64_t boot; /* wall clock in ms at the start; with the name it identifies
-                    this run of the process */
+  /* With the name it identifies this run of the process: the wall clock in ms
+     at the start, or more if an earlier run had a higher value.  */
+  uint64_t boot;
   int64_t started_us;
 
   struct catalog *cat;            /* NULL: no configuration read yet */
@@ -152,17 +157,18 @@
                                 claim or release */
   int64_t next_claim_us;     /* no claim before this time */
   uint64_t claim_conflicts;  /* claims that lost to a concurrent append */
-  struct tevent_timer *claim_timer;
+  struct timer *claim_timer;
   bool heartbeat_in_progress;
   int64_t confirmed_us; /* claims appended before this are known */
   /* A read of the claims that does not wait for new ones.  */
   bool confirm_in_progress;
   int64_t confirm_sent_us;
   uint64_t confirm_offset;
-  struct tevent_timer *heartbeat_timer;
+  struct timer *heartbeat_timer;
 
   bool store_unavailable; /* as last logged */
   bool ready;             /* as last logged */
+  bool time_differs;      /* as last logged */
   bool stopping;
   bool stopped;
   int64_t stop_elapsed_ms; /* since the stop signal */
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -14,10 +14,6 @@
    jobs, runs or progress to flush, and while there are none.  */
 #define TICK_BUSY_US 40000
 #define TICK_IDLE_US 250000
-/* A list of hosts that was requested at least this long after a worker's start
-   certainly is newer than the start: the list shows the hosts as they were up
-   to one second before, and clocks differ by up to two seconds more.  */
-#define HOST_LIST_LAG_MS 5000
 /* A worker is kept for this time after its report was removed.  Reports expire
    while the store is unreachable and are back within 2 s of its return.  */
 #define UNREGISTERED_KEEP_US 3000000
@@ -98,8 +94,7 @@
   int64_t now_us = clock_now_us (plc->env.clk);
   if (job->spec.steps[ref->step].perpetual)
     tsk->not_before_us = now_us + RESTART_PAUSE_US;
-  if (!job_update_state (job, placer_attempts (plc, job),
-                         clock_wall_ms (plc->env.clk)))
+  if (!job_update_state (job, placer_attempts (plc, job), now_us))
     return;
   if (!job_ended (job))
     return;
@@ -182,16 +177,13 @@
   plc->pool.workers = workers;
   workers[plc->pool.count++] = wrk;
   wrk->handle = ++plc->pool.last_handle;
-  wrk->added_us = clock_now_us (plc->env.clk);
+  wrk->known_us = rep->known_us ? rep->known_us : clock_now_us (plc->env.clk);
   wrk->rep = *rep;
   return wrk;
 }
 
-/* Records that the worker's instance has ended.  Its runs are kept until
-   ownership is confirmed after this time, because a later owner may already
-   have recorded their ends.  */
-static void
-end_instance (struct placer *plc, struct worker *wrk)
+void
+placer_end_instance (struct placer *plc, struct worker *wrk)
 {
   if (!wrk->ended_us)
     wrk->ended_us = clock_now_us (plc->env.clk);
@@ -211,7 +203,7 @@
       if (strcmp (wrk->rep.host, rep->host) == 0 && wrk->rep.born_ms > 0
           && rep->born_ms > wrk->rep.born_ms && !wrk->ended_us)
         {
-          end_instance (plc, wrk);
+          placer_end_instance (plc, wrk);
           wrk->unanswered_calls++;
         }
     }
@@ -222,55 +214,10 @@
 {
   struct worker *wrk = worker_by_id (plc, id);
   if (wrk)
-    end_instance (plc, wrk);
+    placer_end_instance (plc, wrk);
   placer_drop_earlier_worker (plc, id);
 }
 
-/* Whether a list of hosts requested at ASKED_US is certainly newer than the
-   start of a worker at BORN_MS.  An older list may show the host as it was
-   before that worker.  */
-static bool
-list_covers_instance (const struct placer *plc, int64_t born_ms,
-                      int64_t asked_us)
-{
-  int64_t age_ms = (clock_now_us (plc->env.clk) - asked_us) / 1000;
-  int64_t asked_ms = clock_wall_ms (plc->env.clk) - age_ms;
-  return born_ms > 0 && asked_ms > born_ms + HOST_LIST_LAG_MS;
-}
-
-void
-placer_update_host (struct placer *plc, const struct host_report *rep,
-                    int64_t asked_us)
-{
-  bool not_up = rep->state != HOST_UP;
-  if (rep->state == HOST_UNKNOWN)
-    return;
-  for (size_t n = 0; n < plc->pool.count; n++)
-    {
-      struct worker *wrk = plc->pool.workers[n];
-      bool same = strcmp (wrk->rep.id, rep->worker) == 0;
-      if (strcmp (wrk->rep.host, rep->name) != 0
-          || wrk->hold_answered_us >= asked_us
-          || !list_covers_instance (plc, wrk->rep.born_ms, asked_us)
-          || wrk->unanswered_calls == 0 || (same && !not_up))
-        continue;
-      if (!wrk->ended_us)
-        log_event (plc->env.lg, EV_WORKER_CHANGED,
-                   LOG_S ("worker", wrk->rep.id), LOG_S ("state", "ended"),
-                   LOG_S ("host", rep->name), LOG_S ("next", rep->worker),
-                   LOG_I ("born_ms", wrk->rep.born_ms),
-                   LOG_I ("list_age_ms",
-                          (clock_now_us (plc->env.clk) - asked_us) / 1000));
-      end_instance (plc, wrk);
-    }
-  for (size_t n = plc->earlier_count; n-- > 0;)
-    if (strcmp (plc->earlier[n].host, rep->name) == 0
-        && plc->claimed_us < asked_us
-        && list_covers_instance (plc, plc->earlier[n].born_ms, asked_us)
-        && (not_up || strcmp (plc->earlier[n].id, rep->worker) != 0))
-      placer_drop_earlier_worker (plc, plc->earlier[n].id);
-}
-
 void
 placer_update_worker (struct placer *plc, const char *id,
                       const struct worker_report *rep)
@@ -305,6 +252,8 @@
      settled.  */
   if (born_ms > 0)
     wrk->rep.born_ms = born_ms;
+  else if (rep->born_ms > 0)
+    wrk->known_us = rep->known_us ? rep->known_us : now_us;
   /* A late report of an ended instance.  */
   if (wrk->reported_ended && rep->born_ms <= born_ms)
     return;
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -292,8 +292,10 @@
 /* Prepares WRK for the instance that was started at BORN_MS under the same
    id.  It runs nothing yet, and numbers its ends from 1.  */
 static void
-begin_instance (struct worker *wrk, int64_t born_ms)
+begin_instance (struct worker *wrk, int64_t born_ms, int64_t now_us)
 {
+  if (born_ms != wrk->rep.born_ms)
+    wrk->known_us = now_us;
   wrk->applied_end = wrk->flushing_end = wrk->durable_end = wrk->acked_end = 0;
   wrk->ended_us = 0;
   wrk->reported_ended = false;
@@ -318,9 +320,11 @@
   if (wrk->reported_ended && wrk->reported_born_ms <= wrk->rep.born_ms)
     wrk->registered = false;
   else
-    begin_instance (wrk, wrk->reported_born_ms > wrk->rep.born_ms
-                             ? wrk->reported_born_ms
-                             : wrk->rep.born_ms);
+    begin_instance (wrk,
+                    wrk->reported_born_ms > wrk->rep.born_ms
+                        ? wrk->reported_born_ms
+                        : wrk->rep.born_ms,
+                    clock_now_us (plc->env.clk));
   return true;
 }
 
@@ -341,8 +345,11 @@
       wrk->next_hold_us = now_us + HOLD_ENDED_INTERVAL_US;
       return;
     }
-  if (res->born_ms > 0)
-    wrk->rep.born_ms = res->born_ms;
+  if (res->born_ms > 0 && res->born_ms != wrk->rep.born_ms)
+    {
+      wrk->rep.born_ms = res->born_ms;
+      wrk->known_us = now_us;
+    }
   if (ctx->lease_end_ms > 0 && res->command.clock_ms > 0)
     {
       int64_t span_us = (ctx->lease_end_ms - res->command.clock_ms) * 1000;
--- a/sched/placer_hosts.c
+++ b/sched/placer_hosts.c
@@ -7,15 +7,59 @@
 
 /* What the platform's list of hosts tells about workers that do not answer. */
 
-/* A list of hosts that was requested this long after a worker was known shows
-   its host, unless it has left: a list shows the hosts as they were up to one
-   second before.  */
-#define HOST_LIST_AGE_MAX_US 2000000
+/* A list of hosts that was requested at least this long after a worker was
+   known certainly is newer than the worker's start: the list shows the hosts
+   as they were up to one second before, and a worker may report before the
+   platform lists it.  */
+#define HOST_LIST_LAG_US 2000000
 /* A host is gone when this number of consecutive lists do not contain it.  A
    list is read in pages, and a host may be missing in one if another host
    leaves between two pages.  */
 #define ABSENT_LISTS_MIN 2
 
+/* Whether a list of hosts requested at ASKED_US is certainly newer than the
+   start of a worker that was known at KNOWN_US.  An older list may show the
+   host as it was before that worker.  The worker's own start time does not
+   tell, as it is a time of day, which processes do not agree on.  */
+static bool
+list_covers_instance (int64_t known_us, int64_t asked_us)
+{
+  return asked_us > known_us + HOST_LIST_LAG_US;
+}
+
+void
+placer_update_host (struct placer *plc, const struct host_report *rep,
+                    int64_t asked_us)
+{
+  bool not_up = rep->state != HOST_UP;
+  if (rep->state == HOST_UNKNOWN)
+    return;
+  for (size_t n = 0; n < plc->pool.count; n++)
+    {
+      struct worker *wrk = plc->pool.workers[n];
+      bool same = strcmp (wrk->rep.id, rep->worker) == 0;
+      if (strcmp (wrk->rep.host, rep->name) != 0
+          || wrk->hold_answered_us >= asked_us
+          || !list_covers_instance (wrk->known_us, asked_us)
+          || wrk->unanswered_calls == 0 || (same && !not_up))
+        continue;
+      if (!wrk->ended_us)
+        log_event (plc->env.lg, EV_WORKER_CHANGED,
+                   LOG_S ("worker", wrk->rep.id), LOG_S ("state", "ended"),
+                   LOG_S ("host", rep->name), LOG_S ("next", rep->worker),
+                   LOG_I ("known_ms", (asked_us - wrk->known_us) / 1000),
+                   LOG_I ("list_age_ms",
+                          (clock_now_us (plc->env.clk) - asked_us) / 1000));
+      placer_end_instance (plc, wrk);
+    }
+  for (size_t n = plc->earlier_count; n-- > 0;)
+    if (strcmp (plc->earlier[n].host, rep->name) == 0
+        && plc->claimed_us < asked_us
+        && list_covers_instance (plc->earlier[n].known_us, asked_us)
+        && (not_up || strcmp (plc->earlier[n].id, rep->worker) != 0))
+      placer_drop_earlier_worker (plc, plc->earlier[n].id);
+}
+
 static bool
 is_listed (const struct host_list *list, const char *host)
 {
@@ -52,7 +96,7 @@
     {
       struct worker *wrk = plc->pool.workers[n];
       if (wrk->unanswered_calls == 0 || wrk->hold_answered_us >= asked_us
-          || wrk->ended_us || asked_us < wrk->added_us + HOST_LIST_AGE_MAX_US)
+          || wrk->ended_us || !list_covers_instance (wrk->known_us, asked_us))
         wrk->absent_lists = 0;
       else if (host_gone (list, wrk->rep.host, &wrk->absent_lists))
         end_worker (plc, wrk->rep.id, wrk->rep.host, wrk->rep.born_ms);
@@ -60,7 +104,8 @@
   for (size_t n = plc->earlier_count; n-- > 0;)
     {
       struct earlier_worker *row = &plc->earlier[n];
-      if (asked_us >= plc->claimed_us + HOST_LIST_AGE_MAX_US
+      if (list_covers_instance (row->known_us, asked_us)
+          && asked_us > plc->claimed_us
           && host_gone (list, row->host, &row->absent_lists))
         {
           const struct earlier_worker gone = *row;
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -18,6 +18,7 @@
   char id[NAME_BYTES];
   char host[NAME_BYTES];
   int64_t born_ms;
+  int64_t known_us;      /* the worker had certainly started by then */
   uint32_t absent_lists; /* consecutive lists of hosts without its host */
 };
 
@@ -169,6 +170,10 @@
 void placer_evacuate (struct placer *plc, struct worker *wrk, int64_t now_us);
 
 /* placer.c */
+/* Records that the worker's instance has ended.  Its runs are kept until
+   ownership is confirmed after this time, because a later owner may already
+   have recorded their ends.  */
+void placer_end_instance (struct placer *plc, struct worker *wrk);
 struct worker *placer_find_worker (const struct placer *plc, uint32_t handle);
 /* Updates the job's state after a run of its task has ended, and stops the
    job's other runs if the job has ended with it.  */
--- a/test/unit/unit_duty.c
+++ b/test/unit/unit_duty.c
@@ -472,6 +472,89 @@
 }
 END_TEST
 
+/* Guards against a holder that is taken for restarted, so that its successor
+   does not wait for it, because a report of its earlier start was appended
+   late.  */
+START_TEST (test_late_report_of_earlier_start)
+{
+  claim ("a", 2, 5, 10 * S);
+  member ("a", 1, false, 10 * S + 500000);
+  member ("b", 1, false, 11 * S);
+  member ("c", 1, false, 11 * S);
+  ck_assert_str_eq (claimants (11 * S, 0), "");
+  struct earlier_holders earlier;
+  duty_state_earlier (tab, "p", 11 * S, &earlier);
+  const struct duty_claim clm = {
+    .name = "p", .holder = "b", .boot = 1, .token = 7, .earlier = &earlier
+  };
+  ck_assert_int_eq (duty_fold_claim (tab, &clm, 11 * S), 0);
+  ck_assert_int_eq (duty_earlier_leases_end_us (tab, duty_find (tab, "p")),
+                    11 * S + COMMAND + LEASE);
+}
+END_TEST
+
+/* Guards against a start that counts as an earlier one because the time of day
+   went back since the start before it, which may have been known only by its
+   claim.  */
+START_TEST (test_boot_after_time_went_back)
+{
+  ck_assert_uint_eq (duty_boot (tab, "d", 90), 90);
+  member ("a", 100, false, 10 * S);
+  ck_assert_uint_eq (duty_boot (tab, "a", 200), 200);
+  ck_assert_uint_eq (duty_boot (tab, "a", 94), 101);
+  claim ("b", 105, 5, 10 * S);
+  ck_assert_uint_eq (duty_boot (tab, "b", 94), 106);
+  claim ("e", 105, 6, 10 * S);
+  ck_assert_uint_eq (duty_boot (tab, "e", 94), 106);
+  /* The value stays once the others know it.  */
+  member ("a", 101, false, 11 * S);
+  ck_assert_uint_eq (duty_boot (tab, "a", 101), 101);
+}
+END_TEST
+
+/* Guards against work that begins early because the time of day of half of the
+   processes was set ahead, and against a single other process, or ones that
+   are gone, which decide what the time of day is.  */
+START_TEST (test_common_time_of_day)
+{
+  static const struct
+  {
+    int64_t own_ms;
+    int64_t others_ms[4]; /* 0: does not say */
+    int64_t age_ms;       /* of the others' reports */
+    int64_t ahead_ms;     /* 0: not known */
+  } cases[] = {
+    { 7000, { 0, 0, 0, 0 }, 0, 0 },
+    { 7000, { 1000, 0, 0, 0 }, 0, 0 },
+    { 7000, { 1000, 1001, 0, 0 }, 0, 1001 },
+    { 7000, { 7001, 1000, 1002, 0 }, 0, 1002 },
+    { 7000, { 7001, 7002, 1000, 1001 }, 0, 7000 },
+    { 1000, { 7001, 7002, 999, 0 }, 0, 1000 },
+    { 7000, { 1000, 1001, 1002, 1003 }, 2500, 0 },
+  };
+  for (size_t n = 0; n < sizeof cases / sizeof *cases; n++)
+    {
+      int64_t ahead_us = 0;
+      talloc_free (tab);
+      tab = talloc_zero (NULL, struct duty_table);
+      for (size_t m = 0; m < 4; m++)
+        {
+          const char name[2] = { (char)('b' + m), '\0' };
+          int64_t ahead_ms = cases[n].others_ms[m];
+          const struct member_report rep = {
+            .name = name, .boot = 1, .wall_ms = ahead_ms ? 10000 + ahead_ms : 0
+          };
+          ck_assert_int_eq (duty_fold_member (tab, &rep, 10 * S), 0);
+        }
+      bool known
+          = duty_wall_ahead (tab, "a", cases[n].own_ms * 1000,
+                             10 * S + cases[n].age_ms * 1000, &ahead_us);
+      ck_assert_msg (known == (cases[n].ahead_ms != 0), "case %zu", n);
+      ck_assert_int_eq (ahead_us, cases[n].ahead_ms * 1000);
+    }
+}
+END_TEST
+
 /* Guards against a table of duties that grows beyond its limit.  */
 START_TEST (test_bounds)
 {
@@ -506,6 +589,9 @@
   tcase_add_test (tc, test_claim_counts_as_report);
   tcase_add_test (tc, test_view_age);
   tcase_add_test (tc, test_store_returns);
+  tcase_add_test (tc, test_late_report_of_earlier_start);
+  tcase_add_test (tc, test_boot_after_time_went_back);
+  tcase_add_test (tc, test_common_time_of_day);
   tcase_add_test (tc, test_bounds);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
--- a/test/unit/unit_placer.c
+++ b/test/unit/unit_placer.c
@@ -71,6 +71,34 @@
 }
 END_TEST
 
+/* Guards against clients that are told that there is no such job while they
+   can still query its state, because the time of day went back as the job
+   ended.  */
+START_TEST (test_ended_job_kept)
+{
+  const char *worker;
+  add_two_workers ();
+  world_add_job (wld, 1, ONE_TASK_JOB, 200);
+  world_tick (wld, 1);
+  world_answer (wld, pending_start (&worker), COMMAND_DONE);
+  const struct world_row end
+      = { .job = 1, .run = 1, .end = RUN_END_DONE, .number = 1 };
+  wld->clk.wall_ahead_us = -6000000;
+  world_tick (wld, 900);
+  world_answer_hold (wld, worker, NULL, 0, &end, 1);
+  ck_assert (job_ended (job_table_find (&wld->jobs, 1)));
+  world_complete_append (wld);
+  world_tick (wld, 300);
+  wld->clk.wall_ahead_us = 0;
+  world_tick (wld, 124000);
+  job_table_expire (&wld->jobs, wld->clk.now_us - 125000000);
+  ck_assert_ptr_nonnull (job_table_find (&wld->jobs, 1));
+  world_tick (wld, 2000);
+  job_table_expire (&wld->jobs, wld->clk.now_us - 125000000);
+  ck_assert_ptr_null (job_table_find (&wld->jobs, 1));
+}
+END_TEST
+
 /* The runs of a silent worker are given up once their leases have certainly
    expired, and the task is not started again before.  Unanswered holds used to
    extend the leases, so that the runs were never given up.  */
@@ -147,7 +175,7 @@
    started do not wait.  */
 START_TEST (test_new_owner_waits)
 {
-  placer_add_earlier_worker (wld->plc, "w9", "m-w9", 500);
+  placer_add_earlier_worker (wld->plc, "w9", "m-w9", 500, 0);
   add_two_workers ();
   world_add_job (wld, 1, ONE_TASK_JOB, WORLD_FENCE_OFFSET - 1);
   world_add_job (wld, 2, ONE_TASK_JOB, WORLD_FENCE_OFFSET);
@@ -176,7 +204,7 @@
   {
     enum host_state state;
     const char *worker; /* that the platform lists for the host */
-    int64_t age_ms;     /* of w9 when the list is requested */
+    int64_t age_ms;     /* for which w9 is known as the list is requested */
     bool takeover_done;
   } cases[] = {
     { HOST_UP, "w9", 60000, false },
@@ -193,8 +221,8 @@
       struct host_report rep = { .state = cases[n].state };
       teardown ();
       setup ();
-      placer_add_earlier_worker (wld->plc, "w9", "m-w9",
-                                 wld->clk.now_us / 1000 - cases[n].age_ms);
+      placer_add_earlier_worker (wld->plc, "w9", "m-w9", 500,
+                                 wld->clk.now_us - cases[n].age_ms * 1000);
       add_two_workers ();
       name_copy (rep.name, "m-w9");
       name_copy (rep.worker, cases[n].worker);
@@ -205,7 +233,7 @@
     }
   teardown ();
   setup ();
-  placer_add_earlier_worker (wld->plc, "w9", "m-w9", 500);
+  placer_add_earlier_worker (wld->plc, "w9", "m-w9", 500, 0);
   add_two_workers ();
   placer_limit_earlier_leases (
       wld->plc, wld->clk.now_us + placer_lease_span_us (WORLD_LEASE_MS));
@@ -713,6 +741,7 @@
   TCase *tc = tcase_create ("placer");
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, test_end_logged_before_ack);
+  tcase_add_test (tc, test_ended_job_kept);
   tcase_add_test (tc, test_silent_worker);
   tcase_add_test (tc, test_unanswered_start);
   tcase_add_test (tc, test_new_owner_waits);
