store: the read position passes the newest records after all of their pages

A new owner of a pool could start tasks before it knew all jobs, progress and workers of the pool. It becomes active once the read position is behind its fence. When the partition's history had been dropped before it was read, the newest record of each key is read in pages, and the position was set to the end of the partition with the first page. The pool's worker record has one of the last keys, so the owner did not wait for the workers of earlier owners, and jobs whose progress was on a later page looked new.

The position now advances when the last page was delivered, so that "all records before it are known" holds at any time. That is also what a conditional claim and the confirmation of duties rely on.

--- a/store/follower.c
+++ b/store/follower.c
@@ -22,6 +22,8 @@
   void *arg;
   struct tevent_timer *timer;
   uint64_t next_offset;
+  uint64_t newest_end;    /* of the partition, when the read of the newest
+                             records began */
   int64_t read_started_us;
   int64_t caught_up_us;
   bool in_call;
@@ -90,7 +92,7 @@
       return;
     }
   if (p->first_page)
-    p->next_offset = res->end_offset;
+    p->newest_end = res->end_offset;
   p->first_page = false;
   deliver (p, res);
   if (res->more && res->count > 0)
@@ -103,7 +105,10 @@
           = '\0';
     }
   else
-    p->in_order = true;
+    {
+      p->next_offset = p->newest_end;
+      p->in_order = true;
+    }
   p->batch_fn (p->arg);
   schedule (p, res->err ? RETRY_MS : 0);
 }
--- a/store/follower.h
+++ b/store/follower.h
@@ -54,7 +54,8 @@
    record of each key.  */
 bool follower_in_order (const struct follower *fol);
 
-/* Offset of the next record to be delivered in offset order.  */
+/* Offset of the next record to be delivered in offset order.  The newest
+   records of all keys before it have been delivered.  */
 uint64_t follower_next_offset (const struct follower *fol);
 
 /* Monotonic time in microseconds as of which every record in the partition has
--- a/test/unit/unit_topic.c
+++ b/test/unit/unit_topic.c
@@ -295,6 +295,28 @@
 }
 END_TEST
 
+/* Guards against a new owner of a pool that starts before it knows all jobs
+   and workers: the offset behind its fence must not count as reached before
+   the newest records of all keys were delivered.  */
+START_TEST (test_next_offset_during_newest_read)
+{
+  struct follower fol;
+  open_follower (&fol);
+  complete_read (await_call (1), 0, 7, true, "ab", 2);
+  ck_assert_uint_eq (follower_next_offset (&fol), 0);
+  complete_read (await_call (2), 0, 9, false, "c", 6);
+  ck_assert_uint_eq (follower_next_offset (&fol), 7);
+  complete_read (await_call (3), ERR_EXPIRED, 0, false, "", 0);
+  complete_read (await_call (4), 0, 30, true, "ab", 20);
+  ck_assert_uint_eq (follower_next_offset (&fol), 7);
+  complete_read (await_call (5), 0, 31, false, "c", 25);
+  ck_assert_uint_eq (follower_next_offset (&fol), 30);
+  struct call *call = await_call (6);
+  follower_fini (&fol);
+  complete_read (call, 0, 31, false, "", 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -305,6 +327,7 @@
   tcase_add_test (tc, test_rejected);
   tcase_add_test (tc, test_finished_in_call);
   tcase_add_test (tc, test_follow);
+  tcase_add_test (tc, test_next_offset_during_newest_read);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
