sched: start no tasks while the log is read by key

A later owner takes the jobs behind its fence for never started and starts them at once, as a former owner reads the fence before these jobs and sends no commands from then on. That holds only while records come in order. When the history that a lagging former owner has not read yet is dropped (platform_compact), it reads the newest record of each key, and a job may come before the fence. The same read brings jobs that ended long ago again, with their progress on a later page.

The follower tells whether the delivered records show the partition as it was at one point, and the placer starts no tasks while they do not. Holds go on: they extend leases, and are bounded by the confirmation of the duty.

test_former_owner_reads_by_key (node) and test_no_start_from_inconsistent_log (placer_takeover) failed without the check and pass.

--- a/node/duties.c
+++ b/node/duties.c
@@ -181,6 +181,13 @@
   return 0;
 }
 
+static bool
+log_consistent (void *arg)
+{
+  const struct held_duty *hld = arg;
+  return follower_consistent (&hld->prt->fol);
+}
+
 static void
 end_held_duty (struct held_duty *hld, const char *reason)
 {
@@ -240,6 +247,7 @@
     .jobs = &nod->jobs,
     .cat = (const struct catalog *const *)&nod->cat,
     .persist = persist,
+    .log_consistent = log_consistent,
     .wake = wake_placer,
     .arg = hld,
   };
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -561,7 +561,10 @@
           placer_send_stops (plc, plc->pool.workers[n]);
           busy = busy || plc->pool.workers[n]->runs;
         }
-      place_all (plc, now_us);
+      /* Otherwise a known job may follow the fence of a later owner that is
+         not known yet, or may have ended.  */
+      if (plc->env.log_consistent (plc->env.arg))
+        place_all (plc, now_us);
     }
   placer_flush (plc, now_us);
   drop_ended_jobs (plc);
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -45,6 +45,9 @@
      token.  Returns 0, ERR_FULL or ERR_NOMEM; after 0, FN is called once.  */
   int (*persist) (void *arg, const struct topic_entry *entries, size_t count,
                   persist_fn *fn, void *fn_arg);
+  /* Whether the known jobs and fences show the log as it was at one point in
+     its history.  */
+  bool (*log_consistent) (void *arg);
   /* Asks for a call of placer_tick soon.  */
   void (*wake) (void *arg);
   void *arg;
--- a/store/follower.c
+++ b/store/follower.c
@@ -24,6 +24,7 @@
   uint64_t next_offset;
   uint64_t newest_end;    /* of the partition, when the read of the newest
                              records began */
+  uint64_t delivered_end; /* all records delivered by key are before it */
   int64_t read_started_us;
   int64_t caught_up_us;
   bool in_call;
@@ -94,6 +95,9 @@
   if (p->first_page)
     p->newest_end = res->end_offset;
   p->first_page = false;
+  for (size_t n = 0; n < res->count; n++)
+    if (res->records[n].offset >= p->delivered_end)
+      p->delivered_end = res->records[n].offset + 1;
   deliver (p, res);
   if (res->more && res->count > 0)
     {
@@ -224,6 +228,13 @@
   return fol->priv->in_order;
 }
 
+bool
+follower_consistent (const struct follower *fol)
+{
+  const struct priv *p = fol->priv;
+  return p->in_order && p->next_offset >= p->delivered_end;
+}
+
 uint64_t
 follower_next_offset (const struct follower *fol)
 {
--- a/store/follower.h
+++ b/store/follower.h
@@ -54,6 +54,11 @@
    record of each key.  */
 bool follower_in_order (const struct follower *fol);
 
+/* Whether the delivered records show the partition as it was at one point in
+   its history.  While the newest record of each key is read, a record may be
+   delivered before an earlier one of another key.  */
+bool follower_consistent (const struct follower *fol);
+
 /* Offset of the next record to be delivered in offset order.  The newest
    records of all keys before it have been delivered.  */
 uint64_t follower_next_offset (const struct follower *fol);
--- a/test/unit/placer_world.c
+++ b/test/unit/placer_world.c
@@ -87,6 +87,13 @@
   return 0;
 }
 
+static bool
+log_consistent (void *arg)
+{
+  const struct world *wld = arg;
+  return !wld->log_inconsistent;
+}
+
 static void
 wake (void *arg)
 {
@@ -106,6 +113,7 @@
                                   .jobs = &wld->jobs,
                                   .cat = &wld->cat_ptr,
                                   .persist = persist,
+                                  .log_consistent = log_consistent,
                                   .wake = wake,
                                   .arg = wld };
   wld->plc = placer_create (NULL, &set, &env);
--- a/test/unit/placer_world.h
+++ b/test/unit/placer_world.h
@@ -53,7 +53,8 @@
   void *enrol_arg;
   persist_fn *persist_fn; /* of an append of job progress */
   void *persist_arg;
-  size_t append_count; /* appends requested so far */
+  size_t append_count;   /* appends requested so far */
+  bool log_inconsistent; /* the log is being read by key */
   struct placer *plc;
 };
 
--- a/test/unit/unit_node.c
+++ b/test/unit/unit_node.c
@@ -14,6 +14,18 @@
   return node_held_duty (wld.nod, "p");
 }
 
+/* Makes the process the owner of the pool, with a worker that has answered. */
+static void
+own_pool (void)
+{
+  node_world_claim (&wld, "p", "n1", NODE_WORLD_BOOT, false);
+  node_world_run (&wld, 200);
+  ck_assert_ptr_nonnull (held_duty ());
+  ck_assert_ptr_nonnull (held_duty ()->plc);
+  node_world_add_worker (&wld, "w1");
+  node_world_run (&wld, 200);
+}
+
 /* Guards against a new owner that starts tasks before it knows all of the
    pool's jobs and workers: it has read the fence only when the newest records
    of all keys were delivered.  */
@@ -46,6 +58,38 @@
 }
 END_TEST
 
+/* Guards against two owners that start one job: a former owner whose unread
+   history was dropped reads a job before the later owner's fence, as the
+   records then come by key.  */
+START_TEST (test_former_owner_reads_by_key)
+{
+  node_world_init (&wld, false);
+  own_pool ();
+  node_world_add_job (&wld, 1);
+  node_world_run (&wld, 200);
+  ck_assert_uint_eq (wld.last_started, 1);
+  wld.duties->hold_reads = true;
+  wld.jobs->hold_reads = true;
+  wld.mem.page_records = 1;
+  node_world_run (&wld, 300);
+  topic_memory_add (wld.jobs, "f/p", (const uint8_t *)"99", 2);
+  node_world_add_job (&wld, 2);
+  topic_memory_compact (wld.jobs);
+  while (wld.nod->jobs.count < 2)
+    {
+      topic_memory_run_held (wld.jobs);
+      node_world_run (&wld, 20);
+    }
+  node_world_run (&wld, 200);
+  ck_assert_uint_eq (wld.last_started, 1);
+  wld.jobs->hold_reads = false;
+  topic_memory_run_held (wld.jobs);
+  node_world_run (&wld, 300);
+  ck_assert_uint_eq (wld.last_started, 1);
+  node_world_fini (&wld);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -53,6 +97,7 @@
   TCase *tc = tcase_create ("node");
   tcase_set_timeout (tc, 60);
   tcase_add_test (tc, test_new_owner_reads_all_pages);
+  tcase_add_test (tc, test_former_owner_reads_by_key);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
--- a/test/unit/unit_placer_takeover.c
+++ b/test/unit/unit_placer_takeover.c
@@ -131,6 +131,24 @@
 }
 END_TEST
 
+/* Guards against two owners that start the same job.  A former owner that
+   reads the newest record of each key may read a job before the fence of the
+   later owner that has started it.  */
+START_TEST (test_no_start_from_inconsistent_log)
+{
+  list_runs (NULL, NULL);
+  world_tick (wld, 1);
+  wld->log_inconsistent = true;
+  world_add_job (wld, 1, BATCH_JOB, 0);
+  for (int n = 0; n < 5; n++)
+    world_tick (wld, 40);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 0);
+  wld->log_inconsistent = false;
+  world_tick (wld, 40);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -140,6 +158,7 @@
   tcase_add_loop_test (tc, test_listed_run_with_lower_number, 0, 3);
   tcase_add_test (tc, test_unwanted_run_delays_start);
   tcase_add_test (tc, test_unlogged_progress_of_earlier_ownership);
+  tcase_add_test (tc, test_no_start_from_inconsistent_log);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
