sched: repeat no start and send no stop without a confirmed ownership

Two runs of one task after a takeover (TWICE) were possible. A new owner waits until the leases of its predecessor have ended, which it counts from the last time at which the predecessor may send commands. Placement and holds keep to that, but a start without an answer was sent again, up to twice, at any time, and with a new lease: up to 1.8 s after the ownership could no longer be confirmed, or after the log or a worker had shown a later owner. Stops were sent at any time as well.

A start is repeated only while the owner may send commands; otherwise the run is marked to be stopped. Stops wait for a confirmed ownership, too; the next tick sends them.

test_no_command_after_confirmation (placer_takeover) failed without the change in two of three cases and passes.

--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -284,7 +284,10 @@
 start_unanswered (struct placer *plc, struct run *run)
 {
   log_start (plc, run, "no_answer");
-  if (run->start_tries < START_TRIES_MAX && !run->stop_wanted)
+  /* Each try has a lease of its own, so a later owner counts on none being
+     sent without a confirmed ownership.  */
+  if (run->start_tries < START_TRIES_MAX && !run->stop_wanted
+      && placer_may_command (plc, clock_now_us (plc->env.clk)))
     send_start (plc, run);
   else
     /* The run may still start; after a stop the worker refuses its start.  */
@@ -418,6 +421,8 @@
   const struct command_target to = placer_command_target (wrk);
   const struct stop_command cmd
       = { .task = *ref, .run = number, .token = plc->set.token };
+  if (!placer_may_command (plc, clock_now_us (plc->env.clk)))
+    return false;
   struct command_ctx *ctx = make_command_ctx (plc, run, wrk);
   if (!ctx || plc->env.lnk->drv->stop (plc->env.lnk, &to, &cmd, on_stop, ctx))
     {
--- a/test/unit/unit_placer_takeover.c
+++ b/test/unit/unit_placer_takeover.c
@@ -149,6 +149,41 @@
 }
 END_TEST
 
+/* Guards against two runs of a task after a takeover: a former owner that
+   repeats an unanswered start gives it a new lease, which ends later than the
+   next owner assumes.  Neither does it stop runs.  */
+START_TEST (test_no_command_after_confirmation)
+{
+  static const struct
+  {
+    int64_t age_ms; /* of the confirmation when the start is sent */
+    bool fenced;    /* the log shows a later owner */
+    size_t starts;
+  } cases[] = {
+    { 0, false, 2 },
+    { WORLD_CONFIRM_MS - 500, false, 1 },
+    { 0, true, 1 },
+  };
+  list_runs (NULL, NULL);
+  world_tick (wld, 1);
+  world_confirm_ownership (wld);
+  world_tick (wld, cases[_i].age_ms);
+  world_add_job (wld, 1, BATCH_JOB, 200);
+  world_tick (wld, 1);
+  const char *worker = world_call (wld, WORLD_START, "w1") ? "w1" : "w2";
+  wld->clk.now_us += 900 * 1000;
+  if (cases[_i].fenced)
+    placer_note_fence (wld->plc, 9);
+  world_answer (wld, world_call (wld, WORLD_START, worker), COMMAND_NO_ANSWER);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), cases[_i].starts);
+  ck_assert_ptr_null (world_call (wld, WORLD_STOP, worker));
+  /* After a confirmation the run is stopped, as it may have started.  */
+  world_confirm_ownership (wld);
+  world_tick (wld, 1);
+  ck_assert (!!world_call (wld, WORLD_STOP, worker) == (_i == 1));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -159,6 +194,7 @@
   tcase_add_test (tc, test_unwanted_run_delays_start);
   tcase_add_test (tc, test_unlogged_progress_of_earlier_ownership);
   tcase_add_test (tc, test_no_start_from_inconsistent_log);
+  tcase_add_loop_test (tc, test_no_command_after_confirmation, 0, 3);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
