sched, node: a new owner is confirmed as of the last read of the duties

A process that was stopped or cut off between its claim of a pool and the reading of its fence began to send commands with the time of that reading as confirmation of its ownership. Another process may have claimed the pool meanwhile: the claim is in a read of another topic that is still to come.

The placer is now created with the time of the last read of the duties that showed no later claim.

test_late_begin_confirms_nothing (placer_takeover) failed without the change and passes.

--- a/node/duties.c
+++ b/node/duties.c
@@ -238,6 +238,7 @@
                     ? nod->set->lease_ms
                     : nod->set->lease_max_ms,
     .confirm_ms = nod->set->confirm_ms,
+    .confirmed_us = nod->confirmed_us,
   };
   const struct placer_env env = {
     .clk = nod->clk,
@@ -259,7 +260,6 @@
              LOG_I ("token", hld->token),
              LOG_I ("fence_offset", hld->fence_offset));
   add_known_workers (hld);
-  placer_confirm_ownership (hld->plc, nod->confirmed_us);
   node_schedule_placer (hld, 0);
 }
 
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -629,7 +629,8 @@
   plc->set = *set;
   plc->set.pool = talloc_strdup (plc, set->pool);
   plc->env = *env;
-  plc->claimed_us = plc->confirmed_us = clock_now_us (env->clk);
+  plc->claimed_us = clock_now_us (env->clk);
+  plc->confirmed_us = set->confirmed_us;
   plc->earlier_leases_end_us
       = leases_end_us (plc, plc->claimed_us + set->confirm_ms * 1000);
   for (struct job *job = env->jobs->by_id; job; job = job->hh.next)
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -65,6 +65,7 @@
   /* An owner whose ownership was not confirmed for this time extends no leases
      and starts nothing.  */
   int64_t confirm_ms;
+  int64_t confirmed_us; /* time for which ownership is confirmed already */
 };
 
 /* Returns NULL when out of memory.  SET and ENV are copied.  */
--- a/test/unit/placer_world.c
+++ b/test/unit/placer_world.c
@@ -102,11 +102,13 @@
 static void
 create_placer (struct world *wld, uint64_t token, uint64_t fence_offset)
 {
-  const struct placer_settings set = { .pool = "p",
-                                       .token = token,
-                                       .fence_offset = fence_offset,
-                                       .lease_ms = WORLD_LEASE_MS,
-                                       .confirm_ms = WORLD_CONFIRM_MS };
+  const struct placer_settings set
+      = { .pool = "p",
+          .token = token,
+          .fence_offset = fence_offset,
+          .lease_ms = WORLD_LEASE_MS,
+          .confirm_ms = WORLD_CONFIRM_MS,
+          .confirmed_us = wld->clk.now_us - wld->confirmed_age_ms * 1000 };
   const struct placer_env env = { .clk = &wld->clk.clk,
                                   .ctr = &wld->ctr,
                                   .lnk = &wld->lnk,
--- a/test/unit/placer_world.h
+++ b/test/unit/placer_world.h
@@ -53,8 +53,10 @@
   void *enrol_arg;
   persist_fn *persist_fn; /* of an append of job progress */
   void *persist_arg;
-  size_t append_count;   /* appends requested so far */
-  bool log_inconsistent; /* the log is being read by key */
+  size_t append_count;      /* appends requested so far */
+  int64_t confirmed_age_ms; /* of the confirmation with which a placer is
+                               created */
+  bool log_inconsistent;    /* the log is being read by key */
   struct placer *plc;
 };
 
--- a/test/unit/unit_placer_takeover.c
+++ b/test/unit/unit_placer_takeover.c
@@ -184,6 +184,22 @@
 }
 END_TEST
 
+/* Guards against leases that a process extends after it has lost the pool.  A
+   process that is stopped between its claim and the reading of its fence
+   begins with a confirmation from before the stop.  */
+START_TEST (test_late_begin_confirms_nothing)
+{
+  wld->confirmed_age_ms = WORLD_CONFIRM_MS;
+  world_take_over (wld, 9, 300);
+  world_add_worker (wld, "w3", 2000);
+  world_tick (wld, 1);
+  ck_assert_ptr_null (world_call (wld, WORLD_HOLD, "w3"));
+  world_confirm_ownership (wld);
+  world_tick (wld, 1);
+  ck_assert_ptr_nonnull (world_call (wld, WORLD_HOLD, "w3"));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -195,6 +211,7 @@
   tcase_add_test (tc, test_unlogged_progress_of_earlier_ownership);
   tcase_add_test (tc, test_no_start_from_inconsistent_log);
   tcase_add_loop_test (tc, test_no_command_after_confirmation, 0, 3);
+  tcase_add_test (tc, test_late_begin_confirms_nothing);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
