node: release a duty only if no process has claimed it since

A release without an answer may be carried out by the store seconds later. It was appended without a condition, so a late one followed the claim of the successor and ended the successor's ownership. A release that says that its process knew of all runs (cleared) also lets the next claimant start tasks without waiting, although the successor, which the release does not concern, may still send commands: two runs of one task (TWICE).

A release is now conditional like a claim. At shutdown releases are sent one after the other, each at the end that the one before left, and one that met another process's append is sent again after the topic was read, unless the duty has passed on.

test_late_release (node) failed without the change and passes.

--- a/node/duties.c
+++ b/node/duties.c
@@ -383,8 +383,11 @@
         on_claim_timer, nod);
 }
 
+/* Appends a claim or release of the duty NAME, on condition that the topic
+   ends at EXPECTED_END.  */
 static int
-append_claim (struct node *nod, const char *name, bool released, bool cleared)
+append_claim (struct node *nod, const char *name, bool released, bool cleared,
+              uint64_t expected_end, topic_append_fn *fn)
 {
   char key[DUTY_KEY_BYTES];
   uint8_t data[256];
@@ -401,12 +404,12 @@
           .value_len = kingcuphollow__duty_claim__pack (&msg, data) };
   const struct topic_append app = {
     .topic = TOPIC_DUTIES,
-    .conditional = !released,
-    .expected_end = follower_next_offset (&nod->duty_fol),
+    .conditional = true,
+    .expected_end = expected_end,
     .entries = &ent,
     .count = 1,
   };
-  return topic_append (&nod->store.st, &app, on_claim_appended, nod);
+  return topic_append (&nod->store.st, &app, fn, nod);
 }
 
 static void
@@ -439,7 +442,9 @@
       || now_us < nod->next_claim_us
       || !duty_should_claim (&nod->duties, name, &view))
     return;
-  if (append_claim (nod, name, false, true) == 0)
+  if (append_claim (nod, name, false, true,
+                    follower_next_offset (&nod->duty_fol), on_claim_appended)
+      == 0)
     {
       nod->claim_in_progress = true;
       log_event (
@@ -461,21 +466,83 @@
     check_duty (nod, DUTY_FLEET);
 }
 
+static void send_release (struct node *nod);
+
+static void
+on_release_appended (void *arg, const struct topic_append_result *res)
+{
+  struct node *nod = arg;
+  struct duty_release *rel = nod->releases;
+  nod->release_in_progress = false;
+  /* Every claim that precedes the release is known, so the next release can
+     follow without a read.  */
+  if (res->status == TOPIC_APPENDED)
+    nod->claim_end_offset = res->end_offset;
+  /* After another process's append, or a rejection, the release is sent again
+     when the topic was read next.  */
+  if (res->status == TOPIC_END_MISMATCH || res->status == TOPIC_REJECTED)
+    return;
+  nod->releases = rel->next;
+  talloc_free (rel);
+  send_release (nod);
+}
+
+/* Appends the first release, unless the duty has passed to another process.  A
+   release without an answer may be carried out seconds later.  It is
+   conditional like a claim, so that it never ends a later ownership.  */
+static void
+send_release (struct node *nod)
+{
+  uint64_t end = follower_next_offset (&nod->duty_fol);
+  if (end < nod->claim_end_offset)
+    end = nod->claim_end_offset;
+  while (nod->releases && !nod->release_in_progress)
+    {
+      struct duty_release *rel = nod->releases;
+      const struct duty *dty = duty_find (&nod->duties, rel->name);
+      if (duty_held_by (dty, nod->set->name, nod->boot)
+          && dty->token == rel->token
+          && append_claim (nod, rel->name, true, rel->cleared, end,
+                           on_release_appended)
+                 == 0)
+        {
+          nod->release_in_progress = true;
+          return;
+        }
+      nod->releases = rel->next;
+      talloc_free (rel);
+    }
+}
+
+static void
+add_release (struct node *nod, const char *name, uint64_t token, bool cleared)
+{
+  struct duty_release *rel = talloc_zero (nod, struct duty_release);
+  if (!rel)
+    return; /* out of memory: the duty passes on when the reports cease */
+  name_copy (rel->name, name);
+  rel->token = token;
+  rel->cleared = cleared;
+  rel->next = nod->releases;
+  nod->releases = rel;
+}
+
 void
 node_release_duties (struct node *nod)
 {
   if (node_fleet_token (nod))
     {
-      append_claim (nod, DUTY_FLEET, true, true);
+      add_release (nod, DUTY_FLEET, node_fleet_token (nod), true);
       node_fleet_end (nod);
     }
   while (nod->held_duties)
     {
       struct held_duty *hld = nod->held_duties;
-      append_claim (nod, hld->pool, true,
-                    hld->plc && placer_takeover_done (hld->plc));
+      add_release (nod, hld->pool, hld->token,
+                   hld->plc && placer_takeover_done (hld->plc));
       end_held_duty (nod->held_duties, "stopping");
     }
+  send_release (nod);
 }
 
 static bool
@@ -551,6 +618,7 @@
   check_held_duties (nod);
   set_confirmed (nod, follower_caught_up_us (&nod->duty_fol));
   node_check_duties (nod);
+  send_release (nod);
 }
 
 static void
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -105,6 +105,15 @@
   size_t sent_idle_count;
 };
 
+/* A duty that this process gives up at shutdown.  */
+struct duty_release
+{
+  struct duty_release *next;
+  char name[NAME_BYTES];
+  uint64_t token; /* of the claim */
+  bool cleared;   /* see struct duty_claim */
+};
+
 struct node
 {
   const struct node_settings *set;
@@ -142,10 +151,12 @@
                                     outage of the store; 0: no outage yet */
   struct held_duty *held_duties; /* without the fleet duty */
   bool claim_in_progress;
-  uint64_t claim_end_offset; /* end of the topic after this process's last
-                                claim */
-  int64_t next_claim_us;     /* no claim before this time */
-  uint64_t claim_conflicts;  /* claims that lost to a concurrent append */
+  uint64_t claim_end_offset;     /* end of the topic after this process's last
+                                    claim or release */
+  struct duty_release *releases; /* to be appended, or being appended */
+  bool release_in_progress;
+  int64_t next_claim_us;    /* no claim before this time */
+  uint64_t claim_conflicts; /* claims that lost to a concurrent append */
   struct tevent_timer *claim_timer;
   bool heartbeat_in_progress;
   int64_t confirmed_us; /* claims appended before this are known */
--- a/test/unit/node_world.c
+++ b/test/unit/node_world.c
@@ -129,9 +129,6 @@
       = { { .name = "q", .host = "h", .path_prefix = "/q/", .pool = "p" } };
   static struct pool_config pools[]
       = { { .name = "p", .enforces_capacity = true } };
-  static struct catalog cat = {
-    .queues = queues, .queue_count = 1, .pools = pools, .pool_count = 1
-  };
   static struct node_settings set = { .name = "n1",
                                       .partitions = NODE_WORLD_PARTITIONS,
                                       .cpu_milli = 1000,
@@ -139,7 +136,10 @@
                                       .lease_ms = 5000,
                                       .lease_max_ms = 10000,
                                       .confirm_ms = 6000 };
-  *wld = (struct node_world){ 0 };
+  *wld = (struct node_world){
+    .cat
+    = { .queues = queues, .queue_count = 1, .pools = pools, .pool_count = 1 }
+  };
   current_world = wld;
   struct node *nod = wld->nod = talloc_zero (NULL, struct node);
   set.fleet_api = fleet ? "10.0.0.1:1" : "";
@@ -155,7 +155,7 @@
   nod->store.st.drv = &topic_memory_driver;
   nod->worker_link.lnk.drv = &worker_driver;
   nod->fleet_link.lnk.drv = &host_driver;
-  nod->cat = &cat;
+  nod->cat = &wld->cat;
   ck_assert_int_eq (node_open_fleet (nod), 0);
   ck_assert_int_eq (node_open_directory (nod), 0);
   ck_assert_int_eq (node_open_job_partitions (nod), 0);
--- a/test/unit/node_world.h
+++ b/test/unit/node_world.h
@@ -24,6 +24,7 @@
   struct host_report hosts[4]; /* the platform's list */
   size_t host_count;
   size_t orders; /* host orders sent */
+  struct catalog cat;
 };
 
 /* Starts the process and runs it until it has read all topics.  */
--- a/test/unit/unit_node.c
+++ b/test/unit/unit_node.c
@@ -90,6 +90,37 @@
 }
 END_TEST
 
+/* Guards against a release that ends the ownership of a successor.  The store
+   may carry out an append without an answer seconds later, when another
+   process has claimed the duty.  */
+START_TEST (test_late_release)
+{
+  node_world_init (&wld, true);
+  for (int n = 0; n < 2; n++)
+    node_world_claim (&wld, n ? DUTY_FLEET : "p", "n1", NODE_WORLD_BOOT,
+                      false);
+  node_world_run (&wld, 300);
+  ck_assert_ptr_nonnull (held_duty ());
+  ck_assert_uint_ne (node_fleet_token (wld.nod), 0);
+  wld.duties->hold_appends = true;
+  wld.nod->stopping = true;
+  node_release_duties (wld.nod);
+  node_world_run (&wld, 20);
+  uint64_t token = node_world_claim (&wld, "p", "n2", 1, false);
+  wld.duties->hold_appends = false;
+  while (topic_memory_run_held (wld.duties))
+    ;
+  node_world_run (&wld, 200);
+  const struct duty *dty = duty_find (&wld.nod->duties, "p");
+  ck_assert (duty_held_by (dty, "n2", 1));
+  ck_assert_uint_eq (dty->token, token);
+  /* The other duty is still released.  */
+  dty = duty_find (&wld.nod->duties, DUTY_FLEET);
+  ck_assert_str_eq (dty->holder, "");
+  node_world_fini (&wld);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -98,6 +129,7 @@
   tcase_set_timeout (tc, 60);
   tcase_add_test (tc, test_new_owner_reads_all_pages);
   tcase_add_test (tc, test_former_owner_reads_by_key);
+  tcase_add_test (tc, test_late_release);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
