node: fence off the records of an earlier holder of the fleet duty

Requests to vacate hosts and the progress of maintenance waves are durable: they are sent again until the store takes them. They came from one producer for each process, so a process whose appends were refused for some seconds, and which lost the fleet duty meanwhile, still appended them afterwards. Its withdrawal ended the request of the present holder in all owners of pools, which then placed tasks on a host that they had reported as empty, and the order that followed ended these runs; its request replaced that of the present holder, whose report then never came, so that the maintenance was given up after 15 s.

All holders now append under one producer name, with the token as epoch, as owners of pools do, and a new holder begins with a fence. The store refuses the records of an earlier holder from then on, and those that are still queued are dropped with the duty.

test_request_of_earlier_holder (node) failed without the change and passes.

--- a/node/fleet.c
+++ b/node/fleet.c
@@ -14,12 +14,6 @@
    vacate the hosts concerned and sends the orders to the platform.  The owners
    report vacated hosts and their demand for hosts.  */
 
-/* The first partition has the vacate requests and the progress of maintenance
-   waves, from the holder of the fleet duty.  The others have the reports of
-   the pools' owners, each pool's in one partition, and only the holder reads
-   them.  They are spread because a slow store processes the appends to one
-   partition one after the other.  */
-#define TOPIC_FLEET "keyed.fleet"
 #define REQUEST_PART 0
 #define READ_WAIT_MS 1000
 /* Interval between reads of the host list while hosts are being vacated, moved
@@ -42,7 +36,6 @@
 #define VACATE_REQUEST_KEY 'v'
 #define VACATE_REPORT_KEY 'e'
 #define DEMAND_KEY 'u'
-#define WAVE_PROGRESS_KEY 'n'
 
 /* A request to the owner of a host's pool to empty the host of tasks.  */
 struct vacate_request
@@ -68,8 +61,9 @@
 {
   struct node *nod;
   struct follower fol;             /* of the first partition */
-  struct appender app;             /* to the first partition */
+  struct appender app;             /* of the requests, while holder */
   struct appender status_app;      /* state of waves for the operators */
+  struct appender progress_app;    /* of the waves' progress */
   struct vacate_request *requests; /* by host */
   /* Used in the holder of the duty; the host list also by pools' owners.  */
   bool active;
@@ -83,18 +77,6 @@
   struct tevent_timer *timer;
 };
 
-static int
-append_keyed (struct appender *app, char kind, const char *name,
-              const uint8_t *data, size_t len)
-{
-  char key[DUTY_KEY_BYTES];
-  snprintf (key, sizeof key, "%c/%s", kind, name);
-  const struct topic_entry ent = {
-    .key = key, .key_len = strlen (key), .value = data, .value_len = len
-  };
-  return appender_add (app, &ent, true, NULL, NULL);
-}
-
 static void
 append_request (struct fleet_duty *flt, const char *host, int64_t until_ms,
                 const char *ended_worker)
@@ -104,8 +86,8 @@
   msg.token = flt->token;
   msg.until_ms = (uint64_t)until_ms;
   msg.ended_worker = (char *)ended_worker;
-  append_keyed (&flt->app, VACATE_REQUEST_KEY, host, data,
-                kingcuphollow__vacate_request__pack (&msg, data));
+  node_fleet_append (&flt->app, VACATE_REQUEST_KEY, host, data,
+                     kingcuphollow__vacate_request__pack (&msg, data));
 }
 
 static void
@@ -188,41 +170,8 @@
 record_wave_progress (void *arg, struct mgr_wave *wave)
 {
   struct fleet_duty *flt = arg;
-  char name[32];
-  char text[64];
-  Kingcuphollow__WaveProgress msg = KINGCUPHOLLOW__WAVE_PROGRESS__INIT;
-  size_t count = 0;
-  void *ctx = talloc_new (flt);
-  msg.done_hosts = talloc_array (ctx, char *, wave->wave->host_count + 1);
-  for (size_t n = 0; msg.done_hosts && n < wave->wave->host_count; n++)
-    if (wave->done[n])
-      msg.done_hosts[count++] = (char *)wave->wave->hosts[n];
-  msg.n_done_hosts = count;
-  msg.completed = wave->completed;
-  msg.token = flt->token;
-  size_t len = kingcuphollow__wave_progress__get_packed_size (&msg);
-  uint8_t *data = talloc_size (ctx, len + 1);
-  snprintf (name, sizeof name, "%" PRIu64, wave->number);
-  if (data)
-    {
-      kingcuphollow__wave_progress__pack (&msg, data);
-      append_keyed (&flt->app, WAVE_PROGRESS_KEY, name, data, len);
-    }
-  if (count == 0 || wave->completed)
-    {
-      char key[64];
-      snprintf (key, sizeof key, WIRE_KEY_WAVE "%" PRIu64, wave->number);
-      wire_encode_wave_state (wave->completed, text, sizeof text);
-      const struct topic_entry ent = { .key = key,
-                                       .key_len = strlen (key),
-                                       .value = (const uint8_t *)text,
-                                       .value_len = strlen (text) };
-      appender_add (&flt->status_app, &ent, true, NULL, NULL);
-    }
-  log_event (flt->nod->lg, EV_UPKEEP_WAVE, LOG_S ("wave", name),
-             LOG_I ("done", count), LOG_I ("hosts", wave->wave->host_count),
-             LOG_I ("completed", wave->completed));
-  talloc_free (ctx);
+  node_fleet_record_wave (flt->nod, wave, flt->token, &flt->progress_app,
+                          &flt->status_app);
 }
 
 static void
@@ -358,6 +307,8 @@
     .wave_state = record_wave_progress,
     .arg = flt,
   };
+  if (node_fleet_open_log (nod, token, &flt->app, &flt->status_app))
+    return;
   flt->active = true;
   flt->token = token;
   flt->begun_us = clock_now_us (nod->clk);
@@ -385,6 +336,8 @@
   for (int64_t n = 0; n < nod->set->partitions; n++)
     follower_fini (&flt->report_followers[n]);
   host_mgr_fini (&flt->mgr);
+  appender_fini (&flt->app);
+  appender_fini (&flt->status_app);
   log_event (nod->lg, EV_DUTY_ENDED, LOG_S ("duty", DUTY_FLEET),
              LOG_I ("token", flt->token), LOG_S ("reason", "lost"));
   node_open_job_partitions (nod);
@@ -591,8 +544,9 @@
         continue;
       Kingcuphollow__VacateReport msg = KINGCUPHOLLOW__VACATE_REPORT__INIT;
       msg.request_offset = req->offset;
-      if (append_keyed (&hld->report_app, VACATE_REPORT_KEY, req->host, data,
-                        kingcuphollow__vacate_report__pack (&msg, data))
+      if (node_fleet_append (&hld->report_app, VACATE_REPORT_KEY, req->host,
+                             data,
+                             kingcuphollow__vacate_report__pack (&msg, data))
           == 0)
         req->reported_offset = req->offset;
     }
@@ -628,7 +582,8 @@
   if (!data)
     return;
   kingcuphollow__pool_demand__pack (&msg, data);
-  if (append_keyed (&hld->report_app, DEMAND_KEY, hld->pool, data, len) == 0)
+  if (node_fleet_append (&hld->report_app, DEMAND_KEY, hld->pool, data, len)
+      == 0)
     {
       hld->demand_sent_us = now_us;
       hld->sent_short_hosts = dem.short_hosts;
@@ -668,7 +623,6 @@
 int
 node_open_fleet (struct node *nod)
 {
-  char producer[PRODUCER_BYTES];
   struct fleet_duty *flt = nod->flt = talloc_zero (nod, struct fleet_duty);
   if (!flt)
     return ERR_NOMEM;
@@ -681,16 +635,7 @@
       = { .topic = TOPIC_FLEET,
           .batch_delay_ms = FLEET_BATCH_DELAY_MS,
           .wait_ms = READ_WAIT_MS };
-  snprintf (producer, sizeof producer, "%s.%" PRIu64, nod->set->name,
-            nod->boot);
-  struct appender_settings app_set
-      = { .topic = TOPIC_FLEET, .producer = producer, .epoch = 1 };
-  int err = appender_init (&flt->app, flt, &nod->store.st, nod->ev, nod->clk,
-                           &app_set);
-  app_set.topic = WIRE_TOPIC_STATUS;
-  if (!err)
-    err = appender_init (&flt->status_app, flt, &nod->store.st, nod->ev,
-                         nod->clk, &app_set);
+  int err = node_fleet_open_progress (nod, &flt->progress_app);
   if (!err)
     err = follower_init (&flt->fol, flt, &nod->store.st, nod->ev, nod->clk,
                          &fol_set, on_record, on_batch, flt);
--- /dev/null
+++ b/node/fleet_log.c
@@ -0,0 +1,115 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "node/node_priv.h"
+#include "platform/wire_decode.h"
+#include "proto/job.pb-c.h"
+
+/* Records of the holder of the fleet duty.  All holders use the same producer
+   name for requests, with the token as epoch, so that the store refuses those
+   of an earlier holder once a later one has appended its fence.  An earlier
+   holder's record could withdraw or replace a request of the later one.  The
+   progress of waves is not fenced: a host that has had its maintenance needs
+   no other, whoever ordered it.  */
+
+#define PRODUCER "holder." DUTY_FLEET
+
+static int
+open_appender (struct node *nod, const char *topic, uint64_t token,
+               struct appender *app)
+{
+  const struct appender_settings set
+      = { .topic = topic, .producer = PRODUCER, .epoch = token };
+  return appender_init (app, nod, &nod->store.st, nod->ev, nod->clk, &set);
+}
+
+int
+node_fleet_open_log (struct node *nod, uint64_t token, struct appender *app,
+                     struct appender *status_app)
+{
+  char text[TOKEN_TEXT_BYTES];
+  snprintf (text, sizeof text, "%" PRIu64, token);
+  const struct topic_entry fence
+      = { .key = FENCE_PREFIX DUTY_FLEET,
+          .key_len = strlen (FENCE_PREFIX DUTY_FLEET),
+          .value = (const uint8_t *)text,
+          .value_len = strlen (text) };
+  int err = open_appender (nod, TOPIC_FLEET, token, app);
+  if (!err)
+    err = open_appender (nod, WIRE_TOPIC_STATUS, token, status_app);
+  if (!err)
+    err = appender_add (app, &fence, true, NULL, NULL);
+  if (err)
+    {
+      appender_fini (app);
+      appender_fini (status_app);
+    }
+  return err;
+}
+
+int
+node_fleet_open_progress (struct node *nod, struct appender *app)
+{
+  char producer[PRODUCER_BYTES];
+  snprintf (producer, sizeof producer, "%s.%" PRIu64, nod->set->name,
+            nod->boot);
+  const struct appender_settings set
+      = { .topic = TOPIC_FLEET, .producer = producer, .epoch = 1 };
+  return appender_init (app, nod, &nod->store.st, nod->ev, nod->clk, &set);
+}
+
+int
+node_fleet_append (struct appender *app, char kind, const char *name,
+                   const uint8_t *data, size_t len)
+{
+  char key[DUTY_KEY_BYTES];
+  snprintf (key, sizeof key, "%c/%s", kind, name);
+  const struct topic_entry ent = {
+    .key = key, .key_len = strlen (key), .value = data, .value_len = len
+  };
+  return appender_add (app, &ent, true, NULL, NULL);
+}
+
+void
+node_fleet_record_wave (struct node *nod, const struct mgr_wave *wave,
+                        uint64_t token, struct appender *app,
+                        struct appender *status_app)
+{
+  char name[32];
+  char text[64];
+  Kingcuphollow__WaveProgress msg = KINGCUPHOLLOW__WAVE_PROGRESS__INIT;
+  size_t count = 0;
+  void *ctx = talloc_new (nod);
+  msg.done_hosts = talloc_array (ctx, char *, wave->wave->host_count + 1);
+  for (size_t n = 0; msg.done_hosts && n < wave->wave->host_count; n++)
+    if (wave->done[n])
+      msg.done_hosts[count++] = (char *)wave->wave->hosts[n];
+  msg.n_done_hosts = count;
+  msg.completed = wave->completed;
+  msg.token = token;
+  size_t len = kingcuphollow__wave_progress__get_packed_size (&msg);
+  uint8_t *data = talloc_size (ctx, len + 1);
+  snprintf (name, sizeof name, "%" PRIu64, wave->number);
+  if (data)
+    {
+      kingcuphollow__wave_progress__pack (&msg, data);
+      node_fleet_append (app, WAVE_PROGRESS_KEY, name, data, len);
+    }
+  if (count == 0 || wave->completed)
+    {
+      char key[64];
+      snprintf (key, sizeof key, WIRE_KEY_WAVE "%" PRIu64, wave->number);
+      wire_encode_wave_state (wave->completed, text, sizeof text);
+      const struct topic_entry ent = { .key = key,
+                                       .key_len = strlen (key),
+                                       .value = (const uint8_t *)text,
+                                       .value_len = strlen (text) };
+      appender_add (status_app, &ent, true, NULL, NULL);
+    }
+  log_event (nod->lg, EV_UPKEEP_WAVE, LOG_S ("wave", name),
+             LOG_I ("done", count), LOG_I ("hosts", wave->wave->host_count),
+             LOG_I ("completed", wave->completed));
+  talloc_free (ctx);
+}
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -28,6 +28,14 @@
    was appended since the last read, and the members' frequent reports in the
    same topic would make these appends fail.  */
 #define TOPIC_DUTIES "keyed.duties"
+/* Vacate requests, reports on them and demands.  The first partition has the
+   requests and the progress of maintenance waves, from the holder of the fleet
+   duty.  The others have the reports of the pools' owners, each pool's in one
+   partition, and only the holder reads them.  They are spread because a slow
+   store processes the appends to one partition one after the other.  */
+#define TOPIC_FLEET "keyed.fleet"
+/* First character of the key of a wave's progress.  */
+#define WAVE_PROGRESS_KEY 'n'
 /* The fleet duty: maintenance of hosts and their moves between pools.  All
    other duties are named after their pool, and no pool has this name.  */
 #define DUTY_FLEET "@fleet"
@@ -227,6 +235,23 @@
    request; for the pool's owner, after each tick of its placer.  */
 void node_fleet_report (struct held_duty *hld);
 
+/* node/fleet_log.c */
+/* Opens the appenders of the holder with TOKEN, to the first partition of the
+   fleet's topic and to the state of waves for the operators, and appends the
+   fence against earlier holders.  Returns 0 or an ERR_ code.  */
+int node_fleet_open_log (struct node *nod, uint64_t token,
+                         struct appender *app, struct appender *status_app);
+/* Opens the appender of the waves' progress, which outlives the duty.  */
+int node_fleet_open_progress (struct node *nod, struct appender *app);
+/* Appends the record of KIND about the pool, host or wave NAME.  */
+int node_fleet_append (struct appender *app, char kind, const char *name,
+                       const uint8_t *data, size_t len);
+/* Appends the progress of WAVE to APP, and its state for the operators to
+   STATUS_APP when the wave has begun or is completed.  */
+void node_fleet_record_wave (struct node *nod, const struct mgr_wave *wave,
+                             uint64_t token, struct appender *app,
+                             struct appender *status_app);
+
 /* node/requests.c */
 /* Handles a request of a client; the request callback of wire_front.  */
 void node_handle_request (void *arg, struct front_request *req);
--- a/test/unit/node_world.c
+++ b/test/unit/node_world.c
@@ -237,7 +237,7 @@
       placer_update_worker (hld->plc, id, &rep);
 }
 
-void
+uint64_t
 node_world_request (struct node_world *wld, const char *host, uint64_t token,
                     int64_t until_ms)
 {
@@ -248,6 +248,7 @@
   msg.until_ms = (uint64_t)until_ms;
   msg.ended_worker = "";
   snprintf (key, sizeof key, "v/%s", host);
-  topic_memory_add (wld->fleet, key, data,
-                    kingcuphollow__vacate_request__pack (&msg, data));
+  topic_memory_set_epoch (wld->fleet, "holder." DUTY_FLEET, token);
+  return topic_memory_add (wld->fleet, key, data,
+                           kingcuphollow__vacate_request__pack (&msg, data));
 }
--- a/test/unit/node_world.h
+++ b/test/unit/node_world.h
@@ -39,6 +39,7 @@
 void node_world_add_job (struct node_world *wld, uint64_t id);
 /* Registers the worker ID on the host "m-ID".  */
 void node_world_add_worker (struct node_world *wld, const char *id);
-/* Appends a request to vacate HOST; UNTIL_MS 0 withdraws it.  */
-void node_world_request (struct node_world *wld, const char *host,
-                         uint64_t token, int64_t until_ms);
+/* Appends, as another holder of the fleet duty, a request to vacate HOST;
+   UNTIL_MS 0 withdraws it.  Returns its offset.  */
+uint64_t node_world_request (struct node_world *wld, const char *host,
+                             uint64_t token, int64_t until_ms);
--- a/test/unit/topic_memory.c
+++ b/test/unit/topic_memory.c
@@ -102,6 +102,15 @@
   return pro;
 }
 
+void
+topic_memory_set_epoch (struct memory_part *prt, const char *producer,
+                        uint64_t epoch)
+{
+  struct memory_producer *pro = find_producer (prt, producer);
+  if (epoch > pro->epoch)
+    pro->epoch = epoch;
+}
+
 /* Checks the producer's epoch and sequence number as the store does.  */
 static enum topic_append_status
 check_producer (struct memory_part *prt, const struct topic_append *app)
--- a/test/unit/topic_memory.h
+++ b/test/unit/topic_memory.h
@@ -64,6 +64,9 @@
 /* Appends a record on behalf of another process.  Returns its offset.  */
 uint64_t topic_memory_add (struct memory_part *prt, const char *key,
                            const uint8_t *value, size_t len);
+/* Registers an epoch of a producer, on behalf of another process.  */
+void topic_memory_set_epoch (struct memory_part *prt, const char *producer,
+                             uint64_t epoch);
 /* Drops the history up to the end of the partition; the newest record of each
    key stays.  */
 void topic_memory_compact (struct memory_part *prt);
--- a/test/unit/unit_node.c
+++ b/test/unit/unit_node.c
@@ -121,6 +121,35 @@
 }
 END_TEST
 
+/* Guards against a request to vacate a host that an earlier holder of the
+   fleet duty withdraws or replaces after its duty has passed on.  */
+START_TEST (test_request_of_earlier_holder)
+{
+  node_world_init (&wld, true);
+  node_world_request (&wld, "m-w1", 1, 1);
+  topic_memory_add (wld.duties, "x", (const uint8_t *)"", 0);
+  node_world_claim (&wld, DUTY_FLEET, "n1", NODE_WORLD_BOOT, false);
+  node_world_run (&wld, 300);
+  ck_assert_uint_eq (node_fleet_token (wld.nod), 2);
+  /* The holder withdraws the request of an earlier holder.  */
+  wld.fleet->hold_appends = true;
+  node_world_run (&wld, 1200);
+  ck_assert_ptr_nonnull (wld.fleet->held);
+  wld.nod->stopping = true; /* claims no duty */
+  uint64_t token = node_world_claim (&wld, DUTY_FLEET, "n2", 1, false);
+  uint64_t offset = node_world_request (&wld, "m-w1", token, INT64_MAX / 2000);
+  wld.fleet->hold_appends = false;
+  while (topic_memory_run_held (wld.fleet))
+    ;
+  node_world_run (&wld, 300);
+  ck_assert_uint_eq (node_fleet_token (wld.nod), 0);
+  ck_assert_int_eq (topic_memory_find (wld.fleet, "v/m-w1"), (int64_t)offset);
+  node_world_request (&wld, "m-w1", token, 0);
+  node_world_run (&wld, 100);
+  node_world_fini (&wld);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -130,6 +159,7 @@
   tcase_add_test (tc, test_new_owner_reads_all_pages);
   tcase_add_test (tc, test_former_owner_reads_by_key);
   tcase_add_test (tc, test_late_release);
+  tcase_add_test (tc, test_request_of_earlier_holder);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
