fleet, node: the report that a host is empty counts only from the pool's present owner

An order to the platform could end runs that a later owner of the pool had placed on the host. The holder of the fleet duty took the report of any process for the newest request to empty the host. A new owner reads requests up to 0.5 s late, as a process without a duty reads them seldom, and may place tasks on a host that the owner before it has reported as empty.

The report now names the claim token of the owner that makes it, and is ignored when the holder knows a later owner. When a pool changes owner, hosts that were reported as empty and not ordered yet have to be reported again. A process reports once for each of its ownerships, not once for each request: one that owns the pool again would otherwise stay silent.

test_report_of_earlier_owner (node) and test_owner_changed_after_report (host_mgr) failed without the change and pass.

--- a/fleet/host_mgr.c
+++ b/fleet/host_mgr.c
@@ -283,16 +283,6 @@
       mark_done (added, mgr->early_progress[n].host);
 }
 
-void
-host_mgr_host_emptied (struct host_mgr *mgr, const char *name, uint64_t offset,
-                       int64_t now_us)
-{
-  struct mgr_host *host = host_mgr_find (mgr, name);
-  if (host && host->phase == PHASE_VACATING && host->request_offset
-      && host->request_offset == offset)
-    set_phase (host, PHASE_EMPTY, now_us);
-}
-
 void
 host_mgr_order_answered (struct host_mgr *mgr, struct mgr_host *host,
                          enum host_order_status status, int64_t now_us)
--- a/fleet/host_mgr.h
+++ b/fleet/host_mgr.h
@@ -172,6 +172,12 @@
 void host_mgr_host_emptied (struct host_mgr *mgr, const char *host,
                             uint64_t offset, int64_t now_us);
 
+/* Tells that POOL has a new owner.  It may have placed tasks on a host that an
+   earlier owner reported as empty, so such hosts have to be reported again
+   before an order is sent.  */
+void host_mgr_owner_changed (struct host_mgr *mgr, const char *pool,
+                             int64_t now_us);
+
 /* Takes the platform's answer to the order for HOST.  */
 void host_mgr_order_answered (struct host_mgr *mgr, struct mgr_host *host,
                               enum host_order_status status, int64_t now_us);
--- /dev/null
+++ b/fleet/host_mgr_report.c
@@ -0,0 +1,33 @@
+#include <string.h>
+
+#include "fleet/host_mgr.h"
+
+/* Reports of the pools' owners that a host is empty.  */
+
+void
+host_mgr_host_emptied (struct host_mgr *mgr, const char *name, uint64_t offset,
+                       int64_t now_us)
+{
+  struct mgr_host *host = host_mgr_find (mgr, name);
+  if (host && host->phase == PHASE_VACATING && host->request_offset
+      && host->request_offset == offset)
+    {
+      host->phase = PHASE_EMPTY;
+      host->phase_began_us = now_us;
+    }
+}
+
+void
+host_mgr_owner_changed (struct host_mgr *mgr, const char *pool, int64_t now_us)
+{
+  for (size_t n = 0; n < mgr->host_count; n++)
+    {
+      struct mgr_host *host = &mgr->hosts[n];
+      if (host->phase == PHASE_EMPTY && host->request_offset
+          && strcmp (host->rep.pool, pool) == 0)
+        {
+          host->phase = PHASE_VACATING;
+          host->phase_began_us = now_us;
+        }
+    }
+}
--- a/node/duties.c
+++ b/node/duties.c
@@ -605,7 +605,11 @@
                                     .released = msg->released,
                                     .cleared = msg->cleared,
                                     .token = rec->offset + 1 };
+  const struct duty *dty = duty_find (&nod->duties, name);
+  uint64_t token = dty ? dty->token : 0;
   duty_fold_claim (&nod->duties, &claim, clock_now_us (nod->clk));
+  if (claim.token > token)
+    node_fleet_owner_changed (nod, name);
   kingcuphollow__duty_claim__free_unpacked (msg, NULL);
 }
 
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -45,6 +45,7 @@
   uint64_t offset;
   int64_t until_ms;         /* wall clock; what still runs then is stopped */
   uint64_t reported_offset; /* of the request last reported as done */
+  uint64_t reported_token;  /* of the pool's owner that reported it */
   uint64_t token; /* of the holder of the fleet duty that made the request */
   bool withdrawn; /* this process withdrew it, for an earlier holder */
 };
@@ -343,6 +344,13 @@
   node_open_job_partitions (nod);
 }
 
+void
+node_fleet_owner_changed (struct node *nod, const char *pool)
+{
+  if (nod->flt->active)
+    host_mgr_owner_changed (&nod->flt->mgr, pool, clock_now_us (nod->clk));
+}
+
 uint64_t
 node_fleet_token (const struct node *nod)
 {
@@ -451,8 +459,12 @@
       NULL, ent->value_len, ent->value);
   if (!msg)
     return;
-  host_mgr_host_emptied (&flt->mgr, host, msg->request_offset,
-                         clock_now_us (flt->nod->clk));
+  const struct mgr_host *managed = host_mgr_find (&flt->mgr, host);
+  const struct duty *dty
+      = managed ? duty_find (&flt->nod->duties, managed->rep.pool) : NULL;
+  if (!dty || msg->token >= dty->token)
+    host_mgr_host_emptied (&flt->mgr, host, msg->request_offset,
+                           clock_now_us (flt->nod->clk));
   kingcuphollow__vacate_report__free_unpacked (msg, NULL);
 }
 
@@ -539,16 +551,20 @@
       int64_t left_us = (req->until_ms - wall_ms) * 1000;
       int64_t until_us = now_us + (left_us > 0 ? left_us : 0);
       if (!placer_vacate (hld->plc, req->host, until_us)
-          || req->reported_offset == req->offset
+          || (req->reported_offset == req->offset
+              && req->reported_token == hld->token)
           || !placer_host_empty (hld->plc, req->host))
         continue;
       Kingcuphollow__VacateReport msg = KINGCUPHOLLOW__VACATE_REPORT__INIT;
       msg.request_offset = req->offset;
+      msg.token = hld->token;
       if (node_fleet_append (&hld->report_app, VACATE_REPORT_KEY, req->host,
                              data,
                              kingcuphollow__vacate_report__pack (&msg, data))
-          == 0)
-        req->reported_offset = req->offset;
+          != 0)
+        continue;
+      req->reported_offset = req->offset;
+      req->reported_token = hld->token;
     }
 }
 
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -226,6 +226,8 @@
 void node_fleet_end (struct node *nod);
 /* Token of the fleet duty while this process holds it, else 0.  */
 uint64_t node_fleet_token (const struct node *nod);
+/* Tells the holder of the fleet duty that a pool has a new owner.  */
+void node_fleet_owner_changed (struct node *nod, const char *pool);
 /* Decodes a maintenance wave of the operators and adds it, as holder of the
    fleet duty.  */
 void node_fleet_add_wave (struct node *nod, const uint8_t *data, size_t len);
--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -1344,7 +1344,7 @@
   (ProtobufCMessageInit) kingcuphollow__vacate_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__vacate_report__field_descriptors[2] =
+static const ProtobufCFieldDescriptor kingcuphollow__vacate_report__field_descriptors[3] =
 {
   {
     "request_offset",
@@ -1370,15 +1370,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "token",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__VacateReport, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__vacate_report__field_indices_by_name[] = {
   0,   /* field[0] = request_offset */
+  2,   /* field[2] = token */
   1,   /* field[1] = worker */
 };
 static const ProtobufCIntRange kingcuphollow__vacate_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__vacate_report__descriptor =
 {
@@ -1388,7 +1401,7 @@
   "Kingcuphollow__VacateReport",
   "kingcuphollow",
   sizeof(Kingcuphollow__VacateReport),
-  2,
+  3,
   kingcuphollow__vacate_report__field_descriptors,
   kingcuphollow__vacate_report__field_indices_by_name,
   1,  kingcuphollow__vacate_report__number_ranges,
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -235,10 +235,14 @@
   ProtobufCMessage base;
   uint64_t request_offset;
   char *worker;
+  /*
+   * Claim token of the pool's owner that reports.
+   */
+  uint64_t token;
 };
 #define KINGCUPHOLLOW__VACATE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__vacate_report__descriptor) \
-    , 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/test/unit/node_world.c
+++ b/test/unit/node_world.c
@@ -163,7 +163,9 @@
   wld->duties = topic_memory_part (&wld->mem, TOPIC_DUTIES, 0);
   wld->jobs = topic_memory_part (&wld->mem, TOPIC_JOBS,
                                  node_job_partition (nod, "p")->part);
-  wld->fleet = topic_memory_part (&wld->mem, "keyed.fleet", 0);
+  wld->fleet = topic_memory_part (&wld->mem, TOPIC_FLEET, 0);
+  /* With two partitions the reports of all pools are in the second one.  */
+  wld->reports = topic_memory_part (&wld->mem, TOPIC_FLEET, 1);
   node_world_run (wld, 100);
 }
 
--- a/test/unit/node_world.h
+++ b/test/unit/node_world.h
@@ -19,6 +19,7 @@
   struct memory_part *duties;
   struct memory_part *jobs;    /* of the pool "p" */
   struct memory_part *fleet;   /* with the vacate requests */
+  struct memory_part *reports; /* of the pool's owner about its hosts */
   size_t starts;               /* start commands sent */
   uint64_t last_started;       /* job of the last of them */
   struct host_report hosts[4]; /* the platform's list */
--- a/test/unit/unit_host_mgr.c
+++ b/test/unit/unit_host_mgr.c
@@ -216,6 +216,32 @@
 }
 END_TEST
 
+/* Guards against an order that ends the tasks of a new owner of the pool: the
+   report that the host is empty is from the owner before.  */
+START_TEST (test_owner_changed_after_report)
+{
+  list_hosts ("abcdefghi", "", "");
+  wave ("{\"wave\":1,\"machines\":[\"a\",\"b\"],\"duration-s\":20,"
+        "\"cap\":1}");
+  step (10);
+  host_emptied ("a");
+  host_emptied ("b");
+  step (10);
+  ck_assert_uint_eq (order_count, 1);
+  host_mgr_owner_changed (&mgr, "q", now_us);
+  host_mgr_owner_changed (&mgr, "p", now_us);
+  host_mgr_order_answered (&mgr, ordered[0], HOST_ORDER_DONE, now_us);
+  now_us += 2 * S;
+  list_hosts ("Abcdefghi", "", "");
+  step (10);
+  step (10);
+  ck_assert_uint_eq (order_count, 1);
+  host_emptied ("b");
+  step (10);
+  ck_assert_uint_eq (order_count, 2);
+}
+END_TEST
+
 /* Guards against a moved host's previous worker that its pool's owner still
    considers usable: when the move is complete, the owner must be told that the
    worker has ended.  */
@@ -298,6 +324,7 @@
   tcase_add_test (tc, test_wave_bound);
   tcase_add_test (tc, test_earlier_progress);
   tcase_add_test (tc, test_order_waits_for_empty);
+  tcase_add_test (tc, test_owner_changed_after_report);
   tcase_add_test (tc, test_ended_worker);
   tcase_add_test (tc, test_direct_moves);
   tcase_add_test (tc, test_move_counts);
--- a/test/unit/unit_node.c
+++ b/test/unit/unit_node.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "node_world.h"
+#include "proto/job.pb-c.h"
 
 /* Tests of a whole scheduler process (node/) whose view of the store's topics
    is incomplete or out of date.  */
@@ -150,6 +151,50 @@
 }
 END_TEST
 
+static void
+report_empty (uint64_t token, uint64_t offset)
+{
+  uint8_t data[64];
+  Kingcuphollow__VacateReport msg = KINGCUPHOLLOW__VACATE_REPORT__INIT;
+  msg.request_offset = offset;
+  msg.token = token;
+  topic_memory_add (wld.reports, "e/m-w1", data,
+                    kingcuphollow__vacate_report__pack (&msg, data));
+  node_world_run (&wld, 200);
+}
+
+/* Guards against an order that ends the tasks of a pool's new owner, on the
+   report of an earlier owner that the host is empty.  */
+START_TEST (test_report_of_earlier_owner)
+{
+  static const char wave[] = "{\"wave\":1,\"machines\":[\"m-w1\"],"
+                             "\"duration-s\":20,\"cap\":1}";
+  node_world_init (&wld, true);
+  wld.nod->started_us = INT64_MAX / 2; /* claims no duty */
+  wld.hosts[0].state = HOST_UP;
+  name_copy (wld.hosts[0].name, "m-w1");
+  name_copy (wld.hosts[0].pool, "p");
+  name_copy (wld.hosts[0].worker, "w1");
+  wld.host_count = 1;
+  uint64_t earlier = node_world_claim (&wld, "p", "n2", 1, false);
+  node_world_claim (&wld, DUTY_FLEET, "n1", NODE_WORLD_BOOT, false);
+  node_world_run (&wld, 300);
+  node_fleet_add_wave (wld.nod, (const uint8_t *)wave, sizeof wave - 1);
+  node_world_run (&wld, 200);
+  int64_t offset = topic_memory_find (wld.fleet, "v/m-w1");
+  ck_assert_int_ge (offset, 0);
+  uint64_t present = node_world_claim (&wld, "p", "n3", 1, false);
+  node_world_run (&wld, 100);
+  report_empty (earlier, (uint64_t)offset);
+  ck_assert_uint_eq (wld.orders, 0);
+  report_empty (present, (uint64_t)offset);
+  ck_assert_uint_eq (wld.orders, 1);
+  node_world_request (&wld, "m-w1", 99, 0);
+  node_world_run (&wld, 100);
+  node_world_fini (&wld);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -160,6 +205,7 @@
   tcase_add_test (tc, test_former_owner_reads_by_key);
   tcase_add_test (tc, test_late_release);
   tcase_add_test (tc, test_request_of_earlier_holder);
+  tcase_add_test (tc, test_report_of_earlier_owner);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
