job: a cancellation that is read before its job holds

When the append of a job has no answer, it is repeated, and the client may have given up and cancelled the job in another process before it succeeds. The cancellation, which is stored for an unknown job as well, then comes first in the log. Processes that read the log in order ignored it, and the owner started the job; those that read the newest record of each key saw the job as cancelled.

The job table keeps cancellations of unknown jobs as long as ended jobs, and applies them to the job when its first record comes.

test_cancel_before_spec (job) failed without the change and passes.

--- a/job/job_table.c
+++ b/job/job_table.c
@@ -12,6 +12,18 @@
   *tab = (struct job_table){ 0 };
 }
 
+static void
+drop_early (struct job_table *tab, int64_t before_ms)
+{
+  struct early_cancellation *row, *next;
+  HASH_ITER (hh, tab->early, row, next)
+    if (row->read_ms < before_ms)
+      {
+        HASH_DEL (tab->early, row);
+        talloc_free (row);
+      }
+}
+
 void
 job_table_fini (struct job_table *tab)
 {
@@ -22,6 +34,7 @@
       talloc_free (job);
     }
   tab->count = 0;
+  drop_early (tab, INT64_MAX);
 }
 
 struct job *
@@ -39,9 +52,48 @@
   tab->count++;
 }
 
+static struct early_cancellation *
+find_early (const struct job_table *tab, uint64_t id)
+{
+  struct early_cancellation *row;
+  HASH_FIND (hh, tab->early, &id, sizeof id, row);
+  return row;
+}
+
+/* A function of its own because clang-tidy counts the expanded uthash macro
+   towards the size of the function that contains it.  */
+static void
+link_early (struct job_table *tab, struct early_cancellation *row)
+{
+  HASH_ADD (hh, tab->early, id, sizeof row->id, row);
+}
+
+static int
+add_early (struct job_table *tab, void *parent, uint64_t id, int64_t wall_ms)
+{
+  if (find_early (tab, id))
+    return 0;
+  struct early_cancellation *row
+      = talloc_zero (parent, struct early_cancellation);
+  if (!row)
+    return ERR_NOMEM;
+  row->id = id;
+  row->read_ms = wall_ms;
+  link_early (tab, row);
+  return 0;
+}
+
+static void
+cancel_job (struct job_fold_result *res, int64_t wall_ms)
+{
+  res->job->state = res->job->logged_state = JOB_CANCELLED;
+  res->job->ended_ms = wall_ms;
+  res->change = JOB_CHANGE_CANCELLED;
+}
+
 static int
 fold_spec (struct job_table *tab, void *parent, uint64_t offset, uint64_t id,
-           const uint8_t *value, size_t len, int64_t now_us,
+           const uint8_t *value, size_t len, int64_t now_us, int64_t wall_ms,
            struct job_fold_result *res)
 {
   res->job = job_table_find (tab, id);
@@ -62,6 +114,8 @@
   add_job (tab, job);
   res->job = job;
   res->change = JOB_CHANGE_NEW;
+  if (find_early (tab, id))
+    cancel_job (res, wall_ms);
   return 0;
 }
 
@@ -80,17 +134,15 @@
   if (!job_key_parse (key, key_len, &kind, &id))
     return ERR_PROTOCOL;
   if (kind == JOB_KEY_SPEC)
-    return fold_spec (tab, parent, offset, id, value, value_len, now_us, res);
+    return fold_spec (tab, parent, offset, id, value, value_len, now_us,
+                      wall_ms, res);
   res->job = job_table_find (tab, id);
   if (!res->job)
-    return 0;
+    return kind == JOB_KEY_CANCEL ? add_early (tab, parent, id, wall_ms) : 0;
   if (kind == JOB_KEY_CANCEL)
     {
-      if (job_ended (res->job))
-        return 0;
-      res->job->state = res->job->logged_state = JOB_CANCELLED;
-      res->job->ended_ms = wall_ms;
-      res->change = JOB_CHANGE_CANCELLED;
+      if (!job_ended (res->job))
+        cancel_job (res, wall_ms);
       return 0;
     }
   if (kind != JOB_KEY_PROGRESS)
@@ -207,6 +259,7 @@
         tab->count--;
         talloc_free (job);
       }
+  drop_early (tab, before_ms);
 }
 
 uint32_t
--- a/job/job_table.h
+++ b/job/job_table.h
@@ -6,10 +6,20 @@
    is, by applying them one after the other.  Folding a record a second time
    changes nothing.  All calls on a table belong to one thread.  */
 
+/* A cancellation that was read before the job's first record.  The store may
+   still take that record, as its append is repeated until it has a result.  */
+struct early_cancellation
+{
+  UT_hash_handle hh;
+  uint64_t id;
+  int64_t read_ms; /* wall-clock time */
+};
+
 struct job_table
 {
   struct job *by_id;
   size_t count;
+  struct early_cancellation *early; /* by id */
 };
 
 /* The effect of a folded record on its job.  */
@@ -64,7 +74,8 @@
    has not read that progress, and continues from the log.  */
 void job_revert_to_log (struct job *job);
 
-/* Frees the jobs that ended before the wall-clock time BEFORE_MS.  */
+/* Frees the jobs that ended, and the cancellations of unknown jobs that were
+   read, before the wall-clock time BEFORE_MS.  */
 void job_table_expire (struct job_table *tab, int64_t before_ms);
 
 /* Counts the jobs of QUEUE of which no task has started, without those that
--- a/test/unit/unit_job.c
+++ b/test/unit/unit_job.c
@@ -250,6 +250,25 @@
 }
 END_TEST
 
+/* Guards against a job that runs although its cancellation was confirmed.  The
+   cancellation comes first in the log when the append of the job has no
+   answer, the client gives up, and the repeated append succeeds.  */
+START_TEST (test_cancel_before_spec)
+{
+  const uint8_t mark[] = { 1 };
+  for (int n = 0; n < 2; n++)
+    help_fold (&tab, ctx, JOB_KEY_CANCEL, 7, mark, 1);
+  struct job *job = help_fold_job (&tab, ctx, 7, TWO_STEPS, 5, 0, 1000);
+  ck_assert_int_eq (job->state, JOB_CANCELLED);
+  ck_assert_int_eq (job->logged_state, JOB_CANCELLED);
+  job = help_fold_job (&tab, ctx, 8, TWO_STEPS, 6, 0, 1000);
+  ck_assert_int_eq (job->state, JOB_QUEUED);
+  ck_assert_ptr_nonnull (tab.early);
+  job_table_expire (&tab, 1);
+  ck_assert_ptr_null (tab.early);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -262,6 +281,7 @@
   tcase_add_test (tc, test_failures_in_any_order);
   tcase_add_test (tc, test_logged_state);
   tcase_add_test (tc, test_cancel);
+  tcase_add_test (tc, test_cancel_before_spec);
   tcase_add_test (tc, test_bad_jobs);
   tcase_add_test (tc, test_bad_records);
   tcase_add_test (tc, test_waiting_and_expiry);
