job: the log decides between a cancellation and an end that it does not have

An owner that had seen a job's last task end ignored a cancellation that the log had before that end. When it lost the pool before the end was appended, it dropped the end, as it is not in the log, and with it the job's ended state: the cancellation had left no trace. When it owned the pool again, it started the job's tasks, while all other processes showed the job as cancelled.

A cancellation now counts unless the log already has the end of the job, which is what every other process sees.

test_cancel_of_unlogged_end (job) failed without the change and passes.

--- a/job/job_table.c
+++ b/job/job_table.c
@@ -141,7 +141,9 @@
     return kind == JOB_KEY_CANCEL ? add_early (tab, parent, id, wall_ms) : 0;
   if (kind == JOB_KEY_CANCEL)
     {
-      if (!job_ended (res->job))
+      /* An end that only this process knows is not in the log before the
+         cancellation.  */
+      if (res->job->logged_state < JOB_COMPLETED)
         cancel_job (res, wall_ms);
       return 0;
     }
--- a/test/unit/unit_job.c
+++ b/test/unit/unit_job.c
@@ -269,6 +269,27 @@
 }
 END_TEST
 
+/* Guards against a cancelled job that runs when its former owner owns the pool
+   again.  The owner knew the job's end, but the log had the cancellation and
+   not that end.  */
+START_TEST (test_cancel_of_unlogged_end)
+{
+  const uint8_t mark[] = { 1 };
+  struct job *job = help_fold_job (&tab, ctx, 7, "{\"steps\":[{\"count\":1}]}",
+                                   10, 0, 1000);
+  const struct task_ref ref = { .job = 7 };
+  job->started = true;
+  job_mark_task_done (job, &ref);
+  job_update_state (job, 2, 2000);
+  ck_assert_int_eq (job->state, JOB_COMPLETED);
+  ck_assert_int_eq (help_fold (&tab, ctx, JOB_KEY_CANCEL, 7, mark, 1).change,
+                    JOB_CHANGE_CANCELLED);
+  job_revert_to_log (job);
+  ck_assert_int_eq (job->state, JOB_CANCELLED);
+  ck_assert_int_eq (job->logged_state, JOB_CANCELLED);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -282,6 +303,7 @@
   tcase_add_test (tc, test_logged_state);
   tcase_add_test (tc, test_cancel);
   tcase_add_test (tc, test_cancel_before_spec);
+  tcase_add_test (tc, test_cancel_of_unlogged_end);
   tcase_add_test (tc, test_bad_jobs);
   tcase_add_test (tc, test_bad_records);
   tcase_add_test (tc, test_waiting_and_expiry);
