job: an unrecorded start does not count as recorded in a later ownership

Other processes showed a job as queued, and counted it as waiting, for as long as it ran. The end of an ownership drops progress that is not in the log, but the job stayed marked as started. When the process owned the pool again and found the job's runs, it took the start for recorded and did not append it. A perpetual job has no later end that would be recorded.

Whether a job has started now follows from the progress that the log holds.

test_unlogged_start (job) failed without the change and passes.

--- a/job/job_table.c
+++ b/job/job_table.c
@@ -224,6 +224,7 @@
 void
 job_revert_to_log (struct job *job)
 {
+  job->started = false;
   for (uint32_t n = 0; n < job->occurrence_count; n++)
     {
       struct occurrence *occ = &job->occurrences[n];
@@ -239,6 +240,7 @@
               talloc_free (tasks[k].checkpoint);
               tasks[k] = (struct task){ .prg = logged, .logged = logged };
               occ->step_done[m] += logged.done;
+              job->started = job->started || logged.last_run > 0;
             }
           occ->done += occ->step_done[m];
         }
--- a/test/unit/unit_job.c
+++ b/test/unit/unit_job.c
@@ -290,6 +290,34 @@
 }
 END_TEST
 
+/* Guards against a job that other processes show as queued for as long as it
+   runs.  Its owner records that it has started only if it does not take that
+   for recorded, after an earlier ownership in which the record failed.  */
+START_TEST (test_unlogged_start)
+{
+  struct job *jobs[2];
+  struct job_table other;
+  job_table_init (&other);
+  for (int n = 0; n < 2; n++)
+    {
+      jobs[n] = help_fold_job (&tab, ctx, (uint64_t)n + 1, TWO_STEPS, 1, 0, 1);
+      jobs[n]->started = true;
+      jobs[n]->occurrences[0].tasks[0].prg.last_run = 1;
+      job_update_state (jobs[n], 2, 2000);
+    }
+  struct job *logged = help_fold_job (&other, ctx, 2, TWO_STEPS, 1, 0, 1);
+  logged->occurrences[0].tasks[0].prg.last_run = 1;
+  fold_progress (&tab, logged, 5);
+  for (int n = 0; n < 2; n++)
+    job_revert_to_log (jobs[n]);
+  ck_assert (!jobs[0]->started);
+  ck_assert_int_eq (jobs[0]->state, JOB_QUEUED);
+  ck_assert (jobs[1]->started);
+  ck_assert_int_eq (jobs[1]->state, JOB_RUNNING);
+  job_table_fini (&other);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -304,6 +332,7 @@
   tcase_add_test (tc, test_cancel);
   tcase_add_test (tc, test_cancel_before_spec);
   tcase_add_test (tc, test_cancel_of_unlogged_end);
+  tcase_add_test (tc, test_unlogged_start);
   tcase_add_test (tc, test_bad_jobs);
   tcase_add_test (tc, test_bad_records);
   tcase_add_test (tc, test_waiting_and_expiry);
