sched: the answer to a start shows how long a lease the worker granted

The owner now computes the end of the lease from the worker's clock in the answer to a start, as it does for a hold, and both are limited to the longest lease: for a hold without that limit, a run on such a worker would not be given up for as long as the earlier instance had been up.

test_lease_by_earlier_clock (placer) failed without the change and passes.

--- a/node/duties.c
+++ b/node/duties.c
@@ -237,6 +237,7 @@
     .lease_ms = nod->set->lease_ms < nod->set->lease_max_ms
                     ? nod->set->lease_ms
                     : nod->set->lease_max_ms,
+    .lease_max_ms = nod->set->lease_max_ms,
     .confirm_ms = nod->set->confirm_ms,
     .confirmed_us = nod->confirmed_us,
   };
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -62,6 +62,7 @@
      started by an earlier owner.  */
   uint64_t fence_offset;
   int64_t lease_ms;
+  int64_t lease_max_ms; /* longest lease that workers grant */
   /* An owner whose ownership was not confirmed for this time extends no leases
      and starts nothing.  */
   int64_t confirm_ms;
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -73,6 +73,22 @@
     wrk->lease_end_us = until_us;
 }
 
+void
+placer_note_grant (struct placer *plc, struct worker *wrk,
+                   int64_t lease_end_ms, int64_t clock_ms, int64_t now_us)
+{
+  int64_t span_ms = lease_end_ms - clock_ms;
+  if (lease_end_ms == 0 || clock_ms == 0)
+    return;
+  /* The clock of a worker that has restarted begins anew, so a lease until a
+     time on its earlier clock is as long as the worker allows.  */
+  if (span_ms > plc->set.lease_max_ms)
+    span_ms = plc->set.lease_max_ms;
+  int64_t until_us = now_us + add_lease_slack (span_ms * 1000);
+  if (until_us > wrk->lease_end_us)
+    wrk->lease_end_us = until_us;
+}
+
 void
 placer_note_answer (struct placer *plc, struct worker *wrk,
                     const struct command_result *res)
@@ -315,12 +331,8 @@
     }
   if (res->born_ms > 0)
     wrk->rep.born_ms = res->born_ms;
-  if (ctx->lease_end_ms > 0 && res->command.clock_ms > 0)
-    {
-      int64_t span_us = (ctx->lease_end_ms - res->command.clock_ms) * 1000;
-      if (now_us + add_lease_slack (span_us) > wrk->lease_end_us)
-        wrk->lease_end_us = now_us + add_lease_slack (span_us);
-    }
+  placer_note_grant (plc, wrk, ctx->lease_end_ms, res->command.clock_ms,
+                     now_us);
   wrk->hold_answered_us = now_us;
   if (!wrk->reached)
     {
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -115,6 +115,11 @@
 /* Updates the worker's contact state from the result of a call.  */
 void placer_note_answer (struct placer *plc, struct worker *wrk,
                          const struct command_result *res);
+/* Records the lease that a worker has granted: its clock was CLOCK_MS when it
+   answered a command with a lease until LEASE_END_MS.  */
+void placer_note_grant (struct placer *plc, struct worker *wrk,
+                        int64_t lease_end_ms, int64_t clock_ms,
+                        int64_t now_us);
 /* Records that a command with a lease from NOW_US on was sent.  */
 void placer_note_lease (struct placer *plc, struct worker *wrk,
                         int64_t now_us);
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -40,6 +40,7 @@
   struct command_ctx *prev, *next;
   bool in_flight; /* in that list */
   int64_t sent_us;
+  int64_t lease_end_ms; /* of a start, by the worker's clock */
 };
 
 static void
@@ -308,6 +309,7 @@
       return;
     }
   int64_t now_us = clock_now_us (plc->env.clk);
+  placer_note_grant (plc, wrk, ctx->lease_end_ms, res->clock_ms, now_us);
   switch (res->status)
     {
     case COMMAND_DONE:
@@ -360,6 +362,8 @@
     .token = plc->set.token,
   };
   struct command_ctx *ctx = make_command_ctx (plc, run, wrk);
+  if (ctx)
+    ctx->lease_end_ms = cmd.lease_end_ms;
   run->start_tries++;
   if (!ctx
       || plc->env.lnk->drv->start (plc->env.lnk, &to, &cmd, on_start, ctx))
--- a/test/unit/placer_world.c
+++ b/test/unit/placer_world.c
@@ -107,6 +107,7 @@
           .token = token,
           .fence_offset = fence_offset,
           .lease_ms = WORLD_LEASE_MS,
+          .lease_max_ms = WORLD_LEASE_MAX_MS,
           .confirm_ms = WORLD_CONFIRM_MS,
           .confirmed_us = wld->clk.now_us - wld->confirmed_age_ms * 1000 };
   const struct placer_env env = { .clk = &wld->clk.clk,
--- a/test/unit/placer_world.h
+++ b/test/unit/placer_world.h
@@ -10,6 +10,7 @@
 
 #define WORLD_CALLS_MAX 512
 #define WORLD_LEASE_MS 5000
+#define WORLD_LEASE_MAX_MS 10000
 #define WORLD_CONFIRM_MS 6000
 /* Offset of the owner's fence record.  */
 #define WORLD_FENCE_OFFSET 100
--- a/test/unit/unit_placer.c
+++ b/test/unit/unit_placer.c
@@ -108,6 +108,37 @@
 }
 END_TEST
 
+/* Guards against two runs of a task after its worker has restarted under its
+   id and then become silent.  The start names the end of the lease by the
+   clock of the earlier instance, so the worker grants the longest lease.  */
+START_TEST (test_lease_by_earlier_clock)
+{
+  const char *worker;
+  add_two_workers ();
+  world_add_job (wld, 1, ONE_TASK_JOB, 200);
+  world_tick (wld, 1);
+  struct world_call *start = pending_start (&worker);
+  const struct command_result res
+      = { .status = COMMAND_DONE, .clock_ms = 200 };
+  start->answered = true;
+  start->fn (start->arg, &res);
+  int64_t started_us = wld->clk.now_us;
+  while (wld->clk.now_us < started_us + 9900000)
+    {
+      struct world_call *hold = world_call (wld, WORLD_HOLD, worker);
+      if (hold)
+        world_answer (wld, hold, COMMAND_NO_ANSWER);
+      world_confirm_ownership (wld);
+      world_tick (wld, 300);
+      ck_assert_uint_eq (world_starts (wld, 1, 0), 1);
+    }
+  wld->clk.now_us = started_us + 10500000;
+  world_confirm_ownership (wld);
+  world_tick (wld, 1);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 2);
+}
+END_TEST
+
 /* A start without an answer does not lead to two runs of the task: the same
    start is repeated, and then the run is stopped before another one starts. */
 START_TEST (test_unanswered_start)
@@ -647,6 +678,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, test_end_logged_before_ack);
   tcase_add_test (tc, test_silent_worker);
+  tcase_add_test (tc, test_lease_by_earlier_clock);
   tcase_add_test (tc, test_unanswered_start);
   tcase_add_test (tc, test_new_owner_waits);
   tcase_add_test (tc, test_takeover_without_wait);
