node: confirm a cancellation without a record only if the log has the job's end

The owner of the job's pool answered with success and stored nothing when it knew that the job had ended, even if that end was not in the log yet. When it lost the pool before the end was appended, its successor knew of neither and ran the job again.

The answer now depends on the state that the log shows, the one that is also reported to clients.

test_cancel_of_unlogged_end (node) failed without the change and passes.

--- a/node/requests.c
+++ b/node/requests.c
@@ -185,7 +185,9 @@
   static const uint8_t cancel_value[1] = { 1 };
   struct job *job = job_table_find (&nod->jobs, id);
   struct job_partition *prt = node_job_partition (nod, que->pool);
-  if (job && job_ended (job))
+  /* An end that is not in the log is forgotten when this process loses the
+     pool, and the job then runs again.  */
+  if (job && job->logged_state >= JOB_COMPLETED)
     reply (nod, req, FRONT_OK, NULL, 0);
   else if (!prt || !node_partition_writable (prt))
     reject (nod, req, id, que->name, "store_away");
--- a/test/unit/node_world.c
+++ b/test/unit/node_world.c
@@ -104,6 +104,30 @@
 static const struct host_link_driver host_driver
     = { .list = fake_list, .order = fake_order };
 
+/* Stand in for platform/wire_front.c.  */
+void
+front_reply (struct front_request *req, const struct front_response *rsp)
+{
+  current_world->replies++;
+  current_world->last_reply = *rsp;
+  talloc_free (req);
+}
+
+void
+wire_front_set_body_max (struct wire_front *frt, size_t bytes)
+{
+}
+
+void
+node_world_handle (struct node_world *wld, enum front_op op, const char *path)
+{
+  struct front_request *req = talloc_zero (wld->nod, struct front_request);
+  req->op = op;
+  req->host = "h";
+  req->path = talloc_asprintf (req, "/q/%s", path);
+  node_handle_request (wld->nod, req);
+}
+
 static void
 on_time_over (struct tevent_context *ev, struct tevent_timer *te,
               struct timeval tv, void *arg)
--- a/test/unit/node_world.h
+++ b/test/unit/node_world.h
@@ -24,7 +24,9 @@
   uint64_t last_started;       /* job of the last of them */
   struct host_report hosts[4]; /* the platform's list */
   size_t host_count;
-  size_t orders; /* host orders sent */
+  size_t orders;  /* host orders sent */
+  size_t replies; /* to requests of clients */
+  struct front_response last_reply;
   struct catalog cat;
 };
 
@@ -33,6 +35,9 @@
 void node_world_fini (struct node_world *wld);
 /* Runs the event loop for MS.  */
 void node_world_run (struct node_world *wld, int64_t ms);
+/* Handles a client's request for PATH below the path of the queue "q".  */
+void node_world_handle (struct node_world *wld, enum front_op op,
+                        const char *path);
 /* Appends a claim or release of DUTY.  Returns its token.  */
 uint64_t node_world_claim (struct node_world *wld, const char *duty,
                            const char *holder, uint64_t boot, bool released);
--- a/test/unit/unit_node.c
+++ b/test/unit/unit_node.c
@@ -195,6 +195,31 @@
 }
 END_TEST
 
+/* Guards against a job that runs after its cancellation was confirmed.  The
+   owner knows the job's end, but the log does not have it, and a later owner
+   runs the job again.  */
+START_TEST (test_cancel_of_unlogged_end)
+{
+  node_world_init (&wld, false);
+  node_world_add_job (&wld, 7);
+  node_world_run (&wld, 400);
+  struct job *job = job_table_find (&wld.nod->jobs, 7);
+  ck_assert_ptr_nonnull (job);
+  job->state = JOB_COMPLETED;
+  node_world_handle (&wld, FRONT_CANCEL, "0000000000000007");
+  node_world_run (&wld, 400);
+  ck_assert_uint_eq (wld.replies, 1);
+  ck_assert_int_eq (wld.last_reply.status, FRONT_OK);
+  ck_assert_int_ge (topic_memory_find (wld.jobs, "0000000000000007x"), 0);
+  /* The end is in the log now.  */
+  ck_assert_int_eq (job->logged_state, JOB_CANCELLED);
+  node_world_handle (&wld, FRONT_CANCEL, "0000000000000007");
+  ck_assert_uint_eq (wld.replies, 2);
+  ck_assert_int_eq (wld.last_reply.status, FRONT_OK);
+  node_world_fini (&wld);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -206,6 +231,7 @@
   tcase_add_test (tc, test_late_release);
   tcase_add_test (tc, test_request_of_earlier_holder);
   tcase_add_test (tc, test_report_of_earlier_owner);
+  tcase_add_test (tc, test_cancel_of_unlogged_end);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
