node: no answers about jobs before their records were read once

A process that has just started showed a job as queued that had ended, and gave a number of waiting jobs that lacked most of them, while it read the newest record of each key for the first time: the record of a job and that of its progress may be on different pages. Only the answer that a job does not exist waited for that read.

Such requests are now rejected with a Retry-After until the pool's partition has been read to its end once.

test_answers_before_first_read (node) failed without the change and passes.

--- a/node/requests.c
+++ b/node/requests.c
@@ -198,10 +198,22 @@
                    sizeof cancel_value);
 }
 
+/* Whether the jobs of POOL have been read once.  While the newest records are
+   read for the first time, a job may be known without its progress.  */
+static bool
+pool_was_read (struct node *nod, const char *pool)
+{
+  const struct job_partition *prt = node_job_partition (nod, pool);
+  return prt && follower_caught_up (&prt->fol);
+}
+
 static void
-reply_job_state (struct node *nod, struct front_request *req, uint64_t id)
+reply_job_state (struct node *nod, struct front_request *req,
+                 const struct queue *que, uint64_t id)
 {
-  struct job *job = job_table_find (&nod->jobs, id);
+  struct job *job = pool_was_read (nod, que->pool)
+                        ? job_table_find (&nod->jobs, id)
+                        : NULL;
   const struct front_response rsp
       = { .status = FRONT_JOB_STATE,
           .state = job ? job->logged_state : JOB_QUEUED };
@@ -232,7 +244,10 @@
       return;
     }
   const char *rest = req->path + strlen (que->path_prefix);
-  if (!*rest && req->op == FRONT_STATE)
+  if (!*rest && req->op == FRONT_STATE && !pool_was_read (nod, que->pool))
+    reply (nod, req, FRONT_REJECTED, "view_too_old",
+           store_retry_after_ms (nod, id));
+  else if (!*rest && req->op == FRONT_STATE)
     {
       const struct front_response rsp
           = { .status = FRONT_QUEUE_WAITING,
@@ -246,5 +261,5 @@
   else if (req->op == FRONT_CANCEL)
     cancel (nod, req, que, id);
   else
-    reply_job_state (nod, req, id);
+    reply_job_state (nod, req, que, id);
 }
--- a/test/unit/node_world.c
+++ b/test/unit/node_world.c
@@ -147,7 +147,7 @@
 }
 
 void
-node_world_init (struct node_world *wld, bool fleet)
+node_world_create (struct node_world *wld, bool fleet)
 {
   static struct queue queues[]
       = { { .name = "q", .host = "h", .path_prefix = "/q/", .pool = "p" } };
@@ -190,6 +190,12 @@
   wld->fleet = topic_memory_part (&wld->mem, TOPIC_FLEET, 0);
   /* With two partitions the reports of all pools are in the second one.  */
   wld->reports = topic_memory_part (&wld->mem, TOPIC_FLEET, 1);
+}
+
+void
+node_world_init (struct node_world *wld, bool fleet)
+{
+  node_world_create (wld, fleet);
   node_world_run (wld, 100);
 }
 
--- a/test/unit/node_world.h
+++ b/test/unit/node_world.h
@@ -32,6 +32,8 @@
 
 /* Starts the process and runs it until it has read all topics.  */
 void node_world_init (struct node_world *wld, bool fleet);
+/* Starts the process with an empty store and reads nothing yet.  */
+void node_world_create (struct node_world *wld, bool fleet);
 void node_world_fini (struct node_world *wld);
 /* Runs the event loop for MS.  */
 void node_world_run (struct node_world *wld, int64_t ms);
--- a/test/unit/unit_node.c
+++ b/test/unit/unit_node.c
@@ -220,6 +220,37 @@
 }
 END_TEST
 
+/* Guards against a job that a process which has just started shows as queued,
+   although it has run, and against a number of waiting jobs that lacks those
+   not read yet.  */
+START_TEST (test_answers_before_first_read)
+{
+  node_world_create (&wld, false);
+  wld.mem.page_records = 1;
+  wld.jobs->hold_reads = true;
+  node_world_add_job (&wld, 7);
+  node_world_add_job (&wld, 8);
+  node_world_run (&wld, 50);
+  topic_memory_run_held (wld.jobs);
+  ck_assert_uint_eq (wld.nod->jobs.count, 1);
+  node_world_handle (&wld, FRONT_STATE, "0000000000000007");
+  ck_assert_int_eq (wld.last_reply.status, FRONT_REJECTED);
+  node_world_handle (&wld, FRONT_STATE, "");
+  ck_assert_int_eq (wld.last_reply.status, FRONT_REJECTED);
+  wld.jobs->hold_reads = false;
+  while (topic_memory_run_held (wld.jobs))
+    ;
+  node_world_run (&wld, 200);
+  node_world_handle (&wld, FRONT_STATE, "0000000000000007");
+  ck_assert_int_eq (wld.last_reply.status, FRONT_JOB_STATE);
+  node_world_handle (&wld, FRONT_STATE, "");
+  ck_assert_int_eq (wld.last_reply.status, FRONT_QUEUE_WAITING);
+  ck_assert_uint_eq (wld.last_reply.waiting, 2);
+  ck_assert_uint_eq (wld.replies, 4);
+  node_world_fini (&wld);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -232,6 +263,7 @@
   tcase_add_test (tc, test_request_of_earlier_holder);
   tcase_add_test (tc, test_report_of_earlier_owner);
   tcase_add_test (tc, test_cancel_of_unlogged_end);
+  tcase_add_test (tc, test_answers_before_first_read);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
