--- a/job/job_table.c
+++ b/job/job_table.c
@@ -12,6 +12,18 @@
   *tab = (struct job_table){ 0 };
 }
 
+static void
+drop_early (struct job_table *tab, int64_t before_us)
+{
+  struct early_cancellation *row, *next;
+  HASH_ITER (hh, tab->early, row, next)
+    if (row->read_us < before_us)
+      {
+        HASH_DEL (tab->early, row);
+        talloc_free (row);
+      }
+}
+
 void
 job_table_fini (struct job_table *tab)
 {
@@ -22,6 +34,7 @@
       talloc_free (job);
     }
   tab->count = 0;
+  drop_early (tab, INT64_MAX);
 }
 
 struct job *
@@ -39,6 +52,45 @@
   tab->count++;
 }
 
+static struct early_cancellation *
+find_early (const struct job_table *tab, uint64_t id)
+{
+  struct early_cancellation *row;
+  HASH_FIND (hh, tab->early, &id, sizeof id, row);
+  return row;
+}
+
+/* A function of its own because clang-tidy counts the expanded uthash macro
+   towards the size of the function that contains it.  */
+static void
+link_early (struct job_table *tab, struct early_cancellation *row)
+{
+  HASH_ADD (hh, tab->early, id, sizeof row->id, row);
+}
+
+static int
+add_early (struct job_table *tab, void *parent, uint64_t id, int64_t now_us)
+{
+  if (find_early (tab, id))
+    return 0;
+  struct early_cancellation *row
+      = talloc_zero (parent, struct early_cancellation);
+  if (!row)
+    return ERR_NOMEM;
+  row->id = id;
+  row->read_us = now_us;
+  link_early (tab, row);
+  return 0;
+}
+
+static void
+cancel_job (struct job_fold_result *res, int64_t now_us)
+{
+  res->job->state = res->job->logged_state = JOB_CANCELLED;
+  res->job->ended_us = now_us;
+  res->change = JOB_CHANGE_CANCELLED;
+}
+
 static int
 fold_spec (struct job_table *tab, void *parent, uint64_t offset, uint64_t id,
            const uint8_t *value, size_t len, int64_t now_us,
@@ -62,6 +114,8 @@
   add_job (tab, job);
   res->job = job;
   res->change = JOB_CHANGE_NEW;
+  if (find_early (tab, id))
+    cancel_job (res, now_us);
   return 0;
 }
 
@@ -82,14 +136,13 @@
     return fold_spec (tab, parent, offset, id, value, value_len, now_us, res);
   res->job = job_table_find (tab, id);
   if (!res->job)
-    return 0;
+    return kind == JOB_KEY_CANCEL ? add_early (tab, parent, id, now_us) : 0;
   if (kind == JOB_KEY_CANCEL)
     {
-      if (job_ended (res->job))
-        return 0;
-      res->job->state = res->job->logged_state = JOB_CANCELLED;
-      res->job->ended_us = now_us;
-      res->change = JOB_CHANGE_CANCELLED;
+      /* An end that only this process knows is not in the log before the
+         cancellation.  */
+      if (res->job->logged_state < JOB_COMPLETED)
+        cancel_job (res, now_us);
       return 0;
     }
   if (kind != JOB_KEY_PROGRESS)
@@ -169,6 +222,7 @@
 void
 job_revert_to_log (struct job *job)
 {
+  job->started = false;
   for (uint32_t n = 0; n < job->occurrence_count; n++)
     {
       struct occurrence *occ = &job->occurrences[n];
@@ -184,6 +238,7 @@
               talloc_free (tasks[k].checkpoint);
               tasks[k] = (struct task){ .prg = logged, .logged = logged };
               occ->step_done[m] += logged.done;
+              job->started = job->started || logged.last_run > 0;
             }
           occ->done += occ->step_done[m];
         }
@@ -216,6 +271,7 @@
         tab->count--;
         talloc_free (job);
       }
+  drop_early (tab, before_us);
 }
 
 uint32_t
--- a/node/duties.c
+++ b/node/duties.c
@@ -176,6 +176,13 @@
   return 0;
 }
 
+static bool
+log_consistent (void *arg)
+{
+  const struct held_duty *hld = arg;
+  return follower_consistent (&hld->prt->fol);
+}
+
 static void
 end_held_duty (struct held_duty *hld, const char *reason)
 {
@@ -230,7 +237,9 @@
     .token = hld->token,
     .fence_offset = hld->fence_offset,
     .lease_ms = lease_ms (nod),
+    .lease_max_ms = nod->set->lease_max_ms,
     .confirm_ms = nod->set->confirm_ms,
+    .confirmed_us = nod->confirmed_us,
   };
   const struct placer_env env = {
     .clk = nod->clk,
@@ -240,6 +249,7 @@
     .jobs = &nod->jobs,
     .cat = (const struct catalog *const *)&nod->cat,
     .persist = persist,
+    .log_consistent = log_consistent,
     .wake = wake_placer,
     .arg = hld,
   };
@@ -254,7 +264,6 @@
              LOG_I ("token", hld->token),
              LOG_I ("fence_offset", hld->fence_offset));
   add_known_workers (hld);
-  placer_confirm_ownership (hld->plc, nod->confirmed_us);
   node_schedule_placer (hld, 0);
 }
 
@@ -390,6 +399,8 @@
         = timer_add (nod->ev, nod, CLAIM_BACKOFF_US, on_claim_timer, nod);
 }
 
+/* Appends a claim or release of the duty NAME, on condition that the topic
+   ends at EXPECTED_END.  */
 static int
 append_claim (struct node *nod, const char *name)
 {
@@ -590,11 +601,16 @@
   char name[NAME_BYTES];
   if (!parse_key (&rec->entry, DUTY_KEY, name))
     return;
+  const struct duty *dty = duty_find (&nod->duties, name);
+  uint64_t token = dty ? dty->token : 0;
   int err
       = duty_record_fold (&nod->duties, name, rec, clock_now_us (nod->clk));
   if (err)
     log_event (nod->lg, EV_RECORD_INVALID, LOG_S ("topic", TOPIC_DUTIES),
                LOG_I ("offset", rec->offset), LOG_S ("error", err_name (err)));
+  dty = duty_find (&nod->duties, name);
+  if (dty && dty->token > token)
+    node_fleet_owner_changed (nod, name);
 }
 
 /* All claims appended before the read was sent are known now, so the duties
--- a/node/requests.c
+++ b/node/requests.c
@@ -181,7 +181,9 @@
   static const uint8_t cancel_value[1] = { 1 };
   struct job *job = job_table_find (&nod->jobs, id);
   struct job_partition *prt = node_job_partition (nod, que->pool);
-  if (job && job_ended (job))
+  /* An end that is not in the log is forgotten when this process loses the
+     pool, and the job then runs again.  */
+  if (job && job->logged_state >= JOB_COMPLETED)
     reply (nod, req, FRONT_OK, NULL, 0);
   else if (!prt || !node_partition_writable (prt))
     reject (nod, req, id, que->name, "store_away");
@@ -192,10 +194,22 @@
                    sizeof cancel_value);
 }
 
+/* Whether the jobs of POOL have been read once.  While the newest records are
+   read for the first time, a job may be known without its progress.  */
+static bool
+pool_was_read (struct node *nod, const char *pool)
+{
+  const struct job_partition *prt = node_job_partition (nod, pool);
+  return prt && follower_caught_up (&prt->fol);
+}
+
 static void
-reply_job_state (struct node *nod, struct front_request *req, uint64_t id)
+reply_job_state (struct node *nod, struct front_request *req,
+                 const struct queue *que, uint64_t id)
 {
-  struct job *job = job_table_find (&nod->jobs, id);
+  struct job *job = pool_was_read (nod, que->pool)
+                        ? job_table_find (&nod->jobs, id)
+                        : NULL;
   const struct front_response rsp
       = { .status = FRONT_JOB_STATE,
           .state = job ? job->logged_state : JOB_QUEUED };
@@ -226,7 +240,10 @@
       return;
     }
   const char *rest = req->path + strlen (que->path_prefix);
-  if (!*rest && req->op == FRONT_STATE)
+  if (!*rest && req->op == FRONT_STATE && !pool_was_read (nod, que->pool))
+    reply (nod, req, FRONT_REJECTED, "view_too_old",
+           store_retry_after_ms (nod, id));
+  else if (!*rest && req->op == FRONT_STATE)
     {
       const struct front_response rsp
           = { .status = FRONT_QUEUE_WAITING,
@@ -240,5 +257,5 @@
   else if (req->op == FRONT_CANCEL)
     cancel (nod, req, que, id);
   else
-    reply_job_state (nod, req, id);
+    reply_job_state (nod, req, que, id);
 }
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -514,7 +514,10 @@
           placer_send_stops (plc, plc->pool.workers[n]);
           busy = busy || plc->pool.workers[n]->runs;
         }
-      place_all (plc, now_us);
+      /* Otherwise a known job may follow the fence of a later owner that is
+         not known yet, or may have ended.  */
+      if (plc->env.log_consistent (plc->env.arg))
+        place_all (plc, now_us);
     }
   placer_flush (plc, now_us);
   drop_ended_jobs (plc);
@@ -576,7 +579,8 @@
   plc->set = *set;
   plc->set.pool = talloc_strdup (plc, set->pool);
   plc->env = *env;
-  plc->claimed_us = plc->confirmed_us = clock_now_us (env->clk);
+  plc->claimed_us = clock_now_us (env->clk);
+  plc->confirmed_us = set->confirmed_us;
   plc->earlier_leases_end_us = plc->claimed_us + set->confirm_ms * 1000
                                + placer_lease_span_us (set->lease_ms);
   for (struct job *job = env->jobs->by_id; job; job = job->hh.next)
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -46,6 +46,9 @@
      token.  Returns 0, ERR_FULL or ERR_NOMEM; after 0, FN is called once.  */
   int (*persist) (void *arg, const struct topic_entry *entries, size_t count,
                   persist_fn *fn, void *fn_arg);
+  /* Whether the known jobs and fences show the log as it was at one point in
+     its history.  */
+  bool (*log_consistent) (void *arg);
   /* Asks for a call of placer_tick soon.  */
   void (*wake) (void *arg);
   void *arg;
@@ -60,9 +63,11 @@
      started by an earlier owner.  */
   uint64_t fence_offset;
   int64_t lease_ms;
+  int64_t lease_max_ms; /* longest lease that workers grant */
   /* An owner whose ownership was not confirmed for this time extends no leases
      and starts nothing.  */
   int64_t confirm_ms;
+  int64_t confirmed_us; /* time for which ownership is confirmed already */
 };
 
 /* Returns NULL when out of memory.  SET and ENV are copied.  */
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -40,6 +40,7 @@
   struct command_ctx *prev, *next;
   bool in_flight; /* in that list */
   int64_t sent_us;
+  int64_t lease_end_ms; /* of a start, by the worker's clock */
 };
 
 static void
@@ -284,7 +285,10 @@
 start_unanswered (struct placer *plc, struct run *run)
 {
   log_start (plc, run, "no_answer");
-  if (run->start_tries < START_TRIES_MAX && !run->stop_wanted)
+  /* Each try has a lease of its own, so a later owner counts on none being
+     sent without a confirmed ownership.  */
+  if (run->start_tries < START_TRIES_MAX && !run->stop_wanted
+      && placer_may_command (plc, clock_now_us (plc->env.clk)))
     send_start (plc, run);
   else
     /* The run may still start; after a stop the worker refuses its start.  */
@@ -305,6 +309,7 @@
       return;
     }
   int64_t now_us = clock_now_us (plc->env.clk);
+  placer_note_grant (plc, wrk, ctx->lease_end_ms, res->clock_ms, now_us);
   switch (res->status)
     {
     case COMMAND_DONE:
@@ -357,6 +362,8 @@
     .token = plc->set.token,
   };
   struct command_ctx *ctx = make_command_ctx (plc, run, wrk);
+  if (ctx)
+    ctx->lease_end_ms = cmd.lease_end_ms;
   run->start_tries++;
   if (!ctx
       || plc->env.lnk->drv->start (plc->env.lnk, &to, &cmd, on_start, ctx))
@@ -418,6 +425,8 @@
   const struct command_target to = placer_command_target (wrk);
   const struct stop_command cmd
       = { .task = *ref, .run = number, .token = plc->set.token };
+  if (!placer_may_command (plc, clock_now_us (plc->env.clk)))
+    return false;
   struct command_ctx *ctx = make_command_ctx (plc, run, wrk);
   if (!ctx || plc->env.lnk->drv->stop (plc->env.lnk, &to, &cmd, on_stop, ctx))
     {
--- a/store/follower.c
+++ b/store/follower.c
@@ -23,6 +23,9 @@
   void *arg;
   struct timer *timer;
   uint64_t next_offset;
+  uint64_t newest_end;    /* of the partition, when the read of the newest
+                             records began */
+  uint64_t delivered_end; /* all records delivered by key are before it */
   int64_t read_started_us;
   int64_t caught_up_us;
   bool in_call;
@@ -118,10 +121,15 @@
       return;
     }
   if (p->first_page)
-    p->next_offset = res->end_offset;
+    p->newest_end = res->end_offset;
   p->first_page = false;
+  for (size_t n = 0; n < res->count; n++)
+    if (res->records[n].offset >= p->delivered_end)
+      p->delivered_end = res->records[n].offset + 1;
   deliver (p, res);
   p->in_order = !res->more || !advance (p, res);
+  if (p->in_order)
+    p->next_offset = p->newest_end;
   p->batch_fn (p->arg);
   schedule (p, res->err ? RETRY_MS : 0);
 }
@@ -240,6 +248,13 @@
   return fol->priv->in_order;
 }
 
+bool
+follower_consistent (const struct follower *fol)
+{
+  const struct priv *p = fol->priv;
+  return p->in_order && p->next_offset >= p->delivered_end;
+}
+
 uint64_t
 follower_next_offset (const struct follower *fol)
 {
--- a/test/unit/placer_world.c
+++ b/test/unit/placer_world.c
@@ -87,6 +87,13 @@
   return 0;
 }
 
+static bool
+log_consistent (void *arg)
+{
+  const struct world *wld = arg;
+  return !wld->log_inconsistent;
+}
+
 static void
 wake (void *arg)
 {
@@ -95,17 +102,21 @@
 static void
 create_placer (struct world *wld, uint64_t token, uint64_t fence_offset)
 {
-  const struct placer_settings set = { .pool = "p",
-                                       .token = token,
-                                       .fence_offset = fence_offset,
-                                       .lease_ms = WORLD_LEASE_MS,
-                                       .confirm_ms = WORLD_CONFIRM_MS };
+  const struct placer_settings set
+      = { .pool = "p",
+          .token = token,
+          .fence_offset = fence_offset,
+          .lease_ms = WORLD_LEASE_MS,
+          .lease_max_ms = WORLD_LEASE_MAX_MS,
+          .confirm_ms = WORLD_CONFIRM_MS,
+          .confirmed_us = wld->clk.now_us - wld->confirmed_age_ms * 1000 };
   const struct placer_env env = { .clk = &wld->clk.clk,
                                   .ctr = &wld->ctr,
                                   .lnk = &wld->lnk,
                                   .jobs = &wld->jobs,
                                   .cat = &wld->cat_ptr,
                                   .persist = persist,
+                                  .log_consistent = log_consistent,
                                   .wake = wake,
                                   .arg = wld };
   wld->plc = placer_create (NULL, &set, &env);
--- a/test/unit/placer_world.h
+++ b/test/unit/placer_world.h
@@ -10,6 +10,7 @@
 
 #define WORLD_CALLS_MAX 512
 #define WORLD_LEASE_MS 5000
+#define WORLD_LEASE_MAX_MS 10000
 #define WORLD_CONFIRM_MS 6000
 /* Offset of the owner's fence record.  */
 #define WORLD_FENCE_OFFSET 100
@@ -53,7 +54,10 @@
   void *enrol_arg;
   persist_fn *persist_fn; /* of an append of job progress */
   void *persist_arg;
-  size_t append_count;  /* appends requested so far */
+  size_t append_count;      /* appends requested so far */
+  int64_t confirmed_age_ms; /* of the confirmation with which a placer is
+                               created */
+  bool log_inconsistent;    /* the log is being read by key */
   int64_t hold_born_ms; /* start of the worker in answers to holds; 0: none */
   struct placer *plc;
 };
--- a/test/unit/unit_job.c
+++ b/test/unit/unit_job.c
@@ -282,6 +282,74 @@
 }
 END_TEST
 
+/* Guards against a job that runs although its cancellation was confirmed.  The
+   cancellation comes first in the log when the append of the job has no
+   answer, the client gives up, and the repeated append succeeds.  */
+START_TEST (test_cancel_before_spec)
+{
+  const uint8_t mark[] = { 1 };
+  for (int n = 0; n < 2; n++)
+    help_fold (&tab, ctx, JOB_KEY_CANCEL, 7, mark, 1);
+  struct job *job = help_fold_job (&tab, ctx, 7, TWO_STEPS, 5, 0, 1000);
+  ck_assert_int_eq (job->state, JOB_CANCELLED);
+  ck_assert_int_eq (job->logged_state, JOB_CANCELLED);
+  job = help_fold_job (&tab, ctx, 8, TWO_STEPS, 6, 0, 1000);
+  ck_assert_int_eq (job->state, JOB_QUEUED);
+  ck_assert_ptr_nonnull (tab.early);
+  job_table_expire (&tab, 1);
+  ck_assert_ptr_null (tab.early);
+}
+END_TEST
+
+/* Guards against a cancelled job that runs when its former owner owns the pool
+   again.  The owner knew the job's end, but the log had the cancellation and
+   not that end.  */
+START_TEST (test_cancel_of_unlogged_end)
+{
+  const uint8_t mark[] = { 1 };
+  struct job *job = help_fold_job (&tab, ctx, 7, "{\"steps\":[{\"count\":1}]}",
+                                   10, 0, 1000);
+  const struct task_ref ref = { .job = 7 };
+  job->started = true;
+  job_mark_task_done (job, &ref);
+  job_update_state (job, 2, 2000);
+  ck_assert_int_eq (job->state, JOB_COMPLETED);
+  ck_assert_int_eq (help_fold (&tab, ctx, JOB_KEY_CANCEL, 7, mark, 1).change,
+                    JOB_CHANGE_CANCELLED);
+  job_revert_to_log (job);
+  ck_assert_int_eq (job->state, JOB_CANCELLED);
+  ck_assert_int_eq (job->logged_state, JOB_CANCELLED);
+}
+END_TEST
+
+/* Guards against a job that other processes show as queued for as long as it
+   runs.  Its owner records that it has started only if it does not take that
+   for recorded, after an earlier ownership in which the record failed.  */
+START_TEST (test_unlogged_start)
+{
+  struct job *jobs[2];
+  struct job_table other;
+  job_table_init (&other);
+  for (int n = 0; n < 2; n++)
+    {
+      jobs[n] = help_fold_job (&tab, ctx, (uint64_t)n + 1, TWO_STEPS, 1, 0, 1);
+      jobs[n]->started = true;
+      jobs[n]->occurrences[0].tasks[0].prg.last_run = 1;
+      job_update_state (jobs[n], 2, 2000);
+    }
+  struct job *logged = help_fold_job (&other, ctx, 2, TWO_STEPS, 1, 0, 1);
+  logged->occurrences[0].tasks[0].prg.last_run = 1;
+  fold_progress (&tab, logged, 5);
+  for (int n = 0; n < 2; n++)
+    job_revert_to_log (jobs[n]);
+  ck_assert (!jobs[0]->started);
+  ck_assert_int_eq (jobs[0]->state, JOB_QUEUED);
+  ck_assert (jobs[1]->started);
+  ck_assert_int_eq (jobs[1]->state, JOB_RUNNING);
+  job_table_fini (&other);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -295,6 +363,9 @@
   tcase_add_test (tc, test_failures_in_record);
   tcase_add_test (tc, test_logged_state);
   tcase_add_test (tc, test_cancel);
+  tcase_add_test (tc, test_cancel_before_spec);
+  tcase_add_test (tc, test_cancel_of_unlogged_end);
+  tcase_add_test (tc, test_unlogged_start);
   tcase_add_test (tc, test_bad_jobs);
   tcase_add_test (tc, test_bad_records);
   tcase_add_test (tc, test_waiting_and_expiry);
--- /dev/null
+++ b/test/unit/unit_node.c
@@ -0,0 +1,273 @@
+#include <check.h>
+#include <string.h>
+
+#include "node_world.h"
+#include "proto/job.pb-c.h"
+
+/* Tests of a whole scheduler process (node/) whose view of the store's topics
+   is incomplete or out of date.  */
+
+static struct node_world wld;
+
+static struct held_duty *
+held_duty (void)
+{
+  return node_held_duty (wld.nod, "p");
+}
+
+/* Makes the process the owner of the pool, with a worker that has answered. */
+static void
+own_pool (void)
+{
+  node_world_claim (&wld, "p", "n1", NODE_WORLD_BOOT, false);
+  node_world_run (&wld, 200);
+  ck_assert_ptr_nonnull (held_duty ());
+  ck_assert_ptr_nonnull (held_duty ()->plc);
+  node_world_add_worker (&wld, "w1");
+  node_world_run (&wld, 200);
+}
+
+/* Guards against a new owner that starts tasks before it knows all of the
+   pool's jobs and workers: it has read the fence only when the newest records
+   of all keys were delivered.  */
+START_TEST (test_new_owner_reads_all_pages)
+{
+  node_world_init (&wld, false);
+  wld.mem.page_records = 2;
+  wld.jobs->hold_reads = true;
+  node_world_run (&wld, 300);
+  for (uint64_t id = 1; id <= 4; id++)
+    node_world_add_job (&wld, id);
+  topic_memory_compact (wld.jobs);
+  node_world_claim (&wld, "p", "n1", NODE_WORLD_BOOT, false);
+  node_world_run (&wld, 100);
+  ck_assert_ptr_nonnull (held_duty ());
+  ck_assert_int_eq (held_duty ()->phase, HELD_DUTY_CATCHING_UP);
+  while (wld.nod->jobs.count == 0)
+    {
+      topic_memory_run_held (wld.jobs);
+      node_world_run (&wld, 20);
+    }
+  ck_assert_uint_eq (wld.nod->jobs.count, 2);
+  ck_assert_int_eq (held_duty ()->phase, HELD_DUTY_CATCHING_UP);
+  wld.jobs->hold_reads = false;
+  topic_memory_run_held (wld.jobs);
+  node_world_run (&wld, 100);
+  ck_assert_int_eq (held_duty ()->phase, HELD_DUTY_ACTIVE);
+  ck_assert_uint_eq (wld.nod->jobs.count, 4);
+  node_world_fini (&wld);
+}
+END_TEST
+
+/* Guards against two owners that start one job: a former owner whose unread
+   history was dropped reads a job before the later owner's fence, as the
+   records then come by key.  */
+START_TEST (test_former_owner_reads_by_key)
+{
+  node_world_init (&wld, false);
+  own_pool ();
+  node_world_add_job (&wld, 1);
+  node_world_run (&wld, 200);
+  ck_assert_uint_eq (wld.last_started, 1);
+  wld.duties->hold_reads = true;
+  wld.jobs->hold_reads = true;
+  wld.mem.page_records = 1;
+  node_world_run (&wld, 300);
+  topic_memory_add (wld.jobs, "f/p", (const uint8_t *)"99", 2);
+  node_world_add_job (&wld, 2);
+  topic_memory_compact (wld.jobs);
+  while (wld.nod->jobs.count < 2)
+    {
+      topic_memory_run_held (wld.jobs);
+      node_world_run (&wld, 20);
+    }
+  node_world_run (&wld, 200);
+  ck_assert_uint_eq (wld.last_started, 1);
+  wld.jobs->hold_reads = false;
+  topic_memory_run_held (wld.jobs);
+  node_world_run (&wld, 300);
+  ck_assert_uint_eq (wld.last_started, 1);
+  node_world_fini (&wld);
+}
+END_TEST
+
+/* Guards against a release that ends the ownership of a successor.  The store
+   may carry out an append without an answer seconds later, when another
+   process has claimed the duty.  */
+START_TEST (test_late_release)
+{
+  node_world_init (&wld, true);
+  for (int n = 0; n < 2; n++)
+    node_world_claim (&wld, n ? DUTY_FLEET : "p", "n1", NODE_WORLD_BOOT,
+                      false);
+  node_world_run (&wld, 300);
+  ck_assert_ptr_nonnull (held_duty ());
+  ck_assert_uint_ne (node_fleet_token (wld.nod), 0);
+  wld.duties->hold_appends = true;
+  wld.nod->stopping = true;
+  node_release_duties (wld.nod);
+  node_world_run (&wld, 20);
+  uint64_t token = node_world_claim (&wld, "p", "n2", 1, false);
+  wld.duties->hold_appends = false;
+  while (topic_memory_run_held (wld.duties))
+    ;
+  node_world_run (&wld, 200);
+  const struct duty *dty = duty_find (&wld.nod->duties, "p");
+  ck_assert (duty_held_by (dty, "n2", 1));
+  ck_assert_uint_eq (dty->token, token);
+  /* The other duty is still released.  */
+  dty = duty_find (&wld.nod->duties, DUTY_FLEET);
+  ck_assert_str_eq (dty->holder, "");
+  node_world_fini (&wld);
+}
+END_TEST
+
+/* Guards against a request to vacate a host that an earlier holder of the
+   fleet duty withdraws or replaces after its duty has passed on.  */
+START_TEST (test_request_of_earlier_holder)
+{
+  node_world_init (&wld, true);
+  node_world_request (&wld, "m-w1", 1, 1);
+  topic_memory_add (wld.duties, "x", (const uint8_t *)"", 0);
+  node_world_claim (&wld, DUTY_FLEET, "n1", NODE_WORLD_BOOT, false);
+  node_world_run (&wld, 300);
+  ck_assert_uint_eq (node_fleet_token (wld.nod), 2);
+  /* The holder withdraws the request of an earlier holder.  */
+  wld.fleet->hold_appends = true;
+  node_world_run (&wld, 1200);
+  ck_assert_ptr_nonnull (wld.fleet->held);
+  wld.nod->stopping = true; /* claims no duty */
+  uint64_t token = node_world_claim (&wld, DUTY_FLEET, "n2", 1, false);
+  uint64_t offset = node_world_request (&wld, "m-w1", token, INT64_MAX / 2000);
+  wld.fleet->hold_appends = false;
+  while (topic_memory_run_held (wld.fleet))
+    ;
+  node_world_run (&wld, 300);
+  ck_assert_uint_eq (node_fleet_token (wld.nod), 0);
+  ck_assert_int_eq (topic_memory_find (wld.fleet, "v/m-w1"), (int64_t)offset);
+  node_world_request (&wld, "m-w1", token, 0);
+  node_world_run (&wld, 100);
+  node_world_fini (&wld);
+}
+END_TEST
+
+static void
+report_empty (uint64_t token, uint64_t offset)
+{
+  uint8_t data[64];
+  Kingcuphollow__VacateReport msg = KINGCUPHOLLOW__VACATE_REPORT__INIT;
+  msg.request_offset = offset;
+  msg.token = token;
+  topic_memory_add (wld.reports, "e/m-w1", data,
+                    kingcuphollow__vacate_report__pack (&msg, data));
+  node_world_run (&wld, 200);
+}
+
+/* Guards against an order that ends the tasks of a pool's new owner, on the
+   report of an earlier owner that the host is empty.  */
+START_TEST (test_report_of_earlier_owner)
+{
+  static const char wave[] = "{\"wave\":1,\"machines\":[\"m-w1\"],"
+                             "\"duration-s\":20,\"cap\":1}";
+  node_world_init (&wld, true);
+  wld.nod->started_us = INT64_MAX / 2; /* claims no duty */
+  wld.hosts[0].state = HOST_UP;
+  name_copy (wld.hosts[0].name, "m-w1");
+  name_copy (wld.hosts[0].pool, "p");
+  name_copy (wld.hosts[0].worker, "w1");
+  wld.host_count = 1;
+  uint64_t earlier = node_world_claim (&wld, "p", "n2", 1, false);
+  node_world_claim (&wld, DUTY_FLEET, "n1", NODE_WORLD_BOOT, false);
+  node_world_run (&wld, 300);
+  node_fleet_add_wave (wld.nod, (const uint8_t *)wave, sizeof wave - 1);
+  node_world_run (&wld, 200);
+  int64_t offset = topic_memory_find (wld.fleet, "v/m-w1");
+  ck_assert_int_ge (offset, 0);
+  uint64_t present = node_world_claim (&wld, "p", "n3", 1, false);
+  node_world_run (&wld, 100);
+  report_empty (earlier, (uint64_t)offset);
+  ck_assert_uint_eq (wld.orders, 0);
+  report_empty (present, (uint64_t)offset);
+  ck_assert_uint_eq (wld.orders, 1);
+  node_world_request (&wld, "m-w1", 99, 0);
+  node_world_run (&wld, 100);
+  node_world_fini (&wld);
+}
+END_TEST
+
+/* Guards against a job that runs after its cancellation was confirmed.  The
+   owner knows the job's end, but the log does not have it, and a later owner
+   runs the job again.  */
+START_TEST (test_cancel_of_unlogged_end)
+{
+  node_world_init (&wld, false);
+  node_world_add_job (&wld, 7);
+  node_world_run (&wld, 400);
+  struct job *job = job_table_find (&wld.nod->jobs, 7);
+  ck_assert_ptr_nonnull (job);
+  job->state = JOB_COMPLETED;
+  node_world_handle (&wld, FRONT_CANCEL, "0000000000000007");
+  node_world_run (&wld, 400);
+  ck_assert_uint_eq (wld.replies, 1);
+  ck_assert_int_eq (wld.last_reply.status, FRONT_OK);
+  ck_assert_int_ge (topic_memory_find (wld.jobs, "0000000000000007x"), 0);
+  /* The end is in the log now.  */
+  ck_assert_int_eq (job->logged_state, JOB_CANCELLED);
+  node_world_handle (&wld, FRONT_CANCEL, "0000000000000007");
+  ck_assert_uint_eq (wld.replies, 2);
+  ck_assert_int_eq (wld.last_reply.status, FRONT_OK);
+  node_world_fini (&wld);
+}
+END_TEST
+
+/* Guards against a job that a process which has just started shows as queued,
+   although it has run, and against a number of waiting jobs that lacks those
+   not read yet.  */
+START_TEST (test_answers_before_first_read)
+{
+  node_world_create (&wld, false);
+  wld.mem.page_records = 1;
+  wld.jobs->hold_reads = true;
+  node_world_add_job (&wld, 7);
+  node_world_add_job (&wld, 8);
+  node_world_run (&wld, 50);
+  topic_memory_run_held (wld.jobs);
+  ck_assert_uint_eq (wld.nod->jobs.count, 1);
+  node_world_handle (&wld, FRONT_STATE, "0000000000000007");
+  ck_assert_int_eq (wld.last_reply.status, FRONT_REJECTED);
+  node_world_handle (&wld, FRONT_STATE, "");
+  ck_assert_int_eq (wld.last_reply.status, FRONT_REJECTED);
+  wld.jobs->hold_reads = false;
+  while (topic_memory_run_held (wld.jobs))
+    ;
+  node_world_run (&wld, 200);
+  node_world_handle (&wld, FRONT_STATE, "0000000000000007");
+  ck_assert_int_eq (wld.last_reply.status, FRONT_JOB_STATE);
+  node_world_handle (&wld, FRONT_STATE, "");
+  ck_assert_int_eq (wld.last_reply.status, FRONT_QUEUE_WAITING);
+  ck_assert_uint_eq (wld.last_reply.waiting, 2);
+  ck_assert_uint_eq (wld.replies, 4);
+  node_world_fini (&wld);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("node");
+  TCase *tc = tcase_create ("node");
+  tcase_set_timeout (tc, 60);
+  tcase_add_test (tc, test_new_owner_reads_all_pages);
+  tcase_add_test (tc, test_former_owner_reads_by_key);
+  tcase_add_test (tc, test_late_release);
+  tcase_add_test (tc, test_request_of_earlier_holder);
+  tcase_add_test (tc, test_report_of_earlier_owner);
+  tcase_add_test (tc, test_cancel_of_unlogged_end);
+  tcase_add_test (tc, test_answers_before_first_read);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
--- a/test/unit/unit_placer_takeover.c
+++ b/test/unit/unit_placer_takeover.c
@@ -246,6 +246,24 @@
 }
 END_TEST
 
+/* Guards against two owners that start the same job.  A former owner that
+   reads the newest record of each key may read a job before the fence of the
+   later owner that has started it.  */
+START_TEST (test_no_start_from_inconsistent_log)
+{
+  list_runs (NULL, NULL);
+  world_tick (wld, 1);
+  wld->log_inconsistent = true;
+  world_add_job (wld, 1, BATCH_JOB, 0);
+  for (int n = 0; n < 5; n++)
+    world_tick (wld, 40);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 0);
+  wld->log_inconsistent = false;
+  world_tick (wld, 40);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 1);
+}
+END_TEST
+
 /* A later owner starts tasks again once the leases of an earlier one have
    expired, counted from the time up to which that one may send commands.
    Guards against a start that is repeated after that time, as its call was
@@ -305,6 +323,57 @@
 }
 END_TEST
 
+/* Guards against two runs of a task after a takeover: a former owner that
+   repeats an unanswered start gives it a new lease, which ends later than the
+   next owner assumes.  Neither does it stop runs.  */
+START_TEST (test_no_command_after_confirmation)
+{
+  static const struct
+  {
+    int64_t age_ms; /* of the confirmation when the start is sent */
+    bool fenced;    /* the log shows a later owner */
+    size_t starts;
+  } cases[] = {
+    { 0, false, 2 },
+    { WORLD_CONFIRM_MS - 500, false, 1 },
+    { 0, true, 1 },
+  };
+  list_runs (NULL, NULL);
+  world_tick (wld, 1);
+  world_confirm_ownership (wld);
+  world_tick (wld, cases[_i].age_ms);
+  world_add_job (wld, 1, BATCH_JOB, 200);
+  world_tick (wld, 1);
+  const char *worker = world_call (wld, WORLD_START, "w1") ? "w1" : "w2";
+  wld->clk.now_us += 900 * 1000;
+  if (cases[_i].fenced)
+    placer_note_fence (wld->plc, 9);
+  world_answer (wld, world_call (wld, WORLD_START, worker), COMMAND_NO_ANSWER);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), cases[_i].starts);
+  ck_assert_ptr_null (world_call (wld, WORLD_STOP, worker));
+  /* After a confirmation the run is stopped, as it may have started.  */
+  world_confirm_ownership (wld);
+  world_tick (wld, 1);
+  ck_assert (!!world_call (wld, WORLD_STOP, worker) == (_i == 1));
+}
+END_TEST
+
+/* Guards against leases that a process extends after it has lost the pool.  A
+   process that is stopped between its claim and the reading of its fence
+   begins with a confirmation from before the stop.  */
+START_TEST (test_late_begin_confirms_nothing)
+{
+  wld->confirmed_age_ms = WORLD_CONFIRM_MS;
+  world_take_over (wld, 9, 300);
+  world_add_worker (wld, "w3", 2000);
+  world_tick (wld, 1);
+  ck_assert_ptr_null (world_call (wld, WORLD_HOLD, "w3"));
+  world_confirm_ownership (wld);
+  world_tick (wld, 1);
+  ck_assert_ptr_nonnull (world_call (wld, WORLD_HOLD, "w3"));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -320,6 +389,9 @@
   tcase_add_test (tc, test_absent_host);
   tcase_add_test (tc, test_silent_worker_without_host);
   tcase_add_loop_test (tc, test_list_older_than_worker, 0, 3);
+  tcase_add_test (tc, test_no_start_from_inconsistent_log);
+  tcase_add_loop_test (tc, test_no_command_after_confirmation, 0, 3);
+  tcase_add_test (tc, test_late_begin_confirms_nothing);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
