--- a/fleet/host_mgr.c
+++ b/fleet/host_mgr.c
@@ -121,18 +121,22 @@
   set_phase (host, PHASE_NONE, now_us);
 }
 
+static bool
+pool_is_spare (const struct host_mgr *mgr, const char *name)
+{
+  const struct pool_config *pool = catalog_pool (mgr->cat, name);
+  return pool && pool->spare;
+}
+
 /* Whether the operation ordered for HOST is complete: the host is up with
    another worker, or in the spare pool, whose hosts run no worker.  */
 static bool
 has_returned (const struct host_mgr *mgr, const struct mgr_host *host)
 {
-  const struct pool_config *pool
-      = mgr->cat ? catalog_pool (mgr->cat, host->rep.pool) : NULL;
   if (host->listed_us <= host->phase_began_us || host->rep.state != HOST_UP)
     return false;
-  if (host->listed_us > host->phase_began_us + RETURN_TIMEOUT_US)
-    return true;
-  if (pool && pool->spare)
+  if (host->listed_us > host->phase_began_us + RETURN_TIMEOUT_US
+      || pool_is_spare (mgr, host->rep.pool))
     return true;
   return *host->rep.worker
          && strcmp (host->rep.worker, host->previous_worker) != 0;
@@ -142,8 +146,7 @@
 host_mgr_set_hosts (struct host_mgr *mgr, void *parent,
                     const struct host_list *list, int64_t asked_us)
 {
-  /* A host that an incomplete list leaves out may still be there; a wave
-     would be completed without it.  */
+  /* An incomplete list may leave out a host that is still there.  */
   for (size_t n = 0; n < mgr->host_count && !list->incomplete; n++)
     mgr->hosts[n].listed = false;
   for (size_t n = 0; n < list->count; n++)
@@ -153,10 +156,9 @@
         host = add_host (mgr, parent, list->hosts[n].name);
       if (!host)
         return ERR_NOMEM;
-      if (list->hosts[n].state != HOST_UNKNOWN)
+      if (list->hosts[n].state != HOST_UNKNOWN || !*host->rep.name)
         host->rep = list->hosts[n];
       host->rep.state = list->hosts[n].state;
-      name_copy (host->rep.name, list->hosts[n].name);
       host->listed = true;
       host->listed_us = asked_us;
     }
@@ -333,13 +335,6 @@
     }
 }
 
-static bool
-pool_is_spare (const struct host_mgr *mgr, const char *name)
-{
-  const struct pool_config *pool = catalog_pool (mgr->cat, name);
-  return pool && pool->spare;
-}
-
 static void
 begin_op (struct host_mgr *mgr, struct mgr_host *host, enum host_mgr_op op,
           int64_t now_us)
@@ -364,8 +359,7 @@
          && host->phase == PHASE_NONE && now_us >= host->cooldown_until_us;
 }
 
-/* Number of the wave's hosts that are in maintenance or may be, or that were
-   ordered and may be down.  */
+/* Number of the wave's hosts that are or may be in maintenance or down.  */
 static uint32_t
 wave_down (const struct host_mgr *mgr, const struct mgr_wave *wave)
 {
