node: a new holder of the fleet duty reads the recorded progress before it acts

Hosts were maintained twice, and waves ended late. A new holder reads the progress of waves that earlier holders recorded, but only after the read in progress, which waits up to 1 s for new records. It began with the waves at once, and its first record of a wave, with no host done, replaced the newest record of that key before it was read.

The holder now takes no step before the newest records have been read since the duty began. Its fence record ends the read in progress, so this takes some milliseconds.

test_new_holder_reads_progress (node) failed without the check and passes.

--- a/node/fleet.c
+++ b/node/fleet.c
@@ -271,7 +271,10 @@
     return;
   flt->mgr.cat = flt->nod->cat;
   open_report_followers (flt);
-  if (now_us - flt->nod->confirmed_us < CONFIRM_AGE_MAX_US)
+  /* Without the progress that earlier holders recorded, hosts would be
+     maintained again, and the first record of a wave would replace it.  */
+  if (now_us - flt->nod->confirmed_us < CONFIRM_AGE_MAX_US
+      && follower_restarted (&flt->fol))
     {
       withdraw_orphans (flt, now_us);
       busy = host_mgr_step (&flt->mgr, now_us);
--- a/store/follower.c
+++ b/store/follower.c
@@ -210,6 +210,12 @@
   fol->priv->restart_pending = true;
 }
 
+bool
+follower_restarted (const struct follower *fol)
+{
+  return !fol->priv->restart_pending && fol->priv->in_order;
+}
+
 void
 follower_set_batch_delay (struct follower *fol, int64_t batch_delay_ms)
 {
--- a/store/follower.h
+++ b/store/follower.h
@@ -45,6 +45,10 @@
    ended.  */
 void follower_restart (struct follower *fol);
 
+/* Whether the newest record of each key has been read since the last call of
+   follower_restart.  */
+bool follower_restarted (const struct follower *fol);
+
 void follower_set_batch_delay (struct follower *fol, int64_t batch_delay_ms);
 
 /* Whether the end of the partition has been reached at least once.  */
--- a/test/unit/unit_node.c
+++ b/test/unit/unit_node.c
@@ -251,6 +251,68 @@
 }
 END_TEST
 
+static void
+add_progress (uint64_t token, char *done_host)
+{
+  uint8_t data[128];
+  Kingcuphollow__WaveProgress msg = KINGCUPHOLLOW__WAVE_PROGRESS__INIT;
+  msg.token = token;
+  msg.done_hosts = &done_host;
+  msg.n_done_hosts = done_host != NULL;
+  topic_memory_add (wld.fleet, "n/1", data,
+                    kingcuphollow__wave_progress__pack (&msg, data));
+}
+
+/* Number of hosts that are done according to the newest record of wave 1.  */
+static size_t
+logged_progress (void)
+{
+  const struct memory_record *rec
+      = &wld.fleet->records[topic_memory_find (wld.fleet, "n/1")];
+  Kingcuphollow__WaveProgress *msg = kingcuphollow__wave_progress__unpack (
+      NULL, rec->value_len, rec->value);
+  size_t count = msg->n_done_hosts;
+  kingcuphollow__wave_progress__free_unpacked (msg, NULL);
+  return count;
+}
+
+/* Guards against hosts that are maintained twice: a new holder of the fleet
+   duty that begins before it has read the recorded progress replaces it.  */
+START_TEST (test_new_holder_reads_progress)
+{
+  static const char wave[] = "{\"wave\":1,\"machines\":[\"m-w1\",\"m-w2\"],"
+                             "\"duration-s\":20,\"cap\":1}";
+  node_world_init (&wld, true);
+  wld.nod->started_us = INT64_MAX / 2; /* claims no duty */
+  for (size_t n = 0; n < 2; n++)
+    {
+      wld.hosts[n].state = HOST_UP;
+      name_copy (wld.hosts[n].name, n ? "m-w2" : "m-w1");
+      name_copy (wld.hosts[n].pool, "p");
+      name_copy (wld.hosts[n].worker, n ? "w2" : "w1");
+    }
+  wld.host_count = 2;
+  wld.fleet->hold_reads = true;
+  node_world_run (&wld, 100);
+  add_progress (0, "m-w1");
+  node_world_claim (&wld, DUTY_FLEET, "n1", NODE_WORLD_BOOT, false);
+  node_world_run (&wld, 200);
+  ck_assert_uint_ne (node_fleet_token (wld.nod), 0);
+  node_fleet_add_wave (wld.nod, (const uint8_t *)wave, sizeof wave - 1);
+  node_world_run (&wld, 200);
+  ck_assert_uint_eq (logged_progress (), 1);
+  wld.fleet->hold_reads = false;
+  topic_memory_run_held (wld.fleet);
+  node_world_run (&wld, 300);
+  ck_assert_uint_eq (logged_progress (), 1);
+  ck_assert_int_eq (topic_memory_find (wld.fleet, "v/m-w1"), -1);
+  ck_assert_int_ge (topic_memory_find (wld.fleet, "v/m-w2"), 0);
+  node_world_request (&wld, "m-w2", 99, 0);
+  node_world_run (&wld, 100);
+  node_world_fini (&wld);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -264,6 +326,7 @@
   tcase_add_test (tc, test_report_of_earlier_owner);
   tcase_add_test (tc, test_cancel_of_unlogged_end);
   tcase_add_test (tc, test_answers_before_first_read);
+  tcase_add_test (tc, test_new_holder_reads_progress);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
