member, node: releases have a key of their own and name the claim that they end

What callers saw: later takeovers while the store is slow.

The condition was there because a release may be carried out seconds late, after a claim of another process. It would then end that process's duty, and, as the newest record of the key, hide the claim from processes that start, whose claims would not count with its leases.

A release now has the key r/DUTY and names the token of the claim that it ends. It hides no claim, it ends no other holding, and it needs no condition. Claims keep the key d/DUTY and their condition. Newest records are read in the order of their keys, so the claim comes first; a release without its claim is ignored, and is read again in order if its claim was appended meanwhile. Releases in d/DUTY, of earlier versions, are still read.

test_late_release has a release of an earlier claim of the same process now, and unit_duty_model has releases that are appended late, and processes that read only the newest record of each key. Both fail if the token of the release is not compared, and test_release_without_claim fails as well.

--- a/member/duty.c
+++ b/member/duty.c
@@ -178,11 +178,24 @@
   settle_earlier (tab, ear, now_us);
 }
 
+/* Whether the release CLAIM ends the present holding of DTY, which may be
+   NULL.  */
+static bool
+release_applies (const struct duty *dty, const struct duty_claim *claim)
+{
+  if (claim->released_token > 0)
+    return dty && dty->token == claim->released_token;
+  return !dty || dty->token == 0
+         || duty_held_by (dty, claim->holder, claim->boot);
+}
+
 int
 duty_fold_claim (struct duty_table *tab, const struct duty_claim *claim,
                  int64_t now_us)
 {
   struct duty *dty = find_duty (tab, claim->name);
+  if (claim->released && !release_applies (dty, claim))
+    return 0;
   if (!dty)
     {
       if (tab->duty_count == DUTIES_MAX)
@@ -193,9 +206,6 @@
     }
   if (claim->token <= dty->token)
     return 0;
-  if (claim->released && dty->token > 0
-      && !duty_held_by (dty, claim->holder, claim->boot))
-    return 0;
   note_claimant (tab, claim, now_us);
   dty->token = claim->token;
   dty->boot = claim->boot;
--- a/member/duty.h
+++ b/member/duty.h
@@ -133,14 +133,17 @@
      expired limits.lease_us after the append.  Used if EARLIER is NULL.  */
   bool cleared;
   uint64_t token;
+  /* Of a release: token of the claim that it ends; 0: not stated, as in
+     records of earlier versions.  */
+  uint64_t released_token;
   /* What the holders before the claim, or those up to the release, may still
      do.  NULL: not stated, as in records of earlier versions.  */
   const struct earlier_holders *earlier;
 };
 /* Folds a claim or release.  Ignored are one whose token is not above the
-   known token, and the release of another than the present holder: an append
-   without an answer may be carried out seconds later.  Returns 0, or ERR_FULL
-   when a new duty would exceed DUTIES_MAX.  */
+   known token, and the release of another claim than the present one: an
+   append without an answer may be carried out seconds later.  Returns 0, or
+   ERR_FULL when a new duty would exceed DUTIES_MAX.  */
 int duty_fold_claim (struct duty_table *tab, const struct duty_claim *claim,
                      int64_t now_us);
 
--- a/node/duties.c
+++ b/node/duties.c
@@ -398,8 +398,8 @@
 on_release_appended (void *arg, const struct topic_append_result *res)
 {
   struct node *nod = arg;
-  /* Duties that are still held are released again when claims or reports have
-     been read.  */
+  /* Without success the duties that are still held are released again when
+     records have been read.  */
   nod->release_in_progress = false;
   if (res->status == TOPIC_APPENDED)
     nod->claim_end_offset = res->end_offset;
@@ -434,6 +434,7 @@
         .holder = nod->set->name,
         .boot = nod->boot,
         .released = true,
+        .released_token = dty->token,
         .cleared = duty_only_last_leases (&nod->duties, &earlier[count]),
         .earlier = &earlier[count],
       };
@@ -561,7 +562,8 @@
 {
   struct node *nod = arg;
   char name[NAME_BYTES];
-  if (!parse_key (&rec->entry, DUTY_KEY, name))
+  if (!parse_key (&rec->entry, CLAIM_KEY, name)
+      && !parse_key (&rec->entry, RELEASE_KEY, name))
     return;
   int err
       = duty_record_fold (&nod->duties, name, rec, clock_now_us (nod->clk));
--- a/node/duty_record.c
+++ b/node/duty_record.c
@@ -26,6 +26,7 @@
   msg.boot = claim->boot;
   msg.released = claim->released;
   msg.cleared = claim->cleared;
+  msg.released_token = claim->released_token;
   if (claim->earlier)
     {
       msg.earlier = &ear;
@@ -58,7 +59,9 @@
   for (size_t n = 0; !err && n < count; n++)
     {
       struct topic_entry *ent = &entries[n];
-      ent->key = talloc_asprintf (ctx, "%c/%s", DUTY_KEY, claims[n].name);
+      ent->key = talloc_asprintf (ctx, "%c/%s",
+                                  claims[n].released ? RELEASE_KEY : CLAIM_KEY,
+                                  claims[n].name);
       ent->value = encode (ctx, &claims[n], &ent->value_len);
       if (!ent->key || !ent->value)
         err = ERR_NOMEM;
@@ -67,7 +70,7 @@
     }
   const struct topic_append app = {
     .topic = TOPIC_DUTIES,
-    .conditional = true,
+    .conditional = count > 0 && !claims[0].released,
     .expected_end = follower_next_offset (&nod->duty_fol),
     .entries = entries,
     .count = count,
@@ -113,6 +116,7 @@
     .released = msg->released,
     .cleared = msg->cleared,
     .token = rec->offset + 1,
+    .released_token = msg->released_token,
     .earlier
     = msg->earlier && decode_earlier (msg->earlier, &ear) ? &ear : NULL,
   };
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -40,7 +40,12 @@
    acting on a changed report may take up to 2 s.  */
 #define DIRECTORY_BATCH_DELAY_MS 120
 #define FLEET_BATCH_DELAY_MS 20
-#define DUTY_KEY 'd'
+/* First character of the keys of claims and of releases.  A release has a key
+   of its own, so that one which is appended late does not replace a later
+   claim as the newest record of its key.  Claims are read first, as newest
+   records are read in the order of their keys.  */
+#define CLAIM_KEY 'd'
+#define RELEASE_KEY 'r'
 #define DUTY_KEY_BYTES (NAME_BYTES + 2)
 #define PRODUCER_BYTES (NAME_BYTES + 32)
 
@@ -183,10 +188,9 @@
 int node_open_directory (struct node *nod);
 
 /* node/duty_record.c */
-/* Appends COUNT claims or releases of this process, all or none.  They are
-   appended only if it has read all earlier ones: a call without an answer may
-   be carried out seconds later, when others have claimed the duties.  Returns
-   0 or an error; FN runs with NOD as argument after 0 only.  */
+/* Appends COUNT claims or releases of this process, all or none; claims only
+   if it has read all earlier records.  Returns 0 or an error; FN runs with NOD
+   as argument after 0 only.  */
 int duty_record_append (struct node *nod, const struct duty_claim *claims,
                         size_t count, topic_append_fn *fn);
 /* Decodes a record of the duty NAME and folds it.  Returns 0, ERR_PROTOCOL or
--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -1254,7 +1254,7 @@
   (ProtobufCMessageInit) kingcuphollow__member_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__duty_claim__field_descriptors[5] =
+static const ProtobufCFieldDescriptor kingcuphollow__duty_claim__field_descriptors[6] =
 {
   {
     "holder",
@@ -1316,6 +1316,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "released_token",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__DutyClaim, released_token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__duty_claim__field_indices_by_name[] = {
   1,   /* field[1] = boot */
@@ -1323,11 +1335,12 @@
   4,   /* field[4] = earlier */
   0,   /* field[0] = holder */
   2,   /* field[2] = released */
+  5,   /* field[5] = released_token */
 };
 static const ProtobufCIntRange kingcuphollow__duty_claim__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__duty_claim__descriptor =
 {
@@ -1337,7 +1350,7 @@
   "Kingcuphollow__DutyClaim",
   "kingcuphollow",
   sizeof(Kingcuphollow__DutyClaim),
-  5,
+  6,
   kingcuphollow__duty_claim__field_descriptors,
   kingcuphollow__duty_claim__field_indices_by_name,
   1,  kingcuphollow__duty_claim__number_ranges,
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -186,8 +186,9 @@
 
 
 /*
- * Value of the record with the key "d" and the name of a duty.  The offset of
- * the record, plus 1, is the claim's token.
+ * Value of the records with the keys "d" and the name of a duty, of a claim,
+ * and "r" and that name, of a release.  The offset of the record, plus 1, is
+ * the claim's token.
  */
 struct  Kingcuphollow__DutyClaim
 {
@@ -200,13 +201,18 @@
    */
   protobuf_c_boolean cleared;
   /*
-   * What the holders before the claim may still do; not set: not stated.
+   * What the holders before the claim, or up to the release, may still do; not
+   * set: not stated.
    */
   Kingcuphollow__EarlierHolders *earlier;
+  /*
+   * Of a release: token of the claim that it ends; 0: not stated.
+   */
+  uint64_t released_token;
 };
 #define KINGCUPHOLLOW__DUTY_CLAIM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__duty_claim__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, NULL, 0 }
 
 
 /*
--- a/test/unit/unit_duty.c
+++ b/test/unit/unit_duty.c
@@ -196,6 +196,7 @@
                                   .boot = stp->boot,
                                   .released = true,
                                   .token = token,
+                                  .released_token = token - 1,
                                   .earlier = &ear };
   ck_assert_int_eq (duty_fold_claim (tab, &rec, now_us), 0);
 }
@@ -412,6 +413,32 @@
   ck_assert (duty_held_by (duty_find (tab, "p"), "b", 1));
   ck_assert_uint_eq (duty_find (tab, "p")->token, 6);
   ck_assert_int_eq (leases_end_s (tab), 23);
+  /* The process itself has claimed the duty again.  */
+  claim ("a", 1, 8, 14 * S);
+  const struct duty_claim rec = { .name = "p",
+                                  .holder = "a",
+                                  .boot = 1,
+                                  .released = true,
+                                  .token = 9,
+                                  .released_token = 5 };
+  ck_assert_int_eq (duty_fold_claim (tab, &rec, 15 * S), 0);
+  ck_assert (duty_held_by (duty_find (tab, "p"), "a", 1));
+}
+END_TEST
+
+/* Guards against a duty without a holder that nobody claims, as it looks as if
+   its state was known: the release is read, and the claim is not.  */
+START_TEST (test_release_without_claim)
+{
+  const struct duty_claim rec = { .name = "p",
+                                  .holder = "a",
+                                  .boot = 1,
+                                  .released = true,
+                                  .token = 6,
+                                  .released_token = 5 };
+  ck_assert_int_eq (duty_fold_claim (tab, &rec, 11 * S), 0);
+  ck_assert_ptr_null (duty_find (tab, "p"));
+  ck_assert_str_eq (claimants (11 * S, 0), "abc");
 }
 END_TEST
 
@@ -502,6 +529,7 @@
   tcase_add_test (tc, test_earlier_holders);
   tcase_add_test (tc, test_report_before_claim);
   tcase_add_test (tc, test_late_release);
+  tcase_add_test (tc, test_release_without_claim);
   tcase_add_test (tc, test_restart);
   tcase_add_test (tc, test_claim_counts_as_report);
   tcase_add_test (tc, test_view_age);
--- a/test/unit/unit_duty_model.c
+++ b/test/unit/unit_duty_model.c
@@ -37,6 +37,7 @@
 
 static struct record records[RECORDS_MAX];
 static size_t record_count;
+static struct record late; /* a release without an answer; boot 0: none */
 static struct process processes[PROCESSES];
 static int64_t now_ms;
 static unsigned seed;
@@ -54,6 +55,16 @@
   ck_assert_int_eq (duty_fold_member (to->tab, &rep, now_ms * MS), 0);
 }
 
+/* Index of the last claim.  */
+static size_t
+last_claim (void)
+{
+  size_t last = record_count;
+  while (last > 0 && records[--last].claim.released)
+    ;
+  return last;
+}
+
 static int64_t
 true_end_ms (size_t last)
 {
@@ -74,19 +85,33 @@
   if (!dty || prc->read < record_count || !*dty->holder)
     return;
   int64_t end_us = duty_earlier_leases_end_us (prc->tab, dty);
-  ck_assert_msg (end_us >= true_end_ms (record_count - 1) * MS,
+  ck_assert_msg (end_us >= true_end_ms (last_claim ()) * MS,
                  "at %d ms: leases last until %d ms, bound %d ms", (int)now_ms,
-                 (int)true_end_ms (record_count - 1), (int)(end_us / MS));
+                 (int)true_end_ms (last_claim ()), (int)(end_us / MS));
 }
 
+static void
+fold (struct process *prc, const struct record *rec)
+{
+  ck_assert_int_eq (duty_fold_claim (prc->tab, &rec->claim, now_ms * MS), 0);
+}
+
+/* Reads all records, or the last claim and the last release.  */
 static void
 read_records (struct process *prc, bool newest_only)
 {
   if (newest_only && record_count > 0)
-    prc->read = record_count - 1;
+    {
+      size_t release = record_count;
+      while (release > 0 && !records[--release].claim.released)
+        ;
+      fold (prc, &records[last_claim ()]);
+      if (records[release].claim.released)
+        fold (prc, &records[release]);
+      prc->read = record_count;
+    }
   for (; prc->read < record_count; prc->read++)
-    ck_assert_int_eq (
-        duty_fold_claim (prc->tab, &records[prc->read].claim, now_ms * MS), 0);
+    fold (prc, &records[prc->read]);
   check_bound (prc);
 }
 
@@ -151,14 +176,36 @@
   int kind = pick (3);
   struct earlier_holders ear;
   duty_stop_holding (prc->tab, "p", now_ms * MS, kind == 0, kind == 1);
-  struct record *own = &records[record_count - 1];
+  struct record *own = &records[last_claim ()];
   own->stop_ms = kind == 0 ? own->at_ms - LEASE_MS : now_ms;
-  for (size_t n = 0; kind == 1 && n + 1 < record_count; n++)
+  for (size_t n = 0; kind == 1 && &records[n] < own; n++)
     records[n].known = true;
   now_ms += pick (4) * 100;
   duty_state_release (prc->tab, dty, now_ms * MS, &ear);
-  append (prc, true)->earlier = ear;
-  read_records (prc, false);
+  struct record *rec = append (prc, true);
+  rec->earlier = ear;
+  rec->claim.released_token = dty->token;
+  if (pick (3) > 0)
+    {
+      read_records (prc, false);
+      return;
+    }
+  /* The append is carried out after others.  */
+  late = *rec;
+  record_count--;
+  start (prc);
+}
+
+static void
+append_late (void)
+{
+  if (late.claim.boot == 0)
+    return;
+  struct record *rec = &records[record_count++];
+  *rec = late;
+  rec->claim.earlier = &rec->earlier;
+  rec->claim.token = record_count;
+  late.claim.boot = 0;
 }
 
 /* Guards against a new holder that takes the leases of an earlier one for
@@ -167,6 +214,7 @@
 {
   seed = (unsigned)_i + 1;
   record_count = 0;
+  late = (struct record){ 0 };
   now_ms = 10000;
   for (int n = 0; n < PROCESSES; n++)
     {
@@ -178,7 +226,7 @@
     {
       struct process *prc = &processes[pick (PROCESSES)];
       now_ms += pick (5) * pick (5) * 50;
-      switch (pick (7))
+      switch (pick (8))
         {
         case 0:
           if (record_count + 1 < RECORDS_MAX)
@@ -192,7 +240,11 @@
           start (prc);
           break;
         case 3:
+          if (record_count + 1 < RECORDS_MAX)
+            append_late ();
+          break;
         case 4:
+        case 5:
           report (prc, &processes[pick (PROCESSES)]);
           check_bound (prc);
           break;
