sched: workers that never answered leave the worker record with their leases

A takeover that ended with the leases of the earlier owners kept the workers that had not answered, and wrote them into the pool's worker record again, so that the next owner waited for them anew.

They are dropped then: nothing of an earlier owner can run on them any more.

test_departed_worker_leaves_record failed before.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -273,13 +273,17 @@
         && !plc->pool.workers[n]->reported_ended)
       unreached = plc->pool.workers[n]->rep.id;
   plc->takeover_done = !unreached || now_us > plc->earlier_leases_end_us;
-  if (plc->takeover_done)
-    log_event (plc->env.lg, EV_PLACER_TAKEOVER_DONE,
-               LOG_S ("pool", plc->set.pool),
-               LOG_I ("after_ms", (now_us - plc->claimed_us) / 1000),
-               LOG_S ("unreached", unreached ? unreached : "none"),
-               LOG_I ("leases_left_ms",
-                      (plc->earlier_leases_end_us - now_us) / 1000));
+  if (!plc->takeover_done)
+    return;
+  log_event (
+      plc->env.lg, EV_PLACER_TAKEOVER_DONE, LOG_S ("pool", plc->set.pool),
+      LOG_I ("after_ms", (now_us - plc->claimed_us) / 1000),
+      LOG_S ("unreached", unreached ? unreached : "none"),
+      LOG_I ("leases_left_ms", (plc->earlier_leases_end_us - now_us) / 1000));
+  /* Nothing runs any more on the workers that did not answer, so that later
+     owners need not wait for them.  */
+  plc->enrol_stale = plc->enrol_stale || plc->earlier_count > 0;
+  plc->earlier_count = 0;
 }
 
 static bool
--- a/test/unit/placer_world.c
+++ b/test/unit/placer_world.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 
 #include "job_help.h"
+#include "proto/job.pb-c.h"
 
 /* The world of the running test, for the driver's functions, which are given
    the link only.  */
@@ -78,6 +79,11 @@
   wld->append_count++;
   if (entries[0].key[1] == '/')
     {
+      Kingcuphollow__PoolWorkers *msg = kingcuphollow__pool_workers__unpack (
+          NULL, entries[0].value_len, entries[0].value);
+      ck_assert_ptr_nonnull (msg);
+      wld->recorded_workers = msg->n_workers;
+      kingcuphollow__pool_workers__free_unpacked (msg, NULL);
       wld->enrol_fn = fn;
       wld->enrol_arg = fn_arg;
       return 0;
--- a/test/unit/placer_world.h
+++ b/test/unit/placer_world.h
@@ -52,7 +52,8 @@
   size_t call_count;
   persist_fn *enrol_fn; /* of an append of the worker record */
   void *enrol_arg;
-  persist_fn *persist_fn; /* of an append of job progress */
+  size_t recorded_workers; /* in the last worker record */
+  persist_fn *persist_fn;  /* of an append of job progress */
   void *persist_arg;
   size_t append_count;      /* appends requested so far */
   int64_t confirmed_age_ms; /* of the confirmation with which a placer is
--- a/test/unit/unit_placer_takeover.c
+++ b/test/unit/unit_placer_takeover.c
@@ -374,6 +374,27 @@
 }
 END_TEST
 
+/* Guards against a worker that has left and delays each further takeover: once
+   the leases of the earlier owners have expired, the worker record does not
+   name workers that never answered.  */
+START_TEST (test_departed_worker_leaves_record)
+{
+  placer_add_earlier_worker (wld->plc, "w9", "m-w9", 500, wld->clk.now_us);
+  list_runs (NULL, NULL);
+  world_add_worker (wld, "w3", 1000);
+  world_tick (wld, 1);
+  world_answer_hold (wld, "w3", NULL, 0, NULL, 0);
+  world_tick (wld, 1);
+  ck_assert_uint_eq (wld->recorded_workers, 4);
+  wld->clk.now_us += (WORLD_CONFIRM_MS + WORLD_LEASE_MS + 700) * 1000;
+  world_confirm_ownership (wld);
+  for (int n = 0; n < 3; n++)
+    world_tick (wld, 1);
+  ck_assert (placer_takeover_done (wld->plc));
+  ck_assert_uint_eq (wld->recorded_workers, 3);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -392,6 +413,7 @@
   tcase_add_test (tc, test_no_start_from_inconsistent_log);
   tcase_add_loop_test (tc, test_no_command_after_confirmation, 0, 3);
   tcase_add_test (tc, test_late_begin_confirms_nothing);
+  tcase_add_test (tc, test_departed_worker_leaves_record);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
