node: no number of waiting jobs from a view that is out of date

The reply for an unknown job already asked whether the view is current.

Such a request is now rejected with a time to come back, until the view is current again.

test_waiting_from_old_view failed before.

--- a/node/requests.c
+++ b/node/requests.c
@@ -240,7 +240,8 @@
       return;
     }
   const char *rest = req->path + strlen (que->path_prefix);
-  if (!*rest && req->op == FRONT_STATE && !pool_was_read (nod, que->pool))
+  if (!*rest && req->op == FRONT_STATE
+      && (!pool_was_read (nod, que->pool) || !node_view_current (nod)))
     reply (nod, req, FRONT_REJECTED, "view_too_old",
            store_retry_after_ms (nod, id));
   else if (!*rest && req->op == FRONT_STATE)
--- a/test/unit/unit_node.c
+++ b/test/unit/unit_node.c
@@ -251,6 +251,29 @@
 }
 END_TEST
 
+/* Guards against a number of waiting jobs from a view that is out of date, as
+   of a process that the store has turned away: jobs that others have accepted
+   since are missing in it.  */
+START_TEST (test_waiting_from_old_view)
+{
+  node_world_create (&wld, false);
+  node_world_run (&wld, 200);
+  node_world_handle (&wld, FRONT_STATE, "");
+  ck_assert_int_eq (wld.last_reply.status, FRONT_QUEUE_WAITING);
+  wld.jobs->hold_reads = true;
+  node_world_run (&wld, 3500);
+  node_world_handle (&wld, FRONT_STATE, "");
+  ck_assert_int_eq (wld.last_reply.status, FRONT_REJECTED);
+  wld.jobs->hold_reads = false;
+  while (topic_memory_run_held (wld.jobs))
+    ;
+  node_world_run (&wld, 200);
+  node_world_handle (&wld, FRONT_STATE, "");
+  ck_assert_int_eq (wld.last_reply.status, FRONT_QUEUE_WAITING);
+  node_world_fini (&wld);
+}
+END_TEST
+
 static void
 add_progress (uint64_t token, char *done_host)
 {
@@ -326,6 +349,7 @@
   tcase_add_test (tc, test_report_of_earlier_owner);
   tcase_add_test (tc, test_cancel_of_unlogged_end);
   tcase_add_test (tc, test_answers_before_first_read);
+  tcase_add_test (tc, test_waiting_from_old_view);
   tcase_add_test (tc, test_new_holder_reads_progress);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
