--- a/base/timer.h
+++ b/base/timer.h
@@ -13,7 +13,7 @@
 
 /* Calls FN once, DELAY_US from now.  A delay that is not positive is due in
    the next round of the loop.  The timer belongs to PARENT and is freed before
-   FN is called; talloc_free cancels it.  Returns NULL when out of memory or
-   file descriptors.  */
+   FN is called; talloc_free cancels it.  FN must not free EV.  Returns NULL
+   when out of memory or file descriptors.  */
 struct timer *timer_add (struct tevent_context *ev, void *parent,
                          int64_t delay_us, timer_fn *fn, void *arg);
