node: the holder records the progress of a wave again after a late record

The store keeps the newest record of a wave's progress only. A record that an earlier holder of the fleet duty appended late, after an outage, replaced that of the present holder, so that the next holder maintained hosts again which had been done.

The holder adds what such a record says to what it knows and, if it knows more than the record says, appends its own progress again.

test_new_holder_reads_progress (node), extended, failed without the change and passes.

--- a/node/fleet.c
+++ b/node/fleet.c
@@ -504,9 +504,14 @@
       NULL, ent->value_len, ent->value);
   if (!msg)
     return;
+  uint64_t number = strtoull (name, NULL, 10);
   for (size_t n = 0; n < msg->n_done_hosts; n++)
-    host_mgr_add_progress (&flt->mgr, flt, strtoull (name, NULL, 10),
-                           msg->done_hosts[n]);
+    host_mgr_add_progress (&flt->mgr, flt, number, msg->done_hosts[n]);
+  /* A late record of an earlier holder replaces the newest one of its key.  */
+  for (size_t n = 0; n < flt->mgr.wave_count; n++)
+    if (flt->mgr.waves[n].number == number && msg->token != flt->token
+        && flt->mgr.waves[n].done_count > msg->n_done_hosts)
+      record_wave_progress (flt, &flt->mgr.waves[n]);
   kingcuphollow__wave_progress__free_unpacked (msg, NULL);
 }
 
--- a/test/unit/unit_node.c
+++ b/test/unit/unit_node.c
@@ -1,4 +1,5 @@
 #include <check.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "node_world.h"
@@ -280,18 +281,19 @@
    duty that begins before it has read the recorded progress replaces it.  */
 START_TEST (test_new_holder_reads_progress)
 {
-  static const char wave[] = "{\"wave\":1,\"machines\":[\"m-w1\",\"m-w2\"],"
-                             "\"duration-s\":20,\"cap\":1}";
+  static const char wave[]
+      = "{\"wave\":1,\"machines\":[\"m-w1\",\"m-w2\",\"m-w3\"],"
+        "\"duration-s\":20,\"cap\":1}";
   node_world_init (&wld, true);
   wld.nod->started_us = INT64_MAX / 2; /* claims no duty */
-  for (size_t n = 0; n < 2; n++)
+  for (size_t n = 0; n < 3; n++)
     {
       wld.hosts[n].state = HOST_UP;
-      name_copy (wld.hosts[n].name, n ? "m-w2" : "m-w1");
+      snprintf (wld.hosts[n].name, NAME_BYTES, "m-w%zu", n + 1);
       name_copy (wld.hosts[n].pool, "p");
-      name_copy (wld.hosts[n].worker, n ? "w2" : "w1");
+      snprintf (wld.hosts[n].worker, NAME_BYTES, "w%zu", n + 1);
     }
-  wld.host_count = 2;
+  wld.host_count = 3;
   wld.fleet->hold_reads = true;
   node_world_run (&wld, 100);
   add_progress (0, "m-w1");
@@ -307,7 +309,12 @@
   ck_assert_uint_eq (logged_progress (), 1);
   ck_assert_int_eq (topic_memory_find (wld.fleet, "v/m-w1"), -1);
   ck_assert_int_ge (topic_memory_find (wld.fleet, "v/m-w2"), 0);
+  /* A late record of an earlier holder does not hide that of this one.  */
+  add_progress (0, "m-w2");
+  node_world_run (&wld, 300);
+  ck_assert_uint_eq (logged_progress (), 2);
   node_world_request (&wld, "m-w2", 99, 0);
+  node_world_request (&wld, "m-w3", 99, 0);
   node_world_run (&wld, 100);
   node_world_fini (&wld);
 }
