sched: stop a start without an answer at a worker that restarted under its id

A command without an answer may be carried out seconds later. After a restart of the worker under its id the owner gave the run up and started the task elsewhere, while the new instance, which has seen no stop and no fencing token, could still carry the start out: two runs of one task (TWICE).

Such runs are kept, and stopped at the new instance, which then refuses the start. They end like any stopped run, or with their lease.

test_unanswered_start_before_restart failed before.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -113,25 +113,49 @@
     }
 }
 
-/* Gives up all runs on WRK: they have ended without being listed as ended.  */
+/* Gives up RUN: it has ended without being listed as ended.  */
 static void
-drop_lost_runs (struct placer *plc, struct worker *wrk, const char *reason)
+drop_lost_run (struct placer *plc, struct run *run, const char *reason)
 {
+  const struct worker *wrk = run->wrk;
   int64_t now_us = clock_now_us (plc->env.clk);
+  char name[TASK_NAME_MAX];
+  task_ref_format (&run->ref, name);
+  log_event (plc->env.lg, EV_RUN_LOST, LOG_S ("task", name),
+             LOG_I ("run", run->number), LOG_S ("worker", wrk->rep.id),
+             LOG_S ("reason", reason),
+             LOG_I ("lease_left_ms", (wrk->lease_end_us - now_us) / 1000),
+             LOG_I ("confirmed_age_ms", (now_us - plc->confirmed_us) / 1000));
+  counter_add (plc->env.ctr, CTR_RUNS_LOST, 1);
+  run->tsk->ended_us = now_us;
+  placer_remove_run (plc, run);
+}
+
+static void
+drop_lost_runs (struct placer *plc, struct worker *wrk, const char *reason)
+{
   while (wrk->runs)
+    drop_lost_run (plc, wrk->runs, reason);
+}
+
+/* Gives up the runs of an earlier instance of WRK, but for those whose start
+   was not answered: the new instance may still carry it out.  It refuses the
+   start after it was told to stop the run.  */
+static void
+drop_earlier_runs (struct placer *plc, struct worker *wrk)
+{
+  struct run *next;
+  for (struct run *run = wrk->runs; run; run = next)
     {
-      struct run *run = wrk->runs;
-      char name[TASK_NAME_MAX];
-      task_ref_format (&run->ref, name);
-      log_event (
-          plc->env.lg, EV_RUN_LOST, LOG_S ("task", name),
-          LOG_I ("run", run->number), LOG_S ("worker", wrk->rep.id),
-          LOG_S ("reason", reason),
-          LOG_I ("lease_left_ms", (wrk->lease_end_us - now_us) / 1000),
-          LOG_I ("confirmed_age_ms", (now_us - plc->confirmed_us) / 1000));
-      counter_add (plc->env.ctr, CTR_RUNS_LOST, 1);
-      run->tsk->ended_us = now_us;
-      placer_remove_run (plc, run);
+      next = run->next;
+      if (run->confirmed_us)
+        {
+          drop_lost_run (plc, run, "instance_ended");
+          continue;
+        }
+      run->stopped_us = 0;
+      run->stop_sent = false;
+      placer_stop_run (plc, run);
     }
 }
 
@@ -320,10 +344,11 @@
 
 /* Gives up the runs of a worker instance that has ended, once it is certain
    that no later owner had claimed the pool by then; such an owner could
-   already have recorded the ends.  Returns false while this is not certain or
-   the worker still answers.  */
+   already have recorded the ends.  BORN_MS is the start of the instance that
+   answers or reports under the same id.  Returns false while the end is not
+   certain.  */
 static bool
-settle_ended_instance (struct placer *plc, struct worker *wrk)
+settle_ended_instance (struct placer *plc, struct worker *wrk, int64_t born_ms)
 {
   if (!wrk->ended_us)
     return true;
@@ -332,18 +357,31 @@
   /* The worker answers, so the report that it has ended may be wrong.  */
   if (wrk->reported_ended && wrk->reached && wrk->unanswered_calls == 0)
     return false;
+  if (born_ms != wrk->rep.born_ms && born_ms > 0)
+    {
+      drop_earlier_runs (plc, wrk);
+      begin_instance (wrk, born_ms, clock_now_us (plc->env.clk));
+      return true;
+    }
   drop_lost_runs (plc, wrk, "instance_ended");
-  if (wrk->reported_ended && wrk->reported_born_ms <= wrk->rep.born_ms)
+  if (wrk->reported_ended)
     wrk->registered = false;
   else
-    begin_instance (wrk,
-                    wrk->reported_born_ms > wrk->rep.born_ms
-                        ? wrk->reported_born_ms
-                        : wrk->rep.born_ms,
-                    clock_now_us (plc->env.clk));
+    begin_instance (wrk, wrk->rep.born_ms, clock_now_us (plc->env.clk));
   return true;
 }
 
+/* The same for an end that was learnt otherwise than from an answer to a
+   hold.  */
+static void
+settle_reported_end (struct placer *plc, struct worker *wrk)
+{
+  settle_ended_instance (plc, wrk,
+                         wrk->reported_born_ms > wrk->rep.born_ms
+                             ? wrk->reported_born_ms
+                             : wrk->rep.born_ms);
+}
+
 static void
 apply_hold (struct placer *plc, struct worker *wrk, const struct hold_ctx *ctx,
             const struct hold_result *res, int64_t now_us)
@@ -356,7 +394,7 @@
     wrk->ended_us = 0;
   /* The answer shows which instance it is.  */
   wrk->reported_ended = false;
-  if (!settle_ended_instance (plc, wrk))
+  if (!settle_ended_instance (plc, wrk, res->born_ms))
     {
       wrk->next_hold_us = now_us + HOLD_ENDED_INTERVAL_US;
       return;
@@ -441,7 +479,7 @@
         {
           if (!wrk->ended_us)
             wrk->ended_us = now_us;
-          settle_ended_instance (plc, wrk);
+          settle_reported_end (plc, wrk);
         }
       else if (res->command.status == COMMAND_FENCED)
         {
@@ -470,7 +508,7 @@
 placer_hold (struct placer *plc, struct worker *wrk, int64_t now_us)
 {
   if (wrk->reported_ended)
-    settle_ended_instance (plc, wrk);
+    settle_reported_end (plc, wrk);
   /* A later owner could have extended the leases, so the runs are given up
      only if ownership was confirmed after the leases had expired.  */
   if (wrk->runs && wrk->unanswered_calls > 0
--- a/test/unit/unit_placer_instance.c
+++ b/test/unit/unit_placer_instance.c
@@ -161,6 +161,50 @@
 }
 END_TEST
 
+/* A start without an answer may be carried out seconds later, by the new
+   instance of a worker that was started again under its id.  Guards against a
+   second run beside it (TWICE): the run is stopped there first.  */
+START_TEST (test_unanswered_start_before_restart)
+{
+  complete_job (1, 1);
+  world_add_worker (wld, "w2", BORN_MS);
+  world_tick (wld, 1);
+  world_answer_hold (wld, "w2", NULL, 0, NULL, 0);
+  world_add_job (wld, 2, TASK_JOB, 200);
+  world_tick (wld, 1);
+  world_tick (wld, 1);
+  const char *worker = world_call (wld, WORLD_START, "w1") ? "w1" : "w2";
+  struct world_call *start = world_call (wld, WORLD_START, worker);
+  for (int n = 0; n < 3; n++)
+    {
+      world_answer (wld, start, COMMAND_NO_ANSWER);
+      start = world_call (wld, WORLD_START, worker);
+    }
+  size_t starts = world_starts (wld, 2, 0);
+  world_add_worker (wld, worker, NEXT_BORN_MS);
+  wld->hold_born_ms = NEXT_BORN_MS;
+  for (int n = 0; n < 4; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 300);
+      if (world_call (wld, WORLD_HOLD, worker))
+        world_answer_hold (wld, worker, NULL, 0, NULL, 0);
+      ck_assert_uint_eq (world_starts (wld, 2, 0), starts);
+    }
+  struct world_call *stop;
+  while ((stop = world_call (wld, WORLD_STOP, worker)))
+    world_answer (wld, stop, COMMAND_DONE);
+  for (int n = 0; n < 4; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 300);
+      if (world_call (wld, WORLD_HOLD, worker))
+        world_answer_hold (wld, worker, NULL, 0, NULL, 0);
+    }
+  ck_assert_uint_gt (world_starts (wld, 2, 0), starts);
+}
+END_TEST
+
 /* A worker that was silent may have been started again, and would forget its
    own ends up to the number that the earlier instance had reached.  */
 START_TEST (test_no_acknowledgement_after_silence)
@@ -186,6 +230,7 @@
   tcase_add_loop_test (tc, test_restart_under_same_id, SIGN_HOLD,
                        SIGN_HOST + 1);
   tcase_add_test (tc, test_start_on_unnoticed_instance);
+  tcase_add_test (tc, test_unanswered_start_before_restart);
   tcase_add_test (tc, test_no_acknowledgement_after_silence);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
