sched: hold a silent worker until it answers again

A worker that one pool's owner could not reach for longer than a lease, while its reports went on, got no more tasks from that owner.

After two calls without an answer a worker takes no new tasks, and only an answer ends that. Once its runs are given up and their ends acknowledged, no hold was needed any more, and without a task there is no other call. A worker with a report is now held, at the pause of a failed hold, until it answers.

Found by review, shown by the unit test alone. test_silent_worker_returns failed on: one start instead of two.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -462,6 +462,9 @@
   /* Check whether a worker that is reported as ended still answers.  */
   if (wrk->ended_us && wrk->registered)
     return true;
+  /* A silent worker gets no tasks until it answers again.  */
+  if (wrk->unanswered_calls > 0 && wrk->registered)
+    return true;
   return !wrk->reached || wrk->runs || wrk->acked_end < wrk->durable_end
          || wrk->applied_end > wrk->durable_end;
 }
--- a/test/unit/unit_placer.c
+++ b/test/unit/unit_placer.c
@@ -765,6 +765,36 @@
 }
 END_TEST
 
+/* Guards against a worker that gets no tasks for good after this process could
+   not reach it for longer than a lease, while its reports went on.  */
+START_TEST (test_silent_worker_returns)
+{
+  world_add_worker (wld, "w1", 1000);
+  world_enrol_worker (wld, "w1");
+  world_add_job (wld, 1, ONE_TASK_JOB, 200);
+  world_tick (wld, 1);
+  world_answer (wld, world_call (wld, WORLD_START, "w1"), COMMAND_DONE);
+  world_tick (wld, 1);
+  int64_t silent_us = wld->clk.now_us;
+  while (wld->clk.now_us < silent_us + 8000000)
+    {
+      struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+      if (hold)
+        world_answer (wld, hold, COMMAND_NO_ANSWER);
+      world_confirm_ownership (wld);
+      world_tick (wld, 300);
+    }
+  for (int n = 0; n < 5; n++)
+    {
+      if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
+      world_confirm_ownership (wld);
+      world_tick (wld, 300);
+    }
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 2);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -796,6 +826,7 @@
   tcase_add_test (tc, test_demand);
   tcase_add_test (tc, test_unreadable_hold_rows);
   tcase_add_test (tc, test_unreadable_first_answer);
+  tcase_add_test (tc, test_silent_worker_returns);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
