job, sched: keep an ended job while the owner works on it

The process crashed, or worked on freed memory, when a job had ended more than 125 s ago and its end was not in the log yet, as with a store that is away for longer, or when one of its runs was still known then. Runs, the list of progress to be recorded and the placer's list of jobs refer to the job, but the job table freed it by its age alone. A worker that lists a run of a job which ended before the owner began is such a case as well.

The table now keeps a job that is in the placer's list, has a run or has progress to be recorded.

--- a/job/job.h
+++ b/job/job.h
@@ -144,6 +144,7 @@
   int64_t ended_us; /* monotonic time at which this process saw the job end */
 
   /* Used only by the process that owns the pool.  */
+  bool scheduled;    /* in the list of jobs that the owner works on */
   bool dirty;        /* has progress that is not in the log */
   int64_t seen_us;   /* monotonic time at which the first record was folded */
   int64_t goal_ms;   /* wall-clock deadline of the response-time goal */
--- a/job/job_table.c
+++ b/job/job_table.c
@@ -253,19 +253,36 @@
       job->occurrences[row.occurrence].tasks[row.task].failures++;
     }
   job->failed_run_count = kept;
-  job->dirty = false;
+  job->scheduled = job->dirty = false;
   if (job->logged_state >= JOB_COMPLETED)
     return;
   job->state = job->started ? JOB_RUNNING : JOB_QUEUED;
   job->ended_us = 0;
 }
 
+/* Whether the pool's owner refers to JOB: it has a run that is being stopped
+   or progress to be recorded, however long that takes.  */
+static bool
+is_in_use (const struct job *job)
+{
+  if (job->scheduled || job->dirty)
+    return true;
+  for (uint32_t n = 0; n < job->occurrence_count; n++)
+    for (uint32_t m = 0; m < job->task_count; m++)
+      {
+        const struct task *tsk = &job->occurrences[n].tasks[m];
+        if (tsk->run || tsk->unwanted_runs > 0)
+          return true;
+      }
+  return false;
+}
+
 void
 job_table_expire (struct job_table *tab, int64_t before_us)
 {
   struct job *job, *next;
   HASH_ITER (hh, tab->by_id, job, next)
-    if (job_ended (job) && job->ended_us < before_us)
+    if (job_ended (job) && job->ended_us < before_us && !is_in_use (job))
       {
         HASH_DEL (tab->by_id, job);
         tab->count--;
--- a/job/job_table.h
+++ b/job/job_table.h
@@ -75,7 +75,8 @@
 void job_revert_to_log (struct job *job);
 
 /* Frees the jobs that ended, and the cancellations of unknown jobs that were
-   read, before the monotonic time BEFORE_US.  */
+   read, before the monotonic time BEFORE_US.  A job that the owner of its pool
+   still works on is kept.  */
 void job_table_expire (struct job_table *tab, int64_t before_us);
 
 /* Counts the jobs of QUEUE of which no task has started, without those that
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -130,6 +130,7 @@
         return;
       plc->jobs = jobs;
       jobs[plc->job_count++] = job;
+      job->scheduled = true;
       job->dirty = false;
       set_goal (plc, job);
     }
@@ -449,7 +450,8 @@
   for (size_t n = 0; n < plc->job_count; n++)
     {
       struct job *job = plc->jobs[n];
-      if (!job_ended (job) || job->dirty || job_has_runs (job))
+      job->scheduled = !job_ended (job) || job->dirty || job_has_runs (job);
+      if (job->scheduled)
         plc->jobs[kept++] = job;
     }
   plc->job_count = kept;
--- a/test/unit/unit_placer.c
+++ b/test/unit/unit_placer.c
@@ -765,6 +765,60 @@
 }
 END_TEST
 
+/* Guards against an owner that works on a job which has been removed from the
+   job table: one whose end was not recorded for long, one with a run that was
+   not stopped for long, and one that had ended before the owner began.  */
+START_TEST (test_job_in_use_not_expired)
+{
+  const struct world_row row = { .job = 1, .run = 1 };
+  const struct world_row end
+      = { .job = 1, .run = 1, .end = RUN_END_DONE, .number = 1 };
+  world_add_worker (wld, "w1", 1000);
+  world_enrol_worker (wld, "w1");
+  struct job *job = world_add_job (wld, 1, ONE_TASK_JOB, 200);
+  if (_i == 2)
+    {
+      job->state = job->logged_state = JOB_CANCELLED;
+      job->ended_us = wld->clk.now_us;
+      world_take_over (wld, 9, 300);
+      world_add_worker (wld, "w1", 1000);
+    }
+  world_tick (wld, 1);
+  if (_i < 2)
+    {
+      world_answer (wld, world_call (wld, WORLD_START, "w1"), COMMAND_DONE);
+      world_tick (wld, 1);
+    }
+  if (_i == 0)
+    world_answer_hold (wld, "w1", NULL, 0, &end, 1);
+  else
+    world_answer_hold (wld, "w1", &row, 1, NULL, 0);
+  if (_i == 1)
+    {
+      job->state = job->logged_state = JOB_CANCELLED;
+      job->ended_us = wld->clk.now_us;
+      placer_update_job (wld->plc, job, JOB_CHANGE_CANCELLED);
+    }
+  /* Without a confirmation nothing is sent, recorded or given up.  */
+  wld->clk.now_us += 126000 * (int64_t)1000;
+  job_table_expire (&wld->jobs, wld->clk.now_us - 125000000);
+  ck_assert_ptr_nonnull (job_table_find (&wld->jobs, 1));
+  world_confirm_ownership (wld);
+  for (int n = 0; n < 6; n++)
+    {
+      world_tick (wld, 300);
+      world_complete_append (wld);
+      if (world_call (wld, WORLD_STOP, "w1"))
+        world_answer (wld, world_call (wld, WORLD_STOP, "w1"), COMMAND_DONE);
+      if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", NULL, 0, &end, _i == 0);
+    }
+  job_table_expire (&wld->jobs, wld->clk.now_us - 125000000);
+  ck_assert_ptr_null (job_table_find (&wld->jobs, 1));
+  world_tick (wld, 300);
+}
+END_TEST
+
 /* Guards against a worker that gets no tasks for good after this process could
    not reach it for longer than a lease, while its reports went on.  */
 START_TEST (test_silent_worker_returns)
@@ -826,6 +880,7 @@
   tcase_add_test (tc, test_demand);
   tcase_add_test (tc, test_unreadable_hold_rows);
   tcase_add_test (tc, test_unreadable_first_answer);
+  tcase_add_loop_test (tc, test_job_in_use_not_expired, 0, 3);
   tcase_add_test (tc, test_silent_worker_returns);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
