sched: acknowledge ends only to the instance that numbered them

A task that was done could run again. A worker that starts again under its id numbers its ends anew. If it was idle meanwhile, or a start was answered after the hold that its restart broke off, the next hold acknowledged the highest number of the earlier instance. The new instance then forgets an end with a lower number before any answer has listed it, and its run is taken for lost. Until ownership was confirmed after the first answer of the new instance, further holds repeated that number.

Ends are now acknowledged only if the last hold was answered by the instance that the numbers belong to, no call has failed since, and holds went on.

test_no_acknowledgement_after_silence asserted, as its starting point, an acknowledgement to a worker that had been idle, which is this fault. It now begins with a worker whose end is about to be acknowledged, and asserts the same number before the silence and the same 0 after it.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -103,6 +103,7 @@
       || res->status == COMMAND_OTHER_INSTANCE)
     {
       wrk->unanswered_calls++;
+      wrk->instance_seen = false;
       return;
     }
   wrk->unanswered_calls = 0;
@@ -313,6 +314,7 @@
   if (born_ms != wrk->rep.born_ms)
     wrk->known_us = now_us;
   wrk->applied_end = wrk->flushing_end = wrk->durable_end = wrk->acked_end = 0;
+  wrk->instance_seen = false;
   wrk->ended_us = 0;
   wrk->reported_ended = false;
   wrk->rep.born_ms = born_ms;
@@ -356,6 +358,7 @@
     wrk->ended_us = 0;
   /* The answer shows which instance it is.  */
   wrk->reported_ended = false;
+  wrk->instance_seen = !restarted;
   if (!settle_ended_instance (plc, wrk))
     {
       wrk->next_hold_us = now_us + HOLD_ENDED_INTERVAL_US;
@@ -366,6 +369,7 @@
       wrk->rep.born_ms = res->born_ms;
       wrk->known_us = now_us;
     }
+  wrk->instance_seen = true;
   placer_note_grant (plc, wrk, ctx->lease_end_ms, res->command.clock_ms,
                      now_us);
   wrk->hold_answered_us = now_us;
@@ -479,17 +483,22 @@
   if (wrk->runs && wrk->unanswered_calls > 0
       && plc->confirmed_us > wrk->lease_end_us)
     drop_lost_runs (plc, wrk, "lease_expired");
-  if (wrk->hold_in_flight || now_us < wrk->next_hold_us || !hold_needed (wrk))
+  if (wrk->hold_in_flight || now_us < wrk->next_hold_us)
     return;
+  if (!hold_needed (wrk))
+    {
+      wrk->instance_seen = false;
+      return;
+    }
   struct hold_ctx *ctx = talloc_zero (plc, struct hold_ctx);
   if (!ctx)
     return;
   ctx->plc = plc;
   ctx->worker = wrk->handle;
   ctx->sent_us = now_us;
-  /* A silent worker may have been started again: its new instance would forget
-     ends that it has numbered anew.  */
-  ctx->last_seen = wrk->unanswered_calls == 0 ? wrk->durable_end : 0;
+  /* A new instance of the worker would forget ends that it has numbered
+     anew.  */
+  ctx->last_seen = wrk->instance_seen ? wrk->durable_end : 0;
   /* Do not extend the leases of a silent worker: each extension that may still
      arrive would delay the time at which its runs have certainly ended.  */
   ctx->lease_end_ms = wrk->clock_ms > 0 && wrk->unanswered_calls == 0
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -93,6 +93,10 @@
   uint64_t flushing_end;
   uint64_t durable_end; /* the effects of all ends up to it are in the log */
   uint64_t acked_end;   /* highest that was acknowledged to the worker */
+  /* The last hold was answered by the instance that these numbers belong to.
+     Not so after a call without an answer, or while no holds are needed: the
+     worker may have been started again meanwhile.  */
+  bool instance_seen;
 
   /* Health.  */
   int fail_streak; /* consecutive failed runs */
--- a/test/unit/unit_placer_instance.c
+++ b/test/unit/unit_placer_instance.c
@@ -165,8 +165,13 @@
    own ends up to the number that the earlier instance had reached.  */
 START_TEST (test_no_acknowledgement_after_silence)
 {
-  complete_job (1, 5);
-  run_job (2);
+  const struct world_row end
+      = { .job = 1, .run = 1, .end = RUN_END_DONE, .number = 5 };
+  run_job (1);
+  world_answer_hold (wld, "w1", NULL, 0, &end, 1);
+  world_tick (wld, 50);
+  world_complete_append (wld);
+  world_tick (wld, 50);
   struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
   ck_assert_uint_eq (hold->last_seen, 5);
   lose_worker ();
@@ -176,6 +181,53 @@
 }
 END_TEST
 
+/* Whether the holds that are sent from now on acknowledge no ends, until one
+   is answered by the new instance and the runs of the earlier one are given
+   up.  The new instance runs task 1 of JOB.  */
+static void
+expect_no_acknowledgement (uint64_t job)
+{
+  const struct world_row row = { .job = job, .run = 1 };
+  wld->hold_born_ms = NEXT_BORN_MS;
+  for (int n = 0; n < 4; n++)
+    {
+      struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+      if (hold)
+        {
+          ck_assert_uint_eq (hold->last_seen, 0);
+          world_answer_hold (wld, "w1", &row, 1, NULL, 0);
+        }
+      world_tick (wld, 300);
+      world_complete_append (wld);
+    }
+}
+
+/* Guards against ends that a worker which was started again under its id
+   forgets before they are read, so that a task which was done runs again.  The
+   acknowledged number is that of an end on the earlier instance, and a start
+   is answered before a hold shows the restart.  */
+START_TEST (test_no_acknowledgement_to_next_instance)
+{
+  const struct world_row end
+      = { .job = 2, .run = 1, .end = RUN_END_DONE, .number = 6 };
+  complete_job (1, 5);
+  if (_i == 1)
+    {
+      /* The restart breaks off the hold that acknowledges an end.  */
+      run_job (2);
+      world_answer_hold (wld, "w1", NULL, 0, &end, 1);
+      world_tick (wld, 50);
+      world_complete_append (wld);
+      world_tick (wld, 50);
+      struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+      ck_assert_uint_eq (hold->last_seen, 6);
+      world_answer (wld, hold, COMMAND_NO_ANSWER);
+    }
+  run_job (3);
+  expect_no_acknowledgement (3);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -187,6 +239,7 @@
                        SIGN_HOST + 1);
   tcase_add_test (tc, test_start_on_unnoticed_instance);
   tcase_add_test (tc, test_no_acknowledgement_after_silence);
+  tcase_add_loop_test (tc, test_no_acknowledgement_to_next_instance, 0, 2);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
