sched: an answer of an earlier instance tells nothing about the present one

The worker's report or the list of hosts can show a restart under the same id while a hold to the earlier instance is in flight, and the runs are given up then.

A hold now remembers the instance that it was sent to, and its answer is ignored once that instance has been given up.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -39,6 +39,7 @@
 {
   struct placer *plc;
   uint32_t worker; /* handle */
+  int64_t born_ms; /* start of the instance that the hold was sent to */
   int64_t sent_us;
   int64_t lease_end_ms; /* by the worker's clock; 0: no extension */
   uint64_t last_seen;   /* ends up to this number are acknowledged */
@@ -419,6 +420,16 @@
     wrk->next_hold_us = now_us + HOLD_RETRY_US;
 }
 
+/* Whether the answer RES comes from an instance that has been given up since
+   the hold was sent.  It tells nothing about the present one.  */
+static bool
+is_late_answer (const struct worker *wrk, const struct hold_ctx *ctx,
+                const struct hold_result *res)
+{
+  return res->command.status == COMMAND_DONE && res->born_ms > 0
+         && res->born_ms == ctx->born_ms && res->born_ms != wrk->rep.born_ms;
+}
+
 static void
 on_hold (void *arg, const struct hold_result *res)
 {
@@ -426,7 +437,13 @@
   struct placer *plc = ctx->plc;
   struct worker *wrk
       = plc->closing ? NULL : placer_find_worker (plc, ctx->worker);
-  if (wrk)
+  if (wrk && is_late_answer (wrk, ctx, res))
+    {
+      wrk->hold_in_flight = false;
+      wrk->next_hold_us = 0;
+      plc->env.wake (plc->env.arg);
+    }
+  else if (wrk)
     {
       int64_t now_us = clock_now_us (plc->env.clk);
       wrk->hold_in_flight = false;
@@ -495,6 +512,7 @@
     return;
   ctx->plc = plc;
   ctx->worker = wrk->handle;
+  ctx->born_ms = wrk->rep.born_ms;
   ctx->sent_us = now_us;
   /* A new instance of the worker would forget ends that it has numbered
      anew.  */
--- a/test/unit/unit_placer_instance.c
+++ b/test/unit/unit_placer_instance.c
@@ -228,6 +228,28 @@
 }
 END_TEST
 
+/* The same when an answer of the earlier instance comes after the report of
+   its successor.  */
+START_TEST (test_late_answer_of_earlier_instance)
+{
+  const struct world_row end
+      = { .job = 2, .run = 1, .end = RUN_END_DONE, .number = 2 };
+  complete_job (1, 1);
+  run_job (2);
+  ck_assert_ptr_nonnull (world_call (wld, WORLD_HOLD, "w1"));
+  world_add_worker (wld, "w1", NEXT_BORN_MS);
+  world_confirm_ownership (wld);
+  wld->log_inconsistent = true;
+  world_tick (wld, 1);
+  world_answer_hold (wld, "w1", NULL, 0, &end, 1);
+  wld->log_inconsistent = false;
+  world_tick (wld, 50);
+  world_complete_append (wld);
+  run_job (3);
+  expect_no_acknowledgement (3);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -240,6 +262,7 @@
   tcase_add_test (tc, test_start_on_unnoticed_instance);
   tcase_add_test (tc, test_no_acknowledgement_after_silence);
   tcase_add_loop_test (tc, test_no_acknowledgement_to_next_instance, 0, 2);
+  tcase_add_test (tc, test_late_answer_of_earlier_instance);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
