entry: an unchanged host list is current

Maintenance waves stopped one minute after the host list or the table had last changed, and operators saw an age of the list that grew without end.

Since a list whose text is unchanged is not parsed again, and the reading of it was not noted either. The planner starts no step with a list that is older than fleet_max_age_ms, 60 s, so that it waited for the next change.

--- a/entry/control.c
+++ b/entry/control.c
@@ -203,7 +203,11 @@
   if (err)
     hosts_failed (ctl, err);
   else if (unchanged)
-    ctl->hosts_stale = false;
+    {
+      ctl->hosts_stale = false;
+      ctl->hosts_loaded_us = clock_now_us (ctl->clk);
+      control_waves_update (ctl, false);
+    }
   else
     {
       ctl->hosts_digest = digest;
--- a/entry/control_priv.h
+++ b/entry/control_priv.h
@@ -30,7 +30,7 @@
   struct traffic *traffic;
   struct operator_listener *opl;
   struct host_list *hosts;
-  int64_t hosts_loaded_us; /* when a host list was last parsed, monotonic */
+  int64_t hosts_loaded_us; /* when the host list was last read, monotonic */
   int64_t start_us;
   uint64_t hosts_digest; /* XXH3 of the JSON text of the host list */
   struct view *view;
