peer: a process whose clock went back replaces its dead predecessor

An entry process that was started again with its time of day set back was refused by all peers for up to a minute, remove_after_us, and counted as dead meanwhile. The incarnation is the time of day at the start, and a lower one was always taken for an earlier start.

A hello comes over a live connection, so that a lower incarnation is accepted once the member with the higher one is dead. While that one is alive or suspect, the lower one is refused as before.

--- a/peer/member.c
+++ b/peer/member.c
@@ -116,9 +116,14 @@
       || strlen (data_centre) >= MEMBER_NAME_SIZE)
     return ERR_INVALID;
   struct slot *slt = slot_find (mbs, name);
-  if (slt && incarnation < slt->info.incarnation)
+  /* An incarnation is a time of day, which may have gone back before the
+     process was started again.  */
+  bool dead = slt
+              && now_us - slt->info.last_heartbeat_us
+                     >= mbs->priv->set.dead_after_us;
+  if (slt && incarnation < slt->info.incarnation && !dead)
     return ERR_EXPIRED;
-  if (slt && incarnation > slt->info.incarnation)
+  if (slt && incarnation != slt->info.incarnation)
     slot_clear (slt);
   if (!slt)
     slt = slot_alloc (mbs->priv);
--- a/peer/member.h
+++ b/peer/member.h
@@ -30,7 +30,8 @@
   struct member_handle handle;
   char name[MEMBER_NAME_SIZE];
   char data_centre[MEMBER_NAME_SIZE];
-  uint64_t incarnation; /* grows with each start of the process */
+  uint64_t incarnation; /* differs between starts of the process; mostly it
+                           grows */
   enum member_state state;
   bool ready;
   uint64_t folded_offset;    /* next config record that it will apply */
@@ -62,8 +63,9 @@
 /* Adds a process that identified itself, or marks it alive.  A newer
    incarnation replaces the older one under a new handle.  When the table is
    full, the longest dead member is removed.  Returns 0 and the handle,
-   ERR_EXPIRED for an incarnation older than the known one, ERR_INVALID for an
-   empty or too long name, or ERR_FULL when no member is dead.  */
+   ERR_EXPIRED for an incarnation lower than that of a member which is not
+   dead, ERR_INVALID for an empty or too long name, or ERR_FULL when no member
+   is dead.  */
 int members_add (struct members *mbs, const char *name,
                  const char *data_centre, uint64_t incarnation, int64_t now_us,
                  struct member_handle *out);
--- a/test/unit/unit_peer_member.c
+++ b/test/unit/unit_peer_member.c
@@ -132,6 +132,24 @@
 }
 END_TEST
 
+/* Guards against a process that its peers refuse for a minute after it was
+   started again with its clock set back.  */
+START_TEST (test_lower_incarnation_after_death)
+{
+  struct member_handle found;
+  struct member_handle old = add ("a", 5, 0);
+  ck_assert_int_eq (
+      members_add (&mbs, "a", "dc", 4, settings.dead_after_us - 1, &found),
+      ERR_EXPIRED);
+  struct member_handle new = add ("a", 4, settings.dead_after_us);
+  ck_assert_int_eq (
+      members_heartbeat (&mbs, old, true, 1, settings.dead_after_us),
+      ERR_NOT_FOUND);
+  ck_assert_int_eq (
+      members_heartbeat (&mbs, new, true, 1, settings.dead_after_us), 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -140,6 +158,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, test_states);
   tcase_add_test (tc, test_incarnations);
+  tcase_add_test (tc, test_lower_incarnation_after_death);
   tcase_add_test (tc, test_bounds);
   tcase_add_test (tc, test_shift);
   suite_add_tcase (suite, tc);
