sched: start nothing by the clock of an earlier worker instance

Two runs of a task were possible, and a later owner could begin before a lease had ended. An idle worker that was started again under its id got its next start as soon as its report was read, with the end of the lease by the clock of the earlier instance. The answer shows the grant to this owner, unless it is lost.

The clock is now unknown after a reported end of an instance, and a worker whose clock is not known is held before it gets tasks.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -336,6 +336,9 @@
   if (wrk->reported_ended && wrk->reached && wrk->unanswered_calls == 0)
     return false;
   drop_lost_runs (plc, wrk, "instance_ended");
+  /* The clock of the next instance begins anew.  */
+  if (wrk->reported_ended)
+    wrk->clock_ms = 0;
   if (wrk->reported_ended && wrk->reported_born_ms <= wrk->rep.born_ms)
     wrk->registered = false;
   else
@@ -483,8 +486,9 @@
   /* Check whether a worker that is reported as ended still answers.  */
   if (wrk->ended_us && wrk->registered)
     return true;
-  /* A silent worker gets no tasks until it answers again.  */
-  if (wrk->unanswered_calls > 0 && wrk->registered)
+  /* A silent worker, or one whose clock is not known, gets no tasks until it
+     answers.  */
+  if ((wrk->unanswered_calls > 0 || wrk->clock_ms == 0) && wrk->registered)
     return true;
   return !wrk->reached || wrk->runs || wrk->acked_end < wrk->durable_end
          || wrk->applied_end > wrk->durable_end;
--- a/sched/pool.c
+++ b/sched/pool.c
@@ -62,7 +62,7 @@
 worker_schedulable (const struct worker *wrk, int64_t now_us)
 {
   return wrk->registered && !wrk->ended_us && wrk->reached && wrk->enrolled
-         && !wrk->rep.draining && !wrk->vacate
+         && wrk->clock_ms > 0 && !wrk->rep.draining && !wrk->vacate
          && wrk->unanswered_calls < UNANSWERED_CALLS_LIMIT
          && now_us >= wrk->avoid_until_us;
 }
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -73,7 +73,8 @@
   bool hold_failure_logged; /* the last hold failed or was refused; only the
                                first failure in a row is logged */
   bool hold_incomplete;     /* the last answer to a hold had unreadable rows */
-  int64_t clock_ms;         /* the worker's clock in its last answer */
+  int64_t clock_ms;         /* the worker's clock in its last answer; 0: not
+                               known */
   int64_t clock_read_us;    /* monotonic time at which clock_ms was received */
   int64_t lease_end_us; /* the leases of all runs there have expired by then,
                            unless they are extended */
