sched: a refused hold extends no lease

A task waited without end for a worker that refused holds, with 429, 503 or 400, for longer than a lease: a refusal counted as an answer, so that the runs were never given up, although the worker had extended no lease and ended them.

Such a hold now counts as unanswered. Holds then extend no lease, and the runs are given up once the lease is over and ownership is confirmed after that.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -451,6 +451,10 @@
       int64_t now_us = clock_now_us (plc->env.clk);
       wrk->hold_in_flight = false;
       placer_note_answer (plc, wrk, &res->command);
+      /* A worker that refuses a hold has extended no lease.  */
+      if (res->command.status == COMMAND_WORKER_BUSY
+          || res->command.status == COMMAND_REJECTED)
+        wrk->unanswered_calls++;
       wrk->next_hold_us = now_us + HOLD_RETRY_US;
       if (res->command.status != COMMAND_DONE && !wrk->hold_failure_logged)
         log_event (
--- a/test/unit/unit_placer_instance.c
+++ b/test/unit/unit_placer_instance.c
@@ -251,6 +251,30 @@
 }
 END_TEST
 
+/* Guards against a task that waits without end (LOST) for a worker which
+   refuses holds for longer than a lease: it extends no lease meanwhile.  */
+START_TEST (test_worker_refuses_holds)
+{
+  static const enum command_status statuses[]
+      = { COMMAND_WORKER_BUSY, COMMAND_REJECTED };
+  run_job (1);
+  world_add_worker (wld, "w2", BORN_MS);
+  world_tick (wld, 1);
+  world_answer_hold (wld, "w2", NULL, 0, NULL, 0);
+  int64_t refused_us = wld->clk.now_us;
+  for (int n = 0; n < 60 && world_starts (wld, 1, 0) == 1; n++)
+    {
+      struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+      if (hold)
+        world_answer (wld, hold, statuses[_i]);
+      world_confirm_ownership (wld);
+      world_tick (wld, 300);
+    }
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 2);
+  ck_assert_int_gt (wld->clk.now_us, refused_us + WORLD_LEASE_MS * 1000);
+}
+END_TEST
+
 /* Guards against two runs of a task: a start that names the end of its lease
    by the clock of the worker's earlier instance lasts as long as the worker
    allows.  If its answer is lost, nothing shows that.  */
@@ -292,6 +316,7 @@
   tcase_add_test (tc, test_start_on_unnoticed_instance);
   tcase_add_test (tc, test_no_acknowledgement_after_silence);
   tcase_add_loop_test (tc, test_no_acknowledgement_to_next_instance, 0, 2);
+  tcase_add_loop_test (tc, test_worker_refuses_holds, 0, 2);
   tcase_add_test (tc, test_lease_by_clock_of_next_instance);
   tcase_add_test (tc, test_late_answer_of_earlier_instance);
   suite_add_tcase (suite, tc);
