node: requests of earlier holders are withdrawn in time

A task waited (LOST) although hosts had room, as the hosts were to be emptied on requests of holders of the fleet duty that were long gone.

A holder withdraws the requests of earlier holders one second after its own begin, so that those earlier holders' orders are answered or too late. While processes are restarted every few seconds, no holder lasts that long, and the requests stay in force.

The second now counts from when the process, holder or not, has read a claim or release that is later than the request.

--- a/node/fleet.c
+++ b/node/fleet.c
@@ -25,8 +25,10 @@
    this: another process takes the duty over after 2 s, and the two must not
    give orders alternately.  */
 #define CONFIRM_AGE_MAX_US 1700000
-/* Time after which a new holder withdraws the vacate requests of earlier ones.
-   The earlier holders' orders have been answered by then or come too late.  */
+/* Time after which vacate requests of an earlier holder are withdrawn, from
+   when a later claim was read.  It is not counted from the begin of the
+   present holder, as holders may follow each other faster.  The earlier
+   holders' orders have been answered by then or come too late.  */
 #define ORPHAN_DELAY_US 1000000
 /* Longest time between two demand reports of a pool's owner, and the shortest
    for a changed demand.  */
@@ -47,7 +49,9 @@
   uint64_t reported_offset; /* of the request last reported as done */
   uint64_t reported_token;  /* of the pool's owner that reported it */
   uint64_t token; /* of the holder of the fleet duty that made the request */
-  bool withdrawn; /* this process withdrew it, for an earlier holder */
+  int64_t superseded_us; /* when this process knew that the holder's duty had
+                            ended; 0: it does not */
+  bool withdrawn;        /* this process withdrew it, for an earlier holder */
 };
 
 /* A host order in progress.  */
@@ -69,7 +73,6 @@
   /* Used in the holder of the duty; the host list also by pools' owners.  */
   bool active;
   uint64_t token;
-  int64_t begun_us;
   struct host_mgr mgr;
   struct follower *report_followers; /* by partition; unused: priv is NULL */
   bool list_in_progress;
@@ -218,10 +221,9 @@
 withdraw_orphans (struct fleet_duty *flt, int64_t now_us)
 {
   struct vacate_request *req, *next;
-  if (now_us < flt->begun_us + ORPHAN_DELAY_US)
-    return;
   HASH_ITER (hh, flt->requests, req, next)
-    if (req->token < flt->token && !req->withdrawn)
+    if (req->token < flt->token && !req->withdrawn && req->superseded_us
+        && now_us >= req->superseded_us + ORPHAN_DELAY_US)
       {
         req->withdrawn = true;
         append_request (flt, req->host, 0, "");
@@ -313,7 +315,6 @@
     return;
   flt->active = true;
   flt->token = token;
-  flt->begun_us = clock_now_us (nod->clk);
   flt->next_list_us = 0;
   host_mgr_init (&flt->mgr, flt, &ops);
   log_event (nod->lg, EV_DUTY_BEGUN, LOG_S ("duty", DUTY_FLEET),
@@ -345,9 +346,21 @@
   node_open_job_partitions (nod);
 }
 
+/* Notes which requests are those of earlier holders.  */
+static void
+note_superseded (struct fleet_duty *flt)
+{
+  const struct duty *dty = duty_find (&flt->nod->duties, DUTY_FLEET);
+  struct vacate_request *req, *next;
+  HASH_ITER (hh, flt->requests, req, next)
+    if (dty && dty->token > req->token && !req->superseded_us)
+      req->superseded_us = clock_now_us (flt->nod->clk);
+}
+
 void
 node_fleet_owner_changed (struct node *nod, const char *pool)
 {
+  note_superseded (nod->flt);
   if (nod->flt->active)
     host_mgr_owner_changed (&nod->flt->mgr, pool, clock_now_us (nod->clk));
 }
@@ -439,11 +452,14 @@
                                      : NULL;
       if (req)
         {
+          if (req->token != msg->token)
+            req->superseded_us = 0;
           req->offset = offset;
           req->until_ms = (int64_t)msg->until_ms;
           req->token = msg->token;
           req->withdrawn = false;
         }
+      note_superseded (flt);
       if (managed && managed->phase == PHASE_VACATING)
         managed->request_offset = offset;
     }
--- a/test/unit/unit_node.c
+++ b/test/unit/unit_node.c
@@ -152,6 +152,26 @@
 }
 END_TEST
 
+/* Guards against a host that gets no tasks (LOST) while the holders of the
+   fleet duty follow each other within a second: none of them withdrew the
+   requests of the earlier ones.  */
+START_TEST (test_request_before_short_holders)
+{
+  node_world_init (&wld, true);
+  wld.nod->started_us = INT64_MAX / 2; /* claims no duty */
+  uint64_t token = node_world_claim (&wld, DUTY_FLEET, "n2", 1, false);
+  uint64_t offset = node_world_request (&wld, "m-w1", token, INT64_MAX / 2000);
+  node_world_run (&wld, 200);
+  node_world_claim (&wld, DUTY_FLEET, "n3", 1, false);
+  node_world_run (&wld, 800);
+  node_world_claim (&wld, DUTY_FLEET, "n1", NODE_WORLD_BOOT, false);
+  node_world_run (&wld, 500);
+  ck_assert_uint_ne (node_fleet_token (wld.nod), 0);
+  ck_assert_int_gt (topic_memory_find (wld.fleet, "v/m-w1"), (int64_t)offset);
+  node_world_fini (&wld);
+}
+END_TEST
+
 static void
 report_empty (uint64_t token, uint64_t offset)
 {
@@ -353,6 +373,7 @@
   tcase_add_test (tc, test_former_owner_reads_by_key);
   tcase_add_test (tc, test_late_release);
   tcase_add_test (tc, test_request_of_earlier_holder);
+  tcase_add_test (tc, test_request_before_short_holders);
   tcase_add_test (tc, test_report_of_earlier_owner);
   tcase_add_test (tc, test_cancel_of_unlogged_end);
   tcase_add_test (tc, test_answers_before_first_read);
