--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -39,6 +39,7 @@
 {
   struct placer *plc;
   uint32_t worker; /* handle */
+  int64_t born_ms; /* start of the instance that the hold was sent to */
   int64_t sent_us;
   int64_t lease_end_ms; /* by the worker's clock; 0: no extension */
   uint64_t last_seen;   /* ends up to this number are acknowledged */
@@ -103,6 +104,7 @@
       || res->status == COMMAND_OTHER_INSTANCE)
     {
       wrk->unanswered_calls++;
+      wrk->instance_seen = false;
       return;
     }
   wrk->unanswered_calls = 0;
@@ -337,6 +339,7 @@
   if (born_ms != wrk->rep.born_ms)
     wrk->known_us = now_us;
   wrk->applied_end = wrk->flushing_end = wrk->durable_end = wrk->acked_end = 0;
+  wrk->instance_seen = false;
   wrk->ended_us = 0;
   wrk->reported_ended = false;
   wrk->rep.born_ms = born_ms;
@@ -357,6 +360,9 @@
   /* The worker answers, so the report that it has ended may be wrong.  */
   if (wrk->reported_ended && wrk->reached && wrk->unanswered_calls == 0)
     return false;
+  /* The clock of the next instance begins anew.  */
+  if (wrk->reported_ended)
+    wrk->clock_ms = 0;
   if (born_ms != wrk->rep.born_ms && born_ms > 0)
     {
       drop_earlier_runs (plc, wrk);
@@ -394,6 +400,7 @@
     wrk->ended_us = 0;
   /* The answer shows which instance it is.  */
   wrk->reported_ended = false;
+  wrk->instance_seen = !restarted;
   if (!settle_ended_instance (plc, wrk, res->born_ms))
     {
       wrk->next_hold_us = now_us + HOLD_ENDED_INTERVAL_US;
@@ -404,6 +411,7 @@
       wrk->rep.born_ms = res->born_ms;
       wrk->known_us = now_us;
     }
+  wrk->instance_seen = true;
   placer_note_grant (plc, wrk, ctx->lease_end_ms, res->command.clock_ms,
                      now_us);
   wrk->hold_answered_us = now_us;
@@ -453,6 +461,16 @@
     wrk->next_hold_us = now_us + HOLD_RETRY_US;
 }
 
+/* Whether the answer RES comes from an instance that has been given up since
+   the hold was sent.  It tells nothing about the present one.  */
+static bool
+is_late_answer (const struct worker *wrk, const struct hold_ctx *ctx,
+                const struct hold_result *res)
+{
+  return res->command.status == COMMAND_DONE && res->born_ms > 0
+         && res->born_ms == ctx->born_ms && res->born_ms != wrk->rep.born_ms;
+}
+
 static void
 on_hold (void *arg, const struct hold_result *res)
 {
@@ -460,11 +478,21 @@
   struct placer *plc = ctx->plc;
   struct worker *wrk
       = plc->closing ? NULL : placer_find_worker (plc, ctx->worker);
-  if (wrk)
+  if (wrk && is_late_answer (wrk, ctx, res))
+    {
+      wrk->hold_in_flight = false;
+      wrk->next_hold_us = 0;
+      plc->env.wake (plc->env.arg);
+    }
+  else if (wrk)
     {
       int64_t now_us = clock_now_us (plc->env.clk);
       wrk->hold_in_flight = false;
       placer_note_answer (plc, wrk, &res->command);
+      /* A worker that refuses a hold has extended no lease.  */
+      if (res->command.status == COMMAND_WORKER_BUSY
+          || res->command.status == COMMAND_REJECTED)
+        wrk->unanswered_calls++;
       wrk->next_hold_us = now_us + HOLD_RETRY_US;
       if (res->command.status != COMMAND_DONE && !wrk->hold_failure_logged)
         log_event (
@@ -500,6 +528,10 @@
   /* Check whether a worker that is reported as ended still answers.  */
   if (wrk->ended_us && wrk->registered)
     return true;
+  /* A silent worker, or one whose clock is not known, gets no tasks until it
+     answers.  */
+  if ((wrk->unanswered_calls > 0 || wrk->clock_ms == 0) && wrk->registered)
+    return true;
   return !wrk->reached || wrk->runs || wrk->acked_end < wrk->durable_end
          || wrk->applied_end > wrk->durable_end;
 }
@@ -514,17 +546,23 @@
   if (wrk->runs && wrk->unanswered_calls > 0
       && plc->confirmed_us > wrk->lease_end_us)
     drop_lost_runs (plc, wrk, "lease_expired");
-  if (wrk->hold_in_flight || now_us < wrk->next_hold_us || !hold_needed (wrk))
+  if (wrk->hold_in_flight || now_us < wrk->next_hold_us)
     return;
+  if (!hold_needed (wrk))
+    {
+      wrk->instance_seen = false;
+      return;
+    }
   struct hold_ctx *ctx = talloc_zero (plc, struct hold_ctx);
   if (!ctx)
     return;
   ctx->plc = plc;
   ctx->worker = wrk->handle;
+  ctx->born_ms = wrk->rep.born_ms;
   ctx->sent_us = now_us;
-  /* A silent worker may have been started again: its new instance would forget
-     ends that it has numbered anew.  */
-  ctx->last_seen = wrk->unanswered_calls == 0 ? wrk->durable_end : 0;
+  /* A new instance of the worker would forget ends that it has numbered
+     anew.  */
+  ctx->last_seen = wrk->instance_seen ? wrk->durable_end : 0;
   /* Do not extend the leases of a silent worker: each extension that may still
      arrive would delay the time at which its runs have certainly ended.  */
   ctx->lease_end_ms = wrk->clock_ms > 0 && wrk->unanswered_calls == 0
--- a/test/unit/unit_placer_instance.c
+++ b/test/unit/unit_placer_instance.c
@@ -209,8 +209,13 @@
    own ends up to the number that the earlier instance had reached.  */
 START_TEST (test_no_acknowledgement_after_silence)
 {
-  complete_job (1, 5);
-  run_job (2);
+  const struct world_row end
+      = { .job = 1, .run = 1, .end = RUN_END_DONE, .number = 5 };
+  run_job (1);
+  world_answer_hold (wld, "w1", NULL, 0, &end, 1);
+  world_tick (wld, 50);
+  world_complete_append (wld);
+  world_tick (wld, 50);
   struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
   ck_assert_uint_eq (hold->last_seen, 5);
   lose_worker ();
@@ -220,6 +225,129 @@
 }
 END_TEST
 
+/* Whether the holds that are sent from now on acknowledge no ends, until one
+   is answered by the new instance and the runs of the earlier one are given
+   up.  The new instance runs task 1 of JOB.  */
+static void
+expect_no_acknowledgement (uint64_t job)
+{
+  const struct world_row row = { .job = job, .run = 1 };
+  wld->hold_born_ms = NEXT_BORN_MS;
+  for (int n = 0; n < 4; n++)
+    {
+      struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+      if (hold)
+        {
+          ck_assert_uint_eq (hold->last_seen, 0);
+          world_answer_hold (wld, "w1", &row, 1, NULL, 0);
+        }
+      world_tick (wld, 300);
+      world_complete_append (wld);
+    }
+}
+
+/* Guards against ends that a worker which was started again under its id
+   forgets before they are read, so that a task which was done runs again.  The
+   acknowledged number is that of an end on the earlier instance, and a start
+   is answered before a hold shows the restart.  */
+START_TEST (test_no_acknowledgement_to_next_instance)
+{
+  const struct world_row end
+      = { .job = 2, .run = 1, .end = RUN_END_DONE, .number = 6 };
+  complete_job (1, 5);
+  if (_i == 1)
+    {
+      /* The restart breaks off the hold that acknowledges an end.  */
+      run_job (2);
+      world_answer_hold (wld, "w1", NULL, 0, &end, 1);
+      world_tick (wld, 50);
+      world_complete_append (wld);
+      world_tick (wld, 50);
+      struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+      ck_assert_uint_eq (hold->last_seen, 6);
+      world_answer (wld, hold, COMMAND_NO_ANSWER);
+    }
+  run_job (3);
+  expect_no_acknowledgement (3);
+}
+END_TEST
+
+/* The same when an answer of the earlier instance comes after the report of
+   its successor.  */
+START_TEST (test_late_answer_of_earlier_instance)
+{
+  const struct world_row end
+      = { .job = 2, .run = 1, .end = RUN_END_DONE, .number = 2 };
+  complete_job (1, 1);
+  run_job (2);
+  ck_assert_ptr_nonnull (world_call (wld, WORLD_HOLD, "w1"));
+  world_add_worker (wld, "w1", NEXT_BORN_MS);
+  world_confirm_ownership (wld);
+  wld->log_inconsistent = true;
+  world_tick (wld, 1);
+  world_answer_hold (wld, "w1", NULL, 0, &end, 1);
+  world_tick (wld, 50);
+  world_complete_append (wld);
+  world_tick (wld, 300);
+  struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+  ck_assert_ptr_nonnull (hold);
+  ck_assert_uint_eq (hold->last_seen, 0);
+}
+END_TEST
+
+/* Guards against a task that waits without end (LOST) for a worker which
+   refuses holds for longer than a lease: it extends no lease meanwhile.  */
+START_TEST (test_worker_refuses_holds)
+{
+  static const enum command_status statuses[]
+      = { COMMAND_WORKER_BUSY, COMMAND_REJECTED };
+  run_job (1);
+  world_add_worker (wld, "w2", BORN_MS);
+  world_tick (wld, 1);
+  world_answer_hold (wld, "w2", NULL, 0, NULL, 0);
+  int64_t refused_us = wld->clk.now_us;
+  for (int n = 0; n < 60 && world_starts (wld, 1, 0) == 1; n++)
+    {
+      struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+      if (hold)
+        world_answer (wld, hold, statuses[_i]);
+      world_confirm_ownership (wld);
+      world_tick (wld, 300);
+    }
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 2);
+  ck_assert_int_gt (wld->clk.now_us, refused_us + WORLD_LEASE_MS * 1000);
+}
+END_TEST
+
+/* Guards against two runs of a task: a start that names the end of its lease
+   by the clock of the worker's earlier instance lasts as long as the worker
+   allows.  If its answer is lost, nothing shows that.  */
+START_TEST (test_lease_by_clock_of_next_instance)
+{
+  const int64_t clock_ms = 200; /* of the new instance */
+  complete_job (1, 1);
+  world_add_worker (wld, "w1", NEXT_BORN_MS);
+  world_confirm_ownership (wld);
+  world_add_job (wld, 2, TASK_JOB, 200);
+  for (int n = 0; n < 4 && world_starts (wld, 2, 0) == 0; n++)
+    {
+      const struct hold_result res
+          = { .command = { .status = COMMAND_DONE, .clock_ms = clock_ms },
+              .born_ms = NEXT_BORN_MS };
+      struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+      if (hold)
+        {
+          hold->answered = true;
+          hold->hold_fn (hold->arg, &res);
+        }
+      world_tick (wld, 60);
+    }
+  struct world_call *start = world_call (wld, WORLD_START, "w1");
+  ck_assert_ptr_nonnull (start);
+  ck_assert_int_le (start->lease_end_ms, clock_ms + WORLD_LEASE_MS + 1000);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -232,6 +360,10 @@
   tcase_add_test (tc, test_start_on_unnoticed_instance);
   tcase_add_test (tc, test_unanswered_start_before_restart);
   tcase_add_test (tc, test_no_acknowledgement_after_silence);
+  tcase_add_loop_test (tc, test_no_acknowledgement_to_next_instance, 0, 2);
+  tcase_add_loop_test (tc, test_worker_refuses_holds, 0, 2);
+  tcase_add_test (tc, test_lease_by_clock_of_next_instance);
+  tcase_add_test (tc, test_late_answer_of_earlier_instance);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
