node: a holder of the fleet duty withdraws its requests when it stops

A request to vacate a host stays in force until its holder withdraws it, or until a later holder has held the duty for 1 s (ORPHAN_DELAY_US). So 3 of the pool's 5 hosts took no tasks until 31.8 s: pool.demand says schedulable_hosts=2 for owners whose takeover was done, while the workers on the three hosts list no runs.

A holder that stops now withdraws the requests for hosts that it has sent no order for. The others stay, since the platform may still carry out the order. The appender lives on until the process ends; its epoch is the holder's token, so that a later holder's fence still refuses the records.

The requests of a holder that is killed, and those whose order was sent, still wait for a holder that lives for 1 s.

test_requests_of_stopped_holder (node) failed without the change (request_withdrawn) and passes with it.

--- a/node/duties.c
+++ b/node/duties.c
@@ -520,8 +520,7 @@
 void
 node_release_duties (struct node *nod)
 {
-  if (node_fleet_token (nod))
-    node_fleet_end (nod);
+  node_fleet_release (nod);
   while (nod->held_duties)
     {
       struct held_duty *hld = nod->held_duties;
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -63,6 +63,7 @@
   struct node *nod;
   struct follower fol;             /* of the first partition */
   struct appender app;             /* of the requests, while holder */
+  struct appender release_app;     /* the same after the stop signal */
   struct appender status_app;      /* state of waves for the operators */
   struct appender progress_app;    /* of the waves' progress */
   struct vacate_request *requests; /* by host */
@@ -345,6 +346,33 @@
   node_open_job_partitions (nod);
 }
 
+/* Withdraws the requests for hosts that no order was sent for.  */
+static void
+withdraw_requests (struct fleet_duty *flt)
+{
+  for (size_t n = 0; n < flt->mgr.host_count; n++)
+    {
+      struct mgr_host *host = &flt->mgr.hosts[n];
+      if (host->phase == PHASE_VACATING || host->phase == PHASE_EMPTY)
+        withdraw_vacate (flt, host);
+    }
+}
+
+void
+node_fleet_release (struct node *nod)
+{
+  struct fleet_duty *flt = nod->flt;
+  if (!flt->active)
+    return;
+  /* The next holder withdraws them only when it has held the duty for some
+     time, and the hosts receive no tasks until then.  */
+  withdraw_requests (flt);
+  /* The store refuses the records once a later holder has begun.  */
+  flt->release_app = flt->app;
+  flt->app.priv = NULL;
+  node_fleet_end (nod);
+}
+
 void
 node_fleet_owner_changed (struct node *nod, const char *pool)
 {
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -245,6 +245,9 @@
 /* Starts and ends the work of the fleet duty in this process.  */
 void node_fleet_begin (struct node *nod, uint64_t token);
 void node_fleet_end (struct node *nod);
+/* Ends the work of the fleet duty before the process stops; the requests to
+   vacate hosts that have led to no order are withdrawn.  */
+void node_fleet_release (struct node *nod);
 /* Token of the fleet duty while this process holds it, else 0.  */
 uint64_t node_fleet_token (const struct node *nod);
 /* Tells the holder of the fleet duty that a pool has a new owner.  */
--- a/test/unit/unit_node.c
+++ b/test/unit/unit_node.c
@@ -343,6 +343,61 @@
 }
 END_TEST
 
+/* Whether the newest request to vacate HOST is withdrawn.  */
+static bool
+request_withdrawn (const char *host)
+{
+  char key[DUTY_KEY_BYTES];
+  snprintf (key, sizeof key, "v/%s", host);
+  const struct memory_record *rec
+      = &wld.fleet->records[topic_memory_find (wld.fleet, key)];
+  Kingcuphollow__VacateRequest *msg = kingcuphollow__vacate_request__unpack (
+      NULL, rec->value_len, rec->value);
+  bool withdrawn = msg->until_ms == 0;
+  kingcuphollow__vacate_request__free_unpacked (msg, NULL);
+  return withdrawn;
+}
+
+/* Guards against hosts that receive no tasks for as long as holders of the
+   fleet duty follow each other within a second: none of them lives long enough
+   to withdraw what an earlier one requested before it was stopped.  */
+START_TEST (test_requests_of_stopped_holder)
+{
+  static const char wave[]
+      = "{\"wave\":1,\"machines\":[\"m-w1\",\"m-w2\",\"m-w3\",\"m-w4\"],"
+        "\"duration-s\":20,\"cap\":2}";
+  node_world_init (&wld, true);
+  wld.nod->started_us = INT64_MAX / 2; /* claims no duty */
+  for (size_t n = 0; n < 4; n++)
+    {
+      wld.hosts[n].state = HOST_UP;
+      snprintf (wld.hosts[n].name, NAME_BYTES, "m-w%zu", n + 1);
+      name_copy (wld.hosts[n].pool, "p");
+      snprintf (wld.hosts[n].worker, NAME_BYTES, "w%zu", n + 1);
+    }
+  wld.host_count = 4;
+  uint64_t owner = node_world_claim (&wld, "p", "n2", 1, false);
+  node_world_claim (&wld, DUTY_FLEET, "n1", NODE_WORLD_BOOT, false);
+  node_world_run (&wld, 300);
+  node_fleet_add_wave (wld.nod, (const uint8_t *)wave, sizeof wave - 1);
+  node_world_run (&wld, 200);
+  ck_assert_int_ge (topic_memory_find (wld.fleet, "v/m-w2"), 0);
+  report_empty (owner, (uint64_t)topic_memory_find (wld.fleet, "v/m-w1"));
+  ck_assert_uint_eq (wld.orders, 1);
+  wld.nod->stopping = true;
+  node_release_duties (wld.nod);
+  node_world_run (&wld, 200);
+  ck_assert_uint_eq (node_fleet_token (wld.nod), 0);
+  ck_assert (request_withdrawn ("m-w2"));
+  /* The platform may still carry out the order for the other host.  */
+  ck_assert (!request_withdrawn ("m-w1"));
+  node_world_request (&wld, "m-w1", 99, 0);
+  /* A process without a duty reads the requests less often.  */
+  node_world_run (&wld, 1500);
+  node_world_fini (&wld);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -358,6 +413,7 @@
   tcase_add_test (tc, test_answers_before_first_read);
   tcase_add_test (tc, test_waiting_from_old_view);
   tcase_add_test (tc, test_new_holder_reads_progress);
+  tcase_add_test (tc, test_requests_of_stopped_holder);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
