fleet, node: a report that a host is empty may be read before its request

The holder of the fleet duty counted a report that a host is empty only if it had already read its own request back from the log. The two are in different partitions, so that a fast owner's report can come first. Such a report is dropped, and as owners report once, the host stayed vacated and without orders until VACATE_TIMEOUT_US, 15 s. In the trace the hosts m-6369f, m-9ebe9 and m-8c111 are requested at -4.98 s and get no order; the owner counts the first two as schedulable again at 10.08 s, and the task runs there at once.

The holder now keeps the offset that such a report names, and counts the report when it reads that request. A new owner of the pool drops it, as it does other reports.

test_report_read_before_request (node) failed without the change (no order sent) and passes with it.

--- a/fleet/host_mgr.h
+++ b/fleet/host_mgr.h
@@ -55,6 +55,8 @@
   char dest_pool[NAME_BYTES]; /* destination pool of a move */
   uint64_t request_offset; /* log offset of the request to vacate the host; 0:
                               not known yet */
+  uint64_t early_report_offset; /* request of a report that the host is empty,
+                                   read before the request; 0: none */
   char previous_worker[NAME_BYTES]; /* id of the worker before the order */
   bool order_in_flight;             /* an order has no answer yet */
   int64_t next_order_us;            /* no order is sent before this time */
@@ -172,6 +174,10 @@
 void host_mgr_host_emptied (struct host_mgr *mgr, const char *host,
                             uint64_t offset, int64_t now_us);
 
+/* The request to vacate HOST was read back from the log, at OFFSET.  */
+void host_mgr_request_read (struct host_mgr *mgr, struct mgr_host *host,
+                            uint64_t offset, int64_t now_us);
+
 /* Tells that POOL has a new owner.  It may have placed tasks on a host that an
    earlier owner reported as empty, so such hosts have to be reported again
    before an order is sent.  */
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -472,8 +472,9 @@
           req->token = msg->token;
           req->withdrawn = false;
         }
-      if (managed && managed->phase == PHASE_VACATING)
-        managed->request_offset = offset;
+      if (managed)
+        host_mgr_request_read (&flt->mgr, managed, offset,
+                               clock_now_us (flt->nod->clk));
     }
   kingcuphollow__vacate_request__free_unpacked (msg, NULL);
   wake_placers (flt->nod);
--- a/test/unit/unit_node.c
+++ b/test/unit/unit_node.c
@@ -398,6 +398,38 @@
 }
 END_TEST
 
+/* Guards against a host that receives no tasks for 15 s: the report that it is
+   empty is read before the holder has read its own request, and is ignored. */
+START_TEST (test_report_read_before_request)
+{
+  static const char wave[] = "{\"wave\":1,\"machines\":[\"m-w1\"],"
+                             "\"duration-s\":20,\"cap\":1}";
+  node_world_init (&wld, true);
+  wld.nod->started_us = INT64_MAX / 2; /* claims no duty */
+  wld.hosts[0].state = HOST_UP;
+  name_copy (wld.hosts[0].name, "m-w1");
+  name_copy (wld.hosts[0].pool, "p");
+  name_copy (wld.hosts[0].worker, "w1");
+  wld.host_count = 1;
+  uint64_t owner = node_world_claim (&wld, "p", "n2", 1, false);
+  node_world_claim (&wld, DUTY_FLEET, "n1", NODE_WORLD_BOOT, false);
+  node_world_run (&wld, 300);
+  wld.fleet->hold_reads = true;
+  node_fleet_add_wave (wld.nod, (const uint8_t *)wave, sizeof wave - 1);
+  node_world_run (&wld, 200);
+  int64_t offset = topic_memory_find (wld.fleet, "v/m-w1");
+  ck_assert_int_ge (offset, 0);
+  report_empty (owner, (uint64_t)offset);
+  wld.fleet->hold_reads = false;
+  topic_memory_run_held (wld.fleet);
+  node_world_run (&wld, 300);
+  ck_assert_uint_eq (wld.orders, 1);
+  node_world_request (&wld, "m-w1", 99, 0);
+  node_world_run (&wld, 100);
+  node_world_fini (&wld);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -414,6 +446,7 @@
   tcase_add_test (tc, test_waiting_from_old_view);
   tcase_add_test (tc, test_new_holder_reads_progress);
   tcase_add_test (tc, test_requests_of_stopped_holder);
+  tcase_add_test (tc, test_report_read_before_request);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
