--- a/node/fleet.c
+++ b/node/fleet.c
@@ -67,6 +67,7 @@
   struct node *nod;
   struct follower fol;             /* of the first partition */
   struct appender app;             /* of the requests, while holder */
+  struct appender release_app;     /* the same after the stop signal */
   struct appender status_app;      /* state of waves for the operators */
   struct appender progress_app;    /* of the waves' progress */
   struct vacate_request *requests; /* by host */
@@ -357,6 +358,33 @@
       req->superseded_us = clock_now_us (flt->nod->clk);
 }
 
+/* Withdraws the requests for hosts that no order was sent for.  */
+static void
+withdraw_requests (struct fleet_duty *flt)
+{
+  for (size_t n = 0; n < flt->mgr.host_count; n++)
+    {
+      struct mgr_host *host = &flt->mgr.hosts[n];
+      if (host->phase == PHASE_VACATING || host->phase == PHASE_EMPTY)
+        withdraw_vacate (flt, host);
+    }
+}
+
+void
+node_fleet_release (struct node *nod)
+{
+  struct fleet_duty *flt = nod->flt;
+  if (!flt->active)
+    return;
+  /* The next holder withdraws them only when it has held the duty for some
+     time, and the hosts receive no tasks until then.  */
+  withdraw_requests (flt);
+  /* The store refuses the records once a later holder has begun.  */
+  flt->release_app = flt->app;
+  flt->app.priv = NULL;
+  node_fleet_end (nod);
+}
+
 void
 node_fleet_owner_changed (struct node *nod, const char *pool)
 {
@@ -460,8 +488,9 @@
           req->withdrawn = false;
         }
       note_superseded (flt);
-      if (managed && managed->phase == PHASE_VACATING)
-        managed->request_offset = offset;
+      if (managed)
+        host_mgr_request_read (&flt->mgr, managed, offset,
+                               clock_now_us (flt->nod->clk));
     }
   kingcuphollow__vacate_request__free_unpacked (msg, NULL);
   wake_placers (flt->nod);
