wave: an estimate ahead of the log no longer stops a wave

unit_wave_run test_restart failed once in 12 runs beside 20 busy processes (load 51): "no progress for 60 s". The log of the test stands still, as a log does whose clock was set back. The planner estimates the time of the log from its own clock and never takes the estimate back. Once the estimate had passed the end of the lease by the clock of the log, a lease record was due at every append, no step was recorded again, and the operator saw a wave that stopped for good.

A valid lease of this process is now renewed by its renewal interval alone.

test_log_clock_behind pauses the process for 1.2 s within a lease of 1 s. It failed before ("no progress for 60 s") and passes now. That the failure of test_restart was this one is inferred from the code and from the same symptom; its own state was not recorded.

--- a/test/unit/unit_wave_run.c
+++ b/test/unit/unit_wave_run.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <talloc.h>
 #include <tevent.h>
+#include <time.h>
 
 #include "base/clock.h"
 #include "base/err.h"
@@ -314,6 +315,23 @@
   *(bool *)arg = true;
 }
 
+/* Guards against a wave that stops for good when the log's clock falls behind
+   the planner's estimate of it by more than a lease: the planner then renewed
+   its lease with every append.  */
+START_TEST (test_log_clock_behind)
+{
+  struct edit_result res;
+  const struct timespec pause = { .tv_sec = 1, .tv_nsec = 200000000 };
+  start ();
+  ck_assert_int_eq (create (FAR_DEADLINE_US, &res), 0);
+  WAIT_FOR (hosts.calls > 0);
+  nanosleep (&pause, NULL);
+  WAIT_FOR (wave_is_done ());
+  check_done ();
+  stop ();
+}
+END_TEST
+
 /* Guards against callbacks after wave_run_fini when calls of the stores are in
    progress.  */
 START_TEST (test_fini_with_calls_in_progress)
@@ -378,6 +396,7 @@
   tcase_add_loop_test (tc, test_append_faults, 0, ROWS (faults));
   tcase_add_loop_test (tc, test_deadline, 0, ROWS (deadlines));
   tcase_add_test (tc, test_restart);
+  tcase_add_test (tc, test_log_clock_behind);
   tcase_add_test (tc, test_fini_with_calls_in_progress);
   tcase_add_test (tc, test_store_full);
   tcase_add_test (tc, test_unreadable);
--- a/wave/wave_core.c
+++ b/wave/wave_core.c
@@ -384,10 +384,11 @@
       return is_own && now_us < p->lease_valid_until_us
              && log_ms < ls->expires_ms;
     }
-  if (is_own && log_ms < ls->expires_ms)
-    return now_us >= p->lease_valid_until_us
-           || now_us - p->lease_sent_us
-                  >= p->set.renew_interval_ms * US_PER_MS;
+  /* The estimate of the log's time does not decide here: it can stay ahead of
+     a log whose clock stood still, and every append would then renew the
+     lease.  */
+  if (is_own && now_us < p->lease_valid_until_us)
+    return now_us - p->lease_sent_us >= p->set.renew_interval_ms * US_PER_MS;
   return !ls->granted || is_own
          || log_ms >= ls->expires_ms + p->lease_jitter_ms;
 }
