wave: edits past their deadline are not appended

unit_wave_run test_deadline failed once in a whole run on a busy machine. A process that is paused past the deadline of an edit did the due append before it looked at deadlines, so the edit was sent after its deadline, and its operator was told "unknown effect" for an edit that had certainly had none; the row not_done of test_deadline expects the latter. No log of the failed run is left; the fault was found by reading and is shown by the new test.

test_deadline_before_append sets the clock past the deadline before the first append. It failed before: err was ERR_UNKNOWN_EFFECT instead of ERR_UNAVAILABLE.

test_deadline used 50 ms of real time, in which a paused process may not have sent the edit at all. It now waits for the first append and then sets the clock past the deadline; the results expected of its four rows are the same.

--- a/test/unit/unit_wave_run.c
+++ b/test/unit/unit_wave_run.c
@@ -13,7 +13,8 @@
 #include "wave/wave_run.h"
 
 #define PROGRESS_TIMEOUT_S 60
-#define FAR_DEADLINE_US 600000000 /* from now; no test reaches it */
+/* From now; reached only by tests that set the clock forward.  */
+#define FAR_DEADLINE_US 600000000
 #define HOSTS 4
 #define ROWS(table) (int)(sizeof (table) / sizeof *(table))
 
@@ -83,6 +84,27 @@
 
 static const struct host_api_driver memory_driver = { .call = memory_call };
 
+/* The system's clock, set forward by ahead_us, so that a test decides when a
+   deadline passes.  */
+static int64_t ahead_us;
+
+static struct timespec
+ahead_monotonic (const struct clock *clk)
+{
+  int64_t us = clock_now_us (&clock_system) + ahead_us;
+  return (struct timespec){ us / 1000000, us % 1000000 * 1000 };
+}
+
+static struct timespec
+ahead_wall (const struct clock *clk)
+{
+  return clock_wall (&clock_system);
+}
+
+static const struct clock_driver ahead_driver
+    = { .monotonic = ahead_monotonic, .wall = ahead_wall };
+static const struct clock clock_ahead = { &ahead_driver };
+
 static void
 on_progress_timeout (struct tevent_context *ctx, struct tevent_timer *te,
                      struct timeval now, void *arg)
@@ -142,7 +164,7 @@
   set.core.append_min_interval_ms = 1;
   set.core.resend_delay_ms = 20;
   ck_assert_int_eq (wave_run_init (&run, ev, &set, &mem.st, &hosts.hs, ev,
-                                   &clock_system, NULL),
+                                   &clock_ahead, NULL),
                     0);
   set_fleet ();
   WAIT_FOR (wave_run_ready (&run));
@@ -155,6 +177,7 @@
   log_memory_init (&mem, ev, ev);
   memset (&hosts, 0, sizeof hosts);
   hosts.hs.drv = &memory_driver;
+  ahead_us = 0;
   for (int n = 0; n < HOSTS; n++)
     hosts.state[n] = HOST_ACTUAL_LIVE;
   start_run ("e1", 1);
@@ -272,13 +295,30 @@
   start ();
   mem.fault = deadlines[_i].fault;
   mem.down = deadlines[_i].down;
-  ck_assert_int_eq (create (50000, &res), 0);
+  ck_assert_int_eq (create (FAR_DEADLINE_US, &res), 0);
+  WAIT_FOR (mem.appends > 0);
+  ahead_us = FAR_DEADLINE_US;
   WAIT_FOR (res.count > 0);
   ck_assert_int_eq (res.err, deadlines[_i].err);
   stop ();
 }
 END_TEST
 
+/* Guards against an edit that a process that was paused appends after its
+   deadline, so that it takes effect although its operator gave it up.  */
+START_TEST (test_deadline_before_append)
+{
+  struct edit_result res;
+  start ();
+  ck_assert_int_eq (create (FAR_DEADLINE_US, &res), 0);
+  ahead_us = FAR_DEADLINE_US;
+  WAIT_FOR (res.count > 0);
+  ck_assert_int_eq (res.err, ERR_UNAVAILABLE);
+  ck_assert_uint_eq (mem.appends, 0);
+  stop ();
+}
+END_TEST
+
 /* Guards against a process that restarts during a wave and loses hosts or
    reboots some again.  */
 START_TEST (test_restart)
@@ -395,6 +435,7 @@
   tcase_set_timeout (tc, 2 * PROGRESS_TIMEOUT_S);
   tcase_add_loop_test (tc, test_append_faults, 0, ROWS (faults));
   tcase_add_loop_test (tc, test_deadline, 0, ROWS (deadlines));
+  tcase_add_test (tc, test_deadline_before_append);
   tcase_add_test (tc, test_restart);
   tcase_add_test (tc, test_log_clock_behind);
   tcase_add_test (tc, test_fini_with_calls_in_progress);
--- a/wave/wave_core.c
+++ b/wave/wave_core.c
@@ -459,7 +459,7 @@
                   uint8_t **data, size_t *len)
 {
   struct priv *p = core->priv;
-  struct wave_edit *ed = wave_core_edit_next (p);
+  struct wave_edit *ed = wave_core_edit_next (p, now_us);
   int64_t duration_ms;
   if (ed)
     {
--- a/wave/wave_core_edit.c
+++ b/wave/wave_core_edit.c
@@ -18,12 +18,13 @@
 }
 
 struct wave_edit *
-wave_core_edit_next (struct priv *p)
+wave_core_edit_next (struct priv *p, int64_t now_us)
 {
   for (int n = 0; n < WAVE_EDIT_MAX; n++)
     {
       struct wave_edit *ed = &p->edits[n];
-      if (ed->in_use && !ed->ended && !ed->appended)
+      if (ed->in_use && !ed->ended && !ed->appended
+          && now_us < ed->deadline_us)
         return ed;
     }
   return NULL;
--- a/wave/wave_core_priv.h
+++ b/wave/wave_core_priv.h
@@ -107,5 +107,5 @@
                               size_t max);
 
 /* The next edit to append, or NULL.  */
-struct wave_edit *wave_core_edit_next (struct priv *p);
+struct wave_edit *wave_core_edit_next (struct priv *p, int64_t now_us);
 struct wave_edit *wave_core_edit_find (struct priv *p, uint64_t sequence);
