entry: a graceful stop reads what arrived before it refuses

The process had been paused, and timers run before sockets: the end of the leave time was handled before the requests that had arrived.

The end of the leave time now first reads the requests that the kernel holds, in a bounded number of passes, and refuses only later ones.

stop_while_paused freezes a process during its leave time.

--- a/entry/listener.c
+++ b/entry/listener.c
@@ -353,6 +353,12 @@
   mhd_loop_quiesce (lis->loop);
 }
 
+void
+listener_read_pending (struct listener *lis)
+{
+  mhd_loop_read_pending (lis->loop);
+}
+
 unsigned int
 listener_open_count (const struct listener *lis)
 {
--- a/entry/mhd_loop.c
+++ b/entry/mhd_loop.c
@@ -1,6 +1,7 @@
 #include "entry/mhd_loop.h"
 
 #include <arpa/inet.h>
+#include <poll.h>
 #include <stdbool.h>
 #include <sys/time.h>
 #include <talloc.h>
@@ -11,6 +12,8 @@
 #include "base/option.h"
 
 #define LISTEN_BACKLOG 1024u
+/* Bounds mhd_loop_read_pending under a load that never pauses.  */
+#define PENDING_PASSES_MAX 64
 
 struct mhd_loop
 {
@@ -167,6 +170,17 @@
   schedule_run (loop);
 }
 
+void
+mhd_loop_read_pending (struct mhd_loop *loop)
+{
+  const union MHD_DaemonInfo *info
+      = MHD_get_daemon_info (loop->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  struct pollfd ready = { .fd = info->epoll_fd, .events = POLLIN };
+  for (int n = 0; n < PENDING_PASSES_MAX && poll (&ready, 1, 0) > 0; n++)
+    MHD_run (loop->daemon);
+  run_daemon (loop);
+}
+
 void
 mhd_loop_quiesce (struct mhd_loop *loop)
 {
--- a/entry/mhd_loop.h
+++ b/entry/mhd_loop.h
@@ -31,6 +31,10 @@
 /* Resumes a suspended connection in a later pass of the event loop.  */
 void mhd_loop_resume (struct mhd_loop *loop, struct MHD_Connection *conn);
 
+/* Accepts the connections and reads the requests that the kernel holds by now.
+   Must not be called from a callback of the loop.  */
+void mhd_loop_read_pending (struct mhd_loop *loop);
+
 /* Stops accepting connections; open ones are still served.  */
 void mhd_loop_quiesce (struct mhd_loop *loop);
 
--- a/entry/traffic.c
+++ b/entry/traffic.c
@@ -151,6 +151,9 @@
 {
   struct traffic *trf = arg;
   trf->leave_timer = NULL;
+  /* After a pause of the process this timer runs before requests that arrived
+     in time are read.  */
+  listener_read_pending (trf->lis);
   trf->rejecting = true;
   stop_if_drained (trf);
 }
