test: loads send no burst after a pause of the runner

A call that is sent more than 50 ms late now moves the calls after it. A runner that is not paused sends as before, and no bound changes.

--- a/test/scenario/load.c
+++ b/test/scenario/load.c
@@ -16,6 +16,10 @@
 #define CONNECT_RETRY_DELAY_MS 50
 #define CALLER_COUNT 7
 #define RESPONSE_BYTES_MAX (16 << 20)
+/* A call that is sent later than this moves the calls after it, so that a
+   runner that was paused sends no burst that the scenario does not ask for.
+ */
+#define SEND_LATE_MAX_US 50000
 
 static const char *const result_names[]
     = { "open", "answered", "not_run", "unknown", "lost", "unreachable" };
@@ -320,6 +324,8 @@
                             on_send_due, ld);
           return;
         }
+      if (-wait_us > SEND_LATE_MAX_US)
+        ld->start_us += -wait_us - SEND_LATE_MAX_US;
       send_call (&ld->calls[ld->sent_count++]);
     }
 }
