entry: a second pause keeps the arrival times of the first one's backlog

A request that waited in a socket while the process was paused counts as having arrived when the pause began. A second pause before those requests had been read replaced the time of the first.

The time of the earlier pause is now kept while its requests may be unread.

paused_again resumes a process after 6 s and pauses it twice more for 0.4 s.

--- a/entry/request_flow.c
+++ b/entry/request_flow.c
@@ -506,13 +506,24 @@
   return REASON_NONE;
 }
 
+/* Whether requests that waited in sockets during a pause may not have been
+   read when the thread ran last.  */
+static bool
+backlog_unread (const struct traffic *trf)
+{
+  return trf->pause_end_us != 0
+         && trf->last_run_us - trf->pause_end_us < PAUSE_BACKLOG_US;
+}
+
 void
 flow_detect_pause (struct traffic *trf)
 {
   int64_t now = now_us (trf);
   if (now - trf->last_run_us > PAUSE_MIN_US)
     {
-      trf->pause_start_us = trf->last_run_us;
+      /* Requests that waited in an earlier pause may still be unread.  */
+      if (!backlog_unread (trf))
+        trf->pause_start_us = trf->last_run_us;
       trf->pause_end_us = now;
       log_event (trf->lg, EV_TRAFFIC_PAUSED,
                  LOG_I ("pause_us", now - trf->last_run_us));
@@ -527,10 +538,7 @@
 arrival_time (struct traffic *trf)
 {
   flow_detect_pause (trf);
-  if (trf->pause_end_us != 0
-      && trf->last_run_us - trf->pause_end_us < PAUSE_BACKLOG_US)
-    return trf->pause_start_us;
-  return trf->last_run_us;
+  return backlog_unread (trf) ? trf->pause_start_us : trf->last_run_us;
 }
 
 void
