entry: requests that waited in a pause are read as soon as it ends

Requests that were read within 500 ms after a pause counted as having arrived when it began, also when they had arrived after it, and one read later than that counted as having just arrived. Several pauses in a row, whose first time is kept, made the first kind worse: a new request could be refused as past its deadline.

The thread now reads all that the kernel holds when it notices the pause, and requests read after that count from their own time. 500 ms remains the limit when there is too much to read.

No test fails without this change; the case was seen by reading the code.

--- a/entry/listener.c
+++ b/entry/listener.c
@@ -353,10 +353,10 @@
   mhd_loop_quiesce (lis->loop);
 }
 
-void
+bool
 listener_read_pending (struct listener *lis)
 {
-  mhd_loop_read_pending (lis->loop);
+  return mhd_loop_read_pending (lis->loop);
 }
 
 unsigned int
--- a/entry/listener.h
+++ b/entry/listener.h
@@ -48,9 +48,9 @@
 /* Stops accepting connections; open ones are still served.  */
 void listener_quiesce (struct listener *lis);
 
-/* Reads the requests that have arrived by now.  Must not be called from a
-   callback of the listener.  */
-void listener_read_pending (struct listener *lis);
+/* Reads the requests that have arrived by now.  Returns whether all were read.
+   Must not be called from a callback of the listener.  */
+bool listener_read_pending (struct listener *lis);
 
 /* Number of requests that were read and whose reply has not been sent yet.  */
 unsigned int listener_open_count (const struct listener *lis);
--- a/entry/mhd_loop.c
+++ b/entry/mhd_loop.c
@@ -170,15 +170,20 @@
   schedule_run (loop);
 }
 
-void
+bool
 mhd_loop_read_pending (struct mhd_loop *loop)
 {
   const union MHD_DaemonInfo *info
       = MHD_get_daemon_info (loop->daemon, MHD_DAEMON_INFO_EPOLL_FD);
   struct pollfd ready = { .fd = info->epoll_fd, .events = POLLIN };
-  for (int n = 0; n < PENDING_PASSES_MAX && poll (&ready, 1, 0) > 0; n++)
-    MHD_run (loop->daemon);
+  int passes = 0;
+  while (passes < PENDING_PASSES_MAX && poll (&ready, 1, 0) > 0)
+    {
+      MHD_run (loop->daemon);
+      passes++;
+    }
   run_daemon (loop);
+  return passes < PENDING_PASSES_MAX;
 }
 
 void
--- a/entry/mhd_loop.h
+++ b/entry/mhd_loop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <microhttpd.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -32,8 +33,9 @@
 void mhd_loop_resume (struct mhd_loop *loop, struct MHD_Connection *conn);
 
 /* Accepts the connections and reads the requests that the kernel holds by now.
-   Must not be called from a callback of the loop.  */
-void mhd_loop_read_pending (struct mhd_loop *loop);
+   Returns whether all were read.  Must not be called from a callback of the
+   loop.  */
+bool mhd_loop_read_pending (struct mhd_loop *loop);
 
 /* Stops accepting connections; open ones are still served.  */
 void mhd_loop_quiesce (struct mhd_loop *loop);
--- a/entry/request_flow.c
+++ b/entry/request_flow.c
@@ -506,15 +506,19 @@
   return REASON_NONE;
 }
 
-/* Whether requests that waited in sockets during a pause may not have been
-   read when the thread ran last.  */
-static bool
-backlog_unread (const struct traffic *trf)
+bool
+flow_backlog_unread (const struct traffic *trf)
 {
   return trf->pause_end_us != 0
          && trf->last_run_us - trf->pause_end_us < PAUSE_BACKLOG_US;
 }
 
+void
+flow_backlog_read (struct traffic *trf)
+{
+  trf->pause_end_us = 0;
+}
+
 void
 flow_detect_pause (struct traffic *trf)
 {
@@ -522,7 +526,7 @@
   if (now - trf->last_run_us > PAUSE_MIN_US)
     {
       /* Requests that waited in an earlier pause may still be unread.  */
-      if (!backlog_unread (trf))
+      if (!flow_backlog_unread (trf))
         trf->pause_start_us = trf->last_run_us;
       trf->pause_end_us = now;
       log_event (trf->lg, EV_TRAFFIC_PAUSED,
@@ -538,7 +542,7 @@
 arrival_time (struct traffic *trf)
 {
   flow_detect_pause (trf);
-  return backlog_unread (trf) ? trf->pause_start_us : trf->last_run_us;
+  return flow_backlog_unread (trf) ? trf->pause_start_us : trf->last_run_us;
 }
 
 void
--- a/entry/traffic.c
+++ b/entry/traffic.c
@@ -113,6 +113,8 @@
 {
   struct traffic *trf = arg;
   flow_detect_pause (trf);
+  if (flow_backlog_unread (trf) && listener_read_pending (trf->lis))
+    flow_backlog_read (trf);
   refresh_slots (trf);
   publish_load (trf);
   flow_start_probes (trf);
--- a/entry/traffic_priv.h
+++ b/entry/traffic_priv.h
@@ -68,6 +68,11 @@
    ago.  */
 void flow_detect_pause (struct traffic *trf);
 
+/* Whether requests that waited in sockets during a pause may not have been
+   read when the thread ran last.  */
+bool flow_backlog_unread (const struct traffic *trf);
+void flow_backlog_read (struct traffic *trf);
+
 void flow_submit (struct traffic *trf, struct request *req);
 void flow_claim_settled (struct traffic *trf,
                          const struct message_claim_verdict *msg);
