--- a/entry/traffic.c
+++ b/entry/traffic.c
@@ -113,6 +113,8 @@
 {
   struct traffic *trf = arg;
   flow_detect_pause (trf);
+  if (flow_backlog_unread (trf) && listener_read_pending (trf->lis))
+    flow_backlog_read (trf);
   refresh_slots (trf);
   publish_load (trf);
   flow_start_probes (trf);
@@ -151,6 +153,9 @@
 {
   struct traffic *trf = arg;
   trf->leave_timer = NULL;
+  /* After a pause of the process this timer runs before requests that arrived
+     in time are read.  */
+  listener_read_pending (trf->lis);
   trf->rejecting = true;
   stop_if_drained (trf);
 }
