--- a/node/fleet.c
+++ b/node/fleet.c
@@ -30,14 +30,9 @@
    present holder, as holders may follow each other faster.  The earlier
    holders' orders have been answered by then or come too late.  */
 #define ORPHAN_DELAY_US 1000000
-/* Longest time between two demand reports of a pool's owner, and the shortest
-   for a changed demand.  */
-#define DEMAND_INTERVAL_MAX_US 1500000
-#define DEMAND_INTERVAL_MIN_US 60000
 /* First character of the key of each kind of record.  */
 #define VACATE_REQUEST_KEY 'v'
 #define VACATE_REPORT_KEY 'e'
-#define DEMAND_KEY 'u'
 
 /* A request to the owner of a host's pool to empty the host of tasks.  */
 struct vacate_request
@@ -576,7 +571,7 @@
     case VACATE_REPORT_KEY:
       fold_report (flt, name, ent);
       return;
-    case DEMAND_KEY:
+    case FLEET_DEMAND_KEY:
       fold_demand (flt, name, ent);
       return;
     case WAVE_PROGRESS_KEY:
@@ -620,56 +615,11 @@
     }
 }
 
-static bool
-demand_changed (const struct held_duty *hld, const struct placer_demand *dem)
-{
-  return hld->sent_short_hosts != dem->short_hosts
-         || hld->sent_idle_count != dem->idle_count;
-}
-
-static void
-report_demand (struct held_duty *hld)
-{
-  struct node *nod = hld->nod;
-  int64_t now_us = clock_now_us (nod->clk);
-  struct placer_demand dem;
-  if (now_us < hld->demand_sent_us + DEMAND_INTERVAL_MIN_US)
-    return;
-  placer_demand (hld->plc, &dem);
-  if (!demand_changed (hld, &dem)
-      && now_us < hld->demand_sent_us + DEMAND_INTERVAL_MAX_US)
-    return;
-  Kingcuphollow__PoolDemand msg = KINGCUPHOLLOW__POOL_DEMAND__INIT;
-  msg.short_hosts = dem.short_hosts;
-  msg.idle_hosts = (char **)dem.idle;
-  msg.n_idle_hosts = dem.idle_count;
-  msg.busy_milli = dem.busy_milli;
-  msg.token = hld->token;
-  size_t len = kingcuphollow__pool_demand__get_packed_size (&msg);
-  uint8_t *data = talloc_size (nod, len + 1);
-  if (!data)
-    return;
-  kingcuphollow__pool_demand__pack (&msg, data);
-  if (node_fleet_append (&hld->report_app, DEMAND_KEY, hld->pool, data, len)
-      == 0)
-    {
-      hld->demand_sent_us = now_us;
-      hld->sent_short_hosts = dem.short_hosts;
-      hld->sent_idle_count = dem.idle_count;
-      log_event (nod->lg, EV_POOL_DEMAND, LOG_S ("pool", hld->pool),
-                 LOG_I ("short_hosts", dem.short_hosts),
-                 LOG_I ("idle_hosts", dem.idle_count),
-                 LOG_I ("schedulable_hosts", dem.schedulable_hosts),
-                 LOG_I ("busy_milli", dem.busy_milli));
-    }
-  talloc_free (data);
-}
-
 void
 node_fleet_report (struct held_duty *hld)
 {
   report_empty_hosts (hld);
-  report_demand (hld);
+  node_fleet_report_demand (hld);
   /* The list shows on which hosts a worker was replaced; the placer need not
      wait for a response of the earlier worker there.  */
   if (placer_needs_host_list (hld->plc))
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -261,6 +261,13 @@
    request; for the pool's owner, after each tick of its placer.  */
 void node_fleet_report (struct held_duty *hld);
 
+/* node/fleet_demand.c */
+/* First character of the keys of demand reports.  */
+#define FLEET_DEMAND_KEY 'u'
+/* Reports the pool's demand for hosts to the holder of the fleet duty, if it
+   has changed or the last report is old.  */
+void node_fleet_report_demand (struct held_duty *hld);
+
 /* node/fleet_log.c */
 /* Opens the appenders of the holder with TOKEN, to the first partition of the
    fleet's topic and to the state of waves for the operators, and appends the
