--- a/fleet/host_link.h
+++ b/fleet/host_link.h
@@ -35,7 +35,7 @@
 
 struct host_list
 {
-  int err;      /* 0, or ERR_UNAVAILABLE and no hosts */
+  int err; /* 0, or ERR_UNAVAILABLE and no hosts */
   const struct host_report *hosts;
   size_t count;
   bool incomplete; /* entries that name no host were left out */
