--- a/node/duties.c
+++ b/node/duties.c
@@ -399,8 +399,8 @@
         = timer_add (nod->ev, nod, CLAIM_BACKOFF_US, on_claim_timer, nod);
 }
 
-/* Appends a claim or release of the duty NAME, on condition that the topic
-   ends at EXPECTED_END.  */
+/* Appends a claim of the duty NAME, on condition that no other record of the
+   duties was appended since this process last read them.  */
 static int
 append_claim (struct node *nod, const char *name)
 {
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -175,9 +175,10 @@
 void placer_evacuate (struct placer *plc, struct worker *wrk, int64_t now_us);
 
 /* placer.c */
-/* Records that the worker's instance has ended.  Its runs are kept until
-   ownership is confirmed after this time, because a later owner may already
-   have recorded their ends.  */
+/* Notes that a source other than the worker reports its instance as ended. The
+   runs are kept until ownership is confirmed after this time, because a later
+   owner may already have recorded their ends, and as long as the instance
+   answers, because the report may be wrong.  */
 void placer_end_instance (struct placer *plc, struct worker *wrk);
 struct worker *placer_find_worker (const struct placer *plc, uint32_t handle);
 /* Updates the job's state after a run of its task has ended, and stops the
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -63,12 +63,13 @@
   int64_t ended_us;
   /* Monotonic time by which the worker's instance had certainly started.  */
   int64_t known_us;
-  bool reached;    /* has answered this owner */
+  bool reached;    /* has answered this owner, in this instance or before */
   bool enrolled;   /* the pool's worker record in the log names it, so that
                       it may get tasks */
   bool unenrolled; /* the worker record in the log leaves it out, as it is
                       vacated and empty */
-  int unanswered_calls;     /* consecutive calls without an answer */
+  int unanswered_calls;     /* consecutive calls without an answer of this
+                               instance, or with a refused hold */
   uint32_t absent_lists;    /* consecutive lists of hosts without its host */
   bool hold_failure_logged; /* the last hold failed or was refused; only the
                                first failure in a row is logged */
