--- a/base/curl_loop.c
+++ b/base/curl_loop.c
@@ -2,6 +2,7 @@
 
 #include <pthread.h>
 #include <stdbool.h>
+#include <string.h>
 #include <talloc.h>
 #include <tevent.h>
 #include <unistd.h>
@@ -322,6 +323,17 @@
     detach_call (loop->priv, call);
 }
 
+bool
+curl_loop_is_repeat (CURL *easy)
+{
+  char *method = NULL;
+  long sent = 0;
+  curl_easy_getinfo (easy, CURLINFO_EFFECTIVE_METHOD, &method);
+  /* Counts the bytes of all attempts.  */
+  curl_easy_getinfo (easy, CURLINFO_REQUEST_SIZE, &sent);
+  return sent > 0 && !(method && strcmp (method, "GET") == 0);
+}
+
 uint32_t
 curl_loop_calls (const struct curl_loop *loop)
 {
--- a/base/curl_loop.h
+++ b/base/curl_loop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <curl/curl.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 /* A libcurl multi handle driven by a tevent context.  One loop belongs to one
@@ -51,5 +52,12 @@
    transfer by their return value.  */
 void curl_loop_remove (struct curl_loop *loop, CURL *easy);
 
+/* Whether libcurl is about to send the request of EASY a second time.  It does
+   so by itself when a reused connection breaks before a response, although the
+   peer may have carried the request out; the response to the repeat says
+   nothing about that.  A GET may be repeated.  For use in
+   CURLOPT_PREREQFUNCTION, which libcurl calls before each sending.  */
+bool curl_loop_is_repeat (CURL *easy);
+
 /* Number of easy handles held.  */
 uint32_t curl_loop_calls (const struct curl_loop *loop);
--- a/store/log_http.c
+++ b/store/log_http.c
@@ -159,6 +159,8 @@
 before_request (void *arg, char *ip, char *local_ip, int port, int local_port)
 {
   struct call *call = arg;
+  if (curl_loop_is_repeat (call->easy))
+    return CURL_PREREQFUNC_ABORT;
   call->sent = true;
   return CURL_PREREQFUNC_OK;
 }
--- a/test/unit/unit_http_client.c
+++ b/test/unit/unit_http_client.c
@@ -8,11 +8,12 @@
 #include <tevent.h>
 #include <unistd.h>
 
+#include "breaking_peer.h"
 #include "platform/http_client.h"
 
-/* Tests of platform/http_client.c against a peer that does not read: the
-   network holds the bytes of a call back, as a partition does, and delivers
-   them later.  */
+/* Tests of platform/http_client.c against peers that the network cuts off: one
+   that does not read, so that the bytes of a call are held back as by a
+   partition, and one whose connection breaks while it handles a call.  */
 
 /* Far more than the peer's receive buffer, less than the client's send buffer:
    the kernel holds the whole call.  */
@@ -150,6 +151,51 @@
 }
 END_TEST
 
+static const struct broken_call
+{
+  const char *method;
+  size_t body_len;
+  enum http_outcome outcome;
+  int calls; /* that the peer receives */
+} broken_calls[] = {
+  { "POST", 0, HTTP_NO_RESPONSE, 2 },
+  { "POST", 100, HTTP_NO_RESPONSE, 2 },
+  { "POST", BODY_BYTES, HTTP_NO_RESPONSE, 2 },
+  /* Reading again is harmless.  */
+  { "GET", 0, HTTP_RESPONDED, 3 },
+};
+
+/* Guards against a call that libcurl sends again by itself when a reused
+   connection breaks: the response to the repeat hides that the first one was
+   carried out (LOST, REFUSED, TWICE).  */
+START_TEST (test_broken_call_is_not_repeated)
+{
+  static const char body[BODY_BYTES];
+  const struct broken_call *it = &broken_calls[_i];
+  struct breaking_peer peer;
+  breaking_peer_start (&peer);
+  snprintf (url, sizeof url, "http://%s/v1/order", peer.address);
+  const struct http_request req
+      = { .method = it->method,
+          .url = url,
+          .content_type = it->body_len ? "application/json" : NULL,
+          .body = body,
+          .body_len = it->body_len,
+          .timeout_ms = 10 * PAUSE_MS };
+  for (int n = 0; n < 2; n++)
+    {
+      done = false;
+      ck_assert_int_eq (http_call (&cli, &req, on_response, NULL), 0);
+      run_loop (20 * PAUSE_MS);
+      ck_assert (done);
+      if (n == 0)
+        ck_assert_int_eq (outcome, HTTP_RESPONDED);
+    }
+  ck_assert_int_eq (breaking_peer_stop (&peer), it->calls);
+  ck_assert_int_eq (outcome, it->outcome);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -159,6 +205,8 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, test_given_up_call_is_not_delivered);
   tcase_add_test (tc, test_call_of_paused_process_is_not_delivered);
+  tcase_add_loop_test (tc, test_broken_call_is_not_repeated, 0,
+                       sizeof broken_calls / sizeof *broken_calls);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
--- a/test/unit/unit_store.c
+++ b/test/unit/unit_store.c
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "base/err.h"
+#include "breaking_peer.h"
 #include "log_memory.h"
 #include "proto/record.pb-c.h"
 #include "store/append_queue.h"
@@ -308,6 +309,33 @@
 }
 END_TEST
 
+/* Guards against an append that libcurl sends again by itself when a reused
+   connection breaks: the 503 to the repeat says nothing about the first
+   one.  */
+START_TEST (test_http_append_broken)
+{
+  struct breaking_peer peer;
+  struct log_http_settings set = log_http_settings_default;
+  breaking_peer_start (&peer);
+  replies = 0;
+  ev = tevent_context_init (NULL);
+  set.address = peer.address;
+  set.max_calls = 1;
+  ck_assert_int_eq (log_http_init (&lh, ev, ev, &set), 0);
+  for (int n = 1; n <= 2; n++)
+    {
+      ck_assert_int_eq (log_store_append (&lh.st, "claims", (uint8_t *)"x", 1,
+                                          on_append, NULL),
+                        0);
+      wait_for (&replies, n);
+    }
+  log_store_fini (&lh.st);
+  talloc_free (ev);
+  ck_assert_int_eq (breaking_peer_stop (&peer), 2);
+  ck_assert_int_eq (append_res.status, APPEND_UNKNOWN);
+}
+END_TEST
+
 /* Guards against accepting records from a damaged reply, or from one whose
    headers and records do not match the request.  */
 START_TEST (test_http_read)
@@ -464,6 +492,7 @@
   tcase_add_test (tc, test_record_damage);
   tcase_add_loop_test (tc, test_record_errors, 0, ROWS (envelopes));
   tcase_add_loop_test (tc, test_http_append, 0, ROWS (appends));
+  tcase_add_test (tc, test_http_append_broken);
   tcase_add_loop_test (tc, test_http_read, 0, ROWS (reads));
   tcase_add_test (tc, test_http_bounds);
   tcase_add_test (tc, test_append_queue);
