sched: an owner starts no task that its predecessor may still start

Cause: both had the permission to start it. An owner sent commands for 6 s after its last confirmation, and its successor started tasks as soon as all workers had answered. Workers refuse lower tokens, but one that has restarted knows none. An owner that is cut off from the store, but not from workers, does the same without any pause. Ruled out: a confirmation that counts wrongly, and the order in which a woken process reads.

Starts now end 3 s after the last confirmation (--start-confirm-ms), other commands after 6 s as before. A successor starts no task that an earlier owner may start until 3 s after its claim, and until each worker has answered a hold sent after that: a claim is seen by each confirmation requested after it, so the two times cannot overlap. Jobs from after the claim, and duties that were released or whose holder restarted, do not wait. Commands and orders carry the end of their sender's permission, which is checked when the connection is ready: a process paused after its decision does not send.

Tests that failed with these checks switched off: test_earlier_owner_may_still_start, test_no_start_from_old_confirmation, test_known_run_lost_before_takeover (placer_takeover), test_late_call_is_not_sent (http_client). Tests of other bounds now let the earlier owner release the pool first (world_release_earlier), as it could start tasks otherwise; test_no_command_after_confirmation has one case more: stops are sent up to 6 s.

--- a/cli/settings.c
+++ b/cli/settings.c
@@ -111,8 +111,13 @@
     "60000", "longest lease that workers grant" },
   { "confirm-ms", OPTION_INT, FIELD (confirm_ms), 500, 60000, NULL, "ms",
     "6000",
+    "a process that could not confirm its duties for this long sends no "
+    "commands to workers and extends no leases; the same in all processes" },
+  { "start-confirm-ms", OPTION_INT, FIELD (start_confirm_ms), 500, 60000, NULL,
+    "ms", "3000",
     "a process that could not confirm its duties for this long starts no "
-    "tasks and extends no leases" },
+    "tasks; after a claim, tasks that an earlier owner may still start wait "
+    "for it; the same in all processes, at most confirm-ms" },
   { "log-level", OPTION_CHOICE, FIELD (log_level), 0, 0, log_levels, NULL,
     "info", "lowest level that is logged" },
   { 0 },
--- a/fleet/host_link.h
+++ b/fleet/host_link.h
@@ -27,10 +27,12 @@
 struct host_order
 {
   const char *host;
-  const char *pool;   /* destination of a move; NULL: maintenance */
-  uint64_t wave;      /* number of the wave, for maintenance */
-  const char *holder; /* process that sends the order */
-  uint64_t token;     /* its claim token; fences off earlier holders */
+  const char *pool;       /* destination of a move; NULL: maintenance */
+  uint64_t wave;          /* number of the wave, for maintenance */
+  const char *holder;     /* process that sends the order */
+  uint64_t token;         /* its claim token; fences off earlier holders */
+  int64_t send_before_us; /* monotonic time at which the sender's permission
+                             ends; the order is not sent any more */
   int64_t timeout_ms; /* the sender gives the order up after this time, and it
                          has no effect unless the platform has received it by
                          then */
--- a/node/duties.c
+++ b/node/duties.c
@@ -226,6 +226,14 @@
                                                      : nod->set->lease_max_ms;
 }
 
+static int64_t
+start_confirm_ms (const struct node *nod)
+{
+  return nod->set->start_confirm_ms < nod->set->confirm_ms
+             ? nod->set->start_confirm_ms
+             : nod->set->confirm_ms;
+}
+
 static void
 activate (struct held_duty *hld)
 {
@@ -237,6 +245,7 @@
     .lease_ms = lease_ms (nod),
     .lease_max_ms = nod->set->lease_max_ms,
     .confirm_ms = nod->set->confirm_ms,
+    .start_confirm_ms = start_confirm_ms (nod),
     .confirmed_us = nod->confirmed_us,
   };
   const struct placer_env env = {
--- a/node/fleet_orders.c
+++ b/node/fleet_orders.c
@@ -73,7 +73,8 @@
 node_fleet_order_host (void *arg, struct mgr_host *host)
 {
   struct fleet_duty *flt = arg;
-  int64_t time_us = order_time_us (flt, clock_now_us (flt->nod->clk));
+  int64_t now_us = clock_now_us (flt->nod->clk);
+  int64_t time_us = order_time_us (flt, now_us);
   struct order_ctx *ctx
       = time_us > 0 ? talloc_zero (flt, struct order_ctx) : NULL;
   if (!ctx)
@@ -91,6 +92,7 @@
     .wave = host->wave,
     .holder = flt->nod->set->name,
     .token = flt->token,
+    .send_before_us = now_us + time_us,
     .timeout_ms = time_us / 1000,
   };
   if (flt->nod->fleet_link.lnk.drv->order (&flt->nod->fleet_link.lnk, &ord,
--- a/node/node.h
+++ b/node/node.h
@@ -28,6 +28,7 @@
   int64_t lease_max_ms; /* longest lease that workers grant */
   int64_t confirm_ms;   /* no commands to workers once the last confirmation
                            of the duty is older than this */
+  int64_t start_confirm_ms; /* the same for starts; not above confirm_ms */
 };
 
 extern const struct option_def node_options[];
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -60,6 +60,22 @@
          && now_us - plc->confirmed_us < plc->set.confirm_ms * 1000;
 }
 
+bool
+placer_may_start (const struct placer *plc, int64_t now_us)
+{
+  return placer_may_command (plc, now_us)
+         && now_us - plc->confirmed_us < plc->set.start_confirm_ms * 1000;
+}
+
+/* The bound on the leases of an earlier owner begins with its last command,
+   which it sends this much later than its last start.  */
+int64_t
+placer_earlier_starts_end_us (const struct placer *plc)
+{
+  return plc->earlier_leases_end_us - placer_lease_span_us (plc->set.lease_ms)
+         - (plc->set.confirm_ms - plc->set.start_confirm_ms) * 1000;
+}
+
 /* Drops the reservations of all tasks of JOB.  */
 static void
 release_reservations (struct placer *plc, struct job *job)
@@ -271,10 +287,12 @@
     return;
   const char *unreached = plc->earlier_count > 0 ? plc->earlier[0].id : NULL;
   for (size_t n = 0; !unreached && n < plc->pool.count; n++)
-    if (!plc->pool.workers[n]->reached
+    if (!plc->pool.workers[n]->settled
         && !plc->pool.workers[n]->reported_ended)
       unreached = plc->pool.workers[n]->rep.id;
-  plc->takeover_done = !unreached || now_us > plc->earlier_leases_end_us;
+  plc->takeover_done
+      = (!unreached && now_us >= placer_earlier_starts_end_us (plc))
+        || now_us > plc->earlier_leases_end_us;
   if (!plc->takeover_done)
     return;
   log_event (
@@ -302,8 +320,10 @@
 placer_may_still_run (const struct placer *plc, const struct job *job,
                       const struct task *tsk)
 {
-  return !plc->takeover_done && job->offset < plc->set.fence_offset
-         && tsk->located_token != plc->set.token;
+  if (plc->takeover_done || job->offset >= plc->set.fence_offset)
+    return false;
+  return tsk->located_token != plc->set.token
+         || clock_now_us (plc->env.clk) < placer_earlier_starts_end_us (plc);
 }
 
 void
@@ -526,7 +546,6 @@
 {
   int64_t wall_ms = clock_wall_ms (plc->env.clk);
   size_t count = 0;
-  check_takeover (plc, now_us);
   struct candidate *cands
       = talloc_array (plc, struct candidate, plc->job_count + 1);
   plc->waiting_tasks = 0;
@@ -575,7 +594,7 @@
           || (!wrk->reported_ended && now_us < wrk->lease_end_us))
         continue;
       /* A worker that has not answered may run tasks of an earlier owner.  */
-      if (!wrk->reached && !wrk->reported_ended && !plc->takeover_done)
+      if (!wrk->settled && !wrk->reported_ended && !plc->takeover_done)
         continue;
       plc->pool.workers[n] = plc->pool.workers[--plc->pool.count];
       plc->enrol_stale = plc->enrol_stale || wrk->enrolled;
@@ -601,7 +620,11 @@
       /* Otherwise a known job may follow the fence of a later owner that is
          not known yet, or may have ended.  */
       if (plc->env.log_consistent (plc->env.arg))
-        place_all (plc, now_us);
+        {
+          check_takeover (plc, now_us);
+          if (placer_may_start (plc, now_us))
+            place_all (plc, now_us);
+        }
     }
   placer_flush (plc, now_us);
   drop_ended_jobs (plc);
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -64,9 +64,13 @@
   uint64_t fence_offset;
   int64_t lease_ms;
   int64_t lease_max_ms; /* longest lease that workers grant */
-  /* An owner whose ownership was not confirmed for this time extends no leases
-     and starts nothing.  */
+  /* An owner whose ownership was not confirmed for this time sends no commands
+     and extends no leases.  */
   int64_t confirm_ms;
+  /* The same for starts; at most CONFIRM_MS.  A later owner lets tasks wait
+     for this long that this one may start: a worker which has restarted knows
+     no token and takes starts from both.  */
+  int64_t start_confirm_ms;
   int64_t confirmed_us; /* time for which ownership is confirmed already */
 };
 
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -130,6 +130,9 @@
              LOG_I ("confirmed_age_ms", (now_us - plc->confirmed_us) / 1000));
   counter_add (plc->env.ctr, CTR_RUNS_LOST, 1);
   run->tsk->ended_us = now_us;
+  /* An earlier owner may have started the task on the worker's next
+     instance.  */
+  run->tsk->located_token = 0;
   placer_remove_run (plc, run);
 }
 
@@ -419,12 +422,17 @@
   if (!wrk->reached && !res->incomplete)
     {
       wrk->reached = true;
-      placer_drop_earlier_worker (plc, wrk->rep.id);
       log_event (plc->env.lg, EV_WORKER_REACHED, LOG_S ("worker", wrk->rep.id),
                  LOG_S ("host", wrk->rep.host), LOG_S ("pool", plc->set.pool),
                  LOG_I ("running", res->running_count),
                  LOG_I ("ended", res->ended_count));
     }
+  if (!wrk->settled && !res->incomplete
+      && ctx->sent_us >= placer_earlier_starts_end_us (plc))
+    {
+      wrk->settled = true;
+      placer_drop_earlier_worker (plc, wrk->rep.id);
+    }
   if (ctx->last_seen > wrk->acked_end)
     wrk->acked_end = ctx->last_seen;
   if (res->incomplete && !wrk->hold_incomplete)
@@ -522,9 +530,36 @@
   placer_release_call (plc);
 }
 
+/* Whether WRK has to be asked for runs of earlier owners, which start nothing
+   any more.  */
 static bool
-hold_needed (const struct worker *wrk)
+settling_due (const struct placer *plc, const struct worker *wrk,
+              int64_t now_us)
 {
+  return !wrk->settled && now_us >= placer_earlier_starts_end_us (plc);
+}
+
+/* Longest time for which WRK may delay its answer to a hold.  */
+static int64_t
+hold_wait_ms (const struct placer *plc, const struct worker *wrk,
+              int64_t now_us)
+{
+  int64_t starts_end_us = placer_earlier_starts_end_us (plc);
+  if (!wrk->reached || wrk->unanswered_calls > 0 || wrk->ended_us
+      || settling_due (plc, wrk, now_us))
+    return 0;
+  /* The next hold is due then.  */
+  if (!wrk->settled && starts_end_us < now_us + HOLD_WAIT_MS * 1000)
+    return (starts_end_us - now_us) / 1000;
+  return HOLD_WAIT_MS;
+}
+
+static bool
+hold_needed (const struct placer *plc, const struct worker *wrk,
+             int64_t now_us)
+{
+  if (settling_due (plc, wrk, now_us))
+    return true;
   /* Check whether a worker that is reported as ended still answers.  */
   if (wrk->ended_us && wrk->registered)
     return true;
@@ -548,7 +583,7 @@
     drop_lost_runs (plc, wrk, "lease_expired");
   if (wrk->hold_in_flight || now_us < wrk->next_hold_us)
     return;
-  if (!hold_needed (wrk))
+  if (!hold_needed (plc, wrk, now_us))
     {
       wrk->instance_seen = false;
       return;
@@ -568,14 +603,12 @@
   ctx->lease_end_ms = wrk->clock_ms > 0 && wrk->unanswered_calls == 0
                           ? placer_lease_end (plc, wrk, now_us)
                           : 0;
-  const struct command_target to = placer_command_target (wrk);
+  const struct command_target to = placer_command_target (plc, wrk);
   const struct hold_command cmd = {
     .token = plc->set.token,
     .last_seen = ctx->last_seen,
     .lease_end_ms = ctx->lease_end_ms,
-    .wait_ms = wrk->reached && wrk->unanswered_calls == 0 && !wrk->ended_us
-                   ? HOLD_WAIT_MS
-                   : 0,
+    .wait_ms = hold_wait_ms (plc, wrk, now_us),
   };
   if (plc->env.lnk->drv->hold (plc->env.lnk, &to, &cmd, on_hold, ctx))
     {
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -38,7 +38,8 @@
   int64_t claimed_us;   /* when this owner's placer was created */
   int64_t confirmed_us; /* latest time for which ownership is confirmed */
   bool fenced;          /* a worker or the log has seen a later owner */
-  /* Every run that earlier owners started is known or has lost its lease.  */
+  /* Every run that earlier owners started is known or has lost its lease, and
+     they start nothing any more.  */
   bool takeover_done;
 
   /* Jobs that have not ended, have a run, or have progress to flush.  */
@@ -83,9 +84,10 @@
 /* placer_start.c */
 /* Whether as many starts are in flight as this process can send in time.  */
 bool placer_start_limit_reached (struct placer *plc, int64_t now_us);
-/* The target of commands to WRK.  Uses a new connection if the last call was
-   not answered.  */
-struct command_target placer_command_target (const struct worker *wrk);
+/* The target of commands to WRK other than starts.  Uses a new connection if
+   the last call was not answered.  */
+struct command_target placer_command_target (const struct placer *plc,
+                                             const struct worker *wrk);
 /* Starts the next run of a task on WRK.  */
 void placer_start_task (struct placer *plc, struct job *job,
                         const struct task_ref *ref, struct worker *wrk);
@@ -197,6 +199,10 @@
                         const struct task_ref *ref);
 /* Whether ownership is confirmed recently enough to send commands.  */
 bool placer_may_command (const struct placer *plc, int64_t now_us);
+/* The same for starts.  */
+bool placer_may_start (const struct placer *plc, int64_t now_us);
+/* Earlier owners start nothing after this time.  */
+int64_t placer_earlier_starts_end_us (const struct placer *plc);
 /* Ends a call in flight; frees a closing placer after the last one.  */
 void placer_release_call (struct placer *plc);
 /* Whether a run of the task by an earlier owner may still exist on a worker
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -237,12 +237,14 @@
 }
 
 struct command_target
-placer_command_target (const struct worker *wrk)
+placer_command_target (const struct placer *plc, const struct worker *wrk)
 {
-  return (struct command_target){ .address = wrk->rep.address,
-                                  .worker = wrk->rep.id,
-                                  .new_connection
-                                  = wrk->unanswered_calls > 0 };
+  return (struct command_target){
+    .address = wrk->rep.address,
+    .worker = wrk->rep.id,
+    .new_connection = wrk->unanswered_calls > 0,
+    .send_before_us = plc->confirmed_us + plc->set.confirm_ms * 1000,
+  };
 }
 
 static void
@@ -288,7 +290,7 @@
   /* Each try has a lease of its own, so a later owner counts on none being
      sent without a confirmed ownership.  */
   if (run->start_tries < START_TRIES_MAX && !run->stop_wanted
-      && placer_may_command (plc, clock_now_us (plc->env.clk)))
+      && placer_may_start (plc, clock_now_us (plc->env.clk)))
     send_start (plc, run);
   else
     /* The run may still start; after a stop the worker refuses its start.  */
@@ -356,7 +358,8 @@
 {
   struct worker *wrk = run->wrk;
   int64_t now_us = clock_now_us (plc->env.clk);
-  const struct command_target to = placer_command_target (wrk);
+  struct command_target to = placer_command_target (plc, wrk);
+  to.send_before_us = plc->confirmed_us + plc->set.start_confirm_ms * 1000;
   const struct start_command cmd = {
     .task = run->ref,
     .run = run->number,
@@ -426,7 +429,7 @@
 send_stop (struct placer *plc, struct worker *wrk, struct run *run,
            const struct task_ref *ref, uint32_t number)
 {
-  const struct command_target to = placer_command_target (wrk);
+  const struct command_target to = placer_command_target (plc, wrk);
   const struct stop_command cmd
       = { .task = *ref, .run = number, .token = plc->set.token };
   if (!placer_may_command (plc, clock_now_us (plc->env.clk)))
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -63,7 +63,10 @@
   int64_t ended_us;
   /* Monotonic time by which the worker's instance had certainly started.  */
   int64_t known_us;
-  bool reached;    /* has answered this owner, in this instance or before */
+  bool reached; /* has answered this owner, in this instance or before */
+  /* Has answered a hold that was sent after the last start of an earlier
+     owner, so that every run which such an owner started there is known.  */
+  bool settled;
   bool enrolled;   /* the pool's worker record in the log names it, so that
                       it may get tasks */
   bool unenrolled; /* the worker record in the log leaves it out, as it is
--- a/sched/worker_link.h
+++ b/sched/worker_link.h
@@ -35,6 +35,9 @@
   const char *address;
   const char *worker;  /* its id; another worker at the address does nothing */
   bool new_connection; /* do not reuse an idle connection */
+  /* Monotonic time at which the sender's permission ends: the command is not
+     sent any more from then on.  */
+  int64_t send_before_us;
 };
 
 struct start_command
--- a/test/unit/placer_world.c
+++ b/test/unit/placer_world.c
@@ -115,6 +115,7 @@
           .lease_ms = WORLD_LEASE_MS,
           .lease_max_ms = WORLD_LEASE_MAX_MS,
           .confirm_ms = WORLD_CONFIRM_MS,
+          .start_confirm_ms = WORLD_START_CONFIRM_MS,
           .confirmed_us = wld->clk.now_us - wld->confirmed_age_ms * 1000 };
   const struct placer_env env = { .clk = &wld->clk.clk,
                                   .ctr = &wld->ctr,
@@ -224,6 +225,13 @@
   placer_tick (wld->plc);
 }
 
+void
+world_release_earlier (struct world *wld)
+{
+  placer_limit_earlier_leases (
+      wld->plc, wld->clk.now_us + placer_lease_span_us (WORLD_LEASE_MS));
+}
+
 void
 world_confirm_ownership (struct world *wld)
 {
--- a/test/unit/placer_world.h
+++ b/test/unit/placer_world.h
@@ -12,6 +12,7 @@
 #define WORLD_LEASE_MS 5000
 #define WORLD_LEASE_MAX_MS 10000
 #define WORLD_CONFIRM_MS 6000
+#define WORLD_START_CONFIRM_MS 3000
 /* Offset of the owner's fence record.  */
 #define WORLD_FENCE_OFFSET 100
 
@@ -86,6 +87,9 @@
    in progress, and calls placer_tick.  */
 void world_tick (struct world *wld, int64_t ms);
 
+/* The earlier owners have released the pool: they send no more commands.  */
+void world_release_earlier (struct world *wld);
+
 /* Confirms ownership of the pool as of now.  */
 void world_confirm_ownership (struct world *wld);
 
--- a/test/unit/unit_http_client.c
+++ b/test/unit/unit_http_client.c
@@ -8,6 +8,7 @@
 #include <tevent.h>
 #include <unistd.h>
 
+#include "base/clock.h"
 #include "breaking_peer.h"
 #include "platform/http_client.h"
 
@@ -22,9 +23,11 @@
 /* Longer than the kernel keeps bytes that the peer does not acknowledge.  */
 #define PAUSE_MS 4500
 #define READ_WAIT_MS 2000
+#define CLOCK_US 5000000
 
 static struct tevent_context *ev;
 static struct http_client cli;
+static struct clock_manual clk;
 static int listener;
 static char url[64];
 static bool done;
@@ -47,7 +50,8 @@
   snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/order",
             ntohs (addr.sin_port));
   ev = tevent_context_init (NULL);
-  ck_assert_int_eq (http_client_init (&cli, ev, ev, 0), 0);
+  clock_manual_init (&clk, CLOCK_US);
+  ck_assert_int_eq (http_client_init (&cli, ev, ev, &clk.clk, 0), 0);
   done = false;
 }
 
@@ -196,6 +200,40 @@
 }
 END_TEST
 
+static const struct late_call
+{
+  int64_t send_before_us;
+  int64_t clock_us; /* when the connection is ready */
+  enum http_outcome outcome;
+  int calls; /* that the peer receives */
+} late_calls[] = {
+  { 0, 10 * CLOCK_US, HTTP_RESPONDED, 1 },
+  { 2 * CLOCK_US, 2 * CLOCK_US - 1, HTTP_RESPONDED, 1 },
+  { 2 * CLOCK_US, 2 * CLOCK_US, HTTP_NOT_SENT, 0 },
+};
+
+/* Guards against a command that a process sends after its permission has
+   ended, as it was paused between its decision and the sending (TWICE, ONE).
+ */
+START_TEST (test_late_call_is_not_sent)
+{
+  const struct late_call *it = &late_calls[_i];
+  struct breaking_peer peer;
+  breaking_peer_start (&peer);
+  snprintf (url, sizeof url, "http://%s/v1/order", peer.address);
+  const struct http_request req = { .method = "POST",
+                                    .url = url,
+                                    .timeout_ms = 10 * PAUSE_MS,
+                                    .send_before_us = it->send_before_us };
+  ck_assert_int_eq (http_call (&cli, &req, on_response, NULL), 0);
+  clk.now_us = it->clock_us;
+  run_loop (20 * PAUSE_MS);
+  ck_assert (done);
+  ck_assert_int_eq (breaking_peer_stop (&peer), it->calls);
+  ck_assert_int_eq (outcome, it->outcome);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -207,6 +245,8 @@
   tcase_add_test (tc, test_call_of_paused_process_is_not_delivered);
   tcase_add_loop_test (tc, test_broken_call_is_not_repeated, 0,
                        sizeof broken_calls / sizeof *broken_calls);
+  tcase_add_loop_test (tc, test_late_call_is_not_sent, 0,
+                       sizeof late_calls / sizeof *late_calls);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
--- a/test/unit/unit_placer.c
+++ b/test/unit/unit_placer.c
@@ -253,6 +253,7 @@
       struct host_report rep = { .state = cases[n].state };
       teardown ();
       setup ();
+      world_release_earlier (wld);
       placer_add_earlier_worker (wld->plc, "w9", "m-w9", 500,
                                  wld->clk.now_us - cases[n].age_ms * 1000);
       add_two_workers ();
@@ -267,8 +268,7 @@
   setup ();
   placer_add_earlier_worker (wld->plc, "w9", "m-w9", 500, 0);
   add_two_workers ();
-  placer_limit_earlier_leases (
-      wld->plc, wld->clk.now_us + placer_lease_span_us (WORLD_LEASE_MS));
+  world_release_earlier (wld);
   wld->clk.now_us += WORLD_LEASE_MS * 1000;
   world_confirm_ownership (wld);
   world_tick (wld, 0);
@@ -800,6 +800,7 @@
   const struct hold_result res
       = { .command = { .status = COMMAND_DONE, .clock_ms = 1 },
           .incomplete = true };
+  world_release_earlier (wld);
   world_add_worker (wld, "w1", 1000);
   world_tick (wld, 1);
   struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
--- a/test/unit/unit_placer_takeover.c
+++ b/test/unit/unit_placer_takeover.c
@@ -75,6 +75,7 @@
   const struct world_row unwanted = { .job = 1, .run = 1 };
   const struct world_row end
       = { .job = 1, .run = 2, .end = RUN_END_FAILED, .number = 1 };
+  world_release_earlier (wld);
   world_add_job (wld, 1, PERPETUAL_JOB, 50);
   list_runs (&kept, &unwanted);
   struct world_call *stop = world_call (wld, WORLD_STOP, "w2");
@@ -193,6 +194,7 @@
               { .name = "m-w9", .worker = "w9" } };
       teardown ();
       setup ();
+      world_release_earlier (wld);
       placer_add_earlier_worker (wld->plc, "w9", "m-w9", 500, wld->clk.now_us);
       list_runs (NULL, NULL);
       world_tick (wld, cases[n].after_ms);
@@ -251,6 +253,7 @@
    later owner that has started it.  */
 START_TEST (test_no_start_from_inconsistent_log)
 {
+  world_release_earlier (wld);
   list_runs (NULL, NULL);
   world_tick (wld, 1);
   wld->log_inconsistent = true;
@@ -330,13 +333,17 @@
 {
   static const struct
   {
-    int64_t age_ms; /* of the confirmation when the start is sent */
-    bool fenced;    /* the log shows a later owner */
+    int64_t age_ms;    /* of the confirmation when the start is sent */
+    int64_t answer_ms; /* from then until it is known to have no answer */
+    bool fenced;       /* the log shows a later owner */
     size_t starts;
+    bool stopped;
   } cases[] = {
-    { 0, false, 2 },
-    { WORLD_CONFIRM_MS - 500, false, 1 },
-    { 0, true, 1 },
+    { 0, 900, false, 2, false },
+    { WORLD_START_CONFIRM_MS - 500, 900, false, 1, true },
+    { WORLD_START_CONFIRM_MS - 500,
+      WORLD_CONFIRM_MS - WORLD_START_CONFIRM_MS + 600, false, 1, false },
+    { 0, 900, true, 1, false },
   };
   list_runs (NULL, NULL);
   world_tick (wld, 1);
@@ -345,16 +352,17 @@
   world_add_job (wld, 1, BATCH_JOB, 200);
   world_tick (wld, 1);
   const char *worker = world_call (wld, WORLD_START, "w1") ? "w1" : "w2";
-  wld->clk.now_us += 900 * 1000;
+  wld->clk.now_us += cases[_i].answer_ms * 1000;
   if (cases[_i].fenced)
     placer_note_fence (wld->plc, 9);
   world_answer (wld, world_call (wld, WORLD_START, worker), COMMAND_NO_ANSWER);
   ck_assert_uint_eq (world_starts (wld, 1, 0), cases[_i].starts);
-  ck_assert_ptr_null (world_call (wld, WORLD_STOP, worker));
+  ck_assert (!!world_call (wld, WORLD_STOP, worker) == cases[_i].stopped);
   /* After a confirmation the run is stopped, as it may have started.  */
   world_confirm_ownership (wld);
   world_tick (wld, 1);
-  ck_assert (!!world_call (wld, WORLD_STOP, worker) == (_i == 1));
+  ck_assert (!!world_call (wld, WORLD_STOP, worker)
+             == (cases[_i].starts == 1 && !cases[_i].fenced));
 }
 END_TEST
 
@@ -395,6 +403,112 @@
 }
 END_TEST
 
+/* An owner may start tasks for a while after its successor's claim, when it
+   was paused or cut off, and a worker that has restarted since takes the
+   start: it has seen no token.  Guards against a successor that starts the
+   same task in that time, or before it has asked such a worker again (TWICE).
+ */
+START_TEST (test_earlier_owner_may_still_start)
+{
+  static const struct
+  {
+    bool released;   /* the earlier owner sends no more commands */
+    bool started;    /* the earlier owner starts the task on w2 */
+    size_t starts_1; /* before the earlier owner's last start */
+    size_t starts_2; /* after the workers have answered again */
+  } cases[] = {
+    { true, false, 1, 1 },
+    { false, false, 0, 1 },
+    { false, true, 0, 0 },
+  };
+  const struct world_row row = { .job = 1, .run = 1 };
+  if (cases[_i].released)
+    world_release_earlier (wld);
+  world_add_job (wld, 1, BATCH_JOB, 50);
+  list_runs (NULL, NULL);
+  for (int64_t ms = 40; ms < WORLD_START_CONFIRM_MS; ms += 40)
+    {
+      world_tick (wld, 40);
+      world_confirm_ownership (wld);
+    }
+  ck_assert_uint_eq (world_starts (wld, 1, 0), cases[_i].starts_1);
+  if (cases[_i].released)
+    return;
+  for (int n = 0; n < 3; n++)
+    {
+      world_tick (wld, 40);
+      world_confirm_ownership (wld);
+    }
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 0);
+  world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
+  world_answer_hold (wld, "w2", &row, cases[_i].started, NULL, 0);
+  world_tick (wld, 40);
+  world_tick (wld, 40);
+  ck_assert (placer_takeover_done (wld->plc));
+  ck_assert_uint_eq (world_starts (wld, 1, 0), cases[_i].starts_2);
+}
+END_TEST
+
+/* The other side of it: an owner starts nothing once a successor that it does
+   not know of may start the same tasks, though it still extends leases.  */
+START_TEST (test_no_start_from_old_confirmation)
+{
+  static const struct
+  {
+    int64_t age_ms; /* of the last confirmation */
+    size_t starts;
+  } cases[] = {
+    { WORLD_START_CONFIRM_MS - 100, 1 },
+    { WORLD_START_CONFIRM_MS, 0 },
+    { WORLD_CONFIRM_MS - 100, 0 },
+  };
+  list_runs (NULL, NULL);
+  world_tick (wld, 1);
+  world_confirm_ownership (wld);
+  world_add_job (wld, 1, BATCH_JOB, 200);
+  world_tick (wld, cases[_i].age_ms);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), cases[_i].starts);
+  world_add_worker (wld, "w3", 1000);
+  world_tick (wld, 1);
+  ck_assert_ptr_nonnull (world_call (wld, WORLD_HOLD, "w3"));
+  world_confirm_ownership (wld);
+  world_tick (wld, 1);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 1);
+}
+END_TEST
+
+/* Guards against a task that is started while an earlier owner may start it on
+   the next instance of the worker that ran it: the run was known, but its
+   instance ended.  */
+START_TEST (test_known_run_lost_before_takeover)
+{
+  const struct world_row row = { .job = 1, .run = 1 };
+  placer_add_earlier_worker (wld->plc, "w9", "m-w9", 500, wld->clk.now_us);
+  world_add_job (wld, 1, BATCH_JOB, 50);
+  list_runs (&row, NULL);
+  for (int64_t ms = 0; ms <= WORLD_START_CONFIRM_MS; ms += 100)
+    {
+      world_tick (wld, 100);
+      world_confirm_ownership (wld);
+    }
+  placer_worker_ended (wld->plc, "w1");
+  world_answer (wld, world_call (wld, WORLD_HOLD, "w1"), COMMAND_NO_ANSWER);
+  for (int n = 0; n < 5; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 100);
+    }
+  ck_assert (!placer_takeover_done (wld->plc));
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 0);
+  for (int64_t ms = 0; ms < WORLD_CONFIRM_MS + WORLD_LEASE_MS; ms += 100)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 100);
+    }
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -411,9 +525,12 @@
   tcase_add_test (tc, test_silent_worker_without_host);
   tcase_add_loop_test (tc, test_list_older_than_worker, 0, 3);
   tcase_add_test (tc, test_no_start_from_inconsistent_log);
-  tcase_add_loop_test (tc, test_no_command_after_confirmation, 0, 3);
+  tcase_add_loop_test (tc, test_no_command_after_confirmation, 0, 4);
   tcase_add_test (tc, test_late_begin_confirms_nothing);
   tcase_add_test (tc, test_departed_worker_leaves_record);
+  tcase_add_loop_test (tc, test_earlier_owner_may_still_start, 0, 3);
+  tcase_add_loop_test (tc, test_no_start_from_old_confirmation, 0, 3);
+  tcase_add_test (tc, test_known_run_lost_before_takeover);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
