sched: leases are computed by the slowest clock that a worker may have

Cause: the end of a lease is named by the worker's clock, and the owner estimated it from the last answer as if the clock were exact. A worker that is idle is not asked; after 88 s and with a clock 2% slow the estimate was 1.8 s ahead and the lease 6.8 s long, where a successor counts on 5 s. The owner's own bound allowed for the drift. Ruled out: the successor's wait, which is right for leases of 5 s.

The estimate now assumes the slowest clock, so no lease is longer than stated, whatever the age of the answer; a worker that runs nothing is asked for its clock every 10 s, or its leases would become short.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -28,6 +28,9 @@
 #define HOLD_UNFLUSHED_RETRY_US 250000
 /* Bound on the transit time of an answer.  */
 #define ANSWER_TRANSIT_US 100000
+/* A worker without runs is asked for its clock when the last answer is
+   older.  */
+#define CLOCK_READ_AGE_MAX_US 10000000
 /* Consecutive failed runs after which a worker gets no new tasks for
    AVOID_FIRST_US.  With each further failure the time doubles, up to
    AVOID_MAX_US.  */
@@ -62,19 +65,18 @@
      suspended between the check and the command.  */
   int64_t last_us = plc->confirmed_us + plc->set.confirm_ms * 1000;
   int64_t begin_us = now_us < last_us ? now_us : last_us;
-  return wrk->clock_ms + (begin_us - wrk->clock_read_us) / 1000
-         + plc->set.lease_ms;
+  /* The slowest clock possible: on a faster one the lease is shorter, and
+     never longer than later owners wait for.  */
+  int64_t passed_us = begin_us - wrk->clock_read_us;
+  if (passed_us > 0)
+    passed_us -= passed_us * CLOCK_SLOW_MAX_PERCENT / 100;
+  return wrk->clock_ms + passed_us / 1000 + plc->set.lease_ms;
 }
 
 void
 placer_note_lease (struct placer *plc, struct worker *wrk, int64_t now_us)
 {
-  /* A slow worker's clock is behind the estimate that lease ends are computed
-     from, so the lease may end later.  */
-  int64_t drift_us
-      = (now_us - wrk->clock_read_us) * CLOCK_SLOW_MAX_PERCENT / 100;
-  int64_t until_us
-      = now_us + drift_us + add_lease_slack (plc->set.lease_ms * 1000);
+  int64_t until_us = now_us + add_lease_slack (plc->set.lease_ms * 1000);
   if (until_us > wrk->lease_end_us)
     wrk->lease_end_us = until_us;
 }
@@ -530,6 +532,15 @@
   placer_release_call (plc);
 }
 
+/* Whether the worker's clock was read so long ago that leases by its slowest
+   possible speed would be short.  */
+static bool
+clock_read_due (const struct worker *wrk, int64_t now_us)
+{
+  return wrk->registered
+         && now_us - wrk->clock_read_us > CLOCK_READ_AGE_MAX_US;
+}
+
 /* Whether WRK has to be asked for runs of earlier owners, which start nothing
    any more.  */
 static bool
@@ -546,7 +557,7 @@
 {
   int64_t starts_end_us = placer_earlier_starts_end_us (plc);
   if (!wrk->reached || wrk->unanswered_calls > 0 || wrk->ended_us
-      || settling_due (plc, wrk, now_us))
+      || settling_due (plc, wrk, now_us) || clock_read_due (wrk, now_us))
     return 0;
   /* The next hold is due then.  */
   if (!wrk->settled && starts_end_us < now_us + HOLD_WAIT_MS * 1000)
@@ -558,7 +569,7 @@
 hold_needed (const struct placer *plc, const struct worker *wrk,
              int64_t now_us)
 {
-  if (settling_due (plc, wrk, now_us))
+  if (settling_due (plc, wrk, now_us) || clock_read_due (wrk, now_us))
     return true;
   /* Check whether a worker that is reported as ended still answers.  */
   if (wrk->ended_us && wrk->registered)
--- a/test/unit/unit_placer_instance.c
+++ b/test/unit/unit_placer_instance.c
@@ -348,6 +348,51 @@
 }
 END_TEST
 
+/* Time by a clock that runs at PERCENT of the true speed since START_US.  */
+static int64_t
+slow_clock_ms (int64_t start_us, int percent)
+{
+  return start_us / 1000 + (wld->clk.now_us - start_us) / 1000 * percent / 100;
+}
+
+/* Guards against a lease that lasts longer at the worker than a later owner
+   waits for (TWICE): a worker's clock may be slow, and its time is estimated
+   from an answer that may be minutes old when the worker was idle.  */
+START_TEST (test_lease_after_idle_time)
+{
+  static const struct
+  {
+    int64_t idle_ms;
+    int percent; /* speed of the worker's clock */
+  } cases[] = { { 0, 98 },      { 9000, 98 },   { 88000, 98 },
+                { 88000, 100 }, { 600000, 98 }, { 600000, 100 } };
+  const int percent = cases[_i].percent;
+  int64_t start_us = wld->clk.now_us;
+  for (int64_t ms = 0; ms <= cases[_i].idle_ms + 200; ms += 100)
+    {
+      const struct hold_result res
+          = { .command = { .status = COMMAND_DONE,
+                           .clock_ms = slow_clock_ms (start_us, percent) },
+              .born_ms = BORN_MS };
+      struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+      if (hold)
+        {
+          hold->answered = true;
+          hold->hold_fn (hold->arg, &res);
+        }
+      world_confirm_ownership (wld);
+      world_tick (wld, 100);
+    }
+  world_add_job (wld, 1, TASK_JOB, 200);
+  world_tick (wld, 1);
+  struct world_call *start = world_call (wld, WORLD_START, "w1");
+  ck_assert_ptr_nonnull (start);
+  int64_t lease_ms = start->lease_end_ms - slow_clock_ms (start_us, percent);
+  ck_assert_int_le (lease_ms, WORLD_LEASE_MS);
+  ck_assert_int_ge (lease_ms, WORLD_LEASE_MS * 9 / 10);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -363,6 +408,7 @@
   tcase_add_loop_test (tc, test_no_acknowledgement_to_next_instance, 0, 2);
   tcase_add_loop_test (tc, test_worker_refuses_holds, 0, 2);
   tcase_add_test (tc, test_lease_by_clock_of_next_instance);
+  tcase_add_loop_test (tc, test_lease_after_idle_time, 0, 6);
   tcase_add_test (tc, test_late_answer_of_earlier_instance);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
