node: pools without a queue are claimed while they have accepted jobs

Cause: processes claimed duties only for pools of queues in the present configuration.

A pool whose duty was ever claimed is now claimed again as long as it has accepted jobs that have not ended, and its partition is followed for that.

--- a/node/duties.c
+++ b/node/duties.c
@@ -516,6 +516,42 @@
     }
 }
 
+static bool
+pool_has_queue (const struct node *nod, const char *pool)
+{
+  for (size_t n = 0; n < nod->cat->queue_count; n++)
+    if (strcmp (nod->cat->queues[n].pool, pool) == 0)
+      return true;
+  return false;
+}
+
+static bool
+pool_has_unended_jobs (const struct node *nod, const char *pool)
+{
+  for (const struct job *job = nod->jobs.by_id; job; job = job->hh.next)
+    if (!job_ended (job) && strcmp (job->pool, pool) == 0)
+      return true;
+  return false;
+}
+
+/* Checks the duties for pools whose queues were removed from the
+   configuration: their accepted jobs still have to be done.  */
+static void
+check_duties_without_queue (struct node *nod)
+{
+  for (size_t n = 0; n < nod->duties.duty_count; n++)
+    {
+      const char *name = nod->duties.duties[n].name;
+      if (strcmp (name, DUTY_FLEET) == 0 || pool_has_queue (nod, name))
+        continue;
+      /* Follows the partition if it was not followed yet.  */
+      const struct job_partition *prt = node_job_partition (nod, name);
+      if (prt && follower_is_open (&prt->fol) && follower_caught_up (&prt->fol)
+          && pool_has_unended_jobs (nod, name))
+        check_duty (nod, name);
+    }
+}
+
 void
 node_check_duties (struct node *nod)
 {
@@ -526,6 +562,7 @@
     return;
   for (size_t n = 0; n < nod->cat->queue_count; n++)
     check_duty (nod, nod->cat->queues[n].pool);
+  check_duties_without_queue (nod);
   if (*nod->set->fleet_api)
     check_duty (nod, DUTY_FLEET);
 }
--- a/test/unit/unit_node.c
+++ b/test/unit/unit_node.c
@@ -60,6 +60,26 @@
 }
 END_TEST
 
+/* Guards against accepted jobs that nobody runs (LOST): the operator has
+   removed their queue, and the pool's owner then stopped.  A pool without a
+   queue and without such jobs is not claimed.  */
+START_TEST (test_pool_without_queue)
+{
+  node_world_create (&wld, false);
+  wld.cat.queue_count = 0;
+  node_world_claim (&wld, "p", "n2", 1, true);
+  node_world_run (&wld, 1200);
+  ck_assert_ptr_null (held_duty ());
+  node_world_add_job (&wld, 1);
+  node_world_run (&wld, 1200);
+  ck_assert_ptr_nonnull (held_duty ());
+  node_world_add_worker (&wld, "w1");
+  node_world_run (&wld, 300);
+  ck_assert_uint_eq (wld.last_started, 1);
+  node_world_fini (&wld);
+}
+END_TEST
+
 /* Guards against two owners that start one job: a former owner whose unread
    history was dropped reads a job before the later owner's fence, as the
    records then come by key.  */
@@ -518,6 +538,7 @@
   Suite *suite = suite_create ("node");
   TCase *tc = tcase_create ("node");
   tcase_set_timeout (tc, 60);
+  tcase_add_test (tc, test_pool_without_queue);
   tcase_add_test (tc, test_new_owner_reads_all_pages);
   tcase_add_test (tc, test_former_owner_reads_by_key);
   tcase_add_test (tc, test_late_release);
