sched: the takeover has a file of its own; a read of the clock waits like other holds

A hold that only asks for a worker's clock is a long poll like the others: a worker that answers without its clock would have been asked again at once, for ever.

Behaviour is otherwise unchanged; placer, placer_takeover and placer_instance pass.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -18,8 +18,6 @@
 /* A worker is kept for this time after its report was removed.  Reports expire
    while the store is unreachable and are back within 2 s of its return.  */
 #define UNREGISTERED_KEEP_US 3000000
-/* Bound on the transit time of a command.  */
-#define COMMAND_TRANSIT_US 500000
 /* Pause before a perpetual task is restarted, so that one that always fails at
    once does not keep the owner busy.  */
 #define RESTART_PAUSE_US 50000
@@ -53,29 +51,6 @@
   return que ? que->attempts : job->attempts;
 }
 
-bool
-placer_may_command (const struct placer *plc, int64_t now_us)
-{
-  return !plc->fenced
-         && now_us - plc->confirmed_us < plc->set.confirm_ms * 1000;
-}
-
-bool
-placer_may_start (const struct placer *plc, int64_t now_us)
-{
-  return placer_may_command (plc, now_us)
-         && now_us - plc->confirmed_us < plc->set.start_confirm_ms * 1000;
-}
-
-/* The bound on the leases of an earlier owner begins with its last command,
-   which it sends this much later than its last start.  */
-int64_t
-placer_earlier_starts_end_us (const struct placer *plc)
-{
-  return plc->earlier_leases_end_us - placer_lease_span_us (plc->set.lease_ms)
-         - (plc->set.confirm_ms - plc->set.start_confirm_ms) * 1000;
-}
-
 /* Drops the reservations of all tasks of JOB.  */
 static void
 release_reservations (struct placer *plc, struct job *job)
@@ -278,34 +253,6 @@
   wrk->registered = true;
 }
 
-/* Completes the takeover once every run that an earlier owner may have started
-   is known or has lost its lease.  */
-static void
-check_takeover (struct placer *plc, int64_t now_us)
-{
-  if (plc->takeover_done)
-    return;
-  const char *unreached = plc->earlier_count > 0 ? plc->earlier[0].id : NULL;
-  for (size_t n = 0; !unreached && n < plc->pool.count; n++)
-    if (!plc->pool.workers[n]->settled
-        && !plc->pool.workers[n]->reported_ended)
-      unreached = plc->pool.workers[n]->rep.id;
-  plc->takeover_done
-      = (!unreached && now_us >= placer_earlier_starts_end_us (plc))
-        || now_us > plc->earlier_leases_end_us;
-  if (!plc->takeover_done)
-    return;
-  log_event (
-      plc->env.lg, EV_PLACER_TAKEOVER_DONE, LOG_S ("pool", plc->set.pool),
-      LOG_I ("after_ms", (now_us - plc->claimed_us) / 1000),
-      LOG_S ("unreached", unreached ? unreached : "none"),
-      LOG_I ("leases_left_ms", (plc->earlier_leases_end_us - now_us) / 1000));
-  /* Nothing runs any more on the workers that did not answer, so that later
-     owners need not wait for them.  */
-  plc->enrol_stale = plc->enrol_stale || plc->earlier_count > 0;
-  plc->earlier_count = 0;
-}
-
 static bool
 step_ready (const struct job *job, const struct occurrence *occ,
             const struct step *stp)
@@ -316,16 +263,6 @@
   return true;
 }
 
-bool
-placer_may_still_run (const struct placer *plc, const struct job *job,
-                      const struct task *tsk)
-{
-  if (plc->takeover_done || job->offset >= plc->set.fence_offset)
-    return false;
-  return tsk->located_token != plc->set.token
-         || clock_now_us (plc->env.clk) < placer_earlier_starts_end_us (plc);
-}
-
 void
 placer_note_waiting (struct placer *plc, const struct step *stp,
                      uint32_t count)
@@ -621,7 +558,7 @@
          not known yet, or may have ended.  */
       if (plc->env.log_consistent (plc->env.arg))
         {
-          check_takeover (plc, now_us);
+          placer_check_takeover (plc, now_us);
           if (placer_may_start (plc, now_us))
             place_all (plc, now_us);
         }
@@ -633,21 +570,6 @@
   return now_us + (busy ? TICK_BUSY_US : TICK_IDLE_US);
 }
 
-int64_t
-placer_lease_span_us (int64_t lease_ms)
-{
-  int64_t lease_us = lease_ms * 1000;
-  return lease_us + lease_us * CLOCK_SLOW_MAX_PERCENT / 100
-         + COMMAND_TRANSIT_US;
-}
-
-void
-placer_limit_earlier_leases (struct placer *plc, int64_t end_us)
-{
-  if (end_us < plc->earlier_leases_end_us)
-    plc->earlier_leases_end_us = end_us;
-}
-
 bool
 placer_needs_confirmation (const struct placer *plc)
 {
@@ -670,12 +592,6 @@
   return !plc->takeover_done;
 }
 
-bool
-placer_takeover_done (const struct placer *plc)
-{
-  return plc->takeover_done;
-}
-
 struct placer *
 placer_create (void *parent, const struct placer_settings *set,
                const struct placer_env *env)
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -557,7 +557,7 @@
 {
   int64_t starts_end_us = placer_earlier_starts_end_us (plc);
   if (!wrk->reached || wrk->unanswered_calls > 0 || wrk->ended_us
-      || settling_due (plc, wrk, now_us) || clock_read_due (wrk, now_us))
+      || settling_due (plc, wrk, now_us))
     return 0;
   /* The next hold is due then.  */
   if (!wrk->settled && starts_end_us < now_us + HOLD_WAIT_MS * 1000)
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -145,6 +145,21 @@
 /* Appends the queued progress to the log if an append is due.  */
 void placer_flush (struct placer *plc, int64_t now_us);
 
+/* placer_takeover.c */
+/* Whether ownership is confirmed recently enough to send commands.  */
+bool placer_may_command (const struct placer *plc, int64_t now_us);
+/* The same for starts.  */
+bool placer_may_start (const struct placer *plc, int64_t now_us);
+/* Earlier owners start nothing after this time.  */
+int64_t placer_earlier_starts_end_us (const struct placer *plc);
+/* Completes the takeover once every run that an earlier owner may have started
+   is known or has lost its lease.  */
+void placer_check_takeover (struct placer *plc, int64_t now_us);
+/* Whether a run of the task by an earlier owner may still exist on a worker
+   that has not answered this owner, or such an owner may still start one.  */
+bool placer_may_still_run (const struct placer *plc, const struct job *job,
+                           const struct task *tsk);
+
 /* placer_enrol.c */
 /* Appends the pool's worker record to the log if it has changed.  */
 void placer_enrol (struct placer *plc);
@@ -197,18 +212,8 @@
    job's other runs if the job has ended with it.  */
 void placer_task_ended (struct placer *plc, struct job *job,
                         const struct task_ref *ref);
-/* Whether ownership is confirmed recently enough to send commands.  */
-bool placer_may_command (const struct placer *plc, int64_t now_us);
-/* The same for starts.  */
-bool placer_may_start (const struct placer *plc, int64_t now_us);
-/* Earlier owners start nothing after this time.  */
-int64_t placer_earlier_starts_end_us (const struct placer *plc);
 /* Ends a call in flight; frees a closing placer after the last one.  */
 void placer_release_call (struct placer *plc);
-/* Whether a run of the task by an earlier owner may still exist on a worker
-   that has not answered this owner.  */
-bool placer_may_still_run (const struct placer *plc, const struct job *job,
-                           const struct task *tsk);
 /* Counts COUNT tasks of a step that no worker has room for.  */
 void placer_note_waiting (struct placer *plc, const struct step *stp,
                           uint32_t count);
--- /dev/null
+++ b/sched/placer_takeover.c
@@ -0,0 +1,89 @@
+#include "base/clock.h"
+#include "base/log.h"
+#include "sched/placer_priv.h"
+
+/* What an owner may do by its own permission, and what it has to leave to
+   earlier owners until theirs has ended.  */
+
+/* Bound on the transit time of a command.  */
+#define COMMAND_TRANSIT_US 500000
+
+bool
+placer_may_command (const struct placer *plc, int64_t now_us)
+{
+  return !plc->fenced
+         && now_us - plc->confirmed_us < plc->set.confirm_ms * 1000;
+}
+
+bool
+placer_may_start (const struct placer *plc, int64_t now_us)
+{
+  return placer_may_command (plc, now_us)
+         && now_us - plc->confirmed_us < plc->set.start_confirm_ms * 1000;
+}
+
+/* The bound on the leases of an earlier owner begins with its last command,
+   which it sends this much later than its last start.  */
+int64_t
+placer_earlier_starts_end_us (const struct placer *plc)
+{
+  return plc->earlier_leases_end_us - placer_lease_span_us (plc->set.lease_ms)
+         - (plc->set.confirm_ms - plc->set.start_confirm_ms) * 1000;
+}
+
+void
+placer_check_takeover (struct placer *plc, int64_t now_us)
+{
+  if (plc->takeover_done)
+    return;
+  const char *unreached = plc->earlier_count > 0 ? plc->earlier[0].id : NULL;
+  for (size_t n = 0; !unreached && n < plc->pool.count; n++)
+    if (!plc->pool.workers[n]->settled
+        && !plc->pool.workers[n]->reported_ended)
+      unreached = plc->pool.workers[n]->rep.id;
+  plc->takeover_done
+      = (!unreached && now_us >= placer_earlier_starts_end_us (plc))
+        || now_us > plc->earlier_leases_end_us;
+  if (!plc->takeover_done)
+    return;
+  log_event (
+      plc->env.lg, EV_PLACER_TAKEOVER_DONE, LOG_S ("pool", plc->set.pool),
+      LOG_I ("after_ms", (now_us - plc->claimed_us) / 1000),
+      LOG_S ("unreached", unreached ? unreached : "none"),
+      LOG_I ("leases_left_ms", (plc->earlier_leases_end_us - now_us) / 1000));
+  /* Nothing runs any more on the workers that did not answer, so that later
+     owners need not wait for them.  */
+  plc->enrol_stale = plc->enrol_stale || plc->earlier_count > 0;
+  plc->earlier_count = 0;
+}
+
+bool
+placer_may_still_run (const struct placer *plc, const struct job *job,
+                      const struct task *tsk)
+{
+  if (plc->takeover_done || job->offset >= plc->set.fence_offset)
+    return false;
+  return tsk->located_token != plc->set.token
+         || clock_now_us (plc->env.clk) < placer_earlier_starts_end_us (plc);
+}
+
+int64_t
+placer_lease_span_us (int64_t lease_ms)
+{
+  int64_t lease_us = lease_ms * 1000;
+  return lease_us + lease_us * CLOCK_SLOW_MAX_PERCENT / 100
+         + COMMAND_TRANSIT_US;
+}
+
+void
+placer_limit_earlier_leases (struct placer *plc, int64_t end_us)
+{
+  if (end_us < plc->earlier_leases_end_us)
+    plc->earlier_leases_end_us = end_us;
+}
+
+bool
+placer_takeover_done (const struct placer *plc)
+{
+  return plc->takeover_done;
+}
