--- a/test/unit/unit_wire_store.c
+++ b/test/unit/unit_wire_store.c
@@ -335,6 +335,46 @@
 }
 END_TEST
 
+static enum topic_append_status append_status;
+
+static void
+on_append (void *arg, const struct topic_append_result *res)
+{
+  append_status = res->status;
+  done = 1;
+}
+
+/* Guards against an append that is taken for not done on a response which does
+   not say so: the job would be told as not run (REFUSED).  */
+START_TEST (test_append_status)
+{
+  static const struct
+  {
+    unsigned int status;
+    enum topic_append_status result;
+  } cases[] = {
+    { 200, TOPIC_APPENDED },          { 400, TOPIC_REJECTED },
+    { 409, TOPIC_SEQUENCE_MISMATCH }, { 412, TOPIC_END_MISMATCH },
+    { 429, TOPIC_REJECTED },          { 500, TOPIC_UNKNOWN },
+    { 502, TOPIC_UNKNOWN },           { 503, TOPIC_REJECTED },
+    { 504, TOPIC_UNKNOWN },           { 507, TOPIC_FULL },
+  };
+  const struct topic_entry ent = {
+    .key = "k", .key_len = 1, .value = (const uint8_t *)"v", .value_len = 1
+  };
+  const struct topic_append app
+      = { .topic = "t", .producer = "p", .entries = &ent, .count = 1 };
+  static const char body[] = "{\"offset\":1,\"end\":2}";
+  srv.body = (const uint8_t *)body;
+  srv.body_len = strlen (body);
+  srv.status = cases[_i].status;
+  done = 0;
+  ck_assert_int_eq (topic_append (&store.st, &app, on_append, NULL), 0);
+  wire_server_await (&srv, &done);
+  ck_assert_int_eq (append_status, cases[_i].result);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -342,6 +382,7 @@
   TCase *tc = tcase_create ("wire_store");
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_set_timeout (tc, 60);
+  tcase_add_loop_test (tc, test_append_status, 0, 10);
   tcase_add_test (tc, test_odd_item);
   tcase_add_test (tc, test_deeply_nested_item);
   tcase_add_test (tc, test_unreadable_page);
--- a/test/unit/wire_server.c
+++ b/test/unit/wire_server.c
@@ -34,7 +34,8 @@
     body = srv->respond (ctx, url, after, after_len, &body_len);
   struct MHD_Response *resp = MHD_create_response_from_buffer (
       body_len, (void *)body, MHD_RESPMEM_MUST_COPY);
-  enum MHD_Result res = MHD_queue_response (con, 200, resp);
+  enum MHD_Result res
+      = MHD_queue_response (con, srv->status ? srv->status : 200, resp);
   MHD_destroy_response (resp);
   talloc_free (ctx);
   return res;
--- a/test/unit/wire_server.h
+++ b/test/unit/wire_server.h
@@ -16,6 +16,7 @@
   char address[32];    /* HOST:PORT */
   const uint8_t *body; /* of all responses, unless RESPOND is set */
   size_t body_len;
+  unsigned int status; /* of all responses; 0: 200 */
   /* Returns the body of the response to a request for the path URL, as a child
      of PARENT.  AFTER is the argument "after" of the query, or NULL.  Runs in
      the server's thread.  */
