store: an append without a response whose repeat is fenced is told as unknown

The first attempt may have been carried out.

The appender now gives APPENDER_UNKNOWN for it and the client 504. Entries that were never sent, or whose first attempt was fenced, are still rejected. test_fenced failed before in its case with a lost response.

--- a/node/requests.c
+++ b/node/requests.c
@@ -105,6 +105,11 @@
     }
   if (pen->req && out == APPENDER_DONE)
     reply (nod, pen->req, FRONT_OK, NULL, 0);
+  else if (pen->req && out == APPENDER_UNKNOWN)
+    {
+      log_request (nod, EV_JOB_NOT_CONFIRMED, pen->id, pen->queue, "fenced");
+      reply (nod, pen->req, FRONT_OUTCOME_UNKNOWN, NULL, 0);
+    }
   else if (pen->req)
     reject (nod, pen->req, pen->id, pen->queue, "store_away");
   talloc_free (pen);
--- a/store/appender.c
+++ b/store/appender.c
@@ -133,7 +133,8 @@
       complete_batch (p, APPENDER_DONE, res->offset);
       return;
     case TOPIC_FENCED:
-      complete_batch (p, APPENDER_FENCED, 0);
+      complete_batch (
+          p, p->outcome_unknown ? APPENDER_UNKNOWN : APPENDER_FENCED, 0);
       return;
     case TOPIC_SEQUENCE_MISMATCH:
       /* The store expects the next sequence number, so an attempt whose
--- a/store/appender.h
+++ b/store/appender.h
@@ -31,6 +31,8 @@
   APPENDER_DONE,
   APPENDER_NOT_DONE, /* certainly not appended */
   APPENDER_FENCED,   /* not appended: another producer has a higher epoch */
+  APPENDER_UNKNOWN,  /* the same, but an earlier attempt without a response may
+                        have been appended */
 };
 
 /* OFFSET is that of the entry.  When only the store's next sequence number
--- a/test/unit/unit_topic.c
+++ b/test/unit/unit_topic.c
@@ -33,6 +33,7 @@
 static struct call calls[CALLS_MAX];
 static size_t call_count;
 static int done, not_done;
+static enum appender_outcome last_outcome;
 static char delivered[64];
 static int64_t day_offset_us; /* by which the time of day is set wrong */
 
@@ -125,6 +126,7 @@
 static void
 on_entry (void *arg, enum appender_outcome out, uint64_t offset)
 {
+  last_outcome = out;
   if (out == APPENDER_DONE)
     done++;
   else
@@ -215,6 +217,31 @@
 }
 END_TEST
 
+/* Guards against a job that is told as not run although an earlier attempt of
+   its append, which got no response, may have been carried out.  */
+START_TEST (test_fenced)
+{
+  static const struct
+  {
+    bool no_response; /* to the first attempt */
+    enum appender_outcome outcome;
+  } cases[] = { { false, APPENDER_FENCED }, { true, APPENDER_UNKNOWN } };
+  struct appender app;
+  open_appender (&app);
+  add (&app, "a", false);
+  struct call *call = await_call (1);
+  if (cases[_i].no_response)
+    {
+      complete_append (call, TOPIC_UNKNOWN, 0);
+      call = await_call (2);
+    }
+  complete_append (call, TOPIC_FENCED, 0);
+  ck_assert_int_eq (not_done, 1);
+  ck_assert_int_eq (last_outcome, cases[_i].outcome);
+  appender_fini (&app);
+}
+END_TEST
+
 /* Guards against a use after free: a duty ends and finishes its appender while
    an append is in progress, and the result comes afterwards.  */
 START_TEST (test_finished_in_call)
@@ -379,6 +406,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, test_lost_answer);
   tcase_add_test (tc, test_rejected);
+  tcase_add_loop_test (tc, test_fenced, 0, 2);
   tcase_add_test (tc, test_finished_in_call);
   tcase_add_test (tc, test_follow);
   tcase_add_test (tc, test_time_of_day_set);
