node: pools without a queue are checked twice a second at most

The check goes through all jobs for each pool without a queue, and ran after each batch of records: with thousands of jobs some tens of times a second, for as long as the pool's claim is in the log. The interval bounds it; a pool waits up to 0.5 s longer for its owner.

test_pool_without_queue passes. The cost was not measured; it follows from the loops.

--- a/node/duties.c
+++ b/node/duties.c
@@ -26,6 +26,9 @@
 /* Claims of several duties conflict when all processes start at once; a
    process retries after a pseudo-random part of this time.  */
 #define CLAIM_BACKOFF_US 60000
+/* Time between two checks of the pools without a queue.  Each goes through all
+   jobs, and the duties are checked after each batch of records.  */
+#define QUEUELESS_INTERVAL_US 500000
 /* Events within this time are handled by one tick of the placer.  */
 #define TICK_BATCH_DELAY_US 3000
 /* Pause between two ticks of the placer, in multiples of the first one's
@@ -539,6 +542,10 @@
 static void
 check_duties_without_queue (struct node *nod)
 {
+  int64_t now_us = clock_now_us (nod->clk);
+  if (now_us < nod->next_queueless_us)
+    return;
+  nod->next_queueless_us = now_us + QUEUELESS_INTERVAL_US;
   for (size_t n = 0; n < nod->duties.duty_count; n++)
     {
       const char *name = nod->duties.duties[n].name;
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -201,6 +201,7 @@
   int64_t next_claim_us;     /* no claim before this time */
   uint64_t claim_conflicts;  /* claims that lost to a concurrent append */
   struct timer *claim_timer;
+  int64_t next_queueless_us; /* pools without a queue are not checked before */
   bool heartbeat_in_progress;
   int64_t confirmed_us; /* claims appended before this are known */
   /* A read of the claims that does not wait for new ones.  */
