sched: a start without an answer may have the longest lease

A worker that has restarted unnoticed begins its clock anew, so a start grants the longest lease there. When the start is answered, placer_note_grant allows for that. When it is not, and the worker stays silent, the owner gave the run up after 5.2 s and started the task elsewhere, while it could run on for up to lease-max-ms (TWICE).

Such a run is now given up only after the longest lease. Runs that the worker has confirmed, and those of an instance that is known to have ended, are not held for longer. What a successor counts on is still 5 s: open.

test_unanswered_start_on_silent_worker failed before (second start while the run could go on).

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -145,6 +145,23 @@
     drop_lost_run (plc, wrk->runs, reason);
 }
 
+/* Gives up the runs of a silent WRK, whose leases have expired.  A start
+   without an answer may have reached an instance that began since the last
+   answer; its clock began anew, so it grants the longest lease.  */
+static void
+drop_expired_runs (struct placer *plc, struct worker *wrk)
+{
+  int64_t longest_us = add_lease_slack (plc->set.lease_max_ms * 1000);
+  struct run *next;
+  for (struct run *run = wrk->runs; run; run = next)
+    {
+      next = run->next;
+      if (run->confirmed_us
+          || plc->confirmed_us > run->start_sent_us + longest_us)
+        drop_lost_run (plc, run, "lease_expired");
+    }
+}
+
 /* Gives up the runs of an earlier instance of WRK, but for those whose start
    was not answered: the new instance may still carry it out.  It refuses the
    start after it was told to stop the run.  */
@@ -591,7 +608,7 @@
      only if ownership was confirmed after the leases had expired.  */
   if (wrk->runs && wrk->unanswered_calls > 0
       && plc->confirmed_us > wrk->lease_end_us)
-    drop_lost_runs (plc, wrk, "lease_expired");
+    drop_expired_runs (plc, wrk);
   if (wrk->hold_in_flight || now_us < wrk->next_hold_us)
     return;
   if (!hold_needed (plc, wrk, now_us))
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -30,6 +30,7 @@
   int64_t confirmed_us; /* when the worker first confirmed the run; 0: not
                            yet */
   int start_tries;
+  int64_t start_sent_us; /* when its start was last sent */
   bool stop_wanted;
   bool stop_sent;
   int64_t stopped_us; /* when the stop was acknowledged; 0: not yet */
--- a/test/unit/unit_placer_instance.c
+++ b/test/unit/unit_placer_instance.c
@@ -348,6 +348,48 @@
 }
 END_TEST
 
+/* Guards against two runs of a task: its start got no answer, and the worker,
+   which had restarted unnoticed, became silent.  The lease that the start
+   names by the clock of the earlier instance is the longest one there.  */
+START_TEST (test_unanswered_start_on_silent_worker)
+{
+  world_add_worker (wld, "w2", BORN_MS);
+  world_tick (wld, 1);
+  world_answer_hold (wld, "w2", NULL, 0, NULL, 0);
+  world_tick (wld, 1);
+  world_add_job (wld, 1, TASK_JOB, 200);
+  world_confirm_ownership (wld);
+  world_tick (wld, 1);
+  const char *worker = world_call (wld, WORLD_START, "w1") ? "w1" : "w2";
+  int64_t sent_us = wld->clk.now_us;
+  for (;;)
+    {
+      struct world_call *call;
+      while ((call = world_call (wld, WORLD_START, worker))
+             || (call = world_call (wld, WORLD_HOLD, worker))
+             || (call = world_call (wld, WORLD_STOP, worker)))
+        {
+          if (call->kind == WORLD_START)
+            sent_us = wld->clk.now_us;
+          world_answer (wld, call, COMMAND_NO_ANSWER);
+        }
+      if (wld->clk.now_us >= sent_us + WORLD_LEASE_MAX_MS * 1000)
+        break;
+      ck_assert_ptr_null (
+          world_call (wld, WORLD_START, worker[1] == '1' ? "w2" : "w1"));
+      world_confirm_ownership (wld);
+      world_tick (wld, 300);
+    }
+  for (int n = 0; n < 3; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 300);
+    }
+  ck_assert_ptr_nonnull (
+      world_call (wld, WORLD_START, worker[1] == '1' ? "w2" : "w1"));
+}
+END_TEST
+
 /* Time by a clock that runs at PERCENT of the true speed since START_US.  */
 static int64_t
 slow_clock_ms (int64_t start_us, int percent)
@@ -408,6 +450,7 @@
   tcase_add_loop_test (tc, test_no_acknowledgement_to_next_instance, 0, 2);
   tcase_add_loop_test (tc, test_worker_refuses_holds, 0, 2);
   tcase_add_test (tc, test_lease_by_clock_of_next_instance);
+  tcase_add_test (tc, test_unanswered_start_on_silent_worker);
   tcase_add_loop_test (tc, test_lease_after_idle_time, 0, 6);
   tcase_add_test (tc, test_late_answer_of_earlier_instance);
   suite_add_tcase (suite, tc);
