sched: idle workers are not all asked for their clocks at once

Workers that were asked together, as at a takeover, would all be asked again every 10 s in the same tick. The time is spread over 6.2 to 10 s by the worker's handle. An idle worker costs its owner 0.1 to 0.16 holds a second, a worker with runs one a second as before.

test_lease_after_idle_time passes in its six cases.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -31,6 +31,11 @@
 /* A worker without runs is asked for its clock when the last answer is
    older.  */
 #define CLOCK_READ_AGE_MAX_US 10000000
+/* Some are asked earlier by a multiple of this time, so that not all workers
+   of a pool that were asked at once, as at a takeover, are asked at once
+   again.  */
+#define CLOCK_READ_SPREAD_US 200000
+#define CLOCK_READ_SPREAD_STEPS 20
 /* Consecutive failed runs after which a worker gets no new tasks for
    AVOID_FIRST_US.  With each further failure the time doubles, up to
    AVOID_MAX_US.  */
@@ -554,8 +559,10 @@
 static bool
 clock_read_due (const struct worker *wrk, int64_t now_us)
 {
-  return wrk->registered
-         && now_us - wrk->clock_read_us > CLOCK_READ_AGE_MAX_US;
+  int64_t most_us
+      = CLOCK_READ_AGE_MAX_US
+        - wrk->handle % CLOCK_READ_SPREAD_STEPS * CLOCK_READ_SPREAD_US;
+  return wrk->registered && now_us - wrk->clock_read_us > most_us;
 }
 
 /* Whether WRK has to be asked for runs of earlier owners, which start nothing
