platform: a command asks for its sender's permission when it is sent

A permission also ends when the pool is released or a later owner becomes known, and a start that still waited for its connection was sent after that. A release lets the next owner start at once, so that a worker which restarts in between, and knows no token, could take both starts (TWICE); an order to a host could follow the release of the fleet duty (ONE where the platform checks no tokens).

Commands and orders now ask when the connection is ready: whether the placer is open and not fenced, or the duty held under the same token, and the confirmation recent enough. After a release nothing more is sent.

test_unsent_commands failed in its cases with an old confirmation and a release, and test_late_call_is_not_sent, with these checks switched off.

--- a/fleet/host_link.h
+++ b/fleet/host_link.h
@@ -27,12 +27,14 @@
 struct host_order
 {
   const char *host;
-  const char *pool;       /* destination of a move; NULL: maintenance */
-  uint64_t wave;          /* number of the wave, for maintenance */
-  const char *holder;     /* process that sends the order */
-  uint64_t token;         /* its claim token; fences off earlier holders */
-  int64_t send_before_us; /* monotonic time at which the sender's permission
-                             ends; the order is not sent any more */
+  const char *pool;   /* destination of a move; NULL: maintenance */
+  uint64_t wave;      /* number of the wave, for maintenance */
+  const char *holder; /* process that sends the order */
+  uint64_t token;     /* its claim token; fences off earlier holders */
+  /* Called with the callback's argument just before the order is sent; it is
+     not sent if the holder's permission has ended by then.  NULL: always
+     sent.  */
+  bool (*may_send) (void *arg);
   int64_t timeout_ms; /* the sender gives the order up after this time, and it
                          has no effect unless the platform has received it by
                          then */
--- a/node/fleet_orders.c
+++ b/node/fleet_orders.c
@@ -59,6 +59,18 @@
   return left_us < ORDER_TIMEOUT_MAX_US ? left_us : ORDER_TIMEOUT_MAX_US;
 }
 
+/* Whether the order may still be sent: a process that was paused may have lost
+   the duty since it decided.  */
+static bool
+may_send_order (void *arg)
+{
+  const struct order_ctx *ctx = arg;
+  const struct fleet_duty *flt = ctx->nod->flt;
+  return flt->active && flt->token == ctx->token
+         && clock_now_us (ctx->nod->clk)
+                < ctx->nod->confirmed_us + ORDERS_END_US;
+}
+
 int64_t
 node_fleet_orders_begin_us (const struct node *nod)
 {
@@ -73,8 +85,7 @@
 node_fleet_order_host (void *arg, struct mgr_host *host)
 {
   struct fleet_duty *flt = arg;
-  int64_t now_us = clock_now_us (flt->nod->clk);
-  int64_t time_us = order_time_us (flt, now_us);
+  int64_t time_us = order_time_us (flt, clock_now_us (flt->nod->clk));
   struct order_ctx *ctx
       = time_us > 0 ? talloc_zero (flt, struct order_ctx) : NULL;
   if (!ctx)
@@ -92,7 +103,7 @@
     .wave = host->wave,
     .holder = flt->nod->set->name,
     .token = flt->token,
-    .send_before_us = now_us + time_us,
+    .may_send = may_send_order,
     .timeout_ms = time_us / 1000,
   };
   if (flt->nod->fleet_link.lnk.drv->order (&flt->nod->fleet_link.lnk, &ord,
--- a/node/node.c
+++ b/node/node.c
@@ -136,9 +136,9 @@
       || !tevent_add_signal (nod->ev, nod, SIGHUP, 0, on_hangup, nod))
     return ERR_NOMEM;
   job_table_init (&nod->jobs);
-  int err = http_client_init (&nod->cli, nod, nod->ev, nod->clk, 0);
+  int err = http_client_init (&nod->cli, nod, nod->ev, 0);
   if (!err)
-    err = http_client_init (&nod->worker_cli, nod, nod->ev, nod->clk,
+    err = http_client_init (&nod->worker_cli, nod, nod->ev,
                             WORKER_CONNECTIONS);
   if (!err)
     err = wire_store_init (&nod->store, nod, &nod->cli, nod->set->store,
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -67,9 +67,9 @@
   /* An owner whose ownership was not confirmed for this time sends no commands
      and extends no leases.  */
   int64_t confirm_ms;
-  /* The same for starts; at most CONFIRM_MS.  A later owner lets tasks wait
-     for this long that this one may start: a worker which has restarted knows
-     no token and takes starts from both.  */
+  /* The same for starts; at most CONFIRM_MS.  For this long after its claim, a
+     later owner starts no task that this one may start: a worker that has
+     restarted knows no token and would accept both starts.  */
   int64_t start_confirm_ms;
   int64_t confirmed_us; /* time for which ownership is confirmed already */
 };
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -606,6 +606,13 @@
          || wrk->applied_end > wrk->durable_end;
 }
 
+static bool
+may_send_hold (void *arg)
+{
+  const struct hold_ctx *ctx = arg;
+  return placer_may_command (ctx->plc, clock_now_us (ctx->plc->env.clk));
+}
+
 void
 placer_hold (struct placer *plc, struct worker *wrk, int64_t now_us)
 {
@@ -638,7 +645,7 @@
   ctx->lease_end_ms = wrk->clock_ms > 0 && wrk->unanswered_calls == 0
                           ? placer_lease_end (plc, wrk, now_us)
                           : 0;
-  const struct command_target to = placer_command_target (plc, wrk);
+  const struct command_target to = placer_command_target (wrk, may_send_hold);
   const struct hold_command cmd = {
     .token = plc->set.token,
     .last_seen = ctx->last_seen,
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -84,10 +84,10 @@
 /* placer_start.c */
 /* Whether as many starts are in flight as this process can send in time.  */
 bool placer_start_limit_reached (struct placer *plc, int64_t now_us);
-/* The target of commands to WRK other than starts.  Uses a new connection if
-   the last call was not answered.  */
-struct command_target placer_command_target (const struct placer *plc,
-                                             const struct worker *wrk);
+/* The target of a command to WRK that is sent if MAY_SEND allows it.  Uses a
+   new connection if the last call was not answered.  */
+struct command_target placer_command_target (const struct worker *wrk,
+                                             bool (*may_send) (void *arg));
 /* Starts the next run of a task on WRK.  */
 void placer_start_task (struct placer *plc, struct job *job,
                         const struct task_ref *ref, struct worker *wrk);
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -237,14 +237,26 @@
 }
 
 struct command_target
-placer_command_target (const struct placer *plc, const struct worker *wrk)
+placer_command_target (const struct worker *wrk, bool (*may_send) (void *arg))
 {
-  return (struct command_target){
-    .address = wrk->rep.address,
-    .worker = wrk->rep.id,
-    .new_connection = wrk->unanswered_calls > 0,
-    .send_before_us = plc->confirmed_us + plc->set.confirm_ms * 1000,
-  };
+  return (struct command_target){ .address = wrk->rep.address,
+                                  .worker = wrk->rep.id,
+                                  .new_connection = wrk->unanswered_calls > 0,
+                                  .may_send = may_send };
+}
+
+static bool
+may_send_start (void *arg)
+{
+  const struct command_ctx *ctx = arg;
+  return placer_may_start (ctx->plc, clock_now_us (ctx->plc->env.clk));
+}
+
+static bool
+may_send_stop (void *arg)
+{
+  const struct command_ctx *ctx = arg;
+  return placer_may_command (ctx->plc, clock_now_us (ctx->plc->env.clk));
 }
 
 static void
@@ -358,8 +370,7 @@
 {
   struct worker *wrk = run->wrk;
   int64_t now_us = clock_now_us (plc->env.clk);
-  struct command_target to = placer_command_target (plc, wrk);
-  to.send_before_us = plc->confirmed_us + plc->set.start_confirm_ms * 1000;
+  const struct command_target to = placer_command_target (wrk, may_send_start);
   const struct start_command cmd = {
     .task = run->ref,
     .run = run->number,
@@ -430,7 +441,7 @@
 send_stop (struct placer *plc, struct worker *wrk, struct run *run,
            const struct task_ref *ref, uint32_t number)
 {
-  const struct command_target to = placer_command_target (plc, wrk);
+  const struct command_target to = placer_command_target (wrk, may_send_stop);
   const struct stop_command cmd
       = { .task = *ref, .run = number, .token = plc->set.token };
   if (!placer_may_command (plc, clock_now_us (plc->env.clk)))
--- a/sched/placer_takeover.c
+++ b/sched/placer_takeover.c
@@ -2,8 +2,8 @@
 #include "base/log.h"
 #include "sched/placer_priv.h"
 
-/* What an owner may do by its own permission, and what it has to leave to
-   earlier owners until theirs has ended.  */
+/* Whether this owner may send commands, and what earlier owners may still have
+   started.  */
 
 /* Bound on the transit time of a command.  */
 #define COMMAND_TRANSIT_US 500000
@@ -11,7 +11,7 @@
 bool
 placer_may_command (const struct placer *plc, int64_t now_us)
 {
-  return !plc->fenced
+  return !plc->fenced && !plc->closing
          && now_us - plc->confirmed_us < plc->set.confirm_ms * 1000;
 }
 
@@ -22,8 +22,9 @@
          && now_us - plc->confirmed_us < plc->set.start_confirm_ms * 1000;
 }
 
-/* The bound on the leases of an earlier owner begins with its last command,
-   which it sends this much later than its last start.  */
+/* An earlier owner's leases have expired a lease span after its last command.
+   It may send other commands for longer than starts, by the difference of the
+   two limits.  */
 int64_t
 placer_earlier_starts_end_us (const struct placer *plc)
 {
--- a/sched/worker_link.h
+++ b/sched/worker_link.h
@@ -35,9 +35,10 @@
   const char *address;
   const char *worker;  /* its id; another worker at the address does nothing */
   bool new_connection; /* do not reuse an idle connection */
-  /* Monotonic time at which the sender's permission ends: the command is not
-     sent any more from then on.  */
-  int64_t send_before_us;
+  /* Called with the callback's argument just before the command is sent; it is
+     not sent if the sender's permission has ended by then.  NULL: always
+     sent.  */
+  bool (*may_send) (void *arg);
 };
 
 struct start_command
--- a/test/unit/placer_world.c
+++ b/test/unit/placer_world.c
@@ -18,6 +18,7 @@
   struct world *wld = current_world;
   ck_assert_uint_lt (wld->call_count, WORLD_CALLS_MAX);
   call.kind = kind;
+  call.may_send = to->may_send;
   name_copy (call.worker, to->worker);
   wld->calls[wld->call_count++] = call;
   return 0;
--- a/test/unit/placer_world.h
+++ b/test/unit/placer_world.h
@@ -37,6 +37,7 @@
   uint64_t last_seen;
   command_fn *fn;
   hold_fn *hold_fn;
+  bool (*may_send) (void *arg);
   void *arg;
 };
 
--- a/test/unit/unit_http_client.c
+++ b/test/unit/unit_http_client.c
@@ -8,7 +8,6 @@
 #include <tevent.h>
 #include <unistd.h>
 
-#include "base/clock.h"
 #include "breaking_peer.h"
 #include "platform/http_client.h"
 
@@ -23,11 +22,9 @@
 /* Longer than the kernel keeps bytes that the peer does not acknowledge.  */
 #define PAUSE_MS 4500
 #define READ_WAIT_MS 2000
-#define CLOCK_US 5000000
 
 static struct tevent_context *ev;
 static struct http_client cli;
-static struct clock_manual clk;
 static int listener;
 static char url[64];
 static bool done;
@@ -50,8 +47,7 @@
   snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/order",
             ntohs (addr.sin_port));
   ev = tevent_context_init (NULL);
-  clock_manual_init (&clk, CLOCK_US);
-  ck_assert_int_eq (http_client_init (&cli, ev, ev, &clk.clk, 0), 0);
+  ck_assert_int_eq (http_client_init (&cli, ev, ev, 0), 0);
   done = false;
 }
 
@@ -200,16 +196,24 @@
 }
 END_TEST
 
+static bool permitted;
+
+static bool
+may_send (void *arg)
+{
+  return permitted;
+}
+
 static const struct late_call
 {
-  int64_t send_before_us;
-  int64_t clock_us; /* when the connection is ready */
+  bool (*may_send) (void *arg);
+  bool permitted; /* when the connection is ready */
   enum http_outcome outcome;
   int calls; /* that the peer receives */
 } late_calls[] = {
-  { 0, 10 * CLOCK_US, HTTP_RESPONDED, 1 },
-  { 2 * CLOCK_US, 2 * CLOCK_US - 1, HTTP_RESPONDED, 1 },
-  { 2 * CLOCK_US, 2 * CLOCK_US, HTTP_NOT_SENT, 0 },
+  { NULL, false, HTTP_RESPONDED, 1 },
+  { may_send, true, HTTP_RESPONDED, 1 },
+  { may_send, false, HTTP_NOT_SENT, 0 },
 };
 
 /* Guards against a command that a process sends after its permission has
@@ -224,9 +228,10 @@
   const struct http_request req = { .method = "POST",
                                     .url = url,
                                     .timeout_ms = 10 * PAUSE_MS,
-                                    .send_before_us = it->send_before_us };
+                                    .may_send = it->may_send };
+  permitted = true;
   ck_assert_int_eq (http_call (&cli, &req, on_response, NULL), 0);
-  clk.now_us = it->clock_us;
+  permitted = it->permitted;
   run_loop (20 * PAUSE_MS);
   ck_assert (done);
   ck_assert_int_eq (breaking_peer_stop (&peer), it->calls);
--- a/test/unit/unit_placer_takeover.c
+++ b/test/unit/unit_placer_takeover.c
@@ -509,6 +509,58 @@
 }
 END_TEST
 
+enum permission_end
+{
+  END_NONE,
+  END_OF_STARTS, /* the last confirmation is too old for starts */
+  END_OF_ALL,    /* and for other commands */
+  END_FENCE,     /* a later owner is known */
+  END_RELEASE,   /* the pool was released */
+};
+
+/* Guards against commands that are sent after their permission has ended: they
+   waited for a connection, or the process was paused after its decision
+   (TWICE).  A release lets the next owner start at once.  */
+START_TEST (test_unsent_commands)
+{
+  static const struct
+  {
+    enum permission_end end;
+    bool start; /* may be sent */
+    bool hold;
+  } cases[] = {
+    { END_NONE, true, true },      { END_OF_STARTS, false, true },
+    { END_OF_ALL, false, false },  { END_FENCE, false, false },
+    { END_RELEASE, false, false },
+  };
+  const enum permission_end end = cases[_i].end;
+  list_runs (NULL, NULL);
+  world_add_worker (wld, "w3", 1000);
+  world_confirm_ownership (wld);
+  world_add_job (wld, 1, BATCH_JOB, 200);
+  world_tick (wld, 1);
+  struct world_call *start = world_call (wld, WORLD_START, "w1");
+  struct world_call *hold = world_call (wld, WORLD_HOLD, "w3");
+  if (!start)
+    start = world_call (wld, WORLD_START, "w2");
+  ck_assert_ptr_nonnull (start);
+  ck_assert_ptr_nonnull (hold);
+  if (end == END_OF_STARTS)
+    wld->clk.now_us += WORLD_START_CONFIRM_MS * 1000;
+  else if (end == END_OF_ALL)
+    wld->clk.now_us += WORLD_CONFIRM_MS * 1000;
+  else if (end == END_FENCE)
+    placer_note_fence (wld->plc, 9);
+  else if (end == END_RELEASE)
+    {
+      placer_destroy (wld->plc);
+      wld->plc = NULL;
+    }
+  ck_assert (start->may_send (start->arg) == cases[_i].start);
+  ck_assert (hold->may_send (hold->arg) == cases[_i].hold);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -531,6 +583,7 @@
   tcase_add_loop_test (tc, test_earlier_owner_may_still_start, 0, 3);
   tcase_add_loop_test (tc, test_no_start_from_old_confirmation, 0, 3);
   tcase_add_test (tc, test_known_run_lost_before_takeover);
+  tcase_add_loop_test (tc, test_unsent_commands, 0, 5);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
--- a/test/unit/wire_server.c
+++ b/test/unit/wire_server.c
@@ -7,8 +7,6 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "base/clock.h"
-
 #define LOOP_ITERATIONS_MAX 10000
 
 static enum MHD_Result
@@ -54,8 +52,7 @@
   ck_assert_ptr_nonnull (srv->web);
   snprintf (srv->address, sizeof srv->address, "127.0.0.1:%u",
             MHD_get_daemon_info (srv->web, MHD_DAEMON_INFO_BIND_PORT)->port);
-  ck_assert_int_eq (
-      http_client_init (&srv->cli, srv->ev, srv->ev, &clock_system, 0), 0);
+  ck_assert_int_eq (http_client_init (&srv->cli, srv->ev, srv->ev, 0), 0);
 }
 
 void
