--- a/test/unit/node_world.c
+++ b/test/unit/node_world.c
@@ -99,6 +99,8 @@
 {
   current_world->orders++;
   current_world->order_timeout_ms = ord->timeout_ms;
+  current_world->order_may_send = ord->may_send;
+  current_world->order_arg = arg;
   return 0;
 }
 
--- a/test/unit/node_world.h
+++ b/test/unit/node_world.h
@@ -26,7 +26,9 @@
   size_t host_count;
   size_t orders;            /* host orders sent */
   int64_t order_timeout_ms; /* of the last of them */
-  size_t replies;           /* to requests of clients */
+  bool (*order_may_send) (void *arg);
+  void *order_arg;
+  size_t replies; /* to requests of clients */
   struct front_response last_reply;
   struct catalog cat;
 };
--- a/test/unit/unit_node.c
+++ b/test/unit/unit_node.c
@@ -496,6 +496,12 @@
   ck_assert_uint_eq (wld.orders, 1);
   ck_assert_int_gt (wld.order_timeout_ms, 0);
   ck_assert_int_le (wld.order_timeout_ms, 2000);
+  /* An order that waits for its connection is not sent after the duty is
+     lost.  */
+  ck_assert (wld.order_may_send (wld.order_arg));
+  node_world_claim (&wld, DUTY_FLEET, "n3", 1, false);
+  node_world_run (&wld, 200);
+  ck_assert (!wld.order_may_send (wld.order_arg));
   node_world_request (&wld, "m-w1", 99, 0);
   node_world_run (&wld, 100);
   node_world_fini (&wld);
