--- a/node/node.c
+++ b/node/node.c
@@ -138,7 +138,7 @@
   job_table_init (&nod->jobs);
   int err = http_client_init (&nod->cli, nod, nod->ev, 0);
   if (!err)
-    err = http_client_init (&nod->worker_cli, nod, nod->ev,
+    err = post_client_init (&nod->worker_cli, nod, nod->ev,
                             WORKER_CONNECTIONS);
   if (!err)
     err = wire_store_init (&nod->store, nod, &nod->cli, nod->set->store,
@@ -192,7 +192,7 @@
 
 done:
   http_client_fini (&nod->cli);
-  http_client_fini (&nod->worker_cli);
+  post_client_fini (&nod->worker_cli);
   if (nod->frt)
     wire_front_destroy (nod->frt);
   job_table_fini (&nod->jobs);
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -157,7 +157,7 @@
   struct logger *lg;
   struct counters ctr;
   struct http_client cli; /* for the store and the host API */
-  struct http_client worker_cli;
+  struct post_client worker_cli;
   struct wire_store store;
   struct wire_worker worker_link;
   struct wire_fleet fleet_link;
--- a/test/load/owner_cost.c
+++ b/test/load/owner_cost.c
@@ -52,7 +52,7 @@
   struct counters ctr;
   struct logger *lg;
   struct job_table jobs;
-  struct http_client cli;
+  struct post_client cli;
   struct wire_worker link;
   struct placer *plc;
   struct timer *timer;
@@ -273,7 +273,7 @@
       = logger_create (ben.ev, &clock_system, STDERR_FILENO, LOG_LEVEL_INFO);
   owner_workers_start (&wrks, workers);
   job_table_init (&ben.jobs);
-  if (http_client_init (&ben.cli, ben.ev, ben.ev, CONNECTIONS_MAX)
+  if (post_client_init (&ben.cli, ben.ev, ben.ev, CONNECTIONS_MAX)
       || wire_worker_init (&ben.link, ben.ev, &ben.cli))
     fail ("out of memory");
   const struct placer_settings set
--- a/test/unit/unit_wire_worker.c
+++ b/test/unit/unit_wire_worker.c
@@ -23,7 +23,7 @@
 setup (void)
 {
   wire_server_start (&srv);
-  ck_assert_int_eq (wire_worker_init (&link_, srv.ev, &srv.cli), 0);
+  ck_assert_int_eq (wire_worker_init (&link_, srv.ev, &srv.post), 0);
 }
 
 static void
--- a/test/unit/wire_server.c
+++ b/test/unit/wire_server.c
@@ -53,12 +53,14 @@
   snprintf (srv->address, sizeof srv->address, "127.0.0.1:%u",
             MHD_get_daemon_info (srv->web, MHD_DAEMON_INFO_BIND_PORT)->port);
   ck_assert_int_eq (http_client_init (&srv->cli, srv->ev, srv->ev, 0), 0);
+  ck_assert_int_eq (post_client_init (&srv->post, srv->ev, srv->ev, 4), 0);
 }
 
 void
 wire_server_stop (struct wire_server *srv)
 {
   http_client_fini (&srv->cli);
+  post_client_fini (&srv->post);
   MHD_stop_daemon (srv->web);
   talloc_free (srv->ev);
 }
--- a/test/unit/wire_server.h
+++ b/test/unit/wire_server.h
@@ -5,6 +5,7 @@
 #include <tevent.h>
 
 #include "platform/http_client.h"
+#include "platform/post_client.h"
 
 /* An HTTP server for tests, and a client for it.  The bodies of its responses
    need not be valid JSON.  */
@@ -13,6 +14,7 @@
 {
   struct tevent_context *ev;
   struct http_client cli;
+  struct post_client post;
   char address[32];    /* HOST:PORT */
   const uint8_t *body; /* of all responses, unless RESPOND is set */
   size_t body_len;
