sched: an owner looks its workers up by hashes and looks at fewer of them

A tick of an owner with 400 workers compared names of hosts for each host that is being emptied with those of all workers, twice; each report, each answer and each list of hosts searched all workers; each tick went through all runs for stops; and each task of a step searched all workers for a place, although the one picked for the last task is still the first choice.

The pool keeps the handles and hashes of its workers in one array, workers note whether a stop is outstanding, and the last pick is repeated while the task fits (place_pick would return the same worker, as it prefers full ones).

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -35,10 +35,7 @@
 struct worker *
 placer_find_worker (const struct placer *plc, uint32_t handle)
 {
-  for (size_t n = 0; n < plc->pool.count; n++)
-    if (plc->pool.workers[n]->handle == handle)
-      return plc->pool.workers[n];
-  return NULL;
+  return pool_find (&plc->pool, handle);
 }
 
 void
@@ -154,28 +151,13 @@
     plc->confirmed_us = at_us;
 }
 
-static struct worker *
-worker_by_id (const struct placer *plc, const char *id)
-{
-  for (size_t n = 0; n < plc->pool.count; n++)
-    if (strcmp (plc->pool.workers[n]->rep.id, id) == 0)
-      return plc->pool.workers[n];
-  return NULL;
-}
-
 static struct worker *
 add_worker (struct placer *plc, const struct worker_report *rep)
 {
-  struct worker **workers = talloc_realloc (
-      plc, plc->pool.workers, struct worker *, plc->pool.count + 1);
-  struct worker *wrk = talloc_zero (plc, struct worker);
-  if (!workers || !wrk)
-    return NULL;
-  plc->pool.workers = workers;
-  workers[plc->pool.count++] = wrk;
-  wrk->handle = ++plc->pool.last_handle;
-  wrk->known_us = rep->known_us ? rep->known_us : clock_now_us (plc->env.clk);
-  wrk->rep = *rep;
+  struct worker *wrk = pool_add (&plc->pool, plc, rep);
+  if (wrk)
+    wrk->known_us
+        = rep->known_us ? rep->known_us : clock_now_us (plc->env.clk);
   return wrk;
 }
 
@@ -193,23 +175,23 @@
 static void
 end_earlier_instances (struct placer *plc, const struct worker_report *rep)
 {
+  size_t pos = 0;
+  struct worker *wrk;
   placer_drop_earlier_on_host (plc, rep);
-  for (size_t n = 0; *rep->host && n < plc->pool.count; n++)
-    {
-      struct worker *wrk = plc->pool.workers[n];
-      if (strcmp (wrk->rep.host, rep->host) == 0 && wrk->rep.born_ms > 0
-          && rep->born_ms > wrk->rep.born_ms && !wrk->ended_us)
-        {
-          placer_end_instance (plc, wrk);
-          wrk->unanswered_calls++;
-        }
-    }
+  while (*rep->host
+         && (wrk = pool_next_on_host (&plc->pool, rep->host, &pos)))
+    if (wrk->rep.born_ms > 0 && rep->born_ms > wrk->rep.born_ms
+        && !wrk->ended_us)
+      {
+        placer_end_instance (plc, wrk);
+        wrk->unanswered_calls++;
+      }
 }
 
 void
 placer_worker_ended (struct placer *plc, const char *id)
 {
-  struct worker *wrk = worker_by_id (plc, id);
+  struct worker *wrk = pool_find_id (&plc->pool, id);
   if (wrk)
     placer_end_instance (plc, wrk);
   placer_drop_earlier_worker (plc, id);
@@ -219,7 +201,7 @@
 placer_update_worker (struct placer *plc, const char *id,
                       const struct worker_report *rep)
 {
-  struct worker *wrk = worker_by_id (plc, id);
+  struct worker *wrk = pool_find_id (&plc->pool, id);
   int64_t now_us = clock_now_us (plc->env.clk);
   bool ours = rep && strcmp (rep->pool, plc->set.pool) == 0;
   if (rep)
@@ -243,7 +225,7 @@
       wrk->clock_ms = rep->clock_ms;
       wrk->clock_read_us = now_us;
     }
-  wrk->rep = *rep;
+  pool_set_report (&plc->pool, wrk, rep);
   wrk->reported_born_ms = rep->born_ms;
   /* Keep the start time on record until the runs of that instance are
      settled.  */
@@ -322,12 +304,36 @@
     plc->no_room[plc->no_room_count++] = need;
 }
 
+/* Returns the worker of the last task if it is also the one that place_pick
+   would return: after that start it is fuller than before, so that for a like
+   task it still comes first, unless the task is full.  */
+static struct worker *
+repeat_pick (const struct placer *plc, const struct place_request *req)
+{
+  return plc->last_pick && plc->last_pick_job == req->job
+                 && plc->last_pick_step == req->step && req->avoid == 0
+                 && place_allowed (plc->last_pick, req)
+                 && place_fits (plc->last_pick, req->step)
+             ? plc->last_pick
+             : NULL;
+}
+
+static void
+note_pick (struct placer *plc, const struct place_request *req,
+           struct worker *wrk)
+{
+  bool repeatable = !has_constraints (req->step) && req->avoid == 0;
+  plc->last_pick = repeatable ? wrk : NULL;
+  plc->last_pick_job = req->job;
+  plc->last_pick_step = req->step;
+}
+
+{
+  bool perpetual = req->step->perpetual;
 /* Picks a worker that takes the task now, or NULL.  Skips the search for a
    batch task that is known not to fit, or if too many starts are in flight. */
 static struct worker *
 pick_worker (struct placer *plc, const struct place_request *req)
-{
-  bool perpetual = req->step->perpetual;
   if (!perpetual && placer_start_limit_reached (plc, req->now_us))
     {
       plc->start_limit_reached = true;
@@ -337,7 +343,11 @@
       && (known_no_room (plc, req->step)
           || plc->failed_searches >= FAILED_SEARCHES_MAX))
     return NULL;
-  struct worker *wrk = place_pick (&plc->pool, req);
+  struct worker *wrk = repeat_pick (plc, req);
+  if (wrk)
+    return wrk;
+  wrk = place_pick (&plc->pool, req);
+  note_pick (plc, req, wrk);
   if (!wrk && !perpetual)
     note_no_room (plc, req->step);
   return wrk;
@@ -495,7 +505,8 @@
   plc->no_room_count = 0;
   plc->failed_searches = 0;
   plc->start_limit_reached = false;
-  plc->waiting_cpu_milli = plc->waiting_memory_mb = 0;
+  plc->last_pick = NULL;
+  plc->waiting_cpu_milli = 0;
   for (size_t n = 0; cands && n < plc->job_count; n++)
     {
       struct job *job = plc->jobs[n];
@@ -564,7 +575,7 @@
         continue;
       plc->pool.workers[n] = plc->pool.workers[--plc->pool.count];
       plc->enrol_stale = plc->enrol_stale || wrk->enrolled;
-      talloc_free (wrk);
+      pool_remove (&plc->pool, n);
     }
 }
 
--- a/sched/placer_hosts.c
+++ b/sched/placer_hosts.c
@@ -34,12 +34,12 @@
   bool not_up = rep->state != HOST_UP;
   if (rep->state == HOST_UNKNOWN)
     return;
-  for (size_t n = 0; n < plc->pool.count; n++)
+  size_t pos = 0;
+  struct worker *wrk;
+  while ((wrk = pool_next_on_host (&plc->pool, rep->name, &pos)))
     {
-      struct worker *wrk = plc->pool.workers[n];
       bool same = strcmp (wrk->rep.id, rep->worker) == 0;
-      if (strcmp (wrk->rep.host, rep->name) != 0
-          || wrk->hold_answered_us >= asked_us
+      if (wrk->hold_answered_us >= asked_us
           || !list_covers_instance (wrk->known_us, asked_us)
           || wrk->unanswered_calls == 0 || (same && !not_up))
         continue;
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -76,6 +76,11 @@
   uint32_t failed_searches; /* in this tick */
   uint64_t tick_number;     /* of those with more jobs than one tick places */
   /* Recently sent starts without an answer, oldest first.  */
+  /* The worker picked for the last task in this tick, and that task's job and
+     step; NULL: none, or the step has constraints.  */
+  struct worker *last_pick;
+  const struct job *last_pick_job;
+  const struct step *last_pick_step;
   struct command_ctx *first_start_in_flight, *last_start_in_flight;
   uint32_t starts_in_flight;
   /* In the last tick, a task was not started because too many starts were in
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -507,14 +507,22 @@
     return;
   run->stop_wanted = true;
   run->state = RUN_STOPPING;
+  run->wrk->stops_wanted = true;
   placer_send_stops (plc, run->wrk);
 }
 
 void
 placer_send_stops (struct placer *plc, struct worker *wrk)
 {
+  if (!wrk->stops_wanted)
+    return;
+  wrk->stops_wanted = false;
   for (struct run *run = wrk->runs; run; run = run->next)
-    if (run->stop_wanted && !run->stop_sent && !run->stopped_us
-        && send_stop (plc, wrk, run, &run->ref, run->number))
-      run->stop_sent = true;
+    if (run->stop_wanted && !run->stopped_us)
+      {
+        wrk->stops_wanted = true;
+        if (!run->stop_sent
+            && send_stop (plc, wrk, run, &run->ref, run->number))
+          run->stop_sent = true;
+      }
 }
--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -11,11 +11,10 @@
 placer_vacate (struct placer *plc, const char *host, int64_t until_us)
 {
   bool found = false;
-  for (size_t n = 0; n < plc->pool.count; n++)
+  size_t pos = 0;
+  struct worker *wrk;
+  while ((wrk = pool_next_on_host (&plc->pool, host, &pos)))
     {
-      struct worker *wrk = plc->pool.workers[n];
-      if (strcmp (wrk->rep.host, host) != 0)
-        continue;
       found = found || wrk->registered;
       wrk->vacate = until_us > 0;
       wrk->vacate_until_us = until_us;
@@ -26,14 +25,12 @@
 bool
 placer_host_empty (const struct placer *plc, const char *host)
 {
-  for (size_t n = 0; n < plc->pool.count; n++)
-    {
-      const struct worker *wrk = plc->pool.workers[n];
-      if (strcmp (wrk->rep.host, host) == 0
-          && (wrk->runs || !wrk->vacate || !wrk->unenrolled
-              || wrk->acked_end < wrk->applied_end))
-        return false;
-    }
+  size_t pos = 0;
+  const struct worker *wrk;
+  while ((wrk = pool_next_on_host (&plc->pool, host, &pos)))
+    if (wrk->runs || !wrk->vacate || !wrk->unenrolled
+        || wrk->acked_end < wrk->applied_end)
+      return false;
   return true;
 }
 
--- a/sched/pool.c
+++ b/sched/pool.c
@@ -1,6 +1,8 @@
 #include "sched/pool.h"
 
 #include <string.h>
+#include <talloc.h>
+#include <xxhash.h>
 
 /* Consecutive calls without an answer after which a worker gets no new
    tasks.  */
@@ -9,6 +11,91 @@
    limited.  */
 #define RUNS_MAX 400
 
+static uint32_t
+hash_name (const char *name)
+{
+  return XXH32 (name, strlen (name), 0);
+}
+
+struct worker *
+pool_add (struct pool *pool, void *parent, const struct worker_report *rep)
+{
+  struct worker **workers = talloc_realloc (parent, pool->workers,
+                                            struct worker *, pool->count + 1);
+  if (!workers)
+    return NULL;
+  pool->workers = workers;
+  struct worker_key *keys = talloc_realloc (
+      parent, pool->keys, struct worker_key, pool->count + 1);
+  if (!keys)
+    return NULL;
+  pool->keys = keys;
+  struct worker *wrk = talloc_zero (parent, struct worker);
+  if (!wrk)
+    return NULL;
+  wrk->handle = ++pool->last_handle;
+  wrk->rep = *rep;
+  keys[pool->count] = (struct worker_key){ .handle = wrk->handle,
+                                           .id_hash = hash_name (rep->id),
+                                           .host_hash = hash_name (rep->host) };
+  workers[pool->count++] = wrk;
+  return wrk;
+}
+
+void
+pool_remove (struct pool *pool, size_t index)
+{
+  talloc_free (pool->workers[index]);
+  pool->count--;
+  pool->workers[index] = pool->workers[pool->count];
+  pool->keys[index] = pool->keys[pool->count];
+}
+
+void
+pool_set_report (struct pool *pool, struct worker *wrk,
+                 const struct worker_report *rep)
+{
+  bool moved = strcmp (wrk->rep.host, rep->host) != 0;
+  wrk->rep = *rep;
+  for (size_t n = 0; moved && n < pool->count; n++)
+    if (pool->workers[n] == wrk)
+      pool->keys[n].host_hash = hash_name (rep->host);
+}
+
+struct worker *
+pool_find (const struct pool *pool, uint32_t handle)
+{
+  for (size_t n = 0; n < pool->count; n++)
+    if (pool->keys[n].handle == handle)
+      return pool->workers[n];
+  return NULL;
+}
+
+struct worker *
+pool_find_id (const struct pool *pool, const char *id)
+{
+  uint32_t hash = hash_name (id);
+  for (size_t n = 0; n < pool->count; n++)
+    if (pool->keys[n].id_hash == hash
+        && strcmp (pool->workers[n]->rep.id, id) == 0)
+      return pool->workers[n];
+  return NULL;
+}
+
+struct worker *
+pool_next_on_host (const struct pool *pool, const char *host, size_t *pos)
+{
+  uint32_t hash = hash_name (host);
+  while (*pos < pool->count)
+    {
+      size_t n = (*pos)++;
+      if (pool->keys[n].host_hash == hash
+          && strcmp (pool->workers[n]->rep.host, host) == 0)
+        return pool->workers[n];
+    }
+  return NULL;
+}
+
 bool
 worker_has_label (const struct worker *wrk, const char *label)
 {
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -111,6 +111,8 @@
   int64_t avoid_until_us;   /* pause of a worker that is busy or lacks room */
   bool vacate;              /* its host is to be emptied */
   int64_t vacate_until_us;  /* batch tasks still there then are stopped */
+  bool stops_wanted;        /* a run may have a stop that is not
+                               acknowledged */
   bool reported_idle; /* the pool reports the host as surplus: it gets no new
                          tasks while others have room */
 };
@@ -119,13 +121,38 @@
    capacity.  */
 bool run_is_available (const struct run *run, int64_t now_us);
 
+/* What a worker is looked up by, apart from the large struct worker.  */
+struct worker_key
+{
+  uint32_t handle;
+  uint32_t id_hash;
+  uint32_t host_hash;
+};
+
 struct pool
 {
   struct worker **workers;
+  struct worker_key *keys; /* of the worker with the same index */
   size_t count;
   uint32_t last_handle;
 };
 
+/* Adds a worker; PARENT is the talloc parent of the pool's memory.  Returns
+   NULL when out of memory.  */
+struct worker *pool_add (struct pool *pool, void *parent,
+                         const struct worker_report *rep);
+/* Removes and frees the worker with INDEX; the last one takes its place.  */
+void pool_remove (struct pool *pool, size_t index);
+/* Replaces the report of WRK.  */
+void pool_set_report (struct pool *pool, struct worker *wrk,
+                      const struct worker_report *rep);
+struct worker *pool_find (const struct pool *pool, uint32_t handle);
+struct worker *pool_find_id (const struct pool *pool, const char *id);
+/* Returns the next worker on HOST from the index *POS on and sets *POS behind
+   it, or returns NULL.  */
+struct worker *pool_next_on_host (const struct pool *pool, const char *host,
+                                  size_t *pos);
+
 struct place_request
 {
   const struct job *job;
