sched, node: an owner is no longer limited to 64 starts in 40 ms

The limit and the pause were made for a client that queued the calls in the process.

512 starts may be in flight, a tick stops sending after 20 ms, and the pause is as long as the tick. test_starts_in_flight asserts the new limit by the same steps; test_tick_duration is new, and fails without the limit of 20 ms (100 starts instead of 11).

--- a/node/duties.c
+++ b/node/duties.c
@@ -37,8 +37,8 @@
 #define TICK_BATCH_DELAY_US 3000
 /* Pause between two ticks of the placer, in multiples of the first one's
    duration.  With a backlog a tick takes some milliseconds, and the process
-   needs time to send the commands.  */
-#define TICK_PAUSE_FACTOR 3
+   needs time to read the answers to its commands.  */
+#define TICK_PAUSE_FACTOR 1
 /* Longest such pause.  A tick in which the process was suspended seems to take
    seconds, and the leases of 5 s end without holds.  An owner with a large
    backlog and little processor time needs pauses of some 100 ms.  */
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -96,7 +96,9 @@
 };
 
 /* placer_start.c */
-/* Whether as many starts are in flight as this process can send in time.  */
+/* Whether the tick that began at NOW_US is to send no further starts: as many
+   are in flight as this process can handle in time, or it has lasted too
+   long.  */
 bool placer_start_limit_reached (struct placer *plc, int64_t now_us);
 /* The target of a command to WRK that is sent if MAY_SEND allows it.  Uses a
    new connection if the last call was not answered.  */
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -22,10 +22,12 @@
 #define NO_ROOM_PAUSE_US 200000
 
 /* Most starts in flight at a time.  A process with a tenth of a core sends
-   about 200 starts a second.  Further ones would wait in its own send queue
-   for longer than the time-out for the worker's answer, and each would be sent
-   again.  */
-#define STARTS_IN_FLIGHT_MAX 64
+   about 1,000 starts a second, and has to read their answers within the
+   time-out of 0.9 s.  */
+#define STARTS_IN_FLIGHT_MAX 512
+/* Time of one tick after which it sends no further starts, so that a process
+   with little processor time reads answers and the log in between.  */
+#define TICK_STARTS_MAX_US 20000
 /* A start that has been in flight for longer no longer counts against the
    limit: workers answer within some milliseconds, so it waits for a worker and
    not for this process.  */
@@ -82,7 +84,8 @@
          && now_us - plc->first_start_in_flight->sent_us
                 > START_IN_FLIGHT_AGE_US)
     drop_start_in_flight (plc, plc->first_start_in_flight);
-  return plc->starts_in_flight >= STARTS_IN_FLIGHT_MAX;
+  return plc->starts_in_flight >= STARTS_IN_FLIGHT_MAX
+         || clock_now_us (plc->env.clk) - now_us > TICK_STARTS_MAX_US;
 }
 
 static void send_start (struct placer *plc, struct run *run);
--- a/test/load/owner_cost.c
+++ b/test/load/owner_cost.c
@@ -44,7 +44,7 @@
 #define CONNECTIONS_MAX 4
 /* As in the owner's process; see node/duties.c.  */
 #define TICK_BATCH_DELAY_US 3000
-#define TICK_PAUSE_FACTOR 3
+#define TICK_PAUSE_FACTOR 1
 
 struct bench
 {
--- a/test/unit/placer_world.c
+++ b/test/unit/placer_world.c
@@ -22,6 +22,8 @@
   call.may_send = to->may_send;
   name_copy (call.worker, to->worker);
   wld->calls[wld->call_count++] = call;
+  if (kind == WORLD_START)
+    wld->clk.now_us += wld->start_cost_us;
   return 0;
 }
 
--- a/test/unit/placer_world.h
+++ b/test/unit/placer_world.h
@@ -8,7 +8,7 @@
 /* Test environment of one placer.  The test sets the clock, answers commands
    in place of the workers and completes appends in place of the log.  */
 
-#define WORLD_CALLS_MAX 512
+#define WORLD_CALLS_MAX 1024
 #define WORLD_LEASE_MS 5000
 #define WORLD_LEASE_MAX_MS 10000
 #define WORLD_CONFIRM_MS 6000
@@ -64,6 +64,7 @@
   bool log_inconsistent;    /* the log is being read by key */
   int64_t log_age_ms;       /* of the read that shows the log as it is known */
   int64_t hold_born_ms; /* start of the worker in answers to holds; 0: none */
+  int64_t start_cost_us; /* time that the sending of a start takes */
   struct placer *plc;
 };
 
--- a/test/unit/unit_placer.c
+++ b/test/unit/unit_placer.c
@@ -652,31 +652,50 @@
 }
 
 /* The number of starts in flight is limited.  Under the load of a queue at its
-   peak, a process with little CPU time could not send all starts in time; they
-   timed out in its own send queue and were sent again.  Starts that wait for
-   their workers do not delay others, and no hosts are requested while only the
-   limit delays tasks.  */
+   peak, a process with little CPU time could not read all answers in time, and
+   the starts would be sent again.  Starts that wait for their workers do not
+   delay others, and no hosts are requested while only the limit delays
+   tasks.  */
 START_TEST (test_starts_in_flight)
 {
   struct placer_demand dem;
   add_two_workers ();
   world_add_job (wld, 1,
-                 "{\"steps\":[{\"count\":100,\"cpu\":10,\"mem-mb\":1,"
+                 "{\"steps\":[{\"count\":600,\"cpu\":4,\"mem-mb\":1,"
                  "\"estimate-ms\":900}]}",
                  200);
   world_tick (wld, 1);
-  ck_assert_uint_eq (count_starts (), 64);
+  ck_assert_uint_eq (count_starts (), 512);
   world_tick (wld, 50);
-  ck_assert_uint_eq (count_starts (), 64);
+  ck_assert_uint_eq (count_starts (), 512);
   placer_demand (wld->plc, &dem);
   ck_assert_uint_eq (dem.short_hosts, 0);
   const char *worker;
   for (int n = 0; n < 10; n++)
     world_answer (wld, pending_start (&worker), COMMAND_DONE);
   world_tick (wld, 1);
-  ck_assert_uint_eq (count_starts (), 74);
+  ck_assert_uint_eq (count_starts (), 522);
   world_tick (wld, 201);
-  ck_assert_uint_eq (count_starts (), 100);
+  ck_assert_uint_eq (count_starts (), 600);
+}
+END_TEST
+
+/* Guards against a tick of a process with little CPU time that sends starts
+   for hundreds of milliseconds and leaves answers and the log unread
+   meanwhile: workers that had answered counted as silent.  */
+START_TEST (test_tick_duration)
+{
+  add_two_workers ();
+  world_add_job (wld, 1,
+                 "{\"steps\":[{\"count\":100,\"cpu\":10,\"mem-mb\":1,"
+                 "\"estimate-ms\":900}]}",
+                 200);
+  wld->start_cost_us = 2000;
+  for (size_t n = 1; n <= 3; n++)
+    {
+      world_tick (wld, 1);
+      ck_assert_uint_eq (count_starts (), n * 11);
+    }
 }
 END_TEST
 
@@ -915,6 +934,7 @@
   tcase_add_test (tc, test_instance_end_unconfirmed);
   tcase_add_test (tc, test_ended_instance_answers);
   tcase_add_test (tc, test_starts_in_flight);
+  tcase_add_test (tc, test_tick_duration);
   tcase_add_test (tc, test_many_idle_hosts);
   tcase_add_test (tc, test_many_jobs_in_full_pool);
   tcase_add_test (tc, test_job_behind_impossible_ones);
