sched: no hosts for jobs that are past use, as long as others can use them

The demand counts work that is past use apart: it gets the hosts that do it within 20 s, and none beside other work; waiting tasks of such jobs do not make a pool short. Accepted jobs are still completed. test_hosts_for_past_use fails with the old condition (no idle host reported).

--- a/sched/demand.c
+++ b/sched/demand.c
@@ -6,6 +6,7 @@
 #include <talloc.h>
 
 #include "base/clock.h"
+#include "sched/job_order.h"
 
 /* Time in which the work of jobs whose goal time has not passed is to be done;
    goals leave about one second more than the critical path.  */
@@ -13,6 +14,9 @@
 /* Time in which late work is to be done.  It mostly uses capacity that the
    pool has for other reasons, so few hosts are requested for it.  */
 #define LATE_SPAN_MS 4000
+/* Time in which work that is past use is to be done.  It gets no more hosts
+   than that, as other pools could use them, and none beside other work.  */
+#define PAST_USE_SPAN_MS 20000
 /* Hosts that a pool keeps beyond its present work, for the next arrivals.  */
 #define HEADROOM_HOSTS 1
 
@@ -31,7 +35,9 @@
   int64_t now = by_backlog < by_ready ? by_backlog : by_ready;
   /* Discount a rate that is based on few arrivals.  */
   by_arrivals -= by_arrivals / (int64_t)sqrt ((double)(work->arrived + 1));
-  return work->perpetual_cpu_milli + (by_arrivals > now ? by_arrivals : now);
+  int64_t useful = by_arrivals > now ? by_arrivals : now;
+  int64_t past_use = work->past_use_core_us / PAST_USE_SPAN_MS;
+  return work->perpetual_cpu_milli + (useful > past_use ? useful : past_use);
 }
 
 /* If a pool's owner reaches the limit of starts in flight and less than this
@@ -41,7 +47,8 @@
 
 static void
 add_step (const struct job *job, const struct occurrence *occ,
-          const struct step *stp, bool late, struct demand_work *work)
+          const struct step *stp, int64_t *left_core_us,
+          struct demand_work *work)
 {
   for (uint32_t n = 0; n < stp->count; n++)
     {
@@ -58,10 +65,7 @@
       int64_t left = stp->need.cpu_milli * stp->estimate_ms;
       if (tsk->run)
         left = left * (100 - (int64_t)tsk->run->percent) / 100;
-      if (late)
-        work->late_core_us += left;
-      else
-        work->in_time_core_us += left;
+      *left_core_us += left;
     }
 }
 
@@ -87,8 +91,12 @@
   for (size_t n = 0; n < plc->job_count; n++)
     {
       const struct job *job = plc->jobs[n];
-      bool late = job->goal_ms < wall_ms;
       int64_t core_us = 0;
+      int64_t *left_core_us = job_order_is_past_use (job, 1000, wall_ms)
+                                  ? &work->past_use_core_us
+                              : job->goal_ms < wall_ms
+                                  ? &work->late_core_us
+                                  : &work->in_time_core_us;
       if (now_us - job->seen_us < DEMAND_WINDOW_MS * 1000
           && !job->spec.occurrences)
         core_us = batch_core_us (job);
@@ -100,7 +108,7 @@
           if (occ->due_ms > wall_ms || occ->done == job->task_count)
             continue;
           for (size_t m = 0; m < job->spec.step_count; m++)
-            add_step (job, occ, &job->spec.steps[m], late, work);
+            add_step (job, occ, &job->spec.steps[m], left_core_us, work);
         }
     }
 }
@@ -211,7 +219,7 @@
   int64_t by_memory
       = hosts_needed (work.perpetual_memory_mb, memory, schedulable);
   int64_t wanted = (by_cpu > by_memory ? by_cpu : by_memory) + HEADROOM_HOSTS;
-  if (plc->waiting_tasks > 0 && wanted <= schedulable)
+  if (plc->useful_waiting_tasks > 0 && wanted <= schedulable)
     wanted = schedulable + 1;
   /* While tasks wait because this process cannot send their starts fast
      enough, more hosts than it can keep busy do not help.  */
--- a/sched/demand.h
+++ b/sched/demand.h
@@ -16,12 +16,13 @@
   int64_t perpetual_cpu_milli; /* of perpetual tasks, running or due, without
                                   those that only use idle CPU */
   int64_t perpetual_memory_mb;
-  int64_t in_time_core_us; /* remaining batch work of jobs whose goal time has
-                              not passed */
-  int64_t late_core_us;    /* remaining batch work of the other jobs */
-  int64_t ready_cpu_milli; /* of batch tasks that run or do not fit */
-  int64_t arrived_core_us; /* of jobs seen in the last DEMAND_WINDOW_MS */
-  int64_t arrived;         /* number of those jobs */
+  int64_t in_time_core_us;  /* remaining batch work of jobs whose goal time has
+                               not passed */
+  int64_t late_core_us;     /* of jobs whose late results are of use */
+  int64_t past_use_core_us; /* of the other jobs */
+  int64_t ready_cpu_milli;  /* of batch tasks that run or do not fit */
+  int64_t arrived_core_us;  /* of jobs seen in the last DEMAND_WINDOW_MS */
+  int64_t arrived;          /* number of those jobs */
 };
 
 /* Period over which the arrival rate of jobs is measured.  */
--- a/sched/job_order.c
+++ b/sched/job_order.c
@@ -54,27 +54,48 @@
   return job->accepted_ms + (int64_t)(stretch * (double)chain) + extra_ms;
 }
 
+static bool
+has_serving_step (const struct job *job)
+{
+  for (size_t n = 0; n < job->spec.step_count; n++)
+    if (job->spec.steps[n].perpetual && !job->spec.steps[n].best_effort)
+      return true;
+  return false;
+}
+
+static bool
+is_past_use (const struct job *job, int64_t path_ms, int64_t wall_ms)
+{
+  int64_t span_ms = job->goal_ms - job->accepted_ms;
+  return wall_ms + path_ms > job->accepted_ms + LATE_VALUE_FACTOR * span_ms;
+}
+
+bool
+job_order_is_past_use (const struct job *job, int64_t scale, int64_t wall_ms)
+{
+  return !has_serving_step (job)
+         && is_past_use (job, job_order_critical_path_ms (job, 0, scale),
+                         wall_ms);
+}
+
 struct job_order_key
 job_order_key_make (const struct job *job, uint32_t priority, int64_t scale,
                     int64_t wall_ms)
 {
   struct job_order_key key = { .rank = RANK_IN_TIME, .priority = priority };
-  bool perpetual = false;
-  for (size_t n = 0; n < job->spec.step_count; n++)
-    perpetual
-        = perpetual
-          || (job->spec.steps[n].perpetual && !job->spec.steps[n].best_effort);
   int64_t path_ms = job_order_critical_path_ms (job, 0, scale);
   int64_t span_ms = job->goal_ms - job->accepted_ms;
-  int64_t worthless_ms = job->accepted_ms + LATE_VALUE_FACTOR * span_ms;
   int64_t slack_ms = job->goal_ms - wall_ms - path_ms;
   int64_t part = span_ms > path_ms ? slack_ms * 1000 / (span_ms - path_ms) : 0;
   key.unstarted = !job->started;
   key.slack = job->started ? slack_ms : part;
-  if (perpetual)
+  if (has_serving_step (job))
     key.rank = RANK_PERPETUAL;
-  else if (wall_ms + path_ms > worthless_ms)
-    key.rank = RANK_TOO_LATE;
+  else if (is_past_use (job, path_ms, wall_ms))
+    {
+      key.rank = RANK_TOO_LATE;
+      key.past_use = true;
+    }
   else if (slack_ms < 0)
     key.rank = RANK_LATE;
   else if (!job->started && part < START_SLACK_PERMILLE)
--- a/sched/job_order.h
+++ b/sched/job_order.h
@@ -24,6 +24,7 @@
 struct job_order_key
 {
   int rank;          /* enum job_rank; lower first */
+  bool past_use;     /* see job_order_is_past_use */
   uint32_t priority; /* of the queue; lower first */
   bool unstarted;    /* started jobs first */
   /* Of a started job the time in ms to its goal less the critical path; of
@@ -43,6 +44,12 @@
 int64_t job_order_goal_ms (const struct job *job, double stretch,
                            int64_t extra_ms, int64_t scale);
 
+/* Whether no result of JOB can come in time for a late result to be of use.
+   The owner still completes such a job, as it was accepted, but only with what
+   no other job can use.  */
+bool job_order_is_past_use (const struct job *job, int64_t scale,
+                            int64_t wall_ms);
+
 /* Makes the key of JOB at the wall-clock time WALL_MS.  PRIORITY is that of
    its queue, SCALE as above.  */
 struct job_order_key job_order_key_make (const struct job *job,
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -178,8 +178,7 @@
   size_t pos = 0;
   struct worker *wrk;
   placer_drop_earlier_on_host (plc, rep);
-  while (*rep->host
-         && (wrk = pool_next_on_host (&plc->pool, rep->host, &pos)))
+  while (*rep->host && (wrk = pool_next_on_host (&plc->pool, rep->host, &pos)))
     if (wrk->rep.born_ms > 0 && rep->born_ms > wrk->rep.born_ms
         && !wrk->ended_us)
       {
@@ -254,8 +253,10 @@
                      uint32_t count)
 {
   plc->waiting_tasks += count;
+  if (plc->placing_past_use)
+    return;
+  plc->useful_waiting_tasks += count;
   plc->waiting_cpu_milli += count * stp->need.cpu_milli;
-  plc->waiting_memory_mb += count * stp->need.memory_mb;
 }
 
 /* Whether placement of the step depends on more than resources.  */
@@ -328,12 +329,12 @@
   plc->last_pick_step = req->step;
 }
 
-{
-  bool perpetual = req->step->perpetual;
 /* Picks a worker that takes the task now, or NULL.  Skips the search for a
    batch task that is known not to fit, or if too many starts are in flight. */
 static struct worker *
 pick_worker (struct placer *plc, const struct place_request *req)
+{
+  bool perpetual = req->step->perpetual;
   if (!perpetual && placer_start_limit_reached (plc, req->now_us))
     {
       plc->start_limit_reached = true;
@@ -501,7 +502,7 @@
   size_t count = 0;
   struct candidate *cands
       = talloc_array (plc, struct candidate, plc->job_count + 1);
-  plc->waiting_tasks = 0;
+  plc->waiting_tasks = plc->useful_waiting_tasks = 0;
   plc->no_room_count = 0;
   plc->failed_searches = 0;
   plc->start_limit_reached = false;
@@ -523,17 +524,23 @@
   if (placed > 1)
     qsort (cands, placed, sizeof *cands, compare_candidates);
   for (size_t n = 0; n < placed; n++)
-    place_job (plc, cands[n].job, now_us, wall_ms);
+    {
+      plc->placing_past_use = cands[n].key.past_use;
+      place_job (plc, cands[n].job, now_us, wall_ms);
+    }
   /* The first jobs may be such that no worker can take them.  Of the others a
      different part is tried in each tick.  */
   uint64_t parts = (count - placed) / OTHER_JOBS_PER_TICK + 1;
   plc->failed_searches = 0;
   plc->tick_number++;
   for (size_t n = placed; n < count; n++)
-    if ((cands[n].job->id + plc->tick_number) % parts == 0)
-      place_job (plc, cands[n].job, now_us, wall_ms);
-    else
-      note_waiting_job (plc, cands[n].job, wall_ms);
+    {
+      plc->placing_past_use = cands[n].key.past_use;
+      if ((cands[n].job->id + plc->tick_number) % parts == 0)
+        place_job (plc, cands[n].job, now_us, wall_ms);
+      else
+        note_waiting_job (plc, cands[n].job, wall_ms);
+    }
   talloc_free (cands);
 }
 
@@ -573,7 +580,6 @@
       /* A worker that has not answered may run tasks of an earlier owner.  */
       if (!wrk->settled && !wrk->reported_ended && !plc->takeover_done)
         continue;
-      plc->pool.workers[n] = plc->pool.workers[--plc->pool.count];
       plc->enrol_stale = plc->enrol_stale || wrk->enrolled;
       pool_remove (&plc->pool, n);
     }
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -65,22 +65,24 @@
   int64_t earlier_leases_end_us; /* the leases that earlier owners gave have
                                     expired by then */
 
-  /* Ready tasks that no worker had room for in the last tick.  */
+  /* Ready tasks that were not started in the last tick, and those of them
+     whose jobs are not past use, with what these need.  */
   uint32_t waiting_tasks;
+  uint32_t useful_waiting_tasks;
   int64_t waiting_cpu_milli;
-  int64_t waiting_memory_mb;
+  bool placing_past_use; /* the job that is being placed is past use */
   /* Needs that no worker had room for in this tick, of tasks without placement
      constraints.  A task that needs at least as much does not fit either.  */
   struct resources no_room[NO_ROOM_MAX];
   size_t no_room_count;
   uint32_t failed_searches; /* in this tick */
-  uint64_t tick_number;     /* of those with more jobs than one tick places */
-  /* Recently sent starts without an answer, oldest first.  */
   /* The worker picked for the last task in this tick, and that task's job and
      step; NULL: none, or the step has constraints.  */
   struct worker *last_pick;
   const struct job *last_pick_job;
   const struct step *last_pick_step;
+  uint64_t tick_number; /* of those with more jobs than one tick places */
+  /* Recently sent starts without an answer, oldest first.  */
   struct command_ctx *first_start_in_flight, *last_start_in_flight;
   uint32_t starts_in_flight;
   /* In the last tick, a task was not started because too many starts were in
@@ -245,7 +247,8 @@
 /* Whether all steps that STP comes after are done.  */
 bool placer_step_ready (const struct job *job, const struct occurrence *occ,
                         const struct step *stp);
-/* Counts COUNT tasks of a step that no worker has room for.  */
+/* Counts COUNT tasks of a step of the job that is being placed which are not
+   started in this tick.  */
 void placer_note_waiting (struct placer *plc, const struct step *stp,
                           uint32_t count);
 /* Failed runs of a task after which the job fails.  */
--- a/sched/pool.c
+++ b/sched/pool.c
@@ -35,9 +35,10 @@
     return NULL;
   wrk->handle = ++pool->last_handle;
   wrk->rep = *rep;
-  keys[pool->count] = (struct worker_key){ .handle = wrk->handle,
-                                           .id_hash = hash_name (rep->id),
-                                           .host_hash = hash_name (rep->host) };
+  keys[pool->count]
+      = (struct worker_key){ .handle = wrk->handle,
+                             .id_hash = hash_name (rep->id),
+                             .host_hash = hash_name (rep->host) };
   workers[pool->count++] = wrk;
   return wrk;
 }
--- a/test/unit/unit_placer.c
+++ b/test/unit/unit_placer.c
@@ -772,6 +772,57 @@
 }
 END_TEST
 
+static const struct backlog
+{
+  int age_ms; /* of all jobs */
+  bool kept;  /* the pool keeps its hosts, and requests one more at least */
+} backlogs[] = {
+  { 0, true },
+  { 2500, true }, /* late, and a late result is still of use */
+  { 20000, false },
+};
+
+/* Guards against a pool that keeps its hosts, and requests more, for jobs that
+   have waited until no result is of use (SHORT): hundreds of hosts were
+   missing in the pool whose turn came next.  */
+START_TEST (test_hosts_for_past_use)
+{
+  const struct backlog *it = &backlogs[_i];
+  struct placer_demand dem;
+  char id[8];
+  for (int n = 0; n < 20; n++)
+    {
+      snprintf (id, sizeof id, "w%d", n);
+      world_add_worker (wld, id, 1000);
+    }
+  world_tick (wld, 1);
+  for (int n = 0; n < 20; n++)
+    {
+      snprintf (id, sizeof id, "w%d", n);
+      world_answer_hold (wld, id, NULL, 0, NULL, 0);
+    }
+  world_tick (wld, 1);
+  for (uint64_t n = 1; n <= 200; n++)
+    {
+      struct job *job = world_add_job (wld, n,
+                                       "{\"steps\":[{\"count\":1,\"cpu\":2500,"
+                                       "\"mem-mb\":1,\"estimate-ms\":1000}]}",
+                                       200 + n);
+      job->accepted_ms -= it->age_ms;
+      job->goal_ms -= it->age_ms;
+    }
+  world_tick (wld, 600);
+  world_tick (wld, 1);
+  ck_assert_uint_eq (count_starts (), 20);
+  placer_demand (wld->plc, &dem);
+  ck_assert_uint_eq (dem.schedulable_hosts, 20);
+  if (it->kept)
+    ck_assert_uint_ge (dem.short_hosts, 1);
+  else
+    ck_assert_uint_ge (dem.idle_count, 10);
+}
+END_TEST
+
 /* Guards against a second run beside one whose row in the answer to a hold
    cannot be read, against an unreadable end that is listed for good, and
    against holds without a pause to a worker that answers each at once.  */
@@ -936,6 +987,8 @@
   tcase_add_test (tc, test_starts_in_flight);
   tcase_add_test (tc, test_tick_duration);
   tcase_add_test (tc, test_many_idle_hosts);
+  tcase_add_loop_test (tc, test_hosts_for_past_use, 0,
+                       sizeof backlogs / sizeof *backlogs);
   tcase_add_test (tc, test_many_jobs_in_full_pool);
   tcase_add_test (tc, test_job_behind_impossible_ones);
   tcase_add_test (tc, test_idle_worker_answers);
