node: a controller's work follows what has changed, not all queues and requests

Waiting jobs are sorted by queue once, and only queues that have some are published; duties are looked for once for each pool; the requests for hosts of the pool are looked up when requests or workers changed; owners read the list of hosts once a second; a worker's report is decoded only if it differs in more than its number and clock.

--- a/node/directory.c
+++ b/node/directory.c
@@ -113,6 +113,16 @@
      becomes.  */
   struct worker_entry *row
       = strlen (id) == ent->key_len ? find_entry (nod, id) : NULL;
+  int64_t clock_ms = 0;
+  uint64_t fingerprint
+      = wire_worker_fingerprint (ent->value, ent->value_len, &clock_ms);
+  /* Most reports say nothing new, and there are some hundred a second.  */
+  if (row && ent->value_len > 0 && row->fingerprint == fingerprint)
+    {
+      row->rep.clock_ms = clock_ms;
+      notify_placers (nod, id, &row->rep);
+      return;
+    }
   bool valid = ent->value_len > 0
                && wire_decode_worker (ent->key, ent->key_len, ent->value,
                                       ent->value_len, &rep, &fault)
@@ -140,6 +150,7 @@
                LOG_S ("state", rep.draining ? "draining" : "ready"),
                LOG_S ("pool", rep.pool));
   row->rep = rep;
+  row->fingerprint = fingerprint;
   notify_placers (nod, id, &rep);
 }
 
@@ -148,6 +159,40 @@
 {
 }
 
+static bool
+has_name (const char *const *names, size_t count, const char *name)
+{
+  for (size_t n = 0; n < count; n++)
+    if (strcmp (names[n], name) == 0)
+      return true;
+  return false;
+}
+
+const char *const *
+node_queue_pools (struct node *nod, size_t *count)
+{
+  const struct catalog *cat = nod->cat;
+  bool known = cat && cat == nod->pools_cat
+               && cat->version == nod->pools_version
+               && cat->queue_count == nod->pools_queues;
+  if (cat && !known)
+    {
+      const char **names = talloc_realloc (nod, nod->queue_pools, const char *,
+                                           cat->queue_count + 1);
+      nod->queue_pool_count = 0;
+      nod->pools_cat = names ? cat : NULL;
+      nod->pools_version = cat->version;
+      nod->pools_queues = cat->queue_count;
+      if (names)
+        nod->queue_pools = names;
+      for (size_t n = 0; names && n < cat->queue_count; n++)
+        if (!has_name (names, nod->queue_pool_count, cat->queues[n].pool))
+          names[nod->queue_pool_count++] = cat->queues[n].pool;
+    }
+  *count = cat ? nod->queue_pool_count : 0;
+  return nod->queue_pools;
+}
+
 static void
 on_operator_record (void *arg, const struct topic_record *rec)
 {
--- a/node/duties.c
+++ b/node/duties.c
@@ -580,10 +580,12 @@
 }
 
 static bool
-pool_has_queue (const struct node *nod, const char *pool)
+pool_has_queue (struct node *nod, const char *pool)
 {
-  for (size_t n = 0; n < nod->cat->queue_count; n++)
-    if (strcmp (nod->cat->queues[n].pool, pool) == 0)
+  size_t count;
+  const char *const *pools = node_queue_pools (nod, &count);
+  for (size_t n = 0; n < count; n++)
+    if (strcmp (pools[n], pool) == 0)
       return true;
   return false;
 }
@@ -627,8 +629,10 @@
     append_releases (nod);
   if (nod->stopping || !caught_up (nod))
     return;
-  for (size_t n = 0; n < nod->cat->queue_count; n++)
-    check_duty (nod, nod->cat->queues[n].pool);
+  size_t count;
+  const char *const *pools = node_queue_pools (nod, &count);
+  for (size_t n = 0; n < count; n++)
+    check_duty (nod, pools[n]);
   check_duties_without_queue (nod);
   if (*nod->set->fleet_api)
     check_duty (nod, DUTY_FLEET);
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -16,9 +16,15 @@
 
 #define REQUEST_PART 0
 #define READ_WAIT_MS 1000
+/* Longest time until a change of a worker that is not counted by
+   placer_worker_changes, such as its host, is noticed.  */
+#define VACATING_AGE_MAX_US 200000
 /* Interval between reads of the host list while hosts are being vacated, moved
    or maintained, and otherwise.  */
 #define LIST_INTERVAL_BUSY_MS 400
+/* The same in the owner of a pool with a worker that does not answer.  To
+   decode a list of 1,100 hosts takes an owner as long as 60 starts.  */
+#define LIST_INTERVAL_OWNER_MS 1000
 #define LIST_INTERVAL_IDLE_MS 2000
 #define FLEET_INTERVAL_MS 30
 /* Time after which vacate requests of an earlier holder are withdrawn, from
@@ -100,15 +106,14 @@
 }
 
 static void
-read_host_list (struct fleet_duty *flt, bool busy, int64_t now_us)
+read_host_list (struct fleet_duty *flt, int64_t interval_ms, int64_t now_us)
 {
   if (!*flt->nod->set->fleet_api)
     return;
   struct host_link *lnk = &flt->nod->fleet_link.lnk;
   if (flt->list_in_progress || now_us < flt->next_list_us)
     return;
-  flt->next_list_us
-      = now_us + (busy ? LIST_INTERVAL_BUSY_MS : LIST_INTERVAL_IDLE_MS) * 1000;
+  flt->next_list_us = now_us + interval_ms * 1000;
   flt->list_requested_us = now_us;
   flt->list_in_progress = lnk->drv->list (lnk, on_host_list, flt) == 0;
 }
@@ -145,9 +150,11 @@
 open_report_followers (struct fleet_duty *flt)
 {
   struct node *nod = flt->nod;
-  for (size_t n = 0; nod->cat && n < nod->cat->queue_count; n++)
+  size_t count;
+  const char *const *pools = node_queue_pools (nod, &count);
+  for (size_t n = 0; n < count; n++)
     {
-      uint32_t part = report_part (nod, nod->cat->queues[n].pool);
+      uint32_t part = report_part (nod, pools[n]);
       const struct follower_settings set
           = { .topic = TOPIC_FLEET,
               .part = part,
@@ -178,7 +185,8 @@
       withdraw_orphans (flt, now_us);
       busy = host_mgr_step (&flt->mgr, now_us);
     }
-  read_host_list (flt, busy, now_us);
+  read_host_list (flt, busy ? LIST_INTERVAL_BUSY_MS : LIST_INTERVAL_IDLE_MS,
+                  now_us);
   flt->timer = timer_add (flt->nod->ev, flt, FLEET_INTERVAL_MS * 1000,
                           on_fleet_timer, flt);
 }
@@ -336,6 +344,7 @@
              const char *ended_worker)
 {
   struct vacate_request *req = find_request (flt, host);
+  flt->request_changes++;
   for (struct held_duty *hld = flt->nod->held_duties; hld; hld = hld->next)
     {
       if (!hld->plc)
@@ -387,6 +396,7 @@
           req->until_ms = (int64_t)msg->until_ms;
           req->token = msg->token;
           req->withdrawn = false;
+          flt->request_changes++;
         }
       note_superseded (flt);
       if (managed)
@@ -491,21 +501,48 @@
 {
 }
 
+/* Tells the placer which hosts are to be emptied, and notes the requests for
+   those of its pool, if these may have changed since the last time.  */
 static void
-report_empty_hosts (struct held_duty *hld)
+update_vacating (struct held_duty *hld, int64_t now_us)
 {
   struct node *nod = hld->nod;
+  struct fleet_duty *flt = nod->flt;
   int64_t wall_ms = clock_wall_ms (nod->clk);
-  int64_t now_us = clock_now_us (nod->clk);
   struct vacate_request *req, *next;
-  HASH_ITER (hh, nod->flt->requests, req, next)
+  if (hld->vacating && hld->vacating_request_changes == flt->request_changes
+      && hld->vacating_worker_changes == placer_worker_changes (hld->plc)
+      && now_us - hld->vacating_us < VACATING_AGE_MAX_US)
+    return;
+  struct vacate_request **rows
+      = talloc_realloc (hld, hld->vacating, struct vacate_request *,
+                        HASH_COUNT (flt->requests) + 1);
+  hld->vacating_count = 0;
+  if (!rows)
+    return;
+  hld->vacating = rows;
+  HASH_ITER (hh, flt->requests, req, next)
     {
-      uint8_t data[128];
       int64_t left_us = (req->until_ms - wall_ms) * 1000;
       int64_t until_us = now_us + (left_us > 0 ? left_us : 0);
-      if (!placer_vacate (hld->plc, req->host, until_us)
-          || (req->reported_offset == req->offset
-              && req->reported_token == hld->token)
+      if (placer_vacate (hld->plc, req->host, until_us))
+        rows[hld->vacating_count++] = req;
+    }
+  hld->vacating_request_changes = flt->request_changes;
+  hld->vacating_worker_changes = placer_worker_changes (hld->plc);
+  hld->vacating_us = now_us;
+}
+
+static void
+report_empty_hosts (struct held_duty *hld)
+{
+  update_vacating (hld, clock_now_us (hld->nod->clk));
+  for (size_t n = 0; n < hld->vacating_count; n++)
+    {
+      uint8_t data[128];
+      struct vacate_request *req = hld->vacating[n];
+      if ((req->reported_offset == req->offset
+           && req->reported_token == hld->token)
           || !placer_host_empty (hld->plc, req->host))
         continue;
       Kingcuphollow__VacateReport msg = KINGCUPHOLLOW__VACATE_REPORT__INIT;
@@ -529,7 +566,8 @@
   /* The list shows on which hosts a worker was replaced; the placer need not
      wait for a response of the earlier worker there.  */
   if (placer_needs_host_list (hld->plc))
-    read_host_list (hld->nod->flt, true, clock_now_us (hld->nod->clk));
+    read_host_list (hld->nod->flt, LIST_INTERVAL_OWNER_MS,
+                    clock_now_us (hld->nod->clk));
 }
 
 void
@@ -569,6 +607,7 @@
   if (!follower_is_open (&flt->fol))
     return;
   follower_fini (&flt->fol);
+  flt->request_changes++;
   HASH_ITER (hh, flt->requests, req, next)
     {
       HASH_DEL (flt->requests, req);
--- a/node/fleet_priv.h
+++ b/node/fleet_priv.h
@@ -33,6 +33,7 @@
   struct appender status_app;      /* state of waves for the operators */
   struct appender progress_app;    /* of the waves' progress */
   struct vacate_request *requests; /* by host */
+  uint64_t request_changes;        /* of that table and its entries */
   /* Used in the holder of the duty; the host list also by pools' owners.  */
   bool active;
   uint64_t token;
--- a/node/job_partitions.c
+++ b/node/job_partitions.c
@@ -250,8 +250,10 @@
 node_open_job_partitions (struct node *nod)
 {
   set_batch_delays (nod);
-  for (size_t n = 0; nod->cat && n < nod->cat->queue_count; n++)
-    if (!node_job_partition (nod, nod->cat->queues[n].pool))
+  size_t count;
+  const char *const *pools = node_queue_pools (nod, &count);
+  for (size_t n = 0; n < count; n++)
+    if (!node_job_partition (nod, pools[n]))
       return ERR_NOMEM;
   for (int64_t n = 0; n < nod->set->partitions; n++)
     {
--- a/node/job_states.c
+++ b/node/job_states.c
@@ -1,5 +1,6 @@
 #include <inttypes.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 #include <xxhash.h>
@@ -178,24 +179,45 @@
   hld->summary_delay_us = clock_now_us (hld->nod->clk) - hld->summary_sent_us;
 }
 
-/* Counts the waiting jobs of the pool's queues.  */
-static void
-count_waiting (const struct held_duty *hld, struct published_pool *pool)
+static int
+compare_names (const void *a, const void *b)
+{
+  return strcmp (*(const char *const *)a, *(const char *const *)b);
+}
+
+/* Counts the waiting jobs of each of the pool's queues that has some; a job
+   that was stored before its queue moved to the pool counts as well.  There
+   are hundreds of queues and thousands of jobs.  Returns false when out of
+   memory.  */
+static bool
+count_waiting (const struct held_duty *hld, void *ctx,
+               struct published_pool *pool)
 {
   const struct node *nod = hld->nod;
-  for (size_t n = 0; nod->cat && n < nod->cat->queue_count; n++)
+  const char **names = talloc_array (ctx, const char *, nod->jobs.count + 1);
+  size_t count = 0;
+  pool->queues = talloc_zero_array (ctx, struct published_queue,
+                                    nod->cat ? nod->cat->queue_count + 1 : 1);
+  if (!names || !pool->queues)
+    return false;
+  for (const struct job *job = nod->jobs.by_id; job; job = job->hh.next)
+    if (job->state == JOB_QUEUED && job->spec.occurrences == 0)
+      names[count++] = job->queue;
+  if (count > 1)
+    qsort (names, count, sizeof *names, compare_names);
+  for (size_t n = 0, next; n < count; n = next)
     {
-      const struct queue *que = &nod->cat->queues[n];
-      if (strcmp (que->pool, hld->pool) != 0)
+      const struct queue *que = catalog_queue (nod->cat, names[n]);
+      for (next = n + 1; next < count; next++)
+        if (strcmp (names[next], names[n]) != 0)
+          break;
+      if (!que || strcmp (que->pool, hld->pool) != 0)
         continue;
       struct published_queue *row = &pool->queues[pool->queue_count++];
       name_copy (row->name, que->name);
+      row->waiting = (uint32_t)(next - n);
     }
-  for (const struct job *job = nod->jobs.by_id; job; job = job->hh.next)
-    for (size_t n = 0; job->state == JOB_QUEUED && n < pool->queue_count; n++)
-      pool->queues[n].waiting
-          += job->spec.occurrences == 0
-             && strcmp (job->queue, pool->queues[n].name) == 0;
+  return true;
 }
 
 static void
@@ -210,11 +232,8 @@
                          ? follower_caught_up_us (&hld->prt->fol)
                          : 0;
   void *ctx = talloc_new (nod);
-  pool.queues = talloc_zero_array (ctx, struct published_queue,
-                                   nod->cat ? nod->cat->queue_count + 1 : 1);
-  if (!pool.queues || known_us < now_us - VIEW_AGE_MAX_US)
+  if (known_us < now_us - VIEW_AGE_MAX_US || !count_waiting (hld, ctx, &pool))
     goto done;
-  count_waiting (hld, &pool);
   uint8_t *data = state_view_encode_pool (ctx, &pool, now_us - known_us,
                                           hld->summary_delay_us, &len);
   snprintf (key, sizeof key, "%c%s", STATE_VIEW_POOL_KEY, hld->pool);
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -92,6 +92,7 @@
 {
   UT_hash_handle hh;
   struct worker_report rep;
+  uint64_t fingerprint; /* of the report; see wire_worker_fingerprint */
 };
 
 /* The newest record of the workers on which the owners of a pool may have
@@ -136,6 +137,13 @@
   int64_t next_demand_us; /* the demand is not computed before this time */
   uint32_t sent_short_hosts;
   size_t sent_idle_count;
+  /* The requests to vacate hosts of this pool, as of the given numbers of
+     changes to all requests and to the pool's workers.  */
+  struct vacate_request **vacating;
+  size_t vacating_count;
+  uint64_t vacating_request_changes;
+  uint64_t vacating_worker_changes;
+  int64_t vacating_us;      /* when they were looked up */
   /* Publication of the jobs' states to entry processes.  */
   struct appender states_app;
   uint64_t *changed_jobs; /* ids of jobs whose state was not published */
@@ -173,7 +181,14 @@
   uint64_t run_id;
   int64_t started_us;
 
-  struct catalog *cat;            /* NULL: no configuration read yet */
+  struct catalog *cat; /* NULL: no configuration read yet */
+  /* The names of the pools that have a queue, as of the configuration
+     POOLS_CAT with POOLS_VERSION; see node_queue_pools.  */
+  const char **queue_pools;
+  size_t queue_pool_count;
+  const struct catalog *pools_cat;
+  uint64_t pools_version;
+  size_t pools_queues;
   struct follower operator_fol;   /* configuration and maintenance waves */
   struct follower directory_fol;  /* workers' reports; open in controllers
                                      only */
@@ -239,6 +254,12 @@
    Returns 0 or ERR_SYSTEM.  */
 int node_set_identity (struct node *nod, int64_t wall_ms);
 
+/* node/directory.c */
+/* Returns the names of the pools that have a queue, each once, and sets *COUNT
+   to their number.  There are some pools and hundreds of queues.  The names
+   are valid until the next configuration.  */
+const char *const *node_queue_pools (struct node *nod, size_t *count);
+
 /* node/job_partitions.c */
 /* Returns the partition of POOL, which is opened if necessary, or NULL without
    memory.  */
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -235,9 +235,16 @@
   /* A late report of an ended instance.  */
   if (wrk->reported_ended && rep->born_ms <= born_ms)
     return;
+  plc->worker_changes += !wrk->registered;
   wrk->registered = true;
 }
 
+uint64_t
+placer_worker_changes (const struct placer *plc)
+{
+  return plc->worker_changes;
+}
+
 bool
 placer_step_ready (const struct job *job, const struct occurrence *occ,
                    const struct step *stp)
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -142,6 +142,10 @@
    the host.  */
 bool placer_vacate (struct placer *plc, const char *host, int64_t until_us);
 
+/* Counts the workers that were added or were registered again, so that a
+   caller can tell whether the result of placer_vacate may have changed.  */
+uint64_t placer_worker_changes (const struct placer *plc);
+
 /* Tells the placer that a host order to the platform has ended the instance of
    worker ID.  */
 void placer_worker_ended (struct placer *plc, const char *id);
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -35,9 +35,10 @@
   struct placer_settings set;
   struct placer_env env;
   struct pool pool;
-  int64_t claimed_us;   /* when this owner's placer was created */
-  int64_t confirmed_us; /* latest time for which ownership is confirmed */
-  bool fenced;          /* a worker or the log has seen a later owner */
+  uint64_t worker_changes; /* see placer_worker_changes */
+  int64_t claimed_us;      /* when this owner's placer was created */
+  int64_t confirmed_us;    /* latest time for which ownership is confirmed */
+  bool fenced;             /* a worker or the log has seen a later owner */
   /* Every run that earlier owners started is known or has lost its lease, and
      they start nothing any more.  */
   bool takeover_done;
--- a/test/unit/unit_wire_decode.c
+++ b/test/unit/unit_wire_decode.c
@@ -362,6 +362,52 @@
 }
 END_TEST
 
+#define REPORT(clock, sequence, rest)                                         \
+  "{\"service\":\"p\",\"clock-ms\":" clock ",\"sequence\":" sequence rest "}"
+
+static const struct fingerprint_case
+{
+  const char *a, *b;
+  bool same;
+} fingerprint_cases[] = {
+  { REPORT ("1", "2", ""), REPORT ("1", "2", ""), true },
+  { REPORT ("1", "2", ""), REPORT ("482113", "9007", ""), true },
+  { REPORT ("1", "2", ""), REPORT ("1", "2", ",\"state\":\"draining\""),
+    false },
+  { REPORT ("1", "2", ",\"slots\":8"), REPORT ("1", "2", ",\"slots\":9"),
+    false },
+  /* Not valid, so that they must not pass for the first one.  */
+  { REPORT ("1", "2", ""), REPORT ("1", "", ""), false },
+  { REPORT ("1", "2", ""), REPORT ("", "2", ""), false },
+  { REPORT ("1", "2", ""), REPORT ("1", "-2", ""), false },
+  { REPORT ("1", "2", ""), REPORT ("1", "02", ""), false },
+  { REPORT ("1", "2", ""), REPORT ("1", "2.5", ""), false },
+  { REPORT ("1", "2", ""), REPORT ("1e9", "2", ""), false },
+  { REPORT ("1", "2", ""), REPORT ("1", "99999999999999999999", ""), false },
+  { REPORT ("1", "2", ""), REPORT ("1", "\"2\"", ""), false },
+  { REPORT ("1", "2", ""), REPORT ("1", "2", ",\"sequence\":3"), false },
+  { REPORT ("1", "2", ""),
+    "{\"service\":\"p\",\"clock-ms\":1,\"sequence\":", false },
+  { "{}", "", false },
+};
+
+/* Guards against a changed or unreadable report that passes for the last one
+   and is not decoded: a worker that drains would get further tasks (DRAIN). */
+START_TEST (test_fingerprint)
+{
+  const struct fingerprint_case *it = &fingerprint_cases[_i];
+  int64_t clock_ms = 0;
+  uint64_t a = wire_worker_fingerprint ((const uint8_t *)it->a, strlen (it->a),
+                                        &clock_ms);
+  uint64_t b = wire_worker_fingerprint ((const uint8_t *)it->b, strlen (it->b),
+                                        &clock_ms);
+  ck_assert_int_eq (a == b, it->same);
+  wire_worker_fingerprint ((const uint8_t *)REPORT ("482113", "4", ""),
+                           strlen (REPORT ("482113", "4", "")), &clock_ms);
+  ck_assert_int_eq (clock_ms, 482113);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -374,6 +420,8 @@
   tcase_add_test (tc, test_odd_wave);
   tcase_add_test (tc, test_odd_version);
   tcase_add_test (tc, test_deeply_nested_entry);
+  tcase_add_loop_test (tc, test_fingerprint, 0,
+                       sizeof fingerprint_cases / sizeof *fingerprint_cases);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
