sched: hosts that have just arrived are not given up at the limit of starts

Hosts are given up for that reason only when every tick of a second has reached the limit; until then none is requested beyond what is in use. test_hosts_at_start_limit fails without the change (hosts are idle at once).

--- a/sched/demand.c
+++ b/sched/demand.c
@@ -40,9 +40,10 @@
   return work->perpetual_cpu_milli + (useful > past_use ? useful : past_use);
 }
 
-/* If a pool's owner reaches the limit of starts in flight and less than this
-   share of the processors is in use, the pool has more hosts than the owner
-   can keep busy.  */
+/* If a pool's owner has reached the limit of its starts in each tick for this
+   time and less than this share of the processors is in use, the pool has more
+   hosts than the owner can keep busy.  */
+#define START_LIMIT_SPAN_US 1000000
 #define START_LIMIT_BUSY_PERCENT 75
 
 static void
@@ -222,14 +223,18 @@
   if (plc->useful_waiting_tasks > 0 && wanted <= schedulable)
     wanted = schedulable + 1;
   /* While tasks wait because this process cannot send their starts fast
-     enough, more hosts than it can keep busy do not help.  */
+     enough, more hosts than it can keep busy do not help.  Those that it has
+     are kept for a while: hosts that have just arrived are empty.  */
   if (plc->start_limit_reached)
     {
       int64_t filled = hosts_needed (used * 100 / START_LIMIT_BUSY_PERCENT,
                                      cpu, schedulable)
                        + HEADROOM_HOSTS;
-      if (wanted > filled)
-        wanted = filled;
+      bool lasting = plc->start_limited_us
+                     && now_us - plc->start_limited_us >= START_LIMIT_SPAN_US;
+      int64_t most = lasting || filled > schedulable ? filled : schedulable;
+      if (wanted > most)
+        wanted = most;
     }
   dem->schedulable_hosts = (uint32_t)schedulable;
   dem->busy_milli = cpu > 0 ? (uint32_t)(used * 1000 / cpu) : 0;
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -548,6 +548,10 @@
       else
         note_waiting_job (plc, cands[n].job, wall_ms);
     }
+  if (!plc->start_limit_reached)
+    plc->start_limited_us = 0;
+  else if (!plc->start_limited_us)
+    plc->start_limited_us = now_us;
   talloc_free (cands);
 }
 
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -89,6 +89,8 @@
   /* In the last tick, a task was not started because too many starts were in
      flight.  */
   bool start_limit_reached;
+  /* Since when every tick has reached the limit; 0: the last one has not.  */
+  int64_t start_limited_us;
   /* Report on tasks that wait although workers are free.  */
   int64_t last_start_us; /* when a start was last sent */
   int64_t stalled_us;    /* when they were first found; 0: there are none */
--- a/test/unit/unit_placer.c
+++ b/test/unit/unit_placer.c
@@ -39,6 +39,26 @@
   world_tick (wld, 1);
 }
 
+/* Adds COUNT workers that have answered.  */
+static void
+add_workers (int count)
+{
+  char id[8];
+  for (int n = 0; n < count; n++)
+    {
+      snprintf (id, sizeof id, "w%d", n);
+      world_add_worker (wld, id, 1000);
+    }
+  world_tick (wld, 1);
+  for (int n = 0; n < count; n++)
+    {
+      snprintf (id, sizeof id, "w%d", n);
+      world_answer_hold (wld, id, NULL, 0, NULL, 0);
+    }
+  world_tick (wld, 1);
+  world_tick (wld, 1);
+}
+
 static struct world_call *
 pending_start (const char **worker)
 {
@@ -654,11 +674,9 @@
 /* The number of starts in flight is limited.  Under the load of a queue at its
    peak, a process with little CPU time could not read all answers in time, and
    the starts would be sent again.  Starts that wait for their workers do not
-   delay others, and no hosts are requested while only the limit delays
-   tasks.  */
+   delay others.  */
 START_TEST (test_starts_in_flight)
 {
-  struct placer_demand dem;
   add_two_workers ();
   world_add_job (wld, 1,
                  "{\"steps\":[{\"count\":600,\"cpu\":4,\"mem-mb\":1,"
@@ -668,8 +686,6 @@
   ck_assert_uint_eq (count_starts (), 512);
   world_tick (wld, 50);
   ck_assert_uint_eq (count_starts (), 512);
-  placer_demand (wld->plc, &dem);
-  ck_assert_uint_eq (dem.short_hosts, 0);
   const char *worker;
   for (int n = 0; n < 10; n++)
     world_answer (wld, pending_start (&worker), COMMAND_DONE);
@@ -752,20 +768,7 @@
 START_TEST (test_many_idle_hosts)
 {
   struct placer_demand dem;
-  char id[8];
-  for (int n = 0; n < 120; n++)
-    {
-      snprintf (id, sizeof id, "w%d", n);
-      world_add_worker (wld, id, 1000);
-    }
-  world_tick (wld, 1);
-  for (int n = 0; n < 120; n++)
-    {
-      snprintf (id, sizeof id, "w%d", n);
-      world_answer_hold (wld, id, NULL, 0, NULL, 0);
-    }
-  world_tick (wld, 1);
-  world_tick (wld, 1);
+  add_workers (120);
   placer_demand (wld->plc, &dem);
   ck_assert_uint_eq (dem.schedulable_hosts, 120);
   ck_assert_uint_ge (dem.idle_count, 118);
@@ -789,19 +792,7 @@
 {
   const struct backlog *it = &backlogs[_i];
   struct placer_demand dem;
-  char id[8];
-  for (int n = 0; n < 20; n++)
-    {
-      snprintf (id, sizeof id, "w%d", n);
-      world_add_worker (wld, id, 1000);
-    }
-  world_tick (wld, 1);
-  for (int n = 0; n < 20; n++)
-    {
-      snprintf (id, sizeof id, "w%d", n);
-      world_answer_hold (wld, id, NULL, 0, NULL, 0);
-    }
-  world_tick (wld, 1);
+  add_workers (20);
   for (uint64_t n = 1; n <= 200; n++)
     {
       struct job *job = world_add_job (wld, n,
@@ -823,6 +814,31 @@
 }
 END_TEST
 
+/* Guards against hosts that are requested although only the limit of starts
+   delays tasks, and against new hosts that are given up at once because they
+   are still empty (SHORT): a pool at the start of its turn asked for 1,900
+   hosts, and gave up 28 within the same second.  */
+START_TEST (test_hosts_at_start_limit)
+{
+  struct placer_demand dem;
+  add_workers (10);
+  world_add_job (wld, 1,
+                 "{\"steps\":[{\"count\":500,\"cpu\":10,\"mem-mb\":1,"
+                 "\"estimate-ms\":900}]}",
+                 200);
+  wld->start_cost_us = 2000;
+  for (int n = 0; n < 13; n++)
+    {
+      world_tick (wld, 100 - 22);
+      world_confirm_ownership (wld);
+      placer_demand (wld->plc, &dem);
+      ck_assert_uint_eq (dem.short_hosts, 0);
+      ck_assert_uint_eq (dem.idle_count, n < 10 ? 0 : 10 - 2);
+    }
+  ck_assert_uint_eq (count_starts (), 13 * 11);
+}
+END_TEST
+
 /* Guards against a second run beside one whose row in the answer to a hold
    cannot be read, against an unreadable end that is listed for good, and
    against holds without a pause to a worker that answers each at once.  */
@@ -987,6 +1003,7 @@
   tcase_add_test (tc, test_starts_in_flight);
   tcase_add_test (tc, test_tick_duration);
   tcase_add_test (tc, test_many_idle_hosts);
+  tcase_add_test (tc, test_hosts_at_start_limit);
   tcase_add_loop_test (tc, test_hosts_for_past_use, 0,
                        sizeof backlogs / sizeof *backlogs);
   tcase_add_test (tc, test_many_jobs_in_full_pool);
