member: the duty of a holder that restarted is claimed by rank from its restart

A candidate waits 300 ms for each one that ranks before it, counted from when the duty became vacant. For a holder that had restarted this was the time of its last report, which moves on every 0.6 s: only the first three candidates ever claimed, and they were still reading the pool's jobs.

The wait counts from the first report of the new start, or from the claim if that was read later. test_restarted_holder_reports fails before (one of three members claims).

--- a/member/duty.c
+++ b/member/duty.c
@@ -407,8 +407,11 @@
   const struct member *mem = find_member (tab, dty->holder);
   if (!mem)
     return dty->since_us;
+  /* The claim may have been read after the member's first report, as the two
+     topics are read separately.  */
   if (mem->boot > dty->boot)
-    return mem->heard_us;
+    return mem->boot_read_us > dty->since_us ? mem->boot_read_us
+                                             : dty->since_us;
   /* A stopping member holds its duties until it releases them or its reports
      cease.  A holder reports often, whatever its last report says of the next
      one: it may be from before the claim.  */
--- a/test/unit/unit_duty.c
+++ b/test/unit/unit_duty.c
@@ -452,6 +452,19 @@
 }
 END_TEST
 
+/* Guards against a duty that nobody claims after the loss of all processes
+   (RECOVER): its former holder has restarted and reports, and the members that
+   rank first have not read the pool's jobs yet.  The others waited for a time
+   without a report of it.  */
+START_TEST (test_restarted_holder_reports)
+{
+  claim ("a", 1, 5, 10 * S);
+  for (int64_t ms = 11000; ms <= 11600; ms += 200)
+    member ("a", 2, false, ms * 1000);
+  ck_assert_str_eq (claimants (11 * S + 650000, 0), "abc");
+}
+END_TEST
+
 /* Guards against a duty that is claimed again right after a member that had
    not reported for a while claimed it: its claim may be read before its next
    report.  */
@@ -614,6 +627,7 @@
   tcase_add_test (tc, test_late_release);
   tcase_add_test (tc, test_release_without_claim);
   tcase_add_test (tc, test_restart);
+  tcase_add_test (tc, test_restarted_holder_reports);
   tcase_add_test (tc, test_claim_counts_as_report);
   tcase_add_test (tc, test_view_age);
   tcase_add_test (tc, test_store_returns);
