sched: a task looks only at workers that have room

A tick notes once what each worker that takes tasks has free, in one array, and reads a worker only if the task fits there and the worker would be preferred; the clock is looked at after starts only. The choice is the same.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -513,6 +513,8 @@
   plc->no_room_count = 0;
   plc->failed_searches = 0;
   plc->start_limit_reached = false;
+  plc->starts_sent = plc->starts_checked = 0;
+  plc->tick_too_long = false;
   plc->last_pick = NULL;
   plc->waiting_cpu_milli = 0;
   for (size_t n = 0; cands && n < plc->job_count; n++)
@@ -601,6 +603,7 @@
 {
   int64_t now_us = clock_now_us (plc->env.clk);
   bool busy = false;
+  pool_drop_slots (&plc->pool);
   if (placer_may_command (plc, now_us))
     {
       placer_enrol (plc);
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -89,6 +89,9 @@
   /* In the last tick, a task was not started because too many starts were in
      flight.  */
   bool start_limit_reached;
+  uint32_t starts_sent;    /* in this tick */
+  uint32_t starts_checked; /* STARTS_SENT when the time was last looked at */
+  bool tick_too_long;
   /* Since when every tick has reached the limit; 0: the last one has not.  */
   int64_t start_limited_us;
   /* Report on tasks that wait although workers are free.  */
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -84,8 +84,14 @@
          && now_us - plc->first_start_in_flight->sent_us
                 > START_IN_FLIGHT_AGE_US)
     drop_start_in_flight (plc, plc->first_start_in_flight);
-  return plc->starts_in_flight >= STARTS_IN_FLIGHT_MAX
-         || clock_now_us (plc->env.clk) - now_us > TICK_STARTS_MAX_US;
+  /* Thousands of tasks may wait; only starts take long.  */
+  if (plc->starts_sent != plc->starts_checked)
+    {
+      plc->starts_checked = plc->starts_sent;
+      plc->tick_too_long
+          = clock_now_us (plc->env.clk) - now_us > TICK_STARTS_MAX_US;
+    }
+  return plc->tick_too_long || plc->starts_in_flight >= STARTS_IN_FLIGHT_MAX;
 }
 
 static void send_start (struct placer *plc, struct run *run);
@@ -388,6 +394,7 @@
   struct command_ctx *ctx = make_command_ctx (plc, run, wrk);
   if (ctx)
     ctx->lease_end_ms = cmd.lease_end_ms;
+  plc->starts_sent++;
   run->start_tries++;
   run->start_sent_us = plc->last_start_us = now_us;
   if (!ctx
--- a/sched/pool.c
+++ b/sched/pool.c
@@ -30,6 +30,12 @@
   if (!keys)
     return NULL;
   pool->keys = keys;
+  struct place_slot *slots = talloc_realloc (
+      parent, pool->slots, struct place_slot, pool->count + 1);
+  if (!slots)
+    return NULL;
+  pool->slots = slots;
+  pool->slots_valid = false;
   struct worker *wrk = talloc_zero (parent, struct worker);
   if (!wrk)
     return NULL;
@@ -47,6 +53,7 @@
 pool_remove (struct pool *pool, size_t index)
 {
   talloc_free (pool->workers[index]);
+  pool->slots_valid = false;
   pool->count--;
   pool->workers[index] = pool->workers[pool->count];
   pool->keys[index] = pool->keys[pool->count];
@@ -63,6 +70,12 @@
       pool->keys[n].host_hash = hash_name (rep->host);
 }
 
+void
+pool_drop_slots (struct pool *pool)
+{
+  pool->slots_valid = false;
+}
+
 struct worker *
 pool_find (const struct pool *pool, uint32_t handle)
 {
@@ -221,33 +234,86 @@
 #define PENALTY_OTHER_RACK 100000
 #define PENALTY_COLD 20000
 
+/* Deductions that do not depend on the task.  */
+static int32_t
+penalty (const struct worker *wrk)
+{
+  return (wrk->reported_idle ? PENALTY_REPORTED_IDLE : 0)
+         + (wrk->rep.cold_left_ms > 0 || wrk->fail_streak > 0 ? PENALTY_COLD
+                                                              : 0);
+}
+
+static void
+make_slots (struct pool *pool, int64_t now_us)
+{
+  pool->slot_count = 0;
+  for (size_t n = 0; n < pool->count; n++)
+    {
+      const struct worker *wrk = pool->workers[n];
+      const struct resources *cap = &wrk->rep.capacity;
+      if (!worker_schedulable (wrk, now_us))
+        continue;
+      pool->slots[pool->slot_count++] = (struct place_slot){
+        .index = (uint32_t)n,
+        .penalty = penalty (wrk),
+        .free = { .cpu_milli = cap->cpu_milli - wrk->used.cpu_milli
+                               - wrk->unknown.cpu_milli,
+                  .memory_mb = cap->memory_mb - wrk->used.memory_mb
+                               - wrk->unknown.memory_mb,
+                  .accelerators = cap->accelerators - wrk->used.accelerators
+                                  - wrk->unknown.accelerators },
+      };
+    }
+  pool->slots_valid = true;
+}
+
+/* A task is rarely placed on a worker that has no room, so this is asked
+   before anything of the worker itself is read: with hundreds of workers and
+   thousands of waiting tasks, reading each worker took an owner half of its
+   processor time.  */
+static bool
+slot_fits (const struct place_slot *slot, const struct resources *need)
+{
+  return slot->free.cpu_milli >= need->cpu_milli
+         && slot->free.memory_mb >= need->memory_mb
+         && slot->free.accelerators >= need->accelerators;
+}
+
+static int64_t
+score_worker (const struct worker *wrk, const struct place_slot *slot,
+              const struct place_request *req)
+{
+  /* Prefer full workers, so that others become empty and their hosts can be
+     given up.  */
+  int64_t score = -free_share (wrk, req->step) - slot->penalty;
+  if (wrk->handle == req->avoid)
+    score -= PENALTY_AVOIDED;
+  if (*req->step->data_rack && !worker_has_label (wrk, req->step->data_rack))
+    score -= PENALTY_OTHER_RACK;
+  return score;
+}
+
 struct worker *
-place_pick (const struct pool *pool, const struct place_request *req)
+place_pick (struct pool *pool, const struct place_request *req)
 {
   struct worker *best = NULL;
   int64_t best_score = 0;
-  for (size_t n = 0; n < pool->count; n++)
+  struct resources need = { 0 };
+  resources_add (&need, req->step, 1);
+  if (!pool->slots_valid)
+    make_slots (pool, req->now_us);
+  for (size_t n = 0; n < pool->slot_count; n++)
     {
-      struct worker *wrk = pool->workers[n];
-      if (!place_allowed (wrk, req) || !place_fits (wrk, req->step))
+      const struct place_slot *slot = &pool->slots[n];
+      if (!slot_fits (slot, &need))
+        continue;
+      struct worker *wrk = pool->workers[slot->index];
+      int64_t score = score_worker (wrk, slot, req);
+      if ((best && score <= best_score) || !place_fits (wrk, req->step)
+          || !place_allowed (wrk, req))
         continue;
-      /* Prefer full workers, so that others become empty and their hosts can
-         be given up.  */
-      int64_t score = -free_share (wrk, req->step);
-      if (wrk->handle == req->avoid)
-        score -= PENALTY_AVOIDED;
-      if (wrk->reported_idle)
-        score -= PENALTY_REPORTED_IDLE;
-      if (*req->step->data_rack
-          && !worker_has_label (wrk, req->step->data_rack))
-        score -= PENALTY_OTHER_RACK;
-      if (wrk->rep.cold_left_ms > 0 || wrk->fail_streak > 0)
-        score -= PENALTY_COLD;
-      if (!best || score > best_score)
-        {
-          best = wrk;
-          best_score = score;
-        }
+      best = wrk;
+      best_score = score;
     }
   return best;
 }
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -129,12 +129,26 @@
   uint32_t host_hash;
 };
 
+/* What a worker that takes new tasks had free when the slots were made, and
+   what counts against it.  */
+struct place_slot
+{
+  uint32_t index;
+  int32_t penalty;
+  struct resources free;
+};
+
 struct pool
 {
   struct worker **workers;
   struct worker_key *keys; /* of the worker with the same index */
   size_t count;
   uint32_t last_handle;
+  /* The slots of the workers that take new tasks.  What is free only shrinks
+     while they are valid.  */
+  struct place_slot *slots;
+  size_t slot_count;
+  bool slots_valid;
 };
 
 /* Adds a worker; PARENT is the talloc parent of the pool's memory.  Returns
@@ -146,6 +160,8 @@
 /* Replaces the report of WRK.  */
 void pool_set_report (struct pool *pool, struct worker *wrk,
                       const struct worker_report *rep);
+/* Makes place_pick look at the workers anew, as they may have changed.  */
+void pool_drop_slots (struct pool *pool);
 struct worker *pool_find (const struct pool *pool, uint32_t handle);
 struct worker *pool_find_id (const struct pool *pool, const char *id);
 /* Returns the next worker on HOST from the index *POS on and sets *POS behind
@@ -178,8 +194,7 @@
 bool place_allowed (const struct worker *wrk, const struct place_request *req);
 
 /* Picks a worker for a task.  Returns NULL when none can take it now.  */
-struct worker *place_pick (const struct pool *pool,
-                           const struct place_request *req);
+struct worker *place_pick (struct pool *pool, const struct place_request *req);
 
 bool worker_has_label (const struct worker *wrk, const char *label);
 
