sched, node: a pool that cannot do all new jobs in time says so at once

The owner computes every 0.6 s how long the work that is still of use takes. When that is longer than new jobs can wait, or jobs are past use already, and no hosts are on their way, only the share of new jobs is accepted that the pool does; the owner starts new jobs first, and these are in time. The share goes to all processes with the owner's report to the members. A rejected client gets 503 with a Retry-After between the time after which the work is done and twice that. It is told so only if no append for the job is in progress in this process and the jobs, or their published states, are known as they were a moment ago; serving jobs and those with a schedule are always accepted.

--- a/job/job.h
+++ b/job/job.h
@@ -148,6 +148,7 @@
   bool dirty;             /* has progress that is not in the log */
   struct job *next_dirty; /* in the owner's list of such jobs */
   bool start_timed;       /* the time to its first start has been counted */
+  bool past_use_counted;  /* that it is past use has been counted */
   uint8_t published; /* 1 more than the state published to entry processes; 0:
                         none */
   int64_t seen_us;   /* monotonic time at which the first record was folded */
--- a/node/duties.c
+++ b/node/duties.c
@@ -134,6 +134,7 @@
   int64_t begun_us = clock_now_us (hld->nod->clk);
   int64_t next_us = placer_tick (hld->plc);
   node_fleet_report (hld);
+  node_update_admission (hld);
   node_publish_states (hld);
   if (placer_needs_confirmation (hld->plc))
     request_confirmation (hld->nod);
@@ -296,6 +297,8 @@
   placer_limit_earlier_leases (
       hld->plc, duty_earlier_leases_end_us (
                     &nod->duties, duty_find (&nod->duties, hld->pool)));
+  admission_init (&hld->adm, clock_now_us (nod->clk));
+  hld->logged_permille = ADMISSION_ALL;
   hld->phase = HELD_DUTY_ACTIVE;
   log_event (nod->lg, EV_DUTY_BEGUN, LOG_S ("duty", hld->pool),
              LOG_I ("token", hld->token),
--- a/node/members.c
+++ b/node/members.c
@@ -49,6 +49,7 @@
   if (duty_fold_member (&nod->duties, &rep, clock_now_us (nod->clk)))
     log_event (nod->lg, EV_RECORD_INVALID, LOG_S ("topic", TOPIC_MEMBERS),
                LOG_I ("offset", rec->offset), LOG_S ("error", "members_full"));
+  node_note_admissions (nod, name, msg);
   kingcuphollow__member_beat__free_unpacked (msg, NULL);
 }
 
@@ -102,7 +103,6 @@
 append_report (struct node *nod, int64_t interval_ms)
 {
   char key[DUTY_KEY_BYTES];
-  uint8_t data[64];
   Kingcuphollow__MemberBeat msg = KINGCUPHOLLOW__MEMBER_BEAT__INIT;
   snprintf (key, sizeof key, "%c/%s", MEMBER_KEY, nod->set->name);
   msg.boot = nod->boot;
@@ -111,14 +111,22 @@
   msg.wall_ms = clock_wall_ms (nod->common.own);
   msg.interval_ms = (uint32_t)interval_ms;
   msg.entry_only = nod->roster.role == ROSTER_ENTRY;
-  const struct topic_entry ent
-      = { .key = key,
-          .key_len = strlen (key),
-          .value = data,
-          .value_len = kingcuphollow__member_beat__pack (&msg, data) };
-  nod->heartbeat_in_progress = appender_add (&nod->member_app, &ent, false,
-                                             on_heartbeat_appended, nod)
-                               == 0;
+  void *ctx = talloc_new (nod);
+  node_report_admissions (nod, ctx, &msg);
+  uint8_t *data
+      = talloc_size (ctx, kingcuphollow__member_beat__get_packed_size (&msg));
+  if (data)
+    {
+      const struct topic_entry ent
+          = { .key = key,
+              .key_len = strlen (key),
+              .value = data,
+              .value_len = kingcuphollow__member_beat__pack (&msg, data) };
+      nod->heartbeat_in_progress = appender_add (&nod->member_app, &ent, false,
+                                                 on_heartbeat_appended, nod)
+                                   == 0;
+    }
+  talloc_free (ctx);
 }
 
 /* Starts or ends the publication of states, as there are entry processes or
--- a/node/node.c
+++ b/node/node.c
@@ -197,6 +197,7 @@
     wire_front_destroy (nod->frt);
   job_table_fini (&nod->jobs);
   state_view_fini (&nod->states);
+  HASH_CLEAR (hh, nod->admissions);
   logger_destroy (nod->lg);
   talloc_free (nod);
   return err;
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -18,6 +18,8 @@
 #include "platform/wire_front.h"
 #include "platform/wire_store.h"
 #include "platform/wire_worker.h"
+#include "proto/job.pb-c.h"
+#include "sched/admission.h"
 #include "sched/placer.h"
 #include "store/appender.h"
 #include "store/follower.h"
@@ -106,6 +108,18 @@
   int64_t read_us; /* monotonic time at which it was read */
 };
 
+/* The share of new jobs that the owner of a pool accepts, as it has reported;
+   there is none while it accepts all.  */
+struct pool_admission
+{
+  UT_hash_handle hh;
+  char pool[NAME_BYTES];
+  char owner[NAME_BYTES];
+  uint32_t accept_permille;
+  int64_t retry_after_ms;
+  int64_t read_us;
+};
+
 enum held_duty_phase
 {
   HELD_DUTY_FENCING, /* the fence against earlier owners is being appended */
@@ -144,6 +158,8 @@
   uint64_t vacating_request_changes;
   uint64_t vacating_worker_changes;
   int64_t vacating_us;      /* when they were looked up */
+  struct admission adm;     /* of new jobs */
+  uint32_t logged_permille; /* its share as last logged */
   /* Publication of the jobs' states to entry processes.  */
   struct appender states_app;
   uint64_t *changed_jobs; /* ids of jobs whose state was not published */
@@ -213,6 +229,7 @@
   struct follower member_fol;
   struct follower duty_fol;
   struct appender member_app;
+  struct pool_admission *admissions; /* by pool */
   struct duty_table duties;
   int64_t members_current_us;    /* reports appended before this are known */
   int64_t members_resumed_us;    /* when reports could be read again after an
@@ -229,6 +246,7 @@
   uint64_t claim_conflicts;  /* claims that lost to a concurrent append */
   struct timer *claim_timer;
   int64_t next_queueless_us; /* pools without a queue are not checked before */
+  struct pending_append *pending_appends; /* for clients' requests */
   bool heartbeat_in_progress;
   int64_t confirmed_us; /* claims appended before this are known */
   /* A read of the claims that does not wait for new ones.  */
@@ -301,6 +319,21 @@
    following the records that only controllers need.  */
 void node_update_role (struct node *nod);
 
+/* node/pool_admission.c */
+/* Decides anew which share of new jobs the pool accepts.  */
+void node_update_admission (struct held_duty *hld);
+/* Adds the shares of the pools that this process owns to its report; the rows
+   belong to CTX.  */
+void node_report_admissions (struct node *nod, void *ctx,
+                             Kingcuphollow__MemberBeat *msg);
+/* Takes the shares from the report of OWNER.  */
+void node_note_admissions (struct node *nod, const char *owner,
+                           const Kingcuphollow__MemberBeat *msg);
+/* Whether to accept a job of POOL.  If not, sets *RETRY_AFTER_MS to the time
+   after which its client may return.  */
+bool node_pool_accepts (const struct node *nod, const char *pool, uint64_t id,
+                        int64_t *retry_after_ms);
+
 /* node/job_states.c */
 /* Starts and ends following the published states.  */
 void node_follow_states (struct node *nod);
--- a/node/requests.c
+++ b/node/requests.c
@@ -22,6 +22,7 @@
 /* An append to the store on behalf of a client's request.  */
 struct pending_append
 {
+  struct pending_append *next, *prev; /* all of the process */
   struct node *nod;
   struct front_request *req; /* NULL: already answered at its deadline */
   struct timer *timer;
@@ -31,6 +32,18 @@
   char queue[NAME_BYTES];
 };
 
+static int
+unlink_pending (struct pending_append *pen)
+{
+  if (pen->prev)
+    pen->prev->next = pen->next;
+  else
+    pen->nod->pending_appends = pen->next;
+  if (pen->next)
+    pen->next->prev = pen->prev;
+  return 0;
+}
+
 static void
 reply (struct node *nod, struct front_request *req, enum front_status status,
        const char *reason, int64_t retry_after_ms)
@@ -76,6 +89,17 @@
   reply (nod, req, FRONT_REJECTED, reason, store_retry_after_ms (nod, id));
 }
 
+/* Rejects a job that its pool cannot do in time.  */
+static void
+reject_full (struct node *nod, struct front_request *req, uint64_t id,
+             const char *queue, int64_t retry_after_ms)
+{
+  log_request (nod, EV_JOB_REJECTED, id, queue, "pool_full");
+  counter_add (&nod->ctr, CTR_JOBS_REJECTED, 1);
+  counter_add (&nod->ctr, CTR_JOBS_REJECTED_FULL, 1);
+  reply (nod, req, FRONT_REJECTED, "pool_full", retry_after_ms);
+}
+
 static void
 on_deadline (void *arg)
 {
@@ -132,6 +156,11 @@
   wait_ms = wait_ms > 2 * DEADLINE_MARGIN_MS ? wait_ms - DEADLINE_MARGIN_MS
                                              : wait_ms / 2;
   pen->nod = nod;
+  pen->next = nod->pending_appends;
+  if (pen->next)
+    pen->next->prev = pen;
+  nod->pending_appends = pen;
+  talloc_set_destructor (pen, unlink_pending);
   pen->req = req;
   pen->id = id;
   pen->begun_us = clock_now_us (nod->clk);
@@ -150,10 +179,38 @@
     }
 }
 
+/* Whether this process knows that no earlier request has stored the job ID,
+   which it does not know, so that it may say that the job never runs.  */
+static bool
+certainly_not_stored (struct node *nod, const char *pool, uint64_t id)
+{
+  for (const struct pending_append *pen = nod->pending_appends; pen;
+       pen = pen->next)
+    if (pen->id == id)
+      return false;
+  return (node_pool_followed (nod, pool) && node_pool_current (nod, pool))
+         || node_published_pool (nod, pool);
+}
+
+/* Whether to reject the job ID because its pool cannot do it in time; then
+   *RETRY_AFTER_MS is set.  Serving tasks come before all others, and jobs with
+   a schedule are due later, so that these are always accepted.  */
+static bool
+pool_is_full (struct node *nod, const struct queue *que, uint64_t id,
+              const struct job_spec *spec, int64_t *retry_after_ms)
+{
+  for (size_t n = 0; n < spec->step_count; n++)
+    if (spec->steps[n].perpetual)
+      return false;
+  return spec->occurrences == 0 && certainly_not_stored (nod, que->pool, id)
+         && !node_pool_accepts (nod, que->pool, id, retry_after_ms);
+}
+
 static void
 submit (struct node *nod, struct front_request *req, const struct queue *que,
         uint64_t id)
 {
+  int64_t retry_after_ms;
   struct job_spec spec;
   const char *fault;
   uint8_t *data;
@@ -180,6 +237,8 @@
     reject (nod, req, id, que->name, "no_memory");
   else if (!node_partition_writable (prt))
     reject (nod, req, id, que->name, "store_away");
+  else if (pool_is_full (nod, que, id, &spec, &retry_after_ms))
+    reject_full (nod, req, id, que->name, retry_after_ms);
   else
     append_record (nod, req, prt, id, que->name, false, data, len);
   talloc_free (ctx);
--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -283,6 +283,51 @@
   assert(message->base.descriptor == &kingcuphollow__pool_workers__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   kingcuphollow__pool_admission__init
+                     (Kingcuphollow__PoolAdmission         *message)
+{
+  static const Kingcuphollow__PoolAdmission init_value = KINGCUPHOLLOW__POOL_ADMISSION__INIT;
+  *message = init_value;
+}
+size_t kingcuphollow__pool_admission__get_packed_size
+                     (const Kingcuphollow__PoolAdmission *message)
+{
+  assert(message->base.descriptor == &kingcuphollow__pool_admission__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t kingcuphollow__pool_admission__pack
+                     (const Kingcuphollow__PoolAdmission *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &kingcuphollow__pool_admission__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t kingcuphollow__pool_admission__pack_to_buffer
+                     (const Kingcuphollow__PoolAdmission *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &kingcuphollow__pool_admission__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Kingcuphollow__PoolAdmission *
+       kingcuphollow__pool_admission__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Kingcuphollow__PoolAdmission *)
+     protobuf_c_message_unpack (&kingcuphollow__pool_admission__descriptor,
+                                allocator, len, data);
+}
+void   kingcuphollow__pool_admission__free_unpacked
+                     (Kingcuphollow__PoolAdmission *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &kingcuphollow__pool_admission__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   kingcuphollow__member_beat__init
                      (Kingcuphollow__MemberBeat         *message)
 {
@@ -1383,7 +1428,71 @@
   (ProtobufCMessageInit) kingcuphollow__pool_workers__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__member_beat__field_descriptors[6] =
+static const ProtobufCFieldDescriptor kingcuphollow__pool_admission__field_descriptors[3] =
+{
+  {
+    "pool",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolAdmission, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accept_permille",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolAdmission, accept_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolAdmission, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned kingcuphollow__pool_admission__field_indices_by_name[] = {
+  1,   /* field[1] = accept_permille */
+  0,   /* field[0] = pool */
+  2,   /* field[2] = retry_after_ms */
+};
+static const ProtobufCIntRange kingcuphollow__pool_admission__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor kingcuphollow__pool_admission__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "kingcuphollow.PoolAdmission",
+  "PoolAdmission",
+  "Kingcuphollow__PoolAdmission",
+  "kingcuphollow",
+  sizeof(Kingcuphollow__PoolAdmission),
+  3,
+  kingcuphollow__pool_admission__field_descriptors,
+  kingcuphollow__pool_admission__field_indices_by_name,
+  1,  kingcuphollow__pool_admission__number_ranges,
+  (ProtobufCMessageInit) kingcuphollow__pool_admission__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor kingcuphollow__member_beat__field_descriptors[7] =
 {
   {
     "boot",
@@ -1457,8 +1566,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "admissions",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Kingcuphollow__MemberBeat, n_admissions),
+    offsetof(Kingcuphollow__MemberBeat, admissions),
+    &kingcuphollow__pool_admission__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__member_beat__field_indices_by_name[] = {
+  6,   /* field[6] = admissions */
   0,   /* field[0] = boot */
   2,   /* field[2] = cpu_milli */
   5,   /* field[5] = entry_only */
@@ -1469,7 +1591,7 @@
 static const ProtobufCIntRange kingcuphollow__member_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__member_beat__descriptor =
 {
@@ -1479,7 +1601,7 @@
   "Kingcuphollow__MemberBeat",
   "kingcuphollow",
   sizeof(Kingcuphollow__MemberBeat),
-  6,
+  7,
   kingcuphollow__member_beat__field_descriptors,
   kingcuphollow__member_beat__field_indices_by_name,
   1,  kingcuphollow__member_beat__number_ranges,
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -22,6 +22,7 @@
 typedef struct Kingcuphollow__FailedRun Kingcuphollow__FailedRun;
 typedef struct Kingcuphollow__PoolWorkers Kingcuphollow__PoolWorkers;
 typedef struct Kingcuphollow__PoolWorkers__Worker Kingcuphollow__PoolWorkers__Worker;
+typedef struct Kingcuphollow__PoolAdmission Kingcuphollow__PoolAdmission;
 typedef struct Kingcuphollow__MemberBeat Kingcuphollow__MemberBeat;
 typedef struct Kingcuphollow__PublishedJob Kingcuphollow__PublishedJob;
 typedef struct Kingcuphollow__PublishedPool Kingcuphollow__PublishedPool;
@@ -190,7 +191,24 @@
 
 /*
  * Value of the record with the key "m" and the name of a process.
+ * Part of a report of a member that owns POOL while it does not accept all new
+ * jobs.
  */
+struct  Kingcuphollow__PoolAdmission
+{
+  ProtobufCMessage base;
+  char *pool;
+  uint32_t accept_permille;
+  /*
+   * Time after which rejected callers may return, in milliseconds.
+   */
+  uint32_t retry_after_ms;
+};
+#define KINGCUPHOLLOW__POOL_ADMISSION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__pool_admission__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 struct  Kingcuphollow__MemberBeat
 {
   ProtobufCMessage base;
@@ -212,10 +230,12 @@
    * It follows no jobs, workers and hosts and claims no duties.
    */
   protobuf_c_boolean entry_only;
+  size_t n_admissions;
+  Kingcuphollow__PoolAdmission **admissions;
 };
 #define KINGCUPHOLLOW__MEMBER_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__member_beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -549,6 +569,25 @@
 void   kingcuphollow__pool_workers__free_unpacked
                      (Kingcuphollow__PoolWorkers *message,
                       ProtobufCAllocator *allocator);
+/* Kingcuphollow__PoolAdmission methods */
+void   kingcuphollow__pool_admission__init
+                     (Kingcuphollow__PoolAdmission         *message);
+size_t kingcuphollow__pool_admission__get_packed_size
+                     (const Kingcuphollow__PoolAdmission   *message);
+size_t kingcuphollow__pool_admission__pack
+                     (const Kingcuphollow__PoolAdmission   *message,
+                      uint8_t             *out);
+size_t kingcuphollow__pool_admission__pack_to_buffer
+                     (const Kingcuphollow__PoolAdmission   *message,
+                      ProtobufCBuffer     *buffer);
+Kingcuphollow__PoolAdmission *
+       kingcuphollow__pool_admission__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   kingcuphollow__pool_admission__free_unpacked
+                     (Kingcuphollow__PoolAdmission *message,
+                      ProtobufCAllocator *allocator);
 /* Kingcuphollow__MemberBeat methods */
 void   kingcuphollow__member_beat__init
                      (Kingcuphollow__MemberBeat         *message);
@@ -749,6 +788,9 @@
 typedef void (*Kingcuphollow__PoolWorkers_Closure)
                  (const Kingcuphollow__PoolWorkers *message,
                   void *closure_data);
+typedef void (*Kingcuphollow__PoolAdmission_Closure)
+                 (const Kingcuphollow__PoolAdmission *message,
+                  void *closure_data);
 typedef void (*Kingcuphollow__MemberBeat_Closure)
                  (const Kingcuphollow__MemberBeat *message,
                   void *closure_data);
@@ -795,6 +837,7 @@
 extern const ProtobufCMessageDescriptor kingcuphollow__failed_run__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__pool_workers__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__pool_workers__worker__descriptor;
+extern const ProtobufCMessageDescriptor kingcuphollow__pool_admission__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__member_beat__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__published_job__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__published_pool__descriptor;
--- a/sched/demand.c
+++ b/sched/demand.c
@@ -6,6 +6,7 @@
 #include <talloc.h>
 
 #include "base/clock.h"
+#include "sched/admission.h"
 #include "sched/job_order.h"
 
 /* Time in which the work of jobs whose goal time has not passed is to be done;
@@ -103,6 +104,8 @@
         core_us = batch_core_us (job);
       work->arrived_core_us += core_us;
       work->arrived += core_us > 0;
+      if (core_us > 0)
+        work->arrived_wait_max_ms += job_order_wait_max_ms (job, 1000);
       for (uint32_t k = 0; !job_ended (job) && k < job->occurrence_count; k++)
         {
           const struct occurrence *occ = &job->occurrences[k];
@@ -244,3 +247,35 @@
     surplus = schedulable - wanted;
   report_idle_hosts (plc, now_us, surplus, dem);
 }
+
+void
+placer_admission_load (struct placer *plc, struct admission_load *load)
+{
+  int64_t now_us = clock_now_us (plc->env.clk);
+  struct demand_work work;
+  sum_work (plc, now_us, &work);
+  if (work.arrived > 0)
+    plc->wait_max_ms = work.arrived_wait_max_ms / work.arrived;
+  *load = (struct admission_load){
+    .useful_core_us = work.in_time_core_us + work.late_core_us,
+    .wait_max_ms = plc->wait_max_ms,
+    .accepted_core_us = work.arrived_core_us,
+    .accepted_ms = DEMAND_WINDOW_MS,
+    .job_core_us = work.arrived > 0 ? work.arrived_core_us / work.arrived : 0,
+    .accepted_jobs = plc->new_jobs,
+    .past_use_jobs = plc->past_use_jobs,
+    .tasks_wait = plc->useful_waiting_tasks > 0,
+  };
+  plc->new_jobs = plc->past_use_jobs = 0;
+  for (size_t n = 0; n < plc->pool.count; n++)
+    {
+      const struct worker *wrk = plc->pool.workers[n];
+      load->hosts += worker_schedulable (wrk, now_us);
+      for (const struct run *run = wrk->runs; run; run = run->next)
+        {
+          const struct step *stp = &run->job->spec.steps[run->ref.step];
+          if (!stp->perpetual)
+            load->rate_milli += stp->need.cpu_milli;
+        }
+    }
+}
--- a/sched/demand.h
+++ b/sched/demand.h
@@ -23,6 +23,7 @@
   int64_t ready_cpu_milli;  /* of batch tasks that run or do not fit */
   int64_t arrived_core_us;  /* of jobs seen in the last DEMAND_WINDOW_MS */
   int64_t arrived;          /* number of those jobs */
+  int64_t arrived_wait_max_ms; /* sum of job_order_wait_max_ms of them */
 };
 
 /* Period over which the arrival rate of jobs is measured.  */
--- a/sched/job_order.c
+++ b/sched/job_order.c
@@ -78,6 +78,13 @@
                          wall_ms);
 }
 
+int64_t
+job_order_wait_max_ms (const struct job *job, int64_t scale)
+{
+  return LATE_VALUE_FACTOR * (job->goal_ms - job->accepted_ms)
+         - critical_path_ms (job, 0, false, scale);
+}
+
 struct job_order_key
 job_order_key_make (const struct job *job, uint32_t priority, int64_t scale,
                     int64_t wall_ms)
--- a/sched/job_order.h
+++ b/sched/job_order.h
@@ -50,6 +50,10 @@
 bool job_order_is_past_use (const struct job *job, int64_t scale,
                             int64_t wall_ms);
 
+/* Time that a job can wait before its first start, after it was accepted,
+   until its result is past use.  */
+int64_t job_order_wait_max_ms (const struct job *job, int64_t scale);
+
 /* Makes the key of JOB at the wall-clock time WALL_MS.  PRIORITY is that of
    its queue, SCALE as above.  */
 struct job_order_key job_order_key_make (const struct job *job,
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -123,6 +123,7 @@
         return;
       plc->jobs = jobs;
       jobs[plc->job_count++] = job;
+      plc->new_jobs++;
       job->scheduled = true;
       job->dirty = false;
       set_goal (plc, job);
@@ -526,6 +527,12 @@
       cands[count].job = job;
       cands[count++].key
           = job_order_key_make (job, que ? que->priority : 0, 1000, wall_ms);
+      if (cands[count - 1].key.past_use && !job->past_use_counted)
+        {
+          job->past_use_counted = true;
+          plc->past_use_jobs++;
+          counter_add (plc->env.ctr, CTR_JOBS_PAST_USE, 1);
+        }
     }
   size_t placed = count < JOBS_PER_TICK_MAX ? count : JOBS_PER_TICK_MAX;
   if (placed < count)
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -172,6 +172,11 @@
   const char *idle[PLACER_IDLE_HOSTS_MAX];
   size_t idle_count;
 };
+struct admission_load;
+
+/* Computes what the share of new jobs to accept depends on.  */
+void placer_admission_load (struct placer *plc, struct admission_load *load);
+
 /* Computes the demand, and marks the workers of the hosts in DEM->idle so that
    they get new tasks last.  */
 void placer_demand (const struct placer *plc, struct placer_demand *dem);
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -72,6 +72,11 @@
   uint32_t useful_waiting_tasks;
   int64_t waiting_cpu_milli;
   bool placing_past_use; /* the job that is being placed is past use */
+  /* New jobs, and those that became past use, since the last
+     placer_admission_load.  */
+  int64_t new_jobs;
+  int64_t past_use_jobs;
+  int64_t wait_max_ms; /* mean of job_order_wait_max_ms of the last new jobs */
   /* Needs that no worker had room for in this tick, of tasks without placement
      constraints.  A task that needs at least as much does not fit either.  */
   struct resources no_room[NO_ROOM_MAX];
--- a/test/unit/node_world.c
+++ b/test/unit/node_world.c
@@ -230,6 +230,7 @@
       placer_destroy (hld->plc);
     }
   HASH_CLEAR (hh, wld->nod->pool_workers);
+  HASH_CLEAR (hh, wld->nod->admissions);
   state_view_fini (&wld->nod->states);
   job_table_fini (&wld->nod->jobs);
   talloc_free (wld->nod);
--- a/test/unit/unit_node.c
+++ b/test/unit/unit_node.c
@@ -718,6 +718,78 @@
 }
 END_TEST
 
+#define BATCH_JOB "{\"steps\":[{\"count\":1,\"estimate-ms\":900}]}"
+#define SERVING_JOB "{\"steps\":[{\"count\":1,\"perpetual\":true}]}"
+
+/* Guards against a job that waits until its result is of no use although its
+   client could have been told at once (SHORT), and against a rejection that is
+   not true, or that is for a job which the pool can serve.  */
+START_TEST (test_full_pool)
+{
+  node_world_init (&wld, false);
+  own_pool ();
+  struct held_duty *hld = held_duty ();
+  /* A request whose append is in progress may be stored.  */
+  wld.jobs->hold_appends = true;
+  node_world_submit (&wld, "00000000000000b1", BATCH_JOB);
+  hld->adm.accept_permille = 0;
+  hld->adm.retry_after_ms = 4000;
+  hld->adm.updated_us = INT64_MAX / 2;
+  size_t replies = wld.replies;
+  node_world_submit (&wld, "00000000000000b1", BATCH_JOB);
+  ck_assert_uint_eq (wld.replies, replies);
+  wld.jobs->hold_appends = false;
+  node_world_run (&wld, 300);
+  /* One that is not stored is rejected, and stays away.  */
+  node_world_submit (&wld, "00000000000000b2", BATCH_JOB);
+  ck_assert_int_eq (wld.last_reply.status, FRONT_REJECTED);
+  ck_assert_str_eq (wld.last_reply.reason, "pool_full");
+  ck_assert_int_ge (wld.last_reply.retry_after_ms, 4000);
+  ck_assert_int_lt (wld.last_reply.retry_after_ms, 8000);
+  /* A known job and a serving one are accepted.  */
+  node_world_submit (&wld, "00000000000000b1", BATCH_JOB);
+  ck_assert_int_eq (wld.last_reply.status, FRONT_OK);
+  wld.last_reply.status = FRONT_REJECTED;
+  node_world_submit (&wld, "00000000000000b3", SERVING_JOB);
+  node_world_run (&wld, 300);
+  ck_assert_int_eq (wld.last_reply.status, FRONT_OK);
+  ck_assert_int_lt (topic_memory_find (wld.jobs, "00000000000000b2j"), 0);
+  ck_assert_int_ge (topic_memory_find (wld.jobs, "00000000000000b3j"), 0);
+  node_world_fini (&wld);
+}
+END_TEST
+
+/* Guards against a pool that goes on to reject jobs by the report of an owner
+   that has ended or that accepts all jobs again.  */
+START_TEST (test_reported_admission)
+{
+  int64_t retry_after_ms = 0;
+  node_world_init (&wld, false);
+  Kingcuphollow__MemberBeat msg = KINGCUPHOLLOW__MEMBER_BEAT__INIT;
+  Kingcuphollow__PoolAdmission row = KINGCUPHOLLOW__POOL_ADMISSION__INIT;
+  Kingcuphollow__PoolAdmission *rows[] = { &row };
+  row.pool = (char *)"p2";
+  row.retry_after_ms = 1500;
+  msg.admissions = rows;
+  msg.n_admissions = 1;
+  ck_assert (node_pool_accepts (wld.nod, "p2", 1, &retry_after_ms));
+  node_note_admissions (wld.nod, "n2", &msg);
+  ck_assert (!node_pool_accepts (wld.nod, "p2", 1, &retry_after_ms));
+  ck_assert_int_ge (retry_after_ms, 1500);
+  ck_assert (node_pool_accepts (wld.nod, "p", 1, &retry_after_ms));
+  msg.n_admissions = 0;
+  node_note_admissions (wld.nod, "n3", &msg);
+  ck_assert (!node_pool_accepts (wld.nod, "p2", 1, &retry_after_ms));
+  node_note_admissions (wld.nod, "n2", &msg);
+  ck_assert (node_pool_accepts (wld.nod, "p2", 1, &retry_after_ms));
+  msg.n_admissions = 1;
+  node_note_admissions (wld.nod, "n2", &msg);
+  node_world_run (&wld, 3100);
+  ck_assert (node_pool_accepts (wld.nod, "p2", 1, &retry_after_ms));
+  node_world_fini (&wld);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -745,6 +817,8 @@
   tcase_add_test (tc, test_report_read_before_request);
   tcase_add_test (tc, test_order_after_earlier_holder);
   tcase_add_test (tc, test_records_of_ended_job);
+  tcase_add_test (tc, test_full_pool);
+  tcase_add_test (tc, test_reported_admission);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
