--- a/sched/demand.c
+++ b/sched/demand.c
@@ -41,10 +41,11 @@
   return work->perpetual_cpu_milli + (useful > past_use ? useful : past_use);
 }
 
-/* If a pool's owner has reached the limit of its starts in each tick for this
-   time and less than this share of the processors is in use, the pool has more
-   hosts than the owner can keep busy.  */
-#define START_LIMIT_SPAN_US 1000000
+/* If a pool's owner reaches the limit of its starts in more than this part of
+   the time, in thousandths, and less than START_LIMIT_BUSY_PERCENT of the
+   processors is in use, the pool has more hosts than the owner can keep
+   busy.  */
+#define START_LIMIT_PERMILLE 500
 #define START_LIMIT_BUSY_PERCENT 75
 
 static void
@@ -233,8 +234,7 @@
       int64_t filled = hosts_needed (used * 100 / START_LIMIT_BUSY_PERCENT,
                                      cpu, schedulable)
                        + HEADROOM_HOSTS;
-      bool lasting = plc->start_limited_us
-                     && now_us - plc->start_limited_us >= START_LIMIT_SPAN_US;
+      bool lasting = plc->start_limit_permille > START_LIMIT_PERMILLE;
       int64_t most = lasting || filled > schedulable ? filled : schedulable;
       if (wanted > most)
         wanted = most;
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -22,6 +22,9 @@
    once does not keep the owner busy.  */
 #define RESTART_PAUSE_US 50000
 
+/* Time over which is measured how often ticks reach the limit of starts.  */
+#define START_LIMIT_SPAN_US 1000000
+
 /* Longest time for which a worker gets no tasks after failed runs, if most
    workers have failed some.  */
 #define MOST_FAIL_PAUSE_US 1000000
@@ -557,10 +560,13 @@
       else
         note_waiting_job (plc, cands[n].job, wall_ms);
     }
-  if (!plc->start_limit_reached)
-    plc->start_limited_us = 0;
-  else if (!plc->start_limited_us)
-    plc->start_limited_us = now_us;
+  int64_t span_us = now_us - plc->start_limit_us;
+  if (span_us > START_LIMIT_SPAN_US)
+    span_us = START_LIMIT_SPAN_US;
+  plc->start_limit_permille
+      += ((plc->start_limit_reached ? 1000 : 0) - plc->start_limit_permille)
+         * span_us / START_LIMIT_SPAN_US;
+  plc->start_limit_us = now_us;
   talloc_free (cands);
 }
 
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -97,8 +97,10 @@
   uint32_t starts_sent;    /* in this tick */
   uint32_t starts_checked; /* STARTS_SENT when the time was last looked at */
   bool tick_too_long;
-  /* Since when every tick has reached the limit; 0: the last one has not.  */
-  int64_t start_limited_us;
+  /* Part of the time, in thousandths, in which ticks have reached the limit: a
+     mean in which a second counts for about two thirds.  */
+  int64_t start_limit_permille;
+  int64_t start_limit_us; /* when it was computed */
   /* Report on tasks that wait although workers are free.  */
   int64_t last_start_us; /* when a start was last sent */
   int64_t stalled_us;    /* when they were first found; 0: there are none */
