node: controllers read the partitions of the jobs in turn, in different orders

One partition is read after the other, and each controller begins with another one. A partition that has not been read after 2 s does not delay the others. The event jobs.read tells when a partition was read and how long it took. test_partitions_read_in_turn.

--- a/node/job_partitions.c
+++ b/node/job_partitions.c
@@ -31,6 +31,10 @@
    time.  */
 #define APPEND_STALL_US 700000
 
+/* A partition that has not been read to its end after this time does not delay
+   others: the store may serve some partitions only.  */
+#define FOLLOW_NEXT_US 2000000
+
 static struct pool_workers *
 find_pool_workers (struct node *nod, const char *name)
 {
@@ -162,7 +166,36 @@
 on_batch (void *arg)
 {
   struct job_partition *prt = arg;
-  node_check_duties (prt->nod);
+  struct node *nod = prt->nod;
+  if (!prt->read_logged && follower_caught_up (&prt->fol))
+    {
+      prt->read_logged = true;
+      log_event (
+          nod->lg, EV_JOBS_READ, LOG_I ("part", prt->part),
+          LOG_I ("jobs", nod->jobs.count),
+          LOG_I ("ms", (clock_now_us (nod->clk) - prt->followed_us) / 1000));
+      node_open_job_partitions (nod);
+    }
+  node_check_duties (nod);
+}
+
+/* Whether PRT is to be opened later, as another partition is being read.
+   After the loss of all processes each controller has thousands of records to
+   read; one partition after the other, in different orders, lets each pool
+   have an owner soon.  */
+static bool
+follow_later (const struct node *nod, const struct job_partition *prt)
+{
+  int64_t now_us = clock_now_us (nod->clk);
+  for (int64_t n = 0; n < nod->set->partitions; n++)
+    {
+      const struct job_partition *other = nod->job_partitions[n];
+      if (other && other != prt && follower_is_open (&other->fol)
+          && !follower_caught_up (&other->fol)
+          && now_us - other->followed_us < FOLLOW_NEXT_US)
+        return true;
+    }
+  return false;
 }
 
 static void
@@ -176,9 +209,13 @@
           .batch_delay_ms = JOBS_BATCH_DELAY_MS,
           .wait_ms = READ_WAIT_MS,
           .seed = XXH64 (name, strlen (name), 0) };
-  if (nod->follows_jobs && !follower_is_open (&prt->fol))
-    follower_init (&prt->fol, prt, &nod->store.st, nod->ev, nod->clk, &set,
-                   on_record, on_batch, prt);
+  if (!nod->follows_jobs || follower_is_open (&prt->fol)
+      || follow_later (nod, prt))
+    return;
+  prt->followed_us = clock_now_us (nod->clk);
+  prt->read_logged = false;
+  follower_init (&prt->fol, prt, &nod->store.st, nod->ev, nod->clk, &set,
+                 on_record, on_batch, prt);
 }
 
 static struct job_partition *
@@ -252,8 +289,10 @@
   set_batch_delays (nod);
   size_t count;
   const char *const *pools = node_queue_pools (nod, &count);
+  const char *name = nod->set->name;
+  size_t first = count > 0 ? XXH64 (name, strlen (name), 1) % count : 0;
   for (size_t n = 0; n < count; n++)
-    if (!node_job_partition (nod, pools[n]))
+    if (!node_job_partition (nod, pools[(first + n) % count]))
       return ERR_NOMEM;
   for (int64_t n = 0; n < nod->set->partitions; n++)
     {
@@ -276,10 +315,10 @@
   if (nod->follows_jobs)
     return;
   nod->follows_jobs = true;
+  node_open_job_partitions (nod);
   for (int64_t n = 0; n < nod->set->partitions; n++)
     if (nod->job_partitions[n])
       follow_partition (nod->job_partitions[n]);
-  node_open_job_partitions (nod);
 }
 
 void
--- a/node/members.c
+++ b/node/members.c
@@ -152,6 +152,8 @@
   nod->heartbeat_timer
       = timer_add (nod->ev, nod, ms * 1000, on_heartbeat_timer, nod);
   node_update_role (nod);
+  if (nod->follows_jobs && !node_jobs_current (nod))
+    node_open_job_partitions (nod);
   update_publication (nod, now_us);
   node_check_duties (nod);
   node_log_store_state (nod);
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -86,6 +86,8 @@
   struct node *nod;
   uint32_t part;
   struct follower fol; /* open in controllers only */
+  int64_t followed_us; /* when it was opened */
+  bool read_logged;    /* that its end was reached since */
   struct appender app; /* for the jobs and cancellations of clients */
 };
 
--- a/test/unit/unit_node.c
+++ b/test/unit/unit_node.c
@@ -1,6 +1,7 @@
 #include <check.h>
 #include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "node_world.h"
 #include "proto/job.pb-c.h"
@@ -718,6 +719,46 @@
 }
 END_TEST
 
+/* Guards against pools without an owner for seconds after the loss of all
+   processes (RECOVER): each controller read all partitions of the jobs at once
+   before it could claim any pool.  A partition that the store does not serve
+   does not keep others from being read.  */
+START_TEST (test_partitions_read_in_turn)
+{
+  char pool[] = "a";
+  struct queue queues[2];
+  struct catalog cat;
+  node_world_create (&wld, false);
+  struct job_partition *first = node_job_partition (wld.nod, "p");
+  wld.jobs->hold_reads = true;
+  while (XXH64 (pool, 1, 0) % NODE_WORLD_PARTITIONS == first->part)
+    pool[0]++;
+  queues[0] = queues[1] = wld.cat.queues[0];
+  queues[1].name = "q2";
+  queues[1].pool = pool;
+  cat = wld.cat;
+  cat.queues = queues;
+  cat.queue_count = 2;
+  wld.nod->cat = &cat;
+  struct job_partition *second = node_job_partition (wld.nod, pool);
+  node_world_run (&wld, 1000);
+  ck_assert (follower_is_open (&first->fol));
+  ck_assert (!follower_is_open (&second->fol));
+  node_world_run (&wld, 2000);
+  ck_assert (follower_is_open (&second->fol));
+  ck_assert (follower_caught_up (&second->fol));
+  wld.nod->cat = &wld.cat;
+  node_world_fini (&wld);
+  node_world_create (&wld, false);
+  wld.nod->cat = &cat;
+  node_world_run (&wld, 700);
+  ck_assert (node_pool_followed (wld.nod, "p"));
+  ck_assert (node_pool_followed (wld.nod, pool));
+  wld.nod->cat = &wld.cat;
+  node_world_fini (&wld);
+}
+END_TEST
+
 #define BATCH_JOB "{\"steps\":[{\"count\":1,\"estimate-ms\":900}]}"
 #define SERVING_JOB "{\"steps\":[{\"count\":1,\"perpetual\":true}]}"
 
@@ -817,6 +858,7 @@
   tcase_add_test (tc, test_report_read_before_request);
   tcase_add_test (tc, test_order_after_earlier_holder);
   tcase_add_test (tc, test_records_of_ended_job);
+  tcase_add_test (tc, test_partitions_read_in_turn);
   tcase_add_test (tc, test_full_pool);
   tcase_add_test (tc, test_reported_admission);
   suite_add_tcase (suite, tc);
