--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -321,6 +321,12 @@
    following the records that only controllers need.  */
 void node_update_role (struct node *nod);
 
+/* node/placer_timer.c */
+/* Schedules the placer's next tick at the monotonic time AT_US, or as soon
+   after it as pauses between ticks allow; 0: as soon as possible.  A tick that
+   is due earlier stays as it is.  */
+void node_schedule_placer (struct held_duty *hld, int64_t at_us);
+
 /* node/pool_admission.c */
 /* Decides anew which share of new jobs the pool accepts.  */
 void node_update_admission (struct held_duty *hld);
@@ -397,12 +403,11 @@
 void node_check_duties (struct node *nod);
 /* Releases all duties at shutdown.  */
 void node_release_duties (struct node *nod);
+/* Reads the claims without waiting for new ones.  The follower's reads wait,
+   and would confirm the duties up to DUTIES_READ_WAIT_MS later.  */
+void node_request_confirmation (struct node *nod);
 /* Returns the duty for POOL if this process holds it, else NULL.  */
 struct held_duty *node_held_duty (const struct node *nod, const char *pool);
-/* Schedules the placer's next tick at the monotonic time AT_US, or as soon
-   after it as pauses between ticks allow; 0: as soon as possible.  A tick that
-   is due earlier stays as it is.  */
-void node_schedule_placer (struct held_duty *hld, int64_t at_us);
 
 /* node/fleet.c */
 int node_open_fleet (struct node *nod);
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -110,6 +110,12 @@
   bool closing;        /* destroyed; freed when no call is in flight */
 };
 
+/* placer_pick.c */
+/* Picks a worker that takes the task now, or NULL.  Skips the search for a
+   batch task that is known not to fit, or if too many starts are in flight. */
+struct worker *placer_pick_worker (struct placer *plc,
+                                   const struct place_request *req);
+
 /* placer_start.c */
 /* Whether the tick that began at NOW_US is to send no further starts: as many
    are in flight as this process can handle in time, or it has lasted too
--- a/test/unit/placer_world.h
+++ b/test/unit/placer_world.h
@@ -63,7 +63,7 @@
                                created */
   bool log_inconsistent;    /* the log is being read by key */
   int64_t log_age_ms;       /* of the read that shows the log as it is known */
-  int64_t hold_born_ms; /* start of the worker in answers to holds; 0: none */
+  int64_t hold_born_ms;  /* start of the worker in answers to holds; 0: none */
   int64_t start_cost_us; /* time that the sending of a start takes */
   struct placer *plc;
 };
