--- a/node/pool_admission.c
+++ b/node/pool_admission.c
@@ -91,7 +91,7 @@
 static void
 link_admission (struct node *nod, struct pool_admission *row)
 {
-  HASH_ADD_STR (nod->admissions, pool, row);
+  HASH_ADD_KEYPTR (hh, nod->admissions, row->pool, strlen (row->pool), row);
 }
 
 static struct pool_admission *
--- a/test/load/owner_cost.c
+++ b/test/load/owner_cost.c
@@ -299,8 +299,8 @@
   placer_limit_earlier_leases (ben.plc, clock_now_us (&clock_system));
   encode_spec (&ben);
   add_workers (&ben, &wrks);
-  double slots = (double)workers * SLOTS * LOAD;
-  ben.jobs_per_s = slots * 1000 / OWNER_WORK_MS / TASKS_PER_JOB;
+  int slots = workers * SLOTS;
+  ben.jobs_per_s = slots * LOAD * 1000 / OWNER_WORK_MS / TASKS_PER_JOB;
   ben.fed_us = clock_now_us (&clock_system) + WARM_UP_US;
   on_confirm (&ben);
   schedule (&ben, 0);
