--- a/sched/placer_pick.c
+++ b/sched/placer_pick.c
@@ -51,7 +51,7 @@
 
 /* Returns the worker of the last task if it is also the one that place_pick
    would return: after that start it is fuller than before, so that for a like
-   task it still comes first, unless the task is full.  */
+   task it still comes first, unless it is full.  */
 static struct worker *
 repeat_pick (const struct placer *plc, const struct place_request *req)
 {
