fleet, sched: hosts go to work that can be done in time before late work

Owners report how many of the hosts that they lack are for work that can be done in time (urgent_hosts), and, if they lack hosts for late work only, the hosts that late work alone uses.

--- a/fleet/host_mgr.h
+++ b/fleet/host_mgr.h
@@ -80,7 +80,8 @@
 struct mgr_pool
 {
   char name[NAME_BYTES];
-  uint32_t short_hosts; /* hosts that the pool lacks */
+  uint32_t short_hosts;  /* hosts that the pool lacks */
+  uint32_t urgent_hosts; /* those for work that can be done in time */
   char (*idle)[NAME_BYTES];
   size_t idle_count;
   uint32_t busy_milli; /* share of its processors in use, in thousandths */
@@ -166,6 +167,7 @@
 {
   const char *pool;
   uint32_t short_hosts;     /* hosts that the pool lacks */
+  uint32_t urgent_hosts;    /* those for work that can be done in time */
   char (*idle)[NAME_BYTES]; /* hosts that the pool can give up; a talloc
                                array */
   size_t idle_count;
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -442,6 +442,7 @@
     name_copy (idle[n], msg->idle_hosts[n]);
   const struct pool_demand dem = { .pool = pool,
                                    .short_hosts = msg->short_hosts,
+                                   .urgent_hosts = msg->urgent_hosts,
                                    .idle = idle,
                                    .idle_count = idle ? msg->n_idle_hosts : 0,
                                    .busy_milli = msg->busy_milli };
--- a/node/fleet_demand.c
+++ b/node/fleet_demand.c
@@ -17,6 +17,7 @@
 demand_changed (const struct held_duty *hld, const struct placer_demand *dem)
 {
   return hld->sent_short_hosts != dem->short_hosts
+         || hld->sent_urgent_hosts != dem->urgent_hosts
          || hld->sent_idle_count != dem->idle_count;
 }
 
@@ -37,6 +38,7 @@
     return;
   Kingcuphollow__PoolDemand msg = KINGCUPHOLLOW__POOL_DEMAND__INIT;
   msg.short_hosts = dem.short_hosts;
+  msg.urgent_hosts = dem.urgent_hosts;
   msg.idle_hosts = (char **)dem.idle;
   msg.n_idle_hosts = dem.idle_count;
   msg.busy_milli = dem.busy_milli;
@@ -52,9 +54,11 @@
     {
       hld->demand_sent_us = now_us;
       hld->sent_short_hosts = dem.short_hosts;
+      hld->sent_urgent_hosts = dem.urgent_hosts;
       hld->sent_idle_count = dem.idle_count;
       log_event (nod->lg, EV_POOL_DEMAND, LOG_S ("pool", hld->pool),
                  LOG_I ("short_hosts", dem.short_hosts),
+                 LOG_I ("urgent_hosts", dem.urgent_hosts),
                  LOG_I ("idle_hosts", dem.idle_count),
                  LOG_I ("schedulable_hosts", dem.schedulable_hosts),
                  LOG_I ("busy_milli", dem.busy_milli));
--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -2133,7 +2133,7 @@
   (ProtobufCMessageInit) kingcuphollow__vacate_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__pool_demand__field_descriptors[4] =
+static const ProtobufCFieldDescriptor kingcuphollow__pool_demand__field_descriptors[5] =
 {
   {
     "short_hosts",
@@ -2183,17 +2183,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "urgent_hosts",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolDemand, urgent_hosts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__pool_demand__field_indices_by_name[] = {
   2,   /* field[2] = busy_milli */
   1,   /* field[1] = idle_hosts */
   0,   /* field[0] = short_hosts */
   3,   /* field[3] = token */
+  4,   /* field[4] = urgent_hosts */
 };
 static const ProtobufCIntRange kingcuphollow__pool_demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__pool_demand__descriptor =
 {
@@ -2203,7 +2216,7 @@
   "Kingcuphollow__PoolDemand",
   "kingcuphollow",
   sizeof(Kingcuphollow__PoolDemand),
-  4,
+  5,
   kingcuphollow__pool_demand__field_descriptors,
   kingcuphollow__pool_demand__field_indices_by_name,
   1,  kingcuphollow__pool_demand__number_ranges,
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -421,7 +421,8 @@
    */
   uint32_t short_hosts;
   /*
-   * Hosts that the pool can spare, those with the fewest tasks first.
+   * Hosts that the pool can spare, those with the fewest tasks first; if it
+   * lacks hosts for late work only, those that late work alone uses.
    */
   size_t n_idle_hosts;
   char **idle_hosts;
@@ -430,10 +431,14 @@
    */
   uint32_t busy_milli;
   uint64_t token;
+  /*
+   * Of the hosts that the pool lacks, those for work that can be done in time.
+   */
+  uint32_t urgent_hosts;
 };
 #define KINGCUPHOLLOW__POOL_DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__pool_demand__descriptor) \
-    , 0, 0,NULL, 0, 0 }
+    , 0, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/sched/demand.c
+++ b/sched/demand.c
@@ -26,21 +26,35 @@
    100 % because estimates are wrong by half and more.  */
 #define READY_CPU_MAX_PERCENT 180
 
-int64_t
-demand_cpu_milli (const struct demand_work *work)
+/* Processors for batch work of which BACKLOG_MILLI would do what there is.  */
+static int64_t
+batch_cpu_milli (const struct demand_work *work, int64_t backlog_milli)
 {
-  int64_t by_backlog = work->in_time_core_us / IN_TIME_SPAN_MS
-                       + work->late_core_us / LATE_SPAN_MS;
   int64_t by_ready = work->ready_cpu_milli * READY_CPU_MAX_PERCENT / 100;
   int64_t by_arrivals = work->arrived_core_us / DEMAND_WINDOW_MS;
-  int64_t now = by_backlog < by_ready ? by_backlog : by_ready;
+  int64_t now = backlog_milli < by_ready ? backlog_milli : by_ready;
   /* Discount a rate that is based on few arrivals.  */
   by_arrivals -= by_arrivals / (int64_t)sqrt ((double)(work->arrived + 1));
-  int64_t useful = by_arrivals > now ? by_arrivals : now;
+  return by_arrivals > now ? by_arrivals : now;
+}
+
+int64_t
+demand_cpu_milli (const struct demand_work *work)
+{
+  int64_t useful
+      = batch_cpu_milli (work, work->in_time_core_us / IN_TIME_SPAN_MS
+                                   + work->late_core_us / LATE_SPAN_MS);
   int64_t past_use = work->past_use_core_us / PAST_USE_SPAN_MS;
   return work->perpetual_cpu_milli + (useful > past_use ? useful : past_use);
 }
 
+int64_t
+demand_urgent_cpu_milli (const struct demand_work *work)
+{
+  return work->perpetual_cpu_milli
+         + batch_cpu_milli (work, work->in_time_core_us / IN_TIME_SPAN_MS);
+}
+
 /* If a pool's owner reaches the limit of its starts in more than this part of
    the time, in thousandths, and less than START_LIMIT_BUSY_PERCENT of the
    processors is in use, the pool has more hosts than the owner can keep
@@ -239,12 +253,19 @@
       if (wanted > most)
         wanted = most;
     }
+  int64_t urgent
+      = hosts_needed (demand_urgent_cpu_milli (&work), cpu, schedulable);
+  urgent = (urgent > by_memory ? urgent : by_memory) + HEADROOM_HOSTS;
+  if (urgent > wanted)
+    urgent = wanted;
   dem->schedulable_hosts = (uint32_t)schedulable;
   dem->busy_milli = cpu > 0 ? (uint32_t)(used * 1000 / cpu) : 0;
   if (wanted > schedulable)
     dem->short_hosts = (uint32_t)(wanted - schedulable);
+  if (urgent > schedulable)
+    dem->urgent_hosts = (uint32_t)(urgent - schedulable);
   else
-    surplus = schedulable - wanted;
+    surplus = schedulable - (wanted > schedulable ? urgent : wanted);
   report_idle_hosts (plc, now_us, surplus, dem);
 }
 
--- a/sched/demand.h
+++ b/sched/demand.h
@@ -32,3 +32,5 @@
 /* Processors, in thousandths of a core, that complete the work in time with
    some headroom.  */
 int64_t demand_cpu_milli (const struct demand_work *work);
+/* The same without late work.  */
+int64_t demand_urgent_cpu_milli (const struct demand_work *work);
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -166,9 +166,12 @@
 struct placer_demand
 {
   uint32_t schedulable_hosts; /* hosts that take new tasks */
-  uint32_t busy_milli;  /* share of their processors in use, in thousandths */
-  uint32_t short_hosts; /* further hosts that the pool needs */
-  /* Names of surplus hosts; valid until the placer's next call.  */
+  uint32_t busy_milli;   /* share of their processors in use, in thousandths */
+  uint32_t short_hosts;  /* further hosts that the pool needs */
+  uint32_t urgent_hosts; /* those of them for work that can be done in time */
+  /* Names of surplus hosts, or, if the pool needs further hosts for late work
+     only, of those that late work alone uses; valid until the placer's next
+     call.  */
   const char *idle[PLACER_IDLE_HOSTS_MAX];
   size_t idle_count;
 };
--- a/test/unit/unit_host_mgr.c
+++ b/test/unit/unit_host_mgr.c
@@ -102,7 +102,8 @@
 }
 
 static void
-demand (const char *pool, uint32_t short_hosts, const char *idle)
+urgent_demand (const char *pool, uint32_t short_hosts, uint32_t urgent_hosts,
+               const char *idle)
 {
   size_t count = strlen (idle);
   char (*names)[NAME_BYTES]
@@ -111,11 +112,19 @@
     names[n][0] = idle[n];
   const struct pool_demand dem = { .pool = pool,
                                    .short_hosts = short_hosts,
+                                   .urgent_hosts = urgent_hosts,
                                    .idle = names,
                                    .idle_count = count };
   host_mgr_set_demand (&mgr, &dem, now_us);
 }
 
+/* Of a pool all of whose work can be done in time.  */
+static void
+demand (const char *pool, uint32_t short_hosts, const char *idle)
+{
+  urgent_demand (pool, short_hosts, short_hosts, idle);
+}
+
 static void
 wave (const char *json)
 {
@@ -195,6 +204,43 @@
 }
 END_TEST
 
+static const struct shortage
+{
+  /* Hosts that the pools p and q are short of, and those of them for work that
+     can be done in time.  */
+  uint32_t p_short, p_urgent, q_short, q_urgent;
+  const char *vacated; /* of p's hosts, which all do batch work */
+} shortages[] = {
+  { 40, 0, 2, 2, "ab" }, /* q's work can be done in time, p's not */
+  { 40, 0, 9, 1, "a" },
+  { 40, 0, 9, 0, "" }, /* both late: no host is moved back and forth */
+  { 40, 1, 9, 9, "" },
+  { 0, 0, 2, 0, "ab" },
+};
+
+/* Guards against a pool that keeps the fleet for its late work while others
+   have work that can be done in time (RECOVER, SHORT): after the loss of all
+   processes one pool kept 80 of 130 hosts for jobs from before.  */
+START_TEST (test_late_work_gives_way)
+{
+  const struct shortage *it = &shortages[_i];
+  list_hosts ("abcdef", "", "");
+  urgent_demand ("p", it->p_short, it->p_urgent, "abc");
+  urgent_demand ("q", it->q_short, it->q_urgent, "");
+  step (10);
+  ck_assert_str_eq (vacated, it->vacated);
+  if (it->p_short == 0)
+    return;
+  /* Hosts with late work do not go to the spare pool.  */
+  for (int n = 0; n < 3; n++)
+    {
+      step (1000);
+      urgent_demand ("p", it->p_short, it->p_urgent, "abc");
+    }
+  ck_assert_str_eq (vacated, it->vacated);
+}
+END_TEST
+
 /* Guards against an order for a host that is not empty yet.  */
 START_TEST (test_order_waits_for_empty)
 {
@@ -349,6 +395,8 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, test_wave_bound);
   tcase_add_test (tc, test_earlier_progress);
+  tcase_add_loop_test (tc, test_late_work_gives_way, 0,
+                       sizeof shortages / sizeof *shortages);
   tcase_add_test (tc, test_order_waits_for_empty);
   tcase_add_test (tc, test_owner_changed_after_report);
   tcase_add_test (tc, test_ended_worker);
