--- a/test/unit/unit_post_client.c
+++ b/test/unit/unit_post_client.c
@@ -18,6 +18,8 @@
 /* Far more than the peer's receive buffer, less than the client's send buffer:
    the kernel holds the whole call.  */
 #define BODY_BYTES 10000
+/* More than the client's send buffer.  */
+#define LARGE_BYTES (16 * 1024 * 1024)
 #define CALL_TIMEOUT_MS 200
 /* Longer than the kernel keeps bytes that the peer does not acknowledge.  */
 #define PAUSE_MS 4500
@@ -310,6 +312,40 @@
 }
 END_TEST
 
+/* Guards against the rest of a command that is sent after the permission has
+   ended (TWICE, ONE): the receiver would carry out the whole.  */
+START_TEST (test_rest_of_late_call_is_not_sent)
+{
+  static char body[LARGE_BYTES];
+  static char text[LARGE_BYTES + 2049];
+  const struct post_request req = { .address = address,
+                                    .path = "/v1/order",
+                                    .body = body,
+                                    .body_len = sizeof body,
+                                    .timeout_ms = LONG_MS,
+                                    .may_send = may_send };
+  permitted = true;
+  ck_assert_int_eq (post_call (&cli, &req, on_response, NULL), 0);
+  run_loop (100, 1);
+  ck_assert_uint_eq (ended, 0);
+  permitted = false;
+  int sock = accept (listener, NULL, NULL);
+  /* Makes room in the client's send buffer.  */
+  size_t len = 0;
+  for (int n = 0; n < 1000 && ended == 0; n++)
+    {
+      ssize_t got = recv (sock, text, sizeof text, MSG_DONTWAIT);
+      len += got > 0 ? (size_t)got : 0;
+      run_loop (2, 1);
+    }
+  ck_assert_uint_eq (ended, 1);
+  ck_assert_int_eq (outcome, HTTP_NO_RESPONSE);
+  len += read_bytes (sock, text, sizeof text - 1);
+  ck_assert_uint_lt (len, LARGE_BYTES);
+  close (sock);
+}
+END_TEST
+
 /* Guards against a refused call whose callback runs inside post_call, where
    the caller has not noted the call yet.  */
 START_TEST (test_refused_call_on_idle_connection)
@@ -442,6 +478,7 @@
                        ROWS (broken_calls));
   tcase_add_test (tc, test_closed_idle_connection);
   tcase_add_loop_test (tc, test_late_call_is_not_sent, 0, ROWS (late_calls));
+  tcase_add_test (tc, test_rest_of_late_call_is_not_sent);
   tcase_add_test (tc, test_refused_call_on_idle_connection);
   tcase_add_loop_test (tc, test_odd_response, 0, ROWS (odd_responses));
   tcase_add_test (tc, test_connection_limit);
