node: a claim that lost is repeated once the records that it lost to are read

The store's answer names the end of the partition; the next claim waits until it has been read, or a later read has reached the end. test_lost_claim_is_not_repeated fails before (19 conflicts instead of 1).

--- a/node/duties.c
+++ b/node/duties.c
@@ -403,6 +403,8 @@
      that lost to a concurrent append is retried.  */
   if (res->status != TOPIC_END_MISMATCH)
     return;
+  nod->conflict_end_offset = res->end_offset;
+  nod->conflict_us = clock_now_us (nod->clk);
   const char *name = nod->set->name;
   int64_t next_us = clock_now_us (nod->clk)
                     + (int64_t)(XXH64 (name, strlen (name),
@@ -447,6 +449,17 @@
   return follower_next_offset (&nod->duty_fol) < nod->claim_end_offset;
 }
 
+/* Whether a claim lost to records that have not been read: the next one would
+   lose to them as well, and 12 controllers would repeat theirs every 60 ms
+   when all have restarted.  A read that began later and reached the end has
+   shown all records.  */
+static bool
+conflict_unread (const struct node *nod)
+{
+  return follower_next_offset (&nod->duty_fol) < nod->conflict_end_offset
+         && follower_caught_up_us (&nod->duty_fol) <= nod->conflict_us;
+}
+
 /* Releases the duties that this process holds according to the records read,
    among them those whose claim succeeded after the stop signal.  */
 static void
@@ -512,7 +525,8 @@
           .slack_us = node_members_slack_us (nod) };
   /* The next claim is made only after the last one has been read.  */
   if (nod->claim_in_progress || own_records_unread (nod)
-      || now_us < view.unclaimed_since_us || now_us < nod->next_claim_us
+      || conflict_unread (nod) || now_us < view.unclaimed_since_us
+      || now_us < nod->next_claim_us
       || !(held || duty_should_claim (&nod->duties, name, &view))
       || !duty_view_current (nod, name))
     return;
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -243,10 +243,12 @@
   size_t refused_count;
   bool claim_in_progress;
   bool release_in_progress;
-  uint64_t claim_end_offset; /* end of the topic after this process's last
-                                claim or release */
-  int64_t next_claim_us;     /* no claim before this time */
-  uint64_t claim_conflicts;  /* claims that lost to a concurrent append */
+  uint64_t claim_end_offset;    /* end of the topic after this process's last
+                                   claim or release */
+  int64_t next_claim_us;        /* no claim before this time */
+  uint64_t claim_conflicts;     /* claims that lost to a concurrent append */
+  uint64_t conflict_end_offset; /* end of the topic at the last of them */
+  int64_t conflict_us;          /* when its result arrived */
   struct timer *claim_timer;
   int64_t next_queueless_us; /* pools without a queue are not checked before */
   struct pending_append *pending_appends; /* for clients' requests */
--- a/test/unit/unit_node.c
+++ b/test/unit/unit_node.c
@@ -759,6 +759,28 @@
 }
 END_TEST
 
+/* Guards against claims that are repeated although the records to which the
+   last one lost have not been read: after the loss of all processes three
+   controllers claimed one duty 19 times within 0.4 s.  */
+START_TEST (test_lost_claim_is_not_repeated)
+{
+  node_world_init (&wld, false);
+  wld.duties->hold_reads = true;
+  node_world_run (&wld, 100);
+  node_world_claim (&wld, "other", "n2", 1, false);
+  node_world_run (&wld, 1200);
+  uint64_t conflicts = wld.nod->claim_conflicts;
+  ck_assert_uint_eq (conflicts, 1);
+  ck_assert_ptr_null (held_duty ());
+  wld.duties->hold_reads = false;
+  topic_memory_run_held (wld.duties);
+  node_world_run (&wld, 400);
+  ck_assert_uint_eq (wld.nod->claim_conflicts, conflicts);
+  ck_assert_ptr_nonnull (held_duty ());
+  node_world_fini (&wld);
+}
+END_TEST
+
 #define BATCH_JOB "{\"steps\":[{\"count\":1,\"estimate-ms\":900}]}"
 #define SERVING_JOB "{\"steps\":[{\"count\":1,\"perpetual\":true}]}"
 
@@ -859,6 +881,7 @@
   tcase_add_test (tc, test_order_after_earlier_holder);
   tcase_add_test (tc, test_records_of_ended_job);
   tcase_add_test (tc, test_partitions_read_in_turn);
+  tcase_add_test (tc, test_lost_claim_is_not_repeated);
   tcase_add_test (tc, test_full_pool);
   tcase_add_test (tc, test_reported_admission);
   suite_add_tcase (suite, tc);
