base/curl_loop: drop the watch of a socket that was never connected

libcurl 7.88 closes the socket of a connection that was not established, as after a connect time-out, without a call of CLOSESOCKETFUNCTION. The watch stayed under the socket's number, and the next socket with that number inherited it. Its registration with epoll had ended with the old socket, so the loop reported no event of the new connection: calls on it went on only when a timer of libcurl fired, after 0.2 s for connecting and 0.7 s, 1 s or 2 s for a response. Each connect time-out during a cut leaves such a number behind, and every store call uses this loop.

The new test waits for 60 s without progress on the code before.

A watch now stays for an idle connection only if the connection was established; libcurl reports the end of those by CLOSESOCKETFUNCTION.

--- a/base/curl_loop.c
+++ b/base/curl_loop.c
@@ -127,7 +127,8 @@
   struct priv *priv;
   curl_socket_t sock;
   struct tevent_fd *fde;
-  bool idle; /* libcurl does not wait for the socket */
+  bool established; /* libcurl has waited for a response */
+  bool idle;        /* libcurl does not wait for the socket */
 };
 
 static struct watch *
@@ -187,6 +188,13 @@
   return watch;
 }
 
+static void
+remove_watch (struct priv *p, struct watch *watch)
+{
+  p->watches[watch->sock] = NULL;
+  talloc_free (watch);
+}
+
 static int
 watch_socket (CURL *easy, curl_socket_t sock, int what, void *arg, void *ptr)
 {
@@ -201,7 +209,11 @@
 
   if (what == CURL_POLL_REMOVE)
     {
-      if (watch)
+      /* libcurl closes the socket of a connection that was not established
+         without a call of close_socket.  */
+      if (watch && !watch->established)
+        remove_watch (p, watch);
+      else if (watch)
         {
           watch->idle = true;
           tevent_fd_set_flags (watch->fde, TEVENT_FD_READ);
@@ -214,6 +226,7 @@
     watch = add_watch (p, sock);
   if (!watch)
     return -1;
+  watch->established = watch->established || what == CURL_POLL_IN;
   watch->idle = false;
   tevent_fd_set_flags (watch->fde, flags);
   return 0;
@@ -227,8 +240,7 @@
   struct priv *p = arg;
   struct watch *watch = find_watch (p, sock);
   if (watch)
-    p->watches[sock] = NULL;
-  talloc_free (watch);
+    remove_watch (p, watch);
   return close (sock);
 }
 
--- a/test/unit/unit_curl_loop.c
+++ b/test/unit/unit_curl_loop.c
@@ -154,36 +154,103 @@
 
 #define BACKLOG_FILLERS 4
 
-/* Guards against a refused connection that is noticed only at the timeout: the
-   refusal arrives during the handshake, and tevent does not report the error
-   of a socket that is watched for writing only.  The listener's backlog is
-   filled, so the handshake stays pending; once the listener is closed, the
-   next SYN is refused.  */
-START_TEST (test_refused)
+/* A listener with a full backlog: the handshake of a further connection stays
+   pending.  */
+struct full_listener
 {
+  int sock;
   int fillers[BACKLOG_FILLERS];
   uint16_t port;
-  start (4);
-  int sock = bound_socket (&port);
-  ck_assert_int_eq (listen (sock, 0), 0);
+};
+
+static void
+full_listener_open (struct full_listener *lst)
+{
   struct sockaddr_in addr = { .sin_family = AF_INET };
+  lst->sock = bound_socket (&lst->port);
+  ck_assert_int_eq (listen (lst->sock, 0), 0);
   addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  addr.sin_port = htons (port);
+  addr.sin_port = htons (lst->port);
   for (int n = 0; n < BACKLOG_FILLERS; n++)
     {
-      fillers[n] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      (void)connect (fillers[n], (struct sockaddr *)&addr, sizeof addr);
+      lst->fillers[n] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      (void)connect (lst->fillers[n], (struct sockaddr *)&addr, sizeof addr);
     }
-  CURL *easy = easy_for (port, "/");
+}
+
+static void
+full_listener_close_fillers (struct full_listener *lst)
+{
+  for (int n = 0; n < BACKLOG_FILLERS; n++)
+    close (lst->fillers[n]);
+}
+
+/* Guards against a refused connection that is noticed only at the timeout: the
+   refusal arrives during the handshake, and tevent does not report the error
+   of a socket that is watched for writing only.  The listener's backlog is
+   filled, so the handshake stays pending; once the listener is closed, the
+   next SYN is refused.  */
+START_TEST (test_refused)
+{
+  struct full_listener lst;
+  start (4);
+  full_listener_open (&lst);
+  CURL *easy = easy_for (lst.port, "/");
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, WAIT_S * 1500L);
   ck_assert_int_eq (curl_loop_add (&loop, easy, on_done, &results[0]), 0);
   ck_assert_int_eq (tevent_loop_once (ev), 0);
   ck_assert_int_eq (completed, 0);
-  close (sock);
+  close (lst.sock);
   wait_for (1);
   ck_assert_int_eq (results[0], CURLE_COULDNT_CONNECT);
-  for (int n = 0; n < BACKLOG_FILLERS; n++)
-    close (fillers[n]);
+  full_listener_close_fillers (&lst);
+  stop ();
+}
+END_TEST
+
+static int loop_errors;
+
+static void
+count_loop_errors (void *arg, enum tevent_debug_level level, const char *fmt,
+                   va_list args)
+{
+  loop_errors += level <= TEVENT_DEBUG_ERROR;
+}
+
+static int
+note_socket (void *arg, curl_socket_t sock, curlsocktype purpose)
+{
+  *(curl_socket_t *)arg = sock;
+  return CURL_SOCKOPT_OK;
+}
+
+/* Guards against a connection without events: the one before it under the same
+   socket number was never established, its watch stayed, and the event loop
+   did not register the new socket.  */
+START_TEST (test_number_of_unconnected_socket_reused)
+{
+  struct full_listener lst;
+  curl_socket_t socks[2];
+  start (4);
+  loop_errors = 0;
+  tevent_set_debug (ev, count_loop_errors, NULL);
+  full_listener_open (&lst);
+  for (int n = 0; n < 2; n++)
+    {
+      CURL *easy = easy_for (n == 0 ? lst.port : web_port, "/ok");
+      curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, note_socket);
+      curl_easy_setopt (easy, CURLOPT_SOCKOPTDATA, &socks[n]);
+      curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                        n == 0 ? 50L : WAIT_S * 1500L);
+      ck_assert_int_eq (curl_loop_add (&loop, easy, on_done, &results[n]), 0);
+      wait_for (n + 1);
+    }
+  ck_assert_int_eq (results[0], CURLE_OPERATION_TIMEDOUT);
+  ck_assert_int_eq (results[1], CURLE_OK);
+  ck_assert_int_eq (socks[0], socks[1]);
+  ck_assert_int_eq (loop_errors, 0);
+  full_listener_close_fillers (&lst);
+  close (lst.sock);
   stop ();
 }
 END_TEST
@@ -297,6 +364,7 @@
   tcase_set_timeout (tc, 2 * WAIT_S);
   tcase_add_test (tc, test_completes);
   tcase_add_test (tc, test_refused);
+  tcase_add_test (tc, test_number_of_unconnected_socket_reused);
   tcase_add_test (tc, test_full_and_remove);
   tcase_add_test (tc, test_finish_in_callback);
   tcase_add_test (tc, test_idle_connection_closed);
