node: reject requests whose answer needs a newer configuration

A process answered from whatever configuration it had, however old: 404 for a route that a version had added, a count or an accepted job for one that a version had removed, 410 from a view of 3 s.

"No such route", "no such job", the number of waiting jobs and the acceptance of a job are statements under the newest configuration. That a job was stored and the state that it reached stay true, so they are still answered.

The view is as old as the start of the last completed read, so a read of the operators' records waits 500 ms instead of 1 s: with two in a row the view stays within the bound also in a slow store. It costs one more read a second and process.

view.too_old and views_too_old_total tell of each such request.

--- a/cli/settings.c
+++ b/cli/settings.c
@@ -118,6 +118,10 @@
     "a process that could not confirm its duties for this long starts no "
     "tasks; after a claim, tasks that an earlier owner may still start wait "
     "for it; the same in all processes, at most confirm-ms" },
+  { "config-age-max-ms", OPTION_INT, FIELD (config_age_max_ms), 500, 60000,
+    NULL, "ms", "2000",
+    "a process that does not know the configuration as it was at most this "
+    "long ago rejects requests whose answer depends on it" },
   { "log-level", OPTION_CHOICE, FIELD (log_level), 0, 0, log_levels, NULL,
     "info", "lowest level that is logged" },
   { 0 },
--- a/node/directory.c
+++ b/node/directory.c
@@ -10,6 +10,10 @@
    waves and the directory of workers.  */
 
 #define READ_WAIT_MS 1000
+/* The same for the operators' records.  The view is as old as the start of the
+   last completed read: with this wait it stays younger than config_age_max_ms
+   also when one read after another finds nothing new in a slow store.  */
+#define OPERATOR_READ_WAIT_MS 500
 
 /* Whether the configuration names the pool of REP.  Before it is read, each
    one counts as named.  */
@@ -245,7 +249,7 @@
   const char *name = nod->set->name;
   const struct follower_settings set
       = { .topic = WIRE_TOPIC_OPERATOR,
-          .wait_ms = READ_WAIT_MS,
+          .wait_ms = OPERATOR_READ_WAIT_MS,
           .retry_max_ms = URGENT_RETRY_MAX_MS,
           .seed = XXH64 (name, strlen (name), 0) };
   return follower_init (&nod->operator_fol, nod, &nod->store.st, nod->ev,
--- a/node/job_partitions.c
+++ b/node/job_partitions.c
@@ -349,19 +349,31 @@
                 < VIEW_AGE_MAX_US;
 }
 
-bool
-node_jobs_current (const struct node *nod)
+int64_t
+node_jobs_known_us (const struct node *nod)
 {
-  int64_t oldest_us = clock_now_us (nod->clk) - VIEW_AGE_MAX_US;
-  for (int64_t n = 0; nod->follows_jobs && n < nod->set->partitions; n++)
+  int64_t known_us = INT64_MAX;
+  if (!nod->follows_jobs)
+    return follower_is_open (&nod->states_fol)
+               ? follower_caught_up_us (&nod->states_fol)
+               : 0;
+  for (int64_t n = 0; n < nod->set->partitions; n++)
     {
       const struct job_partition *prt = nod->job_partitions[n];
-      if (prt
-          && (!follower_is_open (&prt->fol) || !follower_caught_up (&prt->fol)
-              || follower_caught_up_us (&prt->fol) < oldest_us))
-        return false;
+      int64_t part_us = prt && follower_is_open (&prt->fol)
+                            ? follower_caught_up_us (&prt->fol)
+                            : 0;
+      if (prt && part_us < known_us)
+        known_us = part_us;
     }
-  return nod->follows_jobs;
+  return known_us;
+}
+
+bool
+node_jobs_current (const struct node *nod)
+{
+  int64_t known_us = nod->follows_jobs ? node_jobs_known_us (nod) : 0;
+  return known_us > 0 && known_us >= clock_now_us (nod->clk) - VIEW_AGE_MAX_US;
 }
 
 bool
@@ -372,6 +384,15 @@
          && (node_jobs_current (nod) || node_states_current (nod));
 }
 
+bool
+node_config_current (const struct node *nod)
+{
+  return nod->cat
+         && follower_caught_up_us (&nod->operator_fol)
+                >= clock_now_us (nod->clk)
+                       - nod->set->config_age_max_ms * 1000;
+}
+
 static bool
 append_tombstone (struct appender *app, const char *key, size_t key_len)
 {
--- a/node/node.h
+++ b/node/node.h
@@ -28,7 +28,9 @@
   int64_t lease_max_ms; /* longest lease that workers grant */
   int64_t confirm_ms;   /* no commands to workers once the last confirmation
                            of the duty is older than this */
-  int64_t start_confirm_ms; /* the same for starts; not above confirm_ms */
+  int64_t start_confirm_ms;  /* the same for starts; not above confirm_ms */
+  int64_t config_age_max_ms; /* within this time after the store has confirmed
+                                a version, the answers to clients follow it */
 };
 
 extern const struct option_def node_options[];
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -294,6 +294,9 @@
 /* Whether the configuration and all jobs, or their published states, are known
    as they were at most 3 s ago.  */
 bool node_view_current (const struct node *nod);
+/* Whether the configuration is known as it was at most config_age_max_ms
+   ago.  */
+bool node_config_current (const struct node *nod);
 /* Whether the records of the jobs of POOL have been read once.  */
 bool node_pool_followed (struct node *nod, const char *pool);
 /* Whether they are known as they were at most 3 s ago.  Those of other pools
@@ -301,6 +304,9 @@
 bool node_pool_current (struct node *nod, const char *pool);
 /* Whether the records of all jobs are known as they were at most 3 s ago.  */
 bool node_jobs_current (const struct node *nod);
+/* Monotonic time as of which the records of all jobs, or in an entry process
+   the published states, are known; 0 before they were read.  */
+int64_t node_jobs_known_us (const struct node *nod);
 /* Starts and ends following the jobs.  */
 void node_follow_jobs (struct node *nod);
 void node_unfollow_jobs (struct node *nod);
--- a/node/requests.c
+++ b/node/requests.c
@@ -19,6 +19,13 @@
 #define RETRY_AFTER_MAX_MS 6000
 #define RETRY_AFTER_JITTER_MS 1000
 
+/* What is answered with an old view.  "There is no such route", "there is no
+   such job" and the number of waiting jobs are statements about the newest
+   records, and a job is accepted under the newest configuration; a process
+   whose view is too old for them rejects the request.  That a job was stored
+   and the state that it had reached stay true, so they are answered at any
+   age.  */
+
 /* An append to the store on behalf of a client's request.  */
 struct pending_append
 {
@@ -89,6 +96,29 @@
   reply (nod, req, FRONT_REJECTED, reason, store_retry_after_ms (nod, id));
 }
 
+/* Rejects a request whose answer needs a newer view of WHAT, which was last
+   known as of the monotonic time KNOWN_US.  */
+static void
+reject_old_view (struct node *nod, struct front_request *req, uint64_t id,
+                 const char *what, int64_t known_us)
+{
+  int64_t age_us = clock_now_us (nod->clk) - known_us;
+  log_event (nod->lg, EV_VIEW_TOO_OLD, LOG_S ("path", req->path),
+             LOG_S ("view", what),
+             LOG_I ("age_ms", known_us > 0 ? age_us / 1000 : -1),
+             LOG_I ("version", nod->cat->version));
+  counter_add (&nod->ctr, CTR_VIEWS_TOO_OLD, 1);
+  reply (nod, req, FRONT_REJECTED, "view_too_old",
+         store_retry_after_ms (nod, id));
+}
+
+static void
+reject_old_config (struct node *nod, struct front_request *req, uint64_t id)
+{
+  reject_old_view (nod, req, id, "configuration",
+                   follower_caught_up_us (&nod->operator_fol));
+}
+
 /* Rejects a job that its pool cannot do in time.  */
 static void
 reject_full (struct node *nod, struct front_request *req, uint64_t id,
@@ -222,6 +252,11 @@
       reply (nod, req, FRONT_OK, NULL, 0);
       return;
     }
+  if (!node_config_current (nod))
+    {
+      reject_old_config (nod, req, id);
+      return;
+    }
   void *ctx = talloc_new (nod);
   int err = wire_decode_job (ctx, req->body, req->body_len, &spec, &fault);
   if (!err)
@@ -259,6 +294,8 @@
   if ((job && job->logged_state >= JOB_COMPLETED)
       || (pub && pub->state >= JOB_COMPLETED))
     reply (nod, req, FRONT_OK, NULL, 0);
+  else if (!job && !pub && !node_config_current (nod))
+    reject_old_config (nod, req, id);
   else if (!prt || !node_partition_writable (prt))
     reject (nod, req, id, que->name, "store_away");
   else
@@ -284,12 +321,13 @@
     rsp.state = pub->state;
   if (job || pub)
     front_reply (req, &rsp);
-  else if ((followed && node_view_current (nod) && node_jobs_current (nod))
+  else if (!node_config_current (nod))
+    reject_old_config (nod, req, id);
+  else if ((followed && node_jobs_current (nod))
            || node_published_pool (nod, que->pool))
     reply (nod, req, FRONT_NO_JOB, NULL, 0);
   else
-    reply (nod, req, FRONT_REJECTED, "view_too_old",
-           store_retry_after_ms (nod, id));
+    reject_old_view (nod, req, id, "jobs", node_jobs_known_us (nod));
 }
 
 static void
@@ -298,18 +336,18 @@
 {
   struct front_response rsp = { .status = FRONT_QUEUE_WAITING };
   const struct published_pool *pool = node_published_pool (nod, que->pool);
-  if (node_pool_followed (nod, que->pool) && node_view_current (nod)
-      && node_jobs_current (nod))
-    rsp.waiting = job_table_count_waiting (&nod->jobs, que->name);
-  else if (pool && node_view_current (nod))
-    rsp.waiting = state_view_waiting (pool, que->name);
+  bool followed
+      = node_pool_followed (nod, que->pool) && node_jobs_current (nod);
+  if (!node_config_current (nod))
+    reject_old_config (nod, req, 0);
+  else if (!followed && !pool)
+    reject_old_view (nod, req, 0, "jobs", node_jobs_known_us (nod));
   else
     {
-      reply (nod, req, FRONT_REJECTED, "view_too_old",
-             store_retry_after_ms (nod, 0));
-      return;
+      rsp.waiting = followed ? job_table_count_waiting (&nod->jobs, que->name)
+                             : state_view_waiting (pool, que->name);
+      front_reply (req, &rsp);
     }
-  front_reply (req, &rsp);
 }
 
 void
@@ -324,6 +362,11 @@
       return;
     }
   const struct queue *que = catalog_route (nod->cat, req->host, req->path);
+  if (!que && !node_config_current (nod))
+    {
+      reject_old_config (nod, req, id);
+      return;
+    }
   if (!que)
     {
       reply (nod, req, FRONT_NO_QUEUE, NULL, 0);
