--- a/test/unit/unit_post_client.c
+++ b/test/unit/unit_post_client.c
@@ -27,6 +27,9 @@
 #define LONG_MS 60000
 #define CALLS_MAX 8
 #define MAX_PER_PEER 2
+/* Longer than the client waits for a connection.  */
+#define CONNECT_WAIT_MS 1500
+#define BACKLOG_FILLERS 8
 #define OK_EMPTY "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
 static struct tevent_context *ev;
@@ -142,6 +145,8 @@
 accept_call (void)
 {
   char text[1024];
+  struct pollfd pfd = { .fd = listener, .events = POLLIN };
+  ck_assert_int_eq (poll (&pfd, 1, READ_WAIT_MS), 1);
   int sock = accept (listener, NULL, NULL);
   ck_assert_int_ge (sock, 0);
   ck_assert_int_gt (read (sock, text, sizeof text - 1), 0);
@@ -273,6 +278,116 @@
 }
 END_TEST
 
+/* Opens COUNT connections, whose calls the peer answers in this order.  */
+static void
+open_connections (int *socks, size_t count)
+{
+  for (size_t n = 0; n < count; n++)
+    ck_assert_int_eq (post (0, LONG_MS, NULL), 0);
+  run_loop (50, count);
+  for (size_t n = 0; n < count; n++)
+    {
+      socks[n] = accept_call ();
+      answer_with (socks[n], OK_EMPTY);
+      run_loop (5000, n + 1);
+      ck_assert_uint_eq (ended, n + 1);
+    }
+}
+
+/* Sends COUNT calls, each of which has to reach the peer on a new connection
+   at once.  */
+static void
+check_new_connections (size_t count)
+{
+  size_t before = ended;
+  for (size_t n = 0; n < count; n++)
+    ck_assert_int_eq (post (0, CALL_TIMEOUT_MS, NULL), 0);
+  run_loop (50, before + count);
+  for (size_t n = 0; n < count; n++)
+    {
+      int sock = accept_call ();
+      answer_with (sock, OK_EMPTY);
+    }
+  for (size_t n = 1; n <= count; n++)
+    {
+      run_loop (5000, before + n);
+      ck_assert_uint_eq (ended, before + n);
+      ck_assert_int_eq (outcome, HTTP_RESPONDED);
+    }
+}
+
+/* Guards against calls that wait for their time-outs one after the other when
+   a partition has silenced all open connections: each idle one took a command
+   long after the partition had ended.  */
+START_TEST (test_connections_after_silent_call)
+{
+  int socks[MAX_PER_PEER];
+  open_connections (socks, MAX_PER_PEER);
+  ck_assert_int_eq (post (0, CALL_TIMEOUT_MS, NULL), 0);
+  run_loop (5000, MAX_PER_PEER + 1);
+  ck_assert_int_eq (outcome, HTTP_NO_RESPONSE);
+  check_new_connections (MAX_PER_PEER);
+}
+END_TEST
+
+/* The same for a connection that was in use when the partition began and
+   became idle while the call that shows the silence was under way.  */
+START_TEST (test_connection_idle_since_silent_call)
+{
+  int socks[MAX_PER_PEER];
+  open_connections (socks, MAX_PER_PEER);
+  /* Calls take the connection that was used last first.  */
+  ck_assert_int_eq (post (0, CALL_TIMEOUT_MS, NULL), 0);
+  ck_assert_int_eq (post (0, LONG_MS, NULL), 0);
+  run_loop (50, MAX_PER_PEER + 2);
+  answer_with (socks[0], OK_EMPTY);
+  run_loop (5000, MAX_PER_PEER + 2);
+  ck_assert_uint_eq (ended, MAX_PER_PEER + 2);
+  ck_assert_int_eq (outcome, HTTP_NO_RESPONSE);
+  check_new_connections (MAX_PER_PEER);
+}
+END_TEST
+
+static int
+post_new_connection (void)
+{
+  const struct post_request req = { .address = address,
+                                    .path = "/v1/order",
+                                    .timeout_ms = LONG_MS,
+                                    .new_connection = true };
+  return post_call (&cli, &req, on_response, NULL);
+}
+
+/* The same when no call but the opening of a connection shows the silence. The
+   kernel drops connection requests while the listener's queue is full.  */
+START_TEST (test_connections_after_silent_connect)
+{
+  int socks[MAX_PER_PEER];
+  int fillers[BACKLOG_FILLERS];
+  struct sockaddr_in addr;
+  socklen_t len = sizeof addr;
+  open_connections (socks, MAX_PER_PEER - 1);
+  ck_assert_int_eq (listen (listener, 0), 0);
+  ck_assert_int_eq (getsockname (listener, (struct sockaddr *)&addr, &len), 0);
+  for (size_t n = 0; n < BACKLOG_FILLERS; n++)
+    {
+      fillers[n] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      connect (fillers[n], (struct sockaddr *)&addr, len);
+    }
+  ck_assert_int_eq (post_new_connection (), 0);
+  run_loop (CONNECT_WAIT_MS, MAX_PER_PEER);
+  ck_assert_uint_eq (ended, MAX_PER_PEER);
+  ck_assert_int_eq (outcome, HTTP_NOT_SENT);
+  for (size_t n = 0; n < BACKLOG_FILLERS; n++)
+    close (fillers[n]);
+  ck_assert_int_eq (listen (listener, 16), 0);
+  struct pollfd pfd = { .fd = listener, .events = POLLIN };
+  while (poll (&pfd, 1, 50) > 0)
+    close (accept (listener, NULL, NULL));
+  check_new_connections (MAX_PER_PEER);
+}
+END_TEST
+
 static bool permitted;
 
 static bool
@@ -477,6 +592,9 @@
   tcase_add_loop_test (tc, test_broken_call_is_not_repeated, 0,
                        ROWS (broken_calls));
   tcase_add_test (tc, test_closed_idle_connection);
+  tcase_add_test (tc, test_connections_after_silent_call);
+  tcase_add_test (tc, test_connection_idle_since_silent_call);
+  tcase_add_test (tc, test_connections_after_silent_connect);
   tcase_add_loop_test (tc, test_late_call_is_not_sent, 0, ROWS (late_calls));
   tcase_add_test (tc, test_rest_of_late_call_is_not_sent);
   tcase_add_test (tc, test_refused_call_on_idle_connection);
