store/follower: log what a failed read waited for

A result of a read now carries its outcome, whether the connection was reused, the time to connect and the time of the call. The reader logs the first of successive failures (read.failed) and the next success (read.recovered) with the age of its view.

unit_topic: test_failed_reads_are_logged.

--- a/node/directory.c
+++ b/node/directory.c
@@ -247,7 +247,8 @@
       = { .topic = WIRE_TOPIC_OPERATOR,
           .wait_ms = READ_WAIT_MS,
           .retry_max_ms = URGENT_RETRY_MAX_MS,
-          .seed = XXH64 (name, strlen (name), 0) };
+          .seed = XXH64 (name, strlen (name), 0),
+          .lg = nod->lg };
   return follower_init (&nod->operator_fol, nod, &nod->store.st, nod->ev,
                         nod->clk, &set, on_operator_record, on_operator_batch,
                         nod);
@@ -261,7 +262,8 @@
       = { .topic = WIRE_TOPIC_WORKERS,
           .batch_delay_ms = DIRECTORY_BATCH_DELAY_MS,
           .wait_ms = READ_WAIT_MS,
-          .seed = XXH64 (name, strlen (name), 0) };
+          .seed = XXH64 (name, strlen (name), 0),
+          .lg = nod->lg };
   if (!follower_is_open (&nod->directory_fol))
     follower_init (&nod->directory_fol, nod, &nod->store.st, nod->ev, nod->clk,
                    &set, on_worker_record, on_workers_batch, nod);
--- a/node/duties.c
+++ b/node/duties.c
@@ -660,7 +660,8 @@
       = { .topic = TOPIC_DUTIES,
           .wait_ms = DUTIES_READ_WAIT_MS,
           .retry_max_ms = URGENT_RETRY_MAX_MS,
-          .seed = XXH64 (name, strlen (name), 0) };
+          .seed = XXH64 (name, strlen (name), 0),
+          .lg = nod->lg };
   duty_set_limits (&nod->duties, &limits);
   int err = follower_init (&nod->duty_fol, nod, &nod->store.st, nod->ev,
                            nod->clk, &set, on_duty_record, on_duty_batch, nod);
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -159,7 +159,8 @@
           = { .topic = TOPIC_FLEET,
               .part = part,
               .batch_delay_ms = FLEET_BATCH_DELAY_MS,
-              .wait_ms = READ_WAIT_MS };
+              .wait_ms = READ_WAIT_MS,
+              .lg = nod->lg };
       if (part != REQUEST_PART && !flt->report_followers[part].priv)
         follower_init (&flt->report_followers[part], nod, &nod->store.st,
                        nod->ev, nod->clk, &set, on_record, on_batch, flt);
@@ -594,7 +595,8 @@
       = { .topic = TOPIC_FLEET,
           .batch_delay_ms = FLEET_BATCH_DELAY_MS,
           .wait_ms = READ_WAIT_MS,
-          .seed = XXH64 (name, strlen (name), 0) };
+          .seed = XXH64 (name, strlen (name), 0),
+          .lg = nod->lg };
   if (!follower_is_open (&flt->fol))
     follower_init (&flt->fol, flt, &nod->store.st, nod->ev, nod->clk, &set,
                    on_record, on_batch, flt);
--- a/node/job_partitions.c
+++ b/node/job_partitions.c
@@ -208,7 +208,8 @@
           .part = prt->part,
           .batch_delay_ms = JOBS_BATCH_DELAY_MS,
           .wait_ms = READ_WAIT_MS,
-          .seed = XXH64 (name, strlen (name), 0) };
+          .seed = XXH64 (name, strlen (name), 0),
+          .lg = nod->lg };
   if (!nod->follows_jobs || follower_is_open (&prt->fol)
       || follow_later (nod, prt))
     return;
--- a/node/job_states.c
+++ b/node/job_states.c
@@ -52,7 +52,8 @@
           .part = STATES_PART,
           .batch_delay_ms = STATES_BATCH_DELAY_MS,
           .wait_ms = READ_WAIT_MS,
-          .seed = XXH64 (name, strlen (name), 0) };
+          .seed = XXH64 (name, strlen (name), 0),
+          .lg = nod->lg };
   if (!follower_is_open (&nod->states_fol))
     follower_init (&nod->states_fol, nod, &nod->store.st, nod->ev, nod->clk,
                    &set, on_state_record, on_states_batch, nod);
--- a/node/members.c
+++ b/node/members.c
@@ -176,7 +176,8 @@
       = { .topic = TOPIC_MEMBERS,
           .batch_delay_ms = MEMBERS_BATCH_DELAY_MS,
           .wait_ms = READ_WAIT_MS,
-          .seed = XXH64 (name, strlen (name), 0) };
+          .seed = XXH64 (name, strlen (name), 0),
+          .lg = nod->lg };
   snprintf (producer, sizeof producer, "%s.%016" PRIx64, nod->set->name,
             nod->run_id);
   const struct appender_settings app_set = { .topic = TOPIC_MEMBERS,
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -74,7 +74,7 @@
 #define ODD_ENTRIES_MAX 64
 #define REFUSED_TOKENS_MAX 16
 /* Counters of the line store.usage.  */
-#define NODE_USAGE_COUNTERS 11
+#define NODE_USAGE_COUNTERS 13
 #define PRODUCER_BYTES (NAME_BYTES + 32)
 
 struct node;
--- a/node/usage.c
+++ b/node/usage.c
@@ -13,7 +13,8 @@
         CTR_STORE_FAILED,        CTR_STORE_BYTES_READ,
         CTR_STORE_BYTES_WRITTEN, CTR_STORE_CALLS_NOT_REPEATED,
         CTR_APPENDS_UNANSWERED,  CTR_APPENDS_SETTLED,
-        CTR_APPENDS_MISMATCHED };
+        CTR_APPENDS_MISMATCHED,  CTR_STORE_UNANSWERED_REUSED,
+        CTR_STORE_CONNECTIONS };
 
 static int64_t
 age_us (const struct follower *fol, int64_t now_us)
@@ -53,6 +54,7 @@
       LOG_I ("bytes_read", since[5]), LOG_I ("bytes_written", since[6]),
       LOG_I ("not_repeated", since[7]), LOG_I ("unanswered", since[8]),
       LOG_I ("settled", since[9]), LOG_I ("mismatched", since[10]),
+      LOG_I ("unanswered_reused", since[11]), LOG_I ("connections", since[12]),
       LOG_I ("config_age_ms", config_us / 1000),
       LOG_I ("jobs_age_ms", jobs_us / 1000),
       LOG_I ("members_age_ms", age_us (&nod->member_fol, now_us) / 1000));
--- a/store/follower.c
+++ b/store/follower.c
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "base/err.h"
+#include "base/log.h"
 #include "base/timer.h"
 #include "store/read_pace.h"
 
@@ -75,6 +76,45 @@
     p->record_fn (p->arg, &res->records[n]);
 }
 
+static const char *const outcome_names[TOPIC_CALL_OUTCOMES]
+    = { "invalid", "not_connected", "no_response", "partly_received",
+        "rejected" };
+
+static void
+log_read (const struct priv *p, enum log_event_id id,
+          const struct topic_read_result *res)
+{
+  const struct topic_call *call = &res->call;
+  int64_t now_us = clock_now_us (p->clk);
+  log_event (
+      p->set.lg, id, LOG_S ("topic", p->set.topic),
+      LOG_I ("part", p->set.part),
+      LOG_S ("kind", p->in_order ? "order" : "newest"),
+      LOG_S ("outcome", res->err ? outcome_names[call->outcome] : "answered"),
+      LOG_I ("failures", p->pace.failures), LOG_I ("reused", call->reused),
+      LOG_I ("connect_ms", call->connect_us / 1000),
+      LOG_I ("waited_ms", call->waited_us / 1000),
+      LOG_I ("age_ms",
+             p->caught_up_us ? (now_us - p->caught_up_us) / 1000 : -1));
+}
+
+static void
+read_failed (struct priv *p, const struct topic_read_result *res)
+{
+  int64_t delay_ms = read_pace_failed (&p->pace);
+  if (p->pace.failures == 1)
+    log_read (p, EV_READ_FAILED, res);
+  schedule (p, delay_ms);
+}
+
+static void
+read_succeeded (struct priv *p, const struct topic_read_result *res, bool full)
+{
+  if (p->pace.failures > 0)
+    log_read (p, EV_READ_RECOVERED, res);
+  read_pace_succeeded (&p->pace, full);
+}
+
 /* Returns whether follower_fini ran during the call; P is freed then.  */
 static bool
 call_ended (struct priv *p)
@@ -122,7 +162,7 @@
     return;
   if (res->err && res->err != ERR_NOT_FOUND)
     {
-      schedule (p, read_pace_failed (&p->pace));
+      read_failed (p, res);
       return;
     }
   if (p->first_page)
@@ -136,7 +176,7 @@
     if (res->records[n].offset >= p->delivered_end)
       p->delivered_end = res->records[n].offset + 1;
   deliver (p, res);
-  read_pace_succeeded (&p->pace, false);
+  read_succeeded (p, res, false);
   p->in_order = !res->more || !advance (p, res);
   if (p->in_order)
     p->next_offset = p->newest_end;
@@ -158,14 +198,14 @@
     }
   if (res->err && res->err != ERR_NOT_FOUND)
     {
-      schedule (p, read_pace_failed (&p->pace));
+      read_failed (p, res);
       return;
     }
   deliver (p, res);
   if (res->count > 0)
     p->next_offset = res->records[res->count - 1].offset + 1;
   bool behind = p->next_offset < res->end_offset;
-  read_pace_succeeded (&p->pace, behind);
+  read_succeeded (p, res, behind);
   if (p->next_offset >= res->end_offset)
     p->caught_up_us = p->read_started_us;
   p->batch_fn (p->arg);
--- a/store/follower.h
+++ b/store/follower.h
@@ -12,6 +12,7 @@
    tevent context.  */
 
 struct clock;
+struct logger;
 struct tevent_context;
 
 struct follower_settings
@@ -25,6 +26,7 @@
   int64_t retry_max_ms; /* longest delay after a failed read; 0: the default of
                            read_pace */
   uint64_t seed;        /* makes the delays differ between processes */
+  struct logger *lg;    /* NULL: none */
 };
 
 struct follower
--- a/store/topic_store.h
+++ b/store/topic_store.h
@@ -71,6 +71,25 @@
   struct topic_entry entry;
 };
 
+/* What a call waited for, to tell apart why calls fail.  */
+enum topic_call_outcome
+{
+  TOPIC_CALL_ANSWERED,
+  TOPIC_CALL_NOT_CONNECTED,
+  TOPIC_CALL_NO_RESPONSE,
+  TOPIC_CALL_PARTLY_RECEIVED, /* a part of the response was received */
+  TOPIC_CALL_REJECTED,
+  TOPIC_CALL_OUTCOMES
+};
+
+struct topic_call
+{
+  enum topic_call_outcome outcome;
+  bool reused;        /* sent on a connection of an earlier call */
+  int64_t connect_us; /* time until a new connection was ready; 0: none */
+  int64_t waited_us;  /* time of the whole call */
+};
+
 struct topic_read_result
 {
   int err; /* 0, ERR_UNAVAILABLE, ERR_PROTOCOL, ERR_NOMEM, ERR_EXPIRED: records
@@ -80,6 +99,7 @@
   bool more;           /* topic_read_newest: further pages follow */
   const struct topic_record *records;
   size_t count;
+  struct topic_call call;
 };
 
 typedef void topic_append_fn (void *arg,
--- a/test/unit/unit_topic.c
+++ b/test/unit/unit_topic.c
@@ -532,12 +532,95 @@
 open_follower (struct follower *fol)
 {
   const struct follower_settings set
-      = { .topic = "t", .batch_delay_ms = 1, .wait_ms = 1000 };
+      = { .topic = "t", .batch_delay_ms = 1, .wait_ms = 1000, .lg = lg };
   ck_assert_int_eq (follower_init (fol, ev, &store, ev, &clock_system, &set,
                                    on_record, on_batch, NULL),
                     0);
 }
 
+/* Guards against an incident whose log does not tell what a reader waited for:
+   one line for the first of successive failures, and one when a read succeeds
+   again.  */
+START_TEST (test_failed_reads_are_logged)
+{
+  static const struct
+  {
+    struct topic_call call; /* of the first failed read */
+    int failures;
+    const char *failed, *recovered; /* fields of the lines */
+  } cases[] = {
+    { { .outcome = TOPIC_CALL_ANSWERED }, 0, "", "" },
+    { { .outcome = TOPIC_CALL_NO_RESPONSE,
+        .reused = true,
+        .waited_us = 2000000 },
+      1,
+      "topic=t part=0 kind=order outcome=no_response failures=1 reused=1 "
+      "connect_ms=0 waited_ms=2000 age_ms=",
+      "kind=order outcome=answered failures=1 reused=0 connect_ms=3" },
+    { { .outcome = TOPIC_CALL_NOT_CONNECTED, .waited_us = 700000 },
+      3,
+      "outcome=not_connected failures=1 reused=0 connect_ms=0 waited_ms=700",
+      "outcome=answered failures=3" },
+    { { .outcome = TOPIC_CALL_PARTLY_RECEIVED, .connect_us = 4000 },
+      1,
+      "outcome=partly_received reused=0 connect_ms=4",
+      "failures=1" },
+    { { .outcome = TOPIC_CALL_REJECTED },
+      2,
+      "outcome=rejected",
+      "failures=2" },
+    { { .outcome = TOPIC_CALL_ANSWERED }, 1, "outcome=invalid", "failures=1" },
+  };
+  char line[1024], failed[1024] = "", recovered[1024] = "";
+  int fds[2], lines[2] = { 0 };
+  struct follower fol;
+  size_t count = 3;
+  ck_assert_int_eq (pipe (fds), 0);
+  lg = logger_create (NULL, &clock_system, fds[1], LOG_LEVEL_DEBUG);
+  open_follower (&fol);
+  complete_read (await_call (1), 0, 0, false, "", 0);
+  complete_read (await_call (2), 0, 0, false, "", 0);
+  for (int n = 0; n < cases[_i].failures; n++)
+    {
+      const struct topic_read_result res
+          = { .err = ERR_UNAVAILABLE, .call = cases[_i].call };
+      struct call *call = await_call (count++);
+      call->read_fn (call->arg, &res);
+    }
+  for (int n = 0; n < 2; n++)
+    {
+      const struct topic_read_result res = { .call.connect_us = 3000 };
+      struct call *call = await_call (count++);
+      call->read_fn (call->arg, &res);
+    }
+  struct call *last = await_call (count);
+  follower_fini (&fol);
+  complete_read (last, 0, 0, false, "", 0);
+  logger_destroy (lg);
+  close (fds[1]);
+  FILE *file = fdopen (fds[0], "r");
+  while (fgets (line, sizeof line, file))
+    {
+      bool is_failed = line_matches (line, EV_READ_FAILED, "");
+      bool is_recovered = line_matches (line, EV_READ_RECOVERED, "");
+      if (is_failed || is_recovered)
+        snprintf (is_failed ? failed : recovered, sizeof failed, "%s", line);
+      lines[0] += is_failed;
+      lines[1] += is_recovered;
+    }
+  fclose (file);
+  ck_assert_int_eq (lines[0], cases[_i].failures > 0);
+  ck_assert_int_eq (lines[1], cases[_i].failures > 0);
+  ck_assert_msg (line_matches (failed, EV_READ_FAILED, cases[_i].failed)
+                     || !lines[0],
+                 "%s", failed);
+  ck_assert_msg (
+      line_matches (recovered, EV_READ_RECOVERED, cases[_i].recovered)
+          || !lines[1],
+      "%s", recovered);
+}
+END_TEST
+
 /* Guards against missed records.  Pages of newest records are not a snapshot,
    so records appended while they were read have to be read as well; after
    records expired unread, the newest ones are read again.  */
@@ -672,6 +755,7 @@
   tcase_add_loop_test (tc, test_entries_after_rejection, 0, 4);
   tcase_add_loop_test (tc, test_fenced, 0, 2);
   tcase_add_test (tc, test_finished_in_call);
+  tcase_add_loop_test (tc, test_failed_reads_are_logged, 0, 6);
   tcase_add_test (tc, test_follow);
   tcase_add_test (tc, test_time_of_day_set);
   tcase_add_test (tc, test_next_offset_during_newest_read);
