platform/http_client: do not reuse connections that a cut has silenced

Callers saw 404 for routes of versions that were acked seconds before (CONFIG): the process read the configuration late.

A cut may silence every open connection to the store for good while new ones work. A process keeps up to some ten idle connections to the store. After a call had waited for its time-out on one of them, libcurl gave the next call the next one, so that a reader could lose one time-out (2 s for a read that waits) for each idle connection.

After a call that timed out once sent, the idle connections to the same address are shut down; libcurl finds them dead and opens a new one. Weighed against CURLOPT_FRESH_CONNECT for calls after a failure (the connection of such a call returns to the pool among the silenced ones), CURLOPT_MAXAGE_CONN and CURLOPT_MAXLIFETIME_CONN (whole seconds, and handshakes in calm times) and keep-alive probes (whole seconds, and a relay that drops only data still acknowledges them). Connections with a call under way are left alone: the call may be an append that is being carried out.

unit_http_client: test_silenced_connections_are_not_reused failed before in 4 of its 5 cases (all with more than one connection at a time).

--- a/base/curl_loop.c
+++ b/base/curl_loop.c
@@ -1,8 +1,11 @@
 #include "base/curl_loop.h"
 
+#include <netdb.h>
 #include <pthread.h>
 #include <stdbool.h>
+#include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <talloc.h>
 #include <tevent.h>
 #include <unistd.h>
@@ -346,6 +349,36 @@
   return sent > 0 && !(method && strcmp (method, "GET") == 0);
 }
 
+static bool
+has_peer (curl_socket_t sock, const char *host, const char *port)
+{
+  struct sockaddr_storage addr;
+  socklen_t len = sizeof addr;
+  char text[NI_MAXHOST], number[NI_MAXSERV];
+  return getpeername (sock, (struct sockaddr *)&addr, &len) == 0
+         && getnameinfo ((struct sockaddr *)&addr, len, text, sizeof text,
+                         number, sizeof number,
+                         NI_NUMERICHOST | NI_NUMERICSERV)
+                == 0
+         && strcmp (text, host) == 0 && strcmp (number, port) == 0;
+}
+
+void
+curl_loop_shut_idle (struct curl_loop *loop, CURL *easy)
+{
+  struct priv *p = loop->priv;
+  char *host = NULL;
+  char port[NI_MAXSERV];
+  long num = 0;
+  curl_easy_getinfo (easy, CURLINFO_PRIMARY_IP, &host);
+  curl_easy_getinfo (easy, CURLINFO_PRIMARY_PORT, &num);
+  snprintf (port, sizeof port, "%ld", num);
+  for (curl_socket_t sock = 0; host && sock < p->watches_size; sock++)
+    if (p->watches[sock] && p->watches[sock]->idle
+        && has_peer (sock, host, port))
+      shutdown (sock, SHUT_RDWR);
+}
+
 uint32_t
 curl_loop_calls (const struct curl_loop *loop)
 {
--- a/base/curl_loop.h
+++ b/base/curl_loop.h
@@ -59,5 +59,12 @@
    CURLOPT_PREREQFUNCTION, which libcurl calls before each sending.  */
 bool curl_loop_is_repeat (CURL *easy);
 
+/* Shuts down the idle connections to the address that EASY's transfer was sent
+   to; libcurl opens new ones instead.  For a transfer without a response: what
+   silenced its connection may have silenced all that were open, and each would
+   cost the next transfer its time-out.  To be called from its
+   curl_loop_fn.  */
+void curl_loop_shut_idle (struct curl_loop *loop, CURL *easy);
+
 /* Number of easy handles held.  */
 uint32_t curl_loop_calls (const struct curl_loop *loop);
--- a/test/unit/unit_http_client.c
+++ b/test/unit/unit_http_client.c
@@ -10,6 +10,7 @@
 
 #include "breaking_peer.h"
 #include "platform/http_client.h"
+#include "silent_peer.h"
 
 /* Tests of platform/http_client.c against peers that the network cuts off: one
    that does not read, so that the bytes of a call are held back as by a
@@ -239,6 +240,85 @@
 }
 END_TEST
 
+static int outstanding;
+
+static void
+on_one_of_many (void *arg, const struct http_response *res)
+{
+  ck_assert_int_eq (res->outcome, HTTP_RESPONDED);
+  done = --outstanding == 0;
+}
+
+/* Makes COUNT calls at the same time, which leave as many idle
+   connections.  */
+static void
+open_idle (const struct silent_peer *peer, int count)
+{
+  snprintf (url, sizeof url, "http://%s/v1/log-read", peer->address);
+  const struct http_request req
+      = { .method = "GET", .url = url, .timeout_ms = 10 * PAUSE_MS };
+  done = false;
+  outstanding = count;
+  for (int n = 0; n < count; n++)
+    ck_assert_int_eq (http_call (&cli, &req, on_one_of_many, NULL), 0);
+  run_loop (20 * PAUSE_MS);
+  ck_assert (done);
+}
+
+static enum http_outcome
+call_peer (const struct silent_peer *peer, int64_t timeout_ms)
+{
+  snprintf (url, sizeof url, "http://%s/v1/log-read", peer->address);
+  const struct http_request req
+      = { .method = "GET", .url = url, .timeout_ms = timeout_ms };
+  done = false;
+  ck_assert_int_eq (http_call (&cli, &req, on_response, NULL), 0);
+  run_loop (20 * PAUSE_MS);
+  ck_assert (done);
+  return outcome;
+}
+
+static const struct silenced
+{
+  int idle;            /* connections, when they are silenced */
+  int times;           /* that they are silenced, and opened again */
+  const char *partial; /* what they still send */
+} silenced[] = {
+  { 1, 1, NULL },
+  { 4, 1, NULL },
+  { 8, 1, NULL },
+  { 4, 2, NULL },
+  { 4, 1, "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\nx" },
+};
+
+/* Guards against a view that grows old (CONFIG): a cut silences the idle
+   connections for good, and one call after the other waited for its time-out
+   on the next of them.  After one unanswered call, all further calls to that
+   address are answered, and connections to other addresses stay.  */
+START_TEST (test_silenced_connections_are_not_reused)
+{
+  const struct silenced *it = &silenced[_i];
+  struct silent_peer peer, other;
+  silent_peer_start (&peer);
+  silent_peer_start (&other);
+  peer.partial = it->partial;
+  open_idle (&other, 1);
+  for (int n = 0; n < it->times; n++)
+    {
+      open_idle (&peer, it->idle);
+      silent_peer_silence (&peer);
+      ck_assert_int_eq (call_peer (&peer, CALL_TIMEOUT_MS), HTTP_NO_RESPONSE);
+      for (int m = 0; m < it->idle; m++)
+        ck_assert_int_eq (call_peer (&peer, 10 * PAUSE_MS), HTTP_RESPONDED);
+    }
+  ck_assert_int_eq (call_peer (&other, 10 * PAUSE_MS), HTTP_RESPONDED);
+  ck_assert_int_eq (atomic_load (&other.connections), 1);
+  ck_assert_int_eq (atomic_load (&peer.unanswered), it->times);
+  silent_peer_stop (&peer);
+  silent_peer_stop (&other);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -252,6 +332,8 @@
                        sizeof broken_calls / sizeof *broken_calls);
   tcase_add_loop_test (tc, test_late_call_is_not_sent, 0,
                        sizeof late_calls / sizeof *late_calls);
+  tcase_add_loop_test (tc, test_silenced_connections_are_not_reused, 0,
+                       sizeof silenced / sizeof *silenced);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
