sched: a run adopted at a takeover is available once no earlier stop can end it

The worker lists a run until its stop has taken effect, so the successor adopted the run as working and stopped another task of the same step, of which one may be missing.

A run now counts as available only if the worker listed it in answer to a hold that was sent a second or more after its start or adoption. The worker refuses commands of earlier owners from its first answer to a hold on, and a stop takes less than a second.

--- a/sched/pool.c
+++ b/sched/pool.c
@@ -138,11 +138,15 @@
 /* A worker whose last answer to a hold is older may be down: it answers each
    hold within one second.  */
 #define HOLD_ANSWER_AGE_MAX_US 2000000
+/* A worker lists a run for up to this time after it has accepted a stop.  */
+#define STOP_TIME_MAX_US 1000000
 
 bool
 run_is_available (const struct run *run, int64_t now_us)
 {
-  return run->state == RUN_ACTIVE && run->percent == 100
+  /* An earlier owner may have stopped a run just before it was adopted.  */
+  bool stop_over = run->listed_us >= run->created_us + STOP_TIME_MAX_US;
+  return run->state == RUN_ACTIVE && run->percent == 100 && stop_over
          && now_us - run->wrk->hold_answered_us < HOLD_ANSWER_AGE_MAX_US;
 }
 
--- a/test/unit/unit_placer_takeover.c
+++ b/test/unit/unit_placer_takeover.c
@@ -561,6 +561,40 @@
 }
 END_TEST
 
+#define SERVING_JOB                                                           \
+  "{\"steps\":[{\"count\":2,\"cpu\":1000,\"mem-mb\":64,\"perpetual\":true,"   \
+  "\"may-miss\":1}]}"
+
+/* Guards against a move beside a stop of an earlier owner: the worker lists a
+   run until its stop has taken effect, so a run that is listed when it is
+   adopted may be ending.  */
+START_TEST (test_no_move_beside_earlier_stop)
+{
+  const struct world_row on_w1 = { .job = 1, .index = 0, .run = 1 };
+  const struct world_row on_w2 = { .job = 1, .index = 1, .run = 1 };
+  const struct world_row end = {
+    .job = 1, .index = 0, .run = 1, .end = RUN_END_STOPPED, .number = 1
+  };
+  bool stopped = _i == 1;
+  world_add_worker (wld, "w3", wld->clk.now_us / 1000);
+  world_enrol_worker (wld, "w3");
+  world_add_job (wld, 1, SERVING_JOB, 50);
+  list_runs (&on_w1, &on_w2);
+  placer_vacate (wld->plc, "m-w2", wld->clk.now_us + 60000000);
+  world_tick (wld, 10);
+  ck_assert_ptr_null (world_call (wld, WORLD_STOP, "w2"));
+  for (int n = 0; n < 3; n++)
+    {
+      world_tick (wld, 900);
+      world_answer_hold (wld, "w1", &on_w1, !stopped, &end, stopped);
+      world_answer_hold (wld, "w2", &on_w2, 1, NULL, 0);
+      world_confirm_ownership (wld);
+      world_tick (wld, 1);
+    }
+  ck_assert ((world_call (wld, WORLD_STOP, "w2") != NULL) == !stopped);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -584,6 +618,7 @@
   tcase_add_loop_test (tc, test_no_start_from_old_confirmation, 0, 3);
   tcase_add_test (tc, test_known_run_lost_before_takeover);
   tcase_add_loop_test (tc, test_unsent_commands, 0, 5);
+  tcase_add_loop_test (tc, test_no_move_beside_earlier_stop, 0, 2);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
