store/follower: short time-outs for records that are urgent

A configuration has to be in force 2 s after it was stored. A reader that was waiting for records on a connection that a cut had silenced noticed it after 1,000 ms of waiting and 1,000 ms more, and came back after a random delay: one silenced read used the whole bound, a second lost one twice that.

- The time-out of a read is the reader's (read_pace).
Readers of the configuration, the claims and, in a pool's owner, the jobs begin with 400 ms beyond the wait; it doubles up to 1,000 ms while successive reads get no response, and falls to four times the time of a response, so that a slow store is not asked for what would be given up.
Others keep 1,000 ms.
- A read without a response on a reused connection is repeated at once; further failures wait as before.
- After any failure the next read does not wait, so that one answer shows whether the view is current.

unit_topic: with a time-out of 1,000 ms all 5 cases of test_lost_reads_fit_in_bound fail, with waits after a failure 2 of 5. unit_node_wait: test_urgent_reads_are_short fails with a wait of 1,000 ms. unit_read_pace: the 147 readers with 3 MB each still catch up within 15 s when their time-outs begin at 400 ms. The fakes of topic_store in the tests take the new argument.

--- a/node/duties.c
+++ b/node/duties.c
@@ -106,7 +106,7 @@
   nod->confirm_offset = follower_next_offset (&nod->duty_fol);
   nod->confirm_in_progress
       = topic_read (&nod->store.st, TOPIC_DUTIES, 0, nod->confirm_offset,
-                    READ_PACE_PAGE_MIN_KB, 0, on_confirm_read, nod)
+                    READ_PACE_PAGE_MIN_KB, 0, 0, on_confirm_read, nod)
         == 0;
 }
 
@@ -660,6 +660,7 @@
       = { .topic = TOPIC_DUTIES,
           .wait_ms = DUTIES_READ_WAIT_MS,
           .retry_max_ms = URGENT_RETRY_MAX_MS,
+          .timeout_ms = URGENT_TIMEOUT_MS,
           .seed = XXH64 (name, strlen (name), 0),
           .lg = nod->lg };
   duty_set_limits (&nod->duties, &limits);
--- a/node/job_partitions.c
+++ b/node/job_partitions.c
@@ -306,6 +306,7 @@
       follower_set_wait (&prt->fol, owner ? OWNER_READ_WAIT_MS : READ_WAIT_MS);
       /* An owner starts nothing while it cannot read.  */
       follower_set_retry_max (&prt->fol, owner ? URGENT_RETRY_MAX_MS : 0);
+      follower_set_timeout (&prt->fol, owner ? URGENT_TIMEOUT_MS : 0);
     }
   return 0;
 }
--- a/store/follower.c
+++ b/store/follower.c
@@ -13,8 +13,6 @@
 /* Delay before the next read of a topic that does not exist yet, or when no
    call could be started.  */
 #define RETRY_MS 200
-/* Successive failed reads that count as an outage.  */
-#define OUTAGE_FAILURES 2
 
 struct priv
 {
@@ -33,10 +31,12 @@
   uint64_t delivered_end; /* the pages of newest records show none at or after
                              it */
   int64_t read_started_us;
+  int64_t read_wait_ms; /* of the call in progress */
   int64_t caught_up_us;
   bool in_call;
   bool finished; /* follower_fini ran; freed when the call in progress ends */
   bool in_order;
+  bool at_end;          /* no call has failed since the end was reached */
   bool restart_pending; /* the next call reads the newest records again */
   bool first_page;
   char *last_key; /* last key of the previous page; NULL: no page read yet */
@@ -64,6 +64,7 @@
 begin_newest_read (struct priv *p)
 {
   p->in_order = false;
+  p->at_end = false;
   p->first_page = true;
   TALLOC_FREE (p->last_key);
   p->last_key_len = 0;
@@ -101,7 +102,13 @@
 static void
 read_failed (struct priv *p, const struct topic_read_result *res)
 {
-  int64_t delay_ms = read_pace_failed (&p->pace);
+  bool responded = res->call.outcome == TOPIC_CALL_REJECTED
+                   || res->call.outcome == TOPIC_CALL_ANSWERED;
+  bool silenced
+      = res->call.outcome == TOPIC_CALL_NO_RESPONSE && res->call.reused;
+  int64_t delay_ms = responded ? read_pace_failed (&p->pace)
+                               : read_pace_unanswered (&p->pace, silenced);
+  p->at_end = false;
   if (p->pace.failures == 1)
     log_read (p, EV_READ_FAILED, res);
   schedule (p, delay_ms);
@@ -112,6 +119,11 @@
 {
   if (p->pace.failures > 0)
     log_read (p, EV_READ_RECOVERED, res);
+  /* A read that a record has ended early does not tell how long a response
+     takes.  */
+  int64_t took_ms = res->call.waited_us / 1000 - p->read_wait_ms;
+  if (took_ms >= 0)
+    read_pace_responded (&p->pace, took_ms);
   read_pace_succeeded (&p->pace, full);
 }
 
@@ -206,7 +218,8 @@
     p->next_offset = res->records[res->count - 1].offset + 1;
   bool behind = p->next_offset < res->end_offset;
   read_succeeded (p, res, behind);
-  if (p->next_offset >= res->end_offset)
+  p->at_end = p->next_offset >= res->end_offset;
+  if (p->at_end)
     p->caught_up_us = p->read_started_us;
   p->batch_fn (p->arg);
   /* Without a record although some are left, the page was too small.  */
@@ -224,21 +237,20 @@
   if (p->restart_pending)
     begin_newest_read (p);
   p->restart_pending = false;
+  /* Does not wait before the end of the partition is reached, and after a
+     failure, so that the store reports at once whether any records are left to
+     read.  */
+  p->read_wait_ms = p->in_order && p->at_end ? p->set.wait_ms : 0;
   p->read_started_us = clock_now_us (p->clk);
   if (p->in_order)
-    /* Does not wait before the end of the partition is first reached, and
-       after an outage, so that the store reports at once whether any records
-       are left to read.  */
-    err = topic_read (
-        p->st, p->set.topic, p->set.part, p->next_offset, p->pace.page_kb,
-        p->caught_up_us && p->pace.failures < OUTAGE_FAILURES ? p->set.wait_ms
-                                                              : 0,
-        on_read, p);
+    err = topic_read (p->st, p->set.topic, p->set.part, p->next_offset,
+                      p->pace.page_kb, p->read_wait_ms, p->pace.timeout_ms,
+                      on_read, p);
   else
     {
       const struct topic_key after = { p->last_key, p->last_key_len };
       err = topic_read_newest (p->st, p->set.topic, p->set.part,
-                               p->last_key ? &after : NULL, on_newest, p);
+                               p->last_key ? &after : NULL, 0, on_newest, p);
     }
   p->in_call = err == 0;
   if (err)
@@ -264,6 +276,7 @@
   p->batch_fn = batch_fn;
   p->arg = arg;
   read_pace_init (&p->pace, set->retry_max_ms, set->seed + set->part);
+  read_pace_set_timeout (&p->pace, set->timeout_ms);
   begin_newest_read (p);
   fol->priv = p;
   schedule (p, 0);
@@ -314,6 +327,12 @@
   read_pace_set_delay_max (&fol->priv->pace, retry_max_ms);
 }
 
+void
+follower_set_timeout (struct follower *fol, int64_t timeout_ms)
+{
+  read_pace_set_timeout (&fol->priv->pace, timeout_ms);
+}
+
 bool
 follower_caught_up (const struct follower *fol)
 {
--- a/store/follower.h
+++ b/store/follower.h
@@ -25,6 +25,9 @@
                       there are no records (long poll) */
   int64_t retry_max_ms; /* longest delay after a failed read; 0: the default of
                            read_pace */
+  int64_t timeout_ms;   /* time after which the response to a read that does
+                           not wait is taken to be lost, as long as the store
+                           responds; 0: the default of read_pace */
   uint64_t seed;        /* makes the delays differ between processes */
   struct logger *lg;    /* NULL: none */
 };
@@ -59,6 +62,9 @@
 /* As RETRY_MAX_MS in the settings.  */
 void follower_set_retry_max (struct follower *fol, int64_t retry_max_ms);
 
+/* As TIMEOUT_MS in the settings.  */
+void follower_set_timeout (struct follower *fol, int64_t timeout_ms);
+
 /* Whether FOL was initialised and not finished since.  All other functions but
    follower_init and follower_fini require it.  */
 static inline bool
--- a/store/topic_store.h
+++ b/store/topic_store.h
@@ -112,9 +112,10 @@
                  topic_append_fn *fn, void *arg);
   int (*read) (struct topic_store *st, const char *topic, uint32_t part,
                uint64_t from, uint32_t max_kb, int64_t wait_ms,
-               topic_read_fn *fn, void *arg);
+               int64_t timeout_ms, topic_read_fn *fn, void *arg);
   int (*newest) (struct topic_store *st, const char *topic, uint32_t part,
-                 const struct topic_key *after, topic_read_fn *fn, void *arg);
+                 const struct topic_key *after, int64_t timeout_ms,
+                 topic_read_fn *fn, void *arg);
 };
 
 struct topic_store
@@ -132,22 +133,26 @@
 }
 
 /* Reads records from the offset FROM on, about MAX_KB at most.  The store
-   waits up to WAIT_MS for the first one.  */
+   waits up to WAIT_MS for the first one.  A response that has not come
+   TIMEOUT_MS after that is taken to be lost; 0: a time for reads that are not
+   urgent.  */
 static inline int
 topic_read (struct topic_store *st, const char *topic, uint32_t part,
-            uint64_t from, uint32_t max_kb, int64_t wait_ms, topic_read_fn *fn,
-            void *arg)
+            uint64_t from, uint32_t max_kb, int64_t wait_ms,
+            int64_t timeout_ms, topic_read_fn *fn, void *arg)
 {
-  return st->drv->read (st, topic, part, from, max_kb, wait_ms, fn, arg);
+  return st->drv->read (st, topic, part, from, max_kb, wait_ms, timeout_ms, fn,
+                        arg);
 }
 
 /* Reads a page of the newest record of each key.  AFTER is the last key of the
    previous page, or NULL for the first page.  The pages are not a consistent
    snapshot: the records from the end offset of the first page on have to be
-   read with topic_read as well.  */
+   read with topic_read as well.  TIMEOUT_MS as for topic_read.  */
 static inline int
 topic_read_newest (struct topic_store *st, const char *topic, uint32_t part,
-                   const struct topic_key *after, topic_read_fn *fn, void *arg)
+                   const struct topic_key *after, int64_t timeout_ms,
+                   topic_read_fn *fn, void *arg)
 {
-  return st->drv->newest (st, topic, part, after, fn, arg);
+  return st->drv->newest (st, topic, part, after, timeout_ms, fn, arg);
 }
--- a/test/unit/topic_memory.c
+++ b/test/unit/topic_memory.c
@@ -293,11 +293,12 @@
 static int
 memory_read (struct topic_store *st, const char *topic, uint32_t part,
              uint64_t from, uint32_t max_kb, int64_t wait_ms,
-             topic_read_fn *fn, void *arg)
+             int64_t timeout_ms, topic_read_fn *fn, void *arg)
 {
   struct memory_call *call = make_call (topic, part, 'r');
   call->prt->read_calls++;
   call->prt->read_wait_ms = wait_ms;
+  call->prt->read_timeout_ms = timeout_ms;
   call->prt->waiting_reads += wait_ms > 0;
   call->from = from;
   call->waits = wait_ms > 0;
@@ -308,7 +309,8 @@
 
 static int
 memory_newest (struct topic_store *st, const char *topic, uint32_t part,
-               const struct topic_key *after, topic_read_fn *fn, void *arg)
+               const struct topic_key *after, int64_t timeout_ms,
+               topic_read_fn *fn, void *arg)
 {
   struct memory_call *call = make_call (topic, part, 'n');
   /* The keys of these tests are texts.  */
--- a/test/unit/topic_memory.h
+++ b/test/unit/topic_memory.h
@@ -47,7 +47,8 @@
   bool reject_reads;    /* reads in order are rejected */
   size_t read_calls;    /* such reads so far */
   int64_t read_wait_ms; /* of the last one */
-  size_t waiting_reads; /* of these, those that wait for records */
+  int64_t read_timeout_ms;
+  size_t waiting_reads;     /* of these, those that wait for records */
   struct memory_call *held; /* oldest first */
 };
 
--- a/test/unit/unit_directory.c
+++ b/test/unit/unit_directory.c
@@ -24,7 +24,8 @@
 
 static int
 fake_newest (struct topic_store *st, const char *topic, uint32_t part,
-             const struct topic_key *after, topic_read_fn *fn, void *arg)
+             const struct topic_key *after, int64_t timeout_ms,
+             topic_read_fn *fn, void *arg)
 {
   if (strcmp (topic, "keyed.servers") == 0)
     {
@@ -36,8 +37,8 @@
 
 static int
 fake_read (struct topic_store *st, const char *topic, uint32_t part,
-           uint64_t from, uint32_t max_kb, int64_t wait_ms, topic_read_fn *fn,
-           void *arg)
+           uint64_t from, uint32_t max_kb, int64_t wait_ms, int64_t timeout_ms,
+           topic_read_fn *fn, void *arg)
 {
   read_fn = fn;
   read_arg = arg;
--- a/test/unit/unit_node_wait.c
+++ b/test/unit/unit_node_wait.c
@@ -115,6 +115,29 @@
 }
 END_TEST
 
+/* Guards against records that take effect later than 2 s after they were
+   stored, when a cut has silenced the connection of the read under way: what
+   the read waits for is at most half of that.  */
+START_TEST (test_urgent_reads_are_short)
+{
+  node_world_init (&wld, false);
+  own_pool ();
+  node_open_job_partitions (wld.nod);
+  node_world_run (&wld, 1200);
+  const struct memory_part *const urgent[]
+      = { topic_memory_part (&wld.mem, WIRE_TOPIC_OPERATOR, 0), wld.jobs,
+          wld.duties };
+  for (size_t n = 0; n < sizeof urgent / sizeof *urgent; n++)
+    {
+      ck_assert_int_gt (urgent[n]->read_wait_ms, 0);
+      ck_assert_int_gt (urgent[n]->read_timeout_ms, 0);
+      ck_assert_int_le (urgent[n]->read_wait_ms + urgent[n]->read_timeout_ms,
+                        1000);
+    }
+  node_world_fini (&wld);
+}
+END_TEST
+
 /* Guards against a stream of reads, which the store limits and charges for,
    while it rejects them: the end of a worker has to be confirmed.  */
 START_TEST (test_rejected_confirmations)
@@ -172,6 +195,7 @@
   tcase_add_test (tc, test_start_from_old_view);
   tcase_add_loop_test (tc, test_duty_begun_in_partial_outage, 0, 2);
   tcase_add_test (tc, test_owner_reads_are_short);
+  tcase_add_test (tc, test_urgent_reads_are_short);
   tcase_add_test (tc, test_rejected_confirmations);
   tcase_add_loop_test (tc, test_reads_in_outage, 0, 2);
   Suite *suite = suite_create ("node_wait");
--- a/test/unit/unit_read_pace.c
+++ b/test/unit/unit_read_pace.c
@@ -10,6 +10,7 @@
 #define READERS 147
 #define STEP_MS 5
 #define TIMEOUT_MS 1000
+#define URGENT_TIMEOUT_MS 400
 #define BANDWIDTH_KB_MS 80
 /* A reader takes one page at a time, so that it is limited by its own link as
    well.  */
@@ -31,6 +32,8 @@
 /* Whether decisions are made; otherwise readers repeat full pages after a
    fixed delay.  */
 static bool paced;
+/* Whether time-outs begin as those of urgent records.  */
+static bool urgent;
 
 static void
 begin_page (struct reader *rdr, int64_t now_ms)
@@ -49,13 +52,16 @@
     {
       rdr->left_kb -= rdr->page_kb;
       rdr->page_kb = 0;
+      read_pace_responded (&rdr->pace, now_ms - rdr->sent_ms);
       read_pace_succeeded (&rdr->pace, rdr->left_kb > 0);
       rdr->next_ms = now_ms;
     }
-  else if (now_ms - rdr->sent_ms > TIMEOUT_MS)
+  else if (now_ms - rdr->sent_ms
+           > (urgent ? rdr->pace.timeout_ms : TIMEOUT_MS))
     {
       rdr->page_kb = 0;
-      int64_t delay_ms = read_pace_failed (&rdr->pace);
+      int64_t delay_ms = urgent ? read_pace_unanswered (&rdr->pace, false)
+                                : read_pace_failed (&rdr->pace);
       rdr->next_ms = now_ms + (paced ? delay_ms : 200);
     }
 }
@@ -68,6 +74,7 @@
     {
       readers[n] = (struct reader){ .left_kb = BACKLOG_KB };
       read_pace_init (&readers[n].pace, 0, n);
+      read_pace_set_timeout (&readers[n].pace, urgent ? URGENT_TIMEOUT_MS : 0);
     }
   for (int64_t now_ms = 0; now_ms < limit_ms; now_ms += STEP_MS)
     {
@@ -103,6 +110,76 @@
 }
 END_TEST
 
+/* The same for readers whose time-outs begin short.  */
+START_TEST (test_catches_up_with_short_timeouts)
+{
+  paced = urgent = true;
+  ck_assert_int_lt (time_to_catch_up (60000), 15000);
+  urgent = false;
+}
+END_TEST
+
+#define UNANSWERED (-1)
+
+static const struct
+{
+  int64_t min_ms;
+  int64_t took_ms[6]; /* of the responses, or UNANSWERED; until 0 */
+  int64_t timeout_ms; /* afterwards */
+} timeouts[] = {
+  { 0, { 0 }, 1000 },
+  { 0, { UNANSWERED, UNANSWERED, UNANSWERED }, 1000 },
+  { 0, { 1 }, 1000 },
+  { 400, { 0 }, 400 },
+  { 400, { UNANSWERED }, 400 },
+  { 400, { UNANSWERED, UNANSWERED }, 800 },
+  { 400, { UNANSWERED, UNANSWERED, UNANSWERED, UNANSWERED }, 1000 },
+  { 400, { UNANSWERED, 1, UNANSWERED }, 400 },
+  { 400, { UNANSWERED, UNANSWERED, 10 }, 400 },
+  { 400, { UNANSWERED, UNANSWERED, UNANSWERED, 150 }, 600 },
+  { 400, { UNANSWERED, UNANSWERED, UNANSWERED, 300 }, 1000 },
+  { 400, { 390 }, 400 },
+};
+
+/* Guards against a reader of urgent records that asks a slow store again and
+   again for what it gives up too early, and against one that keeps long
+   time-outs when the store is fast again.  */
+START_TEST (test_timeouts)
+{
+  struct read_pace pace;
+  read_pace_init (&pace, 0, 1);
+  read_pace_set_timeout (&pace, timeouts[_i].min_ms);
+  for (size_t n = 0; n < 6 && timeouts[_i].took_ms[n]; n++)
+    if (timeouts[_i].took_ms[n] == UNANSWERED)
+      read_pace_unanswered (&pace, false);
+    else
+      {
+        read_pace_responded (&pace, timeouts[_i].took_ms[n]);
+        read_pace_succeeded (&pace, false);
+      }
+  ck_assert_int_eq (pace.timeout_ms, timeouts[_i].timeout_ms);
+}
+END_TEST
+
+/* Guards against a configuration that is read too late after a cut: a read on
+   a connection that was silenced is repeated at once, the next ones after the
+   same delays as others.  */
+START_TEST (test_silenced_read_is_repeated_at_once)
+{
+  for (uint64_t seed = 0; seed < 200; seed++)
+    {
+      struct read_pace pace, other;
+      read_pace_init (&pace, 400, seed * 7919);
+      read_pace_init (&other, 400, seed * 7919);
+      ck_assert_int_le (read_pace_unanswered (&pace, true), 20);
+      read_pace_failed (&other);
+      for (int n = 0; n < 5; n++)
+        ck_assert_int_eq (read_pace_unanswered (&pace, true),
+                          read_pace_failed (&other));
+    }
+}
+END_TEST
+
 static const struct
 {
   int64_t delay_max_ms;
@@ -161,6 +238,10 @@
   tcase_add_test (tc, test_catches_up);
   tcase_add_loop_test (tc, test_delays, 0, sizeof delays / sizeof *delays);
   tcase_add_test (tc, test_page_size);
+  tcase_add_test (tc, test_catches_up_with_short_timeouts);
+  tcase_add_loop_test (tc, test_timeouts, 0,
+                       sizeof timeouts / sizeof *timeouts);
+  tcase_add_test (tc, test_silenced_read_is_repeated_at_once);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
--- a/test/unit/unit_topic.c
+++ b/test/unit/unit_topic.c
@@ -27,6 +27,7 @@
   size_t count;
   uint64_t from;
   int64_t wait_ms;
+  int64_t timeout_ms;
   char first_key[32];
   topic_append_fn *append_fn;
   topic_read_fn *read_fn;
@@ -72,21 +73,27 @@
 
 static int
 fake_read (struct topic_store *st, const char *topic, uint32_t part,
-           uint64_t from, uint32_t max_kb, int64_t wait_ms, topic_read_fn *fn,
-           void *arg)
+           uint64_t from, uint32_t max_kb, int64_t wait_ms, int64_t timeout_ms,
+           topic_read_fn *fn, void *arg)
 {
-  calls[call_count++] = (struct call){
-    .kind = 'r', .from = from, .wait_ms = wait_ms, .read_fn = fn, .arg = arg
-  };
+  calls[call_count++] = (struct call){ .kind = 'r',
+                                       .from = from,
+                                       .wait_ms = wait_ms,
+                                       .timeout_ms = timeout_ms,
+                                       .read_fn = fn,
+                                       .arg = arg };
   return 0;
 }
 
 static int
 fake_newest (struct topic_store *st, const char *topic, uint32_t part,
-             const struct topic_key *after, topic_read_fn *fn, void *arg)
+             const struct topic_key *after, int64_t timeout_ms,
+             topic_read_fn *fn, void *arg)
 {
   struct call *call = &calls[call_count++];
-  *call = (struct call){ .kind = 'n', .read_fn = fn, .arg = arg };
+  *call = (struct call){
+    .kind = 'n', .timeout_ms = timeout_ms, .read_fn = fn, .arg = arg
+  };
   if (after)
     memcpy (call->first_key, after->bytes, after->len);
   return 0;
@@ -660,6 +667,62 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *results; /* of successive reads in order: s on a silenced
+                          connection, l lost on a new one, r rejected, o
+                          without records */
+  int64_t bound_ms;    /* of the time between two that succeed */
+} silences[] = {
+  { "so", 1000 },   { "soso", 1000 },    { "oslo", 2000 },
+  { "oloo", 1200 }, { "osroslo", 2000 },
+};
+
+/* Guards against a configuration that is in force too late (CONFIG): the time
+   between two successful reads in which others are lost has to stay below the
+   2 s of its bound.  The time is that which the reader lets the calls wait;
+   delays count with their upper bounds.  */
+START_TEST (test_lost_reads_fit_in_bound)
+{
+  struct follower fol;
+  const struct follower_settings set = {
+    .topic = "t", .wait_ms = 500, .timeout_ms = 400, .retry_max_ms = 400
+  };
+  size_t count = 3;
+  int64_t waited_ms = 0;
+  int failures = 0;
+  ck_assert_int_eq (follower_init (&fol, ev, &store, ev, &clock_system, &set,
+                                   on_record, on_batch, NULL),
+                    0);
+  complete_read (await_call (1), 0, 0, false, "", 0);
+  complete_read (await_call (2), 0, 0, false, "", 0);
+  for (const char *it = silences[_i].results; *it; it++)
+    {
+      struct call *call = await_call (count++);
+      if (*it == 'o')
+        {
+          ck_assert_int_le (waited_ms, silences[_i].bound_ms);
+          waited_ms = failures = 0;
+          complete_read (call, 0, 0, false, "", 0);
+          continue;
+        }
+      const struct topic_read_result res
+          = { .err = ERR_UNAVAILABLE,
+              .call = { .outcome = *it == 'r' ? TOPIC_CALL_REJECTED
+                                              : TOPIC_CALL_NO_RESPONSE,
+                        .reused = *it == 's' } };
+      if (*it != 'r')
+        waited_ms += call->wait_ms + call->timeout_ms;
+      failures++;
+      waited_ms += failures > 1 ? 400 : *it == 's' ? 20 : 200;
+      call->read_fn (call->arg, &res);
+    }
+  struct call *last = await_call (count);
+  follower_fini (&fol);
+  complete_read (last, 0, 0, false, "", 0);
+}
+END_TEST
+
 /* Guards against a process that does nothing for as long as its time of day
    was set back, because its timers were due at a time of day: the retries of
    an append and of a read take place in time.  */
@@ -757,6 +820,8 @@
   tcase_add_test (tc, test_finished_in_call);
   tcase_add_loop_test (tc, test_failed_reads_are_logged, 0, 6);
   tcase_add_test (tc, test_follow);
+  tcase_add_loop_test (tc, test_lost_reads_fit_in_bound, 0,
+                       sizeof silences / sizeof *silences);
   tcase_add_test (tc, test_time_of_day_set);
   tcase_add_test (tc, test_next_offset_during_newest_read);
   tcase_add_test (tc, test_deletion_between_pages);
--- a/test/unit/unit_wire_store.c
+++ b/test/unit/unit_wire_store.c
@@ -66,7 +66,7 @@
   srv.body_len = len;
   done = 0;
   ck_assert_int_eq (
-      topic_read_newest (&store.st, "t", 0, NULL, on_records, NULL), 0);
+      topic_read_newest (&store.st, "t", 0, NULL, 0, on_records, NULL), 0);
   wire_server_await (&srv, &done);
 }
 
@@ -204,7 +204,7 @@
       srv.body_len = cases[n].len;
       done = 0;
       ck_assert_int_eq (
-          topic_read (&store.st, "t", 0, 4, 1024, 0, on_records, NULL), 0);
+          topic_read (&store.st, "t", 0, 4, 1024, 0, 0, on_records, NULL), 0);
       wire_server_await (&srv, &done);
       ck_assert_msg (err == cases[n].err, "case %zu: error %d", n, err);
       ck_assert_msg (strcmp (good, cases[n].good) == 0, "case %zu: %s", n,
