store/follower: a reader of the configuration skips versions between

After a cut the reader fetched each version of the configuration in order. Each failed read had halved its page, down to 16 KB, which holds one version of some 24 KB: eleven versions took eleven reads, each of which could be lost in turn.

With newest_only a reader goes to the newest record of each key when a page leaves records unread, and at once after two failures in a row. It is set for the operators' records: versions are complete, and of a wave only the newest record counts. Then at most three reads reach the end however many versions were stored.

--- a/node/directory.c
+++ b/node/directory.c
@@ -251,6 +251,7 @@
       = { .topic = WIRE_TOPIC_OPERATOR,
           .wait_ms = OPERATOR_READ_WAIT_MS,
           .timeout_ms = URGENT_TIMEOUT_MS,
+          .newest_only = true,
           .retry_max_ms = URGENT_RETRY_MAX_MS,
           .seed = XXH64 (name, strlen (name), 0),
           .lg = nod->lg };
--- a/store/follower.c
+++ b/store/follower.c
@@ -13,6 +13,10 @@
 /* Delay before the next read of a topic that does not exist yet, or when no
    call could be started.  */
 #define RETRY_MS 200
+/* Successive failed reads that count as an outage.  */
+#define OUTAGE_FAILURES 2
+/* A page of the newest records is larger than most pages read in order.  */
+#define NEWEST_TIMEOUT_FACTOR 3
 
 struct priv
 {
@@ -221,6 +225,8 @@
   p->at_end = p->next_offset >= res->end_offset;
   if (p->at_end)
     p->caught_up_us = p->read_started_us;
+  else if (p->set.newest_only)
+    begin_newest_read (p);
   p->batch_fn (p->arg);
   /* Without a record although some are left, the page was too small.  */
   bool page_too_small = behind && res->count == 0;
@@ -234,7 +240,9 @@
 start_call (struct priv *p)
 {
   int err;
-  if (p->restart_pending)
+  if (p->restart_pending
+      || (p->set.newest_only && p->in_order
+          && p->pace.failures >= OUTAGE_FAILURES))
     begin_newest_read (p);
   p->restart_pending = false;
   /* Does not wait before the end of the partition is reached, and after a
@@ -249,8 +257,10 @@
   else
     {
       const struct topic_key after = { p->last_key, p->last_key_len };
-      err = topic_read_newest (p->st, p->set.topic, p->set.part,
-                               p->last_key ? &after : NULL, 0, on_newest, p);
+      err = topic_read_newest (
+          p->st, p->set.topic, p->set.part, p->last_key ? &after : NULL,
+          p->set.newest_only ? NEWEST_TIMEOUT_FACTOR * p->pace.timeout_ms : 0,
+          on_newest, p);
     }
   p->in_call = err == 0;
   if (err)
--- a/store/follower.h
+++ b/store/follower.h
@@ -28,6 +28,8 @@
   int64_t timeout_ms;   /* time after which the response to a read that does
                            not wait is taken to be lost, as long as the store
                            responds; 0: the default of read_pace */
+  bool newest_only;     /* earlier records of a key are not needed: a reader
+                           that has fallen behind skips them */
   uint64_t seed;        /* makes the delays differ between processes */
   struct logger *lg;    /* NULL: none */
 };
--- a/test/unit/unit_topic.c
+++ b/test/unit/unit_topic.c
@@ -667,6 +667,83 @@
 }
 END_TEST
 
+static const struct
+{
+  bool newest_only;
+  int failures; /* of successive reads in order */
+  bool full;    /* the read in order leaves records unread */
+  char next;    /* kind of the next call */
+} behinds[] = {
+  { false, 0, true, 'r' }, { true, 0, true, 'n' }, { true, 0, false, 'r' },
+  { false, 3, true, 'r' }, { true, 1, true, 'n' }, { true, 1, false, 'r' },
+};
+
+/* Guards against a configuration that is in force too late after a cut
+   (CONFIG), as each version that was stored meanwhile was read, one a call,
+   since every failure had halved the page.  */
+START_TEST (test_versions_between_are_skipped)
+{
+  struct follower fol;
+  const struct follower_settings set = {
+    .topic = "t", .wait_ms = 1000, .newest_only = behinds[_i].newest_only
+  };
+  size_t count = 3;
+  ck_assert_int_eq (follower_init (&fol, ev, &store, ev, &clock_system, &set,
+                                   on_record, on_batch, NULL),
+                    0);
+  complete_read (await_call (1), 0, 1, false, "a", 0);
+  complete_read (await_call (2), 0, 1, false, "", 0);
+  for (int n = 0; n < behinds[_i].failures; n++)
+    complete_read (await_call (count++), ERR_UNAVAILABLE, 0, false, "", 0);
+  complete_read (await_call (count++), 0, behinds[_i].full ? 12 : 2, false,
+                 "b", 1);
+  struct call *call = await_call (count);
+  ck_assert_int_eq (call->kind, behinds[_i].next);
+  if (call->kind == 'n')
+    {
+      complete_read (call, 0, 12, false, "z", 11);
+      call = await_call (++count);
+      ck_assert_int_eq (call->kind, 'r');
+      ck_assert_uint_eq (call->from, 12);
+      ck_assert_int_eq (call->wait_ms, 0);
+      ck_assert_str_eq (delivered, "abz");
+      complete_read (call, 0, 12, false, "", 0);
+      ck_assert (follower_caught_up (&fol));
+      call = await_call (++count);
+      ck_assert_int_eq (call->wait_ms, 1000);
+    }
+  follower_fini (&fol);
+  complete_read (call, 0, 12, false, "", 0);
+}
+END_TEST
+
+/* The same after an outage, in which more versions are to be expected than one
+   page holds.  */
+START_TEST (test_newest_after_outage)
+{
+  struct follower fol;
+  const struct follower_settings set
+      = { .topic = "t", .wait_ms = 1000, .newest_only = true };
+  ck_assert_int_eq (follower_init (&fol, ev, &store, ev, &clock_system, &set,
+                                   on_record, on_batch, NULL),
+                    0);
+  complete_read (await_call (1), 0, 1, false, "a", 0);
+  complete_read (await_call (2), 0, 1, false, "", 0);
+  complete_read (await_call (3), ERR_UNAVAILABLE, 0, false, "", 0);
+  ck_assert_int_eq (await_call (4)->kind, 'r');
+  complete_read (await_call (4), ERR_UNAVAILABLE, 0, false, "", 0);
+  ck_assert_int_eq (await_call (5)->kind, 'n');
+  complete_read (await_call (5), ERR_UNAVAILABLE, 0, false, "", 0);
+  ck_assert_int_eq (await_call (6)->kind, 'n');
+  complete_read (await_call (6), 0, 12, false, "z", 11);
+  ck_assert_uint_eq (await_call (7)->from, 12);
+  ck_assert_int_eq (await_call (7)->wait_ms, 0);
+  ck_assert_str_eq (delivered, "az");
+  follower_fini (&fol);
+  complete_read (&calls[6], 0, 12, false, "", 0);
+}
+END_TEST
+
 static const struct
 {
   const char *results; /* of successive reads in order: s on a silenced
@@ -820,6 +897,9 @@
   tcase_add_test (tc, test_finished_in_call);
   tcase_add_loop_test (tc, test_failed_reads_are_logged, 0, 6);
   tcase_add_test (tc, test_follow);
+  tcase_add_loop_test (tc, test_versions_between_are_skipped, 0,
+                       sizeof behinds / sizeof *behinds);
+  tcase_add_test (tc, test_newest_after_outage);
   tcase_add_loop_test (tc, test_lost_reads_fit_in_bound, 0,
                        sizeof silences / sizeof *silences);
   tcase_add_test (tc, test_time_of_day_set);
