--- a/test/unit/unit_wire_store.c
+++ b/test/unit/unit_wire_store.c
@@ -6,6 +6,7 @@
 #include "base/counter.h"
 #include "base/err.h"
 #include "platform/wire_store.h"
+#include "silent_peer.h"
 #include "store/follower.h"
 #include "wire_server.h"
 
@@ -335,6 +336,86 @@
 }
 END_TEST
 
+#define READ_TIMEOUT_MS 200
+
+static struct topic_call last_call;
+
+static void
+on_call (void *arg, const struct topic_read_result *res)
+{
+  last_call = res->call;
+  err = res->err;
+  done = 1;
+}
+
+static void
+read_from (struct topic_store *st)
+{
+  done = 0;
+  ck_assert_int_eq (
+      topic_read (st, "t", 0, 4, 1024, 0, READ_TIMEOUT_MS, on_call, NULL), 0);
+  wire_server_await (&srv, &done);
+}
+
+static const struct
+{
+  bool reuse;
+  bool silence;
+  const char *partial; /* what a silenced connection still sends */
+  bool stop;           /* the peer, before the call */
+  enum topic_call_outcome outcome;
+} call_outcomes[] = {
+  { false, false, NULL, false, TOPIC_CALL_ANSWERED },
+  { true, false, NULL, false, TOPIC_CALL_ANSWERED },
+  { true, true, NULL, false, TOPIC_CALL_NO_RESPONSE },
+  { true, true, "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\nx", false,
+    TOPIC_CALL_PARTLY_RECEIVED },
+  { false, false, NULL, true, TOPIC_CALL_NOT_CONNECTED },
+};
+
+/* Guards against an incident whose log does not tell what a call to the store
+   waited for, and against a reader that takes a silenced connection for
+   something else.  */
+START_TEST (test_call_outcomes)
+{
+  struct silent_peer peer;
+  struct wire_store other;
+  silent_peer_start (&peer);
+  peer.partial = call_outcomes[_i].partial;
+  ck_assert_int_eq (wire_store_init (&other, srv.ev, &srv.cli, peer.address,
+                                     &clock_system, &ctr),
+                    0);
+  if (call_outcomes[_i].reuse)
+    read_from (&other.st);
+  if (call_outcomes[_i].silence)
+    silent_peer_silence (&peer);
+  if (call_outcomes[_i].stop)
+    silent_peer_stop (&peer);
+  read_from (&other.st);
+  ck_assert_int_eq (last_call.outcome, call_outcomes[_i].outcome);
+  ck_assert_int_eq (err != 0,
+                    call_outcomes[_i].outcome != TOPIC_CALL_ANSWERED);
+  ck_assert_int_eq (last_call.reused, call_outcomes[_i].reuse);
+  ck_assert_int_eq (last_call.connect_us > 0,
+                    !call_outcomes[_i].reuse && !call_outcomes[_i].stop);
+  if (call_outcomes[_i].silence)
+    ck_assert_int_ge (last_call.waited_us, READ_TIMEOUT_MS * 1000);
+  if (!call_outcomes[_i].stop)
+    silent_peer_stop (&peer);
+}
+END_TEST
+
+/* The same for a response that rejects the call.  */
+START_TEST (test_rejected_call_outcome)
+{
+  srv.status = 503;
+  srv.body = (const uint8_t *)"";
+  read_from (&store.st);
+  ck_assert_int_eq (last_call.outcome, TOPIC_CALL_REJECTED);
+  ck_assert_int_eq (err, ERR_UNAVAILABLE);
+}
+END_TEST
+
 static enum topic_append_status append_status;
 static uint64_t append_expected;
 
@@ -416,6 +497,9 @@
   tcase_set_timeout (tc, 60);
   tcase_add_loop_test (tc, test_append_status, 0,
                        sizeof append_answers / sizeof *append_answers);
+  tcase_add_loop_test (tc, test_call_outcomes, 0,
+                       sizeof call_outcomes / sizeof *call_outcomes);
+  tcase_add_test (tc, test_rejected_call_outcome);
   tcase_add_test (tc, test_odd_item);
   tcase_add_test (tc, test_deeply_nested_item);
   tcase_add_test (tc, test_unreadable_page);
