node: answer all open requests before a stop ends the process

Cause: a stopping process ended 4.1 s after SIGTERM whatever was open, though the platform leaves it 6 s and the load balancer may go on sending it requests.

A stopping process now stores jobs and cancellations for 2.6 s, as before, rejects them after that, and ends when nothing is open. What still waits for the store after 5.4 s is answered with 504, so that no connection is suspended when the process ends, 5.7 s after the signal at the latest.

The three tests of unit_node_stop failed on the old logic (moved to node/stop.c, else unchanged).

--- a/node/node.c
+++ b/node/node.c
@@ -10,14 +10,8 @@
 #include "base/err.h"
 #include "node/node_priv.h"
 
-/* Start, shutdown and readiness of the scheduler process.  */
+/* Start and readiness of the scheduler process.  */
 
-/* The load balancer sends new connections until two readiness checks, a second
-   apart, have failed; they are accepted for this time after a stop signal.  */
-#define STOP_LISTEN_MS 2600
-/* Further time for the responses to the last requests.  */
-#define STOP_RESPONSES_MS 1500
-#define STOP_POLL_MS 50
 /* Clients can query the state of an ended job for 120 s; the rest allows for
    the time until all processes have read its end.  */
 #define ENDED_JOB_RETENTION_US 125000000
@@ -49,32 +43,11 @@
   return counters_format (&nod->ctr, parent);
 }
 
-static void
-on_stop_timer (void *arg)
-{
-  struct node *nod = arg;
-  nod->stop_elapsed_ms += STOP_POLL_MS;
-  if (nod->stop_elapsed_ms >= STOP_LISTEN_MS
-      && (wire_front_open_requests (nod->frt) == 0
-          || nod->stop_elapsed_ms >= STOP_LISTEN_MS + STOP_RESPONSES_MS))
-    nod->stopped = true;
-  else
-    timer_add (nod->ev, nod, STOP_POLL_MS * 1000, on_stop_timer, nod);
-}
-
 static void
 on_stop_signal (struct tevent_context *ev, struct tevent_signal *se,
                 int signum, int count, void *info, void *arg)
 {
-  struct node *nod = arg;
-  if (nod->stopping)
-    return;
-  nod->stopping = true;
-  log_event (nod->lg, EV_NODE_STOPPING, LOG_S ("name", nod->set->name),
-             LOG_I ("open", wire_front_open_requests (nod->frt)));
-  wire_front_drain (nod->frt);
-  node_release_duties (nod);
-  on_stop_timer (nod);
+  node_begin_stop (arg);
 }
 
 /* Settings are command-line flags, so there is nothing to reload.  */
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -271,8 +271,9 @@
   bool ready;                                 /* as last logged */
   bool time_differs;                          /* as last logged */
   bool stopping;
+  bool rejects_jobs; /* and cancellations: the process is about to end */
   bool stopped;
-  int64_t stop_elapsed_ms; /* since the stop signal */
+  int64_t stop_us; /* when the stop signal was handled */
 };
 
 /* node/identity.c */
@@ -472,6 +473,14 @@
                              uint64_t token, struct appender *app,
                              struct appender *status_app);
 
+/* node/stop.c */
+/* Handles a stop signal: the process releases its duties, answers the open
+   requests and ends.  Further signals have no effect.  */
+void node_begin_stop (struct node *nod);
+
 /* node/requests.c */
 /* Handles a request of a client; the request callback of wire_front.  */
 void node_handle_request (void *arg, struct front_request *req);
+/* Answers all requests that wait for the store; their outcome is unknown.
+   Returns whether there were any.  */
+bool node_answer_pending (struct node *nod);
--- a/node/requests.c
+++ b/node/requests.c
@@ -130,15 +130,34 @@
   reply (nod, req, FRONT_REJECTED, "pool_full", retry_after_ms);
 }
 
+static void
+answer_unknown (struct pending_append *pen, const char *reason)
+{
+  log_request (pen->nod, EV_JOB_NOT_CONFIRMED, pen->id, pen->queue, reason);
+  reply (pen->nod, pen->req, FRONT_OUTCOME_UNKNOWN, NULL, 0);
+  pen->req = NULL;
+}
+
 static void
 on_deadline (void *arg)
 {
   struct pending_append *pen = arg;
   pen->timer = NULL;
-  log_request (pen->nod, EV_JOB_NOT_CONFIRMED, pen->id, pen->queue,
-               "no_answer");
-  reply (pen->nod, pen->req, FRONT_OUTCOME_UNKNOWN, NULL, 0);
-  pen->req = NULL;
+  answer_unknown (pen, "no_answer");
+}
+
+bool
+node_answer_pending (struct node *nod)
+{
+  bool any = false;
+  for (struct pending_append *pen = nod->pending_appends; pen; pen = pen->next)
+    if (pen->req)
+      {
+        any = true;
+        TALLOC_FREE (pen->timer);
+        answer_unknown (pen, "stopping");
+      }
+  return any;
 }
 
 static void
@@ -177,6 +196,11 @@
   char key[JOB_KEY_BYTES + 1];
   int64_t wait_ms
       = req->deadline_ms > 0 ? req->deadline_ms : DEADLINE_DEFAULT_MS;
+  if (nod->rejects_jobs)
+    {
+      reject (nod, req, id, queue, "stopping");
+      return;
+    }
   struct pending_append *pen = talloc_zero (nod, struct pending_append);
   if (!pen)
     {
--- a/test/unit/node_world.c
+++ b/test/unit/node_world.c
@@ -121,6 +121,17 @@
 {
 }
 
+void
+wire_front_drain (struct wire_front *frt)
+{
+}
+
+unsigned int
+wire_front_open_requests (const struct wire_front *frt)
+{
+  return (unsigned int)(current_world->requests - current_world->replies);
+}
+
 void
 node_world_submit (struct node_world *wld, const char *path, const char *body)
 {
@@ -130,6 +141,7 @@
   req->path = talloc_asprintf (req, "/q/%s", path);
   req->body = (const uint8_t *)talloc_strdup (req, body);
   req->body_len = strlen (body);
+  wld->requests++;
   node_handle_request (wld->nod, req);
 }
 
@@ -140,6 +152,7 @@
   req->op = op;
   req->host = "h";
   req->path = talloc_asprintf (req, "/q/%s", path);
+  wld->requests++;
   node_handle_request (wld->nod, req);
 }
 
--- a/test/unit/node_world.h
+++ b/test/unit/node_world.h
@@ -28,7 +28,8 @@
   int64_t order_timeout_ms; /* of the last of them */
   bool (*order_may_send) (void *arg);
   void *order_arg;
-  size_t replies; /* to requests of clients */
+  size_t requests; /* of clients */
+  size_t replies;  /* to them */
   struct front_response last_reply;
   struct catalog cat;
 };
--- /dev/null
+++ b/test/unit/unit_node_stop.c
@@ -0,0 +1,104 @@
+#include <check.h>
+#include <stdlib.h>
+
+#include "node_world.h"
+
+/* Tests of the shutdown of a scheduler process (node/stop.c).  */
+
+#define BODY "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64}]}"
+/* From the stop signal until the platform kills the process.  */
+#define GRACE_MS 6000
+/* Until requests are answered when the store is slow.  */
+#define SLOW_MS 4800
+
+static struct node_world wld;
+
+/* Continues at ELAPSED_MS after the stop signal.  */
+static void
+run_at (int64_t elapsed_ms)
+{
+  wld.nod->stop_us = clock_now_us (wld.nod->clk) - elapsed_ms * 1000;
+  node_world_run (&wld, 120);
+}
+
+/* Starts the process and a submission that the store does not complete, and
+   sends the process a stop signal.  */
+static void
+stop_with_open_request (void)
+{
+  node_world_init (&wld, false);
+  wld.jobs->hold_appends = true;
+  node_world_submit (&wld, "0000000000000009", BODY);
+  node_world_run (&wld, 50);
+  node_begin_stop (wld.nod);
+}
+
+/* Guards against requests that a stop cuts off (LOST): the process ended while
+   the store still worked on them, well before the end of the grace time.  */
+START_TEST (test_stop_waits_for_requests)
+{
+  stop_with_open_request ();
+  run_at (SLOW_MS);
+  ck_assert (!wld.nod->stopped);
+  ck_assert (topic_memory_run_held (wld.jobs));
+  node_world_run (&wld, 120);
+  ck_assert_uint_eq (wld.replies, 1);
+  ck_assert_int_eq (wld.last_reply.status, FRONT_OK);
+  ck_assert (wld.nod->stopped);
+  node_world_fini (&wld);
+}
+END_TEST
+
+/* Guards against requests that never get an answer (LOST), as the store gives
+   none before the process has to end.  */
+START_TEST (test_stop_answers_all_requests)
+{
+  stop_with_open_request ();
+  for (int64_t ms = 3000; ms < GRACE_MS - 300 && !wld.nod->stopped; ms += 100)
+    run_at (ms);
+  ck_assert_uint_eq (wld.replies, 1);
+  ck_assert_int_eq (wld.last_reply.status, FRONT_OUTCOME_UNKNOWN);
+  ck_assert (wld.nod->stopped);
+  node_world_fini (&wld);
+}
+END_TEST
+
+/* Guards against a stop that takes on more requests than it can answer: after
+   the time for which the load balancer may send new connections, a submission
+   is rejected, and the state of a job is still told.  */
+START_TEST (test_late_request_of_stopping_process)
+{
+  stop_with_open_request ();
+  run_at (1000);
+  node_world_submit (&wld, "0000000000000010", BODY);
+  ck_assert_uint_eq (wld.replies, 0);
+  run_at (3000);
+  node_world_submit (&wld, "0000000000000011", BODY);
+  ck_assert_uint_eq (wld.replies, 1);
+  ck_assert_int_eq (wld.last_reply.status, FRONT_REJECTED);
+  node_world_handle (&wld, FRONT_CANCEL, "0000000000000009");
+  ck_assert_uint_eq (wld.replies, 2);
+  ck_assert_int_eq (wld.last_reply.status, FRONT_REJECTED);
+  node_world_handle (&wld, FRONT_STATE, "0000000000000012");
+  ck_assert_uint_eq (wld.replies, 3);
+  ck_assert_int_eq (wld.last_reply.status, FRONT_NO_JOB);
+  node_world_fini (&wld);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("node_stop");
+  TCase *tc = tcase_create ("node_stop");
+  tcase_set_timeout (tc, 20);
+  tcase_add_test (tc, test_stop_waits_for_requests);
+  tcase_add_test (tc, test_stop_answers_all_requests);
+  tcase_add_test (tc, test_late_request_of_stopping_process);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
