node: short time-outs for reads whose age decides an answer

A request for a job is answered only while the jobs, or the states that owners publish, were read at most 3 s before. A read of them that a cut had silenced took 2 s, on a view that was up to 1.4 s old by then: callers got 503 although the store could be reached.

These reads get the time-out of the urgent ones, 400 ms beyond the wait (read_pace raises it for a slow store). In a pool's owner nothing changes.

--- a/node/job_partitions.c
+++ b/node/job_partitions.c
@@ -208,6 +208,7 @@
           .part = prt->part,
           .batch_delay_ms = JOBS_BATCH_DELAY_MS,
           .wait_ms = READ_WAIT_MS,
+          .timeout_ms = URGENT_TIMEOUT_MS,
           .seed = XXH64 (name, strlen (name), 0),
           .lg = nod->lg };
   if (!nod->follows_jobs || follower_is_open (&prt->fol)
@@ -306,7 +307,6 @@
       follower_set_wait (&prt->fol, owner ? OWNER_READ_WAIT_MS : READ_WAIT_MS);
       /* An owner starts nothing while it cannot read.  */
       follower_set_retry_max (&prt->fol, owner ? URGENT_RETRY_MAX_MS : 0);
-      follower_set_timeout (&prt->fol, owner ? URGENT_TIMEOUT_MS : 0);
     }
   return 0;
 }
--- a/node/job_states.c
+++ b/node/job_states.c
@@ -52,6 +52,7 @@
           .part = STATES_PART,
           .batch_delay_ms = STATES_BATCH_DELAY_MS,
           .wait_ms = READ_WAIT_MS,
+          .timeout_ms = URGENT_TIMEOUT_MS,
           .seed = XXH64 (name, strlen (name), 0),
           .lg = nod->lg };
   if (!follower_is_open (&nod->states_fol))
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -58,8 +58,9 @@
    within 2 s: the configuration, the duties and, in the owner of a pool, its
    jobs.  */
 #define URGENT_RETRY_MAX_MS 400
-/* Time-out of these reads, beyond the time that the store may wait.  A
-   connection that a cut has silenced is noticed only by it.  */
+/* Time-out of these reads, and of those whose age decides whether a request is
+   answered, beyond the time that the store may wait.  A connection that a cut
+   has silenced is noticed only by it.  */
 #define URGENT_TIMEOUT_MS 400
 /* Shortest time between reads of workers' reports, and between reads of vacate
    requests, in a process that holds a duty.  Workers report every 1.5 s, and
--- a/store/follower.c
+++ b/store/follower.c
@@ -337,12 +337,6 @@
   read_pace_set_delay_max (&fol->priv->pace, retry_max_ms);
 }
 
-void
-follower_set_timeout (struct follower *fol, int64_t timeout_ms)
-{
-  read_pace_set_timeout (&fol->priv->pace, timeout_ms);
-}
-
 bool
 follower_caught_up (const struct follower *fol)
 {
--- a/store/follower.h
+++ b/store/follower.h
@@ -64,9 +64,6 @@
 /* As RETRY_MAX_MS in the settings.  */
 void follower_set_retry_max (struct follower *fol, int64_t retry_max_ms);
 
-/* As TIMEOUT_MS in the settings.  */
-void follower_set_timeout (struct follower *fol, int64_t timeout_ms);
-
 /* Whether FOL was initialised and not finished since.  All other functions but
    follower_init and follower_fini require it.  */
 static inline bool
