entry: do not reuse connections that a cut has silenced

Callers of `kingcuphollow serve` saw a target stay out of use after a partition between entry process and target had ended. The partition had silenced the idle connections; each of them took a request that may be repeated, or the probe of the ejected target, until its time-out, and each failure doubled the target's ejection. libcurl keeps idle connections for 118 s. Requests that must not be repeated always use a new connection and were not affected.

An attempt, a forward or a probe that ends by time-out now shuts the idle connections to its address (curl_loop_shut_idle).

test_connections_after_silence: of 3 connections that fall silent, the first one takes an attempt; then a probe and two attempts have to be answered. Without the change the probe fails (healthy == 0), and without the probe the attempts end as ATTEMPT_TIMEOUT.

--- a/entry/dispatch.c
+++ b/entry/dispatch.c
@@ -193,10 +193,20 @@
   return ATTEMPT_NO_VALID_ANSWER;
 }
 
+/* Prepares for a peer that is silent: the idle connections to it may be so as
+   well.  */
+static void
+note_result (struct dispatch *dsp, CURL *easy, CURLcode code)
+{
+  if (code == CURLE_OPERATION_TIMEDOUT)
+    curl_loop_shut_idle (&dsp->loop, easy);
+}
+
 static void
 on_done (void *arg, CURL *easy, CURLcode code)
 {
   struct attempt *att = arg;
+  note_result (att->dsp, easy, code);
   att->reply.result = classify (att, code);
   att->reply.latency_us = clock_now_us (att->dsp->clk) - att->start_us;
   att->fn (att->arg, &att->reply);
@@ -325,6 +335,7 @@
 
 struct probe
 {
+  struct dispatch *dsp;
   CURL *easy;
   probe_fn *fn;
   void *arg;
@@ -342,6 +353,7 @@
 {
   struct probe *prb = arg;
   long status = 0;
+  note_result (prb->dsp, easy, code);
   curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
   prb->fn (prb->arg, code == CURLE_OK && status == 200);
   talloc_free (prb);
@@ -361,6 +373,7 @@
   if (!prb)
     return ERR_NOMEM;
   talloc_set_destructor (prb, probe_destructor);
+  prb->dsp = dsp;
   prb->fn = fn;
   prb->arg = arg;
   prb->easy = curl_easy_init ();
--- a/test/unit/unit_dispatch.c
+++ b/test/unit/unit_dispatch.c
@@ -25,6 +25,7 @@
 struct connection
 {
   struct target *tgt;
+  int number;
   int fd;
   pthread_t thread;
 };
@@ -39,6 +40,7 @@
   bool keep_alive;   /* answer more than one request on a connection */
   bool close_second; /* close at the second request without an answer */
   bool silent;       /* never answer */
+  int silenced;      /* that many connections, the first ones, get no answer */
   int requests;      /* read completely */
   struct connection cons[CONNECTIONS_MAX];
   int connections;
@@ -60,25 +62,27 @@
       buf[len] = '\0';
       char *end = strstr (buf, "\r\n\r\n");
       char *size = strstr (buf, "Content-Length: ");
-      if (end && size
-          && (size_t)(end + 4 - buf) + strtoul (size + 16, NULL, 10) <= len)
+      size_t body = size ? strtoul (size + 16, NULL, 10) : 0;
+      if (end && (size || strncmp (buf, "GET ", 4) == 0)
+          && (size_t)(end + 4 - buf) + body <= len)
         return true;
     }
   return false;
 }
 
 static void
-serve_connection (struct target *tgt, int fd)
+serve_connection (struct target *tgt, int number, int fd)
 {
   for (int n = 0; read_request (fd); n++)
     {
       pthread_mutex_lock (&tgt->lock);
       tgt->requests++;
-      bool answer = !tgt->silent && !(tgt->close_second && n == 1);
+      bool silent = tgt->silent || number < tgt->silenced;
+      bool answer = !silent && !(tgt->close_second && n == 1);
       pthread_mutex_unlock (&tgt->lock);
       if (answer && write (fd, tgt->script, strlen (tgt->script)) < 0)
         return;
-      if (tgt->silent)
+      if (silent)
         continue;
       if (!tgt->keep_alive || !answer)
         return;
@@ -89,7 +93,7 @@
 connection_main (void *arg)
 {
   struct connection *con = arg;
-  serve_connection (con->tgt, con->fd);
+  serve_connection (con->tgt, con->number, con->fd);
   shutdown (con->fd, SHUT_RDWR);
   return NULL;
 }
@@ -102,7 +106,8 @@
   while ((fd = accept (tgt->fd, NULL, NULL)) >= 0)
     {
       ck_assert_int_lt (tgt->connections, CONNECTIONS_MAX);
-      struct connection *con = &tgt->cons[tgt->connections++];
+      struct connection *con = &tgt->cons[tgt->connections];
+      con->number = tgt->connections++;
       con->tgt = tgt;
       con->fd = fd;
       ck_assert_int_eq (
@@ -345,6 +350,59 @@
 }
 END_TEST
 
+static void
+on_probe (void *arg, bool healthy)
+{
+  *(int *)arg = healthy;
+}
+
+static void
+check_probe (struct fixture *fix, const char *address)
+{
+  int healthy = -1;
+  ck_assert_int_eq (
+      dispatch_probe (fix->dsp, address, 300, on_probe, &healthy), 0);
+  while (healthy < 0)
+    ck_assert_int_eq (tevent_loop_once (fix->ev), 0);
+  ck_assert_int_eq (healthy, 1);
+}
+
+static const struct silence
+{
+  bool probe; /* a probe follows the attempt that shows the silence */
+} silences[] = { { true }, { false } };
+
+/* Guards against a target that is reachable again after a partition and stays
+   ejected: the partition has silenced the idle connections, and each of them
+   took a probe or an attempt until its time-out.  */
+START_TEST (test_connections_after_silence)
+{
+  struct fixture fix;
+  struct target tgt
+      = { .script = OK_HEAD "Content-Length: 0\r\n\r\n", .keep_alive = true };
+  target_start (&tgt);
+  fixture_init (&fix);
+  for (int n = 0; n < 3; n++)
+    begin_one (&fix, tgt.address, 5000, true);
+  while (fix.replies < 3)
+    ck_assert_int_eq (tevent_loop_once (fix.ev), 0);
+  pthread_mutex_lock (&tgt.lock);
+  tgt.silenced = 3;
+  pthread_mutex_unlock (&tgt.lock);
+  send_one (&fix, tgt.address, 200, true);
+  ck_assert_int_eq (fix.reply.result, ATTEMPT_TIMEOUT);
+  if (silences[_i].probe)
+    check_probe (&fix, tgt.address);
+  for (int n = 0; n < 2; n++)
+    {
+      send_one (&fix, tgt.address, 300, true);
+      ck_assert_int_eq (fix.reply.result, ATTEMPT_ANSWERED);
+    }
+  fixture_fini (&fix);
+  target_stop (&tgt);
+}
+END_TEST
+
 /* Guards against a request that a process that was paused sends to a target
    after its deadline, when its caller has given up.  */
 START_TEST (test_paused_before_send)
@@ -391,6 +449,8 @@
   tcase_add_loop_test (tc, test_answer, 0, sizeof answers / sizeof *answers);
   tcase_add_test (tc, test_no_repeat_on_closed_reuse);
   tcase_add_test (tc, test_timeout_after_send);
+  tcase_add_loop_test (tc, test_connections_after_silence, 0,
+                       sizeof silences / sizeof *silences);
   tcase_add_test (tc, test_paused_before_send);
   tcase_add_test (tc, test_refused_connection);
   suite_add_tcase (suite, tc);
