store: do not reuse connections that a cut has silenced

The log and the host API of `kingcuphollow serve` had the fault that platform/http_client had: after a cut the calls waited for their time-outs (5 s, for reads 5 s and the wait) on one silenced idle connection after the other, of which each client keeps 4, so that the claims and the list of hosts stayed old for up to 20 s longer than the cut.

A call that ends by time-out now shuts the idle connections to its address (curl_loop_shut_idle).

test_http_silenced: of 4 connections that fall silent, the first one takes a call; the next calls have to be answered.

--- a/store/host_http.c
+++ b/store/host_http.c
@@ -147,6 +147,8 @@
   struct call *call = arg;
   struct host_result res = { .slots_in_use = call->slots_in_use };
   long status = 0;
+  if (code == CURLE_OPERATION_TIMEDOUT)
+    curl_loop_shut_idle (&call->priv->loop, easy);
   curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
   res.status = call_status (call, code, status);
   if (call->op == HOST_OP_HEALTH)
--- a/store/log_http.c
+++ b/store/log_http.c
@@ -304,6 +304,8 @@
 {
   struct call *call = arg;
   long status = 0;
+  if (code == CURLE_OPERATION_TIMEDOUT)
+    curl_loop_shut_idle (&call->priv->loop, easy);
   curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
   switch (call->kind)
     {
--- a/test/unit/unit_store.c
+++ b/test/unit/unit_store.c
@@ -12,7 +12,9 @@
 #include "breaking_peer.h"
 #include "log_memory.h"
 #include "proto/record.pb-c.h"
+#include "silent_peer.h"
 #include "store/append_queue.h"
+#include "store/host_http.h"
 #include "store/log_http.h"
 #include "store/record.h"
 
@@ -336,6 +338,71 @@
 }
 END_TEST
 
+#define IDLE_COUNT 4
+#define SILENT_TIMEOUT_MS 300
+
+static struct host_http hh;
+
+static void
+on_host (void *arg, const struct host_result *res)
+{
+  hosts_err = res->status == HOST_CALL_DONE ? 0 : ERR_UNAVAILABLE;
+  replies++;
+}
+
+static void
+read_hosts (const struct silent_peer *peer)
+{
+  ck_assert_int_eq (log_store_read_hosts (&lh.st, on_hosts, NULL), 0);
+}
+
+static void
+read_health (const struct silent_peer *peer)
+{
+  const struct host_call call
+      = { .op = HOST_OP_HEALTH, .address = peer->address };
+  ck_assert_int_eq (host_api_call (&hh.api, &call, on_host, NULL), 0);
+}
+
+static void (*const silenced_calls[]) (const struct silent_peer *peer)
+    = { read_hosts, read_health };
+
+/* Guards against a view that grows old: a cut silences the idle connections
+   for good, and one call after the other waited for its time-out on the next
+   of them.  */
+START_TEST (test_http_silenced)
+{
+  struct silent_peer peer;
+  struct log_http_settings set = log_http_settings_default;
+  struct host_http_settings host_set = host_http_settings_default;
+  silent_peer_start (&peer);
+  replies = 0;
+  ev = tevent_context_init (NULL);
+  set.address = host_set.address = peer.address;
+  set.hosts_timeout_ms = host_set.call_timeout_ms = SILENT_TIMEOUT_MS;
+  ck_assert_int_eq (log_http_init (&lh, ev, ev, &set), 0);
+  ck_assert_int_eq (host_http_init (&hh, ev, ev, &host_set), 0);
+  for (int n = 0; n < IDLE_COUNT; n++)
+    silenced_calls[_i](&peer);
+  wait_for (&replies, IDLE_COUNT);
+  silent_peer_silence (&peer);
+  silenced_calls[_i](&peer);
+  wait_for (&replies, IDLE_COUNT + 1);
+  ck_assert_int_ne (hosts_err, 0);
+  for (int n = 1; n < IDLE_COUNT; n++)
+    {
+      silenced_calls[_i](&peer);
+      wait_for (&replies, IDLE_COUNT + 1 + n);
+      ck_assert_int_eq (hosts_err, 0);
+    }
+  ck_assert_int_eq (atomic_load (&peer.unanswered), 1);
+  log_store_fini (&lh.st);
+  host_api_fini (&hh.api);
+  talloc_free (ev);
+  silent_peer_stop (&peer);
+}
+END_TEST
+
 /* Guards against accepting records from a damaged reply, or from one whose
    headers and records do not match the request.  */
 START_TEST (test_http_read)
@@ -493,6 +560,7 @@
   tcase_add_loop_test (tc, test_record_errors, 0, ROWS (envelopes));
   tcase_add_loop_test (tc, test_http_append, 0, ROWS (appends));
   tcase_add_test (tc, test_http_append_broken);
+  tcase_add_loop_test (tc, test_http_silenced, 0, ROWS (silenced_calls));
   tcase_add_loop_test (tc, test_http_read, 0, ROWS (reads));
   tcase_add_test (tc, test_http_bounds);
   tcase_add_test (tc, test_append_queue);
