test/unit: socket numbers that are used again, for each way to end

Run with asan on x86-64: all 7 pass. Without CLOSESOCKETFUNCTION the 5 established ones fail, as tevent reports an error for the socket.

--- a/test/unit/unit_curl_loop.c
+++ b/test/unit/unit_curl_loop.c
@@ -356,6 +356,106 @@
 }
 END_TEST
 
+/* How a connection ends whose socket number the next one gets.  */
+enum ending
+{
+  END_ABORTED,       /* by PREREQFUNCTION, before the request */
+  END_NOT_REUSED,    /* after the response */
+  END_PUSHED_OUT,    /* idle, by the limit of idle connections */
+  END_NO_RESPONSE,   /* at the time-out, while it waits for the response */
+  END_BLOCKED,       /* at the time-out, while it sends */
+  END_REMOVED,       /* by curl_loop_remove, while it waits */
+  END_REMOVED_EARLY, /* by curl_loop_remove, while it connects */
+  ENDINGS
+};
+
+static int
+refuse_request (void *arg, char *ip, char *local_ip, int port, int local_port)
+{
+  return CURL_PREREQFUNC_ABORT;
+}
+
+/* Large enough to fill the buffers of both ends.  */
+#define BLOCKED_BYTES (64L << 20)
+
+/* Returns the transfer whose connection ends as END says.  */
+static CURL *
+ending_easy (enum ending end, const struct full_listener *full,
+             uint16_t mute_port)
+{
+  bool waits
+      = end == END_NO_RESPONSE || end == END_BLOCKED || end == END_REMOVED;
+  uint16_t port = waits                      ? mute_port
+                  : end == END_REMOVED_EARLY ? full->port
+                                             : web_port;
+  CURL *easy = easy_for (port, "/ok");
+  if (end == END_ABORTED)
+    curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, refuse_request);
+  if (end == END_NOT_REUSED)
+    curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
+  if (end == END_NO_RESPONSE || end == END_BLOCKED)
+    curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, 300L);
+  if (end == END_BLOCKED)
+    {
+      static char body[BLOCKED_BYTES];
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE, BLOCKED_BYTES);
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDS, body);
+    }
+  return easy;
+}
+
+/* Guards against a connection without events, whichever way the one before it
+   under the same socket number ended.  */
+START_TEST (test_number_reused)
+{
+  struct full_listener full;
+  uint16_t mute_port;
+  start (8);
+  loop_errors = 0;
+  tevent_set_debug (ev, count_loop_errors, NULL);
+  full_listener_open (&full);
+  int mute = unresponsive_socket (&mute_port);
+  int rounds = _i == END_PUSHED_OUT ? 6 : 1;
+  int done = 0;
+  for (int n = 0; n < rounds; n++)
+    {
+      CURL *easy = ending_easy (_i, &full, mute_port);
+      if (_i == END_PUSHED_OUT)
+        curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+      ck_assert_int_eq (curl_loop_add (&loop, easy, on_done, &results[0]), 0);
+      if (_i == END_REMOVED || _i == END_REMOVED_EARLY)
+        {
+          run_for (100);
+          curl_loop_remove (&loop, easy);
+          curl_easy_cleanup (easy);
+          continue;
+        }
+      wait_for (++done);
+      ck_assert_int_eq (results[0],
+                        _i == END_ABORTED ? CURLE_ABORTED_BY_CALLBACK
+                        : _i == END_NO_RESPONSE || _i == END_BLOCKED
+                            ? CURLE_OPERATION_TIMEDOUT
+                            : CURLE_OK);
+    }
+  /* At once, so that they get all numbers that are free.  */
+  for (int n = 0; n < 4; n++)
+    {
+      CURL *easy = easy_for (web_port, "/ok");
+      curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, WAIT_S * 1500L);
+      ck_assert_int_eq (curl_loop_add (&loop, easy, on_done, &results[n]), 0);
+    }
+  wait_for (done + 4);
+  for (int n = 0; n < 4; n++)
+    ck_assert_int_eq (results[n], CURLE_OK);
+  ck_assert_int_eq (loop_errors, 0);
+  full_listener_close_fillers (&full);
+  close (full.sock);
+  close (mute);
+  stop ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -368,6 +468,7 @@
   tcase_add_test (tc, test_full_and_remove);
   tcase_add_test (tc, test_finish_in_callback);
   tcase_add_test (tc, test_idle_connection_closed);
+  tcase_add_loop_test (tc, test_number_reused, 0, ENDINGS);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
