node: no 400 for a path below a prefix from an old configuration

The two new rows of test_answer_with_old_config failed before (status 7, FRONT_INVALID, where 5, FRONT_REJECTED, is expected).

--- a/node/requests.c
+++ b/node/requests.c
@@ -375,6 +375,10 @@
   const char *rest = req->path + strlen (que->path_prefix);
   if (!*rest && req->op == FRONT_STATE)
     reply_waiting (nod, req, que);
+  else if (!job_id_parse (rest, strlen (rest), &id)
+           && !node_config_current (nod))
+    /* A route with a longer prefix may have been added.  */
+    reject_old_config (nod, req, 0);
   else if (!job_id_parse (rest, strlen (rest), &id))
     reply (nod, req, FRONT_INVALID, "job_id", 0);
   else if (req->op == FRONT_SUBMIT)
