node: no 410 from an entry process before all pools have published

An entry process answers 410 for a job that no owner has published, if the summary of the pool to which the job's queue is sent is at most 3 s old. A job that was accepted before its queue was sent to another pool is in the earlier pool: while that pool has no owner, as for some seconds after the owner was killed, its states are not published, and 410 followed from the summary of the new pool (LOST: an accepted job is denied).

It now takes a summary of each pool that a queue names. That costs a 503 where the answer was 410 for jobs that do not exist, in entry processes and while some pool has no owner.

test_entry_queue_moved failed before ("ask (...) == 3, FRONT_REJECTED == 5").

--- a/node/job_states.c
+++ b/node/job_states.c
@@ -85,6 +85,17 @@
              : NULL;
 }
 
+bool
+node_pools_published (struct node *nod)
+{
+  size_t count;
+  const char *const *pools = node_queue_pools (nod, &count);
+  for (size_t n = 0; n < count; n++)
+    if (!node_published_pool (nod, pools[n]))
+      return false;
+  return count > 0;
+}
+
 int
 node_open_states (struct held_duty *hld)
 {
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -360,6 +360,8 @@
 /* The summary of POOL if it is at most 3 s old, else NULL.  */
 const struct published_pool *node_published_pool (const struct node *nod,
                                                   const char *pool);
+/* Whether there is such a summary of each pool that a queue names.  */
+bool node_pools_published (struct node *nod);
 /* Opens the appender for the states of a pool's jobs.  */
 int node_open_states (struct held_duty *hld);
 /* Notes that the state of JOB may have changed in the log, as owner of its
--- a/node/requests.c
+++ b/node/requests.c
@@ -323,8 +323,9 @@
     front_reply (req, &rsp);
   else if (!node_config_current (nod))
     reject_old_config (nod, req, id);
-  else if ((followed && node_jobs_current (nod))
-           || node_published_pool (nod, que->pool))
+  else if ((followed && node_jobs_current (nod)) || node_pools_published (nod))
+    /* The queue may have been sent to another pool since the job was
+       stored.  */
     reply (nod, req, FRONT_NO_JOB, NULL, 0);
   else
     reject_old_view (nod, req, id, "jobs", node_jobs_known_us (nod));
--- a/test/unit/unit_node_role.c
+++ b/test/unit/unit_node_role.c
@@ -74,23 +74,25 @@
 }
 
 static void
-publish_summary (uint64_t number, uint32_t waiting)
+publish_summary (const char *name, uint64_t number, uint32_t waiting)
 {
   struct published_queue queue = { "q", waiting };
   const struct published_pool pool
       = { .token = 1, .number = number, .queues = &queue, .queue_count = 1 };
   size_t len;
   uint8_t *data = state_view_encode_pool (wld.nod, &pool, 0, 0, &len);
-  topic_memory_add (states, "@p", data, len);
+  char key[STATE_VIEW_KEY_BYTES];
+  snprintf (key, sizeof key, "%c%s", STATE_VIEW_POOL_KEY, name);
+  topic_memory_add (states, key, data, len);
 }
 
 /* Publishes two summaries; the second one confirms the first.  */
 static void
 publish_summaries (uint32_t waiting)
 {
-  publish_summary (1, waiting);
+  publish_summary ("p", 1, waiting);
   node_world_run (&wld, 500);
-  publish_summary (2, waiting);
+  publish_summary ("p", 2, waiting);
   node_world_run (&wld, 500);
 }
 
@@ -138,6 +140,30 @@
 }
 END_TEST
 
+/* Guards against an accepted job that is denied (LOST): its queue was sent to
+   another pool since, and the owner of the first pool has failed before it
+   published the job.  */
+START_TEST (test_entry_queue_moved)
+{
+  struct queue queues[]
+      = { { .name = "q", .host = "h", .path_prefix = "/q/", .pool = "p2" },
+          { .name = "r", .host = "h", .path_prefix = "/r/", .pool = "p" } };
+  open_entry ();
+  wld.cat.queues = queues;
+  wld.cat.queue_count = 2;
+  wld.cat.version++;
+  publish_summary ("p2", 1, 0);
+  node_world_run (&wld, 500);
+  publish_summary ("p2", 2, 0);
+  node_world_run (&wld, 500);
+  ck_assert_int_eq (ask ("0000000000000008"), FRONT_REJECTED);
+  /* The first pool has an owner again.  */
+  publish_summaries (0);
+  ck_assert_int_eq (ask ("0000000000000008"), FRONT_NO_JOB);
+  node_world_fini (&wld);
+}
+END_TEST
+
 /* Guards against a process that is not ready although it can serve, because
    the owner of one pool has failed.  */
 START_TEST (test_ready_without_owner)
@@ -261,6 +287,7 @@
   tcase_set_timeout (tc, 60);
   tcase_add_test (tc, test_entry_reads_little);
   tcase_add_test (tc, test_entry_answers);
+  tcase_add_test (tc, test_entry_queue_moved);
   tcase_add_test (tc, test_ready_without_owner);
   tcase_add_test (tc, test_entry_stores_job);
   tcase_add_test (tc, test_owner_publishes);
