--- a/node/requests.c
+++ b/node/requests.c
@@ -347,8 +347,9 @@
     front_reply (req, &rsp);
   else if (!node_config_current (nod))
     reject_old_config (nod, req, id);
-  else if ((followed && node_jobs_current (nod))
-           || node_published_pool (nod, que->pool))
+  else if ((followed && node_jobs_current (nod)) || node_pools_published (nod))
+    /* The queue may have been sent to another pool since the job was
+       stored.  */
     reply (nod, req, FRONT_NO_JOB, NULL, 0);
   else
     reject_old_view (nod, req, id, "jobs", node_jobs_known_us (nod));
@@ -399,6 +400,10 @@
   const char *rest = req->path + strlen (que->path_prefix);
   if (!*rest && req->op == FRONT_STATE)
     reply_waiting (nod, req, que);
+  else if (!job_id_parse (rest, strlen (rest), &id)
+           && !node_config_current (nod))
+    /* A route with a longer prefix may have been added.  */
+    reject_old_config (nod, req, 0);
   else if (!job_id_parse (rest, strlen (rest), &id))
     reply (nod, req, FRONT_INVALID, "job_id", 0);
   else if (req->op == FRONT_SUBMIT)
