node/directory: read the workers' entries with the bounds of urgent records

A worker that has reported draining gets no starts from 2 s after (DRAIN). A read of the workers' entries on a silenced connection took 2 s and a delay, so that its owner could go on starting tasks there for longer.

The read waits 500 ms at most and its time-out is that of the urgent records, so that a silenced read and the next one take less than 1 s. In calm times workers report so often that a read seldom waits.

unit_node_wait: test_urgent_reads_are_short checks these reads too and failed before (2,000 ms in all, and 1,400 ms with the time-out alone).

--- a/node/directory.c
+++ b/node/directory.c
@@ -9,7 +9,9 @@
 /* Records of the operators and the workers: the configuration, maintenance
    waves and the directory of workers.  */
 
-#define READ_WAIT_MS 1000
+/* A worker that drains gets no starts 2 s after its report: a read on a
+   silenced connection and the next one have to fit.  */
+#define WORKERS_READ_WAIT_MS 500
 /* The same for the operators' records.  The view is as old as the start of the
    last completed read: with this wait it stays younger than config_age_max_ms
    also when one read after another finds nothing new in a slow store.  */
@@ -267,7 +269,8 @@
   const struct follower_settings set
       = { .topic = WIRE_TOPIC_WORKERS,
           .batch_delay_ms = DIRECTORY_BATCH_DELAY_MS,
-          .wait_ms = READ_WAIT_MS,
+          .wait_ms = WORKERS_READ_WAIT_MS,
+          .timeout_ms = URGENT_TIMEOUT_MS,
           .seed = XXH64 (name, strlen (name), 0),
           .lg = nod->lg };
   if (!follower_is_open (&nod->directory_fol))
--- a/test/unit/unit_node_wait.c
+++ b/test/unit/unit_node_wait.c
@@ -124,10 +124,10 @@
   own_pool ();
   node_open_job_partitions (wld.nod);
   node_world_run (&wld, 1200);
-  const struct memory_part *const urgent[3]
+  const struct memory_part *const urgent[4]
       = { topic_memory_part (&wld.mem, WIRE_TOPIC_OPERATOR, 0), wld.jobs,
-          wld.duties };
-  for (size_t n = 0; n < 3; n++)
+          wld.duties, topic_memory_part (&wld.mem, WIRE_TOPIC_WORKERS, 0) };
+  for (size_t n = 0; n < 4; n++)
     {
       ck_assert_int_gt (urgent[n]->read_wait_ms, 0);
       ck_assert_int_gt (urgent[n]->read_timeout_ms, 0);
