test: a fault that silences open connections for good

The stand-ins' "cut" and "frozen" hold what arrives, and the scenarios' relay forwards it once the cut has ended: after each of them the open connections work again. None of them plays a cut after which a connection stays silent, as when a firewall has dropped its state.

"silence" silences the connections that are open when it is set; new ones work. test_silence checks that it spares no open connection, stays after it is cleared and affects no new connection.

--- a/test/stand/fault.c
+++ b/test/stand/fault.c
@@ -26,7 +26,7 @@
 static const char *const common_faults[]
     = { "down",        "frozen",    "cut",      "slow",    "late",
         "reply_lost",  "cut_short", "trailing", "crossed", "long",
-        "reuse_close", "fail",      NULL };
+        "reuse_close", "fail",      "silence",  NULL };
 
 static bool
 fault_applies (const struct fault *ft, const struct stand_request *rq,
@@ -141,6 +141,8 @@
         {
           ft->id = ++st->last_fault_id;
           DL_APPEND (st->faults, ft);
+          if (strcmp (ft->name, "silence") == 0)
+            stand_silence (st, ft->host);
           apply_faults (st);
           stand_reply_json (rq, 200, json_pack ("{s:I}", "id", ft->id));
           return;
--- a/test/stand/stand.c
+++ b/test/stand/stand.c
@@ -182,25 +182,44 @@
 
 /* Requests and replies  */
 
+void
+stand_silence (struct stand_server *st, const char *pattern)
+{
+  struct stand_conn *conn;
+  DL_FOREACH (st->conns, conn)
+    if (!conn->port->control
+        && (!pattern || fnmatch (pattern, conn->port->name, 0) == 0))
+      conn->silenced = true;
+}
+
+/* Whether what RQ carries is lost, also after it is no longer held.  */
+static bool
+is_lost (const struct stand_request *rq)
+{
+  return rq->conn->silenced
+         || stand_check_fault (rq->server, NULL, rq->port->name, "cut", NULL);
+}
+
 static bool
 is_held (const struct stand_request *rq)
 {
-  struct stand_server *st = rq->server;
   return !rq->port->control
-         && (stand_check_fault (st, NULL, rq->port->name, "frozen", NULL)
-             || stand_check_fault (st, NULL, rq->port->name, "cut", NULL));
+         && (is_lost (rq)
+             || stand_check_fault (rq->server, NULL, rq->port->name, "frozen",
+                                   NULL));
 }
 
 /* A request held by the fault "cut" counts as never delivered: the driver does
    not see it, and its connection is closed when the fault is removed.  A reply
-   held by "cut" is lost in the same way.  */
+   held by "cut" is lost in the same way, and so is all that a silenced
+   connection carries.  */
 void
 stand_hold_or_proceed (struct stand_request *rq)
 {
   struct stand_server *st = rq->server;
   if (is_held (rq))
     {
-      if (stand_check_fault (st, NULL, rq->port->name, "cut", NULL))
+      if (is_lost (rq))
         rq->closing = true;
       if (!rq->held)
         DL_APPEND (st->held, rq);
--- a/test/stand/stand_priv.h
+++ b/test/stand/stand_priv.h
@@ -14,7 +14,8 @@
   struct stand_port *port;
   struct stand_request *rq; /* in progress, or NULL */
   int fd;
-  int requests; /* started on this connection so far */
+  int requests;  /* started on this connection so far */
+  bool silenced; /* for good, by the fault "silence" */
 };
 
 struct stand_server
@@ -29,7 +30,7 @@
   struct stand_port *control;
   struct stand_port *port_of_fd[STAND_MAX_FDS]; /* of accepted connections */
   struct stand_conn *conns;
-  struct stand_request *held; /* by the faults "frozen" and "cut" */
+  struct stand_request *held; /* by "frozen", "cut" and "silence" */
   struct fault *faults;
   int64_t last_fault_id;
   char *previous_id; /* request id of the previous reply, for "crossed" */
@@ -42,8 +43,13 @@
 /* Closes the port and resets its connections, as a crash of the host does.  */
 void stand_close_port (struct stand_port *port);
 
-/* Holds the request or its reply while its port is frozen or cut; else passes
-   the request to the driver or sends the reply.  */
+/* Silences the open connections of the ports whose names match PATTERN; NULL:
+   all.  */
+void stand_silence (struct stand_server *st, const char *pattern);
+
+/* Holds the request or its reply while its port is frozen or cut, or for good
+   if its connection is silenced; else passes the request to the driver or
+   sends the reply.  */
 void stand_hold_or_proceed (struct stand_request *rq);
 
 /* Handles a request to the control port.  */
--- a/test/unit/unit_stand.c
+++ b/test/unit/unit_stand.c
@@ -261,6 +261,36 @@
 }
 END_TEST
 
+/* Guards against the fault "silence" that spares an open connection, ends when
+   it is cleared, or affects a new connection.  */
+START_TEST (test_silence)
+{
+  struct reply rp;
+  CURL *curl = curl_easy_init ();
+  start_target ();
+  send_request_on (curl, &rp, worker_address ("a-w01"), "POST /run/plan",
+                   "X-Request-Id: first", "service_us=0", WAIT_MS);
+  ck_assert_int_eq (rp.status, 200);
+  set_fault (&target, "{\"fault\":\"silence\",\"host\":\"a-w*\"}");
+  clear_faults (&target);
+  send_request_on (curl, &rp, worker_address ("a-w01"), "POST /run/plan",
+                   "X-Request-Id: silent", "service_us=0",
+                   NO_REPLY_TIMEOUT_MS);
+  ck_assert_int_eq (rp.code, CURLE_OPERATION_TIMEDOUT);
+  ck_assert_int_eq (rp.connects, 0);
+  send_request_on (curl, &rp, worker_address ("a-w01"), "POST /run/plan",
+                   "X-Request-Id: new", "service_us=0", WAIT_MS);
+  ck_assert_int_eq (rp.status, 200);
+  curl_easy_cleanup (curl);
+  stop_target ();
+  const char *const results[] = { "completed", "failed", "cut", "lost" };
+  for (int n = 0; n < 4; n++)
+    ck_assert_int_eq (count_executions ("silent", results[n]), 0);
+  ck_assert_int_eq (count_executions ("new", "completed"), 1);
+  remove_files ();
+}
+END_TEST
+
 /* Guards against a fault that applies to more requests than its count.  */
 START_TEST (test_fault_count)
 {
@@ -660,6 +690,7 @@
   curl_global_init (CURL_GLOBAL_DEFAULT);
   tcase_set_timeout (tc, 300);
   tcase_add_loop_test (tc, test_target_fault, 0, COUNT (target_faults));
+  tcase_add_test (tc, test_silence);
   tcase_add_test (tc, test_fault_count);
   tcase_add_loop_test (tc, test_fault_rejected, 0, COUNT (bad_faults));
   tcase_add_test (tc, test_reuse_close);
