test/soak: cuts in which connects hang, connections silent for good

The stand-ins knew a cut only as dropped requests or answers: the kernel went on taking connections, so no connect of the product ever ran into its time-out, and a connection that was idle during a cut worked again after it.

`cut` hits one process and the store, `worker-hang` one worker: connects hang until the end (the queue of the listener is full, so the kernel drops the first packet), and each open connection is silent for good, carries requests but no answers for good, or has its bytes held up.

--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "test/soak/clients.h"
+#include "test/soak/cuts.h"
 #include "test/soak/judge.h"
 #include "test/soak/net.h"
 #include "test/soak/process.h"
@@ -26,6 +27,9 @@
   (BIT (FAULT_WORKER_LOSE) | BIT (FAULT_WORKER_BUSY) | BIT (FAULT_WORKER_LATE))
 /* Faults beside which no call is answered.  */
 #define BLACKOUT (BIT (FAULT_DOWN) | BIT (FAULT_ONE_WAY))
+#define CUT_FAULTS                                                            \
+  (BIT (FAULT_CUT) | BIT (FAULT_SILENCE) | BIT (FAULT_WORKER_HANG)            \
+   | BIT (FAULT_WORKER_SILENCE))
 #define INCIDENT (BIT (FAULT_LOSE) | BIT (FAULT_REJECT) | BIT (FAULT_RESET))
 
 struct name
@@ -53,11 +57,16 @@
   { "worker-busy", BIT (FAULT_WORKER_BUSY) },
   { "worker-late", BIT (FAULT_WORKER_LATE) },
   { "config", BIT (FAULT_CONFIG) },
+  { "cut", BIT (FAULT_CUT) },
+  { "silence", BIT (FAULT_SILENCE) },
+  { "worker-hang", BIT (FAULT_WORKER_HANG) },
+  { "worker-silence", BIT (FAULT_WORKER_SILENCE) },
   { "none", 0 },
   { "incident", INCIDENT },
   { "store", STORE_FAULTS },
   { "processes", PROCESS_FAULTS },
   { "workers", WORKER_FAULTS },
+  { "cuts", CUT_FAULTS | BIT (FAULT_CONFIG) },
   { "all", BIT (FAULT_COUNT) - 1 },
   { NULL, 0 },
 };
@@ -128,7 +137,7 @@
 {
   unsigned bit;
   do
-    bit = 1U << soak_between (rng, 0, FAULT_COUNT - 1);
+    bit = 1U << soak_between (rng, 0, FAULT_OLD_COUNT - 1);
   while (!(set & bit));
   return bit;
 }
@@ -378,6 +387,12 @@
     net_after (start_ms, plan_process, NULL);
   if (set & WORKER_FAULTS)
     net_after (start_ms, plan_worker, NULL);
+  const struct cuts cuts
+      = { .store = set & BIT (FAULT_CUT),
+          .worker = set & BIT (FAULT_WORKER_HANG),
+          .store_silence = set & BIT (FAULT_SILENCE),
+          .worker_silence = set & BIT (FAULT_WORKER_SILENCE) };
+  cuts_start (&cuts, seed, start_ms);
   if (set & BIT (FAULT_CONFIG))
     net_after (start_ms, plan_config, NULL);
 }
@@ -386,4 +401,5 @@
 faults_stop (void)
 {
   stopped = true;
+  cuts_stop ();
 }
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -28,6 +28,12 @@
   FAULT_WORKER_LATE,
   /* of the operator */
   FAULT_CONFIG, /* new versions; not an impairment */
+  FAULT_OLD_COUNT,
+  /* see cuts.h */
+  FAULT_CUT = FAULT_OLD_COUNT,
+  FAULT_SILENCE,
+  FAULT_WORKER_HANG,
+  FAULT_WORKER_SILENCE,
   FAULT_COUNT,
 };
 
--- a/test/soak/judge.c
+++ b/test/soak/judge.c
@@ -105,7 +105,7 @@
 in_touch (int process, int64_t from, int64_t until)
 {
   for (size_t n = 0; n < span_count; n++)
-    if ((spans[n].what == IMPAIRED_STORE
+    if ((spans[n].what == IMPAIRED_STORE || spans[n].what == IMPAIRED_ALL
          || (spans[n].what == IMPAIRED_PROCESS && spans[n].index == process))
         && overlaps (&spans[n], from - CONTACT_MS, until))
       return false;
--- a/test/soak/judge.h
+++ b/test/soak/judge.h
@@ -16,6 +16,7 @@
   IMPAIRED_PROCESS,
   IMPAIRED_STORE,
   IMPAIRED_WORKER,
+  IMPAIRED_ALL, /* the connections of all processes */
 };
 /* Begins an impairment; returns its number for impair_end.  */
 size_t impair_begin (enum impaired what, int index);
--- a/test/soak/net.c
+++ b/test/soak/net.c
@@ -16,6 +16,7 @@
 
 #define FDS_MAX 16384
 #define EVENTS_MAX 256
+#define BACKLOG 512
 #define PORT_MIN 10000
 #define PORT_SPAN 512
 #define PORT_RANGES 40
@@ -34,6 +35,8 @@
 struct server
 {
   int fd;
+  int filler; /* fills the queue of new connections; -1: none */
+  bool hold;
   struct net_link link;
   request_fn *fn;
   void *arg;
@@ -50,6 +53,7 @@
   size_t out_len, out_sent;
   bool busy;   /* a request is being handled */
   bool silent; /* returns nothing further, see net_silence */
+  bool mute;   /* requests arrive and answers do not */
   bool want_out;
   /* Of a call.  */
   answer_fn *fn;
@@ -127,16 +131,21 @@
   return &peers[fd];
 }
 
+static void
+set_events (int fd, uint32_t events)
+{
+  struct epoll_event ev = { .events = events, .data.fd = fd };
+  epoll_ctl (epoll_fd, EPOLL_CTL_MOD, fd, &ev);
+}
+
 /* Asks to be told when FD takes bytes again if some are left.  */
 static void
 update_events (int fd)
 {
   struct peer *pr = &peers[fd];
   bool want = pr->out_sent < pr->out_len;
-  struct epoll_event ev
-      = { .events = EPOLLIN | (want ? EPOLLOUT : 0), .data.fd = fd };
   if (want != pr->want_out)
-    epoll_ctl (epoll_fd, EPOLL_CTL_MOD, fd, &ev);
+    set_events (fd, EPOLLIN | (want ? EPOLLOUT : 0));
   pr->want_out = want;
 }
 
@@ -166,14 +175,15 @@
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
   if (fd < 0 || bind (fd, (struct sockaddr *)&addr, sizeof addr)
-      || listen (fd, 512) || getsockname (fd, (struct sockaddr *)&addr, &len))
+      || listen (fd, BACKLOG)
+      || getsockname (fd, (struct sockaddr *)&addr, &len))
     {
       perror ("soak: listen");
       exit (2);
     }
   *port = ntohs (addr.sin_port);
   struct server *srv = grow (NULL, sizeof *srv);
-  *srv = (struct server){ .fd = fd, .fn = fn, .arg = arg };
+  *srv = (struct server){ .fd = fd, .filler = -1, .fn = fn, .arg = arg };
   add_peer (fd, KIND_SERVER)->srv = srv;
   return srv;
 }
@@ -312,7 +322,7 @@
 {
   char head[256];
   struct peer *pr = find_conn (conn);
-  if (!pr || pr->silent)
+  if (!pr || pr->silent || pr->mute)
     return;
   if (pr->srv->link.drop_out)
     {
@@ -326,6 +336,8 @@
   queue_out (conn.fd, head, (size_t)n);
   queue_out (conn.fd, body, len);
   pr->busy = false;
+  if (pr->srv->hold)
+    return;
   if (!flush_out (conn.fd))
     close_peer (conn.fd);
   else
@@ -588,9 +600,62 @@
       add_peer (conn, KIND_CONN)->srv = srv;
       if (srv->link.refuse)
         reset_fd (conn);
+      else if (srv->hold)
+        set_events (conn, 0);
+    }
+}
+
+void
+net_hang (struct server *srv, bool on)
+{
+  if (on == (srv->filler >= 0))
+    return;
+  if (!on)
+    {
+      close (srv->filler);
+      srv->filler = -1;
+      listen (srv->fd, BACKLOG);
+      set_events (srv->fd, EPOLLIN);
+      return;
+    }
+  /* With a full queue the kernel drops the first packet of a connection.  */
+  struct sockaddr_in addr = { 0 };
+  socklen_t len = sizeof addr;
+  accept_all (srv->fd);
+  set_events (srv->fd, 0);
+  getsockname (srv->fd, (struct sockaddr *)&addr, &len);
+  srv->filler = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (srv->filler < 0
+      || connect (srv->filler, (struct sockaddr *)&addr, sizeof addr)
+      || listen (srv->fd, 0))
+    {
+      perror ("soak: filling the queue of a listener");
+      exit (2);
     }
 }
 
+void
+net_hold (struct server *srv, bool on)
+{
+  srv->hold = on;
+  for (int fd = 0; fd < fd_end; fd++)
+    if (peers[fd].srv == srv && peers[fd].kind == KIND_CONN)
+      {
+        set_events (fd, on ? 0 : EPOLLIN);
+        peers[fd].want_out = false;
+        if (!on && !flush_out (fd))
+          close_peer (fd);
+      }
+}
+
+void
+net_silence_all (struct server *srv, bool arrives)
+{
+  for (int fd = 0; fd < fd_end; fd++)
+    if (peers[fd].srv == srv && peers[fd].kind == KIND_CONN)
+      *(arrives ? &peers[fd].mute : &peers[fd].silent) = true;
+}
+
 /* Reads what is there; returns false at the end of the connection.  */
 static bool
 read_in (int fd)
@@ -622,6 +687,12 @@
       accept_all (fd);
       return;
     }
+  if (pr->kind == KIND_CONN && pr->srv->hold)
+    {
+      /* The caller has reset it.  */
+      close_peer (fd);
+      return;
+    }
   bool open = !(events & EPOLLOUT) || flush_out (fd);
   if (events & (EPOLLIN | EPOLLHUP | EPOLLERR))
     open = read_in (fd) && open;
--- a/test/soak/net.h
+++ b/test/soak/net.h
@@ -49,6 +49,16 @@
 };
 struct net_link *net_link_of (struct server *srv);
 
+/* Begins or ends a time in which the packets of new connections are lost:
+   connects hang, and go on only with a packet sent again after its end.  */
+void net_hang (struct server *srv, bool on);
+/* Begins or ends a time in which what the open connections carry is held up.
+   It arrives afterwards, unless the caller has reset the connection.  */
+void net_hold (struct server *srv, bool on);
+/* The connections that are open now return nothing further and stay open; new
+   ones work.  ARRIVES: a request that is sent on one is still carried out.  */
+void net_silence_all (struct server *srv, bool arrives);
+
 void net_reply (struct conn_ref conn, int status, const char *type,
                 const void *body, size_t len);
 /* The connection returns nothing further and stays open.  */
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -640,6 +640,12 @@
   return net_link_of (servers[index]);
 }
 
+struct server *
+store_server (int index)
+{
+  return servers[index];
+}
+
 size_t
 store_reset (int index)
 {
--- a/test/soak/store.h
+++ b/test/soak/store.h
@@ -34,6 +34,7 @@
 /* Listens for the process of this index.  */
 void store_listen (int index, int *port);
 struct net_link *store_link (int index);
+struct server *store_server (int index);
 /* Resets the process's connections; returns their number.  */
 size_t store_reset (int index);
 /* The process that claimed the duty with this fencing token, or -1.  */
--- a/test/soak/worker.c
+++ b/test/soak/worker.c
@@ -384,7 +384,7 @@
     return;
   if (now >= wrk->next_beat)
     {
-      if (!wrk->fault.cut)
+      if (!wrk->fault.cut && !wrk->away)
         write_entry (wrk);
       wrk->next_beat = now + HEARTBEAT_MS;
     }
@@ -412,12 +412,19 @@
   link->drop_in = wrk->fault.cut;
   link->drop_out = wrk->fault.cut || wrk->fault.one_way;
   link->refuse = !wrk->up;
-  if (wrk->up && !wrk->fault.cut)
+  if (wrk->up && !wrk->fault.cut && !wrk->away)
     wrk->silent_since = 0;
   else if (!wrk->silent_since)
     wrk->silent_since = net_now ();
 }
 
+void
+worker_cut (struct worker *wrk, bool on)
+{
+  wrk->away = on;
+  worker_faults_changed (wrk);
+}
+
 static void
 begin_instance (struct worker *wrk, int64_t beat_ms)
 {
--- a/test/soak/worker.h
+++ b/test/soak/worker.h
@@ -51,6 +51,7 @@
   int cpu, mem;
   bool up, listed;
   struct worker_fault fault;
+  bool away; /* cut off, see worker_cut */
   struct server *srv;
   int64_t born;  /* Unix time of the instance's start */
   int64_t begun; /* the worker's clock counts from here */
@@ -79,6 +80,8 @@
 const char *pool_name (int pool);
 /* Applies the fault after its fields were changed.  */
 void worker_faults_changed (struct worker *wrk);
+/* Begins or ends a time in which the worker does not reach the store.  */
+void worker_cut (struct worker *wrk, bool on);
 /* Ends the instance: what ran there is gone.  */
 void worker_crash (struct worker *wrk);
 /* A new instance on the same machine; it writes its entry BEAT_MS later.
