test/soak: series of versions, requests for routes at each process

The operator wrote a version each 1.5 to 7 s in which one route came or went, and 3 % of the jobs were handed in by it at a process in rotation: about one request a second that could show an old version, and none during a cut.

Clients ask each process directly for the counts of routes that were added, were removed or never existed, on connections that they keep until the process closes them.

The judge keeps all versions. Answers of submissions, states and counts are compared with them: 404 or success that only a version before one confirmed over config-apply-ms (2,000 ms) earlier allows breaks CONFIG for a process in touch (contact-ms, 3,000 ms). There is no slack. Before, only the last version before the request counted, and only submissions were looked at.

--- a/test/soak/clients.c
+++ b/test/soak/clients.c
@@ -17,47 +17,79 @@
 #define READ_MS 2000
 #define RETRY_AFTER_MAX_MS 3000
 #define CANCEL_TRIES_MAX 8
-#define EXTRA_PREFIX "/extra/"
+#define EXTRA_PREFIX "/extra-"
+#define STEADY_ROUTES_MAX 100
+#define TIMEOUT_MIN_MS 2500
+#define TIMEOUT_MAX_MS 3500
+/* Between two requests for counts at one process, with up to ASK_PROCESSES
+   processes; the total rate grows no further.  */
+#define ASK_MIN_MS 40
+#define ASK_MAX_MS 160
+#define ASK_PROCESSES 8
 
 static struct traffic traffic;
 static struct rng rng;
 static bool stopped;
 static int version = 3;
-static bool extra_route;
-static size_t asking;   /* reads of clients_ask_all without an answer */
-static int64_t changed; /* time of the last config */
+static unsigned extra_routes;          /* bits of those in the config */
+static unsigned changed_routes;        /* by the last version */
+static int timeouts[ROUTES_EXTRA + 1]; /* of all others, and of each extra */
+static int steady_routes;              /* give the versions their size */
+static struct rng config_rng, ask_rng;
+static size_t asking; /* reads of clients_ask_all without an answer */
 
 /* The operator  */
 
 static json_t *
-make_route (const char *name, const char *prefix, const char *service)
+make_route (const char *name, const char *prefix, const char *service,
+            int timeout_ms)
 {
   return json_pack ("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i,s:f}", "name", name,
                     "host", SOAK_HOST, "path-prefix", prefix, "route-type",
-                    "non_idempotent", "timeout-ms", 3000, "target-latency-ms",
-                    600, "priority", 0, "service", service, "attempts",
-                    ATTEMPTS, "stretch", 1.6);
+                    "non_idempotent", "timeout-ms", timeout_ms,
+                    "target-latency-ms", 600, "priority", 0, "service",
+                    service, "attempts", ATTEMPTS, "stretch", 1.6);
+}
+
+static int
+draw_timeout (void)
+{
+  return (int)soak_between (&config_rng, TIMEOUT_MIN_MS, TIMEOUT_MAX_MS);
 }
 
 static void
-write_config (int pools)
+write_config (void)
 {
   json_t *routes = json_array (), *services = json_array ();
-  for (int n = 0; n < pools; n++)
+  char name[24], prefix[24];
+  for (int n = 0; n < traffic.pools; n++)
     {
-      char name[16], prefix[16];
       snprintf (name, sizeof name, "r-%d", n);
       snprintf (prefix, sizeof prefix, "/q%d/", n);
-      json_array_append_new (routes, make_route (name, prefix, pool_name (n)));
+      json_array_append_new (
+          routes, make_route (name, prefix, pool_name (n), timeouts[0]));
       json_array_append_new (
           services,
           json_pack ("{s:s,s:s,s:i,s:s,s:b,s:b,s:b}", "name", pool_name (n),
                      "health-path", "/health", "max-conns", 64, "protocol",
                      "h1", "tls", 0, "enforces-capacity", 0, "spare", 0));
     }
-  if (extra_route)
-    json_array_append_new (routes,
-                           make_route ("extra", EXTRA_PREFIX, pool_name (0)));
+  for (int n = 0; n < steady_routes; n++)
+    {
+      snprintf (name, sizeof name, "steady-%d", n);
+      snprintf (prefix, sizeof prefix, "/steady-%d/", n);
+      json_array_append_new (routes, make_route (name, prefix,
+                                                 pool_name (n % traffic.pools),
+                                                 TIMEOUT_MAX_MS));
+    }
+  for (int n = 1; n <= ROUTES_EXTRA; n++)
+    if (extra_routes & 1U << n)
+      {
+        snprintf (name, sizeof name, "extra-%d", n);
+        snprintf (prefix, sizeof prefix, EXTRA_PREFIX "%d/", n);
+        json_array_append_new (
+            routes, make_route (name, prefix, pool_name (0), timeouts[n]));
+      }
   json_t *doc
       = json_pack ("{s:i,s:o,s:o,s:{s:i,s:i,s:i,s:i}}", "version", version,
                    "routes", routes, "services", services, "limits",
@@ -65,26 +97,36 @@
                    "header-timeout-ms", 3000, "idle-timeout-ms", 15000);
   char *text = json_dumps (doc, JSON_COMPACT);
   store_put ("keyed.op", "config", text);
+  judge_config (version, extra_routes);
   free (text);
   json_decref (doc);
-  changed = soak_ms ();
 }
 
 void
-operator_start (int pools)
+operator_start (int pools, uint64_t seed)
 {
+  config_rng = rng_make (seed, "versions");
   traffic.pools = pools;
-  write_config (pools);
+  steady_routes = (int)soak_between (&config_rng, 0, STEADY_ROUTES_MAX);
+  for (int n = 0; n <= ROUTES_EXTRA; n++)
+    timeouts[n] = TIMEOUT_MAX_MS;
+  write_config ();
 }
 
 void
 operator_change (void)
 {
-  version += (int)soak_between (&soak_call_rng, 1, 5);
-  extra_route = !extra_route;
-  write_config (traffic.pools);
-  soak_log ("operator: config version %d, %s the extra route", version,
-            extra_route ? "with" : "without");
+  unsigned before = extra_routes;
+  double draw = soak_draw (&config_rng);
+  int flips = draw < 0.2 ? 0 : draw < 0.8 ? 1 : 2;
+  for (int n = 0; n < flips; n++)
+    extra_routes ^= 1U << soak_between (&config_rng, 1, ROUTES_EXTRA);
+  timeouts[soak_between (&config_rng, 0, ROUTES_EXTRA)] = draw_timeout ();
+  version += (int)soak_between (&config_rng, 1, 5);
+  changed_routes = extra_routes ^ before;
+  write_config ();
+  soak_log ("operator: config version %d, extra routes %02x, before %02x",
+            version, extra_routes >> 1, before >> 1);
 }
 
 /* Handing in  */
@@ -95,8 +137,6 @@
   struct job *job;
   int process;
   int64_t sent, budget_end;
-  bool route_known; /* the extra route is in the config */
-  int64_t config_changed;
   bool repeat; /* arrives after the job was accepted */
 };
 
@@ -104,8 +144,8 @@
 path_of (const struct job *job)
 {
   static char path[40];
-  if (job->extra_route)
-    snprintf (path, sizeof path, EXTRA_PREFIX "%s", job->id);
+  if (job->route)
+    snprintf (path, sizeof path, EXTRA_PREFIX "%d/%s", job->route, job->id);
   else
     snprintf (path, sizeof path, "/q%d/%s", job->pool, job->id);
   return path;
@@ -171,11 +211,12 @@
 {
   struct attempt *att = arg;
   struct job *job = att->job;
-  if (job->extra_route)
-    judge_route (job, att->process, att->sent, ans->status, att->route_known,
-                 att->config_changed);
-  else
-    judge_route (job, att->process, att->sent, ans->status, true, 0);
+  const struct route_answer by_route = { .what = job->id,
+                                         .route = job->route,
+                                         .process = att->process,
+                                         .status = ans->status,
+                                         .sent = att->sent };
+  judge_route (&by_route);
   bool rejected = ans->status == 503 || ans->status == 429;
   if (rejected && !att->repeat)
     job->rejected++;
@@ -205,8 +246,6 @@
                              .host = SOAK_HOST,
                              .body = body };
   att->sent = soak_ms ();
-  att->route_known = extra_route;
-  att->config_changed = changed;
   att->job->tries++;
   net_call (&call, on_submitted, att);
   free (body);
@@ -253,6 +292,12 @@
                                 .sent = rdc->sent,
                                 .status = ans->status,
                                 .state = state ? state : "" };
+  const struct route_answer by_route = { .what = "request for a state",
+                                         .route = job ? job->route : 0,
+                                         .process = rdc->process,
+                                         .status = ans->status,
+                                         .sent = rdc->sent };
+  judge_route (&by_route);
   if (job)
     judge_reading (job, &read);
   else
@@ -331,6 +376,70 @@
     net_after (soak_between (&rng, 500, 4000), submit_again, job);
 }
 
+/* Counts, which clients ask of each process directly  */
+
+struct count_call
+{
+  int process, route;
+  int64_t sent;
+};
+
+static void
+on_count (void *arg, const struct answer *ans)
+{
+  struct count_call *cnt = arg;
+  const struct route_answer by_route = { .what = "request for a count",
+                                         .route = cnt->route,
+                                         .process = cnt->process,
+                                         .status = ans->status,
+                                         .sent = cnt->sent };
+  judge_route (&by_route);
+  free (cnt);
+}
+
+/* Mostly a route that the last version has added or removed.  */
+static int
+draw_route (void)
+{
+  double draw = soak_draw (&ask_rng);
+  int route = (int)soak_between (&ask_rng, 1, ROUTES_EXTRA);
+  if (draw < 0.1)
+    return ROUTE_NEVER;
+  if (draw < 0.2)
+    return 0;
+  for (int n = 0; draw < 0.6 && n < ROUTES_EXTRA; n++)
+    if (!(changed_routes & 1U << route))
+      route = route % ROUTES_EXTRA + 1;
+  return route;
+}
+
+static void
+ask_count (void *arg)
+{
+  struct process *prc = arg;
+  char path[40];
+  if (stopped)
+    return;
+  struct count_call *cnt = malloc (sizeof *cnt);
+  *cnt = (struct count_call){ .process = prc->index,
+                              .route = draw_route (),
+                              .sent = soak_ms () };
+  if (cnt->route == 0)
+    snprintf (path, sizeof path, "/q0/");
+  else
+    snprintf (path, sizeof path, EXTRA_PREFIX "%d/", cnt->route);
+  const struct call call = { .port = prc->listen,
+                             .timeout_ms = TRY_MS,
+                             .method = "GET",
+                             .path = path,
+                             .host = SOAK_HOST };
+  net_call (&call, on_count, cnt);
+  int64_t ms = soak_between (&ask_rng, ASK_MIN_MS, ASK_MAX_MS);
+  if (process_count > ASK_PROCESSES)
+    ms = ms * process_count / ASK_PROCESSES;
+  net_after (ms, ask_count, prc);
+}
+
 /* Traffic  */
 
 static void
@@ -360,8 +469,9 @@
   job->pool = (int)soak_between (&rng, 0, traffic.pools - 1);
   job->patient = soak_draw (&rng) < 0.5;
   job->perpetual = soak_draw (&rng) < 0.06;
-  job->extra_route = !job->perpetual && soak_draw (&rng) < 0.03;
-  if (job->extra_route)
+  if (!job->perpetual && soak_draw (&rng) < 0.03)
+    job->route = (int)soak_between (&ask_rng, 1, ROUTES_EXTRA);
+  if (job->route)
     job->pool = 0;
   make_steps (job);
   return job;
@@ -391,6 +501,9 @@
 {
   traffic = *plan;
   rng = rng_make (plan->seed, "clients");
+  ask_rng = rng_make (plan->seed, "counts");
+  for (int n = 0; n < process_count; n++)
+    ask_count (&processes[n]);
   on_turn (NULL);
 }
 
@@ -404,7 +517,7 @@
 clients_ask_all (void)
 {
   for (struct job *job = jobs; job; job = job->hh.next)
-    if (job->accepted && !job->cancel_sent && !job->extra_route)
+    if (job->accepted && !job->cancel_sent && !job->route)
       read_state (job, true);
 }
 
--- a/test/soak/clients.h
+++ b/test/soak/clients.h
@@ -13,8 +13,9 @@
 };
 
 /* Writes the first config; must precede the processes.  */
-void operator_start (int pools);
-/* Writes the next version, in which the extra route comes or goes.  */
+void operator_start (int pools, uint64_t seed);
+/* Writes the next version, in which extra routes come or go and the time-out
+   of some routes is another.  */
 void operator_change (void);
 
 void clients_start (const struct traffic *traffic);
--- a/test/soak/cuts.c
+++ b/test/soak/cuts.c
@@ -2,12 +2,17 @@
 
 #include <stdlib.h>
 
+#include "test/soak/clients.h"
 #include "test/soak/judge.h"
 #include "test/soak/net.h"
 #include "test/soak/process.h"
 #include "test/soak/store.h"
 #include "test/soak/worker.h"
 
+#define STEP_MS 20
+#define CHANGES_MAX 12        /* new versions beside a cut */
+#define CHANGES_AFTER_MS 4000 /* in which they come after the cut */
+
 /* What a cut does to the connections that are open when it begins.  */
 enum form
 {
@@ -27,12 +32,13 @@
   int process;        /* -1: of a worker */
   struct worker *wrk; /* NULL: of a process */
   enum form form;
+  int64_t until;
   size_t impairment;
 };
 
 static struct cuts enabled;
 static bool stopped;
-static struct rng store_rng, worker_rng, silence_rng;
+static struct rng store_rng, worker_rng, silence_rng, config_rng;
 static bool store_is_cut[PROCESSES_MAX], worker_is_cut[WORKERS_MAX];
 
 static void
@@ -53,12 +59,23 @@
   free (cut);
 }
 
+static void
+step_cut (void *arg)
+{
+  struct cut *cut = arg;
+  if (stopped || soak_ms () >= cut->until)
+    end_cut (cut);
+  else
+    net_after (STEP_MS, step_cut, cut);
+}
+
 /* Takes over a copy of PLAN.  */
 static void
 begin_cut (const struct cut *plan, int64_t ms)
 {
   struct cut *cut = malloc (sizeof *cut);
   *cut = *plan;
+  cut->until = soak_ms () + ms;
   if (cut->wrk)
     {
       worker_is_cut[cut->wrk->index] = true;
@@ -80,7 +97,7 @@
             cut->wrk ? "all processes" : processes[cut->process].name,
             cut->wrk ? cut->wrk->id : "the store", (long)ms,
             form_names[cut->form]);
-  net_after (ms, end_cut, cut);
+  step_cut (cut);
 }
 
 /* The pause until the next cuts; they come in series.  */
@@ -92,6 +109,23 @@
                 : soak_between (rng, 3500, 8000);
 }
 
+static void
+change_config (void *arg)
+{
+  if (!stopped)
+    operator_change ();
+}
+
+/* Some cuts have versions beside them.  */
+static void
+plan_changes (int64_t cut_ms)
+{
+  int count = (int)soak_between (&config_rng, -2, CHANGES_MAX);
+  for (int n = 0; n < count && enabled.config; n++)
+    net_after (soak_between (&config_rng, 0, cut_ms + CHANGES_AFTER_MS),
+               change_config, NULL);
+}
+
 static void
 plan_store (void *arg)
 {
@@ -100,6 +134,7 @@
   int64_t ms = soak_between (rng, 600, 4500);
   if (stopped)
     return;
+  plan_changes (ms);
   for (int n = 0; n < process_count; n++)
     {
       bool hit = soak_draw (rng) < share;
@@ -167,6 +202,7 @@
   store_rng = rng_make (seed, "store cuts");
   worker_rng = rng_make (seed, "worker cuts");
   silence_rng = rng_make (seed, "silence");
+  config_rng = rng_make (seed, "versions beside cuts");
   if (enabled.store)
     net_after (start_ms, plan_store, NULL);
   if (enabled.worker)
--- a/test/soak/cuts.h
+++ b/test/soak/cuts.h
@@ -14,6 +14,7 @@
   bool store, worker;
   /* Open connections fall silent for good without a cut.  */
   bool store_silence, worker_silence;
+  bool config; /* new versions during a cut and right after it */
 };
 
 void cuts_start (const struct cuts *cuts, uint64_t seed, int64_t start_ms);
--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -370,7 +370,10 @@
   if (stopped)
     return;
   operator_change ();
-  net_after (soak_between (&config_rng, 1500, 7000), plan_config, NULL);
+  bool series = soak_draw (&config_rng) < 0.75;
+  net_after (series ? soak_between (&config_rng, 20, 400)
+                    : soak_between (&config_rng, 1500, 5000),
+             plan_config, NULL);
 }
 
 void
@@ -391,7 +394,8 @@
       = { .store = set & BIT (FAULT_CUT),
           .worker = set & BIT (FAULT_WORKER_HANG),
           .store_silence = set & BIT (FAULT_SILENCE),
-          .worker_silence = set & BIT (FAULT_WORKER_SILENCE) };
+          .worker_silence = set & BIT (FAULT_WORKER_SILENCE),
+          .config = set & BIT (FAULT_CONFIG) };
   cuts_start (&cuts, seed, start_ms);
   if (set & BIT (FAULT_CONFIG))
     net_after (start_ms, plan_config, NULL);
--- a/test/soak/judge.c
+++ b/test/soak/judge.c
@@ -40,6 +40,16 @@
 
 struct job *jobs;
 
+/* A version of the config, the oldest first.  */
+struct version
+{
+  int number;
+  unsigned routes;
+  int64_t confirmed;
+};
+
+static struct version *versions;
+static size_t version_count, version_size;
 static struct impairment *spans;
 static size_t span_count, span_size;
 static struct rule_count rules[RULES_MAX];
@@ -334,8 +344,8 @@
 {
   if (read->status == 200)
     check_state (job, read);
-  if (read->status != 410 || !job->accepted || job->cancel_sent
-      || job->extra_route || job->told[TOLD_GONE] || may_be_forgotten (job)
+  if (read->status != 410 || !job->accepted || job->cancel_sent || job->route
+      || job->told[TOLD_GONE] || may_be_forgotten (job)
       || read->sent <= job->accepted + VISIBLE_MS
       || !in_touch (read->process, read->sent, soak_ms ()))
     return;
@@ -353,20 +363,53 @@
                   name_of (read->process), id, read->state);
 }
 
+/* Versions of the config  */
+
 void
-judge_route (const struct job *job, int process, int64_t sent, int status,
-             bool route_known, int64_t since)
+judge_config (int version, unsigned routes)
 {
-  bool told_unknown = status == 404;
-  if ((!told_unknown && status / 100 != 2) || told_unknown == !route_known
-      || sent <= since + CONFIG_APPLY_MS
-      || !in_touch (process, sent, soak_ms ()))
+  if (version_count == version_size)
+    {
+      version_size = version_size ? version_size * 2 : 64;
+      versions = realloc (versions, version_size * sizeof *versions);
+    }
+  versions[version_count++] = (struct version){ .number = version,
+                                                .routes = routes,
+                                                .confirmed = soak_ms () };
+}
+
+static bool
+version_has (const struct version *ver, int route)
+{
+  return route == 0 || (route != ROUTE_NEVER && ver->routes & 1U << route);
+}
+
+/* An answer has to be that of the newest version that was confirmed over
+   config-apply-ms before the request, or of a later one.  */
+void
+judge_route (const struct route_answer *ans)
+{
+  bool has = ans->status / 100 == 2;
+  size_t first = version_count;
+  if (!has && ans->status != 404)
+    return;
+  while (first > 0)
+    {
+      const struct version *ver = &versions[--first];
+      if (version_has (ver, ans->route) == has)
+        return;
+      if (ver->confirmed + CONFIG_APPLY_MS < ans->sent)
+        break;
+    }
+  if (!in_touch (ans->process, ans->sent, soak_ms ()))
     return;
   judge_broken ("CONFIG",
-                "job %s: %s answers %d, %ld ms after the config in which the "
-                "route is%s there",
-                job->id, name_of (process), status, (long)(sent - since),
-                route_known ? "" : " not");
+                "%s, sent at %.3f: %s answers %d, as only a version before %d "
+                "allows, confirmed at %.3f, %ld ms before",
+                ans->what, (double)ans->sent / 1000, name_of (ans->process),
+                ans->status, versions[first].number,
+                (double)versions[first].confirmed / 1000,
+                (long)(ans->sent - versions[first].confirmed));
 }
 
 /* Jobs that wait  */
@@ -374,7 +417,7 @@
 static bool
 is_owed (struct job *job)
 {
-  return job->accepted && !job->cancel_sent && !job->extra_route;
+  return job->accepted && !job->cancel_sent && !job->route;
 }
 
 /* Whether there is room for the work item twice over and under half of the
--- a/test/soak/judge.h
+++ b/test/soak/judge.h
@@ -9,6 +9,9 @@
 
 #define STEPS_MAX 3
 #define ITEMS_MAX 6 /* work items of a step */
+/* Routes that come and go, and one that is in no version.  */
+#define ROUTES_EXTRA 6
+#define ROUTE_NEVER (ROUTES_EXTRA + 1)
 
 /* Impairments, from which "in touch" and "calm" follow.  */
 enum impaired
@@ -57,7 +60,7 @@
   char id[20];
   char spec[24];
   int pool;
-  bool extra_route; /* handed in by a route that comes and goes */
+  int route; /* > 0: handed in by the extra route of this number */
   bool perpetual;
   bool patient;                 /* the client comes back after a rejection */
   struct step steps[STEPS_MAX]; /* each one after the step before */
@@ -104,10 +107,19 @@
 void judge_reading (struct job *job, const struct reading *read);
 /* A process answered a GET of a job that nobody has sent.  */
 void judge_unknown (const char *id, const struct reading *read);
-/* A submission was answered 404 or accepted on a route.  ROUTE_KNOWN: the
-   config in force has it; SINCE: time of the config's last change.  */
-void judge_route (const struct job *job, int process, int64_t sent, int status,
-                  bool route_known, int64_t since);
+/* The store has confirmed a version of the config; ROUTES has a bit for each
+   extra route that is in it.  */
+void judge_config (int version, unsigned routes);
+/* A process has answered a request that was sent at SENT by a route: 0 is one
+   that is in each version, 1 to ROUTES_EXTRA an extra one, and
+   ROUTE_NEVER one that is in none.  */
+struct route_answer
+{
+  const char *what; /* the request */
+  int route, process, status;
+  int64_t sent;
+};
+void judge_route (const struct route_answer *ans);
 /* Checks what holds at any time, and, if FINISHING, what holds from
    finish_s after the end of the traffic.  */
 void judge_tick (bool finishing);
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -295,7 +295,7 @@
   soak_log ("seed %ld, faults %s, %ld processes, %ld workers, %ld pools",
             (long)set.seed, set.faults, (long)set.processes, (long)set.workers,
             (long)set.pools);
-  operator_start ((int)set.pools);
+  operator_start ((int)set.pools, (uint64_t)set.seed);
   process_start_all (set.program, (int)set.processes, folder);
   for (int n = 0; n < set.workers; n++)
     worker_add (n % (int)set.pools, n / (int)set.pools % 3);
