--- a/test/soak/clients.c
+++ b/test/soak/clients.c
@@ -217,6 +217,7 @@
                                          .status = ans->status,
                                          .sent = att->sent };
   judge_route (&by_route);
+  judge_no_answer (&by_route, ans->broken);
   bool rejected = ans->status == 503 || ans->status == 429;
   if (rejected && !att->repeat)
     job->rejected++;
@@ -298,6 +299,7 @@
                                          .status = ans->status,
                                          .sent = rdc->sent };
   judge_route (&by_route);
+  judge_no_answer (&by_route, ans->broken);
   if (job)
     judge_reading (job, &read);
   else
@@ -394,6 +396,7 @@
                                          .status = ans->status,
                                          .sent = cnt->sent };
   judge_route (&by_route);
+  judge_no_answer (&by_route, ans->broken);
   free (cnt);
 }
 
--- a/test/soak/judge.c
+++ b/test/soak/judge.c
@@ -111,12 +111,27 @@
   return span->from <= until && (!span->until || span->until >= from);
 }
 
+static bool
+concerns (const struct impairment *span, int process)
+{
+  switch (span->what)
+    {
+    case IMPAIRED_STORE:
+    case IMPAIRED_ALL:
+      return true;
+    case IMPAIRED_PROCESS:
+    case IMPAIRED_STOP:
+      return span->index == process;
+    default:
+      return false;
+    }
+}
+
 bool
 in_touch (int process, int64_t from, int64_t until)
 {
   for (size_t n = 0; n < span_count; n++)
-    if ((spans[n].what == IMPAIRED_STORE || spans[n].what == IMPAIRED_ALL
-         || (spans[n].what == IMPAIRED_PROCESS && spans[n].index == process))
+    if (concerns (&spans[n], process)
         && overlaps (&spans[n], from - CONTACT_MS, until))
       return false;
   return true;
@@ -412,6 +427,30 @@
                 (long)(ans->sent - versions[first].confirmed));
 }
 
+void
+judge_no_answer (const struct route_answer *ans, bool broken)
+{
+  int64_t now = soak_ms ();
+  bool stopping = false;
+  if (!broken || now <= ans->sent + LOSS_SLACK_MS)
+    return;
+  for (size_t n = 0; n < span_count; n++)
+    if (!concerns (&spans[n], ans->process))
+      continue;
+    else if (spans[n].what != IMPAIRED_STOP)
+      {
+        if (overlaps (&spans[n], ans->sent - CONTACT_MS, now))
+          return;
+      }
+    else if (overlaps (&spans[n], now, now))
+      stopping = true;
+  if (stopping)
+    judge_broken ("LOST",
+                  "%s, sent at %.3f: %s, which was told to stop, ends the "
+                  "connection without an answer",
+                  ans->what, (double)ans->sent / 1000, name_of (ans->process));
+}
+
 /* Jobs that wait  */
 
 static bool
--- a/test/soak/judge.h
+++ b/test/soak/judge.h
@@ -17,6 +17,7 @@
 enum impaired
 {
   IMPAIRED_PROCESS,
+  IMPAIRED_STOP, /* of a process: SIGTERM, which is planned */
   IMPAIRED_STORE,
   IMPAIRED_WORKER,
   IMPAIRED_ALL, /* the connections of all processes */
@@ -120,6 +121,8 @@
   int64_t sent;
 };
 void judge_route (const struct route_answer *ans);
+/* A request to a process has ended without an answer.  */
+void judge_no_answer (const struct route_answer *ans, bool broken);
 /* Checks what holds at any time, and, if FINISHING, what holds from
    finish_s after the end of the traffic.  */
 void judge_tick (bool finishing);
--- a/test/soak/net.c
+++ b/test/soak/net.c
@@ -14,7 +14,7 @@
 #include <time.h>
 #include <unistd.h>
 
-#define FDS_MAX 16384
+#define FDS_MAX 32768
 #define EVENTS_MAX 256
 #define BACKLOG 512
 #define PORT_MIN 10000
@@ -423,7 +423,8 @@
 end_call (int fd, int status, const char *head, const char *body)
 {
   struct peer *pr = &peers[fd];
-  struct answer ans = { .status = status };
+  struct answer ans = { .status = status,
+                        .broken = status == 0 && net_now () <= pr->deadline };
   answer_fn *fn = pr->fn;
   void *arg = pr->arg;
   char *copy = strdup (body);
--- a/test/soak/net.h
+++ b/test/soak/net.h
@@ -81,7 +81,8 @@
 
 struct answer
 {
-  int status; /* 0: no answer in time, or a broken connection */
+  int status;  /* 0: no answer in time, or a broken connection */
+  bool broken; /* the connection ended before the answer */
   int retry_after_s;
   const char *body;
 };
--- a/test/soak/process.c
+++ b/test/soak/process.c
@@ -173,7 +173,7 @@
   if (prc->state != PROCESS_RUNS)
     return false;
   soak_log ("fault: SIGTERM to %s", prc->name);
-  prc->impairment = impair_begin (IMPAIRED_PROCESS, index);
+  prc->impairment = impair_begin (IMPAIRED_STOP, index);
   kill (prc->pid, SIGTERM);
   prc->state = PROCESS_STOPPING;
   net_after (GRACE_MS, end_grace, prc);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -12,6 +12,7 @@
 #define CONFIG_APPLY_MS 2000
 #define CANCEL_MS 3000
 #define VISIBLE_MS 3000
+#define LOSS_SLACK_MS 200
 #define FINISH_MS 14000
 #define STATUS_MS 120000
 #define STOP_MS 200
