--- a/test/soak/process.h
+++ b/test/soak/process.h
@@ -7,7 +7,7 @@
 
 #include "test/soak/soak.h"
 
-#define PROCESSES_MAX 40
+#define PROCESSES_MAX 150
 
 enum process_state
 {
--- a/test/soak/store.h
+++ b/test/soak/store.h
@@ -11,7 +11,7 @@
 #define STORE_RECORD_MAX 262144
 #define STORE_CALL_MAX 2097152
 
-#define STORE_PORTS_MAX 40 /* one for each process */
+#define STORE_PORTS_MAX 150 /* one for each process */
 
 /* Faults of the calls of one process; the fields are shares of its calls.  */
 struct store_fault
