--- a/test/soak/judge.h
+++ b/test/soak/judge.h
@@ -9,13 +9,18 @@
 
 #define STEPS_MAX 3
 #define ITEMS_MAX 6 /* work items of a step */
+/* Routes that come and go, and one that is in no version.  */
+#define ROUTES_EXTRA 6
+#define ROUTE_NEVER (ROUTES_EXTRA + 1)
 
 /* Impairments, from which "in touch" and "calm" follow.  */
 enum impaired
 {
   IMPAIRED_PROCESS,
+  IMPAIRED_STOP, /* of a process: SIGTERM, which is planned */
   IMPAIRED_STORE,
   IMPAIRED_WORKER,
+  IMPAIRED_ALL, /* the connections of all processes */
 };
 /* Begins an impairment; returns its number for impair_end.  */
 size_t impair_begin (enum impaired what, int index);
@@ -56,7 +61,7 @@
   char id[20];
   char spec[24];
   int pool;
-  bool extra_route; /* handed in by a route that comes and goes */
+  int route; /* > 0: handed in by the extra route of this number */
   bool perpetual;
   bool patient;                 /* the client comes back after a rejection */
   struct step steps[STEPS_MAX]; /* each one after the step before */
@@ -103,10 +108,21 @@
 void judge_reading (struct job *job, const struct reading *read);
 /* A process answered a GET of a job that nobody has sent.  */
 void judge_unknown (const char *id, const struct reading *read);
-/* A submission was answered 404 or accepted on a route.  ROUTE_KNOWN: the
-   config in force has it; SINCE: time of the config's last change.  */
-void judge_route (const struct job *job, int process, int64_t sent, int status,
-                  bool route_known, int64_t since);
+/* The store has confirmed a version of the config; ROUTES has a bit for each
+   extra route that is in it.  */
+void judge_config (int version, unsigned routes);
+/* A process has answered a request that was sent at SENT by a route: 0 is one
+   that is in each version, 1 to ROUTES_EXTRA an extra one, and
+   ROUTE_NEVER one that is in none.  */
+struct route_answer
+{
+  const char *what; /* the request */
+  int route, process, status;
+  int64_t sent;
+};
+void judge_route (const struct route_answer *ans);
+/* A request to a process has ended without an answer.  */
+void judge_no_answer (const struct route_answer *ans, bool broken);
 /* Checks what holds at any time, and, if FINISHING, what holds from
    finish_s after the end of the traffic.  */
 void judge_tick (bool finishing);
--- a/test/soak/store.h
+++ b/test/soak/store.h
@@ -11,7 +11,7 @@
 #define STORE_RECORD_MAX 262144
 #define STORE_CALL_MAX 2097152
 
-#define STORE_PORTS_MAX 40 /* one for each process */
+#define STORE_PORTS_MAX 150 /* one for each process */
 
 /* Faults of the calls of one process; the fields are shares of its calls.  */
 struct store_fault
@@ -34,6 +34,7 @@
 /* Listens for the process of this index.  */
 void store_listen (int index, int *port);
 struct net_link *store_link (int index);
+struct server *store_server (int index);
 /* Resets the process's connections; returns their number.  */
 size_t store_reset (int index);
 /* The process that claimed the duty with this fencing token, or -1.  */
