node: accept jobs with a configuration that is up to 5 s old

To accept a job is no statement about the newest version. A process that could read the store for the 3 s for which a machine has to be in touch knows a version that is older than 2 s; so 5 s hold what the rule asks, and a process as far behind as those of the incident still rejects. Cancellations of jobs that are not known here go by the same bound.

--- a/node/job_partitions.c
+++ b/node/job_partitions.c
@@ -386,13 +386,25 @@
          && (node_jobs_current (nod) || node_states_current (nod));
 }
 
-bool
-node_config_current (const struct node *nod)
+static bool
+config_known_within (const struct node *nod, int64_t age_max_us)
 {
   return nod->cat
          && follower_caught_up_us (&nod->operator_fol)
-                >= clock_now_us (nod->clk)
-                       - nod->set->config_age_max_ms * 1000;
+                >= clock_now_us (nod->clk) - age_max_us;
+}
+
+bool
+node_config_current (const struct node *nod)
+{
+  return config_known_within (nod, nod->set->config_age_max_ms * 1000);
+}
+
+bool
+node_config_usable (const struct node *nod)
+{
+  return config_known_within (nod, nod->set->config_age_max_ms * 1000
+                                       + VIEW_AGE_MAX_US);
 }
 
 static bool
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -302,6 +302,9 @@
 /* Whether the configuration is known as it was at most config_age_max_ms
    ago.  */
 bool node_config_current (const struct node *nod);
+/* Whether jobs may be accepted under the configuration: it is known as it was
+   at most VIEW_AGE_MAX_US more ago.  */
+bool node_config_usable (const struct node *nod);
 /* Whether the records of the jobs of POOL have been read once.  */
 bool node_pool_followed (struct node *nod, const char *pool);
 /* Whether they are known as they were at most 3 s ago.  Those of other pools
--- a/node/requests.c
+++ b/node/requests.c
@@ -21,10 +21,11 @@
 
 /* What is answered with an old view.  "There is no such route", "there is no
    such job" and the number of waiting jobs are statements about the newest
-   records, and a job is accepted under the newest configuration; a process
-   whose view is too old for them rejects the request.  That a job was stored
-   and the state that it had reached stay true, so they are answered at any
-   age.  */
+   records; a process whose view is too old for them rejects the request.  A
+   job is accepted under a configuration that is somewhat older: the store may
+   take jobs while only the operators' records cannot be read.  That a job was
+   stored and the state that it had reached stay true, so they are answered at
+   any age.  */
 
 /* An append to the store on behalf of a client's request.  */
 struct pending_append
@@ -276,7 +277,7 @@
       reply (nod, req, FRONT_OK, NULL, 0);
       return;
     }
-  if (!node_config_current (nod))
+  if (!node_config_usable (nod))
     {
       reject_old_config (nod, req, id);
       return;
@@ -318,7 +319,7 @@
   if ((job && job->logged_state >= JOB_COMPLETED)
       || (pub && pub->state >= JOB_COMPLETED))
     reply (nod, req, FRONT_OK, NULL, 0);
-  else if (!job && !pub && !node_config_current (nod))
+  else if (!job && !pub && !node_config_usable (nod))
     reject_old_config (nod, req, id);
   else if (!prt || !node_partition_writable (prt))
     reject (nod, req, id, que->name, "store_away");
