node: no "never runs" while an earlier submission of the job is being stored

A 503 says that a job never runs. A process said so, with an old configuration, an unwritable partition or while it stops, also of a job that an earlier request to it had asked to store and for which the store had not answered yet: the append may still be carried out, and the job then runs.

Such a request is answered 504 now, as the outcome is not known.

test_rejection_beside_earlier_try failed before (FRONT_REJECTED where FRONT_OUTCOME_UNKNOWN is expected).

--- a/node/requests.c
+++ b/node/requests.c
@@ -234,15 +234,24 @@
     }
 }
 
+/* Whether an earlier submission of the job ID waits for the store.  */
+static bool
+is_being_stored (const struct node *nod, uint64_t id)
+{
+  for (const struct pending_append *pen = nod->pending_appends; pen;
+       pen = pen->next)
+    if (pen->id == id && !pen->cancel)
+      return true;
+  return false;
+}
+
 /* Whether this process knows that no earlier request has stored the job ID,
    which it does not know, so that it may say that the job never runs.  */
 static bool
 certainly_not_stored (struct node *nod, const char *pool, uint64_t id)
 {
-  for (const struct pending_append *pen = nod->pending_appends; pen;
-       pen = pen->next)
-    if (pen->id == id)
-      return false;
+  if (is_being_stored (nod, id))
+    return false;
   return (node_pool_followed (nod, pool) && node_pool_current (nod, pool))
          || node_published_pool (nod, pool);
 }
@@ -277,7 +286,16 @@
       reply (nod, req, FRONT_OK, NULL, 0);
       return;
     }
-  if (!node_config_usable (nod))
+  bool usable = node_config_usable (nod);
+  if (is_being_stored (nod, id)
+      && (!usable || !prt || !node_partition_writable (prt)
+          || nod->rejects_jobs))
+    {
+      log_request (nod, EV_JOB_NOT_CONFIRMED, id, que->name, "earlier_try");
+      reply (nod, req, FRONT_OUTCOME_UNKNOWN, NULL, 0);
+      return;
+    }
+  if (!usable)
     {
       reject_old_config (nod, req, id);
       return;
--- a/test/unit/unit_node_view.c
+++ b/test/unit/unit_node_view.c
@@ -135,6 +135,23 @@
 }
 END_TEST
 
+/* Guards against a job that is told as never running and runs: an earlier
+   submission of it waits for the store.  */
+START_TEST (test_rejection_beside_earlier_try)
+{
+  config->hold_reads = true;
+  wld.jobs->hold_appends = true;
+  handle (FRONT_SUBMIT, UNKNOWN);
+  await_config_age (VERY_OLD);
+  wld.replies = 0;
+  handle (FRONT_SUBMIT, UNKNOWN);
+  ck_assert_uint_eq (wld.replies, 1);
+  ck_assert_int_eq (wld.last_reply.status, FRONT_OUTCOME_UNKNOWN);
+  handle (FRONT_SUBMIT, "/q/0000000000000009");
+  ck_assert_int_eq (wld.last_reply.status, FRONT_REJECTED);
+}
+END_TEST
+
 /* Guards against a process that goes on rejecting requests once it has read
    the configuration again.  */
 START_TEST (test_config_read_again)
@@ -167,6 +184,7 @@
   tcase_set_timeout (tc, 60);
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_loop_test (tc, test_answer_with_old_config, 0, AGES);
+  tcase_add_test (tc, test_rejection_beside_earlier_try);
   tcase_add_test (tc, test_config_read_again);
   tcase_add_test (tc, test_two_waits_within_age_limit);
   suite_add_tcase (suite, tc);
