node: publish states while the members' reports cannot be read

An owner publishes the states of its jobs while there are processes that only take requests. It judged their reports by the present time instead of the time as of which it had read them: while it could not read the reports for 2 s (a connection that stays silent, a partition of the store that is down), it took all entry processes for dead and published nothing. These then had no summary younger than 3 s and rejected requests for jobs that they do not know, and the waiting numbers. In the same way it reported more often, as if there were fewer members.

Both now use the time as of which the reports are known, as the claims and the roles do, and the publication allows for late reports as these do.

test_published_in_partial_outage failed before (states->end == 8 after another 1.2 s) and passes; node, node_role, node_wait, node_view, duty and roster pass.

--- a/member/duty.c
+++ b/member/duty.c
@@ -355,11 +355,12 @@
 }
 
 bool
-duty_has_entry_members (const struct duty_table *tab, int64_t now_us)
+duty_has_entry_members (const struct duty_table *tab, int64_t now_us,
+                        int64_t slack_us)
 {
   for (size_t n = 0; n < tab->member_count; n++)
     if (tab->members[n].entry_only
-        && duty_member_alive (&tab->members[n], now_us, 0))
+        && duty_member_alive (&tab->members[n], now_us, slack_us))
       return true;
   return false;
 }
--- a/member/duty.h
+++ b/member/duty.h
@@ -236,7 +236,8 @@
                         int64_t slack_us);
 
 /* Whether a live member only takes requests.  */
-bool duty_has_entry_members (const struct duty_table *tab, int64_t now_us);
+bool duty_has_entry_members (const struct duty_table *tab, int64_t now_us,
+                             int64_t slack_us);
 
 /* Number of members that report and are not stopping.  */
 size_t duty_count_live_members (const struct duty_table *tab, int64_t now_us);
--- a/node/members.c
+++ b/node/members.c
@@ -129,12 +129,13 @@
   talloc_free (ctx);
 }
 
-/* Starts or ends the publication of states, as there are entry processes or
-   none.  */
+/* Starts or ends the publication of states, as there were entry processes or
+   none when the members' reports were last read.  */
 static void
-update_publication (struct node *nod, int64_t now_us)
+update_publication (struct node *nod)
 {
-  bool publishes = duty_has_entry_members (&nod->duties, now_us);
+  bool publishes = duty_has_entry_members (
+      &nod->duties, nod->members_current_us, node_members_slack_us (nod));
   if (publishes == nod->publishes_states)
     return;
   nod->publishes_states = publishes;
@@ -154,12 +155,13 @@
   node_update_role (nod);
   if (nod->follows_jobs && !node_jobs_current (nod))
     node_open_job_partitions (nod);
-  update_publication (nod, now_us);
+  update_publication (nod);
   node_check_duties (nod);
   node_log_store_state (nod);
   node_log_usage (nod);
   int64_t interval_ms = roster_report_interval_ms (
-      &nod->roster, ms, duty_count_live_members (&nod->duties, now_us));
+      &nod->roster, ms,
+      duty_count_live_members (&nod->duties, nod->members_current_us));
   if (nod->heartbeat_in_progress || now_us < nod->next_report_us)
     return;
   /* The timer is a little late each time.  */
--- a/test/unit/unit_node_role.c
+++ b/test/unit/unit_node_role.c
@@ -32,22 +32,31 @@
   states = topic_memory_part (&wld.mem, TOPIC_STATES, 0);
 }
 
-/* Reports as another member.  It counts as live for 10 s.  */
+/* Reports as another member, which says that its next report follows after
+   INTERVAL_MS.  */
 static void
-report (const char *name, uint32_t cpu_milli, bool entry_only)
+report_with_interval (const char *name, uint32_t cpu_milli, bool entry_only,
+                      uint32_t interval_ms)
 {
   char key[DUTY_KEY_BYTES];
   uint8_t data[64];
   Kingcuphollow__MemberBeat msg = KINGCUPHOLLOW__MEMBER_BEAT__INIT;
   msg.boot = 1;
   msg.cpu_milli = cpu_milli;
-  msg.interval_ms = 4000;
+  msg.interval_ms = interval_ms;
   msg.entry_only = entry_only;
   snprintf (key, sizeof key, "m/%s", name);
   topic_memory_add (members, key, data,
                     kingcuphollow__member_beat__pack (&msg, data));
 }
 
+/* The same; the member counts as live for 10 s.  */
+static void
+report (const char *name, uint32_t cpu_milli, bool entry_only)
+{
+  report_with_interval (name, cpu_milli, entry_only, 4000);
+}
+
 /* Makes the process an entry process: the controllers are stronger.  */
 static void
 open_entry (void)
@@ -279,6 +288,27 @@
 }
 END_TEST
 
+/* Guards against an owner that takes all entry processes for dead while it
+   cannot read the members' reports, and publishes nothing: they would reject
+   requests for jobs that they do not know.  */
+START_TEST (test_published_in_partial_outage)
+{
+  open_world ();
+  report ("weak", 1, true);
+  node_world_run (&wld, 800);
+  node_world_claim (&wld, "p", "n1", NODE_WORLD_BOOT, false);
+  node_world_run (&wld, 1200);
+  report_with_interval ("weak", 1, true, 600);
+  node_world_run (&wld, 300);
+  members->hold_reads = true;
+  node_world_run (&wld, 3000);
+  size_t end = states->end;
+  node_world_run (&wld, 1200);
+  ck_assert_uint_gt (states->end, end);
+  node_world_fini (&wld);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -293,6 +323,7 @@
   tcase_add_test (tc, test_owner_publishes);
   tcase_add_test (tc, test_state_without_memory);
   tcase_add_test (tc, test_nothing_published_without_entries);
+  tcase_add_test (tc, test_published_in_partial_outage);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
