--- a/test/unit/unit_host_mgr.c
+++ b/test/unit/unit_host_mgr.c
@@ -344,6 +344,22 @@
 }
 END_TEST
 
+/* Guards against moves on a demand that its pool may no longer have.  */
+START_TEST (test_old_demand)
+{
+  list_hosts ("", "", "xyz");
+  demand ("q", 2, "");
+  now_us += 4 * S + 1;
+  list_hosts ("", "", "xyz");
+  step (0);
+  ck_assert_uint_eq (order_count, 0);
+  demand ("q", 2, "");
+  step (0);
+  step (0);
+  ck_assert_uint_eq (order_count, 2);
+}
+END_TEST
+
 /* Guards against a wave that takes hosts while pools are short of them
    although most of its duration is left, and against a wave that is late
    because it waited for them.  */
@@ -402,6 +418,7 @@
   tcase_add_test (tc, test_ended_worker);
   tcase_add_test (tc, test_direct_moves);
   tcase_add_test (tc, test_move_counts);
+  tcase_add_test (tc, test_old_demand);
   tcase_add_test (tc, test_wave_waits);
   tcase_add_test (tc, test_unreadable_hosts);
   suite_add_tcase (suite, tc);
