fleet: no maintenance beside what an earlier holder has just ordered

A new holder of the fleet duty counted the hosts of a wave that are down by the platform's list alone. The list shows the hosts as they were up to one second before. After a planned hand-over, which takes some 100 ms, the first list can still show a host as up whose maintenance the earlier holder has ordered, although the recorded progress names that host. The new holder then ordered the next one beside it: more hosts down than the wave allows (LIMIT). Where the platform checks no tokens, orders wait 2.1 s after the claim and were not affected.

Until a list requested 1 s after its begin, the new holder counts the hosts that the progress names as down when it decides on an order. Hosts are vacated meanwhile as before.

test_list_older_than_holder: without the change the order goes out at once (order_count == 1).

--- a/fleet/host_mgr.c
+++ b/fleet/host_mgr.c
@@ -384,7 +384,7 @@
 static void
 count_wave (const struct host_mgr *mgr, struct mgr_wave *wave)
 {
-  wave->down = 0;
+  wave->down = wave->unlisted = 0;
   for (size_t n = 0; n < wave->wave->host_count; n++)
     {
       struct mgr_host *host = host_mgr_find (mgr, wave->wave->hosts[n]);
@@ -395,8 +395,11 @@
                      && host->wave == wave->number
                      && (host->phase == PHASE_ORDERED
                          || host->phase == PHASE_AWAITING_WORKER);
-      wave->down += ordered || host->rep.state == HOST_MAINTENANCE
-                    || host->rep.state == HOST_UNKNOWN;
+      bool down = ordered || host->rep.state == HOST_MAINTENANCE
+                  || host->rep.state == HOST_UNKNOWN;
+      wave->down += down;
+      wave->unlisted += !down && wave->done[n]
+                        && host->listed_us < mgr->maintenance_listed_from_us;
     }
 }
 
@@ -535,7 +538,7 @@
       if (!host->listed)
         end_op (mgr, host, now_us);
       else if (host->current_op == OP_MOVE
-               || (wave && wave->down < wave->wave->most_out))
+               || (wave && wave->down + wave->unlisted < wave->wave->most_out))
         {
           send_order (mgr, host, now_us);
           /* The platform may carry it out from now on.  */
--- a/fleet/host_mgr.h
+++ b/fleet/host_mgr.h
@@ -109,6 +109,8 @@
   struct mgr_host **hosts; /* by index, in the present step; NULL: unknown */
   uint32_t down;           /* in the present step: hosts that are or may be in
                               maintenance or down */
+  uint32_t unlisted;       /* of the others, those that may be down according
+                              to the progress of earlier holders */
   bool completed;
   bool running_reported; /* its start was reported through wave_state */
   int64_t received_us;   /* when the wave was received */
@@ -151,6 +153,9 @@
   struct early_progress *early_progress;
   size_t early_count;
   const struct catalog *cat; /* set by the caller; NULL: not known yet */
+  /* Set by the caller: a list that was requested before this time may not show
+     maintenance that an earlier holder of the duty has ordered.  */
+  int64_t maintenance_listed_from_us;
   struct host_mgr_ops ops;
 };
 
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -26,6 +26,8 @@
    decode a list of 1,100 hosts takes an owner as long as 60 starts.  */
 #define LIST_INTERVAL_OWNER_MS 1000
 #define LIST_INTERVAL_IDLE_MS 2000
+/* The platform's list shows the hosts as they were up to this long before.  */
+#define LIST_LAG_US 1000000
 #define FLEET_INTERVAL_MS 30
 /* Time after which vacate requests of an earlier holder are withdrawn, from
    when a later claim was read.  It is not counted from the begin of the
@@ -227,6 +229,7 @@
   flt->next_list_us = 0;
   flt->orders_from_us = node_fleet_orders_begin_us (nod);
   host_mgr_init (&flt->mgr, flt, &ops);
+  flt->mgr.maintenance_listed_from_us = clock_now_us (nod->clk) + LIST_LAG_US;
   log_event (nod->lg, EV_DUTY_BEGUN, LOG_S ("duty", DUTY_FLEET),
              LOG_I ("token", token));
   /* Waves, their progress and the demands were ignored before; they are read
--- a/test/unit/unit_host_mgr.c
+++ b/test/unit/unit_host_mgr.c
@@ -204,6 +204,28 @@
 }
 END_TEST
 
+/* Guards against more hosts of a wave down than it allows (LIMIT): the list
+   that a new holder of the duty reads first does not show yet that an earlier
+   one has ordered maintenance.  */
+START_TEST (test_list_older_than_holder)
+{
+  mgr.maintenance_listed_from_us = now_us + S;
+  list_hosts ("", "", "ab");
+  host_mgr_add_progress (&mgr, ctx, 1, "a");
+  wave ("{\"wave\":1,\"machines\":[\"a\",\"b\"],\"duration-s\":20,"
+        "\"cap\":1}");
+  step (10);
+  step (10);
+  ck_assert_uint_eq (order_count, 0);
+  step (1000);
+  ck_assert_uint_eq (order_count, 0);
+  list_hosts ("", "", "ab");
+  step (10);
+  ck_assert_uint_eq (order_count, 1);
+  ck_assert_str_eq (ordered[0]->rep.name, "b");
+}
+END_TEST
+
 static const struct shortage
 {
   /* Hosts that the pools p and q are short of, and those of them for work that
@@ -411,6 +433,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, test_wave_bound);
   tcase_add_test (tc, test_earlier_progress);
+  tcase_add_test (tc, test_list_older_than_holder);
   tcase_add_loop_test (tc, test_late_work_gives_way, 0,
                        sizeof shortages / sizeof *shortages);
   tcase_add_test (tc, test_order_waits_for_empty);
