test/soak: SIGHUP in series

`hup`, also part of `all`, sends SIGHUP to processes that have been ready since their start. It is no impairment, so all bounds go on holding for the process. It has random numbers of its own: the plans of other faults stay.

--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -61,6 +61,7 @@
   { "silence", BIT (FAULT_SILENCE) },
   { "worker-hang", BIT (FAULT_WORKER_HANG) },
   { "worker-silence", BIT (FAULT_WORKER_SILENCE) },
+  { "hup", BIT (FAULT_HUP) },
   { "none", 0 },
   { "incident", INCIDENT },
   { "store", STORE_FAULTS },
@@ -73,7 +74,7 @@
 
 static unsigned enabled;
 static bool stopped;
-static struct rng store_rng, process_rng, worker_rng, config_rng;
+static struct rng store_rng, process_rng, worker_rng, config_rng, hup_rng;
 
 int
 faults_parse (const char *list, unsigned *set, char bad[32])
@@ -271,6 +272,18 @@
              plan_process, NULL);
 }
 
+static void
+plan_hup (void *arg)
+{
+  bool series = soak_draw (&hup_rng) < 0.6;
+  if (stopped)
+    return;
+  process_hup ((int)soak_between (&hup_rng, 0, process_count - 1));
+  net_after (series ? soak_between (&hup_rng, 20, 500)
+                    : soak_between (&hup_rng, 1000, 6000),
+             plan_hup, NULL);
+}
+
 /* Workers  */
 
 struct worker_episode
@@ -397,6 +410,9 @@
           .worker_silence = set & BIT (FAULT_WORKER_SILENCE),
           .config = set & BIT (FAULT_CONFIG) };
   cuts_start (&cuts, seed, start_ms);
+  hup_rng = rng_make (seed, "hup");
+  if (set & BIT (FAULT_HUP))
+    net_after (start_ms, plan_hup, NULL);
   if (set & BIT (FAULT_CONFIG))
     net_after (start_ms, plan_config, NULL);
 }
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -34,6 +34,7 @@
   FAULT_SILENCE,
   FAULT_WORKER_HANG,
   FAULT_WORKER_SILENCE,
+  FAULT_HUP, /* SIGHUP; not an impairment */
   FAULT_COUNT,
 };
 
--- a/test/soak/process.c
+++ b/test/soak/process.c
@@ -70,6 +70,7 @@
   if (prc->pid == 0)
     run_program (prc);
   prc->state = PROCESS_RUNS;
+  prc->was_ready = false;
   int64_t now = soak_ms ();
   impair_span (IMPAIRED_PROCESS, prc->index, now, now);
 }
@@ -180,12 +181,23 @@
   return true;
 }
 
+void
+process_hup (int index)
+{
+  const struct process *prc = &processes[index];
+  if (prc->state != PROCESS_RUNS || !prc->was_ready)
+    return;
+  soak_log ("SIGHUP to %s", prc->name);
+  kill (prc->pid, SIGHUP);
+}
+
 /* The platform's look at a process.  */
 static void
 on_ready (void *arg, const struct answer *ans)
 {
   struct process *prc = arg;
   prc->ready_misses = ans->status == 200 ? 0 : prc->ready_misses + 1;
+  prc->was_ready |= ans->status == 200;
 }
 
 static void
--- a/test/soak/process.h
+++ b/test/soak/process.h
@@ -27,6 +27,7 @@
   size_t impairment; /* while paused, stopping or ended */
   int64_t pause_until;
   int ready_misses;
+  bool was_ready; /* since its start */
 };
 
 extern struct process processes[PROCESSES_MAX];
@@ -40,6 +41,8 @@
 bool process_kill (int index, int64_t down_ms);
 bool process_pause (int index, int64_t ms);
 bool process_stop (int index, int64_t down_ms);
+/* Sends SIGHUP to a process that has been ready.  */
+void process_hup (int index);
 /* Ends all processes.  */
 void process_end_all (void);
 /* A process to which the platform sends a new connection.  */
