--- a/cli/settings.c
+++ b/cli/settings.c
@@ -118,6 +118,9 @@
     "a process that could not confirm its duties for this long starts no "
     "tasks; after a claim, tasks that an earlier owner may still start wait "
     "for it; the same in all processes, at most confirm-ms" },
+  { "grace-s", OPTION_MILLI, FIELD (grace_ms), 1000, 600000, NULL, "s", "6",
+    "time from a stop signal until the process is killed; it answers all "
+    "requests before" },
   { "config-age-max-ms", OPTION_INT, FIELD (config_age_max_ms), 500, 60000,
     NULL, "ms", "2000",
     "a process that does not know the configuration as it was at most this "
--- a/node/node.h
+++ b/node/node.h
@@ -31,6 +31,7 @@
   int64_t start_confirm_ms;  /* the same for starts; not above confirm_ms */
   int64_t config_age_max_ms; /* within this time after the store has confirmed
                                 a version, the answers to clients follow it */
+  int64_t grace_ms; /* from a stop signal until the process is killed */
 };
 
 extern const struct option_def node_options[];
--- a/node/stop.c
+++ b/node/stop.c
@@ -6,13 +6,11 @@
 /* The load balancer sends new connections until two readiness checks, a second
    apart, have failed; jobs are accepted for this time after a stop signal.  */
 #define STOP_ACCEPT_MS 2600
-/* Time after which the requests that still wait for the store are answered.  A
-   request that was accepted and has the usual deadline has been answered
-   before.  */
-#define STOP_ANSWER_MS 5400
-/* Time after which the process ends in any case.  The platform kills it 6 s
-   after the signal.  */
-#define STOP_END_MS 5700
+/* Time before the end of the grace time at which the requests that still wait
+   for the store are answered.  */
+#define STOP_ANSWER_BEFORE_MS 600
+/* Time before it at which the process ends in any case.  */
+#define STOP_END_BEFORE_MS 300
 #define STOP_POLL_MS 50
 
 static void
@@ -22,9 +20,11 @@
   int64_t elapsed_ms = (clock_now_us (nod->clk) - nod->stop_us) / 1000;
   nod->rejects_jobs = elapsed_ms >= STOP_ACCEPT_MS;
   /* The answers are sent in the next pass of the event loop.  */
-  bool answered = elapsed_ms >= STOP_ANSWER_MS && node_answer_pending (nod);
+  int64_t left_ms = nod->set->grace_ms - elapsed_ms;
+  bool answered
+      = left_ms <= STOP_ANSWER_BEFORE_MS && node_answer_pending (nod);
   bool idle = nod->rejects_jobs && wire_front_open_requests (nod->frt) == 0;
-  nod->stopped = !answered && (idle || elapsed_ms >= STOP_END_MS);
+  nod->stopped = !answered && (idle || left_ms <= STOP_END_BEFORE_MS);
   if (!nod->stopped)
     timer_add (nod->ev, nod, STOP_POLL_MS * 1000, on_stop_timer, nod);
 }
--- a/test/unit/node_world.c
+++ b/test/unit/node_world.c
@@ -190,6 +190,7 @@
                                       .confirm_ms = 6000,
                                       .start_confirm_ms = 3000,
                                       .config_age_max_ms = 2000,
+                                      .grace_ms = 6000,
                                       .orders_fenced = "false" };
   *wld = (struct node_world){
     .cat
