sched: a run that this owner has started is available at once

Only a run that was adopted can have been stopped by an earlier owner just before, so only such a run waits.

--- a/sched/pool.c
+++ b/sched/pool.c
@@ -145,7 +145,9 @@
 run_is_available (const struct run *run, int64_t now_us)
 {
   /* An earlier owner may have stopped a run just before it was adopted.  */
-  bool stop_over = run->listed_us >= run->created_us + STOP_TIME_MAX_US;
+  bool adopted = run->start_sent_us == 0;
+  bool stop_over
+      = !adopted || run->listed_us >= run->created_us + STOP_TIME_MAX_US;
   return run->state == RUN_ACTIVE && run->percent == 100 && stop_over
          && now_us - run->wrk->hold_answered_us < HOLD_ANSWER_AGE_MAX_US;
 }
--- a/test/unit/unit_placer.c
+++ b/test/unit/unit_placer.c
@@ -473,6 +473,20 @@
 }
 END_TEST
 
+/* Guards against evacuations that are late: a run that this owner has started
+   is at work as soon as its worker lists it so, as no earlier owner can have
+   stopped it.  */
+START_TEST (test_started_run_is_available_at_once)
+{
+  char host[NAME_BYTES];
+  run_perpetual_job ();
+  snprintf (host, sizeof host, "m-%s", workers[0]);
+  placer_vacate (wld->plc, host, wld->clk.now_us + 60000000);
+  world_tick (wld, 10);
+  ck_assert_ptr_nonnull (world_call (wld, WORLD_STOP, workers[0]));
+}
+END_TEST
+
 /* Perpetual tasks preempt batch tasks that fill the pool, instead of waiting
    for their ends.  */
 START_TEST (test_preemption)
@@ -1020,6 +1034,7 @@
   tcase_add_test (tc, test_late_report);
   tcase_add_test (tc, test_anti_affinity);
   tcase_add_test (tc, test_max_unavailable);
+  tcase_add_test (tc, test_started_run_is_available_at_once);
   tcase_add_test (tc, test_preemption);
   tcase_add_test (tc, test_gang);
   tcase_add_test (tc, test_gang_done);
