node: log how long a host took to be emptied

Nothing told whether a host that a pool gives up waits for its tasks or for what comes after the last one. host.emptied names both times and the runs that were stopped.

--- a/node/fleet.c
+++ b/node/fleet.c
@@ -546,9 +546,10 @@
     {
       uint8_t data[128];
       struct vacate_request *req = hld->vacating[n];
+      struct placer_vacated vac;
       if ((req->reported_offset == req->offset
            && req->reported_token == hld->token)
-          || !placer_host_empty (hld->plc, req->host))
+          || !placer_host_empty (hld->plc, req->host, &vac))
         continue;
       Kingcuphollow__VacateReport msg = KINGCUPHOLLOW__VACATE_REPORT__INIT;
       msg.request_offset = req->offset;
@@ -560,6 +561,11 @@
         continue;
       req->reported_offset = req->offset;
       req->reported_token = hld->token;
+      log_event (hld->nod->lg, EV_HOST_EMPTIED, LOG_S ("host", req->host),
+                 LOG_S ("pool", hld->pool),
+                 LOG_I ("took_ms", vac.took_us / 1000),
+                 LOG_I ("cleared_ms", vac.cleared_us / 1000),
+                 LOG_I ("stopped", vac.stopped));
     }
 }
 
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -150,9 +150,18 @@
    worker ID.  */
 void placer_worker_ended (struct placer *plc, const char *id);
 
+/* How a host was emptied; times since placer_vacate was first called.  */
+struct placer_vacated
+{
+  int64_t took_us;
+  int64_t cleared_us; /* until nothing ran there any more */
+  uint32_t stopped;   /* runs stopped for it */
+};
+
 /* Whether the worker of HOST runs nothing and will start nothing as long as
-   the host is to be emptied.  */
-bool placer_host_empty (const struct placer *plc, const char *host);
+   the host is to be emptied; then *VAC is set.  */
+bool placer_host_empty (const struct placer *plc, const char *host,
+                        struct placer_vacated *vac);
 
 /* Does all work that is due.  Returns the monotonic time in microseconds at
    which to call again.  */
--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -16,6 +16,12 @@
   while ((wrk = pool_next_on_host (&plc->pool, host, &pos)))
     {
       found = found || wrk->registered;
+      if (until_us > 0 && !wrk->vacate)
+        {
+          wrk->vacate_begun_us = clock_now_us (plc->env.clk);
+          wrk->cleared_us = 0;
+          wrk->vacate_stops = 0;
+        }
       wrk->vacate = until_us > 0;
       wrk->vacate_until_us = until_us;
     }
@@ -23,14 +29,24 @@
 }
 
 bool
-placer_host_empty (const struct placer *plc, const char *host)
+placer_host_empty (const struct placer *plc, const char *host,
+                   struct placer_vacated *vac)
 {
+  int64_t now_us = clock_now_us (plc->env.clk);
   size_t pos = 0;
   const struct worker *wrk;
+  *vac = (struct placer_vacated){ 0 };
   while ((wrk = pool_next_on_host (&plc->pool, host, &pos)))
-    if (wrk->runs || !wrk->vacate || !wrk->unenrolled
-        || wrk->acked_end < wrk->applied_end)
-      return false;
+    {
+      if (wrk->runs || !wrk->vacate || !wrk->unenrolled
+          || wrk->acked_end < wrk->applied_end)
+        return false;
+      *vac = (struct placer_vacated){
+        .took_us = now_us - wrk->vacate_begun_us,
+        .cleared_us = wrk->cleared_us - wrk->vacate_begun_us,
+        .stopped = wrk->vacate_stops,
+      };
+    }
   return true;
 }
 
@@ -78,6 +94,8 @@
 {
   bool leaving = wrk->rep.draining || wrk->vacate;
 
+  if (wrk->vacate && !wrk->runs && !wrk->cleared_us)
+    wrk->cleared_us = now_us;
   for (struct run *run = wrk->runs; leaving && run; run = run->next)
     {
       bool perpetual = run->job->spec.steps[run->ref.step].perpetual;
@@ -92,6 +110,7 @@
           plc->env.lg, EV_RUN_STOPPED, LOG_S ("task", name),
           LOG_I ("run", run->number), LOG_S ("worker", wrk->rep.id),
           LOG_S ("reason", wrk->vacate ? "host_vacated" : "worker_draining"));
+      wrk->vacate_stops++;
       placer_stop_run (plc, run);
     }
 }
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -111,6 +111,9 @@
   int64_t avoid_until_us;   /* pause of a worker that is busy or lacks room */
   bool vacate;              /* its host is to be emptied */
   int64_t vacate_until_us;  /* batch tasks still there then are stopped */
+  int64_t vacate_begun_us;  /* when this owner was asked to empty it */
+  int64_t cleared_us;       /* when nothing ran there any more; 0: not yet */
+  uint32_t vacate_stops;    /* runs stopped to empty it */
   bool stops_wanted;        /* a run may have a stop that is not
                                acknowledged */
   bool reported_idle; /* the pool reports the host as surplus: it gets no new
