--- a/test/unit/placer_world.c
+++ b/test/unit/placer_world.c
@@ -65,6 +65,7 @@
   return record_call (WORLD_HOLD, to,
                       (struct world_call){ .lease_end_ms = cmd->lease_end_ms,
                                            .last_seen = cmd->last_seen,
+                                           .wait_ms = cmd->wait_ms,
                                            .hold_fn = fn,
                                            .arg = arg });
 }
--- a/test/unit/placer_world.h
+++ b/test/unit/placer_world.h
@@ -35,6 +35,7 @@
   uint32_t run;
   int64_t lease_end_ms;
   uint64_t last_seen;
+  int64_t wait_ms;
   command_fn *fn;
   hold_fn *hold_fn;
   bool (*may_send) (void *arg);
--- a/test/unit/unit_placer_wait.c
+++ b/test/unit/unit_placer_wait.c
@@ -130,6 +130,52 @@
 }
 END_TEST
 
+/* Guards against a host that counts as empty a second after its last run has
+   ended: the hold that acknowledges the end was held open for further ends.
+ */
+START_TEST (test_last_end_acknowledged_at_once)
+{
+  static const struct
+  {
+    uint32_t runs; /* on the worker, of which one ends */
+    bool waits;    /* the hold after that end is held open */
+  } rows[] = { { 1, false }, { 2, true } };
+  const uint32_t runs = rows[_i].runs;
+  const struct world_row end
+      = { .job = 1, .run = 1, .end = RUN_END_DONE, .number = 1 };
+  const struct world_row started[]
+      = { { .job = 2, .run = 1 }, { .job = 1, .run = 1 } };
+  const struct world_row *running = runs == 2 ? started : started + 1;
+  struct placer_vacated vac;
+  world_release_earlier (wld);
+  for (uint64_t id = 1; id <= runs; id++)
+    world_add_job (wld, id, ONE_TASK_JOB, 200 + id);
+  world_confirm_ownership (wld);
+  world_tick (wld, 40);
+  for (uint32_t n = 0; n < runs; n++)
+    world_answer (wld, world_call (wld, WORLD_START, "w1"), COMMAND_DONE);
+  world_tick (wld, 40);
+  world_complete_append (wld);
+  world_answer_hold (wld, "w1", running, runs, NULL, 0);
+  world_tick (wld, 40);
+  ck_assert_int_gt (world_call (wld, WORLD_HOLD, "w1")->wait_ms, 0);
+  placer_vacate (wld->plc, "m-w1", wld->clk.now_us + 1500000);
+  world_answer_hold (wld, "w1", started, runs - 1, &end, 1);
+  world_tick (wld, 40);
+  world_complete_append (wld);
+  world_tick (wld, 300);
+  const struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+  ck_assert_ptr_nonnull (hold);
+  ck_assert_uint_eq (hold->last_seen, 1);
+  ck_assert_int_eq (hold->wait_ms > 0, rows[_i].waits);
+  world_answer_hold (wld, "w1", started, runs - 1, NULL, 0);
+  for (int n = 0; n < 3; n++)
+    world_tick (wld, 40);
+  ck_assert_int_eq (placer_host_empty (wld->plc, "m-w1", &vac),
+                    !rows[_i].waits);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -137,6 +183,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, test_stall_reported);
   tcase_add_test (tc, test_unknown_run_ends);
+  tcase_add_loop_test (tc, test_last_end_acknowledged_at_once, 0, 2);
   tcase_add_test (tc, test_all_workers_fail);
   tcase_add_test (tc, test_failing_worker_avoided);
   Suite *suite = suite_create ("placer_wait");
