sched: holds wait while a worker runs what is not known here

Without a wait each hold is answered at once and the next one follows, for as long as the stop takes.

test_unknown_run_ends now looks at the wait, and fails without this change.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -596,10 +596,12 @@
               int64_t now_us)
 {
   int64_t starts_end_us = placer_earlier_starts_end_us (plc);
+  if (!wrk->reached || wrk->unanswered_calls > 0 || wrk->ended_us
+      || settling_due (plc, wrk, now_us))
+    return 0;
   /* Without runs the answer would come at the end of its delay, and until then
      the ends do not count as acknowledged.  */
-  if (!wrk->reached || !wrk->runs || wrk->unanswered_calls > 0 || wrk->ended_us
-      || settling_due (plc, wrk, now_us))
+  if (!wrk->runs && !worker_has_unknown_runs (wrk))
     return 0;
   /* The next hold is due then.  */
   if (!wrk->settled && starts_end_us < now_us + HOLD_WAIT_MS * 1000)
--- a/test/unit/unit_placer_wait.c
+++ b/test/unit/unit_placer_wait.c
@@ -65,7 +65,9 @@
   ck_assert_uint_eq (world_starts (wld, 1, 0), 0);
   world_answer (wld, world_call (wld, WORLD_STOP, "w1"), COMMAND_DONE);
   world_tick (wld, 40);
+  /* Without a wait, holds would follow each other until the run has ended.  */
   ck_assert_ptr_nonnull (world_call (wld, WORLD_HOLD, "w1"));
+  ck_assert_int_gt (world_call (wld, WORLD_HOLD, "w1")->wait_ms, 0);
   world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
   world_tick (wld, 40);
   ck_assert_uint_eq (world_starts (wld, 1, 0), 1);
