--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -256,7 +256,7 @@
   struct timer *claim_timer;
   int64_t next_queueless_us; /* pools without a queue are not checked before */
   struct pending_append *pending_appends; /* for clients' requests */
-  struct state_query *state_queries;
+  struct state_query *state_queries;      /* that wait for a read */
   bool heartbeat_in_progress;
   int64_t confirmed_us; /* claims appended before this are known */
   /* A read of the claims that does not wait for new ones.  */
