proto: refusals of requests to vacate a host, needed hosts in a demand

Fields only; nothing writes or reads them yet. A refusal lets the owner of a pool tell the host manager that the pool keeps a host; needed hosts are those without which perpetual tasks have no place.

--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -2069,7 +2069,7 @@
   (ProtobufCMessageInit) kingcuphollow__vacate_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__vacate_report__field_descriptors[3] =
+static const ProtobufCFieldDescriptor kingcuphollow__vacate_report__field_descriptors[5] =
 {
   {
     "request_offset",
@@ -2107,8 +2107,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "refused",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__VacateReport, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__VacateReport, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__vacate_report__field_indices_by_name[] = {
+  4,   /* field[4] = reason */
+  3,   /* field[3] = refused */
   0,   /* field[0] = request_offset */
   2,   /* field[2] = token */
   1,   /* field[1] = worker */
@@ -2116,7 +2142,7 @@
 static const ProtobufCIntRange kingcuphollow__vacate_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__vacate_report__descriptor =
 {
@@ -2126,14 +2152,14 @@
   "Kingcuphollow__VacateReport",
   "kingcuphollow",
   sizeof(Kingcuphollow__VacateReport),
-  3,
+  5,
   kingcuphollow__vacate_report__field_descriptors,
   kingcuphollow__vacate_report__field_indices_by_name,
   1,  kingcuphollow__vacate_report__number_ranges,
   (ProtobufCMessageInit) kingcuphollow__vacate_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__pool_demand__field_descriptors[5] =
+static const ProtobufCFieldDescriptor kingcuphollow__pool_demand__field_descriptors[7] =
 {
   {
     "short_hosts",
@@ -2195,10 +2221,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "needed_hosts",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolDemand, needed_hosts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "needed_label",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolDemand, needed_label),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__pool_demand__field_indices_by_name[] = {
   2,   /* field[2] = busy_milli */
   1,   /* field[1] = idle_hosts */
+  5,   /* field[5] = needed_hosts */
+  6,   /* field[6] = needed_label */
   0,   /* field[0] = short_hosts */
   3,   /* field[3] = token */
   4,   /* field[4] = urgent_hosts */
@@ -2206,7 +2258,7 @@
 static const ProtobufCIntRange kingcuphollow__pool_demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__pool_demand__descriptor =
 {
@@ -2216,7 +2268,7 @@
   "Kingcuphollow__PoolDemand",
   "kingcuphollow",
   sizeof(Kingcuphollow__PoolDemand),
-  5,
+  7,
   kingcuphollow__pool_demand__field_descriptors,
   kingcuphollow__pool_demand__field_indices_by_name,
   1,  kingcuphollow__pool_demand__number_ranges,
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -393,7 +393,8 @@
 
 /*
  * Value of the record with the key "e/" and the name of a host: nothing runs on
- * its worker, and nothing is started there while the request stands.
+ * its worker, and nothing is started there while the request stands; or the
+ * owner refuses the request and uses the host.
  */
 struct  Kingcuphollow__VacateReport
 {
@@ -404,10 +405,15 @@
    * Claim token of the pool's owner that reports.
    */
   uint64_t token;
+  protobuf_c_boolean refused;
+  /*
+   * Of a refusal: why the pool keeps the host.
+   */
+  char *reason;
 };
 #define KINGCUPHOLLOW__VACATE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__vacate_report__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -435,10 +441,16 @@
    * Of the hosts that the pool lacks, those for work that can be done in time.
    */
   uint32_t urgent_hosts;
+  /*
+   * Of the hosts that the pool lacks, those without which perpetual tasks have
+   * no place, and the label that the first one must have, if any.
+   */
+  uint32_t needed_hosts;
+  char *needed_label;
 };
 #define KINGCUPHOLLOW__POOL_DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__pool_demand__descriptor) \
-    , 0, 0,NULL, 0, 0, 0 }
+    , 0, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
