--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -106,6 +106,11 @@
   int64_t stalled_us;    /* when they were first found; 0: there are none */
   int64_t next_stall_check_us;
   int64_t next_stall_report_us;
+  /* Hosts that the last plan lacked: for waiting perpetual tasks without any
+     place, and one for each host kept for such a task in the last seconds; and
+     the label that the first of them must have, or "".  */
+  uint32_t lacking_hosts;
+  char lacking_label[NAME_BYTES];
   int calls_in_flight; /* commands and appends */
   bool closing;        /* destroyed; freed when no call is in flight */
 };
