fleet: labels of the platform's list of hosts

The list gives the kind and the rack of each host, and they stay with it across a move or maintenance, but they were not read: nobody could tell which host a task that needs a label is waiting for. Four labels are kept of a host at most. One that cannot be read is left out; the host stays known.

--- a/fleet/catalog.h
+++ b/fleet/catalog.h
@@ -11,6 +11,9 @@
    hosts.  The modules platform/wire_* decode them from the wire format.  */
 
 #define WORKER_LABELS_MAX 8
+/* Fewer than of a worker, as thousands of hosts are listed: the platform gives
+   a host's kind and its rack.  */
+#define HOST_LABELS_MAX 4
 
 /* A queue takes the jobs that clients submit to an HTTP host name and a path
    prefix.  Its jobs run on the workers of one pool.  */
@@ -107,6 +110,8 @@
   char pool[NAME_BYTES];
   char worker[NAME_BYTES]; /* id of its worker; empty: none */
   enum host_state state;
+  char labels[HOST_LABELS_MAX][NAME_BYTES];
+  size_t label_count;
   struct resources capacity;
 };
 
--- a/test/unit/unit_wire_fleet.c
+++ b/test/unit/unit_wire_fleet.c
@@ -19,6 +19,7 @@
 static int done;
 static int err;
 static char listed[256]; /* name, worker and state of each host */
+static char labels[256]; /* those of each host */
 
 static void
 setup (void)
@@ -37,7 +38,7 @@
 static void
 on_list (void *arg, const struct host_list *list)
 {
-  listed[0] = '\0';
+  listed[0] = labels[0] = '\0';
   for (size_t n = 0; n < list->count; n++)
     {
       if (list->hosts[n].state > HOST_DOWN)
@@ -47,6 +48,12 @@
                 list->hosts[n].worker, (int)list->hosts[n].state);
       strncat (listed, text, sizeof listed - strlen (listed) - 1);
       ck_assert_int_ge (list->hosts[n].capacity.cpu_milli, 0);
+      for (size_t m = 0; m < list->hosts[n].label_count; m++)
+        {
+          snprintf (text, sizeof text, "%s,", list->hosts[n].labels[m]);
+          strncat (labels, text, sizeof labels - strlen (labels) - 1);
+        }
+      strncat (labels, ";", sizeof labels - strlen (labels) - 1);
     }
   err = list->err;
   done = 1;
@@ -129,6 +136,43 @@
 }
 END_TEST
 
+/* Guards against a host that is not given to a task that needs its label, and
+   against labels that cannot be read and hide the host.  */
+START_TEST (test_host_labels)
+{
+  static const struct
+  {
+    const char *labels;
+    const char *read;
+  } rows[] = {
+    { "[\"b\",\"r1-3\"]", "b,r1-3,;" },
+    { "[]", ";" },
+    { "null", ";" },
+    { "\"b\"", ";" },
+    { "{\"b\":1}", ";" },
+    { "[5,null,\"b\"]", "b,;" },
+    { "[\"0123456789012345678901234567890123456789012345678901234567890123\","
+      "\"b\"]",
+      "b,;" },
+    { "[\"1\",\"2\",\"3\",\"4\",\"5\",\"6\"]", "1,2,3,4,;" },
+  };
+  for (size_t n = 0; n < sizeof rows / sizeof *rows; n++)
+    {
+      char *body = talloc_asprintf (srv.ev,
+                                    "{\"machines\":[{\"machine\":\"m-o\","
+                                    "\"pool\":\"p\",\"state\":\"up\","
+                                    "\"id\":\"w1\",\"labels\":%s}]}",
+                                    rows[n].labels);
+      srv.body = (const uint8_t *)body;
+      srv.body_len = strlen (body);
+      read_list ();
+      ck_assert_int_eq (err, 0);
+      ck_assert_str_eq (listed, "m-o=w1/0 ");
+      ck_assert_str_eq (labels, rows[n].read);
+    }
+}
+END_TEST
+
 /* Guards against a list that is taken as complete although it is not: the
    hosts that it leaves out would count as gone.  */
 START_TEST (test_unreadable_list)
@@ -160,6 +204,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, test_odd_host);
   tcase_add_test (tc, test_host_of_unknown_state);
+  tcase_add_test (tc, test_host_labels);
   tcase_add_test (tc, test_unreadable_list);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
