sched: hosts without which perpetual tasks have no place

Demand counted the processors and memory of perpetual tasks only.

A pool's demand now has needed_hosts and needed_label. For each due perpetual step, the places on the workers that stay are counted: by its bound per worker, its label and the room of an otherwise empty worker. What is left makes up the missing hosts; steps with the same label share them, and processors and memory count in total as before, but only of tasks that have a place one by one. Without any worker that has room for a task, no host is asked for, as another one would not help. Hosts with different labels are asked for in turn, as no host may have one of them.

- A worker that drains, is vacated or has ended is a place no more, at once.
One that is silent, not registered or fails runs counts for 5 s more, so that a data centre cut off for three seconds orders nothing.
A new owner asks for none in its first 5 s before its takeover is complete.
- A host that perpetual tasks need is not reported as idle, also while nothing runs there; those with the most tasks are counted first.
- A pool that has exactly what it needs does not keep one more: hosts have a price, and a refused request asks for one through lacking_hosts.

The search of a step ends at the first workers that give it enough places, so it looks at all workers only for a step with a rare label or without enough places.

--- a/sched/demand.c
+++ b/sched/demand.c
@@ -20,6 +20,17 @@
 #define PAST_USE_SPAN_MS 20000
 /* Hosts that a pool keeps beyond its present work, for the next arrivals.  */
 #define HEADROOM_HOSTS 1
+/* A worker that takes no tasks for the moment, as it does not answer or has
+   failed some, still counts as a place for perpetual tasks for this time. Most
+   such workers are back sooner, and the leases of the runs on a silent one
+   last about as long, so that their tasks could not start elsewhere before. */
+#define ABSENCE_US 5000000
+/* Labels of missing hosts that are told apart; a label is a kind or a rack. */
+#define LACKS_MAX 16
+/* While hosts with different labels are missing, each is asked for in turn for
+   this time: no host may have one of the labels.  It is several times the
+   shortest time between two reports.  */
+#define LACK_TURN_US 500000
 
 /* Upper bound, in percent of the CPU that ready tasks can use at once.  More
    does not help: dependent steps run one after another.  The bound is above
@@ -156,55 +167,257 @@
   return count;
 }
 
-struct idle_candidate
+/* How a worker that is to stay counts as a place for perpetual tasks, in the
+   order in which places are sought: a host that the pool may give up is needed
+   only if the others have too few places.  */
+enum staying_order
+{
+  STAYING_KEPT,
+  STAYING_SPARE,  /* runs no perpetual task, so its host may be given up */
+  STAYING_ABSENT, /* takes no tasks for the moment */
+};
+
+struct staying
 {
   struct worker *wrk;
-  uint32_t count;
+  enum staying_order order;
+  uint32_t runs;
+  bool needed; /* perpetual tasks need its host */
 };
 
+/* Sorts workers with many runs first, because those with few are given up
+   first.  */
 static int
-compare_idle_candidates (const void *a, const void *b)
+compare_staying (const void *a, const void *b)
 {
-  const struct idle_candidate *oa = a;
-  const struct idle_candidate *ob = b;
-  if (oa->count != ob->count)
-    return oa->count < ob->count ? -1 : 1;
-  return oa->wrk->handle < ob->wrk->handle ? -1 : 1;
+  const struct staying *oa = a;
+  const struct staying *ob = b;
+  if (oa->order != ob->order)
+    return oa->order < ob->order ? -1 : 1;
+  if (oa->runs != ob->runs)
+    return oa->runs > ob->runs ? -1 : 1;
+  return oa->wrk->handle > ob->wrk->handle ? -1 : 1;
+}
+
+/* Whether WRK, which takes no tasks now, is likely to take some soon.  */
+static bool
+is_absent_briefly (struct worker *wrk, int64_t now_us)
+{
+  if (wrk->ended_us || wrk->rep.draining || wrk->vacate)
+    return false;
+  if (!wrk->absent_us)
+    wrk->absent_us = now_us;
+  return now_us - wrk->absent_us < ABSENCE_US;
+}
+
+/* Returns the workers that stay in sorted order, or NULL when out of
+   memory.  */
+static struct staying *
+list_staying (const struct placer *plc, int64_t now_us, size_t *count)
+{
+  struct staying *rows
+      = talloc_array (plc, struct staying, plc->pool.count + 1);
+  *count = 0;
+  for (size_t n = 0; rows && n < plc->pool.count; n++)
+    {
+      struct worker *wrk = plc->pool.workers[n];
+      struct staying *row = &rows[*count];
+      bool perpetual = false;
+      *row = (struct staying){ .wrk = wrk, .order = STAYING_ABSENT };
+      if (worker_schedulable (wrk, now_us))
+        {
+          wrk->absent_us = 0;
+          row->runs = count_runs (wrk, &perpetual);
+          row->order
+              = perpetual || !*wrk->rep.host ? STAYING_KEPT : STAYING_SPARE;
+        }
+      else if (!is_absent_briefly (wrk, now_us))
+        continue;
+      (*count)++;
+    }
+  if (*count > 1)
+    qsort (rows, *count, sizeof *rows, compare_staying);
+  return rows;
 }
 
 /* Reports up to SURPLUS hosts as idle, those with the fewest tasks first. They
    get no new tasks while others have room, so that they are empty within a
-   second.  Hosts with perpetual tasks are not reported.  */
+   second.  Hosts with perpetual tasks, or that perpetual tasks need, are not
+   reported.  */
 static void
-report_idle_hosts (const struct placer *plc, int64_t now_us, int64_t surplus,
-                   struct placer_demand *dem)
+report_idle_hosts (const struct placer *plc, const struct staying *rows,
+                   size_t count, int64_t surplus, struct placer_demand *dem)
 {
-  size_t count = 0;
-  struct idle_candidate *candidates
-      = surplus > 0
-            ? talloc_array (plc, struct idle_candidate, plc->pool.count)
-            : NULL;
   for (size_t n = 0; n < plc->pool.count; n++)
+    plc->pool.workers[n]->reported_idle = false;
+  for (size_t n = count; n-- > 0 && (int64_t)dem->idle_count < surplus
+                         && dem->idle_count < PLACER_IDLE_HOSTS_MAX;)
     {
-      struct worker *wrk = plc->pool.workers[n];
-      bool perpetual;
-      wrk->reported_idle = false;
-      if (!candidates || !worker_schedulable (wrk, now_us) || !*wrk->rep.host)
+      if (rows[n].order != STAYING_SPARE || rows[n].needed)
         continue;
-      uint32_t runs = count_runs (wrk, &perpetual);
-      if (!perpetual)
-        candidates[count++]
-            = (struct idle_candidate){ .wrk = wrk, .count = runs };
+      rows[n].wrk->reported_idle = true;
+      dem->idle[dem->idle_count++] = rows[n].wrk->rep.host;
     }
-  if (count > 1)
-    qsort (candidates, count, sizeof *candidates, compare_idle_candidates);
-  for (size_t n = 0;
-       n < count && (int64_t)n < surplus && n < PLACER_IDLE_HOSTS_MAX; n++)
+}
+
+/* Missing hosts, by the label that they must have.  The first entry is that of
+   hosts with any label.  */
+struct lack
+{
+  const char *label;
+  int64_t hosts;
+};
+
+struct lacks
+{
+  struct lack rows[LACKS_MAX];
+  size_t count;
+  /* What the perpetual tasks need together that have places, each step taken
+     by itself.  */
+  struct resources placed;
+};
+
+/* One host serves all steps with the same label.  */
+static void
+add_lack (struct lacks *lacks, const char *label, int64_t hosts)
+{
+  size_t n = 0;
+  while (n < lacks->count && strcmp (lacks->rows[n].label, label) != 0)
+    n++;
+  if (n == LACKS_MAX)
+    return;
+  if (n == lacks->count)
+    lacks->rows[lacks->count++] = (struct lack){ .label = label };
+  if (lacks->rows[n].hosts < hosts)
+    lacks->rows[n].hosts = hosts;
+}
+
+static int64_t
+lower (int64_t a, int64_t b)
+{
+  return a < b ? a : b;
+}
+
+/* Tasks of STP that WRK has room for when nothing else runs there.  */
+static int64_t
+count_places (const struct worker *wrk, const struct step *stp)
+{
+  const struct resources *cap = &wrk->rep.capacity;
+  int64_t places = stp->max_per_worker > 0 ? stp->max_per_worker : stp->count;
+  if (stp->need.cpu_milli > 0 && !stp->best_effort)
+    places = lower (places, cap->cpu_milli / stp->need.cpu_milli);
+  if (stp->need.memory_mb > 0)
+    places = lower (places, cap->memory_mb / stp->need.memory_mb);
+  if (stp->need.accelerators > 0)
+    places = lower (places, cap->accelerators / stp->need.accelerators);
+  return places;
+}
+
+/* Marks the hosts that TASKS perpetual tasks of STP need, and adds those that
+   they lack.  Looks at no more workers than have to be marked, unless some do
+   not have the label or hosts are missing.  */
+static void
+find_places (const struct step *stp, int64_t tasks, struct staying *rows,
+             size_t count, struct lacks *lacks)
+{
+  int64_t left = tasks;
+  int64_t most = 0;
+  for (size_t n = 0; n < count && left > 0; n++)
     {
-      candidates[n].wrk->reported_idle = true;
-      dem->idle[dem->idle_count++] = candidates[n].wrk->rep.host;
+      const struct worker *wrk = rows[n].wrk;
+      int64_t places = count_places (wrk, stp);
+      if (places > most)
+        most = places;
+      if (places == 0
+          || (*stp->required_label
+              && !worker_has_label (wrk, stp->required_label)))
+        continue;
+      rows[n].needed = true;
+      left -= places;
     }
-  talloc_free (candidates);
+  int64_t placed = left > 0 ? tasks - left : tasks;
+  lacks->placed.cpu_milli
+      += stp->best_effort ? 0 : placed * stp->need.cpu_milli;
+  lacks->placed.memory_mb += placed * stp->need.memory_mb;
+  if (count == 0)
+    most = stp->max_per_worker > 0 ? stp->max_per_worker : stp->count;
+  /* Where no host has room for one, another host would not help.  */
+  if (left > 0 && most > 0)
+    add_lack (lacks, stp->required_label, (left + most - 1) / most);
+}
+
+/* Finds the hosts that differ which the perpetual tasks need, running or
+   due.  */
+static void
+find_all_places (const struct placer *plc, struct staying *rows, size_t count,
+                 struct lacks *lacks)
+{
+  int64_t wall_ms = clock_wall_ms (plc->env.clk);
+  for (size_t n = 0; n < plc->job_count; n++)
+    {
+      const struct job *job = plc->jobs[n];
+      for (uint32_t k = 0; !job_ended (job) && k < job->occurrence_count; k++)
+        {
+          const struct occurrence *occ = &job->occurrences[k];
+          if (occ->due_ms > wall_ms || occ->done == job->task_count)
+            continue;
+          for (size_t m = 0; m < job->spec.step_count; m++)
+            {
+              const struct step *stp = &job->spec.steps[m];
+              if (stp->perpetual)
+                find_places (stp, stp->count - occ->step_done[m], rows, count,
+                             lacks);
+            }
+        }
+    }
+}
+
+/* Hosts that are missing for NEED in total.  */
+static int64_t
+lack_in_total (const struct resources *need, const struct staying *rows,
+               size_t count)
+{
+  int64_t hosts = (int64_t)count;
+  int64_t cpu = 0;
+  int64_t memory = 0;
+  for (size_t n = 0; n < count; n++)
+    {
+      cpu += rows[n].wrk->rep.capacity.cpu_milli;
+      memory += rows[n].wrk->rep.capacity.memory_mb;
+    }
+  int64_t by_cpu = hosts_needed (need->cpu_milli, cpu, hosts);
+  int64_t by_memory = hosts_needed (need->memory_mb, memory, hosts);
+  int64_t needed = by_cpu > by_memory ? by_cpu : by_memory;
+  return needed > hosts ? needed - hosts : 0;
+}
+
+/* Marks the hosts that perpetual tasks need, and reports those that are
+   missing.  */
+static void
+report_needed_hosts (const struct placer *plc, int64_t now_us,
+                     struct staying *rows, size_t count,
+                     struct placer_demand *dem)
+{
+  struct lacks lacks = { .rows = { { .label = "" } }, .count = 1 };
+  size_t wanted[LACKS_MAX];
+  size_t wanted_count = 0;
+  dem->needed_label = "";
+  find_all_places (plc, rows, count, &lacks);
+  add_lack (&lacks, "", lack_in_total (&lacks.placed, rows, count));
+  /* The workers may not be known yet.  */
+  if (!rows || (!plc->takeover_done && now_us - plc->claimed_us < ABSENCE_US))
+    return;
+  if (plc->lacking_hosts > 0)
+    add_lack (&lacks, plc->lacking_label, plc->lacking_hosts);
+  for (size_t n = 0; n < lacks.count; n++)
+    if (lacks.rows[n].hosts > 0)
+      wanted[wanted_count++] = n;
+  if (wanted_count == 0)
+    return;
+  const struct lack *lack
+      = &lacks.rows[wanted[(size_t)(now_us / LACK_TURN_US) % wanted_count]];
+  dem->needed_hosts = (uint32_t)lack->hosts;
+  dem->needed_label = lack->label;
 }
 
 void
@@ -266,7 +479,18 @@
     dem->urgent_hosts = (uint32_t)(urgent - schedulable);
   else
     surplus = schedulable - (wanted > schedulable ? urgent : wanted);
-  report_idle_hosts (plc, now_us, surplus, dem);
+  size_t count;
+  struct staying *rows = list_staying (plc, now_us, &count);
+  report_needed_hosts (plc, now_us, rows, count, dem);
+  if (dem->short_hosts < dem->needed_hosts)
+    dem->short_hosts = dem->needed_hosts;
+  if (dem->urgent_hosts < dem->needed_hosts)
+    dem->urgent_hosts = dem->needed_hosts;
+  /* A pool that lacks any host gives up none in exchange for it.  */
+  if (dem->needed_hosts > 0 && !*dem->needed_label)
+    surplus = 0;
+  report_idle_hosts (plc, rows, count, surplus, dem);
+  talloc_free (rows);
 }
 
 void
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -178,6 +178,11 @@
   uint32_t busy_milli;   /* share of their processors in use, in thousandths */
   uint32_t short_hosts;  /* further hosts that the pool needs */
   uint32_t urgent_hosts; /* those of them for work that can be done in time */
+  uint32_t needed_hosts; /* those of them without which perpetual tasks have no
+                            place */
+  /* The label that these must have, or "" for any; valid until the placer's
+     next call.  Hosts with different labels are asked for in turn.  */
+  const char *needed_label;
   /* Names of surplus hosts, or, if the pool needs further hosts for late work
      only, of those that late work alone uses; valid until the placer's next
      call.  */
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -116,6 +116,9 @@
   uint32_t vacate_stops;    /* runs stopped to empty it */
   bool stops_wanted;        /* a run may have a stop that is not
                                acknowledged */
+  /* Since when the demand has found that it takes no tasks for the moment; 0:
+     it takes tasks.  */
+  int64_t absent_us;
   bool reported_idle; /* the pool reports the host as surplus: it gets no new
                          tasks while others have room */
 };
--- /dev/null
+++ b/test/unit/unit_demand.c
@@ -0,0 +1,308 @@
+#include <check.h>
+#include <ctype.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "placer_world.h"
+#include "sched/placer_priv.h"
+
+/* Tests of sched/demand.c: the hosts that a pool's perpetual tasks need.  */
+
+static struct world *wld;
+
+static void
+setup (void)
+{
+  wld = world_create ();
+  world_release_earlier (wld);
+}
+
+static void
+teardown (void)
+{
+  world_destroy (wld);
+}
+
+/* Registers the worker "wN" with 4 processors, 8 GB and the label LABEL.  */
+static void
+report_worker (size_t n, char label, bool draining)
+{
+  struct worker_report rep
+      = { .capacity = { .cpu_milli = 4000, .memory_mb = 8192 },
+          .clock_ms = 1000,
+          .born_ms = 1000,
+          .draining = draining,
+          .label_count = 1 };
+  snprintf (rep.id, sizeof rep.id, "w%zu", n);
+  snprintf (rep.host, sizeof rep.host, "m-w%zu", n);
+  name_copy (rep.pool, "p");
+  name_copy (rep.address, "10.0.0.1:1");
+  rep.labels[0][0] = label;
+  placer_update_worker (wld->plc, rep.id, &rep);
+}
+
+/* Adds one worker for each letter of LABELS.  That of a capital letter drains
+   as soon as it is known.  */
+static void
+add_workers (const char *labels)
+{
+  char id[8];
+  for (size_t n = 0; labels[n]; n++)
+    report_worker (n, (char)tolower (labels[n]), false);
+  world_tick (wld, 1);
+  for (size_t n = 0; labels[n]; n++)
+    {
+      snprintf (id, sizeof id, "w%zu", n);
+      world_answer_hold (wld, id, NULL, 0, NULL, 0);
+    }
+  world_tick (wld, 1);
+  world_tick (wld, 1);
+  for (size_t n = 0; labels[n]; n++)
+    if (isupper (labels[n]))
+      report_worker (n, (char)tolower (labels[n]), true);
+}
+
+static void
+add_step (uint64_t id, const char *step)
+{
+  char *json = talloc_asprintf (wld, "{\"steps\":[{%s}]}", step);
+  world_add_job (wld, id, json, 200 + id);
+}
+
+static struct placer_demand
+demand (void)
+{
+  struct placer_demand dem;
+  placer_demand (wld->plc, &dem);
+  return dem;
+}
+
+#define LASTS "\"perpetual\":true,\"estimate-ms\":900,"
+#define SEVEN LASTS "\"count\":7,\"mem-mb\":10,\"fills\":true,\"cpu\":3000,"
+
+static const struct needs
+{
+  const char *workers; /* see add_workers */
+  const char *step;
+  uint32_t lacking; /* of the last plan */
+  uint32_t needed;
+  const char *label;
+} needs[] = {
+  /* Two at most on a worker.  */
+  { "aaaa", SEVEN "\"anti-affinity\":2", 0, 0, "" },
+  { "aaa", SEVEN "\"anti-affinity\":2", 0, 1, "" },
+  { "a", SEVEN "\"anti-affinity\":2", 0, 3, "" },
+  { "", SEVEN "\"anti-affinity\":2", 0, 4, "" },
+  /* A worker that leaves by its own notice is a place no more.  */
+  { "aaaA", SEVEN "\"anti-affinity\":2", 0, 1, "" },
+  { "aaAA", SEVEN "\"anti-affinity\":2", 0, 2, "" },
+  /* No bound: one worker has room for all.  */
+  { "a", SEVEN "\"anti-affinity\":0", 0, 0, "" },
+  { "A", SEVEN "\"anti-affinity\":0", 0, 1, "" },
+  /* Labels.  */
+  { "aab", SEVEN "\"anti-affinity\":4,\"requirements\":\"b\"", 0, 1, "b" },
+  { "abb", SEVEN "\"anti-affinity\":4,\"requirements\":\"b\"", 0, 0, "" },
+  { "abB", SEVEN "\"anti-affinity\":4,\"requirements\":\"b\"", 0, 1, "b" },
+  { "aaa", SEVEN "\"requirements\":\"c\"", 0, 1, "c" },
+  { "aaa", LASTS "\"count\":9,\"mem-mb\":5000,\"requirements\":\"c\"", 0, 9,
+    "c" },
+  /* Room: one of them fits on a worker.  */
+  { "aaa", LASTS "\"count\":4,\"cpu\":3000", 0, 1, "" },
+  { "aaaa", LASTS "\"count\":4,\"cpu\":3000", 0, 0, "" },
+  { "aa", LASTS "\"count\":4,\"fills\":true,\"mem-mb\":5000", 0, 2, "" },
+  /* Two steps that fit one by one, but not both.  */
+  { "aa",
+    LASTS "\"count\":2,\"mem-mb\":5000},{" LASTS "\"count\":2,\"mem-mb\":5000",
+    0, 1, "" },
+  /* No host would help, as none has room for one.  */
+  { "aa", LASTS "\"count\":9,\"cpu\":5000", 0, 0, "" },
+  { "aa", LASTS "\"count\":1,\"mem-mb\":9000,\"anti-affinity\":1", 0, 0, "" },
+  { "aa", LASTS "\"count\":1,\"gpu\":1,\"anti-affinity\":1", 0, 0, "" },
+  /* Batch work needs none.  */
+  { "aa", "\"count\":7,\"cpu\":100,\"estimate-ms\":900,\"anti-affinity\":1", 0,
+    0, "" },
+  /* What the last plan lacked.  */
+  { "aaaa", SEVEN "\"anti-affinity\":2", 2, 2, "" },
+  { "aaa", SEVEN "\"anti-affinity\":2", 2, 2, "" },
+  { "a", SEVEN "\"anti-affinity\":2", 2, 3, "" },
+};
+
+/* Guards against a pool that gives up, or does not ask for, hosts without
+   which a perpetual task has no place (LOST), because only processors and
+   memory are counted.  */
+START_TEST (test_needed_hosts)
+{
+  const struct needs *it = &needs[_i];
+  add_workers (it->workers);
+  add_step (1, it->step);
+  wld->plc->takeover_done = true;
+  wld->plc->lacking_hosts = it->lacking;
+  const struct placer_demand dem = demand ();
+  ck_assert_uint_eq (dem.needed_hosts, it->needed);
+  ck_assert_str_eq (dem.needed_label, it->label);
+  ck_assert_uint_ge (dem.short_hosts, it->needed);
+  ck_assert_uint_ge (dem.urgent_hosts, it->needed);
+}
+END_TEST
+
+static const struct idle
+{
+  const char *workers;
+  const char *step;
+  const char *never; /* hosts that are not given up */
+  size_t least;      /* that are given up */
+} idle[] = {
+  { "aaaaaa", SEVEN "\"anti-affinity\":2", "", 1 },
+  { "aaaa", SEVEN "\"anti-affinity\":2", "m-w0 m-w1 m-w2 m-w3", 0 },
+  { "baaa", SEVEN "\"requirements\":\"b\"", "m-w0", 2 },
+  { "aaab", SEVEN "\"requirements\":\"b\"", "m-w3", 2 },
+  { "abab", SEVEN "\"anti-affinity\":4,\"requirements\":\"b\"", "m-w1 m-w3",
+    1 },
+  /* One of them leaves soon.  */
+  { "aaaaA", SEVEN "\"anti-affinity\":2", "m-w0 m-w1 m-w2 m-w3", 0 },
+  /* Others are still given up while a host with a label is missing.  */
+  { "aaaa", SEVEN "\"requirements\":\"c\"", "", 2 },
+};
+
+/* Guards against an empty host that is given up although the tasks that are
+   about to start need it: they would have to wait for another one.  */
+START_TEST (test_needed_hosts_not_idle)
+{
+  const struct idle *it = &idle[_i];
+  add_workers (it->workers);
+  add_step (1, it->step);
+  wld->plc->takeover_done = true;
+  const struct placer_demand dem = demand ();
+  for (size_t n = 0; n < dem.idle_count; n++)
+    ck_assert_msg (!strstr (it->never, dem.idle[n]), "%s", dem.idle[n]);
+  ck_assert_uint_ge (dem.idle_count, it->least);
+}
+END_TEST
+
+enum absence
+{
+  SILENT,
+  UNREGISTERED,
+  FAILING,
+  ENDED,
+  VACATED,
+};
+
+static const struct
+{
+  enum absence kind;
+  uint32_t at_once; /* needed hosts */
+  uint32_t later;   /* 4 s later */
+  uint32_t at_last; /* 6 s later */
+} absences[] = {
+  { SILENT, 0, 0, 1 },
+  { UNREGISTERED, 0, 0, 1 },
+  { FAILING, 0, 0, 1 },
+  /* They do not come back.  */
+  { ENDED, 1, 1, 1 },
+  { VACATED, 1, 1, 1 },
+};
+
+/* Guards against hosts that are ordered for each worker of a data centre that
+   is cut off for some seconds, and against places that are waited for although
+   their worker is gone.  */
+START_TEST (test_absent_workers)
+{
+  add_workers ("aaaa");
+  add_step (1, SEVEN "\"anti-affinity\":2");
+  wld->plc->takeover_done = true;
+  ck_assert_uint_eq (demand ().needed_hosts, 0);
+  struct worker *wrk = wld->plc->pool.workers[0];
+  switch (absences[_i].kind)
+    {
+    case SILENT:
+      wrk->unanswered_calls = 2;
+      break;
+    case UNREGISTERED:
+      placer_update_worker (wld->plc, wrk->rep.id, NULL);
+      break;
+    case FAILING:
+      wrk->failing_until_us = wld->clk.now_us + 60000000;
+      break;
+    case ENDED:
+      placer_worker_ended (wld->plc, wrk->rep.id);
+      break;
+    case VACATED:
+      placer_vacate (wld->plc, wrk->rep.host, wld->clk.now_us + 5000000);
+      break;
+    }
+  ck_assert_uint_eq (demand ().needed_hosts, absences[_i].at_once);
+  wld->clk.now_us += 4000000;
+  ck_assert_uint_eq (demand ().needed_hosts, absences[_i].later);
+  wld->clk.now_us += 2000000;
+  ck_assert_uint_eq (demand ().needed_hosts, absences[_i].at_last);
+  /* The time counts anew once it has taken tasks again.  */
+  wrk->unanswered_calls = 0;
+  if (absences[_i].kind == SILENT)
+    {
+      ck_assert_uint_eq (demand ().needed_hosts, 0);
+      wrk->unanswered_calls = 2;
+      ck_assert_uint_eq (demand ().needed_hosts, 0);
+    }
+}
+END_TEST
+
+/* Guards against hosts that a new owner orders because it does not know the
+   pool's workers yet.  */
+START_TEST (test_unknown_workers)
+{
+  add_step (1, SEVEN "\"anti-affinity\":2");
+  ck_assert (!wld->plc->takeover_done);
+  ck_assert_uint_eq (demand ().needed_hosts, 0);
+  wld->clk.now_us += 6000000;
+  ck_assert_uint_eq (demand ().needed_hosts, 4);
+}
+END_TEST
+
+/* Guards against a label that no host has and for which all others that are
+   missing wait.  */
+START_TEST (test_labels_in_turn)
+{
+  char seen[16] = "";
+  add_workers ("a");
+  add_step (1, LASTS "\"count\":1,\"mem-mb\":1,\"requirements\":\"none\"");
+  add_step (2, LASTS "\"count\":1,\"mem-mb\":1,\"requirements\":\"b\"");
+  add_step (3, LASTS "\"count\":2,\"mem-mb\":1,\"anti-affinity\":1");
+  wld->plc->takeover_done = true;
+  for (int n = 0; n < 60; n++)
+    {
+      const struct placer_demand dem = demand ();
+      ck_assert_uint_eq (dem.needed_hosts, 1);
+      const char *label = *dem.needed_label ? dem.needed_label : "any";
+      if (!strstr (seen, label))
+        strncat (seen, label, sizeof seen - strlen (seen) - 1);
+      wld->clk.now_us += 100000;
+    }
+  ck_assert_uint_eq (strlen (seen), strlen ("none"
+                                            "b"
+                                            "any"));
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("demand");
+  TCase *tcase = tcase_create ("demand");
+  tcase_add_checked_fixture (tcase, setup, teardown);
+  tcase_add_loop_test (tcase, test_needed_hosts, 0,
+                       sizeof needs / sizeof *needs);
+  tcase_add_loop_test (tcase, test_needed_hosts_not_idle, 0,
+                       sizeof idle / sizeof *idle);
+  tcase_add_loop_test (tcase, test_absent_workers, 0,
+                       sizeof absences / sizeof *absences);
+  tcase_add_test (tcase, test_unknown_workers);
+  tcase_add_test (tcase, test_labels_in_turn);
+  suite_add_tcase (suite, tcase);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed > 0;
+}
