fleet, node: needed hosts come before urgent work

The fleet duty supplied pools that lack hosts for urgent work first, then those for late work, whatever the hosts were for. Perpetual tasks without a place now come before both, with a host that has the needed label.

- Spare hosts, those on their way to the spare pool and idle ones are taken as before.
A pool with a backlog of long jobs reports none as idle, so that nothing came for others: last, a busy host is taken from a pool that needs none itself and stays as large as the one that gets it.
So two pools do not take a host from each other in turn.
At most two hosts are vacated for a pool at a time, and a third of the giving pool is away, or one host.
The giver's owner may refuse.
- While no host with a label is to be had, hosts for the pool's other work are supplied as before, others are not taken in its place, and idle hosts go to the spare pool and to others.
- A search for hosts ends when there are none with a higher cost, rather than after all costs.

--- a/fleet/host_mgr.h
+++ b/fleet/host_mgr.h
@@ -82,6 +82,11 @@
   char name[NAME_BYTES];
   uint32_t short_hosts;  /* hosts that the pool lacks */
   uint32_t urgent_hosts; /* those for work that can be done in time */
+  uint32_t
+      needed_hosts; /* those without which perpetual tasks have no place */
+  char needed_label[NAME_BYTES]; /* that these must have; "": any */
+  uint32_t labelled_unmet; /* in the present step: needed hosts with a label
+                              that are not on their way */
   char (*idle)[NAME_BYTES];
   size_t idle_count;
   uint32_t busy_milli; /* share of its processors in use, in thousandths */
@@ -173,6 +178,9 @@
   const char *pool;
   uint32_t short_hosts;     /* hosts that the pool lacks */
   uint32_t urgent_hosts;    /* those for work that can be done in time */
+  uint32_t needed_hosts;    /* those without which perpetual tasks have no
+                               place */
+  const char *needed_label; /* that these must have; "" or NULL: any */
   char (*idle)[NAME_BYTES]; /* hosts that the pool can give up; a talloc
                                array */
   size_t idle_count;
--- a/fleet/host_mgr_moves.c
+++ b/fleet/host_mgr_moves.c
@@ -12,15 +12,80 @@
    of a queue begin as the peak of another one ends.  */
 #define SPARE_DELAY_US 1500000
 
-/* Number of hosts with POOL as the destination of their move.  */
-static uint32_t
-count_incoming (const struct host_mgr *mgr, const char *pool)
+/* Most hosts that are vacated at a time for what one pool needs, if one of
+   them is not idle.  A demand may pass, and each such host stops the batch
+   work of its pool.  */
+#define BUSY_HOSTS_MAX 2
+/* Hosts by which a pool that gives up a busy host has to be larger than the
+   one that needs it.  After the move it is not smaller, so that no host is
+   taken back for the same reason.  */
+#define GIVER_LEAD_HOSTS 2
+/* Of the hosts of a pool, one in this many at most is in an operation or not
+   up when a busy one is taken, but always one may be.  */
+#define GIVER_DIVISOR 3
+
+/* What hosts are wanted for; the higher, the more important.  */
+enum want
+{
+  WANT_LATE,   /* work that is late */
+  WANT_URGENT, /* work that can be done in time */
+  WANT_PLACES, /* perpetual tasks that have no place */
+};
+
+/* The hosts that one pool wants.  */
+struct wish
+{
+  enum want want;
+  const char *pool;
+  const char *label;  /* that they must have; "": any */
+  uint32_t incoming;  /* hosts on their way to the pool that have it */
+  uint32_t vacating;  /* those that are not empty yet */
+  uint32_t available; /* the pool's hosts, and those on their way to it */
+};
+
+static bool
+host_has_label (const struct mgr_host *host, const char *label)
+{
+  for (size_t n = 0; n < host->rep.label_count; n++)
+    if (strcmp (host->rep.labels[n], label) == 0)
+      return true;
+  return !*label;
+}
+
+static struct wish
+make_wish (const struct host_mgr *mgr, const struct mgr_pool *pool,
+           enum want want)
 {
-  uint32_t count = 0;
+  struct wish wish
+      = { .want = want,
+          .pool = pool->name,
+          .label = want == WANT_PLACES ? pool->needed_label : "" };
+  for (uint32_t n = 0; n < mgr->row_count; n++)
+    if (strcmp (mgr->rows[n].name, pool->name) == 0)
+      wish.available = mgr->rows[n].all;
   for (size_t n = 0; n < mgr->host_count; n++)
-    count += mgr->hosts[n].current_op == OP_MOVE
-             && strcmp (mgr->hosts[n].dest_pool, pool) == 0;
-  return count;
+    {
+      const struct mgr_host *host = &mgr->hosts[n];
+      if (host->current_op != OP_MOVE
+          || strcmp (host->dest_pool, pool->name) != 0)
+        continue;
+      wish.available++;
+      if (!host_has_label (host, wish.label))
+        continue;
+      wish.incoming++;
+      wish.vacating += host->phase == PHASE_VACATING;
+    }
+  return wish;
+}
+
+/* The hosts that POOL lacks for its work, if it lacks COUNT in all.  A host
+   with a certain label, of which there may be none, is not among them: others
+   would be taken for it without end.  */
+static uint32_t
+without_labelled (const struct mgr_pool *pool, uint32_t count)
+{
+  uint32_t labelled = *pool->needed_label ? pool->needed_hosts : 0;
+  return count > labelled ? count - labelled : 0;
 }
 
 /* Whether HOST can go to another pool because its move to the spare pool was
@@ -33,31 +98,55 @@
          && host_mgr_pool_is_spare (mgr, host->dest_pool);
 }
 
-/* Most different costs of a host in host_cost.  */
-#define HOST_COSTS 7
+static bool
+demand_is_recent (const struct mgr_pool *pool, int64_t now_us)
+{
+  return now_us - pool->demand_us <= DEMAND_AGE_MAX_US;
+}
 
-/* Cost of taking HOST for the pool TARGET, or -1 if it cannot be taken:
-   preferably one that is about to move to the spare pool, next one in the
-   spare pool, then an idle one of a pool that is not short itself.  For URGENT
-   work, which can be done in time, last one that another pool uses for late
-   work only.  A host that a wave still has to maintain costs one more.  */
+/* Whether the pool ROW can give up a host that is not idle for WISH: it has
+   many more hosts than the pool that needs one, and needs none itself.  Its
+   owner may still refuse.  */
+static bool
+may_take_busy (const struct pool_row *row, const struct wish *wish,
+               int64_t now_us)
+{
+  uint32_t out = row->unavailable + 1;
+  return wish->want == WANT_PLACES && demand_is_recent (row->demand, now_us)
+         && row->demand->needed_hosts == 0 && wish->vacating < BUSY_HOSTS_MAX
+         && (out == 1 || out * GIVER_DIVISOR <= row->all)
+         && row->all >= row->unavailable + wish->available + GIVER_LEAD_HOSTS;
+}
+
+/* Cost of taking HOST for WISH, or -1 if it cannot be taken: preferably one
+   that is about to move to the spare pool, next one in the spare pool, then an
+   idle one of a pool that is not short itself.  For work that can be done in
+   time or that is needed, next one that another pool uses for late work only,
+   and for what is needed last one that another pool uses at all.  A host that
+   a wave still has to maintain costs one more.  */
 static int
 host_cost (const struct host_mgr *mgr, const struct mgr_host *host,
-           const char *target, bool urgent, int64_t now_us)
+           const struct wish *wish, int64_t now_us)
 {
   const struct pool_row *row = &mgr->rows[host->pool_row];
   bool redirect = may_redirect (mgr, host);
   if ((!redirect && !host_mgr_may_begin_op (host, now_us))
-      || strcmp (host->rep.pool, target) == 0)
+      || strcmp (host->rep.pool, wish->pool) == 0
+      || !host_has_label (host, wish->label))
     return -1;
   if (redirect || row->spare)
     return (redirect ? 0 : 1) + host->wave_pending;
-  if (!row->demand || !host_mgr_host_is_idle (mgr, host))
+  if (!row->demand)
     return -1;
-  if (row->demand->short_hosts == 0)
-    return 3 + host->wave_pending;
-  return urgent && row->demand->urgent_hosts == 0 ? 5 + host->wave_pending
-                                                  : -1;
+  if (host_mgr_host_is_idle (mgr, host))
+    {
+      if (without_labelled (row->demand, row->demand->short_hosts) == 0)
+        return 3 + host->wave_pending;
+      if (wish->want >= WANT_URGENT
+          && without_labelled (row->demand, row->demand->urgent_hosts) == 0)
+        return 5 + host->wave_pending;
+    }
+  return may_take_busy (row, wish, now_us) ? 7 + host->wave_pending : -1;
 }
 
 static const char *
@@ -69,33 +158,43 @@
   return NULL;
 }
 
+/* Begins the moves of as many hosts to POOL as it wants, those with the lowest
+   cost first.  Returns true when there are not enough hosts, unless they are
+   to have a certain label: idle hosts need not wait for that.  */
 static bool
-demand_is_recent (const struct mgr_pool *pool, int64_t now_us)
-{
-  return now_us - pool->demand_us <= DEMAND_AGE_MAX_US;
-}
-
-/* Begins the moves of as many hosts to POOL as it is short of, those with the
-   lowest cost first; with URGENT, only for its urgent work.  Returns true when
-   there are not enough hosts.  */
-static bool
-supply_pool (struct host_mgr *mgr, struct mgr_pool *pool, bool urgent,
+supply_pool (struct host_mgr *mgr, struct mgr_pool *pool, enum want want,
              int64_t now_us)
 {
-  uint32_t wanted = urgent ? pool->urgent_hosts : pool->short_hosts;
-  uint32_t incoming = count_incoming (mgr, pool->name);
-  for (int cost = 0; cost < HOST_COSTS && incoming < wanted; cost++)
-    for (size_t n = 0; n < mgr->host_count && incoming < wanted; n++)
-      {
-        struct mgr_host *host = &mgr->hosts[n];
-        if (host_cost (mgr, host, pool->name, urgent, now_us) != cost)
-          continue;
-        name_copy (host->dest_pool, pool->name);
-        if (host->phase == PHASE_NONE)
-          host_mgr_begin_op (mgr, host, OP_MOVE, now_us);
-        incoming++;
-      }
-  return incoming < wanted;
+  uint32_t wanted = want == WANT_PLACES   ? pool->needed_hosts
+                    : want == WANT_URGENT ? pool->urgent_hosts
+                                          : pool->short_hosts;
+  struct wish wish = make_wish (mgr, pool, want);
+  if (want != WANT_PLACES)
+    wanted = wanted > pool->labelled_unmet ? wanted - pool->labelled_unmet : 0;
+  int next = 0;
+  for (int cost = 0; cost >= 0 && wish.incoming < wanted; cost = next)
+    {
+      next = -1;
+      for (size_t n = 0; n < mgr->host_count && wish.incoming < wanted; n++)
+        {
+          struct mgr_host *host = &mgr->hosts[n];
+          int this_cost = host_cost (mgr, host, &wish, now_us);
+          if (this_cost > cost && (next < 0 || this_cost < next))
+            next = this_cost;
+          if (this_cost != cost)
+            continue;
+          name_copy (host->dest_pool, pool->name);
+          if (host->phase == PHASE_NONE)
+            host_mgr_begin_op (mgr, host, OP_MOVE, now_us);
+          wish.incoming++;
+          wish.available++;
+          wish.vacating += host->phase == PHASE_VACATING;
+        }
+    }
+  uint32_t unmet = wish.incoming < wanted ? wanted - wish.incoming : 0;
+  if (want == WANT_PLACES)
+    pool->labelled_unmet = *wish.label ? unmet : 0;
+  return unmet > 0 && !*wish.label;
 }
 
 /* Begins to move hosts that have been idle long enough to the pool SPARE.  */
@@ -106,8 +205,8 @@
     {
       struct mgr_host *host = &mgr->hosts[n];
       const struct mgr_pool *pool = mgr->rows[host->pool_row].demand;
-      if (!pool || pool->short_hosts > 0 || !demand_is_recent (pool, now_us)
-          || !host->idle_since_us
+      if (!pool || without_labelled (pool, pool->short_hosts) > 0
+          || !demand_is_recent (pool, now_us) || !host->idle_since_us
           || now_us < host->idle_since_us + SPARE_DELAY_US
           || !host_mgr_may_begin_op (host, now_us))
         continue;
@@ -121,13 +220,13 @@
 {
   const char *spare = spare_pool (mgr);
   bool shortage = false;
-  /* Work that can be done in time comes before late work, whichever pool it
-     belongs to.  */
-  for (int urgent = 1; urgent >= 0; urgent--)
+  /* Perpetual tasks without a place come first, then work that can be done in
+     time, whichever pool it belongs to.  */
+  for (int want = WANT_PLACES; want >= WANT_LATE; want--)
     for (size_t n = 0; n < mgr->pool_count; n++)
       if (demand_is_recent (&mgr->pools[n], now_us))
-        shortage
-            = supply_pool (mgr, &mgr->pools[n], urgent, now_us) || shortage;
+        shortage = supply_pool (mgr, &mgr->pools[n], (enum want)want, now_us)
+                   || shortage;
   if (spare && !shortage)
     move_idle_to_spare (mgr, spare, now_us);
 }
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -447,6 +447,8 @@
   const struct pool_demand dem = { .pool = pool,
                                    .short_hosts = msg->short_hosts,
                                    .urgent_hosts = msg->urgent_hosts,
+                                   .needed_hosts = msg->needed_hosts,
+                                   .needed_label = msg->needed_label,
                                    .idle = idle,
                                    .idle_count = idle ? msg->n_idle_hosts : 0,
                                    .busy_milli = msg->busy_milli };
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -157,6 +157,8 @@
   int64_t next_demand_us; /* the demand is not computed before this time */
   uint32_t sent_short_hosts;
   uint32_t sent_urgent_hosts;
+  uint32_t sent_needed_hosts;
+  char sent_needed_label[NAME_BYTES];
   size_t sent_idle_count;
   /* The requests to vacate hosts of this pool, as of the given numbers of
      changes to all requests and to the pool's workers.  */
--- /dev/null
+++ b/test/unit/unit_host_mgr_moves.c
@@ -0,0 +1,290 @@
+#include <check.h>
+#include <ctype.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "fleet/host_mgr.h"
+
+/* Tests of fleet/host_mgr_moves.c: which hosts go to the pools that need
+   them.  */
+
+#define S 1000000
+
+static struct host_mgr mgr;
+static void *ctx;
+static int64_t now_us;
+
+static void
+on_vacate (void *arg, struct mgr_host *host, int64_t grace_ms)
+{
+  host->request_offset = 1;
+}
+
+static void
+on_withdraw (void *arg, struct mgr_host *host)
+{
+}
+
+static void
+on_order (void *arg, struct mgr_host *host)
+{
+}
+
+static void
+on_wave (void *arg, struct mgr_wave *wave)
+{
+}
+
+static struct pool_config pools[]
+    = { { .name = "p" }, { .name = "q" }, { .name = "spare", .spare = true } };
+static const struct catalog cat = { .pools = pools, .pool_count = 3 };
+
+static void
+setup (void)
+{
+  static const struct host_mgr_ops ops = { .vacate = on_vacate,
+                                           .withdraw = on_withdraw,
+                                           .order = on_order,
+                                           .wave_state = on_wave };
+  ctx = talloc_new (NULL);
+  host_mgr_init (&mgr, ctx, &ops);
+  mgr.cat = &cat;
+  now_us = 100 * S;
+}
+
+static void
+teardown (void)
+{
+  host_mgr_fini (&mgr);
+  talloc_free (ctx);
+}
+
+/* Sets the platform's list of hosts.  Each letter of P, Q and SPARE names a
+   host in the pool of that name.  Its labels are its own name, and "first" in
+   the first half of the alphabet.  A capital letter is a host that is down. */
+static void
+list_hosts (const char *p, const char *q, const char *spare)
+{
+  struct host_report reps[32];
+  size_t count = 0;
+  const char *const names[] = { p, q, spare };
+  for (size_t n = 0; n < 3; n++)
+    for (const char *chr = names[n]; *chr; chr++)
+      {
+        struct host_report *rep = &reps[count++];
+        *rep = (struct host_report){ .state
+                                     = isupper (*chr) ? HOST_DOWN : HOST_UP,
+                                     .label_count = 1 };
+        rep->name[0] = rep->labels[0][0] = (char)tolower (*chr);
+        if (tolower (*chr) <= 'm')
+          name_copy (rep->labels[rep->label_count++], "first");
+        snprintf (rep->worker, NAME_BYTES, "w-%c", *chr);
+        name_copy (rep->pool, pools[n].name);
+      }
+  const struct host_list lst = { .hosts = reps, .count = count };
+  ck_assert_int_eq (host_mgr_set_hosts (&mgr, ctx, &lst, now_us), 0);
+}
+
+struct wants
+{
+  uint32_t needed;
+  const char *label; /* of the needed ones */
+  uint32_t urgent;
+  uint32_t late;    /* short of, in all */
+  const char *idle; /* letters of hosts */
+};
+
+static void
+demand (const char *pool, const struct wants *wants)
+{
+  size_t count = wants->idle ? strlen (wants->idle) : 0;
+  char (*names)[NAME_BYTES]
+      = talloc_zero_size (ctx, (count + 1) * sizeof *names);
+  for (size_t n = 0; n < count; n++)
+    names[n][0] = wants->idle[n];
+  const struct pool_demand dem = { .pool = pool,
+                                   .short_hosts = wants->late,
+                                   .urgent_hosts = wants->urgent,
+                                   .needed_hosts = wants->needed,
+                                   .needed_label = wants->label,
+                                   .idle = names,
+                                   .idle_count = count };
+  host_mgr_set_demand (&mgr, &dem, now_us);
+}
+
+static void
+step (int64_t ms)
+{
+  now_us += ms * 1000;
+  host_mgr_step (&mgr, now_us);
+}
+
+/* Writes the moves in progress as "HOST>POOL ", in the order of the list.  */
+static void
+format_moves (char text[128])
+{
+  text[0] = '\0';
+  for (size_t n = 0; n < mgr.host_count; n++)
+    if (mgr.hosts[n].current_op == OP_MOVE)
+      {
+        size_t len = strlen (text);
+        snprintf (text + len, 128 - len, "%s>%s ", mgr.hosts[n].rep.name,
+                  mgr.hosts[n].dest_pool);
+      }
+}
+
+static const struct
+{
+  const char *p, *q, *spare;
+  struct wants of_p, of_q;
+  const char *moves;
+} moves[] = {
+  /* Needed hosts come before urgent work, and that before late work.  */
+  { "abc", "def", "x", { 0, "", 1, 1, "" }, { 1, "", 1, 1, "" }, "x>q " },
+  { "abc", "def", "xy", { 0, "", 0, 2, "" }, { 1, "", 1, 1, "" }, "x>q y>p " },
+  { "abc",
+    "def",
+    "xyz",
+    { 0, "", 1, 1, "" },
+    { 1, "", 3, 3, "" },
+    "x>q y>p z>q " },
+  /* A host with the label, whichever comes first.  */
+  { "abc", "def", "xyz", { 1, "y", 1, 1, "" }, { 0 }, "y>p " },
+  { "abc", "def", "xkyl", { 2, "first", 2, 2, "" }, { 0 }, "k>p l>p " },
+  /* Others are no replacement, but the pool's other work gets its hosts.  */
+  { "abc", "def", "xyz", { 1, "none", 1, 1, "" }, { 0 }, "" },
+  { "abc", "def", "xyz", { 1, "none", 1, 2, "" }, { 0 }, "x>p " },
+  { "abc", "def", "xyz", { 1, "y", 1, 2, "" }, { 0 }, "x>p y>p " },
+  /* An idle host, also of a pool with late work or that lacks a label.  */
+  { "abc", "def", "", { 1, "", 1, 1, "" }, { .idle = "e" }, "e>p " },
+  { "abc", "def", "", { 1, "", 1, 1, "" }, { 0, "", 0, 9, "e" }, "e>p " },
+  { "abc", "def", "", { 1, "", 1, 1, "" }, { 1, "x", 1, 1, "e" }, "e>p " },
+  { "abc", "def", "", { 0, "", 0, 1, "" }, { 0, "", 0, 9, "e" }, "" },
+  /* A host that is in use, of a pool with many more.  */
+  { "abc", "defghi", "", { 1, "", 1, 1, "" }, { 0, "", 9, 9, "" }, "d>p " },
+  { "abc", "defghi", "", { 1, "g", 1, 1, "" }, { 0, "", 9, 9, "" }, "g>p " },
+  { "abc", "defghi", "", { 1, "x", 1, 1, "" }, { 0, "", 9, 9, "" }, "" },
+  { "abc", "defghi", "x", { 1, "", 1, 1, "" }, { 0, "", 9, 9, "" }, "x>p " },
+  { "abc", "defghi", "", { 0, "", 1, 1, "" }, { 0 }, "" },
+  { "abc", "defg", "", { 1, "", 1, 1, "" }, { 0, "", 9, 9, "" }, "" },
+  { "abc", "defghi", "", { 1, "", 1, 1, "" }, { 1, "", 9, 9, "" }, "" },
+  /* Not more of them at a time than a third of the pool, than BUSY_HOSTS_MAX,
+     and than would make the other pool the smaller one.  */
+  { "a", "defghi", "", { 5, "", 5, 5, "" }, { 0, "", 9, 9, "" }, "d>p e>p " },
+  { "a", "defgh", "", { 5, "", 5, 5, "" }, { 0, "", 9, 9, "" }, "d>p " },
+  { "a", "Defghi", "", { 5, "", 5, 5, "" }, { 0, "", 9, 9, "" }, "e>p " },
+  { "a",
+    "defghijklmn",
+    "",
+    { 5, "", 5, 5, "" },
+    { 0, "", 9, 9, "" },
+    "d>p e>p " },
+  { "abc", "defghi", "", { 5, "", 5, 5, "" }, { 0, "", 9, 9, "" }, "d>p " },
+};
+
+/* Guards against a perpetual task that waits for a host with the right label
+   while the hosts go to other work, and against hosts that are taken in
+   vain.  */
+START_TEST (test_needed_moves)
+{
+  char text[128];
+  list_hosts (moves[_i].p, moves[_i].q, moves[_i].spare);
+  demand ("p", &moves[_i].of_p);
+  demand ("q", &moves[_i].of_q);
+  step (10);
+  format_moves (text);
+  ck_assert_str_eq (text, moves[_i].moves);
+  /* What is on its way is not asked for again.  */
+  step (10);
+  format_moves (text);
+  ck_assert_str_eq (text, moves[_i].moves);
+}
+END_TEST
+
+/* Guards against two pools that take a host from each other in turn, each time
+   with the tasks that run there.  */
+START_TEST (test_host_taken_back)
+{
+  const struct wants needy = { 1, "", 9, 9, "" };
+  const struct wants busy = { 0, "", 9, 9, "" };
+  char text[128];
+  list_hosts ("abcd", "efghij", "");
+  demand ("p", &needy);
+  demand ("q", &busy);
+  step (10);
+  format_moves (text);
+  ck_assert_str_eq (text, "e>p ");
+  host_mgr_host_emptied (&mgr, "e", 1, now_us);
+  step (10);
+  struct mgr_host *host = host_mgr_find (&mgr, "e");
+  host_mgr_order_answered (&mgr, host, HOST_ORDER_DONE, now_us);
+  now_us += 5 * S;
+  list_hosts ("abcde", "fghij", "");
+  step (10);
+  ck_assert_int_eq (host->phase, PHASE_NONE);
+  now_us += S;
+  demand ("p", &busy);
+  demand ("q", &needy);
+  step (10);
+  format_moves (text);
+  ck_assert_str_eq (text, "");
+}
+END_TEST
+
+/* Guards against idle hosts that are kept, at a price, for as long as a task
+   waits for a label that no host has.  */
+START_TEST (test_spare_despite_label)
+{
+  const struct wants lacking = { 1, "none", 1, 1, "a" };
+  const struct wants idle = { .idle = "d" };
+  char text[128];
+  list_hosts ("abc", "def", "");
+  for (int n = 0; n < 3; n++)
+    {
+      demand ("p", &lacking);
+      demand ("q", &idle);
+      step (1000);
+    }
+  format_moves (text);
+  ck_assert_str_eq (text, "a>spare d>spare ");
+}
+END_TEST
+
+/* Guards against a host with a label that is not asked for because another one
+   is already on its way for other work.  */
+START_TEST (test_label_beside_incoming)
+{
+  const struct wants late = { 0, "", 0, 1, "" };
+  const struct wants labelled = { 1, "y", 1, 2, "" };
+  const struct wants nothing = { 0 };
+  char text[128];
+  list_hosts ("abc", "def", "xyz");
+  demand ("p", &late);
+  demand ("q", &nothing);
+  step (10);
+  demand ("p", &labelled);
+  step (10);
+  format_moves (text);
+  ck_assert_str_eq (text, "x>p y>p ");
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("host_mgr_moves");
+  TCase *tcase = tcase_create ("host_mgr_moves");
+  tcase_add_checked_fixture (tcase, setup, teardown);
+  tcase_add_loop_test (tcase, test_needed_moves, 0,
+                       sizeof moves / sizeof *moves);
+  tcase_add_test (tcase, test_host_taken_back);
+  tcase_add_test (tcase, test_spare_despite_label);
+  tcase_add_test (tcase, test_label_beside_incoming);
+  suite_add_tcase (suite, tcase);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed > 0;
+}
