sched: room of hosts with a label tells what such a host lacks

A task with a label and an accelerator asked for no host once the last one with the label had left: no other worker of the pool has an accelerator, and where none has room no host is asked for. Only workers with the step's label count for that now, and they are looked at for nothing else.

unit_demand, the case with a label and an accelerator, fails on the code before (no host is needed).

--- a/sched/demand.c
+++ b/sched/demand.c
@@ -322,16 +322,18 @@
 {
   int64_t left = tasks;
   int64_t most = 0;
+  bool known = false; /* what room such a host has */
   for (size_t n = 0; n < count && left > 0; n++)
     {
       const struct worker *wrk = rows[n].wrk;
+      if (*stp->required_label && !worker_has_label (wrk, stp->required_label))
+        continue;
       int64_t places = count_places (wrk, stp);
+      known = true;
+      if (places == 0)
+        continue;
       if (places > most)
         most = places;
-      if (places == 0
-          || (*stp->required_label
-              && !worker_has_label (wrk, stp->required_label)))
-        continue;
       rows[n].needed = true;
       left -= places;
     }
@@ -339,9 +341,9 @@
   lacks->placed.cpu_milli
       += stp->best_effort ? 0 : placed * stp->need.cpu_milli;
   lacks->placed.memory_mb += placed * stp->need.memory_mb;
-  if (count == 0)
+  if (!known)
     most = stp->max_per_worker > 0 ? stp->max_per_worker : stp->count;
-  /* Where no host has room for one, another host would not help.  */
+  /* Where no such host has room for one, another would not help.  */
   if (left > 0 && most > 0)
     add_lack (lacks, stp->required_label, (left + most - 1) / most);
 }
--- a/test/unit/unit_demand.c
+++ b/test/unit/unit_demand.c
@@ -105,8 +105,10 @@
   { "abb", SEVEN "\"anti-affinity\":4,\"requirements\":\"b\"", 0, 0, "" },
   { "abB", SEVEN "\"anti-affinity\":4,\"requirements\":\"b\"", 0, 1, "b" },
   { "aaa", SEVEN "\"requirements\":\"c\"", 0, 1, "c" },
-  { "aaa", LASTS "\"count\":9,\"mem-mb\":5000,\"requirements\":\"c\"", 0, 9,
-    "c" },
+  { "aab", LASTS "\"count\":5,\"mem-mb\":5000,\"requirements\":\"b\"", 0, 4,
+    "b" },
+  { "aaa", LASTS "\"count\":1,\"gpu\":1,\"requirements\":\"c\"", 0, 1, "c" },
+  { "aab", LASTS "\"count\":1,\"gpu\":1,\"requirements\":\"b\"", 0, 0, "" },
   /* Room: one of them fits on a worker.  */
   { "aaa", LASTS "\"count\":4,\"cpu\":3000", 0, 1, "" },
   { "aaaa", LASTS "\"count\":4,\"cpu\":3000", 0, 0, "" },
