fleet: an empty spare host for what is needed before one to be emptied

A host that has to be emptied first now costs as much as an idle one when it is wanted for perpetual tasks without a place.

unit_host_mgr_moves, test_needed_redirections, fails in one of its three cases on the code before.

--- a/fleet/host_mgr_moves.c
+++ b/fleet/host_mgr_moves.c
@@ -123,7 +123,9 @@
    idle one of a pool that is not short itself.  For work that can be done in
    time or that is needed, next one that another pool uses for late work only,
    and for what is needed last one that another pool uses at all.  A host that
-   a wave still has to maintain costs one more.  */
+   a wave still has to maintain costs one more.  A host that has to be emptied
+   first may not become so: for what is needed, one on its way to the spare
+   pool is no better than an idle one.  */
 static int
 host_cost (const struct host_mgr *mgr, const struct mgr_host *host,
            const struct wish *wish, int64_t now_us)
@@ -134,8 +136,11 @@
       || strcmp (host->rep.pool, wish->pool) == 0
       || !host_has_label (host, wish->label))
     return -1;
-  if (redirect || row->spare)
-    return (redirect ? 0 : 1) + host->wave_pending;
+  if (row->spare)
+    return 1 + host->wave_pending;
+  if (redirect)
+    return (wish->want == WANT_PLACES && host->phase == PHASE_VACATING ? 3 : 0)
+           + host->wave_pending;
   if (!row->demand)
     return -1;
   if (host_mgr_host_is_idle (mgr, host))
--- a/test/unit/unit_host_mgr_moves.c
+++ b/test/unit/unit_host_mgr_moves.c
@@ -202,6 +202,37 @@
 }
 END_TEST
 
+static const struct
+{
+  struct wants of_q;
+  const char *moves;
+} redirections[] = {
+  { { 0, "", 1, 1, "" }, "a>q " },
+  { { 1, "", 1, 1, "" }, "a>spare x>q " },
+  { { 2, "", 2, 2, "" }, "a>q x>q " },
+};
+
+/* Guards against a perpetual task that waits for a host which has to be
+   emptied first, and perhaps cannot be, beside an empty one.  */
+START_TEST (test_needed_redirections)
+{
+  const struct wants idle = { .idle = "a" };
+  char text[128];
+  list_hosts ("abc", "def", "x");
+  for (int n = 0; n < 2; n++)
+    {
+      demand ("p", &idle);
+      step (1600);
+    }
+  format_moves (text);
+  ck_assert_str_eq (text, "a>spare ");
+  demand ("q", &redirections[_i].of_q);
+  step (0);
+  format_moves (text);
+  ck_assert_str_eq (text, redirections[_i].moves);
+}
+END_TEST
+
 /* Guards against two pools that take a host from each other in turn, each time
    with the tasks that run there.  */
 START_TEST (test_host_taken_back)
@@ -278,6 +309,8 @@
   tcase_add_checked_fixture (tcase, setup, teardown);
   tcase_add_loop_test (tcase, test_needed_moves, 0,
                        sizeof moves / sizeof *moves);
+  tcase_add_loop_test (tcase, test_needed_redirections, 0,
+                       sizeof redirections / sizeof *redirections);
   tcase_add_test (tcase, test_host_taken_back);
   tcase_add_test (tcase, test_spare_despite_label);
   tcase_add_test (tcase, test_label_beside_incoming);
