sched: task.unplaced, why a perpetual task does not run

Callers saw LOST for perpetual tasks that did not run for 13 to 17 s, and no line told of it: placer.stalled wants a free worker, and there is none.

The owner of a pool now logs each perpetual task that has had no run for 1 s (2 s with a reservation), with the pool's workers by the first reason why they are no place for it: vacated, draining, unavailable, label, bound, no room whatever batch work runs there, or allowed. Again after 5 s for a task, and at most 4 lines in 5 s for a pool; tasks that were not reported yet come first. It does not depend on free workers. The check runs each 200 ms over the jobs with a perpetual step only, of which the placer now keeps a list.

Test: test/unit/unit_placer_vacate.c, with workers that answer at once.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -104,6 +104,28 @@
   stop_job (plc, job);
 }
 
+static bool
+is_perpetual (const struct job *job)
+{
+  for (size_t n = 0; n < job->spec.step_count; n++)
+    if (job->spec.steps[n].perpetual)
+      return true;
+  return false;
+}
+
+/* Adds JOB to *JOBS.  Returns false when out of memory.  */
+static bool
+add_job (struct placer *plc, struct job ***jobs, size_t *count,
+         struct job *job)
+{
+  struct job **rows = talloc_realloc (plc, *jobs, struct job *, *count + 1);
+  if (!rows)
+    return false;
+  *jobs = rows;
+  rows[(*count)++] = job;
+  return true;
+}
+
 static void
 set_goal (struct placer *plc, struct job *job)
 {
@@ -120,12 +142,15 @@
     return;
   if (change == JOB_CHANGE_NEW && !job_ended (job))
     {
-      struct job **jobs
-          = talloc_realloc (plc, plc->jobs, struct job *, plc->job_count + 1);
-      if (!jobs)
+      if (is_perpetual (job)
+          && !add_job (plc, &plc->perpetual_jobs, &plc->perpetual_job_count,
+                       job))
         return;
-      plc->jobs = jobs;
-      jobs[plc->job_count++] = job;
+      if (!add_job (plc, &plc->jobs, &plc->job_count, job))
+        {
+          plc->perpetual_job_count -= is_perpetual (job);
+          return;
+        }
       plc->new_jobs++;
       job->scheduled = true;
       job->dirty = false;
@@ -409,6 +434,11 @@
         plc->jobs[kept++] = job;
     }
   plc->job_count = kept;
+  kept = 0;
+  for (size_t n = 0; n < plc->perpetual_job_count; n++)
+    if (plc->perpetual_jobs[n]->scheduled)
+      plc->perpetual_jobs[kept++] = plc->perpetual_jobs[n];
+  plc->perpetual_job_count = kept;
 }
 
 static void
@@ -548,6 +578,7 @@
   drop_ended_jobs (plc);
   drop_stale_workers (plc, now_us);
   placer_check_stall (plc, now_us);
+  placer_check_unplaced (plc, now_us);
   busy = busy || plc->job_count > 0 || plc->dirty_count > 0;
   return now_us + (busy ? TICK_BUSY_US : TICK_IDLE_US);
 }
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -30,6 +30,18 @@
   uint32_t absent_lists; /* consecutive lists of hosts without its host */
 };
 
+/* Most perpetual tasks without a run that are watched at a time.  */
+#define UNPLACED_TASKS_MAX 64
+
+/* A perpetual task without a run.  */
+struct unplaced_task
+{
+  struct task_ref ref;
+  int64_t since_us;    /* when it was first found so */
+  int64_t reported_us; /* when that was last logged; 0: not yet */
+  bool waits;          /* it was found so by the last check */
+};
+
 struct placer
 {
   struct placer_settings set;
@@ -46,6 +58,9 @@
   /* Jobs that have not ended, have a run, or have progress to flush.  */
   struct job **jobs;
   size_t job_count;
+  /* Those of them with a perpetual step.  */
+  struct job **perpetual_jobs;
+  size_t perpetual_job_count;
 
   /* Jobs whose progress is not in the log yet, in the order in which it
      changed first.  */
@@ -106,8 +121,14 @@
   int64_t stalled_us;    /* when they were first found; 0: there are none */
   int64_t next_stall_check_us;
   int64_t next_stall_report_us;
-  int calls_in_flight; /* commands and appends */
-  bool closing;        /* destroyed; freed when no call is in flight */
+  /* Report on perpetual tasks without a run.  */
+  struct unplaced_task unplaced[UNPLACED_TASKS_MAX];
+  size_t unplaced_count;
+  int64_t next_unplaced_check_us;
+  int64_t unplaced_reports_us; /* start of the time that has a limit of them */
+  uint32_t unplaced_reports;   /* since then */
+  int calls_in_flight;         /* commands and appends */
+  bool closing;                /* destroyed; freed when no call is in flight */
 };
 
 /* placer_pick.c */
@@ -219,6 +240,14 @@
    are free.  */
 void placer_check_stall (struct placer *plc, int64_t now_us);
 
+/* The first condition on starts that this owner does not meet, or NULL.  */
+const char *placer_start_obstacle (const struct placer *plc, int64_t now_us);
+
+/* placer_unplaced.c */
+/* Logs which perpetual tasks have had no run for some time, and why the
+   workers are no place for them.  */
+void placer_check_unplaced (struct placer *plc, int64_t now_us);
+
 /* placer_preempt.c */
 /* Reserves the resources for a task on WRK.  */
 void placer_reserve (struct task *tsk, const struct step *stp,
--- a/sched/placer_stall.c
+++ b/sched/placer_stall.c
@@ -124,11 +124,8 @@
     }
 }
 
-/* The first condition of a tick that is not met, or the first reason why the
-   tasks wait.  */
-static const char *
-stall_reason (const struct placer *plc, const struct waiting_counts *cnt,
-              const struct worker_counts *wrk, int64_t now_us)
+const char *
+placer_start_obstacle (const struct placer *plc, int64_t now_us)
 {
   if (plc->fenced)
     return "fenced";
@@ -138,6 +135,18 @@
     return "log_old";
   if (!placer_may_start (plc, now_us))
     return "not_confirmed";
+  return NULL;
+}
+
+/* The first condition of a tick that is not met, or the first reason why the
+   tasks wait.  */
+static const char *
+stall_reason (const struct placer *plc, const struct waiting_counts *cnt,
+              const struct worker_counts *wrk, int64_t now_us)
+{
+  const char *obstacle = placer_start_obstacle (plc, now_us);
+  if (obstacle)
+    return obstacle;
   if (cnt->ready > 0)
     return wrk->schedulable > 0 ? "no_fit" : "no_worker";
   return cnt->takeover > 0 ? "takeover"
--- a/sched/pool.c
+++ b/sched/pool.c
@@ -173,18 +173,21 @@
 }
 
 bool
-worker_schedulable (const struct worker *wrk, int64_t now_us)
+worker_usable (const struct worker *wrk, int64_t now_us)
 {
   return wrk->registered && !wrk->ended_us && wrk->reached && wrk->enrolled
-         && wrk->clock_ms > 0 && !wrk->rep.draining && !wrk->vacate
-         && wrk->unanswered_calls < UNANSWERED_CALLS_LIMIT
+         && wrk->clock_ms > 0 && wrk->unanswered_calls < UNANSWERED_CALLS_LIMIT
          && now_us >= wrk->avoid_until_us && now_us >= wrk->failing_until_us;
 }
 
-/* Number of other tasks of the step and occurrence that run on WRK or have a
-   reservation there.  */
-static uint32_t
-count_siblings (const struct worker *wrk, const struct place_request *req)
+bool
+worker_schedulable (const struct worker *wrk, int64_t now_us)
+{
+  return !wrk->rep.draining && !wrk->vacate && worker_usable (wrk, now_us);
+}
+
+uint32_t
+place_siblings (const struct worker *wrk, const struct place_request *req)
 {
   const struct task_ref *ref = req->ref;
   const struct task *tasks
@@ -227,7 +230,7 @@
   if (req->rack && strcmp (worker_rack (wrk), req->rack) != 0)
     return false;
   return step->max_per_worker == 0
-         || count_siblings (wrk, req) < step->max_per_worker;
+         || place_siblings (wrk, req) < step->max_per_worker;
 }
 
 /* Deductions from a worker's score.  Each one is larger than the sum of those
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -190,9 +190,18 @@
 /* Whether the last answer of WRK lists runs whose jobs are not known.  */
 bool worker_has_unknown_runs (const struct worker *wrk);
 
+/* Whether WRK takes new tasks unless its host is vacated or it leaves by its
+   own notice.  */
+bool worker_usable (const struct worker *wrk, int64_t now_us);
+
 /* Whether WRK takes new tasks.  */
 bool worker_schedulable (const struct worker *wrk, int64_t now_us);
 
+/* Number of other tasks of the step and occurrence that run on WRK or have a
+   reservation there.  */
+uint32_t place_siblings (const struct worker *wrk,
+                         const struct place_request *req);
+
 /* Whether WRK may run the task.  Does not check its free resources.  */
 bool place_allowed (const struct worker *wrk, const struct place_request *req);
 
