--- a/test/unit/unit_placer_vacate.c
+++ b/test/unit/unit_placer_vacate.c
@@ -314,6 +314,33 @@
 }
 END_TEST
 
+#define BOUND_JOB                                                             \
+  "{\"steps\":[{\"count\":7,\"cpu\":1000,\"mem-mb\":64,\"fills\":true,"       \
+  "\"perpetual\":true,\"anti-affinity\":2}]}"
+
+/* Guards against a perpetual task that never starts again: two of four hosts
+   are to be emptied, and each of the others has as many of its siblings as the
+   job allows, which have no other place either.  */
+START_TEST (test_task_beside_vacated_hosts)
+{
+  char worker[NAME_BYTES], host[NAME_BYTES];
+  add_workers (4);
+  play (SETTLE_MS);
+  world_add_job (wld, 1, BOUND_JOB, 200);
+  play (2000);
+  ck_assert_ptr_nonnull (find_run (1, 3));
+  name_copy (worker, find_run (1, 3)->worker);
+  name_copy (host, find_worker (worker)->rep.host);
+  vacate (host);
+  vacate (strcmp (worker, "w0") == 0 ? "m-w1" : "m-w0");
+  play (200);
+  if (find_run (1, 3))
+    end_run (find_run (1, 3), RUN_END_FAILED);
+  play (2000);
+  ck_assert_ptr_nonnull (find_run (1, 3));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -322,6 +349,7 @@
   tcase_add_loop_test (tc, test_unplaced_reported, 0, 5);
   tcase_add_test (tc, test_unplaced_reports_limited);
   tcase_add_test (tc, test_unplaced_not_reported);
+  tcase_add_test (tc, test_task_beside_vacated_hosts);
   Suite *suite = suite_create ("placer_vacate");
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
