--- a/fleet/host_mgr_priv.h
+++ b/fleet/host_mgr_priv.h
@@ -17,3 +17,18 @@
 
 /* Begins the moves that are due.  */
 void host_mgr_step_moves (struct host_mgr *mgr, int64_t now_us);
+
+/* fleet/host_mgr_wave.c */
+/* Returns NULL for an unknown wave.  */
+struct mgr_wave *host_mgr_find_wave (struct host_mgr *mgr, uint64_t number);
+/* Notes that HOST needs no more maintenance in WAVE, which may be NULL.  */
+void host_mgr_mark_done (struct mgr_wave *wave, const char *host);
+/* Looks up the wave's hosts, and counts those that are or may be in
+   maintenance or down.  */
+void host_mgr_count_wave (const struct host_mgr *mgr, struct mgr_wave *wave);
+/* Begins the maintenance of the wave's hosts that is due.  Returns whether the
+   wave is in progress.  */
+bool host_mgr_step_wave (struct host_mgr *mgr, struct mgr_wave *wave,
+                         int64_t now_us);
+/* Marks the hosts that an unfinished wave still has to maintain.  */
+void host_mgr_mark_wave_hosts (struct host_mgr *mgr);
--- /dev/null
+++ b/fleet/host_mgr_wave.c
@@ -0,0 +1,226 @@
+#include <string.h>
+#include <talloc.h>
+
+#include "fleet/host_mgr_priv.h"
+
+/* Maintenance waves.  */
+
+/* Outside the spare pool, a host's maintenance begins only while no host of
+   its pool, or less than one in this many, is in an operation or not up.  */
+#define POOL_UNAVAILABLE_DIVISOR 3
+/* While pools are short of hosts, a wave's maintenance is spread evenly over
+   this part of the wave's duration, with a lead of WAVE_LEAD_US.  The rest of
+   the duration is for hosts that are slow to vacate.  */
+#define WAVE_PACING_PERCENT 40
+#define WAVE_LEAD_US 2000000
+/* Hosts that are vacated in advance, beyond the number of the wave's hosts
+   that may be down at the same time.  */
+#define WAVE_PREPARED_HOSTS 2
+
+struct mgr_wave *
+host_mgr_find_wave (struct host_mgr *mgr, uint64_t number)
+{
+  for (size_t n = 0; n < mgr->wave_count; n++)
+    if (mgr->waves[n].number == number)
+      return &mgr->waves[n];
+  return NULL;
+}
+
+void
+host_mgr_mark_done (struct mgr_wave *wave, const char *host)
+{
+  for (size_t n = 0; wave && n < wave->wave->host_count; n++)
+    if (!wave->done[n] && strcmp (wave->wave->hosts[n], host) == 0)
+      {
+        wave->done[n] = true;
+        wave->done_count++;
+      }
+}
+
+void
+host_mgr_add_progress (struct host_mgr *mgr, void *parent, uint64_t number,
+                       const char *host)
+{
+  struct mgr_wave *wave = host_mgr_find_wave (mgr, number);
+  if (wave)
+    {
+      host_mgr_mark_done (wave, host);
+      return;
+    }
+  struct early_progress *early
+      = talloc_realloc (parent, mgr->early_progress, struct early_progress,
+                        mgr->early_count + 1);
+  if (!early)
+    return; /* the host is ordered again; a repeated order changes nothing */
+  mgr->early_progress = early;
+  early += mgr->early_count++;
+  early->wave = number;
+  name_copy (early->host, host);
+}
+
+void
+host_mgr_add_wave (struct host_mgr *mgr, void *parent,
+                   struct maintenance_wave *wave, int64_t now_us)
+{
+  if (host_mgr_find_wave (mgr, wave->number)
+      || mgr->wave_count == HOST_MGR_WAVES_MAX)
+    {
+      talloc_free (wave);
+      return;
+    }
+  struct mgr_wave *added = &mgr->waves[mgr->wave_count];
+  *added = (struct mgr_wave){ .number = wave->number,
+                              .wave = wave,
+                              .received_us = now_us };
+  added->done = talloc_zero_array (wave, bool, wave->host_count + 1);
+  added->hosts
+      = talloc_zero_array (wave, struct mgr_host *, wave->host_count + 1);
+  if (!added->done || !added->hosts)
+    {
+      talloc_free (wave);
+      return;
+    }
+  mgr->wave_count++;
+  for (size_t n = 0; n < mgr->early_count; n++)
+    if (mgr->early_progress[n].wave == added->number)
+      host_mgr_mark_done (added, mgr->early_progress[n].host);
+}
+
+void
+host_mgr_count_wave (const struct host_mgr *mgr, struct mgr_wave *wave)
+{
+  wave->down = wave->unlisted = 0;
+  for (size_t n = 0; n < wave->wave->host_count; n++)
+    {
+      struct mgr_host *host = host_mgr_find (mgr, wave->wave->hosts[n]);
+      wave->hosts[n] = host;
+      if (!host)
+        continue;
+      bool ordered = host->current_op == OP_MAINTENANCE
+                     && host->wave == wave->number
+                     && (host->phase == PHASE_ORDERED
+                         || host->phase == PHASE_AWAITING_WORKER);
+      bool down = ordered || host->rep.state == HOST_MAINTENANCE
+                  || host->rep.state == HOST_UNKNOWN;
+      wave->down += down;
+      wave->unlisted += !down && wave->done[n]
+                        && host->listed_us < mgr->maintenance_listed_from_us;
+    }
+}
+
+/* Number of the wave's hosts being vacated, or empty and not ordered yet.  */
+static uint32_t
+wave_preparing (const struct mgr_wave *wave)
+{
+  uint32_t count = 0;
+  for (size_t n = 0; n < wave->wave->host_count; n++)
+    {
+      const struct mgr_host *host = wave->hosts[n];
+      count
+          += host && host->current_op == OP_MAINTENANCE
+             && host->wave == wave->number
+             && (host->phase == PHASE_VACATING || host->phase == PHASE_EMPTY);
+    }
+  return count;
+}
+
+/* Picks the wave's next host: an idle one, else one of the least busy pool. */
+static struct mgr_host *
+pick_for_maintenance (struct host_mgr *mgr, const struct mgr_wave *wave,
+                      int64_t now_us)
+{
+  struct mgr_host *best = NULL;
+  int64_t best_cost = 0;
+  for (size_t n = 0; n < wave->wave->host_count; n++)
+    {
+      struct mgr_host *host = wave->hosts[n];
+      if (wave->done[n] || !host || !host_mgr_may_begin_op (host, now_us))
+        continue;
+      const struct pool_row *row = &mgr->rows[host->pool_row];
+      if (!row->spare && row->unavailable > 0
+          && row->unavailable * POOL_UNAVAILABLE_DIVISOR >= row->all)
+        continue;
+      int64_t cost = host_mgr_host_is_idle (mgr, host) ? 0
+                     : row->demand ? 1 + row->demand->busy_milli
+                                   : 1;
+      if (!best || cost < best_cost)
+        {
+          best = host;
+          best_cost = cost;
+        }
+    }
+  return best;
+}
+
+/* Whether the wave begins no further maintenance for now, because a pool is
+   short of hosts and the wave is ahead of its evenly spread schedule.  */
+static bool
+wave_can_wait (const struct host_mgr *mgr, const struct mgr_wave *wave,
+               uint32_t in_progress, int64_t now_us)
+{
+  bool shortage = false;
+  for (size_t n = 0; n < mgr->pool_count; n++)
+    shortage = shortage || mgr->pools[n].short_hosts > 0;
+  int64_t span_us = wave->wave->duration_ms * 1000 * WAVE_PACING_PERCENT / 100;
+  int64_t age_us = now_us - wave->received_us;
+  if (!shortage || age_us >= span_us)
+    return false;
+  int64_t planned
+      = (int64_t)wave->wave->host_count * (age_us + WAVE_LEAD_US) / span_us;
+  return (int64_t)(wave->done_count + in_progress) >= planned;
+}
+
+bool
+host_mgr_step_wave (struct host_mgr *mgr, struct mgr_wave *wave,
+                    int64_t now_us)
+{
+  size_t left = 0;
+  if (wave->completed)
+    return false;
+  if (!wave->running_reported)
+    {
+      wave->running_reported = true;
+      mgr->ops.wave_state (mgr->ops.arg, wave);
+    }
+  /* A host that has left the platform needs no maintenance.  */
+  for (size_t n = 0; n < wave->wave->host_count; n++)
+    {
+      const struct mgr_host *host = wave->hosts[n];
+      left += !wave->done[n] && host && host->listed;
+    }
+  if (left == 0 && mgr->host_count > 0)
+    {
+      wave->completed = true;
+      mgr->ops.wave_state (mgr->ops.arg, wave);
+      return false;
+    }
+  uint32_t in_progress = wave->down + wave_preparing (wave);
+  while (in_progress < wave->wave->most_out + WAVE_PREPARED_HOSTS
+         && !wave_can_wait (mgr, wave, in_progress, now_us))
+    {
+      struct mgr_host *host = pick_for_maintenance (mgr, wave, now_us);
+      if (!host)
+        break;
+      host->wave = wave->number;
+      host_mgr_begin_op (mgr, host, OP_MAINTENANCE, now_us);
+      in_progress++;
+    }
+  return true;
+}
+
+void
+host_mgr_mark_wave_hosts (struct host_mgr *mgr)
+{
+  for (size_t n = 0; n < mgr->host_count; n++)
+    mgr->hosts[n].wave_pending = false;
+  for (size_t n = 0; n < mgr->wave_count; n++)
+    {
+      const struct mgr_wave *wave = &mgr->waves[n];
+      for (size_t m = 0; !wave->completed && m < wave->wave->host_count; m++)
+        {
+          struct mgr_host *host = wave->hosts[m];
+          if (host && !wave->done[m])
+            host->wave_pending = true;
+        }
+    }
+}
--- a/node/fleet_priv.h
+++ b/node/fleet_priv.h
@@ -9,6 +9,9 @@
    give orders alternately.  */
 #define CONFIRM_AGE_MAX_US 1700000
 
+/* First character of the key of an answer to a request to vacate a host.  */
+#define VACATE_REPORT_KEY 'e'
+
 /* A request to the owner of a host's pool to empty the host of tasks.  */
 struct vacate_request
 {
@@ -46,6 +49,11 @@
   struct timer *timer;
 };
 
+/* node/fleet_vacate.c */
+/* Tells the placer which of its hosts are to be emptied, and reports those
+   that are empty.  */
+void node_fleet_answer_requests (struct held_duty *hld);
+
 /* node/fleet_orders.c */
 /* Sends the order for HOST's operation, if this process may still give orders;
    an operation of host_mgr_ops, ARG is the struct fleet_duty.  */
