fleet, node: tell how requests to vacate end and what a wave waits for

Callers saw a task without a run for 15 s while its pool's hosts were being vacated; at the end of that time the request was withdrawn without a line, and of the wave the log said only how many hosts were done.

The host manager counts without I/O; node/ logs.

Run: unit_host_mgr, unit_host_mgr_vacate, unit_node pass.

--- a/fleet/host_mgr.c
+++ b/fleet/host_mgr.c
@@ -103,6 +103,15 @@
   set_phase (host, PHASE_NONE, now_us);
 }
 
+void
+host_mgr_give_up (struct host_mgr *mgr, struct mgr_host *host,
+                  const char *reason, int64_t now_us)
+{
+  mgr->ops.vacate_over (mgr->ops.arg, host, reason,
+                        now_us - host->op_began_us);
+  end_op (mgr, host, now_us);
+}
+
 bool
 host_mgr_pool_is_spare (const struct host_mgr *mgr, const char *name)
 {
@@ -236,10 +245,10 @@
     case HOST_ORDER_NOT_IN_WAVE:
       host_mgr_mark_done (host_mgr_find_wave (mgr, host->wave),
                           host->rep.name);
-      end_op (mgr, host, now_us);
+      host_mgr_give_up (mgr, host, "not_in_wave", now_us);
       return;
     case HOST_ORDER_INVALID:
-      end_op (mgr, host, now_us);
+      host_mgr_give_up (mgr, host, "invalid", now_us);
       return;
     }
 }
@@ -249,6 +258,7 @@
                    enum host_mgr_op op, int64_t now_us)
 {
   host->current_op = op;
+  host->op_began_us = now_us;
   host->next_order_us = 0;
   mgr->rows[host->pool_row].unavailable++;
   if (mgr->rows[host->pool_row].spare)
@@ -330,12 +340,14 @@
     case PHASE_NONE:
       return;
     case PHASE_VACATING:
-      if (!host->listed || now_us > host->phase_began_us + VACATE_TIMEOUT_US)
-        end_op (mgr, host, now_us);
+      if (!host->listed)
+        host_mgr_give_up (mgr, host, "left", now_us);
+      else if (now_us > host->phase_began_us + VACATE_TIMEOUT_US)
+        host_mgr_give_up (mgr, host, "timeout", now_us);
       return;
     case PHASE_EMPTY:
       if (!host->listed)
-        end_op (mgr, host, now_us);
+        host_mgr_give_up (mgr, host, "left", now_us);
       else if (host->current_op == OP_MOVE
                || (wave && wave->down + wave->unlisted < wave->wave->most_out))
         {
@@ -348,7 +360,7 @@
       return;
     case PHASE_ORDERED:
       if (!host->listed)
-        end_op (mgr, host, now_us);
+        host_mgr_give_up (mgr, host, "left", now_us);
       else
         send_order (mgr, host, now_us);
       return;
--- a/fleet/host_mgr.h
+++ b/fleet/host_mgr.h
@@ -51,6 +51,7 @@
   enum host_mgr_op current_op;
   enum host_phase phase;
   int64_t phase_began_us;     /* when the phase began */
+  int64_t op_began_us;        /* when the operation began */
   uint64_t wave;              /* number of the wave, for maintenance */
   char dest_pool[NAME_BYTES]; /* destination pool of a move */
   uint64_t request_offset; /* log offset of the request to vacate the host; 0:
@@ -130,6 +131,10 @@
   void (*vacate) (void *arg, struct mgr_host *host, int64_t grace_ms);
   /* Withdraws the request to vacate HOST.  */
   void (*withdraw) (void *arg, struct mgr_host *host);
+  /* Tells that HOST's operation ends AFTER_US after its begin without having
+     been carried out, and why.  */
+  void (*vacate_over) (void *arg, const struct mgr_host *host,
+                       const char *reason, int64_t after_us);
   /* Orders the platform to carry out HOST's operation.  The answer goes to
      host_mgr_order_answered.  */
   void (*order) (void *arg, struct mgr_host *host);
@@ -218,6 +223,25 @@
    periodically.  Returns whether an operation or a wave is in progress.  */
 bool host_mgr_step (struct host_mgr *mgr, int64_t now_us);
 
+/* What the hosts of a wave that are still to be maintained wait for.  */
+enum wave_wait
+{
+  WAIT_VACATING,   /* for the owner of their pool to vacate them */
+  WAIT_EMPTY,      /* empty; for other hosts of the wave to return */
+  WAIT_ORDERED,    /* for the platform */
+  WAIT_MOVE,       /* for the end of their move */
+  WAIT_NOT_UP,     /* not up, in no operation */
+  WAIT_COOLING,    /* for the end of COOLDOWN_US */
+  WAIT_POOL_LIMIT, /* too many hosts of their pool are not available */
+  WAIT_PACE,       /* for the wave itself to begin more */
+  WAIT_COUNT,
+};
+
+/* Counts the wave's hosts by what they wait for, as of the last step.  */
+void host_mgr_count_waits (const struct host_mgr *mgr,
+                           const struct mgr_wave *wave, int64_t now_us,
+                           uint32_t waits[WAIT_COUNT]);
+
 /* Returns NULL for an unknown host.  The pointer is valid until the next call
    of host_mgr_set_hosts.  */
 struct mgr_host *host_mgr_find (const struct host_mgr *mgr, const char *host);
--- a/fleet/host_mgr_priv.h
+++ b/fleet/host_mgr_priv.h
@@ -6,6 +6,9 @@
 
 /* Whether an operation may begin on HOST.  */
 bool host_mgr_may_begin_op (const struct mgr_host *host, int64_t now_us);
+/* Ends the operation on HOST without its having been carried out.  */
+void host_mgr_give_up (struct host_mgr *mgr, struct mgr_host *host,
+                       const char *reason, int64_t now_us);
 /* Begins the operation OP on HOST.  */
 void host_mgr_begin_op (struct host_mgr *mgr, struct mgr_host *host,
                         enum host_mgr_op op, int64_t now_us);
--- a/fleet/host_mgr_wave.c
+++ b/fleet/host_mgr_wave.c
@@ -124,6 +124,14 @@
   return count;
 }
 
+/* Whether no more maintenance may begin in the pool for now.  */
+static bool
+pool_at_limit (const struct pool_row *row)
+{
+  return !row->spare && row->unavailable > 0
+         && row->unavailable * POOL_UNAVAILABLE_DIVISOR >= row->all;
+}
+
 /* Picks the wave's next host: an idle one, else one of the least busy pool. */
 static struct mgr_host *
 pick_for_maintenance (struct host_mgr *mgr, const struct mgr_wave *wave,
@@ -137,8 +145,7 @@
       if (wave->done[n] || !host || !host_mgr_may_begin_op (host, now_us))
         continue;
       const struct pool_row *row = &mgr->rows[host->pool_row];
-      if (!row->spare && row->unavailable > 0
-          && row->unavailable * POOL_UNAVAILABLE_DIVISOR >= row->all)
+      if (pool_at_limit (row))
         continue;
       int64_t cost = host_mgr_host_is_idle (mgr, host) ? 0
                      : row->demand ? 1 + row->demand->busy_milli
@@ -224,3 +231,43 @@
         }
     }
 }
+
+/* What HOST waits for, which an unfinished wave still has to maintain.  */
+static enum wave_wait
+host_wait (const struct host_mgr *mgr, const struct mgr_host *host,
+           int64_t now_us)
+{
+  if (host->phase != PHASE_NONE && host->current_op == OP_MOVE)
+    return WAIT_MOVE;
+  switch (host->phase)
+    {
+    case PHASE_NONE:
+      break;
+    case PHASE_VACATING:
+      return WAIT_VACATING;
+    case PHASE_EMPTY:
+      return WAIT_EMPTY;
+    case PHASE_ORDERED:
+    case PHASE_AWAITING_WORKER:
+      return WAIT_ORDERED;
+    }
+  if (host->rep.state != HOST_UP)
+    return WAIT_NOT_UP;
+  if (now_us < host->cooldown_until_us)
+    return WAIT_COOLING;
+  return pool_at_limit (&mgr->rows[host->pool_row]) ? WAIT_POOL_LIMIT
+                                                    : WAIT_PACE;
+}
+
+void
+host_mgr_count_waits (const struct host_mgr *mgr, const struct mgr_wave *wave,
+                      int64_t now_us, uint32_t waits[WAIT_COUNT])
+{
+  memset (waits, 0, WAIT_COUNT * sizeof *waits);
+  for (size_t n = 0; n < wave->wave->host_count; n++)
+    {
+      const struct mgr_host *host = host_mgr_find (mgr, wave->wave->hosts[n]);
+      if (!wave->done[n] && host && host->listed)
+        waits[host_wait (mgr, host, now_us)]++;
+    }
+}
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -72,6 +72,24 @@
   append_request (arg, host->rep.name, 0, ended ? host->previous_worker : "");
 }
 
+/* Tells that a request of this holder ends without an order that was carried
+   out.  */
+static void
+log_vacate_over (void *arg, const struct mgr_host *host, const char *reason,
+                 int64_t after_us)
+{
+  struct fleet_duty *flt = arg;
+  const struct duty *dty = duty_find (&flt->nod->duties, host->rep.pool);
+  bool owned = dty && *dty->holder;
+  log_event (
+      flt->nod->lg, EV_HOST_VACATE_OVER, LOG_S ("host", host->rep.name),
+      LOG_S ("pool", host->rep.pool),
+      LOG_S ("for", host->current_op == OP_MOVE ? host->dest_pool : "upkeep"),
+      LOG_S ("reason",
+             !owned && strcmp (reason, "timeout") == 0 ? "no_owner" : reason),
+      LOG_I ("after_ms", after_us / 1000));
+}
+
 static void
 record_wave_progress (void *arg, struct mgr_wave *wave)
 {
@@ -128,6 +146,10 @@
       {
         req->withdrawn = true;
         append_request (flt, req->host, 0, "");
+        log_event (flt->nod->lg, EV_HOST_VACATE_OVER,
+                   LOG_S ("host", req->host),
+                   LOG_S ("reason", "earlier_holder"),
+                   LOG_I ("after_ms", (now_us - req->superseded_us) / 1000));
       }
 }
 
@@ -183,6 +205,7 @@
     {
       withdraw_orphans (flt, now_us);
       busy = host_mgr_step (&flt->mgr, now_us);
+      node_fleet_log_pending (flt, now_us);
     }
   read_host_list (flt, busy ? LIST_INTERVAL_BUSY_MS : LIST_INTERVAL_IDLE_MS,
                   now_us);
@@ -214,6 +237,7 @@
   const struct host_mgr_ops ops = {
     .vacate = request_vacate,
     .withdraw = withdraw_vacate,
+    .vacate_over = log_vacate_over,
     .order = node_fleet_order_host,
     .wave_state = record_wave_progress,
     .arg = flt,
@@ -271,11 +295,15 @@
 static void
 withdraw_requests (struct fleet_duty *flt)
 {
+  int64_t now_us = clock_now_us (flt->nod->clk);
   for (size_t n = 0; n < flt->mgr.host_count; n++)
     {
       struct mgr_host *host = &flt->mgr.hosts[n];
       if (host->phase == PHASE_VACATING || host->phase == PHASE_EMPTY)
-        withdraw_vacate (flt, host);
+        {
+          log_vacate_over (flt, host, "released", now_us - host->op_began_us);
+          withdraw_vacate (flt, host);
+        }
     }
 }
 
--- a/node/fleet_log.c
+++ b/node/fleet_log.c
@@ -3,7 +3,7 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "node/node_priv.h"
+#include "node/fleet_priv.h"
 #include "platform/wire_decode.h"
 #include "proto/job.pb-c.h"
 
@@ -15,6 +15,8 @@
    no other, whoever ordered it.  */
 
 #define PRODUCER "holder." DUTY_FLEET
+/* Interval between lines that tell what a wave waits for.  */
+#define PENDING_INTERVAL_US 2000000
 
 static int
 open_appender (struct node *nod, const char *topic, uint64_t token,
@@ -120,3 +122,30 @@
              LOG_I ("completed", wave->completed));
   talloc_free (ctx);
 }
+
+void
+node_fleet_log_pending (struct fleet_duty *flt, int64_t now_us)
+{
+  if (now_us < flt->next_pending_us)
+    return;
+  flt->next_pending_us = now_us + PENDING_INTERVAL_US;
+  for (size_t n = 0; n < flt->mgr.wave_count; n++)
+    {
+      const struct mgr_wave *wave = &flt->mgr.waves[n];
+      uint32_t waits[WAIT_COUNT];
+      if (wave->completed)
+        continue;
+      host_mgr_count_waits (&flt->mgr, wave, now_us, waits);
+      log_event (flt->nod->lg, EV_UPKEEP_PENDING, LOG_I ("wave", wave->number),
+                 LOG_I ("done", wave->done_count),
+                 LOG_I ("hosts", wave->wave->host_count),
+                 LOG_I ("vacating", waits[WAIT_VACATING]),
+                 LOG_I ("empty", waits[WAIT_EMPTY]),
+                 LOG_I ("ordered", waits[WAIT_ORDERED]),
+                 LOG_I ("moving", waits[WAIT_MOVE]),
+                 LOG_I ("not_up", waits[WAIT_NOT_UP]),
+                 LOG_I ("cooling", waits[WAIT_COOLING]),
+                 LOG_I ("pool_limit", waits[WAIT_POOL_LIMIT]),
+                 LOG_I ("pace", waits[WAIT_PACE]));
+    }
+}
--- a/node/fleet_priv.h
+++ b/node/fleet_priv.h
@@ -46,9 +46,14 @@
   bool list_in_progress;
   int64_t list_requested_us;
   int64_t next_list_us;
+  int64_t next_pending_us; /* when to tell again what waves wait for */
   struct timer *timer;
 };
 
+/* node/fleet_log.c */
+/* Tells what the hosts of running waves wait for, if that is due.  */
+void node_fleet_log_pending (struct fleet_duty *flt, int64_t now_us);
+
 /* node/fleet_vacate.c */
 /* Tells the placer which of its hosts are to be emptied, and reports those
    that are empty.  */
--- a/test/unit/unit_host_mgr.c
+++ b/test/unit/unit_host_mgr.c
@@ -40,6 +40,12 @@
     append (withdrawn, "!");
 }
 
+static void
+on_vacate_over (void *arg, const struct mgr_host *host, const char *reason,
+                int64_t after_us)
+{
+}
+
 static void
 on_order (void *arg, struct mgr_host *host)
 {
@@ -61,6 +67,7 @@
 {
   static const struct host_mgr_ops ops = { .vacate = on_vacate,
                                            .withdraw = on_withdraw,
+                                           .vacate_over = on_vacate_over,
                                            .order = on_order,
                                            .wave_state = on_wave };
   ctx = talloc_new (NULL);
--- /dev/null
+++ b/test/unit/unit_host_mgr_vacate.c
@@ -0,0 +1,321 @@
+#include <check.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "fleet/host_mgr.h"
+#include "platform/wire_decode.h"
+
+/* Tests of the host manager's requests to vacate hosts: how they end, and what
+   a wave does meanwhile.  */
+
+#define S ((int64_t)1000000)
+#define STEP_US 30000
+#define HOSTS_MAX 16
+
+static struct host_mgr mgr;
+static void *ctx;
+static int64_t now_us;
+static struct host_report reps[HOSTS_MAX]; /* the platform's list */
+static size_t rep_count;
+static uint64_t next_offset;
+static uint32_t asked[HOSTS_MAX]; /* requests by host */
+static int64_t asked_us[HOSTS_MAX];
+static uint32_t orders;
+static char over[256]; /* "host:for:reason:ms " of each given-up operation */
+static bool completed;
+static bool read_requests; /* a request is read as soon as it was made */
+
+static size_t
+host_number (const char *name)
+{
+  for (size_t n = 0; n < rep_count; n++)
+    if (strcmp (reps[n].name, name) == 0)
+      return n;
+  ck_abort_msg ("unknown host %s", name);
+}
+
+static void
+on_vacate (void *arg, struct mgr_host *host, int64_t grace_ms)
+{
+  size_t num = host_number (host->rep.name);
+  asked[num]++;
+  asked_us[num] = now_us;
+  next_offset++;
+  host->request_offset = read_requests ? next_offset : 0;
+}
+
+static void
+on_withdraw (void *arg, struct mgr_host *host)
+{
+}
+
+static void
+on_vacate_over (void *arg, const struct mgr_host *host, const char *reason,
+                int64_t after_us)
+{
+  size_t len = strlen (over);
+  snprintf (over + len, sizeof over - len, "%s:%s:%s:%d ", host->rep.name,
+            host->current_op == OP_MOVE ? host->dest_pool : "upkeep", reason,
+            (int)(after_us / 1000));
+}
+
+static void
+on_order (void *arg, struct mgr_host *host)
+{
+  orders++;
+}
+
+static void
+on_wave (void *arg, struct mgr_wave *wave)
+{
+  completed = wave->completed;
+}
+
+static struct pool_config pools[]
+    = { { .name = "p" }, { .name = "q" }, { .name = "spare", .spare = true } };
+static const struct catalog cat = { .pools = pools, .pool_count = 3 };
+
+static void
+setup (void)
+{
+  static const struct host_mgr_ops ops = { .vacate = on_vacate,
+                                           .withdraw = on_withdraw,
+                                           .vacate_over = on_vacate_over,
+                                           .order = on_order,
+                                           .wave_state = on_wave };
+  ctx = talloc_new (NULL);
+  host_mgr_init (&mgr, ctx, &ops);
+  mgr.cat = &cat;
+  now_us = 100 * S;
+  next_offset = 6;
+  rep_count = 0;
+  orders = 0;
+  memset (asked, 0, sizeof asked);
+  over[0] = '\0';
+  completed = false;
+  read_requests = true;
+}
+
+static void
+teardown (void)
+{
+  host_mgr_fini (&mgr);
+  talloc_free (ctx);
+}
+
+/* Adds COUNT hosts of POOL to the list, named "a", "b" and so on.  */
+static void
+add_hosts (const char *pool, size_t count)
+{
+  for (size_t n = 0; n < count; n++)
+    {
+      struct host_report *rep = &reps[rep_count];
+      ck_assert_uint_lt (rep_count, HOSTS_MAX);
+      *rep = (struct host_report){ .state = HOST_UP };
+      rep->name[0] = (char)('a' + rep_count++);
+      snprintf (rep->worker, NAME_BYTES, "w-%c", rep->name[0]);
+      name_copy (rep->pool, pool);
+    }
+}
+
+static void
+list_hosts (void)
+{
+  const struct host_list list = { .hosts = reps, .count = rep_count };
+  ck_assert_int_eq (host_mgr_set_hosts (&mgr, ctx, &list, now_us), 0);
+}
+
+static void
+demand (const char *pool, uint32_t short_hosts, const char *idle)
+{
+  char (*names)[NAME_BYTES] = talloc_zero_size (ctx, 2 * sizeof *names);
+  name_copy (names[0], idle);
+  const struct pool_demand dem = { .pool = pool,
+                                   .short_hosts = short_hosts,
+                                   .urgent_hosts = short_hosts,
+                                   .idle = names,
+                                   .idle_count = *idle != '\0' };
+  host_mgr_set_demand (&mgr, &dem, now_us);
+}
+
+/* Adds a wave of the first COUNT hosts.  */
+static void
+add_wave (size_t count, uint32_t most_out, uint32_t duration_s)
+{
+  char json[512];
+  int len = snprintf (json, sizeof json, "{\"wave\":1,\"machines\":[");
+  for (size_t n = 0; n < count; n++)
+    len += snprintf (json + len, sizeof json - (size_t)len, "%s\"%s\"",
+                     n > 0 ? "," : "", reps[n].name);
+  len += snprintf (json + len, sizeof json - (size_t)len,
+                   "],\"duration-s\":%u,\"cap\":%u}", duration_s, most_out);
+  host_mgr_add_wave (
+      &mgr, ctx, wire_decode_wave (ctx, (const uint8_t *)json, (size_t)len),
+      now_us);
+}
+
+static void
+step (int64_t ms)
+{
+  now_us += ms * 1000;
+  host_mgr_step (&mgr, now_us);
+}
+
+static struct mgr_host *
+host (const char *name)
+{
+  return host_mgr_find (&mgr, name);
+}
+
+static void
+emptied (const char *name)
+{
+  host_mgr_host_emptied (&mgr, name, host (name)->request_offset, now_us);
+}
+
+static void
+let_time_out (void)
+{
+  for (int n = 0; n < 16 && !*over; n++)
+    step (1000);
+}
+
+static void
+answer_not_in_wave (void)
+{
+  emptied ("a");
+  step (30);
+  host_mgr_order_answered (&mgr, host ("a"), HOST_ORDER_NOT_IN_WAVE, now_us);
+}
+
+static void
+answer_invalid (void)
+{
+  emptied ("a");
+  step (30);
+  host_mgr_order_answered (&mgr, host ("a"), HOST_ORDER_INVALID, now_us);
+}
+
+static void
+leave (void)
+{
+  reps[0] = reps[--rep_count];
+  list_hosts ();
+  step (30);
+}
+
+static void
+leave_when_empty (void)
+{
+  emptied ("a");
+  leave ();
+}
+
+static void
+carry_out (void)
+{
+  emptied ("a");
+  step (30);
+  host_mgr_order_answered (&mgr, host ("a"), HOST_ORDER_DONE, now_us);
+  now_us += 2 * S;
+  name_copy (reps[0].worker, "other");
+  list_hosts ();
+  step (30);
+  ck_assert_int_eq (host ("a")->phase, PHASE_NONE);
+}
+
+static const struct over_case
+{
+  void (*act) (void);
+  bool move;
+  const char *over;
+} over_cases[] = {
+  { let_time_out, false, "a:upkeep:timeout:16000 " },
+  { let_time_out, true, "a:q:timeout:16000 " },
+  { leave, false, "a:upkeep:left:30 " },
+  { leave, true, "a:q:left:30 " },
+  { leave_when_empty, false, "a:upkeep:left:30 " },
+  { answer_not_in_wave, false, "a:upkeep:not_in_wave:30 " },
+  { answer_invalid, true, "a:q:invalid:30 " },
+  { carry_out, false, "" },
+  { carry_out, true, "" },
+};
+
+/* Guards against a request to vacate a host that ends in silence: a host was
+   held back for 15 s and given up without a line.  */
+START_TEST (test_vacate_over)
+{
+  const struct over_case *it = &over_cases[_i];
+  add_hosts ("p", 6);
+  list_hosts ();
+  if (it->move)
+    {
+      demand ("p", 0, "a");
+      demand ("q", 1, "");
+    }
+  else
+    add_wave (1, 1, 20);
+  step (0);
+  ck_assert_uint_eq (asked[0], 1);
+  it->act ();
+  ck_assert_str_eq (over, it->over);
+}
+END_TEST
+
+/* Guards against a wave that makes no progress without saying why.  */
+START_TEST (test_waits)
+{
+  uint32_t waits[WAIT_COUNT];
+  add_hosts ("p", 3);
+  add_hosts ("q", 9);
+  reps[2].state = HOST_MAINTENANCE;
+  list_hosts ();
+  demand ("q", 0, "d");
+  demand ("p", 1, "");
+  step (0); /* moves d */
+  ck_assert_uint_eq (asked[3], 1);
+  add_wave (9, 2, 20);
+  step (0);
+  host_mgr_count_waits (&mgr, &mgr.waves[0], now_us, waits);
+  ck_assert_uint_eq (waits[WAIT_VACATING], 1); /* e, as p lacks a host */
+  ck_assert_uint_eq (waits[WAIT_PACE], 4);     /* f to i */
+  demand ("p", 0, "");
+  step (0);
+  host_mgr_count_waits (&mgr, &mgr.waves[0], now_us, waits);
+  ck_assert_uint_eq (waits[WAIT_NOT_UP], 1);         /* c */
+  ck_assert_uint_eq (waits[WAIT_POOL_LIMIT], 2 + 3); /* a, b; three of q */
+  ck_assert_uint_eq (waits[WAIT_MOVE], 1);           /* d */
+  ck_assert_uint_eq (waits[WAIT_VACATING], 2);       /* e, f */
+  emptied ("e");
+  step (30);
+  ck_assert_uint_eq (orders, 1);
+  host_mgr_host_emptied (&mgr, "f", host ("f")->request_offset, now_us);
+  host_mgr_order_answered (&mgr, host ("e"), HOST_ORDER_INVALID, now_us);
+  reps[0].state = HOST_MAINTENANCE;
+  list_hosts ();
+  step (30);
+  host_mgr_count_waits (&mgr, &mgr.waves[0], now_us, waits);
+  ck_assert_uint_eq (waits[WAIT_NOT_UP], 2);  /* a, c */
+  ck_assert_uint_eq (waits[WAIT_COOLING], 1); /* e */
+  ck_assert_uint_eq (waits[WAIT_EMPTY], 1);   /* f; a and c are down */
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("host_mgr_vacate");
+  TCase *tc = tcase_create ("host_mgr_vacate");
+  tcase_set_timeout (tc, 60);
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_loop_test (tc, test_vacate_over, 0,
+                       sizeof over_cases / sizeof *over_cases);
+  tcase_add_test (tc, test_waits);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
