fleet: a refused request to vacate a host ends at once, with a growing pause

Callers saw LOST while the owner of a pool could not empty a host and the host manager waited 15 s for it. Owners are to refuse such requests (docs/design/vacating.md); the holder of the fleet duty did not know refusals.

host_mgr_host_refused ends the operation of the newest request while the host is being vacated, whether for maintenance or a move. A refusal read before its request counts as the early report of an empty host does, and the first report about a request is final. The host is asked for again after 1, 2, 4 and then every 8 s, or as soon as its pool has one host more than at the refusal, and other hosts of the wave come first. A request without an answer is paused in the same way.

--- a/fleet/host_mgr.c
+++ b/fleet/host_mgr.c
@@ -105,9 +105,9 @@
 
 void
 host_mgr_give_up (struct host_mgr *mgr, struct mgr_host *host,
-                  const char *reason, int64_t now_us)
+                  const char *reason, const char *kept_for, int64_t now_us)
 {
-  mgr->ops.vacate_over (mgr->ops.arg, host, reason,
+  mgr->ops.vacate_over (mgr->ops.arg, host, reason, kept_for,
                         now_us - host->op_began_us);
   end_op (mgr, host, now_us);
 }
@@ -245,10 +245,10 @@
     case HOST_ORDER_NOT_IN_WAVE:
       host_mgr_mark_done (host_mgr_find_wave (mgr, host->wave),
                           host->rep.name);
-      host_mgr_give_up (mgr, host, "not_in_wave", now_us);
+      host_mgr_give_up (mgr, host, "not_in_wave", "", now_us);
       return;
     case HOST_ORDER_INVALID:
-      host_mgr_give_up (mgr, host, "invalid", now_us);
+      host_mgr_give_up (mgr, host, "invalid", "", now_us);
       return;
     }
 }
@@ -276,7 +276,8 @@
 host_mgr_may_begin_op (const struct mgr_host *host, int64_t now_us)
 {
   return host->listed && host->rep.state == HOST_UP
-         && host->phase == PHASE_NONE && now_us >= host->cooldown_until_us;
+         && host->phase == PHASE_NONE && now_us >= host->cooldown_until_us
+         && now_us >= host->refused_until_us;
 }
 
 static uint32_t
@@ -308,6 +309,9 @@
       row->unavailable
           += host->listed
              && (host->phase != PHASE_NONE || host->rep.state != HOST_UP);
+      row->remain
+          += host->listed && host->rep.state == HOST_UP
+             && (host->phase == PHASE_NONE || host->phase == PHASE_VACATING);
     }
 }
 
@@ -341,13 +345,13 @@
       return;
     case PHASE_VACATING:
       if (!host->listed)
-        host_mgr_give_up (mgr, host, "left", now_us);
+        host_mgr_give_up (mgr, host, "left", "", now_us);
       else if (now_us > host->phase_began_us + VACATE_TIMEOUT_US)
-        host_mgr_give_up (mgr, host, "timeout", now_us);
+        host_mgr_not_vacated (mgr, host, "timeout", "", now_us);
       return;
     case PHASE_EMPTY:
       if (!host->listed)
-        host_mgr_give_up (mgr, host, "left", now_us);
+        host_mgr_give_up (mgr, host, "left", "", now_us);
       else if (host->current_op == OP_MOVE
                || (wave && wave->down + wave->unlisted < wave->wave->most_out))
         {
@@ -360,7 +364,7 @@
       return;
     case PHASE_ORDERED:
       if (!host->listed)
-        host_mgr_give_up (mgr, host, "left", now_us);
+        host_mgr_give_up (mgr, host, "left", "", now_us);
       else
         send_order (mgr, host, now_us);
       return;
@@ -387,6 +391,7 @@
     }
   /* Operations may have ended.  */
   count_pools (mgr);
+  host_mgr_end_pauses (mgr);
   for (size_t n = 0; n < mgr->wave_count; n++)
     busy = host_mgr_step_wave (mgr, &mgr->waves[n], now_us) || busy;
   host_mgr_mark_wave_hosts (mgr);
--- a/fleet/host_mgr.h
+++ b/fleet/host_mgr.h
@@ -56,8 +56,14 @@
   char dest_pool[NAME_BYTES]; /* destination pool of a move */
   uint64_t request_offset; /* log offset of the request to vacate the host; 0:
                               not known yet */
-  uint64_t early_report_offset; /* request of a report that the host is empty,
+  uint64_t early_report_offset; /* request of a report of the owner that was
                                    read before the request; 0: none */
+  bool early_refused;           /* that report is a refusal */
+  char early_reason[NAME_BYTES];
+  uint32_t refusals;        /* successive requests that ended with a refusal or
+                               without an answer */
+  int64_t refused_until_us; /* it is not asked for again before this time */
+  uint32_t refused_remained;        /* pool_row.remain at the last refusal */
   char previous_worker[NAME_BYTES]; /* id of the worker before the order */
   bool order_in_flight;             /* an order has no answer yet */
   int64_t next_order_us;            /* no order is sent before this time */
@@ -99,6 +105,8 @@
   const struct mgr_pool *demand; /* NULL: no demand was received */
   uint32_t all;
   uint32_t unavailable; /* in an operation or not up */
+  uint32_t remain;      /* up, and their tasks were not moved away for an
+                           operation */
 };
 
 struct mgr_wave
@@ -132,9 +140,11 @@
   /* Withdraws the request to vacate HOST.  */
   void (*withdraw) (void *arg, struct mgr_host *host);
   /* Tells that HOST's operation ends AFTER_US after its begin without having
-     been carried out, and why.  */
+     been carried out, and why; KEPT_FOR is the owner's reason if it refused
+     to vacate the host, else empty.  */
   void (*vacate_over) (void *arg, const struct mgr_host *host,
-                       const char *reason, int64_t after_us);
+                       const char *reason, const char *kept_for,
+                       int64_t after_us);
   /* Orders the platform to carry out HOST's operation.  The answer goes to
      host_mgr_order_answered.  */
   void (*order) (void *arg, struct mgr_host *host);
@@ -205,6 +215,13 @@
 void host_mgr_host_emptied (struct host_mgr *mgr, const char *host,
                             uint64_t offset, int64_t now_us);
 
+/* Takes the report of a pool's owner that it refuses the request with the log
+   offset OFFSET to vacate HOST, and uses the host.  The operation ends if the
+   request is the newest one and the host was not reported as empty.  */
+void host_mgr_host_refused (struct host_mgr *mgr, const char *host,
+                            uint64_t offset, const char *reason,
+                            int64_t now_us);
+
 /* The request to vacate HOST was read back from the log, at OFFSET.  */
 void host_mgr_request_read (struct host_mgr *mgr, struct mgr_host *host,
                             uint64_t offset, int64_t now_us);
@@ -231,6 +248,7 @@
   WAIT_ORDERED,    /* for the platform */
   WAIT_MOVE,       /* for the end of their move */
   WAIT_NOT_UP,     /* not up, in no operation */
+  WAIT_REFUSED,    /* for the end of the pause after a refusal */
   WAIT_COOLING,    /* for the end of COOLDOWN_US */
   WAIT_POOL_LIMIT, /* too many hosts of their pool are not available */
   WAIT_PACE,       /* for the wave itself to begin more */
--- a/fleet/host_mgr_priv.h
+++ b/fleet/host_mgr_priv.h
@@ -6,9 +6,11 @@
 
 /* Whether an operation may begin on HOST.  */
 bool host_mgr_may_begin_op (const struct mgr_host *host, int64_t now_us);
-/* Ends the operation on HOST without its having been carried out.  */
+/* Ends the operation on HOST without its having been carried out.  KEPT_FOR is
+   empty but for a refusal.  */
 void host_mgr_give_up (struct host_mgr *mgr, struct mgr_host *host,
-                       const char *reason, int64_t now_us);
+                       const char *reason, const char *kept_for,
+                       int64_t now_us);
 /* Begins the operation OP on HOST.  */
 void host_mgr_begin_op (struct host_mgr *mgr, struct mgr_host *host,
                         enum host_mgr_op op, int64_t now_us);
@@ -21,6 +23,16 @@
 /* Begins the moves that are due.  */
 void host_mgr_step_moves (struct host_mgr *mgr, int64_t now_us);
 
+/* fleet/host_mgr_report.c */
+/* Ends the operation on HOST because its pool's owner does not vacate it, for
+   REASON.  The host is not asked for again during a pause that grows with
+   successive calls.  */
+void host_mgr_not_vacated (struct host_mgr *mgr, struct mgr_host *host,
+                           const char *reason, const char *kept_for,
+                           int64_t now_us);
+/* Ends the pauses after refusals in pools that have more hosts than then.  */
+void host_mgr_end_pauses (struct host_mgr *mgr);
+
 /* fleet/host_mgr_wave.c */
 /* Returns NULL for an unknown wave.  */
 struct mgr_wave *host_mgr_find_wave (struct host_mgr *mgr, uint64_t number);
--- a/fleet/host_mgr_wave.c
+++ b/fleet/host_mgr_wave.c
@@ -132,7 +132,8 @@
          && row->unavailable * POOL_UNAVAILABLE_DIVISOR >= row->all;
 }
 
-/* Picks the wave's next host: an idle one, else one of the least busy pool. */
+/* Picks the wave's next host: one with the fewest refusals, among these an
+   idle one, else one of the least busy pool.  */
 static struct mgr_host *
 pick_for_maintenance (struct host_mgr *mgr, const struct mgr_wave *wave,
                       int64_t now_us)
@@ -150,7 +151,8 @@
       int64_t cost = host_mgr_host_is_idle (mgr, host) ? 0
                      : row->demand ? 1 + row->demand->busy_milli
                                    : 1;
-      if (!best || cost < best_cost)
+      if (!best || host->refusals < best->refusals
+          || (host->refusals == best->refusals && cost < best_cost))
         {
           best = host;
           best_cost = cost;
@@ -253,6 +255,8 @@
     }
   if (host->rep.state != HOST_UP)
     return WAIT_NOT_UP;
+  if (now_us < host->refused_until_us)
+    return WAIT_REFUSED;
   if (now_us < host->cooldown_until_us)
     return WAIT_COOLING;
   return pool_at_limit (&mgr->rows[host->pool_row]) ? WAIT_POOL_LIMIT
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -76,7 +76,7 @@
    out.  */
 static void
 log_vacate_over (void *arg, const struct mgr_host *host, const char *reason,
-                 int64_t after_us)
+                 const char *kept_for, int64_t after_us)
 {
   struct fleet_duty *flt = arg;
   const struct duty *dty = duty_find (&flt->nod->duties, host->rep.pool);
@@ -87,7 +87,7 @@
       LOG_S ("for", host->current_op == OP_MOVE ? host->dest_pool : "upkeep"),
       LOG_S ("reason",
              !owned && strcmp (reason, "timeout") == 0 ? "no_owner" : reason),
-      LOG_I ("after_ms", after_us / 1000));
+      LOG_S ("kept_for", kept_for), LOG_I ("after_ms", after_us / 1000));
 }
 
 static void
@@ -301,7 +301,8 @@
       struct mgr_host *host = &flt->mgr.hosts[n];
       if (host->phase == PHASE_VACATING || host->phase == PHASE_EMPTY)
         {
-          log_vacate_over (flt, host, "released", now_us - host->op_began_us);
+          log_vacate_over (flt, host, "released", "",
+                           now_us - host->op_began_us);
           withdraw_vacate (flt, host);
         }
     }
@@ -448,9 +449,13 @@
   const struct mgr_host *managed = host_mgr_find (&flt->mgr, host);
   const struct duty *dty
       = managed ? duty_find (&flt->nod->duties, managed->rep.pool) : NULL;
-  if (!dty || msg->token >= dty->token)
-    host_mgr_host_emptied (&flt->mgr, host, msg->request_offset,
-                           clock_now_us (flt->nod->clk));
+  int64_t now_us = clock_now_us (flt->nod->clk);
+  bool present = !dty || msg->token >= dty->token; /* of the present owner */
+  if (present && msg->refused)
+    host_mgr_host_refused (&flt->mgr, host, msg->request_offset, msg->reason,
+                           now_us);
+  else if (present)
+    host_mgr_host_emptied (&flt->mgr, host, msg->request_offset, now_us);
   kingcuphollow__vacate_report__free_unpacked (msg, NULL);
 }
 
--- a/node/fleet_log.c
+++ b/node/fleet_log.c
@@ -144,6 +144,7 @@
                  LOG_I ("ordered", waits[WAIT_ORDERED]),
                  LOG_I ("moving", waits[WAIT_MOVE]),
                  LOG_I ("not_up", waits[WAIT_NOT_UP]),
+                 LOG_I ("refused", waits[WAIT_REFUSED]),
                  LOG_I ("cooling", waits[WAIT_COOLING]),
                  LOG_I ("pool_limit", waits[WAIT_POOL_LIMIT]),
                  LOG_I ("pace", waits[WAIT_PACE]));
--- a/test/unit/unit_host_mgr.c
+++ b/test/unit/unit_host_mgr.c
@@ -42,7 +42,7 @@
 
 static void
 on_vacate_over (void *arg, const struct mgr_host *host, const char *reason,
-                int64_t after_us)
+                const char *kept_for, int64_t after_us)
 {
 }
 
--- a/test/unit/unit_host_mgr_vacate.c
+++ b/test/unit/unit_host_mgr_vacate.c
@@ -52,9 +52,10 @@
 
 static void
 on_vacate_over (void *arg, const struct mgr_host *host, const char *reason,
-                int64_t after_us)
+                const char *kept_for, int64_t after_us)
 {
   size_t len = strlen (over);
+  ck_assert ((strcmp (reason, "refused") == 0) == (*kept_for != '\0'));
   snprintf (over + len, sizeof over - len, "%s:%s:%s:%d ", host->rep.name,
             host->current_op == OP_MOVE ? host->dest_pool : "upkeep", reason,
             (int)(after_us / 1000));
@@ -174,6 +175,44 @@
   host_mgr_host_emptied (&mgr, name, host (name)->request_offset, now_us);
 }
 
+static void
+refused (const char *name)
+{
+  host_mgr_host_refused (&mgr, name, host (name)->request_offset, "no_place",
+                         now_us);
+}
+
+/* Steps until HOST was asked for COUNT times or MS have passed.  Returns the
+   time that it took, in milliseconds.  */
+static int64_t
+step_until_asked (const char *name, uint32_t count, int64_t ms)
+{
+  int64_t from_us = now_us;
+  while (asked[host_number (name)] < count && now_us < from_us + ms * 1000)
+    step (10);
+  return (now_us - from_us) / 1000;
+}
+
+static void
+refuse (void)
+{
+  step (500);
+  refused ("a");
+}
+
+/* The report is read before the request.  */
+static void
+refuse_early (void)
+{
+  host ("a")->request_offset = 0;
+  host_mgr_host_refused (&mgr, "a", next_offset, "task_waits", now_us);
+  ck_assert_int_eq (host ("a")->phase, PHASE_VACATING);
+  /* Nothing that comes after it changes the answer.  */
+  host_mgr_host_emptied (&mgr, "a", next_offset, now_us);
+  step (200);
+  host_mgr_request_read (&mgr, host ("a"), next_offset, now_us);
+}
+
 static void
 let_time_out (void)
 {
@@ -238,6 +277,9 @@
   { leave_when_empty, false, "a:upkeep:left:30 " },
   { answer_not_in_wave, false, "a:upkeep:not_in_wave:30 " },
   { answer_invalid, true, "a:q:invalid:30 " },
+  { refuse, false, "a:upkeep:refused:500 " },
+  { refuse, true, "a:q:refused:500 " },
+  { refuse_early, false, "a:upkeep:refused:200 " },
   { carry_out, false, "" },
   { carry_out, true, "" },
 };
@@ -263,6 +305,201 @@
 }
 END_TEST
 
+static void
+refuse_other_request (void)
+{
+  host_mgr_host_refused (&mgr, "a", host ("a")->request_offset - 1, "no_place",
+                         now_us);
+  host_mgr_host_refused (&mgr, "a", host ("a")->request_offset + 1, "no_place",
+                         now_us);
+}
+
+static void
+refuse_other_request_early (void)
+{
+  host ("a")->request_offset = 0;
+  host_mgr_host_refused (&mgr, "a", next_offset - 1, "no_place", now_us);
+  host_mgr_request_read (&mgr, host ("a"), next_offset, now_us);
+}
+
+static void
+refuse_early_and_change_owner (void)
+{
+  host ("a")->request_offset = 0;
+  host_mgr_host_refused (&mgr, "a", next_offset, "no_place", now_us);
+  host_mgr_owner_changed (&mgr, "p", now_us);
+  host_mgr_request_read (&mgr, host ("a"), next_offset, now_us);
+}
+
+static void
+refuse_unknown_host (void)
+{
+  host_mgr_host_refused (&mgr, "zz", next_offset, "no_place", now_us);
+}
+
+static void
+refuse_empty_host (void)
+{
+  emptied ("a");
+  refused ("a");
+}
+
+static void
+refuse_empty_host_early (void)
+{
+  host ("a")->request_offset = 0;
+  host_mgr_host_emptied (&mgr, "a", next_offset, now_us);
+  host_mgr_host_refused (&mgr, "a", next_offset, "no_place", now_us);
+  host_mgr_request_read (&mgr, host ("a"), next_offset, now_us);
+}
+
+static void
+refuse_ordered_host (void)
+{
+  emptied ("a");
+  step (30);
+  refused ("a");
+}
+
+static void
+refuse_after_order (void)
+{
+  refuse_ordered_host ();
+  host_mgr_order_answered (&mgr, host ("a"), HOST_ORDER_DONE, now_us);
+  refused ("a");
+}
+
+static const struct ignored_case
+{
+  void (*act) (void);
+  enum host_phase phase;
+} ignored_cases[] = {
+  { refuse_other_request, PHASE_VACATING },
+  { refuse_other_request_early, PHASE_VACATING },
+  { refuse_early_and_change_owner, PHASE_VACATING },
+  { refuse_unknown_host, PHASE_VACATING },
+  { refuse_empty_host, PHASE_EMPTY },
+  { refuse_empty_host_early, PHASE_EMPTY },
+  { refuse_ordered_host, PHASE_ORDERED },
+  { refuse_after_order, PHASE_AWAITING_WORKER },
+};
+
+/* Guards against a host that is given back on a refusal that is not the answer
+   to the newest request: its order may be under way.  */
+START_TEST (test_refusal_ignored)
+{
+  const struct ignored_case *it = &ignored_cases[_i];
+  add_hosts ("p", 6);
+  list_hosts ();
+  add_wave (1, 1, 20);
+  step (0);
+  it->act ();
+  ck_assert_int_eq (host ("a")->phase, it->phase);
+  ck_assert_str_eq (over, "");
+  ck_assert_uint_eq (host ("a")->refusals, 0);
+}
+END_TEST
+
+/* Guards against an order on a report that a host is empty which follows the
+   refusal of the same request: the owner uses the host again.  */
+START_TEST (test_empty_after_refusal)
+{
+  add_hosts ("p", 6);
+  list_hosts ();
+  add_wave (1, 1, 60);
+  step (0);
+  uint64_t offset = host ("a")->request_offset;
+  refused ("a");
+  host_mgr_host_emptied (&mgr, "a", offset, now_us);
+  ck_assert_int_eq (host ("a")->phase, PHASE_NONE);
+  step_until_asked ("a", 2, 2000);
+  host_mgr_host_emptied (&mgr, "a", offset, now_us);
+  ck_assert_int_eq (host ("a")->phase, PHASE_VACATING);
+  ck_assert_uint_eq (orders, 0);
+}
+END_TEST
+
+/* Guards against an owner that is asked for the same host again and again, and
+   against a host that is not asked for any more: each refusal doubles the
+   pause, up to 8 s.  */
+START_TEST (test_pause_grows)
+{
+  static const int64_t pauses_ms[] = { 1000, 2000, 4000, 8000, 8000, 1000 };
+  add_hosts ("p", 6);
+  list_hosts ();
+  add_wave (1, 1, 60);
+  step (0);
+  for (uint32_t n = 0; n < 6; n++)
+    {
+      if (n == 5) /* vacated at last */
+        {
+          emptied ("a");
+          step (10);
+          host_mgr_order_answered (&mgr, host ("a"), HOST_ORDER_INVALID,
+                                   now_us);
+          step_until_asked ("a", 7, 2000);
+        }
+      refused ("a");
+      int64_t took_ms = step_until_asked ("a", asked[0] + 1, 20000);
+      ck_assert_int_ge (took_ms, pauses_ms[n]);
+      ck_assert_int_le (took_ms, pauses_ms[n] + 20);
+    }
+}
+END_TEST
+
+/* Guards against a wave that stops at a host that its pool needs while other
+   hosts of the wave could be maintained.  */
+START_TEST (test_other_hosts_first)
+{
+  uint32_t waits[WAIT_COUNT];
+  add_hosts ("p", 3); /* one at a time */
+  list_hosts ();
+  add_wave (3, 1, 60);
+  step (0);
+  ck_assert_uint_eq (asked[0], 1);
+  refused ("a");
+  step (10);
+  ck_assert_uint_eq (asked[1], 1);
+  host_mgr_count_waits (&mgr, &mgr.waves[0], now_us, waits);
+  ck_assert_uint_eq (waits[WAIT_REFUSED], 1);
+  ck_assert_uint_eq (waits[WAIT_VACATING], 1);
+  ck_assert_uint_eq (waits[WAIT_POOL_LIMIT], 1);
+  step (2000); /* the pause of a is over */
+  refused ("b");
+  step (10);
+  ck_assert_uint_eq (asked[2], 1);
+  ck_assert_uint_eq (asked[0], 1);
+}
+END_TEST
+
+/* Guards against a host that its pool keeps although a replacement is there:
+   the pause after a refusal ends when the pool gets a host.  */
+START_TEST (test_retry_as_hosts_arrive)
+{
+  add_hosts ("p", 4);
+  add_hosts ("spare", 1);
+  list_hosts ();
+  add_wave (1, 1, 60);
+  step (0);
+  for (uint32_t n = 0; n < 3; n++)
+    {
+      refused ("a");
+      step_until_asked ("a", n + 2, 10000);
+    }
+  refused ("a"); /* a pause of 8 s */
+  step (600);
+  ck_assert_uint_eq (asked[0], 4);
+  name_copy (reps[4].pool, "p");
+  list_hosts ();
+  step (10);
+  ck_assert_uint_eq (asked[0], 5);
+  refused ("a");
+  int64_t took_ms = step_until_asked ("a", 6, 10000);
+  ck_assert_int_ge (took_ms, 1000);
+  ck_assert_int_le (took_ms, 1020);
+}
+END_TEST
+
 /* Guards against a wave that makes no progress without saying why.  */
 START_TEST (test_waits)
 {
@@ -311,6 +548,12 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_loop_test (tc, test_vacate_over, 0,
                        sizeof over_cases / sizeof *over_cases);
+  tcase_add_loop_test (tc, test_refusal_ignored, 0,
+                       sizeof ignored_cases / sizeof *ignored_cases);
+  tcase_add_test (tc, test_empty_after_refusal);
+  tcase_add_test (tc, test_pause_grows);
+  tcase_add_test (tc, test_other_hosts_first);
+  tcase_add_test (tc, test_retry_as_hosts_arrive);
   tcase_add_test (tc, test_waits);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
