--- a/node/fleet_priv.h
+++ b/node/fleet_priv.h
@@ -9,6 +9,9 @@
    give orders alternately.  */
 #define CONFIRM_AGE_MAX_US 1700000
 
+/* First character of the key of an answer to a request to vacate a host.  */
+#define VACATE_REPORT_KEY 'e'
+
 /* A request to the owner of a host's pool to empty the host of tasks.  */
 struct vacate_request
 {
@@ -43,9 +46,19 @@
   bool list_in_progress;
   int64_t list_requested_us;
   int64_t next_list_us;
+  int64_t next_pending_us; /* when to tell again what waves wait for */
   struct timer *timer;
 };
 
+/* node/fleet_log.c */
+/* Tells what the hosts of running waves wait for, if that is due.  */
+void node_fleet_log_pending (struct fleet_duty *flt, int64_t now_us);
+
+/* node/fleet_vacate.c */
+/* Tells the placer which of its hosts are to be emptied, and reports those
+   that are empty.  */
+void node_fleet_answer_requests (struct held_duty *hld);
+
 /* node/fleet_orders.c */
 /* Sends the order for HOST's operation, if this process may still give orders;
    an operation of host_mgr_ops, ARG is the struct fleet_duty.  */
