sched: a move takes the room that was made for it, and gives it up when it is gone

Callers saw hosts that were not emptied while their pool had a backlog of long jobs, and perpetual tasks that were stopped for a place that was gone.

A perpetual task that has to leave its worker, where no other one has room, reserves room on a worker whose batch runs are stopped. The next look for a place counted this room as used by another task: the run was moved only when as much room again was free, and the first reservation then stayed counted on its worker. Nothing looked at the reservation of a task that still had a run, so that it outlived the move, and a destination that was vacated, drained, failed, ended or was cut off.

Now the run is stopped as soon as the reserved room is free on a worker that takes the task at that moment and the bound on unavailable tasks allows it. A reservation is dropped when its worker no longer takes the task, when the task is no longer moved, or when its room is not free after 3 s; one whose room is free does not expire.

--- a/sched/placer_preempt.c
+++ b/sched/placer_preempt.c
@@ -8,7 +8,8 @@
    run however full the pool is, so batch tasks are stopped for them; the freed
    resources stay reserved until the perpetual task starts.  */
 
-/* A reservation that is older is dropped.  */
+/* A reservation whose resources are not free after this time is dropped, so
+   that another worker may be chosen.  A stopped run ends within a second.  */
 #define RESERVATION_MAX_US 3000000
 
 void
@@ -29,27 +30,66 @@
   tsk->reserved_worker = 0;
 }
 
+void
+placer_drop_reservation (struct placer *plc, const struct place_request *req,
+                         const char *reason)
+{
+  struct task *tsk = job_task ((struct job *)req->job, req->ref);
+  const struct worker *wrk = placer_find_worker (plc, tsk->reserved_worker);
+  char name[TASK_NAME_MAX];
+  task_ref_format (req->ref, name);
+  log_event (plc->env.lg, EV_RESERVATION_DROPPED, LOG_S ("task", name),
+             LOG_S ("worker", wrk ? wrk->rep.id : ""),
+             LOG_S ("reason", reason),
+             LOG_I ("age_ms", (req->now_us - tsk->reserved_us) / 1000));
+  placer_unreserve (plc, tsk, req->step);
+}
+
+/* Why the task may not start on WRK, on which it has a reservation, or
+   NULL.  */
+static const char *
+reservation_fault (const struct worker *wrk, const struct place_request *req)
+{
+  if (!wrk || !wrk->registered || wrk->ended_us)
+    return "worker_gone";
+  if (place_allowed (wrk, req))
+    return NULL;
+  if (wrk->rep.draining)
+    return "draining";
+  return wrk->vacate ? "vacated" : "not_allowed";
+}
+
 struct worker *
-placer_take_reserved (struct placer *plc, const struct place_request *req)
+placer_reserved_room (struct placer *plc, const struct place_request *req)
 {
   struct task *tsk = job_task ((struct job *)req->job, req->ref);
   struct worker *wrk = placer_find_worker (plc, tsk->reserved_worker);
-  bool expired = req->now_us > tsk->reserved_us + RESERVATION_MAX_US;
-  if (!wrk || !place_allowed (wrk, req) || expired)
+  const char *fault = reservation_fault (wrk, req);
+  if (fault)
     {
-      placer_unreserve (plc, tsk, req->step);
+      placer_drop_reservation (plc, req, fault);
       return NULL;
     }
   resources_add (&wrk->used, req->step, -1);
-  if (place_fits (wrk, req->step))
-    {
-      tsk->reserved_worker = 0;
-      return wrk;
-    }
+  bool fits = place_fits (wrk, req->step);
   resources_add (&wrk->used, req->step, 1);
+  if (fits)
+    return wrk;
+  if (req->now_us > tsk->reserved_us + RESERVATION_MAX_US)
+    placer_drop_reservation (plc, req, "expired");
   return NULL;
 }
 
+struct worker *
+placer_take_reserved (struct placer *plc, const struct place_request *req)
+{
+  struct worker *wrk = placer_reserved_room (plc, req);
+  if (wrk)
+    placer_unreserve (plc, job_task ((struct job *)req->job, req->ref),
+                      req->step);
+  return wrk;
+}
+
 /* Whether RUN may be stopped for a perpetual task.  */
 static bool
 is_preemptible (const struct run *run)
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -225,9 +225,17 @@
                      struct worker *wrk, int64_t now_us);
 void placer_unreserve (struct placer *plc, struct task *tsk,
                        const struct step *stp);
-/* Returns the worker with the task's reservation, and ends the reservation, if
-   the reserved resources are free now.  Otherwise returns NULL; a reservation
-   that is too old or no longer allowed is dropped.  */
+/* Ends the task's reservation without a start, and logs the reason.  */
+void placer_drop_reservation (struct placer *plc,
+                              const struct place_request *req,
+                              const char *reason);
+/* Returns the worker with the task's reservation if it takes the task now and
+   the reserved resources are free.  Otherwise returns NULL; a reservation that
+   is no longer allowed, or whose resources are not free after a time, is
+   dropped.  */
+struct worker *placer_reserved_room (struct placer *plc,
+                                     const struct place_request *req);
+/* The same, and ends the reservation.  */
 struct worker *placer_take_reserved (struct placer *plc,
                                      const struct place_request *req);
 /* Stops batch tasks on the worker where the fewest have to be stopped for the
--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -67,9 +67,9 @@
 }
 
 /* Reserves resources on another worker for the perpetual task of RUN.  Returns
-   whether the run may be stopped now: a task is moved only while fewer tasks
-   of its step are unavailable than the job allows, or than one if the job does
-   not say.  */
+   whether the run may be stopped now: the reserved resources are free, and
+   fewer tasks of its step are unavailable than the job allows, or than one if
+   the job does not say.  */
 static bool
 reserve_move (struct placer *plc, struct run *run, int64_t now_us)
 {
@@ -77,16 +77,37 @@
   uint32_t most = stp->max_unavailable > 0 ? stp->max_unavailable : 1;
   const struct place_request req
       = { .job = run->job, .step = stp, .ref = &run->ref, .now_us = now_us };
-  if (count_unavailable (run, now_us) >= most)
+  bool bound_reached = count_unavailable (run, now_us) >= most;
+  if (run->tsk->reserved_worker && placer_reserved_room (plc, &req))
+    return !bound_reached;
+  if (run->tsk->reserved_worker || bound_reached)
     return false;
+  run->wrk->moves_reserved = true;
   struct worker *wrk = place_pick (&plc->pool, &req);
-  if (!wrk)
+  if (wrk)
+    placer_reserve (run->tsk, stp, wrk, now_us);
+  else
+    placer_preempt (plc, run->job, &run->ref, now_us);
+  return wrk != NULL;
+}
+
+/* Drops the reservations of tasks that run on WRK and are not moved any
+   more.  */
+static void
+drop_moves (struct placer *plc, struct worker *wrk, int64_t now_us)
+{
+  wrk->moves_reserved = false;
+  for (const struct run *run = wrk->runs; run; run = run->next)
     {
-      placer_preempt (plc, run->job, &run->ref, now_us);
-      return false;
+      const struct place_request req
+          = { .job = run->job,
+              .step = &run->job->spec.steps[run->ref.step],
+              .ref = &run->ref,
+              .now_us = now_us };
+      if (run->tsk->run == run && !run->stop_wanted
+          && run->tsk->reserved_worker)
+        placer_drop_reservation (plc, &req, "not_moved");
     }
-  placer_reserve (run->tsk, stp, wrk, now_us);
-  return true;
 }
 
 void
@@ -96,6 +117,8 @@
 
   if (wrk->vacate && !wrk->runs && !wrk->cleared_us)
     wrk->cleared_us = now_us;
+  if (!leaving && wrk->moves_reserved)
+    drop_moves (plc, wrk, now_us);
   for (struct run *run = wrk->runs; leaving && run; run = run->next)
     {
       bool perpetual = run->job->spec.steps[run->ref.step].perpetual;
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -114,6 +114,8 @@
   int64_t vacate_begun_us;  /* when this owner was asked to empty it */
   int64_t cleared_us;       /* when nothing ran there any more; 0: not yet */
   uint32_t vacate_stops;    /* runs stopped to empty it */
+  bool moves_reserved;      /* a task that runs here may have a reservation on
+                               another worker */
   bool stops_wanted;        /* a run may have a stop that is not
                                acknowledged */
   bool reported_idle; /* the pool reports the host as surplus: it gets no new
--- a/test/unit/unit_placer_moves.c
+++ b/test/unit/unit_placer_moves.c
@@ -152,7 +152,7 @@
 }
 
 /* Guards against runs that are stopped for a move without a place that takes
-   the task.  */
+   the task and has room for it.  */
 static void
 check_stops (void)
 {
@@ -161,10 +161,14 @@
          run = run->next)
       if (run->ref.job == 1 && run->stop_wanted && !run->stopped_us)
         {
+          const struct step *stp = &run->job->spec.steps[0];
           struct worker *to
               = pool_find (&wld->plc->pool, run->tsk->reserved_worker);
           ck_assert_msg (to && worker_schedulable (to, wld->clk.now_us),
                          "run stopped without a place");
+          resources_add (&to->used, stp, -1);
+          ck_assert_msg (place_fits (to, stp), "run stopped without room");
+          resources_add (&to->used, stp, 1);
         }
 }
 
@@ -348,7 +352,8 @@
   vacate ("w1", true);
   step ();
   lose ("w2", (enum loss)_i);
-  steps (2000);
+  /* Where most workers fail, they take tasks again after 1 s.  */
+  steps (_i == LOSS_FAILING ? 800 : 2000);
   ck_assert (runs_on (job, 0, "w1"));
   ck_assert_uint_eq (job->occurrences[0].tasks[0].reserved_worker, 0);
 }
