sched: a host is given up only if each perpetual task keeps a place

The owner now plans the places of its perpetual tasks (sched/placer_places): the workers that stay, allowed by label and bound, with room once all batch work is gone. Tasks that wait, or whose worker leaves by its own notice, come first, then those on hosts that are given up, then those on hosts that are asked for, in the order of the requests. A kept host is not reported as empty, and stays kept until its request is withdrawn. placer_host_kept tells the reason; lacking_hosts and lacking_label say how many hosts the tasks without a place need, and one for each host kept for want of a place in the last 10 s, until a place turns up.

A move that had batch runs stopped for it never used its reservation: it asked for the room a second time, and reserved it a second time when it found it elsewhere, without giving the first one back. It now takes its reservation.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -554,6 +554,7 @@
   pool_drop_slots (&plc->pool);
   if (placer_may_command (plc, now_us))
     {
+      placer_decide_vacating (plc, now_us);
       placer_enrol (plc);
       for (size_t n = 0; n < plc->pool.count; n++)
         {
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -139,9 +139,35 @@
 /* Starts to empty HOST: it gets no new tasks, its perpetual tasks move to
    other workers, and the tasks that are left at UNTIL_US are stopped. UNTIL_US
    0 withdraws this.  Returns whether a worker of this pool is registered for
-   the host.  */
+   the host.
+
+   The placer keeps the host if its perpetual tasks have no place elsewhere, a
+   waiting one has no other place, or nothing moves; the host then takes tasks
+   again at once, and calls change nothing until the request is withdrawn.  */
 bool placer_vacate (struct placer *plc, const char *host, int64_t until_us);
 
+/* Why a host is kept.  */
+enum placer_keep_reason
+{
+  PLACER_KEEP_NONE,
+  PLACER_KEEP_NO_PLACE,    /* a perpetual task there has no place elsewhere */
+  PLACER_KEEP_TASK_WAITS,  /* a perpetual task has no place but there */
+  PLACER_KEEP_NO_PROGRESS, /* no run has left it for some time */
+};
+
+struct placer_kept
+{
+  enum placer_keep_reason reason;
+  char task[TASK_NAME_MAX]; /* the first such task; "": none */
+  int64_t took_us;          /* since placer_vacate was first called */
+};
+
+/* Whether the pool keeps HOST although placer_vacate asked for it; then *KEPT
+   is set.  A host for which placer_host_empty has returned true is never kept.
+ */
+bool placer_host_kept (const struct placer *plc, const char *host,
+                       struct placer_kept *kept);
+
 /* Counts the workers that were added or were registered again, so that a
    caller can tell whether the result of placer_vacate may have changed.  */
 uint64_t placer_worker_changes (const struct placer *plc);
--- a/sched/placer_places.c
+++ b/sched/placer_places.c
@@ -1,10 +1,16 @@
 #include "sched/placer_places.h"
 
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
 #include "base/clock.h"
 
 /* A worker that gets no tasks for no longer than this is a place all the same:
    a worker that was busy or lacked room for one start is back by then.  */
 #define PAUSE_MAX_US 1000000
+/* Room on a host whose capacity is not known; above that of any host.  */
+#define ROOM_UNKNOWN ((int64_t)1 << 40)
 struct resources
 places_room (const struct worker *wrk)
 {
@@ -37,7 +43,7 @@
     return PLACE_VACATED;
   if (wrk->rep.draining)
     return PLACE_DRAINING;
-  if (!worker_usable (wrk, req->now_us + PAUSE_MAX_US))
+  if (!wrk->enrolled || !worker_usable (wrk, req->now_us + PAUSE_MAX_US))
     return PLACE_UNAVAILABLE;
   if (*stp->required_label && !worker_has_label (wrk, stp->required_label))
     return PLACE_LABEL;
@@ -85,3 +91,364 @@
   return !placer_has_runs (tsk) && now_us >= tsk->not_before_us
          && !placer_may_still_run (plc, job, tsk);
 }
+
+/* The record of the request for the worker's host, if that is neither refused
+   nor over.  */
+static struct vacated_host *
+vacating (const struct worker *wrk)
+{
+  return wrk->vacate ? wrk->vac : NULL;
+}
+
+/* Whether the worker is a place that stays for a reservation.  */
+static bool
+keeps_reservation (const struct worker *wrk, int64_t now_us)
+{
+  return wrk && !wrk->vacate && !wrk->rep.draining
+         && worker_usable (wrk, now_us + PAUSE_MAX_US);
+}
+
+static bool
+lacked_place (const struct vacated_host *vac, int64_t now_us)
+{
+  return vac && (vac->state == VACATE_KEPT || vac->state == VACATE_WITHDRAWN)
+         && vac->kept.reason != PLACER_KEEP_NO_PROGRESS
+         && now_us - vac->kept_us < KEPT_LACKING_US;
+}
+
+/* The place that a task with a run on WRK and a reservation on RESERVED needs.
+   Returns false if it needs none.  */
+static bool
+classify_running (const struct worker *wrk, const struct worker *reserved,
+                  int64_t now_us, struct place_need *need)
+{
+  struct vacated_host *vac = wrk->rep.draining ? NULL : vacating (wrk);
+  struct vacated_host *next = reserved ? vacating (reserved) : NULL;
+  if (!wrk->rep.draining && lacked_place (wrk->vac, now_us))
+    {
+      need->kind = NEED_KEPT;
+      need->vac = wrk->vac;
+      return true;
+    }
+  if ((!vac && !wrk->rep.draining) || keeps_reservation (reserved, now_us))
+    return false;
+  /* The host of the reservation is kept if the task has no other place.  */
+  if (next && next->state == VACATE_ASKED
+      && (!vac || vac->state == VACATE_GRANTED))
+    vac = next;
+  need->vac = vac;
+  need->kind = !vac                           ? NEED_DRAINING
+               : vac->state == VACATE_GRANTED ? NEED_GRANTED
+                                              : NEED_ASKED;
+  return true;
+}
+
+static bool
+add_need (void *arg, struct job *job, const struct task_ref *ref)
+{
+  struct place_plan *plan = arg;
+  struct placer *plc = plan->plc;
+  struct task *tsk = job_task (job, ref);
+  const struct worker *reserved
+      = tsk->reserved_worker ? placer_find_worker (plc, tsk->reserved_worker)
+                             : NULL;
+  struct place_need need = {
+    .job = job, .ref = *ref, .stp = &job->spec.steps[ref->step], .tsk = tsk
+  };
+  if (tsk->run && !tsk->run->stop_wanted)
+    {
+      if (!classify_running (tsk->run->wrk, reserved, plan->now_us, &need))
+        return true;
+    }
+  else if (keeps_reservation (reserved, plan->now_us))
+    {
+      if (!lacked_place (reserved->vac, plan->now_us))
+        return true;
+      need.kind = NEED_KEPT;
+      need.vac = reserved->vac;
+    }
+  else if ((!placer_has_runs (tsk) && placer_may_still_run (plc, job, tsk)))
+    return true;
+  size_t size = talloc_array_length (plan->needs);
+  if (plan->need_count == size)
+    {
+      struct place_need *rows = talloc_realloc (
+          plan, plan->needs, struct place_need, size > 0 ? 2 * size : 64);
+      if (!rows)
+        {
+          plan->out_of_memory = true;
+          return false;
+        }
+      plan->needs = rows;
+    }
+  plan->needs[plan->need_count++] = need;
+  return true;
+}
+
+/* Orders needs by kind and request.  Of one request the needs with a label and
+   then the largest come first, as they have the fewest places.  */
+static int
+compare_needs (const void *a, const void *b)
+{
+  const struct place_need *na = a;
+  const struct place_need *nb = b;
+  uint64_t seq_a = na->vac ? na->vac->seq : 0;
+  uint64_t seq_b = nb->vac ? nb->vac->seq : 0;
+  bool label_a = *na->stp->required_label;
+  bool label_b = *nb->stp->required_label;
+  int64_t diff = (int64_t)na->kind - (int64_t)nb->kind;
+  if (diff == 0 && seq_a != seq_b)
+    diff = seq_a < seq_b ? -1 : 1;
+  if (diff == 0)
+    diff = label_b - label_a;
+  if (diff == 0)
+    diff = nb->stp->need.memory_mb - na->stp->need.memory_mb;
+  if (diff == 0)
+    diff = nb->stp->need.cpu_milli - na->stp->need.cpu_milli;
+  if (diff == 0 && na->ref.job != nb->ref.job)
+    diff = na->ref.job < nb->ref.job ? -1 : 1;
+  if (diff == 0)
+    diff = (int64_t)na->ref.step - (int64_t)nb->ref.step;
+  if (diff == 0)
+    diff = (int64_t)na->ref.occurrence - (int64_t)nb->ref.occurrence;
+  if (diff == 0)
+    diff = (int64_t)na->ref.index - (int64_t)nb->ref.index;
+  return diff < 0 ? -1 : diff > 0;
+}
+
+static void
+add_workers (struct place_plan *plan)
+{
+  struct pool *pool = &plan->plc->pool;
+  for (size_t n = 0; n < pool->count; n++)
+    {
+      struct worker *wrk = pool->workers[n];
+      const struct resources *cap = &wrk->rep.capacity;
+      struct place *plc = &plan->places[n];
+      wrk->plan_pos = (uint32_t)n;
+      *plc = (struct place){
+        .wrk = wrk,
+        .usable = !wrk->rep.draining
+                  && worker_usable (wrk, plan->now_us + PAUSE_MAX_US),
+      };
+      plc->stays = plc->usable && !wrk->vacate;
+      if (plc->usable)
+        plc->room = places_room (wrk);
+      if (cap->cpu_milli > plan->largest.cpu_milli)
+        plan->largest.cpu_milli = cap->cpu_milli;
+      if (cap->memory_mb > plan->largest.memory_mb)
+        plan->largest.memory_mb = cap->memory_mb;
+      if (cap->accelerators > plan->largest.accelerators)
+        plan->largest.accelerators = cap->accelerators;
+    }
+  plan->worker_count = plan->place_count = pool->count;
+}
+
+struct place_plan *
+places_plan (struct placer *plc, int64_t now_us)
+{
+  struct place_plan *plan = talloc_zero (plc, struct place_plan);
+  if (!plan)
+    return NULL;
+  plan->plc = plc;
+  plan->now_us = now_us;
+  places_each_task (plc, add_need, plan);
+  if (plan->need_count == 0 && !plan->out_of_memory)
+    return plan;
+  plan->places = talloc_array (plan, struct place,
+                               plc->pool.count + PLACES_LACKING_MAX);
+  plan->planned = talloc_array (plan, struct place_need *, plan->need_count);
+  if (plan->out_of_memory || !plan->places || !plan->planned)
+    {
+      talloc_free (plan);
+      return NULL;
+    }
+  qsort (plan->needs, plan->need_count, sizeof *plan->needs, compare_needs);
+  add_workers (plan);
+  return plan;
+}
+
+static bool
+same_step (const struct place_need *a, const struct place_need *b)
+{
+  return a->job == b->job && a->ref.step == b->ref.step
+         && a->ref.occurrence == b->ref.occurrence;
+}
+
+/* Counts the tasks of the need's step on each place: wanted runs, reservations
+   and planned tasks.  */
+static void
+count_step (struct place_plan *plan, const struct place_need *need)
+{
+  const struct step *stp = need->stp;
+  const struct task *tasks
+      = need->job->occurrences[need->ref.occurrence].tasks + stp->first_task;
+  if (plan->siblings_of && same_step (plan->siblings_of, need))
+    return;
+  plan->siblings_of = need;
+  for (size_t n = 0; n < plan->place_count; n++)
+    plan->places[n].siblings = 0;
+  for (uint32_t n = 0; n < stp->count; n++)
+    {
+      const struct worker *reserved
+          = tasks[n].reserved_worker
+                ? placer_find_worker (plan->plc, tasks[n].reserved_worker)
+                : NULL;
+      if (reserved)
+        plan->places[reserved->plan_pos].siblings++;
+      if (tasks[n].run && !tasks[n].run->stop_wanted)
+        plan->places[tasks[n].run->wrk->plan_pos].siblings++;
+    }
+  for (size_t n = 0; n < plan->planned_count; n++)
+    if (same_step (plan->planned[n], need))
+      plan->planned[n]->place->siblings++;
+}
+
+/* Share of the processors or of the memory, whichever is scarcer, that stays
+   free, in thousandths of the largest worker.  */
+static int64_t
+share_left (const struct place_plan *plan, const struct resources *left)
+{
+  int64_t cpu = left->cpu_milli * 1000 / (plan->largest.cpu_milli + 1);
+  int64_t mem = left->memory_mb * 1000 / (plan->largest.memory_mb + 1);
+  return cpu < mem ? cpu : mem;
+}
+
+/* Whether PLACE, which need not stay, has a place for NEED; *LEFT is what it
+   leaves.  */
+static bool
+place_does (const struct place *place, const struct place_need *need,
+            struct resources *left)
+{
+  const struct step *stp = need->stp;
+  uint32_t siblings = place->siblings;
+  *left = place->room;
+  /* The task's own reservation, which it would use.  */
+  if (place->wrk && need->tsk->reserved_worker == place->wrk->handle)
+    {
+      resources_add (left, stp, 1);
+      siblings -= siblings > 0;
+    }
+  resources_add (left, stp, -1);
+  if (left->cpu_milli < 0 || left->memory_mb < 0 || left->accelerators < 0
+      || (stp->max_per_worker > 0 && siblings >= stp->max_per_worker))
+    return false;
+  if (!*stp->required_label)
+    return true;
+  return place->wrk ? worker_has_label (place->wrk, stp->required_label)
+                    : !*place->label
+                          || strcmp (place->label, stp->required_label) == 0;
+}
+
+static void
+take (struct place_plan *plan, struct place_need *need, struct place *place)
+{
+  need->place = place;
+  resources_add (&place->room, need->stp, -1);
+  if (plan->siblings_of && same_step (plan->siblings_of, need))
+    place->siblings++;
+  plan->planned[plan->planned_count++] = need;
+}
+
+bool
+places_give (struct place_plan *plan, struct place_need *need)
+{
+  struct place *best = NULL;
+  int64_t best_share = 0;
+  struct resources left;
+  if (need->stp->max_per_worker > 0)
+    count_step (plan, need);
+  for (size_t n = 0; n < plan->worker_count; n++)
+    {
+      struct place *place = &plan->places[n];
+      if (!place->stays || !place_does (place, need, &left))
+        continue;
+      int64_t share = share_left (plan, &left);
+      if (best && share >= best_share)
+        continue;
+      best = place;
+      best_share = share;
+    }
+  if (best)
+    take (plan, need, best);
+  return best != NULL;
+}
+
+struct vacated_host *
+places_on_vacated (struct place_plan *plan, struct place_need *need)
+{
+  struct vacated_host *newest = NULL;
+  struct resources left;
+  if (need->stp->max_per_worker > 0)
+    count_step (plan, need);
+  for (size_t n = 0; n < plan->worker_count; n++)
+    {
+      const struct place *place = &plan->places[n];
+      struct vacated_host *vac = vacating (place->wrk);
+      if (vac && place->usable && !place->stays && vacate_may_keep (vac)
+          && (!newest || vac->seq > newest->seq)
+          && place_does (place, need, &left))
+        newest = vac;
+    }
+  return newest;
+}
+
+void
+places_undo (struct place_plan *plan, size_t count)
+{
+  while (plan->planned_count > count)
+    {
+      struct place_need *need = plan->planned[--plan->planned_count];
+      resources_add (&need->place->room, need->stp, 1);
+      need->place = NULL;
+    }
+  plan->siblings_of = NULL;
+}
+
+void
+places_set_host (struct place_plan *plan, const struct vacated_host *vac,
+                 bool stays)
+{
+  for (size_t n = 0; n < plan->worker_count; n++)
+    if (plan->places[n].wrk->vac == vac)
+      plan->places[n].stays = stays && plan->places[n].usable;
+}
+
+/* The room that NEED finds on a further host.  It is not known of hosts with a
+   label that no worker has.  */
+static struct resources
+room_of_host (const struct place_plan *plan, const struct place_need *need)
+{
+  const char *label = need->stp->required_label;
+  bool known = false;
+  for (size_t n = 0; n < plan->worker_count && !known; n++)
+    known = !*label || worker_has_label (plan->places[n].wrk, label);
+  return known ? plan->largest
+               : (struct resources){ .cpu_milli = ROOM_UNKNOWN,
+                                     .memory_mb = ROOM_UNKNOWN,
+                                     .accelerators = ROOM_UNKNOWN };
+}
+
+void
+places_give_lacking (struct place_plan *plan, struct place_need *need)
+{
+  struct resources left;
+  struct place *place = NULL;
+  if (need->stp->max_per_worker > 0)
+    count_step (plan, need);
+  for (size_t n = plan->worker_count; n < plan->place_count && !place; n++)
+    if (place_does (&plan->places[n], need, &left))
+      place = &plan->places[n];
+  if (!place)
+    {
+      const struct resources room = room_of_host (plan, need);
+      if (plan->place_count - plan->worker_count >= PLACES_LACKING_MAX
+          || !has_room (&room, need->stp))
+        return;
+      place = &plan->places[plan->place_count++];
+      *place = (struct place){ .label = "", .room = room };
+    }
+  if (!*place->label)
+    place->label = need->stp->required_label;
+  take (plan, need, place);
+}
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -30,6 +30,42 @@
   uint32_t absent_lists; /* consecutive lists of hosts without its host */
 };
 
+/* State of a request to empty a host.  */
+enum vacate_state
+{
+  VACATE_ASKED, /* not decided yet; the host is emptied all the same */
+  VACATE_GRANTED,
+  VACATE_KEPT,      /* refused: the host takes tasks */
+  VACATE_WITHDRAWN, /* was refused for want of a place a short time ago */
+};
+
+/* A host that the pool is asked to give up.  */
+struct vacated_host
+{
+  struct vacated_host *next; /* asked for later */
+  char host[NAME_BYTES];
+  uint64_t seq; /* order of the requests */
+  enum vacate_state state;
+  int64_t begun_us; /* when this owner was first asked */
+  int64_t until_us; /* batch tasks still there then are stopped */
+  /* When a run last left the host or got a place elsewhere.  */
+  int64_t progress_us;
+  int64_t cleared_us; /* when nothing ran there any more; 0: not yet */
+  uint32_t stops;     /* runs stopped to empty it */
+  /* An earlier owner may have been asked, and has not reported the host as
+     empty only if runs were found there.  */
+  bool inherited;
+  bool had_runs;
+  bool told; /* reported as empty */
+  struct placer_kept kept;
+  int64_t kept_us;
+};
+
+/* A host that was kept for want of a place counts as one that the pool lacks
+   for this time, unless a place turns up: a spare host takes some seconds to
+   arrive.  */
+#define KEPT_LACKING_US 10000000
+
 /* Most perpetual tasks without a run that are watched at a time.  */
 #define UNPLACED_TASKS_MAX 64
 
@@ -121,6 +157,15 @@
   int64_t stalled_us;    /* when they were first found; 0: there are none */
   int64_t next_stall_check_us;
   int64_t next_stall_report_us;
+  /* The requests to empty hosts, in their order.  */
+  struct vacated_host *vacated;
+  uint64_t last_vacate_seq;
+  int64_t next_plan_us;
+  /* Hosts that the last plan of places lacked: for perpetual tasks without a
+     place, and one for each host that was kept for want of a place a short
+     time ago.  The label is one that they need, or "".  */
+  uint32_t lacking_hosts;
+  char lacking_label[NAME_BYTES];
   /* Report on perpetual tasks without a run.  */
   struct unplaced_task unplaced[UNPLACED_TASKS_MAX];
   size_t unplaced_count;
@@ -275,6 +320,13 @@
                             const struct task_ref *ref);
 
 /* placer_vacate.c */
+/* Whether a perpetual task may use the host after all: the request is not
+   refused and the host was not reported as empty, as an order for it may be on
+   its way.  */
+bool vacate_may_keep (const struct vacated_host *vac);
+/* Decides which hosts are given up, by a plan of the places of the perpetual
+   tasks.  */
+void placer_decide_vacating (struct placer *plc, int64_t now_us);
 /* Moves perpetual tasks off a worker that drains or is being vacated, and
    stops the rest when the time to vacate it is over.  */
 void placer_evacuate (struct placer *plc, struct worker *wrk, int64_t now_us);
--- a/sched/pool.c
+++ b/sched/pool.c
@@ -175,15 +175,16 @@
 bool
 worker_usable (const struct worker *wrk, int64_t now_us)
 {
-  return wrk->registered && !wrk->ended_us && wrk->reached && wrk->enrolled
-         && wrk->clock_ms > 0 && wrk->unanswered_calls < UNANSWERED_CALLS_LIMIT
+  return wrk->registered && !wrk->ended_us && wrk->reached && wrk->clock_ms > 0
+         && wrk->unanswered_calls < UNANSWERED_CALLS_LIMIT
          && now_us >= wrk->avoid_until_us && now_us >= wrk->failing_until_us;
 }
 
 bool
 worker_schedulable (const struct worker *wrk, int64_t now_us)
 {
-  return !wrk->rep.draining && !wrk->vacate && worker_usable (wrk, now_us);
+  return wrk->enrolled && !wrk->rep.draining && !wrk->vacate
+         && worker_usable (wrk, now_us);
 }
 
 uint32_t
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -40,6 +40,7 @@
   int calls_in_flight;
   bool removed;      /* no longer in its worker's list */
   int64_t listed_us; /* when the last hold that listed it was sent */
+  bool moving;       /* capacity was reserved elsewhere to empty its host */
 };
 
 struct worker
@@ -110,14 +111,14 @@
   int64_t avoid_span_us;    /* its length; doubles with each failure */
   int64_t avoid_until_us;   /* pause of a worker that is busy or lacks room */
   bool vacate;              /* its host is to be emptied */
-  int64_t vacate_until_us;  /* batch tasks still there then are stopped */
-  int64_t vacate_begun_us;  /* when this owner was asked to empty it */
-  int64_t cleared_us;       /* when nothing ran there any more; 0: not yet */
-  uint32_t vacate_stops;    /* runs stopped to empty it */
-  bool stops_wanted;        /* a run may have a stop that is not
-                               acknowledged */
-  bool reported_idle; /* the pool reports the host as surplus: it gets no new
-                         tasks while others have room */
+  /* The request for its host, also if it was refused; NULL: none.  */
+  struct vacated_host *vac;
+  uint32_t vacate_runs; /* runs that were left at the last tick */
+  uint32_t plan_pos;    /* index in the plan of places */
+  bool stops_wanted;    /* a run may have a stop that is not
+                           acknowledged */
+  bool reported_idle;   /* the pool reports the host as surplus: it gets no new
+                           tasks while others have room */
 };
 
 /* Whether RUN, of a perpetual task, is known to be active and at its full
@@ -190,8 +191,8 @@
 /* Whether the last answer of WRK lists runs whose jobs are not known.  */
 bool worker_has_unknown_runs (const struct worker *wrk);
 
-/* Whether WRK takes new tasks unless its host is vacated or it leaves by its
-   own notice.  */
+/* Whether WRK takes new tasks once it is enrolled, unless its host is vacated
+   or it leaves by its own notice.  */
 bool worker_usable (const struct worker *wrk, int64_t now_us);
 
 /* Whether WRK takes new tasks.  */
--- a/test/unit/unit_placer_vacate.c
+++ b/test/unit/unit_placer_vacate.c
@@ -31,8 +31,8 @@
 static struct sim_run sim_runs[SIM_RUNS_MAX];
 static size_t sim_count;
 static uint64_t sim_ends;
-/* Name of a worker that does not answer, or "".  */
-static char sim_silent[NAME_BYTES];
+/* Stops get no answer and have no effect.  */
+static bool sim_ignores_stops;
 
 static void
 setup (void)
@@ -41,7 +41,7 @@
   world_release_earlier (wld);
   sim_count = 0;
   sim_ends = 0;
-  sim_silent[0] = '\0';
+  sim_ignores_stops = false;
 }
 
 static void
@@ -159,7 +159,7 @@
       world_complete_append (wld);
       for (size_t n = 0; n < wld->call_count; n++)
         if (!wld->calls[n].answered
-            && strcmp (wld->calls[n].worker, sim_silent) != 0)
+            && !(sim_ignores_stops && wld->calls[n].kind == WORLD_STOP))
           sim_answer (&wld->calls[n]);
       for (size_t n = 0; n < wld->call_count; n++)
         if (!wld->calls[n].answered)
@@ -341,6 +341,296 @@
 }
 END_TEST
 
+#define WORKERS_MAX 6
+#define JOBS_MAX 4
+#define REQUESTS_MAX 3
+
+#define TASKS(count, more) "{\"steps\":[{\"count\":" count "," more "}]}"
+#define LASTING(count, more) TASKS (count, "\"perpetual\":true," more)
+#define ONE_EACH "\"cpu\":1000,\"mem-mb\":64,\"anti-affinity\":1"
+#define TWO_EACH "\"fills\":true,\"mem-mb\":64,\"anti-affinity\":2"
+#define BATCH(count)                                                          \
+  TASKS (count, "\"cpu\":1000,\"mem-mb\":1024,\"estimate-ms\":60000")
+
+/* A pool, and the hosts that it is asked to give up.  */
+struct vacate_case
+{
+  const char *title;
+  struct
+  {
+    int64_t cpu_milli, memory_mb; /* 0: no worker */
+    const char *label;
+  } workers[WORKERS_MAX];
+  struct
+  {
+    const char *json;
+    const char *on; /* the worker that its tasks start on */
+  } jobs[JOBS_MAX];
+  const char *draining; /* a worker that leaves by its own notice */
+  struct
+  {
+    const char *worker;
+    enum placer_keep_reason kept;
+  } requests[REQUESTS_MAX];
+  int64_t pause_ms;     /* between the requests */
+  const char *late_job; /* one that is accepted after the requests */
+  uint32_t lacking;
+  const char *label; /* that the pool lacks; NULL: any */
+};
+
+#define USUAL                                                                 \
+  {                                                                           \
+    4000, 8192, NULL                                                          \
+  }
+
+#define NONE PLACER_KEEP_NONE
+#define NO_PLACE PLACER_KEEP_NO_PLACE
+#define TASK_WAITS PLACER_KEEP_TASK_WAITS
+#define NO_PROGRESS PLACER_KEEP_NO_PROGRESS
+
+static const struct vacate_case vacate_cases[] = {
+  { "bound, no spare worker",
+    { USUAL, USUAL },
+    { { LASTING ("1", ONE_EACH), "w0" }, { LASTING ("2", ONE_EACH), "" } },
+    .requests = { { "w0", NO_PLACE } },
+    .lacking = 1 },
+  { "bound, a spare worker",
+    { USUAL, USUAL, USUAL },
+    { { LASTING ("2", ONE_EACH), "" } },
+    .requests = { { "w2", NONE } } },
+  { "in the order of the requests",
+    { USUAL, USUAL, USUAL },
+    { { LASTING ("2", ONE_EACH), "" } },
+    .requests = { { "w0", NONE }, { "w1", NO_PLACE } },
+    .lacking = 1 },
+  { "in the order of the requests, the other way round",
+    { USUAL, USUAL, USUAL },
+    { { LASTING ("2", ONE_EACH), "" } },
+    .requests = { { "w1", NONE }, { "w0", NO_PLACE } },
+    .lacking = 1 },
+  { "seven tasks, two on each of four workers",
+    { USUAL, USUAL, USUAL, USUAL },
+    { { LASTING ("7", TWO_EACH), "" } },
+    .requests = { { "w0", NO_PLACE }, { "w3", NO_PLACE }, { "w1", NO_PLACE } },
+    .lacking = 3 },
+  { "label that no other worker has",
+    { { 4000, 8192, "gpu" }, { 4000, 8192, "r2" }, USUAL },
+    { { LASTING ("1", "\"cpu\":100,\"requirements\":\"gpu\""), "w0" } },
+    .requests = { { "w2", NONE }, { "w0", NO_PLACE } },
+    .lacking = 1,
+    .label = "gpu" },
+  { "label that another worker has",
+    { { 4000, 8192, "gpu" }, { 4000, 8192, "r2" }, { 4000, 8192, "gpu" } },
+    { { LASTING ("1", "\"cpu\":100,\"requirements\":\"gpu\""), "w0" } },
+    .requests = { { "w0", NONE }, { "w2", NO_PLACE } },
+    .pause_ms = 200,
+    .lacking = 1,
+    .label = "gpu" },
+  { "a host that is asked for is no place, decided or not",
+    { { 4000, 8192, "gpu" }, { 4000, 8192, "r2" }, { 4000, 8192, "gpu" } },
+    { { LASTING ("1", "\"cpu\":100,\"requirements\":\"gpu\""), "w0" } },
+    .requests = { { "w0", NO_PLACE }, { "w2", NONE } },
+    .lacking = 1,
+    .label = "gpu" },
+  { "two labels, one of them gone",
+    { { 4000, 8192, "a" },
+      { 4000, 8192, "b" },
+      { 4000, 8192, "a" },
+      { 4000, 8192, "b" } },
+    { { LASTING ("1", "\"cpu\":100,\"requirements\":\"a\""), "w0" },
+      { LASTING ("1", "\"cpu\":100,\"requirements\":\"b\""), "w1" } },
+    .requests = { { "w0", NONE }, { "w2", NO_PLACE }, { "w1", NONE } },
+    .pause_ms = 200,
+    .lacking = 1,
+    .label = "a" },
+  { "memory of a task that needs no processor",
+    { USUAL, USUAL },
+    { { LASTING ("1", "\"fills\":true,\"mem-mb\":5000"), "w0" },
+      { LASTING ("1", "\"fills\":true,\"mem-mb\":5000"), "w1" } },
+    .requests = { { "w0", NO_PLACE } },
+    .lacking = 1 },
+  { "a larger worker",
+    { USUAL, { 8000, 16384, NULL } },
+    { { LASTING ("1", "\"fills\":true,\"mem-mb\":5000"), "w0" },
+      { LASTING ("1", "\"fills\":true,\"mem-mb\":5000"), "w1" } },
+    .requests = { { "w0", NONE } } },
+  { "workers that are too small",
+    { USUAL, { 1000, 2048, NULL }, { 1000, 2048, NULL } },
+    { { LASTING ("1", "\"cpu\":2000"), "w0" } },
+    .requests = { { "w0", NO_PLACE } },
+    .lacking = 1 },
+  { "processors in use by perpetual tasks",
+    { USUAL, USUAL },
+    { { LASTING ("2", "\"cpu\":1500"), "w0" },
+      { LASTING ("1", "\"cpu\":1500"), "w1" } },
+    .requests = { { "w0", NO_PLACE } },
+    .lacking = 1 },
+  { "processors in use by batch tasks",
+    { USUAL, USUAL },
+    { { LASTING ("2", "\"cpu\":1500,\"may-miss\":1"), "w0" },
+      { BATCH ("4"), "w1" } },
+    .requests = { { "w0", NONE } } },
+  { "batch tasks on the host, too",
+    { USUAL, USUAL },
+    { { LASTING ("1", "\"cpu\":1500"), "w0" },
+      { BATCH ("2"), "w0" },
+      { BATCH ("4"), "w1" } },
+    .requests = { { "w0", NONE } } },
+  { "batch tasks only",
+    { USUAL, USUAL },
+    { { BATCH ("4"), "w0" }, { BATCH ("4"), "w1" } },
+    .requests = { { "w0", NONE } } },
+  { "planned moves use up the places",
+    { USUAL, USUAL, USUAL },
+    { { LASTING ("1", "\"cpu\":3000"), "w0" },
+      { LASTING ("1", "\"cpu\":3000"), "w1" } },
+    .requests = { { "w0", NONE }, { "w1", NO_PLACE } },
+    .lacking = 1 },
+  { "a draining worker is no place, and takes one",
+    { USUAL, USUAL, USUAL },
+    { { LASTING ("3", ONE_EACH), "" } },
+    .draining = "w2",
+    .requests = { { "w0", NO_PLACE } },
+    .lacking = 2 },
+  { "tasks of a draining worker get a vacated host",
+    { USUAL, USUAL },
+    { { LASTING ("1", ONE_EACH), "w1" } },
+    .draining = "w1",
+    .requests = { { "w0", TASK_WAITS } },
+    .lacking = 1 },
+  { "a task that waits gets the host that was asked for last",
+    { USUAL, USUAL, USUAL },
+    { { LASTING ("1", "\"cpu\":4000"), "w0" },
+      { BATCH ("1"), "w1" },
+      { BATCH ("1"), "w2" } },
+    .requests = { { "w1", NONE }, { "w2", TASK_WAITS } },
+    .late_job = LASTING ("1", "\"cpu\":2000"),
+    .lacking = 1 },
+  { "a task that waits and fits on no vacated host",
+    { { 4000, 8192, "r1" }, { 4000, 8192, "r1" }, { 2000, 8192, "r2" } },
+    { { BATCH ("1"), "w1" }, { BATCH ("1"), "w2" } },
+    .requests = { { "w1", NONE }, { "w2", NONE } },
+    .late_job = LASTING ("2", "\"cpu\":9000,\"requirements\":\"r2\""),
+    .lacking = 0 },
+  { "a task that waits for a label that no worker has",
+    { { 4000, 8192, "r1" }, { 4000, 8192, "r1" } },
+    { { BATCH ("1"), "w1" } },
+    .requests = { { "w1", NONE } },
+    .late_job = LASTING ("2", "\"cpu\":3000,\"requirements\":\"r9\""),
+    .lacking = 1,
+    .label = "r9" },
+  { "several tasks that wait, more than the vacated hosts take",
+    { USUAL, USUAL },
+    { { LASTING ("1", "\"cpu\":4000"), "w0" }, { BATCH ("1"), "w1" } },
+    .requests = { { "w1", TASK_WAITS } },
+    .late_job = LASTING ("5", ONE_EACH),
+    .lacking = 5 },
+};
+
+/* Lets only the worker ON take tasks, or with "" all.  */
+static void
+use_only (const char *on)
+{
+  for (size_t n = 0; n < wld->plc->pool.count; n++)
+    {
+      struct worker *wrk = wld->plc->pool.workers[n];
+      bool used = !*on || strcmp (wrk->rep.id, on) == 0;
+      wrk->avoid_until_us = used ? 0 : INT64_MAX;
+    }
+}
+
+static void
+set_up_case (const struct vacate_case *row)
+{
+  char id[16];
+  for (int n = 0; n < WORKERS_MAX && row->workers[n].cpu_milli > 0; n++)
+    {
+      snprintf (id, sizeof id, "w%d", n);
+      add_worker (id, row->workers[n].cpu_milli, row->workers[n].memory_mb,
+                  row->workers[n].label);
+    }
+  play (SETTLE_MS);
+  for (int n = 0; n < JOBS_MAX && row->jobs[n].json; n++)
+    {
+      use_only (row->jobs[n].on);
+      world_add_job (wld, (uint64_t)n + 1, row->jobs[n].json, 200 + n);
+      play (400);
+    }
+  use_only ("");
+  if (row->draining)
+    find_worker (row->draining)->rep.draining = true;
+}
+
+static enum placer_keep_reason
+kept_reason (const char *host)
+{
+  struct placer_kept kept;
+  return placer_host_kept (wld->plc, host, &kept) ? kept.reason : NONE;
+}
+
+static bool
+host_empty (const char *host)
+{
+  struct placer_vacated vac;
+  return placer_host_empty (wld->plc, host, &vac);
+}
+
+/* Guards against hosts that are given up although a perpetual task loses its
+   last place, that are refused although each has another one, and against
+   waits without end: a host that is granted becomes empty, one that is kept
+   does not and takes tasks.  */
+START_TEST (test_requests)
+{
+  const struct vacate_case *row = &vacate_cases[_i];
+  char hosts[REQUESTS_MAX][NAME_BYTES];
+  size_t count = 0;
+  set_up_case (row);
+  for (; count < REQUESTS_MAX && row->requests[count].worker; count++)
+    {
+      name_copy (hosts[count],
+                 find_worker (row->requests[count].worker)->rep.host);
+      vacate (hosts[count]);
+      play (row->pause_ms);
+    }
+  if (row->late_job)
+    world_add_job (wld, 9, row->late_job, 300);
+  play (2 * TICK_MS);
+  if (row->late_job)
+    play (200);
+  for (size_t n = 0; n < count; n++)
+    ck_assert_msg (kept_reason (hosts[n]) == row->requests[n].kept,
+                   "%s: %s: reason %d", row->title, hosts[n],
+                   kept_reason (hosts[n]));
+  ck_assert_msg (wld->plc->lacking_hosts == row->lacking, "%s: lacking %u",
+                 row->title, wld->plc->lacking_hosts);
+  ck_assert_msg (strcmp (wld->plc->lacking_label, row->label ? row->label : "")
+                     == 0,
+                 "%s: label %s", row->title, wld->plc->lacking_label);
+  for (int n = 0; n < 8; n++)
+    {
+      play (1000);
+      for (size_t m = 0; m < count; m++)
+        if (row->requests[m].kept != NONE)
+          {
+            vacate (hosts[m]);
+            ck_assert (!host_empty (hosts[m]));
+          }
+    }
+  for (size_t n = 0; n < count; n++)
+    {
+      ck_assert_msg (kept_reason (hosts[n]) == row->requests[n].kept,
+                     "%s: %s later: reason %d", row->title, hosts[n],
+                     kept_reason (hosts[n]));
+      ck_assert_msg (host_empty (hosts[n]) == (row->requests[n].kept == NONE),
+                     "%s: %s: empty %d", row->title, hosts[n],
+                     host_empty (hosts[n]));
+      if (row->requests[n].kept != NONE)
+        ck_assert (worker_schedulable (find_worker (row->requests[n].worker),
+                                       wld->clk.now_us));
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -350,6 +640,8 @@
   tcase_add_test (tc, test_unplaced_reports_limited);
   tcase_add_test (tc, test_unplaced_not_reported);
   tcase_add_test (tc, test_task_beside_vacated_hosts);
+  tcase_add_loop_test (tc, test_requests, 0,
+                       sizeof vacate_cases / sizeof vacate_cases[0]);
   Suite *suite = suite_create ("placer_vacate");
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
