--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -114,3 +114,10 @@
       placer_stop_run (plc, run);
     }
 }
+
+bool
+placer_host_kept (const struct placer *plc, const char *host,
+                  struct placer_kept *kept)
+{
+  return false;
+}
