node: a pool's owner refuses to vacate a host that it keeps

Callers saw LOST while hosts could be neither used nor emptied: the owner knew that a host's tasks had no other place and did not tell the holder of the fleet duty.

A new request starts anew, also when it replaces one that was not withdrawn.

--- a/node/fleet.c
+++ b/node/fleet.c
@@ -387,6 +387,16 @@
   talloc_free (req);
 }
 
+/* Withdraws the request for HOST from the placers that have refused it.  */
+static void
+release_kept (struct fleet_duty *flt, const char *host)
+{
+  struct placer_kept kept;
+  for (struct held_duty *hld = flt->nod->held_duties; hld; hld = hld->next)
+    if (hld->plc && placer_host_kept (hld->plc, host, &kept))
+      placer_vacate (hld->plc, host, 0);
+}
+
 static struct vacate_request *
 add_request (struct fleet_duty *flt, const char *host)
 {
@@ -417,6 +427,9 @@
       struct mgr_host *managed = flt->active && msg->token == flt->token
                                      ? host_mgr_find (&flt->mgr, host)
                                      : NULL;
+      /* A host that was kept for the earlier request is asked for anew.  */
+      if (req && req->offset != offset)
+        release_kept (flt, host);
       if (req)
         {
           if (req->token != msg->token)
--- a/node/fleet_priv.h
+++ b/node/fleet_priv.h
@@ -19,8 +19,9 @@
   char host[NAME_BYTES];
   uint64_t offset;
   int64_t until_ms;         /* wall clock; what still runs then is stopped */
-  uint64_t reported_offset; /* of the request last reported as done */
-  uint64_t reported_token;  /* of the pool's owner that reported it */
+  uint64_t reported_offset; /* of the request last answered */
+  uint64_t reported_token;  /* of the pool's owner that answered it */
+  bool refused;             /* that answer was a refusal */
   uint64_t token; /* of the holder of the fleet duty that made the request */
   int64_t superseded_us; /* when this process knew that the holder's duty had
                             ended; 0: it does not */
@@ -56,7 +57,7 @@
 
 /* node/fleet_vacate.c */
 /* Tells the placer which of its hosts are to be emptied, and reports those
-   that are empty.  */
+   that are empty and those that the pool keeps.  */
 void node_fleet_answer_requests (struct held_duty *hld);
 
 /* node/fleet_orders.c */
