--- a/sched/placer.h
+++ b/sched/placer.h
@@ -189,27 +189,6 @@
 bool placer_host_empty (const struct placer *plc, const char *host,
                         struct placer_vacated *vac);
 
-/* Why a pool keeps a host that it was asked to vacate.  */
-enum placer_keep_reason
-{
-  PLACER_KEEP_NONE,
-  PLACER_KEEP_NO_PLACE,
-  PLACER_KEEP_TASK_WAITS,
-  PLACER_KEEP_NO_PROGRESS,
-};
-
-struct placer_kept
-{
-  enum placer_keep_reason reason;
-  char task[TASK_NAME_MAX]; /* empty: none */
-  int64_t took_us;
-};
-
-/* Whether the pool keeps HOST although placer_vacate asked for it; then *KEPT
-   is set.  */
-bool placer_host_kept (const struct placer *plc, const char *host,
-                       struct placer_kept *kept);
-
 /* Does all work that is due.  Returns the monotonic time in microseconds at
    which to call again.  */
 int64_t placer_tick (struct placer *plc);
--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -492,10 +492,3 @@
   if (wrk->vacate)
     note_progress (wrk, now_us);
 }
-
-bool
-placer_host_kept (const struct placer *plc, const char *host,
-                  struct placer_kept *kept)
-{
-  return false;
-}
