--- a/test/unit/unit_placer_moves.c
+++ b/test/unit/unit_placer_moves.c
@@ -200,6 +200,19 @@
     step ();
 }
 
+/* Lets the run of a task end.  */
+static void
+end_run (uint64_t job, uint32_t index, enum run_end end)
+{
+  for (size_t n = 0; n < run_count; n++)
+    if (runs[n].task.job == job && runs[n].task.index == index
+        && !runs[n].ends_us)
+      {
+        runs[n].ends_us = wld->clk.now_us;
+        runs[n].end = end;
+      }
+}
+
 /* Whether task INDEX of JOB has a run on worker ID that is not being
    stopped.  */
 static bool
@@ -434,6 +447,63 @@
 }
 END_TEST
 
+/* Guards against batch runs that are stopped for nothing: those that are being
+   stopped for one perpetual task did not count as room for the next one.  */
+START_TEST (test_preempts_no_more_than_needed)
+{
+  uint32_t stops = 0;
+  add_worker ("w1");
+  world_add_job (wld, 2,
+                 "{\"steps\":[{\"count\":8,\"cpu\":500,\"mem-mb\":64,"
+                 "\"estimate-ms\":60000}]}",
+                 200);
+  steps (400);
+  struct job *job
+      = world_add_job (wld, 1,
+                       "{\"steps\":[{\"count\":2,\"cpu\":1000,\"mem-mb\":64,"
+                       "\"perpetual\":true}]}",
+                       201);
+  steps (1000);
+  for (size_t n = 0; n < wld->call_count; n++)
+    stops += wld->calls[n].kind == WORLD_STOP;
+  ck_assert_uint_eq (stops, 4);
+  for (uint32_t k = 0; k < 2; k++)
+    ck_assert (runs_on (job, k, "w1"));
+}
+END_TEST
+
+/* Guards against a perpetual task that waits for its turn behind thousands of
+   jobs: jobs that only fill idle processors rank last.  */
+START_TEST (test_perpetual_behind_many_jobs)
+{
+  add_worker ("w1");
+  struct job *job
+      = world_add_job (wld, 1,
+                       "{\"steps\":[{\"count\":1,\"cpu\":100,\"mem-mb\":64,"
+                       "\"perpetual\":true,\"fills\":true}]}",
+                       200);
+  steps (400);
+  ck_assert (runs_on (job, 0, "w1"));
+  for (uint32_t n = 0; n < 5000; n++)
+    world_add_job (wld, 2 + n,
+                   "{\"steps\":[{\"count\":1,\"cpu\":9000,\"mem-mb\":64,"
+                   "\"estimate-ms\":60000}]}",
+                   201 + n);
+  steps (1000);
+  for (int end = 0; end < 8; end++)
+    {
+      int64_t begin_us = wld->clk.now_us;
+      end_run (1, 0, RUN_END_DONE);
+      steps (120);
+      while (!runs_on (job, 0, "w1"))
+        {
+          step ();
+          ck_assert_int_lt (wld->clk.now_us - begin_us, 500000);
+        }
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -447,6 +517,8 @@
   tcase_add_test (tc, test_destination_vacated_after_stop);
   tcase_add_test (tc, test_places_of_each_other);
   tcase_add_test (tc, test_moves_within_bound);
+  tcase_add_test (tc, test_preempts_no_more_than_needed);
+  tcase_add_test (tc, test_perpetual_behind_many_jobs);
   Suite *suite = suite_create ("placer_moves");
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
