sched: runs that are being stopped count as room for the next perpetual task

A run that is being stopped keeps its resources until its end is known. The search for runs to stop did not count them as room to come, although their room is reserved by the task that they are stopped for. The second task on a worker thus stopped the room of the first one once more, and so on.

Now they count. Where they already make enough room the task reserves it without a further stop; runs.preempted then says stopped=0.

unit_placer_moves: two tasks that need two runs each stop 4 of 8 (6 before).

--- a/sched/placer_preempt.c
+++ b/sched/placer_preempt.c
@@ -112,22 +112,27 @@
 }
 
 /* Returns the number of batch runs on WRK that have to be stopped for the task
-   to fit, or 0 if it does not fit even then.  Stops them if STOP is true.  */
-static uint32_t
+   to fit once the runs that are being stopped already have ended, or -1 if it
+   does not fit even then.  Stops them if STOP is true.  */
+static int
 preempt_on_worker (struct placer *plc, struct worker *wrk,
                    const struct step *stp, bool stop)
 {
   const struct resources before = wrk->used;
-  uint32_t count = 0;
+  int count = 0;
   for (struct run *run = wrk->runs; run; run = run->next)
-    run->preempted = false;
+    {
+      run->preempted = false;
+      if (run->stop_wanted)
+        resources_add (&wrk->used, &run->job->spec.steps[run->ref.step], -1);
+    }
   while (!place_fits (wrk, stp))
     {
       struct run *run = pick_victim (wrk);
       if (!run)
         {
           wrk->used = before;
-          return 0;
+          return -1;
         }
       run->preempted = true;
       resources_add (&wrk->used, &run->job->spec.steps[run->ref.step], -1);
@@ -147,7 +152,7 @@
   const struct step *stp = &job->spec.steps[ref->step];
   struct task *tsk = job_task (job, ref);
   struct worker *best = NULL;
-  uint32_t best_count = 0;
+  int best_count = 0;
   if (tsk->reserved_worker)
     return;
   for (size_t n = 0; n < plc->pool.count; n++)
@@ -157,8 +162,8 @@
           = { .job = job, .step = stp, .ref = ref, .now_us = now_us };
       if (!place_allowed (wrk, &req))
         continue;
-      uint32_t count = preempt_on_worker (plc, wrk, stp, false);
-      if (count > 0 && (!best || count < best_count))
+      int count = preempt_on_worker (plc, wrk, stp, false);
+      if (count >= 0 && (!best || count < best_count))
         {
           best = wrk;
           best_count = count;
