sched: perpetual tasks that wait are tried in every tick

Callers may have seen a perpetual task without a run for seconds in a pool with a large backlog. A tick places the first 512 jobs in order and 64 of the rest in turn. Jobs whose perpetual tasks only fill idle processors rank last, so that with 5,000 jobs a failed task of theirs had its turn after up to 2,840 ms.

Jobs with perpetual tasks, which are few, are now placed in every tick.

unit_placer_moves, ticks of 40 ms, 5,000 waiting jobs: tried again within 500 ms in 8 of 8 ends (2,840 ms in 11 of 12 before).

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -387,6 +387,15 @@
     }
 }
 
+static bool
+has_perpetual_step (const struct job *job)
+{
+  for (size_t n = 0; n < job->spec.step_count; n++)
+    if (job->spec.steps[n].perpetual)
+      return true;
+  return false;
+}
+
 static bool
 job_has_runs (const struct job *job)
 {
@@ -453,14 +462,16 @@
       place_job (plc, cands[n].job, now_us, wall_ms);
     }
   /* The first jobs may be such that no worker can take them.  Of the others a
-     different part is tried in each tick.  */
+     different part is tried in each tick, and those with perpetual tasks, which
+     are few, in all ticks: these tasks may have to be restarted at once.  */
   uint64_t parts = (count - placed) / OTHER_JOBS_PER_TICK + 1;
   plc->failed_searches = 0;
   plc->tick_number++;
   for (size_t n = placed; n < count; n++)
     {
       plc->placing_past_use = cands[n].key.past_use;
-      if ((cands[n].job->id + plc->tick_number) % parts == 0)
+      if ((cands[n].job->id + plc->tick_number) % parts == 0
+          || has_perpetual_step (cands[n].job))
         place_job (plc, cands[n].job, now_us, wall_ms);
       else
         note_waiting_job (plc, cands[n].job, wall_ms);
