--- a/sched/pool.h
+++ b/sched/pool.h
@@ -40,6 +40,7 @@
   int calls_in_flight;
   bool removed;      /* no longer in its worker's list */
   int64_t listed_us; /* when the last hold that listed it was sent */
+  bool moving;       /* capacity was reserved elsewhere to empty its host */
 };
 
 struct worker
@@ -110,16 +111,16 @@
   int64_t avoid_span_us;    /* its length; doubles with each failure */
   int64_t avoid_until_us;   /* pause of a worker that is busy or lacks room */
   bool vacate;              /* its host is to be emptied */
-  int64_t vacate_until_us;  /* batch tasks still there then are stopped */
-  int64_t vacate_begun_us;  /* when this owner was asked to empty it */
-  int64_t cleared_us;       /* when nothing ran there any more; 0: not yet */
-  uint32_t vacate_stops;    /* runs stopped to empty it */
-  bool moves_reserved;      /* a task that runs here may have a reservation on
-                               another worker */
-  bool stops_wanted;        /* a run may have a stop that is not
-                               acknowledged */
-  bool reported_idle; /* the pool reports the host as surplus: it gets no new
-                         tasks while others have room */
+  /* The request for its host, also if it was refused; NULL: none.  */
+  struct vacated_host *vac;
+  uint32_t vacate_runs; /* runs that were left at the last tick */
+  uint32_t plan_pos;    /* index in the plan of places */
+  bool moves_reserved;  /* a task that runs here may have a reservation on
+                           another worker */
+  bool stops_wanted;    /* a run may have a stop that is not
+                           acknowledged */
+  bool reported_idle;   /* the pool reports the host as surplus: it gets no new
+                           tasks while others have room */
 };
 
 /* Whether RUN, of a perpetual task, is known to be active and at its full
@@ -192,9 +193,18 @@
 /* Whether the last answer of WRK lists runs whose jobs are not known.  */
 bool worker_has_unknown_runs (const struct worker *wrk);
 
+/* Whether WRK takes new tasks once it is enrolled, unless its host is vacated
+   or it leaves by its own notice.  */
+bool worker_usable (const struct worker *wrk, int64_t now_us);
+
 /* Whether WRK takes new tasks.  */
 bool worker_schedulable (const struct worker *wrk, int64_t now_us);
 
+/* Number of other tasks of the step and occurrence that run on WRK or have a
+   reservation there.  */
+uint32_t place_siblings (const struct worker *wrk,
+                         const struct place_request *req);
+
 /* Whether WRK may run the task.  Does not check its free resources.  */
 bool place_allowed (const struct worker *wrk, const struct place_request *req);
 
