test/unit: the only allowed worker fails, a reserved host is idle, failing; gangs, a leaving worker

A perpetual task that fails three times on the only worker with its label has no run for 3 s, then up to 24 s, while the worker is avoided. The host of a move's destination is reported as idle, so that the holder of the fleet duty may take it. Two gangs and a worker that leaves by its own notice with four tasks of a step are as they should be.

--- a/test/unit/unit_placer_moves.c
+++ b/test/unit/unit_placer_moves.c
@@ -213,6 +213,17 @@
       }
 }
 
+/* Whether the last run of the task has ended.  */
+static bool
+has_ended (uint64_t job, uint32_t index)
+{
+  bool ended = true;
+  for (size_t n = 0; n < run_count; n++)
+    if (runs[n].task.job == job && runs[n].task.index == index)
+      ended = runs[n].ends_us > 0;
+  return ended;
+}
+
 /* Whether task INDEX of JOB has a run on worker ID that is not being
    stopped.  */
 static bool
@@ -504,6 +515,127 @@
 }
 END_TEST
 
+/* Guards against a perpetual task without a run for up to 24 s: its own failed
+   runs let the only worker that it is allowed on be avoided, while others,
+   which it cannot use, take tasks.  */
+START_TEST (test_only_allowed_worker_fails)
+{
+  static const char *const others[] = { "w2", "w3", "w4" };
+  add_worker ("w1");
+  struct worker_report rep = worker ("w1")->rep;
+  rep.label_count = 1;
+  name_copy (rep.labels[0], "fast");
+  placer_update_worker (wld->plc, "w1", &rep);
+  for (size_t n = 0; n < 3; n++)
+    add_worker (others[n]);
+  struct job *job
+      = world_add_job (wld, 1,
+                       "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64,"
+                       "\"perpetual\":true,\"requirements\":\"fast\"}]}",
+                       200);
+  steps (400);
+  for (int end = 0; end < 8; end++)
+    {
+      int64_t begin_us = wld->clk.now_us;
+      ck_assert (runs_on (job, 0, "w1"));
+      end_run (1, 0, RUN_END_FAILED);
+      do
+        {
+          step ();
+          ck_assert_msg (wld->clk.now_us - begin_us < 1500000,
+                         "failed run %d: no other one after 1.5 s", end + 1);
+        }
+      while (!runs_on (job, 0, "w1") || has_ended (1, 0));
+    }
+}
+END_TEST
+
+/* Guards against a host that is asked for as idle although it is the next
+   place of a task that moves.  */
+START_TEST (test_reserved_host_not_idle)
+{
+  struct placer_demand dem;
+  add_worker ("w1");
+  struct job *job = world_add_job (wld, 1, SERVING ("1"), 200);
+  steps (200);
+  add_worker ("w2");
+  add_worker ("w3");
+  add_worker ("w4");
+  steps (400);
+  vacate ("w1", true);
+  step ();
+  const struct worker *to = pool_find (
+      &wld->plc->pool, job->occurrences[0].tasks[0].reserved_worker);
+  ck_assert_ptr_nonnull (to);
+  placer_demand (wld->plc, &dem);
+  ck_assert_uint_gt (dem.idle_count, 0);
+  for (size_t n = 0; n < dem.idle_count; n++)
+    ck_assert_str_ne (dem.idle[n], to->rep.host);
+}
+END_TEST
+
+#define GANG                                                                  \
+  "{\"steps\":[{\"count\":6,\"cpu\":1000,\"mem-mb\":64,\"gang\":true,"        \
+  "\"rack-sensitive\":true,\"estimate-ms\":900}]}"
+
+/* Guards against two gangs that each hold half of the room that one of them
+   needs: each waits without holding anything, and starts when there is
+   room.  */
+START_TEST (test_gangs_hold_nothing)
+{
+  add_worker ("w1");
+  struct job *first = world_add_job (wld, 1, GANG, 200);
+  struct job *second = world_add_job (wld, 2, GANG, 201);
+  steps (400);
+  for (uint32_t k = 0; k < 6; k++)
+    {
+      ck_assert_uint_eq (first->occurrences[0].tasks[k].reserved_worker, 0);
+      ck_assert_uint_eq (second->occurrences[0].tasks[k].reserved_worker, 0);
+      ck_assert_uint_eq (world_starts (wld, 1, k) + world_starts (wld, 2, k),
+                         0);
+    }
+  add_worker ("w2");
+  steps (400);
+  struct job *running = first->occurrences[0].tasks[0].run ? first : second;
+  struct job *waiting = running == first ? second : first;
+  for (uint32_t k = 0; k < 6; k++)
+    {
+      ck_assert_ptr_nonnull (running->occurrences[0].tasks[k].run);
+      ck_assert_uint_eq (world_starts (wld, waiting->id, k), 0);
+    }
+  for (uint32_t k = 0; k < 6; k++)
+    end_run (running->id, k, RUN_END_DONE);
+  steps (400);
+  for (uint32_t k = 0; k < 6; k++)
+    ck_assert_uint_eq (world_starts (wld, waiting->id, k), 1);
+}
+END_TEST
+
+/* Guards against perpetual tasks that end with a worker which leaves by its
+   own notice of 2 s, in a full pool: each has its next place by then, one at a
+   time.  */
+START_TEST (test_leaving_worker)
+{
+  add_worker ("w1");
+  struct job *job
+      = world_add_job (wld, 1,
+                       "{\"steps\":[{\"count\":4,\"cpu\":1000,\"mem-mb\":64,"
+                       "\"perpetual\":true,\"may-miss\":1}]}",
+                       200);
+  steps (400);
+  add_worker ("w2");
+  add_worker ("w3");
+  world_add_job (wld, 2, BACKLOG, 201);
+  steps (400);
+  tasks_missing = 0;
+  lose ("w1", LOSS_DRAINING);
+  steps (2000);
+  ck_assert_uint_le (tasks_missing, 1);
+  for (uint32_t k = 0; k < 4; k++)
+    ck_assert (runs_on (job, k, "w2") || runs_on (job, k, "w3"));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -519,6 +651,10 @@
   tcase_add_test (tc, test_moves_within_bound);
   tcase_add_test (tc, test_preempts_no_more_than_needed);
   tcase_add_test (tc, test_perpetual_behind_many_jobs);
+  tcase_add_test (tc, test_only_allowed_worker_fails);
+  tcase_add_test (tc, test_reserved_host_not_idle);
+  tcase_add_test (tc, test_gangs_hold_nothing);
+  tcase_add_test (tc, test_leaving_worker);
   Suite *suite = suite_create ("placer_moves");
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
