sched: the host of a reservation is not reported as idle

A perpetual task that moves had its next place on an empty host, which the owner reported as idle at the same time. The holder of the fleet duty may take an idle host of a pool that is not short at once for another pool. The request is refused or the move begins anew, and both cost time.

--- a/sched/demand.c
+++ b/sched/demand.c
@@ -143,16 +143,23 @@
   return each > 0 ? (need + each - 1) / each : 1;
 }
 
+/* Counts the runs on WRK.  Sets *PERPETUAL if a perpetual task runs there or
+   has a reservation.  */
 static uint32_t
 count_runs (const struct worker *wrk, bool *perpetual)
 {
   uint32_t count = 0;
+  struct resources reserved = wrk->used;
   *perpetual = false;
   for (const struct run *run = wrk->runs; run; run = run->next)
     {
-      *perpetual = *perpetual || run->job->spec.steps[run->ref.step].perpetual;
+      const struct step *stp = &run->job->spec.steps[run->ref.step];
+      *perpetual = *perpetual || stp->perpetual;
+      resources_add (&reserved, stp, -1);
       count++;
     }
+  *perpetual = *perpetual || reserved.cpu_milli > 0 || reserved.memory_mb > 0
+               || reserved.accelerators > 0;
   return count;
 }
 
@@ -174,7 +181,7 @@
 
 /* Reports up to SURPLUS hosts as idle, those with the fewest tasks first. They
    get no new tasks while others have room, so that they are empty within a
-   second.  Hosts with perpetual tasks are not reported.  */
+   second.  Hosts with perpetual tasks, or reservations, are not reported.  */
 static void
 report_idle_hosts (const struct placer *plc, int64_t now_us, int64_t surplus,
                    struct placer_demand *dem)
