sched: a perpetual task that has one worker only does not wait for its pause

Callers may have seen a perpetual task without a run for up to 24 s: after three failed runs its worker gets no tasks for 3 s, doubled with each failure. The pause is shortened only where most workers of the pool fail. A task whose label, bound or size leaves it that worker alone waited it out, beside workers that it cannot use.

Now the pause is limited to 1 s for workers that a waiting perpetual task may use and needs, as it has no place elsewhere, not even after preemption; worker.avoided says only_place then.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -25,10 +25,6 @@
 /* Time over which is measured how often ticks reach the limit of starts.  */
 #define START_LIMIT_SPAN_US 1000000
 
-/* Longest time for which a worker gets no tasks after failed runs, if most
-   workers have failed some.  */
-#define MOST_FAIL_PAUSE_US 1000000
-
 struct candidate
 {
   struct job_order_key key;
@@ -492,8 +488,9 @@
       place_job (plc, cands[n].job, now_us, wall_ms);
     }
   /* The first jobs may be such that no worker can take them.  Of the others a
-     different part is tried in each tick, and those with perpetual tasks, which
-     are few, in all ticks: these tasks may have to be restarted at once.  */
+     different part is tried in each tick, and those with perpetual tasks,
+     which are few, in all ticks: these tasks may have to be restarted at once.
+   */
   uint64_t parts = (count - placed) / OTHER_JOBS_PER_TICK + 1;
   plc->failed_searches = 0;
   plc->tick_number++;
@@ -534,8 +531,8 @@
   for (size_t n = 0; failing > usable && n < plc->pool.count; n++)
     {
       struct worker *wrk = plc->pool.workers[n];
-      if (wrk->failing_until_us > now_us + MOST_FAIL_PAUSE_US)
-        wrk->failing_until_us = now_us + MOST_FAIL_PAUSE_US;
+      if (wrk->failing_until_us > now_us + FAILING_PAUSE_SHORT_US)
+        wrk->failing_until_us = now_us + FAILING_PAUSE_SHORT_US;
     }
 }
 
--- a/sched/placer_preempt.c
+++ b/sched/placer_preempt.c
@@ -145,12 +145,36 @@
   return count;
 }
 
+/* Uses workers that are avoided after failed runs sooner, if a perpetual task
+   that has no place elsewhere may run there.  */
+static void
+shorten_pauses (struct placer *plc, const struct place_request *req)
+{
+  for (size_t n = 0; n < plc->pool.count; n++)
+    {
+      struct worker *wrk = plc->pool.workers[n];
+      struct place_request later = *req;
+      later.now_us = wrk->failing_until_us;
+      if (wrk->failing_until_us <= req->now_us + FAILING_PAUSE_SHORT_US
+          || !place_allowed (wrk, &later))
+        continue;
+      wrk->failing_until_us = req->now_us + FAILING_PAUSE_SHORT_US;
+      char name[TASK_NAME_MAX];
+      task_ref_format (req->ref, name);
+      log_event (plc->env.lg, EV_WORKER_AVOIDED, LOG_S ("worker", wrk->rep.id),
+                 LOG_S ("reason", "only_place"), LOG_S ("task", name),
+                 LOG_I ("for_ms", FAILING_PAUSE_SHORT_US / 1000));
+    }
+}
+
 void
 placer_preempt (struct placer *plc, struct job *job,
                 const struct task_ref *ref, int64_t now_us)
 {
   const struct step *stp = &job->spec.steps[ref->step];
   struct task *tsk = job_task (job, ref);
+  const struct place_request req
+      = { .job = job, .step = stp, .ref = ref, .now_us = now_us };
   struct worker *best = NULL;
   int best_count = 0;
   if (tsk->reserved_worker)
@@ -158,8 +182,6 @@
   for (size_t n = 0; n < plc->pool.count; n++)
     {
       struct worker *wrk = plc->pool.workers[n];
-      const struct place_request req
-          = { .job = job, .step = stp, .ref = ref, .now_us = now_us };
       if (!place_allowed (wrk, &req))
         continue;
       int count = preempt_on_worker (plc, wrk, stp, false);
@@ -169,6 +191,8 @@
           best_count = count;
         }
     }
+  if (!best && !tsk->run)
+    shorten_pauses (plc, &req);
   if (!best)
     return;
   char name[TASK_NAME_MAX];
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -9,6 +9,11 @@
 /* A worker's clock may run slower than this process's by up to this share.  */
 #define CLOCK_SLOW_MAX_PERCENT 2
 
+/* Longest time for which a worker gets no tasks after failed runs, if most
+   workers have failed some, or if a perpetual task has no other place: the
+   jobs are probably at fault, or have to be tried all the same.  */
+#define FAILING_PAUSE_SHORT_US 1000000
+
 /* Most entries of no_room in struct placer.  */
 #define NO_ROOM_MAX 32
 /* Most searches for a worker in one tick that find none, for tasks without
