sched: no host is given up that the tasks of a silent worker need

Callers may have seen perpetual tasks without a run after the loss of a data centre, beside hosts that were given up while it lasted. A task whose worker does not answer is restarted elsewhere once its lease has expired, 5 s later. The plan of places did not count it until then, so that the last place for it was reported as empty at once and taken.

Tasks of silent or ended workers now count as in need of a place while any host is to be emptied: a host that has not been reported as empty is kept for them. They make the pool ask for no hosts, as the worker may be back soon.

unit_placer_moves, test_cut_off_task_keeps_place: failed in both cases before, the host was reported as empty within 40 ms; passes now.

--- a/sched/placer_places.c
+++ b/sched/placer_places.c
@@ -130,8 +130,13 @@
       need->vac = wrk->vac;
       return true;
     }
-  if ((!vac && !wrk->rep.draining) || keeps_reservation (reserved, now_us))
+  if (keeps_reservation (reserved, now_us))
     return false;
+  if (!vac && !wrk->rep.draining)
+    {
+      need->kind = NEED_SILENT;
+      return worker_silent (wrk);
+    }
   /* The host of the reservation is kept if the task has no other place.  */
   if (next && next->state == VACATE_ASKED
       && (!vac || vac->state == VACATE_GRANTED))
@@ -157,7 +162,10 @@
   };
   if (tsk->run && !tsk->run->stop_wanted)
     {
-      if (!classify_running (tsk->run->wrk, reserved, plan->now_us, &need))
+      /* Where no host is to be emptied, nothing is decided for silent
+         workers, of which there may be many.  */
+      if (!classify_running (tsk->run->wrk, reserved, plan->now_us, &need)
+          || (need.kind == NEED_SILENT && !plc->vacated))
         return true;
     }
   else if (keeps_reservation (reserved, plan->now_us))
--- a/sched/placer_places.h
+++ b/sched/placer_places.h
@@ -55,9 +55,11 @@
 {
   NEED_WAITING,  /* it has no run, or is being stopped */
   NEED_DRAINING, /* its worker leaves by its own notice */
-  NEED_GRANTED,  /* its host is being emptied */
-  NEED_ASKED,    /* its host is asked for */
-  NEED_KEPT,     /* its host was kept a short time ago; nothing is to move */
+  NEED_SILENT,  /* its worker does not answer or has ended: the task is started
+                   elsewhere once its run has certainly ended */
+  NEED_GRANTED, /* its host is being emptied */
+  NEED_ASKED,   /* its host is asked for */
+  NEED_KEPT,    /* its host was kept a short time ago; nothing is to move */
 };
 
 struct place_need
--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -231,15 +231,15 @@
     name_copy (plc->lacking_label, stp->required_label);
 }
 
-/* Gives the tasks that wait, or whose workers leave by their own notice,
-   places; gives hosts back for those that have none.  */
+/* Gives the tasks that wait, or whose workers leave by their own notice or do
+   not answer, places; gives hosts back for those that have none.  */
 static void
 plan_waiting (struct place_plan *plan)
 {
   struct placer *plc = plan->plc;
   bool may_start = placer_may_start (plc, plan->now_us);
   for (size_t n = 0;
-       n < plan->need_count && plan->needs[n].kind <= NEED_DRAINING; n++)
+       n < plan->need_count && plan->needs[n].kind <= NEED_SILENT; n++)
     {
       struct place_need *need = &plan->needs[n];
       struct vacated_host *vac = NULL;
@@ -254,7 +254,8 @@
       keep_host (plc, vac, PLACER_KEEP_TASK_WAITS, &need->ref, plan->now_us);
       places_set_host (plan, vac, true);
       places_give (plan, need);
-      note_lacking (plc, need->stp);
+      if (need->kind != NEED_SILENT)
+        note_lacking (plc, need->stp);
     }
 }
 
@@ -322,7 +323,8 @@
     }
 }
 
-/* Counts the hosts that the tasks without a place lack.  */
+/* Counts the hosts that the tasks without a place lack.  A worker that does
+   not answer may be back soon.  */
 static void
 count_lacking (struct place_plan *plan)
 {
@@ -334,7 +336,7 @@
   for (size_t n = 0; n < plan->need_count; n++)
     {
       struct place_need *need = &plan->needs[n];
-      if (need->place || need->kind > NEED_GRANTED
+      if (need->place || need->kind > NEED_GRANTED || need->kind == NEED_SILENT
           || (need->vac && need->vac->state != VACATE_GRANTED))
         continue;
       places_give_lacking (plan, need);
--- a/sched/pool.c
+++ b/sched/pool.c
@@ -172,12 +172,18 @@
          || wrk->unknown.accelerators > 0;
 }
 
+bool
+worker_silent (const struct worker *wrk)
+{
+  return wrk->ended_us || wrk->unanswered_calls >= UNANSWERED_CALLS_LIMIT;
+}
+
 bool
 worker_usable (const struct worker *wrk, int64_t now_us)
 {
-  return wrk->registered && !wrk->ended_us && wrk->reached && wrk->clock_ms > 0
-         && wrk->unanswered_calls < UNANSWERED_CALLS_LIMIT
-         && now_us >= wrk->avoid_until_us && now_us >= wrk->failing_until_us;
+  return wrk->registered && !worker_silent (wrk) && wrk->reached
+         && wrk->clock_ms > 0 && now_us >= wrk->avoid_until_us
+         && now_us >= wrk->failing_until_us;
 }
 
 bool
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -193,6 +193,10 @@
 /* Whether the last answer of WRK lists runs whose jobs are not known.  */
 bool worker_has_unknown_runs (const struct worker *wrk);
 
+/* Whether WRK does not answer or has ended, so that its runs may have to be
+   started elsewhere.  */
+bool worker_silent (const struct worker *wrk);
+
 /* Whether WRK takes new tasks once it is enrolled, unless its host is vacated
    or it leaves by its own notice.  */
 bool worker_usable (const struct worker *wrk, int64_t now_us);
--- a/test/unit/unit_placer_moves.c
+++ b/test/unit/unit_placer_moves.c
@@ -636,6 +636,42 @@
 }
 END_TEST
 
+/* Guards against a host that is given up while the task of a worker that does
+   not answer, which is restarted once its lease has expired, has no other
+   place.  ASKED_FIRST: the host was asked for before that worker was cut
+   off.  */
+START_TEST (test_cut_off_task_keeps_place)
+{
+  bool asked_first = _i;
+  struct placer_kept kept;
+  struct placer_vacated vac;
+  add_worker ("w1");
+  add_worker ("w2");
+  struct job *job = world_add_job (wld, 1, SERVING ("2"), 200);
+  steps (200);
+  add_worker ("w3");
+  world_release_earlier (wld);
+  steps (6000);
+  ck_assert (placer_takeover_done (wld->plc));
+  if (asked_first)
+    vacate ("w3", true);
+  lose ("w1", LOSS_CUT_OFF);
+  vacate ("w3", true);
+  for (int n = 0; n < 1000; n += STEP_MS)
+    {
+      step ();
+      ck_assert (!placer_host_empty (wld->plc, "m-w3", &vac));
+    }
+  ck_assert (placer_host_kept (wld->plc, "m-w3", &kept));
+  ck_assert_int_eq (kept.reason, PLACER_KEEP_TASK_WAITS);
+  /* One that only does not answer makes the pool ask for no hosts.  */
+  ck_assert_uint_eq (wld->plc->lacking_hosts, 0);
+  steps (7000);
+  for (uint32_t k = 0; k < 2; k++)
+    ck_assert (runs_on (job, k, "w2") || runs_on (job, k, "w3"));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -655,6 +691,7 @@
   tcase_add_test (tc, test_reserved_host_not_idle);
   tcase_add_test (tc, test_gangs_hold_nothing);
   tcase_add_test (tc, test_leaving_worker);
+  tcase_add_loop_test (tc, test_cut_off_task_keeps_place, 0, 2);
   Suite *suite = suite_create ("placer_moves");
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
