--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -83,14 +83,39 @@
   return vac;
 }
 
+/* Drops the reservations of tasks that run on WRK and are not moved any
+   more.  */
+static void
+drop_moves (struct placer *plc, struct worker *wrk, int64_t now_us)
+{
+  wrk->moves_reserved = false;
+  for (const struct run *run = wrk->runs; run; run = run->next)
+    {
+      const struct place_request req
+          = { .job = run->job,
+              .step = &run->job->spec.steps[run->ref.step],
+              .ref = &run->ref,
+              .now_us = now_us };
+      if (run->tsk->run == run && !run->stop_wanted
+          && run->tsk->reserved_worker)
+        placer_drop_reservation (plc, &req, "not_moved");
+    }
+}
+
 /* Lets the workers of the host, which is not to be emptied any more, take
    tasks.  */
 static void
 use_again (struct placer *plc, struct vacated_host *vac)
 {
   for (size_t n = 0; n < plc->pool.count; n++)
-    if (plc->pool.workers[n]->vac == vac)
-      set_vacate (plc->pool.workers[n], vac);
+    {
+      struct worker *wrk = plc->pool.workers[n];
+      if (wrk->vac != vac)
+        continue;
+      set_vacate (wrk, vac);
+      if (!wrk->rep.draining)
+        drop_moves (plc, wrk, clock_now_us (plc->env.clk));
+    }
 }
 
 static void
@@ -205,15 +230,15 @@
     name_copy (plc->lacking_label, stp->required_label);
 }
 
-/* Gives the tasks that wait, or whose workers leave by their own notice,
-   places; gives hosts back for those that have none.  */
+/* Gives the tasks that wait, or whose workers leave by their own notice or do
+   not answer, places; gives hosts back for those that have none.  */
 static void
 plan_waiting (struct place_plan *plan)
 {
   struct placer *plc = plan->plc;
   bool may_start = placer_may_start (plc, plan->now_us);
   for (size_t n = 0;
-       n < plan->need_count && plan->needs[n].kind <= NEED_DRAINING; n++)
+       n < plan->need_count && plan->needs[n].kind <= NEED_SILENT; n++)
     {
       struct place_need *need = &plan->needs[n];
       struct vacated_host *vac = NULL;
@@ -228,7 +253,8 @@
       keep_host (plc, vac, PLACER_KEEP_TASK_WAITS, &need->ref, plan->now_us);
       places_set_host (plan, vac, true);
       places_give (plan, need);
-      note_lacking (plc, need->stp);
+      if (need->kind != NEED_SILENT)
+        note_lacking (plc, need->stp);
     }
 }
 
@@ -296,7 +322,8 @@
     }
 }
 
-/* Counts the hosts that the tasks without a place lack.  */
+/* Counts the hosts that the tasks without a place lack.  A worker that does
+   not answer may be back soon.  */
 static void
 count_lacking (struct place_plan *plan)
 {
@@ -308,7 +335,7 @@
   for (size_t n = 0; n < plan->need_count; n++)
     {
       struct place_need *need = &plan->needs[n];
-      if (need->place || need->kind > NEED_GRANTED
+      if (need->place || need->kind > NEED_GRANTED || need->kind == NEED_SILENT
           || (need->vac && need->vac->state != VACATE_GRANTED))
         continue;
       places_give_lacking (plan, need);
@@ -419,25 +446,6 @@
   return wrk != NULL;
 }
 
-/* Drops the reservations of tasks that run on WRK and are not moved any
-   more.  */
-static void
-drop_moves (struct placer *plc, struct worker *wrk, int64_t now_us)
-{
-  wrk->moves_reserved = false;
-  for (const struct run *run = wrk->runs; run; run = run->next)
-    {
-      const struct place_request req
-          = { .job = run->job,
-              .step = &run->job->spec.steps[run->ref.step],
-              .ref = &run->ref,
-              .now_us = now_us };
-      if (run->tsk->run == run && !run->stop_wanted
-          && run->tsk->reserved_worker)
-        placer_drop_reservation (plc, &req, "not_moved");
-    }
-}
-
 /* Notes whether a run has left WRK, or has got a place elsewhere for the first
    time: a reservation that is made again and again is no progress.  */
 static void
