fleet: at most a third of a pool at a time, rounded down

Callers saw LOST: of a pool of four hosts two were asked for at the same moment, and the tasks of a step with two at most on a host had no places on the others. The check let a host go while less than a third of the pool was not available, so that two of four and three of seven went.

Now the number after the host is counted: a third rounded down, but one of a pool of any size. Hosts in moves and those not up count as before; the spare pool stays without a limit.

--- a/fleet/host_mgr.c
+++ b/fleet/host_mgr.c
@@ -176,7 +176,7 @@
       if (host)
         host->reported_idle = true;
     }
-  for (size_t n = 0; n < mgr->host_count; n++)
+  for (size_t n = 0; mgr->hosts && n < mgr->host_count; n++)
     {
       struct mgr_host *host = &mgr->hosts[n];
       if (strcmp (host->rep.pool, pool->name) == 0)
--- a/fleet/host_mgr_wave.c
+++ b/fleet/host_mgr_wave.c
@@ -5,8 +5,9 @@
 
 /* Maintenance waves.  */
 
-/* Outside the spare pool, a host's maintenance begins only while no host of
-   its pool, or less than one in this many, is in an operation or not up.  */
+/* Outside the spare pool, a host's maintenance begins only if then one host of
+   its pool, or at most one in this many, is in an operation or not up: the
+   others have to take its tasks, those of a pool of four with two on each.  */
 #define POOL_UNAVAILABLE_DIVISOR 3
 /* While pools are short of hosts, a wave's maintenance is spread evenly over
    this part of the wave's duration, with a lead of WAVE_LEAD_US.  The rest of
@@ -129,7 +130,7 @@
 pool_at_limit (const struct pool_row *row)
 {
   return !row->spare && row->unavailable > 0
-         && row->unavailable * POOL_UNAVAILABLE_DIVISOR >= row->all;
+         && (row->unavailable + 1) * POOL_UNAVAILABLE_DIVISOR > row->all;
 }
 
 /* Picks the wave's next host: one with the fewest refusals, among these an
--- a/test/unit/unit_host_mgr_vacate.c
+++ b/test/unit/unit_host_mgr_vacate.c
@@ -500,6 +500,46 @@
 }
 END_TEST
 
+static const struct share_case
+{
+  size_t all;
+  uint32_t down; /* of them, not up */
+  bool move;     /* one of them moves to another pool */
+  uint32_t asked;
+} share_cases[] = {
+  { 1, 0, false, 1 },  { 2, 0, false, 1 }, { 3, 0, false, 1 },
+  { 4, 0, false, 1 },  { 5, 0, false, 1 }, { 6, 0, false, 2 },
+  { 7, 0, false, 2 },  { 8, 0, false, 2 }, { 9, 0, false, 3 },
+  { 11, 0, false, 3 }, { 4, 1, false, 0 }, { 6, 1, false, 1 },
+  { 9, 2, false, 1 },  { 9, 3, false, 0 }, { 4, 0, true, 0 },
+  { 6, 0, true, 1 },
+};
+
+/* Guards against a wave that takes half of a pool at once (LOST): of four
+   hosts two were asked for, and the others had no places for their tasks.  */
+START_TEST (test_share_of_pool)
+{
+  const struct share_case *it = &share_cases[_i];
+  uint32_t count = 0;
+  add_hosts ("p", it->all);
+  for (uint32_t n = 0; n < it->down; n++)
+    reps[n].state = HOST_MAINTENANCE;
+  list_hosts ();
+  if (it->move)
+    {
+      demand ("p", 0, "a");
+      demand ("q", 1, "");
+      step (0);
+      demand ("q", 0, "");
+    }
+  add_wave (it->all, 11, 20);
+  step (0);
+  for (size_t n = it->move; n < it->all; n++)
+    count += asked[n];
+  ck_assert_uint_eq (count, it->asked);
+}
+END_TEST
+
 /* Guards against a wave that makes no progress without saying why.  */
 START_TEST (test_waits)
 {
@@ -554,6 +594,8 @@
   tcase_add_test (tc, test_pause_grows);
   tcase_add_test (tc, test_other_hosts_first);
   tcase_add_test (tc, test_retry_as_hosts_arrive);
+  tcase_add_loop_test (tc, test_share_of_pool, 0,
+                       sizeof share_cases / sizeof *share_cases);
   tcase_add_test (tc, test_waits);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
