fleet: the grace of a wave's hosts fits the turns that are left

- The grace is what is left of the wave's duration for each turn that its pool, or the wave, still needs, less 2.6 s to carry the maintenance out, within 1.5 and 5 s.
- Pauses after refusals end when a host returns to the pool or arrives there.
- A request without an answer ends 10 s after the grace: 11.5 s after the request for a move, 15 s as before for maintenance with a grace of 5 s.

With a simulated owner that refuses while its pool has no more than the hosts that it needs, a wave of four hosts in a pool that needs four ends 10 s after the arrival of a fifth host, and no host was asked for more than 10 times in 60 s without one (test_wave_of_needed_hosts).

--- a/fleet/host_mgr.c
+++ b/fleet/host_mgr.c
@@ -5,14 +5,15 @@
 
 #include "base/err.h"
 
-/* Time after which tasks on a host that is being vacated are stopped.  Most
-   tasks take a second or two.  */
-#define GRACE_MAINTENANCE_MS 5000
+/* Time after which tasks on a host that is being vacated for a move are
+   stopped.  Most tasks take a second or two.  */
 #define GRACE_MOVE_MS 1500
-/* An operation is given up when its host is not empty after this time: the
-   pool's owner may have failed, or the pool may be unable to do without the
-   host.  */
-#define VACATE_TIMEOUT_US 15000000
+/* An operation is given up when its host is not empty this long after the end
+   of the grace, for an owner that does not answer.  An owner that does refuses
+   the request 4 s after the last progress.  The rest is for a host on which
+   perpetual tasks are moved in turn, and for a pool whose owner is replaced,
+   which takes 2 to 4 s.  */
+#define VACATE_ANSWER_US 10000000
 /* Delays before an order is repeated: after a failure, and to a busy host.  */
 #define ORDER_RETRY_US 400000
 #define BUSY_RETRY_US 1000000
@@ -268,8 +269,11 @@
       return;
     }
   set_phase (host, PHASE_VACATING, now_us);
-  mgr->ops.vacate (mgr->ops.arg, host,
-                   op == OP_MOVE ? GRACE_MOVE_MS : GRACE_MAINTENANCE_MS);
+  host->grace_ms = GRACE_MOVE_MS;
+  if (op == OP_MAINTENANCE)
+    host->grace_ms = host_mgr_wave_grace_ms (
+        mgr, host_mgr_find_wave (mgr, host->wave), host, now_us);
+  mgr->ops.vacate (mgr->ops.arg, host, host->grace_ms);
 }
 
 bool
@@ -346,7 +350,8 @@
     case PHASE_VACATING:
       if (!host->listed)
         host_mgr_give_up (mgr, host, "left", "", now_us);
-      else if (now_us > host->phase_began_us + VACATE_TIMEOUT_US)
+      else if (now_us > host->phase_began_us + host->grace_ms * 1000
+                            + VACATE_ANSWER_US)
         host_mgr_not_vacated (mgr, host, "timeout", "", now_us);
       return;
     case PHASE_EMPTY:
@@ -369,8 +374,13 @@
         send_order (mgr, host, now_us);
       return;
     case PHASE_AWAITING_WORKER:
-      if (!host->listed || has_returned (mgr, host))
+      if (!host->listed)
         end_op (mgr, host, now_us);
+      else if (has_returned (mgr, host))
+        {
+          end_op (mgr, host, now_us);
+          host_mgr_host_returned (mgr, host);
+        }
       return;
     }
 }
--- a/fleet/host_mgr.h
+++ b/fleet/host_mgr.h
@@ -52,6 +52,7 @@
   enum host_phase phase;
   int64_t phase_began_us;     /* when the phase began */
   int64_t op_began_us;        /* when the operation began */
+  int64_t grace_ms;           /* for the tasks there, if it is being vacated */
   uint64_t wave;              /* number of the wave, for maintenance */
   char dest_pool[NAME_BYTES]; /* destination pool of a move */
   uint64_t request_offset; /* log offset of the request to vacate the host; 0:
@@ -62,6 +63,8 @@
   char early_reason[NAME_BYTES];
   uint32_t refusals;        /* successive requests that ended with a refusal or
                                without an answer */
+  int64_t refused_pause_us; /* length of the last pause after one; 0: none
+                               since its pool got a host */
   int64_t refused_until_us; /* it is not asked for again before this time */
   uint32_t refused_remained;        /* pool_row.remain at the last refusal */
   char previous_worker[NAME_BYTES]; /* id of the worker before the order */
--- a/fleet/host_mgr_priv.h
+++ b/fleet/host_mgr_priv.h
@@ -32,6 +32,10 @@
                            int64_t now_us);
 /* Ends the pauses after refusals in pools that have more hosts than then.  */
 void host_mgr_end_pauses (struct host_mgr *mgr);
+/* Ends the pauses in the pool of HOST, which has just returned to it or
+   arrived there.  */
+void host_mgr_host_returned (struct host_mgr *mgr,
+                             const struct mgr_host *host);
 
 /* fleet/host_mgr_wave.c */
 /* Returns NULL for an unknown wave.  */
@@ -41,6 +45,10 @@
 /* Looks up the wave's hosts, and counts those that are or may be in
    maintenance or down.  */
 void host_mgr_count_wave (const struct host_mgr *mgr, struct mgr_wave *wave);
+/* Time that the tasks on HOST are given, which is next in WAVE.  */
+int64_t host_mgr_wave_grace_ms (const struct host_mgr *mgr,
+                                const struct mgr_wave *wave,
+                                const struct mgr_host *host, int64_t now_us);
 /* Begins the maintenance of the wave's hosts that is due.  Returns whether the
    wave is in progress.  */
 bool host_mgr_step_wave (struct host_mgr *mgr, struct mgr_wave *wave,
--- a/fleet/host_mgr_wave.c
+++ b/fleet/host_mgr_wave.c
@@ -9,6 +9,15 @@
    its pool, or at most one in this many, is in an operation or not up: the
    others have to take its tasks, those of a pool of four with two on each.  */
 #define POOL_UNAVAILABLE_DIVISOR 3
+/* Time after which tasks on a host that is being vacated are stopped, if the
+   wave has the time, and the shortest one.  Most tasks take a second or two.
+ */
+#define GRACE_MAX_MS 5000
+#define GRACE_MIN_MS 1500
+/* Time from the end of the grace until the host is back: the tasks end and the
+   owner reports in 0.2 s, maintenance takes 2 s, and the list shows the host
+   up to 0.4 s later.  */
+#define CARRY_OUT_MS 2600
 /* While pools are short of hosts, a wave's maintenance is spread evenly over
    this part of the wave's duration, with a lead of WAVE_LEAD_US.  The rest of
    the duration is for hosts that are slow to vacate.  */
@@ -133,6 +142,45 @@
          && (row->unavailable + 1) * POOL_UNAVAILABLE_DIVISOR > row->all;
 }
 
+/* Number of times that GROUP hosts at a time make TOTAL.  */
+static uint32_t
+count_turns (uint32_t total, uint32_t group)
+{
+  return group > 0 ? (total + group - 1) / group : total;
+}
+
+/* The wave's hosts have to go in turns: at most so many at a time of a pool,
+   and of the wave.  The grace lets as many turns as are left end in time.  */
+int64_t
+host_mgr_wave_grace_ms (const struct host_mgr *mgr,
+                        const struct mgr_wave *wave,
+                        const struct mgr_host *host, int64_t now_us)
+{
+  uint32_t left = 0;
+  uint32_t left_in_pool = 0;
+  uint32_t share = mgr->rows[host->pool_row].all / POOL_UNAVAILABLE_DIVISOR;
+  if (!wave)
+    return GRACE_MAX_MS;
+  for (size_t n = 0; n < wave->wave->host_count; n++)
+    {
+      const struct mgr_host *other = wave->hosts[n];
+      if (wave->done[n] || !other || !other->listed)
+        continue;
+      left++;
+      left_in_pool += other->pool_row == host->pool_row;
+    }
+  uint32_t turns = count_turns (left, (uint32_t)wave->wave->most_out);
+  uint32_t turns_in_pool = count_turns (left_in_pool, share > 1 ? share : 1);
+  if (turns < turns_in_pool)
+    turns = turns_in_pool;
+  int64_t left_ms
+      = wave->wave->duration_ms - (now_us - wave->received_us) / 1000;
+  int64_t grace_ms = left_ms / (turns > 0 ? turns : 1) - CARRY_OUT_MS;
+  if (grace_ms > GRACE_MAX_MS)
+    return GRACE_MAX_MS;
+  return grace_ms > GRACE_MIN_MS ? grace_ms : GRACE_MIN_MS;
+}
+
 /* Picks the wave's next host: one with the fewest refusals, among these an
    idle one, else one of the least busy pool.  */
 static struct mgr_host *
--- a/test/unit/unit_host_mgr_vacate.c
+++ b/test/unit/unit_host_mgr_vacate.c
@@ -21,7 +21,10 @@
 static uint64_t next_offset;
 static uint32_t asked[HOSTS_MAX]; /* requests by host */
 static int64_t asked_us[HOSTS_MAX];
+static int64_t asked_gap_us; /* shortest time between two of one host */
+static int64_t asked_grace_ms;
 static uint32_t orders;
+static int64_t ordered_us[HOSTS_MAX]; /* 0: no order to be carried out */
 static char over[256]; /* "host:for:reason:ms " of each given-up operation */
 static bool completed;
 static bool read_requests; /* a request is read as soon as it was made */
@@ -40,7 +43,10 @@
 {
   size_t num = host_number (host->rep.name);
   asked[num]++;
+  if (asked[num] > 1 && now_us - asked_us[num] < asked_gap_us)
+    asked_gap_us = now_us - asked_us[num];
   asked_us[num] = now_us;
+  asked_grace_ms = grace_ms;
   next_offset++;
   host->request_offset = read_requests ? next_offset : 0;
 }
@@ -64,6 +70,7 @@
 static void
 on_order (void *arg, struct mgr_host *host)
 {
+  ordered_us[host_number (host->rep.name)] = now_us;
   orders++;
 }
 
@@ -93,6 +100,8 @@
   rep_count = 0;
   orders = 0;
   memset (asked, 0, sizeof asked);
+  memset (ordered_us, 0, sizeof ordered_us);
+  asked_gap_us = INT64_MAX;
   over[0] = '\0';
   completed = false;
   read_requests = true;
@@ -271,7 +280,7 @@
   const char *over;
 } over_cases[] = {
   { let_time_out, false, "a:upkeep:timeout:16000 " },
-  { let_time_out, true, "a:q:timeout:16000 " },
+  { let_time_out, true, "a:q:timeout:12000 " },
   { leave, false, "a:upkeep:left:30 " },
   { leave, true, "a:q:left:30 " },
   { leave_when_empty, false, "a:upkeep:left:30 " },
@@ -540,6 +549,148 @@
 }
 END_TEST
 
+static const struct grace_case
+{
+  size_t all, count; /* hosts of the pool and of the wave */
+  uint32_t most_out, duration_s;
+  int64_t grace_ms;
+} grace_cases[] = {
+  { 9, 3, 9, 26, 5000 }, /* one turn of three */
+  { 9, 9, 9, 26, 5000 }, /* three turns */
+  { 9, 9, 9, 20, 4066 }, /* the same, 6.7 s each */
+  { 9, 3, 1, 20, 4066 }, /* one at a time in the wave */
+  { 9, 6, 9, 8, 1500 },  /* two turns of 4 s */
+  { 4, 4, 9, 8, 1500 },  /* four turns: cannot be in time */
+  { 4, 1, 9, 8, 5000 },
+};
+
+/* Guards against a wave that ends late because each host's tasks are given 5 s
+   although the hosts of a pool have to go in turns: of a wave of 8 s half of
+   the hosts were left.  */
+START_TEST (test_grace)
+{
+  const struct grace_case *it = &grace_cases[_i];
+  add_hosts ("p", it->all);
+  list_hosts ();
+  add_wave (it->count, it->most_out, it->duration_s);
+  step (0);
+  ck_assert_int_eq (asked_grace_ms, it->grace_ms);
+}
+END_TEST
+
+/* Carries out the orders as the platform does: 50 ms until the answer, 2 s
+   until the host is back with a new worker.  */
+static void
+act_as_platform (void)
+{
+  for (size_t n = 0; n < rep_count; n++)
+    {
+      int64_t age_us = now_us - ordered_us[n];
+      if (!ordered_us[n])
+        continue;
+      if (reps[n].state == HOST_UP && age_us >= S / 20)
+        {
+          reps[n].state = HOST_MAINTENANCE;
+          host_mgr_order_answered (&mgr, host (reps[n].name), HOST_ORDER_DONE,
+                                   now_us);
+        }
+      else if (age_us >= 2 * S)
+        {
+          reps[n].state = HOST_UP;
+          reps[n].worker[0]++;
+          ordered_us[n] = 0;
+        }
+    }
+}
+
+/* Answers the requests 100 ms after them, as the owner of a pool whose tasks
+   need NEEDED hosts: it refuses if fewer would stay.  An owner that grants a
+   request has emptied the host 400 ms later.  GRANTED is by host.  */
+static void
+act_as_owner (uint32_t needed, int64_t granted_us[HOSTS_MAX])
+{
+  uint32_t stay = 0;
+  for (size_t n = 0; n < rep_count; n++)
+    stay += reps[n].state == HOST_UP && !granted_us[n]
+            && strcmp (reps[n].pool, "p") == 0;
+  for (size_t n = 0; n < rep_count; n++)
+    {
+      struct mgr_host *asked_host = host (reps[n].name);
+      if (granted_us[n])
+        {
+          if (now_us - granted_us[n] >= 4 * S / 10)
+            emptied (reps[n].name);
+          if (asked_host->phase == PHASE_NONE)
+            granted_us[n] = 0;
+        }
+      else if (asked_host->phase == PHASE_VACATING
+               && now_us - asked_us[n] >= S / 10)
+        {
+          if (stay > needed)
+            {
+              granted_us[n] = now_us;
+              stay--;
+            }
+          else
+            refused (reps[n].name);
+        }
+    }
+}
+
+static const struct supply_case
+{
+  size_t all;          /* hosts of the pool, all of them in the wave */
+  uint32_t needed;     /* by its tasks */
+  uint32_t arrives_s;  /* when it gets one more; 0: never */
+  uint32_t complete_s; /* the wave is complete within this time; 0: never */
+  uint32_t asked_max;  /* most requests for one host */
+} supply_cases[] = {
+  { 4, 4, 2, 13, 3 },  { 4, 4, 6, 17, 4 },  { 4, 4, 30, 41, 7 },
+  { 4, 4, 0, 0, 10 },  /* in 60 s: pauses of 1, 2, 4 s, then 8 s each */
+  { 9, 8, 0, 26, 17 }, /* three at a time are asked for, and one can go: at
+                          most twice for each host that goes earlier */
+  { 9, 7, 0, 14, 9 },  { 6, 6, 3, 20, 13 }, /* two at a time, one can go from 3
+                                               s on */
+};
+
+/* Guards against a wave that does not end in time after refusals, and against
+   a host that is asked for again and again (in b171 at 7.6, 23.1 and 50.7 s,
+   each time with a move of its tasks): while its pool has only as many hosts
+   as it needs, each is asked for with growing pauses, and as soon as there is
+   one more the wave goes on, host by host.  */
+START_TEST (test_wave_of_needed_hosts)
+{
+  const struct supply_case *it = &supply_cases[_i];
+  int64_t granted_us[HOSTS_MAX] = { 0 };
+  int64_t begin_us = now_us;
+  int64_t listed_us = 0;
+  add_hosts ("p", it->all);
+  add_hosts ("spare", 1);
+  list_hosts ();
+  add_wave (it->all, 9, 8);
+  while (!completed && now_us < begin_us + 60 * S)
+    {
+      if (it->arrives_s && now_us >= begin_us + it->arrives_s * S)
+        name_copy (reps[it->all].pool, "p");
+      act_as_platform ();
+      act_as_owner (it->needed, granted_us);
+      if (now_us - listed_us >= 4 * S / 10)
+        {
+          list_hosts ();
+          listed_us = now_us;
+        }
+      step (30);
+    }
+  ck_assert_int_eq (completed, it->complete_s > 0);
+  if (completed)
+    ck_assert_int_le (now_us - begin_us, it->complete_s * S);
+  for (size_t n = 0; n < it->all; n++)
+    ck_assert_uint_le (asked[n], it->asked_max);
+  /* Nor is it asked for again at once.  */
+  ck_assert_int_ge (asked_gap_us, S / 2);
+}
+END_TEST
+
 /* Guards against a wave that makes no progress without saying why.  */
 START_TEST (test_waits)
 {
@@ -596,6 +747,10 @@
   tcase_add_test (tc, test_retry_as_hosts_arrive);
   tcase_add_loop_test (tc, test_share_of_pool, 0,
                        sizeof share_cases / sizeof *share_cases);
+  tcase_add_loop_test (tc, test_grace, 0,
+                       sizeof grace_cases / sizeof *grace_cases);
+  tcase_add_loop_test (tc, test_wave_of_needed_hosts, 0,
+                       sizeof supply_cases / sizeof *supply_cases);
   tcase_add_test (tc, test_waits);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
