--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -34,7 +34,8 @@
   FAULT_SILENCE,
   FAULT_WORKER_HANG,
   FAULT_WORKER_SILENCE,
-  FAULT_HUP, /* SIGHUP; not an impairment */
+  FAULT_HUP,   /* SIGHUP; not an impairment */
+  FAULT_WAVES, /* see waves.h; not an impairment */
   FAULT_COUNT,
 };
 
--- a/test/soak/judge.h
+++ b/test/soak/judge.h
@@ -8,7 +8,7 @@
 #include "test/soak/soak.h"
 
 #define STEPS_MAX 3
-#define ITEMS_MAX 6 /* work items of a step */
+#define ITEMS_MAX 16 /* work items of a step */
 /* Routes that come and go, and one that is in no version.  */
 #define ROUTES_EXTRA 6
 #define ROUTE_NEVER (ROUTES_EXTRA + 1)
@@ -34,6 +34,8 @@
 struct step
 {
   int count, cpu, mem;
+  int bound;       /* items on one worker; 0: any number */
+  bool fills;      /* its processor time does not count */
   int64_t work_ms; /* -1: perpetual */
 };
 
@@ -63,7 +65,8 @@
   int pool;
   int route; /* > 0: handed in by the extra route of this number */
   bool perpetual;
-  bool patient;                 /* the client comes back after a rejection */
+  bool standing; /* perpetual, for the whole run; its items fail at times */
+  bool patient;  /* the client comes back after a rejection */
   struct step steps[STEPS_MAX]; /* each one after the step before */
   int step_count;
   struct task_fact tasks[STEPS_MAX][ITEMS_MAX];
@@ -77,7 +80,11 @@
   bool final_known;
   int64_t completed; /* when all its items had ended done */
   int64_t still_since, still_item[ITEMS_MAX];
-  bool told[8]; /* rules for which a line was printed */
+  /* Of a standing job: time without a run while there are places, in all, and
+     with nothing impaired; and the longest of it.  */
+  int64_t bare_ms[ITEMS_MAX], bare_calm_ms[ITEMS_MAX], bare_most_ms;
+  int64_t bare_look; /* time of the last look */
+  bool told[8];      /* rules for which a line was printed */
   UT_hash_handle hh;
 };
 extern struct job *jobs; /* by ID */
--- a/test/soak/net.c
+++ b/test/soak/net.c
@@ -403,6 +403,8 @@
   sscanf (pr->in, "%11s %599s", req.method, req.path);
   copy_value (req.instance, sizeof req.instance,
               header (pr->in, "Expect-Instance"));
+  value = header (pr->in, "Fencing-Token");
+  req.token = value ? strtoll (value, NULL, 10) : 0;
   *end = '\r';
   if (pr->in_len < head_len + body_len)
     return;
--- a/test/soak/net.h
+++ b/test/soak/net.h
@@ -24,6 +24,7 @@
   char method[12];
   char path[600];    /* with the query */
   char instance[80]; /* header Expect-Instance */
+  int64_t token;     /* header Fencing-Token; 0: none */
   char *body;        /* NUL-terminated */
   size_t len;
 };
--- a/test/soak/store.h
+++ b/test/soak/store.h
@@ -48,6 +48,12 @@
 
 /* Carries out the move of a machine that is up.  */
 extern void (*store_move) (const char *machine, const char *pool);
+/* An order for the upkeep of a machine, which is up or not.  Returns the
+   reason for which it is rejected, or NULL.  */
+extern const char *(*store_upkeep) (const char *machine, int64_t wave,
+                                    bool is_up);
+/* A process has written the status of this key.  */
+extern void (*store_status) (const char *key, const char *value);
 void store_machine_state (const char *machine, const char *state,
                           const char *pool, const char *worker);
 
