--- a/test/soak/judge.c
+++ b/test/soak/judge.c
@@ -18,6 +18,9 @@
 #define BARE_MAX_MS 12000
 #define BARE_LOOK_MAX_MS 500 /* a longer pause is a gap of the loop */
 #define RULES_MAX 16
+/* A run of a standing job fails after this time.  */
+#define STANDING_MIN_MS 2000
+#define STANDING_MAX_MS 16000
 
 struct impairment
 {
@@ -329,8 +332,8 @@
   if (job->standing)
     {
       struct rng rng = rng_make ((uint64_t)number, name);
-      *fails = soak_draw (&rng) < 0.8;
-      return *fails ? soak_between (&rng, 1500, 9000) : work;
+      *fails = true;
+      return soak_between (&rng, STANDING_MIN_MS, STANDING_MAX_MS);
     }
   /* Only the first run of a work item fails, so that no job has a cause to be
      shown as failed.  */
--- a/test/soak/judge.h
+++ b/test/soak/judge.h
@@ -65,7 +65,8 @@
   int pool;
   int route; /* > 0: handed in by the extra route of this number */
   bool perpetual;
-  bool standing; /* perpetual, for the whole run; its items fail at times */
+  bool standing; /* perpetual, for the whole run; each of its runs fails in the
+                    end */
   bool patient;  /* the client comes back after a rejection */
   struct step steps[STEPS_MAX]; /* each one after the step before */
   int step_count;
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -313,7 +313,7 @@
     worker_add (n % (int)set.pools, n / (int)set.pools % RACKS);
   if (has_waves ())
     worker_spare_pool = (int)set.pools;
-  for (int n = 0; has_waves () && n < SPARE_MACHINES; n++)
+  for (int n = 0; has_waves () && n < waves_spare ((uint64_t)set.seed); n++)
     worker_add (worker_spare_pool, n % RACKS);
   net_after (TICK_MS, begin_traffic, NULL);
   net_run ();
--- a/test/soak/waves.c
+++ b/test/soak/waves.c
@@ -43,7 +43,7 @@
 
 static struct wave waves[WAVES_MAX]; /* wave N is at N - 1 */
 static int wave_count, pool_count, machines_a_pool;
-static bool stopped;
+static bool stopped, has_spare;
 static struct rng rng;
 
 static int
@@ -159,8 +159,8 @@
 {
   bool by_rack = soak_draw (&rng) < 0.7;
   int first = (int)soak_between (&rng, 0, RACKS - 1);
-  int racks = (int)soak_between (&rng, 1, 2);
-  double share = 0.3 + 0.5 * soak_draw (&rng);
+  int racks = soak_draw (&rng) < 0.8 ? 1 : 2;
+  double share = 0.2 + 0.4 * soak_draw (&rng);
   int64_t duration_s = soak_between (&rng, DURATION_MIN_S, DURATION_MAX_S);
   int64_t most_out = soak_between (&rng, 1, 6), due = 0;
   if (stopped || wave_count == WAVES_MAX)
@@ -188,8 +188,8 @@
 {
   int64_t lead = soak_between (&rng, 200, LEAD_MAX_MS);
   int64_t more = soak_between (&rng, 500, 8000);
-  int64_t pause = soak_between (&rng, 12000, 22000);
-  bool two = soak_draw (&rng) < 0.3;
+  int64_t pause = soak_between (&rng, 16000, 28000);
+  bool two = soak_draw (&rng) < 0.25;
   if (stopped)
     return;
   for (int n = 0; n < pool_count; n++)
@@ -206,14 +206,22 @@
   net_after (pause, plan_wave, NULL);
 }
 
-/* The tasks of a standing job need all machines of the pool, or all but one.
-   The spare ones suffice for two that are away.  */
+int
+waves_spare (uint64_t seed)
+{
+  struct rng draw = rng_make (seed, "spare");
+  return soak_draw (&draw) < 0.5 ? 0 : SPARE_MACHINES;
+}
+
+/* The tasks of a standing job need all machines of the pool but one, or, where
+   there are spare ones, all.  */
 static void
 hand_in (void *arg)
 {
   for (int n = 0; n < pool_count; n++)
     {
-      bool all = soak_draw (&rng) < 0.5, fills = soak_draw (&rng) < 0.5;
+      bool all = soak_draw (&rng) < 0.5 && has_spare;
+      bool fills = soak_draw (&rng) < 0.5;
       int count = BOUND * (machines_a_pool - !all) - all;
       clients_standing (n, count, BOUND, fills);
     }
@@ -224,6 +232,7 @@
 {
   pool_count = pools;
   machines_a_pool = workers_a_pool;
+  has_spare = waves_spare (seed) > 0;
   rng = rng_make (seed, "waves");
   store_upkeep = on_upkeep;
   store_status = on_status;
