--- a/test/unit/unit_placer_vacate.c
+++ b/test/unit/unit_placer_vacate.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "base/log.h"
 #include "placer_world.h"
@@ -11,12 +12,14 @@
 /* Tests of hosts that are to be emptied while perpetual tasks need their
    places.  The workers answer each command at once.  */
 
-#define SIM_RUNS_MAX 64
+#define SIM_RUNS_MAX 1024
 /* A worker's answer in placer_world has room for so many runs.  */
 #define SIM_ROWS_MAX 8
 #define TICK_MS 40
+/* Ticks for which a hold waits for an end.  */
+#define SIM_HOLD_TICKS 5
 /* Time after which the workers are enrolled and the takeover is done.  */
-#define SETTLE_MS 9000
+#define SETTLE_MS 1000
 #define GRACE_MS 5000
 
 /* A run on a worker, or an end that was not acknowledged.  */
@@ -31,6 +34,7 @@
 static struct sim_run sim_runs[SIM_RUNS_MAX];
 static size_t sim_count;
 static uint64_t sim_ends;
+static uint32_t sim_ticks;
 /* Stops get no answer and have no effect.  */
 static bool sim_ignores_stops;
 
@@ -95,6 +99,19 @@
   run->row.number = ++sim_ends;
 }
 
+/* Whether the worker answers a hold now: it waits for an end.  */
+static bool
+hold_due (const struct world_call *call)
+{
+  if (call->wait_ms == 0 || sim_ticks % SIM_HOLD_TICKS == 0)
+    return true;
+  for (size_t n = 0; n < sim_count; n++)
+    if (sim_runs[n].ended && sim_runs[n].row.number > call->last_seen
+        && strcmp (sim_runs[n].worker, call->worker) == 0)
+      return true;
+  return false;
+}
+
 static void
 sim_hold (struct world_call *call)
 {
@@ -139,7 +156,8 @@
         end_run (run, RUN_END_STOPPED);
       break;
     case WORLD_HOLD:
-      sim_hold (call);
+      if (hold_due (call))
+        sim_hold (call);
       return;
     case WORLD_PACE:
       break;
@@ -154,6 +172,7 @@
   for (int64_t left = ms; left > 0; left -= TICK_MS)
     {
       size_t kept = 0;
+      sim_ticks++;
       world_confirm_ownership (wld);
       world_tick (wld, TICK_MS);
       world_complete_append (wld);
@@ -631,6 +650,269 @@
 }
 END_TEST
 
+/* What the runs on WRK and the reservations there need.  */
+static struct resources
+sum_needs (const struct worker *wrk)
+{
+  struct resources sum = { 0 };
+  for (const struct run *run = wrk->runs; run; run = run->next)
+    resources_add (&sum, &run->job->spec.steps[run->ref.step], 1);
+  for (const struct job *job = wld->jobs.by_id; job; job = job->hh.next)
+    for (uint32_t n = 0; n < job->task_count; n++)
+      if (job->occurrences[0].tasks[n].reserved_worker == wrk->handle)
+        resources_add (&sum, &job->spec.steps[0], 1);
+  return sum;
+}
+
+/* Guards against capacity that stays reserved after a move: nothing could use
+   it any more.  */
+START_TEST (test_reservations_given_back)
+{
+  set_up_case (&vacate_cases[_i]);
+  for (int n = 0; n < REQUESTS_MAX && vacate_cases[_i].requests[n].worker; n++)
+    vacate (find_worker (vacate_cases[_i].requests[n].worker)->rep.host);
+  for (int n = 0; n < 100; n++)
+    {
+      if (n == 50)
+        for (size_t m = 0; m < wld->plc->pool.count; m++)
+          placer_vacate (wld->plc, wld->plc->pool.workers[m]->rep.host, 0);
+      play (TICK_MS);
+      for (size_t m = 0; m < wld->plc->pool.count; m++)
+        {
+          const struct worker *wrk = wld->plc->pool.workers[m];
+          struct resources sum = sum_needs (wrk);
+          ck_assert_int_eq (wrk->used.cpu_milli, sum.cpu_milli);
+          ck_assert_int_eq (wrk->used.memory_mb, sum.memory_mb);
+        }
+    }
+}
+END_TEST
+
+/* Guards against a task that is started on a host whose order to be turned off
+   may be on its way, as it was reported as empty; one that was not is given
+   back.  */
+START_TEST (test_told_empty)
+{
+  bool told = _i == 1;
+  set_up_case (&(struct vacate_case){
+      .workers = { USUAL, USUAL },
+      .jobs = { { LASTING ("1", "\"cpu\":4000"), "w0" } } });
+  vacate ("m-w1");
+  play (2000);
+  if (told)
+    ck_assert (host_empty ("m-w1"));
+  world_add_job (wld, 9, LASTING ("1", "\"cpu\":4000"), 300);
+  play (3000);
+  ck_assert_int_eq (kept_reason ("m-w1"), told ? NONE : TASK_WAITS);
+  ck_assert_uint_eq (count_runs ("w1"), !told);
+  ck_assert (host_empty ("m-w1") == told);
+  ck_assert_uint_eq (wld->plc->lacking_hosts, 1);
+}
+END_TEST
+
+/* Guards against a host that is vacated without end, as a run there does not
+   end, and against one that is kept although runs leave it.  */
+START_TEST (test_no_progress)
+{
+  /* LEAVES_MS after the request the first run there ends by itself.  */
+  static const struct
+  {
+    int64_t leaves_ms, kept_after_ms;
+  } rows[] = { { 0, 9000 }, { 3000, 9000 }, { 7000, 11000 } };
+  int64_t kept_after_ms = 0;
+  set_up_case (&(struct vacate_case){ .workers = { USUAL, USUAL },
+                                      .jobs = { { BATCH ("2"), "w0" } } });
+  sim_ignores_stops = true;
+  vacate ("m-w0");
+  for (int64_t ms = TICK_MS; ms < 15000; ms += TICK_MS)
+    {
+      if (ms / TICK_MS == rows[_i].leaves_ms / TICK_MS)
+        end_run (find_run (1, 0), RUN_END_DONE);
+      play (TICK_MS);
+      if (kept_after_ms == 0 && kept_reason ("m-w0") != NONE)
+        kept_after_ms = ms;
+    }
+  ck_assert_int_eq (kept_reason ("m-w0"), NO_PROGRESS);
+  ck_assert_int_ge (kept_after_ms, rows[_i].kept_after_ms);
+  ck_assert_int_le (kept_after_ms, rows[_i].kept_after_ms + 300);
+  ck_assert_uint_eq (wld->plc->lacking_hosts, 0);
+}
+END_TEST
+
+/* Guards against a reservation that is taken away with its host although the
+   task has no other place, while it waits for room or is being moved.  */
+START_TEST (test_reservation_on_vacated_host)
+{
+  static const struct
+  {
+    int workers;
+    bool moves; /* the task runs on another host that is vacated */
+    enum placer_keep_reason kept;
+  } rows[] = { { 2, false, TASK_WAITS },
+               { 3, false, NONE },
+               { 2, true, NO_PLACE },
+               { 3, true, NONE } };
+  struct vacate_case pool
+      = { .workers = { USUAL, USUAL }, .jobs = { { BATCH ("4"), "w1" } } };
+  if (rows[_i].workers == 3)
+    {
+      pool.workers[2] = pool.workers[0];
+      pool.jobs[1].json = BATCH ("4");
+      pool.jobs[1].on = "w2";
+    }
+  set_up_case (&pool);
+  use_only (rows[_i].moves ? "w0" : "w1");
+  if (!rows[_i].moves)
+    find_worker ("w0")->rep.draining = true;
+  sim_ignores_stops = true;
+  world_add_job (wld, 9, LASTING ("1", "\"cpu\":2000"), 300);
+  play (400);
+  use_only ("w1");
+  if (rows[_i].moves)
+    vacate ("m-w0");
+  play (400);
+  struct task *tsk = &job_table_find (&wld->jobs, 9)->occurrences[0].tasks[0];
+  ck_assert_uint_eq (tsk->reserved_worker, find_worker ("w1")->handle);
+  ck_assert ((tsk->run != NULL) == rows[_i].moves);
+  use_only ("");
+  vacate ("m-w1");
+  play (200);
+  ck_assert_int_eq (kept_reason ("m-w1"), rows[_i].kept);
+  ck_assert_int_eq (kept_reason ("m-w0"), NONE);
+  sim_ignores_stops = false;
+  play (8000);
+  ck_assert_ptr_nonnull (find_run (9, 0));
+  ck_assert_str_eq (find_run (9, 0)->worker,
+                    rows[_i].kept == NONE ? "w2" : "w1");
+  ck_assert (host_empty ("m-w1") == (rows[_i].kept == NONE));
+}
+END_TEST
+
+/* Guards against requests that are refused by a new owner because it does not
+   know the workers yet, and against a task that it starts on a host which the
+   earlier owner may have reported as empty.  */
+START_TEST (test_takeover)
+{
+  int64_t undecided = 0;
+  set_up_case (
+      &(struct vacate_case){ .workers = { USUAL, USUAL, USUAL, USUAL },
+                             .jobs = { { LASTING ("3", ONE_EACH), "" } } });
+  while (count_runs ("w3") > 0)
+    {
+      vacate ("m-w3");
+      play (1000);
+    }
+  vacate ("m-w3");
+  play (1000);
+  world_take_over (wld, 8, 150);
+  wld->call_count = 0;
+  add_workers (4);
+  for (int n = 0; n < 300; n++)
+    {
+      vacate ("m-w0");
+      vacate ("m-w3");
+      if (!placer_takeover_done (wld->plc))
+        {
+          undecided++;
+          ck_assert_int_eq (kept_reason ("m-w0"), NONE);
+        }
+      play (TICK_MS);
+    }
+  ck_assert_int_gt (undecided, 10);
+  ck_assert_int_eq (kept_reason ("m-w0"), NO_PLACE);
+  ck_assert_int_eq (kept_reason ("m-w3"), NONE);
+  world_add_job (wld, 9, LASTING ("1", "\"cpu\":4000"), 300);
+  play (1000);
+  ck_assert_uint_eq (count_runs ("w3"), 0);
+  ck_assert_ptr_null (find_run (9, 0));
+  ck_assert_int_eq (kept_reason ("m-w3"), NONE);
+}
+END_TEST
+
+/* Guards against a host that is kept, asked for and kept in each tick, a
+   refusal that outlives its request, and a pool that asks for a host which has
+   arrived.  */
+START_TEST (test_asked_again)
+{
+  struct placer_kept first, kept;
+  set_up_case (
+      &(struct vacate_case){ .workers = { USUAL, USUAL },
+                             .jobs = { { LASTING ("2", ONE_EACH), "" } } });
+  vacate ("m-w0");
+  play (TICK_MS);
+  ck_assert (placer_host_kept (wld->plc, "m-w0", &first));
+  ck_assert_int_eq (first.reason, NO_PLACE);
+  ck_assert_int_le (first.took_us, (int64_t)TICK_MS * 1000);
+  ck_assert_int_eq (strncmp (first.task, "0000000000000001.0.0.", 21), 0);
+  for (int n = 0; n < 20; n++)
+    {
+      vacate ("m-w0");
+      play (TICK_MS);
+      ck_assert (placer_host_kept (wld->plc, "m-w0", &kept));
+      ck_assert_int_eq (kept.took_us, first.took_us);
+    }
+  placer_vacate (wld->plc, "m-w0", 0);
+  ck_assert (!placer_host_kept (wld->plc, "m-w0", &kept));
+  play (2000);
+  ck_assert_uint_eq (wld->plc->lacking_hosts, 1);
+  if (_i == 0)
+    {
+      vacate ("m-w0");
+      play (TICK_MS);
+      ck_assert_int_eq (kept_reason ("m-w0"), NO_PLACE);
+      placer_vacate (wld->plc, "m-w0", 0);
+      play (KEPT_LACKING_US / 1000 - 500);
+      ck_assert_uint_eq (wld->plc->lacking_hosts, 1);
+      play (1000);
+      ck_assert_uint_eq (wld->plc->lacking_hosts, 0);
+      ck_assert_ptr_null (wld->plc->vacated);
+      return;
+    }
+  add_worker ("w2", 4000, 8192, NULL);
+  play (1000);
+  ck_assert_uint_eq (wld->plc->lacking_hosts, 0);
+  vacate ("m-w0");
+  play (3000);
+  ck_assert_int_eq (kept_reason ("m-w0"), NONE);
+  ck_assert (host_empty ("m-w0"));
+}
+END_TEST
+
+#define LARGE_WORKERS 300
+#define LARGE_TASKS 40
+#define LARGE_PLANS 100
+/* Processor time of a plan under sanitizers; a tick takes up to 20 ms.  */
+#define LARGE_PLAN_MAX_US 20000
+
+/* Guards against plans of places that take the owner of a large pool most of
+   its time: 40 perpetual tasks in need of a place, and batch work
+   everywhere.  */
+START_TEST (test_large_pool)
+{
+  add_workers (LARGE_WORKERS);
+  play (400);
+  world_add_job (wld, 1, LASTING ("40", TWO_EACH), 200);
+  play (400);
+  world_add_job (wld, 2, BATCH ("900"), 201);
+  play (400);
+  for (uint32_t n = 0; n < LARGE_TASKS; n++)
+    vacate (find_worker (find_run (1, n)->worker)->rep.host);
+  placer_decide_vacating (wld->plc, wld->clk.now_us);
+  for (uint32_t n = 0; n < LARGE_TASKS; n++)
+    ck_assert (find_worker (find_run (1, n)->worker)->vacate);
+  clock_t begun = clock ();
+  for (int n = 0; n < LARGE_PLANS; n++)
+    {
+      wld->plc->next_plan_us = 0;
+      placer_decide_vacating (wld->plc, wld->clk.now_us);
+    }
+  int64_t plan_us
+      = (int64_t)(clock () - begun) * 1000000 / CLOCKS_PER_SEC / LARGE_PLANS;
+  printf ("a plan takes %d us\n", (int)plan_us);
+  ck_assert_int_lt (plan_us, LARGE_PLAN_MAX_US);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -642,6 +924,14 @@
   tcase_add_test (tc, test_task_beside_vacated_hosts);
   tcase_add_loop_test (tc, test_requests, 0,
                        sizeof vacate_cases / sizeof vacate_cases[0]);
+  tcase_add_loop_test (tc, test_reservations_given_back, 0,
+                       sizeof vacate_cases / sizeof vacate_cases[0]);
+  tcase_add_loop_test (tc, test_told_empty, 0, 2);
+  tcase_add_loop_test (tc, test_no_progress, 0, 3);
+  tcase_add_loop_test (tc, test_reservation_on_vacated_host, 0, 4);
+  tcase_add_test (tc, test_takeover);
+  tcase_add_loop_test (tc, test_asked_again, 0, 2);
+  tcase_add_test (tc, test_large_pool);
   Suite *suite = suite_create ("placer_vacate");
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
