sched: requests are noted before a worker of the host is known

An earlier owner may have reported a host as empty, and left its worker out of the pool's record, so that a takeover does not wait for it. If the worker's report is read later than the takeover ends, the request counted as a new one, and a waiting task could have been started there while the order for the host was on its way. The request is now noted when it is read, and counts as inherited if that was before the end of the takeover.

Test: workers with several labels.

--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -52,6 +52,7 @@
   int64_t progress_us;
   int64_t cleared_us; /* when nothing ran there any more; 0: not yet */
   uint32_t stops;     /* runs stopped to empty it */
+  bool present;       /* a worker of this pool was found on it */
   /* An earlier owner may have been asked, and has not reported the host as
      empty only if runs were found there.  */
   bool inherited;
--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -136,13 +136,14 @@
   if (vac && vac->state != VACATE_WITHDRAWN
       && (until_us > now_us || vac->until_us > now_us))
     vac->until_us = until_us;
-  while ((wrk = pool_next_on_host (&plc->pool, host, &pos)))
+  /* Also without a worker yet: an earlier owner may have reported a host as
+     empty whose worker is known later than the takeover.  */
+  if (!vac || vac->state == VACATE_WITHDRAWN)
+    vac = add_vacated (plc, vac, host, until_us);
+  while (vac && (wrk = pool_next_on_host (&plc->pool, host, &pos)))
     {
-      if (!vac || vac->state == VACATE_WITHDRAWN)
-        vac = add_vacated (plc, vac, host, until_us);
-      if (!vac)
-        return false;
       found = found || wrk->registered;
+      vac->present = true;
       set_vacate (wrk, vac);
     }
   return found;
@@ -171,7 +172,8 @@
   /* A reservation may stand there until the request is decided.  */
   if (vac
       && (vac->state == VACATE_KEPT
-          || (vac->state == VACATE_ASKED && plc->takeover_done)))
+          || (vac->state == VACATE_ASKED && vac->present
+              && plc->takeover_done)))
     return false;
   while ((wrk = pool_next_on_host (&plc->pool, host, &pos)))
     if (wrk->runs || !wrk->vacate || !wrk->unenrolled
@@ -365,7 +367,7 @@
 {
   for (const struct vacated_host *vac = plc->vacated;
        vac && plc->takeover_done; vac = vac->next)
-    if (vac->state == VACATE_ASKED)
+    if (vac->state == VACATE_ASKED && vac->present)
       return true;
   return false;
 }
@@ -387,7 +389,7 @@
   count_lacking (plan);
   talloc_free (plan);
   for (struct vacated_host *vac = plc->vacated; vac; vac = vac->next)
-    if (vac->state == VACATE_ASKED && plc->takeover_done)
+    if (vac->state == VACATE_ASKED && vac->present && plc->takeover_done)
       vac->state = VACATE_GRANTED;
 }
 
--- a/test/unit/unit_placer_vacate.c
+++ b/test/unit/unit_placer_vacate.c
@@ -54,10 +54,11 @@
   world_destroy (wld);
 }
 
-/* Adds a worker with LABEL, unless it is NULL, on the host "m-ID".  */
+/* Adds a worker on the host "m-ID".  LABELS are separated by a space; NULL:
+   none.  */
 static void
 add_worker (const char *id, int64_t cpu_milli, int64_t memory_mb,
-            const char *label)
+            const char *labels)
 {
   struct worker_report rep
       = { .capacity = { .cpu_milli = cpu_milli, .memory_mb = memory_mb },
@@ -67,8 +68,12 @@
   name_copy (rep.pool, "p");
   name_copy (rep.address, "10.0.0.1:1");
   snprintf (rep.host, sizeof rep.host, "m-%s", id);
-  if (label)
-    name_copy (rep.labels[rep.label_count++], label);
+  while (labels && *labels)
+    {
+      size_t len = strcspn (labels, " ");
+      name_copy_len (rep.labels[rep.label_count++], labels, len);
+      labels += len + (labels[len] == ' ');
+    }
   placer_update_worker (wld->plc, id, &rep);
 }
 
@@ -451,6 +456,16 @@
     .requests = { { "w0", NO_PLACE }, { "w2", NONE } },
     .lacking = 1,
     .label = "gpu" },
+  { "workers with several labels, racks among them",
+    { { 4000, 8192, "ssd r1" },
+      { 4000, 8192, "r1 gpu ssd" },
+      { 4000, 8192, "gpu r2" } },
+    { { LASTING ("1", "\"cpu\":2500,\"requirements\":\"r1\""), "w0" },
+      { LASTING ("1", "\"cpu\":2500,\"requirements\":\"gpu\""), "w2" } },
+    .requests = { { "w0", NONE }, { "w2", NO_PLACE } },
+    .pause_ms = 200,
+    .lacking = 1,
+    .label = "gpu" },
   { "two labels, one of them gone",
     { { 4000, 8192, "a" },
       { 4000, 8192, "b" },
