--- a/node/fleet_priv.h
+++ b/node/fleet_priv.h
@@ -9,6 +9,9 @@
    give orders alternately.  */
 #define CONFIRM_AGE_MAX_US 1700000
 
+/* First character of the key of an answer to a request to vacate a host.  */
+#define VACATE_REPORT_KEY 'e'
+
 /* A request to the owner of a host's pool to empty the host of tasks.  */
 struct vacate_request
 {
@@ -16,8 +19,9 @@
   char host[NAME_BYTES];
   uint64_t offset;
   int64_t until_ms;         /* wall clock; what still runs then is stopped */
-  uint64_t reported_offset; /* of the request last reported as done */
-  uint64_t reported_token;  /* of the pool's owner that reported it */
+  uint64_t reported_offset; /* of the request last answered */
+  uint64_t reported_token;  /* of the pool's owner that answered it */
+  bool refused;             /* that answer was a refusal */
   uint64_t token; /* of the holder of the fleet duty that made the request */
   int64_t superseded_us; /* when this process knew that the holder's duty had
                             ended; 0: it does not */
@@ -43,9 +47,19 @@
   bool list_in_progress;
   int64_t list_requested_us;
   int64_t next_list_us;
+  int64_t next_pending_us; /* when to tell again what waves wait for */
   struct timer *timer;
 };
 
+/* node/fleet_log.c */
+/* Tells what the hosts of running waves wait for, if that is due.  */
+void node_fleet_log_pending (struct fleet_duty *flt, int64_t now_us);
+
+/* node/fleet_vacate.c */
+/* Tells the placer which of its hosts are to be emptied, and reports those
+   that are empty and those that the pool keeps.  */
+void node_fleet_answer_requests (struct held_duty *hld);
+
 /* node/fleet_orders.c */
 /* Sends the order for HOST's operation, if this process may still give orders;
    an operation of host_mgr_ops, ARG is the struct fleet_duty.  */
--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -84,26 +84,13 @@
 }
 
 /* Lets the workers of the host, which is not to be emptied any more, take
-   tasks.  The reservations that were made elsewhere to move their runs are
-   dropped.  */
+   tasks.  */
 static void
 use_again (struct placer *plc, struct vacated_host *vac)
 {
   for (size_t n = 0; n < plc->pool.count; n++)
-    {
-      struct worker *wrk = plc->pool.workers[n];
-      if (wrk->vac != vac)
-        continue;
-      set_vacate (wrk, vac);
-      for (struct run *run = wrk->runs; run && !wrk->rep.draining;
-           run = run->next)
-        {
-          const struct step *stp = &run->job->spec.steps[run->ref.step];
-          if (run->tsk->run == run && !run->stop_wanted
-              && run->tsk->reserved_worker)
-            placer_unreserve (plc, run->tsk, stp);
-        }
-    }
+    if (plc->pool.workers[n]->vac == vac)
+      set_vacate (plc->pool.workers[n], vac);
 }
 
 static void
@@ -410,9 +397,9 @@
 }
 
 /* Reserves resources on another worker for the perpetual task of RUN.  Returns
-   whether the run may be stopped now: a task is moved only while fewer tasks
-   of its step are unavailable than the job allows, or than one if the job does
-   not say.  */
+   whether the run may be stopped now: the reserved resources are free, and
+   fewer tasks of its step are unavailable than the job allows, or than one if
+   the job does not say.  */
 static bool
 reserve_move (struct placer *plc, struct run *run, int64_t now_us)
 {
@@ -420,24 +407,37 @@
   uint32_t most = stp->max_unavailable > 0 ? stp->max_unavailable : 1;
   const struct place_request req
       = { .job = run->job, .step = stp, .ref = &run->ref, .now_us = now_us };
-  struct task *tsk = run->tsk;
-  int64_t reserved_us = tsk->reserved_us;
-  bool allowed = count_unavailable (run, now_us) < most;
-  /* Batch runs were stopped to make room for it.  */
-  struct worker *wrk
-      = tsk->reserved_worker ? placer_take_reserved (plc, &req) : NULL;
+  bool bound_reached = count_unavailable (run, now_us) >= most;
+  if (run->tsk->reserved_worker && placer_reserved_room (plc, &req))
+    return !bound_reached;
+  if (run->tsk->reserved_worker || bound_reached)
+    return false;
+  run->wrk->moves_reserved = true;
+  struct worker *wrk = place_pick (&plc->pool, &req);
   if (wrk)
-    placer_reserve (tsk, stp, wrk, reserved_us);
-  if (!allowed || tsk->reserved_worker)
-    return allowed && wrk;
-  wrk = place_pick (&plc->pool, &req);
-  if (!wrk)
+    placer_reserve (run->tsk, stp, wrk, now_us);
+  else
+    placer_preempt (plc, run->job, &run->ref, now_us);
+  return wrk != NULL;
+}
+
+/* Drops the reservations of tasks that run on WRK and are not moved any
+   more.  */
+static void
+drop_moves (struct placer *plc, struct worker *wrk, int64_t now_us)
+{
+  wrk->moves_reserved = false;
+  for (const struct run *run = wrk->runs; run; run = run->next)
     {
-      placer_preempt (plc, run->job, &run->ref, now_us);
-      return false;
+      const struct place_request req
+          = { .job = run->job,
+              .step = &run->job->spec.steps[run->ref.step],
+              .ref = &run->ref,
+              .now_us = now_us };
+      if (run->tsk->run == run && !run->stop_wanted
+          && run->tsk->reserved_worker)
+        placer_drop_reservation (plc, &req, "not_moved");
     }
-  placer_reserve (tsk, stp, wrk, now_us);
-  return true;
 }
 
 /* Notes whether a run has left WRK, or has got a place elsewhere for the first
@@ -472,6 +472,8 @@
   bool leaving = wrk->rep.draining || wrk->vacate;
   bool expired = wrk->vacate && now_us > wrk->vac->until_us;
 
+  if (!leaving && wrk->moves_reserved)
+    drop_moves (plc, wrk, now_us);
   for (struct run *run = wrk->runs; leaving && run; run = run->next)
     {
       bool perpetual = run->job->spec.steps[run->ref.step].perpetual;
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -115,10 +115,15 @@
   struct vacated_host *vac;
   uint32_t vacate_runs; /* runs that were left at the last tick */
   uint32_t plan_pos;    /* index in the plan of places */
+  bool moves_reserved;  /* a task that runs here may have a reservation on
+                           another worker */
   bool stops_wanted;    /* a run may have a stop that is not
                            acknowledged */
-  bool reported_idle;   /* the pool reports the host as surplus: it gets no new
-                           tasks while others have room */
+  /* Since when the demand has found that it takes no tasks for the moment; 0:
+     it takes tasks.  */
+  int64_t absent_us;
+  bool reported_idle; /* the pool reports the host as surplus: it gets no new
+                         tasks while others have room */
 };
 
 /* Whether RUN, of a perpetual task, is known to be active and at its full
