--- a/test/unit/unit_placer_moves.c
+++ b/test/unit/unit_placer_moves.c
@@ -672,6 +672,34 @@
 }
 END_TEST
 
+/* Guards against a host that is given up in the pause between two runs of the
+   only perpetual task that needs it: it looks empty then.  */
+START_TEST (test_restart_pause_keeps_host)
+{
+  struct placer_kept kept;
+  struct placer_vacated vac;
+  add_worker ("w1");
+  add_worker ("w2");
+  struct job *job = world_add_job (wld, 1, SERVING ("2"), 200);
+  world_release_earlier (wld);
+  steps (6000);
+  ck_assert (placer_takeover_done (wld->plc));
+  const char *id = runs_on (job, 0, "w1") ? "w1" : "w2";
+  const char *host = id[1] == '1' ? "m-w1" : "m-w2";
+  end_run (1, 0, RUN_END_DONE);
+  while (job->occurrences[0].tasks[0].run)
+    step ();
+  vacate (id, true);
+  for (int n = 0; n < 1000; n += STEP_MS)
+    {
+      step ();
+      ck_assert (!placer_host_empty (wld->plc, host, &vac));
+    }
+  ck_assert (placer_host_kept (wld->plc, host, &kept));
+  ck_assert (runs_on (job, 0, id));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -691,6 +719,7 @@
   tcase_add_test (tc, test_reserved_host_not_idle);
   tcase_add_test (tc, test_gangs_hold_nothing);
   tcase_add_test (tc, test_leaving_worker);
+  tcase_add_test (tc, test_restart_pause_keeps_host);
   tcase_add_loop_test (tc, test_cut_off_task_keeps_place, 0, 2);
   Suite *suite = suite_create ("placer_moves");
   suite_add_tcase (suite, tc);
