--- a/fleet/host_mgr.h
+++ b/fleet/host_mgr.h
@@ -51,12 +51,19 @@
   enum host_mgr_op current_op;
   enum host_phase phase;
   int64_t phase_began_us;     /* when the phase began */
+  int64_t op_began_us;        /* when the operation began */
   uint64_t wave;              /* number of the wave, for maintenance */
   char dest_pool[NAME_BYTES]; /* destination pool of a move */
   uint64_t request_offset; /* log offset of the request to vacate the host; 0:
                               not known yet */
-  uint64_t early_report_offset; /* request of a report that the host is empty,
+  uint64_t early_report_offset; /* request of a report of the owner that was
                                    read before the request; 0: none */
+  bool early_refused;           /* that report is a refusal */
+  char early_reason[NAME_BYTES];
+  uint32_t refusals;        /* successive requests that ended with a refusal or
+                               without an answer */
+  int64_t refused_until_us; /* it is not asked for again before this time */
+  uint32_t refused_remained;        /* pool_row.remain at the last refusal */
   char previous_worker[NAME_BYTES]; /* id of the worker before the order */
   bool order_in_flight;             /* an order has no answer yet */
   int64_t next_order_us;            /* no order is sent before this time */
@@ -82,6 +89,11 @@
   char name[NAME_BYTES];
   uint32_t short_hosts;  /* hosts that the pool lacks */
   uint32_t urgent_hosts; /* those for work that can be done in time */
+  uint32_t
+      needed_hosts; /* those without which perpetual tasks have no place */
+  char needed_label[NAME_BYTES]; /* that these must have; "": any */
+  uint32_t labelled_unmet; /* in the present step: needed hosts with a label
+                              that are not on their way */
   char (*idle)[NAME_BYTES];
   size_t idle_count;
   uint32_t busy_milli; /* share of its processors in use, in thousandths */
@@ -98,6 +110,8 @@
   const struct mgr_pool *demand; /* NULL: no demand was received */
   uint32_t all;
   uint32_t unavailable; /* in an operation or not up */
+  uint32_t remain;      /* up, and their tasks were not moved away for an
+                           operation */
 };
 
 struct mgr_wave
@@ -130,6 +144,12 @@
   void (*vacate) (void *arg, struct mgr_host *host, int64_t grace_ms);
   /* Withdraws the request to vacate HOST.  */
   void (*withdraw) (void *arg, struct mgr_host *host);
+  /* Tells that HOST's operation ends AFTER_US after its begin without having
+     been carried out, and why; KEPT_FOR is the owner's reason if it refused
+     to vacate the host, else empty.  */
+  void (*vacate_over) (void *arg, const struct mgr_host *host,
+                       const char *reason, const char *kept_for,
+                       int64_t after_us);
   /* Orders the platform to carry out HOST's operation.  The answer goes to
      host_mgr_order_answered.  */
   void (*order) (void *arg, struct mgr_host *host);
@@ -173,6 +193,9 @@
   const char *pool;
   uint32_t short_hosts;     /* hosts that the pool lacks */
   uint32_t urgent_hosts;    /* those for work that can be done in time */
+  uint32_t needed_hosts;    /* those without which perpetual tasks have no
+                               place */
+  const char *needed_label; /* that these must have; "" or NULL: any */
   char (*idle)[NAME_BYTES]; /* hosts that the pool can give up; a talloc
                                array */
   size_t idle_count;
@@ -200,6 +223,13 @@
 void host_mgr_host_emptied (struct host_mgr *mgr, const char *host,
                             uint64_t offset, int64_t now_us);
 
+/* Takes the report of a pool's owner that it refuses the request with the log
+   offset OFFSET to vacate HOST, and uses the host.  The operation ends if the
+   request is the newest one and the host was not reported as empty.  */
+void host_mgr_host_refused (struct host_mgr *mgr, const char *host,
+                            uint64_t offset, const char *reason,
+                            int64_t now_us);
+
 /* The request to vacate HOST was read back from the log, at OFFSET.  */
 void host_mgr_request_read (struct host_mgr *mgr, struct mgr_host *host,
                             uint64_t offset, int64_t now_us);
@@ -218,6 +248,26 @@
    periodically.  Returns whether an operation or a wave is in progress.  */
 bool host_mgr_step (struct host_mgr *mgr, int64_t now_us);
 
+/* What the hosts of a wave that are still to be maintained wait for.  */
+enum wave_wait
+{
+  WAIT_VACATING,   /* for the owner of their pool to vacate them */
+  WAIT_EMPTY,      /* empty; for other hosts of the wave to return */
+  WAIT_ORDERED,    /* for the platform */
+  WAIT_MOVE,       /* for the end of their move */
+  WAIT_NOT_UP,     /* not up, in no operation */
+  WAIT_REFUSED,    /* for the end of the pause after a refusal */
+  WAIT_COOLING,    /* for the end of COOLDOWN_US */
+  WAIT_POOL_LIMIT, /* too many hosts of their pool are not available */
+  WAIT_PACE,       /* for the wave itself to begin more */
+  WAIT_COUNT,
+};
+
+/* Counts the wave's hosts by what they wait for, as of the last step.  */
+void host_mgr_count_waits (const struct host_mgr *mgr,
+                           const struct mgr_wave *wave, int64_t now_us,
+                           uint32_t waits[WAIT_COUNT]);
+
 /* Returns NULL for an unknown host.  The pointer is valid until the next call
    of host_mgr_set_hosts.  */
 struct mgr_host *host_mgr_find (const struct host_mgr *mgr, const char *host);
--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -83,40 +83,14 @@
   return vac;
 }
 
-/* Drops the reservations of tasks that run on WRK and are not moved any
-   more.  */
-static void
-drop_moves (struct placer *plc, struct worker *wrk, int64_t now_us)
-{
-  wrk->moves_reserved = false;
-  for (const struct run *run = wrk->runs; run; run = run->next)
-    {
-      const struct place_request req
-          = { .job = run->job,
-              .step = &run->job->spec.steps[run->ref.step],
-              .ref = &run->ref,
-              .now_us = now_us };
-      if (run->tsk->run == run && !run->stop_wanted
-          && run->tsk->reserved_worker)
-        placer_drop_reservation (plc, &req, "not_moved");
-    }
-}
-
 /* Lets the workers of the host, which is not to be emptied any more, take
-   tasks.  The reservations that were made elsewhere to move their runs are
-   dropped.  */
+   tasks.  */
 static void
 use_again (struct placer *plc, struct vacated_host *vac)
 {
   for (size_t n = 0; n < plc->pool.count; n++)
-    {
-      struct worker *wrk = plc->pool.workers[n];
-      if (wrk->vac != vac)
-        continue;
-      set_vacate (wrk, vac);
-      if (!wrk->rep.draining)
-        drop_moves (plc, wrk, clock_now_us (plc->env.clk));
-    }
+    if (plc->pool.workers[n]->vac == vac)
+      set_vacate (plc->pool.workers[n], vac);
 }
 
 static void
@@ -447,6 +421,25 @@
   return wrk != NULL;
 }
 
+/* Drops the reservations of tasks that run on WRK and are not moved any
+   more.  */
+static void
+drop_moves (struct placer *plc, struct worker *wrk, int64_t now_us)
+{
+  wrk->moves_reserved = false;
+  for (const struct run *run = wrk->runs; run; run = run->next)
+    {
+      const struct place_request req
+          = { .job = run->job,
+              .step = &run->job->spec.steps[run->ref.step],
+              .ref = &run->ref,
+              .now_us = now_us };
+      if (run->tsk->run == run && !run->stop_wanted
+          && run->tsk->reserved_worker)
+        placer_drop_reservation (plc, &req, "not_moved");
+    }
+}
+
 /* Notes whether a run has left WRK, or has got a place elsewhere for the first
    time: a reservation that is made again and again is no progress.  */
 static void
