--- a/node/fleet.c
+++ b/node/fleet.c
@@ -16,9 +16,6 @@
 
 #define REQUEST_PART 0
 #define READ_WAIT_MS 1000
-/* Longest time until a change of a worker that is not counted by
-   placer_worker_changes, such as its host, is noticed.  */
-#define VACATING_AGE_MAX_US 200000
 /* Interval between reads of the host list while hosts are being vacated, moved
    or maintained, and otherwise.  */
 #define LIST_INTERVAL_BUSY_MS 400
@@ -34,9 +31,8 @@
    present holder, as holders may follow each other faster.  The earlier
    holders' orders have been answered by then or come too late.  */
 #define ORPHAN_DELAY_US 1000000
-/* First character of the key of each kind of record.  */
+/* First character of the key of a request.  */
 #define VACATE_REQUEST_KEY 'v'
-#define VACATE_REPORT_KEY 'e'
 
 static void
 append_request (struct fleet_duty *flt, const char *host, int64_t until_ms,
@@ -76,6 +72,24 @@
   append_request (arg, host->rep.name, 0, ended ? host->previous_worker : "");
 }
 
+/* Tells that a request of this holder ends without an order that was carried
+   out.  */
+static void
+log_vacate_over (void *arg, const struct mgr_host *host, const char *reason,
+                 const char *kept_for, int64_t after_us)
+{
+  struct fleet_duty *flt = arg;
+  const struct duty *dty = duty_find (&flt->nod->duties, host->rep.pool);
+  bool owned = dty && *dty->holder;
+  log_event (
+      flt->nod->lg, EV_HOST_VACATE_OVER, LOG_S ("host", host->rep.name),
+      LOG_S ("pool", host->rep.pool),
+      LOG_S ("for", host->current_op == OP_MOVE ? host->dest_pool : "upkeep"),
+      LOG_S ("reason",
+             !owned && strcmp (reason, "timeout") == 0 ? "no_owner" : reason),
+      LOG_S ("kept_for", kept_for), LOG_I ("after_ms", after_us / 1000));
+}
+
 static void
 record_wave_progress (void *arg, struct mgr_wave *wave)
 {
@@ -132,6 +146,10 @@
       {
         req->withdrawn = true;
         append_request (flt, req->host, 0, "");
+        log_event (flt->nod->lg, EV_HOST_VACATE_OVER,
+                   LOG_S ("host", req->host),
+                   LOG_S ("reason", "earlier_holder"),
+                   LOG_I ("after_ms", (now_us - req->superseded_us) / 1000));
       }
 }
 
@@ -187,6 +205,7 @@
     {
       withdraw_orphans (flt, now_us);
       busy = host_mgr_step (&flt->mgr, now_us);
+      node_fleet_log_pending (flt, now_us);
     }
   read_host_list (flt, busy ? LIST_INTERVAL_BUSY_MS : LIST_INTERVAL_IDLE_MS,
                   now_us);
@@ -218,6 +237,7 @@
   const struct host_mgr_ops ops = {
     .vacate = request_vacate,
     .withdraw = withdraw_vacate,
+    .vacate_over = log_vacate_over,
     .order = node_fleet_order_host,
     .wave_state = record_wave_progress,
     .arg = flt,
@@ -275,11 +295,16 @@
 static void
 withdraw_requests (struct fleet_duty *flt)
 {
+  int64_t now_us = clock_now_us (flt->nod->clk);
   for (size_t n = 0; n < flt->mgr.host_count; n++)
     {
       struct mgr_host *host = &flt->mgr.hosts[n];
       if (host->phase == PHASE_VACATING || host->phase == PHASE_EMPTY)
-        withdraw_vacate (flt, host);
+        {
+          log_vacate_over (flt, host, "released", "",
+                           now_us - host->op_began_us);
+          withdraw_vacate (flt, host);
+        }
     }
 }
 
@@ -362,6 +387,16 @@
   talloc_free (req);
 }
 
+/* Withdraws the request for HOST from the placers that have refused it.  */
+static void
+release_kept (struct fleet_duty *flt, const char *host)
+{
+  struct placer_kept kept;
+  for (struct held_duty *hld = flt->nod->held_duties; hld; hld = hld->next)
+    if (hld->plc && placer_host_kept (hld->plc, host, &kept))
+      placer_vacate (hld->plc, host, 0);
+}
+
 static struct vacate_request *
 add_request (struct fleet_duty *flt, const char *host)
 {
@@ -392,6 +427,9 @@
       struct mgr_host *managed = flt->active && msg->token == flt->token
                                      ? host_mgr_find (&flt->mgr, host)
                                      : NULL;
+      /* A host that was kept for the earlier request is asked for anew.  */
+      if (req && req->offset != offset)
+        release_kept (flt, host);
       if (req)
         {
           if (req->token != msg->token)
@@ -424,9 +462,13 @@
   const struct mgr_host *managed = host_mgr_find (&flt->mgr, host);
   const struct duty *dty
       = managed ? duty_find (&flt->nod->duties, managed->rep.pool) : NULL;
-  if (!dty || msg->token >= dty->token)
-    host_mgr_host_emptied (&flt->mgr, host, msg->request_offset,
-                           clock_now_us (flt->nod->clk));
+  int64_t now_us = clock_now_us (flt->nod->clk);
+  bool present = !dty || msg->token >= dty->token; /* of the present owner */
+  if (present && msg->refused)
+    host_mgr_host_refused (&flt->mgr, host, msg->request_offset, msg->reason,
+                           now_us);
+  else if (present)
+    host_mgr_host_emptied (&flt->mgr, host, msg->request_offset, now_us);
   kingcuphollow__vacate_report__free_unpacked (msg, NULL);
 }
 
@@ -447,6 +489,8 @@
   const struct pool_demand dem = { .pool = pool,
                                    .short_hosts = msg->short_hosts,
                                    .urgent_hosts = msg->urgent_hosts,
+                                   .needed_hosts = msg->needed_hosts,
+                                   .needed_label = msg->needed_label,
                                    .idle = idle,
                                    .idle_count = idle ? msg->n_idle_hosts : 0,
                                    .busy_milli = msg->busy_milli };
@@ -506,73 +550,10 @@
 {
 }
 
-/* Tells the placer which hosts are to be emptied, and notes the requests for
-   those of its pool, if these may have changed since the last time.  */
-static void
-update_vacating (struct held_duty *hld, int64_t now_us)
-{
-  struct node *nod = hld->nod;
-  struct fleet_duty *flt = nod->flt;
-  int64_t wall_ms = clock_wall_ms (nod->clk);
-  struct vacate_request *req, *next;
-  if (hld->vacating && hld->vacating_request_changes == flt->request_changes
-      && hld->vacating_worker_changes == placer_worker_changes (hld->plc)
-      && now_us - hld->vacating_us < VACATING_AGE_MAX_US)
-    return;
-  struct vacate_request **rows
-      = talloc_realloc (hld, hld->vacating, struct vacate_request *,
-                        HASH_COUNT (flt->requests) + 1);
-  hld->vacating_count = 0;
-  if (!rows)
-    return;
-  hld->vacating = rows;
-  HASH_ITER (hh, flt->requests, req, next)
-    {
-      int64_t left_us = (req->until_ms - wall_ms) * 1000;
-      int64_t until_us = now_us + (left_us > 0 ? left_us : 0);
-      if (placer_vacate (hld->plc, req->host, until_us))
-        rows[hld->vacating_count++] = req;
-    }
-  hld->vacating_request_changes = flt->request_changes;
-  hld->vacating_worker_changes = placer_worker_changes (hld->plc);
-  hld->vacating_us = now_us;
-}
-
-static void
-report_empty_hosts (struct held_duty *hld)
-{
-  update_vacating (hld, clock_now_us (hld->nod->clk));
-  for (size_t n = 0; n < hld->vacating_count; n++)
-    {
-      uint8_t data[128];
-      struct vacate_request *req = hld->vacating[n];
-      struct placer_vacated vac;
-      if ((req->reported_offset == req->offset
-           && req->reported_token == hld->token)
-          || !placer_host_empty (hld->plc, req->host, &vac))
-        continue;
-      Kingcuphollow__VacateReport msg = KINGCUPHOLLOW__VACATE_REPORT__INIT;
-      msg.request_offset = req->offset;
-      msg.token = hld->token;
-      if (node_fleet_append (&hld->report_app, VACATE_REPORT_KEY, req->host,
-                             data,
-                             kingcuphollow__vacate_report__pack (&msg, data))
-          != 0)
-        continue;
-      req->reported_offset = req->offset;
-      req->reported_token = hld->token;
-      log_event (hld->nod->lg, EV_HOST_EMPTIED, LOG_S ("host", req->host),
-                 LOG_S ("pool", hld->pool),
-                 LOG_I ("took_ms", vac.took_us / 1000),
-                 LOG_I ("cleared_ms", vac.cleared_us / 1000),
-                 LOG_I ("stopped", vac.stopped));
-    }
-}
-
 void
 node_fleet_report (struct held_duty *hld)
 {
-  report_empty_hosts (hld);
+  node_fleet_answer_requests (hld);
   node_fleet_report_demand (hld);
   /* The list shows on which hosts a worker was replaced; the placer need not
      wait for a response of the earlier worker there.  */
--- /dev/null
+++ b/test/unit/unit_placer_vacate.c
@@ -0,0 +1,652 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "placer_world.h"
+#include "sched/placer_priv.h"
+#include "sched/pool.h"
+
+/* Tests of hosts that are to be emptied while perpetual tasks need their
+   places.  The workers answer each command at once.  */
+
+#define SIM_RUNS_MAX 64
+/* A worker's answer in placer_world has room for so many runs.  */
+#define SIM_ROWS_MAX 8
+#define TICK_MS 40
+/* Time after which the workers are enrolled and the takeover is done.  */
+#define SETTLE_MS 9000
+#define GRACE_MS 5000
+
+/* A run on a worker, or an end that was not acknowledged.  */
+struct sim_run
+{
+  char worker[NAME_BYTES];
+  struct world_row row;
+  bool ended;
+};
+
+static struct world *wld;
+static struct sim_run sim_runs[SIM_RUNS_MAX];
+static size_t sim_count;
+static uint64_t sim_ends;
+/* Stops get no answer and have no effect.  */
+static bool sim_ignores_stops;
+
+static void
+setup (void)
+{
+  wld = world_create ();
+  world_release_earlier (wld);
+  sim_count = 0;
+  sim_ends = 0;
+  sim_ignores_stops = false;
+}
+
+static void
+teardown (void)
+{
+  world_destroy (wld);
+}
+
+/* Adds a worker with LABEL, unless it is NULL, on the host "m-ID".  */
+static void
+add_worker (const char *id, int64_t cpu_milli, int64_t memory_mb,
+            const char *label)
+{
+  struct worker_report rep
+      = { .capacity = { .cpu_milli = cpu_milli, .memory_mb = memory_mb },
+          .clock_ms = 1000,
+          .born_ms = 1000 };
+  name_copy (rep.id, id);
+  name_copy (rep.pool, "p");
+  name_copy (rep.address, "10.0.0.1:1");
+  snprintf (rep.host, sizeof rep.host, "m-%s", id);
+  if (label)
+    name_copy (rep.labels[rep.label_count++], label);
+  placer_update_worker (wld->plc, id, &rep);
+}
+
+static struct worker *
+find_worker (const char *id)
+{
+  struct worker *wrk = pool_find_id (&wld->plc->pool, id);
+  ck_assert_ptr_nonnull (wrk);
+  return wrk;
+}
+
+static struct sim_run *
+find_run (uint64_t job, uint32_t index)
+{
+  for (size_t n = 0; n < sim_count; n++)
+    if (!sim_runs[n].ended && sim_runs[n].row.job == job
+        && sim_runs[n].row.index == index)
+      return &sim_runs[n];
+  return NULL;
+}
+
+static void
+end_run (struct sim_run *run, enum run_end end)
+{
+  ck_assert_ptr_nonnull (run);
+  run->ended = true;
+  run->row.end = end;
+  run->row.number = ++sim_ends;
+}
+
+static void
+sim_hold (struct world_call *call)
+{
+  struct world_row running[SIM_ROWS_MAX], ended[SIM_ROWS_MAX];
+  size_t running_count = 0, ended_count = 0, kept = 0;
+  for (size_t n = 0; n < sim_count; n++)
+    {
+      struct sim_run *run = &sim_runs[n];
+      bool here = strcmp (run->worker, call->worker) == 0;
+      if (here && run->ended && run->row.number <= call->last_seen)
+        continue;
+      ck_assert_uint_lt (running_count, SIM_ROWS_MAX);
+      ck_assert_uint_lt (ended_count, SIM_ROWS_MAX);
+      if (here && run->ended)
+        ended[ended_count++] = run->row;
+      else if (here)
+        running[running_count++] = run->row;
+      sim_runs[kept++] = *run;
+    }
+  sim_count = kept;
+  world_answer_hold (wld, call->worker, running, running_count, ended,
+                     ended_count);
+}
+
+static void
+sim_answer (struct world_call *call)
+{
+  struct sim_run *run = find_run (call->task.job, call->task.index);
+  switch (call->kind)
+    {
+    case WORLD_START:
+      ck_assert_msg (!run, "a task has two runs");
+      ck_assert_uint_lt (sim_count, SIM_RUNS_MAX);
+      run = &sim_runs[sim_count++];
+      *run = (struct sim_run){ .row = { .job = call->task.job,
+                                        .index = call->task.index,
+                                        .run = call->run } };
+      name_copy (run->worker, call->worker);
+      break;
+    case WORLD_STOP:
+      if (run && run->row.run == call->run)
+        end_run (run, RUN_END_STOPPED);
+      break;
+    case WORLD_HOLD:
+      sim_hold (call);
+      return;
+    case WORLD_PACE:
+      break;
+    }
+  world_answer (wld, call, COMMAND_DONE);
+}
+
+/* Lets MS pass; the workers answer what they are sent.  */
+static void
+play (int64_t ms)
+{
+  for (int64_t left = ms; left > 0; left -= TICK_MS)
+    {
+      size_t kept = 0;
+      world_confirm_ownership (wld);
+      world_tick (wld, TICK_MS);
+      world_complete_append (wld);
+      for (size_t n = 0; n < wld->call_count; n++)
+        if (!wld->calls[n].answered
+            && !(sim_ignores_stops && wld->calls[n].kind == WORLD_STOP))
+          sim_answer (&wld->calls[n]);
+      for (size_t n = 0; n < wld->call_count; n++)
+        if (!wld->calls[n].answered)
+          wld->calls[kept++] = wld->calls[n];
+      wld->call_count = kept;
+    }
+}
+
+/* Number of runs on WORKER.  */
+static size_t
+count_runs (const char *worker)
+{
+  size_t count = 0;
+  for (size_t n = 0; n < sim_count; n++)
+    count += !sim_runs[n].ended && strcmp (sim_runs[n].worker, worker) == 0;
+  return count;
+}
+
+static void
+vacate (const char *host)
+{
+  ck_assert (placer_vacate (wld->plc, host,
+                            wld->clk.now_us + (int64_t)GRACE_MS * 1000));
+}
+
+/* Adds COUNT workers "w0" and so on.  */
+static void
+add_workers (int count)
+{
+  char id[16];
+  for (int n = 0; n < count; n++)
+    {
+      snprintf (id, sizeof id, "w%d", n);
+      add_worker (id, 4000, 8192, NULL);
+    }
+}
+
+/* Reasons why a perpetual task has no place.  */
+struct unplaced_case
+{
+  const char *job;
+  int free_workers; /* beside "w0", which the job's other tasks use */
+  const char *vacated, *draining, *silent;
+  const char *fields; /* of the log line */
+};
+
+/* Guards against a perpetual task without a run of which no line tells, or not
+   why: no worker is free, so placer.stalled says nothing.  */
+START_TEST (test_unplaced_reported)
+{
+  static const struct unplaced_case rows[] = {
+    { "{\"steps\":[{\"count\":3,\"cpu\":1000,\"fills\":true,"
+      "\"perpetual\":true,\"anti-affinity\":2}]}",
+      0, "", "", "",
+      "workers=1 vacated=0 draining=0 unavailable=0 label=0 bound=1 no_room=0 "
+      "allowed=0" },
+    { "{\"steps\":[{\"count\":3,\"cpu\":2000,\"perpetual\":true}]}", 0, "", "",
+      "",
+      "workers=1 vacated=0 draining=0 unavailable=0 label=0 bound=0 no_room=1 "
+      "allowed=0" },
+    { "{\"steps\":[{\"count\":3,\"mem-mb\":4096,\"fills\":true,"
+      "\"perpetual\":true}]}",
+      0, "", "", "",
+      "workers=1 vacated=0 draining=0 unavailable=0 label=0 bound=0 no_room=1 "
+      "allowed=0" },
+    { "{\"steps\":[{\"count\":1,\"cpu\":1000,\"perpetual\":true,"
+      "\"requirements\":\"gpu\"}]}",
+      2, "m-w1", "w2", "",
+      "workers=3 vacated=1 draining=1 unavailable=0 label=1 bound=0 no_room=0 "
+      "allowed=0 required_label=gpu" },
+    { "{\"steps\":[{\"count\":1,\"cpu\":9000,\"perpetual\":true}]}", 1, "", "",
+      "w1",
+      "workers=2 vacated=0 draining=0 unavailable=1 label=0 bound=0 no_room=1 "
+      "allowed=0" },
+  };
+  const struct unplaced_case *row = &rows[_i];
+  FILE *file = tmpfile ();
+  char text[4096];
+  ck_assert_ptr_nonnull (file);
+  add_workers (1 + row->free_workers);
+  play (SETTLE_MS);
+  if (*row->vacated)
+    vacate (row->vacated);
+  if (*row->draining)
+    find_worker (row->draining)->rep.draining = true;
+  if (*row->silent)
+    find_worker (row->silent)->avoid_until_us = INT64_MAX;
+  wld->plc->env.lg
+      = logger_create (NULL, &wld->clk.clk, fileno (file), LOG_LEVEL_WARN);
+  world_add_job (wld, 1, row->job, 200);
+  play (2000);
+  logger_destroy (wld->plc->env.lg);
+  wld->plc->env.lg = NULL;
+  rewind (file);
+  size_t len = fread (text, 1, sizeof text - 1, file);
+  text[len] = '\0';
+  fclose (file);
+  ck_assert_msg (strstr (text, "task.unplaced"), "no line: %s", text);
+  ck_assert_msg (strstr (text, row->fields), "fields: %s", text);
+  ck_assert_msg (strstr (text, "owner=ready"), "owner: %s", text);
+  ck_assert_uint_eq (wld->plc->unplaced_reports, 1);
+}
+END_TEST
+
+/* Guards against a log that is flooded by a pool without hosts: the number of
+   lines has a limit, and each task comes again after 5 s only.  */
+START_TEST (test_unplaced_reports_limited)
+{
+  static const struct
+  {
+    int64_t ms;
+    uint32_t reports; /* since the last 5 s began */
+  } rows[] = { { 900, 0 }, { 1400, 4 }, { 5900, 4 }, { 6700, 4 } };
+  int64_t passed = 0;
+  uint32_t total = 0;
+  add_workers (1);
+  play (SETTLE_MS);
+  world_add_job (wld, 1,
+                 "{\"steps\":[{\"count\":9,\"cpu\":9000,\"perpetual\":true}]}",
+                 200);
+  for (size_t n = 0; n < sizeof rows / sizeof rows[0]; n++)
+    {
+      play (rows[n].ms - passed);
+      passed = rows[n].ms;
+      ck_assert_uint_eq (wld->plc->unplaced_reports, rows[n].reports);
+    }
+  for (size_t n = 0; n < wld->plc->unplaced_count; n++)
+    total += wld->plc->unplaced[n].reported_us > 0;
+  ck_assert_uint_eq (wld->plc->unplaced_count, 9);
+  ck_assert_uint_eq (total, 8);
+}
+END_TEST
+
+/* Guards against lines for tasks that start in time.  */
+START_TEST (test_unplaced_not_reported)
+{
+  add_workers (2);
+  play (SETTLE_MS);
+  world_add_job (wld, 1,
+                 "{\"steps\":[{\"count\":2,\"cpu\":1000,\"perpetual\":true,"
+                 "\"anti-affinity\":1}]}",
+                 200);
+  for (int n = 0; n < 2; n++)
+    {
+      play (1200);
+      end_run (find_run (1, 0), RUN_END_FAILED);
+    }
+  play (1200);
+  ck_assert_uint_eq (count_runs ("w0"), 1);
+  ck_assert_uint_eq (count_runs ("w1"), 1);
+  ck_assert_uint_eq (wld->plc->unplaced_reports, 0);
+}
+END_TEST
+
+#define BOUND_JOB                                                             \
+  "{\"steps\":[{\"count\":7,\"cpu\":1000,\"mem-mb\":64,\"fills\":true,"       \
+  "\"perpetual\":true,\"anti-affinity\":2}]}"
+
+/* Guards against a perpetual task that never starts again: two of four hosts
+   are to be emptied, and each of the others has as many of its siblings as the
+   job allows, which have no other place either.  */
+START_TEST (test_task_beside_vacated_hosts)
+{
+  char worker[NAME_BYTES], host[NAME_BYTES];
+  add_workers (4);
+  play (SETTLE_MS);
+  world_add_job (wld, 1, BOUND_JOB, 200);
+  play (2000);
+  ck_assert_ptr_nonnull (find_run (1, 3));
+  name_copy (worker, find_run (1, 3)->worker);
+  name_copy (host, find_worker (worker)->rep.host);
+  vacate (host);
+  vacate (strcmp (worker, "w0") == 0 ? "m-w1" : "m-w0");
+  play (200);
+  if (find_run (1, 3))
+    end_run (find_run (1, 3), RUN_END_FAILED);
+  play (2000);
+  ck_assert_ptr_nonnull (find_run (1, 3));
+}
+END_TEST
+
+#define WORKERS_MAX 6
+#define JOBS_MAX 4
+#define REQUESTS_MAX 3
+
+#define TASKS(count, more) "{\"steps\":[{\"count\":" count "," more "}]}"
+#define LASTING(count, more) TASKS (count, "\"perpetual\":true," more)
+#define ONE_EACH "\"cpu\":1000,\"mem-mb\":64,\"anti-affinity\":1"
+#define TWO_EACH "\"fills\":true,\"mem-mb\":64,\"anti-affinity\":2"
+#define BATCH(count)                                                          \
+  TASKS (count, "\"cpu\":1000,\"mem-mb\":1024,\"estimate-ms\":60000")
+
+/* A pool, and the hosts that it is asked to give up.  */
+struct vacate_case
+{
+  const char *title;
+  struct
+  {
+    int64_t cpu_milli, memory_mb; /* 0: no worker */
+    const char *label;
+  } workers[WORKERS_MAX];
+  struct
+  {
+    const char *json;
+    const char *on; /* the worker that its tasks start on */
+  } jobs[JOBS_MAX];
+  const char *draining; /* a worker that leaves by its own notice */
+  struct
+  {
+    const char *worker;
+    enum placer_keep_reason kept;
+  } requests[REQUESTS_MAX];
+  int64_t pause_ms;     /* between the requests */
+  const char *late_job; /* one that is accepted after the requests */
+  uint32_t lacking;
+  const char *label; /* that the pool lacks; NULL: any */
+};
+
+#define USUAL                                                                 \
+  {                                                                           \
+    4000, 8192, NULL                                                          \
+  }
+
+#define NONE PLACER_KEEP_NONE
+#define NO_PLACE PLACER_KEEP_NO_PLACE
+#define TASK_WAITS PLACER_KEEP_TASK_WAITS
+#define NO_PROGRESS PLACER_KEEP_NO_PROGRESS
+
+static const struct vacate_case vacate_cases[] = {
+  { "bound, no spare worker",
+    { USUAL, USUAL },
+    { { LASTING ("1", ONE_EACH), "w0" }, { LASTING ("2", ONE_EACH), "" } },
+    .requests = { { "w0", NO_PLACE } },
+    .lacking = 1 },
+  { "bound, a spare worker",
+    { USUAL, USUAL, USUAL },
+    { { LASTING ("2", ONE_EACH), "" } },
+    .requests = { { "w2", NONE } } },
+  { "in the order of the requests",
+    { USUAL, USUAL, USUAL },
+    { { LASTING ("2", ONE_EACH), "" } },
+    .requests = { { "w0", NONE }, { "w1", NO_PLACE } },
+    .lacking = 1 },
+  { "in the order of the requests, the other way round",
+    { USUAL, USUAL, USUAL },
+    { { LASTING ("2", ONE_EACH), "" } },
+    .requests = { { "w1", NONE }, { "w0", NO_PLACE } },
+    .lacking = 1 },
+  { "seven tasks, two on each of four workers",
+    { USUAL, USUAL, USUAL, USUAL },
+    { { LASTING ("7", TWO_EACH), "" } },
+    .requests = { { "w0", NO_PLACE }, { "w3", NO_PLACE }, { "w1", NO_PLACE } },
+    .lacking = 3 },
+  { "label that no other worker has",
+    { { 4000, 8192, "gpu" }, { 4000, 8192, "r2" }, USUAL },
+    { { LASTING ("1", "\"cpu\":100,\"requirements\":\"gpu\""), "w0" } },
+    .requests = { { "w2", NONE }, { "w0", NO_PLACE } },
+    .lacking = 1,
+    .label = "gpu" },
+  { "label that another worker has",
+    { { 4000, 8192, "gpu" }, { 4000, 8192, "r2" }, { 4000, 8192, "gpu" } },
+    { { LASTING ("1", "\"cpu\":100,\"requirements\":\"gpu\""), "w0" } },
+    .requests = { { "w0", NONE }, { "w2", NO_PLACE } },
+    .pause_ms = 200,
+    .lacking = 1,
+    .label = "gpu" },
+  { "a host that is asked for is no place, decided or not",
+    { { 4000, 8192, "gpu" }, { 4000, 8192, "r2" }, { 4000, 8192, "gpu" } },
+    { { LASTING ("1", "\"cpu\":100,\"requirements\":\"gpu\""), "w0" } },
+    .requests = { { "w0", NO_PLACE }, { "w2", NONE } },
+    .lacking = 1,
+    .label = "gpu" },
+  { "two labels, one of them gone",
+    { { 4000, 8192, "a" },
+      { 4000, 8192, "b" },
+      { 4000, 8192, "a" },
+      { 4000, 8192, "b" } },
+    { { LASTING ("1", "\"cpu\":100,\"requirements\":\"a\""), "w0" },
+      { LASTING ("1", "\"cpu\":100,\"requirements\":\"b\""), "w1" } },
+    .requests = { { "w0", NONE }, { "w2", NO_PLACE }, { "w1", NONE } },
+    .pause_ms = 200,
+    .lacking = 1,
+    .label = "a" },
+  { "memory of a task that needs no processor",
+    { USUAL, USUAL },
+    { { LASTING ("1", "\"fills\":true,\"mem-mb\":5000"), "w0" },
+      { LASTING ("1", "\"fills\":true,\"mem-mb\":5000"), "w1" } },
+    .requests = { { "w0", NO_PLACE } },
+    .lacking = 1 },
+  { "a larger worker",
+    { USUAL, { 8000, 16384, NULL } },
+    { { LASTING ("1", "\"fills\":true,\"mem-mb\":5000"), "w0" },
+      { LASTING ("1", "\"fills\":true,\"mem-mb\":5000"), "w1" } },
+    .requests = { { "w0", NONE } } },
+  { "workers that are too small",
+    { USUAL, { 1000, 2048, NULL }, { 1000, 2048, NULL } },
+    { { LASTING ("1", "\"cpu\":2000"), "w0" } },
+    .requests = { { "w0", NO_PLACE } },
+    .lacking = 1 },
+  { "processors in use by perpetual tasks",
+    { USUAL, USUAL },
+    { { LASTING ("2", "\"cpu\":1500"), "w0" },
+      { LASTING ("1", "\"cpu\":1500"), "w1" } },
+    .requests = { { "w0", NO_PLACE } },
+    .lacking = 1 },
+  { "processors in use by batch tasks",
+    { USUAL, USUAL },
+    { { LASTING ("2", "\"cpu\":1500,\"may-miss\":1"), "w0" },
+      { BATCH ("4"), "w1" } },
+    .requests = { { "w0", NONE } } },
+  { "batch tasks on the host, too",
+    { USUAL, USUAL },
+    { { LASTING ("1", "\"cpu\":1500"), "w0" },
+      { BATCH ("2"), "w0" },
+      { BATCH ("4"), "w1" } },
+    .requests = { { "w0", NONE } } },
+  { "batch tasks only",
+    { USUAL, USUAL },
+    { { BATCH ("4"), "w0" }, { BATCH ("4"), "w1" } },
+    .requests = { { "w0", NONE } } },
+  { "planned moves use up the places",
+    { USUAL, USUAL, USUAL },
+    { { LASTING ("1", "\"cpu\":3000"), "w0" },
+      { LASTING ("1", "\"cpu\":3000"), "w1" } },
+    .requests = { { "w0", NONE }, { "w1", NO_PLACE } },
+    .lacking = 1 },
+  { "a draining worker is no place, and takes one",
+    { USUAL, USUAL, USUAL },
+    { { LASTING ("3", ONE_EACH), "" } },
+    .draining = "w2",
+    .requests = { { "w0", NO_PLACE } },
+    .lacking = 2 },
+  { "tasks of a draining worker get a vacated host",
+    { USUAL, USUAL },
+    { { LASTING ("1", ONE_EACH), "w1" } },
+    .draining = "w1",
+    .requests = { { "w0", TASK_WAITS } },
+    .lacking = 1 },
+  { "a task that waits gets the host that was asked for last",
+    { USUAL, USUAL, USUAL },
+    { { LASTING ("1", "\"cpu\":4000"), "w0" },
+      { BATCH ("1"), "w1" },
+      { BATCH ("1"), "w2" } },
+    .requests = { { "w1", NONE }, { "w2", TASK_WAITS } },
+    .late_job = LASTING ("1", "\"cpu\":2000"),
+    .lacking = 1 },
+  { "a task that waits and fits on no vacated host",
+    { { 4000, 8192, "r1" }, { 4000, 8192, "r1" }, { 2000, 8192, "r2" } },
+    { { BATCH ("1"), "w1" }, { BATCH ("1"), "w2" } },
+    .requests = { { "w1", NONE }, { "w2", NONE } },
+    .late_job = LASTING ("2", "\"cpu\":9000,\"requirements\":\"r2\""),
+    .lacking = 0 },
+  { "a task that waits for a label that no worker has",
+    { { 4000, 8192, "r1" }, { 4000, 8192, "r1" } },
+    { { BATCH ("1"), "w1" } },
+    .requests = { { "w1", NONE } },
+    .late_job = LASTING ("2", "\"cpu\":3000,\"requirements\":\"r9\""),
+    .lacking = 1,
+    .label = "r9" },
+  { "several tasks that wait, more than the vacated hosts take",
+    { USUAL, USUAL },
+    { { LASTING ("1", "\"cpu\":4000"), "w0" }, { BATCH ("1"), "w1" } },
+    .requests = { { "w1", TASK_WAITS } },
+    .late_job = LASTING ("5", ONE_EACH),
+    .lacking = 5 },
+};
+
+/* Lets only the worker ON take tasks, or with "" all.  */
+static void
+use_only (const char *on)
+{
+  for (size_t n = 0; n < wld->plc->pool.count; n++)
+    {
+      struct worker *wrk = wld->plc->pool.workers[n];
+      bool used = !*on || strcmp (wrk->rep.id, on) == 0;
+      wrk->avoid_until_us = used ? 0 : INT64_MAX;
+    }
+}
+
+static void
+set_up_case (const struct vacate_case *row)
+{
+  char id[16];
+  for (int n = 0; n < WORKERS_MAX && row->workers[n].cpu_milli > 0; n++)
+    {
+      snprintf (id, sizeof id, "w%d", n);
+      add_worker (id, row->workers[n].cpu_milli, row->workers[n].memory_mb,
+                  row->workers[n].label);
+    }
+  play (SETTLE_MS);
+  for (int n = 0; n < JOBS_MAX && row->jobs[n].json; n++)
+    {
+      use_only (row->jobs[n].on);
+      world_add_job (wld, (uint64_t)n + 1, row->jobs[n].json, 200 + n);
+      play (400);
+    }
+  use_only ("");
+  if (row->draining)
+    find_worker (row->draining)->rep.draining = true;
+}
+
+static enum placer_keep_reason
+kept_reason (const char *host)
+{
+  struct placer_kept kept;
+  return placer_host_kept (wld->plc, host, &kept) ? kept.reason : NONE;
+}
+
+static bool
+host_empty (const char *host)
+{
+  struct placer_vacated vac;
+  return placer_host_empty (wld->plc, host, &vac);
+}
+
+/* Guards against hosts that are given up although a perpetual task loses its
+   last place, that are refused although each has another one, and against
+   waits without end: a host that is granted becomes empty, one that is kept
+   does not and takes tasks.  */
+START_TEST (test_requests)
+{
+  const struct vacate_case *row = &vacate_cases[_i];
+  char hosts[REQUESTS_MAX][NAME_BYTES];
+  size_t count = 0;
+  set_up_case (row);
+  for (; count < REQUESTS_MAX && row->requests[count].worker; count++)
+    {
+      name_copy (hosts[count],
+                 find_worker (row->requests[count].worker)->rep.host);
+      vacate (hosts[count]);
+      play (row->pause_ms);
+    }
+  if (row->late_job)
+    world_add_job (wld, 9, row->late_job, 300);
+  play (2 * TICK_MS);
+  if (row->late_job)
+    play (200);
+  for (size_t n = 0; n < count; n++)
+    ck_assert_msg (kept_reason (hosts[n]) == row->requests[n].kept,
+                   "%s: %s: reason %d", row->title, hosts[n],
+                   kept_reason (hosts[n]));
+  ck_assert_msg (wld->plc->lacking_hosts == row->lacking, "%s: lacking %u",
+                 row->title, wld->plc->lacking_hosts);
+  ck_assert_msg (strcmp (wld->plc->lacking_label, row->label ? row->label : "")
+                     == 0,
+                 "%s: label %s", row->title, wld->plc->lacking_label);
+  for (int n = 0; n < 8; n++)
+    {
+      play (1000);
+      for (size_t m = 0; m < count; m++)
+        if (row->requests[m].kept != NONE)
+          {
+            vacate (hosts[m]);
+            ck_assert (!host_empty (hosts[m]));
+          }
+    }
+  for (size_t n = 0; n < count; n++)
+    {
+      ck_assert_msg (kept_reason (hosts[n]) == row->requests[n].kept,
+                     "%s: %s later: reason %d", row->title, hosts[n],
+                     kept_reason (hosts[n]));
+      ck_assert_msg (host_empty (hosts[n]) == (row->requests[n].kept == NONE),
+                     "%s: %s: empty %d", row->title, hosts[n],
+                     host_empty (hosts[n]));
+      if (row->requests[n].kept != NONE)
+        ck_assert (worker_schedulable (find_worker (row->requests[n].worker),
+                                       wld->clk.now_us));
+    }
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tc = tcase_create ("placer_vacate");
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_loop_test (tc, test_unplaced_reported, 0, 5);
+  tcase_add_test (tc, test_unplaced_reports_limited);
+  tcase_add_test (tc, test_unplaced_not_reported);
+  tcase_add_test (tc, test_task_beside_vacated_hosts);
+  tcase_add_loop_test (tc, test_requests, 0,
+                       sizeof vacate_cases / sizeof vacate_cases[0]);
+  Suite *suite = suite_create ("placer_vacate");
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
