test/soak: a perpetual run is at work after its startup, may-miss of standing jobs

The stand-in of the workers told a percentage below 100 of a perpetual run that is to fail, which means not at work, so that the system did not dare to move its siblings.

--- a/test/soak/clients.c
+++ b/test/soak/clients.c
@@ -179,6 +179,8 @@
         json_object_set_new (row, "anti-affinity", json_integer (stp->bound));
       if (stp->fills)
         json_object_set_new (row, "fills", json_true ());
+      if (stp->may_miss)
+        json_object_set_new (row, "may-miss", json_integer (stp->may_miss));
       json_array_append_new (steps, row);
     }
   json_t *doc = json_pack ("{s:s,s:o}", "spec", job->spec, "steps", steps);
@@ -543,6 +545,7 @@
                        .mem = 256,
                        .work_ms = -1,
                        .bound = bound,
+                       .may_miss = 1,
                        .fills = fills };
   soak_log ("standing job %s: %d items in %s, %d on a worker%s", job->id,
             job->steps[0].count, pool_name (pool), bound,
--- a/test/soak/worker.h
+++ b/test/soak/worker.h
@@ -19,6 +19,7 @@
   int64_t work_ms; /* -1: until it is stopped */
   int cpu;
   bool stopping, fails;
+  bool lasts; /* of a perpetual job */
   struct run_fact *fact;
 };
 
