--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -83,6 +83,25 @@
   return vac;
 }
 
+/* Drops the reservations of tasks that run on WRK and are not moved any
+   more.  */
+static void
+drop_moves (struct placer *plc, struct worker *wrk, int64_t now_us)
+{
+  wrk->moves_reserved = false;
+  for (const struct run *run = wrk->runs; run; run = run->next)
+    {
+      const struct place_request req
+          = { .job = run->job,
+              .step = &run->job->spec.steps[run->ref.step],
+              .ref = &run->ref,
+              .now_us = now_us };
+      if (run->tsk->run == run && !run->stop_wanted
+          && run->tsk->reserved_worker)
+        placer_drop_reservation (plc, &req, "not_moved");
+    }
+}
+
 /* Lets the workers of the host, which is not to be emptied any more, take
    tasks.  */
 static void
