sched: moves that a host's tasks wait for are its progress

A stop for a move is now progress of each host with a task of the same step.

Test: test_waits_for_moves; it fails without the change.

--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -48,7 +48,8 @@
   enum vacate_state state;
   int64_t begun_us; /* when this owner was first asked */
   int64_t until_us; /* batch tasks still there then are stopped */
-  /* When a run last left the host or got a place elsewhere.  */
+  /* When a run last left the host or got a place elsewhere, or another task of
+     its step was stopped for a move.  */
   int64_t progress_us;
   int64_t cleared_us; /* when nothing ran there any more; 0: not yet */
   uint32_t stops;     /* runs stopped to empty it */
--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -13,7 +13,8 @@
    request that is not decided does not wait for it.  */
 #define PLAN_INTERVAL_US 100000
 /* A host on which nothing has moved for this time, after the time to vacate it
-   is over, is kept: a stop takes up to 1 s, a reservation lasts for 3 s.  */
+   is over, is kept: a stop takes up to 1 s, a reservation lasts for 3 s. Moves
+   that its tasks wait for count as well.  */
 #define NO_PROGRESS_US 4000000
 
 static struct vacated_host *
@@ -466,6 +467,19 @@
     vac->cleared_us = now_us;
 }
 
+/* Notes that RUN is stopped for a move.  Other tasks of its step wait for that
+   one if no more of them may be away, which is progress of their hosts.  */
+static void
+note_move (const struct run *run, int64_t now_us)
+{
+  const struct step *stp = &run->job->spec.steps[run->ref.step];
+  const struct task *tasks
+      = run->job->occurrences[run->ref.occurrence].tasks + stp->first_task;
+  for (uint32_t n = 0; n < stp->count; n++)
+    if (tasks[n].run && tasks[n].run->wrk->vacate)
+      tasks[n].run->wrk->vac->progress_us = now_us;
+}
+
 void
 placer_evacuate (struct placer *plc, struct worker *wrk, int64_t now_us)
 {
@@ -489,6 +503,8 @@
           LOG_S ("reason", wrk->vacate ? "host_vacated" : "worker_draining"));
       if (wrk->vacate)
         wrk->vac->stops++;
+      if (perpetual)
+        note_move (run, now_us);
       placer_stop_run (plc, run);
     }
   if (wrk->vacate)
--- a/test/unit/unit_placer_vacate.c
+++ b/test/unit/unit_placer_vacate.c
@@ -754,6 +754,35 @@
 }
 END_TEST
 
+/* Guards against a host that is kept while its task waits for others of its
+   step, of which one at a time may be away, to leave a host before it.  */
+START_TEST (test_waits_for_moves)
+{
+  set_up_case (&(struct vacate_case){
+      .workers = { USUAL, USUAL, USUAL },
+      .jobs = { { LASTING ("6", "\"cpu\":100,\"may-miss\":1"), "w0" } } });
+  use_only ("w1");
+  end_run (find_run (1, 5), RUN_END_FAILED);
+  play (600);
+  ck_assert_str_eq (find_run (1, 5)->worker, "w1");
+  use_only ("");
+  for (int n = 0; n < 2; n++)
+    placer_vacate (wld->plc, n ? "m-w1" : "m-w0", wld->clk.now_us + 500000);
+  for (int n = 0; n < 9; n++)
+    {
+      sim_ignores_stops = true;
+      play (1200);
+      sim_ignores_stops = false;
+      play (TICK_MS);
+      ck_assert_int_eq (kept_reason ("m-w0"), NONE);
+      ck_assert_int_eq (kept_reason ("m-w1"), NONE);
+    }
+  ck_assert (host_empty ("m-w0"));
+  play (1000);
+  ck_assert (host_empty ("m-w1"));
+}
+END_TEST
+
 /* Guards against a reservation that is taken away with its host although the
    task has no other place, while it waits for room or is being moved.  */
 START_TEST (test_reservation_on_vacated_host)
@@ -943,6 +972,7 @@
                        sizeof vacate_cases / sizeof vacate_cases[0]);
   tcase_add_loop_test (tc, test_told_empty, 0, 2);
   tcase_add_loop_test (tc, test_no_progress, 0, 3);
+  tcase_add_test (tc, test_waits_for_moves);
   tcase_add_loop_test (tc, test_reservation_on_vacated_host, 0, 4);
   tcase_add_test (tc, test_takeover);
   tcase_add_loop_test (tc, test_asked_again, 0, 2);
