sched, fleet: hosts for refused requests stay, and stop no work of others

A busy host was taken from a pool at its peak within 0.1 s, arrived 3.4 s later, and 0.2 s after that a second one was taken, as the owner had not reported since. The first one was idle, went to the spare pool at 10.6 s, and was needed again at once.

- A busy host is taken only after 0.5 s of need, and for no more hosts than the pool needs beyond those that it refused to vacate: their tasks run.
- A pool keeps as many hosts beyond its needs as it refused to vacate in the last 10 s, the time for which the refusals count as lacking hosts.

--- a/fleet/host_mgr.h
+++ b/fleet/host_mgr.h
@@ -92,8 +92,10 @@
   uint32_t
       needed_hosts; /* those without which perpetual tasks have no place */
   char needed_label[NAME_BYTES]; /* that these must have; "": any */
-  uint32_t labelled_unmet; /* in the present step: needed hosts with a label
-                              that are not on their way */
+  int64_t needed_since_us; /* since when it needs hosts; 0: it does not */
+  /* In the present step, needed hosts for which none is taken for other work:
+     they have just arrived, or none with their label is on its way.  */
+  uint32_t set_aside;
   char (*idle)[NAME_BYTES];
   size_t idle_count;
   uint32_t busy_milli; /* share of its processors in use, in thousandths */
--- a/fleet/host_mgr_moves.c
+++ b/fleet/host_mgr_moves.c
@@ -16,6 +16,17 @@
    them is not idle.  A demand may pass, and each such host stops the batch
    work of its pool.  */
 #define BUSY_HOSTS_MAX 2
+/* Time for which a pool has to need a host before a busy one is taken for it.
+   Most needs are over sooner, when tasks or hosts that were on their way have
+   arrived.  */
+#define BUSY_DELAY_US 500000
+/* Time after its pause for which a host that its pool refused to vacate counts
+   as a reason for a needed host.  The tasks there run, and only the host
+   cannot be vacated: that is no reason to stop the work of others.  */
+#define REFUSED_SPAN_US 10000000
+/* Time after its cooldown for which a host that has come to a pool counts as
+   on its way there: the pool's owner may not have reported since.  */
+#define ARRIVAL_US 1000000
 /* Hosts by which a pool that gives up a busy host has to be larger than the
    one that needs it.  After the move it is not smaller, so that no host is
    taken back for the same reason.  */
@@ -39,8 +50,10 @@
   const char *pool;
   const char *label;  /* that they must have; "": any */
   uint32_t incoming;  /* hosts on their way to the pool that have it */
+  uint32_t arrived;   /* those that have arrived just now */
   uint32_t vacating;  /* those that are not empty yet */
   uint32_t available; /* the pool's hosts, and those on their way to it */
+  uint32_t busy_most; /* hosts for which busy ones may be taken */
 };
 
 static bool
@@ -52,9 +65,35 @@
   return !*label;
 }
 
+/* Whether HOST has come to the pool NAME just now.  */
+static bool
+has_arrived (const struct mgr_host *host, const char *name, int64_t now_us)
+{
+  return host->current_op == OP_NONE
+         && now_us < host->cooldown_until_us + ARRIVAL_US
+         && strcmp (host->dest_pool, name) == 0
+         && strcmp (host->rep.pool, name) == 0;
+}
+
+/* Hosts that POOL needs for tasks without a place, rather than to be able to
+   give up others; 0 while it has not needed them for long.  */
+static uint32_t
+count_placeless (const struct host_mgr *mgr, const struct mgr_pool *pool,
+                 int64_t now_us)
+{
+  uint32_t refused = 0;
+  if (!pool->needed_since_us || now_us < pool->needed_since_us + BUSY_DELAY_US)
+    return 0;
+  for (size_t n = 0; n < mgr->host_count; n++)
+    refused += mgr->hosts[n].refusals > 0
+               && now_us < mgr->hosts[n].refused_until_us + REFUSED_SPAN_US
+               && strcmp (mgr->hosts[n].rep.pool, pool->name) == 0;
+  return pool->needed_hosts > refused ? pool->needed_hosts - refused : 0;
+}
+
 static struct wish
 make_wish (const struct host_mgr *mgr, const struct mgr_pool *pool,
-           enum want want)
+           enum want want, int64_t now_us)
 {
   struct wish wish
       = { .want = want,
@@ -66,6 +105,8 @@
   for (size_t n = 0; n < mgr->host_count; n++)
     {
       const struct mgr_host *host = &mgr->hosts[n];
+      if (want == WANT_PLACES && host_has_label (host, wish.label))
+        wish.arrived += has_arrived (host, pool->name, now_us);
       if (host->current_op != OP_MOVE
           || strcmp (host->dest_pool, pool->name) != 0)
         continue;
@@ -75,6 +116,9 @@
       wish.incoming++;
       wish.vacating += host->phase == PHASE_VACATING;
     }
+  wish.incoming += wish.arrived;
+  if (want == WANT_PLACES && wish.incoming < pool->needed_hosts)
+    wish.busy_most = count_placeless (mgr, pool, now_us);
   return wish;
 }
 
@@ -112,7 +156,8 @@
                int64_t now_us)
 {
   uint32_t out = row->unavailable + 1;
-  return wish->want == WANT_PLACES && demand_is_recent (row->demand, now_us)
+  return wish->incoming < wish->busy_most
+         && demand_is_recent (row->demand, now_us)
          && row->demand->needed_hosts == 0 && wish->vacating < BUSY_HOSTS_MAX
          && (out == 1 || out * GIVER_DIVISOR <= row->all)
          && row->all >= row->unavailable + wish->available + GIVER_LEAD_HOSTS;
@@ -173,9 +218,13 @@
   uint32_t wanted = want == WANT_PLACES   ? pool->needed_hosts
                     : want == WANT_URGENT ? pool->urgent_hosts
                                           : pool->short_hosts;
-  struct wish wish = make_wish (mgr, pool, want);
+  if (pool->needed_hosts == 0)
+    pool->needed_since_us = 0;
+  else if (!pool->needed_since_us)
+    pool->needed_since_us = now_us;
+  struct wish wish = make_wish (mgr, pool, want, now_us);
   if (want != WANT_PLACES)
-    wanted = wanted > pool->labelled_unmet ? wanted - pool->labelled_unmet : 0;
+    wanted = wanted > pool->set_aside ? wanted - pool->set_aside : 0;
   int next = 0;
   for (int cost = 0; cost >= 0 && wish.incoming < wanted; cost = next)
     {
@@ -198,7 +247,8 @@
     }
   uint32_t unmet = wish.incoming < wanted ? wanted - wish.incoming : 0;
   if (want == WANT_PLACES)
-    pool->labelled_unmet = *wish.label ? unmet : 0;
+    pool->set_aside = (*wish.label ? unmet : 0)
+                      + (wish.arrived < wanted ? wish.arrived : wanted);
   return unmet > 0 && !*wish.label;
 }
 
--- a/sched/demand.c
+++ b/sched/demand.c
@@ -240,16 +240,35 @@
   return rows;
 }
 
+/* Hosts beyond those that perpetual tasks need which the pool keeps so that it
+   can give up others: as many as it refused to vacate a short time ago.  */
+static size_t
+count_reserve (const struct placer *plc, int64_t now_us)
+{
+  size_t count = 0;
+  for (const struct vacated_host *vac = plc->vacated; vac; vac = vac->next)
+    count += (vac->state == VACATE_KEPT || vac->state == VACATE_WITHDRAWN)
+             && vac->kept.reason != PLACER_KEEP_NO_PROGRESS
+             && now_us - vac->kept_us < KEPT_LACKING_US;
+  return count;
+}
+
 /* Reports up to SURPLUS hosts as idle, those with the fewest tasks first. They
    get no new tasks while others have room, so that they are empty within a
    second.  Hosts with perpetual tasks, or that perpetual tasks need, are not
    reported.  */
 static void
-report_idle_hosts (const struct placer *plc, const struct staying *rows,
-                   size_t count, int64_t surplus, struct placer_demand *dem)
+report_idle_hosts (const struct placer *plc, int64_t now_us,
+                   const struct staying *rows, size_t count, int64_t surplus,
+                   struct placer_demand *dem)
 {
+  int64_t spare = -(int64_t)count_reserve (plc, now_us);
   for (size_t n = 0; n < plc->pool.count; n++)
     plc->pool.workers[n]->reported_idle = false;
+  for (size_t n = 0; n < count; n++)
+    spare += rows[n].order == STAYING_SPARE && !rows[n].needed;
+  if (surplus > spare)
+    surplus = spare;
   for (size_t n = count; n-- > 0 && (int64_t)dem->idle_count < surplus
                          && dem->idle_count < PLACER_IDLE_HOSTS_MAX;)
     {
@@ -491,7 +510,7 @@
   /* A pool that lacks any host gives up none in exchange for it.  */
   if (dem->needed_hosts > 0 && !*dem->needed_label)
     surplus = 0;
-  report_idle_hosts (plc, rows, count, surplus, dem);
+  report_idle_hosts (plc, now_us, rows, count, surplus, dem);
   talloc_free (rows);
 }
 
--- a/test/unit/unit_demand.c
+++ b/test/unit/unit_demand.c
@@ -262,6 +262,35 @@
 }
 END_TEST
 
+/* Guards against a spare host that is given up again before the host for which
+   it came can be vacated, and that is asked for anew, in turn.  */
+START_TEST (test_reserve_for_kept_host)
+{
+  struct placer_kept kept;
+  add_workers ("aaaa");
+  world_confirm_ownership (wld);
+  add_step (1, SEVEN "\"anti-affinity\":2");
+  for (int n = 0; n < 10; n++)
+    world_tick (wld, 50);
+  wld->plc->takeover_done = true;
+  ck_assert (placer_vacate (wld->plc, "m-w1", wld->clk.now_us + 5000000));
+  world_tick (wld, 200);
+  ck_assert (placer_host_kept (wld->plc, "m-w1", &kept));
+  ck_assert_uint_eq (demand ().needed_hosts, 1);
+  report_worker (4, 'a', false);
+  struct worker *wrk = wld->plc->pool.workers[4];
+  wrk->reached = wrk->settled = wrk->enrolled = true;
+  world_confirm_ownership (wld);
+  world_tick (wld, 200);
+  ck_assert_uint_eq (demand ().needed_hosts, 0);
+  ck_assert_uint_eq (demand ().schedulable_hosts, 5);
+  ck_assert_uint_eq (demand ().idle_count, 0);
+  /* Not for ever.  */
+  wld->clk.now_us += 10000000;
+  ck_assert_uint_eq (demand ().idle_count, 1);
+}
+END_TEST
+
 /* Guards against a label that no host has and for which all others that are
    missing wait.  */
 START_TEST (test_labels_in_turn)
@@ -300,6 +329,7 @@
   tcase_add_loop_test (tcase, test_absent_workers, 0,
                        sizeof absences / sizeof *absences);
   tcase_add_test (tcase, test_unknown_workers);
+  tcase_add_test (tcase, test_reserve_for_kept_host);
   tcase_add_test (tcase, test_labels_in_turn);
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
