test: a host that an earlier owner reported as empty is kept (fails)

If the earlier leases end before the owner begins, the first tick completes the takeover before the first placer_vacate, so that 'inherited' is false.

--- /dev/null
+++ b/test/unit/unit_vacate_review.c
@@ -0,0 +1,386 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "fleet/host_mgr.h"
+#include "platform/wire_decode.h"
+#include "placer_world.h"
+#include "sched/placer_priv.h"
+#include "sched/pool.h"
+
+/* Findings of a review of docs/design/vacating.md: requests to vacate hosts
+   that leave a perpetual task without a run, or take hosts in vain.  The
+   workers answer each command at once.  */
+
+#define SIM_RUNS_MAX 1024
+/* A worker's answer in placer_world has room for so many runs.  */
+#define SIM_ROWS_MAX 8
+#define TICK_MS 40
+/* Ticks for which a hold waits for an end.  */
+#define SIM_HOLD_TICKS 5
+/* Time after which the workers are enrolled and the takeover is done.  */
+#define SETTLE_MS 1000
+#define GRACE_MS 5000
+
+/* A run on a worker, or an end that was not acknowledged.  */
+struct sim_run
+{
+  char worker[NAME_BYTES];
+  struct world_row row;
+  bool ended;
+};
+
+static struct world *wld;
+static struct sim_run sim_runs[SIM_RUNS_MAX];
+static size_t sim_count;
+static uint64_t sim_ends;
+static uint32_t sim_ticks;
+/* Stops get no answer and have no effect.  */
+static bool sim_ignores_stops;
+
+static void
+setup (void)
+{
+  wld = world_create ();
+  world_release_earlier (wld);
+  sim_count = 0;
+  sim_ends = 0;
+  sim_ignores_stops = false;
+}
+
+static void
+teardown (void)
+{
+  world_destroy (wld);
+}
+
+/* Adds a worker on the host "m-ID".  LABELS are separated by a space; NULL:
+   none.  */
+static void
+add_worker (const char *id, int64_t cpu_milli, int64_t memory_mb,
+            const char *labels)
+{
+  struct worker_report rep
+      = { .capacity = { .cpu_milli = cpu_milli, .memory_mb = memory_mb },
+          .clock_ms = 1000,
+          .born_ms = 1000 };
+  name_copy (rep.id, id);
+  name_copy (rep.pool, "p");
+  name_copy (rep.address, "10.0.0.1:1");
+  snprintf (rep.host, sizeof rep.host, "m-%s", id);
+  while (labels && *labels)
+    {
+      size_t len = strcspn (labels, " ");
+      name_copy_len (rep.labels[rep.label_count++], labels, len);
+      labels += len + (labels[len] == ' ');
+    }
+  placer_update_worker (wld->plc, id, &rep);
+}
+
+static struct worker *
+find_worker (const char *id)
+{
+  struct worker *wrk = pool_find_id (&wld->plc->pool, id);
+  ck_assert_ptr_nonnull (wrk);
+  return wrk;
+}
+
+static struct sim_run *
+find_run (uint64_t job, uint32_t index)
+{
+  for (size_t n = 0; n < sim_count; n++)
+    if (!sim_runs[n].ended && sim_runs[n].row.job == job
+        && sim_runs[n].row.index == index)
+      return &sim_runs[n];
+  return NULL;
+}
+
+static void
+end_run (struct sim_run *run, enum run_end end)
+{
+  ck_assert_ptr_nonnull (run);
+  run->ended = true;
+  run->row.end = end;
+  run->row.number = ++sim_ends;
+}
+
+/* Whether the worker answers a hold now: it waits for an end.  */
+static bool
+hold_due (const struct world_call *call)
+{
+  if (call->wait_ms == 0 || sim_ticks % SIM_HOLD_TICKS == 0)
+    return true;
+  for (size_t n = 0; n < sim_count; n++)
+    if (sim_runs[n].ended && sim_runs[n].row.number > call->last_seen
+        && strcmp (sim_runs[n].worker, call->worker) == 0)
+      return true;
+  return false;
+}
+
+static void
+sim_hold (struct world_call *call)
+{
+  struct world_row running[SIM_ROWS_MAX], ended[SIM_ROWS_MAX];
+  size_t running_count = 0, ended_count = 0, kept = 0;
+  for (size_t n = 0; n < sim_count; n++)
+    {
+      struct sim_run *run = &sim_runs[n];
+      bool here = strcmp (run->worker, call->worker) == 0;
+      if (here && run->ended && run->row.number <= call->last_seen)
+        continue;
+      ck_assert_uint_lt (running_count, SIM_ROWS_MAX);
+      ck_assert_uint_lt (ended_count, SIM_ROWS_MAX);
+      if (here && run->ended)
+        ended[ended_count++] = run->row;
+      else if (here)
+        running[running_count++] = run->row;
+      sim_runs[kept++] = *run;
+    }
+  sim_count = kept;
+  world_answer_hold (wld, call->worker, running, running_count, ended,
+                     ended_count);
+}
+
+static void
+sim_answer (struct world_call *call)
+{
+  struct sim_run *run = find_run (call->task.job, call->task.index);
+  switch (call->kind)
+    {
+    case WORLD_START:
+      ck_assert_msg (!run, "a task has two runs");
+      ck_assert_uint_lt (sim_count, SIM_RUNS_MAX);
+      run = &sim_runs[sim_count++];
+      *run = (struct sim_run){ .row = { .job = call->task.job,
+                                        .index = call->task.index,
+                                        .run = call->run } };
+      name_copy (run->worker, call->worker);
+      break;
+    case WORLD_STOP:
+      if (run && run->row.run == call->run)
+        end_run (run, RUN_END_STOPPED);
+      break;
+    case WORLD_HOLD:
+      if (hold_due (call))
+        sim_hold (call);
+      return;
+    case WORLD_PACE:
+      break;
+    }
+  world_answer (wld, call, COMMAND_DONE);
+}
+
+/* Lets MS pass; the workers answer what they are sent.  */
+static void
+play (int64_t ms)
+{
+  for (int64_t left = ms; left > 0; left -= TICK_MS)
+    {
+      size_t kept = 0;
+      sim_ticks++;
+      world_confirm_ownership (wld);
+      world_tick (wld, TICK_MS);
+      world_complete_append (wld);
+      for (size_t n = 0; n < wld->call_count; n++)
+        if (!wld->calls[n].answered
+            && !(sim_ignores_stops && wld->calls[n].kind == WORLD_STOP))
+          sim_answer (&wld->calls[n]);
+      for (size_t n = 0; n < wld->call_count; n++)
+        if (!wld->calls[n].answered)
+          wld->calls[kept++] = wld->calls[n];
+      wld->call_count = kept;
+    }
+}
+
+static void
+vacate (const char *host)
+{
+  ck_assert (placer_vacate (wld->plc, host,
+                            wld->clk.now_us + (int64_t)GRACE_MS * 1000));
+}
+
+/* Adds COUNT workers "w0" and so on.  */
+static void
+add_workers (int count)
+{
+  char id[16];
+  for (int n = 0; n < count; n++)
+    {
+      snprintf (id, sizeof id, "w%d", n);
+      add_worker (id, 4000, 8192, NULL);
+    }
+}
+
+#define LASTING(count, more)                                                  \
+  "{\"steps\":[{\"count\":" count ",\"perpetual\":true," more "}]}"
+#define ONE_EACH "\"cpu\":1000,\"mem-mb\":64,\"anti-affinity\":1"
+#define BATCH(count)                                                          \
+  "{\"steps\":[{\"count\":" count ",\"cpu\":1000,\"mem-mb\":1024,"            \
+  "\"estimate-ms\":60000}]}"
+
+/* Lets only the worker ON take tasks, or with "" all.  */
+static void
+use_only (const char *on)
+{
+  for (size_t n = 0; n < wld->plc->pool.count; n++)
+    {
+      struct worker *wrk = wld->plc->pool.workers[n];
+      bool used = !*on || strcmp (wrk->rep.id, on) == 0;
+      wrk->avoid_until_us = used ? 0 : INT64_MAX;
+    }
+}
+
+/* The host manager.  */
+
+#define S ((int64_t)1000000)
+
+static struct host_mgr mgr;
+static void *ctx;
+static int64_t now_us;
+static struct host_report reps[16];
+static size_t rep_count;
+static uint64_t next_offset;
+
+static void
+on_vacate (void *arg, struct mgr_host *host, int64_t grace_ms)
+{
+  host->request_offset = ++next_offset;
+}
+
+static void
+on_withdraw (void *arg, struct mgr_host *host)
+{
+}
+
+static void
+on_vacate_over (void *arg, const struct mgr_host *host, const char *reason,
+                const char *kept_for, int64_t after_us)
+{
+}
+
+static void
+on_order (void *arg, struct mgr_host *host)
+{
+}
+
+static void
+on_wave (void *arg, struct mgr_wave *wave)
+{
+}
+
+static struct pool_config pools[]
+    = { { .name = "p" }, { .name = "q" }, { .name = "spare", .spare = true } };
+static const struct catalog cat = { .pools = pools, .pool_count = 3 };
+
+static void
+setup_mgr (void)
+{
+  static const struct host_mgr_ops ops = { .vacate = on_vacate,
+                                           .withdraw = on_withdraw,
+                                           .vacate_over = on_vacate_over,
+                                           .order = on_order,
+                                           .wave_state = on_wave };
+  ctx = talloc_new (NULL);
+  host_mgr_init (&mgr, ctx, &ops);
+  mgr.cat = &cat;
+  now_us = 100 * S;
+  rep_count = 0;
+  next_offset = 0;
+}
+
+static void
+teardown_mgr (void)
+{
+  host_mgr_fini (&mgr);
+  talloc_free (ctx);
+}
+
+/* Adds COUNT hosts of POOL to the list, named "a", "b" and so on.  */
+static void
+add_hosts (const char *pool, size_t count)
+{
+  for (size_t n = 0; n < count; n++)
+    {
+      struct host_report *rep = &reps[rep_count];
+      *rep = (struct host_report){ .state = HOST_UP };
+      rep->name[0] = (char)('a' + rep_count++);
+      snprintf (rep->worker, NAME_BYTES, "w-%c", rep->name[0]);
+      name_copy (rep->pool, pool);
+    }
+}
+
+static void
+list_hosts (void)
+{
+  const struct host_list list = { .hosts = reps, .count = rep_count };
+  ck_assert_int_eq (host_mgr_set_hosts (&mgr, ctx, &list, now_us), 0);
+}
+
+static void
+demand (const char *pool, uint32_t needed_hosts)
+{
+  const struct pool_demand dem = { .pool = pool,
+                                   .short_hosts = needed_hosts,
+                                   .urgent_hosts = needed_hosts,
+                                   .needed_hosts = needed_hosts };
+  host_mgr_set_demand (&mgr, &dem, now_us);
+}
+
+static void
+step (int64_t ms)
+{
+  now_us += ms * 1000;
+  host_mgr_step (&mgr, now_us);
+}
+
+/* Guards against a task that is started on a host whose order may be under
+   way: an earlier owner has reported it as empty, and the leases of that owner
+   have ended before the new one begins, so that its takeover is complete
+   before it is told of the request.  */
+START_TEST (test_told_by_earlier_owner)
+{
+  struct placer_vacated vac;
+  struct placer_kept kept;
+  add_workers (2);
+  play (SETTLE_MS);
+  use_only ("w0");
+  world_add_job (wld, 1, LASTING ("1", "\"cpu\":4000"), 120);
+  play (400);
+  use_only ("");
+  vacate ("m-w1");
+  play (1000);
+  ck_assert (placer_host_empty (wld->plc, "m-w1", &vac));
+  world_take_over (wld, 8, 150);
+  wld->call_count = 0;
+  placer_limit_earlier_leases (wld->plc, wld->clk.now_us);
+  add_workers (2);
+  /* As node/placer_timer.c does: a tick, and then the requests.  */
+  play (TICK_MS);
+  ck_assert (placer_takeover_done (wld->plc));
+  vacate ("m-w1");
+  world_add_job (wld, 9, LASTING ("1", "\"cpu\":4000"), 300);
+  play (2000);
+  ck_assert (!placer_host_kept (wld->plc, "m-w1", &kept));
+  ck_assert (!find_run (9, 0) || strcmp (find_run (9, 0)->worker, "w1") != 0);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tc = tcase_create ("placer");
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_test (tc, test_told_by_earlier_owner);
+  TCase *fleet = tcase_create ("host_mgr");
+  tcase_add_checked_fixture (fleet, setup_mgr, teardown_mgr);
+  Suite *suite = suite_create ("vacate_review");
+  suite_add_tcase (suite, tc);
+  suite_add_tcase (suite, fleet);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed > 0;
+}
