--- a/test/unit/unit_vacate_review.c
+++ b/test/unit/unit_vacate_review.c
@@ -232,6 +232,42 @@
     }
 }
 
+/* Guards against two tasks of a step that wait for each other: one that is to
+   leave its host keeps the only place of another one, which has lost its
+   worker, and may not be stopped while that one is missing.  */
+START_TEST (test_reservation_and_missing_sibling)
+{
+  add_workers (3);
+  play (SETTLE_MS);
+  use_only ("w2");
+  world_add_job (wld, 2, BATCH ("4"), 200);
+  play (400);
+  use_only ("w0");
+  world_add_job (wld, 1, LASTING ("2", ONE_EACH), 201);
+  play (400);
+  use_only ("w1");
+  play (400);
+  use_only ("");
+  uint32_t leaving = strcmp (find_run (1, 0)->worker, "w0") == 0 ? 0 : 1;
+  ck_assert_str_eq (find_run (1, leaving)->worker, "w0");
+  ck_assert_str_eq (find_run (1, 1 - leaving)->worker, "w1");
+  /* The batch runs on w2 take a moment to end.  */
+  sim_ignores_stops = true;
+  vacate ("m-w0");
+  play (200);
+  find_worker ("w1")->rep.draining = true;
+  end_run (find_run (1, 1 - leaving), RUN_END_FAILED);
+  play (200);
+  sim_ignores_stops = false;
+  int64_t waited_ms = 0;
+  for (; waited_ms < 20000 && !(find_run (1, 0) && find_run (1, 1));
+       waited_ms += TICK_MS)
+    play (TICK_MS);
+  ck_assert_msg (waited_ms < 2000, "a task had no run for %d ms",
+                 (int)waited_ms);
+}
+END_TEST
+
 /* The host manager.  */
 
 #define S ((int64_t)1000000)
@@ -372,6 +408,7 @@
 {
   TCase *tc = tcase_create ("placer");
   tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_test (tc, test_reservation_and_missing_sibling);
   tcase_add_test (tc, test_told_by_earlier_owner);
   TCase *fleet = tcase_create ("host_mgr");
   tcase_add_checked_fixture (fleet, setup_mgr, teardown_mgr);
