--- a/test/unit/unit_vacate_review.c
+++ b/test/unit/unit_vacate_review.c
@@ -371,6 +371,45 @@
   host_mgr_step (&mgr, now_us);
 }
 
+/* Guards against a host that was emptied in advance for a wave and stays out
+   of use without end: its order waits for another host of the wave, and its
+   pool, which has a task without a place, may not take it back.  */
+START_TEST (test_emptied_host_of_stopped_wave)
+{
+  static const char wave[] = "{\"wave\":1,\"machines\":[\"a\",\"e\"],"
+                             "\"duration-s\":60,\"cap\":1}";
+  add_hosts ("p", 4);
+  add_hosts ("q", 4);
+  list_hosts ();
+  demand ("p", 0);
+  demand ("q", 0);
+  host_mgr_add_wave (
+      &mgr, ctx, wire_decode_wave (ctx, (const uint8_t *)wave, strlen (wave)),
+      now_us);
+  step (30);
+  struct mgr_host *first = host_mgr_find (&mgr, "a");
+  struct mgr_host *second = host_mgr_find (&mgr, "e");
+  ck_assert_int_eq (first->phase, PHASE_VACATING);
+  ck_assert_int_eq (second->phase, PHASE_VACATING);
+  host_mgr_host_emptied (&mgr, "a", first->request_offset, now_us);
+  step (30);
+  ck_assert_int_eq (first->phase, PHASE_ORDERED);
+  host_mgr_order_answered (&mgr, first, HOST_ORDER_DONE, now_us);
+  host_mgr_host_emptied (&mgr, "e", second->request_offset, now_us);
+  /* The host in maintenance is not heard of for 20 s.  */
+  reps[0].state = HOST_UNKNOWN;
+  for (int n = 0; n < 40; n++)
+    {
+      list_hosts ();
+      demand ("p", 0);
+      demand ("q", 1);
+      step (500);
+    }
+  ck_assert_msg (second->phase != PHASE_EMPTY,
+                 "the host is empty and out of use for 20 s");
+}
+END_TEST
+
 /* Guards against a task that is started on a host whose order may be under
    way: an earlier owner has reported it as empty, and the leases of that owner
    have ended before the new one begins, so that its takeover is complete
@@ -412,6 +451,7 @@
   tcase_add_test (tc, test_told_by_earlier_owner);
   TCase *fleet = tcase_create ("host_mgr");
   tcase_add_checked_fixture (fleet, setup_mgr, teardown_mgr);
+  tcase_add_test (fleet, test_emptied_host_of_stopped_wave);
   Suite *suite = suite_create ("vacate_review");
   suite_add_tcase (suite, tc);
   suite_add_tcase (suite, fleet);
