--- a/test/unit/unit_vacate_review.c
+++ b/test/unit/unit_vacate_review.c
@@ -410,6 +410,26 @@
 }
 END_TEST
 
+/* Guards against a pool that counts as lacking a host for 10 s only because
+   another one asked for one of its hosts, with all its tasks in place.  */
+START_TEST (test_refused_move_lacks_nothing)
+{
+  struct placer_demand dem;
+  struct placer_kept kept;
+  add_workers (2);
+  play (SETTLE_MS);
+  world_add_job (wld, 1, LASTING ("2", ONE_EACH), 200);
+  play (1000);
+  vacate ("m-w0");
+  play (200);
+  ck_assert (placer_host_kept (wld->plc, "m-w0", &kept));
+  placer_vacate (wld->plc, "m-w0", 0);
+  play (5000);
+  placer_demand (wld->plc, &dem);
+  ck_assert_uint_eq (dem.needed_hosts, 0);
+}
+END_TEST
+
 /* Guards against a task that is started on a host whose order may be under
    way: an earlier owner has reported it as empty, and the leases of that owner
    have ended before the new one begins, so that its takeover is complete
@@ -448,6 +468,7 @@
   TCase *tc = tcase_create ("placer");
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, test_reservation_and_missing_sibling);
+  tcase_add_test (tc, test_refused_move_lacks_nothing);
   tcase_add_test (tc, test_told_by_earlier_owner);
   TCase *fleet = tcase_create ("host_mgr");
   tcase_add_checked_fixture (fleet, setup_mgr, teardown_mgr);
