--- a/test/unit/unit_vacate_review.c
+++ b/test/unit/unit_vacate_review.c
@@ -410,6 +410,33 @@
 }
 END_TEST
 
+/* Guards against a host that a pool gets because it has refused to give up one
+   of its own, while the pool that all of this is about gets none: the only
+   spare host goes to the pool whose demand was read first.  */
+START_TEST (test_refusal_takes_no_spare_host)
+{
+  add_hosts ("p", 6);
+  add_hosts ("q", 2);
+  list_hosts ();
+  demand ("p", 0);
+  demand ("q", 1);
+  step (30);
+  struct mgr_host *asked = host_mgr_find (&mgr, "a");
+  ck_assert_int_eq (asked->phase, PHASE_VACATING);
+  ck_assert_str_eq (asked->dest_pool, "q");
+  host_mgr_host_refused (&mgr, "a", asked->request_offset, "no_place", now_us);
+  /* What the owner of p reports for 10 s after a refusal; all its tasks
+     run (test_refused_move_lacks_nothing).  */
+  demand ("p", 1);
+  add_hosts ("spare", 1);
+  list_hosts ();
+  step (30);
+  const struct mgr_host *spare = host_mgr_find (&mgr, "i");
+  ck_assert_int_eq (spare->current_op, OP_MOVE);
+  ck_assert_str_eq (spare->dest_pool, "q");
+}
+END_TEST
+
 /* Guards against a pool that counts as lacking a host for 10 s only because
    another one asked for one of its hosts, with all its tasks in place.  */
 START_TEST (test_refused_move_lacks_nothing)
@@ -473,6 +500,7 @@
   TCase *fleet = tcase_create ("host_mgr");
   tcase_add_checked_fixture (fleet, setup_mgr, teardown_mgr);
   tcase_add_test (fleet, test_emptied_host_of_stopped_wave);
+  tcase_add_test (fleet, test_refusal_takes_no_spare_host);
   Suite *suite = suite_create ("vacate_review");
   suite_add_tcase (suite, tc);
   suite_add_tcase (suite, fleet);
