--- a/test/unit/unit_vacate_review.c
+++ b/test/unit/unit_vacate_review.c
@@ -268,6 +268,33 @@
 }
 END_TEST
 
+/* Guards against a pool that asks for as many hosts as its wave has: hosts
+   that were refused one after the other, each after the last request had been
+   withdrawn, are lacking together, though one more host would let all of them
+   go in turn.  */
+START_TEST (test_refusals_in_turn_lack_one_host)
+{
+  struct placer_demand dem;
+  char host[NAME_BYTES];
+  add_workers (6);
+  play (SETTLE_MS);
+  world_add_job (wld, 1, LASTING ("6", ONE_EACH), 200);
+  play (1000);
+  for (int n = 0; n < 6; n++)
+    {
+      struct placer_kept kept;
+      snprintf (host, sizeof host, "m-w%d", n);
+      vacate (host);
+      play (200);
+      ck_assert (placer_host_kept (wld->plc, host, &kept));
+      placer_vacate (wld->plc, host, 0);
+    }
+  play (200);
+  placer_demand (wld->plc, &dem);
+  ck_assert_uint_eq (dem.needed_hosts, 1);
+}
+END_TEST
+
 /* The host manager.  */
 
 #define S ((int64_t)1000000)
@@ -495,6 +522,7 @@
   TCase *tc = tcase_create ("placer");
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, test_reservation_and_missing_sibling);
+  tcase_add_test (tc, test_refusals_in_turn_lack_one_host);
   tcase_add_test (tc, test_refused_move_lacks_nothing);
   tcase_add_test (tc, test_told_by_earlier_owner);
   TCase *fleet = tcase_create ("host_mgr");
