--- a/test/unit/unit_vacate_review.c
+++ b/test/unit/unit_vacate_review.c
@@ -484,6 +484,40 @@
 }
 END_TEST
 
+/* Guards against a pool that asks for a further host because one that it
+   lacked has arrived: the request to vacate the host for its move is still in
+   force when its worker registers.  */
+START_TEST (test_arrived_host_lacks_no_other)
+{
+  struct placer_demand dem;
+  int64_t until_us;
+  add_workers (1);
+  play (SETTLE_MS);
+  world_add_job (wld, 1, LASTING ("2", ONE_EACH), 200);
+  play (1000);
+  until_us = wld->clk.now_us + (int64_t)GRACE_MS * 1000;
+  ck_assert (!placer_vacate (wld->plc, "m-w1", until_us));
+  play (2000);
+  add_worker ("w1", 4000, 8192, NULL);
+  /* Until the holder has seen the host in the list.  */
+  for (int n = 0; n < 4; n++)
+    {
+      struct placer_kept kept;
+      if (placer_host_kept (wld->plc, "m-w1", &kept))
+        placer_vacate (wld->plc, "m-w1", 0);
+      else if (n < 2)
+        placer_vacate (wld->plc, "m-w1", until_us);
+      play (120);
+    }
+  placer_vacate (wld->plc, "m-w1", 0);
+  play (400);
+  ck_assert_ptr_nonnull (find_run (1, 0));
+  ck_assert_ptr_nonnull (find_run (1, 1));
+  placer_demand (wld->plc, &dem);
+  ck_assert_uint_eq (dem.needed_hosts, 0);
+}
+END_TEST
+
 /* Guards against a task that is started on a host whose order may be under
    way: an earlier owner has reported it as empty, and the leases of that owner
    have ended before the new one begins, so that its takeover is complete
@@ -524,6 +558,7 @@
   tcase_add_test (tc, test_reservation_and_missing_sibling);
   tcase_add_test (tc, test_refusals_in_turn_lack_one_host);
   tcase_add_test (tc, test_refused_move_lacks_nothing);
+  tcase_add_test (tc, test_arrived_host_lacks_no_other);
   tcase_add_test (tc, test_told_by_earlier_owner);
   TCase *fleet = tcase_create ("host_mgr");
   tcase_add_checked_fixture (fleet, setup_mgr, teardown_mgr);
