--- a/test/unit/unit_vacate_review.c
+++ b/test/unit/unit_vacate_review.c
@@ -518,6 +518,20 @@
 }
 END_TEST
 
+/* Guards against a broken worker that gets batch tasks each second, as a
+   perpetual task that fits on no worker shortens its pause.  */
+START_TEST (test_pause_beside_task_without_room)
+{
+  add_workers (2);
+  play (SETTLE_MS);
+  int64_t until_us = wld->clk.now_us + 20 * (int64_t)1000000;
+  find_worker ("w1")->failing_until_us = until_us;
+  world_add_job (wld, 1, LASTING ("1", "\"cpu\":9000"), 200);
+  play (400);
+  ck_assert_int_eq (find_worker ("w1")->failing_until_us, until_us);
+}
+END_TEST
+
 /* Guards against a task that is started on a host whose order may be under
    way: an earlier owner has reported it as empty, and the leases of that owner
    have ended before the new one begins, so that its takeover is complete
@@ -559,6 +573,7 @@
   tcase_add_test (tc, test_refusals_in_turn_lack_one_host);
   tcase_add_test (tc, test_refused_move_lacks_nothing);
   tcase_add_test (tc, test_arrived_host_lacks_no_other);
+  tcase_add_test (tc, test_pause_beside_task_without_room);
   tcase_add_test (tc, test_told_by_earlier_owner);
   TCase *fleet = tcase_create ("host_mgr");
   tcase_add_checked_fixture (fleet, setup_mgr, teardown_mgr);
