--- a/test/unit/unit_vacate_review.c
+++ b/test/unit/unit_vacate_review.c
@@ -564,6 +564,49 @@
 }
 END_TEST
 
+/* Guards against a host that is reported as empty while a task waits that
+   could run there since its last run has ended: places are planned each 100 ms
+   only. The index is the number of ticks between the request and the loss of
+   the task's worker.  */
+START_TEST (test_freed_host_beside_waiting_task)
+{
+  struct placer_vacated vac;
+  int64_t waited_ms = 0;
+  bool told = false;
+  add_workers (3);
+  play (SETTLE_MS);
+  use_only ("w0");
+  world_add_job (wld, 1, LASTING ("1", "\"cpu\":3000"), 200);
+  play (400);
+  use_only ("w1");
+  world_add_job (wld, 2, LASTING ("1", "\"cpu\":3000"), 201);
+  play (400);
+  use_only ("");
+  vacate ("m-w0");
+  for (int n = 0; n < _i; n++)
+    play (TICK_MS);
+  find_worker ("w1")->rep.draining = true;
+  end_run (find_run (2, 0), RUN_END_FAILED);
+  const struct task *tsk
+      = &job_table_find (&wld->jobs, 2)->occurrences[0].tasks[0];
+  /* Whether the owner knew that the task waits when it first took the host for
+     empty.  */
+  bool known = false;
+  for (; waited_ms < 4000; waited_ms += TICK_MS)
+    {
+      play (TICK_MS);
+      /* As in node/placer_timer.c: a tick, and then the answers.  */
+      world_tick (wld, 0);
+      if (told || !placer_host_empty (wld->plc, "m-w0", &vac))
+        continue;
+      told = true;
+      known = !tsk->run;
+    }
+  ck_assert_msg (!told || !known || find_run (2, 0),
+                 "the host was reported as empty while the task waited");
+}
+END_TEST
+
 int
 main (void)
 {
@@ -575,6 +618,7 @@
   tcase_add_test (tc, test_arrived_host_lacks_no_other);
   tcase_add_test (tc, test_pause_beside_task_without_room);
   tcase_add_test (tc, test_told_by_earlier_owner);
+  tcase_add_loop_test (tc, test_freed_host_beside_waiting_task, 0, 8);
   TCase *fleet = tcase_create ("host_mgr");
   tcase_add_checked_fixture (fleet, setup_mgr, teardown_mgr);
   tcase_add_test (fleet, test_emptied_host_of_stopped_wave);
