--- a/test/unit/unit_vacate_review.c
+++ b/test/unit/unit_vacate_review.c
@@ -464,6 +464,41 @@
 }
 END_TEST
 
+/* Guards against the order for a host whose pool uses it: a new owner, whose
+   claim the holder reads later than its answer, refuses the request that the
+   earlier one has granted, and the order was not sent yet.  */
+START_TEST (test_order_after_refusal)
+{
+  static const char wave[] = "{\"wave\":1,\"machines\":[\"a\",\"e\"],"
+                             "\"duration-s\":60,\"cap\":1}";
+  add_hosts ("p", 4);
+  add_hosts ("q", 4);
+  list_hosts ();
+  host_mgr_add_wave (
+      &mgr, ctx, wire_decode_wave (ctx, (const uint8_t *)wave, strlen (wave)),
+      now_us);
+  step (30);
+  struct mgr_host *first = host_mgr_find (&mgr, "a");
+  struct mgr_host *second = host_mgr_find (&mgr, "e");
+  host_mgr_host_emptied (&mgr, "a", first->request_offset, now_us);
+  step (30);
+  host_mgr_order_answered (&mgr, first, HOST_ORDER_DONE, now_us);
+  host_mgr_host_emptied (&mgr, "e", second->request_offset, now_us);
+  step (30);
+  ck_assert_int_eq (second->phase, PHASE_EMPTY);
+  host_mgr_host_refused (&mgr, "e", second->request_offset, "task_waits",
+                         now_us);
+  now_us += 3 * S;
+  name_copy (reps[0].worker, "other");
+  list_hosts ();
+  step (30);
+  step (30);
+  ck_assert_int_eq (first->phase, PHASE_NONE);
+  ck_assert_msg (second->phase != PHASE_ORDERED,
+                 "an order for a host that its pool uses");
+}
+END_TEST
+
 /* Guards against a pool that counts as lacking a host for 10 s only because
    another one asked for one of its hosts, with all its tasks in place.  */
 START_TEST (test_refused_move_lacks_nothing)
@@ -623,6 +658,7 @@
   tcase_add_checked_fixture (fleet, setup_mgr, teardown_mgr);
   tcase_add_test (fleet, test_emptied_host_of_stopped_wave);
   tcase_add_test (fleet, test_refusal_takes_no_spare_host);
+  tcase_add_test (fleet, test_order_after_refusal);
   Suite *suite = suite_create ("vacate_review");
   suite_add_tcase (suite, tc);
   suite_add_tcase (suite, fleet);
