test: a refused host counts as just arrived (fails)

Seen on: no spare host is brought to a pool that needs one, as dest_pool of a host that came 20 s ago is still set and its refusal begins a cooldown. The test of the spare host waits for BUSY_DELAY_US.

--- a/test/unit/unit_vacate_review.c
+++ b/test/unit/unit_vacate_review.c
@@ -448,6 +448,7 @@
   demand ("p", 0);
   demand ("q", 1);
   step (30);
+  step (600);
   struct mgr_host *asked = host_mgr_find (&mgr, "a");
   ck_assert_int_eq (asked->phase, PHASE_VACATING);
   ck_assert_str_eq (asked->dest_pool, "q");
@@ -499,6 +500,49 @@
 }
 END_TEST
 
+/* Guards against a needed host that is not brought because one that came to
+   the pool long ago counts as just arrived: it was asked for by a wave, and
+   refused.  */
+START_TEST (test_refused_host_has_not_arrived)
+{
+  static const char wave[] = "{\"wave\":1,\"machines\":[\"e\"],"
+                             "\"duration-s\":60,\"cap\":1}";
+  add_hosts ("p", 4);
+  add_hosts ("spare", 1);
+  list_hosts ();
+  demand ("p", 1);
+  step (30);
+  struct mgr_host *moved = host_mgr_find (&mgr, "e");
+  step (30);
+  ck_assert_int_eq (moved->phase, PHASE_ORDERED);
+  host_mgr_order_answered (&mgr, moved, HOST_ORDER_DONE, now_us);
+  now_us += 2 * S;
+  name_copy (reps[4].pool, "p");
+  name_copy (reps[4].worker, "other");
+  list_hosts ();
+  demand ("p", 0);
+  step (30);
+  ck_assert_int_eq (moved->phase, PHASE_NONE);
+  now_us += 20 * S;
+  list_hosts ();
+  demand ("p", 0);
+  host_mgr_add_wave (
+      &mgr, ctx, wire_decode_wave (ctx, (const uint8_t *)wave, strlen (wave)),
+      now_us);
+  step (30);
+  ck_assert_int_eq (moved->phase, PHASE_VACATING);
+  host_mgr_host_refused (&mgr, "e", moved->request_offset, "task_waits",
+                         now_us);
+  add_hosts ("spare", 1);
+  list_hosts ();
+  demand ("p", 1);
+  step (30);
+  const struct mgr_host *spare = host_mgr_find (&mgr, "f");
+  ck_assert_int_eq (spare->current_op, OP_MOVE);
+  ck_assert_str_eq (spare->dest_pool, "p");
+}
+END_TEST
+
 /* Guards against a pool that counts as lacking a host for 10 s only because
    another one asked for one of its hosts, with all its tasks in place.  */
 START_TEST (test_refused_move_lacks_nothing)
@@ -659,6 +703,7 @@
   tcase_add_test (fleet, test_emptied_host_of_stopped_wave);
   tcase_add_test (fleet, test_refusal_takes_no_spare_host);
   tcase_add_test (fleet, test_order_after_refusal);
+  tcase_add_test (fleet, test_refused_host_has_not_arrived);
   Suite *suite = suite_create ("vacate_review");
   suite_add_tcase (suite, tc);
   suite_add_tcase (suite, fleet);
