fleet: a refusal counts until the order for the host is sent

A new owner of a pool may refuse the request that an earlier one has granted. The holder of the fleet duty had taken the host for empty, ignored the refusal and sent the order to a host that its pool used again.

An empty host without an order can be given back, so the refusal ends the operation.

--- a/fleet/host_mgr_report.c
+++ b/fleet/host_mgr_report.c
@@ -56,13 +56,14 @@
       end_pause (&mgr->hosts[n]);
 }
 
-/* Notes a report that was read before its request; the first one about a
-   request counts.  */
+/* Notes a report that was read before its request.  Of several about one
+   request a refusal counts, else the first one.  */
 static void
 note_early_report (struct mgr_host *host, uint64_t offset, bool refused,
                    const char *reason)
 {
-  if (host->early_report_offset >= offset)
+  if (host->early_report_offset > offset
+      || (host->early_report_offset == offset && !refused))
     return;
   host->early_report_offset = offset;
   host->early_refused = refused;
@@ -74,7 +75,9 @@
                        const char *reason, int64_t now_us)
 {
   struct mgr_host *host = host_mgr_find (mgr, name);
-  if (!host || host->phase != PHASE_VACATING)
+  /* The order for an empty host was not sent yet.  A later owner may refuse
+     what an earlier one has granted.  */
+  if (!host || (host->phase != PHASE_VACATING && host->phase != PHASE_EMPTY))
     return;
   if (!host->request_offset)
     note_early_report (host, offset, true, reason);
