fleet: an emptied host does not wait for its wave without end

A wave has two hosts more emptied than may be down. While one that is down is not heard of, as in a cut, their orders wait; the hosts were out of use without a limit and a line, also for a pool that needed them. Now such a host is given back after 5 s (host.vacate_over reason=not_ordered) and asked for again after a pause.

--- a/fleet/host_mgr.c
+++ b/fleet/host_mgr.c
@@ -14,6 +14,9 @@
    perpetual tasks are moved in turn, and for a pool whose owner is replaced,
    which takes 2 to 4 s.  */
 #define VACATE_ANSWER_US 10000000
+/* An empty host is given back when its order has waited this long for other
+   hosts of its wave: a maintenance takes 2 s.  */
+#define EMPTY_TIMEOUT_US 5000000
 /* Delays before an order is repeated: after a failure, and to a busy host.  */
 #define ORDER_RETRY_US 400000
 #define BUSY_RETRY_US 1000000
@@ -368,6 +371,8 @@
               && host->phase == PHASE_ORDERED)
             wave->down++;
         }
+      else if (now_us > host->phase_began_us + EMPTY_TIMEOUT_US)
+        host_mgr_not_vacated (mgr, host, "not_ordered", "", now_us);
       return;
     case PHASE_ORDERED:
       if (!host->listed)
