fleet: a refused host is not taken for one that has just arrived

A host that had once moved to a pool kept the name of its destination. When a later request for it was refused, it counted as a host that the pool had just got, so that no spare one was brought for 1.5 s. The destination is forgotten when another operation begins or one is given up.

--- a/fleet/host_mgr.c
+++ b/fleet/host_mgr.c
@@ -113,6 +113,7 @@
 {
   mgr->ops.vacate_over (mgr->ops.arg, host, reason, kept_for,
                         now_us - host->op_began_us);
+  host->dest_pool[0] = '\0';
   end_op (mgr, host, now_us);
 }
 
@@ -264,6 +265,8 @@
                    enum host_mgr_op op, int64_t now_us)
 {
   host->current_op = op;
+  if (op != OP_MOVE)
+    host->dest_pool[0] = '\0';
   host->op_began_us = now_us;
   host->next_order_us = 0;
   mgr->rows[host->pool_row].unavailable++;
