sched: a task that fits on no worker shortens no pauses

A perpetual task that no worker has room for made each worker that fails runs take tasks again after 1 s, so that batch tasks failed there all the time. Only a worker that would have room for the task is used sooner. Found by review (test_pause_beside_task_without_room).

--- a/sched/placer_places.c
+++ b/sched/placer_places.c
@@ -35,6 +35,13 @@
   return left.cpu_milli >= 0 && left.memory_mb >= 0 && left.accelerators >= 0;
 }
 
+bool
+places_has_room (const struct worker *wrk, const struct step *stp)
+{
+  const struct resources room = places_room (wrk);
+  return has_room (&room, stp);
+}
+
 enum place_reason
 places_reason (const struct worker *wrk, const struct place_request *req)
 {
@@ -50,8 +57,7 @@
   if (stp->max_per_worker > 0
       && place_siblings (wrk, req) >= stp->max_per_worker)
     return PLACE_BOUND;
-  const struct resources room = places_room (wrk);
-  return has_room (&room, stp) ? PLACE_ALLOWED : PLACE_NO_ROOM;
+  return places_has_room (wrk, stp) ? PLACE_ALLOWED : PLACE_NO_ROOM;
 }
 
 void
--- a/sched/placer_places.h
+++ b/sched/placer_places.h
@@ -27,6 +27,9 @@
    WRK; runs that are being stopped are on their way out.  */
 struct resources places_room (const struct worker *wrk);
 
+/* Whether a task of STP has room on WRK once all batch work there is gone.  */
+bool places_has_room (const struct worker *wrk, const struct step *stp);
+
 /* Called for a perpetual task.  Returns false to end the iteration.  */
 typedef bool places_task_fn (void *arg, struct job *job,
                              const struct task_ref *ref);
--- a/sched/placer_preempt.c
+++ b/sched/placer_preempt.c
@@ -2,7 +2,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "sched/placer_priv.h"
+#include "sched/placer_places.h"
 
 /* Reservations, and preemption for perpetual tasks.  Perpetual tasks have to
    run however full the pool is, so batch tasks are stopped for them; the freed
@@ -156,7 +156,7 @@
       struct place_request later = *req;
       later.now_us = wrk->failing_until_us;
       if (wrk->failing_until_us <= req->now_us + FAILING_PAUSE_SHORT_US
-          || !place_allowed (wrk, &later))
+          || !place_allowed (wrk, &later) || !places_has_room (wrk, req->step))
         continue;
       wrk->failing_until_us = req->now_us + FAILING_PAUSE_SHORT_US;
       char name[TASK_NAME_MAX];
