sched: a waiting task takes the place that a running sibling has reserved

A task that was to leave its vacated host had the only other place reserved. Its sibling lost its worker: the first task may not be stopped while one of its step is missing, and its reservation kept the missing one from that place. Now the reservation goes to the task without a run, and the running one stays where it is (reservation.dropped reason=sibling_waits).

--- a/sched/placer_places.c
+++ b/sched/placer_places.c
@@ -407,6 +407,43 @@
   return newest;
 }
 
+bool
+places_release_sibling (struct place_plan *plan, struct place_need *need)
+{
+  const struct step *stp = need->stp;
+  struct task *tasks
+      = need->job->occurrences[need->ref.occurrence].tasks + stp->first_task;
+  for (uint32_t n = 0; n < stp->count; n++)
+    {
+      struct task *tsk = &tasks[n];
+      const struct worker *wrk
+          = tsk->run && !tsk->run->stop_wanted && tsk->reserved_worker
+                ? placer_find_worker (plan->plc, tsk->reserved_worker)
+                : NULL;
+      if (!wrk || !plan->places[wrk->plan_pos].stays)
+        continue;
+      struct place *place = &plan->places[wrk->plan_pos];
+      struct place freed = *place;
+      struct resources left;
+      resources_add (&freed.room, stp, 1);
+      freed.siblings -= freed.siblings > 0;
+      if (!place_does (&freed, need, &left))
+        continue;
+      const struct task_ref ref = { .job = need->ref.job,
+                                    .occurrence = need->ref.occurrence,
+                                    .step = need->ref.step,
+                                    .index = n };
+      const struct place_request req = {
+        .job = need->job, .step = stp, .ref = &ref, .now_us = plan->now_us
+      };
+      placer_drop_reservation (plan->plc, &req, "sibling_waits");
+      *place = freed;
+      take (plan, need, place);
+      return true;
+    }
+  return false;
+}
+
 void
 places_undo (struct place_plan *plan, size_t count)
 {
--- a/sched/placer_places.h
+++ b/sched/placer_places.h
@@ -115,6 +115,11 @@
 struct vacated_host *places_on_vacated (struct place_plan *plan,
                                         struct place_need *need);
 
+/* Drops the reservation of a task of the step that runs and is to move, if its
+   place does for NEED: that task may not be stopped while one of its step is
+   missing.  Returns whether there is one; NEED has the place then.  */
+bool places_release_sibling (struct place_plan *plan, struct place_need *need);
+
 /* Takes back the places of all but the first COUNT planned needs.  */
 void places_undo (struct place_plan *plan, size_t count);
 
--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -252,7 +252,11 @@
       if (need->kind == NEED_WAITING ? may_start : plc->takeover_done)
         vac = places_on_vacated (plan, need);
       if (!vac)
-        continue;
+        {
+          if (need->kind == NEED_WAITING && may_start)
+            places_release_sibling (plan, need);
+          continue;
+        }
       keep_host (plc, vac, PLACER_KEEP_TASK_WAITS, &need->ref, plan->now_us);
       places_set_host (plan, vac, true);
       places_give (plan, need);
