sched: no host is reported as empty on an old plan of places

Places are planned each 100 ms. A task that had lost its worker since the last plan was overlooked when a vacated host that it could run on became clear: the host was reported as empty, which is final, and the task waited for another host. A plan is now made in each tick in which a clear host may be reported.

--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -382,11 +382,25 @@
 }
 
 static bool
-any_undecided (const struct placer *plc)
+is_clear (const struct placer *plc, const struct vacated_host *vac)
+{
+  size_t pos = 0;
+  const struct worker *wrk;
+  while ((wrk = pool_next_on_host (&plc->pool, vac->host, &pos)))
+    if (wrk->runs)
+      return false;
+  return true;
+}
+
+/* Whether a request is not decided, or its host may be reported as empty after
+   this tick: a task may have begun to wait since the last plan.  */
+static bool
+plan_is_urgent (const struct placer *plc)
 {
   for (const struct vacated_host *vac = plc->vacated;
        vac && plc->takeover_done; vac = vac->next)
-    if (vac->state == VACATE_ASKED && vac->present)
+    if (vac->state == VACATE_ASKED
+        || (vac->state == VACATE_GRANTED && !vac->told && is_clear (plc, vac)))
       return true;
   return false;
 }
@@ -394,7 +408,7 @@
 void
 placer_decide_vacating (struct placer *plc, int64_t now_us)
 {
-  if (now_us < plc->next_plan_us && !any_undecided (plc))
+  if (now_us < plc->next_plan_us && !plan_is_urgent (plc))
     return;
   plc->next_plan_us = now_us + PLAN_INTERVAL_US;
   check_progress (plc, now_us);
