sched: a host that an earlier owner may have reported as empty is not kept

Where the earlier owners' leases had ended before a new one began, its takeover was complete before it was told of the requests, and it took them for new ones: a task was started on a host whose order could be under way. Requests that are read within 1 s of the claim count as inherited as well. Found by review (test_told_by_earlier_owner).

--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -17,6 +17,10 @@
    that its tasks wait for count as well.  */
 #define NO_PROGRESS_US 4000000
 
+/* A request that is read within this time after the claim may be one that an
+   earlier owner has answered.  */
+#define INHERITED_US 1000000
+
 static struct vacated_host *
 find_vacated (const struct placer *plc, const char *host)
 {
@@ -72,11 +76,13 @@
     vac = talloc (plc, struct vacated_host);
   if (!vac)
     return NULL;
-  *vac = (struct vacated_host){ .seq = ++plc->last_vacate_seq,
-                                .begun_us = now_us,
-                                .until_us = until_us,
-                                .progress_us = now_us,
-                                .inherited = !plc->takeover_done };
+  *vac = (struct vacated_host){
+    .seq = ++plc->last_vacate_seq,
+    .begun_us = now_us,
+    .until_us = until_us,
+    .progress_us = now_us,
+    .inherited = !plc->takeover_done || now_us < plc->claimed_us + INHERITED_US
+  };
   name_copy (vac->host, host);
   while (*end)
     end = &(*end)->next;
