sched: refusals in turn do not add up, an arriving host lacks nothing

A wave that asked for one host after the other made a pool of six that needs all of them ask for six more, and each host that arrived for it for one more: its worker registers before the request for its move is withdrawn, and the pool refused to give it up. Callers of other pools lost these hosts for 10 s.

At most a third of the pool, and at least one host, counts as lacking so that others can be given up, as the host manager asks for no more at a time; a host that was asked for in another pool does not count.

--- a/sched/demand.c
+++ b/sched/demand.c
@@ -254,10 +254,9 @@
 {
   size_t count = 0;
   for (const struct vacated_host *vac = plc->vacated; vac; vac = vac->next)
-    count += (vac->state == VACATE_KEPT || vac->state == VACATE_WITHDRAWN)
-             && vac->kept.reason != PLACER_KEEP_NO_PROGRESS
-             && now_us - vac->kept_us < KEPT_LACKING_US;
-  return count;
+    count += vacate_lacked (vac, now_us);
+  size_t most = placer_kept_lacking_max (plc);
+  return count < most ? count : most;
 }
 
 /* Reports up to SURPLUS hosts as idle, those with the fewest tasks first. They
--- a/sched/placer_places.c
+++ b/sched/placer_places.c
@@ -114,14 +114,6 @@
          && worker_usable (wrk, now_us + PAUSE_MAX_US);
 }
 
-static bool
-lacked_place (const struct vacated_host *vac, int64_t now_us)
-{
-  return vac && (vac->state == VACATE_KEPT || vac->state == VACATE_WITHDRAWN)
-         && vac->kept.reason != PLACER_KEEP_NO_PROGRESS
-         && now_us - vac->kept_us < KEPT_LACKING_US;
-}
-
 /* The place that a task with a run on WRK and a reservation on RESERVED needs.
    Returns false if it needs none.  */
 static bool
@@ -130,7 +122,7 @@
 {
   struct vacated_host *vac = wrk->rep.draining ? NULL : vacating (wrk);
   struct vacated_host *next = reserved ? vacating (reserved) : NULL;
-  if (!wrk->rep.draining && lacked_place (wrk->vac, now_us))
+  if (!wrk->rep.draining && wrk->vac && vacate_lacked (wrk->vac, now_us))
     {
       need->kind = NEED_KEPT;
       need->vac = wrk->vac;
@@ -176,7 +168,7 @@
     }
   else if (keeps_reservation (reserved, plan->now_us))
     {
-      if (!lacked_place (reserved->vac, plan->now_us))
+      if (!reserved->vac || !vacate_lacked (reserved->vac, plan->now_us))
         return true;
       need.kind = NEED_KEPT;
       need.vac = reserved->vac;
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -63,7 +63,9 @@
      empty only if runs were found there.  */
   bool inherited;
   bool had_runs;
-  bool told; /* reported as empty */
+  bool told;    /* reported as empty */
+  bool arrived; /* its worker came after the request, which another pool was
+                   asked: the host has moved here */
   struct placer_kept kept;
   int64_t kept_us;
 };
@@ -73,6 +75,11 @@
    arrive.  */
 #define KEPT_LACKING_US 10000000
 
+/* Of the hosts that a pool has refused to vacate, one in this many counts as
+   lacking, and one in a pool of any size: no more of them are asked for at a
+   time.  */
+#define KEPT_LACKING_DIVISOR 3
+
 /* Most perpetual tasks without a run that are watched at a time.  */
 #define UNPLACED_TASKS_MAX 64
 
@@ -339,6 +346,10 @@
    refused and the host was not reported as empty, as an order for it may be on
    its way.  */
 bool vacate_may_keep (const struct vacated_host *vac);
+/* Whether the host was kept for want of a place a short time ago.  */
+bool vacate_lacked (const struct vacated_host *vac, int64_t now_us);
+/* Most hosts that the pool counts as lacking in order to give up others.  */
+uint32_t placer_kept_lacking_max (const struct placer *plc);
 /* Decides which hosts are given up, by a plan of the places of the perpetual
    tasks.  */
 void placer_decide_vacating (struct placer *plc, int64_t now_us);
--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -128,8 +128,7 @@
 static void
 withdraw (struct placer *plc, struct vacated_host *vac)
 {
-  bool lacked = vac->state == VACATE_KEPT
-                && vac->kept.reason != PLACER_KEEP_NO_PROGRESS;
+  bool lacked = vacate_lacked (vac, clock_now_us (plc->env.clk));
   vac->state = VACATE_WITHDRAWN;
   use_again (plc, vac);
   if (!lacked)
@@ -162,6 +161,7 @@
   while (vac && (wrk = pool_next_on_host (&plc->pool, host, &pos)))
     {
       found = found || wrk->registered;
+      vac->arrived = vac->arrived || (!vac->present && vac->begun_us < now_us);
       vac->present = true;
       set_vacate (wrk, vac);
     }
@@ -231,9 +231,29 @@
   use_again (plc, vac);
 }
 
+bool
+vacate_lacked (const struct vacated_host *vac, int64_t now_us)
+{
+  return (vac->state == VACATE_KEPT || vac->state == VACATE_WITHDRAWN)
+         && vac->kept.reason != PLACER_KEEP_NO_PROGRESS && !vac->arrived
+         && now_us - vac->kept_us < KEPT_LACKING_US;
+}
+
+uint32_t
+placer_kept_lacking_max (const struct placer *plc)
+{
+  size_t most = plc->pool.count / KEPT_LACKING_DIVISOR;
+  return most > 0 ? (uint32_t)most : 1;
+}
+
+/* Counts a host that the pool lacks in order to give up VAC, which it keeps
+   for a task of STP.  */
 static void
-note_lacking (struct placer *plc, const struct step *stp)
+note_lacking (struct placer *plc, const struct vacated_host *vac,
+              const struct step *stp)
 {
+  if (vac->arrived || plc->lacking_hosts >= placer_kept_lacking_max (plc))
+    return;
   plc->lacking_hosts++;
   if (!*plc->lacking_label)
     name_copy (plc->lacking_label, stp->required_label);
@@ -267,7 +287,7 @@
       places_set_host (plan, vac, true);
       places_give (plan, need);
       if (need->kind != NEED_SILENT)
-        note_lacking (plc, need->stp);
+        note_lacking (plc, vac, need->stp);
     }
 }
 
@@ -309,7 +329,7 @@
     lost = plan_host (plan, start, end);
   if (!lost)
     return;
-  note_lacking (plc, lost->stp);
+  note_lacking (plc, vac, lost->stp);
   if (kept)
     return;
   keep_host (plc, vac, PLACER_KEEP_NO_PLACE, &lost->ref, plan->now_us);
