fleet: hosts for tasks without a place come before those for refused requests

The only spare host went to the pool whose demand was read first, which had all its tasks in place and only refused to vacate a host, while a perpetual task of another pool had no place. Pools with such tasks are served first now. Found by review (test_refusal_takes_no_spare_host).

--- a/fleet/host_mgr_moves.c
+++ b/fleet/host_mgr_moves.c
@@ -76,15 +76,13 @@
 }
 
 /* Hosts that POOL needs for tasks without a place, rather than to be able to
-   give up others; 0 while it has not needed them for long.  */
+   give up others.  */
 static uint32_t
 count_placeless (const struct host_mgr *mgr, const struct mgr_pool *pool,
                  int64_t now_us)
 {
   uint32_t refused = 0;
-  if (!pool->needed_since_us || now_us < pool->needed_since_us + BUSY_DELAY_US)
-    return 0;
-  for (size_t n = 0; n < mgr->host_count; n++)
+  for (size_t n = 0; pool->needed_hosts > 0 && n < mgr->host_count; n++)
     refused += mgr->hosts[n].refusals > 0
                && now_us < mgr->hosts[n].refused_until_us + REFUSED_SPAN_US
                && strcmp (mgr->hosts[n].rep.pool, pool->name) == 0;
@@ -117,7 +115,9 @@
       wish.vacating += host->phase == PHASE_VACATING;
     }
   wish.incoming += wish.arrived;
-  if (want == WANT_PLACES && wish.incoming < pool->needed_hosts)
+  if (want == WANT_PLACES && wish.incoming < pool->needed_hosts
+      && pool->needed_since_us
+      && now_us >= pool->needed_since_us + BUSY_DELAY_US)
     wish.busy_most = count_placeless (mgr, pool, now_us);
   return wish;
 }
@@ -270,14 +270,32 @@
     }
 }
 
+/* Supplies the pools whose perpetual tasks lack places.  Those that need hosts
+   only to be able to give up others come last, as all their tasks run.
+   Returns true when there are not enough hosts.  */
+static bool
+supply_places (struct host_mgr *mgr, int64_t now_us)
+{
+  bool shortage = false;
+  for (int placeless = 1; placeless >= 0; placeless--)
+    for (size_t n = 0; n < mgr->pool_count; n++)
+      {
+        struct mgr_pool *pool = &mgr->pools[n];
+        if (demand_is_recent (pool, now_us)
+            && (count_placeless (mgr, pool, now_us) > 0) == placeless)
+          shortage = supply_pool (mgr, pool, WANT_PLACES, now_us) || shortage;
+      }
+  return shortage;
+}
+
 void
 host_mgr_step_moves (struct host_mgr *mgr, int64_t now_us)
 {
   const char *spare = spare_pool (mgr);
-  bool shortage = false;
   /* Perpetual tasks without a place come first, then work that can be done in
      time, whichever pool it belongs to.  */
-  for (int want = WANT_PLACES; want >= WANT_LATE; want--)
+  bool shortage = supply_places (mgr, now_us);
+  for (int want = WANT_URGENT; want >= WANT_LATE; want--)
     for (size_t n = 0; n < mgr->pool_count; n++)
       if (demand_is_recent (&mgr->pools[n], now_us))
         shortage = supply_pool (mgr, &mgr->pools[n], (enum want)want, now_us)
