node, sched: a refused move makes the pool lack no host

A pool that refused to give one of its hosts to another pool counted as lacking a host for 10 s, with all its tasks in place, and could get the spare host that the other one needed. A request says now whether the host is to go to another pool; only a refused maintenance, after which the host would be back, asks for a host that takes its place.

--- a/node/fleet.c
+++ b/node/fleet.c
@@ -36,12 +36,13 @@
 
 static void
 append_request (struct fleet_duty *flt, const char *host, int64_t until_ms,
-                const char *ended_worker)
+                bool move, const char *ended_worker)
 {
   uint8_t data[64 + NAME_BYTES];
   Kingcuphollow__VacateRequest msg = KINGCUPHOLLOW__VACATE_REQUEST__INIT;
   msg.token = flt->token;
   msg.until_ms = (uint64_t)until_ms;
+  msg.move = move;
   msg.ended_worker = (char *)ended_worker;
   node_fleet_append (&flt->app, VACATE_REQUEST_KEY, host, data,
                      kingcuphollow__vacate_request__pack (&msg, data));
@@ -54,7 +55,7 @@
   struct node *nod = flt->nod;
   host->request_offset = 0;
   append_request (flt, host->rep.name, clock_wall_ms (nod->clk) + grace_ms,
-                  "");
+                  host->current_op == OP_MOVE, "");
   log_event (
       nod->lg, EV_HOST_VACATE, LOG_S ("host", host->rep.name),
       LOG_S ("pool", host->rep.pool),
@@ -69,7 +70,8 @@
      has ended no worker.  */
   bool ended = host->phase == PHASE_AWAITING_WORKER
                && strcmp (host->rep.worker, host->previous_worker) != 0;
-  append_request (arg, host->rep.name, 0, ended ? host->previous_worker : "");
+  append_request (arg, host->rep.name, 0, false,
+                  ended ? host->previous_worker : "");
 }
 
 /* Tells that a request of this holder ends without an order that was carried
@@ -145,7 +147,7 @@
         && now_us >= req->superseded_us + ORPHAN_DELAY_US)
       {
         req->withdrawn = true;
-        append_request (flt, req->host, 0, "");
+        append_request (flt, req->host, 0, false, "");
         log_event (flt->nod->lg, EV_HOST_VACATE_OVER,
                    LOG_S ("host", req->host),
                    LOG_S ("reason", "earlier_holder"),
@@ -437,6 +439,7 @@
           req->offset = offset;
           req->until_ms = (int64_t)msg->until_ms;
           req->token = msg->token;
+          req->move = msg->move;
           req->withdrawn = false;
           flt->request_changes++;
         }
--- a/node/fleet_priv.h
+++ b/node/fleet_priv.h
@@ -19,6 +19,7 @@
   char host[NAME_BYTES];
   uint64_t offset;
   int64_t until_ms;         /* wall clock; what still runs then is stopped */
+  bool move;                /* the host is to go to another pool */
   uint64_t reported_offset; /* of the request last answered */
   uint64_t reported_token;  /* of the pool's owner that answered it */
   bool refused;             /* that answer was a refusal */
--- a/node/fleet_vacate.c
+++ b/node/fleet_vacate.c
@@ -51,7 +51,10 @@
       int64_t until_us = now_us + (left_us > 0 ? left_us : 0);
       if (is_answered (hld, req) && req->refused)
         continue; /* the pool uses the host */
-      if (placer_vacate (hld->plc, req->host, until_us))
+      bool found = placer_vacate (hld->plc, req->host, until_us);
+      if (req->move)
+        placer_vacate_is_move (hld->plc, req->host);
+      if (found)
         rows[hld->vacating_count++] = req;
     }
   hld->vacating_request_changes = flt->request_changes;
--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -2005,7 +2005,7 @@
   (ProtobufCMessageInit) kingcuphollow__earlier_holders__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__vacate_request__field_descriptors[3] =
+static const ProtobufCFieldDescriptor kingcuphollow__vacate_request__field_descriptors[4] =
 {
   {
     "token",
@@ -2043,16 +2043,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "move",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__VacateRequest, move),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__vacate_request__field_indices_by_name[] = {
   2,   /* field[2] = ended_worker */
+  3,   /* field[3] = move */
   0,   /* field[0] = token */
   1,   /* field[1] = until_ms */
 };
 static const ProtobufCIntRange kingcuphollow__vacate_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__vacate_request__descriptor =
 {
@@ -2062,7 +2075,7 @@
   "Kingcuphollow__VacateRequest",
   "kingcuphollow",
   sizeof(Kingcuphollow__VacateRequest),
-  3,
+  4,
   kingcuphollow__vacate_request__field_descriptors,
   kingcuphollow__vacate_request__field_indices_by_name,
   1,  kingcuphollow__vacate_request__number_ranges,
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -385,10 +385,14 @@
    * Of a request that is over: the worker whose life the order ended, if any.
    */
   char *ended_worker;
+  /*
+   * The host is to go to another pool and does not come back.
+   */
+  protobuf_c_boolean move;
 };
 #define KINGCUPHOLLOW__VACATE_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__vacate_request__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -146,6 +146,10 @@
    again at once, and calls change nothing until the request is withdrawn.  */
 bool placer_vacate (struct placer *plc, const char *host, int64_t until_us);
 
+/* The host that placer_vacate was asked for is to go to another pool.  If the
+   pool keeps it, it needs no other host for that.  */
+void placer_vacate_is_move (struct placer *plc, const char *host);
+
 /* Why a host is kept.  */
 enum placer_keep_reason
 {
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -64,6 +64,7 @@
   bool inherited;
   bool had_runs;
   bool told;    /* reported as empty */
+  bool move;    /* the host is to go to another pool */
   bool arrived; /* its worker came after the request, which another pool was
                    asked: the host has moved here */
   struct placer_kept kept;
--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -168,6 +168,14 @@
   return found;
 }
 
+void
+placer_vacate_is_move (struct placer *plc, const char *host)
+{
+  struct vacated_host *vac = find_vacated (plc, host);
+  if (vac)
+    vac->move = true;
+}
+
 bool
 placer_host_kept (const struct placer *plc, const char *host,
                   struct placer_kept *kept)
@@ -236,7 +244,7 @@
 {
   return (vac->state == VACATE_KEPT || vac->state == VACATE_WITHDRAWN)
          && vac->kept.reason != PLACER_KEEP_NO_PROGRESS && !vac->arrived
-         && now_us - vac->kept_us < KEPT_LACKING_US;
+         && !vac->move && now_us - vac->kept_us < KEPT_LACKING_US;
 }
 
 uint32_t
@@ -252,7 +260,8 @@
 note_lacking (struct placer *plc, const struct vacated_host *vac,
               const struct step *stp)
 {
-  if (vac->arrived || plc->lacking_hosts >= placer_kept_lacking_max (plc))
+  if (vac->arrived || vac->move
+      || plc->lacking_hosts >= placer_kept_lacking_max (plc))
     return;
   plc->lacking_hosts++;
   if (!*plc->lacking_label)
--- a/test/unit/unit_vacate_review.c
+++ b/test/unit/unit_vacate_review.c
@@ -554,6 +554,7 @@
   world_add_job (wld, 1, LASTING ("2", ONE_EACH), 200);
   play (1000);
   vacate ("m-w0");
+  placer_vacate_is_move (wld->plc, "m-w0");
   play (200);
   ck_assert (placer_host_kept (wld->plc, "m-w0", &kept));
   placer_vacate (wld->plc, "m-w0", 0);
