--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -9,6 +9,11 @@
 /* A worker's clock may run slower than this process's by up to this share.  */
 #define CLOCK_SLOW_MAX_PERCENT 2
 
+/* Longest time for which a worker gets no tasks after failed runs, if most
+   workers have failed some, or if a perpetual task has no other place: the
+   jobs are probably at fault, or have to be tried all the same.  */
+#define FAILING_PAUSE_SHORT_US 1000000
+
 /* Most entries of no_room in struct placer.  */
 #define NO_ROOM_MAX 32
 /* Most searches for a worker in one tick that find none, for tasks without
@@ -52,6 +57,7 @@
   int64_t progress_us;
   int64_t cleared_us; /* when nothing ran there any more; 0: not yet */
   uint32_t stops;     /* runs stopped to empty it */
+  bool present;       /* a worker of this pool was found on it */
   /* An earlier owner may have been asked, and has not reported the host as
      empty only if runs were found there.  */
   bool inherited;
