--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -83,14 +83,39 @@
   return vac;
 }
 
+/* Drops the reservations of tasks that run on WRK and are not moved any
+   more.  */
+static void
+drop_moves (struct placer *plc, struct worker *wrk, int64_t now_us)
+{
+  wrk->moves_reserved = false;
+  for (const struct run *run = wrk->runs; run; run = run->next)
+    {
+      const struct place_request req
+          = { .job = run->job,
+              .step = &run->job->spec.steps[run->ref.step],
+              .ref = &run->ref,
+              .now_us = now_us };
+      if (run->tsk->run == run && !run->stop_wanted
+          && run->tsk->reserved_worker)
+        placer_drop_reservation (plc, &req, "not_moved");
+    }
+}
+
 /* Lets the workers of the host, which is not to be emptied any more, take
    tasks.  */
 static void
 use_again (struct placer *plc, struct vacated_host *vac)
 {
   for (size_t n = 0; n < plc->pool.count; n++)
-    if (plc->pool.workers[n]->vac == vac)
-      set_vacate (plc->pool.workers[n], vac);
+    {
+      struct worker *wrk = plc->pool.workers[n];
+      if (wrk->vac != vac)
+        continue;
+      set_vacate (wrk, vac);
+      if (!wrk->rep.draining)
+        drop_moves (plc, wrk, clock_now_us (plc->env.clk));
+    }
 }
 
 static void
@@ -123,13 +148,14 @@
   if (vac && vac->state != VACATE_WITHDRAWN
       && (until_us > now_us || vac->until_us > now_us))
     vac->until_us = until_us;
-  while ((wrk = pool_next_on_host (&plc->pool, host, &pos)))
+  /* Also without a worker yet: an earlier owner may have reported a host as
+     empty whose worker is known later than the takeover.  */
+  if (!vac || vac->state == VACATE_WITHDRAWN)
+    vac = add_vacated (plc, vac, host, until_us);
+  while (vac && (wrk = pool_next_on_host (&plc->pool, host, &pos)))
     {
-      if (!vac || vac->state == VACATE_WITHDRAWN)
-        vac = add_vacated (plc, vac, host, until_us);
-      if (!vac)
-        return false;
       found = found || wrk->registered;
+      vac->present = true;
       set_vacate (wrk, vac);
     }
   return found;
@@ -158,7 +184,8 @@
   /* A reservation may stand there until the request is decided.  */
   if (vac
       && (vac->state == VACATE_KEPT
-          || (vac->state == VACATE_ASKED && plc->takeover_done)))
+          || (vac->state == VACATE_ASKED && vac->present
+              && plc->takeover_done)))
     return false;
   while ((wrk = pool_next_on_host (&plc->pool, host, &pos)))
     if (wrk->runs || !wrk->vacate || !wrk->unenrolled
@@ -205,15 +232,15 @@
     name_copy (plc->lacking_label, stp->required_label);
 }
 
-/* Gives the tasks that wait, or whose workers leave by their own notice,
-   places; gives hosts back for those that have none.  */
+/* Gives the tasks that wait, or whose workers leave by their own notice or do
+   not answer, places; gives hosts back for those that have none.  */
 static void
 plan_waiting (struct place_plan *plan)
 {
   struct placer *plc = plan->plc;
   bool may_start = placer_may_start (plc, plan->now_us);
   for (size_t n = 0;
-       n < plan->need_count && plan->needs[n].kind <= NEED_DRAINING; n++)
+       n < plan->need_count && plan->needs[n].kind <= NEED_SILENT; n++)
     {
       struct place_need *need = &plan->needs[n];
       struct vacated_host *vac = NULL;
@@ -228,7 +255,8 @@
       keep_host (plc, vac, PLACER_KEEP_TASK_WAITS, &need->ref, plan->now_us);
       places_set_host (plan, vac, true);
       places_give (plan, need);
-      note_lacking (plc, need->stp);
+      if (need->kind != NEED_SILENT)
+        note_lacking (plc, need->stp);
     }
 }
 
@@ -296,7 +324,8 @@
     }
 }
 
-/* Counts the hosts that the tasks without a place lack.  */
+/* Counts the hosts that the tasks without a place lack.  A worker that does
+   not answer may be back soon.  */
 static void
 count_lacking (struct place_plan *plan)
 {
@@ -308,7 +337,7 @@
   for (size_t n = 0; n < plan->need_count; n++)
     {
       struct place_need *need = &plan->needs[n];
-      if (need->place || need->kind > NEED_GRANTED
+      if (need->place || need->kind > NEED_GRANTED || need->kind == NEED_SILENT
           || (need->vac && need->vac->state != VACATE_GRANTED))
         continue;
       places_give_lacking (plan, need);
@@ -352,7 +381,7 @@
 {
   for (const struct vacated_host *vac = plc->vacated;
        vac && plc->takeover_done; vac = vac->next)
-    if (vac->state == VACATE_ASKED)
+    if (vac->state == VACATE_ASKED && vac->present)
       return true;
   return false;
 }
@@ -374,7 +403,7 @@
   count_lacking (plan);
   talloc_free (plan);
   for (struct vacated_host *vac = plc->vacated; vac; vac = vac->next)
-    if (vac->state == VACATE_ASKED && plc->takeover_done)
+    if (vac->state == VACATE_ASKED && vac->present && plc->takeover_done)
       vac->state = VACATE_GRANTED;
 }
 
@@ -419,25 +448,6 @@
   return wrk != NULL;
 }
 
-/* Drops the reservations of tasks that run on WRK and are not moved any
-   more.  */
-static void
-drop_moves (struct placer *plc, struct worker *wrk, int64_t now_us)
-{
-  wrk->moves_reserved = false;
-  for (const struct run *run = wrk->runs; run; run = run->next)
-    {
-      const struct place_request req
-          = { .job = run->job,
-              .step = &run->job->spec.steps[run->ref.step],
-              .ref = &run->ref,
-              .now_us = now_us };
-      if (run->tsk->run == run && !run->stop_wanted
-          && run->tsk->reserved_worker)
-        placer_drop_reservation (plc, &req, "not_moved");
-    }
-}
-
 /* Notes whether a run has left WRK, or has got a place elsewhere for the first
    time: a reservation that is made again and again is no progress.  */
 static void
