test/unit: simulated workers of the placer in one place

unit_placer_vacate and the tests of the review had a copy each. The tests of the review are now unit_vacating, after what they look at.

--- a/test/unit/unit_placer_vacate.c
+++ b/test/unit/unit_placer_vacate.c
@@ -5,222 +5,13 @@
 #include <time.h>
 
 #include "base/log.h"
-#include "placer_world.h"
+#include "placer_sim.h"
 #include "sched/placer_priv.h"
 #include "sched/pool.h"
 
 /* Tests of hosts that are to be emptied while perpetual tasks need their
    places.  The workers answer each command at once.  */
 
-#define SIM_RUNS_MAX 1024
-/* A worker's answer in placer_world has room for so many runs.  */
-#define SIM_ROWS_MAX 8
-#define TICK_MS 40
-/* Ticks for which a hold waits for an end.  */
-#define SIM_HOLD_TICKS 5
-/* Time after which the workers are enrolled and the takeover is done.  */
-#define SETTLE_MS 1000
-#define GRACE_MS 5000
-
-/* A run on a worker, or an end that was not acknowledged.  */
-struct sim_run
-{
-  char worker[NAME_BYTES];
-  struct world_row row;
-  bool ended;
-};
-
-static struct world *wld;
-static struct sim_run sim_runs[SIM_RUNS_MAX];
-static size_t sim_count;
-static uint64_t sim_ends;
-static uint32_t sim_ticks;
-/* Stops get no answer and have no effect.  */
-static bool sim_ignores_stops;
-
-static void
-setup (void)
-{
-  wld = world_create ();
-  world_release_earlier (wld);
-  sim_count = 0;
-  sim_ends = 0;
-  sim_ignores_stops = false;
-}
-
-static void
-teardown (void)
-{
-  world_destroy (wld);
-}
-
-/* Adds a worker on the host "m-ID".  LABELS are separated by a space; NULL:
-   none.  */
-static void
-add_worker (const char *id, int64_t cpu_milli, int64_t memory_mb,
-            const char *labels)
-{
-  struct worker_report rep
-      = { .capacity = { .cpu_milli = cpu_milli, .memory_mb = memory_mb },
-          .clock_ms = 1000,
-          .born_ms = 1000 };
-  name_copy (rep.id, id);
-  name_copy (rep.pool, "p");
-  name_copy (rep.address, "10.0.0.1:1");
-  snprintf (rep.host, sizeof rep.host, "m-%s", id);
-  while (labels && *labels)
-    {
-      size_t len = strcspn (labels, " ");
-      name_copy_len (rep.labels[rep.label_count++], labels, len);
-      labels += len + (labels[len] == ' ');
-    }
-  placer_update_worker (wld->plc, id, &rep);
-}
-
-static struct worker *
-find_worker (const char *id)
-{
-  struct worker *wrk = pool_find_id (&wld->plc->pool, id);
-  ck_assert_ptr_nonnull (wrk);
-  return wrk;
-}
-
-static struct sim_run *
-find_run (uint64_t job, uint32_t index)
-{
-  for (size_t n = 0; n < sim_count; n++)
-    if (!sim_runs[n].ended && sim_runs[n].row.job == job
-        && sim_runs[n].row.index == index)
-      return &sim_runs[n];
-  return NULL;
-}
-
-static void
-end_run (struct sim_run *run, enum run_end end)
-{
-  ck_assert_ptr_nonnull (run);
-  run->ended = true;
-  run->row.end = end;
-  run->row.number = ++sim_ends;
-}
-
-/* Whether the worker answers a hold now: it waits for an end.  */
-static bool
-hold_due (const struct world_call *call)
-{
-  if (call->wait_ms == 0 || sim_ticks % SIM_HOLD_TICKS == 0)
-    return true;
-  for (size_t n = 0; n < sim_count; n++)
-    if (sim_runs[n].ended && sim_runs[n].row.number > call->last_seen
-        && strcmp (sim_runs[n].worker, call->worker) == 0)
-      return true;
-  return false;
-}
-
-static void
-sim_hold (struct world_call *call)
-{
-  struct world_row running[SIM_ROWS_MAX], ended[SIM_ROWS_MAX];
-  size_t running_count = 0, ended_count = 0, kept = 0;
-  for (size_t n = 0; n < sim_count; n++)
-    {
-      struct sim_run *run = &sim_runs[n];
-      bool here = strcmp (run->worker, call->worker) == 0;
-      if (here && run->ended && run->row.number <= call->last_seen)
-        continue;
-      ck_assert_uint_lt (running_count, SIM_ROWS_MAX);
-      ck_assert_uint_lt (ended_count, SIM_ROWS_MAX);
-      if (here && run->ended)
-        ended[ended_count++] = run->row;
-      else if (here)
-        running[running_count++] = run->row;
-      sim_runs[kept++] = *run;
-    }
-  sim_count = kept;
-  world_answer_hold (wld, call->worker, running, running_count, ended,
-                     ended_count);
-}
-
-static void
-sim_answer (struct world_call *call)
-{
-  struct sim_run *run = find_run (call->task.job, call->task.index);
-  switch (call->kind)
-    {
-    case WORLD_START:
-      ck_assert_msg (!run, "a task has two runs");
-      ck_assert_uint_lt (sim_count, SIM_RUNS_MAX);
-      run = &sim_runs[sim_count++];
-      *run = (struct sim_run){ .row = { .job = call->task.job,
-                                        .index = call->task.index,
-                                        .run = call->run } };
-      name_copy (run->worker, call->worker);
-      break;
-    case WORLD_STOP:
-      if (run && run->row.run == call->run)
-        end_run (run, RUN_END_STOPPED);
-      break;
-    case WORLD_HOLD:
-      if (hold_due (call))
-        sim_hold (call);
-      return;
-    case WORLD_PACE:
-      break;
-    }
-  world_answer (wld, call, COMMAND_DONE);
-}
-
-/* Lets MS pass; the workers answer what they are sent.  */
-static void
-play (int64_t ms)
-{
-  for (int64_t left = ms; left > 0; left -= TICK_MS)
-    {
-      size_t kept = 0;
-      sim_ticks++;
-      world_confirm_ownership (wld);
-      world_tick (wld, TICK_MS);
-      world_complete_append (wld);
-      for (size_t n = 0; n < wld->call_count; n++)
-        if (!wld->calls[n].answered
-            && !(sim_ignores_stops && wld->calls[n].kind == WORLD_STOP))
-          sim_answer (&wld->calls[n]);
-      for (size_t n = 0; n < wld->call_count; n++)
-        if (!wld->calls[n].answered)
-          wld->calls[kept++] = wld->calls[n];
-      wld->call_count = kept;
-    }
-}
-
-/* Number of runs on WORKER.  */
-static size_t
-count_runs (const char *worker)
-{
-  size_t count = 0;
-  for (size_t n = 0; n < sim_count; n++)
-    count += !sim_runs[n].ended && strcmp (sim_runs[n].worker, worker) == 0;
-  return count;
-}
-
-static void
-vacate (const char *host)
-{
-  ck_assert (placer_vacate (wld->plc, host,
-                            wld->clk.now_us + (int64_t)GRACE_MS * 1000));
-}
-
-/* Adds COUNT workers "w0" and so on.  */
-static void
-add_workers (int count)
-{
-  char id[16];
-  for (int n = 0; n < count; n++)
-    {
-      snprintf (id, sizeof id, "w%d", n);
-      add_worker (id, 4000, 8192, NULL);
-    }
-}
-
 /* Reasons why a perpetual task has no place.  */
 struct unplaced_case
 {
@@ -263,18 +54,18 @@
   FILE *file = tmpfile ();
   char text[4096];
   ck_assert_ptr_nonnull (file);
-  add_workers (1 + row->free_workers);
-  play (SETTLE_MS);
+  sim_add_workers (1 + row->free_workers);
+  sim_play (SIM_SETTLE_MS);
   if (*row->vacated)
-    vacate (row->vacated);
+    sim_vacate (row->vacated);
   if (*row->draining)
-    find_worker (row->draining)->rep.draining = true;
+    sim_find_worker (row->draining)->rep.draining = true;
   if (*row->silent)
-    find_worker (row->silent)->avoid_until_us = INT64_MAX;
+    sim_find_worker (row->silent)->avoid_until_us = INT64_MAX;
   wld->plc->env.lg
       = logger_create (NULL, &wld->clk.clk, fileno (file), LOG_LEVEL_WARN);
   world_add_job (wld, 1, row->job, 200);
-  play (2000);
+  sim_play (2000);
   logger_destroy (wld->plc->env.lg);
   wld->plc->env.lg = NULL;
   rewind (file);
@@ -299,14 +90,14 @@
   } rows[] = { { 900, 0 }, { 1400, 4 }, { 5900, 4 }, { 6700, 4 } };
   int64_t passed = 0;
   uint32_t total = 0;
-  add_workers (1);
-  play (SETTLE_MS);
+  sim_add_workers (1);
+  sim_play (SIM_SETTLE_MS);
   world_add_job (wld, 1,
                  "{\"steps\":[{\"count\":9,\"cpu\":9000,\"perpetual\":true}]}",
                  200);
   for (size_t n = 0; n < sizeof rows / sizeof rows[0]; n++)
     {
-      play (rows[n].ms - passed);
+      sim_play (rows[n].ms - passed);
       passed = rows[n].ms;
       ck_assert_uint_eq (wld->plc->unplaced_reports, rows[n].reports);
     }
@@ -320,20 +111,20 @@
 /* Guards against lines for tasks that start in time.  */
 START_TEST (test_unplaced_not_reported)
 {
-  add_workers (2);
-  play (SETTLE_MS);
+  sim_add_workers (2);
+  sim_play (SIM_SETTLE_MS);
   world_add_job (wld, 1,
                  "{\"steps\":[{\"count\":2,\"cpu\":1000,\"perpetual\":true,"
                  "\"anti-affinity\":1}]}",
                  200);
   for (int n = 0; n < 2; n++)
     {
-      play (1200);
-      end_run (find_run (1, 0), RUN_END_FAILED);
+      sim_play (1200);
+      sim_end_run (sim_find_run (1, 0), RUN_END_FAILED);
     }
-  play (1200);
-  ck_assert_uint_eq (count_runs ("w0"), 1);
-  ck_assert_uint_eq (count_runs ("w1"), 1);
+  sim_play (1200);
+  ck_assert_uint_eq (sim_count_runs ("w0"), 1);
+  ck_assert_uint_eq (sim_count_runs ("w1"), 1);
   ck_assert_uint_eq (wld->plc->unplaced_reports, 0);
 }
 END_TEST
@@ -348,20 +139,20 @@
 START_TEST (test_task_beside_vacated_hosts)
 {
   char worker[NAME_BYTES], host[NAME_BYTES];
-  add_workers (4);
-  play (SETTLE_MS);
+  sim_add_workers (4);
+  sim_play (SIM_SETTLE_MS);
   world_add_job (wld, 1, BOUND_JOB, 200);
-  play (2000);
-  ck_assert_ptr_nonnull (find_run (1, 3));
-  name_copy (worker, find_run (1, 3)->worker);
-  name_copy (host, find_worker (worker)->rep.host);
-  vacate (host);
-  vacate (strcmp (worker, "w0") == 0 ? "m-w1" : "m-w0");
-  play (200);
-  if (find_run (1, 3))
-    end_run (find_run (1, 3), RUN_END_FAILED);
-  play (2000);
-  ck_assert_ptr_nonnull (find_run (1, 3));
+  sim_play (2000);
+  ck_assert_ptr_nonnull (sim_find_run (1, 3));
+  name_copy (worker, sim_find_run (1, 3)->worker);
+  name_copy (host, sim_find_worker (worker)->rep.host);
+  sim_vacate (host);
+  sim_vacate (strcmp (worker, "w0") == 0 ? "m-w1" : "m-w0");
+  sim_play (200);
+  if (sim_find_run (1, 3))
+    sim_end_run (sim_find_run (1, 3), RUN_END_FAILED);
+  sim_play (2000);
+  ck_assert_ptr_nonnull (sim_find_run (1, 3));
 }
 END_TEST
 
@@ -581,19 +372,19 @@
   for (int n = 0; n < WORKERS_MAX && row->workers[n].cpu_milli > 0; n++)
     {
       snprintf (id, sizeof id, "w%d", n);
-      add_worker (id, row->workers[n].cpu_milli, row->workers[n].memory_mb,
-                  row->workers[n].label);
+      sim_add_worker (id, row->workers[n].cpu_milli, row->workers[n].memory_mb,
+                      row->workers[n].label);
     }
-  play (SETTLE_MS);
+  sim_play (SIM_SETTLE_MS);
   for (int n = 0; n < JOBS_MAX && row->jobs[n].json; n++)
     {
       use_only (row->jobs[n].on);
       world_add_job (wld, (uint64_t)n + 1, row->jobs[n].json, 200 + n);
-      play (400);
+      sim_play (400);
     }
   use_only ("");
   if (row->draining)
-    find_worker (row->draining)->rep.draining = true;
+    sim_find_worker (row->draining)->rep.draining = true;
 }
 
 static enum placer_keep_reason
@@ -623,15 +414,15 @@
   for (; count < REQUESTS_MAX && row->requests[count].worker; count++)
     {
       name_copy (hosts[count],
-                 find_worker (row->requests[count].worker)->rep.host);
-      vacate (hosts[count]);
-      play (row->pause_ms);
+                 sim_find_worker (row->requests[count].worker)->rep.host);
+      sim_vacate (hosts[count]);
+      sim_play (row->pause_ms);
     }
   if (row->late_job)
     world_add_job (wld, 9, row->late_job, 300);
-  play (2 * TICK_MS);
+  sim_play (2 * SIM_TICK_MS);
   if (row->late_job)
-    play (200);
+    sim_play (200);
   for (size_t n = 0; n < count; n++)
     ck_assert_msg (kept_reason (hosts[n]) == row->requests[n].kept,
                    "%s: %s: reason %d", row->title, hosts[n],
@@ -643,11 +434,11 @@
                  "%s: label %s", row->title, wld->plc->lacking_label);
   for (int n = 0; n < 8; n++)
     {
-      play (1000);
+      sim_play (1000);
       for (size_t m = 0; m < count; m++)
         if (row->requests[m].kept != NONE)
           {
-            vacate (hosts[m]);
+            sim_vacate (hosts[m]);
             ck_assert (!host_empty (hosts[m]));
           }
     }
@@ -660,8 +451,8 @@
                      "%s: %s: empty %d", row->title, hosts[n],
                      host_empty (hosts[n]));
       if (row->requests[n].kept != NONE)
-        ck_assert (worker_schedulable (find_worker (row->requests[n].worker),
-                                       wld->clk.now_us));
+        ck_assert (worker_schedulable (
+            sim_find_worker (row->requests[n].worker), wld->clk.now_us));
     }
 }
 END_TEST
@@ -686,13 +477,14 @@
 {
   set_up_case (&vacate_cases[_i]);
   for (int n = 0; n < REQUESTS_MAX && vacate_cases[_i].requests[n].worker; n++)
-    vacate (find_worker (vacate_cases[_i].requests[n].worker)->rep.host);
+    sim_vacate (
+        sim_find_worker (vacate_cases[_i].requests[n].worker)->rep.host);
   for (int n = 0; n < 100; n++)
     {
       if (n == 50)
         for (size_t m = 0; m < wld->plc->pool.count; m++)
           placer_vacate (wld->plc, wld->plc->pool.workers[m]->rep.host, 0);
-      play (TICK_MS);
+      sim_play (SIM_TICK_MS);
       for (size_t m = 0; m < wld->plc->pool.count; m++)
         {
           const struct worker *wrk = wld->plc->pool.workers[m];
@@ -713,14 +505,14 @@
   set_up_case (&(struct vacate_case){
       .workers = { USUAL, USUAL },
       .jobs = { { LASTING ("1", "\"cpu\":4000"), "w0" } } });
-  vacate ("m-w1");
-  play (2000);
+  sim_vacate ("m-w1");
+  sim_play (2000);
   if (told)
     ck_assert (host_empty ("m-w1"));
   world_add_job (wld, 9, LASTING ("1", "\"cpu\":4000"), 300);
-  play (3000);
+  sim_play (3000);
   ck_assert_int_eq (kept_reason ("m-w1"), told ? NONE : TASK_WAITS);
-  ck_assert_uint_eq (count_runs ("w1"), !told);
+  ck_assert_uint_eq (sim_count_runs ("w1"), !told);
   ck_assert (host_empty ("m-w1") == told);
   ck_assert_uint_eq (wld->plc->lacking_hosts, 1);
 }
@@ -739,12 +531,12 @@
   set_up_case (&(struct vacate_case){ .workers = { USUAL, USUAL },
                                       .jobs = { { BATCH ("2"), "w0" } } });
   sim_ignores_stops = true;
-  vacate ("m-w0");
-  for (int64_t ms = TICK_MS; ms < 15000; ms += TICK_MS)
+  sim_vacate ("m-w0");
+  for (int64_t ms = SIM_TICK_MS; ms < 15000; ms += SIM_TICK_MS)
     {
-      if (ms / TICK_MS == rows[_i].leaves_ms / TICK_MS)
-        end_run (find_run (1, 0), RUN_END_DONE);
-      play (TICK_MS);
+      if (ms / SIM_TICK_MS == rows[_i].leaves_ms / SIM_TICK_MS)
+        sim_end_run (sim_find_run (1, 0), RUN_END_DONE);
+      sim_play (SIM_TICK_MS);
       if (kept_after_ms == 0 && kept_reason ("m-w0") != NONE)
         kept_after_ms = ms;
     }
@@ -763,23 +555,23 @@
       .workers = { USUAL, USUAL, USUAL },
       .jobs = { { LASTING ("6", "\"cpu\":100,\"may-miss\":1"), "w0" } } });
   use_only ("w1");
-  end_run (find_run (1, 5), RUN_END_FAILED);
-  play (600);
-  ck_assert_str_eq (find_run (1, 5)->worker, "w1");
+  sim_end_run (sim_find_run (1, 5), RUN_END_FAILED);
+  sim_play (600);
+  ck_assert_str_eq (sim_find_run (1, 5)->worker, "w1");
   use_only ("");
   for (int n = 0; n < 2; n++)
     placer_vacate (wld->plc, n ? "m-w1" : "m-w0", wld->clk.now_us + 500000);
   for (int n = 0; n < 9; n++)
     {
       sim_ignores_stops = true;
-      play (1200);
+      sim_play (1200);
       sim_ignores_stops = false;
-      play (TICK_MS);
+      sim_play (SIM_TICK_MS);
       ck_assert_int_eq (kept_reason ("m-w0"), NONE);
       ck_assert_int_eq (kept_reason ("m-w1"), NONE);
     }
   ck_assert (host_empty ("m-w0"));
-  play (1000);
+  sim_play (1000);
   ck_assert (host_empty ("m-w1"));
 }
 END_TEST
@@ -808,26 +600,26 @@
   set_up_case (&pool);
   use_only (rows[_i].moves ? "w0" : "w1");
   if (!rows[_i].moves)
-    find_worker ("w0")->rep.draining = true;
+    sim_find_worker ("w0")->rep.draining = true;
   sim_ignores_stops = true;
   world_add_job (wld, 9, LASTING ("1", "\"cpu\":2000"), 300);
-  play (400);
+  sim_play (400);
   use_only ("w1");
   if (rows[_i].moves)
-    vacate ("m-w0");
-  play (400);
+    sim_vacate ("m-w0");
+  sim_play (400);
   struct task *tsk = &job_table_find (&wld->jobs, 9)->occurrences[0].tasks[0];
-  ck_assert_uint_eq (tsk->reserved_worker, find_worker ("w1")->handle);
+  ck_assert_uint_eq (tsk->reserved_worker, sim_find_worker ("w1")->handle);
   ck_assert ((tsk->run != NULL) == rows[_i].moves);
   use_only ("");
-  vacate ("m-w1");
-  play (200);
+  sim_vacate ("m-w1");
+  sim_play (200);
   ck_assert_int_eq (kept_reason ("m-w1"), rows[_i].kept);
   ck_assert_int_eq (kept_reason ("m-w0"), NONE);
   sim_ignores_stops = false;
-  play (8000);
-  ck_assert_ptr_nonnull (find_run (9, 0));
-  ck_assert_str_eq (find_run (9, 0)->worker,
+  sim_play (8000);
+  ck_assert_ptr_nonnull (sim_find_run (9, 0));
+  ck_assert_str_eq (sim_find_run (9, 0)->worker,
                     rows[_i].kept == NONE ? "w2" : "w1");
   ck_assert (host_empty ("m-w1") == (rows[_i].kept == NONE));
 }
@@ -842,34 +634,34 @@
   set_up_case (
       &(struct vacate_case){ .workers = { USUAL, USUAL, USUAL, USUAL },
                              .jobs = { { LASTING ("3", ONE_EACH), "" } } });
-  while (count_runs ("w3") > 0)
+  while (sim_count_runs ("w3") > 0)
     {
-      vacate ("m-w3");
-      play (1000);
+      sim_vacate ("m-w3");
+      sim_play (1000);
     }
-  vacate ("m-w3");
-  play (1000);
+  sim_vacate ("m-w3");
+  sim_play (1000);
   world_take_over (wld, 8, 150);
   wld->call_count = 0;
-  add_workers (4);
+  sim_add_workers (4);
   for (int n = 0; n < 300; n++)
     {
-      vacate ("m-w0");
-      vacate ("m-w3");
+      sim_vacate ("m-w0");
+      sim_vacate ("m-w3");
       if (!placer_takeover_done (wld->plc))
         {
           undecided++;
           ck_assert_int_eq (kept_reason ("m-w0"), NONE);
         }
-      play (TICK_MS);
+      sim_play (SIM_TICK_MS);
     }
   ck_assert_int_gt (undecided, 10);
   ck_assert_int_eq (kept_reason ("m-w0"), NO_PLACE);
   ck_assert_int_eq (kept_reason ("m-w3"), NONE);
   world_add_job (wld, 9, LASTING ("1", "\"cpu\":4000"), 300);
-  play (1000);
-  ck_assert_uint_eq (count_runs ("w3"), 0);
-  ck_assert_ptr_null (find_run (9, 0));
+  sim_play (1000);
+  ck_assert_uint_eq (sim_count_runs ("w3"), 0);
+  ck_assert_ptr_null (sim_find_run (9, 0));
   ck_assert_int_eq (kept_reason ("m-w3"), NONE);
 }
 END_TEST
@@ -883,41 +675,41 @@
   set_up_case (
       &(struct vacate_case){ .workers = { USUAL, USUAL },
                              .jobs = { { LASTING ("2", ONE_EACH), "" } } });
-  vacate ("m-w0");
-  play (TICK_MS);
+  sim_vacate ("m-w0");
+  sim_play (SIM_TICK_MS);
   ck_assert (placer_host_kept (wld->plc, "m-w0", &first));
   ck_assert_int_eq (first.reason, NO_PLACE);
-  ck_assert_int_le (first.took_us, (int64_t)TICK_MS * 1000);
+  ck_assert_int_le (first.took_us, (int64_t)SIM_TICK_MS * 1000);
   ck_assert_int_eq (strncmp (first.task, "0000000000000001.0.0.", 21), 0);
   for (int n = 0; n < 20; n++)
     {
-      vacate ("m-w0");
-      play (TICK_MS);
+      sim_vacate ("m-w0");
+      sim_play (SIM_TICK_MS);
       ck_assert (placer_host_kept (wld->plc, "m-w0", &kept));
       ck_assert_int_eq (kept.took_us, first.took_us);
     }
   placer_vacate (wld->plc, "m-w0", 0);
   ck_assert (!placer_host_kept (wld->plc, "m-w0", &kept));
-  play (2000);
+  sim_play (2000);
   ck_assert_uint_eq (wld->plc->lacking_hosts, 1);
   if (_i == 0)
     {
-      vacate ("m-w0");
-      play (TICK_MS);
+      sim_vacate ("m-w0");
+      sim_play (SIM_TICK_MS);
       ck_assert_int_eq (kept_reason ("m-w0"), NO_PLACE);
       placer_vacate (wld->plc, "m-w0", 0);
-      play (KEPT_LACKING_US / 1000 - 500);
+      sim_play (KEPT_LACKING_US / 1000 - 500);
       ck_assert_uint_eq (wld->plc->lacking_hosts, 1);
-      play (1000);
+      sim_play (1000);
       ck_assert_uint_eq (wld->plc->lacking_hosts, 0);
       ck_assert_ptr_null (wld->plc->vacated);
       return;
     }
-  add_worker ("w2", 4000, 8192, NULL);
-  play (1000);
+  sim_add_worker ("w2", 4000, 8192, NULL);
+  sim_play (1000);
   ck_assert_uint_eq (wld->plc->lacking_hosts, 0);
-  vacate ("m-w0");
-  play (3000);
+  sim_vacate ("m-w0");
+  sim_play (3000);
   ck_assert_int_eq (kept_reason ("m-w0"), NONE);
   ck_assert (host_empty ("m-w0"));
 }
@@ -934,17 +726,17 @@
    everywhere.  */
 START_TEST (test_large_pool)
 {
-  add_workers (LARGE_WORKERS);
-  play (400);
+  sim_add_workers (LARGE_WORKERS);
+  sim_play (400);
   world_add_job (wld, 1, LASTING ("40", TWO_EACH), 200);
-  play (400);
+  sim_play (400);
   world_add_job (wld, 2, BATCH ("900"), 201);
-  play (400);
+  sim_play (400);
   for (uint32_t n = 0; n < LARGE_TASKS; n++)
-    vacate (find_worker (find_run (1, n)->worker)->rep.host);
+    sim_vacate (sim_find_worker (sim_find_run (1, n)->worker)->rep.host);
   placer_decide_vacating (wld->plc, wld->clk.now_us);
   for (uint32_t n = 0; n < LARGE_TASKS; n++)
-    ck_assert (find_worker (find_run (1, n)->worker)->vacate);
+    ck_assert (sim_find_worker (sim_find_run (1, n)->worker)->vacate);
   clock_t begun = clock ();
   for (int n = 0; n < LARGE_PLANS; n++)
     {
@@ -962,7 +754,7 @@
 main (void)
 {
   TCase *tc = tcase_create ("placer_vacate");
-  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_checked_fixture (tc, sim_setup, sim_teardown);
   tcase_add_loop_test (tc, test_unplaced_reported, 0, 5);
   tcase_add_test (tc, test_unplaced_reports_limited);
   tcase_add_test (tc, test_unplaced_not_reported);
--- a/test/unit/unit_vacate_review.c
+++ b/test/unit/unit_vacating.c
@@ -6,212 +6,13 @@
 
 #include "fleet/host_mgr.h"
 #include "platform/wire_decode.h"
-#include "placer_world.h"
+#include "placer_sim.h"
 #include "sched/placer_priv.h"
 #include "sched/pool.h"
 
-/* Findings of a review of docs/design/vacating.md: requests to vacate hosts
-   that leave a perpetual task without a run, or take hosts in vain.  The
-   workers answer each command at once.  */
-
-#define SIM_RUNS_MAX 1024
-/* A worker's answer in placer_world has room for so many runs.  */
-#define SIM_ROWS_MAX 8
-#define TICK_MS 40
-/* Ticks for which a hold waits for an end.  */
-#define SIM_HOLD_TICKS 5
-/* Time after which the workers are enrolled and the takeover is done.  */
-#define SETTLE_MS 1000
-#define GRACE_MS 5000
-
-/* A run on a worker, or an end that was not acknowledged.  */
-struct sim_run
-{
-  char worker[NAME_BYTES];
-  struct world_row row;
-  bool ended;
-};
-
-static struct world *wld;
-static struct sim_run sim_runs[SIM_RUNS_MAX];
-static size_t sim_count;
-static uint64_t sim_ends;
-static uint32_t sim_ticks;
-/* Stops get no answer and have no effect.  */
-static bool sim_ignores_stops;
-
-static void
-setup (void)
-{
-  wld = world_create ();
-  world_release_earlier (wld);
-  sim_count = 0;
-  sim_ends = 0;
-  sim_ignores_stops = false;
-}
-
-static void
-teardown (void)
-{
-  world_destroy (wld);
-}
-
-/* Adds a worker on the host "m-ID".  LABELS are separated by a space; NULL:
-   none.  */
-static void
-add_worker (const char *id, int64_t cpu_milli, int64_t memory_mb,
-            const char *labels)
-{
-  struct worker_report rep
-      = { .capacity = { .cpu_milli = cpu_milli, .memory_mb = memory_mb },
-          .clock_ms = 1000,
-          .born_ms = 1000 };
-  name_copy (rep.id, id);
-  name_copy (rep.pool, "p");
-  name_copy (rep.address, "10.0.0.1:1");
-  snprintf (rep.host, sizeof rep.host, "m-%s", id);
-  while (labels && *labels)
-    {
-      size_t len = strcspn (labels, " ");
-      name_copy_len (rep.labels[rep.label_count++], labels, len);
-      labels += len + (labels[len] == ' ');
-    }
-  placer_update_worker (wld->plc, id, &rep);
-}
-
-static struct worker *
-find_worker (const char *id)
-{
-  struct worker *wrk = pool_find_id (&wld->plc->pool, id);
-  ck_assert_ptr_nonnull (wrk);
-  return wrk;
-}
-
-static struct sim_run *
-find_run (uint64_t job, uint32_t index)
-{
-  for (size_t n = 0; n < sim_count; n++)
-    if (!sim_runs[n].ended && sim_runs[n].row.job == job
-        && sim_runs[n].row.index == index)
-      return &sim_runs[n];
-  return NULL;
-}
-
-static void
-end_run (struct sim_run *run, enum run_end end)
-{
-  ck_assert_ptr_nonnull (run);
-  run->ended = true;
-  run->row.end = end;
-  run->row.number = ++sim_ends;
-}
-
-/* Whether the worker answers a hold now: it waits for an end.  */
-static bool
-hold_due (const struct world_call *call)
-{
-  if (call->wait_ms == 0 || sim_ticks % SIM_HOLD_TICKS == 0)
-    return true;
-  for (size_t n = 0; n < sim_count; n++)
-    if (sim_runs[n].ended && sim_runs[n].row.number > call->last_seen
-        && strcmp (sim_runs[n].worker, call->worker) == 0)
-      return true;
-  return false;
-}
-
-static void
-sim_hold (struct world_call *call)
-{
-  struct world_row running[SIM_ROWS_MAX], ended[SIM_ROWS_MAX];
-  size_t running_count = 0, ended_count = 0, kept = 0;
-  for (size_t n = 0; n < sim_count; n++)
-    {
-      struct sim_run *run = &sim_runs[n];
-      bool here = strcmp (run->worker, call->worker) == 0;
-      if (here && run->ended && run->row.number <= call->last_seen)
-        continue;
-      ck_assert_uint_lt (running_count, SIM_ROWS_MAX);
-      ck_assert_uint_lt (ended_count, SIM_ROWS_MAX);
-      if (here && run->ended)
-        ended[ended_count++] = run->row;
-      else if (here)
-        running[running_count++] = run->row;
-      sim_runs[kept++] = *run;
-    }
-  sim_count = kept;
-  world_answer_hold (wld, call->worker, running, running_count, ended,
-                     ended_count);
-}
-
-static void
-sim_answer (struct world_call *call)
-{
-  struct sim_run *run = find_run (call->task.job, call->task.index);
-  switch (call->kind)
-    {
-    case WORLD_START:
-      ck_assert_msg (!run, "a task has two runs");
-      ck_assert_uint_lt (sim_count, SIM_RUNS_MAX);
-      run = &sim_runs[sim_count++];
-      *run = (struct sim_run){ .row = { .job = call->task.job,
-                                        .index = call->task.index,
-                                        .run = call->run } };
-      name_copy (run->worker, call->worker);
-      break;
-    case WORLD_STOP:
-      if (run && run->row.run == call->run)
-        end_run (run, RUN_END_STOPPED);
-      break;
-    case WORLD_HOLD:
-      if (hold_due (call))
-        sim_hold (call);
-      return;
-    case WORLD_PACE:
-      break;
-    }
-  world_answer (wld, call, COMMAND_DONE);
-}
-
-/* Lets MS pass; the workers answer what they are sent.  */
-static void
-play (int64_t ms)
-{
-  for (int64_t left = ms; left > 0; left -= TICK_MS)
-    {
-      size_t kept = 0;
-      sim_ticks++;
-      world_confirm_ownership (wld);
-      world_tick (wld, TICK_MS);
-      world_complete_append (wld);
-      for (size_t n = 0; n < wld->call_count; n++)
-        if (!wld->calls[n].answered
-            && !(sim_ignores_stops && wld->calls[n].kind == WORLD_STOP))
-          sim_answer (&wld->calls[n]);
-      for (size_t n = 0; n < wld->call_count; n++)
-        if (!wld->calls[n].answered)
-          wld->calls[kept++] = wld->calls[n];
-      wld->call_count = kept;
-    }
-}
-
-static void
-vacate (const char *host)
-{
-  ck_assert (placer_vacate (wld->plc, host,
-                            wld->clk.now_us + (int64_t)GRACE_MS * 1000));
-}
-
-/* Adds COUNT workers "w0" and so on.  */
-static void
-add_workers (int count)
-{
-  char id[16];
-  for (int n = 0; n < count; n++)
-    {
-      snprintf (id, sizeof id, "w%d", n);
-      add_worker (id, 4000, 8192, NULL);
-    }
-}
+/* Tests of waits between the owner of a pool and the holder of the fleet duty
+   about hosts that are to be vacated: a perpetual task that is left without a
+   run, and hosts that are taken in vain.  */
 
 #define LASTING(count, more)                                                  \
   "{\"steps\":[{\"count\":" count ",\"perpetual\":true," more "}]}"
@@ -237,32 +38,32 @@
    worker, and may not be stopped while that one is missing.  */
 START_TEST (test_reservation_and_missing_sibling)
 {
-  add_workers (3);
-  play (SETTLE_MS);
+  sim_add_workers (3);
+  sim_play (SIM_SETTLE_MS);
   use_only ("w2");
   world_add_job (wld, 2, BATCH ("4"), 200);
-  play (400);
+  sim_play (400);
   use_only ("w0");
   world_add_job (wld, 1, LASTING ("2", ONE_EACH), 201);
-  play (400);
+  sim_play (400);
   use_only ("w1");
-  play (400);
+  sim_play (400);
   use_only ("");
-  uint32_t leaving = strcmp (find_run (1, 0)->worker, "w0") == 0 ? 0 : 1;
-  ck_assert_str_eq (find_run (1, leaving)->worker, "w0");
-  ck_assert_str_eq (find_run (1, 1 - leaving)->worker, "w1");
+  uint32_t leaving = strcmp (sim_find_run (1, 0)->worker, "w0") == 0 ? 0 : 1;
+  ck_assert_str_eq (sim_find_run (1, leaving)->worker, "w0");
+  ck_assert_str_eq (sim_find_run (1, 1 - leaving)->worker, "w1");
   /* The batch runs on w2 take a moment to end.  */
   sim_ignores_stops = true;
-  vacate ("m-w0");
-  play (200);
-  find_worker ("w1")->rep.draining = true;
-  end_run (find_run (1, 1 - leaving), RUN_END_FAILED);
-  play (200);
+  sim_vacate ("m-w0");
+  sim_play (200);
+  sim_find_worker ("w1")->rep.draining = true;
+  sim_end_run (sim_find_run (1, 1 - leaving), RUN_END_FAILED);
+  sim_play (200);
   sim_ignores_stops = false;
   int64_t waited_ms = 0;
-  for (; waited_ms < 20000 && !(find_run (1, 0) && find_run (1, 1));
-       waited_ms += TICK_MS)
-    play (TICK_MS);
+  for (; waited_ms < 20000 && !(sim_find_run (1, 0) && sim_find_run (1, 1));
+       waited_ms += SIM_TICK_MS)
+    sim_play (SIM_TICK_MS);
   ck_assert_msg (waited_ms < 2000, "a task had no run for %d ms",
                  (int)waited_ms);
 }
@@ -276,20 +77,20 @@
 {
   struct placer_demand dem;
   char host[NAME_BYTES];
-  add_workers (6);
-  play (SETTLE_MS);
+  sim_add_workers (6);
+  sim_play (SIM_SETTLE_MS);
   world_add_job (wld, 1, LASTING ("6", ONE_EACH), 200);
-  play (1000);
+  sim_play (1000);
   for (int n = 0; n < 6; n++)
     {
       struct placer_kept kept;
       snprintf (host, sizeof host, "m-w%d", n);
-      vacate (host);
-      play (200);
+      sim_vacate (host);
+      sim_play (200);
       ck_assert (placer_host_kept (wld->plc, host, &kept));
       placer_vacate (wld->plc, host, 0);
     }
-  play (200);
+  sim_play (200);
   placer_demand (wld->plc, &dem);
   ck_assert_uint_eq (dem.needed_hosts, 2);
 }
@@ -549,16 +350,16 @@
 {
   struct placer_demand dem;
   struct placer_kept kept;
-  add_workers (2);
-  play (SETTLE_MS);
+  sim_add_workers (2);
+  sim_play (SIM_SETTLE_MS);
   world_add_job (wld, 1, LASTING ("2", ONE_EACH), 200);
-  play (1000);
-  vacate ("m-w0");
+  sim_play (1000);
+  sim_vacate ("m-w0");
   placer_vacate_is_move (wld->plc, "m-w0");
-  play (200);
+  sim_play (200);
   ck_assert (placer_host_kept (wld->plc, "m-w0", &kept));
   placer_vacate (wld->plc, "m-w0", 0);
-  play (5000);
+  sim_play (5000);
   placer_demand (wld->plc, &dem);
   ck_assert_uint_eq (dem.needed_hosts, 0);
 }
@@ -571,14 +372,14 @@
 {
   struct placer_demand dem;
   int64_t until_us;
-  add_workers (1);
-  play (SETTLE_MS);
+  sim_add_workers (1);
+  sim_play (SIM_SETTLE_MS);
   world_add_job (wld, 1, LASTING ("2", ONE_EACH), 200);
-  play (1000);
-  until_us = wld->clk.now_us + (int64_t)GRACE_MS * 1000;
+  sim_play (1000);
+  until_us = wld->clk.now_us + (int64_t)SIM_GRACE_MS * 1000;
   ck_assert (!placer_vacate (wld->plc, "m-w1", until_us));
-  play (2000);
-  add_worker ("w1", 4000, 8192, NULL);
+  sim_play (2000);
+  sim_add_worker ("w1", 4000, 8192, NULL);
   /* Until the holder has seen the host in the list.  */
   for (int n = 0; n < 4; n++)
     {
@@ -587,12 +388,12 @@
         placer_vacate (wld->plc, "m-w1", 0);
       else if (n < 2)
         placer_vacate (wld->plc, "m-w1", until_us);
-      play (120);
+      sim_play (120);
     }
   placer_vacate (wld->plc, "m-w1", 0);
-  play (400);
-  ck_assert_ptr_nonnull (find_run (1, 0));
-  ck_assert_ptr_nonnull (find_run (1, 1));
+  sim_play (400);
+  ck_assert_ptr_nonnull (sim_find_run (1, 0));
+  ck_assert_ptr_nonnull (sim_find_run (1, 1));
   placer_demand (wld->plc, &dem);
   ck_assert_uint_eq (dem.needed_hosts, 0);
 }
@@ -602,13 +403,13 @@
    perpetual task that fits on no worker shortens its pause.  */
 START_TEST (test_pause_beside_task_without_room)
 {
-  add_workers (2);
-  play (SETTLE_MS);
+  sim_add_workers (2);
+  sim_play (SIM_SETTLE_MS);
   int64_t until_us = wld->clk.now_us + 20 * (int64_t)1000000;
-  find_worker ("w1")->failing_until_us = until_us;
+  sim_find_worker ("w1")->failing_until_us = until_us;
   world_add_job (wld, 1, LASTING ("1", "\"cpu\":9000"), 200);
-  play (400);
-  ck_assert_int_eq (find_worker ("w1")->failing_until_us, until_us);
+  sim_play (400);
+  ck_assert_int_eq (sim_find_worker ("w1")->failing_until_us, until_us);
 }
 END_TEST
 
@@ -620,27 +421,28 @@
 {
   struct placer_vacated vac;
   struct placer_kept kept;
-  add_workers (2);
-  play (SETTLE_MS);
+  sim_add_workers (2);
+  sim_play (SIM_SETTLE_MS);
   use_only ("w0");
   world_add_job (wld, 1, LASTING ("1", "\"cpu\":4000"), 120);
-  play (400);
+  sim_play (400);
   use_only ("");
-  vacate ("m-w1");
-  play (1000);
+  sim_vacate ("m-w1");
+  sim_play (1000);
   ck_assert (placer_host_empty (wld->plc, "m-w1", &vac));
   world_take_over (wld, 8, 150);
   wld->call_count = 0;
   placer_limit_earlier_leases (wld->plc, wld->clk.now_us);
-  add_workers (2);
+  sim_add_workers (2);
   /* As node/placer_timer.c does: a tick, and then the requests.  */
-  play (TICK_MS);
+  sim_play (SIM_TICK_MS);
   ck_assert (placer_takeover_done (wld->plc));
-  vacate ("m-w1");
+  sim_vacate ("m-w1");
   world_add_job (wld, 9, LASTING ("1", "\"cpu\":4000"), 300);
-  play (2000);
+  sim_play (2000);
   ck_assert (!placer_host_kept (wld->plc, "m-w1", &kept));
-  ck_assert (!find_run (9, 0) || strcmp (find_run (9, 0)->worker, "w1") != 0);
+  ck_assert (!sim_find_run (9, 0)
+             || strcmp (sim_find_run (9, 0)->worker, "w1") != 0);
 }
 END_TEST
 
@@ -653,28 +455,28 @@
   struct placer_vacated vac;
   int64_t waited_ms = 0;
   bool told = false;
-  add_workers (3);
-  play (SETTLE_MS);
+  sim_add_workers (3);
+  sim_play (SIM_SETTLE_MS);
   use_only ("w0");
   world_add_job (wld, 1, LASTING ("1", "\"cpu\":3000"), 200);
-  play (400);
+  sim_play (400);
   use_only ("w1");
   world_add_job (wld, 2, LASTING ("1", "\"cpu\":3000"), 201);
-  play (400);
+  sim_play (400);
   use_only ("");
-  vacate ("m-w0");
+  sim_vacate ("m-w0");
   for (int n = 0; n < _i; n++)
-    play (TICK_MS);
-  find_worker ("w1")->rep.draining = true;
-  end_run (find_run (2, 0), RUN_END_FAILED);
+    sim_play (SIM_TICK_MS);
+  sim_find_worker ("w1")->rep.draining = true;
+  sim_end_run (sim_find_run (2, 0), RUN_END_FAILED);
   const struct task *tsk
       = &job_table_find (&wld->jobs, 2)->occurrences[0].tasks[0];
   /* Whether the owner knew that the task waits when it first took the host for
      empty.  */
   bool known = false;
-  for (; waited_ms < 4000; waited_ms += TICK_MS)
+  for (; waited_ms < 4000; waited_ms += SIM_TICK_MS)
     {
-      play (TICK_MS);
+      sim_play (SIM_TICK_MS);
       /* As in node/placer_timer.c: a tick, and then the answers.  */
       world_tick (wld, 0);
       if (told || !placer_host_empty (wld->plc, "m-w0", &vac))
@@ -682,7 +484,7 @@
       told = true;
       known = !tsk->run;
     }
-  ck_assert_msg (!told || !known || find_run (2, 0),
+  ck_assert_msg (!told || !known || sim_find_run (2, 0),
                  "the host was reported as empty while the task waited");
 }
 END_TEST
@@ -691,7 +493,7 @@
 main (void)
 {
   TCase *tc = tcase_create ("placer");
-  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_checked_fixture (tc, sim_setup, sim_teardown);
   tcase_add_test (tc, test_reservation_and_missing_sibling);
   tcase_add_test (tc, test_refusals_in_turn_lack_a_third);
   tcase_add_test (tc, test_refused_move_lacks_nothing);
@@ -705,7 +507,7 @@
   tcase_add_test (fleet, test_refusal_takes_no_spare_host);
   tcase_add_test (fleet, test_order_after_refusal);
   tcase_add_test (fleet, test_refused_host_has_not_arrived);
-  Suite *suite = suite_create ("vacate_review");
+  Suite *suite = suite_create ("vacating");
   suite_add_tcase (suite, tc);
   suite_add_tcase (suite, fleet);
   SRunner *runner = srunner_create (suite);
