--- a/sched/placer.c
+++ b/sched/placer.c
@@ -101,7 +101,7 @@
 }
 
 static bool
-is_perpetual (const struct job *job)
+has_perpetual_step (const struct job *job)
 {
   for (size_t n = 0; n < job->spec.step_count; n++)
     if (job->spec.steps[n].perpetual)
@@ -138,13 +138,13 @@
     return;
   if (change == JOB_CHANGE_NEW && !job_ended (job))
     {
-      if (is_perpetual (job)
+      if (has_perpetual_step (job)
           && !add_job (plc, &plc->perpetual_jobs, &plc->perpetual_job_count,
                        job))
         return;
       if (!add_job (plc, &plc->jobs, &plc->job_count, job))
         {
-          plc->perpetual_job_count -= is_perpetual (job);
+          plc->perpetual_job_count -= has_perpetual_step (job);
           return;
         }
       plc->new_jobs++;
@@ -408,15 +408,6 @@
     }
 }
 
-static bool
-has_perpetual_step (const struct job *job)
-{
-  for (size_t n = 0; n < job->spec.step_count; n++)
-    if (job->spec.steps[n].perpetual)
-      return true;
-  return false;
-}
-
 static bool
 job_has_runs (const struct job *job)
 {
--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -16,7 +16,6 @@
    is over, is kept: a stop takes up to 1 s, a reservation lasts for 3 s. Moves
    that its tasks wait for count as well.  */
 #define NO_PROGRESS_US 4000000
-
 /* A request that is read within this time after the claim may be one that an
    earlier owner has answered.  */
 #define INHERITED_US 1000000
