--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -26,8 +26,6 @@
 #define HOLD_RETRY_US 250000
 /* Longest time until the next hold while ends are not in the log yet.  */
 #define HOLD_UNFLUSHED_RETRY_US 250000
-/* Bound on the transit time of an answer.  */
-#define ANSWER_TRANSIT_US 100000
 /* A worker without runs is asked for its clock when the last answer is
    older.  */
 #define CLOCK_READ_AGE_MAX_US 10000000
@@ -53,55 +51,6 @@
   uint64_t last_seen;   /* ends up to this number are acknowledged */
 };
 
-/* Upper bound on the time that SPAN_US by the worker's clock takes, including
-   the transit time of an answer.  */
-static int64_t
-add_lease_slack (int64_t span_us)
-{
-  return span_us + span_us * CLOCK_SLOW_MAX_PERCENT / 100 + ANSWER_TRANSIT_US;
-}
-
-int64_t
-placer_lease_end (const struct placer *plc, const struct worker *wrk,
-                  int64_t now_us)
-{
-  /* Later owners count on leases that begin no later than this.  A command may
-     be repeated after the check of the confirmation, or this process may be
-     suspended between the check and the command.  */
-  int64_t last_us = plc->confirmed_us + plc->set.confirm_ms * 1000;
-  int64_t begin_us = now_us < last_us ? now_us : last_us;
-  /* The slowest clock possible: on a faster one the lease is shorter, and
-     never longer than later owners wait for.  */
-  int64_t passed_us = begin_us - wrk->clock_read_us;
-  if (passed_us > 0)
-    passed_us -= passed_us * CLOCK_SLOW_MAX_PERCENT / 100;
-  return wrk->clock_ms + passed_us / 1000 + plc->set.lease_ms;
-}
-
-void
-placer_note_lease (struct placer *plc, struct worker *wrk, int64_t now_us)
-{
-  int64_t until_us = now_us + add_lease_slack (plc->set.lease_ms * 1000);
-  if (until_us > wrk->lease_end_us)
-    wrk->lease_end_us = until_us;
-}
-
-void
-placer_note_grant (struct placer *plc, struct worker *wrk,
-                   int64_t lease_end_ms, int64_t clock_ms, int64_t now_us)
-{
-  int64_t span_ms = lease_end_ms - clock_ms;
-  if (lease_end_ms == 0 || clock_ms == 0)
-    return;
-  /* The clock of a worker that has restarted begins anew, so a lease until a
-     time on its earlier clock is as long as the worker allows.  */
-  if (span_ms > plc->set.lease_max_ms)
-    span_ms = plc->set.lease_max_ms;
-  int64_t until_us = now_us + add_lease_slack (span_ms * 1000);
-  if (until_us > wrk->lease_end_us)
-    wrk->lease_end_us = until_us;
-}
-
 void
 placer_note_answer (struct placer *plc, struct worker *wrk,
                     const struct command_result *res)
@@ -122,78 +71,6 @@
     }
 }
 
-/* Gives up RUN: it has ended without being listed as ended.  */
-static void
-drop_lost_run (struct placer *plc, struct run *run, const char *reason)
-{
-  const struct worker *wrk = run->wrk;
-  int64_t now_us = clock_now_us (plc->env.clk);
-  char name[TASK_NAME_MAX];
-  task_ref_format (&run->ref, name);
-  log_event (plc->env.lg, EV_RUN_LOST, LOG_S ("task", name),
-             LOG_I ("run", run->number), LOG_S ("worker", wrk->rep.id),
-             LOG_S ("reason", reason),
-             LOG_I ("lease_left_ms", (wrk->lease_end_us - now_us) / 1000),
-             LOG_I ("confirmed_age_ms", (now_us - plc->confirmed_us) / 1000));
-  counter_add (plc->env.ctr, CTR_RUNS_LOST, 1);
-  run->tsk->ended_us = now_us;
-  /* An earlier owner may have started the task on the worker's next
-     instance.  */
-  run->tsk->located_token = 0;
-  placer_remove_run (plc, run);
-}
-
-static void
-drop_lost_runs (struct placer *plc, struct worker *wrk, const char *reason)
-{
-  while (wrk->runs)
-    drop_lost_run (plc, wrk->runs, reason);
-}
-
-/* Gives up the runs of a silent WRK, whose leases have expired.  A start
-   without an answer may have reached an instance that began since the last
-   answer; its clock began anew, so it grants the longest lease.  */
-static void
-drop_expired_runs (struct placer *plc, struct worker *wrk)
-{
-  int64_t longest_us = add_lease_slack (plc->set.lease_max_ms * 1000);
-  struct run *next;
-  for (struct run *run = wrk->runs; run; run = next)
-    {
-      next = run->next;
-      if (run->confirmed_us
-          || plc->confirmed_us > run->start_sent_us + longest_us)
-        drop_lost_run (plc, run, "lease_expired");
-    }
-}
-
-/* Gives up the runs that an earlier instance of WRK has listed.  Of the
-   others, the new instance may have answered the start, and its next answer to
-   a hold shows whether it runs them; or it may still carry out a start without
-   an answer, which it refuses after it was told to stop the run.  */
-static void
-drop_earlier_runs (struct placer *plc, struct worker *wrk)
-{
-  int64_t now_us = clock_now_us (plc->env.clk);
-  struct run *next;
-  for (struct run *run = wrk->runs; run; run = next)
-    {
-      next = run->next;
-      if (run->listed_us)
-        {
-          drop_lost_run (plc, run, "instance_ended");
-          continue;
-        }
-      run->stopped_us = 0;
-      run->stop_sent = false;
-      if (run->confirmed_us)
-        run->confirmed_us = now_us;
-      else
-        placer_stop_run (plc, run);
-    }
-  wrk->next_hold_us = 0;
-}
-
 static void
 note_failed_run (struct placer *plc, struct worker *wrk, int64_t now_us)
 {
@@ -364,63 +241,6 @@
     }
 }
 
-/* Prepares WRK for the instance that was started at BORN_MS under the same
-   id.  It runs nothing yet, and numbers its ends from 1.  */
-static void
-begin_instance (struct worker *wrk, int64_t born_ms, int64_t now_us)
-{
-  if (born_ms != wrk->rep.born_ms)
-    wrk->known_us = now_us;
-  wrk->applied_end = wrk->flushing_end = wrk->durable_end = wrk->acked_end = 0;
-  wrk->instance_seen = false;
-  wrk->ended_us = 0;
-  wrk->reported_ended = false;
-  wrk->rep.born_ms = born_ms;
-}
-
-/* Gives up the runs of a worker instance that has ended, once it is certain
-   that no later owner had claimed the pool by then; such an owner could
-   already have recorded the ends.  BORN_MS is the start of the instance that
-   answers or reports under the same id.  Returns false while the end is not
-   certain.  */
-static bool
-settle_ended_instance (struct placer *plc, struct worker *wrk, int64_t born_ms)
-{
-  if (!wrk->ended_us)
-    return true;
-  if (wrk->runs && plc->confirmed_us < wrk->ended_us)
-    return false;
-  /* The worker answers, so the report that it has ended may be wrong.  */
-  if (wrk->reported_ended && wrk->reached && wrk->unanswered_calls == 0)
-    return false;
-  /* The clock of the next instance begins anew.  */
-  if (wrk->reported_ended)
-    wrk->clock_ms = 0;
-  if (born_ms != wrk->rep.born_ms && born_ms > 0)
-    {
-      drop_earlier_runs (plc, wrk);
-      begin_instance (wrk, born_ms, clock_now_us (plc->env.clk));
-      return true;
-    }
-  drop_lost_runs (plc, wrk, "instance_ended");
-  if (wrk->reported_ended)
-    wrk->registered = false;
-  else
-    begin_instance (wrk, wrk->rep.born_ms, clock_now_us (plc->env.clk));
-  return true;
-}
-
-/* The same for an end that was learnt otherwise than from an answer to a
-   hold.  */
-static void
-settle_reported_end (struct placer *plc, struct worker *wrk)
-{
-  settle_ended_instance (plc, wrk,
-                         wrk->reported_born_ms > wrk->rep.born_ms
-                             ? wrk->reported_born_ms
-                             : wrk->rep.born_ms);
-}
-
 static void
 apply_hold (struct placer *plc, struct worker *wrk, const struct hold_ctx *ctx,
             const struct hold_result *res, int64_t now_us)
@@ -434,7 +254,7 @@
   /* The answer shows which instance it is.  */
   wrk->reported_ended = false;
   wrk->instance_seen = !restarted;
-  if (!settle_ended_instance (plc, wrk, res->born_ms))
+  if (!placer_settle_instance (plc, wrk, res->born_ms))
     {
       wrk->next_hold_us = now_us + HOLD_ENDED_INTERVAL_US;
       return;
@@ -555,7 +375,7 @@
         {
           if (!wrk->ended_us)
             wrk->ended_us = now_us;
-          settle_reported_end (plc, wrk);
+          placer_settle_reported_end (plc, wrk);
         }
       else if (res->command.status == COMMAND_FENCED)
         {
@@ -634,12 +454,12 @@
 placer_hold (struct placer *plc, struct worker *wrk, int64_t now_us)
 {
   if (wrk->reported_ended)
-    settle_reported_end (plc, wrk);
+    placer_settle_reported_end (plc, wrk);
   /* A later owner could have extended the leases, so the runs are given up
      only if ownership was confirmed after the leases had expired.  */
   if (wrk->runs && wrk->unanswered_calls > 0
       && plc->confirmed_us > wrk->lease_end_us)
-    drop_expired_runs (plc, wrk);
+    placer_drop_expired_runs (plc, wrk);
   if (wrk->hold_in_flight || now_us < wrk->next_hold_us)
     return;
   if (!hold_needed (plc, wrk, now_us))
--- /dev/null
+++ b/sched/placer_instance.c
@@ -0,0 +1,131 @@
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/log.h"
+#include "sched/placer_priv.h"
+
+/* Ends of worker instances and of leases: which runs are given up, and what
+   the next instance under the same id begins with; see
+   docs/design/instances.md.  */
+
+/* Gives up RUN: it has ended without being listed as ended.  */
+static void
+drop_lost_run (struct placer *plc, struct run *run, const char *reason)
+{
+  const struct worker *wrk = run->wrk;
+  int64_t now_us = clock_now_us (plc->env.clk);
+  char name[TASK_NAME_MAX];
+  task_ref_format (&run->ref, name);
+  log_event (plc->env.lg, EV_RUN_LOST, LOG_S ("task", name),
+             LOG_I ("run", run->number), LOG_S ("worker", wrk->rep.id),
+             LOG_S ("reason", reason),
+             LOG_I ("lease_left_ms", (wrk->lease_end_us - now_us) / 1000),
+             LOG_I ("confirmed_age_ms", (now_us - plc->confirmed_us) / 1000));
+  counter_add (plc->env.ctr, CTR_RUNS_LOST, 1);
+  run->tsk->ended_us = now_us;
+  /* An earlier owner may have started the task on the worker's next
+     instance.  */
+  run->tsk->located_token = 0;
+  placer_remove_run (plc, run);
+}
+
+static void
+drop_lost_runs (struct placer *plc, struct worker *wrk, const char *reason)
+{
+  while (wrk->runs)
+    drop_lost_run (plc, wrk->runs, reason);
+}
+
+/* A start
+   without an answer may have reached an instance that began since the last
+   answer; its clock began anew, so it grants the longest lease.  */
+void
+placer_drop_expired_runs (struct placer *plc, struct worker *wrk)
+{
+  int64_t longest_us = placer_add_lease_slack (plc->set.lease_max_ms * 1000);
+  struct run *next;
+  for (struct run *run = wrk->runs; run; run = next)
+    {
+      next = run->next;
+      if (run->confirmed_us
+          || plc->confirmed_us > run->start_sent_us + longest_us)
+        drop_lost_run (plc, run, "lease_expired");
+    }
+}
+
+/* Gives up the runs that an earlier instance of WRK has listed.  Of the
+   others, the new instance may have answered the start, and its next answer to
+   a hold shows whether it runs them; or it may still carry out a start without
+   an answer, which it refuses after it was told to stop the run.  */
+static void
+drop_earlier_runs (struct placer *plc, struct worker *wrk)
+{
+  int64_t now_us = clock_now_us (plc->env.clk);
+  struct run *next;
+  for (struct run *run = wrk->runs; run; run = next)
+    {
+      next = run->next;
+      if (run->listed_us)
+        {
+          drop_lost_run (plc, run, "instance_ended");
+          continue;
+        }
+      run->stopped_us = 0;
+      run->stop_sent = false;
+      if (run->confirmed_us)
+        run->confirmed_us = now_us;
+      else
+        placer_stop_run (plc, run);
+    }
+  wrk->next_hold_us = 0;
+}
+
+/* Prepares WRK for the instance that was started at BORN_MS under the same
+   id.  It runs nothing yet, and numbers its ends from 1.  */
+static void
+begin_instance (struct worker *wrk, int64_t born_ms, int64_t now_us)
+{
+  if (born_ms != wrk->rep.born_ms)
+    wrk->known_us = now_us;
+  wrk->applied_end = wrk->flushing_end = wrk->durable_end = wrk->acked_end = 0;
+  wrk->instance_seen = false;
+  wrk->ended_us = 0;
+  wrk->reported_ended = false;
+  wrk->rep.born_ms = born_ms;
+}
+
+bool
+placer_settle_instance (struct placer *plc, struct worker *wrk,
+                        int64_t born_ms)
+{
+  if (!wrk->ended_us)
+    return true;
+  if (wrk->runs && plc->confirmed_us < wrk->ended_us)
+    return false;
+  /* The worker answers, so the report that it has ended may be wrong.  */
+  if (wrk->reported_ended && wrk->reached && wrk->unanswered_calls == 0)
+    return false;
+  /* The clock of the next instance begins anew.  */
+  if (wrk->reported_ended)
+    wrk->clock_ms = 0;
+  if (born_ms != wrk->rep.born_ms && born_ms > 0)
+    {
+      drop_earlier_runs (plc, wrk);
+      begin_instance (wrk, born_ms, clock_now_us (plc->env.clk));
+      return true;
+    }
+  drop_lost_runs (plc, wrk, "instance_ended");
+  if (wrk->reported_ended)
+    wrk->registered = false;
+  else
+    begin_instance (wrk, wrk->rep.born_ms, clock_now_us (plc->env.clk));
+  return true;
+}
+
+void
+placer_settle_reported_end (struct placer *plc, struct worker *wrk)
+{
+  placer_settle_instance (plc, wrk,
+                          wrk->reported_born_ms > wrk->rep.born_ms
+                              ? wrk->reported_born_ms
+                              : wrk->rep.born_ms);
+}
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -240,14 +240,20 @@
 /* Gives up runs on WRK that have certainly ended, and sends a hold if one is
    due.  */
 void placer_hold (struct placer *plc, struct worker *wrk, int64_t now_us);
+/* Updates the worker's contact state from the result of a call.  */
+void placer_note_answer (struct placer *plc, struct worker *wrk,
+                         const struct command_result *res);
+/* placer_lease.c */
+/* Bound on the transit time of an answer.  */
+#define ANSWER_TRANSIT_US 100000
+/* Upper bound on the time that SPAN_US by the worker's clock takes, including
+   the transit time of an answer.  */
+int64_t placer_add_lease_slack (int64_t span_us);
 /* End of a lease that begins at NOW_US, or when the last confirmation of
    ownership becomes too old if that is earlier, in milliseconds of the
    worker's estimated clock.  */
 int64_t placer_lease_end (const struct placer *plc, const struct worker *wrk,
                           int64_t now_us);
-/* Updates the worker's contact state from the result of a call.  */
-void placer_note_answer (struct placer *plc, struct worker *wrk,
-                         const struct command_result *res);
 /* Records the lease that a worker has granted: its clock was CLOCK_MS when it
    answered a command with a lease until LEASE_END_MS.  */
 void placer_note_grant (struct placer *plc, struct worker *wrk,
@@ -257,6 +263,20 @@
 void placer_note_lease (struct placer *plc, struct worker *wrk,
                         int64_t now_us);
 
+/* placer_instance.c */
+/* Gives up the runs of a silent WRK, whose leases have expired.  */
+void placer_drop_expired_runs (struct placer *plc, struct worker *wrk);
+/* Gives up the runs of a worker instance that has ended, once it is certain
+   that no later owner had claimed the pool by then; such an owner could
+   already have recorded the ends.  BORN_MS is the start of the instance that
+   answers or reports under the same id.  Returns false while the end is not
+   certain.  */
+bool placer_settle_instance (struct placer *plc, struct worker *wrk,
+                             int64_t born_ms);
+/* The same for an end that was learnt otherwise than from an answer to a
+   hold.  */
+void placer_settle_reported_end (struct placer *plc, struct worker *wrk);
+
 /* placer_flush.c */
 /* Queues the job's progress for the next append.  */
 void placer_mark_dirty (struct placer *plc, struct job *job);
