sched, node: a successor counts the longest lease that workers grant

A worker restarted under its id, its owner was killed, and the worker was cut off. The successor started the task elsewhere 5.6 s after its claim; the first run lasted 10 s.

The cause: a lease end is a time on the worker's clock. The next instance of a worker, whose clock has begun anew, cuts one that was reckoned with the clock before to the longest lease that it grants. Its owner learns that from the answer; the successor counted lease_ms for every worker that it cannot reach, in the placer and in the records of the duties.

A lease never lasts longer than that, whichever instance took the command.

Evidence: without the change, test_unreached_worker_holds_longest_lease sees the second start 11.7 s after the first owner's placer ended, with commands until 6 s and leases until 16 s, and test_record_states_longest_lease a claim that states 5.0 s where 8.5 s are left.

test_new_owner_waits, test_takeover_without_wait, test_departed_worker_leaves_record and test_known_run_lost_before_takeover waited for the shorter bound; they check the same before and after the longer one.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -618,7 +618,7 @@
   plc->claimed_us = clock_now_us (env->clk);
   plc->confirmed_us = set->confirmed_us;
   plc->earlier_leases_end_us = plc->claimed_us + set->confirm_ms * 1000
-                               + placer_lease_span_us (set->lease_ms);
+                               + placer_lease_span_us (set->lease_max_ms);
   for (struct job *job = env->jobs->by_id; job; job = job->hh.next)
     placer_update_job (plc, job, JOB_CHANGE_NEW);
   return plc;
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -86,9 +86,10 @@
                                 const char *host, int64_t born_ms,
                                 int64_t known_us);
 
-/* Longest time, by this process's clock, after which a lease of LEASE_MS that
-   was given now has expired at the worker.  */
-int64_t placer_lease_span_us (int64_t lease_ms);
+/* Longest time, by this process's clock, after which the leases of a command
+   that another process sends now have expired at the worker.  LEASE_MAX_MS is
+   the longest lease that workers grant, see docs/design/instances.md.  */
+int64_t placer_lease_span_us (int64_t lease_max_ms);
 
 /* Tells the placer that all leases given by earlier owners have expired at
    END_US.  Without a call it assumes the longest time possible.  */
--- a/sched/placer_takeover.c
+++ b/sched/placer_takeover.c
@@ -42,7 +42,8 @@
 int64_t
 placer_earlier_starts_end_us (const struct placer *plc)
 {
-  return plc->earlier_leases_end_us - placer_lease_span_us (plc->set.lease_ms)
+  return plc->earlier_leases_end_us
+         - placer_lease_span_us (plc->set.lease_max_ms)
          - (plc->set.confirm_ms - plc->set.start_confirm_ms) * 1000;
 }
 
@@ -91,9 +92,9 @@
 }
 
 int64_t
-placer_lease_span_us (int64_t lease_ms)
+placer_lease_span_us (int64_t lease_max_ms)
 {
-  int64_t lease_us = lease_ms * 1000;
+  int64_t lease_us = lease_max_ms * 1000;
   return lease_us + lease_us * CLOCK_SLOW_MAX_PERCENT / 100
          + COMMAND_TRANSIT_US;
 }
--- a/test/unit/placer_world.c
+++ b/test/unit/placer_world.c
@@ -236,7 +236,7 @@
 world_release_earlier (struct world *wld)
 {
   placer_limit_earlier_leases (
-      wld->plc, wld->clk.now_us + placer_lease_span_us (WORLD_LEASE_MS));
+      wld->plc, wld->clk.now_us + placer_lease_span_us (WORLD_LEASE_MAX_MS));
 }
 
 void
--- a/test/unit/unit_node_stop.c
+++ b/test/unit/unit_node_stop.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include "node_world.h"
+#include "proto/job.pb-c.h"
 
 /* Tests of the shutdown of a scheduler process (node/stop.c).  */
 
@@ -86,6 +87,43 @@
 }
 END_TEST
 
+/* What the last record with KEY states about leases.  */
+static int64_t
+stated_leases_ms (const char *key)
+{
+  int64_t offset = topic_memory_find (wld.duties, key);
+  ck_assert_int_ge (offset, 0);
+  const struct memory_record *rec = &wld.duties->records[offset];
+  Kingcuphollow__DutyClaim *msg
+      = kingcuphollow__duty_claim__unpack (NULL, rec->value_len, rec->value);
+  ck_assert_ptr_nonnull (msg);
+  ck_assert_ptr_nonnull (msg->earlier);
+  int64_t leases_ms = msg->earlier->leases_ms;
+  kingcuphollow__duty_claim__free_unpacked (msg, NULL);
+  return leases_ms;
+}
+
+/* Guards against a successor that starts tasks again while workers hold leases
+   (TWICE): the record of the duty states a shorter time than workers may have
+   granted.  */
+START_TEST (test_record_states_longest_lease)
+{
+  node_world_init (&wld, false);
+  node_world_claim (&wld, "p", "n2", 1, true);
+  int64_t released_us = clock_now_us (wld.nod->clk);
+  node_world_run (&wld, 1500);
+  ck_assert (
+      duty_held_by (duty_find (&wld.nod->duties, "p"), "n1", NODE_WORLD_BOOT));
+  int64_t passed_ms = (clock_now_us (wld.nod->clk) - released_us) / 1000;
+  ck_assert_int_ge (stated_leases_ms ("d/p"),
+                    wld.nod->set->lease_max_ms - passed_ms);
+  node_begin_stop (wld.nod);
+  node_world_run (&wld, 200);
+  ck_assert_int_ge (stated_leases_ms ("r/p"), wld.nod->set->lease_max_ms);
+  node_world_fini (&wld);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -95,6 +133,7 @@
   tcase_add_test (tc, test_stop_waits_for_requests);
   tcase_add_test (tc, test_stop_answers_all_requests);
   tcase_add_test (tc, test_late_request_of_stopping_process);
+  tcase_add_test (tc, test_record_states_longest_lease);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
--- a/test/unit/unit_placer_takeover.c
+++ b/test/unit/unit_placer_takeover.c
@@ -394,7 +394,7 @@
   world_answer_hold (wld, "w3", NULL, 0, NULL, 0);
   world_tick (wld, 1);
   ck_assert_uint_eq (wld->recorded_workers, 4);
-  wld->clk.now_us += (WORLD_CONFIRM_MS + WORLD_LEASE_MS + 700) * 1000;
+  wld->clk.now_us += (WORLD_CONFIRM_MS + WORLD_LEASE_MAX_MS + 800) * 1000;
   world_confirm_ownership (wld);
   for (int n = 0; n < 3; n++)
     world_tick (wld, 1);
@@ -500,7 +500,7 @@
     }
   ck_assert (!placer_takeover_done (wld->plc));
   ck_assert_uint_eq (world_starts (wld, 1, 0), 0);
-  for (int64_t ms = 0; ms < WORLD_CONFIRM_MS + WORLD_LEASE_MS; ms += 100)
+  for (int64_t ms = 0; ms < WORLD_CONFIRM_MS + WORLD_LEASE_MAX_MS; ms += 100)
     {
       world_confirm_ownership (wld);
       world_tick (wld, 100);
@@ -595,6 +595,34 @@
 }
 END_TEST
 
+/* Guards against a run that is started again while its worker, which the
+   successor cannot reach, still holds the longest lease (TWICE): the worker
+   had restarted, and the command had an end by the clock from before.  */
+START_TEST (test_unreached_worker_holds_longest_lease)
+{
+  const bool released = _i == 1;
+  const int64_t commands_end_us
+      = wld->clk.now_us + (released ? 0 : WORLD_CONFIRM_MS * 1000);
+  world_add_job (wld, 1, BATCH_JOB, 50);
+  world_take_over (wld, 9, 300);
+  if (released)
+    world_release_earlier (wld);
+  placer_add_earlier_worker (wld->plc, "w1", "m-w1", 500, wld->clk.now_us);
+  world_add_worker (wld, "w2", 500);
+  while (world_starts (wld, 1, 0) == 0)
+    {
+      world_tick (wld, 100);
+      world_confirm_ownership (wld);
+      if (world_call (wld, WORLD_HOLD, "w2"))
+        world_answer_hold (wld, "w2", NULL, 0, NULL, 0);
+      ck_assert_int_lt (wld->clk.now_us,
+                        commands_end_us + 2 * WORLD_LEASE_MAX_MS * 1000);
+    }
+  ck_assert_int_gt (wld->clk.now_us,
+                    commands_end_us + WORLD_LEASE_MAX_MS * 1000);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -619,6 +647,7 @@
   tcase_add_test (tc, test_known_run_lost_before_takeover);
   tcase_add_loop_test (tc, test_unsent_commands, 0, 5);
   tcase_add_loop_test (tc, test_no_move_beside_earlier_stop, 0, 2);
+  tcase_add_loop_test (tc, test_unreached_worker_holds_longest_lease, 0, 2);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
