member, node: records of duties state the lease that they have counted

What callers may see: two runs of one task (TWICE) while versions are replaced one after the other. The bound on leases in a claim or release is a time that its writer has computed; one of an earlier version counts the usual lease, 5 s, and a reader took it for the longest one.

A record now states for how long it counts a lease (lease_span_ms). A reader adds what is missing to the longest lease, at most up to the time after which every holder before the record has stopped and its leases have ended, so that alternating versions do not add up without end. Rows of holders need nothing: their leases are computed by the reader.

Evidence: test_record_of_earlier_version failed without the change: a cleared release with 5.6 s was folded as 5.6 s, where a worker may hold a lease for 10.7 s.

Earlier versions that read the new records take their times as they are; what they count for rows and for records without times is still the usual lease.

--- a/member/duty.c
+++ b/member/duty.c
@@ -184,6 +184,18 @@
     settle_all (tab, now_us);
 }
 
+/* By how much the bound on leases in a record with EAR is too early: it was
+   computed with a shorter lease.  */
+static int64_t
+missing_lease_us (const struct duty_table *tab,
+                  const struct earlier_holders *ear)
+{
+  int64_t counted_us
+      = ear->lease_us > 0 ? ear->lease_us : tab->limits.unstated_lease_us;
+  return counted_us < tab->limits.lease_us ? tab->limits.lease_us - counted_us
+                                           : 0;
+}
+
 /* Converts the times of a record that was read at NOW_US.  */
 static void
 fold_earlier (const struct duty_table *tab, struct earlier_holders *ear,
@@ -191,7 +203,13 @@
 {
   if (claim->earlier)
     {
+      /* All holders before the record have lost the duty, so its bound is
+         never later than this.  */
+      int64_t longest_us = tab->limits.command_us + tab->limits.lease_us;
       *ear = *claim->earlier;
+      ear->leases_end_us += missing_lease_us (tab, ear);
+      if (ear->leases_end_us > longest_us)
+        ear->leases_end_us = longest_us;
       ear->leases_end_us += now_us;
       for (size_t n = 0; n < ear->count; n++)
         ear->rows[n].commands_end_us += now_us;
@@ -256,6 +274,7 @@
     ear->rows[n].commands_end_us -= now_us;
   ear->leases_end_us
       = ear->leases_end_us > now_us ? ear->leases_end_us - now_us : 0;
+  ear->lease_us = tab->limits.lease_us;
 }
 
 void
--- a/member/duty.h
+++ b/member/duty.h
@@ -87,6 +87,9 @@
   /* The leases given by the holders without a row, which send no more
      commands, have expired by then.  */
   int64_t leases_end_us;
+  /* In a record: the time for which LEASES_END_US counts a lease; 0: not
+     stated, as in records of earlier versions.  */
+  int64_t lease_us;
 };
 
 struct duty
@@ -105,6 +108,8 @@
 {
   int64_t command_us; /* it sends commands for at most this time */
   int64_t lease_us;   /* a command's lease has expired after this time */
+  /* The time for which a record that does not state it counts a lease.  */
+  int64_t unstated_lease_us;
 };
 
 struct duty_table
--- a/node/duties.c
+++ b/node/duties.c
@@ -655,7 +655,8 @@
   const char *name = nod->set->name;
   const struct holder_limits limits
       = { .command_us = nod->set->confirm_ms * 1000,
-          .lease_us = placer_lease_span_us (nod->set->lease_max_ms) };
+          .lease_us = placer_lease_span_us (nod->set->lease_max_ms),
+          .unstated_lease_us = placer_lease_span_us (lease_ms (nod)) };
   const struct follower_settings set
       = { .topic = TOPIC_DUTIES,
           .wait_ms = DUTIES_READ_WAIT_MS,
--- a/node/duty_record.c
+++ b/node/duty_record.c
@@ -33,6 +33,7 @@
       ear.holders = row_ptrs;
       ear.n_holders = claim->earlier->count;
       ear.leases_ms = to_ms (claim->earlier->leases_end_us);
+      ear.lease_span_ms = (uint32_t)(claim->earlier->lease_us / 1000);
     }
   for (size_t n = 0; n < ear.n_holders; n++)
     {
@@ -90,6 +91,7 @@
   if (msg->n_holders > EARLIER_HOLDERS_MAX)
     return false;
   ear->leases_end_us = (int64_t)msg->leases_ms * 1000;
+  ear->lease_us = (int64_t)msg->lease_span_ms * 1000;
   for (size_t n = 0; n < msg->n_holders; n++)
     {
       struct earlier_holder *row = &ear->rows[ear->count++];
--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -1954,7 +1954,7 @@
   (ProtobufCMessageInit) kingcuphollow__earlier_holders__holder__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__earlier_holders__field_descriptors[2] =
+static const ProtobufCFieldDescriptor kingcuphollow__earlier_holders__field_descriptors[3] =
 {
   {
     "holders",
@@ -1980,15 +1980,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lease_span_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__EarlierHolders, lease_span_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__earlier_holders__field_indices_by_name[] = {
   0,   /* field[0] = holders */
+  2,   /* field[2] = lease_span_ms */
   1,   /* field[1] = leases_ms */
 };
 static const ProtobufCIntRange kingcuphollow__earlier_holders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__earlier_holders__descriptor =
 {
@@ -1998,7 +2011,7 @@
   "Kingcuphollow__EarlierHolders",
   "kingcuphollow",
   sizeof(Kingcuphollow__EarlierHolders),
-  2,
+  3,
   kingcuphollow__earlier_holders__field_descriptors,
   kingcuphollow__earlier_holders__field_indices_by_name,
   1,  kingcuphollow__earlier_holders__number_ranges,
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -362,10 +362,15 @@
    * The leases given by all other holders have expired after this time.
    */
   uint32_t leases_ms;
+  /*
+   * The time for which leases were counted from a holder's last command.  0: the
+   * usual lease, as in records of earlier versions.
+   */
+  uint32_t lease_span_ms;
 };
 #define KINGCUPHOLLOW__EARLIER_HOLDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__earlier_holders__descriptor) \
-    , 0,NULL, 0 }
+    , 0,NULL, 0, 0 }
 
 
 /*
--- a/test/unit/unit_node_stop.c
+++ b/test/unit/unit_node_stop.c
@@ -124,6 +124,34 @@
 }
 END_TEST
 
+/* Guards against a successor that takes the time in a record for the longest
+   lease (TWICE): an earlier version counts the usual one only.  */
+START_TEST (test_record_of_earlier_version)
+{
+  Kingcuphollow__DutyClaim msg = KINGCUPHOLLOW__DUTY_CLAIM__INIT;
+  Kingcuphollow__EarlierHolders ear = KINGCUPHOLLOW__EARLIER_HOLDERS__INIT;
+  uint8_t data[128];
+  node_world_create (&wld, false);
+  wld.nod->started_us = INT64_MAX / 2; /* claims no duty */
+  ear.leases_ms
+      = (uint32_t)(placer_lease_span_us (wld.nod->set->lease_ms) / 1000);
+  msg.holder = "n2";
+  msg.released = msg.cleared = true;
+  msg.earlier = &ear;
+  int64_t released_us = clock_now_us (wld.nod->clk);
+  topic_memory_add (wld.duties, "d/p", data,
+                    kingcuphollow__duty_claim__pack (&msg, data));
+  node_world_run (&wld, 200);
+  const struct duty *dty = duty_find (&wld.nod->duties, "p");
+  int64_t span_us
+      = duty_earlier_leases_end_us (&wld.nod->duties, dty) - released_us;
+  int64_t longest_us = placer_lease_span_us (wld.nod->set->lease_max_ms);
+  ck_assert_int_ge (span_us, longest_us);
+  ck_assert_int_le (span_us, longest_us + 200000);
+  node_world_fini (&wld);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -134,6 +162,7 @@
   tcase_add_test (tc, test_stop_answers_all_requests);
   tcase_add_test (tc, test_late_request_of_stopping_process);
   tcase_add_test (tc, test_record_states_longest_lease);
+  tcase_add_test (tc, test_record_of_earlier_version);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
