sched: an answer of an earlier instance acknowledges no ends of the present one

Callers would have seen TWICE: a hold that is read after the report of the worker's next instance, from the instance before or from one between, set the numbers of ends, and the next hold acknowledged them to the present instance, which forgets its own ends up to that number. A task that was done there is not listed as ended, and runs again.

Cause: an answer counted as late only if it came from the instance that the hold was sent to and its runs had been given up already. An answer from a second restart in a row, or one that comes before ownership is confirmed, was taken for one of the present instance.

unit_placer_other_instance, test_answer_after_report_of_next_instance: cases 1, 2 and 3 failed without the change (last_seen 6 instead of 0), case 0 passed.

Now an answer to a hold that was sent before the change of the instance counts only if it is from the present one, and ends are acknowledged only while the worker has reported no later instance than the one that answered.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -322,13 +322,24 @@
 }
 
 /* Whether the answer RES comes from an instance that has been given up since
-   the hold was sent.  It tells nothing about the present one.  */
+   the hold was sent, or from one between that and the present one.  It tells
+   nothing about the present one.  */
 static bool
 is_late_answer (const struct worker *wrk, const struct hold_ctx *ctx,
                 const struct hold_result *res)
 {
   return res->command.status == COMMAND_DONE && res->born_ms > 0
-         && res->born_ms == ctx->born_ms && res->born_ms != wrk->rep.born_ms;
+         && ctx->born_ms != wrk->rep.born_ms
+         && res->born_ms != wrk->rep.born_ms;
+}
+
+/* Whether the numbers of ends that are known here belong to the instance that
+   the next hold reaches.  A new instance would forget ends that it has
+   numbered anew.  */
+static bool
+ends_are_current (const struct worker *wrk)
+{
+  return wrk->instance_seen && wrk->reported_born_ms <= wrk->rep.born_ms;
 }
 
 static bool
@@ -474,9 +485,7 @@
   ctx->worker = wrk->handle;
   ctx->born_ms = wrk->rep.born_ms;
   ctx->sent_us = now_us;
-  /* A new instance of the worker would forget ends that it has numbered
-     anew.  */
-  ctx->last_seen = wrk->instance_seen ? wrk->durable_end : 0;
+  ctx->last_seen = ends_are_current (wrk) ? wrk->durable_end : 0;
   /* Do not extend the leases of a silent worker: each extension that may still
      arrive would delay the time at which its runs have certainly ended.  */
   ctx->lease_end_ms = wrk->clock_ms > 0 && wrk->unanswered_calls == 0
--- /dev/null
+++ b/test/unit/unit_placer_other_instance.c
@@ -0,0 +1,123 @@
+#include <check.h>
+#include <stdlib.h>
+
+#include "placer_world.h"
+#include "sched/placer_priv.h"
+
+/* Tests of answers, reports and lists that belong to another instance of a
+   worker than the one that runs under its id now; see
+   docs/design/instances.md.  */
+
+#define TASK_JOB                                                              \
+  "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"estimate-ms\":900}]" \
+  "}"
+/* Start times of an instance, the next one and the one after that.  */
+#define BORN_MS 1000
+#define NEXT_BORN_MS 900000
+#define LAST_BORN_MS 950000
+
+static struct world *wld;
+
+static void
+setup (void)
+{
+  wld = world_create ();
+  wld->hold_born_ms = BORN_MS;
+  world_add_worker (wld, "w1", BORN_MS);
+  world_enrol_worker (wld, "w1");
+}
+
+static void
+teardown (void)
+{
+  world_destroy (wld);
+}
+
+/* Sends the start of the task of a new job to w1.  */
+static struct world_call *
+send_start (uint64_t id, const char *json)
+{
+  world_confirm_ownership (wld);
+  world_add_job (wld, id, json, 100 + id);
+  world_tick (wld, 1);
+  struct world_call *start = world_call (wld, WORLD_START, "w1");
+  ck_assert_ptr_nonnull (start);
+  ck_assert_uint_eq (start->task.job, id);
+  return start;
+}
+
+static void
+run_job (uint64_t id, const char *json)
+{
+  world_answer (wld, send_start (id, json), COMMAND_DONE);
+  world_tick (wld, 1);
+  world_complete_append (wld);
+}
+
+/* Confirms ownership and lets MS pass.  */
+static void
+pass (int64_t ms)
+{
+  world_confirm_ownership (wld);
+  world_tick (wld, ms);
+  world_complete_append (wld);
+}
+
+/* Guards against ends that the present instance forgets before they are read,
+   so that a task which was done runs again (TWICE): an answer of an instance
+   before it acknowledges nothing there.  The answer is read when the report of
+   the present instance is known, before or after the runs of the first one are
+   given up.  */
+START_TEST (test_answer_after_report_of_next_instance)
+{
+  static const struct
+  {
+    bool settled;
+    int64_t answer_born_ms;
+  } cases[] = { { true, BORN_MS },
+                { true, NEXT_BORN_MS },
+                { false, BORN_MS },
+                { false, NEXT_BORN_MS } };
+  const struct world_row end
+      = { .job = 1, .run = 1, .end = RUN_END_DONE, .number = 5 };
+  const struct world_row more
+      = { .job = 1, .run = 1, .end = RUN_END_DONE, .number = 6 };
+  run_job (1, TASK_JOB);
+  world_answer_hold (wld, "w1", NULL, 0, &end, 1);
+  pass (50);
+  pass (50);
+  struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+  ck_assert_ptr_nonnull (hold);
+  ck_assert_uint_eq (hold->last_seen, 5);
+  world_add_worker (wld, "w1", LAST_BORN_MS);
+  if (cases[_i].settled)
+    pass (1);
+  wld->hold_born_ms = cases[_i].answer_born_ms;
+  world_answer_hold (wld, "w1", NULL, 0, &more, 1);
+  for (int n = 0; n < 20; n++)
+    {
+      pass (40);
+      hold = world_call (wld, WORLD_HOLD, "w1");
+      if (!hold)
+        continue;
+      ck_assert_uint_eq (hold->last_seen, 0);
+      if (n > 10)
+        world_answer (wld, hold, COMMAND_NO_ANSWER);
+    }
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("placer_other_instance");
+  TCase *tc = tcase_create ("placer_other_instance");
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_loop_test (tc, test_answer_after_report_of_next_instance, 0, 4);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
