sched: a late report of an earlier instance does not undo the report of the next one

Callers would have seen TWICE: a task was started elsewhere while its run went on at a worker that had restarted under its id.

Cause: the restart was reported, and before the runs of the earlier instance were settled a late report of that one was read. The settlement then took the worker as ended without a successor and gave up all its runs, also one that the next instance had confirmed.

test_late_report_before_settlement failed without the change (2 starts instead of 1).

A report from before the one that told of the restart is ignored until the runs are settled.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -221,6 +221,14 @@
   placer_drop_earlier_worker (plc, id);
 }
 
+/* Whether REP comes from an earlier instance of the worker than the one that
+   it has reported since.  */
+static bool
+is_late_report (const struct worker *wrk, const struct worker_report *rep)
+{
+  return wrk->reported_ended && rep->born_ms < wrk->reported_born_ms;
+}
+
 void
 placer_update_worker (struct placer *plc, const char *id,
                       const struct worker_report *rep)
@@ -241,7 +249,7 @@
     }
   if (!wrk)
     wrk = add_worker (plc, rep);
-  if (!wrk)
+  if (!wrk || is_late_report (wrk, rep))
     return;
   int64_t born_ms = wrk->rep.born_ms;
   if (wrk->clock_read_us == 0)
--- a/test/unit/unit_placer_other_instance.c
+++ b/test/unit/unit_placer_other_instance.c
@@ -54,6 +54,17 @@
   world_complete_append (wld);
 }
 
+/* Adds a worker that takes what w1 must not be given.  */
+static void
+add_other_worker (void)
+{
+  int64_t born_ms = wld->hold_born_ms;
+  wld->hold_born_ms = BORN_MS;
+  world_add_worker (wld, "w2", BORN_MS);
+  world_enrol_worker (wld, "w2");
+  wld->hold_born_ms = born_ms;
+}
+
 /* Confirms ownership and lets MS pass.  */
 static void
 pass (int64_t ms)
@@ -107,6 +118,36 @@
 }
 END_TEST
 
+/* Guards against a second run of a task beside the one on the next instance
+   (TWICE): a report of the earlier instance that is read after that of the
+   next one does not show that there is none.  */
+START_TEST (test_late_report_before_settlement)
+{
+  const struct world_row row = { .job = 2, .run = 1 };
+  run_job (1, TASK_JOB);
+  /* The next instance takes this start; its restart is not known yet.  */
+  run_job (2, TASK_JOB);
+  add_other_worker ();
+  world_add_worker (wld, "w1", NEXT_BORN_MS);
+  world_add_worker (wld, "w1", BORN_MS);
+  world_answer (wld, world_call (wld, WORLD_HOLD, "w1"), COMMAND_NO_ANSWER);
+  for (int n = 0; n < 3; n++)
+    {
+      pass (300);
+      ck_assert_uint_eq (world_starts (wld, 2, 0), 1);
+    }
+  world_add_worker (wld, "w1", NEXT_BORN_MS);
+  wld->hold_born_ms = NEXT_BORN_MS;
+  for (int n = 0; n < 4; n++)
+    {
+      pass (300);
+      if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", &row, 1, NULL, 0);
+    }
+  ck_assert_uint_eq (world_starts (wld, 2, 0), 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -114,6 +155,7 @@
   TCase *tc = tcase_create ("placer_other_instance");
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_loop_test (tc, test_answer_after_report_of_next_instance, 0, 4);
+  tcase_add_test (tc, test_late_report_before_settlement);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
