sched: a late report with a later start time does not end the present instance

Callers would have seen TWICE: runs were given up and started elsewhere while they went on.

Cause: of two instances under one id the one with the later start time was taken for the later instance. The start time is a time of day: if that is set back before the restart, a report of the earlier instance that is read late ends the present one.

test_late_report_with_later_start_time failed without the change, whether the restart was reported or learnt from an answer (3 starts instead of 2).

A worker keeps the start time of the instance before the present one, and its reports are ignored, as that instance has ended.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -222,11 +222,12 @@
 }
 
 /* Whether REP comes from an earlier instance of the worker than the one that
-   it has reported since.  */
+   it has reported since, or than the one that has answered.  */
 static bool
 is_late_report (const struct worker *wrk, const struct worker_report *rep)
 {
-  return wrk->reported_ended && rep->born_ms < wrk->reported_born_ms;
+  return (wrk->reported_ended && rep->born_ms < wrk->reported_born_ms)
+         || (wrk->earlier_born_ms > 0 && rep->born_ms == wrk->earlier_born_ms);
 }
 
 void
@@ -236,6 +237,8 @@
   struct worker *wrk = pool_find_id (&plc->pool, id);
   int64_t now_us = clock_now_us (plc->env.clk);
   bool ours = rep && strcmp (rep->pool, plc->set.pool) == 0;
+  if (rep && wrk && is_late_report (wrk, rep))
+    return;
   if (rep)
     end_earlier_instances (plc, rep);
   if (!ours)
@@ -249,7 +252,7 @@
     }
   if (!wrk)
     wrk = add_worker (plc, rep);
-  if (!wrk || is_late_report (wrk, rep))
+  if (!wrk)
     return;
   int64_t born_ms = wrk->rep.born_ms;
   if (wrk->clock_read_us == 0)
--- a/sched/placer_instance.c
+++ b/sched/placer_instance.c
@@ -85,7 +85,10 @@
 begin_instance (struct worker *wrk, int64_t born_ms, int64_t now_us)
 {
   if (born_ms != wrk->rep.born_ms)
-    wrk->known_us = now_us;
+    {
+      wrk->known_us = now_us;
+      wrk->earlier_born_ms = wrk->rep.born_ms;
+    }
   wrk->applied_end = wrk->flushing_end = wrk->durable_end = wrk->acked_end = 0;
   wrk->instance_seen = false;
   wrk->ended_us = 0;
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -58,6 +58,9 @@
   /* Start of the instance in the last report; rep.born_ms is that of the
      instance which the runs belong to.  */
   int64_t reported_born_ms;
+  /* Start of the instance before the one that the runs belong to; 0: not
+     known.  It may be the later time, as the time of day may be set back.  */
+  int64_t earlier_born_ms;
   bool reported_ended; /* a source other than the worker reported the end of
                           this instance */
   /* When the end of the worker's instance was learnt; 0: it is running.  Its
--- a/test/unit/unit_placer_other_instance.c
+++ b/test/unit/unit_placer_other_instance.c
@@ -15,6 +15,8 @@
 #define BORN_MS 1000
 #define NEXT_BORN_MS 900000
 #define LAST_BORN_MS 950000
+/* Of a next instance after the time of day was set back.  */
+#define LOWER_BORN_MS 500
 
 static struct world *wld;
 
@@ -148,6 +150,44 @@
 }
 END_TEST
 
+/* Guards against runs that are given up while they go on (TWICE): the time of
+   day was set back before the restart, so that a late report of the earlier
+   instance names a later start.  */
+START_TEST (test_late_report_with_later_start_time)
+{
+  const struct world_row row = { .job = 2, .run = 1 };
+  run_job (1, TASK_JOB);
+  wld->hold_born_ms = LOWER_BORN_MS;
+  if (_i)
+    world_add_worker (wld, "w1", LOWER_BORN_MS);
+  for (int n = 0; n < 5; n++)
+    {
+      pass (300);
+      if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
+    }
+  /* Task 1 went with the earlier instance.  */
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 2);
+  world_answer (wld, world_call (wld, WORLD_START, "w1"), COMMAND_DONE);
+  run_job (2, TASK_JOB);
+  const struct world_row both[] = { { .job = 1, .run = 2 }, row };
+  for (int n = 0; n < 2; n++)
+    {
+      pass (300);
+      if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", both, 2, NULL, 0);
+    }
+  add_other_worker ();
+  world_add_worker (wld, "w1", BORN_MS);
+  for (int n = 0; n < 3; n++)
+    {
+      pass (300);
+      ck_assert_uint_eq (world_starts (wld, 1, 0), 2);
+      ck_assert_uint_eq (world_starts (wld, 2, 0), 1);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -156,6 +196,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_loop_test (tc, test_answer_after_report_of_next_instance, 0, 4);
   tcase_add_test (tc, test_late_report_before_settlement);
+  tcase_add_loop_test (tc, test_late_report_with_later_start_time, 0, 2);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
