sched: a task whose worker instance has ended is not at work

Callers would have seen AVAIL: for up to 2 s after the last answer, the tasks of a worker that had restarted counted as at work, and another task of the step was stopped for a move.

Cause: the runs of an ended instance are kept until ownership is confirmed, and run_is_available looked at the age of the last answer only.

test_task_of_ended_instance_is_away failed without the change, for a restart that an answer shows and for one that a report shows.

--- a/sched/pool.c
+++ b/sched/pool.c
@@ -149,6 +149,7 @@
   bool stop_over
       = !adopted || run->listed_us >= run->created_us + STOP_TIME_MAX_US;
   return run->state == RUN_ACTIVE && run->percent == 100 && stop_over
+         && !run->wrk->ended_us
          && now_us - run->wrk->hold_answered_us < HOLD_ANSWER_AGE_MAX_US;
 }
 
--- a/test/unit/unit_placer_other_instance.c
+++ b/test/unit/unit_placer_other_instance.c
@@ -11,6 +11,8 @@
 #define TASK_JOB                                                              \
   "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"estimate-ms\":900}]" \
   "}"
+#define PERPETUAL_JOB                                                         \
+  "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"perpetual\":true}]}"
 /* Start times of an instance, the next one and the one after that.  */
 #define BORN_MS 1000
 #define NEXT_BORN_MS 900000
@@ -35,6 +37,14 @@
   world_destroy (wld);
 }
 
+static struct worker *
+find_worker (const char *id)
+{
+  struct worker *wrk = pool_find_id (&wld->plc->pool, id);
+  ck_assert_ptr_nonnull (wrk);
+  return wrk;
+}
+
 /* Sends the start of the task of a new job to w1.  */
 static struct world_call *
 send_start (uint64_t id, const char *json)
@@ -188,6 +198,32 @@
 }
 END_TEST
 
+/* Guards against a stop of another task of the step (AVAIL): a task whose
+   worker instance has ended is not at work, although it is kept until
+   ownership is confirmed.  */
+START_TEST (test_task_of_ended_instance_is_away)
+{
+  const struct world_row row = { .job = 1, .run = 1 };
+  run_job (1, PERPETUAL_JOB);
+  pass (10);
+  world_answer_hold (wld, "w1", &row, 1, NULL, 0);
+  const struct run *run = find_worker ("w1")->runs;
+  ck_assert_ptr_nonnull (run);
+  ck_assert (run_is_available (run, wld->clk.now_us));
+  world_tick (wld, 40);
+  if (_i == 0)
+    {
+      wld->hold_born_ms = NEXT_BORN_MS;
+      world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
+    }
+  else
+    world_add_worker (wld, "w1", NEXT_BORN_MS);
+  run = find_worker ("w1")->runs;
+  ck_assert_ptr_nonnull (run);
+  ck_assert (!run_is_available (run, wld->clk.now_us));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -197,6 +233,7 @@
   tcase_add_loop_test (tc, test_answer_after_report_of_next_instance, 0, 4);
   tcase_add_test (tc, test_late_report_before_settlement);
   tcase_add_loop_test (tc, test_late_report_with_later_start_time, 0, 2);
+  tcase_add_loop_test (tc, test_task_of_ended_instance_is_away, 0, 2);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
