--- a/sched/placer.c
+++ b/sched/placer.c
@@ -221,6 +221,15 @@
   placer_drop_earlier_worker (plc, id);
 }
 
+/* Whether REP comes from an earlier instance of the worker than the one that
+   it has reported since, or than the one that has answered.  */
+static bool
+is_late_report (const struct worker *wrk, const struct worker_report *rep)
+{
+  return (wrk->reported_ended && rep->born_ms < wrk->reported_born_ms)
+         || (wrk->earlier_born_ms > 0 && rep->born_ms == wrk->earlier_born_ms);
+}
+
 void
 placer_update_worker (struct placer *plc, const char *id,
                       const struct worker_report *rep)
@@ -228,6 +237,8 @@
   struct worker *wrk = pool_find_id (&plc->pool, id);
   int64_t now_us = clock_now_us (plc->env.clk);
   bool ours = rep && strcmp (rep->pool, plc->set.pool) == 0;
+  if (rep && wrk && is_late_report (wrk, rep))
+    return;
   if (rep)
     end_earlier_instances (plc, rep);
   if (!ours)
