sched: events tell longer leases than usual, and what a takeover counts

The timeline of TWICE needed how long a lease a worker had granted and why; only the next run.lost or worker.hold_failed showed that, and a successor's wait had no line with its bound.

--- a/sched/placer_lease.c
+++ b/sched/placer_lease.c
@@ -1,3 +1,4 @@
+#include "base/log.h"
 #include "sched/placer_priv.h"
 
 /* The leases that commands give to the runs of a worker, and their ends as far
@@ -35,6 +36,15 @@
     wrk->lease_end_us = until_us;
 }
 
+static void
+log_long_lease (const struct placer *plc, const struct worker *wrk,
+                int64_t span_ms, const char *reason)
+{
+  log_event (plc->env.lg, EV_WORKER_LONG_LEASE, LOG_S ("worker", wrk->rep.id),
+             LOG_S ("pool", plc->set.pool), LOG_I ("lease_ms", span_ms),
+             LOG_S ("reason", reason));
+}
+
 void
 placer_note_grant (struct placer *plc, struct worker *wrk,
                    int64_t lease_end_ms, int64_t clock_ms, int64_t now_us)
@@ -46,6 +56,9 @@
      time on its earlier clock is as long as the worker allows.  */
   if (span_ms > plc->set.lease_max_ms)
     span_ms = plc->set.lease_max_ms;
+  if (span_ms > plc->set.lease_ms && !wrk->long_lease_logged)
+    log_long_lease (plc, wrk, span_ms, "other_clock");
+  wrk->long_lease_logged = span_ms > plc->set.lease_ms;
   int64_t until_us = now_us + placer_add_lease_slack (span_ms * 1000);
   if (until_us > wrk->lease_end_us)
     wrk->lease_end_us = until_us;
--- a/sched/placer_takeover.c
+++ b/sched/placer_takeover.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "base/clock.h"
 #include "base/log.h"
 #include "sched/placer_priv.h"
@@ -47,18 +49,39 @@
          - (plc->set.confirm_ms - plc->set.start_confirm_ms) * 1000;
 }
 
+/* Whether WRK may run tasks of earlier owners that it has not listed.  */
+static bool
+is_unreached (const struct worker *wrk)
+{
+  return !wrk->settled && !wrk->reported_ended;
+}
+
 const char *
 placer_unreached (const struct placer *plc)
 {
   if (plc->earlier_count > 0)
     return plc->earlier[0].id;
   for (size_t n = 0; n < plc->pool.count; n++)
-    if (!plc->pool.workers[n]->settled
-        && !plc->pool.workers[n]->reported_ended)
+    if (is_unreached (plc->pool.workers[n]))
       return plc->pool.workers[n]->rep.id;
   return NULL;
 }
 
+static size_t
+count_unreached (const struct placer *plc)
+{
+  size_t count = plc->earlier_count;
+  for (size_t n = 0; n < plc->pool.count; n++)
+    {
+      const struct worker *wrk = plc->pool.workers[n];
+      bool counted = false;
+      for (size_t m = 0; m < plc->earlier_count; m++)
+        counted = counted || strcmp (plc->earlier[m].id, wrk->rep.id) == 0;
+      count += is_unreached (wrk) && !counted;
+    }
+  return count;
+}
+
 void
 placer_check_takeover (struct placer *plc, int64_t now_us)
 {
@@ -74,6 +97,8 @@
       plc->env.lg, EV_PLACER_TAKEOVER_DONE, LOG_S ("pool", plc->set.pool),
       LOG_I ("after_ms", (now_us - plc->claimed_us) / 1000),
       LOG_S ("unreached", unreached ? unreached : "none"),
+      LOG_I ("unreached_count", count_unreached (plc)),
+      LOG_I ("lease_ms", plc->set.lease_max_ms),
       LOG_I ("leases_left_ms", (plc->earlier_leases_end_us - now_us) / 1000));
   /* Nothing runs any more on the workers that did not answer, so that later
      owners need not wait for them.  */
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -81,6 +81,8 @@
   uint32_t absent_lists;    /* consecutive lists of hosts without its host */
   bool hold_failure_logged; /* the last hold failed or was refused; only the
                                first failure in a row is logged */
+  bool long_lease_logged;   /* the last known lease is longer than usual; only
+                               the first such one in a row is logged */
   bool hold_incomplete;     /* the last answer to a hold had unreadable rows */
   int64_t clock_ms;         /* the worker's clock in its last answer; 0: not
                                known */
