sched: leases that earlier owners gave last beyond the adoption of a run

What callers may see: two runs of one task (TWICE). A successor reaches a worker and adopts the runs there; the worker is cut off right after that. Its runs were given up when the successor's own lease of 5 s was over, but the lease that counts is the worker's longest one, never shortens, and holds for later runs as well: an earlier owner may have been granted 10 s just before.

The end of the leases on a worker (placer_leases_end_us) now also covers those of earlier owners: until their bound, or until the longest lease after the first answer of the instance to this owner, as it refuses commands of earlier owners from then on. It decides when runs of a silent worker are given up and when a worker that has left is forgotten, and is what lease_left_ms tells.

Evidence: test_adopted_run_keeps_earlier_lease failed without the change: the run was started again 5.3 s (after a release) and 8.6 s after the worker first answered, while a lease may last 10 s.

test_silent_worker measures the owner's own lease; its pool has no earlier owner now.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -546,7 +546,8 @@
       struct worker *wrk = plc->pool.workers[n];
       if (wrk->registered || wrk->runs || wrk->hold_in_flight
           || now_us < wrk->unregistered_us + UNREGISTERED_KEEP_US
-          || (!wrk->reported_ended && now_us < wrk->lease_end_us))
+          || (!wrk->reported_ended
+              && now_us < placer_leases_end_us (plc, wrk)))
         continue;
       /* A worker that has not answered may run tasks of an earlier owner.  */
       if (!wrk->settled && !wrk->reported_ended && !plc->takeover_done)
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -265,6 +265,8 @@
       wrk->known_us = now_us;
     }
   wrk->instance_seen = true;
+  if (!wrk->first_answer_us)
+    wrk->first_answer_us = now_us;
   placer_note_grant (plc, wrk, ctx->lease_end_ms, res->command.clock_ms,
                      now_us);
   /* The answer may have waited for this process.  */
@@ -374,11 +376,12 @@
         wrk->unanswered_calls++;
       wrk->next_hold_us = now_us + HOLD_RETRY_US;
       if (res->command.status != COMMAND_DONE && !wrk->hold_failure_logged)
-        log_event (
-            plc->env.lg, EV_WORKER_HOLD_FAILED, LOG_S ("worker", wrk->rep.id),
-            LOG_S ("pool", plc->set.pool),
-            LOG_I ("status", res->command.status),
-            LOG_I ("lease_left_ms", (wrk->lease_end_us - now_us) / 1000));
+        log_event (plc->env.lg, EV_WORKER_HOLD_FAILED,
+                   LOG_S ("worker", wrk->rep.id),
+                   LOG_S ("pool", plc->set.pool),
+                   LOG_I ("status", res->command.status),
+                   LOG_I ("lease_left_ms",
+                          (placer_leases_end_us (plc, wrk) - now_us) / 1000));
       wrk->hold_failure_logged = res->command.status != COMMAND_DONE;
       if (res->command.status == COMMAND_DONE)
         apply_hold (plc, wrk, ctx, res, now_us);
@@ -469,7 +472,7 @@
   /* A later owner could have extended the leases, so the runs are given up
      only if ownership was confirmed after the leases had expired.  */
   if (wrk->runs && wrk->unanswered_calls > 0
-      && plc->confirmed_us > wrk->lease_end_us)
+      && plc->confirmed_us > placer_leases_end_us (plc, wrk))
     placer_drop_expired_runs (plc, wrk);
   if (wrk->hold_in_flight || now_us < wrk->next_hold_us)
     return;
--- a/sched/placer_instance.c
+++ b/sched/placer_instance.c
@@ -18,7 +18,8 @@
   log_event (plc->env.lg, EV_RUN_LOST, LOG_S ("task", name),
              LOG_I ("run", run->number), LOG_S ("worker", wrk->rep.id),
              LOG_S ("reason", reason),
-             LOG_I ("lease_left_ms", (wrk->lease_end_us - now_us) / 1000),
+             LOG_I ("lease_left_ms",
+                    (placer_leases_end_us (plc, wrk) - now_us) / 1000),
              LOG_I ("confirmed_age_ms", (now_us - plc->confirmed_us) / 1000));
   counter_add (plc->env.ctr, CTR_RUNS_LOST, 1);
   run->tsk->ended_us = now_us;
@@ -91,6 +92,7 @@
     }
   wrk->applied_end = wrk->flushing_end = wrk->durable_end = wrk->acked_end = 0;
   wrk->instance_seen = false;
+  wrk->first_answer_us = 0;
   wrk->ended_us = 0;
   wrk->reported_ended = false;
   wrk->rep.born_ms = born_ms;
--- a/sched/placer_lease.c
+++ b/sched/placer_lease.c
@@ -27,6 +27,18 @@
   return wrk->clock_ms + passed_us / 1000 + plc->set.lease_ms;
 }
 
+int64_t
+placer_leases_end_us (const struct placer *plc, const struct worker *wrk)
+{
+  int64_t earlier_us = plc->earlier_leases_end_us;
+  int64_t answered_us
+      = wrk->first_answer_us
+        + placer_add_lease_slack (plc->set.lease_max_ms * 1000);
+  if (wrk->first_answer_us > 0 && answered_us < earlier_us)
+    earlier_us = answered_us;
+  return wrk->lease_end_us > earlier_us ? wrk->lease_end_us : earlier_us;
+}
+
 void
 placer_note_lease (struct placer *plc, struct worker *wrk, int64_t now_us)
 {
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -254,6 +254,10 @@
    worker's estimated clock.  */
 int64_t placer_lease_end (const struct placer *plc, const struct worker *wrk,
                           int64_t now_us);
+/* Monotonic time by which all leases on WRK have expired, unless they are
+   extended; also those that earlier owners gave, to runs that were adopted. */
+int64_t placer_leases_end_us (const struct placer *plc,
+                              const struct worker *wrk);
 /* Records the lease that a worker has granted: its clock was CLOCK_MS when it
    answered a command with a lease until LEASE_END_MS.  */
 void placer_note_grant (struct placer *plc, struct worker *wrk,
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -87,8 +87,12 @@
   int64_t clock_ms;         /* the worker's clock in its last answer; 0: not
                                known */
   int64_t clock_read_us;    /* monotonic time at which clock_ms was received */
-  int64_t lease_end_us; /* the leases of all runs there have expired by then,
-                           unless they are extended */
+  /* The leases that this owner gave there have expired by then, unless they
+     are extended; for all leases see placer_leases_end_us.  */
+  int64_t lease_end_us;
+  /* When this instance first answered a hold: it refuses commands of earlier
+     owners since; 0: not yet.  */
+  int64_t first_answer_us;
   int64_t hold_answered_us; /* when a hold was last answered, at the latest */
   bool hold_in_flight;
   int64_t next_hold_us;
--- a/test/unit/unit_placer.c
+++ b/test/unit/unit_placer.c
@@ -126,6 +126,8 @@
 START_TEST (test_silent_worker)
 {
   const char *worker;
+  /* The pool had no earlier owner.  */
+  placer_limit_earlier_leases (wld->plc, wld->clk.now_us);
   add_two_workers ();
   world_add_job (wld, 1, ONE_TASK_JOB, 200);
   world_tick (wld, 1);
--- a/test/unit/unit_placer_takeover.c
+++ b/test/unit/unit_placer_takeover.c
@@ -623,6 +623,39 @@
 }
 END_TEST
 
+/* Guards against a run that is started again while its worker holds the lease
+   that an earlier owner was granted (TWICE): the worker becomes silent once it
+   has listed the run and earlier owners start nothing any more.  */
+START_TEST (test_adopted_run_keeps_earlier_lease)
+{
+  const struct world_row row = { .job = 1, .run = 1 };
+  const int64_t starts_ms = _i == 1 ? -1 : WORLD_START_CONFIRM_MS + 200;
+  if (_i == 1)
+    world_release_earlier (wld);
+  world_add_job (wld, 1, PERPETUAL_JOB, 50);
+  int64_t reached_us = wld->clk.now_us;
+  list_runs (&row, NULL);
+  while (world_starts (wld, 1, 0) == 0)
+    {
+      struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+      if (hold && wld->clk.now_us <= reached_us + starts_ms * 1000)
+        world_answer_hold (wld, "w1", &row, 1, NULL, 0);
+      else if (hold)
+        world_answer (wld, hold, COMMAND_NO_ANSWER);
+      if (world_call (wld, WORLD_HOLD, "w2"))
+        world_answer_hold (wld, "w2", NULL, 0, NULL, 0);
+      world_confirm_ownership (wld);
+      world_tick (wld, 100);
+      ck_assert_int_lt (wld->clk.now_us,
+                        reached_us + 2 * WORLD_LEASE_MAX_MS * 1000);
+    }
+  ck_assert_int_gt (wld->clk.now_us, reached_us + WORLD_LEASE_MAX_MS * 1000);
+  /* An earlier owner extends no lease there after that answer.  */
+  ck_assert_int_lt (wld->clk.now_us,
+                    reached_us + WORLD_LEASE_MAX_MS * 1000 + 1000000);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -648,6 +681,7 @@
   tcase_add_loop_test (tc, test_unsent_commands, 0, 5);
   tcase_add_loop_test (tc, test_no_move_beside_earlier_stop, 0, 2);
   tcase_add_loop_test (tc, test_unreached_worker_holds_longest_lease, 0, 2);
+  tcase_add_loop_test (tc, test_adopted_run_keeps_earlier_lease, 0, 2);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
