sched: run.waits and worker.restarted name runs that wait and restarts under an id

The runs of one kind of wait have a limit of 4 lines in 5 s for a pool.

Unit tests in placer_wait: each state is named within 3 s, a healthy run is not, many silent runs do not hide one that is to be stopped, and both signs of a restart give a line.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -579,6 +579,7 @@
   drop_stale_workers (plc, now_us);
   placer_check_stall (plc, now_us);
   placer_check_unplaced (plc, now_us);
+  placer_check_waits (plc, now_us);
   busy = busy || plc->job_count > 0 || plc->dirty_count > 0;
   return now_us + (busy ? TICK_BUSY_US : TICK_IDLE_US);
 }
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -212,6 +212,7 @@
     run->state = RUN_ACTIVE;
   run->percent = row->percent;
   run->listed_us = sent_us;
+  run->seen_us = now_us;
   store_checkpoint (job, &row->task, tsk, row->checkpoint);
 }
 
--- a/sched/placer_instance.c
+++ b/sched/placer_instance.c
@@ -57,9 +57,10 @@
    a hold shows whether it runs them; or it may still carry out a start without
    an answer, which it refuses after it was told to stop the run.  */
 static void
-drop_earlier_runs (struct placer *plc, struct worker *wrk)
+drop_earlier_runs (struct placer *plc, struct worker *wrk, int64_t born_ms)
 {
   int64_t now_us = clock_now_us (plc->env.clk);
+  uint32_t lost = 0, kept = 0, stops = 0;
   struct run *next;
   for (struct run *run = wrk->runs; run; run = next)
     {
@@ -67,6 +68,7 @@
       if (run->listed_us)
         {
           drop_lost_run (plc, run, "instance_ended");
+          lost++;
           continue;
         }
       run->stopped_us = 0;
@@ -75,7 +77,16 @@
         run->confirmed_us = now_us;
       else
         placer_stop_run (plc, run);
+      stops += run->stop_wanted;
+      kept += !run->stop_wanted;
     }
+  log_event (
+      plc->env.lg, EV_WORKER_RESTARTED, LOG_S ("worker", wrk->rep.id),
+      LOG_S ("pool", plc->set.pool), LOG_I ("old_born_ms", wrk->rep.born_ms),
+      LOG_I ("born_ms", born_ms),
+      LOG_S ("seen", wrk->reported_ended ? "report" : "answer"),
+      LOG_I ("after_ms", (now_us - wrk->ended_us) / 1000),
+      LOG_I ("lost", lost), LOG_I ("kept", kept), LOG_I ("stops", stops));
   wrk->next_hold_us = 0;
 }
 
@@ -109,7 +120,7 @@
     wrk->clock_ms = 0;
   if (born_ms != wrk->rep.born_ms && born_ms > 0)
     {
-      drop_earlier_runs (plc, wrk);
+      drop_earlier_runs (plc, wrk, born_ms);
       begin_instance (wrk, born_ms, clock_now_us (plc->env.clk));
       return true;
     }
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -93,6 +93,14 @@
   bool waits;          /* it was found so by the last check */
 };
 
+/* Kinds of waits of runs that are reported; each has a limit of its own.  */
+enum wait_kind
+{
+  WAIT_OTHER,
+  WAIT_LEASE, /* ends with the run's lease */
+  WAIT_KINDS  /* number of these */
+};
+
 struct placer
 {
   struct placer_settings set;
@@ -187,8 +195,12 @@
   int64_t next_unplaced_check_us;
   int64_t unplaced_reports_us; /* start of the time that has a limit of them */
   uint32_t unplaced_reports;   /* since then */
-  int calls_in_flight;         /* commands and appends */
-  bool closing;                /* destroyed; freed when no call is in flight */
+  /* Report on runs that wait.  */
+  int64_t next_waits_check_us;
+  int64_t wait_reports_us; /* start of the time that has a limit of them */
+  uint32_t wait_reports[WAIT_KINDS]; /* since then */
+  int calls_in_flight;               /* commands and appends */
+  bool closing; /* destroyed; freed when no call is in flight */
 };
 
 /* placer_pick.c */
@@ -328,6 +340,10 @@
    workers are no place for them.  */
 void placer_check_unplaced (struct placer *plc, int64_t now_us);
 
+/* placer_waits.c */
+/* Logs which runs have waited for some time, and for what.  */
+void placer_check_waits (struct placer *plc, int64_t now_us);
+
 /* placer_preempt.c */
 /* Reserves the resources for a task on WRK.  */
 void placer_reserve (struct task *tsk, const struct step *stp,
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -466,7 +466,10 @@
       return false;
     }
   if (run)
-    run->calls_in_flight++;
+    {
+      run->calls_in_flight++;
+      run->stop_sent_us = clock_now_us (plc->env.clk);
+    }
   plc->calls_in_flight++;
   return true;
 }
@@ -516,6 +519,7 @@
   if (run->stop_wanted)
     return;
   run->stop_wanted = true;
+  run->stop_wanted_us = clock_now_us (plc->env.clk);
   run->state = RUN_STOPPING;
   run->wrk->stops_wanted = true;
   placer_send_stops (plc, run->wrk);
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -32,15 +32,19 @@
   int start_tries;
   int64_t start_sent_us; /* when its start was last sent */
   bool stop_wanted;
-  bool stop_sent;
-  int64_t stopped_us; /* when the stop was acknowledged; 0: not yet */
-  bool preempted;     /* selected to be stopped for a perpetual task */
+  int64_t stop_wanted_us; /* when it was first wanted */
+  bool stop_sent;         /* it is in flight */
+  int64_t stop_sent_us;   /* when it was last sent; 0: not yet */
+  int64_t stopped_us;     /* when the stop was acknowledged; 0: not yet */
+  bool preempted;         /* selected to be stopped for a perpetual task */
   bool unwanted; /* not the current run of its task; it is being stopped */
   /* Commands in flight; a removed run is freed after the last of them.  */
   int calls_in_flight;
-  bool removed;      /* no longer in its worker's list */
-  int64_t listed_us; /* when the last hold that listed it was sent */
-  bool moving;       /* capacity was reserved elsewhere to empty its host */
+  bool removed;             /* no longer in its worker's list */
+  int64_t listed_us;        /* when the last hold that listed it was sent */
+  int64_t seen_us;          /* when that hold was answered */
+  int64_t wait_reported_us; /* when it was last reported to wait */
+  bool moving; /* capacity was reserved elsewhere to empty its host */
 };
 
 struct worker
--- a/test/unit/unit_placer_wait.c
+++ b/test/unit/unit_placer_wait.c
@@ -1,6 +1,9 @@
 #include <check.h>
+#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
+#include "base/log.h"
 #include "placer_world.h"
 #include "sched/placer_priv.h"
 #include "sched/pool.h"
@@ -178,6 +181,172 @@
 }
 END_TEST
 
+/* Reads the log of the placer, which is written to FILE, and ends it.  */
+static void
+read_log (FILE *file, char *text, size_t size)
+{
+  logger_destroy (wld->plc->env.lg);
+  wld->plc->env.lg = NULL;
+  rewind (file);
+  size_t len = fread (text, 1, size - 1, file);
+  text[len] = '\0';
+  fclose (file);
+}
+
+/* How w1 answers.  */
+enum answers
+{
+  ANSWERS_ALL,
+  ANSWERS_NO_HOLD,
+  ANSWERS_NOTHING,
+};
+
+/* Plays for MS.  w1 lists the run of job 1 whatever it is told.  */
+static void
+play_waits (int64_t ms, enum answers how)
+{
+  const struct world_row row = { .job = 1, .run = 1 };
+  struct world_call *call;
+  for (int64_t left = ms; left > 0; left -= 100)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 100);
+      world_complete_append (wld);
+      if (how == ANSWERS_NOTHING)
+        continue;
+      while ((call = world_call (wld, WORLD_START, "w1"))
+             || (call = world_call (wld, WORLD_STOP, "w1")))
+        world_answer (wld, call, COMMAND_DONE);
+      call = world_call (wld, WORLD_HOLD, "w1");
+      if (call && how == ANSWERS_NO_HOLD)
+        world_answer (wld, call, COMMAND_NO_ANSWER);
+      else if (call)
+        world_answer_hold (wld, "w1", &row, 1, NULL, 0);
+    }
+}
+
+/* Guards against a task that waits for the end of its run without a line that
+   names it.  */
+START_TEST (test_run_waits_reported)
+{
+  static const struct
+  {
+    enum answers before, after;
+    bool cancel;
+    const char *fields; /* NULL: no line */
+  } rows[] = {
+    { ANSWERS_NOTHING, ANSWERS_NOTHING, false, "state=starting" },
+    { ANSWERS_ALL, ANSWERS_NO_HOLD, false, "state=active" },
+    { ANSWERS_ALL, ANSWERS_ALL, false, NULL },
+    { ANSWERS_ALL, ANSWERS_ALL, true, "state=stopping" },
+  };
+  char text[4096];
+  FILE *file = tmpfile ();
+  ck_assert_ptr_nonnull (file);
+  world_release_earlier (wld);
+  struct job *job = world_add_job (wld, 1, ONE_TASK_JOB, 200);
+  wld->plc->env.lg
+      = logger_create (NULL, &wld->clk.clk, fileno (file), LOG_LEVEL_WARN);
+  play_waits (500, rows[_i].before);
+  if (rows[_i].cancel)
+    {
+      job->state = JOB_CANCELLED;
+      placer_update_job (wld->plc, job, JOB_CHANGE_CANCELLED);
+    }
+  play_waits (2500, rows[_i].after);
+  read_log (file, text, sizeof text);
+  const char *line = strstr (text, "run.waits");
+  if (!rows[_i].fields)
+    ck_assert_msg (!line, "line: %s", text);
+  else
+    {
+      ck_assert_msg (line, "no line: %s", text);
+      ck_assert_msg (strstr (line, rows[_i].fields), "fields: %s", text);
+      ck_assert_msg (strstr (line, "owner=ready"), "owner: %s", text);
+    }
+}
+END_TEST
+
+/* Guards against a task that nobody names beside many others whose wait ends
+   with their leases.  */
+START_TEST (test_run_waits_limited)
+{
+  static const struct
+  {
+    int64_t ms;
+    uint32_t other, lease; /* reports since the last 5 s began */
+  } rows[] = { { 1900, 0, 0 }, { 2300, 1, 4 }, { 4000, 1, 4 } };
+  int64_t passed = 0;
+  world_release_earlier (wld);
+  for (uint64_t id = 2; id <= 4; id++)
+    world_add_job (wld, id, ONE_TASK_JOB, 200 + id);
+  world_add_worker (wld, "w2", 1000);
+  world_enrol_worker (wld, "w2");
+  for (uint64_t id = 5; id <= 8; id++)
+    world_add_job (wld, id, ONE_TASK_JOB, 200 + id);
+  world_confirm_ownership (wld);
+  world_tick (wld, 40);
+  struct run *run = wld->plc->pool.workers[0]->runs;
+  for (size_t n = 0; n < wld->call_count; n++)
+    if (!wld->calls[n].answered && wld->calls[n].kind == WORLD_START)
+      world_answer (wld, &wld->calls[n], COMMAND_DONE);
+  placer_stop_run (wld->plc, run);
+  for (size_t n = 0; n < sizeof rows / sizeof rows[0]; n++)
+    {
+      for (; passed < rows[n].ms; passed += 100)
+        {
+          static const char *const ids[] = { "w1", "w2" };
+          for (int k = 0; k < 2; k++)
+            if (world_call (wld, WORLD_HOLD, ids[k]))
+              world_answer (wld, world_call (wld, WORLD_HOLD, ids[k]),
+                            COMMAND_NO_ANSWER);
+          world_confirm_ownership (wld);
+          world_tick (wld, 100);
+        }
+      ck_assert_uint_eq (wld->plc->wait_reports[WAIT_OTHER], rows[n].other);
+      ck_assert_uint_eq (wld->plc->wait_reports[WAIT_LEASE], rows[n].lease);
+    }
+  ck_assert_int_gt (run->wait_reported_us, 0);
+}
+END_TEST
+
+/* Guards against a worker's restart under its id that no line tells.  */
+START_TEST (test_restart_reported)
+{
+  char text[4096];
+  FILE *file = tmpfile ();
+  ck_assert_ptr_nonnull (file);
+  world_release_earlier (wld);
+  wld->hold_born_ms = 1000;
+  world_add_job (wld, 1, ONE_TASK_JOB, 200);
+  world_add_job (wld, 2, ONE_TASK_JOB, 201);
+  wld->plc->env.lg
+      = logger_create (NULL, &wld->clk.clk, fileno (file), LOG_LEVEL_INFO);
+  world_confirm_ownership (wld);
+  world_tick (wld, 40);
+  world_answer (wld, world_call (wld, WORLD_START, "w1"), COMMAND_DONE);
+  play_waits (100, ANSWERS_NOTHING);
+  const struct world_row row = { .job = 1, .run = 1 };
+  world_answer_hold (wld, "w1", &row, 1, NULL, 0);
+  wld->hold_born_ms = 5000;
+  if (_i == 1)
+    world_add_worker (wld, "w1", 5000);
+  for (int n = 0; n < 3; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 60);
+      if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
+    }
+  read_log (file, text, sizeof text);
+  const char *line = strstr (text, "worker.restarted");
+  ck_assert_msg (line, "no line: %s", text);
+  ck_assert_ptr_nonnull (strstr (line, "old_born_ms=1000 born_ms=5000"));
+  ck_assert_ptr_nonnull (strstr (line, _i ? "seen=report" : "seen=answer"));
+  ck_assert_ptr_nonnull (strstr (line, "lost=1 kept=0 stops=1"));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -188,6 +357,9 @@
   tcase_add_loop_test (tc, test_last_end_acknowledged_at_once, 0, 2);
   tcase_add_test (tc, test_all_workers_fail);
   tcase_add_test (tc, test_failing_worker_avoided);
+  tcase_add_loop_test (tc, test_run_waits_reported, 0, 4);
+  tcase_add_test (tc, test_run_waits_limited);
+  tcase_add_loop_test (tc, test_restart_reported, 0, 2);
   Suite *suite = suite_create ("placer_wait");
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
