sched: a stop is due again at the worker's next instance

Cause: the run was stopped because of the refusal, and the stop was acknowledged, by an instance that the owner did not know yet. When it learnt of the restart, drop_earlier_runs cleared the acknowledgement and called placer_stop_run, which returns at once for a run that is to be stopped already; and placer_send_stops skips a worker whose stops_wanted the acknowledgement had cleared. So nobody sent the stop, and the run kept its task from being started. What an instance acknowledges says nothing about the next one (rules 4 and 5 of docs/design/instances.md).

Now one function makes a stop due, for the first time or again: placer_make_stop_due. placer_stop_run uses it, and drop_earlier_runs uses it for all runs that are to be stopped, also for those that the new instance has confirmed.

Without the fix 4 of 4 cases of placer_stop fail (test_stop_acknowledged_before_restart_known: the restart is seen by an answer or a report; test_stop_at_second_restart: two restarts, the second while the stop has no answer or right after its acknowledgement).

--- a/sched/placer_instance.c
+++ b/sched/placer_instance.c
@@ -71,12 +71,10 @@
           lost++;
           continue;
         }
-      run->stopped_us = 0;
-      run->stop_sent = false;
       if (run->confirmed_us)
         run->confirmed_us = now_us;
-      else
-        placer_stop_run (plc, run);
+      if (run->stop_wanted || !run->confirmed_us)
+        placer_make_stop_due (plc, run);
       stops += run->stop_wanted;
       kept += !run->stop_wanted;
     }
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -224,6 +224,9 @@
 /* Marks RUN to be stopped and sends the stop; placer_send_stops repeats it
    until the worker has acknowledged it.  */
 void placer_stop_run (struct placer *plc, struct run *run);
+/* Marks RUN to be stopped.  Its stop is due at the worker's present instance,
+   whatever earlier instances have acknowledged.  */
+void placer_make_stop_due (struct placer *plc, struct run *run);
 /* Sends the wanted stops that have not been acknowledged.  */
 void placer_send_stops (struct placer *plc, struct worker *wrk);
 /* Takes over a run that the worker lists and that is not known here, such as
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -514,14 +514,23 @@
 }
 
 void
-placer_stop_run (struct placer *plc, struct run *run)
+placer_make_stop_due (struct placer *plc, struct run *run)
 {
-  if (run->stop_wanted)
-    return;
+  if (!run->stop_wanted)
+    run->stop_wanted_us = clock_now_us (plc->env.clk);
   run->stop_wanted = true;
-  run->stop_wanted_us = clock_now_us (plc->env.clk);
   run->state = RUN_STOPPING;
+  run->stop_sent = false;
+  run->stopped_us = 0;
   run->wrk->stops_wanted = true;
+}
+
+void
+placer_stop_run (struct placer *plc, struct run *run)
+{
+  if (run->stop_wanted)
+    return;
+  placer_make_stop_due (plc, run);
   placer_send_stops (plc, run->wrk);
 }
 
--- /dev/null
+++ b/test/unit/unit_placer_stop.c
@@ -0,0 +1,141 @@
+#include <check.h>
+#include <stdlib.h>
+
+#include "placer_world.h"
+#include "sched/placer_priv.h"
+
+/* Tests of runs that are to be stopped while their worker restarts under its
+   id.  */
+
+#define TASK_JOB                                                              \
+  "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"estimate-ms\":900}]" \
+  "}"
+#define BORN_MS 1000
+#define NEXT_BORN_MS 900000
+/* A task runs again within this time once its worker answers.  */
+#define AGAIN_MS 3000
+
+static struct world *wld;
+
+static void
+setup (void)
+{
+  wld = world_create ();
+  wld->hold_born_ms = BORN_MS;
+  world_add_worker (wld, "w1", BORN_MS);
+  world_enrol_worker (wld, "w1");
+  world_release_earlier (wld);
+}
+
+static void
+teardown (void)
+{
+  world_destroy (wld);
+}
+
+/* Adds job 2, whose start on w1 has no answer and whose second start is
+   refused, so that the run is to be stopped.  */
+static void
+refuse_second_start (void)
+{
+  world_add_job (wld, 2, TASK_JOB, 200);
+  world_confirm_ownership (wld);
+  world_tick (wld, 1);
+  world_answer (wld, world_call (wld, WORLD_START, "w1"), COMMAND_NO_ANSWER);
+  world_answer (wld, world_call (wld, WORLD_START, "w1"),
+                COMMAND_LEASE_EXPIRED);
+  ck_assert_uint_eq (world_starts (wld, 2, 0), 2);
+}
+
+/* w1 answers all calls, runs nothing, and refuses no start.  Plays until a
+   further start of job 2 is sent, for MS at most.  */
+static bool
+started_again (size_t starts, int64_t ms)
+{
+  for (int64_t left = ms; left > 0; left -= 50)
+    {
+      struct world_call *call;
+      world_confirm_ownership (wld);
+      world_tick (wld, 50);
+      while ((call = world_call (wld, WORLD_STOP, "w1")))
+        world_answer (wld, call, COMMAND_DONE);
+      if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
+      if (world_starts (wld, 2, 0) > starts)
+        return true;
+    }
+  return false;
+}
+
+/* Plays until the owner knows of the restart of w1.  */
+static void
+learn_restart (void)
+{
+  const struct worker *wrk = pool_find_id (&wld->plc->pool, "w1");
+  for (int n = 0; n < 40 && wrk->rep.born_ms != wld->hold_born_ms; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 50);
+      if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
+    }
+  ck_assert_int_eq (wrk->rep.born_ms, wld->hold_born_ms);
+}
+
+/* Guards against a task that never runs again (LOST): the stop of its run was
+   acknowledged, and after the restart of the worker became known it was wanted
+   again and not sent.  */
+START_TEST (test_stop_acknowledged_before_restart_known)
+{
+  refuse_second_start ();
+  world_answer (wld, world_call (wld, WORLD_STOP, "w1"), COMMAND_DONE);
+  world_confirm_ownership (wld);
+  world_tick (wld, 50);
+  wld->hold_born_ms = NEXT_BORN_MS;
+  if (_i == 1)
+    world_add_worker (wld, "w1", NEXT_BORN_MS);
+  learn_restart ();
+  ck_assert (started_again (2, AGAIN_MS));
+}
+END_TEST
+
+/* Guards against a stop that is wanted again at the second of two instances in
+   a row, and that nobody sends (LOST).  The second restart comes while the
+   stop, or the hold after it, has no answer.  */
+START_TEST (test_stop_at_second_restart)
+{
+  refuse_second_start ();
+  world_answer (wld, world_call (wld, WORLD_STOP, "w1"), COMMAND_DONE);
+  world_confirm_ownership (wld);
+  world_tick (wld, 50);
+  wld->hold_born_ms = NEXT_BORN_MS;
+  learn_restart ();
+  world_confirm_ownership (wld);
+  world_tick (wld, 50);
+  struct world_call *stop = world_call (wld, WORLD_STOP, "w1");
+  ck_assert_ptr_nonnull (stop);
+  world_answer (wld, stop, _i ? COMMAND_DONE : COMMAND_NO_ANSWER);
+  world_confirm_ownership (wld);
+  world_tick (wld, 50);
+  wld->hold_born_ms = NEXT_BORN_MS + 1000;
+  learn_restart ();
+  ck_assert_uint_eq (world_starts (wld, 2, 0), 2);
+  ck_assert (started_again (2, AGAIN_MS));
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tc = tcase_create ("placer_stop");
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_loop_test (tc, test_stop_acknowledged_before_restart_known, 0, 2);
+  tcase_add_loop_test (tc, test_stop_at_second_restart, 0, 2);
+  Suite *suite = suite_create ("placer_stop");
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
