sched: a stop that an earlier instance acknowledged does not end the wait

A stop was in flight when the owner learnt that the worker had restarted under its id. Its acknowledgement, sent by or for the earlier instance, counted for the new one: the next hold did not list the run, so that the owner gave it up and started the task again before the new instance had acknowledged a stop. A start that is carried out late would then have run beside it (TWICE).

The call of a stop now keeps the start time of the instance that it was meant for, and the answer counts only while that is the worker's instance. Otherwise the stop is still due and is sent again.

Evidence: test_stop_acknowledged_by_earlier_instance fails in both cases without this (a third start while the stop to the new instance has no answer).

--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -42,6 +42,7 @@
   struct command_ctx *prev, *next;
   bool in_flight; /* in that list */
   int64_t sent_us;
+  int64_t born_ms;      /* of a stop: the instance that it was meant for */
   int64_t lease_end_ms; /* of a start, by the worker's clock */
 };
 
@@ -437,9 +438,9 @@
   if (ctx->run && !ctx->run->removed)
     {
       ctx->run->stop_sent = false;
-      /* After any other answer, or none, the next tick sends the stop
-         again.  */
-      if (res->status == COMMAND_DONE)
+      /* After any other answer, or none, the next tick sends the stop again.
+         The answer may be that of an earlier instance.  */
+      if (res->status == COMMAND_DONE && ctx->born_ms == wrk->rep.born_ms)
         {
           ctx->run->stopped_us = clock_now_us (plc->env.clk);
           wrk->next_hold_us = 0;
@@ -460,6 +461,8 @@
   if (!placer_may_command (plc, clock_now_us (plc->env.clk)))
     return false;
   struct command_ctx *ctx = make_command_ctx (plc, run, wrk);
+  if (ctx)
+    ctx->born_ms = wrk->rep.born_ms;
   if (!ctx || plc->env.lnk->drv->stop (plc->env.lnk, &to, &cmd, on_stop, ctx))
     {
       talloc_free (ctx);
--- a/test/unit/unit_placer_stop.c
+++ b/test/unit/unit_placer_stop.c
@@ -99,6 +99,31 @@
 }
 END_TEST
 
+/* Guards against a second run of a task (TWICE): a stop that the earlier
+   instance acknowledged says nothing about the next one, which may still carry
+   out the start.  */
+START_TEST (test_stop_acknowledged_by_earlier_instance)
+{
+  refuse_second_start ();
+  struct world_call *stop = world_call (wld, WORLD_STOP, "w1");
+  ck_assert_ptr_nonnull (stop);
+  wld->hold_born_ms = NEXT_BORN_MS;
+  if (_i == 1)
+    world_add_worker (wld, "w1", NEXT_BORN_MS);
+  learn_restart ();
+  world_answer (wld, stop, COMMAND_DONE);
+  for (int n = 0; n < 20; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 50);
+      if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
+      ck_assert_uint_eq (world_starts (wld, 2, 0), 2);
+    }
+  ck_assert (started_again (2, AGAIN_MS));
+}
+END_TEST
+
 /* Guards against a stop that is wanted again at the second of two instances in
    a row, and that nobody sends (LOST).  The second restart comes while the
    stop, or the hold after it, has no answer.  */
@@ -130,6 +155,7 @@
   TCase *tc = tcase_create ("placer_stop");
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_loop_test (tc, test_stop_acknowledged_before_restart_known, 0, 2);
+  tcase_add_loop_test (tc, test_stop_acknowledged_by_earlier_instance, 0, 2);
   tcase_add_loop_test (tc, test_stop_at_second_restart, 0, 2);
   Suite *suite = suite_create ("placer_stop");
   suite_add_tcase (suite, tc);
