sched: a start without an answer keeps its task from being started after a restart

A start may be carried out seconds after it was sent, also by the worker's next instance. If the first start of a run had no answer and a second one was carried out, the owner forgot the first: when the worker restarted under its id, the run was given up as listed by the earlier instance, or as not listed by the new one, and the task was started elsewhere, while the new instance could still carry out the first start (TWICE).

Now such a run is stopped at the new instance before it is given up; after the stop that instance refuses the start. A run that the new instance lists goes on. If the worker is cut off, the wait ends with the longest lease after the last start, as for other starts without an answer.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -216,6 +216,15 @@
   store_checkpoint (job, &row->task, tsk, row->checkpoint);
 }
 
+/* Whether the worker may still carry out an earlier start of RUN, which its
+   earlier instance has not answered.  */
+static bool
+may_start_late (const struct run *run)
+{
+  return run->start_tries > 1 && !run->listed_us && !run->stopped_us
+         && run->created_us < run->wrk->known_us;
+}
+
 /* Removes the runs that the worker does not list although it had confirmed
    them, or had acknowledged their stop, before the hold was sent.  */
 static void
@@ -232,6 +241,12 @@
       bool stopped = run->stopped_us && run->stopped_us < sent_us;
       if (!confirmed && !stopped)
         continue;
+      if (may_start_late (run))
+        {
+          run->confirmed_us = 0;
+          placer_stop_run (plc, run);
+          continue;
+        }
       char name[TASK_NAME_MAX];
       task_ref_format (&run->ref, name);
       log_event (plc->env.lg, EV_RUN_LOST, LOG_S ("task", name),
--- a/sched/placer_instance.c
+++ b/sched/placer_instance.c
@@ -54,8 +54,8 @@
 
 /* Gives up the runs that an earlier instance of WRK has listed.  Of the
    others, the new instance may have answered the start, and its next answer to
-   a hold shows whether it runs them; or it may still carry out a start without
-   an answer, which it refuses after it was told to stop the run.  */
+   a hold shows whether it runs them.  A start without an answer may still be
+   carried out by the new instance, until it was told to stop the run.  */
 static void
 drop_earlier_runs (struct placer *plc, struct worker *wrk, int64_t born_ms)
 {
@@ -65,6 +65,11 @@
   for (struct run *run = wrk->runs; run; run = next)
     {
       next = run->next;
+      if (run->listed_us && run->start_tries > 1)
+        {
+          run->listed_us = run->confirmed_us = 0;
+          run->tsk->located_token = 0;
+        }
       if (run->listed_us)
         {
           drop_lost_run (plc, run, "instance_ended");
--- a/test/unit/unit_placer_stop.c
+++ b/test/unit/unit_placer_stop.c
@@ -149,6 +149,41 @@
 }
 END_TEST
 
+/* Guards against a second run of a task (TWICE): the first of two starts has
+   no answer, the second is carried out, and the worker restarts; its next
+   instance may still carry out the first one.  */
+START_TEST (test_unanswered_start_of_known_run)
+{
+  static const struct
+  {
+    size_t listed; /* the earlier instance has listed the run */
+    bool reported; /* the worker's report tells of the restart */
+  } cases[] = { { 1, false }, { 1, true }, { 0, false }, { 0, true } };
+  const struct world_row row = { .job = 2, .run = 1 };
+  world_add_job (wld, 2, TASK_JOB, 200);
+  world_confirm_ownership (wld);
+  world_tick (wld, 1);
+  world_answer (wld, world_call (wld, WORLD_START, "w1"), COMMAND_NO_ANSWER);
+  world_answer (wld, world_call (wld, WORLD_START, "w1"), COMMAND_DONE);
+  world_tick (wld, 300);
+  if (cases[_i].listed)
+    world_answer_hold (wld, "w1", &row, 1, NULL, 0);
+  wld->hold_born_ms = NEXT_BORN_MS;
+  if (cases[_i].reported)
+    world_add_worker (wld, "w1", NEXT_BORN_MS);
+  learn_restart ();
+  for (int n = 0; n < 20; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 50);
+      if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
+      ck_assert_uint_eq (world_starts (wld, 2, 0), 2);
+    }
+  ck_assert (started_again (2, AGAIN_MS));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -157,6 +192,7 @@
   tcase_add_loop_test (tc, test_stop_acknowledged_before_restart_known, 0, 2);
   tcase_add_loop_test (tc, test_stop_acknowledged_by_earlier_instance, 0, 2);
   tcase_add_loop_test (tc, test_stop_at_second_restart, 0, 2);
+  tcase_add_loop_test (tc, test_unanswered_start_of_known_run, 0, 4);
   Suite *suite = suite_create ("placer_stop");
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
