--- a/test/unit/unit_base.c
+++ b/test/unit/unit_base.c
@@ -148,6 +148,30 @@
 }
 END_TEST
 
+static const struct
+{
+  int num;
+  const char *name;
+} events[] = {
+#define EVENT(num, sym, name, level, meaning) { num, name },
+#include "base/events.def"
+#undef EVENT
+};
+
+/* Guards against two events with one number, of which the second is logged
+   under the name of the first.  */
+START_TEST (test_event_numbers_differ)
+{
+  for (size_t n = 0; n < sizeof events / sizeof *events; n++)
+    for (size_t m = 0; m < n; m++)
+      {
+        ck_assert_msg (events[n].num != events[m].num, "%s and %s",
+                       events[m].name, events[n].name);
+        ck_assert_str_ne (events[n].name, events[m].name);
+      }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -160,6 +184,7 @@
   tcase_add_test (tc, test_options_order);
   tcase_add_test (tc, test_log_counts_every_line);
   tcase_add_test (tc, test_log_escapes);
+  tcase_add_test (tc, test_event_numbers_differ);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
