sched: a list of hosts says nothing about starts that were sent after it

Callers would have seen TWICE: a start without an answer was given up at once, and the task started elsewhere, while the next instance of the worker ran it.

Cause: a list that shows a host as down ended all runs of its worker, also one whose start was sent after the list was requested (or up to 2 s before, as lists are late). The worker may have started again under its id by then and have taken the start.

test_start_after_list_of_hosts failed without the change: the task was started on another worker within the lease.

Such a run is stopped and kept until the worker answers or the longest lease is over. A list that names another worker on the host ends all runs as before: the id does not come back.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -192,6 +192,7 @@
   if (!wrk->ended_us)
     wrk->ended_us = clock_now_us (plc->env.clk);
   wrk->reported_ended = true;
+  wrk->ended_list_us = 0;
 }
 
 /* Ends the workers of the host that were started before the worker of REP. The
--- a/sched/placer_hosts.c
+++ b/sched/placer_hosts.c
@@ -7,11 +7,6 @@
 
 /* What the platform's list of hosts tells about workers that do not answer. */
 
-/* A list of hosts that was requested at least this long after a worker was
-   known certainly is newer than the worker's start: the list shows the hosts
-   as they were up to one second before, and a worker may report before the
-   platform lists it.  */
-#define HOST_LIST_LAG_US 2000000
 /* A host is gone when this number of consecutive lists do not contain it.  A
    list is read in pages, and a host may be missing in one if another host
    leaves between two pages.  */
@@ -51,6 +46,7 @@
                    LOG_I ("list_age_ms",
                           (clock_now_us (plc->env.clk) - asked_us) / 1000));
       placer_end_instance (plc, wrk);
+      wrk->ended_list_us = same || !*rep->worker ? asked_us : 0;
     }
   for (size_t n = plc->earlier_count; n-- > 0;)
     if (strcmp (plc->earlier[n].host, rep->name) == 0
--- a/sched/placer_instance.c
+++ b/sched/placer_instance.c
@@ -28,11 +28,31 @@
   placer_remove_run (plc, run);
 }
 
+/* Whether the start of RUN was sent when the instance that a list of hosts
+   shows as ended may have had a successor under the same id, which may carry
+   it out.  */
+static bool
+start_outlives_instance (const struct run *run)
+{
+  int64_t asked_us = run->wrk->ended_list_us;
+  return asked_us > 0 && !run->confirmed_us
+         && run->start_sent_us > asked_us - HOST_LIST_LAG_US;
+}
+
+/* Gives up the runs of an instance that has ended, but for those that its
+   successor may start.  These are stopped there, or their leases expire.  */
 static void
-drop_lost_runs (struct placer *plc, struct worker *wrk, const char *reason)
+drop_ended_runs (struct placer *plc, struct worker *wrk)
 {
-  while (wrk->runs)
-    drop_lost_run (plc, wrk->runs, reason);
+  struct run *next;
+  for (struct run *run = wrk->runs; run; run = next)
+    {
+      next = run->next;
+      if (start_outlives_instance (run))
+        placer_stop_run (plc, run);
+      else
+        drop_lost_run (plc, run, "instance_ended");
+    }
 }
 
 /* A start
@@ -116,7 +136,7 @@
       begin_instance (wrk, born_ms, clock_now_us (plc->env.clk));
       return true;
     }
-  drop_lost_runs (plc, wrk, "instance_ended");
+  drop_ended_runs (plc, wrk);
   if (wrk->reported_ended)
     wrk->registered = false;
   else
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -14,6 +14,12 @@
    jobs are probably at fault, or have to be tried all the same.  */
 #define FAILING_PAUSE_SHORT_US 1000000
 
+/* A list of hosts that was requested at least this long after a worker was
+   known certainly is newer than the worker's start: the list shows the hosts
+   as they were up to one second before, and a worker may report before the
+   platform lists it.  */
+#define HOST_LIST_LAG_US 2000000
+
 /* Most entries of no_room in struct placer.  */
 #define NO_ROOM_MAX 32
 /* Most searches for a worker in one tick that find none, for tasks without
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -63,6 +63,9 @@
   int64_t earlier_born_ms;
   bool reported_ended; /* a source other than the worker reported the end of
                           this instance */
+  /* When the list of hosts was requested that shows the end of this instance,
+     if the worker may start again under its id; 0: none did.  */
+  int64_t ended_list_us;
   /* When the end of the worker's instance was learnt; 0: it is running.  Its
      runs are kept until ownership has been confirmed after that time.  */
   int64_t ended_us;
--- a/test/unit/unit_placer_other_instance.c
+++ b/test/unit/unit_placer_other_instance.c
@@ -1,6 +1,7 @@
 #include <check.h>
 #include <stdlib.h>
 
+#include "fleet/host_link.h"
 #include "placer_world.h"
 #include "sched/placer_priv.h"
 
@@ -224,6 +225,51 @@
 }
 END_TEST
 
+/* Guards against a second run of a task (TWICE): a list of hosts from before a
+   start, which shows the host as down, says nothing about the instance that
+   may have taken the start since.  */
+START_TEST (test_start_after_list_of_hosts)
+{
+  struct host_report rep = { .state = HOST_DOWN };
+  name_copy (rep.name, "m-w1");
+  run_job (1, TASK_JOB);
+  add_other_worker ();
+  for (int n = 0; n < 4; n++)
+    {
+      const struct world_row row = { .job = 1, .run = 1 };
+      pass (900);
+      if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", &row, 1, NULL, 0);
+    }
+  pass (50);
+  world_answer (wld, world_call (wld, WORLD_HOLD, "w1"), COMMAND_NO_ANSWER);
+  int64_t asked_us = wld->clk.now_us;
+  pass (100);
+  struct world_call *start = send_start (2, TASK_JOB);
+  int64_t sent_us = wld->clk.now_us;
+  placer_update_host (wld->plc, &rep, asked_us);
+  world_answer (wld, start, COMMAND_NO_ANSWER);
+  while (wld->clk.now_us < sent_us + WORLD_LEASE_MAX_MS * 1000)
+    {
+      struct world_call *call;
+      while ((call = world_call (wld, WORLD_START, "w1"))
+             || (call = world_call (wld, WORLD_STOP, "w1"))
+             || (call = world_call (wld, WORLD_HOLD, "w1")))
+        world_answer (wld, call, COMMAND_NO_ANSWER);
+      call = world_call (wld, WORLD_START, "w2");
+      ck_assert (!call || call->task.job == 1);
+      pass (300);
+    }
+  for (int n = 0; n < 8; n++)
+    pass (300);
+  size_t on_w2 = 0;
+  for (size_t n = 0; n < wld->call_count; n++)
+    on_w2 += wld->calls[n].kind == WORLD_START
+             && wld->calls[n].worker[1] == '2' && wld->calls[n].task.job == 2;
+  ck_assert_uint_eq (on_w2, 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -234,6 +280,7 @@
   tcase_add_test (tc, test_late_report_before_settlement);
   tcase_add_loop_test (tc, test_late_report_with_later_start_time, 0, 2);
   tcase_add_loop_test (tc, test_task_of_ended_instance_is_away, 0, 2);
+  tcase_add_test (tc, test_start_after_list_of_hosts);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
