sched: a list of hosts says nothing about a confirmed start that was sent after it either

test_start_after_list_of_hosts case 1 failed without the change. A run that an instance confirmed just before its end is given up by the next list instead, at most 2 s later.

--- a/sched/placer_instance.c
+++ b/sched/placer_instance.c
@@ -29,18 +29,18 @@
 }
 
 /* Whether the start of RUN was sent when the instance that a list of hosts
-   shows as ended may have had a successor under the same id, which may carry
-   it out.  */
+   shows as ended may have had a successor under the same id, which then runs
+   it or may still carry it out.  */
 static bool
 start_outlives_instance (const struct run *run)
 {
   int64_t asked_us = run->wrk->ended_list_us;
-  return asked_us > 0 && !run->confirmed_us
-         && run->start_sent_us > asked_us - HOST_LIST_LAG_US;
+  return asked_us > 0 && run->start_sent_us > asked_us - HOST_LIST_LAG_US;
 }
 
 /* Gives up the runs of an instance that has ended, but for those that its
-   successor may start.  These are stopped there, or their leases expire.  */
+   successor may have.  Its next answer, a later list or the end of their
+   leases settles these.  */
 static void
 drop_ended_runs (struct placer *plc, struct worker *wrk)
 {
@@ -48,10 +48,10 @@
   for (struct run *run = wrk->runs; run; run = next)
     {
       next = run->next;
-      if (start_outlives_instance (run))
-        placer_stop_run (plc, run);
-      else
+      if (!start_outlives_instance (run))
         drop_lost_run (plc, run, "instance_ended");
+      else if (!run->confirmed_us)
+        placer_stop_run (plc, run);
     }
 }
 
--- a/test/unit/unit_placer_other_instance.c
+++ b/test/unit/unit_placer_other_instance.c
@@ -227,7 +227,7 @@
 
 /* Guards against a second run of a task (TWICE): a list of hosts from before a
    start, which shows the host as down, says nothing about the instance that
-   may have taken the start since.  */
+   may have taken the start since, whether that has answered it or not.  */
 START_TEST (test_start_after_list_of_hosts)
 {
   struct host_report rep = { .state = HOST_DOWN };
@@ -248,8 +248,9 @@
   struct world_call *start = send_start (2, TASK_JOB);
   int64_t sent_us = wld->clk.now_us;
   placer_update_host (wld->plc, &rep, asked_us);
-  world_answer (wld, start, COMMAND_NO_ANSWER);
-  while (wld->clk.now_us < sent_us + WORLD_LEASE_MAX_MS * 1000)
+  world_answer (wld, start, _i ? COMMAND_DONE : COMMAND_NO_ANSWER);
+  int64_t lease_ms = _i ? WORLD_LEASE_MS : WORLD_LEASE_MAX_MS;
+  while (wld->clk.now_us < sent_us + lease_ms * 1000)
     {
       struct world_call *call;
       while ((call = world_call (wld, WORLD_START, "w1"))
@@ -280,7 +281,7 @@
   tcase_add_test (tc, test_late_report_before_settlement);
   tcase_add_loop_test (tc, test_late_report_with_later_start_time, 0, 2);
   tcase_add_loop_test (tc, test_task_of_ended_instance_is_away, 0, 2);
-  tcase_add_test (tc, test_start_after_list_of_hosts);
+  tcase_add_loop_test (tc, test_start_after_list_of_hosts, 0, 2);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
