sched: a stop that an earlier instance answered is sent to the present one

Callers would have seen TWICE: a task was started elsewhere while the next instance of its worker could still carry out a start without an answer.

Cause: an answer to a stop counted for whichever instance the worker had when it was read. Read after the restart was known, it cancelled the stop that is meant for the next instance.

A command keeps the start time of the instance that it is meant for, and an answer to a stop counts only for that one.

--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -38,6 +38,7 @@
   struct placer *plc;
   struct run *run; /* NULL: a stop of a run that is not wanted */
   uint32_t worker; /* handle */
+  int64_t born_ms; /* start of the instance that the command is meant for */
   /* Entry in the list of starts in flight.  */
   struct command_ctx *prev, *next;
   bool in_flight; /* in that list */
@@ -243,6 +244,7 @@
   ctx->plc = plc;
   ctx->run = run;
   ctx->worker = wrk->handle;
+  ctx->born_ms = wrk->rep.born_ms;
   return ctx;
 }
 
@@ -437,9 +439,9 @@
   if (ctx->run && !ctx->run->removed)
     {
       ctx->run->stop_sent = false;
-      /* After any other answer, or none, the next tick sends the stop
-         again.  */
-      if (res->status == COMMAND_DONE)
+      /* After any other answer, or none, the next tick sends the stop again,
+         as after one that may come from an earlier instance.  */
+      if (res->status == COMMAND_DONE && ctx->born_ms == wrk->rep.born_ms)
         {
           ctx->run->stopped_us = clock_now_us (plc->env.clk);
           wrk->next_hold_us = 0;
--- a/test/unit/unit_placer_other_instance.c
+++ b/test/unit/unit_placer_other_instance.c
@@ -271,6 +271,44 @@
 }
 END_TEST
 
+/* Guards against a second run of a task (TWICE): that an earlier instance has
+   stopped a run does not keep the next one from carrying out its start, so the
+   run is stopped there as well.  */
+START_TEST (test_stop_answered_by_earlier_instance)
+{
+  struct world_call *start = send_start (1, TASK_JOB);
+  while (start)
+    {
+      world_answer (wld, start, COMMAND_NO_ANSWER);
+      start = world_call (wld, WORLD_START, "w1");
+    }
+  size_t starts = world_starts (wld, 1, 0);
+  struct world_call *earlier_stop = world_call (wld, WORLD_STOP, "w1");
+  ck_assert_ptr_nonnull (earlier_stop);
+  world_add_worker (wld, "w1", NEXT_BORN_MS);
+  wld->hold_born_ms = NEXT_BORN_MS;
+  pass (300);
+  world_answer (wld, earlier_stop, COMMAND_DONE);
+  for (int n = 0; n < 4; n++)
+    {
+      pass (300);
+      if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
+      ck_assert_uint_eq (world_starts (wld, 1, 0), starts);
+    }
+  struct world_call *stop = world_call (wld, WORLD_STOP, "w1");
+  ck_assert_ptr_nonnull (stop);
+  world_answer (wld, stop, COMMAND_DONE);
+  for (int n = 0; n < 4; n++)
+    {
+      pass (300);
+      if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
+    }
+  ck_assert_uint_gt (world_starts (wld, 1, 0), starts);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -282,6 +320,7 @@
   tcase_add_loop_test (tc, test_late_report_with_later_start_time, 0, 2);
   tcase_add_loop_test (tc, test_task_of_ended_instance_is_away, 0, 2);
   tcase_add_loop_test (tc, test_start_after_list_of_hosts, 0, 2);
+  tcase_add_test (tc, test_stop_answered_by_earlier_instance);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
