sched: an answer of an earlier instance does not tell the clock of the present one

Callers would have seen TWICE after the death of an owner: a start whose lease ends at a time of the earlier instance's clock lasts as long as the worker grants, and a successor counted less.

Cause: once a restart is reported the worker gets no starts until its clock is known, but the late answer to a start or a stop of the earlier instance set that clock, and counted as a sign of life of the next one.

test_clock_of_earlier_instance failed without the change (a start was sent).

--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -217,7 +217,10 @@
   if (plc->closing)
     return false;
   *wrk = placer_find_worker (plc, ctx->worker);
-  if (*wrk && (res->status != COMMAND_NOT_SENT || may_send (ctx)))
+  /* An answer may come from the instance that the command was meant for, which
+     has ended: it tells neither the next one's clock nor that it answers.  */
+  if (*wrk && ctx->born_ms == (*wrk)->rep.born_ms
+      && (res->status != COMMAND_NOT_SENT || may_send (ctx)))
     placer_note_answer (plc, *wrk, res);
   return *wrk != NULL;
 }
--- a/test/unit/unit_placer_other_instance.c
+++ b/test/unit/unit_placer_other_instance.c
@@ -309,6 +309,30 @@
 }
 END_TEST
 
+/* Guards against the longest lease that the worker grants, of which a
+   successor does not know: an answer of the earlier instance does not tell the
+   clock of the next one.  */
+START_TEST (test_clock_of_earlier_instance)
+{
+  run_job (1, TASK_JOB);
+  struct world_call *start = send_start (2, TASK_JOB);
+  world_add_worker (wld, "w1", NEXT_BORN_MS);
+  pass (1);
+  world_answer (wld, start, COMMAND_DONE);
+  world_add_job (wld, 3, TASK_JOB, 300);
+  for (int n = 0; n < 3; n++)
+    {
+      pass (50);
+      ck_assert_uint_eq (world_starts (wld, 3, 0), 0);
+      struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+      if (hold && !hold->answered && n > 0)
+        ck_assert_int_eq (hold->lease_end_ms, 0);
+      if (hold && n == 0)
+        world_answer (wld, hold, COMMAND_NO_ANSWER);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -321,6 +345,7 @@
   tcase_add_loop_test (tc, test_task_of_ended_instance_is_away, 0, 2);
   tcase_add_loop_test (tc, test_start_after_list_of_hosts, 0, 2);
   tcase_add_test (tc, test_stop_answered_by_earlier_instance);
+  tcase_add_test (tc, test_clock_of_earlier_instance);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
