--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -38,11 +38,11 @@
   struct placer *plc;
   struct run *run; /* NULL: a stop of a run that is not wanted */
   uint32_t worker; /* handle */
+  int64_t born_ms; /* start of the instance that the command is meant for */
   /* Entry in the list of starts in flight.  */
   struct command_ctx *prev, *next;
   bool in_flight; /* in that list */
   int64_t sent_us;
-  int64_t born_ms;      /* of a stop: the instance that it was meant for */
   int64_t lease_end_ms; /* of a start, by the worker's clock */
 };
 
@@ -217,7 +217,10 @@
   if (plc->closing)
     return false;
   *wrk = placer_find_worker (plc, ctx->worker);
-  if (*wrk && (res->status != COMMAND_NOT_SENT || may_send (ctx)))
+  /* An answer may come from the instance that the command was meant for, which
+     has ended: it tells neither the next one's clock nor that it answers.  */
+  if (*wrk && ctx->born_ms == (*wrk)->rep.born_ms
+      && (res->status != COMMAND_NOT_SENT || may_send (ctx)))
     placer_note_answer (plc, *wrk, res);
   return *wrk != NULL;
 }
@@ -244,6 +247,7 @@
   ctx->plc = plc;
   ctx->run = run;
   ctx->worker = wrk->handle;
+  ctx->born_ms = wrk->rep.born_ms;
   return ctx;
 }
 
@@ -461,8 +465,6 @@
   if (!placer_may_command (plc, clock_now_us (plc->env.clk)))
     return false;
   struct command_ctx *ctx = make_command_ctx (plc, run, wrk);
-  if (ctx)
-    ctx->born_ms = wrk->rep.born_ms;
   if (!ctx || plc->env.lnk->drv->stop (plc->env.lnk, &to, &cmd, on_stop, ctx))
     {
       talloc_free (ctx);
