sched: no lease end before a worker has answered this owner

What callers may see: two runs of one task (TWICE). A new owner's first hold carried a lease end by the clock in the worker's report. The worker may have restarted since, or the report is of another instance; the lease is then the longest one. If the hold is carried out and gets no answer (a one-way cut), the takeover ends by the bound on earlier owners' leases, which knows nothing of this extension, and the task is started elsewhere while it runs.

The clock is known from answers only, so that commands to a worker which has not answered this owner extend no leases.

test_reserve_for_kept_host sets by hand what an answer would; that includes the clock now.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -255,11 +255,6 @@
   if (!wrk)
     return;
   int64_t born_ms = wrk->rep.born_ms;
-  if (wrk->clock_read_us == 0)
-    {
-      wrk->clock_ms = rep->clock_ms;
-      wrk->clock_read_us = now_us;
-    }
   pool_set_report (&plc->pool, wrk, rep);
   wrk->reported_born_ms = rep->born_ms;
   /* Keep the start time on record until the runs of that instance are
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -318,8 +318,8 @@
                           ? now_us + HOLD_UNFLUSHED_RETRY_US
                           : wrk->hold_not_before_us;
   /* The worker answers at once while it has an end that is not acknowledged,
-     as one without a number.  */
-  if (res->incomplete)
+     as one without a number, or while its clock is not known.  */
+  if (res->incomplete || wrk->clock_ms == 0)
     wrk->next_hold_us = now_us + HOLD_RETRY_US;
 }
 
@@ -490,7 +490,8 @@
   ctx->sent_us = now_us;
   ctx->last_seen = ends_are_current (wrk) ? wrk->durable_end : 0;
   /* Do not extend the leases of a silent worker: each extension that may still
-     arrive would delay the time at which its runs have certainly ended.  */
+     arrive would delay the time at which its runs have certainly ended.  One
+     that has not answered yet may have restarted since its report.  */
   ctx->lease_end_ms = wrk->clock_ms > 0 && wrk->unanswered_calls == 0
                           ? placer_lease_end (plc, wrk, now_us)
                           : 0;
--- a/test/unit/unit_demand.c
+++ b/test/unit/unit_demand.c
@@ -280,6 +280,7 @@
   report_worker (4, 'a', false);
   struct worker *wrk = wld->plc->pool.workers[4];
   wrk->reached = wrk->settled = wrk->enrolled = true;
+  wrk->clock_ms = 1000;
   world_confirm_ownership (wld);
   world_tick (wld, 200);
   ck_assert_uint_eq (demand ().needed_hosts, 0);
--- a/test/unit/unit_placer_instance.c
+++ b/test/unit/unit_placer_instance.c
@@ -463,6 +463,31 @@
 }
 END_TEST
 
+/* Guards against a lease that outlasts a takeover (TWICE): the worker has
+   restarted since its report, so a lease by the clock in the report is the
+   longest one, and the hold that extends it gets no answer.  */
+START_TEST (test_no_lease_before_first_answer)
+{
+  const struct world_row row = { .job = 1, .run = 1 };
+  world_take_over (wld, 9, 300);
+  world_add_job (wld, 1, TASK_JOB, 50);
+  world_add_worker (wld, "w1", BORN_MS);
+  for (int n = 0; n < 3; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 300);
+      struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+      ck_assert_ptr_nonnull (hold);
+      ck_assert_int_eq (hold->lease_end_ms, 0);
+      world_answer (wld, hold, COMMAND_NO_ANSWER);
+    }
+  world_tick (wld, 300);
+  world_answer_hold (wld, "w1", &row, 1, NULL, 0);
+  world_tick (wld, 1);
+  ck_assert_int_gt (world_call (wld, WORLD_HOLD, "w1")->lease_end_ms, 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -482,6 +507,7 @@
   tcase_add_test (tc, test_unanswered_start_on_silent_worker);
   tcase_add_loop_test (tc, test_lease_after_idle_time, 0, 6);
   tcase_add_test (tc, test_late_answer_of_earlier_instance);
+  tcase_add_test (tc, test_no_lease_before_first_answer);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
