sched: leases of unanswered calls are counted for the worker instance that took them

What callers may see: two runs of one task (TWICE) with one owner. A worker restarts under its id while a hold or start to it is under way. The next instance carries the call out, its answer is lost, and the instance becomes silent. The lease end is by the clock before, so the lease is the longest one, from when the call was carried out; the owner counted 5 s from when it was sent, and gave the runs up 5 s early. Runs on the next instance are confirmed by other answers of it, so that the wait for unconfirmed starts did not cover them.

Each call now keeps the number of the worker's clock by which its leases end. A clock in an answer that cannot be the known one (it is behind what is possible since the last answer, or ahead of it, with 2% either way) shows a restart, before `born` does. Then, and when a report shows a restart, calls that had no answer count as the longest lease from when they were given up; so does each call with the clock before that is given up later. worker.long_lease tells it (no_answer). The end of an unconfirmed start counts from the last of them.

An answer of the earlier instance that is read later no longer sets the clock back, which made the next leases the longest ones.

Evidence: without the change test_hold_in_flight_over_restart sees the task started again 9.4 s after the hold was carried out, test_unanswered_start_listed_by_next_instance 5.9 s after the start was, where the lease lasts 10 s; test_late_clock_of_earlier_instance a lease end of 1005 s by a clock of 0.2 s.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -46,15 +46,17 @@
   struct placer *plc;
   uint32_t worker; /* handle */
   int64_t born_ms; /* start of the instance that the hold was sent to */
-  int64_t sent_us;
-  int64_t lease_end_ms; /* by the worker's clock; 0: no extension */
-  uint64_t last_seen;   /* ends up to this number are acknowledged */
+  struct timed_call call;
+  uint64_t last_seen; /* ends up to this number are acknowledged */
 };
 
 void
 placer_note_answer (struct placer *plc, struct worker *wrk,
+                    const struct timed_call *call,
                     const struct command_result *res)
 {
+  if (res->status == COMMAND_NO_ANSWER)
+    placer_note_unanswered (plc, wrk, call);
   /* Another instance at the address is not an answer of this one.  */
   if (res->status == COMMAND_NO_ANSWER || res->status == COMMAND_NOT_SENT
       || res->status == COMMAND_OTHER_INSTANCE)
@@ -64,11 +66,9 @@
       return;
     }
   wrk->unanswered_calls = 0;
-  if (res->clock_ms > 0)
-    {
-      wrk->clock_ms = res->clock_ms;
-      wrk->clock_read_us = clock_now_us (plc->env.clk);
-    }
+  if (res->clock_ms > 0 && placer_note_clock (plc, wrk, call, res->clock_ms)
+      && res->status == COMMAND_DONE && !wrk->first_answer_us)
+    wrk->first_answer_us = clock_now_us (plc->env.clk);
 }
 
 static void
@@ -267,10 +267,11 @@
   wrk->instance_seen = true;
   if (!wrk->first_answer_us)
     wrk->first_answer_us = now_us;
-  placer_note_grant (plc, wrk, ctx->lease_end_ms, res->command.clock_ms,
+  placer_note_grant (plc, wrk, ctx->call.lease_end_ms, res->command.clock_ms,
                      now_us);
   /* The answer may have waited for this process.  */
-  int64_t answered_us = ctx->sent_us + HOLD_WAIT_MS * 1000 + ANSWER_TRANSIT_US;
+  int64_t answered_us
+      = ctx->call.sent_us + HOLD_WAIT_MS * 1000 + ANSWER_TRANSIT_US;
   wrk->hold_answered_us = now_us < answered_us ? now_us : answered_us;
   /* A row that cannot be read may be a run of an earlier owner.  */
   if (!wrk->reached && !res->incomplete)
@@ -282,7 +283,7 @@
                  LOG_I ("ended", res->ended_count));
     }
   if (!wrk->settled && !res->incomplete
-      && ctx->sent_us >= placer_earlier_starts_end_us (plc))
+      && ctx->call.sent_us >= placer_earlier_starts_end_us (plc))
     {
       wrk->settled = true;
       placer_drop_earlier_worker (plc, wrk->rep.id);
@@ -306,9 +307,9 @@
       }
   wrk->unknown = (struct resources){ 0 };
   for (size_t n = 0; n < res->running_count; n++)
-    apply_running (plc, wrk, &res->running[n], ctx->sent_us, now_us);
+    apply_running (plc, wrk, &res->running[n], ctx->call.sent_us, now_us);
   if (!res->ended_truncated && !res->incomplete)
-    drop_unlisted_runs (plc, wrk, ctx->sent_us, now_us);
+    drop_unlisted_runs (plc, wrk, ctx->call.sent_us, now_us);
   wrk->hold_not_before_us = now_us;
   if (ends)
     wrk->hold_not_before_us += plc->start_limit_reached
@@ -369,7 +370,7 @@
       int64_t now_us = clock_now_us (plc->env.clk);
       wrk->hold_in_flight = false;
       if (res->command.status != COMMAND_NOT_SENT || may_send_hold (ctx))
-        placer_note_answer (plc, wrk, &res->command);
+        placer_note_answer (plc, wrk, &ctx->call, &res->command);
       /* A worker that refuses a hold has extended no lease.  */
       if (res->command.status == COMMAND_WORKER_BUSY
           || res->command.status == COMMAND_REJECTED)
@@ -487,19 +488,18 @@
   ctx->plc = plc;
   ctx->worker = wrk->handle;
   ctx->born_ms = wrk->rep.born_ms;
-  ctx->sent_us = now_us;
   ctx->last_seen = ends_are_current (wrk) ? wrk->durable_end : 0;
   /* Do not extend the leases of a silent worker: each extension that may still
      arrive would delay the time at which its runs have certainly ended.  One
      that has not answered yet may have restarted since its report.  */
-  ctx->lease_end_ms = wrk->clock_ms > 0 && wrk->unanswered_calls == 0
-                          ? placer_lease_end (plc, wrk, now_us)
-                          : 0;
+  bool extend = wrk->clock_ms > 0 && wrk->unanswered_calls == 0;
+  ctx->call = placer_timed_call (
+      wrk, now_us, extend ? placer_lease_end (plc, wrk, now_us) : 0);
   const struct command_target to = placer_command_target (wrk, may_send_hold);
   const struct hold_command cmd = {
     .token = plc->set.token,
     .last_seen = ctx->last_seen,
-    .lease_end_ms = ctx->lease_end_ms,
+    .lease_end_ms = ctx->call.lease_end_ms,
     .wait_ms = hold_wait_ms (plc, wrk, now_us),
   };
   if (plc->env.lnk->drv->hold (plc->env.lnk, &to, &cmd, on_hold, ctx))
@@ -508,7 +508,7 @@
       wrk->next_hold_us = now_us + HOLD_RETRY_US;
       return;
     }
-  if (ctx->lease_end_ms > 0)
+  if (ctx->call.lease_end_ms > 0)
     placer_note_lease (plc, wrk, now_us);
   wrk->hold_in_flight = true;
   plc->calls_in_flight++;
--- a/sched/placer_instance.c
+++ b/sched/placer_instance.c
@@ -36,9 +36,9 @@
     drop_lost_run (plc, wrk->runs, reason);
 }
 
-/* A start
-   without an answer may have reached an instance that began since the last
-   answer; its clock began anew, so it grants the longest lease.  */
+/* A start without an answer may have reached an instance that began since the
+   last answer; its clock began anew, so it grants the longest lease, as it
+   does for other calls without an answer.  */
 void
 placer_drop_expired_runs (struct placer *plc, struct worker *wrk)
 {
@@ -47,8 +47,10 @@
   for (struct run *run = wrk->runs; run; run = next)
     {
       next = run->next;
-      if (run->confirmed_us
-          || plc->confirmed_us > run->start_sent_us + longest_us)
+      int64_t sent_us = run->start_sent_us > wrk->lease_unanswered_us
+                            ? run->start_sent_us
+                            : wrk->lease_unanswered_us;
+      if (run->confirmed_us || plc->confirmed_us > sent_us + longest_us)
         drop_lost_run (plc, run, "lease_expired");
     }
 }
@@ -111,7 +113,7 @@
     return false;
   /* The clock of the next instance begins anew.  */
   if (wrk->reported_ended)
-    wrk->clock_ms = 0;
+    placer_forget_clock (plc, wrk);
   if (born_ms != wrk->rep.born_ms && born_ms > 0)
     {
       drop_earlier_runs (plc, wrk);
--- a/sched/placer_lease.c
+++ b/sched/placer_lease.c
@@ -1,3 +1,4 @@
+#include "base/clock.h"
 #include "base/log.h"
 #include "sched/placer_priv.h"
 
@@ -27,6 +28,102 @@
   return wrk->clock_ms + passed_us / 1000 + plc->set.lease_ms;
 }
 
+static void
+log_long_lease (const struct placer *plc, const struct worker *wrk,
+                int64_t span_ms, const char *reason)
+{
+  log_event (plc->env.lg, EV_WORKER_LONG_LEASE, LOG_S ("worker", wrk->rep.id),
+             LOG_S ("pool", plc->set.pool), LOG_I ("lease_ms", span_ms),
+             LOG_S ("reason", reason));
+}
+
+struct timed_call
+placer_timed_call (const struct worker *wrk, int64_t now_us,
+                   int64_t lease_end_ms)
+{
+  return (struct timed_call){ .sent_us = now_us,
+                              .clock_number = wrk->clock_number,
+                              .lease_end_ms = lease_end_ms };
+}
+
+/* Whether CLOCK_MS, in an answer to CALL that is read at NOW_US, cannot be the
+   clock of WRK that is known.  Answers may overtake each other.  */
+static bool
+is_other_clock (const struct worker *wrk, const struct timed_call *call,
+                int64_t clock_ms, int64_t now_us)
+{
+  int64_t least_us = call->sent_us - wrk->clock_read_us;
+  int64_t most_us = now_us - wrk->clock_sent_us;
+  if (least_us > 0)
+    least_us -= least_us * CLOCK_SLOW_MAX_PERCENT / 100;
+  most_us += most_us * CLOCK_SLOW_MAX_PERCENT / 100;
+  /* Both clocks are in whole milliseconds.  */
+  return clock_ms < wrk->clock_ms + least_us / 1000 - 1
+         || clock_ms > wrk->clock_ms + most_us / 1000 + 1;
+}
+
+static void
+note_longest_lease (struct placer *plc, struct worker *wrk, int64_t from_us)
+{
+  int64_t until_us
+      = from_us + placer_add_lease_slack (plc->set.lease_max_ms * 1000);
+  if (until_us <= wrk->lease_end_us)
+    return;
+  wrk->lease_end_us = until_us;
+  if (!wrk->long_lease_logged)
+    log_long_lease (plc, wrk, plc->set.lease_max_ms, "no_answer");
+  wrk->long_lease_logged = true;
+}
+
+/* The next instance of WRK may have carried out calls without an answer whose
+   leases end by the clock before.  */
+static void
+begin_clock (struct placer *plc, struct worker *wrk)
+{
+  wrk->clock_number++;
+  wrk->first_answer_us = 0;
+  wrk->instance_seen = false;
+  if (wrk->lease_unanswered_us > 0)
+    note_longest_lease (plc, wrk, wrk->lease_unanswered_us);
+}
+
+bool
+placer_note_clock (struct placer *plc, struct worker *wrk,
+                   const struct timed_call *call, int64_t clock_ms)
+{
+  int64_t now_us = clock_now_us (plc->env.clk);
+  bool known = wrk->clock_ms > 0;
+  bool other = known && is_other_clock (wrk, call, clock_ms, now_us);
+  /* An earlier instance may have answered.  */
+  if ((!known || other) && call->clock_number != wrk->clock_number)
+    return false;
+  if (other)
+    begin_clock (plc, wrk);
+  wrk->clock_ms = clock_ms;
+  wrk->clock_read_us = now_us;
+  wrk->clock_sent_us = call->sent_us;
+  return true;
+}
+
+void
+placer_forget_clock (struct placer *plc, struct worker *wrk)
+{
+  if (wrk->clock_ms > 0)
+    begin_clock (plc, wrk);
+  wrk->clock_ms = 0;
+}
+
+void
+placer_note_unanswered (struct placer *plc, struct worker *wrk,
+                        const struct timed_call *call)
+{
+  if (call->lease_end_ms == 0)
+    return;
+  wrk->lease_unanswered_us = clock_now_us (plc->env.clk);
+  if (call->clock_number != wrk->clock_number)
+    note_longest_lease (plc, wrk, wrk->lease_unanswered_us);
+}
+
 int64_t
 placer_leases_end_us (const struct placer *plc, const struct worker *wrk)
 {
@@ -48,15 +145,6 @@
     wrk->lease_end_us = until_us;
 }
 
-static void
-log_long_lease (const struct placer *plc, const struct worker *wrk,
-                int64_t span_ms, const char *reason)
-{
-  log_event (plc->env.lg, EV_WORKER_LONG_LEASE, LOG_S ("worker", wrk->rep.id),
-             LOG_S ("pool", plc->set.pool), LOG_I ("lease_ms", span_ms),
-             LOG_S ("reason", reason));
-}
-
 void
 placer_note_grant (struct placer *plc, struct worker *wrk,
                    int64_t lease_end_ms, int64_t clock_ms, int64_t now_us)
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -191,6 +191,14 @@
   bool closing;                /* destroyed; freed when no call is in flight */
 };
 
+/* What the answer to a call is compared with, or its lack.  */
+struct timed_call
+{
+  int64_t sent_us;
+  uint32_t clock_number; /* that of the worker then */
+  int64_t lease_end_ms;  /* by that clock; 0: extends no leases */
+};
+
 /* placer_pick.c */
 /* Picks a worker that takes the task now, or NULL.  Skips the search for a
    batch task that is known not to fit, or if too many starts are in flight. */
@@ -240,10 +248,25 @@
 /* Gives up runs on WRK that have certainly ended, and sends a hold if one is
    due.  */
 void placer_hold (struct placer *plc, struct worker *wrk, int64_t now_us);
-/* Updates the worker's contact state from the result of a call.  */
+/* Updates the worker's contact state from the result of CALL.  */
 void placer_note_answer (struct placer *plc, struct worker *wrk,
+                         const struct timed_call *call,
                          const struct command_result *res);
 /* placer_lease.c */
+/* A call that was sent to WRK at NOW_US, with leases until LEASE_END_MS by its
+   clock; 0: it extends none.  */
+struct timed_call placer_timed_call (const struct worker *wrk, int64_t now_us,
+                                     int64_t lease_end_ms);
+/* Takes the worker's clock in the answer to CALL.  A clock that cannot be the
+   known one shows that the worker has restarted.  Returns false if an earlier
+   instance may have answered.  */
+bool placer_note_clock (struct placer *plc, struct worker *wrk,
+                        const struct timed_call *call, int64_t clock_ms);
+/* The worker's clock is not known any more, as it has restarted.  */
+void placer_forget_clock (struct placer *plc, struct worker *wrk);
+/* Records that CALL, which may have been carried out, got no answer.  */
+void placer_note_unanswered (struct placer *plc, struct worker *wrk,
+                             const struct timed_call *call);
 /* Bound on the transit time of an answer.  */
 #define ANSWER_TRANSIT_US 100000
 /* Upper bound on the time that SPAN_US by the worker's clock takes, including
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -41,16 +41,13 @@
   /* Entry in the list of starts in flight.  */
   struct command_ctx *prev, *next;
   bool in_flight; /* in that list */
-  int64_t sent_us;
-  int64_t lease_end_ms; /* of a start, by the worker's clock */
+  struct timed_call call;
 };
 
 static void
-add_start_in_flight (struct placer *plc, struct command_ctx *ctx,
-                     int64_t now_us)
+add_start_in_flight (struct placer *plc, struct command_ctx *ctx)
 {
   ctx->in_flight = true;
-  ctx->sent_us = now_us;
   ctx->prev = plc->last_start_in_flight;
   if (plc->last_start_in_flight)
     plc->last_start_in_flight->next = ctx;
@@ -81,7 +78,7 @@
 placer_start_limit_reached (struct placer *plc, int64_t now_us)
 {
   while (plc->first_start_in_flight
-         && now_us - plc->first_start_in_flight->sent_us
+         && now_us - plc->first_start_in_flight->call.sent_us
                 > START_IN_FLIGHT_AGE_US)
     drop_start_in_flight (plc, plc->first_start_in_flight);
   /* Thousands of tasks may wait; only starts take long.  */
@@ -217,7 +214,7 @@
     return false;
   *wrk = placer_find_worker (plc, ctx->worker);
   if (*wrk && (res->status != COMMAND_NOT_SENT || may_send (ctx)))
-    placer_note_answer (plc, *wrk, res);
+    placer_note_answer (plc, *wrk, &ctx->call, res);
   return *wrk != NULL;
 }
 
@@ -243,6 +240,7 @@
   ctx->plc = plc;
   ctx->run = run;
   ctx->worker = wrk->handle;
+  ctx->call = placer_timed_call (wrk, clock_now_us (plc->env.clk), 0);
   return ctx;
 }
 
@@ -335,7 +333,7 @@
       return;
     }
   int64_t now_us = clock_now_us (plc->env.clk);
-  placer_note_grant (plc, wrk, ctx->lease_end_ms, res->clock_ms, now_us);
+  placer_note_grant (plc, wrk, ctx->call.lease_end_ms, res->clock_ms, now_us);
   switch (res->status)
     {
     case COMMAND_DONE:
@@ -393,7 +391,7 @@
   };
   struct command_ctx *ctx = make_command_ctx (plc, run, wrk);
   if (ctx)
-    ctx->lease_end_ms = cmd.lease_end_ms;
+    ctx->call = placer_timed_call (wrk, now_us, cmd.lease_end_ms);
   plc->starts_sent++;
   run->start_tries++;
   run->start_sent_us = plc->last_start_us = now_us;
@@ -410,7 +408,7 @@
   placer_note_lease (plc, wrk, now_us);
   run->calls_in_flight++;
   plc->calls_in_flight++;
-  add_start_in_flight (plc, ctx, now_us);
+  add_start_in_flight (plc, ctx);
 }
 
 void
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -87,11 +87,16 @@
   int64_t clock_ms;         /* the worker's clock in its last answer; 0: not
                                known */
   int64_t clock_read_us;    /* monotonic time at which clock_ms was received */
+  int64_t clock_sent_us;    /* when the call that it answered was sent */
+  /* Counts the clocks of the worker: each instance has another one.  */
+  uint32_t clock_number;
+  /* When a call that extends leases was last given up without an answer.  */
+  int64_t lease_unanswered_us;
   /* The leases that this owner gave there have expired by then, unless they
      are extended; for all leases see placer_leases_end_us.  */
   int64_t lease_end_us;
-  /* When this instance first answered a hold: it refuses commands of earlier
-     owners since; 0: not yet.  */
+  /* When this instance first carried out a command of this owner: it refuses
+     those of earlier owners since; 0: not yet.  */
   int64_t first_answer_us;
   int64_t hold_answered_us; /* when a hold was last answered, at the latest */
   bool hold_in_flight;
--- a/test/unit/unit_placer_instance.c
+++ b/test/unit/unit_placer_instance.c
@@ -488,6 +488,121 @@
 }
 END_TEST
 
+/* Answers CALL as the next instance of its worker, whose clock has begun
+   anew.  */
+static void
+answer_as_next_instance (struct world_call *call,
+                         const struct running_row *run)
+{
+  const struct hold_result res
+      = { .command = { .status = COMMAND_DONE, .clock_ms = 200 },
+          .born_ms = NEXT_BORN_MS,
+          .running = run,
+          .running_count = run != NULL };
+  ck_assert_ptr_nonnull (call);
+  call->answered = true;
+  if (call->hold_fn)
+    call->hold_fn (call->arg, &res);
+  else
+    call->fn (call->arg, &res.command);
+}
+
+/* Leaves the calls to WORKER without an answer until the task of JOB is
+   started on another worker.  Returns when that is.  */
+static int64_t
+silent_until_start (const char *worker, uint64_t job)
+{
+  const size_t starts = world_starts (wld, job, 0);
+  const int64_t silent_us = wld->clk.now_us;
+  while (world_starts (wld, job, 0) == starts)
+    {
+      struct world_call *call;
+      while ((call = world_call (wld, WORLD_HOLD, worker))
+             || (call = world_call (wld, WORLD_STOP, worker)))
+        world_answer (wld, call, COMMAND_NO_ANSWER);
+      world_confirm_ownership (wld);
+      world_tick (wld, 100);
+      ck_assert_int_lt (wld->clk.now_us,
+                        silent_us + 2 * WORLD_LEASE_MAX_MS * 1000);
+    }
+  return wld->clk.now_us;
+}
+
+/* Adds a second worker, for runs that are started again.  */
+static void
+add_other_worker (void)
+{
+  /* The pool had no earlier owner.  */
+  placer_limit_earlier_leases (wld->plc, wld->clk.now_us);
+  world_add_worker (wld, "w2", BORN_MS);
+  world_enrol_worker (wld, "w2");
+}
+
+/* Guards against two runs of a task: a hold that was sent to the worker's
+   earlier instance is carried out by the next one, which runs the task, and
+   gets no answer.  */
+START_TEST (test_hold_in_flight_over_restart)
+{
+  run_job (1);
+  struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+  ck_assert_int_gt (hold->lease_end_ms, 0);
+  world_add_job (wld, 2, TASK_JOB, 200);
+  world_tick (wld, 1);
+  answer_as_next_instance (world_call (wld, WORLD_START, "w1"), NULL);
+  add_other_worker ();
+  world_tick (wld, 1000);
+  world_answer (wld, hold, COMMAND_NO_ANSWER);
+  int64_t carried_out_us = wld->clk.now_us;
+  int64_t again_us = silent_until_start ("w1", 2);
+  ck_assert_int_gt (again_us, carried_out_us + WORLD_LEASE_MAX_MS * 1000);
+}
+END_TEST
+
+/* The same with starts, whose run the next instance lists before it becomes
+   silent.  */
+START_TEST (test_unanswered_start_listed_by_next_instance)
+{
+  const struct running_row run
+      = { .task = { .job = 1 }, .run = 1, .percent = 100, .checkpoint = "" };
+  struct world_call *start;
+  world_add_job (wld, 1, TASK_JOB, 200);
+  world_tick (wld, 1);
+  while ((start = world_call (wld, WORLD_START, "w1")))
+    world_answer (wld, start, COMMAND_NO_ANSWER);
+  int64_t carried_out_us = wld->clk.now_us;
+  add_other_worker ();
+  world_tick (wld, 300);
+  for (int n = 0; n < 2; n++)
+    {
+      answer_as_next_instance (world_call (wld, WORLD_HOLD, "w1"), &run);
+      world_confirm_ownership (wld);
+      world_tick (wld, 100);
+    }
+  int64_t again_us = silent_until_start ("w1", 1);
+  ck_assert_int_gt (again_us, carried_out_us + WORLD_LEASE_MAX_MS * 1000);
+}
+END_TEST
+
+/* Guards against leases by the clock of an earlier instance, which are the
+   longest ones: its answer to a start is read after one of its successor.  */
+START_TEST (test_late_clock_of_earlier_instance)
+{
+  world_add_job (wld, 1, TASK_JOB, 200);
+  world_add_job (wld, 2, TASK_JOB, 201);
+  world_tick (wld, 1);
+  struct world_call *late = world_call (wld, WORLD_START, "w1");
+  ck_assert_ptr_nonnull (late);
+  late->answered = true;
+  answer_as_next_instance (world_call (wld, WORLD_START, "w1"), NULL);
+  world_answer (wld, late, COMMAND_DONE);
+  world_tick (wld, 1);
+  struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+  ck_assert_ptr_nonnull (hold);
+  ck_assert_int_gt (hold->lease_end_ms, 0);
+  ck_assert_int_le (hold->lease_end_ms, 200 + WORLD_LEASE_MS + 1000);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -508,6 +623,9 @@
   tcase_add_loop_test (tc, test_lease_after_idle_time, 0, 6);
   tcase_add_test (tc, test_late_answer_of_earlier_instance);
   tcase_add_test (tc, test_no_lease_before_first_answer);
+  tcase_add_test (tc, test_hold_in_flight_over_restart);
+  tcase_add_test (tc, test_late_clock_of_earlier_instance);
+  tcase_add_test (tc, test_unanswered_start_listed_by_next_instance);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
