test: a random model of owners and worker instances

Three processes that own a pool in turn, with the product's job table, duty table and placer, and workers that follow the platform's rules for runs and leases; restarts under the same id, cuts, lost calls and changes of owner follow each other by seed, and the runs on the workers are judged.

--- /dev/null
+++ b/test/unit/unit_instance_model.c
@@ -0,0 +1,71 @@
+#include <check.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "instance_model.h"
+
+/* Owners of a pool that follow each other, and workers that restart under
+   their ids, in random series of faults; what runs is judged at the workers.
+   MODEL_SEEDS sets the number of seeds and MODEL_SEED the first one;
+   MODEL_TRACE=1 prints what happens, and MODEL_LATE is an enum model_late.  */
+
+#define SEEDS 150
+#define END_US (66 * SECOND)
+
+static uint64_t
+number_setting (const char *name, uint64_t otherwise)
+{
+  const char *text = getenv (name);
+  return text ? strtoull (text, NULL, 10) : otherwise;
+}
+
+static bool
+run_seed (uint64_t seed)
+{
+  const struct model_options opt
+      = { .seed = seed,
+          .late = (enum model_late)number_setting ("MODEL_LATE", 0),
+          .trace = number_setting ("MODEL_TRACE", 0) > 0 };
+  struct model *mdl = model_create (&opt);
+  model_run_until (mdl, mdl->now_us + END_US);
+  model_check_lost (mdl);
+  bool held = !*mdl->fault;
+  if (!held)
+    printf ("seed %" PRIu64 ": at %.3f s, task %u: %s\n", seed,
+            (double)(mdl->fault_us - MODEL_START_US) / SECOND, mdl->fault_task,
+            mdl->fault);
+  model_destroy (mdl);
+  return held;
+}
+
+/* Guards against two runs of a task at a time, tasks that never run again and
+   runs of cancelled jobs, after restarts of workers, cuts and changes of
+   owner.  */
+START_TEST (test_rules_hold)
+{
+  uint64_t first = number_setting ("MODEL_SEED", 1);
+  uint64_t count = number_setting ("MODEL_SEEDS", SEEDS);
+  uint64_t broken = 0;
+  for (uint64_t n = 0; n < count; n++)
+    broken += !run_seed (first + n);
+  ck_assert_msg (broken == 0, "%" PRIu64 " of %" PRIu64 " seeds broke a rule",
+                 broken, count);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("instance_model");
+  TCase *tc = tcase_create ("instance_model");
+  tcase_set_timeout (tc, 0);
+  tcase_add_test (tc, test_rules_hold);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
