--- a/test/unit/instance_faults.c
+++ b/test/unit/instance_faults.c
@@ -65,6 +65,12 @@
     { FAULT_CUT_ONE_WAY, 300, 3000, 1000, 6000 } },
   { { FAULT_RESTART, 0, 2000, 20, 600 },
     { FAULT_CUT, 200, 4000, 6000, 9000 } },
+  { { FAULT_NETWORK, 0, 200, 1500, 2500 },
+    { FAULT_RESTART, 100, 400, 20, 300 },
+    { FAULT_CUT, 800, 2500, 6000, 6000 } },
+  { { FAULT_RESTART, 0, 100, 20, 200 },
+    { FAULT_CUT_ONE_WAY, 200, 300, 50, 1500 },
+    { FAULT_CUT, 1000, 2500, 6000, 6000 } },
 };
 #define SERIES_COUNT (sizeof series / sizeof *series)
 
@@ -72,7 +78,8 @@
 struct fault
 {
   struct fault_step step;
-  uint32_t group; /* its workers, a bit each */
+  uint32_t group;  /* its workers, a bit each */
+  bool calls_only; /* a cut in one way: of calls, otherwise of answers */
   struct owner *own;
 };
 
@@ -109,7 +116,7 @@
 static void
 cut_workers (struct model *mdl, const struct fault *flt, bool cut)
 {
-  bool calls = flt->step.kind == FAULT_CUT || flt->group % 2;
+  bool calls = flt->step.kind == FAULT_CUT || flt->calls_only;
   for (uint32_t n = 0; n < MODEL_WORKERS; n++)
     {
       struct model_worker *wrk = &mdl->workers[n];
@@ -232,6 +239,7 @@
       struct fault *flt = talloc_zero (mdl, struct fault);
       flt->step = steps[n];
       flt->group = group;
+      flt->calls_only = model_chance (mdl, 30);
       model_after (
           mdl, NULL,
           from_us
