--- a/test/unit/instance_owner.c
+++ b/test/unit/instance_owner.c
@@ -627,7 +627,8 @@
   /* As in node_open_duties.  */
   const struct holder_limits limits
       = { .command_us = MODEL_CONFIRM_MS * MS,
-          .lease_us = placer_lease_span_us (MODEL_LEASE_MAX_MS) };
+          .lease_us = placer_lease_span_us (MODEL_LEASE_MAX_MS),
+          .unstated_lease_us = placer_lease_span_us (MODEL_LEASE_MS) };
   own->lnk.drv = &driver;
   own->up = true;
   own->stopping = false;
