sched: a hold does not wait for the end of a run that never started

After a start without an answer the run is stopped, and its task waits until a hold that was sent after the acknowledgement no longer lists the run. That hold waited for an end, 1 s, although a run which the worker refused to start has none; and if the worker was cut off meanwhile, the task waited for the longest lease.

Such a hold is answered at once now, and within 50 ms while the stop has no answer yet.

test_stop_repeated goes through the answers to a stop and a time without confirmed ownership; it passed before.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -13,6 +13,9 @@
 /* Longest time for which a worker delays its answer to a hold while no run
    ends.  Leases are extended once in this time.  */
 #define HOLD_WAIT_MS 1000
+/* The same while a stop of a run that may never have started has no answer.
+   The next hold shows whether the run is there.  */
+#define HOLD_WAIT_STOP_MS 50
 /* Least time between an answer that lists ends and the next hold, so that one
    answer lists several ends.  */
 #define HOLD_INTERVAL_MIN_US 30000
@@ -437,6 +440,20 @@
   return !wrk->settled && now_us >= placer_earlier_starts_end_us (plc);
 }
 
+/* Longest time for which a hold may wait for the end of a run of WRK.  A run
+   that is stopped and may never have started there has no end to wait for.  */
+static int64_t
+end_wait_ms (const struct worker *wrk)
+{
+  int64_t wait_ms = HOLD_WAIT_MS;
+  for (const struct run *run = wrk->runs; run; run = run->next)
+    if (run->stopped_us && !run->confirmed_us)
+      return 0;
+    else if (run->stop_wanted && !run->confirmed_us)
+      wait_ms = HOLD_WAIT_STOP_MS;
+  return wait_ms;
+}
+
 /* Longest time for which WRK may delay its answer to a hold.  */
 static int64_t
 hold_wait_ms (const struct placer *plc, const struct worker *wrk,
@@ -450,10 +467,11 @@
      the ends do not count as acknowledged.  */
   if (!wrk->runs && !worker_has_unknown_runs (wrk))
     return 0;
+  int64_t wait_ms = end_wait_ms (wrk);
   /* The next hold is due then.  */
-  if (!wrk->settled && starts_end_us < now_us + HOLD_WAIT_MS * 1000)
+  if (!wrk->settled && starts_end_us < now_us + wait_ms * 1000)
     return (starts_end_us - now_us) / 1000;
-  return HOLD_WAIT_MS;
+  return wait_ms;
 }
 
 static bool
--- a/test/unit/unit_placer_stop.c
+++ b/test/unit/unit_placer_stop.c
@@ -184,6 +184,46 @@
 }
 END_TEST
 
+/* Guards against a task that waits longer than its run, for up to 10 s if the
+   worker is cut off meanwhile: a hold waited for the end of a run that the
+   worker does not have, as its stop came before its start.  */
+START_TEST (test_hold_beside_stop_of_unknown_run)
+{
+  const int64_t wait_most_ms = _i ? 50 : 0;
+  started_again (0, 8000);
+  ck_assert (pool_find_id (&wld->plc->pool, "w1")->settled);
+  refuse_second_start ();
+  if (_i == 0)
+    world_answer (wld, world_call (wld, WORLD_STOP, "w1"), COMMAND_DONE);
+  world_confirm_ownership (wld);
+  world_tick (wld, 50);
+  struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+  ck_assert_ptr_nonnull (hold);
+  ck_assert_int_le (hold->wait_ms, wait_most_ms);
+  world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
+  ck_assert (started_again (2, 200));
+}
+END_TEST
+
+/* Guards against a stop that is not sent again after an answer which leaves
+   open whether it had an effect, or after the owner held it back.  */
+START_TEST (test_stop_repeated)
+{
+  static const enum command_status statuses[]
+      = { COMMAND_NO_ANSWER,   COMMAND_NOT_SENT,       COMMAND_REJECTED,
+          COMMAND_WORKER_BUSY, COMMAND_OTHER_INSTANCE, COMMAND_STALE_RUN };
+  refuse_second_start ();
+  world_answer (wld, world_call (wld, WORLD_STOP, "w1"), statuses[_i]);
+  /* The owner sends nothing while its ownership is not confirmed.  */
+  world_tick (wld, WORLD_CONFIRM_MS);
+  ck_assert_ptr_null (world_call (wld, WORLD_STOP, "w1"));
+  world_confirm_ownership (wld);
+  world_tick (wld, 50);
+  ck_assert_ptr_nonnull (world_call (wld, WORLD_STOP, "w1"));
+  ck_assert (started_again (2, AGAIN_MS));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -193,6 +233,8 @@
   tcase_add_loop_test (tc, test_stop_acknowledged_by_earlier_instance, 0, 2);
   tcase_add_loop_test (tc, test_stop_at_second_restart, 0, 2);
   tcase_add_loop_test (tc, test_unanswered_start_of_known_run, 0, 4);
+  tcase_add_loop_test (tc, test_hold_beside_stop_of_unknown_run, 0, 2);
+  tcase_add_loop_test (tc, test_stop_repeated, 0, 6);
   Suite *suite = suite_create ("placer_stop");
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
