--- a/sched/placer.c
+++ b/sched/placer.c
@@ -546,7 +546,8 @@
       struct worker *wrk = plc->pool.workers[n];
       if (wrk->registered || wrk->runs || wrk->hold_in_flight
           || now_us < wrk->unregistered_us + UNREGISTERED_KEEP_US
-          || (!wrk->reported_ended && now_us < wrk->lease_end_us))
+          || (!wrk->reported_ended
+              && now_us < placer_leases_end_us (plc, wrk)))
         continue;
       /* A worker that has not answered may run tasks of an earlier owner.  */
       if (!wrk->settled && !wrk->reported_ended && !plc->takeover_done)
@@ -630,7 +631,7 @@
   plc->claimed_us = clock_now_us (env->clk);
   plc->confirmed_us = set->confirmed_us;
   plc->earlier_leases_end_us = plc->claimed_us + set->confirm_ms * 1000
-                               + placer_lease_span_us (set->lease_ms);
+                               + placer_lease_span_us (set->lease_max_ms);
   for (struct job *job = env->jobs->by_id; job; job = job->hh.next)
     placer_update_job (plc, job, JOB_CHANGE_NEW);
   return plc;
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -85,12 +85,18 @@
   uint32_t absent_lists;    /* consecutive lists of hosts without its host */
   bool hold_failure_logged; /* the last hold failed or was refused; only the
                                first failure in a row is logged */
+  bool long_lease_logged;   /* the last known lease is longer than usual; only
+                               the first such one in a row is logged */
   bool hold_incomplete;     /* the last answer to a hold had unreadable rows */
   int64_t clock_ms;         /* the worker's clock in its last answer; 0: not
                                known */
   int64_t clock_read_us;    /* monotonic time at which clock_ms was received */
-  int64_t lease_end_us; /* the leases of all runs there have expired by then,
-                           unless they are extended */
+  /* The leases that this owner gave there have expired by then, unless they
+     are extended; for all leases see placer_leases_end_us.  */
+  int64_t lease_end_us;
+  /* When this instance first answered a hold: it refuses commands of earlier
+     owners since; 0: not yet.  */
+  int64_t first_answer_us;
   int64_t hold_answered_us; /* when a hold was last answered, at the latest */
   bool hold_in_flight;
   int64_t next_hold_us;
