--- a/test/unit/unit_placer_stop.c
+++ b/test/unit/unit_placer_stop.c
@@ -224,6 +224,56 @@
 }
 END_TEST
 
+/* Guards against a gang that waits for ever (LOST) for the end of one member
+   on a worker that has restarted, while the other runs elsewhere.  */
+START_TEST (test_gang_on_two_instances)
+{
+  static const char *const ids[] = { "w1", "w2" };
+  struct world_call *call;
+  world_add_worker (wld, "w2", BORN_MS);
+  world_enrol_worker (wld, "w2");
+  world_add_job (
+      wld, 2, "{\"steps\":[{\"count\":2,\"cpu\":3000,\"gang\":true}]}", 200);
+  world_confirm_ownership (wld);
+  world_tick (wld, 1);
+  ck_assert_ptr_nonnull (world_call (wld, WORLD_START, "w1"));
+  ck_assert_ptr_nonnull (world_call (wld, WORLD_START, "w2"));
+  uint32_t index = world_call (wld, WORLD_START, "w2")->task.index;
+  world_answer (wld, world_call (wld, WORLD_START, "w1"), COMMAND_NO_ANSWER);
+  world_answer (wld, world_call (wld, WORLD_START, "w1"),
+                COMMAND_LEASE_EXPIRED);
+  world_answer (wld, world_call (wld, WORLD_STOP, "w1"), COMMAND_DONE);
+  world_answer (wld, world_call (wld, WORLD_START, "w2"), COMMAND_DONE);
+  world_confirm_ownership (wld);
+  world_tick (wld, 50);
+  /* Only w1 restarts.  */
+  world_add_worker (wld, "w1", NEXT_BORN_MS);
+  bool stopped = false;
+  for (int n = 0; n < AGAIN_MS / 50 && world_starts (wld, 2, index) < 2; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 50);
+      for (int k = 0; k < 2; k++)
+        {
+          const struct world_row row = { .job = 2, .index = index, .run = 1 };
+          while ((call = world_call (wld, WORLD_STOP, ids[k])))
+            {
+              stopped = stopped || k == 1;
+              world_answer (wld, call, COMMAND_DONE);
+            }
+          wld->hold_born_ms = k == 0 ? NEXT_BORN_MS : BORN_MS;
+          if (world_call (wld, WORLD_HOLD, ids[k]))
+            world_answer_hold (wld, ids[k], &row, k == 1 && !stopped, NULL, 0);
+        }
+    }
+  ck_assert (stopped);
+  ck_assert_ptr_nonnull (world_call (wld, WORLD_START, "w1"));
+  call = world_call (wld, WORLD_START, "w2");
+  ck_assert_ptr_nonnull (call);
+  ck_assert_uint_eq (call->run, world_call (wld, WORLD_START, "w1")->run);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -235,6 +285,7 @@
   tcase_add_loop_test (tc, test_unanswered_start_of_known_run, 0, 4);
   tcase_add_loop_test (tc, test_hold_beside_stop_of_unknown_run, 0, 2);
   tcase_add_loop_test (tc, test_stop_repeated, 0, 6);
+  tcase_add_test (tc, test_gang_on_two_instances);
   Suite *suite = suite_create ("placer_stop");
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
