test/soak: workers that restart under their ids, are cut off, and whose owner is killed

Workers of the soak start again under their ids while calls are on their way, with a clock that is behind or ahead of the former one and a drift of its own; new connections are refused, hang, or are queued for the next instance, open ones are reset or silent. Some restart twice in a row. With restart-cut-kill they are cut off soon after and run on, while the owner is killed. Part of the jobs last 2.5 to 15 s.

--- a/test/soak/clients.c
+++ b/test/soak/clients.c
@@ -28,6 +28,10 @@
 #define ASK_PROCESSES 8
 #define LONG_MIN_MS 2500 /* work of an item of a burst */
 #define LONG_MAX_MS 7000
+/* Jobs whose runs outlive a lease; a few beside the others.  */
+#define LASTING_SHARE 0.25
+#define LASTING_MIN_MS 2500
+#define LASTING_MAX_MS 15000
 
 static struct traffic traffic;
 static struct rng rng;
@@ -502,6 +506,10 @@
   if (job->route)
     job->pool = 0;
   make_steps (job);
+  if (traffic.long_jobs && !job->perpetual
+      && soak_draw (&burst_rng) < LASTING_SHARE)
+    job->steps[0].work_ms
+        = soak_between (&burst_rng, LASTING_MIN_MS, LASTING_MAX_MS);
   return job;
 }
 
--- a/test/soak/clients.h
+++ b/test/soak/clients.h
@@ -9,7 +9,8 @@
 {
   uint64_t seed;
   int pools;
-  int rate; /* jobs a second */
+  int rate;       /* jobs a second */
+  bool long_jobs; /* a part of them outlives a lease */
 };
 
 /* Writes the first config; must precede the processes.  SPARE: with a spare
--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -6,6 +6,7 @@
 
 #include "test/soak/clients.h"
 #include "test/soak/cuts.h"
+#include "test/soak/instances.h"
 #include "test/soak/judge.h"
 #include "test/soak/net.h"
 #include "test/soak/process.h"
@@ -30,6 +31,7 @@
 #define CUT_FAULTS                                                            \
   (BIT (FAULT_CUT) | BIT (FAULT_SILENCE) | BIT (FAULT_WORKER_HANG)            \
    | BIT (FAULT_WORKER_SILENCE))
+#define RESTARTS (BIT (FAULT_RESTART) | BIT (FAULT_RESTART_CUT_KILL))
 #define INCIDENT (BIT (FAULT_LOSE) | BIT (FAULT_REJECT) | BIT (FAULT_RESET))
 
 struct name
@@ -62,6 +64,8 @@
   { "worker-hang", BIT (FAULT_WORKER_HANG) },
   { "worker-silence", BIT (FAULT_WORKER_SILENCE) },
   { "hup", BIT (FAULT_HUP) },
+  { "restart", BIT (FAULT_RESTART) },
+  { "restart-cut-kill", BIT (FAULT_RESTART_CUT_KILL) },
   { "waves", BIT (FAULT_WAVES) },
   { "none", 0 },
   { "incident", INCIDENT },
@@ -69,6 +73,7 @@
   { "processes", PROCESS_FAULTS },
   { "workers", WORKER_FAULTS },
   { "cuts", CUT_FAULTS | BIT (FAULT_CONFIG) },
+  { "instances", RESTARTS },
   { "all", BIT (FAULT_WAVES) - 1 },
   { NULL, 0 },
 };
@@ -411,6 +416,10 @@
           .worker_silence = set & BIT (FAULT_WORKER_SILENCE),
           .config = set & BIT (FAULT_CONFIG) };
   cuts_start (&cuts, seed, start_ms);
+  const struct instances ins
+      = { .restart = set & BIT (FAULT_RESTART),
+          .cut_kill = set & BIT (FAULT_RESTART_CUT_KILL) };
+  instances_start (&ins, seed, start_ms);
   hup_rng = rng_make (seed, "hup");
   if (set & BIT (FAULT_HUP))
     net_after (start_ms, plan_hup, NULL);
@@ -423,4 +432,5 @@
 {
   stopped = true;
   cuts_stop ();
+  instances_stop ();
 }
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -34,7 +34,10 @@
   FAULT_SILENCE,
   FAULT_WORKER_HANG,
   FAULT_WORKER_SILENCE,
-  FAULT_HUP,   /* SIGHUP; not an impairment */
+  FAULT_HUP, /* SIGHUP; not an impairment */
+  /* see instances.h */
+  FAULT_RESTART,
+  FAULT_RESTART_CUT_KILL,
   FAULT_WAVES, /* see waves.h; not an impairment */
   FAULT_COUNT,
 };
--- /dev/null
+++ b/test/soak/instances.c
@@ -0,0 +1,277 @@
+#include "test/soak/instances.h"
+
+#include <stdlib.h>
+
+#include "test/soak/judge.h"
+#include "test/soak/net.h"
+#include "test/soak/process.h"
+#include "test/soak/store.h"
+#include "test/soak/worker.h"
+
+#define ZONES 3
+#define DOWN_MIN_MS 200
+#define DOWN_MAX_MS 3000
+
+/* How a worker is cut off.  */
+enum form
+{
+  FORM_DROPPED, /* connects work, and what arrives is dropped */
+  FORM_SILENT,  /* connects hang, open connections are silent for good */
+  FORM_HELD,    /* connects hang, what open connections carry is held up */
+  FORM_COUNT,
+};
+
+static const char *const form_names[]
+    = { "all dropped", "silent for good", "held up" };
+static const char *const outage_names[] = { "refused", "hang", "queued" };
+
+/* What happens to the workers of one episode.  Times are in milliseconds.  */
+struct plan
+{
+  double lose;       /* share of answers that are lost before the restart */
+  int64_t lose_ms;   /* for how long */
+  int64_t outage_ms; /* between two instances */
+  enum outage outage;
+  bool dark;     /* connections of the instance that ends are silent */
+  int restarts;  /* in a row */
+  int64_t up_ms; /* of each instance but the last */
+  int64_t beat_ms;
+  bool cut;
+  int64_t cut_after_ms, cut_ms; /* after the last restart */
+  enum form form;
+  int64_t kill_after_ms, down_ms; /* after the last restart; -1: no kill */
+  bool kill_starter;    /* of the last task; otherwise the workers' owner */
+  int64_t next_kill_ms; /* until its successor is killed; -1: it is not */
+};
+
+/* Of one worker.  */
+struct episode
+{
+  struct plan plan;
+  struct worker *wrk;
+  unsigned instance;
+  size_t impairment;
+};
+
+/* The kills of an episode.  */
+struct kills
+{
+  struct plan plan;
+  struct worker *wrk;
+  int64_t token; /* of its last owner that is known */
+};
+
+static struct instances enabled;
+static bool stopped;
+static struct rng plan_rng;
+static bool is_hit[WORKERS_MAX];
+
+static void
+end_episode (struct episode *eps)
+{
+  is_hit[eps->wrk->index] = false;
+  impair_end (eps->impairment);
+  free (eps);
+}
+
+static void
+end_cut (void *arg)
+{
+  struct episode *eps = arg;
+  struct worker *wrk = eps->wrk;
+  wrk->fault.cut = false;
+  net_hang (wrk->srv, false);
+  if (eps->plan.form == FORM_HELD)
+    net_hold (wrk->srv, false);
+  worker_cut (wrk, false);
+  end_episode (eps);
+}
+
+static void
+begin_cut (void *arg)
+{
+  struct episode *eps = arg;
+  struct worker *wrk = eps->wrk;
+  if (!wrk->up || wrk->instance != eps->instance || stopped)
+    {
+      end_episode (eps);
+      return;
+    }
+  wrk->fault.cut = eps->plan.form == FORM_DROPPED;
+  worker_cut (wrk, true);
+  if (eps->plan.form != FORM_DROPPED)
+    net_hang (wrk->srv, true);
+  if (eps->plan.form == FORM_SILENT)
+    net_silence_all (wrk->srv, false);
+  if (eps->plan.form == FORM_HELD)
+    net_hold (wrk->srv, true);
+  net_after (eps->plan.cut_ms, end_cut, eps);
+}
+
+static void halt (void *arg);
+
+static void
+resume (void *arg)
+{
+  struct episode *eps = arg;
+  bool resumed = worker_resume (eps->wrk, eps->plan.beat_ms);
+  eps->instance = eps->wrk->instance;
+  if (resumed && --eps->plan.restarts > 0)
+    net_after (eps->plan.up_ms, halt, eps);
+  else if (resumed && eps->plan.cut)
+    net_after (eps->plan.cut_after_ms, begin_cut, eps);
+  else
+    end_episode (eps);
+}
+
+static void
+halt (void *arg)
+{
+  struct episode *eps = arg;
+  struct worker *wrk = eps->wrk;
+  wrk->fault.lose = 0;
+  if (!wrk->up || wrk->instance != eps->instance)
+    {
+      end_episode (eps);
+      return;
+    }
+  worker_halt (wrk, eps->plan.dark, eps->plan.outage);
+  net_after (eps->plan.outage_ms, resume, eps);
+}
+
+static void
+begin_episode (struct worker *wrk, const struct plan *plan)
+{
+  struct episode *eps = calloc (1, sizeof *eps);
+  *eps = (struct episode){
+    .plan = *plan,
+    .wrk = wrk,
+    .instance = wrk->instance,
+    .impairment = impair_begin (IMPAIRED_WORKER, wrk->index),
+  };
+  is_hit[wrk->index] = true;
+  wrk->fault.lose = plan->lose;
+  net_after (plan->lose_ms, halt, eps);
+}
+
+/* Kills the process that gave orders last.  */
+static void
+kill_owner (void *arg)
+{
+  struct kills *kls = arg;
+  const struct plan *plan = &kls->plan;
+  if (kls->wrk->token > 0)
+    kls->token = kls->wrk->token;
+  int victim = plan->kill_starter ? judge_last_starter ()
+                                  : store_claimant (kls->token);
+  if (!stopped && victim >= 0)
+    process_kill (victim, plan->down_ms);
+  if (plan->next_kill_ms < 0 || stopped)
+    {
+      free (kls);
+      return;
+    }
+  net_after (plan->next_kill_ms, kill_owner, kls);
+  kls->plan.next_kill_ms = -1;
+  kls->plan.kill_starter = true;
+}
+
+static struct plan
+draw_plan (struct rng *rng)
+{
+  bool loses = soak_draw (rng) < 0.5, again = soak_draw (rng) < 0.35;
+  bool both = enabled.restart && enabled.cut_kill;
+  bool cut = soak_draw (rng) < 0.75, next = soak_draw (rng) < 0.25;
+  struct plan plan = {
+    .lose = loses ? 0.2 + 0.8 * soak_draw (rng) : 0,
+    .lose_ms = soak_between (rng, 10, 900),
+    .outage_ms = soak_between (rng, 0, 1000),
+    .outage = (enum outage)soak_between (rng, 0, OUTAGE_COUNT - 1),
+    .dark = soak_draw (rng) < 0.75,
+    .restarts = again ? 2 : 1,
+    .up_ms = soak_between (rng, 20, 900),
+    .beat_ms = soak_between (rng, 0, 1500),
+    .cut = enabled.cut_kill && (!both || cut),
+    .cut_after_ms = soak_between (rng, 100, 1900),
+    .cut_ms = soak_between (rng, 3000, 13000),
+    .form = (enum form)soak_between (rng, 0, FORM_COUNT - 1),
+    .down_ms = soak_between (rng, DOWN_MIN_MS, DOWN_MAX_MS),
+    .kill_starter = soak_draw (rng) < 0.3,
+    .next_kill_ms = next ? soak_between (rng, 300, 5000) : -1,
+  };
+  int64_t after = soak_between (rng, -1000, 500);
+  plan.kill_after_ms = plan.cut_after_ms + after;
+  if (plan.kill_after_ms < 0)
+    plan.kill_after_ms = 0;
+  return plan;
+}
+
+static bool
+may_hit (const struct worker *wrk)
+{
+  const struct worker_fault *flt = &wrk->fault;
+  return wrk->up && !is_hit[wrk->index] && !wrk->away && !wrk->in_upkeep
+         && !flt->cut && !flt->one_way && flt->lose <= 0;
+}
+
+static void
+plan_episode (void *arg)
+{
+  struct rng *rng = &plan_rng;
+  struct plan plan = draw_plan (rng);
+  double scope = soak_draw (rng), share = 0.1 + 0.3 * soak_draw (rng);
+  int zone = (int)soak_between (rng, 0, ZONES - 1);
+  int64_t next_ms = soak_draw (rng) < 0.5 ? soak_between (rng, 300, 2500)
+                                          : soak_between (rng, 3000, 6000);
+  struct worker *first = NULL;
+  int count = 0;
+  if (stopped)
+    return;
+  for (size_t n = 0; n < worker_count; n++)
+    {
+      struct worker *wrk = &workers[n];
+      bool hit = soak_draw (rng) < share;
+      if (scope < 0.4)
+        hit = wrk->zone[5] == 'a' + zone;
+      if (!hit || !may_hit (wrk))
+        continue;
+      if (!first)
+        first = wrk;
+      count++;
+      begin_episode (wrk, &plan);
+    }
+  net_after (next_ms, plan_episode, NULL);
+  if (!first)
+    return;
+  int64_t all_ms = plan.lose_ms + plan.outage_ms
+                   + (plan.restarts - 1) * (plan.up_ms + plan.outage_ms);
+  soak_log ("fault: %s and %d more start again in %ld ms, %d times, out for "
+            "%ld ms (connects %s), open connections %s, answers lost %.2f",
+            first->id, count - 1, (long)plan.lose_ms, plan.restarts,
+            (long)plan.outage_ms, outage_names[plan.outage],
+            plan.dark ? "silent" : "reset", plan.lose);
+  if (!plan.cut)
+    return;
+  soak_log ("fault: they are cut off %ld ms after that for %ld ms, %s; their "
+            "owner is killed %ld ms after that",
+            (long)plan.cut_after_ms, (long)plan.cut_ms, form_names[plan.form],
+            (long)plan.kill_after_ms);
+  struct kills *kls = calloc (1, sizeof *kls);
+  *kls = (struct kills){ .plan = plan, .wrk = first, .token = first->token };
+  net_after (all_ms + plan.kill_after_ms, kill_owner, kls);
+}
+
+void
+instances_start (const struct instances *ins, uint64_t seed, int64_t start_ms)
+{
+  enabled = *ins;
+  plan_rng = rng_make (seed, "instances");
+  if (enabled.restart || enabled.cut_kill)
+    net_after (start_ms, plan_episode, NULL);
+}
+
+void
+instances_stop (void)
+{
+  stopped = true;
+}
--- a/test/soak/judge.c
+++ b/test/soak/judge.c
@@ -64,6 +64,7 @@
 static size_t span_count, span_size;
 static struct rule_count rules[RULES_MAX];
 static size_t rule_count, broken_count, start_count;
+static int last_starter = -1;
 
 void
 judge_broken (const char *rule, const char *format, ...)
@@ -291,6 +292,7 @@
   int step = 0, starter = store_claimant (start->token);
   struct task_fact *task = job ? find_task (job, start->task, &step) : NULL;
   start_count++;
+  last_starter = starter;
   if (!task)
     {
       judge_broken ("UNASKED", "%.60s starts on %s by %s; no client sent it",
@@ -310,6 +312,12 @@
   return run;
 }
 
+int
+judge_last_starter (void)
+{
+  return last_starter;
+}
+
 void
 judge_end (struct run_fact *run, const char *how)
 {
--- a/test/soak/judge.h
+++ b/test/soak/judge.h
@@ -103,6 +103,8 @@
   bool late;
 };
 struct run_fact *judge_start (const struct start *start);
+/* The process that started a task last, or -1.  */
+int judge_last_starter (void);
 void judge_end (struct run_fact *run, const char *how);
 /* Duration of a run; -1: until it is stopped.  FAILS tells how it ends.  */
 int64_t judge_work_ms (const char *task, int64_t number, bool *fails);
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -230,6 +230,12 @@
   return fault_set & 1U << FAULT_WAVES;
 }
 
+static bool
+has_restarts (void)
+{
+  return fault_set & (1U << FAULT_RESTART | 1U << FAULT_RESTART_CUT_KILL);
+}
+
 static void
 begin_traffic (void *arg)
 {
@@ -243,7 +249,8 @@
   soak_log ("all processes are ready");
   const struct traffic traffic = { .seed = (uint64_t)set.seed,
                                    .pools = (int)set.pools,
-                                   .rate = (int)set.rate };
+                                   .rate = (int)set.rate,
+                                   .long_jobs = has_restarts () };
   clients_start (&traffic);
   faults_start (fault_set, (uint64_t)set.seed, WARM_UP_MS);
   if (has_waves ())
--- a/test/soak/worker.c
+++ b/test/soak/worker.c
@@ -18,6 +18,12 @@
 #define PLACE_AGE_MS 3000 /* until a new worker counts as a place */
 #define LATE_MIN_MS 1000
 #define LATE_MAX_MS 4000
+/* First values of an instance's clock: after a boot, anywhere, or near the
+   clock of the instance before.  */
+#define CLOCK_BOOT_MAX_MS 2000
+#define CLOCK_FAR_MAX_MS 10000000
+#define CLOCK_NEAR_MS 15000
+#define CLOCK_SLOW_PERMILLE 980
 
 struct worker workers[WORKERS_MAX];
 size_t worker_count;
@@ -34,7 +40,8 @@
 static int64_t
 clock_of (const struct worker *wrk)
 {
-  return (net_now () - wrk->begun) * wrk->clock_permille / 1000 + 1000;
+  return wrk->first_clock
+         + (net_now () - wrk->begun) * wrk->clock_permille / 1000;
 }
 
 static void
@@ -355,7 +362,9 @@
   struct worker *wrk = arg;
   const struct worker_fault *flt = &wrk->fault;
   bool hold = strcmp (req->path, "/v1/hold") == 0;
-  if (strcmp (req->path, "/health") == 0)
+  if (!wrk->up)
+    net_silence (req->conn);
+  else if (strcmp (req->path, "/health") == 0)
     net_reply (req->conn, 200, "text/plain", "", 0);
   else if (*req->instance && strcmp (req->instance, wrk->id) != 0)
     reply_command (wrk, req->conn, 421, "instance");
@@ -418,7 +427,7 @@
   struct net_link *link = net_link_of (wrk->srv);
   link->drop_in = wrk->fault.cut;
   link->drop_out = wrk->fault.cut || wrk->fault.one_way;
-  link->refuse = !wrk->up;
+  link->refuse = !wrk->up && wrk->outage == OUTAGE_REFUSED;
   if (wrk->up && !wrk->fault.cut && !wrk->away)
     wrk->silent_since = 0;
   else if (!wrk->silent_since)
@@ -432,10 +441,30 @@
   worker_faults_changed (wrk);
 }
 
+/* The clock of a new instance is behind or ahead of the one before.  */
+static int64_t
+draw_clock (const struct worker *wrk)
+{
+  struct rng *rng = &soak_call_rng;
+  double draw = soak_draw (rng);
+  if (wrk->instance > 0 && draw < 0.5)
+    return soak_between (rng, 0, CLOCK_BOOT_MAX_MS);
+  if (wrk->instance == 0 || draw < 0.7)
+    return soak_between (rng, 0, CLOCK_FAR_MAX_MS);
+  int64_t clock = clock_of (wrk);
+  int64_t least = clock < CLOCK_NEAR_MS ? 0 : clock - CLOCK_NEAR_MS;
+  return soak_between (rng, least, clock + CLOCK_NEAR_MS);
+}
+
 static void
 begin_instance (struct worker *wrk, int64_t beat_ms)
 {
   wrk->up = true;
+  wrk->halted = false;
+  wrk->outage = OUTAGE_REFUSED;
+  wrk->first_clock = draw_clock (wrk);
+  wrk->clock_permille
+      = (int)soak_between (&soak_call_rng, CLOCK_SLOW_PERMILLE, 1000);
   wrk->born = net_wall ();
   wrk->begun = net_now ();
   wrk->instance++;
@@ -447,14 +476,21 @@
 }
 
 static void
-end_instance (struct worker *wrk, const char *state)
+drop_instance (struct worker *wrk, enum outage outage)
 {
   for (size_t n = 0; n < wrk->run_count; n++)
     judge_end (wrk->runs[n].fact, "gone");
-  wrk->up = false;
+  wrk->up = wrk->halted = false;
+  wrk->outage = outage;
   wrk->run_count = wrk->end_count = 0;
   wrk->waiting.fd = -1;
   worker_faults_changed (wrk);
+}
+
+static void
+end_instance (struct worker *wrk, const char *state)
+{
+  drop_instance (wrk, OUTAGE_REFUSED);
   net_reset_all (wrk->srv);
   store_machine_state (wrk->machine, state, pool_name (wrk->pool), "");
 }
@@ -478,6 +514,34 @@
   store_machine_state (wrk->machine, "up", pool_name (wrk->pool), wrk->id);
 }
 
+void
+worker_halt (struct worker *wrk, bool dark, enum outage outage)
+{
+  drop_instance (wrk, outage);
+  wrk->halted = true;
+  if (outage == OUTAGE_HANGS)
+    net_hang (wrk->srv, true);
+  if (dark)
+    net_silence_all (wrk->srv, false);
+  else
+    net_reset_all (wrk->srv);
+  if (outage == OUTAGE_QUEUED)
+    net_hold (wrk->srv, true);
+}
+
+bool
+worker_resume (struct worker *wrk, int64_t beat_ms)
+{
+  bool halted = wrk->halted;
+  enum outage outage = wrk->outage;
+  if (halted)
+    begin_instance (wrk, beat_ms);
+  net_hang (wrk->srv, false);
+  if (outage == OUTAGE_QUEUED)
+    net_hold (wrk->srv, false);
+  return halted;
+}
+
 /* The machine's new worker joins the pool.  */
 static void
 finish_move (void *arg)
@@ -533,7 +597,6 @@
   snprintf (wrk->machine, sizeof wrk->machine, "m-%02d", wrk->index);
   snprintf (wrk->zone, sizeof wrk->zone, "zone-%c", 'a' + zone);
   snprintf (wrk->rack, sizeof wrk->rack, "r-%d", zone);
-  wrk->clock_permille = (int)soak_between (&soak_call_rng, 980, 1000);
   wrk->srv = net_listen (&wrk->port, on_call, wrk);
   store_machine (wrk->machine, pool_name (pool), wrk->zone, "plain", wrk->rack,
                  wrk->cpu, wrk->mem, wrk->id);
--- a/test/soak/worker.h
+++ b/test/soak/worker.h
@@ -38,6 +38,15 @@
   int64_t run;
 };
 
+/* What becomes of new connections while a worker starts again.  */
+enum outage
+{
+  OUTAGE_REFUSED,
+  OUTAGE_HANGS,  /* connects hang, see net_hang */
+  OUTAGE_QUEUED, /* what they carry reaches the next instance */
+  OUTAGE_COUNT,
+};
+
 struct worker_fault
 {
   bool cut;     /* nothing arrives and nothing leaves; what runs goes on */
@@ -54,10 +63,13 @@
   int cpu, mem;
   bool up, listed, in_upkeep;
   struct worker_fault fault;
-  bool away; /* cut off, see worker_cut */
+  bool away;   /* cut off, see worker_cut */
+  bool halted; /* see worker_halt */
+  enum outage outage;
   struct server *srv;
   int64_t born;  /* Unix time of the instance's start */
   int64_t begun; /* the worker's clock counts from here */
+  int64_t first_clock;
   int64_t silent_since;
   unsigned instance; /* counts the instances */
   unsigned renamed;  /* counts the ids */
@@ -102,6 +114,13 @@
 /* A new instance on the same machine; it writes its entry BEAT_MS later.
    NEW_ID: under another id.  */
 void worker_restart (struct worker *wrk, int64_t beat_ms, bool new_id);
+/* Ends the instance at once, without a word to anyone: its entry and the
+   machine's state stay.  Open connections are reset, or silent for good if
+   DARK.  Nothing is done until worker_resume.  */
+void worker_halt (struct worker *wrk, bool dark, enum outage outage);
+/* A new instance under the same id, if the worker is halted still.  Returns
+   whether it is.  */
+bool worker_resume (struct worker *wrk, int64_t beat_ms);
 /* Processor time of the pool's workers that are up, and how much of it is in
    use; returns the most that is free on one worker.  */
 int64_t worker_room (int pool, int64_t *all, int64_t *used);
