test/soak: a start of a run that is there takes its lease end too

The stand-in answered 200 to a repeated start without applying due-ms; "it applies to everything that runs on that worker" names no exception (PROTOCOL.md, Running work items).

--- a/test/soak/worker.c
+++ b/test/soak/worker.c
@@ -218,9 +218,9 @@
 static const char *
 start_run (struct worker *wrk, const struct order *ord)
 {
+  extend_lease (wrk, ord->due);
   if (find_run (wrk, ord->task, ord->number))
     return NULL;
-  extend_lease (wrk, ord->due);
   for (size_t n = 0; n < wrk->stopped_count; n++)
     if (strcmp (wrk->stopped[n].task, ord->task) == 0
         && ord->number <= wrk->stopped[n].run)
