test/soak: a lease that is over ends all runs before a call extends it

The stand-in ended runs at its next tick of 20 ms, so that a call in between revived them; "when the lease expires, everything is killed" (PROTOCOL.md, Running work items).

--- a/test/soak/worker.c
+++ b/test/soak/worker.c
@@ -153,6 +153,17 @@
     answer_hold (wrk);
 }
 
+/* Ends all runs if the lease is over, and remembers the time of the look.  */
+static void
+look_at_lease (struct worker *wrk)
+{
+  if (clock_of (wrk) < wrk->due)
+    return;
+  wrk->lapsed = net_now ();
+  while (wrk->run_count > 0)
+    end_run (wrk, wrk->run_count - 1, "lapsed");
+}
+
 static void
 reply_command (struct worker *wrk, struct conn_ref conn, int status,
                const char *reason)
@@ -167,14 +178,6 @@
   net_reply (conn, status, "application/json", text, strlen (text));
 }
 
-/* Remembers when the lease was over; the time is that of the look.  */
-static void
-look_at_lease (struct worker *wrk)
-{
-  if (clock_of (wrk) >= wrk->due)
-    wrk->lapsed = net_now ();
-}
-
 static void
 extend_lease (struct worker *wrk, int64_t due)
 {
@@ -404,8 +407,6 @@
         write_entry (wrk);
       wrk->next_beat = now + HEARTBEAT_MS;
     }
-  bool lapsed = clock_of (wrk) >= wrk->due;
-  look_at_lease (wrk);
   for (size_t n = wrk->run_count; n-- > 0;)
     {
       const struct run *run = &wrk->runs[n];
@@ -414,9 +415,8 @@
                  run->stopping ? "stopped"
                  : run->fails  ? "failed"
                                : "done");
-      else if (lapsed)
-        end_run (wrk, n, "lapsed");
     }
+  look_at_lease (wrk);
   if (wrk->waiting.fd >= 0 && now >= wrk->wait_until)
     answer_hold (wrk);
 }
