test/soak: orders that the next instance of a worker carries out

An order without an answer may be carried out seconds later (PROTOCOL.md), and Expect-Instance holds the id alone, so that a later instance under the same id may be the one that does it. The fault restart-late does that; orders that are late without it end with their instance, as before.

--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -31,7 +31,9 @@
 #define CUT_FAULTS                                                            \
   (BIT (FAULT_CUT) | BIT (FAULT_SILENCE) | BIT (FAULT_WORKER_HANG)            \
    | BIT (FAULT_WORKER_SILENCE))
-#define RESTARTS (BIT (FAULT_RESTART) | BIT (FAULT_RESTART_CUT_KILL))
+#define RESTARTS                                                              \
+  (BIT (FAULT_RESTART) | BIT (FAULT_RESTART_CUT_KILL)                         \
+   | BIT (FAULT_RESTART_LATE))
 #define INCIDENT (BIT (FAULT_LOSE) | BIT (FAULT_REJECT) | BIT (FAULT_RESET))
 
 struct name
@@ -66,6 +68,7 @@
   { "hup", BIT (FAULT_HUP) },
   { "restart", BIT (FAULT_RESTART) },
   { "restart-cut-kill", BIT (FAULT_RESTART_CUT_KILL) },
+  { "restart-late", BIT (FAULT_RESTART_LATE) },
   { "waves", BIT (FAULT_WAVES) },
   { "none", 0 },
   { "incident", INCIDENT },
@@ -418,7 +421,8 @@
   cuts_start (&cuts, seed, start_ms);
   const struct instances ins
       = { .restart = set & BIT (FAULT_RESTART),
-          .cut_kill = set & BIT (FAULT_RESTART_CUT_KILL) };
+          .cut_kill = set & BIT (FAULT_RESTART_CUT_KILL),
+          .late = set & BIT (FAULT_RESTART_LATE) };
   instances_start (&ins, seed, start_ms);
   hup_rng = rng_make (seed, "hup");
   if (set & BIT (FAULT_HUP))
--- a/test/soak/instances.c
+++ b/test/soak/instances.c
@@ -29,7 +29,8 @@
 struct plan
 {
   double lose;       /* share of answers that are lost before the restart */
-  int64_t lose_ms;   /* for how long */
+  double late;       /* share of orders that are carried out seconds later */
+  int64_t lose_ms;   /* for how long both */
   int64_t outage_ms; /* between two instances */
   enum outage outage;
   bool dark;     /* connections of the instance that ends are silent */
@@ -129,7 +130,7 @@
 {
   struct episode *eps = arg;
   struct worker *wrk = eps->wrk;
-  wrk->fault.lose = 0;
+  wrk->fault.lose = wrk->fault.late = 0;
   if (!wrk->up || wrk->instance != eps->instance)
     {
       end_episode (eps);
@@ -151,6 +152,7 @@
   };
   is_hit[wrk->index] = true;
   wrk->fault.lose = plan->lose;
+  wrk->fault.late = plan->late;
   net_after (plan->lose_ms, halt, eps);
 }
 
@@ -199,6 +201,9 @@
     .kill_starter = soak_draw (rng) < 0.3,
     .next_kill_ms = next ? soak_between (rng, 300, 5000) : -1,
   };
+  double late = soak_draw (rng);
+  if (enabled.late && late < 0.5)
+    plan.late = late;
   int64_t after = soak_between (rng, -1000, 500);
   plan.kill_after_ms = plan.cut_after_ms + after;
   if (plan.kill_after_ms < 0)
@@ -211,7 +216,7 @@
 {
   const struct worker_fault *flt = &wrk->fault;
   return wrk->up && !is_hit[wrk->index] && !wrk->away && !wrk->in_upkeep
-         && !flt->cut && !flt->one_way && flt->lose <= 0;
+         && !flt->cut && !flt->one_way && flt->lose <= 0 && flt->late <= 0;
 }
 
 static void
@@ -246,10 +251,11 @@
   int64_t all_ms = plan.lose_ms + plan.outage_ms
                    + (plan.restarts - 1) * (plan.up_ms + plan.outage_ms);
   soak_log ("fault: %s and %d more start again in %ld ms, %d times, out for "
-            "%ld ms (connects %s), open connections %s, answers lost %.2f",
+            "%ld ms (connects %s), open connections %s, answers lost %.2f, "
+            "orders late %.2f",
             first->id, count - 1, (long)plan.lose_ms, plan.restarts,
             (long)plan.outage_ms, outage_names[plan.outage],
-            plan.dark ? "silent" : "reset", plan.lose);
+            plan.dark ? "silent" : "reset", plan.lose, plan.late);
   if (!plan.cut)
     return;
   soak_log ("fault: they are cut off %ld ms after that for %ld ms, %s; their "
@@ -266,7 +272,8 @@
 {
   enabled = *ins;
   plan_rng = rng_make (seed, "instances");
-  if (enabled.restart || enabled.cut_kill)
+  worker_late_crosses = enabled.late;
+  if (enabled.restart || enabled.cut_kill || enabled.late)
     net_after (start_ms, plan_episode, NULL);
 }
 
--- a/test/soak/instances.h
+++ b/test/soak/instances.h
@@ -10,6 +10,7 @@
 struct instances
 {
   bool restart, cut_kill;
+  bool late; /* orders to an instance are carried out by the next one */
 };
 
 void instances_start (const struct instances *ins, uint64_t seed,
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -233,7 +233,9 @@
 static bool
 has_restarts (void)
 {
-  return fault_set & (1U << FAULT_RESTART | 1U << FAULT_RESTART_CUT_KILL);
+  return fault_set
+         & (1U << FAULT_RESTART | 1U << FAULT_RESTART_CUT_KILL
+            | 1U << FAULT_RESTART_LATE);
 }
 
 static void
--- a/test/soak/worker.c
+++ b/test/soak/worker.c
@@ -28,6 +28,7 @@
 struct worker workers[WORKERS_MAX];
 size_t worker_count;
 int worker_spare_pool = -1;
+bool worker_late_crosses;
 
 const char *
 pool_name (int pool)
@@ -340,7 +341,11 @@
 do_late_order (void *arg)
 {
   struct late_order *late = arg;
-  if (late->wrk->up && late->wrk->instance == late->instance)
+  const struct worker *wrk = late->wrk;
+  bool same
+      = wrk->instance == late->instance
+        || (worker_late_crosses && strcmp (wrk->id, late->req.instance) == 0);
+  if (wrk->up && same)
     handle_order (late->wrk, &late->req, true);
   free (late->req.body);
   free (late);
--- a/test/soak/worker.h
+++ b/test/soak/worker.h
@@ -90,6 +90,10 @@
 extern struct worker workers[WORKERS_MAX];
 extern size_t worker_count;
 
+/* Whether an order that is carried out late may reach the next instance under
+   the same id, which Expect-Instance does not tell from the one before.  */
+extern bool worker_late_crosses;
+
 /* The pool whose machines are off; -1: none.  */
 extern int worker_spare_pool;
 
