test/soak: a data centre is cut off just after an owner that knows too little

Part of the episodes restart all workers of a data centre with a clock that is behind and silent connections, and kill their owner 100 to 600 ms before the cut, so that the next owner reaches none of them.

--- a/test/soak/instances.c
+++ b/test/soak/instances.c
@@ -34,6 +34,7 @@
   int64_t outage_ms; /* between two instances */
   enum outage outage;
   bool dark;     /* connections of the instance that ends are silent */
+  bool boot;     /* the next clock is behind */
   int restarts;  /* in a row */
   int64_t up_ms; /* of each instance but the last */
   int64_t beat_ms;
@@ -115,7 +116,7 @@
 resume (void *arg)
 {
   struct episode *eps = arg;
-  bool resumed = worker_resume (eps->wrk, eps->plan.beat_ms);
+  bool resumed = worker_resume (eps->wrk, eps->plan.beat_ms, eps->plan.boot);
   eps->instance = eps->wrk->instance;
   if (resumed && --eps->plan.restarts > 0)
     net_after (eps->plan.up_ms, halt, eps);
@@ -211,6 +212,20 @@
   return plan;
 }
 
+/* A whole data centre is cut off just after the owner that has not learnt of
+   the restarts in time has ended, so that its successor finds no worker.  */
+static void
+make_blind (struct rng *rng, struct plan *plan)
+{
+  plan->lose = plan->late = 0;
+  plan->dark = plan->boot = plan->cut = true;
+  plan->kill_starter = false;
+  plan->outage_ms = soak_between (rng, 200, 900);
+  plan->cut_after_ms = soak_between (rng, 600, 1800);
+  plan->cut_ms = soak_between (rng, 7000, 11000);
+  plan->kill_after_ms = plan->cut_after_ms - soak_between (rng, 100, 600);
+}
+
 static bool
 may_hit (const struct worker *wrk)
 {
@@ -226,17 +241,20 @@
   struct plan plan = draw_plan (rng);
   double scope = soak_draw (rng), share = 0.1 + 0.3 * soak_draw (rng);
   int zone = (int)soak_between (rng, 0, ZONES - 1);
+  bool blind = soak_draw (rng) < 0.4 && enabled.cut_kill;
   int64_t next_ms = soak_draw (rng) < 0.5 ? soak_between (rng, 300, 2500)
                                           : soak_between (rng, 3000, 6000);
   struct worker *first = NULL;
   int count = 0;
+  if (blind)
+    make_blind (rng, &plan);
   if (stopped)
     return;
   for (size_t n = 0; n < worker_count; n++)
     {
       struct worker *wrk = &workers[n];
       bool hit = soak_draw (rng) < share;
-      if (scope < 0.4)
+      if (scope < 0.4 || blind)
         hit = wrk->zone[5] == 'a' + zone;
       if (!hit || !may_hit (wrk))
         continue;
--- a/test/soak/worker.c
+++ b/test/soak/worker.c
@@ -535,12 +535,14 @@
 }
 
 bool
-worker_resume (struct worker *wrk, int64_t beat_ms)
+worker_resume (struct worker *wrk, int64_t beat_ms, bool boot)
 {
   bool halted = wrk->halted;
   enum outage outage = wrk->outage;
   if (halted)
     begin_instance (wrk, beat_ms);
+  if (halted && boot)
+    wrk->first_clock = 0;
   net_hang (wrk->srv, false);
   if (outage == OUTAGE_QUEUED)
     net_hold (wrk->srv, false);
--- a/test/soak/worker.h
+++ b/test/soak/worker.h
@@ -123,8 +123,8 @@
    DARK.  Nothing is done until worker_resume.  */
 void worker_halt (struct worker *wrk, bool dark, enum outage outage);
 /* A new instance under the same id, if the worker is halted still.  Returns
-   whether it is.  */
-bool worker_resume (struct worker *wrk, int64_t beat_ms);
+   whether it is.  BOOT: with a clock that is behind the one before.  */
+bool worker_resume (struct worker *wrk, int64_t beat_ms, bool boot);
 /* Processor time of the pool's workers that are up, and how much of it is in
    use; returns the most that is free on one worker.  */
 int64_t worker_room (int pool, int64_t *all, int64_t *used);
