--- a/sched/placer.c
+++ b/sched/placer.c
@@ -221,6 +221,15 @@
   placer_drop_earlier_worker (plc, id);
 }
 
+/* Whether REP comes from an earlier instance of the worker than the one that
+   it has reported since, or than the one that has answered.  */
+static bool
+is_late_report (const struct worker *wrk, const struct worker_report *rep)
+{
+  return (wrk->reported_ended && rep->born_ms < wrk->reported_born_ms)
+         || (wrk->earlier_born_ms > 0 && rep->born_ms == wrk->earlier_born_ms);
+}
+
 void
 placer_update_worker (struct placer *plc, const char *id,
                       const struct worker_report *rep)
@@ -228,6 +237,8 @@
   struct worker *wrk = pool_find_id (&plc->pool, id);
   int64_t now_us = clock_now_us (plc->env.clk);
   bool ours = rep && strcmp (rep->pool, plc->set.pool) == 0;
+  if (rep && wrk && is_late_report (wrk, rep))
+    return;
   if (rep)
     end_earlier_instances (plc, rep);
   if (!ours)
@@ -535,7 +546,8 @@
       struct worker *wrk = plc->pool.workers[n];
       if (wrk->registered || wrk->runs || wrk->hold_in_flight
           || now_us < wrk->unregistered_us + UNREGISTERED_KEEP_US
-          || (!wrk->reported_ended && now_us < wrk->lease_end_us))
+          || (!wrk->reported_ended
+              && now_us < placer_leases_end_us (plc, wrk)))
         continue;
       /* A worker that has not answered may run tasks of an earlier owner.  */
       if (!wrk->settled && !wrk->reported_ended && !plc->takeover_done)
@@ -579,6 +591,7 @@
   drop_stale_workers (plc, now_us);
   placer_check_stall (plc, now_us);
   placer_check_unplaced (plc, now_us);
+  placer_check_waits (plc, now_us);
   busy = busy || plc->job_count > 0 || plc->dirty_count > 0;
   return now_us + (busy ? TICK_BUSY_US : TICK_IDLE_US);
 }
@@ -618,7 +631,7 @@
   plc->claimed_us = clock_now_us (env->clk);
   plc->confirmed_us = set->confirmed_us;
   plc->earlier_leases_end_us = plc->claimed_us + set->confirm_ms * 1000
-                               + placer_lease_span_us (set->lease_ms);
+                               + placer_lease_span_us (set->lease_max_ms);
   for (struct job *job = env->jobs->by_id; job; job = job->hh.next)
     placer_update_job (plc, job, JOB_CHANGE_NEW);
   return plc;
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -212,9 +212,19 @@
     run->state = RUN_ACTIVE;
   run->percent = row->percent;
   run->listed_us = sent_us;
+  run->seen_us = now_us;
   store_checkpoint (job, &row->task, tsk, row->checkpoint);
 }
 
+/* Whether the worker may still carry out an earlier start of RUN, which its
+   earlier instance has not answered.  */
+static bool
+may_start_late (const struct run *run)
+{
+  return run->start_tries > 1 && !run->listed_us && !run->stopped_us
+         && run->created_us < run->wrk->known_us;
+}
+
 /* Removes the runs that the worker does not list although it had confirmed
    them, or had acknowledged their stop, before the hold was sent.  */
 static void
@@ -231,6 +241,12 @@
       bool stopped = run->stopped_us && run->stopped_us < sent_us;
       if (!confirmed && !stopped)
         continue;
+      if (may_start_late (run))
+        {
+          run->confirmed_us = 0;
+          placer_stop_run (plc, run);
+          continue;
+        }
       char name[TASK_NAME_MAX];
       task_ref_format (&run->ref, name);
       log_event (plc->env.lg, EV_RUN_LOST, LOG_S ("task", name),
@@ -265,6 +281,8 @@
       wrk->known_us = now_us;
     }
   wrk->instance_seen = true;
+  if (!wrk->first_answer_us)
+    wrk->first_answer_us = now_us;
   placer_note_grant (plc, wrk, ctx->lease_end_ms, res->command.clock_ms,
                      now_us);
   /* The answer may have waited for this process.  */
@@ -322,13 +340,24 @@
 }
 
 /* Whether the answer RES comes from an instance that has been given up since
-   the hold was sent.  It tells nothing about the present one.  */
+   the hold was sent, or from one between that and the present one.  It tells
+   nothing about the present one.  */
 static bool
 is_late_answer (const struct worker *wrk, const struct hold_ctx *ctx,
                 const struct hold_result *res)
 {
   return res->command.status == COMMAND_DONE && res->born_ms > 0
-         && res->born_ms == ctx->born_ms && res->born_ms != wrk->rep.born_ms;
+         && ctx->born_ms != wrk->rep.born_ms
+         && res->born_ms != wrk->rep.born_ms;
+}
+
+/* Whether the numbers of ends that are known here belong to the instance that
+   the next hold reaches.  A new instance would forget ends that it has
+   numbered anew.  */
+static bool
+ends_are_current (const struct worker *wrk)
+{
+  return wrk->instance_seen && wrk->reported_born_ms <= wrk->rep.born_ms;
 }
 
 static bool
@@ -363,11 +392,12 @@
         wrk->unanswered_calls++;
       wrk->next_hold_us = now_us + HOLD_RETRY_US;
       if (res->command.status != COMMAND_DONE && !wrk->hold_failure_logged)
-        log_event (
-            plc->env.lg, EV_WORKER_HOLD_FAILED, LOG_S ("worker", wrk->rep.id),
-            LOG_S ("pool", plc->set.pool),
-            LOG_I ("status", res->command.status),
-            LOG_I ("lease_left_ms", (wrk->lease_end_us - now_us) / 1000));
+        log_event (plc->env.lg, EV_WORKER_HOLD_FAILED,
+                   LOG_S ("worker", wrk->rep.id),
+                   LOG_S ("pool", plc->set.pool),
+                   LOG_I ("status", res->command.status),
+                   LOG_I ("lease_left_ms",
+                          (placer_leases_end_us (plc, wrk) - now_us) / 1000));
       wrk->hold_failure_logged = res->command.status != COMMAND_DONE;
       if (res->command.status == COMMAND_DONE)
         apply_hold (plc, wrk, ctx, res, now_us);
@@ -458,7 +488,7 @@
   /* A later owner could have extended the leases, so the runs are given up
      only if ownership was confirmed after the leases had expired.  */
   if (wrk->runs && wrk->unanswered_calls > 0
-      && plc->confirmed_us > wrk->lease_end_us)
+      && plc->confirmed_us > placer_leases_end_us (plc, wrk))
     placer_drop_expired_runs (plc, wrk);
   if (wrk->hold_in_flight || now_us < wrk->next_hold_us)
     return;
@@ -474,9 +504,7 @@
   ctx->worker = wrk->handle;
   ctx->born_ms = wrk->rep.born_ms;
   ctx->sent_us = now_us;
-  /* A new instance of the worker would forget ends that it has numbered
-     anew.  */
-  ctx->last_seen = wrk->instance_seen ? wrk->durable_end : 0;
+  ctx->last_seen = ends_are_current (wrk) ? wrk->durable_end : 0;
   /* Do not extend the leases of a silent worker: each extension that may still
      arrive would delay the time at which its runs have certainly ended.  */
   ctx->lease_end_ms = wrk->clock_ms > 0 && wrk->unanswered_calls == 0
--- a/sched/placer_instance.c
+++ b/sched/placer_instance.c
@@ -18,7 +18,8 @@
   log_event (plc->env.lg, EV_RUN_LOST, LOG_S ("task", name),
              LOG_I ("run", run->number), LOG_S ("worker", wrk->rep.id),
              LOG_S ("reason", reason),
-             LOG_I ("lease_left_ms", (wrk->lease_end_us - now_us) / 1000),
+             LOG_I ("lease_left_ms",
+                    (placer_leases_end_us (plc, wrk) - now_us) / 1000),
              LOG_I ("confirmed_age_ms", (now_us - plc->confirmed_us) / 1000));
   counter_add (plc->env.ctr, CTR_RUNS_LOST, 1);
   run->tsk->ended_us = now_us;
@@ -54,28 +55,42 @@
 
 /* Gives up the runs that an earlier instance of WRK has listed.  Of the
    others, the new instance may have answered the start, and its next answer to
-   a hold shows whether it runs them; or it may still carry out a start without
-   an answer, which it refuses after it was told to stop the run.  */
+   a hold shows whether it runs them.  A start without an answer may still be
+   carried out by the new instance, until it was told to stop the run.  */
 static void
-drop_earlier_runs (struct placer *plc, struct worker *wrk)
+drop_earlier_runs (struct placer *plc, struct worker *wrk, int64_t born_ms)
 {
   int64_t now_us = clock_now_us (plc->env.clk);
+  uint32_t lost = 0, kept = 0, stops = 0;
   struct run *next;
   for (struct run *run = wrk->runs; run; run = next)
     {
       next = run->next;
+      if (run->listed_us && run->start_tries > 1)
+        {
+          run->listed_us = run->confirmed_us = 0;
+          run->tsk->located_token = 0;
+        }
       if (run->listed_us)
         {
           drop_lost_run (plc, run, "instance_ended");
+          lost++;
           continue;
         }
-      run->stopped_us = 0;
-      run->stop_sent = false;
       if (run->confirmed_us)
         run->confirmed_us = now_us;
-      else
-        placer_stop_run (plc, run);
+      if (run->stop_wanted || !run->confirmed_us)
+        placer_make_stop_due (plc, run);
+      stops += run->stop_wanted;
+      kept += !run->stop_wanted;
     }
+  log_event (
+      plc->env.lg, EV_WORKER_RESTARTED, LOG_S ("worker", wrk->rep.id),
+      LOG_S ("pool", plc->set.pool), LOG_I ("old_born_ms", wrk->rep.born_ms),
+      LOG_I ("born_ms", born_ms),
+      LOG_S ("seen", wrk->reported_ended ? "report" : "answer"),
+      LOG_I ("after_ms", (now_us - wrk->ended_us) / 1000),
+      LOG_I ("lost", lost), LOG_I ("kept", kept), LOG_I ("stops", stops));
   wrk->next_hold_us = 0;
 }
 
@@ -85,9 +100,13 @@
 begin_instance (struct worker *wrk, int64_t born_ms, int64_t now_us)
 {
   if (born_ms != wrk->rep.born_ms)
-    wrk->known_us = now_us;
+    {
+      wrk->known_us = now_us;
+      wrk->earlier_born_ms = wrk->rep.born_ms;
+    }
   wrk->applied_end = wrk->flushing_end = wrk->durable_end = wrk->acked_end = 0;
   wrk->instance_seen = false;
+  wrk->first_answer_us = 0;
   wrk->ended_us = 0;
   wrk->reported_ended = false;
   wrk->rep.born_ms = born_ms;
@@ -109,7 +128,7 @@
     wrk->clock_ms = 0;
   if (born_ms != wrk->rep.born_ms && born_ms > 0)
     {
-      drop_earlier_runs (plc, wrk);
+      drop_earlier_runs (plc, wrk, born_ms);
       begin_instance (wrk, born_ms, clock_now_us (plc->env.clk));
       return true;
     }
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -32,15 +32,19 @@
   int start_tries;
   int64_t start_sent_us; /* when its start was last sent */
   bool stop_wanted;
-  bool stop_sent;
-  int64_t stopped_us; /* when the stop was acknowledged; 0: not yet */
-  bool preempted;     /* selected to be stopped for a perpetual task */
+  int64_t stop_wanted_us; /* when it was first wanted */
+  bool stop_sent;         /* it is in flight */
+  int64_t stop_sent_us;   /* when it was last sent; 0: not yet */
+  int64_t stopped_us;     /* when the stop was acknowledged; 0: not yet */
+  bool preempted;         /* selected to be stopped for a perpetual task */
   bool unwanted; /* not the current run of its task; it is being stopped */
   /* Commands in flight; a removed run is freed after the last of them.  */
   int calls_in_flight;
-  bool removed;      /* no longer in its worker's list */
-  int64_t listed_us; /* when the last hold that listed it was sent */
-  bool moving;       /* capacity was reserved elsewhere to empty its host */
+  bool removed;             /* no longer in its worker's list */
+  int64_t listed_us;        /* when the last hold that listed it was sent */
+  int64_t seen_us;          /* when that hold was answered */
+  int64_t wait_reported_us; /* when it was last reported to wait */
+  bool moving; /* capacity was reserved elsewhere to empty its host */
 };
 
 struct worker
@@ -58,6 +62,9 @@
   /* Start of the instance in the last report; rep.born_ms is that of the
      instance which the runs belong to.  */
   int64_t reported_born_ms;
+  /* Start of the instance before the one that the runs belong to; 0: not
+     known.  It may be the later time, as the time of day may be set back.  */
+  int64_t earlier_born_ms;
   bool reported_ended; /* a source other than the worker reported the end of
                           this instance */
   /* When the end of the worker's instance was learnt; 0: it is running.  Its
@@ -78,12 +85,18 @@
   uint32_t absent_lists;    /* consecutive lists of hosts without its host */
   bool hold_failure_logged; /* the last hold failed or was refused; only the
                                first failure in a row is logged */
+  bool long_lease_logged;   /* the last known lease is longer than usual; only
+                               the first such one in a row is logged */
   bool hold_incomplete;     /* the last answer to a hold had unreadable rows */
   int64_t clock_ms;         /* the worker's clock in its last answer; 0: not
                                known */
   int64_t clock_read_us;    /* monotonic time at which clock_ms was received */
-  int64_t lease_end_us; /* the leases of all runs there have expired by then,
-                           unless they are extended */
+  /* The leases that this owner gave there have expired by then, unless they
+     are extended; for all leases see placer_leases_end_us.  */
+  int64_t lease_end_us;
+  /* When this instance first answered a hold: it refuses commands of earlier
+     owners since; 0: not yet.  */
+  int64_t first_answer_us;
   int64_t hold_answered_us; /* when a hold was last answered, at the latest */
   bool hold_in_flight;
   int64_t next_hold_us;
