--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -93,6 +93,14 @@
   bool waits;          /* it was found so by the last check */
 };
 
+/* Kinds of waits of runs that are reported; each has a limit of its own.  */
+enum wait_kind
+{
+  WAIT_OTHER,
+  WAIT_LEASE, /* ends with the run's lease */
+  WAIT_KINDS  /* number of these */
+};
+
 struct placer
 {
   struct placer_settings set;
@@ -187,8 +195,12 @@
   int64_t next_unplaced_check_us;
   int64_t unplaced_reports_us; /* start of the time that has a limit of them */
   uint32_t unplaced_reports;   /* since then */
-  int calls_in_flight;         /* commands and appends */
-  bool closing;                /* destroyed; freed when no call is in flight */
+  /* Report on runs that wait.  */
+  int64_t next_waits_check_us;
+  int64_t wait_reports_us; /* start of the time that has a limit of them */
+  uint32_t wait_reports[WAIT_KINDS]; /* since then */
+  int calls_in_flight;               /* commands and appends */
+  bool closing; /* destroyed; freed when no call is in flight */
 };
 
 /* What the answer to a call is compared with, or its lack.  */
@@ -220,6 +232,9 @@
 /* Marks RUN to be stopped and sends the stop; placer_send_stops repeats it
    until the worker has acknowledged it.  */
 void placer_stop_run (struct placer *plc, struct run *run);
+/* Marks RUN to be stopped.  Its stop is due at the worker's present instance,
+   whatever earlier instances have acknowledged.  */
+void placer_make_stop_due (struct placer *plc, struct run *run);
 /* Sends the wanted stops that have not been acknowledged.  */
 void placer_send_stops (struct placer *plc, struct worker *wrk);
 /* Takes over a run that the worker lists and that is not known here, such as
@@ -355,6 +370,10 @@
    workers are no place for them.  */
 void placer_check_unplaced (struct placer *plc, int64_t now_us);
 
+/* placer_waits.c */
+/* Logs which runs have waited for some time, and for what.  */
+void placer_check_waits (struct placer *plc, int64_t now_us);
+
 /* placer_preempt.c */
 /* Reserves the resources for a task on WRK.  */
 void placer_reserve (struct task *tsk, const struct step *stp,
