--- a/sched/placer_instance.c
+++ b/sched/placer_instance.c
@@ -125,11 +125,11 @@
   /* The worker answers, so the report that it has ended may be wrong.  */
   if (wrk->reported_ended && wrk->reached && wrk->unanswered_calls == 0)
     return false;
-  /* The clock of the next instance begins anew.  */
-  if (wrk->reported_ended)
-    placer_forget_clock (plc, wrk);
   if (born_ms != wrk->rep.born_ms && born_ms > 0)
     {
+      /* The clock of the next instance begins anew; an answer has told it.  */
+      if (wrk->reported_ended)
+        placer_forget_clock (plc, wrk);
       drop_earlier_runs (plc, wrk, born_ms);
       begin_instance (wrk, born_ms, clock_now_us (plc->env.clk));
       return true;
--- a/sched/placer_lease.c
+++ b/sched/placer_lease.c
@@ -67,7 +67,7 @@
 {
   int64_t until_us
       = from_us + placer_add_lease_slack (plc->set.lease_max_ms * 1000);
-  if (until_us <= wrk->lease_end_us)
+  if (until_us <= wrk->lease_end_us || until_us <= clock_now_us (plc->env.clk))
     return;
   wrk->lease_end_us = until_us;
   if (!wrk->long_lease_logged)
