--- a/test/unit/instance_model.c
+++ b/test/unit/instance_model.c
@@ -112,32 +112,32 @@
 }
 
 static void
-push_event (struct model *mdl, struct model_event *evt)
+push_event (struct model *mdl, const struct model_event *evt)
 {
   size_t pos = mdl->event_count++;
   if (mdl->event_count > mdl->event_max)
     {
       mdl->event_max = 2 * mdl->event_count;
-      mdl->events = talloc_realloc (mdl, mdl->events, struct model_event *,
+      mdl->events = talloc_realloc (mdl, mdl->events, struct model_event,
                                     mdl->event_max);
     }
-  for (; pos > 0 && comes_before (evt, mdl->events[(pos - 1) / 2]);
+  for (; pos > 0 && comes_before (evt, &mdl->events[(pos - 1) / 2]);
        pos = (pos - 1) / 2)
     mdl->events[pos] = mdl->events[(pos - 1) / 2];
-  mdl->events[pos] = evt;
+  mdl->events[pos] = *evt;
 }
 
-static struct model_event *
+static struct model_event
 pop_event (struct model *mdl)
 {
-  struct model_event *first = mdl->events[0];
-  struct model_event *last = mdl->events[--mdl->event_count];
+  struct model_event first = mdl->events[0];
+  struct model_event last = mdl->events[--mdl->event_count];
   size_t pos = 0, child;
   for (; (child = 2 * pos + 1) < mdl->event_count; pos = child)
     {
       child += child + 1 < mdl->event_count
-               && comes_before (mdl->events[child + 1], mdl->events[child]);
-      if (!comes_before (mdl->events[child], last))
+               && comes_before (&mdl->events[child + 1], &mdl->events[child]);
+      if (!comes_before (&mdl->events[child], &last))
         break;
       mdl->events[pos] = mdl->events[child];
     }
@@ -149,15 +149,14 @@
 model_after (struct model *mdl, struct owner *own, int64_t delay_us,
              model_fn *fn, void *arg, int64_t num)
 {
-  struct model_event *evt = talloc_zero (mdl, struct model_event);
-  *evt = (struct model_event){ .at_us = mdl->now_us + delay_us,
-                               .seq = mdl->event_seq++,
-                               .own = own,
-                               .life = own ? own->life : 0,
-                               .fn = fn,
-                               .arg = arg,
-                               .num = num };
-  push_event (mdl, evt);
+  const struct model_event evt = { .at_us = mdl->now_us + delay_us,
+                                   .seq = mdl->event_seq++,
+                                   .own = own,
+                                   .life = own ? own->life : 0,
+                                   .fn = fn,
+                                   .arg = arg,
+                                   .num = num };
+  push_event (mdl, &evt);
 }
 
 static void
@@ -171,20 +170,20 @@
 void
 model_run_until (struct model *mdl, int64_t end_us)
 {
-  while (mdl->event_count > 0 && mdl->events[0]->at_us <= end_us)
+  while (mdl->event_count > 0 && mdl->events[0].at_us <= end_us)
     {
-      struct model_event *evt = pop_event (mdl);
-      struct owner *own = evt->own;
-      set_time (mdl, evt->at_us);
-      if (own && evt->life == own->life && own->paused_until_us > mdl->now_us)
+      struct model_event evt = pop_event (mdl);
+      const struct owner *own = evt.own;
+      set_time (mdl, evt.at_us);
+      if (own && evt.life != own->life)
+        continue;
+      if (own && own->paused_until_us > mdl->now_us)
         {
-          evt->at_us = own->paused_until_us;
-          push_event (mdl, evt);
-          continue;
+          evt.at_us = own->paused_until_us;
+          push_event (mdl, &evt);
         }
-      if (!own || evt->life == own->life)
-        evt->fn (mdl, evt->arg, evt->num);
-      talloc_free (evt);
+      else
+        evt.fn (mdl, evt.arg, evt.num);
     }
   set_time (mdl, end_us);
 }
--- a/test/unit/instance_model.h
+++ b/test/unit/instance_model.h
@@ -213,7 +213,7 @@
   struct model_options opt;
   uint64_t rng;
   int64_t now_us;
-  struct model_event **events; /* a heap */
+  struct model_event *events; /* a heap */
   size_t event_count, event_max;
   uint64_t event_seq;
   struct model_network net;
--- a/test/unit/unit_instance_model.c
+++ b/test/unit/unit_instance_model.c
@@ -11,7 +11,7 @@
    MODEL_SEEDS sets the number of seeds and MODEL_SEED the first one;
    MODEL_TRACE=1 prints what happens, and MODEL_LATE is an enum model_late.  */
 
-#define SEEDS 150
+#define SEEDS 250
 #define END_US (66 * SECOND)
 
 static uint64_t
