--- a/sched/placer_instance.c
+++ b/sched/placer_instance.c
@@ -29,16 +29,36 @@
   placer_remove_run (plc, run);
 }
 
+/* Whether the start of RUN was sent when the instance that a list of hosts
+   shows as ended may have had a successor under the same id, which then runs
+   it or may still carry it out.  */
+static bool
+start_outlives_instance (const struct run *run)
+{
+  int64_t asked_us = run->wrk->ended_list_us;
+  return asked_us > 0 && run->start_sent_us > asked_us - HOST_LIST_LAG_US;
+}
+
+/* Gives up the runs of an instance that has ended, but for those that its
+   successor may have.  Its next answer, a later list or the end of their
+   leases settles these.  */
 static void
-drop_lost_runs (struct placer *plc, struct worker *wrk, const char *reason)
+drop_ended_runs (struct placer *plc, struct worker *wrk)
 {
-  while (wrk->runs)
-    drop_lost_run (plc, wrk->runs, reason);
+  struct run *next;
+  for (struct run *run = wrk->runs; run; run = next)
+    {
+      next = run->next;
+      if (!start_outlives_instance (run))
+        drop_lost_run (plc, run, "instance_ended");
+      else if (!run->confirmed_us)
+        placer_stop_run (plc, run);
+    }
 }
 
-/* A start
-   without an answer may have reached an instance that began since the last
-   answer; its clock began anew, so it grants the longest lease.  */
+/* A start without an answer may have reached an instance that began since the
+   last answer; its clock began anew, so it grants the longest lease, as it
+   does for other calls without an answer.  */
 void
 placer_drop_expired_runs (struct placer *plc, struct worker *wrk)
 {
@@ -47,8 +67,10 @@
   for (struct run *run = wrk->runs; run; run = next)
     {
       next = run->next;
-      if (run->confirmed_us
-          || plc->confirmed_us > run->start_sent_us + longest_us)
+      int64_t sent_us = run->start_sent_us > wrk->lease_unanswered_us
+                            ? run->start_sent_us
+                            : wrk->lease_unanswered_us;
+      if (run->confirmed_us || plc->confirmed_us > sent_us + longest_us)
         drop_lost_run (plc, run, "lease_expired");
     }
 }
@@ -125,14 +147,14 @@
     return false;
   /* The clock of the next instance begins anew.  */
   if (wrk->reported_ended)
-    wrk->clock_ms = 0;
+    placer_forget_clock (plc, wrk);
   if (born_ms != wrk->rep.born_ms && born_ms > 0)
     {
       drop_earlier_runs (plc, wrk, born_ms);
       begin_instance (wrk, born_ms, clock_now_us (plc->env.clk));
       return true;
     }
-  drop_lost_runs (plc, wrk, "instance_ended");
+  drop_ended_runs (plc, wrk);
   if (wrk->reported_ended)
     wrk->registered = false;
   else
