test: a lease granted before the restart is settled

The answer shows the restart; as ownership was not confirmed since, apply_hold returns before placer_note_grant, and the next answer tells of 5 s. The worker is cut off, and the task is started elsewhere while it runs.

The unit test shows the same with one worker, and fails.

--- /dev/null
+++ b/test/unit/unit_placer_grant.c
@@ -0,0 +1,127 @@
+#include <check.h>
+#include <stdlib.h>
+
+#include "placer_world.h"
+
+/* Tests of leases that a worker instance has granted before its owner has
+   given up the runs of the instance before.  */
+
+#define TASK_JOB                                                              \
+  "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"estimate-ms\":900}]" \
+  "}"
+#define BORN_MS 1000
+#define NEXT_BORN_MS 900000
+
+static struct world *wld;
+
+static void
+setup (void)
+{
+  wld = world_create ();
+  wld->hold_born_ms = BORN_MS;
+  world_add_worker (wld, "w1", BORN_MS);
+  world_enrol_worker (wld, "w1");
+  /* The leases of earlier owners have expired.  */
+  world_release_earlier (wld);
+  world_confirm_ownership (wld);
+  world_tick (wld, 2 * WORLD_LEASE_MAX_MS);
+  world_confirm_ownership (wld);
+  world_tick (wld, 1);
+  world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
+}
+
+static void
+teardown (void)
+{
+  world_destroy (wld);
+}
+
+/* The next instance of w1, whose clock is CLOCK_MS, answers the hold in flight
+   as one that runs nothing.  */
+static void
+answer_as_next (int64_t clock_ms)
+{
+  const struct hold_result res
+      = { .command = { .status = COMMAND_DONE, .clock_ms = clock_ms },
+          .born_ms = NEXT_BORN_MS };
+  struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+  ck_assert_ptr_nonnull (hold);
+  hold->answered = true;
+  hold->hold_fn (hold->arg, &res);
+}
+
+static void
+run_task (void)
+{
+  const struct world_row run = { .job = 1, .run = 1 };
+  world_add_job (wld, 1, TASK_JOB, 200);
+  world_tick (wld, 1);
+  world_answer (wld, world_call (wld, WORLD_START, "w1"), COMMAND_DONE);
+  world_tick (wld, 1);
+  world_answer_hold (wld, "w1", &run, 1, NULL, 0);
+  world_confirm_ownership (wld);
+  world_tick (wld, 100);
+}
+
+/* w1 is silent, and w2 answers.  */
+static void
+pass_time (int64_t ms)
+{
+  struct world_call *call;
+  while ((call = world_call (wld, WORLD_START, "w1"))
+         || (call = world_call (wld, WORLD_HOLD, "w1"))
+         || (call = world_call (wld, WORLD_STOP, "w1")))
+    world_answer (wld, call, COMMAND_NO_ANSWER);
+  if (world_call (wld, WORLD_HOLD, "w2"))
+    world_answer_hold (wld, "w2", NULL, 0, NULL, 0);
+  world_confirm_ownership (wld);
+  world_tick (wld, ms);
+}
+
+/* Guards against two runs of a task: a hold that names a lease end by the
+   clock of the earlier instance is answered by the next one, which has granted
+   the longest lease, at a time at which ownership is not confirmed.  */
+START_TEST (test_grant_before_confirmation)
+{
+  run_task ();
+  struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+  ck_assert_ptr_nonnull (hold);
+  ck_assert_int_gt (hold->lease_end_ms, 2000 + WORLD_LEASE_MAX_MS);
+  answer_as_next (2000);
+  int64_t granted_us = wld->clk.now_us;
+  world_tick (wld, 60);
+  world_confirm_ownership (wld);
+  answer_as_next (2060);
+  world_tick (wld, 110);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 2);
+  struct world_call *start = world_call (wld, WORLD_START, "w1");
+  ck_assert_ptr_nonnull (start);
+  start->answered = true;
+  start->fn (start->arg, &(const struct command_result){
+                             .status = COMMAND_DONE, .clock_ms = 2170 });
+  world_add_worker (wld, "w2", BORN_MS);
+  while (wld->clk.now_us < granted_us + WORLD_LEASE_MAX_MS * 1000)
+    {
+      ck_assert_ptr_null (world_call (wld, WORLD_START, "w2"));
+      pass_time (300);
+    }
+  for (int n = 0; n < 4; n++)
+    pass_time (300);
+  ck_assert_ptr_nonnull (world_call (wld, WORLD_START, "w2"));
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("placer_grant");
+  TCase *tc = tcase_create ("placer_grant");
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_test (tc, test_grant_before_confirmation);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
