--- a/test/unit/unit_placer_grant.c
+++ b/test/unit/unit_placer_grant.c
@@ -37,13 +37,15 @@
 }
 
 /* The next instance of w1, whose clock is CLOCK_MS, answers the hold in flight
-   as one that runs nothing.  */
+   as one that runs nothing.  END is listed; NULL: none.  */
 static void
-answer_as_next (int64_t clock_ms)
+answer_as_next (int64_t clock_ms, const struct ended_row *end)
 {
   const struct hold_result res
       = { .command = { .status = COMMAND_DONE, .clock_ms = clock_ms },
-          .born_ms = NEXT_BORN_MS };
+          .born_ms = NEXT_BORN_MS,
+          .ended = end,
+          .ended_count = end != NULL };
   struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
   ck_assert_ptr_nonnull (hold);
   hold->answered = true;
@@ -78,28 +80,27 @@
   world_tick (wld, ms);
 }
 
-/* Guards against two runs of a task: a hold that names a lease end by the
-   clock of the earlier instance is answered by the next one, which has granted
-   the longest lease, at a time at which ownership is not confirmed.  */
-START_TEST (test_grant_before_confirmation)
+/* The task is started again on w1, whose clock was CLOCK_MS; then there is
+   another worker.  */
+static void
+start_again (int64_t clock_ms)
 {
-  run_task ();
-  struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
-  ck_assert_ptr_nonnull (hold);
-  ck_assert_int_gt (hold->lease_end_ms, 2000 + WORLD_LEASE_MAX_MS);
-  answer_as_next (2000);
-  int64_t granted_us = wld->clk.now_us;
-  world_tick (wld, 60);
-  world_confirm_ownership (wld);
-  answer_as_next (2060);
   world_tick (wld, 110);
   ck_assert_uint_eq (world_starts (wld, 1, 0), 2);
   struct world_call *start = world_call (wld, WORLD_START, "w1");
   ck_assert_ptr_nonnull (start);
   start->answered = true;
-  start->fn (start->arg, &(const struct command_result){
-                             .status = COMMAND_DONE, .clock_ms = 2170 });
+  start->fn (start->arg,
+             &(const struct command_result){ .status = COMMAND_DONE,
+                                             .clock_ms = clock_ms + 110 });
   world_add_worker (wld, "w2", BORN_MS);
+}
+
+/* The task is started on w2 after the longest lease from GRANTED_US on, and
+   not before.  */
+static void
+check_given_up (int64_t granted_us)
+{
   while (wld->clk.now_us < granted_us + WORLD_LEASE_MAX_MS * 1000)
     {
       ck_assert_ptr_null (world_call (wld, WORLD_START, "w2"));
@@ -109,6 +110,60 @@
     pass_time (300);
   ck_assert_ptr_nonnull (world_call (wld, WORLD_START, "w2"));
 }
+
+/* Guards against two runs of a task: a hold that names a lease end by the
+   clock of the earlier instance is answered by the next one, which has granted
+   the longest lease, at a time at which ownership is not confirmed.  */
+START_TEST (test_grant_before_confirmation)
+{
+  run_task ();
+  struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+  ck_assert_ptr_nonnull (hold);
+  ck_assert_int_gt (hold->lease_end_ms, 2000 + WORLD_LEASE_MAX_MS);
+  answer_as_next (2000, NULL);
+  int64_t granted_us = wld->clk.now_us;
+  world_tick (wld, 60);
+  world_confirm_ownership (wld);
+  answer_as_next (2060, NULL);
+  start_again (2060);
+  check_given_up (granted_us);
+}
+END_TEST
+
+/* The same for a start whose answer comes after the run has been stopped and
+   its end was listed.  */
+START_TEST (test_grant_of_removed_run)
+{
+  const struct ended_row end = { .number = 1,
+                                 .task = { .job = 1 },
+                                 .run = 1,
+                                 .end = RUN_END_STOPPED,
+                                 .checkpoint = "" };
+  world_add_job (wld, 1, TASK_JOB, 200);
+  world_tick (wld, 1);
+  struct world_call *first = world_call (wld, WORLD_START, "w1");
+  ck_assert_ptr_nonnull (first);
+  ck_assert_int_gt (first->lease_end_ms, 2000 + WORLD_LEASE_MAX_MS);
+  first->answered = true;
+  int64_t granted_us = wld->clk.now_us;
+  world_tick (wld, 50);
+  answer_as_next (2050, NULL);
+  world_confirm_ownership (wld);
+  world_tick (wld, 60);
+  answer_as_next (2110, NULL);
+  world_tick (wld, 10);
+  struct world_call *stop = world_call (wld, WORLD_STOP, "w1");
+  ck_assert_ptr_nonnull (stop);
+  stop->answered = true;
+  stop->fn (stop->arg, &(const struct command_result){ .status = COMMAND_DONE,
+                                                       .clock_ms = 2120 });
+  world_tick (wld, 10);
+  answer_as_next (2130, &end);
+  first->fn (first->arg, &(const struct command_result){
+                             .status = COMMAND_DONE, .clock_ms = 2001 });
+  start_again (2140);
+  check_given_up (granted_us);
+}
 END_TEST
 
 int
@@ -118,6 +173,7 @@
   TCase *tc = tcase_create ("placer_grant");
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, test_grant_before_confirmation);
+  tcase_add_test (tc, test_grant_of_removed_run);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
