--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -38,10 +38,10 @@
   struct placer *plc;
   struct run *run; /* NULL: a stop of a run that is not wanted */
   uint32_t worker; /* handle */
+  int64_t born_ms; /* start of the instance that the command is meant for */
   /* Entry in the list of starts in flight.  */
   struct command_ctx *prev, *next;
-  bool in_flight;  /* in that list */
-  int64_t born_ms; /* of a stop: the instance that it was meant for */
+  bool in_flight; /* in that list */
   struct timed_call call;
 };
 
@@ -214,9 +214,17 @@
   if (plc->closing)
     return false;
   *wrk = placer_find_worker (plc, ctx->worker);
-  if (*wrk && (res->status != COMMAND_NOT_SENT || may_send (ctx)))
+  if (!*wrk)
+    return false;
+  if (res->status == COMMAND_NOT_SENT && !may_send (ctx))
+    return true;
+  /* An answer may come from the instance that the command was meant for, which
+     has ended: it tells neither the next one's clock nor that it answers.  */
+  if (ctx->born_ms == (*wrk)->rep.born_ms)
     placer_note_answer (plc, *wrk, &ctx->call, res);
-  return *wrk != NULL;
+  else if (res->status == COMMAND_NO_ANSWER)
+    placer_note_unanswered (plc, *wrk, &ctx->call);
+  return true;
 }
 
 static void
@@ -241,6 +249,7 @@
   ctx->plc = plc;
   ctx->run = run;
   ctx->worker = wrk->handle;
+  ctx->born_ms = wrk->rep.born_ms;
   ctx->call = placer_timed_call (wrk, clock_now_us (plc->env.clk), 0);
   return ctx;
 }
@@ -459,8 +468,6 @@
   if (!placer_may_command (plc, clock_now_us (plc->env.clk)))
     return false;
   struct command_ctx *ctx = make_command_ctx (plc, run, wrk);
-  if (ctx)
-    ctx->born_ms = wrk->rep.born_ms;
   if (!ctx || plc->env.lnk->drv->stop (plc->env.lnk, &to, &cmd, on_stop, ctx))
     {
       talloc_free (ctx);
