member: a release keeps the earlier holders that may still send commands

What callers may see: two runs of one task (TWICE). A holder X is cut off and loses its pool to H, which reaches all workers and releases the pool 4 s after its claim. A worker restarts meanwhile and has seen no token: X may extend the leases of H's runs there until 6 s after H's claim. H's release dropped what it knew of X, as H knew all of X's runs, so that the next holder counted the leases from H's release alone.

A release now keeps the rows of holders that may still send commands. Their time is that of their own loss of the duty, so that a chain of holders does not add up waits: at most 3 s more than before, as H's takeover takes 3 s, and only where a worker is not reached. Leases of holders that have stopped need no such rule: they end with those of the one that releases. duty_stop_holding no longer needs to know of the takeover.

The case that expected 18 s after a release 1 s after a claim is replaced: it stood for the dropped rows.

--- a/member/duty.c
+++ b/member/duty.c
@@ -291,16 +291,10 @@
 
 void
 duty_stop_holding (struct duty_table *tab, const char *name, int64_t now_us,
-                   bool no_commands, bool all_known)
+                   bool no_commands)
 {
   struct duty *dty = find_duty (tab, name);
-  if (!dty)
-    return;
-  /* The next holder learns of the runs that this one knew from the workers.
-     Only for those that do not answer it waits for this holder's leases.  */
-  if (all_known)
-    dty->earlier = (struct earlier_holders){ 0 };
-  if (!no_commands)
+  if (dty && !no_commands)
     note_leases (&dty->earlier, now_us + tab->limits.lease_us);
 }
 
--- a/member/duty.h
+++ b/member/duty.h
@@ -173,10 +173,9 @@
                          int64_t now_us, struct earlier_holders *out);
 
 /* Notes that this process, the holder of the duty NAME, sends no commands from
-   NOW_US on.  NO_COMMANDS: it has sent none at all.  ALL_KNOWN: it knew of
-   every run that its predecessors had started.  */
+   NOW_US on.  NO_COMMANDS: it has sent none at all.  */
 void duty_stop_holding (struct duty_table *tab, const char *name,
-                        int64_t now_us, bool no_commands, bool all_known);
+                        int64_t now_us, bool no_commands);
 
 /* The same as duty_state_earlier for a release by the holder, after
    duty_stop_holding.  */
--- a/node/duties.c
+++ b/node/duties.c
@@ -611,8 +611,7 @@
     {
       struct held_duty *hld = nod->held_duties;
       duty_stop_holding (&nod->duties, hld->pool, clock_now_us (nod->clk),
-                         hld->plc == NULL,
-                         hld->plc && placer_takeover_done (hld->plc));
+                         hld->plc == NULL);
       end_held_duty (hld, "stopping");
     }
   append_releases (nod);
--- a/test/unit/instance_owner.c
+++ b/test/unit/instance_owner.c
@@ -684,8 +684,7 @@
   if (own->token)
     {
       duty_stop_holding (own->duties, MODEL_POOL, own_us (own),
-                         own->plc == NULL,
-                         own->plc && placer_takeover_done (own->plc));
+                         own->plc == NULL);
       end_duty (own, "stopping");
     }
   const struct duty *dty = duty_find (own->duties, MODEL_POOL);
--- a/test/unit/unit_duty.c
+++ b/test/unit/unit_duty.c
@@ -158,9 +158,8 @@
     OLD_CLAIM, /* by a version that does not state what earlier holders do */
     OLD_RELEASE,
     OLD_CLEARED_RELEASE,
-    RELEASE,         /* by a holder whose takeover is not complete */
-    CLEARED_RELEASE, /* by one that knew of all runs */
-    IDLE_RELEASE,    /* by one that has sent no commands */
+    RELEASE,
+    IDLE_RELEASE, /* by one that has sent no commands */
     RESTART,
   } kind;
   int64_t at_s;
@@ -188,8 +187,7 @@
 {
   struct earlier_holders ear;
   int64_t now_us = stp->at_s * S;
-  duty_stop_holding (tab, "p", now_us, stp->kind == IDLE_RELEASE,
-                     stp->kind == CLEARED_RELEASE);
+  duty_stop_holding (tab, "p", now_us, stp->kind == IDLE_RELEASE);
   duty_state_release (tab, duty_find (tab, "p"), now_us, &ear);
   const struct duty_claim rec = { .name = "p",
                                   .holder = stp->holder,
@@ -329,11 +327,19 @@
         { RESTART, 15, "a", 2 } },
       20,
       49 },
+    /* "b" has reached all its workers, but "a" may extend leases of its runs
+       at one that has restarted.  */
     { { { CLAIM, 10, "a", 1 },
         { CLAIM, 12, "b", 1 },
-        { CLEARED_RELEASE, 13, "b", 1 },
-        { CLAIM, 14, "c", 1 } },
-      18,
+        { RELEASE, 16, "b", 1 },
+        { CLAIM, 17, "c", 1 } },
+      23,
+      46 },
+    { { { CLAIM, 10, "a", 1 },
+        { CLAIM, 12, "b", 1 },
+        { RELEASE, 19, "b", 1 },
+        { CLAIM, 20, "c", 1 } },
+      24,
       44 },
     /* Records of earlier versions.  */
     { { { CLAIM, 10, "a", 1 },
@@ -367,8 +373,7 @@
         else if (stp->kind == OLD_RELEASE || stp->kind == OLD_CLEARED_RELEASE)
           release (stp->holder, stp->kind == OLD_CLEARED_RELEASE, token++,
                    stp->at_s * S);
-        else if (stp->kind == RELEASE || stp->kind == CLEARED_RELEASE
-                 || stp->kind == IDLE_RELEASE)
+        else if (stp->kind == RELEASE || stp->kind == IDLE_RELEASE)
           append_release (stp, token++);
         else
           append_claim (stp, token++, &rec, &ear);
--- a/test/unit/unit_duty_model.c
+++ b/test/unit/unit_duty_model.c
@@ -24,7 +24,6 @@
   int process;
   int64_t at_ms;
   int64_t stop_ms; /* of a claim: the holder sends no commands after this */
-  bool known;      /* a later holder knew of all its runs when it released */
 };
 
 struct process
@@ -70,8 +69,7 @@
 {
   int64_t end_ms = 0;
   for (size_t n = 0; n < last; n++)
-    if (!records[n].claim.released && !records[n].known
-        && records[n].stop_ms + LEASE_MS > end_ms)
+    if (!records[n].claim.released && records[n].stop_ms + LEASE_MS > end_ms)
       end_ms = records[n].stop_ms + LEASE_MS;
   return end_ms;
 }
@@ -173,13 +171,11 @@
   const struct duty *dty = duty_find (prc->tab, "p");
   if (!duty_held_by (dty, prc->name, prc->boot))
     return;
-  int kind = pick (3);
+  bool idle = pick (3) == 0;
   struct earlier_holders ear;
-  duty_stop_holding (prc->tab, "p", now_ms * MS, kind == 0, kind == 1);
+  duty_stop_holding (prc->tab, "p", now_ms * MS, idle);
   struct record *own = &records[last_claim ()];
-  own->stop_ms = kind == 0 ? own->at_ms - LEASE_MS : now_ms;
-  for (size_t n = 0; kind == 1 && &records[n] < own; n++)
-    records[n].known = true;
+  own->stop_ms = idle ? own->at_ms - LEASE_MS : now_ms;
   now_ms += pick (4) * 100;
   duty_state_release (prc->tab, dty, now_ms * MS, &ear);
   struct record *rec = append (prc, true);
