--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -13,6 +13,9 @@
 /* Longest time for which a worker delays its answer to a hold while no run
    ends.  Leases are extended once in this time.  */
 #define HOLD_WAIT_MS 1000
+/* The same while a stop of a run that may never have started has no answer.
+   The next hold shows whether the run is there.  */
+#define HOLD_WAIT_STOP_MS 50
 /* Least time between an answer that lists ends and the next hold, so that one
    answer lists several ends.  */
 #define HOLD_INTERVAL_MIN_US 30000
@@ -46,15 +49,17 @@
   struct placer *plc;
   uint32_t worker; /* handle */
   int64_t born_ms; /* start of the instance that the hold was sent to */
-  int64_t sent_us;
-  int64_t lease_end_ms; /* by the worker's clock; 0: no extension */
-  uint64_t last_seen;   /* ends up to this number are acknowledged */
+  struct timed_call call;
+  uint64_t last_seen; /* ends up to this number are acknowledged */
 };
 
 void
 placer_note_answer (struct placer *plc, struct worker *wrk,
+                    const struct timed_call *call,
                     const struct command_result *res)
 {
+  if (res->status == COMMAND_NO_ANSWER)
+    placer_note_unanswered (plc, wrk, call);
   /* Another instance at the address is not an answer of this one.  */
   if (res->status == COMMAND_NO_ANSWER || res->status == COMMAND_NOT_SENT
       || res->status == COMMAND_OTHER_INSTANCE)
@@ -64,11 +69,9 @@
       return;
     }
   wrk->unanswered_calls = 0;
-  if (res->clock_ms > 0)
-    {
-      wrk->clock_ms = res->clock_ms;
-      wrk->clock_read_us = clock_now_us (plc->env.clk);
-    }
+  if (res->clock_ms > 0 && placer_note_clock (plc, wrk, call, res->clock_ms)
+      && res->status == COMMAND_DONE && !wrk->first_answer_us)
+    wrk->first_answer_us = clock_now_us (plc->env.clk);
 }
 
 static void
@@ -283,10 +286,11 @@
   wrk->instance_seen = true;
   if (!wrk->first_answer_us)
     wrk->first_answer_us = now_us;
-  placer_note_grant (plc, wrk, ctx->lease_end_ms, res->command.clock_ms,
+  placer_note_grant (plc, wrk, ctx->call.lease_end_ms, res->command.clock_ms,
                      now_us);
   /* The answer may have waited for this process.  */
-  int64_t answered_us = ctx->sent_us + HOLD_WAIT_MS * 1000 + ANSWER_TRANSIT_US;
+  int64_t answered_us
+      = ctx->call.sent_us + HOLD_WAIT_MS * 1000 + ANSWER_TRANSIT_US;
   wrk->hold_answered_us = now_us < answered_us ? now_us : answered_us;
   /* A row that cannot be read may be a run of an earlier owner.  */
   if (!wrk->reached && !res->incomplete)
@@ -298,7 +302,7 @@
                  LOG_I ("ended", res->ended_count));
     }
   if (!wrk->settled && !res->incomplete
-      && ctx->sent_us >= placer_earlier_starts_end_us (plc))
+      && ctx->call.sent_us >= placer_earlier_starts_end_us (plc))
     {
       wrk->settled = true;
       placer_drop_earlier_worker (plc, wrk->rep.id);
@@ -322,9 +326,9 @@
       }
   wrk->unknown = (struct resources){ 0 };
   for (size_t n = 0; n < res->running_count; n++)
-    apply_running (plc, wrk, &res->running[n], ctx->sent_us, now_us);
+    apply_running (plc, wrk, &res->running[n], ctx->call.sent_us, now_us);
   if (!res->ended_truncated && !res->incomplete)
-    drop_unlisted_runs (plc, wrk, ctx->sent_us, now_us);
+    drop_unlisted_runs (plc, wrk, ctx->call.sent_us, now_us);
   wrk->hold_not_before_us = now_us;
   if (ends)
     wrk->hold_not_before_us += plc->start_limit_reached
@@ -334,8 +338,8 @@
                           ? now_us + HOLD_UNFLUSHED_RETRY_US
                           : wrk->hold_not_before_us;
   /* The worker answers at once while it has an end that is not acknowledged,
-     as one without a number.  */
-  if (res->incomplete)
+     as one without a number, or while its clock is not known.  */
+  if (res->incomplete || wrk->clock_ms == 0)
     wrk->next_hold_us = now_us + HOLD_RETRY_US;
 }
 
@@ -385,7 +389,7 @@
       int64_t now_us = clock_now_us (plc->env.clk);
       wrk->hold_in_flight = false;
       if (res->command.status != COMMAND_NOT_SENT || may_send_hold (ctx))
-        placer_note_answer (plc, wrk, &res->command);
+        placer_note_answer (plc, wrk, &ctx->call, &res->command);
       /* A worker that refuses a hold has extended no lease.  */
       if (res->command.status == COMMAND_WORKER_BUSY
           || res->command.status == COMMAND_REJECTED)
@@ -440,6 +444,20 @@
   return !wrk->settled && now_us >= placer_earlier_starts_end_us (plc);
 }
 
+/* Longest time for which a hold may wait for the end of a run of WRK.  A run
+   that is stopped and may never have started there has no end to wait for.  */
+static int64_t
+end_wait_ms (const struct worker *wrk)
+{
+  int64_t wait_ms = HOLD_WAIT_MS;
+  for (const struct run *run = wrk->runs; run; run = run->next)
+    if (run->stopped_us && !run->confirmed_us)
+      return 0;
+    else if (run->stop_wanted && !run->confirmed_us)
+      wait_ms = HOLD_WAIT_STOP_MS;
+  return wait_ms;
+}
+
 /* Longest time for which WRK may delay its answer to a hold.  */
 static int64_t
 hold_wait_ms (const struct placer *plc, const struct worker *wrk,
@@ -453,10 +471,11 @@
      the ends do not count as acknowledged.  */
   if (!wrk->runs && !worker_has_unknown_runs (wrk))
     return 0;
+  int64_t wait_ms = end_wait_ms (wrk);
   /* The next hold is due then.  */
-  if (!wrk->settled && starts_end_us < now_us + HOLD_WAIT_MS * 1000)
+  if (!wrk->settled && starts_end_us < now_us + wait_ms * 1000)
     return (starts_end_us - now_us) / 1000;
-  return HOLD_WAIT_MS;
+  return wait_ms;
 }
 
 static bool
@@ -503,18 +522,18 @@
   ctx->plc = plc;
   ctx->worker = wrk->handle;
   ctx->born_ms = wrk->rep.born_ms;
-  ctx->sent_us = now_us;
   ctx->last_seen = ends_are_current (wrk) ? wrk->durable_end : 0;
   /* Do not extend the leases of a silent worker: each extension that may still
-     arrive would delay the time at which its runs have certainly ended.  */
-  ctx->lease_end_ms = wrk->clock_ms > 0 && wrk->unanswered_calls == 0
-                          ? placer_lease_end (plc, wrk, now_us)
-                          : 0;
+     arrive would delay the time at which its runs have certainly ended.  One
+     that has not answered yet may have restarted since its report.  */
+  bool extend = wrk->clock_ms > 0 && wrk->unanswered_calls == 0;
+  ctx->call = placer_timed_call (
+      wrk, now_us, extend ? placer_lease_end (plc, wrk, now_us) : 0);
   const struct command_target to = placer_command_target (wrk, may_send_hold);
   const struct hold_command cmd = {
     .token = plc->set.token,
     .last_seen = ctx->last_seen,
-    .lease_end_ms = ctx->lease_end_ms,
+    .lease_end_ms = ctx->call.lease_end_ms,
     .wait_ms = hold_wait_ms (plc, wrk, now_us),
   };
   if (plc->env.lnk->drv->hold (plc->env.lnk, &to, &cmd, on_hold, ctx))
@@ -523,7 +542,7 @@
       wrk->next_hold_us = now_us + HOLD_RETRY_US;
       return;
     }
-  if (ctx->lease_end_ms > 0)
+  if (ctx->call.lease_end_ms > 0)
     placer_note_lease (plc, wrk, now_us);
   wrk->hold_in_flight = true;
   plc->calls_in_flight++;
--- a/sched/placer_instance.c
+++ b/sched/placer_instance.c
@@ -56,9 +56,9 @@
     }
 }
 
-/* A start
-   without an answer may have reached an instance that began since the last
-   answer; its clock began anew, so it grants the longest lease.  */
+/* A start without an answer may have reached an instance that began since the
+   last answer; its clock began anew, so it grants the longest lease, as it
+   does for other calls without an answer.  */
 void
 placer_drop_expired_runs (struct placer *plc, struct worker *wrk)
 {
@@ -67,8 +67,10 @@
   for (struct run *run = wrk->runs; run; run = next)
     {
       next = run->next;
-      if (run->confirmed_us
-          || plc->confirmed_us > run->start_sent_us + longest_us)
+      int64_t sent_us = run->start_sent_us > wrk->lease_unanswered_us
+                            ? run->start_sent_us
+                            : wrk->lease_unanswered_us;
+      if (run->confirmed_us || plc->confirmed_us > sent_us + longest_us)
         drop_lost_run (plc, run, "lease_expired");
     }
 }
@@ -143,11 +145,11 @@
   /* The worker answers, so the report that it has ended may be wrong.  */
   if (wrk->reported_ended && wrk->reached && wrk->unanswered_calls == 0)
     return false;
-  /* The clock of the next instance begins anew.  */
-  if (wrk->reported_ended)
-    wrk->clock_ms = 0;
   if (born_ms != wrk->rep.born_ms && born_ms > 0)
     {
+      /* The clock of the next instance begins anew; an answer has told it.  */
+      if (wrk->reported_ended)
+        placer_forget_clock (plc, wrk);
       drop_earlier_runs (plc, wrk, born_ms);
       begin_instance (wrk, born_ms, clock_now_us (plc->env.clk));
       return true;
