sched: a lease that is granted before the restart is settled counts

What callers may see: two runs of one task (TWICE). A hold with a lease end by the clock of the earlier instance reaches the next one, which grants the longest lease and answers. The answer shows the restart; if ownership was not confirmed since, apply_hold returned before the grant was counted, and the next answer told of the usual lease. The worker was then cut off, and the task was started elsewhere while its run went on.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -273,6 +273,10 @@
   /* The answer shows which instance it is.  */
   wrk->reported_ended = false;
   wrk->instance_seen = !restarted;
+  /* Also if the runs of the earlier instance cannot be given up yet: the lease
+     holds for what is started on the present one.  */
+  placer_note_grant (plc, wrk, ctx->call.lease_end_ms, res->command.clock_ms,
+                     now_us);
   if (!placer_settle_instance (plc, wrk, res->born_ms))
     {
       wrk->next_hold_us = now_us + HOLD_ENDED_INTERVAL_US;
@@ -286,8 +290,6 @@
   wrk->instance_seen = true;
   if (!wrk->first_answer_us)
     wrk->first_answer_us = now_us;
-  placer_note_grant (plc, wrk, ctx->call.lease_end_ms, res->command.clock_ms,
-                     now_us);
   /* The answer may have waited for this process.  */
   int64_t answered_us
       = ctx->call.sent_us + HOLD_WAIT_MS * 1000 + ANSWER_TRANSIT_US;
