sched: a refused start whose run is gone still tells of its lease

What callers may see: two runs of one task (TWICE). A start by the clock of the earlier instance arrives after the run was stopped and its end was listed; the next instance refuses it and takes its lease end all the same (PROTOCOL.md: also from a start that receives old or room). The owner ignored the answer of a run that it had removed, and gave up later runs there up to 0.9 s too early.

test_grant_of_refused_start failed without the change (second start 9.7 s after the grant) and passes. The checks of placer_grant look every 100 ms instead of 300, which hid it.

--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -337,13 +337,16 @@
   struct run *run = ctx->run;
   struct worker *wrk;
   drop_start_in_flight (plc, ctx);
-  if (!command_answered (ctx, res, may_send_start, &wrk) || run->removed)
+  int64_t now_us = clock_now_us (plc->env.clk);
+  bool answered = command_answered (ctx, res, may_send_start, &wrk);
+  if (answered)
+    placer_note_grant (plc, wrk, ctx->call.lease_end_ms, res->clock_ms,
+                       now_us);
+  if (!answered || run->removed)
     {
       command_finished (ctx);
       return;
     }
-  int64_t now_us = clock_now_us (plc->env.clk);
-  placer_note_grant (plc, wrk, ctx->call.lease_end_ms, res->clock_ms, now_us);
   switch (res->status)
     {
     case COMMAND_DONE:
--- a/test/unit/unit_placer_grant.c
+++ b/test/unit/unit_placer_grant.c
@@ -104,10 +104,10 @@
   while (wld->clk.now_us < granted_us + WORLD_LEASE_MAX_MS * 1000)
     {
       ck_assert_ptr_null (world_call (wld, WORLD_START, "w2"));
-      pass_time (300);
+      pass_time (100);
     }
-  for (int n = 0; n < 4; n++)
-    pass_time (300);
+  for (int n = 0; n < 12; n++)
+    pass_time (100);
   ck_assert_ptr_nonnull (world_call (wld, WORLD_START, "w2"));
 }
 
@@ -166,6 +166,42 @@
 }
 END_TEST
 
+/* The same for a start that the next instance refuses after that: it has taken
+   the lease end all the same.  */
+START_TEST (test_grant_of_refused_start)
+{
+  const struct ended_row end = { .number = 1,
+                                 .task = { .job = 1 },
+                                 .run = 1,
+                                 .end = RUN_END_STOPPED,
+                                 .checkpoint = "" };
+  world_add_job (wld, 1, TASK_JOB, 200);
+  world_tick (wld, 1);
+  struct world_call *first = world_call (wld, WORLD_START, "w1");
+  ck_assert_ptr_nonnull (first);
+  first->answered = true;
+  world_tick (wld, 50);
+  answer_as_next (2050, NULL);
+  world_confirm_ownership (wld);
+  world_tick (wld, 60);
+  answer_as_next (2110, NULL);
+  world_tick (wld, 10);
+  struct world_call *stop = world_call (wld, WORLD_STOP, "w1");
+  ck_assert_ptr_nonnull (stop);
+  stop->answered = true;
+  stop->fn (stop->arg, &(const struct command_result){ .status = COMMAND_DONE,
+                                                       .clock_ms = 2120 });
+  world_tick (wld, 10);
+  answer_as_next (2130, &end);
+  wld->clk.now_us += 800000;
+  int64_t granted_us = wld->clk.now_us;
+  first->fn (first->arg, &(const struct command_result){
+                             .status = COMMAND_STALE_RUN, .clock_ms = 2930 });
+  start_again (2930);
+  check_given_up (granted_us);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -174,6 +210,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, test_grant_before_confirmation);
   tcase_add_test (tc, test_grant_of_removed_run);
+  tcase_add_test (tc, test_grant_of_refused_start);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
