--- a/sched/placer_takeover.c
+++ b/sched/placer_takeover.c
@@ -1,5 +1,3 @@
-#include <string.h>
-
 #include "base/clock.h"
 #include "base/log.h"
 #include "sched/placer_priv.h"
@@ -70,14 +68,13 @@
 static size_t
 count_unreached (const struct placer *plc)
 {
-  size_t count = plc->earlier_count;
+  size_t count = 0;
   for (size_t n = 0; n < plc->pool.count; n++)
+    count += is_unreached (plc->pool.workers[n]);
+  for (size_t n = 0; n < plc->earlier_count; n++)
     {
-      const struct worker *wrk = plc->pool.workers[n];
-      bool counted = false;
-      for (size_t m = 0; m < plc->earlier_count; m++)
-        counted = counted || strcmp (plc->earlier[m].id, wrk->rep.id) == 0;
-      count += is_unreached (wrk) && !counted;
+      const struct worker *wrk = pool_find_id (&plc->pool, plc->earlier[n].id);
+      count += !wrk || !is_unreached (wrk);
     }
   return count;
 }
