--- a/test/unit/instance_model.c
+++ b/test/unit/instance_model.c
@@ -13,8 +13,6 @@
 /* A command without an answer fails after this time; the answer to a hold may
    come later by the time for which the worker waits.  */
 #define COMMAND_TIMEOUT_US (900 * MS)
-/* Error of an owner's estimate of a worker's clock.  */
-#define CLOCK_ERROR_MS 200
 #define LATE_MIN_US (2 * SECOND)
 #define LATE_SPAN_US (10 * SECOND)
 
--- a/test/unit/instance_model.h
+++ b/test/unit/instance_model.h
@@ -22,6 +22,8 @@
 #define MODEL_CONFIRM_MS 6000
 #define MODEL_START_CONFIRM_MS 3000
 #define MODEL_POOL "p"
+/* Error of an owner's estimate of a worker's clock.  */
+#define CLOCK_ERROR_MS 200
 /* Virtual time at which a model begins.  A start time of 0 means that it is
    not known.  */
 #define MODEL_START_US (1000 * SECOND)
--- a/test/unit/instance_worker.c
+++ b/test/unit/instance_worker.c
@@ -276,16 +276,26 @@
 trace_call (struct model *mdl, const struct model_worker *wrk,
             const struct model_call *call, enum command_status status)
 {
-  if (call->kind == MODEL_START || call->kind == MODEL_STOP)
-    model_trace (
-        mdl,
-        "task=%u run=%u worker=%s carried_out=%s%s from=%s token=%" PRIu64
-        " status=%d due_ms=%" PRId64 " clock_ms=%" PRId64
-        " worker_due_ms=%" PRId64,
-        model_task_number (mdl, &call->ref), call->run, wrk->id,
-        call->kind == MODEL_START ? "start" : "stop",
-        call->late ? " late" : "", call->own->name, call->token, status,
-        call->lease_end_ms, model_worker_clock_ms (mdl, wrk), wrk->due_ms);
+  static const char *const names[] = { [MODEL_START] = "start",
+                                       [MODEL_STOP] = "stop",
+                                       [MODEL_HOLD] = "hold",
+                                       [MODEL_PACE] = "pace" };
+  int64_t clock_ms = model_worker_clock_ms (mdl, wrk);
+  /* Of the holds, only those that name a longer lease than usual.  */
+  if (call->kind == MODEL_HOLD
+      && call->lease_end_ms <= clock_ms + MODEL_LEASE_MS + CLOCK_ERROR_MS)
+    return;
+  char task[24] = "";
+  if (call->kind != MODEL_HOLD)
+    snprintf (task, sizeof task, "task=%u run=%u ",
+              model_task_number (mdl, &call->ref), call->run);
+  model_trace (mdl,
+               "%sworker=%s carried_out=%s%s from=%s token=%" PRIu64
+               " status=%d due_ms=%" PRId64 " clock_ms=%" PRId64
+               " worker_due_ms=%" PRId64,
+               task, wrk->id, names[call->kind], call->late ? " late" : "",
+               call->own->name, call->token, status, call->lease_end_ms,
+               clock_ms, wrk->due_ms);
 }
 
 void
@@ -300,6 +310,7 @@
       wrk->token = call->token;
       if (call->kind == MODEL_HOLD)
         {
+          trace_call (mdl, wrk, call, status);
           hold (mdl, wrk, call);
           return;
         }
