--- a/test/soak/judge.c
+++ b/test/soak/judge.c
@@ -259,13 +259,14 @@
                     start->task, start->worker, who, n);
   for (const struct run_fact *run = task->runs; run; run = run->next)
     if (!run->ended)
-      judge_broken ("TWICE",
-                    "%s run %ld starts on %s by %s (token %ld) while run %ld "
-                    "is under way on %s since %.3f, started by %s (token %ld)",
-                    start->task, (long)start->number, start->worker, who,
-                    (long)start->token, (long)run->number, run->worker,
-                    (double)run->started / 1000, name_of (run->starter),
-                    (long)run->token);
+      judge_broken (
+          "TWICE",
+          "%s run %ld starts on %s by %s (token %ld%s) while run %ld "
+          "is under way on %s since %.3f, started by %s (token %ld)",
+          start->task, (long)start->number, start->worker, who,
+          (long)start->token, start->late ? ", late" : "", (long)run->number,
+          run->worker, (double)run->started / 1000, name_of (run->starter),
+          (long)run->token);
   int beside = 0;
   for (int n = 0; n < job->steps[step].count; n++)
     beside += runs_on (&job->tasks[step][n], start->worker);
@@ -681,13 +682,13 @@
           failed += strcmp (old->how, "failed") == 0;
           if (strcmp (old->how, "done") == 0)
             judge_broken ("TWICE",
-                          "%s.0.%d.%d run %ld started at %.3f on %s by %s; "
+                          "%s.0.%d.%d run %ld started at %.3f on %s by %s%s; "
                           "run %ld ended done at %.3f on %s, noted at %.3f",
                           id, step, item, (long)run->number,
                           (double)run->started / 1000, run->worker,
-                          name_of (run->starter), (long)old->number,
-                          (double)old->ended / 1000, old->worker,
-                          (double)old->noted / 1000);
+                          name_of (run->starter), run->late ? ", late" : "",
+                          (long)old->number, (double)old->ended / 1000,
+                          old->worker, (double)old->noted / 1000);
         }
       /* Perpetual tasks are started again however they end.  */
       if (failed >= ATTEMPTS && !job->perpetual)
