test: a start that is answered after its run was removed grants a lease too

The case was covered by the lease of the hold before; now the start is carried out 410 ms later, and time passes in steps of 20 ms.

Both cases fail without a fix.

--- a/test/unit/unit_placer_grant.c
+++ b/test/unit/unit_placer_grant.c
@@ -104,7 +104,7 @@
   while (wld->clk.now_us < granted_us + WORLD_LEASE_MAX_MS * 1000)
     {
       ck_assert_ptr_null (world_call (wld, WORLD_START, "w2"));
-      pass_time (300);
+      pass_time (20);
     }
   for (int n = 0; n < 4; n++)
     pass_time (300);
@@ -130,8 +130,9 @@
 }
 END_TEST
 
-/* The same for a start whose answer comes after the run has been stopped and
-   its end was listed.  */
+/* The same for a start that is carried out after the restart was noticed, and
+   whose answer comes after the run has been stopped and its end was listed.
+ */
 START_TEST (test_grant_of_removed_run)
 {
   const struct ended_row end = { .number = 1,
@@ -145,23 +146,23 @@
   ck_assert_ptr_nonnull (first);
   ck_assert_int_gt (first->lease_end_ms, 2000 + WORLD_LEASE_MAX_MS);
   first->answered = true;
-  int64_t granted_us = wld->clk.now_us;
   world_tick (wld, 50);
   answer_as_next (2050, NULL);
   world_confirm_ownership (wld);
   world_tick (wld, 60);
   answer_as_next (2110, NULL);
-  world_tick (wld, 10);
+  world_tick (wld, 350);
+  int64_t granted_us = wld->clk.now_us;
   struct world_call *stop = world_call (wld, WORLD_STOP, "w1");
   ck_assert_ptr_nonnull (stop);
   stop->answered = true;
   stop->fn (stop->arg, &(const struct command_result){ .status = COMMAND_DONE,
-                                                       .clock_ms = 2120 });
+                                                       .clock_ms = 2470 });
   world_tick (wld, 10);
-  answer_as_next (2130, &end);
+  answer_as_next (2480, &end);
   first->fn (first->arg, &(const struct command_result){
-                             .status = COMMAND_DONE, .clock_ms = 2001 });
-  start_again (2140);
+                             .status = COMMAND_DONE, .clock_ms = 2460 });
+  start_again (2490);
   check_given_up (granted_us);
 }
 END_TEST
