sched: each lease that a worker grants is counted, whatever its answer finds

Callers saw a task run twice: the owner gave up a run about 5 s after the last lease that it knew of, while the worker's next instance held the longest one (10 s) and was out of reach.

Cause: the lease that an answer shows was only counted at the end of the way that the answer takes. Three ways ended before: an answer to a hold while the end of the earlier instance was not settled (the usual case when runs are known), one that is neither of the instance asked nor of the present one, and an answer to a start whose run had been removed meanwhile.

A lease is that of all runs on the worker, so it is now counted first, before the answer is looked at otherwise.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -286,8 +286,6 @@
   wrk->instance_seen = true;
   if (!wrk->first_answer_us)
     wrk->first_answer_us = now_us;
-  placer_note_grant (plc, wrk, ctx->call.lease_end_ms, res->command.clock_ms,
-                     now_us);
   /* The answer may have waited for this process.  */
   int64_t answered_us
       = ctx->call.sent_us + HOLD_WAIT_MS * 1000 + ANSWER_TRANSIT_US;
@@ -378,6 +376,11 @@
   struct placer *plc = ctx->plc;
   struct worker *wrk
       = plc->closing ? NULL : placer_find_worker (plc, ctx->worker);
+  /* The lease counts whichever instance has granted it, and also while the end
+     of the earlier one is not settled.  */
+  if (wrk && res->command.status == COMMAND_DONE)
+    placer_note_grant (plc, wrk, ctx->call.lease_end_ms, res->command.clock_ms,
+                       clock_now_us (plc->env.clk));
   if (wrk && is_late_answer (wrk, ctx, res))
     {
       wrk->hold_in_flight = false;
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -336,14 +336,18 @@
   struct placer *plc = ctx->plc;
   struct run *run = ctx->run;
   struct worker *wrk;
+  int64_t now_us = clock_now_us (plc->env.clk);
   drop_start_in_flight (plc, ctx);
-  if (!command_answered (ctx, res, may_send_start, &wrk) || run->removed)
+  bool known = command_answered (ctx, res, may_send_start, &wrk);
+  /* The lease is that of all runs there, so it counts without this one.  */
+  if (known)
+    placer_note_grant (plc, wrk, ctx->call.lease_end_ms, res->clock_ms,
+                       now_us);
+  if (!known || run->removed)
     {
       command_finished (ctx);
       return;
     }
-  int64_t now_us = clock_now_us (plc->env.clk);
-  placer_note_grant (plc, wrk, ctx->call.lease_end_ms, res->clock_ms, now_us);
   switch (res->status)
     {
     case COMMAND_DONE:
--- a/test/unit/unit_placer_other_instance.c
+++ b/test/unit/unit_placer_other_instance.c
@@ -87,6 +87,27 @@
   world_complete_append (wld);
 }
 
+/* w1 is silent from now on.  Its task is started on another worker, and not
+   before the longest lease from GRANTED_US on is over.  */
+static void
+check_given_up_after_longest_lease (int64_t granted_us)
+{
+  add_other_worker ();
+  while (!world_call (wld, WORLD_START, "w2"))
+    {
+      struct world_call *call;
+      while ((call = world_call (wld, WORLD_STOP, "w1"))
+             || (call = world_call (wld, WORLD_HOLD, "w1")))
+        world_answer (wld, call, COMMAND_NO_ANSWER);
+      if (world_call (wld, WORLD_HOLD, "w2"))
+        world_answer (wld, world_call (wld, WORLD_HOLD, "w2"), COMMAND_DONE);
+      pass (300);
+      ck_assert_int_lt (wld->clk.now_us,
+                        granted_us + 2 * WORLD_LEASE_MAX_MS * 1000);
+    }
+  ck_assert_int_gt (wld->clk.now_us, granted_us + WORLD_LEASE_MAX_MS * 1000);
+}
+
 /* Guards against ends that the present instance forgets before they are read,
    so that a task which was done runs again (TWICE): an answer of an instance
    before it acknowledges nothing there.  The answer is read when the report of
@@ -334,6 +355,55 @@
 }
 END_TEST
 
+/* Guards against a run that is started again while its worker holds the
+   longest lease (TWICE): a hold that was sent to the first instance is
+   answered by the third one when the second one is known from its report.  */
+START_TEST (test_grant_in_late_answer)
+{
+  const struct world_row row = { .job = 1, .run = 1 };
+  world_release_earlier (wld);
+  run_job (1, TASK_JOB);
+  for (int n = 0; n < 20; n++)
+    {
+      pass (900);
+      if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", &row, 1, NULL, 0);
+    }
+  pass (50);
+  struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+  ck_assert_ptr_nonnull (hold);
+  ck_assert_int_gt (hold->lease_end_ms, 2000 + WORLD_LEASE_MAX_MS);
+  int64_t granted_us = wld->clk.now_us;
+  world_add_worker (wld, "w1", NEXT_BORN_MS);
+  pass (50);
+  const struct hold_result late
+      = { .command = { .status = COMMAND_DONE, .clock_ms = 2000 },
+          .born_ms = LAST_BORN_MS };
+  hold->answered = true;
+  hold->hold_fn (hold->arg, &late);
+  for (int n = 0; n < 3; n++)
+    {
+      pass (50);
+      hold = world_call (wld, WORLD_HOLD, "w1");
+      const struct hold_result next
+          = { .command = { .status = COMMAND_DONE, .clock_ms = 2050 + 50 * n },
+              .born_ms = LAST_BORN_MS };
+      if (!hold)
+        continue;
+      hold->answered = true;
+      hold->hold_fn (hold->arg, &next);
+    }
+  pass (50);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 2);
+  struct world_call *start = world_call (wld, WORLD_START, "w1");
+  ck_assert_ptr_nonnull (start);
+  start->answered = true;
+  start->fn (start->arg, &(const struct command_result){
+                             .status = COMMAND_DONE, .clock_ms = 2200 });
+  check_given_up_after_longest_lease (granted_us);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -347,6 +417,7 @@
   tcase_add_loop_test (tc, test_start_after_list_of_hosts, 0, 2);
   tcase_add_test (tc, test_stop_answered_by_earlier_instance);
   tcase_add_test (tc, test_clock_of_earlier_instance);
+  tcase_add_test (tc, test_grant_in_late_answer);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
