sched: a worker that was removed leaves its longest lease behind

Callers would see a task run twice: a run on a worker that comes back under its id is given up about 5 s after its start, while the worker holds the longest lease (10 s).

Cause: a hold that names a lease end by the earlier instance's clock and gets no answer may have been carried out by the next one. That is counted from lease_unanswered_us, which went with the worker: a worker whose host is listed as down is removed as soon as its runs are given up, and the report of the next instance adds a new one, which knows nothing of the call.

The bound now stays with the placer, and a worker that is added begins with it. It only matters if that worker falls silent within the time.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -180,9 +180,10 @@
 add_worker (struct placer *plc, const struct worker_report *rep)
 {
   struct worker *wrk = pool_add (&plc->pool, plc, rep);
-  if (wrk)
-    wrk->known_us
-        = rep->known_us ? rep->known_us : clock_now_us (plc->env.clk);
+  if (!wrk)
+    return NULL;
+  wrk->known_us = rep->known_us ? rep->known_us : clock_now_us (plc->env.clk);
+  wrk->lease_end_us = plc->removed_leases_end_us;
   return wrk;
 }
 
@@ -549,6 +550,7 @@
       if (!wrk->settled && !wrk->reported_ended && !plc->takeover_done)
         continue;
       plc->enrol_stale = plc->enrol_stale || wrk->enrolled;
+      placer_keep_lease_bound (plc, wrk);
       pool_remove (&plc->pool, n);
     }
 }
--- a/sched/placer_lease.c
+++ b/sched/placer_lease.c
@@ -163,3 +163,12 @@
   if (until_us > wrk->lease_end_us)
     wrk->lease_end_us = until_us;
 }
+
+void
+placer_keep_lease_bound (struct placer *plc, const struct worker *wrk)
+{
+  int64_t until_us = wrk->lease_unanswered_us
+                     + placer_add_lease_slack (plc->set.lease_max_ms * 1000);
+  if (wrk->lease_unanswered_us > 0 && until_us > plc->removed_leases_end_us)
+    plc->removed_leases_end_us = until_us;
+}
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -201,6 +201,9 @@
   int64_t next_unplaced_check_us;
   int64_t unplaced_reports_us; /* start of the time that has a limit of them */
   uint32_t unplaced_reports;   /* since then */
+  /* Workers that were removed may have granted leases until then.  A worker
+     that is added may be the next instance of one of them.  */
+  int64_t removed_leases_end_us;
   /* Report on runs that wait.  */
   int64_t next_waits_check_us;
   int64_t wait_reports_us; /* start of the time that has a limit of them */
@@ -311,6 +314,10 @@
 void placer_note_lease (struct placer *plc, struct worker *wrk,
                         int64_t now_us);
 
+/* Records what WRK, which is to be removed, may still grant by calls that have
+   no answer.  */
+void placer_keep_lease_bound (struct placer *plc, const struct worker *wrk);
+
 /* placer_instance.c */
 /* Gives up the runs of a silent WRK, whose leases have expired.  */
 void placer_drop_expired_runs (struct placer *plc, struct worker *wrk);
--- a/test/unit/unit_placer_other_instance.c
+++ b/test/unit/unit_placer_other_instance.c
@@ -404,6 +404,45 @@
 }
 END_TEST
 
+/* Guards against a run that is started again while the next instance holds the
+   longest lease (TWICE): a hold that names a lease end by the clock of the
+   earlier instance was carried out there, and the worker was forgotten, as a
+   list of hosts shows its host as down, before the report of the next one.  */
+START_TEST (test_lease_of_forgotten_worker)
+{
+  const struct world_row row = { .job = 1, .run = 1 };
+  struct host_report rep = { .state = HOST_DOWN };
+  name_copy (rep.name, "m-w1");
+  world_release_earlier (wld);
+  run_job (1, TASK_JOB);
+  for (int n = 0; n < 20; n++)
+    {
+      pass (900);
+      if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", &row, 1, NULL, 0);
+    }
+  pass (50);
+  struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+  ck_assert_ptr_nonnull (hold);
+  ck_assert_int_gt (hold->lease_end_ms, 0);
+  int64_t granted_us = wld->clk.now_us;
+  pass (1000);
+  int64_t asked_us = wld->clk.now_us;
+  pass (900);
+  world_answer (wld, hold, COMMAND_NO_ANSWER);
+  placer_update_host (wld->plc, &rep, asked_us);
+  pass (1);
+  ck_assert_ptr_null (pool_find_id (&wld->plc->pool, "w1"));
+  wld->hold_born_ms = NEXT_BORN_MS;
+  world_add_worker (wld, "w1", NEXT_BORN_MS);
+  world_enrol_worker (wld, "w1");
+  pass (100);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 2);
+  world_answer (wld, world_call (wld, WORLD_START, "w1"), COMMAND_DONE);
+  check_given_up_after_longest_lease (granted_us);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -418,6 +457,7 @@
   tcase_add_test (tc, test_stop_answered_by_earlier_instance);
   tcase_add_test (tc, test_clock_of_earlier_instance);
   tcase_add_test (tc, test_grant_in_late_answer);
+  tcase_add_test (tc, test_lease_of_forgotten_worker);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
