--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -376,8 +376,8 @@
   struct placer *plc = ctx->plc;
   struct worker *wrk
       = plc->closing ? NULL : placer_find_worker (plc, ctx->worker);
-  /* The lease counts whichever instance has granted it, and also while the end
-     of the earlier one is not settled.  */
+  /* Whichever instance has granted it, and also if the runs of the earlier one
+     cannot be given up yet: the lease holds for what is started there.  */
   if (wrk && res->command.status == COMMAND_DONE)
     placer_note_grant (plc, wrk, ctx->call.lease_end_ms, res->command.clock_ms,
                        clock_now_us (plc->env.clk));
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -336,14 +336,13 @@
   struct placer *plc = ctx->plc;
   struct run *run = ctx->run;
   struct worker *wrk;
-  int64_t now_us = clock_now_us (plc->env.clk);
   drop_start_in_flight (plc, ctx);
-  bool known = command_answered (ctx, res, may_send_start, &wrk);
-  /* The lease is that of all runs there, so it counts without this one.  */
-  if (known)
+  int64_t now_us = clock_now_us (plc->env.clk);
+  bool answered = command_answered (ctx, res, may_send_start, &wrk);
+  if (answered)
     placer_note_grant (plc, wrk, ctx->call.lease_end_ms, res->clock_ms,
                        now_us);
-  if (!known || run->removed)
+  if (!answered || run->removed)
     {
       command_finished (ctx);
       return;
