--- a/sched/placer_instance.c
+++ b/sched/placer_instance.c
@@ -88,6 +88,8 @@
   for (struct run *run = wrk->runs; run; run = next)
     {
       next = run->next;
+      /* The worker had carried out one try; the new instance may still carry
+         out another.  */
       if (run->listed_us && run->start_tries > 1)
         {
           run->listed_us = run->confirmed_us = 0;
