--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -273,10 +273,6 @@
   /* The answer shows which instance it is.  */
   wrk->reported_ended = false;
   wrk->instance_seen = !restarted;
-  /* Also if the runs of the earlier instance cannot be given up yet: the lease
-     holds for what is started on the present one.  */
-  placer_note_grant (plc, wrk, ctx->call.lease_end_ms, res->command.clock_ms,
-                     now_us);
   if (!placer_settle_instance (plc, wrk, res->born_ms))
     {
       wrk->next_hold_us = now_us + HOLD_ENDED_INTERVAL_US;
@@ -380,6 +376,11 @@
   struct placer *plc = ctx->plc;
   struct worker *wrk
       = plc->closing ? NULL : placer_find_worker (plc, ctx->worker);
+  /* Whichever instance has granted it, and also if the runs of the earlier one
+     cannot be given up yet: the lease holds for what is started there.  */
+  if (wrk && res->command.status == COMMAND_DONE)
+    placer_note_grant (plc, wrk, ctx->call.lease_end_ms, res->command.clock_ms,
+                       clock_now_us (plc->env.clk));
   if (wrk && is_late_answer (wrk, ctx, res))
     {
       wrk->hold_in_flight = false;
