sched: names of leases and their ends

placer_lease_end_ms is a time on the worker's clock, own_leases_end_us covers the leases that this owner gave, placer_leases_end_us all of them. run.waits tells the latter, as run.lost and worker.hold_failed do.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -183,7 +183,7 @@
   if (!wrk)
     return NULL;
   wrk->known_us = rep->known_us ? rep->known_us : clock_now_us (plc->env.clk);
-  wrk->lease_end_us = plc->removed_leases_end_us;
+  wrk->own_leases_end_us = plc->removed_leases_end_us;
   return wrk;
 }
 
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -87,8 +87,9 @@
                                 int64_t known_us);
 
 /* Longest time, by this process's clock, after which the leases of a command
-   that another process sends now have expired at the worker.  LEASE_MAX_MS is
-   the longest lease that workers grant, see docs/design/instances.md.  */
+   that another process sends now have expired at the worker, with the time
+   that a command may take to arrive.  LEASE_MAX_MS is the longest lease that
+   workers grant, see docs/design/instances.md.  */
 int64_t placer_lease_span_us (int64_t lease_max_ms);
 
 /* Tells the placer that all leases given by earlier owners have expired at
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -531,7 +531,7 @@
      that has not answered yet may have restarted since its report.  */
   bool extend = wrk->clock_ms > 0 && wrk->unanswered_calls == 0;
   ctx->call = placer_timed_call (
-      wrk, now_us, extend ? placer_lease_end (plc, wrk, now_us) : 0);
+      wrk, now_us, extend ? placer_lease_end_ms (plc, wrk, now_us) : 0);
   const struct command_target to = placer_command_target (wrk, may_send_hold);
   const struct hold_command cmd = {
     .token = plc->set.token,
--- a/sched/placer_lease.c
+++ b/sched/placer_lease.c
@@ -12,8 +12,8 @@
 }
 
 int64_t
-placer_lease_end (const struct placer *plc, const struct worker *wrk,
-                  int64_t now_us)
+placer_lease_end_ms (const struct placer *plc, const struct worker *wrk,
+                     int64_t now_us)
 {
   /* Later owners count on leases that begin no later than this.  A command may
      be repeated after the check of the confirmation, or this process may be
@@ -67,9 +67,10 @@
 {
   int64_t until_us
       = from_us + placer_add_lease_slack (plc->set.lease_max_ms * 1000);
-  if (until_us <= wrk->lease_end_us || until_us <= clock_now_us (plc->env.clk))
+  if (until_us <= wrk->own_leases_end_us
+      || until_us <= clock_now_us (plc->env.clk))
     return;
-  wrk->lease_end_us = until_us;
+  wrk->own_leases_end_us = until_us;
   if (!wrk->long_lease_logged)
     log_long_lease (plc, wrk, plc->set.lease_max_ms, "no_answer");
   wrk->long_lease_logged = true;
@@ -133,7 +134,8 @@
         + placer_add_lease_slack (plc->set.lease_max_ms * 1000);
   if (wrk->first_answer_us > 0 && answered_us < earlier_us)
     earlier_us = answered_us;
-  return wrk->lease_end_us > earlier_us ? wrk->lease_end_us : earlier_us;
+  return wrk->own_leases_end_us > earlier_us ? wrk->own_leases_end_us
+                                             : earlier_us;
 }
 
 void
@@ -141,8 +143,8 @@
 {
   int64_t until_us
       = now_us + placer_add_lease_slack (plc->set.lease_ms * 1000);
-  if (until_us > wrk->lease_end_us)
-    wrk->lease_end_us = until_us;
+  if (until_us > wrk->own_leases_end_us)
+    wrk->own_leases_end_us = until_us;
 }
 
 void
@@ -160,8 +162,8 @@
     log_long_lease (plc, wrk, span_ms, "other_clock");
   wrk->long_lease_logged = span_ms > plc->set.lease_ms;
   int64_t until_us = now_us + placer_add_lease_slack (span_ms * 1000);
-  if (until_us > wrk->lease_end_us)
-    wrk->lease_end_us = until_us;
+  if (until_us > wrk->own_leases_end_us)
+    wrk->own_leases_end_us = until_us;
 }
 
 void
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -299,8 +299,8 @@
 /* End of a lease that begins at NOW_US, or when the last confirmation of
    ownership becomes too old if that is earlier, in milliseconds of the
    worker's estimated clock.  */
-int64_t placer_lease_end (const struct placer *plc, const struct worker *wrk,
-                          int64_t now_us);
+int64_t placer_lease_end_ms (const struct placer *plc,
+                             const struct worker *wrk, int64_t now_us);
 /* Monotonic time by which all leases on WRK have expired, unless they are
    extended; also those that earlier owners gave, to runs that were adopted. */
 int64_t placer_leases_end_us (const struct placer *plc,
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -399,7 +399,7 @@
     .run = run->number,
     .spec = run->job->spec.spec,
     .checkpoint = run->tsk->checkpoint,
-    .lease_end_ms = placer_lease_end (plc, wrk, now_us),
+    .lease_end_ms = placer_lease_end_ms (plc, wrk, now_us),
     .token = plc->set.token,
   };
   struct command_ctx *ctx = make_command_ctx (plc, run, wrk);
--- a/sched/placer_waits.c
+++ b/sched/placer_waits.c
@@ -117,7 +117,8 @@
       LOG_I ("incomplete", wrk->hold_incomplete),
       LOG_I ("ended_ms", age_ms (now_us, wrk->ended_us)),
       LOG_I ("instance_ms", age_ms (now_us, wrk->known_us)),
-      LOG_I ("lease_left_ms", (wrk->lease_end_us - now_us) / 1000),
+      LOG_I ("lease_left_ms",
+             (placer_leases_end_us (plc, wrk) - now_us) / 1000),
       LOG_S ("owner", obstacle ? obstacle : "ready"));
 }
 
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -97,11 +97,12 @@
   int64_t clock_sent_us;    /* when the call that it answered was sent */
   /* Counts the clocks of the worker: each instance has another one.  */
   uint32_t clock_number;
-  /* When a call that extends leases was last given up without an answer.  */
+  /* When a call that extends leases was last given up without an answer, in
+     whichever instance; 0: never.  */
   int64_t lease_unanswered_us;
   /* The leases that this owner gave there have expired by then, unless they
      are extended; for all leases see placer_leases_end_us.  */
-  int64_t lease_end_us;
+  int64_t own_leases_end_us;
   /* When this instance first carried out a command of this owner: it refuses
      those of earlier owners since; 0: not yet.  */
   int64_t first_answer_us;
