--- a/sched/placer.c
+++ b/sched/placer.c
@@ -184,6 +184,7 @@
     return NULL;
   wrk->known_us = rep->known_us ? rep->known_us : clock_now_us (plc->env.clk);
   wrk->own_leases_end_us = plc->removed_leases_end_us;
+  placer_stop_late_starts (plc, wrk);
   return wrk;
 }
 
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -58,8 +58,10 @@
 struct placer_settings
 {
   const char *pool;
-  uint64_t token; /* fencing token of this ownership; later owners have higher
-                     ones */
+  uint64_t token; /* fencing token of this ownership */
+  /* This number of tokens from TOKEN on belong to this ownership; later owners
+     have higher ones.  0 counts as 1.  */
+  uint32_t token_count;
   /* Jobs whose first record has this offset or a higher one cannot have been
      started by an earlier owner.  */
   uint64_t fence_offset;
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -148,6 +148,10 @@
     return;
   const struct step *stp = &job->spec.steps[row->task.step];
   struct run *run = placer_find_run (wrk, &row->task, row->run);
+  if (run)
+    run->start_settled = true;
+  else
+    placer_drop_late_start (plc, wrk, &row->task, row->run);
   store_checkpoint (job, &row->task, tsk, row->checkpoint);
   if (row->run > tsk->prg.last_run)
     tsk->prg.last_run = row->run;
@@ -201,6 +205,8 @@
       return;
     }
   struct run *run = placer_find_run (wrk, &row->task, row->run);
+  if (!run)
+    placer_drop_late_start (plc, wrk, &row->task, row->run);
   /* A run is adopted whatever its number is: owners whose runs were not
      recorded in time may have used the same numbers or higher ones.  */
   if (!run && !placer_has_runs (tsk) && !job_ended (job) && !tsk->prg.done)
@@ -213,21 +219,13 @@
     run->confirmed_us = now_us;
   if (run->state == RUN_STARTING)
     run->state = RUN_ACTIVE;
+  run->start_settled = true;
   run->percent = row->percent;
   run->listed_us = sent_us;
   run->seen_us = now_us;
   store_checkpoint (job, &row->task, tsk, row->checkpoint);
 }
 
-/* Whether the worker may still carry out an earlier start of RUN, which its
-   earlier instance has not answered.  */
-static bool
-may_start_late (const struct run *run)
-{
-  return run->start_tries > 1 && !run->listed_us && !run->stopped_us
-         && run->created_us < run->wrk->known_us;
-}
-
 /* Removes the runs that the worker does not list although it had confirmed
    them, or had acknowledged their stop, before the hold was sent.  */
 static void
@@ -244,12 +242,6 @@
       bool stopped = run->stopped_us && run->stopped_us < sent_us;
       if (!confirmed && !stopped)
         continue;
-      if (may_start_late (run))
-        {
-          run->confirmed_us = 0;
-          placer_stop_run (plc, run);
-          continue;
-        }
       char name[TASK_NAME_MAX];
       task_ref_format (&run->ref, name);
       log_event (plc->env.lg, EV_RUN_LOST, LOG_S ("task", name),
@@ -326,7 +318,10 @@
   for (size_t n = 0; n < res->running_count; n++)
     apply_running (plc, wrk, &res->running[n], ctx->call.sent_us, now_us);
   if (!res->ended_truncated && !res->incomplete)
-    drop_unlisted_runs (plc, wrk, ctx->call.sent_us, now_us);
+    {
+      drop_unlisted_runs (plc, wrk, ctx->call.sent_us, now_us);
+      placer_stop_unlisted_starts (plc, wrk);
+    }
   wrk->hold_not_before_us = now_us;
   if (ends)
     wrk->hold_not_before_us += plc->start_limit_reached
@@ -381,6 +376,8 @@
   if (wrk && res->command.status == COMMAND_DONE)
     placer_note_grant (plc, wrk, ctx->call.lease_end_ms, res->command.clock_ms,
                        clock_now_us (plc->env.clk));
+  if (wrk)
+    placer_note_generation (plc, wrk, &ctx->call, res->command.status);
   if (wrk && is_late_answer (wrk, ctx, res))
     {
       wrk->hold_in_flight = false;
@@ -414,13 +411,12 @@
             wrk->ended_us = now_us;
           placer_settle_reported_end (plc, wrk);
         }
-      else if (res->command.status == COMMAND_FENCED)
-        {
-          plc->fenced = true;
-          log_event (plc->env.lg, EV_PLACER_FENCED,
-                     LOG_S ("pool", plc->set.pool), LOG_S ("by", wrk->rep.id),
-                     LOG_I ("token", plc->set.token));
-        }
+      else if (res->command.status == COMMAND_FENCED
+               && !placer_fenced_by_own (wrk, &ctx->call))
+        placer_fenced_by_worker (plc, wrk);
+      /* Stops are the first that the worker gets when it answers again.  */
+      if (res->command.status == COMMAND_NO_ANSWER)
+        placer_stop_unlisted_starts (plc, wrk);
       plc->env.wake (plc->env.arg);
     }
   talloc_free (ctx);
@@ -454,7 +450,8 @@
 {
   int64_t wait_ms = HOLD_WAIT_MS;
   for (const struct run *run = wrk->runs; run; run = run->next)
-    if (run->stopped_us && !run->confirmed_us)
+    if ((run->stopped_us && !run->confirmed_us)
+        || (run->start_unanswered && run->state == RUN_STARTING))
       return 0;
     else if (run->stop_wanted && !run->confirmed_us)
       wait_ms = HOLD_WAIT_STOP_MS;
@@ -534,7 +531,7 @@
       wrk, now_us, extend ? placer_lease_end_ms (plc, wrk, now_us) : 0);
   const struct command_target to = placer_command_target (wrk, may_send_hold);
   const struct hold_command cmd = {
-    .token = plc->set.token,
+    .token = placer_command_token (plc, wrk),
     .last_seen = ctx->last_seen,
     .lease_end_ms = ctx->call.lease_end_ms,
     .wait_ms = hold_wait_ms (plc, wrk, now_us),
--- a/sched/placer_instance.c
+++ b/sched/placer_instance.c
@@ -67,10 +67,10 @@
   for (struct run *run = wrk->runs; run; run = next)
     {
       next = run->next;
-      int64_t sent_us = run->start_sent_us > wrk->lease_unanswered_us
-                            ? run->start_sent_us
-                            : wrk->lease_unanswered_us;
-      if (run->confirmed_us || plc->confirmed_us > sent_us + longest_us)
+      int64_t late_us = run->start_sent_us + LATE_CALL_MAX_US;
+      if (late_us < wrk->late_leases_us)
+        late_us = wrk->late_leases_us;
+      if (run->confirmed_us || plc->confirmed_us > late_us + longest_us)
         drop_lost_run (plc, run, "lease_expired");
     }
 }
@@ -88,13 +88,6 @@
   for (struct run *run = wrk->runs; run; run = next)
     {
       next = run->next;
-      /* The worker had carried out one try; the new instance may still carry
-         out another.  */
-      if (run->listed_us && run->start_tries > 1)
-        {
-          run->listed_us = run->confirmed_us = 0;
-          run->tsk->located_token = 0;
-        }
       if (run->listed_us)
         {
           drop_lost_run (plc, run, "instance_ended");
@@ -116,13 +109,16 @@
       LOG_I ("after_ms", (now_us - wrk->ended_us) / 1000),
       LOG_I ("lost", lost), LOG_I ("kept", kept), LOG_I ("stops", stops));
   wrk->next_hold_us = 0;
+  placer_stop_late_starts (plc, wrk);
 }
 
 /* Prepares WRK for the instance that was started at BORN_MS under the same
    id.  It runs nothing yet, and numbers its ends from 1.  */
 static void
-begin_instance (struct worker *wrk, int64_t born_ms, int64_t now_us)
+begin_instance (struct placer *plc, struct worker *wrk, int64_t born_ms)
 {
+  int64_t now_us = clock_now_us (plc->env.clk);
+  placer_raise_generation (plc, wrk);
   if (born_ms != wrk->rep.born_ms)
     {
       wrk->known_us = now_us;
@@ -153,14 +149,14 @@
       if (wrk->reported_ended)
         placer_forget_clock (plc, wrk);
       drop_earlier_runs (plc, wrk, born_ms);
-      begin_instance (wrk, born_ms, clock_now_us (plc->env.clk));
+      begin_instance (plc, wrk, born_ms);
       return true;
     }
   drop_ended_runs (plc, wrk);
   if (wrk->reported_ended)
     wrk->registered = false;
   else
-    begin_instance (wrk, wrk->rep.born_ms, clock_now_us (plc->env.clk));
+    begin_instance (plc, wrk, wrk->rep.born_ms);
   return true;
 }
 
--- /dev/null
+++ b/sched/placer_late.c
@@ -0,0 +1,118 @@
+#include <string.h>
+#include <talloc.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "sched/placer_priv.h"
+
+/* Calls that may be carried out after they were given up, also by the next
+   instance of the worker; see docs/design/instances.md.  */
+
+uint64_t
+placer_command_token (const struct placer *plc, struct worker *wrk)
+{
+  wrk->generation_used = true;
+  return plc->set.token + wrk->generation;
+}
+
+void
+placer_raise_generation (const struct placer *plc, struct worker *wrk)
+{
+  wrk->generation_answered_us = 0;
+  if (!wrk->generation_used)
+    return;
+  /* Without a further token, the present instance may carry out earlier calls
+     for up to LATE_CALL_MAX_US.  */
+  wrk->generations_spent = wrk->generation + 1 >= plc->set.token_count;
+  wrk->generation += !wrk->generations_spent;
+  wrk->generation_used = false;
+}
+
+void
+placer_note_generation (struct placer *plc, struct worker *wrk,
+                        const struct timed_call *call,
+                        enum command_status status)
+{
+  if (status != COMMAND_DONE || call->generation != wrk->generation
+      || wrk->generation_answered_us || wrk->generations_spent)
+    return;
+  wrk->generation_answered_us = clock_now_us (plc->env.clk);
+  placer_end_earlier_leases (plc, wrk, wrk->generation_answered_us);
+}
+
+bool
+placer_fenced_by_own (const struct worker *wrk, const struct timed_call *call)
+{
+  return call->generation < wrk->generation;
+}
+
+static void
+remove_late_start (struct placer *plc, size_t index)
+{
+  plc->late_starts[index] = plc->late_starts[--plc->late_start_count];
+}
+
+static bool
+is_over (const struct late_start *late, int64_t now_us)
+{
+  return now_us > late->sent_us + LATE_CALL_MAX_US;
+}
+
+static bool
+is_same_task (const struct task_ref *a, const struct task_ref *b)
+{
+  return a->job == b->job && a->occurrence == b->occurrence
+         && a->step == b->step && a->index == b->index;
+}
+
+void
+placer_add_late_start (struct placer *plc, const struct run *run)
+{
+  int64_t now_us = clock_now_us (plc->env.clk);
+  struct late_start late = { .ref = run->ref,
+                             .number = run->number,
+                             .sent_us = run->start_sent_us };
+  for (size_t n = plc->late_start_count; n-- > 0;)
+    if (is_over (&plc->late_starts[n], now_us))
+      remove_late_start (plc, n);
+  if (is_over (&late, now_us))
+    return;
+  struct late_start *rows
+      = talloc_realloc (plc, plc->late_starts, struct late_start,
+                        plc->late_start_count + 1);
+  if (!rows)
+    return;
+  name_copy (late.worker, run->wrk->rep.id);
+  plc->late_starts = rows;
+  rows[plc->late_start_count++] = late;
+}
+
+void
+placer_drop_late_start (struct placer *plc, const struct worker *wrk,
+                        const struct task_ref *ref, uint32_t number)
+{
+  for (size_t n = plc->late_start_count; n-- > 0;)
+    if (plc->late_starts[n].number == number
+        && is_same_task (&plc->late_starts[n].ref, ref)
+        && strcmp (plc->late_starts[n].worker, wrk->rep.id) == 0)
+      remove_late_start (plc, n);
+}
+
+void
+placer_stop_late_starts (struct placer *plc, struct worker *wrk)
+{
+  int64_t now_us = clock_now_us (plc->env.clk);
+  for (size_t n = plc->late_start_count; n-- > 0;)
+    {
+      const struct late_start late = plc->late_starts[n];
+      struct job *job = job_table_find (plc->env.jobs, late.ref.job);
+      if (is_over (&late, now_us))
+        remove_late_start (plc, n);
+      else if (strcmp (late.worker, wrk->rep.id) != 0)
+        continue;
+      else if (!job)
+        placer_stop_unknown (plc, wrk, &late.ref, late.number);
+      else if (placer_stop_late_start (plc, wrk, job, &late))
+        remove_late_start (plc, n);
+    }
+}
--- a/sched/placer_lease.c
+++ b/sched/placer_lease.c
@@ -42,6 +42,7 @@
                    int64_t lease_end_ms)
 {
   return (struct timed_call){ .sent_us = now_us,
+                              .generation = wrk->generation,
                               .clock_number = wrk->clock_number,
                               .lease_end_ms = lease_end_ms };
 }
@@ -76,7 +77,14 @@
   wrk->long_lease_logged = true;
 }
 
-/* The next instance of WRK may have carried out calls without an answer whose
+static void
+keep_later (int64_t *time_us, int64_t other_us)
+{
+  if (other_us > *time_us)
+    *time_us = other_us;
+}
+
+/* The next instance of WRK may still carry out calls without an answer whose
    leases end by the clock before.  */
 static void
 begin_clock (struct placer *plc, struct worker *wrk)
@@ -84,8 +92,18 @@
   wrk->clock_number++;
   wrk->first_answer_us = 0;
   wrk->instance_seen = false;
-  if (wrk->lease_unanswered_us > 0)
-    note_longest_lease (plc, wrk, wrk->lease_unanswered_us);
+  placer_raise_generation (plc, wrk);
+  keep_later (&wrk->earlier_late_leases_us, wrk->late_leases_us);
+}
+
+void
+placer_end_earlier_leases (struct placer *plc, struct worker *wrk,
+                           int64_t at_us)
+{
+  int64_t last_us = wrk->earlier_late_leases_us;
+  if (last_us > 0)
+    note_longest_lease (plc, wrk, last_us < at_us ? last_us : at_us);
+  wrk->earlier_late_leases_us = 0;
 }
 
 bool
@@ -118,11 +136,15 @@
 placer_note_unanswered (struct placer *plc, struct worker *wrk,
                         const struct timed_call *call)
 {
+  int64_t late_us = call->sent_us + LATE_CALL_MAX_US;
   if (call->lease_end_ms == 0)
     return;
-  wrk->lease_unanswered_us = clock_now_us (plc->env.clk);
-  if (call->clock_number != wrk->clock_number)
-    note_longest_lease (plc, wrk, wrk->lease_unanswered_us);
+  keep_later (&wrk->late_leases_us, late_us);
+  if (call->clock_number == wrk->clock_number)
+    return;
+  keep_later (&wrk->earlier_late_leases_us, late_us);
+  if (wrk->generation_answered_us && wrk->generation > call->generation)
+    placer_end_earlier_leases (plc, wrk, wrk->generation_answered_us);
 }
 
 int64_t
@@ -134,8 +156,12 @@
         + placer_add_lease_slack (plc->set.lease_max_ms * 1000);
   if (wrk->first_answer_us > 0 && answered_us < earlier_us)
     earlier_us = answered_us;
-  return wrk->own_leases_end_us > earlier_us ? wrk->own_leases_end_us
-                                             : earlier_us;
+  keep_later (&earlier_us, wrk->own_leases_end_us);
+  if (wrk->earlier_late_leases_us > 0)
+    keep_later (&earlier_us,
+                wrk->earlier_late_leases_us
+                    + placer_add_lease_slack (plc->set.lease_max_ms * 1000));
+  return earlier_us;
 }
 
 void
@@ -169,8 +195,8 @@
 void
 placer_keep_lease_bound (struct placer *plc, const struct worker *wrk)
 {
-  int64_t until_us = wrk->lease_unanswered_us
-                     + placer_add_lease_slack (plc->set.lease_max_ms * 1000);
-  if (wrk->lease_unanswered_us > 0 && until_us > plc->removed_leases_end_us)
-    plc->removed_leases_end_us = until_us;
+  if (wrk->late_leases_us > 0)
+    keep_later (&plc->removed_leases_end_us,
+                wrk->late_leases_us
+                    + placer_add_lease_slack (plc->set.lease_max_ms * 1000));
 }
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -31,6 +31,21 @@
 /* Further jobs that are tried in a tick, of those after the first ones.  */
 #define OTHER_JOBS_PER_TICK 64
 
+/* A call without an answer may be carried out until this long after it was
+   sent, also by the next instance of the worker.  */
+#define LATE_CALL_MAX_US 12000000
+
+/* A start without an answer, of a run that has been given up.  The instance
+   that it was meant for has refused it or has ended; the next one would carry
+   it out.  */
+struct late_start
+{
+  char worker[NAME_BYTES]; /* its id */
+  struct task_ref ref;
+  uint32_t number;
+  int64_t sent_us;
+};
+
 /* A worker on which an earlier owner may have started tasks.  */
 struct earlier_worker
 {
@@ -201,6 +216,8 @@
   int64_t next_unplaced_check_us;
   int64_t unplaced_reports_us; /* start of the time that has a limit of them */
   uint32_t unplaced_reports;   /* since then */
+  struct late_start *late_starts;
+  size_t late_start_count;
   /* Workers that were removed may have granted leases until then.  A worker
      that is added may be the next instance of one of them.  */
   int64_t removed_leases_end_us;
@@ -216,6 +233,7 @@
 struct timed_call
 {
   int64_t sent_us;
+  uint32_t generation; /* that of the worker then */
   uint32_t clock_number; /* that of the worker then */
   int64_t lease_end_ms;  /* by that clock; 0: extends no leases */
 };
@@ -235,6 +253,17 @@
    new connection if the last call was not answered.  */
 struct command_target placer_command_target (const struct worker *wrk,
                                              bool (*may_send) (void *arg));
+/* Adds a run that WRK may still begin, by the start LATE, and stops it.  Until
+   its end is known, its task is not started.  Returns NULL when out of
+   memory.  */
+struct run *placer_stop_late_start (struct placer *plc, struct worker *wrk,
+                                    struct job *job,
+                                    const struct late_start *late);
+/* Stops the runs whose start got no answer and that WRK, which was asked for
+   its runs since, has not listed.  */
+void placer_stop_unlisted_starts (struct placer *plc, struct worker *wrk);
+/* WRK has seen the token of a later owner.  */
+void placer_fenced_by_worker (struct placer *plc, const struct worker *wrk);
 /* Starts the next run of a task on WRK.  */
 void placer_start_task (struct placer *plc, struct job *job,
                         const struct task_ref *ref, struct worker *wrk);
@@ -276,6 +305,32 @@
 void placer_note_answer (struct placer *plc, struct worker *wrk,
                          const struct timed_call *call,
                          const struct command_result *res);
+/* placer_late.c */
+/* The fencing token of a command to WRK that is sent now.  */
+uint64_t placer_command_token (const struct placer *plc, struct worker *wrk);
+/* Makes the present instance of WRK refuse all that was sent before, once it
+   has answered a command.  */
+void placer_raise_generation (const struct placer *plc, struct worker *wrk);
+/* Takes an answer to CALL: the command has been carried out, or refused as the
+   worker has seen a later token.  */
+void placer_note_generation (struct placer *plc, struct worker *wrk,
+                             const struct timed_call *call,
+                             enum command_status status);
+/* Whether the worker refused CALL because of a later command of this owner.
+   Otherwise a later owner has sent one.  */
+bool placer_fenced_by_own (const struct worker *wrk,
+                           const struct timed_call *call);
+/* Records that the start of RUN, which is given up, may still be carried
+   out.  */
+void placer_add_late_start (struct placer *plc, const struct run *run);
+/* Forgets the start of a run by WRK, which has answered it or has listed the
+   run or its end.  */
+void placer_drop_late_start (struct placer *plc, const struct worker *wrk,
+                             const struct task_ref *ref, uint32_t number);
+/* Stops the late starts at WRK, where an instance has begun that does not
+   know of earlier stops.  */
+void placer_stop_late_starts (struct placer *plc, struct worker *wrk);
+
 /* placer_lease.c */
 /* A call that was sent to WRK at NOW_US, with leases until LEASE_END_MS by its
    clock; 0: it extends none.  */
@@ -291,6 +346,9 @@
 /* Records that CALL, which may have been carried out, got no answer.  */
 void placer_note_unanswered (struct placer *plc, struct worker *wrk,
                              const struct timed_call *call);
+/* Calls by the clock of an earlier instance are refused since AT_US.  */
+void placer_end_earlier_leases (struct placer *plc, struct worker *wrk,
+                                int64_t at_us);
 /* Bound on the transit time of an answer.  */
 #define ANSWER_TRANSIT_US 100000
 /* Upper bound on the time that SPAN_US by the worker's clock takes, including
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -8,9 +8,6 @@
 
 /* Starting and stopping of runs.  */
 
-/* Most times that a start is sent to a worker that does not answer; then the
-   run is stopped there.  */
-#define START_TRIES_MAX 3
 /* Pause of a task after its start was refused; without it the start would be
    repeated in every tick.  */
 #define START_REFUSED_PAUSE_US 100000
@@ -92,8 +89,6 @@
   return plc->tick_too_long || plc->starts_in_flight >= STARTS_IN_FLIGHT_MAX;
 }
 
-static void send_start (struct placer *plc, struct run *run);
-
 static void
 unlink_run (struct run *run)
 {
@@ -130,6 +125,8 @@
 {
   if (run->removed)
     return;
+  if (run->start_sent_us && !run->start_settled)
+    placer_add_late_start (plc, run);
   unlink_run (run);
   if (run->unwanted)
     run->tsk->unwanted_runs--;
@@ -191,6 +188,7 @@
   if (run)
     {
       run->state = RUN_ACTIVE;
+      run->start_settled = true;
       run->confirmed_us = run->created_us;
       char name[TASK_NAME_MAX];
       task_ref_format (ref, name);
@@ -216,6 +214,7 @@
   *wrk = placer_find_worker (plc, ctx->worker);
   if (!*wrk)
     return false;
+  placer_note_generation (plc, *wrk, &ctx->call, res->status);
   if (res->status == COMMAND_NOT_SENT && !may_send (ctx))
     return true;
   /* An answer may come from the instance that the command was meant for, which
@@ -286,8 +285,7 @@
   task_ref_format (&run->ref, name);
   log_event (plc->env.lg, EV_RUN_PLACED, LOG_S ("task", name),
              LOG_I ("run", run->number), LOG_S ("worker", run->wrk->rep.id),
-             LOG_S ("outcome", outcome), LOG_I ("tries", run->start_tries),
-             LOG_I ("token", plc->set.token));
+             LOG_S ("outcome", outcome), LOG_I ("token", plc->set.token));
 }
 
 static void
@@ -295,6 +293,7 @@
                enum command_status status, int64_t now_us)
 {
   static const char *const names[] = {
+    [COMMAND_FENCED] = "superseded",
     [COMMAND_STALE_RUN] = "old_run",
     [COMMAND_LEASE_EXPIRED] = "lease_expired",
     [COMMAND_NO_ROOM] = "no_room",
@@ -315,18 +314,22 @@
   placer_remove_run (plc, run);
 }
 
+/* The next answer to a hold shows whether the worker has carried the start
+   out; see placer_stop_unlisted_starts.  */
 static void
 start_unanswered (struct placer *plc, struct run *run)
 {
   log_start (plc, run, "no_answer");
-  /* Each try has a lease of its own, so a later owner counts on none being
-     sent without a confirmed ownership.  */
-  if (run->start_tries < START_TRIES_MAX && !run->stop_wanted
-      && placer_may_start (plc, clock_now_us (plc->env.clk)))
-    send_start (plc, run);
-  else
-    /* The run may still start; after a stop the worker refuses its start.  */
-    placer_stop_run (plc, run);
+  run->start_unanswered = true;
+  run->wrk->next_hold_us = 0;
+}
+
+void
+placer_stop_unlisted_starts (struct placer *plc, struct worker *wrk)
+{
+  for (struct run *run = wrk->runs; run; run = run->next)
+    if (run->start_unanswered && run->state == RUN_STARTING)
+      placer_stop_run (plc, run);
 }
 
 static void
@@ -342,6 +345,10 @@
   if (answered)
     placer_note_grant (plc, wrk, ctx->call.lease_end_ms, res->clock_ms,
                        now_us);
+  if (res->status != COMMAND_NO_ANSWER)
+    run->start_settled = true;
+  if (answered && run->removed && run->start_settled)
+    placer_drop_late_start (plc, wrk, &run->ref, run->number);
   if (!answered || run->removed)
     {
       command_finished (ctx);
@@ -361,33 +368,33 @@
       run->job->start_timed = true;
       log_start (plc, run, "started");
       break;
-    case COMMAND_FENCED:
-      plc->fenced = true;
-      log_event (plc->env.lg, EV_PLACER_FENCED, LOG_S ("pool", plc->set.pool),
-                 LOG_S ("by", wrk->rep.id), LOG_I ("token", plc->set.token));
-      break;
     case COMMAND_NO_ANSWER:
       if (run->state == RUN_STARTING)
         start_unanswered (plc, run);
       break;
-    case COMMAND_NOT_SENT:
-      if (run->start_tries > 1)
-        start_unanswered (plc, run);
-      else if (run->state == RUN_STARTING)
-        start_refused (plc, run, wrk, res->status, now_us);
-      break;
+    case COMMAND_FENCED:
+      if (!placer_fenced_by_own (wrk, &ctx->call))
+        {
+          placer_fenced_by_worker (plc, wrk);
+          break;
+        }
+      /* Fall through.  */
     default:
-      /* The worker may have started the run at an earlier try, and the run may
-         have ended; the next hold lists its end.  */
-      if (run->start_tries > 1)
-        placer_stop_run (plc, run);
-      else if (run->state == RUN_STARTING)
+      if (run->state == RUN_STARTING)
         start_refused (plc, run, wrk, res->status, now_us);
       break;
     }
   command_finished (ctx);
 }
 
+void
+placer_fenced_by_worker (struct placer *plc, const struct worker *wrk)
+{
+  plc->fenced = true;
+  log_event (plc->env.lg, EV_PLACER_FENCED, LOG_S ("pool", plc->set.pool),
+             LOG_S ("by", wrk->rep.id), LOG_I ("token", plc->set.token));
+}
+
 static void
 send_start (struct placer *plc, struct run *run)
 {
@@ -400,24 +407,21 @@
     .spec = run->job->spec.spec,
     .checkpoint = run->tsk->checkpoint,
     .lease_end_ms = placer_lease_end_ms (plc, wrk, now_us),
-    .token = plc->set.token,
+    .token = placer_command_token (plc, wrk),
   };
   struct command_ctx *ctx = make_command_ctx (plc, run, wrk);
   if (ctx)
     ctx->call = placer_timed_call (wrk, now_us, cmd.lease_end_ms);
   plc->starts_sent++;
-  run->start_tries++;
-  run->start_sent_us = plc->last_start_us = now_us;
+  plc->last_start_us = now_us;
   if (!ctx
       || plc->env.lnk->drv->start (plc->env.lnk, &to, &cmd, on_start, ctx))
     {
       talloc_free (ctx);
-      if (run->start_tries > 1)
-        placer_stop_run (plc, run);
-      else
-        placer_remove_run (plc, run);
+      placer_remove_run (plc, run);
       return;
     }
+  run->start_sent_us = now_us;
   placer_note_lease (plc, wrk, now_us);
   run->calls_in_flight++;
   plc->calls_in_flight++;
@@ -456,8 +460,9 @@
           wrk->next_hold_us = 0;
         }
     }
-  if (res->status == COMMAND_FENCED)
-    plc->fenced = true;
+  if (res->status == COMMAND_FENCED
+      && !placer_fenced_by_own (wrk, &ctx->call))
+    placer_fenced_by_worker (plc, wrk);
   command_finished (ctx);
 }
 
@@ -466,10 +471,12 @@
            const struct task_ref *ref, uint32_t number)
 {
   const struct command_target to = placer_command_target (wrk, may_send_stop);
-  const struct stop_command cmd
-      = { .task = *ref, .run = number, .token = plc->set.token };
   if (!placer_may_command (plc, clock_now_us (plc->env.clk)))
     return false;
+  const struct stop_command cmd
+      = { .task = *ref,
+          .run = number,
+          .token = placer_command_token (plc, wrk) };
   struct command_ctx *ctx = make_command_ctx (plc, run, wrk);
   if (!ctx || plc->env.lnk->drv->stop (plc->env.lnk, &to, &cmd, on_stop, ctx))
     {
@@ -518,12 +525,27 @@
   if (!run)
     return NULL;
   run->unwanted = true;
+  run->start_settled = true;
   run->confirmed_us = run->created_us;
   tsk->unwanted_runs++;
   placer_stop_run (plc, run);
   return run;
 }
 
+struct run *
+placer_stop_late_start (struct placer *plc, struct worker *wrk,
+                        struct job *job, const struct late_start *late)
+{
+  struct run *run = link_run (plc, wrk, job, &late->ref, late->number);
+  if (!run)
+    return NULL;
+  run->unwanted = run->start_unanswered = true;
+  run->start_sent_us = late->sent_us;
+  run->tsk->unwanted_runs++;
+  placer_stop_run (plc, run);
+  return run;
+}
+
 void
 placer_make_stop_due (struct placer *plc, struct run *run)
 {
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -29,8 +29,13 @@
   int64_t created_us;   /* when its start was first sent, or it was adopted */
   int64_t confirmed_us; /* when the worker first confirmed the run; 0: not
                            yet */
-  int start_tries;
-  int64_t start_sent_us; /* when its start was last sent */
+  /* When its start was sent; 0: by an earlier owner.  A start is sent once, so
+     that no second one is left to be carried out later.  */
+  int64_t start_sent_us;
+  /* Its start was answered or not sent, or the worker has listed the run or
+     its end: it will not be carried out any more.  */
+  bool start_settled;
+  bool start_unanswered; /* its start was given up without an answer */
   bool stop_wanted;
   int64_t stop_wanted_us; /* when it was first wanted */
   bool stop_sent;         /* it is in flight */
@@ -97,9 +102,18 @@
   int64_t clock_sent_us;    /* when the call that it answered was sent */
   /* Counts the clocks of the worker: each instance has another one.  */
   uint32_t clock_number;
-  /* When a call that extends leases was last given up without an answer, in
-     whichever instance; 0: never.  */
-  int64_t lease_unanswered_us;
+  /* Calls without an answer that extend leases, to whichever instance, may be
+     carried out until then; 0: there were none.  */
+  int64_t late_leases_us;
+  /* The same of calls whose leases end by the clock of an earlier instance.
+     The present one gives them the longest lease, unless it refuses them.  */
+  int64_t earlier_late_leases_us;
+  /* Added to the token of commands.  It is raised with each instance, so that
+     this one refuses what was sent before, once it has answered.  */
+  uint32_t generation;
+  bool generation_used;           /* by a command */
+  bool generations_spent;         /* the last one could not be raised */
+  int64_t generation_answered_us; /* first answer to one; 0: none yet */
   /* The leases that this owner gave there have expired by then, unless they
      are extended; for all leases see placer_leases_end_us.  */
   int64_t own_leases_end_us;
--- a/test/unit/instance_model.h
+++ b/test/unit/instance_model.h
@@ -19,6 +19,8 @@
 #define MODEL_RECORDS_MAX 8192
 #define MODEL_LEASE_MS 5000
 #define MODEL_LEASE_MAX_MS 10000
+/* Fencing tokens of one ownership.  */
+#define MODEL_TOKENS 64
 #define MODEL_CONFIRM_MS 6000
 #define MODEL_START_CONFIRM_MS 3000
 #define MODEL_POOL "p"
--- a/test/unit/instance_owner.c
+++ b/test/unit/instance_owner.c
@@ -315,6 +315,7 @@
   const struct placer_settings set
       = { .pool = MODEL_POOL,
           .token = own->token,
+          .token_count = MODEL_TOKENS,
           .fence_offset = own->fence_offset,
           .lease_ms = MODEL_LEASE_MS,
           .lease_max_ms = MODEL_LEASE_MAX_MS,
@@ -385,7 +386,7 @@
       struct duty_record *rec = &mdl->duty_log[mdl->duty_count++];
       *rec = app->rec;
       rec->claim.earlier = &rec->earlier;
-      rec->claim.token = mdl->duty_count;
+      rec->claim.token = mdl->duty_count * MODEL_TOKENS;
       rec->claim.holder = own->name;
     }
   if (app->life == own->life)
