sched: late starts, tokens of instances and bounds on late calls

What callers saw: a task ran twice (TWICE), in the soak with late orders and in the model of instances. Cause: an owner forgot a start without an answer once the instance that it was meant for had refused it, and sent such starts up to three times, so that the next instance under the id, which knows no stop, carried one out beside or after another run. Late holds gave runs there the longest lease, counted from when they were given up.

A start is sent once; the next answer to a hold shows whether it was carried out, and otherwise the run is stopped. What may still be carried out is kept for 12 s (LATE_CALL_MAX_US) and is stopped at the next instance before the task starts again; while the worker does not answer, the task waits for the longest lease after that.

Tests: unit_placer_late (5 cases, of which late starts and tokens failed before as there was nothing to stop); the stand-in of the placer's tests refuses a second start of a run at a worker. Tests that expected up to three starts with one number now expect one, and the same waits after it. Upper bounds of 20 s on a wait that was 10.3 s by design are now 23 s, with 22.3 s by design; lower bounds rose from 10 to 22 s.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -308,7 +308,7 @@
   struct task *tsk = job_task (job, ref);
   if (tsk->prg.done || placer_has_runs (tsk) || now_us < tsk->not_before_us)
     return;
-  if (placer_may_still_run (plc, job, tsk))
+  if (placer_may_still_run (plc, job, tsk) || placer_may_run_late (plc, ref))
     return;
   const struct place_request req = {
     .job = job,
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -55,6 +55,10 @@
   void *arg;
 };
 
+/* A call to a worker that has no answer may be carried out until this long
+   after it was sent, also by the next instance of the worker.  */
+#define LATE_CALL_MAX_US 12000000
+
 struct placer_settings
 {
   const char *pool;
--- a/sched/placer_gang.c
+++ b/sched/placer_gang.c
@@ -94,16 +94,22 @@
 }
 
 /* Whether the gang cannot be started now: a member has to wait before its next
-   start, or a run of it by an earlier owner may still exist.  */
+   start, or a run of it by an earlier owner, or by a late start, may still
+   exist.  */
 static bool
 gang_blocked (const struct placer *plc, const struct job *job,
               const struct task_ref *ref, int64_t now_us)
 {
   const struct task *tasks = gang_tasks (job, ref);
+  struct task_ref member = *ref;
   for (uint32_t n = 0; n < job->spec.steps[ref->step].count; n++)
-    if (now_us < tasks[n].not_before_us || tasks[n].unwanted_runs > 0
-        || placer_may_still_run (plc, job, &tasks[n]))
-      return true;
+    {
+      member.index = n;
+      if (now_us < tasks[n].not_before_us || tasks[n].unwanted_runs > 0
+          || placer_may_still_run (plc, job, &tasks[n])
+          || placer_may_run_late (plc, &member))
+        return true;
+    }
   return false;
 }
 
--- a/sched/placer_instance.c
+++ b/sched/placer_instance.c
@@ -109,7 +109,6 @@
       LOG_I ("after_ms", (now_us - wrk->ended_us) / 1000),
       LOG_I ("lost", lost), LOG_I ("kept", kept), LOG_I ("stops", stops));
   wrk->next_hold_us = 0;
-  placer_stop_late_starts (plc, wrk);
 }
 
 /* Prepares WRK for the instance that was started at BORN_MS under the same
@@ -150,6 +149,7 @@
         placer_forget_clock (plc, wrk);
       drop_earlier_runs (plc, wrk, born_ms);
       begin_instance (plc, wrk, born_ms);
+      placer_stop_late_starts (plc, wrk);
       return true;
     }
   drop_ended_runs (plc, wrk);
--- a/sched/placer_late.c
+++ b/sched/placer_late.c
@@ -58,6 +58,15 @@
   return now_us > late->sent_us + LATE_CALL_MAX_US;
 }
 
+/* When a run that LATE has begun has certainly ended, if nobody reaches its
+   worker.  */
+static int64_t
+run_end_us (const struct placer *plc, const struct late_start *late)
+{
+  return late->sent_us + LATE_CALL_MAX_US
+         + placer_add_lease_slack (plc->set.lease_max_ms * 1000);
+}
+
 static bool
 is_same_task (const struct task_ref *a, const struct task_ref *b)
 {
@@ -73,13 +82,12 @@
                              .number = run->number,
                              .sent_us = run->start_sent_us };
   for (size_t n = plc->late_start_count; n-- > 0;)
-    if (is_over (&plc->late_starts[n], now_us))
+    if (now_us > run_end_us (plc, &plc->late_starts[n]))
       remove_late_start (plc, n);
   if (is_over (&late, now_us))
     return;
-  struct late_start *rows
-      = talloc_realloc (plc, plc->late_starts, struct late_start,
-                        plc->late_start_count + 1);
+  struct late_start *rows = talloc_realloc (
+      plc, plc->late_starts, struct late_start, plc->late_start_count + 1);
   if (!rows)
     return;
   name_copy (late.worker, run->wrk->rep.id);
@@ -106,9 +114,7 @@
     {
       const struct late_start late = plc->late_starts[n];
       struct job *job = job_table_find (plc->env.jobs, late.ref.job);
-      if (is_over (&late, now_us))
-        remove_late_start (plc, n);
-      else if (strcmp (late.worker, wrk->rep.id) != 0)
+      if (is_over (&late, now_us) || strcmp (late.worker, wrk->rep.id) != 0)
         continue;
       else if (!job)
         placer_stop_unknown (plc, wrk, &late.ref, late.number);
@@ -116,3 +122,21 @@
         remove_late_start (plc, n);
     }
 }
+
+bool
+placer_may_run_late (const struct placer *plc, const struct task_ref *ref)
+{
+  if (plc->late_start_count == 0)
+    return false;
+  int64_t now_us = clock_now_us (plc->env.clk);
+  for (size_t n = 0; n < plc->late_start_count; n++)
+    {
+      const struct late_start *late = &plc->late_starts[n];
+      if (!is_same_task (&late->ref, ref) || now_us > run_end_us (plc, late))
+        continue;
+      const struct worker *wrk = pool_find_id (&plc->pool, late->worker);
+      if (wrk && wrk->unanswered_calls > 0 && !wrk->reported_ended)
+        return true;
+    }
+  return false;
+}
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -31,10 +31,6 @@
 /* Further jobs that are tried in a tick, of those after the first ones.  */
 #define OTHER_JOBS_PER_TICK 64
 
-/* A call without an answer may be carried out until this long after it was
-   sent, also by the next instance of the worker.  */
-#define LATE_CALL_MAX_US 12000000
-
 /* A start without an answer, of a run that has been given up.  The instance
    that it was meant for has refused it or has ended; the next one would carry
    it out.  */
@@ -233,7 +229,7 @@
 struct timed_call
 {
   int64_t sent_us;
-  uint32_t generation; /* that of the worker then */
+  uint32_t generation;   /* that of the worker then */
   uint32_t clock_number; /* that of the worker then */
   int64_t lease_end_ms;  /* by that clock; 0: extends no leases */
 };
@@ -331,6 +327,11 @@
    know of earlier stops.  */
 void placer_stop_late_starts (struct placer *plc, struct worker *wrk);
 
+/* Whether a worker that does not answer may have carried out an earlier start
+   of the task, as its next instance.  */
+bool placer_may_run_late (const struct placer *plc,
+                          const struct task_ref *ref);
+
 /* placer_lease.c */
 /* A call that was sent to WRK at NOW_US, with leases until LEASE_END_MS by its
    clock; 0: it extends none.  */
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -460,8 +460,7 @@
           wrk->next_hold_us = 0;
         }
     }
-  if (res->status == COMMAND_FENCED
-      && !placer_fenced_by_own (wrk, &ctx->call))
+  if (res->status == COMMAND_FENCED && !placer_fenced_by_own (wrk, &ctx->call))
     placer_fenced_by_worker (plc, wrk);
   command_finished (ctx);
 }
@@ -473,10 +472,9 @@
   const struct command_target to = placer_command_target (wrk, may_send_stop);
   if (!placer_may_command (plc, clock_now_us (plc->env.clk)))
     return false;
-  const struct stop_command cmd
-      = { .task = *ref,
-          .run = number,
-          .token = placer_command_token (plc, wrk) };
+  const struct stop_command cmd = { .task = *ref,
+                                    .run = number,
+                                    .token = placer_command_token (plc, wrk) };
   struct command_ctx *ctx = make_command_ctx (plc, run, wrk);
   if (!ctx || plc->env.lnk->drv->stop (plc->env.lnk, &to, &cmd, on_stop, ctx))
     {
--- a/test/unit/placer_world.h
+++ b/test/unit/placer_world.h
@@ -13,6 +13,11 @@
 #define WORLD_LEASE_MAX_MS 10000
 #define WORLD_CONFIRM_MS 6000
 #define WORLD_START_CONFIRM_MS 3000
+#define WORLD_TOKENS 64
+/* A task of a silent worker starts again within this time: the longest lease
+   with its slack, from when the last call may have been carried out.  */
+#define WORLD_WAIT_MAX_US                                                     \
+  (LATE_CALL_MAX_US + (WORLD_LEASE_MAX_MS + 1000) * 1000)
 /* Offset of the owner's fence record.  */
 #define WORLD_FENCE_OFFSET 100
 
@@ -36,6 +41,7 @@
   int64_t lease_end_ms;
   uint64_t last_seen;
   int64_t wait_ms;
+  uint64_t token;
   command_fn *fn;
   hold_fn *hold_fn;
   bool (*may_send) (void *arg);
