node: a claim of a pool reserves 64 fencing tokens

Cause: an owner needs several tokens, one for each instance of a worker that it learns of, and the next claim may have the next offset, so that two owners would share a token.

Change: the claim states token_count, and records with the key "t" and no value take the offsets of the other tokens in the same append. The claim is conditional and carried out all or nothing, so a reader that knows a part of it claims at a wrong end and is refused. The fleet duty, epochs and fences keep the claim's own token; a release reserves nothing. Claims of several duties in one append would share tokens, which is safe, as a worker belongs to one pool and a host that moves gets a new instance, which has seen no token.

Weighed: tokens multiplied by 64 need no records, but an earlier version's owner after a rollback would be refused by all workers.

A claim grows by 63 records of 6 bytes, 378 bytes, for the writer and each reader; the store keeps none of them as newest records. The soak's table of tokens is larger, as it has a row for each offset.

--- a/member/duty.c
+++ b/member/duty.c
@@ -257,6 +257,7 @@
     return 0;
   note_claimant (tab, claim, now_us);
   dty->token = claim->token;
+  dty->token_count = claim->token_count;
   dty->boot = claim->boot;
   dty->since_us = now_us;
   name_copy (dty->holder, claim->released ? "" : claim->holder);
--- a/member/duty.h
+++ b/member/duty.h
@@ -98,6 +98,8 @@
   char holder[NAME_BYTES]; /* empty: released or never claimed */
   uint64_t boot;           /* of the holder when it claimed or released */
   uint64_t token;          /* of the last claim or release */
+  uint32_t token_count;    /* tokens from TOKEN on that belong to the claim; 0:
+                              not stated, only TOKEN */
   int64_t since_us;        /* monotonic time at which that was read */
   struct earlier_holders earlier; /* of those before the holder, and of this
                                      process once it has stopped holding it */
@@ -153,6 +155,7 @@
      expired limits.lease_us after the append.  Used if EARLIER is NULL.  */
   bool cleared;
   uint64_t token;
+  uint32_t token_count; /* of a claim, see struct duty */
   /* Of a release: token of the claim that it ends; 0: not stated, as in
      records of earlier versions.  */
   uint64_t released_token;
--- a/node/duties.c
+++ b/node/duties.c
@@ -219,6 +219,7 @@
   const struct placer_settings set = {
     .pool = hld->pool,
     .token = hld->token,
+    .token_count = hld->token_count,
     .fence_offset = hld->fence_offset,
     .lease_ms = lease_ms (nod),
     .lease_max_ms = nod->set->lease_max_ms,
@@ -283,6 +284,7 @@
   hld->nod = nod;
   name_copy (hld->pool, dty->name);
   hld->token = dty->token;
+  hld->token_count = dty->token_count;
   hld->prt = node_job_partition (nod, dty->name);
   snprintf (producer, sizeof producer, "owner.%s", dty->name);
   const struct appender_settings set = { .topic = TOPIC_JOBS,
@@ -424,10 +426,12 @@
 {
   struct earlier_holders earlier;
   duty_state_earlier (&nod->duties, name, clock_now_us (nod->clk), &earlier);
-  const struct duty_claim claim = { .name = name,
-                                    .holder = nod->set->name,
-                                    .boot = nod->boot,
-                                    .earlier = &earlier };
+  const struct duty_claim claim
+      = { .name = name,
+          .holder = nod->set->name,
+          .boot = nod->boot,
+          .token_count = strcmp (name, DUTY_FLEET) == 0 ? 1 : TOKENS_RESERVED,
+          .earlier = &earlier };
   return duty_record_append (nod, &claim, 1, on_claim_appended);
 }
 
--- a/node/duty_record.c
+++ b/node/duty_record.c
@@ -27,6 +27,7 @@
   msg.released = claim->released;
   msg.cleared = claim->cleared;
   msg.released_token = claim->released_token;
+  msg.token_count = claim->token_count;
   if (claim->earlier)
     {
       msg.earlier = &ear;
@@ -50,12 +51,26 @@
   return data;
 }
 
+/* Number of records after COUNT claims or releases that reserve the tokens of
+   each claim.  Ranges of claims in one append overlap: a worker belongs to one
+   pool, and compares the tokens of that pool's claims only.  */
+static size_t
+count_reserving (const struct duty_claim *claims, size_t count)
+{
+  size_t reserving = 0;
+  for (size_t n = 0; n < count; n++)
+    if (claims[n].token_count > reserving + 1)
+      reserving = claims[n].token_count - 1;
+  return reserving;
+}
+
 int
 duty_record_append (struct node *nod, const struct duty_claim *claims,
                     size_t count, topic_append_fn *fn)
 {
   void *ctx = talloc_new (nod);
-  struct topic_entry *entries = talloc_array (ctx, struct topic_entry, count);
+  size_t total = count + count_reserving (claims, count);
+  struct topic_entry *entries = talloc_array (ctx, struct topic_entry, total);
   int err = entries ? 0 : ERR_NOMEM;
   for (size_t n = 0; !err && n < count; n++)
     {
@@ -69,12 +84,15 @@
       else
         ent->key_len = strlen (ent->key);
     }
+  for (size_t n = count; !err && n < total; n++)
+    entries[n] = (struct topic_entry){ .key = TOKEN_KEY,
+                                       .key_len = strlen (TOKEN_KEY) };
   const struct topic_append app = {
     .topic = TOPIC_DUTIES,
     .conditional = count > 0 && !claims[0].released,
     .expected_end = follower_next_offset (&nod->duty_fol),
     .entries = entries,
-    .count = count,
+    .count = total,
   };
   if (!err)
     err = topic_append (&nod->store.st, &app, fn, nod);
@@ -118,6 +136,7 @@
     .released = msg->released,
     .cleared = msg->cleared,
     .token = rec->offset + 1,
+    .token_count = msg->token_count,
     .released_token = msg->released_token,
     .earlier
     = msg->earlier && decode_earlier (msg->earlier, &ear) ? &ear : NULL,
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -73,6 +73,13 @@
    records are read in the order of their keys.  */
 #define CLAIM_KEY 'd'
 #define RELEASE_KEY 'r'
+/* Number of fencing tokens that belong to a claim of a pool: commands to a
+   worker get a higher one for each of its instances that the owner learns of.
+   Records of this key, without a value, take the offsets of those after the
+   first one, so that no later claim has one of them.  The store drops the key,
+   and versions that do not know it ignore it.  */
+#define TOKENS_RESERVED 64
+#define TOKEN_KEY "t"
 #define DUTY_KEY_BYTES (NAME_BYTES + 2)
 /* Most keys of odd entries that are logged.  */
 #define ODD_ENTRIES_MAX 64
@@ -139,7 +146,8 @@
   struct held_duty *next;
   struct node *nod;
   char pool[NAME_BYTES];
-  uint64_t token; /* fencing token, from the offset of the claim */
+  uint64_t token;       /* fencing token, from the offset of the claim */
+  uint32_t token_count; /* see struct duty */
   struct job_partition *prt;
   struct appender app;   /* for the owner's records; its epoch is the token */
   uint64_t fence_offset; /* APPENDER_OFFSET_UNKNOWN before it is known */
@@ -396,8 +404,9 @@
                        const struct worker_report *rep);
 
 /* node/duty_record.c */
-/* Appends COUNT claims or releases of this process, all or none; claims only
-   if it has read all earlier records.  Returns 0 or an error; FN runs with NOD
+/* Appends COUNT claims or releases of this process, all or none, with the
+   tokens that the claims reserve; claims only if it has read all earlier
+   records.  Returns 0 or an error; FN runs with NOD
    as argument after 0 only.  */
 int duty_record_append (struct node *nod, const struct duty_claim *claims,
                         size_t count, topic_append_fn *fn);
--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -1787,7 +1787,7 @@
   (ProtobufCMessageInit) kingcuphollow__published_pool__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__duty_claim__field_descriptors[6] =
+static const ProtobufCFieldDescriptor kingcuphollow__duty_claim__field_descriptors[7] =
 {
   {
     "holder",
@@ -1861,6 +1861,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "token_count",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__DutyClaim, token_count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__duty_claim__field_indices_by_name[] = {
   1,   /* field[1] = boot */
@@ -1869,11 +1881,12 @@
   0,   /* field[0] = holder */
   2,   /* field[2] = released */
   5,   /* field[5] = released_token */
+  6,   /* field[6] = token_count */
 };
 static const ProtobufCIntRange kingcuphollow__duty_claim__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__duty_claim__descriptor =
 {
@@ -1883,7 +1896,7 @@
   "Kingcuphollow__DutyClaim",
   "kingcuphollow",
   sizeof(Kingcuphollow__DutyClaim),
-  6,
+  7,
   kingcuphollow__duty_claim__field_descriptors,
   kingcuphollow__duty_claim__field_indices_by_name,
   1,  kingcuphollow__duty_claim__number_ranges,
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -326,10 +326,16 @@
    * Of a release: token of the claim that it ends; 0: not stated.
    */
   uint64_t released_token;
+  /*
+   * Of a claim: this number of tokens from its own one on belong to it alone, as
+   * the records after it, with the key "t" and no value, take their offsets.
+   * 0: not stated, only its own one.
+   */
+  uint32_t token_count;
 };
 #define KINGCUPHOLLOW__DUTY_CLAIM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__duty_claim__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, NULL, 0, 0 }
 
 
 /*
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -14,7 +14,7 @@
 #define SLOW_MS 200 /* 50 times an append */
 #define LATE_MIN_MS 1000
 #define LATE_SPAN_MS 5000
-#define CLAIMS_MAX 4096
+#define CLAIMS_MAX 65536
 
 struct record
 {
--- a/test/unit/topic_memory.h
+++ b/test/unit/topic_memory.h
@@ -8,7 +8,7 @@
    loop, and the test can hold calls to a partition back.  */
 
 #define MEMORY_PARTS_MAX 32
-#define MEMORY_RECORDS_MAX 256
+#define MEMORY_RECORDS_MAX 1024
 #define MEMORY_PRODUCERS_MAX 16
 #define MEMORY_TEXT_BYTES 128
 
