sched: a list of hosts ends no wait while earlier owners may start tasks

Callers could see two runs of a task (TWICE). Cause: a list of hosts that shows a worker of an earlier owner as down ended the wait for it from the claim on. A deposed owner may start tasks for 3 s more, also on the worker's next instance under the same id, which has seen no token, and the list says nothing of it.

Change: a list that leaves it open whether the worker starts again under its id (it names the same worker or none) counts for a takeover only if it was requested HOST_LIST_LAG_US after earlier owners have stopped starting. One that names another worker counts as before, as does a host that is missing in two lists. A worker that such a list has ended too early still is one that is waited for; a later list, or a host that is missing then, ends it.

Measured (unit test, virtual time): unit_placer_predecessor failed 11 of 15 checks before, the task starts 3.1 s after the claim; none now. The price: if a worker and its owner are lost together, the tasks from before the claim start after the first list requested 5 s after the claim, not after 3 s; a pool that was released does not wait.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -548,7 +548,7 @@
               && now_us < placer_leases_end_us (plc, wrk)))
         continue;
       /* A worker that has not answered may run tasks of an earlier owner.  */
-      if (!wrk->settled && !wrk->reported_ended && !plc->takeover_done)
+      if (!plc->takeover_done && placer_worker_unreached (plc, wrk))
         continue;
       plc->enrol_stale = plc->enrol_stale || wrk->enrolled;
       placer_keep_lease_bound (plc, wrk);
--- a/sched/placer_hosts.c
+++ b/sched/placer_hosts.c
@@ -22,6 +22,12 @@
   return asked_us > known_us + HOST_LIST_LAG_US;
 }
 
+bool
+placer_list_covers_earlier_starts (const struct placer *plc, int64_t asked_us)
+{
+  return list_covers_instance (placer_earlier_starts_end_us (plc), asked_us);
+}
+
 void
 placer_update_host (struct placer *plc, const struct host_report *rep,
                     int64_t asked_us)
@@ -49,11 +55,19 @@
       wrk->ended_list_us = same || !*rep->worker ? asked_us : 0;
     }
   for (size_t n = plc->earlier_count; n-- > 0;)
-    if (strcmp (plc->earlier[n].host, rep->name) == 0
-        && plc->claimed_us < asked_us
-        && list_covers_instance (plc->earlier[n].known_us, asked_us)
-        && (not_up || strcmp (plc->earlier[n].id, rep->worker) != 0))
-      placer_drop_earlier_worker (plc, plc->earlier[n].id);
+    {
+      const struct earlier_worker *row = &plc->earlier[n];
+      bool same = strcmp (row->id, rep->worker) == 0;
+      if (strcmp (row->host, rep->name) != 0 || asked_us <= plc->claimed_us
+          || !list_covers_instance (row->known_us, asked_us)
+          || (same && !not_up))
+        continue;
+      /* The worker may have started again under its id since.  */
+      if ((same || !*rep->worker)
+          && !placer_list_covers_earlier_starts (plc, asked_us))
+        continue;
+      placer_drop_earlier_worker (plc, row->id);
+    }
 }
 
 static bool
@@ -92,7 +106,9 @@
     {
       struct worker *wrk = plc->pool.workers[n];
       if (wrk->unanswered_calls == 0 || wrk->hold_answered_us >= asked_us
-          || wrk->ended_us || !list_covers_instance (wrk->known_us, asked_us))
+          || (wrk->ended_us
+              && !(wrk->reported_ended && wrk->ended_list_us > 0))
+          || !list_covers_instance (wrk->known_us, asked_us))
         wrk->absent_lists = 0;
       else if (host_gone (list, wrk->rep.host, &wrk->absent_lists))
         end_worker (plc, wrk->rep.id, wrk->rep.host, wrk->rep.born_ms);
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -396,6 +396,11 @@
 /* Appends the queued progress to the log if an append is due.  */
 void placer_flush (struct placer *plc, int64_t now_us);
 
+/* placer_hosts.c */
+/* Whether a list of hosts requested at ASKED_US is newer than the last starts
+   of earlier owners, on whichever instance of a worker.  */
+bool placer_list_covers_earlier_starts (const struct placer *plc,
+                                        int64_t asked_us);
 /* placer_takeover.c */
 /* Whether ownership is confirmed recently enough to send commands.  */
 bool placer_may_command (const struct placer *plc, int64_t now_us);
@@ -410,6 +415,9 @@
 /* The id of a worker that has not told this owner of the runs that earlier
    owners may have started there, or NULL.  */
 const char *placer_unreached (const struct placer *plc);
+/* Whether WRK may run tasks of earlier owners that it has not listed.  */
+bool placer_worker_unreached (const struct placer *plc,
+                              const struct worker *wrk);
 /* Completes the takeover once every run that an earlier owner may have started
    is known or has lost its lease.  */
 void placer_check_takeover (struct placer *plc, int64_t now_us);
--- a/sched/placer_takeover.c
+++ b/sched/placer_takeover.c
@@ -47,11 +47,14 @@
          - (plc->set.confirm_ms - plc->set.start_confirm_ms) * 1000;
 }
 
-/* Whether WRK may run tasks of earlier owners that it has not listed.  */
-static bool
-is_unreached (const struct worker *wrk)
+bool
+placer_worker_unreached (const struct placer *plc, const struct worker *wrk)
 {
-  return !wrk->settled && !wrk->reported_ended;
+  if (wrk->settled)
+    return false;
+  return !wrk->reported_ended
+         || (wrk->ended_list_us > 0
+             && !placer_list_covers_earlier_starts (plc, wrk->ended_list_us));
 }
 
 const char *
@@ -60,7 +63,7 @@
   if (plc->earlier_count > 0)
     return plc->earlier[0].id;
   for (size_t n = 0; n < plc->pool.count; n++)
-    if (is_unreached (plc->pool.workers[n]))
+    if (placer_worker_unreached (plc, plc->pool.workers[n]))
       return plc->pool.workers[n]->rep.id;
   return NULL;
 }
@@ -70,11 +73,11 @@
 {
   size_t count = 0;
   for (size_t n = 0; n < plc->pool.count; n++)
-    count += is_unreached (plc->pool.workers[n]);
+    count += placer_worker_unreached (plc, plc->pool.workers[n]);
   for (size_t n = 0; n < plc->earlier_count; n++)
     {
       const struct worker *wrk = pool_find_id (&plc->pool, plc->earlier[n].id);
-      count += !wrk || !is_unreached (wrk);
+      count += !wrk || !placer_worker_unreached (plc, wrk);
     }
   return count;
 }
@@ -117,8 +120,7 @@
 placer_lease_span_us (int64_t lease_max_ms)
 {
   int64_t lease_us = lease_max_ms * 1000;
-  return lease_us + lease_us * CLOCK_SLOW_MAX_PERCENT / 100
-         + LATE_CALL_MAX_US;
+  return lease_us + lease_us * CLOCK_SLOW_MAX_PERCENT / 100 + LATE_CALL_MAX_US;
 }
 
 void
--- /dev/null
+++ b/test/unit/unit_placer_predecessor.c
@@ -0,0 +1,178 @@
+#include <check.h>
+#include <string.h>
+
+#include "fleet/host_link.h"
+#include "placer_world.h"
+#include "sched/placer_priv.h"
+
+/* Tests of a placer whose predecessor still sends commands, or has sent some
+   that are carried out late.  */
+
+#define BATCH_JOB                                                             \
+  "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"estimate-ms\":900}]" \
+  "}"
+#define NEXT_BORN_MS 5000000
+
+static struct world *wld;
+static int64_t claimed_us;
+
+static void
+setup (void)
+{
+  wld = world_create ();
+  claimed_us = wld->clk.now_us;
+}
+
+static void
+teardown (void)
+{
+  world_destroy (wld);
+}
+
+/* Passes time in ticks; w1 runs nothing and answers, w9 does not.  */
+static void
+pass (int64_t ms)
+{
+  for (; ms > 0; ms -= 100)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 100);
+      if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
+      if (world_call (wld, WORLD_HOLD, "w9"))
+        world_answer (wld, world_call (wld, WORLD_HOLD, "w9"),
+                      COMMAND_NO_ANSWER);
+    }
+}
+
+static void
+pass_until (int64_t ms)
+{
+  pass (ms - (wld->clk.now_us - claimed_us) / 1000);
+}
+
+/* Begins a takeover in which w9, which an earlier owner used, does not answer.
+   REGISTERED: the store has its report.  */
+static void
+take_over (bool registered)
+{
+  world_add_worker (wld, "w1", 1000);
+  placer_add_earlier_worker (wld->plc, "w9", "m-w9", 1000,
+                             wld->clk.now_us - 60000000);
+  if (registered)
+    {
+      world_add_worker (wld, "w9", 1000);
+      pool_find_id (&wld->plc->pool, "w9")->known_us -= 60000000;
+    }
+  world_add_job (wld, 1, BATCH_JOB, WORLD_FENCE_OFFSET - 1);
+}
+
+/* Guards against two runs of a task (TWICE): a list of hosts shows that a
+   worker has ended while an earlier owner may still start tasks on its next
+   instance.  A list that shows another worker there, or that is newer than the
+   earlier owners' last starts, ends the wait for it.  */
+START_TEST (test_list_before_last_earlier_start)
+{
+  static const struct
+  {
+    bool registered;
+    enum host_state state;
+    const char *worker; /* that is listed */
+    int64_t list_ms;    /* when the list is requested, from the claim on */
+    bool waits;
+  } cases[] = {
+    { true, HOST_DOWN, "w9", 2500, true },
+    { true, HOST_DOWN, "", 2500, true },
+    { false, HOST_DOWN, "w9", 2500, true },
+    { false, HOST_DOWN, "", 2500, true },
+    { false, HOST_UP, "", 2500, true },
+    { true, HOST_DOWN, "w9", WORLD_START_CONFIRM_MS + 1900, true },
+    { false, HOST_DOWN, "w9", WORLD_START_CONFIRM_MS + 1900, true },
+    { true, HOST_DOWN, "w9", WORLD_START_CONFIRM_MS + 2100, false },
+    { false, HOST_DOWN, "w9", WORLD_START_CONFIRM_MS + 2100, false },
+    { true, HOST_UP, "w10", 2500, false },
+    { false, HOST_UP, "w10", 2500, false },
+  };
+  struct host_report rep = { .state = cases[_i].state };
+  name_copy (rep.name, "m-w9");
+  name_copy (rep.worker, cases[_i].worker);
+  take_over (cases[_i].registered);
+  pass_until (cases[_i].list_ms);
+  placer_update_host (wld->plc, &rep, wld->clk.now_us);
+  pass (1000);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), cases[_i].waits ? 0 : 1);
+  if (!cases[_i].waits)
+    return;
+  pass (4000);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 0);
+  placer_update_host (wld->plc, &rep, wld->clk.now_us);
+  pass (200);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 1);
+}
+END_TEST
+
+/* Guards against the same with a run: the next instance registers after the
+   list, and answers that it runs the task.  */
+START_TEST (test_earlier_start_on_next_instance)
+{
+  const struct world_row row = { .job = 1, .run = 1 };
+  struct host_report rep = { .state = HOST_DOWN };
+  name_copy (rep.name, "m-w9");
+  take_over (_i);
+  pass_until (2500);
+  placer_update_host (wld->plc, &rep, wld->clk.now_us);
+  pass_until (WORLD_START_CONFIRM_MS + 500);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 0);
+  world_add_worker (wld, "w9", NEXT_BORN_MS);
+  wld->hold_born_ms = NEXT_BORN_MS;
+  world_confirm_ownership (wld);
+  world_tick (wld, 400);
+  world_answer_hold (wld, "w9", &row, 1, NULL, 0);
+  wld->hold_born_ms = 0;
+  pass (300);
+  ck_assert (placer_takeover_done (wld->plc));
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 0);
+  ck_assert_ptr_nonnull (pool_find_id (&wld->plc->pool, "w9")->runs);
+}
+END_TEST
+
+/* Guards against a takeover that waits for the leases of a worker whose host
+   has left: it is missing in later lists, after one that showed it as down too
+   early.  */
+START_TEST (test_host_leaves_after_early_list)
+{
+  const struct host_report down
+      = { .name = "m-w9", .worker = "w9", .state = HOST_DOWN };
+  const struct host_report other = { .name = "m-w1", .worker = "w1" };
+  const struct host_list list = { .hosts = &other, .count = 1 };
+  take_over (_i);
+  pass_until (2500);
+  placer_update_host (wld->plc, &down, wld->clk.now_us);
+  pass_until (WORLD_START_CONFIRM_MS + 500);
+  for (int n = 0; n < 2; n++)
+    {
+      ck_assert (!placer_takeover_done (wld->plc));
+      placer_update_hosts (wld->plc, &list, wld->clk.now_us);
+      pass (200);
+    }
+  ck_assert (placer_takeover_done (wld->plc));
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 1);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("placer_predecessor");
+  TCase *tc = tcase_create ("placer_predecessor");
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_loop_test (tc, test_list_before_last_earlier_start, 0, 11);
+  tcase_add_loop_test (tc, test_earlier_start_on_next_instance, 0, 2);
+  tcase_add_loop_test (tc, test_host_leaves_after_early_list, 0, 2);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
