test/unit: starts behind late stops and late starts of an earlier owner

Successors were seen to use lower run numbers than their predecessors, and a fresh worker instance decides by number alone until it has seen the successor's token. The cases: a late stop of a higher number makes the instance refuse the starts of this owner, also without an answer, for one task and for a gang; a late start of a higher number is carried out beside this owner's run, or instead of it; that run ends before the next list.

--- a/test/unit/unit_placer_predecessor.c
+++ b/test/unit/unit_placer_predecessor.c
@@ -11,6 +11,10 @@
 #define BATCH_JOB                                                             \
   "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"estimate-ms\":900}]" \
   "}"
+#define PERPETUAL_JOB                                                         \
+  "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"perpetual\":true}]}"
+#define GANG_JOB                                                              \
+  "{\"steps\":[{\"count\":2,\"cpu\":1000,\"mem-mb\":64,\"gang\":true}]}"
 #define NEXT_BORN_MS 5000000
 
 static struct world *wld;
@@ -160,6 +164,181 @@
 }
 END_TEST
 
+/* A fresh instance of w9 answers and is enrolled; the earlier owners have
+   released the pool.  */
+static void
+own_pool (void)
+{
+  world_release_earlier (wld);
+  world_add_worker (wld, "w9", 1000);
+  world_enrol_worker (wld, "w9");
+  world_confirm_ownership (wld);
+}
+
+/* The oldest start without an answer, which the placer may still send.  */
+static struct world_call *
+open_start (void)
+{
+  struct world_call *call = world_call (wld, WORLD_START, "w9");
+  return call && call->may_send (call->arg) ? call : NULL;
+}
+
+/* Passes up to MS until a start is sent, and returns it, or NULL.  w9 lists
+   the COUNT runs of ROWS, and acknowledges stops.  */
+static struct world_call *
+wait_for_start (int64_t ms, const struct world_row *rows, size_t count)
+{
+  for (; ms > 0 && !open_start (); ms -= 20)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 20);
+      if (world_call (wld, WORLD_STOP, "w9"))
+        world_answer (wld, world_call (wld, WORLD_STOP, "w9"), COMMAND_DONE);
+      if (world_call (wld, WORLD_HOLD, "w9"))
+        world_answer_hold (wld, "w9", rows, count, NULL, 0);
+    }
+  return open_start ();
+}
+
+/* Guards against a task that is never started, or twice (LOST, TWICE): a late
+   stop of an earlier owner, of a run with a higher number than this owner
+   knows, reaches a fresh instance before the start of the next run.  The
+   worker refuses all numbers up to that one, and the answers may be lost.  */
+START_TEST (test_start_behind_late_stop)
+{
+  static const struct
+  {
+    const char *job;
+    uint32_t stopped; /* number in the late stop */
+    bool lost;        /* the refusals are not answered */
+  } cases[] = {
+    { BATCH_JOB, 1, false },     { BATCH_JOB, 3, false },
+    { BATCH_JOB, 3, true },      { BATCH_JOB, 9, false },
+    { PERPETUAL_JOB, 3, false }, { PERPETUAL_JOB, 3, true },
+    { GANG_JOB, 3, false },      { GANG_JOB, 3, true },
+  };
+  own_pool ();
+  struct job *job = world_add_job (wld, 1, cases[_i].job, 200);
+  job->occurrences[0].tasks[0].prg.last_run = 1;
+  int64_t begun_us = wld->clk.now_us;
+  uint32_t number;
+  do
+    {
+      ck_assert_int_le (wld->clk.now_us - begun_us,
+                        (int64_t)cases[_i].stopped * 400000);
+      struct world_call *start = wait_for_start (1000, NULL, 0);
+      ck_assert_ptr_nonnull (start);
+      number = start->run;
+      bool refused = number <= cases[_i].stopped;
+      world_answer (wld, start,
+                    !refused         ? COMMAND_DONE
+                    : cases[_i].lost ? COMMAND_NO_ANSWER
+                                     : COMMAND_STALE_RUN);
+      /* The other member of a gang.  */
+      while (open_start ())
+        world_answer (wld, open_start (),
+                      refused ? COMMAND_STALE_RUN : COMMAND_DONE);
+    }
+  while (number <= cases[_i].stopped);
+  const struct run *run = pool_find_id (&wld->plc->pool, "w9")->runs;
+  ck_assert_ptr_nonnull (run);
+  for (; run; run = run->next)
+    {
+      ck_assert_uint_eq (run->number, number);
+      ck_assert_int_eq (run->state, RUN_ACTIVE);
+    }
+}
+END_TEST
+
+/* Guards against two runs that go on beside each other (TWICE): a late start
+   of an earlier owner, with a higher number, is carried out by a fresh
+   instance before this owner's start of a lower number, or instead of it.  */
+START_TEST (test_start_behind_late_start)
+{
+  static const struct
+  {
+    enum command_status status; /* of this owner's start */
+    bool listed;                /* this owner's run is */
+    uint32_t kept;              /* run that goes on; 0: none */
+  } cases[] = {
+    { COMMAND_DONE, true, 2 },
+    { COMMAND_NO_ANSWER, true, 2 },
+    { COMMAND_NO_ANSWER, false, 0 },
+  };
+  const struct world_row rows[]
+      = { { .job = 1, .run = 3 }, { .job = 1, .run = 2 } };
+  own_pool ();
+  struct job *job = world_add_job (wld, 1, BATCH_JOB, 200);
+  const struct task *tsk = &job->occurrences[0].tasks[0];
+  job->occurrences[0].tasks[0].prg.last_run = 1;
+  struct world_call *start = wait_for_start (1000, NULL, 0);
+  ck_assert_ptr_nonnull (start);
+  ck_assert_uint_eq (start->run, 2);
+  world_answer (wld, start, cases[_i].status);
+  world_tick (wld, 20);
+  world_answer_hold (wld, "w9", rows, cases[_i].listed ? 2 : 1, NULL, 0);
+  bool stopped[4] = { false };
+  struct world_call *stop;
+  while ((stop = world_call (wld, WORLD_STOP, "w9")))
+    {
+      ck_assert_uint_lt (stop->run, 4);
+      stopped[stop->run] = true;
+      world_answer (wld, stop, COMMAND_DONE);
+    }
+  ck_assert (stopped[3]);
+  ck_assert (stopped[2] == (cases[_i].kept != 2));
+  /* Until the stopped runs are not listed any more, nothing is started.  */
+  ck_assert_ptr_null (wait_for_start (600, rows, cases[_i].listed ? 2 : 1));
+  start = wait_for_start (600, rows + 1, cases[_i].listed);
+  if (cases[_i].kept)
+    {
+      ck_assert_ptr_null (start);
+      ck_assert_ptr_nonnull (tsk->run);
+      ck_assert_uint_eq (tsk->run->number, cases[_i].kept);
+      ck_assert_int_eq (tsk->run->state, RUN_ACTIVE);
+    }
+  else
+    {
+      ck_assert_ptr_nonnull (start);
+      ck_assert_uint_eq (start->run, 4);
+    }
+}
+END_TEST
+
+/* Guards against work that is done again (TWICE): the late run with the higher
+   number has ended as done before this owner's run is listed.  */
+START_TEST (test_end_of_late_start)
+{
+  static const enum run_end ends[] = { RUN_END_DONE, RUN_END_FAILED };
+  const struct world_row end
+      = { .job = 1, .run = 3, .end = ends[_i], .number = 1 };
+  const struct world_row row = { .job = 1, .run = 2 };
+  own_pool ();
+  struct job *job = world_add_job (wld, 1, BATCH_JOB, 200);
+  const struct task *tsk = &job->occurrences[0].tasks[0];
+  job->occurrences[0].tasks[0].prg.last_run = 1;
+  struct world_call *start = wait_for_start (1000, NULL, 0);
+  ck_assert_ptr_nonnull (start);
+  world_answer (wld, start, COMMAND_DONE);
+  world_tick (wld, 20);
+  world_answer_hold (wld, "w9", &row, 1, &end, 1);
+  ck_assert_uint_eq (tsk->prg.last_run, 3);
+  struct world_call *stop = world_call (wld, WORLD_STOP, "w9");
+  if (ends[_i] == RUN_END_DONE)
+    {
+      ck_assert (tsk->prg.done);
+      ck_assert_ptr_nonnull (stop);
+      ck_assert_uint_eq (stop->run, 2);
+    }
+  else
+    {
+      ck_assert_ptr_null (stop);
+      ck_assert_ptr_nonnull (tsk->run);
+    }
+  ck_assert_ptr_null (wait_for_start (1000, &row, 1));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -169,6 +348,9 @@
   tcase_add_loop_test (tc, test_list_before_last_earlier_start, 0, 11);
   tcase_add_loop_test (tc, test_earlier_start_on_next_instance, 0, 2);
   tcase_add_loop_test (tc, test_host_leaves_after_early_list, 0, 2);
+  tcase_add_loop_test (tc, test_start_behind_late_stop, 0, 8);
+  tcase_add_loop_test (tc, test_start_behind_late_start, 0, 3);
+  tcase_add_loop_test (tc, test_end_of_late_start, 0, 2);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
