sched: an answer without the worker's clock may have granted the longest lease

Callers could see two runs of a task (TWICE). Cause: a grant was noted only with clock-ms in the answer, and an answer without it is no call without an answer either, so a worker that had restarted could hold the longest lease while its owner counted the usual one.

Change: an answer of a status with which the worker takes the lease end, and which lacks the clock, counts as a grant of the longest lease from when it is read: the call has been carried out by then, so that the 12 s of a late call are not counted. worker.long_lease names it no_clock.

Measured: test_grant_without_clock fails in 5 of 10 cases before (started elsewhere after the usual lease), in none now; the cases of answers that extend no lease are given up after the usual one, before and now.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -374,7 +374,7 @@
   /* Whichever instance has granted it, and also if the runs of the earlier one
      cannot be given up yet: the lease holds for what is started there.  */
   if (wrk && res->command.status == COMMAND_DONE)
-    placer_note_grant (plc, wrk, ctx->call.lease_end_ms, res->command.clock_ms,
+    placer_note_grant (plc, wrk, ctx->call.lease_end_ms, &res->command,
                        clock_now_us (plc->env.clk));
   if (wrk)
     placer_note_generation (plc, wrk, &ctx->call, res->command.status);
--- a/sched/placer_lease.c
+++ b/sched/placer_lease.c
@@ -173,19 +173,32 @@
     wrk->own_leases_end_us = until_us;
 }
 
+/* Whether a worker that answers with STATUS may have extended leases.  */
+static bool
+extends_leases (enum command_status status)
+{
+  return status == COMMAND_DONE || status == COMMAND_STALE_RUN
+         || status == COMMAND_NO_ROOM || status == COMMAND_NO_TICKET;
+}
+
 void
 placer_note_grant (struct placer *plc, struct worker *wrk,
-                   int64_t lease_end_ms, int64_t clock_ms, int64_t now_us)
+                   int64_t lease_end_ms, const struct command_result *res,
+                   int64_t now_us)
 {
-  int64_t span_ms = lease_end_ms - clock_ms;
-  if (lease_end_ms == 0 || clock_ms == 0)
+  int64_t span_ms
+      = res->clock_ms > 0 ? lease_end_ms - res->clock_ms : INT64_MAX;
+  if (lease_end_ms == 0
+      || (res->clock_ms == 0 && !extends_leases (res->status)))
     return;
   /* The clock of a worker that has restarted begins anew, so a lease until a
-     time on its earlier clock is as long as the worker allows.  */
+     time on its earlier clock is as long as the worker allows.  An answer
+     without the clock may come from such a worker.  */
   if (span_ms > plc->set.lease_max_ms)
     span_ms = plc->set.lease_max_ms;
   if (span_ms > plc->set.lease_ms && !wrk->long_lease_logged)
-    log_long_lease (plc, wrk, span_ms, "other_clock");
+    log_long_lease (plc, wrk, span_ms,
+                    res->clock_ms > 0 ? "other_clock" : "no_clock");
   wrk->long_lease_logged = span_ms > plc->set.lease_ms;
   int64_t until_us = now_us + placer_add_lease_slack (span_ms * 1000);
   if (until_us > wrk->own_leases_end_us)
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -363,10 +363,10 @@
    extended; also those that earlier owners gave, to runs that were adopted. */
 int64_t placer_leases_end_us (const struct placer *plc,
                               const struct worker *wrk);
-/* Records the lease that a worker has granted: its clock was CLOCK_MS when it
-   answered a command with a lease until LEASE_END_MS.  */
+/* Records the lease that a worker may have granted: RES is its answer to a
+   command with a lease until LEASE_END_MS by its clock; 0: with none.  */
 void placer_note_grant (struct placer *plc, struct worker *wrk,
-                        int64_t lease_end_ms, int64_t clock_ms,
+                        int64_t lease_end_ms, const struct command_result *res,
                         int64_t now_us);
 /* Records that a command with a lease from NOW_US on was sent.  */
 void placer_note_lease (struct placer *plc, struct worker *wrk,
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -343,8 +343,7 @@
   int64_t now_us = clock_now_us (plc->env.clk);
   bool answered = command_answered (ctx, res, may_send_start, &wrk);
   if (answered)
-    placer_note_grant (plc, wrk, ctx->call.lease_end_ms, res->clock_ms,
-                       now_us);
+    placer_note_grant (plc, wrk, ctx->call.lease_end_ms, res, now_us);
   if (res->status != COMMAND_NO_ANSWER)
     run->start_settled = true;
   if (answered && run->removed && run->start_settled)
--- a/test/unit/unit_placer_grant.c
+++ b/test/unit/unit_placer_grant.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include "placer_world.h"
+#include "sched/placer_priv.h"
 
 /* Tests of leases that a worker instance has granted before its owner has
    given up the runs of the instance before.  */
@@ -203,6 +204,63 @@
 }
 END_TEST
 
+/* Guards against two runs of a task (TWICE): a worker has carried out a call
+   that extends leases, and its answer lacks the clock, so that the lease may
+   be the longest one, as for another clock.  A call that had no effect, or
+   whose lease end was over, extends none.  */
+START_TEST (test_grant_without_clock)
+{
+  static const struct
+  {
+    enum world_call_kind kind;
+    enum command_status status;
+    bool longest;
+  } cases[] = {
+    { WORLD_START, COMMAND_DONE, true },
+    { WORLD_START, COMMAND_STALE_RUN, true },
+    { WORLD_START, COMMAND_NO_ROOM, true },
+    { WORLD_START, COMMAND_NO_TICKET, true },
+    { WORLD_START, COMMAND_LEASE_EXPIRED, false },
+    { WORLD_START, COMMAND_WORKER_BUSY, false },
+    { WORLD_START, COMMAND_REJECTED, false },
+    { WORLD_START, COMMAND_OTHER_INSTANCE, false },
+    { WORLD_HOLD, COMMAND_DONE, true },
+    { WORLD_HOLD, COMMAND_WORKER_BUSY, false },
+  };
+  static const struct running_row row
+      = { .task = { .job = 1 }, .run = 1, .percent = 100, .checkpoint = "" };
+  run_task ();
+  if (cases[_i].kind == WORLD_START)
+    {
+      world_add_job (wld, 2, TASK_JOB, 200);
+      world_tick (wld, 1);
+    }
+  struct world_call *call = world_call (wld, cases[_i].kind, "w1");
+  ck_assert_ptr_nonnull (call);
+  ck_assert_int_gt (call->lease_end_ms, 0);
+  /* The next start would extend the leases as well.  */
+  pool_find_id (&wld->plc->pool, "w1")->avoid_until_us = INT64_MAX;
+  call->answered = true;
+  const struct hold_result res = { .command = { .status = cases[_i].status },
+                                   .born_ms = BORN_MS,
+                                   .running = &row,
+                                   .running_count = 1 };
+  if (call->hold_fn)
+    call->hold_fn (call->arg, &res);
+  else
+    call->fn (call->arg, &res.command);
+  pool_find_id (&wld->plc->pool, "w1")->avoid_until_us = INT64_MAX;
+  int64_t answered_us = wld->clk.now_us;
+  world_add_worker (wld, "w2", BORN_MS);
+  while (wld->clk.now_us < answered_us + WORLD_LEASE_MAX_MS * 1000)
+    pass_time (20);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), cases[_i].longest ? 1 : 2);
+  for (int n = 0; n < 12; n++)
+    pass_time (100);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 2);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -212,6 +270,7 @@
   tcase_add_test (tc, test_grant_before_confirmation);
   tcase_add_test (tc, test_grant_of_removed_run);
   tcase_add_test (tc, test_grant_of_refused_start);
+  tcase_add_loop_test (tc, test_grant_without_clock, 0, 10);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
