test/unit: the plain release build succeeds

The first buffer is as large as a worker's id may be; the second call's result is checked.

Measured: ninja -k0 in a new release folder ends without an error or warning (Debian gcc, arm64); both tests pass there and with sanitizers.

--- a/test/unit/unit_demand.c
+++ b/test/unit/unit_demand.c
@@ -47,7 +47,7 @@
 static void
 add_workers (const char *labels)
 {
-  char id[8];
+  char id[NAME_BYTES];
   for (size_t n = 0; labels[n]; n++)
     report_worker (n, (char)tolower (labels[n]), false);
   world_tick (wld, 1);
--- a/test/unit/unit_host_mgr_moves.c
+++ b/test/unit/unit_host_mgr_moves.c
@@ -129,8 +129,9 @@
     if (mgr.hosts[n].current_op == OP_MOVE)
       {
         size_t len = strlen (text);
-        snprintf (text + len, 128 - len, "%s>%s ", mgr.hosts[n].rep.name,
-                  mgr.hosts[n].dest_pool);
+        int added = snprintf (text + len, 128 - len, "%s>%s ",
+                              mgr.hosts[n].rep.name, mgr.hosts[n].dest_pool);
+        ck_assert_uint_lt ((size_t)added, 128 - len);
       }
 }
 
