--- a/sched/placer_late.c
+++ b/sched/placer_late.c
@@ -93,6 +93,12 @@
   name_copy (late.worker, run->wrk->rep.id);
   plc->late_starts = rows;
   rows[plc->late_start_count++] = late;
+  char name[TASK_NAME_MAX];
+  task_ref_format (&late.ref, name);
+  log_event (
+      plc->env.lg, EV_RUN_LATE_START, LOG_S ("task", name),
+      LOG_I ("run", late.number), LOG_S ("worker", late.worker),
+      LOG_I ("left_ms", (late.sent_us + LATE_CALL_MAX_US - now_us) / 1000));
 }
 
 void
--- a/sched/placer_stall.c
+++ b/sched/placer_stall.c
@@ -19,6 +19,8 @@
   uint32_t pause;    /* its last start or run was a moment ago */
   uint32_t ending;   /* a run of it is being stopped */
   uint32_t silent;   /* the worker of its run does not answer */
+  uint32_t late;     /* a worker that does not answer may have carried out an
+                        earlier start */
 };
 
 /* Workers of the pool, by the first reason why they get no tasks.  */
@@ -78,9 +80,11 @@
 }
 
 static void
-count_task (const struct placer *plc, const struct job *job,
-            const struct task *tsk, int64_t now_us, struct waiting_counts *out)
+count_task (const struct placer *plc, struct job *job,
+            const struct task_ref *ref, int64_t now_us,
+            struct waiting_counts *out)
 {
+  const struct task *tsk = job_task (job, ref);
   if (tsk->prg.done)
     return;
   if (tsk->unwanted_runs > 0 || (tsk->run && tsk->run->stop_wanted))
@@ -89,6 +93,8 @@
     out->silent += tsk->run->wrk->unanswered_calls > 0;
   else if (placer_may_still_run (plc, job, tsk))
     out->takeover++;
+  else if (placer_may_run_late (plc, ref))
+    out->late++;
   else if (now_us < tsk->not_before_us)
     out->pause++;
   else
@@ -98,11 +104,12 @@
 static uint32_t
 count_total (const struct waiting_counts *cnt)
 {
-  return cnt->ready + cnt->takeover + cnt->pause + cnt->ending + cnt->silent;
+  return cnt->ready + cnt->takeover + cnt->pause + cnt->ending + cnt->silent
+         + cnt->late;
 }
 
 static void
-count_job (const struct placer *plc, const struct job *job, int64_t now_us,
+count_job (const struct placer *plc, struct job *job, int64_t now_us,
            struct waiting_counts *out)
 {
   int64_t wall_ms = clock_wall_ms (plc->env.clk);
@@ -117,9 +124,9 @@
           if (occ->step_done[n] == stp->count
               || !placer_step_ready (job, occ, stp))
             continue;
-          for (uint32_t m = 0; m < stp->count; m++)
-            count_task (plc, job, &occ->tasks[stp->first_task + m], now_us,
-                        out);
+          struct task_ref ref = { .job = job->id, .occurrence = k, .step = n };
+          for (ref.index = 0; ref.index < stp->count; ref.index++)
+            count_task (plc, job, &ref, now_us, out);
         }
     }
 }
@@ -151,6 +158,7 @@
     return wrk->schedulable > 0 ? "no_fit" : "no_worker";
   return cnt->takeover > 0 ? "takeover"
          : cnt->silent > 0 ? "silent_worker"
+         : cnt->late > 0   ? "late_start"
          : cnt->ending > 0 ? "stopping"
                            : "pause";
 }
@@ -175,8 +183,9 @@
       LOG_I ("tasks_ready", cnt->ready),
       LOG_I ("tasks_takeover", cnt->takeover),
       LOG_I ("tasks_pause", cnt->pause), LOG_I ("tasks_ending", cnt->ending),
-      LOG_I ("tasks_silent", cnt->silent), LOG_I ("workers", plc->pool.count),
-      LOG_I ("free", wrk.free), LOG_I ("schedulable", wrk.schedulable),
+      LOG_I ("tasks_silent", cnt->silent), LOG_I ("tasks_late", cnt->late),
+      LOG_I ("workers", plc->pool.count), LOG_I ("free", wrk.free),
+      LOG_I ("schedulable", wrk.schedulable),
       LOG_I ("unregistered", wrk.unregistered), LOG_I ("ended", wrk.ended),
       LOG_I ("unreached", wrk.unreached), LOG_I ("unenrolled", wrk.unenrolled),
       LOG_I ("silent", wrk.silent), LOG_I ("avoided", wrk.avoided),
