sched: withhold leases on a worker that keeps a run waiting

Cause: four waits had no end. A worker whose answers to holds each have a row that cannot be read kept every run that it does not list; one that answers starts but no holds got an extended lease with each start; one that refuses stops was asked again in each tick and got extended leases with each hold; so did one that lists a run of an unknown job and refuses its stop.

Change: a run that waits for 2.5 s, judged by when the last answered call was sent, or such an unreadable answer in a takeover, makes the owner withhold the leases of that worker: it gets no starts, its holds carry no lease end and do not wait, until nothing waits there. A hold that was sent after the last lease had ended, with ownership confirmed since, settles all runs that it does not list, also if a row cannot be read. A refused stop is repeated after 250 ms. Starts without an answer are stopped after an unreadable answer as well.

Price: the other runs on such a worker end with its leases too, 5.2 s after they were withheld, as they do on a worker that answers no holds.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -227,10 +227,11 @@
 }
 
 /* Removes the runs that the worker does not list although it had confirmed
-   them, or had acknowledged their stop, before the hold was sent.  */
+   them, or had acknowledged their stop, before the hold was sent, or although
+   all leases had EXPIRED by then.  */
 static void
 drop_unlisted_runs (struct placer *plc, struct worker *wrk, int64_t sent_us,
-                    int64_t now_us)
+                    bool expired, int64_t now_us)
 {
   struct run *next;
   for (struct run *run = wrk->runs; run; run = next)
@@ -240,18 +241,30 @@
         continue;
       bool confirmed = run->confirmed_us && run->confirmed_us < sent_us;
       bool stopped = run->stopped_us && run->stopped_us < sent_us;
-      if (!confirmed && !stopped)
+      if (!confirmed && !stopped && !expired)
         continue;
       char name[TASK_NAME_MAX];
       task_ref_format (&run->ref, name);
       log_event (plc->env.lg, EV_RUN_LOST, LOG_S ("task", name),
                  LOG_I ("run", run->number), LOG_S ("worker", wrk->rep.id),
-                 LOG_S ("reason", stopped ? "stopped" : "not_listed"));
+                 LOG_S ("reason", expired   ? "lease_expired"
+                                  : stopped ? "stopped"
+                                            : "not_listed"));
       run->tsk->ended_us = now_us;
       placer_remove_run (plc, run);
     }
 }
 
+/* Whether all leases on WRK had expired at AT_US, and no later owner could
+   have extended them.  */
+static bool
+leases_expired (const struct placer *plc, const struct worker *wrk,
+                int64_t at_us)
+{
+  int64_t end_us = placer_leases_end_us (plc, wrk);
+  return at_us > end_us && plc->confirmed_us > end_us;
+}
+
 static void
 apply_hold (struct placer *plc, struct worker *wrk, const struct hold_ctx *ctx,
             const struct hold_result *res, int64_t now_us)
@@ -283,7 +296,7 @@
       = ctx->call.sent_us + HOLD_WAIT_MS * 1000 + ANSWER_TRANSIT_US;
   wrk->hold_answered_us = now_us < answered_us ? now_us : answered_us;
   /* A row that cannot be read may be a run of an earlier owner.  */
-  if (!wrk->reached && !res->incomplete)
+  if (!wrk->reached && (!res->incomplete || plc->takeover_done))
     {
       wrk->reached = true;
       log_event (plc->env.lg, EV_WORKER_REACHED, LOG_S ("worker", wrk->rep.id),
@@ -317,11 +330,17 @@
   wrk->unknown = (struct resources){ 0 };
   for (size_t n = 0; n < res->running_count; n++)
     apply_running (plc, wrk, &res->running[n], ctx->call.sent_us, now_us);
-  if (!res->ended_truncated && !res->incomplete)
-    {
-      drop_unlisted_runs (plc, wrk, ctx->call.sent_us, now_us);
-      placer_stop_unlisted_starts (plc, wrk);
-    }
+  if (!worker_has_unknown_runs (wrk))
+    wrk->unknown_since_us = 0;
+  else if (!wrk->unknown_since_us)
+    wrk->unknown_since_us = now_us;
+  /* A row that cannot be read may be a run that is not listed, as long as
+     there are leases.  */
+  bool expired = leases_expired (plc, wrk, ctx->call.sent_us);
+  if (!res->ended_truncated && (!res->incomplete || expired))
+    drop_unlisted_runs (plc, wrk, ctx->call.sent_us, expired, now_us);
+  if (!res->ended_truncated)
+    placer_stop_unlisted_starts (plc, wrk);
   wrk->hold_not_before_us = now_us;
   if (ends)
     wrk->hold_not_before_us += plc->start_limit_reached
@@ -331,8 +350,9 @@
                           ? now_us + HOLD_UNFLUSHED_RETRY_US
                           : wrk->hold_not_before_us;
   /* The worker answers at once while it has an end that is not acknowledged,
-     as one without a number, or while its clock is not known.  */
-  if (res->incomplete || wrk->clock_ms == 0)
+     as one without a number, while its clock is not known, or while its leases
+     are withheld.  */
+  if (res->incomplete || wrk->clock_ms == 0 || wrk->leases_withheld)
     wrk->next_hold_us = now_us + HOLD_RETRY_US;
 }
 
@@ -417,6 +437,7 @@
       /* Stops are the first that the worker gets when it answers again.  */
       if (res->command.status == COMMAND_NO_ANSWER)
         placer_stop_unlisted_starts (plc, wrk);
+      placer_check_overdue (plc, wrk);
       plc->env.wake (plc->env.arg);
     }
   talloc_free (ctx);
@@ -465,7 +486,7 @@
 {
   int64_t starts_end_us = placer_earlier_starts_end_us (plc);
   if (!wrk->reached || wrk->unanswered_calls > 0 || wrk->ended_us
-      || settling_due (plc, wrk, now_us))
+      || wrk->leases_withheld || settling_due (plc, wrk, now_us))
     return 0;
   /* Without runs the answer would come at the end of its delay, and until then
      the ends do not count as acknowledged.  */
@@ -493,7 +514,7 @@
     return true;
   /* It is taken as full until it no longer lists a run without a known
      job.  */
-  if (worker_has_unknown_runs (wrk))
+  if (worker_has_unknown_runs (wrk) || wrk->leases_withheld)
     return true;
   return !wrk->reached || wrk->runs || wrk->acked_end < wrk->durable_end
          || wrk->applied_end > wrk->durable_end;
@@ -526,7 +547,8 @@
   /* Do not extend the leases of a silent worker: each extension that may still
      arrive would delay the time at which its runs have certainly ended.  One
      that has not answered yet may have restarted since its report.  */
-  bool extend = wrk->clock_ms > 0 && wrk->unanswered_calls == 0;
+  bool extend = wrk->clock_ms > 0 && wrk->unanswered_calls == 0
+                && !wrk->leases_withheld;
   ctx->call = placer_timed_call (
       wrk, now_us, extend ? placer_lease_end_ms (plc, wrk, now_us) : 0);
   const struct command_target to = placer_command_target (wrk, may_send_hold);
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -233,7 +233,7 @@
 struct timed_call
 {
   int64_t sent_us;
-  uint32_t generation; /* that of the worker then */
+  uint32_t generation;   /* that of the worker then */
   uint32_t clock_number; /* that of the worker then */
   int64_t lease_end_ms;  /* by that clock; 0: extends no leases */
 };
@@ -441,7 +441,14 @@
    workers are no place for them.  */
 void placer_check_unplaced (struct placer *plc, int64_t now_us);
 
+/* placer_overdue.c */
+/* Decides, after an answer of WRK, whether its leases are withheld.  */
+void placer_check_overdue (struct placer *plc, struct worker *wrk);
+
 /* placer_waits.c */
+/* Since when RUN waits: for the answer to its start, to be listed, or for its
+   end after a stop.  */
+int64_t placer_run_waits_since_us (const struct run *run);
 /* Logs which runs have waited for some time, and for what.  */
 void placer_check_waits (struct placer *plc, int64_t now_us);
 
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -17,6 +17,8 @@
 /* Pause of a worker that had no room for a task that should have fitted.  It
    runs something that this owner does not know; the next hold lists it.  */
 #define NO_ROOM_PAUSE_US 200000
+/* Least time between two stops of one run, after one that had no effect.  */
+#define STOP_INTERVAL_MIN_US 250000
 
 /* Most starts in flight at a time.  A process with a tenth of a core sends
    about 1,000 starts a second, and has to read their answers within the
@@ -384,6 +386,7 @@
         start_refused (plc, run, wrk, res->status, now_us);
       break;
     }
+  placer_check_overdue (plc, wrk);
   command_finished (ctx);
 }
 
@@ -459,10 +462,12 @@
           ctx->run->stopped_us = clock_now_us (plc->env.clk);
           wrk->next_hold_us = 0;
         }
+      else if (res->status != COMMAND_DONE && res->status != COMMAND_NO_ANSWER)
+        ctx->run->next_stop_us = ctx->call.sent_us + STOP_INTERVAL_MIN_US;
     }
-  if (res->status == COMMAND_FENCED
-      && !placer_fenced_by_own (wrk, &ctx->call))
+  if (res->status == COMMAND_FENCED && !placer_fenced_by_own (wrk, &ctx->call))
     placer_fenced_by_worker (plc, wrk);
+  placer_check_overdue (plc, wrk);
   command_finished (ctx);
 }
 
@@ -473,10 +478,9 @@
   const struct command_target to = placer_command_target (wrk, may_send_stop);
   if (!placer_may_command (plc, clock_now_us (plc->env.clk)))
     return false;
-  const struct stop_command cmd
-      = { .task = *ref,
-          .run = number,
-          .token = placer_command_token (plc, wrk) };
+  const struct stop_command cmd = { .task = *ref,
+                                    .run = number,
+                                    .token = placer_command_token (plc, wrk) };
   struct command_ctx *ctx = make_command_ctx (plc, run, wrk);
   if (!ctx || plc->env.lnk->drv->stop (plc->env.lnk, &to, &cmd, on_stop, ctx))
     {
@@ -554,6 +558,7 @@
   run->stop_wanted = true;
   run->state = RUN_STOPPING;
   run->stop_sent = false;
+  run->next_stop_us = 0;
   run->stopped_us = 0;
   run->wrk->stops_wanted = true;
 }
@@ -570,6 +575,7 @@
 void
 placer_send_stops (struct placer *plc, struct worker *wrk)
 {
+  int64_t now_us = clock_now_us (plc->env.clk);
   if (!wrk->stops_wanted)
     return;
   wrk->stops_wanted = false;
@@ -577,7 +583,7 @@
     if (run->stop_wanted && !run->stopped_us)
       {
         wrk->stops_wanted = true;
-        if (!run->stop_sent
+        if (!run->stop_sent && now_us >= run->next_stop_us
             && send_stop (plc, wrk, run, &run->ref, run->number))
           run->stop_sent = true;
       }
--- a/sched/placer_waits.c
+++ b/sched/placer_waits.c
@@ -14,9 +14,8 @@
 #define WAIT_REPORT_INTERVAL_US 5000000
 #define WAIT_REPORTS_MAX 4
 
-/* Since when RUN waits.  */
-static int64_t
-waits_since_us (const struct run *run)
+int64_t
+placer_run_waits_since_us (const struct run *run)
 {
   switch (run->state)
     {
@@ -46,7 +45,7 @@
 {
   if ((a->wait_reported_us == 0) != (b->wait_reported_us == 0))
     return a->wait_reported_us == 0;
-  return waits_since_us (a) < waits_since_us (b);
+  return placer_run_waits_since_us (a) < placer_run_waits_since_us (b);
 }
 
 /* Counts the runs that wait and returns the one of KIND to be reported next,
@@ -60,7 +59,7 @@
   for (size_t n = 0; n < plc->pool.count; n++)
     for (struct run *run = plc->pool.workers[n]->runs; run; run = run->next)
       {
-        if (now_us - waits_since_us (run) < WAIT_REPORT_US)
+        if (now_us - placer_run_waits_since_us (run) < WAIT_REPORT_US)
           continue;
         ++*waiting;
         if (wait_kind (run) == kind
@@ -104,7 +103,7 @@
       plc->env.lg, EV_RUN_WAITS, LOG_S ("pool", plc->set.pool),
       LOG_S ("task", name), LOG_I ("run", run->number),
       LOG_S ("worker", wrk->rep.id), LOG_S ("state", states[run->state]),
-      LOG_I ("for_ms", (now_us - waits_since_us (run)) / 1000),
+      LOG_I ("for_ms", (now_us - placer_run_waits_since_us (run)) / 1000),
       LOG_I ("runs", waiting),
       LOG_I ("start_unanswered", run->start_unanswered),
       LOG_I ("confirmed_ms", age_ms (now_us, run->confirmed_us)),
--- a/sched/pool.c
+++ b/sched/pool.c
@@ -183,8 +183,8 @@
 worker_usable (const struct worker *wrk, int64_t now_us)
 {
   return wrk->registered && !worker_silent (wrk) && wrk->reached
-         && wrk->clock_ms > 0 && now_us >= wrk->avoid_until_us
-         && now_us >= wrk->failing_until_us;
+         && !wrk->leases_withheld && wrk->clock_ms > 0
+         && now_us >= wrk->avoid_until_us && now_us >= wrk->failing_until_us;
 }
 
 bool
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -40,6 +40,7 @@
   int64_t stop_wanted_us; /* when it was first wanted */
   bool stop_sent;         /* it is in flight */
   int64_t stop_sent_us;   /* when it was last sent; 0: not yet */
+  int64_t next_stop_us;   /* it is not sent before, as it was refused */
   int64_t stopped_us;     /* when the stop was acknowledged; 0: not yet */
   bool preempted;         /* selected to be stopped for a perpetual task */
   bool unwanted; /* not the current run of its task; it is being stopped */
@@ -61,6 +62,7 @@
   /* Used by runs that the worker lists and whose jobs are not known; the owner
      is stopping them.  */
   struct resources unknown;
+  int64_t unknown_since_us; /* when it was first listed */
 
   /* Contact.  */
   bool registered; /* the store has a current report of the worker */
@@ -96,10 +98,12 @@
   bool long_lease_logged;   /* the last known lease is longer than usual; only
                                the first such one in a row is logged */
   bool hold_incomplete;     /* the last answer to a hold had unreadable rows */
-  int64_t clock_ms;         /* the worker's clock in its last answer; 0: not
-                               known */
-  int64_t clock_read_us;    /* monotonic time at which clock_ms was received */
-  int64_t clock_sent_us;    /* when the call that it answered was sent */
+  bool leases_withheld;     /* no call extends leases, so that a run ends */
+  int64_t withheld_report_us; /* when that was last logged; 0: not yet */
+  int64_t clock_ms;           /* the worker's clock in its last answer; 0: not
+                                 known */
+  int64_t clock_read_us; /* monotonic time at which clock_ms was received */
+  int64_t clock_sent_us; /* when the call that it answered was sent */
   /* Counts the clocks of the worker: each instance has another one.  */
   uint32_t clock_number;
   /* Calls without an answer that extend leases, to whichever instance, may be
