--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -265,6 +265,28 @@
   return at_us > end_us && plc->confirmed_us > end_us;
 }
 
+/* Takes the list of runs in an answer to a hold.  */
+static void
+apply_rows (struct placer *plc, struct worker *wrk, const struct hold_ctx *ctx,
+            const struct hold_result *res, int64_t now_us)
+{
+  int64_t sent_us = ctx->call.sent_us;
+  wrk->unknown = (struct resources){ 0 };
+  for (size_t n = 0; n < res->running_count; n++)
+    apply_running (plc, wrk, &res->running[n], sent_us, now_us);
+  if (!worker_has_unknown_runs (wrk))
+    wrk->unknown_since_us = 0;
+  else if (!wrk->unknown_since_us)
+    wrk->unknown_since_us = now_us;
+  /* A row that cannot be read may be a run that is not listed, as long as
+     there are leases.  */
+  bool expired = leases_expired (plc, wrk, sent_us);
+  if (!res->ended_truncated && (!res->incomplete || expired))
+    drop_unlisted_runs (plc, wrk, sent_us, expired, now_us);
+  if (!res->ended_truncated)
+    placer_stop_unlisted_starts (plc, wrk);
+}
+
 static void
 apply_hold (struct placer *plc, struct worker *wrk, const struct hold_ctx *ctx,
             const struct hold_result *res, int64_t now_us)
@@ -327,20 +349,7 @@
         wrk->applied_end = res->ended[n].number;
         ends = true;
       }
-  wrk->unknown = (struct resources){ 0 };
-  for (size_t n = 0; n < res->running_count; n++)
-    apply_running (plc, wrk, &res->running[n], ctx->call.sent_us, now_us);
-  if (!worker_has_unknown_runs (wrk))
-    wrk->unknown_since_us = 0;
-  else if (!wrk->unknown_since_us)
-    wrk->unknown_since_us = now_us;
-  /* A row that cannot be read may be a run that is not listed, as long as
-     there are leases.  */
-  bool expired = leases_expired (plc, wrk, ctx->call.sent_us);
-  if (!res->ended_truncated && (!res->incomplete || expired))
-    drop_unlisted_runs (plc, wrk, ctx->call.sent_us, expired, now_us);
-  if (!res->ended_truncated)
-    placer_stop_unlisted_starts (plc, wrk);
+  apply_rows (plc, wrk, ctx, res, now_us);
   wrk->hold_not_before_us = now_us;
   if (ends)
     wrk->hold_not_before_us += plc->start_limit_reached
