sched: look for another worker after a refused start

Cause: after a refusal other than for lack of room or load, a task was offered to the same worker again each 0.1 s, as it still came first, also while others had room: it waited without end (LOST) behind one worker that refuses it.

Change: a worker that has refused the start of a task comes last for it, as one where it failed. Of two workers that refuse a task for good both are tried in turn, and a third one is not; not covered.

--- a/job/job.h
+++ b/job/job.h
@@ -91,8 +91,8 @@
   uint32_t unwanted_runs; /* other runs, which are being stopped; the task is
                              not started while there are any */
   char *checkpoint;       /* newest checkpoint; NULL: none */
-  uint32_t avoid_worker;  /* handle of the worker of the last failed run; 0:
-                             none */
+  uint32_t avoid_worker;  /* handle of the worker of the last run that failed,
+                             or whose start was refused; 0: none */
   int64_t not_before_us;  /* monotonic time before which no run starts */
   int64_t ended_us;       /* monotonic time at which the last run ended; 0: no
                              run has ended */
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -307,6 +307,9 @@
   };
   log_start (plc, run, names[status]);
   run->tsk->not_before_us = now_us + START_REFUSED_PAUSE_US;
+  /* The worker may refuse this task for good.  */
+  if (status != COMMAND_NOT_SENT || placer_may_start (plc, now_us))
+    run->tsk->avoid_worker = wrk->handle;
   if (status == COMMAND_WORKER_BUSY)
     wrk->avoid_until_us = now_us + WORKER_BUSY_PAUSE_US;
   else if (status == COMMAND_NO_ROOM)
--- a/test/unit/unit_placer_unended.c
+++ b/test/unit/unit_placer_unended.c
@@ -579,6 +579,72 @@
 }
 END_TEST
 
+/* Guards against a task that waits for ever (LOST) although a worker has room
+   for it, as another one that comes first refuses each start.  */
+START_TEST (test_refused_starts)
+{
+  static const enum command_status statuses[]
+      = { COMMAND_STALE_RUN, COMMAND_LEASE_EXPIRED, COMMAND_NO_ROOM,
+          COMMAND_NO_TICKET, COMMAND_REJECTED,      COMMAND_WORKER_BUSY,
+          COMMAND_NOT_SENT };
+  const struct ways sound = { 0 };
+  const char *first = NULL;
+  add_first_worker ();
+  world_add_worker (wld, "w2", BORN_MS);
+  for (int n = 0; n < 4; n++)
+    step (&sound);
+  world_add_job (wld, 1,
+                 "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64,"
+                 "\"perpetual\":true}]}",
+                 200);
+  for (int n = 0; n < 20; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, STEP_MS);
+      for (int k = 0; k < 2; k++)
+        {
+          struct world_call *call = world_call (wld, WORLD_START, ids[k]);
+          if (call && first && first != ids[k])
+            return;
+          first = call ? ids[k] : first;
+          if (call)
+            world_answer (wld, call, statuses[_i]);
+          answer_hold (k, &sound);
+        }
+    }
+  ck_abort_msg ("%s got all starts", first);
+}
+END_TEST
+
+/* Guards against a perpetual task that waits for ever (LOST) for room on a
+   worker which refuses the stops of the batch runs there.  */
+START_TEST (test_refused_preemption)
+{
+  static const enum command_status statuses[]
+      = { COMMAND_REJECTED, COMMAND_WORKER_BUSY, COMMAND_NO_ANSWER };
+  const struct ways ways = { .stops = statuses[_i] };
+  add_first_worker ();
+  world_add_worker (wld, "w2", BORN_MS);
+  for (uint64_t id = 10; id < 18; id++)
+    world_add_job (wld, id, TASK_JOB, 200 + id);
+  for (int n = 0; n < 30; n++)
+    step (&ways);
+  ck_assert_uint_eq (run_counts[0], 4);
+  ck_assert_uint_eq (run_counts[1], 4);
+  /* The first worker is chosen, as fewer runs have to be stopped there.  */
+  placer_stop_run (wld->plc, wld->plc->pool.workers[0]->runs);
+  world_add_job (wld, 1,
+                 "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64,"
+                 "\"perpetual\":true}]}",
+                 300);
+  int64_t waited_ms = 0;
+  for (; world_starts (wld, 1, 0) == 0 && waited_ms < 6000;
+       waited_ms += STEP_MS)
+    step (&ways);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -590,6 +656,8 @@
   tcase_add_test (tc, test_unreadable_run_of_earlier_owner);
   tcase_add_test (tc, test_unreadable_rows_for_good);
   tcase_add_loop_test (tc, test_sound_worker_keeps_leases, 0, 3);
+  tcase_add_loop_test (tc, test_refused_starts, 0, 7);
+  tcase_add_loop_test (tc, test_refused_preemption, 0, 3);
   Suite *suite = suite_create ("placer_unended");
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
