test/unit: the model of instances with workers at fault that answer calls

A second round of unit_instance_model disturbs four workers, one of them for good: some of the runs that they list cannot be read, or they refuse holds or stops.

--- a/test/unit/instance_faults.c
+++ b/test/unit/instance_faults.c
@@ -227,6 +227,31 @@
     }
 }
 
+static void
+on_disturb (struct model *mdl, void *arg, int64_t kinds)
+{
+  struct model_worker *wrk = arg;
+  wrk->disturbed = (uint32_t)kinds;
+  model_trace (mdl, "worker=%s disturbed=%u", wrk->id, wrk->disturbed);
+}
+
+/* Workers are at fault for some time, and one of them for good.  */
+static void
+plan_disturbed (struct model *mdl)
+{
+  for (int n = 0; n < 4; n++)
+    {
+      struct model_worker *wrk
+          = &mdl->workers[model_pick (mdl, MODEL_WORKERS)];
+      int64_t from_us = FAULTS_FROM_US + model_pick (mdl, FAULTS_SPAN_US);
+      int64_t lasts_us = SECOND + model_pick (mdl, 15 * SECOND);
+      model_after (mdl, NULL, from_us, on_disturb, wrk,
+                   1 + model_pick (mdl, DISTURBED_KINDS - 1));
+      if (n > 0)
+        model_after (mdl, NULL, from_us + lasts_us, on_disturb, wrk, 0);
+    }
+}
+
 static void
 plan_series (struct model *mdl)
 {
@@ -351,6 +376,8 @@
     model_after (mdl, NULL, at_us, on_job_due, NULL, false);
   for (int64_t n = 1 + model_pick (mdl, 3); n > 0; n--)
     plan_series (mdl);
+  if (mdl->opt.disturbed)
+    plan_disturbed (mdl);
   model_after (mdl, NULL, CALM_US, on_calm, NULL, 0);
   on_watch (mdl, NULL, 0);
 }
--- a/test/unit/instance_model.h
+++ b/test/unit/instance_model.h
@@ -30,6 +30,12 @@
    not known.  */
 #define MODEL_START_US (1000 * SECOND)
 
+/* How a worker that answers calls may be at fault, a bit each.  */
+#define DISTURBED_ROWS 1U  /* some of the runs that it lists cannot be read */
+#define DISTURBED_HOLDS 2U /* it refuses holds */
+#define DISTURBED_STOPS 4U /* it refuses stops */
+#define DISTURBED_KINDS 8
+
 struct model;
 struct owner;
 typedef void model_fn (struct model *mdl, void *arg, int64_t num);
@@ -86,6 +92,7 @@
   struct worker_report rep;
   bool reported;
   uint32_t report_version;
+  uint32_t disturbed; /* DISTURBED_ROWS and so on */
 };
 
 enum model_call_kind
@@ -172,6 +179,7 @@
 {
   uint64_t seed;
   enum model_late late;
+  bool disturbed; /* workers that answer calls are at fault, some for good */
   bool trace;
 };
 
--- a/test/unit/instance_worker.c
+++ b/test/unit/instance_worker.c
@@ -56,6 +56,7 @@
       = talloc_zero_array (mdl, struct ended_row, wrk->run_count + 1);
   struct hold_result *res = &call->res;
   res->running_count = res->ended_count = 0;
+  res->incomplete = false;
   for (size_t n = 0; n < wrk->run_count; n++)
     {
       const struct model_run *run = &wrk->runs[n];
@@ -67,6 +68,8 @@
                                   .run = run->number,
                                   .end = run->how,
                                   .checkpoint = "" };
+      else if ((wrk->disturbed & DISTURBED_ROWS) && model_chance (mdl, 50))
+        res->incomplete = true;
       else
         running[res->running_count++] = (struct running_row){
           .task = ref, .run = run->number, .checkpoint = "", .percent = 100
@@ -315,6 +318,13 @@
                clock_ms, wrk->due_ms);
 }
 
+static bool
+refuses (const struct model_worker *wrk, const struct model_call *call)
+{
+  return (call->kind == MODEL_HOLD && (wrk->disturbed & DISTURBED_HOLDS))
+         || (call->kind == MODEL_STOP && (wrk->disturbed & DISTURBED_STOPS));
+}
+
 void
 model_worker_call (struct model *mdl, struct model_call *call)
 {
@@ -322,6 +332,8 @@
   enum command_status status = COMMAND_DONE;
   if (call->token < wrk->token)
     status = COMMAND_FENCED;
+  else if (refuses (wrk, call))
+    status = COMMAND_WORKER_BUSY;
   else
     {
       wrk->token = call->token;
