sched: a worker that returns to the pool keeps the generation of its token

Callers could see a pool stand still: its owner took a worker's refusal for that of a later owner. Cause: the generation that is added to the token was dropped with a worker that was removed from the pool, so that its return began with a token below the one that it had seen.

Change: a worker that is added begins with the highest generation of those that were removed.

--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -217,6 +217,8 @@
   /* Workers that were removed may have granted leases until then.  A worker
      that is added may be the next instance of one of them.  */
   int64_t removed_leases_end_us;
+  /* Highest generation of a worker that was removed; it may return.  */
+  uint32_t removed_generation;
   /* Report on runs that wait.  */
   int64_t next_waits_check_us;
   int64_t wait_reports_us; /* start of the time that has a limit of them */
@@ -373,9 +375,9 @@
 void placer_note_lease (struct placer *plc, struct worker *wrk,
                         int64_t now_us);
 
-/* Records what WRK, which is to be removed, may still grant by calls that have
-   no answer.  */
-void placer_keep_lease_bound (struct placer *plc, const struct worker *wrk);
+/* Records the generation of WRK, which is to be removed, and what it may still
+   grant by calls that have no answer.  */
+void placer_keep_removed (struct placer *plc, const struct worker *wrk);
 
 /* placer_instance.c */
 /* Gives up the runs of a silent WRK, whose leases have expired.  */
