sched: what a late start may do is counted from the last late call of its worker

Callers could see two runs of a task (TWICE): a task started elsewhere while the next instance of a silent worker could still run it by a start that was given up. Cause: the bound of such a start did not count later holds without an answer, and was not looked at once the worker was removed from the pool, or was shown as ended by a list from a time at which the start could still come. A task also waited for a start that its worker had shown not to run (LOST).

Change: the bound counts from the last late call; a removed worker counts as one that is silent; a list ends the wait only if it was asked for after the start could come, and so does a complete answer to a hold.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -553,6 +553,9 @@
         continue;
       plc->enrol_stale = plc->enrol_stale || wrk->enrolled;
       placer_keep_removed (plc, wrk);
+      /* Another worker has taken its place.  */
+      if (wrk->reported_ended && wrk->ended_list_us == 0)
+        placer_end_late_starts (plc, wrk, INT64_MAX);
       pool_remove (&plc->pool, n);
     }
 }
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -321,6 +321,7 @@
     {
       drop_unlisted_runs (plc, wrk, ctx->call.sent_us, now_us);
       placer_stop_unlisted_starts (plc, wrk);
+      placer_end_late_starts (plc, wrk, ctx->call.sent_us);
     }
   wrk->hold_not_before_us = now_us;
   if (ends)
--- a/sched/placer_instance.c
+++ b/sched/placer_instance.c
@@ -36,7 +36,10 @@
 start_outlives_instance (const struct run *run)
 {
   int64_t asked_us = run->wrk->ended_list_us;
-  return asked_us > 0 && run->start_sent_us > asked_us - HOST_LIST_LAG_US;
+  int64_t last_us = run->start_sent_us;
+  if (last_us > 0 && !run->start_settled)
+    last_us += LATE_CALL_MAX_US;
+  return asked_us > 0 && last_us > asked_us - HOST_LIST_LAG_US;
 }
 
 /* Gives up the runs of an instance that has ended, but for those that its
--- a/sched/placer_late.c
+++ b/sched/placer_late.c
@@ -59,12 +59,35 @@
 }
 
 /* When a run that LATE has begun has certainly ended, if nobody reaches its
-   worker.  */
+   worker.  Later calls without an answer may have extended its lease.  */
 static int64_t
 run_end_us (const struct placer *plc, const struct late_start *late)
 {
-  return late->sent_us + LATE_CALL_MAX_US
-         + placer_add_lease_slack (plc->set.lease_max_ms * 1000);
+  const struct worker *wrk = pool_find_id (&plc->pool, late->worker);
+  int64_t longest_us = placer_add_lease_slack (plc->set.lease_max_ms * 1000);
+  int64_t last_us = late->sent_us + LATE_CALL_MAX_US;
+  if (!wrk && plc->removed_leases_end_us > last_us + longest_us)
+    return plc->removed_leases_end_us;
+  if (wrk && wrk->late_leases_us > last_us)
+    last_us = wrk->late_leases_us;
+  return last_us + longest_us;
+}
+
+/* Whether an instance of WRK, the worker of LATE, may run it, or may still
+   begin to.  NULL: it was removed from the pool.  */
+static bool
+may_be_carried_out (const struct worker *wrk, const struct late_start *late)
+{
+  if (!wrk)
+    return true;
+  if (!wrk->reported_ended)
+    return wrk->unanswered_calls > 0 || wrk->ended_us;
+  /* Either its next instance is known, or none may have begun in time, or the
+     worker has another id now.  */
+  return wrk->reported_born_ms > wrk->rep.born_ms
+         || (wrk->ended_list_us > 0
+             && wrk->ended_list_us
+                    <= late->sent_us + LATE_CALL_MAX_US + HOST_LIST_LAG_US);
 }
 
 static bool
@@ -82,7 +105,8 @@
                              .number = run->number,
                              .sent_us = run->start_sent_us };
   for (size_t n = plc->late_start_count; n-- > 0;)
-    if (now_us > run_end_us (plc, &plc->late_starts[n]))
+    if (is_over (&plc->late_starts[n], now_us)
+        && now_us > run_end_us (plc, &plc->late_starts[n]))
       remove_late_start (plc, n);
   if (is_over (&late, now_us))
     return;
@@ -106,6 +130,16 @@
       remove_late_start (plc, n);
 }
 
+void
+placer_end_late_starts (struct placer *plc, const struct worker *wrk,
+                        int64_t asked_us)
+{
+  for (size_t n = plc->late_start_count; n-- > 0;)
+    if (is_over (&plc->late_starts[n], asked_us)
+        && strcmp (plc->late_starts[n].worker, wrk->rep.id) == 0)
+      remove_late_start (plc, n);
+}
+
 void
 placer_stop_late_starts (struct placer *plc, struct worker *wrk)
 {
@@ -132,10 +166,9 @@
   for (size_t n = 0; n < plc->late_start_count; n++)
     {
       const struct late_start *late = &plc->late_starts[n];
-      if (!is_same_task (&late->ref, ref) || now_us > run_end_us (plc, late))
-        continue;
-      const struct worker *wrk = pool_find_id (&plc->pool, late->worker);
-      if (wrk && wrk->unanswered_calls > 0 && !wrk->reported_ended)
+      if (is_same_task (&late->ref, ref)
+          && may_be_carried_out (pool_find_id (&plc->pool, late->worker), late)
+          && now_us <= run_end_us (plc, late))
         return true;
     }
   return false;
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -325,6 +325,10 @@
    run or its end.  */
 void placer_drop_late_start (struct placer *plc, const struct worker *wrk,
                              const struct task_ref *ref, uint32_t number);
+/* Forgets the starts that WRK could no longer carry out when it was asked for
+   its runs at ASKED_US: it lists the runs.  */
+void placer_end_late_starts (struct placer *plc, const struct worker *wrk,
+                             int64_t asked_us);
 /* Stops the late starts at WRK, where an instance has begun that does not
    know of earlier stops.  */
 void placer_stop_late_starts (struct placer *plc, struct worker *wrk);
--- a/test/unit/unit_placer_late_bounds.c
+++ b/test/unit/unit_placer_late_bounds.c
@@ -179,6 +179,33 @@
 }
 END_TEST
 
+/* Guards against a task that waits for an unanswered start for no reason
+   (LOST): its host is still down when the time of the start is over.  */
+START_TEST (test_late_start_while_host_is_down)
+{
+  struct host_report rep = { .name = "m-w1", .state = HOST_DOWN };
+  int64_t sent_us = leave_start_unanswered ();
+  int64_t over_us = sent_us + LATE_CALL_MAX_US + HOST_LIST_LAG_US;
+  world_add_worker (wld, "w2", BORN_MS);
+  world_enrol_worker (wld, "w2");
+  while (!world_call (wld, WORLD_START, "w2"))
+    {
+      struct world_call *hold;
+      int64_t asked_us = wld->clk.now_us;
+      ck_assert_int_lt (asked_us, over_us + 1000000);
+      while ((hold = world_call (wld, WORLD_HOLD, "w1")))
+        world_answer (wld, hold, COMMAND_NO_ANSWER);
+      answer_stops (COMMAND_NO_ANSWER);
+      if (world_call (wld, WORLD_HOLD, "w2"))
+        world_answer (wld, world_call (wld, WORLD_HOLD, "w2"), COMMAND_DONE);
+      world_confirm_ownership (wld);
+      world_tick (wld, 100);
+      placer_update_host (wld->plc, &rep, asked_us);
+    }
+  ck_assert_int_gt (wld->clk.now_us, over_us);
+}
+END_TEST
+
 /* Guards against an owner that gives its pool up: a worker that was removed
    from the pool, and returns, has seen a later token of this owner.  */
 START_TEST (test_token_of_returned_worker)
@@ -230,6 +257,7 @@
   tcase_add_test (tc, test_late_start_not_listed);
   tcase_add_test (tc, test_late_start_on_removed_worker);
   tcase_add_loop_test (tc, test_late_start_after_host_is_down, 0, 2);
+  tcase_add_test (tc, test_late_start_while_host_is_down);
   tcase_add_test (tc, test_token_of_returned_worker);
   Suite *suite = suite_create ("placer_late_bounds");
   suite_add_tcase (suite, tc);
