sched: a task whose next start would wait for a late start is not moved

Callers could see too few tasks of a step at work (AVAIL), or a perpetual task without a run for up to 22 s (LOST). Cause: a task was stopped on a host that is emptied or drains although another run of it was still unwanted somewhere, or a late start of it could still be carried out, so that its next start had to wait for that.

Change: reserve_move lets such a task run.

Measured: test_no_move_with_late_start fails before and passes now.

--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -477,9 +477,9 @@
 }
 
 /* Reserves resources on another worker for the perpetual task of RUN.  Returns
-   whether the run may be stopped now: the reserved resources are free, and
-   fewer tasks of its step are unavailable than the job allows, or than one if
-   the job does not say.  */
+   whether the run may be stopped now: the reserved resources are free, fewer
+   tasks of its step are unavailable than the job allows, or than one if the
+   job does not say, and no other run of it delays its next start.  */
 static bool
 reserve_move (struct placer *plc, struct run *run, int64_t now_us)
 {
@@ -487,7 +487,9 @@
   uint32_t most = stp->max_unavailable > 0 ? stp->max_unavailable : 1;
   const struct place_request req
       = { .job = run->job, .step = stp, .ref = &run->ref, .now_us = now_us };
-  bool bound_reached = count_unavailable (run, now_us) >= most;
+  bool bound_reached = count_unavailable (run, now_us) >= most
+                       || run->tsk->unwanted_runs > 0
+                       || placer_may_run_late (plc, &run->ref);
   if (run->tsk->reserved_worker && placer_reserved_room (plc, &req))
     return !bound_reached;
   if (run->tsk->reserved_worker || bound_reached)
--- a/test/unit/unit_placer_late_bounds.c
+++ b/test/unit/unit_placer_late_bounds.c
@@ -12,6 +12,9 @@
 #define TASK_JOB                                                              \
   "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"estimate-ms\":900}]" \
   "}"
+#define PERPETUAL_JOB                                                         \
+  "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64,"                      \
+  "\"perpetual\":true}]}"
 #define BORN_MS 1000
 #define NEXT_BORN_MS 900000
 
@@ -206,6 +209,51 @@
 }
 END_TEST
 
+/* Guards against a task that is stopped to be moved and then waits for a late
+   start of it (AVAIL, LOST).  */
+START_TEST (test_no_move_with_late_start)
+{
+  world_add_job (wld, 2, PERPETUAL_JOB, 200);
+  world_confirm_ownership (wld);
+  world_tick (wld, 1);
+  world_answer (wld, world_call (wld, WORLD_START, "w1"), COMMAND_NO_ANSWER);
+  pass (1, NULL, 0);
+  answer_stops (COMMAND_DONE);
+  /* The run is gone, and its worker gets no further one.  */
+  struct worker *first = pool_find_id (&wld->plc->pool, "w1");
+  first->avoid_until_us = INT64_MAX;
+  world_add_worker (wld, "w2", BORN_MS);
+  world_enrol_worker (wld, "w2");
+  for (int n = 0; n < 20 && !world_call (wld, WORLD_START, "w2"); n++)
+    pass (50, NULL, 0);
+  world_answer (wld, world_call (wld, WORLD_START, "w2"), COMMAND_DONE);
+  world_add_worker (wld, "w3", BORN_MS);
+  world_enrol_worker (wld, "w3");
+  const struct world_row row = { .job = 2, .run = 2 };
+  for (int n = 0; n < 100; n++)
+    {
+      struct world_call *hold;
+      while ((hold = world_call (wld, WORLD_HOLD, "w1")))
+        world_answer (wld, hold, COMMAND_NO_ANSWER);
+      if (world_call (wld, WORLD_HOLD, "w2"))
+        world_answer_hold (wld, "w2", &row, 1, NULL, 0);
+      if (world_call (wld, WORLD_HOLD, "w3"))
+        world_answer_hold (wld, "w3", NULL, 0, NULL, 0);
+      if (n == 20)
+        {
+          first->unanswered_calls = 1; /* its next call has no answer */
+          struct worker *second = pool_find_id (&wld->plc->pool, "w2");
+          struct worker_report rep = second->rep;
+          rep.draining = true;
+          placer_update_worker (wld->plc, "w2", &rep);
+        }
+      world_confirm_ownership (wld);
+      world_tick (wld, 50);
+      ck_assert_ptr_null (world_call (wld, WORLD_STOP, "w2"));
+    }
+}
+END_TEST
+
 /* Guards against an owner that gives its pool up: a worker that was removed
    from the pool, and returns, has seen a later token of this owner.  */
 START_TEST (test_token_of_returned_worker)
@@ -258,6 +306,7 @@
   tcase_add_test (tc, test_late_start_on_removed_worker);
   tcase_add_loop_test (tc, test_late_start_after_host_is_down, 0, 2);
   tcase_add_test (tc, test_late_start_while_host_is_down);
+  tcase_add_test (tc, test_no_move_with_late_start);
   tcase_add_test (tc, test_token_of_returned_worker);
   Suite *suite = suite_create ("placer_late_bounds");
   suite_add_tcase (suite, tc);
