sched: a worker that answers again is asked for its runs before a late start is ruled out

Callers could see two runs of a task (TWICE). Cause: placer_may_run_late took a worker for one that does not run a late start as soon as it had answered any call. The answer to a stop tells nothing of its runs, and an idle worker was not asked for them for up to 10 s.

Change: a worker counts as unlisted from a call without an answer, or another clock, to its next complete answer to a hold, which is due at once.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -66,6 +66,7 @@
     {
       wrk->unanswered_calls++;
       wrk->instance_seen = false;
+      wrk->unlisted = true;
       return;
     }
   wrk->unanswered_calls = 0;
@@ -322,6 +323,7 @@
       drop_unlisted_runs (plc, wrk, ctx->call.sent_us, now_us);
       placer_stop_unlisted_starts (plc, wrk);
       placer_end_late_starts (plc, wrk, ctx->call.sent_us);
+      wrk->unlisted = false;
     }
   wrk->hold_not_before_us = now_us;
   if (ends)
@@ -489,8 +491,9 @@
   if (wrk->ended_us && wrk->registered)
     return true;
   /* A silent worker, or one whose clock is not known, gets no tasks until it
-     answers.  */
-  if ((wrk->unanswered_calls > 0 || wrk->clock_ms == 0) && wrk->registered)
+     answers.  One that answers again may run late starts.  */
+  if ((wrk->unanswered_calls > 0 || wrk->unlisted || wrk->clock_ms == 0)
+      && wrk->registered)
     return true;
   /* It is taken as full until it no longer lists a run without a known
      job.  */
--- a/sched/placer_late.c
+++ b/sched/placer_late.c
@@ -81,7 +81,7 @@
   if (!wrk)
     return true;
   if (!wrk->reported_ended)
-    return wrk->unanswered_calls > 0 || wrk->ended_us;
+    return wrk->unanswered_calls > 0 || wrk->unlisted || wrk->ended_us;
   /* Either its next instance is known, or none may have begun in time, or the
      worker has another id now.  */
   return wrk->reported_born_ms > wrk->rep.born_ms
--- a/sched/placer_lease.c
+++ b/sched/placer_lease.c
@@ -92,6 +92,7 @@
   wrk->clock_number++;
   wrk->first_answer_us = 0;
   wrk->instance_seen = false;
+  wrk->unlisted = true;
   placer_raise_generation (plc, wrk);
   keep_later (&wrk->earlier_late_leases_us, wrk->late_leases_us);
 }
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -88,6 +88,8 @@
                       it may get tasks */
   bool unenrolled; /* the worker record in the log leaves it out, as it is
                       vacated and empty */
+  bool unlisted;   /* it has not listed its runs since a call had no
+                      answer, or since its clock was another one */
   int unanswered_calls;     /* consecutive calls without an answer of this
                                instance, or with a refused hold */
   uint32_t absent_lists;    /* consecutive lists of hosts without its host */
--- a/test/unit/unit_placer_late_bounds.c
+++ b/test/unit/unit_placer_late_bounds.c
@@ -209,6 +209,34 @@
 }
 END_TEST
 
+/* Guards against two runs of a task (TWICE): a worker that was silent answers
+   a stop, but has not told yet that it runs a late start.  */
+START_TEST (test_late_start_before_next_list)
+{
+  start_after_unanswered_one ();
+  for (int n = 0; n < 120; n++)
+    {
+      struct world_call *hold;
+      while ((hold = world_call (wld, WORLD_HOLD, "w1")))
+        world_answer (wld, hold, COMMAND_NO_ANSWER);
+      world_confirm_ownership (wld);
+      world_tick (wld, 100);
+    }
+  placer_stop_unknown (wld->plc, pool_find_id (&wld->plc->pool, "w1"),
+                       &(const struct task_ref){ .job = 9 }, 1);
+  answer_stops (COMMAND_DONE);
+  for (int n = 0; n < 5; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 100);
+      ck_assert_uint_eq (world_starts (wld, 2, 0), 2);
+    }
+  for (int n = 0; n < 5; n++)
+    pass (100, NULL, 0);
+  ck_assert_uint_eq (world_starts (wld, 2, 0), 3);
+}
+END_TEST
+
 /* Guards against a task that is stopped to be moved and then waits for a late
    start of it (AVAIL, LOST).  */
 START_TEST (test_no_move_with_late_start)
@@ -306,6 +334,7 @@
   tcase_add_test (tc, test_late_start_on_removed_worker);
   tcase_add_loop_test (tc, test_late_start_after_host_is_down, 0, 2);
   tcase_add_test (tc, test_late_start_while_host_is_down);
+  tcase_add_test (tc, test_late_start_before_next_list);
   tcase_add_test (tc, test_no_move_with_late_start);
   tcase_add_test (tc, test_token_of_returned_worker);
   Suite *suite = suite_create ("placer_late_bounds");
