sched: an idle worker that may carry out a late start is asked for its runs twice a second

Callers could see two runs of a task (TWICE). Cause: an idle worker is asked each 10 s, so the owner could learn 10 s late that a next instance, which knows no stop and no later token, has begun there.

Change: until 12 s after a start that was given up, its worker is asked when its last answer is 0.5 s old.

Measured: test_idle_worker_with_late_start fails before and passes now.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -37,6 +37,9 @@
    again.  */
 #define CLOCK_READ_SPREAD_US 200000
 #define CLOCK_READ_SPREAD_STEPS 20
+/* The same if it may carry out a late start: until the owner knows the next
+   instance, that one does not refuse it.  */
+#define LATE_START_AGE_MAX_US 500000
 /* Consecutive failed runs after which a worker gets no new tasks for
    AVOID_FIRST_US.  With each further failure the time doubles, up to
    AVOID_MAX_US.  */
@@ -434,6 +437,8 @@
   int64_t most_us
       = CLOCK_READ_AGE_MAX_US
         - wrk->handle % CLOCK_READ_SPREAD_STEPS * CLOCK_READ_SPREAD_US;
+  if (now_us < wrk->late_starts_us)
+    most_us = LATE_START_AGE_MAX_US;
   return wrk->registered && now_us - wrk->clock_read_us > most_us;
 }
 
--- a/sched/placer_late.c
+++ b/sched/placer_late.c
@@ -110,6 +110,8 @@
       remove_late_start (plc, n);
   if (is_over (&late, now_us))
     return;
+  if (late.sent_us + LATE_CALL_MAX_US > run->wrk->late_starts_us)
+    run->wrk->late_starts_us = late.sent_us + LATE_CALL_MAX_US;
   struct late_start *rows = talloc_realloc (
       plc, plc->late_starts, struct late_start, plc->late_start_count + 1);
   if (!rows)
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -110,6 +110,9 @@
   /* The same of calls whose leases end by the clock of an earlier instance.
      The present one gives them the longest lease, unless it refuses them.  */
   int64_t earlier_late_leases_us;
+  /* It may carry out a start that was given up until then; 0: there was
+     none.  */
+  int64_t late_starts_us;
   /* Added to the token of commands.  It is raised with each instance, so that
      this one refuses what was sent before, once it has answered.  */
   uint32_t generation;
--- a/test/unit/unit_placer_late_bounds.c
+++ b/test/unit/unit_placer_late_bounds.c
@@ -237,6 +237,35 @@
 }
 END_TEST
 
+/* Guards against two runs of a task (TWICE): the owner does not learn for 10 s
+   that an idle worker has a next instance, which carries a late start out.  */
+START_TEST (test_idle_worker_with_late_start)
+{
+  const struct world_row end
+      = { .job = 2, .run = 2, .end = RUN_END_DONE, .number = 1 };
+  int64_t sent_us = start_after_unanswered_one ();
+  world_confirm_ownership (wld);
+  world_tick (wld, 100);
+  world_answer_hold (wld, "w1", NULL, 0, &end, 1);
+  int64_t held_us = wld->clk.now_us;
+  uint32_t holds = 0;
+  while (wld->clk.now_us < sent_us + LATE_CALL_MAX_US)
+    {
+      ck_assert_int_le (wld->clk.now_us, held_us + 1000000);
+      world_confirm_ownership (wld);
+      world_tick (wld, 100);
+      world_complete_append (wld);
+      if (!world_call (wld, WORLD_HOLD, "w1"))
+        continue;
+      held_us = wld->clk.now_us;
+      holds++;
+      world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
+    }
+  /* Two a second, and those that acknowledge the end.  */
+  ck_assert_uint_le (holds, 2 * LATE_CALL_MAX_US / 1000000 + 2);
+}
+END_TEST
+
 /* Guards against a task that is stopped to be moved and then waits for a late
    start of it (AVAIL, LOST).  */
 START_TEST (test_no_move_with_late_start)
@@ -335,6 +364,7 @@
   tcase_add_loop_test (tc, test_late_start_after_host_is_down, 0, 2);
   tcase_add_test (tc, test_late_start_while_host_is_down);
   tcase_add_test (tc, test_late_start_before_next_list);
+  tcase_add_test (tc, test_idle_worker_with_late_start);
   tcase_add_test (tc, test_no_move_with_late_start);
   tcase_add_test (tc, test_token_of_returned_worker);
   Suite *suite = suite_create ("placer_late_bounds");
