sched: an end is acknowledged no more often than its worker needs

Callers could see a task run again after it was done (TWICE). Cause: each hold repeated the number of the last end that was recorded. A hold without an answer that the next instance carries out made that one forget its own ends up to this number, which nobody had read; the token of the hold guards only once the instance has seen a later one, and an owner that doesn't know it yet starts tasks there before.

Change: a hold acknowledges ends only while the worker has not acknowledged that, or lists them again.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -311,7 +311,10 @@
   wrk->hold_incomplete = res->incomplete;
   bool ends = false;
   for (size_t n = 0; n < res->ended_count; n++)
-    if (res->ended[n].number > wrk->applied_end)
+    /* It has not forgotten an end that was acknowledged.  */
+    if (res->ended[n].number > 0 && res->ended[n].number <= wrk->acked_end)
+      wrk->acked_end = res->ended[n].number - 1;
+    else if (res->ended[n].number > wrk->applied_end)
       {
         if (res->ended[n].end != RUN_END_UNREADABLE)
           apply_end (plc, wrk, &res->ended[n], now_us);
@@ -531,7 +534,10 @@
   ctx->plc = plc;
   ctx->worker = wrk->handle;
   ctx->born_ms = wrk->rep.born_ms;
-  ctx->last_seen = ends_are_current (wrk) ? wrk->durable_end : 0;
+  /* The next instance may carry the hold out, and would forget ends that
+     nobody has read: ends are acknowledged no more often than needed.  */
+  if (ends_are_current (wrk) && wrk->durable_end > wrk->acked_end)
+    ctx->last_seen = wrk->durable_end;
   /* Do not extend the leases of a silent worker: each extension that may still
      arrive would delay the time at which its runs have certainly ended.  One
      that has not answered yet may have restarted since its report.  */
--- a/test/unit/unit_placer_late_bounds.c
+++ b/test/unit/unit_placer_late_bounds.c
@@ -266,6 +266,37 @@
 }
 END_TEST
 
+/* Guards against an end that nobody has read and that the next instance
+   forgets (TWICE), as it carries out a late hold: an end is acknowledged once.
+ */
+START_TEST (test_one_acknowledgement)
+{
+  const struct world_row end
+      = { .job = 2, .run = 2, .end = RUN_END_DONE, .number = 1 };
+  const struct world_row row = { .job = 3, .run = 1 };
+  uint32_t acknowledged = 0;
+  start_after_unanswered_one ();
+  world_confirm_ownership (wld);
+  world_tick (wld, 100);
+  world_answer_hold (wld, "w1", NULL, 0, &end, 1);
+  world_add_job (wld, 3, TASK_JOB, 300);
+  for (int n = 0; n < 40; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 100);
+      world_complete_append (wld);
+      if (world_call (wld, WORLD_START, "w1"))
+        world_answer (wld, world_call (wld, WORLD_START, "w1"), COMMAND_DONE);
+      struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+      acknowledged += hold && hold->last_seen > 0;
+      if (hold)
+        world_answer_hold (wld, "w1", &row, world_starts (wld, 3, 0), NULL, 0);
+    }
+  ck_assert_uint_eq (world_starts (wld, 3, 0), 1);
+  ck_assert_uint_eq (acknowledged, 1);
+}
+END_TEST
+
 /* Guards against a task that is stopped to be moved and then waits for a late
    start of it (AVAIL, LOST).  */
 START_TEST (test_no_move_with_late_start)
@@ -365,6 +396,7 @@
   tcase_add_test (tc, test_late_start_while_host_is_down);
   tcase_add_test (tc, test_late_start_before_next_list);
   tcase_add_test (tc, test_idle_worker_with_late_start);
+  tcase_add_test (tc, test_one_acknowledgement);
   tcase_add_test (tc, test_no_move_with_late_start);
   tcase_add_test (tc, test_token_of_returned_worker);
   Suite *suite = suite_create ("placer_late_bounds");
