--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -37,6 +37,9 @@
    again.  */
 #define CLOCK_READ_SPREAD_US 200000
 #define CLOCK_READ_SPREAD_STEPS 20
+/* The same if it may carry out a late start: until the owner knows the next
+   instance, that one does not refuse it.  */
+#define LATE_START_AGE_MAX_US 500000
 /* Consecutive failed runs after which a worker gets no new tasks for
    AVOID_FIRST_US.  With each further failure the time doubles, up to
    AVOID_MAX_US.  */
@@ -348,7 +351,10 @@
   wrk->hold_incomplete = res->incomplete;
   bool ends = false;
   for (size_t n = 0; n < res->ended_count; n++)
-    if (res->ended[n].number > wrk->applied_end)
+    /* It has not forgotten an end that was acknowledged.  */
+    if (res->ended[n].number > 0 && res->ended[n].number <= wrk->acked_end)
+      wrk->acked_end = res->ended[n].number - 1;
+    else if (res->ended[n].number > wrk->applied_end)
       {
         if (res->ended[n].end != RUN_END_UNREADABLE)
           apply_end (plc, wrk, &res->ended[n], now_us);
@@ -467,6 +473,8 @@
   int64_t most_us
       = CLOCK_READ_AGE_MAX_US
         - wrk->handle % CLOCK_READ_SPREAD_STEPS * CLOCK_READ_SPREAD_US;
+  if (now_us < wrk->late_starts_us)
+    most_us = LATE_START_AGE_MAX_US;
   return wrk->registered && now_us - wrk->clock_read_us > most_us;
 }
 
@@ -559,7 +567,10 @@
   ctx->plc = plc;
   ctx->worker = wrk->handle;
   ctx->born_ms = wrk->rep.born_ms;
-  ctx->last_seen = ends_are_current (wrk) ? wrk->durable_end : 0;
+  /* The next instance may carry the hold out, and would forget ends that
+     nobody has read: ends are acknowledged no more often than needed.  */
+  if (ends_are_current (wrk) && wrk->durable_end > wrk->acked_end)
+    ctx->last_seen = wrk->durable_end;
   /* Do not extend the leases of a silent worker: each extension that may still
      arrive would delay the time at which its runs have certainly ended.  One
      that has not answered yet may have restarted since its report.  */
