--- a/sched/placer_overdue.c
+++ b/sched/placer_overdue.c
@@ -24,8 +24,10 @@
 static const struct run *
 overdue_run (const struct worker *wrk)
 {
+  /* The link ends a start that gets no answer.  */
   for (const struct run *run = wrk->runs; run; run = run->next)
-    if (is_overdue (wrk, placer_run_waits_since_us (run)))
+    if ((run->state != RUN_STARTING || run->start_unanswered)
+        && is_overdue (wrk, placer_run_waits_since_us (run)))
       return run;
   return NULL;
 }
