test/unit: test_token_after_restart with a run that is given up

The test restarts a worker each 1.2 s and counted on a hold in each fourth tick, as the run whose start has no answer was stopped at each instance anew, without an end. That run is now given up 22.6 s after its start, when the start can no longer be carried out and all leases have ended, and the task starts again; in that one tick the worker runs nothing and is not asked yet. The test now lets one more tick pass if there is no hold, and checks the same tokens.

--- a/test/unit/unit_placer_late.c
+++ b/test/unit/unit_placer_late.c
@@ -146,6 +146,9 @@
         pass (300, NULL, 0);
       world_confirm_ownership (wld);
       world_tick (wld, 300);
+      /* A worker without runs is asked in the tick after its next start.  */
+      if (!world_call (wld, WORLD_HOLD, "w1"))
+        world_tick (wld, 300);
       struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
       ck_assert_ptr_nonnull (hold);
       ck_assert_uint_lt (hold->token, first + WORLD_TOKENS);
