test/soak: late holds, calls up to 12 s late, a proxy that keeps connections

The stand-in handed on orders alone, 1 to 4 s late. Holds were never late, open connections always ended with the instance, and late calls stopped at the first restart.

They draw from a sequence of their own, so that the plans of older names stay.

--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -32,6 +32,9 @@
   (BIT (FAULT_CUT) | BIT (FAULT_SILENCE) | BIT (FAULT_WORKER_HANG)            \
    | BIT (FAULT_WORKER_SILENCE))
 #define RESTARTS (BIT (FAULT_RESTART) | BIT (FAULT_RESTART_CUT_KILL))
+#define LATE_RESTARTS                                                         \
+  (BIT (FAULT_RESTART_LATE) | BIT (FAULT_RESTART_LATE_HOLD)                   \
+   | BIT (FAULT_RESTART_LATER) | BIT (FAULT_RESTART_KEPT))
 #define INCIDENT (BIT (FAULT_LOSE) | BIT (FAULT_REJECT) | BIT (FAULT_RESET))
 
 struct name
@@ -67,6 +70,9 @@
   { "restart", BIT (FAULT_RESTART) },
   { "restart-cut-kill", BIT (FAULT_RESTART_CUT_KILL) },
   { "restart-late", BIT (FAULT_RESTART_LATE) },
+  { "restart-late-hold", BIT (FAULT_RESTART_LATE_HOLD) },
+  { "restart-later", BIT (FAULT_RESTART_LATER) },
+  { "restart-kept", BIT (FAULT_RESTART_KEPT) },
   { "waves", BIT (FAULT_WAVES) },
   { "none", 0 },
   { "incident", INCIDENT },
@@ -75,6 +81,7 @@
   { "workers", WORKER_FAULTS },
   { "cuts", CUT_FAULTS | BIT (FAULT_CONFIG) },
   { "instances", RESTARTS },
+  { "instances-late", RESTARTS | LATE_RESTARTS },
   { "all", BIT (FAULT_WAVES) - 1 },
   { NULL, 0 },
 };
@@ -420,7 +427,10 @@
   const struct instances ins
       = { .restart = set & BIT (FAULT_RESTART),
           .cut_kill = set & BIT (FAULT_RESTART_CUT_KILL),
-          .late = set & BIT (FAULT_RESTART_LATE) };
+          .late = set & BIT (FAULT_RESTART_LATE),
+          .late_holds = set & BIT (FAULT_RESTART_LATE_HOLD),
+          .later = set & BIT (FAULT_RESTART_LATER),
+          .kept = set & BIT (FAULT_RESTART_KEPT) };
   instances_start (&ins, seed, start_ms);
   hup_rng = rng_make (seed, "hup");
   if (set & BIT (FAULT_HUP))
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -38,8 +38,12 @@
   /* see instances.h */
   FAULT_RESTART,
   FAULT_RESTART_CUT_KILL,
-  FAULT_WAVES,        /* see waves.h; not an impairment */
-  FAULT_RESTART_LATE, /* see instances.h */
+  FAULT_WAVES, /* see waves.h; not an impairment */
+  /* see instances.h */
+  FAULT_RESTART_LATE,
+  FAULT_RESTART_LATE_HOLD,
+  FAULT_RESTART_LATER,
+  FAULT_RESTART_KEPT,
   FAULT_COUNT,
 };
 
--- a/test/soak/instances.c
+++ b/test/soak/instances.c
@@ -23,13 +23,17 @@
 
 static const char *const form_names[]
     = { "all dropped", "silent for good", "held up" };
-static const char *const outage_names[] = { "refused", "hang", "queued" };
+static const char *const outage_names[]
+    = { "refused", "hang", "queued", "kept by a proxy" };
 
 /* What happens to the workers of one episode.  Times are in milliseconds.  */
 struct plan
 {
   double lose;       /* share of answers that are lost before the restart */
   double late;       /* share of orders that are carried out seconds later */
+  double late_holds; /* the same of holds */
+  bool later;        /* 2 to 12 s */
+  bool all_late;     /* to each instance of a row and until the cut */
   int64_t lose_ms;   /* for how long both */
   int64_t outage_ms; /* between two instances */
   enum outage outage;
@@ -42,6 +46,7 @@
   int64_t cut_after_ms, cut_ms; /* after the last restart */
   enum form form;
   int64_t kill_after_ms, down_ms; /* after the last restart; -1: no kill */
+  int64_t pause_ms;               /* 0: killed; otherwise paused instead */
   bool kill_starter;    /* of the last task; otherwise the workers' owner */
   int64_t next_kill_ms; /* until its successor is killed; -1: it is not */
 };
@@ -65,12 +70,31 @@
 
 static struct instances enabled;
 static bool stopped;
-static struct rng plan_rng;
+static struct rng plan_rng, late_rng;
 static bool is_hit[WORKERS_MAX];
 
+static void
+make_late (struct episode *eps)
+{
+  struct worker_fault *flt = &eps->wrk->fault;
+  flt->late = eps->plan.late;
+  flt->late_holds = eps->plan.late_holds;
+  flt->later = eps->plan.later;
+}
+
+static void
+end_late (struct episode *eps)
+{
+  struct worker_fault *flt = &eps->wrk->fault;
+  flt->late = flt->late_holds = 0;
+  flt->later = false;
+}
+
 static void
 end_episode (struct episode *eps)
 {
+  if (eps->plan.all_late)
+    end_late (eps);
   is_hit[eps->wrk->index] = false;
   impair_end (eps->impairment);
   free (eps);
@@ -94,6 +118,8 @@
 {
   struct episode *eps = arg;
   struct worker *wrk = eps->wrk;
+  if (eps->plan.all_late)
+    end_late (eps);
   if (!wrk->up || wrk->instance != eps->instance || stopped)
     {
       end_episode (eps);
@@ -118,6 +144,8 @@
   struct episode *eps = arg;
   bool resumed = worker_resume (eps->wrk, eps->plan.beat_ms, eps->plan.boot);
   eps->instance = eps->wrk->instance;
+  if (resumed && eps->plan.all_late)
+    make_late (eps);
   if (resumed && --eps->plan.restarts > 0)
     net_after (eps->plan.up_ms, halt, eps);
   else if (resumed && eps->plan.cut)
@@ -131,7 +159,8 @@
 {
   struct episode *eps = arg;
   struct worker *wrk = eps->wrk;
-  wrk->fault.lose = wrk->fault.late = 0;
+  wrk->fault.lose = 0;
+  end_late (eps);
   if (!wrk->up || wrk->instance != eps->instance)
     {
       end_episode (eps);
@@ -153,7 +182,7 @@
   };
   is_hit[wrk->index] = true;
   wrk->fault.lose = plan->lose;
-  wrk->fault.late = plan->late;
+  make_late (eps);
   net_after (plan->lose_ms, halt, eps);
 }
 
@@ -167,7 +196,9 @@
     kls->token = kls->wrk->token;
   int victim = plan->kill_starter ? judge_last_starter ()
                                   : store_claimant (kls->token);
-  if (!stopped && victim >= 0)
+  if (!stopped && victim >= 0 && plan->pause_ms)
+    process_pause (victim, plan->pause_ms);
+  else if (!stopped && victim >= 0)
     process_kill (victim, plan->down_ms);
   if (plan->next_kill_ms < 0 || stopped)
     {
@@ -226,12 +257,44 @@
   plan->kill_after_ms = plan->cut_after_ms - soak_between (rng, 100, 500);
 }
 
+/* Draws what the forms of calls for an earlier instance add, from a sequence
+   of its own: the plans of other faults stay as they are.  */
+static void
+add_late (struct plan *plan)
+{
+  struct rng *rng = &late_rng;
+  double orders = soak_draw (rng), holds = soak_draw (rng);
+  bool later = soak_draw (rng) < 0.5, kept = soak_draw (rng) < 0.7;
+  bool none = soak_draw (rng) < 0.2, paused = soak_draw (rng) < 0.3;
+  int64_t lose_ms = soak_between (rng, 100, 2500);
+  int64_t pause_ms = soak_between (rng, 1000, 14000);
+  int more = (int)soak_between (rng, -3, 2);
+  if (!enabled.late_holds && !enabled.later && !enabled.kept)
+    return;
+  if (enabled.later && (later || !enabled.late))
+    {
+      plan->later = true;
+      plan->late = none ? 0 : 0.1 + 0.9 * orders;
+      plan->lose_ms = lose_ms;
+    }
+  if (enabled.late_holds || plan->later)
+    plan->late_holds = none ? 0 : holds;
+  if (enabled.kept && kept)
+    plan->outage = OUTAGE_KEPT;
+  if (paused)
+    plan->pause_ms = pause_ms;
+  if (more > 0)
+    plan->restarts += more;
+  plan->all_late = true;
+}
+
 static bool
 may_hit (const struct worker *wrk)
 {
   const struct worker_fault *flt = &wrk->fault;
   return wrk->up && !is_hit[wrk->index] && !wrk->away && !wrk->in_upkeep
-         && !flt->cut && !flt->one_way && flt->lose <= 0 && flt->late <= 0;
+         && !flt->cut && !flt->one_way && flt->lose <= 0 && flt->late <= 0
+         && flt->late_holds <= 0;
 }
 
 static void
@@ -248,6 +311,7 @@
   int count = 0;
   if (blind)
     make_blind (rng, &plan);
+  add_late (&plan);
   if (stopped)
     return;
   for (size_t n = 0; n < worker_count; n++)
@@ -270,16 +334,17 @@
                    + (plan.restarts - 1) * (plan.up_ms + plan.outage_ms);
   soak_log ("fault: %s and %d more start again in %ld ms, %d times, out for "
             "%ld ms (connects %s), open connections %s, answers lost %.2f, "
-            "orders late %.2f",
+            "orders late %.2f, holds late %.2f%s",
             first->id, count - 1, (long)plan.lose_ms, plan.restarts,
             (long)plan.outage_ms, outage_names[plan.outage],
-            plan.dark ? "silent" : "reset", plan.lose, plan.late);
+            plan.dark ? "silent" : "reset", plan.lose, plan.late,
+            plan.late_holds, plan.later ? ", by up to 12 s" : "");
   if (!plan.cut)
     return;
   soak_log ("fault: they are cut off %ld ms after that for %ld ms, %s; their "
-            "owner is killed %ld ms after that",
+            "owner is %s %ld ms after that",
             (long)plan.cut_after_ms, (long)plan.cut_ms, form_names[plan.form],
-            (long)plan.kill_after_ms);
+            plan.pause_ms ? "paused" : "killed", (long)plan.kill_after_ms);
   struct kills *kls = calloc (1, sizeof *kls);
   *kls = (struct kills){ .plan = plan, .wrk = first, .token = first->token };
   net_after (all_ms + plan.kill_after_ms, kill_owner, kls);
@@ -290,8 +355,10 @@
 {
   enabled = *ins;
   plan_rng = rng_make (seed, "instances");
-  worker_late_crosses = enabled.late;
-  if (enabled.restart || enabled.cut_kill || enabled.late)
+  late_rng = rng_make (seed, "late calls");
+  worker_late_crosses
+      = enabled.late || enabled.late_holds || enabled.later || enabled.kept;
+  if (enabled.restart || enabled.cut_kill || worker_late_crosses)
     net_after (start_ms, plan_episode, NULL);
 }
 
--- a/test/soak/instances.h
+++ b/test/soak/instances.h
@@ -10,7 +10,11 @@
 struct instances
 {
   bool restart, cut_kill;
-  bool late; /* orders to an instance are carried out by the next one */
+  /* Calls to an instance are carried out by the next one: */
+  bool late;       /* orders, 1 to 4 s late */
+  bool late_holds; /* holds, as late as the orders */
+  bool later;      /* orders and holds, 2 to 12 s late */
+  bool kept;       /* those that a proxy keeps until it is there */
 };
 
 void instances_start (const struct instances *ins, uint64_t seed,
--- a/test/soak/net.c
+++ b/test/soak/net.c
@@ -659,6 +659,19 @@
       *(arrives ? &peers[fd].mute : &peers[fd].silent) = true;
 }
 
+void
+net_end_busy (struct server *srv, bool silent)
+{
+  for (int fd = 0; fd < fd_end; fd++)
+    if (peers[fd].srv == srv && peers[fd].kind == KIND_CONN && peers[fd].busy)
+      {
+        if (silent)
+          peers[fd].silent = true;
+        else
+          reset_fd (fd);
+      }
+}
+
 /* Reads what is there; returns false at the end of the connection.  */
 static bool
 read_in (int fd)
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -235,7 +235,8 @@
 {
   return fault_set
          & (1U << FAULT_RESTART | 1U << FAULT_RESTART_CUT_KILL
-            | 1U << FAULT_RESTART_LATE);
+            | 1U << FAULT_RESTART_LATE | 1U << FAULT_RESTART_LATE_HOLD
+            | 1U << FAULT_RESTART_LATER | 1U << FAULT_RESTART_KEPT);
 }
 
 static void
--- a/test/soak/worker.c
+++ b/test/soak/worker.c
@@ -18,6 +18,8 @@
 #define PLACE_AGE_MS 3000 /* until a new worker counts as a place */
 #define LATE_MIN_MS 1000
 #define LATE_MAX_MS 4000
+#define LATER_MIN_MS 2000
+#define LATER_MAX_MS 11900 /* 12 s after it was sent */
 /* First values of an instance's clock: after a boot, anywhere, or near the
    clock of the instance before.  */
 #define CLOCK_BOOT_MAX_MS 2000
@@ -283,7 +285,7 @@
 }
 
 static void
-handle_order (struct worker *wrk, const struct request *req, bool late)
+handle_call (struct worker *wrk, const struct request *req, bool late)
 {
   json_t *doc = json_loads (req->body, 0, NULL);
   int64_t token = json_integer_value (json_object_get (doc, "fencing-token"));
@@ -329,39 +331,112 @@
   json_decref (doc);
 }
 
-/* An order that is carried out seconds later, after newer ones.  */
-struct late_order
+static void on_call (void *arg, const struct request *req);
+
+/* A call that is carried out later, after newer ones.  */
+struct late_call
 {
+  struct late_call *next;
   struct request req;
   struct worker *wrk;
   unsigned instance;
+  int64_t arrived;
 };
 
+static struct late_call *
+copy_call (struct worker *wrk, const struct request *req)
+{
+  struct late_call *late = calloc (1, sizeof *late);
+  *late = (struct late_call){
+    .req = *req, .wrk = wrk, .instance = wrk->instance, .arrived = soak_ms ()
+  };
+  late->req.body = malloc (req->len + 1);
+  memcpy (late->req.body, req->body, req->len + 1);
+  return late;
+}
+
+static void
+free_call (struct late_call *late)
+{
+  free (late->req.body);
+  free (late);
+}
+
+/* Tells of a call that reaches another instance than it was sent to.  */
 static void
-do_late_order (void *arg)
+log_crossing (const struct late_call *late)
 {
-  struct late_order *late = arg;
+  const struct worker *wrk = late->wrk;
+  if (wrk->instance != late->instance)
+    soak_log ("late: %s of %.3f to instance %u of %s is done by %u: %.160s",
+              late->req.path, (double)late->arrived / 1000, late->instance,
+              wrk->id, wrk->instance, late->req.body);
+}
+
+static void
+do_late_call (void *arg)
+{
+  struct late_call *late = arg;
   const struct worker *wrk = late->wrk;
   bool same
       = wrk->instance == late->instance
         || (worker_late_crosses && strcmp (wrk->id, late->req.instance) == 0);
   if (wrk->up && same)
-    handle_order (late->wrk, &late->req, true);
-  free (late->req.body);
-  free (late);
+    {
+      log_crossing (late);
+      handle_call (late->wrk, &late->req, true);
+    }
+  free_call (late);
 }
 
 static void
-delay_order (struct worker *wrk, const struct request *req)
+delay_call (struct worker *wrk, const struct request *req)
 {
-  struct late_order *late = calloc (1, sizeof *late);
-  *late = (struct late_order){ .req = *req,
-                               .wrk = wrk,
-                               .instance = wrk->instance };
-  late->req.body = malloc (req->len + 1);
-  memcpy (late->req.body, req->body, req->len + 1);
-  net_after (soak_between (&soak_call_rng, LATE_MIN_MS, LATE_MAX_MS),
-             do_late_order, late);
+  int64_t ms = wrk->fault.later
+                   ? soak_between (&soak_call_rng, LATER_MIN_MS, LATER_MAX_MS)
+                   : soak_between (&soak_call_rng, LATE_MIN_MS, LATE_MAX_MS);
+  net_after (ms, do_late_call, copy_call (wrk, req));
+}
+
+static void
+keep_call (struct worker *wrk, const struct request *req)
+{
+  struct late_call *late = copy_call (wrk, req);
+  late->next = wrk->kept;
+  wrk->kept = late;
+}
+
+static void
+drop_kept (struct worker *wrk)
+{
+  while (wrk->kept)
+    {
+      struct late_call *late = wrk->kept;
+      wrk->kept = late->next;
+      free_call (late);
+    }
+}
+
+/* Carries out the calls that were kept, the oldest first.  */
+static void
+do_kept (struct worker *wrk)
+{
+  struct late_call *first = NULL;
+  while (wrk->kept)
+    {
+      struct late_call *late = wrk->kept;
+      wrk->kept = late->next;
+      late->next = first;
+      first = late;
+    }
+  while (first)
+    {
+      struct late_call *late = first;
+      first = late->next;
+      log_crossing (late);
+      on_call (wrk, &late->req);
+      free_call (late);
+    }
 }
 
 static void
@@ -370,7 +445,9 @@
   struct worker *wrk = arg;
   const struct worker_fault *flt = &wrk->fault;
   bool hold = strcmp (req->path, "/v1/hold") == 0;
-  if (!wrk->up)
+  if (!wrk->up && wrk->halted && wrk->outage == OUTAGE_KEPT)
+    keep_call (wrk, req);
+  else if (!wrk->up)
     net_silence (req->conn);
   else if (strcmp (req->path, "/health") == 0)
     net_reply (req->conn, 200, "text/plain", "", 0);
@@ -378,22 +455,24 @@
     reply_command (wrk, req->conn, 421, "instance");
   else if (soak_draw (&soak_call_rng) < flt->busy)
     reply_command (wrk, req->conn, 503, NULL);
-  else if (!hold && soak_draw (&soak_call_rng) < flt->late)
+  else if (hold ? flt->late_holds > 0
+                      && soak_draw (&soak_call_rng) < flt->late_holds
+                : soak_draw (&soak_call_rng) < flt->late)
     {
       net_silence (req->conn);
-      delay_order (wrk, req);
+      delay_call (wrk, req);
     }
   else if (soak_draw (&soak_call_rng) < flt->lose)
     {
       /* Done, and the answer is lost in either of two ways.  */
       bool reset = soak_draw (&soak_call_rng) < 0.5;
       net_silence (req->conn);
-      handle_order (wrk, req, false);
+      handle_call (wrk, req, false);
       if (reset)
         net_reset (req->conn);
     }
   else
-    handle_order (wrk, req, false);
+    handle_call (wrk, req, false);
 }
 
 static void
@@ -489,6 +568,7 @@
   wrk->outage = outage;
   wrk->run_count = wrk->end_count = 0;
   wrk->waiting.fd = -1;
+  drop_kept (wrk);
   worker_faults_changed (wrk);
 }
 
@@ -526,7 +606,9 @@
   wrk->halted = true;
   if (outage == OUTAGE_HANGS)
     net_hang (wrk->srv, true);
-  if (dark)
+  if (outage == OUTAGE_KEPT)
+    net_end_busy (wrk->srv, dark);
+  else if (dark)
     net_silence_all (wrk->srv, false);
   else
     net_reset_all (wrk->srv);
@@ -546,6 +628,8 @@
   net_hang (wrk->srv, false);
   if (outage == OUTAGE_QUEUED)
     net_hold (wrk->srv, false);
+  if (halted)
+    do_kept (wrk);
   return halted;
 }
 
@@ -629,7 +713,8 @@
       const struct worker_fault *flt = &wrk->fault;
       count += wrk->up && wrk->pool == pool && !wrk->away && !flt->cut
                && !flt->one_way && flt->busy <= 0 && flt->lose <= 0
-               && flt->late <= 0 && net_now () - wrk->begun > PLACE_AGE_MS;
+               && flt->late <= 0 && flt->late_holds <= 0
+               && net_now () - wrk->begun > PLACE_AGE_MS;
     }
   return count;
 }
--- a/test/soak/worker.h
+++ b/test/soak/worker.h
@@ -45,6 +45,9 @@
   OUTAGE_HANGS,  /* connects hang, see net_hang */
   OUTAGE_QUEUED, /* what they carry reaches the next instance */
   OUTAGE_COUNT,
+  /* A proxy keeps open connections and takes new ones.  What they carry is
+     done by the next instance, even if the caller has given it up.  */
+  OUTAGE_KEPT = OUTAGE_COUNT,
 };
 
 struct worker_fault
@@ -54,8 +57,12 @@
   double busy;  /* share of calls answered 503, nothing is done */
   double lose;  /* share of calls done whose answer is lost */
   double late;  /* share of orders that are done 1 to 4 s later */
+  double late_holds; /* the same of holds */
+  bool later;        /* 2 to 12 s later instead */
 };
 
+struct late_call;
+
 struct worker
 {
   int index, pool, port;
@@ -83,6 +90,7 @@
   int64_t last_end;
   struct stopped *stopped;
   size_t stopped_count, stopped_size;
+  struct late_call *kept;  /* see OUTAGE_KEPT; the newest first */
   struct conn_ref waiting; /* fd -1: no hold waits */
   int64_t wait_until;
 };
@@ -90,7 +98,7 @@
 extern struct worker workers[WORKERS_MAX];
 extern size_t worker_count;
 
-/* Whether an order that is carried out late may reach the next instance under
+/* Whether a call that is carried out late may reach the next instance under
    the same id, which Expect-Instance does not tell from the one before.  */
 extern bool worker_late_crosses;
 
@@ -120,7 +128,8 @@
 void worker_restart (struct worker *wrk, int64_t beat_ms, bool new_id);
 /* Ends the instance at once, without a word to anyone: its entry and the
    machine's state stay.  Open connections are reset, or silent for good if
-   DARK.  Nothing is done until worker_resume.  */
+   DARK; with OUTAGE_KEPT only those that wait for an answer.  Nothing is done
+   until worker_resume.  */
 void worker_halt (struct worker *wrk, bool dark, enum outage outage);
 /* A new instance under the same id, if the worker is halted still.  Returns
    whether it is.  BOOT: with a clock that is behind the one before.  */
