test/soak: restart-kept passes a waiting hold on to the next instance

A proxy that keeps a connection may send on a hold that the former instance had not answered. It carries a lease end by that instance's clock and a number of its ends.

--- a/test/soak/net.c
+++ b/test/soak/net.c
@@ -660,16 +660,11 @@
 }
 
 void
-net_end_busy (struct server *srv, bool silent)
+net_reset_busy (struct server *srv)
 {
   for (int fd = 0; fd < fd_end; fd++)
     if (peers[fd].srv == srv && peers[fd].kind == KIND_CONN && peers[fd].busy)
-      {
-        if (silent)
-          peers[fd].silent = true;
-        else
-          reset_fd (fd);
-      }
+      reset_fd (fd);
 }
 
 /* Reads what is there; returns false at the end of the connection.  */
--- a/test/soak/net.h
+++ b/test/soak/net.h
@@ -56,9 +56,8 @@
 /* Begins or ends a time in which what the open connections carry is held up.
    It arrives afterwards, unless the caller has reset the connection.  */
 void net_hold (struct server *srv, bool on);
-/* Ends the connections on which a request waits for its answer: they are
-   reset, or silent for good if SILENT.  The others stay.  */
-void net_end_busy (struct server *srv, bool silent);
+/* Resets the connections on which a request waits for its answer.  */
+void net_reset_busy (struct server *srv);
 /* The connections that are open now return nothing further and stay open; new
    ones work.  ARRIVES: a request that is sent on one is still carried out.  */
 void net_silence_all (struct server *srv, bool arrives);
--- a/test/soak/worker.c
+++ b/test/soak/worker.c
@@ -75,6 +75,36 @@
   wrk->listed = false;
 }
 
+/* A call that is carried out later, after newer ones.  */
+struct late_call
+{
+  struct late_call *next;
+  struct request req;
+  struct worker *wrk;
+  unsigned instance;
+  int64_t arrived;
+};
+
+static struct late_call *
+copy_call (struct worker *wrk, const struct request *req)
+{
+  struct late_call *late = calloc (1, sizeof *late);
+  *late = (struct late_call){
+    .req = *req, .wrk = wrk, .instance = wrk->instance, .arrived = soak_ms ()
+  };
+  late->req.body = malloc (req->len + 1);
+  memcpy (late->req.body, req->body, req->len + 1);
+  return late;
+}
+
+static void
+free_call (struct late_call *late)
+{
+  if (late)
+    free (late->req.body);
+  free (late);
+}
+
 static void
 answer_hold (struct worker *wrk)
 {
@@ -108,6 +138,8 @@
   char *text = json_dumps (doc, JSON_COMPACT);
   net_reply (wrk->waiting, 200, "application/json", text, strlen (text));
   wrk->waiting.fd = -1;
+  free_call (wrk->waiting_call);
+  wrk->waiting_call = NULL;
   free (text);
   json_decref (doc);
 }
@@ -279,6 +311,7 @@
   if (wrk->waiting.fd >= 0)
     answer_hold (wrk);
   wrk->waiting = req->conn;
+  wrk->waiting_call = copy_call (wrk, req);
   wrk->wait_until = now + wait;
   if (wait == 0 || wrk->end_count > 0)
     answer_hold (wrk);
@@ -331,37 +364,6 @@
   json_decref (doc);
 }
 
-static void on_call (void *arg, const struct request *req);
-
-/* A call that is carried out later, after newer ones.  */
-struct late_call
-{
-  struct late_call *next;
-  struct request req;
-  struct worker *wrk;
-  unsigned instance;
-  int64_t arrived;
-};
-
-static struct late_call *
-copy_call (struct worker *wrk, const struct request *req)
-{
-  struct late_call *late = calloc (1, sizeof *late);
-  *late = (struct late_call){
-    .req = *req, .wrk = wrk, .instance = wrk->instance, .arrived = soak_ms ()
-  };
-  late->req.body = malloc (req->len + 1);
-  memcpy (late->req.body, req->body, req->len + 1);
-  return late;
-}
-
-static void
-free_call (struct late_call *late)
-{
-  free (late->req.body);
-  free (late);
-}
-
 /* Tells of a call that reaches another instance than it was sent to.  */
 static void
 log_crossing (const struct late_call *late)
@@ -417,6 +419,8 @@
     }
 }
 
+static void on_call (void *arg, const struct request *req);
+
 /* Carries out the calls that were kept, the oldest first.  */
 static void
 do_kept (struct worker *wrk)
@@ -568,6 +572,8 @@
   wrk->outage = outage;
   wrk->run_count = wrk->end_count = 0;
   wrk->waiting.fd = -1;
+  free_call (wrk->waiting_call);
+  wrk->waiting_call = NULL;
   drop_kept (wrk);
   worker_faults_changed (wrk);
 }
@@ -602,12 +608,17 @@
 void
 worker_halt (struct worker *wrk, bool dark, enum outage outage)
 {
+  struct late_call *waiting = wrk->waiting_call;
+  if (outage == OUTAGE_KEPT && dark)
+    wrk->waiting_call = NULL;
   drop_instance (wrk, outage);
   wrk->halted = true;
   if (outage == OUTAGE_HANGS)
     net_hang (wrk->srv, true);
-  if (outage == OUTAGE_KEPT)
-    net_end_busy (wrk->srv, dark);
+  if (outage == OUTAGE_KEPT && dark)
+    wrk->kept = waiting;
+  else if (outage == OUTAGE_KEPT)
+    net_reset_busy (wrk->srv);
   else if (dark)
     net_silence_all (wrk->srv, false);
   else
--- a/test/soak/worker.h
+++ b/test/soak/worker.h
@@ -46,7 +46,7 @@
   OUTAGE_QUEUED, /* what they carry reaches the next instance */
   OUTAGE_COUNT,
   /* A proxy keeps open connections and takes new ones.  What they carry is
-     done by the next instance, even if the caller has given it up.  */
+     done by the next instance, even if the caller has given up.  */
   OUTAGE_KEPT = OUTAGE_COUNT,
 };
 
@@ -92,6 +92,7 @@
   size_t stopped_count, stopped_size;
   struct late_call *kept;  /* see OUTAGE_KEPT; the newest first */
   struct conn_ref waiting; /* fd -1: no hold waits */
+  struct late_call *waiting_call;
   int64_t wait_until;
 };
 
@@ -128,7 +129,8 @@
 void worker_restart (struct worker *wrk, int64_t beat_ms, bool new_id);
 /* Ends the instance at once, without a word to anyone: its entry and the
    machine's state stay.  Open connections are reset, or silent for good if
-   DARK; with OUTAGE_KEPT only those that wait for an answer.  Nothing is done
+   DARK.  With OUTAGE_KEPT they stay, and a hold that waits is passed on to the
+   next instance if DARK, or its connection is reset.  Nothing is done
    until worker_resume.  */
 void worker_halt (struct worker *wrk, bool dark, enum outage outage);
 /* A new instance under the same id, if the worker is halted still.  Returns
