--- a/sched/placer.c
+++ b/sched/placer.c
@@ -184,6 +184,7 @@
     return NULL;
   wrk->known_us = rep->known_us ? rep->known_us : clock_now_us (plc->env.clk);
   wrk->own_leases_end_us = plc->removed_leases_end_us;
+  placer_stop_late_starts (plc, wrk);
   return wrk;
 }
 
@@ -307,7 +308,7 @@
   struct task *tsk = job_task (job, ref);
   if (tsk->prg.done || placer_has_runs (tsk) || now_us < tsk->not_before_us)
     return;
-  if (placer_may_still_run (plc, job, tsk))
+  if (placer_may_still_run (plc, job, tsk) || placer_may_run_late (plc, ref))
     return;
   const struct place_request req = {
     .job = job,
@@ -547,7 +548,7 @@
               && now_us < placer_leases_end_us (plc, wrk)))
         continue;
       /* A worker that has not answered may run tasks of an earlier owner.  */
-      if (!wrk->settled && !wrk->reported_ended && !plc->takeover_done)
+      if (!plc->takeover_done && placer_worker_unreached (plc, wrk))
         continue;
       plc->enrol_stale = plc->enrol_stale || wrk->enrolled;
       placer_keep_lease_bound (plc, wrk);
