--- a/test/soak/judge.c
+++ b/test/soak/judge.c
@@ -262,11 +262,11 @@
       judge_broken (
           "TWICE",
           "%s run %ld starts on %s by %s (token %ld%s) while run %ld "
-          "is under way on %s since %.3f, started by %s (token %ld)",
+          "is under way on %s since %.3f, started by %s (token %ld%s)",
           start->task, (long)start->number, start->worker, who,
           (long)start->token, start->late ? ", late" : "", (long)run->number,
           run->worker, (double)run->started / 1000, name_of (run->starter),
-          (long)run->token);
+          (long)run->token, run->late ? ", late" : "");
   int beside = 0;
   for (int n = 0; n < job->steps[step].count; n++)
     beside += runs_on (&job->tasks[step][n], start->worker);
@@ -683,12 +683,13 @@
           if (strcmp (old->how, "done") == 0)
             judge_broken ("TWICE",
                           "%s.0.%d.%d run %ld started at %.3f on %s by %s%s; "
-                          "run %ld ended done at %.3f on %s, noted at %.3f",
+                          "run %ld%s ended done at %.3f on %s, noted at %.3f",
                           id, step, item, (long)run->number,
                           (double)run->started / 1000, run->worker,
                           name_of (run->starter), run->late ? ", late" : "",
-                          (long)old->number, (double)old->ended / 1000,
-                          old->worker, (double)old->noted / 1000);
+                          (long)old->number, old->late ? ", late," : "",
+                          (double)old->ended / 1000, old->worker,
+                          (double)old->noted / 1000);
         }
       /* Perpetual tasks are started again however they end.  */
       if (failed >= ATTEMPTS && !job->perpetual)
