sched: a hold that asks an idle worker for late starts extends no leases

One without an answer would count for the time after which a late start is over (12 s and the longest lease from it), so that its task waited longer where the worker is cut off.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -540,8 +540,10 @@
     ctx->last_seen = wrk->durable_end;
   /* Do not extend the leases of a silent worker: each extension that may still
      arrive would delay the time at which its runs have certainly ended.  One
-     that has not answered yet may have restarted since its report.  */
-  bool extend = wrk->clock_ms > 0 && wrk->unanswered_calls == 0;
+     that has not answered yet may have restarted since its report.  An idle
+     one is asked for late starts only.  */
+  bool extend = wrk->clock_ms > 0 && wrk->unanswered_calls == 0
+                && (wrk->runs || now_us >= wrk->late_starts_us);
   ctx->call = placer_timed_call (
       wrk, now_us, extend ? placer_lease_end_ms (plc, wrk, now_us) : 0);
   const struct command_target to = placer_command_target (wrk, may_send_hold);
--- a/test/unit/unit_placer_late_bounds.c
+++ b/test/unit/unit_placer_late_bounds.c
@@ -257,6 +257,8 @@
       world_complete_append (wld);
       if (!world_call (wld, WORLD_HOLD, "w1"))
         continue;
+      /* A late one would delay the time at which a late start is over.  */
+      ck_assert_int_eq (world_call (wld, WORLD_HOLD, "w1")->lease_end_ms, 0);
       held_us = wld->clk.now_us;
       holds++;
       world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
