sched: a worker that is added again begins with the last token it may have seen

Cause: the generation that is added to the token of commands was kept with the worker. A worker that was removed from the pool, as its report had expired while it was cut off, and that came back in the same instance, got the first token again and refused it; the owner took that for a later owner, stopped acting for its pool and still held the duty, without an end (LOST).

Change: a worker that is added begins with the highest generation of those that were removed.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -184,6 +184,7 @@
     return NULL;
   wrk->known_us = rep->known_us ? rep->known_us : clock_now_us (plc->env.clk);
   wrk->own_leases_end_us = plc->removed_leases_end_us;
+  wrk->generation = plc->removed_generation;
   placer_stop_late_starts (plc, wrk);
   return wrk;
 }
@@ -551,7 +552,7 @@
       if (!plc->takeover_done && placer_worker_unreached (plc, wrk))
         continue;
       plc->enrol_stale = plc->enrol_stale || wrk->enrolled;
-      placer_keep_lease_bound (plc, wrk);
+      placer_keep_bounds (plc, wrk);
       pool_remove (&plc->pool, n);
     }
 }
--- a/sched/placer_lease.c
+++ b/sched/placer_lease.c
@@ -206,8 +206,10 @@
 }
 
 void
-placer_keep_lease_bound (struct placer *plc, const struct worker *wrk)
+placer_keep_bounds (struct placer *plc, const struct worker *wrk)
 {
+  if (wrk->generation > plc->removed_generation)
+    plc->removed_generation = wrk->generation;
   if (wrk->late_leases_us > 0)
     keep_later (&plc->removed_leases_end_us,
                 wrk->late_leases_us
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -217,6 +217,9 @@
   /* Workers that were removed may have granted leases until then.  A worker
      that is added may be the next instance of one of them.  */
   int64_t removed_leases_end_us;
+  /* Highest generation of them.  A worker that is added begins with it, as it
+     may have seen that token.  */
+  uint32_t removed_generation;
   /* Report on runs that wait.  */
   int64_t next_waits_check_us;
   int64_t wait_reports_us; /* start of the time that has a limit of them */
@@ -374,8 +377,8 @@
                         int64_t now_us);
 
 /* Records what WRK, which is to be removed, may still grant by calls that have
-   no answer.  */
-void placer_keep_lease_bound (struct placer *plc, const struct worker *wrk);
+   no answer, and the last token that it may have seen.  */
+void placer_keep_bounds (struct placer *plc, const struct worker *wrk);
 
 /* placer_instance.c */
 /* Gives up the runs of a silent WRK, whose leases have expired.  */
--- a/test/unit/unit_placer_late.c
+++ b/test/unit/unit_placer_late.c
@@ -161,6 +161,43 @@
 }
 END_TEST
 
+/* Guards against an owner that gives its pool up (LOST), as a worker refuses
+   the token of its first call: the worker was forgotten after a restart, when
+   it had seen a later one.  */
+START_TEST (test_token_after_removal)
+{
+  start_after_unanswered_one ();
+  wld->hold_born_ms = NEXT_BORN_MS;
+  for (int k = 0; k < 6; k++)
+    pass (300, NULL, 0);
+  answer_stops (COMMAND_DONE);
+  world_confirm_ownership (wld);
+  world_tick (wld, 300);
+  struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+  ck_assert_ptr_nonnull (hold);
+  const uint64_t last = hold->token;
+  ck_assert_uint_gt (last, wld->plc->set.token);
+  placer_update_worker (wld->plc, "w1", NULL);
+  for (int k = 0; k < 600 && wld->plc->pool.count > 0; k++)
+    {
+      struct world_call *call;
+      while ((call = world_call (wld, WORLD_HOLD, "w1"))
+             || (call = world_call (wld, WORLD_START, "w1"))
+             || (call = world_call (wld, WORLD_STOP, "w1")))
+        world_answer (wld, call, COMMAND_NO_ANSWER);
+      world_confirm_ownership (wld);
+      world_tick (wld, 100);
+    }
+  ck_assert_uint_eq (wld->plc->pool.count, 0);
+  world_add_worker (wld, "w1", NEXT_BORN_MS);
+  world_confirm_ownership (wld);
+  world_tick (wld, 100);
+  hold = world_call (wld, WORLD_HOLD, "w1");
+  ck_assert_ptr_nonnull (hold);
+  ck_assert_uint_ge (hold->token, last);
+}
+END_TEST
+
 /* Guards against an owner that gives its pool up because a worker refuses a
    call that this owner has overtaken by a later one.  A refusal of a call with
    the last token comes of a later owner.  */
@@ -272,6 +309,7 @@
   tcase_add_loop_test (tc, test_late_start_at_next_instance, 0, 3);
   tcase_add_test (tc, test_late_start_on_silent_worker);
   tcase_add_test (tc, test_token_after_restart);
+  tcase_add_test (tc, test_token_after_removal);
   tcase_add_loop_test (tc, test_refusal_of_overtaken_call, 0, 6);
   tcase_add_loop_test (tc, test_late_hold_at_next_instance, 0, 2);
   Suite *suite = suite_create ("placer_late");
