--- a/sched/placer.c
+++ b/sched/placer.c
@@ -552,7 +552,11 @@
       if (!plc->takeover_done && placer_worker_unreached (plc, wrk))
         continue;
       plc->enrol_stale = plc->enrol_stale || wrk->enrolled;
-      placer_keep_bounds (plc, wrk);
+      placer_keep_removed (plc, wrk);
+      placer_keep_late_starts (plc, wrk);
+      /* Another worker has taken its place.  */
+      if (wrk->reported_ended && wrk->ended_list_us == 0)
+        placer_end_late_starts (plc, wrk, INT64_MAX);
       pool_remove (&plc->pool, n);
     }
 }
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -37,6 +37,9 @@
    again.  */
 #define CLOCK_READ_SPREAD_US 200000
 #define CLOCK_READ_SPREAD_STEPS 20
+/* The same if it may carry out a late start: until the owner knows the next
+   instance, that one does not refuse it.  */
+#define LATE_START_AGE_MAX_US 500000
 /* Consecutive failed runs after which a worker gets no new tasks for
    AVOID_FIRST_US.  With each further failure the time doubles, up to
    AVOID_MAX_US.  */
@@ -66,6 +69,7 @@
     {
       wrk->unanswered_calls++;
       wrk->instance_seen = false;
+      wrk->unlisted = true;
       return;
     }
   wrk->unanswered_calls = 0;
@@ -283,8 +287,13 @@
   bool expired = leases_expired (plc, wrk, sent_us);
   if (!res->ended_truncated && (!res->incomplete || expired))
     drop_unlisted_runs (plc, wrk, sent_us, expired, now_us);
-  if (!res->ended_truncated)
-    placer_stop_unlisted_starts (plc, wrk);
+  if (res->ended_truncated)
+    return;
+  placer_stop_unlisted_starts (plc, wrk);
+  if (res->incomplete)
+    return;
+  placer_end_late_starts (plc, wrk, sent_us);
+  wrk->unlisted = false;
 }
 
 static void
@@ -342,7 +351,10 @@
   wrk->hold_incomplete = res->incomplete;
   bool ends = false;
   for (size_t n = 0; n < res->ended_count; n++)
-    if (res->ended[n].number > wrk->applied_end)
+    /* It has not forgotten an end that was acknowledged.  */
+    if (res->ended[n].number > 0 && res->ended[n].number <= wrk->acked_end)
+      wrk->acked_end = res->ended[n].number - 1;
+    else if (res->ended[n].number > wrk->applied_end)
       {
         if (res->ended[n].end != RUN_END_UNREADABLE)
           apply_end (plc, wrk, &res->ended[n], now_us);
@@ -461,6 +473,8 @@
   int64_t most_us
       = CLOCK_READ_AGE_MAX_US
         - wrk->handle % CLOCK_READ_SPREAD_STEPS * CLOCK_READ_SPREAD_US;
+  if (now_us < wrk->late_starts_us)
+    most_us = LATE_START_AGE_MAX_US;
   return wrk->registered && now_us - wrk->clock_read_us > most_us;
 }
 
@@ -518,8 +532,9 @@
   if (wrk->ended_us && wrk->registered)
     return true;
   /* A silent worker, or one whose clock is not known, gets no tasks until it
-     answers.  */
-  if ((wrk->unanswered_calls > 0 || wrk->clock_ms == 0) && wrk->registered)
+     answers.  One that answers again may run late starts.  */
+  if ((wrk->unanswered_calls > 0 || wrk->unlisted || wrk->clock_ms == 0)
+      && wrk->registered)
     return true;
   /* It is taken as full until it no longer lists a run without a known
      job.  */
@@ -552,7 +567,10 @@
   ctx->plc = plc;
   ctx->worker = wrk->handle;
   ctx->born_ms = wrk->rep.born_ms;
-  ctx->last_seen = ends_are_current (wrk) ? wrk->durable_end : 0;
+  /* The next instance may carry the hold out, and would forget ends that
+     nobody has read: ends are acknowledged no more often than needed.  */
+  if (ends_are_current (wrk) && wrk->durable_end > wrk->acked_end)
+    ctx->last_seen = wrk->durable_end;
   /* Do not extend the leases of a silent worker: each extension that may still
      arrive would delay the time at which its runs have certainly ended.  One
      that has not answered yet may have restarted since its report.  */
--- a/sched/placer_lease.c
+++ b/sched/placer_lease.c
@@ -92,6 +92,7 @@
   wrk->clock_number++;
   wrk->first_answer_us = 0;
   wrk->instance_seen = false;
+  wrk->unlisted = true;
   placer_raise_generation (plc, wrk);
   keep_later (&wrk->earlier_late_leases_us, wrk->late_leases_us);
 }
@@ -206,7 +207,7 @@
 }
 
 void
-placer_keep_bounds (struct placer *plc, const struct worker *wrk)
+placer_keep_removed (struct placer *plc, const struct worker *wrk)
 {
   if (wrk->generation > plc->removed_generation)
     plc->removed_generation = wrk->generation;
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -90,6 +90,8 @@
                       it may get tasks */
   bool unenrolled; /* the worker record in the log leaves it out, as it is
                       vacated and empty */
+  bool unlisted;   /* it has not listed its runs since a call had no
+                      answer, or since its clock was another one */
   int unanswered_calls;     /* consecutive calls without an answer of this
                                instance, or with a refused hold */
   uint32_t absent_lists;    /* consecutive lists of hosts without its host */
@@ -112,6 +114,9 @@
   /* The same of calls whose leases end by the clock of an earlier instance.
      The present one gives them the longest lease, unless it refuses them.  */
   int64_t earlier_late_leases_us;
+  /* It may carry out a start that was given up until then; 0: there was
+     none.  */
+  int64_t late_starts_us;
   /* Added to the token of commands.  It is raised with each instance, so that
      this one refuses what was sent before, once it has answered.  */
   uint32_t generation;
