--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -352,7 +352,11 @@
   if (res->status != COMMAND_NO_ANSWER)
     run->start_settled = true;
   if (answered && run->removed && run->start_settled)
-    placer_drop_late_start (plc, wrk, &run->ref, run->number);
+    {
+      placer_drop_late_start (plc, wrk, &run->ref, run->number);
+      /* It may list the run now.  */
+      wrk->next_hold_us = 0;
+    }
   if (!answered || run->removed)
     {
       command_finished (ctx);
