sched: split apply_hold

No change of behaviour; unit_placer, unit_placer_instance, unit_placer_late and unit_placer_late_bounds pass.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -256,6 +256,26 @@
     }
 }
 
+/* Applies the ends that are not known yet.  Returns whether there were any. */
+static bool
+apply_ends (struct placer *plc, struct worker *wrk,
+            const struct hold_result *res, int64_t now_us)
+{
+  bool ends = false;
+  for (size_t n = 0; n < res->ended_count; n++)
+    /* It has not forgotten an end that was acknowledged.  */
+    if (res->ended[n].number > 0 && res->ended[n].number <= wrk->acked_end)
+      wrk->acked_end = res->ended[n].number - 1;
+    else if (res->ended[n].number > wrk->applied_end)
+      {
+        if (res->ended[n].end != RUN_END_UNREADABLE)
+          apply_end (plc, wrk, &res->ended[n], now_us);
+        wrk->applied_end = res->ended[n].number;
+        ends = true;
+      }
+  return ends;
+}
+
 static void
 apply_hold (struct placer *plc, struct worker *wrk, const struct hold_ctx *ctx,
             const struct hold_result *res, int64_t now_us)
@@ -309,18 +329,7 @@
                LOG_I ("running", res->running_count),
                LOG_I ("ended", res->ended_count));
   wrk->hold_incomplete = res->incomplete;
-  bool ends = false;
-  for (size_t n = 0; n < res->ended_count; n++)
-    /* It has not forgotten an end that was acknowledged.  */
-    if (res->ended[n].number > 0 && res->ended[n].number <= wrk->acked_end)
-      wrk->acked_end = res->ended[n].number - 1;
-    else if (res->ended[n].number > wrk->applied_end)
-      {
-        if (res->ended[n].end != RUN_END_UNREADABLE)
-          apply_end (plc, wrk, &res->ended[n], now_us);
-        wrk->applied_end = res->ended[n].number;
-        ends = true;
-      }
+  bool ends = apply_ends (plc, wrk, res, now_us);
   wrk->unknown = (struct resources){ 0 };
   for (size_t n = 0; n < res->running_count; n++)
     apply_running (plc, wrk, &res->running[n], ctx->call.sent_us, now_us);
