--- a/sched/placer_late.c
+++ b/sched/placer_late.c
@@ -73,21 +73,18 @@
   return last_us + longest_us;
 }
 
-/* Whether an instance of WRK, the worker of LATE, may run it, or may still
-   begin to.  NULL: it was removed from the pool.  */
+/* Whether an instance of WRK, the worker of LATE, may run it.  NULL: it was
+   removed from the pool.  A worker whose host is down runs nothing; a task
+   that waited for its next instance could wait in vain.  */
 static bool
 may_be_carried_out (const struct worker *wrk, const struct late_start *late)
 {
   if (!wrk)
-    return true;
+    return !late->host_down;
   if (!wrk->reported_ended)
     return wrk->unanswered_calls > 0 || wrk->unlisted || wrk->ended_us;
-  /* Either its next instance is known, or none may have begun in time, or the
-     worker has another id now.  */
-  return wrk->reported_born_ms > wrk->rep.born_ms
-         || (wrk->ended_list_us > 0
-             && wrk->ended_list_us
-                    <= late->sent_us + LATE_CALL_MAX_US + HOST_LIST_LAG_US);
+  /* Its next instance is known.  */
+  return wrk->reported_born_ms > wrk->rep.born_ms;
 }
 
 static bool
@@ -119,6 +116,12 @@
   name_copy (late.worker, run->wrk->rep.id);
   plc->late_starts = rows;
   rows[plc->late_start_count++] = late;
+  char name[TASK_NAME_MAX];
+  task_ref_format (&late.ref, name);
+  log_event (
+      plc->env.lg, EV_RUN_LATE_START, LOG_S ("task", name),
+      LOG_I ("run", late.number), LOG_S ("worker", late.worker),
+      LOG_I ("left_ms", (late.sent_us + LATE_CALL_MAX_US - now_us) / 1000));
 }
 
 void
@@ -132,6 +135,14 @@
       remove_late_start (plc, n);
 }
 
+void
+placer_keep_late_starts (struct placer *plc, const struct worker *wrk)
+{
+  for (size_t n = 0; n < plc->late_start_count; n++)
+    if (strcmp (plc->late_starts[n].worker, wrk->rep.id) == 0)
+      plc->late_starts[n].host_down = wrk->reported_ended;
+}
+
 void
 placer_end_late_starts (struct placer *plc, const struct worker *wrk,
                         int64_t asked_us)
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -40,6 +40,7 @@
   struct task_ref ref;
   uint32_t number;
   int64_t sent_us;
+  bool host_down; /* when the worker was removed from the pool */
 };
 
 /* A worker on which an earlier owner may have started tasks.  */
@@ -325,6 +326,8 @@
    run or its end.  */
 void placer_drop_late_start (struct placer *plc, const struct worker *wrk,
                              const struct task_ref *ref, uint32_t number);
+/* Keeps the late starts of WRK, which is to be removed from the pool.  */
+void placer_keep_late_starts (struct placer *plc, const struct worker *wrk);
 /* Forgets the starts that WRK could no longer carry out when it was asked for
    its runs at ASKED_US: it lists the runs.  */
 void placer_end_late_starts (struct placer *plc, const struct worker *wrk,
@@ -456,7 +459,14 @@
    workers are no place for them.  */
 void placer_check_unplaced (struct placer *plc, int64_t now_us);
 
+/* placer_overdue.c */
+/* Decides, after an answer of WRK, whether its leases are withheld.  */
+void placer_check_overdue (struct placer *plc, struct worker *wrk);
+
 /* placer_waits.c */
+/* Since when RUN waits: for the answer to its start, to be listed, or for its
+   end after a stop.  */
+int64_t placer_run_waits_since_us (const struct run *run);
 /* Logs which runs have waited for some time, and for what.  */
 void placer_check_waits (struct placer *plc, int64_t now_us);
 
