sched: an unlisted run is kept until its start cannot be carried out any more

Callers could see two runs of a task (TWICE). Cause: on a worker that answers holds, but acknowledges no stop, a run that is not listed counted as ended once all leases there were over, about 8 to 10 s after its start. Without an answer to the start the worker may carry it out for 12 s, and has no stop of it.

Change: such a run is kept until 12 s after its start.

Measured: test_late_start_without_stop starts the task again 10.6 s after the first start before, and after 12 s now; unit_placer_unended (96 checks), unit_placer_wait and unit_placer_stop pass.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -230,6 +230,13 @@
   store_checkpoint (job, &row->task, tsk, row->checkpoint);
 }
 
+/* Whether the start of RUN cannot be carried out after AT_US.  */
+static bool
+start_is_over (const struct run *run, int64_t at_us)
+{
+  return run->start_settled || at_us > run->start_sent_us + LATE_CALL_MAX_US;
+}
+
 /* Removes the runs that the worker does not list although it had confirmed
    them, or had acknowledged their stop, before the hold was sent, or although
    all leases had EXPIRED by then.  */
@@ -245,7 +252,7 @@
         continue;
       bool confirmed = run->confirmed_us && run->confirmed_us < sent_us;
       bool stopped = run->stopped_us && run->stopped_us < sent_us;
-      if (!confirmed && !stopped && !expired)
+      if (!confirmed && !stopped && !(expired && start_is_over (run, sent_us)))
         continue;
       char name[TASK_NAME_MAX];
       task_ref_format (&run->ref, name);
--- a/test/unit/unit_placer_late_bounds.c
+++ b/test/unit/unit_placer_late_bounds.c
@@ -248,6 +248,22 @@
 }
 END_TEST
 
+/* Guards against two runs of a task (TWICE): a worker that answers holds, but
+   no stop, may still carry the start out although all leases there are over.
+ */
+START_TEST (test_late_start_without_stop)
+{
+  int64_t sent_us = leave_start_unanswered ();
+  while (world_starts (wld, 2, 0) == 1)
+    {
+      pass (100, NULL, 0);
+      answer_stops (COMMAND_WORKER_BUSY);
+      ck_assert_int_lt (wld->clk.now_us, sent_us + WORLD_WAIT_MAX_US);
+    }
+  ck_assert_int_gt (wld->clk.now_us, sent_us + LATE_CALL_MAX_US);
+}
+END_TEST
+
 /* Guards against a task that is stopped to be moved and then waits for a late
    start of it (AVAIL, LOST).  */
 START_TEST (test_no_move_with_late_start)
@@ -378,6 +394,7 @@
   tcase_add_test (tc, test_late_start_before_next_list);
   tcase_add_test (tc, test_idle_worker_with_late_start);
   tcase_add_test (tc, test_one_acknowledgement);
+  tcase_add_test (tc, test_late_start_without_stop);
   tcase_add_test (tc, test_no_move_with_late_start);
   tcase_add_test (tc, test_token_of_returned_worker);
   Suite *suite = suite_create ("placer_late_bounds");
