--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -230,6 +230,13 @@
   store_checkpoint (job, &row->task, tsk, row->checkpoint);
 }
 
+/* Whether the start of RUN cannot be carried out after AT_US.  */
+static bool
+start_is_over (const struct run *run, int64_t at_us)
+{
+  return run->start_settled || at_us > run->start_sent_us + LATE_CALL_MAX_US;
+}
+
 /* Removes the runs that the worker does not list although it had confirmed
    them, or had acknowledged their stop, before the hold was sent, or although
    all leases had EXPIRED by then.  */
@@ -245,7 +252,7 @@
         continue;
       bool confirmed = run->confirmed_us && run->confirmed_us < sent_us;
       bool stopped = run->stopped_us && run->stopped_us < sent_us;
-      if (!confirmed && !stopped && !expired)
+      if (!confirmed && !stopped && !(expired && start_is_over (run, sent_us)))
         continue;
       char name[TASK_NAME_MAX];
       task_ref_format (&run->ref, name);
@@ -259,6 +266,26 @@
     }
 }
 
+/* Applies the ends that are not known yet.  Returns whether there were any. */
+static bool
+apply_ends (struct placer *plc, struct worker *wrk,
+            const struct hold_result *res, int64_t now_us)
+{
+  bool ends = false;
+  for (size_t n = 0; n < res->ended_count; n++)
+    /* It has not forgotten an end that was acknowledged.  */
+    if (res->ended[n].number > 0 && res->ended[n].number <= wrk->acked_end)
+      wrk->acked_end = res->ended[n].number - 1;
+    else if (res->ended[n].number > wrk->applied_end)
+      {
+        if (res->ended[n].end != RUN_END_UNREADABLE)
+          apply_end (plc, wrk, &res->ended[n], now_us);
+        wrk->applied_end = res->ended[n].number;
+        ends = true;
+      }
+  return ends;
+}
+
 /* Whether all leases on WRK had expired at AT_US, and no later owner could
    have extended them.  */
 static bool
@@ -349,18 +376,7 @@
                LOG_I ("running", res->running_count),
                LOG_I ("ended", res->ended_count));
   wrk->hold_incomplete = res->incomplete;
-  bool ends = false;
-  for (size_t n = 0; n < res->ended_count; n++)
-    /* It has not forgotten an end that was acknowledged.  */
-    if (res->ended[n].number > 0 && res->ended[n].number <= wrk->acked_end)
-      wrk->acked_end = res->ended[n].number - 1;
-    else if (res->ended[n].number > wrk->applied_end)
-      {
-        if (res->ended[n].end != RUN_END_UNREADABLE)
-          apply_end (plc, wrk, &res->ended[n], now_us);
-        wrk->applied_end = res->ended[n].number;
-        ends = true;
-      }
+  bool ends = apply_ends (plc, wrk, res, now_us);
   apply_rows (plc, wrk, ctx, res, now_us);
   wrk->hold_not_before_us = now_us;
   if (ends)
