test/soak: tell of ends that a hold acknowledges before they were listed

A late hold that acknowledges ends of the next instance shows as TWICE later, and the hold had to be found by its time. A line now names the end and the hold.

--- a/test/soak/worker.c
+++ b/test/soak/worker.c
@@ -306,7 +306,14 @@
     if (wrk->ends[n].number > seen)
       wrk->ends[kept++] = wrk->ends[n];
     else if (wrk->ends[n].fact && wrk->lapsed < wrk->ends[n].at)
-      wrk->ends[n].fact->noted = soak_ms ();
+      {
+        wrk->ends[n].fact->noted = soak_ms ();
+        if (!wrk->ends[n].fact->listed)
+          soak_log ("unread: %s run %ld ended %s on %s, acknowledged by a "
+                    "hold to instance %u: %.160s",
+                    wrk->ends[n].task, (long)wrk->ends[n].run,
+                    wrk->ends[n].how, wrk->id, wrk->instance, req->body);
+      }
   wrk->end_count = kept;
   if (wrk->waiting.fd >= 0)
     answer_hold (wrk);
