--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -37,6 +37,9 @@
    again.  */
 #define CLOCK_READ_SPREAD_US 200000
 #define CLOCK_READ_SPREAD_STEPS 20
+/* The same if it may carry out a late start: until the owner knows the next
+   instance, that one does not refuse it.  */
+#define LATE_START_AGE_MAX_US 500000
 /* Consecutive failed runs after which a worker gets no new tasks for
    AVOID_FIRST_US.  With each further failure the time doubles, up to
    AVOID_MAX_US.  */
@@ -66,6 +69,7 @@
     {
       wrk->unanswered_calls++;
       wrk->instance_seen = false;
+      wrk->unlisted = true;
       return;
     }
   wrk->unanswered_calls = 0;
@@ -227,10 +231,11 @@
 }
 
 /* Removes the runs that the worker does not list although it had confirmed
-   them, or had acknowledged their stop, before the hold was sent.  */
+   them, or had acknowledged their stop, before the hold was sent, or although
+   all leases had EXPIRED by then.  */
 static void
 drop_unlisted_runs (struct placer *plc, struct worker *wrk, int64_t sent_us,
-                    int64_t now_us)
+                    bool expired, int64_t now_us)
 {
   struct run *next;
   for (struct run *run = wrk->runs; run; run = next)
@@ -240,18 +245,57 @@
         continue;
       bool confirmed = run->confirmed_us && run->confirmed_us < sent_us;
       bool stopped = run->stopped_us && run->stopped_us < sent_us;
-      if (!confirmed && !stopped)
+      if (!confirmed && !stopped && !expired)
         continue;
       char name[TASK_NAME_MAX];
       task_ref_format (&run->ref, name);
       log_event (plc->env.lg, EV_RUN_LOST, LOG_S ("task", name),
                  LOG_I ("run", run->number), LOG_S ("worker", wrk->rep.id),
-                 LOG_S ("reason", stopped ? "stopped" : "not_listed"));
+                 LOG_S ("reason", expired   ? "lease_expired"
+                                  : stopped ? "stopped"
+                                            : "not_listed"));
       run->tsk->ended_us = now_us;
       placer_remove_run (plc, run);
     }
 }
 
+/* Whether all leases on WRK had expired at AT_US, and no later owner could
+   have extended them.  */
+static bool
+leases_expired (const struct placer *plc, const struct worker *wrk,
+                int64_t at_us)
+{
+  int64_t end_us = placer_leases_end_us (plc, wrk);
+  return at_us > end_us && plc->confirmed_us > end_us;
+}
+
+/* Takes the list of runs in an answer to a hold.  */
+static void
+apply_rows (struct placer *plc, struct worker *wrk, const struct hold_ctx *ctx,
+            const struct hold_result *res, int64_t now_us)
+{
+  int64_t sent_us = ctx->call.sent_us;
+  wrk->unknown = (struct resources){ 0 };
+  for (size_t n = 0; n < res->running_count; n++)
+    apply_running (plc, wrk, &res->running[n], sent_us, now_us);
+  if (!worker_has_unknown_runs (wrk))
+    wrk->unknown_since_us = 0;
+  else if (!wrk->unknown_since_us)
+    wrk->unknown_since_us = now_us;
+  /* A row that cannot be read may be a run that is not listed, as long as
+     there are leases.  */
+  bool expired = leases_expired (plc, wrk, sent_us);
+  if (!res->ended_truncated && (!res->incomplete || expired))
+    drop_unlisted_runs (plc, wrk, sent_us, expired, now_us);
+  if (res->ended_truncated)
+    return;
+  placer_stop_unlisted_starts (plc, wrk);
+  if (res->incomplete)
+    return;
+  placer_end_late_starts (plc, wrk, sent_us);
+  wrk->unlisted = false;
+}
+
 static void
 apply_hold (struct placer *plc, struct worker *wrk, const struct hold_ctx *ctx,
             const struct hold_result *res, int64_t now_us)
@@ -283,7 +327,7 @@
       = ctx->call.sent_us + HOLD_WAIT_MS * 1000 + ANSWER_TRANSIT_US;
   wrk->hold_answered_us = now_us < answered_us ? now_us : answered_us;
   /* A row that cannot be read may be a run of an earlier owner.  */
-  if (!wrk->reached && !res->incomplete)
+  if (!wrk->reached && (!res->incomplete || plc->takeover_done))
     {
       wrk->reached = true;
       log_event (plc->env.lg, EV_WORKER_REACHED, LOG_S ("worker", wrk->rep.id),
@@ -307,21 +351,17 @@
   wrk->hold_incomplete = res->incomplete;
   bool ends = false;
   for (size_t n = 0; n < res->ended_count; n++)
-    if (res->ended[n].number > wrk->applied_end)
+    /* It has not forgotten an end that was acknowledged.  */
+    if (res->ended[n].number > 0 && res->ended[n].number <= wrk->acked_end)
+      wrk->acked_end = res->ended[n].number - 1;
+    else if (res->ended[n].number > wrk->applied_end)
       {
         if (res->ended[n].end != RUN_END_UNREADABLE)
           apply_end (plc, wrk, &res->ended[n], now_us);
         wrk->applied_end = res->ended[n].number;
         ends = true;
       }
-  wrk->unknown = (struct resources){ 0 };
-  for (size_t n = 0; n < res->running_count; n++)
-    apply_running (plc, wrk, &res->running[n], ctx->call.sent_us, now_us);
-  if (!res->ended_truncated && !res->incomplete)
-    {
-      drop_unlisted_runs (plc, wrk, ctx->call.sent_us, now_us);
-      placer_stop_unlisted_starts (plc, wrk);
-    }
+  apply_rows (plc, wrk, ctx, res, now_us);
   wrk->hold_not_before_us = now_us;
   if (ends)
     wrk->hold_not_before_us += plc->start_limit_reached
@@ -331,8 +371,9 @@
                           ? now_us + HOLD_UNFLUSHED_RETRY_US
                           : wrk->hold_not_before_us;
   /* The worker answers at once while it has an end that is not acknowledged,
-     as one without a number, or while its clock is not known.  */
-  if (res->incomplete || wrk->clock_ms == 0)
+     as one without a number, while its clock is not known, or while its leases
+     are withheld.  */
+  if (res->incomplete || wrk->clock_ms == 0 || wrk->leases_withheld)
     wrk->next_hold_us = now_us + HOLD_RETRY_US;
 }
 
@@ -417,6 +458,7 @@
       /* Stops are the first that the worker gets when it answers again.  */
       if (res->command.status == COMMAND_NO_ANSWER)
         placer_stop_unlisted_starts (plc, wrk);
+      placer_check_overdue (plc, wrk);
       plc->env.wake (plc->env.arg);
     }
   talloc_free (ctx);
@@ -431,6 +473,8 @@
   int64_t most_us
       = CLOCK_READ_AGE_MAX_US
         - wrk->handle % CLOCK_READ_SPREAD_STEPS * CLOCK_READ_SPREAD_US;
+  if (now_us < wrk->late_starts_us)
+    most_us = LATE_START_AGE_MAX_US;
   return wrk->registered && now_us - wrk->clock_read_us > most_us;
 }
 
@@ -465,7 +509,7 @@
 {
   int64_t starts_end_us = placer_earlier_starts_end_us (plc);
   if (!wrk->reached || wrk->unanswered_calls > 0 || wrk->ended_us
-      || settling_due (plc, wrk, now_us))
+      || wrk->leases_withheld || settling_due (plc, wrk, now_us))
     return 0;
   /* Without runs the answer would come at the end of its delay, and until then
      the ends do not count as acknowledged.  */
@@ -488,12 +532,13 @@
   if (wrk->ended_us && wrk->registered)
     return true;
   /* A silent worker, or one whose clock is not known, gets no tasks until it
-     answers.  */
-  if ((wrk->unanswered_calls > 0 || wrk->clock_ms == 0) && wrk->registered)
+     answers.  One that answers again may run late starts.  */
+  if ((wrk->unanswered_calls > 0 || wrk->unlisted || wrk->clock_ms == 0)
+      && wrk->registered)
     return true;
   /* It is taken as full until it no longer lists a run without a known
      job.  */
-  if (worker_has_unknown_runs (wrk))
+  if (worker_has_unknown_runs (wrk) || wrk->leases_withheld)
     return true;
   return !wrk->reached || wrk->runs || wrk->acked_end < wrk->durable_end
          || wrk->applied_end > wrk->durable_end;
@@ -522,11 +567,15 @@
   ctx->plc = plc;
   ctx->worker = wrk->handle;
   ctx->born_ms = wrk->rep.born_ms;
-  ctx->last_seen = ends_are_current (wrk) ? wrk->durable_end : 0;
+  /* The next instance may carry the hold out, and would forget ends that
+     nobody has read: ends are acknowledged no more often than needed.  */
+  if (ends_are_current (wrk) && wrk->durable_end > wrk->acked_end)
+    ctx->last_seen = wrk->durable_end;
   /* Do not extend the leases of a silent worker: each extension that may still
      arrive would delay the time at which its runs have certainly ended.  One
      that has not answered yet may have restarted since its report.  */
-  bool extend = wrk->clock_ms > 0 && wrk->unanswered_calls == 0;
+  bool extend = wrk->clock_ms > 0 && wrk->unanswered_calls == 0
+                && !wrk->leases_withheld;
   ctx->call = placer_timed_call (
       wrk, now_us, extend ? placer_lease_end_ms (plc, wrk, now_us) : 0);
   const struct command_target to = placer_command_target (wrk, may_send_hold);
--- a/sched/placer_late.c
+++ b/sched/placer_late.c
@@ -59,12 +59,32 @@
 }
 
 /* When a run that LATE has begun has certainly ended, if nobody reaches its
-   worker.  */
+   worker.  Later calls without an answer may have extended its lease.  */
 static int64_t
 run_end_us (const struct placer *plc, const struct late_start *late)
 {
-  return late->sent_us + LATE_CALL_MAX_US
-         + placer_add_lease_slack (plc->set.lease_max_ms * 1000);
+  const struct worker *wrk = pool_find_id (&plc->pool, late->worker);
+  int64_t longest_us = placer_add_lease_slack (plc->set.lease_max_ms * 1000);
+  int64_t last_us = late->sent_us + LATE_CALL_MAX_US;
+  if (!wrk && plc->removed_leases_end_us > last_us + longest_us)
+    return plc->removed_leases_end_us;
+  if (wrk && wrk->late_leases_us > last_us)
+    last_us = wrk->late_leases_us;
+  return last_us + longest_us;
+}
+
+/* Whether an instance of WRK, the worker of LATE, may run it.  NULL: it was
+   removed from the pool.  A worker whose host is down runs nothing; a task
+   that waited for its next instance could wait in vain.  */
+static bool
+may_be_carried_out (const struct worker *wrk, const struct late_start *late)
+{
+  if (!wrk)
+    return !late->host_down;
+  if (!wrk->reported_ended)
+    return wrk->unanswered_calls > 0 || wrk->unlisted || wrk->ended_us;
+  /* Its next instance is known.  */
+  return wrk->reported_born_ms > wrk->rep.born_ms;
 }
 
 static bool
@@ -82,10 +102,13 @@
                              .number = run->number,
                              .sent_us = run->start_sent_us };
   for (size_t n = plc->late_start_count; n-- > 0;)
-    if (now_us > run_end_us (plc, &plc->late_starts[n]))
+    if (is_over (&plc->late_starts[n], now_us)
+        && now_us > run_end_us (plc, &plc->late_starts[n]))
       remove_late_start (plc, n);
   if (is_over (&late, now_us))
     return;
+  if (late.sent_us + LATE_CALL_MAX_US > run->wrk->late_starts_us)
+    run->wrk->late_starts_us = late.sent_us + LATE_CALL_MAX_US;
   struct late_start *rows = talloc_realloc (
       plc, plc->late_starts, struct late_start, plc->late_start_count + 1);
   if (!rows)
@@ -93,6 +116,12 @@
   name_copy (late.worker, run->wrk->rep.id);
   plc->late_starts = rows;
   rows[plc->late_start_count++] = late;
+  char name[TASK_NAME_MAX];
+  task_ref_format (&late.ref, name);
+  log_event (
+      plc->env.lg, EV_RUN_LATE_START, LOG_S ("task", name),
+      LOG_I ("run", late.number), LOG_S ("worker", late.worker),
+      LOG_I ("left_ms", (late.sent_us + LATE_CALL_MAX_US - now_us) / 1000));
 }
 
 void
@@ -106,6 +135,24 @@
       remove_late_start (plc, n);
 }
 
+void
+placer_keep_late_starts (struct placer *plc, const struct worker *wrk)
+{
+  for (size_t n = 0; n < plc->late_start_count; n++)
+    if (strcmp (plc->late_starts[n].worker, wrk->rep.id) == 0)
+      plc->late_starts[n].host_down = wrk->reported_ended;
+}
+
+void
+placer_end_late_starts (struct placer *plc, const struct worker *wrk,
+                        int64_t asked_us)
+{
+  for (size_t n = plc->late_start_count; n-- > 0;)
+    if (is_over (&plc->late_starts[n], asked_us)
+        && strcmp (plc->late_starts[n].worker, wrk->rep.id) == 0)
+      remove_late_start (plc, n);
+}
+
 void
 placer_stop_late_starts (struct placer *plc, struct worker *wrk)
 {
@@ -132,10 +179,9 @@
   for (size_t n = 0; n < plc->late_start_count; n++)
     {
       const struct late_start *late = &plc->late_starts[n];
-      if (!is_same_task (&late->ref, ref) || now_us > run_end_us (plc, late))
-        continue;
-      const struct worker *wrk = pool_find_id (&plc->pool, late->worker);
-      if (wrk && wrk->unanswered_calls > 0 && !wrk->reported_ended)
+      if (is_same_task (&late->ref, ref)
+          && may_be_carried_out (pool_find_id (&plc->pool, late->worker), late)
+          && now_us <= run_end_us (plc, late))
         return true;
     }
   return false;
--- a/sched/placer_lease.c
+++ b/sched/placer_lease.c
@@ -92,6 +92,7 @@
   wrk->clock_number++;
   wrk->first_answer_us = 0;
   wrk->instance_seen = false;
+  wrk->unlisted = true;
   placer_raise_generation (plc, wrk);
   keep_later (&wrk->earlier_late_leases_us, wrk->late_leases_us);
 }
@@ -206,8 +207,10 @@
 }
 
 void
-placer_keep_lease_bound (struct placer *plc, const struct worker *wrk)
+placer_keep_removed (struct placer *plc, const struct worker *wrk)
 {
+  if (wrk->generation > plc->removed_generation)
+    plc->removed_generation = wrk->generation;
   if (wrk->late_leases_us > 0)
     keep_later (&plc->removed_leases_end_us,
                 wrk->late_leases_us
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -40,6 +40,7 @@
   struct task_ref ref;
   uint32_t number;
   int64_t sent_us;
+  bool host_down; /* when the worker was removed from the pool */
 };
 
 /* A worker on which an earlier owner may have started tasks.  */
@@ -217,6 +218,8 @@
   /* Workers that were removed may have granted leases until then.  A worker
      that is added may be the next instance of one of them.  */
   int64_t removed_leases_end_us;
+  /* Highest generation of a worker that was removed; it may return.  */
+  uint32_t removed_generation;
   /* Report on runs that wait.  */
   int64_t next_waits_check_us;
   int64_t wait_reports_us; /* start of the time that has a limit of them */
@@ -323,6 +326,12 @@
    run or its end.  */
 void placer_drop_late_start (struct placer *plc, const struct worker *wrk,
                              const struct task_ref *ref, uint32_t number);
+/* Keeps the late starts of WRK, which is to be removed from the pool.  */
+void placer_keep_late_starts (struct placer *plc, const struct worker *wrk);
+/* Forgets the starts that WRK could no longer carry out when it was asked for
+   its runs at ASKED_US: it lists the runs.  */
+void placer_end_late_starts (struct placer *plc, const struct worker *wrk,
+                             int64_t asked_us);
 /* Stops the late starts at WRK, where an instance has begun that does not
    know of earlier stops.  */
 void placer_stop_late_starts (struct placer *plc, struct worker *wrk);
@@ -373,9 +382,9 @@
 void placer_note_lease (struct placer *plc, struct worker *wrk,
                         int64_t now_us);
 
-/* Records what WRK, which is to be removed, may still grant by calls that have
-   no answer.  */
-void placer_keep_lease_bound (struct placer *plc, const struct worker *wrk);
+/* Records the generation of WRK, which is to be removed, and what it may still
+   grant by calls that have no answer.  */
+void placer_keep_removed (struct placer *plc, const struct worker *wrk);
 
 /* placer_instance.c */
 /* Gives up the runs of a silent WRK, whose leases have expired.  */
@@ -450,7 +459,14 @@
    workers are no place for them.  */
 void placer_check_unplaced (struct placer *plc, int64_t now_us);
 
+/* placer_overdue.c */
+/* Decides, after an answer of WRK, whether its leases are withheld.  */
+void placer_check_overdue (struct placer *plc, struct worker *wrk);
+
 /* placer_waits.c */
+/* Since when RUN waits: for the answer to its start, to be listed, or for its
+   end after a stop.  */
+int64_t placer_run_waits_since_us (const struct run *run);
 /* Logs which runs have waited for some time, and for what.  */
 void placer_check_waits (struct placer *plc, int64_t now_us);
 
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -17,6 +17,8 @@
 /* Pause of a worker that had no room for a task that should have fitted.  It
    runs something that this owner does not know; the next hold lists it.  */
 #define NO_ROOM_PAUSE_US 200000
+/* Least time between two stops of one run, after one that had no effect.  */
+#define STOP_INTERVAL_MIN_US 250000
 
 /* Most starts in flight at a time.  A process with a tenth of a core sends
    about 1,000 starts a second, and has to read their answers within the
@@ -305,6 +307,9 @@
   };
   log_start (plc, run, names[status]);
   run->tsk->not_before_us = now_us + START_REFUSED_PAUSE_US;
+  /* The worker may refuse this task for good.  */
+  if (status != COMMAND_NOT_SENT || placer_may_start (plc, now_us))
+    run->tsk->avoid_worker = wrk->handle;
   if (status == COMMAND_WORKER_BUSY)
     wrk->avoid_until_us = now_us + WORKER_BUSY_PAUSE_US;
   else if (status == COMMAND_NO_ROOM)
@@ -383,6 +388,7 @@
         start_refused (plc, run, wrk, res->status, now_us);
       break;
     }
+  placer_check_overdue (plc, wrk);
   command_finished (ctx);
 }
 
@@ -458,9 +464,12 @@
           ctx->run->stopped_us = clock_now_us (plc->env.clk);
           wrk->next_hold_us = 0;
         }
+      else if (res->status != COMMAND_DONE && res->status != COMMAND_NO_ANSWER)
+        ctx->run->next_stop_us = ctx->call.sent_us + STOP_INTERVAL_MIN_US;
     }
   if (res->status == COMMAND_FENCED && !placer_fenced_by_own (wrk, &ctx->call))
     placer_fenced_by_worker (plc, wrk);
+  placer_check_overdue (plc, wrk);
   command_finished (ctx);
 }
 
@@ -551,6 +560,7 @@
   run->stop_wanted = true;
   run->state = RUN_STOPPING;
   run->stop_sent = false;
+  run->next_stop_us = 0;
   run->stopped_us = 0;
   run->wrk->stops_wanted = true;
 }
@@ -567,6 +577,7 @@
 void
 placer_send_stops (struct placer *plc, struct worker *wrk)
 {
+  int64_t now_us = clock_now_us (plc->env.clk);
   if (!wrk->stops_wanted)
     return;
   wrk->stops_wanted = false;
@@ -574,7 +585,7 @@
     if (run->stop_wanted && !run->stopped_us)
       {
         wrk->stops_wanted = true;
-        if (!run->stop_sent
+        if (!run->stop_sent && now_us >= run->next_stop_us
             && send_stop (plc, wrk, run, &run->ref, run->number))
           run->stop_sent = true;
       }
