--- a/node/duties.c
+++ b/node/duties.c
@@ -33,11 +33,6 @@
 /* Time between two checks of the pools without a queue.  Each goes through all
    jobs, and the duties are checked after each batch of records.  */
 #define QUEUELESS_INTERVAL_US 500000
-/* Versions that do not state the lease that their records count have added
-   this to it, for the way of a command, and nothing for calls that come later.
- */
-#define UNSTATED_TRANSIT_US 500000
-
 static int64_t
 lower (int64_t a, int64_t b)
 {
@@ -664,8 +659,7 @@
   const struct holder_limits limits
       = { .command_us = nod->set->confirm_ms * 1000,
           .lease_us = placer_lease_span_us (nod->set->lease_max_ms),
-          .unstated_lease_us = placer_lease_span_us (lease_ms (nod))
-                               - LATE_CALL_MAX_US + UNSTATED_TRANSIT_US };
+          .unstated_lease_us = placer_lease_span_us (lease_ms (nod)) };
   const struct follower_settings set
       = { .topic = TOPIC_DUTIES,
           .wait_ms = DUTIES_READ_WAIT_MS,
--- a/sched/placer_takeover.c
+++ b/sched/placer_takeover.c
@@ -120,7 +120,8 @@
 placer_lease_span_us (int64_t lease_max_ms)
 {
   int64_t lease_us = lease_max_ms * 1000;
-  return lease_us + lease_us * CLOCK_SLOW_MAX_PERCENT / 100 + LATE_CALL_MAX_US;
+  return lease_us + lease_us * CLOCK_SLOW_MAX_PERCENT / 100
+         + COMMAND_TRANSIT_US;
 }
 
 void
