sched: what an earlier instance acknowledged does not count for the present one

Cause, of: the next instance answered a hold that acknowledged ends of the one before, and that number was taken for its own; its first ends, with lower numbers, were skipped once, so that their runs were neither listed nor ended and were started again.

A number counts only if the hold was meant for the present instance, and an end that is listed is applied whatever was acknowledged. test_acknowledgement_of_earlier_instance fails before (the job is not completed) and passes now.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -273,16 +273,18 @@
 {
   bool ends = false;
   for (size_t n = 0; n < res->ended_count; n++)
-    /* It has not forgotten an end that was acknowledged.  */
-    if (res->ended[n].number > 0 && res->ended[n].number <= wrk->acked_end)
-      wrk->acked_end = res->ended[n].number - 1;
-    else if (res->ended[n].number > wrk->applied_end)
-      {
-        if (res->ended[n].end != RUN_END_UNREADABLE)
-          apply_end (plc, wrk, &res->ended[n], now_us);
-        wrk->applied_end = res->ended[n].number;
-        ends = true;
-      }
+    {
+      const struct ended_row *row = &res->ended[n];
+      /* It has not forgotten an end that was acknowledged.  */
+      if (row->number > 0 && row->number <= wrk->acked_end)
+        wrk->acked_end = row->number - 1;
+      if (row->number <= wrk->applied_end)
+        continue;
+      if (row->end != RUN_END_UNREADABLE)
+        apply_end (plc, wrk, row, now_us);
+      wrk->applied_end = row->number;
+      ends = true;
+    }
   return ends;
 }
 
@@ -368,7 +370,7 @@
       wrk->settled = true;
       placer_drop_earlier_worker (plc, wrk->rep.id);
     }
-  if (ctx->last_seen > wrk->acked_end)
+  if (ctx->born_ms == wrk->rep.born_ms && ctx->last_seen > wrk->acked_end)
     wrk->acked_end = ctx->last_seen;
   if (res->incomplete && !wrk->hold_incomplete)
     log_event (plc->env.lg, EV_WORKER_HOLD_INCOMPLETE,
--- a/test/unit/unit_placer_late_bounds.c
+++ b/test/unit/unit_placer_late_bounds.c
@@ -248,6 +248,57 @@
 }
 END_TEST
 
+/* Guards against two runs of a task (TWICE): the next instance of the worker
+   answers a hold that acknowledged ends of the one before, and its own first
+   end, with a number that seems to be acknowledged, is not applied.  */
+START_TEST (test_acknowledgement_of_earlier_instance)
+{
+  const struct world_row end
+      = { .job = 2, .run = 2, .end = RUN_END_DONE, .number = 1 };
+  const struct world_row next
+      = { .job = 3, .run = 1, .end = RUN_END_DONE, .number = 1 };
+  struct world_call *hold = NULL;
+  start_after_unanswered_one ();
+  world_confirm_ownership (wld);
+  world_tick (wld, 100);
+  world_answer_hold (wld, "w1", NULL, 0, &end, 1);
+  struct job *job = world_add_job (wld, 3, TASK_JOB, 300);
+  for (int n = 0; n < 20 && !(hold && hold->last_seen == 1); n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 50);
+      world_complete_append (wld);
+      hold = world_call (wld, WORLD_HOLD, "w1");
+    }
+  ck_assert_ptr_nonnull (hold);
+  ck_assert_uint_eq (hold->last_seen, 1);
+  /* The start is answered by the next instance, which then is known by its
+     report before it answers the hold.  */
+  world_answer (wld, world_call (wld, WORLD_START, "w1"), COMMAND_DONE);
+  wld->hold_born_ms = NEXT_BORN_MS;
+  world_add_worker (wld, "w1", NEXT_BORN_MS);
+  hold->answered = true;
+  for (int n = 0; n < 4; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 50);
+    }
+  hold->answered = false;
+  const struct world_row row = { .job = 3, .run = 1 };
+  world_answer_hold (wld, "w1", &row, 1, NULL, 0);
+  for (int n = 0; n < 20 && !world_call (wld, WORLD_HOLD, "w1"); n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 50);
+    }
+  world_answer_hold (wld, "w1", NULL, 0, &next, 1);
+  world_confirm_ownership (wld);
+  world_tick (wld, 200);
+  ck_assert_int_eq (job->state, JOB_COMPLETED);
+  ck_assert_uint_eq (world_starts (wld, 3, 0), 1);
+}
+END_TEST
+
 /* Guards against two runs of a task (TWICE): a worker that answers holds, but
    no stop, may still carry the start out although all leases there are over.
  */
@@ -394,6 +445,7 @@
   tcase_add_test (tc, test_late_start_before_next_list);
   tcase_add_test (tc, test_idle_worker_with_late_start);
   tcase_add_test (tc, test_one_acknowledgement);
+  tcase_add_test (tc, test_acknowledgement_of_earlier_instance);
   tcase_add_test (tc, test_late_start_without_stop);
   tcase_add_test (tc, test_no_move_with_late_start);
   tcase_add_test (tc, test_token_of_returned_worker);
