--- a/node/duties.c
+++ b/node/duties.c
@@ -33,6 +33,11 @@
 /* Time between two checks of the pools without a queue.  Each goes through all
    jobs, and the duties are checked after each batch of records.  */
 #define QUEUELESS_INTERVAL_US 500000
+/* Versions that do not state the lease that their records count have added
+   this to it, for the way of a command, and nothing for calls that come later.
+ */
+#define UNSTATED_TRANSIT_US 500000
+
 static int64_t
 lower (int64_t a, int64_t b)
 {
@@ -219,6 +224,7 @@
   const struct placer_settings set = {
     .pool = hld->pool,
     .token = hld->token,
+    .token_count = hld->token_count,
     .fence_offset = hld->fence_offset,
     .lease_ms = lease_ms (nod),
     .lease_max_ms = nod->set->lease_max_ms,
@@ -283,6 +289,7 @@
   hld->nod = nod;
   name_copy (hld->pool, dty->name);
   hld->token = dty->token;
+  hld->token_count = dty->token_count;
   hld->prt = node_job_partition (nod, dty->name);
   snprintf (producer, sizeof producer, "owner.%s", dty->name);
   const struct appender_settings set = { .topic = TOPIC_JOBS,
@@ -424,10 +431,12 @@
 {
   struct earlier_holders earlier;
   duty_state_earlier (&nod->duties, name, clock_now_us (nod->clk), &earlier);
-  const struct duty_claim claim = { .name = name,
-                                    .holder = nod->set->name,
-                                    .boot = nod->boot,
-                                    .earlier = &earlier };
+  const struct duty_claim claim
+      = { .name = name,
+          .holder = nod->set->name,
+          .boot = nod->boot,
+          .token_count = strcmp (name, DUTY_FLEET) == 0 ? 1 : TOKENS_RESERVED,
+          .earlier = &earlier };
   return duty_record_append (nod, &claim, 1, on_claim_appended);
 }
 
@@ -655,7 +664,8 @@
   const struct holder_limits limits
       = { .command_us = nod->set->confirm_ms * 1000,
           .lease_us = placer_lease_span_us (nod->set->lease_max_ms),
-          .unstated_lease_us = placer_lease_span_us (lease_ms (nod)) };
+          .unstated_lease_us = placer_lease_span_us (lease_ms (nod))
+                               - LATE_CALL_MAX_US + UNSTATED_TRANSIT_US };
   const struct follower_settings set
       = { .topic = TOPIC_DUTIES,
           .wait_ms = DUTIES_READ_WAIT_MS,
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -37,6 +37,9 @@
    again.  */
 #define CLOCK_READ_SPREAD_US 200000
 #define CLOCK_READ_SPREAD_STEPS 20
+/* The same if it may carry out a late start: until the owner knows the next
+   instance, that one does not refuse it.  */
+#define LATE_START_AGE_MAX_US 500000
 /* Consecutive failed runs after which a worker gets no new tasks for
    AVOID_FIRST_US.  With each further failure the time doubles, up to
    AVOID_MAX_US.  */
@@ -66,6 +69,7 @@
     {
       wrk->unanswered_calls++;
       wrk->instance_seen = false;
+      wrk->unlisted = true;
       return;
     }
   wrk->unanswered_calls = 0;
@@ -148,6 +152,10 @@
     return;
   const struct step *stp = &job->spec.steps[row->task.step];
   struct run *run = placer_find_run (wrk, &row->task, row->run);
+  if (run)
+    run->start_settled = true;
+  else
+    placer_drop_late_start (plc, wrk, &row->task, row->run);
   store_checkpoint (job, &row->task, tsk, row->checkpoint);
   if (row->run > tsk->prg.last_run)
     tsk->prg.last_run = row->run;
@@ -201,6 +209,8 @@
       return;
     }
   struct run *run = placer_find_run (wrk, &row->task, row->run);
+  if (!run)
+    placer_drop_late_start (plc, wrk, &row->task, row->run);
   /* A run is adopted whatever its number is: owners whose runs were not
      recorded in time may have used the same numbers or higher ones.  */
   if (!run && !placer_has_runs (tsk) && !job_ended (job) && !tsk->prg.done)
@@ -213,26 +223,19 @@
     run->confirmed_us = now_us;
   if (run->state == RUN_STARTING)
     run->state = RUN_ACTIVE;
+  run->start_settled = true;
   run->percent = row->percent;
   run->listed_us = sent_us;
   run->seen_us = now_us;
   store_checkpoint (job, &row->task, tsk, row->checkpoint);
 }
 
-/* Whether the worker may still carry out an earlier start of RUN, which its
-   earlier instance has not answered.  */
-static bool
-may_start_late (const struct run *run)
-{
-  return run->start_tries > 1 && !run->listed_us && !run->stopped_us
-         && run->created_us < run->wrk->known_us;
-}
-
 /* Removes the runs that the worker does not list although it had confirmed
-   them, or had acknowledged their stop, before the hold was sent.  */
+   them, or had acknowledged their stop, before the hold was sent, or although
+   all leases had EXPIRED by then.  */
 static void
 drop_unlisted_runs (struct placer *plc, struct worker *wrk, int64_t sent_us,
-                    int64_t now_us)
+                    bool expired, int64_t now_us)
 {
   struct run *next;
   for (struct run *run = wrk->runs; run; run = next)
@@ -242,24 +245,57 @@
         continue;
       bool confirmed = run->confirmed_us && run->confirmed_us < sent_us;
       bool stopped = run->stopped_us && run->stopped_us < sent_us;
-      if (!confirmed && !stopped)
+      if (!confirmed && !stopped && !expired)
         continue;
-      if (may_start_late (run))
-        {
-          run->confirmed_us = 0;
-          placer_stop_run (plc, run);
-          continue;
-        }
       char name[TASK_NAME_MAX];
       task_ref_format (&run->ref, name);
       log_event (plc->env.lg, EV_RUN_LOST, LOG_S ("task", name),
                  LOG_I ("run", run->number), LOG_S ("worker", wrk->rep.id),
-                 LOG_S ("reason", stopped ? "stopped" : "not_listed"));
+                 LOG_S ("reason", expired   ? "lease_expired"
+                                  : stopped ? "stopped"
+                                            : "not_listed"));
       run->tsk->ended_us = now_us;
       placer_remove_run (plc, run);
     }
 }
 
+/* Whether all leases on WRK had expired at AT_US, and no later owner could
+   have extended them.  */
+static bool
+leases_expired (const struct placer *plc, const struct worker *wrk,
+                int64_t at_us)
+{
+  int64_t end_us = placer_leases_end_us (plc, wrk);
+  return at_us > end_us && plc->confirmed_us > end_us;
+}
+
+/* Takes the list of runs in an answer to a hold.  */
+static void
+apply_rows (struct placer *plc, struct worker *wrk, const struct hold_ctx *ctx,
+            const struct hold_result *res, int64_t now_us)
+{
+  int64_t sent_us = ctx->call.sent_us;
+  wrk->unknown = (struct resources){ 0 };
+  for (size_t n = 0; n < res->running_count; n++)
+    apply_running (plc, wrk, &res->running[n], sent_us, now_us);
+  if (!worker_has_unknown_runs (wrk))
+    wrk->unknown_since_us = 0;
+  else if (!wrk->unknown_since_us)
+    wrk->unknown_since_us = now_us;
+  /* A row that cannot be read may be a run that is not listed, as long as
+     there are leases.  */
+  bool expired = leases_expired (plc, wrk, sent_us);
+  if (!res->ended_truncated && (!res->incomplete || expired))
+    drop_unlisted_runs (plc, wrk, sent_us, expired, now_us);
+  if (res->ended_truncated)
+    return;
+  placer_stop_unlisted_starts (plc, wrk);
+  if (res->incomplete)
+    return;
+  placer_end_late_starts (plc, wrk, sent_us);
+  wrk->unlisted = false;
+}
+
 static void
 apply_hold (struct placer *plc, struct worker *wrk, const struct hold_ctx *ctx,
             const struct hold_result *res, int64_t now_us)
@@ -291,7 +327,7 @@
       = ctx->call.sent_us + HOLD_WAIT_MS * 1000 + ANSWER_TRANSIT_US;
   wrk->hold_answered_us = now_us < answered_us ? now_us : answered_us;
   /* A row that cannot be read may be a run of an earlier owner.  */
-  if (!wrk->reached && !res->incomplete)
+  if (!wrk->reached && (!res->incomplete || plc->takeover_done))
     {
       wrk->reached = true;
       log_event (plc->env.lg, EV_WORKER_REACHED, LOG_S ("worker", wrk->rep.id),
@@ -315,18 +351,17 @@
   wrk->hold_incomplete = res->incomplete;
   bool ends = false;
   for (size_t n = 0; n < res->ended_count; n++)
-    if (res->ended[n].number > wrk->applied_end)
+    /* It has not forgotten an end that was acknowledged.  */
+    if (res->ended[n].number > 0 && res->ended[n].number <= wrk->acked_end)
+      wrk->acked_end = res->ended[n].number - 1;
+    else if (res->ended[n].number > wrk->applied_end)
       {
         if (res->ended[n].end != RUN_END_UNREADABLE)
           apply_end (plc, wrk, &res->ended[n], now_us);
         wrk->applied_end = res->ended[n].number;
         ends = true;
       }
-  wrk->unknown = (struct resources){ 0 };
-  for (size_t n = 0; n < res->running_count; n++)
-    apply_running (plc, wrk, &res->running[n], ctx->call.sent_us, now_us);
-  if (!res->ended_truncated && !res->incomplete)
-    drop_unlisted_runs (plc, wrk, ctx->call.sent_us, now_us);
+  apply_rows (plc, wrk, ctx, res, now_us);
   wrk->hold_not_before_us = now_us;
   if (ends)
     wrk->hold_not_before_us += plc->start_limit_reached
@@ -336,8 +371,9 @@
                           ? now_us + HOLD_UNFLUSHED_RETRY_US
                           : wrk->hold_not_before_us;
   /* The worker answers at once while it has an end that is not acknowledged,
-     as one without a number, or while its clock is not known.  */
-  if (res->incomplete || wrk->clock_ms == 0)
+     as one without a number, while its clock is not known, or while its leases
+     are withheld.  */
+  if (res->incomplete || wrk->clock_ms == 0 || wrk->leases_withheld)
     wrk->next_hold_us = now_us + HOLD_RETRY_US;
 }
 
@@ -379,8 +415,10 @@
   /* Whichever instance has granted it, and also if the runs of the earlier one
      cannot be given up yet: the lease holds for what is started there.  */
   if (wrk && res->command.status == COMMAND_DONE)
-    placer_note_grant (plc, wrk, ctx->call.lease_end_ms, res->command.clock_ms,
+    placer_note_grant (plc, wrk, ctx->call.lease_end_ms, &res->command,
                        clock_now_us (plc->env.clk));
+  if (wrk)
+    placer_note_generation (plc, wrk, &ctx->call, res->command.status);
   if (wrk && is_late_answer (wrk, ctx, res))
     {
       wrk->hold_in_flight = false;
@@ -414,13 +452,13 @@
             wrk->ended_us = now_us;
           placer_settle_reported_end (plc, wrk);
         }
-      else if (res->command.status == COMMAND_FENCED)
-        {
-          plc->fenced = true;
-          log_event (plc->env.lg, EV_PLACER_FENCED,
-                     LOG_S ("pool", plc->set.pool), LOG_S ("by", wrk->rep.id),
-                     LOG_I ("token", plc->set.token));
-        }
+      else if (res->command.status == COMMAND_FENCED
+               && !placer_fenced_by_own (wrk, &ctx->call))
+        placer_fenced_by_worker (plc, wrk);
+      /* Stops are the first that the worker gets when it answers again.  */
+      if (res->command.status == COMMAND_NO_ANSWER)
+        placer_stop_unlisted_starts (plc, wrk);
+      placer_check_overdue (plc, wrk);
       plc->env.wake (plc->env.arg);
     }
   talloc_free (ctx);
@@ -435,6 +473,8 @@
   int64_t most_us
       = CLOCK_READ_AGE_MAX_US
         - wrk->handle % CLOCK_READ_SPREAD_STEPS * CLOCK_READ_SPREAD_US;
+  if (now_us < wrk->late_starts_us)
+    most_us = LATE_START_AGE_MAX_US;
   return wrk->registered && now_us - wrk->clock_read_us > most_us;
 }
 
@@ -454,7 +494,8 @@
 {
   int64_t wait_ms = HOLD_WAIT_MS;
   for (const struct run *run = wrk->runs; run; run = run->next)
-    if (run->stopped_us && !run->confirmed_us)
+    if ((run->stopped_us && !run->confirmed_us)
+        || (run->start_unanswered && run->state == RUN_STARTING))
       return 0;
     else if (run->stop_wanted && !run->confirmed_us)
       wait_ms = HOLD_WAIT_STOP_MS;
@@ -468,7 +509,7 @@
 {
   int64_t starts_end_us = placer_earlier_starts_end_us (plc);
   if (!wrk->reached || wrk->unanswered_calls > 0 || wrk->ended_us
-      || settling_due (plc, wrk, now_us))
+      || wrk->leases_withheld || settling_due (plc, wrk, now_us))
     return 0;
   /* Without runs the answer would come at the end of its delay, and until then
      the ends do not count as acknowledged.  */
@@ -491,12 +532,13 @@
   if (wrk->ended_us && wrk->registered)
     return true;
   /* A silent worker, or one whose clock is not known, gets no tasks until it
-     answers.  */
-  if ((wrk->unanswered_calls > 0 || wrk->clock_ms == 0) && wrk->registered)
+     answers.  One that answers again may run late starts.  */
+  if ((wrk->unanswered_calls > 0 || wrk->unlisted || wrk->clock_ms == 0)
+      && wrk->registered)
     return true;
   /* It is taken as full until it no longer lists a run without a known
      job.  */
-  if (worker_has_unknown_runs (wrk))
+  if (worker_has_unknown_runs (wrk) || wrk->leases_withheld)
     return true;
   return !wrk->reached || wrk->runs || wrk->acked_end < wrk->durable_end
          || wrk->applied_end > wrk->durable_end;
@@ -525,16 +567,20 @@
   ctx->plc = plc;
   ctx->worker = wrk->handle;
   ctx->born_ms = wrk->rep.born_ms;
-  ctx->last_seen = ends_are_current (wrk) ? wrk->durable_end : 0;
+  /* The next instance may carry the hold out, and would forget ends that
+     nobody has read: ends are acknowledged no more often than needed.  */
+  if (ends_are_current (wrk) && wrk->durable_end > wrk->acked_end)
+    ctx->last_seen = wrk->durable_end;
   /* Do not extend the leases of a silent worker: each extension that may still
      arrive would delay the time at which its runs have certainly ended.  One
      that has not answered yet may have restarted since its report.  */
-  bool extend = wrk->clock_ms > 0 && wrk->unanswered_calls == 0;
+  bool extend = wrk->clock_ms > 0 && wrk->unanswered_calls == 0
+                && !wrk->leases_withheld;
   ctx->call = placer_timed_call (
       wrk, now_us, extend ? placer_lease_end_ms (plc, wrk, now_us) : 0);
   const struct command_target to = placer_command_target (wrk, may_send_hold);
   const struct hold_command cmd = {
-    .token = plc->set.token,
+    .token = placer_command_token (plc, wrk),
     .last_seen = ctx->last_seen,
     .lease_end_ms = ctx->call.lease_end_ms,
     .wait_ms = hold_wait_ms (plc, wrk, now_us),
--- /dev/null
+++ b/sched/placer_late.c
@@ -0,0 +1,188 @@
+#include <string.h>
+#include <talloc.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "sched/placer_priv.h"
+
+/* Calls that may be carried out after they were given up, also by the next
+   instance of the worker; see docs/design/instances.md.  */
+
+uint64_t
+placer_command_token (const struct placer *plc, struct worker *wrk)
+{
+  wrk->generation_used = true;
+  return plc->set.token + wrk->generation;
+}
+
+void
+placer_raise_generation (const struct placer *plc, struct worker *wrk)
+{
+  wrk->generation_answered_us = 0;
+  if (!wrk->generation_used)
+    return;
+  /* Without a further token, the present instance may carry out earlier calls
+     for up to LATE_CALL_MAX_US.  */
+  wrk->generations_spent = wrk->generation + 1 >= plc->set.token_count;
+  wrk->generation += !wrk->generations_spent;
+  wrk->generation_used = false;
+}
+
+void
+placer_note_generation (struct placer *plc, struct worker *wrk,
+                        const struct timed_call *call,
+                        enum command_status status)
+{
+  if (status != COMMAND_DONE || call->generation != wrk->generation
+      || wrk->generation_answered_us || wrk->generations_spent)
+    return;
+  wrk->generation_answered_us = clock_now_us (plc->env.clk);
+  placer_end_earlier_leases (plc, wrk, wrk->generation_answered_us);
+}
+
+bool
+placer_fenced_by_own (const struct worker *wrk, const struct timed_call *call)
+{
+  return call->generation < wrk->generation;
+}
+
+static void
+remove_late_start (struct placer *plc, size_t index)
+{
+  plc->late_starts[index] = plc->late_starts[--plc->late_start_count];
+}
+
+static bool
+is_over (const struct late_start *late, int64_t now_us)
+{
+  return now_us > late->sent_us + LATE_CALL_MAX_US;
+}
+
+/* When a run that LATE has begun has certainly ended, if nobody reaches its
+   worker.  Later calls without an answer may have extended its lease.  */
+static int64_t
+run_end_us (const struct placer *plc, const struct late_start *late)
+{
+  const struct worker *wrk = pool_find_id (&plc->pool, late->worker);
+  int64_t longest_us = placer_add_lease_slack (plc->set.lease_max_ms * 1000);
+  int64_t last_us = late->sent_us + LATE_CALL_MAX_US;
+  if (!wrk && plc->removed_leases_end_us > last_us + longest_us)
+    return plc->removed_leases_end_us;
+  if (wrk && wrk->late_leases_us > last_us)
+    last_us = wrk->late_leases_us;
+  return last_us + longest_us;
+}
+
+/* Whether an instance of WRK, the worker of LATE, may run it.  NULL: it was
+   removed from the pool.  A worker whose host is down runs nothing; a task
+   that waited for its next instance could wait in vain.  */
+static bool
+may_be_carried_out (const struct worker *wrk, const struct late_start *late)
+{
+  if (!wrk)
+    return !late->host_down;
+  if (!wrk->reported_ended)
+    return wrk->unanswered_calls > 0 || wrk->unlisted || wrk->ended_us;
+  /* Its next instance is known.  */
+  return wrk->reported_born_ms > wrk->rep.born_ms;
+}
+
+static bool
+is_same_task (const struct task_ref *a, const struct task_ref *b)
+{
+  return a->job == b->job && a->occurrence == b->occurrence
+         && a->step == b->step && a->index == b->index;
+}
+
+void
+placer_add_late_start (struct placer *plc, const struct run *run)
+{
+  int64_t now_us = clock_now_us (plc->env.clk);
+  struct late_start late = { .ref = run->ref,
+                             .number = run->number,
+                             .sent_us = run->start_sent_us };
+  for (size_t n = plc->late_start_count; n-- > 0;)
+    if (is_over (&plc->late_starts[n], now_us)
+        && now_us > run_end_us (plc, &plc->late_starts[n]))
+      remove_late_start (plc, n);
+  if (is_over (&late, now_us))
+    return;
+  if (late.sent_us + LATE_CALL_MAX_US > run->wrk->late_starts_us)
+    run->wrk->late_starts_us = late.sent_us + LATE_CALL_MAX_US;
+  struct late_start *rows = talloc_realloc (
+      plc, plc->late_starts, struct late_start, plc->late_start_count + 1);
+  if (!rows)
+    return;
+  name_copy (late.worker, run->wrk->rep.id);
+  plc->late_starts = rows;
+  rows[plc->late_start_count++] = late;
+  char name[TASK_NAME_MAX];
+  task_ref_format (&late.ref, name);
+  log_event (
+      plc->env.lg, EV_RUN_LATE_START, LOG_S ("task", name),
+      LOG_I ("run", late.number), LOG_S ("worker", late.worker),
+      LOG_I ("left_ms", (late.sent_us + LATE_CALL_MAX_US - now_us) / 1000));
+}
+
+void
+placer_drop_late_start (struct placer *plc, const struct worker *wrk,
+                        const struct task_ref *ref, uint32_t number)
+{
+  for (size_t n = plc->late_start_count; n-- > 0;)
+    if (plc->late_starts[n].number == number
+        && is_same_task (&plc->late_starts[n].ref, ref)
+        && strcmp (plc->late_starts[n].worker, wrk->rep.id) == 0)
+      remove_late_start (plc, n);
+}
+
+void
+placer_keep_late_starts (struct placer *plc, const struct worker *wrk)
+{
+  for (size_t n = 0; n < plc->late_start_count; n++)
+    if (strcmp (plc->late_starts[n].worker, wrk->rep.id) == 0)
+      plc->late_starts[n].host_down = wrk->reported_ended;
+}
+
+void
+placer_end_late_starts (struct placer *plc, const struct worker *wrk,
+                        int64_t asked_us)
+{
+  for (size_t n = plc->late_start_count; n-- > 0;)
+    if (is_over (&plc->late_starts[n], asked_us)
+        && strcmp (plc->late_starts[n].worker, wrk->rep.id) == 0)
+      remove_late_start (plc, n);
+}
+
+void
+placer_stop_late_starts (struct placer *plc, struct worker *wrk)
+{
+  int64_t now_us = clock_now_us (plc->env.clk);
+  for (size_t n = plc->late_start_count; n-- > 0;)
+    {
+      const struct late_start late = plc->late_starts[n];
+      struct job *job = job_table_find (plc->env.jobs, late.ref.job);
+      if (is_over (&late, now_us) || strcmp (late.worker, wrk->rep.id) != 0)
+        continue;
+      else if (!job)
+        placer_stop_unknown (plc, wrk, &late.ref, late.number);
+      else if (placer_stop_late_start (plc, wrk, job, &late))
+        remove_late_start (plc, n);
+    }
+}
+
+bool
+placer_may_run_late (const struct placer *plc, const struct task_ref *ref)
+{
+  if (plc->late_start_count == 0)
+    return false;
+  int64_t now_us = clock_now_us (plc->env.clk);
+  for (size_t n = 0; n < plc->late_start_count; n++)
+    {
+      const struct late_start *late = &plc->late_starts[n];
+      if (is_same_task (&late->ref, ref)
+          && may_be_carried_out (pool_find_id (&plc->pool, late->worker), late)
+          && now_us <= run_end_us (plc, late))
+        return true;
+    }
+  return false;
+}
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -31,6 +31,18 @@
 /* Further jobs that are tried in a tick, of those after the first ones.  */
 #define OTHER_JOBS_PER_TICK 64
 
+/* A start without an answer, of a run that has been given up.  The instance
+   that it was meant for has refused it or has ended; the next one would carry
+   it out.  */
+struct late_start
+{
+  char worker[NAME_BYTES]; /* its id */
+  struct task_ref ref;
+  uint32_t number;
+  int64_t sent_us;
+  bool host_down; /* when the worker was removed from the pool */
+};
+
 /* A worker on which an earlier owner may have started tasks.  */
 struct earlier_worker
 {
@@ -201,9 +213,13 @@
   int64_t next_unplaced_check_us;
   int64_t unplaced_reports_us; /* start of the time that has a limit of them */
   uint32_t unplaced_reports;   /* since then */
+  struct late_start *late_starts;
+  size_t late_start_count;
   /* Workers that were removed may have granted leases until then.  A worker
      that is added may be the next instance of one of them.  */
   int64_t removed_leases_end_us;
+  /* Highest generation of a worker that was removed; it may return.  */
+  uint32_t removed_generation;
   /* Report on runs that wait.  */
   int64_t next_waits_check_us;
   int64_t wait_reports_us; /* start of the time that has a limit of them */
@@ -216,6 +232,7 @@
 struct timed_call
 {
   int64_t sent_us;
+  uint32_t generation;   /* that of the worker then */
   uint32_t clock_number; /* that of the worker then */
   int64_t lease_end_ms;  /* by that clock; 0: extends no leases */
 };
@@ -235,6 +252,17 @@
    new connection if the last call was not answered.  */
 struct command_target placer_command_target (const struct worker *wrk,
                                              bool (*may_send) (void *arg));
+/* Adds a run that WRK may still begin, by the start LATE, and stops it.  Until
+   its end is known, its task is not started.  Returns NULL when out of
+   memory.  */
+struct run *placer_stop_late_start (struct placer *plc, struct worker *wrk,
+                                    struct job *job,
+                                    const struct late_start *late);
+/* Stops the runs whose start got no answer and that WRK, which was asked for
+   its runs since, has not listed.  */
+void placer_stop_unlisted_starts (struct placer *plc, struct worker *wrk);
+/* WRK has seen the token of a later owner.  */
+void placer_fenced_by_worker (struct placer *plc, const struct worker *wrk);
 /* Starts the next run of a task on WRK.  */
 void placer_start_task (struct placer *plc, struct job *job,
                         const struct task_ref *ref, struct worker *wrk);
@@ -276,6 +304,43 @@
 void placer_note_answer (struct placer *plc, struct worker *wrk,
                          const struct timed_call *call,
                          const struct command_result *res);
+/* placer_late.c */
+/* The fencing token of a command to WRK that is sent now.  */
+uint64_t placer_command_token (const struct placer *plc, struct worker *wrk);
+/* Makes the present instance of WRK refuse all that was sent before, once it
+   has answered a command.  */
+void placer_raise_generation (const struct placer *plc, struct worker *wrk);
+/* Takes an answer to CALL: the command has been carried out, or refused as the
+   worker has seen a later token.  */
+void placer_note_generation (struct placer *plc, struct worker *wrk,
+                             const struct timed_call *call,
+                             enum command_status status);
+/* Whether the worker refused CALL because of a later command of this owner.
+   Otherwise a later owner has sent one.  */
+bool placer_fenced_by_own (const struct worker *wrk,
+                           const struct timed_call *call);
+/* Records that the start of RUN, which is given up, may still be carried
+   out.  */
+void placer_add_late_start (struct placer *plc, const struct run *run);
+/* Forgets the start of a run by WRK, which has answered it or has listed the
+   run or its end.  */
+void placer_drop_late_start (struct placer *plc, const struct worker *wrk,
+                             const struct task_ref *ref, uint32_t number);
+/* Keeps the late starts of WRK, which is to be removed from the pool.  */
+void placer_keep_late_starts (struct placer *plc, const struct worker *wrk);
+/* Forgets the starts that WRK could no longer carry out when it was asked for
+   its runs at ASKED_US: it lists the runs.  */
+void placer_end_late_starts (struct placer *plc, const struct worker *wrk,
+                             int64_t asked_us);
+/* Stops the late starts at WRK, where an instance has begun that does not
+   know of earlier stops.  */
+void placer_stop_late_starts (struct placer *plc, struct worker *wrk);
+
+/* Whether a worker that does not answer may have carried out an earlier start
+   of the task, as its next instance.  */
+bool placer_may_run_late (const struct placer *plc,
+                          const struct task_ref *ref);
+
 /* placer_lease.c */
 /* A call that was sent to WRK at NOW_US, with leases until LEASE_END_MS by its
    clock; 0: it extends none.  */
@@ -291,6 +356,9 @@
 /* Records that CALL, which may have been carried out, got no answer.  */
 void placer_note_unanswered (struct placer *plc, struct worker *wrk,
                              const struct timed_call *call);
+/* Calls by the clock of an earlier instance are refused since AT_US.  */
+void placer_end_earlier_leases (struct placer *plc, struct worker *wrk,
+                                int64_t at_us);
 /* Bound on the transit time of an answer.  */
 #define ANSWER_TRANSIT_US 100000
 /* Upper bound on the time that SPAN_US by the worker's clock takes, including
@@ -305,18 +373,18 @@
    extended; also those that earlier owners gave, to runs that were adopted. */
 int64_t placer_leases_end_us (const struct placer *plc,
                               const struct worker *wrk);
-/* Records the lease that a worker has granted: its clock was CLOCK_MS when it
-   answered a command with a lease until LEASE_END_MS.  */
+/* Records the lease that a worker may have granted: RES is its answer to a
+   command with a lease until LEASE_END_MS by its clock; 0: with none.  */
 void placer_note_grant (struct placer *plc, struct worker *wrk,
-                        int64_t lease_end_ms, int64_t clock_ms,
+                        int64_t lease_end_ms, const struct command_result *res,
                         int64_t now_us);
 /* Records that a command with a lease from NOW_US on was sent.  */
 void placer_note_lease (struct placer *plc, struct worker *wrk,
                         int64_t now_us);
 
-/* Records what WRK, which is to be removed, may still grant by calls that have
-   no answer.  */
-void placer_keep_lease_bound (struct placer *plc, const struct worker *wrk);
+/* Records the generation of WRK, which is to be removed, and what it may still
+   grant by calls that have no answer.  */
+void placer_keep_removed (struct placer *plc, const struct worker *wrk);
 
 /* placer_instance.c */
 /* Gives up the runs of a silent WRK, whose leases have expired.  */
@@ -338,6 +406,11 @@
 /* Appends the queued progress to the log if an append is due.  */
 void placer_flush (struct placer *plc, int64_t now_us);
 
+/* placer_hosts.c */
+/* Whether a list of hosts requested at ASKED_US is newer than the last starts
+   of earlier owners, on whichever instance of a worker.  */
+bool placer_list_covers_earlier_starts (const struct placer *plc,
+                                        int64_t asked_us);
 /* placer_takeover.c */
 /* Whether ownership is confirmed recently enough to send commands.  */
 bool placer_may_command (const struct placer *plc, int64_t now_us);
@@ -352,6 +425,9 @@
 /* The id of a worker that has not told this owner of the runs that earlier
    owners may have started there, or NULL.  */
 const char *placer_unreached (const struct placer *plc);
+/* Whether WRK may run tasks of earlier owners that it has not listed.  */
+bool placer_worker_unreached (const struct placer *plc,
+                              const struct worker *wrk);
 /* Completes the takeover once every run that an earlier owner may have started
    is known or has lost its lease.  */
 void placer_check_takeover (struct placer *plc, int64_t now_us);
@@ -383,7 +459,14 @@
    workers are no place for them.  */
 void placer_check_unplaced (struct placer *plc, int64_t now_us);
 
+/* placer_overdue.c */
+/* Decides, after an answer of WRK, whether its leases are withheld.  */
+void placer_check_overdue (struct placer *plc, struct worker *wrk);
+
 /* placer_waits.c */
+/* Since when RUN waits: for the answer to its start, to be listed, or for its
+   end after a stop.  */
+int64_t placer_run_waits_since_us (const struct run *run);
 /* Logs which runs have waited for some time, and for what.  */
 void placer_check_waits (struct placer *plc, int64_t now_us);
 
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -29,12 +29,18 @@
   int64_t created_us;   /* when its start was first sent, or it was adopted */
   int64_t confirmed_us; /* when the worker first confirmed the run; 0: not
                            yet */
-  int start_tries;
-  int64_t start_sent_us; /* when its start was last sent */
+  /* When its start was sent; 0: by an earlier owner.  A start is sent once, so
+     that no second one is left to be carried out later.  */
+  int64_t start_sent_us;
+  /* Its start was answered or not sent, or the worker has listed the run or
+     its end: it will not be carried out any more.  */
+  bool start_settled;
+  bool start_unanswered; /* its start was given up without an answer */
   bool stop_wanted;
   int64_t stop_wanted_us; /* when it was first wanted */
   bool stop_sent;         /* it is in flight */
   int64_t stop_sent_us;   /* when it was last sent; 0: not yet */
+  int64_t next_stop_us;   /* it is not sent before, as it was refused */
   int64_t stopped_us;     /* when the stop was acknowledged; 0: not yet */
   bool preempted;         /* selected to be stopped for a perpetual task */
   bool unwanted; /* not the current run of its task; it is being stopped */
@@ -56,6 +62,7 @@
   /* Used by runs that the worker lists and whose jobs are not known; the owner
      is stopping them.  */
   struct resources unknown;
+  int64_t unknown_since_us; /* when it was first listed */
 
   /* Contact.  */
   bool registered; /* the store has a current report of the worker */
@@ -83,6 +90,8 @@
                       it may get tasks */
   bool unenrolled; /* the worker record in the log leaves it out, as it is
                       vacated and empty */
+  bool unlisted;   /* it has not listed its runs since a call had no
+                      answer, or since its clock was another one */
   int unanswered_calls;     /* consecutive calls without an answer of this
                                instance, or with a refused hold */
   uint32_t absent_lists;    /* consecutive lists of hosts without its host */
@@ -91,15 +100,29 @@
   bool long_lease_logged;   /* the last known lease is longer than usual; only
                                the first such one in a row is logged */
   bool hold_incomplete;     /* the last answer to a hold had unreadable rows */
-  int64_t clock_ms;         /* the worker's clock in its last answer; 0: not
-                               known */
-  int64_t clock_read_us;    /* monotonic time at which clock_ms was received */
-  int64_t clock_sent_us;    /* when the call that it answered was sent */
+  bool leases_withheld;     /* no call extends leases, so that a run ends */
+  int64_t withheld_report_us; /* when that was last logged; 0: not yet */
+  int64_t clock_ms;           /* the worker's clock in its last answer; 0: not
+                                 known */
+  int64_t clock_read_us; /* monotonic time at which clock_ms was received */
+  int64_t clock_sent_us; /* when the call that it answered was sent */
   /* Counts the clocks of the worker: each instance has another one.  */
   uint32_t clock_number;
-  /* When a call that extends leases was last given up without an answer, in
-     whichever instance; 0: never.  */
-  int64_t lease_unanswered_us;
+  /* Calls without an answer that extend leases, to whichever instance, may be
+     carried out until then; 0: there were none.  */
+  int64_t late_leases_us;
+  /* The same of calls whose leases end by the clock of an earlier instance.
+     The present one gives them the longest lease, unless it refuses them.  */
+  int64_t earlier_late_leases_us;
+  /* It may carry out a start that was given up until then; 0: there was
+     none.  */
+  int64_t late_starts_us;
+  /* Added to the token of commands.  It is raised with each instance, so that
+     this one refuses what was sent before, once it has answered.  */
+  uint32_t generation;
+  bool generation_used;           /* by a command */
+  bool generations_spent;         /* the last one could not be raised */
+  int64_t generation_answered_us; /* first answer to one; 0: none yet */
   /* The leases that this owner gave there have expired by then, unless they
      are extended; for all leases see placer_leases_end_us.  */
   int64_t own_leases_end_us;
--- a/test/unit/instance_model.h
+++ b/test/unit/instance_model.h
@@ -19,6 +19,8 @@
 #define MODEL_RECORDS_MAX 8192
 #define MODEL_LEASE_MS 5000
 #define MODEL_LEASE_MAX_MS 10000
+/* Fencing tokens of one ownership.  */
+#define MODEL_TOKENS 64
 #define MODEL_CONFIRM_MS 6000
 #define MODEL_START_CONFIRM_MS 3000
 #define MODEL_POOL "p"
@@ -28,6 +30,12 @@
    not known.  */
 #define MODEL_START_US (1000 * SECOND)
 
+/* How a worker that answers calls may be at fault, a bit each.  */
+#define DISTURBED_ROWS 1U  /* some of the runs that it lists cannot be read */
+#define DISTURBED_HOLDS 2U /* it refuses holds */
+#define DISTURBED_STOPS 4U /* it refuses stops */
+#define DISTURBED_KINDS 8
+
 struct model;
 struct owner;
 typedef void model_fn (struct model *mdl, void *arg, int64_t num);
@@ -84,6 +92,7 @@
   struct worker_report rep;
   bool reported;
   uint32_t report_version;
+  uint32_t disturbed; /* DISTURBED_ROWS and so on */
 };
 
 enum model_call_kind
@@ -170,6 +179,7 @@
 {
   uint64_t seed;
   enum model_late late;
+  bool disturbed; /* workers that answer calls are at fault, some for good */
   bool trace;
 };
 
