sched: a task waits until a start without an answer is over

Callers saw TWICE: a task ran elsewhere, or had ended as done, when the next instance of its first worker carried out a start that nobody had answered.

Cause: once a worker had acknowledged the stop of such a run, the task started again, on any worker. The next instance knows no stop and no token until it has answered this owner, and nothing in a start names an instance.

Change: until 12 s after the start, a batch task or a gang starts nowhere, and a perpetual task on the same worker only, which refuses the start: if the next instance carries it out, the later run has ended with the one before. A worker with late starts is asked until it has answered after the 12 s. For a worker that is gone, a list of hosts from after that time ends the wait, or one that shows another worker on the host. A perpetual task does not wait for a host that is shown as down. Members of a gang that lost one by a late start are stopped at once, as before.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -309,13 +309,19 @@
   struct task *tsk = job_task (job, ref);
   if (tsk->prg.done || placer_has_runs (tsk) || now_us < tsk->not_before_us)
     return;
-  if (placer_may_still_run (plc, job, tsk) || placer_may_run_late (plc, ref))
+  if (placer_may_still_run (plc, job, tsk))
+    return;
+  uint32_t only = 0;
+  if (placer_may_run_late (plc, ref)
+      && (!stp->perpetual
+          || placer_late_place (plc, ref, &only) == LATE_PLACE_NONE))
     return;
   const struct place_request req = {
     .job = job,
     .step = stp,
     .ref = ref,
-    .avoid = tsk->avoid_worker,
+    .avoid = only ? 0 : tsk->avoid_worker,
+    .only = only,
     .now_us = now_us,
   };
   struct worker *wrk = tsk->reserved_worker ? placer_take_reserved (plc, &req)
@@ -326,7 +332,7 @@
       return;
     }
   if (stp->perpetual)
-    placer_preempt (plc, job, ref, now_us);
+    placer_preempt (plc, &req);
   placer_note_waiting (plc, stp, 1);
 }
 
@@ -619,7 +625,7 @@
     if (plc->pool.workers[n]->unanswered_calls > 0
         && plc->pool.workers[n]->runs)
       return true;
-  return !plc->takeover_done;
+  return !plc->takeover_done || placer_awaits_down_hosts (plc);
 }
 
 struct placer *
--- a/sched/placer_gang.c
+++ b/sched/placer_gang.c
@@ -93,23 +93,31 @@
   return reserve_all (plc, job, ref, NULL, now_us);
 }
 
-/* Whether the gang cannot be started now: a member has to wait before its next
-   start, or a run of it by an earlier owner, or by a late start, may still
+/* Whether the gang cannot be started or stopped now: a member has to wait
+   before its next start, or a run of it by an earlier owner may still
    exist.  */
 static bool
 gang_blocked (const struct placer *plc, const struct job *job,
               const struct task_ref *ref, int64_t now_us)
 {
   const struct task *tasks = gang_tasks (job, ref);
-  struct task_ref member = *ref;
   for (uint32_t n = 0; n < job->spec.steps[ref->step].count; n++)
-    {
-      member.index = n;
-      if (now_us < tasks[n].not_before_us || tasks[n].unwanted_runs > 0
-          || placer_may_still_run (plc, job, &tasks[n])
-          || placer_may_run_late (plc, &member))
-        return true;
-    }
+    if (now_us < tasks[n].not_before_us || tasks[n].unwanted_runs > 0
+        || placer_may_still_run (plc, job, &tasks[n]))
+      return true;
+  return false;
+}
+
+/* Whether a late start may still begin a run of a member.  */
+static bool
+gang_may_run_late (const struct placer *plc, const struct job *job,
+                   const struct task_ref *ref)
+{
+  struct task_ref member = *ref;
+  for (member.index = 0; member.index < job->spec.steps[ref->step].count;
+       member.index++)
+    if (placer_may_run_late (plc, &member))
+      return true;
   return false;
 }
 
@@ -135,6 +143,8 @@
       stop_gang (plc, job, ref);
       return;
     }
+  if (gang_may_run_late (plc, job, ref))
+    return;
   if (!reserve_gang (plc, job, ref, now_us))
     {
       placer_note_waiting (plc, stp, stp->count);
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -152,6 +152,7 @@
     return;
   const struct step *stp = &job->spec.steps[row->task.step];
   struct run *run = placer_find_run (wrk, &row->task, row->run);
+  placer_note_started (plc, job);
   if (run)
     run->start_settled = true;
   else
@@ -219,6 +220,7 @@
     run = placer_stop_unwanted (plc, wrk, job, &row->task, row->run);
   if (!run)
     return;
+  placer_note_started (plc, job);
   if (!run->confirmed_us)
     run->confirmed_us = now_us;
   if (run->state == RUN_STARTING)
@@ -491,7 +493,8 @@
   int64_t most_us
       = CLOCK_READ_AGE_MAX_US
         - wrk->handle % CLOCK_READ_SPREAD_STEPS * CLOCK_READ_SPREAD_US;
-  if (now_us < wrk->late_starts_us)
+  /* The list that a worker sends after that time ends the late starts.  */
+  if (wrk->clock_sent_us <= wrk->late_starts_us)
     most_us = LATE_START_AGE_MAX_US;
   return wrk->registered && now_us - wrk->clock_read_us > most_us;
 }
--- a/sched/placer_hosts.c
+++ b/sched/placer_hosts.c
@@ -35,6 +35,7 @@
   bool not_up = rep->state != HOST_UP;
   if (rep->state == HOST_UNKNOWN)
     return;
+  placer_end_late_starts_on_host (plc, rep, asked_us);
   size_t pos = 0;
   struct worker *wrk;
   while ((wrk = pool_next_on_host (&plc->pool, rep->name, &pos)))
--- a/sched/placer_late.c
+++ b/sched/placer_late.c
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "fleet/host_link.h"
 #include "sched/placer_priv.h"
 
 /* Calls that may be carried out after they were given up, also by the next
@@ -73,11 +74,10 @@
   return last_us + longest_us;
 }
 
-/* Whether an instance of WRK, the worker of LATE, may run it.  NULL: it was
-   removed from the pool.  A worker whose host is down runs nothing; a task
-   that waited for its next instance could wait in vain.  */
+/* Whether an instance of WRK, the worker of LATE, may run it without having
+   been told to stop it.  NULL: it was removed from the pool.  */
 static bool
-may_be_carried_out (const struct worker *wrk, const struct late_start *late)
+may_run_unstopped (const struct worker *wrk, const struct late_start *late)
 {
   if (!wrk)
     return !late->host_down;
@@ -111,9 +111,14 @@
     run->wrk->late_starts_us = late.sent_us + LATE_CALL_MAX_US;
   struct late_start *rows = talloc_realloc (
       plc, plc->late_starts, struct late_start, plc->late_start_count + 1);
-  if (!rows)
-    return;
   name_copy (late.worker, run->wrk->rep.id);
+  name_copy (late.host, run->wrk->rep.host);
+  if (!rows)
+    {
+      /* Without a row the task waits for the longest time possible.  */
+      run->tsk->not_before_us = run_end_us (plc, &late);
+      return;
+    }
   plc->late_starts = rows;
   rows[plc->late_start_count++] = late;
   char name[TASK_NAME_MAX];
@@ -176,13 +181,61 @@
   if (plc->late_start_count == 0)
     return false;
   int64_t now_us = clock_now_us (plc->env.clk);
+  for (size_t n = 0; n < plc->late_start_count; n++)
+    if (is_same_task (&plc->late_starts[n].ref, ref)
+        && now_us <= run_end_us (plc, &plc->late_starts[n]))
+      return true;
+  return false;
+}
+
+enum late_place
+placer_late_place (const struct placer *plc, const struct task_ref *ref,
+                   uint32_t *worker)
+{
+  int64_t now_us = clock_now_us (plc->env.clk);
+  *worker = 0;
   for (size_t n = 0; n < plc->late_start_count; n++)
     {
       const struct late_start *late = &plc->late_starts[n];
-      if (is_same_task (&late->ref, ref)
-          && may_be_carried_out (pool_find_id (&plc->pool, late->worker), late)
-          && now_us <= run_end_us (plc, late))
+      const struct worker *wrk = pool_find_id (&plc->pool, late->worker);
+      if (!is_same_task (&late->ref, ref) || now_us > run_end_us (plc, late))
+        continue;
+      if (may_run_unstopped (wrk, late)
+          || (wrk && *worker && *worker != wrk->handle))
+        return LATE_PLACE_NONE;
+      if (wrk && !wrk->reported_ended)
+        *worker = wrk->handle;
+    }
+  return *worker ? LATE_PLACE_SAME : LATE_PLACE_ANY;
+}
+
+bool
+placer_awaits_down_hosts (const struct placer *plc)
+{
+  for (size_t n = 0; n < plc->late_start_count; n++)
+    {
+      const struct worker *wrk
+          = pool_find_id (&plc->pool, plc->late_starts[n].worker);
+      if (!wrk || wrk->reported_ended || wrk->unanswered_calls > 0)
         return true;
     }
   return false;
 }
+
+void
+placer_end_late_starts_on_host (struct placer *plc,
+                                const struct host_report *rep,
+                                int64_t asked_us)
+{
+  for (size_t n = plc->late_start_count; n-- > 0;)
+    {
+      const struct late_start *late = &plc->late_starts[n];
+      bool same = strcmp (late->worker, rep->worker) == 0;
+      bool replaced = *rep->worker && !same;
+      int64_t last_us = late->sent_us + (replaced ? 0 : LATE_CALL_MAX_US);
+      if (*late->host && strcmp (late->host, rep->name) == 0
+          && (replaced || rep->state != HOST_UP)
+          && asked_us > last_us + HOST_LIST_LAG_US)
+        remove_late_start (plc, n);
+    }
+}
--- a/sched/placer_pick.c
+++ b/sched/placer_pick.c
@@ -67,7 +67,8 @@
 note_pick (struct placer *plc, const struct place_request *req,
            struct worker *wrk)
 {
-  bool repeatable = !has_constraints (req->step) && req->avoid == 0;
+  bool repeatable
+      = !has_constraints (req->step) && req->avoid == 0 && req->only == 0;
   plc->last_pick = repeatable ? wrk : NULL;
   plc->last_pick_job = req->job;
   plc->last_pick_step = req->step;
--- a/sched/placer_preempt.c
+++ b/sched/placer_preempt.c
@@ -168,13 +168,10 @@
 }
 
 void
-placer_preempt (struct placer *plc, struct job *job,
-                const struct task_ref *ref, int64_t now_us)
+placer_preempt (struct placer *plc, const struct place_request *req)
 {
-  const struct step *stp = &job->spec.steps[ref->step];
-  struct task *tsk = job_task (job, ref);
-  const struct place_request req
-      = { .job = job, .step = stp, .ref = ref, .now_us = now_us };
+  const struct step *stp = req->step;
+  struct task *tsk = job_task ((struct job *)req->job, req->ref);
   struct worker *best = NULL;
   int best_count = 0;
   if (tsk->reserved_worker)
@@ -182,7 +179,7 @@
   for (size_t n = 0; n < plc->pool.count; n++)
     {
       struct worker *wrk = plc->pool.workers[n];
-      if (!place_allowed (wrk, &req))
+      if (!place_allowed (wrk, req))
         continue;
       int count = preempt_on_worker (plc, wrk, stp, false);
       if (count >= 0 && (!best || count < best_count))
@@ -192,13 +189,13 @@
         }
     }
   if (!best && !tsk->run)
-    shorten_pauses (plc, &req);
+    shorten_pauses (plc, req);
   if (!best)
     return;
   char name[TASK_NAME_MAX];
-  task_ref_format (ref, name);
+  task_ref_format (req->ref, name);
   log_event (plc->env.lg, EV_RUNS_PREEMPTED, LOG_S ("task", name),
              LOG_S ("worker", best->rep.id), LOG_I ("stopped", best_count));
   preempt_on_worker (plc, best, stp, true);
-  placer_reserve (tsk, stp, best, now_us);
+  placer_reserve (tsk, stp, best, req->now_us);
 }
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -37,6 +37,7 @@
 struct late_start
 {
   char worker[NAME_BYTES]; /* its id */
+  char host[NAME_BYTES];
   struct task_ref ref;
   uint32_t number;
   int64_t sent_us;
@@ -274,6 +275,9 @@
 void placer_make_stop_due (struct placer *plc, struct run *run);
 /* Sends the wanted stops that have not been acknowledged.  */
 void placer_send_stops (struct placer *plc, struct worker *wrk);
+/* A run of JOB is known to have begun.  A job of which only starts without an
+   answer are known counts as waiting.  */
+void placer_note_started (struct placer *plc, struct job *job);
 /* Takes over a run that the worker lists and that is not known here, such as
    one that an earlier owner started.  Returns NULL when out of memory.  */
 struct run *placer_adopt (struct placer *plc, struct worker *wrk,
@@ -336,11 +340,35 @@
    know of earlier stops.  */
 void placer_stop_late_starts (struct placer *plc, struct worker *wrk);
 
-/* Whether a worker that does not answer may have carried out an earlier start
-   of the task, as its next instance.  */
+/* Whether an earlier start of the task may still be carried out, or a run that
+   it has begun unseen may still exist.  */
 bool placer_may_run_late (const struct placer *plc,
                           const struct task_ref *ref);
 
+/* Where a perpetual task may start beside an earlier start without an
+   answer.  */
+enum late_place
+{
+  LATE_PLACE_ANY,
+  LATE_PLACE_SAME, /* on the worker of that start alone, which refuses it: if
+                      the next instance there carries it out, this run has
+                      ended */
+  LATE_PLACE_NONE,
+};
+
+/* Stores the handle of the worker in *WORKER, or 0.  A host that is shown as
+   down is not waited for.  */
+enum late_place placer_late_place (const struct placer *plc,
+                                   const struct task_ref *ref,
+                                   uint32_t *worker);
+/* Whether a late start may end with a list of hosts.  */
+bool placer_awaits_down_hosts (const struct placer *plc);
+/* Forgets the starts whose worker certainly had no further instance when the
+   list of hosts in REP was requested at ASKED_US.  */
+void placer_end_late_starts_on_host (struct placer *plc,
+                                     const struct host_report *rep,
+                                     int64_t asked_us);
+
 /* placer_lease.c */
 /* A call that was sent to WRK at NOW_US, with leases until LEASE_END_MS by its
    clock; 0: it extends none.  */
@@ -491,8 +519,7 @@
                                      const struct place_request *req);
 /* Stops batch tasks on the worker where the fewest have to be stopped for the
    task to fit, and reserves the resources.  */
-void placer_preempt (struct placer *plc, struct job *job,
-                     const struct task_ref *ref, int64_t now_us);
+void placer_preempt (struct placer *plc, const struct place_request *req);
 
 /* placer_gang.c */
 /* Starts the tasks of a gang together, or, if only some of them have a run,
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -173,14 +173,18 @@
     return NULL;
   run->tsk->run = run;
   run->tsk->located_token = plc->set.token;
-  if (!job->started)
-    {
-      job->started = true;
-      placer_mark_dirty (plc, job);
-    }
   return run;
 }
 
+void
+placer_note_started (struct placer *plc, struct job *job)
+{
+  if (job->started)
+    return;
+  job->started = true;
+  placer_mark_dirty (plc, job);
+}
+
 struct run *
 placer_adopt (struct placer *plc, struct worker *wrk, struct job *job,
               const struct task_ref *ref, uint32_t number)
@@ -192,6 +196,7 @@
       run->state = RUN_ACTIVE;
       run->start_settled = true;
       run->confirmed_us = run->created_us;
+      placer_note_started (plc, job);
       char name[TASK_NAME_MAX];
       task_ref_format (ref, name);
       log_event (plc->env.lg, EV_RUN_ADOPTED, LOG_S ("task", name),
@@ -365,6 +370,7 @@
   switch (res->status)
     {
     case COMMAND_DONE:
+      placer_note_started (plc, run->job);
       if (!run->confirmed_us)
         run->confirmed_us = now_us;
       if (run->state == RUN_STARTING)
--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -499,7 +499,7 @@
   if (wrk)
     placer_reserve (run->tsk, stp, wrk, now_us);
   else
-    placer_preempt (plc, run->job, &run->ref, now_us);
+    placer_preempt (plc, &req);
   return wrk != NULL;
 }
 
--- a/sched/pool.c
+++ b/sched/pool.c
@@ -231,7 +231,8 @@
 place_allowed (const struct worker *wrk, const struct place_request *req)
 {
   const struct step *step = req->step;
-  if (!worker_schedulable (wrk, req->now_us))
+  if (!worker_schedulable (wrk, req->now_us)
+      || (req->only && req->only != wrk->handle))
     return false;
   if (*step->required_label && !worker_has_label (wrk, step->required_label))
     return false;
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -120,8 +120,8 @@
   /* Added to the token of commands.  It is raised with each instance, so that
      this one refuses what was sent before, once it has answered.  */
   uint32_t generation;
-  bool generation_used;           /* by a command */
-  bool generations_spent;         /* the last one could not be raised */
+  bool generation_used;   /* by a command */
+  bool generations_spent; /* the last one could not be raised */
   int64_t generation_answered_us; /* first answer to one; 0: none yet */
   /* The leases that this owner gave there have expired by then, unless they
      are extended; for all leases see placer_leases_end_us.  */
@@ -231,6 +231,7 @@
   const char *rack; /* only workers in this rack; NULL: any */
   uint32_t avoid;   /* handle of a worker to use only as a last resort; 0:
                        none */
+  uint32_t only;    /* handle of the one worker allowed; 0: any */
   int64_t now_us;
 };
 
--- a/test/unit/unit_placer_late.c
+++ b/test/unit/unit_placer_late.c
@@ -8,8 +8,7 @@
    next instance of their worker.  */
 
 #define TASK_JOB                                                              \
-  "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"estimate-ms\":900}]" \
-  "}"
+  "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"perpetual\":true}]}"
 #define BORN_MS 1000
 #define NEXT_BORN_MS 900000
 
--- /dev/null
+++ b/test/unit/unit_placer_late_wait.c
@@ -0,0 +1,225 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet/host_link.h"
+#include "placer_world.h"
+#include "sched/placer_priv.h"
+
+/* Tests of where and when a task starts again after a start without an answer,
+   which the next instance of its worker may carry out; see
+   docs/design/instances.md.  */
+
+#define BATCH_JOB                                                             \
+  "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"estimate-ms\":900}]" \
+  "}"
+#define PERPETUAL_JOB                                                         \
+  "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"perpetual\":true}]}"
+#define GANG_JOB                                                              \
+  "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"gang\":true}]}"
+#define BORN_MS 1000
+#define STEP_MS 50
+/* A task starts within this time once nothing hinders it.  */
+#define AGAIN_US 1500000
+
+static struct world *wld;
+static int64_t born_ms; /* start of the present instance of w1 */
+
+static void
+setup (void)
+{
+  wld = world_create ();
+  born_ms = wld->hold_born_ms = BORN_MS;
+  world_add_worker (wld, "w1", BORN_MS);
+  world_enrol_worker (wld, "w1");
+  world_release_earlier (wld);
+}
+
+static void
+teardown (void)
+{
+  world_destroy (wld);
+}
+
+/* Lets STEP_MS pass.  w1 answers with STATUS and lists nothing; w2 answers,
+   and lists the runs that it was told to start.  */
+static void
+step (enum command_status status)
+{
+  static struct world_row row = { .job = 2 };
+  static bool runs;
+  struct world_call *call;
+  world_confirm_ownership (wld);
+  world_tick (wld, STEP_MS);
+  world_complete_append (wld);
+  while ((call = world_call (wld, WORLD_STOP, "w1")))
+    world_answer (wld, call, status);
+  wld->hold_born_ms = born_ms;
+  if (world_call (wld, WORLD_HOLD, "w1") && status == COMMAND_DONE)
+    world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
+  else if (world_call (wld, WORLD_HOLD, "w1"))
+    world_answer (wld, world_call (wld, WORLD_HOLD, "w1"), status);
+  wld->hold_born_ms = BORN_MS;
+  runs = world_call (wld, WORLD_START, "w2") != NULL;
+  if (runs)
+    row.run = world_call (wld, WORLD_START, "w2")->run;
+  if (world_call (wld, WORLD_HOLD, "w2"))
+    world_answer_hold (wld, "w2", &row, runs, NULL, 0);
+}
+
+/* Sends the start of run 1 of JOB, with the id 2, to w1, which does not answer
+   it.  Returns when it was sent.  w2 is free from then on.  */
+static int64_t
+leave_start_unanswered (const char *job)
+{
+  world_add_job (wld, 2, job, 200);
+  world_confirm_ownership (wld);
+  world_tick (wld, 1);
+  int64_t sent_us = wld->clk.now_us;
+  world_answer (wld, world_call (wld, WORLD_START, "w1"), COMMAND_NO_ANSWER);
+  world_add_worker (wld, "w2", BORN_MS);
+  world_enrol_worker (wld, "w2");
+  return sent_us;
+}
+
+static void
+restart (void)
+{
+  born_ms += 500000;
+  world_add_worker (wld, "w1", born_ms);
+}
+
+/* Guards against two runs of a task (TWICE): a worker has acknowledged the
+   stop of a run whose start had no answer, and its next instance carries the
+   start out before it has answered anybody, after the task has run
+   elsewhere.  */
+START_TEST (test_batch_task_waits)
+{
+  static const struct
+  {
+    const char *job;
+    int restarts;
+  } cases[] = {
+    { BATCH_JOB, 0 }, { BATCH_JOB, 1 }, { BATCH_JOB, 2 },
+    { GANG_JOB, 0 },  { GANG_JOB, 1 },
+  };
+  int64_t sent_us = leave_start_unanswered (cases[_i].job);
+  int restarts = 0;
+  while (world_starts (wld, 2, 0) == 1)
+    {
+      ck_assert_int_lt (wld->clk.now_us,
+                        sent_us + LATE_CALL_MAX_US + AGAIN_US);
+      if (restarts < cases[_i].restarts
+          && wld->clk.now_us > sent_us + (restarts + 1) * 2000000)
+        {
+          restart ();
+          restarts++;
+        }
+      step (COMMAND_DONE);
+    }
+  ck_assert_int_gt (wld->clk.now_us, sent_us + LATE_CALL_MAX_US);
+}
+END_TEST
+
+/* Guards against a perpetual task without a run (LOST) for as long as its
+   start without an answer may be carried out, and against two runs of it
+   (TWICE): it starts on the same worker, with whose instance it would end.  */
+START_TEST (test_perpetual_task_stays)
+{
+  int64_t sent_us = leave_start_unanswered (PERPETUAL_JOB);
+  if (_i == 1)
+    restart ();
+  while (!world_call (wld, WORLD_START, "w1"))
+    {
+      ck_assert_int_lt (wld->clk.now_us, sent_us + AGAIN_US);
+      step (COMMAND_DONE);
+    }
+  ck_assert_uint_eq (world_call (wld, WORLD_START, "w1")->run, 2);
+  ck_assert_ptr_null (world_call (wld, WORLD_START, "w2"));
+}
+END_TEST
+
+/* Guards against two runs of a task (TWICE): its worker answers no more, so
+   that the start may be carried out by the next instance, whose run lasts as
+   long as a lease.  */
+START_TEST (test_silent_worker)
+{
+  static const char *const jobs[] = { BATCH_JOB, PERPETUAL_JOB };
+  int64_t sent_us = leave_start_unanswered (jobs[_i]);
+  while (world_starts (wld, 2, 0) == 1)
+    {
+      ck_assert_int_lt (wld->clk.now_us, sent_us + WORLD_WAIT_MAX_US);
+      step (COMMAND_NO_ANSWER);
+    }
+  ck_assert_int_gt (wld->clk.now_us,
+                    sent_us + LATE_CALL_MAX_US + WORLD_LEASE_MAX_MS * 1000);
+}
+END_TEST
+
+/* Guards against a task that waits for a worker which does not return (LOST):
+   lists of hosts show that nothing can be carried out there any more.  */
+START_TEST (test_lists_end_late_start)
+{
+  static const struct
+  {
+    const char *job, *next;
+    enum host_state state;
+    int64_t least_us, most_us; /* from the start to the next one */
+  } cases[] = {
+    /* The host is down: its worker may start again until the start is over. */
+    { BATCH_JOB, "w1", HOST_DOWN, 12000000, 12000000 + 4500000 },
+    { BATCH_JOB, "", HOST_DOWN, 12000000, 12000000 + 4500000 },
+    /* Another worker has the host.  */
+    { BATCH_JOB, "w7", HOST_UP, 0, 6000000 },
+    /* A perpetual task does not wait for a host that is down.  */
+    { PERPETUAL_JOB, "w1", HOST_DOWN, 0, 6000000 },
+    { PERPETUAL_JOB, "", HOST_DOWN, 0, 6000000 },
+  };
+  struct host_report rep = { .name = "m-w1", .state = cases[_i].state };
+  name_copy (rep.worker, cases[_i].next);
+  int64_t sent_us = leave_start_unanswered (cases[_i].job);
+  for (int n = 0; world_starts (wld, 2, 0) == 1; n++)
+    {
+      ck_assert_int_lt (wld->clk.now_us, sent_us + cases[_i].most_us);
+      step (COMMAND_NO_ANSWER);
+      if (n % 20 == 19)
+        {
+          ck_assert (placer_needs_host_list (wld->plc));
+          placer_update_host (wld->plc, &rep, wld->clk.now_us - 100000);
+        }
+    }
+  ck_assert_int_gt (wld->clk.now_us, sent_us + cases[_i].least_us);
+}
+END_TEST
+
+/* Guards against a count of waiting jobs that is too low (MIXED): none of the
+   job's tasks is known to have begun.  */
+START_TEST (test_job_without_answered_start_waits)
+{
+  leave_start_unanswered (BATCH_JOB);
+  for (int n = 0; n < 60; n++)
+    step (COMMAND_DONE);
+  struct job *job = job_table_find (&wld->jobs, 2);
+  ck_assert_uint_eq (world_starts (wld, 2, 0), 1);
+  ck_assert (!job->started && !job->dirty);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("placer_late_wait");
+  TCase *tc = tcase_create ("placer_late_wait");
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_loop_test (tc, test_batch_task_waits, 0, 5);
+  tcase_add_loop_test (tc, test_perpetual_task_stays, 0, 2);
+  tcase_add_loop_test (tc, test_silent_worker, 0, 2);
+  tcase_add_loop_test (tc, test_lists_end_late_start, 0, 5);
+  tcase_add_test (tc, test_job_without_answered_start_waits);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
