sched: a start carries a higher token than late acknowledgements

Callers saw TWICE in the soak: a run ended as done on the next instance of its worker, and its task was started again, as that instance had forgotten the end.

Cause: a hold without an answer, which acknowledges ends of the instance before by number, can be carried out by the next one. The owner did not know of that one when it sent a start there, so both had the same token.

Change: after such a hold the next start to that worker raises the worker's generation. Whichever instance carries the start out refuses the hold.

Not covered: a hold that is still in flight when the start is sent, and a start without an answer before the hold.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -439,6 +439,8 @@
                        clock_now_us (plc->env.clk));
   if (wrk)
     placer_note_generation (plc, wrk, &ctx->call, res->command.status);
+  if (wrk && ctx->last_seen > 0 && res->command.status == COMMAND_NO_ANSWER)
+    placer_note_late_acks (wrk, &ctx->call);
   if (wrk && is_late_answer (wrk, ctx, res))
     {
       wrk->hold_in_flight = false;
--- a/sched/placer_late.c
+++ b/sched/placer_late.c
@@ -29,6 +29,21 @@
   wrk->generation_used = false;
 }
 
+void
+placer_note_late_acks (struct worker *wrk, const struct timed_call *call)
+{
+  wrk->late_acks_us = call->sent_us + LATE_CALL_MAX_US;
+  wrk->late_acks_generation = call->generation;
+}
+
+void
+placer_outdate_late_acks (const struct placer *plc, struct worker *wrk)
+{
+  if (wrk->generation == wrk->late_acks_generation
+      && clock_now_us (plc->env.clk) < wrk->late_acks_us)
+    placer_raise_generation (plc, wrk);
+}
+
 void
 placer_note_generation (struct placer *plc, struct worker *wrk,
                         const struct timed_call *call,
--- a/sched/placer_lease.c
+++ b/sched/placer_lease.c
@@ -209,8 +209,12 @@
 void
 placer_keep_removed (struct placer *plc, const struct worker *wrk)
 {
-  if (wrk->generation > plc->removed_generation)
-    plc->removed_generation = wrk->generation;
+  /* It may return under its id while late acknowledgements are on their
+     way.  */
+  uint32_t generation
+      = wrk->generation + (wrk->late_acks_us > 0 && !wrk->generations_spent);
+  if (generation > plc->removed_generation)
+    plc->removed_generation = generation;
   if (wrk->late_leases_us > 0)
     keep_later (&plc->removed_leases_end_us,
                 wrk->late_leases_us
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -314,6 +314,12 @@
 /* Makes the present instance of WRK refuse all that was sent before, once it
    has answered a command.  */
 void placer_raise_generation (const struct placer *plc, struct worker *wrk);
+/* Records that CALL, a hold that acknowledges ends, got no answer.  */
+void placer_note_late_acks (struct worker *wrk, const struct timed_call *call);
+/* Before a start: an instance of WRK that carries the start out refuses the
+   earlier holds that acknowledge ends.  They would make it forget the end of
+   this run before anybody has read it.  */
+void placer_outdate_late_acks (const struct placer *plc, struct worker *wrk);
 /* Takes an answer to CALL: the command has been carried out, or refused as the
    worker has seen a later token.  */
 void placer_note_generation (struct placer *plc, struct worker *wrk,
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -416,6 +416,7 @@
   struct worker *wrk = run->wrk;
   int64_t now_us = clock_now_us (plc->env.clk);
   const struct command_target to = placer_command_target (wrk, may_send_start);
+  placer_outdate_late_acks (plc, wrk);
   const struct start_command cmd = {
     .task = run->ref,
     .run = run->number,
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -122,6 +122,10 @@
   uint32_t generation;
   bool generation_used;   /* by a command */
   bool generations_spent; /* the last one could not be raised */
+  /* A hold without an answer that acknowledges ends may be carried out until
+     then, with a token of that generation; 0: there was none.  */
+  int64_t late_acks_us;
+  uint32_t late_acks_generation;
   int64_t generation_answered_us; /* first answer to one; 0: none yet */
   /* The leases that this owner gave there have expired by then, unless they
      are extended; for all leases see placer_leases_end_us.  */
