sched: a task that two workers refuse is tried on the others in turn

Callers could see LOST: two workers that refuse a task for good were tried alternately, and a third one, which would take it, never (an open row of docs/design/instances.md).

Cause: the choice avoids one worker only, that of the last refusal.

Change: after two refused starts in a row a task goes to the worker that follows the last one in the order of their handles, until one takes it.

Measured: unit_placer_unended test_two_workers_refuse fails in 2 of 6 cases before.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -301,6 +301,10 @@
   plc->waiting_cpu_milli += count * stp->need.cpu_milli;
 }
 
+/* Refused starts in a row after which a task tries all workers in turn.  Two
+   that refuse it for good would be tried alternately.  */
+#define IN_TURN_REFUSALS 2
+
 static void
 place_task (struct placer *plc, struct job *job, const struct task_ref *ref,
             int64_t now_us)
@@ -322,6 +326,7 @@
     .ref = ref,
     .avoid = only ? 0 : tsk->avoid_worker,
     .only = only,
+    .in_turn = tsk->refusals >= IN_TURN_REFUSALS,
     .now_us = now_us,
   };
   struct worker *wrk = tsk->reserved_worker ? placer_take_reserved (plc, &req)
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -314,7 +314,10 @@
   run->tsk->not_before_us = now_us + START_REFUSED_PAUSE_US;
   /* The worker may refuse this task for good.  */
   if (status != COMMAND_NOT_SENT || placer_may_start (plc, now_us))
-    run->tsk->avoid_worker = wrk->handle;
+    {
+      run->tsk->avoid_worker = wrk->handle;
+      run->tsk->refusals++;
+    }
   if (status == COMMAND_WORKER_BUSY)
     wrk->avoid_until_us = now_us + WORKER_BUSY_PAUSE_US;
   else if (status == COMMAND_NO_ROOM)
@@ -371,6 +374,7 @@
     {
     case COMMAND_DONE:
       placer_note_started (plc, run->job);
+      run->tsk->refusals = 0;
       if (!run->confirmed_us)
         run->confirmed_us = now_us;
       if (run->state == RUN_STARTING)
--- a/sched/pool.c
+++ b/sched/pool.c
@@ -301,6 +301,8 @@
 score_worker (const struct worker *wrk, const struct place_slot *slot,
               const struct place_request *req)
 {
+  if (req->in_turn)
+    return -(int64_t)(uint32_t)(wrk->handle - req->avoid - 1);
   /* Prefer full workers, so that others become empty and their hosts can be
      given up.  */
   int64_t score = -free_share (wrk, req->step) - slot->penalty;
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -236,6 +236,7 @@
   uint32_t avoid;   /* handle of a worker to use only as a last resort; 0:
                        none */
   uint32_t only;    /* handle of the one worker allowed; 0: any */
+  bool in_turn;     /* the worker after AVOID, whichever is the best */
   int64_t now_us;
 };
 
--- a/test/unit/unit_placer_unended.c
+++ b/test/unit/unit_placer_unended.c
@@ -653,6 +653,43 @@
 }
 END_TEST
 
+/* Guards against a task that never runs (LOST): two workers refuse it for
+   good, and the third one, which takes it, was never tried.  */
+START_TEST (test_two_workers_refuse)
+{
+  static const enum command_status statuses[]
+      = { COMMAND_NO_TICKET, COMMAND_REJECTED };
+  static const char *const all[] = { "w1", "w2", "w3" };
+  wld->hold_born_ms = BORN_MS;
+  for (int k = 0; k < 3; k++)
+    {
+      world_add_worker (wld, all[k], BORN_MS);
+      world_enrol_worker (wld, all[k]);
+    }
+  world_release_earlier (wld);
+  world_add_job (wld, 1, TASK_JOB, 200);
+  bool started = false;
+  const char *taker = all[_i / 2];
+  for (int n = 0; n < 40 && !started; n++)
+    {
+      struct world_call *call;
+      world_confirm_ownership (wld);
+      world_tick (wld, STEP_MS);
+      for (int k = 0; k < 3; k++)
+        {
+          call = world_call (wld, WORLD_START, all[k]);
+          started = started || (call && all[k] == taker);
+          if (call)
+            world_answer (wld, call,
+                          all[k] == taker ? COMMAND_DONE : statuses[_i % 2]);
+          if (world_call (wld, WORLD_HOLD, all[k]))
+            world_answer_hold (wld, all[k], NULL, 0, NULL, 0);
+        }
+    }
+  ck_assert (started);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -666,6 +703,7 @@
   tcase_add_loop_test (tc, test_sound_worker_keeps_leases, 0, 3);
   tcase_add_loop_test (tc, test_refused_starts, 0, 7);
   tcase_add_loop_test (tc, test_refused_preemption, 0, 3);
+  tcase_add_loop_test (tc, test_two_workers_refuse, 0, 6);
   Suite *suite = suite_create ("placer_unended");
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
