sched: no start beside a hold in flight that acknowledges ends

Cause: a hold that acknowledges ends was held open for up to 1 s for further ends, so that starts went out beside it with the same token. A stuck one was known after 1.9 s.

Change: such a hold does not wait, and its worker is not picked until it is answered, for 50 ms at most. After that a start raises the worker's generation, as after a hold without an answer. The next hold waits for ends as before.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -439,6 +439,8 @@
                        clock_now_us (plc->env.clk));
   if (wrk)
     placer_note_generation (plc, wrk, &ctx->call, res->command.status);
+  if (wrk && ctx->last_seen > 0)
+    wrk->acks_in_flight_us = 0;
   if (wrk && ctx->last_seen > 0 && res->command.status == COMMAND_NO_ANSWER)
     placer_note_late_acks (wrk, &ctx->call);
   if (wrk && is_late_answer (wrk, ctx, res))
@@ -591,7 +593,8 @@
   ctx->worker = wrk->handle;
   ctx->born_ms = wrk->rep.born_ms;
   /* The next instance may carry the hold out, and would forget ends that
-     nobody has read: ends are acknowledged no more often than needed.  */
+     nobody has read: ends are acknowledged no more often than needed, and by a
+     hold that does not wait, so that starts need not wait for it for long.  */
   if (ends_are_current (wrk) && wrk->durable_end > wrk->acked_end)
     ctx->last_seen = wrk->durable_end;
   /* Do not extend the leases of a silent worker: each extension that may still
@@ -608,7 +611,7 @@
     .token = placer_command_token (plc, wrk),
     .last_seen = ctx->last_seen,
     .lease_end_ms = ctx->call.lease_end_ms,
-    .wait_ms = hold_wait_ms (plc, wrk, now_us),
+    .wait_ms = ctx->last_seen > 0 ? 0 : hold_wait_ms (plc, wrk, now_us),
   };
   if (plc->env.lnk->drv->hold (plc->env.lnk, &to, &cmd, on_hold, ctx))
     {
@@ -619,6 +622,11 @@
   if (ctx->call.lease_end_ms > 0)
     placer_note_lease (plc, wrk, now_us);
   wrk->hold_in_flight = true;
+  if (ctx->last_seen > 0)
+    {
+      wrk->acks_in_flight_us = now_us;
+      wrk->acks_generation = ctx->call.generation;
+    }
   plc->calls_in_flight++;
   counter_add (plc->env.ctr, CTR_HOLDS, 1);
 }
--- a/sched/placer_late.c
+++ b/sched/placer_late.c
@@ -39,8 +39,12 @@
 void
 placer_outdate_late_acks (const struct placer *plc, struct worker *wrk)
 {
-  if (wrk->generation == wrk->late_acks_generation
-      && clock_now_us (plc->env.clk) < wrk->late_acks_us)
+  int64_t now_us = clock_now_us (plc->env.clk);
+  bool late = wrk->generation == wrk->late_acks_generation
+              && now_us < wrk->late_acks_us;
+  if (late
+      || (wrk->generation == wrk->acks_generation
+          && wrk->acks_in_flight_us > 0))
     placer_raise_generation (plc, wrk);
 }
 
--- a/sched/placer_pick.c
+++ b/sched/placer_pick.c
@@ -57,6 +57,7 @@
 {
   return plc->last_pick && plc->last_pick_job == req->job
                  && plc->last_pick_step == req->step && req->avoid == 0
+                 && !worker_awaits_acks (plc->last_pick, req->now_us)
                  && place_allowed (plc->last_pick, req)
                  && place_fits (plc->last_pick, req->step)
              ? plc->last_pick
--- a/sched/pool.c
+++ b/sched/pool.c
@@ -227,6 +227,13 @@
   return cpu < mem ? cpu : mem;
 }
 
+bool
+worker_awaits_acks (const struct worker *wrk, int64_t now_us)
+{
+  return wrk->acks_in_flight_us > 0
+         && now_us < wrk->acks_in_flight_us + ACKS_ANSWER_MAX_US;
+}
+
 bool
 place_allowed (const struct worker *wrk, const struct place_request *req)
 {
@@ -330,6 +337,7 @@
       struct worker *wrk = pool->workers[slot->index];
       int64_t score = score_worker (wrk, slot, req);
       if ((best && score <= best_score) || !place_fits (wrk, req->step)
+          || worker_awaits_acks (wrk, req->now_us)
           || !place_allowed (wrk, req))
         continue;
       best = wrk;
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -126,6 +126,10 @@
      then, with a token of that generation; 0: there was none.  */
   int64_t late_acks_us;
   uint32_t late_acks_generation;
+  /* When the hold in flight that acknowledges ends was sent; 0: there is
+     none.  */
+  int64_t acks_in_flight_us;
+  uint32_t acks_generation;       /* of that hold */
   int64_t generation_answered_us; /* first answer to one; 0: none yet */
   /* The leases that this owner gave there have expired by then, unless they
      are extended; for all leases see placer_leases_end_us.  */
@@ -227,6 +231,10 @@
 struct worker *pool_next_on_host (const struct pool *pool, const char *host,
                                   size_t *pos);
 
+/* A hold that acknowledges ends is answered at once.  Until then its worker is
+   not picked for a task, for this time at most.  */
+#define ACKS_ANSWER_MAX_US 50000
+
 struct place_request
 {
   const struct job *job;
@@ -263,6 +271,9 @@
 uint32_t place_siblings (const struct worker *wrk,
                          const struct place_request *req);
 
+/* Whether an answer to the ends acknowledged to WRK is due any moment.  */
+bool worker_awaits_acks (const struct worker *wrk, int64_t now_us);
+
 /* Whether WRK may run the task.  Does not check its free resources.  */
 bool place_allowed (const struct worker *wrk, const struct place_request *req);
 
