sched: the host of the one worker for a perpetual task is kept

A perpetual task whose start had no answer may start on the worker of that start alone until the start is over. The plan of places did not know that: the task counted as one with a place elsewhere, its worker's host was given up, and the task had no run for up to 12 s (LOST).

Change: a need in the plan names the one worker, and asks for no further host.

Measured: unit_placer_late_wait test_host_of_late_start_is_kept fails before (4 of 4 cases). Found by reading.

--- a/sched/placer_late.c
+++ b/sched/placer_late.c
@@ -211,8 +211,10 @@
 placer_late_place (const struct placer *plc, const struct task_ref *ref,
                    uint32_t *worker)
 {
-  int64_t now_us = clock_now_us (plc->env.clk);
   *worker = 0;
+  if (plc->late_start_count == 0)
+    return LATE_PLACE_ANY;
+  int64_t now_us = clock_now_us (plc->env.clk);
   for (size_t n = 0; n < plc->late_start_count; n++)
     {
       const struct late_start *late = &plc->late_starts[n];
--- a/sched/placer_places.c
+++ b/sched/placer_places.c
@@ -173,8 +173,12 @@
       need.kind = NEED_KEPT;
       need.vac = reserved->vac;
     }
-  else if ((!placer_has_runs (tsk) && placer_may_still_run (plc, job, tsk)))
+  else if (!placer_has_runs (tsk)
+           && (placer_may_still_run (plc, job, tsk)
+               || placer_late_place (plc, ref, &need.only) == LATE_PLACE_NONE))
     return true;
+  else if (tsk->run && tsk->run->start_unanswered)
+    need.only = tsk->run->wrk->handle;
   size_t size = talloc_array_length (plan->needs);
   if (plan->need_count == size)
     {
@@ -329,6 +333,8 @@
   const struct step *stp = need->stp;
   uint32_t siblings = place->siblings;
   *left = place->room;
+  if (need->only && (!place->wrk || place->wrk->handle != need->only))
+    return false;
   /* The task's own reservation, which it would use.  */
   if (place->wrk && need->tsk->reserved_worker == place->wrk->handle)
     {
@@ -477,6 +483,8 @@
 {
   struct resources left;
   struct place *place = NULL;
+  if (need->only)
+    return;
   if (need->stp->max_per_worker > 0)
     count_step (plan, need);
   for (size_t n = plan->worker_count; n < plan->place_count && !place; n++)
--- a/sched/placer_places.h
+++ b/sched/placer_places.h
@@ -73,6 +73,7 @@
   struct task_ref ref;
   const struct step *stp;
   struct task *tsk;
+  uint32_t only;       /* handle of the one worker allowed; 0: any */
   struct place *place; /* the planned one; NULL: none */
 };
 
--- a/test/unit/unit_placer_late_wait.c
+++ b/test/unit/unit_placer_late_wait.c
@@ -139,6 +139,30 @@
 }
 END_TEST
 
+/* Guards against a perpetual task without a run (LOST): the host of the one
+   worker that it may start on is vacated.  */
+START_TEST (test_host_of_late_start_is_kept)
+{
+  struct placer_kept kept;
+  /* A request in the first second may have been granted by an earlier owner.
+   */
+  for (int n = 0; n < 25; n++)
+    step (COMMAND_DONE);
+  int64_t sent_us = leave_start_unanswered (PERPETUAL_JOB);
+  for (int n = 0; n < _i; n++)
+    step (COMMAND_DONE);
+  if (!world_call (wld, WORLD_START, "w1"))
+    placer_vacate (wld->plc, "m-w1", INT64_MAX);
+  while (!world_call (wld, WORLD_START, "w1"))
+    {
+      ck_assert_int_lt (wld->clk.now_us, sent_us + AGAIN_US);
+      step (COMMAND_DONE);
+      ck_assert_ptr_null (world_call (wld, WORLD_START, "w2"));
+    }
+  ck_assert (_i > 1 || placer_host_kept (wld->plc, "m-w1", &kept));
+}
+END_TEST
+
 /* Guards against two runs of a task (TWICE): its worker answers no more, so
    that the start may be carried out by the next instance, whose run lasts as
    long as a lease.  */
@@ -275,6 +299,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_loop_test (tc, test_batch_task_waits, 0, 5);
   tcase_add_loop_test (tc, test_perpetual_task_stays, 0, 2);
+  tcase_add_loop_test (tc, test_host_of_late_start_is_kept, 0, 4);
   tcase_add_loop_test (tc, test_silent_worker, 0, 2);
   tcase_add_loop_test (tc, test_lists_end_late_start, 0, 5);
   tcase_add_test (tc, test_job_without_answered_start_waits);
