sched: starts without an answer are in the pool's worker record

Callers saw TWICE: an owner ended while a start had no answer, its successor started the task, and the worker's next instance, or one that the successor could not reach, carried the first start out.

Cause: a successor knew no start of an earlier owner that no worker lists.

Change: the worker record in the log has the starts that have had no answer for 0.2 s, with their age. It is written again when there is a new one, every 0.2 s at most, and not at all while workers answer. A later owner waits for these starts as it does for its own, counts their run numbers, and does not stop a run that turns up: a worker that has answered it refuses the start. Lists of hosts end the wait for workers that are gone.

Not covered: a start of the last 0.2 s of an owner, and the append.

--- a/node/duties.c
+++ b/node/duties.c
@@ -193,15 +193,8 @@
   struct node *nod = hld->nod;
   struct pool_workers *row;
   HASH_FIND_STR (nod->pool_workers, hld->pool, row);
-  Kingcuphollow__PoolWorkers *msg
-      = row ? kingcuphollow__pool_workers__unpack (NULL, row->len, row->data)
-            : NULL;
-  for (size_t n = 0; msg && n < msg->n_workers; n++)
-    placer_add_earlier_worker (hld->plc, msg->workers[n]->id,
-                               msg->workers[n]->host, msg->workers[n]->born_ms,
-                               row->read_us);
-  if (msg)
-    kingcuphollow__pool_workers__free_unpacked (msg, NULL);
+  if (row)
+    placer_add_earlier_record (hld->plc, row->data, row->len, row->read_us);
   for (struct worker_entry *ent = nod->directory; ent; ent = ent->hh.next)
     node_tell_placer (hld, ent->rep.id, &ent->rep);
 }
--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -238,6 +238,12 @@
   static const Kingcuphollow__PoolWorkers__Worker init_value = KINGCUPHOLLOW__POOL_WORKERS__WORKER__INIT;
   *message = init_value;
 }
+void   kingcuphollow__pool_workers__late_start__init
+                     (Kingcuphollow__PoolWorkers__LateStart         *message)
+{
+  static const Kingcuphollow__PoolWorkers__LateStart init_value = KINGCUPHOLLOW__POOL_WORKERS__LATE_START__INIT;
+  *message = init_value;
+}
 void   kingcuphollow__pool_workers__init
                      (Kingcuphollow__PoolWorkers         *message)
 {
@@ -1377,7 +1383,136 @@
   (ProtobufCMessageInit) kingcuphollow__pool_workers__worker__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__pool_workers__field_descriptors[2] =
+static const ProtobufCFieldDescriptor kingcuphollow__pool_workers__late_start__field_descriptors[8] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolWorkers__LateStart, job),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "occurrence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolWorkers__LateStart, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolWorkers__LateStart, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolWorkers__LateStart, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolWorkers__LateStart, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolWorkers__LateStart, worker),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolWorkers__LateStart, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolWorkers__LateStart, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned kingcuphollow__pool_workers__late_start__field_indices_by_name[] = {
+  7,   /* field[7] = age_ms */
+  6,   /* field[6] = host */
+  3,   /* field[3] = index */
+  0,   /* field[0] = job */
+  1,   /* field[1] = occurrence */
+  4,   /* field[4] = run */
+  2,   /* field[2] = step */
+  5,   /* field[5] = worker */
+};
+static const ProtobufCIntRange kingcuphollow__pool_workers__late_start__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor kingcuphollow__pool_workers__late_start__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "kingcuphollow.PoolWorkers.LateStart",
+  "LateStart",
+  "Kingcuphollow__PoolWorkers__LateStart",
+  "kingcuphollow",
+  sizeof(Kingcuphollow__PoolWorkers__LateStart),
+  8,
+  kingcuphollow__pool_workers__late_start__field_descriptors,
+  kingcuphollow__pool_workers__late_start__field_indices_by_name,
+  1,  kingcuphollow__pool_workers__late_start__number_ranges,
+  (ProtobufCMessageInit) kingcuphollow__pool_workers__late_start__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor kingcuphollow__pool_workers__field_descriptors[3] =
 {
   {
     "workers",
@@ -1403,15 +1538,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "late_starts",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Kingcuphollow__PoolWorkers, n_late_starts),
+    offsetof(Kingcuphollow__PoolWorkers, late_starts),
+    &kingcuphollow__pool_workers__late_start__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__pool_workers__field_indices_by_name[] = {
+  2,   /* field[2] = late_starts */
   1,   /* field[1] = token */
   0,   /* field[0] = workers */
 };
 static const ProtobufCIntRange kingcuphollow__pool_workers__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__pool_workers__descriptor =
 {
@@ -1421,7 +1569,7 @@
   "Kingcuphollow__PoolWorkers",
   "kingcuphollow",
   sizeof(Kingcuphollow__PoolWorkers),
-  2,
+  3,
   kingcuphollow__pool_workers__field_descriptors,
   kingcuphollow__pool_workers__field_indices_by_name,
   1,  kingcuphollow__pool_workers__number_ranges,
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -22,6 +22,7 @@
 typedef struct Kingcuphollow__FailedRun Kingcuphollow__FailedRun;
 typedef struct Kingcuphollow__PoolWorkers Kingcuphollow__PoolWorkers;
 typedef struct Kingcuphollow__PoolWorkers__Worker Kingcuphollow__PoolWorkers__Worker;
+typedef struct Kingcuphollow__PoolWorkers__LateStart Kingcuphollow__PoolWorkers__LateStart;
 typedef struct Kingcuphollow__PoolAdmission Kingcuphollow__PoolAdmission;
 typedef struct Kingcuphollow__MemberBeat Kingcuphollow__MemberBeat;
 typedef struct Kingcuphollow__PublishedJob Kingcuphollow__PublishedJob;
@@ -173,9 +174,32 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * A start that has had no answer, of this owner or an earlier one.
+ */
+struct  Kingcuphollow__PoolWorkers__LateStart
+{
+  ProtobufCMessage base;
+  uint64_t job;
+  uint32_t occurrence;
+  uint32_t step;
+  uint32_t index;
+  uint32_t run;
+  char *worker;
+  char *host;
+  /*
+   * Time since it was sent, at least, when the record was made.
+   */
+  uint32_t age_ms;
+};
+#define KINGCUPHOLLOW__POOL_WORKERS__LATE_START__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__pool_workers__late_start__descriptor) \
+    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
 /*
  * Value of the record with the key "w/" and the name of a pool: the workers on
- * which its owner may have started tasks.
+ * which its owner may have started tasks, and the starts without an answer.
  */
 struct  Kingcuphollow__PoolWorkers
 {
@@ -183,10 +207,15 @@
   size_t n_workers;
   Kingcuphollow__PoolWorkers__Worker **workers;
   uint64_t token;
+  /*
+   * Those that may still be carried out.
+   */
+  size_t n_late_starts;
+  Kingcuphollow__PoolWorkers__LateStart **late_starts;
 };
 #define KINGCUPHOLLOW__POOL_WORKERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__pool_workers__descriptor) \
-    , 0,NULL, 0 }
+    , 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -582,6 +611,9 @@
 /* Kingcuphollow__PoolWorkers__Worker methods */
 void   kingcuphollow__pool_workers__worker__init
                      (Kingcuphollow__PoolWorkers__Worker         *message);
+/* Kingcuphollow__PoolWorkers__LateStart methods */
+void   kingcuphollow__pool_workers__late_start__init
+                     (Kingcuphollow__PoolWorkers__LateStart         *message);
 /* Kingcuphollow__PoolWorkers methods */
 void   kingcuphollow__pool_workers__init
                      (Kingcuphollow__PoolWorkers         *message);
@@ -817,6 +849,9 @@
 typedef void (*Kingcuphollow__PoolWorkers__Worker_Closure)
                  (const Kingcuphollow__PoolWorkers__Worker *message,
                   void *closure_data);
+typedef void (*Kingcuphollow__PoolWorkers__LateStart_Closure)
+                 (const Kingcuphollow__PoolWorkers__LateStart *message,
+                  void *closure_data);
 typedef void (*Kingcuphollow__PoolWorkers_Closure)
                  (const Kingcuphollow__PoolWorkers *message,
                   void *closure_data);
@@ -869,6 +904,7 @@
 extern const ProtobufCMessageDescriptor kingcuphollow__failed_run__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__pool_workers__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__pool_workers__worker__descriptor;
+extern const ProtobufCMessageDescriptor kingcuphollow__pool_workers__late_start__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__pool_admission__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__member_beat__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__published_job__descriptor;
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -186,6 +186,7 @@
   wrk->own_leases_end_us = plc->removed_leases_end_us;
   wrk->generation = plc->removed_generation;
   placer_stop_late_starts (plc, wrk);
+  placer_expect_late_starts (plc, wrk);
   return wrk;
 }
 
@@ -581,6 +582,7 @@
   if (placer_may_command (plc, now_us))
     {
       placer_decide_vacating (plc, now_us);
+      placer_age_starts (plc, now_us);
       placer_enrol (plc);
       for (size_t n = 0; n < plc->pool.count; n++)
         {
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -92,6 +92,12 @@
                                 const char *host, int64_t born_ms,
                                 int64_t known_us);
 
+/* Adds what the pool's worker record in DATA tells of earlier owners: their
+   workers, and their starts without an answer.  READ_US is the monotonic time
+   at which it was read.  */
+void placer_add_earlier_record (struct placer *plc, const uint8_t *data,
+                                size_t len, int64_t read_us);
+
 /* Longest time, by this process's clock, after which the leases of a command
    that another process sends now have expired at the worker, with the time
    that a command may take to arrive.  LEASE_MAX_MS is the longest lease that
--- a/sched/placer_enrol.c
+++ b/sched/placer_enrol.c
@@ -1,13 +1,23 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "base/clock.h"
 #include "proto/job.pb-c.h"
 #include "sched/placer_priv.h"
 
 /* The pool's worker record.  Before an owner starts the first task on a
    worker, it names the worker in this record in the log.  A later owner thus
    knows from which workers it needs an answer, or the expiry of their leases,
-   before it starts tasks that may still be running there.  */
+   before it starts tasks that may still be running there.  The record also has
+   the starts without an answer, for which a later owner waits as this one
+   does.  */
+
+/* Least time until the record is written again for starts without an
+   answer.  */
+#define ANNOUNCE_INTERVAL_US 200000
+/* Most starts without an answer in the record, so that it stays below the
+   store's limit of 256 KB.  */
+#define LATE_STARTS_MAX 1024
 
 #define KEY_PREFIX_BYTES (sizeof PLACER_WORKERS_KEY_PREFIX - 1)
 
@@ -104,10 +114,81 @@
   return true;
 }
 
+/* Adds the start of run NUMBER of REF on WORKER to MSG, unless it is over.  */
+static void
+add_late_row (Kingcuphollow__PoolWorkers__LateStart *row,
+              Kingcuphollow__PoolWorkers *msg, const struct late_start *late,
+              int64_t now_us)
+{
+  if (now_us > late->sent_us + LATE_CALL_MAX_US)
+    return;
+  kingcuphollow__pool_workers__late_start__init (row);
+  row->job = late->ref.job;
+  row->occurrence = late->ref.occurrence;
+  row->step = late->ref.step;
+  row->index = late->ref.index;
+  row->run = late->number;
+  row->worker = (char *)late->worker;
+  row->host = (char *)late->host;
+  row->age_ms = (uint32_t)((now_us - late->sent_us) / 1000);
+  msg->late_starts[msg->n_late_starts++] = row;
+}
+
+static bool
+is_open_start (const struct run *run)
+{
+  return run->start_sent_us > 0 && !run->start_settled;
+}
+
+/* Fills MSG with the starts that have had no answer yet.  Returns false when
+   out of memory.  */
+static bool
+fill_late_starts (struct placer *plc, struct enrol_ctx *ctx,
+                  Kingcuphollow__PoolWorkers *msg)
+{
+  int64_t now_us = clock_now_us (plc->env.clk);
+  size_t most = plc->late_start_count;
+  for (size_t n = 0; n < plc->pool.count; n++)
+    for (const struct run *run = plc->pool.workers[n]->runs; run;
+         run = run->next)
+      most += is_open_start (run);
+  if (most > LATE_STARTS_MAX)
+    most = LATE_STARTS_MAX;
+  Kingcuphollow__PoolWorkers__LateStart *rows
+      = talloc_array (ctx, Kingcuphollow__PoolWorkers__LateStart, most);
+  struct late_start *open = talloc_array (ctx, struct late_start, most);
+  msg->late_starts
+      = talloc_array (ctx, Kingcuphollow__PoolWorkers__LateStart *, most);
+  if (!rows || !open || !msg->late_starts)
+    return false;
+  for (size_t n = 0; n < plc->late_start_count && msg->n_late_starts < most;
+       n++)
+    add_late_row (&rows[msg->n_late_starts], msg, &plc->late_starts[n],
+                  now_us);
+  for (size_t n = 0; n < plc->pool.count; n++)
+    for (const struct run *run = plc->pool.workers[n]->runs;
+         run && msg->n_late_starts < most; run = run->next)
+      if (is_open_start (run))
+        {
+          struct late_start *late = &open[msg->n_late_starts];
+          *late = placer_late_start_of (run);
+          add_late_row (&rows[msg->n_late_starts], msg, late, now_us);
+        }
+  return true;
+}
+
+/* Whether the starts without an answer are to be recorded now.  */
+static bool
+announce_due (const struct placer *plc)
+{
+  return plc->late_starts_changed
+         && clock_now_us (plc->env.clk) >= plc->next_announce_us;
+}
+
 void
 placer_enrol (struct placer *plc)
 {
-  bool needed = plc->enrol_stale;
+  bool needed = plc->enrol_stale || announce_due (plc);
   char key[KEY_PREFIX_BYTES + NAME_BYTES] = PLACER_WORKERS_KEY_PREFIX;
   for (size_t n = 0; n < plc->pool.count; n++)
     {
@@ -123,7 +204,8 @@
     return;
   ctx->plc = plc;
   msg.token = plc->set.token;
-  if (!fill_worker_record (plc, ctx, &msg))
+  if (!fill_worker_record (plc, ctx, &msg)
+      || !fill_late_starts (plc, ctx, &msg))
     goto failed;
   size_t len = kingcuphollow__pool_workers__get_packed_size (&msg);
   uint8_t *data = talloc_size (ctx, len);
@@ -137,7 +219,8 @@
   if (plc->env.persist (plc->env.arg, &entry, 1, on_enrolled, ctx))
     goto failed;
   plc->enrolling = true;
-  plc->enrol_stale = false;
+  plc->enrol_stale = plc->late_starts_changed = false;
+  plc->next_announce_us = clock_now_us (plc->env.clk) + ANNOUNCE_INTERVAL_US;
   plc->calls_in_flight++;
   return;
 
@@ -161,6 +244,36 @@
   rows->known_us = known_us;
 }
 
+void
+placer_add_earlier_record (struct placer *plc, const uint8_t *data, size_t len,
+                           int64_t read_us)
+{
+  Kingcuphollow__PoolWorkers *msg
+      = data ? kingcuphollow__pool_workers__unpack (NULL, len, data) : NULL;
+  if (!msg)
+    return;
+  for (size_t n = 0; n < msg->n_workers; n++)
+    placer_add_earlier_worker (plc, msg->workers[n]->id, msg->workers[n]->host,
+                               msg->workers[n]->born_ms, read_us);
+  for (size_t n = 0; n < msg->n_late_starts; n++)
+    {
+      const Kingcuphollow__PoolWorkers__LateStart *row = msg->late_starts[n];
+      struct late_start late = {
+        .ref = { .job = row->job,
+                 .occurrence = row->occurrence,
+                 .step = row->step,
+                 .index = row->index },
+        .number = row->run,
+        .sent_us = read_us - (int64_t)row->age_ms * 1000,
+      };
+      name_copy (late.worker, row->worker);
+      name_copy (late.host, row->host);
+      if (clock_now_us (plc->env.clk) <= late.sent_us + LATE_CALL_MAX_US)
+        placer_add_earlier_start (plc, &late);
+    }
+  kingcuphollow__pool_workers__free_unpacked (msg, NULL);
+}
+
 static void
 remove_earlier_at (struct placer *plc, size_t index)
 {
--- a/sched/placer_hosts.c
+++ b/sched/placer_hosts.c
@@ -7,11 +7,6 @@
 
 /* What the platform's list of hosts tells about workers that do not answer. */
 
-/* A host is gone when this number of consecutive lists do not contain it.  A
-   list is read in pages, and a host may be missing in one if another host
-   leaves between two pages.  */
-#define ABSENT_LISTS_MIN 2
-
 /* Whether a list of hosts requested at ASKED_US is certainly newer than the
    start of a worker that was known at KNOWN_US.  An older list may show the
    host as it was before that worker.  The worker's own start time does not
@@ -72,8 +67,9 @@
 }
 
 static bool
-is_listed (const struct host_list *list, const char *host)
+is_listed (const void *arg, const char *host)
 {
+  const struct host_list *list = arg;
   for (size_t n = 0; n < list->count; n++)
     if (strcmp (list->hosts[n].name, host) == 0)
       return true;
@@ -125,6 +121,7 @@
           end_worker (plc, gone.id, gone.host, gone.born_ms);
         }
     }
+  placer_end_late_starts_without_host (plc, is_listed, list, asked_us);
 }
 
 void
--- a/sched/placer_late.c
+++ b/sched/placer_late.c
@@ -106,6 +106,14 @@
   return wrk->reported_born_ms > wrk->rep.born_ms;
 }
 
+/* Whether an earlier owner's start may still be carried out by the present
+   instance of WRK.  */
+static bool
+may_take_earlier (const struct worker *wrk, const struct late_start *late)
+{
+  return late->earlier && wrk && !wrk->settled;
+}
+
 static bool
 is_same_task (const struct task_ref *a, const struct task_ref *b)
 {
@@ -113,13 +121,22 @@
          && a->step == b->step && a->index == b->index;
 }
 
-void
-placer_add_late_start (struct placer *plc, const struct run *run)
+struct late_start
+placer_late_start_of (const struct run *run)
 {
-  int64_t now_us = clock_now_us (plc->env.clk);
   struct late_start late = { .ref = run->ref,
                              .number = run->number,
                              .sent_us = run->start_sent_us };
+  name_copy (late.worker, run->wrk->rep.id);
+  name_copy (late.host, run->wrk->rep.host);
+  return late;
+}
+
+void
+placer_add_late_start (struct placer *plc, const struct run *run)
+{
+  int64_t now_us = clock_now_us (plc->env.clk);
+  const struct late_start late = placer_late_start_of (run);
   for (size_t n = plc->late_start_count; n-- > 0;)
     if (is_over (&plc->late_starts[n], now_us)
         && now_us > run_end_us (plc, &plc->late_starts[n]))
@@ -130,8 +147,6 @@
     run->wrk->late_starts_us = late.sent_us + LATE_CALL_MAX_US;
   struct late_start *rows = talloc_realloc (
       plc, plc->late_starts, struct late_start, plc->late_start_count + 1);
-  name_copy (late.worker, run->wrk->rep.id);
-  name_copy (late.host, run->wrk->rep.host);
   if (!rows)
     {
       /* Without a row the task waits for the longest time possible.  */
@@ -185,7 +200,8 @@
     {
       const struct late_start late = plc->late_starts[n];
       struct job *job = job_table_find (plc->env.jobs, late.ref.job);
-      if (is_over (&late, now_us) || strcmp (late.worker, wrk->rep.id) != 0)
+      if (is_over (&late, now_us) || late.earlier
+          || strcmp (late.worker, wrk->rep.id) != 0)
         continue;
       else if (!job)
         placer_stop_unknown (plc, wrk, &late.ref, late.number);
@@ -221,7 +237,7 @@
       const struct worker *wrk = pool_find_id (&plc->pool, late->worker);
       if (!is_same_task (&late->ref, ref) || now_us > run_end_us (plc, late))
         continue;
-      if (may_run_unstopped (wrk, late)
+      if (may_run_unstopped (wrk, late) || may_take_earlier (wrk, late)
           || (wrk && *worker && *worker != wrk->handle))
         return LATE_PLACE_NONE;
       if (wrk && !wrk->reported_ended)
@@ -230,6 +246,45 @@
   return *worker ? LATE_PLACE_SAME : LATE_PLACE_ANY;
 }
 
+void
+placer_add_earlier_start (struct placer *plc, const struct late_start *late)
+{
+  struct job *job = job_table_find (plc->env.jobs, late->ref.job);
+  struct task *tsk = job ? job_task (job, &late->ref) : NULL;
+  if (!tsk)
+    return;
+  /* The number may not be in the job's progress.  */
+  if (late->number > tsk->prg.last_run)
+    tsk->prg.last_run = late->number;
+  struct late_start *rows = talloc_realloc (
+      plc, plc->late_starts, struct late_start, plc->late_start_count + 1);
+  if (!rows)
+    return; /* out of memory: the task does not wait for it */
+  plc->late_starts = rows;
+  rows[plc->late_start_count] = *late;
+  rows[plc->late_start_count++].earlier = true;
+  char name[TASK_NAME_MAX];
+  task_ref_format (&late->ref, name);
+  log_event (plc->env.lg, EV_RUN_LATE_START, LOG_S ("task", name),
+             LOG_I ("run", late->number), LOG_S ("worker", late->worker),
+             LOG_I ("left_ms", (late->sent_us + LATE_CALL_MAX_US
+                                - clock_now_us (plc->env.clk))
+                                   / 1000));
+}
+
+void
+placer_expect_late_starts (const struct placer *plc, struct worker *wrk)
+{
+  for (size_t n = 0; n < plc->late_start_count; n++)
+    {
+      const struct late_start *late = &plc->late_starts[n];
+      int64_t over_us = late->sent_us + LATE_CALL_MAX_US;
+      if (strcmp (late->worker, wrk->rep.id) == 0
+          && over_us > wrk->late_starts_us)
+        wrk->late_starts_us = over_us;
+    }
+}
+
 bool
 placer_awaits_down_hosts (const struct placer *plc)
 {
@@ -250,13 +305,35 @@
 {
   for (size_t n = plc->late_start_count; n-- > 0;)
     {
-      const struct late_start *late = &plc->late_starts[n];
+      struct late_start *late = &plc->late_starts[n];
       bool same = strcmp (late->worker, rep->worker) == 0;
       bool replaced = *rep->worker && !same;
+      bool down = rep->state != HOST_UP && asked_us > late->sent_us;
       int64_t last_us = late->sent_us + (replaced ? 0 : LATE_CALL_MAX_US);
-      if (*late->host && strcmp (late->host, rep->name) == 0
-          && (replaced || rep->state != HOST_UP)
+      if (!*late->host || strcmp (late->host, rep->name) != 0)
+        continue;
+      if (down && !pool_find_id (&plc->pool, late->worker))
+        late->host_down = true;
+      if ((replaced || rep->state != HOST_UP)
           && asked_us > last_us + HOST_LIST_LAG_US)
         remove_late_start (plc, n);
     }
 }
+
+void
+placer_end_late_starts_without_host (struct placer *plc,
+                                     bool (*listed) (const void *list,
+                                                     const char *host),
+                                     const void *list, int64_t asked_us)
+{
+  for (size_t n = plc->late_start_count; n-- > 0;)
+    {
+      struct late_start *late = &plc->late_starts[n];
+      if (!*late->host || listed (list, late->host)
+          || asked_us <= late->sent_us + HOST_LIST_LAG_US
+          || pool_find_id (&plc->pool, late->worker))
+        late->absent_lists = 0;
+      else if (++late->absent_lists >= ABSENT_LISTS_MIN)
+        remove_late_start (plc, n);
+    }
+}
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -20,6 +20,11 @@
    platform lists it.  */
 #define HOST_LIST_LAG_US 2000000
 
+/* A host is gone when this number of consecutive lists do not contain it.  A
+   list is read in pages, and a host may be missing in one if another host
+   leaves between two pages.  */
+#define ABSENT_LISTS_MIN 2
+
 /* Most entries of no_room in struct placer.  */
 #define NO_ROOM_MAX 32
 /* Most searches for a worker in one tick that find none, for tasks without
@@ -42,6 +47,10 @@
   uint32_t number;
   int64_t sent_us;
   bool host_down; /* when the worker was removed from the pool */
+  /* Sent by an earlier owner.  An instance that has answered this owner
+     refuses it.  */
+  bool earlier;
+  uint32_t absent_lists; /* consecutive lists of hosts without its host */
 };
 
 /* A worker on which an earlier owner may have started tasks.  */
@@ -216,6 +225,10 @@
   uint32_t unplaced_reports;   /* since then */
   struct late_start *late_starts;
   size_t late_start_count;
+  /* A start has had no answer for some time and is not in the worker record
+     in the log.  */
+  bool late_starts_changed;
+  int64_t next_announce_us;
   /* Workers that were removed may have granted leases until then.  A worker
      that is added may be the next instance of one of them.  */
   int64_t removed_leases_end_us;
@@ -267,6 +280,8 @@
 /* Starts the next run of a task on WRK.  */
 void placer_start_task (struct placer *plc, struct job *job,
                         const struct task_ref *ref, struct worker *wrk);
+/* Notes starts in flight that have had no answer for some time.  */
+void placer_age_starts (struct placer *plc, int64_t now_us);
 /* Marks RUN to be stopped and sends the stop; placer_send_stops repeats it
    until the worker has acknowledged it.  */
 void placer_stop_run (struct placer *plc, struct run *run);
@@ -329,6 +344,8 @@
    Otherwise a later owner has sent one.  */
 bool placer_fenced_by_own (const struct worker *wrk,
                            const struct timed_call *call);
+/* The start of RUN, which has no answer.  */
+struct late_start placer_late_start_of (const struct run *run);
 /* Records that the start of RUN, which is given up, may still be carried
    out.  */
 void placer_add_late_start (struct placer *plc, const struct run *run);
@@ -367,6 +384,12 @@
 enum late_place placer_late_place (const struct placer *plc,
                                    const struct task_ref *ref,
                                    uint32_t *worker);
+/* Has WRK, which was added to the pool, asked for its runs until its late
+   starts are over.  */
+void placer_expect_late_starts (const struct placer *plc, struct worker *wrk);
+/* Adds a start of an earlier owner.  */
+void placer_add_earlier_start (struct placer *plc,
+                               const struct late_start *late);
 /* Whether a late start may end with a list of hosts.  */
 bool placer_awaits_down_hosts (const struct placer *plc);
 /* Forgets the starts whose worker certainly had no further instance when the
@@ -374,6 +397,12 @@
 void placer_end_late_starts_on_host (struct placer *plc,
                                      const struct host_report *rep,
                                      int64_t asked_us);
+/* The same for hosts that are gone; LISTED tells whether HOST is in the list
+   that was requested at ASKED_US.  */
+void placer_end_late_starts_without_host (struct placer *plc,
+                                          bool (*listed) (const void *list,
+                                                          const char *host),
+                                          const void *list, int64_t asked_us);
 
 /* placer_lease.c */
 /* A call that was sent to WRK at NOW_US, with leases until LEASE_END_MS by its
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -74,13 +74,22 @@
   plc->starts_in_flight--;
 }
 
-bool
-placer_start_limit_reached (struct placer *plc, int64_t now_us)
+void
+placer_age_starts (struct placer *plc, int64_t now_us)
 {
   while (plc->first_start_in_flight
          && now_us - plc->first_start_in_flight->call.sent_us
                 > START_IN_FLIGHT_AGE_US)
-    drop_start_in_flight (plc, plc->first_start_in_flight);
+    {
+      drop_start_in_flight (plc, plc->first_start_in_flight);
+      plc->late_starts_changed = true;
+    }
+}
+
+bool
+placer_start_limit_reached (struct placer *plc, int64_t now_us)
+{
+  placer_age_starts (plc, now_us);
   /* Thousands of tasks may wait; only starts take long.  */
   if (plc->starts_sent != plc->starts_checked)
     {
@@ -335,6 +344,7 @@
   log_start (plc, run, "no_answer");
   run->start_unanswered = true;
   run->wrk->next_hold_us = 0;
+  plc->late_starts_changed = true;
 }
 
 void
--- a/test/unit/instance_owner.c
+++ b/test/unit/instance_owner.c
@@ -294,16 +294,9 @@
 static void
 add_known_workers (struct owner *own)
 {
-  Kingcuphollow__PoolWorkers *msg
-      = own->workers ? kingcuphollow__pool_workers__unpack (
-            NULL, own->workers->len, own->workers->data)
-                     : NULL;
-  for (size_t n = 0; msg && n < msg->n_workers; n++)
-    placer_add_earlier_worker (own->plc, msg->workers[n]->id,
-                               msg->workers[n]->host, msg->workers[n]->born_ms,
+  if (own->workers)
+    placer_add_earlier_record (own->plc, own->workers->data, own->workers->len,
                                own->workers_us);
-  if (msg)
-    kingcuphollow__pool_workers__free_unpacked (msg, NULL);
   for (uint32_t n = 0; n < MODEL_WORKERS; n++)
     if (own->reported[n])
       placer_update_worker (own->plc, own->rep[n].id, &own->rep[n]);
--- a/test/unit/placer_world.c
+++ b/test/unit/placer_world.c
@@ -110,6 +110,10 @@
           NULL, entries[0].value_len, entries[0].value);
       ck_assert_ptr_nonnull (msg);
       wld->recorded_workers = msg->n_workers;
+      talloc_free (wld->record);
+      wld->record_len = entries[0].value_len;
+      wld->record
+          = talloc_memdup (wld->ctx, entries[0].value, wld->record_len);
       kingcuphollow__pool_workers__free_unpacked (msg, NULL);
       wld->enrol_fn = fn;
       wld->enrol_arg = fn_arg;
--- a/test/unit/placer_world.h
+++ b/test/unit/placer_world.h
@@ -62,7 +62,9 @@
   persist_fn *enrol_fn; /* of an append of the worker record */
   void *enrol_arg;
   size_t recorded_workers; /* in the last worker record */
-  persist_fn *persist_fn;  /* of an append of job progress */
+  uint8_t *record;         /* that record */
+  size_t record_len;
+  persist_fn *persist_fn; /* of an append of job progress */
   void *persist_arg;
   size_t append_count;      /* appends requested so far */
   bool persist_fails;       /* appends are refused at once */
--- a/test/unit/unit_placer_late_wait.c
+++ b/test/unit/unit_placer_late_wait.c
@@ -291,6 +291,123 @@
 }
 END_TEST
 
+/* A later owner takes the pool over, with the worker record as it is in the
+   log.  Nothing was sent to w1 since.  */
+static void
+take_over (void)
+{
+  world_take_over (wld, 300, 400);
+  wld->hold_born_ms = BORN_MS;
+  placer_add_earlier_record (wld->plc, wld->record, wld->record_len,
+                             wld->clk.now_us);
+  world_release_earlier (wld);
+  world_add_worker (wld, "w1", BORN_MS);
+  world_add_worker (wld, "w2", BORN_MS);
+}
+
+/* Guards against two runs of a task (TWICE): an owner ends while a start has
+   no answer, and the next instance of the worker carries it out after the task
+   was started by the owner's successor.  */
+START_TEST (test_successor_waits)
+{
+  static const struct
+  {
+    const char *job;
+    bool given_up; /* the start is, before the owner ends */
+  } cases[] = {
+    { BATCH_JOB, false },
+    { BATCH_JOB, true },
+    { PERPETUAL_JOB, false },
+    { PERPETUAL_JOB, true },
+  };
+  bool batch = _i < 2;
+  world_add_job (wld, 2, cases[_i].job, 200);
+  world_confirm_ownership (wld);
+  world_tick (wld, 1);
+  int64_t sent_us = wld->clk.now_us;
+  struct world_call *start = world_call (wld, WORLD_START, "w1");
+  ck_assert_ptr_nonnull (start);
+  if (cases[_i].given_up)
+    world_answer (wld, start, COMMAND_NO_ANSWER);
+  for (int n = 0; n < 6; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, STEP_MS);
+    }
+  take_over ();
+  size_t starts = world_starts (wld, 2, 0);
+  while (world_starts (wld, 2, 0) == starts)
+    {
+      ck_assert_int_lt (wld->clk.now_us, sent_us
+                                             + (batch ? LATE_CALL_MAX_US : 0)
+                                             + 2 * AGAIN_US);
+      step (COMMAND_DONE);
+      ck_assert (!world_call (wld, WORLD_START, "w2")
+                 || wld->clk.now_us > sent_us + LATE_CALL_MAX_US);
+    }
+  ck_assert (!batch || wld->clk.now_us > sent_us + LATE_CALL_MAX_US);
+}
+END_TEST
+
+/* Guards against a run that is stopped at a change of owner (AVAIL): its start
+   was carried out, and the record tells that it had no answer.  */
+START_TEST (test_successor_adopts_late_start)
+{
+  static const struct world_row row = { .job = 2, .run = 1 };
+  leave_start_unanswered (PERPETUAL_JOB);
+  for (int n = 0; n < 6; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, STEP_MS);
+    }
+  take_over ();
+  size_t starts = world_starts (wld, 2, 0);
+  for (int n = 0; n < 100; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, STEP_MS);
+      ck_assert_ptr_null (world_call (wld, WORLD_STOP, "w1"));
+      if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", &row, 1, NULL, 0);
+      if (world_call (wld, WORLD_HOLD, "w2"))
+        world_answer_hold (wld, "w2", NULL, 0, NULL, 0);
+    }
+  ck_assert_uint_eq (world_starts (wld, 2, 0), starts);
+}
+END_TEST
+
+/* Guards against a task that waits for a worker which is gone (LOST): its
+   late start stands in the record of an earlier owner, and the lists of hosts
+   do not show the host any more, or show it as down.  */
+START_TEST (test_successor_without_worker)
+{
+  struct host_report rows[]
+      = { { .name = "m-w2", .state = HOST_UP, .worker = "w2" },
+          { .name = "m-w1", .state = HOST_DOWN, .worker = "w1" } };
+  const struct host_list list = { .hosts = rows, .count = _i == 0 ? 1 : 2 };
+  leave_start_unanswered (PERPETUAL_JOB);
+  for (int n = 0; n < 6; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, STEP_MS);
+    }
+  world_take_over (wld, 300, 400);
+  wld->hold_born_ms = BORN_MS;
+  placer_add_earlier_record (wld->plc, wld->record, wld->record_len,
+                             wld->clk.now_us);
+  world_release_earlier (wld);
+  world_add_worker (wld, "w2", BORN_MS);
+  int64_t begun_us = wld->clk.now_us;
+  while (!world_call (wld, WORLD_START, "w2"))
+    {
+      ck_assert_int_lt (wld->clk.now_us, begun_us + 7000000);
+      step (COMMAND_DONE);
+      if ((wld->clk.now_us - begun_us) / 1000 % 1000 < STEP_MS)
+        placer_update_hosts (wld->plc, &list, wld->clk.now_us - 100000);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -304,6 +421,9 @@
   tcase_add_loop_test (tc, test_lists_end_late_start, 0, 5);
   tcase_add_test (tc, test_job_without_answered_start_waits);
   tcase_add_loop_test (tc, test_start_outdates_late_acknowledgement, 0, 3);
+  tcase_add_loop_test (tc, test_successor_waits, 0, 4);
+  tcase_add_test (tc, test_successor_adopts_late_start);
+  tcase_add_loop_test (tc, test_successor_without_worker, 0, 2);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
