--- a/job/job.h
+++ b/job/job.h
@@ -94,6 +94,8 @@
   uint32_t avoid_worker;  /* handle of the worker of the last run that failed,
                              or whose start was refused; 0: none */
   uint32_t refusals;      /* starts that were refused in a row */
+  uint32_t late_starts;   /* those without an answer that may still be carried
+                             out, of runs that were given up */
   int64_t not_before_us;  /* monotonic time before which no run starts */
   int64_t ended_us;       /* monotonic time at which the last run ended; 0: no
                              run has ended */
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -317,9 +317,9 @@
   if (placer_may_still_run (plc, job, tsk))
     return;
   uint32_t only = 0;
-  if (placer_may_run_late (plc, ref)
+  if (placer_may_run_late (plc, tsk, ref)
       && (!stp->perpetual
-          || placer_late_place (plc, ref, &only) == LATE_PLACE_NONE))
+          || placer_late_place (plc, tsk, ref, &only) == LATE_PLACE_NONE))
     return;
   const struct place_request req = {
     .job = job,
--- a/sched/placer_enrol.c
+++ b/sched/placer_enrol.c
@@ -15,6 +15,9 @@
 /* Least time until the record is written again for starts without an
    answer.  */
 #define ANNOUNCE_INTERVAL_US 200000
+/* Those that were sent more recently are not in the record: workers answer
+   within some milliseconds.  */
+#define ANNOUNCE_AGE_US 100000
 /* Most starts without an answer in the record, so that it stays below the
    store's limit of 256 KB.  */
 #define LATE_STARTS_MAX 1024
@@ -134,10 +137,12 @@
   msg->late_starts[msg->n_late_starts++] = row;
 }
 
+/* Whether the start of RUN has had no answer for some time.  */
 static bool
-is_open_start (const struct run *run)
+is_open_start (const struct run *run, int64_t now_us)
 {
-  return run->start_sent_us > 0 && !run->start_settled;
+  return run->start_sent_us > 0 && !run->start_settled
+         && now_us - run->start_sent_us > ANNOUNCE_AGE_US;
 }
 
 /* Fills MSG with the starts that have had no answer yet.  Returns false when
@@ -151,7 +156,7 @@
   for (size_t n = 0; n < plc->pool.count; n++)
     for (const struct run *run = plc->pool.workers[n]->runs; run;
          run = run->next)
-      most += is_open_start (run);
+      most += is_open_start (run, now_us);
   if (most > LATE_STARTS_MAX)
     most = LATE_STARTS_MAX;
   Kingcuphollow__PoolWorkers__LateStart *rows
@@ -168,7 +173,7 @@
   for (size_t n = 0; n < plc->pool.count; n++)
     for (const struct run *run = plc->pool.workers[n]->runs;
          run && msg->n_late_starts < most; run = run->next)
-      if (is_open_start (run))
+      if (is_open_start (run, now_us))
         {
           struct late_start *late = &open[msg->n_late_starts];
           *late = placer_late_start_of (run);
--- a/sched/placer_gang.c
+++ b/sched/placer_gang.c
@@ -113,10 +113,11 @@
 gang_may_run_late (const struct placer *plc, const struct job *job,
                    const struct task_ref *ref)
 {
+  const struct task *tasks = gang_tasks (job, ref);
   struct task_ref member = *ref;
   for (member.index = 0; member.index < job->spec.steps[ref->step].count;
        member.index++)
-    if (placer_may_run_late (plc, &member))
+    if (placer_may_run_late (plc, &tasks[member.index], &member))
       return true;
   return false;
 }
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -221,6 +221,8 @@
   if (!run)
     return;
   placer_note_started (plc, job);
+  if (run->start_unanswered && !run->start_settled)
+    plc->late_starts_changed = true;
   if (!run->confirmed_us)
     run->confirmed_us = now_us;
   if (run->state == RUN_STARTING)
--- a/sched/placer_late.c
+++ b/sched/placer_late.c
@@ -69,6 +69,11 @@
 static void
 remove_late_start (struct placer *plc, size_t index)
 {
+  const struct late_start *late = &plc->late_starts[index];
+  struct job *job = job_table_find (plc->env.jobs, late->ref.job);
+  struct task *tsk = job ? job_task (job, &late->ref) : NULL;
+  if (tsk && tsk->late_starts > 0)
+    tsk->late_starts--;
   plc->late_starts[index] = plc->late_starts[--plc->late_start_count];
 }
 
@@ -155,6 +160,7 @@
     }
   plc->late_starts = rows;
   rows[plc->late_start_count++] = late;
+  run->tsk->late_starts++;
   char name[TASK_NAME_MAX];
   task_ref_format (&late.ref, name);
   log_event (
@@ -171,7 +177,10 @@
     if (plc->late_starts[n].number == number
         && is_same_task (&plc->late_starts[n].ref, ref)
         && strcmp (plc->late_starts[n].worker, wrk->rep.id) == 0)
-      remove_late_start (plc, n);
+      {
+        remove_late_start (plc, n);
+        plc->late_starts_changed = true;
+      }
 }
 
 void
@@ -211,9 +220,10 @@
 }
 
 bool
-placer_may_run_late (const struct placer *plc, const struct task_ref *ref)
+placer_may_run_late (const struct placer *plc, const struct task *tsk,
+                     const struct task_ref *ref)
 {
-  if (plc->late_start_count == 0)
+  if (tsk->late_starts == 0)
     return false;
   int64_t now_us = clock_now_us (plc->env.clk);
   for (size_t n = 0; n < plc->late_start_count; n++)
@@ -224,11 +234,11 @@
 }
 
 enum late_place
-placer_late_place (const struct placer *plc, const struct task_ref *ref,
-                   uint32_t *worker)
+placer_late_place (const struct placer *plc, const struct task *tsk,
+                   const struct task_ref *ref, uint32_t *worker)
 {
   *worker = 0;
-  if (plc->late_start_count == 0)
+  if (tsk->late_starts == 0)
     return LATE_PLACE_ANY;
   int64_t now_us = clock_now_us (plc->env.clk);
   for (size_t n = 0; n < plc->late_start_count; n++)
@@ -263,6 +273,7 @@
   plc->late_starts = rows;
   rows[plc->late_start_count] = *late;
   rows[plc->late_start_count++].earlier = true;
+  tsk->late_starts++;
   char name[TASK_NAME_MAX];
   task_ref_format (&late->ref, name);
   log_event (plc->env.lg, EV_RUN_LATE_START, LOG_S ("task", name),
@@ -288,10 +299,13 @@
 bool
 placer_awaits_down_hosts (const struct placer *plc)
 {
+  int64_t now_us = clock_now_us (plc->env.clk);
   for (size_t n = 0; n < plc->late_start_count; n++)
     {
-      const struct worker *wrk
-          = pool_find_id (&plc->pool, plc->late_starts[n].worker);
+      const struct late_start *late = &plc->late_starts[n];
+      const struct worker *wrk = pool_find_id (&plc->pool, late->worker);
+      if (now_us > run_end_us (plc, late))
+        continue;
       if (!wrk || wrk->reported_ended || wrk->unanswered_calls > 0)
         return true;
     }
--- a/sched/placer_lease.c
+++ b/sched/placer_lease.c
@@ -211,8 +211,9 @@
 {
   /* It may return under its id while late acknowledgements are on their
      way.  */
-  uint32_t generation
-      = wrk->generation + (wrk->late_acks_us > 0 && !wrk->generations_spent);
+  bool raise = clock_now_us (plc->env.clk) < wrk->late_acks_us
+               && wrk->generation + 1 < plc->set.token_count;
+  uint32_t generation = wrk->generation + raise;
   if (generation > plc->removed_generation)
     plc->removed_generation = generation;
   if (wrk->late_leases_us > 0)
--- a/sched/placer_places.c
+++ b/sched/placer_places.c
@@ -175,7 +175,8 @@
     }
   else if (!placer_has_runs (tsk)
            && (placer_may_still_run (plc, job, tsk)
-               || placer_late_place (plc, ref, &need.only) == LATE_PLACE_NONE))
+               || placer_late_place (plc, tsk, ref, &need.only)
+                      == LATE_PLACE_NONE))
     return true;
   else if (tsk->run && tsk->run->start_unanswered)
     need.only = tsk->run->wrk->handle;
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -226,7 +226,7 @@
   struct late_start *late_starts;
   size_t late_start_count;
   /* A start has had no answer for some time and is not in the worker record
-     in the log.  */
+     in the log, or is there and is over.  */
   bool late_starts_changed;
   int64_t next_announce_us;
   /* Workers that were removed may have granted leases until then.  A worker
@@ -365,7 +365,7 @@
 
 /* Whether an earlier start of the task may still be carried out, or a run that
    it has begun unseen may still exist.  */
-bool placer_may_run_late (const struct placer *plc,
+bool placer_may_run_late (const struct placer *plc, const struct task *tsk,
                           const struct task_ref *ref);
 
 /* Where a perpetual task may start beside an earlier start without an
@@ -382,6 +382,7 @@
 /* Stores the handle of the worker in *WORKER, or 0.  A host that is shown as
    down is not waited for.  */
 enum late_place placer_late_place (const struct placer *plc,
+                                   const struct task *tsk,
                                    const struct task_ref *ref,
                                    uint32_t *worker);
 /* Has WRK, which was added to the pool, asked for its runs until its late
--- a/sched/placer_stall.c
+++ b/sched/placer_stall.c
@@ -93,7 +93,7 @@
     out->silent += tsk->run->wrk->unanswered_calls > 0;
   else if (placer_may_still_run (plc, job, tsk))
     out->takeover++;
-  else if (placer_may_run_late (plc, ref))
+  else if (placer_may_run_late (plc, tsk, ref))
     out->late++;
   else if (now_us < tsk->not_before_us)
     out->pause++;
--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -489,7 +489,7 @@
       = { .job = run->job, .step = stp, .ref = &run->ref, .now_us = now_us };
   bool bound_reached = count_unavailable (run, now_us) >= most
                        || run->tsk->unwanted_runs > 0
-                       || placer_may_run_late (plc, &run->ref);
+                       || placer_may_run_late (plc, run->tsk, &run->ref);
   if (run->tsk->reserved_worker && placer_reserved_room (plc, &req))
     return !bound_reached;
   if (run->tsk->reserved_worker || bound_reached)
