--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -53,6 +53,15 @@
   uint32_t absent_lists; /* consecutive lists of hosts without its host */
 };
 
+/* The gang that has waited longest for room.  */
+struct waiting_gang
+{
+  struct task_ref ref;
+  int64_t since_us;
+  int64_t seen_us; /* when it was last tried; 0: there is none */
+  bool claimed;    /* room is reserved for its members */
+};
+
 /* A worker on which an earlier owner may have started tasks.  */
 struct earlier_worker
 {
@@ -223,6 +232,7 @@
   int64_t next_unplaced_check_us;
   int64_t unplaced_reports_us; /* start of the time that has a limit of them */
   uint32_t unplaced_reports;   /* since then */
+  struct waiting_gang gang;
   struct late_start *late_starts;
   size_t late_start_count;
   /* A start has had no answer for some time and is not in the worker record
