platform, sched: a start takes no connection that has been idle for over a second

Cause: idle connections were reused at any age up to 120 s.

Change: a call can name the longest idle time of the connection that it takes; starts name one second.

--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -32,6 +32,10 @@
    not for this process.  */
 #define START_IN_FLIGHT_AGE_US 200000
 
+/* A start uses no connection that has been idle for longer: it may be silent
+   for good, and a task whose start has no answer waits for 12 s.  */
+#define START_IDLE_MAX_MS 1000
+
 struct command_ctx
 {
   struct placer *plc;
@@ -429,7 +433,8 @@
 {
   struct worker *wrk = run->wrk;
   int64_t now_us = clock_now_us (plc->env.clk);
-  const struct command_target to = placer_command_target (wrk, may_send_start);
+  struct command_target to = placer_command_target (wrk, may_send_start);
+  to.idle_max_ms = START_IDLE_MAX_MS;
   placer_outdate_late_acks (plc, wrk);
   const struct start_command cmd = {
     .task = run->ref,
--- a/sched/worker_link.h
+++ b/sched/worker_link.h
@@ -35,6 +35,7 @@
   const char *address;
   const char *worker;  /* its id; another worker at the address does nothing */
   bool new_connection; /* do not reuse an idle connection */
+  int64_t idle_max_ms; /* nor one that has been idle for longer; 0: any */
   /* Called with the callback's argument just before the command is sent; it is
      not sent if the sender's permission has ended by then.  NULL: always
      sent.  */
--- a/test/unit/unit_post_client.c
+++ b/test/unit/unit_post_client.c
@@ -317,6 +317,31 @@
     }
 }
 
+/* Guards against a start without an answer: a connection that was silenced
+   while it was idle took it long after.  */
+START_TEST (test_old_idle_connection)
+{
+  static const struct
+  {
+    int64_t idle_ms, idle_max_ms;
+    bool reused;
+  } cases[] = { { 0, 10000, true }, { 150, 0, true }, { 150, 50, false } };
+  int socks[MAX_PER_PEER];
+  const struct post_request req = { .address = address,
+                                    .path = "/v1/order",
+                                    .header = "Expect-Instance: w",
+                                    .timeout_ms = LONG_MS,
+                                    .idle_max_ms = cases[_i].idle_max_ms };
+  open_connections (socks, MAX_PER_PEER);
+  run_loop (cases[_i].idle_ms, MAX_PER_PEER + 1);
+  ck_assert_int_eq (post_call (&cli, &req, on_response, NULL), 0);
+  run_loop (50, MAX_PER_PEER + 1);
+  struct pollfd pfd = { .fd = listener, .events = POLLIN };
+  ck_assert_int_eq (poll (&pfd, 1, cases[_i].reused ? 0 : READ_WAIT_MS),
+                    !cases[_i].reused);
+}
+END_TEST
+
 /* Guards against calls that wait for their time-outs one after the other when
    a partition has silenced all open connections: each idle one took a command
    long after the partition had ended.  */
@@ -594,6 +619,7 @@
   tcase_add_loop_test (tc, test_broken_call_is_not_repeated, 0,
                        ROWS (broken_calls));
   tcase_add_test (tc, test_closed_idle_connection);
+  tcase_add_loop_test (tc, test_old_idle_connection, 0, 3);
   tcase_add_test (tc, test_connections_after_silent_call);
   tcase_add_test (tc, test_connection_idle_since_silent_call);
   tcase_add_test (tc, test_connections_after_silent_connect);
