sched: a host in another pool ends the wait for a late start there

tasks waited for late starts of workers whose hosts had moved to the spare pool meanwhile, for the 22 s after which nothing can run there.

Cause: such a host is listed as up and without a worker, which told nothing.

Change: a list that shows the host in another pool ends the wait, as one with another worker on it: a host that comes back has a worker with another id.

Measured: unit_placer_late_wait test_lists_end_late_start fails before (case 3).

--- a/sched/placer_late.c
+++ b/sched/placer_late.c
@@ -321,7 +321,12 @@
     {
       struct late_start *late = &plc->late_starts[n];
       bool same = strcmp (late->worker, rep->worker) == 0;
-      bool replaced = *rep->worker && !same;
+      /* A host that comes back from another pool has a worker with another
+         id.  */
+      bool replaced
+          = !same
+            && (*rep->worker
+                || (*rep->pool && strcmp (rep->pool, plc->set.pool) != 0));
       bool down = rep->state != HOST_UP && asked_us > late->sent_us;
       int64_t last_us = late->sent_us + (replaced ? 0 : LATE_CALL_MAX_US);
       if (!*late->host || strcmp (late->host, rep->name) != 0)
--- a/test/unit/unit_placer_late_wait.c
+++ b/test/unit/unit_placer_late_wait.c
@@ -186,21 +186,24 @@
 {
   static const struct
   {
-    const char *job, *next;
+    const char *job, *next, *pool;
     enum host_state state;
     int64_t least_us, most_us; /* from the start to the next one */
   } cases[] = {
     /* The host is down: its worker may start again until the start is over. */
-    { BATCH_JOB, "w1", HOST_DOWN, 12000000, 12000000 + 4500000 },
-    { BATCH_JOB, "", HOST_DOWN, 12000000, 12000000 + 4500000 },
+    { BATCH_JOB, "w1", "p", HOST_DOWN, 12000000, 12000000 + 4500000 },
+    { BATCH_JOB, "", "p", HOST_DOWN, 12000000, 12000000 + 4500000 },
     /* Another worker has the host.  */
-    { BATCH_JOB, "w7", HOST_UP, 0, 6000000 },
+    { BATCH_JOB, "w7", "p", HOST_UP, 0, 6000000 },
+    /* The host is off, as it has moved to the spare pool.  */
+    { BATCH_JOB, "", "spare", HOST_UP, 0, 6000000 },
     /* A perpetual task does not wait for a host that is down.  */
-    { PERPETUAL_JOB, "w1", HOST_DOWN, 0, 6000000 },
-    { PERPETUAL_JOB, "", HOST_DOWN, 0, 6000000 },
+    { PERPETUAL_JOB, "w1", "p", HOST_DOWN, 0, 6000000 },
+    { PERPETUAL_JOB, "", "p", HOST_DOWN, 0, 6000000 },
   };
   struct host_report rep = { .name = "m-w1", .state = cases[_i].state };
   name_copy (rep.worker, cases[_i].next);
+  name_copy (rep.pool, cases[_i].pool);
   int64_t sent_us = leave_start_unanswered (cases[_i].job);
   for (int n = 0; world_starts (wld, 2, 0) == 1; n++)
     {
@@ -418,7 +421,7 @@
   tcase_add_loop_test (tc, test_perpetual_task_stays, 0, 2);
   tcase_add_loop_test (tc, test_host_of_late_start_is_kept, 0, 4);
   tcase_add_loop_test (tc, test_silent_worker, 0, 2);
-  tcase_add_loop_test (tc, test_lists_end_late_start, 0, 5);
+  tcase_add_loop_test (tc, test_lists_end_late_start, 0, 6);
   tcase_add_test (tc, test_job_without_answered_start_waits);
   tcase_add_loop_test (tc, test_start_outdates_late_acknowledgement, 0, 3);
   tcase_add_loop_test (tc, test_successor_waits, 0, 4);
