sched: the place of a perpetual task with a late start is kept

The one worker that it could start on had reached the step's bound, as two other tasks of the step had started there in between.

Change: a task that may start on one worker only counts there towards the bound.

Measured: unit_placer_late_wait test_place_of_late_start_is_kept fails before.

--- a/job/job.h
+++ b/job/job.h
@@ -96,6 +96,8 @@
   uint32_t refusals;      /* starts that were refused in a row */
   uint32_t late_starts;   /* those without an answer that may still be carried
                              out, of runs that were given up */
+  uint32_t late_worker;   /* handle of the worker of the last of them; 0:
+                             none */
   int64_t not_before_us;  /* monotonic time before which no run starts */
   int64_t ended_us;       /* monotonic time at which the last run ended; 0: no
                              run has ended */
--- a/sched/placer_late.c
+++ b/sched/placer_late.c
@@ -72,8 +72,8 @@
   const struct late_start *late = &plc->late_starts[index];
   struct job *job = job_table_find (plc->env.jobs, late->ref.job);
   struct task *tsk = job ? job_task (job, &late->ref) : NULL;
-  if (tsk && tsk->late_starts > 0)
-    tsk->late_starts--;
+  if (tsk && tsk->late_starts > 0 && --tsk->late_starts == 0)
+    tsk->late_worker = 0;
   plc->late_starts[index] = plc->late_starts[--plc->late_start_count];
 }
 
@@ -161,6 +161,7 @@
   plc->late_starts = rows;
   rows[plc->late_start_count++] = late;
   run->tsk->late_starts++;
+  run->tsk->late_worker = run->wrk->handle;
   char name[TASK_NAME_MAX];
   task_ref_format (&late.ref, name);
   log_event (
@@ -289,9 +290,14 @@
   for (size_t n = 0; n < plc->late_start_count; n++)
     {
       const struct late_start *late = &plc->late_starts[n];
+      struct job *job = job_table_find (plc->env.jobs, late->ref.job);
+      struct task *tsk = job ? job_task (job, &late->ref) : NULL;
       int64_t over_us = late->sent_us + LATE_CALL_MAX_US;
-      if (strcmp (late->worker, wrk->rep.id) == 0
-          && over_us > wrk->late_starts_us)
+      if (strcmp (late->worker, wrk->rep.id) != 0)
+        continue;
+      if (tsk)
+        tsk->late_worker = wrk->handle;
+      if (over_us > wrk->late_starts_us)
         wrk->late_starts_us = over_us;
     }
 }
--- a/sched/pool.c
+++ b/sched/pool.c
@@ -194,6 +194,15 @@
          && worker_usable (wrk, now_us);
 }
 
+/* Whether TSK, of a perpetual step, waits for its place on WRK, the one worker
+   that it may start on.  */
+static bool
+waits_for_late_place (const struct task *tsk, const struct worker *wrk)
+{
+  return tsk->late_worker == wrk->handle && !tsk->run
+         && tsk->unwanted_runs == 0 && !tsk->reserved_worker;
+}
+
 uint32_t
 place_siblings (const struct worker *wrk, const struct place_request *req)
 {
@@ -202,7 +211,10 @@
       = req->job->occurrences[ref->occurrence].tasks + req->step->first_task;
   uint32_t count = 0;
   for (uint32_t n = 0; n < req->step->count; n++)
-    count += n != ref->index && tasks[n].reserved_worker == wrk->handle;
+    count += n != ref->index
+             && (tasks[n].reserved_worker == wrk->handle
+                 || (req->step->perpetual
+                     && waits_for_late_place (&tasks[n], wrk)));
   for (const struct run *run = wrk->runs; run; run = run->next)
     count += run->ref.job == ref->job && run->ref.step == ref->step
              && run->ref.occurrence == ref->occurrence
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -266,8 +266,8 @@
 /* Whether WRK takes new tasks.  */
 bool worker_schedulable (const struct worker *wrk, int64_t now_us);
 
-/* Number of other tasks of the step and occurrence that run on WRK or have a
-   reservation there.  */
+/* Number of other tasks of the step and occurrence that run on WRK, have a
+   reservation there, or may start only there.  */
 uint32_t place_siblings (const struct worker *wrk,
                          const struct place_request *req);
 
--- a/test/unit/unit_placer_late_wait.c
+++ b/test/unit/unit_placer_late_wait.c
@@ -139,6 +139,60 @@
 }
 END_TEST
 
+/* Guards against a perpetual task without a run (LOST): another task of its
+   step takes its place on the one worker that it may start on.  */
+START_TEST (test_place_of_late_start_is_kept)
+{
+  static const char job[]
+      = "{\"steps\":[{\"count\":2,\"cpu\":1000,\"mem-mb\":64,"
+        "\"perpetual\":true,\"anti-affinity\":1}]}";
+  static const char *const ids[] = { "w1", "w2" };
+  const struct world_row row = { .job = 2, .index = 0, .run = 1 };
+  int late = 0; /* the worker of the start without an answer */
+  world_add_worker (wld, "w2", BORN_MS);
+  world_enrol_worker (wld, "w2");
+  world_add_job (wld, 2, job, 200);
+  world_confirm_ownership (wld);
+  world_tick (wld, 1);
+  int64_t sent_us = wld->clk.now_us;
+  for (int k = 0; k < 2; k++)
+    {
+      struct world_call *start = world_call (wld, WORLD_START, ids[k]);
+      ck_assert_ptr_nonnull (start);
+      late = start->task.index == 1 ? k : late;
+      world_answer (wld, start,
+                    start->task.index == 1 ? COMMAND_NO_ANSWER : COMMAND_DONE);
+    }
+  struct worker *wrk = pool_find_id (&wld->plc->pool, ids[late]);
+  struct worker *other = pool_find_id (&wld->plc->pool, ids[1 - late]);
+  const struct world_row end
+      = { .job = 2, .index = 0, .run = 1, .end = RUN_END_FAILED, .number = 1 };
+  bool failed = false;
+  for (int n = 0; world_starts (wld, 2, 1) == 1; n++)
+    {
+      struct world_call *call;
+      ck_assert_int_lt (wld->clk.now_us, sent_us + AGAIN_US);
+      ck_assert_uint_eq (world_starts (wld, 2, 0), 1);
+      /* It takes no tasks until the other task has failed, on a worker that
+         takes none any more.  */
+      if (n < 12)
+        wrk->avoid_until_us = wld->clk.now_us + 2 * STEP_MS * 1000;
+      other->avoid_until_us = INT64_MAX;
+      world_confirm_ownership (wld);
+      world_tick (wld, STEP_MS);
+      while ((call = world_call (wld, WORLD_STOP, ids[late])))
+        world_answer (wld, call, COMMAND_DONE);
+      if (world_call (wld, WORLD_HOLD, ids[late]))
+        world_answer_hold (wld, ids[late], NULL, 0, NULL, 0);
+      if (!world_call (wld, WORLD_HOLD, ids[1 - late]))
+        continue;
+      world_answer_hold (wld, ids[1 - late], &row, n < 6, &end, n >= 6);
+      failed = failed || n >= 6;
+    }
+  ck_assert (failed);
+}
+END_TEST
+
 /* Guards against a perpetual task without a run (LOST): the host of the one
    worker that it may start on is vacated.  */
 START_TEST (test_host_of_late_start_is_kept)
@@ -419,6 +473,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_loop_test (tc, test_batch_task_waits, 0, 5);
   tcase_add_loop_test (tc, test_perpetual_task_stays, 0, 2);
+  tcase_add_test (tc, test_place_of_late_start_is_kept);
   tcase_add_loop_test (tc, test_host_of_late_start_is_kept, 0, 4);
   tcase_add_loop_test (tc, test_silent_worker, 0, 2);
   tcase_add_loop_test (tc, test_lists_end_late_start, 0, 6);
