--- a/test/unit/unit_placer_gang_wait.c
+++ b/test/unit/unit_placer_gang_wait.c
@@ -4,8 +4,8 @@
 
 #include "placer_world.h"
 
-/* A gang beside a backlog of small tasks.  Known to fail, see KNOWN-RED.txt:
-   each processor that gets free is taken by a small task at once.  */
+/* A gang beside a backlog of small tasks, which take each processor that gets
+   free at once.  */
 
 #define SMALL_JOB                                                             \
   "{\"steps\":[{\"count\":1,\"cpu\":1000,\"mem-mb\":64,\"estimate-ms\":800}]" \
