--- a/fleet/catalog.c
+++ b/fleet/catalog.c
@@ -53,3 +53,17 @@
       return &cat->pools[n];
   return NULL;
 }
+
+void
+catalog_note_pools (struct catalog *cat, const struct catalog *before,
+                    int64_t now_us)
+{
+  for (size_t n = 0; n < cat->queue_count; n++)
+    {
+      struct queue *que = &cat->queues[n];
+      const struct queue *old = catalog_queue (before, que->name);
+      que->pool_since_us = old && strcmp (old->pool, que->pool) == 0
+                               ? old->pool_since_us
+                               : now_us;
+    }
+}
--- a/fleet/catalog.h
+++ b/fleet/catalog.h
@@ -29,6 +29,9 @@
      its longest chain of dependent steps, plus GOAL_EXTRA_MS.  */
   double stretch;
   int64_t goal_extra_ms;
+  /* Monotonic time since which this process has known that the queue leads to
+     POOL; 0: always.  */
+  int64_t pool_since_us;
   /* Whether the configuration has an object "advice", and its member
      "valid-ms".  Decoded, but not used by the scheduler.  */
   bool needs_advice;
@@ -120,6 +123,11 @@
    job in each tick, and a configuration has hundreds of queues.  */
 void catalog_sort (struct catalog *cat);
 
+/* Sets since when the queues of CAT, which is read at NOW_US, lead to their
+   pools.  BEFORE is the configuration before; NULL: none is known.  */
+void catalog_note_pools (struct catalog *cat, const struct catalog *before,
+                         int64_t now_us);
+
 /* Finds the queue for a request by host name and longest matching path prefix.
    The lookups return NULL when nothing matches, and accept a NULL CAT.  */
 const struct queue *catalog_route (const struct catalog *cat, const char *host,
--- a/job/job.h
+++ b/job/job.h
@@ -129,12 +129,24 @@
 {
   UT_hash_handle hh;
   uint64_t id;
+  uint32_t part;   /* partition of the log with the pool's records */
   uint64_t offset; /* of the job's first record in the pool's partition; 0: not
                       known */
   char queue[NAME_BYTES];
   char pool[NAME_BYTES];
   int64_t accepted_ms; /* wall-clock time at which an entry process accepted
                           the job */
+  uint64_t config_version; /* under which it was accepted; 0: not stated */
+  bool pool_uncertain; /* the job may also be stored for another pool that its
+                          queue led to before */
+  /* A job that was stored for several pools has a row for each; see
+     job_table.h.  */
+  struct job *next_rival; /* of the same id; NULL: none */
+  bool contested;         /* there is more than one row of this id */
+  bool recorded;          /* the log holds progress of the pool's owner */
+  bool deleted; /* the record of this row was deleted before the job was known
+                   to have ended; the row expires at once */
+  bool withdrawing; /* this owner of the pool has appended the withdrawal */
   struct job_spec spec;
   uint32_t task_count; /* of one occurrence */
   struct occurrence *occurrences;
--- a/job/job_codec.c
+++ b/job/job_codec.c
@@ -49,9 +49,8 @@
 }
 
 int
-job_encode_spec (void *parent, const char *queue, const char *pool,
-                 int64_t accepted_ms, const struct job_spec *spec,
-                 uint8_t **data, size_t *len)
+job_encode_spec (void *parent, const struct job_acceptance *acc,
+                 const struct job_spec *spec, uint8_t **data, size_t *len)
 {
   int err = ERR_NOMEM;
   Kingcuphollow__JobSpec msg = KINGCUPHOLLOW__JOB_SPEC__INIT;
@@ -67,10 +66,14 @@
       msg.steps[n] = &steps[n];
     }
   msg.n_steps = spec->step_count;
-  msg.queue = (char *)queue;
-  msg.pool = (char *)pool;
+  msg.queue = (char *)acc->queue;
+  msg.pool = (char *)acc->pool;
   msg.spec = (char *)spec->spec;
-  msg.accepted_ms = (uint64_t)accepted_ms;
+  msg.accepted_ms = (uint64_t)acc->accepted_ms;
+  msg.config_version = acc->config_version;
+  msg.pool_uncertain = acc->pool_uncertain;
+  if (acc->withdrawn_pool)
+    msg.withdrawn_pool = (char *)acc->withdrawn_pool;
   msg.occurrences = spec->occurrences;
   msg.first_due_ms = (uint64_t)spec->first_due_ms;
   msg.interval_ms = (uint64_t)spec->interval_ms;
@@ -172,6 +175,8 @@
       msg.occurrences[msg.n_occurrences++] = &occs[n];
     }
   msg.token = token;
+  if (job->contested)
+    msg.pool = (char *)job->pool;
   *len = kingcuphollow__job_progress__get_packed_size (&msg);
   *data = talloc_size (parent, *len);
   err = *data ? 0 : ERR_NOMEM;
@@ -216,7 +221,9 @@
 {
   uint64_t tasks = 0;
   if (!msg->queue || strlen (msg->queue) >= NAME_BYTES || !msg->pool
-      || strlen (msg->pool) >= NAME_BYTES || msg->n_steps > JOB_STEPS_MAX
+      || strlen (msg->pool) >= NAME_BYTES
+      || strlen (msg->withdrawn_pool) >= NAME_BYTES
+      || msg->n_steps > JOB_STEPS_MAX
       || msg->occurrences > JOB_OCCURRENCES_MAX)
     return false;
   for (size_t n = 0; n < msg->n_steps; n++)
@@ -253,7 +260,8 @@
 }
 
 int
-job_decode_spec (struct job *job, const uint8_t *data, size_t len)
+job_decode_spec (struct job *job, const uint8_t *data, size_t len,
+                 char withdrawn_pool[NAME_BYTES])
 {
   Kingcuphollow__JobSpec *msg
       = kingcuphollow__job_spec__unpack (NULL, len, data);
@@ -263,6 +271,9 @@
   err = ERR_NOMEM;
   name_copy (job->queue, msg->queue);
   name_copy (job->pool, msg->pool);
+  name_copy (withdrawn_pool, msg->withdrawn_pool);
+  job->config_version = msg->config_version;
+  job->pool_uncertain = msg->pool_uncertain;
   job->accepted_ms = (int64_t)msg->accepted_ms;
   job->spec.spec = talloc_strdup (job, msg->spec);
   job->spec.occurrences = msg->occurrences;
@@ -282,6 +293,20 @@
   return err;
 }
 
+int
+job_decode_progress_pool (const uint8_t *data, size_t len,
+                          char pool[NAME_BYTES])
+{
+  Kingcuphollow__JobProgress *msg
+      = kingcuphollow__job_progress__unpack (NULL, len, data);
+  if (!msg)
+    return ERR_PROTOCOL;
+  bool fits = strlen (msg->pool) < NAME_BYTES;
+  name_copy (pool, fits ? msg->pool : "");
+  kingcuphollow__job_progress__free_unpacked (msg, NULL);
+  return fits ? 0 : ERR_PROTOCOL;
+}
+
 static void
 merge_task (struct job *job, struct occurrence *occ, uint32_t index,
             const Kingcuphollow__OccurrenceProgress *part, bool *changed,
--- a/job/job_codec.h
+++ b/job/job_codec.h
@@ -16,18 +16,34 @@
 void job_key_format (char kind, uint64_t id, char key[JOB_KEY_BYTES + 1]);
 bool job_key_parse (const char *key, size_t len, char *kind, uint64_t *id);
 
+/* What an entry process adds to a job that it accepts.  */
+struct job_acceptance
+{
+  const char *queue;
+  const char *pool;
+  int64_t accepted_ms;
+  uint64_t config_version;
+  bool pool_uncertain;
+  const char *withdrawn_pool; /* NULL: none; see proto/job.proto */
+};
+
 /* The encoders allocate *DATA in the talloc context PARENT and return 0 or
    ERR_NOMEM.  TOKEN is the claim token of the pool's owner.  */
-int job_encode_spec (void *parent, const char *queue, const char *pool,
-                     int64_t accepted_ms, const struct job_spec *spec,
-                     uint8_t **data, size_t *len);
+int job_encode_spec (void *parent, const struct job_acceptance *acc,
+                     const struct job_spec *spec, uint8_t **data, size_t *len);
 int job_encode_progress (void *parent, const struct job *job, uint64_t token,
                          uint8_t **data, size_t *len);
 
 /* Decodes a specification into JOB, a zeroed talloc context that becomes the
-   parent of everything it refers to.  Returns 0, ERR_PROTOCOL for a record
-   that is malformed or exceeds the limits in job.h, or ERR_NOMEM.  */
-int job_decode_spec (struct job *job, const uint8_t *data, size_t len);
+   parent of everything it refers to, and copies the name of the pool that the
+   record withdraws, or "".  Returns 0, ERR_PROTOCOL for a record that is
+   malformed or exceeds the limits in job.h, or ERR_NOMEM.  */
+int job_decode_spec (struct job *job, const uint8_t *data, size_t len,
+                     char withdrawn_pool[NAME_BYTES]);
+/* Copies the name of the pool that a progress record states, or "".  Returns 0
+   or ERR_PROTOCOL.  */
+int job_decode_progress_pool (const uint8_t *data, size_t len,
+                              char pool[NAME_BYTES]);
 
 /* Merges a progress record into JOB: done tasks stay done, and run numbers and
    failure counts never decrease.  Sets *CHANGED when the record contained
--- a/job/job_table.c
+++ b/job/job_table.c
@@ -24,16 +24,41 @@
       }
 }
 
+/* Functions of their own because clang-tidy counts the expanded uthash macro
+   towards the size of the function that contains it.  */
+static void
+link_job (struct job_table *tab, struct job *job)
+{
+  HASH_ADD (hh, tab->by_id, id, sizeof job->id, job);
+}
+
+static void
+unlink_job (struct job_table *tab, struct job *job)
+{
+  HASH_DEL (tab->by_id, job);
+}
+
+/* Frees all rows of the id of HEAD.  */
+static void
+remove_job (struct job_table *tab, struct job *head)
+{
+  unlink_job (tab, head);
+  tab->count--;
+  tab->contested -= head->contested;
+  while (head)
+    {
+      struct job *next = head->next_rival;
+      talloc_free (head);
+      head = next;
+    }
+}
+
 void
 job_table_fini (struct job_table *tab)
 {
   struct job *job, *next;
   HASH_ITER (hh, tab->by_id, job, next)
-    {
-      HASH_DEL (tab->by_id, job);
-      talloc_free (job);
-    }
-  tab->count = 0;
+    remove_job (tab, job);
   drop_early (tab, INT64_MAX);
 }
 
@@ -45,13 +70,100 @@
   return job;
 }
 
+static struct job *
+find_row (struct job *head, const char *pool)
+{
+  while (head && strcmp (head->pool, pool) != 0)
+    head = head->next_rival;
+  return head;
+}
+
+struct job *
+job_table_find_in (const struct job_table *tab, uint64_t id, const char *pool)
+{
+  return find_row (job_table_find (tab, id), pool);
+}
+
 static void
 add_job (struct job_table *tab, struct job *job)
 {
-  HASH_ADD (hh, tab->by_id, id, sizeof job->id, job);
+  link_job (tab, job);
   tab->count++;
 }
 
+static bool
+outranks (const struct job *a, const struct job *b)
+{
+  if (a->recorded != b->recorded)
+    return a->recorded;
+  if (a->config_version != b->config_version)
+    return a->config_version > b->config_version;
+  return strcmp (a->pool, b->pool) > 0;
+}
+
+/* Makes the row that holds the first one of those behind HEAD.  */
+static void
+choose_row (struct job_table *tab, struct job *head)
+{
+  struct job *best = head;
+  struct job *before = NULL;
+  for (struct job *job = head; job->next_rival; job = job->next_rival)
+    if (outranks (job->next_rival, best))
+      {
+        before = job;
+        best = job->next_rival;
+      }
+  if (!before)
+    return;
+  before->next_rival = best->next_rival;
+  best->next_rival = head;
+  unlink_job (tab, head);
+  link_job (tab, best);
+}
+
+static void
+add_rival (struct job_table *tab, struct job *head, struct job *job)
+{
+  tab->contested += !head->contested;
+  head->contested = job->contested = true;
+  job->next_rival = head->next_rival;
+  head->next_rival = job;
+  if (head->logged_state == JOB_CANCELLED && !head->deleted)
+    {
+      job->state = job->logged_state = JOB_CANCELLED;
+      job->ended_us = head->ended_us;
+    }
+  choose_row (tab, head);
+}
+
+/* Takes JOB, which is one of several rows behind HEAD, out of the table.  */
+static void
+withdraw_row (struct job_table *tab, struct job *head, struct job *job)
+{
+  struct job *first = head == job ? head->next_rival : head;
+  if (head == job)
+    {
+      unlink_job (tab, head);
+      link_job (tab, first);
+    }
+  else
+    {
+      struct job *before = head;
+      while (before->next_rival != job)
+        before = before->next_rival;
+      before->next_rival = job->next_rival;
+    }
+  job->next_rival = NULL;
+  if (!first->next_rival)
+    {
+      first->contested = false;
+      tab->contested--;
+    }
+  choose_row (tab, first);
+  if (!tab->withdrawn || tab->withdrawn (tab->arg, job))
+    talloc_free (job);
+}
+
 static struct early_cancellation *
 find_early (const struct job_table *tab, uint64_t id)
 {
@@ -84,72 +196,151 @@
 }
 
 static void
-cancel_job (struct job_fold_result *res, int64_t now_us)
+cancel_job (struct job *job, struct job_fold_result *res, int64_t now_us)
 {
-  res->job->state = res->job->logged_state = JOB_CANCELLED;
-  res->job->ended_us = now_us;
+  job->state = job->logged_state = JOB_CANCELLED;
+  job->ended_us = now_us;
   res->change = JOB_CHANGE_CANCELLED;
 }
 
-static int
-fold_spec (struct job_table *tab, void *parent, uint64_t offset, uint64_t id,
-           const uint8_t *value, size_t len, int64_t now_us,
-           struct job_fold_result *res)
+/* Adds JOB, unless its row is known: a client may repeat a request, and the
+   first record of a pool stays valid.  */
+static void
+add_spec (struct job_table *tab, struct job *job, int64_t now_us,
+          struct job_fold_result *res)
 {
-  res->job = job_table_find (tab, id);
-  if (res->job)
+  struct job *head = job_table_find (tab, job->id);
+  struct job *known = find_row (head, job->pool);
+  res->job = known ? known : job;
+  res->change = known ? JOB_CHANGE_REPEATED : JOB_CHANGE_NEW;
+  if (known)
+    talloc_free (job);
+  else if (head)
     {
-      /* A client may repeat a request; its first record stays valid.  */
-      res->change = JOB_CHANGE_REPEATED;
-      return 0;
+      bool deleted = head->deleted;
+      add_rival (tab, head, job);
+      if (deleted)
+        withdraw_row (tab, job_table_find (tab, job->id), head);
+    }
+  else
+    {
+      add_job (tab, job);
+      if (find_early (tab, job->id))
+        cancel_job (job, res, now_us);
     }
+}
+
+static int
+fold_spec (struct job_table *tab, void *parent, uint32_t part, uint64_t offset,
+           uint64_t id, const uint8_t *value, size_t len, int64_t now_us,
+           struct job_fold_result *res)
+{
+  char withdrawn[NAME_BYTES];
   struct job *job = talloc_zero (parent, struct job);
   if (!job)
     return ERR_NOMEM;
   job->id = id;
+  job->part = part;
   job->offset = offset;
   job->seen_us = now_us;
-  int err = job_decode_spec (job, value, len);
+  int err = job_decode_spec (job, value, len, withdrawn);
   if (err)
     {
       talloc_free (job);
       return err;
     }
-  add_job (tab, job);
-  res->job = job;
-  res->change = JOB_CHANGE_NEW;
-  if (find_early (tab, id))
-    cancel_job (res, now_us);
+  add_spec (tab, job, now_us, res);
+  struct job *other
+      = *withdrawn ? job_table_find_in (tab, id, withdrawn) : NULL;
+  if (other && other != res->job && other->part == part)
+    withdraw_row (tab, job_table_find (tab, id), other);
   return 0;
 }
 
-/* Handles the deletion of a job's specification, which the owner appends after
-   those of its other records when the job has ended and was kept long enough.
-   A process that read the specification by key may have missed the others: it
+/* Whether the rows behind HEAD, of which there are several, are all in
+   PART.  */
+static bool
+all_in_part (const struct job *head, uint32_t part)
+{
+  while (head && head->part == part)
+    head = head->next_rival;
+  return !head;
+}
+
+/* Handles the deletion of a job's specification.  If the job is known for
+   another pool, whose records are in another partition, the owner has
+   withdrawn it.  Otherwise the owner appends the deletion after those of the
+   job's other records when the job has ended and was kept long enough.  A
+   process that read the specification by key may have missed the others: it
    takes the job for one that has not ended.  */
 static void
-fold_deletion (struct job_table *tab, const char *key, size_t key_len,
-               struct job_fold_result *res)
+fold_deletion (struct job_table *tab, uint32_t part, const char *key,
+               size_t key_len, struct job_fold_result *res)
 {
   char kind;
   uint64_t id;
   if (!job_key_parse (key, key_len, &kind, &id) || kind != JOB_KEY_SPEC)
     return;
   struct job *job = job_table_find (tab, id);
-  if (!job || job->logged_state >= JOB_COMPLETED)
+  if (job && job->contested && !all_in_part (job, part))
+    {
+      struct job *next;
+      for (struct job *row = job; row; row = next)
+        {
+          next = row->next_rival;
+          if (row->part == part)
+            withdraw_row (tab, job_table_find (tab, id), row);
+        }
+      return;
+    }
+  if (!job || job->part != part || job->logged_state >= JOB_COMPLETED)
     return;
   res->job = job;
-  res->deleted = true;
+  res->deleted = job->deleted = true;
   /* The time in the past lets the job expire at once, and nothing is published
      of it.  */
-  cancel_job (res, INT64_MIN);
+  cancel_job (job, res, INT64_MIN);
   job->published = JOB_CANCELLED + 1;
 }
 
+/* The row behind HEAD that a progress record in PART belongs to.  A record
+   without the name of a pool is from an owner that knew of one row only.  */
+static struct job *
+progress_row (struct job *head, uint32_t part, const uint8_t *value,
+              size_t len)
+{
+  char pool[NAME_BYTES];
+  struct job *first = NULL;
+  if (!head->contested)
+    return head->part == part ? head : NULL;
+  if (job_decode_progress_pool (value, len, pool))
+    return NULL;
+  for (struct job *row = head; row; row = row->next_rival)
+    if (row->part == part
+        && (*pool ? strcmp (row->pool, pool) == 0
+                  : !first || row->offset < first->offset))
+      first = row;
+  return first;
+}
+
+/* An end that only this process knows is not in the log before the
+   cancellation.  */
+static void
+fold_cancellation (struct job *head, int64_t now_us,
+                   struct job_fold_result *res)
+{
+  struct job_fold_result ignored;
+  res->job = head;
+  for (struct job *row = head; row; row = row->next_rival)
+    if (row->logged_state < JOB_COMPLETED)
+      cancel_job (row, row == head ? res : &ignored, now_us);
+}
+
 int
-job_table_fold (struct job_table *tab, void *parent, uint64_t offset,
-                const char *key, size_t key_len, const uint8_t *value,
-                size_t value_len, int64_t now_us, struct job_fold_result *res)
+job_table_fold (struct job_table *tab, void *parent, uint32_t part,
+                uint64_t offset, const char *key, size_t key_len,
+                const uint8_t *value, size_t value_len, int64_t now_us,
+                struct job_fold_result *res)
 {
   char kind;
   uint64_t id;
@@ -157,26 +348,27 @@
   *res = (struct job_fold_result){ 0 };
   if (value_len == 0)
     {
-      fold_deletion (tab, key, key_len, res);
+      fold_deletion (tab, part, key, key_len, res);
       return 0;
     }
   if (!job_key_parse (key, key_len, &kind, &id))
     return ERR_PROTOCOL;
   if (kind == JOB_KEY_SPEC)
-    return fold_spec (tab, parent, offset, id, value, value_len, now_us, res);
-  res->job = job_table_find (tab, id);
-  if (!res->job)
+    return fold_spec (tab, parent, part, offset, id, value, value_len, now_us,
+                      res);
+  struct job *head = job_table_find (tab, id);
+  if (!head)
     return kind == JOB_KEY_CANCEL ? add_early (tab, parent, id, now_us) : 0;
   if (kind == JOB_KEY_CANCEL)
     {
-      /* An end that only this process knows is not in the log before the
-         cancellation.  */
-      if (res->job->logged_state < JOB_COMPLETED)
-        cancel_job (res, now_us);
+      fold_cancellation (head, now_us, res);
       return 0;
     }
   if (kind != JOB_KEY_PROGRESS)
     return ERR_PROTOCOL;
+  res->job = progress_row (head, part, value, value_len);
+  if (!res->job)
+    return 0;
   int err = job_merge_progress (res->job, value, value_len, &changed, &stale,
                                 &res->token);
   if (err)
@@ -184,6 +376,8 @@
   res->change = stale     ? JOB_CHANGE_STALE
                 : changed ? JOB_CHANGE_PROGRESS
                           : JOB_CHANGE_NONE;
+  res->job->recorded = true;
+  choose_row (tab, head);
   return 0;
 }
 
@@ -286,7 +480,7 @@
       job->occurrences[row.occurrence].tasks[row.task].failures++;
     }
   job->failed_run_count = kept;
-  job->scheduled = job->dirty = false;
+  job->scheduled = job->dirty = job->withdrawing = false;
   if (job->logged_state >= JOB_COMPLETED)
     return;
   job->state = job->started ? JOB_RUNNING : JOB_QUEUED;
@@ -310,14 +504,12 @@
   return false;
 }
 
-/* A function of its own because clang-tidy's analysis of the expanded uthash
-   macro fails where it stands twice in a file.  */
-static void
-remove_job (struct job_table *tab, struct job *job)
+static bool
+any_in_use (const struct job *head)
 {
-  HASH_DEL (tab->by_id, job);
-  tab->count--;
-  talloc_free (job);
+  while (head && !is_in_use (head))
+    head = head->next_rival;
+  return head != NULL;
 }
 
 void
@@ -326,8 +518,8 @@
 {
   struct job *job, *next;
   HASH_ITER (hh, tab->by_id, job, next)
-    if (job_ended (job) && job->ended_us < before_us && !is_in_use (job)
-        && (!fn || fn (arg, job)))
+    if (job_ended (job) && !job->contested && job->ended_us < before_us
+        && !is_in_use (job) && (!fn || fn (arg, job)))
       remove_job (tab, job);
   drop_early (tab, before_us);
 }
@@ -337,7 +529,7 @@
 {
   struct job *job, *next;
   HASH_ITER (hh, tab->by_id, job, next)
-    if (!is_in_use (job))
+    if (!any_in_use (job))
       remove_job (tab, job);
   drop_early (tab, INT64_MAX);
 }
--- a/job/job_table.h
+++ b/job/job_table.h
@@ -15,11 +15,26 @@
   int64_t read_us; /* monotonic time */
 };
 
+/* A request that is repeated under another configuration may be stored for
+   several pools: the table then has a row for each.  The rows that are known
+   decide which of them holds, whatever the order in which they were read: one
+   with recorded progress comes before the others, then the one with the
+   highest version of the configuration, then the last pool by name.  No task
+   is started while there is more than one; the owners of the other pools
+   withdraw theirs.  docs/design/jobs.md has the reasons.  */
+
+/* Tells that JOB was withdrawn.  Returns whether nothing refers to it, so that
+   it can be freed.  */
+typedef bool job_withdrawn_fn (void *arg, struct job *job);
+
 struct job_table
 {
-  struct job *by_id;
+  struct job *by_id; /* the row of each id that holds */
   size_t count;
+  size_t contested;                 /* ids with more than one row */
   struct early_cancellation *early; /* by id */
+  job_withdrawn_fn *withdrawn;      /* NULL: none */
+  void *arg;                        /* of WITHDRAWN */
 };
 
 /* The effect of a folded record on its job.  */
@@ -50,13 +65,13 @@
 void job_table_init (struct job_table *tab);
 void job_table_fini (struct job_table *tab);
 
-/* Folds the record at OFFSET of a partition; an OFFSET of 0 means that the
-   offset of the job's first record is not known.  PARENT becomes the talloc
-   parent of a new job.  Returns 0, ERR_PROTOCOL for a malformed record, or
-   ERR_NOMEM.  */
-int job_table_fold (struct job_table *tab, void *parent, uint64_t offset,
-                    const char *key, size_t key_len, const uint8_t *value,
-                    size_t value_len, int64_t now_us,
+/* Folds the record at OFFSET of the partition PART; an OFFSET of 0 means that
+   the offset of the job's first record is not known.  PARENT becomes the
+   talloc parent of a new job.  Returns 0, ERR_PROTOCOL for a malformed record,
+   or ERR_NOMEM.  */
+int job_table_fold (struct job_table *tab, void *parent, uint32_t part,
+                    uint64_t offset, const char *key, size_t key_len,
+                    const uint8_t *value, size_t value_len, int64_t now_us,
                     struct job_fold_result *res);
 
 /* Updates JOB's logged_state after a record with the result RES was folded and
@@ -64,7 +79,11 @@
 void job_update_logged_state (struct job *job,
                               const struct job_fold_result *res);
 
+/* Returns the row of the job ID that holds, or NULL.  */
 struct job *job_table_find (const struct job_table *tab, uint64_t id);
+/* Returns the row of the job ID for POOL, or NULL.  */
+struct job *job_table_find_in (const struct job_table *tab, uint64_t id,
+                               const char *pool);
 
 /* Recomputes the state of JOB from its tasks.  The job fails when a task that
    is not perpetual has failed ATTEMPTS times; 0: no limit.  A state in which
--- a/node/directory.c
+++ b/node/directory.c
@@ -229,6 +229,9 @@
       talloc_free (cat);
       return;
     }
+  catalog_note_pools (cat, nod->cat, clock_now_us (nod->clk));
+  if (!nod->cat)
+    nod->first_config_us = clock_now_us (nod->clk);
   talloc_free (nod->cat);
   nod->cat = cat;
   log_event (nod->lg, EV_CATALOG_IN_FORCE, LOG_I ("version", cat->version),
--- a/node/duties.c
+++ b/node/duties.c
@@ -167,6 +167,12 @@
              : 0;
 }
 
+static int64_t
+others_read_us (void *arg)
+{
+  return node_others_read_us (arg);
+}
+
 static void
 end_held_duty (struct held_duty *hld, const char *reason)
 {
@@ -230,6 +236,7 @@
     .cat = (const struct catalog *const *)&nod->cat,
     .persist = persist,
     .log_read_us = log_read_us,
+    .others_read_us = others_read_us,
     .wake = wake_placer,
     .arg = hld,
   };
@@ -556,7 +563,8 @@
 pool_has_unended_jobs (const struct node *nod, const char *pool)
 {
   for (const struct job *job = nod->jobs.by_id; job; job = job->hh.next)
-    if (!job_ended (job) && strcmp (job->pool, pool) == 0)
+    if ((!job_ended (job) && strcmp (job->pool, pool) == 0)
+        || (job->contested && job_table_find_in (&nod->jobs, job->id, pool)))
       return true;
   return false;
 }
--- a/node/job_partitions.c
+++ b/node/job_partitions.c
@@ -137,8 +137,9 @@
      offset 0 the job counts as older than any fence.  */
   uint64_t offset = follower_in_order (&prt->fol) ? rec->offset : 0;
   int64_t now_us = clock_now_us (nod->clk);
-  int err = job_table_fold (&nod->jobs, nod, offset, ent->key, ent->key_len,
-                            ent->value, ent->value_len, now_us, &res);
+  int err = job_table_fold (&nod->jobs, nod, prt->part, offset, ent->key,
+                            ent->key_len, ent->value, ent->value_len, now_us,
+                            &res);
   if (err)
     {
       log_event (nod->lg, EV_RECORD_INVALID, LOG_S ("topic", TOPIC_JOBS),
@@ -152,6 +153,8 @@
   job_update_state (res.job, que ? que->attempts : 0, now_us);
   job_update_logged_state (res.job, &res);
   log_cancellation (nod, &res);
+  if (res.job->contested && res.change == JOB_CHANGE_NEW)
+    node_note_rival (nod, res.job);
   struct held_duty *hld = node_held_duty (nod, res.job->pool);
   if (hld && hld->plc)
     node_note_job_state (hld, res.job);
@@ -372,6 +375,12 @@
   return known_us;
 }
 
+bool
+node_jobs_followed (const struct node *nod)
+{
+  return nod->follows_jobs && node_jobs_known_us (nod) > 0;
+}
+
 bool
 node_jobs_current (const struct node *nod)
 {
--- a/node/job_states.c
+++ b/node/job_states.c
@@ -166,7 +166,8 @@
       uint8_t value[STATE_VIEW_JOB_VALUE_BYTES];
       struct job *job
           = job_table_find (&hld->nod->jobs, hld->changed_jobs[done]);
-      if (!job || job->published == (uint8_t)(job->logged_state + 1))
+      if (!job || strcmp (job->pool, hld->pool) != 0
+          || job->published == (uint8_t)(job->logged_state + 1))
         continue;
       job_id_format (job->id, key);
       const struct topic_entry ent
--- a/node/node.c
+++ b/node/node.c
@@ -109,6 +109,8 @@
       || !tevent_add_signal (nod->ev, nod, SIGHUP, 0, on_hangup, nod))
     return ERR_NOMEM;
   job_table_init (&nod->jobs);
+  nod->jobs.withdrawn = node_drop_withdrawn;
+  nod->jobs.arg = nod;
   int err = http_client_init (&nod->cli, nod, nod->ev, 0);
   if (!err)
     err = post_client_init (&nod->worker_cli, nod, nod->ev,
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -214,7 +214,8 @@
   uint64_t run_id;
   int64_t started_us;
 
-  struct catalog *cat; /* NULL: no configuration read yet */
+  struct catalog *cat;     /* NULL: no configuration read yet */
+  int64_t first_config_us; /* when the first one was read */
   /* The names of the pools that have a queue, as of the configuration
      POOLS_CAT with POOLS_VERSION; see node_queue_pools.  */
   const char **queue_pools;
@@ -323,6 +324,8 @@
 bool node_pool_current (struct node *nod, const char *pool);
 /* Whether the records of all jobs are known as they were at most 3 s ago.  */
 bool node_jobs_current (const struct node *nod);
+/* Whether the records of all jobs have been read once.  */
+bool node_jobs_followed (const struct node *nod);
 /* Monotonic time as of which the records of all jobs, or in an entry process
    the published states, are known; 0 before they were read.  */
 int64_t node_jobs_known_us (const struct node *nod);
@@ -339,6 +342,23 @@
 /* Whether the store accepts appends to the partition in time.  */
 bool node_partition_writable (const struct job_partition *prt);
 
+/* node/job_rivals.c */
+/* Whether a job that is accepted now for QUE may also be stored for another
+   pool.  */
+bool node_pool_uncertain (const struct node *nod, const struct queue *que);
+/* Monotonic time as of which the records of all partitions but the duty's own
+   are known; 0 before they were read.  */
+int64_t node_others_read_us (const struct held_duty *hld);
+/* Brings that time up to now if they hold nothing new.  */
+void node_confirm_others (struct held_duty *hld);
+/* Notes that JOB is stored for another pool as well.  */
+void node_note_rival (struct node *nod, const struct job *job);
+/* The callback of the table for a row that was withdrawn.  */
+bool node_drop_withdrawn (void *arg, struct job *job);
+/* Withdraws the jobs that are stored for the duty's pool as well and hold for
+   another one.  */
+void node_withdraw_rivals (struct held_duty *hld);
+
 /* node/usage.c */
 /* Logs from time to time how much the process uses the store, and samples the
    ages of what it has read.  */
--- a/node/placer_timer.c
+++ b/node/placer_timer.c
@@ -25,6 +25,9 @@
     return;
   int64_t begun_us = clock_now_us (hld->nod->clk);
   int64_t next_us = placer_tick (hld->plc);
+  if (placer_awaits_others (hld->plc))
+    node_confirm_others (hld);
+  node_withdraw_rivals (hld);
   node_fleet_report (hld);
   node_update_admission (hld);
   node_publish_states (hld);
--- a/node/requests.c
+++ b/node/requests.c
@@ -248,12 +248,16 @@
 /* Whether this process knows that no earlier request has stored the job ID,
    which it does not know, so that it may say that the job never runs.  */
 static bool
-certainly_not_stored (struct node *nod, const char *pool, uint64_t id)
+certainly_not_stored (struct node *nod, const struct queue *que, uint64_t id)
 {
   if (is_being_stored (nod, id))
     return false;
-  return (node_pool_followed (nod, pool) && node_pool_current (nod, pool))
-         || node_published_pool (nod, pool);
+  /* It may be stored for the pool that the queue led to before.  */
+  if (node_pool_uncertain (nod, que))
+    return node_jobs_current (nod) || node_pools_published (nod);
+  return (node_pool_followed (nod, que->pool)
+          && node_pool_current (nod, que->pool))
+         || node_published_pool (nod, que->pool);
 }
 
 /* Whether to reject the job ID because its pool cannot do it in time; then
@@ -266,7 +270,7 @@
   for (size_t n = 0; n < spec->step_count; n++)
     if (spec->steps[n].perpetual)
       return false;
-  return spec->occurrences == 0 && certainly_not_stored (nod, que->pool, id)
+  return spec->occurrences == 0 && certainly_not_stored (nod, que, id)
          && !node_pool_accepts (nod, que->pool, id, retry_after_ms);
 }
 
@@ -302,9 +306,14 @@
     }
   void *ctx = talloc_new (nod);
   int err = wire_decode_job (ctx, req->body, req->body_len, &spec, &fault);
+  const struct job_acceptance acc
+      = { .queue = que->name,
+          .pool = que->pool,
+          .accepted_ms = clock_wall_ms (nod->clk),
+          .config_version = nod->cat->version,
+          .pool_uncertain = node_pool_uncertain (nod, que) };
   if (!err)
-    err = job_encode_spec (ctx, que->name, que->pool, clock_wall_ms (nod->clk),
-                           &spec, &data, &len);
+    err = job_encode_spec (ctx, &acc, &spec, &data, &len);
   if (err == ERR_INVALID)
     {
       log_request (nod, EV_JOB_INVALID, id, que->name, fault);
@@ -349,12 +358,21 @@
 }
 
 /* The job ID with the progress that the log holds, or NULL.  While the newest
-   records are read for the first time, a job may be known without it.  */
+   records are read for the first time, a job may be known without it, or
+   without a record in another partition that holds instead.  */
 static const struct job *
 known_job (struct node *nod, uint64_t id)
 {
   const struct job *job = job_table_find (&nod->jobs, id);
-  return job && node_pool_followed (nod, job->pool) ? job : NULL;
+  if (!job || job->deleted || !node_pool_followed (nod, job->pool))
+    return NULL;
+  const struct queue *que = catalog_queue (nod->cat, job->queue);
+  bool certain = que && strcmp (que->pool, job->pool) == 0
+                 && !job->pool_uncertain && !job->contested;
+  return certain || job->logged_state >= JOB_COMPLETED
+                 || node_jobs_followed (nod)
+             ? job
+             : NULL;
 }
 
 void
--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -751,7 +751,7 @@
   assert(message->base.descriptor == &kingcuphollow__wave_progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor kingcuphollow__job_spec__field_descriptors[8] =
+static const ProtobufCFieldDescriptor kingcuphollow__job_spec__field_descriptors[11] =
 {
   {
     "queue",
@@ -849,21 +849,60 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_version",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__JobSpec, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pool_uncertain",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__JobSpec, pool_uncertain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "withdrawn_pool",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__JobSpec, withdrawn_pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__job_spec__field_indices_by_name[] = {
   4,   /* field[4] = accepted_ms */
+  8,   /* field[8] = config_version */
   6,   /* field[6] = first_due_ms */
   7,   /* field[7] = interval_ms */
   5,   /* field[5] = occurrences */
   1,   /* field[1] = pool */
+  9,   /* field[9] = pool_uncertain */
   0,   /* field[0] = queue */
   2,   /* field[2] = spec */
   3,   /* field[3] = steps */
+  10,   /* field[10] = withdrawn_pool */
 };
 static const ProtobufCIntRange kingcuphollow__job_spec__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__job_spec__descriptor =
 {
@@ -873,7 +912,7 @@
   "Kingcuphollow__JobSpec",
   "kingcuphollow",
   sizeof(Kingcuphollow__JobSpec),
-  8,
+  11,
   kingcuphollow__job_spec__field_descriptors,
   kingcuphollow__job_spec__field_indices_by_name,
   1,  kingcuphollow__job_spec__number_ranges,
@@ -1139,7 +1178,7 @@
   (ProtobufCMessageInit) kingcuphollow__job_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__job_progress__field_descriptors[2] =
+static const ProtobufCFieldDescriptor kingcuphollow__job_progress__field_descriptors[3] =
 {
   {
     "occurrences",
@@ -1165,15 +1204,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pool",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__JobProgress, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__job_progress__field_indices_by_name[] = {
   0,   /* field[0] = occurrences */
+  2,   /* field[2] = pool */
   1,   /* field[1] = token */
 };
 static const ProtobufCIntRange kingcuphollow__job_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__job_progress__descriptor =
 {
@@ -1183,7 +1235,7 @@
   "Kingcuphollow__JobProgress",
   "kingcuphollow",
   sizeof(Kingcuphollow__JobProgress),
-  2,
+  3,
   kingcuphollow__job_progress__field_descriptors,
   kingcuphollow__job_progress__field_indices_by_name,
   1,  kingcuphollow__job_progress__number_ranges,
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -63,10 +63,25 @@
   uint32_t occurrences;
   uint64_t first_due_ms;
   uint64_t interval_ms;
+  /*
+   * Version of the configuration under which the job was accepted; 0: not
+   * stated, as in records of earlier versions.
+   */
+  uint64_t config_version;
+  /*
+   * The entry process had known only for a short time that the queue leads to
+   * the pool, so that the job may be stored for another pool as well.
+   */
+  protobuf_c_boolean pool_uncertain;
+  /*
+   * The owner of this pool has withdrawn the job's specification for it, which
+   * had the same key.
+   */
+  char *withdrawn_pool;
 };
 #define KINGCUPHOLLOW__JOB_SPEC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__job_spec__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Kingcuphollow__JobStep
@@ -115,10 +130,15 @@
    * Claim token of the owner that wrote the record.
    */
   uint64_t token;
+  /*
+   * The owner's pool, if the owner knew that the job is stored for another pool
+   * as well.
+   */
+  char *pool;
 };
 #define KINGCUPHOLLOW__JOB_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__job_progress__descriptor) \
-    , 0,NULL, 0 }
+    , 0,NULL, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Kingcuphollow__OccurrenceProgress
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -68,8 +68,14 @@
       }
 }
 
-static void
-stop_job (struct placer *plc, struct job *job)
+struct job *
+placer_find_job (const struct placer *plc, uint64_t id)
+{
+  return job_table_find_in (plc->env.jobs, id, plc->set.pool);
+}
+
+void
+placer_stop_job (struct placer *plc, struct job *job)
 {
   for (uint32_t n = 0; n < job->occurrence_count; n++)
     for (uint32_t m = 0; m < job->task_count; m++)
@@ -97,7 +103,7 @@
       LOG_S ("queue", job->queue),
       LOG_S ("state", job->state == JOB_COMPLETED ? "completed" : "failed"),
       LOG_I ("goal_left_ms", job->goal_ms - clock_wall_ms (plc->env.clk)));
-  stop_job (plc, job);
+  placer_stop_job (plc, job);
 }
 
 static bool
@@ -153,7 +159,7 @@
       set_goal (plc, job);
     }
   else if (change == JOB_CHANGE_CANCELLED)
-    stop_job (plc, job);
+    placer_stop_job (plc, job);
   else if (change == JOB_CHANGE_STALE)
     placer_mark_dirty (plc, job);
 }
@@ -430,8 +436,8 @@
     }
 }
 
-static bool
-job_has_runs (const struct job *job)
+bool
+placer_job_has_runs (const struct job *job)
 {
   for (uint32_t n = 0; n < job->occurrence_count; n++)
     for (uint32_t m = 0; m < job->task_count; m++)
@@ -447,7 +453,8 @@
   for (size_t n = 0; n < plc->job_count; n++)
     {
       struct job *job = plc->jobs[n];
-      job->scheduled = !job_ended (job) || job->dirty || job_has_runs (job);
+      job->scheduled
+          = !job_ended (job) || job->dirty || placer_job_has_runs (job);
       if (job->scheduled)
         plc->jobs[kept++] = job;
     }
@@ -472,13 +479,14 @@
   plc->start_limit_reached = false;
   plc->starts_sent = plc->starts_checked = 0;
   plc->tick_too_long = false;
+  plc->awaits_others = false;
   plc->last_pick = NULL;
   plc->waiting_cpu_milli = 0;
   for (size_t n = 0; cands && n < plc->job_count; n++)
     {
       struct job *job = plc->jobs[n];
       const struct queue *que = catalog_queue (*plc->env.cat, job->queue);
-      if (job_ended (job))
+      if (job_ended (job) || !placer_pool_certain (plc, job, que, now_us))
         continue;
       cands[count].job = job;
       cands[count++].key
@@ -649,8 +657,9 @@
   plc->confirmed_us = set->confirmed_us;
   plc->earlier_leases_end_us = plc->claimed_us + set->confirm_ms * 1000
                                + placer_lease_span_us (set->lease_max_ms);
-  for (struct job *job = env->jobs->by_id; job; job = job->hh.next)
-    placer_update_job (plc, job, JOB_CHANGE_NEW);
+  for (struct job *head = env->jobs->by_id; head; head = head->hh.next)
+    for (struct job *job = head; job; job = job->next_rival)
+      placer_update_job (plc, job, JOB_CHANGE_NEW);
   return plc;
 }
 
@@ -665,9 +674,12 @@
   for (size_t n = 0; n < plc->pool.count; n++)
     while (plc->pool.workers[n]->runs)
       placer_remove_run (plc, plc->pool.workers[n]->runs);
-  for (struct job *job = plc->env.jobs->by_id; job; job = job->hh.next)
-    if (strcmp (job->pool, plc->set.pool) == 0)
-      job_revert_to_log (job);
+  for (struct job *head = plc->env.jobs->by_id; head; head = head->hh.next)
+    {
+      struct job *job = placer_find_job (plc, head->id);
+      if (job)
+        job_revert_to_log (job);
+    }
   plc->closing = true;
   if (plc->calls_in_flight == 0)
     talloc_free (plc);
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -50,6 +50,9 @@
      records appended before it are known.  0: they do not show the log as it
      was at one point in its history.  */
   int64_t (*log_read_us) (void *arg);
+  /* The monotonic time for which the jobs of all other pools are known; 0: not
+     known.  NULL: there are no other pools.  */
+  int64_t (*others_read_us) (void *arg);
   /* Asks for a call of placer_tick soon.  */
   void (*wake) (void *arg);
   void *arg;
@@ -122,6 +125,21 @@
  */
 void placer_note_fence (struct placer *plc, uint64_t token);
 
+/* Whether a job that may be stored for another pool as well is not started
+   before the jobs of the other pools are known as they are now.  */
+bool placer_awaits_others (const struct placer *plc);
+
+/* Whether the pool gives up JOB, which is stored for another pool as well and
+   does not hold here: nothing of it was started, or nothing runs any more if
+   the other pool has recorded progress.  Otherwise the placer stops what runs,
+   or records that it has started the job.  */
+bool placer_may_withdraw (struct placer *plc, struct job *job,
+                          bool other_recorded);
+
+/* Gives up JOB, which is about to be freed.  Returns false if the placer still
+   refers to it.  */
+bool placer_drop_job (struct placer *plc, struct job *job);
+
 /* Whether runs of an ended worker instance are kept only until ownership is
    confirmed.  */
 bool placer_needs_confirmation (const struct placer *plc);
--- a/sched/placer_flush.c
+++ b/sched/placer_flush.c
@@ -138,7 +138,7 @@
           char kind;
           uint64_t id;
           job_key_parse (entries[n].key, JOB_KEY_BYTES, &kind, &id);
-          struct job *job = job_table_find (plc->env.jobs, id);
+          struct job *job = placer_find_job (plc, id);
           if (job)
             placer_mark_dirty (plc, job);
         }
--- a/sched/placer_gang.c
+++ b/sched/placer_gang.c
@@ -231,7 +231,7 @@
 static void
 release_claim (struct placer *plc)
 {
-  struct job *job = job_table_find (plc->env.jobs, plc->gang.ref.job);
+  struct job *job = placer_find_job (plc, plc->gang.ref.job);
   if (plc->gang.claimed && job)
     unreserve_first (plc, job, &plc->gang.ref,
                      job->spec.steps[plc->gang.ref.step].count);
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -145,7 +145,7 @@
 apply_end (struct placer *plc, struct worker *wrk, const struct ended_row *row,
            int64_t now_us)
 {
-  struct job *job = job_table_find (plc->env.jobs, row->task.job);
+  struct job *job = placer_find_job (plc, row->task.job);
   struct task *tsk = job ? job_task (job, &row->task) : NULL;
   log_end (plc, wrk, row);
   if (!tsk)
@@ -199,7 +199,7 @@
 apply_running (struct placer *plc, struct worker *wrk,
                const struct running_row *row, int64_t sent_us, int64_t now_us)
 {
-  struct job *job = job_table_find (plc->env.jobs, row->task.job);
+  struct job *job = placer_find_job (plc, row->task.job);
   struct task *tsk = job ? job_task (job, &row->task) : NULL;
   if (!tsk)
     {
--- a/sched/placer_late.c
+++ b/sched/placer_late.c
@@ -70,7 +70,7 @@
 remove_late_start (struct placer *plc, size_t index)
 {
   const struct late_start *late = &plc->late_starts[index];
-  struct job *job = job_table_find (plc->env.jobs, late->ref.job);
+  struct job *job = placer_find_job (plc, late->ref.job);
   struct task *tsk = job ? job_task (job, &late->ref) : NULL;
   if (tsk && tsk->late_starts > 0 && --tsk->late_starts == 0)
     tsk->late_worker = 0;
@@ -209,7 +209,7 @@
   for (size_t n = plc->late_start_count; n-- > 0;)
     {
       const struct late_start late = plc->late_starts[n];
-      struct job *job = job_table_find (plc->env.jobs, late.ref.job);
+      struct job *job = placer_find_job (plc, late.ref.job);
       if (is_over (&late, now_us) || late.earlier
           || strcmp (late.worker, wrk->rep.id) != 0)
         continue;
@@ -260,7 +260,7 @@
 void
 placer_add_earlier_start (struct placer *plc, const struct late_start *late)
 {
-  struct job *job = job_table_find (plc->env.jobs, late->ref.job);
+  struct job *job = placer_find_job (plc, late->ref.job);
   struct task *tsk = job ? job_task (job, &late->ref) : NULL;
   if (!tsk)
     return;
@@ -290,7 +290,7 @@
   for (size_t n = 0; n < plc->late_start_count; n++)
     {
       const struct late_start *late = &plc->late_starts[n];
-      struct job *job = job_table_find (plc->env.jobs, late->ref.job);
+      struct job *job = placer_find_job (plc, late->ref.job);
       struct task *tsk = job ? job_task (job, &late->ref) : NULL;
       int64_t over_us = late->sent_us + LATE_CALL_MAX_US;
       if (strcmp (late->worker, wrk->rep.id) != 0)
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -138,12 +138,22 @@
   WAIT_KINDS  /* number of these */
 };
 
+/* Bound on the transit time of a command.  */
+#define COMMAND_TRANSIT_US 500000
+/* A task of a cancelled job may start for this time after the cancellation was
+   acknowledged.  */
+#define CANCEL_EFFECT_US 3000000
+/* An owner that read the jobs longer ago starts nothing: a cancellation that
+   it does not know may have been acknowledged since.  */
+#define LOG_AGE_MAX_US (CANCEL_EFFECT_US - COMMAND_TRANSIT_US)
+
 struct placer
 {
   struct placer_settings set;
   struct placer_env env;
   struct pool pool;
   uint64_t worker_changes; /* see placer_worker_changes */
+  bool awaits_others;      /* see placer_awaits_others; of the last tick */
   int64_t claimed_us;      /* when this owner's placer was created */
   int64_t confirmed_us;    /* latest time for which ownership is confirmed */
   bool fenced;             /* a worker or the log has seen a later owner */
@@ -510,6 +520,12 @@
 bool placer_may_still_run (const struct placer *plc, const struct job *job,
                            const struct task *tsk);
 
+/* placer_rival.c */
+/* Whether tasks of JOB may be started here, as the job is stored for no other
+   pool.  QUE is its queue; NULL: removed.  */
+bool placer_pool_certain (struct placer *plc, const struct job *job,
+                          const struct queue *que, int64_t now_us);
+
 /* placer_enrol.c */
 /* Appends the pool's worker record to the log if it has changed.  */
 void placer_enrol (struct placer *plc);
@@ -594,6 +610,11 @@
 void placer_evacuate (struct placer *plc, struct worker *wrk, int64_t now_us);
 
 /* placer.c */
+/* Returns the job ID as it is stored for this pool, or NULL.  */
+struct job *placer_find_job (const struct placer *plc, uint64_t id);
+/* Stops the runs of JOB, and drops its reservations.  */
+void placer_stop_job (struct placer *plc, struct job *job);
+bool placer_job_has_runs (const struct job *job);
 /* Notes that a source other than the worker reports its instance as ended. The
    runs are kept until ownership is confirmed after this time, because a later
    owner may already have recorded their ends, and as long as the instance
--- a/sched/placer_takeover.c
+++ b/sched/placer_takeover.c
@@ -5,15 +5,6 @@
 /* Whether this owner may send commands, and what earlier owners may still have
    started.  */
 
-/* Bound on the transit time of a command.  */
-#define COMMAND_TRANSIT_US 500000
-/* A task of a cancelled job may start for this time after the cancellation was
-   acknowledged.  */
-#define CANCEL_EFFECT_US 3000000
-/* An owner that read the jobs longer ago starts nothing: a cancellation that
-   it does not know may have been acknowledged since.  */
-#define LOG_AGE_MAX_US (CANCEL_EFFECT_US - COMMAND_TRANSIT_US)
-
 bool
 placer_may_command (const struct placer *plc, int64_t now_us)
 {
--- a/sched/placer_unplaced.c
+++ b/sched/placer_unplaced.c
@@ -108,7 +108,7 @@
   for (size_t n = 0; n < plc->unplaced_count; n++)
     {
       struct unplaced_task *row = &plc->unplaced[n];
-      struct job *job = job_table_find (plc->env.jobs, row->ref.job);
+      struct job *job = placer_find_job (plc, row->ref.job);
       if (plc->unplaced_reports >= UNPLACED_REPORTS_MAX)
         return;
       if ((row->reported_us > 0) != reported || !job
--- a/store/follower.c
+++ b/store/follower.c
@@ -28,6 +28,8 @@
   struct read_pace pace;
   struct timer *timer;
   uint64_t next_offset;
+  bool first_read;        /* the first page has been read */
+  bool began_empty;       /* it told of no records before */
   uint64_t newest_end;    /* of the partition, when the read of the newest
                              records began */
   uint64_t delivered_end; /* the pages of newest records show none at or after
@@ -36,7 +38,10 @@
   int64_t read_wait_ms; /* of the call in progress */
   int64_t caught_up_us;
   bool in_call;
-  bool finished; /* follower_fini ran; freed when the call in progress ends */
+  bool in_confirm; /* a read of follower_confirm is in progress */
+  int64_t confirm_sent_us;
+  uint64_t confirm_offset;
+  bool finished; /* follower_fini ran; freed when the calls in progress end */
   bool in_order;
   bool at_end;          /* no call has failed since the end was reached */
   bool restart_pending; /* the next call reads the newest records again */
@@ -135,11 +140,31 @@
 {
   bool finished = p->finished;
   p->in_call = false;
-  if (finished)
+  if (finished && !p->in_confirm)
     talloc_free (p);
   return finished;
 }
 
+static void
+on_confirm (void *arg, const struct topic_read_result *res)
+{
+  struct priv *p = arg;
+  p->in_confirm = false;
+  if (p->finished)
+    {
+      if (!p->in_call)
+        talloc_free (p);
+      return;
+    }
+  /* Records that this read found are delivered by the other one.  */
+  if (!p->in_order || !p->at_end || res->err || res->count > 0
+      || res->end_offset > p->confirm_offset
+      || p->caught_up_us >= p->confirm_sent_us)
+    return;
+  p->caught_up_us = p->confirm_sent_us;
+  p->batch_fn (p->arg);
+}
+
 /* Moves to the last key of the page RES.  An item that cannot be read has an
    empty key, which comes before all others; the next page then begins with
    that item.  Returns false when the next page would be one that was read
@@ -181,6 +206,9 @@
     }
   if (p->first_page)
     p->newest_end = res->end_offset;
+  if (!p->first_read)
+    p->began_empty = res->end_offset == 0;
+  p->first_read = true;
   p->first_page = false;
   /* A page also shows what was deleted up to the end that it names, by the
      absence of keys.  */
@@ -303,7 +331,7 @@
     return;
   TALLOC_FREE (p->timer);
   p->finished = true;
-  if (!p->in_call)
+  if (!p->in_call && !p->in_confirm)
     talloc_free (p);
 }
 
@@ -329,6 +357,20 @@
   return p->in_call && p->read_started_us > recent_us;
 }
 
+void
+follower_confirm (struct follower *fol)
+{
+  struct priv *p = fol->priv;
+  if (!p->at_end || p->in_confirm)
+    return;
+  p->confirm_sent_us = clock_now_us (p->clk);
+  p->confirm_offset = p->next_offset;
+  p->in_confirm
+      = topic_read (p->st, p->set.topic, p->set.part, p->next_offset,
+                    p->pace.page_kb, 0, p->pace.timeout_ms, on_confirm, p)
+        == 0;
+}
+
 bool
 follower_restarted (const struct follower *fol)
 {
@@ -359,6 +401,12 @@
   return fol->priv->caught_up_us != 0;
 }
 
+bool
+follower_began_empty (const struct follower *fol)
+{
+  return fol->priv->began_empty;
+}
+
 bool
 follower_in_order (const struct follower *fol)
 {
--- a/store/follower.h
+++ b/store/follower.h
@@ -60,6 +60,11 @@
    if not, the records known are that recent or cannot be read at present.  */
 bool follower_read_now (struct follower *fol, int64_t answer_ms);
 
+/* Asks the store, beside a read that waits for records, whether the partition
+   ends where FOL has read to; if so, all records up to now are known.  Does
+   nothing while the newest records are read or the last answer is awaited.  */
+void follower_confirm (struct follower *fol);
+
 /* Whether the newest record of each key has been read since the last call of
    follower_restart.  */
 bool follower_restarted (const struct follower *fol);
@@ -80,6 +85,9 @@
 /* Whether the end of the partition has been reached at least once.  */
 bool follower_caught_up (const struct follower *fol);
 
+/* Whether the partition had no records when it was first read.  */
+bool follower_began_empty (const struct follower *fol);
+
 /* Whether records are currently read in offset order, and not as the newest
    record of each key.  */
 bool follower_in_order (const struct follower *fol);
--- a/test/load/owner_cost.c
+++ b/test/load/owner_cost.c
@@ -164,7 +164,7 @@
   char key[JOB_KEY_BYTES + 1];
   struct job_fold_result res;
   job_key_format (JOB_KEY_SPEC, ++ben->next_job, key);
-  if (job_table_fold (&ben->jobs, ben->ev, 100 + ben->next_job, key,
+  if (job_table_fold (&ben->jobs, ben->ev, 0, 100 + ben->next_job, key,
                       JOB_KEY_BYTES, ben->spec, ben->spec_len,
                       clock_now_us (&clock_system), &res)
       || !res.job)
@@ -208,7 +208,11 @@
             TASKS_PER_JOB, TASK_CPU_MILLI, OWNER_WORK_MS);
   if (wire_decode_job (ben->ev, (const uint8_t *)json, strlen (json), &spec,
                        &fault)
-      || job_encode_spec (ben->ev, "q", POOL, clock_wall_ms (&clock_system),
+      || job_encode_spec (ben->ev,
+                          &(struct job_acceptance){
+                              .queue = "q",
+                              .pool = POOL,
+                              .accepted_ms = clock_wall_ms (&clock_system) },
                           &spec, &ben->spec, &ben->spec_len))
     fail ("the job's specification was not taken");
 }
--- a/test/unit/instance_faults.c
+++ b/test/unit/instance_faults.c
@@ -332,8 +332,12 @@
             count, perpetual ? "\"perpetual\":true" : "\"estimate-ms\":4000");
   if (wire_decode_job (mdl, (const uint8_t *)json, strlen (json), &spec,
                        &fault)
-      || job_encode_spec (mdl, "q", MODEL_POOL, mdl->now_us / MS, &spec, &data,
-                          &len))
+      || job_encode_spec (
+          mdl,
+          &(struct job_acceptance){ .queue = "q",
+                                    .pool = MODEL_POOL,
+                                    .accepted_ms = mdl->now_us / MS },
+          &spec, &data, &len))
     return;
   append_job_record (mdl, JOB_KEY_SPEC, id, data, len);
   for (uint32_t n = 0; n < count; n++)
--- a/test/unit/instance_owner.c
+++ b/test/unit/instance_owner.c
@@ -469,7 +469,7 @@
 apply_job (struct owner *own, size_t offset, const struct model_record *rec)
 {
   struct job_fold_result res;
-  if (job_table_fold (&own->jobs, own->ctx, offset, rec->key, rec->key_len,
+  if (job_table_fold (&own->jobs, own->ctx, 0, offset, rec->key, rec->key_len,
                       rec->data, rec->len, own_us (own), &res)
       || !res.job || res.change == JOB_CHANGE_REPEATED)
     return;
--- a/test/unit/job_help.c
+++ b/test/unit/job_help.c
@@ -14,7 +14,7 @@
   struct job_fold_result res;
   char key[JOB_KEY_BYTES + 1];
   job_key_format (kind, id, key);
-  ck_assert_int_eq (job_table_fold (tab, parent, offset, key, JOB_KEY_BYTES,
+  ck_assert_int_eq (job_table_fold (tab, parent, 0, offset, key, JOB_KEY_BYTES,
                                     data, len, now_us, &res),
                     0);
   return res;
@@ -34,7 +34,11 @@
                                      &spec, &fault),
                     0);
   ck_assert_int_eq (
-      job_encode_spec (ctx, "q", "p", wall_ms, &spec, &data, &len), 0);
+      job_encode_spec (ctx,
+                       &(struct job_acceptance){
+                           .queue = "q", .pool = "p", .accepted_ms = wall_ms },
+                       &spec, &data, &len),
+      0);
   struct job_fold_result res
       = fold_at (tab, parent, offset, JOB_KEY_SPEC, id, data, len, now_us);
   talloc_free (ctx);
--- a/test/unit/node_world.c
+++ b/test/unit/node_world.c
@@ -209,6 +209,8 @@
   nod->job_partitions
       = talloc_zero_array (nod, struct job_partition *, set.partitions);
   job_table_init (&nod->jobs);
+  nod->jobs.withdrawn = node_drop_withdrawn;
+  nod->jobs.arg = nod;
   topic_memory_init (&wld->mem, nod->ev);
   nod->store.st.drv = &topic_memory_driver;
   nod->worker_link.lnk.drv = &worker_driver;
@@ -308,7 +310,12 @@
   ck_assert_int_eq (wire_decode_job (ctx, (const uint8_t *)json, strlen (json),
                                      &spec, &fault),
                     0);
-  ck_assert_int_eq (job_encode_spec (ctx, "q", "p", 1, &spec, &data, &len), 0);
+  ck_assert_int_eq (
+      job_encode_spec (ctx,
+                       &(struct job_acceptance){
+                           .queue = "q", .pool = "p", .accepted_ms = 1 },
+                       &spec, &data, &len),
+      0);
   job_key_format (JOB_KEY_SPEC, id, key);
   topic_memory_add (wld->jobs, key, data, len);
   talloc_free (ctx);
--- a/test/unit/unit_job.c
+++ b/test/unit/unit_job.c
@@ -211,8 +211,12 @@
   ck_assert_int_eq (wire_decode_job (ctx, (const uint8_t *)json, strlen (json),
                                      &spec, &fault),
                     0);
-  ck_assert_int_eq (job_encode_spec (ctx, "q", "p", 1001, &spec, &data, &len),
-                    0);
+  ck_assert_int_eq (
+      job_encode_spec (ctx,
+                       &(struct job_acceptance){
+                           .queue = "q", .pool = "p", .accepted_ms = 1001 },
+                       &spec, &data, &len),
+      0);
   struct job_fold_result res
       = help_fold (&tab, ctx, JOB_KEY_SPEC, 7, data, len);
   ck_assert_ptr_eq (res.job, job);
@@ -317,11 +321,11 @@
   struct job_fold_result res;
   char key[JOB_KEY_BYTES + 1];
   job_key_format (JOB_KEY_SPEC, 9, key);
-  ck_assert_int_eq (job_table_fold (&tab, ctx, 1, key, JOB_KEY_BYTES, junk,
+  ck_assert_int_eq (job_table_fold (&tab, ctx, 0, 1, key, JOB_KEY_BYTES, junk,
                                     sizeof junk, 0, &res),
                     ERR_PROTOCOL);
   ck_assert_int_eq (
-      job_table_fold (&tab, ctx, 1, "x", 1, junk, sizeof junk, 0, &res),
+      job_table_fold (&tab, ctx, 0, 1, "x", 1, junk, sizeof junk, 0, &res),
       ERR_PROTOCOL);
   ck_assert_uint_eq (tab.count, 0);
 }
--- /dev/null
+++ b/test/unit/unit_node_rivals.c
@@ -0,0 +1,247 @@
+#include <check.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "job/job_codec.h"
+#include "node_world.h"
+
+/* A whole scheduler process (node/) and jobs that are stored for two pools:
+   "p", to which the queue leads, and another one.  The workers of the test
+   lose each run at once, so that a task is started again and again.  */
+
+#define ID 7
+#define ID_TEXT "0000000000000007"
+#define SPEC_KEY ID_TEXT "j"
+#define PROGRESS_KEY ID_TEXT "p"
+
+static struct node_world wld;
+static struct memory_part *other; /* partition of the other pool */
+static char other_pool[2];
+static struct queue queues[2]; /* of the two pools */
+
+/* Starts the process with an empty store.  The other pool's records are in the
+   same partition if SAME_PART.  */
+static void
+create (bool same_part)
+{
+  node_world_create (&wld, false);
+  strcpy (other_pool, "a");
+  while ((node_job_partition (wld.nod, other_pool)->part == wld.jobs->part)
+         != same_part)
+    other_pool[0]++;
+  queues[0] = wld.cat.queues[0];
+  queues[1] = (struct queue){
+    .name = "o", .host = "h", .path_prefix = "/o/", .pool = other_pool
+  };
+  wld.cat.queues = queues;
+  wld.cat.queue_count = 2;
+  catalog_sort (&wld.cat);
+  wld.cat.version++;
+  other = topic_memory_part (&wld.mem, TOPIC_JOBS,
+                             node_job_partition (wld.nod, other_pool)->part);
+}
+
+static void
+add_spec (const char *pool, uint64_t version, bool uncertain)
+{
+  struct step stp = { .count = 1,
+                      .need = { .cpu_milli = 1000 },
+                      .required_label = "",
+                      .data_rack = "",
+                      .image = "" };
+  const struct job_spec spec = { .spec = "s", .steps = &stp, .step_count = 1 };
+  const struct job_acceptance acc = { .queue = "q",
+                                      .pool = pool,
+                                      .accepted_ms = 1,
+                                      .config_version = version,
+                                      .pool_uncertain = uncertain };
+  uint8_t *data;
+  size_t len;
+  void *ctx = talloc_new (NULL);
+  ck_assert_int_eq (job_encode_spec (ctx, &acc, &spec, &data, &len), 0);
+  topic_memory_add (strcmp (pool, "p") == 0 ? wld.jobs : other, SPEC_KEY, data,
+                    len);
+  talloc_free (ctx);
+}
+
+static void
+own (const char *pool)
+{
+  node_world_claim (&wld, pool, "n1", NODE_WORLD_BOOT, false);
+  node_world_run (&wld, 300);
+  ck_assert_ptr_nonnull (node_held_duty (wld.nod, pool));
+  ck_assert_ptr_nonnull (node_held_duty (wld.nod, pool)->plc);
+}
+
+/* Lets the process own "p", with a worker that has answered.  */
+static void
+own_pool (void)
+{
+  own ("p");
+  node_world_add_worker (&wld, "w1");
+  node_world_run (&wld, 300);
+}
+
+static const struct job *
+job (void)
+{
+  const struct job *row = job_table_find (&wld.nod->jobs, ID);
+  ck_assert_ptr_nonnull (row);
+  return row;
+}
+
+/* Whether the newest record of the specification in PRT is a deletion.  */
+static bool
+is_deleted (const struct memory_part *prt)
+{
+  int64_t offset = topic_memory_find (prt, SPEC_KEY);
+  ck_assert_int_ge (offset, 0);
+  return prt->records[offset].value_len == 0;
+}
+
+/* Guards against processes that disagree on the pool of a job (TWICE, LOST),
+   as they have read the two partitions in different orders.  */
+START_TEST (test_partitions_in_any_order)
+{
+  create (false);
+  struct memory_part *first = _i == 0 ? wld.jobs : other;
+  struct memory_part *second = _i == 0 ? other : wld.jobs;
+  node_world_run (&wld, 300);
+  second->hold_reads = true;
+  add_spec (other_pool, 1, false);
+  add_spec ("p", 2, false);
+  node_world_run (&wld, 200);
+  second->hold_reads = false;
+  while (topic_memory_run_held (second))
+    ;
+  node_world_run (&wld, 1500);
+  ck_assert_uint_gt (first->end, 0);
+  ck_assert_str_eq (job ()->pool, "p");
+  node_world_fini (&wld);
+}
+END_TEST
+
+/* Guards against two owners that run a job, each for a pool that it was stored
+   for (TWICE): the owner of one pool withdraws it, in another partition or
+   with the same key, and the other one starts it only then.  */
+START_TEST (test_loser_withdraws)
+{
+  bool same_part = _i == 1;
+  create (same_part);
+  own_pool ();
+  add_spec (other_pool, 2, false);
+  node_world_run (&wld, 1500);
+  add_spec ("p", 1, false);
+  node_world_run (&wld, 500);
+  ck_assert_uint_eq (wld.starts, 0);
+  ck_assert_str_eq (job ()->pool, other_pool);
+  ck_assert (!job ()->contested);
+  ck_assert (is_deleted (wld.jobs) == !same_part);
+  /* A process that reads the newest record of each key.  */
+  follower_restart (&node_job_partition (wld.nod, "p")->fol);
+  node_world_run (&wld, 1500);
+  ck_assert_str_eq (job ()->pool, other_pool);
+  ck_assert (!job ()->contested);
+  node_world_fini (&wld);
+}
+END_TEST
+
+START_TEST (test_winner_awaits_withdrawal)
+{
+  create (false);
+  node_world_claim (&wld, other_pool, "n2", 1, false);
+  own_pool ();
+  other->hold_appends = true; /* this process may claim the pool */
+  add_spec (other_pool, 1, false);
+  node_world_run (&wld, 1500);
+  add_spec ("p", 2, false);
+  node_world_run (&wld, 500);
+  ck_assert_str_eq (job ()->pool, "p");
+  ck_assert (job ()->contested);
+  ck_assert_uint_eq (wld.starts, 0);
+  topic_memory_add (other, SPEC_KEY, NULL, 0);
+  node_world_run (&wld, 1500);
+  ck_assert (!job ()->contested);
+  ck_assert_uint_gt (wld.starts, 0);
+  node_world_fini (&wld);
+}
+END_TEST
+
+/* Guards against the stop, or a second run, of what was started before a late
+   repeat of the request was stored for another pool.  */
+START_TEST (test_started_job_stays)
+{
+  bool same_part = _i == 1;
+  create (same_part);
+  own_pool ();
+  add_spec ("p", 1, false);
+  node_world_run (&wld, 300);
+  ck_assert_uint_gt (wld.starts, 0);
+  own (other_pool);
+  add_spec (other_pool, 2, false);
+  node_world_run (&wld, 1500);
+  ck_assert_str_eq (job ()->pool, "p");
+  ck_assert (!job ()->contested);
+  ck_assert_int_ge (topic_memory_find (wld.jobs, PROGRESS_KEY), 0);
+  ck_assert (!is_deleted (wld.jobs));
+  ck_assert (is_deleted (other) == !same_part);
+  node_world_fini (&wld);
+}
+END_TEST
+
+/* Guards against the start of a job whose other record this process has not
+   read yet (TWICE): it was accepted soon after its queue had been sent here,
+   or its queue leads to another pool by now.  */
+START_TEST (test_other_partitions_first)
+{
+  create (false);
+  own_pool ();
+  if (_i == 1)
+    queues[1].pool = other_pool; /* the queue "q", after "o" */
+  other->hold_reads = true;
+  add_spec ("p", 2, _i == 0);
+  node_world_run (&wld, 500);
+  ck_assert_str_eq (job ()->pool, "p");
+  ck_assert_uint_eq (wld.starts, 0);
+  other->hold_reads = false;
+  while (topic_memory_run_held (other))
+    ;
+  node_world_run (&wld, 300);
+  ck_assert_uint_gt (wld.starts, 0);
+  node_world_fini (&wld);
+}
+END_TEST
+
+/* Guards against a job that waits for seconds although the other partitions
+   hold nothing new.  */
+START_TEST (test_uncertain_job_starts_soon)
+{
+  create (false);
+  own_pool ();
+  node_world_run (&wld, 500);
+  add_spec ("p", 2, true);
+  node_world_run (&wld, 200);
+  ck_assert_uint_gt (wld.starts, 0);
+  node_world_fini (&wld);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("node_rivals");
+  TCase *tc = tcase_create ("node_rivals");
+  tcase_set_timeout (tc, 60);
+  tcase_add_loop_test (tc, test_partitions_in_any_order, 0, 2);
+  tcase_add_loop_test (tc, test_loser_withdraws, 0, 2);
+  tcase_add_test (tc, test_winner_awaits_withdrawal);
+  tcase_add_loop_test (tc, test_started_job_stays, 0, 2);
+  tcase_add_loop_test (tc, test_other_partitions_first, 0, 2);
+  tcase_add_test (tc, test_uncertain_job_starts_soon);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
