job, sched: how a job has ended is what its pool's owner has recorded

Cause: the end of a job was not in the log. Each process derived it from the recorded failed runs and the attempts of the configuration that it had; a route that is away gave no limit.

Change: the progress record states the outcome that the owner has decided, and readers take it as it is; the specification holds the attempts at hand-in, which count while the route is away. Attempts that were lowered count before the next start.

Why it works: the outcome is in the same record as the failed runs, under the owner's token, so no process that reads these finds another end, whatever its configuration.

--- a/job/job.h
+++ b/job/job.h
@@ -125,6 +125,17 @@
   JOB_CANCELLED,
 };
 
+/* What a progress record says of the end of its job.  */
+enum job_outcome
+{
+  JOB_OUTCOME_UNSTATED, /* a record of an earlier version: each reader finds
+                           the end from the failed runs */
+  JOB_OUTCOME_OPEN,
+  JOB_OUTCOME_COMPLETED,
+  JOB_OUTCOME_FAILED,
+  JOB_OUTCOME_CANCELLED,
+};
+
 struct job
 {
   UT_hash_handle hh;
@@ -136,6 +147,9 @@
   char pool[NAME_BYTES];
   int64_t accepted_ms; /* wall-clock time at which an entry process accepted
                           the job */
+  uint32_t attempts;   /* failed runs of a task after which the job fails, as
+                          configured for its queue when it was accepted; 0: no
+                          limit, or not known */
   uint64_t config_version; /* under which it was accepted; 0: not stated */
   bool pool_uncertain; /* the job may also be stored for another pool that its
                           queue led to before */
@@ -143,6 +157,7 @@
      job_table.h.  */
   struct job *next_rival; /* of the same id; NULL: none */
   bool contested;         /* there is more than one row of this id */
+  bool outcome_stated;    /* the log states how the job has ended */
   bool recorded;          /* the log holds progress of the pool's owner */
   bool deleted; /* the record of this row was deleted before the job was known
                    to have ended; the row expires at once */
@@ -170,8 +185,6 @@
                         none */
   int64_t seen_us;   /* monotonic time at which the first record was folded */
   int64_t goal_ms;   /* wall-clock deadline of the response-time goal */
-  uint32_t attempts; /* failed runs of a task after which the job fails, as
-                        configured for the queue; 0: no limit */
 };
 
 static inline bool
--- a/job/job_codec.c
+++ b/job/job_codec.c
@@ -72,6 +72,7 @@
   msg.accepted_ms = (uint64_t)acc->accepted_ms;
   msg.config_version = acc->config_version;
   msg.pool_uncertain = acc->pool_uncertain;
+  msg.attempts = acc->attempts;
   if (acc->withdrawn_pool)
     msg.withdrawn_pool = (char *)acc->withdrawn_pool;
   msg.occurrences = spec->occurrences;
@@ -152,6 +153,24 @@
   return false;
 }
 
+static uint32_t
+outcome_of (const struct job *job)
+{
+  switch (job->state)
+    {
+    case JOB_COMPLETED:
+      return JOB_OUTCOME_COMPLETED;
+    case JOB_FAILED:
+      return JOB_OUTCOME_FAILED;
+    case JOB_CANCELLED:
+      return JOB_OUTCOME_CANCELLED;
+    case JOB_QUEUED:
+    case JOB_RUNNING:
+      break;
+    }
+  return JOB_OUTCOME_OPEN;
+}
+
 int
 job_encode_progress (void *parent, const struct job *job, uint64_t token,
                      uint8_t **data, size_t *len)
@@ -175,6 +194,7 @@
       msg.occurrences[msg.n_occurrences++] = &occs[n];
     }
   msg.token = token;
+  msg.outcome = outcome_of (job);
   if (job->contested)
     msg.pool = (char *)job->pool;
   *len = kingcuphollow__job_progress__get_packed_size (&msg);
@@ -274,6 +294,7 @@
   name_copy (withdrawn_pool, msg->withdrawn_pool);
   job->config_version = msg->config_version;
   job->pool_uncertain = msg->pool_uncertain;
+  job->attempts = msg->attempts;
   job->accepted_ms = (int64_t)msg->accepted_ms;
   job->spec.spec = talloc_strdup (job, msg->spec);
   job->spec.occurrences = msg->occurrences;
@@ -379,7 +400,8 @@
 
 int
 job_merge_progress (struct job *job, const uint8_t *data, size_t len,
-                    bool *changed, bool *stale, uint64_t *token)
+                    bool *changed, bool *stale, uint64_t *token,
+                    enum job_outcome *outcome)
 {
   Kingcuphollow__JobProgress *msg
       = kingcuphollow__job_progress__unpack (NULL, len, data);
@@ -406,6 +428,10 @@
   *stale = *stale || knows_unseen (job, seen);
   talloc_free (seen);
   *token = msg->token;
+  /* An outcome of a later version is not known here.  */
+  *outcome = msg->outcome <= JOB_OUTCOME_CANCELLED
+                 ? (enum job_outcome)msg->outcome
+                 : JOB_OUTCOME_OPEN;
   kingcuphollow__job_progress__free_unpacked (msg, NULL);
   return 0;
 }
--- a/job/job_codec.h
+++ b/job/job_codec.h
@@ -24,6 +24,7 @@
   int64_t accepted_ms;
   uint64_t config_version;
   bool pool_uncertain;
+  uint32_t attempts;          /* configured for the queue */
   const char *withdrawn_pool; /* NULL: none; see proto/job.proto */
 };
 
@@ -48,7 +49,9 @@
 /* Merges a progress record into JOB: done tasks stay done, and run numbers and
    failure counts never decrease.  Sets *CHANGED when the record contained
    progress that JOB lacked, *STALE when JOB has done tasks or failures that
-   the record lacks, and *TOKEN to the claim token of the owner that wrote the
-   record.  Returns 0 or ERR_PROTOCOL.  */
+   the record lacks, *TOKEN to the claim token of the owner that wrote the
+   record, and *OUTCOME to how the job has ended according to it.  Returns 0 or
+   ERR_PROTOCOL.  */
 int job_merge_progress (struct job *job, const uint8_t *data, size_t len,
-                        bool *changed, bool *stale, uint64_t *token);
+                        bool *changed, bool *stale, uint64_t *token,
+                        enum job_outcome *outcome);
--- a/job/job_table.c
+++ b/job/job_table.c
@@ -336,6 +336,12 @@
       cancel_job (row, row == head ? res : &ignored, now_us);
 }
 
+static enum job_outcome
+outcome_of_state (enum job_state state)
+{
+  return (enum job_outcome) (JOB_OUTCOME_COMPLETED + (state - JOB_COMPLETED));
+}
+
 int
 job_table_fold (struct job_table *tab, void *parent, uint32_t part,
                 uint64_t offset, const char *key, size_t key_len,
@@ -370,9 +376,15 @@
   if (!res->job)
     return 0;
   int err = job_merge_progress (res->job, value, value_len, &changed, &stale,
-                                &res->token);
+                                &res->token, &res->outcome);
   if (err)
     return err;
+  /* The record is of an owner that did not know how the job had ended.  */
+  res->outcome_differs
+      = res->job->logged_state >= JOB_COMPLETED
+        && res->outcome != JOB_OUTCOME_UNSTATED
+        && res->outcome != outcome_of_state (res->job->logged_state);
+  stale = stale || res->outcome_differs;
   res->change = stale     ? JOB_CHANGE_STALE
                 : changed ? JOB_CHANGE_PROGRESS
                           : JOB_CHANGE_NONE;
@@ -381,17 +393,6 @@
   return 0;
 }
 
-void
-job_update_logged_state (struct job *job, const struct job_fold_result *res)
-{
-  if (res->change == JOB_CHANGE_REPEATED)
-    return;
-  if (res->change != JOB_CHANGE_STALE)
-    job->logged_state = job->state;
-  else if (job->logged_state == JOB_QUEUED)
-    job->logged_state = JOB_RUNNING;
-}
-
 void
 job_mark_task_done (struct job *job, const struct task_ref *ref)
 {
@@ -445,6 +446,53 @@
   return changed;
 }
 
+/* The state of JOB that the log shows while it does not show its end.  */
+static void
+note_open (struct job *job)
+{
+  if (job->started && job->logged_state == JOB_QUEUED)
+    job->logged_state = JOB_RUNNING;
+}
+
+static void
+note_outcome (struct job *job, enum job_outcome outcome, int64_t now_us)
+{
+  static const enum job_state states[]
+      = { [JOB_OUTCOME_COMPLETED] = JOB_COMPLETED,
+          [JOB_OUTCOME_FAILED] = JOB_FAILED,
+          [JOB_OUTCOME_CANCELLED] = JOB_CANCELLED };
+  if (job->logged_state >= JOB_COMPLETED)
+    return;
+  if (!job_ended (job))
+    job->ended_us = now_us;
+  job->state = job->logged_state = states[outcome];
+}
+
+void
+job_note_record (struct job *job, const struct job_fold_result *res,
+                 uint32_t attempts, int64_t now_us)
+{
+  if (res->change == JOB_CHANGE_REPEATED)
+    return;
+  if (res->outcome >= JOB_OUTCOME_COMPLETED)
+    {
+      job->outcome_stated = true;
+      note_outcome (job, res->outcome, now_us);
+      return;
+    }
+  if (res->outcome == JOB_OUTCOME_OPEN)
+    {
+      job_update_state (job, 0, now_us);
+      note_open (job);
+      return;
+    }
+  job_update_state (job, attempts, now_us);
+  if (res->change != JOB_CHANGE_STALE)
+    job->logged_state = job->state;
+  else
+    note_open (job);
+}
+
 void
 job_revert_to_log (struct job *job)
 {
--- a/job/job_table.h
+++ b/job/job_table.h
@@ -58,6 +58,8 @@
   struct job *job; /* NULL: the record belongs to no known job, or deletes what
                       is of no use any more */
   uint64_t token;  /* claim token of the owner that wrote a progress record */
+  enum job_outcome outcome; /* of a progress record */
+  bool outcome_differs;     /* the log shows another end of the job */
   bool deleted; /* with JOB_CHANGE_CANCELLED: the job ended long ago, and its
                    records were deleted */
 };
@@ -74,10 +76,12 @@
                     const uint8_t *value, size_t value_len, int64_t now_us,
                     struct job_fold_result *res);
 
-/* Updates JOB's logged_state after a record with the result RES was folded and
-   job_update_state was called.  */
-void job_update_logged_state (struct job *job,
-                              const struct job_fold_result *res);
+/* Updates the state of JOB after a record with the result RES was folded.  How
+   the job has ended is what the pool's owner has recorded, whatever the
+   configuration is now.  ATTEMPTS, as for job_update_state, is used for
+   records of earlier versions, which do not state that.  */
+void job_note_record (struct job *job, const struct job_fold_result *res,
+                      uint32_t attempts, int64_t now_us);
 
 /* Returns the row of the job ID that holds, or NULL.  */
 struct job *job_table_find (const struct job_table *tab, uint64_t id);
--- a/node/job_partitions.c
+++ b/node/job_partitions.c
@@ -150,8 +150,8 @@
   if (!res.job || res.change == JOB_CHANGE_REPEATED)
     return;
   const struct queue *que = catalog_queue (nod->cat, res.job->queue);
-  job_update_state (res.job, que ? que->attempts : 0, now_us);
-  job_update_logged_state (res.job, &res);
+  job_note_record (res.job, &res, que ? que->attempts : res.job->attempts,
+                   now_us);
   log_cancellation (nod, &res);
   if (res.job->contested && res.change == JOB_CHANGE_NEW)
     node_note_rival (nod, res.job);
@@ -159,7 +159,8 @@
   if (hld && hld->plc)
     node_note_job_state (hld, res.job);
   if (!hld || !hld->plc || res.change == JOB_CHANGE_NONE
-      || (res.change == JOB_CHANGE_STALE && res.token == hld->token))
+      || (res.change == JOB_CHANGE_STALE && res.token == hld->token
+          && !res.outcome_differs))
     return;
   placer_update_job (hld->plc, res.job, res.change);
   node_schedule_placer (hld, 0);
--- a/node/job_rivals.c
+++ b/node/job_rivals.c
@@ -140,6 +140,7 @@
               .accepted_ms = other->accepted_ms,
               .config_version = other->config_version,
               .pool_uncertain = other->pool_uncertain,
+              .attempts = other->attempts,
               .withdrawn_pool = job->pool };
       if (job_encode_spec (ctx, &acc, &other->spec, &data, &ent.value_len))
         ent.value_len = 0;
--- a/node/requests.c
+++ b/node/requests.c
@@ -311,7 +311,8 @@
           .pool = que->pool,
           .accepted_ms = clock_wall_ms (nod->clk),
           .config_version = nod->cat->version,
-          .pool_uncertain = node_pool_uncertain (nod, que) };
+          .pool_uncertain = node_pool_uncertain (nod, que),
+          .attempts = que->attempts };
   if (!err)
     err = job_encode_spec (ctx, &acc, &spec, &data, &len);
   if (err == ERR_INVALID)
--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -751,7 +751,7 @@
   assert(message->base.descriptor == &kingcuphollow__wave_progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor kingcuphollow__job_spec__field_descriptors[11] =
+static const ProtobufCFieldDescriptor kingcuphollow__job_spec__field_descriptors[12] =
 {
   {
     "queue",
@@ -885,9 +885,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "attempts",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__JobSpec, attempts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__job_spec__field_indices_by_name[] = {
   4,   /* field[4] = accepted_ms */
+  11,   /* field[11] = attempts */
   8,   /* field[8] = config_version */
   6,   /* field[6] = first_due_ms */
   7,   /* field[7] = interval_ms */
@@ -902,7 +915,7 @@
 static const ProtobufCIntRange kingcuphollow__job_spec__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__job_spec__descriptor =
 {
@@ -912,7 +925,7 @@
   "Kingcuphollow__JobSpec",
   "kingcuphollow",
   sizeof(Kingcuphollow__JobSpec),
-  11,
+  12,
   kingcuphollow__job_spec__field_descriptors,
   kingcuphollow__job_spec__field_indices_by_name,
   1,  kingcuphollow__job_spec__number_ranges,
@@ -1178,7 +1191,7 @@
   (ProtobufCMessageInit) kingcuphollow__job_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__job_progress__field_descriptors[3] =
+static const ProtobufCFieldDescriptor kingcuphollow__job_progress__field_descriptors[4] =
 {
   {
     "occurrences",
@@ -1216,16 +1229,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "outcome",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__JobProgress, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__job_progress__field_indices_by_name[] = {
   0,   /* field[0] = occurrences */
+  3,   /* field[3] = outcome */
   2,   /* field[2] = pool */
   1,   /* field[1] = token */
 };
 static const ProtobufCIntRange kingcuphollow__job_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__job_progress__descriptor =
 {
@@ -1235,7 +1261,7 @@
   "Kingcuphollow__JobProgress",
   "kingcuphollow",
   sizeof(Kingcuphollow__JobProgress),
-  3,
+  4,
   kingcuphollow__job_progress__field_descriptors,
   kingcuphollow__job_progress__field_indices_by_name,
   1,  kingcuphollow__job_progress__number_ranges,
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -73,6 +73,11 @@
    * the pool, so that the job may be stored for another pool as well.
    */
   protobuf_c_boolean pool_uncertain;
+  /*
+   * Failed runs of a task after which the job fails, as configured for the queue
+   * when the job was accepted; 0: not stated.
+   */
+  uint32_t attempts;
   /*
    * The owner of this pool has withdrawn the job's specification for it, which
    * had the same key.
@@ -81,7 +86,7 @@
 };
 #define KINGCUPHOLLOW__JOB_SPEC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__job_spec__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Kingcuphollow__JobStep
@@ -135,10 +140,16 @@
    * as well.
    */
   char *pool;
+  /*
+   * How the job has ended, as the owner has decided; 0: not stated, as in
+   * records of earlier versions; 1: it has not; otherwise 1 more than the
+   * state, as of JOB_COMPLETED in job/job.h.
+   */
+  uint32_t outcome;
 };
 #define KINGCUPHOLLOW__JOB_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__job_progress__descriptor) \
-    , 0,NULL, 0, (char *)protobuf_c_empty_string }
+    , 0,NULL, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Kingcuphollow__OccurrenceProgress
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -18,9 +18,6 @@
 /* A worker is kept for this time after its report was removed.  Reports expire
    while the store is unreachable and are back within 2 s of its return.  */
 #define UNREGISTERED_KEEP_US 3000000
-/* Pause before a perpetual task is restarted, so that one that always fails at
-   once does not keep the owner busy.  */
-#define RESTART_PAUSE_US 50000
 
 /* Time over which is measured how often ticks reach the limit of starts.  */
 #define START_LIMIT_SPAN_US 1000000
@@ -44,68 +41,12 @@
     talloc_free (plc);
 }
 
-uint32_t
-placer_attempts (const struct placer *plc, const struct job *job)
-{
-  const struct queue *que = catalog_queue (*plc->env.cat, job->queue);
-  return que ? que->attempts : job->attempts;
-}
-
-/* Drops the reservations of all tasks of JOB.  */
-static void
-release_reservations (struct placer *plc, struct job *job)
-{
-  for (uint32_t n = 0; n < job->occurrence_count; n++)
-    for (size_t m = 0; m < job->spec.step_count; m++)
-      {
-        const struct step *stp = &job->spec.steps[m];
-        for (uint32_t k = 0; k < stp->count; k++)
-          {
-            struct task *tsk = &job->occurrences[n].tasks[stp->first_task + k];
-            if (tsk->reserved_worker)
-              placer_unreserve (plc, tsk, stp);
-          }
-      }
-}
-
 struct job *
 placer_find_job (const struct placer *plc, uint64_t id)
 {
   return job_table_find_in (plc->env.jobs, id, plc->set.pool);
 }
 
-void
-placer_stop_job (struct placer *plc, struct job *job)
-{
-  for (uint32_t n = 0; n < job->occurrence_count; n++)
-    for (uint32_t m = 0; m < job->task_count; m++)
-      if (job->occurrences[n].tasks[m].run)
-        placer_stop_run (plc, job->occurrences[n].tasks[m].run);
-  release_reservations (plc, job);
-}
-
-void
-placer_task_ended (struct placer *plc, struct job *job,
-                   const struct task_ref *ref)
-{
-  struct task *tsk = job_task (job, ref);
-  int64_t now_us = clock_now_us (plc->env.clk);
-  if (job->spec.steps[ref->step].perpetual)
-    tsk->not_before_us = now_us + RESTART_PAUSE_US;
-  if (!job_update_state (job, placer_attempts (plc, job), now_us))
-    return;
-  if (!job_ended (job))
-    return;
-  char id[JOB_ID_CHARS + 1];
-  job_id_format (job->id, id);
-  log_event (
-      plc->env.lg, EV_JOB_ENDED, LOG_S ("job", id),
-      LOG_S ("queue", job->queue),
-      LOG_S ("state", job->state == JOB_COMPLETED ? "completed" : "failed"),
-      LOG_I ("goal_left_ms", job->goal_ms - clock_wall_ms (plc->env.clk)));
-  placer_stop_job (plc, job);
-}
-
 static bool
 has_perpetual_step (const struct job *job)
 {
@@ -132,7 +73,9 @@
 set_goal (struct placer *plc, struct job *job)
 {
   const struct queue *que = catalog_queue (*plc->env.cat, job->queue);
-  job->attempts = que ? que->attempts : 0;
+  /* The record of an earlier version does not state it.  */
+  if (que && job->attempts == 0)
+    job->attempts = que->attempts;
   job->goal_ms = job_order_goal_ms (job, que ? que->stretch : 1.0,
                                     que ? que->goal_extra_ms : 0, 1000);
 }
@@ -160,7 +103,10 @@
     }
   else if (change == JOB_CHANGE_CANCELLED)
     placer_stop_job (plc, job);
-  else if (change == JOB_CHANGE_STALE)
+  /* An end that the readers of earlier records have found is recorded.  */
+  else if (change == JOB_CHANGE_STALE
+           || (change == JOB_CHANGE_NEW && job->state == JOB_FAILED
+               && !job->outcome_stated))
     placer_mark_dirty (plc, job);
 }
 
@@ -486,6 +432,9 @@
     {
       struct job *job = plc->jobs[n];
       const struct queue *que = catalog_queue (*plc->env.cat, job->queue);
+      /* The limit may be lower than when a task failed last.  */
+      if (job->failed_run_count > 0)
+        placer_end_job_if_due (plc, job, now_us);
       if (job_ended (job) || !placer_pool_certain (plc, job, que, now_us))
         continue;
       cands[count].job = job;
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -526,6 +526,19 @@
 bool placer_pool_certain (struct placer *plc, const struct job *job,
                           const struct queue *que, int64_t now_us);
 
+/* placer_job_end.c */
+/* Updates the job's state after a run of its task has ended, and stops the
+   job's other runs if the job has ended with it.  */
+void placer_task_ended (struct placer *plc, struct job *job,
+                        const struct task_ref *ref);
+/* Ends JOB if its tasks are done, or one has failed as often as it may.  */
+void placer_end_job_if_due (struct placer *plc, struct job *job,
+                            int64_t now_us);
+/* Stops the runs of JOB, and drops its reservations.  */
+void placer_stop_job (struct placer *plc, struct job *job);
+/* Failed runs of a task after which the job fails.  */
+uint32_t placer_attempts (const struct placer *plc, const struct job *job);
+
 /* placer_enrol.c */
 /* Appends the pool's worker record to the log if it has changed.  */
 void placer_enrol (struct placer *plc);
@@ -612,8 +625,6 @@
 /* placer.c */
 /* Returns the job ID as it is stored for this pool, or NULL.  */
 struct job *placer_find_job (const struct placer *plc, uint64_t id);
-/* Stops the runs of JOB, and drops its reservations.  */
-void placer_stop_job (struct placer *plc, struct job *job);
 bool placer_job_has_runs (const struct job *job);
 /* Notes that a source other than the worker reports its instance as ended. The
    runs are kept until ownership is confirmed after this time, because a later
@@ -621,10 +632,6 @@
    answers, because the report may be wrong.  */
 void placer_end_instance (struct placer *plc, struct worker *wrk);
 struct worker *placer_find_worker (const struct placer *plc, uint32_t handle);
-/* Updates the job's state after a run of its task has ended, and stops the
-   job's other runs if the job has ended with it.  */
-void placer_task_ended (struct placer *plc, struct job *job,
-                        const struct task_ref *ref);
 /* Ends a call in flight; frees a closing placer after the last one.  */
 void placer_release_call (struct placer *plc);
 /* Whether all steps that STP comes after are done.  */
@@ -634,5 +641,3 @@
    started in this tick.  */
 void placer_note_waiting (struct placer *plc, const struct step *stp,
                           uint32_t count);
-/* Failed runs of a task after which the job fails.  */
-uint32_t placer_attempts (const struct placer *plc, const struct job *job);
--- a/test/unit/instance_owner.c
+++ b/test/unit/instance_owner.c
@@ -473,8 +473,7 @@
                       rec->data, rec->len, own_us (own), &res)
       || !res.job || res.change == JOB_CHANGE_REPEATED)
     return;
-  job_update_state (res.job, 3, own_us (own));
-  job_update_logged_state (res.job, &res);
+  job_note_record (res.job, &res, 3, own_us (own));
   if (!own->plc || res.change == JOB_CHANGE_NONE
       || (res.change == JOB_CHANGE_STALE && res.token == own->token))
     return;
--- a/test/unit/unit_job.c
+++ b/test/unit/unit_job.c
@@ -181,10 +181,10 @@
   job_update_state (job, 2, 2000);
   ck_assert_int_eq (job->state, JOB_COMPLETED);
   struct job_fold_result res = fold_progress (&tab, old, 5);
-  job_update_logged_state (job, &res);
+  job_note_record (job, &res, 2, 2000);
   ck_assert_int_eq (job->logged_state, JOB_RUNNING);
   res = fold_progress (&tab, job, 5);
-  job_update_logged_state (job, &res);
+  job_note_record (job, &res, 2, 2000);
   ck_assert_int_eq (job->logged_state, JOB_COMPLETED);
   job_table_fini (&before);
 }
@@ -220,7 +220,7 @@
   struct job_fold_result res
       = help_fold (&tab, ctx, JOB_KEY_SPEC, 7, data, len);
   ck_assert_ptr_eq (res.job, job);
-  job_update_logged_state (job, &res);
+  job_note_record (job, &res, 2, 2000);
   ck_assert_int_lt (job->logged_state, JOB_COMPLETED);
 }
 END_TEST
--- a/test/unit/unit_job_rivals.c
+++ b/test/unit/unit_job_rivals.c
@@ -172,10 +172,8 @@
   ck_assert_int_eq (job_table_fold (tab, ctx, rec->part, offset, key,
                                     JOB_KEY_BYTES, data, len, 1000, &res),
                     0);
-  if (!res.job || res.change == JOB_CHANGE_REPEATED)
-    return;
-  job_update_state (res.job, 0, 1000);
-  job_update_logged_state (res.job, &res);
+  if (res.job)
+    job_note_record (res.job, &res, 0, 1000);
 }
 
 static void
--- a/test/unit/unit_node.c
+++ b/test/unit/unit_node.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "job/job_codec.h"
 #include "node_world.h"
 #include "proto/job.pb-c.h"
 
@@ -241,6 +242,58 @@
 }
 END_TEST
 
+/* Appends a job whose only task has failed twice, as often as it may, and the
+   owner's record of that.  */
+static void
+add_failed_job (void)
+{
+  struct task tasks[1] = { { .prg.last_run = 2, .failures = 2 } };
+  struct step stp = { .count = 1,
+                      .need = { .cpu_milli = 1000 },
+                      .required_label = "",
+                      .data_rack = "",
+                      .image = "" };
+  struct occurrence occ = { .tasks = tasks };
+  struct failed_run failed[2] = { { .key = 1 }, { .key = 2 } };
+  struct job job = { .id = 1,
+                     .spec = { .spec = "s", .steps = &stp, .step_count = 1 },
+                     .task_count = 1,
+                     .occurrences = &occ,
+                     .occurrence_count = 1,
+                     .failed_runs = failed,
+                     .failed_run_count = 2,
+                     .state = JOB_FAILED };
+  const struct job_acceptance acc
+      = { .queue = "q", .pool = "p", .accepted_ms = 1, .attempts = 2 };
+  uint8_t *data;
+  size_t len;
+  void *ctx = talloc_new (NULL);
+  ck_assert_int_eq (job_encode_spec (ctx, &acc, &job.spec, &data, &len), 0);
+  topic_memory_add (wld.jobs, "0000000000000001j", data, len);
+  ck_assert_int_eq (job_encode_progress (ctx, &job, 1, &data, &len), 0);
+  topic_memory_add (wld.jobs, "0000000000000001p", data, len);
+  talloc_free (ctx);
+}
+
+/* Guards against a job that was shown as failed and runs again (BUDGET): its
+   route was removed, and the process has started since.  */
+START_TEST (test_failed_job_of_removed_route)
+{
+  node_world_create (&wld, false);
+  wld.cat.queue_count = 0;
+  add_failed_job ();
+  node_world_claim (&wld, "p", "n1", NODE_WORLD_BOOT, false);
+  node_world_run (&wld, 600);
+  node_world_add_worker (&wld, "w1");
+  node_world_run (&wld, 1200);
+  const struct job *job = job_table_find (&wld.nod->jobs, 1);
+  ck_assert_ptr_nonnull (job);
+  ck_assert_int_eq (job->logged_state, JOB_FAILED);
+  ck_assert_uint_eq (wld.starts, 0);
+  node_world_fini (&wld);
+}
+END_TEST
+
 /* Guards against accepted jobs that nobody runs (LOST): the operator has
    removed their queue, and the pool's owner then stopped.  A pool without a
    queue and without such jobs is not claimed.  */
@@ -866,6 +919,7 @@
   tcase_add_test (tc, test_runs_with_one_start_time);
   tcase_add_test (tc, test_repeated_spec_of_unlogged_end);
   tcase_add_test (tc, test_cancel_after_queue_moved);
+  tcase_add_test (tc, test_failed_job_of_removed_route);
   tcase_add_test (tc, test_pool_without_queue);
   tcase_add_test (tc, test_new_owner_reads_all_pages);
   tcase_add_test (tc, test_former_owner_reads_by_key);
