--- a/sched/placer_late.c
+++ b/sched/placer_late.c
@@ -234,6 +234,15 @@
   return false;
 }
 
+const char *
+placer_late_start_worker (const struct placer *plc, const struct task_ref *ref)
+{
+  for (size_t n = plc->late_start_count; n-- > 0;)
+    if (is_same_task (&plc->late_starts[n].ref, ref))
+      return plc->late_starts[n].worker;
+  return "";
+}
+
 enum late_place
 placer_late_place (const struct placer *plc, const struct task *tsk,
                    const struct task_ref *ref, uint32_t *worker)
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -388,6 +388,10 @@
 bool placer_may_run_late (const struct placer *plc, const struct task *tsk,
                           const struct task_ref *ref);
 
+/* The worker of the last start of the task without an answer, or "".  */
+const char *placer_late_start_worker (const struct placer *plc,
+                                      const struct task_ref *ref);
+
 /* Where a perpetual task may start beside an earlier start without an
    answer.  */
 enum late_place
--- a/sched/placer_unplaced.c
+++ b/sched/placer_unplaced.c
@@ -40,7 +40,8 @@
 {
   struct check *chk = arg;
   struct placer *plc = chk->plc;
-  if (!places_task_waits (plc, job, ref, chk->now_us))
+  const struct task *tsk = job_task (job, ref);
+  if (placer_has_runs (tsk) || chk->now_us < tsk->not_before_us)
     return true;
   chk->tasks++;
   struct unplaced_task *row = find_unplaced (plc, ref);
@@ -54,11 +55,43 @@
   return true;
 }
 
+/* What the task has to wait for before it may be placed, and in *AWAITED whose
+   act or answer that is; "none" if nothing.  */
+static const char *
+find_wait (struct placer *plc, struct job *job, const struct task_ref *ref,
+           int64_t now_us, const char **awaited)
+{
+  const struct task *tsk = job_task (job, ref);
+  const struct queue *que = catalog_queue (*plc->env.cat, job->queue);
+  uint32_t only;
+  *awaited = "";
+  if (job->contested)
+    {
+      const struct job *row = job_table_find (plc->env.jobs, job->id);
+      *awaited = row == job ? row->next_rival->pool : row->pool;
+      return "withdrawal";
+    }
+  if (!placer_pool_certain (plc, job, que, now_us))
+    return "other_partitions";
+  if (placer_may_still_run (plc, job, tsk))
+    {
+      *awaited = placer_unreached (plc);
+      *awaited = *awaited ? *awaited : "";
+      return "earlier_owner";
+    }
+  if (!placer_may_run_late (plc, tsk, ref))
+    return "none";
+  *awaited = placer_late_start_worker (plc, ref);
+  return placer_late_place (plc, tsk, ref, &only) == LATE_PLACE_NONE
+             ? "late_start"
+             : "place_of_late_start";
+}
+
 static void
 log_unplaced (const struct check *chk, const struct unplaced_task *row,
               struct job *job)
 {
-  const struct placer *plc = chk->plc;
+  struct placer *plc = chk->plc;
   uint32_t counts[PLACE_REASONS] = { 0 };
   const struct place_request req = { .job = job,
                                      .step = &job->spec.steps[row->ref.step],
@@ -67,6 +100,9 @@
   const struct worker *reserved
       = placer_find_worker (plc, job_task (job, &row->ref)->reserved_worker);
   const char *obstacle = placer_start_obstacle (plc, chk->now_us);
+  const char *awaited;
+  const char *waits_for
+      = find_wait (plc, job, &row->ref, chk->now_us, &awaited);
   char name[TASK_NAME_MAX];
   for (size_t n = 0; n < plc->pool.count; n++)
     counts[places_reason (plc->pool.workers[n], &req)]++;
@@ -84,6 +120,7 @@
              LOG_I ("allowed", counts[PLACE_ALLOWED]),
              LOG_S ("required_label", req.step->required_label),
              LOG_S ("reserved", reserved ? reserved->rep.id : ""),
+             LOG_S ("waits_for", waits_for), LOG_S ("awaited", awaited),
              LOG_S ("owner", obstacle ? obstacle : "ready"));
 }
 
