--- a/fleet/catalog.c
+++ b/fleet/catalog.c
@@ -54,16 +54,19 @@
   return NULL;
 }
 
-void
+size_t
 catalog_note_pools (struct catalog *cat, const struct catalog *before,
                     int64_t now_us)
 {
+  size_t moved = 0;
   for (size_t n = 0; n < cat->queue_count; n++)
     {
       struct queue *que = &cat->queues[n];
       const struct queue *old = catalog_queue (before, que->name);
+      moved += old && strcmp (old->pool, que->pool) != 0;
       que->pool_since_us = old && strcmp (old->pool, que->pool) == 0
                                ? old->pool_since_us
                                : now_us;
     }
+  return moved;
 }
--- a/fleet/catalog.h
+++ b/fleet/catalog.h
@@ -124,9 +124,10 @@
 void catalog_sort (struct catalog *cat);
 
 /* Sets since when the queues of CAT, which is read at NOW_US, lead to their
-   pools.  BEFORE is the configuration before; NULL: none is known.  */
-void catalog_note_pools (struct catalog *cat, const struct catalog *before,
-                         int64_t now_us);
+   pools.  BEFORE is the configuration before; NULL: none is known.  Returns
+   the number of queues that led to another pool before.  */
+size_t catalog_note_pools (struct catalog *cat, const struct catalog *before,
+                           int64_t now_us);
 
 /* Finds the queue for a request by host name and longest matching path prefix.
    The lookups return NULL when nothing matches, and accept a NULL CAT.  */
--- a/node/directory.c
+++ b/node/directory.c
@@ -229,14 +229,14 @@
       talloc_free (cat);
       return;
     }
-  catalog_note_pools (cat, nod->cat, clock_now_us (nod->clk));
+  size_t moved = catalog_note_pools (cat, nod->cat, clock_now_us (nod->clk));
   if (!nod->cat)
     nod->first_config_us = clock_now_us (nod->clk);
   talloc_free (nod->cat);
   nod->cat = cat;
   log_event (nod->lg, EV_CATALOG_IN_FORCE, LOG_I ("version", cat->version),
              LOG_I ("queues", cat->queue_count),
-             LOG_I ("pools", cat->pool_count));
+             LOG_I ("pools", cat->pool_count), LOG_I ("moved", moved));
   wire_front_set_body_max (nod->frt, cat->body_max_bytes);
   if (node_open_job_partitions (nod))
     log_event (nod->lg, EV_NODE_FAILED, LOG_S ("error", "no_memory"));
