node: a withdrawn job is not denied before its other record is read

Found by reading the change afresh: a process that reads the withdrawal of a job's record before the record that holds instead took the job for deleted, and would have answered 410 or "cancelled" for up to a second. It rejects the request now. A row that its placer still refers to is dropped when its runs have ended.

Measured: unit_node_rivals test_withdrawn_before_other_record.

--- a/node/job_rivals.c
+++ b/node/job_rivals.c
@@ -108,7 +108,11 @@
       node_note_job_state (holder, head);
       node_schedule_placer (holder, 0);
     }
-  return !hld || !hld->plc || placer_drop_job (hld->plc, job);
+  if (!hld || !hld->plc || placer_drop_job (hld->plc, job))
+    return true;
+  /* The placer drops it when its runs have ended.  */
+  job->state = JOB_CANCELLED;
+  return false;
 }
 
 /* Another row of the id of JOB whose records have the same keys, or NULL.  */
--- a/node/requests.c
+++ b/node/requests.c
@@ -418,8 +418,13 @@
   struct follower *fol = state_follower (nod, job, pub);
   if (fol && follower_is_open (fol) && node_query_state (nod, req, fol, id))
     return;
+  const struct job *row = job_table_find (&nod->jobs, id);
   if (job || pub)
     node_reply_known_state (nod, req, id);
+  else if (row && row->deleted)
+    /* It may have been withdrawn in favour of a record that is not read
+       yet.  */
+    reject_old_view (nod, req, id, "jobs", node_jobs_known_us (nod));
   else if (!node_config_current (nod))
     reject_old_config (nod, req, id);
   else if ((followed && node_jobs_current (nod)) || node_pools_published (nod))
--- a/test/unit/unit_node_rivals.c
+++ b/test/unit/unit_node_rivals.c
@@ -226,6 +226,35 @@
 }
 END_TEST
 
+/* Guards against "there is no such job", or "cancelled", about an accepted job
+   (LOST): its record was withdrawn, and the one that holds is not read yet. */
+START_TEST (test_withdrawn_before_other_record)
+{
+  create (false);
+  node_world_run (&wld, 1500);
+  add_spec ("p", 1, false);
+  node_world_run (&wld, 1500);
+  ck_assert_str_eq (job ()->pool, "p");
+  other->hold_reads = true;
+  add_spec (other_pool, 2, false);
+  topic_memory_add (wld.jobs, SPEC_KEY, NULL, 0);
+  for (int n = 0; n < 20 && !job ()->deleted; n++)
+    node_world_run (&wld, 20);
+  wld.replies = 0;
+  node_world_handle (&wld, FRONT_STATE, ID_TEXT);
+  node_world_run (&wld, 60);
+  ck_assert_uint_eq (wld.replies, 1);
+  ck_assert_int_eq (wld.last_reply.status, FRONT_REJECTED);
+  other->hold_reads = false;
+  while (topic_memory_run_held (other))
+    ;
+  node_world_run (&wld, 1500);
+  ck_assert_str_eq (job ()->pool, other_pool);
+  ck_assert_int_eq (job ()->logged_state, JOB_QUEUED);
+  node_world_fini (&wld);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -237,6 +266,7 @@
   tcase_add_test (tc, test_winner_awaits_withdrawal);
   tcase_add_loop_test (tc, test_started_job_stays, 0, 2);
   tcase_add_loop_test (tc, test_other_partitions_first, 0, 2);
+  tcase_add_test (tc, test_withdrawn_before_other_record);
   tcase_add_test (tc, test_uncertain_job_starts_soon);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
