job, node: a cancellation beside a withdrawn job is stored and takes effect

A process that has read the withdrawal of a job, and not yet the record that holds, took the job for an ended one: it acknowledged a cancellation without storing it, and dropped one that it read. Of several rows with one key all are withdrawn, also when another one comes to hold meanwhile.

Measured: unit_node_rivals test_withdrawn_before_other_record, in both partitions, fails before in the case where the queue still leads to the withdrawn pool.

--- a/job/job_table.c
+++ b/job/job_table.c
@@ -223,11 +223,9 @@
         withdraw_row (tab, job_table_find (tab, job->id), head);
     }
   else
-    {
-      add_job (tab, job);
-      if (find_early (tab, job->id))
-        cancel_job (job, res, now_us);
-    }
+    add_job (tab, job);
+  if (!known && find_early (tab, job->id))
+    cancel_job (job, res, now_us);
 }
 
 static int
@@ -257,6 +255,14 @@
   return 0;
 }
 
+static struct job *
+row_in_part (struct job *head, uint32_t part)
+{
+  while (head && head->part != part)
+    head = head->next_rival;
+  return head;
+}
+
 /* Whether the rows behind HEAD, of which there are several, are all in
    PART.  */
 static bool
@@ -284,13 +290,8 @@
   struct job *job = job_table_find (tab, id);
   if (job && job->contested && !all_in_part (job, part))
     {
-      struct job *next;
-      for (struct job *row = job; row; row = next)
-        {
-          next = row->next_rival;
-          if (row->part == part)
-            withdraw_row (tab, job_table_find (tab, id), row);
-        }
+      while ((job = row_in_part (job_table_find (tab, id), part)))
+        withdraw_row (tab, job_table_find (tab, id), job);
       return;
     }
   if (!job || job->part != part || job->logged_state >= JOB_COMPLETED)
@@ -363,7 +364,7 @@
     return fold_spec (tab, parent, part, offset, id, value, value_len, now_us,
                       res);
   struct job *head = job_table_find (tab, id);
-  if (!head)
+  if (!head || (head->deleted && kind == JOB_KEY_CANCEL))
     return kind == JOB_KEY_CANCEL ? add_early (tab, parent, id, now_us) : 0;
   if (kind == JOB_KEY_CANCEL)
     {
--- a/node/requests.c
+++ b/node/requests.c
@@ -337,7 +337,10 @@
         uint64_t id)
 {
   static const uint8_t cancel_value[1] = { 1 };
-  const struct job *job = job_table_find (&nod->jobs, id);
+  const struct job *row = job_table_find (&nod->jobs, id);
+  /* A row that was deleted may have been withdrawn in favour of another one.
+   */
+  const struct job *job = row && !row->deleted ? row : NULL;
   const struct published_job *pub = state_view_find (&nod->states, id);
   /* The queue may have been sent to another pool since the job was stored.  */
   struct job_partition *prt
--- a/test/unit/unit_node_rivals.c
+++ b/test/unit/unit_node_rivals.c
@@ -245,12 +245,21 @@
   node_world_run (&wld, 60);
   ck_assert_uint_eq (wld.replies, 1);
   ck_assert_int_eq (wld.last_reply.status, FRONT_REJECTED);
+  /* A cancellation is stored, and not taken for one of an ended job.  */
+  const struct memory_part *part = _i == 0 ? wld.jobs : other;
+  queues[1].pool = _i == 0 ? "p" : other_pool;
+  ck_assert (job ()->deleted);
+  node_world_handle (&wld, FRONT_CANCEL, ID_TEXT);
+  ck_assert_uint_eq (wld.replies, 1);
+  node_world_run (&wld, 100);
+  ck_assert_uint_eq (wld.replies, 2);
+  ck_assert_int_ge (topic_memory_find (part, ID_TEXT "x"), 0);
   other->hold_reads = false;
   while (topic_memory_run_held (other))
     ;
   node_world_run (&wld, 1500);
   ck_assert_str_eq (job ()->pool, other_pool);
-  ck_assert_int_eq (job ()->logged_state, JOB_QUEUED);
+  ck_assert_int_eq (job ()->logged_state, JOB_CANCELLED);
   node_world_fini (&wld);
 }
 END_TEST
@@ -266,7 +275,7 @@
   tcase_add_test (tc, test_winner_awaits_withdrawal);
   tcase_add_loop_test (tc, test_started_job_stays, 0, 2);
   tcase_add_loop_test (tc, test_other_partitions_first, 0, 2);
-  tcase_add_test (tc, test_withdrawn_before_other_record);
+  tcase_add_loop_test (tc, test_withdrawn_before_other_record, 0, 2);
   tcase_add_test (tc, test_uncertain_job_starts_soon);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
