--- a/test/unit/unit_node_rivals.c
+++ b/test/unit/unit_node_rivals.c
@@ -64,6 +64,14 @@
   talloc_free (ctx);
 }
 
+/* Appends the withdrawal by the owner of the pool of PRT.  */
+static void
+add_deletion (struct memory_part *prt)
+{
+  static const uint8_t nothing[1];
+  topic_memory_add (prt, SPEC_KEY, nothing, 0);
+}
+
 static void
 own (const char *pool)
 {
@@ -159,7 +167,7 @@
   ck_assert_str_eq (job ()->pool, "p");
   ck_assert (job ()->contested);
   ck_assert_uint_eq (wld.starts, 0);
-  topic_memory_add (other, SPEC_KEY, NULL, 0);
+  add_deletion (other);
   node_world_run (&wld, 1500);
   ck_assert (!job ()->contested);
   ck_assert_uint_gt (wld.starts, 0);
@@ -237,7 +245,7 @@
   ck_assert_str_eq (job ()->pool, "p");
   other->hold_reads = true;
   add_spec (other_pool, 2, false);
-  topic_memory_add (wld.jobs, SPEC_KEY, NULL, 0);
+  add_deletion (wld.jobs);
   for (int n = 0; n < 20 && !job ()->deleted; n++)
     node_world_run (&wld, 20);
   wld.replies = 0;
