--- a/sched/placer.c
+++ b/sched/placer.c
@@ -148,6 +148,7 @@
   if (!wrk->ended_us)
     wrk->ended_us = clock_now_us (plc->env.clk);
   wrk->reported_ended = true;
+  wrk->gone = false;
   wrk->ended_list_us = 0;
 }
 
--- a/sched/placer_hosts.c
+++ b/sched/placer_hosts.c
@@ -48,7 +48,8 @@
                    LOG_I ("list_age_ms",
                           (clock_now_us (plc->env.clk) - asked_us) / 1000));
       placer_end_instance (plc, wrk);
-      wrk->ended_list_us = same || !*rep->worker ? asked_us : 0;
+      wrk->gone = !same && *rep->worker;
+      wrk->ended_list_us = wrk->gone ? 0 : asked_us;
     }
   for (size_t n = plc->earlier_count; n-- > 0;)
     {
@@ -93,6 +94,9 @@
              LOG_S ("state", "ended"), LOG_S ("host", host),
              LOG_S ("next", ""), LOG_I ("born_ms", born_ms));
   placer_worker_ended (plc, id);
+  struct worker *wrk = pool_find_id (&plc->pool, id);
+  if (wrk)
+    wrk->gone = true;
 }
 
 static void
--- a/sched/placer_instance.c
+++ b/sched/placer_instance.c
@@ -153,6 +153,9 @@
       return true;
     }
   drop_ended_runs (plc, wrk);
+  /* Nothing is left that could carry them out.  */
+  if (wrk->reported_ended && wrk->gone)
+    placer_end_late_starts (plc, wrk, INT64_MAX);
   if (wrk->reported_ended)
     wrk->registered = false;
   else
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -74,6 +74,9 @@
   int64_t earlier_born_ms;
   bool reported_ended; /* a source other than the worker reported the end of
                           this instance */
+  /* With reported_ended: lists of hosts show that the host is gone or has
+     another worker, so that no instance begins under this id.  */
+  bool gone;
   /* When the list of hosts was requested that shows the end of this instance,
      if the worker may start again under its id; 0: none did.  */
   int64_t ended_list_us;
