--- a/job/job.h
+++ b/job/job.h
@@ -101,6 +101,8 @@
   int64_t not_before_us;  /* monotonic time before which no run starts */
   int64_t ended_us;       /* monotonic time at which the last run ended; 0: no
                              run has ended */
+  int64_t heard_us;       /* monotonic time at which the last run that has
+                             ended was last confirmed or listed; 0: never */
   uint32_t reserved_worker; /* handle of the worker on which capacity is
                                reserved for the task; 0: none */
   int64_t reserved_us;      /* monotonic time of the reservation */
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -621,6 +621,7 @@
 {
   if (!plc)
     return;
+  placer_hand_over_unplaced (plc);
   for (size_t n = 0; n < plc->pool.count; n++)
     while (plc->pool.workers[n]->runs)
       placer_remove_run (plc, plc->pool.workers[n]->runs);
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -121,13 +121,34 @@
 /* Most perpetual tasks without a run that are watched at a time.  */
 #define UNPLACED_TASKS_MAX 64
 
-/* A perpetual task without a run.  */
+/* What a perpetual task without a run waits for.  */
+enum unplaced_part
+{
+  UNPLACED_EARLIER_OWNER, /* an earlier owner may run or start it */
+  UNPLACED_LATE_START,    /* an earlier start may still be carried out */
+  UNPLACED_NO_PLACE,      /* no worker is a place for it */
+  UNPLACED_ROOM,          /* room is being made at a worker */
+  UNPLACED_OWNER,         /* this owner may not start anything */
+  UNPLACED_START,         /* a start was sent and is not confirmed */
+  UNPLACED_OTHER,
+  UNPLACED_PARTS /* number of these */
+};
+
+/* A perpetual task without a run that a worker has confirmed.  */
 struct unplaced_task
 {
   struct task_ref ref;
-  int64_t since_us;    /* when it was first found so */
+  int64_t since_us;    /* when its last run ended, or it was first found so */
   int64_t reported_us; /* when that was last logged; 0: not yet */
-  bool waits;          /* it was found so by the last check */
+  bool found;          /* by the last check */
+  bool waits;          /* it had no run at all, and might be started */
+  bool told;           /* the end of the wait is logged */
+  enum unplaced_part part; /* for which it was last found to wait */
+  int64_t counted_us;      /* the parts are counted up to here */
+  int64_t parts_us[UNPLACED_PARTS];
+  int64_t unheard_us;  /* from the last sign of its last run to its end */
+  int64_t takeover_us; /* when it last waited for earlier owners; 0: never */
+  char awaited[NAME_BYTES]; /* whose act or answer was last waited for */
 };
 
 /* Kinds of waits of runs that are reported; each has a limit of its own.  */
@@ -239,7 +260,7 @@
   /* Report on perpetual tasks without a run.  */
   struct unplaced_task unplaced[UNPLACED_TASKS_MAX];
   size_t unplaced_count;
-  int64_t next_unplaced_check_us;
+  int64_t last_unplaced_check_us; /* 0: there was none */
   int64_t unplaced_reports_us; /* start of the time that has a limit of them */
   uint32_t unplaced_reports;   /* since then */
   struct waiting_gang gang;
@@ -565,6 +586,8 @@
 /* Logs which perpetual tasks have had no run for some time, and why the
    workers are no place for them.  */
 void placer_check_unplaced (struct placer *plc, int64_t now_us);
+/* Logs the waits of perpetual tasks that a later owner goes on with.  */
+void placer_hand_over_unplaced (struct placer *plc);
 
 /* placer_overdue.c */
 /* Decides, after an answer of WRK, whether its leases are withheld.  */
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -143,6 +143,9 @@
   if (run->start_sent_us && !run->start_settled)
     placer_add_late_start (plc, run);
   unlink_run (run);
+  if (run->confirmed_us)
+    run->tsk->heard_us
+        = run->seen_us > run->confirmed_us ? run->seen_us : run->confirmed_us;
   if (run->unwanted)
     run->tsk->unwanted_runs--;
   else if (run->tsk->run == run)
