node: say in host.order from which pool and for what a host was ordered

Moves out of the spare pool have no host.vacate line, so that the log did not say to which pool their hosts went. host.order has the host's present pool and, as host.vacate, the destination pool or upkeep.

--- a/node/fleet_orders.c
+++ b/node/fleet_orders.c
@@ -20,6 +20,8 @@
   struct node *nod;
   uint64_t token;
   char host[NAME_BYTES];
+  char pool[NAME_BYTES]; /* of the host when the order was sent */
+  char dest[NAME_BYTES]; /* of a move, or "upkeep" */
 };
 
 static void
@@ -40,6 +42,7 @@
                               ? host_mgr_find (&flt->mgr, ctx->host)
                               : NULL;
   log_event (ctx->nod->lg, EV_HOST_ORDER, LOG_S ("host", ctx->host),
+             LOG_S ("pool", ctx->pool), LOG_S ("for", ctx->dest),
              LOG_S ("outcome", names[status]), LOG_I ("token", ctx->token));
   if (host)
     host_mgr_order_answered (&flt->mgr, host, status,
@@ -97,6 +100,9 @@
   ctx->nod = flt->nod;
   ctx->token = flt->token;
   name_copy (ctx->host, host->rep.name);
+  name_copy (ctx->pool, host->rep.pool);
+  name_copy (ctx->dest,
+             host->current_op == OP_MOVE ? host->dest_pool : "upkeep");
   const struct host_order ord = {
     .host = ctx->host,
     .pool = host->current_op == OP_MOVE ? host->dest_pool : NULL,
