fleet: tell what a host that perpetual tasks need is waited for

Clients see a perpetual task without a run for 8 to 14 s while the log says only that its pool needs a host. pool.host_awaited (4618) comes when the need has lasted 2.5 s, and every 5 s: the hosts on their way, the first of them with its state and the phase of its move, and the other hosts by what keeps them from being taken.

--- a/fleet/host_mgr.h
+++ b/fleet/host_mgr.h
@@ -101,8 +101,9 @@
   uint32_t set_aside;
   char (*idle)[NAME_BYTES];
   size_t idle_count;
-  uint32_t busy_milli; /* share of its processors in use, in thousandths */
-  int64_t demand_us;   /* when the last demand was received */
+  uint32_t busy_milli;     /* share of its processors in use, in thousandths */
+  int64_t demand_us;       /* when the last demand was received */
+  int64_t next_awaited_us; /* when its need may be reported again */
 };
 
 /* What a step needs to know of the hosts of a pool.  It is computed once in a
@@ -273,6 +274,35 @@
                            const struct mgr_wave *wave, int64_t now_us,
                            uint32_t waits[WAIT_COUNT]);
 
+/* What keeps a host from being taken for what a pool needs.  */
+enum host_obstacle
+{
+  OBSTACLE_NONE_SPARE, /* nothing; it is in the spare pool */
+  OBSTACLE_NONE_IDLE,  /* nothing; its pool reports it as idle */
+  OBSTACLE_IN_USE,     /* its pool uses it */
+  OBSTACLE_NOT_UP,     /* it is not up */
+  OBSTACLE_OPERATION,  /* its maintenance, or a move to another pool */
+  OBSTACLE_COOLING,    /* COOLDOWN_US */
+  OBSTACLE_REFUSED,    /* the pause after a refusal */
+  OBSTACLE_LABEL,      /* it lacks the label */
+  OBSTACLE_COUNT,
+};
+
+/* A pool whose perpetual tasks wait for a host.  */
+struct awaited_report
+{
+  const struct mgr_pool *pool;
+  int64_t for_us;    /* for how long it has needed hosts */
+  uint32_t incoming; /* hosts with the label on their way, or just arrived */
+  const struct mgr_host *host;        /* the first of them; NULL: none */
+  uint32_t obstacles[OBSTACLE_COUNT]; /* of the other pools' hosts */
+};
+
+/* Returns whether the need of a pool is to be reported, and describes it in
+   REP as of the last step.  To be called until it returns false.  */
+bool host_mgr_next_awaited (struct host_mgr *mgr, int64_t now_us,
+                            struct awaited_report *rep);
+
 /* Returns NULL for an unknown host.  The pointer is valid until the next call
    of host_mgr_set_hosts.  */
 struct mgr_host *host_mgr_find (const struct host_mgr *mgr, const char *host);
--- a/fleet/host_mgr_moves.c
+++ b/fleet/host_mgr_moves.c
@@ -24,9 +24,6 @@
    as a reason for a needed host.  The tasks there run, and only the host
    cannot be vacated: that is no reason to stop the work of others.  */
 #define REFUSED_SPAN_US 10000000
-/* Time after its cooldown for which a host that has come to a pool counts as
-   on its way there: the pool's owner may not have reported since.  */
-#define ARRIVAL_US 1000000
 /* Hosts by which a pool that gives up a busy host has to be larger than the
    one that needs it.  After the move it is not smaller, so that no host is
    taken back for the same reason.  */
@@ -56,25 +53,6 @@
   uint32_t busy_most; /* hosts for which busy ones may be taken */
 };
 
-static bool
-host_has_label (const struct mgr_host *host, const char *label)
-{
-  for (size_t n = 0; n < host->rep.label_count; n++)
-    if (strcmp (host->rep.labels[n], label) == 0)
-      return true;
-  return !*label;
-}
-
-/* Whether HOST has come to the pool NAME just now.  */
-static bool
-has_arrived (const struct mgr_host *host, const char *name, int64_t now_us)
-{
-  return host->current_op == OP_NONE
-         && now_us < host->cooldown_until_us + ARRIVAL_US
-         && strcmp (host->dest_pool, name) == 0
-         && strcmp (host->rep.pool, name) == 0;
-}
-
 /* Hosts that POOL needs for tasks without a place, rather than to be able to
    give up others.  */
 static uint32_t
@@ -103,13 +81,12 @@
   for (size_t n = 0; n < mgr->host_count; n++)
     {
       const struct mgr_host *host = &mgr->hosts[n];
-      if (want == WANT_PLACES && host_has_label (host, wish.label))
-        wish.arrived += has_arrived (host, pool->name, now_us);
-      if (host->current_op != OP_MOVE
-          || strcmp (host->dest_pool, pool->name) != 0)
+      if (want == WANT_PLACES && host_mgr_host_has_label (host, wish.label))
+        wish.arrived += host_mgr_has_arrived (host, pool->name, now_us);
+      if (!host_mgr_moves_to (host, pool->name))
         continue;
       wish.available++;
-      if (!host_has_label (host, wish.label))
+      if (!host_mgr_host_has_label (host, wish.label))
         continue;
       wish.incoming++;
       wish.vacating += host->phase == PHASE_VACATING;
@@ -179,7 +156,7 @@
   bool redirect = may_redirect (mgr, host);
   if ((!redirect && !host_mgr_may_begin_op (host, now_us))
       || strcmp (host->rep.pool, wish->pool) == 0
-      || !host_has_label (host, wish->label))
+      || !host_mgr_host_has_label (host, wish->label))
     return -1;
   if (row->spare)
     return 1 + host->wave_pending;
--- a/fleet/host_mgr_priv.h
+++ b/fleet/host_mgr_priv.h
@@ -23,6 +23,15 @@
 /* Begins the moves that are due.  */
 void host_mgr_step_moves (struct host_mgr *mgr, int64_t now_us);
 
+/* fleet/host_mgr_await.c */
+/* LABEL may be empty: any host has that.  */
+bool host_mgr_host_has_label (const struct mgr_host *host, const char *label);
+/* Whether HOST has come to the pool NAME just now.  */
+bool host_mgr_has_arrived (const struct mgr_host *host, const char *name,
+                           int64_t now_us);
+/* Whether HOST is on its way to the pool NAME.  */
+bool host_mgr_moves_to (const struct mgr_host *host, const char *name);
+
 /* fleet/host_mgr_report.c */
 /* Ends the operation on HOST because its pool's owner does not vacate it, for
    REASON.  The host is not asked for again during a pause that grows with
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -208,6 +208,7 @@
       withdraw_orphans (flt, now_us);
       busy = host_mgr_step (&flt->mgr, now_us);
       node_fleet_log_pending (flt, now_us);
+      node_fleet_log_awaited (flt, now_us);
     }
   read_host_list (flt, busy ? LIST_INTERVAL_BUSY_MS : LIST_INTERVAL_IDLE_MS,
                   now_us);
--- a/node/fleet_log.c
+++ b/node/fleet_log.c
@@ -150,3 +150,71 @@
                  LOG_I ("pace", waits[WAIT_PACE]));
     }
 }
+
+static const char *
+name_phase (const struct mgr_host *host)
+{
+  switch (host->phase)
+    {
+    case PHASE_NONE:
+      return "arrived";
+    case PHASE_VACATING:
+      return "vacating";
+    case PHASE_EMPTY:
+      return "empty";
+    case PHASE_ORDERED:
+      return "ordered";
+    case PHASE_AWAITING_WORKER:
+      return "awaiting_worker";
+    }
+  return "";
+}
+
+static const char *
+name_state (enum host_state state)
+{
+  switch (state)
+    {
+    case HOST_UP:
+      return "up";
+    case HOST_MOVING:
+      return "moving";
+    case HOST_MAINTENANCE:
+      return "upkeep";
+    case HOST_DOWN:
+      return "down";
+    case HOST_UNKNOWN:
+      return "unknown";
+    }
+  return "";
+}
+
+void
+node_fleet_log_awaited (struct fleet_duty *flt, int64_t now_us)
+{
+  struct awaited_report rep;
+  while (host_mgr_next_awaited (&flt->mgr, now_us, &rep))
+    {
+      const struct mgr_host *host = rep.host;
+      int64_t phase_us = host ? now_us - host->phase_began_us : 0;
+      log_event (
+          flt->nod->lg, EV_POOL_HOST_AWAITED, LOG_S ("pool", rep.pool->name),
+          LOG_I ("needed", rep.pool->needed_hosts),
+          LOG_S ("label", rep.pool->needed_label),
+          LOG_I ("for_ms", rep.for_us / 1000),
+          LOG_I ("demand_age_ms", (now_us - rep.pool->demand_us) / 1000),
+          LOG_I ("incoming", rep.incoming),
+          LOG_S ("host", host ? host->rep.name : ""),
+          LOG_S ("state", host ? name_state (host->rep.state) : ""),
+          LOG_S ("phase", host ? name_phase (host) : ""),
+          LOG_I ("phase_ms", phase_us / 1000),
+          LOG_I ("spare", rep.obstacles[OBSTACLE_NONE_SPARE]),
+          LOG_I ("idle", rep.obstacles[OBSTACLE_NONE_IDLE]),
+          LOG_I ("in_use", rep.obstacles[OBSTACLE_IN_USE]),
+          LOG_I ("not_up", rep.obstacles[OBSTACLE_NOT_UP]),
+          LOG_I ("operation", rep.obstacles[OBSTACLE_OPERATION]),
+          LOG_I ("cooling", rep.obstacles[OBSTACLE_COOLING]),
+          LOG_I ("refused", rep.obstacles[OBSTACLE_REFUSED]),
+          LOG_I ("without_label", rep.obstacles[OBSTACLE_LABEL]));
+    }
+}
--- a/node/fleet_priv.h
+++ b/node/fleet_priv.h
@@ -56,6 +56,10 @@
 /* Tells what the hosts of running waves wait for, if that is due.  */
 void node_fleet_log_pending (struct fleet_duty *flt, int64_t now_us);
 
+/* Tells which pools wait for hosts that perpetual tasks need, if that is
+   due.  */
+void node_fleet_log_awaited (struct fleet_duty *flt, int64_t now_us);
+
 /* node/fleet_vacate.c */
 /* Tells the placer which of its hosts are to be emptied, and reports those
    that are empty and those that the pool keeps.  */
--- a/test/unit/unit_host_mgr_moves.c
+++ b/test/unit/unit_host_mgr_moves.c
@@ -373,6 +373,113 @@
 }
 END_TEST
 
+/* Writes "NEEDED after MS: INCOMING HOST STATE; " and the counts by obstacle
+   of each need that is to be reported.  */
+static void
+format_awaited (char text[256])
+{
+  static const char *const names[OBSTACLE_COUNT]
+      = { "spare",     "idle",    "in_use",  "not_up",
+          "operation", "cooling", "refused", "label" };
+  struct awaited_report rep;
+  FILE *out = fmemopen (text, 256, "w");
+  text[0] = '\0';
+  ck_assert_ptr_nonnull (out);
+  while (host_mgr_next_awaited (&mgr, now_us, &rep))
+    {
+      fprintf (out, "%s needs %u, %d ms: %u %s", rep.pool->name,
+               rep.pool->needed_hosts, (int)(rep.for_us / 1000), rep.incoming,
+               rep.host ? rep.host->rep.name : "");
+      for (int n = 0; n < OBSTACLE_COUNT; n++)
+        if (rep.obstacles[n])
+          fprintf (out, " %s=%u", names[n], rep.obstacles[n]);
+      fprintf (out, ";");
+    }
+  fclose (out);
+}
+
+static const struct
+{
+  const char *q, *spare;
+  struct wants of_p, of_q;
+  int steps; /* of 250 ms */
+  const char *report;
+} awaits[] = {
+  { "def", "xy", { .needed = 1 }, { 0 }, 9, "" },
+  { "def",
+    "xy",
+    { .needed = 1 },
+    { 0 },
+    10,
+    "p needs 1, 2500 ms: 1 x spare=1 in_use=3;" },
+  { "def", "xy", { .needed = 1 }, { 0 }, 29, "" },
+  { "def",
+    "xy",
+    { .needed = 1 },
+    { 0 },
+    30,
+    "p needs 1, 7500 ms: 1 x spare=1 in_use=3;" },
+  { "def",
+    "x",
+    { .needed = 3 },
+    { 0 },
+    10,
+    "p needs 3, 2500 ms: 1 x in_use=3;" },
+  { "dE",
+    "X",
+    { .needed = 1 },
+    { 0 },
+    10,
+    "p needs 1, 2500 ms: 0  in_use=1 not_up=2;" },
+  { "d",
+    "xk",
+    { .needed = 1, .label = "y" },
+    { 0 },
+    10,
+    "p needs 1, 2500 ms: 0  label=3;" },
+  { "d",
+    "xk",
+    { .needed = 1, .label = "k" },
+    { 0 },
+    10,
+    "p needs 1, 2500 ms: 1 k label=2;" },
+  { "d",
+    "",
+    { .needed = 1 },
+    { .needed = 1 },
+    10,
+    "p needs 1, 2500 ms: 0  in_use=1;q needs 1, 2500 ms: 0  in_use=3;" },
+  { "de",
+    "x",
+    { .needed = 1 },
+    { .needed = 1 },
+    10,
+    "p needs 1, 2500 ms: 1 x in_use=2;"
+    "q needs 1, 2500 ms: 0  in_use=3 operation=1;" },
+  { "d", "x", { .urgent = 1, .late = 1 }, { 0 }, 10, "" },
+};
+
+/* Guards against a perpetual task that waits for a host while no line says for
+   which one, and why no other one is taken.  */
+START_TEST (test_awaited_hosts)
+{
+  char text[256] = "";
+  list_hosts ("abc", awaits[_i].q, awaits[_i].spare);
+  demand ("p", &awaits[_i].of_p);
+  demand ("q", &awaits[_i].of_q);
+  step (0);
+  for (int n = 0; n < awaits[_i].steps; n++)
+    {
+      list_hosts ("abc", awaits[_i].q, awaits[_i].spare);
+      demand ("p", &awaits[_i].of_p);
+      demand ("q", &awaits[_i].of_q);
+      step (250);
+      format_awaited (text);
+    }
+  ck_assert_str_eq (text, awaits[_i].report);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -389,6 +496,8 @@
   tcase_add_test (tcase, test_needed_host_arrives);
   tcase_add_test (tcase, test_spare_despite_label);
   tcase_add_test (tcase, test_label_beside_incoming);
+  tcase_add_loop_test (tcase, test_awaited_hosts, 0,
+                       sizeof awaits / sizeof *awaits);
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
