fleet: a host that does not come does not count as one that comes

A host on its way is late, and another one is taken, when the list shows it as down, when the platform answers that it cannot be ordered now, when its order has no answer for 1 s while others are answered, or when a list requested 3 s after its order does not show it up with a new worker. For what perpetual tasks need also when it is not empty 0.5 s after the grace. A host that has just arrived and is shown as down does not count either. Lists and answers count rather than the clock: while the platform is away, no other host would come sooner. Of the late hosts at most two are replaced for each one wanted. One that comes after all is idle and goes back. Tasks start only where a pool's owner places them, as before, so no task can run twice by this.

--- a/fleet/host_mgr.c
+++ b/fleet/host_mgr.c
@@ -228,6 +228,9 @@
                          enum host_order_status status, int64_t now_us)
 {
   host->order_in_flight = false;
+  host->order_busy = status == HOST_ORDER_BUSY;
+  if (status != HOST_ORDER_UNKNOWN && status != HOST_ORDER_REJECTED)
+    mgr->answered_us = now_us;
   switch (status)
     {
     case HOST_ORDER_DONE:
@@ -269,6 +272,7 @@
     host->dest_pool[0] = '\0';
   host->op_began_us = now_us;
   host->next_order_us = 0;
+  host->order_busy = false;
   mgr->rows[host->pool_row].unavailable++;
   if (mgr->rows[host->pool_row].spare)
     {
--- a/fleet/host_mgr.h
+++ b/fleet/host_mgr.h
@@ -69,7 +69,8 @@
   uint32_t refused_remained;        /* pool_row.remain at the last refusal */
   char previous_worker[NAME_BYTES]; /* id of the worker before the order */
   bool order_in_flight;             /* an order has no answer yet */
-  int64_t next_order_us;            /* no order is sent before this time */
+  bool order_busy; /* by the last answer, the host cannot be ordered now */
+  int64_t next_order_us;     /* no order is sent before this time */
   int64_t cooldown_until_us; /* no other operation begins before this time */
   int64_t idle_since_us;     /* since when its pool reports it as idle; 0: it
                              does not */
@@ -182,6 +183,7 @@
   /* Set by the caller: a list that was requested before this time may not show
      maintenance that an earlier holder of the duty has ordered.  */
   int64_t maintenance_listed_from_us;
+  int64_t answered_us; /* when the platform last answered an order */
   struct host_mgr_ops ops;
 };
 
@@ -294,6 +296,7 @@
   const struct mgr_pool *pool;
   int64_t for_us;    /* for how long it has needed hosts */
   uint32_t incoming; /* hosts with the label on their way, or just arrived */
+  uint32_t late;     /* those of them that may not come */
   const struct mgr_host *host;        /* the first of them; NULL: none */
   uint32_t obstacles[OBSTACLE_COUNT]; /* of the other pools' hosts */
 };
--- a/fleet/host_mgr_await.c
+++ b/fleet/host_mgr_await.c
@@ -8,6 +8,18 @@
 /* Time after its cooldown for which a host that has come to a pool counts as
    on its way there: the pool's owner may not have reported since.  */
 #define ARRIVAL_US 1000000
+/* Time after the grace in which an owner that answers reports a host as empty:
+   the tasks end and the report is read in 0.2 s.  */
+#define VACATE_LATE_US 500000
+/* Time in which the platform answers an order if it answers any: it takes some
+   milliseconds, and 50 times as long when the platform is slow.  */
+#define ORDER_LATE_US 1000000
+/* A list that was requested this long after a move was ordered shows the host
+   with its new worker: the move takes 1.5 s, and the list shows the hosts as
+   they were up to 1 s before.  */
+#define MOVE_LATE_US 3000000
+/* Late hosts that are replaced at a time, for each host that is wanted.  */
+#define REPLACED_MAX 2
 /* A need is reported when it has lasted this long, and again after the
    interval.  Most last for an order, a move and the next list of hosts, of 2
    to 2.5 s in all.  */
@@ -29,7 +41,8 @@
 host_mgr_has_arrived (const struct mgr_host *host, const char *name,
                       int64_t now_us)
 {
-  return host->current_op == OP_NONE
+  return host->current_op == OP_NONE && host->listed
+         && host->rep.state != HOST_DOWN
          && now_us < host->cooldown_until_us + ARRIVAL_US
          && strcmp (host->dest_pool, name) == 0
          && strcmp (host->rep.pool, name) == 0;
@@ -41,6 +54,40 @@
   return host->current_op == OP_MOVE && strcmp (host->dest_pool, name) == 0;
 }
 
+bool
+host_mgr_is_late (const struct host_mgr *mgr, const struct mgr_host *host,
+                  bool needed, int64_t now_us)
+{
+  if (host->rep.state == HOST_DOWN)
+    return true;
+  switch (host->phase)
+    {
+    case PHASE_NONE:
+    case PHASE_EMPTY:
+      return false;
+    case PHASE_VACATING:
+      /* Other work can wait for the next owner: a host more would cost more
+         than it gains.  */
+      return needed
+             && now_us > host->op_began_us + host->grace_ms * 1000
+                             + VACATE_LATE_US;
+    case PHASE_ORDERED:
+      /* When the platform answers no orders, no other host comes either.  */
+      return host->order_busy
+             || mgr->answered_us > host->phase_began_us + ORDER_LATE_US;
+    case PHASE_AWAITING_WORKER:
+      return host->listed_us > host->phase_began_us + MOVE_LATE_US;
+    }
+  return false;
+}
+
+uint32_t
+host_mgr_count_coming (uint32_t on_time, uint32_t late, uint32_t wanted)
+{
+  uint32_t replaced = wanted * REPLACED_MAX;
+  return on_time + (late > replaced ? late - replaced : 0);
+}
+
 /* Why HOST of another pool, which has the label, is not taken, or is free.  */
 static enum host_obstacle
 find_obstacle (const struct host_mgr *mgr, const struct mgr_host *host,
@@ -79,6 +126,7 @@
       else if (comes)
         {
           rep->incoming++;
+          rep->late += host_mgr_is_late (mgr, host, true, now_us);
           if (!rep->host || host->op_began_us < rep->host->op_began_us)
             rep->host = host;
         }
--- a/fleet/host_mgr_moves.c
+++ b/fleet/host_mgr_moves.c
@@ -46,7 +46,7 @@
   enum want want;
   const char *pool;
   const char *label;  /* that they must have; "": any */
-  uint32_t incoming;  /* hosts on their way to the pool that have it */
+  uint32_t incoming;  /* hosts that come to the pool and have it */
   uint32_t arrived;   /* those that have arrived just now */
   uint32_t vacating;  /* those that are not empty yet */
   uint32_t available; /* the pool's hosts, and those on their way to it */
@@ -69,8 +69,10 @@
 
 static struct wish
 make_wish (const struct host_mgr *mgr, const struct mgr_pool *pool,
-           enum want want, int64_t now_us)
+           enum want want, uint32_t wanted, int64_t now_us)
 {
+  uint32_t on_time = 0;
+  uint32_t late = 0;
   struct wish wish
       = { .want = want,
           .pool = pool->name,
@@ -88,10 +90,13 @@
       wish.available++;
       if (!host_mgr_host_has_label (host, wish.label))
         continue;
-      wish.incoming++;
+      if (host_mgr_is_late (mgr, host, want == WANT_PLACES, now_us))
+        late++;
+      else
+        on_time++;
       wish.vacating += host->phase == PHASE_VACATING;
     }
-  wish.incoming += wish.arrived;
+  wish.incoming = wish.arrived + host_mgr_count_coming (on_time, late, wanted);
   if (want == WANT_PLACES && wish.incoming < pool->needed_hosts
       && pool->needed_since_us
       && now_us >= pool->needed_since_us + BUSY_DELAY_US)
@@ -199,9 +204,9 @@
     pool->needed_since_us = 0;
   else if (!pool->needed_since_us)
     pool->needed_since_us = now_us;
-  struct wish wish = make_wish (mgr, pool, want, now_us);
   if (want != WANT_PLACES)
     wanted = wanted > pool->set_aside ? wanted - pool->set_aside : 0;
+  struct wish wish = make_wish (mgr, pool, want, wanted, now_us);
   int next = 0;
   for (int cost = 0; cost >= 0 && wish.incoming < wanted; cost = next)
     {
--- a/fleet/host_mgr_priv.h
+++ b/fleet/host_mgr_priv.h
@@ -31,6 +31,15 @@
                            int64_t now_us);
 /* Whether HOST is on its way to the pool NAME.  */
 bool host_mgr_moves_to (const struct mgr_host *host, const char *name);
+/* Whether HOST, which is on its way to a pool, may not come: it is down, or
+   takes longer than a host does that comes.  NEEDED: for perpetual tasks.  */
+bool host_mgr_is_late (const struct host_mgr *mgr, const struct mgr_host *host,
+                       bool needed, int64_t now_us);
+/* Hosts that count as coming to a pool that wants WANTED hosts.  Late ones do
+   not, up to a limit: others are taken instead.  If they come after all, the
+   pool reports as many as idle.  */
+uint32_t host_mgr_count_coming (uint32_t on_time, uint32_t late,
+                                uint32_t wanted);
 
 /* fleet/host_mgr_report.c */
 /* Ends the operation on HOST because its pool's owner does not vacate it, for
--- a/node/fleet_log.c
+++ b/node/fleet_log.c
@@ -203,7 +203,7 @@
           LOG_S ("label", rep.pool->needed_label),
           LOG_I ("for_ms", rep.for_us / 1000),
           LOG_I ("demand_age_ms", (now_us - rep.pool->demand_us) / 1000),
-          LOG_I ("incoming", rep.incoming),
+          LOG_I ("incoming", rep.incoming), LOG_I ("late", rep.late),
           LOG_S ("host", host ? host->rep.name : ""),
           LOG_S ("state", host ? name_state (host->rep.state) : ""),
           LOG_S ("phase", host ? name_phase (host) : ""),
--- a/test/unit/unit_host_mgr_moves.c
+++ b/test/unit/unit_host_mgr_moves.c
@@ -120,13 +120,15 @@
   host_mgr_step (&mgr, now_us);
 }
 
-/* Writes the moves in progress as "HOST>POOL ", in the order of the list.  */
+/* Writes the moves to POOL in progress, or all if it is NULL, as "HOST>POOL ",
+   in the order of the list.  */
 static void
-format_moves (char text[128])
+format_moves_to (const char *pool, char text[128])
 {
   text[0] = '\0';
   for (size_t n = 0; n < mgr.host_count; n++)
-    if (mgr.hosts[n].current_op == OP_MOVE)
+    if (mgr.hosts[n].current_op == OP_MOVE
+        && (!pool || strcmp (mgr.hosts[n].dest_pool, pool) == 0))
       {
         size_t len = strlen (text);
         int added = snprintf (text + len, 128 - len, "%s>%s ",
@@ -135,6 +137,12 @@
       }
 }
 
+static void
+format_moves (char text[128])
+{
+  format_moves_to (NULL, text);
+}
+
 static const struct
 {
   const char *p, *q, *spare;
@@ -390,6 +398,8 @@
       fprintf (out, "%s needs %u, %d ms: %u %s", rep.pool->name,
                rep.pool->needed_hosts, (int)(rep.for_us / 1000), rep.incoming,
                rep.host ? rep.host->rep.name : "");
+      if (rep.late)
+        fprintf (out, " late=%u", rep.late);
       for (int n = 0; n < OBSTACLE_COUNT; n++)
         if (rep.obstacles[n])
           fprintf (out, " %s=%u", names[n], rep.obstacles[n]);
@@ -457,6 +467,12 @@
     "p needs 1, 2500 ms: 1 x in_use=2;"
     "q needs 1, 2500 ms: 0  in_use=3 operation=1;" },
   { "d", "x", { .urgent = 1, .late = 1 }, { 0 }, 10, "" },
+  { "d",
+    "",
+    { .needed = 1 },
+    { .idle = "d" },
+    10,
+    "p needs 1, 2500 ms: 1 d late=1;" },
 };
 
 /* Guards against a perpetual task that waits for a host while no line says for
@@ -480,6 +496,168 @@
 }
 END_TEST
 
+/* What happens to a host that is on its way, in the order of the phases.  */
+enum mishap
+{
+  NOTHING,
+  NOT_VACATED,   /* the pool's owner does not answer */
+  DOWN_VACATING, /* it crashes while it is being vacated */
+  BUSY_ORDER,    /* the platform cannot carry the order out */
+  LOST_ORDER,    /* the order has no answer, but another one has */
+  NO_ANSWERS,    /* no order has an answer */
+  DOWN_MOVING,   /* it crashes after its order */
+  NO_WORKER,     /* it stays in its move */
+  NO_LIST,       /* the list of hosts is away */
+  DOWN_ARRIVED,  /* it crashes when it has just arrived */
+};
+
+/* Lists the hosts again.  The first host on its way, x or d, is as MISHAP
+   leaves it.  */
+static void
+list_after (const char *q, const char *spare, enum mishap mishap)
+{
+  char moved[2] = { *spare ? *spare : *q, '\0' };
+  const char *rest_q = *spare ? q : q + 1;
+  const char *rest_spare = *spare ? spare + 1 : spare;
+  char p[8];
+  if (mishap == NO_LIST)
+    return;
+  if (mishap < DOWN_MOVING && mishap != DOWN_VACATING)
+    {
+      list_hosts ("abc", q, spare);
+      return;
+    }
+  if (mishap != NO_WORKER)
+    moved[0] = (char)toupper (moved[0]);
+  if (mishap == DOWN_VACATING)
+    {
+      char all_q[32];
+      snprintf (all_q, sizeof all_q, "%s%s", moved, rest_q);
+      list_hosts ("abc", *spare ? q : all_q, spare);
+      return;
+    }
+  snprintf (p, sizeof p, "abc%s", moved);
+  list_hosts (p, rest_q, rest_spare);
+  if (mishap == NO_WORKER)
+    host_mgr_find (&mgr, moved)->rep.state = HOST_MOVING;
+}
+
+static const struct
+{
+  const char *q, *spare;
+  struct wants of_p, of_q;
+  enum mishap mishap;
+  int after_ms; /* since the begin of the move */
+  const char *moves;
+} late_hosts[] = {
+  /* It is replaced when it is shown as down, for urgent and late work too.  */
+  { "def", "xy", { .needed = 1 }, { 0 }, DOWN_MOVING, 400, "x>p y>p " },
+  { "def",
+    "xy",
+    { .urgent = 1, .late = 1 },
+    { 0 },
+    DOWN_MOVING,
+    400,
+    "x>p y>p " },
+  { "def", "xy", { .late = 1 }, { 0 }, DOWN_MOVING, 400, "x>p y>p " },
+  { "def", "xy", { .needed = 1 }, { 0 }, DOWN_ARRIVED, 400, "y>p " },
+  { "def",
+    "",
+    { .needed = 1 },
+    { .idle = "def" },
+    DOWN_VACATING,
+    400,
+    "d>p e>p " },
+  /* Or when its move takes longer than any does, by a list that would show
+     it.  */
+  { "def", "xy", { .needed = 1 }, { 0 }, NO_WORKER, 2900, "x>p " },
+  { "def", "xy", { .needed = 1 }, { 0 }, NO_WORKER, 3500, "x>p y>p " },
+  { "def",
+    "xy",
+    { .urgent = 1, .late = 1 },
+    { 0 },
+    NO_WORKER,
+    3500,
+    "x>p y>p " },
+  { "def", "xy", { .needed = 1 }, { 0 }, NO_LIST, 9000, "x>p " },
+  /* Or its order, unless the platform answers no other either.  */
+  { "def", "xy", { .needed = 1 }, { 0 }, BUSY_ORDER, 50, "x>p y>p " },
+  { "def", "xy", { .needed = 1 }, { 0 }, LOST_ORDER, 900, "x>p " },
+  { "def", "xy", { .needed = 1 }, { 0 }, LOST_ORDER, 1100, "x>p y>p " },
+  { "def", "xy", { .needed = 1 }, { 0 }, NO_ANSWERS, 9000, "x>p " },
+  /* Or when it is not empty after the grace.  Other work can wait for that. */
+  { "def", "", { .needed = 1 }, { .idle = "def" }, NOT_VACATED, 1900, "d>p " },
+  { "def",
+    "",
+    { .needed = 1 },
+    { .idle = "def" },
+    NOT_VACATED,
+    2100,
+    "d>p e>p " },
+  { "def",
+    "",
+    { .urgent = 1, .late = 1 },
+    { .idle = "def" },
+    NOT_VACATED,
+    9000,
+    "d>p " },
+  /* At most REPLACED_MAX hosts for each one that is wanted are replaced.  */
+  { "defghi",
+    "",
+    { .needed = 1 },
+    { .idle = "defghi" },
+    NOT_VACATED,
+    9000,
+    "d>p e>p f>p " },
+  { "def", "x", { .needed = 1 }, { 0 }, NOTHING, 1000, "x>p " },
+};
+
+/* Guards against a perpetual task that waits while a host that does not come
+   counts as one that does (LOST), and against moves without end.  */
+START_TEST (test_late_hosts)
+{
+  char text[128];
+  const enum mishap mishap = late_hosts[_i].mishap;
+  const char *q = late_hosts[_i].q;
+  const char *spare = late_hosts[_i].spare;
+  list_hosts ("abc", q, spare);
+  demand ("p", &late_hosts[_i].of_p);
+  demand ("q", &late_hosts[_i].of_q);
+  step (10);
+  step (0);
+  const int64_t began_us = now_us;
+  struct mgr_host *host = host_mgr_find (&mgr, *spare ? "x" : "d");
+  ck_assert_int_eq (host->current_op, OP_MOVE);
+  if (mishap == BUSY_ORDER)
+    host_mgr_order_answered (&mgr, host, HOST_ORDER_BUSY, now_us);
+  else if (mishap >= DOWN_MOVING)
+    host_mgr_order_answered (&mgr, host, HOST_ORDER_DONE, now_us);
+  if (mishap == DOWN_ARRIVED)
+    {
+      now_us += 10;
+      list_after (q, spare, NO_WORKER);
+      host->rep.state = HOST_UP;
+      name_copy (host->rep.worker, "w-2");
+      step (0);
+      ck_assert_int_eq (host->phase, PHASE_NONE);
+    }
+  while (now_us < began_us + (int64_t)late_hosts[_i].after_ms * 1000)
+    {
+      now_us += 50000;
+      list_after (q, spare, mishap);
+      demand ("p", &late_hosts[_i].of_p);
+      demand ("q", &late_hosts[_i].of_q);
+      /* A maintenance elsewhere is answered.  */
+      if (mishap == LOST_ORDER)
+        host_mgr_order_answered (&mgr, host_mgr_find (&mgr, "f"),
+                                 HOST_ORDER_BUSY, now_us);
+      step (0);
+    }
+  format_moves_to ("p", text);
+  ck_assert_str_eq (text, late_hosts[_i].moves);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -498,6 +676,8 @@
   tcase_add_test (tcase, test_label_beside_incoming);
   tcase_add_loop_test (tcase, test_awaited_hosts, 0,
                        sizeof awaits / sizeof *awaits);
+  tcase_add_loop_test (tcase, test_late_hosts, 0,
+                       sizeof late_hosts / sizeof *late_hosts);
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
