fleet: what perpetual tasks need outlives their pool's owner

Cause: a demand older than 4 s causes no moves. An owner reports every 1.5 s, a successor begins 2 to 4 s after its last report, and until it has reported what perpetual tasks need was forgotten.

The last report counts until the next one, but at most 9 s. Hosts that have arrived since count against it, so that an unchanged report causes no second host. Hosts for other work still need a recent demand.

Tests: test_need_outlives_owner, of which three of seven cases failed before (no host is taken at an age of 8.9 s).

--- a/fleet/host_mgr_await.c
+++ b/fleet/host_mgr_await.c
@@ -6,7 +6,7 @@
    for.  */
 
 /* Time after its cooldown for which a host that has come to a pool counts as
-   on its way there: the pool's owner may not have reported since.  */
+   on its way there at least: the pool's owner may not have noticed it yet.  */
 #define ARRIVAL_US 1000000
 /* Time after the grace in which an owner that answers reports a host as empty:
    the tasks end and the report is read in 0.2 s.  */
@@ -38,14 +38,15 @@
 }
 
 bool
-host_mgr_has_arrived (const struct mgr_host *host, const char *name,
+host_mgr_has_arrived (const struct mgr_host *host, const struct mgr_pool *pool,
                       int64_t now_us)
 {
   return host->current_op == OP_NONE && host->listed
          && host->rep.state != HOST_DOWN
-         && now_us < host->cooldown_until_us + ARRIVAL_US
-         && strcmp (host->dest_pool, name) == 0
-         && strcmp (host->rep.pool, name) == 0;
+         && (now_us < host->cooldown_until_us + ARRIVAL_US
+             || pool->demand_us < host->phase_began_us)
+         && strcmp (host->dest_pool, pool->name) == 0
+         && strcmp (host->rep.pool, pool->name) == 0;
 }
 
 bool
@@ -117,7 +118,7 @@
     {
       const struct mgr_host *host = &mgr->hosts[n];
       bool comes = host_mgr_moves_to (host, pool->name)
-                   || host_mgr_has_arrived (host, pool->name, now_us);
+                   || host_mgr_has_arrived (host, pool, now_us);
       if (!host->listed
           || (!comes && strcmp (host->rep.pool, pool->name) == 0))
         continue;
--- a/fleet/host_mgr_moves.c
+++ b/fleet/host_mgr_moves.c
@@ -5,8 +5,12 @@
 /* Moves of hosts between pools: to pools that are short of hosts, and of idle
    hosts to the spare pool.  */
 
-/* A demand older than this causes no moves.  */
+/* A demand older than this causes no moves but for perpetual tasks.  */
 #define DEMAND_AGE_MAX_US 4000000
+/* What perpetual tasks need counts until the next owner reports, but no longer
+   than a perpetual task may be without a run: the pool's owner may be
+   replaced, and a host that comes in vain is given back.  */
+#define NEED_AGE_MAX_US 9000000
 /* An idle host moves to the spare pool after this time.  Moving it there and
    back costs as much as keeping it for about two seconds, and most load peaks
    of a queue begin as the peak of another one ends.  */
@@ -84,7 +88,7 @@
     {
       const struct mgr_host *host = &mgr->hosts[n];
       if (want == WANT_PLACES && host_mgr_host_has_label (host, wish.label))
-        wish.arrived += host_mgr_has_arrived (host, pool->name, now_us);
+        wish.arrived += host_mgr_has_arrived (host, pool, now_us);
       if (!host_mgr_moves_to (host, pool->name))
         continue;
       wish.available++;
@@ -263,7 +267,7 @@
     for (size_t n = 0; n < mgr->pool_count; n++)
       {
         struct mgr_pool *pool = &mgr->pools[n];
-        if (demand_is_recent (pool, now_us)
+        if (now_us - pool->demand_us <= NEED_AGE_MAX_US
             && (count_placeless (mgr, pool, now_us) > 0) == placeless)
           shortage = supply_pool (mgr, pool, WANT_PLACES, now_us) || shortage;
       }
--- a/fleet/host_mgr_priv.h
+++ b/fleet/host_mgr_priv.h
@@ -26,9 +26,9 @@
 /* fleet/host_mgr_await.c */
 /* LABEL may be empty: any host has that.  */
 bool host_mgr_host_has_label (const struct mgr_host *host, const char *label);
-/* Whether HOST has come to the pool NAME just now.  */
-bool host_mgr_has_arrived (const struct mgr_host *host, const char *name,
-                           int64_t now_us);
+/* Whether HOST has come to POOL just now, or since the last demand.  */
+bool host_mgr_has_arrived (const struct mgr_host *host,
+                           const struct mgr_pool *pool, int64_t now_us);
 /* Whether HOST is on its way to the pool NAME.  */
 bool host_mgr_moves_to (const struct mgr_host *host, const char *name);
 /* Whether HOST, which is on its way to a pool, may not come: it is down, or
--- a/test/unit/unit_host_mgr_moves.c
+++ b/test/unit/unit_host_mgr_moves.c
@@ -658,6 +658,56 @@
 }
 END_TEST
 
+static const struct
+{
+  struct wants of_p;
+  int age_ms;   /* of the demand */
+  bool arrived; /* a host has come since */
+  bool down;    /* and is down */
+  const char *moves;
+} silences[] = {
+  { { .needed = 1 }, 8900, false, false, "y>p " },
+  { { .needed = 1 }, 9100, false, false, "" },
+  { { .urgent = 1, .late = 1 }, 3900, false, false, "y>p " },
+  { { .urgent = 1, .late = 1 }, 4100, false, false, "" },
+  { { .needed = 1 }, 8900, true, false, "" },
+  { { .needed = 1 }, 8900, true, true, "y>p " },
+  { { .needed = 2 }, 8900, true, false, "y>p " },
+};
+
+/* Guards against a perpetual task that waits for a host until the next owner
+   of its pool has taken over, and against a host for each second of that
+   time.  */
+START_TEST (test_need_outlives_owner)
+{
+  char text[128];
+  const bool down = silences[_i].down;
+  list_hosts ("abc", "def", silences[_i].arrived ? "x" : "");
+  demand ("p", &silences[_i].of_p);
+  const int64_t asked_us = now_us;
+  step (10);
+  step (0);
+  if (silences[_i].arrived)
+    {
+      struct mgr_host *host = host_mgr_find (&mgr, "x");
+      host_mgr_order_answered (&mgr, host, HOST_ORDER_DONE, now_us);
+      now_us += 2 * S;
+      list_hosts ("abcx", "def", "");
+      name_copy (host->rep.worker, "w-2");
+      step (0);
+      ck_assert_int_eq (host->phase, PHASE_NONE);
+    }
+  now_us = asked_us + (int64_t)silences[_i].age_ms * 1000;
+  list_hosts (!silences[_i].arrived ? "abc"
+              : down                ? "abcX"
+                                    : "abcx",
+              "def", "y");
+  step (0);
+  format_moves (text);
+  ck_assert_str_eq (text, silences[_i].moves);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -678,6 +728,8 @@
                        sizeof awaits / sizeof *awaits);
   tcase_add_loop_test (tcase, test_late_hosts, 0,
                        sizeof late_hosts / sizeof *late_hosts);
+  tcase_add_loop_test (tcase, test_need_outlives_owner, 0,
+                       sizeof silences / sizeof *silences);
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
