fleet: hosts of a pool whose owner is silent are needed last

Cause: a host that a pool's owner has to vacate first was as good as any other of its kind, also when that owner had ended. The loss of a process takes the owners of several pools at once; a need could ask such a pool for one host after the other, 2 s for each, beside idle hosts of other pools.

For what perpetual tasks need, such a host comes after all others when the owner's last demand is older than 2.5 s.

Tests: test_needed_from_silent_owner, of which two of six cases failed before ("d>p " instead of "g>p ", "d>p e>p " instead of "d>p g>p ").

--- a/fleet/host_mgr_moves.c
+++ b/fleet/host_mgr_moves.c
@@ -24,6 +24,12 @@
    Most needs are over sooner, when tasks or hosts that were on their way have
    arrived.  */
 #define BUSY_DELAY_US 500000
+/* An owner whose last demand is older than this may have ended: it reports
+   every 1.5 s, and a report is read within a second.  */
+#define OWNER_SILENT_US 2500000
+/* Cost of a host that such an owner has to vacate first, for what is needed:
+   more than that of any other.  */
+#define SILENT_COST 6
 /* Time after its pause for which a host that its pool refused to vacate counts
    as a reason for a needed host.  The tasks there run, and only the host
    cannot be vacated: that is no reason to stop the work of others.  */
@@ -149,6 +155,15 @@
          && row->all >= row->unavailable + wish->available + GIVER_LEAD_HOSTS;
 }
 
+/* Cost to add for a host that the owner of its pool ROW has to vacate.  */
+static int
+silent_cost (const struct pool_row *row, const struct wish *wish,
+             int64_t now_us)
+{
+  bool silent = now_us - row->demand->demand_us > OWNER_SILENT_US;
+  return wish->want == WANT_PLACES && silent ? SILENT_COST : 0;
+}
+
 /* Cost of taking HOST for WISH, or -1 if it cannot be taken: preferably one
    that is about to move to the spare pool, next one in the spare pool, then an
    idle one of a pool that is not short itself.  For work that can be done in
@@ -156,7 +171,8 @@
    and for what is needed last one that another pool uses at all.  A host that
    a wave still has to maintain costs one more.  A host that has to be emptied
    first may not become so: for what is needed, one on its way to the spare
-   pool is no better than an idle one.  */
+   pool is no better than an idle one, and one of a pool whose owner is silent
+   comes last.  */
 static int
 host_cost (const struct host_mgr *mgr, const struct mgr_host *host,
            const struct wish *wish, int64_t now_us)
@@ -169,20 +185,22 @@
     return -1;
   if (row->spare)
     return 1 + host->wave_pending;
-  if (redirect)
-    return (wish->want == WANT_PLACES && host->phase == PHASE_VACATING ? 3 : 0)
-           + host->wave_pending;
+  if (redirect && host->phase == PHASE_EMPTY)
+    return host->wave_pending;
   if (!row->demand)
     return -1;
+  const int extra = host->wave_pending + silent_cost (row, wish, now_us);
+  if (redirect)
+    return (wish->want == WANT_PLACES ? 3 : 0) + extra;
   if (host_mgr_host_is_idle (mgr, host))
     {
       if (without_labelled (row->demand, row->demand->short_hosts) == 0)
-        return 3 + host->wave_pending;
+        return 3 + extra;
       if (wish->want >= WANT_URGENT
           && without_labelled (row->demand, row->demand->urgent_hosts) == 0)
-        return 5 + host->wave_pending;
+        return 5 + extra;
     }
-  return may_take_busy (row, wish, now_us) ? 7 + host->wave_pending : -1;
+  return may_take_busy (row, wish, now_us) ? 7 + extra : -1;
 }
 
 static const char *
--- a/test/unit/unit_host_mgr_moves.c
+++ b/test/unit/unit_host_mgr_moves.c
@@ -36,9 +36,12 @@
 {
 }
 
-static struct pool_config pools[]
-    = { { .name = "p" }, { .name = "q" }, { .name = "spare", .spare = true } };
-static const struct catalog cat = { .pools = pools, .pool_count = 3 };
+static struct pool_config pools[] = { { .name = "p" },
+                                      { .name = "q" },
+                                      { .name = "spare", .spare = true },
+                                      { .name = "r" } };
+static const struct catalog cat = { .pools = pools, .pool_count = 4 };
+static const char *hosts_of_r;
 
 static void
 setup (void)
@@ -51,6 +54,7 @@
   host_mgr_init (&mgr, ctx, &ops);
   mgr.cat = &cat;
   now_us = 100 * S;
+  hosts_of_r = "";
 }
 
 static void
@@ -61,15 +65,16 @@
 }
 
 /* Sets the platform's list of hosts.  Each letter of P, Q and SPARE names a
-   host in the pool of that name.  Its labels are its own name, and "first" in
-   the first half of the alphabet.  A capital letter is a host that is down. */
+   host in the pool of that name, and of hosts_of_r one in the pool r.  Its
+   labels are its own name, and "first" in the first half of the alphabet.  A
+   capital letter is a host that is down. */
 static void
 list_hosts (const char *p, const char *q, const char *spare)
 {
   struct host_report reps[32];
   size_t count = 0;
-  const char *const names[] = { p, q, spare };
-  for (size_t n = 0; n < 3; n++)
+  const char *const names[] = { p, q, spare, hosts_of_r };
+  for (size_t n = 0; n < 4; n++)
     for (const char *chr = names[n]; *chr; chr++)
       {
         struct host_report *rep = &reps[count++];
@@ -708,6 +713,44 @@
 }
 END_TEST
 
+static const struct
+{
+  struct wants of_p, of_r;
+  const char *r;
+  int silent_ms; /* since the last demand of q */
+  int after_ms;  /* since the begin of the move */
+  const char *moves;
+} silent_owners[] = {
+  { { .needed = 1 }, { .idle = "g" }, "g", 2400, 100, "d>p " },
+  { { .needed = 1 }, { .idle = "g" }, "g", 2600, 100, "g>p " },
+  { { .needed = 1 }, { 0 }, "", 2600, 100, "d>p " },
+  /* One in use that is vacated is better than another one that is not.  */
+  { { .needed = 1 }, { 0 }, "ghijkl", 2600, 1900, "d>p " },
+  { { .needed = 1 }, { 0 }, "ghijkl", 2600, 2100, "d>p g>p " },
+  { { .urgent = 1, .late = 1 }, { .idle = "g" }, "g", 2600, 100, "d>p " },
+};
+
+/* Guards against a perpetual task that waits for one host after the other of a
+   pool whose owner has ended.  */
+START_TEST (test_needed_from_silent_owner)
+{
+  const struct wants idle = { .idle = "def" };
+  char text[128];
+  hosts_of_r = silent_owners[_i].r;
+  list_hosts ("abc", "def", "");
+  demand ("q", &idle);
+  now_us += (int64_t)silent_owners[_i].silent_ms * 1000;
+  for (int ms = 0; ms <= silent_owners[_i].after_ms; ms += 100)
+    {
+      demand ("p", &silent_owners[_i].of_p);
+      demand ("r", &silent_owners[_i].of_r);
+      step (ms == 0 ? 0 : 100);
+    }
+  format_moves_to ("p", text);
+  ck_assert_str_eq (text, silent_owners[_i].moves);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -730,6 +773,8 @@
                        sizeof late_hosts / sizeof *late_hosts);
   tcase_add_loop_test (tcase, test_need_outlives_owner, 0,
                        sizeof silences / sizeof *silences);
+  tcase_add_loop_test (tcase, test_needed_from_silent_owner, 0,
+                       sizeof silent_owners / sizeof *silent_owners);
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
