fleet: hosts that are down do not make a pool that needs one larger

Cause: a host in use goes only to a pool that is not larger than the one that gives it up, and hosts that are down counted for the pool that needs one, while those of the other pool did not. A pool that had lost most of its hosts for some time could therefore not get one in use.

Tests: test_needed_moves, two more cases, of which one failed before ("" instead of "e>p ").

--- a/fleet/host_mgr.c
+++ b/fleet/host_mgr.c
@@ -322,6 +322,7 @@
       host->pool_row = add_row (mgr, host->rep.pool);
       struct pool_row *row = &mgr->rows[host->pool_row];
       row->all += host->listed;
+      row->down += host->listed && host->rep.state == HOST_DOWN;
       row->unavailable
           += host->listed
              && (host->phase != PHASE_NONE || host->rep.state != HOST_UP);
--- a/fleet/host_mgr.h
+++ b/fleet/host_mgr.h
@@ -116,6 +116,7 @@
   bool spare;
   const struct mgr_pool *demand; /* NULL: no demand was received */
   uint32_t all;
+  uint32_t down;
   uint32_t unavailable; /* in an operation or not up */
   uint32_t remain;      /* up, and their tasks were not moved away for an
                            operation */
--- a/fleet/host_mgr_moves.c
+++ b/fleet/host_mgr_moves.c
@@ -59,7 +59,8 @@
   uint32_t incoming;  /* hosts that come to the pool and have it */
   uint32_t arrived;   /* those that have arrived just now */
   uint32_t vacating;  /* those that are not empty yet */
-  uint32_t available; /* the pool's hosts, and those on their way to it */
+  uint32_t available; /* the pool's hosts that are not down, and those that
+                         come */
   uint32_t busy_most; /* hosts for which busy ones may be taken */
 };
 
@@ -89,7 +90,7 @@
           .label = want == WANT_PLACES ? pool->needed_label : "" };
   for (uint32_t n = 0; n < mgr->row_count; n++)
     if (strcmp (mgr->rows[n].name, pool->name) == 0)
-      wish.available = mgr->rows[n].all;
+      wish.available = mgr->rows[n].all - mgr->rows[n].down;
   for (size_t n = 0; n < mgr->host_count; n++)
     {
       const struct mgr_host *host = &mgr->hosts[n];
@@ -97,13 +98,12 @@
         wish.arrived += host_mgr_has_arrived (host, pool, now_us);
       if (!host_mgr_moves_to (host, pool->name))
         continue;
-      wish.available++;
+      bool is_late = host_mgr_is_late (mgr, host, want == WANT_PLACES, now_us);
+      wish.available += !is_late;
       if (!host_mgr_host_has_label (host, wish.label))
         continue;
-      if (host_mgr_is_late (mgr, host, want == WANT_PLACES, now_us))
-        late++;
-      else
-        on_time++;
+      late += is_late;
+      on_time += !is_late;
       wish.vacating += host->phase == PHASE_VACATING;
     }
   wish.incoming = wish.arrived + host_mgr_count_coming (on_time, late, wanted);
--- a/test/unit/unit_host_mgr_moves.c
+++ b/test/unit/unit_host_mgr_moves.c
@@ -195,6 +195,9 @@
     { 0, "", 9, 9, "" },
     "d>p e>p " },
   { "abc", "defghi", "", { 5, "", 5, 5, "" }, { 0, "", 9, 9, "" }, "d>p " },
+  /* Hosts that are down make neither pool larger.  */
+  { "abCD", "efghi", "", { 1, "", 1, 1, "" }, { 0, "", 9, 9, "" }, "e>p " },
+  { "abCD", "efgHI", "", { 1, "", 1, 1, "" }, { 0, "", 9, 9, "" }, "" },
 };
 
 /* Guards against a perpetual task that waits for a host with the right label
