--- a/fleet/host_mgr.h
+++ b/fleet/host_mgr.h
@@ -69,7 +69,8 @@
   uint32_t refused_remained;        /* pool_row.remain at the last refusal */
   char previous_worker[NAME_BYTES]; /* id of the worker before the order */
   bool order_in_flight;             /* an order has no answer yet */
-  int64_t next_order_us;            /* no order is sent before this time */
+  bool order_busy; /* by the last answer, the host cannot be ordered now */
+  int64_t next_order_us;     /* no order is sent before this time */
   int64_t cooldown_until_us; /* no other operation begins before this time */
   int64_t idle_since_us;     /* since when its pool reports it as idle; 0: it
                              does not */
@@ -101,8 +102,9 @@
   uint32_t set_aside;
   char (*idle)[NAME_BYTES];
   size_t idle_count;
-  uint32_t busy_milli; /* share of its processors in use, in thousandths */
-  int64_t demand_us;   /* when the last demand was received */
+  uint32_t busy_milli;     /* share of its processors in use, in thousandths */
+  int64_t demand_us;       /* when the last demand was received */
+  int64_t next_awaited_us; /* when its need may be reported again */
 };
 
 /* What a step needs to know of the hosts of a pool.  It is computed once in a
@@ -114,6 +116,7 @@
   bool spare;
   const struct mgr_pool *demand; /* NULL: no demand was received */
   uint32_t all;
+  uint32_t down;
   uint32_t unavailable; /* in an operation or not up */
   uint32_t remain;      /* up, and their tasks were not moved away for an
                            operation */
@@ -181,6 +184,7 @@
   /* Set by the caller: a list that was requested before this time may not show
      maintenance that an earlier holder of the duty has ordered.  */
   int64_t maintenance_listed_from_us;
+  int64_t answered_us; /* when the platform last answered an order */
   struct host_mgr_ops ops;
 };
 
@@ -273,6 +277,36 @@
                            const struct mgr_wave *wave, int64_t now_us,
                            uint32_t waits[WAIT_COUNT]);
 
+/* What keeps a host from being taken for what a pool needs.  */
+enum host_obstacle
+{
+  OBSTACLE_NONE_SPARE, /* nothing; it is in the spare pool */
+  OBSTACLE_NONE_IDLE,  /* nothing; its pool reports it as idle */
+  OBSTACLE_IN_USE,     /* its pool uses it */
+  OBSTACLE_NOT_UP,     /* it is not up */
+  OBSTACLE_OPERATION,  /* its maintenance, or a move to another pool */
+  OBSTACLE_COOLING,    /* COOLDOWN_US */
+  OBSTACLE_REFUSED,    /* the pause after a refusal */
+  OBSTACLE_LABEL,      /* it lacks the label */
+  OBSTACLE_COUNT,
+};
+
+/* A pool whose perpetual tasks wait for a host.  */
+struct awaited_report
+{
+  const struct mgr_pool *pool;
+  int64_t for_us;    /* for how long it has needed hosts */
+  uint32_t incoming; /* hosts with the label on their way, or just arrived */
+  uint32_t late;     /* those of them that may not come */
+  const struct mgr_host *host;        /* the first of them; NULL: none */
+  uint32_t obstacles[OBSTACLE_COUNT]; /* of the other pools' hosts */
+};
+
+/* Returns whether the need of a pool is to be reported, and describes it in
+   REP as of the last step.  To be called until it returns false.  */
+bool host_mgr_next_awaited (struct host_mgr *mgr, int64_t now_us,
+                            struct awaited_report *rep);
+
 /* Returns NULL for an unknown host.  The pointer is valid until the next call
    of host_mgr_set_hosts.  */
 struct mgr_host *host_mgr_find (const struct host_mgr *mgr, const char *host);
--- a/fleet/host_mgr_moves.c
+++ b/fleet/host_mgr_moves.c
@@ -5,8 +5,12 @@
 /* Moves of hosts between pools: to pools that are short of hosts, and of idle
    hosts to the spare pool.  */
 
-/* A demand older than this causes no moves.  */
+/* A demand older than this causes no moves but for perpetual tasks.  */
 #define DEMAND_AGE_MAX_US 4000000
+/* What perpetual tasks need counts until the next owner reports, but no longer
+   than a perpetual task may be without a run: the pool's owner may be
+   replaced, and a host that comes in vain is given back.  */
+#define NEED_AGE_MAX_US 9000000
 /* An idle host moves to the spare pool after this time.  Moving it there and
    back costs as much as keeping it for about two seconds, and most load peaks
    of a queue begin as the peak of another one ends.  */
@@ -20,13 +24,16 @@
    Most needs are over sooner, when tasks or hosts that were on their way have
    arrived.  */
 #define BUSY_DELAY_US 500000
+/* An owner whose last demand is older than this may have ended: it reports
+   every 1.5 s, and a report is read within a second.  */
+#define OWNER_SILENT_US 2500000
+/* Cost of a host that such an owner has to vacate first, for what is needed:
+   more than that of any other.  */
+#define SILENT_COST 6
 /* Time after its pause for which a host that its pool refused to vacate counts
    as a reason for a needed host.  The tasks there run, and only the host
    cannot be vacated: that is no reason to stop the work of others.  */
 #define REFUSED_SPAN_US 10000000
-/* Time after its cooldown for which a host that has come to a pool counts as
-   on its way there: the pool's owner may not have reported since.  */
-#define ARRIVAL_US 1000000
 /* Hosts by which a pool that gives up a busy host has to be larger than the
    one that needs it.  After the move it is not smaller, so that no host is
    taken back for the same reason.  */
@@ -49,32 +56,14 @@
   enum want want;
   const char *pool;
   const char *label;  /* that they must have; "": any */
-  uint32_t incoming;  /* hosts on their way to the pool that have it */
+  uint32_t incoming;  /* hosts that come to the pool and have it */
   uint32_t arrived;   /* those that have arrived just now */
   uint32_t vacating;  /* those that are not empty yet */
-  uint32_t available; /* the pool's hosts, and those on their way to it */
+  uint32_t available; /* the pool's hosts that are not down, and those that
+                         come */
   uint32_t busy_most; /* hosts for which busy ones may be taken */
 };
 
-static bool
-host_has_label (const struct mgr_host *host, const char *label)
-{
-  for (size_t n = 0; n < host->rep.label_count; n++)
-    if (strcmp (host->rep.labels[n], label) == 0)
-      return true;
-  return !*label;
-}
-
-/* Whether HOST has come to the pool NAME just now.  */
-static bool
-has_arrived (const struct mgr_host *host, const char *name, int64_t now_us)
-{
-  return host->current_op == OP_NONE
-         && now_us < host->cooldown_until_us + ARRIVAL_US
-         && strcmp (host->dest_pool, name) == 0
-         && strcmp (host->rep.pool, name) == 0;
-}
-
 /* Hosts that POOL needs for tasks without a place, rather than to be able to
    give up others.  */
 static uint32_t
@@ -91,30 +80,33 @@
 
 static struct wish
 make_wish (const struct host_mgr *mgr, const struct mgr_pool *pool,
-           enum want want, int64_t now_us)
+           enum want want, uint32_t wanted, int64_t now_us)
 {
+  uint32_t on_time = 0;
+  uint32_t late = 0;
   struct wish wish
       = { .want = want,
           .pool = pool->name,
           .label = want == WANT_PLACES ? pool->needed_label : "" };
   for (uint32_t n = 0; n < mgr->row_count; n++)
     if (strcmp (mgr->rows[n].name, pool->name) == 0)
-      wish.available = mgr->rows[n].all;
+      wish.available = mgr->rows[n].all - mgr->rows[n].down;
   for (size_t n = 0; n < mgr->host_count; n++)
     {
       const struct mgr_host *host = &mgr->hosts[n];
-      if (want == WANT_PLACES && host_has_label (host, wish.label))
-        wish.arrived += has_arrived (host, pool->name, now_us);
-      if (host->current_op != OP_MOVE
-          || strcmp (host->dest_pool, pool->name) != 0)
+      if (want == WANT_PLACES && host_mgr_host_has_label (host, wish.label))
+        wish.arrived += host_mgr_has_arrived (host, pool, now_us);
+      if (!host_mgr_moves_to (host, pool->name))
         continue;
-      wish.available++;
-      if (!host_has_label (host, wish.label))
+      bool is_late = host_mgr_is_late (mgr, host, want == WANT_PLACES, now_us);
+      wish.available += !is_late;
+      if (!host_mgr_host_has_label (host, wish.label))
         continue;
-      wish.incoming++;
+      late += is_late;
+      on_time += !is_late;
       wish.vacating += host->phase == PHASE_VACATING;
     }
-  wish.incoming += wish.arrived;
+  wish.incoming = wish.arrived + host_mgr_count_coming (on_time, late, wanted);
   if (want == WANT_PLACES && wish.incoming < pool->needed_hosts
       && pool->needed_since_us
       && now_us >= pool->needed_since_us + BUSY_DELAY_US)
@@ -163,6 +155,15 @@
          && row->all >= row->unavailable + wish->available + GIVER_LEAD_HOSTS;
 }
 
+/* Cost to add for a host that the owner of its pool ROW has to vacate.  */
+static int
+silent_cost (const struct pool_row *row, const struct wish *wish,
+             int64_t now_us)
+{
+  bool silent = now_us - row->demand->demand_us > OWNER_SILENT_US;
+  return wish->want == WANT_PLACES && silent ? SILENT_COST : 0;
+}
+
 /* Cost of taking HOST for WISH, or -1 if it cannot be taken: preferably one
    that is about to move to the spare pool, next one in the spare pool, then an
    idle one of a pool that is not short itself.  For work that can be done in
@@ -170,7 +171,8 @@
    and for what is needed last one that another pool uses at all.  A host that
    a wave still has to maintain costs one more.  A host that has to be emptied
    first may not become so: for what is needed, one on its way to the spare
-   pool is no better than an idle one.  */
+   pool is no better than an idle one, and one of a pool whose owner is silent
+   comes last.  */
 static int
 host_cost (const struct host_mgr *mgr, const struct mgr_host *host,
            const struct wish *wish, int64_t now_us)
@@ -179,24 +181,26 @@
   bool redirect = may_redirect (mgr, host);
   if ((!redirect && !host_mgr_may_begin_op (host, now_us))
       || strcmp (host->rep.pool, wish->pool) == 0
-      || !host_has_label (host, wish->label))
+      || !host_mgr_host_has_label (host, wish->label))
     return -1;
   if (row->spare)
     return 1 + host->wave_pending;
-  if (redirect)
-    return (wish->want == WANT_PLACES && host->phase == PHASE_VACATING ? 3 : 0)
-           + host->wave_pending;
+  if (redirect && host->phase == PHASE_EMPTY)
+    return host->wave_pending;
   if (!row->demand)
     return -1;
+  const int extra = host->wave_pending + silent_cost (row, wish, now_us);
+  if (redirect)
+    return (wish->want == WANT_PLACES ? 3 : 0) + extra;
   if (host_mgr_host_is_idle (mgr, host))
     {
       if (without_labelled (row->demand, row->demand->short_hosts) == 0)
-        return 3 + host->wave_pending;
+        return 3 + extra;
       if (wish->want >= WANT_URGENT
           && without_labelled (row->demand, row->demand->urgent_hosts) == 0)
-        return 5 + host->wave_pending;
+        return 5 + extra;
     }
-  return may_take_busy (row, wish, now_us) ? 7 + host->wave_pending : -1;
+  return may_take_busy (row, wish, now_us) ? 7 + extra : -1;
 }
 
 static const char *
@@ -222,9 +226,9 @@
     pool->needed_since_us = 0;
   else if (!pool->needed_since_us)
     pool->needed_since_us = now_us;
-  struct wish wish = make_wish (mgr, pool, want, now_us);
   if (want != WANT_PLACES)
     wanted = wanted > pool->set_aside ? wanted - pool->set_aside : 0;
+  struct wish wish = make_wish (mgr, pool, want, wanted, now_us);
   int next = 0;
   for (int cost = 0; cost >= 0 && wish.incoming < wanted; cost = next)
     {
@@ -281,7 +285,7 @@
     for (size_t n = 0; n < mgr->pool_count; n++)
       {
         struct mgr_pool *pool = &mgr->pools[n];
-        if (demand_is_recent (pool, now_us)
+        if (now_us - pool->demand_us <= NEED_AGE_MAX_US
             && (count_placeless (mgr, pool, now_us) > 0) == placeless)
           shortage = supply_pool (mgr, pool, WANT_PLACES, now_us) || shortage;
       }
