--- a/sched/placer_late.c
+++ b/sched/placer_late.c
@@ -98,25 +98,25 @@
   return last_us + longest_us;
 }
 
-/* Whether an instance of WRK, the worker of LATE, may run it without having
-   been told to stop it.  NULL: it was removed from the pool.  */
-static bool
-may_run_unstopped (const struct worker *wrk, const struct late_start *late)
+/* Why an instance of WRK, the worker of LATE, may run it without having been
+   told to stop it, or NULL if none may.  WRK is NULL if it was removed from
+   the pool.  */
+static const char *
+find_obstacle (const struct worker *wrk, const struct late_start *late)
 {
   if (!wrk)
-    return !late->host_down;
-  if (!wrk->reported_ended)
-    return wrk->unanswered_calls > 0 || wrk->unlisted || wrk->ended_us;
-  /* Its next instance is known.  */
-  return wrk->reported_born_ms > wrk->rep.born_ms;
-}
-
-/* Whether an earlier owner's start may still be carried out by the present
-   instance of WRK.  */
-static bool
-may_take_earlier (const struct worker *wrk, const struct late_start *late)
-{
-  return late->earlier && wrk && !wrk->settled;
+    return late->host_down ? NULL : "removed";
+  if (wrk->reported_ended)
+    {
+      if (wrk->reported_born_ms > wrk->rep.born_ms)
+        return "restarted";
+    }
+  else if (wrk->unanswered_calls > 0)
+    return "silent";
+  else if (wrk->unlisted || wrk->ended_us)
+    return "unlisted";
+  /* Its present instance may take a start of an earlier owner.  */
+  return late->earlier && !wrk->settled ? "unsettled" : NULL;
 }
 
 static bool
@@ -234,22 +234,13 @@
   return false;
 }
 
-const char *
-placer_late_start_worker (const struct placer *plc, const struct task_ref *ref)
+struct late_tie
+placer_late_tie (const struct placer *plc, const struct task *tsk,
+                 const struct task_ref *ref)
 {
-  for (size_t n = plc->late_start_count; n-- > 0;)
-    if (is_same_task (&plc->late_starts[n].ref, ref))
-      return plc->late_starts[n].worker;
-  return "";
-}
-
-enum late_place
-placer_late_place (const struct placer *plc, const struct task *tsk,
-                   const struct task_ref *ref, uint32_t *worker)
-{
-  *worker = 0;
+  struct late_tie tie = { .place = LATE_PLACE_ANY, .id = "" };
   if (tsk->late_starts == 0)
-    return LATE_PLACE_ANY;
+    return tie;
   int64_t now_us = clock_now_us (plc->env.clk);
   for (size_t n = 0; n < plc->late_start_count; n++)
     {
@@ -257,13 +248,34 @@
       const struct worker *wrk = pool_find_id (&plc->pool, late->worker);
       if (!is_same_task (&late->ref, ref) || now_us > run_end_us (plc, late))
         continue;
-      if (may_run_unstopped (wrk, late) || may_take_earlier (wrk, late)
-          || (wrk && *worker && *worker != wrk->handle))
-        return LATE_PLACE_NONE;
-      if (wrk && !wrk->reported_ended)
-        *worker = wrk->handle;
+      tie.obstacle = find_obstacle (wrk, late);
+      if (!tie.obstacle && wrk && tie.worker && tie.worker != wrk->handle)
+        tie.obstacle = "two_workers";
+      if (!tie.obstacle && (!wrk || wrk->reported_ended))
+        continue;
+      tie.id = late->worker;
+      if (tie.obstacle)
+        {
+          tie.place = LATE_PLACE_NONE;
+          tie.worker = 0;
+          tie.until_us = run_end_us (plc, late);
+          return tie;
+        }
+      tie.place = LATE_PLACE_SAME;
+      tie.worker = wrk->handle;
+      if (late->sent_us + LATE_CALL_MAX_US > tie.until_us)
+        tie.until_us = late->sent_us + LATE_CALL_MAX_US;
     }
-  return *worker ? LATE_PLACE_SAME : LATE_PLACE_ANY;
+  return tie;
+}
+
+enum late_place
+placer_late_place (const struct placer *plc, const struct task *tsk,
+                   const struct task_ref *ref, uint32_t *worker)
+{
+  const struct late_tie tie = placer_late_tie (plc, tsk, ref);
+  *worker = tie.worker;
+  return tie.place;
 }
 
 void
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -242,6 +242,7 @@
   int64_t next_unplaced_check_us;
   int64_t unplaced_reports_us; /* start of the time that has a limit of them */
   uint32_t unplaced_reports;   /* since then */
+  uint32_t unplaced_late_reports; /* the same of tasks with a late start */
   struct waiting_gang gang;
   struct late_start *late_starts;
   size_t late_start_count;
@@ -388,10 +389,6 @@
 bool placer_may_run_late (const struct placer *plc, const struct task *tsk,
                           const struct task_ref *ref);
 
-/* The worker of the last start of the task without an answer, or "".  */
-const char *placer_late_start_worker (const struct placer *plc,
-                                      const struct task_ref *ref);
-
 /* Where a perpetual task may start beside an earlier start without an
    answer.  */
 enum late_place
@@ -403,6 +400,20 @@
   LATE_PLACE_NONE,
 };
 
+/* What a perpetual task with such a start is tied to.  */
+struct late_tie
+{
+  enum late_place place;
+  uint32_t worker; /* for LATE_PLACE_SAME */
+  const char *id;  /* of the worker that is waited for, or "" */
+  /* Why that one may run the task unseen; for LATE_PLACE_NONE.  */
+  const char *obstacle;
+  int64_t until_us; /* it ends by then, whatever is learnt */
+};
+
+struct late_tie placer_late_tie (const struct placer *plc,
+                                 const struct task *tsk,
+                                 const struct task_ref *ref);
 /* Stores the handle of the worker in *WORKER, or 0.  A host that is shown as
    down is not waited for.  */
 enum late_place placer_late_place (const struct placer *plc,
--- a/sched/placer_unplaced.c
+++ b/sched/placer_unplaced.c
@@ -11,7 +11,8 @@
 #define UNPLACED_RESERVED_US 2000000
 #define UNPLACED_CHECK_INTERVAL_US 200000
 /* Least time between two reports of one task, and time in which a pool has at
-   most UNPLACED_REPORTS_MAX of them: the first tell the cause.  */
+   most UNPLACED_REPORTS_MAX of them, and as many of tasks with a late start:
+   the first tell the cause.  */
 #define UNPLACED_REPORT_INTERVAL_US 5000000
 #define UNPLACED_REPORTS_MAX 4
 
@@ -55,15 +56,14 @@
   return true;
 }
 
-/* What the task has to wait for before it may be placed, and in *AWAITED whose
-   act or answer that is; "none" if nothing.  */
+/* What the task has to wait for before it may be placed, beside its TIE, and
+   in *AWAITED whose act or answer that is; "none" if nothing.  */
 static const char *
 find_wait (struct placer *plc, struct job *job, const struct task_ref *ref,
-           int64_t now_us, const char **awaited)
+           const struct late_tie *tie, int64_t now_us, const char **awaited)
 {
   const struct task *tsk = job_task (job, ref);
   const struct queue *que = catalog_queue (*plc->env.cat, job->queue);
-  uint32_t only;
   *awaited = "";
   if (job->contested)
     {
@@ -79,12 +79,27 @@
       *awaited = *awaited ? *awaited : "";
       return "earlier_owner";
     }
-  if (!placer_may_run_late (plc, tsk, ref))
+  *awaited = tie->id;
+  if (tie->place == LATE_PLACE_ANY)
     return "none";
-  *awaited = placer_late_start_worker (plc, ref);
-  return placer_late_place (plc, tsk, ref, &only) == LATE_PLACE_NONE
-             ? "late_start"
-             : "place_of_late_start";
+  return tie->place == LATE_PLACE_NONE ? "late_start" : "place_of_late_start";
+}
+
+/* Why a task with TIE may not start on the worker that it is tied to.  */
+static const char *
+tie_obstacle (const struct placer *plc, const struct late_tie *tie,
+              const struct place_request *req)
+{
+  static const char *const names[PLACE_REASONS] = {
+    [PLACE_ALLOWED] = "allowed",   [PLACE_VACATED] = "vacated",
+    [PLACE_DRAINING] = "draining", [PLACE_UNAVAILABLE] = "unavailable",
+    [PLACE_LABEL] = "label",       [PLACE_BOUND] = "bound",
+    [PLACE_NO_ROOM] = "no_room",
+  };
+  const struct worker *wrk = placer_find_worker (plc, tie->worker);
+  if (tie->place == LATE_PLACE_NONE)
+    return tie->obstacle;
+  return wrk ? names[places_reason (wrk, req)] : "";
 }
 
 static void
@@ -100,9 +115,12 @@
   const struct worker *reserved
       = placer_find_worker (plc, job_task (job, &row->ref)->reserved_worker);
   const char *obstacle = placer_start_obstacle (plc, chk->now_us);
+  const struct late_tie tie
+      = placer_late_tie (plc, job_task (job, &row->ref), &row->ref);
   const char *awaited;
   const char *waits_for
-      = find_wait (plc, job, &row->ref, chk->now_us, &awaited);
+      = find_wait (plc, job, &row->ref, &tie, chk->now_us, &awaited);
+  int64_t left_us = tie.until_us > 0 ? tie.until_us - chk->now_us : 0;
   char name[TASK_NAME_MAX];
   for (size_t n = 0; n < plc->pool.count; n++)
     counts[places_reason (plc->pool.workers[n], &req)]++;
@@ -121,6 +139,8 @@
              LOG_S ("required_label", req.step->required_label),
              LOG_S ("reserved", reserved ? reserved->rep.id : ""),
              LOG_S ("waits_for", waits_for), LOG_S ("awaited", awaited),
+             LOG_S ("place", tie_obstacle (plc, &tie, &req)),
+             LOG_I ("tie_left_ms", left_us / 1000),
              LOG_S ("owner", obstacle ? obstacle : "ready"));
 }
 
@@ -146,13 +166,17 @@
     {
       struct unplaced_task *row = &plc->unplaced[n];
       struct job *job = placer_find_job (plc, row->ref.job);
-      if (plc->unplaced_reports >= UNPLACED_REPORTS_MAX)
-        return;
       if ((row->reported_us > 0) != reported || !job
           || !report_due (plc, row, job, chk->now_us))
         continue;
-      if (plc->unplaced_reports++ == 0)
+      uint32_t *reports = job_task (job, &row->ref)->late_starts > 0
+                              ? &plc->unplaced_late_reports
+                              : &plc->unplaced_reports;
+      if (*reports >= UNPLACED_REPORTS_MAX)
+        continue;
+      if (plc->unplaced_reports + plc->unplaced_late_reports == 0)
         plc->unplaced_reports_us = chk->now_us;
+      ++*reports;
       row->reported_us = chk->now_us;
       log_unplaced (chk, row, job);
     }
@@ -174,7 +198,7 @@
       plc->unplaced[kept++] = plc->unplaced[n];
   plc->unplaced_count = kept;
   if (now_us - plc->unplaced_reports_us >= UNPLACED_REPORT_INTERVAL_US)
-    plc->unplaced_reports = 0;
+    plc->unplaced_reports = plc->unplaced_late_reports = 0;
   report_tasks (&chk, false);
   report_tasks (&chk, true);
 }
