--- a/sched/placer_unplaced.c
+++ b/sched/placer_unplaced.c
@@ -13,7 +13,8 @@
 #define UNPLACED_RESERVED_US 2000000
 #define UNPLACED_CHECK_INTERVAL_US 200000
 /* Least time between two reports of one task, and time in which a pool has at
-   most UNPLACED_REPORTS_MAX of them: the first tell the cause.  */
+   most UNPLACED_REPORTS_MAX of them, and as many of tasks with a late start:
+   the first tell the cause.  */
 #define UNPLACED_REPORT_INTERVAL_US 5000000
 #define UNPLACED_REPORTS_MAX 4
 
@@ -80,15 +81,14 @@
   return NULL;
 }
 
-/* What the task has to wait for before it may be placed, and in *AWAITED whose
-   act or answer that is.  */
+/* What the task has to wait for before it may be placed, beside its TIE, and
+   in *AWAITED whose act or answer that is.  */
 static enum place_wait
 find_wait (struct placer *plc, struct job *job, const struct task_ref *ref,
-           int64_t now_us, const char **awaited)
+           const struct late_tie *tie, int64_t now_us, const char **awaited)
 {
   const struct task *tsk = job_task (job, ref);
   const struct queue *que = catalog_queue (*plc->env.cat, job->queue);
-  uint32_t only;
   *awaited = "";
   if (job->contested)
     {
@@ -104,12 +104,17 @@
       *awaited = *awaited ? *awaited : "";
       return PLACE_WAIT_EARLIER_OWNER;
     }
-  if (!placer_may_run_late (plc, tsk, ref))
-    return PLACE_WAIT_NONE;
-  *awaited = placer_late_start_worker (plc, ref);
-  return placer_late_place (plc, tsk, ref, &only) == LATE_PLACE_NONE
-             ? PLACE_WAIT_LATE_START
-             : PLACE_WAIT_PLACE_OF_LATE_START;
+  *awaited = tie->id;
+  switch (tie->place)
+    {
+    case LATE_PLACE_NONE:
+      return PLACE_WAIT_LATE_START;
+    case LATE_PLACE_SAME:
+      return PLACE_WAIT_PLACE_OF_LATE_START;
+    case LATE_PLACE_ANY:
+      break;
+    }
+  return PLACE_WAIT_NONE;
 }
 
 /* Whether any worker is a place for the task.  Those of one step that have no
@@ -152,7 +157,8 @@
     return UNPLACED_OTHER;
   if (placer_start_obstacle (plc, chk->now_us))
     return UNPLACED_OWNER;
-  switch (find_wait (plc, job, ref, chk->now_us, awaited))
+  const struct late_tie tie = placer_late_tie (plc, tsk, ref);
+  switch (find_wait (plc, job, ref, &tie, chk->now_us, awaited))
     {
     case PLACE_WAIT_WITHDRAWAL:
     case PLACE_WAIT_OTHER_PARTITIONS:
@@ -271,6 +277,23 @@
   return true;
 }
 
+/* Why a task with TIE may not start on the worker that it is tied to.  */
+static const char *
+tie_obstacle (const struct placer *plc, const struct late_tie *tie,
+              const struct place_request *req)
+{
+  static const char *const names[PLACE_REASONS] = {
+    [PLACE_ALLOWED] = "allowed",   [PLACE_VACATED] = "vacated",
+    [PLACE_DRAINING] = "draining", [PLACE_UNAVAILABLE] = "unavailable",
+    [PLACE_LABEL] = "label",       [PLACE_BOUND] = "bound",
+    [PLACE_NO_ROOM] = "no_room",
+  };
+  const struct worker *wrk = placer_find_worker (plc, tie->worker);
+  if (tie->place == LATE_PLACE_NONE)
+    return tie->obstacle;
+  return wrk ? names[places_reason (wrk, req)] : "";
+}
+
 static void
 log_unplaced (const struct check *chk, const struct unplaced_task *row,
               struct job *job)
@@ -284,9 +307,12 @@
   const struct worker *reserved
       = placer_find_worker (plc, job_task (job, &row->ref)->reserved_worker);
   const char *obstacle = placer_start_obstacle (plc, chk->now_us);
+  const struct late_tie tie
+      = placer_late_tie (plc, job_task (job, &row->ref), &row->ref);
   const char *awaited;
   enum place_wait wait
-      = find_wait (plc, job, &row->ref, chk->now_us, &awaited);
+      = find_wait (plc, job, &row->ref, &tie, chk->now_us, &awaited);
+  int64_t left_us = tie.until_us > 0 ? tie.until_us - chk->now_us : 0;
   char name[TASK_NAME_MAX];
   for (size_t n = 0; n < plc->pool.count; n++)
     counts[places_reason (plc->pool.workers[n], &req)]++;
@@ -306,6 +332,8 @@
              LOG_S ("reserved", reserved ? reserved->rep.id : ""),
              LOG_S ("waits_for", place_wait_names[wait]),
              LOG_S ("awaited", awaited),
+             LOG_S ("place", tie_obstacle (plc, &tie, &req)),
+             LOG_I ("tie_left_ms", left_us / 1000),
              LOG_S ("owner", obstacle ? obstacle : "ready"));
 }
 
@@ -331,13 +359,17 @@
     {
       struct unplaced_task *row = &plc->unplaced[n];
       struct job *job = placer_find_job (plc, row->ref.job);
-      if (plc->unplaced_reports >= UNPLACED_REPORTS_MAX)
-        return;
       if ((row->reported_us > 0) != reported || !job
           || !report_due (plc, row, job, chk->now_us))
         continue;
-      if (plc->unplaced_reports++ == 0)
+      uint32_t *reports = job_task (job, &row->ref)->late_starts > 0
+                              ? &plc->unplaced_late_reports
+                              : &plc->unplaced_reports;
+      if (*reports >= UNPLACED_REPORTS_MAX)
+        continue;
+      if (plc->unplaced_reports + plc->unplaced_late_reports == 0)
         plc->unplaced_reports_us = chk->now_us;
+      ++*reports;
       row->reported_us = chk->now_us;
       log_unplaced (chk, row, job);
     }
@@ -456,7 +488,7 @@
   if (plc->fenced)
     placer_hand_over_unplaced (plc);
   if (now_us - plc->unplaced_reports_us >= UNPLACED_REPORT_INTERVAL_US)
-    plc->unplaced_reports = 0;
+    plc->unplaced_reports = plc->unplaced_late_reports = 0;
   report_tasks (&chk, false);
   report_tasks (&chk, true);
 }
