--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -238,6 +238,12 @@
   static const Kingcuphollow__PoolWorkers__Worker init_value = KINGCUPHOLLOW__POOL_WORKERS__WORKER__INIT;
   *message = init_value;
 }
+void   kingcuphollow__pool_workers__run__init
+                     (Kingcuphollow__PoolWorkers__Run         *message)
+{
+  static const Kingcuphollow__PoolWorkers__Run init_value = KINGCUPHOLLOW__POOL_WORKERS__RUN__INIT;
+  *message = init_value;
+}
 void   kingcuphollow__pool_workers__late_start__init
                      (Kingcuphollow__PoolWorkers__LateStart         *message)
 {
@@ -1397,7 +1403,7 @@
   (ProtobufCMessageInit) kingcuphollow__failed_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__pool_workers__worker__field_descriptors[3] =
+static const ProtobufCFieldDescriptor kingcuphollow__pool_workers__worker__field_descriptors[4] =
 {
   {
     "id",
@@ -1435,16 +1441,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "runs",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Kingcuphollow__PoolWorkers__Worker, n_runs),
+    offsetof(Kingcuphollow__PoolWorkers__Worker, runs),
+    &kingcuphollow__pool_workers__run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__pool_workers__worker__field_indices_by_name[] = {
   2,   /* field[2] = born_ms */
   1,   /* field[1] = host */
   0,   /* field[0] = id */
+  3,   /* field[3] = runs */
 };
 static const ProtobufCIntRange kingcuphollow__pool_workers__worker__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__pool_workers__worker__descriptor =
 {
@@ -1454,13 +1473,103 @@
   "Kingcuphollow__PoolWorkers__Worker",
   "kingcuphollow",
   sizeof(Kingcuphollow__PoolWorkers__Worker),
-  3,
+  4,
   kingcuphollow__pool_workers__worker__field_descriptors,
   kingcuphollow__pool_workers__worker__field_indices_by_name,
   1,  kingcuphollow__pool_workers__worker__number_ranges,
   (ProtobufCMessageInit) kingcuphollow__pool_workers__worker__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor kingcuphollow__pool_workers__run__field_descriptors[5] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolWorkers__Run, job),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "occurrence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolWorkers__Run, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolWorkers__Run, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolWorkers__Run, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolWorkers__Run, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned kingcuphollow__pool_workers__run__field_indices_by_name[] = {
+  3,   /* field[3] = index */
+  0,   /* field[0] = job */
+  1,   /* field[1] = occurrence */
+  4,   /* field[4] = run */
+  2,   /* field[2] = step */
+};
+static const ProtobufCIntRange kingcuphollow__pool_workers__run__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor kingcuphollow__pool_workers__run__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "kingcuphollow.PoolWorkers.Run",
+  "Run",
+  "Kingcuphollow__PoolWorkers__Run",
+  "kingcuphollow",
+  sizeof(Kingcuphollow__PoolWorkers__Run),
+  5,
+  kingcuphollow__pool_workers__run__field_descriptors,
+  kingcuphollow__pool_workers__run__field_indices_by_name,
+  1,  kingcuphollow__pool_workers__run__number_ranges,
+  (ProtobufCMessageInit) kingcuphollow__pool_workers__run__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor kingcuphollow__pool_workers__late_start__field_descriptors[8] =
 {
   {
@@ -1590,7 +1699,7 @@
   (ProtobufCMessageInit) kingcuphollow__pool_workers__late_start__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__pool_workers__field_descriptors[3] =
+static const ProtobufCFieldDescriptor kingcuphollow__pool_workers__field_descriptors[4] =
 {
   {
     "workers",
@@ -1628,16 +1737,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "runs_recorded",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolWorkers, runs_recorded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__pool_workers__field_indices_by_name[] = {
   2,   /* field[2] = late_starts */
+  3,   /* field[3] = runs_recorded */
   1,   /* field[1] = token */
   0,   /* field[0] = workers */
 };
 static const ProtobufCIntRange kingcuphollow__pool_workers__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__pool_workers__descriptor =
 {
@@ -1647,7 +1769,7 @@
   "Kingcuphollow__PoolWorkers",
   "kingcuphollow",
   sizeof(Kingcuphollow__PoolWorkers),
-  3,
+  4,
   kingcuphollow__pool_workers__field_descriptors,
   kingcuphollow__pool_workers__field_indices_by_name,
   1,  kingcuphollow__pool_workers__number_ranges,
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -22,6 +22,7 @@
 typedef struct Kingcuphollow__FailedRun Kingcuphollow__FailedRun;
 typedef struct Kingcuphollow__PoolWorkers Kingcuphollow__PoolWorkers;
 typedef struct Kingcuphollow__PoolWorkers__Worker Kingcuphollow__PoolWorkers__Worker;
+typedef struct Kingcuphollow__PoolWorkers__Run Kingcuphollow__PoolWorkers__Run;
 typedef struct Kingcuphollow__PoolWorkers__LateStart Kingcuphollow__PoolWorkers__LateStart;
 typedef struct Kingcuphollow__PoolAdmission Kingcuphollow__PoolAdmission;
 typedef struct Kingcuphollow__MemberBeat Kingcuphollow__MemberBeat;
@@ -199,10 +200,32 @@
    * Wall-clock milliseconds at its start; 0: not known.
    */
   int64_t born_ms;
+  /*
+   * Runs of perpetual tasks that may be there.
+   */
+  size_t n_runs;
+  Kingcuphollow__PoolWorkers__Run **runs;
 };
 #define KINGCUPHOLLOW__POOL_WORKERS__WORKER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__pool_workers__worker__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL }
+
+
+/*
+ * A run that was started, or is started once the record is in the log.
+ */
+struct  Kingcuphollow__PoolWorkers__Run
+{
+  ProtobufCMessage base;
+  uint64_t job;
+  uint32_t occurrence;
+  uint32_t step;
+  uint32_t index;
+  uint32_t run;
+};
+#define KINGCUPHOLLOW__POOL_WORKERS__RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__pool_workers__run__descriptor) \
+    , 0, 0, 0, 0, 0 }
 
 
 /*
@@ -243,10 +266,16 @@
    */
   size_t n_late_starts;
   Kingcuphollow__PoolWorkers__LateStart **late_starts;
+  /*
+   * A perpetual task may run on those workers alone that the record names for
+   * it, in its runs or in a start without an answer.  Not set by earlier
+   * versions.
+   */
+  protobuf_c_boolean runs_recorded;
 };
 #define KINGCUPHOLLOW__POOL_WORKERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__pool_workers__descriptor) \
-    , 0,NULL, 0, 0,NULL }
+    , 0,NULL, 0, 0,NULL, 0 }
 
 
 /*
@@ -642,6 +671,9 @@
 /* Kingcuphollow__PoolWorkers__Worker methods */
 void   kingcuphollow__pool_workers__worker__init
                      (Kingcuphollow__PoolWorkers__Worker         *message);
+/* Kingcuphollow__PoolWorkers__Run methods */
+void   kingcuphollow__pool_workers__run__init
+                     (Kingcuphollow__PoolWorkers__Run         *message);
 /* Kingcuphollow__PoolWorkers__LateStart methods */
 void   kingcuphollow__pool_workers__late_start__init
                      (Kingcuphollow__PoolWorkers__LateStart         *message);
@@ -880,6 +912,9 @@
 typedef void (*Kingcuphollow__PoolWorkers__Worker_Closure)
                  (const Kingcuphollow__PoolWorkers__Worker *message,
                   void *closure_data);
+typedef void (*Kingcuphollow__PoolWorkers__Run_Closure)
+                 (const Kingcuphollow__PoolWorkers__Run *message,
+                  void *closure_data);
 typedef void (*Kingcuphollow__PoolWorkers__LateStart_Closure)
                  (const Kingcuphollow__PoolWorkers__LateStart *message,
                   void *closure_data);
@@ -935,6 +970,7 @@
 extern const ProtobufCMessageDescriptor kingcuphollow__failed_run__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__pool_workers__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__pool_workers__worker__descriptor;
+extern const ProtobufCMessageDescriptor kingcuphollow__pool_workers__run__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__pool_workers__late_start__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__pool_admission__descriptor;
 extern const ProtobufCMessageDescriptor kingcuphollow__member_beat__descriptor;
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -9,7 +9,7 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "sched/job_order.h"
-#include "sched/placer_priv.h"
+#include "sched/placer_record.h"
 
 /* Time to the next tick, unless the placer is woken before: while there are
    jobs, runs or progress to flush, and while there are none.  */
@@ -266,7 +266,7 @@
   struct task *tsk = job_task (job, ref);
   if (tsk->prg.done || placer_has_runs (tsk) || now_us < tsk->not_before_us)
     return;
-  if (placer_may_still_run (plc, job, tsk))
+  if (placer_may_still_run (plc, job, ref))
     return;
   uint32_t only = 0;
   if (placer_may_run_late (plc, tsk, ref)
@@ -557,9 +557,12 @@
           if (placer_may_start (plc, now_us))
             {
               limit_failing (plc, now_us);
+              placer_send_recorded (plc, now_us);
               place_all (plc, now_us);
             }
         }
+      if (plc->runs_changed)
+        placer_enrol (plc);
     }
   placer_flush (plc, now_us);
   drop_ended_jobs (plc);
--- a/sched/placer_enrol.c
+++ b/sched/placer_enrol.c
@@ -3,7 +3,7 @@
 
 #include "base/clock.h"
 #include "proto/job.pb-c.h"
-#include "sched/placer_priv.h"
+#include "sched/placer_record.h"
 
 /* The pool's worker record.  Before an owner starts the first task on a
    worker, it names the worker in this record in the log.  A later owner thus
@@ -31,6 +31,7 @@
   size_t count;
   uint32_t *unenrolled; /* handles of the workers that it leaves out */
   size_t unenrolled_count;
+  uint64_t number; /* of the record */
 };
 
 /* Whether WRK was vacated and runs nothing.  Such a worker is left out of the
@@ -51,6 +52,8 @@
   plc->enrolling = false;
   if (out == PERSIST_FENCED)
     plc->fenced = true;
+  else
+    plc->durable_record = ctx->number;
   for (size_t n = 0; !plc->closing && out == PERSIST_DONE && n < ctx->count;
        n++)
     {
@@ -71,7 +74,7 @@
   placer_release_call (plc);
 }
 
-static void
+static Kingcuphollow__PoolWorkers__Worker *
 add_worker_row (Kingcuphollow__PoolWorkers__Worker *row,
                 Kingcuphollow__PoolWorkers *msg, char *id, char *host,
                 int64_t born_ms)
@@ -81,6 +84,7 @@
   row->host = host;
   row->born_ms = born_ms;
   msg->workers[msg->n_workers++] = row;
+  return row;
 }
 
 /* Fills MSG with the workers that may run tasks.  Its memory belongs to CTX.
@@ -98,6 +102,8 @@
   ctx->unenrolled = talloc_array (ctx, uint32_t, plc->pool.count);
   if (!rows || !msg->workers || !ctx->handles || !ctx->unenrolled)
     return false;
+  for (size_t n = 0; n < plc->earlier_run_count; n++)
+    plc->earlier_runs[n].recorded = false;
   for (size_t n = 0; n < plc->pool.count; n++)
     {
       struct worker *wrk = plc->pool.workers[n];
@@ -108,12 +114,21 @@
           continue;
         }
       ctx->handles[ctx->count++] = wrk->handle;
-      add_worker_row (&rows[msg->n_workers], msg, wrk->rep.id, wrk->rep.host,
-                      wrk->rep.born_ms);
+      if (!placer_fill_runs (plc, ctx, wrk,
+                             add_worker_row (&rows[msg->n_workers], msg,
+                                             wrk->rep.id, wrk->rep.host,
+                                             wrk->rep.born_ms)))
+        return false;
     }
   for (size_t n = 0; n < plc->earlier_count; n++)
-    add_worker_row (&rows[msg->n_workers], msg, plc->earlier[n].id,
-                    plc->earlier[n].host, plc->earlier[n].born_ms);
+    {
+      struct earlier_worker *erl = &plc->earlier[n];
+      Kingcuphollow__PoolWorkers__Worker *row = add_worker_row (
+          &rows[msg->n_workers], msg, erl->id, erl->host, erl->born_ms);
+      if (!pool_find_id (&plc->pool, erl->id)
+          && !placer_fill_runs (plc, ctx, NULL, row))
+        return false;
+    }
   return true;
 }
 
@@ -193,7 +208,7 @@
 void
 placer_enrol (struct placer *plc)
 {
-  bool needed = plc->enrol_stale || announce_due (plc);
+  bool needed = plc->enrol_stale || plc->runs_changed || announce_due (plc);
   char key[KEY_PREFIX_BYTES + NAME_BYTES] = PLACER_WORKERS_KEY_PREFIX;
   for (size_t n = 0; n < plc->pool.count; n++)
     {
@@ -212,6 +227,9 @@
   if (!fill_worker_record (plc, ctx, &msg)
       || !fill_late_starts (plc, ctx, &msg))
     goto failed;
+  msg.runs_recorded = placer_runs_complete (plc, &msg)
+                      && msg.n_late_starts < LATE_STARTS_MAX;
+  ctx->number = plc->last_record + 1;
   size_t len = kingcuphollow__pool_workers__get_packed_size (&msg);
   uint8_t *data = talloc_size (ctx, len);
   if (!data)
@@ -224,7 +242,8 @@
   if (plc->env.persist (plc->env.arg, &entry, 1, on_enrolled, ctx))
     goto failed;
   plc->enrolling = true;
-  plc->enrol_stale = plc->late_starts_changed = false;
+  plc->last_record = ctx->number;
+  plc->enrol_stale = plc->runs_changed = plc->late_starts_changed = false;
   plc->next_announce_us = clock_now_us (plc->env.clk) + ANNOUNCE_INTERVAL_US;
   plc->calls_in_flight++;
   return;
@@ -257,9 +276,15 @@
       = data ? kingcuphollow__pool_workers__unpack (NULL, len, data) : NULL;
   if (!msg)
     return;
+  plc->earlier_runs_known = msg->runs_recorded;
   for (size_t n = 0; n < msg->n_workers; n++)
-    placer_add_earlier_worker (plc, msg->workers[n]->id, msg->workers[n]->host,
-                               msg->workers[n]->born_ms, read_us);
+    {
+      const Kingcuphollow__PoolWorkers__Worker *row = msg->workers[n];
+      placer_add_earlier_worker (plc, row->id, row->host, row->born_ms,
+                                 read_us);
+      for (size_t m = 0; m < row->n_runs; m++)
+        placer_add_earlier_run (plc, row->id, row->runs[m]);
+    }
   for (size_t n = 0; n < msg->n_late_starts; n++)
     {
       const Kingcuphollow__PoolWorkers__LateStart *row = msg->late_starts[n];
--- a/sched/placer_gang.c
+++ b/sched/placer_gang.c
@@ -107,13 +107,16 @@
    before its next start, or a run of it by an earlier owner may still
    exist.  */
 static bool
-gang_blocked (const struct placer *plc, const struct job *job,
+gang_blocked (const struct placer *plc, struct job *job,
               const struct task_ref *ref, int64_t now_us)
 {
   const struct task *tasks = gang_tasks (job, ref);
-  for (uint32_t n = 0; n < job->spec.steps[ref->step].count; n++)
-    if (now_us < tasks[n].not_before_us || tasks[n].unwanted_runs > 0
-        || placer_may_still_run (plc, job, &tasks[n]))
+  struct task_ref member = *ref;
+  for (member.index = 0; member.index < job->spec.steps[ref->step].count;
+       member.index++)
+    if (now_us < tasks[member.index].not_before_us
+        || tasks[member.index].unwanted_runs > 0
+        || placer_may_still_run (plc, job, &member))
       return true;
   return false;
 }
--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -4,7 +4,7 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/log.h"
-#include "sched/placer_priv.h"
+#include "sched/placer_record.h"
 
 /* Sends holds to workers and applies the answers.  A hold is a long poll: it
    extends the leases on a worker, acknowledges ends of runs, and lists the
@@ -220,6 +220,7 @@
     run = placer_stop_unwanted (plc, wrk, job, &row->task, row->run);
   if (!run)
     return;
+  placer_note_not_unsent (plc, run);
   placer_note_started (plc, job);
   if (run->start_unanswered && !run->start_settled)
     plc->late_starts_changed = true;
@@ -252,7 +253,7 @@
   for (struct run *run = wrk->runs; run; run = next)
     {
       next = run->next;
-      if (run->listed_us == sent_us)
+      if (run->listed_us == sent_us || run->unsent)
         continue;
       bool confirmed = run->confirmed_us && run->confirmed_us < sent_us;
       bool stopped = run->stopped_us && run->stopped_us < sent_us;
@@ -529,6 +530,17 @@
   return wait_ms;
 }
 
+/* Whether a run was started on WRK, or found there, and its end is not
+   known.  */
+static bool
+has_started_runs (const struct worker *wrk)
+{
+  const struct run *run = wrk->runs;
+  while (run && run->unsent)
+    run = run->next;
+  return run != NULL;
+}
+
 /* Longest time for which WRK may delay its answer to a hold.  */
 static int64_t
 hold_wait_ms (const struct placer *plc, const struct worker *wrk,
@@ -540,7 +552,7 @@
     return 0;
   /* Without runs the answer would come at the end of its delay, and until then
      the ends do not count as acknowledged.  */
-  if (!wrk->runs && !worker_has_unknown_runs (wrk))
+  if (!has_started_runs (wrk) && !worker_has_unknown_runs (wrk))
     return 0;
   int64_t wait_ms = end_wait_ms (wrk);
   /* The next hold is due then.  */
@@ -567,7 +579,8 @@
      job.  */
   if (worker_has_unknown_runs (wrk) || wrk->leases_withheld)
     return true;
-  return !wrk->reached || wrk->runs || wrk->acked_end < wrk->durable_end
+  return !wrk->reached || has_started_runs (wrk)
+         || wrk->acked_end < wrk->durable_end
          || wrk->applied_end > wrk->durable_end;
 }
 
@@ -605,7 +618,7 @@
      one is asked for late starts only.  */
   bool extend = wrk->clock_ms > 0 && wrk->unanswered_calls == 0
                 && !wrk->leases_withheld
-                && (wrk->runs || now_us >= wrk->late_starts_us);
+                && (has_started_runs (wrk) || now_us >= wrk->late_starts_us);
   ctx->call = placer_timed_call (
       wrk, now_us, extend ? placer_lease_end_ms (plc, wrk, now_us) : 0);
   const struct command_target to = placer_command_target (wrk, may_send_hold);
--- a/sched/placer_instance.c
+++ b/sched/placer_instance.c
@@ -1,7 +1,7 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/log.h"
-#include "sched/placer_priv.h"
+#include "sched/placer_record.h"
 
 /* Ends of worker instances and of leases: which runs are given up, and what
    the next instance under the same id begins with; see
@@ -64,6 +64,7 @@
 {
   int64_t longest_us = placer_add_lease_slack (plc->set.lease_max_ms * 1000);
   struct run *next;
+  placer_drop_unsent (plc, wrk);
   for (struct run *run = wrk->runs; run; run = next)
     {
       next = run->next;
@@ -118,6 +119,8 @@
 {
   int64_t now_us = clock_now_us (plc->env.clk);
   placer_raise_generation (plc, wrk);
+  /* The last record may have taken it for ended.  */
+  plc->runs_changed = plc->runs_changed || plc->earlier_run_count > 0;
   if (born_ms != wrk->rep.born_ms)
     {
       wrk->known_us = now_us;
@@ -142,6 +145,7 @@
   /* The worker answers, so the report that it has ended may be wrong.  */
   if (wrk->reported_ended && wrk->reached && wrk->unanswered_calls == 0)
     return false;
+  placer_drop_unsent (plc, wrk);
   if (born_ms != wrk->rep.born_ms && born_ms > 0)
     {
       /* The clock of the next instance begins anew; an answer has told it.  */
--- a/sched/placer_late.c
+++ b/sched/placer_late.c
@@ -98,6 +98,13 @@
   return last_us + longest_us;
 }
 
+bool
+placer_late_start_may_run (const struct placer *plc,
+                           const struct late_start *late, int64_t now_us)
+{
+  return now_us <= run_end_us (plc, late);
+}
+
 /* Whether an instance of WRK, the worker of LATE, may run it without having
    been told to stop it.  NULL: it was removed from the pool.  */
 static bool
--- a/sched/placer_overdue.c
+++ b/sched/placer_overdue.c
@@ -26,7 +26,7 @@
 {
   /* The link ends a start that gets no answer.  */
   for (const struct run *run = wrk->runs; run; run = run->next)
-    if ((run->state != RUN_STARTING || run->start_unanswered)
+    if ((run->state != RUN_STARTING || run->start_unanswered) && !run->unsent
         && is_overdue (wrk, placer_run_waits_since_us (run)))
       return run;
   return NULL;
--- a/sched/placer_places.c
+++ b/sched/placer_places.c
@@ -95,7 +95,7 @@
 {
   const struct task *tsk = job_task (job, ref);
   return !placer_has_runs (tsk) && now_us >= tsk->not_before_us
-         && !placer_may_still_run (plc, job, tsk);
+         && !placer_may_still_run (plc, job, ref);
 }
 
 /* The record of the request for the worker's host, if that is neither refused
@@ -174,7 +174,7 @@
       need.vac = reserved->vac;
     }
   else if (!placer_has_runs (tsk)
-           && (placer_may_still_run (plc, job, tsk)
+           && (placer_may_still_run (plc, job, ref)
                || placer_late_place (plc, tsk, ref, &need.only)
                       == LATE_PLACE_NONE))
     return true;
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -183,7 +183,16 @@
   struct earlier_worker *earlier;
   size_t earlier_count;
   bool enrolling;   /* an append of the worker record is in flight */
-  bool enrol_stale; /* the logged worker record names removed workers */
+  bool enrol_stale; /* the logged worker record names removed workers, or does
+                       not tell that it names all runs */
+  /* Runs of perpetual tasks; see placer_record.h.  */
+  bool earlier_runs_known; /* the record of the earlier owners names all */
+  struct earlier_run *earlier_runs;
+  size_t earlier_run_count;
+  bool runs_changed;             /* the logged worker record lacks a run */
+  uint64_t last_record;          /* number of worker records appended so far */
+  uint64_t durable_record;       /* of those that are in the log */
+  size_t unsent_runs;            /* those that wait for the record */
   int64_t earlier_leases_end_us; /* the leases that earlier owners gave have
                                     expired by then */
 
@@ -300,6 +309,8 @@
 /* Starts the next run of a task on WRK.  */
 void placer_start_task (struct placer *plc, struct job *job,
                         const struct task_ref *ref, struct worker *wrk);
+/* Sends the start of RUN.  */
+void placer_send_start (struct placer *plc, struct run *run);
 /* Notes starts in flight that have had no answer for some time.  */
 void placer_age_starts (struct placer *plc, int64_t now_us);
 /* Marks RUN to be stopped and sends the stop; placer_send_stops repeats it
@@ -388,6 +399,10 @@
 bool placer_may_run_late (const struct placer *plc, const struct task *tsk,
                           const struct task_ref *ref);
 
+/* Whether a run that LATE has begun unseen may exist.  */
+bool placer_late_start_may_run (const struct placer *plc,
+                                const struct late_start *late, int64_t now_us);
+
 /* The worker of the last start of the task without an answer, or "".  */
 const char *placer_late_start_worker (const struct placer *plc,
                                       const struct task_ref *ref);
@@ -521,8 +536,11 @@
 void placer_check_takeover (struct placer *plc, int64_t now_us);
 /* Whether a run of the task by an earlier owner may still exist on a worker
    that has not answered this owner, or such an owner may still start one.  */
-bool placer_may_still_run (const struct placer *plc, const struct job *job,
-                           const struct task *tsk);
+bool placer_may_still_run (const struct placer *plc, struct job *job,
+                           const struct task_ref *ref);
+/* The id of a worker that the task awaits for that, or NULL.  */
+const char *placer_task_awaits (const struct placer *plc, struct job *job,
+                                const struct task_ref *ref);
 
 /* placer_rival.c */
 /* Whether tasks of JOB may be started here, as the job is stored for no other
--- /dev/null
+++ b/sched/placer_record.c
@@ -0,0 +1,255 @@
+#include <string.h>
+#include <talloc.h>
+
+#include "base/clock.h"
+#include "sched/placer_record.h"
+
+/* Most runs in the record, so that it stays below the store's limit of
+   256 KB.  */
+#define RECORDED_RUNS_MAX 4096
+
+static bool
+is_perpetual (const struct run *run)
+{
+  return run->job->spec.steps[run->ref.step].perpetual;
+}
+
+static bool
+is_same_task (const struct task_ref *a, const struct task_ref *b)
+{
+  return a->job == b->job && a->occurrence == b->occurrence
+         && a->step == b->step && a->index == b->index;
+}
+
+bool
+placer_records_runs (const struct placer *plc)
+{
+  return plc->takeover_done || plc->earlier_runs_known;
+}
+
+/* Whether the logged record names RUN for an earlier owner.  */
+static bool
+is_earlier_run (const struct placer *plc, const struct run *run)
+{
+  for (size_t n = 0; n < plc->earlier_run_count; n++)
+    {
+      const struct earlier_run *row = &plc->earlier_runs[n];
+      if (row->recorded && row->number == run->number
+          && is_same_task (&row->ref, &run->ref)
+          && strcmp (row->worker, run->wrk->rep.id) == 0)
+        return true;
+    }
+  return false;
+}
+
+void
+placer_note_new_run (struct placer *plc, const struct run *run)
+{
+  if (is_perpetual (run) && placer_records_runs (plc)
+      && !is_earlier_run (plc, run))
+    plc->runs_changed = true;
+}
+
+bool
+placer_await_record (struct placer *plc, struct run *run)
+{
+  if (!is_perpetual (run) || !placer_records_runs (plc))
+    return false;
+  run->unsent = true;
+  plc->unsent_runs++;
+  return true;
+}
+
+void
+placer_note_not_unsent (struct placer *plc, struct run *run)
+{
+  plc->unsent_runs -= run->unsent;
+  run->unsent = false;
+}
+
+/* Whether RUN may be started as it was decided before its record was
+   appended.  */
+static bool
+may_start_now (const struct run *run, int64_t now_us)
+{
+  return !run->stop_wanted && run->tsk->run == run
+         && run->tsk->unwanted_runs == 0 && !job_ended (run->job)
+         && !run->job->contested && worker_schedulable (run->wrk, now_us);
+}
+
+void
+placer_drop_unsent (struct placer *plc, struct worker *wrk)
+{
+  struct run *next;
+  for (struct run *run = wrk->runs; run; run = next)
+    {
+      next = run->next;
+      if (run->unsent)
+        placer_remove_run (plc, run);
+    }
+}
+
+void
+placer_send_recorded (struct placer *plc, int64_t now_us)
+{
+  for (size_t n = 0; plc->unsent_runs > 0 && n < plc->pool.count; n++)
+    {
+      struct run *next;
+      for (struct run *run = plc->pool.workers[n]->runs; run; run = next)
+        {
+          next = run->next;
+          if (!run->unsent)
+            continue;
+          if (!may_start_now (run, now_us))
+            placer_remove_run (plc, run);
+          else if (run->record > 0 && run->record <= plc->durable_record)
+            placer_send_start (plc, run);
+        }
+    }
+}
+
+/* Whether a run of an earlier owner may be on the worker ID, which has not
+   told this owner of it.  */
+static bool
+is_awaited (const struct placer *plc, const char *id)
+{
+  const struct worker *wrk = pool_find_id (&plc->pool, id);
+  if (wrk && placer_worker_unreached (plc, wrk))
+    return true;
+  for (size_t n = 0; n < plc->earlier_count; n++)
+    if (strcmp (plc->earlier[n].id, id) == 0)
+      return true;
+  return false;
+}
+
+const char *
+placer_awaited_worker (const struct placer *plc, const struct task_ref *ref,
+                       bool *recorded)
+{
+  const char *awaited = NULL;
+  *recorded = false;
+  for (size_t n = 0; n < plc->earlier_run_count; n++)
+    {
+      const struct earlier_run *row = &plc->earlier_runs[n];
+      if (!is_same_task (&row->ref, ref))
+        continue;
+      *recorded = true;
+      if (!awaited && is_awaited (plc, row->worker))
+        awaited = row->worker;
+    }
+  return awaited;
+}
+
+static void
+add_row (Kingcuphollow__PoolWorkers__Worker *worker,
+         Kingcuphollow__PoolWorkers__Run *row, const struct task_ref *ref,
+         uint32_t number)
+{
+  kingcuphollow__pool_workers__run__init (row);
+  row->job = ref->job;
+  row->occurrence = ref->occurrence;
+  row->step = ref->step;
+  row->index = ref->index;
+  row->run = number;
+  worker->runs[worker->n_runs++] = row;
+}
+
+/* Whether a run that LATE has begun on the worker ID belongs to a perpetual
+   task and may exist.  The rows of late starts end before such a run.  */
+static bool
+may_run_late (const struct placer *plc, const struct late_start *late,
+              const char *id, int64_t now_us)
+{
+  const struct job *job = placer_find_job (plc, late->ref.job);
+  return strcmp (late->worker, id) == 0 && job
+         && late->ref.step < job->spec.step_count
+         && job->spec.steps[late->ref.step].perpetual
+         && placer_late_start_may_run (plc, late, now_us);
+}
+
+bool
+placer_fill_runs (struct placer *plc, void *ctx, struct worker *wrk,
+                  Kingcuphollow__PoolWorkers__Worker *worker)
+{
+  int64_t now_us = clock_now_us (plc->env.clk);
+  size_t most = 0;
+  bool earlier = is_awaited (plc, worker->id);
+  for (const struct run *run = wrk ? wrk->runs : NULL; run; run = run->next)
+    most += is_perpetual (run);
+  for (size_t n = 0; earlier && n < plc->earlier_run_count; n++)
+    most += strcmp (plc->earlier_runs[n].worker, worker->id) == 0;
+  for (size_t n = 0; n < plc->late_start_count; n++)
+    most += may_run_late (plc, &plc->late_starts[n], worker->id, now_us);
+  if (most == 0)
+    return true;
+  Kingcuphollow__PoolWorkers__Run *rows
+      = talloc_array (ctx, Kingcuphollow__PoolWorkers__Run, most);
+  worker->runs = talloc_array (ctx, Kingcuphollow__PoolWorkers__Run *, most);
+  if (!rows || !worker->runs)
+    return false;
+  for (struct run *run = wrk ? wrk->runs : NULL; run; run = run->next)
+    if (is_perpetual (run))
+      {
+        add_row (worker, &rows[worker->n_runs], &run->ref, run->number);
+        if (run->record == 0)
+          run->record = plc->last_record + 1;
+      }
+  for (size_t n = 0; earlier && n < plc->earlier_run_count; n++)
+    if (strcmp (plc->earlier_runs[n].worker, worker->id) == 0)
+      {
+        struct earlier_run *row = &plc->earlier_runs[n];
+        add_row (worker, &rows[worker->n_runs], &row->ref, row->number);
+        row->recorded = true;
+      }
+  for (size_t n = 0; n < plc->late_start_count; n++)
+    if (may_run_late (plc, &plc->late_starts[n], worker->id, now_us))
+      add_row (worker, &rows[worker->n_runs], &plc->late_starts[n].ref,
+               plc->late_starts[n].number);
+  return true;
+}
+
+bool
+placer_runs_complete (const struct placer *plc,
+                      const Kingcuphollow__PoolWorkers *msg)
+{
+  size_t count = 0;
+  for (size_t n = 0; n < msg->n_workers; n++)
+    count += msg->workers[n]->n_runs;
+  return placer_records_runs (plc) && count <= RECORDED_RUNS_MAX;
+}
+
+void
+placer_add_earlier_run (struct placer *plc, const char *worker,
+                        const Kingcuphollow__PoolWorkers__Run *row)
+{
+  const struct task_ref ref = { .job = row->job,
+                                .occurrence = row->occurrence,
+                                .step = row->step,
+                                .index = row->index };
+  struct job *job = placer_find_job (plc, ref.job);
+  struct task *tsk = job ? job_task (job, &ref) : NULL;
+  struct earlier_run *rows = talloc_realloc (
+      plc, plc->earlier_runs, struct earlier_run, plc->earlier_run_count + 1);
+  if (!rows)
+    {
+      plc->earlier_runs_known = false;
+      return;
+    }
+  plc->earlier_runs = rows;
+  rows += plc->earlier_run_count++;
+  *rows = (struct earlier_run){ .ref = ref,
+                                .number = row->run,
+                                .recorded = true };
+  name_copy (rows->worker, worker);
+  /* The number may not be in the job's progress.  */
+  if (tsk && row->run > tsk->prg.last_run)
+    tsk->prg.last_run = row->run;
+}
+
+void
+placer_forget_earlier_runs (struct placer *plc)
+{
+  talloc_free (plc->earlier_runs);
+  plc->earlier_runs = NULL;
+  plc->earlier_run_count = 0;
+}
--- a/sched/placer_stall.c
+++ b/sched/placer_stall.c
@@ -93,7 +93,7 @@
     out->ending++;
   else if (tsk->run)
     out->silent += tsk->run->wrk->unanswered_calls > 0;
-  else if (placer_may_still_run (plc, job, tsk))
+  else if (placer_may_still_run (plc, job, ref))
     out->takeover++;
   else if (placer_may_run_late (plc, tsk, ref))
     out->late++;
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -4,7 +4,7 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/log.h"
-#include "sched/placer_priv.h"
+#include "sched/placer_record.h"
 
 /* Starting and stopping of runs.  */
 
@@ -142,6 +142,7 @@
     return;
   if (run->start_sent_us && !run->start_settled)
     placer_add_late_start (plc, run);
+  placer_note_not_unsent (plc, run);
   unlink_run (run);
   if (run->unwanted)
     run->tsk->unwanted_runs--;
@@ -173,6 +174,7 @@
   resources_add (&wrk->used, &job->spec.steps[ref->step], 1);
   if (number > run->tsk->prg.last_run)
     run->tsk->prg.last_run = number;
+  placer_note_new_run (plc, run);
   return run;
 }
 
@@ -428,12 +430,13 @@
              LOG_S ("by", wrk->rep.id), LOG_I ("token", plc->set.token));
 }
 
-static void
-send_start (struct placer *plc, struct run *run)
+void
+placer_send_start (struct placer *plc, struct run *run)
 {
   struct worker *wrk = run->wrk;
   int64_t now_us = clock_now_us (plc->env.clk);
   struct command_target to = placer_command_target (wrk, may_send_start);
+  placer_note_not_unsent (plc, run);
   to.idle_max_ms = START_IDLE_MAX_MS;
   placer_outdate_late_acks (plc, wrk);
   const struct start_command cmd = {
@@ -469,8 +472,8 @@
 {
   struct task *tsk = job_task (job, ref);
   struct run *run = make_run (plc, wrk, job, ref, tsk->prg.last_run + 1);
-  if (run)
-    send_start (plc, run);
+  if (run && !placer_await_record (plc, run))
+    placer_send_start (plc, run);
 }
 
 static void
@@ -612,7 +615,7 @@
     return;
   wrk->stops_wanted = false;
   for (struct run *run = wrk->runs; run; run = run->next)
-    if (run->stop_wanted && !run->stopped_us)
+    if (run->stop_wanted && !run->stopped_us && !run->unsent)
       {
         wrk->stops_wanted = true;
         if (!run->stop_sent && now_us >= run->next_stop_us
--- a/sched/placer_takeover.c
+++ b/sched/placer_takeover.c
@@ -1,6 +1,6 @@
 #include "base/clock.h"
 #include "base/log.h"
-#include "sched/placer_priv.h"
+#include "sched/placer_record.h"
 
 /* Whether this owner may send commands, and what earlier owners may still have
    started.  */
@@ -43,6 +43,9 @@
 {
   if (wrk->settled)
     return false;
+  /* The next instance is known, and may have been given tasks.  */
+  if (wrk->registered && wrk->reported_born_ms > wrk->rep.born_ms)
+    return true;
   return !wrk->reported_ended
          || (wrk->ended_list_us > 0
              && !placer_list_covers_earlier_starts (plc, wrk->ended_list_us));
@@ -90,21 +93,43 @@
       LOG_S ("unreached", unreached ? unreached : "none"),
       LOG_I ("unreached_count", count_unreached (plc)),
       LOG_I ("lease_ms", plc->set.lease_max_ms),
-      LOG_I ("leases_left_ms", (plc->earlier_leases_end_us - now_us) / 1000));
+      LOG_I ("leases_left_ms", (plc->earlier_leases_end_us - now_us) / 1000),
+      LOG_I ("runs_recorded", plc->earlier_runs_known),
+      LOG_I ("earlier_runs", plc->earlier_run_count));
   /* Nothing runs any more on the workers that did not answer, so that later
      owners need not wait for them.  */
-  plc->enrol_stale = plc->enrol_stale || plc->earlier_count > 0;
+  plc->enrol_stale
+      = plc->enrol_stale || plc->earlier_count > 0 || !plc->earlier_runs_known;
   plc->earlier_count = 0;
+  placer_forget_earlier_runs (plc);
 }
 
 bool
-placer_may_still_run (const struct placer *plc, const struct job *job,
-                      const struct task *tsk)
+placer_may_still_run (const struct placer *plc, struct job *job,
+                      const struct task_ref *ref)
 {
+  bool recorded;
+  bool may_start
+      = clock_now_us (plc->env.clk) < placer_earlier_starts_end_us (plc);
   if (plc->takeover_done || job->offset >= plc->set.fence_offset)
     return false;
-  return tsk->located_token != plc->set.token
-         || clock_now_us (plc->env.clk) < placer_earlier_starts_end_us (plc);
+  if (job_task (job, ref)->located_token == plc->set.token)
+    return may_start;
+  if (!plc->earlier_runs_known || !job->spec.steps[ref->step].perpetual)
+    return true;
+  /* Earlier owners start no other runs than those that their record names.  */
+  return placer_awaited_worker (plc, ref, &recorded)
+         || (recorded && may_start);
+}
+
+const char *
+placer_task_awaits (const struct placer *plc, struct job *job,
+                    const struct task_ref *ref)
+{
+  bool recorded;
+  return plc->earlier_runs_known && job->spec.steps[ref->step].perpetual
+             ? placer_awaited_worker (plc, ref, &recorded)
+             : placer_unreached (plc);
 }
 
 int64_t
--- a/sched/placer_unplaced.c
+++ b/sched/placer_unplaced.c
@@ -73,9 +73,9 @@
     }
   if (!placer_pool_certain (plc, job, que, now_us))
     return "other_partitions";
-  if (placer_may_still_run (plc, job, tsk))
+  if (placer_may_still_run (plc, job, ref))
     {
-      *awaited = placer_unreached (plc);
+      *awaited = placer_task_awaits (plc, job, ref);
       *awaited = *awaited ? *awaited : "";
       return "earlier_owner";
     }
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -26,7 +26,7 @@
   uint32_t number; /* increases with each run of the task */
   enum run_state state;
   uint32_t percent;     /* as last listed by the worker; see running_row */
-  int64_t created_us;   /* when its start was first sent, or it was adopted */
+  int64_t created_us;   /* when its start was decided, or it was adopted */
   int64_t confirmed_us; /* when the worker first confirmed the run; 0: not
                            yet */
   /* When its start was sent; 0: by an earlier owner.  A start is sent once, so
@@ -36,6 +36,9 @@
      its end: it will not be carried out any more.  */
   bool start_settled;
   bool start_unanswered; /* its start was given up without an answer */
+  bool unsent;           /* its start waits until the worker record names it */
+  uint64_t record;       /* number of the first worker record that names it; 0:
+                            none */
   bool stop_wanted;
   int64_t stop_wanted_us; /* when it was first wanted */
   bool stop_sent;         /* it is in flight */
--- a/test/unit/placer_world.c
+++ b/test/unit/placer_world.c
@@ -257,6 +257,13 @@
   placer_tick (wld->plc);
 }
 
+void
+world_record_runs (struct world *wld)
+{
+  if (wld->enrol_fn)
+    world_tick (wld, 1);
+}
+
 void
 world_release_earlier (struct world *wld)
 {
--- a/test/unit/placer_world.h
+++ b/test/unit/placer_world.h
@@ -100,6 +100,10 @@
    in progress, and calls placer_tick.  */
 void world_tick (struct world *wld, int64_t ms);
 
+/* Completes an append of the worker record, if one is in progress, so that the
+   starts which wait for it are sent.  */
+void world_record_runs (struct world *wld);
+
 /* The earlier owners have released the pool: they send no more commands.  */
 void world_release_earlier (struct world *wld);
 
--- a/test/unit/unit_placer_late.c
+++ b/test/unit/unit_placer_late.c
@@ -38,6 +38,7 @@
   world_confirm_ownership (wld);
   world_tick (wld, ms);
   world_complete_append (wld);
+  world_record_runs (wld);
   if (world_call (wld, WORLD_HOLD, "w1"))
     world_answer_hold (wld, "w1", rows, row_count, NULL, 0);
 }
@@ -145,6 +146,7 @@
         pass (300, NULL, 0);
       world_confirm_ownership (wld);
       world_tick (wld, 300);
+      world_record_runs (wld);
       while (world_call (wld, WORLD_START, "w1"))
         world_answer (wld, world_call (wld, WORLD_START, "w1"), COMMAND_DONE);
       struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
--- a/test/unit/unit_placer_late_wait.c
+++ b/test/unit/unit_placer_late_wait.c
@@ -75,6 +75,7 @@
   world_add_job (wld, 2, job, 200);
   world_confirm_ownership (wld);
   world_tick (wld, 1);
+  world_record_runs (wld);
   int64_t sent_us = wld->clk.now_us;
   world_answer (wld, world_call (wld, WORLD_START, "w1"), COMMAND_NO_ANSWER);
   world_add_worker (wld, "w2", BORN_MS);
--- /dev/null
+++ b/test/unit/unit_placer_record.c
@@ -0,0 +1,498 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "placer_world.h"
+#include "sched/placer_record.h"
+
+/* The worker record names each run of a perpetual task before it starts, so
+   that a successor awaits for a task only the workers that it may run on.  */
+
+#define STEP_MS 50
+/* Earlier owners that have not released the pool start tasks for this time
+   after the claim.  */
+#define STARTS_END_MS WORLD_START_CONFIRM_MS
+/* All leases of earlier owners have expired after this time.  */
+#define LEASES_END_MS (WORLD_CONFIRM_MS + WORLD_LEASE_MAX_MS + 1000)
+#define TASKS 3
+#define ALL_WORKERS 3
+
+/* Job 1: task 0 is recorded on w1, task 1 on w9, which cannot be reached, and
+   task 2 nowhere.  */
+#define PERPETUAL_JOB                                                         \
+  "{\"steps\":[{\"count\":3,\"cpu\":100,\"mem-mb\":64,\"perpetual\":true}]}"
+#define BATCH_JOB "{\"steps\":[{\"count\":3,\"cpu\":100,\"mem-mb\":64}]}"
+
+static const char *const ids[ALL_WORKERS] = { "w1", "w2", "w9" };
+static const char *const hosts[ALL_WORKERS] = { "m-w1", "m-w2", "m-w9" };
+
+static struct world *wld;
+/* What the workers that answer run.  */
+static struct world_row rows[ALL_WORKERS][8];
+static size_t row_counts[ALL_WORKERS];
+static bool batch; /* the job has batch tasks */
+
+static void
+setup (void)
+{
+  wld = world_create ();
+  memset (row_counts, 0, sizeof row_counts);
+  batch = false;
+}
+
+static void
+teardown (void)
+{
+  world_destroy (wld);
+}
+
+/* Makes the record of an owner which has used all workers.  */
+static void
+make_record (bool runs_recorded)
+{
+  Kingcuphollow__PoolWorkers msg = KINGCUPHOLLOW__POOL_WORKERS__INIT;
+  Kingcuphollow__PoolWorkers__Worker workers[ALL_WORKERS];
+  Kingcuphollow__PoolWorkers__Worker *refs[ALL_WORKERS];
+  Kingcuphollow__PoolWorkers__Run runs[ALL_WORKERS];
+  Kingcuphollow__PoolWorkers__Run *run_refs[ALL_WORKERS];
+  for (size_t n = 0; n < ALL_WORKERS; n++)
+    {
+      kingcuphollow__pool_workers__worker__init (&workers[n]);
+      kingcuphollow__pool_workers__run__init (&runs[n]);
+      refs[n] = &workers[n];
+      run_refs[n] = &runs[n];
+      workers[n].id = (char *)ids[n];
+      workers[n].host = (char *)hosts[n];
+      workers[n].born_ms = 1000;
+      runs[n].job = 1;
+      runs[n].run = 4;
+      runs[n].index = n == 2;
+      workers[n].runs = &run_refs[n];
+      workers[n].n_runs = runs_recorded && n != 1;
+    }
+  msg.workers = refs;
+  msg.n_workers = ALL_WORKERS;
+  msg.runs_recorded = runs_recorded;
+  wld->record_len = kingcuphollow__pool_workers__get_packed_size (&msg);
+  wld->record = talloc_size (wld->ctx, wld->record_len);
+  kingcuphollow__pool_workers__pack (&msg, wld->record);
+}
+
+/* The record as an owner of an earlier version would write it.  */
+static void
+strip_record (void)
+{
+  Kingcuphollow__PoolWorkers *msg = kingcuphollow__pool_workers__unpack (
+      NULL, wld->record_len, wld->record);
+  size_t counts[2 * ALL_WORKERS];
+  msg->runs_recorded = false;
+  for (size_t n = 0; n < msg->n_workers; n++)
+    {
+      ck_assert_uint_lt (n, 2 * ALL_WORKERS);
+      counts[n] = msg->workers[n]->n_runs;
+      msg->workers[n]->n_runs = 0;
+    }
+  wld->record_len = kingcuphollow__pool_workers__get_packed_size (msg);
+  kingcuphollow__pool_workers__pack (msg, wld->record);
+  for (size_t n = 0; n < msg->n_workers; n++)
+    msg->workers[n]->n_runs = counts[n];
+  kingcuphollow__pool_workers__free_unpacked (msg, NULL);
+}
+
+/* Whether the last record tells that it names all runs.  */
+static bool
+runs_recorded (void)
+{
+  Kingcuphollow__PoolWorkers *msg = kingcuphollow__pool_workers__unpack (
+      NULL, wld->record_len, wld->record);
+  bool recorded = msg->runs_recorded;
+  kingcuphollow__pool_workers__free_unpacked (msg, NULL);
+  return recorded;
+}
+
+/* Whether the last record names a run of the task INDEX of job 1 on WORKER;
+   with NUMBER, if that is not 0.  */
+static bool
+is_recorded (const char *worker, uint32_t index, uint32_t number)
+{
+  bool found = false;
+  Kingcuphollow__PoolWorkers *msg = kingcuphollow__pool_workers__unpack (
+      NULL, wld->record_len, wld->record);
+  for (size_t n = 0; n < msg->n_workers; n++)
+    for (size_t m = 0; m < msg->workers[n]->n_runs; m++)
+      {
+        const Kingcuphollow__PoolWorkers__Run *run = msg->workers[n]->runs[m];
+        found = found
+                || (strcmp (msg->workers[n]->id, worker) == 0 && run->job == 1
+                    && run->index == index && (!number || run->run == number));
+      }
+  kingcuphollow__pool_workers__free_unpacked (msg, NULL);
+  return found;
+}
+
+static void
+begin_owner (void)
+{
+  if (wld->record)
+    placer_add_earlier_record (wld->plc, wld->record, wld->record_len,
+                               wld->clk.now_us);
+  for (size_t n = 0; n < ALL_WORKERS; n++)
+    world_add_worker (wld, ids[n], 1000);
+}
+
+/* Plays a step: w1 and w2 carry all starts out, and w9 answers nothing.
+   Guards against a start that the last record does not name.  */
+static void
+step (void)
+{
+  struct world_call *call;
+  world_confirm_ownership (wld);
+  world_tick (wld, STEP_MS);
+  world_record_runs (wld);
+  world_complete_append (wld);
+  for (size_t n = 0; n < 2; n++)
+    {
+      while ((call = world_call (wld, WORLD_START, ids[n])))
+        {
+          ck_assert (batch || !runs_recorded ()
+                     || is_recorded (ids[n], call->task.index, call->run));
+          rows[n][row_counts[n]++] = (struct world_row){
+            .job = call->task.job, .index = call->task.index, .run = call->run
+          };
+          world_answer (wld, call, COMMAND_DONE);
+        }
+      if (world_call (wld, WORLD_HOLD, ids[n]))
+        world_answer_hold (wld, ids[n], rows[n], row_counts[n], NULL, 0);
+    }
+  ck_assert_ptr_null (world_call (wld, WORLD_START, "w9"));
+  if ((call = world_call (wld, WORLD_HOLD, "w9")))
+    world_answer (wld, call, COMMAND_NO_ANSWER);
+}
+
+/* Who owned the pool before.  */
+enum earlier
+{
+  NO_RECORD,
+  EARLIER_VERSION, /* of which no record names runs */
+  THIS_VERSION,
+  /* The same, and then one that has ended within its takeover.  */
+  TWO_OWNERS,
+  /* The same, and the one in between was of the earlier version.  */
+  EARLIER_IN_BETWEEN,
+};
+
+static const struct
+{
+  enum earlier earlier;
+  const char *job;
+  bool released;
+  /* When each task starts, at the earliest and at the latest; milliseconds
+     after the claim.  */
+  int64_t least_ms[TASKS], most_ms[TASKS];
+} cases[] = {
+  { THIS_VERSION,
+    PERPETUAL_JOB,
+    true,
+    { 0, WORLD_LEASE_MAX_MS, 0 },
+    { 500, LEASES_END_MS, 500 } },
+  { THIS_VERSION,
+    PERPETUAL_JOB,
+    false,
+    { STARTS_END_MS, WORLD_LEASE_MAX_MS + STARTS_END_MS, 0 },
+    { STARTS_END_MS + 500, LEASES_END_MS, 500 } },
+  { TWO_OWNERS,
+    PERPETUAL_JOB,
+    false,
+    { STARTS_END_MS, WORLD_LEASE_MAX_MS + STARTS_END_MS, -1 },
+    { STARTS_END_MS + 500, LEASES_END_MS, 0 } },
+  { EARLIER_IN_BETWEEN,
+    PERPETUAL_JOB,
+    false,
+    { WORLD_LEASE_MAX_MS, WORLD_LEASE_MAX_MS, -1 },
+    { LEASES_END_MS, LEASES_END_MS, 0 } },
+  { THIS_VERSION,
+    BATCH_JOB,
+    true,
+    { WORLD_LEASE_MAX_MS, WORLD_LEASE_MAX_MS, WORLD_LEASE_MAX_MS },
+    { LEASES_END_MS, LEASES_END_MS, LEASES_END_MS } },
+  { EARLIER_VERSION,
+    PERPETUAL_JOB,
+    true,
+    { WORLD_LEASE_MAX_MS, WORLD_LEASE_MAX_MS, WORLD_LEASE_MAX_MS },
+    { LEASES_END_MS, LEASES_END_MS, LEASES_END_MS } },
+  { NO_RECORD,
+    PERPETUAL_JOB,
+    true,
+    { WORLD_LEASE_MAX_MS, WORLD_LEASE_MAX_MS, WORLD_LEASE_MAX_MS },
+    { LEASES_END_MS, LEASES_END_MS, LEASES_END_MS } },
+};
+
+/* Guards against a perpetual task without a run (LOST) beside one worker that
+   does not answer, and against two runs (TWICE) of one that may run there.  */
+START_TEST (test_unreached_worker)
+{
+  const enum earlier earlier = cases[_i].earlier;
+  batch = strcmp (cases[_i].job, BATCH_JOB) == 0;
+  if (earlier != NO_RECORD)
+    make_record (earlier != EARLIER_VERSION);
+  begin_owner ();
+  world_add_job (wld, 1, cases[_i].job, WORLD_FENCE_OFFSET - 1);
+  if (earlier == TWO_OWNERS || earlier == EARLIER_IN_BETWEEN)
+    {
+      /* It starts task 2 and ends.  */
+      for (int n = 0; n < 10; n++)
+        step ();
+      ck_assert_uint_eq (world_starts (wld, 1, 2), 1);
+      if (earlier == EARLIER_IN_BETWEEN)
+        strip_record ();
+      world_take_over (wld, 100, WORLD_FENCE_OFFSET + 1);
+      begin_owner ();
+    }
+  if (cases[_i].released)
+    world_release_earlier (wld);
+  const int64_t claimed_us = wld->clk.now_us;
+  size_t before[TASKS];
+  int64_t started_ms[TASKS] = { -1, -1, -1 };
+  for (uint32_t n = 0; n < TASKS; n++)
+    before[n] = world_starts (wld, 1, n);
+  while (wld->clk.now_us < claimed_us + (LEASES_END_MS + 500) * 1000)
+    {
+      step ();
+      for (uint32_t n = 0; n < TASKS; n++)
+        if (started_ms[n] < 0 && world_starts (wld, 1, n) > before[n])
+          started_ms[n] = (wld->clk.now_us - claimed_us) / 1000;
+    }
+  for (uint32_t n = 0; n < TASKS; n++)
+    {
+      ck_assert_int_ge (started_ms[n], cases[_i].least_ms[n]);
+      ck_assert_int_le (started_ms[n], cases[_i].most_ms[n]);
+      ck_assert_uint_le (world_starts (wld, 1, n), before[n] + 1);
+    }
+}
+END_TEST
+
+/* Guards against two runs of a task (TWICE): the worker that may run it has
+   started again before, and counts as ended until its next instance is
+   asked.  */
+START_TEST (test_next_instance_is_awaited)
+{
+  make_record (true);
+  begin_owner ();
+  world_release_earlier (wld);
+  world_add_job (wld, 1, PERPETUAL_JOB, WORLD_FENCE_OFFSET - 1);
+  world_add_worker (wld, "w9", 5000);
+  for (int n = 0; n < 20; n++)
+    {
+      step ();
+      ck_assert (is_recorded ("w9", 1, 4));
+      ck_assert_uint_eq (world_starts (wld, 1, 1), 0);
+    }
+  ck_assert_uint_eq (world_starts (wld, 1, 2), 1);
+}
+END_TEST
+
+/* Guards against a record that claims to name all runs while it does not: of
+   an owner that does not know where earlier owners have started tasks.  */
+START_TEST (test_record_is_complete)
+{
+  static const enum earlier earlier[]
+      = { NO_RECORD, EARLIER_VERSION, THIS_VERSION };
+  const bool known = earlier[_i] == THIS_VERSION;
+  if (earlier[_i] != NO_RECORD)
+    make_record (known);
+  begin_owner ();
+  world_add_job (wld, 1, PERPETUAL_JOB, WORLD_FENCE_OFFSET - 1);
+  for (int n = 0; n < 20; n++)
+    {
+      step ();
+      ck_assert (runs_recorded () == known);
+      ck_assert (!known || is_recorded ("w9", 1, 4));
+    }
+  for (int n = 0; n < (LEASES_END_MS + 500) / STEP_MS; n++)
+    step ();
+  ck_assert (placer_takeover_done (wld->plc));
+  ck_assert (runs_recorded ());
+  for (uint32_t n = 0; n < TASKS; n++)
+    ck_assert (is_recorded ("w1", n, 0) || is_recorded ("w2", n, 0));
+}
+END_TEST
+
+/* The pool's owner knows all that runs.  */
+static void
+own_pool (void)
+{
+  world_add_worker (wld, "w1", 1000);
+  world_enrol_worker (wld, "w1");
+  world_add_worker (wld, "w2", 1000);
+  world_enrol_worker (wld, "w2");
+  world_release_earlier (wld);
+  for (int n = 0; n < 5; n++)
+    step ();
+  ck_assert (placer_takeover_done (wld->plc));
+  ck_assert (runs_recorded ());
+}
+
+/* What happens while the record of a run is appended.  */
+enum meanwhile
+{
+  APPENDED,
+  FENCED,
+  CANCELLED,
+  WORKER_SILENT,
+};
+
+/* Guards against two runs of a task (TWICE): the start of a run that no record
+   in the log names, or that is not allowed any more when the record is
+   there.  */
+START_TEST (test_start_awaits_record)
+{
+  own_pool ();
+  struct job *job
+      = world_add_job (wld, 1,
+                       "{\"steps\":[{\"count\":1,\"cpu\":100,\"mem-mb\":64,"
+                       "\"perpetual\":true}]}",
+                       WORLD_FENCE_OFFSET + 1);
+  world_confirm_ownership (wld);
+  world_tick (wld, STEP_MS);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 0);
+  ck_assert_ptr_nonnull (wld->enrol_fn);
+  const char *worker = is_recorded ("w1", 0, 1) ? "w1" : "w2";
+  ck_assert (is_recorded (worker, 0, 1));
+  /* The append takes its time.  */
+  persist_fn *fn = wld->enrol_fn;
+  wld->enrol_fn = NULL;
+  world_confirm_ownership (wld);
+  world_tick (wld, STEP_MS);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 0);
+  if (_i == CANCELLED)
+    {
+      job->state = job->logged_state = JOB_CANCELLED;
+      placer_update_job (wld->plc, job, JOB_CHANGE_CANCELLED);
+    }
+  else if (_i == WORKER_SILENT)
+    pool_find_id (&wld->plc->pool, worker)->unanswered_calls = 10;
+  fn (wld->enrol_arg, _i == FENCED ? PERSIST_FENCED : PERSIST_DONE);
+  world_tick (wld, 1);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), _i == APPENDED);
+  ck_assert (wld->plc->fenced == (_i == FENCED));
+  if (_i == APPENDED)
+    {
+      ck_assert_ptr_nonnull (world_call (wld, WORLD_START, worker));
+      return;
+    }
+  for (int n = 0; n < 10 && _i != WORKER_SILENT; n++)
+    step ();
+  for (int n = 0; n < 10 && _i == WORKER_SILENT && !world_starts (wld, 1, 0);
+       n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, STEP_MS);
+    }
+  ck_assert_uint_eq (world_starts (wld, 1, 0), _i == WORKER_SILENT);
+  ck_assert_ptr_null (world_call (wld, WORLD_START, worker));
+  ck_assert_ptr_null (world_call (wld, WORLD_STOP, worker));
+}
+END_TEST
+
+/* Guards against a run that the record lacks, as the owner has found it and
+   not started it (TWICE with its successor).  */
+START_TEST (test_found_run_is_recorded)
+{
+  own_pool ();
+  world_add_job (wld, 1, PERPETUAL_JOB, WORLD_FENCE_OFFSET + 1);
+  for (uint32_t n = 0; n < TASKS; n++)
+    rows[0][row_counts[0]++]
+        = (struct world_row){ .job = 1, .index = n, .run = 7 };
+  while (!world_call (wld, WORLD_HOLD, "w1"))
+    {
+      /* Nothing starts before the list.  */
+      wld->plc->confirmed_us = wld->clk.now_us - 4000000;
+      world_tick (wld, STEP_MS);
+    }
+  world_answer_hold (wld, "w1", rows[0], row_counts[0], NULL, 0);
+  world_confirm_ownership (wld);
+  world_tick (wld, 1);
+  for (uint32_t n = 0; n < TASKS; n++)
+    ck_assert (is_recorded ("w1", n, 7));
+}
+END_TEST
+
+/* Guards against two runs of a task (TWICE): a start without an answer may
+   have been carried out at its end of time by a worker that is cut off, and
+   its run lasts as long as a lease.  */
+START_TEST (test_run_of_late_start_is_recorded)
+{
+  own_pool ();
+  world_add_worker (wld, "w9", 1000);
+  world_enrol_worker (wld, "w9");
+  world_add_job (wld, 1,
+                 "{\"steps\":[{\"count\":1,\"cpu\":100,\"mem-mb\":64,"
+                 "\"perpetual\":true}]}",
+                 WORLD_FENCE_OFFSET - 1);
+  const struct late_start late
+      = { .ref = { .job = 1 },
+          .number = 1,
+          .worker = "w9",
+          .host = "m-w9",
+          .sent_us = wld->clk.now_us - LATE_CALL_MAX_US + 300000 };
+  placer_add_earlier_start (wld->plc, &late);
+  pool_find_id (&wld->plc->pool, "w9")->unanswered_calls = 10;
+  for (int n = 0; n < 20; n++)
+    step ();
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 0);
+  /* Any record written now.  */
+  world_add_worker (wld, "w3", 1000);
+  step ();
+  ck_assert (is_recorded ("w9", 0, 1));
+  world_take_over (wld, 100, WORLD_FENCE_OFFSET + 1);
+  begin_owner ();
+  world_release_earlier (wld);
+  const int64_t claimed_us = wld->clk.now_us;
+  while (!world_starts (wld, 1, 0))
+    {
+      step ();
+      ck_assert_int_lt (wld->clk.now_us,
+                        claimed_us + (LEASES_END_MS + 500) * 1000);
+    }
+  ck_assert_int_ge (wld->clk.now_us, claimed_us + WORLD_LEASE_MAX_MS * 1000);
+}
+END_TEST
+
+/* Guards against a record that grows, or is written, for batch tasks.  */
+START_TEST (test_batch_tasks_are_not_recorded)
+{
+  own_pool ();
+  size_t len = wld->record_len;
+  uint64_t number = wld->plc->last_record;
+  world_add_job (wld, 1, BATCH_JOB, WORLD_FENCE_OFFSET + 1);
+  world_confirm_ownership (wld);
+  world_tick (wld, 1);
+  for (uint32_t n = 0; n < TASKS; n++)
+    ck_assert_uint_eq (world_starts (wld, 1, n), 1);
+  ck_assert_uint_eq (wld->record_len, len);
+  ck_assert_uint_eq (wld->plc->last_record, number);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tc = tcase_create ("placer_record");
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_loop_test (tc, test_unreached_worker, 0,
+                       sizeof cases / sizeof *cases);
+  tcase_add_test (tc, test_next_instance_is_awaited);
+  tcase_add_loop_test (tc, test_record_is_complete, 0, 3);
+  tcase_add_loop_test (tc, test_start_awaits_record, 0, WORKER_SILENT + 1);
+  tcase_add_test (tc, test_found_run_is_recorded);
+  tcase_add_test (tc, test_run_of_late_start_is_recorded);
+  tcase_add_test (tc, test_batch_tasks_are_not_recorded);
+  Suite *suite = suite_create ("placer_record");
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/test/unit/unit_placer_stop.c
+++ b/test/unit/unit_placer_stop.c
@@ -40,6 +40,7 @@
   world_add_job (wld, 2, TASK_JOB, 200);
   world_confirm_ownership (wld);
   world_tick (wld, 1);
+  world_record_runs (wld);
   world_answer (wld, world_call (wld, WORLD_START, "w1"), COMMAND_NO_ANSWER);
   ck_assert_ptr_null (world_call (wld, WORLD_STOP, "w1"));
   world_tick (wld, 1);
@@ -58,6 +59,7 @@
       struct world_call *call;
       world_confirm_ownership (wld);
       world_tick (wld, 50);
+      world_record_runs (wld);
       while ((call = world_call (wld, WORLD_STOP, "w1")))
         world_answer (wld, call, COMMAND_DONE);
       if (world_call (wld, WORLD_HOLD, "w1"))
--- a/test/unit/unit_placer_unended.c
+++ b/test/unit/unit_placer_unended.c
@@ -418,6 +418,7 @@
   world_add_job (wld, 1, job, 200);
   world_confirm_ownership (wld);
   world_tick (wld, STEP_MS);
+  world_record_runs (wld);
   call = world_call (wld, WORLD_START, "w1");
   ck_assert_ptr_nonnull (call);
   if (state == STATE_START_CARRIED_OUT)
--- a/test/unit/unit_placer_unplaced.c
+++ b/test/unit/unit_placer_unplaced.c
@@ -6,7 +6,7 @@
 #include "base/log.h"
 #include "job/job_codec.h"
 #include "placer_world.h"
-#include "sched/placer_priv.h"
+#include "sched/placer_record.h"
 
 /* The line task.unplaced names a perpetual task that may not be placed yet,
    and whom it waits for.  */
@@ -23,6 +23,7 @@
   STORED_TWICE,
   PERHAPS_STORED_TWICE,
   EARLIER_OWNER,
+  EARLIER_RUN,
   LATE_START,
 };
 
@@ -36,6 +37,7 @@
   { PERHAPS_STORED_TWICE, PERPETUAL_JOB,
     "waits_for=other_partitions awaited=\"\" " },
   { EARLIER_OWNER, PERPETUAL_JOB, "waits_for=earlier_owner awaited=w2" },
+  { EARLIER_RUN, PERPETUAL_JOB, "waits_for=earlier_owner awaited=w3" },
   { LATE_START, PERPETUAL_JOB, "waits_for=late_start awaited=w3" },
   { STORED_TWICE, BATCH_JOB, "reason=stored_twice" },
   { PERHAPS_STORED_TWICE, BATCH_JOB, "reason=other_partitions" },
@@ -82,6 +84,22 @@
       world_add_job (wld, 2, json, 50);
       return;
     }
+  if (hindrance == EARLIER_RUN)
+    {
+      /* Two such workers, of which the record names the second.  */
+      Kingcuphollow__PoolWorkers__Run row
+          = KINGCUPHOLLOW__POOL_WORKERS__RUN__INIT;
+      row.job = 2;
+      row.run = 1;
+      placer_add_earlier_worker (wld->plc, "w2", "m-w2", 1000,
+                                 wld->clk.now_us);
+      placer_add_earlier_worker (wld->plc, "w3", "m-w3", 1000,
+                                 wld->clk.now_us);
+      wld->plc->earlier_runs_known = true;
+      placer_add_earlier_run (wld->plc, "w3", &row);
+      world_add_job (wld, 2, json, 50);
+      return;
+    }
   struct job *job = world_add_job (wld, 2, json, 200);
   job->pool_uncertain = hindrance == PERHAPS_STORED_TWICE;
   if (hindrance == STORED_TWICE)
@@ -107,7 +125,8 @@
   wld = world_create ();
   world_add_worker (wld, "w1", 1000);
   world_enrol_worker (wld, "w1");
-  if (cases[_i].hindrance != EARLIER_OWNER)
+  if (cases[_i].hindrance != EARLIER_OWNER
+      && cases[_i].hindrance != EARLIER_RUN)
     world_release_earlier (wld);
   wld->plc->env.lg
       = logger_create (NULL, &wld->clk.clk, fileno (file), LOG_LEVEL_WARN);
