--- a/sched/placer_unplaced.c
+++ b/sched/placer_unplaced.c
@@ -87,7 +87,6 @@
 find_wait (struct placer *plc, struct job *job, const struct task_ref *ref,
            const struct late_tie *tie, int64_t now_us, const char **awaited)
 {
-  const struct task *tsk = job_task (job, ref);
   const struct queue *que = catalog_queue (*plc->env.cat, job->queue);
   *awaited = "";
   if (job->contested)
