--- a/fleet/host_mgr.h
+++ b/fleet/host_mgr.h
@@ -295,7 +295,9 @@
 struct awaited_report
 {
   const struct mgr_pool *pool;
-  int64_t for_us;    /* for how long it has needed hosts */
+  int64_t for_us; /* for how long it has needed hosts */
+  uint32_t kept;  /* its hosts that its owner refused to vacate: as many of the
+                     hosts are needed to give these up */
   uint32_t incoming; /* hosts with the label on their way, or just arrived */
   uint32_t late;     /* those of them that may not come */
   const struct mgr_host *host;        /* the first of them; NULL: none */
--- a/fleet/host_mgr_await.c
+++ b/fleet/host_mgr_await.c
@@ -20,6 +20,10 @@
 #define MOVE_LATE_US 3000000
 /* Late hosts that are replaced at a time, for each host that is wanted.  */
 #define REPLACED_MAX 2
+/* Time after its pause for which a host that its pool refused to vacate counts
+   as a reason for a needed host.  The tasks there run, and only the host
+   cannot be vacated: that is no reason to stop the work of others.  */
+#define REFUSED_SPAN_US 10000000
 /* A need is reported when it has lasted this long, and again after the
    interval.  Most last for an order, a move and the next list of hosts, of 2
    to 2.5 s in all.  */
@@ -89,6 +93,18 @@
   return on_time + (late > replaced ? late - replaced : 0);
 }
 
+uint32_t
+host_mgr_count_refused (const struct host_mgr *mgr,
+                        const struct mgr_pool *pool, int64_t now_us)
+{
+  uint32_t refused = 0;
+  for (size_t n = 0; pool->needed_hosts > 0 && n < mgr->host_count; n++)
+    refused += mgr->hosts[n].refusals > 0
+               && now_us < mgr->hosts[n].refused_until_us + REFUSED_SPAN_US
+               && strcmp (mgr->hosts[n].rep.pool, pool->name) == 0;
+  return refused;
+}
+
 /* Why HOST of another pool, which has the label, is not taken, or is free.  */
 static enum host_obstacle
 find_obstacle (const struct host_mgr *mgr, const struct mgr_host *host,
@@ -114,6 +130,7 @@
 {
   *rep = (struct awaited_report){ .pool = pool,
                                   .for_us = now_us - pool->needed_since_us };
+  rep->kept = host_mgr_count_refused (mgr, pool, now_us);
   for (size_t n = 0; n < mgr->host_count; n++)
     {
       const struct mgr_host *host = &mgr->hosts[n];
--- a/fleet/host_mgr_moves.c
+++ b/fleet/host_mgr_moves.c
@@ -30,10 +30,6 @@
 /* Cost of a host that such an owner has to vacate first, for what is needed:
    more than that of any other.  */
 #define SILENT_COST 6
-/* Time after its pause for which a host that its pool refused to vacate counts
-   as a reason for a needed host.  The tasks there run, and only the host
-   cannot be vacated: that is no reason to stop the work of others.  */
-#define REFUSED_SPAN_US 10000000
 /* Hosts by which a pool that gives up a busy host has to be larger than the
    one that needs it.  After the move it is not smaller, so that no host is
    taken back for the same reason.  */
@@ -70,11 +66,7 @@
 count_placeless (const struct host_mgr *mgr, const struct mgr_pool *pool,
                  int64_t now_us)
 {
-  uint32_t refused = 0;
-  for (size_t n = 0; pool->needed_hosts > 0 && n < mgr->host_count; n++)
-    refused += mgr->hosts[n].refusals > 0
-               && now_us < mgr->hosts[n].refused_until_us + REFUSED_SPAN_US
-               && strcmp (mgr->hosts[n].rep.pool, pool->name) == 0;
+  uint32_t refused = host_mgr_count_refused (mgr, pool, now_us);
   return pool->needed_hosts > refused ? pool->needed_hosts - refused : 0;
 }
 
--- a/fleet/host_mgr_priv.h
+++ b/fleet/host_mgr_priv.h
@@ -35,6 +35,9 @@
    takes longer than a host does that comes.  NEEDED: for perpetual tasks.  */
 bool host_mgr_is_late (const struct host_mgr *mgr, const struct mgr_host *host,
                        bool needed, int64_t now_us);
+/* Hosts that the owner of POOL, which needs some, has refused to vacate.  */
+uint32_t host_mgr_count_refused (const struct host_mgr *mgr,
+                                 const struct mgr_pool *pool, int64_t now_us);
 /* Hosts that count as coming to a pool that wants WANTED hosts.  Late ones do
    not, up to a limit: others are taken instead.  If they come after all, the
    pool reports as many as idle.  */
--- a/test/unit/unit_host_mgr_moves.c
+++ b/test/unit/unit_host_mgr_moves.c
@@ -406,6 +406,8 @@
       fprintf (out, "%s needs %u, %d ms: %u %s", rep.pool->name,
                rep.pool->needed_hosts, (int)(rep.for_us / 1000), rep.incoming,
                rep.host ? rep.host->rep.name : "");
+      if (rep.kept)
+        fprintf (out, " kept=%u", rep.kept);
       if (rep.late)
         fprintf (out, " late=%u", rep.late);
       for (int n = 0; n < OBSTACLE_COUNT; n++)
@@ -422,65 +424,82 @@
   struct wants of_p, of_q;
   int steps; /* of 250 ms */
   const char *report;
+  bool kept; /* its owner has refused to vacate b */
 } awaits[] = {
-  { "def", "xy", { .needed = 1 }, { 0 }, 9, "" },
+  { "def", "xy", { .needed = 1 }, { 0 }, 9, "", false },
   { "def",
     "xy",
     { .needed = 1 },
     { 0 },
     10,
-    "p needs 1, 2500 ms: 1 x spare=1 in_use=3;" },
-  { "def", "xy", { .needed = 1 }, { 0 }, 29, "" },
+    "p needs 1, 2500 ms: 1 x spare=1 in_use=3;",
+    false },
+  { "def", "xy", { .needed = 1 }, { 0 }, 29, "", false },
   { "def",
     "xy",
     { .needed = 1 },
     { 0 },
     30,
-    "p needs 1, 7500 ms: 1 x spare=1 in_use=3;" },
+    "p needs 1, 7500 ms: 1 x spare=1 in_use=3;",
+    false },
   { "def",
     "x",
     { .needed = 3 },
     { 0 },
     10,
-    "p needs 3, 2500 ms: 1 x in_use=3;" },
+    "p needs 3, 2500 ms: 1 x in_use=3;",
+    false },
   { "dE",
     "X",
     { .needed = 1 },
     { 0 },
     10,
-    "p needs 1, 2500 ms: 0  in_use=1 not_up=2;" },
+    "p needs 1, 2500 ms: 0  in_use=1 not_up=2;",
+    false },
   { "d",
     "xk",
     { .needed = 1, .label = "y" },
     { 0 },
     10,
-    "p needs 1, 2500 ms: 0  label=3;" },
+    "p needs 1, 2500 ms: 0  label=3;",
+    false },
   { "d",
     "xk",
     { .needed = 1, .label = "k" },
     { 0 },
     10,
-    "p needs 1, 2500 ms: 1 k label=2;" },
+    "p needs 1, 2500 ms: 1 k label=2;",
+    false },
   { "d",
     "",
     { .needed = 1 },
     { .needed = 1 },
     10,
-    "p needs 1, 2500 ms: 0  in_use=1;q needs 1, 2500 ms: 0  in_use=3;" },
+    "p needs 1, 2500 ms: 0  in_use=1;q needs 1, 2500 ms: 0  in_use=3;",
+    false },
   { "de",
     "x",
     { .needed = 1 },
     { .needed = 1 },
     10,
     "p needs 1, 2500 ms: 1 x in_use=2;"
-    "q needs 1, 2500 ms: 0  in_use=3 operation=1;" },
-  { "d", "x", { .urgent = 1, .late = 1 }, { 0 }, 10, "" },
+    "q needs 1, 2500 ms: 0  in_use=3 operation=1;",
+    false },
+  { "d", "x", { .urgent = 1, .late = 1 }, { 0 }, 10, "", false },
   { "d",
     "",
     { .needed = 1 },
     { .idle = "d" },
     10,
-    "p needs 1, 2500 ms: 1 d late=1;" },
+    "p needs 1, 2500 ms: 1 d late=1;",
+    false },
+  { "d",
+    "",
+    { .needed = 1 },
+    { 0 },
+    10,
+    "p needs 1, 2500 ms: 0  kept=1 in_use=1;",
+    true },
 };
 
 /* Guards against a perpetual task that waits for a host while no line says for
@@ -491,6 +510,8 @@
   list_hosts ("abc", awaits[_i].q, awaits[_i].spare);
   demand ("p", &awaits[_i].of_p);
   demand ("q", &awaits[_i].of_q);
+  host_mgr_find (&mgr, "b")->refusals = awaits[_i].kept;
+  host_mgr_find (&mgr, "b")->refused_until_us = now_us;
   step (0);
   for (int n = 0; n < awaits[_i].steps; n++)
     {
