--- a/node/duties.c
+++ b/node/duties.c
@@ -173,6 +173,14 @@
   return node_others_read_us (arg);
 }
 
+static int64_t
+workers_read_us (void *arg)
+{
+  const struct held_duty *hld = arg;
+  const struct follower *fol = &hld->nod->directory_fol;
+  return follower_is_open (fol) ? follower_caught_up_us (fol) : 0;
+}
+
 static void
 end_held_duty (struct held_duty *hld, const char *reason)
 {
@@ -237,6 +245,7 @@
     .persist = persist,
     .log_read_us = log_read_us,
     .others_read_us = others_read_us,
+    .workers_read_us = workers_read_us,
     .wake = wake_placer,
     .arg = hld,
   };
--- a/sched/demand.c
+++ b/sched/demand.c
@@ -206,11 +206,23 @@
   return oa->wrk->handle > ob->wrk->handle ? -1 : 1;
 }
 
+/* Whether the pool may still refuse to vacate the host of WRK: requests are
+   decided when the takeover is complete.  */
+static bool
+may_be_kept (const struct placer *plc, const struct worker *wrk)
+{
+  const struct vacated_host *vac = wrk->vac;
+  return !plc->takeover_done && vac && vac->state == VACATE_ASKED
+         && (!wrk->reached || vacate_may_keep (vac));
+}
+
 /* Whether WRK, which takes no tasks now, is likely to take some soon.  */
 static bool
-is_absent_briefly (struct worker *wrk, int64_t now_us)
+is_absent_briefly (const struct placer *plc, struct worker *wrk,
+                   int64_t now_us)
 {
-  if (wrk->ended_us || wrk->rep.draining || wrk->vacate)
+  if (wrk->ended_us || wrk->rep.draining
+      || (wrk->vacate && !may_be_kept (plc, wrk)))
     return false;
   if (!wrk->absent_us)
     wrk->absent_us = now_us;
@@ -238,7 +250,7 @@
           row->order
               = perpetual || !*wrk->rep.host ? STAYING_KEPT : STAYING_SPARE;
         }
-      else if (!is_absent_briefly (wrk, now_us))
+      else if (!is_absent_briefly (plc, wrk, now_us))
         continue;
       (*count)++;
     }
@@ -247,6 +259,32 @@
   return rows;
 }
 
+/* Whether a worker of the pool, ended or not, is known on HOST or as ID.  */
+static bool
+is_known (const struct placer *plc, const char *id, const char *host)
+{
+  size_t pos = 0;
+  return pool_find_id (&plc->pool, id)
+         || (*host && pool_next_on_host (&plc->pool, host, &pos));
+}
+
+/* Counts the workers of earlier owners without a report: reports expire while
+   the store cannot be reached.  For ABSENCE_US, each counts as a place like
+   other absent workers.  */
+static int64_t
+count_unreported (const struct placer *plc, int64_t now_us)
+{
+  int64_t count = 0;
+  if (now_us - plc->claimed_us >= ABSENCE_US)
+    return 0;
+  for (size_t n = 0; n < plc->earlier_count; n++)
+    {
+      const struct earlier_worker *row = &plc->earlier[n];
+      count += !row->ended && !is_known (plc, row->id, row->host);
+    }
+  return count;
+}
+
 /* Hosts beyond those that perpetual tasks need which the pool keeps so that it
    can give up others: as many as it refused to vacate a short time ago.  */
 static size_t
@@ -297,6 +335,7 @@
 {
   struct lack rows[LACKS_MAX];
   size_t count;
+  int64_t unreported; /* see count_unreported */
   /* What the perpetual tasks need together that have places, each step taken
      by itself.  */
   struct resources placed;
@@ -362,12 +401,13 @@
       rows[n].needed = true;
       left -= places;
     }
+  if (!known)
+    most = stp->max_per_worker > 0 ? stp->max_per_worker : stp->count;
+  left -= lacks->unreported * most;
   int64_t placed = left > 0 ? tasks - left : tasks;
   lacks->placed.cpu_milli
       += stp->best_effort ? 0 : placed * stp->need.cpu_milli;
   lacks->placed.memory_mb += placed * stp->need.memory_mb;
-  if (!known)
-    most = stp->max_per_worker > 0 ? stp->max_per_worker : stp->count;
   /* Where no such host has room for one, another would not help.  */
   if (left > 0 && most > 0)
     add_lack (lacks, stp->required_label, (left + most - 1) / most);
@@ -399,10 +439,11 @@
     }
 }
 
-/* Hosts that are missing for NEED in total.  */
+/* Hosts that are missing for NEED in total, besides those of UNREPORTED
+   workers.  */
 static int64_t
 lack_in_total (const struct resources *need, const struct staying *rows,
-               size_t count)
+               size_t count, int64_t unreported)
 {
   int64_t hosts = (int64_t)count;
   int64_t cpu = 0;
@@ -415,24 +456,38 @@
   int64_t by_cpu = hosts_needed (need->cpu_milli, cpu, hosts);
   int64_t by_memory = hosts_needed (need->memory_mb, memory, hosts);
   int64_t needed = by_cpu > by_memory ? by_cpu : by_memory;
+  hosts += unreported;
   return needed > hosts ? needed - hosts : 0;
 }
 
+/* Whether the workers' reports have been read since the claim; without them, a
+   new owner would ask for hosts that it has.  They are not waited for longer
+   than for an absent worker.  */
+static bool
+reports_known (const struct placer *plc, int64_t now_us)
+{
+  return plc->takeover_done || now_us - plc->claimed_us >= ABSENCE_US
+         || !plc->env.workers_read_us
+         || plc->env.workers_read_us (plc->env.arg) >= plc->claimed_us;
+}
+
 /* Marks the hosts that perpetual tasks need, and reports those that are
    missing.  */
 static void
 report_needed_hosts (const struct placer *plc, int64_t now_us,
-                     struct staying *rows, size_t count,
+                     struct staying *rows, size_t count, int64_t unreported,
                      struct placer_demand *dem)
 {
-  struct lacks lacks = { .rows = { { .label = "" } }, .count = 1 };
+  struct lacks lacks
+      = { .rows = { { .label = "" } }, .count = 1, .unreported = unreported };
   size_t wanted[LACKS_MAX];
   size_t wanted_count = 0;
   dem->needed_label = "";
   find_all_places (plc, rows, count, &lacks);
-  add_lack (&lacks, "", lack_in_total (&lacks.placed, rows, count));
-  /* The workers may not be known yet.  */
-  if (!rows || (!plc->takeover_done && now_us - plc->claimed_us < ABSENCE_US))
+  add_lack (&lacks, "",
+            lack_in_total (&lacks.placed, rows, count, unreported));
+  dem->withheld = !reports_known (plc, now_us);
+  if (!rows || dem->withheld)
     return;
   if (plc->lacking_hosts > 0)
     add_lack (&lacks, plc->lacking_label, plc->lacking_hosts);
@@ -474,6 +529,9 @@
       cpu += wrk->rep.capacity.cpu_milli;
       memory += wrk->rep.capacity.memory_mb;
     }
+  size_t count;
+  struct staying *rows = list_staying (plc, now_us, &count);
+  int64_t unreported = count_unreported (plc, now_us);
   int64_t by_cpu = hosts_needed (demand_cpu_milli (&work), cpu, schedulable);
   int64_t by_memory
       = hosts_needed (work.perpetual_memory_mb, memory, schedulable);
@@ -506,9 +564,7 @@
     dem->urgent_hosts = (uint32_t)(urgent - schedulable);
   else
     surplus = schedulable - (wanted > schedulable ? urgent : wanted);
-  size_t count;
-  struct staying *rows = list_staying (plc, now_us, &count);
-  report_needed_hosts (plc, now_us, rows, count, dem);
+  report_needed_hosts (plc, now_us, rows, count, unreported, dem);
   if (dem->short_hosts < dem->needed_hosts)
     dem->short_hosts = dem->needed_hosts;
   if (dem->urgent_hosts < dem->needed_hosts)
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -53,6 +53,9 @@
   /* The monotonic time for which the jobs of all other pools are known; 0: not
      known.  NULL: there are no other pools.  */
   int64_t (*others_read_us) (void *arg);
+  /* The monotonic time for which the reports of all workers are known; 0: not
+     known.  NULL: they are always known.  */
+  int64_t (*workers_read_us) (void *arg);
   /* Asks for a call of placer_tick soon.  */
   void (*wake) (void *arg);
   void *arg;
@@ -237,6 +240,8 @@
 struct placer_demand
 {
   uint32_t schedulable_hosts; /* hosts that take new tasks */
+  bool withheld; /* the hosts that perpetual tasks need are not known yet, as
+                    the workers' reports have not been read */
   uint32_t busy_milli;   /* share of their processors in use, in thousandths */
   uint32_t short_hosts;  /* further hosts that the pool needs */
   uint32_t urgent_hosts; /* those of them for work that can be done in time */
--- a/sched/placer_hosts.c
+++ b/sched/placer_hosts.c
@@ -52,11 +52,13 @@
     }
   for (size_t n = plc->earlier_count; n-- > 0;)
     {
-      const struct earlier_worker *row = &plc->earlier[n];
+      struct earlier_worker *row = &plc->earlier[n];
       bool same = strcmp (row->id, rep->worker) == 0;
       if (strcmp (row->host, rep->name) != 0 || asked_us <= plc->claimed_us
-          || !list_covers_instance (row->known_us, asked_us)
-          || (same && !not_up))
+          || !list_covers_instance (row->known_us, asked_us))
+        continue;
+      row->ended = !same || not_up;
+      if (!row->ended)
         continue;
       /* The worker may have started again under its id since.  */
       if ((same || !*rep->worker)
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -70,6 +70,8 @@
   int64_t born_ms;
   int64_t known_us;      /* the worker had certainly started by then */
   uint32_t absent_lists; /* consecutive lists of hosts without its host */
+  bool ended; /* the last list shows the end of this instance; it may have
+                 been started again under its id */
 };
 
 /* State of a request to empty a host.  */
--- a/test/unit/unit_demand.c
+++ b/test/unit/unit_demand.c
@@ -250,15 +250,163 @@
 }
 END_TEST
 
-/* Guards against hosts that a new owner orders because it does not know the
-   pool's workers yet.  */
-START_TEST (test_unknown_workers)
+/* Takes one host of the platform's list.  */
+static void
+list_host (size_t n, enum host_state state)
+{
+  struct host_report rep = { .state = state };
+  snprintf (rep.name, sizeof rep.name, "m-w%zu", n);
+  if (state == HOST_UP)
+    snprintf (rep.worker, sizeof rep.worker, "w%zu", n);
+  placer_update_host (wld->plc, &rep, wld->clk.now_us);
+}
+
+/* Brings a worker of a takeover into the state KIND:
+   r: has answered this owner; u: registered, not reached yet; s: the same, and
+   two calls had no answer; e: ended, by the list of hosts; d: drains;
+   v: asked to be vacated, runs nothing; V: the same, with runs;
+   n: in the earlier owner's record only; g: the same, its host is down;
+   m: the same, its host was down in an earlier list.  */
+static void
+set_kind (size_t n, char kind)
+{
+  char id[NAME_BYTES];
+  char host[NAME_BYTES];
+  snprintf (id, sizeof id, "w%zu", n);
+  snprintf (host, sizeof host, "m-w%zu", n);
+  struct worker *wrk = pool_find_id (&wld->plc->pool, id);
+  int64_t known_us = wld->clk.now_us - 10000000;
+  switch (kind)
+    {
+    case 'u':
+      wrk->reached = wrk->enrolled = false;
+      return;
+    case 's':
+      wrk->reached = wrk->enrolled = false;
+      wrk->unanswered_calls = 2;
+      return;
+    case 'e':
+      wrk->known_us = known_us;
+      wrk->hold_answered_us = 0;
+      wrk->unanswered_calls = 1;
+      list_host (n, HOST_DOWN);
+      return;
+    case 'd':
+      report_worker (n, 'a', true);
+      return;
+    case 'v':
+    case 'V':
+      placer_vacate (wld->plc, host, wld->clk.now_us + 5000000);
+      wrk->vac->had_runs = kind == 'V';
+      return;
+    case 'n':
+    case 'g':
+    case 'm':
+      placer_add_earlier_worker (wld->plc, id, host, 1000, known_us);
+      if (kind != 'n')
+        list_host (n, HOST_DOWN);
+      if (kind == 'm')
+        list_host (n, HOST_UP);
+      return;
+    }
+}
+
+/* Begins a takeover of a pool whose workers are in the states KINDS.  It stays
+   open, as no tick follows.  */
+static void
+begin_takeover (const char *kinds)
+{
+  char id[NAME_BYTES];
+  struct placer *plc = wld->plc;
+  for (size_t n = 0; kinds[n]; n++)
+    if (!strchr ("ngm", kinds[n]))
+      report_worker (n, 'a', false);
+  world_tick (wld, 1);
+  for (size_t n = 0; kinds[n]; n++)
+    {
+      snprintf (id, sizeof id, "w%zu", n);
+      if (world_call (wld, WORLD_HOLD, id))
+        world_answer_hold (wld, id, NULL, 0, NULL, 0);
+    }
+  world_tick (wld, 1);
+  world_tick (wld, 1);
+  plc->takeover_done = false;
+  plc->claimed_us = wld->clk.now_us;
+  plc->earlier_leases_end_us = wld->clk.now_us + 60000000;
+  wld->clk.now_us += 1000;
+  for (size_t n = 0; kinds[n]; n++)
+    set_kind (n, kinds[n]);
+}
+
+static int64_t
+never_read (void *arg)
+{
+  return 0;
+}
+
+static int64_t
+read_before_claim (void *arg)
 {
+  const struct world *of = arg;
+  return of->plc->claimed_us - 1;
+}
+
+static int64_t
+read_now (void *arg)
+{
+  const struct world *of = arg;
+  return of->clk.now_us;
+}
+
+static const struct
+{
+  const char *kinds; /* see set_kind */
+  int64_t (*workers_read_us) (void *arg);
+  uint32_t at_once; /* needed hosts */
+  uint32_t later;   /* 4 s later */
+  uint32_t at_last; /* 6 s later */
+} takeovers[] = {
+  { "rrrr", read_now, 0, 0, 0 },
+  { "rrr", read_now, 1, 1, 1 },
+  { "", read_now, 4, 4, 4 },
+  /* Workers that have ended or leave are no places.  */
+  { "rrree", read_now, 1, 1, 1 },
+  { "rrrd", read_now, 1, 1, 1 },
+  { "rrrg", read_now, 1, 1, 1 },
+  { "ee", read_now, 4, 4, 4 },
+  { "uuue", read_now, 1, 1, 4 },
+  /* Those that have not answered yet are.  */
+  { "rrru", read_now, 0, 0, 1 },
+  { "rrrs", read_now, 0, 0, 1 },
+  { "rrrn", read_now, 0, 0, 1 },
+  { "rrrm", read_now, 0, 0, 1 },
+  { "uuuu", read_now, 0, 0, 4 },
+  { "nnnn", read_now, 0, 0, 4 },
+  { "nnn", read_now, 1, 1, 4 },
+  { "usn", read_now, 1, 1, 4 },
+  /* A vacated host is one if the owner may still keep it.  */
+  { "rrrv", read_now, 1, 1, 1 },
+  { "rrrV", read_now, 0, 0, 1 },
+  /* The reports may name further workers.  */
+  { "rrr", never_read, 0, 0, 1 },
+  { "rrr", read_before_claim, 0, 0, 1 },
+  { "", never_read, 0, 0, 4 },
+  { "", read_before_claim, 0, 0, 4 },
+};
+
+/* Guards against perpetual tasks that wait for the end of a takeover, and for
+   a host only after it; and against hosts that a new owner orders although it
+   has them, as it does not know its workers yet.  */
+START_TEST (test_needed_in_takeover)
+{
+  begin_takeover (takeovers[_i].kinds);
+  wld->plc->env.workers_read_us = takeovers[_i].workers_read_us;
   add_step (1, SEVEN "\"anti-affinity\":2");
-  ck_assert (!wld->plc->takeover_done);
-  ck_assert_uint_eq (demand ().needed_hosts, 0);
-  wld->clk.now_us += 6000000;
-  ck_assert_uint_eq (demand ().needed_hosts, 4);
+  ck_assert_uint_eq (demand ().needed_hosts, takeovers[_i].at_once);
+  wld->clk.now_us += 4000000;
+  ck_assert_uint_eq (demand ().needed_hosts, takeovers[_i].later);
+  wld->clk.now_us += 2000000;
+  ck_assert_uint_eq (demand ().needed_hosts, takeovers[_i].at_last);
 }
 END_TEST
 
@@ -329,7 +477,8 @@
                        sizeof idle / sizeof *idle);
   tcase_add_loop_test (tcase, test_absent_workers, 0,
                        sizeof absences / sizeof *absences);
-  tcase_add_test (tcase, test_unknown_workers);
+  tcase_add_loop_test (tcase, test_needed_in_takeover, 0,
+                       sizeof takeovers / sizeof *takeovers);
   tcase_add_test (tcase, test_reserve_for_kept_host);
   tcase_add_test (tcase, test_labels_in_turn);
   suite_add_tcase (suite, tcase);
