--- a/node/fleet_demand.c
+++ b/node/fleet_demand.c
@@ -70,6 +70,7 @@
                  LOG_S ("label", dem.needed_label),
                  LOG_I ("idle_hosts", dem.idle_count),
                  LOG_I ("schedulable_hosts", dem.schedulable_hosts),
+                 LOG_I ("awaited_hosts", dem.awaited_hosts),
                  LOG_I ("withheld", dem.withheld),
                  LOG_I ("busy_milli", dem.busy_milli));
     }
--- a/sched/demand.c
+++ b/sched/demand.c
@@ -285,6 +285,40 @@
   return count;
 }
 
+/* Whether WRK takes no tasks only because this owner is new.  */
+static bool
+is_awaited (const struct placer *plc, const struct worker *wrk)
+{
+  return !plc->takeover_done && !(wrk->reached && wrk->enrolled)
+         && !worker_silent (wrk) && !wrk->vacate;
+}
+
+/* Hosts that a new owner has, but whose workers have not answered it yet.  */
+struct awaited
+{
+  int64_t hosts;
+  int64_t reported; /* those of them whose capacity is known */
+  int64_t cpu_milli;
+  int64_t memory_mb;
+};
+
+static void
+sum_awaited (const struct placer *plc, const struct staying *rows,
+             size_t count, int64_t unreported, struct awaited *sum)
+{
+  *sum = (struct awaited){ .hosts = unreported };
+  for (size_t n = 0; n < count; n++)
+    {
+      const struct worker *wrk = rows[n].wrk;
+      if (rows[n].order != STAYING_ABSENT || !is_awaited (plc, wrk))
+        continue;
+      sum->hosts++;
+      sum->reported++;
+      sum->cpu_milli += wrk->rep.capacity.cpu_milli;
+      sum->memory_mb += wrk->rep.capacity.memory_mb;
+    }
+}
+
 /* Hosts beyond those that perpetual tasks need which the pool keeps so that it
    can give up others: as many as it refused to vacate a short time ago.  */
 static size_t
@@ -532,11 +566,18 @@
   size_t count;
   struct staying *rows = list_staying (plc, now_us, &count);
   int64_t unreported = count_unreported (plc, now_us);
-  int64_t by_cpu = hosts_needed (demand_cpu_milli (&work), cpu, schedulable);
-  int64_t by_memory
-      = hosts_needed (work.perpetual_memory_mb, memory, schedulable);
+  struct awaited awaited;
+  sum_awaited (plc, rows, count, unreported, &awaited);
+  int64_t hosts = schedulable + awaited.hosts;
+  /* Those whose capacity is known.  */
+  int64_t sized = schedulable + awaited.reported;
+  int64_t by_cpu = hosts_needed (demand_cpu_milli (&work),
+                                 cpu + awaited.cpu_milli, sized);
+  int64_t by_memory = hosts_needed (work.perpetual_memory_mb,
+                                    memory + awaited.memory_mb, sized);
   int64_t wanted = (by_cpu > by_memory ? by_cpu : by_memory) + HEADROOM_HOSTS;
-  if (plc->useful_waiting_tasks > 0 && wanted <= schedulable)
+  if (plc->useful_waiting_tasks > 0 && wanted <= schedulable
+      && awaited.hosts == 0)
     wanted = schedulable + 1;
   /* While tasks wait because this process cannot send their starts fast
      enough, more hosts than it can keep busy do not help.  Those that it has
@@ -551,18 +592,19 @@
       if (wanted > most)
         wanted = most;
     }
-  int64_t urgent
-      = hosts_needed (demand_urgent_cpu_milli (&work), cpu, schedulable);
+  int64_t urgent = hosts_needed (demand_urgent_cpu_milli (&work),
+                                 cpu + awaited.cpu_milli, sized);
   urgent = (urgent > by_memory ? urgent : by_memory) + HEADROOM_HOSTS;
   if (urgent > wanted)
     urgent = wanted;
   dem->schedulable_hosts = (uint32_t)schedulable;
+  dem->awaited_hosts = (uint32_t)awaited.hosts;
   dem->busy_milli = cpu > 0 ? (uint32_t)(used * 1000 / cpu) : 0;
-  if (wanted > schedulable)
-    dem->short_hosts = (uint32_t)(wanted - schedulable);
-  if (urgent > schedulable)
-    dem->urgent_hosts = (uint32_t)(urgent - schedulable);
-  else
+  if (wanted > hosts)
+    dem->short_hosts = (uint32_t)(wanted - hosts);
+  if (urgent > hosts)
+    dem->urgent_hosts = (uint32_t)(urgent - hosts);
+  if (urgent <= schedulable)
     surplus = schedulable - (wanted > schedulable ? urgent : wanted);
   report_needed_hosts (plc, now_us, rows, count, unreported, dem);
   if (dem->short_hosts < dem->needed_hosts)
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -240,6 +240,8 @@
 struct placer_demand
 {
   uint32_t schedulable_hosts; /* hosts that take new tasks */
+  uint32_t awaited_hosts;     /* further ones that a new owner counts, as their
+                                 workers have not answered it yet */
   bool withheld; /* the hosts that perpetual tasks need are not known yet, as
                     the workers' reports have not been read */
   uint32_t busy_milli;   /* share of their processors in use, in thousandths */
--- a/test/unit/unit_demand.c
+++ b/test/unit/unit_demand.c
@@ -410,6 +410,46 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *kinds; /* see set_kind */
+  uint32_t waiting;  /* tasks that no worker has room for */
+  uint32_t short_hosts;
+  size_t idle; /* most hosts that are given up */
+} begins[] = {
+  { "uuuuu", 0, 0, 0 },
+  { "uuuuu", 1, 0, 0 },
+  { "ruuuu", 1, 0, 0 },
+  { "rruuu", 1, 0, 0 },
+  { "nnnnn", 1, 0, 0 },
+  { "rnnnn", 1, 0, 0 },
+  { "rrrrr", 0, 0, 2 },
+  /* What the workers in sight lack is asked for at once.  */
+  { "u", 0, 2, 0 },
+  { "ue", 0, 2, 0 },
+  { "us", 0, 2, 0 },
+  { "uv", 0, 2, 0 },
+  { "", 0, 2, 0 },
+  { "rr", 0, 1, 0 },
+  { "rrr", 1, 1, 0 },
+};
+
+/* Guards against a new owner that orders hosts before its workers have
+   answered it, as if it had none; and that gives up one because of those that
+   have not.  */
+START_TEST (test_short_at_begin)
+{
+  begin_takeover (begins[_i].kinds);
+  add_step (1, "\"count\":4,\"cpu\":900,\"estimate-ms\":900");
+  wld->plc->waiting_cpu_milli = 4 * 900;
+  wld->plc->useful_waiting_tasks = begins[_i].waiting;
+  const struct placer_demand dem = demand ();
+  ck_assert_uint_eq (dem.needed_hosts, 0);
+  ck_assert_uint_eq (dem.short_hosts, begins[_i].short_hosts);
+  ck_assert_uint_le (dem.idle_count, begins[_i].idle);
+}
+END_TEST
+
 /* Guards against a spare host that is given up again before the host for which
    it came can be vacated, and that is asked for anew, in turn.  */
 START_TEST (test_reserve_for_kept_host)
@@ -479,6 +519,8 @@
                        sizeof absences / sizeof *absences);
   tcase_add_loop_test (tcase, test_needed_in_takeover, 0,
                        sizeof takeovers / sizeof *takeovers);
+  tcase_add_loop_test (tcase, test_short_at_begin, 0,
+                       sizeof begins / sizeof *begins);
   tcase_add_test (tcase, test_reserve_for_kept_host);
   tcase_add_test (tcase, test_labels_in_turn);
   suite_add_tcase (suite, tcase);
