--- a/sched/demand.c
+++ b/sched/demand.c
@@ -600,9 +600,12 @@
   dem->schedulable_hosts = (uint32_t)schedulable;
   dem->awaited_hosts = (uint32_t)awaited.hosts;
   dem->busy_milli = cpu > 0 ? (uint32_t)(used * 1000 / cpu) : 0;
-  if (wanted > hosts)
+  /* The tasks that run are not known before a worker has listed them, and
+     would count as waiting.  */
+  bool runs_known = schedulable > 0 || awaited.reported == 0;
+  if (wanted > hosts && runs_known)
     dem->short_hosts = (uint32_t)(wanted - hosts);
-  if (urgent > hosts)
+  if (urgent > hosts && runs_known)
     dem->urgent_hosts = (uint32_t)(urgent - hosts);
   if (urgent <= schedulable)
     surplus = schedulable - (wanted > schedulable ? urgent : wanted);
