--- a/sched/demand.c
+++ b/sched/demand.c
@@ -74,15 +74,18 @@
 #define START_LIMIT_BUSY_PERCENT 75
 
 static void
-add_step (const struct job *job, const struct occurrence *occ,
-          const struct step *stp, int64_t *left_core_us,
-          struct demand_work *work)
+add_step (const struct placer *plc, const struct job *job,
+          const struct occurrence *occ, const struct step *stp,
+          int64_t *left_core_us, struct demand_work *work)
 {
+  bool takeover = !plc->takeover_done && placer_step_ready (job, occ, stp);
   for (uint32_t n = 0; n < stp->count; n++)
     {
       const struct task *tsk = &occ->tasks[stp->first_task + n];
       if (tsk->prg.done)
         continue;
+      if (takeover && !tsk->run && placer_may_still_run (plc, job, tsk))
+        work->takeover_tasks++;
       if (stp->perpetual)
         {
           work->perpetual_cpu_milli
@@ -138,7 +141,7 @@
           if (occ->due_ms > wall_ms || occ->done == job->task_count)
             continue;
           for (size_t m = 0; m < job->spec.step_count; m++)
-            add_step (job, occ, &job->spec.steps[m], left_core_us, work);
+            add_step (plc, job, occ, &job->spec.steps[m], left_core_us, work);
         }
     }
 }
@@ -617,6 +620,10 @@
   /* A pool that lacks any host gives up none in exchange for it.  */
   if (dem->needed_hosts > 0 && !*dem->needed_label)
     surplus = 0;
+  /* These tasks count as no work yet, and a worker that leaves with its host
+     before it was asked again makes the takeover last longer.  */
+  if (work.takeover_tasks > 0)
+    surplus = 0;
   report_idle_hosts (plc, now_us, rows, count, surplus, dem);
   talloc_free (rows);
 }
--- a/test/unit/unit_demand.c
+++ b/test/unit/unit_demand.c
@@ -455,6 +455,45 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *kinds; /* see set_kind */
+  uint64_t offset;   /* of the job's record; the fence is at 100 */
+  const char *step;
+  size_t most;  /* hosts that are given up during the takeover */
+  size_t least; /* and once it is done */
+} unsettled[] = {
+  { "rrrrrr", 50, "\"count\":1,\"cpu\":900,\"estimate-ms\":900", 0, 3 },
+  { "rrrrru", 50, "\"count\":1,\"cpu\":900,\"estimate-ms\":900", 0, 3 },
+  { "rrrrre", 50, LASTS "\"count\":1,\"cpu\":900", 0, 3 },
+  { "rrrrre", 50, LASTS "\"count\":1,\"mem-mb\":9", 0, 3 },
+  /* Earlier owners cannot have started it.  */
+  { "rrrrrr", 200, "\"count\":1,\"cpu\":900,\"estimate-ms\":900", 6, 3 },
+};
+
+/* Guards against hosts that are given up while tasks wait for the end of a
+   takeover: they count as no work, and a worker that has to be asked again and
+   leaves with its host makes the takeover last longer.  */
+START_TEST (test_no_idle_in_takeover)
+{
+  size_t most = 0;
+  begin_takeover (unsettled[_i].kinds);
+  char *json = talloc_asprintf (wld, "{\"steps\":[{%s}]}", unsettled[_i].step);
+  world_add_job (wld, 1, json, unsettled[_i].offset);
+  for (int n = 0; n < 30; n++)
+    {
+      const struct placer_demand dem = demand ();
+      ck_assert_uint_le (dem.idle_count, unsettled[_i].most);
+      if (dem.idle_count > most)
+        most = dem.idle_count;
+      wld->clk.now_us += 100000;
+    }
+  ck_assert ((most > 0) == (unsettled[_i].most > 0));
+  wld->plc->takeover_done = true;
+  ck_assert_uint_ge (demand ().idle_count, unsettled[_i].least);
+}
+END_TEST
+
 /* Guards against a spare host that is given up again before the host for which
    it came can be vacated, and that is asked for anew, in turn.  */
 START_TEST (test_reserve_for_kept_host)
@@ -526,6 +565,8 @@
                        sizeof takeovers / sizeof *takeovers);
   tcase_add_loop_test (tcase, test_short_at_begin, 0,
                        sizeof begins / sizeof *begins);
+  tcase_add_loop_test (tcase, test_no_idle_in_takeover, 0,
+                       sizeof unsettled / sizeof *unsettled);
   tcase_add_test (tcase, test_reserve_for_kept_host);
   tcase_add_test (tcase, test_labels_in_turn);
   suite_add_tcase (suite, tcase);
