--- a/sched/demand.c
+++ b/sched/demand.c
@@ -539,6 +539,21 @@
   dem->needed_label = lack->label;
 }
 
+/* While tasks wait because this process cannot send their starts fast enough,
+   more hosts than it can keep busy do not help.  Those that it has are kept
+   for a while: hosts that have just arrived are empty.  */
+static int64_t
+limit_by_starts (const struct placer *plc, int64_t wanted, int64_t used,
+                 int64_t cpu, int64_t schedulable)
+{
+  int64_t filled
+      = hosts_needed (used * 100 / START_LIMIT_BUSY_PERCENT, cpu, schedulable)
+        + HEADROOM_HOSTS;
+  bool lasting = plc->start_limit_permille > START_LIMIT_PERMILLE;
+  int64_t most = lasting || filled > schedulable ? filled : schedulable;
+  return wanted > most ? most : wanted;
+}
+
 void
 placer_demand (const struct placer *plc, struct placer_demand *dem)
 {
@@ -582,19 +597,8 @@
   if (plc->useful_waiting_tasks > 0 && wanted <= schedulable
       && awaited.hosts == 0)
     wanted = schedulable + 1;
-  /* While tasks wait because this process cannot send their starts fast
-     enough, more hosts than it can keep busy do not help.  Those that it has
-     are kept for a while: hosts that have just arrived are empty.  */
   if (plc->start_limit_reached)
-    {
-      int64_t filled = hosts_needed (used * 100 / START_LIMIT_BUSY_PERCENT,
-                                     cpu, schedulable)
-                       + HEADROOM_HOSTS;
-      bool lasting = plc->start_limit_permille > START_LIMIT_PERMILLE;
-      int64_t most = lasting || filled > schedulable ? filled : schedulable;
-      if (wanted > most)
-        wanted = most;
-    }
+    wanted = limit_by_starts (plc, wanted, used, cpu, schedulable);
   int64_t urgent = hosts_needed (demand_urgent_cpu_milli (&work),
                                  cpu + awaited.cpu_milli, sized);
   urgent = (urgent > by_memory ? urgent : by_memory) + HEADROOM_HOSTS;
