--- a/test/unit/unit_node_wait.c
+++ b/test/unit/unit_node_wait.c
@@ -186,6 +186,33 @@
 }
 END_TEST
 
+/* Guards against a new owner that asks for hosts which the pool has, as it
+   knows the workers' reports from before its claim only; and against one that
+   asks for none once it has read them.  */
+START_TEST (test_reports_read_since_claim)
+{
+  struct placer_demand dem;
+  node_world_init (&wld, false);
+  struct memory_part *prt
+      = topic_memory_part (&wld.mem, WIRE_TOPIC_WORKERS, 0);
+  prt->reject_reads = _i == 1;
+  node_world_run (&wld, 600);
+  node_world_take_over (&wld, "p", "n1", NODE_WORLD_BOOT, "n2");
+  node_world_run (&wld, 700);
+  ck_assert_ptr_nonnull (held_duty ());
+  ck_assert_ptr_nonnull (held_duty ()->plc);
+  ck_assert (!placer_takeover_done (held_duty ()->plc));
+  placer_demand (held_duty ()->plc, &dem);
+  ck_assert (dem.withheld == (_i == 1));
+  prt->reject_reads = false;
+  node_world_run (&wld, 1200);
+  ck_assert (!placer_takeover_done (held_duty ()->plc));
+  placer_demand (held_duty ()->plc, &dem);
+  ck_assert (!dem.withheld);
+  node_world_fini (&wld);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -198,6 +225,7 @@
   tcase_add_test (tc, test_urgent_reads_are_short);
   tcase_add_test (tc, test_rejected_confirmations);
   tcase_add_loop_test (tc, test_reads_in_outage, 0, 2);
+  tcase_add_loop_test (tc, test_reports_read_since_claim, 0, 2);
   Suite *suite = suite_create ("node_wait");
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
