--- a/node/fleet_demand.c
+++ b/node/fleet_demand.c
@@ -14,6 +14,19 @@
    duration of the last one.  */
 #define DEMAND_PAUSE_FACTOR 20
 
+/* Whether the owner's first report waits until the demand is known, for
+   DEMAND_INTERVAL_MAX_US at most.  Until then that of its predecessor stands:
+   the hosts that it needed are still asked for.  */
+static bool
+is_withheld (struct held_duty *hld, const struct placer_demand *dem,
+             int64_t now_us)
+{
+  if (!hld->withheld_us)
+    hld->withheld_us = now_us;
+  return dem->withheld && !hld->demand_sent_us
+         && now_us < hld->withheld_us + DEMAND_INTERVAL_MAX_US;
+}
+
 static bool
 demand_changed (const struct held_duty *hld, const struct placer_demand *dem)
 {
@@ -36,6 +49,8 @@
   placer_demand (hld->plc, &dem);
   int64_t ended_us = clock_now_us (nod->clk);
   hld->next_demand_us = ended_us + (ended_us - now_us) * DEMAND_PAUSE_FACTOR;
+  if (is_withheld (hld, &dem, now_us))
+    return;
   if (!demand_changed (hld, &dem)
       && now_us < hld->demand_sent_us + DEMAND_INTERVAL_MAX_US)
     return;
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -163,6 +163,7 @@
   struct appender report_app;
   int64_t demand_sent_us;
   int64_t next_demand_us; /* the demand is not computed before this time */
+  int64_t withheld_us;    /* when it was first computed */
   uint32_t sent_short_hosts;
   uint32_t sent_urgent_hosts;
   uint32_t sent_needed_hosts;
--- a/test/unit/unit_node_wait.c
+++ b/test/unit/unit_node_wait.c
@@ -213,6 +213,46 @@
 }
 END_TEST
 
+static size_t
+count_demands (void)
+{
+  size_t count = 0;
+  for (size_t n = 0; n < wld.reports->end; n++)
+    count += wld.reports->records[n].key[0] == FLEET_DEMAND_KEY;
+  return count;
+}
+
+/* Guards against a new owner that takes back what its predecessor asked for
+   because it does not know the workers' reports yet; and against one that says
+   nothing for as long as it cannot read them.  */
+START_TEST (test_first_demand_is_known)
+{
+  static const struct
+  {
+    int64_t reads_from_ms; /* the reports can be read, after the claim */
+    int64_t none_until_ms;
+    int64_t one_at_ms;
+  } cases[] = { { 0, 0, 700 }, { 900, 900, 1900 }, { 9000, 1300, 2500 } };
+  node_world_init (&wld, false);
+  struct memory_part *prt
+      = topic_memory_part (&wld.mem, WIRE_TOPIC_WORKERS, 0);
+  prt->reject_reads = cases[_i].reads_from_ms > 0;
+  node_world_run (&wld, 600);
+  node_world_take_over (&wld, "p", "n1", NODE_WORLD_BOOT, "n2");
+  for (int64_t ms = 0; ms < cases[_i].one_at_ms; ms += 100)
+    {
+      if (ms >= cases[_i].reads_from_ms)
+        prt->reject_reads = false;
+      if (ms <= cases[_i].none_until_ms)
+        ck_assert_uint_eq (count_demands (), 0);
+      node_world_run (&wld, 100);
+    }
+  ck_assert (!placer_takeover_done (held_duty ()->plc));
+  ck_assert_uint_gt (count_demands (), 0);
+  node_world_fini (&wld);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -226,6 +266,7 @@
   tcase_add_test (tc, test_rejected_confirmations);
   tcase_add_loop_test (tc, test_reads_in_outage, 0, 2);
   tcase_add_loop_test (tc, test_reports_read_since_claim, 0, 2);
+  tcase_add_loop_test (tc, test_first_demand_is_known, 0, 3);
   Suite *suite = suite_create ("node_wait");
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
