--- a/test/unit/unit_demand.c
+++ b/test/unit/unit_demand.c
@@ -494,6 +494,63 @@
 }
 END_TEST
 
+#define BATCH "\"count\":4,\"cpu\":3000,\"estimate-ms\":900"
+#define GANG BATCH ",\"gang\":true"
+
+static const struct
+{
+  const char *kinds; /* see set_kind */
+  bool takeover;
+  uint64_t offset; /* of the job's record; the fence is at 100 */
+  const char *step;
+  uint32_t least_hosts;
+} lost_pools[] = {
+  { "", false, 200, BATCH, 2 },
+  { "", false, 200, GANG, 2 },
+  { "eeee", false, 200, BATCH, 2 },
+  { "eeee", false, 200, GANG, 2 },
+  { "eeee", false, 50, GANG, 2 },
+  /* The job came after the takeover began.  */
+  { "eeee", true, 200, BATCH, 2 },
+  { "eeee", true, 200, GANG, 2 },
+  { "ssss", true, 200, GANG, 2 },
+  /* It waits for the end of the takeover: one host for the next arrivals.  */
+  { "", true, 50, BATCH, 1 },
+  { "eeee", true, 50, BATCH, 1 },
+  { "eeee", true, 50, GANG, 1 },
+  { "ssss", true, 50, GANG, 1 },
+};
+
+/* Milliseconds until HOSTS are reported as missing.  */
+static int64_t
+short_after_ms (uint32_t hosts)
+{
+  const int64_t begun_us = wld->clk.now_us;
+  while (demand ().short_hosts < hosts && wld->clk.now_us < begun_us + 8000000)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 40);
+    }
+  return (wld->clk.now_us - begun_us) / 1000;
+}
+
+/* Guards against batch tasks and gangs of a pool that has lost all its workers
+   and whose hosts are asked for late.  */
+START_TEST (test_lost_pool_is_short)
+{
+  begin_takeover (lost_pools[_i].kinds);
+  wld->plc->takeover_done = !lost_pools[_i].takeover;
+  char *json
+      = talloc_asprintf (wld, "{\"steps\":[{%s}]}", lost_pools[_i].step);
+  struct job *job = world_add_job (wld, 1, json, lost_pools[_i].offset);
+  job->seen_us = wld->clk.now_us - 60000000; /* no arrival of late */
+  ck_assert_int_le (short_after_ms (lost_pools[_i].least_hosts), 80);
+  /* And the rest as soon as it is over.  */
+  wld->plc->takeover_done = true;
+  ck_assert_int_le (short_after_ms (2), 80);
+}
+END_TEST
+
 /* Guards against a spare host that is given up again before the host for which
    it came can be vacated, and that is asked for anew, in turn.  */
 START_TEST (test_reserve_for_kept_host)
@@ -567,6 +624,8 @@
                        sizeof begins / sizeof *begins);
   tcase_add_loop_test (tcase, test_no_idle_in_takeover, 0,
                        sizeof unsettled / sizeof *unsettled);
+  tcase_add_loop_test (tcase, test_lost_pool_is_short, 0,
+                       sizeof lost_pools / sizeof *lost_pools);
   tcase_add_test (tcase, test_reserve_for_kept_host);
   tcase_add_test (tcase, test_labels_in_turn);
   suite_add_tcase (suite, tcase);
