--- a/sched/demand.c
+++ b/sched/demand.c
@@ -74,15 +74,18 @@
 #define START_LIMIT_BUSY_PERCENT 75
 
 static void
-add_step (const struct job *job, const struct occurrence *occ,
-          const struct step *stp, int64_t *left_core_us,
-          struct demand_work *work)
+add_step (const struct placer *plc, const struct job *job,
+          const struct occurrence *occ, const struct step *stp,
+          int64_t *left_core_us, struct demand_work *work)
 {
+  bool takeover = !plc->takeover_done && placer_step_ready (job, occ, stp);
   for (uint32_t n = 0; n < stp->count; n++)
     {
       const struct task *tsk = &occ->tasks[stp->first_task + n];
       if (tsk->prg.done)
         continue;
+      if (takeover && !tsk->run && placer_may_still_run (plc, job, tsk))
+        work->takeover_tasks++;
       if (stp->perpetual)
         {
           work->perpetual_cpu_milli
@@ -138,7 +141,7 @@
           if (occ->due_ms > wall_ms || occ->done == job->task_count)
             continue;
           for (size_t m = 0; m < job->spec.step_count; m++)
-            add_step (job, occ, &job->spec.steps[m], left_core_us, work);
+            add_step (plc, job, occ, &job->spec.steps[m], left_core_us, work);
         }
     }
 }
@@ -206,11 +209,23 @@
   return oa->wrk->handle > ob->wrk->handle ? -1 : 1;
 }
 
+/* Whether the pool may still refuse to vacate the host of WRK: requests are
+   decided when the takeover is complete.  */
+static bool
+may_be_kept (const struct placer *plc, const struct worker *wrk)
+{
+  const struct vacated_host *vac = wrk->vac;
+  return !plc->takeover_done && vac && vac->state == VACATE_ASKED
+         && (!wrk->reached || vacate_may_keep (vac));
+}
+
 /* Whether WRK, which takes no tasks now, is likely to take some soon.  */
 static bool
-is_absent_briefly (struct worker *wrk, int64_t now_us)
+is_absent_briefly (const struct placer *plc, struct worker *wrk,
+                   int64_t now_us)
 {
-  if (wrk->ended_us || wrk->rep.draining || wrk->vacate)
+  if (wrk->ended_us || wrk->rep.draining
+      || (wrk->vacate && !may_be_kept (plc, wrk)))
     return false;
   if (!wrk->absent_us)
     wrk->absent_us = now_us;
@@ -238,7 +253,7 @@
           row->order
               = perpetual || !*wrk->rep.host ? STAYING_KEPT : STAYING_SPARE;
         }
-      else if (!is_absent_briefly (wrk, now_us))
+      else if (!is_absent_briefly (plc, wrk, now_us))
         continue;
       (*count)++;
     }
@@ -247,6 +262,66 @@
   return rows;
 }
 
+/* Whether a worker of the pool, ended or not, is known on HOST or as ID.  */
+static bool
+is_known (const struct placer *plc, const char *id, const char *host)
+{
+  size_t pos = 0;
+  return pool_find_id (&plc->pool, id)
+         || (*host && pool_next_on_host (&plc->pool, host, &pos));
+}
+
+/* Counts the workers of earlier owners without a report: reports expire while
+   the store cannot be reached.  For ABSENCE_US, each counts as a place like
+   other absent workers.  */
+static int64_t
+count_unreported (const struct placer *plc, int64_t now_us)
+{
+  int64_t count = 0;
+  if (now_us - plc->claimed_us >= ABSENCE_US)
+    return 0;
+  for (size_t n = 0; n < plc->earlier_count; n++)
+    {
+      const struct earlier_worker *row = &plc->earlier[n];
+      count += !row->ended && !is_known (plc, row->id, row->host);
+    }
+  return count;
+}
+
+/* Whether WRK takes no tasks only because this owner is new.  */
+static bool
+is_awaited (const struct placer *plc, const struct worker *wrk)
+{
+  return !plc->takeover_done && !(wrk->reached && wrk->enrolled)
+         && !worker_silent (wrk) && !wrk->vacate;
+}
+
+/* Hosts that a new owner has, but whose workers have not answered it yet.  */
+struct awaited
+{
+  int64_t hosts;
+  int64_t reported; /* those of them whose capacity is known */
+  int64_t cpu_milli;
+  int64_t memory_mb;
+};
+
+static void
+sum_awaited (const struct placer *plc, const struct staying *rows,
+             size_t count, int64_t unreported, struct awaited *sum)
+{
+  *sum = (struct awaited){ .hosts = unreported };
+  for (size_t n = 0; n < count; n++)
+    {
+      const struct worker *wrk = rows[n].wrk;
+      if (rows[n].order != STAYING_ABSENT || !is_awaited (plc, wrk))
+        continue;
+      sum->hosts++;
+      sum->reported++;
+      sum->cpu_milli += wrk->rep.capacity.cpu_milli;
+      sum->memory_mb += wrk->rep.capacity.memory_mb;
+    }
+}
+
 /* Hosts beyond those that perpetual tasks need which the pool keeps so that it
    can give up others: as many as it refused to vacate a short time ago.  */
 static size_t
@@ -297,6 +372,7 @@
 {
   struct lack rows[LACKS_MAX];
   size_t count;
+  int64_t unreported; /* see count_unreported */
   /* What the perpetual tasks need together that have places, each step taken
      by itself.  */
   struct resources placed;
@@ -362,12 +438,13 @@
       rows[n].needed = true;
       left -= places;
     }
+  if (!known)
+    most = stp->max_per_worker > 0 ? stp->max_per_worker : stp->count;
+  left -= lacks->unreported * most;
   int64_t placed = left > 0 ? tasks - left : tasks;
   lacks->placed.cpu_milli
       += stp->best_effort ? 0 : placed * stp->need.cpu_milli;
   lacks->placed.memory_mb += placed * stp->need.memory_mb;
-  if (!known)
-    most = stp->max_per_worker > 0 ? stp->max_per_worker : stp->count;
   /* Where no such host has room for one, another would not help.  */
   if (left > 0 && most > 0)
     add_lack (lacks, stp->required_label, (left + most - 1) / most);
@@ -399,10 +476,11 @@
     }
 }
 
-/* Hosts that are missing for NEED in total.  */
+/* Hosts that are missing for NEED in total, besides those of UNREPORTED
+   workers.  */
 static int64_t
 lack_in_total (const struct resources *need, const struct staying *rows,
-               size_t count)
+               size_t count, int64_t unreported)
 {
   int64_t hosts = (int64_t)count;
   int64_t cpu = 0;
@@ -415,24 +493,38 @@
   int64_t by_cpu = hosts_needed (need->cpu_milli, cpu, hosts);
   int64_t by_memory = hosts_needed (need->memory_mb, memory, hosts);
   int64_t needed = by_cpu > by_memory ? by_cpu : by_memory;
+  hosts += unreported;
   return needed > hosts ? needed - hosts : 0;
 }
 
+/* Whether the workers' reports have been read since the claim; without them, a
+   new owner would ask for hosts that it has.  They are not waited for longer
+   than for an absent worker.  */
+static bool
+reports_known (const struct placer *plc, int64_t now_us)
+{
+  return plc->takeover_done || now_us - plc->claimed_us >= ABSENCE_US
+         || !plc->env.workers_read_us
+         || plc->env.workers_read_us (plc->env.arg) >= plc->claimed_us;
+}
+
 /* Marks the hosts that perpetual tasks need, and reports those that are
    missing.  */
 static void
 report_needed_hosts (const struct placer *plc, int64_t now_us,
-                     struct staying *rows, size_t count,
+                     struct staying *rows, size_t count, int64_t unreported,
                      struct placer_demand *dem)
 {
-  struct lacks lacks = { .rows = { { .label = "" } }, .count = 1 };
+  struct lacks lacks
+      = { .rows = { { .label = "" } }, .count = 1, .unreported = unreported };
   size_t wanted[LACKS_MAX];
   size_t wanted_count = 0;
   dem->needed_label = "";
   find_all_places (plc, rows, count, &lacks);
-  add_lack (&lacks, "", lack_in_total (&lacks.placed, rows, count));
-  /* The workers may not be known yet.  */
-  if (!rows || (!plc->takeover_done && now_us - plc->claimed_us < ABSENCE_US))
+  add_lack (&lacks, "",
+            lack_in_total (&lacks.placed, rows, count, unreported));
+  dem->withheld = !reports_known (plc, now_us);
+  if (!rows || dem->withheld)
     return;
   if (plc->lacking_hosts > 0)
     add_lack (&lacks, plc->lacking_label, plc->lacking_hosts);
@@ -447,6 +539,21 @@
   dem->needed_label = lack->label;
 }
 
+/* While tasks wait because this process cannot send their starts fast enough,
+   more hosts than it can keep busy do not help.  Those that it has are kept
+   for a while: hosts that have just arrived are empty.  */
+static int64_t
+limit_by_starts (const struct placer *plc, int64_t wanted, int64_t used,
+                 int64_t cpu, int64_t schedulable)
+{
+  int64_t filled
+      = hosts_needed (used * 100 / START_LIMIT_BUSY_PERCENT, cpu, schedulable)
+        + HEADROOM_HOSTS;
+  bool lasting = plc->start_limit_permille > START_LIMIT_PERMILLE;
+  int64_t most = lasting || filled > schedulable ? filled : schedulable;
+  return wanted > most ? most : wanted;
+}
+
 void
 placer_demand (const struct placer *plc, struct placer_demand *dem)
 {
@@ -474,41 +581,42 @@
       cpu += wrk->rep.capacity.cpu_milli;
       memory += wrk->rep.capacity.memory_mb;
     }
-  int64_t by_cpu = hosts_needed (demand_cpu_milli (&work), cpu, schedulable);
-  int64_t by_memory
-      = hosts_needed (work.perpetual_memory_mb, memory, schedulable);
+  size_t count;
+  struct staying *rows = list_staying (plc, now_us, &count);
+  int64_t unreported = count_unreported (plc, now_us);
+  struct awaited awaited;
+  sum_awaited (plc, rows, count, unreported, &awaited);
+  int64_t hosts = schedulable + awaited.hosts;
+  /* Those whose capacity is known.  */
+  int64_t sized = schedulable + awaited.reported;
+  int64_t by_cpu = hosts_needed (demand_cpu_milli (&work),
+                                 cpu + awaited.cpu_milli, sized);
+  int64_t by_memory = hosts_needed (work.perpetual_memory_mb,
+                                    memory + awaited.memory_mb, sized);
   int64_t wanted = (by_cpu > by_memory ? by_cpu : by_memory) + HEADROOM_HOSTS;
-  if (plc->useful_waiting_tasks > 0 && wanted <= schedulable)
+  if (plc->useful_waiting_tasks > 0 && wanted <= schedulable
+      && awaited.hosts == 0)
     wanted = schedulable + 1;
-  /* While tasks wait because this process cannot send their starts fast
-     enough, more hosts than it can keep busy do not help.  Those that it has
-     are kept for a while: hosts that have just arrived are empty.  */
   if (plc->start_limit_reached)
-    {
-      int64_t filled = hosts_needed (used * 100 / START_LIMIT_BUSY_PERCENT,
-                                     cpu, schedulable)
-                       + HEADROOM_HOSTS;
-      bool lasting = plc->start_limit_permille > START_LIMIT_PERMILLE;
-      int64_t most = lasting || filled > schedulable ? filled : schedulable;
-      if (wanted > most)
-        wanted = most;
-    }
-  int64_t urgent
-      = hosts_needed (demand_urgent_cpu_milli (&work), cpu, schedulable);
+    wanted = limit_by_starts (plc, wanted, used, cpu, schedulable);
+  int64_t urgent = hosts_needed (demand_urgent_cpu_milli (&work),
+                                 cpu + awaited.cpu_milli, sized);
   urgent = (urgent > by_memory ? urgent : by_memory) + HEADROOM_HOSTS;
   if (urgent > wanted)
     urgent = wanted;
   dem->schedulable_hosts = (uint32_t)schedulable;
+  dem->awaited_hosts = (uint32_t)awaited.hosts;
   dem->busy_milli = cpu > 0 ? (uint32_t)(used * 1000 / cpu) : 0;
-  if (wanted > schedulable)
-    dem->short_hosts = (uint32_t)(wanted - schedulable);
-  if (urgent > schedulable)
-    dem->urgent_hosts = (uint32_t)(urgent - schedulable);
-  else
+  /* The tasks that run are not known before a worker has listed them, and
+     would count as waiting.  */
+  bool runs_known = schedulable > 0 || awaited.reported == 0;
+  if (wanted > hosts && runs_known)
+    dem->short_hosts = (uint32_t)(wanted - hosts);
+  if (urgent > hosts && runs_known)
+    dem->urgent_hosts = (uint32_t)(urgent - hosts);
+  if (urgent <= schedulable)
     surplus = schedulable - (wanted > schedulable ? urgent : wanted);
-  size_t count;
-  struct staying *rows = list_staying (plc, now_us, &count);
-  report_needed_hosts (plc, now_us, rows, count, dem);
+  report_needed_hosts (plc, now_us, rows, count, unreported, dem);
   if (dem->short_hosts < dem->needed_hosts)
     dem->short_hosts = dem->needed_hosts;
   if (dem->urgent_hosts < dem->needed_hosts)
@@ -516,6 +624,10 @@
   /* A pool that lacks any host gives up none in exchange for it.  */
   if (dem->needed_hosts > 0 && !*dem->needed_label)
     surplus = 0;
+  /* These tasks count as no work yet, and a worker that leaves with its host
+     before it was asked again makes the takeover last longer.  */
+  if (work.takeover_tasks > 0)
+    surplus = 0;
   report_idle_hosts (plc, now_us, rows, count, surplus, dem);
   talloc_free (rows);
 }
--- a/sched/placer_unplaced.c
+++ b/sched/placer_unplaced.c
@@ -220,7 +220,7 @@
     row->since_us = chk->plc->claimed_us;
   if (tsk->run)
     {
-      row->since_us = tsk->run->start_sent_us;
+      row->since_us = tsk->run->created_us;
       before_us = row->since_us - UNPLACED_CHECK_INTERVAL_US;
     }
   if (tsk->ended_us > before_us)
@@ -240,10 +240,9 @@
 {
   return chk->plc->unplaced_count < UNPLACED_TASKS_MAX
          && tsk->unwanted_runs == 0
-         && (!tsk->run
-             || (tsk->run->start_sent_us
-                 && chk->now_us - tsk->run->start_sent_us
-                        >= UNPLACED_CHECK_INTERVAL_US));
+         && (!tsk->run || tsk->refusals > 0
+             || chk->now_us - tsk->run->created_us
+                    >= UNPLACED_CHECK_INTERVAL_US);
 }
 
 static bool
--- a/test/unit/unit_demand.c
+++ b/test/unit/unit_demand.c
@@ -250,15 +250,304 @@
 }
 END_TEST
 
-/* Guards against hosts that a new owner orders because it does not know the
-   pool's workers yet.  */
-START_TEST (test_unknown_workers)
+/* Takes one host of the platform's list.  */
+static void
+list_host (size_t n, enum host_state state)
+{
+  struct host_report rep = { .state = state };
+  snprintf (rep.name, sizeof rep.name, "m-w%zu", n);
+  if (state == HOST_UP)
+    snprintf (rep.worker, sizeof rep.worker, "w%zu", n);
+  placer_update_host (wld->plc, &rep, wld->clk.now_us);
+}
+
+/* Brings a worker of a takeover into the state KIND:
+   r: has answered this owner; u: registered, not reached yet; s: the same, and
+   two calls had no answer; e: ended, by the list of hosts; d: drains;
+   v: asked to be vacated, runs nothing; V: the same, with runs;
+   n: in the earlier owner's record only; g: the same, its host is down;
+   m: the same, its host was down in an earlier list.  */
+static void
+set_kind (size_t n, char kind)
 {
+  char id[NAME_BYTES];
+  char host[NAME_BYTES];
+  snprintf (id, sizeof id, "w%zu", n);
+  snprintf (host, sizeof host, "m-w%zu", n);
+  struct worker *wrk = pool_find_id (&wld->plc->pool, id);
+  int64_t known_us = wld->clk.now_us - 10000000;
+  switch (kind)
+    {
+    case 'u':
+      wrk->reached = wrk->enrolled = false;
+      return;
+    case 's':
+      wrk->reached = wrk->enrolled = false;
+      wrk->unanswered_calls = 2;
+      return;
+    case 'e':
+      wrk->known_us = known_us;
+      wrk->hold_answered_us = 0;
+      wrk->unanswered_calls = 1;
+      list_host (n, HOST_DOWN);
+      return;
+    case 'd':
+      report_worker (n, 'a', true);
+      return;
+    case 'v':
+    case 'V':
+      placer_vacate (wld->plc, host, wld->clk.now_us + 5000000);
+      wrk->vac->had_runs = kind == 'V';
+      return;
+    case 'n':
+    case 'g':
+    case 'm':
+      placer_add_earlier_worker (wld->plc, id, host, 1000, known_us);
+      if (kind != 'n')
+        list_host (n, HOST_DOWN);
+      if (kind == 'm')
+        list_host (n, HOST_UP);
+      return;
+    }
+}
+
+/* Begins a takeover of a pool whose workers are in the states KINDS.  It stays
+   open, as no tick follows.  */
+static void
+begin_takeover (const char *kinds)
+{
+  char id[NAME_BYTES];
+  struct placer *plc = wld->plc;
+  for (size_t n = 0; kinds[n]; n++)
+    if (!strchr ("ngm", kinds[n]))
+      report_worker (n, 'a', false);
+  world_tick (wld, 1);
+  for (size_t n = 0; kinds[n]; n++)
+    {
+      snprintf (id, sizeof id, "w%zu", n);
+      if (world_call (wld, WORLD_HOLD, id))
+        world_answer_hold (wld, id, NULL, 0, NULL, 0);
+    }
+  world_tick (wld, 1);
+  world_tick (wld, 1);
+  plc->takeover_done = false;
+  plc->claimed_us = wld->clk.now_us;
+  plc->earlier_leases_end_us = wld->clk.now_us + 60000000;
+  wld->clk.now_us += 1000;
+  for (size_t n = 0; kinds[n]; n++)
+    set_kind (n, kinds[n]);
+}
+
+static int64_t
+never_read (void *arg)
+{
+  return 0;
+}
+
+static int64_t
+read_before_claim (void *arg)
+{
+  const struct world *of = arg;
+  return of->plc->claimed_us - 1;
+}
+
+static int64_t
+read_now (void *arg)
+{
+  const struct world *of = arg;
+  return of->clk.now_us;
+}
+
+static const struct
+{
+  const char *kinds; /* see set_kind */
+  int64_t (*workers_read_us) (void *arg);
+  uint32_t at_once; /* needed hosts */
+  uint32_t later;   /* 4 s later */
+  uint32_t at_last; /* 6 s later */
+} takeovers[] = {
+  { "rrrr", read_now, 0, 0, 0 },
+  { "rrr", read_now, 1, 1, 1 },
+  { "", read_now, 4, 4, 4 },
+  /* Workers that have ended or leave are no places.  */
+  { "rrree", read_now, 1, 1, 1 },
+  { "rrrd", read_now, 1, 1, 1 },
+  { "rrrg", read_now, 1, 1, 1 },
+  { "ee", read_now, 4, 4, 4 },
+  { "uuue", read_now, 1, 1, 4 },
+  /* Those that have not answered yet are.  */
+  { "rrru", read_now, 0, 0, 1 },
+  { "rrrs", read_now, 0, 0, 1 },
+  { "rrrn", read_now, 0, 0, 1 },
+  { "rrrm", read_now, 0, 0, 1 },
+  { "uuuu", read_now, 0, 0, 4 },
+  { "nnnn", read_now, 0, 0, 4 },
+  { "nnn", read_now, 1, 1, 4 },
+  { "usn", read_now, 1, 1, 4 },
+  /* A vacated host is one if the owner may still keep it.  */
+  { "rrrv", read_now, 1, 1, 1 },
+  { "rrrV", read_now, 0, 0, 1 },
+  /* The reports may name further workers.  */
+  { "rrr", never_read, 0, 0, 1 },
+  { "rrr", read_before_claim, 0, 0, 1 },
+  { "", never_read, 0, 0, 4 },
+  { "", read_before_claim, 0, 0, 4 },
+};
+
+/* Guards against perpetual tasks that wait for the end of a takeover, and for
+   a host only after it; and against hosts that a new owner orders although it
+   has them, as it does not know its workers yet.  */
+START_TEST (test_needed_in_takeover)
+{
+  begin_takeover (takeovers[_i].kinds);
+  wld->plc->env.workers_read_us = takeovers[_i].workers_read_us;
   add_step (1, SEVEN "\"anti-affinity\":2");
-  ck_assert (!wld->plc->takeover_done);
-  ck_assert_uint_eq (demand ().needed_hosts, 0);
-  wld->clk.now_us += 6000000;
-  ck_assert_uint_eq (demand ().needed_hosts, 4);
+  ck_assert_uint_eq (demand ().needed_hosts, takeovers[_i].at_once);
+  wld->clk.now_us += 4000000;
+  ck_assert_uint_eq (demand ().needed_hosts, takeovers[_i].later);
+  wld->clk.now_us += 2000000;
+  ck_assert_uint_eq (demand ().needed_hosts, takeovers[_i].at_last);
+}
+END_TEST
+
+static const struct
+{
+  const char *kinds; /* see set_kind */
+  uint32_t waiting;  /* tasks that no worker has room for */
+  uint32_t short_hosts;
+  size_t idle; /* most hosts that are given up */
+} begins[] = {
+  { "uuuuu", 0, 0, 0 },
+  { "uuuuu", 1, 0, 0 },
+  { "ruuuu", 1, 0, 0 },
+  { "rruuu", 1, 0, 0 },
+  { "nnnnn", 1, 0, 0 },
+  { "rnnnn", 1, 0, 0 },
+  { "rrrrr", 0, 0, 2 },
+  /* Nothing is known of what runs until the first one has answered.  */
+  { "u", 1, 0, 0 },
+  { "ue", 1, 0, 0 },
+  { "us", 1, 0, 0 },
+  /* What the workers in sight lack is asked for at once.  */
+  { "r", 0, 2, 0 },
+  { "re", 0, 2, 0 },
+  { "ru", 0, 1, 0 },
+  { "s", 0, 2, 0 },
+  { "v", 0, 2, 0 },
+  { "", 0, 2, 0 },
+  { "rr", 0, 1, 0 },
+  { "rrr", 1, 1, 0 },
+};
+
+/* Guards against a new owner that orders hosts before its workers have
+   answered it, as if it had none; and that gives up one because of those that
+   have not.  */
+START_TEST (test_short_at_begin)
+{
+  begin_takeover (begins[_i].kinds);
+  add_step (1, "\"count\":4,\"cpu\":900,\"estimate-ms\":900");
+  wld->plc->waiting_cpu_milli = 4 * 900;
+  wld->plc->useful_waiting_tasks = begins[_i].waiting;
+  const struct placer_demand dem = demand ();
+  ck_assert_uint_eq (dem.needed_hosts, 0);
+  ck_assert_uint_eq (dem.short_hosts, begins[_i].short_hosts);
+  ck_assert_uint_le (dem.idle_count, begins[_i].idle);
+}
+END_TEST
+
+static const struct
+{
+  const char *kinds; /* see set_kind */
+  uint64_t offset;   /* of the job's record; the fence is at 100 */
+  const char *step;
+  size_t most;  /* hosts that are given up during the takeover */
+  size_t least; /* and once it is done */
+} unsettled[] = {
+  { "rrrrrr", 50, "\"count\":1,\"cpu\":900,\"estimate-ms\":900", 0, 3 },
+  { "rrrrru", 50, "\"count\":1,\"cpu\":900,\"estimate-ms\":900", 0, 3 },
+  { "rrrrre", 50, LASTS "\"count\":1,\"cpu\":900", 0, 3 },
+  { "rrrrre", 50, LASTS "\"count\":1,\"mem-mb\":9", 0, 3 },
+  /* Earlier owners cannot have started it.  */
+  { "rrrrrr", 200, "\"count\":1,\"cpu\":900,\"estimate-ms\":900", 6, 3 },
+};
+
+/* Guards against hosts that are given up while tasks wait for the end of a
+   takeover: they count as no work, and a worker that has to be asked again and
+   leaves with its host makes the takeover last longer.  */
+START_TEST (test_no_idle_in_takeover)
+{
+  size_t most = 0;
+  begin_takeover (unsettled[_i].kinds);
+  char *json = talloc_asprintf (wld, "{\"steps\":[{%s}]}", unsettled[_i].step);
+  world_add_job (wld, 1, json, unsettled[_i].offset);
+  for (int n = 0; n < 30; n++)
+    {
+      const struct placer_demand dem = demand ();
+      ck_assert_uint_le (dem.idle_count, unsettled[_i].most);
+      if (dem.idle_count > most)
+        most = dem.idle_count;
+      wld->clk.now_us += 100000;
+    }
+  ck_assert ((most > 0) == (unsettled[_i].most > 0));
+  wld->plc->takeover_done = true;
+  ck_assert_uint_ge (demand ().idle_count, unsettled[_i].least);
+}
+END_TEST
+
+#define BATCH "\"count\":4,\"cpu\":3000,\"estimate-ms\":900"
+#define GANG BATCH ",\"gang\":true"
+
+static const struct
+{
+  const char *kinds; /* see set_kind */
+  bool takeover;
+  uint64_t offset; /* of the job's record; the fence is at 100 */
+  const char *step;
+  uint32_t least_hosts;
+} lost_pools[] = {
+  { "", false, 200, BATCH, 2 },
+  { "", false, 200, GANG, 2 },
+  { "eeee", false, 200, BATCH, 2 },
+  { "eeee", false, 200, GANG, 2 },
+  { "eeee", false, 50, GANG, 2 },
+  /* The job came after the takeover began.  */
+  { "eeee", true, 200, BATCH, 2 },
+  { "eeee", true, 200, GANG, 2 },
+  { "ssss", true, 200, GANG, 2 },
+  /* It waits for the end of the takeover: one host for the next arrivals.  */
+  { "", true, 50, BATCH, 1 },
+  { "eeee", true, 50, BATCH, 1 },
+  { "eeee", true, 50, GANG, 1 },
+  { "ssss", true, 50, GANG, 1 },
+};
+
+/* Milliseconds until HOSTS are reported as missing.  */
+static int64_t
+short_after_ms (uint32_t hosts)
+{
+  const int64_t begun_us = wld->clk.now_us;
+  while (demand ().short_hosts < hosts && wld->clk.now_us < begun_us + 8000000)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 40);
+    }
+  return (wld->clk.now_us - begun_us) / 1000;
+}
+
+/* Guards against batch tasks and gangs of a pool that has lost all its workers
+   and whose hosts are asked for late.  */
+START_TEST (test_lost_pool_is_short)
+{
+  begin_takeover (lost_pools[_i].kinds);
+  wld->plc->takeover_done = !lost_pools[_i].takeover;
+  char *json
+      = talloc_asprintf (wld, "{\"steps\":[{%s}]}", lost_pools[_i].step);
+  struct job *job = world_add_job (wld, 1, json, lost_pools[_i].offset);
+  job->seen_us = wld->clk.now_us - 60000000; /* no arrival of late */
+  ck_assert_int_le (short_after_ms (lost_pools[_i].least_hosts), 80);
+  /* And the rest as soon as it is over.  */
+  wld->plc->takeover_done = true;
+  ck_assert_int_le (short_after_ms (2), 80);
 }
 END_TEST
 
@@ -329,7 +618,14 @@
                        sizeof idle / sizeof *idle);
   tcase_add_loop_test (tcase, test_absent_workers, 0,
                        sizeof absences / sizeof *absences);
-  tcase_add_test (tcase, test_unknown_workers);
+  tcase_add_loop_test (tcase, test_needed_in_takeover, 0,
+                       sizeof takeovers / sizeof *takeovers);
+  tcase_add_loop_test (tcase, test_short_at_begin, 0,
+                       sizeof begins / sizeof *begins);
+  tcase_add_loop_test (tcase, test_no_idle_in_takeover, 0,
+                       sizeof unsettled / sizeof *unsettled);
+  tcase_add_loop_test (tcase, test_lost_pool_is_short, 0,
+                       sizeof lost_pools / sizeof *lost_pools);
   tcase_add_test (tcase, test_reserve_for_kept_host);
   tcase_add_test (tcase, test_labels_in_turn);
   suite_add_tcase (suite, tcase);
--- a/test/unit/unit_placer_late_named.c
+++ b/test/unit/unit_placer_late_named.c
@@ -116,6 +116,7 @@
   world_add_job (wld, 2, PERPETUAL_JOB, 200);
   world_confirm_ownership (wld);
   world_tick (wld, 1);
+  world_record_runs (wld);
   world_answer (wld, world_call (wld, WORLD_START, "w1"), COMMAND_NO_ANSWER);
   if (change == DRAINS)
     report_draining ();
