--- a/sched/demand.c
+++ b/sched/demand.c
@@ -73,18 +73,22 @@
 #define START_LIMIT_PERMILLE 500
 #define START_LIMIT_BUSY_PERCENT 75
 
+/* Adds the tasks of the step STEP of the occurrence OCCURRENCE.  */
 static void
-add_step (const struct placer *plc, const struct job *job,
-          const struct occurrence *occ, const struct step *stp,
-          int64_t *left_core_us, struct demand_work *work)
+add_step (const struct placer *plc, struct job *job, uint32_t occurrence,
+          uint32_t step, int64_t *left_core_us, struct demand_work *work)
 {
+  const struct occurrence *occ = &job->occurrences[occurrence];
+  const struct step *stp = &job->spec.steps[step];
+  struct task_ref ref
+      = { .job = job->id, .occurrence = occurrence, .step = step };
   bool takeover = !plc->takeover_done && placer_step_ready (job, occ, stp);
-  for (uint32_t n = 0; n < stp->count; n++)
+  for (ref.index = 0; ref.index < stp->count; ref.index++)
     {
-      const struct task *tsk = &occ->tasks[stp->first_task + n];
+      const struct task *tsk = &occ->tasks[stp->first_task + ref.index];
       if (tsk->prg.done)
         continue;
-      if (takeover && !tsk->run && placer_may_still_run (plc, job, tsk))
+      if (takeover && !tsk->run && placer_may_still_run (plc, job, &ref))
         work->takeover_tasks++;
       if (stp->perpetual)
         {
@@ -121,7 +125,7 @@
   *work = (struct demand_work){ 0 };
   for (size_t n = 0; n < plc->job_count; n++)
     {
-      const struct job *job = plc->jobs[n];
+      struct job *job = plc->jobs[n];
       int64_t core_us = 0;
       int64_t *left_core_us = job_order_is_past_use (job, 1000, wall_ms)
                                   ? &work->past_use_core_us
@@ -140,8 +144,8 @@
           const struct occurrence *occ = &job->occurrences[k];
           if (occ->due_ms > wall_ms || occ->done == job->task_count)
             continue;
-          for (size_t m = 0; m < job->spec.step_count; m++)
-            add_step (plc, job, occ, &job->spec.steps[m], left_core_us, work);
+          for (uint32_t m = 0; m < job->spec.step_count; m++)
+            add_step (plc, job, k, m, left_core_us, work);
         }
     }
 }
