--- a/fleet/host_mgr_moves.c
+++ b/fleet/host_mgr_moves.c
@@ -18,7 +18,7 @@
 
 /* Most hosts that are vacated at a time for what one pool needs, if one of
    them is not idle.  A demand may pass, and each such host stops the batch
-   work of its pool.  */
+   work of its pool.  Late ones are not counted: they are replaced.  */
 #define BUSY_HOSTS_MAX 2
 /* Time for which a pool has to need a host before a busy one is taken for it.
    Most needs are over sooner, when tasks or hosts that were on their way have
@@ -54,7 +54,7 @@
   const char *label;  /* that they must have; "": any */
   uint32_t incoming;  /* hosts that come to the pool and have it */
   uint32_t arrived;   /* those that have arrived just now */
-  uint32_t vacating;  /* those that are not empty yet */
+  uint32_t vacating;  /* those that are not empty yet, and not late */
   uint32_t available; /* the pool's hosts that are not down, and those that
                          come */
   uint32_t busy_most; /* hosts for which busy ones may be taken */
@@ -96,7 +96,7 @@
         continue;
       late += is_late;
       on_time += !is_late;
-      wish.vacating += host->phase == PHASE_VACATING;
+      wish.vacating += host->phase == PHASE_VACATING && !is_late;
     }
   wish.incoming = wish.arrived + host_mgr_count_coming (on_time, late, wanted);
   if (want == WANT_PLACES && wish.incoming < pool->needed_hosts
--- a/test/unit/unit_host_mgr_moves.c
+++ b/test/unit/unit_host_mgr_moves.c
@@ -775,6 +775,52 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *q;     /* its hosts, all of them in use */
+  const char *after; /* the same as they are after the begin of the moves */
+  uint32_t needed;
+  bool withdrawn; /* nothing is needed any more */
+  int after_ms;   /* since the begin of the moves */
+  const char *moves;
+} slots[] = {
+  { "defghijklmno", "defghijklmno", 3, false, 1900, "d>p e>p " },
+  { "defghijklmno", "defghijklmno", 3, false, 2100, "d>p e>p f>p g>p " },
+  { "defghijklmno", "defghijklmno", 3, true, 2100, "d>p e>p " },
+  { "defghijklmno", "Defghijklmno", 3, false, 200, "d>p e>p f>p " },
+  { "defghijklmno", "DEfghijklmno", 3, false, 200, "d>p e>p f>p g>p " },
+  /* Of the giver's hosts, a third at most are taken, late ones included.  */
+  { "defghi", "defghi", 3, false, 2100, "d>p e>p " },
+  { "defghijkl", "defghijkl", 3, false, 4900, "d>p e>p f>p " },
+};
+
+/* Guards against a perpetual task that waits until hosts which are down or
+   slow to be emptied are given up, before another one in use is taken.  */
+START_TEST (test_late_hosts_in_use)
+{
+  const struct wants needy = { .needed = slots[_i].needed };
+  const struct wants busy = { .urgent = 9, .late = 9 };
+  const struct wants nothing = { 0 };
+  char text[128];
+  list_hosts ("a", slots[_i].q, "");
+  demand ("p", &needy);
+  demand ("q", &busy);
+  step (10);
+  step (500);
+  format_moves (text);
+  ck_assert_str_eq (text, "d>p e>p ");
+  for (int ms = 0; ms < slots[_i].after_ms; ms += 100)
+    {
+      list_hosts ("a", slots[_i].after, "");
+      demand ("p", slots[_i].withdrawn ? &nothing : &needy);
+      demand ("q", &busy);
+      step (100);
+    }
+  format_moves (text);
+  ck_assert_str_eq (text, slots[_i].moves);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -799,6 +845,8 @@
                        sizeof silences / sizeof *silences);
   tcase_add_loop_test (tcase, test_needed_from_silent_owner, 0,
                        sizeof silent_owners / sizeof *silent_owners);
+  tcase_add_loop_test (tcase, test_late_hosts_in_use, 0,
+                       sizeof slots / sizeof *slots);
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
