--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -482,9 +482,6 @@
       else if (res->command.status == COMMAND_FENCED
                && !placer_fenced_by_own (wrk, &ctx->call))
         placer_fenced_by_worker (plc, wrk);
-      /* Stops are the first that the worker gets when it answers again.  */
-      if (res->command.status == COMMAND_NO_ANSWER)
-        placer_stop_unlisted_starts (plc, wrk);
       placer_check_overdue (plc, wrk);
       plc->env.wake (plc->env.arg);
     }
--- a/test/unit/unit_placer.c
+++ b/test/unit/unit_placer.c
@@ -248,6 +248,52 @@
 }
 END_TEST
 
+/* Holds after a start without an answer that get no answer either, and whether
+   the next answer lists the run.  */
+static const struct
+{
+  int lost_holds;
+  bool listed;
+} lost_holds[] = { { 1, true }, { 3, true }, { 1, false }, { 3, false } };
+
+/* Guards against a run that is ended while a sibling is away (AVAIL), and
+   whose task waits longer (LOST): a hold without an answer does not show that
+   the start was not carried out.  */
+START_TEST (test_unanswered_start_and_holds)
+{
+  const char *worker;
+  struct world_call *call;
+  const struct world_row row = { .job = 1, .run = 1 };
+  const size_t listed_count = lost_holds[_i].listed;
+  add_two_workers ();
+  world_add_job (wld, 1, ONE_PERPETUAL_JOB, 200);
+  world_tick (wld, 1);
+  world_answer (wld, pending_start (&worker), COMMAND_NO_ANSWER);
+  for (int n = 0; n < lost_holds[_i].lost_holds; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 300);
+      call = world_call (wld, WORLD_HOLD, worker);
+      ck_assert_ptr_nonnull (call);
+      world_answer (wld, call, COMMAND_NO_ANSWER);
+      world_tick (wld, 1);
+      ck_assert_ptr_null (world_call (wld, WORLD_STOP, worker));
+    }
+  for (int n = 0; n < 4; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, 300);
+      if (world_call (wld, WORLD_HOLD, worker))
+        world_answer_hold (wld, worker, &row, listed_count, NULL, 0);
+      call = world_call (wld, WORLD_STOP, worker);
+      ck_assert (!call || !lost_holds[_i].listed);
+      if (call)
+        world_answer (wld, call, COMMAND_DONE);
+    }
+  ck_assert_uint_eq (world_starts (wld, 1, 0), lost_holds[_i].listed ? 1 : 2);
+}
+END_TEST
+
 /* A new owner does not start a task that a worker without an answer may still
    be running for an earlier owner.  Jobs that no earlier owner can have
    started do not wait.  */
@@ -1045,6 +1091,8 @@
   tcase_add_test (tc, test_lease_by_earlier_clock);
   tcase_add_test (tc, test_unanswered_start);
   tcase_add_test (tc, test_unanswered_start_is_listed);
+  tcase_add_loop_test (tc, test_unanswered_start_and_holds, 0,
+                       sizeof lost_holds / sizeof *lost_holds);
   tcase_add_test (tc, test_new_owner_waits);
   tcase_add_test (tc, test_takeover_without_wait);
   tcase_add_test (tc, test_instance_end_unconfirmed);
