--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -73,6 +73,7 @@
       return;
     }
   wrk->unanswered_calls = 0;
+  wrk->address_taken = false;
   if (res->clock_ms > 0 && placer_note_clock (plc, wrk, call, res->clock_ms)
       && res->status == COMMAND_DONE && !wrk->first_answer_us)
     wrk->first_answer_us = clock_now_us (plc->env.clk);
@@ -428,6 +429,30 @@
   return placer_may_command (ctx->plc, clock_now_us (ctx->plc->env.clk));
 }
 
+/* Whether all runs of WRK were started before AT_US.  */
+static bool
+runs_began_before (const struct worker *wrk, int64_t at_us)
+{
+  const struct run *run = wrk->runs;
+  while (run && run->start_sent_us < at_us && run->confirmed_us < at_us)
+    run = run->next;
+  return !run;
+}
+
+/* Another worker has answered a hold at the address of WRK.  */
+static void
+note_other_instance (struct placer *plc, struct worker *wrk, int64_t sent_us)
+{
+  if (!wrk->ended_us && wrk->runs)
+    log_event (plc->env.lg, EV_WORKER_CHANGED, LOG_S ("worker", wrk->rep.id),
+               LOG_S ("state", "address_taken"), LOG_S ("host", wrk->rep.host),
+               LOG_S ("address", wrk->rep.address));
+  if (!wrk->ended_us)
+    wrk->ended_us = clock_now_us (plc->env.clk);
+  wrk->address_taken = runs_began_before (wrk, sent_us);
+  placer_settle_reported_end (plc, wrk);
+}
+
 static void
 on_hold (void *arg, const struct hold_result *res)
 {
@@ -474,11 +499,7 @@
       if (res->command.status == COMMAND_DONE)
         apply_hold (plc, wrk, ctx, res, now_us);
       else if (res->command.status == COMMAND_OTHER_INSTANCE)
-        {
-          if (!wrk->ended_us)
-            wrk->ended_us = now_us;
-          placer_settle_reported_end (plc, wrk);
-        }
+        note_other_instance (plc, wrk, ctx->call.sent_us);
       else if (res->command.status == COMMAND_FENCED
                && !placer_fenced_by_own (wrk, &ctx->call))
         placer_fenced_by_worker (plc, wrk);
@@ -584,7 +605,7 @@
 void
 placer_hold (struct placer *plc, struct worker *wrk, int64_t now_us)
 {
-  if (wrk->reported_ended)
+  if (wrk->reported_ended || wrk->address_taken)
     placer_settle_reported_end (plc, wrk);
   /* A later owner could have extended the leases, so the runs are given up
      only if ownership was confirmed after the leases had expired.  */
--- a/sched/placer_instance.c
+++ b/sched/placer_instance.c
@@ -130,7 +130,7 @@
   wrk->instance_seen = false;
   wrk->first_answer_us = 0;
   wrk->ended_us = 0;
-  wrk->reported_ended = false;
+  wrk->reported_ended = wrk->address_taken = false;
   wrk->rep.born_ms = born_ms;
 }
 
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -80,6 +80,9 @@
   /* With reported_ended: lists of hosts show that the host is gone or has
      another worker, so that no instance begins under this id.  */
   bool gone;
+  /* Another worker has answered at its address, to a call that was sent after
+     all runs here were started, and this one has answered nothing since.  */
+  bool address_taken;
   /* When the list of hosts was requested that shows the end of this instance,
      if the worker may start again under its id; 0: none did.  */
   int64_t ended_list_us;
--- a/test/unit/unit_placer_other_instance.c
+++ b/test/unit/unit_placer_other_instance.c
@@ -440,6 +440,65 @@
 }
 END_TEST
 
+/* What w1 does after another worker has answered at its address, to a hold. */
+static const struct
+{
+  bool confirmed;  /* the owner's claim, since */
+  bool start_done; /* a start that was in flight was carried out */
+  bool started;    /* before that answer */
+  int64_t
+      again_ms; /* the task of job 1 starts on w2 by then; 0: not yet then */
+} taken[] = {
+  { true, false, false, 1000 },
+  { false, false, false, 0 },
+  { true, true, false, 0 },
+  { true, true, true, 0 },
+};
+
+/* Guards against a task that waits for the longest lease (LOST) although
+   another worker has answered at the address of its worker, and against a
+   second run (TWICE) without a confirmation, or beside a start that was
+   carried out since.  */
+START_TEST (test_address_taken)
+{
+  run_job (1, PERPETUAL_JOB);
+  struct world_call *start
+      = taken[_i].start_done ? send_start (2, PERPETUAL_JOB) : NULL;
+  const struct world_row row = { .job = 1, .run = 1 };
+  if (start && !taken[_i].started)
+    {
+      /* The next hold is sent after the start.  */
+      world_answer_hold (wld, "w1", &row, 1, NULL, 0);
+      pass (300);
+    }
+  struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+  ck_assert_ptr_nonnull (hold);
+  add_other_worker ();
+  if (start && taken[_i].started)
+    {
+      world_tick (wld, 10);
+      world_answer (wld, start, COMMAND_DONE);
+    }
+  world_tick (wld, 10);
+  world_answer (wld, hold, COMMAND_OTHER_INSTANCE);
+  if (start && !taken[_i].started)
+    world_answer (wld, start, COMMAND_DONE);
+  for (int ms = 0; ms < 2000 && world_starts (wld, 1, 0) == 1; ms += 50)
+    {
+      while ((hold = world_call (wld, WORLD_HOLD, "w1")))
+        world_answer (wld, hold, COMMAND_NO_ANSWER);
+      if (world_call (wld, WORLD_HOLD, "w2"))
+        world_answer_hold (wld, "w2", NULL, 0, NULL, 0);
+      if (taken[_i].confirmed)
+        world_confirm_ownership (wld);
+      world_tick (wld, 50);
+      ck_assert (!taken[_i].again_ms || ms < taken[_i].again_ms);
+    }
+  ck_assert_uint_eq (world_starts (wld, 1, 0), taken[_i].again_ms ? 2 : 1);
+  ck_assert_uint_le (world_starts (wld, 2, 0), 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -455,6 +514,8 @@
   tcase_add_test (tc, test_clock_of_earlier_instance);
   tcase_add_test (tc, test_grant_in_late_answer);
   tcase_add_test (tc, test_lease_of_forgotten_worker);
+  tcase_add_loop_test (tc, test_address_taken, 0,
+                       sizeof taken / sizeof *taken);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
