--- a/fleet/host_mgr_await.c
+++ b/fleet/host_mgr_await.c
@@ -78,7 +78,7 @@
                              + VACATE_LATE_US;
     case PHASE_ORDERED:
       /* When the platform answers no orders, no other host comes either.  */
-      return host->order_busy
+      return (host->order_busy && host->rep.state != HOST_MOVING)
              || mgr->answered_us > host->phase_began_us + ORDER_LATE_US;
     case PHASE_AWAITING_WORKER:
       return host->listed_us > host->phase_began_us + MOVE_LATE_US;
--- a/sched/placer_enrol.c
+++ b/sched/placer_enrol.c
@@ -36,12 +36,14 @@
 
 /* Whether WRK was vacated and runs nothing.  Such a worker is left out of the
    record: its host may be off when a later owner takes over, which would wait
-   for its answer in vain.  */
+   for its answer in vain.  Before it has settled, it may run what an earlier
+   owner has started.  */
 static bool
-is_vacated (const struct worker *wrk)
+is_vacated (const struct placer *plc, const struct worker *wrk)
 {
   return wrk->vacate && wrk->reached && !wrk->runs
-         && wrk->acked_end >= wrk->applied_end;
+         && wrk->acked_end >= wrk->applied_end
+         && (plc->takeover_done || wrk->settled);
 }
 
 static void
@@ -66,7 +68,7 @@
     {
       struct worker *wrk = placer_find_worker (plc, ctx->unenrolled[n]);
       if (wrk)
-        wrk->unenrolled = is_vacated (wrk);
+        wrk->unenrolled = is_vacated (plc, wrk);
     }
   talloc_free (ctx);
   if (!plc->closing)
@@ -107,7 +109,7 @@
   for (size_t n = 0; n < plc->pool.count; n++)
     {
       struct worker *wrk = plc->pool.workers[n];
-      if (is_vacated (wrk))
+      if (is_vacated (plc, wrk))
         {
           wrk->enrolled = false;
           ctx->unenrolled[ctx->unenrolled_count++] = wrk->handle;
@@ -213,8 +215,8 @@
   for (size_t n = 0; n < plc->pool.count; n++)
     {
       struct worker *wrk = plc->pool.workers[n];
-      wrk->unenrolled = wrk->unenrolled && is_vacated (wrk);
-      needed = needed || !(is_vacated (wrk) ? wrk->unenrolled : wrk->enrolled);
+      wrk->unenrolled = wrk->unenrolled && is_vacated (plc, wrk);
+      needed = needed || !(is_vacated (plc, wrk) ? wrk->unenrolled : wrk->enrolled);
     }
   if (!needed || plc->enrolling || plc->fenced)
     return;
@@ -227,7 +229,7 @@
   if (!fill_worker_record (plc, ctx, &msg)
       || !fill_late_starts (plc, ctx, &msg))
     goto failed;
-  msg.runs_recorded = placer_runs_complete (plc, &msg)
+  msg.runs_recorded = placer_limit_runs (plc, &msg)
                       && msg.n_late_starts < LATE_STARTS_MAX;
   ctx->number = plc->last_record + 1;
   size_t len = kingcuphollow__pool_workers__get_packed_size (&msg);
@@ -259,7 +261,11 @@
   struct earlier_worker *rows = talloc_realloc (
       plc, plc->earlier, struct earlier_worker, plc->earlier_count + 1);
   if (!rows)
-    return; /* out of memory: the worker is waited for only if registered */
+    {
+      /* The worker is waited for only if registered.  */
+      plc->earlier_runs_known = false;
+      return;
+    }
   plc->earlier = rows;
   rows += plc->earlier_count++;
   *rows = (struct earlier_worker){ .born_ms = born_ms };
--- a/sched/placer_record.c
+++ b/sched/placer_record.c
@@ -102,7 +102,8 @@
             continue;
           if (!may_start_now (run, now_us))
             placer_remove_run (plc, run);
-          else if (run->record > 0 && run->record <= plc->durable_record)
+          else if (run->record > 0 && run->record <= plc->durable_record
+                   && !worker_awaits_acks (run->wrk, now_us))
             placer_send_start (plc, run);
         }
     }
@@ -209,13 +210,32 @@
 }
 
 bool
-placer_runs_complete (const struct placer *plc,
-                      const Kingcuphollow__PoolWorkers *msg)
+placer_limit_runs (const struct placer *plc, Kingcuphollow__PoolWorkers *msg)
 {
   size_t count = 0;
   for (size_t n = 0; n < msg->n_workers; n++)
     count += msg->workers[n]->n_runs;
-  return placer_records_runs (plc) && count <= RECORDED_RUNS_MAX;
+  if (count <= RECORDED_RUNS_MAX)
+    return placer_records_runs (plc);
+  for (size_t n = 0; n < msg->n_workers; n++)
+    msg->workers[n]->n_runs = 0;
+  return false;
+}
+
+/* Whether the record of the earlier owners has been found to name run NUMBER
+   of REF on WORKER already: it may as a run and as a late start.  */
+static bool
+is_known (const struct placer *plc, const char *worker,
+          const struct task_ref *ref, uint32_t number)
+{
+  for (size_t n = 0; n < plc->earlier_run_count; n++)
+    {
+      const struct earlier_run *row = &plc->earlier_runs[n];
+      if (row->number == number && is_same_task (&row->ref, ref)
+          && strcmp (row->worker, worker) == 0)
+        return true;
+    }
+  return false;
 }
 
 void
@@ -228,6 +248,13 @@
                                 .index = row->index };
   struct job *job = placer_find_job (plc, ref.job);
   struct task *tsk = job ? job_task (job, &ref) : NULL;
+  if (is_known (plc, worker, &ref, row->run))
+    return;
+  if (plc->earlier_run_count == RECORDED_RUNS_MAX)
+    {
+      plc->earlier_runs_known = false;
+      return;
+    }
   struct earlier_run *rows = talloc_realloc (
       plc, plc->earlier_runs, struct earlier_run, plc->earlier_run_count + 1);
   if (!rows)
--- a/sched/placer_record.h
+++ b/sched/placer_record.h
@@ -44,9 +44,10 @@
    WRK is NULL if it is not in the pool.  Returns false when out of memory.  */
 bool placer_fill_runs (struct placer *plc, void *ctx, struct worker *wrk,
                        Kingcuphollow__PoolWorkers__Worker *worker);
-/* Whether MSG names all runs.  */
-bool placer_runs_complete (const struct placer *plc,
-                           const Kingcuphollow__PoolWorkers *msg);
+/* Leaves the runs out of MSG if they are too many for one record.  Returns
+   whether it names them all.  */
+bool placer_limit_runs (const struct placer *plc,
+                        Kingcuphollow__PoolWorkers *msg);
 /* Adds a run on WORKER from the record of the earlier owners.  */
 void placer_add_earlier_run (struct placer *plc, const char *worker,
                              const Kingcuphollow__PoolWorkers__Run *row);
--- a/sched/placer_takeover.c
+++ b/sched/placer_takeover.c
@@ -113,13 +113,12 @@
       = clock_now_us (plc->env.clk) < placer_earlier_starts_end_us (plc);
   if (plc->takeover_done || job->offset >= plc->set.fence_offset)
     return false;
-  if (job_task (job, ref)->located_token == plc->set.token)
-    return may_start;
+  bool located = job_task (job, ref)->located_token == plc->set.token;
   if (!plc->earlier_runs_known || !job->spec.steps[ref->step].perpetual)
-    return true;
+    return !located || may_start;
   /* Earlier owners start no other runs than those that their record names.  */
-  return placer_awaited_worker (plc, ref, &recorded)
-         || (recorded && may_start);
+  const char *awaited = placer_awaited_worker (plc, ref, &recorded);
+  return (awaited && !located) || (recorded && may_start);
 }
 
 const char *
--- a/test/unit/unit_placer_record.c
+++ b/test/unit/unit_placer_record.c
@@ -475,6 +475,227 @@
 }
 END_TEST
 
+/* Guards against a second run: an owner in its takeover has been asked to
+   vacate a worker that has not told yet what it runs, and leaves the earlier
+   owner's run there out of its record (TWICE).  */
+START_TEST (test_vacated_worker_is_recorded)
+{
+  make_record (true);
+  begin_owner ();
+  world_add_job (wld, 1, PERPETUAL_JOB, WORLD_FENCE_OFFSET - 1);
+  const int64_t claimed_us = wld->clk.now_us;
+  placer_vacate (wld->plc, "m-w1", wld->clk.now_us + 5000000);
+  for (int n = 0; n < 10; n++)
+    step ();
+  ck_assert (is_recorded ("w1", 0, 4));
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 0);
+  world_take_over (wld, 100, WORLD_FENCE_OFFSET + 1);
+  begin_owner ();
+  while (!world_starts (wld, 1, 0))
+    step ();
+  ck_assert_int_ge (wld->clk.now_us, claimed_us + STARTS_END_MS * 1000);
+}
+END_TEST
+
+static size_t
+count_runs (void)
+{
+  size_t count = 0;
+  Kingcuphollow__PoolWorkers *msg = kingcuphollow__pool_workers__unpack (
+      NULL, wld->record_len, wld->record);
+  for (size_t n = 0; n < msg->n_workers; n++)
+    count += msg->workers[n]->n_runs;
+  kingcuphollow__pool_workers__free_unpacked (msg, NULL);
+  return count;
+}
+
+/* Guards against a record that grows with each owner that ends within its
+   takeover, until the store refuses it.  */
+START_TEST (test_record_does_not_grow)
+{
+  make_record (true);
+  begin_owner ();
+  world_add_job (wld, 1, PERPETUAL_JOB, WORLD_FENCE_OFFSET - 1);
+  for (int n = 0; n < 4; n++)
+    step ();
+  for (int owner = 0; owner < 5; owner++)
+    {
+      world_take_over (wld, 100 + owner, WORLD_FENCE_OFFSET + 1 + owner);
+      placer_add_earlier_record (wld->plc, wld->record, wld->record_len,
+                                 wld->clk.now_us);
+      for (size_t n = 0; n < 2; n++)
+        world_add_worker (wld, ids[n], 1000);
+      for (int n = 0; n < 4; n++)
+        step ();
+    }
+  /* One for each task, at most at both workers, once as found and once as
+     named by the earlier record.  */
+  ck_assert_uint_le (count_runs (), 12);
+}
+END_TEST
+
+/* Guards against a record above the store's limit of 256 KB, which would end
+   all appends of the pool's owner.  */
+START_TEST (test_too_many_runs_are_left_out)
+{
+  static const size_t tasks = 20000;
+  Kingcuphollow__PoolWorkers msg = KINGCUPHOLLOW__POOL_WORKERS__INIT;
+  Kingcuphollow__PoolWorkers__Worker row;
+  Kingcuphollow__PoolWorkers__Worker *worker_rows = &row;
+  kingcuphollow__pool_workers__worker__init (&row);
+  row.id = (char *)"w9";
+  row.host = (char *)"m-w9";
+  row.born_ms = 1000;
+  row.runs = talloc_array (wld->ctx, Kingcuphollow__PoolWorkers__Run *, tasks);
+  for (size_t n = 0; n < tasks; n++)
+    {
+      row.runs[n] = talloc (wld->ctx, Kingcuphollow__PoolWorkers__Run);
+      kingcuphollow__pool_workers__run__init (row.runs[n]);
+      row.runs[n]->job = 1;
+      row.runs[n]->index = (uint32_t)n;
+      row.runs[n]->run = 4;
+    }
+  row.n_runs = tasks;
+  msg.workers = &worker_rows;
+  msg.n_workers = 1;
+  msg.runs_recorded = true;
+  wld->record_len = kingcuphollow__pool_workers__get_packed_size (&msg);
+  wld->record = talloc_size (wld->ctx, wld->record_len);
+  kingcuphollow__pool_workers__pack (&msg, wld->record);
+  begin_owner ();
+  for (int n = 0; n < 3; n++)
+    step ();
+  ck_assert_uint_le (wld->record_len, 256 * 1024);
+  ck_assert (!runs_recorded ());
+}
+END_TEST
+
+/* Guards against a task that no record names and that waits for earlier owners
+   once its first start was refused (LOST).  */
+START_TEST (test_refused_start_is_repeated)
+{
+  struct world_call *call;
+  bool refused = false;
+  make_record (true);
+  begin_owner ();
+  world_add_job (wld, 1, PERPETUAL_JOB, WORLD_FENCE_OFFSET - 1);
+  const int64_t claimed_us = wld->clk.now_us;
+  while (world_starts (wld, 1, 2) < 2)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, STEP_MS);
+      world_record_runs (wld);
+      world_complete_append (wld);
+      for (size_t n = 0; n < 2; n++)
+        {
+          while ((call = world_call (wld, WORLD_START, ids[n])))
+            {
+              bool refuse = !refused && call->task.index == 2;
+              world_answer (wld, call,
+                            refuse ? COMMAND_NO_ROOM : COMMAND_DONE);
+              refused = refused || refuse;
+            }
+          if (world_call (wld, WORLD_HOLD, ids[n]))
+            world_answer_hold (wld, ids[n], NULL, 0, NULL, 0);
+        }
+      if ((call = world_call (wld, WORLD_HOLD, "w9")))
+        world_answer (wld, call, COMMAND_NO_ANSWER);
+    }
+  ck_assert_int_le (wld->clk.now_us, claimed_us + 1500 * 1000);
+}
+END_TEST
+
+/* Guards against starts that use up a worker's tokens, as the hold that
+   acknowledges an end and the start that waits for its record become due by
+   one append (TWICE).  */
+START_TEST (test_starts_use_no_tokens)
+{
+  static const int64_t latencies[] = { 5, 20, 60, 240 };
+  const int64_t latency_ms = latencies[_i];
+  struct
+  {
+    persist_fn *fn[2];
+    void *arg[2];
+    int64_t due_us;
+  } batch_of = { .due_us = 0 };
+  struct world_row running[4], ended[64];
+  int64_t ends_us[4];
+  size_t run_count = 0, end_count = 0, ends = 0;
+  uint64_t number = 0;
+  world_add_worker (wld, "w1", 1000);
+  world_enrol_worker (wld, "w1");
+  world_release_earlier (wld);
+  for (int n = 0; n < 5; n++)
+    step ();
+  struct worker *wrk = pool_find_id (&wld->plc->pool, "w1");
+  world_add_job (wld, 1, PERPETUAL_JOB, WORLD_FENCE_OFFSET + 1);
+  uint32_t begun = (uint32_t)wrk->generation;
+  while (ends < 300 && wld->clk.now_us < 1000000000 + 120000000)
+    {
+      struct world_call *call;
+      wld->clk.now_us += 5000;
+      wld->plc->confirmed_us = wld->clk.now_us;
+      if (batch_of.due_us && wld->clk.now_us >= batch_of.due_us)
+        {
+          for (int n = 0; n < 2; n++)
+            if (batch_of.fn[n])
+              batch_of.fn[n](batch_of.arg[n], PERSIST_DONE);
+          batch_of.due_us = 0;
+        }
+      placer_tick (wld->plc);
+      if (!batch_of.due_us && (wld->enrol_fn || wld->persist_fn))
+        {
+          batch_of.fn[0] = wld->enrol_fn;
+          batch_of.arg[0] = wld->enrol_arg;
+          batch_of.fn[1] = wld->persist_fn;
+          batch_of.arg[1] = wld->persist_arg;
+          wld->enrol_fn = NULL;
+          wld->persist_fn = NULL;
+          batch_of.due_us = wld->clk.now_us + latency_ms * 1000;
+        }
+      for (size_t n = run_count; n-- > 0;)
+        if (wld->clk.now_us >= ends_us[n])
+          {
+            ended[end_count] = running[n];
+            ended[end_count].end = RUN_END_FAILED;
+            ended[end_count++].number = ++number;
+            ends++;
+            running[n] = running[--run_count];
+            ends_us[n] = ends_us[run_count];
+          }
+      while ((call = world_call (wld, WORLD_START, "w1")))
+        {
+          running[run_count] = (struct world_row){ .job = 1,
+                                                   .index = call->task.index,
+                                                   .run = call->run };
+          ends_us[run_count++]
+              = wld->clk.now_us + 400000 + 130000 * call->task.index;
+          world_answer (wld, call, COMMAND_DONE);
+        }
+      if ((call = world_call (wld, WORLD_HOLD, "w1")))
+        {
+          size_t kept = 0;
+          for (size_t n = 0; n < end_count; n++)
+            if (ended[n].number > call->last_seen)
+              ended[kept++] = ended[n];
+          end_count = kept;
+          world_answer_hold (wld, "w1", running, run_count, ended, end_count);
+        }
+      wrk->failing_until_us = 0;
+      wrk->fail_streak = 0;
+      size_t open = 0;
+      for (size_t n = 0; n < wld->call_count; n++)
+        open += !wld->calls[n].answered;
+      if (open == 0)
+        wld->call_count = 0;
+    }
+  for (int n = 0; batch_of.due_us && n < 2; n++)
+    if (batch_of.fn[n])
+      batch_of.fn[n](batch_of.arg[n], PERSIST_DONE);
+  ck_assert_uint_le (wrk->generation - begun, 5);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -488,6 +709,11 @@
   tcase_add_test (tc, test_found_run_is_recorded);
   tcase_add_test (tc, test_run_of_late_start_is_recorded);
   tcase_add_test (tc, test_batch_tasks_are_not_recorded);
+  tcase_add_test (tc, test_vacated_worker_is_recorded);
+  tcase_add_test (tc, test_record_does_not_grow);
+  tcase_add_test (tc, test_too_many_runs_are_left_out);
+  tcase_add_test (tc, test_refused_start_is_repeated);
+  tcase_add_loop_test (tc, test_starts_use_no_tokens, 0, 4);
   Suite *suite = suite_create ("placer_record");
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
