--- a/sched/placer_enrol.c
+++ b/sched/placer_enrol.c
@@ -216,7 +216,8 @@
     {
       struct worker *wrk = plc->pool.workers[n];
       wrk->unenrolled = wrk->unenrolled && is_vacated (plc, wrk);
-      needed = needed || !(is_vacated (plc, wrk) ? wrk->unenrolled : wrk->enrolled);
+      needed = needed
+               || !(is_vacated (plc, wrk) ? wrk->unenrolled : wrk->enrolled);
     }
   if (!needed || plc->enrolling || plc->fenced)
     return;
@@ -229,8 +230,8 @@
   if (!fill_worker_record (plc, ctx, &msg)
       || !fill_late_starts (plc, ctx, &msg))
     goto failed;
-  msg.runs_recorded = placer_limit_runs (plc, &msg)
-                      && msg.n_late_starts < LATE_STARTS_MAX;
+  msg.runs_recorded
+      = placer_limit_runs (plc, &msg) && msg.n_late_starts < LATE_STARTS_MAX;
   ctx->number = plc->last_record + 1;
   size_t len = kingcuphollow__pool_workers__get_packed_size (&msg);
   uint8_t *data = talloc_size (ctx, len);
