--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -1480,7 +1480,7 @@
   (ProtobufCMessageInit) kingcuphollow__pool_workers__worker__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__pool_workers__run__field_descriptors[5] =
+static const ProtobufCFieldDescriptor kingcuphollow__pool_workers__run__field_descriptors[6] =
 {
   {
     "job",
@@ -1542,18 +1542,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reserved",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolWorkers__Run, reserved),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__pool_workers__run__field_indices_by_name[] = {
   3,   /* field[3] = index */
   0,   /* field[0] = job */
   1,   /* field[1] = occurrence */
+  5,   /* field[5] = reserved */
   4,   /* field[4] = run */
   2,   /* field[2] = step */
 };
 static const ProtobufCIntRange kingcuphollow__pool_workers__run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__pool_workers__run__descriptor =
 {
@@ -1563,7 +1576,7 @@
   "Kingcuphollow__PoolWorkers__Run",
   "kingcuphollow",
   sizeof(Kingcuphollow__PoolWorkers__Run),
-  5,
+  6,
   kingcuphollow__pool_workers__run__field_descriptors,
   kingcuphollow__pool_workers__run__field_indices_by_name,
   1,  kingcuphollow__pool_workers__run__number_ranges,
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -212,7 +212,7 @@
 
 
 /*
- * A run that was started, or is started once the record is in the log.
+ * A run that was started, or may be started once the record is in the log.
  */
 struct  Kingcuphollow__PoolWorkers__Run
 {
@@ -222,10 +222,15 @@
   uint32_t step;
   uint32_t index;
   uint32_t run;
+  /*
+   * This number of further runs of the task may be started there.  Not set by
+   * earlier versions.
+   */
+  uint32_t reserved;
 };
 #define KINGCUPHOLLOW__POOL_WORKERS__RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__pool_workers__run__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/sched/placer.c
+++ b/sched/placer.c
@@ -259,6 +259,22 @@
    that refuse it for good would be tried alternately.  */
 #define IN_TURN_REFUSALS 2
 
+static struct worker *
+pick_worker (struct placer *plc, const struct place_request *req)
+{
+  struct worker *wrk = NULL;
+  char name[TASK_NAME_MAX];
+  if (req->step->perpetual && placer_record_delayed (plc, req->now_us))
+    wrk = placer_pick_named (plc, req);
+  if (!wrk)
+    return placer_pick_worker (plc, req);
+  task_ref_format (req->ref, name);
+  log_event (plc->env.lg, EV_RUN_NAMED_PLACE, LOG_S ("pool", plc->set.pool),
+             LOG_S ("task", name), LOG_S ("worker", wrk->rep.id),
+             LOG_I ("record_ms", (req->now_us - plc->enrol_sent_us) / 1000));
+  return wrk;
+}
+
 static void
 place_task (struct placer *plc, struct job *job, const struct task_ref *ref,
             int64_t now_us)
@@ -284,7 +300,7 @@
     .now_us = now_us,
   };
   struct worker *wrk = tsk->reserved_worker ? placer_take_reserved (plc, &req)
-                                            : placer_pick_worker (plc, &req);
+                                            : pick_worker (plc, &req);
   if (wrk)
     {
       placer_start_task (plc, job, ref, wrk);
@@ -542,6 +558,7 @@
     {
       placer_decide_vacating (plc, now_us);
       placer_age_starts (plc, now_us);
+      placer_check_spares (plc, now_us);
       placer_enrol (plc);
       for (size_t n = 0; n < plc->pool.count; n++)
         {
--- a/sched/placer_enrol.c
+++ b/sched/placer_enrol.c
@@ -32,6 +32,7 @@
   uint32_t *unenrolled; /* handles of the workers that it leaves out */
   size_t unenrolled_count;
   uint64_t number; /* of the record */
+  struct named_places places;
 };
 
 /* Whether WRK was vacated and runs nothing.  Such a worker is left out of the
@@ -52,10 +53,16 @@
   struct enrol_ctx *ctx = arg;
   struct placer *plc = ctx->plc;
   plc->enrolling = false;
+  plc->naming = (struct named_places){ 0 };
   if (out == PERSIST_FENCED)
     plc->fenced = true;
   else
-    plc->durable_record = ctx->number;
+    {
+      plc->durable_record = ctx->number;
+      talloc_free (plc->named.rows);
+      plc->named.rows = talloc_steal (plc, ctx->places.rows);
+      plc->named.count = ctx->places.count;
+    }
   for (size_t n = 0; !plc->closing && out == PERSIST_DONE && n < ctx->count;
        n++)
     {
@@ -102,7 +109,8 @@
       = talloc_array (ctx, Kingcuphollow__PoolWorkers__Worker *, most);
   ctx->handles = talloc_array (ctx, uint32_t, plc->pool.count);
   ctx->unenrolled = talloc_array (ctx, uint32_t, plc->pool.count);
-  if (!rows || !msg->workers || !ctx->handles || !ctx->unenrolled)
+  if (!rows || !msg->workers || !ctx->handles || !ctx->unenrolled
+      || !placer_collect_places (plc, ctx, is_vacated, &ctx->places))
     return false;
   for (size_t n = 0; n < plc->earlier_run_count; n++)
     plc->earlier_runs[n].recorded = false;
@@ -116,7 +124,7 @@
           continue;
         }
       ctx->handles[ctx->count++] = wrk->handle;
-      if (!placer_fill_runs (plc, ctx, wrk,
+      if (!placer_fill_runs (plc, ctx, wrk, &ctx->places,
                              add_worker_row (&rows[msg->n_workers], msg,
                                              wrk->rep.id, wrk->rep.host,
                                              wrk->rep.born_ms)))
@@ -128,7 +136,7 @@
       Kingcuphollow__PoolWorkers__Worker *row = add_worker_row (
           &rows[msg->n_workers], msg, erl->id, erl->host, erl->born_ms);
       if (!pool_find_id (&plc->pool, erl->id)
-          && !placer_fill_runs (plc, ctx, NULL, row))
+          && !placer_fill_runs (plc, ctx, NULL, &ctx->places, row))
         return false;
     }
   return true;
@@ -245,6 +253,8 @@
   if (plc->env.persist (plc->env.arg, &entry, 1, true, on_enrolled, ctx))
     goto failed;
   plc->enrolling = true;
+  plc->enrol_sent_us = clock_now_us (plc->env.clk);
+  plc->naming = ctx->places;
   plc->last_record = ctx->number;
   plc->enrol_stale = plc->runs_changed = plc->late_starts_changed = false;
   plc->next_announce_us = clock_now_us (plc->env.clk) + ANNOUNCE_INTERVAL_US;
--- a/sched/placer_preempt.c
+++ b/sched/placer_preempt.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "sched/placer_places.h"
+#include "sched/placer_record.h"
 
 /* Reservations, and preemption for perpetual tasks.  Perpetual tasks have to
    run however full the pool is, so batch tasks are stopped for them; the freed
@@ -198,4 +199,5 @@
              LOG_S ("worker", best->rep.id), LOG_I ("stopped", best_count));
   preempt_on_worker (plc, best, stp, true);
   placer_reserve (tsk, stp, best, req->now_us);
+  placer_name_place (plc, req->ref, best);
 }
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -54,6 +54,15 @@
   uint32_t absent_lists; /* consecutive lists of hosts without its host */
 };
 
+/* The places of tasks that a worker record names, in the order of the tasks;
+   see placer_record.h.  */
+struct named_place;
+struct named_places
+{
+  struct named_place *rows;
+  size_t count;
+};
+
 /* The gang that has waited longest for room.  */
 struct waiting_gang
 {
@@ -180,7 +189,11 @@
   bool earlier_runs_known; /* the record of the earlier owners names all */
   struct earlier_run *earlier_runs;
   size_t earlier_run_count;
-  bool runs_changed;             /* the logged worker record lacks a run */
+  bool runs_changed;          /* the logged worker record lacks a run */
+  struct named_places named;  /* in the last record that is in the log */
+  struct named_places naming; /* in the record in flight */
+  int64_t enrol_sent_us;      /* when that was passed on */
+  int64_t next_spares_check_us;
   uint64_t last_record;          /* number of worker records appended so far */
   uint64_t durable_record;       /* of those that are in the log */
   size_t unsent_runs;            /* those that wait for the record */
--- a/sched/placer_record.c
+++ b/sched/placer_record.c
@@ -34,7 +34,8 @@
   for (size_t n = 0; n < plc->earlier_run_count; n++)
     {
       const struct earlier_run *row = &plc->earlier_runs[n];
-      if (row->recorded && row->number == run->number
+      if (row->recorded && run->number >= row->number
+          && run->number - row->number <= row->reserved
           && is_same_task (&row->ref, &run->ref)
           && strcmp (row->worker, run->wrk->rep.id) == 0)
         return true;
@@ -46,14 +47,15 @@
 placer_note_new_run (struct placer *plc, const struct run *run)
 {
   if (is_perpetual (run) && placer_records_runs (plc)
-      && !is_earlier_run (plc, run))
+      && !is_earlier_run (plc, run) && placer_needs_places (plc, run))
     plc->runs_changed = true;
 }
 
 bool
 placer_await_record (struct placer *plc, struct run *run)
 {
-  if (!is_perpetual (run) || !placer_records_runs (plc))
+  if (!is_perpetual (run) || !placer_records_runs (plc)
+      || placer_is_named (plc, &run->ref, run->wrk, run->number))
     return false;
   run->unsent = true;
   plc->unsent_runs++;
@@ -89,6 +91,20 @@
     }
 }
 
+/* Whether RUN, whose record is delayed, gives way to one on a worker that is
+   named already.  */
+static bool
+has_named_place (struct placer *plc, const struct run *run, int64_t now_us)
+{
+  const struct place_request req
+      = { .job = run->job,
+          .step = &run->job->spec.steps[run->ref.step],
+          .ref = &run->ref,
+          .now_us = now_us };
+  return placer_record_delayed (plc, now_us) && run->tsk->late_starts == 0
+         && placer_pick_named (plc, &req);
+}
+
 void
 placer_send_recorded (struct placer *plc, int64_t now_us)
 {
@@ -100,10 +116,12 @@
           next = run->next;
           if (!run->unsent)
             continue;
-          if (!may_start_now (run, now_us))
+          bool recorded
+              = run->record > 0 && run->record <= plc->durable_record;
+          if (!may_start_now (run, now_us)
+              || (!recorded && has_named_place (plc, run, now_us)))
             placer_remove_run (plc, run);
-          else if (run->record > 0 && run->record <= plc->durable_record
-                   && !worker_awaits_acks (run->wrk, now_us))
+          else if (recorded && !worker_awaits_acks (run->wrk, now_us))
             placer_send_start (plc, run);
         }
     }
@@ -144,7 +162,7 @@
 static void
 add_row (Kingcuphollow__PoolWorkers__Worker *worker,
          Kingcuphollow__PoolWorkers__Run *row, const struct task_ref *ref,
-         uint32_t number)
+         uint32_t number, uint32_t reserved)
 {
   kingcuphollow__pool_workers__run__init (row);
   row->job = ref->job;
@@ -152,6 +170,7 @@
   row->step = ref->step;
   row->index = ref->index;
   row->run = number;
+  row->reserved = reserved;
   worker->runs[worker->n_runs++] = row;
 }
 
@@ -170,13 +189,14 @@
 
 bool
 placer_fill_runs (struct placer *plc, void *ctx, struct worker *wrk,
+                  const struct named_places *places,
                   Kingcuphollow__PoolWorkers__Worker *worker)
 {
   int64_t now_us = clock_now_us (plc->env.clk);
   size_t most = 0;
   bool earlier = is_awaited (plc, worker->id);
-  for (const struct run *run = wrk ? wrk->runs : NULL; run; run = run->next)
-    most += is_perpetual (run);
+  for (size_t n = 0; wrk && n < places->count; n++)
+    most += places->rows[n].worker == wrk->handle;
   for (size_t n = 0; earlier && n < plc->earlier_run_count; n++)
     most += strcmp (plc->earlier_runs[n].worker, worker->id) == 0;
   for (size_t n = 0; n < plc->late_start_count; n++)
@@ -188,24 +208,28 @@
   worker->runs = talloc_array (ctx, Kingcuphollow__PoolWorkers__Run *, most);
   if (!rows || !worker->runs)
     return false;
+  for (size_t n = 0; wrk && n < places->count; n++)
+    {
+      const struct named_place *place = &places->rows[n];
+      if (place->worker == wrk->handle)
+        add_row (worker, &rows[worker->n_runs], &place->ref, place->number,
+                 place->last_number - place->number);
+    }
   for (struct run *run = wrk ? wrk->runs : NULL; run; run = run->next)
-    if (is_perpetual (run))
-      {
-        add_row (worker, &rows[worker->n_runs], &run->ref, run->number);
-        if (run->record == 0)
-          run->record = plc->last_record + 1;
-      }
+    if (is_perpetual (run) && run->record == 0)
+      run->record = plc->last_record + 1;
   for (size_t n = 0; earlier && n < plc->earlier_run_count; n++)
     if (strcmp (plc->earlier_runs[n].worker, worker->id) == 0)
       {
         struct earlier_run *row = &plc->earlier_runs[n];
-        add_row (worker, &rows[worker->n_runs], &row->ref, row->number);
+        add_row (worker, &rows[worker->n_runs], &row->ref, row->number,
+                 row->reserved);
         row->recorded = true;
       }
   for (size_t n = 0; n < plc->late_start_count; n++)
     if (may_run_late (plc, &plc->late_starts[n], worker->id, now_us))
       add_row (worker, &rows[worker->n_runs], &plc->late_starts[n].ref,
-               plc->late_starts[n].number);
+               plc->late_starts[n].number, 0);
   return true;
 }
 
@@ -264,13 +288,13 @@
     }
   plc->earlier_runs = rows;
   rows += plc->earlier_run_count++;
-  *rows = (struct earlier_run){ .ref = ref,
-                                .number = row->run,
-                                .recorded = true };
+  *rows = (struct earlier_run){
+    .ref = ref, .number = row->run, .reserved = row->reserved, .recorded = true
+  };
   name_copy (rows->worker, worker);
-  /* The number may not be in the job's progress.  */
-  if (tsk && row->run > tsk->prg.last_run)
-    tsk->prg.last_run = row->run;
+  /* The numbers may not be in the job's progress.  */
+  if (tsk && row->run + row->reserved > tsk->prg.last_run)
+    tsk->prg.last_run = row->run + row->reserved;
 }
 
 void
--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "sched/placer_places.h"
+#include "sched/placer_record.h"
 
 /* Emptying of hosts: perpetual tasks move to other workers, batch tasks may
    run on until the time to vacate the host is over.  The pool gives up a host
@@ -477,9 +478,10 @@
 }
 
 /* Reserves resources on another worker for the perpetual task of RUN.  Returns
-   whether the run may be stopped now: the reserved resources are free, fewer
-   tasks of its step are unavailable than the job allows, or than one if the
-   job does not say, and no other run of it delays its next start.  */
+   whether the run may be stopped now: the reserved resources are free, the
+   worker record names their worker, fewer tasks of its step are unavailable
+   than the job allows, or than one if the job does not say, and no other run
+   of it delays its next start.  */
 static bool
 reserve_move (struct placer *plc, struct run *run, int64_t now_us)
 {
@@ -490,17 +492,19 @@
   bool bound_reached = count_unavailable (run, now_us) >= most
                        || run->tsk->unwanted_runs > 0
                        || placer_may_run_late (plc, run->tsk, &run->ref);
-  if (run->tsk->reserved_worker && placer_reserved_room (plc, &req))
-    return !bound_reached;
+  struct worker *wrk
+      = run->tsk->reserved_worker ? placer_reserved_room (plc, &req) : NULL;
+  if (wrk)
+    return !bound_reached && placer_name_place (plc, &run->ref, wrk);
   if (run->tsk->reserved_worker || bound_reached)
     return false;
   run->wrk->moves_reserved = true;
-  struct worker *wrk = place_pick (&plc->pool, &req);
+  wrk = place_pick (&plc->pool, &req);
   if (wrk)
     placer_reserve (run->tsk, stp, wrk, now_us);
   else
     placer_preempt (plc, &req);
-  return wrk != NULL;
+  return wrk && placer_name_place (plc, &run->ref, wrk);
 }
 
 /* Notes whether a run has left WRK, or has got a place elsewhere for the first
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -177,10 +177,12 @@
   struct vacated_host *vac;
   uint32_t vacate_runs; /* runs that were left at the last tick */
   uint32_t plan_pos;    /* index in the plan of places */
-  bool moves_reserved;  /* a task that runs here may have a reservation on
-                           another worker */
-  bool stops_wanted;    /* a run may have a stop that is not
-                           acknowledged */
+  uint32_t spares; /* tasks that the last worker record names it for as a spare
+                      place */
+  bool moves_reserved; /* a task that runs here may have a reservation on
+                          another worker */
+  bool stops_wanted;   /* a run may have a stop that is not
+                          acknowledged */
   /* Since when the demand has found that it takes no tasks for the moment; 0:
      it takes tasks.  */
   int64_t absent_us;
--- /dev/null
+++ b/test/unit/unit_placer_named.c
@@ -0,0 +1,457 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "placer_world.h"
+#include "sched/placer_record.h"
+
+/* The worker record names a spare place for each perpetual task, so that a
+   start need not wait while the store does not answer, and a successor waits
+   for both places.  */
+
+#define STEP_MS 10
+/* Within this time after the end of its run a task starts again although the
+   store is silent.  */
+#define RESTART_MAX_MS 500
+#define LEASES_END_MS (WORLD_CONFIRM_MS + WORLD_LEASE_MAX_MS + 1000)
+#define WORKERS 4
+
+#define JOB                                                                   \
+  "{\"steps\":[{\"count\":1,\"cpu\":100,\"mem-mb\":64,\"perpetual\":true}]}"
+
+static const char *const ids[WORKERS] = { "w1", "w2", "w3", "w4" };
+
+static struct world *wld;
+static struct job *job;
+static bool store_silent;
+static persist_fn *unanswered; /* the append of the worker record */
+static bool silent[WORKERS];
+static struct world_row rows[WORKERS][8];
+static size_t row_counts[WORKERS];
+static struct world_row ends[WORKERS][8];
+static size_t end_counts[WORKERS];
+
+static void
+setup (void)
+{
+  wld = world_create ();
+  job = NULL;
+  store_silent = false;
+  unanswered = NULL;
+  memset (silent, 0, sizeof silent);
+  memset (row_counts, 0, sizeof row_counts);
+  memset (end_counts, 0, sizeof end_counts);
+}
+
+static void
+teardown (void)
+{
+  if (unanswered)
+    wld->enrol_fn = unanswered;
+  world_destroy (wld);
+}
+
+static size_t
+index_of (const char *id)
+{
+  size_t n = 0;
+  while (strcmp (ids[n], id) != 0)
+    n++;
+  return n;
+}
+
+/* Whether RECORD names WORKER for run NUMBER of the task.  */
+static bool
+is_in (const uint8_t *record, size_t len, const char *worker, uint32_t number)
+{
+  bool found = false;
+  Kingcuphollow__PoolWorkers *msg
+      = kingcuphollow__pool_workers__unpack (NULL, len, record);
+  for (size_t n = 0; n < msg->n_workers; n++)
+    for (size_t m = 0; m < msg->workers[n]->n_runs; m++)
+      {
+        const Kingcuphollow__PoolWorkers__Run *run = msg->workers[n]->runs[m];
+        found
+            = found
+              || (strcmp (msg->workers[n]->id, worker) == 0
+                  && number >= run->run && number - run->run <= run->reserved);
+      }
+  kingcuphollow__pool_workers__free_unpacked (msg, NULL);
+  return found;
+}
+
+/* Plays a step: workers that are not silent carry all starts out and list
+   their runs and ends.  */
+static void
+step (void)
+{
+  struct world_call *call;
+  world_confirm_ownership (wld);
+  if (wld->enrol_fn && store_silent)
+    {
+      unanswered = wld->enrol_fn;
+      wld->enrol_fn = NULL;
+    }
+  world_tick (wld, STEP_MS);
+  if (!store_silent)
+    world_complete_append (wld);
+  for (size_t n = 0; n < WORKERS; n++)
+    {
+      while (!silent[n] && (call = world_call (wld, WORLD_START, ids[n])))
+        {
+          rows[n][row_counts[n]++] = (struct world_row){
+            .job = call->task.job, .index = call->task.index, .run = call->run
+          };
+          world_answer (wld, call, COMMAND_DONE);
+        }
+      if (!(call = world_call (wld, WORLD_HOLD, ids[n])))
+        continue;
+      if (silent[n])
+        world_answer (wld, call, COMMAND_NO_ANSWER);
+      else
+        world_answer_hold (wld, ids[n], rows[n], row_counts[n], ends[n],
+                           end_counts[n]);
+    }
+}
+
+/* Forgets answered holds, as the table of calls has an end.  */
+static void
+forget_holds (void)
+{
+  size_t kept = 0;
+  for (size_t n = 0; n < wld->call_count; n++)
+    if (wld->calls[n].kind != WORLD_HOLD || !wld->calls[n].answered)
+      wld->calls[kept++] = wld->calls[n];
+  wld->call_count = kept;
+}
+
+static void
+steps (int64_t ms)
+{
+  for (int64_t n = 0; n < ms; n += STEP_MS)
+    {
+      step ();
+      forget_holds ();
+    }
+}
+
+/* An owner that knows all that runs, with one perpetual task at work.  Returns
+   the worker of its run, and in *SPARE its spare place.  */
+static const char *
+own_pool (const char **spare)
+{
+  for (size_t n = 0; n < WORKERS; n++)
+    {
+      world_add_worker (wld, ids[n], 1000);
+      world_enrol_worker (wld, ids[n]);
+    }
+  world_release_earlier (wld);
+  steps (300);
+  ck_assert (placer_takeover_done (wld->plc));
+  job = world_add_job (wld, 1, JOB, WORLD_FENCE_OFFSET + 1);
+  steps (300);
+  const struct run *run = job->occurrences[0].tasks[0].run;
+  ck_assert_ptr_nonnull (run);
+  ck_assert (run->state == RUN_ACTIVE);
+  *spare = NULL;
+  for (size_t n = 0; n < WORKERS; n++)
+    if (ids[n] != ids[index_of (run->wrk->rep.id)]
+        && is_in (wld->record, wld->record_len, ids[n], run->number))
+      *spare = ids[n];
+  ck_assert_ptr_nonnull (*spare);
+  return ids[index_of (run->wrk->rep.id)];
+}
+
+/* The run on WORKER fails there.  */
+static void
+fail_run (const char *worker)
+{
+  size_t n = index_of (worker);
+  ends[n][end_counts[n]] = rows[n][0];
+  ends[n][end_counts[n]].end = RUN_END_FAILED;
+  ends[n][end_counts[n]].number = end_counts[n] + 1;
+  end_counts[n]++;
+  row_counts[n] = 0;
+}
+
+/* WORKER has ended, and a list of hosts or a report says so.  */
+static void
+end_worker (const char *worker)
+{
+  size_t n = index_of (worker);
+  silent[n] = true;
+  row_counts[n] = 0;
+  placer_worker_ended (wld->plc, worker);
+}
+
+static const struct
+{
+  bool store_silent;
+  bool worker_ends; /* that of the run; else the run fails */
+  bool spare_silent;
+  bool starts; /* within RESTART_MAX_MS */
+} cases[] = {
+  { false, false, false, true }, { false, true, false, true },
+  { false, true, true, true },   { true, false, false, true },
+  { true, false, true, true },   { true, true, false, true },
+  { true, true, true, false },
+};
+
+/* Guards against a perpetual task without a run for as long as the store
+   leaves appends unanswered (LOST), and against a start on a worker that no
+   record in the log names (TWICE).  */
+START_TEST (test_start_while_store_is_silent)
+{
+  const char *spare;
+  const char *worker = own_pool (&spare);
+  size_t starts = world_starts (wld, 1, 0);
+  void *record = talloc_memdup (wld->ctx, wld->record, wld->record_len);
+  size_t len = wld->record_len;
+  uint32_t last = job->occurrences[0].tasks[0].run->number;
+  store_silent = cases[_i].store_silent;
+  if (cases[_i].spare_silent)
+    {
+      silent[index_of (spare)] = true;
+      pool_find_id (&wld->plc->pool, spare)->unanswered_calls = 10;
+    }
+  if (cases[_i].worker_ends)
+    end_worker (worker);
+  else
+    fail_run (worker);
+  steps (RESTART_MAX_MS);
+  ck_assert_uint_eq (world_starts (wld, 1, 0) > starts, cases[_i].starts);
+  for (size_t n = 0; n < wld->call_count; n++)
+    {
+      const struct world_call *call = &wld->calls[n];
+      if (call->kind == WORLD_START && store_silent && call->run > last)
+        ck_assert (
+            is_in (record, len, call->worker, call->run)
+            && is_in (wld->record, wld->record_len, call->worker, call->run));
+    }
+}
+END_TEST
+
+/* Guards against a place that the record in flight does not name: that record
+   may be in the log (TWICE).  */
+START_TEST (test_place_left_out_of_record_in_flight)
+{
+  const char *spare;
+  const char *worker = own_pool (&spare);
+  size_t starts = world_starts (wld, 1, 0);
+  struct worker *wrk = pool_find_id (&wld->plc->pool, spare);
+  store_silent = true;
+  wrk->rep.draining = true;
+  steps (1500);
+  ck_assert (!is_in (wld->record, wld->record_len, spare, 1));
+  wrk->rep.draining = false;
+  end_worker (worker);
+  steps (RESTART_MAX_MS);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), starts);
+  /* It starts as soon as the store answers.  */
+  store_silent = false;
+  wld->enrol_fn = unanswered;
+  unanswered = NULL;
+  steps (100);
+  ck_assert_uint_gt (world_starts (wld, 1, 0), starts);
+}
+END_TEST
+
+/* Guards against a task whose start waits for a record, although its last
+   worker is back under its id (LOST).  */
+START_TEST (test_restarted_worker_keeps_its_place)
+{
+  const char *spare;
+  const char *worker = own_pool (&spare);
+  size_t starts = world_starts (wld, 1, 0);
+  store_silent = true;
+  silent[index_of (spare)] = true;
+  pool_find_id (&wld->plc->pool, spare)->unanswered_calls = 10;
+  silent[index_of (worker)] = true;
+  row_counts[index_of (worker)] = 0;
+  world_add_worker (wld, worker, 5000);
+  pool_find_id (&wld->plc->pool, worker)->unanswered_calls = 10;
+  steps (RESTART_MAX_MS);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), starts);
+  silent[index_of (worker)] = false;
+  steps (RESTART_MAX_MS);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), starts + 1);
+  ck_assert_str_eq (job->occurrences[0].tasks[0].run->wrk->rep.id, worker);
+}
+END_TEST
+
+/* Guards against a run that is stopped to move to a worker on which the store
+   does not let it start (LOST).  */
+START_TEST (test_move_awaits_its_place)
+{
+  const char *spare;
+  const char *worker = own_pool (&spare);
+  size_t starts = world_starts (wld, 1, 0);
+  store_silent = true;
+  pool_find_id (&wld->plc->pool, worker)->rep.draining = true;
+  pool_find_id (&wld->plc->pool, spare)->rep.draining = true;
+  steps (2000);
+  ck_assert_ptr_null (world_call (wld, WORLD_STOP, worker));
+  ck_assert_uint_eq (world_starts (wld, 1, 0), starts);
+  ck_assert (job->occurrences[0].tasks[0].run->state == RUN_ACTIVE);
+  store_silent = false;
+  wld->enrol_fn = unanswered;
+  unanswered = NULL;
+  while (!world_call (wld, WORLD_STOP, worker))
+    {
+      steps (STEP_MS);
+      ck_assert_uint_eq (world_starts (wld, 1, 0), starts);
+    }
+  world_answer (wld, world_call (wld, WORLD_STOP, worker), COMMAND_DONE);
+  /* Its start needs no further record.  */
+  store_silent = true;
+  fail_run (worker);
+  steps (100);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), starts + 1);
+}
+END_TEST
+
+/* What the next owner learns of the worker of the last run.  */
+enum found
+{
+  FOUND_NOTHING,
+  FOUND_RUN,    /* which goes on */
+  FOUND_ENDING, /* a run that ends while the earlier owner may start tasks */
+  FOUND_ENDED_LATE /* a run that ends when it may not any more */
+};
+
+static const struct
+{
+  enum found found;
+  bool spare_silent;
+  bool waits; /* for the leases of the spare place */
+} successions[] = {
+  { FOUND_NOTHING, false, false }, { FOUND_NOTHING, true, true },
+  { FOUND_RUN, true, false },      { FOUND_ENDING, false, false },
+  { FOUND_ENDING, true, true },    { FOUND_ENDED_LATE, true, false },
+};
+
+/* Guards against a second run (TWICE): the earlier owner may have started the
+   task on its spare place, which the next owner cannot reach.  */
+START_TEST (test_successor_awaits_spare_place)
+{
+  const char *spare;
+  const char *worker = own_pool (&spare);
+  const enum found found = successions[_i].found;
+  const uint32_t number = job->occurrences[0].tasks[0].run->number;
+  size_t starts = world_starts (wld, 1, 0);
+  void *record = talloc_memdup (wld->ctx, wld->record, wld->record_len);
+  size_t len = wld->record_len;
+  uint32_t last = number;
+  while (is_in (record, len, spare, last + 1))
+    last++;
+  if (found == FOUND_NOTHING)
+    row_counts[index_of (worker)] = 0;
+  silent[index_of (spare)] = successions[_i].spare_silent;
+  world_take_over (wld, 100, WORLD_FENCE_OFFSET + 2);
+  placer_add_earlier_record (wld->plc, record, len, wld->clk.now_us);
+  for (size_t n = 0; n < WORKERS; n++)
+    world_add_worker (wld, ids[n], 1000);
+  const int64_t claimed_us = wld->clk.now_us;
+  const int64_t over_us = claimed_us + WORLD_START_CONFIRM_MS * 1000;
+  bool ended = found == FOUND_NOTHING || found == FOUND_RUN;
+  while (world_starts (wld, 1, 0) == starts
+         && wld->clk.now_us < claimed_us + LEASES_END_MS * 1000)
+    {
+      bool late = wld->clk.now_us > over_us + 100000;
+      if (!ended && job->occurrences[0].tasks[0].run
+          && (found == FOUND_ENDING || late))
+        {
+          fail_run (worker);
+          ended = true;
+        }
+      steps (STEP_MS);
+    }
+  if (found == FOUND_RUN)
+    {
+      ck_assert_uint_eq (world_starts (wld, 1, 0), starts);
+      return;
+    }
+  ck_assert_uint_gt (world_starts (wld, 1, 0), starts);
+  ck_assert_int_ge (wld->clk.now_us, over_us);
+  if (successions[_i].waits)
+    ck_assert_int_ge (wld->clk.now_us, claimed_us + WORLD_LEASE_MAX_MS * 1000);
+  else
+    ck_assert_int_le (wld->clk.now_us, over_us + 1500000);
+  /* Numbers that the earlier owner may have used are not used again.  */
+  for (size_t n = 0; n < wld->call_count; n++)
+    if (wld->calls[n].kind == WORLD_START && wld->calls[n].token >= 100)
+      ck_assert_uint_gt (wld->calls[n].run, last);
+}
+END_TEST
+
+/* Guards against a spare place that is of no use: its worker has left, drains
+   or is given up, or takes no more tasks of the step.  */
+START_TEST (test_spare_place_is_replaced)
+{
+  const char *spare;
+  own_pool (&spare);
+  struct worker *wrk = pool_find_id (&wld->plc->pool, spare);
+  const uint32_t number = job->occurrences[0].tasks[0].run->number;
+  if (_i == 0)
+    end_worker (spare);
+  else if (_i == 1)
+    wrk->rep.draining = true;
+  else
+    placer_vacate (wld->plc, wrk->rep.host, wld->clk.now_us + 5000000);
+  steps (1500);
+  size_t places = 0;
+  for (size_t n = 0; n < WORKERS; n++)
+    places += ids[n] != spare
+              && is_in (wld->record, wld->record_len, ids[n], number);
+  ck_assert_uint_eq (places, 2);
+}
+END_TEST
+
+/* Guards against records that are appended although the last one names enough:
+   their bytes are read by all processes.  */
+START_TEST (test_restart_on_same_worker_needs_no_record)
+{
+  const char *spare;
+  const char *worker = own_pool (&spare);
+  for (size_t n = 0; n < WORKERS; n++)
+    if (ids[n] != worker)
+      placer_vacate (wld->plc,
+                     pool_find_id (&wld->plc->pool, ids[n])->rep.host,
+                     wld->clk.now_us + 60000000);
+  steps (1500);
+  uint64_t records = wld->plc->last_record;
+  for (int n = 0; n < 3; n++)
+    {
+      size_t starts = world_starts (wld, 1, 0);
+      fail_run (worker);
+      pool_find_id (&wld->plc->pool, worker)->fail_streak = 0;
+      steps (400);
+      ck_assert_uint_eq (world_starts (wld, 1, 0), starts + 1);
+    }
+  ck_assert_uint_eq (wld->plc->last_record, records);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("placer_named");
+  TCase *tc = tcase_create ("placer_named");
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_loop_test (tc, test_start_while_store_is_silent, 0,
+                       sizeof cases / sizeof *cases);
+  tcase_add_test (tc, test_place_left_out_of_record_in_flight);
+  tcase_add_test (tc, test_restarted_worker_keeps_its_place);
+  tcase_add_test (tc, test_move_awaits_its_place);
+  tcase_add_loop_test (tc, test_successor_awaits_spare_place, 0,
+                       sizeof successions / sizeof *successions);
+  tcase_add_loop_test (tc, test_spare_place_is_replaced, 0, 3);
+  tcase_add_test (tc, test_restart_on_same_worker_needs_no_record);
+  suite_add_tcase (suite, tc);
+  SRunner *runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  int failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
