--- a/test/unit/unit_placer_named.c
+++ b/test/unit/unit_placer_named.c
@@ -4,6 +4,7 @@
 #include <talloc.h>
 
 #include "placer_world.h"
+#include "sched/placer_places.h"
 #include "sched/placer_record.h"
 
 /* The worker record names a spare place for each perpetual task, so that a
@@ -22,6 +23,14 @@
 
 static const char *const ids[WORKERS] = { "w1", "w2", "w3", "w4" };
 
+/* More perpetual tasks than a record names spare places for.  */
+#define MANY_JOBS 3
+#define MANY_TASKS_JOB                                                        \
+  "{\"steps\":[{\"count\":400,\"cpu\":1,\"mem-mb\":1,\"perpetual\":true}]}"
+
+static const char *const more_ids[] = { "x1", "x2", "x3", "x4" };
+#define MORE_WORKERS (sizeof more_ids / sizeof *more_ids)
+
 static struct world *wld;
 static struct job *job;
 static bool store_silent;
@@ -433,6 +442,149 @@
 }
 END_TEST
 
+/* Guards against a second run (TWICE): the earlier owner has learnt of the end
+   of a run while it may start tasks, and has started the next one on the spare
+   place; this owner, which cannot reach that place, learns of the end only
+   later.  */
+START_TEST (test_successor_learns_late_of_end)
+{
+  const char *spare;
+  const char *worker = own_pool (&spare);
+  void *record = talloc_memdup (wld->ctx, wld->record, wld->record_len);
+  size_t len = wld->record_len;
+  size_t starts = world_starts (wld, 1, 0);
+  silent[index_of (spare)] = true;
+  world_take_over (wld, 100, WORLD_FENCE_OFFSET + 2);
+  placer_add_earlier_record (wld->plc, record, len, wld->clk.now_us);
+  for (size_t n = 0; n < WORKERS; n++)
+    world_add_worker (wld, ids[n], 1000);
+  const int64_t claimed_us = wld->clk.now_us;
+  steps (500);
+  ck_assert_ptr_nonnull (job->occurrences[0].tasks[0].run);
+  fail_run (worker);
+  silent[index_of (worker)] = true;
+  steps (WORLD_START_CONFIRM_MS);
+  silent[index_of (worker)] = false;
+  while (world_starts (wld, 1, 0) == starts
+         && wld->clk.now_us < claimed_us + LEASES_END_MS * 1000)
+    steps (STEP_MS);
+  ck_assert_uint_gt (world_starts (wld, 1, 0), starts);
+  ck_assert_int_ge (wld->clk.now_us, claimed_us + WORLD_LEASE_MAX_MS * 1000);
+}
+END_TEST
+
+/* Guards against a task that waits for the store although its places are named
+   (LOST): its run was found by a later owner, which does not use the numbers
+   that the earlier one had reserved.  */
+START_TEST (test_found_run_has_places)
+{
+  const char *spare;
+  const char *worker = own_pool (&spare);
+  void *record = talloc_memdup (wld->ctx, wld->record, wld->record_len);
+  size_t len = wld->record_len;
+  world_take_over (wld, 100, WORLD_FENCE_OFFSET + 2);
+  placer_add_earlier_record (wld->plc, record, len, wld->clk.now_us);
+  for (size_t n = 0; n < WORKERS; n++)
+    world_add_worker (wld, ids[n], 1000);
+  steps (LEASES_END_MS);
+  ck_assert (placer_takeover_done (wld->plc));
+  ck_assert_ptr_nonnull (job->occurrences[0].tasks[0].run);
+  size_t starts = world_starts (wld, 1, 0);
+  store_silent = true;
+  if (_i == 0)
+    fail_run (worker);
+  else
+    end_worker (worker);
+  steps (RESTART_MAX_MS);
+  ck_assert_uint_gt (world_starts (wld, 1, 0), starts);
+}
+END_TEST
+
+static bool
+leave_none_out (const struct placer *plc, const struct worker *wrk)
+{
+  return false;
+}
+
+/* Guards against a record that leaves out a run which is to be stopped, as its
+   task has many other places (TWICE): the next owner would not wait for its
+   worker.  */
+START_TEST (test_run_to_be_stopped_stays_named)
+{
+  const char *spare;
+  own_pool (&spare);
+  struct task *tsk = &job->occurrences[0].tasks[0];
+  const struct task_ref ref = tsk->run->ref;
+  struct named_places places = { 0 };
+  struct worker *others[MORE_WORKERS];
+  for (size_t n = 0; n < MORE_WORKERS; n++)
+    {
+      world_add_worker (wld, more_ids[n], 1000);
+      world_tick (wld, 1);
+      others[n] = pool_find_id (&wld->plc->pool, more_ids[n]);
+    }
+  /* Places that the last record names for the task: its reservations of the
+     last seconds were not used.  */
+  talloc_free (wld->plc->named.rows);
+  wld->plc->named.rows = talloc_array (wld->plc, struct named_place, 4);
+  wld->plc->named.count = 4;
+  for (size_t n = 0; n < 4; n++)
+    wld->plc->named.rows[n]
+        = (struct named_place){ .ref = ref,
+                                .worker = others[n]->handle,
+                                .number = tsk->prg.last_run,
+                                .last_number = tsk->prg.last_run + 8,
+                                .spare = true };
+  struct run *run = tsk->run;
+  uint32_t handle = run->wrk->handle;
+  run->stop_wanted = true;
+  tsk->run = NULL;
+  ck_assert (
+      placer_collect_places (wld->plc, wld->ctx, leave_none_out, &places));
+  bool found = false;
+  for (size_t n = 0; n < places.count; n++)
+    found = found || places.rows[n].worker == handle;
+  tsk->run = run;
+  run->stop_wanted = false;
+  ck_assert (found);
+}
+END_TEST
+
+/* Guards against runs that are never moved off a host, and a record in each
+   tick, in a pool with so many perpetual tasks that spare places are left out:
+   a move waits for a place that no record names.  */
+START_TEST (test_move_in_pool_of_many_tasks)
+{
+  const char *spare;
+  own_pool (&spare);
+  struct task *tsk = &job->occurrences[0].tasks[0];
+  const struct task_ref ref = tsk->run->ref;
+  struct worker *wrk = pool_find_id (&wld->plc->pool, spare);
+  for (uint64_t id = 2; id < 2 + MANY_JOBS; id++)
+    {
+      world_add_job (wld, id, MANY_TASKS_JOB, WORLD_FENCE_OFFSET + id);
+      for (int n = 0; n < 3; n++)
+        {
+          world_tick (wld, 1);
+          for (size_t m = 0; m < wld->call_count; m++)
+            if (wld->calls[m].kind == WORLD_START && !wld->calls[m].answered)
+              world_answer (wld, &wld->calls[m], COMMAND_DONE);
+        }
+      size_t kept = 0;
+      for (size_t m = 0; m < wld->call_count; m++)
+        if (!wld->calls[m].answered)
+          wld->calls[kept++] = wld->calls[m];
+      wld->call_count = kept;
+    }
+  placer_reserve (tsk, &job->spec.steps[0], wrk, wld->clk.now_us);
+  for (int n = 0; n < 5 && !placer_name_place (wld->plc, &ref, wrk); n++)
+    world_tick (wld, 1);
+  bool is_named = placer_name_place (wld->plc, &ref, wrk);
+  placer_unreserve (wld->plc, tsk, &job->spec.steps[0]);
+  ck_assert (is_named);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -448,6 +600,10 @@
                        sizeof successions / sizeof *successions);
   tcase_add_loop_test (tc, test_spare_place_is_replaced, 0, 3);
   tcase_add_test (tc, test_restart_on_same_worker_needs_no_record);
+  tcase_add_test (tc, test_successor_learns_late_of_end);
+  tcase_add_loop_test (tc, test_found_run_has_places, 0, 2);
+  tcase_add_test (tc, test_run_to_be_stopped_stays_named);
+  tcase_add_test (tc, test_move_in_pool_of_many_tasks);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
