--- a/sched/placer_named.c
+++ b/sched/placer_named.c
@@ -17,10 +17,12 @@
 /* A start waits no longer for the record in flight if its task has a named
    place.  */
 #define RECORD_WAIT_MAX_US 200000
-/* Time between two looks for tasks without a spare place, and most of them for
-   which one is looked for.  */
+/* Time between two checks for tasks without a spare place.  Each ends with the
+   worker at which it has seen this number of tasks, or has looked for another
+   place for this number; the next one goes on with the worker after that.  */
 #define SPARES_CHECK_INTERVAL_US 1000000
-#define SPARES_CHECK_MAX 64
+#define SPARES_CHECK_RUNS 256
+#define SPARES_CHECK_LOOKS 16
 /* Most places of one task: those of a start that waits, and the earlier ones,
    which it keeps until then.  */
 #define PLACES_MAX 4
@@ -213,7 +215,7 @@
   const struct named_place *place = first_place (places, &run->ref);
   for (; is_place_of (places, place, &run->ref); place++)
     if (place->worker == run->wrk->handle && !place->spare
-        && run->number + RESERVED_NUMBERS_MIN <= place->last_number)
+        && run->tsk->prg.last_run + RESERVED_NUMBERS_MIN <= place->last_number)
       return false;
   return true;
 }
@@ -283,8 +285,9 @@
                 struct named_places *places)
 {
   bool current = is_current (run);
-  uint32_t last = run->number + (current ? RESERVED_NUMBERS : 0);
-  add_place (places, &run->ref, run->wrk, run->number, last, !current);
+  uint32_t last
+      = current ? run->tsk->prg.last_run + RESERVED_NUMBERS : run->number;
+  add_place (places, &run->ref, run->wrk, run->number, last, false);
   struct worker *spare = current && spares ? find_spare (plc, run) : NULL;
   if (!spare)
     return;
@@ -339,8 +342,7 @@
   size_t runs = count_perpetual_runs (plc);
   struct reserved_places reserved = { .plc = plc };
   bool spares = runs <= SPARES_MAX;
-  if (spares)
-    places_each_task (plc, add_reserved_place, &reserved);
+  places_each_task (plc, add_reserved_place, &reserved);
   places->rows
       = talloc_array (ctx, struct named_place,
                       2 * runs + reserved.count + plc->named.count + 1);
@@ -354,8 +356,7 @@
       if (run->job->spec.steps[run->ref.step].perpetual)
         add_run_places (plc, run, spares, places);
   reserved.places = places;
-  if (spares)
-    places_each_task (plc, add_reserved_place, &reserved);
+  places_each_task (plc, add_reserved_place, &reserved);
   for (size_t n = 0; spares && n < plc->named.count; n++)
     {
       const struct named_place *place = &plc->named.rows[n];
@@ -389,19 +390,26 @@
 void
 placer_check_spares (struct placer *plc, int64_t now_us)
 {
-  uint32_t looks = 0;
+  uint32_t runs = 0, looks = 0;
   if (now_us < plc->next_spares_check_us || plc->enrolling || plc->runs_changed
       || !placer_records_runs (plc) || count_perpetual_runs (plc) > SPARES_MAX)
     return;
   plc->next_spares_check_us = now_us + SPARES_CHECK_INTERVAL_US;
-  for (size_t n = 0; n < plc->pool.count; n++)
-    for (const struct run *run = plc->pool.workers[n]->runs; run;
-         run = run->next)
-      {
-        if (!is_current (run) || !run->confirmed_us || !lacks_spare (plc, run))
-          continue;
-        plc->runs_changed = find_spare (plc, run) != NULL;
-        if (plc->runs_changed || ++looks == SPARES_CHECK_MAX)
-          return;
-      }
+  for (size_t n = 0; n < plc->pool.count && runs < SPARES_CHECK_RUNS
+                     && looks < SPARES_CHECK_LOOKS && !plc->runs_changed;
+       n++)
+    {
+      plc->spares_check_pos = (plc->spares_check_pos + 1) % plc->pool.count;
+      const struct run *run = plc->pool.workers[plc->spares_check_pos]->runs;
+      for (; run && !plc->runs_changed; run = run->next)
+        {
+          if (!is_current (run) || !run->confirmed_us)
+            continue;
+          runs++;
+          if (!lacks_spare (plc, run))
+            continue;
+          looks++;
+          plc->runs_changed = find_spare (plc, run) != NULL;
+        }
+    }
 }
--- a/sched/placer_record.c
+++ b/sched/placer_record.c
@@ -246,20 +246,20 @@
   return false;
 }
 
-/* Whether the record of the earlier owners has been found to name run NUMBER
-   of REF on WORKER already: it may as a run and as a late start.  */
-static bool
-is_known (const struct placer *plc, const char *worker,
-          const struct task_ref *ref, uint32_t number)
+/* The row that the record of the earlier owners has for run NUMBER of REF on
+   WORKER already, or NULL: it may name it as a run and as a late start.  */
+static struct earlier_run *
+find_earlier_run (const struct placer *plc, const char *worker,
+                  const struct task_ref *ref, uint32_t number)
 {
   for (size_t n = 0; n < plc->earlier_run_count; n++)
     {
-      const struct earlier_run *row = &plc->earlier_runs[n];
+      struct earlier_run *row = &plc->earlier_runs[n];
       if (row->number == number && is_same_task (&row->ref, ref)
           && strcmp (row->worker, worker) == 0)
-        return true;
+        return row;
     }
-  return false;
+  return NULL;
 }
 
 void
@@ -272,8 +272,16 @@
                                 .index = row->index };
   struct job *job = placer_find_job (plc, ref.job);
   struct task *tsk = job ? job_task (job, &ref) : NULL;
-  if (is_known (plc, worker, &ref, row->run))
-    return;
+  /* The numbers may not be in the job's progress.  */
+  if (tsk && row->run + row->reserved > tsk->prg.last_run)
+    tsk->prg.last_run = row->run + row->reserved;
+  struct earlier_run *known = find_earlier_run (plc, worker, &ref, row->run);
+  if (known)
+    {
+      if (row->reserved > known->reserved)
+        known->reserved = row->reserved;
+      return;
+    }
   if (plc->earlier_run_count == RECORDED_RUNS_MAX)
     {
       plc->earlier_runs_known = false;
@@ -292,9 +300,6 @@
     .ref = ref, .number = row->run, .reserved = row->reserved, .recorded = true
   };
   name_copy (rows->worker, worker);
-  /* The numbers may not be in the job's progress.  */
-  if (tsk && row->run + row->reserved > tsk->prg.last_run)
-    tsk->prg.last_run = row->run + row->reserved;
 }
 
 void
--- a/sched/placer_record.h
+++ b/sched/placer_record.h
@@ -29,7 +29,7 @@
   uint32_t worker;      /* handle */
   uint32_t number;      /* of the task's run when the record was made */
   uint32_t last_number; /* highest number of a run that may be started there */
-  bool spare;           /* the task's run is on another worker */
+  bool spare;           /* no run of the task was there then */
 };
 
 /* placer_named.c */
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -135,11 +135,24 @@
   return tsk->run || tsk->unwanted_runs > 0;
 }
 
+/* Whether an earlier owner may have learnt of the end of RUN, which it had
+   started, when it could still start the next one on another worker that its
+   record names.  */
+static bool
+may_have_next_run (const struct placer *plc, const struct run *run)
+{
+  return !plc->takeover_done && run->start_sent_us == 0 && !run->unwanted
+         && run->job->spec.steps[run->ref.step].perpetual
+         && run->listed_us < placer_earlier_starts_end_us (plc);
+}
+
 void
 placer_remove_run (struct placer *plc, struct run *run)
 {
   if (run->removed)
     return;
+  if (may_have_next_run (plc, run))
+    run->tsk->located_token = 0;
   if (run->start_sent_us && !run->start_settled)
     placer_add_late_start (plc, run);
   placer_note_not_unsent (plc, run);
--- a/sched/placer_takeover.c
+++ b/sched/placer_takeover.c
@@ -104,17 +104,6 @@
   placer_forget_earlier_runs (plc);
 }
 
-/* Whether this owner has found a run of TSK, so that none is elsewhere.  While
-   earlier owners may start tasks, the end of that run is not enough: one that
-   has learnt of it may have started the next run.  */
-static bool
-is_located (const struct placer *plc, const struct task *tsk)
-{
-  bool ended = tsk->ended_us > plc->claimed_us
-               && tsk->ended_us < placer_earlier_starts_end_us (plc);
-  return tsk->located_token == plc->set.token && !ended;
-}
-
 bool
 placer_may_still_run (const struct placer *plc, struct job *job,
                       const struct task_ref *ref)
@@ -124,12 +113,12 @@
       = clock_now_us (plc->env.clk) < placer_earlier_starts_end_us (plc);
   if (plc->takeover_done || job->offset >= plc->set.fence_offset)
     return false;
-  const struct task *tsk = job_task (job, ref);
+  bool located = job_task (job, ref)->located_token == plc->set.token;
   if (!plc->earlier_runs_known || !job->spec.steps[ref->step].perpetual)
-    return tsk->located_token != plc->set.token || may_start;
+    return !located || may_start;
   /* Earlier owners start no other runs than those that their record names.  */
   const char *awaited = placer_awaited_worker (plc, ref, &recorded);
-  return (awaited && !is_located (plc, tsk)) || (recorded && may_start);
+  return (awaited && !located) || (recorded && may_start);
 }
 
 const char *
