sched: a run that is listed before its stop is acknowledged goes on

Cause: a start had no answer and the next hold did not list the run, so that it was to be stopped. The stop had no answer either, the start was carried out late, and the stop was sent again, to a run that was at work and wanted.

Change: such a stop is withdrawn when a hold lists the run, unless the stop was acknowledged, the job has ended, or something else wants the stop. The run stays the current one of its task, so that nothing else may start; a stop that is acknowledged after that counts as before. Gangs are left out, as their members start and stop together.

--- a/sched/placer_hold.c
+++ b/sched/placer_hold.c
@@ -225,6 +225,7 @@
   placer_note_started (plc, job);
   if (run->start_unanswered && !run->start_settled)
     plc->late_starts_changed = true;
+  placer_keep_listed_start (run);
   if (!run->confirmed_us)
     run->confirmed_us = now_us;
   if (run->state == RUN_STARTING)
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -296,6 +296,10 @@
 /* Stops the runs whose start got no answer and that WRK, which was asked for
    its runs since, has not listed.  */
 void placer_stop_unlisted_starts (struct placer *plc, struct worker *wrk);
+/* RUN is listed.  It goes on if it is to be stopped only since its start had
+   no answer and it was not listed, and no stop was acknowledged: the start was
+   carried out late, and the stop would end a run that is wanted.  */
+void placer_keep_listed_start (struct run *run);
 /* WRK has seen the token of a later owner.  */
 void placer_fenced_by_worker (struct placer *plc, const struct worker *wrk);
 /* Starts the next run of a task on WRK.  */
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -361,7 +361,20 @@
 {
   for (struct run *run = wrk->runs; run; run = run->next)
     if (run->start_unanswered && run->state == RUN_STARTING)
-      placer_stop_run (plc, run);
+      {
+        placer_stop_run (plc, run);
+        run->stop_unlisted = true;
+      }
+}
+
+void
+placer_keep_listed_start (struct run *run)
+{
+  if (!run->stop_unlisted || run->stopped_us || run->unwanted
+      || job_ended (run->job) || run->job->spec.steps[run->ref.step].gang)
+    return;
+  run->stop_wanted = run->stop_unlisted = false;
+  run->state = RUN_ACTIVE;
 }
 
 static void
@@ -497,6 +510,9 @@
          The answer may be that of an earlier instance.  */
       if (res->status == COMMAND_DONE && ctx->born_ms == wrk->rep.born_ms)
         {
+          /* The run goes on as it was listed since, and ends now.  */
+          if (!ctx->run->stop_wanted)
+            placer_make_stop_due (plc, ctx->run);
           ctx->run->stopped_us = clock_now_us (plc->env.clk);
           wrk->next_hold_us = 0;
         }
@@ -604,6 +620,7 @@
 void
 placer_stop_run (struct placer *plc, struct run *run)
 {
+  run->stop_unlisted = false;
   if (run->stop_wanted)
     return;
   placer_make_stop_due (plc, run);
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -45,8 +45,11 @@
   int64_t stop_sent_us;   /* when it was last sent; 0: not yet */
   int64_t next_stop_us;   /* it is not sent before, as it was refused */
   int64_t stopped_us;     /* when the stop was acknowledged; 0: not yet */
-  bool preempted;         /* selected to be stopped for a perpetual task */
-  bool unwanted; /* not the current run of its task; it is being stopped */
+  /* The stop is wanted only since the worker had not listed the run, whose
+     start had no answer.  */
+  bool stop_unlisted;
+  bool preempted; /* selected to be stopped for a perpetual task */
+  bool unwanted;  /* not the current run of its task; it is being stopped */
   /* Commands in flight; a removed run is freed after the last of them.  */
   int calls_in_flight;
   bool removed;             /* no longer in its worker's list */
--- a/test/unit/unit_placer_stop.c
+++ b/test/unit/unit_placer_stop.c
@@ -1,6 +1,8 @@
 #include <check.h>
 #include <stdlib.h>
 
+#include "job/job_codec.h"
+#include "job_help.h"
 #include "placer_world.h"
 #include "sched/placer_priv.h"
 
@@ -230,6 +232,76 @@
 }
 END_TEST
 
+/* How the stop of the unanswered start ends, after the run was listed.  */
+enum stop_answer
+{
+  STOP_LOST,          /* no answer, before the run is listed */
+  STOP_LOST_TWICE,    /* so is the next one */
+  STOP_DONE_BEFORE,   /* acknowledged before */
+  STOP_DONE_AFTER,    /* acknowledged after the run was listed */
+  STOP_LOST_CANCELLED /* no answer, and the job is cancelled */
+};
+
+/* Guards against a run that is ended while others of its step are away
+   (AVAIL), and whose task has to be started again: its start was carried out
+   after a hold that did not list it, and its stop had no effect.  */
+START_TEST (test_listed_before_stop_is_acknowledged)
+{
+  static const struct world_row row = { .job = 2, .run = 1 };
+  static const struct world_row stopped
+      = { .job = 2, .run = 1, .end = RUN_END_STOPPED, .number = 1 };
+  const enum stop_answer answer = _i;
+  bool kept = answer == STOP_LOST || answer == STOP_LOST_TWICE;
+  leave_start_unanswered ();
+  struct world_call *stop = world_call (wld, WORLD_STOP, "w1");
+  if (answer == STOP_DONE_BEFORE)
+    world_answer (wld, stop, COMMAND_DONE);
+  else if (answer != STOP_DONE_AFTER)
+    world_answer (wld, stop, COMMAND_NO_ANSWER);
+  if (answer == STOP_LOST_TWICE)
+    {
+      world_tick (wld, 50);
+      world_answer (wld, world_call (wld, WORLD_STOP, "w1"),
+                    COMMAND_NO_ANSWER);
+    }
+  if (answer == STOP_LOST_CANCELLED)
+    {
+      static const uint8_t mark[] = { 1 };
+      help_fold (&wld->jobs, wld, JOB_KEY_CANCEL, 2, mark, sizeof mark);
+      placer_update_job (wld->plc, job_table_find (&wld->jobs, 2),
+                         JOB_CHANGE_CANCELLED);
+    }
+  if (!world_call (wld, WORLD_HOLD, "w1"))
+    world_tick (wld, 300);
+  world_answer_hold (wld, "w1", &row, 1, NULL, 0);
+  if (answer == STOP_DONE_AFTER)
+    world_answer (wld, stop, COMMAND_DONE);
+  /* It may have been sent again before the run was listed.  */
+  struct world_call *call = world_call (wld, WORLD_STOP, "w1");
+  if (call)
+    world_answer (wld, call, COMMAND_NO_ANSWER);
+  size_t stops = 0;
+  for (int n = 0; n < 40; n++)
+    {
+      bool ends = answer == STOP_DONE_AFTER || answer == STOP_DONE_BEFORE;
+      world_confirm_ownership (wld);
+      world_tick (wld, 50);
+      world_record_runs (wld);
+      while ((call = world_call (wld, WORLD_STOP, "w1")))
+        {
+          stops++;
+          world_answer (wld, call, COMMAND_NO_ANSWER);
+        }
+      if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", &row, !ends, &stopped, ends);
+    }
+  ck_assert (!kept || stops == 0);
+  ck_assert (answer != STOP_LOST_CANCELLED || stops > 0);
+  ck_assert_uint_eq (world_starts (wld, 2, 0),
+                     kept || answer == STOP_LOST_CANCELLED ? 1 : 2);
+}
+END_TEST
+
 /* Guards against a gang that waits for ever (LOST) for the end of one member
    on a worker that has restarted, while the other runs elsewhere.  */
 START_TEST (test_gang_on_two_instances)
@@ -298,6 +370,7 @@
   tcase_add_loop_test (tc, test_unanswered_start_over_restart, 0, 4);
   tcase_add_loop_test (tc, test_hold_beside_stop_of_unknown_run, 0, 2);
   tcase_add_loop_test (tc, test_stop_repeated, 0, 6);
+  tcase_add_loop_test (tc, test_listed_before_stop_is_acknowledged, 0, 5);
   tcase_add_test (tc, test_gang_on_two_instances);
   Suite *suite = suite_create ("placer_stop");
   suite_add_tcase (suite, tc);
