sched: a host is asked for while a task is tied to a worker that drains

A perpetual task that is tied to a worker by a start without an answer, and whose worker drains, asks for a host only after that worker has left, and then waits for its arrival as well.

Cause: its need counts for that one worker only, which takes no starts while it drains, so that places_give_lacking left it out.

Change: a need that is bound to a worker that drains counts as any other one. Where the task may start is unchanged.

Evidence: test_host_beside_draining_worker, 1 of 2 cases failed before (lacking_hosts 0).

--- a/sched/placer_places.c
+++ b/sched/placer_places.c
@@ -180,6 +180,11 @@
     return true;
   else if (tsk->run && tsk->run->start_unanswered)
     need.only = tsk->run->wrk->handle;
+  /* A worker that drains takes no start; the task will need another place once
+     that has left.  */
+  const struct worker *only = placer_find_worker (plc, need.only);
+  if (only && only->rep.draining)
+    need.only = 0;
   size_t size = talloc_array_length (plan->needs);
   if (plan->need_count == size)
     {
--- a/test/unit/unit_placer_late_ended.c
+++ b/test/unit/unit_placer_late_ended.c
@@ -166,6 +166,44 @@
 }
 END_TEST
 
+/* Guards against a perpetual task that has to wait for a host (LOST) after its
+   one place, a worker that drains, has left: a host is asked for before.  */
+START_TEST (test_host_beside_draining_worker)
+{
+  const bool drains = _i == 1;
+  struct world_call *call;
+  struct worker_report rep
+      = { .capacity = { .cpu_milli = 4000, .memory_mb = 8192 },
+          .born_ms = BORN_MS,
+          .draining = drains };
+  wld = world_create ();
+  wld->hold_born_ms = BORN_MS;
+  leave_start_unanswered (PERPETUAL_JOB, OWN);
+  name_copy (rep.id, "w1");
+  name_copy (rep.host, "m-w1");
+  name_copy (rep.pool, "p");
+  name_copy (rep.address, "10.0.0.1:1");
+  placer_update_worker (wld->plc, "w1", &rep);
+  /* Neither worker has room for the task or takes it.  */
+  for (int n = 0; n < 40; n++)
+    {
+      world_confirm_ownership (wld);
+      for (size_t k = 0; k < wld->plc->pool.count; k++)
+        wld->plc->pool.workers[k]->avoid_until_us = INT64_MAX;
+      world_tick (wld, STEP_MS);
+      while ((call = world_call (wld, WORLD_STOP, "w1")))
+        world_answer (wld, call, COMMAND_DONE);
+      if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
+      if (world_call (wld, WORLD_HOLD, "w2"))
+        world_answer_hold (wld, "w2", NULL, 0, NULL, 0);
+    }
+  ck_assert_uint_eq (wld->plc->late_start_count, 1);
+  ck_assert_uint_eq (wld->plc->lacking_hosts, drains);
+  world_destroy (wld);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -173,6 +211,7 @@
   TCase *tc = tcase_create ("placer_late_ended");
   tcase_add_loop_test (tc, test_worker_has_ended, 0,
                        sizeof cases / sizeof *cases);
+  tcase_add_loop_test (tc, test_host_beside_draining_worker, 0, 2);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
