--- a/test/unit/instance_faults.c
+++ b/test/unit/instance_faults.c
@@ -16,6 +16,10 @@
 #define CALM_US (45 * SECOND)
 #define JOB_INTERVAL_US (2500 * MS)
 #define JOBS_UNTIL_US (36 * SECOND)
+/* A worker that drains ends after at least this time, and at most after this
+   and the span.  */
+#define DRAIN_MIN_US (2 * SECOND)
+#define DRAIN_SPAN_US (8 * SECOND)
 /* A task without a run for this long at the end is lost.  */
 #define LOST_AFTER_US (5 * SECOND)
 
@@ -154,11 +158,31 @@
     }
 }
 
+static void
+on_drained (struct model *mdl, void *arg, int64_t away_us)
+{
+  struct model_worker *wrk = arg;
+  uint32_t worker = (uint32_t)(wrk - mdl->workers);
+  /* Not so if it was restarted meanwhile.  */
+  if (!wrk->up || !wrk->draining)
+    return;
+  model_worker_end (mdl, worker);
+  model_after (mdl, NULL, away_us, on_worker_boot, NULL, worker);
+}
+
 static void
 restart_workers (struct model *mdl, const struct fault *flt, int64_t away_us)
 {
   for (uint32_t n = 0; n < MODEL_WORKERS; n++)
-    if ((flt->group >> n & 1) && mdl->workers[n].up)
+    if ((flt->group >> n & 1) && mdl->workers[n].up && mdl->opt.drains)
+      {
+        mdl->workers[n].draining = true;
+        if (!mdl->workers[n].cut_store)
+          model_worker_report (mdl, n);
+        model_after (mdl, NULL, DRAIN_MIN_US + model_pick (mdl, DRAIN_SPAN_US),
+                     on_drained, &mdl->workers[n], away_us);
+      }
+    else if ((flt->group >> n & 1) && mdl->workers[n].up)
       {
         model_worker_end (mdl, n);
         model_after (mdl, NULL, away_us, on_worker_boot, NULL, n);
--- a/test/unit/instance_model.h
+++ b/test/unit/instance_model.h
@@ -93,6 +93,7 @@
   bool reported;
   uint32_t report_version;
   uint32_t disturbed; /* DISTURBED_ROWS and so on */
+  bool draining;      /* it ends soon, and says so in its report */
 };
 
 enum model_call_kind
@@ -180,6 +181,8 @@
   uint64_t seed;
   enum model_late late;
   bool disturbed; /* workers that answer calls are at fault, some for good */
+  bool drains;    /* workers that start again under their ids have reported
+                     that they drain */
   bool trace;
 };
 
--- a/test/unit/instance_worker.c
+++ b/test/unit/instance_worker.c
@@ -360,6 +360,7 @@
     .capacity = { .cpu_milli = 4000, .memory_mb = 8192 },
     .clock_ms = model_worker_clock_ms (mdl, wrk),
     .born_ms = wrk->born_us / MS,
+    .draining = wrk->draining,
   };
   name_copy (wrk->rep.id, wrk->id);
   name_copy (wrk->rep.pool, MODEL_POOL);
@@ -387,6 +388,7 @@
   struct model_worker *wrk = &mdl->workers[worker];
   wrk->instance++;
   wrk->up = true;
+  wrk->draining = false;
   wrk->born_us = mdl->now_us;
   /* Behind the clock of the instance before, ahead of it, or close to it.  */
   wrk->clock_base_ms
--- a/test/unit/unit_instance_model.c
+++ b/test/unit/unit_instance_model.c
@@ -10,6 +10,7 @@
    their ids, in random series of faults; what runs is judged at the workers.
    MODEL_SEEDS sets the number of seeds and MODEL_SEED the first one;
    MODEL_TRACE=1 prints what happens, and MODEL_LATE is an enum model_late.
+   With MODEL_DRAINS=1 workers drain before they start again.
    In the second of two rounds, or in both with MODEL_DISTURBED=1, workers that
    answer calls are at fault as well.  */
 
@@ -33,6 +34,7 @@
       = { .seed = seed,
           .late = (enum model_late)number_setting ("MODEL_LATE", 0),
           .disturbed = disturbed,
+          .drains = number_setting ("MODEL_DRAINS", 0) > 0,
           .trace = number_setting ("MODEL_TRACE", 0) > 0 };
   struct model *mdl = model_create (&opt);
   model_run_until (mdl, mdl->now_us + (disturbed ? DISTURBED_END_US : END_US));
--- a/test/unit/unit_placer_late_wait.c
+++ b/test/unit/unit_placer_late_wait.c
@@ -140,6 +140,58 @@
 }
 END_TEST
 
+/* A call is given up after this time, and a hold after this and its wait.  */
+#define CALL_MAX_US 900000
+/* A perpetual task starts within this time once its worker answers again: a
+   hold in flight is given up after 1.9 s, and the next one follows 0.25 s
+   later.  */
+#define ANSWERS_AGAIN_US 2500000
+
+/* Guards against a perpetual task whose wait grows with each start that has no
+   answer (LOST): it starts soon after the fault, however many there were, and
+   none is sent to a worker that has answered no hold since the last one.  */
+START_TEST (test_tie_is_renewed)
+{
+  static const uint32_t renewals[] = { 1, 3, 10 };
+  uint32_t lost = 0;
+  bool heard = true; /* w1 has answered a hold since its last start */
+  int64_t answers_us = 0;
+  leave_start_unanswered (PERPETUAL_JOB);
+  heard = false;
+  while (!answers_us || !world_call (wld, WORLD_START, "w1"))
+    {
+      struct world_call *call = world_call (wld, WORLD_START, "w1");
+      ck_assert_ptr_null (world_call (wld, WORLD_START, "w2"));
+      if (call)
+        {
+          ck_assert (heard);
+          heard = false;
+          struct world_call *hold = world_call (wld, WORLD_HOLD, "w1");
+          /* The last fault takes a hold with its wait.  */
+          bool last = ++lost == renewals[_i];
+          world_confirm_ownership (wld);
+          world_tick (wld, CALL_MAX_US / 1000);
+          world_answer (wld, call, COMMAND_NO_ANSWER);
+          if (last && hold)
+            {
+              world_confirm_ownership (wld);
+              world_tick (wld, hold->wait_ms);
+              world_answer (wld, hold, COMMAND_NO_ANSWER);
+            }
+          if (last)
+            answers_us = wld->clk.now_us;
+          continue;
+        }
+      ck_assert (!answers_us
+                 || wld->clk.now_us < answers_us + ANSWERS_AGAIN_US);
+      heard = heard || world_call (wld, WORLD_HOLD, "w1");
+      step (COMMAND_DONE);
+    }
+  ck_assert (heard);
+  ck_assert_uint_eq (lost, renewals[_i]);
+}
+END_TEST
+
 /* Guards against a perpetual task without a run (LOST): another task of its
    step takes its place on the one worker that it may start on.  */
 START_TEST (test_place_of_late_start_is_kept)
@@ -474,6 +526,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_loop_test (tc, test_batch_task_waits, 0, 5);
   tcase_add_loop_test (tc, test_perpetual_task_stays, 0, 2);
+  tcase_add_loop_test (tc, test_tie_is_renewed, 0, 3);
   tcase_add_test (tc, test_place_of_late_start_is_kept);
   tcase_add_loop_test (tc, test_host_of_late_start_is_kept, 0, 4);
   tcase_add_loop_test (tc, test_silent_worker, 0, 2);
