node: reads that others wait for don't stay backed off after an outage

What callers saw: nothing reported; found by adding up the waits after a store outage. A pool whose owner ended in an outage had no owner for 3 s and more after it, and tasks without a host waited up to 3 s until their pool's need was read. Cause: reads back off to READ_PACE_DELAY_MAX_MS (2 s) after a time-out of up to READ_PACE_TIMEOUT_MAX_MS (1 s). The reads of the duties, of an owner's jobs and of its workers are limited to URGENT_RETRY_MAX_MS (0.4 s). Those that a claim needs, of the members' reports and a standby's jobs, and those of the fleet duty's holder, the only reader of the pools' demands, were not. Worst case from the outage's end to the start of a perpetual task whose owner has ended: time-out 1.0 + delay 2.0 + report_grace 1.3 + next read of the reports 0.8 + candidate_delay 0.3 a rank + claim and fence 0.2 + start_confirm 3.0 = 8.6 s, above the 7 s after which the rule on perpetual tasks holds again. Evidence: unit_node_outage, 6 of 7 cases failed before: 1.0 s for the members' reports and 1.3 to 1.8 s for the jobs where the store rejects reads (no time-out); the demands were read twice in 2 s. Change: the demands are read with the urgent limits. When the reads of the duties succeed again after a gap, a controller has its other reads begin within 0.4 s. The number of reads during an outage is unchanged but for the one reader of the demands; entry processes are left as they are. Result: unit_node_outage passes; all these reads succeed within 0.7 s. The same sum is now 7.0 s where answers are lost (time-out 1.0, delay 0.4) and 6.0 s where the store rejects.

--- a/node/duties.c
+++ b/node/duties.c
@@ -651,12 +651,21 @@
     node_fleet_owner_changed (nod, name);
 }
 
+/* A read of the duties succeeds at least this often while the store answers.
+ */
+#define DUTIES_READ_GAP_US                                                    \
+  ((DUTIES_READ_WAIT_MS + URGENT_TIMEOUT_MS) * (int64_t)1000)
+
 /* All claims appended before the read was sent are known now, so the duties
    that are still held are confirmed up to that time.  */
 static void
 on_duty_batch (void *arg)
 {
   struct node *nod = arg;
+  int64_t read_us = follower_caught_up_us (&nod->duty_fol);
+  if (read_us > nod->duties_read_us + DUTIES_READ_GAP_US)
+    node_retry_reads (nod);
+  nod->duties_read_us = read_us;
   check_held_duties (nod);
   set_confirmed (nod, follower_caught_up_us (&nod->duty_fol));
   node_check_duties (nod);
--- a/node/fleet.c
+++ b/node/fleet.c
@@ -182,6 +182,10 @@
               .part = part,
               .batch_delay_ms = FLEET_BATCH_DELAY_MS,
               .wait_ms = READ_WAIT_MS,
+              .timeout_ms = URGENT_TIMEOUT_MS,
+              /* No other process reads the demands: tasks without a host wait
+                 for this read after an outage.  */
+              .retry_max_ms = URGENT_RETRY_MAX_MS,
               .lg = nod->lg };
       if (part != REQUEST_PART && !flt->report_followers[part].priv)
         follower_init (&flt->report_followers[part], nod, &nod->store.st,
@@ -573,6 +577,13 @@
     follower_set_batch_delay (&nod->flt->fol, batch_delay_ms);
 }
 
+void
+node_fleet_retry_within (struct node *nod, int64_t ms)
+{
+  if (follower_is_open (&nod->flt->fol))
+    follower_retry_within (&nod->flt->fol, ms);
+}
+
 bool
 node_fleet_caught_up (const struct node *nod)
 {
--- a/node/job_partitions.c
+++ b/node/job_partitions.c
@@ -320,6 +320,23 @@
   return 0;
 }
 
+void
+node_retry_reads (struct node *nod)
+{
+  if (nod->roster.role == ROSTER_ENTRY)
+    return;
+  follower_retry_within (&nod->member_fol, URGENT_RETRY_MAX_MS);
+  if (follower_is_open (&nod->directory_fol))
+    follower_retry_within (&nod->directory_fol, URGENT_RETRY_MAX_MS);
+  node_fleet_retry_within (nod, URGENT_RETRY_MAX_MS);
+  for (int64_t n = 0; n < nod->set->partitions; n++)
+    {
+      struct job_partition *prt = nod->job_partitions[n];
+      if (prt && follower_is_open (&prt->fol))
+        follower_retry_within (&prt->fol, URGENT_RETRY_MAX_MS);
+    }
+}
+
 void
 node_follow_jobs (struct node *nod)
 {
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -248,6 +248,7 @@
   /* Membership and duties.  */
   struct follower member_fol;
   struct follower duty_fol;
+  int64_t duties_read_us; /* to its end, by the last read that succeeded */
   struct appender member_app;
   struct pool_admission *admissions; /* by pool */
   struct duty_table duties;
@@ -310,6 +311,10 @@
    often this process reads, which depends on its duties.  Returns 0 or
    ERR_NOMEM.  */
 int node_open_job_partitions (struct node *nod);
+/* The store answers again: reads that wait for longer than those of the duties
+   after a failure are repeated, as a duty may have no holder since.  Entry
+   processes, of which there are hundreds, claim none.  */
+void node_retry_reads (struct node *nod);
 /* Whether the configuration and all jobs, or their published states, are known
    as they were at most 3 s ago.  */
 bool node_view_current (const struct node *nod);
@@ -466,6 +471,8 @@
 int node_open_fleet (struct node *nod);
 /* Sets the shortest time between reads of vacate requests.  */
 void node_fleet_set_batch_delay (struct node *nod, int64_t batch_delay_ms);
+/* Has the vacate requests read again, as by follower_retry_within.  */
+void node_fleet_retry_within (struct node *nod, int64_t ms);
 bool node_fleet_caught_up (const struct node *nod);
 /* Starts and ends following the vacate requests.  */
 void node_fleet_follow (struct node *nod);
--- a/store/follower.c
+++ b/store/follower.c
@@ -40,6 +40,7 @@
                              records began */
   uint64_t delivered_end; /* the pages of newest records show none at or after
                              it */
+  int64_t retry_us;       /* when the read after a failed one begins */
   int64_t read_started_us;
   int64_t read_wait_ms; /* of the call in progress */
   int64_t caught_up_us;
@@ -126,6 +127,7 @@
   p->at_end = false;
   if (p->pace.failures == 1)
     log_read (p, EV_READ_FAILED, res);
+  p->retry_us = clock_now_us (p->clk) + delay_ms * 1000;
   schedule (p, delay_ms);
 }
 
@@ -398,6 +400,20 @@
         == 0;
 }
 
+void
+follower_retry_within (struct follower *fol, int64_t ms)
+{
+  struct priv *p = fol->priv;
+  int64_t now_us = clock_now_us (p->clk);
+  if (p->in_call || p->pace.failures == 0 || p->retry_us <= now_us + ms * 1000)
+    return;
+  /* The delays differ between readers, as after a failure.  */
+  uint64_t delay_us = XXH64 (&now_us, sizeof now_us, p->set.seed + p->set.part)
+                      % ((uint64_t)ms * 1000 + 1);
+  p->retry_us = now_us + (int64_t)delay_us;
+  schedule (p, (int64_t)delay_us / 1000);
+}
+
 bool
 follower_restarted (const struct follower *fol)
 {
--- a/store/follower.h
+++ b/store/follower.h
@@ -75,6 +75,10 @@
 /* As RETRY_MAX_MS in the settings.  */
 void follower_set_retry_max (struct follower *fol, int64_t retry_max_ms);
 
+/* Begins the next read within MS if FOL waits for longer after a failed one:
+   another reader has found that the store answers again.  */
+void follower_retry_within (struct follower *fol, int64_t ms);
+
 /* Whether FOL was initialised and not finished since.  All other functions but
    follower_init and follower_fini require it.  */
 static inline bool
