sched: a job doesn't wait for partitions that have nothing to do with it

What callers saw: nothing reported; found by reading for waits on parts that don't depend on each other. Cause: an owner starts a task of a job that may be stored for a second pool (accepted within 30 s of a move of its queue, or its queue leads elsewhere by now) only if it has read all other partitions less than LOG_AGE_MAX_US (2.5 s) ago, at each start and for as long as the job lasts. The design (docs/design/stored-twice.md, rule 4) asks for one read after the job's own and after the move, and for recent reads only where a cancellation may have gone. So a move of a queue, planned work, tied its perpetual tasks to each partition of the jobs; while one could not be read, none of them started again, and after the fault for up to 3.0 s more (time-out 1.0, delay 2.0 of a standby's reads). Change: the others are read once after the job was; only the partition of the pool that the queue leads to now has to be known as of 2.5 s ago, all of them if the queue is gone, as before.

--- a/node/duties.c
+++ b/node/duties.c
@@ -245,6 +245,7 @@
     .persist = persist,
     .log_read_us = log_read_us,
     .others_read_us = others_read_us,
+    .pool_read_us = node_pool_read_us,
     .workers_read_us = workers_read_us,
     .wake = wake_placer,
     .arg = hld,
--- a/node/job_rivals.c
+++ b/node/job_rivals.c
@@ -63,6 +63,16 @@
   return read_us;
 }
 
+int64_t
+node_pool_read_us (void *arg, const char *pool)
+{
+  const struct held_duty *hld = arg;
+  const struct job_partition *prt = node_job_partition (hld->nod, pool);
+  return prt && follower_is_open (&prt->fol)
+             ? follower_caught_up_us (&prt->fol)
+             : 0;
+}
+
 void
 node_confirm_others (struct held_duty *hld)
 {
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -356,7 +356,10 @@
 /* Monotonic time as of which the records of all partitions but the duty's own
    are known; 0 before they were read.  */
 int64_t node_others_read_us (const struct held_duty *hld);
-/* Brings that time up to now if they hold nothing new.  */
+/* The same for the partition of POOL, which may be the duty's own.  ARG is the
+   held duty.  */
+int64_t node_pool_read_us (void *arg, const char *pool);
+/* Brings the former time up to now if they hold nothing new.  */
 void node_confirm_others (struct held_duty *hld);
 /* Notes that JOB is stored for another pool as well.  */
 void node_note_rival (struct node *nod, const struct job *job);
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -53,6 +53,8 @@
   /* The monotonic time for which the jobs of all other pools are known; 0: not
      known.  NULL: there are no other pools.  */
   int64_t (*others_read_us) (void *arg);
+  /* The same for the jobs of POOL alone.  NULL: as others_read_us.  */
+  int64_t (*pool_read_us) (void *arg, const char *pool);
   /* The monotonic time for which the reports of all workers are known; 0: not
      known.  NULL: they are always known.  */
   int64_t (*workers_read_us) (void *arg);
--- a/sched/placer_rival.c
+++ b/sched/placer_rival.c
@@ -10,6 +10,17 @@
    this one has read it.  */
 #define CONFIG_SPREAD_US 2000000
 
+/* The time as of which the partition is known that takes the cancellations of
+   a job whose queue QUE, NULL if it is gone, leads to another pool now.  */
+static int64_t
+cancellations_read_us (struct placer *plc, const struct queue *que,
+                       int64_t others_us)
+{
+  return que && plc->env.pool_read_us
+             ? plc->env.pool_read_us (plc->env.arg, que->pool)
+             : others_us;
+}
+
 bool
 placer_pool_certain (struct placer *plc, const struct job *job,
                      const struct queue *que, int64_t now_us)
@@ -22,9 +33,13 @@
   int64_t needed_us = job->seen_us;
   if (leads_here && needed_us < que->pool_since_us + CONFIG_SPREAD_US)
     needed_us = que->pool_since_us + CONFIG_SPREAD_US;
-  if (needed_us < now_us - LOG_AGE_MAX_US)
-    needed_us = now_us - LOG_AGE_MAX_US;
-  bool certain = plc->env.others_read_us (plc->env.arg) >= needed_us;
+  /* The others need not be known as they are now: a record that is stored for
+     another pool later starts nothing while this one exists.  */
+  int64_t others_us = plc->env.others_read_us (plc->env.arg);
+  bool certain = others_us >= needed_us
+                 && (leads_here
+                     || cancellations_read_us (plc, que, others_us)
+                            >= now_us - LOG_AGE_MAX_US);
   plc->awaits_others = plc->awaits_others || !certain;
   return certain;
 }
--- a/test/unit/unit_node_rivals.c
+++ b/test/unit/unit_node_rivals.c
@@ -90,6 +90,12 @@
   node_world_run (&wld, 300);
 }
 
+static uint32_t
+held_part (void)
+{
+  return node_held_duty (wld.nod, "p")->prt->part;
+}
+
 static const struct job *
 job (void)
 {
@@ -220,6 +226,49 @@
 }
 END_TEST
 
+/* Guards against a perpetual task that isn't started again for as long as a
+   partition can't be read that has nothing to do with it (LOST): its job was
+   accepted soon after its queue had been sent here, or the queue leads to
+   another pool by now; and against a start after a cancellation that went to
+   that pool (UNASKED).  The world's worker lists no runs, so that each of them
+   is started again.  */
+START_TEST (test_partition_not_needed)
+{
+  static const struct
+  {
+    const char *name;
+    bool same_part; /* the other pool's records are in the same partition */
+    bool uncertain;
+    bool moved; /* the queue leads to the other pool */
+    bool starts;
+  } cases[] = {
+    { "accepted soon after a move", false, true, false, true },
+    { "queue moved within the partition", true, false, true, true },
+    { "queue moved to that partition", false, false, true, false },
+  };
+  create (cases[_i].same_part);
+  own_pool ();
+  struct job_partition *prt = node_job_partition (wld.nod, other_pool);
+  for (char name[] = "a"; prt->part == held_part (); name[0]++)
+    prt = node_job_partition (wld.nod, name);
+  struct memory_part *unread
+      = topic_memory_part (&wld.mem, TOPIC_JOBS, prt->part);
+  node_world_run (&wld, 1500);
+  add_spec ("p", 2, cases[_i].uncertain);
+  node_world_run (&wld, 500);
+  ck_assert_uint_gt (wld.starts, 0);
+  if (cases[_i].moved)
+    queues[1].pool = other_pool; /* the queue "q", after "o" */
+  unread->hold_reads = true;
+  node_world_run (&wld, 4000);
+  size_t before = wld.starts;
+  node_world_run (&wld, 1000);
+  ck_assert_msg ((wld.starts > before) == cases[_i].starts, "%s",
+                 cases[_i].name);
+  node_world_fini (&wld);
+}
+END_TEST
+
 /* Guards against a job that waits for seconds although the other partitions
    hold nothing new.  */
 START_TEST (test_uncertain_job_starts_soon)
@@ -307,6 +356,7 @@
   tcase_add_test (tc, test_winner_awaits_withdrawal);
   tcase_add_loop_test (tc, test_started_job_stays, 0, 2);
   tcase_add_loop_test (tc, test_other_partitions_first, 0, 2);
+  tcase_add_loop_test (tc, test_partition_not_needed, 0, 3);
   tcase_add_loop_test (tc, test_withdrawn_before_other_record, 0, 2);
   tcase_add_test (tc, test_confirmations_are_spaced);
   tcase_add_test (tc, test_uncertain_job_starts_soon);
