--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -195,9 +195,9 @@
   int64_t enrol_sent_us;      /* when that was passed on */
   int64_t next_spares_check_us;
   size_t spares_check_pos; /* index of the worker that was checked last */
-  uint64_t last_record;          /* number of worker records appended so far */
-  uint64_t durable_record;       /* of those that are in the log */
-  size_t unsent_runs;            /* those that wait for the record */
+  uint64_t last_record;    /* number of worker records appended so far */
+  uint64_t durable_record; /* of those that are in the log */
+  size_t unsent_runs;      /* those that wait for the record */
   int64_t earlier_leases_end_us; /* the leases that earlier owners gave have
                                     expired by then */
 
