--- a/store/appender.c
+++ b/store/appender.c
@@ -12,11 +12,15 @@
 
 #define RETRY_MS 100
 /* An attempt counts as unanswered after this number of response times, of the
-   longer of the last two.  The time doubles with each attempt in a row, up to
-   the maximum.  A repeat is safe, as the sequence number stays.  */
+   longer of the last two, within the limits.  A repeat is safe, as the
+   sequence number stays.  */
 #define TIMEOUT_RESPONSES 4
 #define TIMEOUT_MIN_MS 300
 #define TIMEOUT_MAX_MS 2000
+/* The time doubles with each attempt in a row, up to this.  The attempt that
+   an outage of the store ends with is repeated before other processes take
+   this one, whose report it may be, for dead.  */
+#define TIMEOUT_DOUBLED_MAX_MS 1000
 /* With jobs of a few kilobytes each, a batch stays far below the store's limit
    of 2 MB per call.  */
 #define BATCH_ENTRIES_MAX 200
@@ -268,9 +272,11 @@
   int64_t ms = longest_us * TIMEOUT_RESPONSES / 1000;
   if (ms < TIMEOUT_MIN_MS)
     ms = TIMEOUT_MIN_MS;
-  for (uint32_t n = 0; n < p->unanswered && ms < TIMEOUT_MAX_MS; n++)
+  if (ms >= TIMEOUT_DOUBLED_MAX_MS)
+    return ms < TIMEOUT_MAX_MS ? ms : TIMEOUT_MAX_MS;
+  for (uint32_t n = 0; n < p->unanswered && ms < TIMEOUT_DOUBLED_MAX_MS; n++)
     ms *= 2;
-  return ms < TIMEOUT_MAX_MS ? ms : TIMEOUT_MAX_MS;
+  return ms < TIMEOUT_DOUBLED_MAX_MS ? ms : TIMEOUT_DOUBLED_MAX_MS;
 }
 
 static void
--- a/test/unit/unit_topic.c
+++ b/test/unit/unit_topic.c
@@ -182,10 +182,10 @@
     int64_t most_ms[3];     /* until attempts in a row count as unanswered */
     int64_t least_ms;       /* each of them */
   } cases[] = {
-    { { 0, 0 }, { 500, 1000, 2000 }, 100 },
-    { { 4, 4 }, { 500, 1000, 2000 }, 100 },
+    { { 0, 0 }, { 500, 1000, 1000 }, 100 },
+    { { 4, 4 }, { 500, 1000, 1000 }, 100 },
     /* A slow store is given more time.  */
-    { { 200, 4 }, { 1000, 2000, 2000 }, 400 },
+    { { 200, 4 }, { 1000, 1000, 1000 }, 400 },
     { { 4, 300 }, { 2000, 2000, 2000 }, 600 },
     { { 4000, 4000 }, { 2000, 2000, 2000 }, 2000 },
   };
