--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -194,9 +194,10 @@
   struct named_places naming; /* in the record in flight */
   int64_t enrol_sent_us;      /* when that was passed on */
   int64_t next_spares_check_us;
-  uint64_t last_record;          /* number of worker records appended so far */
-  uint64_t durable_record;       /* of those that are in the log */
-  size_t unsent_runs;            /* those that wait for the record */
+  size_t spares_check_pos; /* index of the worker that was checked last */
+  uint64_t last_record;    /* number of worker records appended so far */
+  uint64_t durable_record; /* of those that are in the log */
+  size_t unsent_runs;      /* those that wait for the record */
   int64_t earlier_leases_end_us; /* the leases that earlier owners gave have
                                     expired by then */
 
@@ -309,6 +310,10 @@
 /* Stops the runs whose start got no answer and that WRK, which was asked for
    its runs since, has not listed.  */
 void placer_stop_unlisted_starts (struct placer *plc, struct worker *wrk);
+/* RUN is listed.  It goes on if it is to be stopped only since its start had
+   no answer and it was not listed, and no stop was acknowledged: the start was
+   carried out late, and the stop would end a run that is wanted.  */
+void placer_keep_listed_start (struct run *run);
 /* WRK has seen the token of a later owner.  */
 void placer_fenced_by_worker (struct placer *plc, const struct worker *wrk);
 /* Starts the next run of a task on WRK.  */
--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -135,11 +135,24 @@
   return tsk->run || tsk->unwanted_runs > 0;
 }
 
+/* Whether an earlier owner may have learnt of the end of RUN, which it had
+   started, when it could still start the next one on another worker that its
+   record names.  */
+static bool
+may_have_next_run (const struct placer *plc, const struct run *run)
+{
+  return !plc->takeover_done && run->start_sent_us == 0 && !run->unwanted
+         && run->job->spec.steps[run->ref.step].perpetual
+         && run->listed_us < placer_earlier_starts_end_us (plc);
+}
+
 void
 placer_remove_run (struct placer *plc, struct run *run)
 {
   if (run->removed)
     return;
+  if (may_have_next_run (plc, run))
+    run->tsk->located_token = 0;
   if (run->start_sent_us && !run->start_settled)
     placer_add_late_start (plc, run);
   placer_note_not_unsent (plc, run);
@@ -361,7 +374,20 @@
 {
   for (struct run *run = wrk->runs; run; run = run->next)
     if (run->start_unanswered && run->state == RUN_STARTING)
-      placer_stop_run (plc, run);
+      {
+        placer_stop_run (plc, run);
+        run->stop_unlisted = true;
+      }
+}
+
+void
+placer_keep_listed_start (struct run *run)
+{
+  if (!run->stop_unlisted || run->stopped_us || run->unwanted
+      || job_ended (run->job) || run->job->spec.steps[run->ref.step].gang)
+    return;
+  run->stop_wanted = run->stop_unlisted = false;
+  run->state = RUN_ACTIVE;
 }
 
 static void
@@ -497,6 +523,9 @@
          The answer may be that of an earlier instance.  */
       if (res->status == COMMAND_DONE && ctx->born_ms == wrk->rep.born_ms)
         {
+          /* The run goes on as it was listed since, and ends now.  */
+          if (!ctx->run->stop_wanted)
+            placer_make_stop_due (plc, ctx->run);
           ctx->run->stopped_us = clock_now_us (plc->env.clk);
           wrk->next_hold_us = 0;
         }
@@ -604,6 +633,7 @@
 void
 placer_stop_run (struct placer *plc, struct run *run)
 {
+  run->stop_unlisted = false;
   if (run->stop_wanted)
     return;
   placer_make_stop_due (plc, run);
