--- a/sched/placer.c
+++ b/sched/placer.c
@@ -259,6 +259,8 @@
    that refuse it for good would be tried alternately.  */
 #define IN_TURN_REFUSALS 2
 
+/* Picks a worker for a task; while the record in flight has no answer, one on
+   which a perpetual task need not wait for it.  */
 static struct worker *
 pick_worker (struct placer *plc, const struct place_request *req)
 {
--- a/sched/placer_named.c
+++ b/sched/placer_named.c
@@ -80,8 +80,8 @@
 
 /* Whether PLACES names WRK for run NUMBER of the task.  */
 static bool
-names (const struct named_places *places, const struct task_ref *ref,
-       const struct worker *wrk, uint32_t number)
+names_place (const struct named_places *places, const struct task_ref *ref,
+             const struct worker *wrk, uint32_t number)
 {
   const struct named_place *place = first_place (places, ref);
   for (; is_place_of (places, place, ref); place++)
@@ -95,8 +95,8 @@
                  const struct worker *wrk, uint32_t number)
 {
   /* The record in flight may be in the log already.  */
-  return names (&plc->named, ref, wrk, number)
-         && (!plc->enrolling || names (&plc->naming, ref, wrk, number));
+  return names_place (&plc->named, ref, wrk, number)
+         && (!plc->enrolling || names_place (&plc->naming, ref, wrk, number));
 }
 
 static uint32_t
@@ -113,7 +113,7 @@
   if (!placer_records_runs (plc) || placer_is_named (plc, ref, wrk, next))
     return true;
   plc->runs_changed = plc->runs_changed || !plc->enrolling
-                      || !names (&plc->naming, ref, wrk, next);
+                      || !names_place (&plc->naming, ref, wrk, next);
   return false;
 }
 
@@ -295,8 +295,6 @@
   add_place (places, &run->ref, spare, run->number, last, true);
 }
 
-/* Adds the workers on which tasks have a reservation: a task that waits for
-   its room, or is to move there, starts as soon as it can.  */
 struct reserved_places
 {
   struct placer *plc;
@@ -304,6 +302,8 @@
   size_t count;
 };
 
+/* Adds the worker on which the task has a reservation, if any: it waits for
+   its room there, or is to move there, and starts as soon as it can.  */
 static bool
 add_reserved_place (void *arg, struct job *job, const struct task_ref *ref)
 {
