--- a/sched/demand.c
+++ b/sched/demand.c
@@ -88,8 +88,9 @@
       const struct task *tsk = &occ->tasks[stp->first_task + ref.index];
       if (tsk->prg.done)
         continue;
-      if (takeover && !tsk->run && placer_may_still_run (plc, job, &ref))
-        work->takeover_tasks++;
+      bool waits
+          = takeover && !tsk->run && placer_may_still_run (plc, job, &ref);
+      work->takeover_tasks += waits;
       if (stp->perpetual)
         {
           work->perpetual_cpu_milli
@@ -97,6 +98,8 @@
           work->perpetual_memory_mb += stp->need.memory_mb;
           continue;
         }
+      if (waits)
+        resources_add (&work->takeover_need, stp, 1);
       int64_t left = stp->need.cpu_milli * stp->estimate_ms;
       if (tsk->run)
         left = left * (100 - (int64_t)tsk->run->percent) / 100;
@@ -338,6 +341,16 @@
   return count < most ? count : most;
 }
 
+/* Whether the pool can spare the host of ROW.  While tasks wait for the end of
+   a takeover, a worker that has to be asked again stays: it would make the
+   takeover last longer if it left before.  */
+static bool
+is_spare (const struct staying *row, bool takeover_waits)
+{
+  return row->order == STAYING_SPARE && !row->needed
+         && (!takeover_waits || row->wrk->settled);
+}
+
 /* Reports up to SURPLUS hosts as idle, those with the fewest tasks first. They
    get no new tasks while others have room, so that they are empty within a
    second.  Hosts with perpetual tasks or reservations, or that perpetual tasks
@@ -345,19 +358,19 @@
 static void
 report_idle_hosts (const struct placer *plc, int64_t now_us,
                    const struct staying *rows, size_t count, int64_t surplus,
-                   struct placer_demand *dem)
+                   bool takeover_waits, struct placer_demand *dem)
 {
   int64_t spare = -(int64_t)count_reserve (plc, now_us);
   for (size_t n = 0; n < plc->pool.count; n++)
     plc->pool.workers[n]->reported_idle = false;
   for (size_t n = 0; n < count; n++)
-    spare += rows[n].order == STAYING_SPARE && !rows[n].needed;
+    spare += is_spare (&rows[n], takeover_waits);
   if (surplus > spare)
     surplus = spare;
   for (size_t n = count; n-- > 0 && (int64_t)dem->idle_count < surplus
                          && dem->idle_count < PLACER_IDLE_HOSTS_MAX;)
     {
-      if (rows[n].order != STAYING_SPARE || rows[n].needed)
+      if (!is_spare (&rows[n], takeover_waits))
         continue;
       rows[n].wrk->reported_idle = true;
       dem->idle[dem->idle_count++] = rows[n].wrk->rep.host;
@@ -558,14 +571,28 @@
   return wanted > most ? most : wanted;
 }
 
+/* Hosts for batch tasks that wait for the end of a takeover, which count as no
+   work before it: as many as they need if they all run at once.  */
+static int64_t
+takeover_hosts (const struct demand_work *work,
+                const struct resources *capacity, int64_t hosts)
+{
+  const struct resources *need = &work->takeover_need;
+  int64_t cpu = hosts_needed (need->cpu_milli, capacity->cpu_milli, hosts);
+  int64_t mem = hosts_needed (need->memory_mb, capacity->memory_mb, hosts);
+  int64_t acc
+      = hosts_needed (need->accelerators, capacity->accelerators, hosts);
+  int64_t most = cpu > mem ? cpu : mem;
+  return most > acc ? most : acc;
+}
+
 void
 placer_demand (const struct placer *plc, struct placer_demand *dem)
 {
   int64_t now_us = clock_now_us (plc->env.clk);
   struct demand_work work;
   int64_t used = 0;
-  int64_t cpu = 0;
-  int64_t memory = 0;
+  struct resources capacity = { 0 }; /* of schedulable workers */
   int64_t schedulable = 0;
   int64_t surplus = 0;
   *dem = (struct placer_demand){ 0 };
@@ -582,8 +609,9 @@
         if (!run->job->spec.steps[run->ref.step].perpetual)
           work.ready_cpu_milli
               += run->job->spec.steps[run->ref.step].need.cpu_milli;
-      cpu += wrk->rep.capacity.cpu_milli;
-      memory += wrk->rep.capacity.memory_mb;
+      capacity.cpu_milli += wrk->rep.capacity.cpu_milli;
+      capacity.memory_mb += wrk->rep.capacity.memory_mb;
+      capacity.accelerators += wrk->rep.capacity.accelerators;
     }
   size_t count;
   struct staying *rows = list_staying (plc, now_us, &count);
@@ -593,24 +621,28 @@
   int64_t hosts = schedulable + awaited.hosts;
   /* Those whose capacity is known.  */
   int64_t sized = schedulable + awaited.reported;
-  int64_t by_cpu = hosts_needed (demand_cpu_milli (&work),
-                                 cpu + awaited.cpu_milli, sized);
-  int64_t by_memory = hosts_needed (work.perpetual_memory_mb,
-                                    memory + awaited.memory_mb, sized);
+  int64_t by_cpu = hosts_needed (
+      demand_cpu_milli (&work), capacity.cpu_milli + awaited.cpu_milli, sized);
+  int64_t by_memory = hosts_needed (
+      work.perpetual_memory_mb, capacity.memory_mb + awaited.memory_mb, sized);
   int64_t wanted = (by_cpu > by_memory ? by_cpu : by_memory) + HEADROOM_HOSTS;
   if (plc->useful_waiting_tasks > 0 && wanted <= schedulable
       && awaited.hosts == 0)
     wanted = schedulable + 1;
   if (plc->start_limit_reached)
-    wanted = limit_by_starts (plc, wanted, used, cpu, schedulable);
-  int64_t urgent = hosts_needed (demand_urgent_cpu_milli (&work),
-                                 cpu + awaited.cpu_milli, sized);
+    wanted
+        = limit_by_starts (plc, wanted, used, capacity.cpu_milli, schedulable);
+  int64_t urgent
+      = hosts_needed (demand_urgent_cpu_milli (&work),
+                      capacity.cpu_milli + awaited.cpu_milli, sized);
   urgent = (urgent > by_memory ? urgent : by_memory) + HEADROOM_HOSTS;
   if (urgent > wanted)
     urgent = wanted;
   dem->schedulable_hosts = (uint32_t)schedulable;
   dem->awaited_hosts = (uint32_t)awaited.hosts;
-  dem->busy_milli = cpu > 0 ? (uint32_t)(used * 1000 / cpu) : 0;
+  dem->busy_milli = capacity.cpu_milli > 0
+                        ? (uint32_t)(used * 1000 / capacity.cpu_milli)
+                        : 0;
   /* The tasks that run are not known before a worker has listed them, and
      would count as waiting.  */
   bool runs_known = schedulable > 0 || awaited.reported == 0;
@@ -628,11 +660,9 @@
   /* A pool that lacks any host gives up none in exchange for it.  */
   if (dem->needed_hosts > 0 && !*dem->needed_label)
     surplus = 0;
-  /* These tasks count as no work yet, and a worker that leaves with its host
-     before it was asked again makes the takeover last longer.  */
-  if (work.takeover_tasks > 0)
-    surplus = 0;
-  report_idle_hosts (plc, now_us, rows, count, surplus, dem);
+  surplus -= takeover_hosts (&work, &capacity, schedulable);
+  report_idle_hosts (plc, now_us, rows, count, surplus,
+                     work.takeover_tasks > 0, dem);
   talloc_free (rows);
 }
 
--- a/sched/demand.h
+++ b/sched/demand.h
@@ -21,7 +21,10 @@
   int64_t late_core_us;     /* of jobs whose late results are of use */
   int64_t past_use_core_us; /* of the other jobs */
   int64_t ready_cpu_milli;  /* of batch tasks that run or do not fit */
-  int64_t takeover_tasks;   /* that wait for the end of a takeover only */
+  /* Of the tasks that wait for the end of a takeover only.  The amounts are
+     those of batch tasks, as perpetual ones are counted above.  */
+  int64_t takeover_tasks;
+  struct resources takeover_need;
   int64_t arrived_core_us;  /* of jobs seen in the last DEMAND_WINDOW_MS */
   int64_t arrived;          /* number of those jobs */
   int64_t arrived_wait_max_ms; /* sum of job_order_wait_max_ms of them */
