--- a/test/unit/unit_topic.c
+++ b/test/unit/unit_topic.c
@@ -218,6 +218,58 @@
 }
 END_TEST
 
+/* Guards against an append that is never answered, as a store that has turned
+   slow answers later than each attempt is given up (LOST).  */
+START_TEST (test_slow_answer_is_awaited)
+{
+  static const struct
+  {
+    int64_t before_ms;   /* response time of the last two appends; 0: none */
+    int64_t response_ms; /* of the store now */
+  } cases[] = { { 0, 900 },  { 0, 1100 }, { 4, 1100 },
+                { 4, 1500 }, { 0, 1900 }, { 4, 1900 } };
+  /* The store's answer to one of this many attempts in a row is awaited.  */
+  enum
+  {
+    ATTEMPTS_MAX = 5
+  };
+  struct clock_manual clk;
+  struct appender app;
+  const struct appender_settings set
+      = { .topic = "t", .producer = "p", .epoch = 1, .lg = lg, .ctr = &ctr };
+  size_t calls_before = 0, attempts = 0;
+  clock_manual_init (&clk, 1000000);
+  ck_assert_int_eq (appender_init (&app, ev, &store, ev, &clk.clk, &set), 0);
+  for (size_t n = 0; n < 2 && cases[_i].before_ms > 0; n++)
+    {
+      add (&app, "a", true);
+      struct call *call = await_call (++calls_before);
+      clk.now_us += cases[_i].before_ms * 1000;
+      complete_append (call, TOPIC_APPENDED, 0);
+    }
+  add (&app, "b", true);
+  bool answered = false;
+  while (!answered && attempts < ATTEMPTS_MAX)
+    {
+      struct call *call = await_call (++calls_before);
+      attempts++;
+      answered = call->timeout_ms >= cases[_i].response_ms;
+      clk.now_us
+          += (answered ? cases[_i].response_ms : call->timeout_ms) * 1000;
+      complete_append (call, answered ? TOPIC_APPENDED : TOPIC_UNKNOWN, 0);
+    }
+  if (!answered)
+    {
+      struct call *call = await_call (++calls_before);
+      appender_fini (&app);
+      complete_append (call, TOPIC_APPENDED, 0);
+    }
+  else
+    appender_fini (&app);
+  ck_assert (answered);
+}
+END_TEST
+
 /* Guards against a start of a perpetual task that waits for the progress of
    thousands of jobs (LOST).  */
 START_TEST (test_first_entry_goes_ahead)
@@ -981,6 +1033,7 @@
   tcase_add_loop_test (tc, test_mismatch, 0, 13);
   tcase_add_loop_test (tc, test_outcomes_are_logged, 0, 6);
   tcase_add_loop_test (tc, test_unanswered_append_is_repeated_soon, 0, 5);
+  tcase_add_loop_test (tc, test_slow_answer_is_awaited, 0, 6);
   tcase_add_test (tc, test_first_entry_goes_ahead);
   tcase_add_test (tc, test_rejected);
   tcase_add_loop_test (tc, test_entries_after_rejection, 0, 4);
