--- a/store/appender.c
+++ b/store/appender.c
@@ -21,6 +21,9 @@
    an outage of the store ends with is repeated before other processes take
    this one, whose report it may be, for dead.  */
 #define TIMEOUT_DOUBLED_MAX_MS 1000
+/* One attempt in this many in a row has the longest time: a store that has
+   turned slow may answer none of the others in time.  */
+#define LONG_ATTEMPT_INTERVAL 4
 /* With jobs of a few kilobytes each, a batch stays far below the store's limit
    of 2 MB per call.  */
 #define BATCH_ENTRIES_MAX 200
@@ -274,6 +277,8 @@
     ms = TIMEOUT_MIN_MS;
   if (ms >= TIMEOUT_DOUBLED_MAX_MS)
     return ms < TIMEOUT_MAX_MS ? ms : TIMEOUT_MAX_MS;
+  if (p->unanswered % LONG_ATTEMPT_INTERVAL == LONG_ATTEMPT_INTERVAL - 1)
+    return TIMEOUT_MAX_MS;
   for (uint32_t n = 0; n < p->unanswered && ms < TIMEOUT_DOUBLED_MAX_MS; n++)
     ms *= 2;
   return ms < TIMEOUT_DOUBLED_MAX_MS ? ms : TIMEOUT_DOUBLED_MAX_MS;
