--- a/test/unit/unit_placer_named.c
+++ b/test/unit/unit_placer_named.c
@@ -500,6 +500,50 @@
 }
 END_TEST
 
+/* Guards against a start that waits for a record which nobody makes (LOST): it
+   was decided again for a worker that the record in flight names already.  */
+START_TEST (test_start_decided_again_while_record_in_flight)
+{
+  const char *spare;
+  const char *worker = own_pool (&spare);
+  size_t starts = world_starts (wld, 1, 0);
+  const char *only = NULL;
+  store_silent = true;
+  /* The record in flight is that of the start.  */
+  wld->plc->next_spares_check_us = wld->clk.now_us + 60000000;
+  silent[index_of (spare)] = true;
+  pool_find_id (&wld->plc->pool, spare)->unanswered_calls = 10;
+  for (size_t n = 0; n < WORKERS; n++)
+    if (ids[n] != worker && ids[n] != spare)
+      {
+        pool_find_id (&wld->plc->pool, ids[n])->rep.draining = only != NULL;
+        only = only ? only : ids[n];
+      }
+  fail_run (worker);
+  while (job->occurrences[0].tasks[0].run)
+    steps (STEP_MS);
+  pool_find_id (&wld->plc->pool, worker)->rep.draining = true;
+  steps (RESTART_MAX_MS);
+  const struct run *run = job->occurrences[0].tasks[0].run;
+  ck_assert_ptr_nonnull (run);
+  ck_assert (run->unsent);
+  ck_assert_str_eq (run->wrk->rep.id, only);
+  /* For a moment the worker is too busy, or restarts.  */
+  struct worker *wrk = pool_find_id (&wld->plc->pool, only);
+  if (_i == 0)
+    wrk->avoid_until_us = wld->clk.now_us + 200000;
+  else
+    placer_drop_unsent (wld->plc, wrk);
+  steps (RESTART_MAX_MS);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), starts);
+  store_silent = false;
+  wld->enrol_fn = unanswered;
+  unanswered = NULL;
+  steps (5000);
+  ck_assert_uint_gt (world_starts (wld, 1, 0), starts);
+}
+END_TEST
+
 static bool
 leave_none_out (const struct placer *plc, const struct worker *wrk)
 {
@@ -602,6 +646,8 @@
   tcase_add_test (tc, test_restart_on_same_worker_needs_no_record);
   tcase_add_test (tc, test_successor_learns_late_of_end);
   tcase_add_loop_test (tc, test_found_run_has_places, 0, 2);
+  tcase_add_loop_test (tc, test_start_decided_again_while_record_in_flight, 0,
+                       2);
   tcase_add_test (tc, test_run_to_be_stopped_stays_named);
   tcase_add_test (tc, test_move_in_pool_of_many_tasks);
   suite_add_tcase (suite, tc);
