--- a/sched/placer_named.c
+++ b/sched/placer_named.c
@@ -105,6 +105,14 @@
   return job_task (placer_find_job (plc, ref->job), ref)->prg.last_run;
 }
 
+void
+placer_want_named (struct placer *plc, const struct task_ref *ref,
+                   const struct worker *wrk, uint32_t number)
+{
+  plc->runs_changed = plc->runs_changed || !plc->enrolling
+                      || !names_place (&plc->naming, ref, wrk, number);
+}
+
 bool
 placer_name_place (struct placer *plc, const struct task_ref *ref,
                    const struct worker *wrk)
@@ -112,8 +120,7 @@
   uint32_t next = last_run (plc, ref) + 1;
   if (!placer_records_runs (plc) || placer_is_named (plc, ref, wrk, next))
     return true;
-  plc->runs_changed = plc->runs_changed || !plc->enrolling
-                      || !names_place (&plc->naming, ref, wrk, next);
+  placer_want_named (plc, ref, wrk, next);
   return false;
 }
 
--- a/sched/placer_record.c
+++ b/sched/placer_record.c
@@ -59,6 +59,7 @@
     return false;
   run->unsent = true;
   plc->unsent_runs++;
+  placer_want_named (plc, &run->ref, run->wrk, run->number);
   return true;
 }
 
@@ -117,7 +118,8 @@
           if (!run->unsent)
             continue;
           bool recorded
-              = run->record > 0 && run->record <= plc->durable_record;
+              = (run->record > 0 && run->record <= plc->durable_record)
+                || placer_is_named (plc, &run->ref, run->wrk, run->number);
           if (!may_start_now (run, now_us)
               || (!recorded && has_named_place (plc, run, now_us)))
             placer_remove_run (plc, run);
--- a/sched/placer_record.h
+++ b/sched/placer_record.h
@@ -44,6 +44,10 @@
    record.  */
 bool placer_is_named (const struct placer *plc, const struct task_ref *ref,
                       const struct worker *wrk, uint32_t number);
+/* Makes a record due that names WRK for run NUMBER of a task, unless the one
+   in flight does.  */
+void placer_want_named (struct placer *plc, const struct task_ref *ref,
+                        const struct worker *wrk, uint32_t number);
 /* Whether the next run of a task, which has a reservation on WRK, may be
    started there without a further record; if not, one is due.  */
 bool placer_name_place (struct placer *plc, const struct task_ref *ref,
