--- a/sched/placer.c
+++ b/sched/placer.c
@@ -560,6 +560,7 @@
     {
       placer_decide_vacating (plc, now_us);
       placer_age_starts (plc, now_us);
+      placer_check_useless (plc, now_us);
       placer_check_spares (plc, now_us);
       placer_enrol (plc);
       for (size_t n = 0; n < plc->pool.count; n++)
--- a/sched/placer_named.c
+++ b/sched/placer_named.c
@@ -23,6 +23,10 @@
 #define SPARES_CHECK_INTERVAL_US 1000000
 #define SPARES_CHECK_RUNS 256
 #define SPARES_CHECK_LOOKS 16
+/* Time between two checks for places at which a task cannot be started, and
+   time without a run after which they are looked for: most tasks start again
+   sooner, and the record of that leaves them out.  */
+#define USELESS_CHECK_INTERVAL_US 200000
 /* Most places of one task: those of a start that waits, and the earlier ones,
    which it keeps until then.  */
 #define PLACES_MAX 4
@@ -220,16 +224,62 @@
   return true;
 }
 
+/* Whether this owner has certainly nothing at work on WRK, as its instance has
+   ended or its leases have: runs there were given up.  */
+static bool
+is_given_up (const struct placer *plc, const struct worker *wrk)
+{
+  if (wrk->reported_ended)
+    return !wrk->registered;
+  return wrk->unanswered_calls > 0
+         && plc->confirmed_us > placer_leases_end_us (plc, wrk);
+}
+
+/* Whether the task of PLACE, which has no run and none that may still begin,
+   cannot be started there now.  A successor would wait for the place all the
+   same: for the earlier owner's last start, and for the longest lease if it
+   does not reach the worker.  */
+static bool
+is_useless (struct placer *plc, struct job *job,
+            const struct named_place *place)
+{
+  const struct task *tsk = job_task (job, &place->ref);
+  const struct worker *wrk = placer_find_worker (plc, place->worker);
+  const struct place_request req = { .job = job,
+                                     .step = &job->spec.steps[place->ref.step],
+                                     .ref = &place->ref };
+  if (placer_has_runs (tsk) || tsk->late_starts > 0)
+    return false;
+  if (!wrk)
+    return true;
+  if (place->worker == tsk->reserved_worker)
+    return false;
+  return is_given_up (plc, wrk) || wrk->rep.draining
+         || (req.step->max_per_worker > 0
+             && place_siblings (wrk, &req) >= req.step->max_per_worker);
+}
+
+/* Whether the log has the number of the last run of TSK.  Otherwise only the
+   places of the task tell it.  */
+static bool
+number_is_logged (const struct task *tsk)
+{
+  return tsk->logged.last_run >= tsk->prg.last_run;
+}
+
 /* Whether the task of a place in the last record has no run, or one whose
-   start waits for the next record: it keeps the place.  */
+   start waits for the next record: it keeps the place, if that is of any
+   use.  */
 static bool
 keeps_place (struct placer *plc, const struct named_place *place)
 {
   struct job *job = placer_find_job (plc, place->ref.job);
   if (!job || job_ended (job))
     return false;
-  const struct run *run = job_task (job, &place->ref)->run;
-  return !run || run->unsent;
+  const struct task *tsk = job_task (job, &place->ref);
+  if (tsk->run && !tsk->run->unsent)
+    return false;
+  return !number_is_logged (tsk) || !is_useless (plc, job, place);
 }
 
 static void
@@ -387,6 +437,30 @@
   return true;
 }
 
+void
+placer_check_useless (struct placer *plc, int64_t now_us)
+{
+  if (now_us < plc->next_useless_check_us || plc->enrolling
+      || plc->runs_changed || !placer_records_runs (plc))
+    return;
+  plc->next_useless_check_us = now_us + USELESS_CHECK_INTERVAL_US;
+  for (size_t n = 0; n < plc->named.count && !plc->runs_changed; n++)
+    {
+      const struct named_place *place = &plc->named.rows[n];
+      struct job *job = placer_find_job (plc, place->ref.job);
+      if (!job || job_ended (job))
+        continue;
+      const struct task *tsk = job_task (job, &place->ref);
+      if (now_us < tsk->ended_us + USELESS_CHECK_INTERVAL_US
+          || !is_useless (plc, job, place))
+        continue;
+      if (number_is_logged (tsk))
+        plc->runs_changed = true;
+      else
+        placer_mark_dirty (plc, job);
+    }
+}
+
 void
 placer_check_spares (struct placer *plc, int64_t now_us)
 {
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -193,6 +193,7 @@
   struct named_places named;  /* in the last record that is in the log */
   struct named_places naming; /* in the record in flight */
   int64_t enrol_sent_us;      /* when that was passed on */
+  int64_t next_useless_check_us;
   int64_t next_spares_check_us;
   size_t spares_check_pos; /* index of the worker that was checked last */
   uint64_t last_record;    /* number of worker records appended so far */
--- a/sched/placer_record.h
+++ b/sched/placer_record.h
@@ -61,6 +61,10 @@
    another one.  */
 void placer_check_spares (struct placer *plc, int64_t now_us);
 
+/* Makes another record due if a task without a run has places at which it
+   cannot be started: a successor would wait for them.  */
+void placer_check_useless (struct placer *plc, int64_t now_us);
+
 /* placer_record.c */
 /* Whether the worker record names all runs of perpetual tasks, so that they
    are started once it does.  */
--- a/test/unit/unit_placer_named.c
+++ b/test/unit/unit_placer_named.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "fleet/host_link.h"
 #include "placer_world.h"
 #include "sched/placer_places.h"
 #include "sched/placer_record.h"
@@ -585,6 +586,153 @@
 }
 END_TEST
 
+/* What became of the place of a task that has no run and no other place.  */
+enum place_fate
+{
+  PLACE_REPLACED,       /* another worker is on its host */
+  PLACE_HOST_DOWN,      /* a list of hosts shows so */
+  PLACE_LEASES_OVER,    /* its leases have */
+  PLACE_DRAINS,         /* it leaves, and the run has failed */
+  PLACE_NUMBER_UNKNOWN, /* its host is down; the log lacks the run's number */
+  PLACE_RESTARTED,      /* a report of its next instance tells of its end */
+  PLACE_LATE_START,     /* its host is down, and a start has no answer */
+  PLACE_LEASES_LAST,    /* it is silent */
+};
+
+static const struct
+{
+  enum place_fate fate;
+  bool named; /* the record goes on to name it */
+} fates[] = {
+  { PLACE_REPLACED, false },      { PLACE_HOST_DOWN, false },
+  { PLACE_LEASES_OVER, false },   { PLACE_DRAINS, false },
+  { PLACE_NUMBER_UNKNOWN, true }, { PLACE_RESTARTED, true },
+  { PLACE_LATE_START, true },     { PLACE_LEASES_LAST, true },
+};
+
+/* Whether the last record names any worker for the task, in its runs or in a
+   start without an answer.  */
+static bool
+is_named_anywhere (void)
+{
+  Kingcuphollow__PoolWorkers *msg = kingcuphollow__pool_workers__unpack (
+      NULL, wld->record_len, wld->record);
+  bool found = msg->n_late_starts > 0;
+  for (size_t n = 0; n < msg->n_workers; n++)
+    found = found || msg->workers[n]->n_runs > 0;
+  kingcuphollow__pool_workers__free_unpacked (msg, NULL);
+  return found;
+}
+
+/* The number of the last run is in the log.  */
+static void
+log_number (void)
+{
+  struct task *tsk = &job->occurrences[0].tasks[0];
+  tsk->logged.last_run = tsk->prg.last_run;
+}
+
+/* Brings about FATE for the task, which runs on WORKER; all others drain.  */
+static void
+lose_place (const char *worker, enum place_fate fate)
+{
+  struct worker *wrk = pool_find_id (&wld->plc->pool, worker);
+  struct run *run = job->occurrences[0].tasks[0].run;
+  for (size_t n = 0; n < WORKERS; n++)
+    if (ids[n] != worker)
+      pool_find_id (&wld->plc->pool, ids[n])->rep.draining = true;
+  steps (2500);
+  if (fate != PLACE_NUMBER_UNKNOWN)
+    log_number ();
+  if (fate == PLACE_LATE_START)
+    {
+      run->start_settled = false;
+      run->start_unanswered = true;
+    }
+  if (fate == PLACE_DRAINS)
+    {
+      wrk->rep.draining = true;
+      fail_run (worker);
+    }
+  else if (fate == PLACE_REPLACED)
+    end_worker (worker);
+  else
+    silent[index_of (worker)] = true;
+  if (fate == PLACE_HOST_DOWN || fate == PLACE_NUMBER_UNKNOWN
+      || fate == PLACE_LATE_START)
+    {
+      struct host_report rep = { .state = HOST_DOWN };
+      name_copy (rep.name, wrk->rep.host);
+      name_copy (rep.worker, worker);
+      steps (100);
+      placer_update_host (wld->plc, &rep, wld->clk.now_us);
+      ck_assert (wrk->reported_ended);
+      row_counts[index_of (worker)] = 0;
+    }
+  if (fate == PLACE_RESTARTED)
+    {
+      row_counts[index_of (worker)] = 0;
+      world_add_worker (wld, worker, 5000);
+      placer_worker_ended (wld->plc, worker);
+      wrk->registered = true;
+      wrk->reported_born_ms = 5000;
+    }
+}
+
+/* Guards against a successor that waits for a worker of which the owner knew
+   that the task does not run there (LOST), and against one that does not wait
+   for a worker that may run it (TWICE) or uses a run number again.  */
+START_TEST (test_known_end_is_recorded)
+{
+  const char *spare;
+  const char *worker = own_pool (&spare);
+  const enum place_fate fate = fates[_i].fate;
+  lose_place (worker, fate);
+  steps (fate == PLACE_LEASES_OVER ? WORLD_LEASE_MAX_MS + 5000 : 1000);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 1);
+  ck_assert (is_named_anywhere () == fates[_i].named);
+  if (fates[_i].named)
+    return;
+  /* Nothing is appended without need.  */
+  uint64_t records = wld->plc->last_record;
+  steps (2000);
+  ck_assert_uint_eq (wld->plc->last_record, records);
+  void *record = talloc_memdup (wld->ctx, wld->record, wld->record_len);
+  size_t len = wld->record_len;
+  silent[index_of (worker)] = true;
+  world_take_over (wld, 100, WORLD_FENCE_OFFSET + 2);
+  placer_add_earlier_record (wld->plc, record, len, wld->clk.now_us);
+  for (size_t n = 0; n < WORKERS; n++)
+    world_add_worker (wld, ids[n], 1000);
+  steps (RESTART_MAX_MS);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 2);
+}
+END_TEST
+
+/* Guards against a start that no record in the log names (TWICE): the worker
+   of the last run has left the record, and its next instance is free.  */
+START_TEST (test_dropped_place_is_not_used)
+{
+  const char *spare;
+  const char *worker = own_pool (&spare);
+  lose_place (worker, PLACE_HOST_DOWN);
+  steps (1000);
+  ck_assert (!is_named_anywhere ());
+  store_silent = true;
+  silent[index_of (worker)] = false;
+  wld->hold_born_ms = 5000;
+  world_add_worker (wld, worker, 5000);
+  steps (1000);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 1);
+  store_silent = false;
+  wld->enrol_fn = unanswered;
+  unanswered = NULL;
+  steps (300);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), 2);
+  ck_assert (is_in (wld->record, wld->record_len, worker, 2));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -604,6 +752,9 @@
   tcase_add_loop_test (tc, test_found_run_has_places, 0, 2);
   tcase_add_test (tc, test_run_to_be_stopped_stays_named);
   tcase_add_test (tc, test_move_in_pool_of_many_tasks);
+  tcase_add_loop_test (tc, test_known_end_is_recorded, 0,
+                       sizeof fates / sizeof *fates);
+  tcase_add_test (tc, test_dropped_place_is_not_used);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
