--- a/sched/placer_instance.c
+++ b/sched/placer_instance.c
@@ -7,6 +7,16 @@
    the next instance under the same id begins with; see
    docs/design/instances.md.  */
 
+/* Whether RUN was started, or was at work, when earlier owners could start
+   nothing any more, so that they have started no later run of its task.  */
+static bool
+outlasts_earlier_starts (const struct placer *plc, const struct run *run)
+{
+  int64_t starts_end_us = placer_earlier_starts_end_us (plc);
+  return run->listed_us >= starts_end_us
+         || run->start_sent_us >= starts_end_us;
+}
+
 /* Gives up RUN: it has ended without being listed as ended.  */
 static void
 drop_lost_run (struct placer *plc, struct run *run, const char *reason)
@@ -25,7 +35,8 @@
   run->tsk->ended_us = now_us;
   /* An earlier owner may have started the task on the worker's next
      instance.  */
-  run->tsk->located_token = 0;
+  if (!outlasts_earlier_starts (plc, run))
+    run->tsk->located_token = 0;
   placer_remove_run (plc, run);
 }
 
--- a/test/unit/unit_placer_named.c
+++ b/test/unit/unit_placer_named.c
@@ -474,6 +474,42 @@
 }
 END_TEST
 
+/* Guards against a task that waits for the leases of its spare place, which
+   the next owner cannot reach, although its run was at work when the earlier
+   owner could start nothing any more (LOST); and against a second run (TWICE)
+   if it was not.  The worker of the run ends.  */
+START_TEST (test_end_of_found_run_on_lost_worker)
+{
+  static const int64_t ends_ms[]
+      = { WORLD_START_CONFIRM_MS / 2, WORLD_START_CONFIRM_MS - 500,
+          WORLD_START_CONFIRM_MS + 500, WORLD_START_CONFIRM_MS + 2000 };
+  const bool outlasts = ends_ms[_i] > WORLD_START_CONFIRM_MS;
+  const char *spare;
+  const char *worker = own_pool (&spare);
+  void *record = talloc_memdup (wld->ctx, wld->record, wld->record_len);
+  size_t len = wld->record_len;
+  size_t starts = world_starts (wld, 1, 0);
+  silent[index_of (spare)] = true;
+  world_take_over (wld, 100, WORLD_FENCE_OFFSET + 2);
+  placer_add_earlier_record (wld->plc, record, len, wld->clk.now_us);
+  for (size_t n = 0; n < WORKERS; n++)
+    world_add_worker (wld, ids[n], 1000);
+  const int64_t claimed_us = wld->clk.now_us;
+  steps (ends_ms[_i]);
+  ck_assert_ptr_nonnull (job->occurrences[0].tasks[0].run);
+  end_worker (worker);
+  steps (RESTART_MAX_MS);
+  ck_assert (!placer_takeover_done (wld->plc));
+  ck_assert_uint_eq (world_starts (wld, 1, 0), starts + outlasts);
+  while (world_starts (wld, 1, 0) == starts
+         && wld->clk.now_us < claimed_us + LEASES_END_MS * 1000)
+    steps (STEP_MS);
+  ck_assert_uint_eq (world_starts (wld, 1, 0), starts + 1);
+  if (!outlasts)
+    ck_assert_int_ge (wld->clk.now_us, claimed_us + WORLD_LEASE_MAX_MS * 1000);
+}
+END_TEST
+
 /* Guards against a task that waits for the store although its places are named
    (LOST): its run was found by a later owner, which does not use the numbers
    that the earlier one had reserved.  */
@@ -749,6 +785,7 @@
   tcase_add_loop_test (tc, test_spare_place_is_replaced, 0, 3);
   tcase_add_test (tc, test_restart_on_same_worker_needs_no_record);
   tcase_add_test (tc, test_successor_learns_late_of_end);
+  tcase_add_loop_test (tc, test_end_of_found_run_on_lost_worker, 0, 4);
   tcase_add_loop_test (tc, test_found_run_has_places, 0, 2);
   tcase_add_test (tc, test_run_to_be_stopped_stays_named);
   tcase_add_test (tc, test_move_in_pool_of_many_tasks);
