unit_placer_late_ended: late starts on hosts that move, are spare or in maintenance

Rows of the table "Who ends what waits" (docs/design/instances.md) that were by reading: gangs, batch and perpetual tasks, with late starts of this and of an earlier owner, when lists of hosts show the host on its way to another pool, there with another worker, as a spare or in maintenance.

--- a/test/unit/unit_placer_late_ended.c
+++ b/test/unit/unit_placer_late_ended.c
@@ -25,9 +25,13 @@
 
 enum list_shows
 {
-  GONE,     /* the host is not in the lists */
-  REPLACED, /* another worker has it */
-  DOWN,     /* the worker may start again under its id */
+  GONE,        /* the host is not in the lists */
+  REPLACED,    /* another worker has it */
+  DOWN,        /* the worker may start again under its id */
+  MOVING,      /* to another pool */
+  MOVED,       /* another pool has it, with another worker */
+  SPARE,       /* it is off, in the pool of spare hosts */
+  MAINTENANCE, /* in this pool */
 };
 
 enum starter
@@ -61,6 +65,24 @@
   { PERPETUAL_JOB, EARLIER_OWNER, DOWN, 0, AGAIN_US + 3000000 },
   { BATCH_JOB, EARLIER_OWNER, GONE, 0, AGAIN_US },
   { BATCH_JOB, EARLIER_OWNER, DOWN, LATE_CALL_MAX_US, AGAIN_US },
+  { PERPETUAL_JOB, OWN, MOVING, 0, AGAIN_US },
+  { PERPETUAL_JOB, OWN, MOVED, 0, AGAIN_US },
+  { PERPETUAL_JOB, OWN, SPARE, 0, AGAIN_US },
+  { PERPETUAL_JOB, OWN, MAINTENANCE, 0, AGAIN_US },
+  { BATCH_JOB, OWN, MOVED, 0, AGAIN_US },
+  { BATCH_JOB, OWN, MAINTENANCE, LATE_CALL_MAX_US, AGAIN_US },
+  { GANG_JOB, OWN, REPLACED, 0, AGAIN_US },
+  { GANG_JOB, OWN, MOVED, 0, AGAIN_US },
+  { PERPETUAL_JOB, EARLIER_OWNER, MOVING, 0, AGAIN_US },
+  { PERPETUAL_JOB, EARLIER_OWNER, MOVED, 0, AGAIN_US },
+  { PERPETUAL_JOB, EARLIER_OWNER, SPARE, 0, AGAIN_US },
+  { BATCH_JOB, EARLIER_OWNER, REPLACED, 0, AGAIN_US },
+  { BATCH_JOB, EARLIER_OWNER, MOVING, 0, AGAIN_US },
+  { BATCH_JOB, EARLIER_OWNER, MOVED, 0, AGAIN_US },
+  { BATCH_JOB, EARLIER_OWNER, SPARE, 0, AGAIN_US },
+  { GANG_JOB, EARLIER_OWNER, GONE, 0, AGAIN_US },
+  { GANG_JOB, EARLIER_OWNER, REPLACED, 0, AGAIN_US },
+  { GANG_JOB, EARLIER_OWNER, MOVED, 0, AGAIN_US },
 };
 
 static struct world *wld;
@@ -122,7 +144,11 @@
   const struct host_report hosts[] = {
     { .name = "m-w2", .worker = "w2", .pool = "p", .state = HOST_UP },
     { .name = "m-w1", .worker = "w7", .pool = "p", .state = HOST_UP },
-    { .name = "m-w1", .worker = "w1", .pool = "p", .state = HOST_DOWN }
+    { .name = "m-w1", .worker = "w1", .pool = "p", .state = HOST_DOWN },
+    { .name = "m-w1", .worker = "", .pool = "q", .state = HOST_MOVING },
+    { .name = "m-w1", .worker = "w7", .pool = "q", .state = HOST_UP },
+    { .name = "m-w1", .worker = "", .pool = "spare", .state = HOST_UP },
+    { .name = "m-w1", .worker = "", .pool = "p", .state = HOST_MAINTENANCE },
   };
   struct host_report rows[2] = { hosts[0], hosts[shows] };
   const struct host_list list
