sched: a late start on a host that is shown in another pool ends with its worker

Callers saw a batch task or a gang whose start had no answer wait for one more list of hosts (a second) although the list shows the host of its worker on its way to another pool, or as a spare.

placer_update_host took a worker for gone only if the list shows another worker on its host. Without one, the host in another pool counted as one on which the worker may start again under its id, so that the late start which is made as the run is given up, after the rows of the list were applied to late starts, stayed until the next list. placer_end_late_starts_on_host takes such a host for replaced already: what comes back from another pool is a worker with another id.

Evidence: test_worker_has_ended, the four rows of BATCH_JOB and GANG_JOB with MOVING and SPARE, failed before ("waits for over 500 ms") and pass now.

--- a/sched/placer_hosts.c
+++ b/sched/placer_hosts.c
@@ -28,6 +28,7 @@
                     int64_t asked_us)
 {
   bool not_up = rep->state != HOST_UP;
+  bool other_pool = *rep->pool && strcmp (rep->pool, plc->set.pool) != 0;
   if (rep->state == HOST_UNKNOWN)
     return;
   placer_end_late_starts_on_host (plc, rep, asked_us);
@@ -48,7 +49,9 @@
                    LOG_I ("list_age_ms",
                           (clock_now_us (plc->env.clk) - asked_us) / 1000));
       placer_end_instance (plc, wrk);
-      wrk->gone = !same && *rep->worker;
+      /* A host that comes back from another pool has a worker with another
+         id.  */
+      wrk->gone = !same && (*rep->worker || other_pool);
       wrk->ended_list_us = wrk->gone ? 0 : asked_us;
     }
   for (size_t n = plc->earlier_count; n-- > 0;)
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -80,8 +80,9 @@
   int64_t earlier_born_ms;
   bool reported_ended; /* a source other than the worker reported the end of
                           this instance */
-  /* With reported_ended: lists of hosts show that the host is gone or has
-     another worker, so that no instance begins under this id.  */
+  /* With reported_ended: lists of hosts show that the host is gone, has
+     another worker or is in another pool, so that no instance begins under
+     this id.  */
   bool gone;
   /* Another worker has answered at its address, to a call that was sent after
      all runs here were started, and this one has answered nothing since.  */
