A worker record names what is known when its append is sent

With a slow store one append to the pool's partition takes 1.3 to 1.9 s (the partition takes one append at a time, and all processes append to it). A trial that logged each append showed that a record was made when it was queued, behind an append of progress that was in flight, and that the next record was made only in the tick after one had been appended, when the next append of progress had been sent already. Records and progress thus took turns, and a record took 3.3 to 3.5 s instead of one append: workers that came from 7.5 s on were in no record before that of 10.48 s, which was sent at 12.07 s and appended at 13.81 s.

The appender now asks for the record when the append is sent, so that it names all workers and places that are known then, and the next record is queued as soon as one is appended, before the next append is sent. The rule itself stays: a worker takes tasks, and a perpetual task starts, only after a record in the log names them. Until the append is sent there is no record that may be in the log, so the places of the one in flight (naming) are set then. A repeated append carries the same bytes.

--- a/node/duties.c
+++ b/node/duties.c
@@ -116,51 +116,6 @@
   node_schedule_placer (arg, 0);
 }
 
-struct persist_ctx
-{
-  struct held_duty *hld;
-  persist_fn *fn;
-  void *arg;
-};
-
-static void
-on_persisted (void *arg, enum appender_outcome out, uint64_t offset)
-{
-  struct persist_ctx *ctx = arg;
-  if (out != APPENDER_DONE)
-    ctx->hld->refused = true;
-  ctx->fn (ctx->arg, out == APPENDER_DONE ? PERSIST_DONE : PERSIST_FENCED);
-  talloc_free (ctx);
-}
-
-static int
-persist (void *arg, const struct topic_entry *entries, size_t count,
-         bool first, persist_fn *fn, void *fn_arg)
-{
-  struct held_duty *hld = arg;
-  struct persist_ctx *ctx = talloc_zero (hld, struct persist_ctx);
-  if (!ctx)
-    return ERR_NOMEM;
-  ctx->hld = hld;
-  ctx->fn = fn;
-  ctx->arg = fn_arg;
-  for (size_t n = 0; n < count; n++)
-    {
-      bool last = n + 1 == count;
-      int err = first ? appender_add_first (&hld->app, &entries[n],
-                                            on_persisted, ctx)
-                      : appender_add (&hld->app, &entries[n], true,
-                                      last ? on_persisted : NULL,
-                                      last ? ctx : NULL);
-      if (err)
-        {
-          talloc_free (ctx);
-          return err;
-        }
-    }
-  return 0;
-}
-
 static int64_t
 log_read_us (void *arg)
 {
@@ -245,7 +200,8 @@
     .lnk = &nod->worker_link.lnk,
     .jobs = &nod->jobs,
     .cat = (const struct catalog *const *)&nod->cat,
-    .persist = persist,
+    .persist = duty_persist,
+    .persist_first = duty_persist_first,
     .log_read_us = log_read_us,
     .others_read_us = others_read_us,
     .pool_read_us = node_pool_read_us,
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -433,6 +433,13 @@
 void node_tell_placer (struct held_duty *hld, const char *id,
                        const struct worker_report *rep);
 
+/* node/duty_persist.c */
+/* The functions of placer_env with the held duty as their argument.  */
+int duty_persist (void *arg, const struct topic_entry *entries, size_t count,
+                  persist_fn *fn, void *fn_arg);
+int duty_persist_first (void *arg, const char *key, persist_fill_fn *fill,
+                        persist_fn *fn, void *fn_arg);
+
 /* node/duty_record.c */
 /* Appends COUNT claims or releases of this process, all or none, with the
    tokens that the claims reserve; claims only if it has read all earlier
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -29,10 +29,12 @@
 enum persist_outcome
 {
   PERSIST_DONE,
-  PERSIST_FENCED, /* another owner has taken over */
+  PERSIST_FENCED,   /* another owner has taken over */
+  PERSIST_NOT_DONE, /* nothing was appended, as FILL had an error */
 };
 
 typedef void persist_fn (void *arg, enum persist_outcome out);
+typedef int persist_fill_fn (void *arg, const uint8_t **value, size_t *len);
 
 struct placer_env
 {
@@ -43,10 +45,14 @@
   struct job_table *jobs;
   const struct catalog *const *cat; /* the configuration in force */
   /* Appends entries to the pool's partition of the log, fenced by the owner's
-     token.  With FIRST it is one entry, which goes ahead of those that wait.
-     Returns 0, ERR_FULL or ERR_NOMEM; after 0, FN is called once.  */
+     token.  Returns 0, ERR_FULL or ERR_NOMEM; after 0, FN is called once.  */
   int (*persist) (void *arg, const struct topic_entry *entries, size_t count,
-                  bool first, persist_fn *fn, void *fn_arg);
+                  persist_fn *fn, void *fn_arg);
+  /* The same for one entry that goes ahead of those that wait.  FILL supplies
+     its value, which is copied, when the append is sent: it may wait for the
+     one in progress, and holds what is known after that.  */
+  int (*persist_first) (void *arg, const char *key, persist_fill_fn *fill,
+                        persist_fn *fn, void *fn_arg);
   /* The monotonic time for which the known jobs and fences show the log: all
      records appended before it are known.  0: they do not show the log as it
      was at one point in its history.  */
--- a/sched/placer_enrol.c
+++ b/sched/placer_enrol.c
@@ -2,6 +2,7 @@
 #include <talloc.h>
 
 #include "base/clock.h"
+#include "base/err.h"
 #include "proto/job.pb-c.h"
 #include "sched/placer_record.h"
 
@@ -52,11 +53,11 @@
 {
   struct enrol_ctx *ctx = arg;
   struct placer *plc = ctx->plc;
-  plc->enrolling = false;
+  plc->enrolling = plc->enrol_pending = false;
   plc->naming = (struct named_places){ 0 };
   if (out == PERSIST_FENCED)
     plc->fenced = true;
-  else
+  else if (out == PERSIST_DONE)
     {
       plc->durable_record = ctx->number;
       talloc_free (plc->named.rows);
@@ -79,7 +80,14 @@
     }
   talloc_free (ctx);
   if (!plc->closing)
-    plc->env.wake (plc->env.arg);
+    {
+      /* The next append is sent before the next tick; without the record it
+         would make that wait for one more append.  */
+      if (out == PERSIST_DONE
+          && placer_may_command (plc, clock_now_us (plc->env.clk)))
+        placer_enrol (plc);
+      plc->env.wake (plc->env.arg);
+    }
   placer_release_call (plc);
 }
 
@@ -215,53 +223,73 @@
          && clock_now_us (plc->env.clk) >= plc->next_announce_us;
 }
 
+/* Whether the log needs another worker record.  */
+static bool
+record_needed (const struct placer *plc)
+{
+  if (plc->enrol_stale || plc->runs_changed || announce_due (plc))
+    return true;
+  for (size_t n = 0; n < plc->pool.count; n++)
+    {
+      const struct worker *wrk = plc->pool.workers[n];
+      if (!(is_vacated (plc, wrk) ? wrk->unenrolled : wrk->enrolled))
+        return true;
+    }
+  return false;
+}
+
+/* Supplies the worker record.  With a slow store it has waited for the append
+   before it, and names the workers and runs that have come since too.  */
+static int
+fill_record (void *arg, const uint8_t **data, size_t *len)
+{
+  struct enrol_ctx *ctx = arg;
+  struct placer *plc = ctx->plc;
+  Kingcuphollow__PoolWorkers msg = KINGCUPHOLLOW__POOL_WORKERS__INIT;
+  msg.token = plc->set.token;
+  if (plc->closing || !fill_worker_record (plc, ctx, &msg)
+      || !fill_late_starts (plc, ctx, &msg))
+    return ERR_NOMEM;
+  msg.runs_recorded
+      = placer_limit_runs (plc, &msg) && msg.n_late_starts < LATE_STARTS_MAX;
+  *len = kingcuphollow__pool_workers__get_packed_size (&msg);
+  uint8_t *packed = talloc_size (ctx, *len);
+  if (!packed)
+    return ERR_NOMEM;
+  kingcuphollow__pool_workers__pack (&msg, packed);
+  *data = packed;
+  ctx->number = ++plc->last_record;
+  plc->enrolling = true;
+  plc->naming = ctx->places;
+  plc->enrol_stale = plc->runs_changed = plc->late_starts_changed = false;
+  plc->next_announce_us = clock_now_us (plc->env.clk) + ANNOUNCE_INTERVAL_US;
+  return 0;
+}
+
 void
 placer_enrol (struct placer *plc)
 {
-  bool needed = plc->enrol_stale || plc->runs_changed || announce_due (plc);
   char key[KEY_PREFIX_BYTES + NAME_BYTES] = PLACER_WORKERS_KEY_PREFIX;
   for (size_t n = 0; n < plc->pool.count; n++)
     {
       struct worker *wrk = plc->pool.workers[n];
       wrk->unenrolled = wrk->unenrolled && is_vacated (plc, wrk);
-      needed = needed
-               || !(is_vacated (plc, wrk) ? wrk->unenrolled : wrk->enrolled);
     }
-  if (!needed || plc->enrolling || plc->fenced)
+  if (plc->enrol_pending || plc->fenced || !record_needed (plc))
     return;
   struct enrol_ctx *ctx = talloc_zero (plc, struct enrol_ctx);
-  Kingcuphollow__PoolWorkers msg = KINGCUPHOLLOW__POOL_WORKERS__INIT;
   if (!ctx)
     return;
   ctx->plc = plc;
-  msg.token = plc->set.token;
-  if (!fill_worker_record (plc, ctx, &msg)
-      || !fill_late_starts (plc, ctx, &msg))
-    goto failed;
-  msg.runs_recorded
-      = placer_limit_runs (plc, &msg) && msg.n_late_starts < LATE_STARTS_MAX;
-  ctx->number = plc->last_record + 1;
-  size_t len = kingcuphollow__pool_workers__get_packed_size (&msg);
-  uint8_t *data = talloc_size (ctx, len);
-  if (!data)
-    goto failed;
-  kingcuphollow__pool_workers__pack (&msg, data);
   name_copy (key + KEY_PREFIX_BYTES, plc->set.pool);
-  const struct topic_entry entry = {
-    .key = key, .key_len = strlen (key), .value = data, .value_len = len
-  };
-  if (plc->env.persist (plc->env.arg, &entry, 1, true, on_enrolled, ctx))
-    goto failed;
-  plc->enrolling = true;
+  plc->enrol_pending = true;
   plc->enrol_sent_us = clock_now_us (plc->env.clk);
-  plc->naming = ctx->places;
-  plc->last_record = ctx->number;
-  plc->enrol_stale = plc->runs_changed = plc->late_starts_changed = false;
-  plc->next_announce_us = clock_now_us (plc->env.clk) + ANNOUNCE_INTERVAL_US;
   plc->calls_in_flight++;
-  return;
-
-failed:
+  if (plc->env.persist_first (plc->env.arg, key, fill_record, on_enrolled, ctx)
+      == 0)
+    return;
+  plc->enrol_pending = false;
+  plc->calls_in_flight--;
   talloc_free (ctx);
 }
 
--- a/sched/placer_flush.c
+++ b/sched/placer_flush.c
@@ -127,8 +127,7 @@
   plc->flushing = true;
   plc->calls_in_flight++;
   if (count == 0
-      || plc->env.persist (plc->env.arg, entries, count, false, on_persisted,
-                           plc))
+      || plc->env.persist (plc->env.arg, entries, count, on_persisted, plc))
     {
       plc->flushing = false;
       plc->calls_in_flight--;
--- a/sched/placer_named.c
+++ b/sched/placer_named.c
@@ -120,7 +120,8 @@
 bool
 placer_record_delayed (const struct placer *plc, int64_t now_us)
 {
-  return plc->enrolling && now_us - plc->enrol_sent_us >= RECORD_WAIT_MAX_US;
+  return plc->enrol_pending
+         && now_us - plc->enrol_sent_us >= RECORD_WAIT_MAX_US;
 }
 
 struct worker *
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -182,7 +182,9 @@
      running.  */
   struct earlier_worker *earlier;
   size_t earlier_count;
-  bool enrolling;   /* an append of the worker record is in flight */
+  bool enrol_pending; /* an append of the worker record waits or is in
+                         flight */
+  bool enrolling;     /* it is in flight */
   bool enrol_stale; /* the logged worker record names removed workers, or does
                        not tell that it names all runs */
   /* Runs of perpetual tasks; see placer_record.h.  */
@@ -192,7 +194,7 @@
   bool runs_changed;          /* the logged worker record lacks a run */
   struct named_places named;  /* in the last record that is in the log */
   struct named_places naming; /* in the record in flight */
-  int64_t enrol_sent_us;      /* when that was passed on */
+  int64_t enrol_sent_us;      /* when the pending one was passed on */
   int64_t next_spares_check_us;
   size_t spares_check_pos; /* index of the worker that was checked last */
   uint64_t last_record;    /* number of worker records appended so far */
--- a/store/appender.c
+++ b/store/appender.c
@@ -33,6 +33,7 @@
   struct pending_entry *next;
   struct topic_entry entry;
   bool durable;
+  appender_fill_fn *fill; /* NULL: the value is in the entry */
   appender_fn *fn;
   void *arg;
 };
@@ -327,6 +328,27 @@
     }
 }
 
+/* Gets the value of IT, which is about to be sent.  Returns false after it has
+   completed without one.  */
+static bool
+fill_entry (struct pending_entry *it)
+{
+  const uint8_t *value;
+  size_t len;
+  if (!it->fill)
+    return true;
+  if (it->fill (it->arg, &value, &len) == 0)
+    {
+      it->entry.value = talloc_memdup (it, value, len);
+      it->entry.value_len = len;
+      if (it->entry.value)
+        return true;
+    }
+  it->fn (it->arg, APPENDER_NOT_DONE, 0);
+  talloc_free (it);
+  return false;
+}
+
 static void
 fill_batch (struct priv *p)
 {
@@ -341,6 +363,8 @@
       if (!p->first)
         p->last = &p->first;
       p->waiting--;
+      if (!fill_entry (it))
+        continue;
       bytes += it->entry.value_len;
       p->batch[p->batch_count++] = it;
     }
@@ -427,7 +451,8 @@
     return NULL;
   it->entry = *entry;
   it->entry.key = talloc_memdup (it, entry->key, entry->key_len);
-  it->entry.value = talloc_memdup (it, entry->value, entry->value_len);
+  if (entry->value)
+    it->entry.value = talloc_memdup (it, entry->value, entry->value_len);
   it->durable = durable;
   it->fn = fn;
   it->arg = arg;
@@ -453,13 +478,15 @@
 }
 
 int
-appender_add_first (struct appender *app, const struct topic_entry *entry,
-                    appender_fn *fn, void *arg)
+appender_add_first (struct appender *app, const char *key,
+                    appender_fill_fn *fill, appender_fn *fn, void *arg)
 {
   struct priv *p = app->priv;
-  struct pending_entry *it = make_entry (p, entry, true, fn, arg);
+  const struct topic_entry entry = { .key = key, .key_len = strlen (key) };
+  struct pending_entry *it = make_entry (p, &entry, true, fn, arg);
   if (!it)
     return ERR_NOMEM;
+  it->fill = fill;
   it->next = p->first;
   p->first = it;
   if (!it->next)
--- a/store/appender.h
+++ b/store/appender.h
@@ -47,6 +47,11 @@
    number shows that it was appended.  */
 #define APPENDER_OFFSET_UNKNOWN UINT64_MAX
 
+/* Supplies the value of an entry just before an append with it is sent; the
+   value is copied.  Returns 0, or an error: the entry then completes as
+   APPENDER_NOT_DONE.  */
+typedef int appender_fill_fn (void *arg, const uint8_t **value, size_t *len);
+
 /* OFFSET is that of the entry, with APPENDER_DONE only.  */
 typedef void appender_fn (void *arg, enum appender_outcome out,
                           uint64_t offset);
@@ -66,9 +71,11 @@
    call.  */
 int appender_add (struct appender *app, const struct topic_entry *entry,
                   bool durable, appender_fn *fn, void *arg);
-/* The same for a durable entry that goes ahead of those that wait.  */
-int appender_add_first (struct appender *app, const struct topic_entry *entry,
-                        appender_fn *fn, void *arg);
+/* The same for a durable entry that goes ahead of those that wait, and whose
+   value FILL supplies: it need not be out of date by the time for which it has
+   waited.  */
+int appender_add_first (struct appender *app, const char *key,
+                        appender_fill_fn *fill, appender_fn *fn, void *arg);
 
 /* Time in microseconds since the batch in progress was first sent; 0 when none
    is in progress.  */
--- a/test/load/owner_cost.c
+++ b/test/load/owner_cost.c
@@ -149,7 +149,7 @@
 
 static int
 persist (void *arg, const struct topic_entry *entries, size_t count,
-         bool first, persist_fn *fn, void *fn_arg)
+         persist_fn *fn, void *fn_arg)
 {
   struct bench *ben = arg;
   struct append *app = talloc (NULL, struct append);
@@ -158,6 +158,16 @@
   return 0;
 }
 
+static int
+persist_first (void *arg, const char *key, persist_fill_fn *fill,
+               persist_fn *fn, void *fn_arg)
+{
+  const uint8_t *value;
+  size_t len;
+  int err = fill (fn_arg, &value, &len);
+  return err ? err : persist (arg, NULL, 1, fn, fn_arg);
+}
+
 static void
 add_job (struct bench *ben)
 {
@@ -296,6 +306,7 @@
                                   .jobs = &ben.jobs,
                                   .cat = &cat_ptr,
                                   .persist = persist,
+                                  .persist_first = persist_first,
                                   .log_read_us = log_read_us,
                                   .wake = wake,
                                   .arg = &ben };
--- a/test/unit/instance_owner.c
+++ b/test/unit/instance_owner.c
@@ -1,5 +1,6 @@
 #include "instance_model.h"
 
+#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -44,7 +45,8 @@
   uint64_t token;
   struct model_record *records;
   size_t count;
-  persist_fn *fn; /* NULL: the fence */
+  persist_fill_fn *fill; /* of the one record, until it is sent, or NULL */
+  persist_fn *fn;        /* NULL: the fence */
   void *arg;
   bool dropped; /* its result does not matter any more */
   bool appended;
@@ -162,8 +164,9 @@
 static void
 finish_append (struct owner *own, struct model_append *app, bool done)
 {
-  own->first_append = app->next;
-  if (!own->first_append)
+  struct model_append *next = app->next;
+  own->first_append = next;
+  if (!next)
     own->last_append = NULL;
   if (!done)
     own->refused = true;
@@ -174,7 +177,8 @@
     }
   if (app->fn)
     app->fn (app->arg, done ? PERSIST_DONE : PERSIST_FENCED);
-  if (own->first_append)
+  /* One that FN has added to an empty queue was sent by that.  */
+  if (next)
     send_append (own);
   check_duties (own);
 }
@@ -222,6 +226,16 @@
 static void
 send_append (struct owner *own)
 {
+  struct model_append *app = own->first_append;
+  if (app->fill)
+    {
+      struct model_record *rec = &app->records[0];
+      const uint8_t *value;
+      if (app->fill (app->arg, &value, &rec->len))
+        abort ();
+      app->fill = NULL;
+      rec->data = talloc_memdup (app, value, rec->len);
+    }
   model_after (own->mdl, own, 0, on_append_try, own->first_append, 0);
 }
 
@@ -242,7 +256,7 @@
 
 static int
 persist (void *arg, const struct topic_entry *entries, size_t count,
-         bool first, persist_fn *fn, void *fn_arg)
+         persist_fn *fn, void *fn_arg)
 {
   struct owner *own = arg;
   struct model_append *app = talloc_zero (own->mdl, struct model_append);
@@ -253,7 +267,7 @@
   for (size_t n = 0; n < count; n++)
     {
       struct model_record *rec = &app->records[n];
-      rec->kind = entries[n].key[1] == '/' ? RECORD_WORKERS : RECORD_JOB;
+      rec->kind = RECORD_JOB;
       name_copy_len (rec->key, entries[n].key, entries[n].key_len);
       rec->key_len = entries[n].key_len;
       rec->len = entries[n].value_len;
@@ -263,6 +277,24 @@
   return 0;
 }
 
+static int
+persist_first (void *arg, const char *key, persist_fill_fn *fill,
+               persist_fn *fn, void *fn_arg)
+{
+  struct owner *own = arg;
+  struct model_append *app = talloc_zero (own->mdl, struct model_append);
+  app->records = talloc_zero (app, struct model_record);
+  app->records[0].kind = RECORD_WORKERS;
+  app->records[0].key_len = strlen (key);
+  name_copy_len (app->records[0].key, key, strlen (key));
+  app->count = 1;
+  app->fill = fill;
+  app->fn = fn;
+  app->arg = fn_arg;
+  add_append (own, app);
+  return 0;
+}
+
 static int64_t
 log_read_us (void *arg)
 {
@@ -322,6 +354,7 @@
                                   .jobs = &own->jobs,
                                   .cat = &own->mdl->cat_ptr,
                                   .persist = persist,
+                                  .persist_first = persist_first,
                                   .log_read_us = log_read_us,
                                   .wake = wake,
                                   .arg = own };
--- a/test/unit/placer_world.c
+++ b/test/unit/placer_world.c
@@ -96,34 +96,55 @@
 
 static int
 persist (void *arg, const struct topic_entry *entries, size_t count,
-         bool first, persist_fn *fn, void *fn_arg)
+         persist_fn *fn, void *fn_arg)
 {
   struct world *wld = arg;
   if (wld->persist_fails)
     return ERR_FULL;
-  /* An append of job progress and one of the worker record may be in progress
-     at the same time; world_tick completes the latter.  */
   wld->append_count++;
-  if (entries[0].key[1] == '/')
-    {
-      Kingcuphollow__PoolWorkers *msg = kingcuphollow__pool_workers__unpack (
-          NULL, entries[0].value_len, entries[0].value);
-      ck_assert_ptr_nonnull (msg);
-      wld->recorded_workers = msg->n_workers;
-      talloc_free (wld->record);
-      wld->record_len = entries[0].value_len;
-      wld->record
-          = talloc_memdup (wld->ctx, entries[0].value, wld->record_len);
-      kingcuphollow__pool_workers__free_unpacked (msg, NULL);
-      wld->enrol_fn = fn;
-      wld->enrol_arg = fn_arg;
-      return 0;
-    }
   wld->persist_fn = fn;
   wld->persist_arg = fn_arg;
   return 0;
 }
 
+void
+world_send_record (struct world *wld)
+{
+  const uint8_t *value;
+  size_t len;
+  persist_fill_fn *fill = wld->enrol_fill;
+  wld->enrol_fill = NULL;
+  if (!fill)
+    return;
+  ck_assert_int_eq (fill (wld->enrol_arg, &value, &len), 0);
+  Kingcuphollow__PoolWorkers *msg
+      = kingcuphollow__pool_workers__unpack (NULL, len, value);
+  ck_assert_ptr_nonnull (msg);
+  wld->recorded_workers = msg->n_workers;
+  talloc_free (wld->record);
+  wld->record_len = len;
+  wld->record = talloc_memdup (wld->ctx, value, len);
+  kingcuphollow__pool_workers__free_unpacked (msg, NULL);
+}
+
+/* An append of job progress and one of the worker record may be in progress at
+   the same time; world_tick completes the latter.  */
+static int
+persist_first (void *arg, const char *key, persist_fill_fn *fill,
+               persist_fn *fn, void *fn_arg)
+{
+  struct world *wld = arg;
+  if (wld->persist_fails)
+    return ERR_FULL;
+  wld->append_count++;
+  wld->enrol_fn = fn;
+  wld->enrol_arg = fn_arg;
+  wld->enrol_fill = fill;
+  if (!wld->append_busy)
+    world_send_record (wld);
+  return 0;
+}
+
 static int64_t
 log_read_us (void *arg)
 {
@@ -155,6 +176,7 @@
                                   .jobs = &wld->jobs,
                                   .cat = &wld->cat_ptr,
                                   .persist = persist,
+                                  .persist_first = persist_first,
                                   .log_read_us = log_read_us,
                                   .wake = wake,
                                   .arg = wld };
@@ -199,6 +221,7 @@
     if (!wld->calls[n].answered)
       world_answer (wld, &wld->calls[n], COMMAND_NO_ANSWER);
   wld->enrol_fn = wld->persist_fn = NULL;
+  wld->enrol_fill = NULL;
   if (fn)
     fn (wld->persist_arg, PERSIST_FENCED);
   if (enrol_fn)
@@ -249,8 +272,9 @@
 void
 world_tick (struct world *wld, int64_t ms)
 {
-  persist_fn *enrol_fn = wld->enrol_fn;
-  wld->enrol_fn = NULL;
+  persist_fn *enrol_fn = wld->enrol_fill ? NULL : wld->enrol_fn;
+  if (enrol_fn)
+    wld->enrol_fn = NULL;
   wld->clk.now_us += ms * 1000;
   if (enrol_fn)
     enrol_fn (wld->enrol_arg, PERSIST_DONE);
--- a/test/unit/placer_world.h
+++ b/test/unit/placer_world.h
@@ -61,8 +61,10 @@
   size_t call_count;
   persist_fn *enrol_fn; /* of an append of the worker record */
   void *enrol_arg;
-  size_t recorded_workers; /* in the last worker record */
-  uint8_t *record;         /* that record */
+  bool append_busy;            /* the worker record waits for another append */
+  persist_fill_fn *enrol_fill; /* of the record that waits, or NULL */
+  size_t recorded_workers;     /* in the last worker record */
+  uint8_t *record;             /* that record */
   size_t record_len;
   persist_fn *persist_fn; /* of an append of job progress */
   void *persist_arg;
@@ -100,6 +102,10 @@
    in progress, and calls placer_tick.  */
 void world_tick (struct world *wld, int64_t ms);
 
+/* Sends the worker record that waits, if any: the append before it is
+   complete.  */
+void world_send_record (struct world *wld);
+
 /* Completes an append of the worker record, if one is in progress, so that the
    starts which wait for it are sent.  */
 void world_record_runs (struct world *wld);
--- a/test/unit/unit_topic.c
+++ b/test/unit/unit_topic.c
@@ -218,41 +218,72 @@
 }
 END_TEST
 
+static int fills;
+static bool fill_fails;
+
+static int
+fill_value (void *arg, const uint8_t **value, size_t *len)
+{
+  fills++;
+  *value = (const uint8_t *)"v";
+  *len = 1;
+  return fill_fails ? -1 : 0;
+}
+
 /* Guards against a start of a perpetual task that waits for the progress of
-   thousands of jobs (LOST).  */
+   thousands of jobs, or for a second append, as the first has an entry from
+   before it (LOST).  */
 START_TEST (test_first_entry_goes_ahead)
 {
   struct appender app;
-  const struct topic_entry ent = {
-    .key = "w", .key_len = 1, .value = (const uint8_t *)"v", .value_len = 1
-  };
+  fills = 0;
+  fill_fails = false;
   open_appender (&app);
   add (&app, "a", true);
   struct call *call = await_call (1);
   for (int n = 0; n < 300; n++)
     add (&app, "b", true);
-  ck_assert_int_eq (appender_add_first (&app, &ent, on_entry, NULL), 0);
+  ck_assert_int_eq (appender_add_first (&app, "w", fill_value, on_entry, NULL),
+                    0);
   /* Entries whose append may have been done are repeated as they were.  */
   complete_append (call, TOPIC_UNKNOWN, 0);
   call = await_call (2);
   ck_assert_str_eq (call->first_key, "a");
   ck_assert_uint_eq (call->count, 1);
+  ck_assert_int_eq (fills, 0);
   complete_append (call, TOPIC_APPENDED, 0);
   call = await_call (3);
   ck_assert_str_eq (call->first_key, "w");
-  complete_append (call, TOPIC_APPENDED, 0);
+  ck_assert_int_eq (fills, 1);
+  complete_append (call, TOPIC_UNKNOWN, 0);
   call = await_call (4);
+  ck_assert_str_eq (call->first_key, "w");
+  ck_assert_int_eq (fills, 1);
+  complete_append (call, TOPIC_APPENDED, 0);
+  call = await_call (5);
   ck_assert_str_eq (call->first_key, "b");
   complete_append (call, TOPIC_APPENDED, 0);
   ck_assert_int_eq (done, 302);
   /* The queue still ends with the last entry that was added.  */
-  ck_assert_int_eq (appender_add_first (&app, &ent, on_entry, NULL), 0);
+  ck_assert_int_eq (appender_add_first (&app, "w", fill_value, on_entry, NULL),
+                    0);
   add (&app, "c", true);
-  call = await_call (5);
+  call = await_call (6);
   ck_assert_str_eq (call->first_key, "w");
   ck_assert_uint_eq (call->count, 2);
   complete_append (call, TOPIC_APPENDED, 0);
   ck_assert_int_eq (done, 304);
+  /* An entry without a value is told so, and the others are sent.  */
+  fill_fails = true;
+  ck_assert_int_eq (appender_add_first (&app, "w", fill_value, on_entry, NULL),
+                    0);
+  add (&app, "d", true);
+  call = await_call (7);
+  ck_assert_int_eq (not_done, 1);
+  ck_assert_str_eq (call->first_key, "d");
+  ck_assert_uint_eq (call->count, 1);
+  complete_append (call, TOPIC_APPENDED, 0);
+  ck_assert_int_eq (done, 305);
   appender_fini (&app);
 }
 END_TEST
