A perpetual task and its new worker are named by one record

A perpetual task that no other worker can take is now placed on a worker that the log does not name yet. Its start waits for a record anyway, as it does on any place that is not named, and that record names the worker in the same row. It is sent once that record is in the log, and not if the worker has turned to leave or silent by then. Batch tasks still need a named worker, and so do all tasks of an owner whose records do not name runs.

--- a/sched/placer.c
+++ b/sched/placer.c
@@ -259,6 +259,19 @@
    that refuse it for good would be tried alternately.  */
 #define IN_TURN_REFUSALS 2
 
+/* Picks a worker that the log does not name yet for a perpetual task, which no
+   other worker can take.  Its start waits for a record anyway, and the same
+   one names the worker.  */
+static struct worker *
+pick_unenrolled (struct placer *plc, const struct place_request *req)
+{
+  struct place_request any = *req;
+  any.unenrolled = true;
+  return req->step->perpetual && placer_records_runs (plc)
+             ? place_pick_unenrolled (&plc->pool, &any)
+             : NULL;
+}
+
 /* Picks a worker for a task; while the record in flight has no answer, one on
    which a perpetual task need not wait for it.  */
 static struct worker *
@@ -269,7 +282,10 @@
   if (req->step->perpetual && placer_record_delayed (plc, req->now_us))
     wrk = placer_pick_named (plc, req);
   if (!wrk)
-    return placer_pick_worker (plc, req);
+    {
+      wrk = placer_pick_worker (plc, req);
+      return wrk ? wrk : pick_unenrolled (plc, req);
+    }
   task_ref_format (req->ref, name);
   log_event (plc->env.lg, EV_RUN_NAMED_PLACE, LOG_S ("pool", plc->set.pool),
              LOG_S ("task", name), LOG_S ("worker", wrk->rep.id),
--- a/sched/placer_record.c
+++ b/sched/placer_record.c
@@ -55,7 +55,8 @@
 placer_await_record (struct placer *plc, struct run *run)
 {
   if (!is_perpetual (run) || !placer_records_runs (plc)
-      || placer_is_named (plc, &run->ref, run->wrk, run->number))
+      || (run->wrk->enrolled
+          && placer_is_named (plc, &run->ref, run->wrk, run->number)))
     return false;
   run->unsent = true;
   plc->unsent_runs++;
@@ -70,13 +71,15 @@
 }
 
 /* Whether RUN may be started as it was decided before its record was
-   appended.  */
+   appended; with RECORDED it has been.  The record names its worker too.  */
 static bool
-may_start_now (const struct run *run, int64_t now_us)
+may_start_now (const struct run *run, bool recorded, int64_t now_us)
 {
   return !run->stop_wanted && run->tsk->run == run
          && run->tsk->unwanted_runs == 0 && !job_ended (run->job)
-         && !run->job->contested && worker_schedulable (run->wrk, now_us);
+         && !run->job->contested
+         && (recorded ? worker_schedulable (run->wrk, now_us)
+                      : worker_takes_tasks (run->wrk, now_us));
 }
 
 void
@@ -118,7 +121,7 @@
             continue;
           bool recorded
               = run->record > 0 && run->record <= plc->durable_record;
-          if (!may_start_now (run, now_us)
+          if (!may_start_now (run, recorded, now_us)
               || (!recorded && has_named_place (plc, run, now_us)))
             placer_remove_run (plc, run);
           else if (recorded && !worker_awaits_acks (run->wrk, now_us))
--- a/sched/pool.c
+++ b/sched/pool.c
@@ -187,11 +187,16 @@
          && now_us >= wrk->avoid_until_us && now_us >= wrk->failing_until_us;
 }
 
+bool
+worker_takes_tasks (const struct worker *wrk, int64_t now_us)
+{
+  return !wrk->rep.draining && !wrk->vacate && worker_usable (wrk, now_us);
+}
+
 bool
 worker_schedulable (const struct worker *wrk, int64_t now_us)
 {
-  return wrk->enrolled && !wrk->rep.draining && !wrk->vacate
-         && worker_usable (wrk, now_us);
+  return wrk->enrolled && worker_takes_tasks (wrk, now_us);
 }
 
 /* Whether TSK, of a perpetual step, waits for its place on WRK, the one worker
@@ -250,7 +255,8 @@
 place_allowed (const struct worker *wrk, const struct place_request *req)
 {
   const struct step *step = req->step;
-  if (!worker_schedulable (wrk, req->now_us)
+  if (!(req->unenrolled ? worker_takes_tasks (wrk, req->now_us)
+                        : worker_schedulable (wrk, req->now_us))
       || (req->only && req->only != wrk->handle))
     return false;
   if (*step->required_label && !worker_has_label (wrk, step->required_label))
@@ -357,3 +363,25 @@
     }
   return best;
 }
+
+struct worker *
+place_pick_unenrolled (struct pool *pool, const struct place_request *req)
+{
+  struct worker *best = NULL;
+  int64_t best_score = 0;
+  for (size_t n = 0; n < pool->count; n++)
+    {
+      struct worker *wrk = pool->workers[n];
+      if (wrk->enrolled || !place_fits (wrk, req->step)
+          || worker_awaits_acks (wrk, req->now_us)
+          || !place_allowed (wrk, req))
+        continue;
+      const struct place_slot slot = { .penalty = penalty (wrk) };
+      int64_t score = score_worker (wrk, &slot, req);
+      if (best && score <= best_score)
+        continue;
+      best = wrk;
+      best_score = score;
+    }
+  return best;
+}
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -259,6 +259,8 @@
                        none */
   uint32_t only;    /* handle of the one worker allowed; 0: any */
   bool in_turn;     /* the worker after AVOID, whichever is the best */
+  bool unenrolled;  /* the start waits for a record, which names the worker
+                       too */
   int64_t now_us;
 };
 
@@ -277,6 +279,9 @@
    or it leaves by its own notice.  */
 bool worker_usable (const struct worker *wrk, int64_t now_us);
 
+/* The same, and neither is the case.  */
+bool worker_takes_tasks (const struct worker *wrk, int64_t now_us);
+
 /* Whether WRK takes new tasks.  */
 bool worker_schedulable (const struct worker *wrk, int64_t now_us);
 
@@ -294,6 +299,10 @@
 /* Picks a worker for a task.  Returns NULL when none can take it now.  */
 struct worker *place_pick (struct pool *pool, const struct place_request *req);
 
+/* Picks one of the workers that are not enrolled; REQ allows them.  */
+struct worker *place_pick_unenrolled (struct pool *pool,
+                                      const struct place_request *req);
+
 bool worker_has_label (const struct worker *wrk, const char *label);
 
 /* The rack of a worker, or "".  */
