--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -136,13 +136,12 @@
 }
 
 /* Whether an earlier owner may have learnt of the end of RUN, which it had
-   started, when it could still start the next one on another worker that its
-   record names.  */
+   started, when it could still start the next one on another worker: one that
+   its record names, or any for a batch task.  */
 static bool
 may_have_next_run (const struct placer *plc, const struct run *run)
 {
   return !plc->takeover_done && run->start_sent_us == 0 && !run->unwanted
-         && run->job->spec.steps[run->ref.step].perpetual
          && run->listed_us < placer_earlier_starts_end_us (plc);
 }
 
--- a/test/unit/unit_placer_named.c
+++ b/test/unit/unit_placer_named.c
@@ -22,6 +22,8 @@
 #define JOB                                                                   \
   "{\"steps\":[{\"count\":1,\"cpu\":100,\"mem-mb\":64,\"perpetual\":true}]}"
 
+#define BATCH_JOB "{\"steps\":[{\"count\":1,\"cpu\":100,\"mem-mb\":64}]}"
+
 static const char *const ids[WORKERS] = { "w1", "w2", "w3", "w4" };
 
 /* More perpetual tasks than a record names spare places for.  */
@@ -474,6 +476,37 @@
 }
 END_TEST
 
+/* Guards against a second run of a batch task (TWICE), as above: a worker that
+   this owner cannot reach may run it.  */
+START_TEST (test_successor_learns_of_failed_batch_run)
+{
+  for (size_t n = 0; n < WORKERS; n++)
+    {
+      world_add_worker (wld, ids[n], 1000);
+      world_enrol_worker (wld, ids[n]);
+    }
+  steps (100);
+  void *record = talloc_memdup (wld->ctx, wld->record, wld->record_len);
+  size_t len = wld->record_len;
+  world_take_over (wld, 100, WORLD_FENCE_OFFSET + 2);
+  placer_add_earlier_record (wld->plc, record, len, wld->clk.now_us);
+  for (size_t n = 0; n < WORKERS; n++)
+    world_add_worker (wld, ids[n], 1000);
+  job = world_add_job (wld, 1, BATCH_JOB, WORLD_FENCE_OFFSET - 1);
+  rows[0][row_counts[0]++] = (struct world_row){ .job = 1, .run = 3 };
+  silent[WORKERS - 1] = true;
+  const int64_t claimed_us = wld->clk.now_us;
+  steps (500);
+  ck_assert_ptr_nonnull (job->occurrences[0].tasks[0].run);
+  fail_run (ids[0]);
+  while (world_starts (wld, 1, 0) == 0
+         && wld->clk.now_us < claimed_us + LEASES_END_MS * 1000)
+    steps (STEP_MS);
+  ck_assert_uint_gt (world_starts (wld, 1, 0), 0);
+  ck_assert_int_ge (wld->clk.now_us, claimed_us + WORLD_LEASE_MAX_MS * 1000);
+}
+END_TEST
+
 /* Guards against a task that waits for the leases of its spare place, which
    the next owner cannot reach, although its run was at work when the earlier
    owner could start nothing any more (LOST); and against a second run (TWICE)
@@ -785,6 +818,7 @@
   tcase_add_loop_test (tc, test_spare_place_is_replaced, 0, 3);
   tcase_add_test (tc, test_restart_on_same_worker_needs_no_record);
   tcase_add_test (tc, test_successor_learns_late_of_end);
+  tcase_add_test (tc, test_successor_learns_of_failed_batch_run);
   tcase_add_loop_test (tc, test_end_of_found_run_on_lost_worker, 0, 4);
   tcase_add_loop_test (tc, test_found_run_has_places, 0, 2);
   tcase_add_test (tc, test_run_to_be_stopped_stays_named);
