--- a/test/unit/unit_placer_named.c
+++ b/test/unit/unit_placer_named.c
@@ -660,6 +660,8 @@
 {
   PLACE_REPLACED,       /* another worker is on its host */
   PLACE_HOST_DOWN,      /* a list of hosts shows so */
+  PLACE_KEPT,           /* the same; a run of another task, which its next
+                           instance may have begun, is not given up yet */
   PLACE_LEASES_OVER,    /* its leases have */
   PLACE_DRAINS,         /* it leaves, and the run has failed */
   PLACE_NUMBER_UNKNOWN, /* its host is down; the log lacks the run's number */
@@ -673,10 +675,11 @@
   enum place_fate fate;
   bool named; /* the record goes on to name it */
 } fates[] = {
-  { PLACE_REPLACED, false },      { PLACE_HOST_DOWN, false },
-  { PLACE_LEASES_OVER, false },   { PLACE_DRAINS, false },
-  { PLACE_NUMBER_UNKNOWN, true }, { PLACE_RESTARTED, true },
-  { PLACE_LATE_START, true },     { PLACE_LEASES_LAST, true },
+  { PLACE_REPLACED, false },   { PLACE_HOST_DOWN, false },
+  { PLACE_KEPT, false },       { PLACE_LEASES_OVER, false },
+  { PLACE_DRAINS, false },     { PLACE_NUMBER_UNKNOWN, true },
+  { PLACE_RESTARTED, true },   { PLACE_LATE_START, true },
+  { PLACE_LEASES_LAST, true },
 };
 
 /* Whether the last record names any worker for the task, in its runs or in a
@@ -718,6 +721,12 @@
       run->start_settled = false;
       run->start_unanswered = true;
     }
+  if (fate == PLACE_KEPT)
+    {
+      world_add_job (wld, 2, BATCH_JOB, WORLD_FENCE_OFFSET + 3);
+      steps (100);
+      ck_assert_uint_eq (world_starts (wld, 2, 0), 1);
+    }
   if (fate == PLACE_DRAINS)
     {
       wrk->rep.draining = true;
@@ -727,8 +736,8 @@
     end_worker (worker);
   else
     silent[index_of (worker)] = true;
-  if (fate == PLACE_HOST_DOWN || fate == PLACE_NUMBER_UNKNOWN
-      || fate == PLACE_LATE_START)
+  if (fate == PLACE_HOST_DOWN || fate == PLACE_KEPT
+      || fate == PLACE_NUMBER_UNKNOWN || fate == PLACE_LATE_START)
     {
       struct host_report rep = { .state = HOST_DOWN };
       name_copy (rep.name, wrk->rep.host);
