--- a/test/unit/unit_node_rivals.c
+++ b/test/unit/unit_node_rivals.c
@@ -269,6 +269,32 @@
 }
 END_TEST
 
+/* Guards against a start after a cancellation (UNASKED): the queue was sent to
+   one pool and soon after to another one, and a process that knew the former
+   stored the cancellation in a partition which this one cannot read.  */
+START_TEST (test_cancellation_between_two_moves)
+{
+  create (false);
+  own_pool ();
+  char third[] = "a";
+  while (node_job_partition (wld.nod, third)->part != held_part ())
+    third[0]++;
+  node_world_run (&wld, 1500);
+  add_spec ("p", 2, false);
+  node_world_run (&wld, 500);
+  ck_assert_uint_gt (wld.starts, 0);
+  other->hold_reads = true;
+  topic_memory_add (other, ID_TEXT "x", (const uint8_t *)"", 0);
+  queues[1].pool = third; /* the queue "q", after "o" */
+  queues[1].pool_since_us = clock_now_us (wld.nod->clk);
+  node_world_run (&wld, 3000);
+  size_t before = wld.starts;
+  node_world_run (&wld, 2000);
+  ck_assert_uint_eq (wld.starts, before);
+  node_world_fini (&wld);
+}
+END_TEST
+
 /* Guards against a job that waits for seconds although the other partitions
    hold nothing new.  */
 START_TEST (test_uncertain_job_starts_soon)
@@ -357,6 +383,7 @@
   tcase_add_loop_test (tc, test_started_job_stays, 0, 2);
   tcase_add_loop_test (tc, test_other_partitions_first, 0, 2);
   tcase_add_loop_test (tc, test_partition_not_needed, 0, 3);
+  tcase_add_test (tc, test_cancellation_between_two_moves);
   tcase_add_loop_test (tc, test_withdrawn_before_other_record, 0, 2);
   tcase_add_test (tc, test_confirmations_are_spaced);
   tcase_add_test (tc, test_uncertain_job_starts_soon);
