--- a/sched/demand.h
+++ b/sched/demand.h
@@ -25,8 +25,8 @@
      those of batch tasks, as perpetual ones are counted above.  */
   int64_t takeover_tasks;
   struct resources takeover_need;
-  int64_t arrived_core_us;  /* of jobs seen in the last DEMAND_WINDOW_MS */
-  int64_t arrived;          /* number of those jobs */
+  int64_t arrived_core_us;     /* of jobs seen in the last DEMAND_WINDOW_MS */
+  int64_t arrived;             /* number of those jobs */
   int64_t arrived_wait_max_ms; /* sum of job_order_wait_max_ms of them */
 };
 
