sched: a perpetual task keeps the room of its late start

Callers saw a perpetual task whose start had no answer without a run for 12 s, although its worker answered and another worker was free or free soon.

Until its late start is over, such a task may start on one worker only. Once its run was given up, the room there was anyone's. If a perpetual task of an older job waited in the same tick, or while the worker did not answer, that one was placed first and took the room, even with other workers free. Batch tasks do not matter, as they are placed later and are preempted.

The room is now reserved as the run is given up, for as long as any other reservation: it is dropped if the worker may not take the task. A worker that drains, is vacated or has ended is not reserved. Reservations decide where a task starts, never when, so the bounds on late starts stay as they are.

--- a/sched/placer_late.c
+++ b/sched/placer_late.c
@@ -144,6 +144,19 @@
   return late;
 }
 
+/* Keeps the room of RUN, which is given up, for its task, as that may start on
+   no other worker.  */
+static void
+keep_room (const struct run *run, int64_t now_us)
+{
+  const struct step *stp = &run->job->spec.steps[run->ref.step];
+  const struct worker *wrk = run->wrk;
+  if (stp->perpetual && run->tsk->run == run && !run->unwanted
+      && !run->tsk->reserved_worker && !job_ended (run->job) && wrk->registered
+      && !wrk->ended_us && !wrk->rep.draining && !wrk->vacate)
+    placer_reserve (run->tsk, stp, run->wrk, now_us);
+}
+
 void
 placer_add_late_start (struct placer *plc, const struct run *run)
 {
@@ -169,6 +182,7 @@
   rows[plc->late_start_count++] = late;
   run->tsk->late_starts++;
   run->tsk->late_worker = run->wrk->handle;
+  keep_room (run, now_us);
   char name[TASK_NAME_MAX];
   task_ref_format (&late.ref, name);
   log_event (
--- a/test/unit/unit_placer_late_wait.c
+++ b/test/unit/unit_placer_late_wait.c
@@ -270,6 +270,68 @@
 }
 END_TEST
 
+/* Guards against a perpetual task without a run (LOST): an older job's task
+   takes the room of the one worker that it may start on, although another is
+   free, or is so soon.  */
+START_TEST (test_room_of_late_start_is_kept)
+{
+  static const char job[] = "{\"steps\":[{\"count\":1,\"cpu\":3000,"
+                            "\"mem-mb\":64,\"perpetual\":true}]}";
+  static const struct
+  {
+    int64_t silent_us; /* w1 answers nothing for this time */
+    bool free;         /* w2 is there from the beginning */
+  } cases[] = { { 0, true }, { 0, false }, { 1500000, false } };
+  static const struct world_row older_run = { .job = 1, .run = 1 };
+  world_add_job (wld, 2, job, 200);
+  world_confirm_ownership (wld);
+  world_tick (wld, 1);
+  int64_t sent_us = wld->clk.now_us;
+  world_answer (wld, world_call (wld, WORLD_START, "w1"), COMMAND_NO_ANSWER);
+  const struct task *tsk = job_task (job_table_find (&wld->jobs, 2),
+                                     &(const struct task_ref){ .job = 2 });
+  int64_t answers_us = sent_us + cases[_i].silent_us;
+  bool added = false;
+  while (world_starts (wld, 2, 0) == 1)
+    {
+      struct world_call *call;
+      bool answers = wld->clk.now_us >= answers_us;
+      ck_assert_int_lt (wld->clk.now_us, answers_us + 2 * AGAIN_US);
+      if (!pool_find_id (&wld->plc->pool, "w2")
+          && (cases[_i].free || world_starts (wld, 1, 0) > 0
+              || wld->clk.now_us > answers_us + AGAIN_US))
+        {
+          world_add_worker (wld, "w2", BORN_MS);
+          world_enrol_worker (wld, "w2");
+        }
+      if (!added && !placer_has_runs (tsk))
+        {
+          struct job *older = world_add_job (wld, 1, job, 201);
+          older->accepted_ms -= 10000;
+          older->goal_ms -= 10000;
+          added = true;
+        }
+      world_confirm_ownership (wld);
+      world_tick (wld, STEP_MS);
+      world_complete_append (wld);
+      while ((call = world_call (wld, WORLD_STOP, "w1")))
+        world_answer (wld, call, answers ? COMMAND_DONE : COMMAND_NO_ANSWER);
+      bool runs = (call = world_call (wld, WORLD_START, "w1"))
+                  && call->task.job == 1;
+      if (answers && world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", &older_run, runs, NULL, 0);
+      else if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer (wld, world_call (wld, WORLD_HOLD, "w1"),
+                      COMMAND_NO_ANSWER);
+      if (world_call (wld, WORLD_HOLD, "w2"))
+        world_answer_hold (wld, "w2", &older_run,
+                           world_call (wld, WORLD_START, "w2") != NULL, NULL,
+                           0);
+    }
+  ck_assert (added);
+}
+END_TEST
+
 /* Guards against two runs of a task (TWICE): its worker answers no more, so
    that the start may be carried out by the next instance, whose run lasts as
    long as a lease.  */
@@ -529,6 +591,7 @@
   tcase_add_loop_test (tc, test_tie_is_renewed, 0, 3);
   tcase_add_test (tc, test_place_of_late_start_is_kept);
   tcase_add_loop_test (tc, test_host_of_late_start_is_kept, 0, 4);
+  tcase_add_loop_test (tc, test_room_of_late_start_is_kept, 0, 3);
   tcase_add_loop_test (tc, test_silent_worker, 0, 2);
   tcase_add_loop_test (tc, test_lists_end_late_start, 0, 6);
   tcase_add_test (tc, test_job_without_answered_start_waits);
