--- a/job/job.h
+++ b/job/job.h
@@ -103,6 +103,8 @@
                              run has ended */
   int64_t heard_us;       /* monotonic time at which the last run that has
                              ended was last confirmed or listed; 0: never */
+  uint32_t appended_run;  /* number of the last run for which an append of the
+                             progress was asked for once more */
   uint32_t reserved_worker; /* handle of the worker on which capacity is
                                reserved for the task; 0: none */
   int64_t reserved_us;      /* monotonic time of the reservation */
--- a/sched/placer_named.c
+++ b/sched/placer_named.c
@@ -458,14 +458,17 @@
       struct job *job = placer_find_job (plc, place->ref.job);
       if (!job || job_ended (job))
         continue;
-      const struct task *tsk = job_task (job, &place->ref);
+      struct task *tsk = job_task (job, &place->ref);
       if (now_us < tsk->ended_us + USELESS_CHECK_INTERVAL_US
           || !is_useless (plc, job, place))
         continue;
       if (number_is_logged (tsk))
         plc->runs_changed = true;
-      else
-        placer_mark_dirty (plc, job);
+      else if (tsk->appended_run != tsk->prg.last_run)
+        {
+          tsk->appended_run = tsk->prg.last_run;
+          placer_mark_dirty (plc, job);
+        }
     }
 }
 
--- a/test/unit/placer_world.c
+++ b/test/unit/placer_world.c
@@ -104,6 +104,7 @@
   wld->append_count++;
   wld->persist_fn = fn;
   wld->persist_arg = fn_arg;
+  wld->persist_count++;
   return 0;
 }
 
--- a/test/unit/placer_world.h
+++ b/test/unit/placer_world.h
@@ -68,6 +68,7 @@
   size_t record_len;
   persist_fn *persist_fn; /* of an append of job progress */
   void *persist_arg;
+  size_t persist_count;     /* appends of job progress so far */
   size_t append_count;      /* appends requested so far */
   bool persist_fails;       /* appends are refused at once */
   int64_t confirmed_age_ms; /* of the confirmation with which a placer is
--- a/test/unit/unit_placer_named.c
+++ b/test/unit/unit_placer_named.c
@@ -831,6 +831,21 @@
 }
 END_TEST
 
+/* Guards against the same progress that is appended again and again to a slow
+   partition, until the number of the last run is read from it.  */
+START_TEST (test_number_is_appended_once)
+{
+  const char *spare;
+  const char *worker = own_pool (&spare);
+  lose_place (worker, PLACE_NUMBER_UNKNOWN);
+  steps (1000);
+  size_t appends = wld->persist_count;
+  steps (3000);
+  ck_assert (is_named_anywhere ());
+  ck_assert_uint_le (wld->persist_count, appends + 1);
+}
+END_TEST
+
 /* Guards against a start that no record in the log names (TWICE): the worker
    of the last run has left the record, and its next instance is free.  */
 START_TEST (test_dropped_place_is_not_used)
@@ -880,6 +895,7 @@
   tcase_add_test (tc, test_move_in_pool_of_many_tasks);
   tcase_add_loop_test (tc, test_known_end_is_recorded, 0,
                        sizeof fates / sizeof *fates);
+  tcase_add_test (tc, test_number_is_appended_once);
   tcase_add_test (tc, test_dropped_place_is_not_used);
   suite_add_tcase (suite, tc);
   SRunner *runner = srunner_create (suite);
