--- a/sched/placer_rival.c
+++ b/sched/placer_rival.c
@@ -10,13 +10,16 @@
    this one has read it.  */
 #define CONFIG_SPREAD_US 2000000
 
-/* The time as of which the partition is known that takes the cancellations of
-   a job whose queue QUE, NULL if it is gone, leads to another pool now.  */
+/* The time as of which the partitions are known that take the cancellations of
+   a job whose queue QUE, NULL if it is gone, leads to another pool now.  They
+   may be in that of any pool which the queue led to before, until the others
+   were read after all processes had learnt of the last move.  */
 static int64_t
 cancellations_read_us (struct placer *plc, const struct queue *que,
                        int64_t others_us)
 {
-  return que && plc->env.pool_read_us
+  bool settled = que && others_us >= que->pool_since_us + CONFIG_SPREAD_US;
+  return settled && plc->env.pool_read_us
              ? plc->env.pool_read_us (plc->env.arg, que->pool)
              : others_us;
 }
