--- a/sched/placer_start.c
+++ b/sched/placer_start.c
@@ -219,10 +219,13 @@
 placer_adopt (struct placer *plc, struct worker *wrk, struct job *job,
               const struct task_ref *ref, uint32_t number)
 {
-  uint32_t last_run = job_task (job, ref)->prg.last_run;
+  struct task *tsk = job_task (job, ref);
+  uint32_t last_run = tsk->prg.last_run;
   struct run *run = make_run (plc, wrk, job, ref, number);
   if (run)
     {
+      if (tsk->reserved_worker)
+        placer_unreserve (plc, tsk, &job->spec.steps[ref->step]);
       run->state = RUN_ACTIVE;
       run->start_settled = true;
       run->confirmed_us = run->created_us;
--- a/test/unit/unit_placer_named.c
+++ b/test/unit/unit_placer_named.c
@@ -614,6 +614,32 @@
 }
 END_TEST
 
+/* Guards against room that is reserved for good (LOST of other tasks): a task
+   with a reservation, as after a start without an answer, is found running. */
+START_TEST (test_reservation_of_found_run_ends)
+{
+  const char *spare;
+  const char *worker = own_pool (&spare);
+  struct task *tsk = &job->occurrences[0].tasks[0];
+  struct worker *wrk = pool_find_id (&wld->plc->pool, worker);
+  const int64_t used = wrk->used.cpu_milli;
+  const uint32_t number = tsk->run->number;
+  row_counts[index_of (worker)] = 0;
+  while (tsk->run)
+    steps (STEP_MS);
+  tsk->not_before_us = wld->clk.now_us + 1000000;
+  placer_reserve (tsk, &job->spec.steps[0], wrk, wld->clk.now_us);
+  rows[index_of (worker)][row_counts[index_of (worker)]++]
+      = (struct world_row){ .job = 1, .run = number };
+  wrk->next_hold_us = 0;
+  wrk->unlisted = true;
+  steps (4000);
+  ck_assert_ptr_nonnull (tsk->run);
+  ck_assert_uint_eq (tsk->reserved_worker, 0);
+  ck_assert_int_eq (wrk->used.cpu_milli, used);
+}
+END_TEST
+
 static bool
 leave_none_out (const struct placer *plc, const struct worker *wrk)
 {
@@ -876,6 +902,7 @@
   tcase_add_loop_test (tc, test_found_run_has_places, 0, 2);
   tcase_add_loop_test (tc, test_start_decided_again_while_record_in_flight, 0,
                        2);
+  tcase_add_test (tc, test_reservation_of_found_run_ends);
   tcase_add_test (tc, test_run_to_be_stopped_stays_named);
   tcase_add_test (tc, test_move_in_pool_of_many_tasks);
   tcase_add_loop_test (tc, test_known_end_is_recorded, 0,
