--- a/fleet/host_mgr.c
+++ b/fleet/host_mgr.c
@@ -215,6 +215,7 @@
   pool->short_hosts = dem->short_hosts;
   pool->urgent_hosts = dem->urgent_hosts;
   pool->needed_hosts = dem->needed_hosts;
+  pool->placeless_hosts = dem->placeless_hosts;
   name_copy (pool->needed_label, dem->needed_label ? dem->needed_label : "");
   pool->idle = dem->idle;
   pool->idle_count = dem->idle_count;
--- a/fleet/host_mgr.h
+++ b/fleet/host_mgr.h
@@ -95,6 +95,7 @@
   uint32_t urgent_hosts; /* those for work that can be done in time */
   uint32_t
       needed_hosts; /* those without which perpetual tasks have no place */
+  uint32_t placeless_hosts;      /* those of them for tasks that have no run */
   char needed_label[NAME_BYTES]; /* that these must have; "": any */
   int64_t needed_since_us; /* since when it needs hosts; 0: it does not */
   /* In the present step, needed hosts for which none is taken for other work:
@@ -204,6 +205,7 @@
   uint32_t urgent_hosts;    /* those for work that can be done in time */
   uint32_t needed_hosts;    /* those without which perpetual tasks have no
                                place */
+  uint32_t placeless_hosts; /* those of them for tasks that have no run */
   const char *needed_label; /* that these must have; "" or NULL: any */
   char (*idle)[NAME_BYTES]; /* hosts that the pool can give up; a talloc
                                array */
--- a/fleet/host_mgr_await.c
+++ b/fleet/host_mgr_await.c
@@ -21,8 +21,9 @@
 /* Late hosts that are replaced at a time, for each host that is wanted.  */
 #define REPLACED_MAX 2
 /* Time after its pause for which a host that its pool refused to vacate counts
-   as a reason for a needed host.  The tasks there run, and only the host
-   cannot be vacated: that is no reason to stop the work of others.  */
+   as a reason for a needed host, but for one of a task that has no run.  The
+   tasks there run, and only the host cannot be vacated: that is no reason to
+   stop the work of others.  */
 #define REFUSED_SPAN_US 10000000
 /* A need is reported when it has lasted this long, and again after the
    interval.  Most last for an order, a move and the next list of hosts, of 2
--- a/fleet/host_mgr_moves.c
+++ b/fleet/host_mgr_moves.c
@@ -61,13 +61,16 @@
 };
 
 /* Hosts that POOL needs for tasks without a place, rather than to be able to
-   give up others.  */
+   give up others.  Hosts that it has refused to vacate are a reason for needed
+   ones, but not for those of tasks that have no run.  */
 static uint32_t
 count_placeless (const struct host_mgr *mgr, const struct mgr_pool *pool,
                  int64_t now_us)
 {
   uint32_t refused = host_mgr_count_refused (mgr, pool, now_us);
-  return pool->needed_hosts > refused ? pool->needed_hosts - refused : 0;
+  uint32_t others
+      = pool->needed_hosts > refused ? pool->needed_hosts - refused : 0;
+  return others > pool->placeless_hosts ? others : pool->placeless_hosts;
 }
 
 static struct wish
--- a/node/fleet_demand.c
+++ b/node/fleet_demand.c
@@ -33,6 +33,7 @@
   return hld->sent_short_hosts != dem->short_hosts
          || hld->sent_urgent_hosts != dem->urgent_hosts
          || hld->sent_needed_hosts != dem->needed_hosts
+         || hld->sent_placeless_hosts != dem->placeless_hosts
          || strcmp (hld->sent_needed_label, dem->needed_label) != 0
          || hld->sent_idle_count != dem->idle_count;
 }
@@ -58,6 +59,7 @@
   msg.short_hosts = dem.short_hosts;
   msg.urgent_hosts = dem.urgent_hosts;
   msg.needed_hosts = dem.needed_hosts;
+  msg.placeless_hosts = dem.placeless_hosts;
   msg.needed_label = (char *)dem.needed_label;
   msg.idle_hosts = (char **)dem.idle;
   msg.n_idle_hosts = dem.idle_count;
@@ -76,12 +78,14 @@
       hld->sent_short_hosts = dem.short_hosts;
       hld->sent_urgent_hosts = dem.urgent_hosts;
       hld->sent_needed_hosts = dem.needed_hosts;
+      hld->sent_placeless_hosts = dem.placeless_hosts;
       name_copy (hld->sent_needed_label, dem.needed_label);
       hld->sent_idle_count = dem.idle_count;
       log_event (nod->lg, EV_POOL_DEMAND, LOG_S ("pool", hld->pool),
                  LOG_I ("short_hosts", dem.short_hosts),
                  LOG_I ("urgent_hosts", dem.urgent_hosts),
                  LOG_I ("needed_hosts", dem.needed_hosts),
+                 LOG_I ("placeless_hosts", dem.placeless_hosts),
                  LOG_S ("label", dem.needed_label),
                  LOG_I ("idle_hosts", dem.idle_count),
                  LOG_I ("schedulable_hosts", dem.schedulable_hosts),
--- a/node/node_priv.h
+++ b/node/node_priv.h
@@ -167,6 +167,7 @@
   uint32_t sent_short_hosts;
   uint32_t sent_urgent_hosts;
   uint32_t sent_needed_hosts;
+  uint32_t sent_placeless_hosts;
   char sent_needed_label[NAME_BYTES];
   size_t sent_idle_count;
   /* The requests to vacate hosts of this pool, as of the given numbers of
--- a/proto/job.pb-c.c
+++ b/proto/job.pb-c.c
@@ -2559,7 +2559,7 @@
   (ProtobufCMessageInit) kingcuphollow__vacate_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kingcuphollow__pool_demand__field_descriptors[7] =
+static const ProtobufCFieldDescriptor kingcuphollow__pool_demand__field_descriptors[8] =
 {
   {
     "short_hosts",
@@ -2645,12 +2645,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "placeless_hosts",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kingcuphollow__PoolDemand, placeless_hosts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kingcuphollow__pool_demand__field_indices_by_name[] = {
   2,   /* field[2] = busy_milli */
   1,   /* field[1] = idle_hosts */
   5,   /* field[5] = needed_hosts */
   6,   /* field[6] = needed_label */
+  7,   /* field[7] = placeless_hosts */
   0,   /* field[0] = short_hosts */
   3,   /* field[3] = token */
   4,   /* field[4] = urgent_hosts */
@@ -2658,7 +2671,7 @@
 static const ProtobufCIntRange kingcuphollow__pool_demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor kingcuphollow__pool_demand__descriptor =
 {
@@ -2668,7 +2681,7 @@
   "Kingcuphollow__PoolDemand",
   "kingcuphollow",
   sizeof(Kingcuphollow__PoolDemand),
-  7,
+  8,
   kingcuphollow__pool_demand__field_descriptors,
   kingcuphollow__pool_demand__field_indices_by_name,
   1,  kingcuphollow__pool_demand__number_ranges,
--- a/proto/job.pb-c.h
+++ b/proto/job.pb-c.h
@@ -556,10 +556,15 @@
    */
   uint32_t needed_hosts;
   char *needed_label;
+  /*
+   * Of the needed hosts, those for tasks that have no run, rather than to be able
+   * to give up others.  Not set by earlier versions.
+   */
+  uint32_t placeless_hosts;
 };
 #define KINGCUPHOLLOW__POOL_DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kingcuphollow__pool_demand__descriptor) \
-    , 0, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/sched/demand.c
+++ b/sched/demand.c
@@ -553,6 +553,7 @@
   const struct lack *lack
       = &lacks.rows[wanted[(size_t)(now_us / LACK_TURN_US) % wanted_count]];
   dem->needed_hosts = (uint32_t)lack->hosts;
+  dem->placeless_hosts = (uint32_t)lower (plc->placeless_hosts, lack->hosts);
   dem->needed_label = lack->label;
 }
 
--- a/sched/placer.h
+++ b/sched/placer.h
@@ -256,6 +256,8 @@
   uint32_t busy_milli;   /* share of their processors in use, in thousandths */
   uint32_t short_hosts;  /* further hosts that the pool needs */
   uint32_t urgent_hosts; /* those of them for work that can be done in time */
+  uint32_t placeless_hosts; /* those of the needed ones for tasks that have no
+                               run */
   uint32_t needed_hosts; /* those of them without which perpetual tasks have no
                             place */
   /* The label that these must have, or "" for any; valid until the placer's
--- a/sched/placer_priv.h
+++ b/sched/placer_priv.h
@@ -252,6 +252,7 @@
      place, and one for each host that was kept for want of a place a short
      time ago.  The label is one that they need, or "".  */
   uint32_t lacking_hosts;
+  uint32_t placeless_hosts; /* those of them for tasks without a run */
   char lacking_label[NAME_BYTES];
   /* Report on perpetual tasks without a run.  */
   struct unplaced_task unplaced[UNPLACED_TASKS_MAX];
--- a/sched/placer_vacate.c
+++ b/sched/placer_vacate.c
@@ -371,6 +371,7 @@
 {
   struct placer *plc = plan->plc;
   const char *label = "";
+  plc->placeless_hosts = 0;
   /* Until then the workers are not known.  */
   if (!plc->takeover_done)
     return;
@@ -383,6 +384,9 @@
       places_give_lacking (plan, need);
       if (need->place && !*label)
         label = need->stp->required_label;
+      if (need->kind == NEED_WAITING)
+        plc->placeless_hosts
+            = (uint32_t)(plan->place_count - plan->worker_count);
     }
   plc->lacking_hosts += (uint32_t)(plan->place_count - plan->worker_count);
   if (*label)
--- a/test/unit/unit_demand.c
+++ b/test/unit/unit_demand.c
@@ -140,7 +140,9 @@
   add_step (1, it->step);
   wld->plc->takeover_done = true;
   wld->plc->lacking_hosts = it->lacking;
+  wld->plc->placeless_hosts = 2;
   const struct placer_demand dem = demand ();
+  ck_assert_uint_eq (dem.placeless_hosts, it->needed < 2 ? it->needed : 2);
   ck_assert_uint_eq (dem.needed_hosts, it->needed);
   ck_assert_str_eq (dem.needed_label, it->label);
   ck_assert_uint_ge (dem.short_hosts, it->needed);
--- a/test/unit/unit_host_mgr_moves.c
+++ b/test/unit/unit_host_mgr_moves.c
@@ -100,8 +100,10 @@
   const char *idle; /* letters of hosts */
 };
 
+/* PLACELESS of the needed hosts are for tasks without a run.  */
 static void
-demand (const char *pool, const struct wants *wants)
+demand_placeless (const char *pool, const struct wants *wants,
+                  uint32_t placeless)
 {
   size_t count = wants->idle ? strlen (wants->idle) : 0;
   char (*names)[NAME_BYTES]
@@ -112,12 +114,19 @@
                                    .short_hosts = wants->late,
                                    .urgent_hosts = wants->urgent,
                                    .needed_hosts = wants->needed,
+                                   .placeless_hosts = placeless,
                                    .needed_label = wants->label,
                                    .idle = names,
                                    .idle_count = count };
   host_mgr_set_demand (&mgr, &dem, now_us);
 }
 
+static void
+demand (const char *pool, const struct wants *wants)
+{
+  demand_placeless (pool, wants, 0);
+}
+
 static void
 step (int64_t ms)
 {
@@ -289,13 +298,22 @@
   uint32_t needed;
   int refused_s; /* seconds since the pool refused to vacate a host, or -1 */
   const char *moves;
+  uint32_t placeless;
 } refusals[] = {
-  { 1, -1, "d>p " }, { 1, 0, "" },      { 2, 0, "d>p " },
-  { 1, 9, "" },      { 1, 30, "d>p " },
+  { 1, -1, "d>p ", 0 },
+  { 1, 0, "", 0 },
+  { 2, 0, "d>p ", 0 },
+  { 1, 9, "", 0 },
+  { 1, 30, "d>p ", 0 },
+  /* The tasks that need the host do not run.  */
+  { 1, 0, "d>p ", 1 },
+  { 1, 9, "d>p ", 1 },
+  { 2, 0, "d>p ", 1 },
 };
 
 /* Guards against batch work that is stopped so that a pool can give up a host
-   of its own, whose tasks run: that can wait for a spare one.  */
+   of its own, whose tasks run: that can wait for a spare one; and against
+   tasks without a run that wait for as long as hosts are refused (LOST).  */
 START_TEST (test_needed_for_refused)
 {
   char text[128];
@@ -310,7 +328,7 @@
       host->refused_remained = 3;
       host->refused_until_us = now_us - refusals[_i].refused_s * S + S;
     }
-  demand ("p", &needy);
+  demand_placeless ("p", &needy, refusals[_i].placeless);
   demand ("q", &busy);
   step (10);
   step (500);
--- a/test/unit/unit_placer_vacate.c
+++ b/test/unit/unit_placer_vacate.c
@@ -190,7 +190,8 @@
   int64_t pause_ms;     /* between the requests */
   const char *late_job; /* one that is accepted after the requests */
   uint32_t lacking;
-  const char *label; /* that the pool lacks; NULL: any */
+  uint32_t placeless; /* those of them for tasks that have no run */
+  const char *label;  /* that the pool lacks; NULL: any */
 };
 
 #define USUAL                                                                 \
@@ -344,13 +345,15 @@
     .requests = { { "w1", NONE } },
     .late_job = LASTING ("2", "\"cpu\":3000,\"requirements\":\"r9\""),
     .lacking = 1,
+    .placeless = 1,
     .label = "r9" },
   { "several tasks that wait, more than the vacated hosts take",
     { USUAL, USUAL },
     { { LASTING ("1", "\"cpu\":4000"), "w0" }, { BATCH ("1"), "w1" } },
     .requests = { { "w1", TASK_WAITS } },
     .late_job = LASTING ("5", ONE_EACH),
-    .lacking = 5 },
+    .lacking = 5,
+    .placeless = 4 },
 };
 
 /* Lets only the worker ON take tasks, or with "" all.  */
@@ -429,6 +432,8 @@
                    kept_reason (hosts[n]));
   ck_assert_msg (wld->plc->lacking_hosts == row->lacking, "%s: lacking %u",
                  row->title, wld->plc->lacking_hosts);
+  ck_assert_msg (wld->plc->placeless_hosts == row->placeless,
+                 "%s: placeless %u", row->title, wld->plc->placeless_hosts);
   ck_assert_msg (strcmp (wld->plc->lacking_label, row->label ? row->label : "")
                      == 0,
                  "%s: label %s", row->title, wld->plc->lacking_label);
