--- a/sched/placer_late.c
+++ b/sched/placer_late.c
@@ -150,11 +150,18 @@
 keep_room (const struct run *run, int64_t now_us)
 {
   const struct step *stp = &run->job->spec.steps[run->ref.step];
-  const struct worker *wrk = run->wrk;
-  if (stp->perpetual && run->tsk->run == run && !run->unwanted
-      && !run->tsk->reserved_worker && !job_ended (run->job) && wrk->registered
-      && !wrk->ended_us && !wrk->rep.draining && !wrk->vacate)
-    placer_reserve (run->tsk, stp, run->wrk, now_us);
+  struct worker *wrk = run->wrk;
+  if (!stp->perpetual || run->tsk->run != run || run->unwanted
+      || run->tsk->reserved_worker || job_ended (run->job) || !wrk->registered
+      || wrk->ended_us || wrk->rep.draining || wrk->vacate)
+    return;
+  /* The room may be promised to a task that preempts runs.  Of two
+     reservations for it, both would wait until one expires.  */
+  resources_add (&wrk->used, stp, -1);
+  bool fits = place_fits (wrk, stp);
+  resources_add (&wrk->used, stp, 1);
+  if (fits)
+    placer_reserve (run->tsk, stp, wrk, now_us);
 }
 
 void
--- a/test/unit/unit_placer_late_wait.c
+++ b/test/unit/unit_placer_late_wait.c
@@ -332,6 +332,40 @@
 }
 END_TEST
 
+/* Guards against a place that stays empty while tasks wait for it (LOST): the
+   room of a late start is promised to an older job's task while the run is
+   being stopped, and is kept for its own task as well.  */
+START_TEST (test_room_is_promised_once)
+{
+  static const char job[] = "{\"steps\":[{\"count\":1,\"cpu\":3000,"
+                            "\"mem-mb\":64,\"perpetual\":true}]}";
+  world_add_job (wld, 2, job, 200);
+  world_confirm_ownership (wld);
+  world_tick (wld, 1);
+  int64_t sent_us = wld->clk.now_us;
+  world_answer (wld, world_call (wld, WORLD_START, "w1"), COMMAND_NO_ANSWER);
+  struct job *older = world_add_job (wld, 1, job, 201);
+  older->accepted_ms -= 10000;
+  older->goal_ms -= 10000;
+  const struct task *tsk
+      = job_task (older, &(const struct task_ref){ .job = 1 });
+  /* The stop is not acknowledged yet.  */
+  for (int n = 0; n < 10 && !tsk->reserved_worker; n++)
+    {
+      world_confirm_ownership (wld);
+      world_tick (wld, STEP_MS);
+      if (world_call (wld, WORLD_HOLD, "w1"))
+        world_answer_hold (wld, "w1", NULL, 0, NULL, 0);
+    }
+  ck_assert_uint_ne (tsk->reserved_worker, 0);
+  while (!world_call (wld, WORLD_START, "w1"))
+    {
+      ck_assert_int_lt (wld->clk.now_us, sent_us + AGAIN_US);
+      step (COMMAND_DONE);
+    }
+}
+END_TEST
+
 /* Guards against two runs of a task (TWICE): its worker answers no more, so
    that the start may be carried out by the next instance, whose run lasts as
    long as a lease.  */
@@ -592,6 +626,7 @@
   tcase_add_test (tc, test_place_of_late_start_is_kept);
   tcase_add_loop_test (tc, test_host_of_late_start_is_kept, 0, 4);
   tcase_add_loop_test (tc, test_room_of_late_start_is_kept, 0, 3);
+  tcase_add_test (tc, test_room_is_promised_once);
   tcase_add_loop_test (tc, test_silent_worker, 0, 2);
   tcase_add_loop_test (tc, test_lists_end_late_start, 0, 6);
   tcase_add_test (tc, test_job_without_answered_start_waits);
