--- a/sched/placer.c
+++ b/sched/placer.c
@@ -261,13 +261,15 @@
 
 /* Picks a worker that the log does not name yet for a perpetual task, which no
    other worker can take.  Its start waits for a record anyway, and the same
-   one names the worker.  */
+   one names the worker.  While records are appended at once the task waits for
+   its worker's: others arrive meanwhile, of which a better one is picked.  */
 static struct worker *
 pick_unenrolled (struct placer *plc, const struct place_request *req)
 {
   struct place_request any = *req;
   any.unenrolled = true;
   return req->step->perpetual && placer_records_runs (plc)
+                 && placer_record_delayed (plc, req->now_us)
              ? place_pick_unenrolled (&plc->pool, &any)
              : NULL;
 }
--- a/test/unit/unit_placer_new_worker.c
+++ b/test/unit/unit_placer_new_worker.c
@@ -70,6 +70,14 @@
   fn (wld->enrol_arg, out);
 }
 
+/* The record is delayed: tasks do not wait for that of their worker.  */
+static void
+delay_record (void)
+{
+  for (int n = 0; n < 30; n++)
+    tick ();
+}
+
 /* Takes W1 out of use.  */
 static void
 lose_w1 (void)
@@ -184,6 +192,8 @@
   ck_assert_ptr_null (job->occurrences[0].tasks[0].run);
   wld->append_busy = true;
   add_worker ("w2");
+  ck_assert_ptr_null (job->occurrences[0].tasks[0].run);
+  delay_record ();
   ck_assert_ptr_nonnull (job->occurrences[0].tasks[0].run);
   world_send_record (wld);
   ck_assert (record_names ("w2", 1));
@@ -216,6 +226,7 @@
   if (cases[_i].w1_lost)
     lose_w1 ();
   add_worker ("w2");
+  delay_record ();
   struct job *job
       = world_add_job (wld, 1, cases[_i].json, WORLD_FENCE_OFFSET + 1);
   tick ();
@@ -254,6 +265,7 @@
   size_t len = wld->record_len;
   wld->append_busy = true;
   add_worker ("w2");
+  delay_record ();
   world_send_record (wld);
   wld->append_busy = false;
   ck_assert (record_names ("w2", 1));
