--- a/sched/placer.h
+++ b/sched/placer.h
@@ -34,6 +34,7 @@
 };
 
 typedef void persist_fn (void *arg, enum persist_outcome out);
+/* Supplies a value, which is copied at once.  Returns 0 or an error.  */
 typedef int persist_fill_fn (void *arg, const uint8_t **value, size_t *len);
 
 struct placer_env
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -280,7 +280,8 @@
    or it leaves by its own notice.  */
 bool worker_usable (const struct worker *wrk, int64_t now_us);
 
-/* The same, and neither is the case.  */
+/* Whether WRK takes new tasks once the pool's worker record in the log names
+   it.  */
 bool worker_takes_tasks (const struct worker *wrk, int64_t now_us);
 
 /* Whether WRK takes new tasks.  */
